--- /dev/null
+++ b/src/wallwell/__init__.py
@@ -0,0 +1,3 @@
+"""wallwell: a router for language-model traffic with long, deeply nested shared prompts."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/wallwell/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and services."""
--- /dev/null
+++ b/src/wallwell/backends/engine_client.py
@@ -0,0 +1,217 @@
+"""Client of one model engine: generation streams, cancel, status and cache events."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from wallwell.backends import engine_protocol as wire
+from wallwell.backends.attempt import AttemptFailed
+from wallwell.routing.outcome import TransportEvent
+
+CONNECT_TIMEOUT_S = 1.0
+CANCEL_TIMEOUT_S = 1.0
+MAX_EVENT_BYTES = 256 * 1024
+_READ_BYTES = 64 * 1024
+
+_REFUSAL_EVENTS = {
+    wire.RefusalReason.INCARNATION: TransportEvent.PRECONDITION_REFUSED,
+    wire.RefusalReason.WEIGHTS: TransportEvent.PRECONDITION_REFUSED,
+    wire.RefusalReason.LEAVING: TransportEvent.BACKEND_LEAVING,
+    wire.RefusalReason.OVERLOADED: TransportEvent.BACKEND_OVERLOADED,
+}
+
+
+@dataclass(frozen=True)
+class GenerationCall:
+    """One attempt at a generation."""
+
+    path: str
+    attempt_id: str
+    body: bytes
+    cache_salt: int
+    incarnation: str
+    weights_version: str
+    rank: int
+    first_index: int
+    first_token_timeout_s: float
+    stall_timeout_s: float
+
+
+@dataclass
+class GenerationHead:
+    """What the engine said with the first token."""
+
+    cached_tokens: int = 0
+    prompt_tokens: int = 0
+    incarnation: str = ""
+
+
+class EngineClient:
+    """Talks to the engine at ``address``."""
+
+    def __init__(self, address: str, session: aiohttp.ClientSession) -> None:
+        self._base = f"http://{address}"
+        self._session = session
+
+    async def generate(self, call: GenerationCall, head: GenerationHead) -> AsyncIterator[bytes]:
+        """Yield the stream's events in order, each once, without the terminal marker.
+
+        ``head`` is filled in before the first event. Returns after the engine's own terminal marker; raises
+        :class:`AttemptFailed` in every other case. Events already received (a lower index) are dropped.
+        """
+        response = await self._open(call)
+        try:
+            self._check_owner(response, call)
+            head.cached_tokens = int(response.headers.get(wire.CACHED_TOKENS, "0"))
+            head.prompt_tokens = int(response.headers.get(wire.PROMPT_TOKENS, "0"))
+            head.incarnation = response.headers.get(wire.INCARNATION, "")
+            async for event in self._ordered_events(response, call):
+                yield event
+        finally:
+            # An unread remainder closes the connection, so it is never reused by another request.
+            response.close()
+
+    async def _open(self, call: GenerationCall) -> aiohttp.ClientResponse:
+        headers = {
+            "Content-Type": "application/json",
+            wire.REQUEST_ID: call.attempt_id,
+            wire.CACHE_SALT: wire.hash_text(call.cache_salt),
+            wire.EXPECT_INCARNATION: call.incarnation,
+            wire.EXPECT_WEIGHTS: call.weights_version,
+            wire.PRIORITY_RANK: str(call.rank),
+        }
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+        try:
+            async with asyncio.timeout(call.first_token_timeout_s):
+                response = await self._session.post(
+                    self._base + call.path, data=call.body, headers=headers, timeout=timeout
+                )
+        except aiohttp.ClientConnectorError as error:
+            raise AttemptFailed(TransportEvent.CONNECT_REFUSED, str(error)) from error
+        except aiohttp.ConnectionTimeoutError as error:
+            raise AttemptFailed(TransportEvent.CONNECT_TIMEOUT) from error
+        except TimeoutError as error:
+            raise AttemptFailed(TransportEvent.ANSWER_TIMEOUT, "no first token") from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise AttemptFailed(TransportEvent.RESET_AFTER_SEND, type(error).__name__) from error
+        if response.status != 200:
+            await self._raise_refusal(response)
+        return response
+
+    async def _raise_refusal(self, response: aiohttp.ClientResponse) -> None:
+        async with response:
+            payload = await response.read()
+        try:
+            reason = msgspec.json.decode(payload, type=wire.Refusal).reason
+        except msgspec.DecodeError:
+            raise AttemptFailed(
+                TransportEvent.ERROR_ANSWER, f"status {response.status}", response.status, payload
+            ) from None
+        raise AttemptFailed(_REFUSAL_EVENTS[reason], reason.value)
+
+    def _check_owner(self, response: aiohttp.ClientResponse, call: GenerationCall) -> None:
+        if response.headers.get(wire.REQUEST_ID) != call.attempt_id:
+            raise AttemptFailed(TransportEvent.FOREIGN_ANSWER, "answer has another request id")
+
+    async def _ordered_events(self, response: aiohttp.ClientResponse, call: GenerationCall) -> AsyncIterator[bytes]:
+        expected = call.first_index
+        async for event in self._events(response, call.stall_timeout_s):
+            if event.startswith(wire.DONE_EVENT):
+                return
+            try:
+                identity = wire.parse_event_id(event)
+            except ValueError as error:
+                raise AttemptFailed(TransportEvent.FOREIGN_ANSWER, "undecodable event id") from error
+            if identity is None or identity.request_id != call.attempt_id:
+                raise AttemptFailed(TransportEvent.FOREIGN_ANSWER, "event of another request")
+            if identity.token_index < expected:
+                continue
+            if identity.token_index > expected:
+                raise AttemptFailed(TransportEvent.RESET_AFTER_SEND, f"gap before token {identity.token_index}")
+            expected += 1
+            yield event
+        raise AttemptFailed(TransportEvent.RESET_AFTER_SEND, "stream ended without its terminal marker")
+
+    async def _events(self, response: aiohttp.ClientResponse, stall_timeout_s: float) -> AsyncIterator[bytes]:
+        """Split the body at blank lines."""
+        buffer = b""
+        while True:
+            try:
+                async with asyncio.timeout(stall_timeout_s):
+                    data = await response.content.readany()
+            except TimeoutError as error:
+                raise AttemptFailed(TransportEvent.ANSWER_TIMEOUT, "stream stalled") from error
+            except (aiohttp.ClientError, OSError) as error:
+                raise AttemptFailed(TransportEvent.RESET_AFTER_SEND, type(error).__name__) from error
+            if not data:
+                return
+            *events, buffer = (buffer + data).split(b"\n\n")
+            if len(buffer) > MAX_EVENT_BYTES:
+                raise AttemptFailed(TransportEvent.FOREIGN_ANSWER, "event too large")
+            for event in events:
+                yield event + b"\n\n"
+
+    async def cancel(self, request_id: str) -> wire.CancelState | None:
+        """Stop a generation; None if the engine did not acknowledge."""
+        body = msgspec.json.encode(wire.CancelRequest(request_id))
+        timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
+        try:
+            async with self._session.post(self._base + "/cancel", data=body, timeout=timeout) as response:
+                payload = await response.read()
+            return msgspec.json.decode(payload, type=wire.CancelAnswer).state
+        except (TimeoutError, aiohttp.ClientError, OSError, msgspec.DecodeError):
+            return None
+
+    async def events(self, after: int, incarnation: str, idle_timeout_s: float) -> AsyncIterator[wire.EventLine]:
+        """Yield status and cache events until the connection ends; the first line is a status.
+
+        ``after`` counts only if the engine still is ``incarnation``. Raises aiohttp and timeout errors.
+        """
+        decoder: msgspec.json.Decoder[wire.EventLine] = msgspec.json.Decoder(wire.EventLine)
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=idle_timeout_s)
+        url = f"{self._base}/events?after={after}&incarnation={incarnation}"
+        async with self._session.get(url, timeout=timeout) as response:
+            buffer = b""
+            async for data in response.content.iter_any():
+                *lines, buffer = (buffer + data).split(b"\n")
+                for line in lines:
+                    yield decoder.decode(line)
+
+    async def snapshot(self) -> wire.CacheSnapshot:
+        """Return everything the engine has cached. Raises aiohttp and timeout errors."""
+        timeout = aiohttp.ClientTimeout(total=10.0, sock_connect=CONNECT_TIMEOUT_S)
+        async with self._session.get(self._base + "/snapshot", timeout=timeout) as response:
+            return msgspec.json.decode(await response.read(), type=wire.CacheSnapshot)
+
+    async def order(self, order: wire.LoadOrder, timeout_s: float) -> int:
+        """Send a fenced order; returns the HTTP status, 0 if there was no answer."""
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        try:
+            async with self._session.post(
+                self._base + "/orders", data=msgspec.json.encode(order), timeout=timeout
+            ) as response:
+                await response.read()
+                return response.status
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return 0
+
+
+def client_session(limit_per_host: int = 0) -> aiohttp.ClientSession:
+    """Return a session that never repeats a request by itself.
+
+    aiohttp sends idempotent methods a second time when a kept-alive connection turns out to be closed. That
+    would break "at most once" for services that use PUT or DELETE, so it is switched off; the contract test of
+    service calls holds this.
+    """
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0, limit_per_host=limit_per_host),
+        auto_decompress=False,
+        read_bufsize=_READ_BYTES,
+    )
+    session._retry_connection = False
+    return session
--- /dev/null
+++ b/src/wallwell/backends/engine_watch.py
@@ -0,0 +1,151 @@
+"""Reads status and cache events of the engines this node is responsible for.
+
+Each engine of a region is read by one node, chosen by rendezvous over the live members; when membership
+changes the readers move by themselves. A reader publishes incarnation and waiting time through gossip and
+reports checkpoints to the shards' owners.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+import aiohttp
+import msgspec
+
+from wallwell.backends import engine_protocol as wire
+from wallwell.backends.engine_client import EngineClient
+from wallwell.cluster.node import ClusterNode
+from wallwell.cluster.shards import EngineReader
+from wallwell.config.compiled import Engine
+from wallwell.events import Event, emit
+from wallwell.routing.load import LoadReport
+from wallwell.routing.selector import EngineSelector
+
+RECONCILE_INTERVAL_S = 0.5
+EVENTS_IDLE_TIMEOUT_S = 3.0
+RECONNECT_S = 0.5
+SNAPSHOT_INTERVAL_S = 2.0
+
+
+class EngineWatch:
+    """Keeps one reading task per engine this node is the reader of."""
+
+    def __init__(
+        self,
+        node: ClusterNode,
+        selector: EngineSelector,
+        session: aiohttp.ClientSession,
+        rng: random.Random,
+        region_engines: Callable[[], dict[str, Engine]],
+    ) -> None:
+        self._node = node
+        self._selector = selector
+        self._session = session
+        self._rng = rng
+        self._region_engines = region_engines
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._snapshot_at_s: dict[str, float] = {}
+        self.status: dict[str, wire.StatusLine] = {}
+        self.received_bytes = 0
+
+    async def run(self) -> None:
+        """Reconcile reading tasks with the engines this node should read, until cancelled."""
+        try:
+            while True:
+                self._reconcile()
+                await asyncio.sleep(RECONCILE_INTERVAL_S)
+        finally:
+            for task in self._tasks.values():
+                task.cancel()
+
+    def _reconcile(self) -> None:
+        engines = self._region_engines()
+        wanted = {name for name in engines if self._node.reads_engine(name)}
+        for name in [name for name in self._tasks if name not in wanted]:
+            self._tasks.pop(name).cancel()
+            self._node.readers.pop(name, None)
+            self.status.pop(name, None)
+        for name in wanted - self._tasks.keys():
+            self._tasks[name] = asyncio.create_task(self._read_forever(engines[name]))
+        self._publish(engines)
+
+    def _publish(self, engines: dict[str, Engine]) -> None:
+        """Put incarnations and waiting times into this node's gossip state."""
+        now_s = time.monotonic()
+        reading = sorted(name for name in self.status if name in engines)
+        pairs = tuple((name, self.status[name].incarnation) for name in reading)
+        waiting = tuple(round(self._selector.load_of(name).waiting_s(now_s) * 1000) for name in reading)
+        for name in reading:
+            if self.status[name].state is wire.EngineState.LEAVING:
+                self._mark_leaving(engines[name])
+        self._node.set_engines(pairs, waiting)
+
+    def _mark_leaving(self, engine: Engine) -> None:
+        if engine.address not in self._node.leaving:
+            self._node.leaving.add(engine.address)
+            emit(Event.BACKEND_LEAVING, backend=engine.name)
+
+    async def _read_forever(self, engine: Engine) -> None:
+        client = EngineClient(engine.address, self._session)
+        while True:
+            try:
+                await self._read(engine.name, client)
+            except (TimeoutError, aiohttp.ClientError, OSError, ValueError, msgspec.DecodeError) as error:
+                emit(Event.ENGINE_UNREACHABLE, engine=engine.name, reason=type(error).__name__)
+            self.status.pop(engine.name, None)
+            await asyncio.sleep(RECONNECT_S * self._rng.uniform(0.5, 1.5))
+
+    async def _read(self, engine: str, client: EngineClient) -> None:
+        reader = self._node.readers.get(engine)
+        after = reader.sequence if reader is not None else 0
+        incarnation = reader.incarnation if reader is not None else ""
+        async for line in client.events(after, incarnation, EVENTS_IDLE_TIMEOUT_S):
+            if isinstance(line, wire.StatusLine):
+                self._on_status(engine, line)
+                reader = self._node.readers[engine]
+                # Everything up to the previous status should have arrived by now.
+                reader.doubtful |= reader.sequence < reader.sequence_at_last_status
+                reader.sequence_at_last_status = line.sequence
+            elif (reader := self._node.readers.get(engine)) is not None:
+                reader.on_event(line)
+            if reader is not None and reader.doubtful:
+                await self._resynchronise(engine, client)
+
+    def _on_status(self, engine: str, line: wire.StatusLine) -> None:
+        now_s = time.monotonic()
+        reader = self._node.readers.get(engine)
+        if reader is None or reader.incarnation != line.incarnation:
+            self._node.readers[engine] = EngineReader(engine, line.incarnation, 0)
+            if self._selector.on_incarnation(engine, line.incarnation):
+                emit(Event.ENGINE_INCARNATION, engine=engine, incarnation=line.incarnation)
+        self.status[engine] = line
+        report = LoadReport(
+            line.running,
+            line.waiting,
+            line.waiting_prefill_tokens,
+            line.cache_blocks,
+            line.cache_used_blocks,
+            now_s - line.age_s,
+        )
+        self._selector.load_of(engine).on_report(report)
+
+    async def _resynchronise(self, engine: str, client: EngineClient) -> None:
+        """Replace what is known by a snapshot, at most once per interval and engine."""
+        now_s = time.monotonic()
+        if now_s - self._snapshot_at_s.get(engine, float("-inf")) < SNAPSHOT_INTERVAL_S:
+            return
+        self._snapshot_at_s[engine] = now_s
+        emit(Event.ENGINE_EVENTS_GAP, engine=engine)
+        snapshot = await client.snapshot()
+        reader = self._node.readers.get(engine)
+        if reader is None or reader.incarnation != snapshot.incarnation:
+            return
+        entries = [
+            (int(entry.root, 16), entry.depth + offset, block)
+            for entry in snapshot.entries
+            for offset, block in enumerate(wire.unpack_hashes(entry.blocks))
+        ]
+        reader.replace_all(snapshot.sequence, entries)
--- /dev/null
+++ b/src/wallwell/backends/service_client.py
@@ -0,0 +1,85 @@
+"""Client of order and booking services."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import aiohttp
+
+from wallwell.backends.attempt import AttemptFailed
+from wallwell.backends.engine_protocol import REQUEST_ID
+from wallwell.routing.outcome import TransportEvent
+
+CONNECT_TIMEOUT_S = 1.0
+NOT_RUN_HEADER = "X-Not-Run"
+"""Set by a service on a refusal that ran nothing."""
+
+
+@dataclass(frozen=True)
+class ServiceCall:
+    """One attempt at a service call."""
+
+    method: str
+    path: str
+    attempt_id: str
+    headers: Mapping[str, str]
+    body: bytes
+    timeout_s: float
+
+
+@dataclass(frozen=True)
+class ServiceAnswer:
+    """A service's whole answer."""
+
+    status: int
+    body: bytes
+    content_type: str
+
+
+class ServiceClient:
+    """Sends calls; each on a fresh connection, so that no answer of an earlier exchange can be taken for its own.
+
+    A kept-alive connection that the service has just closed would also make a call that never ran look as if
+    it might have run.
+    """
+
+    def __init__(self) -> None:
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True), auto_decompress=False
+        )
+        self._session._retry_connection = False
+
+    async def close(self) -> None:
+        """Close the session."""
+        await self._session.close()
+
+    async def call(self, address: str, call: ServiceCall) -> ServiceAnswer:
+        """Send once. Raises :class:`AttemptFailed`."""
+        headers = {**call.headers, REQUEST_ID: call.attempt_id}
+        timeout = aiohttp.ClientTimeout(total=call.timeout_s, sock_connect=CONNECT_TIMEOUT_S)
+        url = f"http://{address}/{call.path}"
+        try:
+            async with self._session.request(
+                call.method, url, data=call.body, headers=headers, timeout=timeout, allow_redirects=False
+            ) as response:
+                body = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            raise AttemptFailed(TransportEvent.CONNECT_REFUSED, str(error)) from error
+        except aiohttp.ConnectionTimeoutError as error:
+            raise AttemptFailed(TransportEvent.CONNECT_TIMEOUT) from error
+        except TimeoutError as error:
+            raise AttemptFailed(TransportEvent.ANSWER_TIMEOUT) from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise AttemptFailed(TransportEvent.RESET_AFTER_SEND, type(error).__name__) from error
+        return self._checked(response, body, call)
+
+    def _checked(self, response: aiohttp.ClientResponse, body: bytes, call: ServiceCall) -> ServiceAnswer:
+        if response.status == 503 and NOT_RUN_HEADER in response.headers:
+            raise AttemptFailed(TransportEvent.BACKEND_LEAVING, response.headers[NOT_RUN_HEADER])
+        if response.headers.get(REQUEST_ID) != call.attempt_id:
+            raise AttemptFailed(TransportEvent.FOREIGN_ANSWER, "answer has another request id")
+        answer = ServiceAnswer(response.status, body, response.headers.get("Content-Type", ""))
+        if response.status >= 500:
+            raise AttemptFailed(TransportEvent.ERROR_ANSWER, f"status {answer.status}", answer.status, body)
+        return answer
--- /dev/null
+++ b/src/wallwell/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Workloads, virtual-time experiments, load generation and the scale run."""
--- /dev/null
+++ b/src/wallwell/bench/fleet.py
@@ -0,0 +1,204 @@
+"""A deployment in one process: routers, engines, services and the platform over loopback sockets.
+
+Used by the demo, the fault scenarios, the load tool and tests. The operators' files are those of
+``examples/``; only the back ends' addresses are replaced by ports the system chose.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import secrets
+from collections.abc import Callable
+from pathlib import Path
+
+import aiohttp
+from aiohttp import web
+
+from wallwell.cli.operator_client import OperatorClient
+from wallwell.config.commit import ApplyRequest
+from wallwell.config.parse import ConfigFile, parse_file
+from wallwell.config.schema import EnginePoolSpec, ServiceSpec, ZoneSpec
+from wallwell.emulator.engine_model import EngineProfile
+from wallwell.emulator.engine_server import EngineServer
+from wallwell.emulator.platform_server import PlatformServer
+from wallwell.emulator.service_server import ServiceServer
+from wallwell.gateway.router_node import RouterNode
+from wallwell.settings import ClusterSettings, NodeSettings, PlatformAddresses
+
+OPERATOR_TOKEN = "fleet-operator-token"
+CLUSTER_KEY = "fleet-cluster-key-0123456789"
+HOST = "127.0.0.1"
+
+
+class EmulatedBackend:
+    """A stand-in with the listener it runs on."""
+
+    def __init__(self, server: EngineServer | ServiceServer | PlatformServer) -> None:
+        self.server = server
+        self.address = ""
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, port: int = 0) -> str:
+        """Listen; returns ``IP:port``."""
+        self._runner = web.AppRunner(
+            self.server.app(), handler_cancellation=True, access_log=None, shutdown_timeout=0.05
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, HOST, port).start()
+        self.address = f"{HOST}:{self._runner.addresses[0][1]}"
+        return self.address
+
+    async def stop(self) -> None:
+        """Close the listener and its connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+
+class Fleet:
+    """One deployment. ``start`` brings everything up, applies the operators' files and waits for readiness."""
+
+    def __init__(
+        self,
+        directory: Path,
+        policy: str = "expected_first_token",
+        routers_per_zone: int = 1,
+        profile: EngineProfile | None = None,
+        tune: Callable[[NodeSettings], NodeSettings] = lambda settings: settings,
+        seed: int = 1,
+    ) -> None:
+        self._directory = directory
+        self._policy = policy
+        self._routers_per_zone = routers_per_zone
+        self._profile = profile or EngineProfile()
+        self._tune = tune
+        self._seed = seed
+        self.platform = EmulatedBackend(PlatformServer(calls_per_s=2000.0))
+        self.engines: dict[str, EmulatedBackend] = {}
+        self.services: dict[str, EmulatedBackend] = {}
+        self.routers: list[RouterNode] = []
+        self.files: list[ConfigFile] = []
+
+    @property
+    def platform_server(self) -> PlatformServer:
+        """The platform's stand-in."""
+        assert isinstance(self.platform.server, PlatformServer)
+        return self.platform.server
+
+    def engine(self, name: str) -> EngineServer:
+        """One engine's stand-in."""
+        server = self.engines[name].server
+        assert isinstance(server, EngineServer)
+        return server
+
+    def service(self, name: str) -> ServiceServer:
+        """One service instance's stand-in."""
+        server = self.services[name].server
+        assert isinstance(server, ServiceServer)
+        return server
+
+    async def start(self) -> None:
+        """Start everything and put the files in force."""
+        await self.platform.start()
+        bodies = [path.read_text(encoding="utf-8") for path in sorted(self._directory.glob("*.yaml"))]
+        parsed = [file for file, _ in map(parse_file, bodies) if file is not None]
+        replaced = await self._start_backends(parsed)
+        self.files = [self._with_addresses(file, replaced) for file in parsed]
+        zones = {file.key.name: file.spec.region for file in parsed if isinstance(file.spec, ZoneSpec)}
+        for number in range(self._routers_per_zone):
+            for zone, region in zones.items():
+                await self.start_router(f"{zone}-r{number + 1}", zone, region)
+        await self.apply(self.files)
+        await self.wait_ready()
+
+    async def _start_backends(self, files: list[ConfigFile]) -> dict[str, str]:
+        replaced: dict[str, str] = {}
+        models = {
+            file.key.name: file.spec.weights_version for file in files if hasattr(file.spec, "weights_version")
+        }
+        for file in files:
+            if isinstance(file.spec, EnginePoolSpec):
+                for entry in file.spec.engines:
+                    weights = {model: models[model] for model in file.spec.models}
+                    backend = EmulatedBackend(EngineServer(entry.name, weights, self._profile))
+                    self.engines[entry.name] = backend
+                    replaced[entry.address] = await backend.start()
+            elif isinstance(file.spec, ServiceSpec):
+                for instance in file.spec.instances:
+                    backend = EmulatedBackend(ServiceServer(instance.name))
+                    self.services[instance.name] = backend
+                    replaced[instance.address] = await backend.start()
+        return replaced
+
+    def _with_addresses(self, file: ConfigFile, replaced: dict[str, str]) -> ConfigFile:
+        body = re.sub(r"\d+(?:\.\d+){3}:\d+", lambda found: replaced.get(found.group(), found.group()), file.body)
+        changed, _ = parse_file(body)
+        assert changed is not None
+        return changed
+
+    async def start_router(self, name: str, zone: str, region: str) -> RouterNode:
+        """Start one router that joins the others."""
+        seeds = tuple(router.transport.address for router in self.routers)
+        platform = f"http://{self.platform.address}"
+        settings = NodeSettings(
+            node=name,
+            zone=zone,
+            region=region,
+            operator_token=OPERATOR_TOKEN,
+            policy=self._policy,
+            cluster=ClusterSettings(key=CLUSTER_KEY, seeds=seeds, sync_interval_s=0.2, suspicion_timeout_s=1.0),
+            platform=PlatformAddresses(table=platform, objects=platform, weights=platform, machines=platform),
+        )
+        router = RouterNode(self._tune(settings), seed=self._seed + len(self.routers))
+        await router.start()
+        self.routers.append(router)
+        return router
+
+    async def apply(self, files: list[ConfigFile], router: int = 0) -> int:
+        """Apply files through one router's operators' listener; returns the last revision."""
+        revision = 0
+        async with aiohttp.ClientSession() as session:
+            client = self.operator(router, session)
+            for file in files:
+                answer = await client.apply(ApplyRequest(secrets.token_hex(12), "fleet", file.body))
+                revision = max(revision, answer.revision)
+        return revision
+
+    def operator(self, router: int, session: aiohttp.ClientSession) -> OperatorClient:
+        """Return an operators' client of one router."""
+        return OperatorClient(f"http://{self.routers[router].operators_address}", OPERATOR_TOKEN, session)
+
+    async def wait_ready(self, timeout_s: float = 15.0) -> None:
+        """Wait until every router serves the highest revision and every engine is being read."""
+        async with asyncio.timeout(timeout_s):
+            while not self._is_ready():
+                await asyncio.sleep(0.05)
+
+    def _is_ready(self) -> bool:
+        head = max(router.context.node.config.head for router in self.routers)
+        for router in self.routers:
+            node = router.context.node
+            if not router.context.ready or node.config.head < head or head == 0:
+                return False
+            if len(node.engine_incarnations()) < len(self.engines):
+                return False
+        return True
+
+    def journal(self) -> list[str]:
+        """Idempotency keys of every service call that ran, over all instances."""
+        entries = [entry for name in self.services for entry in self.service(name).journal]
+        return [entry.key for entry in entries if entry.key]
+
+    async def stop(self) -> None:
+        """Stop everything at once."""
+        await asyncio.gather(*(router.close() for router in self.routers))
+        backends = [self.platform, *self.engines.values(), *self.services.values()]
+        await asyncio.gather(*(backend.stop() for backend in backends))
+
+
+def replace_spec_text(file: ConfigFile, old: str, new: str) -> ConfigFile:
+    """Return a file with a text of its body replaced."""
+    changed, problems = parse_file(file.body.replace(old, new))
+    assert changed is not None, problems
+    return changed
--- /dev/null
+++ b/src/wallwell/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line: argument parsing and the commands."""
--- /dev/null
+++ b/src/wallwell/cli/config_commands.py
@@ -0,0 +1,175 @@
+"""``wallwell check``, ``apply``, ``remove``, ``get`` and ``status``."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import getpass
+import os
+import secrets
+import sys
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from wallwell.cli.operator_client import OperatorClient
+from wallwell.config.commit import ApplyRequest
+from wallwell.config.parse import ConfigFile, check_references, parse_file
+from wallwell.config.schema import FileKey, Kind
+from wallwell.errors import ConfigInvalidError, ConfigNotFoundError, WallwellError
+
+TOKEN_VARIABLE = "WALLWELL_OPERATOR_TOKEN"
+_KIND_ORDER = {kind: index for index, kind in enumerate(Kind)}
+
+
+def register(commands: Any) -> None:
+    """Add the commands."""
+    check = commands.add_parser("check", help="check a directory of operators' files offline")
+    check.add_argument("path", type=Path)
+    check.set_defaults(run=run_check)
+
+    apply = commands.add_parser("apply", help="put a file or a directory of files in force")
+    apply.add_argument("path", type=Path)
+    apply.add_argument("--wait", action="store_true", help="wait until it is in force on every live node")
+    apply.add_argument("--timeout", type=float, default=10.0, help="seconds to wait")
+    apply.add_argument("--base", type=int, help="the file's revision the change was made from")
+    _add_connection(apply)
+    apply.set_defaults(run=run_apply)
+
+    remove = commands.add_parser("remove", help="remove a file")
+    remove.add_argument("key", help="KIND/NAME")
+    _add_connection(remove)
+    remove.set_defaults(run=run_remove)
+
+    get = commands.add_parser("get", help="print what is in force")
+    get.add_argument("key", nargs="?", help="KIND/NAME; without it every file is listed")
+    _add_connection(get)
+    get.set_defaults(run=run_get)
+
+    status = commands.add_parser("status", help="print members and revisions")
+    _add_connection(status)
+    status.set_defaults(run=run_status)
+
+
+def _add_connection(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--router", default="http://127.0.0.1:8081", help="a router's operators' listener")
+    parser.add_argument("--token", default=os.environ.get(TOKEN_VARIABLE, ""), help=f"default: ${TOKEN_VARIABLE}")
+    parser.add_argument("--operator", default=getpass.getuser(), help="name recorded with a change")
+
+
+def read_directory(path: Path) -> list[ConfigFile]:
+    """Parse a file or every ``*.yaml`` of a directory, in the order to apply.
+
+    Raises :class:`ConfigInvalidError` that lists every problem of every file.
+    """
+    if not path.exists():
+        raise ConfigNotFoundError(f"{path} does not exist")
+    paths = sorted(path.glob("*.yaml")) if path.is_dir() else [path]
+    if not paths:
+        raise ConfigNotFoundError(f"{path} has no *.yaml files")
+    files: dict[FileKey, ConfigFile] = {}
+    sources: dict[FileKey, Path] = {}
+    messages: list[str] = []
+    for each in paths:
+        file, problems = parse_file(each.read_text(encoding="utf-8"))
+        messages.extend(f"{each}: {problem}" for problem in problems)
+        if file is None:
+            continue
+        if file.key in files:
+            messages.append(f"{each}: {file.key} is also in {sources[file.key]}")
+        files[file.key] = file
+        sources[file.key] = each
+    if path.is_dir():
+        for key, source in sources.items():
+            messages.extend(f"{source}: {problem}" for problem in check_references(files, only=[key]))
+    if messages:
+        raise ConfigInvalidError("\n".join(messages))
+    return sorted(files.values(), key=lambda file: (_KIND_ORDER[file.key.kind], file.key.name))
+
+
+def run_check(options: argparse.Namespace) -> int:
+    """Check files offline; status 0 if there is nothing wrong."""
+    files = read_directory(options.path)
+    print(f"{len(files)} files, no problems")
+    return 0
+
+
+def run_apply(options: argparse.Namespace) -> int:
+    """Apply files in dependency order; stops at the first that is refused."""
+    return asyncio.run(_apply(options, read_directory(options.path)))
+
+
+async def _apply(options: argparse.Namespace, files: list[ConfigFile]) -> int:
+    async with aiohttp.ClientSession() as session:
+        client = OperatorClient(options.router, options.token, session)
+        revision = 0
+        for file in files:
+            request = ApplyRequest(secrets.token_hex(12), options.operator, file.body, base_revision=options.base)
+            try:
+                answer = await client.apply(request)
+            except WallwellError as error:
+                print(f"{file.key}: refused, nothing of it changed\n{error}", file=sys.stderr)
+                return 1
+            revision = max(revision, answer.revision)
+            print(f"{answer.key}: revision {answer.revision}{'' if answer.changed else ' (unchanged)'}")
+        return await _wait(client, revision, options.timeout) if options.wait else 0
+
+
+async def _wait(client: OperatorClient, revision: int, timeout_s: float) -> int:
+    in_force, status = await client.wait_in_force(revision, timeout_s)
+    for member in status.members:
+        print(f"  {member.node} ({member.zone}, {member.status}): revision {member.config_revision}")
+    for region, head in sorted(status.regions.items()):
+        print(f"  region {region}: revision {head}")
+    if not in_force:
+        print(f"revision {revision} is not in force everywhere after {timeout_s} s", file=sys.stderr)
+        return 1
+    print(f"revision {revision} is in force on every live node")
+    return 0
+
+
+def run_remove(options: argparse.Namespace) -> int:
+    """Remove one file."""
+
+    async def remove() -> int:
+        async with aiohttp.ClientSession() as session:
+            client = OperatorClient(options.router, options.token, session)
+            answer = await client.apply(ApplyRequest(secrets.token_hex(12), options.operator, key=options.key))
+            print(f"{answer.key}: removed at revision {answer.revision}")
+            return 0
+
+    return asyncio.run(remove())
+
+
+def run_get(options: argparse.Namespace) -> int:
+    """Print one file in force, or list all."""
+
+    async def get() -> int:
+        async with aiohttp.ClientSession() as session:
+            client = OperatorClient(options.router, options.token, session)
+            if options.key:
+                view = await client.file(options.key)
+                print(f"# revision {view.revision} by {view.operator}\n{view.body}", end="")
+                return 0
+            for view in await client.files():
+                print(f"{view.key}\trevision {view.revision}\t{view.operator}\t{view.digest[:12]}")
+            return 0
+
+    return asyncio.run(get())
+
+
+def run_status(options: argparse.Namespace) -> int:
+    """Print the region's members as one router sees them."""
+
+    async def show() -> int:
+        async with aiohttp.ClientSession() as session:
+            status = await OperatorClient(options.router, options.token, session).status()
+        print(f"{status.node} in {status.region}/{status.zone}: revision {status.config_revision}, ", end="")
+        print("ready" if status.ready else "not ready", f"{status.in_flight} requests open", sep=", ")
+        for member in status.members:
+            line = f"  {member.node}\t{member.zone}\t{member.status}\trevision {member.config_revision}"
+            print(f"{line}\treads {member.engines} engines")
+        return 0
+
+    return asyncio.run(show())
--- /dev/null
+++ b/src/wallwell/cli/operator_client.py
@@ -0,0 +1,67 @@
+"""Client of a router's operators' listener, for the command line and the demo."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TypeVar
+
+import aiohttp
+import msgspec
+
+from wallwell.config.commit import ApplyAnswer, ApplyRequest
+from wallwell.errors import ConfigUnavailableError, WallwellError, all_error_types
+from wallwell.gateway.operators_app import FileView, OperatorError, StatusAnswer
+
+_TIMEOUT = aiohttp.ClientTimeout(total=30.0)
+_TYPES = {error_type.code: error_type for error_type in all_error_types()}
+T = TypeVar("T")
+
+
+class OperatorClient:
+    """Talks to one router. Errors come back as the types the router raised."""
+
+    def __init__(self, base_url: str, token: str, session: aiohttp.ClientSession) -> None:
+        self._base = base_url.rstrip("/")
+        self._headers = {"Authorization": f"Bearer {token}"}
+        self._session = session
+
+    async def _call(self, method: str, path: str, target: type[T], body: bytes = b"") -> T:
+        try:
+            async with self._session.request(
+                method, self._base + path, data=body, headers=self._headers, timeout=_TIMEOUT
+            ) as response:
+                payload = await response.read()
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            raise ConfigUnavailableError(f"{self._base}: {type(error).__name__}") from error
+        if response.status != 200:
+            answer = msgspec.json.decode(payload, type=OperatorError)
+            raise _TYPES.get(answer.code, WallwellError)(answer.message)
+        return msgspec.json.decode(payload, type=target)
+
+    async def apply(self, request: ApplyRequest) -> ApplyAnswer:
+        """Apply one file; a lost answer is safe to repeat with the same apply id."""
+        return await self._call("POST", "/config/apply", ApplyAnswer, msgspec.json.encode(request))
+
+    async def files(self) -> list[FileView]:
+        """Return every file in force."""
+        return await self._call("GET", "/config", list[FileView])
+
+    async def file(self, key: str) -> FileView:
+        """Return one file in force."""
+        return await self._call("GET", f"/config/{key}", FileView)
+
+    async def status(self) -> StatusAnswer:
+        """Return what the router knows of its region."""
+        return await self._call("GET", "/status", StatusAnswer)
+
+    async def wait_in_force(self, revision: int, timeout_s: float) -> tuple[bool, StatusAnswer]:
+        """Poll until every live member of the region has ``revision``; returns whether that happened."""
+        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        while True:
+            status = await self.status()
+            live = [member for member in status.members if member.status in ("alive", "suspect")]
+            if all(member.config_revision >= revision for member in live):
+                return True, status
+            if asyncio.get_running_loop().time() >= deadline_s:
+                return False, status
+            await asyncio.sleep(0.1)
--- /dev/null
+++ b/src/wallwell/cli/router.py
@@ -0,0 +1,71 @@
+"""``wallwell router``: the product process."""
+
+from __future__ import annotations
+
+import argparse
+from pathlib import Path
+from typing import Any
+
+import aiomisc
+import uvloop
+
+from wallwell.events import configure_logging
+from wallwell.gateway.router_node import RouterNode
+from wallwell.settings import NodeSettings, load_settings
+
+_SHUTDOWN_MARGIN_S = 10.0
+_OVERRIDES = {
+    "node": "node",
+    "zone": "zone",
+    "region": "region",
+    "callers_port": "callers_listener.port",
+    "operators_port": "operators_listener.port",
+    "cluster_port": "cluster_listener.port",
+    "log_level": "log.level",
+}
+
+
+class RouterService(aiomisc.Service):
+    """Runs a :class:`RouterNode` under aiomisc; SIGTERM or SIGINT starts a planned stop."""
+
+    settings: NodeSettings
+
+    async def start(self) -> None:
+        """Start the node."""
+        self.router_node = RouterNode(self.settings)
+        await self.router_node.start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop without cutting a request."""
+        await self.router_node.stop()
+
+
+def register(commands: Any) -> None:
+    """Add the command."""
+    parser = commands.add_parser("router", help="run one router")
+    parser.add_argument("--settings", type=Path, required=True, help="the node's settings file")
+    parser.add_argument("--node", help="override the node's name")
+    parser.add_argument("--zone", help="override the zone")
+    parser.add_argument("--region", help="override the region")
+    parser.add_argument("--callers-port", type=int, help="override callers_listener.port")
+    parser.add_argument("--operators-port", type=int, help="override operators_listener.port")
+    parser.add_argument("--cluster-port", type=int, help="override cluster_listener.port")
+    parser.add_argument("--log-level", help="override log.level")
+    parser.set_defaults(run=run)
+
+
+def run(options: argparse.Namespace) -> int:
+    """Run until stopped; exit status 0 after a planned stop, 2 on bad settings."""
+    overrides = {
+        path: getattr(options, name) for name, path in _OVERRIDES.items() if getattr(options, name) is not None
+    }
+    settings = load_settings(options.settings, overrides)
+    configure_logging(settings.log.level, settings.log.json)
+    timeout_s = settings.limits.stop_grace_s + _SHUTDOWN_MARGIN_S
+    service = RouterService(settings=settings)
+    entrypoint = aiomisc.entrypoint(
+        service, loop_factory=uvloop.new_event_loop, log_config=False, shutdown_timeout=timeout_s
+    )
+    with entrypoint as loop:
+        loop.run_forever()
+    return 0
--- /dev/null
+++ b/src/wallwell/cluster/claims.py
@@ -0,0 +1,134 @@
+"""Claims that make a call with an idempotency key run at most once.
+
+Before it sends such a call, a router inserts a claim row under (tenant, key), conditional on there being none.
+An open claim is never taken over, however long its holder is silent: that is what keeps a paused or dead
+router's call from running a second time. A claim is only given back by its own holder, and only with proof
+that nothing ran.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+import msgspec
+
+from wallwell.errors import (
+    ClaimUnavailableError,
+    KeyReusedError,
+    PlatformUnavailableError,
+    TableConflictError,
+)
+from wallwell.platform.table import Condition, Put, Row, TableService, Transaction
+
+CLAIM_PREFIX = "claim/"
+_INSERT_TRIES = 3
+MAX_RECORDED_BODY = 64 * 1024
+
+
+class ClaimState(enum.StrEnum):
+    """Where a claim stands."""
+
+    OPEN = "open"
+    RELEASED = "released"
+    DONE = "done"
+
+
+class ClaimBody(msgspec.Struct, frozen=True):
+    """Contents of a claim row."""
+
+    claim_id: str
+    digest: str
+    state: ClaimState
+    status: int = 0
+    body: str = ""
+
+
+class ClaimResult(enum.Enum):
+    """What :func:`ClaimTable.claim` found."""
+
+    GRANTED = "granted"
+    RECORDED = "recorded"
+    OPEN_ELSEWHERE = "open_elsewhere"
+
+
+@dataclass(frozen=True)
+class Claim:
+    """Result of claiming, with the recorded answer if there is one."""
+
+    result: ClaimResult
+    key: str
+    claim_id: str
+    digest: str
+    version: int = 0
+    status: int = 0
+    body: str = ""
+
+
+class ClaimTable:
+    """Claims of one router in the table service."""
+
+    def __init__(self, table: TableService) -> None:
+        self._table = table
+
+    async def claim(self, tenant: str, key: str, digest: str, claim_id: str) -> Claim:
+        """Insert a claim, or find out who has it.
+
+        Raises :class:`KeyReusedError` when the key was used with another body, and
+        :class:`ClaimUnavailableError` when the table service gave no certain answer; the call was not sent.
+        """
+        row_key = f"{CLAIM_PREFIX}{tenant}/{key}"
+        for _ in range(_INSERT_TRIES):
+            try:
+                return await self._claim_once(row_key, digest, claim_id)
+            except PlatformUnavailableError:
+                continue  # The insert may have taken effect; the next round finds our own claim id.
+            except TableConflictError:
+                continue  # Somebody wrote in between; read again.
+        raise ClaimUnavailableError("the table service did not confirm the claim", retry_after_ms=1000)
+
+    async def _claim_once(self, row_key: str, digest: str, claim_id: str) -> Claim:
+        row = await self._table.get(row_key)
+        if row is not None:
+            body = msgspec.json.decode(row.value, type=ClaimBody)
+            if body.digest != digest:
+                raise KeyReusedError(f"key was used with another body: {row_key}")
+            if body.state is ClaimState.DONE:
+                return Claim(ClaimResult.RECORDED, row_key, claim_id, digest, row.version, body.status, body.body)
+            if body.state is ClaimState.OPEN and body.claim_id == claim_id:
+                return Claim(ClaimResult.GRANTED, row_key, claim_id, digest, row.version)
+            if body.state is ClaimState.OPEN:
+                return Claim(ClaimResult.OPEN_ELSEWHERE, row_key, claim_id, digest, row.version)
+        version = await self._write(row_key, row, ClaimBody(claim_id, digest, ClaimState.OPEN))
+        return Claim(ClaimResult.GRANTED, row_key, claim_id, digest, version)
+
+    async def _write(self, row_key: str, row: Row | None, body: ClaimBody) -> int:
+        condition = Condition(row_key, row.version if row else 0)
+        put = Put(row_key, msgspec.json.encode(body).decode())
+        return await self._table.transact(Transaction((condition,), (put,)))
+
+    async def record(self, claim: Claim, status: int, body: str) -> bool:
+        """Record the answer of a granted claim; returns whether it is certainly recorded."""
+        stored = body if len(body) <= MAX_RECORDED_BODY else ""
+        return await self._settle(claim, ClaimBody(claim.claim_id, claim.digest, ClaimState.DONE, status, stored))
+
+    async def release(self, claim: Claim) -> bool:
+        """Give back a claim whose call provably never ran."""
+        return await self._settle(claim, ClaimBody(claim.claim_id, claim.digest, ClaimState.RELEASED))
+
+    async def _settle(self, claim: Claim, body: ClaimBody) -> bool:
+        for _ in range(_INSERT_TRIES):
+            try:
+                row = await self._table.get(claim.key)
+                if row is None:
+                    return False
+                current = msgspec.json.decode(row.value, type=ClaimBody)
+                if current == body:
+                    return True
+                if current.claim_id != claim.claim_id or current.state is not ClaimState.OPEN:
+                    return False
+                await self._write(claim.key, row, body)
+                return True
+            except (PlatformUnavailableError, TableConflictError):
+                continue
+        return False
--- /dev/null
+++ b/src/wallwell/cluster/codec.py
@@ -0,0 +1,54 @@
+"""Authenticated JSON lines: ``<16 hex digits of a keyed BLAKE2b> <JSON>\\n``."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from typing import TypeVar
+
+import msgspec
+
+from wallwell.cluster.messages import ClusterMessage
+from wallwell.errors import ClusterMessageError
+
+_MAC_BYTES = 8
+_MAC_TEXT = 2 * _MAC_BYTES
+T = TypeVar("T")
+
+
+class LineCodec:
+    """Encodes and checks lines with the cluster's key."""
+
+    def __init__(self, key: str) -> None:
+        self._key = key.encode()[:64]
+        self._decoder = msgspec.json.Decoder(ClusterMessage)
+        self._encoder = msgspec.json.Encoder()
+
+    def _mac(self, payload: bytes) -> bytes:
+        digest = hashlib.blake2b(payload, key=self._key, digest_size=_MAC_BYTES)
+        return digest.hexdigest().encode()
+
+    def encode(self, message: object) -> bytes:
+        """Return one line."""
+        payload = self._encoder.encode(message)
+        return self._mac(payload) + b" " + payload + b"\n"
+
+    def _payload(self, line: bytes) -> bytes:
+        payload = line[_MAC_TEXT + 1 :].rstrip(b"\n")
+        if not hmac.compare_digest(line[:_MAC_TEXT], self._mac(payload)):
+            raise ClusterMessageError("authentication failed")
+        return payload
+
+    def decode(self, line: bytes) -> ClusterMessage:
+        """Check and decode a datagram. Raises :class:`ClusterMessageError`."""
+        try:
+            return self._decoder.decode(self._payload(line))
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise ClusterMessageError(str(error)) from error
+
+    def decode_as(self, line: bytes, target: type[T]) -> T:
+        """Check and decode a line of a known type. Raises :class:`ClusterMessageError`."""
+        try:
+            return msgspec.json.decode(self._payload(line), type=target)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise ClusterMessageError(str(error)) from error
--- /dev/null
+++ b/src/wallwell/cluster/limits.py
@@ -0,0 +1,138 @@
+"""A tenant's rate limit shared between nodes.
+
+Each node earns its share of the rate: an equal part per zone of the configuration, divided by the live nodes
+of the zone. Tokens move between nodes only by being taken out of one bucket before they are put into another,
+so the sum over connected nodes cannot exceed the limit, and a lost grant only loses tokens. A zone that is
+cut off keeps to its own share. Shares follow the *configured* zones, not the reachable ones: a partition must
+not make both sides believe that they own the whole limit.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from wallwell.cluster.messages import Action, Send, TokenGrant, TokenRequest
+from wallwell.routing.limits import TokenBucket
+
+REQUEST_INTERVAL_S = 0.25
+_GRANT_KEEP = 0.5
+_OPEN_REQUESTS = 256
+
+
+@dataclass
+class _TenantShare:
+    bucket: TokenBucket
+    concurrency: int
+    in_flight: int = 0
+    demand: float = 0.0
+    next_request_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class TenantLimit:
+    """The limit of one tenant over the whole fleet."""
+
+    requests_per_s: float
+    burst: float
+    concurrency: int
+
+
+@dataclass
+class SharedLimits:
+    """This node's shares of all tenants' limits. State exists only for tenants seen here lately."""
+
+    rng: random.Random
+    _shares: dict[str, _TenantShare] = field(default_factory=dict)
+    _fraction: float = 1.0
+    _sequence: int = 0
+    _open_requests: set[int] = field(default_factory=set)
+
+    def set_fraction(self, configured_zones: int, live_nodes_in_zone: int) -> None:
+        """Set this node's part of every limit."""
+        self._fraction = 1.0 / (max(1, configured_zones) * max(1, live_nodes_in_zone))
+
+    @property
+    def fraction(self) -> float:
+        """This node's part of every limit."""
+        return self._fraction
+
+    def _share(self, tenant: str, limit: TenantLimit, now_s: float) -> _TenantShare:
+        share = self._shares.get(tenant)
+        capacity = max(1.0, limit.burst * self._fraction)
+        rate = limit.requests_per_s * self._fraction
+        if share is None:
+            share = _TenantShare(TokenBucket(rate, capacity, capacity, now_s), limit.concurrency)
+            self._shares[tenant] = share
+        share.bucket.refill(now_s)
+        share.bucket.rate_per_s = rate
+        share.bucket.capacity = capacity
+        share.concurrency = max(1, round(limit.concurrency * self._fraction))
+        return share
+
+    def try_start(self, tenant: str, limit: TenantLimit, now_s: float) -> float | None:
+        """Admit one request; returns None, or the seconds after which to try again."""
+        share = self._share(tenant, limit, now_s)
+        if share.in_flight >= share.concurrency:
+            return 0.1
+        if not share.bucket.try_take(now_s):
+            share.demand += 1.0
+            return share.bucket.wait_s()
+        share.in_flight += 1
+        return None
+
+    def finish(self, tenant: str) -> None:
+        """A request admitted earlier ended."""
+        share = self._shares.get(tenant)
+        if share is not None:
+            share.in_flight = max(0, share.in_flight - 1)
+
+    def tick(self, now_s: float, peers: list[str]) -> list[Action]:
+        """Ask one peer for tokens for each tenant that was refused; ``peers`` are cluster addresses."""
+        actions: list[Action] = []
+        for tenant, share in self._shares.items():
+            if share.demand <= 0 or now_s < share.next_request_s or not peers:
+                continue
+            share.next_request_s = now_s + REQUEST_INTERVAL_S
+            self._sequence += 1
+            self._open_requests = {s for s in self._open_requests if s > self._sequence - _OPEN_REQUESTS}
+            self._open_requests.add(self._sequence)
+            amount = max(1.0, share.demand)
+            actions.append(Send(self.rng.choice(peers), TokenRequest(self._sequence, tenant, amount)))
+            share.demand = 0.0
+        return actions
+
+    def on_request(
+        self, message: TokenRequest, sender_address: str, limit: TenantLimit, now_s: float
+    ) -> list[Action]:
+        """Give up to half of what this node has and does not need itself."""
+        share = self._share(message.tenant, limit, now_s)
+        available = share.bucket.tokens * _GRANT_KEEP if share.demand <= 0 else 0.0
+        amount = min(message.amount, available)
+        if amount < 1.0:
+            return []
+        share.bucket.tokens -= amount
+        return [Send(sender_address, TokenGrant(message.sequence, message.tenant, amount))]
+
+    def on_grant(self, message: TokenGrant) -> None:
+        """Add granted tokens once; a duplicated or very late datagram is ignored."""
+        if message.sequence not in self._open_requests:
+            return
+        self._open_requests.discard(message.sequence)
+        share = self._shares.get(message.tenant)
+        if share is not None:
+            share.bucket.tokens += message.amount
+
+    def forget_idle(self, now_s: float, idle_s: float = 300.0) -> None:
+        """Drop tenants that were not seen for a while."""
+        for tenant, share in list(self._shares.items()):
+            if share.in_flight == 0 and now_s - share.bucket.updated_s > idle_s:
+                del self._shares[tenant]
+
+    def tokens(self, tenant: str) -> float:
+        """Tokens this node has for a tenant."""
+        share = self._shares.get(tenant)
+        return share.bucket.tokens if share else 0.0
+
+    def __len__(self) -> int:
+        return len(self._shares)
--- /dev/null
+++ b/src/wallwell/cluster/node.py
@@ -0,0 +1,239 @@
+"""One node's part in the cluster, as a single sans-I/O object.
+
+It joins membership, region exchange, configuration spread, directory shards and shared limits behind three
+calls: ``tick``, ``handle`` and the methods of the request path. The router drives it over sockets; hollow
+nodes and tests drive the same object over an in-memory network in virtual time.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from wallwell.cluster import messages as msg
+from wallwell.cluster.limits import SharedLimits, TenantLimit
+from wallwell.cluster.membership import Member, MemberChange, Membership, MembershipTimings
+from wallwell.cluster.messages import Action, FetchConfig, HeadNotice, Send
+from wallwell.cluster.regions import CONTACTS, RegionDelegate
+from wallwell.cluster.shards import DirectoryShard, EngineReader, dispatch_reports, send_reports
+from wallwell.config.store import ConfigDelta, ConfigStore
+from wallwell.routing.rendezvous import key_of, owner
+
+HEAD_FANOUT = 3
+REPORT_INTERVAL_S = 0.25
+LOAD_INTERVAL_S = 1.0
+
+
+@dataclass(frozen=True)
+class NodeIdentity:
+    """Who and where a node is; ``incarnation`` rises with every start (milliseconds of wall time)."""
+
+    node: str
+    zone: str
+    region: str
+    address: str
+    incarnation: int
+
+
+class ClusterNode:
+    """Cluster state of one node."""
+
+    def __init__(
+        self,
+        identity: NodeIdentity,
+        rng: random.Random,
+        seeds: tuple[str, ...] = (),
+        timings: MembershipTimings | None = None,
+    ) -> None:
+        self.identity = identity
+        self.rng = rng
+        record = msg.MemberRecord(identity.node, identity.address, identity.zone, identity.incarnation, 1)
+        load = msg.LoadRecord(identity.node, identity.incarnation, 1, 0)
+        own = Member(record, load, incarnation=identity.incarnation)
+        self.membership = Membership(own, identity.region, timings or MembershipTimings(), rng, seeds=seeds)
+        self.config = ConfigStore()
+        self.regions = RegionDelegate(identity.node, identity.region, rng)
+        self.shard = DirectoryShard(rng)
+        self.limits = SharedLimits(rng)
+        self.readers: dict[str, EngineReader] = {}
+        self.leaving: set[str] = set()
+        self.highest_head_heard = 0
+        self._next_report_s = 0.0
+        self._last_announce_s: float | None = None
+        self._next_load_s = 0.0
+        self._lookup_sequence = 0
+        self.lookup_replies: dict[int, msg.LookupReply | None] = {}
+
+    # --- rounds ----------------------------------------------------------------------------------------
+
+    def tick(self, now_s: float, now_ms: int) -> list[Action]:
+        """Advance timers; returns what to do. Call about ten times a second."""
+        head = self.config.head
+        if now_s >= self._next_load_s:
+            self._next_load_s = now_s + LOAD_INTERVAL_S
+            self.membership.update_own_load(head, self.own_waiting_ms())
+        actions = self.membership.tick(now_s, head)
+        alive = self.membership.alive()
+        contacts = self._contacts(alive)
+        self.regions.refresh_own(head, contacts, now_ms)
+        actions.extend(self.regions.tick(now_s, alive, self.membership.seeds))
+        if now_s >= self._next_report_s:
+            self._next_report_s = now_s + REPORT_INTERVAL_S
+            actions.extend(self._flush_reports(now_s, alive))
+        self._update_limit_fraction(alive)
+        actions.extend(self.limits.tick(now_s, self._peer_addresses(alive)))
+        return actions
+
+    def own_waiting_ms(self) -> tuple[int, ...]:
+        """Waiting time of the engines this node reads, in the order of its record; set by the owner."""
+        return self._waiting_ms
+
+    _waiting_ms: tuple[int, ...] = ()
+
+    def set_engines(self, engines: tuple[tuple[str, str], ...], waiting_ms: tuple[int, ...]) -> None:
+        """Publish the engines this node reads, with incarnations and waiting times."""
+        self.membership.update_own_record(engines, tuple(sorted(self.leaving)))
+        self._waiting_ms = waiting_ms
+
+    def _contacts(self, alive: Sequence[str]) -> tuple[str, ...]:
+        chosen = self.rng.sample(list(alive), min(len(alive), CONTACTS))
+        return tuple(self.membership.address_of(name) for name in chosen)
+
+    def _peer_addresses(self, alive: Sequence[str]) -> list[str]:
+        return [self.membership.address_of(name) for name in alive if name != self.identity.node]
+
+    def _update_limit_fraction(self, alive: Sequence[str]) -> None:
+        same_zone = 0
+        for name in alive:
+            member = self.membership.member(name)
+            if member is not None and member.record.zone == self.identity.zone:
+                same_zone += 1
+        self.limits.set_fraction(len(self.config.compiled.zones), same_zone)
+
+    def _flush_reports(self, now_s: float, alive: list[str]) -> list[Action]:
+        elapsed = now_s - self._last_announce_s if self._last_announce_s is not None else 0.0
+        self._last_announce_s = now_s
+        addresses = {name: self.membership.address_of(name) for name in alive}
+        actions: list[Action] = []
+        for reader in self.readers.values():
+            reader.announce(elapsed)
+            for name, report in reader.flush(alive):
+                if name == self.identity.node:
+                    self.shard.on_report(report)
+                else:
+                    actions.append(Send(addresses[name], report))
+        return actions
+
+    # --- messages --------------------------------------------------------------------------------------
+
+    def handle(self, message: msg.ClusterMessage, sender: str, now_s: float) -> list[Action]:
+        """Process one message from the node at address ``sender``."""
+        head = self.config.head
+        membership = self.membership
+        match message:
+            case msg.Sync():
+                if message.region != self.identity.region:
+                    return self._greet_other_region(sender)
+                return membership.on_sync(message, sender, now_s, head) + self._heard(message.config_head, sender)
+            case msg.SyncReply():
+                actions = membership.on_sync_reply(message, sender, now_s, head)
+                return actions + self._heard(message.config_head, sender)
+            case msg.HeadNotice():
+                return self._heard(message.config_head, sender)
+            case msg.RegionNews():
+                return self.regions.on_news(message, sender, head)
+            case msg.Ping():
+                return membership.on_ping(message, sender)
+            case msg.IndirectProbe():
+                return membership.on_indirect_probe(message, sender, now_s)
+            case msg.Ack():
+                return membership.on_ack(message)
+            case _:
+                return self._handle_data(message, sender, now_s)
+
+    def _handle_data(self, message: msg.ClusterMessage, sender: str, now_s: float) -> list[Action]:
+        match message:
+            case msg.Lookup():
+                return [Send(sender, self.shard.on_lookup(message))]
+            case msg.LookupReply():
+                if message.sequence in self.lookup_replies:
+                    self.lookup_replies[message.sequence] = message
+            case msg.BlockReport():
+                self.shard.on_report(message)
+            case msg.TokenRequest():
+                limit = self.tenant_limit(message.tenant)
+                return self.limits.on_request(message, sender, limit, now_s) if limit else []
+            case msg.TokenGrant():
+                self.limits.on_grant(message)
+        return []
+
+    def _greet_other_region(self, sender: str) -> list[Action]:
+        if self.identity.region not in self.regions.summaries:
+            return []
+        summaries = tuple(self.regions.summaries.values())
+        return [Send(sender, msg.RegionNews(summaries, wants_answer=True))]
+
+    def tenant_limit(self, tenant: str) -> TenantLimit | None:
+        """Return the configured limit of a tenant."""
+        found = self.config.compiled.tenants.get(tenant)
+        if found is None:
+            return None
+        return TenantLimit(found.spec.requests_per_s, found.spec.burst, found.spec.concurrency)
+
+    # --- configuration ---------------------------------------------------------------------------------
+
+    def _heard(self, head: int, sender: str) -> list[Action]:
+        self.highest_head_heard = max(self.highest_head_heard, head)
+        return [FetchConfig(sender, head)] if head > self.config.head else []
+
+    def advance_config(self, delta: ConfigDelta) -> list[Action]:
+        """Apply a delta from a peer or the platform; tells a few members if this node moved up."""
+        if not self.config.apply(delta):
+            return []
+        self.membership.update_own_load(self.config.head, self.own_waiting_ms())
+        addresses = self._peer_addresses(self.membership.alive())
+        chosen = self.rng.sample(addresses, min(len(addresses), HEAD_FANOUT))
+        return [Send(address, HeadNotice(self.config.head)) for address in chosen]
+
+    # --- engines ---------------------------------------------------------------------------------------
+
+    def reads_engine(self, engine: str) -> bool:
+        """Whether this node, among the live members of its region, reads this engine's events."""
+        return owner(self.membership.alive(), key_of(f"reader/{engine}")) == self.identity.node
+
+    def engine_incarnations(self) -> dict[str, str]:
+        """Incarnation of each engine as its reader last published it."""
+        found: dict[str, str] = {}
+        for name in self.membership.alive():
+            member = self.membership.member(name)
+            if member is not None:
+                found.update(dict(member.record.engines))
+        return found
+
+    def leaving_addresses(self) -> set[str]:
+        """Back ends that any live member knows to be leaving."""
+        found = set(self.leaving)
+        for member in self.membership.members.values():
+            found.update(member.record.leaving)
+        return found
+
+    def report_dispatch(self, engine: str, incarnation: str, chain: Sequence[int]) -> list[Action]:
+        """Tell the chain's owner that ``engine`` is about to hold it."""
+        alive = self.membership.alive()
+        reports = dispatch_reports(engine, incarnation, chain, alive)
+        for name, report in reports:
+            if name == self.identity.node:
+                self.shard.on_report(report)
+        addresses = {name: self.membership.address_of(name) for name, _ in reports if name != self.identity.node}
+        return send_reports(reports, addresses)
+
+    def next_lookup(self) -> int:
+        """Return a sequence number for a lookup and expect its answer."""
+        self._lookup_sequence += 1
+        self.lookup_replies[self._lookup_sequence] = None
+        return self._lookup_sequence
+
+    def take_member_changes(self) -> list[MemberChange]:
+        """Return members' status changes since the last call."""
+        return self.membership.take_changes()
--- /dev/null
+++ b/src/wallwell/cluster/regions.py
@@ -0,0 +1,71 @@
+"""Summaries between regions, exchanged by a few delegates of each.
+
+Delegates are chosen by rendezvous over the live members of the region, so that no node is set aside and a
+lost delegate is replaced by the next one at once. A node that is not a delegate hears nothing of other
+regions; it learns of a higher configuration from its own region's members.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from wallwell.cluster.messages import Action, FetchConfig, RegionNews, RegionSummary, Send
+from wallwell.routing.rendezvous import key_of, owners
+
+DELEGATES = 2
+CONTACTS = 3
+REGION_INTERVAL_S = 1.0
+
+
+@dataclass
+class RegionDelegate:
+    """This node's part in the exchange between regions."""
+
+    node: str
+    region: str
+    rng: random.Random
+    summaries: dict[str, RegionSummary] = field(default_factory=dict)
+    _next_s: float = 0.0
+
+    def is_delegate(self, alive: list[str]) -> bool:
+        """Whether this node speaks for its region."""
+        return self.node in owners(alive, key_of(f"delegate/{self.region}"), DELEGATES)
+
+    def refresh_own(self, config_head: int, contacts: tuple[str, ...], now_ms: int) -> None:
+        """Rebuild the own region's summary."""
+        self.summaries[self.region] = RegionSummary(self.region, now_ms, config_head, contacts)
+
+    def tick(self, now_s: float, alive: list[str], seeds: tuple[str, ...]) -> list[Action]:
+        """Exchange summaries with one other region, if this node is a delegate."""
+        if now_s < self._next_s:
+            return []
+        self._next_s = now_s + REGION_INTERVAL_S * self.rng.uniform(0.8, 1.2)
+        if not self.is_delegate(alive):
+            return []
+        others = [summary for name, summary in self.summaries.items() if name != self.region]
+        if others:
+            # A contact may be gone; the region's other contacts are tried in later rounds.
+            address = self.rng.choice(self.rng.choice(others).contacts)
+        elif seeds:
+            address = self.rng.choice(seeds)
+        else:
+            return []
+        return [Send(address, self._news(wants_answer=True))]
+
+    def _news(self, wants_answer: bool) -> RegionNews:
+        return RegionNews(tuple(self.summaries.values()), wants_answer)
+
+    def on_news(self, message: RegionNews, sender_address: str, config_head: int) -> list[Action]:
+        """Merge summaries; fetch the configuration if another region is ahead."""
+        actions: list[Action] = []
+        for summary in message.summaries:
+            known = self.summaries.get(summary.region)
+            if summary.region != self.region and (known is None or summary.stamp_ms > known.stamp_ms):
+                self.summaries[summary.region] = summary
+        highest = max((summary.config_head for summary in message.summaries), default=0)
+        if highest > config_head:
+            actions.append(FetchConfig(sender_address, highest))
+        if message.wants_answer and self.region in self.summaries:
+            actions.append(Send(sender_address, self._news(wants_answer=False)))
+        return actions
--- /dev/null
+++ b/src/wallwell/cluster/shards.py
@@ -0,0 +1,189 @@
+"""Directory shards: who keeps which chains, what event readers report, and lookups.
+
+A region's chains are spread over its live nodes by rendezvous hash of the chain's first block, so nested
+prefixes share a shard. Only checkpoints (the first block and every 16th) are recorded, which thins the event
+stream sixteenfold where it is read. Lost reports and moved shards are repaired by re-announcing every
+checkpoint slowly; a shard is a hint, and the engine's own cache stays the truth.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+
+from wallwell.backends.engine_protocol import CacheLine, pack_hashes, unpack_hashes
+from wallwell.cluster.messages import Action, BlockReport, Lookup, LookupReply, Send
+from wallwell.routing.blocks import CHECKPOINT_STRIDE, checkpoint_depths, is_checkpoint
+from wallwell.routing.directory import EngineIncarnation, PrefixDirectory
+from wallwell.routing.rendezvous import owner
+from wallwell.routing.table import CompactTable
+
+MAX_LOOKUP_HASHES = 96
+MAX_REPORT_HASHES = 72
+ANNOUNCE_PERIOD_S = 120.0
+
+
+class DirectoryShard:
+    """The chains this node keeps for its region."""
+
+    def __init__(self, rng: random.Random, max_entries: int = 200_000) -> None:
+        self.directory = PrefixDirectory(max_entries)
+        self._rng = rng
+
+    def on_report(self, report: BlockReport) -> None:
+        """Record what a reader or a dispatcher reports."""
+        holder = EngineIncarnation(report.engine, report.incarnation)
+        if report.stored:
+            self.directory.add(holder, unpack_hashes(report.stored), self._rng)
+        if report.removed:
+            self.directory.remove(holder, unpack_hashes(report.removed))
+
+    def on_lookup(self, message: Lookup) -> LookupReply:
+        """Answer who holds the leading checkpoints."""
+        hashes = unpack_hashes(message.hashes)
+        held = self.directory.lookup(hashes, range(len(hashes)))
+        holders = tuple((each.holder.engine, each.holder.incarnation, each.blocks) for each in held)
+        return LookupReply(message.sequence, holders)
+
+
+def lookup_hashes(chain: Sequence[int]) -> list[int]:
+    """Return the checkpoints of a chain that a lookup carries."""
+    return [chain[depth] for depth in checkpoint_depths(len(chain))][:MAX_LOOKUP_HASHES]
+
+
+def blocks_of_checkpoints(count: int) -> int:
+    """Return the blocks covered by the first ``count`` checkpoints of a chain."""
+    if count <= 1:
+        return count
+    return (count - 1) * CHECKPOINT_STRIDE
+
+
+def shard_owner(root: int, alive: Sequence[str]) -> str:
+    """Return the node that keeps the chain with first block ``root``."""
+    return owner(alive, root)
+
+
+@dataclass
+class _Batch:
+    stored: list[int] = field(default_factory=list)
+    removed: list[int] = field(default_factory=list)
+
+
+class EngineReader:
+    """Thins one engine's cache events into checkpoint reports for the shards' owners.
+
+    State: one 16-byte slot (24 bytes at the usual load) a checkpoint the engine holds, whatever the number of
+    its blocks. The value is the chain's first block, from which the owner follows.
+    """
+
+    def __init__(self, engine: str, incarnation: str, sequence: int) -> None:
+        self.engine = engine
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.sequence_at_last_status = sequence
+        self.doubtful = False
+        self.gaps = 0
+        self._checkpoints = CompactTable()
+        self._batches: dict[int, _Batch] = {}
+        self._announcing: Iterator[tuple[int, int]] | None = None
+        self._announce_credit = 0.0
+
+    def __len__(self) -> int:
+        return len(self._checkpoints)
+
+    @property
+    def nbytes(self) -> int:
+        """Bytes of the checkpoint table."""
+        return self._checkpoints.nbytes
+
+    def on_event(self, line: CacheLine) -> bool:
+        """Take one event; returns False if events before it were lost."""
+        if line.sequence <= self.sequence:
+            return True
+        contiguous = line.sequence == self.sequence + 1
+        self.sequence = line.sequence
+        root = int(line.root, 16)
+        hashes = unpack_hashes(line.blocks)
+        if line.stored:
+            self._store(root, line.depth, hashes)
+        else:
+            self._remove(hashes)
+        if not contiguous:
+            self.gaps += 1
+            self.doubtful = True
+        return contiguous
+
+    def _store(self, root: int, depth: int, hashes: Sequence[int]) -> None:
+        for offset, block in enumerate(hashes):
+            if is_checkpoint(depth + offset):
+                self._checkpoints.set(block, root or 1)
+                self._batches.setdefault(root, _Batch()).stored.append(block)
+
+    def _remove(self, hashes: Sequence[int]) -> None:
+        for block in hashes:
+            root = self._checkpoints.get(block)
+            if root:
+                self._checkpoints.delete(block)
+                self._batches.setdefault(root, _Batch()).removed.append(block)
+
+    def replace_all(self, sequence: int, entries: Sequence[tuple[int, int, int]]) -> None:
+        """Adopt a snapshot of ``(root, depth, block)`` after a gap; what is no longer held is reported removed."""
+        held = {block: root for root, depth, block in entries if is_checkpoint(depth)}
+        gone = [block for block, _ in self._checkpoints.items() if block not in held]
+        self._remove(gone)
+        for block, root in held.items():
+            if not self._checkpoints.get(block):
+                self._store(root, 0, [block])
+        self.sequence = max(self.sequence, sequence)
+        self.doubtful = False
+
+    def flush(self, alive: Sequence[str]) -> list[tuple[str, BlockReport]]:
+        """Return ``(owner, report)`` for everything collected since the last call."""
+        by_owner: dict[str, _Batch] = {}
+        for root, batch in self._batches.items():
+            target = by_owner.setdefault(shard_owner(root, alive), _Batch())
+            target.stored.extend(batch.stored)
+            target.removed.extend(batch.removed)
+        self._batches.clear()
+        reports: list[tuple[str, BlockReport]] = []
+        for name, batch in by_owner.items():
+            reports.extend((name, report) for report in self._split(batch))
+        return reports
+
+    def _split(self, batch: _Batch) -> Iterator[BlockReport]:
+        for start in range(0, max(len(batch.stored), len(batch.removed)), MAX_REPORT_HASHES // 2):
+            end = start + MAX_REPORT_HASHES // 2
+            stored = pack_hashes(batch.stored[start:end])
+            removed = pack_hashes(batch.removed[start:end])
+            yield BlockReport(self.engine, self.incarnation, stored, removed)
+
+    def announce(self, elapsed_s: float) -> None:
+        """Queue the share of all checkpoints that ``elapsed_s`` of an announcement period allows."""
+        self._announce_credit += len(self._checkpoints) * elapsed_s / ANNOUNCE_PERIOD_S
+        if self._announcing is None:
+            self._announcing = iter(list(self._checkpoints.items()))
+        while self._announce_credit >= 1.0:
+            self._announce_credit -= 1.0
+            entry = next(self._announcing, None)
+            if entry is None:
+                self._announcing = None
+                return
+            block, root = entry
+            if self._checkpoints.get(block):
+                self._batches.setdefault(root, _Batch()).stored.append(block)
+
+
+def dispatch_reports(
+    engine: str, incarnation: str, chain: Sequence[int], alive: Sequence[str]
+) -> list[tuple[str, BlockReport]]:
+    """Return the report that tells a chain's owner that ``engine`` is about to hold it."""
+    if not chain:
+        return []
+    report = BlockReport(engine, incarnation, pack_hashes(lookup_hashes(chain)[:MAX_REPORT_HASHES]), "")
+    return [(shard_owner(chain[0], alive), report)]
+
+
+def send_reports(reports: list[tuple[str, BlockReport]], addresses: dict[str, str]) -> list[Action]:
+    """Turn reports into messages."""
+    return [Send(addresses[name], report) for name, report in reports if name in addresses]
--- /dev/null
+++ b/src/wallwell/cluster/transport.py
@@ -0,0 +1,236 @@
+"""Sockets of the cluster protocol: UDP datagrams, and TCP for configuration too large for a datagram."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
+
+import msgspec
+
+from wallwell.backends.engine_protocol import pack_hashes
+from wallwell.cluster.codec import LineCodec
+from wallwell.cluster.messages import Action, FetchConfig, Lookup, Send
+from wallwell.cluster.node import ClusterNode
+from wallwell.cluster.shards import blocks_of_checkpoints, lookup_hashes, shard_owner
+from wallwell.config.store import ConfigDelta
+from wallwell.errors import AddressInUseError, ClusterMessageError, PeerUnavailableError
+from wallwell.events import Event, emit
+from wallwell.routing.directory import EngineIncarnation, HeldPrefix
+from wallwell.settings import Listener
+
+TICK_INTERVAL_S = 0.1
+LOOKUP_DEADLINE_S = 0.005
+FETCH_TIMEOUT_S = 2.0
+MAX_LINE_BYTES = 64 * 1024 * 1024
+MAX_CONCURRENT_STATE_REQUESTS = 4
+
+
+class FetchRevisions(msgspec.Struct, frozen=True):
+    """Ask a peer for the configuration after a revision."""
+
+    after: int
+
+
+class _Datagrams(asyncio.DatagramProtocol):
+    def __init__(self, receive: Callable[[bytes, str], None]) -> None:
+        self._receive = receive
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self._receive(data, f"{addr[0]}:{addr[1]}")
+
+
+class TrafficCounter:
+    """Bytes and messages a node sent and received for control."""
+
+    def __init__(self) -> None:
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.sent_messages = 0
+        self.received_messages = 0
+
+
+class ClusterTransport:
+    """Runs one :class:`ClusterNode` over sockets."""
+
+    def __init__(self, codec: LineCodec, listener: Listener) -> None:
+        self._codec = codec
+        self._listener = listener
+        self._server: asyncio.Server | None = None
+        self._datagrams: asyncio.DatagramTransport | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._waiters: dict[int, asyncio.Future[None]] = {}
+        self._fetching: set[str] = set()
+        self._state_requests = asyncio.Semaphore(MAX_CONCURRENT_STATE_REQUESTS)
+        self.traffic = TrafficCounter()
+        self.address = ""
+        self.node: ClusterNode | None = None
+
+    async def bind(self) -> str:
+        """Open both sockets on one port; returns ``IP:port``. Raises :class:`AddressInUseError`."""
+        host = self._listener.host
+        try:
+            self._server = await asyncio.start_server(self._serve, host, self._listener.port, limit=MAX_LINE_BYTES)
+            port = self._server.sockets[0].getsockname()[1]
+            loop = asyncio.get_running_loop()
+            transport, _ = await loop.create_datagram_endpoint(
+                lambda: _Datagrams(self._on_datagram), local_addr=(host, port)
+            )
+        except OSError as error:
+            raise AddressInUseError(f"{host}:{self._listener.port}: {error}") from error
+        self._datagrams = transport
+        self.address = f"{host}:{port}"
+        return self.address
+
+    def run(self, node: ClusterNode) -> None:
+        """Start the node's rounds."""
+        self.node = node
+        self._spawn(self._tick_forever(node))
+
+    async def close(self) -> None:
+        """Stop rounds and close sockets."""
+        for task in list(self._tasks):
+            task.cancel()
+        if self._datagrams is not None:
+            self._datagrams.close()
+        if self._server is not None:
+            self._server.close()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _tick_forever(self, node: ClusterNode) -> None:
+        while True:
+            self.perform(node.tick(time.monotonic(), int(time.time() * 1000)))
+            await asyncio.sleep(TICK_INTERVAL_S)
+
+    # --- datagrams -------------------------------------------------------------------------------------
+
+    def _on_datagram(self, data: bytes, sender: str) -> None:
+        if self.node is None:
+            return
+        self.traffic.received_bytes += len(data)
+        self.traffic.received_messages += 1
+        try:
+            message = self._codec.decode(data)
+        except ClusterMessageError as error:
+            emit(Event.CLUSTER_MESSAGE_REFUSED, sender=sender, code=error.code)
+            return
+        self.perform(self.node.handle(message, sender, time.monotonic()))
+        self._wake_lookups()
+
+    def _wake_lookups(self) -> None:
+        assert self.node is not None
+        for sequence, waiter in list(self._waiters.items()):
+            if self.node.lookup_replies.get(sequence) is not None and not waiter.done():
+                waiter.set_result(None)
+
+    def perform(self, actions: Sequence[Action]) -> None:
+        """Carry out what the node decided."""
+        for action in actions:
+            if isinstance(action, Send):
+                self._send(action)
+            else:
+                self._start_fetch(action)
+
+    def _send(self, action: Send) -> None:
+        if self._datagrams is None or self._datagrams.is_closing() or not action.address:
+            return
+        data = self._codec.encode(action.message)
+        host, _, port = action.address.rpartition(":")
+        self.traffic.sent_bytes += len(data)
+        self.traffic.sent_messages += 1
+        self._datagrams.sendto(data, (host, int(port)))
+
+    async def lookup(self, chain: Sequence[int]) -> list[HeldPrefix]:
+        """Ask the owner of a chain's shard who holds it; empty if it does not answer in time."""
+        node = self.node
+        if node is None or not chain:
+            return []
+        owner = shard_owner(chain[0], node.membership.alive())
+        if owner == node.identity.node:
+            return node.shard.directory.lookup_chain(chain)
+        sequence = node.next_lookup()
+        waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiters[sequence] = waiter
+        lookup = Lookup(sequence, pack_hashes(lookup_hashes(chain)))
+        self._send(Send(node.membership.address_of(owner), lookup))
+        try:
+            await asyncio.wait_for(waiter, LOOKUP_DEADLINE_S)
+        except TimeoutError:
+            return []
+        finally:
+            del self._waiters[sequence]
+            reply = node.lookup_replies.pop(sequence, None)
+        if reply is None:
+            return []
+        return [
+            HeldPrefix(EngineIncarnation(engine, incarnation), blocks_of_checkpoints(count))
+            for engine, incarnation, count in reply.holders
+        ]
+
+    # --- configuration over TCP ------------------------------------------------------------------------
+
+    def _start_fetch(self, action: FetchConfig) -> None:
+        if action.address in self._fetching:
+            return
+        self._fetching.add(action.address)
+        self._spawn(self._fetch_and_apply(action.address))
+
+    async def _fetch_and_apply(self, address: str) -> None:
+        assert self.node is not None
+        try:
+            delta = await self.fetch_config(address, self.node.config.head)
+            self.adopt(delta)
+        except PeerUnavailableError:
+            return
+        finally:
+            self._fetching.discard(address)
+
+    def adopt(self, delta: ConfigDelta) -> bool:
+        """Apply a delta and tell others; returns whether this node moved up."""
+        assert self.node is not None
+        before = self.node.config.head
+        self.perform(self.node.advance_config(delta))
+        if self.node.config.head == before:
+            return False
+        emit(Event.CONFIG_ADVANCED, node=self.node.identity.node, revision=self.node.config.head)
+        return True
+
+    async def fetch_config(self, address: str, after: int) -> ConfigDelta:
+        """Ask one peer for a delta. Raises :class:`PeerUnavailableError`."""
+        host, _, port = address.rpartition(":")
+        request = self._codec.encode(FetchRevisions(after))
+        writer: asyncio.StreamWriter | None = None
+        try:
+            async with asyncio.timeout(FETCH_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(host, int(port), limit=MAX_LINE_BYTES)
+                writer.write(request)
+                line = await reader.readline()
+            delta = self._codec.decode_as(line, ConfigDelta)
+        except (TimeoutError, OSError, ClusterMessageError, ValueError) as error:
+            raise PeerUnavailableError(f"{address}: {type(error).__name__}") from error
+        finally:
+            if writer is not None:
+                writer.close()
+        self.traffic.sent_bytes += len(request)
+        self.traffic.received_bytes += len(line)
+        return delta
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            async with asyncio.timeout(FETCH_TIMEOUT_S), self._state_requests:
+                request = self._codec.decode_as(await reader.readline(), FetchRevisions)
+                if self.node is None:
+                    return
+                line = self._codec.encode(self.node.config.delta_after(request.after))
+                writer.write(line)
+                await writer.drain()
+                self.traffic.sent_bytes += len(line)
+        except (TimeoutError, ClusterMessageError, OSError, ValueError):
+            return
+        finally:
+            writer.close()
--- /dev/null
+++ b/src/wallwell/config/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' files: schema, validation, revisions and the configuration in force."""
--- /dev/null
+++ b/src/wallwell/config/commit.py
@@ -0,0 +1,189 @@
+"""Accepting operators' changes: one transaction in the table service per file.
+
+The transaction compares the head revision, so of two racing operators one wins and the other is told the
+winner. A lost answer is resolved by the row the transaction writes under the apply id.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from wallwell.config.parse import ConfigFile, check_references, parse_file, references_to
+from wallwell.config.schema import FileKey
+from wallwell.config.store import ConfigDelta, ConfigStore, FileRevision
+from wallwell.errors import (
+    ConfigConflictError,
+    ConfigInvalidError,
+    ConfigNotFoundError,
+    ConfigUnavailableError,
+    PlatformUnavailableError,
+    TableConflictError,
+)
+from wallwell.platform.table import Condition, Put, Scan, TableService, Transaction
+from wallwell.typed import Problem
+
+CONFIG_PREFIX = "config/"
+HEAD_KEY = "config/head"
+FILE_PREFIX = "config/file/"
+APPLY_PREFIX = "apply/"
+_TRIES = 6
+
+
+class HeadBody(msgspec.Struct, frozen=True):
+    """Contents of the head row."""
+
+    revision: int
+
+
+class ApplyRequest(msgspec.Struct, frozen=True):
+    """One file to put in force; an empty ``body`` with a ``key`` removes the file.
+
+    ``base_revision`` is the file's revision the change was made from (0: the file is new; None: whatever is in
+    force when the node starts on it).
+    """
+
+    apply_id: str
+    operator: str
+    body: str = ""
+    key: str = ""
+    base_revision: int | None = None
+
+
+class ApplyAnswer(msgspec.Struct, frozen=True):
+    """The revision at which the file is in force."""
+
+    key: str
+    revision: int
+    changed: bool
+
+
+class ConfigCommitter:
+    """Reads and writes the configuration in the table service for one node."""
+
+    def __init__(self, table: TableService, store: ConfigStore, adopt: Callable[[ConfigDelta], bool]) -> None:
+        self._table = table
+        self._store = store
+        self._adopt = adopt
+        self._scanned_version = 0
+        self._scanned_head = 0
+        self._head_version = 0
+
+    async def refresh(self) -> bool:
+        """Read what changed in the table since the last read; returns whether this node moved up.
+
+        Raises :class:`PlatformUnavailableError`.
+        """
+        scan = await self._table.scan(CONFIG_PREFIX, self._scanned_version)
+        delta = self._delta_of(scan)
+        moved = self._adopt(delta) if delta is not None else False
+        self._scanned_version = max(self._scanned_version, scan.commit)
+        return moved
+
+    def _delta_of(self, scan: Scan) -> ConfigDelta | None:
+        files = []
+        head = None
+        for row in scan.rows:
+            if row.key == HEAD_KEY:
+                head = msgspec.json.decode(row.value, type=HeadBody).revision
+                self._head_version = row.version
+            else:
+                files.append(msgspec.json.decode(row.value, type=FileRevision))
+        if head is None:
+            return None
+        delta = ConfigDelta(self._scanned_head, head, tuple(files))
+        self._scanned_head = head
+        return delta
+
+    async def apply(self, request: ApplyRequest) -> ApplyAnswer:
+        """Check and commit one change.
+
+        Raises :class:`ConfigInvalidError`, :class:`ConfigConflictError`, :class:`ConfigNotFoundError` or
+        :class:`ConfigUnavailableError`.
+        """
+        file = _parse_or_raise(request) if request.body else None
+        key = file.key if file is not None else FileKey.parse(request.key)
+        base = request.base_revision
+        for _ in range(_TRIES):
+            try:
+                settled = await self._resolve(request, key)
+                if settled is not None:
+                    return settled
+                await self.refresh()
+                current = self._store.revision_of(key)
+                current_revision = current.revision if current is not None else 0
+                base = current_revision if base is None else base
+                if current_revision != base:
+                    raise _conflict(key, current, base)
+                if file is not None and current is not None and current.digest == file.digest and current.body:
+                    return ApplyAnswer(str(key), current_revision, changed=False)
+                self._check(key, file)
+                return await self._commit(request, key, file)
+            except (TableConflictError, PlatformUnavailableError):
+                continue
+        raise ConfigUnavailableError(f"{key}: the table service did not confirm the change; apply it again")
+
+    async def _resolve(self, request: ApplyRequest, key: FileKey) -> ApplyAnswer | None:
+        """Return the result of an earlier try of this apply id whose answer was lost."""
+        row = await self._table.get(APPLY_PREFIX + request.apply_id)
+        if row is None:
+            return None
+        await self.refresh()
+        return ApplyAnswer(str(key), int(row.value), changed=True)
+
+    def _check(self, key: FileKey, file: ConfigFile | None) -> None:
+        if file is None:
+            if key not in self._store.files:
+                raise ConfigNotFoundError(str(key))
+            problems = references_to(key, self._store.files)
+        else:
+            merged = {**self._store.files, key: file}
+            problems = check_references(merged)
+        if problems:
+            raise ConfigInvalidError(_listed(str(key), problems))
+
+    async def _commit(self, request: ApplyRequest, key: FileKey, file: ConfigFile | None) -> ApplyAnswer:
+        revision = self._scanned_head + 1
+        entry = FileRevision(
+            key=key,
+            revision=revision,
+            digest=file.digest if file is not None else "",
+            body=file.body if file is not None else "",
+            operator=request.operator,
+            accepted_at_ms=int(time.time() * 1000),
+        )
+        transaction = Transaction(
+            conditions=(Condition(HEAD_KEY, self._head_version),),
+            puts=(
+                Put(HEAD_KEY, msgspec.json.encode(HeadBody(revision)).decode()),
+                Put(FILE_PREFIX + str(key), msgspec.json.encode(entry).decode()),
+                Put(APPLY_PREFIX + request.apply_id, str(revision)),
+            ),
+        )
+        version = await self._table.transact(transaction)
+        # Commits are serial on the head row, so nothing lies between the head compared and this commit.
+        self._adopt(ConfigDelta(revision - 1, revision, (entry,)))
+        self._head_version = version
+        self._scanned_head = revision
+        return ApplyAnswer(str(key), revision, changed=True)
+
+
+def _parse_or_raise(request: ApplyRequest) -> ConfigFile:
+    file, problems = parse_file(request.body)
+    if file is None:
+        raise ConfigInvalidError(_listed("file", problems))
+    return file
+
+
+def _listed(name: str, problems: list[Problem]) -> str:
+    return "\n".join(f"{name}: {problem}" for problem in problems)
+
+
+def _conflict(key: FileKey, current: FileRevision | None, base: int) -> ConfigConflictError:
+    if current is None:
+        return ConfigConflictError(f"{key}: based on revision {base}, but no such file is in force")
+    return ConfigConflictError(
+        f"{key}: based on revision {base}, but revision {current.revision} by {current.operator or 'unknown'} won"
+    )
--- /dev/null
+++ b/src/wallwell/config/parse.py
@@ -0,0 +1,176 @@
+"""Parsing and checking of operators' files, on their own and against each other."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import msgspec
+
+from wallwell.config.schema import (
+    SPEC_TYPES,
+    EnginePoolSpec,
+    FileKey,
+    Kind,
+    ServiceSpec,
+    Spec,
+    TenantSpec,
+)
+from wallwell.errors import DocumentSyntaxError
+from wallwell.typed import (
+    DUPLICATE,
+    MISSING_KEY,
+    REFERENCE,
+    SYNTAX,
+    UNKNOWN_KEY,
+    WRONG_TYPE,
+    Path,
+    Problem,
+    ProblemList,
+    convert_all,
+    load_yaml,
+)
+
+_TOP_LEVEL_KEYS = {"kind", "name", "spec"}
+
+
+class ConfigFile(msgspec.Struct, frozen=True):
+    """A parsed operators' file."""
+
+    key: FileKey
+    spec: Spec
+    body: str
+    lines: dict[Path, int]
+
+    @property
+    def digest(self) -> str:
+        """SHA-256 of the file's text, in hexadecimal."""
+        return hashlib.sha256(self.body.encode()).hexdigest()
+
+
+def parse_file(body: str) -> tuple[ConfigFile | None, list[Problem]]:
+    """Parse one file. Returns the file, or None with every problem found."""
+    try:
+        value, lines = load_yaml(body)
+    except DocumentSyntaxError as error:
+        return None, [Problem(SYNTAX, "(document)", 1, error.detail)]
+    problems = ProblemList(lines)
+    key = _parse_key(value, problems)
+    if key is None:
+        return None, problems.problems
+    spec = convert_all(value.get("spec"), SPEC_TYPES[key.kind], problems, ("spec",))
+    if spec is None or problems.problems:
+        return None, problems.problems
+    return ConfigFile(key, spec, body, lines), []  # type: ignore[arg-type]
+
+
+def _parse_key(value: Any, problems: ProblemList) -> FileKey | None:
+    if not isinstance(value, dict):
+        problems.add(WRONG_TYPE, (), "a file is a mapping with kind, name and spec")
+        return None
+    for key in value.keys() - _TOP_LEVEL_KEYS:
+        problems.add(UNKNOWN_KEY, (str(key),), "unknown key; known are kind, name, spec")
+    for key in sorted(_TOP_LEVEL_KEYS - value.keys()):
+        problems.add(MISSING_KEY, (), f"`{key}` is required")
+    try:
+        kind = Kind(str(value.get("kind")))
+    except ValueError:
+        problems.add(WRONG_TYPE, ("kind",), f"must be one of {', '.join(Kind)}")
+        return None
+    name = value.get("name")
+    if not isinstance(name, str) or not name or "/" in name:
+        problems.add(WRONG_TYPE, ("name",), "must be a name without slashes")
+        return None
+    return FileKey(kind, name)
+
+
+def check_references(files: Mapping[FileKey, ConfigFile], only: Iterable[FileKey] | None = None) -> list[Problem]:
+    """Check references between files; problems are reported of the files in ``only``, or of all."""
+    found: list[Problem] = []
+    addresses = _first_use_of_addresses(files)
+    tokens = _first_use_of_tokens(files)
+    for key in only if only is not None else files:
+        if key not in files:
+            continue
+        file = files[key]
+        problems = ProblemList(file.lines)
+        _check_spec(file, files, addresses, tokens, problems)
+        found.extend(problems.problems)
+    return found
+
+
+def references_to(key: FileKey, files: Mapping[FileKey, ConfigFile]) -> list[Problem]:
+    """Return the problems that removing ``key`` would cause in the other files."""
+    remaining = {other: file for other, file in files.items() if other != key}
+    return check_references(remaining)
+
+
+def _backend_entries(file: ConfigFile) -> list[tuple[Path, str, str]]:
+    """Return ``(path, name, address)`` of each back end the file describes."""
+    if isinstance(file.spec, EnginePoolSpec):
+        return [(("spec", "engines", i), e.name, e.address) for i, e in enumerate(file.spec.engines)]
+    if isinstance(file.spec, ServiceSpec):
+        return [(("spec", "instances", i), e.name, e.address) for i, e in enumerate(file.spec.instances)]
+    return []
+
+
+def _first_use_of_addresses(files: Mapping[FileKey, ConfigFile]) -> dict[str, tuple[FileKey, Path]]:
+    """Map each back end's name and address to the place that uses it first."""
+    used: dict[str, tuple[FileKey, Path]] = {}
+    for key in sorted(files):
+        for path, name, address in _backend_entries(files[key]):
+            used.setdefault(address, (key, path))
+            used.setdefault(name, (key, path))
+    return used
+
+
+def _first_use_of_tokens(files: Mapping[FileKey, ConfigFile]) -> dict[str, FileKey]:
+    used: dict[str, FileKey] = {}
+    for key in sorted(files):
+        spec = files[key].spec
+        if isinstance(spec, TenantSpec):
+            for token in spec.token_sha256:
+                used.setdefault(token, key)
+    return used
+
+
+def _check_spec(
+    file: ConfigFile,
+    files: Mapping[FileKey, ConfigFile],
+    addresses: Mapping[str, tuple[FileKey, Path]],
+    tokens: Mapping[str, FileKey],
+    problems: ProblemList,
+) -> None:
+    def require(kind: Kind, name: str, path: Path) -> None:
+        if FileKey(kind, name) not in files:
+            problems.add(REFERENCE, path, f"no {kind.value} named `{name}`")
+
+    spec = file.spec
+    if isinstance(spec, EnginePoolSpec):
+        for index, model in enumerate(spec.models):
+            require(Kind.MODEL, model, ("spec", "models", index))
+        for index, engine in enumerate(spec.engines):
+            require(Kind.ZONE, engine.zone, ("spec", "engines", index, "zone"))
+    elif isinstance(spec, ServiceSpec):
+        for index, instance in enumerate(spec.instances):
+            require(Kind.ZONE, instance.zone, ("spec", "instances", index, "zone"))
+    elif isinstance(spec, TenantSpec):
+        _check_tenant(spec, file.key, tokens, require, problems)
+    for path, name, address in _backend_entries(file):
+        for used in (name, address):
+            if addresses[used] != (file.key, path):
+                problems.add(DUPLICATE, path, f"`{used}` is used by {addresses[used][0]} too")
+
+
+def _check_tenant(
+    spec: TenantSpec, key: FileKey, tokens: Mapping[str, FileKey], require: Any, problems: ProblemList
+) -> None:
+    for field, kind in (("models", Kind.MODEL), ("services", Kind.SERVICE), ("priorities", Kind.PRIORITY)):
+        for index, name in enumerate(getattr(spec, field)):
+            require(kind, name, ("spec", field, index))
+    if spec.default_priority is not None and spec.default_priority not in spec.priorities:
+        problems.add(REFERENCE, ("spec", "default_priority"), "must be one of the tenant's priorities")
+    for index, token in enumerate(spec.token_sha256):
+        if tokens[token] != key:
+            problems.add(DUPLICATE, ("spec", "token_sha256", index), f"credential is used by {tokens[token]} too")
--- /dev/null
+++ b/src/wallwell/config/schema.py
@@ -0,0 +1,153 @@
+"""Typed contents of operators' files. One file is one document: ``kind``, ``name``, ``spec``."""
+
+from __future__ import annotations
+
+import enum
+from typing import Annotated
+
+import msgspec
+
+Address = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+Sha256Hex = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
+PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
+Weight = Annotated[float, msgspec.Meta(ge=0, le=100)]
+
+
+class Kind(enum.StrEnum):
+    """The kinds of operators' files, in the order in which a directory is applied."""
+
+    ZONE = "zone"
+    PRIORITY = "priority"
+    MODEL = "model"
+    SERVICE = "service"
+    ENGINE_POOL = "engine_pool"
+    TENANT = "tenant"
+
+
+class BackendState(enum.StrEnum):
+    """What operators declare of one back end."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+
+
+class ZoneSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A zone: machines that fail together."""
+
+    region: Name
+
+
+class Objective(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How a priority weighs the two costs of a choice of engine, both in seconds."""
+
+    first_token: Weight = 1.0
+    recompute: Weight = 0.2
+
+
+class PrioritySpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A priority. A lower ``rank`` is served first; batch work ages by one rank per ``ageing_s``."""
+
+    rank: Annotated[int, msgspec.Meta(ge=0, le=15)]
+    objective: Objective = Objective()
+    deadline_ms: PositiveInt = 60_000
+    ageing_s: PositiveFloat = 600.0
+
+
+class ModelSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A model and the versions in force. ``adapters`` maps an adapter's name to its version.
+
+    ``block_tokens`` and ``bytes_per_token`` must be what the model's engines report.
+    """
+
+    weights_version: str
+    adapters: dict[str, str] = {}
+    min_serving: PositiveInt = 1
+    block_tokens: PositiveInt = 16
+    bytes_per_token: PositiveInt = 4
+    warm_prefixes: tuple[str, ...] = ()
+
+
+class EngineSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One engine's address and zone."""
+
+    name: Name
+    address: Address
+    zone: Name
+    state: BackendState = BackendState.SERVING
+
+
+class EnginePoolSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Engines that serve the same models."""
+
+    models: tuple[Name, ...]
+    engines: tuple[EngineSpec, ...]
+    max_concurrent_loads: PositiveInt = 2
+
+
+class Operation(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One kind of call of a service. ``path`` is a prefix; calls not listed may not be repeated."""
+
+    method: str
+    path: str
+    repeatable: bool
+
+
+class ServiceInstance(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One worker of a service."""
+
+    name: Name
+    address: Address
+    zone: Name
+    state: BackendState = BackendState.SERVING
+
+
+class ServiceSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A service reached as ``/{service}/{path}``."""
+
+    instances: tuple[ServiceInstance, ...]
+    operations: tuple[Operation, ...] = ()
+    timeout_ms: PositiveInt = 3000
+
+
+class TenantSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A tenant: credentials (SHA-256 of bearer tokens), permissions and limits."""
+
+    token_sha256: tuple[Sha256Hex, ...]
+    models: tuple[Name, ...] = ()
+    services: tuple[Name, ...] = ()
+    priorities: tuple[Name, ...] = ()
+    default_priority: Name | None = None
+    requests_per_s: PositiveFloat = 100.0
+    burst: PositiveFloat = 100.0
+    concurrency: PositiveInt = 200
+    weight: PositiveFloat = 1.0
+
+
+Spec = ZoneSpec | PrioritySpec | ModelSpec | ServiceSpec | EnginePoolSpec | TenantSpec
+
+SPEC_TYPES: dict[Kind, type[msgspec.Struct]] = {
+    Kind.ZONE: ZoneSpec,
+    Kind.PRIORITY: PrioritySpec,
+    Kind.MODEL: ModelSpec,
+    Kind.SERVICE: ServiceSpec,
+    Kind.ENGINE_POOL: EnginePoolSpec,
+    Kind.TENANT: TenantSpec,
+}
+
+
+class FileKey(msgspec.Struct, frozen=True, order=True):
+    """Identity of one operators' file."""
+
+    kind: Kind
+    name: str
+
+    def __str__(self) -> str:
+        return f"{self.kind.value}/{self.name}"
+
+    @classmethod
+    def parse(cls, text: str) -> FileKey:
+        """Inverse of ``str``. Raises ValueError."""
+        kind, _, name = text.partition("/")
+        return cls(Kind(kind), name)
--- /dev/null
+++ b/src/wallwell/emulator/engine_model.py
@@ -0,0 +1,273 @@
+"""Timing and cache model of a model engine: continuous batching with a prefix cache.
+
+Pure: the caller passes time in and runs the steps, over real sockets or in virtual time. One step prefills up
+to ``max_prefill_tokens`` tokens of the waiting requests, in priority order, and decodes one token of every
+running request. Its duration grows with both.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from wallwell.routing.load import LoadReport
+
+
+@dataclass(frozen=True)
+class EngineProfile:
+    """Speed and size of one engine."""
+
+    block_tokens: int = 16
+    bytes_per_token: int = 4
+    cache_blocks: int = 4000
+    max_batch: int = 32
+    max_prefill_tokens: int = 1024
+    step_base_s: float = 0.008
+    decode_s_per_request: float = 0.0004
+    prefill_s_per_token: float = 1 / 16_000
+
+    @property
+    def block_bytes(self) -> int:
+        """Bytes of prompt text in one block."""
+        return self.block_tokens * self.bytes_per_token
+
+    def tokens_of(self, prompt: bytes) -> int:
+        """Return the number of tokens of a prompt."""
+        return max(1, -(-len(prompt) // self.bytes_per_token))
+
+
+@dataclass
+class EngineRequest:
+    """One request inside the engine."""
+
+    request_id: str
+    chain: Sequence[int]
+    prompt_tokens: int
+    max_tokens: int
+    rank: int = 0
+    first_index: int = 0
+    arrived_s: float = 0.0
+    cached_tokens: int = 0
+    prefilled_tokens: int = 0
+    produced: int = 0
+    started: bool = False
+    computed_tokens: int = 0
+
+    @property
+    def remaining_prefill(self) -> int:
+        """Prompt tokens still to compute."""
+        return self.prompt_tokens - self.cached_tokens - self.prefilled_tokens
+
+
+class BlockPlace(NamedTuple):
+    """Where a block stands: the first block of its chain, and its index in it."""
+
+    root: int
+    depth: int
+
+
+@dataclass(frozen=True)
+class CacheEvent:
+    """Consecutive blocks of one chain that entered the cache, or blocks of one chain that left it.
+
+    ``depth`` is the chain index of the first block; of removals it is that of the first one listed.
+    """
+
+    sequence: int
+    stored: bool
+    root: int
+    depth: int
+    blocks: tuple[int, ...]
+
+
+@dataclass
+class StepResult:
+    """What one step produced: ``(request, token index)`` pairs and the requests that ended."""
+
+    duration_s: float
+    tokens: list[tuple[EngineRequest, int]] = field(default_factory=list)
+    finished: list[EngineRequest] = field(default_factory=list)
+
+
+class PrefixCache:
+    """Blocks by hash, least recently used evicted first; tails go before heads."""
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._blocks: OrderedDict[int, BlockPlace] = OrderedDict()
+        self.evicted_once: set[int] = set()
+
+    def __len__(self) -> int:
+        return len(self._blocks)
+
+    def __contains__(self, block: int) -> bool:
+        return block in self._blocks
+
+    def matched(self, chain: Sequence[int]) -> int:
+        """Return how many leading blocks of ``chain`` are cached."""
+        count = 0
+        for block in chain:
+            if block not in self._blocks:
+                break
+            count += 1
+        return count
+
+    def touch(self, chain: Sequence[int]) -> None:
+        """Mark blocks used; the head becomes the most recent."""
+        for block in reversed(chain):
+            if block in self._blocks:
+                self._blocks.move_to_end(block)
+
+    def insert(self, chain: Sequence[int]) -> tuple[list[tuple[int, BlockPlace]], list[tuple[int, BlockPlace]]]:
+        """Store a chain; returns the blocks ``(stored, evicted)`` with their places."""
+        stored = []
+        for depth, block in enumerate(chain):
+            if block not in self._blocks:
+                self._blocks[block] = BlockPlace(chain[0], depth)
+                stored.append((block, self._blocks[block]))
+        self.touch(chain)
+        evicted = []
+        while len(self._blocks) > self._capacity:
+            evicted.append(self._blocks.popitem(last=False))
+        self.evicted_once.update(block for block, _ in evicted)
+        return stored, evicted
+
+    def items(self) -> list[tuple[int, BlockPlace]]:
+        """Every cached block with its place."""
+        return list(self._blocks.items())
+
+
+class EngineModel:
+    """One incarnation of one engine."""
+
+    def __init__(self, profile: EngineProfile) -> None:
+        self.profile = profile
+        self.cache = PrefixCache(profile.cache_blocks)
+        self.waiting: list[EngineRequest] = []
+        self.running: list[EngineRequest] = []
+        self.events: deque[CacheEvent] = deque(maxlen=100_000)
+        self._sequence = 0
+        self.prefill_tokens_total = 0
+        self.cached_tokens_total = 0
+        self.recomputed_tokens = 0
+
+    @property
+    def idle(self) -> bool:
+        """Whether there is nothing to do."""
+        return not self.waiting and not self.running
+
+    def submit(self, request: EngineRequest, now_s: float) -> None:
+        """Queue a request."""
+        request.arrived_s = now_s
+        self.waiting.append(request)
+        self.waiting.sort(key=lambda each: (each.rank, each.arrived_s))
+
+    def cancel(self, request_id: str) -> bool | None:
+        """Stop a request. Returns whether it had started, or None if it is not here."""
+        for queue in (self.waiting, self.running):
+            for request in queue:
+                if request.request_id == request_id:
+                    queue.remove(request)
+                    return request.started
+        return None
+
+    def load_report(self, now_s: float) -> LoadReport:
+        """Return the load as it is at ``now_s``."""
+        waiting_tokens = sum(max(0, request.remaining_prefill) for request in self.waiting)
+        return LoadReport(
+            running=len(self.running),
+            waiting=len(self.waiting),
+            waiting_prefill_tokens=waiting_tokens,
+            cache_blocks=self.profile.cache_blocks,
+            cache_used_blocks=len(self.cache),
+            taken_at_s=now_s,
+        )
+
+    def step(self) -> StepResult:
+        """Run one step; the caller lets ``duration_s`` pass and then hands out the tokens."""
+        profile = self.profile
+        decoding = list(self.running)
+        prefilled, done = self._prefill()
+        duration = profile.step_base_s
+        duration += len(decoding) * profile.decode_s_per_request
+        duration += prefilled * profile.prefill_s_per_token
+        result = StepResult(duration)
+        for request in decoding + done:
+            index = request.first_index + request.produced
+            request.produced += 1
+            result.tokens.append((request, index))
+            if request.produced >= request.max_tokens:
+                result.finished.append(request)
+        finished = set(map(id, result.finished))
+        self.running = [request for request in self.running if id(request) not in finished]
+        return result
+
+    def _prefill(self) -> tuple[int, list[EngineRequest]]:
+        budget = self.profile.max_prefill_tokens
+        spent = 0
+        done: list[EngineRequest] = []
+        while self.waiting and budget > 0 and len(self.running) < self.profile.max_batch:
+            request = self.waiting[0]
+            if not request.started:
+                self._start(request)
+            amount = min(budget, max(0, request.remaining_prefill))
+            request.prefilled_tokens += amount
+            request.computed_tokens += amount
+            budget -= amount
+            spent += amount
+            if request.remaining_prefill > 0:
+                break
+            self.waiting.pop(0)
+            self._store(request.chain)
+            self.running.append(request)
+            done.append(request)
+        self.prefill_tokens_total += spent
+        return spent, done
+
+    def _start(self, request: EngineRequest) -> None:
+        request.started = True
+        matched = self.cache.matched(request.chain)
+        self.cache.touch(request.chain[:matched])
+        # The last token is always computed: its logits produce the first new token.
+        request.cached_tokens = min(matched * self.profile.block_tokens, request.prompt_tokens - 1)
+        self.cached_tokens_total += request.cached_tokens
+        evicted_before = sum(block in self.cache.evicted_once for block in request.chain[matched:])
+        self.recomputed_tokens += evicted_before * self.profile.block_tokens
+
+    def _store(self, chain: Sequence[int]) -> None:
+        stored, evicted = self.cache.insert(chain)
+        for run in _consecutive_runs(stored):
+            self._publish(True, run)
+        by_root: dict[int, list[tuple[int, BlockPlace]]] = {}
+        for block, place in evicted:
+            by_root.setdefault(place.root, []).append((block, place))
+        for group in by_root.values():
+            self._publish(False, group)
+
+    def import_blocks(self, chain: Sequence[int]) -> None:
+        """Take blocks computed elsewhere into the cache."""
+        self._store(chain)
+
+    def _publish(self, stored: bool, blocks: Sequence[tuple[int, BlockPlace]]) -> None:
+        self._sequence += 1
+        place = blocks[0][1]
+        hashes = tuple(block for block, _ in blocks)
+        self.events.append(CacheEvent(self._sequence, stored, place.root, place.depth, hashes))
+
+    @property
+    def last_sequence(self) -> int:
+        """Sequence number of the newest event."""
+        return self._sequence
+
+
+def _consecutive_runs(stored: Sequence[tuple[int, BlockPlace]]) -> list[list[tuple[int, BlockPlace]]]:
+    """Split stored blocks where their depths do not follow on."""
+    runs: list[list[tuple[int, BlockPlace]]] = []
+    for entry in stored:
+        if runs and runs[-1][-1][1].depth + 1 == entry[1].depth:
+            runs[-1].append(entry)
+        else:
+            runs.append([entry])
+    return runs
--- /dev/null
+++ b/src/wallwell/emulator/engine_server.py
@@ -0,0 +1,316 @@
+"""Stand-in for a model engine over HTTP: drives :class:`EngineModel` in real time."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+from dataclasses import dataclass, field
+
+import msgspec
+import xxhash
+from aiohttp import web
+
+from wallwell.api.openai_format import ChatBody, CompletionBody, parse_generation, render_prompt
+from wallwell.backends import engine_protocol as wire
+from wallwell.emulator.engine_model import CacheEvent, EngineModel, EngineProfile, EngineRequest, StepResult
+from wallwell.emulator.faults import FaultControl, reset_connection
+from wallwell.routing.blocks import hash_chain
+
+_WORDS = ("take", "with", "food", "daily", "dose", "check", "hut", "trail", "ridge", "permit", "bed", "safe")
+_STATUS_INTERVAL_S = 0.5
+
+
+def generated_word(prompt: bytes, index: int) -> str:
+    """Return the token at ``index`` that every stand-in engine generates for ``prompt``."""
+    return _WORDS[xxhash.xxh3_64_intdigest(prompt, index) % len(_WORDS)] + " "
+
+
+@dataclass
+class _Stream:
+    request: EngineRequest
+    tokens: asyncio.Queue[int | None] = field(default_factory=asyncio.Queue)
+
+
+class EngineServer:
+    """One engine process. ``crash`` starts a new incarnation with an empty cache."""
+
+    def __init__(
+        self,
+        name: str,
+        weights: dict[str, str],
+        profile: EngineProfile | None = None,
+        event_delay_s: float = 0.1,
+        load_lag_s: float = 0.2,
+    ) -> None:
+        self.name = name
+        self.weights = dict(weights)
+        self.profile = profile or EngineProfile()
+        self.faults = FaultControl()
+        self.state = wire.EngineState.SERVING
+        self.journal: list[str] = []
+        self.highest_fence = 0
+        self._event_delay_s = event_delay_s
+        self._load_lag_s = load_lag_s
+        self._streams: dict[str, _Stream] = {}
+        self._event_connections: dict[int, web.Request] = {}
+        self._wake = asyncio.Event()
+        self._loop_task: asyncio.Task[None] | None = None
+        self._begin_incarnation()
+
+    def _begin_incarnation(self) -> None:
+        self.incarnation = secrets.token_hex(4)
+        self.model = EngineModel(self.profile)
+
+    def app(self) -> web.Application:
+        """Return the aiohttp application."""
+        app = web.Application(client_max_size=16 * 1024 * 1024)
+        self.faults.install(app)
+        app.router.add_post("/v1/completions", self._generate)
+        app.router.add_post("/v1/chat/completions", self._generate)
+        app.router.add_post("/cancel", self._cancel)
+        app.router.add_get("/events", self._events)
+        app.router.add_get("/snapshot", self._snapshot)
+        app.router.add_post("/orders", self._order)
+        app.router.add_post("/_crash", self._crash)
+        app.router.add_post("/_leave", self._leave)
+        app.on_startup.append(self._start)
+        app.on_cleanup.append(self._stop)
+        return app
+
+    async def _start(self, _app: web.Application) -> None:
+        self._loop_task = asyncio.create_task(self._run())
+
+    async def _stop(self, _app: web.Application) -> None:
+        if self._loop_task is not None:
+            self._loop_task.cancel()
+
+    def crash(self) -> None:
+        """Lose everything: reset all connections and come back as a new, empty incarnation."""
+        for stream in self._streams.values():
+            stream.tokens.put_nowait(None)
+        self._streams.clear()
+        for request in list(self._event_connections.values()):
+            reset_connection(request)
+        self._begin_incarnation()
+
+    async def _run(self) -> None:
+        while True:
+            model = self.model
+            if model.idle:
+                self._wake.clear()
+                await self._wake.wait()
+                continue
+            result = model.step()
+            await asyncio.sleep(result.duration_s)
+            while self.faults.switches.paused:
+                await asyncio.sleep(0.02)
+            if model is self.model:
+                self._hand_out(result)
+
+    def _hand_out(self, result: StepResult) -> None:
+        for request, index in result.tokens:
+            stream = self._streams.get(request.request_id)
+            if stream is not None:
+                stream.tokens.put_nowait(index)
+
+    def _refusal(self, request: web.Request, model: str) -> wire.RefusalReason | None:
+        if self.state is wire.EngineState.LEAVING:
+            return wire.RefusalReason.LEAVING
+        expected = request.headers.get(wire.EXPECT_INCARNATION)
+        if expected and expected != self.incarnation:
+            return wire.RefusalReason.INCARNATION
+        expected = request.headers.get(wire.EXPECT_WEIGHTS)
+        if self.weights.get(model) != (expected or self.weights.get(model)):
+            return wire.RefusalReason.WEIGHTS
+        return None
+
+    async def _generate(self, request: web.Request) -> web.StreamResponse:
+        chat = request.path.endswith("chat/completions")
+        body = parse_generation(await request.read(), chat)
+        reason = self._refusal(request, body.model)
+        if reason is not None:
+            status = 503 if reason is wire.RefusalReason.LEAVING else 412
+            return web.Response(status=status, body=msgspec.json.encode(wire.Refusal(reason)))
+        request_id = request.headers.get(wire.REQUEST_ID, secrets.token_hex(8))
+        stream = self._submit(request, body, request_id)
+        try:
+            return await self._answer(request, body, stream, request_id)
+        finally:
+            self._streams.pop(request_id, None)
+            self.model.cancel(request_id)
+
+    def _submit(self, request: web.Request, body: CompletionBody | ChatBody, request_id: str) -> _Stream:
+        prompt = render_prompt(body)
+        resume = body.resume or wire.Resume(0, "")
+        effective = prompt + resume.text.encode()
+        salt = int(request.headers.get(wire.CACHE_SALT, "0"), 16)
+        engine_request = EngineRequest(
+            request_id=request_id,
+            chain=hash_chain(salt, effective, self.profile.block_bytes),
+            prompt_tokens=self.profile.tokens_of(effective),
+            max_tokens=max(1, body.max_tokens - resume.next_index),
+            rank=int(request.headers.get(wire.PRIORITY_RANK, "0")),
+            first_index=resume.next_index,
+        )
+        stream = _Stream(engine_request)
+        self._streams[request_id] = stream
+        self.journal.append(request_id)
+        self.model.submit(engine_request, time.monotonic())
+        self._wake.set()
+        return stream
+
+    async def _answer(
+        self, request: web.Request, body: CompletionBody | ChatBody, stream: _Stream, request_id: str
+    ) -> web.StreamResponse:
+        first = await stream.tokens.get()
+        if first is None:
+            return reset_connection(request)
+        answered_id = "foreign-request" if self.faults.take("foreign_answers") else request_id
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                wire.REQUEST_ID: answered_id,
+                wire.INCARNATION: self.incarnation,
+                wire.CACHED_TOKENS: str(stream.request.cached_tokens),
+                wire.PROMPT_TOKENS: str(stream.request.prompt_tokens),
+            }
+        )
+        await response.prepare(request)
+        return await self._send_tokens(request, response, body, stream, first, answered_id)
+
+    async def _send_tokens(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        body: CompletionBody | ChatBody,
+        stream: _Stream,
+        first: int,
+        request_id: str,
+    ) -> web.StreamResponse:
+        prompt = render_prompt(body)
+        chat = isinstance(body, ChatBody)
+        index: int | None = first
+        sent = 0
+        faults = self.faults
+        while index is not None:
+            last = index + 1 >= body.max_tokens
+            payload = _chunk(body.model, request_id, generated_word(prompt, index), chat, last)
+            event = b"id: %s/%d\ndata: %s\n\n" % (request_id.encode(), index, payload)
+            await response.write(event * (2 if faults.switches.duplicate_chunks else 1))
+            sent += 1
+            if faults.switches.cut_streams_after and sent >= faults.switches.cut_streams_after:
+                return reset_connection(request)
+            while faults.switches.stall_streams_after and sent >= faults.switches.stall_streams_after:
+                await asyncio.sleep(0.02)
+            if last:
+                await response.write(wire.DONE_EVENT + b"\n\n")
+                await response.write_eof()
+                return response
+            index = await stream.tokens.get()
+        return reset_connection(request)
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        body = msgspec.json.decode(await request.read(), type=wire.CancelRequest)
+        started = self.model.cancel(body.request_id)
+        stream = self._streams.pop(body.request_id, None)
+        if stream is not None:
+            stream.tokens.put_nowait(None)
+        state = wire.CancelState.STOPPED if started else wire.CancelState.NEVER_STARTED
+        if started is None:
+            state = wire.CancelState.UNKNOWN_REQUEST
+        return web.Response(body=msgspec.json.encode(wire.CancelAnswer(state)))
+
+    def _status(self) -> wire.StatusLine:
+        load = self.model.load_report(0.0)
+        return wire.StatusLine(
+            engine=self.name,
+            incarnation=self.incarnation,
+            state=self.state,
+            weights=self.weights,
+            block_bytes=self.profile.block_bytes,
+            block_tokens=self.profile.block_tokens,
+            sequence=self.model.last_sequence,
+            running=load.running,
+            waiting=load.waiting,
+            waiting_prefill_tokens=load.waiting_prefill_tokens,
+            cache_blocks=load.cache_blocks,
+            cache_used_blocks=load.cache_used_blocks,
+            age_s=self._load_lag_s,
+        )
+
+    async def _events(self, request: web.Request) -> web.StreamResponse:
+        same = request.query.get("incarnation") == self.incarnation
+        after = int(request.query.get("after", "0")) if same else 0
+        response = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
+        await response.prepare(request)
+        self._event_connections[id(request)] = request
+        try:
+            await response.write(msgspec.json.encode(self._status()) + b"\n")
+            while True:
+                status = self._status()
+                # The lag: the status sent is the one taken before the pause.
+                for _ in range(max(1, round(_STATUS_INTERVAL_S / self._event_delay_s))):
+                    after = await self._send_events(response, after)
+                    await asyncio.sleep(self._event_delay_s)
+                await response.write(msgspec.json.encode(status) + b"\n")
+        except (ConnectionError, asyncio.CancelledError):
+            return response
+        finally:
+            self._event_connections.pop(id(request), None)
+
+    async def _send_events(self, response: web.StreamResponse, after: int) -> int:
+        lines = []
+        for event in self.model.events:
+            if event.sequence > after:
+                after = event.sequence
+                if not self._drops(event):
+                    lines.append(msgspec.json.encode(_cache_line(event)))
+        if lines:
+            await response.write(b"\n".join(lines) + b"\n")
+        return after
+
+    def _drops(self, event: CacheEvent) -> bool:
+        ratio = self.faults.switches.drop_event_ratio
+        return ratio > 0 and (event.sequence * 0.618034) % 1.0 < ratio
+
+    async def _snapshot(self, _request: web.Request) -> web.Response:
+        entries = tuple(
+            wire.SnapshotEntry(wire.hash_text(place.root), place.depth, wire.pack_hashes([block]))
+            for block, place in self.model.cache.items()
+        )
+        snapshot = wire.CacheSnapshot(self.incarnation, self.model.last_sequence, entries)
+        return web.Response(body=msgspec.json.encode(snapshot))
+
+    async def _order(self, request: web.Request) -> web.Response:
+        order = msgspec.json.decode(await request.read(), type=wire.LoadOrder)
+        if order.fence < self.highest_fence:
+            return web.Response(status=409)
+        self.highest_fence = order.fence
+        self.weights[order.model] = order.weights_version
+        return web.Response(status=200)
+
+    async def _crash(self, _request: web.Request) -> web.Response:
+        self.crash()
+        return web.Response()
+
+    async def _leave(self, _request: web.Request) -> web.Response:
+        self.state = wire.EngineState.LEAVING
+        return web.Response()
+
+
+def _cache_line(event: CacheEvent) -> wire.CacheLine:
+    return wire.CacheLine(
+        sequence=event.sequence,
+        stored=event.stored,
+        root=wire.hash_text(event.root),
+        depth=event.depth,
+        blocks=wire.pack_hashes(event.blocks),
+    )
+
+
+def _chunk(model: str, request_id: str, text: str, chat: bool, last: bool) -> bytes:
+    choice: dict[str, object] = {"index": 0, "finish_reason": "stop" if last else None}
+    choice |= {"delta": {"content": text}} if chat else {"text": text}
+    kind = "chat.completion.chunk" if chat else "text_completion"
+    return msgspec.json.encode({"id": request_id, "object": kind, "model": model, "choices": [choice]})
--- /dev/null
+++ b/src/wallwell/emulator/faults.py
@@ -0,0 +1,91 @@
+"""Fault switches shared by every stand-in, as an aiohttp middleware and one control endpoint."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from aiohttp import web
+
+from wallwell.events import Event, emit
+
+FAULTS_PATH = "/_faults"
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class FaultSwitches(msgspec.Struct, forbid_unknown_fields=True):
+    """Faults a stand-in can be told to have. All are off at start."""
+
+    down: bool = False
+    """Reset every connection before doing anything."""
+    slow_s: float = 0.0
+    """Wait this long before doing anything."""
+    lose_answers: int = 0
+    """Take effect, then reset the connection instead of answering, this many times."""
+    foreign_answers: int = 0
+    """Answer with another request's id, this many times."""
+    drop_event_ratio: float = 0.0
+    """Fraction of cache events that are never published."""
+    cut_streams_after: int = 0
+    """Reset each stream after this many chunks; 0 leaves streams whole."""
+    stall_streams_after: int = 0
+    """Stop sending after this many chunks without closing; 0 leaves streams whole."""
+    duplicate_chunks: bool = False
+    """Send every chunk twice."""
+    paused: bool = False
+    """Do nothing until switched off."""
+
+
+class FaultControl:
+    """Holds the switches of one stand-in and applies those that concern every request."""
+
+    def __init__(self) -> None:
+        self.switches = FaultSwitches()
+
+    def set(self, **changes: object) -> None:
+        """Replace single switches."""
+        self.switches = msgspec.structs.replace(self.switches, **changes)
+        emit(Event.EMULATOR_FAULT, **{key: str(value) for key, value in changes.items()})
+
+    def take(self, counter: str) -> bool:
+        """Use up one of a counted fault; returns whether there was one left."""
+        left = getattr(self.switches, counter)
+        if left <= 0:
+            return False
+        setattr(self.switches, counter, left - 1)
+        return True
+
+    async def _handle_faults(self, request: web.Request) -> web.Response:
+        changes = msgspec.json.decode(await request.read(), type=dict[str, object])
+        merged = {**msgspec.to_builtins(self.switches), **changes}
+        self.switches = msgspec.convert(merged, FaultSwitches)
+        return web.json_response(merged)
+
+    def install(self, app: web.Application) -> None:
+        """Add the middleware and the control endpoint to ``app``."""
+        app.middlewares.append(self.middleware)
+        app.router.add_post(FAULTS_PATH, self._handle_faults)
+
+    @web.middleware
+    async def middleware(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        """Apply ``down``, ``paused``, ``slow_s`` and ``lose_answers``."""
+        if request.path == FAULTS_PATH:
+            return await handler(request)
+        if self.switches.down:
+            return reset_connection(request)
+        while self.switches.paused:
+            await asyncio.sleep(0.02)
+        if self.switches.slow_s > 0:
+            await asyncio.sleep(self.switches.slow_s)
+        response = await handler(request)
+        if not response.prepared and self.take("lose_answers"):
+            return reset_connection(request)
+        return response
+
+
+def reset_connection(request: web.Request) -> web.Response:
+    """Abort the connection; the response returned is never sent."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
--- /dev/null
+++ b/src/wallwell/emulator/platform_server.py
@@ -0,0 +1,121 @@
+"""Stand-in for the platform: table service, object store, weight store and machine list."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import msgspec
+from aiohttp import web
+
+from wallwell.emulator.faults import FaultControl
+from wallwell.platform.machines import Machine, MachineState
+from wallwell.platform.table import Commit, Row, Scan, Transaction
+from wallwell.routing.limits import TokenBucket
+
+
+class ConditionFailed(Exception):
+    """A condition of a transaction did not hold."""
+
+
+class TableModel:
+    """Rows and commit numbers; pure."""
+
+    def __init__(self) -> None:
+        self.commit = 0
+        self.rows: dict[str, Row] = {}
+
+    def transact(self, transaction: Transaction) -> int:
+        """Apply a transaction. Raises :class:`ConditionFailed` with the failing key."""
+        for condition in transaction.conditions:
+            row = self.rows.get(condition.key)
+            if (row.version if row else 0) != condition.version:
+                raise ConditionFailed(condition.key)
+        self.commit += 1
+        for put in transaction.puts:
+            self.rows[put.key] = Row(put.key, put.value, self.commit)
+        for key in transaction.deletes:
+            self.rows.pop(key, None)
+        return self.commit
+
+    def scan(self, prefix: str, after_version: int) -> Scan:
+        """Return rows under ``prefix`` with a version above ``after_version``."""
+        rows = [r for k, r in self.rows.items() if k.startswith(prefix) and r.version > after_version]
+        return Scan(self.commit, tuple(sorted(rows, key=lambda row: row.version)))
+
+
+class PlatformServer:
+    """The platform's four services on one listener, each with its own path."""
+
+    def __init__(self, calls_per_s: float = 500.0, weight_load_s: float = 0.2, weight_slots: int = 2) -> None:
+        self.table = TableModel()
+        self.objects: dict[str, bytes] = {}
+        self.machines: dict[str, MachineState] = {}
+        self.faults = FaultControl()
+        self.calls = 0
+        self._bucket = TokenBucket(calls_per_s, calls_per_s, calls_per_s, time.monotonic())
+        self._weight_load_s = weight_load_s
+        self._weight_slots = weight_slots
+        self._weight_readers = 0
+
+    def app(self) -> web.Application:
+        """Return the aiohttp application."""
+        app = web.Application(client_max_size=64 * 1024 * 1024)
+        self.faults.install(app)
+        app.middlewares.append(self._rate_limit)
+        app.router.add_post("/transact", self._transact)
+        app.router.add_get("/row", self._row)
+        app.router.add_get("/scan", self._scan)
+        app.router.add_get("/machines", self._machines)
+        app.router.add_get("/weights/{model}/{version}", self._weights)
+        app.router.add_put("/objects/{name:.+}", self._put_object)
+        app.router.add_get("/objects/{name:.+}", self._get_object)
+        return app
+
+    @web.middleware
+    async def _rate_limit(self, request: web.Request, handler: object) -> web.StreamResponse:
+        if not request.path.startswith("/_"):
+            self.calls += 1
+            if not self._bucket.try_take(time.monotonic()):
+                return web.Response(status=429)
+        return await handler(request)  # type: ignore[operator, no-any-return]
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        transaction = msgspec.json.decode(await request.read(), type=Transaction)
+        try:
+            commit = self.table.transact(transaction)
+        except ConditionFailed as failed:
+            return web.Response(status=409, text=str(failed))
+        return _json(Commit(commit))
+
+    async def _row(self, request: web.Request) -> web.Response:
+        row = self.table.rows.get(request.query["key"])
+        return _json(row) if row else web.Response(status=404)
+
+    async def _scan(self, request: web.Request) -> web.Response:
+        return _json(self.table.scan(request.query["prefix"], int(request.query["after"])))
+
+    async def _machines(self, request: web.Request) -> web.Response:
+        return _json([Machine(address, state) for address, state in self.machines.items()])
+
+    async def _weights(self, request: web.Request) -> web.Response:
+        """Slow down when more readers load at once than the store carries well."""
+        self._weight_readers += 1
+        try:
+            crowding = max(1.0, self._weight_readers / self._weight_slots)
+            await asyncio.sleep(self._weight_load_s * crowding)
+        finally:
+            self._weight_readers -= 1
+        return web.Response(body=b"weights")
+
+    async def _put_object(self, request: web.Request) -> web.Response:
+        self.objects[request.match_info["name"]] = await request.read()
+        return web.Response(status=201)
+
+    async def _get_object(self, request: web.Request) -> web.Response:
+        body = self.objects.get(request.match_info["name"])
+        return web.Response(body=body) if body is not None else web.Response(status=404)
+
+
+def _json(value: object) -> web.Response:
+    return web.Response(body=msgspec.json.encode(value), content_type="application/json")
--- /dev/null
+++ b/src/wallwell/emulator/service_server.py
@@ -0,0 +1,58 @@
+"""Stand-in for an order or booking service with a journal of everything it ran."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+from aiohttp import web
+
+from wallwell.backends.engine_protocol import REQUEST_ID
+from wallwell.emulator.faults import FaultControl
+
+IDEMPOTENCY_KEY = "Idempotency-Key"
+REFUSED_HEADER = "X-Not-Run"
+
+
+class JournalEntry(msgspec.Struct, frozen=True):
+    """One call that ran."""
+
+    request_id: str
+    key: str
+    method: str
+    path: str
+    body: str
+
+
+class ServiceServer:
+    """One instance. Every call that reaches the handler runs once and is written to the journal."""
+
+    def __init__(self, name: str, work_s: float = 0.005) -> None:
+        self.name = name
+        self.journal: list[JournalEntry] = []
+        self.faults = FaultControl()
+        self.leaving = False
+        self._work_s = work_s
+
+    def app(self) -> web.Application:
+        """Return the aiohttp application."""
+        app = web.Application()
+        self.faults.install(app)
+        app.router.add_get("/_journal", self._read_journal)
+        app.router.add_route("*", "/{path:.*}", self._handle)
+        return app
+
+    async def _handle(self, request: web.Request) -> web.Response:
+        if self.leaving:
+            return web.Response(status=503, headers={REFUSED_HEADER: "leaving"})
+        body = (await request.read()).decode(errors="replace")
+        request_id = request.headers.get(REQUEST_ID, "")
+        key = request.headers.get(IDEMPOTENCY_KEY, "")
+        self.journal.append(JournalEntry(request_id, key, request.method, request.path, body))
+        await asyncio.sleep(self._work_s)
+        answered_id = "foreign-request" if self.faults.take("foreign_answers") else request_id
+        answer = {"instance": self.name, "path": request.path, "ran": len(self.journal)}
+        return web.json_response(answer, headers={REQUEST_ID: answered_id})
+
+    async def _read_journal(self, _request: web.Request) -> web.Response:
+        return web.Response(body=msgspec.json.encode(self.journal), content_type="application/json")
--- /dev/null
+++ b/src/wallwell/events.py
@@ -0,0 +1,82 @@
+"""Numbered log events and the logger's set-up.
+
+Every line wallwell logs is an :class:`Event`: a number, a level and a message. Fields go beside it.
+``docs/LOG_EVENTS.md`` is generated from this module by ``wallwell catalogue events``.
+"""
+
+from __future__ import annotations
+
+import enum
+import sys
+from typing import Any
+
+from loguru import logger
+
+
+class Event(enum.Enum):
+    """Every log event: ``(number, level, message)``."""
+
+    NODE_STARTED = (1001, "INFO", "node started")
+    NODE_READY = (1002, "INFO", "node is ready to serve")
+    NODE_DRAINING = (1003, "INFO", "planned stop: refusing new work and finishing what is open")
+    NODE_STOPPED = (1004, "INFO", "node stopped")
+    SETTINGS_INVALID = (1005, "ERROR", "settings are invalid")
+    INTERNAL_ERROR = (1006, "ERROR", "unexpected error")
+    CONFIG_ADVANCED = (2001, "INFO", "configuration advanced to a higher revision")
+    CONFIG_ACCEPTED = (2002, "INFO", "operators' change accepted")
+    CONFIG_REFUSED = (2003, "WARNING", "operators' change refused")
+    CONFIG_STALE_SOURCE = (2004, "WARNING", "configuration from a source that is behind was ignored")
+    REQUEST_ENDED = (3001, "INFO", "request ended")
+    REQUEST_RETRIED = (3002, "INFO", "attempt failed and is retried")
+    STREAM_RESUMED = (3003, "INFO", "stream resumed after a fault")
+    STREAM_BROKEN = (3004, "WARNING", "stream could not be continued")
+    PROTOCOL_VIOLATION = (3005, "WARNING", "back end broke the protocol; its connection is closed")
+    CALLER_GONE = (3006, "INFO", "caller went away; its work is cancelled")
+    CLAIM_ABANDONED = (3007, "WARNING", "claim could not be settled in the table service")
+    TABLE_UNAVAILABLE = (4001, "WARNING", "table service is unavailable")
+    MACHINE_LIST_UNAVAILABLE = (4002, "WARNING", "machine list is unavailable")
+    MEMBER_JOINED = (5001, "INFO", "member joined")
+    MEMBER_SUSPECT = (5002, "WARNING", "member is suspected to have failed")
+    MEMBER_DEAD = (5003, "WARNING", "member is considered failed")
+    MEMBER_LEFT = (5004, "INFO", "member left")
+    CLUSTER_MESSAGE_REFUSED = (5005, "WARNING", "message from a peer refused")
+    LEASE_ACQUIRED = (5006, "INFO", "lease acquired")
+    LEASE_LOST = (5007, "WARNING", "lease lost")
+    ENGINE_INCARNATION = (6001, "INFO", "engine has a new incarnation; its cache entries are dropped")
+    ENGINE_EVENTS_GAP = (6002, "WARNING", "cache events were lost; resynchronising")
+    ENGINE_UNREACHABLE = (6003, "WARNING", "engine cannot be reached")
+    BACKEND_LEAVING = (6004, "INFO", "back end is leaving and gets no new work")
+    BREAKER_OPENED = (6005, "WARNING", "circuit breaker opened")
+    ORDER_SENT = (7001, "INFO", "fenced order sent to an engine")
+    ORDER_REFUSED = (7002, "WARNING", "fenced order refused")
+    EMULATOR_FAULT = (8001, "INFO", "fault switch changed")
+
+    @property
+    def number(self) -> int:
+        """The event's number in the catalogue."""
+        return self.value[0]
+
+    @property
+    def level(self) -> str:
+        """The loguru level name."""
+        return self.value[1]
+
+    @property
+    def message(self) -> str:
+        """The fixed text of the event."""
+        return self.value[2]
+
+
+def emit(event: Event, **fields: Any) -> None:
+    """Log ``event`` with its fields. Secrets never go into fields."""
+    logger.bind(event=event.number, **fields).log(event.level, event.message)
+
+
+_HUMAN_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level: <7} {extra[event]} {message} {extra}"
+
+
+def configure_logging(level: str, json_lines: bool) -> None:
+    """Send log events to standard error at ``level``, as JSON lines or for people."""
+    logger.remove()
+    logger.configure(extra={"event": 0})
+    logger.add(sys.stderr, level=level, serialize=json_lines, format=_HUMAN_FORMAT)
--- /dev/null
+++ b/src/wallwell/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP listeners for callers and operators."""
--- /dev/null
+++ b/src/wallwell/gateway/caller.py
@@ -0,0 +1,179 @@
+"""Checks common to every caller's request: credential, headers, limits, and the typed error answer."""
+
+from __future__ import annotations
+
+import hashlib
+import re
+import secrets
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+
+import msgspec
+from aiohttp import web
+
+from wallwell.cluster.limits import TenantLimit
+from wallwell.config.compiled import Tenant
+from wallwell.config.schema import PrioritySpec
+from wallwell.errors import (
+    BodyTooLargeError,
+    ForbiddenError,
+    MalformedRequestError,
+    NotReadyError,
+    RateLimitedError,
+    RequestError,
+    UnauthenticatedError,
+    UnknownResourceError,
+)
+from wallwell.gateway.context import NodeContext
+from wallwell.outcomes import Outcome
+
+REQUEST_ID_HEADER = "X-Request-Id"
+PRIORITY_HEADER = "X-Priority"
+DEADLINE_HEADER = "X-Deadline-Ms"
+OUTCOME_HEADER = "X-Outcome"
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+MAX_DEADLINE_MS = 24 * 3600 * 1000
+DEFAULT_PRIORITY = PrioritySpec(rank=8)
+_REQUEST_ID = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
+_IDEMPOTENCY_KEY = re.compile(r"^[\x21-\x7e]{1,255}$")
+
+
+class ErrorBody(msgspec.Struct, frozen=True):
+    """Body of every error answered to a caller."""
+
+    code: str
+    error: str
+    message: str
+    outcome: Outcome
+    retry_after_ms: int
+    request_id: str
+
+
+@dataclass(frozen=True)
+class CallerRequest:
+    """A caller's request after its headers were checked. ``deadline_s`` is on this node's clock."""
+
+    request_id: str
+    tenant: Tenant
+    priority_name: str
+    priority: PrioritySpec
+    deadline_s: float
+    idempotency_key: str
+    started_s: float
+
+    def remaining_s(self, now_s: float) -> float:
+        """Time left until the deadline."""
+        return self.deadline_s - now_s
+
+
+def request_id_of(request: web.Request) -> str:
+    """Return the caller's request id, or a new one if it gave none. Raises :class:`MalformedRequestError`."""
+    given = request.headers.get(REQUEST_ID_HEADER)
+    if given is None:
+        return secrets.token_hex(12)
+    if not _REQUEST_ID.match(given):
+        raise MalformedRequestError(f"{REQUEST_ID_HEADER} must match {_REQUEST_ID.pattern}")
+    return given
+
+
+def check_caller(context: NodeContext, request: web.Request, request_id: str) -> CallerRequest:
+    """Authenticate and read the headers. Raises :class:`RequestError` types."""
+    if not context.ready:
+        raise NotReadyError("no configuration yet", retry_after_ms=500)
+    if context.refusing:
+        raise NotReadyError("this router is stopping", retry_after_ms=100)
+    tenant = _authenticate(context, request)
+    name, priority = _priority(context, request, tenant)
+    now_s = time.monotonic()
+    deadline_ms = _deadline_ms(request, priority.deadline_ms)
+    key = request.headers.get(IDEMPOTENCY_HEADER, "")
+    if key and not _IDEMPOTENCY_KEY.match(key):
+        raise MalformedRequestError(f"{IDEMPOTENCY_HEADER} must be 1 to 255 printable characters")
+    return CallerRequest(request_id, tenant, name, priority, now_s + deadline_ms / 1000, key, now_s)
+
+
+def _authenticate(context: NodeContext, request: web.Request) -> Tenant:
+    scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not token:
+        raise UnauthenticatedError("a bearer token is required")
+    # Looking up a SHA-256 gives no timing signal about other tokens.
+    digest = hashlib.sha256(token.strip().encode()).hexdigest()
+    tenant = context.config.tenant_by_token.get(digest)
+    if tenant is None:
+        raise UnauthenticatedError("the credential belongs to no tenant")
+    return tenant
+
+
+def _priority(context: NodeContext, request: web.Request, tenant: Tenant) -> tuple[str, PrioritySpec]:
+    name = request.headers.get(PRIORITY_HEADER) or tenant.spec.default_priority
+    if name is None:
+        return "default", DEFAULT_PRIORITY
+    found = context.config.priorities.get(name)
+    if found is None:
+        raise UnknownResourceError(f"no priority named `{name[:64]}`")
+    if name not in tenant.spec.priorities:
+        raise ForbiddenError(f"the tenant may not use priority `{name}`")
+    return name, found
+
+
+def _deadline_ms(request: web.Request, default_ms: int) -> int:
+    text = request.headers.get(DEADLINE_HEADER)
+    if text is None:
+        return default_ms
+    if not text.isascii() or not text.isdigit() or not 0 < int(text[:10]) <= MAX_DEADLINE_MS:
+        raise MalformedRequestError(f"{DEADLINE_HEADER} must be a number of milliseconds up to {MAX_DEADLINE_MS}")
+    return int(text)
+
+
+@contextmanager
+def admitted(context: NodeContext, caller: CallerRequest) -> Iterator[None]:
+    """Hold the tenant's concurrency for the block. Raises :class:`RateLimitedError`."""
+    spec = caller.tenant.spec
+    limit = TenantLimit(spec.requests_per_s, spec.burst, spec.concurrency)
+    retry_s = context.node.limits.try_start(caller.tenant.name, limit, time.monotonic())
+    if retry_s is not None:
+        raise RateLimitedError("the tenant's limit is used up", retry_after_ms=max(1, round(retry_s * 1000)))
+    context.in_flight += 1
+    context.metrics.in_flight.set(context.in_flight)
+    try:
+        yield
+    finally:
+        context.in_flight -= 1
+        context.metrics.in_flight.set(context.in_flight)
+        context.node.limits.finish(caller.tenant.name)
+
+
+async def read_body(request: web.Request) -> bytes:
+    """Read the whole body. Raises :class:`BodyTooLargeError`."""
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge as error:
+        raise BodyTooLargeError("body is larger than the limit") from error
+
+
+def error_body(error: RequestError, request_id: str) -> bytes:
+    """Return the typed JSON of an error."""
+    body = ErrorBody(
+        code=error.code,
+        error=type(error).__name__,
+        message=error.detail,
+        outcome=error.outcome,
+        retry_after_ms=error.retry_after_ms,
+        request_id=request_id,
+    )
+    return msgspec.json.encode(body)
+
+
+def error_response(error: RequestError, request_id: str) -> web.Response:
+    """Return the typed error answer."""
+    headers = {REQUEST_ID_HEADER: request_id, OUTCOME_HEADER: error.outcome.value}
+    if error.retry_after_ms:
+        headers["Retry-After"] = str(max(1, -(-error.retry_after_ms // 1000)))
+    return web.Response(
+        status=error.http_status,
+        body=error_body(error, request_id),
+        content_type="application/json",
+        headers=headers,
+    )
--- /dev/null
+++ b/src/wallwell/gateway/context.py
@@ -0,0 +1,78 @@
+"""What the handlers of one node share."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+import aiohttp
+
+from wallwell.backends.service_client import ServiceClient
+from wallwell.cluster.claims import ClaimTable
+from wallwell.cluster.node import ClusterNode
+from wallwell.cluster.transport import ClusterTransport
+from wallwell.config.commit import ConfigCommitter
+from wallwell.config.compiled import CompiledConfig, Engine
+from wallwell.gateway.metrics import NodeMetrics
+from wallwell.routing.retry import RetryBudget
+from wallwell.routing.selector import EngineSelector
+from wallwell.settings import NodeSettings
+
+T = TypeVar("T")
+
+
+@dataclass
+class NodeContext:
+    """One node's objects, wired together by ``gateway.router_node``."""
+
+    settings: NodeSettings
+    rng: random.Random
+    node: ClusterNode
+    transport: ClusterTransport
+    selector: EngineSelector
+    session: aiohttp.ClientSession
+    services: ServiceClient
+    claims: ClaimTable
+    committer: ConfigCommitter
+    metrics: NodeMetrics
+    retry_budget: RetryBudget = field(default_factory=RetryBudget)
+    service_in_flight: dict[str, int] = field(default_factory=dict)
+    ready: bool = False
+    draining: bool = False
+    refusing: bool = False
+    in_flight: int = 0
+    background: set[asyncio.Task[Any]] = field(default_factory=set)
+
+    def spawn(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
+        """Run work that outlives its caller; a planned stop waits for it."""
+        task = asyncio.create_task(work)
+        self.background.add(task)
+        task.add_done_callback(self._on_background_done)
+        return task
+
+    def _on_background_done(self, task: asyncio.Task[Any]) -> None:
+        self.background.discard(task)
+        if not task.cancelled():
+            task.exception()  # Retrieved here, since the caller may be gone.
+
+    @property
+    def config(self) -> CompiledConfig:
+        """The configuration in force."""
+        return self.node.config.compiled
+
+    def region_engines(self) -> dict[str, Engine]:
+        """Engines in the zones of this node's region."""
+        config = self.config
+        region = self.settings.region
+        return {
+            name: engine
+            for name, engine in config.engines.items()
+            if engine.zone in config.zones and config.zones[engine.zone].region == region
+        }
+
+    def is_leaving(self, address: str, declared: bool = False) -> bool:
+        """Whether a back end must get no new work."""
+        return declared or address in self.node.leaving_addresses()
--- /dev/null
+++ b/src/wallwell/gateway/generation.py
@@ -0,0 +1,344 @@
+"""Generation requests: choose an engine, forward its stream, resume it elsewhere after a fault."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+
+import msgspec
+from aiohttp import web
+
+from wallwell.api.openai_format import (
+    GenerationBody,
+    chunk_text,
+    parse_generation,
+    render_prompt,
+    whole_answer,
+)
+from wallwell.backends.attempt import AttemptFailed
+from wallwell.backends.engine_client import EngineClient, GenerationCall, GenerationHead
+from wallwell.backends.engine_protocol import DONE_EVENT, Resume
+from wallwell.config.compiled import Engine
+from wallwell.config.schema import ModelSpec
+from wallwell.errors import (
+    BackendFailedError,
+    DeadlineUnreachableError,
+    ForbiddenError,
+    NoBackendError,
+    RequestError,
+    RetriesExhaustedError,
+    StreamBrokenError,
+    UnknownResourceError,
+)
+from wallwell.events import Event, emit
+from wallwell.gateway.caller import (
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    CallerRequest,
+    admitted,
+    error_body,
+    read_body,
+)
+from wallwell.gateway.context import NodeContext
+from wallwell.outcomes import Outcome
+from wallwell.routing.blocks import CacheKey, hash_chain
+from wallwell.routing.outcome import AttemptLog, TransportEvent
+from wallwell.routing.policy import Choice, RoutingRequest
+from wallwell.routing.retry import full_jitter_delay_s
+from wallwell.routing.selector import EngineView
+
+MAX_ATTEMPTS = 6
+STALL_TIMEOUT_S = 2.0
+MIN_FIRST_TOKEN_TIMEOUT_S = 2.0
+FIRST_TOKEN_TIMEOUT_FACTOR = 8.0
+
+
+@dataclass
+class Generation:
+    """State of one generation over all its attempts."""
+
+    caller: CallerRequest
+    body: GenerationBody
+    path: str
+    model: ModelSpec
+    prompt: bytes
+    chain: list[int]
+    salt: int
+    log: AttemptLog = field(default_factory=lambda: AttemptLog(repeatable=True))
+    events: list[bytes] = field(default_factory=list)
+    failed_engines: set[str] = field(default_factory=set)
+    response: web.StreamResponse | None = None
+    first_token_s: float | None = None
+    last_token_s: float = 0.0
+    head: GenerationHead = field(default_factory=GenerationHead)
+
+    @property
+    def complete(self) -> bool:
+        """Whether every token asked for was received."""
+        return len(self.events) >= self.body.max_tokens
+
+    def text_so_far(self) -> str:
+        """The generated text received."""
+        return "".join(chunk_text(event) for event in self.events)
+
+    def engine_body(self) -> bytes:
+        """Body for the next attempt, which continues after what was received."""
+        resume = Resume(len(self.events), self.text_so_far()) if self.events else None
+        return msgspec.json.encode(msgspec.structs.replace(self.body, stream=True, resume=resume))
+
+
+class GenerationHandler:
+    """Handles ``/v1/completions`` and ``/v1/chat/completions``."""
+
+    def __init__(self, context: NodeContext) -> None:
+        self._context = context
+        self._secret = context.settings.cluster.key.encode()
+
+    async def handle(self, request: web.Request, caller: CallerRequest) -> web.StreamResponse:
+        """Answer one request. Raises :class:`RequestError` if nothing was sent to the caller yet."""
+        chat = request.path.endswith("chat/completions")
+        body = parse_generation(await read_body(request), chat)
+        generation = self._prepare(caller, body, request.path)
+        with admitted(self._context, caller):
+            self._context.retry_budget.on_request()
+            try:
+                await self._run(request, generation)
+            except RequestError as error:
+                self._count(generation, error.outcome)
+                if generation.response is None:
+                    raise
+                return await self._end_broken(generation, error)
+            self._count(generation, Outcome.COMPLETED)
+            return await self._end_complete(generation)
+
+    def _prepare(self, caller: CallerRequest, body: GenerationBody, path: str) -> Generation:
+        model = self._context.config.models.get(body.model)
+        if model is None:
+            raise UnknownResourceError(f"no model named `{body.model[:64]}`")
+        if body.model not in caller.tenant.spec.models:
+            raise ForbiddenError(f"the tenant may not use model `{body.model}`")
+        if body.adapter and body.adapter not in model.adapters:
+            raise UnknownResourceError(f"no adapter named `{body.adapter[:64]}`")
+        body = msgspec.structs.replace(body, resume=None)
+        adapter = f"{body.adapter}@{model.adapters[body.adapter]}" if body.adapter else ""
+        key = CacheKey(caller.tenant.name, body.model, model.weights_version, adapter)
+        salt = key.seed(self._secret)
+        prompt = render_prompt(body)
+        chain = hash_chain(salt, prompt, model.block_tokens * model.bytes_per_token)
+        return Generation(caller, body, path, model, prompt, chain, salt)
+
+    # --- attempts --------------------------------------------------------------------------------------
+
+    async def _run(self, request: web.Request, generation: Generation) -> None:
+        while True:
+            engine, choice = await self._choose(generation)
+            try:
+                await self._attempt(request, generation, engine, choice)
+                return
+            except AttemptFailed as failure:
+                await self._after_failure(generation, engine, failure)
+                if generation.complete:
+                    return
+
+    async def _choose(self, generation: Generation) -> tuple[Engine, Choice]:
+        context = self._context
+        engines = self._engines(generation.body.model)
+        if not engines:
+            raise NoBackendError("no live engine serves this model", retry_after_ms=500)
+        held = await context.transport.lookup(generation.chain)
+        now_s = time.monotonic()
+        incarnations = context.node.engine_incarnations()
+        views = [EngineView(each.name, each.zone, incarnations.get(each.name, "")) for each in engines.values()]
+        routing = self._routing_request(generation, now_s)
+        choice = context.selector.select(routing, views, held, now_s, generation.failed_engines)
+        if choice is None:
+            raise NoBackendError("every engine's circuit breaker is open", retry_after_ms=500)
+        if not generation.events and choice.expected_first_token_s > routing.remaining_s:
+            retry_ms = round((choice.expected_first_token_s - routing.remaining_s) * 1000)
+            raise DeadlineUnreachableError(
+                "no engine can answer before the deadline", retry_after_ms=max(50, retry_ms)
+            )
+        return engines[choice.engine], choice
+
+    def _engines(self, model: str) -> dict[str, Engine]:
+        context = self._context
+        zones = context.config.zones
+        leaving = context.node.leaving_addresses()
+        return {
+            engine.name: engine
+            for engine in context.config.engines_by_model.get(model, ())
+            if not engine.leaving
+            and engine.address not in leaving
+            and zones[engine.zone].region == context.settings.region
+        }
+
+    def _routing_request(self, generation: Generation, now_s: float) -> RoutingRequest:
+        return RoutingRequest(
+            chain=generation.chain,
+            block_tokens=generation.model.block_tokens,
+            prompt_tokens=max(1, len(generation.prompt) // generation.model.bytes_per_token),
+            rank=generation.caller.priority.rank,
+            objective=generation.caller.priority.objective,
+            zone=self._context.settings.zone,
+            remaining_s=generation.caller.remaining_s(now_s),
+        )
+
+    async def _attempt(self, request: web.Request, generation: Generation, engine: Engine, choice: Choice) -> None:
+        context = self._context
+        selector = context.selector
+        attempt_id = _attempt_id(generation)
+        incarnation = context.node.engine_incarnations().get(engine.name, "")
+        sent_s = time.monotonic()
+        selector.on_dispatch(attempt_id, choice, incarnation, generation.chain, sent_s)
+        if incarnation:
+            context.transport.perform(context.node.report_dispatch(engine.name, incarnation, generation.chain))
+        client = EngineClient(engine.address, context.session)
+        call = self._call(generation, attempt_id, incarnation, choice)
+        stopped = False
+        try:
+            first = True
+            async for event in client.generate(call, generation.head):
+                if first:
+                    first = False
+                    self._on_first_event(generation, engine, attempt_id, sent_s)
+                generation.events.append(event)
+                generation.last_token_s = time.monotonic()
+                await self._forward(request, generation, event)
+            stopped = True
+        finally:
+            selector.on_finished(engine.name, attempt_id)
+            if not stopped:
+                self._cancel_in_background(client, attempt_id)
+
+    def _call(self, generation: Generation, attempt_id: str, incarnation: str, choice: Choice) -> GenerationCall:
+        expected = choice.expected_first_token_s * FIRST_TOKEN_TIMEOUT_FACTOR
+        return GenerationCall(
+            path=generation.path,
+            attempt_id=attempt_id,
+            body=generation.engine_body(),
+            cache_salt=generation.salt,
+            incarnation=incarnation,
+            weights_version=generation.model.weights_version,
+            rank=generation.caller.priority.rank,
+            first_index=len(generation.events),
+            first_token_timeout_s=max(MIN_FIRST_TOKEN_TIMEOUT_S, expected),
+            stall_timeout_s=STALL_TIMEOUT_S,
+        )
+
+    def _on_first_event(self, generation: Generation, engine: Engine, attempt_id: str, sent_s: float) -> None:
+        now_s = time.monotonic()
+        head = generation.head
+        selector = self._context.selector
+        selector.breaker_of(engine.name).on_success(now_s)
+        computed = head.prompt_tokens - head.cached_tokens
+        selector.load_of(engine.name).on_first_token(attempt_id, computed, now_s - sent_s)
+        if generation.first_token_s is not None:
+            return
+        generation.first_token_s = now_s - generation.caller.started_s
+        metrics = self._context.metrics
+        metrics.first_token_s.labels(generation.caller.priority_name).observe(generation.first_token_s)
+        metrics.prompt_tokens.inc(head.prompt_tokens)
+        metrics.cached_tokens.inc(head.cached_tokens)
+
+    def _cancel_in_background(self, client: EngineClient, attempt_id: str) -> None:
+        self._context.spawn(client.cancel(attempt_id))
+
+    async def _after_failure(self, generation: Generation, engine: Engine, failure: AttemptFailed) -> None:
+        """Decide on another attempt; raises the request's error if there is none."""
+        context = self._context
+        now_s = time.monotonic()
+        generation.failed_engines.add(engine.name)
+        self._learn(engine, failure, now_s)
+        may_retry = generation.log.record(failure.event)
+        started = bool(generation.events)
+        if not may_retry:
+            raise BackendFailedError(failure.detail)
+        if generation.log.attempts >= MAX_ATTEMPTS or not context.retry_budget.try_retry():
+            raise self._exhausted(generation)
+        delay_s = full_jitter_delay_s(generation.log.attempts, context.rng)
+        if not started and generation.caller.remaining_s(now_s) <= delay_s:
+            raise self._exhausted(generation)
+        emit(
+            Event.STREAM_RESUMED if started else Event.REQUEST_RETRIED,
+            request_id=generation.caller.request_id,
+            engine=engine.name,
+            reason=failure.event.value,
+            tokens=len(generation.events),
+        )
+        if started:
+            context.metrics.resumes.inc()
+        context.metrics.retries.labels("generation").inc()
+        await asyncio.sleep(delay_s)
+
+    def _learn(self, engine: Engine, failure: AttemptFailed, now_s: float) -> None:
+        context = self._context
+        if failure.event is TransportEvent.PRECONDITION_REFUSED:
+            context.selector.on_refused_hint(engine.name)
+            return
+        if failure.event is TransportEvent.BACKEND_LEAVING:
+            context.node.leaving.add(engine.address)
+            return
+        if context.selector.breaker_of(engine.name).on_failure(now_s, context.rng):
+            emit(Event.BREAKER_OPENED, engine=engine.name)
+
+    def _exhausted(self, generation: Generation) -> RequestError:
+        if generation.events:
+            return StreamBrokenError("the stream could not be continued", retry_after_ms=500)
+        if generation.log.outcome is Outcome.NOT_RUN:
+            return RetriesExhaustedError("no engine took the request", retry_after_ms=500)
+        error = StreamBrokenError("no engine answered", retry_after_ms=500)
+        error.outcome = Outcome.UNKNOWN
+        return error
+
+    # --- answers ---------------------------------------------------------------------------------------
+
+    async def _forward(self, request: web.Request, generation: Generation, event: bytes) -> None:
+        if not generation.body.stream:
+            return
+        if generation.response is None:
+            generation.response = web.StreamResponse(
+                headers={
+                    "Content-Type": "text/event-stream",
+                    "Cache-Control": "no-store",
+                    REQUEST_ID_HEADER: generation.caller.request_id,
+                }
+            )
+            await generation.response.prepare(request)
+        # Awaits the socket, so a slow caller slows reading from the engine instead of filling memory.
+        await generation.response.write(event)
+
+    async def _end_complete(self, generation: Generation) -> web.StreamResponse:
+        if generation.response is not None:
+            await generation.response.write(DONE_EVENT + b"\n\n")
+            await generation.response.write_eof()
+            return generation.response
+        request_id = generation.caller.request_id
+        payload = whole_answer(generation.body, request_id, generation.events, generation.head.prompt_tokens)
+        headers = {REQUEST_ID_HEADER: request_id, OUTCOME_HEADER: Outcome.COMPLETED.value}
+        return web.Response(body=payload, content_type="application/json", headers=headers)
+
+    async def _end_broken(self, generation: Generation, error: RequestError) -> web.StreamResponse:
+        """End a started stream with a typed error event and without the terminal marker."""
+        response = generation.response
+        assert response is not None
+        emit(Event.STREAM_BROKEN, request_id=generation.caller.request_id, code=error.code)
+        payload = error_body(error, generation.caller.request_id)
+        await response.write(b'event: error\ndata: {"error": %s}\n\n' % payload)
+        await response.write_eof()
+        return response
+
+    def _count(self, generation: Generation, outcome: Outcome) -> None:
+        caller = generation.caller
+        self._context.metrics.requests.labels("generation", caller.priority_name, outcome.value).inc()
+        tokens = len(generation.events)
+        if generation.first_token_s is not None and tokens > 1:
+            since_start = generation.last_token_s - caller.started_s
+            between_s = (since_start - generation.first_token_s) / (tokens - 1)
+            self._context.metrics.between_tokens_s.labels(caller.priority_name).observe(between_s)
+
+
+def _attempt_id(generation: Generation) -> str:
+    number = generation.log.attempts
+    request_id = generation.caller.request_id
+    return request_id if number == 0 else f"{request_id}.{number}"
--- /dev/null
+++ b/src/wallwell/gateway/operators_app.py
@@ -0,0 +1,168 @@
+"""The operators' listener: apply files, read back what is in force, metrics."""
+
+from __future__ import annotations
+
+import hmac
+
+import msgspec
+from aiohttp import web
+
+from wallwell.cluster.messages import MemberStatus
+from wallwell.config.commit import ApplyRequest
+from wallwell.config.schema import FileKey
+from wallwell.errors import ConfigNotFoundError, UnauthenticatedError, WallwellError
+from wallwell.events import Event, emit
+from wallwell.gateway.context import NodeContext
+
+
+class MemberView(msgspec.Struct, frozen=True):
+    """One member in the status answer."""
+
+    node: str
+    zone: str
+    status: str
+    config_revision: int
+    engines: int
+
+
+class StatusAnswer(msgspec.Struct, frozen=True):
+    """What one node knows of its region; ``regions`` gives other regions' configuration revisions."""
+
+    node: str
+    zone: str
+    region: str
+    ready: bool
+    draining: bool
+    config_revision: int
+    in_flight: int
+    members: tuple[MemberView, ...]
+    regions: dict[str, int]
+
+
+class FileView(msgspec.Struct, frozen=True):
+    """One file in force."""
+
+    key: str
+    revision: int
+    digest: str
+    operator: str
+    body: str
+
+
+class OperatorError(msgspec.Struct, frozen=True):
+    """Body of an error answered to an operator."""
+
+    code: str
+    error: str
+    message: str
+
+
+class OperatorsApp:
+    """Operators' endpoints; every one but health needs the operators' token."""
+
+    def __init__(self, context: NodeContext) -> None:
+        self._context = context
+
+    def app(self) -> web.Application:
+        """Return the aiohttp application."""
+        app = web.Application(middlewares=[self._guard], client_max_size=4 * 1024 * 1024)
+        app.router.add_get("/healthz", self._health)
+        app.router.add_post("/config/apply", self._apply)
+        app.router.add_get("/config", self._files)
+        app.router.add_get("/config/{kind}/{name}", self._file)
+        app.router.add_get("/status", self._status)
+        app.router.add_get("/metrics", self._metrics)
+        return app
+
+    @web.middleware
+    async def _guard(self, request: web.Request, handler: object) -> web.StreamResponse:
+        try:
+            if request.path != "/healthz":
+                self._authenticate(request)
+            return await handler(request)  # type: ignore[operator, no-any-return]
+        except WallwellError as error:
+            body = OperatorError(error.code, type(error).__name__, error.detail)
+            return _json(body, error.http_status)
+
+    def _authenticate(self, request: web.Request) -> None:
+        scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+        expected = self._context.settings.operator_token
+        if scheme.lower() != "bearer" or not hmac.compare_digest(token.encode(), expected.encode()):
+            raise UnauthenticatedError("the operators' token is required")
+
+    async def _health(self, _request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def _apply(self, request: web.Request) -> web.Response:
+        try:
+            apply = msgspec.json.decode(await request.read(), type=ApplyRequest)
+        except msgspec.DecodeError as error:
+            return _json(OperatorError("WW3001", "MalformedRequestError", str(error)), 400)
+        try:
+            answer = await self._context.committer.apply(apply)
+        except WallwellError as error:
+            emit(Event.CONFIG_REFUSED, code=error.code, operator=apply.operator)
+            raise
+        emit(Event.CONFIG_ACCEPTED, file=answer.key, revision=answer.revision, operator=apply.operator)
+        return _json(answer)
+
+    async def _files(self, _request: web.Request) -> web.Response:
+        store = self._context.node.config
+        views = [self._view(key) for key in sorted(store.files)]
+        return _json(views)
+
+    async def _file(self, request: web.Request) -> web.Response:
+        text = f"{request.match_info['kind']}/{request.match_info['name']}"
+        try:
+            key = FileKey.parse(text)
+        except ValueError:
+            raise ConfigNotFoundError(text) from None
+        if key not in self._context.node.config.files:
+            raise ConfigNotFoundError(text)
+        return _json(self._view(key))
+
+    def _view(self, key: FileKey) -> FileView:
+        entry = self._context.node.config.revisions[key]
+        return FileView(str(key), entry.revision, entry.digest, entry.operator, entry.body)
+
+    async def _status(self, _request: web.Request) -> web.Response:
+        context = self._context
+        membership = context.node.membership
+        own = MemberView(
+            context.settings.node,
+            context.settings.zone,
+            MemberStatus.ALIVE.name.lower(),
+            context.node.config.head,
+            len(membership.own.record.engines),
+        )
+        members = [own]
+        for name, member in sorted(membership.members.items()):
+            members.append(
+                MemberView(
+                    name,
+                    member.record.zone,
+                    member.status.name.lower(),
+                    member.load.config_head,
+                    len(member.record.engines),
+                )
+            )
+        answer = StatusAnswer(
+            node=context.settings.node,
+            zone=context.settings.zone,
+            region=context.settings.region,
+            ready=context.ready,
+            draining=context.draining,
+            config_revision=context.node.config.head,
+            in_flight=context.in_flight,
+            members=tuple(members),
+            regions={name: each.config_head for name, each in context.node.regions.summaries.items()},
+        )
+        return _json(answer)
+
+    async def _metrics(self, _request: web.Request) -> web.Response:
+        self._context.metrics.config_revision.set(self._context.node.config.head)
+        return web.Response(body=self._context.metrics.render(), content_type="text/plain")
+
+
+def _json(value: object, status: int = 200) -> web.Response:
+    return web.Response(body=msgspec.json.encode(value), status=status, content_type="application/json")
--- /dev/null
+++ b/src/wallwell/gateway/service_calls.py
@@ -0,0 +1,205 @@
+"""Calls of order and booking services: at most once where they may not be repeated."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import secrets
+import time
+
+from aiohttp import web
+
+from wallwell.backends.attempt import AttemptFailed
+from wallwell.backends.service_client import ServiceAnswer, ServiceCall
+from wallwell.cluster.claims import Claim, ClaimResult
+from wallwell.config.schema import ServiceInstance, ServiceSpec
+from wallwell.errors import (
+    BackendFailedError,
+    ForbiddenError,
+    NoBackendError,
+    OutcomeUnknownError,
+    RequestError,
+    RetriesExhaustedError,
+    UnknownResourceError,
+)
+from wallwell.events import Event, emit
+from wallwell.gateway.caller import (
+    IDEMPOTENCY_HEADER,
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    CallerRequest,
+    admitted,
+    read_body,
+)
+from wallwell.gateway.context import NodeContext
+from wallwell.outcomes import Outcome
+from wallwell.routing.outcome import AttemptLog, TransportEvent
+from wallwell.routing.retry import CircuitBreaker, full_jitter_delay_s
+
+MAX_ATTEMPTS = 4
+
+
+class ServiceHandler:
+    """Handles ``/{service}/{path}``."""
+
+    def __init__(self, context: NodeContext) -> None:
+        self._context = context
+        self._breakers: dict[str, CircuitBreaker] = {}
+
+    async def handle(self, request: web.Request, caller: CallerRequest) -> web.Response:
+        """Answer one call. Raises :class:`RequestError`."""
+        name = request.match_info["service"]
+        path = request.match_info["path"]
+        spec = self._context.config.services.get(name)
+        if spec is None:
+            raise UnknownResourceError(f"no service named `{name[:64]}`")
+        if name not in caller.tenant.spec.services:
+            raise ForbiddenError(f"the tenant may not use service `{name}`")
+        body = await read_body(request)
+        repeatable = self._context.config.is_repeatable(name, request.method, "/" + path)
+        call = self._call(request, caller, path, body, spec)
+        with admitted(self._context, caller):
+            self._context.retry_budget.on_request()
+            # A caller who goes away must not leave a claim open or an answer unrecorded.
+            work = self._context.spawn(self._run(name, call, caller, repeatable))
+            try:
+                answer = await asyncio.shield(work)
+            except RequestError as error:
+                self._count(caller, error.outcome)
+                raise
+        self._count(caller, Outcome.COMPLETED)
+        return _response(answer, caller)
+
+    def _call(
+        self, request: web.Request, caller: CallerRequest, path: str, body: bytes, spec: ServiceSpec
+    ) -> ServiceCall:
+        headers = {"Content-Type": request.headers.get("Content-Type", "application/octet-stream")}
+        if caller.idempotency_key:
+            headers[IDEMPOTENCY_HEADER] = caller.idempotency_key
+        query = f"?{request.query_string}" if request.query_string else ""
+        remaining_s = caller.remaining_s(time.monotonic())
+        timeout_s = max(0.05, min(spec.timeout_ms / 1000, remaining_s))
+        return ServiceCall(request.method, path + query, caller.request_id, headers, body, timeout_s)
+
+    async def _run(self, service: str, call: ServiceCall, caller: CallerRequest, repeatable: bool) -> ServiceAnswer:
+        if repeatable or not caller.idempotency_key:
+            return await self._send(service, call, caller, repeatable)
+        return await self._send_claimed(service, call, caller)
+
+    async def _send_claimed(self, service: str, call: ServiceCall, caller: CallerRequest) -> ServiceAnswer:
+        """Send under a claim, so that the key runs at most once whichever router it arrives at."""
+        claims = self._context.claims
+        key = f"{service}/{caller.idempotency_key}"
+        claim_id = secrets.token_hex(12)
+        claim = await claims.claim(caller.tenant.name, key, _digest(service, call), claim_id)
+        if claim.result is ClaimResult.RECORDED:
+            return ServiceAnswer(claim.status, claim.body.encode(), "application/json")
+        if claim.result is ClaimResult.OPEN_ELSEWHERE:
+            raise OutcomeUnknownError("an earlier call with this key has not ended", retry_after_ms=1000)
+        try:
+            answer = await self._send(service, call, caller, repeatable=False)
+        except RequestError as error:
+            if error.outcome is Outcome.NOT_RUN:
+                await self._settle(claims.release(claim), claim)
+            elif isinstance(error, BackendFailedError):
+                await self._settle(claims.record(claim, 502, error.detail), claim)
+            raise
+        await self._settle(claims.record(claim, answer.status, answer.body.decode(errors="replace")), claim)
+        return answer
+
+    async def _settle(self, settling: object, claim: Claim) -> None:
+        if not await settling:  # type: ignore[misc]
+            emit(Event.CLAIM_ABANDONED, claim_id=claim.claim_id)
+
+    # --- attempts --------------------------------------------------------------------------------------
+
+    async def _send(
+        self, service: str, call: ServiceCall, caller: CallerRequest, repeatable: bool
+    ) -> ServiceAnswer:
+        log = AttemptLog(repeatable)
+        failed: set[str] = set()
+        while True:
+            instance = self._choose(service, failed)
+            if instance is None:
+                raise self._error(log, "no live instance of the service")
+            try:
+                return await self._attempt(instance, call, log.attempts)
+            except AttemptFailed as failure:
+                failed.add(instance.name)
+                await self._after_failure(instance, failure, log, caller)
+
+    def _choose(self, service: str, failed: set[str]) -> ServiceInstance | None:
+        """Least requests in flight of two random instances; instances not tried yet come first."""
+        context = self._context
+        now_s = time.monotonic()
+        leaving = context.node.leaving_addresses()
+        live = [
+            instance
+            for instance in context.config.serving_instances(service)
+            if instance.address not in leaving and not self._breaker(instance.name).is_open(now_s)
+        ]
+        fresh = [instance for instance in live if instance.name not in failed] or live
+        if not fresh:
+            return None
+        pair = context.rng.sample(fresh, min(2, len(fresh)))
+        return min(pair, key=lambda instance: context.service_in_flight.get(instance.name, 0))
+
+    def _breaker(self, instance: str) -> CircuitBreaker:
+        return self._breakers.setdefault(instance, CircuitBreaker())
+
+    async def _attempt(self, instance: ServiceInstance, call: ServiceCall, number: int) -> ServiceAnswer:
+        context = self._context
+        in_flight = context.service_in_flight
+        in_flight[instance.name] = in_flight.get(instance.name, 0) + 1
+        attempt_id = call.attempt_id if number == 0 else f"{call.attempt_id}.{number}"
+        attempt = ServiceCall(call.method, call.path, attempt_id, call.headers, call.body, call.timeout_s)
+        try:
+            answer = await context.services.call(instance.address, attempt)
+        finally:
+            in_flight[instance.name] -= 1
+        self._breaker(instance.name).on_success(time.monotonic())
+        return answer
+
+    async def _after_failure(
+        self, instance: ServiceInstance, failure: AttemptFailed, log: AttemptLog, caller: CallerRequest
+    ) -> None:
+        context = self._context
+        now_s = time.monotonic()
+        if failure.event is TransportEvent.BACKEND_LEAVING:
+            context.node.leaving.add(instance.address)
+        elif failure.event is not TransportEvent.ERROR_ANSWER:
+            if self._breaker(instance.name).on_failure(now_s, context.rng):
+                emit(Event.BREAKER_OPENED, engine=instance.name)
+            if failure.event is TransportEvent.FOREIGN_ANSWER:
+                emit(Event.PROTOCOL_VIOLATION, backend=instance.name)
+        may_retry = log.record(failure.event)
+        delay_s = full_jitter_delay_s(log.attempts, context.rng)
+        in_time = caller.remaining_s(now_s) > delay_s
+        if not may_retry or log.attempts >= MAX_ATTEMPTS or not in_time or not context.retry_budget.try_retry():
+            raise self._error(log, failure.detail or failure.event.value)
+        context.metrics.retries.labels("service").inc()
+        await asyncio.sleep(delay_s)
+
+    def _error(self, log: AttemptLog, detail: str) -> RequestError:
+        if log.outcome is Outcome.UNKNOWN:
+            return OutcomeUnknownError(detail, retry_after_ms=1000)
+        if log.outcome is Outcome.FAILED:
+            return BackendFailedError(detail)
+        if log.attempts == 0:
+            return NoBackendError(detail, retry_after_ms=500)
+        return RetriesExhaustedError(detail, retry_after_ms=500)
+
+    def _count(self, caller: CallerRequest, outcome: Outcome) -> None:
+        self._context.metrics.requests.labels("service", caller.priority_name, outcome.value).inc()
+
+
+def _digest(service: str, call: ServiceCall) -> str:
+    text = f"{service}\n{call.method}\n{call.path}\n".encode() + call.body
+    return hashlib.sha256(text).hexdigest()
+
+
+def _response(answer: ServiceAnswer, caller: CallerRequest) -> web.Response:
+    headers = {REQUEST_ID_HEADER: caller.request_id, OUTCOME_HEADER: Outcome.COMPLETED.value}
+    if answer.content_type:
+        headers["Content-Type"] = answer.content_type
+    return web.Response(status=answer.status, body=answer.body, headers=headers)
--- /dev/null
+++ b/src/wallwell/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Reconciliation of models and weights on engines under a lease."""
--- /dev/null
+++ b/src/wallwell/routing/directory.py
@@ -0,0 +1,197 @@
+"""Which engine incarnations hold which checkpoints of which chains.
+
+Entries name an *(engine, incarnation)* by a 16-bit slot number; up to four slots are packed in one 64-bit
+value. When an engine reports a new incarnation its slot is retired in one step: every entry that names it
+stops matching at once, and the next sweep removes the dead numbers before the slot is given out again. So a
+lookup can never return an engine on the strength of a dead incarnation's cache.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from wallwell.routing.blocks import checkpoint_depths
+from wallwell.routing.table import CompactTable
+
+_SLOT_BITS = 16
+_SLOT_MASK = (1 << _SLOT_BITS) - 1
+MAX_HOLDERS = 4
+_SHIFTS = tuple(range(0, _SLOT_BITS * MAX_HOLDERS, _SLOT_BITS))
+
+
+class EngineIncarnation(NamedTuple):
+    """One life of an engine; its cache starts empty."""
+
+    engine: str
+    incarnation: str
+
+
+class HeldPrefix(NamedTuple):
+    """An engine that holds the first ``blocks`` blocks of a chain."""
+
+    holder: EngineIncarnation
+    blocks: int
+
+
+class PrefixDirectory:
+    """Checkpoint hash -> holders. Pure state; the owner decides what to record."""
+
+    def __init__(self, max_entries: int = 200_000) -> None:
+        self._table = CompactTable()
+        self._max_entries = max_entries
+        self._slot_of: dict[EngineIncarnation, int] = {}
+        self._incarnation_of_slot: dict[int, EngineIncarnation] = {}
+        self._current: dict[str, EngineIncarnation] = {}
+        self._retired: set[int] = set()
+        self._next_slot = 1
+        self._reusable: list[int] = []
+
+    def __len__(self) -> int:
+        return len(self._table)
+
+    @property
+    def nbytes(self) -> int:
+        """Bytes of the entries' table."""
+        return self._table.nbytes
+
+    def current_incarnation(self, engine: str) -> str | None:
+        """Return the incarnation this directory believes in."""
+        current = self._current.get(engine)
+        return current.incarnation if current else None
+
+    def observe_incarnation(self, engine: str, incarnation: str) -> bool:
+        """Note an engine's incarnation; returns True if it replaced another one."""
+        holder = EngineIncarnation(engine, incarnation)
+        previous = self._current.get(engine)
+        if previous == holder:
+            return False
+        if previous is not None:
+            self._retire(previous)
+        self._current[engine] = holder
+        return previous is not None
+
+    def forget_engine(self, engine: str) -> None:
+        """Drop every entry of ``engine``."""
+        previous = self._current.pop(engine, None)
+        if previous is not None:
+            self._retire(previous)
+
+    def _retire(self, holder: EngineIncarnation) -> None:
+        slot = self._slot_of.pop(holder, None)
+        if slot is not None:
+            del self._incarnation_of_slot[slot]
+            self._retired.add(slot)
+
+    def _slot(self, holder: EngineIncarnation) -> int:
+        slot = self._slot_of.get(holder)
+        if slot is None:
+            slot = self._reusable.pop() if self._reusable else self._next_slot
+            if slot == self._next_slot:
+                self._next_slot += 1
+            self._slot_of[holder] = slot
+            self._incarnation_of_slot[slot] = holder
+        return slot
+
+    def add(self, holder: EngineIncarnation, hashes: Iterable[int], rng: random.Random) -> None:
+        """Record that ``holder`` holds ``hashes``. Late news of a dead incarnation is ignored."""
+        if self._current.get(holder.engine, holder) != holder:
+            return
+        self._current[holder.engine] = holder
+        slot = self._slot(holder)
+        for key in hashes:
+            self._table.set(key, self._with_slot(self._table.get(key), slot, rng))
+        if len(self._table) > self._max_entries:
+            self._evict(rng)
+
+    def _with_slot(self, value: int, slot: int, rng: random.Random) -> int:
+        free_shift = -1
+        for shift in _SHIFTS:
+            present = (value >> shift) & _SLOT_MASK
+            if present == slot:
+                return value
+            if free_shift < 0 and (present == 0 or present not in self._incarnation_of_slot):
+                free_shift = shift
+        if free_shift < 0:
+            free_shift = rng.choice(_SHIFTS)
+        return (value & ~(_SLOT_MASK << free_shift)) | (slot << free_shift)
+
+    def remove(self, holder: EngineIncarnation, hashes: Iterable[int]) -> None:
+        """Record that ``holder`` evicted ``hashes``; hashes it does not have are ignored."""
+        slot = self._slot_of.get(holder)
+        if slot is None:
+            return
+        for key in hashes:
+            value = self._table.get(key)
+            if value:
+                self._table.set(key, _without_slot(value, slot))
+
+    def holders(self, key: int) -> list[EngineIncarnation]:
+        """Return the live incarnations recorded for one checkpoint."""
+        value = self._table.get(key)
+        found = []
+        while value:
+            holder = self._incarnation_of_slot.get(value & _SLOT_MASK)
+            if holder is not None:
+                found.append(holder)
+            value >>= _SLOT_BITS
+        return found
+
+    def lookup(self, checkpoints: Sequence[int], depths: Sequence[int]) -> list[HeldPrefix]:
+        """Return every holder with its longest contiguous prefix.
+
+        ``checkpoints[i]`` is the hash of the block at index ``depths[i]``, in rising order.
+        """
+        reach: dict[EngineIncarnation, int] = {}
+        previous: set[EngineIncarnation] | None = None
+        for key, depth in zip(checkpoints, depths, strict=True):
+            holding = set(self.holders(key))
+            if previous is not None:
+                holding &= previous
+            if not holding:
+                break
+            for holder in holding:
+                reach[holder] = depth + 1
+            previous = holding
+        return [HeldPrefix(holder, blocks) for holder, blocks in reach.items()]
+
+    def lookup_chain(self, chain: Sequence[int]) -> list[HeldPrefix]:
+        """:meth:`lookup` of a whole chain's checkpoints."""
+        depths = checkpoint_depths(len(chain))
+        return self.lookup([chain[depth] for depth in depths], depths)
+
+    def sweep(self) -> int:
+        """Remove numbers of retired slots so that they can be reused; returns the entries removed."""
+        if not self._retired:
+            return 0
+        removed = 0
+        for key, value in list(self._table.items()):
+            kept = value
+            for shift in _SHIFTS:
+                if (value >> shift) & _SLOT_MASK in self._retired:
+                    kept &= ~(_SLOT_MASK << shift)
+            if kept != value:
+                self._table.set(key, kept)
+                removed += kept == 0
+        self._reusable.extend(self._retired)
+        self._retired.clear()
+        self._table.shrink()
+        return removed
+
+    def _evict(self, rng: random.Random) -> None:
+        """Drop random entries down to nine tenths of the bound.
+
+        The directory is a hint, and hot entries come back with the next dispatch or announcement.
+        """
+        excess = 1.0 - 0.9 * self._max_entries / len(self._table)
+        doomed = [key for key, _ in self._table.items() if rng.random() < excess]
+        for key in doomed:
+            self._table.delete(key)
+
+
+def _without_slot(value: int, slot: int) -> int:
+    for shift in _SHIFTS:
+        if (value >> shift) & _SLOT_MASK == slot:
+            value &= ~(_SLOT_MASK << shift)
+    return value
