--- /dev/null
+++ b/src/wallwell/routing/load.py
@@ -0,0 +1,89 @@
+"""Estimate of each engine's waiting time from late reports and own dispatches.
+
+An engine's report is old when it arrives. Work this node dispatched after the report was taken is added, and
+the prefill that passed meanwhile is taken off, so that a node neither herds onto the engine that looked idle
+nor avoids one that has drained.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+import msgspec
+
+DEFAULT_PREFILL_TOKENS_PER_S = 16_000.0
+_RATE_SMOOTHING = 0.2
+_MAX_PENDING = 512
+
+
+class LoadReport(msgspec.Struct, frozen=True, array_like=True):
+    """What an engine says of itself. ``taken_at_s`` is in the reader's clock."""
+
+    running: int
+    waiting: int
+    waiting_prefill_tokens: int
+    cache_blocks: int
+    cache_used_blocks: int
+    taken_at_s: float
+
+
+@dataclass
+class _Dispatch:
+    request_id: str
+    prefill_tokens: int
+    at_s: float
+
+
+@dataclass
+class EngineLoad:
+    """One engine's load as this node sees it."""
+
+    report: LoadReport | None = None
+    prefill_tokens_per_s: float = DEFAULT_PREFILL_TOKENS_PER_S
+    in_flight: int = 0
+    _since_report: deque[_Dispatch] = field(default_factory=lambda: deque(maxlen=_MAX_PENDING))
+
+    def on_report(self, report: LoadReport) -> None:
+        """Take a newer report; own dispatches it already covers are dropped."""
+        if self.report is not None and report.taken_at_s < self.report.taken_at_s:
+            return
+        self.report = report
+        while self._since_report and self._since_report[0].at_s <= report.taken_at_s:
+            self._since_report.popleft()
+
+    def on_dispatch(self, request_id: str, prefill_tokens: int, now_s: float) -> None:
+        """Note own work sent to the engine."""
+        self.in_flight += 1
+        self._since_report.append(_Dispatch(request_id, prefill_tokens, now_s))
+
+    def on_first_token(self, request_id: str, prefill_tokens: int, elapsed_s: float) -> None:
+        """Learn the prefill rate from one answer; the work no longer waits."""
+        self._drop(request_id)
+        if prefill_tokens > 256 and elapsed_s > 0:
+            observed = prefill_tokens / elapsed_s
+            # A queued request's rate is a lower bound only, so slow samples move the estimate less.
+            weight = _RATE_SMOOTHING if observed > self.prefill_tokens_per_s else _RATE_SMOOTHING / 8
+            self.prefill_tokens_per_s += weight * (observed - self.prefill_tokens_per_s)
+
+    def on_finished(self, request_id: str) -> None:
+        """The request ended, however it ended."""
+        self.in_flight = max(0, self.in_flight - 1)
+        self._drop(request_id)
+
+    def _drop(self, request_id: str) -> None:
+        for entry in self._since_report:
+            if entry.request_id == request_id:
+                self._since_report.remove(entry)
+                return
+
+    def waiting_s(self, now_s: float) -> float:
+        """Return the expected wait of new work before its own prefill starts, in seconds."""
+        reported = 0.0
+        if self.report is not None:
+            reported = self.report.waiting_prefill_tokens / self.prefill_tokens_per_s
+            reported -= max(0.0, now_s - self.report.taken_at_s)
+        own = sum(entry.prefill_tokens for entry in self._since_report) / self.prefill_tokens_per_s
+        oldest = self._since_report[0].at_s if self._since_report else now_s
+        own -= max(0.0, now_s - oldest)
+        return max(0.0, reported) + max(0.0, own)
--- /dev/null
+++ b/src/wallwell/routing/policy.py
@@ -0,0 +1,157 @@
+"""Choice of an engine for one request.
+
+Every policy implements :class:`RoutingPolicy`: a request and candidates in, one choice out. Policies hold no
+sockets and no clock; the router, the hollow nodes and the virtual-time bench drive the same objects.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from wallwell.config.schema import Objective
+from wallwell.routing.load import EngineLoad
+from wallwell.routing.rendezvous import rendezvous_score
+
+CROSS_ZONE_COST_S = 0.004
+
+
+@dataclass(frozen=True)
+class RoutingRequest:
+    """What a policy may look at of a request."""
+
+    chain: Sequence[int]
+    block_tokens: int
+    prompt_tokens: int
+    rank: int
+    objective: Objective
+    zone: str
+    remaining_s: float
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """One engine that could serve; ``cached_blocks`` counts the prompt's leading blocks it holds."""
+
+    engine: str
+    zone: str
+    cached_blocks: int
+    load: EngineLoad
+
+
+@dataclass(frozen=True)
+class Choice:
+    """The engine chosen with what the policy expected."""
+
+    engine: str
+    expected_first_token_s: float
+    expected_prefill_tokens: int
+
+
+class RoutingPolicy(Protocol):
+    """Chooses among a non-empty list of candidates."""
+
+    def choose(
+        self, request: RoutingRequest, candidates: Sequence[Candidate], now_s: float, rng: random.Random
+    ) -> Choice:
+        """Return the engine to try."""
+        ...
+
+
+def prefill_tokens(request: RoutingRequest, cached_blocks: int) -> int:
+    """Return the prompt tokens left to compute when ``cached_blocks`` are cached."""
+    return max(1, request.prompt_tokens - cached_blocks * request.block_tokens)
+
+
+def _choice(request: RoutingRequest, candidate: Candidate, now_s: float) -> Choice:
+    tokens = prefill_tokens(request, candidate.cached_blocks)
+    expected_s = candidate.load.waiting_s(now_s) + tokens / candidate.load.prefill_tokens_per_s
+    return Choice(candidate.engine, expected_s, tokens)
+
+
+class ExpectedFirstToken:
+    """Least cost, where cost weighs expected first-token time against recomputation.
+
+    Cost = first_token x (wait + prefill time) + recompute x (prefill time of what another candidate holds).
+    Ties within a small margin are broken by a seeded random choice, so that nodes with the same view do not
+    all pick the same engine.
+    """
+
+    def __init__(self, tie_margin_s: float = 0.002) -> None:
+        self._tie_margin_s = tie_margin_s
+
+    def choose(
+        self, request: RoutingRequest, candidates: Sequence[Candidate], now_s: float, rng: random.Random
+    ) -> Choice:
+        """See :class:`RoutingPolicy`."""
+        best_cached = max(candidate.cached_blocks for candidate in candidates)
+        scored = [(self._cost(request, each, best_cached, now_s), each) for each in candidates]
+        least = min(cost for cost, _ in scored)
+        close = [each for cost, each in scored if cost <= least + self._tie_margin_s]
+        return _choice(request, rng.choice(close), now_s)
+
+    def _cost(self, request: RoutingRequest, candidate: Candidate, best_cached: int, now_s: float) -> float:
+        rate = candidate.load.prefill_tokens_per_s
+        expected = candidate.load.waiting_s(now_s) + prefill_tokens(request, candidate.cached_blocks) / rate
+        if candidate.zone != request.zone:
+            expected += CROSS_ZONE_COST_S
+        wasted = (best_cached - candidate.cached_blocks) * request.block_tokens / rate
+        return request.objective.first_token * expected + request.objective.recompute * wasted
+
+
+class RoundRobin:
+    """Baseline: engines in turn."""
+
+    def __init__(self) -> None:
+        self._next = 0
+
+    def choose(
+        self, request: RoutingRequest, candidates: Sequence[Candidate], now_s: float, rng: random.Random
+    ) -> Choice:
+        """See :class:`RoutingPolicy`."""
+        ordered = sorted(candidates, key=lambda each: each.engine)
+        chosen = ordered[self._next % len(ordered)]
+        self._next += 1
+        return _choice(request, chosen, now_s)
+
+
+class LeastLoaded:
+    """Baseline: shortest expected wait, whatever is cached where."""
+
+    def choose(
+        self, request: RoutingRequest, candidates: Sequence[Candidate], now_s: float, rng: random.Random
+    ) -> Choice:
+        """See :class:`RoutingPolicy`."""
+        least = min((each.load.in_flight, each.load.waiting_s(now_s)) for each in candidates)
+        close = [e for e in candidates if (e.load.in_flight, e.load.waiting_s(now_s)) == least]
+        return _choice(request, rng.choice(close), now_s)
+
+
+class PrefixAffinity:
+    """Baseline: rendezvous hash of the prompt's first blocks, with bounded load."""
+
+    def __init__(self, prefix_blocks: int = 16, bound: float = 1.25) -> None:
+        self._prefix_blocks = prefix_blocks
+        self._bound = bound
+
+    def choose(
+        self, request: RoutingRequest, candidates: Sequence[Candidate], now_s: float, rng: random.Random
+    ) -> Choice:
+        """See :class:`RoutingPolicy`."""
+        length = min(self._prefix_blocks, len(request.chain))
+        key = request.chain[length - 1] if length else rng.getrandbits(64)
+        ordered = sorted(candidates, key=lambda each: rendezvous_score(each.engine, key), reverse=True)
+        total = sum(each.load.in_flight for each in candidates)
+        capacity = self._bound * (total + 1) / len(candidates)
+        chosen = next((each for each in ordered if each.load.in_flight < capacity), ordered[0])
+        return _choice(request, chosen, now_s)
+
+
+POLICIES: dict[str, type[RoutingPolicy]] = {
+    "expected_first_token": ExpectedFirstToken,
+    "round_robin": RoundRobin,
+    "least_loaded": LeastLoaded,
+    "prefix_affinity": PrefixAffinity,
+}
--- /dev/null
+++ b/src/wallwell/routing/rendezvous.py
@@ -0,0 +1,30 @@
+"""Rendezvous hashing: every node computes the same owner of a key from the same set of members."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import xxhash
+
+_MASK = (1 << 64) - 1
+
+
+def rendezvous_score(name: str, key: int) -> int:
+    """Return the score of ``name`` for ``key``; the highest score owns the key."""
+    return xxhash.xxh3_64_intdigest(name.encode(), key & _MASK)
+
+
+def owners(names: Iterable[str], key: int, count: int = 1) -> list[str]:
+    """Return the ``count`` best owners of ``key``, best first."""
+    ordered = sorted(names, key=lambda name: (rendezvous_score(name, key), name), reverse=True)
+    return ordered[:count]
+
+
+def owner(names: Iterable[str], key: int) -> str:
+    """Return the owner of ``key``. Raises ValueError if there are no names."""
+    return max(names, key=lambda name: (rendezvous_score(name, key), name))
+
+
+def key_of(text: str) -> int:
+    """Return a 64-bit key for a text."""
+    return xxhash.xxh3_64_intdigest(text.encode())
--- /dev/null
+++ b/src/wallwell/routing/retry.py
@@ -0,0 +1,82 @@
+"""Retry budget, backoff and circuit breaker. Pure: time and randomness are passed in."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+_BASE_DELAY_S = 0.02
+_MAX_DELAY_S = 1.0
+
+
+def full_jitter_delay_s(attempt: int, rng: random.Random) -> float:
+    """Return the pause before attempt number ``attempt`` (from 1), uniform up to an exponential cap."""
+    cap = min(_MAX_DELAY_S, _BASE_DELAY_S * (1 << min(attempt, 10)))
+    return rng.uniform(0.0, cap)
+
+
+class RetryBudget:
+    """Retries as a fraction of recent requests, so that retries cannot multiply an overload.
+
+    Each first attempt deposits ``ratio`` tokens, each retry withdraws one; ``reserve`` lets a quiet node
+    retry.
+    """
+
+    def __init__(self, ratio: float = 0.1, reserve: float = 10.0) -> None:
+        self._ratio = ratio
+        self._reserve = reserve
+        self._tokens = reserve
+
+    def on_request(self) -> None:
+        """Count a first attempt."""
+        self._tokens = min(self._tokens + self._ratio, self._reserve)
+
+    def try_retry(self) -> bool:
+        """Withdraw one retry if the budget allows it."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+@dataclass
+class CircuitBreaker:
+    """Opens after consecutive failures; lets one probe through after a jittered pause; starts slowly."""
+
+    failures_to_open: int = 3
+    open_s: float = 1.0
+    slow_start_s: float = 2.0
+    _failures: int = 0
+    _open_until_s: float = 0.0
+    _recovered_at_s: float = float("-inf")
+    _probing: bool = False
+
+    def allows(self, now_s: float, rng: random.Random) -> bool:
+        """Whether a request may be sent now; claims the single probe when half open."""
+        if self._failures >= self.failures_to_open:
+            if now_s < self._open_until_s or self._probing:
+                return False
+            self._probing = True
+            return True
+        since = now_s - self._recovered_at_s
+        return since >= self.slow_start_s or rng.random() < max(0.1, since / self.slow_start_s)
+
+    def is_open(self, now_s: float) -> bool:
+        """Whether requests are refused now, without claiming the probe."""
+        return self._failures >= self.failures_to_open and (now_s < self._open_until_s or self._probing)
+
+    def on_success(self, now_s: float) -> None:
+        """The back end answered."""
+        if self._failures >= self.failures_to_open:
+            self._recovered_at_s = now_s
+        self._failures = 0
+        self._probing = False
+
+    def on_failure(self, now_s: float, rng: random.Random) -> bool:
+        """The back end did not answer; returns True when this opened the breaker."""
+        self._failures += 1
+        self._probing = False
+        if self._failures >= self.failures_to_open:
+            self._open_until_s = now_s + self.open_s * rng.uniform(0.75, 1.25)
+            return self._failures == self.failures_to_open
+        return False
--- /dev/null
+++ b/src/wallwell/routing/selector.py
@@ -0,0 +1,136 @@
+"""One node's view of the engines and the choice among them.
+
+Joins the prefix directory's answer, this node's own recent dispatches, load estimates and circuit breakers
+into candidates, and asks the policy. Pure: shared by the router and the virtual-time bench.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection, Iterable, Sequence
+from dataclasses import dataclass, field
+
+from wallwell.routing.blocks import checkpoint_depths
+from wallwell.routing.directory import EngineIncarnation, HeldPrefix, PrefixDirectory
+from wallwell.routing.load import EngineLoad
+from wallwell.routing.policy import Candidate, Choice, RoutingPolicy, RoutingRequest
+from wallwell.routing.rendezvous import rendezvous_score
+from wallwell.routing.retry import CircuitBreaker
+
+MAX_CANDIDATES = 16
+_SAMPLED = 8
+_AFFINE = 2
+RECENT_ENTRIES = 20_000
+
+
+@dataclass(frozen=True)
+class EngineView:
+    """What the selector must know of an engine."""
+
+    name: str
+    zone: str
+    incarnation: str
+
+
+@dataclass
+class EngineSelector:
+    """Chooses engines and learns from what became of the choices."""
+
+    policy: RoutingPolicy
+    rng: random.Random
+    loads: dict[str, EngineLoad] = field(default_factory=dict)
+    breakers: dict[str, CircuitBreaker] = field(default_factory=dict)
+    recent: PrefixDirectory = field(default_factory=lambda: PrefixDirectory(RECENT_ENTRIES))
+
+    def load_of(self, engine: str) -> EngineLoad:
+        """Return the load estimate of an engine."""
+        return self.loads.setdefault(engine, EngineLoad())
+
+    def breaker_of(self, engine: str) -> CircuitBreaker:
+        """Return the circuit breaker of an engine."""
+        return self.breakers.setdefault(engine, CircuitBreaker())
+
+    def forget_missing(self, engines: Collection[str]) -> None:
+        """Drop state of engines no longer configured."""
+        self.loads = {name: load for name, load in self.loads.items() if name in engines}
+        self.breakers = {name: breaker for name, breaker in self.breakers.items() if name in engines}
+
+    def select(
+        self,
+        request: RoutingRequest,
+        engines: Sequence[EngineView],
+        held: Iterable[HeldPrefix],
+        now_s: float,
+        excluded: Collection[str] = (),
+    ) -> Choice | None:
+        """Return the policy's choice, or None if no engine may be tried."""
+        usable = [each for each in engines if not self.breaker_of(each.name).is_open(now_s)]
+        preferred = [each for each in usable if each.name not in excluded] or usable
+        cached = self._cached_blocks(request, preferred, held)
+        narrowed = self._narrow(request, preferred, cached)
+        candidates = [
+            Candidate(each.name, each.zone, cached.get(each.name, 0), self.load_of(each.name)) for each in narrowed
+        ]
+        while candidates:
+            choice = self.policy.choose(request, candidates, now_s, self.rng)
+            if self.breaker_of(choice.engine).allows(now_s, self.rng) or len(candidates) == 1:
+                return choice
+            candidates = [each for each in candidates if each.engine != choice.engine]
+        return None
+
+    def _cached_blocks(
+        self, request: RoutingRequest, engines: Sequence[EngineView], held: Iterable[HeldPrefix]
+    ) -> dict[str, int]:
+        """Longest prefix per engine, counting only entries of the engine's current incarnation."""
+        current = {each.name: each.incarnation for each in engines}
+        cached: dict[str, int] = {}
+        own = self.recent.lookup_chain(request.chain) if request.chain else []
+        for prefix in (*held, *own):
+            name = prefix.holder.engine
+            if current.get(name) == prefix.holder.incarnation:
+                cached[name] = max(cached.get(name, 0), prefix.blocks)
+        return cached
+
+    def _narrow(
+        self, request: RoutingRequest, engines: Sequence[EngineView], cached: dict[str, int]
+    ) -> Sequence[EngineView]:
+        """Keep holders, a random sample and the chain's rendezvous owners, so that cost is bounded."""
+        if len(engines) <= MAX_CANDIDATES:
+            return engines
+        by_name = {each.name: each for each in engines}
+        holders = sorted((n for n in by_name if n in cached), key=lambda n: -cached[n])[:4]
+        root = request.chain[0] if request.chain else self.rng.getrandbits(64)
+        affine = sorted(by_name, key=lambda n: rendezvous_score(n, root), reverse=True)[:_AFFINE]
+        sampled = self.rng.sample(sorted(by_name), _SAMPLED)
+        return [by_name[name] for name in dict.fromkeys((*holders, *affine, *sampled))]
+
+    def on_dispatch(
+        self, request_id: str, choice: Choice, incarnation: str, chain: Sequence[int], now_s: float
+    ) -> None:
+        """Note a dispatch: the engine is about to hold the chain and has more to do."""
+        self.load_of(choice.engine).on_dispatch(request_id, choice.expected_prefill_tokens, now_s)
+        holder = EngineIncarnation(choice.engine, incarnation)
+        self.recent.observe_incarnation(*holder)
+        self.recent.add(holder, checkpoint_hashes(chain), self.rng)
+
+    def on_finished(self, engine: str, request_id: str) -> None:
+        """An attempt ended, however it ended."""
+        self.load_of(engine).on_finished(request_id)
+
+    def on_incarnation(self, engine: str, incarnation: str) -> bool:
+        """Note an engine's incarnation; returns True if it replaced another one."""
+        changed = self.recent.observe_incarnation(engine, incarnation)
+        if changed:
+            self.recent.sweep()
+            self.loads.pop(engine, None)
+        return changed
+
+    def on_refused_hint(self, engine: str) -> None:
+        """The engine refused a precondition, so what was believed of its cache is void."""
+        self.recent.forget_engine(engine)
+        self.recent.sweep()
+
+
+def checkpoint_hashes(chain: Sequence[int]) -> list[int]:
+    """Return the hashes of a chain that a directory records."""
+    return [chain[depth] for depth in checkpoint_depths(len(chain))]
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,35 @@
+"""Shared fixtures: an event loop per test and stand-ins on ports the system chooses."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from wallwell.events import configure_logging
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+RunAsync = Callable[[Coroutine[Any, Any, Any]], Any]
+
+
+@pytest.fixture(autouse=True, scope="session")
+def quiet_logs() -> None:
+    """Keep log lines out of the test report."""
+    configure_logging("ERROR", json_lines=False)
+
+
+@pytest.fixture
+def run_async() -> RunAsync:
+    """Run one coroutine in a loop of its own, with a bound on its time."""
+
+    def run(work: Coroutine[Any, Any, Any]) -> Any:
+        async def bounded() -> Any:
+            async with asyncio.timeout(60):
+                return await work
+
+        return asyncio.run(bounded())
+
+    return run
--- /dev/null
+++ b/tests/unit/routing/test_outcome.py
@@ -0,0 +1,39 @@
+"""The outcome table and what several attempts add up to."""
+
+import pytest
+
+from wallwell.outcomes import Outcome
+from wallwell.routing.outcome import VERDICTS, AttemptLog
+from wallwell.routing.outcome import TransportEvent as E
+
+
+def test_every_event_has_a_verdict():
+    assert set(VERDICTS) == set(E)
+
+
+@pytest.mark.parametrize("event", list(E))
+def test_work_that_may_have_run_is_never_not_run_nor_sent_twice(event):
+    verdict = VERDICTS[event]
+    if verdict.outcome is not Outcome.NOT_RUN:
+        assert not verdict.retry_once_only
+
+
+@pytest.mark.parametrize(
+    ("events", "outcome"),
+    [
+        ([E.CONNECT_REFUSED], Outcome.NOT_RUN),
+        ([E.CONNECT_REFUSED, E.BACKEND_LEAVING], Outcome.NOT_RUN),
+        ([E.RESET_AFTER_SEND, E.CONNECT_REFUSED], Outcome.UNKNOWN),
+        ([E.CONNECT_REFUSED, E.ANSWER_TIMEOUT], Outcome.UNKNOWN),
+        ([E.CANCEL_UNACKNOWLEDGED, E.PRECONDITION_REFUSED], Outcome.UNKNOWN),
+        ([E.CANCELLED_NEVER_STARTED], Outcome.NOT_RUN),
+        ([E.RESET_AFTER_SEND, E.ERROR_ANSWER], Outcome.UNKNOWN),
+        ([E.RESET_AFTER_SEND, E.ANSWERED], Outcome.COMPLETED),
+        ([E.CONNECT_REFUSED, E.ERROR_ANSWER], Outcome.FAILED),
+    ],
+)
+def test_the_outcome_covers_all_attempts(events, outcome):
+    log = AttemptLog(repeatable=True)
+    for event in events:
+        log.record(event)
+    assert log.outcome is outcome
--- /dev/null
+++ b/tests/unit/routing/test_retry_and_load.py
@@ -0,0 +1,43 @@
+"""Retry budget, breaker, backoff and the load estimate."""
+
+import random
+
+from wallwell.routing.load import EngineLoad, LoadReport
+from wallwell.routing.retry import CircuitBreaker, RetryBudget, full_jitter_delay_s
+
+
+def test_retries_stay_a_fraction_of_requests():
+    budget = RetryBudget(ratio=0.1, reserve=5)
+    retried = 0
+    for _ in range(10_000):
+        budget.on_request()
+        retried += budget.try_retry()
+    assert retried <= 0.1 * 10_000 + 5
+
+
+def test_backoff_is_jittered_and_capped():
+    delays = [full_jitter_delay_s(attempt, random.Random(attempt)) for attempt in range(1, 40)]
+    assert max(delays) <= 1.0
+    assert len(set(delays)) > 30
+
+
+def test_breaker_opens_probes_once_and_recovers():
+    rng, breaker = random.Random(1), CircuitBreaker(failures_to_open=3, open_s=1.0)
+    opened = [breaker.on_failure(0.0, rng) for _ in range(3)]
+    assert opened == [False, False, True]
+    assert not breaker.allows(0.5, rng)
+    assert breaker.allows(1.3, rng) and not breaker.allows(1.3, rng)
+    breaker.on_success(1.4)
+    assert not breaker.is_open(1.4)
+    assert breaker.allows(10.0, rng)
+
+
+def test_own_dispatches_count_until_a_report_covers_them():
+    load = EngineLoad(prefill_tokens_per_s=1000.0)
+    load.on_report(LoadReport(0, 0, 500, 0, 0, taken_at_s=0.0))
+    load.on_dispatch("a", 1000, now_s=0.1)
+    assert 1.2 < load.waiting_s(0.1) < 1.5
+    load.on_report(LoadReport(1, 1, 1000, 0, 0, taken_at_s=0.2))
+    assert 0.95 < load.waiting_s(0.2) <= 1.0
+    load.on_report(LoadReport(0, 0, 0, 0, 0, taken_at_s=0.15))  # an older report changes nothing
+    assert load.waiting_s(0.2) > 0.9
