Prove claims, leases, configuration, callers and streams under faults

Cause: the guarantees had code but no proof. Contract suites for callers and streams run against a fleet over sockets; claims and leases are hypothesis state machines over a table that loses and delays answers.

Ruled out: a second claimant or lease holder under lost or delayed answers.

--- a/src/wallwell/backends/engine_client.py
+++ b/src/wallwell/backends/engine_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 from dataclasses import dataclass
 
 import aiohttp
@@ -58,7 +58,7 @@
         self._base = f"http://{address}"
         self._session = session
 
-    async def generate(self, call: GenerationCall, head: GenerationHead) -> AsyncIterator[bytes]:
+    async def generate(self, call: GenerationCall, head: GenerationHead) -> AsyncGenerator[bytes, None]:
         """Yield the stream's events in order, each once, without the terminal marker.
 
         ``head`` is filled in before the first event. Returns after the engine's own terminal marker; raises
--- a/src/wallwell/backends/engine_watch.py
+++ b/src/wallwell/backends/engine_watch.py
@@ -63,7 +63,7 @@
 
     def _reconcile(self) -> None:
         engines = self._region_engines()
-        wanted = {name for name in engines if self._node.reads_engine(name)}
+        wanted = self._node.engines_to_read(engines)
         for name in [name for name in self._tasks if name not in wanted]:
             self._tasks.pop(name).cancel()
             self._node.readers.pop(name, None)
--- a/src/wallwell/cluster/claims.py
+++ b/src/wallwell/cluster/claims.py
@@ -121,12 +121,10 @@
             try:
                 row = await self._table.get(claim.key)
                 if row is None:
-                    return False
-                current = msgspec.json.decode(row.value, type=ClaimBody)
-                if current == body:
                     return True
+                current = msgspec.json.decode(row.value, type=ClaimBody)
                 if current.claim_id != claim.claim_id or current.state is not ClaimState.OPEN:
-                    return False
+                    return True  # Settled by an earlier try, or taken over after a release.
                 await self._write(claim.key, row, body)
                 return True
             except (PlatformUnavailableError, TableConflictError):
--- a/src/wallwell/cluster/limits.py
+++ b/src/wallwell/cluster/limits.py
@@ -47,6 +47,7 @@
     _fraction: float = 1.0
     _sequence: int = 0
     _open_requests: set[int] = field(default_factory=set)
+    _demanding: set[str] = field(default_factory=set)
 
     def set_fraction(self, configured_zones: int, live_nodes_in_zone: int) -> None:
         """Set this node's part of every limit."""
@@ -77,6 +78,7 @@
             return 0.1
         if not share.bucket.try_take(now_s):
             share.demand += 1.0
+            self._demanding.add(tenant)
             return share.bucket.wait_s()
         share.in_flight += 1
         return None
@@ -90,9 +92,11 @@
     def tick(self, now_s: float, peers: list[str]) -> list[Action]:
         """Ask one peer for tokens for each tenant that was refused; ``peers`` are cluster addresses."""
         actions: list[Action] = []
-        for tenant, share in self._shares.items():
-            if share.demand <= 0 or now_s < share.next_request_s or not peers:
+        for tenant in list(self._demanding):
+            share = self._shares[tenant]
+            if now_s < share.next_request_s or not peers:
                 continue
+            self._demanding.discard(tenant)
             share.next_request_s = now_s + REQUEST_INTERVAL_S
             self._sequence += 1
             self._open_requests = {s for s in self._open_requests if s > self._sequence - _OPEN_REQUESTS}
@@ -128,6 +132,7 @@
         for tenant, share in list(self._shares.items()):
             if share.in_flight == 0 and now_s - share.bucket.updated_s > idle_s:
                 del self._shares[tenant]
+                self._demanding.discard(tenant)
 
     def tokens(self, tenant: str) -> float:
         """Tokens this node has for a tenant."""
--- a/src/wallwell/cluster/node.py
+++ b/src/wallwell/cluster/node.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from wallwell.cluster import messages as msg
@@ -64,6 +64,9 @@
         self._next_load_s = 0.0
         self._lookup_sequence = 0
         self.lookup_replies: dict[int, msg.LookupReply | None] = {}
+        self._reading_for: tuple[tuple[str, ...], frozenset[str]] = ((), frozenset())
+        self._reading: set[str] = set()
+        self._waiting_ms: tuple[int, ...] = ()
 
     # --- rounds ----------------------------------------------------------------------------------------
 
@@ -75,13 +78,13 @@
             self.membership.update_own_load(head, self.own_waiting_ms())
         actions = self.membership.tick(now_s, head)
         alive = self.membership.alive()
-        contacts = self._contacts(alive)
-        self.regions.refresh_own(head, contacts, now_ms)
-        actions.extend(self.regions.tick(now_s, alive, self.membership.seeds))
+        if self.regions.is_due(now_s):
+            self.regions.refresh_own(head, self._contacts(alive), now_ms)
+            actions.extend(self.regions.tick(now_s, alive, self.membership.seeds))
+            self._update_limit_fraction(alive)
         if now_s >= self._next_report_s:
             self._next_report_s = now_s + REPORT_INTERVAL_S
             actions.extend(self._flush_reports(now_s, alive))
-        self._update_limit_fraction(alive)
         actions.extend(self.limits.tick(now_s, self._peer_addresses(alive)))
         return actions
 
@@ -89,8 +92,6 @@
         """Waiting time of the engines this node reads, in the order of its record; set by the owner."""
         return self._waiting_ms
 
-    _waiting_ms: tuple[int, ...] = ()
-
     def set_engines(self, engines: tuple[tuple[str, str], ...], waiting_ms: tuple[int, ...]) -> None:
         """Publish the engines this node reads, with incarnations and waiting times."""
         self.membership.update_own_record(engines, tuple(sorted(self.leaving)))
@@ -114,7 +115,6 @@
     def _flush_reports(self, now_s: float, alive: list[str]) -> list[Action]:
         elapsed = now_s - self._last_announce_s if self._last_announce_s is not None else 0.0
         self._last_announce_s = now_s
-        addresses = {name: self.membership.address_of(name) for name in alive}
         actions: list[Action] = []
         for reader in self.readers.values():
             reader.announce(elapsed)
@@ -122,7 +122,7 @@
                 if name == self.identity.node:
                     self.shard.on_report(report)
                 else:
-                    actions.append(Send(addresses[name], report))
+                    actions.append(Send(self.membership.address_of(name), report))
         return actions
 
     # --- messages --------------------------------------------------------------------------------------
@@ -198,9 +198,18 @@
 
     # --- engines ---------------------------------------------------------------------------------------
 
-    def reads_engine(self, engine: str) -> bool:
-        """Whether this node, among the live members of its region, reads this engine's events."""
-        return owner(self.membership.alive(), key_of(f"reader/{engine}")) == self.identity.node
+    def engines_to_read(self, engines: Iterable[str]) -> set[str]:
+        """Engines whose events this node reads, among the live members of its region.
+
+        Recomputed only when the members or the engines changed: it costs a hash per pair of both.
+        """
+        alive = tuple(self.membership.alive())
+        names = frozenset(engines)
+        if self._reading_for != (alive, names):
+            self._reading_for = (alive, names)
+            own = self.identity.node
+            self._reading = {name for name in names if owner(alive, key_of(f"reader/{name}")) == own}
+        return self._reading
 
     def engine_incarnations(self) -> dict[str, str]:
         """Incarnation of each engine as its reader last published it."""
--- a/src/wallwell/cluster/regions.py
+++ b/src/wallwell/cluster/regions.py
@@ -36,10 +36,12 @@
         """Rebuild the own region's summary."""
         self.summaries[self.region] = RegionSummary(self.region, now_ms, config_head, contacts)
 
+    def is_due(self, now_s: float) -> bool:
+        """Whether the next exchange is due."""
+        return now_s >= self._next_s
+
     def tick(self, now_s: float, alive: list[str], seeds: tuple[str, ...]) -> list[Action]:
         """Exchange summaries with one other region, if this node is a delegate."""
-        if now_s < self._next_s:
-            return []
         self._next_s = now_s + REGION_INTERVAL_S * self.rng.uniform(0.8, 1.2)
         if not self.is_delegate(alive):
             return []
--- a/src/wallwell/cluster/transport.py
+++ b/src/wallwell/cluster/transport.py
@@ -18,6 +18,7 @@
 from wallwell.errors import AddressInUseError, ClusterMessageError, PeerUnavailableError
 from wallwell.events import Event, emit
 from wallwell.routing.directory import EngineIncarnation, HeldPrefix
+from wallwell.routing.limits import TokenBucket
 from wallwell.settings import Listener
 
 TICK_INTERVAL_S = 0.1
@@ -25,6 +26,7 @@
 FETCH_TIMEOUT_S = 2.0
 MAX_LINE_BYTES = 64 * 1024 * 1024
 MAX_CONCURRENT_STATE_REQUESTS = 4
+BUDGET_BURST_S = 2.0
 
 
 class FetchRevisions(msgspec.Struct, frozen=True):
@@ -49,12 +51,15 @@
         self.received_bytes = 0
         self.sent_messages = 0
         self.received_messages = 0
+        self.dropped_messages = 0
 
 
 class ClusterTransport:
     """Runs one :class:`ClusterNode` over sockets."""
 
-    def __init__(self, codec: LineCodec, listener: Listener) -> None:
+    def __init__(self, codec: LineCodec, listener: Listener, budget_bytes_per_s: float) -> None:
+        burst = budget_bytes_per_s * BUDGET_BURST_S
+        self._budget = TokenBucket(budget_bytes_per_s, burst, burst, time.monotonic())
         self._codec = codec
         self._listener = listener
         self._server: asyncio.Server | None = None
@@ -140,6 +145,9 @@
         if self._datagrams is None or self._datagrams.is_closing() or not action.address:
             return
         data = self._codec.encode(action.message)
+        if not self._budget.try_take(time.monotonic(), len(data)):
+            self.traffic.dropped_messages += 1
+            return
         host, _, port = action.address.rpartition(":")
         self.traffic.sent_bytes += len(data)
         self.traffic.sent_messages += 1
--- a/src/wallwell/config/commit.py
+++ b/src/wallwell/config/commit.py
@@ -108,10 +108,12 @@
         base = request.base_revision
         for _ in range(_TRIES):
             try:
+                # The apply id is looked up after the refresh: an earlier try that takes effect between the two
+                # is then found by its id and not mistaken for another operator's change.
+                await self.refresh()
                 settled = await self._resolve(request, key)
                 if settled is not None:
                     return settled
-                await self.refresh()
                 current = self._store.revision_of(key)
                 current_revision = current.revision if current is not None else 0
                 base = current_revision if base is None else base
--- a/src/wallwell/gateway/caller.py
+++ b/src/wallwell/gateway/caller.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 import re
 import secrets
@@ -145,12 +146,16 @@
         context.node.limits.finish(caller.tenant.name)
 
 
-async def read_body(request: web.Request) -> bytes:
-    """Read the whole body. Raises :class:`BodyTooLargeError`."""
+async def read_body(context: NodeContext, request: web.Request) -> bytes:
+    """Read the whole body. Raises :class:`BodyTooLargeError` or :class:`MalformedRequestError`."""
+    timeout_s = context.settings.limits.request_read_timeout_s
     try:
-        return await request.read()
+        async with asyncio.timeout(timeout_s):
+            return await request.read()
     except web.HTTPRequestEntityTooLarge as error:
         raise BodyTooLargeError("body is larger than the limit") from error
+    except TimeoutError as error:
+        raise MalformedRequestError(f"the body did not arrive within {timeout_s} s") from error
 
 
 def error_body(error: RequestError, request_id: str) -> bytes:
--- a/src/wallwell/gateway/context.py
+++ b/src/wallwell/gateway/context.py
@@ -45,6 +45,8 @@
     refusing: bool = False
     in_flight: int = 0
     background: set[asyncio.Task[Any]] = field(default_factory=set)
+    _region_engines: dict[str, Engine] = field(default_factory=dict)
+    _region_revision: int = -1
 
     def spawn(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
         """Run work that outlives its caller; a planned stop waits for it."""
@@ -64,15 +66,20 @@
         return self.node.config.compiled
 
     def region_engines(self) -> dict[str, Engine]:
-        """Engines in the zones of this node's region."""
+        """Engines in the zones of this node's region; rebuilt when the configuration changes."""
         config = self.config
-        region = self.settings.region
+        if self._region_revision != config.revision:
+            region = self.settings.region
+            local = {zone for zone, spec in config.zones.items() if spec.region == region}
+            self._region_engines = {name: each for name, each in config.engines.items() if each.zone in local}
+            self._region_revision = config.revision
+        return self._region_engines
+
+    def engines_for(self, model: str) -> dict[str, Engine]:
+        """Engines of the region that serve ``model`` and are not leaving."""
+        leaving = self.node.leaving_addresses()
         return {
             name: engine
-            for name, engine in config.engines.items()
-            if engine.zone in config.zones and config.zones[engine.zone].region == region
+            for name, engine in self.region_engines().items()
+            if model in engine.models and not engine.leaving and engine.address not in leaving
         }
-
-    def is_leaving(self, address: str, declared: bool = False) -> bool:
-        """Whether a back end must get no new work."""
-        return declared or address in self.node.leaving_addresses()
--- a/src/wallwell/gateway/generation.py
+++ b/src/wallwell/gateway/generation.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from contextlib import aclosing
 from dataclasses import dataclass, field
 
 import msgspec
@@ -98,7 +99,7 @@
     async def handle(self, request: web.Request, caller: CallerRequest) -> web.StreamResponse:
         """Answer one request. Raises :class:`RequestError` if nothing was sent to the caller yet."""
         chat = request.path.endswith("chat/completions")
-        body = parse_generation(await read_body(request), chat)
+        body = parse_generation(await read_body(self._context, request), chat)
         generation = self._prepare(caller, body, request.path)
         with admitted(self._context, caller):
             self._context.retry_budget.on_request()
@@ -143,13 +144,15 @@
 
     async def _choose(self, generation: Generation) -> tuple[Engine, Choice]:
         context = self._context
-        engines = self._engines(generation.body.model)
+        engines = context.engines_for(generation.body.model)
         if not engines:
             raise NoBackendError("no live engine serves this model", retry_after_ms=500)
         held = await context.transport.lookup(generation.chain)
         now_s = time.monotonic()
         incarnations = context.node.engine_incarnations()
-        views = [EngineView(each.name, each.zone, incarnations.get(each.name, "")) for each in engines.values()]
+        # An engine nobody can read is tried only when there is no other.
+        known = [each for each in engines.values() if each.name in incarnations] or list(engines.values())
+        views = [EngineView(each.name, each.zone, incarnations.get(each.name, "")) for each in known]
         routing = self._routing_request(generation, now_s)
         choice = context.selector.select(routing, views, held, now_s, generation.failed_engines)
         if choice is None:
@@ -161,18 +164,6 @@
             )
         return engines[choice.engine], choice
 
-    def _engines(self, model: str) -> dict[str, Engine]:
-        context = self._context
-        zones = context.config.zones
-        leaving = context.node.leaving_addresses()
-        return {
-            engine.name: engine
-            for engine in context.config.engines_by_model.get(model, ())
-            if not engine.leaving
-            and engine.address not in leaving
-            and zones[engine.zone].region == context.settings.region
-        }
-
     def _routing_request(self, generation: Generation, now_s: float) -> RoutingRequest:
         return RoutingRequest(
             chain=generation.chain,
@@ -197,14 +188,13 @@
         call = self._call(generation, attempt_id, incarnation, choice)
         stopped = False
         try:
-            first = True
-            async for event in client.generate(call, generation.head):
-                if first:
-                    first = False
-                    self._on_first_event(generation, engine, attempt_id, sent_s)
-                generation.events.append(event)
-                generation.last_token_s = time.monotonic()
-                await self._forward(request, generation, event)
+            async with aclosing(client.generate(call, generation.head)) as events:
+                async for event in events:
+                    if len(generation.events) == call.first_index:
+                        self._on_first_event(generation, engine, attempt_id, sent_s)
+                    generation.events.append(event)
+                    generation.last_token_s = time.monotonic()
+                    await self._forward(request, generation, event)
             stopped = True
         finally:
             selector.on_finished(engine.name, attempt_id)
@@ -305,6 +295,8 @@
                 }
             )
             await generation.response.prepare(request)
+            if request.transport is not None:
+                request.transport.set_write_buffer_limits(high=self._context.settings.limits.stream_buffer_bytes)
         # Awaits the socket, so a slow caller slows reading from the engine instead of filling memory.
         await generation.response.write(event)
 
--- a/src/wallwell/gateway/router_node.py
+++ b/src/wallwell/gateway/router_node.py
@@ -53,7 +53,9 @@
         self._rng = random.Random(seed if seed is not None else time.time_ns())
         self._runners: list[web.AppRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
-        self.transport = ClusterTransport(LineCodec(settings.cluster.key), settings.cluster_listener)
+        self.transport = ClusterTransport(
+            LineCodec(settings.cluster.key), settings.cluster_listener, settings.cluster.budget_bytes_per_s
+        )
         self.context: NodeContext
         self.callers_address = ""
         self.operators_address = ""
--- a/src/wallwell/gateway/service_calls.py
+++ b/src/wallwell/gateway/service_calls.py
@@ -6,6 +6,8 @@
 import hashlib
 import secrets
 import time
+from collections.abc import Awaitable, Callable
+from functools import partial
 
 from aiohttp import web
 
@@ -15,6 +17,7 @@
 from wallwell.config.schema import ServiceInstance, ServiceSpec
 from wallwell.errors import (
     BackendFailedError,
+    DeadlineUnreachableError,
     ForbiddenError,
     NoBackendError,
     OutcomeUnknownError,
@@ -37,6 +40,8 @@
 from wallwell.routing.retry import CircuitBreaker, full_jitter_delay_s
 
 MAX_ATTEMPTS = 4
+SETTLE_TRIES = 60
+SETTLE_FIRST_STEP = 4
 
 
 class ServiceHandler:
@@ -55,7 +60,7 @@
             raise UnknownResourceError(f"no service named `{name[:64]}`")
         if name not in caller.tenant.spec.services:
             raise ForbiddenError(f"the tenant may not use service `{name}`")
-        body = await read_body(request)
+        body = await read_body(self._context, request)
         repeatable = self._context.config.is_repeatable(name, request.method, "/" + path)
         call = self._call(request, caller, path, body, spec)
         with admitted(self._context, caller):
@@ -97,19 +102,33 @@
         if claim.result is ClaimResult.OPEN_ELSEWHERE:
             raise OutcomeUnknownError("an earlier call with this key has not ended", retry_after_ms=1000)
         try:
+            if caller.remaining_s(time.monotonic()) <= 0:
+                raise DeadlineUnreachableError("the deadline passed while the claim was recorded")
             answer = await self._send(service, call, caller, repeatable=False)
         except RequestError as error:
             if error.outcome is Outcome.NOT_RUN:
-                await self._settle(claims.release(claim), claim)
-            elif isinstance(error, BackendFailedError):
-                await self._settle(claims.record(claim, 502, error.detail), claim)
+                await self._settle(claim, partial(claims.release, claim))
+            elif error.outcome is Outcome.FAILED:
+                await self._settle(claim, partial(claims.record, claim, error.http_status, error.detail))
             raise
-        await self._settle(claims.record(claim, answer.status, answer.body.decode(errors="replace")), claim)
+        body = answer.body.decode(errors="replace")
+        await self._settle(claim, partial(claims.record, claim, answer.status, body))
         return answer
 
-    async def _settle(self, settling: object, claim: Claim) -> None:
-        if not await settling:  # type: ignore[misc]
-            emit(Event.CLAIM_ABANDONED, claim_id=claim.claim_id)
+    async def _settle(self, claim: Claim, settle: Callable[[], Awaitable[bool]]) -> None:
+        """Settle a claim; if the table service does not confirm, go on in the background.
+
+        The caller's answer does not wait: a claim left open only makes a resend ``unknown``, never a second run.
+        """
+        if not await settle():
+            self._context.spawn(self._settle_later(claim, settle))
+
+    async def _settle_later(self, claim: Claim, settle: Callable[[], Awaitable[bool]]) -> None:
+        for attempt in range(SETTLE_TRIES):
+            await asyncio.sleep(full_jitter_delay_s(attempt + SETTLE_FIRST_STEP, self._context.rng))
+            if await settle():
+                return
+        emit(Event.CLAIM_ABANDONED, claim_id=claim.claim_id)
 
     # --- attempts --------------------------------------------------------------------------------------
 
--- a/src/wallwell/settings.py
+++ b/src/wallwell/settings.py
@@ -51,7 +51,6 @@
     max_body_bytes: PositiveInt = 4 * 1024 * 1024
     max_header_bytes: PositiveInt = 8192
     stream_buffer_bytes: PositiveInt = 256 * 1024
-    default_deadline_ms: PositiveInt = 60_000
     request_read_timeout_s: PositiveSeconds = 20.0
     stop_grace_s: PositiveSeconds = 50.0
 
--- /dev/null
+++ b/tests/faulty_table.py
@@ -0,0 +1,68 @@
+"""An in-memory table service that fails as a script says."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+
+from wallwell.emulator.platform_server import ConditionFailed, TableModel
+from wallwell.errors import PlatformUnavailableError, TableConflictError
+from wallwell.platform.table import Row, Scan, Transaction
+
+OK = "ok"
+LOST_BEFORE = "lost before the effect"
+LOST_AFTER = "lost after the effect"
+DELAYED = "lost, and takes effect later"
+
+
+class FaultyTable:
+    """Applies one scripted fault per call; calls past the script's end succeed."""
+
+    def __init__(self, model: TableModel | None = None, faults: Iterable[str] = ()) -> None:
+        self.model = model or TableModel()
+        self.faults = deque(faults)
+        self.down = False
+        self.before_transact = lambda: None
+        self._late: list[Transaction] = []
+
+    def _next_fault(self) -> str:
+        if self.down:
+            raise PlatformUnavailableError("down")
+        return self.faults.popleft() if self.faults else OK
+
+    async def transact(self, transaction: Transaction) -> int:
+        self.before_transact()
+        fault = self._next_fault()
+        if fault == DELAYED:
+            self._late.append(transaction)
+        if fault in (LOST_BEFORE, DELAYED):
+            raise PlatformUnavailableError(fault)
+        try:
+            commit = self.model.transact(transaction)
+        except ConditionFailed as failed:
+            raise TableConflictError(str(failed)) from failed
+        if fault == LOST_AFTER:
+            raise PlatformUnavailableError(fault)
+        self._apply_late()
+        return commit
+
+    def _apply_late(self) -> None:
+        """Let delayed transactions take effect, if their conditions still hold."""
+        late, self._late = self._late, []
+        for transaction in late:
+            try:
+                self.model.transact(transaction)
+            except ConditionFailed:
+                continue
+
+    async def get(self, key: str) -> Row | None:
+        if self._next_fault() != OK:
+            raise PlatformUnavailableError("lost")
+        row = self.model.rows.get(key)
+        self._apply_late()
+        return row
+
+    async def scan(self, prefix: str, after_version: int) -> Scan:
+        if self._next_fault() != OK:
+            raise PlatformUnavailableError("lost")
+        return self.model.scan(prefix, after_version)
