--- a/src/wallwell/gateway/context.py
+++ b/src/wallwell/gateway/context.py
@@ -17,7 +17,7 @@
 from wallwell.config.commit import ConfigCommitter
 from wallwell.config.compiled import CompiledConfig, Engine
 from wallwell.gateway.metrics import NodeMetrics
-from wallwell.routing.retry import RetryBudget
+from wallwell.routing.retry import CircuitBreaker, RetryBudget
 from wallwell.routing.selector import EngineSelector
 from wallwell.settings import NodeSettings
 
@@ -40,6 +40,7 @@
     metrics: NodeMetrics
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     service_in_flight: dict[str, int] = field(default_factory=dict)
+    service_breakers: dict[str, CircuitBreaker] = field(default_factory=dict)
     ready: bool = False
     draining: bool = False
     refusing: bool = False
--- a/src/wallwell/gateway/service_calls.py
+++ b/src/wallwell/gateway/service_calls.py
@@ -49,7 +49,6 @@
 
     def __init__(self, context: NodeContext) -> None:
         self._context = context
-        self._breakers: dict[str, CircuitBreaker] = {}
 
     async def handle(self, request: web.Request, caller: CallerRequest) -> web.Response:
         """Answer one call. Raises :class:`RequestError`."""
@@ -164,7 +163,7 @@
         return min(pair, key=lambda instance: context.service_in_flight.get(instance.name, 0))
 
     def _breaker(self, instance: str) -> CircuitBreaker:
-        return self._breakers.setdefault(instance, CircuitBreaker())
+        return self._context.service_breakers.setdefault(instance, CircuitBreaker())
 
     async def _attempt(self, instance: ServiceInstance, call: ServiceCall, number: int) -> ServiceAnswer:
         context = self._context
--- a/tests/contract/conftest.py
+++ b/tests/contract/conftest.py
@@ -48,6 +48,7 @@
             backend.server.faults.switches = FaultSwitches()
         for router in self.fleet.routers:
             router.context.selector.breakers.clear()
+            router.context.service_breakers.clear()
             router.context.retry_budget.__init__()
 
     def set_engine_faults(self, **switches):
