--- a/src/wallwell/cluster/membership.py
+++ b/src/wallwell/cluster/membership.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+import heapq
+import math
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -28,8 +30,12 @@
     Sync,
     SyncReply,
 )
+from wallwell.routing.rendezvous import key_of
 
 DIGEST_SAMPLE = 20
+DIGEST_RECENT = 6
+ROSTER_SAMPLE = 12
+CATCH_UP_FACTOR = 0.25
 INDIRECT_PROBES = 3
 _HEADER_BYTES = 160
 _PAYLOAD_BYTES = MAX_DATAGRAM_BYTES - _HEADER_BYTES
@@ -100,6 +106,7 @@
     _probes: dict[int, _Probe] = field(default_factory=dict)
     _relays: dict[int, _Relay] = field(default_factory=dict)
     _round: list[str] = field(default_factory=list)
+    _refuted: bool = False
     _sequence: int = 0
     _next_sync_s: float = 0.0
     _next_rejoin_s: float = 0.0
@@ -154,6 +161,9 @@
         """Advance timers; returns what to send."""
         actions = self._expire_probes(now_s)
         self._expire_members(now_s)
+        if self._refuted:
+            self._refuted = False
+            actions.extend(self._tell_few(self.own.digest()))
         if now_s >= self._next_sync_s:
             self._next_sync_s = now_s + self.timings.sync_interval_s * self.rng.uniform(0.9, 1.1)
             actions.extend(self._start_round(now_s, config_head))
@@ -165,7 +175,7 @@
     def _start_round(self, now_s: float, config_head: int) -> list[Action]:
         target = self._next_target()
         if target is None:
-            return []
+            return self.join(config_head)
         address = self.members[target].record.address
         self._sequence += 1
         deadline = now_s + self.timings.probe_timeout_s
@@ -196,23 +206,37 @@
         return [Send(self.rng.choice(targets), self._sync(0, config_head, ""))]
 
     def join(self, config_head: int) -> list[Action]:
-        """Greet every seed at once; used at start."""
+        """Greet every seed at once; used at start and while no other member is known."""
+        return self.greet(self.seeds, config_head)
+
+    def greet(self, addresses: Iterable[str], config_head: int) -> list[Action]:
+        """Start an exchange with nodes known only by address."""
         own = self.own.record.address
-        return [Send(seed, self._sync(0, config_head, "")) for seed in self.seeds if seed != own]
+        return [Send(address, self._sync(0, config_head, "")) for address in addresses if address != own]
 
     def _sync(self, sequence: int, config_head: int, target: str) -> Sync:
-        return Sync(sequence, self.region, self.node, config_head, tuple(self._digest_sample(target)))
+        digest = tuple(self._digest_sample(target))
+        return Sync(sequence, self.region, self.node, config_head, self.roster_hash(), digest)
+
+    def roster_hash(self) -> int:
+        """Return a hash of the set of live members, whatever their order."""
+        roster = 0
+        for name in self.alive():
+            roster ^= key_of(name)
+        return roster
 
     def _digest_sample(self, target: str) -> list[DigestEntry]:
-        """Return this node, the target, members not alive, and a random sample of the rest."""
+        """Return this node, the target, the latest changes of status, and a random sample of the rest.
+
+        A change back to alive counts as a change: a refutation must outrun the suspicion it answers.
+        """
         entries = [self.own.digest()]
         others = [member for name, member in self.members.items() if name != target]
-        unusual = [member for member in others if member.status in (MemberStatus.SUSPECT, MemberStatus.DEAD)]
-        usual = [member for member in others if member.status is MemberStatus.ALIVE]
         if target in self.members:
             entries.append(self.members[target].digest())
-        recent = sorted(unusual, key=lambda member: -member.status_since_s)[: DIGEST_SAMPLE // 4]
-        sample = recent + self.rng.sample(usual, min(len(usual), DIGEST_SAMPLE - len(recent)))
+        latest = heapq.nlargest(DIGEST_RECENT, others, key=lambda member: member.status_since_s)
+        usual = [member for member in others if member.status <= MemberStatus.SUSPECT and member not in latest]
+        sample = latest + self.rng.sample(usual, min(len(usual), DIGEST_SAMPLE - len(latest)))
         entries.extend(member.digest() for member in sample)
         return entries
 
@@ -240,11 +264,10 @@
                 newer.append(entry.node)
             if _is_newer(entry, mine.digest()):
                 wanted.append(entry.node)
-        if len(message.digest) < len(self.members):
+        if message.roster != self.roster_hash():
             unlisted = [name for name in self.members if name not in listed]
-            newer.extend(self.rng.sample(unlisted, min(len(unlisted), 2)))
-        elif len(listed) <= 1:
-            newer.extend(list(self.members)[:DIGEST_SAMPLE])
+            sample = self.rng.sample(unlisted, min(len(unlisted), ROSTER_SAMPLE))
+            entries.extend(self.members[name].digest() for name in sample)
         known = {entry.node: entry for entry in message.digest}
         return self._bounded_reply(message.sequence, config_head, newer, known, entries, wanted)
 
@@ -261,6 +284,7 @@
         records: list[MemberRecord] = []
         loads: list[LoadRecord] = []
         size = sum(len(name) + 3 for name in wanted)
+        size += sum(len(msgspec.json.encode(entry)) + 1 for entry in entries)
         for name in dict.fromkeys(names):
             member = self.member(name)
             if member is None or (member.status is MemberStatus.LEFT and name not in known):
@@ -296,9 +320,14 @@
             self._merge_load(load)
         for entry in message.entries:
             self._merge_status(entry, now_s)
-        if not message.wanted:
+        unknown = [
+            entry.node
+            for entry in message.entries
+            if entry.status <= MemberStatus.SUSPECT and self.member(entry.node) is None
+        ]
+        if not message.wanted and not unknown:
             return []
-        third = self._bounded_reply(0, config_head, message.wanted, {}, [], [])
+        third = self._bounded_reply(0, config_head, message.wanted, {}, [], unknown)
         return [Send(sender_address, third)]
 
     def on_ping(self, message: Ping, sender_address: str) -> list[Action]:
@@ -328,6 +357,8 @@
             load = LoadRecord(record.node, record.incarnation, 0, 0)
             self.members[record.node] = Member(record, load, MemberStatus.ALIVE, record.incarnation, now_s)
             self.changes.append(MemberChange(record.node, MemberStatus.ALIVE))
+            # Where one member was unknown others may be: the next round comes sooner.
+            self._next_sync_s = min(self._next_sync_s, now_s + self.timings.sync_interval_s * CATCH_UP_FACTOR)
             return
         if (record.incarnation, record.version) > (member.record.incarnation, member.record.version):
             if record.incarnation > member.record.incarnation:
@@ -357,22 +388,21 @@
             return
         if entry.incarnation >= self.own.incarnation and entry.status != MemberStatus.ALIVE:
             self.own.incarnation = entry.incarnation + 1
+            self._refuted = True
 
     def _set_status(self, name: str, status: MemberStatus, incarnation: int, now_s: float) -> None:
         member = self.members[name]
         if status is not member.status:
             self.changes.append(MemberChange(name, status))
-            member.status_since_s = now_s
+        # Refutations count as changes too, so that digests carry them first.
+        member.status_since_s = now_s
         member.status = status
         member.incarnation = incarnation
 
     def leave(self) -> list[Action]:
         """Announce a planned stop to a few members."""
         self.own.status = MemberStatus.LEFT
-        names = [name for name in self.alive() if name != self.node]
-        chosen = self.rng.sample(names, min(len(names), INDIRECT_PROBES))
-        notice = SyncReply(0, self.node, 0, (self.own.digest(),))
-        return [Send(self.members[name].record.address, notice) for name in chosen]
+        return self._tell_few(self.own.digest())
 
     # --- failure detection -----------------------------------------------------------------------------
 
@@ -390,11 +420,20 @@
             member = self.members.get(probe.target)
             if member is not None and member.status is MemberStatus.ALIVE:
                 self._set_status(probe.target, MemberStatus.SUSPECT, member.incarnation, now_s)
+                actions.extend(self._tell_few(member.digest(), also=probe.address))
         for sequence, relay in list(self._relays.items()):
             if now_s >= relay.deadline_s:
                 del self._relays[sequence]
         return actions
 
+    def _tell_few(self, entry: DigestEntry, also: str = "") -> list[Action]:
+        """Send one status to a few members at once, without waiting for the next round."""
+        names = [name for name in self.alive() if name not in (self.node, entry.node)]
+        chosen = self.rng.sample(names, min(len(names), INDIRECT_PROBES))
+        addresses = [self.members[name].record.address for name in chosen]
+        notice = SyncReply(0, self.node, 0, (entry,))
+        return [Send(address, notice) for address in dict.fromkeys((*addresses, also)) if address]
+
     def _probe_indirectly(self, sequence: int, probe: _Probe) -> list[Action]:
         helpers = [name for name in self.alive() if name not in (self.node, probe.target)]
         chosen = self.rng.sample(helpers, min(len(helpers), INDIRECT_PROBES))
@@ -405,9 +444,11 @@
         return actions
 
     def _expire_members(self, now_s: float) -> None:
+        # A refutation takes rounds that grow with the logarithm of the group.
+        suspicion_s = self.timings.suspicion_timeout_s * max(1.0, math.log10(len(self.members) + 1))
         for name, member in list(self.members.items()):
             elapsed = now_s - member.status_since_s
-            if member.status is MemberStatus.SUSPECT and elapsed >= self.timings.suspicion_timeout_s:
+            if member.status is MemberStatus.SUSPECT and elapsed >= suspicion_s:
                 self._set_status(name, MemberStatus.DEAD, member.incarnation, now_s)
             elif member.status >= MemberStatus.DEAD and elapsed >= self.timings.dead_retention_s:
                 del self.members[name]
--- a/src/wallwell/cluster/messages.py
+++ b/src/wallwell/cluster/messages.py
@@ -59,12 +59,16 @@
 
 
 class Sync(msgspec.Struct, frozen=True, array_like=True, tag="s"):
-    """Probe and digest: the receiver answers with what the sender lacks."""
+    """Probe and digest: the receiver answers with what the sender lacks.
+
+    ``roster`` is a hash over the live members' names, so that equal views exchange no member lists.
+    """
 
     sequence: int
     region: str
     sender: str
     config_head: int
+    roster: int
     digest: tuple[DigestEntry, ...]
 
 
--- a/src/wallwell/cluster/node.py
+++ b/src/wallwell/cluster/node.py
@@ -142,7 +142,7 @@
             case msg.HeadNotice():
                 return self._heard(message.config_head, sender)
             case msg.RegionNews():
-                return self.regions.on_news(message, sender, head)
+                return self.regions.on_news(message, sender, head) + self._join_through(message)
             case msg.Ping():
                 return membership.on_ping(message, sender)
             case msg.IndirectProbe():
@@ -168,6 +168,14 @@
                 self.limits.on_grant(message)
         return []
 
+    def _join_through(self, message: msg.RegionNews) -> list[Action]:
+        """A node that knows no member of its region learns of some from another region's node."""
+        if len(self.membership.alive()) > 1:
+            return []
+        region = self.identity.region
+        own = [summary.contacts for summary in message.summaries if summary.region == region]
+        return self.membership.greet(own[0], self.config.head) if own else []
+
     def _greet_other_region(self, sender: str) -> list[Action]:
         if self.identity.region not in self.regions.summaries:
             return []
--- /dev/null
+++ b/tests/unit/cluster/test_network.py
@@ -0,0 +1,153 @@
+"""Hundreds of cluster nodes over a lossy network in virtual time."""
+
+import random
+
+import pytest
+
+from wallwell.bench.hollow import FleetSize, hollow_identity, tenant_change
+from wallwell.bench.virtual_network import LinkFaults, VirtualNetwork
+from wallwell.cluster.messages import MAX_DATAGRAM_BYTES, MemberStatus
+from wallwell.cluster.node import ClusterNode
+
+
+def fleet_size(nodes, regions=1):
+    return FleetSize(nodes, regions, regions * 2, nodes, nodes, nodes, nodes, 10, 1)
+
+
+def make_network(nodes, regions=1, seed=1, faults=None):
+    size = fleet_size(nodes, regions)
+    network = VirtualNetwork(seed, faults)
+    identities = [hollow_identity(number, size) for number in range(nodes)]
+    seeds = tuple(identity.address for identity in identities[: 2 * regions])
+    for identity in identities:
+        network.add(ClusterNode(identity, random.Random(f"{seed}/{identity.node}"), seeds))
+    return network
+
+
+def region_of(network, node):
+    return {each.identity.node for each in network.nodes() if each.identity.region == node.identity.region}
+
+
+def all_know_their_region(network):
+    return all(set(node.membership.alive()) == region_of(network, node) for node in network.nodes())
+
+
+def is_out(network, node):
+    others = [each for each in network.nodes() if each is not node]
+    return all(node.identity.node not in each.membership.alive() for each in others)
+
+
+LOSSY = LinkFaults(loss=0.1, duplication=0.05, max_delay_s=0.1)
+
+
+@pytest.mark.parametrize("faults", [LinkFaults(), LOSSY], ids=["clean", "lossy"])
+@pytest.mark.parametrize(("nodes", "regions"), [(3, 1), (30, 1), (70, 1), (60, 3)])
+def test_every_node_learns_its_region_and_only_it(nodes, regions, faults):
+    network = make_network(nodes, regions, faults=faults)
+    assert network.run_until(lambda: all_know_their_region(network), limit_s=30) is not None
+
+
+@pytest.mark.parametrize("faults", [LinkFaults(), LOSSY], ids=["clean", "lossy"])
+def test_a_dead_node_is_out_and_a_restarted_one_back_within_a_bound(faults):
+    network = make_network(30, faults=faults)
+    network.run_until(lambda: all_know_their_region(network), limit_s=30)
+    victim = network.nodes()[7]
+    network.kill(victim.identity.address)
+    assert network.run_until(lambda: is_out(network, victim), limit_s=45) is not None
+    identity = victim.identity
+    again = type(identity)(
+        identity.node, identity.zone, identity.region, identity.address, identity.incarnation + 10_000
+    )
+    network.add(ClusterNode(again, random.Random(9), victim.membership.seeds))
+    assert network.run_until(lambda: all_know_their_region(network), limit_s=45) is not None
+
+
+def test_live_nodes_are_not_declared_dead_on_a_lossy_network():
+    network = make_network(30, faults=LinkFaults(loss=0.05))
+    network.run_until(lambda: all_know_their_region(network), limit_s=30)
+    for node in network.nodes():
+        node.take_member_changes()
+    network.run(120)
+    dead = [c for node in network.nodes() for c in node.take_member_changes() if c.status is MemberStatus.DEAD]
+    assert dead == []
+
+
+def test_a_paused_node_comes_back_by_refuting():
+    network = make_network(20)
+    network.run_until(lambda: all_know_their_region(network), limit_s=30)
+    paused = network.nodes()[3]
+    network.pause(paused.identity.address, True)
+    assert network.run_until(lambda: is_out(network, paused), limit_s=45) is not None
+    network.pause(paused.identity.address, False)
+    assert network.run_until(lambda: all_know_their_region(network), limit_s=45) is not None
+
+
+def test_a_healed_partition_is_one_group_again():
+    network = make_network(24)
+    network.run_until(lambda: all_know_their_region(network), limit_s=30)
+    addresses = list(network.hosts)
+    network.partition([addresses[:12], addresses[12:]])
+    network.run(60)
+    assert not all_know_their_region(network)
+    network.partition([])
+    assert network.run_until(lambda: all_know_their_region(network), limit_s=60) is not None
+
+
+def test_a_planned_leave_is_known_without_suspicion():
+    network = make_network(20)
+    network.run_until(lambda: all_know_their_region(network), limit_s=30)
+    leaver = network.nodes()[0]
+    network.perform(leaver, leaver.membership.leave())
+    network.run(0.1)
+    network.kill(leaver.identity.address)
+    assert network.run_until(lambda: all_know_their_region(network), limit_s=10) is not None
+
+
+@pytest.mark.parametrize(("nodes", "regions"), [(3, 1), (30, 3), (120, 6)])
+def test_a_change_is_everywhere_within_six_seconds_and_never_reverts(nodes, regions):
+    network = make_network(nodes, regions, faults=LinkFaults(loss=0.05, duplication=0.05))
+    network.run_until(lambda: all_know_their_region(network), limit_s=40)
+    network.run(5)
+    for revision in range(1, 6):
+        writer = network.rng.choice(network.nodes())
+        network.perform(writer, writer.advance_config(tenant_change(revision, revision)))
+        heads = [node.config.head for node in network.nodes()]
+        in_force = lambda r=revision: all(node.config.head >= r for node in network.nodes())  # noqa: E731
+        assert network.run_until(in_force, limit_s=6) is not None
+        assert all(node.config.head >= before for node, before in zip(network.nodes(), heads, strict=True))
+
+
+def test_a_zone_cut_off_catches_up_and_brings_nothing_back():
+    network = make_network(24)
+    network.run_until(lambda: all_know_their_region(network), limit_s=30)
+    addresses = list(network.hosts)
+    first = network.nodes()[0]
+    network.perform(first, first.advance_config(tenant_change(1, 1)))
+    network.run(5)
+    network.partition([addresses[:16], addresses[16:]])
+    network.perform(first, first.advance_config(tenant_change(1, 2)))
+    network.run(30)
+    assert {node.config.head for node in network.nodes()} == {1, 2}
+    network.partition([])
+    assert network.run_until(lambda: {n.config.head for n in network.nodes()} == {2}, limit_s=30) is not None
+
+
+def test_datagrams_stay_under_the_bound():
+    network = make_network(70)
+    sizes = []
+    original = network._receive
+    network._receive = lambda address, sender, data: (sizes.append(len(data)), original(address, sender, data))
+    for number, node in enumerate(network.nodes()):
+        node.set_engines(tuple((f"engine-{number:03d}-{k:02d}", f"{k:08x}") for k in range(17)), (5,) * 17)
+    network.run(20)
+    assert len(sizes) > 1000
+    assert max(sizes) <= MAX_DATAGRAM_BYTES
+
+
+def test_the_same_seed_gives_the_same_run():
+    def trace():
+        network = make_network(12, seed=5, faults=LOSSY)
+        network.run(20)
+        return [(host.cost.sent_bytes, host.cost.received_messages) for host in network.hosts.values()]
+
+    assert trace() == trace()
