Carry configuration as checked JSON and compile only what changed

Revisions now carry the checked spec as JSON; YAML is parsed once, by the C loader, where a change is accepted; tables of unchanged kinds are kept.

--- a/src/wallwell/bench/hollow.py
+++ b/src/wallwell/bench/hollow.py
@@ -7,8 +7,9 @@
 from __future__ import annotations
 
 import random
+import time
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 
@@ -16,13 +17,22 @@
 from wallwell.cluster.messages import Action, Lookup, Send
 from wallwell.cluster.node import ClusterNode, NodeIdentity
 from wallwell.cluster.shards import EngineReader, lookup_hashes, shard_owner
-from wallwell.config.schema import FileKey, Kind
+from wallwell.config.schema import (
+    EnginePoolSpec,
+    EngineSpec,
+    FileKey,
+    Kind,
+    ModelSpec,
+    PrioritySpec,
+    TenantSpec,
+    ZoneSpec,
+)
 from wallwell.config.store import ConfigDelta, FileRevision
 
 STATUS_INTERVAL_S = 1.0
 SHARED_CHAINS = 400
 CHAIN_BLOCKS = 400
-_HASH_BITS = 63
+HASH_BITS = 64
 
 
 @dataclass(frozen=True)
@@ -62,20 +72,15 @@
 def scaled(size: FleetSize, nodes: int, regions: int) -> FleetSize:
     """Return a fleet of ``nodes`` with the same load per node."""
     factor = nodes / size.nodes
-    return msgspec.convert(
-        {
-            "nodes": nodes,
-            "regions": regions,
-            "zones": max(regions, round(size.zones * factor)),
-            "workers": round(size.workers * factor),
-            "requests_per_s": size.requests_per_s * factor,
-            "cache_events_per_s": size.cache_events_per_s * factor,
-            "cached_blocks": round(size.cached_blocks * factor),
-            "tenants": size.tenants,
-            "models": size.models,
-            "config_changes_per_day": size.config_changes_per_day,
-        },
-        FleetSize,
+    return replace(
+        size,
+        nodes=nodes,
+        regions=regions,
+        zones=max(regions, round(size.zones * factor)),
+        workers=round(size.workers * factor),
+        requests_per_s=size.requests_per_s * factor,
+        cache_events_per_s=size.cache_events_per_s * factor,
+        cached_blocks=round(size.cached_blocks * factor),
     )
 
 
@@ -93,42 +98,39 @@
     """Return a configuration of the fleet's size, as a node fetches it."""
     files: list[FileRevision] = []
 
-    def add(kind: Kind, name: str, spec: str) -> None:
-        body = f"kind: {kind.value}\nname: {name}\nspec:\n{spec}"
-        files.append(FileRevision(FileKey(kind, name), len(files) + 1, f"{len(files):064x}", body, "operator"))
+    def add(kind: Kind, name: str, spec: msgspec.Struct) -> None:
+        text = msgspec.json.encode(spec).decode()
+        files.append(FileRevision(FileKey(kind, name), len(files) + 1, f"{len(files):064x}", text, "operator"))
 
     for zone in range(size.zones):
-        add(Kind.ZONE, f"zone-{zone:02d}", f"  region: region-{zone % size.regions}\n")
-    add(Kind.PRIORITY, "interactive", "  rank: 0\n")
+        add(Kind.ZONE, f"zone-{zone:02d}", ZoneSpec(f"region-{zone % size.regions}"))
+    add(Kind.PRIORITY, "interactive", PrioritySpec(0))
     for model in range(size.models):
-        add(Kind.MODEL, f"model-{model}", '  weights_version: "1"\n')
+        add(Kind.MODEL, f"model-{model}", ModelSpec("1"))
     per_zone = -(-size.workers // size.zones)
     for zone in range(size.zones):
-        lines = [f"  models: [model-{zone % size.models}]\n  engines:\n"]
-        for worker in range(per_zone):
-            address = f"11.{zone}.{worker // 250}.{worker % 250}:9100"
-            lines.append(
-                f'    - {{name: z{zone:02d}-w{worker:04d}, address: "{address}", zone: zone-{zone:02d}}}\n'
+        engines = tuple(
+            EngineSpec(
+                f"z{zone:02d}-w{worker:04d}", f"11.{zone}.{worker // 250}.{worker % 250}:9100", f"zone-{zone:02d}"
             )
-        add(Kind.ENGINE_POOL, f"pool-{zone:02d}", "".join(lines))
+            for worker in range(per_zone)
+        )
+        add(Kind.ENGINE_POOL, f"pool-{zone:02d}", EnginePoolSpec((f"model-{zone % size.models}",), engines))
     for tenant in range(size.tenants):
         add(Kind.TENANT, f"tenant-{tenant:04d}", tenant_spec(tenant, 100))
     return ConfigDelta(0, head or len(files), tuple(files))
 
 
-def tenant_spec(tenant: int, rate: int) -> str:
-    """Return the ``spec`` of a tenant's file."""
-    return (
-        f"  token_sha256: [{tenant:064x}]\n  models: [model-0]\n  priorities: [interactive]\n"
-        f"  default_priority: interactive\n  requests_per_s: {rate}\n"
-    )
+def tenant_spec(tenant: int, rate: int) -> TenantSpec:
+    """Return the contents of a tenant's file."""
+    return TenantSpec((f"{tenant:064x}",), ("model-0",), (), ("interactive",), "interactive", float(rate))
 
 
 def tenant_change(tenant: int, revision: int) -> ConfigDelta:
     """Return one accepted change of a tenant's limit."""
-    name = f"tenant-{tenant:04d}"
-    body = f"kind: tenant\nname: {name}\nspec:\n{tenant_spec(tenant, 100 + revision % 900)}"
-    entry = FileRevision(FileKey(Kind.TENANT, name), revision, f"{revision:064x}", body, "operator")
+    text = msgspec.json.encode(tenant_spec(tenant, 100 + revision % 900)).decode()
+    key = FileKey(Kind.TENANT, f"tenant-{tenant:04d}")
+    entry = FileRevision(key, revision, f"{revision:064x}", text, "operator")
     return ConfigDelta(revision - 1, revision, (entry,))
 
 
@@ -160,6 +162,8 @@
         self.event_blocks = 0
         self.lookups = 0
         self._shared = [list(_chain(random.Random(number), CHAIN_BLOCKS)) for number in range(8)]
+        self.overhead_s = 0.0
+        """Processor time of making up the load, which a real node does not spend."""
 
     def tick(self, now_s: float) -> list[Action]:
         """Do what the time since the last call asks for."""
@@ -175,11 +179,14 @@
     def _read_statuses(self) -> None:
         for engine in self._engines:
             waiting = self._rng.randrange(4000)
+            started_s = time.perf_counter()
             line = StatusLine(
                 engine.name, "i1", EngineState.SERVING, {"model-0": "1"}, 64, 16, engine.sequence, 20, 2,
                 waiting, 22_535, 22_000, 0.2,
             )  # fmt: skip
-            self._receive_line(msgspec.json.encode(line))
+            encoded = msgspec.json.encode(line)
+            self.overhead_s += time.perf_counter() - started_s
+            self._receive_line(encoded)
         pairs = tuple((engine.name, "i1") for engine in self._engines)
         waiting_ms = tuple(self._rng.randrange(250) for _ in self._engines)
         self._node.set_engines(pairs, waiting_ms)
@@ -191,10 +198,12 @@
 
     def _request(self) -> list[Action]:
         """One request: a lookup, a dispatch report, and the engine's two events."""
+        started_s = time.perf_counter()
         shared = self._rng.choice(self._shared)
         tail = list(_chain(self._rng, self._tail_blocks))
         chain = shared + tail
         engine = self._rng.choice(self._engines)
+        self.overhead_s += time.perf_counter() - started_s
         actions = self._lookup(chain)
         actions.extend(self._node.report_dispatch(engine.name, "i1", chain))
         self._event(engine, True, chain[0], len(shared), tail)
@@ -206,8 +215,12 @@
 
     def _event(self, engine: _HollowEngine, stored: bool, root: int, depth: int, blocks: list[int]) -> None:
         engine.sequence += 1
-        encoded = CacheLine(engine.sequence, stored, hash_text(root), depth, pack_hashes(blocks))
-        line = self._receive_line(msgspec.json.encode(encoded))
+        started_s = time.perf_counter()
+        encoded = msgspec.json.encode(
+            CacheLine(engine.sequence, stored, hash_text(root), depth, pack_hashes(blocks))
+        )
+        self.overhead_s += time.perf_counter() - started_s
+        line = self._receive_line(encoded)
         assert isinstance(line, CacheLine)
         self._node.readers[engine.name].on_event(line)
         self.event_blocks += len(blocks)
@@ -227,4 +240,4 @@
 
 def _chain(rng: random.Random, blocks: int) -> Iterator[int]:
     for _ in range(blocks):
-        yield rng.getrandbits(_HASH_BITS) | 1
+        yield rng.getrandbits(HASH_BITS) or 1
--- a/src/wallwell/cli/bench.py
+++ b/src/wallwell/cli/bench.py
@@ -2,10 +2,51 @@
 
 from __future__ import annotations
 
+import argparse
+import sys
+from pathlib import Path
 from typing import Any
 
+import msgspec
+
+from wallwell.bench.scale import ScaleResult, run_scale
+
+SCALE_RESULTS = Path("docs/results/scale.json")
+
 
 def register(commands: Any) -> None:
     """Add the command."""
     parser = commands.add_parser("bench", help="experiments and measurements")
-    parser.add_subparsers(dest="bench_command", required=True, metavar="EXPERIMENT")
+    experiments = parser.add_subparsers(dest="bench_command", required=True, metavar="EXPERIMENT")
+    scale = experiments.add_parser("scale", help="control cost of hollow fleets, as slopes")
+    scale.add_argument("--quick", action="store_true", help="shorter runs, under three minutes")
+    scale.add_argument("--output", type=Path, default=SCALE_RESULTS)
+    scale.set_defaults(run=run_scale_command)
+
+
+def progress(text: str) -> None:
+    """Tell what runs now."""
+    print(text, file=sys.stderr)
+
+
+def run_scale_command(options: argparse.Namespace) -> int:
+    """Run the scale measurements and write their JSON."""
+    result = run_scale(options.quick, progress)
+    options.output.parent.mkdir(parents=True, exist_ok=True)
+    options.output.write_bytes(msgspec.json.format(msgspec.json.encode(result), indent=1) + b"\n")
+    _print_cost(result)
+    return 0
+
+
+def _print_cost(result: ScaleResult) -> None:
+    cost = result.fleet
+    print(f"{cost.nodes} nodes, {cost.workers} workers: sent {cost.sent_bytes:,.0f} B/s, received ", end="")
+    print(f"{cost.received_bytes:,.0f} B/s ({cost.event_bytes:,.0f} of it events), ", end="")
+    print(f"{cost.processor_share:.2%} of a core a node")
+    for part in result.memory:
+        print(f"  {part.part}: {part.resident_bytes / 1e6:.1f} MB ({part.amount})")
+    for spread in result.spread:
+        print(f"  in force on {spread.nodes} nodes: p50 {spread.p50_s:.2f} s, p99 {spread.p99_s:.2f} s")
+    for recovery in result.recoveries:
+        print(f"  {recovery.fault}: {recovery.seconds_until_settled:.0f} s, ", end="")
+        print(f"at most {recovery.highest_bytes_per_s:,.0f} B/s a node")
--- a/src/wallwell/config/commit.py
+++ b/src/wallwell/config/commit.py
@@ -29,6 +29,7 @@
 HEAD_KEY = "config/head"
 FILE_PREFIX = "config/file/"
 APPLY_PREFIX = "apply/"
+TEXT_PREFIX = "config-text/"
 _TRIES = 6
 
 
@@ -119,7 +120,7 @@
                 base = current_revision if base is None else base
                 if current_revision != base:
                     raise _conflict(key, current, base)
-                if file is not None and current is not None and current.digest == file.digest and current.body:
+                if file is not None and current is not None and current.digest == file.digest and current.spec:
                     return ApplyAnswer(str(key), current_revision, changed=False)
                 self._check(key, file)
                 return await self._commit(request, key, file)
@@ -152,7 +153,7 @@
             key=key,
             revision=revision,
             digest=file.digest if file is not None else "",
-            body=file.body if file is not None else "",
+            spec=file.spec_json if file is not None else "",
             operator=request.operator,
             accepted_at_ms=int(time.time() * 1000),
         )
@@ -161,6 +162,7 @@
             puts=(
                 Put(HEAD_KEY, msgspec.json.encode(HeadBody(revision)).decode()),
                 Put(FILE_PREFIX + str(key), msgspec.json.encode(entry).decode()),
+                Put(TEXT_PREFIX + str(key), file.body if file is not None else ""),
                 Put(APPLY_PREFIX + request.apply_id, str(revision)),
             ),
         )
--- a/src/wallwell/config/compiled.py
+++ b/src/wallwell/config/compiled.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 from wallwell.config.parse import ConfigFile
 from wallwell.config.schema import (
@@ -11,6 +12,7 @@
     EnginePoolSpec,
     EngineSpec,
     FileKey,
+    Kind,
     ModelSpec,
     PrioritySpec,
     ServiceInstance,
@@ -19,8 +21,10 @@
     ZoneSpec,
 )
 
+T = TypeVar("T")
 
-@dataclass(frozen=True)
+
+@dataclass(frozen=True, slots=True)
 class Engine:
     """One engine with what its pool declares."""
 
@@ -52,7 +56,6 @@
     services: Mapping[str, ServiceSpec] = field(default_factory=dict)
     tenants: Mapping[str, Tenant] = field(default_factory=dict)
     engines: Mapping[str, Engine] = field(default_factory=dict)
-    engines_by_model: Mapping[str, tuple[Engine, ...]] = field(default_factory=dict)
     tenant_by_token: Mapping[str, Tenant] = field(default_factory=dict)
 
     def is_repeatable(self, service: str, method: str, path: str) -> bool:
@@ -72,33 +75,27 @@
         return [instance for instance in spec.instances if instance.state is BackendState.SERVING]
 
 
-def compile_config(files: Mapping[FileKey, ConfigFile], revision: int) -> CompiledConfig:
-    """Build the tables from the parsed ``files``."""
-    engines: dict[str, Engine] = {}
-    by_model: dict[str, list[Engine]] = {}
-    tenants: dict[str, Tenant] = {}
-    zones: dict[str, ZoneSpec] = {}
-    priorities: dict[str, PrioritySpec] = {}
-    models: dict[str, ModelSpec] = {}
-    services: dict[str, ServiceSpec] = {}
-    for key, file in files.items():
-        spec = file.spec
-        if isinstance(spec, ZoneSpec):
-            zones[key.name] = spec
-        elif isinstance(spec, PrioritySpec):
-            priorities[key.name] = spec
-        elif isinstance(spec, ModelSpec):
-            models[key.name] = spec
-        elif isinstance(spec, ServiceSpec):
-            services[key.name] = spec
-        elif isinstance(spec, TenantSpec):
-            tenants[key.name] = Tenant(key.name, spec)
-        elif isinstance(spec, EnginePoolSpec):
-            for entry in spec.engines:
-                engines[entry.name] = _engine(key.name, spec, entry)
-    for engine in engines.values():
-        for model in engine.models:
-            by_model.setdefault(model, []).append(engine)
+def compile_config(
+    files: Mapping[FileKey, ConfigFile],
+    revision: int,
+    previous: CompiledConfig | None = None,
+    changed: Collection[Kind] = tuple(Kind),
+) -> CompiledConfig:
+    """Build the tables from the parsed ``files``.
+
+    Tables of kinds not in ``changed`` are taken over from ``previous``: a tenant's change, the usual one, must
+    not cost time for every engine of the fleet.
+    """
+    old = previous or CompiledConfig(revision)
+    kinds = set(Kind) if previous is None else set(changed)
+    zones = _specs(files, Kind.ZONE, ZoneSpec) if Kind.ZONE in kinds else old.zones
+    priorities = _specs(files, Kind.PRIORITY, PrioritySpec) if Kind.PRIORITY in kinds else old.priorities
+    models = _specs(files, Kind.MODEL, ModelSpec) if Kind.MODEL in kinds else old.models
+    services = _specs(files, Kind.SERVICE, ServiceSpec) if Kind.SERVICE in kinds else old.services
+    tenants = _tenants(files, old) if Kind.TENANT in kinds else old.tenants
+    tokens = old.tenant_by_token
+    if Kind.TENANT in kinds:
+        tokens = {token: tenant for tenant in tenants.values() for token in tenant.spec.token_sha256}
     return CompiledConfig(
         revision=revision,
         zones=zones,
@@ -106,19 +103,41 @@
         models=models,
         services=services,
         tenants=tenants,
-        engines=engines,
-        engines_by_model={model: tuple(found) for model, found in by_model.items()},
-        tenant_by_token={token: tenant for tenant in tenants.values() for token in tenant.spec.token_sha256},
+        engines=_engines(files) if Kind.ENGINE_POOL in kinds else old.engines,
+        tenant_by_token=tokens,
     )
 
 
-def _engine(pool: str, spec: EnginePoolSpec, entry: EngineSpec) -> Engine:
+def _specs(files: Mapping[FileKey, ConfigFile], kind: Kind, spec_type: type[T]) -> dict[str, T]:
+    return {
+        key.name: file.spec for key, file in files.items() if key.kind is kind and isinstance(file.spec, spec_type)
+    }
+
+
+def _tenants(files: Mapping[FileKey, ConfigFile], old: CompiledConfig) -> dict[str, Tenant]:
+    tenants: dict[str, Tenant] = {}
+    for name, spec in _specs(files, Kind.TENANT, TenantSpec).items():
+        known = old.tenants.get(name)
+        tenants[name] = known if known is not None and known.spec is spec else Tenant(name, spec)
+    return tenants
+
+
+def _engines(files: Mapping[FileKey, ConfigFile]) -> dict[str, Engine]:
+    engines: dict[str, Engine] = {}
+    for pool, spec in _specs(files, Kind.ENGINE_POOL, EnginePoolSpec).items():
+        models = frozenset(spec.models)
+        for entry in spec.engines:
+            engines[entry.name] = _engine(pool, spec, models, entry)
+    return engines
+
+
+def _engine(pool: str, spec: EnginePoolSpec, models: frozenset[str], entry: EngineSpec) -> Engine:
     return Engine(
         name=entry.name,
         address=entry.address,
         zone=entry.zone,
         pool=pool,
-        models=frozenset(spec.models),
+        models=models,
         leaving=entry.state is BackendState.LEAVING,
         max_concurrent_loads=spec.max_concurrent_loads,
     )
--- a/src/wallwell/config/parse.py
+++ b/src/wallwell/config/parse.py
@@ -43,6 +43,11 @@
     body: str
     lines: dict[Path, int]
 
+    @property
+    def spec_json(self) -> str:
+        """The checked content as JSON, as revisions carry it."""
+        return msgspec.json.encode(self.spec).decode()
+
     @property
     def digest(self) -> str:
         """SHA-256 of the file's text, in hexadecimal."""
--- a/src/wallwell/config/store.py
+++ b/src/wallwell/config/store.py
@@ -9,21 +9,26 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from typing import cast
 
 import msgspec
 
 from wallwell.config.compiled import CompiledConfig, compile_config
-from wallwell.config.parse import ConfigFile, parse_file
-from wallwell.config.schema import FileKey
+from wallwell.config.parse import ConfigFile
+from wallwell.config.schema import SPEC_TYPES, FileKey, Kind, Spec
 
 
 class FileRevision(msgspec.Struct, frozen=True):
-    """One accepted revision of one file. An empty ``body`` records a removal."""
+    """One accepted revision of one file.
+
+    ``spec`` is the checked content as JSON, so that nodes decode it without parsing YAML again; empty records a
+    removal. ``digest`` is that of the operators' text, which stays in the table.
+    """
 
     key: FileKey
     revision: int
     digest: str
-    body: str
+    spec: str
     operator: str = ""
     accepted_at_ms: int = 0
 
@@ -54,22 +59,22 @@
         """Move to ``delta.head`` if that is higher and no revision is skipped; returns whether it moved."""
         if delta.head <= self.head or delta.after > self.head:
             return False
+        changed: set[Kind] = set()
         for entry in delta.files:
             current = self._revisions.get(entry.key)
             if current is None or entry.revision > current.revision:
                 self._adopt(entry)
+                changed.add(entry.key.kind)
         self.head = delta.head
-        self.compiled = compile_config(self._parsed, self.head)
+        self.compiled = compile_config(self._parsed, self.head, self.compiled, changed)
         return True
 
     def _adopt(self, entry: FileRevision) -> None:
         self._revisions[entry.key] = entry
         self._parsed.pop(entry.key, None)
-        if entry.body:
-            parsed, _ = parse_file(entry.body)
-            if parsed is not None:
-                # Line numbers serve error messages only; nodes that hold thousands of files drop them.
-                self._parsed[entry.key] = msgspec.structs.replace(parsed, lines={})
+        if entry.spec:
+            spec = msgspec.json.decode(entry.spec, type=SPEC_TYPES[entry.key.kind])
+            self._parsed[entry.key] = ConfigFile(entry.key, cast("Spec", spec), body="", lines={})
 
     def revision_of(self, key: FileKey) -> FileRevision | None:
         """Return the latest revision of ``key``, removals included."""
--- a/src/wallwell/gateway/operators_app.py
+++ b/src/wallwell/gateway/operators_app.py
@@ -5,6 +5,7 @@
 import hmac
 
 import msgspec
+import yaml
 from aiohttp import web
 
 from wallwell.cluster.messages import MemberStatus
@@ -40,7 +41,7 @@
 
 
 class FileView(msgspec.Struct, frozen=True):
-    """One file in force."""
+    """One file in force; ``body`` is what the node holds, written as YAML."""
 
     key: str
     revision: int
@@ -122,8 +123,11 @@
         return _json(self._view(key))
 
     def _view(self, key: FileKey) -> FileView:
-        entry = self._context.node.config.revisions[key]
-        return FileView(str(key), entry.revision, entry.digest, entry.operator, entry.body)
+        store = self._context.node.config
+        entry = store.revisions[key]
+        document = {"kind": key.kind.value, "name": key.name, "spec": msgspec.to_builtins(store.files[key].spec)}
+        body = yaml.safe_dump(document, sort_keys=False)
+        return FileView(str(key), entry.revision, entry.digest, entry.operator, body)
 
     async def _status(self, _request: web.Request) -> web.Response:
         context = self._context
--- a/src/wallwell/typed.py
+++ b/src/wallwell/typed.py
@@ -46,11 +46,14 @@
 
     Raises :class:`DocumentSyntaxError`.
     """
+    loader = yaml.CSafeLoader(text)
     try:
-        node = yaml.compose(text, Loader=yaml.SafeLoader)
-        value = yaml.safe_load(text)
+        node = loader.get_single_node()
+        value = loader.construct_document(node) if node is not None else None
     except yaml.YAMLError as error:
         raise DocumentSyntaxError(" ".join(str(error).split())) from error
+    finally:
+        loader.dispose()
     lines: dict[Path, int] = {}
     if node is not None:
         _collect_lines(node, (), lines)
--- a/tests/unit/config/test_commit_and_store.py
+++ b/tests/unit/config/test_commit_and_store.py
@@ -126,7 +126,7 @@
 
 
 KEY = FileKey(Kind.ZONE, "a")
-HISTORY = [FileRevision(KEY, n, f"d{n}", zone(f"r{n}")) for n in range(1, 9)]
+HISTORY = [FileRevision(KEY, n, f"d{n}", f'{{"region": "r{n}"}}') for n in range(1, 9)]
 
 
 @settings(max_examples=200, derandomize=True, deadline=None)
