--- a/src/wallwell/backends/engine_protocol.py
+++ b/src/wallwell/backends/engine_protocol.py
@@ -49,7 +49,10 @@
 
 
 class StatusLine(msgspec.Struct, frozen=True, tag="status"):
-    """Identity, readiness and load; the load was taken ``age_s`` before the line was sent."""
+    """Identity, readiness and load; the load was taken ``age_s`` before the line was sent.
+
+    ``waiting_prefill_tokens`` pairs priority ranks with tokens waiting to be computed.
+    """
 
     engine: str
     incarnation: str
@@ -60,7 +63,7 @@
     sequence: int
     running: int
     waiting: int
-    waiting_prefill_tokens: int
+    waiting_prefill_tokens: tuple[tuple[int, int], ...]
     cache_blocks: int
     cache_used_blocks: int
     age_s: float
--- a/src/wallwell/bench/virtual_network.py
+++ b/src/wallwell/bench/virtual_network.py
@@ -137,10 +137,10 @@
         if not host.alive:
             return
         if not host.paused:
-            started_s = time.perf_counter()
+            started_s = time.thread_time()
             actions = host.node.tick(self.now_s, EPOCH_MS + int(self.now_s * 1000))
             actions.extend(self.on_tick(host.node, self.now_s))
-            host.cost.processor_s += time.perf_counter() - started_s
+            host.cost.processor_s += time.thread_time() - started_s
             self._perform(address, actions)
         self.schedule(TICK_INTERVAL_S, lambda: self._tick(address, host))
 
@@ -161,9 +161,9 @@
         host = self.hosts.get(sender)
         if host is None:
             return
-        started_s = time.perf_counter()
+        started_s = time.thread_time()
         data = _CODEC.encode(action.message)
-        host.cost.processor_s += time.perf_counter() - started_s
+        host.cost.processor_s += time.thread_time() - started_s
         host.cost.sent_bytes += len(data)
         host.cost.sent_messages += 1
         copies = 2 if self.rng.random() < self.faults.duplication else 1
@@ -182,9 +182,9 @@
         if host.paused:
             host.held.append((sender, data))
             return
-        started_s = time.perf_counter()
+        started_s = time.thread_time()
         actions = host.node.handle(_CODEC.decode(data), sender, self.now_s)
-        host.cost.processor_s += time.perf_counter() - started_s
+        host.cost.processor_s += time.thread_time() - started_s
         host.cost.received_bytes += len(data)
         host.cost.received_messages += 1
         self._perform(address, actions)
@@ -199,12 +199,12 @@
         if host is None or peer is None or host.paused or peer.paused or not self._reachable(address, source):
             return
         request = len(_CODEC.encode(FetchRevisions(host.node.config.head)))
-        started_s = time.perf_counter()
+        started_s = time.thread_time()
         delta = peer.node.config.delta_after(host.node.config.head)
         line = _CODEC.encode(delta)
-        served_s = time.perf_counter()
+        served_s = time.thread_time()
         actions = host.node.advance_config(_CODEC.decode_as(line, type(delta)))
-        host.cost.processor_s += time.perf_counter() - served_s
+        host.cost.processor_s += time.thread_time() - served_s
         peer.cost.processor_s += served_s - started_s
         host.cost.received_bytes += len(line)
         host.cost.sent_bytes += request
--- a/src/wallwell/cli/bench.py
+++ b/src/wallwell/cli/bench.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import argparse
+import asyncio
 import sys
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
+from wallwell.bench.capacity import capacity_page
+from wallwell.bench.experiment import load_experiment, run_experiment, table
 from wallwell.bench.scale import ScaleResult, run_scale
+from wallwell.bench.scale_sockets import measure_sockets
+from wallwell.events import configure_logging
 
 SCALE_RESULTS = Path("docs/results/scale.json")
 
@@ -22,6 +27,15 @@
     scale.add_argument("--quick", action="store_true", help="shorter runs, under three minutes")
     scale.add_argument("--output", type=Path, default=SCALE_RESULTS)
     scale.set_defaults(run=run_scale_command)
+    capacity = experiments.add_parser("capacity", help="print docs/CAPACITY.md from the scale run's results")
+    capacity.add_argument("--results", type=Path, default=SCALE_RESULTS)
+    capacity.set_defaults(run=print_capacity)
+    run = experiments.add_parser("run", help="experiments in virtual time")
+    run.add_argument("experiment", type=Path, nargs="*")
+    run.add_argument("--all", action="store_true", help="every file of examples/experiments")
+    run.add_argument("--examples", type=Path, default=Path("examples"))
+    run.add_argument("--output", type=Path, default=Path("out/bench.json"))
+    run.set_defaults(run=run_experiments)
 
 
 def progress(text: str) -> None:
@@ -31,13 +45,22 @@
 
 def run_scale_command(options: argparse.Namespace) -> int:
     """Run the scale measurements and write their JSON."""
-    result = run_scale(options.quick, progress)
+    configure_logging("ERROR", json_lines=False)
+    sockets = asyncio.run(measure_sockets(options.quick, progress))
+    result = msgspec.structs.replace(run_scale(options.quick, progress), sockets=(sockets,))
     options.output.parent.mkdir(parents=True, exist_ok=True)
     options.output.write_bytes(msgspec.json.format(msgspec.json.encode(result), indent=1) + b"\n")
     _print_cost(result)
     return 0
 
 
+def print_capacity(options: argparse.Namespace) -> int:
+    """Print the capacity page."""
+    result = msgspec.json.decode(options.results.read_bytes(), type=ScaleResult)
+    print(capacity_page(result), end="")
+    return 0
+
+
 def _print_cost(result: ScaleResult) -> None:
     cost = result.fleet
     print(f"{cost.nodes} nodes, {cost.workers} workers: sent {cost.sent_bytes:,.0f} B/s, received ", end="")
@@ -50,3 +73,16 @@
     for recovery in result.recoveries:
         print(f"  {recovery.fault}: {recovery.seconds_until_settled:.0f} s, ", end="")
         print(f"at most {recovery.highest_bytes_per_s:,.0f} B/s a node")
+
+
+def run_experiments(options: argparse.Namespace) -> int:
+    """Run experiments and print their tables."""
+    paths = options.experiment
+    if options.all:
+        paths = sorted((options.examples / "experiments").glob("*.yaml"))
+    results = [run_experiment(load_experiment(path), options.examples, progress) for path in paths]
+    options.output.parent.mkdir(parents=True, exist_ok=True)
+    options.output.write_bytes(msgspec.json.format(msgspec.json.encode(results), indent=1) + b"\n")
+    for result in results:
+        print(table(result))
+    return 0
--- a/src/wallwell/gateway/generation.py
+++ b/src/wallwell/gateway/generation.py
@@ -181,7 +181,8 @@
         attempt_id = _attempt_id(generation)
         incarnation = context.node.engine_incarnations().get(engine.name, "")
         sent_s = time.monotonic()
-        selector.on_dispatch(attempt_id, choice, incarnation, generation.chain, sent_s)
+        rank = generation.caller.priority.rank
+        selector.on_dispatch(attempt_id, choice, incarnation, generation.chain, rank, sent_s)
         if incarnation:
             context.transport.perform(context.node.report_dispatch(engine.name, incarnation, generation.chain))
         client = EngineClient(engine.address, context.session)
--- a/src/wallwell/routing/load.py
+++ b/src/wallwell/routing/load.py
@@ -15,14 +15,18 @@
 DEFAULT_PREFILL_TOKENS_PER_S = 16_000.0
 _RATE_SMOOTHING = 0.2
 _MAX_PENDING = 512
+LOWEST_RANK = 15
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
-    """What an engine says of itself. ``taken_at_s`` is in the reader's clock."""
+    """What an engine says of itself. ``taken_at_s`` is in the reader's clock.
+
+    ``waiting_prefill_tokens`` pairs each priority rank that has work waiting with its tokens still to compute.
+    """
 
     running: int
     waiting: int
-    waiting_prefill_tokens: int
+    waiting_prefill_tokens: tuple[tuple[int, int], ...]
     cache_blocks: int
     cache_used_blocks: int
     taken_at_s: float
@@ -32,6 +36,7 @@
 class _Dispatch:
     request_id: str
     prefill_tokens: int
+    rank: int
     at_s: float
 
 
@@ -52,10 +57,10 @@
         while self._since_report and self._since_report[0].at_s <= report.taken_at_s:
             self._since_report.popleft()
 
-    def on_dispatch(self, request_id: str, prefill_tokens: int, now_s: float) -> None:
+    def on_dispatch(self, request_id: str, prefill_tokens: int, rank: int, now_s: float) -> None:
         """Note own work sent to the engine."""
         self.in_flight += 1
-        self._since_report.append(_Dispatch(request_id, prefill_tokens, now_s))
+        self._since_report.append(_Dispatch(request_id, prefill_tokens, rank, now_s))
 
     def on_first_token(self, request_id: str, prefill_tokens: int, elapsed_s: float) -> None:
         """Learn the prefill rate from one answer; the work no longer waits."""
@@ -77,13 +82,18 @@
                 self._since_report.remove(entry)
                 return
 
-    def waiting_s(self, now_s: float) -> float:
-        """Return the expected wait of new work before its own prefill starts, in seconds."""
+    def waiting_s(self, now_s: float, rank: int = LOWEST_RANK) -> float:
+        """Return the expected wait of new work of ``rank`` before its own prefill starts, in seconds.
+
+        Engines serve lower ranks first, so work of higher ranks does not delay it.
+        """
         reported = 0.0
         if self.report is not None:
-            reported = self.report.waiting_prefill_tokens / self.prefill_tokens_per_s
+            ahead = sum(tokens for each, tokens in self.report.waiting_prefill_tokens if each <= rank)
+            reported = ahead / self.prefill_tokens_per_s
             reported -= max(0.0, now_s - self.report.taken_at_s)
-        own = sum(entry.prefill_tokens for entry in self._since_report) / self.prefill_tokens_per_s
+        own: float = sum(entry.prefill_tokens for entry in self._since_report if entry.rank <= rank)
+        own /= self.prefill_tokens_per_s
         oldest = self._since_report[0].at_s if self._since_report else now_s
         own -= max(0.0, now_s - oldest)
         return max(0.0, reported) + max(0.0, own)
--- a/src/wallwell/routing/policy.py
+++ b/src/wallwell/routing/policy.py
@@ -67,7 +67,7 @@
 
 def _choice(request: RoutingRequest, candidate: Candidate, now_s: float) -> Choice:
     tokens = prefill_tokens(request, candidate.cached_blocks)
-    expected_s = candidate.load.waiting_s(now_s) + tokens / candidate.load.prefill_tokens_per_s
+    expected_s = candidate.load.waiting_s(now_s, request.rank) + tokens / candidate.load.prefill_tokens_per_s
     return Choice(candidate.engine, expected_s, tokens)
 
 
@@ -94,7 +94,9 @@
 
     def _cost(self, request: RoutingRequest, candidate: Candidate, best_cached: int, now_s: float) -> float:
         rate = candidate.load.prefill_tokens_per_s
-        expected = candidate.load.waiting_s(now_s) + prefill_tokens(request, candidate.cached_blocks) / rate
+        expected = (
+            candidate.load.waiting_s(now_s, request.rank) + prefill_tokens(request, candidate.cached_blocks) / rate
+        )
         if candidate.zone != request.zone:
             expected += CROSS_ZONE_COST_S
         wasted = (best_cached - candidate.cached_blocks) * request.block_tokens / rate
--- a/src/wallwell/routing/selector.py
+++ b/src/wallwell/routing/selector.py
@@ -105,10 +105,10 @@
         return [by_name[name] for name in dict.fromkeys((*holders, *affine, *sampled))]
 
     def on_dispatch(
-        self, request_id: str, choice: Choice, incarnation: str, chain: Sequence[int], now_s: float
+        self, request_id: str, choice: Choice, incarnation: str, chain: Sequence[int], rank: int, now_s: float
     ) -> None:
         """Note a dispatch: the engine is about to hold the chain and has more to do."""
-        self.load_of(choice.engine).on_dispatch(request_id, choice.expected_prefill_tokens, now_s)
+        self.load_of(choice.engine).on_dispatch(request_id, choice.expected_prefill_tokens, rank, now_s)
         holder = EngineIncarnation(choice.engine, incarnation)
         self.recent.observe_incarnation(*holder)
         self.recent.add(holder, checkpoint_hashes(chain), self.rng)
