--- a/src/wallwell/backends/engine_protocol.py
+++ b/src/wallwell/backends/engine_protocol.py
@@ -48,11 +48,8 @@
     reason: RefusalReason
 
 
-class StatusLine(msgspec.Struct, frozen=True, tag="status"):
-    """Identity, readiness and load; the load was taken ``age_s`` before the line was sent.
-
-    ``waiting_prefill_tokens`` pairs priority ranks with tokens waiting to be computed.
-    """
+class StatusLine(msgspec.Struct, frozen=True, array_like=True, tag="status"):
+    """Identity and readiness; the first line of a stream, and sent again when anything in it changes."""
 
     engine: str
     incarnation: str
@@ -60,16 +57,24 @@
     weights: dict[str, str]
     block_bytes: int
     block_tokens: int
+    cache_blocks: int
+
+
+class LoadLine(msgspec.Struct, frozen=True, array_like=True, tag="load"):
+    """Periodic load, taken ``age_s`` before the line was sent, and the newest event's sequence number.
+
+    ``waiting_prefill_tokens`` pairs priority ranks with tokens waiting to be computed.
+    """
+
     sequence: int
     running: int
     waiting: int
     waiting_prefill_tokens: tuple[tuple[int, int], ...]
-    cache_blocks: int
     cache_used_blocks: int
     age_s: float
 
 
-class CacheLine(msgspec.Struct, frozen=True, tag="cache"):
+class CacheLine(msgspec.Struct, frozen=True, array_like=True, tag="cache"):
     """One cache event. ``blocks`` is base64 of little-endian 64-bit hashes (10.7 bytes a block)."""
 
     sequence: int
@@ -79,7 +84,7 @@
     blocks: str
 
 
-EventLine = StatusLine | CacheLine
+EventLine = StatusLine | LoadLine | CacheLine
 
 
 class SnapshotEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/src/wallwell/backends/engine_watch.py
+++ b/src/wallwell/backends/engine_watch.py
@@ -105,28 +105,34 @@
         async for line in client.events(after, incarnation, EVENTS_IDLE_TIMEOUT_S):
             if isinstance(line, wire.StatusLine):
                 self._on_status(engine, line)
-                reader = self._node.readers[engine]
-                # Everything up to the previous status should have arrived by now.
-                reader.doubtful |= reader.sequence < reader.sequence_at_last_status
-                reader.sequence_at_last_status = line.sequence
-            elif (reader := self._node.readers.get(engine)) is not None:
+            reader = self._node.readers.get(engine)
+            if reader is None:
+                continue
+            if isinstance(line, wire.LoadLine):
+                self._on_load(engine, reader, line)
+            elif isinstance(line, wire.CacheLine):
                 reader.on_event(line)
-            if reader is not None and reader.doubtful:
+            if reader.doubtful:
                 await self._resynchronise(engine, client)
 
     def _on_status(self, engine: str, line: wire.StatusLine) -> None:
-        now_s = time.monotonic()
         reader = self._node.readers.get(engine)
         if reader is None or reader.incarnation != line.incarnation:
             self._node.readers[engine] = EngineReader(engine, line.incarnation, 0)
             if self._selector.on_incarnation(engine, line.incarnation):
                 emit(Event.ENGINE_INCARNATION, engine=engine, incarnation=line.incarnation)
         self.status[engine] = line
+
+    def _on_load(self, engine: str, reader: EngineReader, line: wire.LoadLine) -> None:
+        # Everything up to the previous load line should have arrived by now.
+        reader.doubtful |= reader.sequence < reader.sequence_at_last_load
+        reader.sequence_at_last_load = line.sequence
+        now_s = time.monotonic()
         report = LoadReport(
             line.running,
             line.waiting,
             line.waiting_prefill_tokens,
-            line.cache_blocks,
+            self.status[engine].cache_blocks,
             line.cache_used_blocks,
             now_s - line.age_s,
         )
--- a/src/wallwell/cluster/messages.py
+++ b/src/wallwell/cluster/messages.py
@@ -139,6 +139,14 @@
     holders: tuple[tuple[str, str, int], ...]
 
 
+class DispatchReport(msgspec.Struct, frozen=True, array_like=True, tag="d"):
+    """The sender dispatched the chain it looked up as ``sequence`` to an engine, which is about to hold it."""
+
+    sequence: int
+    engine: str
+    incarnation: str
+
+
 class BlockReport(msgspec.Struct, frozen=True, array_like=True, tag="b"):
     """Checkpoints that entered or left one engine's cache, for the owner of their shard."""
 
@@ -174,6 +182,7 @@
     | RegionNews
     | Lookup
     | LookupReply
+    | DispatchReport
     | BlockReport
     | TokenRequest
     | TokenGrant
--- a/src/wallwell/cluster/node.py
+++ b/src/wallwell/cluster/node.py
@@ -16,8 +16,9 @@
 from wallwell.cluster.membership import Member, MemberChange, Membership, MembershipTimings
 from wallwell.cluster.messages import Action, FetchConfig, HeadNotice, Send
 from wallwell.cluster.regions import CONTACTS, RegionDelegate
-from wallwell.cluster.shards import DirectoryShard, EngineReader, dispatch_reports, send_reports
+from wallwell.cluster.shards import DirectoryShard, EngineReader, lookup_hashes, shard_owner
 from wallwell.config.store import ConfigDelta, ConfigStore
+from wallwell.routing.directory import EngineIncarnation
 from wallwell.routing.rendezvous import key_of, owner
 
 HEAD_FANOUT = 3
@@ -155,7 +156,9 @@
     def _handle_data(self, message: msg.ClusterMessage, sender: str, now_s: float) -> list[Action]:
         match message:
             case msg.Lookup():
-                return [Send(sender, self.shard.on_lookup(message))]
+                return [Send(sender, self.shard.on_lookup(message, sender))]
+            case msg.DispatchReport():
+                self.shard.on_dispatch(message, sender)
             case msg.LookupReply():
                 if message.sequence in self.lookup_replies:
                     self.lookup_replies[message.sequence] = message
@@ -235,15 +238,17 @@
             found.update(member.record.leaving)
         return found
 
-    def report_dispatch(self, engine: str, incarnation: str, chain: Sequence[int]) -> list[Action]:
-        """Tell the chain's owner that ``engine`` is about to hold it."""
-        alive = self.membership.alive()
-        reports = dispatch_reports(engine, incarnation, chain, alive)
-        for name, report in reports:
-            if name == self.identity.node:
-                self.shard.on_report(report)
-        addresses = {name: self.membership.address_of(name) for name, _ in reports if name != self.identity.node}
-        return send_reports(reports, addresses)
+    def report_dispatch(self, lookup: int, engine: str, incarnation: str, chain: Sequence[int]) -> list[Action]:
+        """Tell the chain's owner that ``engine`` is about to hold the chain of an earlier lookup."""
+        if not chain:
+            return []
+        keeper = shard_owner(chain[0], self.membership.alive())
+        if keeper == self.identity.node:
+            holder = EngineIncarnation(engine, incarnation)
+            self.shard.directory.add(holder, lookup_hashes(chain), self.rng)
+            return []
+        report = msg.DispatchReport(lookup, engine, incarnation)
+        return [Send(self.membership.address_of(keeper), report)]
 
     def next_lookup(self) -> int:
         """Return a sequence number for a lookup and expect its answer."""
--- a/src/wallwell/cluster/shards.py
+++ b/src/wallwell/cluster/shards.py
@@ -9,11 +9,12 @@
 from __future__ import annotations
 
 import random
+from collections import OrderedDict
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
 
 from wallwell.backends.engine_protocol import CacheLine, pack_hashes, unpack_hashes
-from wallwell.cluster.messages import Action, BlockReport, Lookup, LookupReply, Send
+from wallwell.cluster.messages import BlockReport, DispatchReport, Lookup, LookupReply
 from wallwell.routing.blocks import CHECKPOINT_STRIDE, checkpoint_depths, is_checkpoint
 from wallwell.routing.directory import EngineIncarnation, PrefixDirectory
 from wallwell.routing.rendezvous import owner
@@ -22,6 +23,7 @@
 MAX_LOOKUP_HASHES = 96
 MAX_REPORT_HASHES = 72
 ANNOUNCE_PERIOD_S = 120.0
+RECENT_LOOKUPS = 256
 
 
 class DirectoryShard:
@@ -30,6 +32,7 @@
     def __init__(self, rng: random.Random, max_entries: int = 200_000) -> None:
         self.directory = PrefixDirectory(max_entries)
         self._rng = rng
+        self._recent_lookups: OrderedDict[tuple[str, int], list[int]] = OrderedDict()
 
     def on_report(self, report: BlockReport) -> None:
         """Record what a reader or a dispatcher reports."""
@@ -39,13 +42,22 @@
         if report.removed:
             self.directory.remove(holder, unpack_hashes(report.removed))
 
-    def on_lookup(self, message: Lookup) -> LookupReply:
-        """Answer who holds the leading checkpoints."""
+    def on_lookup(self, message: Lookup, sender: str) -> LookupReply:
+        """Answer who holds the leading checkpoints; the hashes are kept for the dispatch report that follows."""
         hashes = unpack_hashes(message.hashes)
+        self._recent_lookups[(sender, message.sequence)] = hashes
+        if len(self._recent_lookups) > RECENT_LOOKUPS:
+            self._recent_lookups.popitem(last=False)
         held = self.directory.lookup(hashes, range(len(hashes)))
         holders = tuple((each.holder.engine, each.holder.incarnation, each.blocks) for each in held)
         return LookupReply(message.sequence, holders)
 
+    def on_dispatch(self, message: DispatchReport, sender: str) -> None:
+        """Record that an engine is about to hold a chain looked up before; an old lookup is ignored."""
+        hashes = self._recent_lookups.pop((sender, message.sequence), None)
+        if hashes is not None:
+            self.directory.add(EngineIncarnation(message.engine, message.incarnation), hashes, self._rng)
+
 
 def lookup_hashes(chain: Sequence[int]) -> list[int]:
     """Return the checkpoints of a chain that a lookup carries."""
@@ -81,7 +93,7 @@
         self.engine = engine
         self.incarnation = incarnation
         self.sequence = sequence
-        self.sequence_at_last_status = sequence
+        self.sequence_at_last_load = sequence
         self.doubtful = False
         self.gaps = 0
         self._checkpoints = CompactTable()
@@ -172,18 +184,3 @@
             block, root = entry
             if self._checkpoints.get(block):
                 self._batches.setdefault(root, _Batch()).stored.append(block)
-
-
-def dispatch_reports(
-    engine: str, incarnation: str, chain: Sequence[int], alive: Sequence[str]
-) -> list[tuple[str, BlockReport]]:
-    """Return the report that tells a chain's owner that ``engine`` is about to hold it."""
-    if not chain:
-        return []
-    report = BlockReport(engine, incarnation, pack_hashes(lookup_hashes(chain)[:MAX_REPORT_HASHES]), "")
-    return [(shard_owner(chain[0], alive), report)]
-
-
-def send_reports(reports: list[tuple[str, BlockReport]], addresses: dict[str, str]) -> list[Action]:
-    """Turn reports into messages."""
-    return [Send(addresses[name], report) for name, report in reports if name in addresses]
--- a/src/wallwell/cluster/transport.py
+++ b/src/wallwell/cluster/transport.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Coroutine, Sequence
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -43,6 +43,13 @@
         self._receive(data, f"{addr[0]}:{addr[1]}")
 
 
+class LookupResult(NamedTuple):
+    """Holders of a chain, and the lookup's number for the dispatch report."""
+
+    sequence: int
+    held: list[HeldPrefix]
+
+
 class TrafficCounter:
     """Bytes and messages a node sent and received for control."""
 
@@ -153,14 +160,14 @@
         self.traffic.sent_messages += 1
         self._datagrams.sendto(data, (host, int(port)))
 
-    async def lookup(self, chain: Sequence[int]) -> list[HeldPrefix]:
-        """Ask the owner of a chain's shard who holds it; empty if it does not answer in time."""
+    async def lookup(self, chain: Sequence[int]) -> LookupResult:
+        """Ask the owner of a chain's shard who holds it; no holders if it does not answer in time."""
         node = self.node
         if node is None or not chain:
-            return []
+            return LookupResult(0, [])
         owner = shard_owner(chain[0], node.membership.alive())
         if owner == node.identity.node:
-            return node.shard.directory.lookup_chain(chain)
+            return LookupResult(0, node.shard.directory.lookup_chain(chain))
         sequence = node.next_lookup()
         waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiters[sequence] = waiter
@@ -169,16 +176,16 @@
         try:
             await asyncio.wait_for(waiter, LOOKUP_DEADLINE_S)
         except TimeoutError:
-            return []
+            return LookupResult(sequence, [])
         finally:
             del self._waiters[sequence]
             reply = node.lookup_replies.pop(sequence, None)
-        if reply is None:
-            return []
-        return [
+        holders = reply.holders if reply is not None else ()
+        held = [
             HeldPrefix(EngineIncarnation(engine, incarnation), blocks_of_checkpoints(count))
-            for engine, incarnation, count in reply.holders
+            for engine, incarnation, count in holders
         ]
+        return LookupResult(sequence, held)
 
     # --- configuration over TCP ------------------------------------------------------------------------
 
--- a/src/wallwell/emulator/engine_server.py
+++ b/src/wallwell/emulator/engine_server.py
@@ -18,7 +18,7 @@
 from wallwell.routing.blocks import hash_chain
 
 _WORDS = ("take", "with", "food", "daily", "dose", "check", "hut", "trail", "ridge", "permit", "bed", "safe")
-_STATUS_INTERVAL_S = 0.5
+_LOAD_INTERVAL_S = 0.5
 
 
 def generated_word(prompt: bytes, index: int) -> str:
@@ -222,19 +222,23 @@
         return web.Response(body=msgspec.json.encode(wire.CancelAnswer(state)))
 
     def _status(self) -> wire.StatusLine:
-        load = self.model.load_report(0.0)
         return wire.StatusLine(
             engine=self.name,
             incarnation=self.incarnation,
             state=self.state,
-            weights=self.weights,
+            weights=dict(self.weights),
             block_bytes=self.profile.block_bytes,
             block_tokens=self.profile.block_tokens,
+            cache_blocks=self.profile.cache_blocks,
+        )
+
+    def _load(self) -> wire.LoadLine:
+        load = self.model.load_report(0.0)
+        return wire.LoadLine(
             sequence=self.model.last_sequence,
             running=load.running,
             waiting=load.waiting,
             waiting_prefill_tokens=load.waiting_prefill_tokens,
-            cache_blocks=load.cache_blocks,
             cache_used_blocks=load.cache_used_blocks,
             age_s=self._load_lag_s,
         )
@@ -246,14 +250,17 @@
         await response.prepare(request)
         self._event_connections[id(request)] = request
         try:
-            await response.write(msgspec.json.encode(self._status()) + b"\n")
+            sent_status: wire.StatusLine | None = None
             while True:
-                status = self._status()
-                # The lag: the status sent is the one taken before the pause.
-                for _ in range(max(1, round(_STATUS_INTERVAL_S / self._event_delay_s))):
+                if self._status() != sent_status:
+                    sent_status = self._status()
+                    await response.write(msgspec.json.encode(sent_status) + b"\n")
+                # The lag: the load sent is the one taken before the pause.
+                load = self._load()
+                for _ in range(max(1, round(_LOAD_INTERVAL_S / self._event_delay_s))):
                     after = await self._send_events(response, after)
                     await asyncio.sleep(self._event_delay_s)
-                await response.write(msgspec.json.encode(status) + b"\n")
+                await response.write(msgspec.json.encode(load) + b"\n")
         except (ConnectionError, asyncio.CancelledError):
             return response
         finally:
--- a/src/wallwell/gateway/generation.py
+++ b/src/wallwell/gateway/generation.py
@@ -20,6 +20,7 @@
 from wallwell.backends.attempt import AttemptFailed
 from wallwell.backends.engine_client import EngineClient, GenerationCall, GenerationHead
 from wallwell.backends.engine_protocol import DONE_EVENT, Resume
+from wallwell.cluster.transport import LookupResult
 from wallwell.config.compiled import Engine
 from wallwell.config.schema import ModelSpec
 from wallwell.errors import (
@@ -73,6 +74,7 @@
     first_token_s: float | None = None
     last_token_s: float = 0.0
     head: GenerationHead = field(default_factory=GenerationHead)
+    lookup: LookupResult = field(default_factory=lambda: LookupResult(0, []))
 
     @property
     def complete(self) -> bool:
@@ -147,14 +149,14 @@
         engines = context.engines_for(generation.body.model)
         if not engines:
             raise NoBackendError("no live engine serves this model", retry_after_ms=500)
-        held = await context.transport.lookup(generation.chain)
+        generation.lookup = await context.transport.lookup(generation.chain)
         now_s = time.monotonic()
         incarnations = context.node.engine_incarnations()
         # An engine nobody can read is tried only when there is no other.
         known = [each for each in engines.values() if each.name in incarnations] or list(engines.values())
         views = [EngineView(each.name, each.zone, incarnations.get(each.name, "")) for each in known]
         routing = self._routing_request(generation, now_s)
-        choice = context.selector.select(routing, views, held, now_s, generation.failed_engines)
+        choice = context.selector.select(routing, views, generation.lookup.held, now_s, generation.failed_engines)
         if choice is None:
             raise NoBackendError("every engine's circuit breaker is open", retry_after_ms=500)
         if not generation.events and choice.expected_first_token_s > routing.remaining_s:
@@ -184,7 +186,10 @@
         rank = generation.caller.priority.rank
         selector.on_dispatch(attempt_id, choice, incarnation, generation.chain, rank, sent_s)
         if incarnation:
-            context.transport.perform(context.node.report_dispatch(engine.name, incarnation, generation.chain))
+            report = context.node.report_dispatch(
+                generation.lookup.sequence, engine.name, incarnation, generation.chain
+            )
+            context.transport.perform(report)
         client = EngineClient(engine.address, context.session)
         call = self._call(generation, attempt_id, incarnation, choice)
         stopped = False
