--- a/src/wallwell/bench/fleet.py
+++ b/src/wallwell/bench/fleet.py
@@ -169,6 +169,12 @@
         """Return an operators' client of one router."""
         return OperatorClient(f"http://{self.routers[router].operators_address}", OPERATOR_TOKEN, session)
 
+    async def wait_in_force(self, timeout_s: float) -> None:
+        """Wait until every router serves the highest revision. Raises TimeoutError."""
+        async with asyncio.timeout(timeout_s):
+            while len({router.context.node.config.head for router in self.routers}) > 1:
+                await asyncio.sleep(0.02)
+
     async def wait_ready(self, timeout_s: float = 15.0) -> None:
         """Wait until every router serves the highest revision and every engine is being read."""
         async with asyncio.timeout(timeout_s):
--- a/src/wallwell/cli/bench.py
+++ b/src/wallwell/cli/bench.py
@@ -12,8 +12,10 @@
 
 from wallwell.bench.capacity import capacity_page
 from wallwell.bench.experiment import load_experiment, run_experiment, table
+from wallwell.bench.faults import FaultRun, report_text
 from wallwell.bench.scale import ScaleResult, run_scale
 from wallwell.bench.scale_sockets import measure_sockets
+from wallwell.bench.workload import PROFILES
 from wallwell.events import configure_logging
 
 SCALE_RESULTS = Path("docs/results/scale.json")
@@ -30,6 +32,12 @@
     capacity = experiments.add_parser("capacity", help="print docs/CAPACITY.md from the scale run's results")
     capacity.add_argument("--results", type=Path, default=SCALE_RESULTS)
     capacity.set_defaults(run=print_capacity)
+    faults = experiments.add_parser("faults", help="fault scenarios over real sockets, counted per guarantee")
+    faults.add_argument("--deployment", choices=sorted(PROFILES), action="append")
+    faults.add_argument("--rounds", type=int, default=1)
+    faults.add_argument("--seed", type=int, default=1)
+    faults.add_argument("--examples", type=Path, default=Path("examples"))
+    faults.set_defaults(run=run_faults)
     run = experiments.add_parser("run", help="experiments in virtual time")
     run.add_argument("experiment", type=Path, nargs="*")
     run.add_argument("--all", action="store_true", help="every file of examples/experiments")
@@ -86,3 +94,15 @@
     for result in results:
         print(table(result))
     return 0
+
+
+def run_faults(options: argparse.Namespace) -> int:
+    """Run the fault scenarios; status 1 if a guarantee was violated."""
+    configure_logging("CRITICAL", json_lines=False)
+    reports = []
+    for deployment in options.deployment or sorted(PROFILES):
+        run = FaultRun(options.examples, deployment, options.seed)
+        reports.append(asyncio.run(run.run(options.rounds, progress)))
+    for report in reports:
+        print(report_text(report))
+    return 0 if all(report.clean for report in reports) else 1
--- a/src/wallwell/cli/demo.py
+++ b/src/wallwell/cli/demo.py
@@ -65,7 +65,7 @@
             f"{len(fleet.services)} service workers; revision {fleet.routers[0].context.node.config.head} in force"
         )
         driver = LoadDriver(
-            [router.callers_address for router in fleet.routers],
+            lambda: [router.callers_address for router in fleet.routers],
             token_of=lambda tenant: f"demo-{tenant}",
             expected_word=generated_word,
             on_progress=lambda done: _show_count(done, len(trace)),
@@ -122,4 +122,4 @@
     print(f"  prefix hit rate {each.hit_rate:.1%}; prompt tokens computed again {each.recomputed_tokens:,}")
     print(f"  lost, cut or foreign answers {len(each.load.violations)}; doubled calls {each.doubled}")
     for violation in each.load.violations[:5]:
-        print(f"    {violation}")
+        print(f"    {violation.detail}")
--- a/src/wallwell/emulator/engine_server.py
+++ b/src/wallwell/emulator/engine_server.py
@@ -50,9 +50,12 @@
         self.state = wire.EngineState.SERVING
         self.journal: list[str] = []
         self.highest_fence = 0
+        self.refused = 0
+        self.validity_violations: list[str] = []
         self._event_delay_s = event_delay_s
         self._load_lag_s = load_lag_s
         self._streams: dict[str, _Stream] = {}
+        self._weights_of_salt: dict[int, str] = {}
         self._event_connections: dict[int, web.Request] = {}
         self._wake = asyncio.Event()
         self._loop_task: asyncio.Task[None] | None = None
@@ -130,6 +133,7 @@
         body = parse_generation(await request.read(), chat)
         reason = self._refusal(request, body.model)
         if reason is not None:
+            self.refused += 1
             status = 503 if reason is wire.RefusalReason.LEAVING else 412
             return web.Response(status=status, body=msgspec.json.encode(wire.Refusal(reason)))
         request_id = request.headers.get(wire.REQUEST_ID, secrets.token_hex(8))
@@ -153,6 +157,7 @@
             rank=int(request.headers.get(wire.PRIORITY_RANK, "0")),
             first_index=resume.next_index,
         )
+        self._check_validity(salt, body.model)
         stream = _Stream(engine_request)
         self._streams[request_id] = stream
         self.journal.append(request_id)
@@ -160,6 +165,14 @@
         self._wake.set()
         return stream
 
+    def _check_validity(self, salt: int, model: str) -> None:
+        """Hold the router to its cache keys: one salt serves one version of a model's weights only."""
+        version = self._weights_of_salt.setdefault(salt, self.weights.get(model, ""))
+        if version != self.weights.get(model, ""):
+            self.validity_violations.append(
+                f"{self.name}: salt of weights {version} used with {self.weights[model]}"
+            )
+
     async def _answer(
         self, request: web.Request, body: CompletionBody | ChatBody, stream: _Stream, request_id: str
     ) -> web.StreamResponse:
