Checkpoints every 32 blocks, waiting times from peers, cheaper rounds

Changes: a checkpoint every 32 blocks instead of 16; owners of chains and the list of live members remembered until membership changes; members expire twice a second instead of ten times; each router takes over published waiting times, of interactive and of any work.

--- a/src/wallwell/backends/engine_watch.py
+++ b/src/wallwell/backends/engine_watch.py
@@ -17,17 +17,19 @@
 
 from wallwell.backends import engine_protocol as wire
 from wallwell.backends.engine_client import EngineClient
+from wallwell.cluster.messages import INTERACTIVE_RANK
 from wallwell.cluster.node import ClusterNode
 from wallwell.cluster.shards import EngineReader
 from wallwell.config.compiled import Engine
 from wallwell.events import Event, emit
-from wallwell.routing.load import LoadReport
+from wallwell.routing.load import LOWEST_RANK, LoadReport
 from wallwell.routing.selector import EngineSelector
 
 RECONCILE_INTERVAL_S = 0.5
 EVENTS_IDLE_TIMEOUT_S = 3.0
 RECONNECT_S = 0.5
 SNAPSHOT_INTERVAL_S = 2.0
+PEER_REPORT_AGE_S = 1.0
 
 
 class EngineWatch:
@@ -48,6 +50,7 @@
         self._region_engines = region_engines
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._snapshot_at_s: dict[str, float] = {}
+        self._peer_versions: dict[str, int] = {}
         self.status: dict[str, wire.StatusLine] = {}
         self.received_bytes = 0
 
@@ -77,11 +80,29 @@
         now_s = time.monotonic()
         reading = sorted(name for name in self.status if name in engines)
         pairs = tuple((name, self.status[name].incarnation) for name in reading)
-        waiting = tuple(round(self._selector.load_of(name).waiting_s(now_s) * 1000) for name in reading)
+        waiting = tuple(self._waiting_ms(name, now_s) for name in reading)
         for name in reading:
             if self.status[name].state is wire.EngineState.LEAVING:
                 self._mark_leaving(engines[name])
         self._node.set_engines(pairs, waiting)
+        self._learn_from_peers(now_s)
+
+    def _waiting_ms(self, engine: str, now_s: float) -> tuple[int, int]:
+        load = self._selector.load_of(engine)
+        interactive = load.waiting_s(now_s, INTERACTIVE_RANK)
+        return (round(interactive * 1000), round(load.waiting_s(now_s) * 1000))
+
+    def _learn_from_peers(self, now_s: float) -> None:
+        """Take over the waiting times that other nodes publish of the engines they read."""
+        for engine, interactive_ms, any_ms, version in self._node.peer_waiting_ms():
+            if self._peer_versions.get(engine) == version:
+                continue
+            self._peer_versions[engine] = version
+            load = self._selector.load_of(engine)
+            rate = load.prefill_tokens_per_s / 1000
+            interactive = round(interactive_ms * rate)
+            waiting = ((INTERACTIVE_RANK, interactive), (LOWEST_RANK, round(any_ms * rate) - interactive))
+            load.on_report(LoadReport(0, 0, waiting, 0, 0, now_s - PEER_REPORT_AGE_S))
 
     def _mark_leaving(self, engine: Engine) -> None:
         if engine.address not in self._node.leaving:
--- a/src/wallwell/bench/capacity.py
+++ b/src/wallwell/bench/capacity.py
@@ -53,7 +53,7 @@
         ),
         _RoleCost(
             f"event reader, directory shard and lookups ({requests:.1f} requests/s a node)",
-            "one reader an engine by rendezvous; only the first and every 16th block of a chain leave the reader; "
+            "one reader an engine by rendezvous; only the first and every 32nd block of a chain leave the reader; "
             "one datagram each way a lookup, to the owner of the chain's first block",
             _at(result, _REQUESTS, requests, with_base=False),
         ),
--- a/src/wallwell/bench/hollow.py
+++ b/src/wallwell/bench/hollow.py
@@ -17,7 +17,7 @@
 from wallwell.backends.engine_protocol import CacheLine, LoadLine, hash_text, pack_hashes
 from wallwell.cluster.messages import Action, Lookup, Send
 from wallwell.cluster.node import ClusterNode, NodeIdentity
-from wallwell.cluster.shards import EngineReader, lookup_hashes, shard_owner
+from wallwell.cluster.shards import EngineReader, lookup_hashes
 from wallwell.config.schema import (
     EnginePoolSpec,
     EngineSpec,
@@ -189,7 +189,7 @@
             self.overhead_s += time.thread_time() - started_s
             self._receive_line(encoded)
         pairs = tuple((engine.name, "i1") for engine in self._engines)
-        waiting_ms = tuple(self._rng.randrange(250) for _ in self._engines)
+        waiting_ms = tuple((self._rng.randrange(50), self._rng.randrange(250)) for _ in self._engines)
         self._node.set_engines(pairs, waiting_ms)
 
     def _receive_line(self, line: bytes) -> CacheLine | LoadLine:
@@ -229,7 +229,7 @@
     def _lookup(self, chain: list[int]) -> list[Action]:
         node = self._node
         self.lookups += 1
-        owner = shard_owner(chain[0], node.membership.alive())
+        owner = node.owner_of(chain[0])
         sequence = self._lookup_sequence = node.next_lookup()
         node.lookup_replies.pop(sequence - 64, None)
         lookup = Lookup(sequence, pack_hashes(lookup_hashes(chain)))
--- a/src/wallwell/bench/scale.py
+++ b/src/wallwell/bench/scale.py
@@ -432,7 +432,7 @@
     replies = []
     for number in range(1, REGION_NODES):
         other = ClusterNode(hollow_identity(number, region), random.Random(number))
-        other.set_engines(tuple((f"z00-w{number:02d}{k:02d}", f"{k:08x}") for k in range(17)), (5,) * 17)
+        other.set_engines(tuple((f"z00-w{number:02d}{k:02d}", f"{k:08x}") for k in range(17)), ((5, 30),) * 17)
         own = other.membership.own
         replies.append(SyncReply(0, other.identity.node, 0, (own.digest(),), (own.record,), (own.load,)))
     return msgspec.json.encode(replies)
@@ -453,7 +453,7 @@
     for number in range(READERS):
         reader = EngineReader(f"e{number}", "i1", 0)
         reader.replace_all(1, [(block, 15, block) for block in _hashes(number, checkpoints)])
-        reader.flush([node.identity.node])
+        reader.flush(lambda _root: node.identity.node)
         node.readers[reader.engine] = reader
 
 
--- a/src/wallwell/cluster/limits.py
+++ b/src/wallwell/cluster/limits.py
@@ -89,6 +89,11 @@
         if share is not None:
             share.in_flight = max(0, share.in_flight - 1)
 
+    @property
+    def has_demand(self) -> bool:
+        """Whether a tenant was refused since tokens were last asked for."""
+        return bool(self._demanding)
+
     def tick(self, now_s: float, peers: list[str]) -> list[Action]:
         """Ask one peer for tokens for each tenant that was refused; ``peers`` are cluster addresses."""
         actions: list[Action] = []
--- a/src/wallwell/cluster/membership.py
+++ b/src/wallwell/cluster/membership.py
@@ -36,6 +36,7 @@
 DIGEST_RECENT = 6
 ROSTER_SAMPLE = 12
 CATCH_UP_FACTOR = 0.25
+EXPIRY_INTERVAL_S = 0.5
 INDIRECT_PROBES = 3
 _HEADER_BYTES = 160
 _PAYLOAD_BYTES = MAX_DATAGRAM_BYTES - _HEADER_BYTES
@@ -107,6 +108,8 @@
     _relays: dict[int, _Relay] = field(default_factory=dict)
     _round: list[str] = field(default_factory=list)
     _refuted: bool = False
+    _alive: list[str] | None = None
+    _next_expiry_s: float = 0.0
     _sequence: int = 0
     _next_sync_s: float = 0.0
     _next_rejoin_s: float = 0.0
@@ -117,11 +120,13 @@
         return self.own.record.node
 
     def alive(self) -> list[str]:
-        """Names of this node and of members not considered failed, sorted."""
-        names = [name for name, member in self.members.items() if member.status <= MemberStatus.SUSPECT]
-        names.append(self.node)
-        names.sort()
-        return names
+        """Names of this node and of members not considered failed, sorted. The list must not be changed."""
+        if self._alive is None:
+            names = [name for name, member in self.members.items() if member.status <= MemberStatus.SUSPECT]
+            names.append(self.node)
+            names.sort()
+            self._alive = names
+        return self._alive
 
     def member(self, name: str) -> Member | None:
         """Return a member, this node included."""
@@ -144,7 +149,7 @@
         )
         return True
 
-    def update_own_load(self, config_head: int, waiting_ms: tuple[int, ...]) -> bool:
+    def update_own_load(self, config_head: int, waiting_ms: tuple[tuple[int, int], ...]) -> bool:
         """Publish this node's fast state; returns whether it changed."""
         load = self.own.load
         version = self.own.record.version
@@ -160,7 +165,9 @@
     def tick(self, now_s: float, config_head: int) -> list[Action]:
         """Advance timers; returns what to send."""
         actions = self._expire_probes(now_s)
-        self._expire_members(now_s)
+        if now_s >= self._next_expiry_s:
+            self._next_expiry_s = now_s + EXPIRY_INTERVAL_S
+            self._expire_members(now_s)
         if self._refuted:
             self._refuted = False
             actions.extend(self._tell_few(self.own.digest()))
@@ -357,6 +364,7 @@
             load = LoadRecord(record.node, record.incarnation, 0, 0)
             self.members[record.node] = Member(record, load, MemberStatus.ALIVE, record.incarnation, now_s)
             self.changes.append(MemberChange(record.node, MemberStatus.ALIVE))
+            self._alive = None
             # Where one member was unknown others may be: the next round comes sooner.
             self._next_sync_s = min(self._next_sync_s, now_s + self.timings.sync_interval_s * CATCH_UP_FACTOR)
             return
@@ -394,6 +402,7 @@
         member = self.members[name]
         if status is not member.status:
             self.changes.append(MemberChange(name, status))
+            self._alive = None
         # Refutations count as changes too, so that digests carry them first.
         member.status_since_s = now_s
         member.status = status
--- a/src/wallwell/cluster/messages.py
+++ b/src/wallwell/cluster/messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 MAX_DATAGRAM_BYTES = 1200
+INTERACTIVE_RANK = 4
 
 
 class MemberStatus(enum.IntEnum):
@@ -37,7 +38,8 @@
 class LoadRecord(msgspec.Struct, frozen=True, array_like=True):
     """Fast changing state of one node: the configuration in force and its engines' waiting time.
 
-    ``waiting_ms`` follows the order of ``MemberRecord.engines`` of the record with ``record_version``.
+    ``waiting_ms`` follows the order of ``MemberRecord.engines`` of the record with ``record_version``; of each
+    engine it gives the wait of interactive work (ranks up to ``INTERACTIVE_RANK``) and of any work.
     """
 
     node: str
@@ -45,7 +47,7 @@
     version: int
     config_head: int
     record_version: int = 0
-    waiting_ms: tuple[int, ...] = ()
+    waiting_ms: tuple[tuple[int, int], ...] = ()
 
 
 class DigestEntry(msgspec.Struct, frozen=True, array_like=True):
--- a/src/wallwell/cluster/node.py
+++ b/src/wallwell/cluster/node.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
 from wallwell.cluster import messages as msg
@@ -24,6 +24,7 @@
 HEAD_FANOUT = 3
 REPORT_INTERVAL_S = 0.25
 LOAD_INTERVAL_S = 1.0
+MAX_REMEMBERED_OWNERS = 4096
 
 
 @dataclass(frozen=True)
@@ -67,7 +68,9 @@
         self.lookup_replies: dict[int, msg.LookupReply | None] = {}
         self._reading_for: tuple[tuple[str, ...], frozenset[str]] = ((), frozenset())
         self._reading: set[str] = set()
-        self._waiting_ms: tuple[int, ...] = ()
+        self._owners: dict[int, str] = {}
+        self._owners_for: list[str] = []
+        self._waiting_ms: tuple[tuple[int, int], ...] = ()
 
     # --- rounds ----------------------------------------------------------------------------------------
 
@@ -85,19 +88,43 @@
             self._update_limit_fraction(alive)
         if now_s >= self._next_report_s:
             self._next_report_s = now_s + REPORT_INTERVAL_S
-            actions.extend(self._flush_reports(now_s, alive))
-        actions.extend(self.limits.tick(now_s, self._peer_addresses(alive)))
+            actions.extend(self._flush_reports(now_s))
+        if self.limits.has_demand:
+            actions.extend(self.limits.tick(now_s, self._peer_addresses(alive)))
         return actions
 
-    def own_waiting_ms(self) -> tuple[int, ...]:
+    def own_waiting_ms(self) -> tuple[tuple[int, int], ...]:
         """Waiting time of the engines this node reads, in the order of its record; set by the owner."""
         return self._waiting_ms
 
-    def set_engines(self, engines: tuple[tuple[str, str], ...], waiting_ms: tuple[int, ...]) -> None:
+    def set_engines(self, engines: tuple[tuple[str, str], ...], waiting_ms: tuple[tuple[int, int], ...]) -> None:
         """Publish the engines this node reads, with incarnations and waiting times."""
         self.membership.update_own_record(engines, tuple(sorted(self.leaving)))
         self._waiting_ms = waiting_ms
 
+    def peer_waiting_ms(self) -> Iterator[tuple[str, int, int, int]]:
+        """Yield ``(engine, interactive wait, any wait, version)`` of the engines other nodes read, in ms."""
+        for member in self.membership.members.values():
+            load = member.load
+            if load.record_version == member.record.version and member.status <= msg.MemberStatus.SUSPECT:
+                for (engine, _), (interactive, everything) in zip(
+                    member.record.engines, load.waiting_ms, strict=False
+                ):
+                    yield engine, interactive, everything, load.version
+
+    def owner_of(self, root: int) -> str:
+        """Return the node that keeps the chain with first block ``root``; hot roots are remembered."""
+        alive = self.membership.alive()
+        if self._owners_for is not alive:
+            self._owners_for = alive
+            self._owners.clear()
+        keeper = self._owners.get(root)
+        if keeper is None:
+            if len(self._owners) >= MAX_REMEMBERED_OWNERS:
+                self._owners.clear()
+            keeper = self._owners[root] = shard_owner(root, alive)
+        return keeper
+
     def _contacts(self, alive: Sequence[str]) -> tuple[str, ...]:
         chosen = self.rng.sample(list(alive), min(len(alive), CONTACTS))
         return tuple(self.membership.address_of(name) for name in chosen)
@@ -113,13 +140,13 @@
                 same_zone += 1
         self.limits.set_fraction(len(self.config.compiled.zones), same_zone)
 
-    def _flush_reports(self, now_s: float, alive: list[str]) -> list[Action]:
+    def _flush_reports(self, now_s: float) -> list[Action]:
         elapsed = now_s - self._last_announce_s if self._last_announce_s is not None else 0.0
         self._last_announce_s = now_s
         actions: list[Action] = []
         for reader in self.readers.values():
             reader.announce(elapsed)
-            for name, report in reader.flush(alive):
+            for name, report in reader.flush(self.owner_of):
                 if name == self.identity.node:
                     self.shard.on_report(report)
                 else:
@@ -242,7 +269,7 @@
         """Tell the chain's owner that ``engine`` is about to hold the chain of an earlier lookup."""
         if not chain:
             return []
-        keeper = shard_owner(chain[0], self.membership.alive())
+        keeper = self.owner_of(chain[0])
         if keeper == self.identity.node:
             holder = EngineIncarnation(engine, incarnation)
             self.shard.directory.add(holder, lookup_hashes(chain), self.rng)
--- a/src/wallwell/cluster/shards.py
+++ b/src/wallwell/cluster/shards.py
@@ -1,8 +1,8 @@
 """Directory shards: who keeps which chains, what event readers report, and lookups.
 
 A region's chains are spread over its live nodes by rendezvous hash of the chain's first block, so nested
-prefixes share a shard. Only checkpoints (the first block and every 16th) are recorded, which thins the event
-stream sixteenfold where it is read. Lost reports and moved shards are repaired by re-announcing every
+prefixes share a shard. Only checkpoints (the first block and every 32nd) are recorded, which thins the event
+stream by that factor where it is read. Lost reports and moved shards are repaired by re-announcing every
 checkpoint slowly; a shard is a hint, and the engine's own cache stays the truth.
 """
 
@@ -10,7 +10,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from wallwell.backends.engine_protocol import CacheLine, pack_hashes, unpack_hashes
@@ -150,11 +150,11 @@
         self.sequence = max(self.sequence, sequence)
         self.doubtful = False
 
-    def flush(self, alive: Sequence[str]) -> list[tuple[str, BlockReport]]:
+    def flush(self, owner_of: Callable[[int], str]) -> list[tuple[str, BlockReport]]:
         """Return ``(owner, report)`` for everything collected since the last call."""
         by_owner: dict[str, _Batch] = {}
         for root, batch in self._batches.items():
-            target = by_owner.setdefault(shard_owner(root, alive), _Batch())
+            target = by_owner.setdefault(owner_of(root), _Batch())
             target.stored.extend(batch.stored)
             target.removed.extend(batch.removed)
         self._batches.clear()
--- a/src/wallwell/cluster/transport.py
+++ b/src/wallwell/cluster/transport.py
@@ -13,7 +13,7 @@
 from wallwell.cluster.codec import LineCodec
 from wallwell.cluster.messages import Action, FetchConfig, Lookup, Send
 from wallwell.cluster.node import ClusterNode
-from wallwell.cluster.shards import blocks_of_checkpoints, lookup_hashes, shard_owner
+from wallwell.cluster.shards import blocks_of_checkpoints, lookup_hashes
 from wallwell.config.store import ConfigDelta
 from wallwell.errors import AddressInUseError, ClusterMessageError, PeerUnavailableError
 from wallwell.events import Event, emit
@@ -165,7 +165,7 @@
         node = self.node
         if node is None or not chain:
             return LookupResult(0, [])
-        owner = shard_owner(chain[0], node.membership.alive())
+        owner = node.owner_of(chain[0])
         if owner == node.identity.node:
             return LookupResult(0, node.shard.directory.lookup_chain(chain))
         sequence = node.next_lookup()
--- a/tests/unit/cluster/test_network.py
+++ b/tests/unit/cluster/test_network.py
@@ -138,7 +138,7 @@
     original = network._receive
     network._receive = lambda address, sender, data: (sizes.append(len(data)), original(address, sender, data))
     for number, node in enumerate(network.nodes()):
-        node.set_engines(tuple((f"engine-{number:03d}-{k:02d}", f"{k:08x}") for k in range(17)), (5,) * 17)
+        node.set_engines(tuple((f"engine-{number:03d}-{k:02d}", f"{k:08x}") for k in range(17)), ((5, 30),) * 17)
     network.run(20)
     assert len(sizes) > 1000
     assert max(sizes) <= MAX_DATAGRAM_BYTES
--- a/tests/unit/routing/test_directory.py
+++ b/tests/unit/routing/test_directory.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wallwell.routing.blocks import CacheKey, checkpoint_depths, hash_chain
+from wallwell.routing.blocks import CHECKPOINT_STRIDE, CacheKey, checkpoint_depths, hash_chain
 from wallwell.routing.directory import EngineIncarnation, PrefixDirectory
 
 SECRET = b"secret-of-the-cluster"
@@ -67,12 +67,13 @@
 def test_longest_contiguous_prefix_per_holder():
     chain = chain_of()
     directory = directory_with(OLD, chain)
-    directory.add(OTHER, [chain[0], chain[15]], random.Random(1))
+    second, third = CHECKPOINT_STRIDE - 1, 2 * CHECKPOINT_STRIDE - 1
+    directory.add(OTHER, [chain[0], chain[second]], random.Random(1))
     held = {each.holder: each.blocks for each in directory.lookup_chain(chain)}
-    assert held == {OLD: checkpoint_depths(len(chain))[-1] + 1, OTHER: 16}
-    directory.remove(OLD, [chain[31]])
+    assert held == {OLD: checkpoint_depths(len(chain))[-1] + 1, OTHER: second + 1}
+    directory.remove(OLD, [chain[third]])
     held = {each.holder: each.blocks for each in directory.lookup_chain(chain)}
-    assert held == {OLD: 16, OTHER: 16}
+    assert held == {OLD: second + 1, OTHER: second + 1}
 
 
 def test_partial_blocks_have_no_hash():
