Overhead bench, HTML report, comparison of results

Cause: what a router adds to a request had no figure, and results had only a table. 'bench overhead' pairs streams straight to an engine with streams through a router; 'bench run' writes an HTML report; 'bench compare' prints differences.

--- a/src/wallwell/cli/bench.py
+++ b/src/wallwell/cli/bench.py
@@ -11,8 +11,10 @@
 import msgspec
 
 from wallwell.bench.capacity import capacity_page
-from wallwell.bench.experiment import load_experiment, run_experiment, table
+from wallwell.bench.experiment import ExperimentResult, load_experiment, run_experiment, table
 from wallwell.bench.faults import FaultRun, report_text
+from wallwell.bench.overhead import overhead_text, run_overhead
+from wallwell.bench.report import compare_text, html_report
 from wallwell.bench.scale import ScaleResult, run_scale
 from wallwell.bench.scale_sockets import measure_sockets
 from wallwell.bench.workload import PROFILES
@@ -38,6 +40,14 @@
     faults.add_argument("--seed", type=int, default=1)
     faults.add_argument("--examples", type=Path, default=Path("examples"))
     faults.set_defaults(run=run_faults)
+    overhead = experiments.add_parser("overhead", help="what a router adds to a request, over sockets")
+    overhead.add_argument("--quick", action="store_true")
+    overhead.add_argument("--examples", type=Path, default=Path("examples"))
+    overhead.set_defaults(run=run_overhead_command)
+    compare = experiments.add_parser("compare", help="differences between two result files of `bench run`")
+    compare.add_argument("before", type=Path)
+    compare.add_argument("after", type=Path)
+    compare.set_defaults(run=run_compare)
     run = experiments.add_parser("run", help="experiments in virtual time")
     run.add_argument("experiment", type=Path, nargs="*")
     run.add_argument("--all", action="store_true", help="every file of examples/experiments")
@@ -91,6 +101,7 @@
     results = [run_experiment(load_experiment(path), options.examples, progress) for path in paths]
     options.output.parent.mkdir(parents=True, exist_ok=True)
     options.output.write_bytes(msgspec.json.format(msgspec.json.encode(results), indent=1) + b"\n")
+    options.output.with_suffix(".html").write_text(html_report(results), encoding="utf-8")
     for result in results:
         print(table(result))
     return 0
@@ -106,3 +117,20 @@
     for report in reports:
         print(report_text(report))
     return 0 if all(report.clean for report in reports) else 1
+
+
+def run_overhead_command(options: argparse.Namespace) -> int:
+    """Measure and print what a router adds."""
+    configure_logging("ERROR", json_lines=False)
+    print(overhead_text(run_overhead(options.examples, options.quick, progress)))
+    return 0
+
+
+def run_compare(options: argparse.Namespace) -> int:
+    """Print the differences between two result files."""
+    before, after = (
+        msgspec.json.decode(path.read_bytes(), type=list[ExperimentResult])
+        for path in (options.before, options.after)
+    )
+    print(compare_text(before, after), end="")
+    return 0
