--- a/src/wallwell/bench/capacity.py
+++ b/src/wallwell/bench/capacity.py
@@ -6,7 +6,9 @@
 from dataclasses import dataclass
 
 from wallwell.bench.hollow import LETTER_SIZE
-from wallwell.bench.scale import REGION_NODES, SECONDS_PER_DAY, ScaleResult, Slope
+from wallwell.bench.scale import SECONDS_PER_DAY
+from wallwell.bench.scale_memory import REGION_NODES
+from wallwell.bench.scale_results import ScaleResult, Slope
 
 BUDGET_BYTES_PER_S = 17_000.0
 BUDGET_PROCESSOR = 0.033
--- a/src/wallwell/bench/experiment.py
+++ b/src/wallwell/bench/experiment.py
@@ -22,8 +22,8 @@
 from wallwell.config.parse import parse_file
 from wallwell.config.schema import EnginePoolSpec, PrioritySpec
 from wallwell.emulator.engine_model import EngineProfile
-from wallwell.errors import BenchError, DocumentSyntaxError
-from wallwell.typed import ProblemList, convert_all, load_yaml
+from wallwell.errors import BenchError
+from wallwell.typed import load_document
 
 BASELINES = ("round_robin", "least_loaded", "prefix_affinity")
 OWN_POLICY = "expected_first_token"
@@ -89,14 +89,7 @@
 
 def load_experiment(path: Path) -> ExperimentSpec:
     """Read an experiment's file. Raises :class:`BenchError` with every problem."""
-    try:
-        value, lines = load_yaml(path.read_text(encoding="utf-8"))
-    except (OSError, DocumentSyntaxError) as error:
-        raise BenchError(f"{path}: {error}") from error
-    problems = ProblemList(lines)
-    spec = convert_all(value, ExperimentSpec, problems)
-    if spec is None:
-        raise BenchError("\n".join(f"{path}: {problem}" for problem in problems.problems))
+    spec = load_document(path, ExperimentSpec, BenchError)
     if spec.deployment not in PROFILES:
         raise BenchError(f"{path}: no deployment `{spec.deployment}`")
     return spec
--- a/src/wallwell/bench/fleet.py
+++ b/src/wallwell/bench/fleet.py
@@ -148,7 +148,7 @@
             operator_token=OPERATOR_TOKEN,
             policy=self._policy,
             cluster=ClusterSettings(key=CLUSTER_KEY, seeds=seeds, sync_interval_s=0.2, suspicion_timeout_s=1.0),
-            platform=PlatformAddresses(table=platform, objects=platform, weights=platform, machines=platform),
+            platform=PlatformAddresses(table=platform, machines=platform),
         )
         router = RouterNode(self._tune(settings), seed=self._seed + len(self.routers))
         await router.start()
--- a/src/wallwell/bench/overhead.py
+++ b/src/wallwell/bench/overhead.py
@@ -105,7 +105,8 @@
             f"| processor time a forwarded chunk | {result.processor_per_chunk_s * 1e6:.0f} us |",
             f"| the same for engine and client together | {result.direct_processor_per_chunk_s * 1e6:.0f} us |",
             "",
-            f"{result.pairs} interleaved pairs, {result.prompt_bytes:,} bytes of prompt, {result.chunks} chunks each; "
+            f"{result.pairs} interleaved pairs, {result.prompt_bytes:,} bytes of prompt, "
+            f"{result.chunks} chunks each; "
             f"the stand-in engine alone takes {result.direct_first_token_p50_s * 1000:.2f} ms to the first token.",
             "",
         ]
--- a/src/wallwell/bench/scale_sockets.py
+++ b/src/wallwell/bench/scale_sockets.py
@@ -12,7 +12,8 @@
 
 from wallwell.bench.fleet import CLUSTER_KEY, HOST, OPERATOR_TOKEN, EmulatedBackend
 from wallwell.bench.hollow import LETTER_SIZE, FleetSize, HollowLoad, scaled
-from wallwell.bench.scale import REGION_NODES, Cost
+from wallwell.bench.scale_memory import REGION_NODES
+from wallwell.bench.scale_results import Cost
 from wallwell.cluster.codec import LineCodec
 from wallwell.cluster.node import ClusterNode, NodeIdentity
 from wallwell.cluster.transport import ClusterTransport
--- a/src/wallwell/cli/bench.py
+++ b/src/wallwell/cli/bench.py
@@ -15,7 +15,8 @@
 from wallwell.bench.faults import FaultRun, report_text
 from wallwell.bench.overhead import overhead_text, run_overhead
 from wallwell.bench.report import compare_text, html_report
-from wallwell.bench.scale import ScaleResult, run_scale
+from wallwell.bench.scale import run_scale
+from wallwell.bench.scale_results import ScaleResult
 from wallwell.bench.scale_sockets import measure_sockets
 from wallwell.bench.workload import PROFILES
 from wallwell.events import configure_logging
--- a/src/wallwell/cluster/membership.py
+++ b/src/wallwell/cluster/membership.py
@@ -11,13 +11,13 @@
 import heapq
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import msgspec
 
+from wallwell.cluster.members import Member, MemberChange, MembershipTimings
 from wallwell.cluster.messages import (
-    MAX_DATAGRAM_BYTES,
     Ack,
     Action,
     DigestEntry,
@@ -30,6 +30,7 @@
     Sync,
     SyncReply,
 )
+from wallwell.cluster.reconcile import ReplyContent, is_newer
 from wallwell.routing.rendezvous import key_of
 
 DIGEST_SAMPLE = 20
@@ -38,36 +39,6 @@
 CATCH_UP_FACTOR = 0.25
 EXPIRY_INTERVAL_S = 0.5
 INDIRECT_PROBES = 3
-_HEADER_BYTES = 160
-_PAYLOAD_BYTES = MAX_DATAGRAM_BYTES - _HEADER_BYTES
-
-
-@dataclass(frozen=True)
-class MembershipTimings:
-    """Intervals in seconds."""
-
-    sync_interval_s: float = 1.0
-    probe_timeout_s: float = 0.5
-    suspicion_timeout_s: float = 3.0
-    dead_retention_s: float = 7200.0
-    rejoin_interval_s: float = 5.0
-
-
-@dataclass
-class Member:
-    """One member as this node knows it."""
-
-    record: MemberRecord
-    load: LoadRecord
-    status: MemberStatus = MemberStatus.ALIVE
-    incarnation: int = 0
-    status_since_s: float = 0.0
-
-    def digest(self) -> DigestEntry:
-        """Return the digest entry."""
-        return DigestEntry(
-            self.record.node, self.incarnation, int(self.status), self.record.version, self.load.version
-        )
 
 
 @dataclass
@@ -78,14 +49,6 @@
     indirect: bool = False
 
 
-@dataclass(frozen=True)
-class MemberChange:
-    """A member's status changed."""
-
-    node: str
-    status: MemberStatus
-
-
 @dataclass
 class _Relay:
     requester: str
@@ -267,54 +230,30 @@
                 if entry.status <= MemberStatus.SUSPECT:
                     wanted.append(entry.node)
                 continue
-            if _is_newer(mine.digest(), entry):
+            if is_newer(mine.digest(), entry):
                 newer.append(entry.node)
-            if _is_newer(entry, mine.digest()):
+            if is_newer(entry, mine.digest()):
                 wanted.append(entry.node)
         if message.roster != self.roster_hash():
             unlisted = [name for name in self.members if name not in listed]
             sample = self.rng.sample(unlisted, min(len(unlisted), ROSTER_SAMPLE))
             entries.extend(self.members[name].digest() for name in sample)
         known = {entry.node: entry for entry in message.digest}
-        return self._bounded_reply(message.sequence, config_head, newer, known, entries, wanted)
+        return self._reply(message.sequence, config_head, newer, known, entries, wanted)
 
-    def _bounded_reply(
+    def _reply(
         self,
         sequence: int,
         config_head: int,
         names: Iterable[str],
-        known: dict[str, DigestEntry],
-        entries: list[DigestEntry],
-        wanted: list[str],
+        known: Mapping[str, DigestEntry],
+        entries: Sequence[DigestEntry],
+        wanted: Sequence[str],
     ) -> SyncReply:
-        """Collect records, loads and statuses up to the datagram's size."""
-        records: list[MemberRecord] = []
-        loads: list[LoadRecord] = []
-        size = sum(len(name) + 3 for name in wanted)
-        size += sum(len(msgspec.json.encode(entry)) + 1 for entry in entries)
-        for name in dict.fromkeys(names):
-            member = self.member(name)
-            if member is None or (member.status is MemberStatus.LEFT and name not in known):
-                continue
-            theirs = known.get(name)
-            entry = member.digest()
-            parts: list[object] = []
-            if theirs is None or (entry.incarnation, entry.status) > (theirs.incarnation, theirs.status):
-                entries.append(entry)
-                parts.append(entry)
-            if _record_is_newer(entry, theirs):
-                records.append(member.record)
-                parts.append(member.record)
-            if _load_is_newer(entry, theirs):
-                loads.append(member.load)
-                parts.append(member.load)
-            size += sum(len(msgspec.json.encode(part)) + 1 for part in parts)
-            if size > _PAYLOAD_BYTES:
-                _drop_last(parts, entries, records, loads)
-                break
-        return SyncReply(
-            sequence, self.node, config_head, tuple(entries), tuple(records), tuple(loads), tuple(wanted)
-        )
+        found = [member for member in map(self.member, dict.fromkeys(names)) if member is not None]
+        content = ReplyContent(list(entries), wanted)
+        content.collect(found, known)
+        return content.message(sequence, self.node, config_head)
 
     def on_sync_reply(
         self, message: SyncReply, sender_address: str, now_s: float, config_head: int
@@ -334,7 +273,7 @@
         ]
         if not message.wanted and not unknown:
             return []
-        third = self._bounded_reply(0, config_head, message.wanted, {}, [], unknown)
+        third = self._reply(0, config_head, message.wanted, {}, [], unknown)
         return [Send(sender_address, third)]
 
     def on_ping(self, message: Ping, sender_address: str) -> list[Action]:
@@ -466,31 +405,3 @@
         """Return and clear the status changes since the last call."""
         changes, self.changes = self.changes, []
         return changes
-
-
-def _is_newer(first: DigestEntry, second: DigestEntry) -> bool:
-    if first.incarnation != second.incarnation:
-        return first.incarnation > second.incarnation
-    return (
-        first.status > second.status or first.version > second.version or first.load_version > second.load_version
-    )
-
-
-def _record_is_newer(mine: DigestEntry, theirs: DigestEntry | None) -> bool:
-    return theirs is None or mine.incarnation > theirs.incarnation or mine.version > theirs.version
-
-
-def _load_is_newer(mine: DigestEntry, theirs: DigestEntry | None) -> bool:
-    return theirs is None or mine.incarnation > theirs.incarnation or mine.load_version > theirs.load_version
-
-
-def _drop_last(
-    parts: list[object],
-    entries: list[DigestEntry],
-    records: list[MemberRecord],
-    loads: list[LoadRecord],
-) -> None:
-    """Take back the parts that no longer fit."""
-    for collected in (entries, records, loads):
-        if collected and any(collected[-1] is part for part in parts):
-            collected.pop()
--- a/src/wallwell/cluster/node.py
+++ b/src/wallwell/cluster/node.py
@@ -13,7 +13,8 @@
 
 from wallwell.cluster import messages as msg
 from wallwell.cluster.limits import SharedLimits, TenantLimit
-from wallwell.cluster.membership import Member, MemberChange, Membership, MembershipTimings
+from wallwell.cluster.members import Member, MemberChange, MembershipTimings
+from wallwell.cluster.membership import Membership
 from wallwell.cluster.messages import Action, FetchConfig, HeadNotice, Send
 from wallwell.cluster.regions import CONTACTS, RegionDelegate
 from wallwell.cluster.shards import DirectoryShard, EngineReader, lookup_hashes, shard_owner
--- /dev/null
+++ b/src/wallwell/cluster/reconcile.py
@@ -0,0 +1,91 @@
+"""Reconciliation by digest: what one node must send so that another one has what it lacks, within one datagram."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping, Sequence
+
+import msgspec
+
+from wallwell.cluster.members import Member
+from wallwell.cluster.messages import (
+    MAX_DATAGRAM_BYTES,
+    DigestEntry,
+    LoadRecord,
+    MemberRecord,
+    MemberStatus,
+    SyncReply,
+)
+
+_HEADER_BYTES = 160
+_PAYLOAD_BYTES = MAX_DATAGRAM_BYTES - _HEADER_BYTES
+
+
+class ReplyContent:
+    """Collects statuses, records and loads up to the size of a datagram."""
+
+    def __init__(self, entries: list[DigestEntry], wanted: Sequence[str]) -> None:
+        self._entries = entries
+        self._wanted = tuple(wanted)
+        self._records: list[MemberRecord] = []
+        self._loads: list[LoadRecord] = []
+        self._size = sum(len(name) + 3 for name in wanted) + _encoded_size(entries)
+
+    def collect(self, members: Iterable[Member], known: Mapping[str, DigestEntry]) -> None:
+        """Add what ``members`` have beyond what the peer is ``known`` to have, until the datagram is full."""
+        for member in members:
+            theirs = known.get(member.record.node)
+            if member.status is MemberStatus.LEFT and theirs is None:
+                continue
+            if not self._add(member, theirs):
+                return
+
+    def _add(self, member: Member, theirs: DigestEntry | None) -> bool:
+        mine = member.digest()
+        status = [mine] if _status_is_newer(mine, theirs) else []
+        record = [member.record] if _record_is_newer(mine, theirs) else []
+        load = [member.load] if _load_is_newer(mine, theirs) else []
+        size = _encoded_size([*status, *record, *load])
+        if self._size + size > _PAYLOAD_BYTES:
+            return False
+        self._size += size
+        self._entries.extend(status)
+        self._records.extend(record)
+        self._loads.extend(load)
+        return True
+
+    def message(self, sequence: int, sender: str, config_head: int) -> SyncReply:
+        """Return the message."""
+        return SyncReply(
+            sequence,
+            sender,
+            config_head,
+            tuple(self._entries),
+            tuple(self._records),
+            tuple(self._loads),
+            self._wanted,
+        )
+
+
+def _encoded_size(parts: Iterable[DigestEntry | MemberRecord | LoadRecord]) -> int:
+    return sum(len(msgspec.json.encode(part)) + 1 for part in parts)
+
+
+def is_newer(first: DigestEntry, second: DigestEntry) -> bool:
+    """Whether ``first`` tells of anything that ``second`` does not."""
+    if first.incarnation != second.incarnation:
+        return first.incarnation > second.incarnation
+    return (
+        first.status > second.status or first.version > second.version or first.load_version > second.load_version
+    )
+
+
+def _status_is_newer(mine: DigestEntry, theirs: DigestEntry | None) -> bool:
+    return theirs is None or (mine.incarnation, mine.status) > (theirs.incarnation, theirs.status)
+
+
+def _record_is_newer(mine: DigestEntry, theirs: DigestEntry | None) -> bool:
+    return theirs is None or mine.incarnation > theirs.incarnation or mine.version > theirs.version
+
+
+def _load_is_newer(mine: DigestEntry, theirs: DigestEntry | None) -> bool:
+    return theirs is None or mine.incarnation > theirs.incarnation or mine.load_version > theirs.load_version
--- a/src/wallwell/emulator/settings.py
+++ b/src/wallwell/emulator/settings.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from pathlib import Path
-from typing import TypeVar
 
 import msgspec
 from aiohttp import web
@@ -12,11 +11,9 @@
 from wallwell.emulator.engine_server import EngineServer
 from wallwell.emulator.platform_server import PlatformServer
 from wallwell.emulator.service_server import ServiceServer
-from wallwell.errors import DocumentSyntaxError, SettingsError
+from wallwell.errors import SettingsError
 from wallwell.settings import Listener
-from wallwell.typed import ProblemList, convert_all, load_yaml
-
-T = TypeVar("T")
+from wallwell.typed import load_document
 
 
 class EngineEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -58,28 +55,15 @@
     weight_load_s: float = 0.2
 
 
-def load_emulator_settings(path: Path, target: type[T]) -> T:
-    """Read a stand-in's settings. Raises :class:`SettingsError`."""
-    try:
-        value, lines = load_yaml(path.read_text(encoding="utf-8"))
-    except (OSError, DocumentSyntaxError) as error:
-        raise SettingsError(f"{path}: {error}") from error
-    problems = ProblemList(lines)
-    settings = convert_all(value, target, problems)
-    if settings is None:
-        raise SettingsError("\n".join(f"{path}: {problem}" for problem in problems.problems))
-    return settings
-
-
 def emulated_apps(kind: str, path: Path) -> list[tuple[web.Application, Listener]]:
     """Return the applications that a settings file of ``kind`` describes, with their listeners."""
     if kind == "engine":
-        engines = load_emulator_settings(path, EnginesSettings).engines
+        engines = load_document(path, EnginesSettings, SettingsError).engines
         return [(_engine(entry).app(), entry.listener) for entry in engines]
     if kind == "service":
-        instances = load_emulator_settings(path, ServicesSettings).instances
+        instances = load_document(path, ServicesSettings, SettingsError).instances
         return [(ServiceServer(entry.name, entry.work_s).app(), entry.listener) for entry in instances]
-    settings = load_emulator_settings(path, PlatformSettings)
+    settings = load_document(path, PlatformSettings, SettingsError)
     return [(PlatformServer(settings.calls_per_s, settings.weight_load_s).app(), settings.listener)]
 
 
--- a/src/wallwell/gateway/router_node.py
+++ b/src/wallwell/gateway/router_node.py
@@ -15,7 +15,7 @@
 from wallwell.backends.service_client import ServiceClient
 from wallwell.cluster.claims import ClaimTable
 from wallwell.cluster.codec import LineCodec
-from wallwell.cluster.membership import MembershipTimings
+from wallwell.cluster.members import MembershipTimings
 from wallwell.cluster.messages import MemberStatus
 from wallwell.cluster.node import ClusterNode, NodeIdentity
 from wallwell.cluster.transport import ClusterTransport
--- a/src/wallwell/settings.py
+++ b/src/wallwell/settings.py
@@ -39,8 +39,6 @@
     """Base URLs of the platform's services."""
 
     table: str
-    objects: str = ""
-    weights: str = ""
     machines: str = ""
     timeout_s: PositiveSeconds = 1.0
 
--- a/src/wallwell/typed.py
+++ b/src/wallwell/typed.py
@@ -8,12 +8,13 @@
 
 import typing
 from dataclasses import dataclass
+from pathlib import Path as FilePath
 from typing import Any, TypeVar, cast
 
 import msgspec
 import yaml
 
-from wallwell.errors import DocumentSyntaxError
+from wallwell.errors import DocumentSyntaxError, WallwellError
 
 T = TypeVar("T")
 Path = tuple[str | int, ...]
@@ -71,6 +72,19 @@
             _collect_lines(child, (*path, index), lines)
 
 
+def load_document(path: FilePath, target: type[T], error_type: type[WallwellError]) -> T:
+    """Read and check a YAML file. Raises ``error_type`` with every problem, each with path and line."""
+    try:
+        value, lines = load_yaml(path.read_text(encoding="utf-8"))
+    except (OSError, DocumentSyntaxError) as error:
+        raise error_type(f"{path}: {error}") from error
+    problems = ProblemList(lines)
+    document = convert_all(value, target, problems)
+    if document is None:
+        raise error_type("\n".join(f"{path}: {problem}" for problem in problems.problems))
+    return document
+
+
 class ProblemList:
     """Collects problems of one document."""
 
--- a/tests/unit/bench/test_bench.py
+++ b/tests/unit/bench/test_bench.py
@@ -8,7 +8,8 @@
 from tests.conftest import EXAMPLES
 from wallwell.bench.capacity import capacity_page
 from wallwell.bench.experiment import load_experiment
-from wallwell.bench.scale import ScaleResult, fit
+from wallwell.bench.scale import fit
+from wallwell.bench.scale_results import ScaleResult
 from wallwell.bench.simulation import EngineFault, PriorityTerms, Simulation, SimulationSettings
 from wallwell.bench.workload import HUTS, PHARMACY, GenerationRequest, TraceBuilder
 from wallwell.config.schema import Objective
