A back end that comes back under its address is used again

Cause: found while reading the change once more: an engine that had said it was leaving, or had refused one request as leaving, stayed marked on that router for good, so a replacement under the same address never got work. Marks now follow their source: the machine list's latest answer, the engine's latest word by its reader, a refusal until there is other news (engines) or 30 s (services).

Also: load estimates and breakers of engines no longer configured are dropped (the call for it was never made), and two functions nobody called are gone.

--- a/src/wallwell/backends/engine_watch.py
+++ b/src/wallwell/backends/engine_watch.py
@@ -71,6 +71,9 @@
             self._tasks.pop(name).cancel()
             self._node.readers.pop(name, None)
             self.status.pop(name, None)
+            if name in engines:
+                # Its next reader says whether it is still leaving.
+                self._node.leaving_by_own_word.discard(engines[name].address)
         for name in wanted - self._tasks.keys():
             self._tasks[name] = asyncio.create_task(self._read_forever(engines[name]))
         self._publish(engines)
@@ -86,8 +89,7 @@
         )
         waiting = tuple(self._waiting_ms(name, now_s) for name in serving)
         for name in reading:
-            if self.status[name].state is wire.EngineState.LEAVING:
-                self._mark_leaving(engines[name])
+            self._note_leaving(engines[name], self.status[name].state is wire.EngineState.LEAVING)
         self._node.set_engines(news, waiting)
         self._learn_from_peers(now_s)
 
@@ -108,10 +110,14 @@
             waiting = ((INTERACTIVE_RANK, interactive), (LOWEST_RANK, round(any_ms * rate) - interactive))
             load.on_report(LoadReport(0, 0, waiting, 0, 0, now_s - PEER_REPORT_AGE_S))
 
-    def _mark_leaving(self, engine: Engine) -> None:
-        if engine.address not in self._node.leaving:
-            self._node.leaving.add(engine.address)
+    def _note_leaving(self, engine: Engine, leaving: bool) -> None:
+        """Follow the engine's own word; one that came back under its address is used again."""
+        known = self._node.leaving_by_own_word
+        if leaving and engine.address not in known:
             emit(Event.BACKEND_LEAVING, backend=engine.name)
+            known.add(engine.address)
+        elif not leaving:
+            known.discard(engine.address)
 
     async def _read_forever(self, engine: Engine) -> None:
         client = EngineClient(engine.address, self._session)
--- a/src/wallwell/cluster/node.py
+++ b/src/wallwell/cluster/node.py
@@ -60,7 +60,8 @@
         self.shard = DirectoryShard(rng)
         self.limits = SharedLimits(rng)
         self.readers: dict[str, EngineReader] = {}
-        self.leaving: set[str] = set()
+        self.leaving_by_machine_list: set[str] = set()
+        self.leaving_by_own_word: set[str] = set()
         self.highest_head_heard = 0
         self._next_report_s = 0.0
         self._last_announce_s: float | None = None
@@ -257,6 +258,11 @@
                 found.update({engine.name: engine for engine in member.record.engines})
         return found
 
+    @property
+    def leaving(self) -> set[str]:
+        """Addresses of back ends this node itself knows to be leaving."""
+        return self.leaving_by_machine_list | self.leaving_by_own_word
+
     def leaving_addresses(self) -> set[str]:
         """Back ends that any live member knows to be leaving."""
         found = set(self.leaving)
--- a/src/wallwell/emulator/engine_model.py
+++ b/src/wallwell/emulator/engine_model.py
@@ -249,10 +249,6 @@
         for group in by_root.values():
             self._publish(False, group)
 
-    def import_blocks(self, chain: Sequence[int]) -> None:
-        """Take blocks computed elsewhere into the cache."""
-        self._store(chain)
-
     def _publish(self, stored: bool, blocks: Sequence[tuple[int, BlockPlace]]) -> None:
         self._sequence += 1
         place = blocks[0][1]
--- a/src/wallwell/gateway/context.py
+++ b/src/wallwell/gateway/context.py
@@ -44,6 +44,7 @@
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
     refuted_news: dict[str, EngineNews] = field(default_factory=dict)
     service_in_flight: dict[str, int] = field(default_factory=dict)
+    service_paused_until_s: dict[str, float] = field(default_factory=dict)
     service_breakers: dict[str, CircuitBreaker] = field(default_factory=dict)
     ready: bool = False
     draining: bool = False
--- a/src/wallwell/gateway/generation.py
+++ b/src/wallwell/gateway/generation.py
@@ -54,6 +54,11 @@
 MAX_ATTEMPTS = 6
 """Attempts in a row that bring no new token."""
 MAX_RESUMES = 32
+REFUSALS = (
+    TransportEvent.PRECONDITION_REFUSED,
+    TransportEvent.BACKEND_OVERLOADED,
+    TransportEvent.BACKEND_LEAVING,
+)
 STALL_TIMEOUT_S = 2.0
 MIN_FIRST_TOKEN_TIMEOUT_S = 2.0
 FIRST_TOKEN_TIMEOUT_FACTOR = 8.0
@@ -317,16 +322,13 @@
 
     def _learn(self, engine: Engine, failure: AttemptFailed, now_s: float) -> None:
         context = self._context
-        if failure.event in (TransportEvent.PRECONDITION_REFUSED, TransportEvent.BACKEND_OVERLOADED):
+        if failure.event in REFUSALS:
             # The engine has changed since its reader's news: nobody is sent there until there is other news.
             context.selector.on_refused_hint(engine.name)
             news = context.node.serving_engines().get(engine.name)
             if news is not None:
                 context.refuted_news[engine.name] = news
             return
-        if failure.event is TransportEvent.BACKEND_LEAVING:
-            context.node.leaving.add(engine.address)
-            return
         if failure.event is TransportEvent.CANCELLED_NEVER_STARTED:
             return  # Busy, not broken.
         if context.selector.breaker_of(engine.name).on_failure(now_s, context.rng):
--- a/src/wallwell/gateway/router_node.py
+++ b/src/wallwell/gateway/router_node.py
@@ -241,8 +241,7 @@
                 emit(Event.MACHINE_LIST_UNAVAILABLE)
                 continue
             leaving = {machine.address for machine in listed if machine.state is MachineState.LEAVING}
-            live = {machine.address for machine in listed if machine.state is MachineState.LIVE}
-            node.leaving = (node.leaving | leaving) - live
+            node.leaving_by_machine_list = leaving
 
     async def _housekeeping(self) -> None:
         while True:
@@ -253,6 +252,7 @@
                 node.shard.directory.observe_incarnation(engine.name, engine.incarnation)
                 self.context.selector.on_incarnation(engine.name, engine.incarnation)
             node.shard.directory.sweep()
+            self.context.selector.forget_missing(self.context.region_engines())
             node.limits.forget_idle(time.monotonic())
 
     def _log_member_changes(self) -> None:
--- a/src/wallwell/gateway/service_calls.py
+++ b/src/wallwell/gateway/service_calls.py
@@ -40,6 +40,8 @@
 from wallwell.routing.retry import CircuitBreaker, full_jitter_delay_s
 
 MAX_ATTEMPTS = 4
+LEAVING_PAUSE_S = 30.0
+"""How long an instance that said it is leaving gets nothing."""
 SETTLE_TRIES = 60
 SETTLE_FIRST_STEP = 4
 
@@ -154,7 +156,9 @@
         live = [
             instance
             for instance in context.config.serving_instances(service)
-            if instance.address not in leaving and not self._breaker(instance.name).is_open(now_s)
+            if instance.address not in leaving
+            and now_s >= context.service_paused_until_s.get(instance.name, 0.0)
+            and not self._breaker(instance.name).is_open(now_s)
         ]
         fresh = [instance for instance in live if instance.name not in failed] or live
         if not fresh:
@@ -184,7 +188,7 @@
         context = self._context
         now_s = time.monotonic()
         if failure.event is TransportEvent.BACKEND_LEAVING:
-            context.node.leaving.add(instance.address)
+            context.service_paused_until_s[instance.name] = now_s + LEAVING_PAUSE_S
         elif failure.event is not TransportEvent.ERROR_ANSWER:
             if self._breaker(instance.name).on_failure(now_s, context.rng):
                 emit(Event.BREAKER_OPENED, engine=instance.name)
--- a/src/wallwell/routing/directory.py
+++ b/src/wallwell/routing/directory.py
@@ -56,11 +56,6 @@
         """Bytes of the entries' table."""
         return self._table.nbytes
 
-    def current_incarnation(self, engine: str) -> str | None:
-        """Return the incarnation this directory believes in."""
-        current = self._current.get(engine)
-        return current.incarnation if current else None
-
     def observe_incarnation(self, engine: str, incarnation: str) -> bool:
         """Note an engine's incarnation; returns True if it replaced another one."""
         holder = EngineIncarnation(engine, incarnation)
--- a/tests/contract/test_fleet.py
+++ b/tests/contract/test_fleet.py
@@ -9,6 +9,7 @@
 
 from tests.contract.conftest import PROMPT, Harness, expected_text
 from tests.contract.test_streams import text_of
+from wallwell.backends.engine_protocol import EngineState
 from wallwell.bench.fleet import replace_spec_text
 from wallwell.config.commit import ApplyRequest
 from wallwell.config.schema import EnginePoolSpec
@@ -66,6 +67,28 @@
     assert sent == 0
 
 
+def test_an_engine_that_comes_back_under_its_address_is_used_again(own_harness):
+    harness = own_harness
+    name = next(iter(harness.fleet.engines))
+    server = harness.fleet.engine(name)
+
+    async def published(serving):
+        nodes = [router.context.node for router in harness.fleet.routers]
+        while any((server.address not in node.leaving_addresses()) is not serving for node in nodes):
+            await asyncio.sleep(0.02)
+
+    async def scenario():
+        server.address = harness.fleet.engines[name].address
+        server.state = EngineState.LEAVING
+        await published(serving=False)
+        server.state = EngineState.SERVING
+        await published(serving=True)
+        await asyncio.gather(*(harness.generate(f"{n} back {PROMPT}", router=n % 3) for n in range(60)))
+        return len(server.journal)
+
+    assert harness.run(scenario()) > 0
+
+
 def test_routers_stopped_one_by_one_cut_no_request(own_harness):
     harness = own_harness
     prompts = [f"{number} {PROMPT}" for number in range(90)]
