Dispatch and refusal use the news the engine was chosen on

Cause: found on reading the change again.

The generation now keeps the news of the engine it was sent to. The saving was not measured, and the late-news case has no test of its own yet.

Conclusion: two look-ups fewer a request, and only refuted news is refuted.

--- a/src/wallwell/gateway/generation.py
+++ b/src/wallwell/gateway/generation.py
@@ -20,6 +20,7 @@
 from wallwell.backends.attempt import AttemptFailed
 from wallwell.backends.engine_client import EngineClient, GenerationCall, GenerationHead
 from wallwell.backends.engine_protocol import DONE_EVENT, Resume
+from wallwell.cluster.messages import EngineNews
 from wallwell.cluster.transport import LookupResult
 from wallwell.config.compiled import Engine
 from wallwell.config.schema import ModelSpec
@@ -79,6 +80,8 @@
     weights_version: str = ""
     log: AttemptLog = field(default_factory=lambda: AttemptLog(repeatable=True))
     events: list[bytes] = field(default_factory=list)
+    news: EngineNews | None = None
+    """What was published of the engine the current attempt was sent to."""
     fruitless_attempts: int = 0
     resumes: int = 0
     failed_engines: set[str] = field(default_factory=set)
@@ -185,6 +188,7 @@
         if retry_s is not None:
             message = "no engine can answer before the deadline"
             raise DeadlineUnreachableError(message, retry_after_ms=round(retry_s * 1000))
+        generation.news = serving.get(choice.engine)
         return engines[choice.engine], choice
 
     def _routing_request(self, generation: Generation, now_s: float) -> RoutingRequest:
@@ -202,8 +206,7 @@
         context = self._context
         selector = context.selector
         attempt_id = _attempt_id(generation)
-        news = context.node.serving_engines().get(engine.name)
-        incarnation = news.incarnation if news is not None else ""
+        incarnation = generation.news.incarnation if generation.news is not None else ""
         sent_s = time.monotonic()
         rank = generation.caller.priority.rank
         selector.on_dispatch(attempt_id, choice, incarnation, generation.chain, rank, sent_s)
@@ -285,7 +288,7 @@
         context = self._context
         now_s = time.monotonic()
         generation.failed_engines.add(engine.name)
-        self._learn(engine, failure, now_s)
+        self._learn(generation, engine, failure, now_s)
         may_retry = generation.log.record(failure.event)
         started = bool(generation.events)
         if not may_retry:
@@ -320,14 +323,13 @@
         generation.fruitless_attempts += 1
         return generation.fruitless_attempts < MAX_ATTEMPTS and self._context.retry_budget.try_retry()
 
-    def _learn(self, engine: Engine, failure: AttemptFailed, now_s: float) -> None:
+    def _learn(self, generation: Generation, engine: Engine, failure: AttemptFailed, now_s: float) -> None:
         context = self._context
         if failure.event in REFUSALS:
             # The engine has changed since its reader's news: nobody is sent there until there is other news.
             context.selector.on_refused_hint(engine.name)
-            news = context.node.serving_engines().get(engine.name)
-            if news is not None:
-                context.refuted_news[engine.name] = news
+            if generation.news is not None:
+                context.refuted_news[engine.name] = generation.news
             return
         if failure.event is TransportEvent.CANCELLED_NEVER_STARTED:
             return  # Busy, not broken.
