A planned stop closes resting connections, and a restarted node does not forget how old a weights version is

Change: resting connections are closed by the listener itself after the notice; versions found at a start count as nearly due.

--- a/src/wallwell/deployment/weights.py
+++ b/src/wallwell/deployment/weights.py
@@ -7,10 +7,14 @@
 
 @dataclass(frozen=True)
 class NamedVersion:
-    """A weights version and the local time at which this node learnt its name."""
+    """A weights version and the local time since when it counts as named.
+
+    ``estimated`` tells that the name was found when this node started, so that its age is only a guess.
+    """
 
     version: int
     known_since_s: float
+    estimated: bool = False
 
 
 @dataclass
@@ -19,12 +23,12 @@
 
     _named: dict[str, list[NamedVersion]] = field(default_factory=dict)
 
-    def name(self, model: str, version: int, now_s: float) -> bool:
+    def name(self, model: str, version: int, since_s: float, estimated: bool = False) -> bool:
         """Take a version; returns True if it is newer than those known."""
         named = self._named.setdefault(model, [])
         if named and version <= named[-1].version:
             return False
-        named.append(NamedVersion(version, now_s))
+        named.append(NamedVersion(version, since_s, estimated))
         return True
 
     def newest(self, model: str) -> int:
@@ -40,7 +44,10 @@
         """Return the first version named above ``in_place``."""
         return next((named for named in self._named.get(model, ()) if named.version > in_place), None)
 
-    def minimum_version(self, model: str, now_s: float, allowance_s: float) -> int:
-        """Return the lowest version that may still begin requests: each named one is due after ``allowance_s``."""
-        due = [named.version for named in self._named.get(model, ()) if now_s - named.known_since_s >= allowance_s]
-        return max(due, default=0)
+    def minimum_version(self, model: str, now_s: float, allowance_s: float, in_place: int) -> int:
+        """Return the lowest version that may still begin requests: each named one is due after ``allowance_s``.
+
+        ``in_place`` is the newest version on any engine. A version of estimated age does not rule every engine out.
+        """
+        due = [named for named in self._named.get(model, ()) if now_s - named.known_since_s >= allowance_s]
+        return max((named.version for named in due if named.version <= in_place or not named.estimated), default=0)
--- a/src/wallwell/gateway/fleet_node.py
+++ b/src/wallwell/gateway/fleet_node.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
 
@@ -29,9 +29,10 @@
 OWN_WAIT_S = 4.0
 MEMBER_PREFIX = "member/"
 HOUSEKEEPING_S = 1.0
-MIN_DRAIN_S = 3.0
+NOTICE_S = 2.6
+"""How long a stopping node still takes requests, until every balancer has seen that it is not ready."""
 DRAIN_TICK_S = 0.05
-STOP_RESERVE_S = 1.2
+STOP_RESERVE_S = 0.4
 """Part of the grace period kept for closing."""
 
 
@@ -121,8 +122,18 @@
                 emit(Event.CONFIG_ADVANCED, version=config.version, routes=len(config.routes))
         elif key.startswith(self._sources.version_prefix):
             model, version = self._sources.decode_version(value)
-            if self.state.weights.name(model, version, time.monotonic()):
-                emit(Event.WEIGHTS_NAMED, model=model, version=version)
+            since_s, estimated = self._named_since_s()
+            if self.state.weights.name(model, version, since_s, estimated):
+                emit(Event.WEIGHTS_NAMED, model=model, version=version, estimated=estimated)
+
+    def _named_since_s(self) -> tuple[float, bool]:
+        """Return since when a version just seen counts as named, and whether that is a guess."""
+        now_s = time.monotonic()
+        before_s = self._followers[0].unconfirmed_since_s
+        if before_s == float("-inf"):
+            return self.state.estimated_naming_s(now_s), True
+        # After a silence of the store, the version may have been named at any time within it.
+        return (before_s if now_s - before_s > 2 * OPERATORS_WAIT_S else now_s), False
 
     def _on_backend_rows(self, page: FeedPage, whole: bool) -> None:
         registry = self.state.backends
@@ -210,22 +221,23 @@
 
     # --- stop ------------------------------------------------------------------------------------------
 
-    async def drain(self, grace_s: float) -> None:
-        """Stop being ready, then wait until nothing is open and no connection is on its way."""
+    async def drain(self, grace_s: float, close_listener: Callable[[], Awaitable[None]]) -> None:
+        """Stop being ready, stop taking requests once callers have had time to notice, and finish what is open.
+
+        ``close_listener`` ends the acceptance of connections and closes those that rest.
+        """
         emit(Event.NODE_DRAINING, in_flight=self.in_flight)
         self.draining = True
-        self._rollout.stop()
-        started_s = time.monotonic()
-        while True:
-            elapsed_s = time.monotonic() - started_s
-            if elapsed_s >= grace_s - STOP_RESERVE_S:
-                return
-            if elapsed_s >= MIN_DRAIN_S and self.in_flight == 0:
-                return
+        self._rollout.drain()
+        end_s = time.monotonic() + grace_s - STOP_RESERVE_S
+        await asyncio.sleep(min(NOTICE_S, grace_s / 2))
+        await close_listener()
+        while self.in_flight and time.monotonic() < end_s:
             await asyncio.sleep(DRAIN_TICK_S)
 
     async def stop(self) -> None:
         """Stop following the store and close connections."""
+        self._rollout.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/src/wallwell/gateway/fleet_state.py
+++ b/src/wallwell/gateway/fleet_state.py
@@ -17,6 +17,9 @@
 VERSION_DUE_PART = 0.8
 """Part of the allowance after which an engine on older weights gets no new generation."""
 
+START_PART = 0.8
+"""Part of the time given to a started machine after which estimated ages count."""
+
 
 @dataclass(frozen=True)
 class FleetBounds:
@@ -30,6 +33,8 @@
     retry_extra: float = 50.0
     retry_window_s: float = 10.0
     lease_s: float = 3.0
+    contact_s: float = 3.0
+    """How long a machine that has started is given before bounds in time hold for it."""
     version_s: float = 8.0
     """How long after its naming a weights version may be missing on an engine that gets generations."""
 
@@ -95,6 +100,13 @@
         local = next((store for store in stores if store.zone == self.zone), stores[0])
         return local.kv_store_address
 
+    def estimated_naming_s(self, now_s: float) -> float:
+        """Return since when a weights version found at the start is taken to be named.
+
+        It may be as old as any: it has to be due by the time that bounds hold for this node.
+        """
+        return now_s - (self.bounds.version_s * VERSION_DUE_PART - self.bounds.contact_s * START_PART)
+
     def usable_backends(self, service: str, generation: Generation | None, now_s: float) -> list[Backend]:
         """Back ends that may get a request now, without those that are only a last resort if there are others."""
         listed = self.backends.of_service(service)
@@ -105,7 +117,8 @@
         if generation is None:
             return usable
         due_s = self.bounds.version_s * VERSION_DUE_PART
-        minimum = self.weights.minimum_version(generation.model, now_s, due_s)
+        in_place = max((each.believed_version(generation.model) for each in usable), default=0)
+        minimum = self.weights.minimum_version(generation.model, now_s, due_s, in_place)
         current = [each for each in usable if each.believed_version(generation.model) >= minimum]
         return [each for each in current if not each.is_loading(now_s)] or current
 
--- a/src/wallwell/placement/rollout_driver.py
+++ b/src/wallwell/placement/rollout_driver.py
@@ -70,7 +70,7 @@
         self._loading: dict[str, LoadTask] = {}
         self._finished: dict[str, set[str]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self.enabled = True
+        self._draining = False
 
     # --- what other nodes tell -------------------------------------------------------------------------
 
@@ -97,8 +97,7 @@
         """Drive rollouts until cancelled."""
         while True:
             await asyncio.sleep(TICK_S)
-            if self.enabled:
-                await self.step()
+            await self.step()
 
     async def step(self) -> None:
         """Look once whether something is due, and do this node's part of it."""
@@ -122,7 +121,7 @@
     async def _hold_lease(self, now_s: float) -> bool:
         if self._is_held() and now_s - self._renewed_at_s < self._valid_s * RENEW_PART:
             return True
-        if not self._is_held() and now_s < self._candidate_at_s():
+        if not self._is_held() and (self._draining or now_s < self._candidate_at_s()):
             return False
         was_held = self._is_held()
         try:
@@ -238,8 +237,11 @@
         )
         return reply
 
+    def drain(self) -> None:
+        """Finish what this node holds the lease for, and take no new lease."""
+        self._draining = True
+
     def stop(self) -> None:
         """Give no further orders."""
-        self.enabled = False
         for task in self._tasks:
             task.cancel()
--- a/src/wallwell/platform/callers.py
+++ b/src/wallwell/platform/callers.py
@@ -101,6 +101,17 @@
 
     def __init__(self, node: FleetNode) -> None:
         self._node = node
+        self._busy: set[RequestHandler] = set()
+
+    async def close_resting(self, server: web.Server) -> None:
+        """Close every connection without a request under way; the others close after their answer."""
+        # Lets the handlers of requests that have just been read begin.
+        await asyncio.sleep(0)
+        for connection in list(server.connections):
+            if connection in self._busy:
+                connection.close()
+            else:
+                connection.force_close()
 
     def server(self) -> web.Server:
         """Return the callers' server."""
@@ -135,6 +146,13 @@
         return web.Response(status=200 if ready else 503)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._busy.add(request.protocol)
+        try:
+            return await self._answer(request)
+        finally:
+            self._busy.discard(request.protocol)
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived_s = time.monotonic()
         reply = HttpReply(request, request.headers.get(names.REQUEST_ID, ""), self._node.closing_connections())
         try:
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -39,7 +39,7 @@
 
 
 async def _listen(server: web.Server, address: str) -> web.ServerRunner:
-    runner = web.ServerRunner(server, shutdown_timeout=1.0)
+    runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
     host, _, port = address.rpartition(":")
     await web.TCPSite(runner, host, int(port), backlog=512, reuse_address=True).start()
@@ -67,11 +67,18 @@
     node = build_node(settings)
     listener = CallersListener(node)
     node.start()
-    callers = await _listen(listener.server(), settings.listen.front)
+    callers_server = listener.server()
+    callers = await _listen(callers_server, settings.listen.front)
     ready = await _listen(listener.ready_server(), settings.listen.ready)
     emit(Event.NODE_STARTED, node=settings.node, zone=settings.zone, callers=settings.listen.front)
     await stopping.wait()
-    await node.drain(settings.bounds.grace_s)
+
+    async def close_listener() -> None:
+        for site in list(callers.sites):
+            await site.stop()
+        await listener.close_resting(callers_server)
+
+    await node.drain(settings.bounds.grace_s, close_listener)
     await callers.cleanup()
     await ready.cleanup()
     await node.stop()
--- a/src/wallwell/platform/settings.py
+++ b/src/wallwell/platform/settings.py
@@ -34,6 +34,7 @@
     retry_budget_extra: float = 50
     budget_window_s: float = 10
     lease_ms: float = 3000
+    contact_ms: float = 3000
     version_ms: float = 8000
     grace_s: float = 8
 
@@ -58,6 +59,7 @@
             retry_extra=bounds.retry_budget_extra,
             retry_window_s=bounds.budget_window_s,
             lease_s=bounds.lease_ms / 1000,
+            contact_s=bounds.contact_ms / 1000,
             version_s=bounds.version_ms / 1000,
         )
 
--- a/src/wallwell/storage/feed.py
+++ b/src/wallwell/storage/feed.py
@@ -73,6 +73,8 @@
         self._wait_s = wait_s
         self._clock = clock
         self._rng = rng
+        self.unconfirmed_since_s = float("-inf")
+        """When the node was last confirmed before the page being applied; -inf for the first one."""
         self._version: int | None = None
         self._failures = 0
 
@@ -96,6 +98,7 @@
         else:
             page = await self._source.changes(self._version, self._wait_s)
         self._version = max(self._version or 0, page.version)
+        self.unconfirmed_since_s = self.confirmed_at_s
         self.confirmed_at_s = max(self.confirmed_at_s, self._clock.confirmed_s(sent_s, page.store_s))
         if self._failures:
             emit(Event.STORE_REGAINED, rows=self.name, failures=self._failures)
