Rollouts by pool, with engines emptied before their order

Change: half of each pool at a time, the next in line gets no new streams from 0.4 s after the naming (worked out alike by every node), two silent reports pass the turn on.

--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -41,6 +41,7 @@
 )
 from wallwell.gateway.fleet_state import FleetState
 from wallwell.outcomes import Outcome
+from wallwell.placement.rollout import next_in_line
 from wallwell.routing.outcome import AttemptLog, TransportEvent
 from wallwell.routing.prefix_home import choose_engine, engine_pool, placement_key
 
@@ -234,7 +235,9 @@
         parts = exchange.request.generation.parts
         listed = state.backends.of_service(exchange.service)
         pool = engine_pool(listed, sum(part.tokens for part in parts))
-        preferred = [each for each in candidates if each in pool] or candidates
+        leaving = next_in_line(listed, state.weights, exchange.request.generation.model, now_s)
+        staying = [each for each in candidates if each.incarnation not in leaving] or candidates
+        preferred = [each for each in staying if each in pool] or staying
         chosen = choose_engine(preferred, placement_key(parts, scope))
         assert chosen is not None
         return chosen
--- a/src/wallwell/placement/rollout.py
+++ b/src/wallwell/placement/rollout.py
@@ -8,16 +8,20 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 from wallwell.deployment.backends import Backend
 from wallwell.deployment.weights import WeightsTargets
+from wallwell.routing.prefix_home import CHUNK_TOKENS, engine_pool
 
 HOLD_PART = 0.42
 """Part of the allowance for which a rollout waits for further versions to be named."""
-CONCURRENT_SHARE = 0.4
-"""Share of the engines under order at the same time; an order first waits for its engine's streams to end."""
+CONCURRENT_SHARE = 0.5
+"""Share of each pool under order at the same time; an order first waits for its engine's streams to end."""
+QUIET_AFTER_S = 0.4
+"""How long after a version's naming the first engines stop getting new streams."""
 RETRY_S = 0.8
 
 
@@ -62,6 +66,34 @@
     version: int
 
 
+def divide(engines: Sequence[Backend]) -> tuple[list[Backend], list[Backend]]:
+    """Return the pools for short and long prompts, each in the order in which its engines are reloaded."""
+    short = engine_pool(engines, 0)
+    long = [engine for engine in engine_pool(engines, CHUNK_TOKENS + 1) if engine not in short]
+    return short, long
+
+
+def concurrent_loads(pool: Sequence[Backend]) -> int:
+    """Return how many engines of a pool may be under order at the same time."""
+    return math.ceil(len(pool) * CONCURRENT_SHARE)
+
+
+def next_in_line(engines: Sequence[Backend], targets: WeightsTargets, model: str, now_s: float) -> set[str]:
+    """Return the engines that are to be reloaded next, so that their streams can end before the order comes.
+
+    Every node works this out alike from what the store says, without a message.
+    """
+    waiting: set[str] = set()
+    for pool in divide(engines):
+        lacking = []
+        for engine in pool:
+            missing = targets.oldest_missing(model, engine.believed_version(model))
+            if missing is not None and now_s - missing.known_since_s >= QUIET_AFTER_S:
+                lacking.append(engine.incarnation)
+        waiting.update(lacking[: concurrent_loads(pool)])
+    return waiting
+
+
 @dataclass
 class RolloutPlanner:
     """Reconciles engines towards the newest named versions."""
@@ -86,10 +118,13 @@
 
     def next_tasks(self, engines: Sequence[Backend], now_s: float) -> list[LoadTask]:
         """Return the loads to start now; each is to be ended with :meth:`finish`."""
-        running = [engine for engine in engines if engine.incarnation in self._under_way]
-        free = max(1, round(len(engines) * CONCURRENT_SHARE)) - len(running)
+        return [task for pool in divide(engines) for task in self._next_of_pool(pool, now_s)]
+
+    def _next_of_pool(self, pool: Sequence[Backend], now_s: float) -> list[LoadTask]:
+        """Return the loads to start in one pool; the rest of it keeps serving."""
+        free = concurrent_loads(pool) - sum(engine.incarnation in self._under_way for engine in pool)
         tasks: list[LoadTask] = []
-        for engine in sorted(engines, key=lambda each: (each.in_flight, each.incarnation)):
+        for engine in pool:
             if len(tasks) >= free:
                 break
             identity = engine.incarnation
--- a/src/wallwell/placement/rollout_driver.py
+++ b/src/wallwell/placement/rollout_driver.py
@@ -29,7 +29,9 @@
 CANDIDATE_DELAY_S = 0.7
 CANDIDATE_STEP_S = 0.35
 REPORT_INTERVAL_S = 0.3
-LOAD_TIMEOUT_S = 5.0
+LOAD_TIMEOUT_S = 6.0
+MAX_SILENT_REPORTS = 2
+"""Reports in a row without an answer after which an engine's turn passes to another."""
 LOADING_HINT_S = 4.0
 
 
@@ -205,8 +207,10 @@
         record = task.backend.record
         give_up_s = time.monotonic() + LOAD_TIMEOUT_S
         ordered = False
-        while time.monotonic() < give_up_s and not task.backend.gone:
+        silent = 0
+        while time.monotonic() < give_up_s and not task.backend.gone and silent < MAX_SILENT_REPORTS:
             report = await self._control.report(record)
+            silent = silent + 1 if report is None else 0
             if report is not None and report.versions.get(task.model, 0) >= task.version:
                 return True
             if not ordered and report is not None and not report.busy:
