--- a/src/wallwell/platform/callers.py
+++ b/src/wallwell/platform/callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import time
+from collections.abc import Callable
 
 import msgspec
 from aiohttp import web
@@ -38,7 +39,7 @@
 class HttpReply:
     """A :class:`wallwell.gateway.exchange.CallerReply` over one aiohttp request."""
 
-    def __init__(self, request: web.BaseRequest, request_id: str, closing: bool) -> None:
+    def __init__(self, request: web.BaseRequest, request_id: str, closing: Callable[[], bool]) -> None:
         self._request = request
         self._request_id = request_id
         self._closing = closing
@@ -69,7 +70,7 @@
         """Send the head of a streamed answer."""
         response = web.StreamResponse(status=head.status, headers=CIMultiDict(head.headers))
         self.response = response
-        if self._closing:
+        if self._closing():
             response.force_close()
         await response.prepare(self._request)
 
@@ -90,7 +91,7 @@
 
     async def _send(self, response: web.Response) -> None:
         self.response = response
-        if self._closing:
+        if self._closing():
             response.force_close()
         await response.prepare(self._request)
         await response.write_eof()
@@ -154,7 +155,7 @@
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived_s = time.monotonic()
-        reply = HttpReply(request, request.headers.get(names.REQUEST_ID, ""), self._node.closing_connections())
+        reply = HttpReply(request, request.headers.get(names.REQUEST_ID, ""), self._node.closing_connections)
         try:
             try:
                 caller_request = await self._read(request, arrived_s)
--- /dev/null
+++ b/tests/platform/conftest.py
@@ -0,0 +1,121 @@
+"""One node on stand-ins of the platform, on ports the system chose."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import aiohttp
+import pytest
+import yarl
+from aiohttp import web
+
+from tests.platform.stand_ins import StoreStandIn, WorkerStandIn
+from wallwell.platform.callers import CallersListener
+from wallwell.platform.main import build_node
+from wallwell.platform.settings import Bounds, ListenAddresses, PlatformSettings, ProviderAddress
+
+HOST = "h.example"
+
+
+def route(name="r", prefix="/", kind="safe", **more):
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 3000,
+        "slo_ms": 400,
+        "attempts": 2,
+        "service": "svc",
+        **more,
+    }
+
+
+def config(version=1, routes=None, **more):
+    tenants = [{"name": "t1", "api_keys": ["k1", "k2"], "isolated": False}]
+    routes = [route()] if routes is None else routes
+    return {"version": version, "routes": routes, "services": [], "tenants": tenants, **more}
+
+
+class PlatformHarness:
+    """A store, workers, one node with its listener, and a caller."""
+
+    def __init__(self, workers=2, bounds=None):
+        self.store = StoreStandIn()
+        self.workers = [WorkerStandIn(f"i-{index}") for index in range(workers)]
+        self.bounds = bounds or Bounds(strict_revoke=True)
+
+    async def start(self, configuration=None):
+        await self.store.start()
+        for worker in self.workers:
+            await worker.start()
+            self.store.put("servers", worker.incarnation, worker.entry())
+        if configuration is not False:
+            self.store.put("op", "config", configuration or config())
+        addresses = ListenAddresses("127.0.0.1:0", "127.0.0.1:0")
+        settings = PlatformSettings("n1", "z1", addresses, ProviderAddress(self.store.address), self.bounds)
+        self.node = build_node(settings)
+        # A node that has just started repeats little; these tests are about one that has run for a while.
+        self.node.state.started_s = float("-inf")
+        self.listener = CallersListener(self.node)
+        self.node.start()
+        self.server = self.listener.server()
+        self.runner = web.ServerRunner(self.server, shutdown_timeout=0.01)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        self.port = site._server.sockets[0].getsockname()[1]
+        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0), auto_decompress=False)
+        if configuration is not False:
+            await self.until(self.node.is_ready)
+
+    async def stop(self):
+        await self.session.close()
+        await self.node.stop()
+        await self.runner.cleanup()
+        for worker in self.workers:
+            await worker.stop()
+        await self.store.stop()
+
+    async def until(self, condition, bound_s=10.0):
+        """Wait for something that is bound to happen, by looking often."""
+        async with asyncio.timeout(bound_s):
+            while not condition():
+                await asyncio.sleep(0.005)
+
+    def publish(self, worker):
+        self.store.put("servers", worker.incarnation, worker.entry())
+
+    def headers(self, **more):
+        named = {name.replace("_", "-"): value for name, value in more.items()}
+        return {"Host": HOST, "X-Request-Id": "req-1", "X-Credential": "k1", "X-Deadline-Ms": "3000", **named}
+
+    def request(self, path="/a", method="POST", body=b"body", **headers):
+        """Return a context manager of the caller's response."""
+        url = yarl.URL(f"http://127.0.0.1:{self.port}{path}", encoded=True)
+        return self.session.request(method, url, data=body, headers=self.headers(**headers))
+
+    async def call(self, *args, **kwargs):
+        """Return status, headers and body of one request."""
+        async with self.request(*args, **kwargs) as response:
+            return response.status, response.headers, await response.read()
+
+
+@pytest.fixture
+def on_platform(run_async):
+    """Run a scenario on a started harness."""
+
+    def run(scenario, configuration=None, **harness_options):
+        async def work():
+            harness = PlatformHarness(**harness_options)
+            await harness.start(configuration)
+            try:
+                return await scenario(harness)
+            finally:
+                with contextlib.suppress(TimeoutError):
+                    await harness.stop()
+
+        return run_async(work())
+
+    return run
--- /dev/null
+++ b/tests/platform/test_node.py
@@ -0,0 +1,242 @@
+"""A node and the store: start, changes, outages, weights, and a planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.platform.conftest import config, route
+from tests.unit.gateway.fakes import event
+from wallwell.errors import HistoryLostError, PlatformUnavailableError, SettingsError, TableConflictError
+from wallwell.platform.main import reload_settings
+from wallwell.platform.settings import Bounds, load_platform_settings
+from wallwell.platform.store import PlatformStore, TableRows
+from wallwell.storage.table import Condition, Put, Transaction
+
+
+def test_without_a_configuration_a_node_is_not_ready_and_says_so(on_platform):
+    async def scenario(harness):
+        before = (harness.node.is_ready(), (await harness.call())[0])
+        harness.store.put("op", "config", config())
+        await harness.until(harness.node.is_ready)
+        return before, (await harness.call())[0]
+
+    assert on_platform(scenario, configuration=False) == ((False, 503), 200)
+
+
+def test_a_change_is_in_force_at_once_and_never_reverts(on_platform):
+    async def scenario(harness):
+        harness.store.put("op", "config", config(5, [route(prefix="/new/")]))
+        await harness.until(lambda: harness.node.state.config.version == 5)
+        harness.store.put("op", "config", config(4))
+        harness.store.put("op", "config", {"version": 6, "routes": "no list"})
+        harness.store.put("op", "other", {"x": 1})
+        await asyncio.sleep(0.1)
+        return (await harness.call("/new/x"))[0], (await harness.call("/a"))[0], harness.node.state.config.version
+
+    assert on_platform(scenario) == (200, 404, 5)
+
+
+def test_a_credential_taken_away_is_refused(on_platform):
+    async def scenario(harness):
+        changed = config(2)
+        changed["tenants"][0]["api_keys"] = ["k2"]
+        harness.store.put("op", "config", changed)
+        await harness.until(lambda: harness.node.state.config.version == 2)
+        return (await harness.call())[0], (await harness.call(X_Credential="k2"))[0]
+
+    assert on_platform(scenario) == (401, 200)
+
+
+def test_credentials_are_not_accepted_once_the_store_has_been_silent_too_long(on_platform):
+    """The bound is 0.9 s here: of that, a margin is kept."""
+
+    async def scenario(harness):
+        harness.store.silent = True
+        accepted = (await harness.call())[0]
+        await harness.until(lambda: not harness.node.is_ready())
+        status, headers, _ = await harness.call()
+        harness.store.silent = False
+        await harness.until(harness.node.is_ready)
+        return accepted, status, headers.get("Connection"), (await harness.call())[0]
+
+    bounds = Bounds(strict_revoke=True, revoke_ms=2500)
+    assert on_platform(scenario, bounds=bounds) == (200, 503, "close", 200)
+
+
+def test_forgotten_history_is_read_again(on_platform):
+    async def scenario(harness):
+        harness.store.refuse_status = 503
+        harness.store.put("op", "config", config(9))
+        harness.store.put("servers", "i-1", None)
+        harness.store.forget_history()
+        await asyncio.sleep(0.05)
+        harness.store.refuse_status = 0
+        await harness.until(lambda: harness.node.state.config.version == 9)
+        await harness.until(lambda: harness.node.state.backends.get("i-1") is None)
+        return len(harness.node.state.backends)
+
+    assert on_platform(scenario) == 1
+
+
+def test_a_draining_worker_gets_nothing_new(on_platform):
+    async def scenario(harness):
+        leaving, staying = harness.workers
+        leaving.draining = True
+        harness.publish(leaving)
+        await harness.until(lambda: harness.node.state.backends.get("i-0").record.draining)
+        for _ in range(6):
+            await harness.call()
+        return len(leaving.requests), len(staying.requests)
+
+    assert on_platform(scenario) == (0, 6)
+
+
+def test_named_weights_are_rolled_out_by_fenced_orders(on_platform):
+    async def scenario(harness):
+        for worker in harness.workers:
+            worker.respond = worker.stream(event(1))
+        harness.store.put("op", "version/m", {"model": "m", "version": 2})
+        await harness.until(lambda: all(worker.version == 2 for worker in harness.workers))
+        return [order for worker in harness.workers for order in worker.orders]
+
+    orders = on_platform(scenario, bounds=Bounds(strict_revoke=True, version_ms=300))
+    assert len(orders) == 2
+    for order in orders:
+        assert (order["op"], order["model"], order["version"], order["holder"]) == ("version", "m", 2, "n1")
+        assert (order["expect_rev"], order["mode"]) == (0, "queue")
+        assert order["fence"] > 0
+
+
+def test_a_planned_stop_answers_what_is_open_and_closes_what_rests(on_platform):
+    async def scenario(harness):
+        release = asyncio.Event()
+
+        async def wait(request):
+            await release.wait()
+            return await harness.workers[0].answer_ok(request)
+
+        for worker in harness.workers:
+            worker.respond = wait
+        resting_reader, resting_writer = await asyncio.open_connection("127.0.0.1", harness.port)
+        open_call = asyncio.create_task(harness.call())
+        await harness.until(lambda: any(worker.requests for worker in harness.workers))
+
+        async def close_listener():
+            await harness.listener.close_resting(harness.server)
+
+        stopping = asyncio.create_task(harness.node.drain(1.0, close_listener))
+        await harness.until(lambda: not harness.node.is_ready())
+        async with asyncio.timeout(5):
+            resting_closed = await resting_reader.read()
+        resting_writer.close()
+        release.set()
+        status, headers, _ = await open_call
+        await stopping
+        return resting_closed, status, headers["Connection"]
+
+    assert on_platform(scenario) == (b"", 200, "close")
+
+
+# --- the store's client --------------------------------------------------------------------------------
+
+
+def with_store(run_async, scenario):
+    from tests.platform.stand_ins import StoreStandIn
+
+    async def work():
+        stand_in = StoreStandIn()
+        await stand_in.start()
+        store = PlatformStore(stand_in.address)
+        try:
+            return await scenario(stand_in, store)
+        finally:
+            store.close()
+            await stand_in.stop()
+
+    return run_async(work())
+
+
+def test_conditions_and_whole_readings(run_async):
+    async def scenario(stand_in, store):
+        for index in range(8):
+            await store.transact(Transaction((Condition(f"k{index}", 0),), (Put(f"k{index}", f"v{index}"),)))
+        with pytest.raises(TableConflictError):
+            await store.transact(Transaction((Condition("k1", 0),), (Put("k1", "x"),)))
+        row = await store.get("k3")
+        scan = await store.scan("k", row.version)
+        page = await TableRows(store, "wallwell").read_all()
+        return row.value, await store.get("k33"), [each.key for each in scan.rows], len(page.rows)
+
+    assert with_store(run_async, scenario) == ("v3", None, ["k4", "k5", "k6", "k7"], 8)
+
+
+@pytest.mark.parametrize("status", [429, 500, 503])
+def test_refusals_are_unavailability(run_async, status):
+    async def scenario(stand_in, store):
+        stand_in.refuse_status = status
+        with pytest.raises(PlatformUnavailableError):
+            await store.get("k")
+        with pytest.raises(PlatformUnavailableError):
+            await TableRows(store, "op").changes(0, 0.1)
+
+    with_store(run_async, scenario)
+
+
+def test_a_write_whose_answer_is_lost_may_have_been_done(run_async):
+    async def scenario(stand_in, store):
+        stand_in.lose_writes = 1
+        with pytest.raises(PlatformUnavailableError):
+            await store.transact(Transaction((), (Put("k", "v"),)))
+        return (await store.get("k")).value
+
+    assert with_store(run_async, scenario) == "v"
+
+
+def test_forgotten_history_is_told_apart(run_async):
+    async def scenario(stand_in, store):
+        stand_in.put("op", "a", {"x": 1})
+        stand_in.forget_history()
+        with pytest.raises(HistoryLostError):
+            await TableRows(store, "op").changes(0, 0.1)
+
+    with_store(run_async, scenario)
+
+
+# --- settings ------------------------------------------------------------------------------------------
+
+SETTINGS = """
+node = "n"
+zone = "z"
+unknown = { more = 1 }
+[listen]
+front = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+[provider]
+addr = "127.0.0.1:3"
+[bounds]
+revoke_ms = 4000
+strict_revoke = true
+"""
+
+
+def test_settings_are_read_and_unknown_fields_ignored(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS)
+    bounds = load_platform_settings(str(path)).fleet_bounds()
+    assert (bounds.revocation_s, bounds.strict_revocation) == (4.0, True)
+
+
+@pytest.mark.parametrize("text", ["", "node = 1", "not toml [", SETTINGS.replace("zone", "zoned")])
+def test_unusable_settings_are_typed_errors_and_a_reload_ignores_them(tmp_path, text):
+    path = tmp_path / "boot.toml"
+    path.write_text(text)
+    with pytest.raises(SettingsError):
+        load_platform_settings(str(path))
+    reload_settings(str(path))
+
+
+def test_a_missing_settings_file_is_a_typed_error(tmp_path):
+    with pytest.raises(SettingsError):
+        load_platform_settings(str(tmp_path / "none.toml"))
--- /dev/null
+++ b/tests/unit/backends/test_http_connection.py
@@ -0,0 +1,202 @@
+"""Connections to back ends that break off, say too much, or answer somebody else.
+
+A scripted server writes raw bytes, so that the table can list what aiohttp's own server would never send.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from wallwell.backends.http_connection import (
+    ConnectFailedError,
+    ConnectionBrokenError,
+    ConnectionPool,
+    body_chunks,
+)
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+PAUSE = object()
+RESET = object()
+CLOSE = object()
+
+
+def answer(request_id=b"r1", body=b"hello", extra=b"", length=True):
+    head = b"HTTP/1.1 200 OK\r\nX-Id: %s\r\n%s" % (request_id, extra)
+    if length:
+        head += b"Content-Length: %d\r\n" % len(body)
+    return head + b"\r\n" + body
+
+
+class ScriptedServer:
+    """For each request on a connection, performs the next step list; counts connections."""
+
+    def __init__(self, *scripts):
+        self.scripts = list(scripts)
+        self.connections = 0
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def __aexit__(self, *_):
+        self.server.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                if not self.scripts or not await self._perform(self.scripts.pop(0), writer):
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    async def _perform(self, steps, writer):
+        for step in steps:
+            if step is PAUSE:
+                await writer.drain()
+                for _ in range(20):
+                    await asyncio.sleep(0)
+            elif step is RESET:
+                raw = writer.get_extra_info("socket")
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                writer.transport.abort()
+                return False
+            elif step is CLOSE:
+                return False
+            else:
+                writer.write(step)
+        return True
+
+
+async def fetch(pool, address, request_id="r1"):
+    connection = await pool.acquire(address)
+    try:
+        message, payload = await connection.exchange(request_id, REQUEST)
+        return message.code, b"".join([chunk async for chunk in body_chunks(payload)])
+    finally:
+        pool.release(address, connection)
+
+
+def run_scripts(run_async, scripts, request_ids=("r1",)):
+    """Return what each request got (bytes or the error's type) and how many connections were made."""
+
+    async def work():
+        pool = ConnectionPool("X-Id", connect_timeout_s=5.0, user_timeout_s=5.0)
+        results = []
+        async with ScriptedServer(*scripts) as server:
+            for request_id in request_ids:
+                try:
+                    results.append((await fetch(pool, server.address, request_id))[1])
+                except ConnectionBrokenError as error:
+                    results.append(type(error))
+                for _ in range(30):
+                    await asyncio.sleep(0)
+            pool.close()
+            return results, server.connections
+
+    return run_async(work())
+
+
+BROKEN = ConnectionBrokenError
+
+
+@pytest.mark.parametrize(
+    ("steps", "expected"),
+    [
+        ([answer()], b"hello"),
+        ([b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"], b"hello"),
+        ([answer(length=False), CLOSE], b"hello"),
+        ([answer(length=False), PAUSE, RESET], BROKEN),
+        ([answer()[:-2], CLOSE], BROKEN),
+        ([answer()[:-2], PAUSE, RESET], BROKEN),
+        ([b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", CLOSE], BROKEN),
+        ([b"HTTP/1.1 200 OK\r\nX-I", CLOSE], BROKEN),
+        ([CLOSE], BROKEN),
+        ([RESET], BROKEN),
+        ([b"no answer at all\r\n\r\n"], BROKEN),
+        ([b"HTTP/1.1 100 Continue\r\n\r\n", answer()], b"hello"),
+        ([answer(b"other", b"not yours"), answer()], b"hello"),
+        ([answer(b"other", b"not yours"), PAUSE, answer()], b"hello"),
+        ([answer(b"other", b"not yours"), CLOSE], BROKEN),
+    ],
+)
+def test_what_one_exchange_gets(run_async, steps, expected):
+    assert run_scripts(run_async, [steps])[0] == [expected]
+
+
+@pytest.mark.parametrize(
+    ("first", "connections"),
+    [
+        ([answer()], 1),
+        ([answer(extra=b"Keep-Alive: timeout=5\r\n")], 1),
+        ([answer(extra=b"Connection: close\r\n")], 2),
+        ([answer(extra=b"Keep-Alive: timeout=0\r\n")], 2),
+        ([answer() + answer(b"r1", b"twice")], 2),
+        ([answer() + answer(b"r9", b"surplus")], 2),
+        ([answer(), PAUSE, b"HTTP/1.1 "], 2),
+        ([answer(b"other"), answer()], 2),
+        ([answer(length=False), CLOSE], 2),
+        ([answer(), PAUSE, RESET], 2),
+    ],
+)
+def test_a_connection_is_reused_only_if_nothing_surplus_was_seen(run_async, first, connections):
+    second = [answer(b"r2", b"second")]
+    results, made = run_scripts(run_async, [first, second], ("r1", "r2"))
+    assert results == [b"hello", b"second"]
+    assert made == connections
+
+
+def test_a_late_surplus_answer_never_becomes_the_next_ones(run_async):
+    """The surplus answer of the first request arrives where the second's is due."""
+    scripts = [[answer()], [answer(b"r1", b"late surplus"), answer(b"r2", b"second")]]
+    assert run_scripts(run_async, scripts, ("r1", "r2"))[0] == [b"hello", b"second"]
+
+
+def test_nothing_can_have_reached_a_back_end_that_refuses_connections(run_async):
+    async def work():
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{unused.getsockname()[1]}"
+            pool = ConnectionPool("X-Id", connect_timeout_s=5.0, user_timeout_s=5.0)
+            with pytest.raises(ConnectFailedError) as caught:
+                await pool.acquire(address)
+            return caught.value.timed_out
+
+    assert run_async(work()) is False
+
+
+def test_giving_an_exchange_up_closes_its_connection(run_async):
+    async def work():
+        closed = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            try:
+                await reader.read()
+            except ConnectionError:
+                pass
+            closed.set()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        pool = ConnectionPool("X-Id", connect_timeout_s=5.0, user_timeout_s=5.0)
+        task = asyncio.create_task(fetch(pool, address))
+        while not server._active_count:
+            await asyncio.sleep(0)
+        for _ in range(50):
+            await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        async with asyncio.timeout(5):
+            await closed.wait()
+        server.close()
+
+    run_async(work())
--- /dev/null
+++ b/tests/unit/placement/test_rollout.py
@@ -0,0 +1,94 @@
+"""Rollouts: one load covers versions named close together, and enough engines keep serving."""
+
+import pytest
+
+from wallwell.deployment.backends import Backend, BackendRecord
+from wallwell.deployment.weights import WeightsTargets
+from wallwell.placement.rollout import HOLD_PART, RETRY_S, RolloutPlanner, divide, next_in_line
+
+ALLOWANCE_S = 8.0
+DUE_S = ALLOWANCE_S * HOLD_PART
+
+
+def engines(count, version=1):
+    return [
+        Backend(
+            BackendRecord(f"i-{n}", "s", f"10.0.0.{n}:80", "z", 8, versions={"m": version}), versions={"m": version}
+        )
+        for n in range(count)
+    ]
+
+
+def planner(*named):
+    targets = WeightsTargets()
+    for version, since_s in named:
+        targets.name("m", version, since_s)
+    return RolloutPlanner(targets, ALLOWANCE_S)
+
+
+def test_a_rollout_waits_for_versions_named_shortly_after():
+    plan, listed = planner((2, 0.0)), engines(6)
+    assert not plan.is_due(listed, DUE_S - 0.1)
+    plan.targets.name("m", 3, 3.2)
+    assert plan.is_due(listed, DUE_S)
+    assert {task.version for task in plan.next_tasks(listed, DUE_S)} == {3}
+
+
+@pytest.mark.parametrize("count", [1, 2, 3, 4, 6, 7, 9, 15])
+def test_every_engine_gets_one_load_while_others_serve(count):
+    plan, listed = planner((2, 0.0)), engines(count)
+    now_s, loads = DUE_S, []
+    while any(each.believed_version("m") < 2 for each in listed):
+        tasks = plan.next_tasks(listed, now_s)
+        assert tasks
+        assert len(tasks) < count or count == 1
+        for task in tasks:
+            loads.append(task.backend.incarnation)
+            plan.finish(task, True, now_s)
+        now_s += 1.0
+    assert sorted(loads) == sorted(each.incarnation for each in listed)
+
+
+def test_an_engine_already_loaded_is_not_loaded_again_for_a_version_that_is_not_due():
+    plan, listed = planner((2, 0.0)), engines(3)
+    for task in plan.next_tasks(listed, DUE_S):
+        plan.finish(task, True, DUE_S + 1)
+    plan.targets.name("m", 3, DUE_S + 1)
+    tasks = plan.next_tasks(listed, DUE_S + 1.1)
+    assert tasks
+    assert all(task.backend.believed_version("m") == 1 for task in tasks)
+
+
+def test_a_failed_load_is_tried_again_after_a_pause():
+    plan, listed = planner((2, 0.0)), engines(1)
+    (task,) = plan.next_tasks(listed, DUE_S)
+    assert plan.next_tasks(listed, DUE_S + 60) == []
+    plan.finish(task, False, DUE_S)
+    assert plan.next_tasks(listed, DUE_S + RETRY_S / 2) == []
+    assert len(plan.next_tasks(listed, DUE_S + RETRY_S)) == 1
+
+
+@pytest.mark.parametrize("state", ["draining", "gone"])
+def test_engines_that_leave_get_no_orders(state):
+    plan, listed = planner((2, 0.0)), engines(1)
+    if state == "gone":
+        listed[0].gone = True
+    else:
+        listed[0].record = BackendRecord("i-0", "s", "10.0.0.0:80", "z", 8, True, {"m": 1})
+    assert not plan.is_due(listed, 100.0)
+    assert plan.next_tasks(listed, 100.0) == []
+
+
+def test_every_node_knows_the_next_engines_and_some_of_each_pool_stay():
+    targets, listed = planner((2, 0.0)).targets, engines(9)
+    assert next_in_line(listed, targets, "m", 0.1) == set()
+    leaving = next_in_line(listed, targets, "m", 1.0)
+    assert leaving == next_in_line(listed[::-1], targets, "m", 1.0)
+    for pool in divide(listed):
+        assert any(each.incarnation not in leaving for each in pool)
+
+
+def test_the_engines_ordered_first_are_those_emptied_before():
+    plan, listed = planner((2, 0.0)), engines(9)
+    leaving = next_in_line(listed, plan.targets, "m", 1.0)
+    assert {task.backend.incarnation for task in plan.next_tasks(listed, DUE_S)} <= leaving
--- /dev/null
+++ b/tests/unit/placement/test_rollout_driver.py
@@ -0,0 +1,215 @@
+"""The driver over a table with faults: one node acts at a time, in virtual time."""
+
+import asyncio
+import random
+import time
+
+import pytest
+
+from tests.faulty_table import FaultyTable
+from tests.virtual_time import run_virtual
+from wallwell.deployment.backends import BackendRecord
+from wallwell.errors import PlatformUnavailableError
+from wallwell.gateway.fleet_state import FleetBounds, FleetState
+from wallwell.placement.rollout import EngineReport, OrderReply
+from wallwell.placement.rollout_driver import RolloutDriver
+from wallwell.storage.feed import FeedRow
+
+LEASE_S = 3.0
+
+
+class Engine:
+    """Obeys orders with a rising fence, loads for a while, may lose answers or act late."""
+
+    def __init__(self):
+        self.version, self.orders, self.fence, self.busy_until_s = 1, 0, 0, 0.0
+        self.lose, self.late_s = 0, 0.0
+        self.given: list[tuple[float, str, int]] = []
+
+
+class Control:
+    def __init__(self, engines, node):
+        self.engines, self.node = engines, node
+
+    async def report(self, backend):
+        engine = self.engines[backend.incarnation]
+        await asyncio.sleep(0.002)
+        return EngineReport({"m": engine.version}, time.monotonic() < engine.busy_until_s, engine.orders)
+
+    async def order(self, backend, order):
+        engine = self.engines[backend.incarnation]
+        engine.given.append((time.monotonic(), order.holder, order.fence))
+        if engine.late_s:
+            late_s, engine.late_s = engine.late_s, 0.0
+            asyncio.get_running_loop().call_later(late_s, self._take, engine, order)
+            return OrderReply.UNKNOWN
+        reply = self._take(engine, order)
+        if engine.lose:
+            engine.lose -= 1
+            return OrderReply.UNKNOWN
+        return reply
+
+    def _take(self, engine, order):
+        if order.fence < engine.fence:
+            return OrderReply.FENCED
+        if order.expected_orders != engine.orders or time.monotonic() < engine.busy_until_s:
+            return OrderReply.BUSY
+        engine.fence, engine.orders = order.fence, engine.orders + 1
+        engine.busy_until_s = time.monotonic() + 0.6
+        asyncio.get_running_loop().call_later(0.6, setattr, engine, "version", order.version)
+        return OrderReply.ACCEPTED
+
+
+class Fleet:
+    """Nodes with drivers over one table; a feed tells every node of every row."""
+
+    def __init__(self, nodes=3, engines=6):
+        self.table = FaultyTable()
+        self.engines = {f"i-{index}": Engine() for index in range(engines)}
+        self.states, self.drivers, self.tasks = [], [], []
+        for index in range(nodes):
+            state = FleetState(f"n{index}", "z", FleetBounds(lease_s=LEASE_S), random.Random(index))
+            state.members = {f"n{each}" for each in range(nodes)}
+            for incarnation in self.engines:
+                state.backends.upsert(BackendRecord(incarnation, "s", "10.0.0.1:80", "z", 8, versions={"m": 1}))
+            self.states.append(state)
+            self.drivers.append(RolloutDriver(state, self.table, Control(self.engines, state.node)))
+
+    def start(self):
+        self.tasks = [asyncio.create_task(driver.run()) for driver in self.drivers]
+        self.tasks.append(asyncio.create_task(self._feed()))
+
+    async def _feed(self):
+        seen = {}
+        while True:
+            await asyncio.sleep(0.05)
+            scan = await self.table.scan("", 0)
+            for row in scan.rows:
+                if seen.get(row.key) != row.version:
+                    seen[row.key] = row.version
+                    for driver in self.drivers:
+                        driver.on_row(FeedRow(row.key, row.value.encode(), row.version), time.monotonic())
+
+    def name(self, version):
+        for state in self.states:
+            state.weights.name("m", version, time.monotonic())
+
+    def kill(self, index):
+        self.tasks[index].cancel()
+        self.drivers[index].stop()
+
+    def orders(self):
+        return sorted(given for engine in self.engines.values() for given in engine.given)
+
+    def versions(self):
+        return {engine.version for engine in self.engines.values()}
+
+    def stop(self):
+        for index in range(len(self.drivers)):
+            self.kill(index)
+        self.tasks[-1].cancel()
+
+
+def play(scenario, **fleet):
+    async def work():
+        running = Fleet(**fleet)
+        running.start()
+        try:
+            await scenario(running)
+        finally:
+            running.stop()
+        return running
+
+    return run_virtual(work())
+
+
+def test_every_engine_gets_the_version_in_time_from_one_holder():
+    async def scenario(fleet):
+        fleet.name(2)
+        await asyncio.sleep(8.0)
+
+    fleet = play(scenario)
+    assert fleet.versions() == {2}
+    assert len({holder for _, holder, _ in fleet.orders()}) == 1
+    assert len(fleet.orders()) == len(fleet.engines)
+
+
+def test_versions_named_shortly_after_each_other_cost_one_load():
+    async def scenario(fleet):
+        fleet.name(2)
+        await asyncio.sleep(3.0)
+        fleet.name(3)
+        await asyncio.sleep(12.0)
+
+    fleet = play(scenario)
+    assert fleet.versions() == {3}
+    assert len(fleet.orders()) == len(fleet.engines)
+
+
+def test_a_dead_holder_is_followed_after_the_guard_by_one_with_a_higher_fence():
+    async def scenario(fleet):
+        fleet.name(2)
+        while not fleet.orders():
+            await asyncio.sleep(0.05)
+        fleet.kill(int(fleet.orders()[0][1][1:]))
+        await asyncio.sleep(14.0)
+
+    fleet = play(scenario)
+    assert fleet.versions() == {2}
+    by_holder: dict[str, list[tuple[float, int]]] = {}
+    for at_s, holder, fence in fleet.orders():
+        by_holder.setdefault(holder, []).append((at_s, fence))
+    (_, first), (_, second) = sorted(by_holder.items(), key=lambda item: item[1][0])
+    assert second[0][0] - first[-1][0] >= LEASE_S
+    assert min(fence for _, fence in second) > max(fence for _, fence in first)
+
+
+@pytest.mark.parametrize("fault", ["lose", "late"])
+def test_orders_without_answer_are_taken_once(fault):
+    async def scenario(fleet):
+        for engine in fleet.engines.values():
+            engine.lose, engine.late_s = (1, 0.0) if fault == "lose" else (0, 4.0)
+        fleet.name(2)
+        await asyncio.sleep(20.0)
+
+    fleet = play(scenario)
+    assert fleet.versions() == {2}
+    assert all(engine.orders == 1 for engine in fleet.engines.values())
+
+
+def test_without_the_store_nobody_gives_orders():
+    async def scenario(fleet):
+        async def refuse(*_):
+            raise PlatformUnavailableError("down")
+
+        fleet.table.get = refuse
+        fleet.table.transact = refuse
+        fleet.name(2)
+        await asyncio.sleep(10.0)
+
+    assert play(scenario).orders() == []
+
+
+def test_a_holder_cut_off_from_the_store_stops_before_another_may_begin():
+    async def scenario(fleet):
+        fleet.name(2)
+        while not fleet.orders():
+            await asyncio.sleep(0.02)
+        holder = int(fleet.orders()[0][1][1:])
+
+        class Cut:
+            async def get(self, *_):
+                raise PlatformUnavailableError("cut")
+
+            transact = get
+
+        fleet.drivers[holder]._table = Cut()
+        fleet.drivers[holder]._lease._table = Cut()
+        await asyncio.sleep(15.0)
+
+    fleet = play(scenario, engines=12)
+    assert fleet.versions() == {2}
+    orders = fleet.orders()
+    turns = [index for index in range(1, len(orders)) if orders[index][1] != orders[index - 1][1]]
+    assert len(turns) <= 1
+    assert all(orders[index][0] - orders[index - 1][0] >= LEASE_S for index in turns)
--- /dev/null
+++ b/tests/unit/storage/test_feed.py
@@ -0,0 +1,169 @@
+"""Following rows through every kind of failure, in virtual time."""
+
+import asyncio
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.virtual_time import run_virtual
+from wallwell.deployment.freshness import StoreClock
+from wallwell.errors import HistoryLostError, PlatformUnavailableError
+from wallwell.storage.feed import FeedPage, FeedRow, RowFollower
+
+
+class MemoryRows:
+    """Rows with versions, a bounded history and scripted failures."""
+
+    def __init__(self):
+        self.rows: dict[str, FeedRow] = {}
+        self.history: list[FeedRow] = []
+        self.version = 0
+        self.forgotten = 0
+        self.failures: list[Exception] = []
+        self.whole_reads = 0
+
+    def write(self, key, value):
+        self.version += 1
+        row = FeedRow(key, value, self.version)
+        self.history.append(row)
+        if value is None:
+            self.rows.pop(key, None)
+        else:
+            self.rows[key] = row
+
+    def forget(self):
+        self.forgotten = self.version
+        self.history.clear()
+
+    def _fail(self):
+        if self.failures:
+            raise self.failures.pop(0)
+
+    async def read_all(self):
+        self._fail()
+        self.whole_reads += 1
+        await asyncio.sleep(0.01)
+        return FeedPage(tuple(self.rows.values()), self.version, self._now_s())
+
+    async def changes(self, after_version, wait_s):
+        self._fail()
+        if self.version == after_version:
+            await asyncio.sleep(wait_s)
+        if after_version < self.forgotten:
+            raise HistoryLostError("gone")
+        rows = tuple(row for row in self.history if row.version > after_version)
+        return FeedPage(rows, self.version, self._now_s())
+
+    def _now_s(self):
+        return asyncio.get_running_loop().time() - 900.0
+
+
+class Mirror:
+    """What a follower of the rows knows."""
+
+    def __init__(self):
+        self.rows = {}
+
+    def apply(self, page, whole):
+        if whole:
+            self.rows = {}
+        for row in page.rows:
+            if row.value is None:
+                self.rows.pop(row.key, None)
+            else:
+                self.rows[row.key] = row.value
+
+
+def follower_of(source, mirror, wait_s=1.0):
+    return RowFollower("test", source, mirror.apply, wait_s, StoreClock(), random.Random(3))
+
+
+ACTIONS = st.lists(
+    st.one_of(
+        st.tuples(st.just("write"), st.sampled_from("abc"), st.binary(max_size=2)),
+        st.tuples(st.just("delete"), st.sampled_from("abc"), st.just(b"")),
+        st.tuples(st.just("forget"), st.just(""), st.just(b"")),
+        st.tuples(st.just("fail"), st.just(""), st.just(b"")),
+        st.tuples(st.just("wait"), st.just(""), st.just(b"")),
+    ),
+    max_size=30,
+)
+
+
+@settings(deadline=None, max_examples=60)
+@given(actions=ACTIONS)
+def test_the_copy_agrees_with_the_store_after_any_history(actions):
+    async def work():
+        source, mirror = MemoryRows(), Mirror()
+        task = asyncio.create_task(follower_of(source, mirror).run())
+        for action, key, value in actions:
+            if action == "write":
+                source.write(key, value)
+            elif action == "delete":
+                source.write(key, None)
+            elif action == "forget":
+                source.forget()
+            elif action == "fail":
+                source.failures.append(PlatformUnavailableError("scripted"))
+            else:
+                await asyncio.sleep(0.7)
+        await asyncio.sleep(30.0)
+        task.cancel()
+        assert mirror.rows == {key: row.value for key, row in source.rows.items()}
+
+    run_virtual(work())
+
+
+def test_lost_history_leads_to_one_whole_reading():
+    async def work():
+        source, mirror = MemoryRows(), Mirror()
+        source.write("a", b"1")
+        task = asyncio.create_task(follower_of(source, mirror).run())
+        await asyncio.sleep(2.0)
+        source.write("b", b"2")
+        source.write("a", None)
+        source.forget()
+        await asyncio.sleep(3.0)
+        task.cancel()
+        return mirror.rows, source.whole_reads
+
+    rows, whole_reads = run_virtual(work())
+    assert rows == {"b": b"2"}
+    assert whole_reads == 2
+
+
+def test_knowledge_is_as_old_as_the_last_answer():
+    async def work():
+        source, mirror = MemoryRows(), Mirror()
+        follower = follower_of(source, mirror)
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(5.0)
+        confirmed_before_s = follower.confirmed_at_s
+        source.failures += [PlatformUnavailableError("down")] * 1000
+        failed_at_s = asyncio.get_running_loop().time()
+        await asyncio.sleep(5.0)
+        task.cancel()
+        return confirmed_before_s, follower.confirmed_at_s, failed_at_s
+
+    before_s, after_s, failed_at_s = run_virtual(work())
+    assert before_s > failed_at_s - 1.1
+    assert after_s <= failed_at_s + 1.1
+
+
+@pytest.mark.parametrize("failures", [1, 20])
+def test_failures_are_retried_with_pauses_and_never_end_the_follower(failures):
+    async def work():
+        source, mirror = MemoryRows(), Mirror()
+        source.failures += [PlatformUnavailableError("down")] * failures
+        source.write("a", b"1")
+        task = asyncio.create_task(follower_of(source, mirror).run())
+        started_s = asyncio.get_running_loop().time()
+        while not mirror.rows:
+            await asyncio.sleep(0.05)
+        task.cancel()
+        return asyncio.get_running_loop().time() - started_s
+
+    took_s = run_virtual(work())
+    assert 0.03 * failures <= took_s <= 0.7 * failures
