Ages of weights versions are recorded, and a closing listener takes bodies in full

Change: the progress row carries versions with the store's time of their naming; connections with a request under way are told to close after it. Rollouts wait 0.52 of the allowance, overflow begins at full slots.

--- a/src/wallwell/deployment/freshness.py
+++ b/src/wallwell/deployment/freshness.py
@@ -33,6 +33,14 @@
         self._observed_s = sent_s
         return max(sent_s, store_s + lower_s)
 
+    def to_store_s(self, local_s: float) -> float:
+        """Return the store's time at a local time, at most a call's duration off."""
+        return local_s - (self._lower_s or 0.0)
+
+    def to_local_s(self, store_s: float) -> float:
+        """Return the local time at a store's time, never later than it was."""
+        return store_s + (self._lower_s or 0.0)
+
 
 @dataclass
 class Freshness:
--- a/src/wallwell/deployment/weights.py
+++ b/src/wallwell/deployment/weights.py
@@ -31,6 +31,19 @@
         named.append(NamedVersion(version, since_s, estimated))
         return True
 
+    def recall(self, model: str, version: int, since_s: float) -> None:
+        """Take a version's age as another node recorded it, instead of a guess; what was seen here goes first."""
+        named = self._named.setdefault(model, [])
+        known = next((each for each in named if each.version == version), None)
+        if known is not None and not known.estimated:
+            return
+        others = [each for each in named if each.version != version]
+        self._named[model] = sorted((*others, NamedVersion(version, since_s)), key=lambda each: each.version)
+
+    def certain(self, model: str) -> list[NamedVersion]:
+        """Return the versions whose age is known."""
+        return [named for named in self._named.get(model, ()) if not named.estimated]
+
     def newest(self, model: str) -> int:
         """Return the newest version named, 0 if none."""
         named = self._named.get(model)
--- a/src/wallwell/gateway/fleet_node.py
+++ b/src/wallwell/gateway/fleet_node.py
@@ -72,8 +72,8 @@
         self._sources = sources
         self._pool = pool
         self._pipeline = RequestPipeline(self.state, client)
-        self._rollout = RolloutDriver(self.state, sources.table, control)
         self._clock = StoreClock()
+        self._rollout = RolloutDriver(self.state, sources.table, control, self._clock)
         self._registered = False
         self._tasks: list[asyncio.Task[None]] = []
         self._followers = (
--- a/src/wallwell/placement/rollout.py
+++ b/src/wallwell/placement/rollout.py
@@ -16,7 +16,7 @@
 from wallwell.deployment.weights import WeightsTargets
 from wallwell.routing.prefix_home import CHUNK_TOKENS, engine_pool
 
-HOLD_PART = 0.42
+HOLD_PART = 0.52
 """Part of the allowance for which a rollout waits for further versions to be named."""
 CONCURRENT_SHARE = 0.5
 """Share of each pool under order at the same time; an order first waits for its engine's streams to end."""
--- a/src/wallwell/placement/rollout_driver.py
+++ b/src/wallwell/placement/rollout_driver.py
@@ -11,6 +11,7 @@
 
 from wallwell.cluster.leases import LEASE_PREFIX, LeaseKeeper
 from wallwell.deployment.backends import Backend, BackendRecord, LoadInProgress
+from wallwell.deployment.freshness import StoreClock
 from wallwell.errors import LeaseLostError, PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
 from wallwell.gateway.fleet_state import FleetState
@@ -32,6 +33,8 @@
 LOAD_TIMEOUT_S = 6.0
 MAX_SILENT_REPORTS = 2
 """Reports in a row without an answer after which an engine's turn passes to another."""
+MAX_NAMED = 16
+"""Versions whose naming is recorded; older ones are long due."""
 LOADING_HINT_S = 4.0
 
 
@@ -54,15 +57,18 @@
     version: int
     loading: tuple[str, ...]
     finished: tuple[str, ...]
+    named: tuple[tuple[int, float], ...] = ()
+    """Versions and the store's time of their naming, for nodes that start later."""
 
 
 class RolloutDriver:
     """One node's part in rollouts; at most one node acts at a time."""
 
-    def __init__(self, state: FleetState, table: TableService, control: EngineControl) -> None:
+    def __init__(self, state: FleetState, table: TableService, control: EngineControl, clock: StoreClock) -> None:
         self._state = state
         self._table = table
         self._control = control
+        self._clock = clock
         self._planner = RolloutPlanner(state.weights, state.bounds.version_s)
         self._valid_s = state.bounds.lease_s * VALID_PART
         self._lease = LeaseKeeper(LEASE_NAME, state.node, self._valid_s, table, guard_s=state.bounds.lease_s)
@@ -84,6 +90,8 @@
             self._on_progress(msgspec.json.decode(row.value, type=Progress), now_s)
 
     def _on_progress(self, progress: Progress, now_s: float) -> None:
+        for version, store_s in progress.named:
+            self._state.weights.recall(progress.model, version, self._clock.to_local_s(store_s))
         for incarnation in progress.finished:
             backend = self._state.backends.get(incarnation)
             if backend is not None and backend.believed_version(progress.model) < progress.version:
@@ -178,7 +186,9 @@
         """Tell every node what loads; without an answer from the store the rollout goes on all the same."""
         loading = tuple(sorted(self._loading))
         finished = tuple(sorted(self._finished.get(f"{model}:{version}", ())))
-        body = msgspec.json.encode(Progress(model, version, loading, finished)).decode()
+        certain = self._state.weights.certain(model)
+        named = tuple((each.version, self._clock.to_store_s(each.known_since_s)) for each in certain)
+        body = msgspec.json.encode(Progress(model, version, loading, finished, named[-MAX_NAMED:])).decode()
         try:
             async with asyncio.timeout(self._valid_s / 4):
                 await self._table.transact(Transaction((), (Put(PROGRESS_PREFIX + model, body),)))
--- a/src/wallwell/platform/callers.py
+++ b/src/wallwell/platform/callers.py
@@ -25,6 +25,8 @@
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
 MAX_FIELD_BYTES = 32 * 1024
+TURNS_TO_BEGIN = 5
+"""Turns of the event loop after which the handler of a request that has been read has certainly begun."""
 KEEPALIVE_S = 75.0
 
 
@@ -103,15 +105,19 @@
     def __init__(self, node: FleetNode) -> None:
         self._node = node
         self._busy: set[RequestHandler] = set()
+        self._closing = False
 
     async def close_resting(self, server: web.Server) -> None:
-        """Close every connection without a request under way; the others close after their answer."""
-        # Lets the handlers of requests that have just been read begin.
-        await asyncio.sleep(0)
+        """Close every connection without a request under way; the others close after their answer.
+
+        aiohttp drops what arrives on a connection that it was told to close, the rest of a body too, so a
+        connection with a request under way is told only when that has ended.
+        """
+        for _ in range(TURNS_TO_BEGIN):
+            await asyncio.sleep(0)
+        self._closing = True
         for connection in list(server.connections):
-            if connection in self._busy:
-                connection.close()
-            else:
+            if connection not in self._busy:
                 connection.force_close()
 
     def server(self) -> web.Server:
@@ -152,6 +158,8 @@
             return await self._answer(request)
         finally:
             self._busy.discard(request.protocol)
+            if self._closing:
+                request.protocol.close()
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived_s = time.monotonic()
--- a/src/wallwell/routing/prefix_home.py
+++ b/src/wallwell/routing/prefix_home.py
@@ -19,7 +19,7 @@
 """One engine in so many is kept for prompts of at most one chunk."""
 MIN_ENGINES_TO_DIVIDE = 3
 _POOL_KEY = key_of("short prompts")
-FULL_PART = 0.6
+FULL_PART = 1.0
 """Part of an engine's slots beyond which requests overflow to engines meant for others."""
 MIN_LOAD_BOUND = 3
 LOAD_BOUND_FACTOR = 1.5
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -139,6 +139,24 @@
     assert on_platform(scenario) == (b"", 200, "close")
 
 
+def test_a_body_still_on_its_way_when_the_listener_closes_is_taken_in_full(on_platform):
+    """aiohttp drops bytes that arrive on a connection after it was told to close."""
+
+    async def scenario(harness):
+        reader, writer = await asyncio.open_connection("127.0.0.1", harness.port)
+        head = "\r\n".join(f"{name}: {value}" for name, value in harness.headers().items())
+        writer.write(f"POST /a HTTP/1.1\r\n{head}\r\nContent-Length: 10\r\n\r\nfirst".encode())
+        await harness.until(lambda: harness.listener._busy)
+        await harness.listener.close_resting(harness.server)
+        writer.write(b"-last")
+        async with asyncio.timeout(5):
+            answer = await reader.read()
+        writer.close()
+        return answer.split(b"\r\n")[0], [body for worker in harness.workers for body in worker.bodies]
+
+    assert on_platform(scenario) == (b"HTTP/1.1 200 OK", [b"first-last"])
+
+
 # --- the store's client --------------------------------------------------------------------------------
 
 
--- a/tests/unit/deployment/test_weights.py
+++ b/tests/unit/deployment/test_weights.py
@@ -37,3 +37,13 @@
     targets = named((2, 10.0), estimated=True)
     assert targets.minimum_version("m", 30.0, 6.0, in_place=1) == 0
     assert targets.minimum_version("m", 30.0, 6.0, in_place=2) == 2
+
+
+def test_a_recorded_age_replaces_a_guess_but_not_what_was_seen():
+    targets = named((5, 50.0), estimated=True)
+    targets.recall("m", 5, 41.0)
+    targets.recall("m", 3, 30.0)
+    assert [(each.version, each.known_since_s) for each in targets.certain("m")] == [(3, 30.0), (5, 41.0)]
+    seen = named((5, 50.0))
+    seen.recall("m", 5, 41.0)
+    assert seen.oldest_missing("m", 1).known_since_s == 50.0
--- a/tests/unit/placement/test_rollout_driver.py
+++ b/tests/unit/placement/test_rollout_driver.py
@@ -9,6 +9,7 @@
 from tests.faulty_table import FaultyTable
 from tests.virtual_time import run_virtual
 from wallwell.deployment.backends import BackendRecord
+from wallwell.deployment.freshness import StoreClock
 from wallwell.errors import PlatformUnavailableError
 from wallwell.gateway.fleet_state import FleetBounds, FleetState
 from wallwell.placement.rollout import EngineReport, OrderReply
@@ -73,7 +74,7 @@
             for incarnation in self.engines:
                 state.backends.upsert(BackendRecord(incarnation, "s", "10.0.0.1:80", "z", 8, versions={"m": 1}))
             self.states.append(state)
-            self.drivers.append(RolloutDriver(state, self.table, Control(self.engines, state.node)))
+            self.drivers.append(RolloutDriver(state, self.table, Control(self.engines, state.node), StoreClock()))
 
     def start(self):
         self.tasks = [asyncio.create_task(driver.run()) for driver in self.drivers]
@@ -213,3 +214,24 @@
     turns = [index for index in range(1, len(orders)) if orders[index][1] != orders[index - 1][1]]
     assert len(turns) <= 1
     assert all(orders[index][0] - orders[index - 1][0] >= LEASE_S for index in turns)
+
+
+def test_a_node_that_starts_later_learns_how_old_each_version_is():
+    """Found by a hunt: a restarted node saw only the newest name, and sent to an engine two versions behind."""
+
+    async def scenario(fleet):
+        started_s = time.monotonic()
+        fleet.name(2)
+        await asyncio.sleep(3.0)
+        fleet.name(3)
+        await asyncio.sleep(4.0)
+        late = FleetState("late", "z", FleetBounds(lease_s=LEASE_S), random.Random(9))
+        late.weights.name("m", 4, time.monotonic(), estimated=True)
+        driver = RolloutDriver(late, fleet.table, Control(fleet.engines, "late"), StoreClock())
+        for row in (await fleet.table.scan("", 0)).rows:
+            driver.on_row(FeedRow(row.key, row.value.encode(), row.version), time.monotonic())
+        ages = [(each.version, round(each.known_since_s - started_s, 1)) for each in late.weights.certain("m")]
+        assert ages == [(2, 0.0), (3, 3.0)]
+        assert late.weights.minimum_version("m", started_s + 7.0, 6.4, in_place=3) == 2
+
+    play(scenario)
