Fewer engines emptied ahead of a rollout; logs bounded, figures on request, wallwell explain

Change: the next in line is emptied 1.2 s before its order, 0.4 of each pool at a time; an engine that gets nothing new any more is ordered at once. Log lines go out without waiting, bounded and sampled; metrics where the settings ask for them; explain tells a request's story.

--- a/src/wallwell/errors.py
+++ b/src/wallwell/errors.py
@@ -265,6 +265,12 @@
     code = "WW5003"
 
 
+class UnknownRequestError(WallwellError):
+    """No log line names the request."""
+
+    code = "WW7002"
+
+
 class BenchError(WallwellError):
     """An experiment's file is invalid or its run could not be completed."""
 
--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -8,13 +8,11 @@
 
 import enum
 import sys
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
-import msgspec
 from loguru import logger
 
-if TYPE_CHECKING:
-    from loguru import Message
+from wallwell.log_writer import JsonSink, LogWriter
 
 
 class Event(enum.Enum):
@@ -25,6 +23,7 @@
     NODE_DRAINING = (1003, "INFO", "planned stop: refusing new work and finishing what is open")
     NODE_STOPPED = (1004, "INFO", "node stopped")
     INTERNAL_ERROR = (1006, "ERROR", "unexpected error")
+    LOG_LINES_LOST = (1008, "WARNING", "log lines lost")
     CONFIG_ADVANCED = (2001, "INFO", "configuration advanced to a higher revision")
     CONFIG_ACCEPTED = (2002, "INFO", "operators' change accepted")
     CONFIG_REFUSED = (2003, "WARNING", "operators' change refused")
@@ -92,18 +91,7 @@
     logger.remove()
     logger.configure(extra={"event": 0})
     if json_lines:
-        logger.add(_write_json_line, level=level, format="{message}")
+        sink = JsonSink(LogWriter(sys.stderr.fileno()), Event.REQUEST_ENDED.number)
+        logger.add(sink, level=level, format="{message}")
     else:
         logger.add(sys.stderr, level=level, format=_HUMAN_FORMAT)
-
-
-def _write_json_line(message: Message) -> None:
-    """Write one compact JSON line: time, level, message, then the event's number and fields."""
-    record = message.record
-    line = {
-        "time": record["time"].isoformat(timespec="milliseconds"),
-        "level": record["level"].name,
-        "message": record["message"],
-        **record["extra"],
-    }
-    sys.stderr.write(msgspec.json.encode(line, enc_hook=str).decode() + "\n")
--- /dev/null
+++ b/src/wallwell/gateway/fleet_metrics.py
@@ -0,0 +1,83 @@
+"""Text exposition of a fleet node's counters and state; imported only where figures are asked for."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator, Mapping
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, HistogramMetricFamily, Metric
+
+from wallwell.gateway.counters import LATENCY_BOUNDS_S, FleetCounters, LatencyHistogram
+from wallwell.gateway.fleet_state import FleetState
+
+
+class FleetCollector:
+    """Turns a node's numbers into metrics at the moment they are collected."""
+
+    def __init__(self, counters: FleetCounters, state: FleetState) -> None:
+        self._counters = counters
+        self._state = state
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield every metric."""
+        yield from self._collect_counters()
+        yield from self._collect_state()
+
+    def _collect_counters(self) -> Iterator[Metric]:
+        counters = self._counters
+        requests = CounterMetricFamily(
+            "wallwell_requests", "Requests by kind and outcome.", labels=["kind", "outcome"]
+        )
+        for labels, count in counters.requests.items():
+            requests.add_metric(labels, count)
+        yield requests
+        yield _counter("wallwell_refusals", "Own errors by code.", "code", counters.refusals)
+        yield _counter("wallwell_attempts", "Attempts by result.", "result", counters.attempts)
+        yield _histogram("wallwell_first_piece_seconds", "Time to the first piece.", counters.first_piece)
+        yield _histogram("wallwell_answer_seconds", "Time to the whole answer.", counters.whole_answer)
+        yield _histogram("wallwell_largest_gap_seconds", "Largest pause of a stream.", counters.largest_gap)
+
+    def _collect_state(self) -> Iterator[Metric]:
+        state, now_s = self._state, time.monotonic()
+        age_s = now_s - state.freshness.confirmed_at_s
+        yield GaugeMetricFamily("wallwell_store_age_seconds", "Age of the store's last word.", value=age_s)
+        version = state.config.version if state.config is not None else 0
+        yield GaugeMetricFamily("wallwell_config_version", "Configuration in force.", value=version)
+        yield GaugeMetricFamily("wallwell_ready", "Whether the node is ready.", value=float(state.is_ready(now_s)))
+        yield GaugeMetricFamily("wallwell_nodes", "Nodes that share budgets.", value=state.node_count)
+        listed = list(state.backends.all())
+        opened = sum(each.is_open(now_s) for each in listed)
+        yield GaugeMetricFamily("wallwell_backends", "Listed back ends.", value=len(listed))
+        yield GaugeMetricFamily("wallwell_backends_open", "Back ends that get new requests.", value=opened)
+        in_flight = sum(each.in_flight for each in listed)
+        yield GaugeMetricFamily("wallwell_in_flight", "Attempts under way.", value=in_flight)
+        budget = GaugeMetricFamily("wallwell_retry_budget_left", "Repeats left by service.", labels=["service"])
+        for service, left in state.budgets_left(now_s).items():
+            budget.add_metric([service], left)
+        yield budget
+
+
+def _counter(name: str, text: str, label: str, counts: Mapping[str, int]) -> CounterMetricFamily:
+    family = CounterMetricFamily(name, text, labels=[label])
+    for value, count in counts.items():
+        family.add_metric([value], count)
+    return family
+
+
+def _histogram(name: str, text: str, by_kind: Mapping[str, LatencyHistogram]) -> HistogramMetricFamily:
+    family = HistogramMetricFamily(name, text, labels=["kind"])
+    for kind, histogram in by_kind.items():
+        cumulative, buckets = 0, []
+        for bound, count in zip((*map(str, LATENCY_BOUNDS_S), "+Inf"), histogram.buckets, strict=True):
+            cumulative += count
+            buckets.append((bound, cumulative))
+        family.add_metric([kind], buckets, histogram.total_s)
+    return family
+
+
+def render(counters: FleetCounters, state: FleetState) -> bytes:
+    """Return the text exposition of one node."""
+    registry = CollectorRegistry()
+    registry.register(FleetCollector(counters, state))
+    return generate_latest(registry)
--- a/src/wallwell/gateway/fleet_node.py
+++ b/src/wallwell/gateway/fleet_node.py
@@ -211,6 +211,13 @@
         finally:
             self.in_flight -= 1
 
+    def metrics_text(self) -> bytes:
+        """Return this node's figures as text."""
+        # Imported here, since the library costs memory that a node without the address need not spend.
+        from wallwell.gateway.fleet_metrics import render
+
+        return render(self._pipeline.counters, self.state)
+
     def is_ready(self) -> bool:
         """Whether callers' new connections should come here."""
         return not self.draining and self.state.is_ready(time.monotonic())
--- a/src/wallwell/gateway/fleet_state.py
+++ b/src/wallwell/gateway/fleet_state.py
@@ -11,12 +11,10 @@
 from wallwell.deployment.routes import DeploymentConfig
 from wallwell.deployment.weights import WeightsTargets
 from wallwell.gateway.exchange import Generation
+from wallwell.placement.rollout import OVERDUE_PART
 from wallwell.routing.fleet_budget import FleetRetryBudget
 from wallwell.routing.split import WeightedSplit
 
-VERSION_DUE_PART = 0.8
-"""Part of the allowance after which an engine on older weights gets no new generation."""
-
 START_PART = 0.8
 """Part of the time given to a started machine after which estimated ages count."""
 
@@ -94,6 +92,10 @@
             self._budgets[service] = budget
         return budget
 
+    def budgets_left(self, now_s: float) -> dict[str, float]:
+        """Return this node's repeats left, by service."""
+        return {service: budget.left(now_s, self.node_count) for service, budget in self._budgets.items()}
+
     def kv_store_address(self) -> str:
         """Return the address of the store of kept KV cache, empty if there is none."""
         if self.config is None or not self.config.kv_stores:
@@ -107,7 +109,7 @@
 
         It may be as old as any: it has to be due by the time that bounds hold for this node.
         """
-        return now_s - (self.bounds.version_s * VERSION_DUE_PART - self.bounds.contact_s * START_PART)
+        return now_s - (self.bounds.version_s * OVERDUE_PART - self.bounds.contact_s * START_PART)
 
     def usable_backends(self, service: str, generation: Generation | None, now_s: float) -> list[Backend]:
         """Back ends that may get a request now, without those that are only a last resort if there are others."""
@@ -118,7 +120,7 @@
             usable = [each for each in listed if not each.gone and not each.record.draining]
         if generation is None:
             return usable
-        due_s = self.bounds.version_s * VERSION_DUE_PART
+        due_s = self.bounds.version_s * OVERDUE_PART
         in_place = max((each.believed_version(generation.model) for each in usable), default=0)
         minimum = self.weights.minimum_version(generation.model, now_s, due_s, in_place)
         current = [each for each in usable if each.believed_version(generation.model) >= minimum]
--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -28,6 +28,7 @@
     UnknownResourceError,
 )
 from wallwell.events import Event, emit
+from wallwell.gateway.counters import FleetCounters
 from wallwell.gateway.event_stream import StreamPosition
 from wallwell.gateway.exchange import (
     AttemptError,
@@ -115,9 +116,10 @@
 class RequestPipeline:
     """Serves requests of any callers' interface from any kind of back end."""
 
-    def __init__(self, state: FleetState, client: BackendClient) -> None:
+    def __init__(self, state: FleetState, client: BackendClient, counters: FleetCounters | None = None) -> None:
         self._state = state
         self._client = client
+        self.counters = counters or FleetCounters()
 
     async def serve(self, request: CallerRequest, reply: CallerReply) -> None:
         """Answer one request."""
@@ -128,12 +130,16 @@
             await self._end_with_error(request, reply, error)
 
     async def _end_with_error(self, request: CallerRequest, reply: CallerReply, error: RequestError) -> None:
+        kind = "generation" if request.generation is not None else "call"
+        self.counters.on_refused(kind, error.outcome.value, error.code)
         emit(
             Event.REQUEST_REFUSED,
             request_id=request.request_id,
             code=error.code,
             outcome=error.outcome.value,
             reason=error.detail,
+            config=self._state.config.version if self._state.config is not None else 0,
+            store_age_ms=self._store_age_ms(),
             after_ms=round((time.monotonic() - request.arrived_s) * 1000),
         )
         if reply.started:
@@ -141,6 +147,11 @@
         else:
             await reply.refuse(error)
 
+    def _store_age_ms(self) -> int:
+        """Return how old the store's last word is; -1 if there was none."""
+        confirmed_s = self._state.freshness.confirmed_at_s
+        return -1 if confirmed_s == float("-inf") else round((time.monotonic() - confirmed_s) * 1000)
+
     # --- admission -------------------------------------------------------------------------------------
 
     def _admit(self, request: CallerRequest, reply: CallerReply) -> _Exchange:
@@ -205,6 +216,9 @@
         request, timing = exchange.request, exchange.timing
         now_s = time.monotonic()
         first_s = timing.first_s or now_s
+        gap_s = timing.max_gap_s if timing.first_s is not None else None
+        kind = exchange.route.kind.value
+        self.counters.on_answered(kind, first_s - request.arrived_s, now_s - request.arrived_s, gap_s)
         emit(
             Event.REQUEST_ENDED,
             request_id=request.request_id,
@@ -237,7 +251,9 @@
         parts = exchange.request.generation.parts
         listed = state.backends.of_service(exchange.service)
         pool = engine_pool(listed, sum(part.tokens for part in parts))
-        leaving = next_in_line(listed, state.weights, exchange.request.generation.model, now_s)
+        leaving = next_in_line(
+            listed, state.weights, exchange.request.generation.model, state.bounds.version_s, now_s
+        )
         staying = [each for each in candidates if each.incarnation not in leaving]
         in_pool = [each for each in staying if each in pool]
         tiers = (in_pool, staying, candidates)
@@ -405,6 +421,7 @@
         history = exchange.history
         event = failure.event
         may_retry = exchange.log.record(event)
+        self.counters.attempts[event.value] += 1
         if event not in UNREACHABLE:
             history.arrivals += 1
         if event not in UNREACHABLE and event not in REFUSED_UNRUN:
--- a/src/wallwell/placement/rollout.py
+++ b/src/wallwell/placement/rollout.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import enum
-import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -18,12 +17,12 @@
 
 HOLD_PART = 0.52
 """Part of the allowance for which a rollout waits for further versions to be named."""
-CONCURRENT_SHARE = 0.5
+CONCURRENT_SHARE = 0.4
 """Share of each pool under order at the same time; an order first waits for its engine's streams to end."""
-TOTAL_SHARE = 0.4
-"""Share of all engines under order at the same time."""
-QUIET_AFTER_S = 0.4
-"""How long after a version's naming the first engines stop getting new streams."""
+QUIET_BEFORE_S = 1.2
+"""How long before a rollout is due the first engines stop getting new streams."""
+OVERDUE_PART = 0.8
+"""Part of the allowance after which an engine on older weights gets no new generation, and so its order at once."""
 RETRY_S = 0.8
 
 
@@ -77,20 +76,23 @@
 
 def concurrent_loads(pool: Sequence[Backend]) -> int:
     """Return how many engines of a pool may be under order at the same time."""
-    return math.ceil(len(pool) * CONCURRENT_SHARE)
+    return max(1, int(len(pool) * CONCURRENT_SHARE))
 
 
-def next_in_line(engines: Sequence[Backend], targets: WeightsTargets, model: str, now_s: float) -> set[str]:
+def next_in_line(
+    engines: Sequence[Backend], targets: WeightsTargets, model: str, allowance_s: float, now_s: float
+) -> set[str]:
     """Return the engines that are to be reloaded next, so that their streams can end before the order comes.
 
     Every node works this out alike from what the store says, without a message.
     """
     waiting: set[str] = set()
+    quiet_after_s = allowance_s * HOLD_PART - QUIET_BEFORE_S
     for pool in divide(engines):
         lacking = []
         for engine in pool:
             missing = targets.oldest_missing(model, engine.believed_version(model))
-            if missing is not None and now_s - missing.known_since_s >= QUIET_AFTER_S:
+            if missing is not None and now_s - missing.known_since_s >= quiet_after_s:
                 lacking.append(engine.incarnation)
         waiting.update(lacking[: concurrent_loads(pool)])
     return waiting
@@ -120,31 +122,28 @@
 
     def next_tasks(self, engines: Sequence[Backend], now_s: float) -> list[LoadTask]:
         """Return the loads to start now; each is to be ended with :meth:`finish`."""
-        tasks: list[LoadTask] = []
-        for pool in divide(engines):
-            allowed = math.ceil(len(engines) * TOTAL_SHARE) - self._count_under_way(engines)
-            tasks += self._next_of_pool(pool, allowed, now_s)
-        return tasks
-
-    def _count_under_way(self, engines: Sequence[Backend]) -> int:
-        return sum(engine.incarnation in self._under_way for engine in engines)
+        return [task for pool in divide(engines) for task in self._next_of_pool(pool, now_s)]
 
-    def _next_of_pool(self, pool: Sequence[Backend], allowed: int, now_s: float) -> list[LoadTask]:
+    def _next_of_pool(self, pool: Sequence[Backend], now_s: float) -> list[LoadTask]:
         """Return the loads to start in one pool; the rest of it keeps serving."""
-        free = min(allowed, concurrent_loads(pool) - self._count_under_way(pool))
+        free = concurrent_loads(pool) - sum(engine.incarnation in self._under_way for engine in pool)
         tasks: list[LoadTask] = []
         for engine in pool:
-            if len(tasks) >= free:
-                break
             identity = engine.incarnation
             if identity in self._under_way or now_s < self._retry_at_s.get(identity, 0.0):
                 continue
             model = self._due_model(engine, now_s)
-            if model is not None:
-                tasks.append(LoadTask(engine, model, self.targets.newest(model)))
-                self._under_way.add(identity)
+            if model is None or (len(tasks) >= free and not self._is_overdue(engine, model, now_s)):
+                continue
+            tasks.append(LoadTask(engine, model, self.targets.newest(model)))
+            self._under_way.add(identity)
         return tasks
 
+    def _is_overdue(self, engine: Backend, model: str, now_s: float) -> bool:
+        """Whether the engine gets no new generation any more, so that nothing is lost by its order."""
+        missing = self.targets.oldest_missing(model, engine.believed_version(model))
+        return missing is not None and now_s - missing.known_since_s >= self.allowance_s * OVERDUE_PART
+
     def finish(self, task: LoadTask, done: bool, now_s: float) -> None:
         """A load has ended, or its order could not be carried out and is to be tried again."""
         identity = task.backend.incarnation
--- a/src/wallwell/platform/callers.py
+++ b/src/wallwell/platform/callers.py
@@ -137,6 +137,16 @@
         """Return the server of the readiness address."""
         return web.Server(self._handle_ready, access_log=None)
 
+    def metrics_server(self, path: str) -> web.Server:
+        """Return the server of the node's own figures at ``path``."""
+
+        async def handle(request: web.BaseRequest) -> web.StreamResponse:
+            if request.path != path:
+                return web.Response(status=404)
+            return web.Response(body=self._node.metrics_text(), content_type="text/plain", charset="utf-8")
+
+        return web.Server(handle, access_log=None)
+
     def _make_request(
         self,
         message: RawRequestMessage,
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -46,6 +46,15 @@
     return runner
 
 
+async def _listen_for_figures(listener: CallersListener, settings: PlatformSettings) -> web.ServerRunner | None:
+    """Serve the node's own figures where the settings name a port and a path for them."""
+    port, _, path = settings.metrics.partition("/")
+    if not port.isdigit():
+        return None
+    host = settings.listen.ready.rpartition(":")[0]
+    return await _listen(listener.metrics_server(f"/{path}"), f"{host}:{port}")
+
+
 def reload_settings(path: str) -> None:
     """Read the settings again; a file that cannot be used changes nothing."""
     try:
@@ -70,6 +79,7 @@
     callers_server = listener.server()
     callers = await _listen(callers_server, settings.listen.front)
     ready = await _listen(listener.ready_server(), settings.listen.ready)
+    figures = await _listen_for_figures(listener, settings)
     emit(Event.NODE_STARTED, node=settings.node, zone=settings.zone, callers=settings.listen.front)
     await stopping.wait()
 
@@ -81,6 +91,8 @@
     await node.drain(settings.bounds.grace_s, close_listener)
     await callers.cleanup()
     await ready.cleanup()
+    if figures is not None:
+        await figures.cleanup()
     await node.stop()
     emit(Event.NODE_STOPPED)
 
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -5,10 +5,12 @@
 import asyncio
 
 import pytest
+from loguru import logger
 
 from tests.platform.conftest import config, route
 from tests.unit.gateway.fakes import event
 from wallwell.errors import HistoryLostError, PlatformUnavailableError, SettingsError, TableConflictError
+from wallwell.events import Event
 from wallwell.platform.main import reload_settings
 from wallwell.platform.settings import Bounds, load_platform_settings
 from wallwell.platform.store import PlatformStore, TableRows
@@ -258,3 +260,41 @@
 def test_a_missing_settings_file_is_a_typed_error(tmp_path):
     with pytest.raises(SettingsError):
         load_platform_settings(str(tmp_path / "none.toml"))
+
+
+# --- figures and logs ----------------------------------------------------------------------------------
+
+
+def test_figures_tell_what_was_answered_and_refused(on_platform):
+    async def scenario(harness):
+        await harness.call()
+        await harness.call(X_Credential="wrong")
+        return harness.node.metrics_text().decode()
+
+    text = on_platform(scenario)
+    assert 'wallwell_requests_total{kind="safe",outcome="answered"} 1.0' in text
+    assert 'wallwell_refusals_total{code="WW3002"} 1.0' in text
+    assert "wallwell_ready 1.0" in text
+    assert 'wallwell_answer_seconds_count{kind="safe"} 1.0' in text
+    assert "k1" not in text
+
+
+def test_every_request_has_a_last_line_and_no_line_holds_a_credential(on_platform):
+    lines = []
+
+    async def scenario(harness):
+        sink = logger.add(lambda message: lines.append(message.record["extra"]), level="INFO", format="{message}")
+        try:
+            for number, credential in enumerate(("k1", "secret-wrong-key", "k2")):
+                await harness.call(X_Request_Id=f"req-{number}", X_Credential=credential)
+            harness.workers[0].respond = harness.workers[1].respond = harness.workers[0].answer(500, b"")
+            await harness.call(X_Request_Id="req-3")
+        finally:
+            logger.remove(sink)
+
+    on_platform(scenario)
+    last = {Event.REQUEST_ENDED.number, Event.REQUEST_REFUSED.number}
+    assert {line["request_id"] for line in lines if line["event"] in last} == {f"req-{n}" for n in range(4)}
+    text = repr(lines)
+    assert "secret-wrong-key" not in text
+    assert "'k1'" not in text
--- /dev/null
+++ b/tests/unit/cli/test_explain.py
@@ -0,0 +1,72 @@
+"""A request's story from the logs of several nodes."""
+
+import json
+
+import pytest
+
+from wallwell.cli.explain import parse_line
+from wallwell.cli.main import main
+
+
+def line(at, node, event, message, **fields):
+    return f"{at:>9} {node} " + json.dumps(
+        {"time": "t", "level": "INFO", "message": message, "event": event, **fields}
+    )
+
+
+LOGS = [
+    "not a log line",
+    line(1.0, "n1", 2001, "configuration advanced", version=3),
+    line(9.0, "n1", 6008, "back end suspended", backend="i-1"),
+    line(9.5, "n2", 6008, "back end suspended", backend="i-9"),
+    line(10.0, "n1", 3002, "attempt failed", request_id="r1", backend="i-1", reason="reset_after_send"),
+    line(10.2, "n1", 3001, "request ended", request_id="r1", backend="i-2", attempts=2, first_ms=200),
+    line(11.0, "n2", 3009, "refused", request_id="r2", code="WW3008", outcome="not_run", reason="no back end"),
+    line(12.0, "n2", 3001, "request ended", request_id="r3", backend="i-2", first_ms=900, max_gap_ms=10),
+    line(13.0, "n2", 3001, "request ended", request_id="r4", backend="i-2", first_ms=30, max_gap_ms=700),
+    line(14.0, "n2", 3001, "request ended", request_id="r5", backend="i-2", first_ms=30, max_gap_ms=70),
+    line(15.0, "n2", 3009, "refused", request_id="r6", code="WW3011", outcome="unknown", reason="reset"),
+    line(16.0, "n2", 3006, "caller gone", request_id="r7"),
+]
+
+
+@pytest.mark.parametrize(
+    ("request_id", "cause"),
+    [
+        ("r1", "answered after failed attempts: i-1 reset_after_send"),
+        ("r2", "refused with WW3008 (it never ran): no back end"),
+        ("r3", "slow start: 900 ms to the first piece at i-2"),
+        ("r4", "long pause: 700 ms between pieces from i-2"),
+        ("r5", "answered at the first attempt"),
+        ("r6", "refused with WW3011 (it may have run): reset"),
+        ("r7", "the caller went away"),
+    ],
+)
+def test_likely_causes(tmp_path, capsys, request_id, cause):
+    first, second = tmp_path / "a.log", tmp_path / "b.log"
+    first.write_text("\n".join(LOGS[:6]))
+    second.write_text("\n".join(LOGS[6:]))
+    assert main(["explain", request_id, str(first), str(second)]) == 0
+    assert capsys.readouterr().out.splitlines()[-1] == f"likely cause: {cause}"
+
+
+def test_the_story_holds_what_its_own_node_believed_before(tmp_path, capsys):
+    log = tmp_path / "all.log"
+    log.write_text("\n".join(LOGS))
+    main(["explain", "r1", str(log)])
+    shown = capsys.readouterr().out
+    assert "backend=i-1" in shown
+    assert "i-9" not in shown
+    assert "version=3" not in shown
+
+
+def test_an_unknown_request_is_a_typed_error(tmp_path, capsys):
+    log = tmp_path / "all.log"
+    log.write_text("\n".join(LOGS))
+    assert main(["explain", "nobody", str(log)]) == 2
+    assert "WW7002" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("text", ["", "{", "x {bad}", '{"event": "no number"}'])
+def test_other_lines_are_passed_over(text):
+    assert parse_line(text) is None
--- a/tests/unit/placement/test_rollout.py
+++ b/tests/unit/placement/test_rollout.py
@@ -81,14 +81,20 @@
 
 def test_every_node_knows_the_next_engines_and_some_of_each_pool_stay():
     targets, listed = planner((2, 0.0)).targets, engines(9)
-    assert next_in_line(listed, targets, "m", 0.1) == set()
-    leaving = next_in_line(listed, targets, "m", 1.0)
-    assert leaving == next_in_line(listed[::-1], targets, "m", 1.0)
+    assert next_in_line(listed, targets, "m", ALLOWANCE_S, DUE_S - 2.0) == set()
+    leaving = next_in_line(listed, targets, "m", ALLOWANCE_S, DUE_S - 1.0)
+    assert leaving == next_in_line(listed[::-1], targets, "m", ALLOWANCE_S, DUE_S - 1.0)
     for pool in divide(listed):
         assert any(each.incarnation not in leaving for each in pool)
 
 
 def test_the_engines_ordered_first_are_those_emptied_before():
     plan, listed = planner((2, 0.0)), engines(9)
-    leaving = next_in_line(listed, plan.targets, "m", 1.0)
+    leaving = next_in_line(listed, plan.targets, "m", ALLOWANCE_S, DUE_S - 1.0)
     assert {task.backend.incarnation for task in plan.next_tasks(listed, DUE_S)} <= leaving
+
+
+def test_an_engine_that_gets_nothing_new_any_more_is_ordered_at_once():
+    plan, listed = planner((2, 0.0)), engines(9)
+    assert len(plan.next_tasks(listed, DUE_S)) == 3
+    assert len(plan.next_tasks(listed, ALLOWANCE_S * 0.8)) == 6
--- /dev/null
+++ b/tests/unit/test_log_writer.py
@@ -0,0 +1,75 @@
+"""Logging never waits, is bounded, keeps what matters longest, and samples whole requests."""
+
+import json
+import os
+
+import pytest
+
+from wallwell.log_writer import LogWriter, RoutineSampler
+
+
+@pytest.fixture
+def pipe():
+    read_end, write_end = os.pipe()
+    yield read_end, write_end
+    os.close(read_end)
+    os.close(write_end)
+
+
+def drain(read_end):
+    os.set_blocking(read_end, False)
+    data = b""
+    while True:
+        try:
+            piece = os.read(read_end, 65536)
+        except BlockingIOError:
+            return [json.loads(line) for line in data.splitlines()]
+        data += piece
+
+
+def test_a_standing_reader_costs_lines_and_never_time(pipe):
+    read_end, write_end = pipe
+    writer = LogWriter(write_end, max_lines=50)
+    for number in range(5000):
+        writer.write({"event": 1, "number": number, "pad": "x" * 200}, important=number % 10 == 0)
+    assert writer.lost > 4000
+    first = drain(read_end)
+    writer.flush()
+    lines = first + drain(read_end)
+    writer.flush()
+    lines += drain(read_end)
+    assert sum("lost" in line for line in lines) >= 1
+    assert sum(line.get("lost", 0) for line in lines) + sum("number" in line for line in lines) == 5000
+
+
+def test_failures_are_kept_when_successes_are_dropped(pipe):
+    read_end, write_end = pipe
+    writer = LogWriter(write_end, max_lines=20)
+    while not writer._routine:
+        writer.write({"event": 1, "fill": "x" * 1000}, important=False)
+    for number in range(10):
+        writer.write({"event": 2, "failure": number}, important=True)
+    for _ in range(100):
+        writer.write({"event": 1}, important=False)
+    lines = drain(read_end)
+    for _ in range(3):
+        writer.flush()
+        lines += drain(read_end)
+    assert [line["failure"] for line in lines if "failure" in line] == list(range(10))
+
+
+def test_a_closed_reader_ends_nothing():
+    read_end, write_end = os.pipe()
+    os.close(read_end)
+    LogWriter(write_end).write({"event": 1}, important=True)
+    os.close(write_end)
+
+
+def test_successes_are_whole_up_to_a_rate_and_then_sampled_by_request():
+    sampler = RoutineSampler(rate_per_s=10.0, one_in=4)
+    kept = [sampler.keeps(f"r{number}", 5.0) for number in range(1000)]
+    assert all(kept[:10])
+    assert 150 < sum(kept) < 350
+    again = RoutineSampler(rate_per_s=0.0, one_in=4)
+    assert [again.keeps("r500", 9.0)] == [kept[500]]
+    assert sampler.keeps("r1", 6.0)
