Progress of a rollout names each engine's own version, and half of the engines keep serving

Change: versions per engine, published also when a load ends; no new order while fewer than half would go on serving.

--- a/src/wallwell/placement/rollout.py
+++ b/src/wallwell/placement/rollout.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -19,9 +20,11 @@
 """Part of the allowance for which a rollout waits for further versions to be named."""
 CONCURRENT_SHARE = 0.4
 """Share of each pool under order at the same time; an order first waits for its engine's streams to end."""
+SERVING_SHARE = 0.5
+"""Share of all engines that go on serving during a rollout; crashed ones do not count as serving."""
 QUIET_BEFORE_S = 1.2
 """How long before a rollout is due the first engines stop getting new streams."""
-OVERDUE_PART = 0.8
+OVERDUE_PART = 0.85
 """Part of the allowance after which an engine on older weights gets no new generation, and so its order at once."""
 RETRY_S = 0.8
 
@@ -76,7 +79,7 @@
 
 def concurrent_loads(pool: Sequence[Backend]) -> int:
     """Return how many engines of a pool may be under order at the same time."""
-    return max(1, int(len(pool) * CONCURRENT_SHARE))
+    return max(1, round(len(pool) * CONCURRENT_SHARE))
 
 
 def next_in_line(
@@ -122,11 +125,21 @@
 
     def next_tasks(self, engines: Sequence[Backend], now_s: float) -> list[LoadTask]:
         """Return the loads to start now; each is to be ended with :meth:`finish`."""
-        return [task for pool in divide(engines) for task in self._next_of_pool(pool, now_s)]
+        tasks: list[LoadTask] = []
+        for pool in divide(engines):
+            spare = self._count_serving(engines, now_s) - math.ceil(len(engines) * SERVING_SHARE)
+            if not self._under_way:
+                spare = max(1, spare)
+            tasks += self._next_of_pool(pool, spare, now_s)
+        return tasks
+
+    def _count_serving(self, engines: Sequence[Backend], now_s: float) -> int:
+        return sum(each.is_open(now_s) and each.incarnation not in self._under_way for each in engines)
 
-    def _next_of_pool(self, pool: Sequence[Backend], now_s: float) -> list[LoadTask]:
-        """Return the loads to start in one pool; the rest of it keeps serving."""
-        free = concurrent_loads(pool) - sum(engine.incarnation in self._under_way for engine in pool)
+    def _next_of_pool(self, pool: Sequence[Backend], spare: int, now_s: float) -> list[LoadTask]:
+        """Return the loads to start in one pool; ``spare`` engines of all can be missed now."""
+        under_way = sum(engine.incarnation in self._under_way for engine in pool)
+        free = min(spare, concurrent_loads(pool) - under_way)
         tasks: list[LoadTask] = []
         for engine in pool:
             identity = engine.incarnation
--- a/src/wallwell/placement/rollout_driver.py
+++ b/src/wallwell/placement/rollout_driver.py
@@ -54,9 +54,9 @@
     """Row that tells all nodes which engines are loading and which have finished."""
 
     model: str
-    version: int
-    loading: tuple[str, ...]
-    finished: tuple[str, ...]
+    loading: tuple[tuple[str, int], ...]
+    """Engines under order, each with its version."""
+    finished: tuple[tuple[str, int], ...]
     named: tuple[tuple[int, float], ...] = ()
     """Versions and the store's time of their naming, for nodes that start later."""
 
@@ -76,7 +76,10 @@
         self._due_since_s: float | None = None
         self._renewed_at_s = float("-inf")
         self._loading: dict[str, LoadTask] = {}
-        self._finished: dict[str, set[str]] = {}
+        self._finished: dict[str, tuple[str, int]] = {}
+        """Model and version last brought to each engine."""
+        self._unpublished = ""
+        """Model of which a load has ended since its progress was published; empty if none."""
         self._tasks: set[asyncio.Task[None]] = set()
         self._draining = False
 
@@ -92,14 +95,14 @@
     def _on_progress(self, progress: Progress, now_s: float) -> None:
         for version, store_s in progress.named:
             self._state.weights.recall(progress.model, version, self._clock.to_local_s(store_s))
-        for incarnation in progress.finished:
+        for incarnation, version in progress.finished:
             backend = self._state.backends.get(incarnation)
-            if backend is not None and backend.believed_version(progress.model) < progress.version:
-                backend.learn_version(progress.model, progress.version)
-        for incarnation in progress.loading:
+            if backend is not None and backend.believed_version(progress.model) < version:
+                backend.learn_version(progress.model, version)
+        for incarnation, version in progress.loading:
             backend = self._state.backends.get(incarnation)
             if backend is not None:
-                backend.loading = LoadInProgress(progress.model, progress.version, now_s + LOADING_HINT_S)
+                backend.loading = LoadInProgress(progress.model, version, now_s + LOADING_HINT_S)
 
     # --- loop ------------------------------------------------------------------------------------------
 
@@ -113,7 +116,7 @@
         """Look once whether something is due, and do this node's part of it."""
         now_s = time.monotonic()
         engines = self._engines()
-        if not self._tasks and not self._planner.is_due(engines, now_s):
+        if not self._tasks and not self._unpublished and not self._planner.is_due(engines, now_s):
             self._due_since_s = None
             return
         if self._due_since_s is None:
@@ -123,6 +126,8 @@
         started = self._planner.next_tasks(engines, time.monotonic())
         if started:
             await self._start(started)
+        elif self._unpublished:
+            await self._publish(self._unpublished)
 
     def _engines(self) -> list[Backend]:
         targets = self._state.weights
@@ -173,7 +178,7 @@
             self._loading[task.backend.incarnation] = task
             until_s = time.monotonic() + LOADING_HINT_S
             task.backend.loading = LoadInProgress(task.model, task.version, until_s)
-        await self._publish(tasks[0].model, tasks[0].version)
+        await self._publish(tasks[0].model)
         for task in tasks:
             self._spawn(self._load(task))
 
@@ -182,13 +187,16 @@
         self._tasks.add(running)
         running.add_done_callback(self._tasks.discard)
 
-    async def _publish(self, model: str, version: int) -> None:
+    async def _publish(self, model: str) -> None:
         """Tell every node what loads; without an answer from the store the rollout goes on all the same."""
-        loading = tuple(sorted(self._loading))
-        finished = tuple(sorted(self._finished.get(f"{model}:{version}", ())))
+        self._unpublished = ""
+        listed = self._state.backends
+        self._finished = {name: done for name, done in self._finished.items() if listed.get(name) is not None}
+        loading = tuple((name, task.version) for name, task in sorted(self._loading.items()) if task.model == model)
+        finished = tuple((name, done[1]) for name, done in sorted(self._finished.items()) if done[0] == model)
         certain = self._state.weights.certain(model)
         named = tuple((each.version, self._clock.to_store_s(each.known_since_s)) for each in certain)
-        body = msgspec.json.encode(Progress(model, version, loading, finished, named[-MAX_NAMED:])).decode()
+        body = msgspec.json.encode(Progress(model, loading, finished, named[-MAX_NAMED:])).decode()
         try:
             async with asyncio.timeout(self._valid_s / 4):
                 await self._table.transact(Transaction((), (Put(PROGRESS_PREFIX + model, body),)))
@@ -208,9 +216,8 @@
         if not done:
             return
         emit(Event.WEIGHTS_IN_PLACE, backend=incarnation, model=task.model, version=task.version)
-        self._finished.setdefault(f"{task.model}:{task.version}", set()).add(incarnation)
-        if not self._loading:
-            await self._publish(task.model, task.version)
+        self._finished[incarnation] = (task.model, task.version)
+        self._unpublished = task.model
 
     async def _order_and_watch(self, task: LoadTask) -> bool:
         """Give the order and wait until the engine reports the version; returns whether it did."""
--- a/tests/unit/placement/test_rollout.py
+++ b/tests/unit/placement/test_rollout.py
@@ -4,7 +4,7 @@
 
 from wallwell.deployment.backends import Backend, BackendRecord
 from wallwell.deployment.weights import WeightsTargets
-from wallwell.placement.rollout import HOLD_PART, RETRY_S, RolloutPlanner, divide, next_in_line
+from wallwell.placement.rollout import HOLD_PART, OVERDUE_PART, RETRY_S, RolloutPlanner, divide, next_in_line
 
 ALLOWANCE_S = 8.0
 DUE_S = ALLOWANCE_S * HOLD_PART
@@ -97,4 +97,14 @@
 def test_an_engine_that_gets_nothing_new_any_more_is_ordered_at_once():
     plan, listed = planner((2, 0.0)), engines(9)
     assert len(plan.next_tasks(listed, DUE_S)) == 3
-    assert len(plan.next_tasks(listed, ALLOWANCE_S * 0.8)) == 6
+    assert len(plan.next_tasks(listed, ALLOWANCE_S * OVERDUE_PART)) == 6
+
+
+def test_crashed_engines_leave_less_to_be_loaded_at_once():
+    """Found on a calm day: with one engine crashed and four under order, the sixth served everybody."""
+    plan, listed = planner((2, 0.0)), engines(6)
+    for crashed in listed[:2]:
+        crashed.suspended_until_s = 1000.0
+    tasks = plan.next_tasks(listed, DUE_S)
+    serving = {each.incarnation for each in listed[2:]} - {task.backend.incarnation for task in tasks}
+    assert len(serving) >= 3
--- a/tests/unit/placement/test_rollout_driver.py
+++ b/tests/unit/placement/test_rollout_driver.py
@@ -235,3 +235,23 @@
         assert late.weights.minimum_version("m", started_s + 7.0, 6.4, in_place=3) == 2
 
     play(scenario)
+
+
+def test_nodes_know_which_version_each_engine_is_loading():
+    """Found on a calm day: an engine that had finished one version counted as loading the next one's."""
+
+    async def scenario(fleet):
+        fleet.name(2)
+        while not fleet.orders():
+            await asyncio.sleep(0.05)
+        fleet.name(3)
+        await asyncio.sleep(1.5)
+        for state in fleet.states:
+            for incarnation, engine in fleet.engines.items():
+                backend = state.backends.get(incarnation)
+                assert backend.believed_version("m") <= engine.version
+                if engine.version >= 2 and time.monotonic() > engine.busy_until_s + 0.5:
+                    assert backend.believed_version("m") == engine.version
+                    assert not backend.is_loading(time.monotonic())
+
+    play(scenario)
