A repeat is paid for before its attempt is given up, and a busy back end is not suspended

Change: the budget is drawn first, without it the answer is waited for; a silence counts only if the back end has not answered this node for 1.5 s.

--- a/src/wallwell/deployment/backends.py
+++ b/src/wallwell/deployment/backends.py
@@ -8,6 +8,8 @@
 FIRST_SUSPENSION_S = 0.6
 MAX_SUSPENSION_S = 4.0
 FAILURES_TO_SUSPEND = 2
+ANSWERING_S = 1.5
+"""How long an answer shows that a back end works."""
 
 
 @dataclass(frozen=True)
@@ -42,6 +44,7 @@
     """This node's requests under way, long prompts counted several times."""
     consecutive_failures: int = 0
     suspended_until_s: float = 0.0
+    last_success_s: float = float("-inf")
     versions: dict[str, int] = field(default_factory=dict)
     """Weights version believed to be in place, per model."""
     loading: LoadInProgress | None = None
@@ -61,9 +64,14 @@
         load = self.loading
         return load is not None and now_s < load.until_s and self.believed_version(load.model) < load.version
 
-    def on_success(self) -> None:
+    def on_success(self, now_s: float) -> None:
         """The back end answered."""
         self.consecutive_failures = 0
+        self.last_success_s = now_s
+
+    def is_answering(self, now_s: float) -> bool:
+        """Whether it has answered this node lately, so that a silence means that it is busy."""
+        return now_s - self.last_success_s < ANSWERING_S
 
     def on_failure(self, now_s: float, unreachable: bool) -> bool:
         """Note a failure; returns True if the back end is now suspended.
--- a/src/wallwell/gateway/exchange.py
+++ b/src/wallwell/gateway/exchange.py
@@ -162,6 +162,8 @@
     tried: set[str] = field(default_factory=set)
     runs: int = 0
     arrivals: int = 0
+    paid_repeats: int = 0
+    """Repeats drawn from the budget before the attempt that they follow was given up."""
     details: list[str] = field(default_factory=list)
 
 
--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -290,24 +290,41 @@
 
     async def _send(self, exchange: _Exchange, backend: Backend) -> BackendAnswer:
         dispatch = self._dispatch(exchange, backend)
-        patience_s = self._patience_s(exchange, backend)
-        if patience_s is None:
-            answer = await self._client.send(dispatch)
-        else:
-            try:
-                async with asyncio.timeout(patience_s):
-                    answer = await self._client.send(dispatch)
-            except TimeoutError:
-                raise AttemptError(TransportEvent.ANSWER_TIMEOUT, "no answer in time") from None
+        answer = await self._await_head(exchange, backend, dispatch)
         generation = exchange.request.generation
         if generation is not None and answer.head.weights_version:
             backend.learn_version(generation.model, answer.head.weights_version)
+        if answer.head.ok:
+            backend.on_success(time.monotonic())
         return answer
 
-    def _patience_s(self, exchange: _Exchange, backend: Backend) -> float | None:
-        """Return how long to wait for a first byte, None to wait until the deadline."""
-        bounds = [bound for bound in (self._silence_s(exchange), self._begin_within_s(exchange, backend)) if bound]
-        return min(bounds) if bounds else None
+    async def _await_head(self, exchange: _Exchange, backend: Backend, dispatch: Dispatch) -> BackendAnswer:
+        """Wait for the head as long as that is better than asking another back end."""
+        silence_s = self._silence_s(exchange)
+        begin_within_s = self._begin_within_s(exchange, backend)
+        sending = asyncio.ensure_future(self._client.send(dispatch))
+        try:
+            if silence_s is not None and (begin_within_s is None or silence_s < begin_within_s):
+                done, _ = await asyncio.wait({sending}, timeout=silence_s)
+                # A repeat is paid for before the attempt is given up; a late answer is better than none.
+                if not done and self._pay_for_repeat(exchange):
+                    raise AttemptError(TransportEvent.ANSWER_TIMEOUT, "no answer in time")
+            if not sending.done() and begin_within_s is not None:
+                await asyncio.wait({sending}, timeout=self._begin_within_s(exchange, backend) or MIN_REMAINING_S)
+                if not sending.done():
+                    raise AttemptError(TransportEvent.ANSWER_TIMEOUT, "its weights are too old to begin")
+            return await sending
+        except BaseException:
+            sending.cancel()
+            await asyncio.gather(sending, return_exceptions=True)
+            raise
+
+    def _pay_for_repeat(self, exchange: _Exchange) -> bool:
+        """Draw on the budget for the attempt that follows a silence; False if it is used up."""
+        if not self._state.budget_of(exchange.service).try_retry(time.monotonic(), self._state.node_count):
+            return False
+        exchange.history.paid_repeats += 1
+        return True
 
     def _begin_within_s(self, exchange: _Exchange, backend: Backend) -> float | None:
         """Return within what time the engine must begin, because its weights will then be too old."""
@@ -372,7 +389,7 @@
     async def _pass_on(self, exchange: _Exchange, backend: Backend, answer: BackendAnswer) -> bool:
         if exchange.route.kind is RouteKind.STREAM and answer.head.ok and answer.head.is_event_stream:
             await self._pass_stream(exchange, answer)
-            backend.on_success()
+            backend.on_success(time.monotonic())
             return True
         if exchange.reply.started:
             raise AttemptError(TransportEvent.ERROR_ANSWER, "a run that was to continue the stream failed")
@@ -381,7 +398,7 @@
             exchange.history.runs += 1
             exchange.log.record(TransportEvent.ERROR_ANSWER)
             return False
-        backend.on_success()
+        backend.on_success(time.monotonic())
         await exchange.reply.answer(answer.head, body)
         return True
 
@@ -458,8 +475,11 @@
             raise self._exhausted(exchange, "no back end can be reached")
         if history.arrivals >= exchange.route.max_attempts + MAX_ARRIVALS_BEYOND_ATTEMPTS:
             raise self._exhausted(exchange, "too many back ends refused")
-        budget = self._state.budget_of(exchange.service)
-        if event not in UNREACHABLE and not budget.try_retry(now_s, self._state.node_count):
+        if event in UNREACHABLE:
+            return
+        if history.paid_repeats:
+            history.paid_repeats -= 1
+        elif not self._state.budget_of(exchange.service).try_retry(now_s, self._state.node_count):
             raise self._exhausted(exchange, "the retry budget is used up")
 
     def _learn(self, exchange: _Exchange, backend: Backend, failure: AttemptError, now_s: float) -> None:
@@ -470,6 +490,8 @@
             return
         if event in REFUSED_UNRUN or event is TransportEvent.ERROR_ANSWER:
             return
+        if event is TransportEvent.ANSWER_TIMEOUT and backend.is_answering(now_s):
+            return  # Busy, not broken.
         if backend.on_failure(now_s, unreachable=event in UNREACHABLE):
             emit(
                 Event.BACKEND_SUSPENDED,
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -199,7 +199,8 @@
             for event in events:
                 await response.write(event)
             if break_off:
-                request.transport.abort()
+                # A close and not a reset: a reset may drop what was written just before it.
+                request.transport.close()
             return response
 
         return respond
--- a/tests/unit/deployment/test_backends.py
+++ b/tests/unit/deployment/test_backends.py
@@ -59,7 +59,7 @@
     backend = Backend(record())
     for _ in range(5):
         assert not backend.on_failure(10.0, unreachable=False)
-        backend.on_success()
+        backend.on_success(10.0)
     assert backend.is_open(10.0)
 
 
--- a/tests/unit/gateway/test_pipeline.py
+++ b/tests/unit/gateway/test_pipeline.py
@@ -132,6 +132,43 @@
     assert (reply.status, reply.body, len(client.sent)) == (200, b"late", 1)
 
 
+def test_a_late_answer_is_waited_for_when_the_budget_allows_no_repeat():
+    """Found in an incident: attempts were given up for repeats that the budget then refused."""
+
+    def use_up_while_waiting(fleet):
+        budget = fleet.budget_of("svc")
+        asyncio.get_running_loop().call_later(
+            0.1, lambda: [budget.try_retry(time.monotonic(), 1) for _ in range(99)]
+        )
+
+    late = Script(chunks=(b"late",), head_after_s=1.0)
+    reply, client, _ = play([late], SAFE, prepare=use_up_while_waiting)
+    assert (reply.status, reply.body, len(client.sent), client.cancelled) == (200, b"late", 1, 0)
+
+
+def test_a_repeat_after_a_silence_is_paid_once():
+    async def work():
+        fleet = make_state(SAFE)
+        budget = fleet.budget_of("svc")
+        before = budget.left(time.monotonic(), 1)
+        await RequestPipeline(fleet, FakeClient(Script(head_after_s=60.0), OK)).serve(make_request(), FakeReply())
+        return before - budget.left(time.monotonic(), 1)
+
+    assert 0.8 < run_virtual(work()) <= 1.0
+
+
+def test_a_busy_back_end_is_not_suspended_for_being_slow():
+    async def work():
+        fleet = make_state(SAFE, backends=2)
+        for each in fleet.backends.all():
+            each.on_success(time.monotonic())
+        client = FakeClient(Script(head_after_s=60.0), OK)
+        await RequestPipeline(fleet, client).serve(make_request(), FakeReply())
+        return [each.consecutive_failures for each in fleet.backends.all()]
+
+    assert run_virtual(work()) == [0, 0]
+
+
 def test_the_fleets_budget_bounds_repeats():
     def serve_many(count):
         async def work():
