--- a/src/wallwell/backends/http_connection.py
+++ b/src/wallwell/backends/http_connection.py
@@ -50,11 +50,12 @@
         super().__init__(loop)
         self._id_header = id_header
         self._expected_id: str | None = None
-        self._head: asyncio.Future[tuple[RawResponseMessage, StreamReader]] | None = None
+        self._head: asyncio.Future[RawResponseMessage] | None = None
         self._payload: StreamReader | None = None
         self._surplus_parser: HttpResponseParser | None = None
         self._reads_to_end = False
         self._tainted = False
+        self._broken = ""
         self.closed = False
         self.idle_since_s = 0.0
         self.max_idle_s = DEFAULT_IDLE_S
@@ -73,10 +74,8 @@
 
     # --- exchange --------------------------------------------------------------------------------------
 
-    async def exchange(
-        self, request_id: str, data: bytes, has_body: bool = True
-    ) -> tuple[RawResponseMessage, StreamReader]:
-        """Send a request and return the head and the body's reader of the answer with its id.
+    async def exchange(self, request_id: str, data: bytes, has_body: bool = True) -> RawResponseMessage:
+        """Send a request and return the head of the answer with its id; :meth:`body` then yields its body.
 
         An empty ``request_id`` accepts any answer. Raises :class:`ConnectionBrokenError`.
         """
@@ -86,6 +85,7 @@
         self._head = self._loop.create_future()
         self._payload = None
         self._reads_to_end = False
+        self._broken = ""
         self._parser = HttpResponseParser(
             self,
             self._loop,
@@ -100,10 +100,25 @@
         self.transport.write(data)
         return await self._head
 
+    async def body(self) -> AsyncIterator[bytes]:
+        """Yield the answer's body as it comes, all that arrived before a break too.
+
+        Raises :class:`ConnectionBrokenError` if it ends early.
+        """
+        payload = self._payload
+        assert payload is not None
+        try:
+            while data := await payload.readany():
+                yield data
+        except ClientPayloadError as error:
+            raise ConnectionBrokenError(str(error)) from error
+        if self._broken:
+            raise ConnectionBrokenError(self._broken)
+
     def finish_exchange(self) -> bool:
         """End the exchange; returns whether the connection may be used again."""
         payload = self._payload
-        ended = payload is not None and payload.is_eof() and payload.exception() is None
+        ended = payload is not None and payload.is_eof() and payload.exception() is None and not self._broken
         self._head = None
         self._payload = None
         self._expected_id = None
@@ -154,7 +169,7 @@
         self._reads_to_end = not length_known and payload is not EMPTY_PAYLOAD
         self._learn_idle_time(message.headers.get("Keep-Alive", ""))
         self._payload = payload
-        self._head.set_result((message, payload))
+        self._head.set_result(message)
 
     def _learn_idle_time(self, keep_alive: str) -> None:
         for parameter in keep_alive.split(","):
@@ -165,13 +180,10 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """The connection ended: a body without length is complete only after a clean close."""
         self.closed = True
-        payload = self._payload
-        if payload is not None and not payload.is_eof():
-            if self._reads_to_end and exc is None:
-                payload.feed_eof()
-            else:
-                payload.set_exception(ClientPayloadError("connection lost inside the body"))
-        self._fail(ConnectionBrokenError(f"connection lost: {type(exc).__name__ if exc else 'closed'}"))
+        detail = f"connection lost: {type(exc).__name__ if exc else 'closed'}"
+        if self._reads_to_end and exc is None and self._payload is not None:
+            self._payload.feed_eof()
+        self._fail(ConnectionBrokenError(detail))
         super().connection_lost(exc)
 
     def _fail(self, error: ConnectionBrokenError) -> None:
@@ -179,21 +191,9 @@
             self._head.set_exception(error)
         payload = self._payload
         if payload is not None and not payload.is_eof() and payload.exception() is None:
-            payload.set_exception(ClientPayloadError(str(error)))
-
-
-async def body_chunks(payload: StreamReader) -> AsyncIterator[bytes]:
-    """Yield a body as it comes. Raises :class:`ConnectionBrokenError` if it ends early."""
-    try:
-        while True:
-            data = await payload.readany()
-            if not data:
-                if payload.exception() is not None:
-                    raise ConnectionBrokenError(str(payload.exception()))
-                return
-            yield data
-    except ClientPayloadError as error:
-        raise ConnectionBrokenError(str(error)) from error
+            # Not as an exception of the reader, which would hide what has arrived and was not read yet.
+            self._broken = str(error)
+            payload.feed_eof()
 
 
 class ConnectionPool:
--- a/src/wallwell/platform/store.py
+++ b/src/wallwell/platform/store.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from wallwell.backends.http_connection import ConnectFailedError, ConnectionBrokenError, ConnectionPool, body_chunks
+from wallwell.backends.http_connection import ConnectFailedError, ConnectionBrokenError, ConnectionPool
 from wallwell.errors import HistoryLostError, PlatformUnavailableError, TableConflictError
 from wallwell.platform import names
 from wallwell.storage.feed import FeedPage, FeedRow
@@ -95,8 +95,8 @@
             async with asyncio.timeout(timeout_s):
                 connection = await self._pool.acquire(self._address)
                 try:
-                    message, payload = await connection.exchange("", head.encode() + body)
-                    data = b"".join([chunk async for chunk in body_chunks(payload)])
+                    message = await connection.exchange("", head.encode() + body)
+                    data = b"".join([chunk async for chunk in connection.body()])
                 finally:
                     self._pool.release(self._address, connection)
         except (ConnectFailedError, ConnectionBrokenError) as error:
--- a/src/wallwell/platform/workers.py
+++ b/src/wallwell/platform/workers.py
@@ -7,14 +7,12 @@
 
 import msgspec
 from aiohttp.http_parser import RawResponseMessage
-from aiohttp.streams import StreamReader
 
 from wallwell.backends.http_connection import (
     BackendConnection,
     ConnectFailedError,
     ConnectionBrokenError,
     ConnectionPool,
-    body_chunks,
 )
 from wallwell.deployment.backends import BackendRecord
 from wallwell.gateway.exchange import AnswerHead, AttemptError, Dispatch
@@ -37,13 +35,11 @@
     def __init__(
         self,
         head: AnswerHead,
-        payload: StreamReader,
         connection: BackendConnection,
         address: str,
         pool: ConnectionPool,
     ) -> None:
         self.head = head
-        self._payload = payload
         self._connection: BackendConnection | None = connection
         self._address = address
         self._pool = pool
@@ -51,8 +47,9 @@
     async def chunks(self) -> AsyncIterator[bytes]:
         """See :class:`wallwell.gateway.exchange.BackendAnswer`."""
         try:
-            async for data in body_chunks(self._payload):
-                yield data
+            if self._connection is not None:
+                async for data in self._connection.body():
+                    yield data
         except ConnectionBrokenError as error:
             raise AttemptError(TransportEvent.RESET_AFTER_SEND, str(error)) from error
 
@@ -79,7 +76,7 @@
             raise AttemptError(event, str(error)) from error
         try:
             request = dispatch.request
-            message, payload = await connection.exchange(
+            message = await connection.exchange(
                 request.request_id, _encode(dispatch), has_body=request.method != "HEAD"
             )
             head = _answer_head(message)
@@ -89,10 +86,10 @@
         except BaseException:
             self.pool.release(address, connection)
             raise
-        answer = WorkerAnswer(head, payload, connection, address, self.pool)
+        answer = WorkerAnswer(head, connection, address, self.pool)
         failure = _failure(message, head)
         if failure is not None:
-            await _drain(payload)
+            await _drain(connection)
             answer.close()
             raise failure
         return answer
@@ -131,8 +128,8 @@
             async with asyncio.timeout(CONTROL_TIMEOUT_S):
                 connection = await self.pool.acquire(backend.address)
                 try:
-                    message, payload = await connection.exchange("", head.encode() + b"\r\n" + body)
-                    data = b"".join([chunk async for chunk in body_chunks(payload)])
+                    message = await connection.exchange("", head.encode() + b"\r\n" + body)
+                    data = b"".join([chunk async for chunk in connection.body()])
                 finally:
                     self.pool.release(backend.address, connection)
         except (ConnectFailedError, ConnectionBrokenError, TimeoutError):
@@ -236,10 +233,10 @@
     return None
 
 
-async def _drain(payload: StreamReader) -> None:
+async def _drain(connection: BackendConnection) -> None:
     """Read a refusal's body, so that its connection can be used again."""
     try:
-        async for _ in body_chunks(payload):
+        async for _ in connection.body():
             pass
     except ConnectionBrokenError:
         return
--- a/tests/unit/backends/test_http_connection.py
+++ b/tests/unit/backends/test_http_connection.py
@@ -15,7 +15,6 @@
     ConnectFailedError,
     ConnectionBrokenError,
     ConnectionPool,
-    body_chunks,
 )
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -78,8 +77,8 @@
 async def fetch(pool, address, request_id="r1"):
     connection = await pool.acquire(address)
     try:
-        message, payload = await connection.exchange(request_id, REQUEST)
-        return message.code, b"".join([chunk async for chunk in body_chunks(payload)])
+        message = await connection.exchange(request_id, REQUEST)
+        return message.code, b"".join([chunk async for chunk in connection.body()])
     finally:
         pool.release(address, connection)
 
@@ -200,3 +199,25 @@
         server.close()
 
     run_async(work())
+
+
+@pytest.mark.parametrize("end", [CLOSE, RESET], ids=["close", "reset"])
+def test_what_arrived_before_a_break_is_yielded_before_the_error(run_async, end):
+    """An error set on aiohttp's reader hides what it still holds; events that had arrived were lost to callers."""
+
+    async def work():
+        pool = ConnectionPool("X-Id", connect_timeout_s=5.0, user_timeout_s=5.0)
+        steps = [b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", PAUSE, end]
+        async with ScriptedServer(steps) as server:
+            connection = await pool.acquire(server.address)
+            await connection.exchange("r1", REQUEST)
+            while not connection.closed:
+                await asyncio.sleep(0)
+            received = b""
+            with pytest.raises(ConnectionBrokenError):
+                async for chunk in connection.body():
+                    received += chunk
+            assert not connection.finish_exchange()
+            return received
+
+    assert run_async(work()) == b"hello"
