--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -35,7 +35,7 @@
     CALLER_GONE = (3006, "INFO", "caller went away; its work is cancelled")
     CLAIM_ABANDONED = (3007, "WARNING", "claim could not be settled in the table service")
     ANSWER_DISCARDED = (3008, "WARNING", "answer of another exchange discarded")
-    REQUEST_REFUSED = (3009, "INFO", "request refused before it ran")
+    REQUEST_REFUSED = (3009, "INFO", "request ended with an error of the router")
     STORE_LOST = (4003, "WARNING", "store does not answer for these rows")
     STORE_REGAINED = (4004, "INFO", "store answers again for these rows")
     SETTINGS_RELOADED = (1007, "INFO", "settings read again")
