--- /dev/null
+++ b/src/wallwell/gateway/admission.py
@@ -0,0 +1,72 @@
+"""Who may ask for what: route, tenant and time allowed of a request, before anything is sent."""
+
+from __future__ import annotations
+
+import time
+
+from wallwell.deployment.routes import Route, TenantAccess
+from wallwell.errors import (
+    BodyTooLargeError,
+    NotReadyError,
+    StaleConfigurationError,
+    UnauthenticatedError,
+    UnknownResourceError,
+)
+from wallwell.gateway.exchange import CallerReply, CallerRequest
+from wallwell.gateway.exchange_state import Exchange
+from wallwell.gateway.fleet_state import FleetState
+from wallwell.routing.outcome import AttemptLog
+
+RETRY_AFTER_MS = 150
+"""When a refused caller is told to come back."""
+
+
+class Admission:
+    """Decides on requests by the configuration in force and how recently it was confirmed."""
+
+    def __init__(self, state: FleetState) -> None:
+        self._state = state
+
+    def admit(self, request: CallerRequest, reply: CallerReply) -> Exchange:
+        """Find route, tenant and service. Raises :class:`RequestError`."""
+        config = self._state.config
+        if config is None:
+            raise NotReadyError("no configuration yet", retry_after_ms=RETRY_AFTER_MS)
+        fresh = self._state.is_fresh(request.arrived_s)
+        route = config.find_route(request.host, request.path)
+        if route is None:
+            if not fresh:
+                raise StaleConfigurationError("the route may be newer", retry_after_ms=RETRY_AFTER_MS)
+            raise UnknownResourceError("no route for this host and path")
+        tenant = self._authorise(request, route, fresh)
+        self._check_body(request, config.bounds.max_body_bytes)
+        allowance_s = route.timeout_s
+        if request.allowance_s is not None:
+            allowance_s = min(allowance_s, request.allowance_s)
+        service = self._state.split.choose(route, self._state.split_offset)
+        self._state.budget_of(service).on_request(time.monotonic())
+        return Exchange(
+            request=request,
+            reply=reply,
+            route=route,
+            tenant=tenant,
+            service=service,
+            deadline_s=request.arrived_s + allowance_s,
+            log=AttemptLog(repeatable=route.repeatable),
+        )
+
+    def _authorise(self, request: CallerRequest, route: Route, fresh: bool) -> TenantAccess | None:
+        config = self._state.config
+        assert config is not None
+        if route.public or not config.tenants:
+            return config.tenant_of(request.credential) if request.credential else None
+        if not fresh:
+            raise StaleConfigurationError("credentials cannot be confirmed", retry_after_ms=RETRY_AFTER_MS)
+        tenant = config.tenant_of(request.credential)
+        if tenant is None:
+            raise UnauthenticatedError("the credential belongs to no tenant")
+        return tenant
+
+    def _check_body(self, request: CallerRequest, max_body_bytes: int) -> None:
+        if len(request.body) > max_body_bytes:
+            raise BodyTooLargeError("body is larger than the limit")
--- /dev/null
+++ b/src/wallwell/gateway/exchange_state.py
@@ -0,0 +1,55 @@
+"""State of one request on its way through the pipeline."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+
+from wallwell.deployment.routes import Route, TenantAccess
+from wallwell.gateway.event_stream import StreamPosition
+from wallwell.gateway.exchange import AttemptHistory, CallerReply, CallerRequest
+from wallwell.routing.outcome import AttemptLog
+
+
+@dataclass
+class AnswerTiming:
+    """When the pieces of an answer came, for the log. Times are on this node's clock."""
+
+    first_s: float | None = None
+    last_s: float = 0.0
+    max_gap_s: float = 0.0
+
+    def on_piece(self, now_s: float) -> None:
+        """Note that a piece was passed on."""
+        if self.first_s is None:
+            self.first_s = now_s
+        else:
+            self.max_gap_s = max(self.max_gap_s, now_s - self.last_s)
+        self.last_s = now_s
+
+
+@dataclass
+class Exchange:
+    """One caller's request on its way through the pipeline. Times are on this node's clock."""
+
+    request: CallerRequest
+    reply: CallerReply
+    route: Route
+    tenant: TenantAccess | None
+    service: str
+    deadline_s: float
+    log: AttemptLog
+    history: AttemptHistory = field(default_factory=AttemptHistory)
+    position: StreamPosition = field(default_factory=StreamPosition)
+    timing: AnswerTiming = field(default_factory=AnswerTiming)
+
+    @property
+    def rank(self) -> int:
+        """Urgency, 0 first."""
+        if self.tenant is not None and self.tenant.rank is not None:
+            return self.tenant.rank
+        return self.route.rank
+
+    def remaining_s(self) -> float:
+        """Time left before the caller or the route gives the request up."""
+        return self.deadline_s - time.monotonic()
--- /dev/null
+++ b/src/wallwell/gateway/head_wait.py
@@ -0,0 +1,81 @@
+"""How long a back end is waited for: silence against a repeat that is paid for, and weights that grow too old."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from wallwell.deployment.backends import Backend
+from wallwell.gateway.exchange import AttemptError, BackendAnswer, BackendClient, Dispatch
+from wallwell.gateway.exchange_state import Exchange
+from wallwell.gateway.fleet_state import FleetState
+from wallwell.routing.outcome import TransportEvent
+
+FIRST_BYTE_PATIENCE = 0.6
+"""Part of the objective after which a silent back end is given up, if the request may be repeated."""
+SLOWEST_PREFILL_TOKENS_PER_S = 10_000.0
+"""A prompt is allowed the time of reading it whole at this rate before its engine counts as silent."""
+MIN_REMAINING_S = 0.02
+
+
+class HeadWait:
+    """Waits for the heads of answers."""
+
+    def __init__(self, state: FleetState, client: BackendClient) -> None:
+        self._state = state
+        self._client = client
+
+    async def await_head(self, exchange: Exchange, backend: Backend, dispatch: Dispatch) -> BackendAnswer:
+        """Wait for the head as long as that is better than asking another back end."""
+        silence_s = self._silence_s(exchange)
+        begin_within_s = self._begin_within_s(exchange, backend)
+        sending = asyncio.ensure_future(self._client.send(dispatch))
+        try:
+            if silence_s is not None and (begin_within_s is None or silence_s < begin_within_s):
+                done, _ = await asyncio.wait({sending}, timeout=silence_s)
+                # A repeat is paid for before the attempt is given up; a late answer is better than none.
+                if not done and self._pay_for_repeat(exchange):
+                    raise AttemptError(TransportEvent.ANSWER_TIMEOUT, "no answer in time")
+            if not sending.done() and begin_within_s is not None:
+                await asyncio.wait({sending}, timeout=self._begin_within_s(exchange, backend) or MIN_REMAINING_S)
+                if not sending.done():
+                    raise AttemptError(TransportEvent.ANSWER_TIMEOUT, "its weights are too old to begin")
+            return await sending
+        except BaseException:
+            sending.cancel()
+            await asyncio.gather(sending, return_exceptions=True)
+            raise
+
+    def _pay_for_repeat(self, exchange: Exchange) -> bool:
+        """Draw on the budget for the attempt that follows a silence; False if it is used up."""
+        if not self._state.budget_of(exchange.service).try_retry(time.monotonic(), self._state.node_count):
+            return False
+        exchange.history.paid_repeats += 1
+        return True
+
+    def _begin_within_s(self, exchange: Exchange, backend: Backend) -> float | None:
+        """Return within what time the engine must begin, because its weights will then be too old."""
+        generation = exchange.request.generation
+        if generation is None:
+            return None
+        left_s = self._state.begin_by_s(backend, generation.model) - time.monotonic()
+        return max(MIN_REMAINING_S, left_s) if left_s < exchange.remaining_s() else None
+
+    def _silence_s(self, exchange: Exchange) -> float | None:
+        """Return after what silence another back end is asked, None if none may be."""
+        if not exchange.route.repeatable or exchange.history.runs + 1 >= exchange.route.max_attempts:
+            return None
+        if not self.has_alternative(exchange):
+            return None
+        patience_s = exchange.route.objective_s * FIRST_BYTE_PATIENCE
+        generation = exchange.request.generation
+        if generation is not None:
+            tokens = sum(part.tokens for part in generation.parts)
+            patience_s = max(exchange.route.objective_s, patience_s + tokens / SLOWEST_PREFILL_TOKENS_PER_S)
+        return min(exchange.remaining_s() * 0.6, patience_s)
+
+    def has_alternative(self, exchange: Exchange) -> bool:
+        now_s = time.monotonic()
+        usable = self._state.usable_backends(exchange.service, exchange.request.generation, now_s)
+        untried = any(each.incarnation not in exchange.history.tried for each in usable)
+        return untried and self._state.budget_of(exchange.service).left(now_s, self._state.node_count) >= 1.0
--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -9,30 +9,23 @@
 import asyncio
 import time
 from contextlib import aclosing
-from dataclasses import dataclass, field
 
 from wallwell.deployment.backends import Backend
-from wallwell.deployment.routes import Route, RouteKind, TenantAccess
+from wallwell.deployment.routes import RouteKind, TenantAccess
 from wallwell.errors import (
     BackendFailedError,
-    BodyTooLargeError,
     DeadlineExceededError,
     NoBackendError,
-    NotReadyError,
     OutcomeUnknownError,
     RequestError,
     RetriesExhaustedError,
-    StaleConfigurationError,
     StreamOrderError,
-    UnauthenticatedError,
-    UnknownResourceError,
 )
 from wallwell.events import Event, emit
+from wallwell.gateway.admission import RETRY_AFTER_MS, Admission
 from wallwell.gateway.counters import FleetCounters
-from wallwell.gateway.event_stream import StreamPosition
 from wallwell.gateway.exchange import (
     AttemptError,
-    AttemptHistory,
     BackendAnswer,
     BackendClient,
     CachePlan,
@@ -40,24 +33,20 @@
     CallerRequest,
     Dispatch,
 )
+from wallwell.gateway.exchange_state import Exchange
 from wallwell.gateway.fleet_state import FleetState
+from wallwell.gateway.head_wait import MIN_REMAINING_S, HeadWait
 from wallwell.outcomes import Outcome
 from wallwell.placement.rollout import next_in_line
-from wallwell.routing.outcome import AttemptLog, TransportEvent
+from wallwell.routing.outcome import TransportEvent
 from wallwell.routing.prefix_home import choose_from_tiers, engine_pool, placement_key, request_load
 
 MAX_ARRIVALS_BEYOND_ATTEMPTS = 3
 """Further back ends tried when earlier ones prove that they did not run the request."""
-FIRST_BYTE_PATIENCE = 0.6
-"""Part of the objective after which a silent back end is given up, if the request may be repeated."""
-SLOWEST_PREFILL_TOKENS_PER_S = 10_000.0
-"""A prompt is allowed the time of reading it whole at this rate before its engine counts as silent."""
 STALL_TIMEOUT_FACTOR = 2.0
 """Multiple of the largest allowed gap after which a silent stream is continued elsewhere."""
 MAX_UNREACHABLE = 3
 """Back ends that could not be connected to, after which the request is given back to its caller."""
-MIN_REMAINING_S = 0.02
-RETRY_AFTER_MS = 150
 UNREACHABLE = (
     TransportEvent.CONNECT_REFUSED,
     TransportEvent.CONNECT_TIMEOUT,
@@ -69,62 +58,19 @@
 )
 
 
-@dataclass
-class AnswerTiming:
-    """When the pieces of an answer came, for the log. Times are on this node's clock."""
-
-    first_s: float | None = None
-    last_s: float = 0.0
-    max_gap_s: float = 0.0
-
-    def on_piece(self, now_s: float) -> None:
-        """Note that a piece was passed on."""
-        if self.first_s is None:
-            self.first_s = now_s
-        else:
-            self.max_gap_s = max(self.max_gap_s, now_s - self.last_s)
-        self.last_s = now_s
-
-
-@dataclass
-class _Exchange:
-    """One caller's request on its way through the pipeline. Times are on this node's clock."""
-
-    request: CallerRequest
-    reply: CallerReply
-    route: Route
-    tenant: TenantAccess | None
-    service: str
-    deadline_s: float
-    log: AttemptLog
-    history: AttemptHistory = field(default_factory=AttemptHistory)
-    position: StreamPosition = field(default_factory=StreamPosition)
-    timing: AnswerTiming = field(default_factory=AnswerTiming)
-
-    @property
-    def rank(self) -> int:
-        """Urgency, 0 first."""
-        if self.tenant is not None and self.tenant.rank is not None:
-            return self.tenant.rank
-        return self.route.rank
-
-    def remaining_s(self) -> float:
-        """Time left before the caller or the route gives the request up."""
-        return self.deadline_s - time.monotonic()
-
-
 class RequestPipeline:
     """Serves requests of any callers' interface from any kind of back end."""
 
     def __init__(self, state: FleetState, client: BackendClient, counters: FleetCounters | None = None) -> None:
         self._state = state
-        self._client = client
+        self._admission = Admission(state)
+        self._wait = HeadWait(state, client)
         self.counters = counters or FleetCounters()
 
     async def serve(self, request: CallerRequest, reply: CallerReply) -> None:
         """Answer one request."""
         try:
-            exchange = self._admit(request, reply)
+            exchange = self._admission.admit(request, reply)
             await self._run(exchange)
         except RequestError as error:
             await self._end_with_error(request, reply, error)
@@ -152,55 +98,9 @@
         confirmed_s = self._state.freshness.confirmed_at_s
         return -1 if confirmed_s == float("-inf") else round((time.monotonic() - confirmed_s) * 1000)
 
-    # --- admission -------------------------------------------------------------------------------------
-
-    def _admit(self, request: CallerRequest, reply: CallerReply) -> _Exchange:
-        """Find route, tenant and service. Raises :class:`RequestError`."""
-        config = self._state.config
-        if config is None:
-            raise NotReadyError("no configuration yet", retry_after_ms=RETRY_AFTER_MS)
-        fresh = self._state.is_fresh(request.arrived_s)
-        route = config.find_route(request.host, request.path)
-        if route is None:
-            if not fresh:
-                raise StaleConfigurationError("the route may be newer", retry_after_ms=RETRY_AFTER_MS)
-            raise UnknownResourceError("no route for this host and path")
-        tenant = self._authorise(request, route, fresh)
-        self._check_body(request, config.bounds.max_body_bytes)
-        allowance_s = route.timeout_s
-        if request.allowance_s is not None:
-            allowance_s = min(allowance_s, request.allowance_s)
-        service = self._state.split.choose(route, self._state.split_offset)
-        self._state.budget_of(service).on_request(time.monotonic())
-        return _Exchange(
-            request=request,
-            reply=reply,
-            route=route,
-            tenant=tenant,
-            service=service,
-            deadline_s=request.arrived_s + allowance_s,
-            log=AttemptLog(repeatable=route.repeatable),
-        )
-
-    def _authorise(self, request: CallerRequest, route: Route, fresh: bool) -> TenantAccess | None:
-        config = self._state.config
-        assert config is not None
-        if route.public or not config.tenants:
-            return config.tenant_of(request.credential) if request.credential else None
-        if not fresh:
-            raise StaleConfigurationError("credentials cannot be confirmed", retry_after_ms=RETRY_AFTER_MS)
-        tenant = config.tenant_of(request.credential)
-        if tenant is None:
-            raise UnauthenticatedError("the credential belongs to no tenant")
-        return tenant
-
-    def _check_body(self, request: CallerRequest, max_body_bytes: int) -> None:
-        if len(request.body) > max_body_bytes:
-            raise BodyTooLargeError("body is larger than the limit")
-
     # --- attempts --------------------------------------------------------------------------------------
 
-    async def _run(self, exchange: _Exchange) -> None:
+    async def _run(self, exchange: Exchange) -> None:
         while True:
             backend = self._choose(exchange)
             try:
@@ -212,7 +112,7 @@
             except TimeoutError:
                 raise self._deadline_error(exchange) from None
 
-    def _log_end(self, exchange: _Exchange, backend: Backend) -> None:
+    def _log_end(self, exchange: Exchange, backend: Backend) -> None:
         request, timing = exchange.request, exchange.timing
         now_s = time.monotonic()
         first_s = timing.first_s or now_s
@@ -233,7 +133,7 @@
             total_ms=round((now_s - request.arrived_s) * 1000),
         )
 
-    def _choose(self, exchange: _Exchange) -> Backend:
+    def _choose(self, exchange: Exchange) -> Backend:
         """Return the back end of the next attempt. Raises :class:`RequestError`."""
         if exchange.remaining_s() < MIN_REMAINING_S:
             raise self._deadline_error(exchange)
@@ -261,10 +161,10 @@
         assert chosen is not None
         return chosen
 
-    def _all_unrun(self, exchange: _Exchange) -> bool:
+    def _all_unrun(self, exchange: Exchange) -> bool:
         return exchange.log.outcome is Outcome.NOT_RUN
 
-    async def _attempt(self, exchange: _Exchange, backend: Backend) -> bool:
+    async def _attempt(self, exchange: Exchange, backend: Backend) -> bool:
         """Send once and pass the answer on; returns False if a failed answer is worth another attempt.
 
         Raises :class:`AttemptError`, or TimeoutError when the caller's time is over.
@@ -284,13 +184,13 @@
             if answer is not None:
                 answer.close()
 
-    def _load_of(self, exchange: _Exchange) -> int:
+    def _load_of(self, exchange: Exchange) -> int:
         generation = exchange.request.generation
         return request_load(sum(part.tokens for part in generation.parts)) if generation is not None else 1
 
-    async def _send(self, exchange: _Exchange, backend: Backend) -> BackendAnswer:
+    async def _send(self, exchange: Exchange, backend: Backend) -> BackendAnswer:
         dispatch = self._dispatch(exchange, backend)
-        answer = await self._await_head(exchange, backend, dispatch)
+        answer = await self._wait.await_head(exchange, backend, dispatch)
         generation = exchange.request.generation
         if generation is not None and answer.head.weights_version:
             backend.learn_version(generation.model, answer.head.weights_version)
@@ -298,62 +198,7 @@
             backend.on_success(time.monotonic())
         return answer
 
-    async def _await_head(self, exchange: _Exchange, backend: Backend, dispatch: Dispatch) -> BackendAnswer:
-        """Wait for the head as long as that is better than asking another back end."""
-        silence_s = self._silence_s(exchange)
-        begin_within_s = self._begin_within_s(exchange, backend)
-        sending = asyncio.ensure_future(self._client.send(dispatch))
-        try:
-            if silence_s is not None and (begin_within_s is None or silence_s < begin_within_s):
-                done, _ = await asyncio.wait({sending}, timeout=silence_s)
-                # A repeat is paid for before the attempt is given up; a late answer is better than none.
-                if not done and self._pay_for_repeat(exchange):
-                    raise AttemptError(TransportEvent.ANSWER_TIMEOUT, "no answer in time")
-            if not sending.done() and begin_within_s is not None:
-                await asyncio.wait({sending}, timeout=self._begin_within_s(exchange, backend) or MIN_REMAINING_S)
-                if not sending.done():
-                    raise AttemptError(TransportEvent.ANSWER_TIMEOUT, "its weights are too old to begin")
-            return await sending
-        except BaseException:
-            sending.cancel()
-            await asyncio.gather(sending, return_exceptions=True)
-            raise
-
-    def _pay_for_repeat(self, exchange: _Exchange) -> bool:
-        """Draw on the budget for the attempt that follows a silence; False if it is used up."""
-        if not self._state.budget_of(exchange.service).try_retry(time.monotonic(), self._state.node_count):
-            return False
-        exchange.history.paid_repeats += 1
-        return True
-
-    def _begin_within_s(self, exchange: _Exchange, backend: Backend) -> float | None:
-        """Return within what time the engine must begin, because its weights will then be too old."""
-        generation = exchange.request.generation
-        if generation is None:
-            return None
-        left_s = self._state.begin_by_s(backend, generation.model) - time.monotonic()
-        return max(MIN_REMAINING_S, left_s) if left_s < exchange.remaining_s() else None
-
-    def _silence_s(self, exchange: _Exchange) -> float | None:
-        """Return after what silence another back end is asked, None if none may be."""
-        if not exchange.route.repeatable or exchange.history.runs + 1 >= exchange.route.max_attempts:
-            return None
-        if not self._has_alternative(exchange):
-            return None
-        patience_s = exchange.route.objective_s * FIRST_BYTE_PATIENCE
-        generation = exchange.request.generation
-        if generation is not None:
-            tokens = sum(part.tokens for part in generation.parts)
-            patience_s = max(exchange.route.objective_s, patience_s + tokens / SLOWEST_PREFILL_TOKENS_PER_S)
-        return min(exchange.remaining_s() * 0.6, patience_s)
-
-    def _has_alternative(self, exchange: _Exchange) -> bool:
-        now_s = time.monotonic()
-        usable = self._state.usable_backends(exchange.service, exchange.request.generation, now_s)
-        untried = any(each.incarnation not in exchange.history.tried for each in usable)
-        return untried and self._state.budget_of(exchange.service).left(now_s, self._state.node_count) >= 1.0
-
-    def _dispatch(self, exchange: _Exchange, backend: Backend) -> Dispatch:
+    def _dispatch(self, exchange: Exchange, backend: Backend) -> Dispatch:
         request = exchange.request
         generation = request.generation
         tenant = exchange.tenant
@@ -386,7 +231,7 @@
 
     # --- answers ---------------------------------------------------------------------------------------
 
-    async def _pass_on(self, exchange: _Exchange, backend: Backend, answer: BackendAnswer) -> bool:
+    async def _pass_on(self, exchange: Exchange, backend: Backend, answer: BackendAnswer) -> bool:
         if exchange.route.kind is RouteKind.STREAM and answer.head.ok and answer.head.is_event_stream:
             await self._pass_stream(exchange, answer)
             backend.on_success(time.monotonic())
@@ -402,15 +247,15 @@
         await exchange.reply.answer(answer.head, body)
         return True
 
-    def _worth_repeating(self, exchange: _Exchange) -> bool:
+    def _worth_repeating(self, exchange: Exchange) -> bool:
         """Whether a failed answer leads to another attempt, which it then pays for."""
         if not exchange.route.repeatable or exchange.history.runs + 1 >= exchange.route.max_attempts:
             return False
-        if not self._has_alternative(exchange):
+        if not self._wait.has_alternative(exchange):
             return False
         return self._state.budget_of(exchange.service).try_retry(time.monotonic(), self._state.node_count)
 
-    async def _pass_stream(self, exchange: _Exchange, answer: BackendAnswer) -> None:
+    async def _pass_stream(self, exchange: Exchange, answer: BackendAnswer) -> None:
         """Pass events on as they come. Raises :class:`AttemptError` if the run breaks off."""
         position = exchange.position
         position.begin_run()
@@ -431,7 +276,7 @@
             raise AttemptError(TransportEvent.RESET_AFTER_SEND, "the stream ended inside an event")
         await exchange.reply.finish()
 
-    async def _write_events(self, exchange: _Exchange, answer: BackendAnswer, data: bytes) -> None:
+    async def _write_events(self, exchange: Exchange, answer: BackendAnswer, data: bytes) -> None:
         try:
             events = exchange.position.feed(data)
         except StreamOrderError as error:
@@ -445,7 +290,7 @@
 
     # --- failures --------------------------------------------------------------------------------------
 
-    def _after_failure(self, exchange: _Exchange, backend: Backend, failure: AttemptError) -> None:
+    def _after_failure(self, exchange: Exchange, backend: Backend, failure: AttemptError) -> None:
         """Learn from a failed attempt and decide on another. Raises :class:`RequestError` if there is none."""
         now_s = time.monotonic()
         history = exchange.history
@@ -482,7 +327,7 @@
         elif not self._state.budget_of(exchange.service).try_retry(now_s, self._state.node_count):
             raise self._exhausted(exchange, "the retry budget is used up")
 
-    def _learn(self, exchange: _Exchange, backend: Backend, failure: AttemptError, now_s: float) -> None:
+    def _learn(self, exchange: Exchange, backend: Backend, failure: AttemptError, now_s: float) -> None:
         event = failure.event
         generation = exchange.request.generation
         if event is TransportEvent.PRECONDITION_REFUSED and generation is not None:
@@ -500,12 +345,12 @@
                 failures=backend.consecutive_failures,
             )
 
-    def _deadline_error(self, exchange: _Exchange) -> RequestError:
+    def _deadline_error(self, exchange: Exchange) -> RequestError:
         if exchange.log.outcome is Outcome.NOT_RUN and exchange.log.attempts and not exchange.history.runs:
             return RetriesExhaustedError("; ".join(exchange.history.details), retry_after_ms=RETRY_AFTER_MS)
         return DeadlineExceededError("; ".join(exchange.history.details) or "the time allowed ran out")
 
-    def _exhausted(self, exchange: _Exchange, detail: str) -> RequestError:
+    def _exhausted(self, exchange: Exchange, detail: str) -> RequestError:
         """Return the error that states what is proved of all attempts together."""
         text = "; ".join((detail, *exchange.history.details))
         if exchange.log.outcome is Outcome.NOT_RUN:
