One call serves store and control, one list of refusals, prompt tokens counted in one place

Found in a last reading: the store's client and the workers' control calls each wrote acquire, exchange, read, release; generation.py and pipeline.py each listed the refusals that prove that nothing ran; the tokens of a prompt were summed in four places; an unused alias.

--- a/src/wallwell/backends/http_connection.py
+++ b/src/wallwell/backends/http_connection.py
@@ -231,6 +231,19 @@
         connection.set_user_timeout(self._user_timeout_s)
         return connection
 
+    async def fetch(self, address: str, request: bytes, timeout_s: float) -> tuple[int, bytes]:
+        """Make one call that any answer on its connection answers; return status and body.
+
+        Raises :class:`ConnectFailedError`, :class:`ConnectionBrokenError` or TimeoutError.
+        """
+        async with asyncio.timeout(timeout_s):
+            connection = await self.acquire(address)
+            try:
+                message = await connection.exchange("", request)
+                return message.code, b"".join([chunk async for chunk in connection.body()])
+            finally:
+                self.release(address, connection)
+
     def release(self, address: str, connection: BackendConnection) -> None:
         """Take a connection back after an exchange."""
         if not connection.finish_exchange():
--- a/src/wallwell/gateway/exchange.py
+++ b/src/wallwell/gateway/exchange.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -27,6 +27,11 @@
     resume_after: int | None = None
     """Number of the last event the caller already has."""
 
+    @property
+    def prompt_tokens(self) -> int:
+        """Tokens of the whole prompt."""
+        return sum(part.tokens for part in self.parts)
+
 
 @dataclass(frozen=True)
 class CallerRequest:
@@ -165,6 +170,3 @@
     paid_repeats: int = 0
     """Repeats drawn from the budget before the attempt that they follow was given up."""
     details: list[str] = field(default_factory=list)
-
-
-HeaderMap = Mapping[str, str]
--- a/src/wallwell/gateway/generation.py
+++ b/src/wallwell/gateway/generation.py
@@ -47,7 +47,7 @@
 from wallwell.outcomes import Outcome
 from wallwell.placement.reconcile import engines_to_use
 from wallwell.routing.blocks import CacheKey, hash_chain
-from wallwell.routing.outcome import AttemptLog, TransportEvent
+from wallwell.routing.outcome import REFUSED_BY_BACKEND, AttemptLog, TransportEvent
 from wallwell.routing.policy import Choice, RoutingRequest
 from wallwell.routing.retry import full_jitter_delay_s
 from wallwell.routing.selector import EngineView
@@ -55,11 +55,6 @@
 MAX_ATTEMPTS = 6
 """Attempts in a row that bring no new token."""
 MAX_RESUMES = 32
-REFUSALS = (
-    TransportEvent.PRECONDITION_REFUSED,
-    TransportEvent.BACKEND_OVERLOADED,
-    TransportEvent.BACKEND_LEAVING,
-)
 STALL_TIMEOUT_S = 2.0
 MIN_FIRST_TOKEN_TIMEOUT_S = 2.0
 FIRST_TOKEN_TIMEOUT_FACTOR = 8.0
@@ -325,7 +320,7 @@
 
     def _learn(self, generation: Generation, engine: Engine, failure: AttemptFailed, now_s: float) -> None:
         context = self._context
-        if failure.event in REFUSALS:
+        if failure.event in REFUSED_BY_BACKEND:
             # The engine has changed since its reader's news: nobody is sent there until there is other news.
             context.selector.on_refused_hint(engine.name)
             if generation.news is not None:
--- a/src/wallwell/gateway/head_wait.py
+++ b/src/wallwell/gateway/head_wait.py
@@ -70,8 +70,8 @@
         patience_s = exchange.route.objective_s * FIRST_BYTE_PATIENCE
         generation = exchange.request.generation
         if generation is not None:
-            tokens = sum(part.tokens for part in generation.parts)
-            patience_s = max(exchange.route.objective_s, patience_s + tokens / SLOWEST_PREFILL_TOKENS_PER_S)
+            reading_s = generation.prompt_tokens / SLOWEST_PREFILL_TOKENS_PER_S
+            patience_s = max(exchange.route.objective_s, patience_s + reading_s)
         return min(exchange.remaining_s() * 0.6, patience_s)
 
     def has_alternative(self, exchange: Exchange) -> bool:
--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -38,7 +38,7 @@
 from wallwell.gateway.head_wait import MIN_REMAINING_S, HeadWait
 from wallwell.outcomes import Outcome
 from wallwell.placement.rollout import next_in_line
-from wallwell.routing.outcome import TransportEvent
+from wallwell.routing.outcome import REFUSED_BY_BACKEND, TransportEvent
 from wallwell.routing.prefix_home import choose_from_tiers, engine_pool, placement_key, request_load
 
 MAX_ARRIVALS_BEYOND_ATTEMPTS = 3
@@ -51,11 +51,6 @@
     TransportEvent.CONNECT_REFUSED,
     TransportEvent.CONNECT_TIMEOUT,
 )
-REFUSED_UNRUN = (
-    TransportEvent.PRECONDITION_REFUSED,
-    TransportEvent.BACKEND_LEAVING,
-    TransportEvent.BACKEND_OVERLOADED,
-)
 
 
 class RequestPipeline:
@@ -127,7 +122,7 @@
             backend=backend.incarnation,
             backend_in_flight=backend.in_flight,
             attempts=exchange.log.attempts + 1,
-            prompt_tokens=sum(part.tokens for part in request.generation.parts) if request.generation else 0,
+            prompt_tokens=request.generation.prompt_tokens if request.generation is not None else 0,
             first_ms=round((first_s - request.arrived_s) * 1000),
             max_gap_ms=round(timing.max_gap_s * 1000),
             total_ms=round((now_s - request.arrived_s) * 1000),
@@ -150,7 +145,7 @@
         scope = tenant.name if tenant is not None and tenant.isolated else ""
         parts = exchange.request.generation.parts
         listed = state.backends.of_service(exchange.service)
-        pool = engine_pool(listed, sum(part.tokens for part in parts))
+        pool = engine_pool(listed, exchange.request.generation.prompt_tokens)
         leaving = next_in_line(
             listed, state.weights, exchange.request.generation.model, state.bounds.version_s, now_s
         )
@@ -186,7 +181,7 @@
 
     def _load_of(self, exchange: Exchange) -> int:
         generation = exchange.request.generation
-        return request_load(sum(part.tokens for part in generation.parts)) if generation is not None else 1
+        return request_load(generation.prompt_tokens) if generation is not None else 1
 
     async def _send(self, exchange: Exchange, backend: Backend) -> BackendAnswer:
         dispatch = self._dispatch(exchange, backend)
@@ -299,7 +294,7 @@
         self.counters.attempts[event.value] += 1
         if event not in UNREACHABLE:
             history.arrivals += 1
-        if event not in UNREACHABLE and event not in REFUSED_UNRUN:
+        if event not in UNREACHABLE and event not in REFUSED_BY_BACKEND:
             history.runs += 1
         history.details.append(f"{backend.incarnation} {event.value} {failure.detail}")
         self._learn(exchange, backend, failure, now_s)
@@ -333,7 +328,7 @@
         if event is TransportEvent.PRECONDITION_REFUSED and generation is not None:
             self._state.on_version_refused(backend, generation.model, failure.weights_version)
             return
-        if event in REFUSED_UNRUN or event is TransportEvent.ERROR_ANSWER:
+        if event in REFUSED_BY_BACKEND or event is TransportEvent.ERROR_ANSWER:
             return
         if event is TransportEvent.ANSWER_TIMEOUT and backend.is_answering(now_s):
             return  # Busy, not broken.
--- a/src/wallwell/platform/store.py
+++ b/src/wallwell/platform/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import base64
 from urllib.parse import urlencode
 
@@ -92,18 +91,11 @@
             head += "Content-Type: application/json\r\n"
         head += f"Content-Length: {len(body)}\r\n\r\n"
         try:
-            async with asyncio.timeout(timeout_s):
-                connection = await self._pool.acquire(self._address)
-                try:
-                    message = await connection.exchange("", head.encode() + body)
-                    data = b"".join([chunk async for chunk in connection.body()])
-                finally:
-                    self._pool.release(self._address, connection)
+            return await self._pool.fetch(self._address, head.encode() + body, timeout_s)
         except (ConnectFailedError, ConnectionBrokenError) as error:
             raise PlatformUnavailableError(str(error)) from error
         except TimeoutError as error:
             raise PlatformUnavailableError("no answer in time") from error
-        return message.code, data
 
     async def read(self, path: str, query: dict[str, str], timeout_s: float) -> RowsAnswer:
         """Read rows. Raises :class:`HistoryLostError` or :class:`PlatformUnavailableError`."""
--- a/src/wallwell/platform/workers.py
+++ b/src/wallwell/platform/workers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import AsyncIterator
 
 import msgspec
@@ -125,16 +124,9 @@
         if body:
             head += "Content-Type: application/json\r\n"
         try:
-            async with asyncio.timeout(CONTROL_TIMEOUT_S):
-                connection = await self.pool.acquire(backend.address)
-                try:
-                    message = await connection.exchange("", head.encode() + b"\r\n" + body)
-                    data = b"".join([chunk async for chunk in connection.body()])
-                finally:
-                    self.pool.release(backend.address, connection)
+            return await self.pool.fetch(backend.address, head.encode() + b"\r\n" + body, CONTROL_TIMEOUT_S)
         except (ConnectFailedError, ConnectionBrokenError, TimeoutError):
             return 0, b""
-        return message.code, data
 
 
 class ModelRow(msgspec.Struct, frozen=True):
--- a/src/wallwell/routing/outcome.py
+++ b/src/wallwell/routing/outcome.py
@@ -57,6 +57,13 @@
     TransportEvent.ANSWERED: Verdict(Outcome.COMPLETED, retry_repeatable=False, retry_once_only=False),
 }
 
+REFUSED_BY_BACKEND = (
+    TransportEvent.PRECONDITION_REFUSED,
+    TransportEvent.BACKEND_OVERLOADED,
+    TransportEvent.BACKEND_LEAVING,
+)
+"""A back end that works said itself that it ran nothing."""
+
 _SEVERITY = {Outcome.NOT_RUN: 0, Outcome.FAILED: 1, Outcome.UNKNOWN: 2, Outcome.COMPLETED: 3}
 
 
