An answer whose head comes as the caller leaves is closed

Cause: the wait for a head cancelled its dispatch when the caller left; a dispatch that had ended in that very turn of the event loop had an answer, which nobody closed, so the engine went on working for a caller who was gone. Ruled out: the dispatch cancelled earlier closes its own connection (WorkerClient.send). Change: a withdrawn dispatch that has an answer all the same has it closed. Before: the new test fails (0 answers closed). After: 1 closed, 77 gateway tests pass.

--- a/src/wallwell/gateway/head_wait.py
+++ b/src/wallwell/gateway/head_wait.py
@@ -29,7 +29,7 @@
         """Wait for the head as long as that is better than asking another back end."""
         silence_s = self._silence_s(exchange)
         begin_within_s = self._begin_within_s(exchange, backend)
-        sending = asyncio.ensure_future(self._client.send(dispatch))
+        sending = asyncio.create_task(self._send(dispatch))
         try:
             if silence_s is not None and (begin_within_s is None or silence_s < begin_within_s):
                 done, _ = await asyncio.wait({sending}, timeout=silence_s)
@@ -42,10 +42,12 @@
                     raise AttemptError(TransportEvent.ANSWER_TIMEOUT, "its weights are too old to begin")
             return await sending
         except BaseException:
-            sending.cancel()
-            await asyncio.gather(sending, return_exceptions=True)
+            await _withdraw(sending)
             raise
 
+    async def _send(self, dispatch: Dispatch) -> BackendAnswer:
+        return await self._client.send(dispatch)
+
     def _pay_for_repeat(self, exchange: Exchange) -> bool:
         """Draw on the budget for the attempt that follows a silence; False if it is used up."""
         if not self._state.budget_of(exchange.service).try_retry(time.monotonic(), self._state.node_count):
@@ -79,3 +81,11 @@
         usable = self._state.usable_backends(exchange.service, exchange.request.generation, now_s)
         untried = any(each.incarnation not in exchange.history.tried for each in usable)
         return untried and self._state.budget_of(exchange.service).left(now_s, self._state.node_count) >= 1.0
+
+
+async def _withdraw(sending: asyncio.Task[BackendAnswer]) -> None:
+    """Give a dispatch up; an answer whose head has come all the same is closed, so that its back end stops."""
+    sending.cancel()
+    (result,) = await asyncio.gather(sending, return_exceptions=True)
+    if not isinstance(result, BaseException):
+        result.close()
