A refusal's body is not waited for

Cause: after a refusal (X-Not-Run, 421) its body was read to the end before the next back end was asked. A body that never comes held the request until its deadline, and a caller who left meanwhile left the connection open. Change: the connection is kept if the body came with the head, else closed; the request goes on at once.

--- a/src/wallwell/platform/workers.py
+++ b/src/wallwell/platform/workers.py
@@ -88,7 +88,7 @@
         answer = WorkerAnswer(head, connection, address, self.pool)
         failure = _failure(message, head)
         if failure is not None:
-            await _drain(connection)
+            # A refusal's body may never come. The connection is kept if it came together with the head.
             answer.close()
             raise failure
         return answer
@@ -223,12 +223,3 @@
     if head.ok and names.SEAL not in message.headers:
         return AttemptError(TransportEvent.FOREIGN_ANSWER, "no seal")
     return None
-
-
-async def _drain(connection: BackendConnection) -> None:
-    """Read a refusal's body, so that its connection can be used again."""
-    try:
-        async for _ in connection.body():
-            pass
-    except ConnectionBrokenError:
-        return
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import pytest
+from aiohttp import web
 
 from tests.platform.conftest import config, route
 from tests.platform.stand_ins import SEAL
@@ -132,10 +133,23 @@
     return worker.answer(503, b"", X_Not_Run="1")
 
 
+def stalled_shed(worker):
+    """A refusal whose head comes and whose body never does."""
+
+    async def respond(request):
+        headers = worker.headers(request, **{"X-Not-Run": "1", "Content-Length": "5"})
+        response = web.StreamResponse(status=503, headers=headers)
+        await response.prepare(request)
+        await worker.hang(request)
+
+    return respond
+
+
 @pytest.mark.parametrize(
     ("kind", "first", "status", "arrivals"),
     [
         ("unsafe", shed, 200, 2),
+        ("unsafe", stalled_shed, 200, 2),
         ("unsafe", misdirected, 200, 2),
         ("unsafe", lambda worker: worker.answer(500, b"bad"), 500, 1),
         ("safe", lambda worker: worker.answer(500, b"bad"), 200, 2),
