--- a/src/wallwell/deployment/freshness.py
+++ b/src/wallwell/deployment/freshness.py
@@ -25,14 +25,24 @@
 
         ``sent_s`` is the local time at which the call was started, ``store_s`` the store's clock in the answer.
         """
-        lower_s = sent_s - store_s
-        if self._lower_s is not None:
-            relaxed_s = self._lower_s - DRIFT_PER_S * max(0.0, sent_s - self._observed_s)
-            lower_s = max(lower_s, relaxed_s)
+        lower_s = max(sent_s - store_s, self._relaxed_lower_s(sent_s))
         self._lower_s = lower_s
         self._observed_s = sent_s
         return max(sent_s, store_s + lower_s)
 
+    def confirmed_by_relay_s(self, now_s: float, store_s: float) -> float:
+        """Return the local time at which an answer that a peer passed on was certainly current.
+
+        The peer may have kept it for any time, so the call through it says nothing of the offset of the clocks;
+        what this node's own calls to the store have told must do. Minus infinity without any.
+        """
+        return store_s + self._relaxed_lower_s(now_s)
+
+    def _relaxed_lower_s(self, now_s: float) -> float:
+        if self._lower_s is None:
+            return float("-inf")
+        return self._lower_s - DRIFT_PER_S * max(0.0, now_s - self._observed_s)
+
     def to_store_s(self, local_s: float) -> float:
         """Return the store's time at a local time, at most a call's duration off."""
         return local_s - (self._lower_s or 0.0)
--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -48,6 +48,8 @@
     CLUSTER_MESSAGE_REFUSED = (5005, "WARNING", "message from a peer refused")
     LEASE_ACQUIRED = (5006, "INFO", "lease acquired")
     LEASE_LOST = (5007, "WARNING", "lease lost")
+    RELAY_LOST = (5008, "INFO", "peer is not followed for a while")
+    RELAY_NOT_SERVED = (5009, "WARNING", "no port for peers; they follow the store")
     ENGINE_INCARNATION = (6001, "INFO", "engine has a new incarnation; its cache entries are dropped")
     ENGINE_EVENTS_GAP = (6002, "WARNING", "cache events were lost; resynchronising")
     ENGINE_UNREACHABLE = (6003, "WARNING", "engine cannot be reached")
--- a/src/wallwell/gateway/fleet_node.py
+++ b/src/wallwell/gateway/fleet_node.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -21,12 +21,18 @@
 from wallwell.gateway.fleet_state import FleetBounds, FleetState
 from wallwell.gateway.pipeline import RequestPipeline
 from wallwell.placement.rollout_driver import EngineControl, RolloutDriver
-from wallwell.storage.feed import FeedPage, RowFollower, RowSource
+from wallwell.storage.feed import FeedPage, FeedRow, RowFollower, RowSource
+from wallwell.storage.relay import RelayedRows, RelayServer
 from wallwell.storage.table import Condition, Put, TableService, Transaction
-
-OPERATORS_WAIT_S = 1.2
-BACKENDS_WAIT_S = 2.0
-OWN_WAIT_S = 4.0
+from wallwell.storage.upstream import Member, UpstreamOrder
+
+OPERATORS_WAIT_S = 0.8
+BACKENDS_WAIT_S = 0.8
+OWN_WAIT_S = 2.0
+BACKENDS_PAUSE_S = 0.1
+OWN_PAUSE_S = 0.2
+SILENCE_S = 2.4
+"""Age of the last word of the operators' rows beyond which the store counts as having been silent."""
 MEMBER_PREFIX = "member/"
 HOUSEKEEPING_S = 1.0
 NOTICE_S = 2.6
@@ -75,17 +81,33 @@
         self._clock = StoreClock()
         self._rollout = RolloutDriver(self.state, sources.table, control, self._clock)
         self._registered = False
+        self._order = UpstreamOrder(node, zone)
+        self._own_row_version = 0
         self._tasks: list[asyncio.Task[None]] = []
+        self._relayed: dict[str, RelayedRows] = {}
         self._followers = (
-            self._follower("operators", sources.operators, self._on_operator_rows, OPERATORS_WAIT_S),
-            self._follower("backends", sources.backends, self._on_backend_rows, BACKENDS_WAIT_S),
-            self._follower("own", sources.own, self._on_own_rows, OWN_WAIT_S),
+            self._follower("operators", sources.operators, self._on_operator_rows, OPERATORS_WAIT_S, 0.0),
+            self._follower("backends", sources.backends, self._on_backend_rows, BACKENDS_WAIT_S, BACKENDS_PAUSE_S),
+            self._follower("own", sources.own, self._on_own_rows, OWN_WAIT_S, OWN_PAUSE_S),
         )
+        self._relay = RelayServer(self._relayed)
 
     def _follower(
-        self, name: str, source: RowSource, apply: Callable[[FeedPage, bool], None], wait_s: float
+        self, name: str, store: RowSource, apply: Callable[[FeedPage, bool], None], wait_s: float, pause_s: float
     ) -> RowFollower:
-        return RowFollower(name, source, apply, wait_s, self._clock, self.state.rng)
+        rows = RelayedRows(name, store, self._order, self._clock, wait_s, pause_s)
+        self._relayed[name] = rows
+        return RowFollower(name, rows, apply, wait_s, self._clock, self.state.rng)
+
+    async def listen_for_peers(self, host: str, ports: Iterable[int]) -> None:
+        """Serve peers on the first port that is free; without one, they follow the store themselves."""
+        for port in ports:
+            try:
+                await self._relay.start(host, port)
+                return
+            except OSError:
+                continue
+        emit(Event.RELAY_NOT_SERVED, host=host)
 
     def start(self) -> None:
         """Start following the store."""
@@ -133,7 +155,7 @@
         if before_s == float("-inf"):
             return self.state.estimated_naming_s(now_s), True
         # After a silence of the store, the version may have been named at any time within it.
-        return (before_s if now_s - before_s > 2 * OPERATORS_WAIT_S else now_s), False
+        return (before_s if now_s - before_s > SILENCE_S else now_s), False
 
     def _on_backend_rows(self, page: FeedPage, whole: bool) -> None:
         registry = self.state.backends
@@ -173,24 +195,37 @@
 
     def _on_own_rows(self, page: FeedPage, whole: bool) -> None:
         now_s = time.monotonic()
-        members = set() if whole else set(self.state.members)
+        members = {} if whole else dict(self._order.members)
         for row in page.rows:
             if row.key.startswith(MEMBER_PREFIX):
-                name = row.key[len(MEMBER_PREFIX) :]
-                if row.value is not None:
-                    members.add(name)
-                else:
-                    members.discard(name)
+                self._on_member_row(members, row)
             else:
                 self._rollout.on_row(row, now_s)
-        self.state.members = members
-        self._registered = self.state.node in members
+        self._order.members = members
+        self.state.members = set(members)
+        self._registered = members.get(self.state.node) == self._own_member()
+
+    def _on_member_row(self, members: dict[str, Member], row: FeedRow) -> None:
+        name = row.key[len(MEMBER_PREFIX) :]
+        if name == self.state.node:
+            self._own_row_version = row.version if row.value is not None else 0
+        if row.value is None:
+            members.pop(name, None)
+            return
+        try:
+            members[name] = msgspec.json.decode(row.value, type=Member)
+        except msgspec.MsgspecError:
+            members[name] = Member(zone="")
+
+    def _own_member(self) -> Member:
+        return Member(self.state.zone, self._relay.address)
 
     async def _register(self) -> None:
-        """Make this node count in the shares of the fleet's budgets."""
+        """Make this node count in the shares of the fleet's budgets, and known to its peers."""
         key = MEMBER_PREFIX + self.state.node
+        put = Put(key, msgspec.json.encode(self._own_member()).decode())
         try:
-            await self._sources.table.transact(Transaction((Condition(key, 0),), (Put(key, self.state.zone),)))
+            await self._sources.table.transact(Transaction((Condition(key, self._own_row_version),), (put,)))
         except (PlatformUnavailableError, TableConflictError):
             return
 
@@ -236,6 +271,7 @@
         emit(Event.NODE_DRAINING, in_flight=self.in_flight)
         self.draining = True
         self._rollout.drain()
+        self._relay.close()
         end_s = time.monotonic() + grace_s - STOP_RESERVE_S
         await asyncio.sleep(min(NOTICE_S, grace_s / 2))
         await close_listener()
@@ -248,4 +284,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._relay.close()
+        for rows in self._relayed.values():
+            rows.close()
         self._pool.close()
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -75,6 +75,7 @@
     loop.add_signal_handler(signal.SIGHUP, reload_settings, path)
     node = build_node(settings)
     listener = CallersListener(node)
+    await node.listen_for_peers(settings.ip, settings.peer_ports())
     node.start()
     callers_server = listener.server()
     callers = await _listen(callers_server, settings.listen.front)
--- a/src/wallwell/platform/settings.py
+++ b/src/wallwell/platform/settings.py
@@ -48,6 +48,13 @@
     provider: ProviderAddress
     bounds: Bounds = Bounds()
     metrics: str = ""
+    ip: str = ""
+    port_range: tuple[int, ...] = ()
+    """First and last port left free for what nodes say to each other."""
+
+    def peer_ports(self) -> range:
+        """Return the ports on which peers may be served; none if the settings leave none free."""
+        return range(self.port_range[0], self.port_range[-1] + 1) if self.ip and self.port_range else range(0)
 
     def fleet_bounds(self) -> FleetBounds:
         """Return the bounds in the product's units."""
--- a/src/wallwell/storage/feed.py
+++ b/src/wallwell/storage/feed.py
@@ -32,11 +32,15 @@
 
 @dataclass(frozen=True)
 class FeedPage:
-    """Rows of one answer. ``store_s`` is the store's steady clock when the answer was made."""
+    """Rows of one answer. ``store_s`` is the store's steady clock when the answer was made.
+
+    ``relayed`` tells that a peer passed it on, so that the call's own times say nothing of the store's clock.
+    """
 
     rows: tuple[FeedRow, ...]
     version: int
     store_s: float
+    relayed: bool = False
 
 
 class RowSource(Protocol):
@@ -99,12 +103,17 @@
             page = await self._source.changes(self._version, self._wait_s)
         self._version = max(self._version or 0, page.version)
         self.unconfirmed_since_s = self.confirmed_at_s
-        self.confirmed_at_s = max(self.confirmed_at_s, self._clock.confirmed_s(sent_s, page.store_s))
+        self.confirmed_at_s = max(self.confirmed_at_s, self._confirmed_s(page, sent_s))
         if self._failures:
             emit(Event.STORE_REGAINED, rows=self.name, failures=self._failures)
             self._failures = 0
         self._apply(page, whole)
 
+    def _confirmed_s(self, page: FeedPage, sent_s: float) -> float:
+        if page.relayed:
+            return self._clock.confirmed_by_relay_s(time.monotonic(), page.store_s)
+        return self._clock.confirmed_s(sent_s, page.store_s)
+
     def _on_failure(self, error: PlatformUnavailableError) -> None:
         self._failures += 1
         if self._failures == 1:
--- /dev/null
+++ b/src/wallwell/storage/replica.py
@@ -0,0 +1,71 @@
+"""A node's copy of a set of rows, kept so that peers can follow it instead of the store. Pure.
+
+The copy answers the same two questions as the store: every row, and what changed after a version. It remembers
+deletions only since its last whole reading, and only so many; who asks for more has to read everything again.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from wallwell.errors import HistoryLostError
+from wallwell.storage.feed import FeedPage, FeedRow
+
+MAX_DELETIONS = 1000
+
+
+class RowReplica:
+    """Rows by key with their versions, as of ``version`` at the store's time ``store_s``."""
+
+    def __init__(self, max_deletions: int = MAX_DELETIONS) -> None:
+        self.version = -1
+        """The newest version that the copy holds; -1 before the first reading."""
+        self.store_s = float("-inf")
+        self.changed_version = -1
+        """Version up to which the last page that brought rows goes."""
+        self._rows: dict[str, FeedRow] = {}
+        self._deletions: OrderedDict[str, FeedRow] = OrderedDict()
+        self._floor = -1
+        """Changes after this version are complete; older ones are not."""
+        self._max_deletions = max_deletions
+
+    def take(self, page: FeedPage, whole: bool) -> None:
+        """Apply a page; ``whole`` tells that it holds every row. An older whole page than the copy is refused."""
+        if whole:
+            if page.version < self.version:
+                return
+            self._rows = {}
+            self._deletions.clear()
+            self._floor = page.version
+        for row in page.rows:
+            self._take_row(row)
+        if page.rows or whole:
+            self.changed_version = max(self.changed_version, page.version)
+        self.version = max(self.version, page.version)
+        self.store_s = max(self.store_s, page.store_s)
+
+    def _take_row(self, row: FeedRow) -> None:
+        known = self._rows.get(row.key) or self._deletions.get(row.key)
+        if known is not None and known.version > row.version:
+            return
+        self._deletions.pop(row.key, None)
+        if row.value is not None:
+            self._rows[row.key] = row
+            return
+        self._rows.pop(row.key, None)
+        self._deletions[row.key] = row
+        if len(self._deletions) > self._max_deletions:
+            _, forgotten = self._deletions.popitem(last=False)
+            self._floor = max(self._floor, forgotten.version)
+
+    def everything(self) -> FeedPage:
+        """Return every row as of the copy's version."""
+        return FeedPage(tuple(self._rows.values()), self.version, self.store_s, relayed=True)
+
+    def after(self, version: int) -> FeedPage:
+        """Return what changed after ``version``. Raises :class:`HistoryLostError` if that is not all known here."""
+        if version < self._floor:
+            raise HistoryLostError("changes from before the last whole reading")
+        changed = [row for row in (*self._rows.values(), *self._deletions.values()) if row.version > version]
+        changed.sort(key=lambda row: row.version)
+        return FeedPage(tuple(changed), self.version, self.store_s, relayed=True)
--- /dev/null
+++ b/src/wallwell/storage/upstream.py
@@ -0,0 +1,75 @@
+"""Which peer a node follows the store's rows through, agreed without messages. Pure.
+
+The members of a zone stand in an order that every node works out alike. The first ones, one for so many members,
+follow the store; the others follow one of them. A node only follows a peer that stands before it, so that no two
+nodes can follow each other, and it follows the store when no peer before it is believed to work.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import msgspec
+
+from wallwell.routing.rendezvous import key_of, owners, rendezvous_score
+
+MEMBERS_PER_RELAY = 40
+"""Members of a zone that one follower of the store can serve."""
+FIRST_PAUSE_S = 2.0
+MAX_PAUSE_S = 16.0
+
+
+class Member(msgspec.Struct, frozen=True):
+    """A node as it registers itself. ``relay`` is ``IP:port`` for peers, empty if it serves none."""
+
+    zone: str
+    relay: str = ""
+
+
+@dataclass
+class PeerHealth:
+    """Failures of one peer in a row, and until when it is passed over."""
+
+    failures: int = 0
+    until_s: float = float("-inf")
+
+
+@dataclass
+class UpstreamOrder:
+    """One node's choice among its peers."""
+
+    node: str
+    zone: str
+    members: Mapping[str, Member] = field(default_factory=dict)
+    _health: dict[str, PeerHealth] = field(default_factory=dict)
+
+    def candidates(self, now_s: float) -> list[tuple[str, str]]:
+        """Return names and addresses of the peers to follow, best first; empty if the store is to be followed."""
+        same_zone = [name for name, member in self.members.items() if member.zone == self.zone and member.relay]
+        if self.node not in same_zone:
+            return []
+        ordered = owners(same_zone, key_of(self.zone), len(same_zone))
+        relays = -(-len(ordered) // MEMBERS_PER_RELAY)
+        before = ordered[: ordered.index(self.node)]
+        working = [name for name in before if self._is_working(name, now_s)][:relays]
+        if len(working) < relays:
+            return []
+        working.sort(key=lambda name: rendezvous_score(name, key_of(self.node)))
+        return [(name, self.members[name].relay) for name in working]
+
+    def _is_working(self, name: str, now_s: float) -> bool:
+        health = self._health.get(name)
+        return health is None or now_s >= health.until_s
+
+    def on_failure(self, name: str, now_s: float) -> None:
+        """A peer did not answer or has no recent word of the store: pass it over for a while."""
+        health = self._health.setdefault(name, PeerHealth())
+        if now_s < health.until_s:
+            return  # Another call that was under way at the same time.
+        health.failures += 1
+        health.until_s = now_s + min(MAX_PAUSE_S, FIRST_PAUSE_S * (1 << min(health.failures - 1, 4)))
+
+    def on_success(self, name: str) -> None:
+        """A peer answered."""
+        self._health.pop(name, None)
--- a/tests/unit/deployment/test_freshness.py
+++ b/tests/unit/deployment/test_freshness.py
@@ -37,3 +37,18 @@
     freshness.confirm(8.0)
     assert freshness.covers(14.6, 4.6)
     assert not freshness.covers(14.7, 4.6)
+
+
+@given(calls=CALLS, offset_s=st.floats(-1000.0, 1000.0), age_s=st.floats(0.0, 100.0))
+def test_a_word_of_the_store_that_a_peer_passed_on_never_looks_more_recent_than_it_is(calls, offset_s, age_s):
+    """``age_s`` is how long the peer kept it."""
+    clock = StoreClock()
+    now_s = 5000.0
+    assert clock.confirmed_by_relay_s(now_s, now_s + offset_s) == float("-inf")
+    for pause_s, until_made_s, until_arrival_s in calls:
+        sent_s = now_s + pause_s
+        made_s = sent_s + until_made_s
+        clock.confirmed_s(sent_s, made_s + offset_s)
+        now_s = made_s + until_arrival_s
+        told_s = now_s - age_s
+        assert clock.confirmed_by_relay_s(now_s, told_s + offset_s) <= told_s + 1e-6
--- /dev/null
+++ b/tests/unit/storage/memory_rows.py
@@ -0,0 +1,69 @@
+"""Rows in memory as a store keeps them, and a mirror of what a follower knows."""
+
+import asyncio
+
+from wallwell.errors import HistoryLostError
+from wallwell.storage.feed import FeedPage, FeedRow
+
+
+class MemoryRows:
+    """Rows with versions, a bounded history and scripted failures."""
+
+    def __init__(self):
+        self.rows: dict[str, FeedRow] = {}
+        self.history: list[FeedRow] = []
+        self.version = 0
+        self.forgotten = 0
+        self.failures: list[Exception] = []
+        self.whole_reads = 0
+
+    def write(self, key, value):
+        self.version += 1
+        row = FeedRow(key, value, self.version)
+        self.history.append(row)
+        if value is None:
+            self.rows.pop(key, None)
+        else:
+            self.rows[key] = row
+
+    def forget(self):
+        self.forgotten = self.version
+        self.history.clear()
+
+    def _fail(self):
+        if self.failures:
+            raise self.failures.pop(0)
+
+    async def read_all(self):
+        self._fail()
+        self.whole_reads += 1
+        await asyncio.sleep(0.01)
+        return FeedPage(tuple(self.rows.values()), self.version, self._now_s())
+
+    async def changes(self, after_version, wait_s):
+        self._fail()
+        if self.version == after_version:
+            await asyncio.sleep(wait_s)
+        if after_version < self.forgotten:
+            raise HistoryLostError("gone")
+        rows = tuple(row for row in self.history if row.version > after_version)
+        return FeedPage(rows, self.version, self._now_s())
+
+    def _now_s(self):
+        return asyncio.get_running_loop().time() - 900.0
+
+
+class Mirror:
+    """What a follower of the rows knows."""
+
+    def __init__(self):
+        self.rows = {}
+
+    def apply(self, page, whole):
+        if whole:
+            self.rows = {}
+        for row in page.rows:
+            if row.value is None:
+                self.rows.pop(row.key, None)
+            else:
+                self.rows[row.key] = row.value
--- /dev/null
+++ b/tests/unit/storage/test_replica.py
@@ -0,0 +1,57 @@
+"""A copy of the rows says what the store would say, or that it does not know."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wallwell.errors import HistoryLostError
+from wallwell.storage.feed import FeedPage, FeedRow
+from wallwell.storage.replica import RowReplica
+
+WRITES = st.lists(st.tuples(st.sampled_from("abcd"), st.booleans()), max_size=25)
+
+
+@given(writes=WRITES, read_whole_at=st.integers(0, 25), asked_from=st.integers(0, 25), deletions=st.integers(1, 4))
+def test_who_follows_the_copy_knows_what_the_store_knows(writes, read_whole_at, asked_from, deletions):
+    """The copy reads everything after some writes and each later one as a change; then a peer asks."""
+    replica = RowReplica(max_deletions=deletions)
+    rows, states = {}, [{}]
+    for version, (key, deleted) in enumerate(writes, start=1):
+        row = FeedRow(key, None if deleted else b"%d" % version, version)
+        rows = {name: each for name, each in rows.items() if name != key}
+        if not deleted:
+            rows[key] = row
+        states.append(rows)
+        if version == read_whole_at:
+            replica.take(FeedPage(tuple(rows.values()), version, float(version)), whole=True)
+        elif version > read_whole_at:
+            replica.take(FeedPage((row,), version, float(version)), whole=False)
+    if read_whole_at > len(writes):
+        return
+    known = dict(states[min(asked_from, len(writes))])
+    try:
+        changes = replica.after(min(asked_from, len(writes)))
+    except HistoryLostError:
+        known = {}
+        changes = replica.everything()
+    for row in changes.rows:
+        known.pop(row.key, None)
+        if row.value is not None:
+            known[row.key] = row
+    assert known == rows
+
+
+def test_changes_from_before_the_whole_reading_are_not_known():
+    replica = RowReplica()
+    replica.take(FeedPage((FeedRow("a", b"1", 3),), 7, 1.0), whole=True)
+    assert replica.after(7).rows == ()
+    with pytest.raises(HistoryLostError):
+        replica.after(6)
+
+
+def test_an_older_whole_page_changes_nothing():
+    replica = RowReplica()
+    replica.take(FeedPage((FeedRow("a", b"2", 5),), 5, 2.0), whole=True)
+    replica.take(FeedPage((FeedRow("a", b"1", 3),), 4, 1.0), whole=True)
+    assert replica.everything().rows == (FeedRow("a", b"2", 5),)
+    assert (replica.version, replica.store_s) == (5, 2.0)
--- /dev/null
+++ b/tests/unit/storage/test_upstream.py
@@ -0,0 +1,67 @@
+"""Whom a node follows: few follow the store, nobody is followed in a circle, and what fails is passed over."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wallwell.storage.upstream import MAX_PAUSE_S, MEMBERS_PER_RELAY, Member, UpstreamOrder
+
+
+def fleet(count, zones=1):
+    return {f"n{index}": Member(f"z{index % zones}", f"10.0.0.{index}:1") for index in range(count)}
+
+
+def orders(members):
+    return {name: UpstreamOrder(name, member.zone, members) for name, member in members.items()}
+
+
+@given(count=st.integers(1, 130), zones=st.integers(1, 4))
+def test_each_zone_follows_the_store_through_one_node_for_so_many(count, zones):
+    members = fleet(count, zones)
+    roots = [name for name, order in orders(members).items() if not order.candidates(0.0)]
+    sizes = [sum(member.zone == f"z{zone}" for member in members.values()) for zone in range(zones)]
+    assert len(roots) == sum(-(-size // MEMBERS_PER_RELAY) for size in sizes)
+
+
+@given(count=st.integers(2, 40), data=st.data())
+def test_nobody_is_followed_in_a_circle_whatever_each_node_knows_and_believes(count, data):
+    members = fleet(count)
+    follows = {}
+    for name in members:
+        known = data.draw(st.sets(st.sampled_from(sorted(members))))
+        order = UpstreamOrder(name, "z0", {each: members[each] for each in known | {name}})
+        for failed in data.draw(st.sets(st.sampled_from(sorted(members)))):
+            order.on_failure(failed, 0.0)
+        follows[name] = [peer for peer, _ in order.candidates(1.0)]
+
+    def reaches(start, target, seen):
+        if start in seen:
+            return False
+        seen.add(start)
+        return any(peer == target or reaches(peer, target, seen) for peer in follows[start])
+
+    assert not any(reaches(name, name, set()) for name in members)
+
+
+def test_a_failed_peer_is_passed_over_for_longer_each_time_and_used_again():
+    members = fleet(3)
+    root = next(name for name, order in orders(members).items() if not order.candidates(0.0))
+    follower = next(name for name in members if name != root)
+    order = UpstreamOrder(follower, "z0", members)
+    now_s, pauses = 0.0, []
+    for _ in range(6):
+        order.on_failure(root, now_s)
+        order.on_failure(root, now_s)  # A second call that was under way counts once.
+        failed_s = now_s
+        while root not in [name for name, _ in order.candidates(now_s)]:
+            now_s += 0.5
+        pauses.append(now_s - failed_s)
+    assert pauses == [2.0, 4.0, 8.0, 16.0, MAX_PAUSE_S, MAX_PAUSE_S]
+    order.on_success(root)
+    order.on_failure(root, now_s)
+    assert root in [name for name, _ in order.candidates(now_s + 2.0)]
+
+
+def test_a_node_that_peers_cannot_reach_or_that_is_not_registered_follows_the_store():
+    members = {**fleet(3), "silent": Member("z0", "")}
+    assert UpstreamOrder("silent", "z0", members).candidates(0.0) == []
+    assert UpstreamOrder("unknown", "z0", members).candidates(0.0) == []
