Kept KV is divided among its stores by the prompt's key

Cause: a node used the store of its own zone, else the first listed. With several stores most prompts went to one, whose room and link did not suffice, and a part saved through one zone's node was not found from another zone. Change: every node takes the same store for the same prompt, by rendezvous hashing of the key that places it.

--- a/src/wallwell/gateway/exchange_state.py
+++ b/src/wallwell/gateway/exchange_state.py
@@ -4,11 +4,13 @@
 
 import time
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from wallwell.deployment.routes import Route, TenantAccess
 from wallwell.gateway.event_stream import StreamPosition
 from wallwell.gateway.exchange import AttemptHistory, CallerReply, CallerRequest
 from wallwell.routing.outcome import AttemptLog
+from wallwell.routing.prefix_home import placement_key
 
 
 @dataclass
@@ -50,6 +52,13 @@
             return self.tenant.rank
         return self.route.rank
 
+    @cached_property
+    def placement(self) -> int:
+        """The key that places a generation: its longest shared prefix, within the tenant if that shares none."""
+        assert self.request.generation is not None
+        scope = self.tenant.name if self.tenant is not None and self.tenant.isolated else ""
+        return placement_key(self.request.generation.parts, scope)
+
     def remaining_s(self) -> float:
         """Time left before the caller or the route gives the request up."""
         return self.deadline_s - time.monotonic()
--- a/src/wallwell/gateway/fleet_state.py
+++ b/src/wallwell/gateway/fleet_state.py
@@ -13,6 +13,7 @@
 from wallwell.gateway.exchange import Generation
 from wallwell.placement.rollout import OVERDUE_PART
 from wallwell.routing.fleet_budget import FleetRetryBudget
+from wallwell.routing.rendezvous import owner
 from wallwell.routing.split import WeightedSplit
 
 LAST_PART = 0.93
@@ -100,13 +101,15 @@
         """Return this node's repeats left, by service."""
         return {service: budget.left(now_s, self.node_count) for service, budget in self._budgets.items()}
 
-    def kv_store_address(self) -> str:
-        """Return the address of the store of kept KV cache, empty if there is none."""
+    def kv_store_address(self, placement: int) -> str:
+        """Return the store of kept KV cache for prompts placed by a key, empty if there is none.
+
+        Every node takes the same one for the same prompts, so that what one engine saved another one finds.
+        """
         if self.config is None or not self.config.kv_stores:
             return ""
-        stores = self.config.kv_stores
-        local = next((store for store in stores if store.zone == self.zone), stores[0])
-        return local.kv_store_address
+        addresses = [store.kv_store_address for store in self.config.kv_stores]
+        return owner(addresses, placement)
 
     def estimated_naming_s(self, now_s: float) -> float:
         """Return since when a weights version found at the start is taken to be named.
--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -11,7 +11,7 @@
 from contextlib import aclosing
 
 from wallwell.deployment.backends import Backend
-from wallwell.deployment.routes import RouteKind, TenantAccess
+from wallwell.deployment.routes import RouteKind
 from wallwell.errors import (
     BackendFailedError,
     DeadlineExceededError,
@@ -39,7 +39,7 @@
 from wallwell.outcomes import Outcome
 from wallwell.placement.rollout import next_in_line
 from wallwell.routing.outcome import REFUSED_BY_BACKEND, TransportEvent
-from wallwell.routing.prefix_home import choose_from_tiers, engine_pool, placement_key, request_load
+from wallwell.routing.prefix_home import choose_from_tiers, engine_pool, request_load
 
 MAX_ARRIVALS_BEYOND_ATTEMPTS = 3
 """Further back ends tried when earlier ones prove that they did not run the request."""
@@ -141,9 +141,6 @@
             raise self._exhausted(exchange, "no back end can take the request")
         if exchange.request.generation is None:
             return state.least_loaded(candidates)
-        tenant = exchange.tenant
-        scope = tenant.name if tenant is not None and tenant.isolated else ""
-        parts = exchange.request.generation.parts
         listed = state.backends.of_service(exchange.service)
         pool = engine_pool(listed, exchange.request.generation.prompt_tokens)
         leaving = next_in_line(
@@ -152,7 +149,7 @@
         staying = [each for each in candidates if each.incarnation not in leaving]
         in_pool = [each for each in staying if each in pool]
         tiers = (in_pool, staying, candidates)
-        chosen = choose_from_tiers(tiers, placement_key(parts, scope), state.node_count)
+        chosen = choose_from_tiers(tiers, exchange.placement, state.node_count)
         assert chosen is not None
         return chosen
 
@@ -196,20 +193,19 @@
     def _dispatch(self, exchange: Exchange, backend: Backend) -> Dispatch:
         request = exchange.request
         generation = request.generation
-        tenant = exchange.tenant
         version = 0
         cache = None
         resume_after = None
         if generation is not None:
             version = backend.believed_version(generation.model)
-            cache = self._cache_plan(generation.model, version, tenant)
+            cache = self._cache_plan(exchange, generation.model, version)
             resume_after = generation.resume_after
             if exchange.position.last_number is not None:
                 resume_after = exchange.position.last_number
         return Dispatch(
             backend=backend.record,
             request=request,
-            tenant=tenant.name if tenant is not None else "",
+            tenant=exchange.tenant.name if exchange.tenant is not None else "",
             remaining_s=exchange.remaining_s(),
             rank=exchange.rank,
             expected_version=version,
@@ -217,11 +213,12 @@
             cache=cache,
         )
 
-    def _cache_plan(self, model: str, version: int, tenant: TenantAccess | None) -> CachePlan:
+    def _cache_plan(self, exchange: Exchange, model: str, version: int) -> CachePlan:
         scope = f"{model}:{version}"
+        tenant = exchange.tenant
         if tenant is not None and tenant.isolated:
             scope += f":{tenant.name}"
-        store = self._state.kv_store_address() if version else ""
+        store = self._state.kv_store_address(exchange.placement) if version else ""
         return CachePlan(scope, fetch_from=store, save_to=store)
 
     # --- answers ---------------------------------------------------------------------------------------
--- /dev/null
+++ b/tests/unit/gateway/test_kv_store_choice.py
@@ -0,0 +1,62 @@
+"""Which store of kept KV cache a prompt's parts go to and come from."""
+
+import dataclasses
+import time
+
+import pytest
+
+from tests.unit.gateway.fakes import (
+    FakeClient,
+    FakeReply,
+    Script,
+    make_generation,
+    make_request,
+    make_route,
+    make_state,
+)
+from tests.virtual_time import run_virtual
+from wallwell.deployment.routes import RouteKind, Service
+from wallwell.gateway.pipeline import RequestPipeline
+from wallwell.routing.prefix_home import PromptPart
+
+STREAM = make_route(RouteKind.STREAM)
+ANSWER = Script(chunks=(b"ok",), stream=False, version=1)
+
+
+def stores(*zones):
+    return tuple(Service(f"kv{i}", kv_store_address=f"10.9.0.{i}:1", zone=zone) for i, zone in enumerate(zones))
+
+
+def addresses_used(node_zone, kv_stores, prompts):
+    """Return the store of each prompt as a node in ``node_zone`` chooses it."""
+
+    async def work():
+        state = make_state(STREAM, versions={"m": 1})
+        state.zone = node_zone
+        state.apply_config(dataclasses.replace(state.config, version=2, services=kv_stores))
+        state.freshness.confirm(time.monotonic())
+        client = FakeClient(ANSWER)
+        for prompt in prompts:
+            generation = dataclasses.replace(
+                make_generation(), parts=(PromptPart(prompt, 100), PromptPart("own", 9))
+            )
+            await RequestPipeline(state, client).serve(make_request(generation=generation), FakeReply())
+        assert all(sent.cache.fetch_from == sent.cache.save_to for sent in client.sent)
+        return [sent.cache.fetch_from for sent in client.sent]
+
+    return run_virtual(work())
+
+
+PROMPTS = [f"shared{index}" for index in range(60)]
+
+
+@pytest.mark.parametrize("zones", [("z1", "z1", "z1"), ("z1", "z2", "z3"), ("z9", "z9", "z9")])
+def test_prompts_are_divided_among_the_stores_and_all_nodes_agree(zones):
+    kv_stores = stores(*zones)
+    here, there = addresses_used("z1", kv_stores, PROMPTS), addresses_used("z2", kv_stores, PROMPTS)
+    assert here == there
+    assert min(here.count(store.kv_store_address) for store in kv_stores) >= 10
+
+
+def test_without_a_store_nothing_is_kept():
+    assert addresses_used("z1", (), ["shared"]) == [""]
