Every node knows what all nodes have under way at each back end

Cause: a node took the others to send as much as itself. With 79 nodes one request of its own counted as 79, so the engine that held a prefix had no room and the next request of that prefix was read anew elsewhere; and calls went to back ends by each node's own few calls, which is by chance. Change: members report their requests under way to the node they follow, these nodes exchange sums (cluster/ load_exchange). Load bounds of engines use the sum; calls stay in their zone while half of a back end's places are free, else are divided at random by free places, since everybody's news is equally old.

--- /dev/null
+++ b/src/wallwell/cluster/load_exchange.py
@@ -0,0 +1,121 @@
+"""Tells other nodes what this one has under way, and learns the same of all of them in a few messages a second."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import msgspec
+
+from wallwell.cluster.peer_link import PeerLinks, PeerMessage
+from wallwell.cluster.upstream import UpstreamOrder
+from wallwell.deployment.backends import BackendRegistry
+from wallwell.errors import PeerUnavailableError
+from wallwell.routing.load_reports import REPORT_LIFETIME_S, LoadReports
+
+INTERVAL_S = 0.25
+ANSWER_TIMEOUT_S = 0.3
+
+
+class MemberLoad(PeerMessage, frozen=True):
+    """A member's own requests under way by back end; answered with those of all other nodes."""
+
+    node: str
+    loads: dict[str, int]
+
+
+class ZoneLoad(PeerMessage, frozen=True):
+    """The requests under way of a node and the members that report to it; answered with the same."""
+
+    node: str
+    loads: dict[str, int]
+
+
+class LoadReply(msgspec.Struct, frozen=True):
+    """Requests under way by back end."""
+
+    loads: dict[str, int]
+
+
+class LoadExchange:
+    """One node's part: reports upwards as a member, or exchanges sums with its like if members report to it."""
+
+    def __init__(self, node: str, backends: BackendRegistry, order: UpstreamOrder) -> None:
+        self._node = node
+        self._backends = backends
+        self._order = order
+        self._members = LoadReports()
+        self._zones = LoadReports()
+        self._links = PeerLinks()
+        self._heard_at_s = float("-inf")
+
+    async def run(self) -> None:
+        """Exchange until cancelled."""
+        while True:
+            await asyncio.sleep(INTERVAL_S)
+            await self.step()
+
+    async def step(self) -> None:
+        """Exchange once, and give the back ends what their load from other nodes is."""
+        now_s = time.monotonic()
+        candidates = self._order.candidates(now_s)
+        if candidates:
+            await self._report_to(*candidates[0])
+        else:
+            await self._exchange_with(self._order.relays(now_s))
+        if time.monotonic() - self._heard_at_s >= REPORT_LIFETIME_S:
+            self._backends.forget_peer_loads()
+
+    async def _report_to(self, name: str, address: str) -> None:
+        self._links.keep({name})
+        message = MemberLoad(self._node, self._backends.own_loads())
+        try:
+            reply = await self._links.to(name, address).ask(message, LoadReply, ANSWER_TIMEOUT_S)
+        except PeerUnavailableError:
+            return  # The rows that come the same way decide whether the peer is passed over.
+        self._learn(reply.loads)
+
+    async def _exchange_with(self, relays: list[tuple[str, str]]) -> None:
+        self._links.keep({name for name, _ in relays})
+        message = ZoneLoad(self._node, self._zone_loads())
+        await asyncio.gather(*(self._exchange_sums(name, address, message) for name, address in relays))
+        now_s = time.monotonic()
+        self._learn(dict(self._members.total(now_s) + self._zones.total(now_s)))
+
+    async def _exchange_sums(self, name: str, address: str, message: ZoneLoad) -> None:
+        try:
+            reply = await self._links.to(name, address).ask(message, LoadReply, ANSWER_TIMEOUT_S)
+        except PeerUnavailableError:
+            self._order.on_failure(name, time.monotonic())
+            return
+        self._order.on_success(name)
+        self._zones.take(name, reply.loads, time.monotonic())
+
+    def _zone_loads(self) -> dict[str, int]:
+        total = self._members.total(time.monotonic())
+        total.update(self._backends.own_loads())
+        return dict(total)
+
+    def _learn(self, loads: dict[str, int]) -> None:
+        self._heard_at_s = time.monotonic()
+        self._backends.learn_peer_loads(loads)
+
+    # --- what peers say --------------------------------------------------------------------------------
+
+    async def on_member(self, message: MemberLoad) -> LoadReply:
+        """Take a member's report and return what all others have under way."""
+        now_s = time.monotonic()
+        self._members.take(message.node, message.loads, now_s)
+        total = self._members.total(now_s, without=message.node)
+        total.update(self._zones.total(now_s))
+        total.update(self._backends.own_loads())
+        return LoadReply(dict(total))
+
+    async def on_zone(self, message: ZoneLoad) -> LoadReply:
+        """Take another relay's sum and return this one's."""
+        self._zones.take(message.node, message.loads, time.monotonic())
+        return LoadReply(self._zone_loads())
+
+    def close(self) -> None:
+        """Close the connections to peers."""
+        self._links.keep(set())
--- a/src/wallwell/storage/relay.py
+++ b/src/wallwell/cluster/relay.py
@@ -8,19 +8,18 @@
 
 import asyncio
 import time
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 import msgspec
 
+from wallwell.cluster.peer_link import PeerLinks, PeerMessage
+from wallwell.cluster.upstream import UpstreamOrder
 from wallwell.deployment.freshness import StoreClock
 from wallwell.errors import HistoryLostError, PeerUnavailableError
 from wallwell.events import Event, emit
 from wallwell.storage.feed import FeedPage, FeedRow, RowSource
 from wallwell.storage.replica import RowReplica
-from wallwell.storage.upstream import UpstreamOrder
 
-MAX_LINE_BYTES = 16 * 1024 * 1024
-CONNECT_TIMEOUT_S = 0.3
 ANSWER_MARGIN_S = 0.5
 """How much longer than the agreed wait a peer's answer is waited for."""
 STALE_MARGIN_S = 0.7
@@ -29,7 +28,7 @@
 """Peers asked in one reading before the store is."""
 
 
-class RowsRequest(msgspec.Struct, frozen=True):
+class RowsRequest(PeerMessage, frozen=True):
     """Ask for rows of a table: every row if ``after`` is None, else what changed after that version."""
 
     table: str
@@ -80,7 +79,7 @@
         self._stale_s = wait_s + STALE_MARGIN_S
         self._pause_s = pause_s
         self._last_brought_rows = False
-        self._links: dict[str, PeerLink] = {}
+        self.links = PeerLinks()
         self._advanced = asyncio.Event()
 
     # --- reading ---------------------------------------------------------------------------------------
@@ -105,11 +104,10 @@
     async def _from_peer(self, after: int | None, wait_s: float) -> FeedPage | None:
         """Return a peer's page, None if the store is to be asked. Raises :class:`HistoryLostError`."""
         candidates = self._order.candidates(time.monotonic())
-        self._keep_links({name for name, _ in candidates})
+        self.links.keep({name for name, _ in candidates})
         for name, address in candidates[:MAX_PEERS_ASKED]:
-            link = self._links.setdefault(name, PeerLink(address))
             try:
-                page = await link.ask(RowsRequest(self.table, wait_s, after))
+                page = await self._ask(name, address, RowsRequest(self.table, wait_s, after))
             except PeerUnavailableError as error:
                 self._order.on_failure(name, time.monotonic())
                 emit(Event.RELAY_LOST, peer=name, rows=self.table, reason=str(error))
@@ -118,9 +116,17 @@
             return page
         return None
 
-    def _keep_links(self, names: set[str]) -> None:
-        for name in [name for name in self._links if name not in names]:
-            self._links.pop(name).close()
+    async def _ask(self, name: str, address: str, request: RowsRequest) -> FeedPage:
+        """Return a peer's page. Raises :class:`PeerUnavailableError` or :class:`HistoryLostError`."""
+        reply = await self.links.to(name, address).ask(request, RowsReply, request.wait_s + ANSWER_MARGIN_S)
+        if reply.stale:
+            raise PeerUnavailableError(f"{address}: its word of the store is old")
+        if reply.history_lost:
+            raise HistoryLostError("the peer does not know these changes")
+        rows = tuple(
+            FeedRow(row.key, None if row.value is None else row.value.encode(), row.version) for row in reply.rows
+        )
+        return FeedPage(rows, reply.version, reply.store_s, relayed=True)
 
     def _take(self, page: FeedPage, whole: bool) -> FeedPage:
         self.replica.take(page, whole)
@@ -163,7 +169,7 @@
 
     def close(self) -> None:
         """Close the connections to peers."""
-        self._keep_links(set())
+        self.links.keep(set())
 
 
 def _reply(page: FeedPage) -> RowsReply:
@@ -173,87 +179,10 @@
     return RowsReply(page.version, page.store_s, rows)
 
 
-class PeerLink:
-    """One connection to a peer, made when it is needed; one request at a time."""
+def answer_from(tables: Mapping[str, RelayedRows]) -> Callable[[RowsRequest], Awaitable[RowsReply]]:
+    """Return the handler of peers' requests for rows. An unknown table raises KeyError."""
 
-    def __init__(self, address: str) -> None:
-        self._address = address
-        self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
+    async def answer(request: RowsRequest) -> RowsReply:
+        return await tables[request.table].answer(request)
 
-    async def ask(self, request: RowsRequest) -> FeedPage:
-        """Return the peer's page. Raises :class:`PeerUnavailableError` or :class:`HistoryLostError`."""
-        try:
-            reply = await self._exchange(request)
-        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError, msgspec.MsgspecError) as error:
-            self.close()
-            raise PeerUnavailableError(f"{self._address}: {type(error).__name__}") from error
-        except BaseException:
-            self.close()
-            raise
-        if reply.stale:
-            raise PeerUnavailableError(f"{self._address}: its word of the store is old")
-        if reply.history_lost:
-            raise HistoryLostError("the peer does not know these changes")
-        rows = tuple(
-            FeedRow(row.key, None if row.value is None else row.value.encode(), row.version) for row in reply.rows
-        )
-        return FeedPage(rows, reply.version, reply.store_s, relayed=True)
-
-    async def _exchange(self, request: RowsRequest) -> RowsReply:
-        if self._streams is None:
-            host, _, port = self._address.rpartition(":")
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                self._streams = await asyncio.open_connection(host, int(port), limit=MAX_LINE_BYTES)
-        reader, writer = self._streams
-        writer.write(msgspec.json.encode(request) + b"\n")
-        async with asyncio.timeout(request.wait_s + ANSWER_MARGIN_S):
-            return msgspec.json.decode(await reader.readuntil(b"\n"), type=RowsReply)
-
-    def close(self) -> None:
-        """Close the connection; the next request makes another."""
-        if self._streams is not None:
-            self._streams[1].transport.abort()
-            self._streams = None
-
-
-class RelayServer:
-    """Answers peers from this node's copies."""
-
-    def __init__(self, tables: Mapping[str, RelayedRows]) -> None:
-        self._tables = tables
-        self._server: asyncio.Server | None = None
-        self._connections: set[asyncio.Task[None]] = set()
-        self.address = ""
-
-    async def start(self, host: str, port: int) -> None:
-        """Listen. Raises OSError if the address cannot be used."""
-        self._server = await asyncio.start_server(self._serve, host, port, limit=MAX_LINE_BYTES)
-        self.address = f"{host}:{self._server.sockets[0].getsockname()[1]}"
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._connections.add(task)
-        try:
-            await self._answer_all(reader, writer)
-        except (OSError, ValueError, KeyError, msgspec.MsgspecError):
-            pass  # The peer is gone or speaks something else; it will connect again.
-        except asyncio.CancelledError:
-            pass  # Closed below; the task ends here, and asyncio would log a cancelled one as an error.
-        finally:
-            self._connections.discard(task)
-            writer.transport.abort()
-
-    async def _answer_all(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while line := await reader.readline():
-            request = msgspec.json.decode(line, type=RowsRequest)
-            reply = await self._tables[request.table].answer(request)
-            writer.write(msgspec.json.encode(reply) + b"\n")
-            await writer.drain()
-
-    def close(self) -> None:
-        """Stop listening and end the connections of peers, which then go elsewhere at once."""
-        if self._server is not None:
-            self._server.close()
-        for task in list(self._connections):
-            task.cancel()
+    return answer
--- a/src/wallwell/storage/upstream.py
+++ b/src/wallwell/cluster/upstream.py
@@ -49,8 +49,7 @@
         same_zone = [name for name, member in self.members.items() if member.zone == self.zone and member.relay]
         if self.node not in same_zone:
             return []
-        ordered = owners(same_zone, key_of(self.zone), len(same_zone))
-        relays = -(-len(ordered) // MEMBERS_PER_RELAY)
+        ordered, relays = _order_of(self.zone, same_zone)
         before = ordered[: ordered.index(self.node)]
         working = [name for name in before if self._is_working(name, now_s)][:relays]
         if len(working) < relays:
@@ -58,6 +57,18 @@
         working.sort(key=lambda name: rendezvous_score(name, key_of(self.node)))
         return [(name, self.members[name].relay) for name in working]
 
+    def relays(self, now_s: float) -> list[tuple[str, str]]:
+        """Return names and addresses of the other nodes, of all zones, that follow the store for their members."""
+        by_zone: dict[str, list[str]] = {}
+        for name, member in self.members.items():
+            if member.relay:
+                by_zone.setdefault(member.zone, []).append(name)
+        found: list[str] = []
+        for zone, names in by_zone.items():
+            ordered, relays = _order_of(zone, names)
+            found += [name for name in ordered if name == self.node or self._is_working(name, now_s)][:relays]
+        return [(name, self.members[name].relay) for name in found if name != self.node]
+
     def _is_working(self, name: str, now_s: float) -> bool:
         health = self._health.get(name)
         return health is None or now_s >= health.until_s
@@ -73,3 +84,8 @@
     def on_success(self, name: str) -> None:
         """A peer answered."""
         self._health.pop(name, None)
+
+
+def _order_of(zone: str, names: list[str]) -> tuple[list[str], int]:
+    """Return a zone's members in their order, and how many of them follow the store."""
+    return owners(names, key_of(zone), len(names)), -(-len(names) // MEMBERS_PER_RELAY)
--- a/src/wallwell/deployment/backends.py
+++ b/src/wallwell/deployment/backends.py
@@ -42,6 +42,8 @@
     in_flight: int = 0
     load: int = 0
     """This node's requests under way, long prompts counted several times."""
+    peers_load: int | None = None
+    """The same of all other nodes as they told lately; None if they are not heard."""
     consecutive_failures: int = 0
     suspended_until_s: float = 0.0
     last_success_s: float = float("-inf")
@@ -55,6 +57,10 @@
         """The identity of this life of the back end."""
         return self.record.incarnation
 
+    def fleet_load(self, nodes: int = 1) -> int:
+        """Return the requests of all nodes under way; unheard nodes are taken to send as much as this one."""
+        return self.load * nodes if self.peers_load is None else self.load + self.peers_load
+
     def is_open(self, now_s: float) -> bool:
         """Whether the back end may get new requests."""
         return not (self.gone or self.record.draining or now_s < self.suspended_until_s)
@@ -119,6 +125,20 @@
         """Listed back ends of a service, in the order of their identities."""
         return self._by_service.get(service, [])
 
+    def own_loads(self) -> dict[str, int]:
+        """This node's requests under way by back end, without the idle ones."""
+        return {incarnation: each.load for incarnation, each in self._by_incarnation.items() if each.load}
+
+    def learn_peer_loads(self, loads: Mapping[str, int]) -> None:
+        """Take what all other nodes have under way."""
+        for incarnation, backend in self._by_incarnation.items():
+            backend.peers_load = loads.get(incarnation, 0)
+
+    def forget_peer_loads(self) -> None:
+        """Other nodes have not been heard for too long."""
+        for backend in self._by_incarnation.values():
+            backend.peers_load = None
+
     def upsert(self, record: BackendRecord) -> Backend:
         """Take a new or changed entry; observations of the same incarnation are kept."""
         backend = self._by_incarnation.get(record.incarnation)
--- /dev/null
+++ b/src/wallwell/gateway/fleet_rows.py
@@ -0,0 +1,176 @@
+"""What a node makes of the rows it follows: the operators' configuration, the back ends, and the other nodes."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from wallwell.backends.http_connection import ConnectionPool
+from wallwell.cluster.upstream import Member, UpstreamOrder
+from wallwell.deployment.backends import BackendRecord
+from wallwell.deployment.routes import DeploymentConfig
+from wallwell.errors import PlatformUnavailableError, TableConflictError
+from wallwell.events import Event, emit
+from wallwell.gateway.fleet_state import FleetState
+from wallwell.placement.rollout_driver import RolloutDriver
+from wallwell.storage.feed import FeedRow, FollowedPage, RowSource
+from wallwell.storage.table import Condition, Put, TableService, Transaction
+
+MEMBER_PREFIX = "member/"
+SILENCE_S = 2.4
+"""Age of the last word of the operators' rows beyond which the store counts as having been silent."""
+
+
+@dataclass(frozen=True)
+class NodeSources:
+    """The store as this node sees it: rows of operators, back ends and this product, and their formats."""
+
+    operators: RowSource
+    backends: RowSource
+    own: RowSource
+    table: TableService
+    config_key: str
+    version_prefix: str
+    decode_config: Callable[[bytes], DeploymentConfig]
+    decode_version: Callable[[bytes], tuple[str, int]]
+    decode_backend: Callable[[str, bytes], BackendRecord]
+
+
+class OperatorRows:
+    """Applies the operators' configuration and the weights versions they name."""
+
+    def __init__(self, state: FleetState, sources: NodeSources) -> None:
+        self._state = state
+        self._sources = sources
+
+    def apply(self, followed: FollowedPage) -> None:
+        """Take a page; a row that cannot be understood changes nothing."""
+        for row in followed.page.rows:
+            if row.value is None:
+                continue
+            try:
+                self._on_row(row.key, row.value, followed.unconfirmed_since_s)
+            except msgspec.MsgspecError as error:
+                emit(Event.CONFIG_REFUSED, row=row.key, error=str(error))
+        if self._state.config is not None:
+            self._state.freshness.confirm(followed.confirmed_at_s)
+
+    def _on_row(self, key: str, value: bytes, unconfirmed_since_s: float) -> None:
+        if key == self._sources.config_key:
+            config = self._sources.decode_config(value)
+            if self._state.apply_config(config):
+                emit(Event.CONFIG_ADVANCED, version=config.version, routes=len(config.routes))
+        elif key.startswith(self._sources.version_prefix):
+            model, version = self._sources.decode_version(value)
+            since_s, estimated = self._named_since_s(unconfirmed_since_s)
+            if self._state.weights.name(model, version, since_s, estimated):
+                emit(Event.WEIGHTS_NAMED, model=model, version=version, estimated=estimated)
+
+    def _named_since_s(self, unconfirmed_since_s: float) -> tuple[float, bool]:
+        """Return since when a version just seen counts as named, and whether that is a guess."""
+        now_s = time.monotonic()
+        if unconfirmed_since_s == float("-inf"):
+            return self._state.estimated_naming_s(now_s), True
+        # After a silence of the store, the version may have been named at any time within it.
+        return (unconfirmed_since_s if now_s - unconfirmed_since_s > SILENCE_S else now_s), False
+
+
+class BackendRows:
+    """Keeps the registry of back ends as the store lists them."""
+
+    def __init__(self, state: FleetState, sources: NodeSources, pool: ConnectionPool) -> None:
+        self._state = state
+        self._decode = sources.decode_backend
+        self._pool = pool
+
+    def apply(self, followed: FollowedPage) -> None:
+        """Take a page; a row that cannot be understood changes nothing."""
+        registry = self._state.backends
+        if followed.whole:
+            registry.retain({row.key for row in followed.page.rows})
+        for row in followed.page.rows:
+            if row.value is None:
+                self._on_gone(row.key)
+                continue
+            try:
+                self._on_row(row.key, row.value)
+            except msgspec.MsgspecError as error:
+                emit(Event.CONFIG_REFUSED, row=row.key, error=str(error))
+        self._state.backends_known = True
+
+    def _on_row(self, incarnation: str, value: bytes) -> None:
+        record = self._decode(incarnation, value)
+        known = self._state.backends.get(incarnation)
+        if known is None or known.record != record:
+            emit(
+                Event.BACKEND_LISTED,
+                backend=incarnation,
+                service=record.service,
+                address=record.address,
+                draining=record.draining,
+                versions=dict(record.versions),
+            )
+        self._state.backends.upsert(record)
+
+    def _on_gone(self, incarnation: str) -> None:
+        known = self._state.backends.get(incarnation)
+        if known is None:
+            return
+        emit(Event.BACKEND_GONE, backend=incarnation)
+        self._pool.forget(known.record.address)
+        self._state.backends.remove(incarnation)
+
+
+class MemberRows:
+    """Knows the other nodes from this product's own rows, and makes this node known to them."""
+
+    def __init__(
+        self, state: FleetState, table: TableService, order: UpstreamOrder, rollout: RolloutDriver
+    ) -> None:
+        self._state = state
+        self._table = table
+        self._order = order
+        self._rollout = rollout
+        self._own_version: int | None = None
+        """Version of this node's own row, 0 if there is none, None before the rows were read."""
+
+    def apply(self, followed: FollowedPage) -> None:
+        """Take a page: members here, the rest for rollouts."""
+        now_s = time.monotonic()
+        members = {} if followed.whole else dict(self._order.members)
+        if followed.whole:
+            self._own_version = 0
+        for row in followed.page.rows:
+            if row.key.startswith(MEMBER_PREFIX):
+                self._on_member(members, row)
+            else:
+                self._rollout.on_row(row, now_s)
+        self._order.members = members
+        self._state.members = set(members)
+
+    def _on_member(self, members: dict[str, Member], row: FeedRow) -> None:
+        name = row.key[len(MEMBER_PREFIX) :]
+        if name == self._state.node:
+            self._own_version = row.version if row.value is not None else 0
+        if row.value is None:
+            members.pop(name, None)
+            return
+        try:
+            members[name] = msgspec.json.decode(row.value, type=Member)
+        except msgspec.MsgspecError:
+            members[name] = Member(zone="")
+
+    async def register(self, relay_address: str) -> None:
+        """Make this node count in the shares of the fleet's budgets and known to its peers, unless it is."""
+        own = Member(self._state.zone, relay_address)
+        if self._own_version is None or self._order.members.get(self._state.node) == own:
+            return
+        key = MEMBER_PREFIX + self._state.node
+        put = Put(key, msgspec.json.encode(own).decode())
+        try:
+            await self._table.transact(Transaction((Condition(key, self._own_version),), (put,)))
+        except (PlatformUnavailableError, TableConflictError):
+            return
--- a/src/wallwell/gateway/fleet_state.py
+++ b/src/wallwell/gateway/fleet_state.py
@@ -20,6 +20,8 @@
 """Part of the allowance up to which older weights are used if no engine has newer ones."""
 BEGIN_MARGIN_S = 0.25
 """How much before the end of the allowance a generation on older weights has to have begun."""
+MIN_FREE_PLACES = 0.25
+"""What a full back end counts as free, so that one is chosen if all are full."""
 START_PART = 0.8
 """Part of the time given to a started machine after which estimated ages count."""
 
@@ -145,11 +147,20 @@
         return self.weights.begin_by_s(model, backend.believed_version(model), allowance_s)
 
     def least_loaded(self, candidates: Sequence[Backend]) -> Backend:
-        """Return the back end with the fewest of this node's requests, one of the own zone among equals."""
-        return min(
-            candidates,
-            key=lambda each: (each.in_flight, each.record.zone != self.zone, self.rng.random()),
-        )
+        """Return a back end for a call: one of the own zone with places free, else one by its free places.
+
+        Loads of other nodes are some hundred milliseconds old. If every node took the least loaded back end, all
+        would take the same one in that time; so the choice is random, weighed by what is free.
+        """
+        nodes = self.node_count
+        near = [each for each in candidates if each.record.zone == self.zone and self._is_half_free(each, nodes)]
+        if near:
+            return min(near, key=lambda each: (each.fleet_load(nodes), self.rng.random()))
+        free = [max(MIN_FREE_PLACES, each.record.slots - each.fleet_load(nodes)) for each in candidates]
+        return self.rng.choices(candidates, [places * places for places in free])[0]
+
+    def _is_half_free(self, backend: Backend, nodes: int) -> bool:
+        return 2 * backend.fleet_load(nodes) < backend.record.slots
 
     def on_version_refused(self, backend: Backend, model: str, told: int) -> None:
         """A back end refused the expected weights version: believe what it told, else the newest named."""
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -11,7 +11,8 @@
 
 from wallwell.errors import WallwellError
 from wallwell.events import Event, configure_logging, emit
-from wallwell.gateway.fleet_node import FleetNode, NodeSources
+from wallwell.gateway.fleet_node import FleetNode
+from wallwell.gateway.fleet_rows import NodeSources
 from wallwell.platform import names
 from wallwell.platform.callers import CallersListener
 from wallwell.platform.rows import decode_backend, decode_config, decode_version
--- a/src/wallwell/routing/prefix_home.py
+++ b/src/wallwell/routing/prefix_home.py
@@ -1,8 +1,8 @@
 """Placement of generations by their shared prefix, agreed by all nodes without messages. Pure.
 
 Rendezvous hashing over the listed engines gives each shared prefix a home, so every node sends it to the engine
-that already holds it. An engine that is busy beyond its fair share, as this node sees it, is passed over for the
-next one in the same order; a prefix under pressure thereby spreads over the same few engines on every node.
+that already holds it. An engine that is busy beyond its fair share is passed over for the next one in the same
+order; a prefix under pressure thereby spreads over the same few engines on every node.
 """
 
 from __future__ import annotations
@@ -57,24 +57,25 @@
     return 1 + prompt_tokens // CHUNK_TOKENS
 
 
-def choose_engine(engines: Sequence[Backend], key: int) -> Backend | None:
+def choose_engine(engines: Sequence[Backend], key: int, nodes: int = 1) -> Backend | None:
     """Return the first engine in the key's order that is within its load bound."""
     if not engines:
         return None
-    mean = sum(engine.load for engine in engines) / len(engines)
+    loads = {engine.incarnation: engine.fleet_load(nodes) for engine in engines}
+    mean = sum(loads.values()) / len(engines)
     bound = max(MIN_LOAD_BOUND, LOAD_BOUND_FACTOR * (mean + 1))
     ordered = sorted(engines, key=lambda engine: rendezvous_score(engine.incarnation, key), reverse=True)
-    return next((engine for engine in ordered if engine.load < bound), ordered[0])
+    return next((engine for engine in ordered if loads[engine.incarnation] < bound), ordered[0])
 
 
 def choose_from_tiers(tiers: Sequence[Sequence[Backend]], key: int, nodes: int) -> Backend | None:
     """Return an engine of the first tier that has one with room; of all tiers the least loaded if none has.
 
-    Other nodes are taken to send as much as this one. An engine has room while that leaves part of its slots free.
+    An engine has room while the requests of all nodes leave part of its slots free.
     """
     for tier in tiers:
-        with_room = [engine for engine in tier if engine.load * nodes < FULL_PART * engine.record.slots]
+        with_room = [engine for engine in tier if engine.fleet_load(nodes) < FULL_PART * engine.record.slots]
         if with_room:
-            return choose_engine(with_room, key)
+            return choose_engine(with_room, key, nodes)
     everyone = [engine for tier in tiers for engine in tier]
-    return min(everyone, key=lambda engine: engine.load) if everyone else None
+    return min(everyone, key=lambda engine: engine.fleet_load(nodes)) if everyone else None
--- a/src/wallwell/storage/feed.py
+++ b/src/wallwell/storage/feed.py
@@ -43,6 +43,19 @@
     relayed: bool = False
 
 
+@dataclass(frozen=True)
+class FollowedPage:
+    """A page as a follower hands it on. Times are on this node's clock."""
+
+    page: FeedPage
+    whole: bool
+    """Whether the page holds every row."""
+    confirmed_at_s: float
+    """When the rows were certainly current."""
+    unconfirmed_since_s: float
+    """When they were before this page; -inf for the first one."""
+
+
 class RowSource(Protocol):
     """A set of rows that can be read whole and followed."""
 
@@ -59,13 +72,13 @@
 
 
 class RowFollower:
-    """Keeps a local copy of a row source; ``apply(page, whole)`` is called with everything in order."""
+    """Follows a row source; ``apply`` is called with everything in order."""
 
     def __init__(
         self,
         name: str,
         source: RowSource,
-        apply: Callable[[FeedPage, bool], None],
+        apply: Callable[[FollowedPage], None],
         wait_s: float,
         clock: StoreClock,
         rng: random.Random,
@@ -77,8 +90,6 @@
         self._wait_s = wait_s
         self._clock = clock
         self._rng = rng
-        self.unconfirmed_since_s = float("-inf")
-        """When the node was last confirmed before the page being applied; -inf for the first one."""
         self._version: int | None = None
         self._failures = 0
 
@@ -102,12 +113,12 @@
         else:
             page = await self._source.changes(self._version, self._wait_s)
         self._version = max(self._version or 0, page.version)
-        self.unconfirmed_since_s = self.confirmed_at_s
+        unconfirmed_since_s = self.confirmed_at_s
         self.confirmed_at_s = max(self.confirmed_at_s, self._confirmed_s(page, sent_s))
         if self._failures:
             emit(Event.STORE_REGAINED, rows=self.name, failures=self._failures)
             self._failures = 0
-        self._apply(page, whole)
+        self._apply(FollowedPage(page, whole, self.confirmed_at_s, unconfirmed_since_s))
 
     def _confirmed_s(self, page: FeedPage, sent_s: float) -> float:
         if page.relayed:
--- /dev/null
+++ b/tests/unit/cluster/test_load_exchange.py
@@ -0,0 +1,99 @@
+"""Every node learns what all others have under way, over sockets, whichever nodes stand between."""
+
+import time
+
+import pytest
+
+from wallwell.cluster.load_exchange import LoadExchange, MemberLoad, ZoneLoad
+from wallwell.cluster.peer_link import PeerServer
+from wallwell.cluster.upstream import Member, UpstreamOrder
+from wallwell.deployment.backends import BackendRecord, BackendRegistry
+
+ENGINES = ("e0", "e1", "e2")
+
+
+class Node:
+    def __init__(self, name, zone):
+        self.name, self.zone = name, zone
+        self.order = UpstreamOrder(name, zone)
+        self.backends = BackendRegistry()
+        for engine in ENGINES:
+            self.backends.upsert(BackendRecord(engine, "s", "10.0.0.1:1", zone, 16))
+        self.exchange = LoadExchange(name, self.backends, self.order)
+        self.server = PeerServer({MemberLoad: self.exchange.on_member, ZoneLoad: self.exchange.on_zone})
+
+    def put_load(self, engine, load):
+        self.backends.get(engine).load = load
+
+    def peers_loads(self):
+        return [self.backends.get(engine).peers_load for engine in ENGINES]
+
+
+@pytest.fixture
+def with_nodes(run_async):
+    """Run a scenario on nodes of the listed zones, each with its number as its load of each engine."""
+
+    def run(zones, scenario):
+        async def work():
+            nodes = [Node(f"n{index}", zone) for index, zone in enumerate(zones)]
+            for index, node in enumerate(nodes):
+                await node.server.start("127.0.0.1", 0)
+                node.put_load("e0", index)
+                node.put_load("e1", 1)
+            members = {node.name: Member(node.zone, node.server.address) for node in nodes}
+            for node in nodes:
+                node.order.members = members
+            try:
+                return await scenario(nodes)
+            finally:
+                for node in nodes:
+                    node.exchange.close()
+                    node.server.close()
+
+        return run_async(work())
+
+    return run
+
+
+async def exchange(nodes, rounds=3):
+    for _ in range(rounds):
+        for node in nodes:
+            await node.exchange.step()
+
+
+@pytest.mark.parametrize("zones", ["a", "aaaa", "abc", "aaabbc", "a" * 45 + "bb"])
+def test_everyone_knows_the_load_of_all_others(with_nodes, zones):
+    async def scenario(nodes):
+        await exchange(nodes)
+        return [node.peers_loads() for node in nodes]
+
+    total = sum(range(len(zones)))
+    expected = [[total - index, len(zones) - 1, 0] for index in range(len(zones))]
+    assert with_nodes(zones, scenario) == expected
+
+
+def test_a_node_that_is_gone_stops_counting(with_nodes, monkeypatch):
+    async def scenario(nodes):
+        await exchange(nodes)
+        gone = next(node for node in nodes if node.order.candidates(time.monotonic()))
+        staying = [node for node in nodes if node is not gone]
+        monkeypatch.setattr("wallwell.routing.load_reports.REPORT_LIFETIME_S", 0.0)
+        monkeypatch.setattr("wallwell.cluster.load_exchange.REPORT_LIFETIME_S", 60.0)
+        await exchange(staying, rounds=1)
+        return [node.peers_loads()[1] for node in staying if not node.order.candidates(time.monotonic())]
+
+    assert with_nodes("aaa", scenario) == [0]
+
+
+def test_without_word_of_others_each_node_judges_by_itself(with_nodes, monkeypatch):
+    async def scenario(nodes):
+        await exchange(nodes)
+        follower = next(node for node in nodes if node.order.candidates(time.monotonic()))
+        for node in nodes:
+            if node is not follower:
+                node.server.close()
+        monkeypatch.setattr("wallwell.cluster.load_exchange.REPORT_LIFETIME_S", 0.0)
+        await follower.exchange.step()
+        return follower.peers_loads(), follower.backends.get("e1").fleet_load(nodes=3)
+
+    assert with_nodes("aaa", scenario) == ([None, None, None], 3)
--- a/tests/unit/storage/test_relay.py
+++ b/tests/unit/cluster/test_relay.py
@@ -8,11 +8,12 @@
 import pytest
 
 from tests.unit.storage.memory_rows import MemoryRows, Mirror
+from wallwell.cluster.peer_link import PeerServer
+from wallwell.cluster.relay import RelayedRows, RowsRequest, answer_from
+from wallwell.cluster.upstream import Member, UpstreamOrder
 from wallwell.deployment.freshness import StoreClock
 from wallwell.errors import PlatformUnavailableError
 from wallwell.storage.feed import RowFollower
-from wallwell.storage.relay import RelayedRows, RelayServer
-from wallwell.storage.upstream import Member, UpstreamOrder
 
 WAIT_S = 0.2
 
@@ -53,7 +54,7 @@
         self.rows = RelayedRows("rows", store, self.order, clock, WAIT_S)
         self.mirror = Mirror()
         self.follower = RowFollower("rows", self.rows, self.mirror.apply, WAIT_S, clock, random.Random(5))
-        self.server = RelayServer({"rows": self.rows})
+        self.server = PeerServer({RowsRequest: answer_from({"rows": self.rows})})
 
     async def start(self):
         await self.server.start("127.0.0.1", 0)
@@ -102,7 +103,7 @@
 def test_one_node_asks_the_store_and_all_know(with_nodes):
     async def scenario(store, nodes):
         # Every node may have one call of its own under way from before it knew its peers.
-        await until(lambda: all(node.rows._links for node in nodes[1:]))
+        await until(lambda: all(node.rows.links for node in nodes[1:]))
         before = store.calls
         for number in range(20):
             store.write("b", b"%d" % number)
@@ -114,7 +115,7 @@
 
 def test_a_peer_that_goes_away_is_replaced(with_nodes):
     async def scenario(store, nodes):
-        await until(lambda: all(node.rows._links for node in nodes[1:]))
+        await until(lambda: all(node.rows.links for node in nodes[1:]))
         await nodes[0].stop()
         store.write("b", b"2")
         await until(lambda: all(node.mirror.rows.get("b") == b"2" for node in nodes[1:]))
@@ -124,7 +125,7 @@
 
 def test_a_peer_that_the_store_refuses_is_left_and_says_so(with_nodes):
     async def scenario(store, nodes):
-        await until(lambda: all(node.rows._links for node in nodes[1:]))
+        await until(lambda: all(node.rows.links for node in nodes[1:]))
         refusing = CountingRows()
         refusing.failures = [PlatformUnavailableError("refused")] * 100_000
         nodes[0].rows._store = refusing
@@ -138,7 +139,7 @@
 
 def test_what_a_peer_forgot_is_read_whole_again(with_nodes):
     async def scenario(store, nodes):
-        await until(lambda: all(node.rows._links for node in nodes[1:]))
+        await until(lambda: all(node.rows.links for node in nodes[1:]))
         store.write("a", None)
         store.write("c", b"3")
         store.forget()
@@ -165,7 +166,7 @@
     async def scenario(store, nodes):
         host, _, port = nodes[0].server.address.rpartition(":")
         answers = []
-        for line in (b"{}\n", b"no json\n", b'{"table":"other","wait_s":0}\n'):
+        for line in (b"{}\n", b"no json\n", b'{"type":"RowsRequest","table":"other","wait_s":0}\n'):
             reader, writer = await asyncio.open_connection(host, int(port))
             writer.write(line)
             with contextlib.suppress(ConnectionError):
--- a/tests/unit/storage/test_upstream.py
+++ b/tests/unit/cluster/test_upstream.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wallwell.storage.upstream import MAX_PAUSE_S, MEMBERS_PER_RELAY, Member, UpstreamOrder
+from wallwell.cluster.upstream import MAX_PAUSE_S, MEMBERS_PER_RELAY, Member, UpstreamOrder
 
 
 def fleet(count, zones=1):
--- a/tests/unit/routing/test_prefix_home.py
+++ b/tests/unit/routing/test_prefix_home.py
@@ -87,3 +87,27 @@
 @pytest.mark.parametrize(("tokens", "load"), [(0, 1), (CHUNK_TOKENS - 1, 1), (CHUNK_TOKENS, 2), (40_000, 10)])
 def test_long_prompts_count_several_times(tokens, load):
     assert request_load(tokens) == load
+
+
+def test_the_load_of_other_nodes_counts():
+    listed = engines(4)
+    for engine in listed:
+        engine.peers_load = 2
+    key = placement_key(parts("hot", "own"), "")
+    home = choose_from_tiers((listed,), key, nodes=79)
+    home.peers_load = 30
+    second = choose_from_tiers((listed,), key, nodes=79)
+    assert second is not home
+    home.peers_load = 3
+    assert choose_from_tiers((listed,), key, nodes=79) is home
+
+
+def test_a_prefix_stays_at_its_home_in_a_large_fleet_while_the_home_has_room():
+    """Found on a deployment of 79 nodes: one request of a node's own counted as 79 and moved the next one away."""
+    listed = engines(45)
+    for engine in listed:
+        engine.peers_load = 1
+    key = placement_key(parts("shared", "own"), "")
+    home = choose_from_tiers((listed,), key, nodes=79)
+    home.load = 1
+    assert choose_from_tiers((listed,), key, nodes=79) is home
--- a/tests/unit/storage/memory_rows.py
+++ b/tests/unit/storage/memory_rows.py
@@ -59,10 +59,10 @@
     def __init__(self):
         self.rows = {}
 
-    def apply(self, page, whole):
-        if whole:
+    def apply(self, followed):
+        if followed.whole:
             self.rows = {}
-        for row in page.rows:
+        for row in followed.page.rows:
             if row.value is None:
                 self.rows.pop(row.key, None)
             else:
