An attempt under way when the time runs out may have run

Cause: an attempt that the caller's deadline ended was not entered in the record of attempts. If an earlier attempt had been refused with proof, the request as a whole still counted as not run and got a 503, which promises that it never will, while the second back end may have been at work on it. Change: the attempt is entered as one without an answer, so the outcome is unknown and the status 504.

--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -105,6 +105,9 @@
             except AttemptError as failure:
                 self._after_failure(exchange, backend, failure)
             except TimeoutError:
+                # The attempt was under way: it may have reached its back end, whatever became of earlier ones.
+                exchange.log.record(TransportEvent.ANSWER_TIMEOUT)
+                exchange.history.runs += 1
                 raise self._deadline_error(exchange) from None
 
     def _log_end(self, exchange: Exchange, backend: Backend) -> None:
