--- /dev/null
+++ b/tests/platform/test_peers.py
@@ -0,0 +1,133 @@
+"""Two nodes on one store: one follows it for both, and the other one goes on when that one stops."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+
+import pytest
+
+from tests.platform.conftest import config, route
+from wallwell.platform.main import build_node
+from wallwell.platform.settings import ListenAddresses, PlatformSettings, ProviderAddress
+
+LOOPBACK = "127.0.0.1"
+
+
+async def second_node(harness, name="n2", zone="z1"):
+    addresses = ListenAddresses(f"{LOOPBACK}:0", f"{LOOPBACK}:0")
+    settings = PlatformSettings(name, zone, addresses, ProviderAddress(harness.store.address), harness.bounds)
+    node = build_node(settings)
+    await node.listen_for_peers(LOOPBACK, [0])
+    node.start()
+    return node
+
+
+def both_know_each_other(nodes):
+    addresses = [node._peers.address for node in nodes]
+    return all({member.relay for member in node._order.members.values()} >= set(addresses) for node in nodes)
+
+
+async def two_nodes(harness):
+    """Return the node that follows the store and the one that follows it."""
+    await harness.node.listen_for_peers(LOOPBACK, [0])
+    nodes = [harness.node, await second_node(harness)]
+    await harness.until(lambda: both_know_each_other(nodes))
+    await harness.until(lambda: all(node.is_ready() for node in nodes))
+    nodes.sort(key=lambda node: len(node._order.candidates(asyncio.get_running_loop().time())))
+    await harness.until(lambda: all(len(rows.links) for rows in nodes[1]._relayed.values()))
+    return nodes
+
+
+def test_a_change_reaches_both_nodes_and_survives_the_stop_of_the_first(on_platform):
+    async def scenario(harness):
+        relay, follower = await two_nodes(harness)
+        harness.store.put("op", "config", config(2))
+        await harness.until(lambda: relay.state.config.version == follower.state.config.version == 2)
+        await relay.stop()
+        harness.store.put("op", "config", config(3, [route(prefix="/new/")]))
+        await harness.until(lambda: follower.state.config.version == 3)
+        ready = follower.is_ready()
+        await follower.stop()
+        return ready
+
+    assert on_platform(scenario)
+
+
+def test_a_planned_stop_sends_peers_elsewhere_at_once(on_platform):
+    async def scenario(harness):
+        relay, follower = await two_nodes(harness)
+        harness.store.silent = True
+        before_s = follower.state.freshness.confirmed_at_s
+        draining = asyncio.create_task(relay.drain(0.5, _nothing))
+        await harness.until(lambda: not follower._order.candidates(asyncio.get_running_loop().time()))
+        harness.store.silent = False
+        await harness.until(lambda: follower.state.freshness.confirmed_at_s > before_s + 0.2)
+        await draining
+        await follower.stop()
+
+    on_platform(scenario)
+
+
+async def _nothing():
+    return None
+
+
+def test_both_nodes_learn_what_the_other_one_has_under_way(on_platform):
+    async def scenario(harness):
+        relay, follower = await two_nodes(harness)
+        for node, load in ((relay, 3), (follower, 5)):
+            node.state.backends.get("i-0").load = load
+        await harness.until(lambda: relay.state.backends.get("i-0").peers_load == 5)
+        await harness.until(lambda: follower.state.backends.get("i-0").peers_load == 3)
+        await follower.stop()
+
+    on_platform(scenario)
+
+
+def test_a_restarted_node_is_known_by_its_new_address(on_platform):
+    async def scenario(harness):
+        first = await second_node(harness)
+        await harness.until(lambda: first._peers.address in (harness.store.value("wallwell", "member/n2") or ""))
+        await first.stop()
+        again = await second_node(harness)
+        await harness.until(lambda: again._peers.address in harness.store.value("wallwell", "member/n2"))
+        member = json.loads(harness.store.value("wallwell", "member/n2"))
+        address = again._peers.address
+        await again.stop()
+        return member == {"zone": "z1", "relay": address}
+
+    assert on_platform(scenario)
+
+
+@pytest.mark.parametrize("free_after", [1, None])
+def test_a_port_in_use_is_passed_over(on_platform, free_after):
+    """``free_after``: which of the ports is free; None if none is."""
+
+    async def scenario(harness):
+        with socket.socket() as taken:
+            taken.bind((LOOPBACK, 0))
+            taken.listen()
+            ports = [taken.getsockname()[1]] + ([0] if free_after else [])
+            await harness.node.listen_for_peers(LOOPBACK, ports)
+        await harness.until(lambda: harness.store.value("wallwell", "member/n1") is not None)
+        served = harness.node._peers.address
+        return bool(served), (await harness.call())[0]
+
+    assert on_platform(scenario) == (free_after is not None, 200)
+
+
+@pytest.mark.parametrize(
+    ("ip", "port_range", "ports"),
+    [
+        ("10.0.0.1", (7340, 7342), [7340, 7341, 7342]),
+        ("10.0.0.1", (7340,), [7340]),
+        ("10.0.0.1", (), []),
+        ("", (7340, 7342), []),
+    ],
+)
+def test_the_ports_left_for_nodes_come_from_the_settings(ip, port_range, ports):
+    addresses = ListenAddresses("10.0.0.1:1", "10.0.0.1:2")
+    settings = PlatformSettings("n", "z", addresses, ProviderAddress("10.0.0.9:1"), ip=ip, port_range=port_range)
+    assert list(settings.peer_ports()) == ports
