A zone of nodes on a store in virtual time, under any order of failures

Holds for each node that no row goes back, that what was written before the time of confirmation is known, and that all know everything soon after the failures; and that a change is known within 1.6 s if the relay is killed, cut off, silent or refused.

--- /dev/null
+++ b/tests/unit/cluster/test_relay_network.py
@@ -0,0 +1,313 @@
+"""A zone of nodes that follow the store through each other, in virtual time, under any order of failures.
+
+What must hold for each node at all times: it never goes back, and whatever had been written at the time up to which
+it calls its knowledge confirmed, it knows. After the failures every node knows everything soon.
+"""
+
+import asyncio
+import random
+import time
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.unit.storage.memory_rows import MemoryRows
+from tests.virtual_time import run_virtual
+from wallwell.cluster.peer_link import PeerLinks
+from wallwell.cluster.relay import RelayedRows
+from wallwell.cluster.upstream import Member, UpstreamOrder
+from wallwell.deployment.freshness import StoreClock
+from wallwell.errors import PeerUnavailableError, PlatformUnavailableError
+from wallwell.storage.feed import RowFollower
+
+NODES = 4
+WAIT_S = 0.8
+ROUND_TRIP_S = 0.004
+STORE_OFFSET_S = -900.0
+SETTLE_S = 25.0
+
+
+class Store(MemoryRows):
+    """Rows with the times of their writes; wakes who waits."""
+
+    def __init__(self):
+        super().__init__()
+        self.calls = 0
+        self.written_at_s = []
+        self._changed = asyncio.Event()
+
+    def write(self, key, value):
+        super().write(key, value)
+        self.written_at_s.append((time.monotonic(), self.version))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def newest_at(self, at_s):
+        """Return the newest version written strictly before a time."""
+        return max((version for written_s, version in self.written_at_s if written_s < at_s), default=0)
+
+    async def wait_for_change(self, after_version, wait_s):
+        try:
+            async with asyncio.timeout(wait_s):
+                while self.version <= after_version:
+                    await self._changed.wait()
+        except TimeoutError:
+            return
+
+
+class StoreOfNode:
+    """The store as one node reaches it: well, refusing, or silent."""
+
+    def __init__(self, store):
+        self.store = store
+        self.mode = "well"
+
+    async def _call(self, read):
+        self.store.calls += 1
+        mode = self.mode
+        await asyncio.sleep(ROUND_TRIP_S / 2)
+        if mode == "refusing":
+            raise PlatformUnavailableError("refused")
+        page = await read()
+        if "silent" in (mode, self.mode):
+            await asyncio.sleep(1.5)
+            raise PlatformUnavailableError("no answer in time")
+        await asyncio.sleep(ROUND_TRIP_S / 2)
+        return page
+
+    async def read_all(self):
+        return await self._call(self._whole)
+
+    async def _whole(self):
+        return await self.store.read_all()
+
+    async def changes(self, after_version, wait_s):
+        async def read():
+            await self.store.wait_for_change(after_version, wait_s)
+            return await self.store.changes(after_version, 0.0)
+
+        return await self._call(read)
+
+
+class VirtualLink:
+    """A link to a node in this process; cut links and frozen nodes say nothing, killed ones refuse at once."""
+
+    def __init__(self, network, asker, name):
+        self._network, self._asker, self._name = network, asker, name
+
+    async def ask(self, request, reply_type, timeout_s):
+        peer = self._network.nodes[self._name]
+        await asyncio.sleep(ROUND_TRIP_S / 2)
+        if not peer.alive:
+            raise PeerUnavailableError("refused")
+        if self._network.is_cut(self._asker, self._name):
+            await asyncio.sleep(timeout_s)
+            raise PeerUnavailableError("silent")
+        try:
+            async with asyncio.timeout(timeout_s):
+                reply = await peer.rows.answer(request)
+        except TimeoutError as error:
+            raise PeerUnavailableError("no answer in time") from error
+        if not peer.alive or self._network.is_cut(self._asker, self._name):
+            raise PeerUnavailableError("lost on the way")
+        assert isinstance(reply, reply_type)
+        await asyncio.sleep(ROUND_TRIP_S / 2)
+        return reply
+
+
+class VirtualLinks(PeerLinks):
+    def __init__(self, network, asker):
+        super().__init__()
+        self._network, self._asker = network, asker
+
+    def to(self, name, address):
+        return VirtualLink(self._network, self._asker, name)
+
+
+class Node:
+    def __init__(self, network, name):
+        self.name = name
+        self.alive = True
+        self.store = StoreOfNode(network.store)
+        self.order = UpstreamOrder(name, "z", network.members)
+        self.rng = random.Random(name)
+        self._network = network
+        self._start()
+
+    def _start(self):
+        clock = StoreClock()
+        self.known = {}
+        self.version = 0
+        self.rows = RelayedRows("rows", self.store, self.order, clock, WAIT_S)
+        self.rows.links = VirtualLinks(self._network, self.name)
+        self.follower = RowFollower("rows", self.rows, self._apply, WAIT_S, clock, self.rng)
+        self.task = asyncio.create_task(self._run())
+
+    async def _run(self):
+        # Nodes do not begin together, so that their readings are held open at different times.
+        await asyncio.sleep(self.rng.uniform(0.0, WAIT_S))
+        await self.follower.run()
+
+    def _apply(self, followed):
+        if followed.whole:
+            self.known = {}
+        for row in followed.page.rows:
+            assert row.version >= self.known.get(row.key, (0, b""))[0], "a row went back"
+            self.known[row.key] = (row.version, row.value)
+        self.version = max(self.version, followed.page.version)
+        self.check(followed.confirmed_at_s)
+
+    def check(self, confirmed_at_s):
+        """Everything written before the time of confirmation is known."""
+        for key, row in self._network.store.rows.items():
+            if row.version <= self._network.store.newest_at(confirmed_at_s):
+                assert self.known.get(key, (0, b""))[0] >= row.version, "knowledge looks newer than it is"
+
+    def kill(self):
+        self.alive = False
+        self.task.cancel()
+
+    def restart(self):
+        if not self.alive:
+            self.alive = True
+            self._start()
+
+
+class Network:
+    def __init__(self):
+        self.store = Store()
+        self.store._now_s = lambda: time.monotonic() + STORE_OFFSET_S
+        self.members = {f"n{index}": Member("z", f"n{index}:1") for index in range(NODES)}
+        self.cut = set()
+        self.nodes = {name: Node(self, name) for name in self.members}
+
+    def is_cut(self, one, other):
+        return frozenset((one, other)) in self.cut
+
+    def heal(self):
+        self.cut.clear()
+        for node in self.nodes.values():
+            node.store.mode = "well"
+            node.restart()
+
+    def root(self):
+        return next(node for node in self.nodes.values() if not node.order.candidates(time.monotonic()))
+
+
+NAMES = st.sampled_from([f"n{index}" for index in range(NODES)])
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("write"), st.sampled_from("abc"), st.just("")),
+        st.tuples(st.just("delete"), st.sampled_from("abc"), st.just("")),
+        st.tuples(st.just("forget"), st.just(""), st.just("")),
+        st.tuples(st.just("store"), NAMES, st.sampled_from(["well", "refusing", "silent"])),
+        st.tuples(st.just("cut"), NAMES, NAMES),
+        st.tuples(st.just("kill"), NAMES, st.just("")),
+        st.tuples(st.just("restart"), NAMES, st.just("")),
+        st.tuples(st.just("wait"), st.sampled_from(["0.05", "0.6", "1.9"]), st.just("")),
+    ),
+    max_size=25,
+)
+
+
+def take(network, step, number):
+    action, what, more = step
+    if action == "write":
+        network.store.write(what, b"%d" % number)
+    elif action == "delete":
+        network.store.write(what, None)
+    elif action == "forget":
+        network.store.forget()
+    elif action == "store":
+        network.nodes[what].store.mode = more
+    elif action == "cut" and what != more:
+        network.cut.add(frozenset((what, more)))
+    elif action == "kill":
+        network.nodes[what].kill()
+    elif action == "restart":
+        network.nodes[what].restart()
+
+
+@settings(deadline=None, max_examples=50, derandomize=True)
+@given(steps=STEPS)
+def test_no_node_goes_back_or_overstates_what_it_knows_and_all_recover(steps):
+    async def work():
+        network = Network()
+        network.store.write("a", b"first")
+        await asyncio.sleep(2.0)
+        for number, step in enumerate(steps):
+            take(network, step, number)
+            await asyncio.sleep(float(step[1]) if step[0] == "wait" else 0.01)
+            for node in network.nodes.values():
+                if node.task.done() and node.alive:
+                    node.task.result()
+        network.heal()
+        network.store.write("z", b"last")
+        await asyncio.sleep(SETTLE_S)
+        for node in network.nodes.values():
+            assert not node.task.done() or node.task.result()
+            known = {key: value for key, (_, value) in node.known.items() if value is not None}
+            assert known == {key: row.value for key, row in network.store.rows.items()}
+
+    run_virtual(work())
+
+
+@pytest.mark.parametrize("trouble", ["killed", "silent", "refusing", "cut"])
+def test_a_change_is_known_soon_although_the_relay_is_in_trouble(trouble):
+    """The bound that operators set for their changes is two seconds."""
+
+    async def work():
+        network = Network()
+        network.store.write("a", b"1")
+        await asyncio.sleep(5.0)
+        relay = network.root()
+        others = [node for node in network.nodes.values() if node is not relay]
+        if trouble == "killed":
+            relay.kill()
+        elif trouble == "cut":
+            network.cut = {frozenset((relay.name, node.name)) for node in others}
+        else:
+            relay.store.mode = trouble
+        network.store.write("a", b"2")
+        started_s = time.monotonic()
+        while any(node.known["a"][1] != b"2" for node in others):
+            await asyncio.sleep(0.01)
+        return time.monotonic() - started_s
+
+    assert run_virtual(work()) < 1.6
+
+
+@pytest.mark.parametrize("phase", range(20))
+def test_a_relayed_word_counts_from_when_the_store_said_it(phase):
+    """A relay cut off from the store goes on answering for a moment; what it says is not newer for that."""
+
+    async def work():
+        network = Network()
+        network.store.write("a", b"1")
+        await asyncio.sleep(5.0 + phase * WAIT_S / 20)
+        relay = network.root()
+        relay.store.mode = "silent"
+        await asyncio.sleep(0.02)
+        network.store.write("a", b"2")
+        for _ in range(40):
+            await asyncio.sleep(0.05)
+            for node in network.nodes.values():
+                node.check(node.follower.confirmed_at_s)
+                if node.task.done():
+                    node.task.result()
+
+    run_virtual(work())
+
+
+def test_few_calls_reach_the_store():
+    async def work():
+        network = Network()
+        await asyncio.sleep(5.0)
+        before = network.store.calls
+        for number in range(20):
+            network.store.write("a", b"%d" % number)
+            await asyncio.sleep(0.5)
+        return network.store.calls - before
+
+    assert run_virtual(work()) <= 25
