--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,9 +8,16 @@
 from typing import Any
 
 import pytest
+from hypothesis import HealthCheck, settings
 
 from wallwell.events import configure_logging
 
+# The same examples in each run and no verdict by time: a busy machine must not fail a test.
+settings.register_profile(
+    "repeatable", deadline=None, derandomize=True, suppress_health_check=[HealthCheck.too_slow]
+)
+settings.load_profile("repeatable")
+
 EXAMPLES = Path(__file__).parent.parent / "examples"
 RunAsync = Callable[[Coroutine[Any, Any, Any]], Any]
 
