--- a/src/wallwell/cluster/upstream.py
+++ b/src/wallwell/cluster/upstream.py
@@ -2,8 +2,8 @@
 
 The members of a zone stand in an order that every node works out alike: those with the fastest links first, since a
 relay sends each change once for each member. The first ones, one for so many members, follow the store; the others
-follow one of them. A node only follows a peer that stands before it, so that no two
-nodes can follow each other, and it follows the store when no peer before it is believed to work.
+follow one of them. A node only follows a peer that stands before it, so that no two nodes can follow each other,
+and it follows the store when no peer before it is believed to work.
 """
 
 from __future__ import annotations
--- a/tests/unit/cluster/test_relay_network.py
+++ b/tests/unit/cluster/test_relay_network.py
@@ -77,10 +77,7 @@
         return page
 
     async def read_all(self):
-        return await self._call(self._whole)
-
-    async def _whole(self):
-        return await self.store.read_all()
+        return await self._call(self.store.read_all)
 
     async def changes(self, after_version, wait_s):
         async def read():
