Streams go on while weights load; engines are no longer emptied before their orders

Change: order mode retain; next_in_line and its wait are gone with their tests (nothing is emptied any more).

--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -37,7 +37,6 @@
 from wallwell.gateway.fleet_state import FleetState
 from wallwell.gateway.head_wait import MIN_REMAINING_S, HeadWait
 from wallwell.outcomes import Outcome
-from wallwell.placement.rollout import next_in_line
 from wallwell.routing.outcome import REFUSED_BY_BACKEND, TransportEvent
 from wallwell.routing.prefix_home import choose_from_tiers, engine_pool, request_load
 
@@ -146,13 +145,8 @@
             return state.least_loaded(candidates)
         listed = state.backends.of_service(exchange.service)
         pool = engine_pool(listed, exchange.request.generation.prompt_tokens)
-        leaving = next_in_line(
-            listed, state.weights, exchange.request.generation.model, state.bounds.version_s, now_s
-        )
-        staying = [each for each in candidates if each.incarnation not in leaving]
-        in_pool = [each for each in staying if each in pool]
-        tiers = (in_pool, staying, candidates)
-        chosen = choose_from_tiers(tiers, exchange.placement, state.node_count)
+        in_pool = [each for each in candidates if each in pool]
+        chosen = choose_from_tiers((in_pool, candidates), exchange.placement, state.node_count)
         assert chosen is not None
         return chosen
 
--- a/src/wallwell/placement/rollout.py
+++ b/src/wallwell/placement/rollout.py
@@ -19,11 +19,9 @@
 HOLD_PART = 0.52
 """Part of the allowance for which a rollout waits for further versions to be named."""
 CONCURRENT_SHARE = 0.4
-"""Share of each pool under order at the same time; an order first waits for its engine's streams to end."""
+"""Share of each pool under order at the same time."""
 SERVING_SHARE = 0.5
 """Share of all engines that go on serving during a rollout; crashed ones do not count as serving."""
-QUIET_BEFORE_S = 1.2
-"""How long before a rollout is due the first engines stop getting new streams."""
 OVERDUE_PART = 0.85
 """Part of the allowance after which an engine on older weights gets no new generation, and so its order at once."""
 RETRY_S = 0.8
@@ -52,7 +50,10 @@
 
 @dataclass(frozen=True)
 class LoadOrder:
-    """An order to load weights, fenced by the lease under which it is given."""
+    """An order to load weights, fenced by the lease under which it is given.
+
+    Streams under way go on under the new weights: an engine that waited for them to end would serve nobody else.
+    """
 
     model: str
     version: int
@@ -82,25 +83,6 @@
     return max(1, round(len(pool) * CONCURRENT_SHARE))
 
 
-def next_in_line(
-    engines: Sequence[Backend], targets: WeightsTargets, model: str, allowance_s: float, now_s: float
-) -> set[str]:
-    """Return the engines that are to be reloaded next, so that their streams can end before the order comes.
-
-    Every node works this out alike from what the store says, without a message.
-    """
-    waiting: set[str] = set()
-    quiet_after_s = allowance_s * HOLD_PART - QUIET_BEFORE_S
-    for pool in divide(engines):
-        lacking = []
-        for engine in pool:
-            missing = targets.oldest_missing(model, engine.believed_version(model))
-            if missing is not None and now_s - missing.known_since_s >= quiet_after_s:
-                lacking.append(engine.incarnation)
-        waiting.update(lacking[: concurrent_loads(pool)])
-    return waiting
-
-
 @dataclass
 class RolloutPlanner:
     """Reconciles engines towards the newest named versions."""
--- a/src/wallwell/platform/workers.py
+++ b/src/wallwell/platform/workers.py
@@ -24,6 +24,8 @@
 CONTROL_TIMEOUT_S = 1.0
 MAX_PRIORITY = 9
 MISDIRECTED = 421
+ORDER_MODE = "retain"
+"""Mode of orders under which the streams under way go on."""
 STATUSES_THAT_PROMISE = frozenset((408, 421, 429, 503))
 """Statuses that tell a caller that nothing ran; a worker's own use of them proves that only with its header."""
 
@@ -111,7 +113,7 @@
         """Order new weights; the reply says what is known of the order."""
         body = msgspec.json.encode(
             OrderBody(
-                "version", order.model, order.version, "queue", order.holder, order.fence, order.expected_orders
+                "version", order.model, order.version, ORDER_MODE, order.holder, order.fence, order.expected_orders
             )
         )
         status, _ = await self._control("POST", names.ORDER_PATH, backend, body)
--- a/tests/unit/gateway/test_pipeline.py
+++ b/tests/unit/gateway/test_pipeline.py
@@ -375,3 +375,24 @@
     assert len(client.sent) == 2
     assert (reply.status, reply.error.outcome) == (504, Outcome.UNKNOWN)
     assert took_s == pytest.approx(1.0, abs=0.05)
+
+
+@pytest.mark.parametrize("age_s", [0.0, 3.0, 6.0])
+def test_an_engine_takes_generations_until_its_order_whatever_is_named(age_s):
+    """Streams go on while weights load, so emptying an engine ahead of its order would only cost places."""
+
+    def name_earlier(fleet):
+        fleet.weights.name("m", 2, time.monotonic() - age_s)
+
+    homes = set()
+    for prepare in (None, name_earlier):
+        _, client, _ = play([stream(event(1))], ONCE, generate(), versions={"m": 1}, backends=9, prepare=prepare)
+        homes.add(client.sent[0].backend.incarnation)
+    assert len(homes) == 1
+
+
+def test_a_stream_goes_on_over_a_change_of_weights():
+    """The engine tells in an event's first line that its weights have changed."""
+    changed = b"x-weight-versions: 2\n" + event(2)
+    reply, _, _ = play([stream(event(1), changed, event(3))], ONCE, generate(), versions={"m": 1})
+    assert (reply.ended, reply.body) == ("finished", event(1) + changed + event(3))
--- /dev/null
+++ b/tools/compare_days.py
@@ -0,0 +1,193 @@
+"""Plays the same days with the same seeds on several checkouts and compares them in pairs.
+
+    python3 tools/compare_days.py --bench PROGRAM --site SITE.toml --days scale-1,scale-2 --seeds 1,2,3 \\
+        base=../base candidate=../candidate [--no-cpu] [--jobs 7] [--why TEXT]
+
+The first checkout is the one that the others are compared with. Scores stop at 1 and hide what lies beyond, so the
+tables show worth. A difference is the mean over the pairs (same day, same seed), ``+-`` is its standard error.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import math
+import statistics
+import subprocess
+import sys
+import tempfile
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+SMALLEST_SHOWN = 0.002
+"""Differences of parts and prices below this are left out of the tables."""
+
+
+@dataclass(frozen=True)
+class Checkout:
+    """A working tree to be measured."""
+
+    name: str
+    path: Path
+
+
+@dataclass(frozen=True)
+class Play:
+    """One day to be played."""
+
+    checkout: Checkout
+    site: Path
+    day: str
+    seed: int
+
+
+@dataclass(frozen=True)
+class Result:
+    """What a play came to. ``figures`` holds parts and prices by name, prices as what they take off worth."""
+
+    worth: float
+    rules: tuple[str, ...]
+    figures: dict[str, float]
+
+
+@dataclass(frozen=True)
+class Options:
+    """How days are played."""
+
+    bench: Path
+    no_cpu: bool
+    why: str
+
+
+def play(task: Play, options: Options) -> Result | None:
+    """Play one day; returns None if the bench gave no report."""
+    with tempfile.NamedTemporaryFile(suffix=".json") as report:
+        command = [str(options.bench), "run", str(task.site), task.day, "--seed", str(task.seed)]
+        command += ["--report", report.name, "--why", f"{options.why}: {task.checkout.name}", "--jobs", "1"]
+        if options.no_cpu:
+            command.append("--no-cpu")
+        done = subprocess.run(command, cwd=task.checkout.path, capture_output=True, text=True, check=False)
+        text = Path(report.name).read_text()
+    if not text:
+        print(f"no report of {task}: {(done.stderr or done.stdout)[-400:]}", file=sys.stderr)
+        return None
+    return read_report(json.loads(text))
+
+
+def read_report(report: dict[str, Any]) -> Result:
+    """Return the figures of a report; what weighs in worth carries its weight."""
+    figures = {f"part: {name}": value * weight for name, weight, value in report["parts"]}
+    figures.update({f"price: {name}": -lost for name, _, lost in report["prices"]})
+    figures["served"] = report["served"]
+    figures["failed"] = report["failed"]
+    figures["refused"] = report["refused"]
+    rules = tuple(f"{rule} {count}" for rule, count in report["breaks"].items())
+    if report.get("fault"):
+        rules += (f"fault {report['fault']}",)
+    return Result(report["G"], rules, figures)
+
+
+def mean_and_error(values: Sequence[float]) -> tuple[float, float]:
+    """Return the mean and its standard error, 0 of a single value."""
+    error = statistics.stdev(values) / math.sqrt(len(values)) if len(values) > 1 else 0.0
+    return statistics.fmean(values), error
+
+
+class Comparison:
+    """Results by checkout, site and day, with one entry for each seed."""
+
+    def __init__(self, checkouts: Sequence[Checkout]) -> None:
+        self._checkouts = checkouts
+        self._results: dict[tuple[str, str, str], dict[int, Result]] = defaultdict(dict)
+
+    def add(self, task: Play, result: Result) -> None:
+        """Take the result of a play."""
+        self._results[task.checkout.name, task.site.stem, task.day][task.seed] = result
+
+    def lines(self, site: str, days: Iterable[str]) -> list[str]:
+        """Return the tables of one site as lines of text."""
+        lines = [f"{site}: worth, mean over seeds, spread of single days, difference of pairs"]
+        for day in days:
+            lines += self._day_lines(site, day)
+        return lines
+
+    def _day_lines(self, site: str, day: str) -> list[str]:
+        base = self._results[self._checkouts[0].name, site, day]
+        lines = []
+        for checkout in self._checkouts:
+            results = self._results[checkout.name, site, day]
+            if not results:
+                continue
+            worths = [each.worth for each in results.values()]
+            spread = statistics.stdev(worths) if len(worths) > 1 else 0.0
+            line = f"  {day:10} {checkout.name:12} {statistics.fmean(worths):.3f} (sd {spread:.3f}, n {len(worths)})"
+            pairs = sorted(base.keys() & results.keys()) if results is not base else []
+            if pairs:
+                mean, error = mean_and_error([results[seed].worth - base[seed].worth for seed in pairs])
+                line += f"  {mean:+.3f} +- {error:.3f}"
+            line += f"  served {statistics.fmean(each.figures['served'] for each in results.values()):.4f}"
+            lines.append(line + _broken(results))
+            lines += _figure_lines(base, results, pairs)
+        return lines
+
+
+def _broken(results: dict[int, Result]) -> str:
+    broken = [f"{seed}: {', '.join(each.rules)}" for seed, each in results.items() if each.rules]
+    return f"  BROKEN {'; '.join(broken)}" if broken else ""
+
+
+def _figure_lines(base: dict[int, Result], results: dict[int, Result], pairs: Sequence[int]) -> list[str]:
+    lines = []
+    names = sorted({name for seed in pairs for name in results[seed].figures})
+    for name in names:
+        differences = [results[seed].figures.get(name, 0.0) - base[seed].figures.get(name, 0.0) for seed in pairs]
+        mean, error = mean_and_error(differences)
+        if abs(mean) >= SMALLEST_SHOWN:
+            lines.append(f"      {name:55} {mean:+.4f} +- {error:.4f}")
+    return lines
+
+
+def parse_checkout(text: str) -> Checkout:
+    """Return the checkout of ``NAME=PATH``."""
+    name, _, path = text.partition("=")
+    return Checkout(name, Path(path or name))
+
+
+def main() -> int:
+    """Play everything and print the tables; status 1 if a day could not be played."""
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("checkouts", nargs="+", type=parse_checkout, metavar="NAME=PATH")
+    parser.add_argument("--bench", type=Path, required=True, help="the users' bench")
+    parser.add_argument("--site", type=Path, action="append", required=True, help="a site file, may be repeated")
+    parser.add_argument("--days", required=True, help="names of days, separated by commas")
+    parser.add_argument("--seeds", required=True, help="whole numbers, separated by commas")
+    parser.add_argument("--no-cpu", action="store_true", help="charge no processor time, so that plays repeat")
+    parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--why", default="paired comparison")
+    arguments = parser.parse_args()
+    options = Options(arguments.bench.resolve(), arguments.no_cpu, arguments.why)
+    days = arguments.days.split(",")
+    tasks = [
+        Play(checkout, site.resolve(), day, int(seed))
+        for site in arguments.site
+        for seed in arguments.seeds.split(",")
+        for day in days
+        for checkout in arguments.checkouts
+    ]
+    comparison = Comparison(arguments.checkouts)
+    with ThreadPoolExecutor(arguments.jobs) as pool:
+        results = list(pool.map(lambda task: play(task, options), tasks))
+    for task, result in zip(tasks, results, strict=True):
+        if result is not None:
+            comparison.add(task, result)
+    for site in arguments.site:
+        print("\n".join(comparison.lines(site.stem, days)))
+    return 1 if any(result is None for result in results) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
