A prompt is saved only where the store of kept KV cache lacks a shared part

Change: nodes follow the store's cache events (one for each zone, the others through it), know what it holds, and save a prompt only if a shared part is missing. A store that does not answer is neither fetched from nor saved to. Since streams now go on while weights load, an engine saves nothing from the word that it will load, and its order comes 0.25 s after that word.

--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,8 @@
 	$(BIN)/python -m pytest
 
 lint: $(VENV)/.ready
-	$(BIN)/ruff format --check src tests
-	$(BIN)/ruff check src tests
+	$(BIN)/ruff format --check src tests tools
+	$(BIN)/ruff check src tests tools
 	$(BIN)/mypy
 
 demo: $(VENV)/.ready
--- a/src/wallwell/deployment/backends.py
+++ b/src/wallwell/deployment/backends.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 FIRST_SUSPENSION_S = 0.6
 MAX_SUSPENSION_S = 4.0
@@ -27,11 +27,15 @@
 
 @dataclass(frozen=True)
 class LoadInProgress:
-    """Weights being loaded, believed until the version is seen in place or ``until_s`` has passed."""
+    """Weights to be loaded, believed until the version is seen in place or ``until_s`` has passed.
+
+    The engine takes requests until ``from_s``, when its order is given.
+    """
 
     model: str
     version: int
     until_s: float
+    from_s: float = float("-inf")
 
 
 @dataclass
@@ -67,6 +71,21 @@
 
     def is_loading(self, now_s: float) -> bool:
         """Whether an order to load weights is believed to be under way."""
+        return self.loading is not None and now_s >= self.loading.from_s and self.is_about_to_load(now_s)
+
+    def expect_load(self, load: LoadInProgress, now_s: float) -> None:
+        """Believe in a load to come; word of the same one again does not put its beginning off."""
+        known = self.loading
+        if (
+            known is not None
+            and now_s < known.until_s
+            and (known.model, known.version) == (load.model, load.version)
+        ):
+            load = replace(load, from_s=min(load.from_s, known.from_s))
+        self.loading = load
+
+    def is_about_to_load(self, now_s: float) -> bool:
+        """Whether an order to load weights is believed to be under way or to come at any moment."""
         load = self.loading
         return load is not None and now_s < load.until_s and self.believed_version(load.model) < load.version
 
--- a/src/wallwell/errors.py
+++ b/src/wallwell/errors.py
@@ -259,6 +259,18 @@
     code = "WW5002"
 
 
+class CacheStoreSilentError(WallwellError):
+    """A store of kept KV cache cannot be reached or does not answer in time."""
+
+    code = "WW4004"
+
+
+class CacheEventsRefusedError(WallwellError):
+    """A store of kept KV cache answers, but tells no events now."""
+
+    code = "WW4005"
+
+
 class LeaseLostError(WallwellError):
     """The lease expired or another holder has a higher fencing token."""
 
--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -58,6 +58,8 @@
     BACKEND_LISTED = (6006, "INFO", "back end listed or changed")
     BACKEND_GONE = (6007, "INFO", "back end is no longer listed")
     BACKEND_SUSPENDED = (6008, "WARNING", "back end gets nothing for a while after failures")
+    CACHE_STORE_LOST = (6009, "WARNING", "store of kept KV cache does not answer; nothing is fetched or saved")
+    CACHE_STORE_REGAINED = (6010, "INFO", "store of kept KV cache answers again")
     WEIGHTS_NAMED = (7003, "INFO", "weights version named")
     WEIGHTS_IN_PLACE = (7004, "INFO", "weights version is in place on an engine")
     ORDER_SENT = (7001, "INFO", "fenced order sent to an engine")
--- /dev/null
+++ b/src/wallwell/gateway/cache_planning.py
@@ -0,0 +1,59 @@
+"""Where an engine takes kept KV cache from for a generation, and whether it leaves any. No I/O."""
+
+from __future__ import annotations
+
+from wallwell.deployment.backends import Backend
+from wallwell.gateway.exchange import CachePlan
+from wallwell.gateway.exchange_state import Exchange
+from wallwell.gateway.fleet_state import FleetState
+
+SAVE_FRESHNESS_S = 2.0
+"""Age of the store's last word beyond which a rollout may be under way that this node does not know of."""
+
+
+class CachePlanner:
+    """Decides for one attempt at a time.
+
+    Streams go on while their engine changes weights, so parts that it reads at that moment are made by two
+    versions. Such parts must not be used under the older one. So nothing is saved by an engine that is about to
+    change weights (see ``SETTLE_S`` of the rollout), nor on the word of a node that may not know of it.
+    """
+
+    def __init__(self, state: FleetState) -> None:
+        self._state = state
+
+    def plan(self, exchange: Exchange, backend: Backend, now_s: float) -> CachePlan:
+        """Return the plan of an attempt at an engine."""
+        generation = exchange.request.generation
+        assert generation is not None
+        version = backend.believed_version(generation.model)
+        scope = _scope(exchange, generation.model, version)
+        store = self._state.kv_store_address(exchange.placement) if version else ""
+        if not store or self._is_unreachable(store):
+            return CachePlan(scope)
+        save_to = store if self._may_save(exchange, backend, store, scope, now_s) else ""
+        return CachePlan(scope, fetch_from=store, save_to=save_to)
+
+    def _is_unreachable(self, store: str) -> bool:
+        kept = self._state.kept_caches.get(store)
+        return kept is not None and not kept.reachable
+
+    def _may_save(self, exchange: Exchange, backend: Backend, store: str, scope: str, now_s: float) -> bool:
+        generation = exchange.request.generation
+        assert generation is not None
+        if backend.is_about_to_load(now_s):
+            return False
+        if now_s - self._state.freshness.confirmed_at_s > SAVE_FRESHNESS_S:
+            return False
+        kept = self._state.kept_caches.get(store)
+        if kept is None or not kept.known:
+            return True
+        return kept.begin_save(scope, generation.parts, now_s)
+
+
+def _scope(exchange: Exchange, model: str, version: int) -> str:
+    """Return the name under which parts are kept: by weights, and by tenant for those that share with nobody."""
+    scope = f"{model}:{version}"
+    if exchange.tenant is not None and exchange.tenant.isolated:
+        scope += f":{exchange.tenant.name}"
+    return scope
--- a/src/wallwell/gateway/fleet_node.py
+++ b/src/wallwell/gateway/fleet_node.py
@@ -18,6 +18,7 @@
 from wallwell.gateway.exchange import BackendClient, CallerReply, CallerRequest
 from wallwell.gateway.fleet_rows import BackendRows, MemberRows, NodeSources, OperatorRows
 from wallwell.gateway.fleet_state import FleetBounds, FleetState
+from wallwell.gateway.kept_cache_watch import CacheRequest, KeptCacheWatch
 from wallwell.gateway.pipeline import RequestPipeline
 from wallwell.placement.rollout_driver import EngineControl, RolloutDriver
 from wallwell.storage.feed import FollowedPage, RowFollower, RowSource
@@ -72,11 +73,13 @@
             self._follower("own", sources.own, self._members.apply, OWN_WAIT_S, OWN_PAUSE_S),
         )
         self._exchange = LoadExchange(node, self.state.backends, self._order)
+        self._kept_caches = KeptCacheWatch(self.state, sources.cache_events, self._order)
         self._peers = PeerServer(
             {
                 RowsRequest: answer_from(self._relayed),
                 MemberLoad: self._exchange.on_member,
                 ZoneLoad: self._exchange.on_zone,
+                CacheRequest: self._kept_caches.answer,
             }
         )
 
@@ -100,7 +103,7 @@
     def start(self) -> None:
         """Start following the store."""
         loops: list[Callable[[], Coroutine[Any, Any, None]]] = [each.run for each in self._followers]
-        loops += [self._rollout.run, self._exchange.run, self._housekeeping]
+        loops += [self._rollout.run, self._exchange.run, self._kept_caches.run, self._housekeeping]
         self._tasks = [asyncio.create_task(self._supervise(loop)) for loop in loops]
 
     async def _supervise(self, loop: Callable[[], Coroutine[Any, Any, None]]) -> None:
@@ -171,6 +174,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._peers.close()
         self._exchange.close()
+        self._kept_caches.close()
         for rows in self._relayed.values():
             rows.close()
         self._pool.close()
--- a/src/wallwell/gateway/fleet_rows.py
+++ b/src/wallwell/gateway/fleet_rows.py
@@ -15,6 +15,7 @@
 from wallwell.errors import PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
 from wallwell.gateway.fleet_state import FleetState
+from wallwell.gateway.kept_cache_watch import CacheEventSource
 from wallwell.placement.rollout_driver import RolloutDriver
 from wallwell.storage.feed import FeedRow, FollowedPage, RowSource
 from wallwell.storage.table import Condition, Put, TableService, Transaction
@@ -37,6 +38,7 @@
     decode_config: Callable[[bytes], DeploymentConfig]
     decode_version: Callable[[bytes], tuple[str, int]]
     decode_backend: Callable[[str, bytes], BackendRecord]
+    cache_events: CacheEventSource
 
 
 class OperatorRows:
--- a/src/wallwell/gateway/fleet_state.py
+++ b/src/wallwell/gateway/fleet_state.py
@@ -13,6 +13,7 @@
 from wallwell.gateway.exchange import Generation
 from wallwell.placement.rollout import OVERDUE_PART
 from wallwell.routing.fleet_budget import FleetRetryBudget
+from wallwell.routing.kept_cache import KeptCache
 from wallwell.routing.rendezvous import owner
 from wallwell.routing.split import WeightedSplit
 
@@ -59,6 +60,8 @@
     freshness: Freshness = field(default_factory=Freshness)
     split: WeightedSplit = field(default_factory=WeightedSplit)
     members: set[str] = field(default_factory=set)
+    kept_caches: dict[str, KeptCache] = field(default_factory=dict)
+    """What the stores of kept KV cache hold, by address."""
     _budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
     split_offset: float = 0.0
     started_s: float = float("-inf")
--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -23,12 +23,12 @@
 )
 from wallwell.events import Event, emit
 from wallwell.gateway.admission import RETRY_AFTER_MS, Admission
+from wallwell.gateway.cache_planning import CachePlanner
 from wallwell.gateway.counters import FleetCounters
 from wallwell.gateway.exchange import (
     AttemptError,
     BackendAnswer,
     BackendClient,
-    CachePlan,
     CallerReply,
     CallerRequest,
     Dispatch,
@@ -59,6 +59,7 @@
         self._state = state
         self._admission = Admission(state)
         self._wait = HeadWait(state, client)
+        self._caches = CachePlanner(state)
         self.counters = counters or FleetCounters()
 
     async def serve(self, request: CallerRequest, reply: CallerReply) -> None:
@@ -195,7 +196,7 @@
         resume_after = None
         if generation is not None:
             version = backend.believed_version(generation.model)
-            cache = self._cache_plan(exchange, generation.model, version)
+            cache = self._caches.plan(exchange, backend, time.monotonic())
             resume_after = generation.resume_after
             if exchange.position.last_number is not None:
                 resume_after = exchange.position.last_number
@@ -210,14 +211,6 @@
             cache=cache,
         )
 
-    def _cache_plan(self, exchange: Exchange, model: str, version: int) -> CachePlan:
-        scope = f"{model}:{version}"
-        tenant = exchange.tenant
-        if tenant is not None and tenant.isolated:
-            scope += f":{tenant.name}"
-        store = self._state.kv_store_address(exchange.placement) if version else ""
-        return CachePlan(scope, fetch_from=store, save_to=store)
-
     # --- answers ---------------------------------------------------------------------------------------
 
     async def _pass_on(self, exchange: Exchange, backend: Backend, answer: BackendAnswer) -> bool:
--- a/src/wallwell/placement/rollout_driver.py
+++ b/src/wallwell/placement/rollout_driver.py
@@ -36,6 +36,13 @@
 MAX_NAMED = 16
 """Versions whose naming is recorded; older ones are long due."""
 LOADING_HINT_S = 4.0
+SETTLE_S = 0.25
+"""Time between the word that an engine will load and its order.
+
+Nothing that is sent to the engine after that word is saved, and what was sent before is read by then: what an
+engine reads while it changes weights must not be kept."""
+ORDER_LEAD_S = 0.03
+"""How long before its order an engine gets nothing new; what has not begun by then would be refused."""
 
 
 class EngineControl(Protocol):
@@ -61,6 +68,11 @@
     """Versions and the store's time of their naming, for nodes that start later."""
 
 
+def _load_to_come(model: str, version: int, now_s: float) -> LoadInProgress:
+    """Return what is believed of an engine from the word that it will load."""
+    return LoadInProgress(model, version, now_s + LOADING_HINT_S, now_s + SETTLE_S - ORDER_LEAD_S)
+
+
 class RolloutDriver:
     """One node's part in rollouts; at most one node acts at a time."""
 
@@ -102,7 +114,7 @@
         for incarnation, version in progress.loading:
             backend = self._state.backends.get(incarnation)
             if backend is not None:
-                backend.loading = LoadInProgress(progress.model, version, now_s + LOADING_HINT_S)
+                backend.expect_load(_load_to_come(progress.model, version, now_s), now_s)
 
     # --- loop ------------------------------------------------------------------------------------------
 
@@ -176,8 +188,8 @@
     async def _start(self, tasks: list[LoadTask]) -> None:
         for task in tasks:
             self._loading[task.backend.incarnation] = task
-            until_s = time.monotonic() + LOADING_HINT_S
-            task.backend.loading = LoadInProgress(task.model, task.version, until_s)
+            now_s = time.monotonic()
+            task.backend.expect_load(_load_to_come(task.model, task.version, now_s), now_s)
         await self._publish(tasks[0].model)
         for task in tasks:
             self._spawn(self._load(task))
@@ -222,6 +234,7 @@
     async def _order_and_watch(self, task: LoadTask) -> bool:
         """Give the order and wait until the engine reports the version; returns whether it did."""
         record = task.backend.record
+        await asyncio.sleep(SETTLE_S)
         give_up_s = time.monotonic() + LOAD_TIMEOUT_S
         ordered = False
         silent = 0
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -14,6 +14,7 @@
 from wallwell.gateway.fleet_node import FleetNode
 from wallwell.gateway.fleet_rows import NodeSources
 from wallwell.platform import names
+from wallwell.platform.cache_events import CacheEventsClient
 from wallwell.platform.callers import CallersListener
 from wallwell.platform.rows import decode_backend, decode_config, decode_version
 from wallwell.platform.settings import PlatformSettings, load_platform_settings, settings_path
@@ -24,6 +25,7 @@
 def build_node(settings: PlatformSettings) -> FleetNode:
     """Wire a node to the platform's store and workers."""
     store = PlatformStore(settings.provider.addr)
+    workers = WorkerClient()
     sources = NodeSources(
         operators=TableRows(store, names.OPERATOR_TABLE),
         backends=TableRows(store, names.BACKENDS_TABLE),
@@ -34,8 +36,8 @@
         decode_config=decode_config,
         decode_version=lambda value: (decode_version(value).model, decode_version(value).version),
         decode_backend=decode_backend,
+        cache_events=CacheEventsClient(workers.pool),
     )
-    workers = WorkerClient()
     return FleetNode(
         settings.node,
         settings.zone,
--- a/src/wallwell/platform/names.py
+++ b/src/wallwell/platform/names.py
@@ -20,6 +20,7 @@
 SEAL = "X-Response-Seal"
 INSTANCE_ID = "X-Instance-Id"
 RETRY_AFTER = "Retry-After"
+WAIT_MS = "Wait-Ms"
 
 SET_BY_ROUTER = frozenset(
     name.lower()
@@ -66,6 +67,8 @@
 READY_PATH = "/api/readyz"
 ORDER_PATH = "/api/order"
 REPORT_PATH = "/api/report"
+CACHE_EVENTS_PATH = "/api/kv-events"
+CACHE_LISTING_PATH = "/api/kv-list"
 ROWS_TRANSACT_PATH = "/api/rows-tx"
 ROWS_READ_PATH = "/api/rows-get"
 ROWS_FEED_PATH = "/api/rows-feed"
--- /dev/null
+++ b/src/wallwell/routing/kept_cache.py
@@ -0,0 +1,136 @@
+"""What a store of kept KV cache holds, from the events that it tells, and which prompts it lacks. Pure.
+
+A store drops the parts that were used least recently. A prompt is therefore saved only if the store lacks a part
+that others may share: each save takes the whole prompt there, and its own part displaces parts that are shared.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import msgspec
+
+from wallwell.routing.prefix_home import PromptPart
+
+MAX_JOURNAL = 4000
+"""Changes remembered for peers; a peer that is further behind takes everything anew."""
+SAVE_UNDER_WAY_S = 1.5
+"""How long a save is expected to take until the store tells of it; nobody else saves the same meanwhile."""
+MAX_SAVES_KNOWN = 1000
+BLOCK_TOKENS = 16
+"""Caches are kept in blocks; a part may be kept without its last, incomplete block."""
+
+
+class CachePosition(msgspec.Struct, frozen=True, array_like=True):
+    """How far a store's events are known. ``epoch`` changes when the store restarts empty."""
+
+    epoch: int = -1
+    number: int = 0
+
+
+class CacheEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Tokens kept now of a part under a scope, 0 if it was dropped. ``number`` counts the store's events."""
+
+    number: int
+    scope: str
+    part: str
+    tokens: int
+
+
+class CachePage(msgspec.Struct, frozen=True):
+    """Changes up to ``position``, or everything kept if ``whole``."""
+
+    position: CachePosition
+    entries: tuple[CacheEntry, ...] = ()
+    whole: bool = False
+
+
+@dataclass(frozen=True)
+class _Key:
+    scope: str
+    part: str
+
+
+class KeptCache:
+    """One store's parts as far as its events have told."""
+
+    def __init__(self) -> None:
+        self.position = CachePosition()
+        self.reachable = True
+        self.has_gaps = False
+        """Whether an event is missing, so that the copy may differ from what the store keeps."""
+        self._tokens: dict[_Key, int] = {}
+        self._journal: deque[CacheEntry] = deque(maxlen=MAX_JOURNAL)
+        self._saving_until_s: dict[_Key, float] = {}
+
+    @property
+    def known(self) -> bool:
+        """Whether what the store holds has been read."""
+        return self.position.epoch != -1
+
+    # --- following -------------------------------------------------------------------------------------
+
+    def take(self, page: CachePage) -> None:
+        """Apply a page; one that is older than this copy changes nothing."""
+        is_older = page.position.epoch == self.position.epoch and page.position.number < self.position.number
+        if page.whole and not is_older:
+            self._tokens = {_Key(each.scope, each.part): each.tokens for each in page.entries}
+            self._journal.clear()
+            self.has_gaps = False
+            self.position = page.position
+            return
+        if page.whole or page.position.epoch != self.position.epoch:
+            return
+        for entry in page.entries:
+            if entry.number > self.position.number:
+                self._apply(entry)
+        if page.position.number > self.position.number:
+            self.has_gaps = True
+            self.position = page.position
+
+    def _apply(self, entry: CacheEntry) -> None:
+        if entry.number != self.position.number + 1:
+            self.has_gaps = True
+        key = _Key(entry.scope, entry.part)
+        if entry.tokens:
+            self._tokens[key] = entry.tokens
+        else:
+            self._tokens.pop(key, None)
+        self._journal.append(entry)
+        self.position = CachePosition(self.position.epoch, entry.number)
+
+    def after(self, position: CachePosition) -> CachePage:
+        """Return what a peer that knows the events up to a position lacks."""
+        if position.epoch == self.position.epoch and position.number >= self._floor():
+            lacking = tuple(entry for entry in self._journal if entry.number > position.number)
+            return CachePage(self.position, lacking)
+        number = self.position.number
+        entries = [CacheEntry(number, key.scope, key.part, tokens) for key, tokens in self._tokens.items()]
+        return CachePage(self.position, tuple(entries), whole=True)
+
+    def _floor(self) -> int:
+        """Return the number after which every change is in the journal."""
+        return self._journal[0].number - 1 if self._journal else self.position.number
+
+    # --- questions -------------------------------------------------------------------------------------
+
+    def holds(self, scope: str, parts: Sequence[PromptPart]) -> bool:
+        """Whether every part is kept but for an incomplete block."""
+        return all(self._tokens.get(_Key(scope, part.identity), 0) > part.tokens - BLOCK_TOKENS for part in parts)
+
+    def begin_save(self, scope: str, parts: Sequence[PromptPart], now_s: float) -> bool:
+        """Whether the prompt should be saved now; counts it as being saved if so."""
+        shared = parts[:-1] if len(parts) > 1 else parts
+        if not shared or self.holds(scope, shared):
+            return False
+        key = _Key(scope, shared[-1].identity)
+        if now_s < self._saving_until_s.get(key, float("-inf")):
+            return False
+        if len(self._saving_until_s) >= MAX_SAVES_KNOWN:
+            self._saving_until_s = {
+                each: until_s for each, until_s in self._saving_until_s.items() if until_s > now_s
+            }
+        self._saving_until_s[key] = now_s + SAVE_UNDER_WAY_S
+        return True
--- /dev/null
+++ b/tests/platform/test_cache_events.py
@@ -0,0 +1,93 @@
+"""Cache events and listings over sockets: what is asked, and what becomes of answers that cannot be used."""
+
+import asyncio
+
+import pytest
+from aiohttp import web
+
+from wallwell.errors import CacheEventsRefusedError, CacheStoreSilentError
+from wallwell.platform.cache_events import CacheEventsClient
+from wallwell.platform.workers import WorkerClient
+from wallwell.routing.kept_cache import CacheEntry, CachePosition
+
+EVENTS = {
+    "epoch": 7,
+    "next_token": 12,
+    "lost": False,
+    "events": [[11, "+", "s", "a", 800, "m"], [12, "-", "s", "b", 128, "m"]],
+}
+LISTING = {"epoch": 7, "next_token": 12, "held": [["s", "a", 800, "m"]]}
+
+
+@pytest.fixture
+def with_store(run_async):
+    """Run a scenario on a store that gives the listed answers; returns what it was asked."""
+
+    def run(answers, scenario):
+        asked = []
+
+        async def handle(request):
+            asked.append((request.path_qs, request.headers.get("Wait-Ms")))
+            status, body = answers.get(request.path, (404, {}))
+            if status == 0:
+                await asyncio.sleep(60)
+            return web.json_response(body, status=status)
+
+        async def work():
+            runner = web.ServerRunner(web.Server(handle), shutdown_timeout=0.01)
+            await runner.setup()
+            site = web.TCPSite(runner, "127.0.0.1", 0)
+            await site.start()
+            client = WorkerClient()
+            try:
+                address = f"127.0.0.1:{site._server.sockets[0].getsockname()[1]}"
+                await scenario(CacheEventsClient(client.pool), address)
+            finally:
+                client.pool.close()
+                await runner.cleanup()
+
+        run_async(work())
+        return asked
+
+    return run
+
+
+def test_events_after_a_position(with_store):
+    async def scenario(client, address):
+        page = await client.events(address, CachePosition(7, 10), 0.8)
+        assert page.position == CachePosition(7, 12)
+        assert page.entries == (CacheEntry(11, "s", "a", 800), CacheEntry(12, "s", "b", 128))
+        assert not page.whole
+
+    asked = with_store({"/api/kv-events": (200, EVENTS)}, scenario)
+    assert asked == [("/api/kv-events?since=10", "800")]
+
+
+@pytest.mark.parametrize("change", [{"lost": True}, {"epoch": 8}], ids=["gap", "restart"])
+def test_everything_is_listed_when_events_do_not_join(with_store, change):
+    async def scenario(client, address):
+        page = await client.events(address, CachePosition(7, 10), 0.8)
+        assert page.whole
+        assert page.entries == (CacheEntry(12, "s", "a", 800),)
+
+    answers = {"/api/kv-events": (200, {**EVENTS, **change}), "/api/kv-list": (200, LISTING)}
+    assert [path for path, _ in with_store(answers, scenario)] == ["/api/kv-events?since=10", "/api/kv-list"]
+
+
+@pytest.mark.parametrize("answer", [(429, {}), (503, {}), (200, {"epoch": "x"})])
+def test_an_answer_without_events_tells_that_the_store_lives(with_store, answer):
+    async def scenario(client, address):
+        with pytest.raises(CacheEventsRefusedError):
+            await client.events(address, CachePosition(7, 10), 0.8)
+
+    with_store({"/api/kv-events": answer}, scenario)
+
+
+def test_silence_is_told_apart(with_store):
+    async def scenario(client, address):
+        with pytest.raises(CacheStoreSilentError):
+            await client.events(address, CachePosition(7, 10), 0.0)
+        with pytest.raises(CacheStoreSilentError):
+            await client.listing("127.0.0.1:1")
+
+    with_store({"/api/kv-events": (0, {})}, scenario)
--- a/tests/unit/deployment/test_backends.py
+++ b/tests/unit/deployment/test_backends.py
@@ -72,3 +72,20 @@
     backend = Backend(record(m=1), versions={"m": believed})
     backend.loading = LoadInProgress("m", 2, until_s=5.0)
     assert backend.is_loading(now_s) is expected
+
+
+def test_an_engine_serves_until_its_order_but_keeps_nothing_from_the_word_of_it():
+    backend = Backend(record(m=1), versions={"m": 1})
+    backend.expect_load(LoadInProgress("m", 2, until_s=5.0, from_s=1.2), 1.0)
+    assert [backend.is_about_to_load(now_s) for now_s in (1.0, 1.3, 5.1)] == [True, True, False]
+    assert [backend.is_loading(now_s) for now_s in (1.0, 1.3, 5.1)] == [False, True, False]
+
+
+def test_hearing_of_a_load_again_does_not_put_it_off():
+    backend = Backend(record(m=1), versions={"m": 1})
+    backend.expect_load(LoadInProgress("m", 2, until_s=5.0, from_s=1.2), 1.0)
+    backend.expect_load(LoadInProgress("m", 2, until_s=6.0, from_s=2.2), 2.0)
+    assert backend.is_loading(2.0)
+    backend.expect_load(LoadInProgress("m", 3, until_s=7.0, from_s=3.2), 3.0)
+    assert not backend.is_loading(3.0)
+    assert backend.is_loading(3.3)
--- /dev/null
+++ b/tests/unit/gateway/test_cache_planning.py
@@ -0,0 +1,93 @@
+"""What an engine takes from a store of kept KV cache and leaves there, beside changes of weights."""
+
+import dataclasses
+import time
+
+import pytest
+
+from tests.unit.gateway.fakes import (
+    FakeClient,
+    FakeReply,
+    Script,
+    event,
+    make_generation,
+    make_request,
+    make_route,
+    make_state,
+)
+from tests.virtual_time import run_virtual
+from wallwell.deployment.backends import LoadInProgress
+from wallwell.deployment.routes import RouteKind, Service
+from wallwell.gateway.pipeline import RequestPipeline
+from wallwell.routing.kept_cache import CacheEntry, CachePage, CachePosition, KeptCache
+
+STORE = "10.9.0.1:80"
+ROUTE = make_route(RouteKind.STREAM, attempts=1)
+
+
+def cache_of(*parts):
+    kept = KeptCache()
+    kept.take(CachePage(CachePosition(1, 1), tuple(CacheEntry(1, "m:1", each, 100) for each in parts), whole=True))
+    return kept
+
+
+def plan(prepare):
+    """Return where the one engine that gets a generation fetches from and saves to."""
+
+    async def work():
+        fleet = make_state(ROUTE, versions={"m": 1}, backends=1)
+        services = (Service("kv", kv_store_address=STORE),)
+        fleet.apply_config(dataclasses.replace(fleet.config, version=2, services=services))
+        prepare(fleet)
+        client = FakeClient(Script(chunks=(event(1),), stream=True))
+        await RequestPipeline(fleet, client).serve(make_request(generation=make_generation()), FakeReply())
+        cache = client.sent[0].cache
+        return cache.fetch_from, cache.save_to
+
+    return run_virtual(work())
+
+
+def known(*parts, reachable=True):
+    def prepare(fleet):
+        fleet.kept_caches[STORE] = cache_of(*parts)
+        fleet.kept_caches[STORE].reachable = reachable
+
+    return prepare
+
+
+def loading(fleet):
+    fleet.backends.get("i-0").loading = LoadInProgress("m", 2, time.monotonic() + 1.0)
+
+
+def old_word_of_the_store(fleet):
+    fleet.freshness.confirmed_at_s = time.monotonic() - 2.5
+
+
+@pytest.mark.parametrize(
+    ("prepare", "fetches", "saves"),
+    [
+        (lambda fleet: None, True, True),
+        (known(), True, True),
+        (known("shared"), True, False),
+        (known("shared", reachable=False), False, False),
+        (loading, True, False),
+        (old_word_of_the_store, True, False),
+    ],
+    ids=["unknown", "lacking", "held", "unreachable", "about to load", "old word"],
+)
+def test_what_is_fetched_and_saved(prepare, fetches, saves):
+    assert plan(prepare) == (STORE if fetches else "", STORE if saves else "")
+
+
+def test_requests_at_the_same_time_save_a_prefix_once():
+    async def work():
+        fleet = make_state(ROUTE, versions={"m": 1})
+        services = (Service("kv", kv_store_address=STORE),)
+        fleet.apply_config(dataclasses.replace(fleet.config, version=2, services=services))
+        fleet.kept_caches[STORE] = cache_of()
+        client = FakeClient(Script(chunks=(event(1),), stream=True))
+        for _ in range(3):
+            await RequestPipeline(fleet, client).serve(make_request(generation=make_generation()), FakeReply())
+        return [bool(sent.cache.save_to) for sent in client.sent]
+
+    assert run_virtual(work()) == [True, False, False]
--- /dev/null
+++ b/tests/unit/gateway/test_kept_cache_watch.py
@@ -0,0 +1,205 @@
+"""Nodes learn what a store of kept KV cache holds, from it or from a peer, and notice when it is gone."""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from tests.unit.gateway.fakes import make_state
+from wallwell.cluster.peer_link import PeerServer
+from wallwell.cluster.upstream import Member, UpstreamOrder
+from wallwell.deployment.routes import Service
+from wallwell.errors import CacheEventsRefusedError, CacheStoreSilentError
+from wallwell.gateway.kept_cache_watch import CacheRequest, KeptCacheWatch
+from wallwell.routing.kept_cache import CacheEntry, CachePage, CachePosition, KeptCache
+from wallwell.routing.prefix_home import PromptPart
+
+ADDRESS = "10.9.0.1:80"
+
+
+class Store:
+    """Holds parts, tells events in order, and may be silent, refuse or lose events."""
+
+    def __init__(self):
+        self.epoch, self.kept, self.journal = 1, {}, []
+        self.trouble = None
+        self.calls = self.listings = 0
+
+    @property
+    def position(self):
+        return CachePosition(self.epoch, len(self.journal))
+
+    def save(self, part, tokens=100, told=True):
+        self.kept[part] = tokens
+        self.journal.append(CacheEntry(len(self.journal) + 1, "s", part, tokens) if told else None)
+
+    def restart(self):
+        self.epoch, self.kept, self.journal = self.epoch + 1, {}, []
+
+    async def events(self, address, position, wait_s):
+        self.calls += 1
+        if self.trouble is not None:
+            raise self.trouble
+        if position.epoch != self.epoch:
+            return await self.listing(address)
+        if position == self.position:
+            await asyncio.sleep(0.01)
+        return CachePage(self.position, tuple(each for each in self.journal[position.number :] if each))
+
+    async def listing(self, address):
+        self.listings += 1
+        if self.trouble is not None:
+            raise self.trouble
+        number = len(self.journal)
+        entries = tuple(CacheEntry(number, "s", part, tokens) for part, tokens in self.kept.items())
+        return CachePage(self.position, entries, whole=True)
+
+
+class Node:
+    def __init__(self, name, store):
+        self.state = make_state()
+        services = (Service("kv", kv_store_address=ADDRESS),)
+        self.state.apply_config(dataclasses.replace(self.state.config, version=2, services=services))
+        self.state.kept_caches[ADDRESS] = KeptCache()
+        self.order = UpstreamOrder(name, "z")
+        self.watch = KeptCacheWatch(self.state, store, self.order)
+        self.server = PeerServer({CacheRequest: self.watch.answer})
+
+    @property
+    def cache(self):
+        return self.state.kept_caches[ADDRESS]
+
+    def holds(self, part):
+        return self.cache.holds("s", (PromptPart(part, 100),))
+
+
+@pytest.fixture
+def with_nodes(run_async):
+    """Run a scenario on two nodes of a zone, the one that follows the store first."""
+
+    def run(scenario):
+        async def work():
+            store = Store()
+            nodes = [Node(f"n{index}", store) for index in range(2)]
+            for node in nodes:
+                await node.server.start("127.0.0.1", 0)
+            members = {f"n{index}": Member("z", node.server.address) for index, node in enumerate(nodes)}
+            for node in nodes:
+                node.order.members = members
+            nodes.sort(key=lambda node: len(node.order.candidates(0.0)))
+            try:
+                await scenario(store, *nodes)
+            finally:
+                for node in nodes:
+                    node.watch.close()
+                    node.server.close()
+
+        run_async(work())
+
+    return run
+
+
+def test_a_member_learns_through_its_peer_without_a_call_to_the_store(with_nodes):
+    async def scenario(store, relay, member):
+        store.save("a")
+        await relay.watch.step(ADDRESS)
+        calls = store.calls
+        await member.watch.step(ADDRESS)
+        assert (relay.holds("a"), member.holds("a"), store.calls) == (True, True, calls)
+
+    with_nodes(scenario)
+
+
+def test_a_waiting_member_is_told_of_a_change_at_once(with_nodes):
+    async def scenario(store, relay, member):
+        await relay.watch.step(ADDRESS)
+        await member.watch.step(ADDRESS)
+        waiting = asyncio.create_task(member.watch.step(ADDRESS))
+        await asyncio.sleep(0.05)
+        store.save("a")
+        await relay.watch.step(ADDRESS)
+        async with asyncio.timeout(0.5):
+            await waiting
+        assert member.holds("a")
+
+    with_nodes(scenario)
+
+
+@pytest.mark.parametrize("trouble", [CacheStoreSilentError("x"), CacheEventsRefusedError("429")])
+def test_only_a_silent_store_counts_as_gone(with_nodes, trouble):
+    async def scenario(store, relay, member):
+        for node in (relay, member):
+            await node.watch.step(ADDRESS)
+        store.trouble = trouble
+        assert not await relay.watch.step(ADDRESS)
+        await member.watch.step(ADDRESS)
+        silent = isinstance(trouble, CacheStoreSilentError)
+        assert (relay.cache.reachable, member.cache.reachable) == (not silent, not silent)
+        store.trouble = None
+        for node in (relay, member):
+            await node.watch.step(ADDRESS)
+        assert relay.cache.reachable
+        assert member.cache.reachable
+
+    with_nodes(scenario)
+
+
+def test_a_restarted_store_is_known_to_be_empty(with_nodes):
+    async def scenario(store, relay, member):
+        store.save("a")
+        for node in (relay, member):
+            await node.watch.step(ADDRESS)
+        store.restart()
+        for node in (relay, member):
+            await node.watch.step(ADDRESS)
+        assert not relay.holds("a")
+        assert not member.holds("a")
+
+    with_nodes(scenario)
+
+
+def test_a_lost_event_leads_to_one_listing_and_not_to_one_each_time(with_nodes):
+    async def scenario(store, relay, member):
+        await relay.watch.step(ADDRESS)
+        relay.watch._listed_at_s.clear()
+        store.save("lost", told=False)
+        store.save("told")
+        for _ in range(4):
+            await relay.watch.step(ADDRESS)
+        assert relay.holds("lost")
+        listings = store.listings
+        store.save("lost too", told=False)
+        for _ in range(4):
+            await relay.watch.step(ADDRESS)
+        assert store.listings == listings
+
+    with_nodes(scenario)
+
+
+def test_a_member_asks_the_store_itself_while_its_peer_is_dead(with_nodes):
+    async def scenario(store, relay, member):
+        store.save("a")
+        relay.server.close()
+        await asyncio.sleep(0.01)
+        assert await member.watch.step(ADDRESS)
+        assert member.holds("a")
+
+    with_nodes(scenario)
+
+
+def test_stores_are_followed_as_they_are_configured(run_async):
+    async def work():
+        store = Store()
+        store.save("a")
+        node = Node("n0", store)
+        running = asyncio.create_task(node.watch.run())
+        async with asyncio.timeout(5):
+            while not node.holds("a"):
+                await asyncio.sleep(0.01)
+            node.state.apply_config(dataclasses.replace(node.state.config, version=3, services=()))
+            while node.state.kept_caches:
+                await asyncio.sleep(0.01)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    run_async(work())
--- /dev/null
+++ b/tests/unit/routing/test_kept_cache.py
@@ -0,0 +1,133 @@
+"""What a store of kept KV cache holds: from events with gaps, through peers, over restarts."""
+
+import random
+
+import pytest
+
+from wallwell.routing.kept_cache import (
+    MAX_JOURNAL,
+    MAX_SAVES_KNOWN,
+    SAVE_UNDER_WAY_S,
+    CacheEntry,
+    CachePage,
+    CachePosition,
+    KeptCache,
+)
+from wallwell.routing.prefix_home import PromptPart
+
+GUIDE = PromptPart("guide", 2520)
+CASE = PromptPart("case", 3780)
+OWN = PromptPart("own", 2890)
+PROMPT = (GUIDE, CASE, OWN)
+
+
+def page(*entries, epoch=7, last=None, whole=False):
+    last = entries[-1][0] if last is None else last
+    return CachePage(CachePosition(epoch, last), tuple(CacheEntry(*each) for each in entries), whole)
+
+
+def cache(*entries, last=10):
+    kept = KeptCache()
+    kept.take(page(*((last, *each) for each in entries), last=last, whole=True))
+    return kept
+
+
+@pytest.mark.parametrize(
+    ("held", "expected"),
+    [
+        ([], False),
+        ([("s", "guide", 2520)], False),
+        ([("s", "guide", 2520), ("s", "case", 3780)], True),
+        ([("s", "guide", 2512), ("s", "case", 3776)], True),
+        ([("s", "guide", 2520), ("s", "case", 1024)], False),
+        ([("s", "guide", 2520), ("other", "case", 3780)], False),
+    ],
+    ids=["nothing", "first part", "both", "without the last block", "evicted in part", "another scope"],
+)
+def test_a_prefix_is_held_if_every_shared_part_is(held, expected):
+    kept = cache(*held)
+    assert kept.holds("s", PROMPT[:-1]) is expected
+    assert kept.begin_save("s", PROMPT, 0.0) is not expected
+
+
+def test_one_save_at_a_time_and_another_if_it_was_not_told_of():
+    kept = cache()
+    answers = [kept.begin_save("s", PROMPT, now_s) for now_s in (0.0, 0.1, SAVE_UNDER_WAY_S + 0.1)]
+    assert answers == [True, False, True]
+
+
+def test_an_own_part_alone_is_saved_only_if_it_is_the_whole_prompt():
+    kept = cache(("s", "guide", 2520), ("s", "case", 3780))
+    assert not kept.begin_save("s", PROMPT, 0.0)
+    assert kept.begin_save("s", (OWN,), 0.0)
+
+
+def test_saves_under_way_do_not_grow_without_bound():
+    kept = cache()
+    for index in range(3 * MAX_SAVES_KNOWN):
+        kept.begin_save("s", (PromptPart(str(index), 100), OWN), index * 0.01)
+    assert len(kept._saving_until_s) <= MAX_SAVES_KNOWN
+
+
+def test_events_change_what_is_held():
+    kept = cache()
+    kept.take(page((11, "s", "guide", 2520), (12, "s", "case", 3780)))
+    assert kept.holds("s", PROMPT[:-1])
+    kept.take(page((13, "s", "case", 128)))
+    assert not kept.holds("s", PROMPT[:-1])
+    kept.take(page((14, "s", "case", 0)))
+    assert (kept.position, kept.has_gaps) == (CachePosition(7, 14), False)
+
+
+@pytest.mark.parametrize(
+    "missing",
+    [page((12, "s", "case", 1)), page(last=12), page((11, "s", "case", 1), (13, "s", "case", 2))],
+    ids=["first", "all", "between"],
+)
+def test_a_missing_event_is_noticed_until_everything_is_read(missing):
+    kept = cache()
+    kept.take(missing)
+    assert kept.has_gaps
+    kept.take(page((13, "s", "guide", 2520), whole=True))
+    assert not kept.has_gaps
+
+
+@pytest.mark.parametrize(
+    "old",
+    [page((9, "s", "case", 0)), page((9, "s", "x", 5), whole=True), page((40, "s", "case", 0), epoch=6)],
+    ids=["events", "listing", "another life"],
+)
+def test_an_older_word_changes_nothing(old):
+    kept = cache(("s", "guide", 2520), ("s", "case", 3780))
+    kept.take(old)
+    assert kept.holds("s", PROMPT[:-1])
+    assert kept.position == CachePosition(7, 10)
+
+
+def test_a_restarted_store_is_empty():
+    kept = cache(("s", "guide", 2520), ("s", "case", 3780))
+    kept.take(page(epoch=8, last=0, whole=True))
+    assert not kept.holds("s", PROMPT[:-1])
+    assert kept.begin_save("s", PROMPT, 0.0)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_peer_that_asks_now_and_then_has_the_same(seed):
+    rng = random.Random(seed)
+    first, peer, number = cache(), KeptCache(), 10
+    for _ in range(rng.choice((50, MAX_JOURNAL + 50))):
+        number += 1
+        first.take(page((number, "s", f"p{rng.randrange(9)}", rng.choice((0, 100)))))
+        if rng.random() < 0.05:
+            first.take(page((number, "s", "p1", 100), last=number, whole=True))
+        if rng.random() < 0.2:
+            peer.take(first.after(peer.position))
+    peer.take(first.after(peer.position))
+    assert peer.position == first.position
+    assert peer._tokens == first._tokens
+
+
+def test_a_peer_that_knows_more_is_not_set_back():
+    ahead, behind = cache(("s", "guide", 2520), ("s", "case", 3780), last=30), cache(last=10)
+    ahead.take(behind.after(ahead.position))
+    assert ahead.holds("s", PROMPT[:-1])
--- a/tools/compare_days.py
+++ b/tools/compare_days.py
@@ -124,7 +124,9 @@
                 continue
             worths = [each.worth for each in results.values()]
             spread = statistics.stdev(worths) if len(worths) > 1 else 0.0
-            line = f"  {day:10} {checkout.name:12} {statistics.fmean(worths):.3f} (sd {spread:.3f}, n {len(worths)})"
+            line = (
+                f"  {day:10} {checkout.name:12} {statistics.fmean(worths):.3f} (sd {spread:.3f}, n {len(worths)})"
+            )
             pairs = sorted(base.keys() & results.keys()) if results is not base else []
             if pairs:
                 mean, error = mean_and_error([results[seed].worth - base[seed].worth for seed in pairs])
