A rollout begins by what is observed, not after a fixed part of its allowance

Change: a rollout begins 0.6 s after a naming, unless an engine is out of service, or the next version is expected (usual gap of the last namings) before older weights have cost as much as the loads would. Nodes tell each other how many generations come, with the loads that they already exchange.

--- a/src/wallwell/cluster/load_exchange.py
+++ b/src/wallwell/cluster/load_exchange.py
@@ -5,44 +5,38 @@
 import asyncio
 import time
 
-import msgspec
-
 from wallwell.cluster.peer_link import PeerLinks, PeerMessage
 from wallwell.cluster.upstream import UpstreamOrder
 from wallwell.deployment.backends import BackendRegistry
 from wallwell.errors import PeerUnavailableError
-from wallwell.routing.load_reports import REPORT_LIFETIME_S, LoadReports
+from wallwell.routing.demand import FleetDemand
+from wallwell.routing.load_reports import REPORT_LIFETIME_S, Load, LoadReports, sum_loads
 
 INTERVAL_S = 0.25
 ANSWER_TIMEOUT_S = 0.3
 
 
 class MemberLoad(PeerMessage, frozen=True):
-    """A member's own requests under way by back end; answered with those of all other nodes."""
+    """A member's own load; answered with that of all other nodes."""
 
     node: str
-    loads: dict[str, int]
+    load: Load
 
 
 class ZoneLoad(PeerMessage, frozen=True):
-    """The requests under way of a node and the members that report to it; answered with the same."""
+    """The load of a node and the members that report to it; answered with the same."""
 
     node: str
-    loads: dict[str, int]
-
-
-class LoadReply(msgspec.Struct, frozen=True):
-    """Requests under way by back end."""
-
-    loads: dict[str, int]
+    load: Load
 
 
 class LoadExchange:
     """One node's part: reports upwards as a member, or exchanges sums with its like if members report to it."""
 
-    def __init__(self, node: str, backends: BackendRegistry, order: UpstreamOrder) -> None:
+    def __init__(self, node: str, backends: BackendRegistry, demand: FleetDemand, order: UpstreamOrder) -> None:
         self._node = node
         self._backends = backends
+        self._demand = demand
         self._order = order
         self._members = LoadReports()
         self._zones = LoadReports()
@@ -65,56 +59,57 @@
             await self._exchange_with(self._order.relays(now_s))
         if time.monotonic() - self._heard_at_s >= REPORT_LIFETIME_S:
             self._backends.forget_peer_loads()
+            self._demand.peers_generations = None
 
     async def _report_to(self, name: str, address: str) -> None:
         self._links.keep({name})
-        message = MemberLoad(self._node, self._backends.own_loads())
+        message = MemberLoad(self._node, self._own_load())
         try:
-            reply = await self._links.to(name, address).ask(message, LoadReply, ANSWER_TIMEOUT_S)
+            reply = await self._links.to(name, address).ask(message, Load, ANSWER_TIMEOUT_S)
         except PeerUnavailableError:
             return  # The rows that come the same way decide whether the peer is passed over.
-        self._learn(reply.loads)
+        self._learn(reply)
 
     async def _exchange_with(self, relays: list[tuple[str, str]]) -> None:
         self._links.keep({name for name, _ in relays})
-        message = ZoneLoad(self._node, self._zone_loads())
+        message = ZoneLoad(self._node, self._zone_load())
         await asyncio.gather(*(self._exchange_sums(name, address, message) for name, address in relays))
         now_s = time.monotonic()
-        self._learn(dict(self._members.total(now_s) + self._zones.total(now_s)))
+        self._learn(sum_loads((*self._members.recent(now_s), *self._zones.recent(now_s))))
 
     async def _exchange_sums(self, name: str, address: str, message: ZoneLoad) -> None:
         try:
-            reply = await self._links.to(name, address).ask(message, LoadReply, ANSWER_TIMEOUT_S)
+            reply = await self._links.to(name, address).ask(message, Load, ANSWER_TIMEOUT_S)
         except PeerUnavailableError:
             self._order.on_failure(name, time.monotonic())
             return
         self._order.on_success(name)
-        self._zones.take(name, reply.loads, time.monotonic())
+        self._zones.take(name, reply, time.monotonic())
+
+    def _own_load(self) -> Load:
+        return Load(self._backends.own_loads(), self._demand.own.recent(time.monotonic()))
 
-    def _zone_loads(self) -> dict[str, int]:
-        total = self._members.total(time.monotonic())
-        total.update(self._backends.own_loads())
-        return dict(total)
+    def _zone_load(self) -> Load:
+        return sum_loads((*self._members.recent(time.monotonic()), self._own_load()))
 
-    def _learn(self, loads: dict[str, int]) -> None:
+    def _learn(self, load: Load) -> None:
         self._heard_at_s = time.monotonic()
-        self._backends.learn_peer_loads(loads)
+        self._backends.learn_peer_loads(load.requests)
+        self._demand.peers_generations = load.generations
 
     # --- what peers say --------------------------------------------------------------------------------
 
-    async def on_member(self, message: MemberLoad) -> LoadReply:
+    async def on_member(self, message: MemberLoad) -> Load:
         """Take a member's report and return what all others have under way."""
         now_s = time.monotonic()
-        self._members.take(message.node, message.loads, now_s)
-        total = self._members.total(now_s, without=message.node)
-        total.update(self._zones.total(now_s))
-        total.update(self._backends.own_loads())
-        return LoadReply(dict(total))
+        self._members.take(message.node, message.load, now_s)
+        others = self._members.recent(now_s, without=message.node)
+        return sum_loads((*others, *self._zones.recent(now_s), self._own_load()))
 
-    async def on_zone(self, message: ZoneLoad) -> LoadReply:
+    async def on_zone(self, message: ZoneLoad) -> Load:
         """Take another relay's sum and return this one's."""
-        self._zones.take(message.node, message.loads, time.monotonic())
-        return LoadReply(self._zone_loads())
+        self._zones.take(message.node, message.load, time.monotonic())
+        return self._zone_load()
 
     def close(self) -> None:
         """Close the connections to peers."""
--- a/src/wallwell/deployment/weights.py
+++ b/src/wallwell/deployment/weights.py
@@ -44,6 +44,10 @@
         """Return the versions whose age is known."""
         return [named for named in self._named.get(model, ()) if not named.estimated]
 
+    def named(self, model: str) -> list[NamedVersion]:
+        """Return every version named, oldest first."""
+        return self._named.get(model, [])
+
     def newest(self, model: str) -> int:
         """Return the newest version named, 0 if none."""
         named = self._named.get(model)
--- a/src/wallwell/gateway/admission.py
+++ b/src/wallwell/gateway/admission.py
@@ -45,6 +45,8 @@
             allowance_s = min(allowance_s, request.allowance_s)
         service = self._state.split.choose(route, self._state.split_offset)
         self._state.budget_of(service).on_request(time.monotonic())
+        if request.generation is not None:
+            self._state.demand.own.on_arrival(time.monotonic())
         return Exchange(
             request=request,
             reply=reply,
--- a/src/wallwell/gateway/fleet_state.py
+++ b/src/wallwell/gateway/fleet_state.py
@@ -12,6 +12,7 @@
 from wallwell.deployment.weights import WeightsTargets
 from wallwell.gateway.exchange import Generation
 from wallwell.placement.rollout import OVERDUE_PART
+from wallwell.routing.demand import FleetDemand
 from wallwell.routing.fleet_budget import FleetRetryBudget
 from wallwell.routing.kept_cache import KeptCache
 from wallwell.routing.rendezvous import owner
@@ -60,6 +61,7 @@
     freshness: Freshness = field(default_factory=Freshness)
     split: WeightedSplit = field(default_factory=WeightedSplit)
     members: set[str] = field(default_factory=set)
+    demand: FleetDemand = field(default_factory=FleetDemand)
     kept_caches: dict[str, KeptCache] = field(default_factory=dict)
     """What the stores of kept KV cache hold, by address."""
     _budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
--- a/src/wallwell/placement/rollout.py
+++ b/src/wallwell/placement/rollout.py
@@ -1,23 +1,23 @@
 """Which engines get which weights when: decisions of a rollout, without I/O.
 
-Versions named close together are covered by one load each: a rollout begins only when the oldest missing version
-has waited for a part of the time allowed, and then brings every engine to the newest one. Engines load a few at a
-time, so that the others keep serving and loads stay quick.
+A rollout brings every engine to the newest version; :mod:`wallwell.placement.rollout_timing` says when it begins.
+Engines load a few at a time, so that the others keep serving and loads stay quick.
 """
 
 from __future__ import annotations
 
 import enum
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from wallwell.deployment.backends import Backend
-from wallwell.deployment.weights import WeightsTargets
+from wallwell.deployment.weights import NamedVersion, WeightsTargets
+from wallwell.placement.rollout_timing import RolloutCircumstances, hold_s
 from wallwell.routing.prefix_home import CHUNK_TOKENS, engine_pool
 
 HOLD_PART = 0.52
-"""Part of the allowance for which a rollout waits for further versions to be named."""
+"""Part of the allowance for which a rollout waits at most."""
 CONCURRENT_SHARE = 0.4
 """Share of each pool under order at the same time."""
 SERVING_SHARE = 0.5
@@ -89,22 +89,34 @@
 
     targets: WeightsTargets
     allowance_s: float
+    generations_per_s: Callable[[float], float] = lambda now_s: 0.0
+    """Generations a second of all nodes at a time."""
     _under_way: set[str] = field(default_factory=set)
     _retry_at_s: dict[str, float] = field(default_factory=dict)
 
     def is_due(self, engines: Sequence[Backend], now_s: float) -> bool:
         """Whether an engine lacks a version that has been named long enough ago."""
-        return any(self._due_model(engine, now_s) is not None for engine in engines)
+        return any(self._due_model(engine, engines, now_s) is not None for engine in engines)
 
-    def _due_model(self, engine: Backend, now_s: float) -> str | None:
+    def _due_model(self, engine: Backend, engines: Sequence[Backend], now_s: float) -> str | None:
         if engine.gone or engine.record.draining:
             return None
         for model in engine.record.versions:
             missing = self.targets.oldest_missing(model, engine.believed_version(model))
-            if missing is not None and now_s - missing.known_since_s >= self.allowance_s * HOLD_PART:
+            if missing is not None and now_s - missing.known_since_s >= self._hold_s(
+                model, missing, engines, now_s
+            ):
                 return model
         return None
 
+    def _hold_s(self, model: str, missing: NamedVersion, engines: Sequence[Backend], now_s: float) -> float:
+        newest = self.targets.newest(model)
+        lacking = [each for each in engines if each.believed_version(model) < newest]
+        serving = all(each.is_open(now_s) for each in engines if not each.record.draining)
+        circumstances = RolloutCircumstances(self.generations_per_s(now_s), len(lacking), serving)
+        longest_s = self.allowance_s * HOLD_PART
+        return hold_s(self.targets.named(model), missing, circumstances, longest_s, now_s)
+
     def next_tasks(self, engines: Sequence[Backend], now_s: float) -> list[LoadTask]:
         """Return the loads to start now; each is to be ended with :meth:`finish`."""
         tasks: list[LoadTask] = []
@@ -112,13 +124,15 @@
             spare = self._count_serving(engines, now_s) - math.ceil(len(engines) * SERVING_SHARE)
             if not self._under_way:
                 spare = max(1, spare)
-            tasks += self._next_of_pool(pool, spare, now_s)
+            tasks += self._next_of_pool(pool, engines, spare, now_s)
         return tasks
 
     def _count_serving(self, engines: Sequence[Backend], now_s: float) -> int:
         return sum(each.is_open(now_s) and each.incarnation not in self._under_way for each in engines)
 
-    def _next_of_pool(self, pool: Sequence[Backend], spare: int, now_s: float) -> list[LoadTask]:
+    def _next_of_pool(
+        self, pool: Sequence[Backend], engines: Sequence[Backend], spare: int, now_s: float
+    ) -> list[LoadTask]:
         """Return the loads to start in one pool; ``spare`` engines of all can be missed now."""
         under_way = sum(engine.incarnation in self._under_way for engine in pool)
         free = min(spare, concurrent_loads(pool) - under_way)
@@ -127,7 +141,7 @@
             identity = engine.incarnation
             if identity in self._under_way or now_s < self._retry_at_s.get(identity, 0.0):
                 continue
-            model = self._due_model(engine, now_s)
+            model = self._due_model(engine, engines, now_s)
             if model is None or (len(tasks) >= free and not self._is_overdue(engine, model, now_s)):
                 continue
             tasks.append(LoadTask(engine, model, self.targets.newest(model)))
--- a/src/wallwell/placement/rollout_driver.py
+++ b/src/wallwell/placement/rollout_driver.py
@@ -81,7 +81,9 @@
         self._table = table
         self._control = control
         self._clock = clock
-        self._planner = RolloutPlanner(state.weights, state.bounds.version_s)
+        self._planner = RolloutPlanner(
+            state.weights, state.bounds.version_s, lambda now_s: state.demand.per_s(now_s, state.node_count)
+        )
         self._valid_s = state.bounds.lease_s * VALID_PART
         self._lease = LeaseKeeper(LEASE_NAME, state.node, self._valid_s, table, guard_s=state.bounds.lease_s)
         self._last_holder = ""
--- a/src/wallwell/routing/load_reports.py
+++ b/src/wallwell/routing/load_reports.py
@@ -1,40 +1,57 @@
-"""How busy back ends are with the requests of all nodes, from what nodes tell each other. Pure.
+"""What all nodes together have under way, from what nodes tell each other. Pure.
 
 Members of a zone report to the node that follows the store for them; these nodes tell each other the sums of their
-members. Each load is a count of requests under way, long prompts counted several times, by back end.
+members.
 """
 
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+import msgspec
+
 REPORT_LIFETIME_S = 1.5
 """How long a report counts; a node that has gone silent may be gone with its requests."""
 
-Loads = Mapping[str, int]
+
+class Load(msgspec.Struct, frozen=True):
+    """What a node, or several together, have under way.
+
+    ``requests`` counts by back end, long prompts several times. ``generations`` counts those that came in the last
+    ``RATE_WINDOW_S`` of :mod:`wallwell.routing.demand`.
+    """
+
+    requests: dict[str, int] = {}
+    generations: int = 0
+
+
+def sum_loads(loads: Iterable[Load]) -> Load:
+    """Return several loads together."""
+    requests: Counter[str] = Counter()
+    generations = 0
+    for load in loads:
+        requests.update(load.requests)
+        generations += load.generations
+    return Load(dict(requests), generations)
 
 
 @dataclass
 class LoadReports:
     """The newest report of each sender, with the local time of its arrival."""
 
-    _reports: dict[str, tuple[Loads, float]] = field(default_factory=dict)
+    _reports: dict[str, tuple[Load, float]] = field(default_factory=dict)
 
-    def take(self, sender: str, loads: Loads, now_s: float) -> None:
+    def take(self, sender: str, load: Load, now_s: float) -> None:
         """Replace a sender's report."""
-        self._reports[sender] = (loads, now_s)
+        self._reports[sender] = (load, now_s)
 
-    def total(self, now_s: float, without: str = "") -> Counter[str]:
-        """Return the sum of the recent reports, but for one sender's; old ones are dropped."""
+    def recent(self, now_s: float, without: str = "") -> list[Load]:
+        """Return the recent reports, but for one sender's; old ones are dropped."""
         self._reports = {
-            sender: (loads, at_s)
-            for sender, (loads, at_s) in self._reports.items()
+            sender: (load, at_s)
+            for sender, (load, at_s) in self._reports.items()
             if now_s - at_s < REPORT_LIFETIME_S
         }
-        total: Counter[str] = Counter()
-        for sender, (loads, _) in self._reports.items():
-            if sender != without:
-                total.update(loads)
-        return total
+        return [load for sender, (load, _) in self._reports.items() if sender != without]
--- a/tests/unit/cluster/test_load_exchange.py
+++ b/tests/unit/cluster/test_load_exchange.py
@@ -8,6 +8,7 @@
 from wallwell.cluster.peer_link import PeerServer
 from wallwell.cluster.upstream import Member, UpstreamOrder
 from wallwell.deployment.backends import BackendRecord, BackendRegistry
+from wallwell.routing.demand import RATE_WINDOW_S, FleetDemand
 
 ENGINES = ("e0", "e1", "e2")
 
@@ -17,9 +18,10 @@
         self.name, self.zone = name, zone
         self.order = UpstreamOrder(name, zone)
         self.backends = BackendRegistry()
+        self.demand = FleetDemand()
         for engine in ENGINES:
             self.backends.upsert(BackendRecord(engine, "s", "10.0.0.1:1", zone, 16))
-        self.exchange = LoadExchange(name, self.backends, self.order)
+        self.exchange = LoadExchange(name, self.backends, self.demand, self.order)
         self.server = PeerServer({MemberLoad: self.exchange.on_member, ZoneLoad: self.exchange.on_zone})
 
     def put_load(self, engine, load):
@@ -72,6 +74,19 @@
     assert with_nodes(zones, scenario) == expected
 
 
+@pytest.mark.parametrize("zones", ["a", "aaaa", "abc", "aaabbc"])
+def test_everyone_knows_the_demand_of_all(with_nodes, zones):
+    async def scenario(nodes):
+        for index, node in enumerate(nodes):
+            for _ in range(index + 1):
+                node.demand.own.on_arrival(time.monotonic())
+        await exchange(nodes)
+        return [node.demand.per_s(time.monotonic(), len(nodes)) for node in nodes]
+
+    count = len(zones)
+    assert with_nodes(zones, scenario) == [count * (count + 1) / 2 / RATE_WINDOW_S] * count
+
+
 def test_a_node_that_is_gone_stops_counting(with_nodes, monkeypatch):
     async def scenario(nodes):
         await exchange(nodes)
--- a/tests/unit/placement/test_rollout.py
+++ b/tests/unit/placement/test_rollout.py
@@ -5,6 +5,7 @@
 from wallwell.deployment.backends import Backend, BackendRecord
 from wallwell.deployment.weights import WeightsTargets
 from wallwell.placement.rollout import HOLD_PART, OVERDUE_PART, RETRY_S, RolloutPlanner, divide
+from wallwell.placement.rollout_timing import SOONEST_S
 
 ALLOWANCE_S = 8.0
 DUE_S = ALLOWANCE_S * HOLD_PART
@@ -26,12 +27,31 @@
     return RolloutPlanner(targets, ALLOWANCE_S)
 
 
-def test_a_rollout_waits_for_versions_named_shortly_after():
-    plan, listed = planner((2, 0.0)), engines(6)
+def test_a_rollout_waits_for_a_version_that_is_expected_soon():
+    plan, listed = planner((1, -6.4), (2, -3.2), (3, 0.0)), engines(6, version=2)
+    assert not plan.is_due(listed, 3.0)
+    plan.targets.name("m", 4, 3.2)
     assert not plan.is_due(listed, DUE_S - 0.1)
-    plan.targets.name("m", 3, 3.2)
     assert plan.is_due(listed, DUE_S)
-    assert {task.version for task in plan.next_tasks(listed, DUE_S)} == {3}
+    assert {task.version for task in plan.next_tasks(listed, DUE_S)} == {4}
+
+
+def test_a_rollout_begins_soon_when_much_is_served_on_older_weights():
+    plan, listed = planner((1, -6.4), (2, -3.2), (3, 0.0)), engines(6, version=2)
+    plan.generations_per_s = lambda now_s: 40.0
+    assert not plan.is_due(listed, SOONEST_S - 0.1)
+    assert plan.is_due(listed, SOONEST_S)
+
+
+@pytest.mark.parametrize("out", ["suspended", "draining"])
+def test_a_rollout_waits_while_an_engine_is_out_of_service_but_not_for_one_that_leaves(out):
+    plan, listed = planner((2, 0.0)), engines(6)
+    if out == "suspended":
+        listed[0].suspended_until_s = 100.0
+    else:
+        listed[0].record = BackendRecord("i-0", "s", "10.0.0.0:80", "z", 8, True, {"m": 1})
+    assert plan.is_due(listed, SOONEST_S) == (out == "draining")
+    assert plan.is_due(listed, DUE_S)
 
 
 @pytest.mark.parametrize("count", [1, 2, 3, 4, 6, 7, 9, 15])
--- a/tests/unit/placement/test_rollout_driver.py
+++ b/tests/unit/placement/test_rollout_driver.py
@@ -138,7 +138,7 @@
 def test_versions_named_shortly_after_each_other_cost_one_load():
     async def scenario(fleet):
         fleet.name(2)
-        await asyncio.sleep(3.0)
+        await asyncio.sleep(0.4)
         fleet.name(3)
         await asyncio.sleep(12.0)
 
@@ -147,6 +147,18 @@
     assert len(fleet.orders()) == len(fleet.engines)
 
 
+def test_versions_named_at_a_usual_pace_share_loads_when_little_is_served():
+    async def scenario(fleet):
+        for version in (2, 3, 4, 5):
+            fleet.name(version)
+            await asyncio.sleep(3.0)
+        await asyncio.sleep(12.0)
+
+    fleet = play(scenario)
+    assert fleet.versions() == {5}
+    assert len(fleet.orders()) <= 3 * len(fleet.engines)
+
+
 def test_a_dead_holder_is_followed_after_the_guard_by_one_with_a_higher_fence():
     async def scenario(fleet):
         fleet.name(2)
--- /dev/null
+++ b/tests/unit/placement/test_rollout_timing.py
@@ -0,0 +1,69 @@
+"""When a rollout begins, by what is observed: the pace of namings, the demand, and whether all engines serve."""
+
+import pytest
+
+from wallwell.deployment.weights import NamedVersion
+from wallwell.placement.rollout_timing import (
+    NAMING_TOLERANCE_S,
+    SOONEST_S,
+    RolloutCircumstances,
+    hold_s,
+    usual_gap_s,
+)
+
+LONGEST_S = 5.2
+
+
+def named(*times, estimated=()):
+    return [NamedVersion(index + 2, at_s, index in estimated) for index, at_s in enumerate(times)]
+
+
+@pytest.mark.parametrize(
+    ("versions", "expected"),
+    [
+        (named(), None),
+        (named(1.0), None),
+        (named(1.0, 5.0), 4.0),
+        (named(1.0, 5.0, 9.0, 20.0), 4.0),
+        (named(0.0, 7.0, 10.0, estimated=(0,)), 3.0),
+        (named(0.0, 1.0, 20.0, 40.0, 60.0, 80.0), 20.0),
+    ],
+    ids=["none", "one", "two", "one pause", "age of the first guessed", "pace that has changed"],
+)
+def test_the_usual_gap(versions, expected):
+    assert usual_gap_s(versions) == expected
+
+
+@pytest.mark.parametrize(
+    ("versions", "now_s", "demand_per_s", "lacking", "serving", "begins_at_once"),
+    [
+        (named(0.0), 0.6, 17.0, 5, True, True),
+        (named(0.0), 0.6, 17.0, 5, False, False),
+        (named(0.0, 4.0), 4.6, 17.0, 5, True, True),
+        (named(0.0, 4.0), 4.6, 8.0, 5, True, False),
+        (named(0.0, 4.0), 4.6, 17.0, 12, True, False),
+        (named(0.0, 2.0), 2.6, 100.0, 5, True, True),
+        (named(0.0, 1.4), 2.0, 1000.0, 5, True, False),
+        (named(0.0, 4.0), 8.0 + NAMING_TOLERANCE_S + 0.1, 0.0, 5, True, True),
+        (named(0.0, 4.0), 8.0, 0.0, 5, True, False),
+    ],
+    ids=[
+        "nothing known of the pace",
+        "an engine is out",
+        "much is served on older weights",
+        "little is served",
+        "many engines to load",
+        "quick pace, very much is served",
+        "the next comes while older weights cost nothing",
+        "the next has not come",
+        "the next is due now",
+    ],
+)
+def test_a_rollout_begins_at_once_or_waits(versions, now_s, demand_per_s, lacking, serving, begins_at_once):
+    circumstances = RolloutCircumstances(demand_per_s, lacking, serving)
+    held_s = hold_s(versions, versions[-1], circumstances, LONGEST_S, now_s)
+    assert held_s == (SOONEST_S if begins_at_once else LONGEST_S)
+
+
+def test_a_short_allowance_bounds_the_soonest():
+    assert hold_s(named(0.0), named(0.0)[0], RolloutCircumstances(9.0, 5, True), 0.2, 0.1) == 0.2
