Back ends that stop without a word are found by a new connection, and their streams go on elsewhere

Change: a back end that is silent for 1.5 times the largest silence usual there is asked for a connection; without an answer in 0.12 s it is suspended, and its attempts that may be repeated are made elsewhere. What may run once is left alone.

--- a/src/wallwell/backends/http_connection.py
+++ b/src/wallwell/backends/http_connection.py
@@ -217,15 +217,22 @@
             connection.close()
         return await self._connect(address)
 
-    async def _connect(self, address: str) -> BackendConnection:
+    async def open_resting(self, address: str, timeout_s: float) -> None:
+        """Make a connection that the next exchange uses. Raises :class:`ConnectFailedError`."""
+        connection = await self._connect(address, timeout_s)
+        connection.idle_since_s = time.monotonic()
+        self._keep(address, connection)
+
+    async def _connect(self, address: str, timeout_s: float | None = None) -> BackendConnection:
+        timeout_s = self._connect_timeout_s if timeout_s is None else timeout_s
         loop = asyncio.get_running_loop()
         host, _, port = address.rpartition(":")
         factory: Callable[[], BackendConnection] = lambda: BackendConnection(loop, self._id_header)  # noqa: E731
         try:
-            async with asyncio.timeout(self._connect_timeout_s):
+            async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(factory, host, int(port))
         except TimeoutError as error:
-            raise ConnectFailedError(True, f"no connection in {self._connect_timeout_s} s") from error
+            raise ConnectFailedError(True, f"no connection in {timeout_s} s") from error
         except OSError as error:
             raise ConnectFailedError(False, type(error).__name__) from error
         connection.set_user_timeout(self._user_timeout_s)
@@ -246,8 +253,10 @@
 
     def release(self, address: str, connection: BackendConnection) -> None:
         """Take a connection back after an exchange."""
-        if not connection.finish_exchange():
-            return
+        if connection.finish_exchange():
+            self._keep(address, connection)
+
+    def _keep(self, address: str, connection: BackendConnection) -> None:
         idle = self._idle.setdefault(address, [])
         idle.append(connection)
         if len(idle) > self._max_idle:
--- a/src/wallwell/deployment/backends.py
+++ b/src/wallwell/deployment/backends.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
+from wallwell.routing.silence import Silence
+
 FIRST_SUSPENSION_S = 0.6
 MAX_SUSPENSION_S = 4.0
 FAILURES_TO_SUSPEND = 2
@@ -55,6 +57,9 @@
     """Weights version believed to be in place, per model."""
     loading: LoadInProgress | None = None
     gone: bool = False
+    silence: Silence = field(default_factory=Silence)
+    lost_at_s: float = float("-inf")
+    """When this node last found that it had stopped without a word."""
 
     @property
     def incarnation(self) -> str:
--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -58,6 +58,7 @@
     BACKEND_LISTED = (6006, "INFO", "back end listed or changed")
     BACKEND_GONE = (6007, "INFO", "back end is no longer listed")
     BACKEND_SUSPENDED = (6008, "WARNING", "back end gets nothing for a while after failures")
+    BACKEND_SILENT = (6011, "WARNING", "back end has stopped without a word; its attempts are made elsewhere")
     CACHE_STORE_LOST = (6009, "WARNING", "store of kept KV cache does not answer; nothing is fetched or saved")
     CACHE_STORE_REGAINED = (6010, "INFO", "store of kept KV cache answers again")
     WEIGHTS_NAMED = (7003, "INFO", "weights version named")
--- a/src/wallwell/gateway/fleet_node.py
+++ b/src/wallwell/gateway/fleet_node.py
@@ -19,6 +19,7 @@
 from wallwell.gateway.fleet_rows import BackendRows, MemberRows, NodeSources, OperatorRows
 from wallwell.gateway.fleet_state import FleetBounds, FleetState
 from wallwell.gateway.kept_cache_watch import CacheRequest, KeptCacheWatch
+from wallwell.gateway.liveness import Liveness, ReachabilityCheck
 from wallwell.gateway.pipeline import RequestPipeline
 from wallwell.placement.rollout_driver import EngineControl, RolloutDriver
 from wallwell.storage.feed import FollowedPage, RowFollower, RowSource
@@ -48,6 +49,7 @@
         sources: NodeSources,
         client: BackendClient,
         control: EngineControl,
+        check: ReachabilityCheck,
         pool: ConnectionPool,
         seed: int | None = None,
         link_mbps: float = 0.0,
@@ -57,7 +59,8 @@
         self.draining = False
         self.in_flight = 0
         self._pool = pool
-        self._pipeline = RequestPipeline(self.state, client)
+        self._liveness = Liveness(self.state, check)
+        self._pipeline = RequestPipeline(self.state, client, liveness=self._liveness)
         self._clock = StoreClock()
         self._rollout = RolloutDriver(self.state, sources.table, control, self._clock)
         self._order = UpstreamOrder(node, zone)
@@ -103,7 +106,8 @@
     def start(self) -> None:
         """Start following the store."""
         loops: list[Callable[[], Coroutine[Any, Any, None]]] = [each.run for each in self._followers]
-        loops += [self._rollout.run, self._exchange.run, self._kept_caches.run, self._housekeeping]
+        loops += [self._rollout.run, self._exchange.run, self._kept_caches.run, self._liveness.run]
+        loops.append(self._housekeeping)
         self._tasks = [asyncio.create_task(self._supervise(loop)) for loop in loops]
 
     async def _supervise(self, loop: Callable[[], Coroutine[Any, Any, None]]) -> None:
--- /dev/null
+++ b/src/wallwell/gateway/liveness.py
@@ -0,0 +1,89 @@
+"""Finds back ends that have stopped without a word, and ends the attempts there that may be made elsewhere."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Protocol
+
+from wallwell.deployment.backends import Backend, BackendRecord
+from wallwell.events import Event, emit
+from wallwell.gateway.exchange import AttemptError
+from wallwell.gateway.fleet_state import FleetState
+from wallwell.routing.outcome import TransportEvent
+
+TICK_S = 0.04
+
+
+class ReachabilityCheck(Protocol):
+    """Tells whether a back end's machine answers."""
+
+    async def is_reachable(self, backend: BackendRecord) -> bool:
+        """Make a new connection; returns False if there is no answer to that, not even a refusal."""
+        ...
+
+
+class Liveness:
+    """Asks back ends that are silent for long while requests are under way there whether they live."""
+
+    def __init__(self, state: FleetState, check: ReachabilityCheck) -> None:
+        self._state = state
+        self._check = check
+        self._repeatable: dict[str, set[asyncio.Timeout]] = {}
+        """Attempts under way that may be made elsewhere, by back end."""
+        self._asking: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.step()
+
+    def step(self) -> None:
+        """Ask every back end that has been silent for long."""
+        now_s = time.monotonic()
+        for incarnation in list(self._repeatable):
+            backend = self._state.backends.get(incarnation)
+            if backend is not None and backend.silence.should_ask(now_s):
+                task = asyncio.create_task(self._ask(backend))
+                self._asking.add(task)
+                task.add_done_callback(self._asking.discard)
+
+    async def _ask(self, backend: Backend) -> None:
+        asked_s = time.monotonic()
+        if await self._check.is_reachable(backend.record) or backend.silence.heard_s >= asked_s:
+            return
+        now_s = time.monotonic()
+        backend.lost_at_s = now_s
+        backend.on_failure(now_s, unreachable=True)
+        emit(
+            Event.BACKEND_SILENT,
+            backend=backend.incarnation,
+            silent_ms=round((now_s - backend.silence.heard_s) * 1000),
+            attempts=len(self._repeatable.get(backend.incarnation, ())),
+        )
+        for attempt in self._repeatable.get(backend.incarnation, set()):
+            attempt.reschedule(asyncio.get_running_loop().time())
+
+    @asynccontextmanager
+    async def watch(self, backend: Backend, may_repeat: bool) -> AsyncIterator[None]:
+        """Watch one attempt. Raises :class:`AttemptError` in it if its back end turns out to have stopped."""
+        if not may_repeat:
+            yield
+            return
+        attempt = asyncio.timeout(None)
+        watched = self._repeatable.setdefault(backend.incarnation, set())
+        watched.add(attempt)
+        try:
+            async with attempt:
+                yield
+        except TimeoutError:
+            if not attempt.expired():
+                raise
+            raise AttemptError(TransportEvent.RESET_AFTER_SEND, "the back end has stopped") from None
+        finally:
+            watched.discard(attempt)
+            if not watched:
+                self._repeatable.pop(backend.incarnation, None)
--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import time
-from contextlib import aclosing
+from contextlib import AbstractAsyncContextManager, aclosing, nullcontext
 
 from wallwell.deployment.backends import Backend
 from wallwell.deployment.routes import RouteKind
@@ -36,6 +36,7 @@
 from wallwell.gateway.exchange_state import Exchange
 from wallwell.gateway.fleet_state import FleetState
 from wallwell.gateway.head_wait import MIN_REMAINING_S, HeadWait
+from wallwell.gateway.liveness import Liveness
 from wallwell.outcomes import Outcome
 from wallwell.routing.outcome import REFUSED_BY_BACKEND, TransportEvent
 from wallwell.routing.prefix_home import choose_from_tiers, engine_pool, request_load
@@ -55,8 +56,15 @@
 class RequestPipeline:
     """Serves requests of any callers' interface from any kind of back end."""
 
-    def __init__(self, state: FleetState, client: BackendClient, counters: FleetCounters | None = None) -> None:
+    def __init__(
+        self,
+        state: FleetState,
+        client: BackendClient,
+        counters: FleetCounters | None = None,
+        liveness: Liveness | None = None,
+    ) -> None:
         self._state = state
+        self._liveness = liveness
         self._admission = Admission(state)
         self._wait = HeadWait(state, client)
         self._caches = CachePlanner(state)
@@ -160,12 +168,14 @@
         Raises :class:`AttemptError`, or TimeoutError when the caller's time is over.
         """
         load = self._load_of(exchange)
+        if not backend.in_flight:
+            backend.silence.on_idle_ended(time.monotonic())
         backend.in_flight += 1
         backend.load += load
         exchange.history.tried.add(backend.incarnation)
         answer: BackendAnswer | None = None
         try:
-            async with asyncio.timeout(exchange.remaining_s()):
+            async with asyncio.timeout(exchange.remaining_s()), self._watch(exchange, backend):
                 answer = await self._send(exchange, backend)
                 return await self._pass_on(exchange, backend, answer)
         finally:
@@ -174,6 +184,13 @@
             if answer is not None:
                 answer.close()
 
+    def _watch(self, exchange: Exchange, backend: Backend) -> AbstractAsyncContextManager[None]:
+        """Return what ends the attempt early if its back end has stopped and another may be asked."""
+        if self._liveness is None:
+            return nullcontext()
+        runs_left = exchange.history.runs + 1 < exchange.route.max_attempts
+        return self._liveness.watch(backend, exchange.route.repeatable and runs_left)
+
     def _load_of(self, exchange: Exchange) -> int:
         generation = exchange.request.generation
         return request_load(generation.prompt_tokens) if generation is not None else 1
@@ -184,6 +201,7 @@
         generation = exchange.request.generation
         if generation is not None and answer.head.weights_version:
             backend.learn_version(generation.model, answer.head.weights_version)
+        backend.silence.on_heard(time.monotonic())
         if answer.head.ok:
             backend.on_success(time.monotonic())
         return answer
@@ -215,7 +233,7 @@
 
     async def _pass_on(self, exchange: Exchange, backend: Backend, answer: BackendAnswer) -> bool:
         if exchange.route.kind is RouteKind.STREAM and answer.head.ok and answer.head.is_event_stream:
-            await self._pass_stream(exchange, answer)
+            await self._pass_stream(exchange, backend, answer)
             backend.on_success(time.monotonic())
             return True
         if exchange.reply.started:
@@ -237,7 +255,7 @@
             return False
         return self._state.budget_of(exchange.service).try_retry(time.monotonic(), self._state.node_count)
 
-    async def _pass_stream(self, exchange: Exchange, answer: BackendAnswer) -> None:
+    async def _pass_stream(self, exchange: Exchange, backend: Backend, answer: BackendAnswer) -> None:
         """Pass events on as they come. Raises :class:`AttemptError` if the run breaks off."""
         position = exchange.position
         position.begin_run()
@@ -253,6 +271,7 @@
                     raise AttemptError(TransportEvent.ANSWER_TIMEOUT, "the stream stalled") from None
                 if data is None:
                     break
+                backend.silence.on_heard(time.monotonic())
                 await self._write_events(exchange, answer, data)
         if position.has_remainder or not position.events_passed:
             raise AttemptError(TransportEvent.RESET_AFTER_SEND, "the stream ended inside an event")
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -45,6 +45,7 @@
         sources,
         workers,
         workers,
+        workers,
         workers.pool,
         link_mbps=settings.limits.link_mbps,
     )
--- a/src/wallwell/platform/workers.py
+++ b/src/wallwell/platform/workers.py
@@ -20,6 +20,8 @@
 from wallwell.routing.outcome import TransportEvent
 
 CONNECT_TIMEOUT_S = 0.25
+REACHABLE_TIMEOUT_S = 0.12
+"""How long a machine is given to answer a connection's first packet; more than the longest way within a region."""
 USER_TIMEOUT_S = 1.0
 CONTROL_TIMEOUT_S = 1.0
 MAX_PRIORITY = 9
@@ -95,6 +97,14 @@
             raise failure
         return answer
 
+    async def is_reachable(self, backend: BackendRecord) -> bool:
+        """See :class:`wallwell.gateway.liveness.ReachabilityCheck`; the connection serves the next request."""
+        try:
+            await self.pool.open_resting(backend.address, REACHABLE_TIMEOUT_S)
+        except ConnectFailedError as error:
+            return not error.timed_out
+        return True
+
     # --- orders ----------------------------------------------------------------------------------------
 
     async def report(self, backend: BackendRecord) -> EngineReport | None:
--- /dev/null
+++ b/tests/unit/routing/test_silence.py
@@ -0,0 +1,49 @@
+"""From what silence on a back end is asked whether it lives: by the silences seen at it."""
+
+import pytest
+
+from wallwell.routing.silence import ASK_AGAIN_S, HALF_LIFE_S, LONG_FACTOR, LONGEST_S, SHORTEST_S, Silence
+
+
+def heard(*silences_s):
+    silence, now_s = Silence(), 100.0
+    silence.on_idle_ended(now_s)
+    for silent_s in silences_s:
+        now_s += silent_s
+        silence.on_heard(now_s)
+    return silence, now_s
+
+
+@pytest.mark.parametrize(
+    ("silences_s", "expected_s"),
+    [
+        ([], LONGEST_S),
+        ([0.02, 0.02], SHORTEST_S),
+        ([0.02, 0.3], 0.3 * LONG_FACTOR),
+        ([0.9], LONGEST_S),
+    ],
+    ids=["nothing known", "quick", "reads long prompts", "slow"],
+)
+def test_what_counts_as_long(silences_s, expected_s):
+    silence, now_s = heard(*silences_s)
+    assert not silence.should_ask(now_s + expected_s * 0.9 - 0.01)
+    assert silence.should_ask(now_s + expected_s + 0.02)
+
+
+def test_a_large_silence_is_forgotten():
+    silence, now_s = heard(0.4)
+    assert silence.usual_s(now_s + HALF_LIFE_S) == pytest.approx(0.2)
+
+
+def test_it_is_not_asked_all_the_time():
+    silence, now_s = heard(0.02)
+    asked = [silence.should_ask(now_s + 1.0 + tenth / 10) for tenth in range(10)]
+    assert asked.count(True) == round(1.0 / ASK_AGAIN_S)
+
+
+def test_idle_time_is_no_silence():
+    silence, now_s = heard(0.02)
+    silence.on_idle_ended(now_s + 60.0)
+    assert not silence.should_ask(now_s + 60.1)
+    silence.on_heard(now_s + 60.05)
+    assert silence.usual_s(now_s + 60.05) == pytest.approx(0.05)
