A long prompt that would wait beyond its objective in its pool goes to another one

Change: an engine has room for a long prompt while its load, at the pace learned from first pieces, lets the prompt begin within its route's objective. The choice of a back end is a module of its own.

--- /dev/null
+++ b/src/wallwell/gateway/backend_choice.py
@@ -0,0 +1,42 @@
+"""Which back end gets the next attempt of a request. No I/O."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+
+from wallwell.deployment.backends import Backend
+from wallwell.gateway.exchange_state import Exchange
+from wallwell.gateway.fleet_state import FleetState
+from wallwell.routing.prefix_home import choose_from_tiers, engine_pool, is_long
+
+
+class BackendChoice:
+    """Chooses among usable back ends: calls by places free, generations by their shared prefix."""
+
+    def __init__(self, state: FleetState) -> None:
+        self._state = state
+
+    def choose(self, exchange: Exchange, candidates: Sequence[Backend]) -> Backend:
+        """Return one of the candidates, of which there is at least one."""
+        state = self._state
+        generation = exchange.request.generation
+        if generation is None:
+            return state.least_loaded(candidates)
+        pool = engine_pool(state.backends.of_service(exchange.service), generation.prompt_tokens)
+        in_pool = [each for each in candidates if each in pool]
+        # A long prompt that would wait beyond its objective in its pool rather lengthens the gaps of short ones.
+        room = state.pace.room(exchange.route.objective_s) if is_long(generation.prompt_tokens) else math.inf
+        chosen = choose_from_tiers((in_pool, candidates), exchange.placement, state.node_count, room)
+        assert chosen is not None
+        return chosen
+
+    def learn_pace(self, exchange: Exchange, now_s: float) -> None:
+        """A piece of the current run came: learn from the first one of a long prompt."""
+        timing = exchange.timing
+        generation = exchange.request.generation
+        if timing.sent_s is None or generation is None:
+            return
+        if is_long(generation.prompt_tokens):
+            self._state.pace.observe(timing.load_when_sent, now_s - timing.sent_s)
+        timing.sent_s = None
--- a/src/wallwell/gateway/exchange_state.py
+++ b/src/wallwell/gateway/exchange_state.py
@@ -20,6 +20,15 @@
     first_s: float | None = None
     last_s: float = 0.0
     max_gap_s: float = 0.0
+    sent_s: float | None = None
+    """When the current attempt was sent, None once its first piece has come."""
+    load_when_sent: int = 0
+    """Load of its back end then, its own among it."""
+
+    def on_sent(self, now_s: float, load: int) -> None:
+        """Note that an attempt is sent."""
+        self.sent_s = now_s
+        self.load_when_sent = load
 
     def on_piece(self, now_s: float) -> None:
         """Note that a piece was passed on."""
--- a/src/wallwell/gateway/fleet_state.py
+++ b/src/wallwell/gateway/fleet_state.py
@@ -15,6 +15,7 @@
 from wallwell.routing.demand import FleetDemand
 from wallwell.routing.fleet_budget import FleetRetryBudget
 from wallwell.routing.kept_cache import KeptCache
+from wallwell.routing.reading_pace import ReadingPace
 from wallwell.routing.rendezvous import owner
 from wallwell.routing.split import WeightedSplit
 
@@ -61,6 +62,7 @@
     freshness: Freshness = field(default_factory=Freshness)
     split: WeightedSplit = field(default_factory=WeightedSplit)
     members: set[str] = field(default_factory=set)
+    pace: ReadingPace = field(default_factory=ReadingPace)
     demand: FleetDemand = field(default_factory=FleetDemand)
     kept_caches: dict[str, KeptCache] = field(default_factory=dict)
     """What the stores of kept KV cache hold, by address."""
--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -23,6 +23,7 @@
 )
 from wallwell.events import Event, emit
 from wallwell.gateway.admission import RETRY_AFTER_MS, Admission
+from wallwell.gateway.backend_choice import BackendChoice
 from wallwell.gateway.cache_planning import CachePlanner
 from wallwell.gateway.counters import FleetCounters
 from wallwell.gateway.exchange import (
@@ -39,7 +40,7 @@
 from wallwell.gateway.liveness import Liveness
 from wallwell.outcomes import Outcome
 from wallwell.routing.outcome import REFUSED_BY_BACKEND, TransportEvent
-from wallwell.routing.prefix_home import choose_from_tiers, engine_pool, request_load
+from wallwell.routing.prefix_home import request_load
 
 MAX_ARRIVALS_BEYOND_ATTEMPTS = 3
 """Further back ends tried when earlier ones prove that they did not run the request."""
@@ -67,6 +68,7 @@
         self._liveness = liveness
         self._admission = Admission(state)
         self._wait = HeadWait(state, client)
+        self._choice = BackendChoice(state)
         self._caches = CachePlanner(state)
         self.counters = counters or FleetCounters()
 
@@ -150,14 +152,7 @@
         candidates = fresh or (usable if self._all_unrun(exchange) else [])
         if not candidates:
             raise self._exhausted(exchange, "no back end can take the request")
-        if exchange.request.generation is None:
-            return state.least_loaded(candidates)
-        listed = state.backends.of_service(exchange.service)
-        pool = engine_pool(listed, exchange.request.generation.prompt_tokens)
-        in_pool = [each for each in candidates if each in pool]
-        chosen = choose_from_tiers((in_pool, candidates), exchange.placement, state.node_count)
-        assert chosen is not None
-        return chosen
+        return self._choice.choose(exchange, candidates)
 
     def _all_unrun(self, exchange: Exchange) -> bool:
         return exchange.log.outcome is Outcome.NOT_RUN
@@ -173,6 +168,7 @@
         backend.in_flight += 1
         backend.load += load
         exchange.history.tried.add(backend.incarnation)
+        exchange.timing.on_sent(time.monotonic(), backend.fleet_load(self._state.node_count))
         answer: BackendAnswer | None = None
         try:
             async with asyncio.timeout(exchange.remaining_s()), self._watch(exchange, backend):
@@ -272,6 +268,7 @@
                 if data is None:
                     break
                 backend.silence.on_heard(time.monotonic())
+                self._choice.learn_pace(exchange, time.monotonic())
                 await self._write_events(exchange, answer, data)
         if position.has_remainder or not position.events_passed:
             raise AttemptError(TransportEvent.RESET_AFTER_SEND, "the stream ended inside an event")
--- a/src/wallwell/routing/prefix_home.py
+++ b/src/wallwell/routing/prefix_home.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -19,8 +20,6 @@
 """One engine in so many is kept for prompts of at most one chunk."""
 MIN_ENGINES_TO_DIVIDE = 3
 _POOL_KEY = key_of("short prompts")
-FULL_PART = 1.0
-"""Part of an engine's slots beyond which requests overflow to engines meant for others."""
 MIN_LOAD_BOUND = 3
 LOAD_BOUND_FACTOR = 1.5
 
@@ -49,7 +48,12 @@
         return list(engines)
     ordered = sorted(engines, key=lambda engine: rendezvous_score(engine.incarnation, _POOL_KEY))
     count = max(1, len(engines) // SHORT_POOL_DIVISOR)
-    return ordered[:count] if prompt_tokens <= CHUNK_TOKENS else ordered[count:]
+    return ordered[count:] if is_long(prompt_tokens) else ordered[:count]
+
+
+def is_long(prompt_tokens: int) -> bool:
+    """Whether a prompt is read in several chunks."""
+    return prompt_tokens > CHUNK_TOKENS
 
 
 def request_load(prompt_tokens: int) -> int:
@@ -68,13 +72,15 @@
     return next((engine for engine in ordered if loads[engine.incarnation] < bound), ordered[0])
 
 
-def choose_from_tiers(tiers: Sequence[Sequence[Backend]], key: int, nodes: int) -> Backend | None:
+def choose_from_tiers(
+    tiers: Sequence[Sequence[Backend]], key: int, nodes: int, room: float = math.inf
+) -> Backend | None:
     """Return an engine of the first tier that has one with room; of all tiers the least loaded if none has.
 
-    An engine has room while the requests of all nodes leave part of its slots free.
+    An engine has room while the load of all nodes is below its slots and below ``room``.
     """
     for tier in tiers:
-        with_room = [engine for engine in tier if engine.fleet_load(nodes) < FULL_PART * engine.record.slots]
+        with_room = [engine for engine in tier if engine.fleet_load(nodes) < min(room, engine.record.slots)]
         if with_room:
             return choose_engine(with_room, key, nodes)
     everyone = [engine for tier in tiers for engine in tier]
--- a/tests/unit/gateway/test_pipeline.py
+++ b/tests/unit/gateway/test_pipeline.py
@@ -23,6 +23,8 @@
 from wallwell.gateway.pipeline import RequestPipeline
 from wallwell.outcomes import Outcome
 from wallwell.routing.outcome import TransportEvent as T
+from wallwell.routing.prefix_home import request_load
+from wallwell.routing.reading_pace import DEFAULT_S, SMOOTHING
 
 OK = Script(chunks=(b"ok",))
 SHED = Script(fails=T.BACKEND_OVERLOADED)
@@ -396,3 +398,12 @@
     changed = b"x-weight-versions: 2\n" + event(2)
     reply, _, _ = play([stream(event(1), changed, event(3))], ONCE, generate(), versions={"m": 1})
     assert (reply.ended, reply.body) == ("finished", event(1) + changed + event(3))
+
+
+@pytest.mark.parametrize(("tokens", "learns"), [(9000, True), (500, False)], ids=["long prompt", "short prompt"])
+def test_the_pace_of_reading_is_learned_from_first_pieces_of_long_prompts(tokens, learns):
+    states = []
+    slow = stream(event(1), 1.0, event(2), head_after_s=2.0)
+    play([slow], ONCE, generate(tokens=tokens), versions={"m": 1}, prepare=states.append)
+    expected_s = DEFAULT_S + SMOOTHING * (2.0 / request_load(tokens + 10) - DEFAULT_S)
+    assert states[0].pace.seconds_per_unit == pytest.approx(expected_s if learns else DEFAULT_S, rel=0.01)
--- a/tests/unit/routing/test_prefix_home.py
+++ b/tests/unit/routing/test_prefix_home.py
@@ -111,3 +111,22 @@
     home = choose_from_tiers((listed,), key, nodes=79)
     home.load = 1
     assert choose_from_tiers((listed,), key, nodes=79) is home
+
+
+def test_a_long_prompt_goes_to_another_pool_rather_than_wait_beyond_its_objective():
+    listed = engines(6)
+    pool = engine_pool(listed, CHUNK_TOKENS + 1)
+    others = [each for each in listed if each not in pool]
+    for each in pool:
+        each.load = 10
+    for each in others:
+        each.load = 4
+    assert choose_from_tiers((pool, listed), 7, 1, room=9.0) in others
+    assert choose_from_tiers((pool, listed), 7, 1, room=11.0) in pool
+
+
+def test_without_room_anywhere_the_least_loaded_is_taken():
+    listed = engines(6)
+    for load, each in enumerate(listed, start=20):
+        each.load = load
+    assert choose_from_tiers((listed[3:], listed), 7, 1, room=9.0) is listed[0]
