Back ends whose entries lapsed while the store was away serve on until they can be back

Change: from the return of a store that was silent for over 2.4 s, a missing entry that was not draining counts for 1.7 s more, less than the 2 s allowed for sending to one that has left; then it is gone. Tests failed first on the code before.

--- a/src/wallwell/deployment/backends.py
+++ b/src/wallwell/deployment/backends.py
@@ -57,6 +57,8 @@
     """Weights version believed to be in place, per model."""
     loading: LoadInProgress | None = None
     gone: bool = False
+    lapses_at_s: float | None = None
+    """When it counts as gone unless it is listed again; None if it is listed."""
     silence: Silence = field(default_factory=Silence)
     lost_at_s: float = float("-inf")
     """When this node last found that it had stopped without a word."""
@@ -72,7 +74,12 @@
 
     def is_open(self, now_s: float) -> bool:
         """Whether the back end may get new requests."""
-        return not (self.gone or self.record.draining or now_s < self.suspended_until_s)
+        return not (self.is_leaving(now_s) or now_s < self.suspended_until_s)
+
+    def is_leaving(self, now_s: float) -> bool:
+        """Whether it is draining or gone."""
+        has_lapsed = self.lapses_at_s is not None and now_s >= self.lapses_at_s
+        return self.gone or self.record.draining or has_lapsed
 
     def is_loading(self, now_s: float) -> bool:
         """Whether an order to load weights is believed to be under way."""
@@ -174,9 +181,27 @@
         if record.versions != backend.record.versions or not backend.versions:
             backend.versions = dict(record.versions)
         backend.record = record
+        backend.lapses_at_s = None
         self._index()
         return backend
 
+    def lapse(self, incarnation: str, at_s: float) -> None:
+        """The entry is missing, but may come back until ``at_s``; the first such time counts."""
+        backend = self._by_incarnation.get(incarnation)
+        if backend is not None and backend.lapses_at_s is None:
+            backend.lapses_at_s = at_s
+
+    def remove_lapsed(self, now_s: float) -> list[Backend]:
+        """Remove and return the back ends whose entries have not come back."""
+        lapsed = [
+            each
+            for each in self._by_incarnation.values()
+            if each.lapses_at_s is not None and now_s >= each.lapses_at_s
+        ]
+        for each in lapsed:
+            self.remove(each.incarnation)
+        return lapsed
+
     def remove(self, incarnation: str) -> None:
         """The entry is gone: the back end gets nothing new."""
         backend = self._by_incarnation.pop(incarnation, None)
@@ -184,10 +209,9 @@
             backend.gone = True
             self._index()
 
-    def retain(self, incarnations: set[str]) -> None:
-        """Drop every back end that a whole listing does not name."""
-        for incarnation in [known for known in self._by_incarnation if known not in incarnations]:
-            self.remove(incarnation)
+    def unnamed(self, incarnations: set[str]) -> list[Backend]:
+        """Return the back ends that a whole listing does not name."""
+        return [each for known, each in self._by_incarnation.items() if known not in incarnations]
 
     def _index(self) -> None:
         self._by_service = {}
--- a/src/wallwell/gateway/fleet_node.py
+++ b/src/wallwell/gateway/fleet_node.py
@@ -127,6 +127,7 @@
             await self._members.register(Member(self.state.zone, self._peers.address, self._link_mbps))
             await asyncio.sleep(HOUSEKEEPING_S * self.state.rng.uniform(0.8, 1.2))
             self._pool.sweep(time.monotonic())
+            self._listing.drop_lapsed(time.monotonic())
 
     # --- callers ---------------------------------------------------------------------------------------
 
--- a/src/wallwell/gateway/fleet_rows.py
+++ b/src/wallwell/gateway/fleet_rows.py
@@ -10,7 +10,7 @@
 
 from wallwell.backends.http_connection import ConnectionPool
 from wallwell.cluster.upstream import Member, UpstreamOrder
-from wallwell.deployment.backends import BackendRecord
+from wallwell.deployment.backends import Backend, BackendRecord
 from wallwell.deployment.routes import DeploymentConfig
 from wallwell.errors import PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
@@ -24,6 +24,11 @@
 SILENCE_S = 2.4
 """Age of the last word of the operators' rows beyond which the store counts as having been silent."""
 
+LAPSE_GRACE_S = 1.7
+"""Time from the store's return in which lapsed entries of living back ends come back (2 s in the users' letter).
+
+No more than the users allow for sending to a back end after its leaving was acknowledged."""
+
 
 @dataclass(frozen=True)
 class NodeSources:
@@ -81,28 +86,46 @@
 
 
 class BackendRows:
-    """Keeps the registry of back ends as the store lists them."""
+    """Keeps the registry of back ends as the store lists them.
+
+    Entries lapse while the store is away, and those of back ends that live are back soon after its return. One that
+    is missing then goes on getting requests for ``LAPSE_GRACE_S`` from the return.
+    """
 
     def __init__(self, state: FleetState, sources: NodeSources, pool: ConnectionPool) -> None:
         self._state = state
         self._decode = sources.decode_backend
         self._pool = pool
+        self._store_returned_s = float("-inf")
 
     def apply(self, followed: FollowedPage) -> None:
         """Take a page; a row that cannot be understood changes nothing."""
         registry = self._state.backends
+        now_s = time.monotonic()
+        if now_s - followed.unconfirmed_since_s > SILENCE_S and self._state.backends_known:
+            self._store_returned_s = now_s
         if followed.whole:
-            registry.retain({row.key for row in followed.page.rows})
+            for backend in registry.unnamed({row.key for row in followed.page.rows}):
+                self._on_missing(backend, now_s)
         for row in followed.page.rows:
+            known = registry.get(row.key)
             if row.value is None:
-                self._on_gone(row.key)
+                if known is not None:
+                    self._on_missing(known, now_s)
                 continue
             try:
                 self._on_row(row.key, row.value)
             except msgspec.MsgspecError as error:
                 emit(Event.CONFIG_REFUSED, row=row.key, error=str(error))
+        self.drop_lapsed(now_s)
         self._state.backends_known = True
 
+    def drop_lapsed(self, now_s: float) -> None:
+        """Forget the back ends whose entries have not come back in time."""
+        for backend in self._state.backends.remove_lapsed(now_s):
+            emit(Event.BACKEND_GONE, backend=backend.incarnation)
+            self._pool.forget(backend.record.address)
+
     def _on_row(self, incarnation: str, value: bytes) -> None:
         record = self._decode(incarnation, value)
         known = self._state.backends.get(incarnation)
@@ -117,13 +140,10 @@
             )
         self._state.backends.upsert(record)
 
-    def _on_gone(self, incarnation: str) -> None:
-        known = self._state.backends.get(incarnation)
-        if known is None:
-            return
-        emit(Event.BACKEND_GONE, backend=incarnation)
-        self._pool.forget(known.record.address)
-        self._state.backends.remove(incarnation)
+    def _on_missing(self, backend: Backend, now_s: float) -> None:
+        """An entry is not there: the back end has left, or the entry lapsed while the store was away."""
+        grace_ends_s = now_s if backend.record.draining else self._store_returned_s + LAPSE_GRACE_S
+        self._state.backends.lapse(backend.incarnation, max(now_s, grace_ends_s))
 
 
 class MemberRows:
--- a/src/wallwell/gateway/fleet_state.py
+++ b/src/wallwell/gateway/fleet_state.py
@@ -133,7 +133,7 @@
         usable = [each for each in listed if each.is_open(now_s)]
         if not usable:
             # Every back end is suspended: one that may have recovered is better than none.
-            usable = [each for each in listed if not each.gone and not each.record.draining]
+            usable = [each for each in listed if not each.is_leaving(now_s)]
         if generation is None:
             return usable
         current = self._on_due_weights(usable, generation.model, OVERDUE_PART, now_s)
--- /dev/null
+++ b/tests/unit/gateway/test_backend_rows.py
@@ -0,0 +1,112 @@
+"""Entries of back ends that go missing: at once, or after the store was away, when living ones come back."""
+
+import asyncio
+import time
+
+import pytest
+
+from tests.unit.gateway.fakes import make_state
+from tests.virtual_time import run_virtual
+from wallwell.backends.http_connection import ConnectionPool
+from wallwell.deployment.backends import BackendRecord
+from wallwell.gateway.fleet_rows import LAPSE_GRACE_S, BackendRows
+from wallwell.storage.feed import FeedPage, FeedRow, FollowedPage
+
+AWAY_S = 5.0
+
+
+class Sources:
+    """Decodes a row's value as the back end's state."""
+
+    @staticmethod
+    def decode_backend(incarnation, value):
+        return BackendRecord(incarnation, "svc", "10.0.0.1:80", "z", 8, draining=value == b"draining")
+
+
+class Followed:
+    """A follower's pages: rows by key, None for a missing one."""
+
+    def __init__(self):
+        self.state = make_state(backends=0)
+        self.rows = BackendRows(self.state, Sources(), ConnectionPool("X", 1.0, 1.0))
+        self.confirmed_s = float("-inf")
+
+    def take(self, whole=False, **rows):
+        now_s = time.monotonic()
+        page = tuple(FeedRow(key, value, 1) for key, value in rows.items())
+        self.rows.apply(FollowedPage(FeedPage(page, 1, 0.0), whole, now_s, self.confirmed_s))
+        self.confirmed_s = now_s
+
+    def open(self):
+        now_s = time.monotonic()
+        return sorted(each.incarnation for each in self.state.backends.of_service("svc") if each.is_open(now_s))
+
+    async def pass_time(self, seconds, told=True):
+        """Let time pass; a store that is there tells every half a second that nothing has changed."""
+        for _ in range(round(seconds / 0.5)):
+            await asyncio.sleep(0.5)
+            if told:
+                self.take()
+            else:
+                self.rows.drop_lapsed(time.monotonic())
+
+
+def play(scenario):
+    async def work():
+        followed = Followed()
+        followed.take(whole=True, a=b"ready", b=b"ready", c=b"draining")
+        await followed.pass_time(2.0)
+        return await scenario(followed)
+
+    return run_virtual(work())
+
+
+def test_a_back_end_that_leaves_gets_nothing_at_once():
+    async def scenario(followed):
+        followed.take(a=None)
+        return followed.open()
+
+    assert play(scenario) == ["b"]
+
+
+@pytest.mark.parametrize("whole", [True, False], ids=["whole reading", "changes"])
+def test_living_back_ends_serve_on_while_their_entries_come_back(whole):
+    async def scenario(followed):
+        await followed.pass_time(AWAY_S, told=False)
+        followed.take(whole=True) if whole else followed.take(a=None, b=None, c=None)
+        seen = [followed.open()]
+        await followed.pass_time(1.0)
+        followed.take(a=b"ready")
+        seen.append(followed.open())
+        await followed.pass_time(LAPSE_GRACE_S)
+        seen.append(followed.open())
+        return seen
+
+    assert play(scenario) == [["a", "b"], ["a", "b"], ["a"]]
+
+
+def test_one_that_goes_missing_shortly_after_the_return_is_gone_at_the_same_time():
+    async def scenario(followed):
+        await followed.pass_time(AWAY_S, told=False)
+        followed.take()
+        await followed.pass_time(1.5)
+        followed.take(a=None)
+        seen = [followed.open()]
+        await asyncio.sleep(LAPSE_GRACE_S - 1.5)
+        followed.take()
+        seen.append(followed.open())
+        await followed.pass_time(1.0)
+        followed.take(b=None)
+        return [*seen, followed.open()]
+
+    assert play(scenario) == [["a", "b"], ["b"], []]
+
+
+def test_a_lapsed_one_is_forgotten_also_when_the_store_is_away_again():
+    async def scenario(followed):
+        await followed.pass_time(AWAY_S, told=False)
+        followed.take(whole=True)
+        await followed.pass_time(2.5, told=False)
+        return [each.incarnation for each in followed.state.backends.all()]
+
+    assert play(scenario) == []
