--- a/src/wallwell/deployment/backends.py
+++ b/src/wallwell/deployment/backends.py
@@ -60,8 +60,6 @@
     lapses_at_s: float | None = None
     """When it counts as gone unless it is listed again; None if it is listed."""
     silence: Silence = field(default_factory=Silence)
-    lost_at_s: float = float("-inf")
-    """When this node last found that it had stopped without a word."""
 
     @property
     def incarnation(self) -> str:
--- a/src/wallwell/gateway/liveness.py
+++ b/src/wallwell/gateway/liveness.py
@@ -56,7 +56,6 @@
         if await self._check.is_reachable(backend.record) or backend.silence.heard_s >= asked_s:
             return
         now_s = time.monotonic()
-        backend.lost_at_s = now_s
         backend.on_failure(now_s, unreachable=True)
         emit(
             Event.BACKEND_SILENT,
--- a/src/wallwell/placement/rollout.py
+++ b/src/wallwell/placement/rollout.py
@@ -92,6 +92,9 @@
     generations_per_s: Callable[[float], float] = lambda now_s: 0.0
     """Generations a second of all nodes at a time."""
     _under_way: set[str] = field(default_factory=set)
+    _holds: dict[tuple[str, int], float] = field(default_factory=dict)
+    """Holds worked out at ``_holds_at_s`` by model and missing version; engines that lack the same share one."""
+    _holds_at_s: float = float("-inf")
     _retry_at_s: dict[str, float] = field(default_factory=dict)
 
     def is_due(self, engines: Sequence[Backend], now_s: float) -> bool:
@@ -103,13 +106,22 @@
             return None
         for model in engine.record.versions:
             missing = self.targets.oldest_missing(model, engine.believed_version(model))
-            if missing is not None and now_s - missing.known_since_s >= self._hold_s(
-                model, missing, engines, now_s
-            ):
+            if missing is None:
+                continue
+            if now_s - missing.known_since_s >= self._hold_s(model, missing, engines, now_s):
                 return model
         return None
 
     def _hold_s(self, model: str, missing: NamedVersion, engines: Sequence[Backend], now_s: float) -> float:
+        if now_s != self._holds_at_s:
+            self._holds.clear()
+            self._holds_at_s = now_s
+        key = (model, missing.version)
+        if key not in self._holds:
+            self._holds[key] = self._find_hold_s(model, missing, engines, now_s)
+        return self._holds[key]
+
+    def _find_hold_s(self, model: str, missing: NamedVersion, engines: Sequence[Backend], now_s: float) -> float:
         newest = self.targets.newest(model)
         lacking = [each for each in engines if each.believed_version(model) < newest]
         serving = all(each.is_open(now_s) for each in engines if not each.record.draining)
--- a/src/wallwell/routing/silence.py
+++ b/src/wallwell/routing/silence.py
@@ -26,8 +26,6 @@
 
     heard_s: float = float("-inf")
     """When it last sent anything, or was last sent a request after it had nothing under way."""
-    suspected: bool = False
-    """Whether another node has found that it cannot be reached."""
     _largest_s: float | None = None
     _updated_s: float = 0.0
     _asked_s: float = float("-inf")
@@ -44,7 +42,6 @@
             self._largest_s = silent_s
             self._updated_s = now_s
         self.heard_s = now_s
-        self.suspected = False
 
     def usual_s(self, now_s: float) -> float | None:
         """Return the largest usual silence, None if nothing has been heard yet."""
@@ -61,8 +58,6 @@
 
     def _long_s(self, now_s: float) -> float:
         usual_s = self.usual_s(now_s)
-        if self.suspected:
-            return SHORTEST_S / 2
         if usual_s is None:
             return LONGEST_S
         return min(LONGEST_S, max(SHORTEST_S, LONG_FACTOR * usual_s))
