--- /dev/null
+++ b/tests/platform/test_reachability.py
@@ -0,0 +1,69 @@
+"""Whether a back end's machine answers a new connection, and what becomes of that connection."""
+
+import asyncio
+
+import pytest
+
+from wallwell.backends.http_connection import ConnectFailedError
+from wallwell.deployment.backends import BackendRecord
+from wallwell.platform.workers import REACHABLE_TIMEOUT_S, WorkerClient
+
+
+@pytest.fixture
+def patient(monkeypatch):
+    """A busy machine must not decide whether a connection on it is answered in time."""
+    monkeypatch.setattr("wallwell.platform.workers.REACHABLE_TIMEOUT_S", 30.0)
+
+
+def record(address):
+    return BackendRecord("i-1", "svc", address, "z", 8)
+
+
+def test_a_machine_that_answers_is_reachable_and_its_connection_serves_the_next_exchange(run_async, patient):
+    connections = []
+
+    async def serve(reader, writer):
+        connections.append(writer)
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        await writer.drain()
+
+    async def work():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        client = WorkerClient()
+        assert await client.is_reachable(record(address))
+        answer = await client.pool.fetch(address, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n", 5.0)
+        client.pool.close()
+        for writer in connections:
+            writer.close()
+        server.close()
+        return answer
+
+    assert run_async(work()) == (200, b"ok")
+    assert len(connections) == 1
+
+
+def test_a_refused_connection_is_an_answer(run_async, patient):
+    async def work():
+        server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        server.close()
+        await server.wait_closed()
+        return await WorkerClient().is_reachable(record(address))
+
+    assert run_async(work())
+
+
+@pytest.mark.parametrize(("timed_out", "reachable"), [(True, False), (False, True)])
+def test_only_silence_counts_as_unreachable(run_async, monkeypatch, timed_out, reachable):
+    client = WorkerClient()
+    asked = []
+
+    async def fail(address, timeout_s):
+        asked.append((address, timeout_s))
+        raise ConnectFailedError(timed_out, "scripted")
+
+    monkeypatch.setattr(client.pool, "open_resting", fail)
+    assert run_async(client.is_reachable(record("10.0.0.1:80"))) is reachable
+    assert asked == [("10.0.0.1:80", REACHABLE_TIMEOUT_S)]
