--- a/tests/unit/deployment/test_backends.py
+++ b/tests/unit/deployment/test_backends.py
@@ -43,6 +43,7 @@
     registry.lapse("i-1", 5.0)
     assert registry.remove_lapsed(5.0) == [gone]
     assert gone.gone
+    assert not gone.is_open(0.0)
     assert [each.incarnation for each in registry.of_service("s")] == ["i-2"]
 
 
