Each store of kept KV has its own links between peers

Cause, found in the last reading: a link between peers carries one request at a time, and where there are several stores their followers shared one; the second one to wait got a RuntimeError and closed the link under the first. All grown deployments have three stores, so members there went without knowledge of them for moments, and a waiting page could have been taken for another store's. The test failed with that error on the code before and passes now. Change: links by store; a loop over at most one peer is a plain condition.

--- a/src/wallwell/gateway/kept_cache_watch.py
+++ b/src/wallwell/gateway/kept_cache_watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections import defaultdict
 from typing import Protocol
 
 import msgspec
@@ -63,7 +64,8 @@
         self._state = state
         self._source = source
         self._order = order
-        self._links = PeerLinks()
+        self._links: defaultdict[str, PeerLinks] = defaultdict(PeerLinks)
+        """By store: a link carries one request at a time, and each store is followed by a task of its own."""
         self._followers: dict[str, asyncio.Task[None]] = {}
         self._listed_at_s: dict[str, float] = {}
         self._advanced = asyncio.Event()
@@ -101,9 +103,8 @@
         cache = self._state.kept_caches[address]
         page = None
         candidates = self._order.candidates(time.monotonic())
-        self._links.keep({name for name, _ in candidates[:1]})
-        for name, peer in candidates[:1]:
-            page = await self._from_peer(name, peer, address, cache)
+        if candidates:
+            page = await self._from_peer(*candidates[0], address, cache)
         if page is None:
             page = await self._from_store(address, cache)
         if page is None:
@@ -117,8 +118,10 @@
         wants_all = cache.has_gaps and self._may_list(address)
         position = CachePosition() if wants_all else cache.position
         request = CacheRequest(address, position, WAIT_S)
+        links = self._links[address]
+        links.keep({name})
         try:
-            reply = await self._links.to(name, peer).ask(request, CacheReply, WAIT_S + ANSWER_MARGIN_S)
+            reply = await links.to(name, peer).ask(request, CacheReply, WAIT_S + ANSWER_MARGIN_S)
         except PeerUnavailableError:
             return None  # The rows that come the same way decide whether the peer is passed over.
         if reply.page is not None:
@@ -168,4 +171,5 @@
 
     def close(self) -> None:
         """Close the connections to peers."""
-        self._links.keep(set())
+        for links in self._links.values():
+            links.keep(set())
--- a/tests/unit/gateway/test_kept_cache_watch.py
+++ b/tests/unit/gateway/test_kept_cache_watch.py
@@ -207,3 +207,22 @@
         await asyncio.gather(running, return_exceptions=True)
 
     run_async(work())
+
+
+def test_several_stores_are_followed_through_one_peer_at_the_same_time(with_nodes, monkeypatch):
+    """A link between peers carries one request at a time; the followers of three stores shared one."""
+    monkeypatch.setattr("wallwell.gateway.kept_cache_watch.WAIT_S", 0.3)
+
+    async def scenario(store, relay, member):
+        store.save("a")
+        addresses = [ADDRESS, "10.9.0.2:80", "10.9.0.3:80"]
+        for address in addresses:
+            for node in (relay, member):
+                node.state.kept_caches.setdefault(address, KeptCache())
+            await relay.watch.step(address)
+        calls = store.calls
+        for _ in range(3):
+            assert all(await asyncio.gather(*(member.watch.step(address) for address in addresses)))
+        assert store.calls == calls
+
+    with_nodes(scenario)
