Prompts that fit nowhere spread over the engines in place of going to the one that looked least loaded

Cause: loads of other nodes are 0.25 to 0.6 s old and the same at all nodes. Once no engine had room, every node sent every prompt to the least loaded one of that old news: 23 prompts in 0.45 s to one engine that had got none for 2 s, which then answered after 1 to 3.5 s, while others idled.

Change: a tier of engines is used while a third of them has room, and what fits nowhere goes by its key within the load bound, as all other prompts do.

--- a/src/wallwell/routing/prefix_home.py
+++ b/src/wallwell/routing/prefix_home.py
@@ -20,6 +20,8 @@
 """One engine in so many is kept for prompts of at most one chunk."""
 MIN_ENGINES_TO_DIVIDE = 3
 _POOL_KEY = key_of("short prompts")
+ROOM_DIVISOR = 3
+"""One engine in so many of a tier has to have room for the tier to be used."""
 MIN_LOAD_BOUND = 3
 LOAD_BOUND_FACTOR = 1.5
 
@@ -75,13 +77,14 @@
 def choose_from_tiers(
     tiers: Sequence[Sequence[Backend]], key: int, nodes: int, room: float = math.inf
 ) -> Backend | None:
-    """Return an engine of the first tier that has one with room; of all tiers the least loaded if none has.
+    """Return an engine of the first tier in which enough have room; one of the last tier by the key if none has.
 
-    An engine has room while the load of all nodes is below its slots and below ``room``.
+    An engine has room while the load of all nodes is below its slots and below ``room``. Loads of other nodes are
+    some hundred milliseconds old, and all nodes have the same ones. If all of them chose among the few engines that
+    looked idle, these would get in that time what the whole fleet is sent.
     """
     for tier in tiers:
         with_room = [engine for engine in tier if engine.fleet_load(nodes) < min(room, engine.record.slots)]
-        if with_room:
+        if with_room and len(with_room) * ROOM_DIVISOR >= len(tier):
             return choose_engine(with_room, key, nodes)
-    everyone = [engine for tier in tiers for engine in tier]
-    return min(everyone, key=lambda engine: engine.fleet_load(nodes)) if everyone else None
+    return choose_engine(tiers[-1], key, nodes)
