Relays of later zones follow those of the first two zones in place of the store

Cause: each zone's relay followed the store with three feeds: on five and seven zones each change and each held reading was answered that many times.

Change: zones stand in an order that all nodes work out alike. The relays of the first two follow the store, those of the others follow these, and the store only if both are silent. Relays of other zones are asked to hold a request for 0.25 s only, so that a word of the store is younger than 2 s in the last zone too. Members still report loads to their own zone's relay.

--- a/src/wallwell/cluster/load_exchange.py
+++ b/src/wallwell/cluster/load_exchange.py
@@ -50,7 +50,7 @@
     async def step(self) -> None:
         """Exchange once, and give the back ends what their load from other nodes is."""
         now_s = time.monotonic()
-        candidates = self._order.candidates(now_s)
+        candidates = self._order.in_zone(now_s)
         if candidates:
             await self._report_to(*candidates[0])
         else:
--- a/src/wallwell/cluster/relay.py
+++ b/src/wallwell/cluster/relay.py
@@ -28,6 +28,8 @@
 """How much older than the store's own wait a word of the store may be and still be passed on."""
 PACK_BYTES = 2048
 """Size from which rows are compressed: a relay sends a change once for each member, and its link may be thin."""
+OTHER_ZONE_WAIT_S = 0.25
+"""How long a relay of another zone is asked to hold a request, since its word passes one node more from there."""
 MAX_PEERS_ASKED = 2
 """Peers asked in one reading before the store is."""
 
@@ -115,7 +117,8 @@
         self.links.keep({name for name, _ in candidates})
         for name, address in candidates[:MAX_PEERS_ASKED]:
             try:
-                page = await self._ask(name, address, RowsRequest(self.table, wait_s, after))
+                held_s = min(wait_s, OTHER_ZONE_WAIT_S) if self._order.is_in_other_zone(name) else wait_s
+                page = await self._ask(name, address, RowsRequest(self.table, held_s, after))
             except PeerUnavailableError as error:
                 self._order.on_failure(name, time.monotonic())
                 emit(Event.RELAY_LOST, peer=name, rows=self.table, reason=str(error))
--- a/src/wallwell/cluster/upstream.py
+++ b/src/wallwell/cluster/upstream.py
@@ -1,9 +1,10 @@
 """Which peer a node follows the store's rows through, agreed without messages. Pure.
 
 The members of a zone stand in an order that every node works out alike: those with the fastest links first, since a
-relay sends each change once for each member. The first ones, one for so many members, follow the store; the others
-follow one of them. A node only follows a peer that stands before it, so that no two nodes can follow each other,
-and it follows the store when no peer before it is believed to work.
+relay sends each change once for each member. The first ones, one for so many members, relay for the others. Zones
+stand in an order as well: relays of the first zones follow the store, those of later zones follow these. A node
+only follows a peer that stands before it, so that no two nodes can follow each other, and it follows the store when
+no peer before it is believed to work.
 """
 
 from __future__ import annotations
@@ -17,6 +18,9 @@
 
 MEMBERS_PER_RELAY = 40
 """Members of a zone that one follower of the store can serve."""
+FOLLOWING_ZONES = 2
+"""Zones whose relays follow the store; those of other zones follow these. Two, so that either may be lost."""
+_ZONES_KEY = key_of("zones")
 FIRST_PAUSE_S = 2.0
 MAX_PAUSE_S = 16.0
 
@@ -48,6 +52,32 @@
 
     def candidates(self, now_s: float) -> list[tuple[str, str]]:
         """Return names and addresses of the peers to follow, best first; empty if the store is to be followed."""
+        in_zone = self.in_zone(now_s)
+        own = self.members.get(self.node)
+        if in_zone or own is None or not own.relay:
+            return in_zone
+        return self._of_earlier_zones(now_s)
+
+    def _of_earlier_zones(self, now_s: float) -> list[tuple[str, str]]:
+        """Return the relays that this node follows for its zone."""
+        earlier = [zone for zone in self._zones()[:FOLLOWING_ZONES] if _zone_rank(zone) < _zone_rank(self.zone)]
+        if len(earlier) < FOLLOWING_ZONES:
+            return []
+        relays = [found for zone in earlier for found in self._relays_of(zone, now_s)]
+        relays.sort(key=lambda found: rendezvous_score(found[0], key_of(self.zone)))
+        return relays
+
+    def _zones(self) -> list[str]:
+        """Return the zones in their order."""
+        return sorted({member.zone for member in self.members.values() if member.relay}, key=_zone_rank)
+
+    def is_in_other_zone(self, name: str) -> bool:
+        """Whether a peer stands in another zone."""
+        member = self.members.get(name)
+        return member is not None and member.zone != self.zone
+
+    def in_zone(self, now_s: float) -> list[tuple[str, str]]:
+        """Return the peers of the own zone that this node follows; empty if it relays for others."""
         same_zone = [name for name, member in self.members.items() if member.zone == self.zone and member.relay]
         if self.node not in same_zone:
             return []
@@ -60,16 +90,16 @@
         return [(name, self.members[name].relay) for name in working]
 
     def relays(self, now_s: float) -> list[tuple[str, str]]:
-        """Return names and addresses of the other nodes, of all zones, that follow the store for their members."""
-        by_zone: dict[str, list[str]] = {}
-        for name, member in self.members.items():
-            if member.relay:
-                by_zone.setdefault(member.zone, []).append(name)
-        found: list[str] = []
-        for zone, names in by_zone.items():
-            ordered, relays = self._order_of(zone, names)
-            found += [name for name in ordered if name == self.node or self._is_working(name, now_s)][:relays]
-        return [(name, self.members[name].relay) for name in found if name != self.node]
+        """Return names and addresses of the other nodes, of all zones, that relay for their members."""
+        found = [each for zone in self._zones() for each in self._relays_of(zone, now_s)]
+        return [(name, address) for name, address in found if name != self.node]
+
+    def _relays_of(self, zone: str, now_s: float) -> list[tuple[str, str]]:
+        """Return names and addresses of the working nodes that stand first in a zone, this node among them."""
+        names = [name for name, member in self.members.items() if member.zone == zone and member.relay]
+        ordered, relays = self._order_of(zone, names)
+        working = [name for name in ordered if name == self.node or self._is_working(name, now_s)][:relays]
+        return [(name, self.members[name].relay) for name in working]
 
     def _order_of(self, zone: str, names: list[str]) -> tuple[list[str], int]:
         """Return a zone's members in their order, and how many of them follow the store."""
@@ -94,3 +124,7 @@
     def on_success(self, name: str) -> None:
         """A peer answered."""
         self._health.pop(name, None)
+
+
+def _zone_rank(zone: str) -> tuple[int, str]:
+    return rendezvous_score(zone, _ZONES_KEY), zone
