--- a/src/wallwell/gateway/admission.py
+++ b/src/wallwell/gateway/admission.py
@@ -46,7 +46,7 @@
         service = self._state.split.choose(route, self._state.split_offset)
         self._state.budget_of(service).on_request(time.monotonic())
         if request.generation is not None:
-            self._state.demand.own.on_arrival(time.monotonic())
+            self._state.demand.own.add(time.monotonic())
         return Exchange(
             request=request,
             reply=reply,
--- a/src/wallwell/routing/first_piece.py
+++ b/src/wallwell/routing/first_piece.py
@@ -7,12 +7,13 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 import msgspec
 
+from wallwell.routing.sliding_window import SlidingWindow
+
 DELAY_WINDOW_S = 2.0
 """Time over which delays are counted: long enough for some answers a node, short against an overload."""
 BEHIND = 0.6
@@ -36,29 +37,21 @@
     return Delays(sum(each.answers for each in listed), sum(each.total for each in listed))
 
 
-@dataclass(frozen=True)
-class _Delay:
-    at_s: float
-    part: float
-
-
 @dataclass
 class FirstPieces:
     """Delays of generations, of this node and of all others. Times are on this node's clock."""
 
     peers: Delays = field(default_factory=Delays)
     """Of all other nodes as they told lately."""
-    _own: deque[_Delay] = field(default_factory=deque)
+    _own: SlidingWindow = field(default_factory=lambda: SlidingWindow(DELAY_WINDOW_S))
 
     def observe(self, delay_s: float, objective_s: float, now_s: float) -> None:
         """Count an answer that began, or was given up, ``delay_s`` after its attempt was sent."""
-        self._own.append(_Delay(now_s, delay_s / objective_s))
+        self._own.add(now_s, delay_s / objective_s)
 
     def own(self, now_s: float) -> Delays:
         """Return this node's recent delays."""
-        while self._own and self._own[0].at_s <= now_s - DELAY_WINDOW_S:
-            self._own.popleft()
-        return Delays(len(self._own), sum(each.part for each in self._own))
+        return Delays(self._own.count(now_s), self._own.total(now_s))
 
     def is_fleet_behind(self, now_s: float) -> bool:
         """Whether answers begin late everywhere."""
--- a/src/wallwell/routing/fleet_budget.py
+++ b/src/wallwell/routing/fleet_budget.py
@@ -8,9 +8,10 @@
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass, field
 
+from wallwell.routing.sliding_window import SlidingWindow
+
 SAFETY = 0.8
 """Part of the budget that is used, since nodes' counts of each other lag."""
 
@@ -23,29 +24,26 @@
     extra: float
     window_s: float
     started_s: float = float("-inf")
-    _requests: deque[float] = field(default_factory=deque)
-    _retries: deque[float] = field(default_factory=deque)
+    _requests: SlidingWindow = field(init=False)
+    _retries: SlidingWindow = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._requests = SlidingWindow(self.window_s)
+        self._retries = SlidingWindow(self.window_s)
 
     def on_request(self, now_s: float) -> None:
         """Count a request's first dispatch."""
-        self._requests.append(now_s)
-        self._expire(now_s)
+        self._requests.add(now_s)
 
     def left(self, now_s: float, nodes: int) -> float:
         """Return how many repeats this node may still send now."""
-        self._expire(now_s)
         extra = self.extra / max(1, nodes) if now_s - self.started_s >= self.window_s else 0.0
-        allowed = self.ratio * len(self._requests) + extra
-        return SAFETY * allowed - len(self._retries)
+        allowed = self.ratio * self._requests.count(now_s) + extra
+        return SAFETY * allowed - self._retries.count(now_s)
 
     def try_retry(self, now_s: float, nodes: int) -> bool:
         """Spend one repeat if the budget allows it."""
         if self.left(now_s, nodes) < 1.0:
             return False
-        self._retries.append(now_s)
+        self._retries.add(now_s)
         return True
-
-    def _expire(self, now_s: float) -> None:
-        for times in (self._requests, self._retries):
-            while times and times[0] <= now_s - self.window_s:
-                times.popleft()
--- a/src/wallwell/routing/fleet_load.py
+++ b/src/wallwell/routing/fleet_load.py
@@ -22,7 +22,7 @@
         """Return what this node tells."""
         return Load(
             requests=self.backends.own_loads(),
-            generations=self.demand.own.recent(now_s),
+            generations=self.demand.own.count(now_s),
             delays=self.first_pieces.own(now_s),
         )
 
--- a/tests/unit/cluster/test_load_exchange.py
+++ b/tests/unit/cluster/test_load_exchange.py
@@ -81,7 +81,7 @@
     async def scenario(nodes):
         for index, node in enumerate(nodes):
             for _ in range(index + 1):
-                node.demand.own.on_arrival(time.monotonic())
+                node.demand.own.add(time.monotonic())
         await exchange(nodes)
         return [node.demand.per_s(time.monotonic(), len(nodes)) for node in nodes]
 
--- a/tests/unit/routing/test_load_reports.py
+++ b/tests/unit/routing/test_load_reports.py
@@ -1,6 +1,6 @@
 """Sums of what nodes report: the newest of each, and only for a while."""
 
-from wallwell.routing.demand import RATE_WINDOW_S, ArrivalCount, FleetDemand
+from wallwell.routing.demand import RATE_WINDOW_S, FleetDemand
 from wallwell.routing.load_reports import REPORT_LIFETIME_S, Load, LoadReports, sum_loads
 
 
@@ -26,15 +26,15 @@
 
 
 def test_arrivals_are_counted_for_a_while():
-    arrivals = ArrivalCount()
+    arrivals = FleetDemand().own
     for at_s in (0.0, 1.0, 2.0):
-        arrivals.on_arrival(at_s)
-    assert [arrivals.recent(now_s) for now_s in (2.0, RATE_WINDOW_S, RATE_WINDOW_S + 5.0)] == [3, 2, 0]
+        arrivals.add(at_s)
+    assert [arrivals.count(now_s) for now_s in (2.0, RATE_WINDOW_S, RATE_WINDOW_S + 5.0)] == [3, 2, 0]
 
 
 def test_unheard_nodes_are_taken_to_get_as_much_as_this_one():
     demand = FleetDemand()
-    demand.own.on_arrival(0.0)
+    demand.own.add(0.0)
     assert demand.per_s(0.1, nodes=8) == 8 / RATE_WINDOW_S
     demand.peers_generations = 3
     assert demand.per_s(0.1, nodes=8) == 4 / RATE_WINDOW_S
