A model of 59 engines shows that the fleet recovers from a loss of a quarter of them

In virtual time, with nodes' choice, patience and old news of loads as they are, 190 long prompts a second and 15 engines away from 2 to 9 s. At 230 a second, which the rest of the fleet cannot carry, more than half stay in time.

--- /dev/null
+++ b/tests/unit/gateway/test_fleet_recovery.py
@@ -0,0 +1,228 @@
+"""A fleet that loses a quarter of its 59 engines at a high load is soon in time again once they are back.
+
+The choice of engines and the patience with silent ones are the product's; engines and what nodes tell each other
+are modelled. Every engine reads one prompt after the other, a third of them more slowly, and there is no store of
+kept KV cache. Loads of other nodes are a quarter to half a second old, as they are in a fleet of many nodes.
+"""
+
+import dataclasses
+import heapq
+import random
+import statistics
+from collections import OrderedDict, deque
+
+import pytest
+
+from tests.unit.gateway.fakes import make_request, make_route
+from wallwell.deployment.backends import Backend, BackendRecord
+from wallwell.deployment.routes import DeploymentConfig, RouteKind
+from wallwell.gateway.backend_choice import BackendChoice
+from wallwell.gateway.exchange import Generation
+from wallwell.gateway.exchange_state import Exchange
+from wallwell.gateway.fleet_state import FleetBounds, FleetState
+from wallwell.routing.load_reports import sum_loads
+from wallwell.routing.outcome import AttemptLog
+from wallwell.routing.prefix_home import PromptPart, request_load
+
+NODES, ENGINES, ZONES = 24, 59, 7
+GUIDE_TOKENS, CASE_TOKENS, CASES = 2_520, 3_780, 1_266
+ENGINE_KEEPS_TOKENS = 60_000
+READ_TOKENS_PER_S = 40_800
+REPORT_S = 0.25
+OBJECTIVE_S = 0.8
+PATIENCE_S = 1.3
+SLOW_FACTOR = 1.3
+DARK_ENGINES = 15
+DARK_FROM_S, DARK_TO_S = 2.0, 9.0
+RECOVERED_S = DARK_TO_S + 3.0
+ROUTE = dataclasses.replace(make_route(RouteKind.STREAM, timeout_s=5.0), objective_s=OBJECTIVE_S)
+
+
+class Recent:
+    """Parts by identity, of which the least recently used give way."""
+
+    def __init__(self, tokens):
+        self._room = tokens
+        self._parts = OrderedDict()
+
+    def __contains__(self, identity):
+        return identity in self._parts
+
+    def use(self, identity, tokens):
+        """Keep a part, as the one used last."""
+        self._parts[identity] = tokens
+        self._parts.move_to_end(identity)
+        while sum(self._parts.values()) > self._room:
+            self._parts.popitem(last=False)
+
+
+class Engine:
+    """Reads one prompt after the other; one that was withdrawn before its turn is left out."""
+
+    def __init__(self, number, at):
+        self.kept = Recent(ENGINE_KEEPS_TOKENS)
+        self.away_until_s = 0.0
+        self._s_per_token = (SLOW_FACTOR if number % 3 == 2 else 1.0) / READ_TOKENS_PER_S
+        self._at = at
+        self._waiting = deque()
+        self._is_reading = False
+
+    def read(self, sent, attempt, then, now_s):
+        """Read a prompt's parts that are not kept, and call ``then`` unless the attempt was withdrawn."""
+        self._waiting.append((sent, attempt, then))
+        if not self._is_reading:
+            self._next(max(now_s, self.away_until_s))
+
+    def _next(self, now_s):
+        while self._waiting and self._waiting[0][0].attempt != self._waiting[0][1]:
+            self._waiting.popleft()
+        self._is_reading = bool(self._waiting)
+        if not self._waiting:
+            return
+        sent, attempt, then = self._waiting.popleft()
+        tokens = sum(part.tokens for part in sent.parts if part.identity not in self.kept)
+        for part in sent.parts[:2]:
+            self.kept.use(part.identity, part.tokens)
+
+        def end(at_s):
+            if sent.attempt == attempt:
+                then(at_s)
+            self._next(at_s)
+
+        self._at(now_s + tokens * self._s_per_token, end)
+
+
+class Fleet:
+    def __init__(self, seed, dark_engines=DARK_ENGINES):
+        self.rng = random.Random(seed)
+        self.engines = {f"e{number}": Engine(number, self.at) for number in range(ENGINES)}
+        self.dark = set(self.rng.sample(sorted(self.engines), dark_engines))
+        self.events = []
+        self.order = 0
+        self.told = []
+        self.nodes = [self._node(index) for index in range(NODES)]
+
+    def _node(self, index):
+        state = FleetState(f"n{index}", f"z{index % ZONES}", FleetBounds(), random.Random(self.rng.random()))
+        state.apply_config(DeploymentConfig(1, (ROUTE,)))
+        for engine in range(ENGINES):
+            state.backends.upsert(
+                BackendRecord(f"e{engine}", "svc", f"e{engine}:1", f"z{engine % ZONES}", 16, versions={"m": 1})
+            )
+        state.members = {f"n{each}" for each in range(NODES)}
+        return state
+
+    def at(self, at_s, action):
+        heapq.heappush(self.events, (at_s, self.order, action))
+        self.order += 1
+
+    def run(self, per_s, seconds):
+        """Return pairs of each prompt's arrival and its time to the first piece."""
+        self.results = []
+        at_s = 0.0
+        while at_s < seconds:
+            self.at(at_s, self._arrive)
+            at_s += self.rng.expovariate(per_s)
+        self.at(REPORT_S, self._report)
+        self.at(DARK_FROM_S, self._lose_engines)
+        while self.events and self.events[0][0] < seconds + 5.0:
+            now_s, _, action = heapq.heappop(self.events)
+            action(now_s)
+        return self.results
+
+    def _lose_engines(self, now_s):
+        """All nodes know at once which engines are away; these come back empty."""
+        for state in self.nodes:
+            for engine in self.dark:
+                state.backends.get(engine).suspended_until_s = DARK_TO_S
+        for engine in self.dark:
+            self.engines[engine].kept = Recent(ENGINE_KEEPS_TOKENS)
+            self.engines[engine].away_until_s = DARK_TO_S
+
+    def _arrive(self, now_s):
+        case = int(CASES * self.rng.random() ** 1.4)
+        own = min(39_600, int(self.rng.lognormvariate(7.6, 0.83)))
+        parts = (
+            PromptPart(f"guide{case % 4}", GUIDE_TOKENS),
+            PromptPart(f"case{case}", CASE_TOKENS),
+            PromptPart("own", own),
+        )
+        self._send(Sent(self.rng.choice(self.nodes), parts, now_s), now_s)
+
+    def _send(self, sent, now_s):
+        state = sent.state
+        state.freshness.confirm(now_s)
+        generation = Generation("m", sent.parts, None)
+        request = make_request(generation=generation)
+        exchange = Exchange(request, None, ROUTE, None, "svc", now_s + 5.0, AttemptLog(repeatable=True))
+        usable = state.usable_backends("svc", generation, now_s)
+        candidates = [each for each in usable if each is not sent.backend]
+        sent.backend = backend = BackendChoice(state).choose(exchange, candidates)
+        sent.load = request_load(generation.prompt_tokens)
+        backend.load += sent.load
+        load_when_sent = backend.fleet_load(NODES)
+        attempt = sent.attempt
+
+        def begin(at_s):
+            self._begin(sent, load_when_sent, now_s, at_s)
+
+        self.engines[backend.incarnation].read(sent, attempt, begin, now_s)
+        if not attempt:
+            self.at(now_s + PATIENCE_S, lambda at_s: self._end_patience(sent, now_s, at_s))
+
+    def _end_patience(self, sent, sent_s, now_s):
+        state = sent.state
+        if sent.has_begun or state.first_pieces.is_fleet_behind(now_s):
+            return
+        state.first_pieces.observe(now_s - sent_s, OBJECTIVE_S, now_s)
+        sent.backend.load -= sent.load
+        sent.attempt += 1
+        self._send(sent, now_s)
+
+    def _begin(self, sent, load_when_sent, sent_s, now_s):
+        sent.has_begun = True
+        sent.backend.load -= sent.load
+        sent.state.pace.observe(load_when_sent, now_s - sent_s)
+        sent.state.first_pieces.observe(now_s - sent_s, OBJECTIVE_S, now_s)
+        self.results.append((sent.arrived_s, now_s - sent.arrived_s))
+
+    def _report(self, now_s):
+        """Every node learns what the others had told a moment ago."""
+        previous, self.told = self.told, [state.load.own(now_s) for state in self.nodes]
+        for index, state in enumerate(self.nodes):
+            others = [each for other, each in enumerate(previous) if other != index]
+            if others:
+                state.load.learn(sum_loads(others))
+        self.at(now_s + REPORT_S, self._report)
+
+
+@dataclasses.dataclass
+class Sent:
+    """A prompt on its way."""
+
+    state: FleetState
+    parts: tuple
+    arrived_s: float
+    backend: Backend | None = None
+    load: int = 0
+    attempt: int = 0
+    has_begun: bool = False
+
+
+def late_part(results, from_s, to_s):
+    """Return the part of prompts whose first piece came after the objective."""
+    times = [first_s for arrived_s, first_s in results if from_s <= arrived_s < to_s]
+    return statistics.fmean(first_s > OBJECTIVE_S for first_s in times)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_prompts_are_in_time_three_seconds_after_lost_engines_are_back(seed):
+    """All nodes chose the one engine that looked least loaded: half of all prompts stayed late to the end."""
+    results = Fleet(seed).run(per_s=190, seconds=18.0)
+    assert late_part(results, RECOVERED_S, 18.0) < 0.1
+
+
+def test_most_prompts_stay_in_time_at_a_load_that_the_rest_of_the_fleet_cannot_carry():
+    results = Fleet(1).run(per_s=230, seconds=18.0)
+    assert late_part(results, DARK_FROM_S, DARK_TO_S) < 0.5
+    assert late_part(results, RECOVERED_S, 18.0) < 0.25
