The fleet is behind if two fifths of answers begin late, in place of by their mean delay

An engine that takes requests and never answers is silent for the whole patience, so with a third of all engines hanging the mean delay passed its limit, and silence was no reason for a repeat any more: requests would have stayed at the hanging engines to their deadline.

Change: answers count as late or not. A hanging engine's attempt is late once and its repeat is not, so even half of the engines hanging give a third of late answers; a fleet that is behind has about a half.

--- a/src/wallwell/gateway/backend_choice.py
+++ b/src/wallwell/gateway/backend_choice.py
@@ -47,5 +47,5 @@
         """The current run was given up before its first piece."""
         timing = exchange.timing
         if timing.sent_s is not None and exchange.request.generation is not None:
-            self._state.first_pieces.observe(now_s - timing.sent_s, exchange.route.objective_s, now_s)
+            self._state.first_pieces.on_given_up(now_s)
             timing.sent_s = None
--- a/src/wallwell/routing/first_piece.py
+++ b/src/wallwell/routing/first_piece.py
@@ -16,25 +16,26 @@
 
 DELAY_WINDOW_S = 2.0
 """Time over which delays are counted: long enough for some answers a node, short against an overload."""
-BEHIND = 0.6
-"""Mean delay, as a part of the objective, from which the fleet counts as behind.
+BEHIND = 0.4
+"""Part of answers that begin after their objective from which the fleet counts as behind.
 
-Fleets that keep up have 0.2 to 0.4 on the users' deployments, those that do not have 1 and more."""
+Fleets that keep up have less than 0.1, those that do not about a half. While some engines hang, each attempt there
+is late and its repeat elsewhere is not: with half of all engines hanging a third of the answers would be late."""
 MIN_ANSWERS = 5
-"""Answers from which the mean says anything."""
+"""Answers from which that part says anything."""
 
 
 class Delays(msgspec.Struct, frozen=True, array_like=True):
-    """Answers that began or were given up in the window, and the sum of their delays in parts of the objective."""
+    """Answers that began or were given up in the window, and how many of them after their objective."""
 
     answers: int = 0
-    total: float = 0.0
+    late: int = 0
 
 
 def sum_delays(delays: Iterable[Delays]) -> Delays:
     """Return the delays of several nodes together."""
     listed = list(delays)
-    return Delays(sum(each.answers for each in listed), sum(each.total for each in listed))
+    return Delays(sum(each.answers for each in listed), sum(each.late for each in listed))
 
 
 @dataclass
@@ -46,14 +47,18 @@
     _own: SlidingWindow = field(default_factory=lambda: SlidingWindow(DELAY_WINDOW_S))
 
     def observe(self, delay_s: float, objective_s: float, now_s: float) -> None:
-        """Count an answer that began, or was given up, ``delay_s`` after its attempt was sent."""
-        self._own.add(now_s, delay_s / objective_s)
+        """Count an answer that began ``delay_s`` after its attempt was sent."""
+        self._own.add(now_s, float(delay_s > objective_s))
+
+    def on_given_up(self, now_s: float) -> None:
+        """Count an attempt that was given up before its answer began."""
+        self._own.add(now_s, 1.0)
 
     def own(self, now_s: float) -> Delays:
         """Return this node's recent delays."""
-        return Delays(self._own.count(now_s), self._own.total(now_s))
+        return Delays(self._own.count(now_s), round(self._own.total(now_s)))
 
     def is_fleet_behind(self, now_s: float) -> bool:
         """Whether answers begin late everywhere."""
         fleet = sum_delays((self.own(now_s), self.peers))
-        return fleet.answers >= MIN_ANSWERS and fleet.total >= BEHIND * fleet.answers
+        return fleet.answers >= MIN_ANSWERS and fleet.late >= BEHIND * fleet.answers
--- a/tests/unit/gateway/test_cache_planning.py
+++ b/tests/unit/gateway/test_cache_planning.py
@@ -97,7 +97,7 @@
 
 def behind(fleet):
     known("shared")(fleet)
-    fleet.first_pieces.peers = Delays(100, 110.0)
+    fleet.first_pieces.peers = Delays(100, 60)
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/gateway/test_fleet_recovery.py
+++ b/tests/unit/gateway/test_fleet_recovery.py
@@ -168,13 +168,13 @@
 
         self.engines[backend.incarnation].read(sent, attempt, begin, now_s)
         if not attempt:
-            self.at(now_s + PATIENCE_S, lambda at_s: self._end_patience(sent, now_s, at_s))
+            self.at(now_s + PATIENCE_S, lambda at_s: self._end_patience(sent, at_s))
 
-    def _end_patience(self, sent, sent_s, now_s):
+    def _end_patience(self, sent, now_s):
         state = sent.state
         if sent.has_begun or state.first_pieces.is_fleet_behind(now_s):
             return
-        state.first_pieces.observe(now_s - sent_s, OBJECTIVE_S, now_s)
+        state.first_pieces.on_given_up(now_s)
         sent.backend.load -= sent.load
         sent.attempt += 1
         self._send(sent, now_s)
--- a/tests/unit/gateway/test_head_wait.py
+++ b/tests/unit/gateway/test_head_wait.py
@@ -48,9 +48,7 @@
     assert client.cancelled == 1
 
 
-@pytest.mark.parametrize(
-    ("peers", "sent"), [(Delays(100, 20.0), 2), (Delays(100, 110.0), 1)], ids=["in time", "behind"]
-)
+@pytest.mark.parametrize(("peers", "sent"), [(Delays(100, 20), 2), (Delays(100, 60), 1)], ids=["in time", "behind"])
 def test_a_silent_engine_is_left_only_if_the_others_are_not_behind_as_well(peers, sent):
     """Found on a deployment of 195 nodes: 60 prompts a second were read again, and the fleet stayed behind."""
 
@@ -77,5 +75,4 @@
         return state.first_pieces.own(time.monotonic())
 
     delays = run_virtual(work())
-    assert delays.answers == 2
-    assert delays.total > 0.9
+    assert delays == Delays(2, 1)
--- a/tests/unit/routing/test_first_piece.py
+++ b/tests/unit/routing/test_first_piece.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from wallwell.routing.first_piece import BEHIND, DELAY_WINDOW_S, MIN_ANSWERS, Delays, FirstPieces, sum_delays
+from wallwell.routing.first_piece import DELAY_WINDOW_S, MIN_ANSWERS, Delays, FirstPieces, sum_delays
 
 
 def observed(*delays_s):
@@ -18,10 +18,11 @@
         ([0.2] * 10, Delays(), False),
         ([0.9] * 10, Delays(), True),
         ([0.9] * (MIN_ANSWERS - 1), Delays(), False),
-        ([0.9], Delays(100, 30.0), False),
-        ([0.1], Delays(100, 90.0), True),
+        ([0.9] * 10, Delays(100, 20), False),
+        ([0.1], Delays(100, 60), True),
+        ([5.0] * 15 + [0.2] * 30, Delays(), False),
     ],
-    ids=["in time", "late", "too few", "late here only", "late elsewhere"],
+    ids=["in time", "late", "too few", "late here only", "late elsewhere", "half of the engines hang"],
 )
 def test_the_fleet_is_behind_if_answers_begin_late_everywhere(delays_s, peers, expected):
     pieces = observed(*delays_s)
@@ -35,6 +36,6 @@
     assert not pieces.is_fleet_behind(10.0 + DELAY_WINDOW_S)
 
 
-def test_delays_are_counted_in_parts_of_the_objective():
-    assert observed(0.4, 0.8).own(10.0) == Delays(2, pytest.approx(1.5))
-    assert sum_delays([Delays(2, 1.5), Delays(1, BEHIND)]) == Delays(3, pytest.approx(1.5 + BEHIND))
+def test_an_answer_is_late_beyond_its_own_objective():
+    assert observed(0.4, 0.8, 0.81, 9.0).own(10.0) == Delays(4, 2)
+    assert sum_delays([Delays(4, 2), Delays(1, 1)]) == Delays(5, 3)
