The members of a zone that peers can reach are listed in one place; two comments follow the relays between zones

UpstreamOrder listed a zone's reachable members twice with the same expression, and two comments still said that a zone's first members follow the store, which now holds for two zones only.

Change: one method in place of two expressions, comments corrected.

--- a/src/wallwell/cluster/upstream.py
+++ b/src/wallwell/cluster/upstream.py
@@ -17,7 +17,7 @@
 from wallwell.routing.rendezvous import key_of, rendezvous_score
 
 MEMBERS_PER_RELAY = 40
-"""Members of a zone that one follower of the store can serve."""
+"""Members of a zone that one relay can serve."""
 FOLLOWING_ZONES = 2
 """Zones whose relays follow the store; those of other zones follow these. Two, so that either may be lost."""
 _ZONES_KEY = key_of("zones")
@@ -78,7 +78,7 @@
 
     def in_zone(self, now_s: float) -> list[tuple[str, str]]:
         """Return the peers of the own zone that this node follows; empty if it relays for others."""
-        same_zone = [name for name, member in self.members.items() if member.zone == self.zone and member.relay]
+        same_zone = self._reachable_in(self.zone)
         if self.node not in same_zone:
             return []
         ordered, relays = self._order_of(self.zone, same_zone)
@@ -96,13 +96,16 @@
 
     def _relays_of(self, zone: str, now_s: float) -> list[tuple[str, str]]:
         """Return names and addresses of the working nodes that stand first in a zone, this node among them."""
-        names = [name for name, member in self.members.items() if member.zone == zone and member.relay]
-        ordered, relays = self._order_of(zone, names)
+        ordered, relays = self._order_of(zone, self._reachable_in(zone))
         working = [name for name in ordered if name == self.node or self._is_working(name, now_s)][:relays]
         return [(name, self.members[name].relay) for name in working]
 
+    def _reachable_in(self, zone: str) -> list[str]:
+        """Return the members of a zone that peers can reach."""
+        return [name for name, member in self.members.items() if member.zone == zone and member.relay]
+
     def _order_of(self, zone: str, names: list[str]) -> tuple[list[str], int]:
-        """Return a zone's members in their order, and how many of them follow the store."""
+        """Return a zone's members in their order, and how many of them relay for the others."""
         key = key_of(zone)
         ordered = sorted(
             names, key=lambda name: (self.members[name].link_mbps, rendezvous_score(name, key), name), reverse=True
