--- a/src/wallwell/cluster/load_exchange.py
+++ b/src/wallwell/cluster/load_exchange.py
@@ -5,6 +5,8 @@
 import asyncio
 import time
 
+import msgspec
+
 from wallwell.cluster.peer_link import PeerLinks, PeerMessage
 from wallwell.cluster.upstream import UpstreamOrder
 from wallwell.errors import PeerUnavailableError
@@ -16,17 +18,29 @@
 
 
 class MemberLoad(PeerMessage, frozen=True):
-    """A member's own load; answered with that of all other nodes."""
+    """A member's own load, and what it spent of tenants' limits since its last report."""
 
     node: str
     load: Load
+    spent: dict[str, int] = {}
+
+
+class OthersLoad(msgspec.Struct, frozen=True):
+    """Answer to :class:`MemberLoad`: the load of all other nodes, and what is left of limits that are not full."""
+
+    load: Load
+    levels: dict[str, int] = {}
 
 
 class ZoneLoad(PeerMessage, frozen=True):
-    """The load of a node and the members that report to it; answered with the same."""
+    """The load of a node and the members that report to it, and all that was spent through it since it started.
+
+    Answered with the same of the other node.
+    """
 
     node: str
     load: Load
+    spent_totals: dict[str, int] = {}
 
 
 class LoadExchange:
@@ -56,32 +70,38 @@
         else:
             await self._exchange_with(self._order.relays(now_s))
         if time.monotonic() - self._heard_at_s >= REPORT_LIFETIME_S:
-            self._load.forget()
+            self._load.forget(self._order.fleet_size())
 
     async def _report_to(self, name: str, address: str) -> None:
         self._links.keep({name})
-        message = MemberLoad(self._node, self._own_load())
+        limits = self._load.limits
+        message = MemberLoad(self._node, self._own_load(), limits.begin_report())
+        taken = False
         try:
-            reply = await self._links.to(name, address).ask(message, Load, ANSWER_TIMEOUT_S)
+            reply = await self._links.to(name, address).ask(message, OthersLoad, ANSWER_TIMEOUT_S)
+            taken = True
         except PeerUnavailableError:
             return  # The rows that come the same way decide whether the peer is passed over.
-        self._learn(reply)
+        finally:
+            limits.end_report(taken)
+        self._learn(reply.load)
+        limits.learn_levels(reply.levels, time.monotonic())
 
     async def _exchange_with(self, relays: list[tuple[str, str]]) -> None:
         self._links.keep({name for name, _ in relays})
-        message = ZoneLoad(self._node, self._zone_load())
+        message = self._zone_message()
         await asyncio.gather(*(self._exchange_sums(name, address, message) for name, address in relays))
         now_s = time.monotonic()
         self._learn(sum_loads((*self._members.recent(now_s), *self._zones.recent(now_s))))
 
     async def _exchange_sums(self, name: str, address: str, message: ZoneLoad) -> None:
         try:
-            reply = await self._links.to(name, address).ask(message, Load, ANSWER_TIMEOUT_S)
+            reply = await self._links.to(name, address).ask(message, ZoneLoad, ANSWER_TIMEOUT_S)
         except PeerUnavailableError:
             self._order.on_failure(name, time.monotonic())
             return
         self._order.on_success(name)
-        self._zones.take(name, reply, time.monotonic())
+        self._take_zone(reply)
 
     def _own_load(self) -> Load:
         return self._load.own(time.monotonic())
@@ -89,23 +109,34 @@
     def _zone_load(self) -> Load:
         return sum_loads((*self._members.recent(time.monotonic()), self._own_load()))
 
+    def _zone_message(self) -> ZoneLoad:
+        return ZoneLoad(self._node, self._zone_load(), self._load.limits.spent_totals())
+
+    def _take_zone(self, message: ZoneLoad) -> None:
+        now_s = time.monotonic()
+        self._zones.take(message.node, message.load, now_s)
+        self._load.limits.take_relay(message.node, message.spent_totals, now_s)
+
     def _learn(self, load: Load) -> None:
         self._heard_at_s = time.monotonic()
-        self._load.learn(load)
+        self._load.learn(load, self._order.fleet_size())
 
     # --- what peers say --------------------------------------------------------------------------------
 
-    async def on_member(self, message: MemberLoad) -> Load:
+    async def on_member(self, message: MemberLoad) -> OthersLoad:
         """Take a member's report and return what all others have under way."""
         now_s = time.monotonic()
         self._members.take(message.node, message.load, now_s)
+        limits = self._load.limits
+        limits.take_member(message.spent, now_s)
         others = self._members.recent(now_s, without=message.node)
-        return sum_loads((*others, *self._zones.recent(now_s), self._own_load()))
+        load = sum_loads((*others, *self._zones.recent(now_s), self._own_load()))
+        return OthersLoad(load, limits.levels(now_s))
 
-    async def on_zone(self, message: ZoneLoad) -> Load:
+    async def on_zone(self, message: ZoneLoad) -> ZoneLoad:
         """Take another relay's sum and return this one's."""
-        self._zones.take(message.node, message.load, time.monotonic())
-        return self._zone_load()
+        self._take_zone(message)
+        return self._zone_message()
 
     def close(self) -> None:
         """Close the connections to peers."""
--- a/src/wallwell/cluster/upstream.py
+++ b/src/wallwell/cluster/upstream.py
@@ -58,6 +58,10 @@
             return in_zone
         return self._of_earlier_zones(now_s)
 
+    def fleet_size(self) -> int:
+        """Return how many nodes are registered; 0 while this one is not, since it may not know the others then."""
+        return len(self.members) if self.node in self.members else 0
+
     def _of_earlier_zones(self, now_s: float) -> list[tuple[str, str]]:
         """Return the relays that this node follows for its zone."""
         earlier = [zone for zone in self._zones()[:FOLLOWING_ZONES] if _zone_rank(zone) < _zone_rank(self.zone)]
--- a/src/wallwell/deployment/routes.py
+++ b/src/wallwell/deployment/routes.py
@@ -73,14 +73,33 @@
     zone: str = ""
 
 
+@dataclass(frozen=True)
+class TenantLimit:
+    """What all nodes together may serve of a tenant: ``rate_per_s``, and ``burst`` saved up from quieter times."""
+
+    rate_per_s: float
+    burst: float
+    counts_tokens: bool = False
+    """Whether the amounts are tokens; requests otherwise."""
+    plain_tokens: int = 1
+    """What a request without a token count of its own costs."""
+
+    def cost(self, told_tokens: int | None) -> int:
+        """Return what a request costs; ``told_tokens`` is its prompt and its largest output."""
+        if not self.counts_tokens:
+            return 1
+        return self.plain_tokens if told_tokens is None else told_tokens
+
+
 @dataclass(frozen=True)
 class TenantAccess:
-    """A tenant, its credentials, and whether its cache is shared with no other tenant."""
+    """A tenant, its credentials, its limit, and whether its cache is shared with no other tenant."""
 
     name: str
     credentials: tuple[str, ...]
     rank: int | None = None
     isolated: bool = False
+    limit: TenantLimit | None = None
 
 
 @dataclass(frozen=True)
@@ -114,6 +133,11 @@
     def _tenant_by_credential(self) -> dict[str, TenantAccess]:
         return {key: tenant for tenant in self.tenants for key in tenant.credentials}
 
+    @cached_property
+    def limits_by_tenant(self) -> dict[str, TenantLimit]:
+        """Limits of the tenants that have one."""
+        return {tenant.name: tenant.limit for tenant in self.tenants if tenant.limit is not None}
+
     @cached_property
     def service_by_name(self) -> dict[str, Service]:
         """Services by name."""
--- a/src/wallwell/errors.py
+++ b/src/wallwell/errors.py
@@ -120,7 +120,7 @@
 
 
 class RateLimitedError(RequestError):
-    """The tenant's request rate or concurrency is used up."""
+    """The tenant's limit is used up; ``retry_after_ms`` says when the request can be expected to be served."""
 
     code = "WW3006"
     http_status = 429
--- a/src/wallwell/gateway/admission.py
+++ b/src/wallwell/gateway/admission.py
@@ -8,6 +8,7 @@
 from wallwell.errors import (
     BodyTooLargeError,
     NotReadyError,
+    RateLimitedError,
     StaleConfigurationError,
     UnauthenticatedError,
     UnknownResourceError,
@@ -16,6 +17,7 @@
 from wallwell.gateway.exchange_state import Exchange
 from wallwell.gateway.fleet_state import FleetState
 from wallwell.routing.outcome import AttemptLog
+from wallwell.routing.tenant_limits import Admitted, OverLimit
 
 RETRY_AFTER_MS = 150
 """When a refused caller is told to come back."""
@@ -40,6 +42,7 @@
             raise UnknownResourceError("no route for this host and path")
         tenant = self._authorise(request, route, fresh)
         self._check_body(request, config.bounds.max_body_bytes)
+        admitted = self._take_of_limit(request, tenant)
         allowance_s = route.timeout_s
         if request.allowance_s is not None:
             allowance_s = min(allowance_s, request.allowance_s)
@@ -55,6 +58,7 @@
             service=service,
             deadline_s=request.arrived_s + allowance_s,
             log=AttemptLog(repeatable=route.repeatable),
+            admitted=admitted,
         )
 
     def _authorise(self, request: CallerRequest, route: Route, fresh: bool) -> TenantAccess | None:
@@ -69,6 +73,17 @@
             raise UnauthenticatedError("the credential belongs to no tenant")
         return tenant
 
+    def _take_of_limit(self, request: CallerRequest, tenant: TenantAccess | None) -> Admitted | None:
+        """Take a request's tokens of its tenant's limit. Raises :class:`RateLimitedError`."""
+        if tenant is None or tenant.limit is None:
+            return None
+        cost = tenant.limit.cost(request.told_tokens)
+        taken = self._state.load.limits.admit(tenant.name, cost, time.monotonic())
+        if isinstance(taken, OverLimit):
+            detail = f"the limit of {tenant.name} is used up"
+            raise RateLimitedError(detail, retry_after_ms=round(taken.wait_s * 1000))
+        return taken
+
     def _check_body(self, request: CallerRequest, max_body_bytes: int) -> None:
         if len(request.body) > max_body_bytes:
             raise BodyTooLargeError("body is larger than the limit")
--- a/src/wallwell/gateway/exchange.py
+++ b/src/wallwell/gateway/exchange.py
@@ -50,6 +50,8 @@
     """How long the caller waits, from its arrival here."""
     arrived_s: float
     generation: Generation | None = None
+    told_tokens: int | None = None
+    """Tokens of the prompt and of the largest output together, None if the caller does not say."""
 
     @property
     def path(self) -> str:
--- a/src/wallwell/gateway/exchange_state.py
+++ b/src/wallwell/gateway/exchange_state.py
@@ -11,6 +11,7 @@
 from wallwell.gateway.exchange import AttemptHistory, CallerReply, CallerRequest
 from wallwell.routing.outcome import AttemptLog
 from wallwell.routing.prefix_home import placement_key
+from wallwell.routing.tenant_limits import Admitted
 
 
 @dataclass
@@ -50,6 +51,8 @@
     service: str
     deadline_s: float
     log: AttemptLog
+    admitted: Admitted | None = None
+    """What was taken of the tenant's limit; None if it has none."""
     history: AttemptHistory = field(default_factory=AttemptHistory)
     position: StreamPosition = field(default_factory=StreamPosition)
     timing: AnswerTiming = field(default_factory=AnswerTiming)
--- a/src/wallwell/gateway/fleet_state.py
+++ b/src/wallwell/gateway/fleet_state.py
@@ -100,6 +100,7 @@
         if self.config is not None and config.version <= self.config.version:
             return False
         self.config = config
+        self.load.limits.set_limits(config.limits_by_tenant)
         return True
 
     def is_fresh(self, arrival_s: float) -> bool:
--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -76,10 +76,19 @@
         """Answer one request."""
         try:
             exchange = self._admission.admit(request, reply)
-            await self._run(exchange)
+            await self._run_admitted(exchange)
         except RequestError as error:
             await self._end_with_error(request, reply, error)
 
+    async def _run_admitted(self, exchange: Exchange) -> None:
+        """Run a request; what it took of its tenant's limit is given back if it is proved not to have run."""
+        try:
+            await self._run(exchange)
+        except RequestError as error:
+            if error.outcome is Outcome.NOT_RUN and exchange.admitted is not None:
+                self._state.load.limits.give_back(exchange.admitted)
+            raise
+
     async def _end_with_error(self, request: CallerRequest, reply: CallerReply, error: RequestError) -> None:
         kind = "generation" if request.generation is not None else "call"
         self.counters.on_refused(kind, error.outcome.value, error.code)
@@ -164,6 +173,8 @@
         Raises :class:`AttemptError`, or TimeoutError when the caller's time is over.
         """
         load = self._load_of(exchange)
+        if exchange.history.runs and exchange.admitted is not None:
+            self._state.load.limits.charge_again(exchange.admitted)
         if not backend.in_flight:
             backend.silence.on_idle_ended(time.monotonic())
         backend.in_flight += 1
--- a/src/wallwell/platform/callers.py
+++ b/src/wallwell/platform/callers.py
@@ -217,9 +217,18 @@
             allowance_s=_milliseconds(allowance),
             arrived_s=arrived_s,
             generation=_generation(headers),
+            told_tokens=_told_tokens(headers.get(names.TOKEN_USAGE, "")),
         )
 
 
+def _told_tokens(text: str) -> int | None:
+    """Return the tokens of prompt and largest output together, None if they are not told."""
+    counts = [count.strip() for count in text.split(",")]
+    if len(counts) != 2 or not all(count.isdecimal() for count in counts):
+        return None
+    return sum(int(count) for count in counts)
+
+
 def _milliseconds(text: str) -> float | None:
     try:
         value = float(text)
--- a/src/wallwell/platform/rows.py
+++ b/src/wallwell/platform/rows.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 
 from wallwell.deployment.backends import BackendRecord
@@ -13,6 +15,7 @@
     RouteKind,
     Service,
     TenantAccess,
+    TenantLimit,
     WeightedService,
 )
 
@@ -66,13 +69,24 @@
     zone: str = ""
 
 
+class LimitUnit(enum.Enum):
+    """What a tenant's limit counts."""
+
+    REQUESTS = "requests"
+    TOKENS = "tokens"
+
+
 class TenantRow(msgspec.Struct, frozen=True):
-    """A tenant as the operator writes it."""
+    """A tenant as the operator writes it. ``rate_per_s`` is its limit over all nodes, 0 for none."""
 
     name: str
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
     isolated: bool = False
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    unit: LimitUnit = LimitUnit.REQUESTS
+    plain_tokens: int = 1
 
 
 class LimitsRow(msgspec.Struct, frozen=True):
@@ -124,7 +138,7 @@
         version=row.version,
         routes=tuple(_route(route) for route in row.routes),
         services=tuple(_service(service) for service in row.services),
-        tenants=tuple(TenantAccess(each.name, each.api_keys, each.priority, each.isolated) for each in row.tenants),
+        tenants=tuple(_tenant(tenant) for tenant in row.tenants),
         bounds=CallerBounds(row.limits.max_body_bytes, row.limits.idle_timeout_ms / 1000),
     )
 
@@ -147,6 +161,13 @@
     )
 
 
+def _tenant(row: TenantRow) -> TenantAccess:
+    limit = None
+    if row.rate_per_s > 0:
+        limit = TenantLimit(row.rate_per_s, row.burst, row.unit is LimitUnit.TOKENS, row.plain_tokens)
+    return TenantAccess(row.name, row.api_keys, row.priority, row.isolated, limit)
+
+
 def _service(row: ServiceRow) -> Service:
     engines = None
     if row.engine is not None:
--- a/src/wallwell/routing/fleet_load.py
+++ b/src/wallwell/routing/fleet_load.py
@@ -8,6 +8,7 @@
 from wallwell.routing.demand import FleetDemand
 from wallwell.routing.first_piece import Delays, FirstPieces
 from wallwell.routing.load_reports import Load
+from wallwell.routing.tenant_limits import FleetLimits
 
 
 @dataclass
@@ -17,6 +18,7 @@
     backends: BackendRegistry = field(default_factory=BackendRegistry)
     demand: FleetDemand = field(default_factory=FleetDemand)
     first_pieces: FirstPieces = field(default_factory=FirstPieces)
+    limits: FleetLimits = field(default_factory=FleetLimits)
 
     def own(self, now_s: float) -> Load:
         """Return what this node tells."""
@@ -24,16 +26,20 @@
             requests=self.backends.own_loads(),
             generations=self.demand.own.count(now_s),
             delays=self.first_pieces.own(now_s),
+            asked=self.limits.asked(now_s),
+            nodes=1,
         )
 
-    def learn(self, others: Load) -> None:
-        """Take what all other nodes have told."""
+    def learn(self, others: Load, nodes: int) -> None:
+        """Take what all other nodes have told; ``nodes`` is the size of the fleet, 0 if it is not known."""
         self.backends.learn_peer_loads(others.requests)
         self.demand.peers_generations = others.generations
         self.first_pieces.peers = others.delays
+        self.limits.learn_fleet(others.asked, others.nodes, nodes)
 
-    def forget(self) -> None:
+    def forget(self, nodes: int) -> None:
         """Other nodes have not been heard for too long."""
         self.backends.forget_peer_loads()
         self.demand.peers_generations = None
         self.first_pieces.peers = Delays()
+        self.limits.forget_fleet(nodes)
--- a/src/wallwell/routing/load_reports.py
+++ b/src/wallwell/routing/load_reports.py
@@ -19,28 +19,33 @@
 
 
 class Load(msgspec.Struct, frozen=True):
-    """What a node, or several together, have under way.
+    """What a node, or several together, have under way. ``nodes`` says how many they are.
 
     ``requests`` counts by back end, long prompts several times. ``generations`` counts those that came in the last
-    ``RATE_WINDOW_S`` of :mod:`wallwell.routing.demand`. ``delays`` says how soon answers began.
+    ``RATE_WINDOW_S`` of :mod:`wallwell.routing.demand`. ``delays`` says how soon answers began. ``asked`` counts
+    what tenants with a limit asked for in the last ``ASKED_WINDOW_S`` of :mod:`wallwell.routing.tenant_limits`.
     """
 
     requests: dict[str, int] = {}
     generations: int = 0
     delays: Delays = Delays()
+    asked: dict[str, int] = {}
+    nodes: int = 0
 
 
 def sum_loads(loads: Collection[Load]) -> Load:
     """Return several loads together."""
     requests: Counter[str] = Counter()
-    generations = 0
+    asked: Counter[str] = Counter()
     for load in loads:
         requests.update(load.requests)
-        generations += load.generations
+        asked.update(load.asked)
     return Load(
-        dict(requests),
-        generations,
-        sum_delays(load.delays for load in loads),
+        requests=dict(requests),
+        generations=sum(load.generations for load in loads),
+        delays=sum_delays(load.delays for load in loads),
+        asked=dict(asked),
+        nodes=sum(load.nodes for load in loads),
     )
 
 
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import aiohttp
 import pytest
@@ -262,3 +263,26 @@
     assert (headers["X-Expect-Version"], headers["X-Cache-Salt"]) == ("1", "m:1:t1")
     assert headers["X-Request-Priority"] == "3"
     assert headers["X-Kv-Fetch"] == headers["X-Kv-Save"] == "10.9.9.9:80"
+
+
+def limited(**more):
+    tenant = {"name": "t1", "api_keys": ["k1"], "rate_per_s": 10, "burst": 10, "unit": "tokens", **more}
+    return config(tenants=[tenant])
+
+
+@pytest.mark.parametrize(
+    ("usage", "status"),
+    [("1460,80", 429), (" 1 , 2 ", 200), ("1460", 200), ("", 200), ("a,b", 200), ("-5,80", 200), ("1e9,1", 200)],
+)
+def test_a_tenants_limit_counts_the_tokens_that_are_told(on_platform, usage, status):
+    """What cannot be understood counts as a request without tokens."""
+
+    async def scenario(harness):
+        await harness.until(lambda: harness.node.state.load.limits.levels(time.monotonic()).get("t1", 10) >= 9)
+        first = await harness.call(X_Token_Usage=usage)
+        second = await harness.call(X_Token_Usage=usage)
+        return first, second
+
+    (first, _, _), (second, headers, _) = on_platform(scenario, configuration=limited())
+    assert (first, second) == (200, status)
+    assert ("Retry-After" in headers) == (status == 429)
--- a/tests/unit/cluster/test_load_exchange.py
+++ b/tests/unit/cluster/test_load_exchange.py
@@ -8,6 +8,7 @@
 from wallwell.cluster.peer_link import PeerServer
 from wallwell.cluster.upstream import Member, UpstreamOrder
 from wallwell.deployment.backends import BackendRecord
+from wallwell.deployment.routes import TenantLimit
 from wallwell.routing.demand import RATE_WINDOW_S
 from wallwell.routing.first_piece import MIN_ANSWERS
 from wallwell.routing.fleet_load import FleetLoad
@@ -126,3 +127,33 @@
         return follower.peers_loads(), follower.backends.get("e1").fleet_load(nodes=3)
 
     assert with_nodes("aaa", scenario) == ([None, None, None], 3)
+
+
+def test_everyone_knows_what_is_left_of_a_limit(with_nodes):
+    """Two nodes spend; members are told what is left, relays work it out."""
+
+    async def scenario(nodes):
+        for node in nodes:
+            node.load.limits.set_limits({"t": TenantLimit(1e-6, 10_000, counts_tokens=True)})
+            node.load.limits.levels(time.monotonic())
+        await exchange(nodes)
+        full_at_s = time.monotonic() + 1e11
+        for node in nodes:
+            node.load.limits.levels(full_at_s)
+        for node in (nodes[1], nodes[-1]):
+            node.load.limits.admit("t", 1_000, full_at_s)
+        await exchange(nodes, rounds=2)
+        return [node.load.limits.levels(time.monotonic()).get("t") for node in nodes]
+
+    assert with_nodes("aaabbc", scenario) == [8_000] * 6
+
+
+def test_everyone_knows_what_a_tenant_asks_all_others_for(with_nodes):
+    async def scenario(nodes):
+        for index, node in enumerate(nodes):
+            node.load.limits.set_limits({"t": TenantLimit(1e9, 1e9, counts_tokens=True)})
+            node.load.limits.admit("t", 10**index, time.monotonic())
+        await exchange(nodes)
+        return [node.load.limits.asked_of_peers("t") for node in nodes]
+
+    assert with_nodes("aabc", scenario) == [1110, 1101, 1011, 111]
--- a/tests/unit/gateway/test_fleet_recovery.py
+++ b/tests/unit/gateway/test_fleet_recovery.py
@@ -192,7 +192,7 @@
         for index, state in enumerate(self.nodes):
             others = [each for other, each in enumerate(previous) if other != index]
             if others:
-                state.load.learn(sum_loads(others))
+                state.load.learn(sum_loads(others), NODES)
         self.at(now_s + REPORT_S, self._report)
 
 
--- /dev/null
+++ b/tests/unit/gateway/test_limited_requests.py
@@ -0,0 +1,77 @@
+"""Requests of a tenant with a limit: what is taken of it, what is given back, and what a refused caller is told."""
+
+import dataclasses
+import time
+
+import pytest
+
+from tests.unit.gateway.fakes import FakeClient, FakeReply, Script, make_request, make_route, make_state
+from tests.virtual_time import run_virtual
+from wallwell.deployment.routes import RouteKind, TenantAccess, TenantLimit
+from wallwell.gateway.pipeline import RequestPipeline
+from wallwell.outcomes import Outcome
+from wallwell.routing.outcome import TransportEvent as T
+
+LIMIT = TenantLimit(rate_per_s=1_000, burst=1_000, counts_tokens=True, plain_tokens=200)
+OK = Script(chunks=(b"ok",))
+SHED = Script(fails=T.BACKEND_OVERLOADED)
+RESET = Script(fails=T.RESET_AFTER_SEND)
+
+
+def play(scripts, told_tokens=None, requests=1, route=None):
+    """Serve requests of a lone node with a full bucket; return the replies and what is left of the limit."""
+
+    async def work():
+        state = make_state(route, tenants=(TenantAccess("t", ("key",), limit=LIMIT),))
+        now_s = time.monotonic()
+        state.load.limits.learn_fleet({}, 0, 1)
+        state.load.limits.levels(now_s - 2.0)
+        state.load.limits.levels(now_s)
+        pipeline = RequestPipeline(state, FakeClient(*scripts))
+        replies = [FakeReply() for _ in range(requests)]
+        for reply in replies:
+            await pipeline.serve(dataclasses.replace(make_request(), told_tokens=told_tokens), reply)
+        return replies, state.load.limits.levels(now_s).get("t", LIMIT.burst)
+
+    return run_virtual(work())
+
+
+@pytest.mark.parametrize(
+    ("scripts", "told_tokens", "left"),
+    [
+        ((OK,), 700, 300),
+        ((OK,), None, 800),
+        ((OK,), 0, 1_000),
+        # Not run: given back. May have run once, runs once more: counts twice. Refused first, then run: once.
+        ((SHED,), 700, 1_000),
+        ((RESET, OK), 300, 400),
+        ((SHED, OK), 300, 700),
+        # Nobody knows whether it ran.
+        ((RESET, RESET), 300, 400),
+    ],
+)
+def test_what_a_request_takes_of_the_limit(scripts, told_tokens, left):
+    _, level = play(scripts, told_tokens)
+    assert level == left
+
+
+def test_an_unsafe_request_of_unknown_outcome_stays_counted():
+    _, level = play((RESET,), 300, route=make_route(RouteKind.UNSAFE, attempts=1))
+    assert level == 700
+
+
+def test_what_is_beyond_the_limit_is_refused_at_once_and_told_when_to_return():
+    replies, _ = play((OK,), 900, requests=6)
+    refused = [reply for reply in replies if reply.error is not None]
+    assert replies[0].ended == "answered"
+    assert refused and all(reply.status == 429 for reply in refused)
+    assert all(reply.error.outcome is Outcome.NOT_RUN for reply in refused)
+    assert all(200 <= reply.error.retry_after_ms <= 5_000 for reply in refused)
+
+
+@pytest.mark.parametrize(
+    ("limit", "told_tokens", "cost"),
+    [(LIMIT, 1_540, 1_540), (LIMIT, None, 200), (TenantLimit(5, 5), 1_540, 1), (TenantLimit(5, 5), None, 1)],
+)
+def test_cost_of_a_request(limit, told_tokens, cost):
+    assert limit.cost(told_tokens) == cost
--- /dev/null
+++ b/tests/unit/routing/limit_fleet.py
@@ -0,0 +1,179 @@
+"""A fleet of nodes that keep a tenant's limit together, in virtual time, with the callers that press on it.
+
+The nodes are the product's; what they tell each other goes the way of :mod:`wallwell.cluster.load_exchange`:
+members report to their zone's relay four times a second, relays tell each other their sums.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+from wallwell.deployment.routes import TenantLimit
+from wallwell.routing.load_reports import REPORT_LIFETIME_S, Load, sum_loads
+from wallwell.routing.tenant_limits import Admitted, FleetLimits
+
+INTERVAL_S = 0.25
+TENANT = "t"
+WINDOW_S = 8.0
+OVERAGE = 0.1
+SLACK_TOKENS = 110_000
+USUAL_PART = 1 / 1.8
+"""Part of its limit that a tenant usually asks for."""
+
+
+@dataclass
+class Node:
+    """One node; ``unreachable`` cuts it off from all others."""
+
+    name: str
+    zone: int
+    limits: FleetLimits
+    phase_s: float
+    unreachable: bool = False
+    down: bool = False
+    heard_at_s: float = float("-inf")
+    members: dict[str, tuple[Load, float]] = field(default_factory=dict)
+
+    def recent(self, now_s, without=""):
+        items = self.members.items()
+        return [load for name, (load, at_s) in items if name != without and now_s - at_s < REPORT_LIFETIME_S]
+
+
+class LimitFleet:
+    """Runs a day of requests against the fleet and records what it admitted."""
+
+    def __init__(self, seed, nodes=79, zones=3, limit=None, limits_type=FleetLimits, mean_tokens=None):
+        self.rng = random.Random(seed)
+        self.limit = limit or TenantLimit(307_096, 307_096, counts_tokens=True)
+        self._limits_type = limits_type
+        self.nodes = [
+            Node(f"n{index}", index % zones, None, self.rng.random() * INTERVAL_S) for index in range(nodes)
+        ]
+        for node in self.nodes:
+            self.start(node)
+        self.zones = zones
+        self.factor = lambda now_s: 1.0
+        self.pick = lambda now_s: self.rng.choice([node for node in self.nodes if not node.down])
+        self.sent: list[tuple[float, int, bool]] = []
+        self._events = []
+        self._order = 0
+
+    def start(self, node):
+        """Start a node, or start it again without anything it knew."""
+        node.limits = self._limits_type(random.Random(self.rng.random()))
+        node.limits.set_limits({TENANT: self.limit})
+        node.limits.forget_fleet(len(self.nodes))
+        node.members = {}
+        node.down = False
+
+    def change_limit(self, limit, nodes):
+        """Put another limit in force at some nodes."""
+        self.limit = limit
+        for node in nodes:
+            node.limits.set_limits({TENANT: limit})
+
+    def at(self, at_s, action):
+        heapq.heappush(self._events, (at_s, self._order, action))
+        self._order += 1
+
+    def run(self, seconds):
+        for node in self.nodes:
+            self.at(node.phase_s, lambda now_s, node=node: self._exchange(node, now_s))
+        self.at(0.0, self._arrive)
+        while self._events and self._events[0][0] < seconds:
+            now_s, _, action = heapq.heappop(self._events)
+            action(now_s)
+
+    # --- requests --------------------------------------------------------------------------------------
+
+    def _arrive(self, now_s):
+        tokens = 9_200 if self.rng.random() < 0.33 else 875
+        if tokens > 5_000:
+            tokens = 6_300 + min(39_600, int(self.rng.lognormvariate(7.6, 0.83)))
+        node = self.pick(now_s)
+        admitted = node.limits.admit(TENANT, tokens, now_s)
+        self.sent.append((now_s, tokens, isinstance(admitted, Admitted)))
+        per_s = self.limit.rate_per_s * USUAL_PART * self.factor(now_s) / 3_600
+        self.at(now_s + self.rng.expovariate(per_s), self._arrive)
+
+    # --- what nodes tell each other --------------------------------------------------------------------
+
+    def _relay_of(self, zone, now_s):
+        return next((n for n in self.nodes if n.zone == zone and not n.down and not n.unreachable), None)
+
+    def _exchange(self, node, now_s):
+        self.at(now_s + INTERVAL_S, lambda later_s: self._exchange(node, later_s))
+        if node.down:
+            return
+        relay = self._relay_of(node.zone, now_s)
+        if node.unreachable:
+            if now_s - node.heard_at_s >= REPORT_LIFETIME_S:
+                node.limits.learn_fleet({}, 0, len(self.nodes))
+        elif relay is node:
+            self._exchange_with_relays(node, now_s)
+            node.heard_at_s = now_s
+        else:
+            self._report(node, relay, now_s)
+            node.heard_at_s = now_s
+
+    def _own(self, node, now_s):
+        return Load(asked=node.limits.asked(now_s), nodes=1)
+
+    def _zone_load(self, node, now_s):
+        members = [each for name, each in node.members.items() if not name.startswith("relay ")]
+        recent = [load for load, at_s in members if now_s - at_s < REPORT_LIFETIME_S]
+        return sum_loads((*recent, self._own(node, now_s)))
+
+    def _exchange_with_relays(self, node, now_s):
+        for zone in range(self.zones):
+            other = self._relay_of(zone, now_s)
+            if other is None or other is node:
+                continue
+            other.members["relay " + node.name] = (self._zone_load(node, now_s), now_s)
+            other.limits.take_relay(node.name, node.limits.spent_totals(), now_s)
+            node.members["relay " + other.name] = (self._zone_load(other, now_s), now_s)
+            node.limits.take_relay(other.name, other.limits.spent_totals(), now_s)
+        others = sum_loads(node.recent(now_s))
+        node.limits.learn_fleet(others.asked, others.nodes, len(self.nodes))
+
+    def _report(self, node, relay, now_s):
+        relay.members[node.name] = (self._own(node, now_s), now_s)
+        relay.limits.take_member(node.limits.begin_report(), now_s)
+        node.limits.end_report(taken=True)
+        others = sum_loads((*relay.recent(now_s, without=node.name), self._own(relay, now_s)))
+        node.limits.learn_fleet(others.asked, others.nodes, len(self.nodes))
+        node.limits.learn_levels(relay.limits.levels(now_s), now_s)
+
+    # --- measures --------------------------------------------------------------------------------------
+
+    def largest_overrun(self, limit=None, from_s=0.0):
+        """Return the largest sum over a window as a part of what the rule allows in one."""
+        limit = limit or self.limit
+        allowed = (limit.rate_per_s * WINDOW_S + limit.burst) * (1 + OVERAGE) + SLACK_TOKENS
+        window, total, largest = deque(), 0, 0
+        for at_s, tokens, admitted in self.sent:
+            if not admitted or at_s < from_s:
+                continue
+            window.append((at_s, tokens))
+            total += tokens
+            while window[0][0] <= at_s - WINDOW_S:
+                total -= window.popleft()[1]
+            largest = max(largest, total)
+        return largest / allowed
+
+    def refused_part(self, from_s=0.0, to_s=float("inf")):
+        """Return the part of the tokens within the limit that were refused all the same."""
+        level, updated_s, allowed, admitted_tokens = self.limit.burst, 0.0, 0.0, 0.0
+        for at_s, tokens, admitted in self.sent:
+            level = min(self.limit.burst, level + (at_s - updated_s) * self.limit.rate_per_s)
+            updated_s = at_s
+            is_allowed = level >= min(tokens, self.limit.burst)
+            if is_allowed:
+                level -= tokens
+            if from_s <= at_s < to_s:
+                allowed += tokens * is_allowed
+                admitted_tokens += tokens * admitted
+        return max(0.0, allowed - admitted_tokens) / max(1.0, allowed)
