--- a/tools/compare_days.py
+++ b/tools/compare_days.py
@@ -60,6 +60,7 @@
 
     bench: Path
     no_cpu: bool
+    is_small: bool
     why: str
 
 
@@ -70,6 +71,8 @@
         command += ["--report", report.name, "--why", f"{options.why}: {task.checkout.name}", "--jobs", "1"]
         if options.no_cpu:
             command.append("--no-cpu")
+        if options.is_small:
+            command.append("--small")
         done = subprocess.run(command, cwd=task.checkout.path, capture_output=True, text=True, check=False)
         text = Path(report.name).read_text()
     if not text:
@@ -168,10 +171,11 @@
     parser.add_argument("--days", required=True, help="names of days, separated by commas")
     parser.add_argument("--seeds", required=True, help="whole numbers, separated by commas")
     parser.add_argument("--no-cpu", action="store_true", help="charge no processor time, so that plays repeat")
+    parser.add_argument("--small", action="store_true", help="play small twins of large days")
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--why", default="paired comparison")
     arguments = parser.parse_args()
-    options = Options(arguments.bench.resolve(), arguments.no_cpu, arguments.why)
+    options = Options(arguments.bench.resolve(), arguments.no_cpu, arguments.small, arguments.why)
     days = arguments.days.split(",")
     tasks = [
         Play(checkout, site.resolve(), day, int(seed))
