--- a/src/wallwell/gateway/cache_planning.py
+++ b/src/wallwell/gateway/cache_planning.py
@@ -37,10 +37,28 @@
         store = self._state.kv_store_address(exchange.placement) if version else ""
         if not store or self._is_unreachable(store):
             return CachePlan(scope)
-        fetch_from = store if self._is_worth_fetching(generation, now_s) else ""
+        fetch_from = (
+            self._best_source(store, scope, generation) if self._is_worth_fetching(generation, now_s) else ""
+        )
         save_to = store if self._may_save(exchange, backend, store, scope, now_s) else ""
         return CachePlan(scope, fetch_from, save_to)
 
+    def _best_source(self, home: str, scope: str, generation: Generation) -> str:
+        """Return the store that keeps most of the shared parts; ``home``, where they are saved, if none has more.
+
+        Prompts with a first part in common have different homes. After a change of weights that part is saved at
+        one of them first, and engines that fetch from the others would read it again.
+        """
+        parts = shared_parts(generation.parts)
+        kept_tokens = {}
+        for address in self._state.kv_store_addresses():
+            kept = self._state.kept_caches.get(address)
+            if kept is not None and kept.known and kept.reachable:
+                kept_tokens[address] = kept.kept_tokens(scope, parts)
+        if home not in kept_tokens:
+            return home
+        return max(kept_tokens, key=lambda address: (kept_tokens[address], address == home))
+
     def _is_worth_fetching(self, generation: Generation, now_s: float) -> bool:
         """Whether moving the shared parts is quicker than reading them; moves queue while the fleet is behind."""
         if sum(part.tokens for part in shared_parts(generation.parts)) >= MIN_FETCH_TOKENS:
--- a/src/wallwell/gateway/fleet_state.py
+++ b/src/wallwell/gateway/fleet_state.py
@@ -127,15 +127,17 @@
         """Return this node's repeats left, by service."""
         return {service: budget.left(now_s, self.node_count) for service, budget in self._budgets.items()}
 
+    def kv_store_addresses(self) -> list[str]:
+        """Return the addresses of all stores of kept KV cache."""
+        return [] if self.config is None else [store.kv_store_address for store in self.config.kv_stores]
+
     def kv_store_address(self, placement: int) -> str:
         """Return the store of kept KV cache for prompts placed by a key, empty if there is none.
 
         Every node takes the same one for the same prompts, so that what one engine saved another one finds.
         """
-        if self.config is None or not self.config.kv_stores:
-            return ""
-        addresses = [store.kv_store_address for store in self.config.kv_stores]
-        return owner(addresses, placement)
+        addresses = self.kv_store_addresses()
+        return owner(addresses, placement) if addresses else ""
 
     def estimated_naming_s(self, now_s: float) -> float:
         """Return since when a weights version found at the start is taken to be named.
--- a/src/wallwell/routing/kept_cache.py
+++ b/src/wallwell/routing/kept_cache.py
@@ -120,6 +120,16 @@
         """Whether every part is kept but for an incomplete block."""
         return all(self._tokens.get(_Key(scope, part.identity), 0) > part.tokens - BLOCK_TOKENS for part in parts)
 
+    def kept_tokens(self, scope: str, parts: Sequence[PromptPart]) -> int:
+        """Return how many tokens of a prompt are kept, from its beginning to the first that are missing."""
+        total = 0
+        for part in parts:
+            kept = self._tokens.get(_Key(scope, part.identity), 0)
+            total += kept
+            if kept <= part.tokens - BLOCK_TOKENS:
+                break
+        return total
+
     def begin_save(self, scope: str, parts: Sequence[PromptPart], now_s: float) -> bool:
         """Whether the prompt should be saved now; counts it as being saved if so."""
         shared = shared_parts(parts)
--- a/tests/unit/gateway/test_cache_planning.py
+++ b/tests/unit/gateway/test_cache_planning.py
@@ -22,6 +22,7 @@
 from wallwell.gateway.pipeline import RequestPipeline
 from wallwell.routing.first_piece import Delays
 from wallwell.routing.kept_cache import CacheEntry, CachePage, CachePosition, KeptCache
+from wallwell.routing.prefix_home import placement_key
 
 STORE = "10.9.0.1:80"
 ROUTE = make_route(RouteKind.STREAM, attempts=1)
@@ -112,3 +113,48 @@
 def test_shared_parts_that_are_read_in_no_time_do_not_wait_for_a_busy_link(prepare, tokens, fetches):
     """Found on a deployment of 195 nodes: prompts of 800 tokens waited 2 s for their turn to move 200 of them."""
     assert plan(prepare, tokens)[0] == (STORE if fetches else "")
+
+
+OTHER_STORE = "10.9.0.2:80"
+
+
+def two_stores(home_parts, other_parts, other_reachable=True):
+    """Return a preparation with two stores, the prompt's home and another one, and what each keeps."""
+
+    def prepare(fleet):
+        services = tuple(Service(each, kv_store_address=each) for each in (STORE, OTHER_STORE))
+        fleet.apply_config(dataclasses.replace(fleet.config, version=3, services=services))
+        placement = placement_key(make_generation(2000).parts, "")
+        home = fleet.kv_store_address(placement)
+        other = OTHER_STORE if home == STORE else STORE
+        fleet.kept_caches[home], fleet.kept_caches[other] = cache_of(*home_parts), cache_of(*other_parts)
+        fleet.kept_caches[other].reachable = other_reachable
+        fleet.home = home
+
+    return prepare
+
+
+@pytest.mark.parametrize(
+    ("home_parts", "other_parts", "other_reachable", "from_home"),
+    [
+        ((), (), True, True),
+        (("shared",), ("shared",), True, True),
+        (("shared",), (), True, True),
+        ((), ("shared",), True, False),
+        ((), ("shared",), False, True),
+    ],
+    ids=["nowhere", "both", "home", "elsewhere", "elsewhere, unreachable"],
+)
+def test_parts_are_fetched_from_the_store_that_has_them_and_saved_at_their_home(
+    home_parts, other_parts, other_reachable, from_home
+):
+    """After a change of weights, engines read a part again that another store already had."""
+    homes = []
+
+    def prepare(fleet):
+        two_stores(home_parts, other_parts, other_reachable)(fleet)
+        homes.append(fleet.home)
+
+    fetch_from, save_to = plan(prepare)
+    assert (fetch_from == homes[0]) == from_home
+    assert save_to == ("" if "shared" in home_parts else homes[0])
--- a/tests/unit/routing/test_kept_cache.py
+++ b/tests/unit/routing/test_kept_cache.py
@@ -131,3 +131,22 @@
     ahead, behind = cache(("s", "guide", 2520), ("s", "case", 3780), last=30), cache(last=10)
     ahead.take(behind.after(ahead.position))
     assert ahead.holds("s", PROMPT[:-1])
+
+
+@pytest.mark.parametrize(
+    ("entries", "tokens"),
+    [
+        ((), 0),
+        ((("a", 100),), 100),
+        ((("a", 100), ("b", 200)), 300),
+        # The last block may be missing, more may not; what follows a gap cannot be used.
+        ((("a", 96), ("b", 200)), 296),
+        ((("a", 48), ("b", 200)), 48),
+        ((("b", 200),), 0),
+    ],
+)
+def test_what_is_kept_of_a_prompt_counts_from_its_beginning(entries, tokens):
+    kept = KeptCache()
+    kept.take(page(*((1, "s", part, kept_now) for part, kept_now in entries), last=1, whole=True))
+    parts = (PromptPart("a", 100), PromptPart("b", 200))
+    assert (kept.kept_tokens("s", parts), kept.kept_tokens("other", parts)) == (tokens, 0)
