--- a/src/wallwell/errors.py
+++ b/src/wallwell/errors.py
@@ -177,6 +177,13 @@
     code = "WW3018"
 
 
+class OverloadedError(RequestError):
+    """Engines have more requests under way than they can serve in time; ``retry_after_ms`` says when to return."""
+
+    code = "WW3019"
+    http_status = 503
+
+
 class KeyReusedError(RequestError):
     """The idempotency key was used before with another body."""
 
--- a/src/wallwell/gateway/backend_choice.py
+++ b/src/wallwell/gateway/backend_choice.py
@@ -6,8 +6,10 @@
 from collections.abc import Sequence
 
 from wallwell.deployment.backends import Backend
+from wallwell.errors import OverloadedError
 from wallwell.gateway.exchange_state import Exchange
 from wallwell.gateway.fleet_state import FleetState
+from wallwell.routing.overload import Claim, Occupancy
 from wallwell.routing.prefix_home import choose_from_tiers, engine_pool, is_long
 
 
@@ -31,6 +33,31 @@
         assert chosen is not None
         return chosen
 
+    def refuse_if_overloaded(self, exchange: Exchange, now_s: float) -> None:
+        """Refuse a part of new generations while engines have too much to do. Raises :class:`OverloadedError`.
+
+        Engines that load weights count: they are back sooner than a refused caller.
+        """
+        generation = exchange.request.generation
+        if generation is None or generation.resume_after is not None or exchange.history.tried:
+            return
+        engines = [each for each in self._state.backends.of_service(exchange.service) if each.is_open(now_s)]
+        if any(each.peers_load is None for each in engines):
+            return  # What one node has under way says little of the fleet.
+        load = sum(each.fleet_load() for each in engines)
+        occupancy = Occupancy(load, sum(each.record.slots for each in engines))
+        claim = Claim(exchange.rank, exchange.waited_s)
+        rng = self._state.rng
+        if rng.random() >= claim.refused_part(occupancy):
+            return
+        wait_s = claim.return_after_s(occupancy, self._state.generation_time.seconds, rng)
+        raise OverloadedError(f"{occupancy.per_slot:.2f} under way by slot", retry_after_ms=round(wait_s * 1000))
+
+    def learn_time(self, exchange: Exchange, now_s: float) -> None:
+        """A generation has ended well."""
+        if exchange.request.generation is not None:
+            self._state.generation_time.observe(now_s - exchange.timing.attempt_s)
+
     def learn_pace(self, exchange: Exchange, now_s: float) -> None:
         """A piece of the current run came: learn from the first one."""
         timing = exchange.timing
--- a/src/wallwell/gateway/exchange_state.py
+++ b/src/wallwell/gateway/exchange_state.py
@@ -23,12 +23,14 @@
     max_gap_s: float = 0.0
     sent_s: float | None = None
     """When the current attempt was sent, None once its first piece has come."""
+    attempt_s: float = 0.0
+    """When the current attempt was sent."""
     load_when_sent: int = 0
     """Load of its back end then, its own among it."""
 
     def on_sent(self, now_s: float, load: int) -> None:
         """Note that an attempt is sent."""
-        self.sent_s = now_s
+        self.sent_s = self.attempt_s = now_s
         self.load_when_sent = load
 
     def on_piece(self, now_s: float) -> None:
@@ -64,6 +66,12 @@
             return self.tenant.rank
         return self.route.rank
 
+    @property
+    def waited_s(self) -> float:
+        """How long the caller had waited when it came; its allowance counts from its first try."""
+        allowance_s = self.request.allowance_s
+        return max(0.0, self.route.timeout_s - allowance_s) if allowance_s is not None else 0.0
+
     @cached_property
     def placement(self) -> int:
         """The key that places a generation: its longest shared prefix, within the tenant if that shares none."""
--- a/src/wallwell/gateway/fleet_state.py
+++ b/src/wallwell/gateway/fleet_state.py
@@ -17,6 +17,7 @@
 from wallwell.routing.fleet_budget import FleetRetryBudget
 from wallwell.routing.fleet_load import FleetLoad
 from wallwell.routing.kept_cache import KeptCache
+from wallwell.routing.overload import GenerationTime
 from wallwell.routing.reading_pace import ReadingPace
 from wallwell.routing.rendezvous import owner
 from wallwell.routing.split import WeightedSplit
@@ -65,6 +66,7 @@
     split: WeightedSplit = field(default_factory=WeightedSplit)
     members: set[str] = field(default_factory=set)
     pace: ReadingPace = field(default_factory=ReadingPace)
+    generation_time: GenerationTime = field(default_factory=GenerationTime)
     kept_caches: dict[str, KeptCache] = field(default_factory=dict)
     """What the stores of kept KV cache hold, by address."""
     _budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -133,6 +133,7 @@
     def _log_end(self, exchange: Exchange, backend: Backend) -> None:
         request, timing = exchange.request, exchange.timing
         now_s = time.monotonic()
+        self._choice.learn_time(exchange, now_s)
         first_s = timing.first_s or now_s
         gap_s = timing.max_gap_s if timing.first_s is not None else None
         kind = exchange.route.kind.value
@@ -162,6 +163,7 @@
         candidates = fresh or (usable if self._all_unrun(exchange) else [])
         if not candidates:
             raise self._exhausted(exchange, "no back end can take the request")
+        self._choice.refuse_if_overloaded(exchange, now_s)
         return self._choice.choose(exchange, candidates)
 
     def _all_unrun(self, exchange: Exchange) -> bool:
--- /dev/null
+++ b/tests/unit/gateway/test_overload_refusals.py
@@ -0,0 +1,69 @@
+"""What the pipeline refuses while engines are overloaded, and what it does not."""
+
+import dataclasses
+
+import pytest
+
+from tests.unit.gateway.fakes import (
+    FakeClient,
+    FakeReply,
+    Script,
+    event,
+    make_generation,
+    make_request,
+    make_route,
+    make_state,
+)
+from tests.virtual_time import run_virtual
+from wallwell.deployment.routes import RouteKind
+from wallwell.gateway.pipeline import RequestPipeline
+from wallwell.outcomes import Outcome
+from wallwell.routing.outcome import TransportEvent as T
+
+STREAM = make_route(RouteKind.STREAM, resumable=True, rank=0)
+OK = Script(chunks=(event(1),), stream=True)
+SLOTS = 8
+
+
+def serve(peers_load, generation=None, scripts=(OK,), allowance_s=None, route=STREAM):
+    """Serve one request while each engine has so much of other nodes under way; return reply and client."""
+
+    async def work():
+        state = make_state(route, versions={"m": 1})
+        for backend in state.backends.all():
+            backend.peers_load = peers_load
+        client, reply = FakeClient(*scripts), FakeReply()
+        request = dataclasses.replace(make_request(generation=generation), allowance_s=allowance_s)
+        await RequestPipeline(state, client).serve(request, reply)
+        return reply, client
+
+    return run_virtual(work())
+
+
+def test_a_new_generation_is_refused_at_once_and_told_when_to_return():
+    reply, client = serve(3 * SLOTS, make_generation())
+    assert (reply.status, reply.error.outcome, client.sent) == (503, Outcome.NOT_RUN, [])
+    assert reply.error.code == "WW3019"
+    assert reply.error.retry_after_ms >= 500
+
+
+@pytest.mark.parametrize(
+    ("peers_load", "generation", "allowance_s"),
+    [
+        (SLOTS, make_generation(), None),
+        # A caller that goes on with its stream, one that comes back, a node that hears nobody, a call.
+        (3 * SLOTS, make_generation(resume_after=3), None),
+        (int(1.5 * SLOTS), make_generation(), STREAM.timeout_s - 1.0),
+        (None, make_generation(), None),
+        (3 * SLOTS, None, None),
+    ],
+)
+def test_what_is_not_refused(peers_load, generation, allowance_s):
+    reply, client = serve(peers_load, generation, allowance_s=allowance_s)
+    assert reply.ended in ("answered", "finished")
+    assert len(client.sent) == 1
+
+
+def test_a_generation_that_was_sent_is_not_refused_on_its_second_attempt():
+    reply, client = serve(SLOTS, make_generation(), scripts=(Script(fails=T.RESET_AFTER_SEND), OK))
+    assert (reply.ended, len(client.sent)) == ("finished", 2)
--- /dev/null
+++ b/tests/unit/routing/test_overload.py
@@ -0,0 +1,70 @@
+"""Generations are refused in part while engines have too much under way, the less urgent and the new ones first."""
+
+import random
+
+import pytest
+
+from wallwell.routing.overload import (
+    BEGIN_REFUSING,
+    DEFAULT_GENERATION_S,
+    REFUSE_ALL,
+    RETURNED_S,
+    Claim,
+    GenerationTime,
+    Occupancy,
+)
+
+NEW, RETURNED = 0.0, RETURNED_S + 0.1
+
+
+@pytest.mark.parametrize(
+    ("per_slot", "rank", "waited_s", "part"),
+    [
+        (0.5, 0, NEW, 0.0),
+        (BEGIN_REFUSING, 0, NEW, 0.0),
+        ((BEGIN_REFUSING + REFUSE_ALL) / 2, 0, NEW, 0.5),
+        (REFUSE_ALL, 0, NEW, 1.0),
+        (9.0, 0, NEW, 1.0),
+        (BEGIN_REFUSING, 1, NEW, 0.125),
+        (BEGIN_REFUSING, 3, NEW, 0.375),
+        (BEGIN_REFUSING, 9, NEW, 0.375),
+        (BEGIN_REFUSING + 0.4, 0, RETURNED, 0.0),
+        (REFUSE_ALL, 0, RETURNED, 0.5),
+        (9.0, 0, RETURNED, 1.0),
+    ],
+)
+def test_part_refused(per_slot, rank, waited_s, part):
+    occupancy = Occupancy(round(per_slot * 1_000), 1_000)
+    assert Claim(rank, waited_s).refused_part(occupancy) == pytest.approx(part, abs=1e-6)
+
+
+def test_engines_without_slots_refuse_nothing():
+    assert Claim(0, NEW).refused_part(Occupancy(5, 0)) == 0.0
+
+
+def returns(rank, per_slot, generation_s=2.0):
+    rng = random.Random(1)
+    occupancy = Occupancy(round(per_slot * 1_000), 1_000)
+    return sorted(Claim(rank, NEW).return_after_s(occupancy, generation_s, rng) for _ in range(200))
+
+
+def test_callers_return_later_the_more_is_under_way_and_not_all_at_once():
+    some, more = returns(0, 1.5), returns(0, 2.5)
+    assert sum(some) < sum(more)
+    assert some[-1] > 1.5 * some[0]
+
+
+def test_the_urgent_return_first():
+    assert sum(returns(0, 1.5)) < sum(returns(1, 1.5))
+
+
+def test_returns_are_told_in_generations_time():
+    assert sum(returns(0, 1.5, generation_s=4.0)) == pytest.approx(2 * sum(returns(0, 1.5)))
+
+
+def test_the_time_of_a_generation_is_learned():
+    time = GenerationTime()
+    before = time.seconds
+    for _ in range(200):
+        time.observe(4.0)
+    assert (before, time.seconds) == (DEFAULT_GENERATION_S, pytest.approx(4.0, abs=0.01))
