--- a/src/wallwell/backends/http_connection.py
+++ b/src/wallwell/backends/http_connection.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import time
 from collections.abc import AsyncIterator, Callable
 
@@ -19,6 +18,7 @@
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
 from wallwell.events import Event, emit
+from wallwell.socket_options import end_when_silent
 
 READ_BYTES = 32 * 1024
 MAX_HEADER_BYTES = 32 * 1024
@@ -57,6 +57,8 @@
         self._tainted = False
         self._broken = ""
         self.closed = False
+        self.fell_silent = False
+        """Whether it ended because the other end acknowledged nothing any more."""
         self.idle_since_s = 0.0
         self.max_idle_s = DEFAULT_IDLE_S
 
@@ -64,14 +66,6 @@
         """Whether a resting connection may carry another exchange."""
         return not (self.closed or self._tainted) and now_s - self.idle_since_s < self.max_idle_s
 
-    def set_user_timeout(self, timeout_s: float) -> None:
-        """End the connection when sent bytes stay unacknowledged for that long."""
-        if self.transport is None:
-            return
-        raw = self.transport.get_extra_info("socket")
-        if raw is not None and hasattr(socket, "TCP_USER_TIMEOUT"):
-            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, round(timeout_s * 1000))
-
     # --- exchange --------------------------------------------------------------------------------------
 
     async def exchange(self, request_id: str, data: bytes, has_body: bool = True) -> RawResponseMessage:
@@ -180,6 +174,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """The connection ended: a body without length is complete only after a clean close."""
         self.closed = True
+        self.fell_silent = isinstance(exc, TimeoutError)
         detail = f"connection lost: {type(exc).__name__ if exc else 'closed'}"
         if self._reads_to_end and exc is None and self._payload is not None:
             self._payload.feed_eof()
@@ -235,7 +230,7 @@
             raise ConnectFailedError(True, f"no connection in {timeout_s} s") from error
         except OSError as error:
             raise ConnectFailedError(False, type(error).__name__) from error
-        connection.set_user_timeout(self._user_timeout_s)
+        end_when_silent(connection.transport, self._user_timeout_s)
         return connection
 
     async def fetch(self, address: str, request: bytes, timeout_s: float) -> tuple[int, bytes]:
@@ -243,18 +238,27 @@
 
         Raises :class:`ConnectFailedError`, :class:`ConnectionBrokenError` or TimeoutError.
         """
-        async with asyncio.timeout(timeout_s):
-            connection = await self.acquire(address)
-            try:
-                message = await connection.exchange("", request)
-                return message.code, b"".join([chunk async for chunk in connection.body()])
-            finally:
-                self.release(address, connection)
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self.acquire(address)
+                try:
+                    message = await connection.exchange("", request)
+                    return message.code, b"".join([chunk async for chunk in connection.body()])
+                finally:
+                    self.release(address, connection)
+        except TimeoutError:
+            # Connections can fall silent while new ones work. Those that rest here may have done so too, and each
+            # would cost the next call the whole time.
+            self.forget(address)
+            raise
 
     def release(self, address: str, connection: BackendConnection) -> None:
         """Take a connection back after an exchange."""
         if connection.finish_exchange():
             self._keep(address, connection)
+        elif connection.fell_silent:
+            # So may have those that rest here, and a request that is lost on one of them may not be repeatable.
+            self.forget(address)
 
     def _keep(self, address: str, connection: BackendConnection) -> None:
         idle = self._idle.setdefault(address, [])
--- a/src/wallwell/cluster/peer_link.py
+++ b/src/wallwell/cluster/peer_link.py
@@ -9,9 +9,12 @@
 import msgspec
 
 from wallwell.errors import PeerUnavailableError
+from wallwell.socket_options import end_when_silent
 
 MAX_LINE_BYTES = 16 * 1024 * 1024
 CONNECT_TIMEOUT_S = 0.3
+UNACKNOWLEDGED_S = 1.0
+"""Time after which a link ends whose peer acknowledges nothing; requests have shorter or similar time-outs."""
 
 Reply = TypeVar("Reply", bound=msgspec.Struct)
 Handler = Callable[[Any], Awaitable[msgspec.Struct]]
@@ -45,6 +48,7 @@
             host, _, port = self.address.rpartition(":")
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 self._streams = await asyncio.open_connection(host, int(port), limit=MAX_LINE_BYTES)
+            end_when_silent(self._streams[1].transport, UNACKNOWLEDGED_S)
         reader, writer = self._streams
         writer.write(line)
         async with asyncio.timeout(timeout_s):
--- a/tests/unit/backends/test_http_connection.py
+++ b/tests/unit/backends/test_http_connection.py
@@ -221,3 +221,73 @@
             return received
 
     assert run_async(work()) == b"hello"
+
+
+class FallsSilent:
+    """Answers on every connection until told; from then on only on those that are made later."""
+
+    def __init__(self):
+        self._silent = set()
+        self._open = set()
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def __aexit__(self, *_):
+        self.server.close()
+
+    def fall_silent(self):
+        self._silent |= self._open
+
+    async def _serve(self, reader, writer):
+        self._open.add(writer)
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                if writer in self._silent:
+                    await asyncio.sleep(3600)
+                writer.write(answer())
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
+def test_one_call_is_lost_to_connections_that_fell_silent(run_async):
+    """Each resting connection cost a call its whole time-out: six of them kept a node from its store for 9 s."""
+
+    async def scenario():
+        async with FallsSilent() as server:
+            pool = ConnectionPool("", 1.0, 1.0)
+            await asyncio.gather(*(pool.fetch(server.address, REQUEST, 1.0) for _ in range(4)))
+            server.fall_silent()
+            outcomes = []
+            for _ in range(3):
+                try:
+                    status, _ = await pool.fetch(server.address, REQUEST, 0.1)
+                    outcomes.append(status)
+                except TimeoutError:
+                    outcomes.append("silent")
+            pool.close()
+            return outcomes
+
+    assert run_async(scenario()) == ["silent", 200, 200]
+
+
+def test_a_connection_that_ended_in_silence_takes_the_resting_ones_with_it(run_async):
+    async def scenario():
+        async with FallsSilent() as server:
+            pool = ConnectionPool("", 1.0, 1.0)
+            await asyncio.gather(*(pool.fetch(server.address, REQUEST, 1.0) for _ in range(3)))
+            connection = await pool.acquire(server.address)
+            connection.transport.abort()
+            connection.connection_lost(TimeoutError("no acknowledgement"))
+            pool.release(server.address, connection)
+            fresh = await pool.acquire(server.address)
+            made = len(server._open)
+            fresh.close()
+            pool.close()
+            return made
+
+    assert run_async(scenario()) == 4
