--- a/src/wallwell/gateway/fleet_metrics.py
+++ b/src/wallwell/gateway/fleet_metrics.py
@@ -11,6 +11,9 @@
 from wallwell.gateway.counters import LATENCY_BOUNDS_S, FleetCounters, LatencyHistogram
 from wallwell.gateway.fleet_state import FleetState
 
+MAX_TENANTS_SHOWN = 20
+"""Tenants with series of their own: those that were refused most, so that labels stay bounded with any number."""
+
 
 class FleetCollector:
     """Turns a node's numbers into metrics at the moment they are collected."""
@@ -52,11 +55,26 @@
         yield GaugeMetricFamily("wallwell_backends_open", "Back ends that get new requests.", value=opened)
         in_flight = sum(each.in_flight for each in listed)
         yield GaugeMetricFamily("wallwell_in_flight", "Attempts under way.", value=in_flight)
+        yield from self._collect_limits(now_s)
         budget = GaugeMetricFamily("wallwell_retry_budget_left", "Repeats left by service.", labels=["service"])
         for service, left in state.budgets_left(now_s).items():
             budget.add_metric([service], left)
         yield budget
 
+    def _collect_limits(self, now_s: float) -> Iterator[Metric]:
+        left = GaugeMetricFamily("wallwell_limit_left", "What is left of a tenant's limit.", labels=["tenant"])
+        asked = GaugeMetricFamily(
+            "wallwell_limit_asked_per_second", "What all nodes are asked for.", labels=["tenant"]
+        )
+        refused = CounterMetricFamily(
+            "wallwell_limit_refusals", "Requests refused by a tenant's limit.", labels=["tenant"]
+        )
+        for use in self._state.load.limits.most_refused(MAX_TENANTS_SHOWN, now_s):
+            left.add_metric([use.tenant], use.left)
+            asked.add_metric([use.tenant], use.asked_per_s)
+            refused.add_metric([use.tenant], use.refused)
+        yield from (left, asked, refused)
+
 
 def _counter(name: str, text: str, label: str, counts: Mapping[str, int]) -> CounterMetricFamily:
     family = CounterMetricFamily(name, text, labels=[label])
--- a/src/wallwell/routing/tenant_limits.py
+++ b/src/wallwell/routing/tenant_limits.py
@@ -58,6 +58,19 @@
     wait_s: float
 
 
+@dataclass(frozen=True)
+class TenantUse:
+    """How one tenant stands against its limit, for operators. Amounts are tokens, or requests if those count."""
+
+    tenant: str
+    left: float
+    """For the whole fleet, as far as this node knows; negative if more was spent than the limit gave."""
+    asked_per_s: float
+    """By all nodes."""
+    refused: int
+    """Requests that this node refused since it started."""
+
+
 @dataclass
 class _Bucket:
     """What is left of one tenant's limit for the fleet, as far as this node knows. Amounts are tokens."""
@@ -75,6 +88,7 @@
     """Spent by this node and those that report to it, since this node started."""
     asked: SlidingWindow = field(default_factory=lambda: SlidingWindow(ASKED_WINDOW_S))
     asked_of_peers: int = 0
+    refused: int = 0
 
     def refill(self, now_s: float, part: float) -> None:
         """Add what time has earned of a part of the limit."""
@@ -159,6 +173,7 @@
         # A request larger than the bucket is served from a full one; it does not ask for more than all of it.
         bucket.asked.add(now_s, min(tokens, bucket.limit.burst))
         if self._rng.random() >= self._admitted_part(bucket, now_s):
+            bucket.refused += 1
             return OverLimit(self._wait_s(bucket, tokens, now_s))
         bucket.spend(tokens)
         return Admitted(tenant, tokens)
@@ -203,6 +218,15 @@
         if bucket is not None:
             bucket.spend(tokens)
 
+    def most_refused(self, count: int, now_s: float) -> list[TenantUse]:
+        """Return the tenants of which this node refused most, those that ask for most first among equals."""
+        uses = [
+            TenantUse(tenant, bucket.level, self._asked(bucket, now_s) / ASKED_WINDOW_S, bucket.refused)
+            for tenant, bucket in self._all.items()
+        ]
+        uses.sort(key=lambda use: (use.refused, use.asked_per_s), reverse=True)
+        return uses[:count]
+
     # --- what a node tells -----------------------------------------------------------------------------
 
     def asked(self, now_s: float) -> dict[str, int]:
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -279,6 +279,20 @@
     assert "k1" not in text
 
 
+def test_figures_tell_how_tenants_stand_against_their_limits(on_platform):
+    async def scenario(harness):
+        await harness.call(X_Token_Usage="1000,500")
+        await harness.call(X_Token_Usage="1000,500")
+        return harness.node.metrics_text().decode()
+
+    tenant = {"name": "t1", "api_keys": ["k1"], "rate_per_s": 1, "burst": 1, "unit": "tokens"}
+    text = on_platform(scenario, configuration=config(tenants=[tenant]))
+    refused = next(line for line in text.splitlines() if line.startswith("wallwell_limit_refusals_total{"))
+    assert refused.startswith('wallwell_limit_refusals_total{tenant="t1"}') and float(refused.split()[-1]) >= 1
+    assert 'wallwell_limit_left{tenant="t1"}' in text
+    assert 'wallwell_limit_asked_per_second{tenant="t1"}' in text
+
+
 def test_every_request_has_a_last_line_and_no_line_holds_a_credential(on_platform):
     lines = []
 
--- a/tests/unit/routing/test_tenant_limits.py
+++ b/tests/unit/routing/test_tenant_limits.py
@@ -244,3 +244,18 @@
     limits.learn_levels({TENANT: 50_000}, 100.1)
     assert limits.levels(100.1)[TENANT] == 49_500
     assert limits.begin_report() == {TENANT: 500}
+
+
+def test_operators_see_the_tenants_that_are_refused_most():
+    limits = FleetLimits(random.Random(5))
+    limits.set_limits({name: SMALL for name in ("quiet", "busy", "excess")})
+    limits.learn_fleet({}, 0, 1)
+    limits.levels(0.0)
+    limits.levels(100.0)
+    limits.admit("busy", 5_000, 100.0)
+    for _ in range(100):
+        limits.admit("excess", 5_000, 100.0)
+    first, second = limits.most_refused(2, 100.0)
+    assert (first.tenant, second.tenant) == ("excess", "busy")
+    assert first.refused > 50 and second.refused == 0
+    assert (second.left, second.asked_per_s) == (24_000, 5_000)
