--- a/src/wallwell/cluster/load_exchange.py
+++ b/src/wallwell/cluster/load_exchange.py
@@ -33,13 +33,14 @@
 
 
 class ZoneLoad(PeerMessage, frozen=True):
-    """The load of a node and the members that report to it, and all that was spent through it since it started.
+    """The load of a node and the members that report to it, and all that was spent through it in its life.
 
     Answered with the same of the other node.
     """
 
     node: str
     load: Load
+    life: int = 0
     spent_totals: dict[str, int] = {}
 
 
@@ -110,12 +111,13 @@
         return sum_loads((*self._members.recent(time.monotonic()), self._own_load()))
 
     def _zone_message(self) -> ZoneLoad:
-        return ZoneLoad(self._node, self._zone_load(), self._load.limits.spent_totals())
+        limits = self._load.limits
+        return ZoneLoad(self._node, self._zone_load(), limits.life, limits.spent_totals())
 
     def _take_zone(self, message: ZoneLoad) -> None:
         now_s = time.monotonic()
         self._zones.take(message.node, message.load, now_s)
-        self._load.limits.take_relay(message.node, message.spent_totals, now_s)
+        self._load.limits.take_relay(message.node, message.life, message.spent_totals, now_s)
 
     def _learn(self, load: Load) -> None:
         self._heard_at_s = time.monotonic()
--- a/src/wallwell/routing/tenant_limits.py
+++ b/src/wallwell/routing/tenant_limits.py
@@ -34,6 +34,8 @@
 """Size of the fleet for a node that knows of no others yet; it knows them within a second of its start."""
 RELAY_SILENCE_S = 1.5
 """Time after which a relay that was not heard tells what happened without this node; the lifetime of its loads."""
+LIFE_BITS = 48
+"""Enough that two lives of a node do not get the same number, and exact in any JSON."""
 TOLD_S = 0.3
 """Time for which the word of what is left holds: that between two reports, and a little more."""
 SHORTEST_WAIT_S = 0.2
@@ -110,17 +112,20 @@
 
 @dataclass(frozen=True)
 class _RelayTotals:
-    """What a relay told to have been spent through it since it started, and when it said so."""
+    """What a relay told to have been spent through it in one life, and when it said so."""
 
+    life: int
     spent: Mapping[str, int]
     at_s: float
 
 
 class FleetLimits:
-    """One node's part in keeping all tenants' limits. State exists only for tenants that were seen lately."""
+    """One node's part in keeping the limits of all tenants that have one."""
 
     def __init__(self, rng: random.Random | None = None) -> None:
         self._rng = rng or random.Random()
+        self.life = self._rng.getrandbits(LIFE_BITS)
+        """Tells the totals of this node's life from those of earlier ones."""
         self._buckets: dict[str, _Bucket] | None = None
         """By tenant; None before any limits are known."""
         self._relays: dict[str, _RelayTotals] = {}
@@ -277,18 +282,16 @@
                 bucket.level -= tokens
                 bucket.spent_total += tokens
 
-    def take_relay(self, relay: str, totals: Mapping[str, int], now_s: float) -> None:
-        """Another relay tells what was spent through it; what is new since its last word counts.
+    def take_relay(self, relay: str, life: int, totals: Mapping[str, int], now_s: float) -> None:
+        """Another relay tells what was spent through it in its life; what is new since its last word counts.
 
         Not after a silence: what was spent in it was earned in it.
         """
         last = self._relays.get(relay)
-        self._relays[relay] = _RelayTotals(totals, now_s)
-        if last is None or now_s - last.at_s > RELAY_SILENCE_S:
+        self._relays[relay] = _RelayTotals(life, totals, now_s)
+        if last is None or last.life != life or now_s - last.at_s > RELAY_SILENCE_S:
             return
         known = last.spent
-        if any(totals.get(tenant, 0) < tokens for tenant, tokens in known.items()):
-            return  # The first word of a new life.
         for tenant, total in totals.items():
             bucket = self._all.get(tenant)
             if bucket is not None:
--- a/tests/unit/routing/limit_fleet.py
+++ b/tests/unit/routing/limit_fleet.py
@@ -133,9 +133,9 @@
             if other is None or other is node:
                 continue
             other.members["relay " + node.name] = (self._zone_load(node, now_s), now_s)
-            other.limits.take_relay(node.name, node.limits.spent_totals(), now_s)
+            other.limits.take_relay(node.name, node.limits.life, node.limits.spent_totals(), now_s)
             node.members["relay " + other.name] = (self._zone_load(other, now_s), now_s)
-            node.limits.take_relay(other.name, other.limits.spent_totals(), now_s)
+            node.limits.take_relay(other.name, other.limits.life, other.limits.spent_totals(), now_s)
         others = sum_loads(node.recent(now_s))
         node.limits.learn_fleet(others.asked, others.nodes, len(self.nodes))
 
--- a/tests/unit/routing/test_tenant_limits.py
+++ b/tests/unit/routing/test_tenant_limits.py
@@ -128,21 +128,34 @@
 def test_a_relay_that_was_cut_off_does_not_count_what_was_spent_meanwhile():
     """It counted twelve seconds of the fleet's spending at once and refused everybody for as long."""
     limits = filled(LARGE)
-    limits.take_relay("n2", {TENANT: 1_000}, now_s=100.0)
-    limits.take_relay("n2", {TENANT: 2_000}, now_s=100.0)
+    limits.take_relay("n2", 1, {TENANT: 1_000}, now_s=100.0)
+    limits.take_relay("n2", 1, {TENANT: 2_000}, now_s=100.0)
     counted = limits.levels(100.0)[TENANT]
-    limits.take_relay("n2", {TENANT: 2_000_000}, now_s=100.0 + RELAY_SILENCE_S + 0.1)
+    limits.take_relay("n2", 1, {TENANT: 2_000_000}, now_s=100.0 + RELAY_SILENCE_S + 0.1)
     assert (counted, limits.levels(103.0)) == (LARGE.burst - 1_000, {})
 
 
 def test_a_relay_that_has_started_again_is_counted_from_there():
     limits = filled(LARGE)
-    limits.take_relay("n2", {TENANT: 5_000}, now_s=100.0)
-    limits.take_relay("n2", {TENANT: 700}, now_s=100.0)
-    limits.take_relay("n2", {TENANT: 900}, now_s=100.0)
+    limits.take_relay("n2", 1, {TENANT: 5_000}, now_s=100.0)
+    limits.take_relay("n2", 2, {TENANT: 700}, now_s=100.0)
+    limits.take_relay("n2", 2, {TENANT: 900}, now_s=100.0)
     assert limits.levels(100.0)[TENANT] == LARGE.burst - 200
 
 
+def test_what_a_relay_gives_back_is_given_back_elsewhere_too():
+    """A total that had become smaller looked like a new life of the relay: what others spent was not counted."""
+    limits = FleetLimits(random.Random(5))
+    limits.set_limits({TENANT: LARGE, "other": LARGE})
+    limits.learn_fleet({}, 0, 1)
+    limits.levels(0.0)
+    limits.levels(100.0)
+    limits.take_relay("n2", 1, {TENANT: 5_000, "other": 0}, now_s=100.0)
+    limits.take_relay("n2", 1, {TENANT: 6_000, "other": 0}, now_s=100.0)
+    limits.take_relay("n2", 1, {TENANT: 5_700, "other": 900}, now_s=100.0)
+    assert limits.levels(100.0) == {TENANT: LARGE.burst - 700, "other": LARGE.burst - 900}
+
+
 def test_spending_is_taken_off_what_was_saved_until_then():
     """A bucket that had not been looked at for long earned what was spent at once."""
     limits = filled(LARGE)
