--- a/src/wallwell/cluster/load_exchange.py
+++ b/src/wallwell/cluster/load_exchange.py
@@ -1,4 +1,4 @@
-"""Tells other nodes what this one has under way, and learns the same of all of them in a few messages a second."""
+"""Tells other nodes what this one has under way, and learns the same of all of them from one or a few."""
 
 from __future__ import annotations
 
