--- a/src/wallwell/gateway/cache_planning.py
+++ b/src/wallwell/gateway/cache_planning.py
@@ -37,9 +37,9 @@
         store = self._state.kv_store_address(exchange.placement) if version else ""
         if not store or self._is_unreachable(store):
             return CachePlan(scope)
-        fetch_from = (
-            self._best_source(store, scope, generation) if self._is_worth_fetching(generation, now_s) else ""
-        )
+        fetch_from = ""
+        if self._is_worth_fetching(generation, now_s):
+            fetch_from = self._best_source(store, scope, generation)
         save_to = store if self._may_save(exchange, backend, store, scope, now_s) else ""
         return CachePlan(scope, fetch_from, save_to)
 
--- a/src/wallwell/platform/rows.py
+++ b/src/wallwell/platform/rows.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import enum
-
 import msgspec
 
 from wallwell.deployment.backends import BackendRecord
@@ -69,11 +67,8 @@
     zone: str = ""
 
 
-class LimitUnit(enum.Enum):
-    """What a tenant's limit counts."""
-
-    REQUESTS = "requests"
-    TOKENS = "tokens"
+TOKENS_UNIT = "tokens"
+"""Unit of a limit that counts tokens. Any other counts requests, so that an unknown one is no error."""
 
 
 class TenantRow(msgspec.Struct, frozen=True):
@@ -85,7 +80,7 @@
     isolated: bool = False
     rate_per_s: float = 0.0
     burst: float = 0.0
-    unit: LimitUnit = LimitUnit.REQUESTS
+    unit: str = ""
     plain_tokens: int = 1
 
 
@@ -164,7 +159,7 @@
 def _tenant(row: TenantRow) -> TenantAccess:
     limit = None
     if row.rate_per_s > 0:
-        limit = TenantLimit(row.rate_per_s, row.burst, row.unit is LimitUnit.TOKENS, row.plain_tokens)
+        limit = TenantLimit(row.rate_per_s, row.burst, row.unit == TOKENS_UNIT, row.plain_tokens)
     return TenantAccess(row.name, row.api_keys, row.priority, row.isolated, limit)
 
 
--- a/tests/unit/platform/test_rows.py
+++ b/tests/unit/platform/test_rows.py
@@ -25,6 +25,7 @@
         ),
         ({"rate_per_s": 3, "burst": 4, "unit": "requests"}, TenantLimit(3, 4)),
         ({"rate_per_s": 3, "burst": 4}, TenantLimit(3, 4)),
+        ({"rate_per_s": 3, "burst": 4, "unit": "something new"}, TenantLimit(3, 4)),
         ({"rate_per_s": 3}, TenantLimit(3, 0)),
     ],
 )
