--- a/src/wallwell/routing/overload.py
+++ b/src/wallwell/routing/overload.py
@@ -6,7 +6,7 @@
 there is room. In a day of 45 engines of which 11 were away for 14 s, 67 in 100 of the worth asked for was served
 without this and 75 with it.
 
-What nodes know of each other's load is some hundred milliseconds old and the same everywhere. With a single
+What nodes know of each other's load is old by some reports and the same everywhere. With a single
 threshold all of them would refuse and admit by turns, so the part that is refused grows with the load.
 """
 
--- a/src/wallwell/routing/tenant_limits.py
+++ b/src/wallwell/routing/tenant_limits.py
@@ -24,8 +24,8 @@
 SPEND_DOWN_S = 0.5
 """Time in which tokens saved up are spent, and in which a debt is paid back, while demand exceeds the limit.
 
-About the age of what nodes know of each other (0.25 to 0.6 s). Twice as long, the fleet refuses up to 1% more of
-what the limit allows, in a model of 79 nodes."""
+Longer than what nodes know of each other is old. Twice as long, the fleet refuses up to 1% more of what the limit
+allows, in a model of 79 nodes with four reports a second."""
 TOLERATED_MISSING = 0.05
 """Part of the nodes that may be unheard without the others giving up their rate: stopped or replaced ones.
 
