--- a/src/wallwell/deployment/backends.py
+++ b/src/wallwell/deployment/backends.py
@@ -18,7 +18,11 @@
 
 @dataclass(frozen=True)
 class BackendRecord:
-    """One incarnation of a back end as the store lists it. ``versions`` maps models to weights versions."""
+    """One incarnation of a back end as the store lists it. ``versions`` maps models to weights versions.
+
+    ``software`` is the version of the service that it runs. ``slow_for_s`` is how much longer it stays slow after
+    its start, as of the entry's writing.
+    """
 
     incarnation: str
     service: str
@@ -27,6 +31,8 @@
     slots: int
     draining: bool = False
     versions: Mapping[str, int] = field(default_factory=dict)
+    software: str = ""
+    slow_for_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/src/wallwell/gateway/cache_planning.py
+++ b/src/wallwell/gateway/cache_planning.py
@@ -9,7 +9,7 @@
 from wallwell.routing.prefix_home import shared_parts
 
 SAVE_FRESHNESS_S = 2.0
-"""Age of the store's last word beyond which a rollout may be under way that this node does not know of."""
+"""Age of the store's last word beyond which a weights roll may be under way that this node does not know of."""
 
 MIN_FETCH_TOKENS = 1024
 """Shared tokens from which a prompt's parts are fetched also while the fleet is behind.
@@ -22,7 +22,7 @@
 
     Streams go on while their engine changes weights, so parts that it reads at that moment are made by two
     versions. Such parts must not be used under the older one. So nothing is saved by an engine that is about to
-    change weights (see ``SETTLE_S`` of the rollout), nor on the word of a node that may not know of it.
+    change weights (see ``SETTLE_S`` of the weights roll), nor on the word of a node that may not know of it.
     """
 
     def __init__(self, state: FleetState) -> None:
--- a/src/wallwell/gateway/fleet_node.py
+++ b/src/wallwell/gateway/fleet_node.py
@@ -1,4 +1,4 @@
-"""One node of a fleet that keeps its lasting state in a store: followers, pipeline, rollouts, readiness, stop."""
+"""One node of a fleet with its lasting state in a store: followers, pipeline, weights rolls, readiness, stop."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 from wallwell.gateway.kept_cache_watch import CacheRequest, KeptCacheWatch
 from wallwell.gateway.liveness import Liveness, ReachabilityCheck
 from wallwell.gateway.pipeline import RequestPipeline
-from wallwell.placement.rollout_driver import EngineControl, RolloutDriver
+from wallwell.placement.weights_roll_driver import EngineControl, WeightsRollDriver
 from wallwell.storage.feed import FollowedPage, RowFollower, RowSource
 
 OPERATORS_WAIT_S = 0.8
@@ -62,14 +62,14 @@
         self._liveness = Liveness(self.state, check)
         self._pipeline = RequestPipeline(self.state, client, liveness=self._liveness)
         self._clock = StoreClock()
-        self._rollout = RolloutDriver(self.state, sources.table, control, self._clock)
+        self._weights_roll = WeightsRollDriver(self.state, sources.table, control, self._clock)
         self._order = UpstreamOrder(node, zone)
         self._link_mbps = link_mbps
         self._tasks: list[asyncio.Task[None]] = []
         self._relayed: dict[str, RelayedRows] = {}
         self._operators = OperatorRows(self.state, sources)
         self._listing = BackendRows(self.state, sources, pool)
-        self._members = MemberRows(self.state, sources.table, self._order, self._rollout)
+        self._members = MemberRows(self.state, sources.table, self._order, self._weights_roll)
         self._followers = (
             self._follower("operators", sources.operators, self._operators.apply, OPERATORS_WAIT_S, 0.0),
             self._follower("backends", sources.backends, self._listing.apply, BACKENDS_WAIT_S, BACKENDS_PAUSE_S),
@@ -106,7 +106,7 @@
     def start(self) -> None:
         """Start following the store."""
         loops: list[Callable[[], Coroutine[Any, Any, None]]] = [each.run for each in self._followers]
-        loops += [self._rollout.run, self._exchange.run, self._kept_caches.run, self._liveness.run]
+        loops += [self._weights_roll.run, self._exchange.run, self._kept_caches.run, self._liveness.run]
         loops.append(self._housekeeping)
         self._tasks = [asyncio.create_task(self._supervise(loop)) for loop in loops]
 
@@ -163,7 +163,7 @@
         """
         emit(Event.NODE_DRAINING, in_flight=self.in_flight)
         self.draining = True
-        self._rollout.drain()
+        self._weights_roll.drain()
         self._peers.close()
         end_s = time.monotonic() + grace_s - STOP_RESERVE_S
         await asyncio.sleep(min(NOTICE_S, grace_s / 2))
@@ -173,7 +173,7 @@
 
     async def stop(self) -> None:
         """Stop following the store and close connections."""
-        self._rollout.stop()
+        self._weights_roll.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/src/wallwell/gateway/fleet_rows.py
+++ b/src/wallwell/gateway/fleet_rows.py
@@ -16,7 +16,7 @@
 from wallwell.events import Event, emit
 from wallwell.gateway.fleet_state import FleetState
 from wallwell.gateway.kept_cache_watch import CacheEventSource
-from wallwell.placement.rollout_driver import RolloutDriver
+from wallwell.placement.weights_roll_driver import WeightsRollDriver
 from wallwell.storage.feed import FeedRow, FollowedPage, RowSource
 from wallwell.storage.table import Condition, Put, TableService, Transaction
 
@@ -151,12 +151,12 @@
     """Knows the other nodes from this product's own rows, and makes this node known to them."""
 
     def __init__(
-        self, state: FleetState, table: TableService, order: UpstreamOrder, rollout: RolloutDriver
+        self, state: FleetState, table: TableService, order: UpstreamOrder, weights_roll: WeightsRollDriver
     ) -> None:
         self._state = state
         self._table = table
         self._order = order
-        self._rollout = rollout
+        self._weights_roll = weights_roll
         self._own_version: int | None = None
         """Version of this node's own row, 0 if there is none, None before the rows were read."""
 
@@ -166,7 +166,7 @@
         return self._own_version is not None
 
     def apply(self, followed: FollowedPage) -> None:
-        """Take a page: members here, the rest for rollouts."""
+        """Take a page: members here, the rest for weights rolls."""
         now_s = time.monotonic()
         members = {} if followed.whole else dict(self._order.members)
         if followed.whole:
@@ -175,7 +175,7 @@
             if row.key.startswith(MEMBER_PREFIX):
                 self._on_member(members, row)
             else:
-                self._rollout.on_row(row, now_s)
+                self._weights_roll.on_row(row, now_s)
         self._order.members = members
         self._state.members = set(members)
 
--- a/src/wallwell/gateway/fleet_state.py
+++ b/src/wallwell/gateway/fleet_state.py
@@ -11,7 +11,7 @@
 from wallwell.deployment.routes import DeploymentConfig
 from wallwell.deployment.weights import WeightsTargets
 from wallwell.gateway.exchange import Generation
-from wallwell.placement.rollout import OVERDUE_PART
+from wallwell.placement.weights_roll import OVERDUE_PART
 from wallwell.routing.demand import FleetDemand
 from wallwell.routing.first_piece import FirstPieces
 from wallwell.routing.fleet_budget import FleetRetryBudget
--- a/src/wallwell/placement/rollout.py
+++ b/src/wallwell/placement/weights_roll.py
@@ -1,6 +1,7 @@
-"""Which engines get which weights when: decisions of a rollout, without I/O.
+"""Which engines get which weights when: decisions of a weights roll, without I/O.
 
-A rollout brings every engine to the newest version; :mod:`wallwell.placement.rollout_timing` says when it begins.
+A weights roll brings every engine to the newest version; :mod:`wallwell.placement.weights_roll_timing` says when it
+begins.
 Engines load a few at a time, so that the others keep serving and loads stay quick.
 """
 
@@ -13,15 +14,15 @@
 
 from wallwell.deployment.backends import Backend
 from wallwell.deployment.weights import NamedVersion, WeightsTargets
-from wallwell.placement.rollout_timing import RolloutCircumstances, hold_s
+from wallwell.placement.weights_roll_timing import RollCircumstances, hold_s
 from wallwell.routing.prefix_home import CHUNK_TOKENS, engine_pool
 
 HOLD_PART = 0.52
-"""Part of the allowance for which a rollout waits at most."""
+"""Part of the allowance for which a weights roll waits at most."""
 CONCURRENT_SHARE = 0.4
 """Share of each pool under order at the same time."""
 SERVING_SHARE = 0.5
-"""Share of all engines that go on serving during a rollout; crashed ones do not count as serving."""
+"""Share of all engines that go on serving during a weights roll; crashed ones do not count as serving."""
 OVERDUE_PART = 0.85
 """Part of the allowance after which an engine on older weights gets no new generation, and so its order at once."""
 RETRY_S = 0.8
@@ -84,7 +85,7 @@
 
 
 @dataclass
-class RolloutPlanner:
+class WeightsRollPlanner:
     """Reconciles engines towards the newest named versions."""
 
     targets: WeightsTargets
@@ -125,7 +126,7 @@
         newest = self.targets.newest(model)
         lacking = [each for each in engines if each.believed_version(model) < newest]
         serving = all(each.is_open(now_s) for each in engines if not each.is_leaving(now_s))
-        circumstances = RolloutCircumstances(self.generations_per_s(now_s), len(lacking), serving)
+        circumstances = RollCircumstances(self.generations_per_s(now_s), len(lacking), serving)
         longest_s = self.allowance_s * HOLD_PART
         return hold_s(self.targets.named(model), missing, circumstances, longest_s, now_s)
 
--- a/src/wallwell/placement/rollout_driver.py
+++ b/src/wallwell/placement/weights_roll_driver.py
@@ -1,4 +1,4 @@
-"""Carries out rollouts: takes the lease, publishes what loads, gives fenced orders and watches them take effect."""
+"""Carries out weights rolls: takes the lease, publishes what loads, gives fenced orders, sees them take effect."""
 
 from __future__ import annotations
 
@@ -15,14 +15,14 @@
 from wallwell.errors import LeaseLostError, PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
 from wallwell.gateway.fleet_state import FleetState
-from wallwell.placement.rollout import EngineReport, LoadOrder, LoadTask, OrderReply, RolloutPlanner
+from wallwell.placement.weights_roll import EngineReport, LoadOrder, LoadTask, OrderReply, WeightsRollPlanner
 from wallwell.routing.rendezvous import key_of, rendezvous_score
 from wallwell.storage.feed import FeedRow
 from wallwell.storage.table import Put, TableService, Transaction
 
-LEASE_NAME = "rollout"
+LEASE_NAME = "weights"
 LEASE_KEY = LEASE_PREFIX + LEASE_NAME
-PROGRESS_PREFIX = "rollout/"
+PROGRESS_PREFIX = "weights/"
 TICK_S = 0.15
 VALID_PART = 0.4
 """Part of the lease's time for which a holder trusts one renewal."""
@@ -73,15 +73,15 @@
     return LoadInProgress(model, version, now_s + LOADING_HINT_S, now_s + SETTLE_S - ORDER_LEAD_S)
 
 
-class RolloutDriver:
-    """One node's part in rollouts; at most one node acts at a time."""
+class WeightsRollDriver:
+    """One node's part in weights rolls; at most one node acts at a time."""
 
     def __init__(self, state: FleetState, table: TableService, control: EngineControl, clock: StoreClock) -> None:
         self._state = state
         self._table = table
         self._control = control
         self._clock = clock
-        self._planner = RolloutPlanner(
+        self._planner = WeightsRollPlanner(
             state.weights, state.bounds.version_s, lambda now_s: state.demand.per_s(now_s, state.node_count)
         )
         self._valid_s = state.bounds.lease_s * VALID_PART
@@ -121,7 +121,7 @@
     # --- loop ------------------------------------------------------------------------------------------
 
     async def run(self) -> None:
-        """Drive rollouts until cancelled."""
+        """Drive weights rolls until cancelled."""
         while True:
             await asyncio.sleep(TICK_S)
             await self.step()
@@ -202,7 +202,7 @@
         running.add_done_callback(self._tasks.discard)
 
     async def _publish(self, model: str) -> None:
-        """Tell every node what loads; without an answer from the store the rollout goes on all the same."""
+        """Tell every node what loads; without an answer from the store the weights roll goes on all the same."""
         self._unpublished = ""
         listed = self._state.backends
         self._finished = {name: done for name, done in self._finished.items() if listed.get(name) is not None}
--- a/src/wallwell/placement/rollout_timing.py
+++ b/src/wallwell/placement/weights_roll_timing.py
@@ -1,4 +1,4 @@
-"""When a rollout begins: at once, or after a version that is expected soon, so that one load serves both.
+"""When a weights roll begins: at once, or after a version that is expected soon, so that one load serves both.
 
 Loading and serving on older weights both cost. What decides is observed: how often versions are named, how many
 generations come, how many engines would load, and whether all of them serve. Pure.
@@ -27,8 +27,8 @@
 
 
 @dataclass(frozen=True)
-class RolloutCircumstances:
-    """What a rollout of one model would meet now."""
+class RollCircumstances:
+    """What a weights roll of one model would meet now."""
 
     generations_per_s: float
     """Of all nodes."""
@@ -46,14 +46,14 @@
 def hold_s(
     named: Sequence[NamedVersion],
     missing: NamedVersion,
-    circumstances: RolloutCircumstances,
+    circumstances: RollCircumstances,
     longest_s: float,
     now_s: float,
 ) -> float:
-    """Return how long after the naming of the oldest missing version its rollout begins.
+    """Return how long after the naming of the oldest missing version its weights roll begins.
 
     ``named`` holds all versions of the model, oldest first. While an engine is out, the others are needed, and a
-    rollout waits for ``longest_s``.
+    weights roll waits for ``longest_s``.
     """
     if not circumstances.all_serving:
         return longest_s
--- a/src/wallwell/platform/rows.py
+++ b/src/wallwell/platform/rows.py
@@ -123,6 +123,8 @@
     zone: str = ""
     slots: int = 1
     state: str = "ready"
+    version: str = ""
+    cold_left_ms: float = 0.0
     models: tuple[ModelVersionRow, ...] = ()
 
 
@@ -187,4 +189,6 @@
         slots=row.slots,
         draining=row.state != "ready",
         versions={model.name: model.version for model in row.models if model.version},
+        software=row.version,
+        slow_for_s=row.cold_left_ms / 1000,
     )
--- a/src/wallwell/platform/settings.py
+++ b/src/wallwell/platform/settings.py
@@ -37,6 +37,9 @@
     contact_ms: float = 3000
     version_ms: float = 8000
     grace_s: float = 8
+    exposure_share: float = 0.1
+    exposure_slack: float = 50
+    rollback_ms: float = 5000
 
 
 class Limits(msgspec.Struct, frozen=True):
--- a/src/wallwell/platform/workers.py
+++ b/src/wallwell/platform/workers.py
@@ -15,7 +15,7 @@
 )
 from wallwell.deployment.backends import BackendRecord
 from wallwell.gateway.exchange import AnswerHead, AttemptError, Dispatch
-from wallwell.placement.rollout import EngineReport, LoadOrder, OrderReply
+from wallwell.placement.weights_roll import EngineReport, LoadOrder, OrderReply
 from wallwell.platform import names
 from wallwell.routing.outcome import TransportEvent
 
--- a/tests/unit/placement/test_rollout.py
+++ b/tests/unit/placement/test_weights_roll.py
@@ -1,11 +1,11 @@
-"""Rollouts: one load covers versions named close together, and enough engines keep serving."""
+"""Weights rolls: one load covers versions named close together, and enough engines keep serving."""
 
 import pytest
 
 from wallwell.deployment.backends import Backend, BackendRecord
 from wallwell.deployment.weights import WeightsTargets
-from wallwell.placement.rollout import HOLD_PART, OVERDUE_PART, RETRY_S, RolloutPlanner, divide
-from wallwell.placement.rollout_timing import SOONEST_S
+from wallwell.placement.weights_roll import HOLD_PART, OVERDUE_PART, RETRY_S, WeightsRollPlanner, divide
+from wallwell.placement.weights_roll_timing import SOONEST_S
 
 ALLOWANCE_S = 8.0
 DUE_S = ALLOWANCE_S * HOLD_PART
@@ -24,10 +24,10 @@
     targets = WeightsTargets()
     for version, since_s in named:
         targets.name("m", version, since_s)
-    return RolloutPlanner(targets, ALLOWANCE_S)
+    return WeightsRollPlanner(targets, ALLOWANCE_S)
 
 
-def test_a_rollout_waits_for_a_version_that_is_expected_soon():
+def test_a_weights_roll_waits_for_a_version_that_is_expected_soon():
     plan, listed = planner((1, -6.4), (2, -3.2), (3, 0.0)), engines(6, version=2)
     assert not plan.is_due(listed, 3.0)
     plan.targets.name("m", 4, 3.2)
@@ -36,7 +36,7 @@
     assert {task.version for task in plan.next_tasks(listed, DUE_S)} == {4}
 
 
-def test_a_rollout_begins_soon_when_much_is_served_on_older_weights():
+def test_a_weights_roll_begins_soon_when_much_is_served_on_older_weights():
     plan, listed = planner((1, -6.4), (2, -3.2), (3, 0.0)), engines(6, version=2)
     plan.generations_per_s = lambda now_s: 40.0
     assert not plan.is_due(listed, SOONEST_S - 0.1)
@@ -44,7 +44,7 @@
 
 
 @pytest.mark.parametrize("out", ["suspended", "draining"])
-def test_a_rollout_waits_while_an_engine_is_out_of_service_but_not_for_one_that_leaves(out):
+def test_a_weights_roll_waits_while_an_engine_is_out_of_service_but_not_for_one_that_leaves(out):
     plan, listed = planner((2, 0.0)), engines(6)
     if out == "suspended":
         listed[0].suspended_until_s = 100.0
--- a/tests/unit/placement/test_rollout_driver.py
+++ b/tests/unit/placement/test_weights_roll_driver.py
@@ -12,8 +12,8 @@
 from wallwell.deployment.freshness import StoreClock
 from wallwell.errors import PlatformUnavailableError
 from wallwell.gateway.fleet_state import FleetBounds, FleetState
-from wallwell.placement.rollout import EngineReport, OrderReply
-from wallwell.placement.rollout_driver import RolloutDriver
+from wallwell.placement.weights_roll import EngineReport, OrderReply
+from wallwell.placement.weights_roll_driver import WeightsRollDriver
 from wallwell.storage.feed import FeedRow
 
 LEASE_S = 3.0
@@ -76,7 +76,9 @@
                     BackendRecord(incarnation, "s", f"{incarnation}:80", "z", 8, versions={"m": 1})
                 )
             self.states.append(state)
-            self.drivers.append(RolloutDriver(state, self.table, Control(self.engines, state.node), StoreClock()))
+            self.drivers.append(
+                WeightsRollDriver(state, self.table, Control(self.engines, state.node), StoreClock())
+            )
 
     def start(self):
         self.tasks = [asyncio.create_task(driver.run()) for driver in self.drivers]
@@ -241,7 +243,7 @@
         await asyncio.sleep(4.0)
         late = FleetState("late", "z", FleetBounds(lease_s=LEASE_S), random.Random(9))
         late.weights.name("m", 4, time.monotonic(), estimated=True)
-        driver = RolloutDriver(late, fleet.table, Control(fleet.engines, "late"), StoreClock())
+        driver = WeightsRollDriver(late, fleet.table, Control(fleet.engines, "late"), StoreClock())
         for row in (await fleet.table.scan("", 0)).rows:
             driver.on_row(FeedRow(row.key, row.value.encode(), row.version), time.monotonic())
         ages = [(each.version, round(each.known_since_s - started_s, 1)) for each in late.weights.certain("m")]
--- a/tests/unit/placement/test_rollout_timing.py
+++ b/tests/unit/placement/test_weights_roll_timing.py
@@ -1,12 +1,12 @@
-"""When a rollout begins, by what is observed: the pace of namings, the demand, and whether all engines serve."""
+"""When a weights roll begins, by what is observed: pace of namings, demand, and whether all engines serve."""
 
 import pytest
 
 from wallwell.deployment.weights import NamedVersion
-from wallwell.placement.rollout_timing import (
+from wallwell.placement.weights_roll_timing import (
     NAMING_TOLERANCE_S,
     SOONEST_S,
-    RolloutCircumstances,
+    RollCircumstances,
     hold_s,
     usual_gap_s,
 )
@@ -59,11 +59,11 @@
         "the next is due now",
     ],
 )
-def test_a_rollout_begins_at_once_or_waits(versions, now_s, demand_per_s, lacking, serving, begins_at_once):
-    circumstances = RolloutCircumstances(demand_per_s, lacking, serving)
+def test_a_weights_roll_begins_at_once_or_waits(versions, now_s, demand_per_s, lacking, serving, begins_at_once):
+    circumstances = RollCircumstances(demand_per_s, lacking, serving)
     held_s = hold_s(versions, versions[-1], circumstances, LONGEST_S, now_s)
     assert held_s == (SOONEST_S if begins_at_once else LONGEST_S)
 
 
 def test_a_short_allowance_bounds_the_soonest():
-    assert hold_s(named(0.0), named(0.0)[0], RolloutCircumstances(9.0, 5, True), 0.2, 0.1) == 0.2
+    assert hold_s(named(0.0), named(0.0)[0], RollCircumstances(9.0, 5, True), 0.2, 0.1) == 0.2
