--- a/deploy/router.py
+++ b/deploy/router.py
@@ -5,6 +5,10 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
+from wallwell.plain_http import load_aiohttp_without_tls
+
+load_aiohttp_without_tls()
+
 from wallwell.platform.main import main
 
 sys.exit(main())
