Retry-After follows the cause of a refusal

Cause: every refusal told 0.15 s, whether the next node would have served or every node was waiting for the store; a request without time for any answer ended as 504 although it had not been sent. Change: routing/return_time.py gives a wait by typed cause from what the node knows (end of the first suspension, usual time of calls and generations, the store's silence, whether other nodes are heard), spread, never over the third of a caller's time that it honours. Requests with less time left than half of the shortest answer of their route are refused at once with WW3007.

No test was changed.

--- a/src/wallwell/gateway/admission.py
+++ b/src/wallwell/gateway/admission.py
@@ -16,29 +16,30 @@
 from wallwell.gateway.exchange import CallerReply, CallerRequest
 from wallwell.gateway.exchange_state import Exchange
 from wallwell.gateway.fleet_state import FleetState
+from wallwell.gateway.return_times import ReturnTimes
 from wallwell.routing.outcome import AttemptLog
+from wallwell.routing.return_time import ReturnCause
 from wallwell.routing.tenant_limits import Admitted, OverLimit
 
-RETRY_AFTER_MS = 150
-"""When a refused caller is told to come back."""
-
 
 class Admission:
     """Decides on requests by the configuration in force and how recently it was confirmed."""
 
     def __init__(self, state: FleetState) -> None:
         self._state = state
+        self._returns = ReturnTimes(state)
 
     def admit(self, request: CallerRequest, reply: CallerReply) -> Exchange:
         """Find route, tenant and service. Raises :class:`RequestError`."""
         config = self._state.config
         if config is None:
-            raise NotReadyError("no configuration yet", retry_after_ms=RETRY_AFTER_MS)
+            wait_ms = self._returns.of_arrival(ReturnCause.NO_CONFIGURATION, request)
+            raise NotReadyError("no configuration yet", retry_after_ms=wait_ms)
         fresh = self._state.is_fresh(request.arrived_s)
         route = config.find_route(request.host, request.path)
         if route is None:
             if not fresh:
-                raise StaleConfigurationError("the route may be newer", retry_after_ms=RETRY_AFTER_MS)
+                raise self._stale_error(request, "the route may be newer")
             raise UnknownResourceError("no route for this host and path")
         tenant = self._authorise(request, route, fresh)
         self._check_body(request, config.bounds.max_body_bytes)
@@ -67,12 +68,16 @@
         if route.public or not config.tenants:
             return config.tenant_of(request.credential) if request.credential else None
         if not fresh:
-            raise StaleConfigurationError("credentials cannot be confirmed", retry_after_ms=RETRY_AFTER_MS)
+            raise self._stale_error(request, "credentials cannot be confirmed")
         tenant = config.tenant_of(request.credential)
         if tenant is None:
             raise UnauthenticatedError("the credential belongs to no tenant")
         return tenant
 
+    def _stale_error(self, request: CallerRequest, detail: str) -> StaleConfigurationError:
+        wait_ms = self._returns.of_arrival(ReturnCause.STALE_CONFIGURATION, request)
+        return StaleConfigurationError(detail, retry_after_ms=wait_ms)
+
     def _take_of_limit(self, request: CallerRequest, tenant: TenantAccess | None) -> Admitted | None:
         """Take a request's tokens of its tenant's limit. Raises :class:`RateLimitedError`."""
         if tenant is None or tenant.limit is None:
--- a/src/wallwell/gateway/backend_choice.py
+++ b/src/wallwell/gateway/backend_choice.py
@@ -11,6 +11,7 @@
 from wallwell.gateway.fleet_state import FleetState
 from wallwell.routing.overload import Occupancy, refused_part, return_after_s
 from wallwell.routing.prefix_home import choose_from_tiers, engine_pool, is_long
+from wallwell.routing.return_time import ShortestAnswer
 
 
 class BackendChoice:
@@ -53,9 +54,13 @@
         raise OverloadedError(f"{occupancy.per_slot:.2f} under way by slot", retry_after_ms=round(wait_s * 1000))
 
     def learn_time(self, exchange: Exchange, now_s: float) -> None:
-        """A generation has ended well."""
-        if exchange.request.generation is not None:
-            self._state.generation_time.observe(now_s - exchange.timing.attempt_s)
+        """A request has ended well."""
+        state = self._state
+        took_s = now_s - exchange.timing.attempt_s
+        usual = state.call_time if exchange.request.generation is None else state.generation_time
+        usual.observe(took_s)
+        if not exchange.history.runs:
+            state.shortest_answers.setdefault(exchange.route.name, ShortestAnswer()).observe(took_s)
 
     def learn_pace(self, exchange: Exchange, now_s: float) -> None:
         """A piece of the current run came: learn from the first one."""
--- a/src/wallwell/gateway/fleet_state.py
+++ b/src/wallwell/gateway/fleet_state.py
@@ -20,6 +20,7 @@
 from wallwell.routing.overload import GenerationTime
 from wallwell.routing.reading_pace import ReadingPace
 from wallwell.routing.rendezvous import owner
+from wallwell.routing.return_time import ShortestAnswer
 from wallwell.routing.split import WeightedSplit
 
 LAST_PART = 0.93
@@ -28,6 +29,8 @@
 """How much before the end of the allowance a generation on older weights has to have begun."""
 MIN_FREE_PLACES = 0.25
 """What a full back end counts as free, so that one is chosen if all are full."""
+DEFAULT_CALL_S = 0.05
+"""Time of a call until some have been observed."""
 START_PART = 0.8
 """Part of the time given to a started machine after which estimated ages count."""
 
@@ -67,6 +70,10 @@
     members: set[str] = field(default_factory=set)
     pace: ReadingPace = field(default_factory=ReadingPace)
     generation_time: GenerationTime = field(default_factory=GenerationTime)
+    call_time: GenerationTime = field(default_factory=lambda: GenerationTime(DEFAULT_CALL_S))
+    """How long calls take from their sending to their end."""
+    shortest_answers: dict[str, ShortestAnswer] = field(default_factory=dict)
+    """By route."""
     kept_caches: dict[str, KeptCache] = field(default_factory=dict)
     """What the stores of kept KV cache hold, by address."""
     _budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -15,6 +15,7 @@
 from wallwell.errors import (
     BackendFailedError,
     DeadlineExceededError,
+    DeadlineUnreachableError,
     NoBackendError,
     OutcomeUnknownError,
     RequestError,
@@ -22,7 +23,7 @@
     StreamOrderError,
 )
 from wallwell.events import Event, emit
-from wallwell.gateway.admission import RETRY_AFTER_MS, Admission
+from wallwell.gateway.admission import Admission
 from wallwell.gateway.backend_choice import BackendChoice
 from wallwell.gateway.cache_planning import CachePlanner
 from wallwell.gateway.counters import FleetCounters
@@ -38,9 +39,11 @@
 from wallwell.gateway.fleet_state import FleetState
 from wallwell.gateway.head_wait import MIN_REMAINING_S, HeadWait
 from wallwell.gateway.liveness import Liveness
+from wallwell.gateway.return_times import ReturnTimes
 from wallwell.outcomes import Outcome
 from wallwell.routing.outcome import REFUSED_BY_BACKEND, TransportEvent
 from wallwell.routing.prefix_home import request_load
+from wallwell.routing.return_time import ReturnCause
 
 MAX_ARRIVALS_BEYOND_ATTEMPTS = 3
 """Further back ends tried when earlier ones prove that they did not run the request."""
@@ -69,6 +72,7 @@
         self._admission = Admission(state)
         self._wait = HeadWait(state, client)
         self._choice = BackendChoice(state)
+        self._returns = ReturnTimes(state)
         self._caches = CachePlanner(state)
         self.counters = counters or FleetCounters()
 
@@ -154,7 +158,7 @@
 
     def _choose(self, exchange: Exchange) -> Backend:
         """Return the back end of the next attempt. Raises :class:`RequestError`."""
-        if exchange.remaining_s() < MIN_REMAINING_S:
+        if exchange.remaining_s() < self._least_left_s(exchange):
             raise self._deadline_error(exchange)
         now_s = time.monotonic()
         state = self._state
@@ -162,10 +166,25 @@
         fresh = [each for each in usable if each.incarnation not in exchange.history.tried]
         candidates = fresh or (usable if self._all_unrun(exchange) else [])
         if not candidates:
-            raise self._exhausted(exchange, "no back end can take the request")
+            raise self._exhausted(
+                exchange, "no back end can take the request", self._cause_of_none(exchange, now_s)
+            )
         self._choice.refuse_if_overloaded(exchange, now_s)
         return self._choice.choose(exchange, candidates)
 
+    def _least_left_s(self, exchange: Exchange) -> float:
+        """Return the time that must be left for an attempt; a run that goes on has less to do than a whole one."""
+        shortest = self._state.shortest_answers.get(exchange.route.name)
+        if shortest is None or exchange.history.runs:
+            return MIN_REMAINING_S
+        return shortest.least_left_s(MIN_REMAINING_S)
+
+    def _cause_of_none(self, exchange: Exchange, now_s: float) -> ReturnCause:
+        """Return why no back end may be asked: none is listed, or none has weights that are new enough."""
+        listed = self._state.backends.of_service(exchange.service)
+        is_any_there = any(not each.is_leaving(now_s) for each in listed)
+        return ReturnCause.WEIGHTS_TOO_OLD if is_any_there else ReturnCause.NONE_LISTED
+
     def _all_unrun(self, exchange: Exchange) -> bool:
         return exchange.log.outcome is Outcome.NOT_RUN
 
@@ -325,19 +344,19 @@
             events=exchange.position.events_passed,
         )
         if not may_retry:
-            raise self._exhausted(exchange, failure.detail or event.value)
+            raise self._exhausted(exchange, failure.detail or event.value, ReturnCause.REFUSED)
         if history.runs >= exchange.route.max_attempts:
-            raise self._exhausted(exchange, "every allowed attempt was used")
+            raise self._exhausted(exchange, "every allowed attempt was used", ReturnCause.REFUSED)
         if exchange.log.attempts - history.arrivals >= MAX_UNREACHABLE:
-            raise self._exhausted(exchange, "no back end can be reached")
+            raise self._exhausted(exchange, "no back end can be reached", ReturnCause.SUSPENDED)
         if history.arrivals >= exchange.route.max_attempts + MAX_ARRIVALS_BEYOND_ATTEMPTS:
-            raise self._exhausted(exchange, "too many back ends refused")
+            raise self._exhausted(exchange, "too many back ends refused", ReturnCause.REFUSED)
         if event in UNREACHABLE:
             return
         if history.paid_repeats:
             history.paid_repeats -= 1
         elif not self._state.budget_of(exchange.service).try_retry(now_s, self._state.node_count):
-            raise self._exhausted(exchange, "the retry budget is used up")
+            raise self._exhausted(exchange, "the retry budget is used up", ReturnCause.BUDGET_USED)
 
     def _learn(self, exchange: Exchange, backend: Backend, failure: AttemptError, now_s: float) -> None:
         event = failure.event
@@ -360,17 +379,24 @@
             )
 
     def _deadline_error(self, exchange: Exchange) -> RequestError:
-        if exchange.log.outcome is Outcome.NOT_RUN and exchange.log.attempts and not exchange.history.runs:
-            return RetriesExhaustedError("; ".join(exchange.history.details), retry_after_ms=RETRY_AFTER_MS)
-        return DeadlineExceededError("; ".join(exchange.history.details) or "the time allowed ran out")
+        """Return the error of a request whose time is over, or too short for any answer."""
+        text = "; ".join(exchange.history.details)
+        if exchange.log.outcome is Outcome.NOT_RUN and not exchange.history.runs:
+            wait_ms = self._returns.of_exchange(ReturnCause.OUT_OF_TIME, exchange)
+            if exchange.log.attempts:
+                return RetriesExhaustedError(text, retry_after_ms=wait_ms)
+            detail = f"{exchange.remaining_s() * 1000:.0f} ms left are too few for any answer"
+            return DeadlineUnreachableError(detail, retry_after_ms=wait_ms)
+        return DeadlineExceededError(text or "the time allowed ran out")
 
-    def _exhausted(self, exchange: Exchange, detail: str) -> RequestError:
+    def _exhausted(self, exchange: Exchange, detail: str, cause: ReturnCause) -> RequestError:
         """Return the error that states what is proved of all attempts together."""
         text = "; ".join((detail, *exchange.history.details))
         if exchange.log.outcome is Outcome.NOT_RUN:
+            wait_ms = self._returns.of_exchange(cause, exchange)
             if exchange.log.attempts:
-                return RetriesExhaustedError(text, retry_after_ms=RETRY_AFTER_MS)
-            return NoBackendError(text, retry_after_ms=RETRY_AFTER_MS)
+                return RetriesExhaustedError(text, retry_after_ms=wait_ms)
+            return NoBackendError(text, retry_after_ms=wait_ms)
         if exchange.remaining_s() <= 0:
             return DeadlineExceededError(text)
         if exchange.log.outcome is Outcome.FAILED:
--- a/tests/unit/gateway/test_pipeline.py
+++ b/tests/unit/gateway/test_pipeline.py
@@ -187,6 +187,60 @@
     assert 1 <= serve_many(100) <= 20
 
 
+# --- when to come back --------------------------------------------------------------------------------
+
+
+def come_back(scripts, route=SAFE, **more):
+    return play(scripts, route, **more)[0].error.retry_after_ms / 1000
+
+
+def test_the_wait_follows_the_cause_of_the_refusal():
+    def know_calls(fleet):
+        fleet.call_time.seconds = 1.0
+
+    def hear_fleet(fleet):
+        fleet.freshness.confirmed_at_s = time.monotonic() - 5.0
+        fleet.demand.peers_generations = 10
+
+    def hear_nobody(fleet):
+        fleet.freshness.confirmed_at_s = time.monotonic() - 5.0
+
+    def start_without_configuration(fleet):
+        fleet.config = None
+        fleet.started_s = time.monotonic() - 0.5
+
+    assert come_back([SHED], UNSAFE, prepare=know_calls) > 0.3
+    assert come_back([SHED], UNSAFE) < 0.1
+    assert come_back([OK], backends=0) > 0.6
+    assert 0.5 < come_back([UNREACHABLE], UNSAFE) < 0.7
+    assert come_back([UNREACHABLE], UNSAFE, backends=9) < 0.1
+    assert come_back([OK], prepare=hear_fleet) > 0.6
+    assert come_back([OK], prepare=hear_nobody) < 0.1
+    assert come_back([OK], prepare=start_without_configuration) < 0.1
+
+
+def test_no_wait_is_told_beyond_a_third_of_the_callers_time():
+    assert come_back([OK], backends=0, request=lambda: make_request(allowance_s=0.3)) <= 0.1
+
+
+def test_a_request_with_less_time_than_any_answer_took_is_refused_unsent():
+    """It would be late for certain, and its work a back end's time."""
+
+    async def work():
+        client = FakeClient(Script(chunks=(b"ok",), head_after_s=0.4))
+        pipeline = RequestPipeline(make_state(UNSAFE), client)
+        replies = [FakeReply() for _ in range(3)]
+        for allowance_s, reply in zip((2.0, 0.15, 0.3), replies, strict=True):
+            await pipeline.serve(make_request(allowance_s=allowance_s), reply)
+        return client, replies
+
+    client, (served, refused, tried) = run_virtual(work())
+    assert (served.status, len(client.sent)) == (200, 2)
+    assert (refused.status, refused.error.outcome, refused.error.code) == (503, Outcome.NOT_RUN, "WW3007")
+    assert refused.error.retry_after_ms == 0
+    assert tried.status == 504
+
+
 # --- who may ask ---------------------------------------------------------------------------------------
 
 
