A planned stop ends within its grace time whatever hangs

Cause: 0.4 s were kept for closing, while the three listeners closed one after the other with up to 0.2 s each, and nothing bounded node.stop or what follows it: a task that ignores its cancellation, a thread that is not a daemon or a loop that stands still kept the process. A node whose loop notices SIGTERM late counts from then on.

--- a/src/wallwell/gateway/fleet_node.py
+++ b/src/wallwell/gateway/fleet_node.py
@@ -35,8 +35,8 @@
 NOTICE_S = 2.6
 """How long a stopping node still takes requests, until every balancer has seen that it is not ready."""
 DRAIN_TICK_S = 0.05
-STOP_RESERVE_S = 0.4
-"""Part of the grace period kept for closing."""
+STOP_RESERVE_PART = 0.125
+"""Part of the grace period kept for closing; what still runs in the last sixth may be cut (the users' rules)."""
 
 
 class FleetNode:
@@ -175,7 +175,7 @@
         self.draining = True
         self._weights_roll.drain()
         self._peers.close()
-        end_s = time.monotonic() + grace_s - STOP_RESERVE_S
+        end_s = time.monotonic() + grace_s * (1.0 - STOP_RESERVE_PART)
         await asyncio.sleep(min(NOTICE_S, grace_s / 2))
         await close_listener()
         while self.in_flight and time.monotonic() < end_s:
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -18,6 +18,7 @@
 from wallwell.platform.callers import CallersListener
 from wallwell.platform.rows import decode_backend, decode_config, decode_version
 from wallwell.platform.settings import PlatformSettings, load_platform_settings, settings_path
+from wallwell.platform.stop_deadline import end_process_after
 from wallwell.platform.store import PlatformStore, TableRows
 from wallwell.platform.workers import WorkerClient
 
@@ -102,11 +103,10 @@
             await site.stop()
         await listener.close_resting(callers_server)
 
+    end_process_after(settings.bounds.grace_s)
     await node.drain(settings.bounds.grace_s, close_listener)
-    await callers.cleanup()
-    await ready.cleanup()
-    if figures is not None:
-        await figures.cleanup()
+    # Together, since aiohttp waits at each server for connections that say nothing.
+    await asyncio.gather(*(runner.cleanup() for runner in (callers, ready, figures) if runner is not None))
     await node.stop()
     emit(Event.NODE_STOPPED)
 
--- /dev/null
+++ b/tests/platform/test_stop.py
@@ -0,0 +1,154 @@
+"""A process ends within its grace time, whatever hangs: callers, workers, peers, the store, its own tasks."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.platform.conftest import HOST, config, route
+from tests.platform.stand_ins import StoreStandIn, WorkerStandIn
+from wallwell.platform.names import SETTINGS_VARIABLE
+from wallwell.platform.stop_deadline import end_process_after
+
+GRACE_S = 3.0
+ROOT = Path(__file__).parents[2]
+START = "from wallwell.platform.main import main; import sys; sys.exit(main())"
+HANGING_STOP = f"""
+import asyncio, threading, time
+from wallwell.gateway.fleet_node import FleetNode
+async def ignore_cancellation():
+    while True:
+        try:
+            await asyncio.sleep(60)
+        except asyncio.CancelledError:
+            pass
+start = FleetNode.start
+def start_more(self):
+    start(self)
+    self._tasks.append(asyncio.ensure_future(ignore_cancellation()))
+FleetNode.start = start_more
+{START}
+"""
+HANGING_THREAD = f"""
+import threading, time
+threading.Thread(target=time.sleep, args=(600,)).start()
+{START}
+"""
+STANDING_LOOP = f"""
+import time
+from wallwell.gateway.fleet_node import FleetNode
+async def stop(self):
+    time.sleep(600)
+FleetNode.stop = stop
+{START}
+"""
+SETTINGS = """
+node = "n1"
+zone = "z1"
+ip = "127.0.0.1"
+port_range = [{peer}, {peer}]
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+[provider]
+addr = "{store}"
+[bounds]
+grace_s = {grace_s}
+strict_revoke = true
+"""
+
+
+def free_ports(count):
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+async def until_ready(port):
+    async with asyncio.timeout(30):
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                status = await reader.readline()
+                writer.close()
+                if b"200" in status:
+                    return
+            except OSError:
+                pass
+            await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize(
+    "code", [START, HANGING_STOP, HANGING_THREAD, STANDING_LOOP], ids=["sockets", "task", "thread", "loop"]
+)
+def test_a_process_ends_within_its_grace_time(run_async, tmp_path, code):
+    """Connections of callers rest or wait for a worker that hangs, a peer says nothing, the store is silent."""
+
+    async def scenario():
+        store, worker = StoreStandIn(), WorkerStandIn("i-1")
+        await store.start()
+        await worker.start()
+        worker.respond = worker.hang
+        store.put("servers", worker.incarnation, worker.entry())
+        store.put("op", "config", config(routes=[route(kind="unsafe", timeout_ms=60_000)]))
+        front, ready, peer = free_ports(3)
+        path = tmp_path / "settings.toml"
+        path.write_text(SETTINGS.format(front=front, ready=ready, peer=peer, store=store.address, grace_s=GRACE_S))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            code,
+            env={**os.environ, SETTINGS_VARIABLE: str(path), "PYTHONPATH": str(ROOT / "src")},
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        connections = []
+        try:
+            await until_ready(ready)
+            for port in (front, front, ready, ready, peer, peer):
+                connections.append(await asyncio.open_connection("127.0.0.1", port))
+            for _, writer in connections[1:4:2]:
+                writer.write(
+                    f"GET /a HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: r\r\nX-Credential: k1\r\n\r\n".encode()
+                )
+            async with asyncio.timeout(10):
+                while not worker.requests:
+                    await asyncio.sleep(0.01)
+            store.silent = True
+            process.send_signal(signal.SIGTERM)
+            sent_s = time.monotonic()
+            async with asyncio.timeout(30):
+                status = await process.wait()
+            return status, time.monotonic() - sent_s
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            for _, writer in connections:
+                writer.close()
+            await worker.stop()
+            await store.stop()
+
+    status, took_s = run_async(scenario())
+    assert status == 0
+    assert took_s <= GRACE_S
+
+
+def test_the_deadline_ends_the_process_with_success_just_before_the_grace_time():
+    ended = []
+    timer = end_process_after(0.0, ended.append)
+    timer.join(10.0)
+    assert ended == [0]
+    later = end_process_after(60.0, ended.append)
+    assert 59.0 < later.interval < 60.0
+    assert later.daemon
+    later.cancel()
