Tests hold that a node does not depend on the time of day

Result: no module that a node loads asks for it but to seed its random generator, and requests, a change of keys and a weights roll under a lease go on while each look at the clock finds it an hour further or back. Nothing had to be mended.

--- /dev/null
+++ b/tests/platform/test_time_of_day.py
@@ -0,0 +1,82 @@
+"""Nothing on the path of a request, a lease or a bound depends on the time of day, which may jump."""
+
+from __future__ import annotations
+
+import ast
+import itertools
+import json
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.platform.conftest import config
+from tests.unit.gateway.fakes import event
+from wallwell.platform.settings import Bounds
+
+SOURCES = Path(__file__).parents[2] / "src"
+IMPORTED_LATER = ("wallwell.gateway.fleet_metrics",)
+"""Modules that a node imports only where they are used."""
+OF_THE_DAY = {"time", "time_ns", "ctime", "localtime", "gmtime", "strftime", "asctime", "clock_gettime"}
+SEEDS = {("wallwell.gateway.fleet_node", "time_ns"): 1}
+"""The seed of a node's random generator."""
+LIST_MODULES = f"""
+import importlib, json, sys, wallwell.platform.main
+for name in {IMPORTED_LATER!r}:
+    importlib.import_module(name)
+print(json.dumps(sorted(name for name in sys.modules if name.startswith("wallwell"))))
+"""
+
+
+def uses_of_the_day(module):
+    """Return the names of the time of day that a module's source uses, in any spelling."""
+    path = SOURCES / (module.replace(".", "/") + ".py")
+    tree = ast.parse((path if path.exists() else SOURCES / module.replace(".", "/") / "__init__.py").read_text())
+    used = []
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Attribute) and isinstance(node.value, ast.Name) and node.value.id == "time":
+            used += [node.attr] if node.attr in OF_THE_DAY else []
+        elif isinstance(node, ast.ImportFrom) and node.module in ("time", "datetime"):
+            used += [each.name for each in node.names if each.name in OF_THE_DAY or node.module == "datetime"]
+        elif isinstance(node, ast.Import):
+            used += [
+                each.name for each in node.names if each.name == "datetime" or (each.name == "time" and each.asname)
+            ]
+    return used
+
+
+def test_no_module_of_a_node_asks_for_the_time_of_day():
+    command = [sys.executable, "-c", LIST_MODULES]
+    listed = subprocess.run(command, capture_output=True, check=True, env={"PYTHONPATH": str(SOURCES)})
+    modules = json.loads(listed.stdout)
+    assert {"wallwell.gateway.pipeline", "wallwell.cluster.leases", "wallwell.routing.tenant_limits"} <= set(
+        modules
+    )
+    found = [(module, name) for module in modules for name in uses_of_the_day(module)]
+    assert {each: found.count(each) for each in found} == SEEDS
+
+
+@pytest.mark.parametrize("step_s", [3600.0, -3600.0])
+def test_requests_and_leases_go_on_while_the_time_of_day_jumps(on_platform, monkeypatch, step_s):
+    """Each look at the clock finds it an hour further, or an hour back."""
+    base_s, jumps = time.time(), itertools.count()
+
+    async def scenario(harness):
+        for worker in harness.workers:
+            worker.respond = worker.stream(event(1))
+        monkeypatch.setattr(time, "time", lambda: base_s + step_s * next(jumps))
+        monkeypatch.setattr(time, "time_ns", lambda: int((base_s + step_s * next(jumps)) * 1e9))
+        harness.store.put("op", "version/m", {"model": "m", "version": 2})
+        await harness.until(lambda: all(worker.version == 2 for worker in harness.workers))
+        changed = config(7)
+        changed["tenants"][0]["api_keys"] = ["k2"]
+        harness.store.put("op", "config", changed)
+        await harness.until(lambda: harness.node.state.config.version == 7)
+        answers = [(await harness.call(X_Credential=key))[0] for key in ("k2", "k1", "k2")]
+        return answers, harness.node.is_ready(), next(jumps)
+
+    answers, ready, looked = on_platform(scenario, bounds=Bounds(strict_revoke=True, version_ms=300))
+    assert (answers, ready) == ([200, 401, 200], True)
+    assert looked > 1
