--- a/src/wallwell/gateway/exchange.py
+++ b/src/wallwell/gateway/exchange.py
@@ -68,6 +68,14 @@
     save_to: str = ""
 
 
+@dataclass
+class SendProgress:
+    """How far the sending of an attempt has come, for who may give it up."""
+
+    connecting: bool = False
+    """Whether a connection is being made, so that nothing can have reached the back end."""
+
+
 @dataclass(frozen=True)
 class Dispatch:
     """One attempt at one back end. ``remaining_s`` is what is left of the caller's time."""
@@ -80,6 +88,7 @@
     expected_version: int = 0
     resume_after: int | None = None
     cache: CachePlan | None = None
+    progress: SendProgress = field(default_factory=SendProgress)
 
 
 @dataclass(frozen=True)
@@ -107,6 +116,10 @@
         self.weights_version = weights_version
 
 
+class CallerGoneError(ConnectionError):
+    """The caller has closed its connection, so nobody waits for an answer any more."""
+
+
 class BackendAnswer(Protocol):
     """An answer whose head has arrived."""
 
@@ -137,6 +150,10 @@
         """Whether the head has been sent."""
         ...
 
+    def is_caller_gone(self) -> bool:
+        """Whether the caller has closed its connection, though the event loop may not have told yet."""
+        ...
+
     async def answer(self, head: AnswerHead, body: bytes) -> None:
         """Send a whole answer."""
         ...
--- a/tests/unit/gateway/test_pipeline.py
+++ b/tests/unit/gateway/test_pipeline.py
@@ -20,6 +20,7 @@
 )
 from tests.virtual_time import run_virtual
 from wallwell.deployment.routes import RouteKind, TenantAccess, WeightedService
+from wallwell.gateway.exchange import CallerGoneError
 from wallwell.gateway.pipeline import RequestPipeline
 from wallwell.outcomes import Outcome
 from wallwell.routing.outcome import TransportEvent as T
@@ -30,6 +31,7 @@
 SHED = Script(fails=T.BACKEND_OVERLOADED)
 MISDIRECTED = Script(fails=T.PRECONDITION_REFUSED)
 UNREACHABLE = Script(fails=T.CONNECT_TIMEOUT)
+NOBODY_LISTENS = Script(fails=T.CONNECT_REFUSED)
 RESET = Script(fails=T.RESET_AFTER_SEND)
 FOREIGN = Script(fails=T.FOREIGN_ANSWER)
 ERROR = Script(status=500, chunks=(b"broken",))
@@ -187,6 +189,62 @@
     assert 1 <= serve_many(100) <= 20
 
 
+# --- when to come back --------------------------------------------------------------------------------
+
+
+def come_back(scripts, route=SAFE, **more):
+    return play(scripts, route, **more)[0].error.retry_after_ms / 1000
+
+
+def test_the_wait_follows_the_cause_of_the_refusal():
+    def know_calls(fleet):
+        fleet.call_time.seconds = 1.0
+
+    def hear_fleet(fleet):
+        fleet.freshness.confirmed_at_s = time.monotonic() - 5.0
+        fleet.demand.peers_generations = 10
+
+    def hear_nobody(fleet):
+        fleet.freshness.confirmed_at_s = time.monotonic() - 5.0
+
+    def start_without_configuration(fleet):
+        fleet.config = None
+        fleet.started_s = time.monotonic() - 0.5
+
+    assert come_back([SHED], UNSAFE, prepare=know_calls) > 0.3
+    assert come_back([SHED], UNSAFE) < 0.1
+    assert come_back([OK], backends=0) > 0.6
+    assert 0.5 < come_back([NOBODY_LISTENS], UNSAFE) < 0.7
+    assert come_back([NOBODY_LISTENS], UNSAFE, backends=9) < 0.1
+    # Connections that hang make the whole zone suspected, for longer than this caller would wait.
+    assert 0.6 < come_back([UNREACHABLE], UNSAFE, backends=9) < 1.4
+    assert come_back([OK], prepare=hear_fleet) > 0.6
+    assert come_back([OK], prepare=hear_nobody) < 0.1
+    assert come_back([OK], prepare=start_without_configuration) < 0.1
+
+
+def test_no_wait_is_told_beyond_a_third_of_the_callers_time():
+    assert come_back([OK], backends=0, request=lambda: make_request(allowance_s=0.3)) <= 0.1
+
+
+def test_a_request_with_less_time_than_any_answer_took_is_refused_unsent():
+    """It would be late for certain, and its work a back end's time."""
+
+    async def work():
+        client = FakeClient(Script(chunks=(b"ok",), head_after_s=0.4))
+        pipeline = RequestPipeline(make_state(UNSAFE), client)
+        replies = [FakeReply() for _ in range(3)]
+        for allowance_s, reply in zip((2.0, 0.15, 0.3), replies, strict=True):
+            await pipeline.serve(make_request(allowance_s=allowance_s), reply)
+        return client, replies
+
+    client, (served, refused, tried) = run_virtual(work())
+    assert (served.status, len(client.sent)) == (200, 2)
+    assert (refused.status, refused.error.outcome, refused.error.code) == (503, Outcome.NOT_RUN, "WW3007")
+    assert refused.error.retry_after_ms == 0
+    assert tried.status == 504
+
+
 # --- who may ask ---------------------------------------------------------------------------------------
 
 
@@ -407,3 +465,22 @@
     play([slow], ONCE, generate(tokens=tokens), versions={"m": 1}, prepare=states.append)
     expected_s = DEFAULT_S + SMOOTHING * (2.0 / request_load(tokens + 10) - DEFAULT_S)
     assert states[0].pace.seconds_per_unit == pytest.approx(expected_s if learns else DEFAULT_S, rel=0.01)
+
+
+# --- callers that have left ----------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("scripts", "leaves_after", "sends"),
+    [([OK], 0, 0), ([SHED, OK], 1, 1), ([RESET, OK], 1, 1), ([ERROR, OK], 1, 1)],
+    ids=["before the first attempt", "after a refusal", "after a break", "after a failed answer"],
+)
+def test_nothing_is_sent_for_a_caller_who_has_left(scripts, leaves_after, sends):
+    async def work():
+        client, reply = FakeClient(*scripts), FakeReply()
+        reply.is_caller_gone = lambda: len(client.sent) >= leaves_after
+        with pytest.raises(CallerGoneError):
+            await RequestPipeline(make_state(SAFE), client).serve(make_request(), reply)
+        return len(client.sent), reply.ended
+
+    assert run_virtual(work()) == (sends, "")
