--- a/src/wallwell/errors.py
+++ b/src/wallwell/errors.py
@@ -44,6 +44,12 @@
     code = "WW1003"
 
 
+class ExtraMissingError(WallwellError):
+    """The command needs an extra of the package that is not installed; the detail names it."""
+
+    code = "WW1004"
+
+
 class ConfigInvalidError(WallwellError):
     """An operators' file was refused; nothing changed. The detail lists every problem found."""
 
