The platform's stand-ins move into the emulator package

Cause: the soak needs a store and workers of the users' platform as processes; the tests' own ones were untyped. A refused transaction now tells the current rows, as the platform does.

--- /dev/null
+++ b/src/wallwell/emulator/platform_store.py
@@ -0,0 +1,210 @@
+"""Stand-in for the users' platform's store over HTTP: rows, conditions, a feed of changes, and fault switches."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from wallwell.emulator.faults import reset_connection
+from wallwell.platform import names
+from wallwell.platform.store import TransactBody
+
+MAX_PAGE_ROWS = 500
+CONFLICT = 412
+HISTORY_GONE = 410
+FORBIDDEN = 403
+UNAVAILABLE = 503
+_SILENCE_S = 3600.0
+"""Longer than any caller waits."""
+
+
+@dataclass
+class StoreSwitches:
+    """Faults a store can be told to have. All are off at start."""
+
+    refuse_status: int = 0
+    """Answer every call with this status and do nothing."""
+    silent: bool = False
+    """Take calls and never answer them."""
+    slow_s: float = 0.0
+    """Wait this long before doing anything."""
+    lose_writes: int = 0
+    """Do a write, then reset the connection, this many times."""
+    late_writes: int = 0
+    """Reset the connection of a write and do it ``late_s`` later if its conditions still hold, this many times."""
+    late_s: float = 1.0
+    refused_listeners: tuple[str, ...] = ()
+    """Local addresses at which every call gets 503: each caller has an address of its own."""
+
+
+class PlatformStoreEmulator(StoreSwitches):
+    """One store. ``page_rows`` bounds the rows of one answer; ``closed_tables`` refuse writes of callers."""
+
+    def __init__(self, page_rows: int = MAX_PAGE_ROWS, closed_tables: frozenset[str] = frozenset()) -> None:
+        super().__init__()
+        self.rows: dict[tuple[str, str], tuple[str, int]] = {}
+        self.history: list[tuple[int, str, str, bool]] = []
+        self.version = 0
+        self.forgotten = 0
+        self.calls = 0
+        self.addresses: tuple[str, ...] = ()
+        self._page_rows = page_rows
+        self._closed_tables = closed_tables
+        self._changed = asyncio.Event()
+        self._late: set[asyncio.Task[None]] = set()
+
+    @property
+    def address(self) -> str:
+        """``IP:port`` of the first listener."""
+        return self.addresses[0]
+
+    def app(self) -> web.Application:
+        """Return the aiohttp application."""
+        app = web.Application()
+        app.router.add_post(names.ROWS_TRANSACT_PATH, self._transact)
+        app.router.add_get(names.ROWS_READ_PATH, self._read)
+        app.router.add_get(names.ROWS_FEED_PATH, self._feed)
+        return app
+
+    async def start(self, hosts: Iterable[str] = ("127.0.0.1",)) -> None:
+        """Listen on a port of the system's choice of every host."""
+        self._runner = web.AppRunner(self.app(), shutdown_timeout=0.01, access_log=None)
+        await self._runner.setup()
+        for host in hosts:
+            await web.TCPSite(self._runner, host, 0).start()
+        self.addresses = tuple(f"{address[0]}:{address[1]}" for address in self._runner.addresses)
+
+    async def stop(self) -> None:
+        """Close the listeners."""
+        await self._runner.cleanup()
+
+    # --- rows ------------------------------------------------------------------------------------------
+
+    def put(self, table: str, key: str, value: object | None) -> None:
+        """Write a row; ``value`` is JSON-encoded unless it is text, or None, which deletes."""
+        self.version += 1
+        if value is None:
+            self.rows.pop((table, key), None)
+        else:
+            text = value if isinstance(value, str) else json.dumps(value)
+            self.rows[(table, key)] = (base64.b64encode(text.encode()).decode(), self.version)
+        self.history.append((self.version, table, key, value is None))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def value(self, table: str, key: str) -> str | None:
+        """Return a row's text, None if there is no such row."""
+        found = self.rows.get((table, key))
+        return base64.b64decode(found[0]).decode() if found else None
+
+    def forget_history(self) -> None:
+        """Answer 410 to all that would continue from before now."""
+        self.forgotten = self.version
+        self.history.clear()
+
+    # --- calls -----------------------------------------------------------------------------------------
+
+    async def _before(self, request: web.Request) -> web.Response | None:
+        self.calls += 1
+        if self.silent:
+            await asyncio.sleep(_SILENCE_S)
+        if self.slow_s:
+            await asyncio.sleep(self.slow_s)
+        if self.refuse_status:
+            return web.Response(status=self.refuse_status)
+        if self.refused_listeners and _listener_of(request) in self.refused_listeners:
+            return web.Response(status=UNAVAILABLE)
+        return None
+
+    def _answer(self, rows: Iterable[dict[str, Any]] = (), status: int = 200, **more: object) -> web.Response:
+        now_ms = asyncio.get_running_loop().time() * 1000
+        return web.json_response({"rows": list(rows), "ver": self.version, "now_ms": now_ms, **more}, status=status)
+
+    def _row(self, table: str, key: str) -> dict[str, Any]:
+        value, version = self.rows[(table, key)]
+        return {"table": table, "part": "", "key": key, "value": value, "ver": version}
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        refused = await self._before(request)
+        if refused is not None:
+            return refused
+        body = msgspec.json.decode(await request.read(), type=TransactBody)
+        written = {entry.table for entry in body.put} | {entry.table for entry in body.delete}
+        if written & self._closed_tables:
+            return web.Response(status=FORBIDDEN)
+        if self.late_writes:
+            self.late_writes -= 1
+            self._late.add(asyncio.create_task(self._apply_late(body)))
+            return reset_connection(request)
+        if not self._apply(body):
+            return self._conflict(body)
+        if self.lose_writes:
+            self.lose_writes -= 1
+            return reset_connection(request)
+        return self._answer()
+
+    def _conflict(self, body: TransactBody) -> web.Response:
+        found = [(each.table, each.key) for each in body.expect_rev if (each.table, each.key) in self.rows]
+        return self._answer([self._row(table, key) for table, key in found], status=CONFLICT)
+
+    def _apply(self, body: TransactBody) -> bool:
+        """Do the whole transaction if its conditions hold; returns whether they did."""
+        for condition in body.expect_rev:
+            if self.rows.get((condition.table, condition.key), ("", 0))[1] != condition.ver:
+                return False
+        for entry in body.put:
+            self.put(entry.table, entry.key, base64.b64decode(entry.value).decode())
+        for gone in body.delete:
+            self.put(gone.table, gone.key, None)
+        return True
+
+    async def _apply_late(self, body: TransactBody) -> None:
+        await asyncio.sleep(self.late_s)
+        self._apply(body)
+
+    async def _read(self, request: web.Request) -> web.Response:
+        refused = await self._before(request)
+        if refused is not None:
+            return refused
+        table, start = request.query["table"], request.query.get("from", "")
+        limit = min(int(request.query.get("limit", MAX_PAGE_ROWS)), self._page_rows)
+        keys = sorted(key for each, key in self.rows if each == table and key >= start)
+        rows = [self._row(table, key) for key in keys[:limit]]
+        return self._answer(rows, more=len(keys) > limit)
+
+    async def _feed(self, request: web.Request) -> web.Response:
+        refused = await self._before(request)
+        if refused is not None:
+            return refused
+        table, after = request.query["table"], int(request.query["after"])
+        give_up_s = asyncio.get_running_loop().time() + int(request.query["wait_ms"]) / 1000
+        while True:
+            if after < self.forgotten:
+                return web.Response(status=HISTORY_GONE)
+            changed = {key: gone for version, each, key, gone in self.history if each == table and version > after}
+            left_s = give_up_s - asyncio.get_running_loop().time()
+            if changed or left_s <= 0:
+                break
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+        rows = []
+        for key, gone in changed.items():
+            rows.append({"key": key, "gone": True, "ver": self.version} if gone else self._row(table, key))
+        return self._answer(rows)
+
+
+def _listener_of(request: web.Request) -> str:
+    """Return the local address that a call came in at."""
+    if request.transport is None:
+        return ""
+    return str(request.transport.get_extra_info("sockname")[0])
--- /dev/null
+++ b/src/wallwell/emulator/platform_worker.py
@@ -0,0 +1,76 @@
+"""Stand-in for a worker of the users' platform over HTTP: entry, reports and orders; a subclass serves requests."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from aiohttp import web
+
+from wallwell.platform import names
+
+ACCEPTED = 202
+
+
+class PlatformWorkerEmulator:
+    """One incarnation of one worker."""
+
+    def __init__(self, incarnation: str, service: str = "svc", model: str = "m") -> None:
+        self.incarnation = incarnation
+        self.service = service
+        self.model = model
+        self.zone = "z1"
+        self.slots = 8
+        self.software = ""
+        self.version = 1
+        """Weights version of ``model``."""
+        self.draining = False
+        self.orders: list[dict[str, Any]] = []
+        self.address = ""
+
+    async def start(self, host: str = "127.0.0.1") -> None:
+        """Listen on a port of the system's choice."""
+        server = web.Server(self._handle, handler_cancellation=True, auto_decompress=False, access_log=None)
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.01)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, 0).start()
+        self.address = f"{host}:{self._runner.addresses[0][1]}"
+
+    async def stop(self) -> None:
+        """Close the listener and its connections."""
+        await self._runner.cleanup()
+
+    def entry(self) -> dict[str, Any]:
+        """Return the worker's own entry in the store."""
+        entry = {
+            "service": self.service,
+            "addr": self.address,
+            "zone": self.zone,
+            "slots": self.slots,
+            "state": "draining" if self.draining else "ready",
+            "models": [{"name": self.model, "version": self.version}],
+            "seq": 1,
+        }
+        return {**entry, "version": self.software} if self.software else entry
+
+    def headers(self, request: web.BaseRequest, **more: str) -> dict[str, str]:
+        """Return what every answer to a request carries."""
+        return {names.REQUEST_ID: request.headers[names.REQUEST_ID], names.SEAL: f"seal-{self.incarnation}", **more}
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        raise NotImplementedError
+
+    async def take_order(self, order: dict[str, Any]) -> web.Response:
+        """Do an order at once."""
+        self.version = order["version"]
+        return web.Response(status=ACCEPTED)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == names.REPORT_PATH:
+            models = [{"name": self.model, "version": self.version, "adapters": []}]
+            return web.json_response({"models": models, "busy": False, "seq": len(self.orders)})
+        if request.path == names.ORDER_PATH:
+            self.orders.append(json.loads(await request.read()))
+            return await self.take_order(self.orders[-1])
+        return await self.serve(request)
