--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,9 @@
 VENV := .venv
 BIN := $(VENV)/bin
 DEPLOYMENT ?= pharmacy
+SEED ?= 1
 
-.PHONY: test lint demo bench scale docs clean
+.PHONY: test lint demo bench scale soak soak-regressions docs clean
 
 $(VENV)/.ready: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -29,6 +30,15 @@
 scale: $(VENV)/.ready
 	$(BIN)/wallwell bench scale --quick
 
+# Real routers under faults that SEED draws.
+soak: $(VENV)/.ready
+	$(BIN)/wallwell soak --seed $(SEED)
+
+# Runs that once broke a promise, each with its cause. Processes and times are real, so that a verdict may differ
+# between two plays; that is why continuous integration does not play them.
+soak-regressions: $(VENV)/.ready
+	$(BIN)/wallwell soak --regressions tests/soak/seeds.toml
+
 # Regenerates the catalogues in docs/ from the code.
 docs: $(VENV)/.ready
 	$(BIN)/wallwell catalogue errors > docs/ERRORS.md
--- a/src/wallwell/cli/soak.py
+++ b/src/wallwell/cli/soak.py
@@ -31,43 +31,51 @@
     parser.add_argument("--instances", type=int, default=DEFAULT_INSTANCES, help="workers that answer calls")
     parser.add_argument("--rollout", default="", help="roll out a version of this kind: good, failing, slow, ...")
     parser.add_argument("--keep", type=Path, help="folder for schedule, logs and histories, kept in any case")
+    parser.add_argument("--regressions", type=Path, help="play the runs of this file instead")
     parser.add_argument("--checkout", type=Path, default=Path(), help="where deploy/router.py is")
     parser.add_argument("--print-schedule", action="store_true", help="print the faults and start nothing")
     parser.set_defaults(run=run)
 
 
 def run(options: argparse.Namespace) -> int:
-    """Run once; status 1 if a promise was broken. The folder is kept then, or if it was named."""
-    from wallwell.soak.run import run_soak
-    from wallwell.soak.schedule import ROLLOUTS, SHORTEST_RUN_S, Shape, draw_schedule
+    """Run once, or all kept runs; status 1 if a promise was broken. Raises :class:`wallwell.errors.SoakError`."""
+    from wallwell.soak.regressions import load_regressions, schedule_of
+    from wallwell.soak.schedule import Shape, draw_schedule
 
-    if options.seconds < SHORTEST_RUN_S:
-        print(f"--seconds must be {SHORTEST_RUN_S:g} at least: the fleet's recovery is part of it", file=sys.stderr)
-        return 2
-    if options.rollout and options.rollout not in ROLLOUTS:
-        print(f"--rollout is one of {', '.join(ROLLOUTS)}", file=sys.stderr)
-        return 2
+    if options.regressions is not None:
+        kept = load_regressions(options.regressions)
+        print(f"{len(kept)} kept runs")
+        statuses = [_play(schedule_of(each), None, options.checkout) for each in kept]
+        return max(statuses, default=0)
     shape = Shape(options.seconds, options.nodes, options.engines, options.instances, options.rollout)
     schedule = draw_schedule(options.seed, shape)
-    _print_schedule(schedule)
     if options.print_schedule:
+        _print_schedule(schedule)
         return 0
-    folder = options.keep or Path(tempfile.mkdtemp(prefix=f"wallwell-soak-{options.seed}-"))
+    return _play(schedule, options.keep, options.checkout)
+
+
+def _play(schedule: Schedule, keep: Path | None, checkout: Path) -> int:
+    """Play a schedule. The folder is kept if it was named or a promise was broken."""
+    from wallwell.soak.run import run_soak
+
+    _print_schedule(schedule)
+    folder = keep or Path(tempfile.mkdtemp(prefix=f"wallwell-soak-{schedule.seed}-"))
     folder.mkdir(parents=True, exist_ok=True)
     if any(folder.iterdir()):
         print(f"{folder} is not empty", file=sys.stderr)
         return 2
     try:
-        result = asyncio.run(run_soak(schedule, folder.absolute(), options.checkout.absolute()))
+        result = asyncio.run(run_soak(schedule, folder.absolute(), checkout.absolute()))
     except asyncio.CancelledError:
         print(f"interrupted; see {folder}", file=sys.stderr)
         return 1
     _print_result(result)
     if result.verdict.breaches:
-        (folder / "breach.txt").write_text("\n".join(map(str, result.verdict.breaches)) + "\n")
+        (folder / "breaches.txt").write_text("\n".join(map(str, result.verdict.breaches)) + "\n")
         print(f"kept in {folder}; again: {replay_command(schedule)}")
         return 1
-    if options.keep is None:
+    if keep is None:
         shutil.rmtree(folder)
     return 0
 
--- a/src/wallwell/soak/promises_fleet.py
+++ b/src/wallwell/soak/promises_fleet.py
@@ -44,20 +44,21 @@
 def drained_gets_nothing(history: History) -> Cases:
     """A worker that is draining or gone gets no request later than a bound after the store acknowledged it."""
     leaving: dict[str, float] = {}
+    reached: set[str] = set()
     for record in history.records:
         if isinstance(record, WorkerState) and record.state != "ready":
             leaving.setdefault(record.worker, record.at_s)
-        if isinstance(record, WorkerState) and record.state == "ready":
+        elif isinstance(record, WorkerState):
             leaving.pop(record.worker, None)  # An entry that lapsed is back.
         if not isinstance(record, Began) or record.worker not in leaving:
             continue
         since_s = record.at_s - leaving[record.worker]
-        if not history.calm(leaving[record.worker], record.at_s):
-            continue
-        if since_s <= DRAIN_BOUND_S:
-            yield HELD
-        else:
+        if since_s > DRAIN_BOUND_S and history.calm(leaving[record.worker], record.at_s):
+            reached.add(record.worker)
             yield record.at_s, record.request, f"reached {record.worker} {since_s:.2f} s after it left"
+    for worker, left_s in leaving.items():
+        if worker not in reached and history.calm(left_s, left_s + DRAIN_BOUND_S):
+            yield HELD
 
 
 def left_is_cancelled(history: History) -> Cases:
--- a/src/wallwell/soak/schedule.py
+++ b/src/wallwell/soak/schedule.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from wallwell.errors import SoakError
 from wallwell.soak.history import RequestKind
 
 
@@ -222,7 +223,11 @@
 
 
 def draw_schedule(seed: int, shape: Shape) -> Schedule:
-    """Return the schedule of a seed: the same for the same arguments."""
+    """Return the schedule of a seed: the same for the same arguments. Raises :class:`SoakError`."""
+    if shape.seconds < SHORTEST_RUN_S:
+        raise SoakError(f"a run takes {SHORTEST_RUN_S:g} s at least: the fleet's recovery is part of it")
+    if shape.rollout and shape.rollout not in ROLLOUTS:
+        raise SoakError(f"no version {shape.rollout} to roll out; there are {', '.join(ROLLOUTS)}")
     faults = _draw_faults(random.Random(f"{seed}/faults"), shape)
     requests = _draw_requests(random.Random(f"{seed}/requests"), seed, shape)
     operations = _draw_operations(random.Random(f"{seed}/operations"), shape)
--- a/tests/contract/test_soak.py
+++ b/tests/contract/test_soak.py
@@ -108,4 +108,4 @@
         env=dict(os.environ),
     )
     assert result.returncode == 2
-    assert "15 at least" in result.stderr
+    assert "WW7003 SoakError: a run takes 15 s at least" in result.stderr
