--- /dev/null
+++ b/src/wallwell/cli/soak.py
@@ -0,0 +1,106 @@
+"""``wallwell soak``: real routers under seeded requests and faults, checked against promises."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import shutil
+import sys
+import tempfile
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from wallwell.soak.run import RunResult
+    from wallwell.soak.schedule import Schedule
+
+SHOWN_BREACHES = 10
+DEFAULT_SECONDS = 20.0
+DEFAULT_NODES = 3
+DEFAULT_ENGINES = 4
+DEFAULT_INSTANCES = 2
+
+
+def register(commands: Any) -> None:
+    """Add the command."""
+    parser = commands.add_parser("soak", help="run real routers under drawn requests and faults; check promises")
+    parser.add_argument("--seed", type=int, default=1, help="draws the schedule of requests and faults")
+    parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS, help="length of the schedule")
+    parser.add_argument("--nodes", type=int, default=DEFAULT_NODES)
+    parser.add_argument("--engines", type=int, default=DEFAULT_ENGINES)
+    parser.add_argument("--instances", type=int, default=DEFAULT_INSTANCES, help="workers that answer calls")
+    parser.add_argument("--rollout", default="", help="roll out a version of this kind: good, failing, slow, ...")
+    parser.add_argument("--keep", type=Path, help="folder for schedule, logs and histories, kept in any case")
+    parser.add_argument("--regressions", type=Path, help="play the runs of this file instead")
+    parser.add_argument("--checkout", type=Path, default=Path(), help="where deploy/router.py is")
+    parser.add_argument("--print-schedule", action="store_true", help="print the faults and start nothing")
+    parser.set_defaults(run=run)
+
+
+def run(options: argparse.Namespace) -> int:
+    """Run once, or all kept runs; status 1 if a promise was broken. Raises :class:`wallwell.errors.SoakError`."""
+    from wallwell.soak.regressions import load_regressions, schedule_of
+    from wallwell.soak.schedule import Shape, draw_schedule
+
+    if options.regressions is not None:
+        kept = load_regressions(options.regressions)
+        print(f"{len(kept)} kept runs")
+        statuses = [_play(schedule_of(each), None, options.checkout) for each in kept]
+        return max(statuses, default=0)
+    shape = Shape(options.seconds, options.nodes, options.engines, options.instances, options.rollout)
+    schedule = draw_schedule(options.seed, shape)
+    if options.print_schedule:
+        _print_schedule(schedule)
+        return 0
+    return _play(schedule, options.keep, options.checkout)
+
+
+def _play(schedule: Schedule, keep: Path | None, checkout: Path) -> int:
+    """Play a schedule. The folder is kept if it was named or a promise was broken."""
+    from wallwell.soak.run import run_soak
+
+    _print_schedule(schedule)
+    folder = keep or Path(tempfile.mkdtemp(prefix=f"wallwell-soak-{schedule.seed}-"))
+    folder.mkdir(parents=True, exist_ok=True)
+    if any(folder.iterdir()):
+        print(f"{folder} is not empty", file=sys.stderr)
+        return 2
+    try:
+        result = asyncio.run(run_soak(schedule, folder.absolute(), checkout.absolute()))
+    except asyncio.CancelledError:
+        print(f"interrupted; see {folder}", file=sys.stderr)
+        return 1
+    _print_result(result)
+    if result.verdict.breaches:
+        (folder / "breaches.txt").write_text("\n".join(map(str, result.verdict.breaches)) + "\n")
+        print(f"kept in {folder}; again: {replay_command(schedule)}")
+        return 1
+    if keep is None:
+        shutil.rmtree(folder)
+    return 0
+
+
+def replay_command(schedule: Schedule) -> str:
+    """Return the line that plays a schedule again."""
+    shape = schedule.shape
+    rollout = f" --rollout {shape.rollout}" if shape.rollout else ""
+    return (
+        f"wallwell soak --seed {schedule.seed} --seconds {shape.seconds:g} --nodes {shape.nodes} "
+        f"--engines {shape.engines} --instances {shape.instances}{rollout}"
+    )
+
+
+def _print_schedule(schedule: Schedule) -> None:
+    print(f"{replay_command(schedule)}: {len(schedule.requests)} requests, {len(schedule.faults)} faults")
+    steps = [(fault.at_s, str(fault)) for fault in schedule.faults]
+    steps += [(operation.at_s, str(operation)) for operation in schedule.operations]
+    for _, step in sorted(steps):
+        print(f"  {step}")
+
+
+def _print_result(result: RunResult) -> None:
+    print(f"{result.requests} requests, {result.served} served whole; {len(result.verdict.breaches)} breaches")
+    cases = ", ".join(f"{promise} {count}" for promise, count in result.verdict.cases.items())
+    print(f"  put to the test: {cases}")
+    for breach in result.verdict.breaches[:SHOWN_BREACHES]:
+        print(f"  {breach}")
--- a/src/wallwell/errors.py
+++ b/src/wallwell/errors.py
@@ -44,6 +44,12 @@
     code = "WW1003"
 
 
+class ExtraMissingError(WallwellError):
+    """The command needs an extra of the package that is not installed; the detail names it."""
+
+    code = "WW1004"
+
+
 class ConfigInvalidError(WallwellError):
     """An operators' file was refused; nothing changed. The detail lists every problem found."""
 
@@ -296,6 +302,12 @@
     code = "WW7001"
 
 
+class SoakError(WallwellError):
+    """A soak run could not be set up or went beyond its bounds; this says nothing of the promises."""
+
+    code = "WW7003"
+
+
 def all_error_types(root: type[WallwellError] = WallwellError) -> Iterator[type[WallwellError]]:
     """Yield ``root`` and every subclass, in definition order."""
     yield root
