Kept KV cache stays within the region of the engine that reads it

Settings name a node's region and the region of each zone. A move of kept KV between regions takes ten times as long as one within a zone and holds an engine's other moves up, and calls and bytes between regions are dear. So a prompt's parts are saved to and fetched from stores of the engine's region (rendezvous among these, alike at all nodes), weighed by the time that a move saves; nodes follow the events of their region's stores only, from peers of it, and save nothing at engines of the other one, whose lacks they do not know. An engine whose region has no store reads by itself. Without a map of regions nothing changes.

--- /dev/null
+++ b/src/wallwell/deployment/places.py
@@ -0,0 +1,64 @@
+"""How far zones are from each other: in the same region, or in another one behind a thin and long link. Pure.
+
+Without a map of zones to regions everything is one region.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+
+class Distance(enum.IntEnum):
+    """Distance between two zones, nearest first."""
+
+    SAME_ZONE = 0
+    SAME_REGION = 1
+    OTHER_REGION = 2
+
+
+@dataclass(frozen=True)
+class Places:
+    """Where a node stands, and which region each zone belongs to.
+
+    ``region`` is the node's own, empty if it is to be read from the map. A zone that the map does not name counts
+    as standing in the same region as any other.
+    """
+
+    zone: str
+    region_of_zone: Mapping[str, str] = field(default_factory=dict)
+    region: str = ""
+
+    @property
+    def own_region(self) -> str:
+        """The region of this node; empty if none is known."""
+        return self.region or self.region_of_zone.get(self.zone, "")
+
+    @property
+    def has_regions(self) -> bool:
+        """Whether there is a region beside the own one."""
+        return any(region != self.own_region for region in self.region_of_zone.values())
+
+    def region_of(self, zone: str) -> str:
+        """Return a zone's region."""
+        return self.own_region if zone == self.zone else self.region_of_zone.get(zone, self.own_region)
+
+    def is_own_region(self, zone: str) -> bool:
+        """Whether a zone is in the node's region."""
+        return self.region_of(zone) == self.own_region
+
+    def distance(self, zone: str) -> Distance:
+        """Return how far a zone is from this node."""
+        return self.between(self.zone, zone)
+
+    def between(self, one: str, other: str) -> Distance:
+        """Return how far two zones are from each other."""
+        if one == other:
+            return Distance.SAME_ZONE
+        if not (self._is_known(one) and self._is_known(other)):
+            return Distance.SAME_REGION
+        return Distance.SAME_REGION if self.region_of(one) == self.region_of(other) else Distance.OTHER_REGION
+
+    def _is_known(self, zone: str) -> bool:
+        return zone == self.zone or zone in self.region_of_zone
--- a/src/wallwell/gateway/cache_planning.py
+++ b/src/wallwell/gateway/cache_planning.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from wallwell.deployment.backends import Backend
+from wallwell.deployment.places import Distance
+from wallwell.deployment.routes import Service
 from wallwell.gateway.exchange import CachePlan, Generation
 from wallwell.gateway.exchange_state import Exchange
 from wallwell.gateway.fleet_state import FleetState
@@ -16,6 +18,12 @@
 
 Engines read fewer in 25 ms (38 to 57 tokens a ms in the users' deployments); a move may wait 2 s for its turn."""
 
+MOVE_PART = 0.2
+"""Time of a move within a zone as a part of the time of reading: 35 KB a token over 130 Gbit/s take 2 us, reading
+takes 11 us at 94 tokens a ms. Where links are slower, moves from afar are worth less still."""
+MOVE_FACTORS = {Distance.SAME_ZONE: 1, Distance.SAME_REGION: 2, Distance.OTHER_REGION: 10}
+"""How many times as long a move takes by its distance (the users' figures)."""
+
 
 class CachePlanner:
     """Decides for one attempt at a time.
@@ -34,30 +42,40 @@
         assert generation is not None
         version = backend.believed_version(generation.model)
         scope = _scope(exchange, generation.model, version)
-        store = self._state.kv_store_address(exchange.placement) if version else ""
+        store = self._state.kv_store_address(exchange.placement, backend.record.zone) if version else ""
         if not store or self._is_unreachable(store):
             return CachePlan(scope)
         fetch_from = ""
         if self._is_worth_fetching(generation, now_s):
-            fetch_from = self._best_source(store, scope, generation)
+            fetch_from = self._best_source(store, scope, generation, backend.record.zone)
         save_to = store if self._may_save(exchange, backend, store, scope, now_s) else ""
         return CachePlan(scope, fetch_from, save_to)
 
-    def _best_source(self, home: str, scope: str, generation: Generation) -> str:
+    def _best_source(self, home: str, scope: str, generation: Generation, engine_zone: str) -> str:
         """Return the store that keeps most of the shared parts; ``home``, where they are saved, if none has more.
 
+        Where there are regions, only stores of the engine's count, and by the time that a fetch saves.
+
         Prompts with a first part in common have different homes. After a change of weights that part is saved at
         one of them first, and engines that fetch from the others would read it again.
         """
         parts = shared_parts(generation.parts)
-        kept_tokens = {}
-        for address in self._state.kv_store_addresses():
+        saved = {}
+        for store in self._state.kv_stores_near(engine_zone):
+            address = store.kv_store_address
             kept = self._state.kept_caches.get(address)
             if kept is not None and kept.known and kept.reachable:
-                kept_tokens[address] = kept.kept_tokens(scope, parts)
-        if home not in kept_tokens:
+                saved[address] = kept.kept_tokens(scope, parts) * self._saved_part(engine_zone, store)
+        if home not in saved:
             return home
-        return max(kept_tokens, key=lambda address: (kept_tokens[address], address == home))
+        return max(saved, key=lambda address: (saved[address], address == home))
+
+    def _saved_part(self, engine_zone: str, store: Service) -> float:
+        """Return the part of a token's reading time that its move from a store saves; 1 without regions."""
+        places = self._state.places
+        if not places.has_regions:
+            return 1.0
+        return 1.0 - MOVE_PART * MOVE_FACTORS[places.between(engine_zone, store.zone)]
 
     def _is_worth_fetching(self, generation: Generation, now_s: float) -> bool:
         """Whether moving the shared parts is quicker than reading them; moves queue while the fleet is behind."""
@@ -76,6 +94,8 @@
             return False
         if now_s - self._state.freshness.confirmed_at_s > SAVE_FRESHNESS_S:
             return False
+        if self._state.places.distance(backend.record.zone) is Distance.OTHER_REGION:
+            return False  # What its stores lack is known there; from here every prompt would be saved again.
         kept = self._state.kept_caches.get(store)
         if kept is None or not kept.known:
             return True
--- a/src/wallwell/gateway/fleet_node.py
+++ b/src/wallwell/gateway/fleet_node.py
@@ -14,6 +14,7 @@
 from wallwell.cluster.relay import RelayedRows, RowsRequest, answer_from
 from wallwell.cluster.upstream import Member, UpstreamOrder
 from wallwell.deployment.freshness import StoreClock
+from wallwell.deployment.places import Places
 from wallwell.events import Event, emit
 from wallwell.gateway.exchange import BackendClient, CallerReply, CallerRequest
 from wallwell.gateway.fleet_rows import BackendRows, MemberRows, NodeSources, OperatorRows
@@ -53,9 +54,11 @@
         pool: ConnectionPool,
         seed: int | None = None,
         link_mbps: float = 0.0,
+        places: Places | None = None,
     ) -> None:
         rng = random.Random(seed if seed is not None else f"{node}/{time.time_ns()}")
-        self.state = FleetState(node, zone, bounds, rng, started_s=time.monotonic())
+        places = places or Places(zone)
+        self.state = FleetState(node, zone, bounds, rng, started_s=time.monotonic(), places=places)
         self.draining = False
         self.in_flight = 0
         self._pool = pool
--- a/src/wallwell/gateway/fleet_state.py
+++ b/src/wallwell/gateway/fleet_state.py
@@ -8,7 +8,8 @@
 
 from wallwell.deployment.backends import Backend, BackendRegistry
 from wallwell.deployment.freshness import Freshness
-from wallwell.deployment.routes import DeploymentConfig
+from wallwell.deployment.places import Distance, Places
+from wallwell.deployment.routes import DeploymentConfig, Service
 from wallwell.deployment.weights import WeightsTargets
 from wallwell.gateway.exchange import Generation
 from wallwell.placement.weights_roll import OVERDUE_PART
@@ -73,6 +74,8 @@
     split_offset: float = 0.0
     started_s: float = float("-inf")
     """When this node started, on its own clock."""
+    places: Places = field(default_factory=lambda: Places(""))
+    """Which zones are near; without a map of regions all of them are of one."""
 
     def __post_init__(self) -> None:
         self.split_offset = self.rng.random()
@@ -129,16 +132,19 @@
         """Return this node's repeats left, by service."""
         return {service: budget.left(now_s, self.node_count) for service, budget in self._budgets.items()}
 
-    def kv_store_addresses(self) -> list[str]:
-        """Return the addresses of all stores of kept KV cache."""
-        return [] if self.config is None else [store.kv_store_address for store in self.config.kv_stores]
+    def kv_stores_near(self, engine_zone: str) -> list[Service]:
+        """Return the stores of kept KV cache in the region of an engine; all of them without regions."""
+        stores = () if self.config is None else self.config.kv_stores
+        between = self.places.between
+        return [store for store in stores if between(engine_zone, store.zone) is not Distance.OTHER_REGION]
 
-    def kv_store_address(self, placement: int) -> str:
+    def kv_store_address(self, placement: int, engine_zone: str = "") -> str:
         """Return the store of kept KV cache for prompts placed by a key, empty if there is none.
 
-        Every node takes the same one for the same prompts, so that what one engine saved another one finds.
+        Every node takes the same one for the same prompts and region, so that what one engine saved another one
+        finds. It stands in the region of the engine that reads the prompt, whichever node sends it there.
         """
-        addresses = self.kv_store_addresses()
+        addresses = [store.kv_store_address for store in self.kv_stores_near(engine_zone)]
         return owner(addresses, placement) if addresses else ""
 
     def estimated_naming_s(self, now_s: float) -> float:
--- a/src/wallwell/gateway/kept_cache_watch.py
+++ b/src/wallwell/gateway/kept_cache_watch.py
@@ -1,4 +1,8 @@
-"""Follows what the stores of kept KV cache hold: from a peer that follows a store, or from the store itself."""
+"""Follows what the stores of kept KV cache hold: from a peer that follows a store, or from the store itself.
+
+Only stores of the node's region are followed, and only peers of it are asked: calls and bytes between regions are
+dear, and engines of another region get few requests from here.
+"""
 
 from __future__ import annotations
 
@@ -83,7 +87,8 @@
 
     def _reconcile(self) -> None:
         config = self._state.config
-        wanted = {each.kv_store_address for each in config.kv_stores} if config is not None else set()
+        stores = config.kv_stores if config is not None else ()
+        wanted = {each.kv_store_address for each in stores if self._state.places.is_own_region(each.zone)}
         for address in self._followers.keys() - wanted:
             self._followers.pop(address).cancel()
             self._state.kept_caches.pop(address, None)
@@ -102,7 +107,7 @@
         """Take one page of a store's events; returns False if nobody told any."""
         cache = self._state.kept_caches[address]
         page = None
-        candidates = self._order.candidates(time.monotonic())
+        candidates = self._peers_of_region(time.monotonic())
         if candidates:
             page = await self._from_peer(*candidates[0], address, cache)
         if page is None:
@@ -114,6 +119,15 @@
         self._advanced = asyncio.Event()
         return True
 
+    def _peers_of_region(self, now_s: float) -> list[tuple[str, str]]:
+        """Return the peers to follow that follow the same stores."""
+        members, places = self._order.members, self._state.places
+        return [
+            (name, address)
+            for name, address in self._order.candidates(now_s)
+            if places.is_own_region(members[name].zone)
+        ]
+
     async def _from_peer(self, name: str, peer: str, address: str, cache: KeptCache) -> CachePage | None:
         wants_all = cache.has_gaps and self._may_list(address)
         position = CachePosition() if wants_all else cache.position
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -48,6 +48,7 @@
         workers,
         workers.pool,
         link_mbps=settings.limits.link_mbps,
+        places=settings.places(),
     )
 
 
--- a/src/wallwell/platform/settings.py
+++ b/src/wallwell/platform/settings.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from wallwell.deployment.places import Places
 from wallwell.errors import SettingsError
 from wallwell.gateway.fleet_state import FleetBounds
 from wallwell.platform.names import SETTINGS_VARIABLE
@@ -61,11 +62,19 @@
     ip: str = ""
     port_range: tuple[int, ...] = ()
     """First and last port left free for what nodes say to each other."""
+    region: str = ""
+    """Region of the node's zone, empty if there are none."""
+    zones: dict[str, str] = {}
+    """Region of each zone, by the zone's name."""
 
     def peer_ports(self) -> range:
         """Return the ports on which peers may be served; none if the settings leave none free."""
         return range(self.port_range[0], self.port_range[-1] + 1) if self.ip and self.port_range else range(0)
 
+    def places(self) -> Places:
+        """Return how far zones are from the node."""
+        return Places(self.zone, self.zones, self.region)
+
     def fleet_bounds(self) -> FleetBounds:
         """Return the bounds in the product's units."""
         bounds = self.bounds
--- /dev/null
+++ b/tests/unit/gateway/test_regions.py
@@ -0,0 +1,167 @@
+"""Kept KV cache stays within the region of the engine that reads it."""
+
+import asyncio
+import dataclasses
+import random
+import time
+
+import pytest
+
+from tests.unit.gateway.fakes import (
+    FakeClient,
+    FakeReply,
+    Script,
+    event,
+    make_generation,
+    make_request,
+    make_route,
+    make_state,
+)
+from tests.virtual_time import run_virtual
+from wallwell.cluster.upstream import Member, UpstreamOrder
+from wallwell.deployment.backends import BackendRecord
+from wallwell.deployment.places import Places
+from wallwell.deployment.routes import RouteKind, Service
+from wallwell.gateway.kept_cache_watch import KeptCacheWatch
+from wallwell.gateway.pipeline import RequestPipeline
+from wallwell.routing.kept_cache import CacheEntry, CachePage, CachePosition, KeptCache
+from wallwell.routing.prefix_home import PromptPart
+
+MAP = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+STREAM = make_route(RouteKind.STREAM, attempts=1)
+STORE_ZONES = ("a1", "a2", "b1", "b2")
+STORES = {zone: f"10.9.0.{index}:1" for index, zone in enumerate(STORE_ZONES)}
+PROMPTS = [f"shared{index}" for index in range(40)]
+
+
+def fleet_state(node_zone, engine_zones, store_zones=STORE_ZONES):
+    """Return a node's state with an engine in each listed zone."""
+    state = make_state(STREAM, backends=0)
+    state.zone, state.places = node_zone, Places(node_zone, MAP)
+    services = tuple(Service(zone, kv_store_address=STORES[zone], zone=zone) for zone in store_zones)
+    state.apply_config(dataclasses.replace(state.config, version=2, services=services))
+    for index, zone in enumerate(engine_zones):
+        state.backends.upsert(BackendRecord(f"i-{index}", "svc", f"10.0.0.{index}:80", zone, 8, versions={"m": 1}))
+    return state
+
+
+def cache_plans(node_zone, engine_zone, prompts, prepare=lambda state: None, store_zones=STORE_ZONES):
+    """Return the plan of each prompt at the one engine."""
+
+    async def work():
+        state = fleet_state(node_zone, [engine_zone], store_zones)
+        state.freshness.confirm(time.monotonic())
+        prepare(state)
+        client = FakeClient(Script(chunks=(event(1),), stream=True))
+        for prompt in prompts:
+            parts = (PromptPart(prompt, 2000), PromptPart("own", 9))
+            generation = dataclasses.replace(make_generation(), parts=parts)
+            await RequestPipeline(state, client).serve(make_request(generation=generation), FakeReply())
+        return [sent.cache for sent in client.sent]
+
+    return run_virtual(work())
+
+
+def kept(*parts, tokens=2000):
+    cache = KeptCache()
+    entries = tuple(CacheEntry(1, "m:1", part, tokens) for part in parts)
+    cache.take(CachePage(CachePosition(1, 1), entries, whole=True))
+    return cache
+
+
+@pytest.mark.parametrize(("engine_zone", "region"), [("a1", "a"), ("a2", "a"), ("b1", "b")])
+def test_parts_stay_in_the_region_of_the_engine_and_all_nodes_agree(engine_zone, region):
+    """A move between regions takes ten times as long and holds the engine's other moves up."""
+    from_a = [plan.fetch_from for plan in cache_plans("a1", engine_zone, PROMPTS)]
+    from_b = [plan.fetch_from for plan in cache_plans("b2", engine_zone, PROMPTS)]
+    assert from_a == from_b
+    assert set(from_a) == {STORES[zone] for zone in STORE_ZONES if MAP[zone] == region}
+
+
+def test_engines_of_a_region_find_what_another_zone_saved():
+    saved = [plan.save_to for plan in cache_plans("a1", "a1", PROMPTS)]
+    found = [plan.fetch_from for plan in cache_plans("a2", "a2", PROMPTS)]
+    assert saved == found
+
+
+@pytest.mark.parametrize(("engine_zone", "saves"), [("a2", True), ("b1", False)])
+def test_a_node_saves_only_where_it_knows_what_is_lacking(engine_zone, saves):
+    """What the other region's stores hold is not followed; each prompt sent there would be saved once more."""
+    assert {bool(plan.save_to) for plan in cache_plans("a1", engine_zone, PROMPTS)} == {saves}
+
+
+def test_an_engine_without_a_store_in_its_region_reads_by_itself():
+    (plan,) = cache_plans("b1", "b1", ["shared"], store_zones=("a1", "a2"))
+    assert (plan.fetch_from, plan.save_to) == ("", "")
+
+
+@pytest.mark.parametrize(
+    ("tokens_near", "from_near"), [(2000, True), (1600, True), (1400, False)], ids=["all", "most", "fewer"]
+)
+def test_what_is_fetched_is_weighed_by_the_time_of_the_move(tokens_near, from_near):
+    """Between zones a move takes twice as long: 0.6 of a token's reading is saved, in the zone 0.8."""
+
+    def prepare(state):
+        state.kept_caches[STORES["a1"]] = kept("shared", tokens=tokens_near)
+        state.kept_caches[STORES["a2"]] = kept("shared")
+
+    (plan,) = cache_plans("a1", "a1", ["shared"], prepare)
+    assert plan.fetch_from == STORES["a1" if from_near else "a2"]
+
+
+def test_without_a_map_the_stores_of_all_zones_are_used():
+    def forget_regions(state):
+        state.places = Places("a1")
+
+    plans = cache_plans("a1", "a1", PROMPTS, forget_regions)
+    assert {plan.save_to for plan in plans} == set(STORES.values())
+
+
+class CountingSource:
+    """Stores that hold nothing and say so; counts who is asked."""
+
+    def __init__(self):
+        self.asked = set()
+
+    async def events(self, address, position, wait_s):
+        self.asked.add(address)
+        await asyncio.sleep(wait_s)
+        return CachePage(CachePosition(1, 0), whole=True)
+
+    async def listing(self, address):
+        return await self.events(address, CachePosition(), 0.0)
+
+
+def test_only_stores_of_the_own_region_are_followed():
+    async def work():
+        source = CountingSource()
+        state = fleet_state("b1", [])
+        state.rng = random.Random(1)
+        watch = KeptCacheWatch(state, source, UpstreamOrder("n1", "b1"))
+        running = asyncio.create_task(watch.run())
+        await asyncio.sleep(3.0)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        return source.asked
+
+    assert run_virtual(work()) == {STORES["b1"], STORES["b2"]}
+
+
+def test_a_peer_of_the_other_region_is_not_asked_for_a_stores_events():
+    """It follows other stores; each step would cross the link for nothing."""
+
+    async def work():
+        source = CountingSource()
+        state = fleet_state("b1", [])
+        state.kept_caches[STORES["b1"]] = KeptCache()
+        order = UpstreamOrder("n1", "b1")
+        zones = ("b1", "a1", "a2")
+        order.members = {f"n{index}": Member(zone, "192.0.2.1:9") for index, zone in enumerate(zones, 1)}
+        assert order.candidates(time.monotonic())
+        watch = KeptCacheWatch(state, source, order)
+        await watch.step(STORES["b1"])
+        return source.asked, [len(links) for links in watch._links.values()]
+
+    asked, links = run_virtual(work())
+    assert asked == {STORES["b1"]}
+    assert not any(links)
