Requests stay in their region unless the other one has more room than the way costs

Engines of the node's region come first: its pool for the prompt's length with room, then all of them, then the other region's while three quarters of their slots and the objective less 40 ms leave room there; by the key in the own region if nobody has. A prefix thereby has a home in each region. Pools for short and long prompts are those of each region, and reloads of weights take regions by turns, so that half of a pool is half of each. Calls go to the own zone, then to the region while a quarter of its places is free, then to all. Without a map of regions nothing changes.

Unit tests of gateway, placement and routing pass.

--- a/src/wallwell/deployment/places.py
+++ b/src/wallwell/deployment/places.py
@@ -8,6 +8,7 @@
 import enum
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from functools import cached_property
 
 
 class Distance(enum.IntEnum):
@@ -30,12 +31,12 @@
     region_of_zone: Mapping[str, str] = field(default_factory=dict)
     region: str = ""
 
-    @property
+    @cached_property
     def own_region(self) -> str:
         """The region of this node; empty if none is known."""
         return self.region or self.region_of_zone.get(self.zone, "")
 
-    @property
+    @cached_property
     def has_regions(self) -> bool:
         """Whether there is a region beside the own one."""
         return any(region != self.own_region for region in self.region_of_zone.values())
@@ -62,3 +63,7 @@
 
     def _is_known(self, zone: str) -> bool:
         return zone == self.zone or zone in self.region_of_zone
+
+
+ONE_REGION = Places("")
+"""No map: every zone is near."""
--- a/src/wallwell/gateway/backend_choice.py
+++ b/src/wallwell/gateway/backend_choice.py
@@ -10,7 +10,13 @@
 from wallwell.gateway.exchange_state import Exchange
 from wallwell.gateway.fleet_state import FleetState
 from wallwell.routing.overload import Occupancy, refused_part, return_after_s
-from wallwell.routing.prefix_home import choose_from_tiers, engine_pool, is_long
+from wallwell.routing.prefix_home import choose_engine, choose_from_tiers, find_room, is_long, regional_pools
+
+REGION_WAY_S = 0.04
+"""What the way to an engine of another region and back adds to a first piece: twice 20 ms (the users' figure)."""
+FAR_SLOTS_PART = 0.75
+"""Part of another region's slots that this one's prompts may fill: the rest is left to its own prompts, since its
+loads are told here some times a second only."""
 
 
 class BackendChoice:
@@ -25,14 +31,38 @@
         generation = exchange.request.generation
         if generation is None:
             return state.least_loaded(candidates)
-        pool = engine_pool(state.backends.of_service(exchange.service), generation.prompt_tokens)
-        in_pool = [each for each in candidates if each in pool]
+        listed = state.backends.of_service(exchange.service)
+        pool = regional_pools(listed, generation.prompt_tokens, state.places)
+        near, far = self._by_region(candidates)
+        key, nodes = exchange.placement, state.node_count
         # A long prompt that would wait beyond its objective in its pool rather lengthens the gaps of short ones.
-        room = state.pace.room(exchange.route.objective_s) if is_long(generation.prompt_tokens) else math.inf
-        chosen = choose_from_tiers((in_pool, candidates), exchange.placement, state.node_count, room)
+        room, far_room = self._rooms(exchange.route.objective_s, is_long(generation.prompt_tokens))
+        if near and far:
+            chosen = (
+                find_room(_tiers(near, pool), key, nodes, room)
+                or find_room(_tiers(far, pool), key, nodes, far_room, FAR_SLOTS_PART)
+                or choose_engine(near, key, nodes)
+            )
+        else:
+            chosen = choose_from_tiers(_tiers(near or far, pool), key, nodes, room if near else far_room)
         assert chosen is not None
         return chosen
 
+    def _by_region(self, candidates: Sequence[Backend]) -> tuple[Sequence[Backend], Sequence[Backend]]:
+        """Return the candidates of this node's region and those of others."""
+        places = self._state.places
+        if not places.has_regions:
+            return candidates, ()
+        near = [each for each in candidates if places.is_own_region(each.record.zone)]
+        return near, [each for each in candidates if each not in near]
+
+    def _rooms(self, objective_s: float, is_long_prompt: bool) -> tuple[float, float]:
+        """Return up to which load engines of this region and of others still begin a prompt in time."""
+        if not is_long_prompt:
+            return math.inf, math.inf
+        pace = self._state.pace
+        return pace.room(objective_s), pace.room(max(0.0, objective_s - REGION_WAY_S))
+
     def refuse_if_overloaded(self, exchange: Exchange, now_s: float) -> None:
         """Refuse a part of new generations while engines have too much to do. Raises :class:`OverloadedError`.
 
@@ -75,3 +105,8 @@
         if timing.sent_s is not None and exchange.request.generation is not None:
             self._state.first_pieces.on_given_up(now_s)
             timing.sent_s = None
+
+
+def _tiers(engines: Sequence[Backend], pool: Sequence[Backend]) -> tuple[Sequence[Backend], Sequence[Backend]]:
+    """Return the engines that are meant for a prompt's length, and all of them."""
+    return [each for each in engines if each in pool], engines
--- a/src/wallwell/gateway/fleet_state.py
+++ b/src/wallwell/gateway/fleet_state.py
@@ -8,7 +8,7 @@
 
 from wallwell.deployment.backends import Backend, BackendRegistry
 from wallwell.deployment.freshness import Freshness
-from wallwell.deployment.places import Distance, Places
+from wallwell.deployment.places import ONE_REGION, Distance, Places
 from wallwell.deployment.routes import DeploymentConfig, Service
 from wallwell.deployment.weights import WeightsTargets
 from wallwell.gateway.exchange import Generation
@@ -29,6 +29,9 @@
 """How much before the end of the allowance a generation on older weights has to have begun."""
 MIN_FREE_PLACES = 0.25
 """What a full back end counts as free, so that one is chosen if all are full."""
+FREE_PART_OF_REGION = 0.25
+"""Part of a region's places that has to be free for its calls to stay there. What the fleet sends while loads grow
+old (0.1 to 0.2 s) takes a few of them; then a call (20 ms of work) waits longer than the way and back takes, 40 ms."""
 START_PART = 0.8
 """Part of the time given to a started machine after which estimated ages count."""
 
@@ -74,7 +77,7 @@
     split_offset: float = 0.0
     started_s: float = float("-inf")
     """When this node started, on its own clock."""
-    places: Places = field(default_factory=lambda: Places(""))
+    places: Places = ONE_REGION
     """Which zones are near; without a map of regions all of them are of one."""
 
     def __post_init__(self) -> None:
@@ -183,6 +186,8 @@
     def least_loaded(self, candidates: Sequence[Backend]) -> Backend:
         """Return a back end for a call: one of the own zone with places free, else one by its free places.
 
+        Where there are regions, those of the own one are preferred while they have places free.
+
         Loads of other nodes are some hundred milliseconds old. If every node took the least loaded back end, all
         would take the same one in that time; so the choice is random, weighed by what is free.
         """
@@ -190,9 +195,19 @@
         near = [each for each in candidates if each.record.zone == self.zone and self._is_half_free(each, nodes)]
         if near:
             return min(near, key=lambda each: (each.fleet_load(nodes), self.rng.random()))
+        candidates = self._with_places_in_region(candidates, nodes)
         free = [max(MIN_FREE_PLACES, each.record.slots - each.fleet_load(nodes)) for each in candidates]
         return self.rng.choices(candidates, [places * places for places in free])[0]
 
+    def _with_places_in_region(self, candidates: Sequence[Backend], nodes: int) -> Sequence[Backend]:
+        """Return the candidates of the own region if enough of its places are free, else all."""
+        if not self.places.has_regions:
+            return candidates
+        own = [each for each in candidates if self.places.is_own_region(each.record.zone)]
+        free = sum(max(0, each.record.slots - each.fleet_load(nodes)) for each in own)
+        is_enough = bool(own) and free >= FREE_PART_OF_REGION * sum(each.record.slots for each in own)
+        return own if is_enough else candidates
+
     def _is_half_free(self, backend: Backend, nodes: int) -> bool:
         return 2 * backend.fleet_load(nodes) < backend.record.slots
 
--- a/src/wallwell/placement/weights_roll.py
+++ b/src/wallwell/placement/weights_roll.py
@@ -13,9 +13,10 @@
 from dataclasses import dataclass, field
 
 from wallwell.deployment.backends import Backend
+from wallwell.deployment.places import ONE_REGION, Places
 from wallwell.deployment.weights import NamedVersion, WeightsTargets
 from wallwell.placement.weights_roll_timing import RollCircumstances, hold_s
-from wallwell.routing.prefix_home import CHUNK_TOKENS, engine_pool
+from wallwell.routing.prefix_home import CHUNK_TOKENS, regional_pools
 
 HOLD_PART = 0.52
 """Part of the allowance for which a weights roll waits at most."""
@@ -72,10 +73,10 @@
     version: int
 
 
-def divide(engines: Sequence[Backend]) -> tuple[list[Backend], list[Backend]]:
+def divide(engines: Sequence[Backend], places: Places = ONE_REGION) -> tuple[list[Backend], list[Backend]]:
     """Return the pools for short and long prompts, each in the order in which its engines are reloaded."""
-    short = engine_pool(engines, 0)
-    long = [engine for engine in engine_pool(engines, CHUNK_TOKENS + 1) if engine not in short]
+    short = regional_pools(engines, 0, places)
+    long = [engine for engine in regional_pools(engines, CHUNK_TOKENS + 1, places) if engine not in short]
     return short, long
 
 
@@ -92,6 +93,7 @@
     allowance_s: float
     generations_per_s: Callable[[float], float] = lambda now_s: 0.0
     """Generations a second of all nodes at a time."""
+    places: Places = ONE_REGION
     _under_way: set[str] = field(default_factory=set)
     _holds: dict[tuple[str, int], float] = field(default_factory=dict)
     """Holds worked out at ``_holds_at_s`` by model and missing version; engines that lack the same share one."""
@@ -133,7 +135,7 @@
     def next_tasks(self, engines: Sequence[Backend], now_s: float) -> list[LoadTask]:
         """Return the loads to start now; each is to be ended with :meth:`finish`."""
         tasks: list[LoadTask] = []
-        for pool in divide(engines):
+        for pool in divide(engines, self.places):
             spare = self._count_serving(engines, now_s) - math.ceil(len(engines) * SERVING_SHARE)
             if not self._under_way:
                 spare = max(1, spare)
--- a/src/wallwell/placement/weights_roll_driver.py
+++ b/src/wallwell/placement/weights_roll_driver.py
@@ -82,7 +82,10 @@
         self._control = control
         self._clock = clock
         self._planner = WeightsRollPlanner(
-            state.weights, state.bounds.version_s, lambda now_s: state.demand.per_s(now_s, state.node_count)
+            state.weights,
+            state.bounds.version_s,
+            lambda now_s: state.demand.per_s(now_s, state.node_count),
+            state.places,
         )
         self._valid_s = state.bounds.lease_s * VALID_PART
         self._lease = LeaseKeeper(LEASE_NAME, state.node, self._valid_s, table, guard_s=state.bounds.lease_s)
--- a/src/wallwell/routing/prefix_home.py
+++ b/src/wallwell/routing/prefix_home.py
@@ -2,16 +2,19 @@
 
 Rendezvous hashing over the listed engines gives each shared prefix a home, so every node sends it to the engine
 that already holds it. An engine that is busy beyond its fair share is passed over for the next one in the same
-order; a prefix under pressure thereby spreads over the same few engines on every node.
+order; a prefix under pressure thereby spreads over the same few engines on every node. Where there are regions, a
+prefix has a home in each.
 """
 
 from __future__ import annotations
 
+import itertools
 import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 
 from wallwell.deployment.backends import Backend
+from wallwell.deployment.places import Places
 from wallwell.routing.rendezvous import key_of, rendezvous_score
 
 CHUNK_TOKENS = 4096
@@ -57,6 +60,21 @@
     return ordered[count:] if is_long(prompt_tokens) else ordered[:count]
 
 
+def regional_pools(engines: Sequence[Backend], prompt_tokens: int, places: Places) -> list[Backend]:
+    """Return the engines of all regions meant for a prompt of this length; each region's are divided by themselves.
+
+    Regions take turns in the list, so that any first part of it is spread over them.
+    """
+    if not places.has_regions:
+        return engine_pool(engines, prompt_tokens)
+    by_region: dict[str, list[Backend]] = {}
+    for engine in engines:
+        by_region.setdefault(places.region_of(engine.record.zone), []).append(engine)
+    pools = (engine_pool(by_region[region], prompt_tokens) for region in sorted(by_region))
+    turns = itertools.chain.from_iterable(itertools.zip_longest(*pools))
+    return [engine for engine in turns if engine is not None]
+
+
 def is_long(prompt_tokens: int) -> bool:
     """Whether a prompt is read in several chunks."""
     return prompt_tokens > CHUNK_TOKENS
@@ -78,17 +96,24 @@
     return next((engine for engine in ordered if loads[engine.incarnation] < bound), ordered[0])
 
 
-def choose_from_tiers(
-    tiers: Sequence[Sequence[Backend]], key: int, nodes: int, room: float = math.inf
+def find_room(
+    tiers: Sequence[Sequence[Backend]], key: int, nodes: int, room: float = math.inf, slots_part: float = 1.0
 ) -> Backend | None:
-    """Return an engine of the first tier in which enough have room; one of the last tier by the key if none has.
+    """Return an engine of the first tier in which enough have room; None if no tier has.
 
-    An engine has room while the load of all nodes is below its slots and below ``room``. Loads of other nodes are
-    some hundred milliseconds old, and all nodes have the same ones. If all of them chose among the few engines that
-    looked idle, these would get in that time what the whole fleet is sent.
+    An engine has room while the load of all nodes is below a part of its slots and below ``room``. Loads of other
+    nodes are some hundred milliseconds old, and all nodes have the same ones. If all of them chose among the few
+    engines that looked idle, these would get in that time what the whole fleet is sent.
     """
     for tier in tiers:
-        with_room = [engine for engine in tier if engine.fleet_load(nodes) < min(room, engine.record.slots)]
+        with_room = [each for each in tier if each.fleet_load(nodes) < min(room, slots_part * each.record.slots)]
         if with_room and len(with_room) * ROOM_DIVISOR >= len(tier):
             return choose_engine(with_room, key, nodes)
-    return choose_engine(tiers[-1], key, nodes)
+    return None
+
+
+def choose_from_tiers(
+    tiers: Sequence[Sequence[Backend]], key: int, nodes: int, room: float = math.inf
+) -> Backend | None:
+    """Return an engine of the first tier in which enough have room; one of the last tier by the key if none has."""
+    return find_room(tiers, key, nodes, room) or choose_engine(tiers[-1], key, nodes)
--- a/tests/unit/gateway/test_regions.py
+++ b/tests/unit/gateway/test_regions.py
@@ -1,9 +1,10 @@
-"""Kept KV cache stays within the region of the engine that reads it."""
+"""Requests and kept KV cache stay within a region, unless the other one is better by more than the way."""
 
 import asyncio
 import dataclasses
 import random
 import time
+from collections import Counter
 
 import pytest
 
@@ -22,9 +23,13 @@
 from wallwell.deployment.backends import BackendRecord
 from wallwell.deployment.places import Places
 from wallwell.deployment.routes import RouteKind, Service
+from wallwell.gateway.backend_choice import BackendChoice
+from wallwell.gateway.exchange_state import Exchange
 from wallwell.gateway.kept_cache_watch import KeptCacheWatch
 from wallwell.gateway.pipeline import RequestPipeline
+from wallwell.placement.weights_roll import divide
 from wallwell.routing.kept_cache import CacheEntry, CachePage, CachePosition, KeptCache
+from wallwell.routing.outcome import AttemptLog
 from wallwell.routing.prefix_home import PromptPart
 
 MAP = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
@@ -165,3 +170,159 @@
     asked, links = run_virtual(work())
     assert asked == {STORES["b1"]}
     assert not any(links)
+
+
+def exchange_of(prompt, tokens=100):
+    """Return the exchange of a generation with a shared part of this name."""
+    parts = (PromptPart(prompt, tokens), PromptPart("own", 9))
+    request = make_request(generation=dataclasses.replace(make_generation(), parts=parts))
+    return Exchange(request, None, STREAM, None, "svc", 1e9, AttemptLog(repeatable=True))
+
+
+ENGINE_ZONES = ("a1", "a2", "b1", "b2") * 3
+LONG = 9_000
+SLOTS = 8
+
+
+def chosen_regions(node_zone, loads, tokens=100, prompts=100, without=()):
+    """Return the regions of the engines that prompts go to; ``loads`` are of all nodes, by region."""
+
+    async def work():
+        state = fleet_state(node_zone, ENGINE_ZONES)
+        for engine in state.backends.all():
+            engine.peers_load = loads[MAP[engine.record.zone]]
+        candidates = [each for each in state.backends.of_service("svc") if MAP[each.record.zone] not in without]
+        choice = BackendChoice(state)
+        chosen = Counter()
+        for number in range(prompts):
+            exchange = exchange_of(f"p{number}", tokens)
+            chosen[MAP[choice.choose(exchange, candidates).record.zone]] += 1
+        return chosen
+
+    return run_virtual(work())
+
+
+@pytest.mark.parametrize("tokens", [100, LONG])
+@pytest.mark.parametrize(("zone", "region"), [("a1", "a"), ("b2", "b")])
+def test_prompts_stay_in_the_region_while_it_has_room(zone, region, tokens):
+    assert set(chosen_regions(zone, {"a": 2, "b": 2}, tokens)) == {region}
+
+
+@pytest.mark.parametrize(
+    ("loads", "region"),
+    [
+        ({"a": SLOTS - 1, "b": 0}, "a"),
+        ({"a": SLOTS, "b": 0}, "b"),
+        ({"a": SLOTS, "b": SLOTS - 1}, "a"),
+        ({"a": 3 * SLOTS, "b": 3 * SLOTS}, "a"),
+    ],
+    ids=["one place left", "full", "other nearly full", "both full"],
+)
+def test_prompts_go_to_the_other_region_only_while_it_has_more_room(loads, region):
+    assert set(chosen_regions("a1", loads)) == {region}
+
+
+def test_a_long_prompt_goes_where_it_begins_in_time_in_spite_of_the_way():
+    """At 70 ms a unit an engine begins five units in 0.4 s; the way leaves time for one less there."""
+    assert set(chosen_regions("a1", {"a": 5, "b": 5}, LONG)) == {"a"}
+    assert set(chosen_regions("a1", {"a": 6, "b": 5}, LONG)) == {"b"}
+    assert set(chosen_regions("a1", {"a": 6, "b": 6}, LONG)) == {"a"}
+
+
+def test_prompts_that_leave_the_region_spread_over_the_other_one():
+    """All nodes know of the other region's loads alike and late; they must not all take the idlest engine there."""
+
+    async def work():
+        state = fleet_state("a1", ENGINE_ZONES)
+        for engine in state.backends.all():
+            engine.peers_load = SLOTS if MAP[engine.record.zone] == "a" else 2
+        state.backends.get("i-2").peers_load = 0
+        choice = BackendChoice(state)
+        chosen = Counter()
+        for number in range(300):
+            chosen[choice.choose(exchange_of(f"p{number}"), state.backends.of_service("svc")).incarnation] += 1
+        return chosen
+
+    chosen = run_virtual(work())
+    assert len(chosen) == 2  # The other region's pool for short prompts.
+    assert max(chosen.values()) < 0.65 * 300
+
+
+@pytest.mark.parametrize("tokens", [100, LONG])
+def test_without_engines_in_the_region_everything_goes_to_the_other(tokens):
+    assert set(chosen_regions("a1", {"a": 0, "b": 3}, tokens, without=("a",))) == {"b"}
+    assert set(chosen_regions("a1", {"a": 0, "b": 30}, tokens, without=("a",))) == {"b"}
+
+
+def test_a_prefix_has_the_same_home_for_all_nodes_of_a_region():
+    async def homes(zone):
+        state = fleet_state(zone, ENGINE_ZONES)
+        for engine in state.backends.all():
+            engine.peers_load = 0
+        choice = BackendChoice(state)
+        found = []
+        for number in range(50):
+            exchange = exchange_of(f"p{number}", LONG)
+            found.append(choice.choose(exchange, state.backends.of_service("svc")).incarnation)
+        return found
+
+    first, second, other = (run_virtual(homes(zone)) for zone in ("a1", "a2", "b1"))
+    assert first == second
+    assert not set(first) & set(other)
+
+
+def test_each_region_has_engines_of_its_own_for_short_prompts():
+    state = run_virtual(async_state())
+    listed = state.backends.of_service("svc")
+    short, long = divide(listed, state.places)
+    for region in ("a", "b"):
+        assert sum(MAP[each.record.zone] == region for each in short) == 2
+        assert sum(MAP[each.record.zone] == region for each in long) == 4
+
+
+def test_half_of_a_pool_is_half_of_each_region():
+    """Engines are reloaded half a pool at a time: never all of a region's at once."""
+    state = run_virtual(async_state())
+    for pool in divide(state.backends.of_service("svc"), state.places):
+        first_half = pool[: len(pool) // 2]
+        assert len({MAP[each.record.zone] for each in first_half}) == 2
+
+
+async def async_state():
+    return fleet_state("a1", ENGINE_ZONES)
+
+
+CALL_SLOTS = 6
+
+
+def call_shares(node_zone, loads):
+    """Return how many of many calls each zone's back end gets; ``loads`` are of the other nodes, by zone."""
+
+    async def work():
+        state = fleet_state(node_zone, ())
+        for index, (zone, load) in enumerate(loads.items()):
+            record = BackendRecord(f"b{index}", "calls", f"10.0.1.{index}:1", zone, CALL_SLOTS)
+            state.backends.upsert(record).peers_load = load
+        candidates = state.backends.of_service("calls")
+        return Counter(state.least_loaded(candidates).record.zone for _ in range(400))
+
+    return run_virtual(work())
+
+
+@pytest.mark.parametrize(
+    ("loads", "zones"),
+    [
+        ({"a1": 1, "a2": 0, "b1": 0, "b2": 0}, {"a1"}),
+        ({"a1": 5, "a2": 3, "b1": 0, "b2": 0}, {"a1", "a2"}),
+        ({"a2": 2, "b1": 0, "b2": 0}, {"a2"}),
+        ({"b1": 0, "b2": 0}, {"b1", "b2"}),
+    ],
+    ids=["own zone", "own region", "none in the zone", "none in the region"],
+)
+def test_calls_go_to_the_own_zone_then_the_region_then_the_other(loads, zones):
+    assert set(call_shares("a1", loads)) == zones
+
+
+def test_calls_leave_a_region_that_is_nearly_full():
+    shares = call_shares("a1", {"a1": 6, "a2": 5, "b1": 1, "b2": 1})
+    assert shares["b1"] + shares["b2"] > 300
