--- a/src/wallwell/gateway/fleet_metrics.py
+++ b/src/wallwell/gateway/fleet_metrics.py
@@ -56,6 +56,11 @@
         in_flight = sum(each.in_flight for each in listed)
         yield GaugeMetricFamily("wallwell_in_flight", "Attempts under way.", value=in_flight)
         yield from self._collect_limits(now_s)
+        traffic = state.region_traffic
+        yield _counter("wallwell_region_exchanges", "Exchanges with other regions.", "cause", traffic.exchanges)
+        yield _counter(
+            "wallwell_region_bytes", "Bytes exchanged with other regions, bodies only.", "cause", traffic.bytes
+        )
         budget = GaugeMetricFamily("wallwell_retry_budget_left", "Repeats left by service.", labels=["service"])
         for service, left in state.budgets_left(now_s).items():
             budget.add_metric([service], left)
--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -11,6 +11,7 @@
 from contextlib import AbstractAsyncContextManager, aclosing, nullcontext
 
 from wallwell.deployment.backends import Backend
+from wallwell.deployment.places import Distance
 from wallwell.deployment.routes import RouteKind
 from wallwell.errors import (
     BackendFailedError,
@@ -38,6 +39,7 @@
 from wallwell.gateway.fleet_state import FleetState
 from wallwell.gateway.head_wait import MIN_REMAINING_S, HeadWait
 from wallwell.gateway.liveness import Liveness
+from wallwell.gateway.region_answers import CountedAnswer
 from wallwell.outcomes import Outcome
 from wallwell.routing.outcome import REFUSED_BY_BACKEND, TransportEvent
 from wallwell.routing.prefix_home import request_load
@@ -208,6 +210,10 @@
     async def _send(self, exchange: Exchange, backend: Backend) -> BackendAnswer:
         dispatch = self._dispatch(exchange, backend)
         answer = await self._wait.await_head(exchange, backend, dispatch)
+        if self._state.places.distance(backend.record.zone) is Distance.OTHER_REGION:
+            cause = exchange.route.kind.value
+            self._state.region_traffic.add(cause, len(exchange.request.body))
+            answer = CountedAnswer(answer, self._state.region_traffic, cause)
         generation = exchange.request.generation
         if generation is not None and answer.head.weights_version:
             backend.learn_version(generation.model, answer.head.weights_version)
--- a/src/wallwell/routing/region_traffic.py
+++ b/src/wallwell/routing/region_traffic.py
@@ -18,4 +18,8 @@
     def add(self, cause: str, size: int) -> None:
         """Count one exchange."""
         self.exchanges[cause] = self.exchanges.get(cause, 0) + 1
+        self.add_bytes(cause, size)
+
+    def add_bytes(self, cause: str, size: int) -> None:
+        """Count more bytes of an exchange."""
         self.bytes[cause] = self.bytes.get(cause, 0) + size
--- a/tests/unit/gateway/test_regions.py
+++ b/tests/unit/gateway/test_regions.py
@@ -24,7 +24,9 @@
 from wallwell.deployment.places import Places
 from wallwell.deployment.routes import RouteKind, Service
 from wallwell.gateway.backend_choice import BackendChoice
+from wallwell.gateway.counters import FleetCounters
 from wallwell.gateway.exchange_state import Exchange
+from wallwell.gateway.fleet_metrics import render
 from wallwell.gateway.kept_cache_watch import KeptCacheWatch
 from wallwell.gateway.pipeline import RequestPipeline
 from wallwell.placement.weights_roll import divide
@@ -325,3 +327,21 @@
 def test_calls_leave_a_region_that_is_nearly_full():
     shares = call_shares("a1", {"a1": 6, "a2": 5, "b1": 1, "b2": 1})
     assert shares["b1"] + shares["b2"] > 300
+
+
+@pytest.mark.parametrize(("engine_zone", "crosses"), [("a2", False), ("b1", True)])
+def test_what_crosses_the_link_is_counted_by_cause(engine_zone, crosses):
+    async def work():
+        state = fleet_state("a1", [engine_zone])
+        state.freshness.confirm(time.monotonic())
+        client = FakeClient(Script(chunks=(event(1), event(2)), stream=True))
+        request = make_request(generation=make_generation(), body=b"x" * 100)
+        await RequestPipeline(state, client).serve(request, FakeReply())
+        return state, render(FleetCounters(), state).decode()
+
+    state, text = run_virtual(work())
+    size = 100 + len(event(1)) + len(event(2))
+    assert state.region_traffic.exchanges == ({"stream": 1} if crosses else {})
+    assert state.region_traffic.bytes == ({"stream": size} if crosses else {})
+    assert (f'wallwell_region_bytes_total{{cause="stream"}} {float(size)}' in text) is crosses
+    assert ('wallwell_region_exchanges_total{cause="stream"} 1.0' in text) is crosses
