Long shared prompts have one home in all regions; parts come from the other region's stores too

Change: prompts with 1,024 shared tokens or more go to the region of their home engine from anywhere; a store of the engine's own region is preferred, one of the other region is used where it keeps twice as much; nodes follow all stores again and save what is lacking in both regions.

--- a/src/wallwell/gateway/backend_choice.py
+++ b/src/wallwell/gateway/backend_choice.py
@@ -10,11 +10,22 @@
 from wallwell.gateway.exchange_state import Exchange
 from wallwell.gateway.fleet_state import FleetState
 from wallwell.routing.overload import Occupancy, refused_part, return_after_s
-from wallwell.routing.prefix_home import choose_engine, choose_from_tiers, find_room, is_long, regional_pools
+from wallwell.routing.prefix_home import (
+    choose_engine,
+    choose_from_tiers,
+    find_room,
+    is_long,
+    regional_pools,
+    shared_parts,
+)
+from wallwell.routing.rendezvous import rendezvous_score
 from wallwell.routing.return_time import ShortestAnswer
 
 REGION_WAY_S = 0.04
 """What the way to an engine of another region and back adds to a first piece: twice 20 ms (the users' figure)."""
+SHARED_TOKENS_WORTH_THE_WAY = 1024
+"""Shared tokens from which a prompt has one home in all regions. It parts short prompts (some 200 shared tokens)
+from long ones (6,300, which take 67 ms to read at 94 tokens a ms, where the way and back takes 40 ms)."""
 FAR_SLOTS_PART = 0.75
 """Part of another region's slots that this one's prompts may fill: the rest is left to its own prompts, since its
 loads are told here some times a second only."""
@@ -34,7 +45,7 @@
             return state.least_loaded(candidates)
         listed = state.backends.of_service(exchange.service)
         pool = regional_pools(listed, generation.prompt_tokens, state.places)
-        near, far = self._by_region(candidates)
+        near, far = self._by_region(candidates, self._home_region(exchange, pool))
         key, nodes = exchange.placement, state.node_count
         # A long prompt that would wait beyond its objective in its pool rather lengthens the gaps of short ones.
         room, far_room = self._rooms(exchange.route.objective_s, is_long(generation.prompt_tokens))
@@ -49,14 +60,29 @@
         assert chosen is not None
         return chosen
 
-    def _by_region(self, candidates: Sequence[Backend]) -> tuple[Sequence[Backend], Sequence[Backend]]:
-        """Return the candidates of this node's region and those of others."""
+    def _by_region(self, candidates: Sequence[Backend], region: str) -> tuple[Sequence[Backend], Sequence[Backend]]:
+        """Return the candidates of a region and those of others; all count as near without regions."""
         places = self._state.places
         if not places.has_regions:
             return candidates, ()
-        near = [each for each in candidates if places.is_own_region(each.record.zone)]
+        near = [each for each in candidates if places.region_of(each.record.zone) == region]
         return near, [each for each in candidates if each not in near]
 
+    def _home_region(self, exchange: Exchange, pool: Sequence[Backend]) -> str:
+        """Return the region in which a prompt is to be read: the node's, or that of its home if much is shared.
+
+        Reading much again takes longer than the way to the other region and back, and the stores of one region need
+        not hold what all callers share.
+        """
+        places = self._state.places
+        generation = exchange.request.generation
+        assert generation is not None
+        shared_tokens = sum(part.tokens for part in shared_parts(generation.parts))
+        if shared_tokens < SHARED_TOKENS_WORTH_THE_WAY or not pool:
+            return places.own_region
+        home = max(pool, key=lambda engine: rendezvous_score(engine.incarnation, exchange.placement))
+        return places.region_of(home.record.zone)
+
     def _rooms(self, objective_s: float, is_long_prompt: bool) -> tuple[float, float]:
         """Return up to which load engines of this region and of others still begin a prompt in time."""
         if not is_long_prompt:
--- a/src/wallwell/gateway/cache_planning.py
+++ b/src/wallwell/gateway/cache_planning.py
@@ -18,11 +18,10 @@
 
 Engines read fewer in 25 ms (38 to 57 tokens a ms in the users' deployments); a move may wait 2 s for its turn."""
 
-MOVE_PART = 0.2
-"""Time of a move within a zone as a part of the time of reading: 35 KB a token over 130 Gbit/s take 2 us, reading
-takes 11 us at 94 tokens a ms. Where links are slower, moves from afar are worth less still."""
-MOVE_FACTORS = {Distance.SAME_ZONE: 1, Distance.SAME_REGION: 2, Distance.OTHER_REGION: 10}
-"""How many times as long a move takes by its distance (the users' figures)."""
+NEAR_PARTS = {Distance.SAME_ZONE: 1.0, Distance.SAME_REGION: 0.95, Distance.OTHER_REGION: 0.5}
+"""What a kept token counts for by the distance of its store. Moves take twice as long from another zone and ten
+times as long from another region (the users' figures): longer than reading there, but what is read twice costs an
+engine's work, and moves do not."""
 
 
 class CachePlanner:
@@ -54,28 +53,26 @@
     def _best_source(self, home: str, scope: str, generation: Generation, engine_zone: str) -> str:
         """Return the store that keeps most of the shared parts; ``home``, where they are saved, if none has more.
 
-        Where there are regions, only stores of the engine's count, and by the time that a fetch saves.
+        Where there are regions, stores of the engine's count for more.
 
         Prompts with a first part in common have different homes. After a change of weights that part is saved at
         one of them first, and engines that fetch from the others would read it again.
         """
         parts = shared_parts(generation.parts)
         saved = {}
-        for store in self._state.kv_stores_near(engine_zone):
+        for store in self._state.kv_stores():
             address = store.kv_store_address
             kept = self._state.kept_caches.get(address)
             if kept is not None and kept.known and kept.reachable:
-                saved[address] = kept.kept_tokens(scope, parts) * self._saved_part(engine_zone, store)
+                saved[address] = kept.kept_tokens(scope, parts) * self._near_part(engine_zone, store)
         if home not in saved:
             return home
         return max(saved, key=lambda address: (saved[address], address == home))
 
-    def _saved_part(self, engine_zone: str, store: Service) -> float:
-        """Return the part of a token's reading time that its move from a store saves; 1 without regions."""
+    def _near_part(self, engine_zone: str, store: Service) -> float:
+        """Return what a token kept at a store counts for; 1 without regions."""
         places = self._state.places
-        if not places.has_regions:
-            return 1.0
-        return 1.0 - MOVE_PART * MOVE_FACTORS[places.between(engine_zone, store.zone)]
+        return NEAR_PARTS[places.between(engine_zone, store.zone)] if places.has_regions else 1.0
 
     def _is_worth_fetching(self, generation: Generation, now_s: float) -> bool:
         """Whether moving the shared parts is quicker than reading them; moves queue while the fleet is behind."""
@@ -94,8 +91,6 @@
             return False
         if now_s - self._state.freshness.confirmed_at_s > SAVE_FRESHNESS_S:
             return False
-        if self._state.places.distance(backend.record.zone) is Distance.OTHER_REGION:
-            return False  # What its stores lack is known there; from here every prompt would be saved again.
         kept = self._state.kept_caches.get(store)
         if kept is None or not kept.known:
             return True
--- a/src/wallwell/gateway/fleet_state.py
+++ b/src/wallwell/gateway/fleet_state.py
@@ -159,11 +159,16 @@
         if self.zones.on_answer(backend, self.backends.all(), now_s):
             emit(Event.ZONE_RETURNED, zone=backend.record.zone)
 
+    def kv_stores(self) -> Sequence[Service]:
+        """Return all stores of kept KV cache."""
+        return () if self.config is None else self.config.kv_stores
+
     def kv_stores_near(self, engine_zone: str) -> list[Service]:
         """Return the stores of kept KV cache in the region of an engine; all of them without regions."""
-        stores = () if self.config is None else self.config.kv_stores
         between = self.places.between
-        return [store for store in stores if between(engine_zone, store.zone) is not Distance.OTHER_REGION]
+        return [
+            store for store in self.kv_stores() if between(engine_zone, store.zone) is not Distance.OTHER_REGION
+        ]
 
     def kv_store_address(self, placement: int, engine_zone: str = "") -> str:
         """Return the store of kept KV cache for prompts placed by a key, empty if there is none.
--- a/src/wallwell/gateway/kept_cache_watch.py
+++ b/src/wallwell/gateway/kept_cache_watch.py
@@ -1,8 +1,4 @@
-"""Follows what the stores of kept KV cache hold: from a peer that follows a store, or from the store itself.
-
-Only stores of the node's region are followed; the peers that are asked are of it as well (see ``UpstreamOrder``).
-Calls and bytes between regions are dear, and engines of another region get few requests from here.
-"""
+"""Follows what the stores of kept KV cache hold: from a peer that follows a store, or from the store itself."""
 
 from __future__ import annotations
 
@@ -87,8 +83,7 @@
 
     def _reconcile(self) -> None:
         config = self._state.config
-        stores = config.kv_stores if config is not None else ()
-        wanted = {each.kv_store_address for each in stores if self._state.places.is_own_region(each.zone)}
+        wanted = {each.kv_store_address for each in config.kv_stores} if config is not None else set()
         for address in self._followers.keys() - wanted:
             self._followers.pop(address).cancel()
             self._state.kept_caches.pop(address, None)
