--- /dev/null
+++ b/src/wallwell/rollout/likelihood.py
@@ -0,0 +1,45 @@
+"""A test of a rate that may be looked at any number of times. Pure arithmetic.
+
+For each alternative rate the likelihood ratio against the null rate is a supermartingale as long as the true rate
+is at most the null rate; so is any mixture of them (H. Robbins, "Statistical methods related to the law of the
+iterated logarithm", 1970). By Ville's inequality it ever reaches ``1 / a`` with a chance of at most ``a``.
+"""
+
+from __future__ import annotations
+
+import math
+
+ALTERNATIVES = (0.01, 0.03, 0.06, 0.12, 0.25, 0.5, 0.9)
+"""Ways from the null rate to 1 at which the mixture has its alternatives; a version that is worse by less than 1 in
+100 is no matter of a rollout."""
+LOG_WEIGHT = -math.log(len(ALTERNATIVES))
+NULL_DEVIATIONS = 2.0
+"""Standard deviations by which a null rate lies above the rate seen: it is too low in about 1 of 40 rollouts."""
+LEAST_NULL_RATE = 1e-4
+
+
+def upper_rate(events: int, answers: int, deviations: float = NULL_DEVIATIONS) -> float:
+    """Return the upper end of the Wilson score interval of a rate; 1 without answers (E. B. Wilson, 1927)."""
+    if answers <= 0:
+        return 1.0
+    square = deviations * deviations
+    centre = events + square / 2
+    spread = deviations * math.sqrt(events * (answers - events) / answers + square / 4)
+    return min(1.0, (centre + spread) / (answers + square))
+
+
+def log_evidence(events: int, answers: int, null_rate: float) -> float:
+    """Return the log of the mixture's likelihood ratio, by its greatest term; ``-inf`` below the null rate.
+
+    Answers of several routes may be added up with the mean of their null rates: the mean of a product of factors
+    ``1 + rate x step`` is greatest where all rates are the same.
+    """
+    null = max(null_rate, LEAST_NULL_RATE)
+    if null >= 1.0 or events <= null * answers:
+        return -math.inf
+    best = -math.inf
+    for way in ALTERNATIVES:
+        rate = null + (1.0 - null) * way
+        ratio = events * math.log(rate / null) + (answers - events) * math.log1p(-way)
+        best = max(best, ratio)
+    return best + LOG_WEIGHT
--- a/src/wallwell/rollout/model.py
+++ b/src/wallwell/rollout/model.py
@@ -110,11 +110,15 @@
 
 @dataclass(frozen=True)
 class Capacity:
-    """Back ends that can take requests, by side, in places (slots)."""
+    """Back ends that can take requests, by side, in places (slots).
+
+    ``current_in_flight`` counts requests under way on the current side; negative if that is not known.
+    """
 
     current_places: int
     target_places: int
     target_backends: int
+    current_in_flight: int = -1
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/src/wallwell/rollout/totals.py
@@ -0,0 +1,101 @@
+"""Totals of answers: of several nodes' lives added up, and at one time for comparison with a later one. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from wallwell.rollout.model import AnswerCounts, RolloutCounts
+
+Key = tuple[str, bool, str]
+"""Route, whether of the target side, incarnation of the target back end (empty for the current side)."""
+
+
+def merge(parts: Iterable[RolloutCounts], order: int) -> RolloutCounts:
+    """Return the sum of what nodes' lives sent and got; parts of other orders are left out."""
+    current_requests = target_requests = 0
+    answers: dict[Key, AnswerCounts] = {}
+    for part in parts:
+        if part.order != order:
+            continue
+        current_requests += part.current_requests
+        target_requests += part.target_requests
+        for each in part.answers:
+            key = (each.route, each.is_target, each.backend)
+            known = answers.get(key)
+            answers[key] = each if known is None else _sum(known, each)
+    return RolloutCounts(order, current_requests, target_requests, tuple(answers.values()))
+
+
+def _sum(first: AnswerCounts, second: AnswerCounts) -> AnswerCounts:
+    return AnswerCounts(
+        first.route,
+        first.is_target,
+        first.backend,
+        first.answered + second.answered,
+        first.failed + second.failed,
+        first.broken + second.broken,
+        _sum_buckets(first.first_delays, second.first_delays),
+        _sum_buckets(first.piece_gaps, second.piece_gaps),
+    )
+
+
+def _sum_buckets(first: Mapping[int, int], second: Mapping[int, int]) -> dict[int, int]:
+    buckets = dict(first)
+    for bucket, count in second.items():
+        buckets[bucket] = buckets.get(bucket, 0) + count
+    return buckets
+
+
+class Totals:
+    """Answers as they were counted at one time. What is asked often is worked out once."""
+
+    def __init__(self, counts: RolloutCounts, at_s: float) -> None:
+        self.at_s = at_s
+        self.by_key: dict[Key, AnswerCounts] = {}
+        self.targets: dict[str, list[Key]] = {}
+        """Keys of the target back ends by route."""
+        for each in merge((counts,), counts.order).answers:
+            key = (each.route, each.is_target, each.backend)
+            self.by_key[key] = each
+            if each.is_target:
+                self.targets.setdefault(each.route, []).append(key)
+        self._beyond: dict[tuple[Key, str, int], tuple[int, int]] = {}
+
+    def current_routes(self) -> list[str]:
+        """Return the routes that the current side has answered."""
+        return [route for route, is_target, _ in self.by_key if not is_target]
+
+    def answered(self, route: str, is_target: bool) -> int:
+        """Return how many whole answers of a route a side has given."""
+        if not is_target:
+            each = self.by_key.get((route, False, ""))
+            return 0 if each is None else each.answered
+        return sum(self.by_key[key].answered for key in self.targets.get(route, ()))
+
+    def failed(self, key: Key) -> tuple[int, int]:
+        """Return failed and all answers."""
+        each = self.by_key.get(key)
+        return (0, 0) if each is None else (each.failed, each.answered)
+
+    def beyond(self, key: Key, field: str, bucket: int) -> tuple[int, int]:
+        """Return answers above a bucket of ``field`` (``first_delays``, ``piece_gaps``), and all counted there."""
+        known = self._beyond.get((key, field, bucket))
+        if known is not None:
+            return known
+        each = self.by_key.get(key)
+        buckets: Mapping[int, int] = {} if each is None else getattr(each, field)
+        above = sum(count for at, count in buckets.items() if at > bucket)
+        found = (above, sum(buckets.values()))
+        self._beyond[(key, field, bucket)] = found
+        return found
+
+    def quantile(self, key: Key, field: str, part: float) -> int | None:
+        """Return the bucket at or below which ``part`` of a key's answers are; None without answers."""
+        each = self.by_key.get(key)
+        buckets: Mapping[int, int] = {} if each is None else getattr(each, field)
+        left = part * sum(buckets.values())
+        for bucket in sorted(buckets):
+            left -= buckets[bucket]
+            if left <= 0:
+                return bucket
+        return None
--- /dev/null
+++ b/tests/unit/rollout/test_evidence.py
@@ -0,0 +1,119 @@
+"""Verdicts on the target version by counted answers."""
+
+import math
+
+import pytest
+
+from wallwell.rollout.evidence import EvidenceLog, answers_short
+from wallwell.rollout.model import AnswerCounts, RolloutCounts
+from wallwell.rollout.totals import Totals
+
+BAD = math.log(2_000)
+USUAL = {8: 400, 9: 400, 10: 180, 12: 20}
+"""Delays of 1,000 answers of the current side."""
+
+
+def current(route="a", answered=1_000, failed=4, delays=USUAL, gaps=None):
+    return AnswerCounts(route, False, "", answered, failed, 0, delays, gaps or {})
+
+
+def target(backend, answered, failed=0, delays=None, gaps=None, route="a", broken=0):
+    return AnswerCounts(route, True, backend, answered, failed, broken, delays or {8: answered}, gaps or {})
+
+
+def verdict(*answers, is_switching=False):
+    log = EvidenceLog(30.0)
+    log.observe(RolloutCounts(1, answers=answers), 10.0)
+    return log.verdict(is_switching)
+
+
+CASES = [
+    ("good", [current(), target("t1", 60), target("t2", 60)], False),
+    ("no answers", [], False),
+    ("no current answers", [target("t1", 60, 10)], False),
+    ("failures", [current(), target("t1", 60, 12), target("t2", 60, 12)], True),
+    ("failures of all of three", [current(), *(target(f"t{n}", 40, 8) for n in range(3))], True),
+    ("one sick of three", [current(), target("t0", 40, 16), target("t1", 40), target("t2", 40)], False),
+    (
+        "failures by nature",
+        [current("lookup", failed=140), *(target(f"t{n}", 60, 9, route="lookup") for n in range(3))],
+        False,
+    ),
+    (
+        "failures beyond nature",
+        [current("lookup", failed=140), *(target(f"t{n}", 60, 27, route="lookup") for n in range(3))],
+        True,
+    ),
+    (
+        "failures on one route of two",
+        [current(), current("b"), target("t1", 80), target("t1", 30, 9, route="b")],
+        True,
+    ),
+    ("late by 4", [current(), target("t1", 60, delays={8: 30, 13: 30})], True),
+    ("a few late", [current(), target("t1", 60, delays={8: 55, 11: 3, 12: 2})], False),
+    ("broken only", [current(), target("t1", 20, broken=50)], False),
+    (
+        "slow pieces",
+        [current(gaps={8: 1_000}), target("t1", 60, gaps={8: 30, 12: 30})],
+        True,
+    ),
+    (
+        "too few answers of the current side",
+        [current(answered=3, failed=0, delays={8: 3}), target("t1", 4, 2)],
+        False,
+    ),
+]
+
+
+@pytest.mark.parametrize(("answers", "is_bad"), [case[1:] for case in CASES], ids=[case[0] for case in CASES])
+def test_a_verdict_compares_with_the_current_side(answers, is_bad):
+    assert (verdict(*answers).log_evidence >= BAD) is is_bad
+
+
+def test_cold_caches_of_generations_are_no_badness_while_the_service_moves():
+    answers = [current(gaps={8: 1_000}), target("t1", 60, delays={8: 30, 13: 30}, gaps={8: 60})]
+    assert verdict(*answers).log_evidence >= BAD
+    assert verdict(*answers, is_switching=True).log_evidence < BAD
+
+
+def test_a_good_past_does_not_hide_a_late_turn():
+    log = EvidenceLog(30.0)
+    log.observe(RolloutCounts(1, answers=(current(), target("t1", 2_000, 8))), 10.0)
+    log.observe(RolloutCounts(1, answers=(current(), target("t1", 2_060, 26))), 12.0)
+    late = log.verdict(False)
+    assert late.log_evidence >= BAD
+    assert verdict(current(), target("t1", 2_060, 26)).log_evidence < BAD
+
+
+def test_a_current_side_that_is_slow_at_the_same_time_raises_what_is_allowed():
+    def seen(current_slow):
+        log = EvidenceLog(30.0)
+        log.observe(RolloutCounts(1, answers=(current(), target("t1", 60))), 10.0)
+        later = current(answered=1_200, delays={**USUAL, 8: 600 - current_slow, 13: current_slow})
+        log.observe(RolloutCounts(1, answers=(later, target("t1", 90, delays={8: 75, 13: 15}))), 12.0)
+        return log.verdict(False).log_evidence
+
+    assert seen(current_slow=0) >= BAD
+    assert seen(current_slow=80) < BAD
+
+
+def test_few_starts_are_kept():
+    log = EvidenceLog(30.0)
+    for tick in range(200):
+        log.observe(RolloutCounts(1), tick * 0.3)
+    assert len(log._starts) <= 12
+
+
+@pytest.mark.parametrize(
+    ("rare_current", "rare_target", "is_short"),
+    [(10, 0, False), (1_000, 0, True), (1_000, 11, True), (1_000, 12, False)],
+)
+def test_a_route_asks_for_answers_as_its_traffic_gives_them(rare_current, rare_target, is_short):
+    answers = (
+        current("often"),
+        current("rare", answered=rare_current),
+        target("t1", 100, route="often"),
+        target("t1", rare_target, route="rare"),
+    )
+    short = answers_short(Totals(RolloutCounts(1, answers=answers), 0.0), 12)
+    assert ("rare" in short) is is_short
--- /dev/null
+++ b/tests/unit/rollout/test_totals.py
@@ -0,0 +1,48 @@
+"""Totals of several nodes' lives."""
+
+from wallwell.rollout.model import AnswerCounts, RolloutCounts
+from wallwell.rollout.totals import Totals, merge
+
+
+def test_totals_of_lives_are_added_by_route_side_and_back_end():
+    first = RolloutCounts(
+        7,
+        10,
+        2,
+        (
+            AnswerCounts("a", False, "", 10, 1, 2, {3: 4}, {1: 1}),
+            AnswerCounts("a", True, "t1", 2, 0, 0, {3: 2}),
+        ),
+    )
+    second = RolloutCounts(7, 5, 1, (AnswerCounts("a", False, "", 5, 0, 1, {3: 1, 4: 4}),))
+    assert merge([first, second], 7) == RolloutCounts(
+        7,
+        15,
+        3,
+        (
+            AnswerCounts("a", False, "", 15, 1, 3, {3: 5, 4: 4}, {1: 1}),
+            AnswerCounts("a", True, "t1", 2, 0, 0, {3: 2}),
+        ),
+    )
+
+
+def test_totals_of_another_order_are_left_out():
+    assert merge([RolloutCounts(6, 10, 2), RolloutCounts(7, 1, 1)], 7) == RolloutCounts(7, 1, 1)
+
+
+def test_nothing_adds_up_to_nothing():
+    assert merge([], 7) == RolloutCounts(7)
+
+
+def test_quantiles_and_tails_go_by_buckets():
+    totals = Totals(
+        RolloutCounts(1, answers=(AnswerCounts("a", False, "", 10, first_delays={2: 5, 4: 4, 9: 1}),)), 0.0
+    )
+    key = ("a", False, "")
+    assert totals.quantile(key, "first_delays", 0.5) == 2
+    assert totals.quantile(key, "first_delays", 0.9) == 4
+    assert totals.quantile(key, "piece_gaps", 0.9) is None
+    assert totals.beyond(key, "first_delays", 4) == (1, 10)
+    assert totals.beyond(("b", True, "x"), "first_delays", 4) == (0, 0)
+    assert totals.current_routes() == ["a"]
+    assert totals.answered("a", False) == 10
