--- a/src/wallwell/cli/explain.py
+++ b/src/wallwell/cli/explain.py
@@ -31,6 +31,8 @@
         Event.NODE_STARTED,
         Event.ORDER_SENT,
         Event.WEIGHTS_NAMED,
+        Event.ROLLOUT_ORDERED,
+        Event.ROLLOUT_FOLLOWED,
     )
 )
 SLOW_FIRST_MS = 500
--- /dev/null
+++ b/src/wallwell/cluster/lease_turn.py
@@ -0,0 +1,98 @@
+"""When a node tries for a lease and renews it, so that of many nodes with work to do one does it."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable
+
+from wallwell.cluster.leases import LEASE_PREFIX, LeaseKeeper
+from wallwell.errors import LeaseLostError, PlatformUnavailableError
+from wallwell.events import Event, emit
+from wallwell.routing.rendezvous import key_of, rendezvous_score
+from wallwell.storage.feed import FeedRow
+
+RENEW_PART = 0.4
+"""Part of the time that one renewal is trusted for after which the next one is made."""
+CANDIDATE_DELAY_S = 0.7
+"""How long the last holder is waited for before others try."""
+CANDIDATE_STEP_S = 0.35
+"""Time between the tries of two candidates, of which one call to the store each takes a small part."""
+
+
+class LeaseTurn:
+    """One node's tries for one lease: the last holder first, others in an agreed order, nobody without work."""
+
+    def __init__(
+        self, name: str, node: str, keeper: LeaseKeeper, valid_s: float, members: Callable[[], Iterable[str]]
+    ) -> None:
+        """``valid_s`` is how long one renewal is trusted; ``members`` names the nodes that may try."""
+        self.holder = ""
+        """The last holder that a feed told of; empty if none."""
+        self._name = name
+        self._node = node
+        self._keeper = keeper
+        self._valid_s = valid_s
+        self._members = members
+        self._due_since_s: float | None = None
+        self._renewed_at_s = float("-inf")
+        self._draining = False
+
+    def observe(self, row: FeedRow, now_s: float) -> None:
+        """Take a row of this product's own table; others than the lease's are left alone."""
+        if row.key == LEASE_PREFIX + self._name:
+            self.holder = self._keeper.observe(row.value, row.version, now_s)
+
+    def set_due(self, is_due: bool, now_s: float) -> None:
+        """Say whether there is work to do."""
+        if not is_due:
+            self._due_since_s = None
+        elif self._due_since_s is None:
+            self._due_since_s = now_s
+
+    async def hold(self, now_s: float) -> bool:
+        """Acquire or renew the lease if it is this node's turn, and return whether it is held."""
+        if self.is_held() and now_s - self._renewed_at_s < self._valid_s * RENEW_PART:
+            return True
+        if not self.is_held() and (self._draining or now_s < self._candidate_at_s()):
+            return False
+        was_held = self.is_held()
+        try:
+            held = await self._keeper.try_acquire(now_s)
+        except PlatformUnavailableError:
+            return self.is_held()
+        if held is None:
+            if was_held:
+                emit(Event.LEASE_LOST, lease=self._name)
+            return False
+        if not was_held:
+            emit(Event.LEASE_ACQUIRED, lease=self._name, fence=held.fence)
+        self._renewed_at_s = now_s
+        return self.is_held()
+
+    def is_held(self) -> bool:
+        """Whether the lease is certainly held now."""
+        try:
+            self._keeper.check(time.monotonic())
+        except LeaseLostError:
+            return False
+        return True
+
+    def renew_next(self) -> None:
+        """Renew at the next occasion, since something speaks against the lease."""
+        self._renewed_at_s = float("-inf")
+
+    def drain(self) -> None:
+        """Keep what is held, and take no new lease."""
+        self._draining = True
+
+    def _candidate_at_s(self) -> float:
+        """Return when this node may try for the lease."""
+        assert self._due_since_s is not None
+        if self.holder == self._node:
+            return self._due_since_s
+        key = key_of(self._name)
+        names = sorted({*self._members(), self._node}, key=lambda name: rendezvous_score(name, key))
+        delay_s = names.index(self._node) * CANDIDATE_STEP_S
+        if self.holder:
+            delay_s += CANDIDATE_DELAY_S
+        return max(self._due_since_s + delay_s, self._keeper.takeover_at_s())
--- a/src/wallwell/deployment/backends.py
+++ b/src/wallwell/deployment/backends.py
@@ -61,6 +61,8 @@
     consecutive_failures: int = 0
     suspended_until_s: float = 0.0
     last_success_s: float = float("-inf")
+    slow_until_s: float = float("-inf")
+    """Until when it is slow from its start."""
     versions: dict[str, int] = field(default_factory=dict)
     """Weights version believed to be in place, per model."""
     loading: LoadInProgress | None = None
--- a/src/wallwell/gateway/backend_choice.py
+++ b/src/wallwell/gateway/backend_choice.py
@@ -9,6 +9,7 @@
 from wallwell.errors import OverloadedError
 from wallwell.gateway.exchange_state import Exchange
 from wallwell.gateway.fleet_state import FleetState
+from wallwell.gateway.side_choice import taking
 from wallwell.routing.overload import Occupancy, refused_part, return_after_s
 from wallwell.routing.prefix_home import choose_from_tiers, engine_pool, is_long
 
@@ -19,13 +20,19 @@
     def __init__(self, state: FleetState) -> None:
         self._state = state
 
-    def choose(self, exchange: Exchange, candidates: Sequence[Backend]) -> Backend:
-        """Return one of the candidates, of which there is at least one."""
+    def choose(
+        self, exchange: Exchange, candidates: Sequence[Backend], listed: Sequence[Backend] | None = None
+    ) -> Backend:
+        """Return one of the candidates, of which there is at least one.
+
+        Engines' pools are formed from ``listed``, by default all back ends of the service.
+        """
         state = self._state
         generation = exchange.request.generation
         if generation is None:
             return state.least_loaded(candidates)
-        pool = engine_pool(state.backends.of_service(exchange.service), generation.prompt_tokens)
+        listed = state.backends.of_service(exchange.service) if listed is None else listed
+        pool = engine_pool(listed, generation.prompt_tokens)
         in_pool = [each for each in candidates if each in pool]
         # A long prompt that would wait beyond its objective in its pool rather lengthens the gaps of short ones.
         room = state.pace.room(exchange.route.objective_s) if is_long(generation.prompt_tokens) else math.inf
@@ -41,7 +48,7 @@
         generation = exchange.request.generation
         if generation is None or generation.resume_after is not None or exchange.history.tried:
             return
-        engines = [each for each in self._state.backends.of_service(exchange.service) if each.is_open(now_s)]
+        engines = [each for each in taking(self._state, exchange.service, now_s) if each.is_open(now_s)]
         if any(each.peers_load is None for each in engines):
             return  # What one node has under way says little of the fleet.
         load = sum(each.fleet_load() for each in engines)
--- a/src/wallwell/gateway/exchange_state.py
+++ b/src/wallwell/gateway/exchange_state.py
@@ -27,11 +27,16 @@
     """When the current attempt was sent."""
     load_when_sent: int = 0
     """Load of its back end then, its own among it."""
+    run_first_s: float | None = None
+    """When the first piece of the current attempt came."""
+    run_pieces: int = 0
 
     def on_sent(self, now_s: float, load: int) -> None:
         """Note that an attempt is sent."""
         self.sent_s = self.attempt_s = now_s
         self.load_when_sent = load
+        self.run_first_s = None
+        self.run_pieces = 0
 
     def on_piece(self, now_s: float) -> None:
         """Note that a piece was passed on."""
@@ -39,6 +44,9 @@
             self.first_s = now_s
         else:
             self.max_gap_s = max(self.max_gap_s, now_s - self.last_s)
+        if self.run_first_s is None:
+            self.run_first_s = now_s
+        self.run_pieces += 1
         self.last_s = now_s
 
 
@@ -58,6 +66,8 @@
     history: AttemptHistory = field(default_factory=AttemptHistory)
     position: StreamPosition = field(default_factory=StreamPosition)
     timing: AnswerTiming = field(default_factory=AnswerTiming)
+    prefers_target: bool | None = None
+    """Whether it goes to the target version of a rollout first; None before that is drawn."""
 
     @property
     def rank(self) -> int:
--- a/src/wallwell/gateway/fleet_node.py
+++ b/src/wallwell/gateway/fleet_node.py
@@ -22,6 +22,10 @@
 from wallwell.gateway.liveness import Liveness, ReachabilityCheck
 from wallwell.gateway.pipeline import RequestPipeline
 from wallwell.placement.weights_roll_driver import EngineControl, WeightsRollDriver
+from wallwell.rollout.driver import RolloutDriver
+from wallwell.rollout.planner import RolloutPlanner
+from wallwell.rollout.reporter import CountsReporter
+from wallwell.rollout.reports import CountsReport, FleetCounts
 from wallwell.storage.feed import FollowedPage, RowFollower, RowSource
 
 OPERATORS_WAIT_S = 0.8
@@ -64,12 +68,19 @@
         self._clock = StoreClock()
         self._weights_roll = WeightsRollDriver(self.state, sources.table, control, self._clock)
         self._order = UpstreamOrder(node, zone)
+        counts = FleetCounts()
+        self._rollouts = RolloutDriver(
+            self.state, sources.table, sources.rollouts, RolloutPlanner(bounds.rollout), counts, self._clock
+        )
+        self._reporter = CountsReporter(
+            node, self.state.rollouts.tally, counts, lambda: self._rollouts.holder, lambda: self._order.members
+        )
         self._link_mbps = link_mbps
         self._tasks: list[asyncio.Task[None]] = []
         self._relayed: dict[str, RelayedRows] = {}
         self._operators = OperatorRows(self.state, sources)
         self._listing = BackendRows(self.state, sources, pool)
-        self._members = MemberRows(self.state, sources.table, self._order, self._weights_roll)
+        self._members = MemberRows(self.state, sources.table, self._order, (self._weights_roll, self._rollouts))
         self._followers = (
             self._follower("operators", sources.operators, self._operators.apply, OPERATORS_WAIT_S, 0.0),
             self._follower("backends", sources.backends, self._listing.apply, BACKENDS_WAIT_S, BACKENDS_PAUSE_S),
@@ -83,6 +94,7 @@
                 MemberLoad: self._exchange.on_member,
                 ZoneLoad: self._exchange.on_zone,
                 CacheRequest: self._kept_caches.answer,
+                CountsReport: self._reporter.on_report,
             }
         )
 
@@ -107,7 +119,7 @@
         """Start following the store."""
         loops: list[Callable[[], Coroutine[Any, Any, None]]] = [each.run for each in self._followers]
         loops += [self._weights_roll.run, self._exchange.run, self._kept_caches.run, self._liveness.run]
-        loops.append(self._housekeeping)
+        loops += [self._rollouts.run, self._reporter.run, self._housekeeping]
         self._tasks = [asyncio.create_task(self._supervise(loop)) for loop in loops]
 
     async def _supervise(self, loop: Callable[[], Coroutine[Any, Any, None]]) -> None:
@@ -164,6 +176,7 @@
         emit(Event.NODE_DRAINING, in_flight=self.in_flight)
         self.draining = True
         self._weights_roll.drain()
+        self._rollouts.drain()
         self._peers.close()
         end_s = time.monotonic() + grace_s - STOP_RESERVE_S
         await asyncio.sleep(min(NOTICE_S, grace_s / 2))
@@ -180,6 +193,7 @@
         self._peers.close()
         self._exchange.close()
         self._kept_caches.close()
+        self._reporter.close()
         for rows in self._relayed.values():
             rows.close()
         self._pool.close()
--- a/src/wallwell/gateway/fleet_rows.py
+++ b/src/wallwell/gateway/fleet_rows.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from typing import Protocol
 
 import msgspec
 
@@ -16,7 +17,8 @@
 from wallwell.events import Event, emit
 from wallwell.gateway.fleet_state import FleetState
 from wallwell.gateway.kept_cache_watch import CacheEventSource
-from wallwell.placement.weights_roll_driver import WeightsRollDriver
+from wallwell.rollout.model import RolloutOrder
+from wallwell.rollout.store import RolloutStore
 from wallwell.storage.feed import FeedRow, FollowedPage, RowSource
 from wallwell.storage.table import Condition, Put, TableService, Transaction
 
@@ -43,6 +45,10 @@
     decode_config: Callable[[bytes], DeploymentConfig]
     decode_version: Callable[[bytes], tuple[str, int]]
     decode_backend: Callable[[str, bytes], BackendRecord]
+    rollout_prefix: str
+    decode_rollout: Callable[[str, bytes, int], RolloutOrder]
+    """Of key, value and version of an order's row."""
+    rollouts: RolloutStore
     cache_events: CacheEventSource
 
 
@@ -59,7 +65,10 @@
             if row.value is None:
                 continue
             try:
-                self._on_row(row.key, row.value, followed.unconfirmed_since_s)
+                if row.key.startswith(self._sources.rollout_prefix):
+                    self._on_rollout(row.key, row.value, row.version)
+                else:
+                    self._on_row(row.key, row.value, followed.unconfirmed_since_s)
             except msgspec.MsgspecError as error:
                 emit(Event.CONFIG_REFUSED, row=row.key, error=str(error))
         if self._state.config is not None:
@@ -76,6 +85,23 @@
             if self._state.weights.name(model, version, since_s, estimated):
                 emit(Event.WEIGHTS_NAMED, model=model, version=version, estimated=estimated)
 
+    def _on_rollout(self, key: str, value: bytes, version: int) -> None:
+        try:
+            order = self._sources.decode_rollout(key, value, version)
+        except msgspec.MsgspecError as error:
+            emit(Event.ROLLOUT_REFUSED, row=key, error=str(error))
+            return
+        if not self._state.knows_service(order.service):
+            emit(Event.ROLLOUT_REFUSED, row=key, error="no such service is configured or listed")
+        if self._state.rollouts.on_order(order, time.monotonic()):
+            emit(
+                Event.ROLLOUT_ORDERED,
+                service=order.service,
+                target=order.target_version,
+                duration_s=order.duration_s,
+                order=order.store_version,
+            )
+
     def _named_since_s(self, unconfirmed_since_s: float) -> tuple[float, bool]:
         """Return since when a version just seen counts as named, and whether that is a guess."""
         now_s = time.monotonic()
@@ -130,7 +156,8 @@
     def _on_row(self, incarnation: str, value: bytes) -> None:
         record = self._decode(incarnation, value)
         known = self._state.backends.get(incarnation)
-        if known is None or known.record != record:
+        is_new = known is None or known.record != record
+        if is_new:
             emit(
                 Event.BACKEND_LISTED,
                 backend=incarnation,
@@ -138,8 +165,14 @@
                 address=record.address,
                 draining=record.draining,
                 versions=dict(record.versions),
+                software=record.software,
             )
-        self._state.backends.upsert(record)
+        now_s = time.monotonic()
+        is_start = not self._state.backends_known
+        self._state.rollouts.on_listed(record.service, record.software, now_s, is_start)
+        backend = self._state.backends.upsert(record)
+        if is_new:
+            backend.slow_until_s = now_s + record.slow_for_s
 
     def _on_missing(self, backend: Backend, now_s: float) -> None:
         """An entry is not there: the back end has left, or the entry lapsed while the store was away."""
@@ -147,16 +180,25 @@
         self._state.backends.lapse(backend.incarnation, max(now_s, grace_ends_s))
 
 
+class OwnRowListener(Protocol):
+    """Takes the rows of this product's own table that it knows."""
+
+    def on_row(self, row: FeedRow, now_s: float) -> None:
+        """Take a row; others are left alone."""
+        ...
+
+
 class MemberRows:
     """Knows the other nodes from this product's own rows, and makes this node known to them."""
 
     def __init__(
-        self, state: FleetState, table: TableService, order: UpstreamOrder, weights_roll: WeightsRollDriver
+        self, state: FleetState, table: TableService, order: UpstreamOrder, listeners: Sequence[OwnRowListener]
     ) -> None:
+        """``listeners`` get the rows that are not members'."""
         self._state = state
         self._table = table
         self._order = order
-        self._weights_roll = weights_roll
+        self._listeners = listeners
         self._own_version: int | None = None
         """Version of this node's own row, 0 if there is none, None before the rows were read."""
 
@@ -166,7 +208,7 @@
         return self._own_version is not None
 
     def apply(self, followed: FollowedPage) -> None:
-        """Take a page: members here, the rest for weights rolls."""
+        """Take a page."""
         now_s = time.monotonic()
         members = {} if followed.whole else dict(self._order.members)
         if followed.whole:
@@ -175,7 +217,8 @@
             if row.key.startswith(MEMBER_PREFIX):
                 self._on_member(members, row)
             else:
-                self._weights_roll.on_row(row, now_s)
+                for listener in self._listeners:
+                    listener.on_row(row, now_s)
         self._order.members = members
         self._state.members = set(members)
 
--- a/src/wallwell/gateway/fleet_state.py
+++ b/src/wallwell/gateway/fleet_state.py
@@ -12,6 +12,8 @@
 from wallwell.deployment.weights import WeightsTargets
 from wallwell.gateway.exchange import Generation
 from wallwell.placement.weights_roll import OVERDUE_PART
+from wallwell.rollout.model import RolloutBounds
+from wallwell.rollout.records import RolloutBook
 from wallwell.routing.demand import FleetDemand
 from wallwell.routing.first_piece import FirstPieces
 from wallwell.routing.fleet_budget import FleetRetryBudget
@@ -48,6 +50,7 @@
     """How long a machine that has started is given before bounds in time hold for it."""
     version_s: float = 8.0
     """How long after its naming a weights version may be missing on an engine that gets generations."""
+    rollout: RolloutBounds = field(default_factory=RolloutBounds)
 
 
 @dataclass
@@ -70,12 +73,15 @@
     kept_caches: dict[str, KeptCache] = field(default_factory=dict)
     """What the stores of kept KV cache hold, by address."""
     _budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
+    rollouts: RolloutBook = field(default_factory=RolloutBook)
+    """Rollouts of services' software."""
     split_offset: float = 0.0
     started_s: float = float("-inf")
     """When this node started, on its own clock."""
 
     def __post_init__(self) -> None:
         self.split_offset = self.rng.random()
+        self.rollouts.bounds = self.bounds.rollout
 
     @property
     def backends(self) -> BackendRegistry:
@@ -105,6 +111,17 @@
         self.load.limits.set_limits(config.limits_by_tenant)
         return True
 
+    def knows_service(self, service: str) -> bool:
+        """Whether the configuration or the listing names a service."""
+        config = self.config
+        if config is not None and any(service == each.name for each in config.services):
+            return True
+        if config is not None and any(
+            service == each.service for route in config.routes for each in route.services
+        ):
+            return True
+        return bool(self.backends.of_service(service))
+
     def is_fresh(self, arrival_s: float) -> bool:
         """Whether a request that arrived then may rely on the configuration known here."""
         if not self.bounds.strict_revocation:
@@ -149,8 +166,11 @@
         return now_s - (self.bounds.version_s * OVERDUE_PART - self.bounds.contact_s * START_PART)
 
     def usable_backends(self, service: str, generation: Generation | None, now_s: float) -> list[Backend]:
-        """Back ends that may get a request now, without those that are only a last resort if there are others."""
-        listed = self.backends.of_service(service)
+        """Back ends of a service that may get a request now; see :meth:`usable_of`."""
+        return self.usable_of(self.backends.of_service(service), generation, now_s)
+
+    def usable_of(self, listed: Sequence[Backend], generation: Generation | None, now_s: float) -> list[Backend]:
+        """Those that may get a request now, without those that are only a last resort if there are others."""
         usable = [each for each in listed if each.is_open(now_s)]
         if not usable:
             # Every back end is suspended: one that may have recovered is better than none.
--- a/src/wallwell/gateway/head_wait.py
+++ b/src/wallwell/gateway/head_wait.py
@@ -9,6 +9,7 @@
 from wallwell.gateway.exchange import AttemptError, BackendAnswer, BackendClient, Dispatch
 from wallwell.gateway.exchange_state import Exchange
 from wallwell.gateway.fleet_state import FleetState
+from wallwell.gateway.side_choice import offer
 from wallwell.routing.outcome import TransportEvent
 
 FIRST_BYTE_PATIENCE = 0.6
@@ -88,7 +89,7 @@
 
     def has_alternative(self, exchange: Exchange) -> bool:
         now_s = time.monotonic()
-        usable = self._state.usable_backends(exchange.service, exchange.request.generation, now_s)
+        usable = offer(self._state, exchange, now_s).usable
         untried = any(each.incarnation not in exchange.history.tried for each in usable)
         return untried and self._state.budget_of(exchange.service).left(now_s, self._state.node_count) >= 1.0
 
--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -38,6 +38,7 @@
 from wallwell.gateway.fleet_state import FleetState
 from wallwell.gateway.head_wait import MIN_REMAINING_S, HeadWait
 from wallwell.gateway.liveness import Liveness
+from wallwell.gateway.side_choice import begin_attempt, end_attempt, offer
 from wallwell.outcomes import Outcome
 from wallwell.routing.outcome import REFUSED_BY_BACKEND, TransportEvent
 from wallwell.routing.prefix_home import request_load
@@ -144,6 +145,7 @@
             route=exchange.route.name,
             tenant=exchange.tenant.name if exchange.tenant is not None else "",
             backend=backend.incarnation,
+            software=backend.record.software,
             backend_in_flight=backend.in_flight,
             attempts=exchange.log.attempts + 1,
             prompt_tokens=request.generation.prompt_tokens if request.generation is not None else 0,
@@ -157,14 +159,13 @@
         if exchange.remaining_s() < MIN_REMAINING_S:
             raise self._deadline_error(exchange)
         now_s = time.monotonic()
-        state = self._state
-        usable = state.usable_backends(exchange.service, exchange.request.generation, now_s)
+        listed, usable = offer(self._state, exchange, now_s)
         fresh = [each for each in usable if each.incarnation not in exchange.history.tried]
         candidates = fresh or (usable if self._all_unrun(exchange) else [])
         if not candidates:
             raise self._exhausted(exchange, "no back end can take the request")
         self._choice.refuse_if_overloaded(exchange, now_s)
-        return self._choice.choose(exchange, candidates)
+        return self._choice.choose(exchange, candidates, listed)
 
     def _all_unrun(self, exchange: Exchange) -> bool:
         return exchange.log.outcome is Outcome.NOT_RUN
@@ -182,13 +183,22 @@
         backend.in_flight += 1
         backend.load += load
         exchange.history.tried.add(backend.incarnation)
-        exchange.timing.on_sent(time.monotonic(), backend.fleet_load(self._state.node_count))
+        sent_s = time.monotonic()
+        exchange.timing.on_sent(sent_s, backend.fleet_load(self._state.node_count))
+        counted = begin_attempt(self._state, exchange, backend, sent_s)
+        failure: BaseException | None = None
         answer: BackendAnswer | None = None
         try:
             async with asyncio.timeout(exchange.remaining_s()), self._watch(exchange, backend):
                 answer = await self._send(exchange, backend)
                 return await self._pass_on(exchange, backend, answer)
+        except BaseException as error:
+            failure = error
+            raise
         finally:
+            if counted is not None:
+                status = answer.head.status if answer is not None else 0
+                end_attempt(counted, exchange, status, failure, time.monotonic())
             backend.in_flight -= 1
             backend.load -= load
             if answer is not None:
@@ -319,6 +329,7 @@
             Event.REQUEST_RETRIED,
             request_id=exchange.request.request_id,
             backend=backend.incarnation,
+            software=backend.record.software,
             reason=event.value,
             detail=failure.detail,
             attempts=exchange.log.attempts,
--- /dev/null
+++ b/src/wallwell/gateway/side_choice.py
@@ -0,0 +1,92 @@
+"""Which side of a rollout a request goes to, and what is counted of its attempts. No I/O.
+
+A service without a rollout costs one look-up here.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from wallwell.deployment.backends import Backend
+from wallwell.gateway.exchange import AttemptError
+from wallwell.gateway.exchange_state import Exchange
+from wallwell.gateway.fleet_state import FleetState
+from wallwell.rollout.sides import ServiceSides
+from wallwell.rollout.tally import CountedAttempt
+from wallwell.routing.outcome import TransportEvent
+
+
+class Offer(NamedTuple):
+    """Back ends for the next attempt of a request."""
+
+    listed: Sequence[Backend]
+    """All that may carry requests of its kind, from which engines' pools are formed."""
+    usable: list[Backend]
+
+
+def offer(state: FleetState, exchange: Exchange, now_s: float) -> Offer:
+    """Return the back ends among which the next attempt's is chosen."""
+    listed = state.backends.of_service(exchange.service)
+    generation = exchange.request.generation
+    sides = state.rollouts.active.get(exchange.service)
+    if sides is None:
+        return Offer(listed, state.usable_of(listed, generation, now_s))
+    if exchange.prefers_target is None:
+        exchange.prefers_target = sides.draws_target(state.rng, now_s)
+    tiers = sides.tiers(listed, exchange.prefers_target and _may_prefer_target(sides, now_s), now_s)
+    for tier in tiers:
+        if any(each.is_open(now_s) for each in tier):
+            usable = state.usable_of(tier, generation, now_s)
+            if usable:
+                return Offer(tier, usable)
+    # Every back end is suspended or on old weights: the last resort of the side that the request belongs to.
+    offers = [Offer(tier, state.usable_of(tier, generation, now_s)) for tier in tiers]
+    return next((each for each in offers if each.usable), offers[0])
+
+
+def _may_prefer_target(sides: ServiceSides, now_s: float) -> bool:
+    """Whether a request that was drawn for the target version may still go there at its next attempt."""
+    record = sides.record
+    return record is not None and (record.phase.is_final or sides.is_heard(now_s))
+
+
+def taking(state: FleetState, service: str, now_s: float) -> Sequence[Backend]:
+    """Return the back ends that new requests of a service are meant for."""
+    listed = state.backends.of_service(service)
+    sides = state.rollouts.active.get(service)
+    return listed if sides is None else sides.taking(listed, now_s)
+
+
+def begin_attempt(state: FleetState, exchange: Exchange, backend: Backend, now_s: float) -> CountedAttempt | None:
+    """Count an attempt that is sent while a rollout is on; a repeat after it goes to the current version."""
+    sides = state.rollouts.active.get(exchange.service)
+    if sides is None:
+        return None
+    is_target = sides.is_target(backend)
+    if is_target:
+        exchange.prefers_target = False
+    tally = state.rollouts.tally.by_service.get(exchange.service)
+    if tally is None:
+        return None
+    tally.on_sent(is_target)
+    counts = tally.of(exchange.route.name, is_target, backend.incarnation)
+    return CountedAttempt(counts, now_s, now_s >= backend.slow_until_s)
+
+
+def end_attempt(
+    attempt: CountedAttempt, exchange: Exchange, status: int, failure: BaseException | None, now_s: float
+) -> None:
+    """Count how an attempt ended."""
+    timing = exchange.timing
+    if failure is None:
+        first_s = timing.run_first_s
+        attempt.on_whole(status, now_s if first_s is None else first_s, timing.last_s, timing.run_pieces)
+    elif isinstance(failure, TimeoutError) or _is_silence(failure):
+        attempt.on_given_up(timing.run_first_s, now_s)
+    else:
+        attempt.on_broken()
+
+
+def _is_silence(failure: BaseException) -> bool:
+    return isinstance(failure, AttemptError) and failure.event is TransportEvent.ANSWER_TIMEOUT
--- a/src/wallwell/placement/weights_roll_driver.py
+++ b/src/wallwell/placement/weights_roll_driver.py
@@ -9,26 +9,22 @@
 
 import msgspec
 
-from wallwell.cluster.leases import LEASE_PREFIX, LeaseKeeper
+from wallwell.cluster.lease_turn import LeaseTurn
+from wallwell.cluster.leases import LeaseKeeper
 from wallwell.deployment.backends import Backend, BackendRecord, LoadInProgress
 from wallwell.deployment.freshness import StoreClock
 from wallwell.errors import LeaseLostError, PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
 from wallwell.gateway.fleet_state import FleetState
 from wallwell.placement.weights_roll import EngineReport, LoadOrder, LoadTask, OrderReply, WeightsRollPlanner
-from wallwell.routing.rendezvous import key_of, rendezvous_score
 from wallwell.storage.feed import FeedRow
 from wallwell.storage.table import Put, TableService, Transaction
 
 LEASE_NAME = "weights"
-LEASE_KEY = LEASE_PREFIX + LEASE_NAME
 PROGRESS_PREFIX = "weights/"
 TICK_S = 0.15
 VALID_PART = 0.4
 """Part of the lease's time for which a holder trusts one renewal."""
-RENEW_PART = 0.4
-CANDIDATE_DELAY_S = 0.7
-CANDIDATE_STEP_S = 0.35
 REPORT_INTERVAL_S = 0.3
 LOAD_TIMEOUT_S = 6.0
 MAX_SILENT_REPORTS = 2
@@ -86,24 +82,20 @@
         )
         self._valid_s = state.bounds.lease_s * VALID_PART
         self._lease = LeaseKeeper(LEASE_NAME, state.node, self._valid_s, table, guard_s=state.bounds.lease_s)
-        self._last_holder = ""
-        self._due_since_s: float | None = None
-        self._renewed_at_s = float("-inf")
+        self._turn = LeaseTurn(LEASE_NAME, state.node, self._lease, self._valid_s, lambda: state.members)
         self._loading: dict[str, LoadTask] = {}
         self._finished: dict[str, tuple[str, int]] = {}
         """Model and version last brought to each engine."""
         self._unpublished = ""
         """Model of which a load has ended since its progress was published; empty if none."""
         self._tasks: set[asyncio.Task[None]] = set()
-        self._draining = False
 
     # --- what other nodes tell -------------------------------------------------------------------------
 
     def on_row(self, row: FeedRow, now_s: float) -> None:
         """Take a row of this product's own table."""
-        if row.key == LEASE_KEY:
-            self._last_holder = self._lease.observe(row.value, row.version, now_s)
-        elif row.key.startswith(PROGRESS_PREFIX) and row.value is not None:
+        self._turn.observe(row, now_s)
+        if row.key.startswith(PROGRESS_PREFIX) and row.value is not None:
             self._on_progress(msgspec.json.decode(row.value, type=Progress), now_s)
 
     def _on_progress(self, progress: Progress, now_s: float) -> None:
@@ -130,12 +122,9 @@
         """Look once whether something is due, and do this node's part of it."""
         now_s = time.monotonic()
         engines = self._engines()
-        if not self._tasks and not self._unpublished and not self._planner.is_due(engines, now_s):
-            self._due_since_s = None
-            return
-        if self._due_since_s is None:
-            self._due_since_s = now_s
-        if not await self._hold_lease(now_s):
+        is_due = bool(self._tasks or self._unpublished) or self._planner.is_due(engines, now_s)
+        self._turn.set_due(is_due, now_s)
+        if not is_due or not await self._turn.hold(now_s):
             return
         started = self._planner.next_tasks(engines, time.monotonic())
         if started:
@@ -144,46 +133,13 @@
             await self._publish(self._unpublished)
 
     def _engines(self) -> list[Backend]:
-        targets = self._state.weights
-        return [each for each in self._state.backends.all() if any(targets.newest(m) for m in each.record.versions)]
-
-    async def _hold_lease(self, now_s: float) -> bool:
-        if self._is_held() and now_s - self._renewed_at_s < self._valid_s * RENEW_PART:
-            return True
-        if not self._is_held() and (self._draining or now_s < self._candidate_at_s()):
-            return False
-        was_held = self._is_held()
-        try:
-            held = await self._lease.try_acquire(now_s)
-        except PlatformUnavailableError:
-            return self._is_held()
-        if held is None:
-            if was_held:
-                emit(Event.LEASE_LOST, lease=LEASE_NAME)
-            return False
-        if not was_held:
-            emit(Event.LEASE_ACQUIRED, lease=LEASE_NAME, fence=held.fence)
-        self._renewed_at_s = now_s
-        return self._is_held()
-
-    def _is_held(self) -> bool:
-        try:
-            self._lease.check(time.monotonic())
-        except LeaseLostError:
-            return False
-        return True
-
-    def _candidate_at_s(self) -> float:
-        """Return when this node may try for the lease: the last holder first, others in an agreed order."""
-        assert self._due_since_s is not None
-        if self._last_holder == self._state.node:
-            return self._due_since_s
-        key = key_of(LEASE_NAME)
-        names = sorted(self._state.members | {self._state.node}, key=lambda name: rendezvous_score(name, key))
-        delay_s = names.index(self._state.node) * CANDIDATE_STEP_S
-        if self._last_holder:
-            delay_s += CANDIDATE_DELAY_S
-        return max(self._due_since_s + delay_s, self._lease.takeover_at_s())
+        targets, rollouts = self._state.weights, self._state.rollouts
+        return [
+            each
+            for each in self._state.backends.all()
+            if any(targets.newest(model) for model in each.record.versions)
+            and not rollouts.gets_nothing_more(each.record.service, each.record.software)
+        ]
 
     # --- loads -----------------------------------------------------------------------------------------
 
@@ -276,7 +232,7 @@
 
     def drain(self) -> None:
         """Finish what this node holds the lease for, and take no new lease."""
-        self._draining = True
+        self._turn.drain()
 
     def stop(self) -> None:
         """Give no further orders."""
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -16,7 +16,8 @@
 from wallwell.platform import names
 from wallwell.platform.cache_events import CacheEventsClient
 from wallwell.platform.callers import CallersListener
-from wallwell.platform.rows import decode_backend, decode_config, decode_version
+from wallwell.platform.rollouts import PlatformRollouts
+from wallwell.platform.rows import decode_backend, decode_config, decode_rollout_order, decode_version
 from wallwell.platform.settings import PlatformSettings, load_platform_settings, settings_path
 from wallwell.platform.store import PlatformStore, TableRows
 from wallwell.platform.workers import WorkerClient
@@ -36,6 +37,9 @@
         decode_config=decode_config,
         decode_version=lambda value: (decode_version(value).model, decode_version(value).version),
         decode_backend=decode_backend,
+        rollout_prefix=names.ROLLOUT_KEY_PREFIX,
+        decode_rollout=decode_rollout_order,
+        rollouts=PlatformRollouts(store),
         cache_events=CacheEventsClient(workers.pool),
     )
     return FleetNode(
--- /dev/null
+++ b/src/wallwell/platform/rollouts.py
@@ -0,0 +1,59 @@
+"""Rows of rollouts in the platform's store: the product's record, and the status that operators read."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from wallwell.cluster.leases import LEASE_PREFIX
+from wallwell.events import Event, emit
+from wallwell.platform import names
+from wallwell.platform.rows import encode_rollout_status
+from wallwell.platform.store import ConditionEntry, PlatformStore, PutEntry, TransactBody, encode_value
+from wallwell.rollout.model import RolloutRecord
+from wallwell.rollout.store import LEASE_NAME, RECORD_PREFIX, StoredRollout
+
+
+class PlatformRollouts:
+    """See :class:`wallwell.rollout.store.RolloutStore`."""
+
+    def __init__(self, store: PlatformStore) -> None:
+        self._store = store
+
+    async def read(self, service: str) -> StoredRollout:
+        """See :class:`RolloutStore`. A record that cannot be read counts as none and is replaced."""
+        own, status = await asyncio.gather(
+            self._store.get_row(names.OWN_TABLE, RECORD_PREFIX + service),
+            self._store.get_row(names.STATUS_TABLE, names.ROLLOUT_KEY_PREFIX + service),
+        )
+        return StoredRollout(
+            record=_decode_record(own.value) if own is not None else None,
+            record_version=own.version if own is not None else 0,
+            status=status.value if status is not None else "",
+            status_version=status.version if status is not None else 0,
+        )
+
+    async def write(self, record: RolloutRecord, seen: StoredRollout, lease_version: int) -> StoredRollout:
+        """See :class:`RolloutStore`."""
+        own_key = RECORD_PREFIX + record.service
+        status_key = names.ROLLOUT_KEY_PREFIX + record.service
+        status = encode_rollout_status(record)
+        puts = [PutEntry(names.OWN_TABLE, "", own_key, encode_value(msgspec.json.encode(record).decode()))]
+        if status != seen.status:
+            puts.append(PutEntry(names.STATUS_TABLE, "", status_key, encode_value(status)))
+        conditions = (
+            ConditionEntry(names.OWN_TABLE, "", LEASE_PREFIX + LEASE_NAME, lease_version),
+            ConditionEntry(names.OWN_TABLE, "", own_key, seen.record_version),
+            ConditionEntry(names.STATUS_TABLE, "", status_key, seen.status_version),
+        )
+        version = await self._store.transact_rows(TransactBody(conditions, tuple(puts), ()))
+        return StoredRollout(record, version, status, version if len(puts) > 1 else seen.status_version)
+
+
+def _decode_record(text: str) -> RolloutRecord | None:
+    try:
+        return msgspec.json.decode(text, type=RolloutRecord)
+    except msgspec.MsgspecError as error:
+        emit(Event.ROLLOUT_REFUSED, row="record", error=str(error))
+        return None
--- a/src/wallwell/platform/rows.py
+++ b/src/wallwell/platform/rows.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 from wallwell.deployment.backends import BackendRecord
@@ -16,6 +18,8 @@
     TenantLimit,
     WeightedService,
 )
+from wallwell.platform import names
+from wallwell.rollout.model import RolloutOrder, RolloutRecord
 
 
 class SplitRow(msgspec.Struct, frozen=True):
@@ -108,6 +112,25 @@
     version: int
 
 
+NameText = Annotated[str, msgspec.Meta(min_length=1)]
+
+
+class RolloutOrderRow(msgspec.Struct, frozen=True):
+    """An order to replace the software version of a service."""
+
+    service: NameText
+    target_version: NameText
+    duration_s: Annotated[float, msgspec.Meta(gt=0)]
+
+
+class RolloutStatusRow(msgspec.Struct, frozen=True):
+    """What operators read of a rollout. ``state`` is ``running``, ``complete`` or ``rolled_back``."""
+
+    state: str
+    target_version: str
+    service: str
+
+
 class ModelVersionRow(msgspec.Struct, frozen=True):
     """A model and its version at a back end."""
 
@@ -178,6 +201,20 @@
     return msgspec.json.decode(value, type=VersionRow)
 
 
+def decode_rollout_order(key: str, value: bytes, version: int) -> RolloutOrder:
+    """Decode an order to replace a service's software. Raises ``msgspec.ValidationError``."""
+    row = msgspec.json.decode(value, type=RolloutOrderRow)
+    if key != names.ROLLOUT_KEY_PREFIX + row.service:
+        raise msgspec.ValidationError(f"names the service {row.service}, which is not its key's")
+    return RolloutOrder(row.service, row.target_version, row.duration_s, version)
+
+
+def encode_rollout_status(record: RolloutRecord) -> str:
+    """Return the status row's text of a rollout."""
+    state = record.phase.value if record.phase.is_final else "running"
+    return msgspec.json.encode(RolloutStatusRow(state, record.target_version, record.service)).decode()
+
+
 def decode_backend(incarnation: str, value: bytes) -> BackendRecord:
     """Decode a back end's entry. Raises ``msgspec.ValidationError``."""
     row = msgspec.json.decode(value, type=BackendRow)
--- a/src/wallwell/platform/settings.py
+++ b/src/wallwell/platform/settings.py
@@ -10,6 +10,7 @@
 from wallwell.errors import SettingsError
 from wallwell.gateway.fleet_state import FleetBounds
 from wallwell.platform.names import SETTINGS_VARIABLE
+from wallwell.rollout.model import RolloutBounds
 
 
 class ListenAddresses(msgspec.Struct, frozen=True):
@@ -78,6 +79,7 @@
             lease_s=bounds.lease_ms / 1000,
             contact_s=bounds.contact_ms / 1000,
             version_s=bounds.version_ms / 1000,
+            rollout=RolloutBounds(bounds.exposure_share, bounds.exposure_slack, bounds.rollback_ms / 1000),
         )
 
 
--- a/src/wallwell/platform/store.py
+++ b/src/wallwell/platform/store.py
@@ -106,16 +106,11 @@
             raise PlatformUnavailableError(f"status {status}")
         return _decode(data)
 
-    # --- the product's table interface, over this product's own table --------------------------------------
+    async def transact_rows(self, body: TransactBody) -> int:
+        """Carry out a transaction over rows of any tables and return the version of what it wrote.
 
-    async def transact(self, transaction: Transaction) -> int:
-        """See :class:`wallwell.storage.table.TableService`."""
-        table = names.OWN_TABLE
-        body = TransactBody(
-            expect_rev=tuple(ConditionEntry(table, "", each.key, each.version) for each in transaction.conditions),
-            put=tuple(PutEntry(table, "", each.key, _encode_value(each.value)) for each in transaction.puts),
-            delete=tuple(DeleteEntry(table, "", key) for key in transaction.deletes),
-        )
+        Raises :class:`TableConflictError` (nothing written) or :class:`PlatformUnavailableError` (unknown).
+        """
         payload = msgspec.json.encode(body)
         status, data = await self.call("POST", names.ROWS_TRANSACT_PATH, payload, CALL_TIMEOUT_S)
         if status == _CONFLICT:
@@ -124,13 +119,29 @@
             raise PlatformUnavailableError(f"status {status}")
         return _decode(data).ver
 
-    async def get(self, key: str) -> Row | None:
-        """See :class:`wallwell.storage.table.TableService`."""
-        query = {"table": names.OWN_TABLE, "part": "", "from": key, "limit": "1"}
+    async def get_row(self, table: str, key: str) -> Row | None:
+        """Return a row of a table. Raises :class:`PlatformUnavailableError`."""
+        query = {"table": table, "part": "", "from": key, "limit": "1"}
         answer = await self.read(names.ROWS_READ_PATH, query, CALL_TIMEOUT_S)
         found = next((row for row in answer.rows if row.key == key), None)
         return Row(key, _decode_value(found.value).decode(), found.ver) if found is not None else None
 
+    # --- the product's table interface, over this product's own table --------------------------------------
+
+    async def transact(self, transaction: Transaction) -> int:
+        """See :class:`wallwell.storage.table.TableService`."""
+        table = names.OWN_TABLE
+        body = TransactBody(
+            expect_rev=tuple(ConditionEntry(table, "", each.key, each.version) for each in transaction.conditions),
+            put=tuple(PutEntry(table, "", each.key, encode_value(each.value)) for each in transaction.puts),
+            delete=tuple(DeleteEntry(table, "", key) for key in transaction.deletes),
+        )
+        return await self.transact_rows(body)
+
+    async def get(self, key: str) -> Row | None:
+        """See :class:`wallwell.storage.table.TableService`."""
+        return await self.get_row(names.OWN_TABLE, key)
+
     async def scan(self, prefix: str, after_version: int) -> Scan:
         """See :class:`wallwell.storage.table.TableService`."""
         page = await TableRows(self, names.OWN_TABLE).read_all()
@@ -179,7 +190,8 @@
     return FeedRow(row.key, None if row.gone else _decode_value(row.value), row.ver)
 
 
-def _encode_value(text: str) -> str:
+def encode_value(text: str) -> str:
+    """Return a row's value as it travels."""
     return base64.b64encode(text.encode()).decode()
 
 
--- /dev/null
+++ b/src/wallwell/rollout/driver.py
@@ -0,0 +1,250 @@
+"""Carries out rollouts: takes the lease, asks the planner, writes record and status for operators."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+
+from wallwell.cluster.lease_turn import LeaseTurn
+from wallwell.cluster.leases import LeaseKeeper
+from wallwell.deployment.freshness import StoreClock
+from wallwell.errors import PlatformUnavailableError, TableConflictError
+from wallwell.events import Event, emit
+from wallwell.gateway.fleet_state import FleetState
+from wallwell.rollout.model import Capacity, Phase, RolloutCounts, RolloutDecision, RolloutRecord
+from wallwell.rollout.records import bar_replaced, opening_record
+from wallwell.rollout.reporter import report_interval_s
+from wallwell.rollout.reports import FleetCounts
+from wallwell.rollout.store import LEASE_NAME, RECORD_PREFIX, RolloutStore, StoredRollout
+from wallwell.storage.feed import FeedRow
+from wallwell.storage.table import TableService
+
+TICK_S = 0.15
+VALID_PART = 0.5
+"""Part of ``lease_s`` for which a holder trusts one renewal. A dead one is followed after that and a candidate's
+delay; no guard is needed beside it, since every write has the lease's row as a condition."""
+CHECKPOINT_S = 1.0
+"""Time between two writes of a record while nothing changes. Nodes send nothing to a target version whose record is
+older than half of ``rollback_s``."""
+REPORTS_TO_WAIT_FOR = 2.5
+"""Intervals of reports for which a new holder decides nothing: every node's totals have then come."""
+
+
+class Planner(Protocol):
+    """Decides what a rollout does next; see :mod:`wallwell.rollout.planner`."""
+
+    def decide(
+        self, record: RolloutRecord, counts: RolloutCounts, capacity: Capacity, now_s: float
+    ) -> RolloutDecision:
+        """Return the decision at ``now_s`` of the store's clock."""
+        ...
+
+
+@dataclass
+class _Held:
+    """What this node knows of a service's rows while it holds the lease. Times are on this node's clock."""
+
+    stored: StoredRollout
+    written_s: float = float("-inf")
+
+
+class RolloutDriver:
+    """One node's part in rollouts; at most one node acts at a time."""
+
+    def __init__(
+        self,
+        state: FleetState,
+        table: TableService,
+        store: RolloutStore,
+        planner: Planner,
+        counts: FleetCounts,
+        clock: StoreClock,
+    ) -> None:
+        self._state = state
+        self._book = state.rollouts
+        self._store = store
+        self._planner = planner
+        self._counts = counts
+        self._clock = clock
+        self._valid_s = state.bounds.lease_s * VALID_PART
+        self._lease = LeaseKeeper(LEASE_NAME, state.node, self._valid_s, table)
+        self._turn = LeaseTurn(LEASE_NAME, state.node, self._lease, self._valid_s, lambda: state.members)
+        self._held: dict[str, _Held] = {}
+        self._held_since_s: float | None = None
+
+    @property
+    def holder(self) -> str:
+        """The node that decides, as far as this one knows; empty if none."""
+        return self._state.node if self._turn.is_held() else self._turn.holder
+
+    # --- what other nodes tell -------------------------------------------------------------------------
+
+    def on_row(self, row: FeedRow, now_s: float) -> None:
+        """Take a row of this product's own table."""
+        self._turn.observe(row, now_s)
+        if not row.key.startswith(RECORD_PREFIX) or row.value is None:
+            return
+        try:
+            record = msgspec.json.decode(row.value, type=RolloutRecord)
+        except msgspec.MsgspecError as error:
+            emit(Event.ROLLOUT_REFUSED, row=row.key, error=str(error))
+            return
+        heard_s = min(now_s, self._clock.to_local_s(record.written_at_s))
+        if self._book.on_record(record, row.version, heard_s):
+            emit(
+                Event.ROLLOUT_FOLLOWED,
+                service=record.service,
+                target=record.target_version,
+                phase=record.phase.value,
+                reason=record.reason,
+                order=record.order,
+            )
+
+    # --- loop ------------------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        """Drive rollouts until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            await self.step()
+
+    async def step(self) -> None:
+        """Look once whether something is due, and do this node's part of it."""
+        now_s = time.monotonic()
+        self._book.release_held(now_s)
+        due = [service for service in self._book.due() if self._state.knows_service(service)]
+        self._counts.keep(due)
+        self._turn.set_due(bool(due), now_s)
+        if not due or not await self._turn.hold(now_s):
+            self._held.clear()
+            self._held_since_s = None
+            return
+        if self._held_since_s is None:
+            self._held_since_s = now_s
+        for service in due:
+            try:
+                async with asyncio.timeout(self._valid_s):
+                    await self._advance(service)
+            except (TableConflictError, PlatformUnavailableError, TimeoutError) as error:
+                self._on_write_failed(service, error)
+
+    def _on_write_failed(self, service: str, error: Exception) -> None:
+        """Nothing is known of the rows any more: they are read before the next write."""
+        self._held.pop(service, None)
+        if isinstance(error, TableConflictError):
+            self._turn.renew_next()
+        emit(Event.ROLLOUT_WRITE_FAILED, service=service, reason=f"{type(error).__name__} {error}")
+
+    async def _advance(self, service: str) -> None:
+        """Read, decide and write once for a service. Raises what the store raises, or TimeoutError."""
+        held = self._held.get(service)
+        if held is None:
+            held = self._held[service] = _Held(await self._store.read(service))
+        record = held.stored.record
+        order = self._book.orders.get(service)
+        if order is not None and (record is None or record.order < order.store_version):
+            ordered_at_s = self._clock.to_store_s(self._book.ordered_at_s[service])
+            opened = opening_record(order, record, ordered_at_s)
+            await self._write(held, opened, {"ordered_ago_s": time.monotonic() - self._book.ordered_at_s[service]})
+        elif record is not None and not record.phase.is_final:
+            await self._decide(held, record)
+        elif record is not None:
+            self._learn(held.stored)  # Another holder has ended it, or this one, whose answer was lost.
+
+    async def _decide(self, held: _Held, record: RolloutRecord) -> None:
+        now_s = time.monotonic()
+        self._learn(held.stored)
+        if self._is_new_holder(now_s):
+            if now_s - held.written_s >= CHECKPOINT_S:
+                await self._write(held, record, {})
+            return
+        counts = self._counts.total(record)
+        capacity = self._capacity(record.service, now_s)
+        decision = self._planner.decide(record, counts, capacity, self._clock.to_store_s(now_s))
+        decided = self._apply(record, counts, decision)
+        if _is_urgent(record, decided) or now_s - held.written_s >= CHECKPOINT_S:
+            await self._write(held, decided, dict(decision.inputs))
+
+    def _is_new_holder(self, now_s: float) -> bool:
+        """Whether reports of other nodes may not have come yet. A node without peers has all there is."""
+        if self._held_since_s is None or self._state.node_count == 1:
+            return False
+        return now_s - self._held_since_s < REPORTS_TO_WAIT_FOR * report_interval_s(self._state.node_count)
+
+    def _apply(self, record: RolloutRecord, counts: RolloutCounts, decision: RolloutDecision) -> RolloutRecord:
+        barred = record.barred
+        if decision.phase is Phase.COMPLETE:
+            barred = bar_replaced(record, self._book.known_versions(record.service))
+        return msgspec.structs.replace(
+            record,
+            phase=decision.phase,
+            share=decision.share,
+            reason=decision.reason,
+            current_requests=counts.current_requests,
+            target_requests=counts.target_requests,
+            barred=barred,
+        )
+
+    async def _write(self, held: _Held, record: RolloutRecord, inputs: dict[str, float]) -> None:
+        """Write a record and log what is new of it. Raises what the store raises."""
+        lease = self._lease.held
+        if lease is None or not self._turn.is_held():
+            raise TableConflictError("the lease is not held any more")
+        now_s = time.monotonic()
+        record = msgspec.structs.replace(record, written_at_s=self._clock.to_store_s(now_s))
+        before = held.stored
+        held.stored = await self._store.write(record, before, lease.version)
+        held.written_s = now_s
+        self._learn(held.stored)
+        self._log(before, held.stored, record, inputs)
+
+    def _learn(self, stored: StoredRollout) -> None:
+        """Follow what is stored at once, without waiting for the feed."""
+        if stored.record is not None:
+            heard_s = self._clock.to_local_s(stored.record.written_at_s)
+            self._book.on_record(stored.record, stored.record_version, heard_s)
+
+    def _log(
+        self, before: StoredRollout, after: StoredRollout, record: RolloutRecord, inputs: dict[str, float]
+    ) -> None:
+        known = before.record
+        if known is None or known.order != record.order or _is_urgent(known, record):
+            emit(
+                Event.ROLLOUT_DECIDED,
+                service=record.service,
+                target=record.target_version,
+                phase=record.phase.value,
+                share=round(record.share, 4),
+                reason=record.reason,
+                order=record.order,
+                inputs=inputs,
+            )
+        if before.status != after.status:
+            emit(Event.ROLLOUT_STATUS_WRITTEN, service=record.service, status=after.status)
+
+    def _capacity(self, service: str, now_s: float) -> Capacity:
+        sides = self._book.active[service].sides(self._state.backends.of_service(service), now_s)
+        current = [each for each in sides.current if not each.is_leaving(now_s)]
+        target = [each for each in sides.target if each.is_open(now_s)]
+        is_heard = self._state.node_count == 1 or all(each.peers_load is not None for each in sides.current)
+        return Capacity(
+            current_places=sum(each.record.slots for each in current),
+            target_places=sum(each.record.slots for each in target),
+            target_backends=len(target),
+            current_in_flight=sum(each.fleet_load() for each in sides.current) if is_heard else -1,
+        )
+
+    def drain(self) -> None:
+        """Finish what this node holds the lease for, and take no new lease."""
+        self._turn.drain()
+
+
+def _is_urgent(before: RolloutRecord, after: RolloutRecord) -> bool:
+    """Whether nodes should know of a change at once. A share that rises waits for the next checkpoint."""
+    if before.phase is not after.phase or after.share < before.share:
+        return True
+    return after.share > 0 and before.share == 0
--- a/src/wallwell/rollout/model.py
+++ b/src/wallwell/rollout/model.py
@@ -47,6 +47,9 @@
     ``ordered_at_s`` is the store's steady time at which the order was first seen. ``share`` is the part of requests
     for the target version while in :attr:`Phase.CANARY`. ``current_requests`` and ``target_requests`` are what the
     nodes had sent to each side when the record was written: the least that a new holder of the lease starts from.
+    ``barred`` names the versions of the service that get nothing, since an earlier rollout ended with or left them.
+    ``written_at_s`` is the store's time of the writing: a node that knows no recent one during a rollout takes it
+    that nobody watches the target version.
     """
 
     service: str
@@ -59,6 +62,8 @@
     reason: str = ""
     current_requests: int = 0
     target_requests: int = 0
+    barred: tuple[str, ...] = ()
+    written_at_s: float = 0.0
 
     @property
     def deadline_s(self) -> float:
@@ -86,7 +91,9 @@
     ``failed`` counts whole answers that the back end itself calls a failure; attempts that ended without an answer
     are in ``broken``, since crashes and cuts strike both versions. ``first_delays`` and ``piece_gaps`` count
     answers by :func:`delay_bucket` of the time to the first piece (calls: to the answer) and of the mean time
-    between pieces. Back ends that are still slow from their start are left out of both.
+    between pieces. An attempt that was given up before its first piece counts in ``first_delays`` with the time for
+    which it was waited. Back ends that are still slow from their start are left out of both. ``answered`` counts
+    all whole answers, failed ones too: what was sent, less ``answered`` and ``broken``, is under way.
     """
 
     route: str
--- /dev/null
+++ b/src/wallwell/rollout/tally.py
@@ -0,0 +1,108 @@
+"""What one node sent to each side of its rollouts and how it was answered, as totals since the order. Pure."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from wallwell.rollout.model import AnswerCounts, RolloutCounts, delay_bucket
+
+Source = tuple[str, bool, str]
+"""Route, whether from the target side, and the target back end's incarnation."""
+
+
+@dataclass
+class SourceCounts:
+    """Answers of one route from one side, or from one target back end."""
+
+    answered: int = 0
+    failed: int = 0
+    broken: int = 0
+    first_delays: Counter[int] = field(default_factory=Counter)
+    piece_gaps: Counter[int] = field(default_factory=Counter)
+
+
+@dataclass
+class ServiceTally:
+    """One rollout's totals."""
+
+    order: int
+    current_requests: int = 0
+    target_requests: int = 0
+    answers: dict[Source, SourceCounts] = field(default_factory=dict)
+
+    def counts(self) -> RolloutCounts:
+        """Return the totals as they travel."""
+        answers = tuple(
+            AnswerCounts(
+                *source, each.answered, each.failed, each.broken, dict(each.first_delays), dict(each.piece_gaps)
+            )
+            for source, each in self.answers.items()
+        )
+        return RolloutCounts(self.order, self.current_requests, self.target_requests, answers)
+
+    def on_sent(self, is_target: bool) -> None:
+        """An attempt is sent."""
+        if is_target:
+            self.target_requests += 1
+        else:
+            self.current_requests += 1
+
+    def of(self, route: str, is_target: bool, backend: str) -> SourceCounts:
+        """Return the counts of an attempt's source."""
+        source = (route, is_target, backend if is_target else "")
+        counts = self.answers.get(source)
+        if counts is None:
+            counts = self.answers[source] = SourceCounts()
+        return counts
+
+
+@dataclass
+class RolloutTally:
+    """One node's totals of the rollouts that are on; nothing is kept of others."""
+
+    by_service: dict[str, ServiceTally] = field(default_factory=dict)
+
+    def begin(self, service: str, order: int) -> None:
+        """Count for an order; totals of an earlier one are dropped."""
+        tally = self.by_service.get(service)
+        if tally is None or tally.order != order:
+            self.by_service[service] = ServiceTally(order)
+
+    def end(self, service: str) -> None:
+        """The rollout has ended."""
+        self.by_service.pop(service, None)
+
+    def counts(self) -> dict[str, RolloutCounts]:
+        """Return the totals by service."""
+        return {service: tally.counts() for service, tally in self.by_service.items()}
+
+
+@dataclass
+class CountedAttempt:
+    """One attempt under way that is counted; ends exactly once. Times are on this node's clock."""
+
+    counts: SourceCounts
+    sent_s: float
+    is_warm: bool
+    """Whether its back end is no longer slow from its start."""
+
+    def on_whole(self, status: int, first_s: float, last_s: float, pieces: int) -> None:
+        """A whole answer has come, its first piece at ``first_s``."""
+        self.counts.answered += 1
+        self.counts.failed += status >= 500
+        if not self.is_warm:
+            return
+        self.counts.first_delays[delay_bucket(first_s - self.sent_s)] += 1
+        if pieces > 1:
+            self.counts.piece_gaps[delay_bucket((last_s - first_s) / (pieces - 1))] += 1
+
+    def on_broken(self) -> None:
+        """The attempt ended without a whole answer."""
+        self.counts.broken += 1
+
+    def on_given_up(self, first_s: float | None, now_s: float) -> None:
+        """The attempt was given up for its silence: it would have taken longer than was waited."""
+        self.counts.broken += 1
+        if first_s is None and self.is_warm:
+            self.counts.first_delays[delay_bucket(now_s - self.sent_s)] += 1
--- a/tests/unit/gateway/test_backend_rows.py
+++ b/tests/unit/gateway/test_backend_rows.py
@@ -10,6 +10,7 @@
 from wallwell.backends.http_connection import ConnectionPool
 from wallwell.deployment.backends import BackendRecord
 from wallwell.gateway.fleet_rows import LAPSE_GRACE_S, BackendRows
+from wallwell.gateway.side_choice import taking
 from wallwell.storage.feed import FeedPage, FeedRow, FollowedPage
 
 AWAY_S = 5.0
@@ -134,3 +135,61 @@
         return followed.open()
 
     assert run_virtual(work()) == [names[1]]
+
+
+class VersionedSources:
+    """Decodes a row's value as software version and seconds for which the back end is still slow."""
+
+    @staticmethod
+    def decode_backend(incarnation, value):
+        software, _, slow_for_s = value.decode().partition("@")
+        return BackendRecord(
+            incarnation, "svc", incarnation, "z", 8, software=software, slow_for_s=float(slow_for_s or 0)
+        )
+
+
+class VersionedFollowed(Followed):
+    def __init__(self):
+        super().__init__()
+        self.state.backends_known = False
+        self.rows = BackendRows(self.state, VersionedSources(), ConnectionPool("X", 1.0, 1.0))
+
+
+def usable_after(steps):
+    """Return the back ends that take requests after each step of a scenario: pages, or seconds that pass."""
+
+    async def work():
+        followed = VersionedFollowed()
+        seen = []
+        for step in steps:
+            if isinstance(step, dict):
+                followed.take(whole=not seen, **step)
+            else:
+                await followed.pass_time(step)
+            now_s = time.monotonic()
+            followed.state.rollouts.release_held(now_s)
+            seen.append(sorted(each.incarnation for each in taking(followed.state, "svc", now_s)))
+        return seen
+
+    return run_virtual(work())
+
+
+def test_a_back_end_of_a_version_that_nobody_named_gets_nothing_for_two_seconds():
+    seen = usable_after([{"a": b"v1"}, {"b": b"v2"}, 1.5, 0.5])
+    assert seen == [["a"], ["a"], ["a"], ["a", "b"]]
+
+
+def test_back_ends_of_several_versions_found_at_the_start_get_requests_at_once():
+    assert usable_after([{"a": b"v1", "b": b"v2"}]) == [["a", "b"]]
+
+
+def test_a_back_end_counts_as_slow_from_when_its_entry_was_seen():
+    async def work():
+        followed = VersionedFollowed()
+        followed.take(whole=True, a=b"v1@3")
+        seen_s = time.monotonic()
+        await followed.pass_time(1.0)
+        followed.take(a=b"v1@3")
+        return followed.state.backends.get("a").slow_until_s - seen_s
+
+    assert run_virtual(work()) == 3.0
--- /dev/null
+++ b/tests/unit/gateway/test_rollout_requests.py
@@ -0,0 +1,242 @@
+"""Requests while a service's software is rolled out: which side runs them, and what is counted."""
+
+import time
+from dataclasses import replace
+
+import pytest
+
+from tests.unit.gateway.fakes import (
+    FakeClient,
+    FakeReply,
+    Script,
+    event,
+    make_generation,
+    make_request,
+    make_route,
+    make_state,
+)
+from tests.virtual_time import run_virtual
+from wallwell.deployment.backends import BackendRecord
+from wallwell.deployment.routes import RouteKind
+from wallwell.gateway.pipeline import RequestPipeline
+from wallwell.rollout.model import Phase, RolloutOrder, RolloutRecord, delay_bucket
+from wallwell.routing.outcome import TransportEvent as T
+
+OK = Script(chunks=(b"ok",))
+RESET = Script(fails=T.RESET_AFTER_SEND)
+SHED = Script(fails=T.BACKEND_OVERLOADED)
+ERROR = Script(status=500, chunks=(b"broken",))
+SAFE = make_route(RouteKind.SAFE)
+STREAM = make_route(RouteKind.STREAM, resumable=True, rank=0)
+PIECES = Script(chunks=(event(1), 0.2, event(2), 0.4, event(3)), stream=True, head_after_s=0.3)
+
+
+def fleet(phase=Phase.CANARY, share=0.0, route=SAFE, old=6, new=4, new_weights=1, slow_for_s=0.0):
+    """A state with a rollout from v1 to v2 in a phase, heard of just now."""
+    state = make_state(route, backends=0)
+    for software, count in (("v1", old), ("v2", new)):
+        versions = {"m": 1 if software == "v1" else new_weights}
+        for index in range(count):
+            name = f"{software}-{index}"
+            record = BackendRecord(name, "svc", f"{name}:80", "z1", 8, versions=versions, software=software)
+            state.backends.upsert(record).slow_until_s = time.monotonic() + slow_for_s
+    record = RolloutRecord("svc", "v2", 1, 0.0, 30.0, phase, share)
+    state.rollouts.on_record(record, 1, time.monotonic())
+    return state
+
+
+def serve(scripts, requests=1, prepare=None, generation=None, **rollout):
+    """Serve requests and return the versions that were sent to, the last reply and the state."""
+
+    async def work():
+        state = fleet(**rollout)
+        if prepare is not None:
+            prepare(state)
+        client = FakeClient(*scripts)
+        pipeline = RequestPipeline(state, client)
+        for _ in range(requests):
+            reply = FakeReply()
+            await pipeline.serve(make_request(generation=generation), reply)
+        return [each.backend.software for each in client.sent], reply, state
+
+    return run_virtual(work())
+
+
+def suspend(software):
+    def prepare(state):
+        for each in state.backends.all():
+            if each.record.software == software:
+                each.suspended_until_s = time.monotonic() + 60
+
+    return prepare
+
+
+def counts_of(state):
+    return state.rollouts.tally.by_service["svc"].counts()
+
+
+@pytest.mark.parametrize("share", [0.02, 0.1])
+def test_the_target_version_gets_its_share_of_requests(share):
+    sent, _, state = serve([OK], requests=3000, share=share)
+    assert sent.count("v2") / len(sent) == pytest.approx(share, abs=0.015)
+    assert counts_of(state).target_requests == sent.count("v2")
+    assert counts_of(state).current_requests == sent.count("v1")
+
+
+@pytest.mark.parametrize(
+    ("phase", "expected"),
+    [(Phase.CANARY, "v1"), (Phase.SWITCHING, "v2"), (Phase.COMPLETE, "v2"), (Phase.ROLLED_BACK, "v1")],
+)
+def test_the_side_of_new_requests_by_phase(phase, expected):
+    assert set(serve([OK], requests=50, phase=phase)[0]) == {expected}
+
+
+def test_an_order_takes_requests_off_a_version_before_any_record():
+    def prepare(state):
+        state.rollouts.on_order(RolloutOrder("svc", "v2", 30.0, 9), time.monotonic())
+
+    assert set(serve([OK], requests=50, phase=Phase.SWITCHING, prepare=prepare)[0]) == {"v1"}
+
+
+def test_a_repeat_after_a_failure_on_the_target_side_goes_to_the_current_one():
+    sent, reply, _ = serve([RESET, OK], phase=Phase.SWITCHING)
+    assert (sent, reply.status) == (["v2", "v1"], 200)
+
+
+def test_a_repeat_after_a_failed_answer_of_the_target_side_goes_to_the_current_one():
+    sent, reply, _ = serve([ERROR, OK], phase=Phase.SWITCHING)
+    assert (sent, reply.status) == (["v2", "v1"], 200)
+
+
+def test_a_repeat_after_a_failure_on_the_current_side_stays_there():
+    assert serve([RESET, OK])[0] == ["v1", "v1"]
+
+
+@pytest.mark.parametrize(
+    ("suspended", "phase", "share", "expected"),
+    [
+        ("v2", Phase.SWITCHING, 1.0, "v1"),
+        ("v1", Phase.CANARY, 0.05, "v2"),
+        ("v1", Phase.CANARY, 0.0, "v1"),
+        ("v1", Phase.ROLLED_BACK, 0.0, "v1"),
+        ("v2", Phase.COMPLETE, 1.0, "v2"),
+    ],
+)
+def test_a_side_without_usable_back_ends_is_stood_in_for_where_that_is_allowed(suspended, phase, share, expected):
+    def prepare(state):
+        suspend(suspended)(state)
+        if phase is Phase.COMPLETE:
+            record = replace_phase(state.rollouts.record("svc"), barred=("v1",))
+            state.rollouts.on_record(record, 2, time.monotonic())
+
+    sent, _, _ = serve([OK], requests=20, phase=phase, share=share, prepare=prepare)
+    assert set(sent) == {expected}
+
+
+def replace_phase(record, **changes):
+    fields = {name: getattr(record, name) for name in record.__struct_fields__}
+    return RolloutRecord(**{**fields, **changes})
+
+
+def test_a_node_without_recent_word_of_a_rollout_uses_the_current_side():
+    def prepare(state):
+        state.rollouts.active["svc"].heard_s = time.monotonic() - state.bounds.rollout.rollback_s / 2
+
+    assert set(serve([OK], requests=50, phase=Phase.SWITCHING, prepare=prepare)[0]) == {"v1"}
+
+
+def test_a_rolled_back_version_gets_nothing_even_if_no_other_is_listed():
+    sent, reply, _ = serve([OK], phase=Phase.ROLLED_BACK, old=0)
+    assert (sent, reply.error.code) == ([], "WW3008")
+
+
+def test_engines_without_due_weights_are_stood_in_for_by_the_current_side():
+    def prepare(state):
+        state.weights.name("m", 1, time.monotonic() - 60)
+
+    sent, _, _ = serve(
+        [PIECES], phase=Phase.SWITCHING, route=STREAM, new_weights=0, generation=make_generation(), prepare=prepare
+    )
+    assert sent == ["v1"]
+
+
+def test_pools_of_engines_are_formed_inside_a_side():
+    """Short prompts have one engine in three to themselves: of the target side, not of all engines together."""
+    sent, _, state = serve(
+        [Script(chunks=(event(1),), stream=True)],
+        requests=60,
+        phase=Phase.SWITCHING,
+        route=STREAM,
+        new=9,
+        old=90,
+        generation=make_generation(),
+    )
+    assert set(sent) == {"v2"}
+    served = [each for each in state.backends.all() if each.last_success_s > float("-inf")]
+    assert len(served) == 1  # The home of the only prefix, within its pool.
+
+
+@pytest.mark.parametrize(("phase", "is_refused"), [(Phase.CANARY, True), (Phase.SWITCHING, False)])
+def test_overload_is_that_of_the_side_that_takes_requests(phase, is_refused):
+    def prepare(state):
+        for each in state.backends.all():
+            each.peers_load = 24 if each.record.software == "v1" else 0
+
+    _, reply, _ = serve([PIECES], phase=phase, route=STREAM, generation=make_generation(), prepare=prepare)
+    assert (reply.error is not None and reply.error.code == "WW3019") == is_refused
+
+
+@pytest.mark.parametrize(
+    ("script", "expected"),
+    [
+        (OK, (1, 0, 0)),
+        (ERROR, (1, 1, 0)),
+        (RESET, (0, 0, 1)),
+        (SHED, (0, 0, 1)),
+        (Script(chunks=(b"o",), breaks=T.RESET_AFTER_SEND), (0, 0, 1)),
+    ],
+)
+def test_each_attempt_ends_in_one_count(script, expected):
+    _, _, state = serve([script, OK], phase=Phase.SWITCHING)
+    (target,) = [each for each in counts_of(state).answers if each.is_target]
+    assert (target.answered, target.failed, target.broken) == expected
+    assert target.backend.startswith("v2-")
+
+
+def test_a_streams_first_delay_and_mean_gap_are_counted():
+    _, _, state = serve([PIECES], phase=Phase.SWITCHING, route=STREAM, generation=make_generation())
+    (target,) = counts_of(state).answers
+    assert target.first_delays == {delay_bucket(0.3): 1}
+    assert target.piece_gaps == {delay_bucket(0.3): 1}
+
+
+def test_delays_of_a_back_end_slow_from_its_start_are_left_out():
+    _, _, state = serve([OK], phase=Phase.SWITCHING, slow_for_s=5.0)
+    (target,) = counts_of(state).answers
+    assert (target.answered, target.first_delays) == (1, {})
+
+
+def test_a_silent_target_back_end_counts_as_late():
+    silent = Script(head_after_s=60.0)
+    route = replace(SAFE, timeout_s=2.0, max_attempts=1)
+    _, reply, state = serve([silent], phase=Phase.SWITCHING, route=route)
+    (target,) = counts_of(state).answers
+    assert (reply.status, target.broken, target.first_delays) == (504, 1, {delay_bucket(2.0): 1})
+
+
+def test_nothing_is_counted_without_a_rollout_or_after_its_end():
+    _, _, state = serve([OK], phase=Phase.COMPLETE)
+    assert state.rollouts.tally.by_service == {}
+
+
+def test_the_log_names_the_software_that_served_a_request():
+    from loguru import logger
+
+    lines = []
+    sink = logger.add(lambda message: lines.append(message.record["extra"]), level="INFO")
+    try:
+        serve([RESET, OK], phase=Phase.SWITCHING)
+    finally:
+        logger.remove(sink)
+    named = [(line["event"], line["software"]) for line in lines if "software" in line]
+    assert named == [(3002, "v2"), (3001, "v1")]
--- a/tests/unit/platform/test_rows.py
+++ b/tests/unit/platform/test_rows.py
@@ -2,10 +2,12 @@
 
 import json
 
+import msgspec
 import pytest
 
 from wallwell.deployment.routes import TenantLimit
-from wallwell.platform.rows import decode_config
+from wallwell.platform.rows import decode_config, decode_rollout_order, encode_rollout_status
+from wallwell.rollout.model import Phase, RolloutOrder, RolloutRecord
 
 
 def tenant_of(**fields):
@@ -31,3 +33,44 @@
 )
 def test_limit_of_a_tenant(fields, limit):
     assert tenant_of(**fields).limit == limit
+
+
+def rollout_order(key="rollout/svc", **fields):
+    body = {"service": "svc", "target_version": "v2", "duration_s": 20, **fields}
+    return decode_rollout_order(key, json.dumps(body).encode(), 7)
+
+
+def test_an_order_of_a_rollout():
+    assert rollout_order() == RolloutOrder("svc", "v2", 20.0, 7)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"key": "rollout/other"},
+        {"service": ""},
+        {"target_version": ""},
+        {"target_version": 2},
+        {"duration_s": 0},
+        {"duration_s": "long"},
+        {"duration_s": None},
+    ],
+)
+def test_a_malformed_order_of_a_rollout_is_refused(fields):
+    with pytest.raises(msgspec.ValidationError):
+        rollout_order(**fields)
+
+
+@pytest.mark.parametrize(
+    ("phase", "state"),
+    [
+        (Phase.CANARY, "running"),
+        (Phase.SWITCHING, "running"),
+        (Phase.COMPLETE, "complete"),
+        (Phase.ROLLED_BACK, "rolled_back"),
+    ],
+)
+def test_status_of_a_rollout(phase, state):
+    record = RolloutRecord("svc", "v2", 7, 0.0, 20.0, phase)
+    expected = {"state": state, "target_version": "v2", "service": "svc"}
+    assert json.loads(encode_rollout_status(record)) == expected
--- /dev/null
+++ b/tests/unit/rollout/test_records.py
@@ -0,0 +1,130 @@
+"""What a node knows of rollouts, whatever the order in which it hears of them."""
+
+import pytest
+
+from wallwell.rollout.model import Phase, RolloutBounds, RolloutOrder, RolloutRecord
+from wallwell.rollout.records import UNKNOWN_HOLD_S, RolloutBook, bar_replaced, opening_record
+
+ORDER = RolloutOrder("svc", "v2", 30.0, 10)
+
+
+def record(phase=Phase.CANARY, share=0.05, order=10, target="v2", barred=()):
+    return RolloutRecord("svc", target, order, 0.0, 30.0, phase, share, barred=barred)
+
+
+def book(*records, order=None):
+    known = RolloutBook(RolloutBounds(rollback_s=5.0))
+    if order is not None:
+        known.on_order(order, 1.0)
+    for version, each in enumerate(records, 1):
+        known.on_record(each, version, heard_s=50.0)
+    return known
+
+
+def test_without_orders_and_records_nothing_is_active():
+    known = book()
+    known.on_listed("svc", "v1", 0.0, at_start=True)
+    assert known.active == {}
+
+
+def test_an_order_without_a_record_counts_as_a_canary_that_gets_nothing():
+    effective = book(order=ORDER).effective("svc")
+    assert (effective.phase, effective.share, effective.target_version) == (Phase.CANARY, 0.0, "v2")
+
+
+def test_an_older_order_changes_nothing():
+    known = book(order=ORDER)
+    assert not known.on_order(RolloutOrder("svc", "v9", 30.0, 9), 2.0)
+    assert known.effective("svc").target_version == "v2"
+
+
+def test_an_older_row_of_a_record_changes_nothing():
+    known = book(record())
+    known.on_record(record(Phase.ROLLED_BACK), 5, 51.0)
+    known.on_record(record(share=0.1), 4, 52.0)
+    assert known.effective("svc").phase is Phase.ROLLED_BACK
+
+
+def test_a_new_order_takes_the_earlier_target_out_at_once():
+    known = book(record(Phase.SWITCHING), order=ORDER)
+    known.on_order(RolloutOrder("svc", "v3", 30.0, 11), 2.0)
+    effective = known.effective("svc")
+    assert (effective.target_version, effective.share, effective.barred) == ("v3", 0.0, ("v2",))
+
+
+@pytest.mark.parametrize(
+    ("phase", "target", "barred", "expected"),
+    [
+        (Phase.ROLLED_BACK, "v3", (), ("v2",)),
+        (Phase.ROLLED_BACK, "v2", (), ()),
+        (Phase.ROLLED_BACK, "v3", ("v0",), ("v0", "v2")),
+        (Phase.COMPLETE, "v3", ("v1",), ("v1",)),
+        (Phase.COMPLETE, "v1", ("v1",), ()),
+    ],
+)
+def test_what_earlier_rollouts_ended_with_stays_barred_unless_it_is_named_again(phase, target, barred, expected):
+    opened = opening_record(RolloutOrder("svc", target, 9.0, 11), record(phase, barred=barred), 3.0)
+    assert opened.barred == expected
+
+
+def test_a_complete_rollout_bars_all_versions_that_it_replaces():
+    assert bar_replaced(record(barred=("v0",)), {"v1", "v2"}) == ("v0", "v1")
+
+
+@pytest.mark.parametrize(("phase", "software"), [(Phase.ROLLED_BACK, "v2"), (Phase.COMPLETE, "v1")])
+def test_back_ends_that_leave_after_a_rollout_get_nothing_more(phase, software):
+    known = book(record(phase, barred=("v1",) if phase is Phase.COMPLETE else ()))
+    assert known.gets_nothing_more("svc", software)
+    assert not known.gets_nothing_more("svc", "v7")
+
+
+def test_a_record_that_is_written_again_keeps_its_rollout_heard():
+    known = book(record())
+    sides = known.active["svc"]
+    assert not sides.is_heard(52.6)
+    known.on_record(record(), 2, 52.0)
+    assert known.active["svc"] is sides
+    assert sides.is_heard(52.6)
+
+
+def test_counting_begins_with_the_order_and_ends_with_the_rollout():
+    known = book(order=ORDER)
+    tally = known.tally.by_service["svc"]
+    known.on_record(record(), 1, 50.0)
+    assert known.tally.by_service["svc"] is tally
+    known.on_record(record(Phase.ROLLED_BACK), 2, 50.0)
+    assert known.tally.by_service == {}
+
+
+def test_a_version_that_nobody_named_waits_for_its_order():
+    known = book()
+    known.on_listed("svc", "v1", 0.0, at_start=True)
+    known.on_listed("svc", "v2", 10.0, at_start=False)
+    assert known.active["svc"].held_until_s == {"v2": 10.0 + UNKNOWN_HOLD_S}
+    known.on_order(ORDER, 10.5)
+    assert known.effective("svc").target_version == "v2"
+
+
+def test_a_version_that_stays_unnamed_is_used_later():
+    known = book()
+    known.on_listed("svc", "v1", 0.0, at_start=True)
+    known.on_listed("svc", "v2", 10.0, at_start=False)
+    known.on_listed("svc", "v2", 11.0, at_start=False)
+    known.release_held(10.0 + UNKNOWN_HOLD_S)
+    assert known.active == {}
+
+
+@pytest.mark.parametrize("at_start", [True, False])
+def test_versions_found_at_the_start_and_the_first_of_a_service_count_as_known(at_start):
+    known = book()
+    known.on_listed("svc", "v1", 10.0, at_start)
+    if at_start:
+        known.on_listed("svc", "v2", 10.0, at_start)
+    assert known.active == {}
+
+
+def test_a_version_that_is_named_is_not_held():
+    known = book(order=ORDER)
+    known.on_listed("svc", "v1", 0.0, at_start=True)
+    known.on_listed("svc", "v2", 10.0, at_start=False)
+    assert known.active["svc"].held_until_s == {}
--- /dev/null
+++ b/tests/unit/rollout/test_sides.py
@@ -0,0 +1,120 @@
+"""Which back ends may get a request, by the phase of the service's rollout."""
+
+import random
+
+import pytest
+
+from wallwell.deployment.backends import Backend, BackendRecord
+from wallwell.rollout.model import Phase, RolloutRecord
+from wallwell.rollout.sides import ServiceSides, canary_backends
+
+NOW_S = 100.0
+
+
+def backend(name, software):
+    return Backend(BackendRecord(name, "svc", f"{name}:80", "z", 8, software=software))
+
+
+OLD = [backend(f"old-{index}", "v1") for index in range(40)]
+NEW = [backend(f"new-{index}", "v2") for index in range(20)]
+
+
+def record(phase=Phase.CANARY, share=0.0, barred=()):
+    return RolloutRecord("svc", "v2", 1, 0.0, 30.0, phase, share, barred=barred)
+
+
+def sides(phase=Phase.CANARY, share=0.0, heard_s=NOW_S, barred=(), held=None):
+    return ServiceSides("svc", record(phase, share, barred), held or {}, heard_s, 2.5)
+
+
+def names(backends):
+    return {each.incarnation for each in backends}
+
+
+def drawn(each, requests=20_000):
+    rng = random.Random(3)
+    return sum(each.draws_target(rng, NOW_S) for _ in range(requests)) / requests
+
+
+@pytest.mark.parametrize(
+    ("phase", "share", "part"),
+    [
+        (Phase.CANARY, 0.0, 0.0),
+        (Phase.CANARY, 0.03, 0.03),
+        (Phase.SWITCHING, 1.0, 1.0),
+        (Phase.COMPLETE, 1.0, 1.0),
+        (Phase.ROLLED_BACK, 0.0, 0.0),
+    ],
+)
+def test_requests_are_drawn_by_phase_and_share(phase, share, part):
+    assert drawn(sides(phase, share)) == pytest.approx(part, abs=0.003)
+
+
+@pytest.mark.parametrize(("phase", "part"), [(Phase.CANARY, 0.0), (Phase.SWITCHING, 0.0), (Phase.COMPLETE, 1.0)])
+def test_a_node_that_has_not_heard_of_a_watched_rollout_sends_nothing_to_its_target(phase, part):
+    assert drawn(sides(phase, 0.2, heard_s=NOW_S - 2.5)) == part
+
+
+@pytest.mark.parametrize(
+    ("phase", "share", "prefers_target", "expected"),
+    [
+        (Phase.CANARY, 0.0, False, ["current", "none"]),
+        (Phase.CANARY, 0.05, False, ["current", "canary"]),
+        (Phase.CANARY, 0.05, True, ["canary", "current"]),
+        (Phase.SWITCHING, 1.0, True, ["target", "current"]),
+        (Phase.SWITCHING, 1.0, False, ["current", "target"]),
+        (Phase.COMPLETE, 1.0, True, ["target", "none"]),
+        (Phase.COMPLETE, 1.0, False, ["target", "none"]),
+        (Phase.ROLLED_BACK, 0.0, False, ["current"]),
+        (Phase.ROLLED_BACK, 0.0, True, ["current"]),
+    ],
+)
+def test_the_other_side_takes_a_request_only_where_the_phase_allows_it(phase, share, prefers_target, expected):
+    barred = ("v1",) if phase is Phase.COMPLETE else ()
+    service = sides(phase, share, barred=barred)
+    known = service.sides([*OLD, *NEW], NOW_S)
+    groups = {"current": names(OLD), "target": names(NEW), "canary": names(known.canary), "none": set()}
+    tiers = service.tiers([*OLD, *NEW], prefers_target, NOW_S)
+    assert [names(tier) for tier in tiers] == [groups[each] for each in expected]
+
+
+@pytest.mark.parametrize(("phase", "is_served"), [(Phase.CANARY, True), (Phase.ROLLED_BACK, False)])
+def test_without_any_current_back_end_listed_the_target_serves_unless_rolled_back(phase, is_served):
+    tiers = sides(phase).tiers(NEW, False, NOW_S)
+    assert any(tiers) == is_served
+
+
+@pytest.mark.parametrize(
+    ("share", "current", "target", "count"),
+    [(0.05, 40, 20, 3), (0.1, 40, 20, 4), (0.101, 40, 20, 5), (0.1, 40, 2, 2), (0.0, 40, 20, 0), (0.2, 0, 20, 3)],
+)
+def test_few_target_back_ends_carry_the_canary(share, current, target, count):
+    assert len(canary_backends("svc", NEW[:target], current, share)) == count
+
+
+def test_all_nodes_pick_the_same_canary_and_keep_it_when_the_share_grows():
+    few = canary_backends("svc", NEW, 40, 0.1)
+    assert canary_backends("svc", list(reversed(NEW)), 40, 0.1) == few
+    assert canary_backends("svc", NEW, 40, 0.2)[: len(few)] == few
+
+
+def test_a_barred_or_held_version_gets_nothing():
+    others = [backend("a", "v0"), backend("b", "v3")]
+    service = sides(Phase.COMPLETE, barred=("v0",), held={"v3": NOW_S + 1})
+    assert names(service.taking([*others, *NEW], NOW_S)) == names(NEW)
+    assert names(service.taking([*others, *NEW], NOW_S + 1)) == names([others[1], *NEW])
+
+
+@pytest.mark.parametrize(
+    ("phase", "share", "heard_s", "expected"),
+    [
+        (Phase.CANARY, 0.0, NOW_S, 40),
+        (Phase.CANARY, 0.1, NOW_S, 44),
+        (Phase.CANARY, 0.1, NOW_S - 9, 40),
+        (Phase.SWITCHING, 1.0, NOW_S, 20),
+        (Phase.SWITCHING, 1.0, NOW_S - 9, 40),
+        (Phase.ROLLED_BACK, 0.0, NOW_S, 40),
+    ],
+)
+def test_load_is_counted_of_the_back_ends_that_take_requests(phase, share, heard_s, expected):
+    assert len(sides(phase, share, heard_s).taking([*OLD, *NEW], NOW_S)) == expected
--- /dev/null
+++ b/tests/unit/rollout/test_tally_and_reports.py
@@ -0,0 +1,153 @@
+"""What nodes count of a rollout, and what the one that decides makes of it."""
+
+import time
+
+import msgspec
+
+from tests.virtual_time import run_virtual
+from wallwell.cluster.peer_link import PeerServer
+from wallwell.cluster.upstream import Member
+from wallwell.rollout.model import Phase, RolloutRecord, delay_bucket
+from wallwell.rollout.reporter import REPORT_INTERVAL_S, CountsReporter, report_interval_s
+from wallwell.rollout.reports import CountsReport, FleetCounts
+from wallwell.rollout.tally import CountedAttempt, RolloutTally, ServiceTally
+
+RECORD = RolloutRecord("svc", "v2", 7, 0.0, 30.0, Phase.CANARY)
+
+
+def tally(current=0, target=0, failed=0, order=7):
+    counts = ServiceTally(order, current, target)
+    source = counts.of("r", True, "i-1")
+    source.answered, source.failed = target, failed
+    return counts
+
+
+def report(node, life=1, **counts):
+    return CountsReport(node, life, {"svc": tally(**counts).counts()})
+
+
+def total(*reports, record=RECORD):
+    fleet = FleetCounts()
+    for each in reports:
+        fleet.take(each)
+    return fleet.total(record)
+
+
+def attempt(is_warm=True):
+    counts = ServiceTally(1).of("r", True, "i-1")
+    return CountedAttempt(counts, 10.0, is_warm), counts
+
+
+def test_a_whole_answer_counts_its_first_delay_and_its_mean_gap():
+    counted, counts = attempt()
+    counted.on_whole(200, first_s=10.4, last_s=11.4, pieces=11)
+    assert (counts.answered, counts.failed, counts.broken) == (1, 0, 0)
+    assert (dict(counts.first_delays), dict(counts.piece_gaps)) == ({delay_bucket(0.4): 1}, {delay_bucket(0.1): 1})
+
+
+def test_a_failed_answer_is_an_answer_too():
+    counted, counts = attempt()
+    counted.on_whole(500, 10.1, 0.0, 0)
+    assert (counts.answered, counts.failed, dict(counts.piece_gaps)) == (1, 1, {})
+
+
+def test_delays_of_a_back_end_that_is_slow_from_its_start_are_left_out():
+    counted, counts = attempt(is_warm=False)
+    counted.on_whole(200, 10.4, 11.4, 11)
+    assert (counts.answered, dict(counts.first_delays), dict(counts.piece_gaps)) == (1, {}, {})
+
+
+def test_an_attempt_given_up_for_its_silence_counts_with_the_time_it_was_waited_for():
+    counted, counts = attempt()
+    counted.on_given_up(None, 12.0)
+    assert (counts.answered, counts.broken, dict(counts.first_delays)) == (0, 1, {delay_bucket(2.0): 1})
+
+
+def test_an_attempt_given_up_after_its_first_piece_counts_as_broken_only():
+    counted, counts = attempt()
+    counted.on_given_up(10.5, 12.0)
+    assert (counts.broken, dict(counts.first_delays)) == (1, {})
+
+
+def test_the_current_side_is_counted_together_and_target_back_ends_one_by_one():
+    counts = ServiceTally(1)
+    for name in ("a", "b"):
+        counts.of("r", True, name).answered += 1
+        counts.of("r", False, name).answered += 1
+    assert {(each.is_target, each.backend, each.answered) for each in counts.counts().answers} == {
+        (True, "a", 1),
+        (True, "b", 1),
+        (False, "", 2),
+    }
+
+
+def test_nodes_are_summed_up():
+    summed = total(report("n1", current=10, target=2, failed=1), report("n2", current=5, target=3, failed=2))
+    assert (summed.current_requests, summed.target_requests) == (15, 5)
+    assert [(each.answered, each.failed) for each in summed.answers] == [(5, 3)]
+
+
+def test_a_newer_report_replaces_an_older_one_and_an_older_one_changes_nothing():
+    summed = total(report("n1", target=2), report("n1", target=5), report("n1", target=4))
+    assert summed.target_requests == 5
+
+
+def test_totals_of_a_dead_node_stay_when_it_starts_again():
+    assert total(report("n1", life=1, target=5), report("n1", life=2, target=1)).target_requests == 6
+
+
+def test_counts_of_an_earlier_order_are_left_out():
+    assert total(report("n1", target=5, order=6), report("n2", target=2)).target_requests == 2
+
+
+def test_a_new_holder_starts_from_what_the_record_says():
+    record = msgspec.structs.replace(RECORD, current_requests=90, target_requests=8)
+    summed = total(report("n1", current=10, target=2), record=record)
+    assert (summed.current_requests, summed.target_requests) == (90, 8)
+
+
+def test_a_large_fleet_reports_less_often():
+    assert (report_interval_s(79), report_interval_s(400)) == (REPORT_INTERVAL_S, 4 * REPORT_INTERVAL_S)
+
+
+def reporter(node, holder, members, counting=True):
+    counts = RolloutTally()
+    if counting:
+        counts.begin("svc", 7)
+        counts.by_service["svc"].on_sent(is_target=True)
+    fleet = FleetCounts()
+    return CountsReporter(node, counts, fleet, lambda: holder, lambda: members), fleet
+
+
+def test_a_report_reaches_the_holder_over_a_link(run_async):
+    async def work():
+        holder, fleet = reporter("n1", "n1", {})
+        server = PeerServer({CountsReport: holder.on_report})
+        await server.start("127.0.0.1", 0)
+        sender, _ = reporter("n2", "n1", {"n1": Member("z", server.address)})
+        await sender.step()
+        await holder.step()
+        sender.close()
+        server.close()
+        return fleet.total(RECORD).target_requests
+
+    assert run_async(work()) == 2
+
+
+def test_a_holder_that_cannot_be_reached_costs_nothing_but_the_report(run_async):
+    async def work():
+        sender, fleet = reporter("n2", "n1", {"n1": Member("z", "127.0.0.1:1")})
+        await sender.step()
+        return fleet.total(RECORD).target_requests
+
+    assert run_async(work()) == 1
+
+
+def test_nothing_is_kept_or_sent_while_no_rollout_is_on():
+    async def work():
+        sender, fleet = reporter("n2", "n1", {"n1": Member("z", "127.0.0.1:1")}, counting=False)
+        started_s = time.monotonic()
+        await sender.step()
+        return fleet.total(RECORD).target_requests, time.monotonic() - started_s
+
+    assert run_virtual(work()) == (0, 0.0)
