Rollouts are driven end to end: one holder, records, states, counts

Cause: the driver, its rows and its reports had no tests of their own. The stand-in of the store gives all rows of a transaction one version, as the platform does; workers of the stand-in tell their software.

--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -42,6 +42,9 @@
     def put(self, table, key, value):
         """Write a row; ``value`` is JSON-encoded unless it is None, which deletes."""
         self.version += 1
+        self._put(table, key, value)
+
+    def _put(self, table, key, value):
         if value is None:
             self.rows.pop((table, key), None)
         else:
@@ -83,10 +86,11 @@
         for entry in body["expect_rev"]:
             if self.rows.get((entry["table"], entry["key"]), ("", 0))[1] != entry["ver"]:
                 return web.json_response({"rows": [], "ver": self.version, "now_ms": 0}, status=412)
+        self.version += 1  # One version for all rows of a transaction, as the platform has it.
         for entry in body["put"]:
-            self.put(entry["table"], entry["key"], base64.b64decode(entry["value"]).decode())
+            self._put(entry["table"], entry["key"], base64.b64decode(entry["value"]).decode())
         for entry in body["delete"]:
-            self.put(entry["table"], entry["key"], None)
+            self._put(entry["table"], entry["key"], None)
         if self.lose_writes:
             self.lose_writes -= 1
             request.transport.abort()
@@ -129,9 +133,10 @@
 class WorkerStandIn:
     """A worker that answers as it is told and records what reached it."""
 
-    def __init__(self, incarnation, service="svc"):
+    def __init__(self, incarnation, service="svc", software=""):
         self.incarnation = incarnation
         self.service = service
+        self.software = software
         self.version = 1
         self.orders: list[dict] = []
         self.requests: list[web.Request] = []
@@ -156,6 +161,7 @@
             "service": self.service,
             "addr": self.address,
             "zone": "z1",
+            "version": self.software,
             "slots": 8,
             "state": "draining" if self.draining else "ready",
             "models": [{"name": "m", "version": self.version}],
--- /dev/null
+++ b/tests/unit/rollout/test_driver.py
@@ -0,0 +1,435 @@
+"""The driver over a table with faults: what is decided is written once, whatever becomes of nodes and store."""
+
+import asyncio
+import time
+
+import pytest
+
+from tests.faulty_table import DELAYED, LOST_AFTER, LOST_BEFORE
+from tests.unit.rollout.fleet import LEASE_KEY, RECORD_PREFIX, SHARE, STATUS_PREFIX, SWITCHED_S, play
+from wallwell.deployment.backends import BackendRecord
+from wallwell.emulator.platform_server import ConditionFailed
+from wallwell.errors import TableConflictError
+from wallwell.rollout.driver import CHECKPOINT_S
+from wallwell.rollout.model import Phase, RolloutBounds, RolloutOrder
+from wallwell.rollout.planner import RolloutPlanner
+from wallwell.rollout.reporter import REPORT_INTERVAL_S
+from wallwell.storage.table import Put, Transaction
+
+PHASES = (Phase.CANARY, Phase.SWITCHING)
+
+
+def real_planner():
+    return RolloutPlanner(RolloutBounds())
+
+
+def writers(fleet):
+    return {node.state.node for node in fleet.nodes if node.store.writes}
+
+
+def test_a_good_version_is_brought_to_completion_by_one_node():
+    async def scenario(fleet):
+        fleet.order()
+        await fleet.until_phase(Phase.COMPLETE)
+        return len(writers(fleet)), fleet.status(), fleet.record().barred
+
+    assert play(scenario) == (1, "complete v2", ("v1",))
+
+
+def test_a_bad_version_is_rolled_back_at_every_node():
+    async def scenario(fleet):
+        fleet.order()
+        await fleet.until(lambda: fleet.record() is not None and fleet.record().share == SHARE)
+        fleet.bad.add("v2")
+        await fleet.until_phase(Phase.ROLLED_BACK)
+        await asyncio.sleep(0.1)
+        return fleet.status(), {node.book.effective("svc").phase for node in fleet.nodes}
+
+    assert play(scenario) == ("rolled_back v2", {Phase.ROLLED_BACK})
+
+
+def test_the_status_says_running_soon_after_the_order():
+    async def scenario(fleet):
+        fleet.order()
+        ordered_s = time.monotonic()
+        await fleet.until(lambda: fleet.status() == "running v2")
+        return time.monotonic() - ordered_s
+
+    assert play(scenario) < 1.5
+
+
+def test_without_a_rollout_nothing_is_written_and_no_lease_is_taken():
+    async def scenario(fleet):
+        await asyncio.sleep(5.0)
+        return dict(fleet.model.rows)
+
+    assert play(scenario) == {}
+
+
+def test_after_the_end_nothing_more_is_written():
+    async def scenario(fleet):
+        fleet.order()
+        await fleet.until_phase(Phase.COMPLETE)
+        await asyncio.sleep(0.5)
+        commit = fleet.model.commit
+        await asyncio.sleep(10.0)
+        return fleet.model.commit - commit
+
+    assert play(scenario) == 0
+
+
+def test_while_nothing_changes_a_record_is_written_once_a_second_with_the_requests_so_far():
+    async def scenario(fleet):
+        fleet.order()
+        await fleet.until(lambda: fleet.record() is not None and fleet.record().share == SHARE)
+        for node in fleet.nodes:
+            for _ in range(10):
+                node.book.tally.by_service["svc"].on_sent(is_target=False)
+        before = len(fleet.holder.store.writes)
+        await asyncio.sleep(2 * CHECKPOINT_S)
+        return len(fleet.holder.store.writes) - before, fleet.record().current_requests
+
+    writes, requests = play(scenario)
+    assert writes in (1, 2)
+    assert requests == 30
+
+
+def test_every_node_hears_of_a_watched_rollout_and_of_an_unwatched_one_no_more():
+    async def scenario(fleet):
+        fleet.order()
+        await fleet.until(lambda: fleet.record() is not None and fleet.record().share == SHARE)
+        heard = set()
+        for _ in range(15):
+            await asyncio.sleep(0.1)
+            heard |= {node.book.active["svc"].is_heard(time.monotonic()) for node in fleet.nodes}
+        fleet.kill(fleet.holder)
+        for node in fleet.nodes:
+            node.driver.drain()  # Nobody takes over.
+        await asyncio.sleep(2.5)
+        return heard, {node.book.active["svc"].is_heard(time.monotonic()) for node in fleet.nodes}
+
+    assert play(scenario) == ({True}, {False})
+
+
+@pytest.mark.parametrize("phase", PHASES)
+def test_a_dead_holder_is_followed_by_another_node(phase):
+    async def scenario(fleet):
+        fleet.order()
+        await fleet.until_phase(phase)
+        dead = fleet.holder
+        fleet.kill(dead)
+        killed_s = time.monotonic()
+        await fleet.until(lambda: fleet.holder is not None)
+        took_s = time.monotonic() - killed_s
+        await fleet.until_phase(Phase.COMPLETE)
+        return took_s, fleet.status(), dead.state.node in writers(fleet)
+
+    took_s, status, dead_acts = play(scenario)
+    assert took_s < 3.5
+    assert (status, dead_acts) == ("complete v2", False)
+
+
+def test_a_holder_killed_before_its_first_write_loses_no_order():
+    async def scenario(fleet):
+        async def hang(*_):
+            await asyncio.Event().wait()
+
+        whole = {node: node.store.write for node in fleet.nodes}
+        for node in fleet.nodes:
+            node.store.write = hang
+        fleet.order()
+        await fleet.until(lambda: fleet.holder is not None)
+        fleet.kill(fleet.holder)
+        before = fleet.record()
+        for node in fleet.nodes:
+            node.store.write = whole[node]
+        await fleet.until_phase(Phase.COMPLETE)
+        return before, fleet.status()
+
+    assert play(scenario) == (None, "complete v2")
+
+
+@pytest.mark.parametrize("phase", [*PHASES, Phase.COMPLETE])
+def test_the_record_alone_is_enough_to_go_on_after_all_nodes_were_killed(phase):
+    async def scenario(fleet):
+        fleet.order()
+        await fleet.until_phase(phase)
+        before = fleet.record()
+        fleet.kill_all()
+        await asyncio.sleep(0.5)
+        fleet.start_again()
+        await fleet.until_phase(Phase.COMPLETE)
+        await asyncio.sleep(0.2)
+        return before.ordered_at_s - fleet.record().ordered_at_s, {
+            node.book.effective("svc").phase for node in fleet.nodes
+        }
+
+    assert play(scenario) == (0.0, {Phase.COMPLETE})
+
+
+def test_an_order_given_while_no_node_ran_is_found_at_the_start():
+    async def scenario(fleet):
+        fleet.kill_all()
+        fleet.order()
+        await asyncio.sleep(3.0)
+        fleet.start_again()
+        await fleet.until_phase(Phase.COMPLETE)
+        return fleet.status()
+
+    assert play(scenario) == "complete v2"
+
+
+def test_a_write_of_a_frozen_holder_changes_neither_row_when_it_arrives_late():
+    async def scenario(fleet):
+        fleet.order()
+        await fleet.until_phase(Phase.SWITCHING)
+        frozen = fleet.holder
+        captured = []
+
+        async def hold_back(transaction):
+            captured.append(transaction)
+            await asyncio.Event().wait()
+
+        frozen.table.transact = hold_back
+        await fleet.until(lambda: captured)
+        fleet.kill(frozen)
+        fleet.bad.add("v2")
+        await fleet.until_phase(Phase.ROLLED_BACK)
+        with pytest.raises(ConditionFailed):
+            fleet.model.transact(captured[0])
+        return fleet.status()
+
+    assert play(scenario) == "rolled_back v2"
+
+
+def test_a_thawed_holder_whose_lease_another_took_writes_nothing_even_to_unchanged_rows():
+    async def scenario(fleet):
+        fleet.order()
+        await fleet.until_phase(Phase.CANARY)
+        thawed = fleet.holder
+        lease_version = thawed.driver._lease.held.version
+        fleet.kill(thawed)
+        await fleet.until(lambda: fleet.model.rows[LEASE_KEY].version != lease_version)
+        seen = await thawed.store.read("svc")
+        with pytest.raises(TableConflictError):
+            await thawed.store.write(seen.record, seen, lease_version)
+
+    play(scenario)
+
+
+def test_a_holder_whose_lease_has_run_out_does_not_even_try_to_write():
+    async def scenario(fleet):
+        fleet.order()
+        await fleet.until_phase(Phase.CANARY)
+        holder = fleet.holder
+        holder.lease_table.down = True  # It can write rows, but not renew.
+        await asyncio.sleep(1.6)
+        return time.monotonic() - holder.store.writes[-1][0] if fleet.holder is not holder else 0.0
+
+    assert play(scenario, nodes=1) >= 0.1
+
+
+def test_a_holder_turned_away_by_the_store_is_followed_by_another_node():
+    async def scenario(fleet):
+        fleet.order()
+        await fleet.until_phase(Phase.CANARY)
+        away = fleet.holder
+        away.down()
+        await fleet.until(lambda: fleet.holder is not None and fleet.holder is not away)
+        await fleet.until_phase(Phase.COMPLETE)
+        away.down(False)
+        await asyncio.sleep(0.5)
+        return fleet.status(), away.book.effective("svc").phase
+
+    assert play(scenario) == ("complete v2", Phase.COMPLETE)
+
+
+@pytest.mark.parametrize("fault", [LOST_BEFORE, LOST_AFTER, DELAYED])
+@pytest.mark.parametrize("phase", [None, Phase.SWITCHING])
+def test_a_write_whose_answer_was_lost_is_resolved_by_reading_back(fault, phase):
+    async def scenario(fleet):
+        if phase is None:
+            for node in fleet.nodes:
+                node.table.faults.extend(["ok", "ok", fault])  # Two readings, then the first write.
+            fleet.order()
+        else:
+            fleet.order()
+            await fleet.until_phase(phase)
+            fleet.holder.table.faults.append(fault)
+        await fleet.until_phase(Phase.COMPLETE)
+        return fleet.status(), fleet.record().target_version
+
+    assert play(scenario) == ("complete v2", "v2")
+
+
+def test_a_row_that_somebody_else_has_changed_is_read_again():
+    async def scenario(fleet):
+        fleet.order()
+        await fleet.until_phase(Phase.CANARY)
+        fleet.model.transact(Transaction((), (Put(STATUS_PREFIX + "svc", "meddled with"),)))
+        await fleet.until_phase(Phase.COMPLETE)
+        return fleet.status()
+
+    assert play(scenario) == "complete v2"
+
+
+def test_a_second_order_takes_the_first_target_out_and_starts_anew():
+    async def scenario(fleet):
+        for node in fleet.nodes:
+            node.list_backends("svc", "v3", 4)
+        fleet.order("v2")
+        await fleet.until_phase(Phase.SWITCHING)
+        fleet.order("v3")
+        first_gets = {
+            each.record.software
+            for node in fleet.nodes
+            for each in node.book.active["svc"].taking(node.state.backends.of_service("svc"), time.monotonic())
+        }
+        await fleet.until(lambda: fleet.record().target_version == "v3")
+        status = fleet.status()
+        await fleet.until_phase(Phase.COMPLETE)
+        return first_gets, status, fleet.status(), set(fleet.record().barred)
+
+    assert play(scenario) == ({"v1"}, "running v3", "complete v3", {"v1", "v2"})
+
+
+def test_the_same_order_given_again_starts_anew_without_barring_its_target():
+    async def scenario(fleet):
+        fleet.order("v2")
+        await fleet.until_phase(Phase.SWITCHING)
+        fleet.order("v2")
+        await fleet.until(lambda: fleet.record().order == fleet.orders[-1].store_version)
+        opened = fleet.record()
+        await fleet.until_phase(Phase.COMPLETE)
+        return opened.phase, opened.barred, fleet.status()
+
+    assert play(scenario) == (Phase.CANARY, (), "complete v2")
+
+
+def test_a_version_that_was_rolled_back_may_be_ordered_again():
+    async def scenario(fleet):
+        fleet.bad.add("v2")
+        fleet.order("v2")
+        await fleet.until_phase(Phase.ROLLED_BACK)
+        fleet.bad.clear()
+        fleet.order("v2")
+        await fleet.until_phase(Phase.COMPLETE)
+        return fleet.status()
+
+    assert play(scenario) == "complete v2"
+
+
+def test_a_target_equal_to_what_runs_is_complete():
+    async def scenario(fleet):
+        fleet.order("v1", duration_s=10.0)
+        await fleet.until_phase(Phase.COMPLETE)
+        return fleet.status(), len(fleet.nodes[0].book.active["svc"].taking(backends(fleet), time.monotonic()))
+
+    assert play(scenario, versions=("v1",), make_planner=real_planner) == ("complete v1", 4)
+
+
+def backends(fleet):
+    return fleet.nodes[0].state.backends.of_service("svc")
+
+
+def test_a_version_of_which_no_back_end_ever_comes_is_rolled_back_and_the_current_one_serves():
+    async def scenario(fleet):
+        fleet.order("v2", duration_s=10.0)
+        await fleet.until_phase(Phase.ROLLED_BACK)
+        return fleet.status(), len(fleet.nodes[0].book.active["svc"].taking(backends(fleet), time.monotonic()))
+
+    assert play(scenario, versions=("v1",), make_planner=real_planner) == ("rolled_back v2", 4)
+
+
+def test_two_services_are_rolled_out_at_once():
+    async def scenario(fleet):
+        fleet.order("v2", "svc")
+        await asyncio.sleep(0.5)
+        fleet.order("v2", "other")
+        await fleet.until_phase(Phase.COMPLETE, "svc")
+        await fleet.until_phase(Phase.COMPLETE, "other")
+        return fleet.status("svc"), fleet.status("other"), len(writers(fleet))
+
+    assert play(scenario, services=("svc", "other")) == ("complete v2", "complete v2", 1)
+
+
+def test_a_store_down_at_the_deadline_is_written_to_when_it_is_back():
+    async def scenario(fleet):
+        fleet.order("v2")
+        await fleet.until_phase(Phase.SWITCHING)
+        await asyncio.sleep(0.1)
+        for node in fleet.nodes:
+            node.down()
+        await asyncio.sleep(SWITCHED_S + 5.0)
+        during = fleet.record().phase, {node.book.effective("svc").phase for node in fleet.nodes}
+        for node in fleet.nodes:
+            node.down(False)
+        back_s = time.monotonic()
+        await fleet.until_phase(Phase.COMPLETE)
+        return during, time.monotonic() - back_s < 3.0, fleet.status()
+
+    assert play(scenario) == ((Phase.SWITCHING, {Phase.SWITCHING}), True, "complete v2")
+
+
+def test_an_order_for_an_unknown_service_waits_until_the_service_is_known():
+    async def scenario(fleet):
+        fleet.order("v2", "later")
+        await asyncio.sleep(3.0)
+        before = dict(fleet.model.rows)
+        for node in fleet.nodes:
+            node.state.backends.upsert(BackendRecord("l-0", "later", "l-0:80", "z", 8, software="v1"))
+        await fleet.until(lambda: fleet.status("later") == "running v2")
+        return before
+
+    assert play(scenario) == {}
+
+
+def test_a_new_holder_decides_nothing_before_all_nodes_have_reported():
+    async def scenario(fleet):
+        fleet.order()
+        await fleet.until(lambda: fleet.record() is not None and fleet.record().share == SHARE)
+        for node in fleet.nodes:
+            for _ in range(10):
+                node.book.tally.by_service["svc"].on_sent(is_target=False)
+        fleet.kill(fleet.holder)
+        await fleet.until(lambda: fleet.holder is not None)
+        taken_s = time.monotonic()
+        planner = fleet.holder.planner
+        await fleet.until(lambda: planner.asked)
+        return time.monotonic() - taken_s, planner.asked[0][1]
+
+    waited_s, requests = play(scenario)
+    assert waited_s >= 2 * REPORT_INTERVAL_S
+    assert requests >= 20
+
+
+def test_a_draining_node_takes_no_lease():
+    async def scenario(fleet):
+        for node in fleet.nodes[:2]:
+            node.driver.drain()
+        fleet.order()
+        await fleet.until_phase(Phase.COMPLETE)
+        return writers(fleet)
+
+    assert play(scenario) == {"n2"}
+
+
+def test_a_record_that_cannot_be_read_disturbs_nothing():
+    async def scenario(fleet):
+        fleet.model.transact(Transaction((), (Put(RECORD_PREFIX + "broken", "no record"),)))
+        fleet.order()
+        await fleet.until_phase(Phase.COMPLETE)
+        return fleet.status()
+
+    assert play(scenario) == "complete v2"
+
+
+def test_the_order_is_the_one_that_was_given_last_whatever_came_first():
+    async def scenario(fleet):
+        fleet.order("v2")
+        older = RolloutOrder("svc", "v0", 20.0, 0)
+        assert not any(node.book.on_order(older, time.monotonic()) for node in fleet.nodes)
+        await fleet.until_phase(Phase.COMPLETE)
+        return fleet.status()
+
+    assert play(scenario) == "complete v2"
