Rollouts: slowness in the switch must last, the worst back end counts as the others

Cause: drawn rollouts showed good versions rolled back by one sick target machine, by overloads of both sides that lay in the span of a test, and strong badness of small services passed for want of answers.

Change: allowed rates by the span of each test; the worst of three or more target back ends counts as no worse than the others on its route; slowness during the switch must last 2 s; little evidence holds up the end.

--- a/src/wallwell/rollout/evidence.py
+++ b/src/wallwell/rollout/evidence.py
@@ -15,7 +15,8 @@
 from wallwell.rollout.totals import Key, Totals
 
 BACKENDS_TO_LEAVE_ONE_OUT = 3
-"""Target back ends with answers from which the worst one is left out: a sick machine condemns no version."""
+"""Target back ends with answers from which the worst one counts as no worse than the others: a sick machine
+condemns no version."""
 USUAL_PART = 0.9
 """Part of the current side's answers that is called usual; answers beyond theirs by a factor are late."""
 SLOW_SLACK_FACTOR = 1.25
@@ -32,7 +33,11 @@
 """The recent part of late answers of the current side above that of all, from which it counts as overloaded."""
 OVERLOAD_DISCOUNT = 0.5
 """What evidence of slowness counts for while the current side is overloaded as well."""
-STARTS = 32
+NOW_S = 0.9
+"""Least span of answers that say how it is now: counts of all nodes come within a second."""
+NOW_ANSWERS = 60
+"""Least answers of the target side in such a span to say that it is not slow."""
+STARTS = 64
 """Starts of tests beside the order's, over twice the duration."""
 SHORTEST_START_STEP_S = 0.5
 """Least time between two starts: counts arrive every 0.3 s."""
@@ -51,13 +56,14 @@
     cold_buckets: int = 0
 
 
-MEASURES = (
-    Measure("failed", ""),
+FAILURES = (Measure("failed", ""),)
+SLOWNESS = (
     Measure("late", "first_delays", 1, 2),
     Measure("very late", "first_delays", 3, 2),
     Measure("slow pieces", "piece_gaps", 1),
     Measure("very slow pieces", "piece_gaps", 3),
 )
+MEASURES = len(FAILURES) + len(SLOWNESS)
 GENERATION_BUCKETS = 1
 """Beyond the usual, for first pieces of generations: a cold cache alone may make them later by up to 1.4."""
 
@@ -82,10 +88,32 @@
 class _Sums:
     """Bad and all answers of a test, and how many bad ones the null rates allow."""
 
-    events: int = 0
+    events: float = 0.0
     answers: int = 0
     allowed: float = 0.0
 
+    @property
+    def excess(self) -> float:
+        """Bad answers beyond the allowed."""
+        return self.events - self.allowed
+
+    def add(self, events: float, answers: int, null_rate: float) -> None:
+        """Add answers of which ``null_rate`` may be bad."""
+        self.events += events
+        self.answers += answers
+        self.allowed += null_rate * answers
+
+
+@dataclass(frozen=True)
+class _Basis:
+    """What one measure sees of a route by now: bucket beyond which answers are bad, the rate of bad answers that is
+    allowed, and bad and all answers of each target back end."""
+
+    route: str
+    bucket: int
+    null_rate: float
+    counted: list[tuple[Key, int, int]]
+
 
 class EvidenceLog:
     """Keeps totals of past times, as starts of tests, and judges the newest ones."""
@@ -94,6 +122,7 @@
         self._step_s = max(SHORTEST_START_STEP_S, 2.0 * duration_s / STARTS)
         self._starts: dict[int, Totals] = {}
         self._newest = Totals(RolloutCounts(0), 0.0)
+        self._forgotten: Totals | None = None
 
     @property
     def newest(self) -> Totals:
@@ -108,38 +137,51 @@
             self._starts[step] = self._newest
             self._starts = {at: kept for at, kept in self._starts.items() if _is_kept(step, at)}
 
-    def verdict(self, is_switching: bool) -> Verdict:
+    def verdict(self, measures: tuple[Measure, ...], is_switching: bool) -> Verdict:
         """Judge the newest totals; ``is_switching`` allows first pieces of generations what cold caches cost."""
-        routes = self._newest.current_routes()
-        windows: list[tuple[Totals | None, float]] = [(None, math.log(0.5))]
-        windows += [(start, math.log(0.5 / STARTS)) for start in self._starts.values() if start is not self._newest]
+        first = self._forgotten if measures is SLOWNESS else None
+        windows = [(first, math.log(0.5 / MEASURES))]
+        starts = [each for each in self._starts.values() if first is None or each.at_s > first.at_s]
+        windows += [(start, math.log(0.5 / STARTS / MEASURES)) for start in starts if start is not self._newest]
         best = Verdict()
-        for measure in MEASURES:
+        for measure in measures:
+            bases = self._bases(measure, is_switching)
             for start, log_weight in windows:
-                best = self._judge(measure, start, log_weight - math.log(len(MEASURES)), routes, is_switching, best)
+                best = self._judge(measure, bases, start, log_weight, best)
         return best
 
+    def slowness_has_passed(self) -> bool:
+        """Whether enough answers of the last second or two alone, while the service moves, show no slowness."""
+        earlier = [each for each in self._starts.values() if self._newest.at_s - each.at_s >= NOW_S]
+        start = max(earlier, key=lambda each: each.at_s, default=None)
+        if start is None or self._newest.target_answers - start.target_answers < NOW_ANSWERS:
+            return False
+        return all(
+            self._judge(measure, self._bases(measure, True), start, 0.0, Verdict()).strongest_single <= 0.0
+            for measure in SLOWNESS
+        )
+
+    def forget_slowness(self) -> None:
+        """Take slowness up to now for a passing one: only later answers count."""
+        self._forgotten = self._newest
+
+    def _bases(self, measure: Measure, cold: bool) -> list[_Basis]:
+        found = (self._basis(measure, route, cold) for route in self._newest.current_routes())
+        return [basis for basis in found if basis is not None]
+
     def _judge(
-        self,
-        measure: Measure,
-        start: Totals | None,
-        log_weight: float,
-        routes: list[str],
-        cold: bool,
-        best: Verdict,
+        self, measure: Measure, bases: list[_Basis], start: Totals | None, log_weight: float, best: Verdict
     ) -> Verdict:
         """Return the worse of ``best`` and what one measure says since ``start``, by route and over all."""
         together = _Sums()
-        route_weight = log_weight - math.log(2 * max(len(routes), 1))
-        for route in routes:
-            sums = self._sums(measure, start, route, cold)
-            if sums is None:
-                continue
+        route_weight = log_weight - math.log(2 * max(len(bases), 1))
+        nulls = [self._null_since(start, measure, basis) for basis in bases]
+        for basis, sums in zip(bases, _since(start, measure, bases, nulls), strict=True):
             together.events += sums.events
             together.answers += sums.answers
             together.allowed += sums.allowed
-            best = self._worse(best, measure, route, sums, route_weight)
-        if len(routes) > 1:
+            best = self._worse(best, measure, basis.route, sums, route_weight)
+        if len(bases) > 1:
             best = self._worse(best, measure, "", together, log_weight - math.log(2))
         return best
 
@@ -149,7 +191,7 @@
         single = log_evidence(sums.events, sums.answers, sums.allowed / sums.answers)
         if measure.field and self._overloaded(measure, route):
             single *= OVERLOAD_DISCOUNT
-        excess = sums.events - sums.allowed
+        excess = sums.excess
         strongest, strongest_excess = best.strongest_single, best.single_excess
         if single > strongest:
             strongest, strongest_excess = single, excess
@@ -158,26 +200,15 @@
             return Verdict(weighted, measure.name, route, excess, strongest, strongest_excess)
         return Verdict(best.log_evidence, best.measure, best.route, best.excess, strongest, strongest_excess)
 
-    def _sums(self, measure: Measure, start: Totals | None, route: str, cold: bool) -> _Sums | None:
-        """Return bad and all answers of the target side on a route since ``start``; None if nothing can be said."""
+    def _basis(self, measure: Measure, route: str, cold: bool) -> _Basis | None:
+        """Return what one measure sees of a route by now; None if nothing can be said."""
         bucket = self._late_bucket(measure, route, cold)
         if bucket is None:
             return None
-        null_rate = self._null_rate(measure, route, bucket)
-        parts: list[tuple[int, int]] = []
-        for key in self._newest.targets.get(route, ()):
-            events, answers = _counted(self._newest, measure, key, bucket)
-            if start is not None:
-                before_events, before_answers = _counted(start, measure, key, bucket)
-                answers -= before_answers
-                events = min(max(events - before_events, 0), answers)
-            if answers > 0:
-                parts.append((events, answers))
-        if len(parts) >= BACKENDS_TO_LEAVE_ONE_OUT:
-            parts.remove(max(parts, key=lambda part: part[0] - null_rate * part[1]))
-        events = sum(part[0] for part in parts)
-        answers = sum(part[1] for part in parts)
-        return _Sums(events, answers, null_rate * answers)
+        counted = [
+            (key, *_counted(self._newest, measure, key, bucket)) for key in self._newest.targets.get(route, ())
+        ]
+        return _Basis(route, bucket, self._null_rate(measure, route, bucket), counted)
 
     def _late_bucket(self, measure: Measure, route: str, cold: bool) -> int | None:
         if not measure.field:
@@ -194,14 +225,19 @@
 
     def _null_rate(self, measure: Measure, route: str, bucket: int) -> float:
         """Return what the target side's rate may be at most by the current side's, over all and of late."""
-        events, answers = _counted(self._newest, measure, (route, False, ""), bucket)
-        rate = upper_rate(events, answers)
-        recent = self._recent(measure, route, bucket)
-        if recent is not None:
-            rate = max(rate, recent)
-        if measure.field:
-            return rate * SLOW_SLACK_FACTOR + SLOW_SLACK
-        return rate + FAILED_SLACK
+        rate = upper_rate(*_counted(self._newest, measure, (route, False, ""), bucket))
+        return _with_slack(measure, max(rate, self._recent(measure, route, bucket) or 0.0))
+
+    def _null_since(self, start: Totals | None, measure: Measure, basis: _Basis) -> float:
+        """Return the same for answers since ``start``: an overload of both sides may lie in just that span."""
+        if start is None:
+            return basis.null_rate
+        key: Key = (basis.route, False, "")
+        newest = (key, *_counted(self._newest, measure, key, basis.bucket))
+        _, events, answers = _less(start, measure, basis, newest)
+        if answers < RECENT_ANSWERS:
+            return basis.null_rate
+        return max(basis.null_rate, _with_slack(measure, events / answers))
 
     def _recent(self, measure: Measure, route: str, bucket: int) -> float | None:
         """Return the current side's rate of bad answers of late; None if too few answers say so."""
@@ -229,6 +265,53 @@
         return False
 
 
+def _since(start: Totals | None, measure: Measure, bases: list[_Basis], nulls: list[float]) -> list[_Sums]:
+    """Return bad and all answers of the target side since ``start``, by route, with ``nulls`` the allowed rates.
+
+    Where enough back ends answered, the one with most bad answers beyond the allowed counts as no worse than the
+    others. Lowering a count keeps the test valid; leaving the back end out would cost a third of three's answers.
+    """
+    counted: list[list[tuple[Key, int, int]]] = []
+    backends: dict[str, _Sums] = {}
+    for basis, null_rate in zip(bases, nulls, strict=True):
+        seen = basis.counted if start is None else [_less(start, measure, basis, each) for each in basis.counted]
+        counted.append(seen)
+        for key, events, answers in seen:
+            if answers:
+                backends.setdefault(key[2], _Sums()).add(events, answers, null_rate)
+    worst = ""
+    if len(backends) >= BACKENDS_TO_LEAVE_ONE_OUT:
+        worst = max(backends, key=lambda each: backends[each].excess)
+    return [_without_worst(seen, worst, null_rate) for null_rate, seen in zip(nulls, counted, strict=True)]
+
+
+def _without_worst(seen: list[tuple[Key, int, int]], worst: str, null_rate: float) -> _Sums:
+    """Return the sums of a route with ``worst`` no worse than the others there."""
+    sums = _Sums()
+    worst_events = worst_answers = 0
+    for key, events, answers in seen:
+        if key[2] == worst:
+            worst_events, worst_answers = events, answers
+        else:
+            sums.add(events, answers, null_rate)
+    usual = sums.events / sums.answers if sums.answers else null_rate
+    sums.add(min(worst_events, usual * worst_answers), worst_answers, null_rate)
+    return sums
+
+
+def _less(start: Totals, measure: Measure, basis: _Basis, newest: tuple[Key, int, int]) -> tuple[Key, int, int]:
+    """Return bad and all answers of a back end since ``start``. A new holder may know fewer than there were."""
+    key, events, answers = newest
+    before_events, before_answers = _counted(start, measure, key, basis.bucket)
+    answers = max(answers - before_answers, 0)
+    return key, min(max(events - before_events, 0), answers), answers
+
+
+def _with_slack(measure: Measure, rate: float) -> float:
+    """Return a rate of bad answers of the current side with what the target side may have beyond."""
+    return rate * SLOW_SLACK_FACTOR + SLOW_SLACK if measure.field else rate + FAILED_SLACK
+
+
 def _counted(totals: Totals, measure: Measure, key: Key, bucket: int) -> tuple[int, int]:
     """Return bad and all answers of a key by a measure."""
     if not measure.field:
--- a/src/wallwell/rollout/likelihood.py
+++ b/src/wallwell/rollout/likelihood.py
@@ -28,7 +28,7 @@
     return min(1.0, (centre + spread) / (answers + square))
 
 
-def log_evidence(events: int, answers: int, null_rate: float) -> float:
+def log_evidence(events: float, answers: int, null_rate: float) -> float:
     """Return the log of the mixture's likelihood ratio, by its greatest term; ``-inf`` below the null rate.
 
     Answers of several routes may be added up with the mean of their null rates: the mean of a product of factors
--- a/src/wallwell/rollout/planner.py
+++ b/src/wallwell/rollout/planner.py
@@ -9,7 +9,7 @@
 import math
 from dataclasses import dataclass, field
 
-from wallwell.rollout.evidence import EvidenceLog, Verdict, answers_short
+from wallwell.rollout.evidence import FAILURES, SLOWNESS, EvidenceLog, Verdict, answers_short
 from wallwell.rollout.exposure import Exposure, Traffic, TrafficLog, plan_exposure
 from wallwell.rollout.model import (
     Capacity,
@@ -22,12 +22,20 @@
 
 LOG_BAD = math.log(2_000)
 """Evidence that rolls back. By Ville's inequality a good version meets it in at most 1 of 2,000 rollouts."""
-LOG_SUSPECT = math.log(3)
-"""Evidence that holds up the switch and the end, but does not roll back."""
+LOG_SUSPECT = -4.0
+"""Evidence, after all weights, that holds up the switch and the end, but does not roll back. Of drawn good versions
+fewer than 1 in 100 have as much at their end."""
 LOG_BAD_MANY = math.log(3_000)
 """Evidence of a single test, without its weight, that rolls back together with :data:`MANY_BAD`."""
 MANY_BAD = 20.0
 """Bad answers beyond the expected, of the 50 after which operators want no more."""
+PERSISTENCE_S = 2.0
+"""Slowness must last so long in the switch, where no answers of the current side tell it from an overload of all.
+With the lags of counts and row it leaves a second of the five within which operators want a bad version stopped."""
+CANARY_BACKENDS = 3
+"""Target back ends from which the canary begins: fewer do not tell a sick machine from a bad version."""
+CANARY_WAIT_PART = 0.2
+"""Part of the duration for which the canary waits for them."""
 ANSWERS_TO_SWITCH = 16
 ANSWERS_TO_COMPLETE = 24
 """Whole answers of the target side over all routes."""
@@ -37,6 +45,8 @@
 """Target places by current ones that can bear all requests."""
 COMPLETE_MARGIN_S = 0.6
 """Time before the deadline at which a good rollout ends: two decisions, a write to a slow store and its spread."""
+LAST_DECISION_S = 0.4
+"""Time before the deadline at which the next decision would come too late: the canary ends without a switch."""
 SETTLE_S = 2.0
 """Least time in the switch where no deadline ends it: answers at full load are counted about a second later."""
 DRAIN_S = 5.0
@@ -57,6 +67,8 @@
     evidence: EvidenceLog
     traffic: TrafficLog = field(default_factory=TrafficLog)
     has_target: bool = False
+    slow_since_s: float = math.inf
+    has_forgiven: bool = False
     switching_since_s: float = math.inf
 
 
@@ -67,7 +79,8 @@
     record: RolloutRecord
     capacity: Capacity
     traffic: Traffic
-    verdict: Verdict
+    failures: Verdict
+    slowness: Verdict
     exposure: Exposure
     answered: int
     short_routes: dict[str, int]
@@ -75,11 +88,9 @@
     left_s: float
 
     @property
-    def is_bad(self) -> bool:
-        """Whether the version is bad without much doubt."""
-        if self.verdict.log_evidence >= LOG_BAD:
-            return True
-        return self.verdict.single_excess >= MANY_BAD and self.verdict.strongest_single >= LOG_BAD_MANY
+    def verdict(self) -> Verdict:
+        """The worse of both verdicts."""
+        return max(self.failures, self.slowness, key=lambda each: each.log_evidence)
 
     def doubts(self, least_answers: int) -> str:
         """Return why the version cannot be called good; empty if it can."""
@@ -111,7 +122,7 @@
         phase, reason = self._ending(memory, view)
         if phase is None:
             phase, reason = self._going_on(memory, view)
-        share = 0.0 if phase is Phase.ROLLED_BACK else view.exposure.share
+        share = 0.0 if phase is Phase.ROLLED_BACK or _waits_for_backends(view) else view.exposure.share
         if phase in (Phase.SWITCHING, Phase.COMPLETE):
             share = 1.0
         return RolloutDecision(phase, share, reason, _inputs(view))
@@ -133,7 +144,8 @@
         traffic = memory.traffic.observe(since_s, current, target)
         memory.evidence.observe(counts, since_s)
         memory.has_target = memory.has_target or capacity.target_backends > 0 or target > 0
-        if record.phase is Phase.SWITCHING:
+        is_switching = record.phase is Phase.SWITCHING
+        if is_switching:
             memory.switching_since_s = min(memory.switching_since_s, now_s)
         totals = memory.evidence.newest
         left_s = record.deadline_s - now_s
@@ -141,9 +153,10 @@
             record=record,
             capacity=capacity,
             traffic=traffic,
-            verdict=memory.evidence.verdict(record.phase is Phase.SWITCHING),
+            failures=memory.evidence.verdict(FAILURES, is_switching),
+            slowness=memory.evidence.verdict(SLOWNESS, is_switching),
             exposure=plan_exposure(self._bounds, traffic, left_s, record.share),
-            answered=sum(totals.answered(route, True) for route in totals.targets),
+            answered=totals.target_answers,
             short_routes=answers_short(totals, ROUTE_ANSWERS),
             since_s=since_s,
             left_s=left_s,
@@ -151,9 +164,9 @@
 
     def _ending(self, memory: _Memory, view: _View) -> tuple[Phase | None, str]:
         """Return the end that is due whatever the phase."""
-        if view.is_bad:
-            verdict = view.verdict
-            return Phase.ROLLED_BACK, f"{verdict.measure} on {verdict.route or 'all routes'}"
+        bad = _bad(memory, view)
+        if bad is not None:
+            return Phase.ROLLED_BACK, f"{bad.measure} on {bad.route or 'all routes'}"
         if not memory.has_target and view.left_s < -MISSING_GRACE_S:
             return Phase.ROLLED_BACK, "no back end of the target version"
         if _runs_already(view):
@@ -172,6 +185,37 @@
         return _switching(view, now_s - memory.switching_since_s)
 
 
+def _bad(memory: _Memory, view: _View) -> Verdict | None:
+    """Return the verdict of a version that is bad without much doubt; None otherwise."""
+    if _is_bad(view.failures):
+        return view.failures
+    if not _is_bad(view.slowness):
+        memory.slow_since_s = math.inf
+        return None
+    if view.record.phase is not Phase.SWITCHING:
+        return view.slowness
+    memory.slow_since_s = min(memory.slow_since_s, view.since_s)
+    if not memory.has_forgiven and memory.evidence.slowness_has_passed():
+        memory.has_forgiven = True
+        memory.evidence.forget_slowness()
+        return None
+    return view.slowness if view.since_s - memory.slow_since_s >= PERSISTENCE_S else None
+
+
+def _is_bad(verdict: Verdict) -> bool:
+    """Whether evidence is enough to roll back."""
+    if verdict.log_evidence >= LOG_BAD:
+        return True
+    return verdict.single_excess >= MANY_BAD and verdict.strongest_single >= LOG_BAD_MANY
+
+
+def _waits_for_backends(view: _View) -> bool:
+    """Whether the canary waits until enough target back ends share it."""
+    if view.record.phase is not Phase.CANARY or view.capacity.target_backends >= CANARY_BACKENDS:
+        return False
+    return view.since_s < CANARY_WAIT_PART * view.record.duration_s
+
+
 def _canary(view: _View) -> tuple[Phase, str]:
     """Return whether the switch begins."""
     hindrance = view.doubts(ANSWERS_TO_SWITCH) or _lacking_places(view)
@@ -179,6 +223,8 @@
         return Phase.CANARY, hindrance or "good so far"
     if hindrance:
         return Phase.CANARY, hindrance
+    if 0.0 < view.left_s <= LAST_DECISION_S and view.answered >= ANSWERS_TO_COMPLETE:
+        return Phase.COMPLETE, "good, the deadline is near"
     return Phase.SWITCHING, "good, what is left of the bound covers the rest"
 
 
--- a/src/wallwell/rollout/totals.py
+++ b/src/wallwell/rollout/totals.py
@@ -59,6 +59,7 @@
             self.by_key[key] = each
             if each.is_target:
                 self.targets.setdefault(each.route, []).append(key)
+        self.target_answers = sum(each.answered for key, each in self.by_key.items() if key[1])
         self._beyond: dict[tuple[Key, str, int], tuple[int, int]] = {}
 
     def current_routes(self) -> list[str]:
--- /dev/null
+++ b/tests/unit/rollout/drawn_rollouts.py
@@ -0,0 +1,564 @@
+"""Rollouts with drawn arrivals and answers in passed time, for the property test of the planner.
+
+Arrivals, sides, answers and delays are drawn by tick and by cell (route, side, back end). Nodes know a row after a
+lag, the planner knows counts after another. ``python -m tests.unit.rollout.drawn_rollouts --rollouts 10000`` prints
+how often versions were completed and rolled back, by kind and by rate.
+"""
+
+from __future__ import annotations
+
+import argparse
+import itertools
+import math
+import random
+from collections import Counter, defaultdict
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from functools import cache
+
+import msgspec
+
+from wallwell.rollout.model import (
+    BUCKETS_PER_DOUBLING,
+    AnswerCounts,
+    Capacity,
+    Phase,
+    RolloutBounds,
+    RolloutCounts,
+    RolloutRecord,
+)
+from wallwell.rollout.planner import RolloutPlanner
+
+TICK_S = 0.15
+TICKS_A_DECISION = 2
+BOUNDS = RolloutBounds()
+CALL_DELAY_S = 0.03
+LEAST_CANARY_BACKENDS = 3
+PLACES = 8
+NORMAL_FROM = 60
+"""Draws from which a count is drawn by the normal distribution."""
+FAULTS = ("none", "crash", "sick target", "sick current", "lost answers", "weights load", "overload", "late start")
+KINDS = ("failures", "slowness")
+
+
+@dataclass(frozen=True)
+class Route:
+    """A route: its part of requests, failures by nature, median and spread of delays, time to the whole answer."""
+
+    name: str
+    part: float
+    failing: float
+    first_delay_s: float
+    spread: float
+    piece_gap_s: float
+    latency_s: float
+
+
+@dataclass(frozen=True)
+class Badness:
+    """How a version is bad. ``part`` of answers fail, or are ``factor`` times slower, from ``from_s`` on."""
+
+    kind: str
+    part: float
+    factor: float
+    from_s: float
+    route: str = ""
+    above_load: float = 0.0
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """All that is drawn before a rollout begins."""
+
+    seed: int
+    rate: float
+    nodes: int
+    duration_s: float
+    routes: Sequence[Route]
+    current_backends: int
+    target_backends: int
+    fault: str
+    fault_at_s: float
+    fault_span_s: float
+    cold_factor: float
+    wave_part: float
+    wave_span_s: float
+    load_change: float
+    load_change_at_s: float
+    load_change_span_s: float
+    holder_changes_at_s: float
+    bad: Badness | None
+
+    @property
+    def row_lag_s(self) -> float:
+        """Time until the last node knows a row."""
+        return 0.05 + 0.55 * self.nodes / 410
+
+    @property
+    def count_lag_s(self) -> float:
+        """Age of the counts that the planner sees."""
+        return 0.3 + 0.7 * self.nodes / 410
+
+    def load(self, at_s: float) -> float:
+        """Return the rate at a time by the mean one."""
+        load = 1.0 + self.wave_part * math.sin(2 * math.pi * at_s / self.wave_span_s)
+        if 0.0 <= at_s - self.load_change_at_s < self.load_change_span_s:
+            load *= self.load_change
+        return load
+
+
+def draw_scenario(seed: int, is_bad: bool) -> Scenario:
+    """Draw a rollout over all rates, sizes and durations that are planned for."""
+    generator = random.Random(seed)
+    rate = math.exp(generator.uniform(math.log(20), math.log(3_300)))
+    scale = math.log(rate / 20) / math.log(165)
+    nodes = max(3, min(410, round(3 * math.exp(scale * math.log(137) * generator.uniform(0.6, 1.1)))))
+    duration = generator.uniform(8, 60)
+    routes = _draw_routes(generator)
+    change = generator.choice([1.0, 1.0, 0.5, 2.0])
+    return Scenario(
+        seed=seed,
+        rate=rate,
+        nodes=nodes,
+        duration_s=duration,
+        routes=routes,
+        current_backends=(backends := generator.randint(4, 30)),
+        target_backends=backends,
+        fault="none" if is_bad and generator.random() < 0.5 else generator.choice(FAULTS),
+        fault_at_s=generator.uniform(0.0, duration),
+        fault_span_s=generator.uniform(1.0, 4.0),
+        cold_factor=generator.uniform(1.0, 1.3),
+        wave_part=generator.uniform(0.0, 0.25),
+        wave_span_s=generator.uniform(2.0, 20.0),
+        load_change=change,
+        load_change_at_s=generator.uniform(0.0, duration),
+        load_change_span_s=generator.uniform(1.0, 5.0) if change > 1.0 else math.inf,
+        holder_changes_at_s=generator.uniform(0.0, duration) if generator.random() < 0.2 else math.inf,
+        bad=_draw_badness(generator, routes, duration) if is_bad else None,
+    )
+
+
+def _draw_routes(generator: random.Random) -> list[Route]:
+    weights = [generator.uniform(0.2, 1.0) for _ in range(generator.randint(1, 4))]
+    routes = []
+    for number, weight in enumerate(weights):
+        is_generation = generator.random() < 0.5
+        is_lookup = not is_generation and generator.random() < 0.5
+        routes.append(
+            Route(
+                f"r{number}",
+                weight / sum(weights),
+                0.14 if is_lookup else 0.004,
+                generator.uniform(0.05, 0.3) if is_generation else CALL_DELAY_S,
+                generator.uniform(0.2, 0.6),
+                0.02 if is_generation else 0.0,
+                generator.uniform(0.3, 2.0) if is_generation else CALL_DELAY_S,
+            )
+        )
+    return routes
+
+
+def _draw_badness(generator: random.Random, routes: Sequence[Route], duration_s: float) -> Badness:
+    kind = generator.choice(KINDS)
+    return Badness(
+        kind,
+        generator.uniform(0.05, 0.6) if kind == "failures" else generator.uniform(0.2, 1.0),
+        generator.uniform(2.0, 8.0),
+        generator.choice([0.0, generator.uniform(0.0, duration_s)]),
+        generator.choice(["", generator.choice(routes).name]),
+        generator.choice([0.0, 0.0, generator.uniform(0.8, 1.1)]),
+    )
+
+
+@cache
+def _delays(median_s: float, spread: float, factor: float) -> tuple[list[int], list[float], list[float]]:
+    """Return buckets of a log-normal delay, their parts and the running sums of these."""
+    middle = BUCKETS_PER_DOUBLING * math.log2(median_s * factor / 0.001)
+    deviation = BUCKETS_PER_DOUBLING * spread / math.log(2)
+    buckets = [at for at in range(math.floor(middle - 4 * deviation), math.ceil(middle + 4 * deviation)) if at >= 0]
+    below = [0.5 * math.erfc(-(at - middle) / deviation / math.sqrt(2)) for at in [*buckets, buckets[-1] + 1]]
+    parts = [later - earlier for earlier, later in itertools.pairwise(below)]
+    total = sum(parts)
+    parts = [part / total for part in parts]
+    running = [sum(parts[: at + 1]) for at in range(len(parts))]
+    return buckets, parts, running
+
+
+class Draws:
+    """Counts drawn from a seeded generator."""
+
+    def __init__(self, seed: int) -> None:
+        self._generator = random.Random(seed)
+
+    def some(self, number: int, part: float) -> int:
+        """Return how many of ``number`` come out with a chance of ``part`` each."""
+        if number <= 0 or part <= 0.0:
+            return 0
+        if part >= 1.0:
+            return number
+        variance = number * part * (1 - part)
+        if number > NORMAL_FROM and variance > 9.0:
+            return min(number, max(0, round(self._generator.gauss(number * part, math.sqrt(variance)))))
+        if number > NORMAL_FROM:
+            return min(number, self.arrivals(number * part))
+        chance = self._generator.random
+        return sum(chance() < part for _ in range(number))
+
+    def arrivals(self, mean: float) -> int:
+        """Return a Poisson count."""
+        if mean > NORMAL_FROM:
+            return max(0, round(self._generator.gauss(mean, math.sqrt(mean))))
+        left, number = math.exp(-mean), 0
+        product = self._generator.random()
+        while product > left:
+            product *= self._generator.random()
+            number += 1
+        return number
+
+    def delays(self, number: int, median_s: float, spread: float, factor: float) -> Counter[int]:
+        """Return delays by bucket."""
+        buckets, parts, running = _delays(median_s, spread, factor)
+        if number <= NORMAL_FROM:
+            return Counter(self._generator.choices(buckets, cum_weights=running, k=number))
+        return Counter(
+            {at: count for at, part in zip(buckets, parts, strict=True) if (count := self.some(number, part))}
+        )
+
+
+@dataclass
+class Cell:
+    """What one side or one target back end has answered on a route."""
+
+    answered: int = 0
+    failed: int = 0
+    broken: int = 0
+    first_delays: Counter[int] = field(default_factory=Counter)
+    piece_gaps: Counter[int] = field(default_factory=Counter)
+
+    def add(self, other: Cell) -> None:
+        """Add other answers."""
+        self.answered += other.answered
+        self.failed += other.failed
+        self.broken += other.broken
+        self.first_delays.update(other.first_delays)
+        self.piece_gaps.update(other.piece_gaps)
+
+
+@dataclass
+class Result:
+    """How a rollout went."""
+
+    scenario: Scenario
+    phase: Phase = Phase.CANARY
+    reason: str = ""
+    ended_at_s: float = math.inf
+    exposed: int = 0
+    requests: int = 0
+    bad_answers: int = 0
+    fiftieth_at_s: float = math.inf
+    requests_too_late: int = 0
+    """Requests sent to a bad version after ``rollback_s`` after its 50th bad answer, before the end."""
+
+    @property
+    def over_bound(self) -> bool:
+        """Whether the target side got more than operators allow."""
+        return self.exposed > BOUNDS.exposure_share * self.requests + BOUNDS.exposure_requests
+
+    @property
+    def in_time(self) -> bool:
+        """Whether the rollout ended by its deadline."""
+        return self.ended_at_s <= self.scenario.duration_s
+
+
+class DrawnRollout:
+    """One rollout from the order to its end."""
+
+    def __init__(self, scenario: Scenario) -> None:
+        self.scenario = scenario
+        self.result = Result(scenario)
+        self._draws = Draws(scenario.seed + 1)
+        self._planner = RolloutPlanner(BOUNDS)
+        self._record = RolloutRecord("s", "v2", 1, 0.0, scenario.duration_s, Phase.CANARY)
+        self._rows: list[tuple[float, float]] = [(-9.0, 0.0)]
+        self._cells: dict[tuple[str, bool, str], Cell] = defaultdict(Cell)
+        self._sent = [0, 0]
+        self._due: dict[int, list[tuple[tuple[str, bool, str], Cell, int]]] = defaultdict(list)
+        self._seen: list[RolloutCounts] = []
+        self._holder_changed = False
+
+    def run(self) -> Result:
+        """Play to the end and return how it went."""
+        tick = 0
+        last = 3.0 * self.scenario.duration_s + 10
+        while tick * TICK_S < last and not (
+            self._record.phase.is_final and tick * TICK_S > self.result.ended_at_s + self.scenario.row_lag_s
+        ):
+            self._arrive(tick)
+            self._answer(tick)
+            if tick % TICKS_A_DECISION == 0:
+                self._seen.append(self._counts())
+                self._decide(tick * TICK_S)
+            tick += 1
+        self._expect_rest(tick)
+        return self.result
+
+    def _target_part(self, at_s: float) -> float:
+        """Return the part of requests that goes to the target side, as nodes know the rows at a time."""
+        part, left = 0.0, 1.0
+        for written_s, chance in reversed(self._rows):
+            known = min(1.0, max(0.0, (at_s - written_s) / self.scenario.row_lag_s))
+            part += left * known * chance
+            left *= 1.0 - known
+            if left <= 0.0:
+                break
+        return part
+
+    def _started(self, at_s: float) -> int:
+        """Return how many target back ends have started."""
+        late_s = 0.3 * self.scenario.duration_s if self.scenario.fault == "late start" else 0.05 * 20
+        if at_s >= late_s:
+            return self.scenario.target_backends
+        return int(self.scenario.target_backends * max(0.0, at_s - 0.5 * late_s) / (0.5 * late_s))
+
+    def _arrive(self, tick: int) -> None:
+        at_s = tick * TICK_S
+        scenario = self.scenario
+        part = self._target_part(at_s) if self._started(at_s) else 0.0
+        used = max(LEAST_CANARY_BACKENDS, math.ceil(part * scenario.target_backends))
+        backends = min(used, self._started(at_s))
+        for route in scenario.routes:
+            arrived = self._draws.arrivals(scenario.rate * scenario.load(at_s) * route.part * TICK_S)
+            to_target = self._draws.some(arrived, part)
+            self._count_sent(arrived, to_target, at_s)
+            self._send(tick, route, False, "", arrived - to_target)
+            left = to_target
+            for number in range(backends):
+                taken = self._draws.some(left, 1.0 / (backends - number))
+                left -= taken
+                self._send(tick, route, True, f"t{number}", taken)
+
+    def _count_sent(self, arrived: int, to_target: int, at_s: float) -> None:
+        self._sent[0] += arrived - to_target
+        self._sent[1] += to_target
+        if at_s < self.scenario.duration_s:
+            self.result.requests += arrived
+            self.result.exposed += to_target
+        if at_s > self.result.fiftieth_at_s + BOUNDS.rollback_s and self._record.phase is not Phase.COMPLETE:
+            self.result.requests_too_late += to_target
+
+    def _send(self, tick: int, route: Route, is_target: bool, backend: str, number: int) -> None:
+        """Draw what becomes of requests of one cell and when they are answered."""
+        if not number:
+            return
+        at_s = tick * TICK_S
+        badly = 0
+        bad = self.scenario.bad
+        if is_target and bad is not None and self._is_bad(bad, route, at_s):
+            badly = self._draws.some(number, bad.part)
+        fault = self._fault(at_s, is_target, backend)
+        usual = self._outcome(route, number - badly, is_target, fault, 1.0, False)
+        self._queue(tick, route, is_target, backend, usual, fault[2], 0)
+        if badly and bad is not None:
+            fails = bad.kind == "failures"
+            factor = 1.0 if fails else bad.factor
+            self._queue(
+                tick,
+                route,
+                is_target,
+                backend,
+                self._outcome(route, badly, is_target, fault, factor, fails),
+                factor * fault[2],
+                badly,
+            )
+
+    def _is_bad(self, bad: Badness, route: Route, at_s: float) -> bool:
+        if at_s < bad.from_s or bad.route not in ("", route.name):
+            return False
+        return self.scenario.load(at_s) >= bad.above_load
+
+    def _fault(self, at_s: float, is_target: bool, backend: str) -> tuple[float, float, float]:
+        """Return parts that fail and that break off by the fault, and by which factor delays grow."""
+        scenario = self.scenario
+        strikes = 0.0 <= at_s - scenario.fault_at_s < scenario.fault_span_s
+        match scenario.fault:
+            case "sick target" if is_target and backend == "t0":
+                return 0.4, 0.0, 1.0
+            case "sick current" if not is_target:
+                return 0.4 / scenario.current_backends, 0.0, 1.0
+            case "crash" if strikes and is_target and backend == "t1":
+                return 0.0, 1.0, 1.0
+            case "lost answers":
+                return 0.0, 0.1, 1.0
+            case "weights load" if strikes:
+                return 0.0, 0.0, 2.0
+            case "overload" if strikes:
+                return 0.03, 0.0, 3.0
+        return 0.0, 0.0, 1.0
+
+    def _outcome(
+        self,
+        route: Route,
+        number: int,
+        is_target: bool,
+        fault: tuple[float, float, float],
+        slower: float,
+        fails: bool,
+    ) -> Cell:
+        cell = Cell()
+        failing, breaking, factor = fault
+        cell.broken = self._draws.some(number, breaking)
+        cell.answered = number - cell.broken
+        cell.failed = (
+            cell.answered if fails else self._draws.some(cell.answered, 1 - (1 - route.failing) * (1 - failing))
+        )
+        first_factor = factor * slower
+        if is_target and route.piece_gap_s:
+            first_factor *= self.scenario.cold_factor
+        good = cell.answered - cell.failed
+        cell.first_delays = self._draws.delays(good, route.first_delay_s, route.spread, first_factor)
+        if route.piece_gap_s:
+            cell.piece_gaps = self._draws.delays(good, route.piece_gap_s, 0.2, factor * slower)
+        return cell
+
+    def _queue(
+        self, tick: int, route: Route, is_target: bool, backend: str, cell: Cell, factor: float, badly: int
+    ) -> None:
+        due = tick + round(route.latency_s * factor / TICK_S)
+        self._due[due].append(((route.name, is_target, backend), cell, badly))
+
+    def _answer(self, tick: int) -> None:
+        for key, cell, badly in self._due.pop(tick, ()):
+            self._cells[key].add(cell)
+            self.result.bad_answers += badly
+        if self.result.bad_answers >= 50:
+            self.result.fiftieth_at_s = min(self.result.fiftieth_at_s, tick * TICK_S)
+
+    def _counts(self) -> RolloutCounts:
+        answers = tuple(
+            AnswerCounts(
+                *key, cell.answered, cell.failed, cell.broken, dict(cell.first_delays), dict(cell.piece_gaps)
+            )
+            for key, cell in self._cells.items()
+        )
+        return RolloutCounts(1, self._sent[0], self._sent[1], answers)
+
+    def _decide(self, at_s: float) -> None:
+        if self._record.phase.is_final:
+            return
+        if at_s >= self.scenario.holder_changes_at_s and not self._holder_changed:
+            self._planner = RolloutPlanner(BOUNDS)
+            self._holder_changed = True
+        behind = math.ceil(self.scenario.count_lag_s / (TICK_S * TICKS_A_DECISION))
+        counts = self._seen[-1 - behind] if len(self._seen) > behind else RolloutCounts(1)
+        started = self._started(at_s)
+        capacity = Capacity(PLACES * self.scenario.current_backends, PLACES * started, started)
+        decision = self._planner.decide(self._record, counts, capacity, at_s)
+        if (decision.phase, decision.share) == (self._record.phase, self._record.share):
+            return
+        self._record = msgspec.structs.replace(
+            self._record,
+            phase=decision.phase,
+            share=decision.share,
+            reason=decision.reason,
+            current_requests=counts.current_requests,
+            target_requests=counts.target_requests,
+        )
+        self._rows.append((at_s, decision.share))
+        if decision.phase.is_final:
+            self.result.phase, self.result.reason, self.result.ended_at_s = decision.phase, decision.reason, at_s
+
+    def _expect_rest(self, tick: int) -> None:
+        """Add the requests still to come before the deadline, as the end distributes them."""
+        rest = 0
+        while tick * TICK_S < self.scenario.duration_s:
+            rest += round(self.scenario.rate * self.scenario.load(tick * TICK_S) * TICK_S)
+            tick += 1
+        self.result.requests += rest
+        if self.result.phase is Phase.COMPLETE:
+            self.result.exposed += rest
+
+
+def play(seed: int) -> Result:
+    """Play a rollout: with an odd seed of a bad version, with an even one of a good one."""
+    return DrawnRollout(draw_scenario(seed, is_bad=seed % 2 == 1)).run()
+
+
+def rate_band(rate: float) -> str:
+    """Return the band of a request rate."""
+    return "20 to 100/s" if rate < 100 else "100 to 600/s" if rate < 600 else "600 to 3,300/s"
+
+
+def badness_kind(bad: Badness) -> str:
+    """Return the kind of a bad version as the report lists it."""
+    if bad.kind == "failures":
+        size = "failures 5 to 20 in 100" if bad.part < 0.2 else "failures 20 to 60 in 100"
+    else:
+        size = "slowness 2 to 4 times" if bad.factor < 4 else "slowness 4 to 8 times"
+    return f"{size}, {'one route' if bad.route else 'all routes'}"
+
+
+def onset(result: Result) -> str:
+    """Return when a bad version turns bad."""
+    bad = result.scenario.bad
+    assert bad is not None
+    if bad.from_s == 0.0:
+        return "from the start"
+    left_s = result.scenario.duration_s - bad.from_s
+    return "turns in the last 3 s" if left_s < 3 else "turns 3 to 8 s before" if left_s < 8 else "turns earlier"
+
+
+def report(results: Sequence[Result]) -> str:
+    """Return the tables of the design page."""
+    lines = []
+    for title, is_bad in (("good", False), ("bad", True)):
+        mine = [each for each in results if (each.scenario.bad is not None) is is_bad]
+        groups: dict[str, list[Result]] = defaultdict(list)
+        for each in mine:
+            groups["all"].append(each)
+            groups[rate_band(each.scenario.rate)].append(each)
+            if each.scenario.bad is None:
+                groups["fault: " + each.scenario.fault].append(each)
+            else:
+                groups[badness_kind(each.scenario.bad)].append(each)
+                groups[onset(each)].append(each)
+                if each.scenario.bad.above_load:
+                    groups["above a load only"].append(each)
+        lines.append(f"{title}: count, complete in time, complete late, rolled back, over bound, sent too late")
+        for name, group in sorted(groups.items()):
+            complete = [each for each in group if each.phase is Phase.COMPLETE]
+            in_time = sum(each.in_time for each in complete)
+            rolled = sum(each.phase is Phase.ROLLED_BACK for each in group)
+            over = sum(each.over_bound for each in group) if is_bad else 0
+            late = sum(each.requests_too_late > 0 for each in group)
+            lines.append(
+                f"| {name} | {len(group)} | {in_time} | {len(complete) - in_time} | {rolled} | {over} | {late} |"
+            )
+    return "\n".join(lines)
+
+
+def main() -> None:
+    """Play as many rollouts as asked for and print the report."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rollouts", type=int, default=10_000)
+    parser.add_argument("--first-seed", type=int, default=0)
+    parser.add_argument("--show", action="store_true", help="print rollouts that went wrong")
+    options = parser.parse_args()
+    results = [play(options.first_seed + number) for number in range(options.rollouts)]
+    print(report(results))
+    if options.show:
+        for each in results:
+            bad = each.scenario.bad
+            late = each.requests_too_late
+            over = bad is not None and each.over_bound
+            wrong = (bad is None) is not (each.phase is Phase.COMPLETE and each.in_time)
+            if late or over or wrong:
+                print(
+                    each.scenario.seed, f"rate {each.scenario.rate:.0f} duration {each.scenario.duration_s:.1f}",
+                    each.scenario.fault, f"{each.scenario.fault_at_s:.1f}", bad, each.phase.value, each.reason,
+                    f"ended {each.ended_at_s:.1f} exposed {each.exposed}/{each.requests}",
+                    f"late {each.requests_too_late} fiftieth {each.fiftieth_at_s:.1f} bad {each.bad_answers}",
+                )  # fmt: skip
+
+
+if __name__ == "__main__":
+    main()
