--- a/src/wallwell/gateway/fleet_metrics.py
+++ b/src/wallwell/gateway/fleet_metrics.py
@@ -56,6 +56,7 @@
         in_flight = sum(each.in_flight for each in listed)
         yield GaugeMetricFamily("wallwell_in_flight", "Attempts under way.", value=in_flight)
         yield from self._collect_limits(now_s)
+        yield from self._collect_rollouts()
         budget = GaugeMetricFamily("wallwell_retry_budget_left", "Repeats left by service.", labels=["service"])
         for service, left in state.budgets_left(now_s).items():
             budget.add_metric([service], left)
@@ -75,6 +76,33 @@
             refused.add_metric([use.tenant], use.refused)
         yield from (left, asked, refused)
 
+    def _collect_rollouts(self) -> Iterator[Metric]:
+        """Yield the rollouts: labels are the configuration's services, the two sides and the four phases."""
+        rollouts = self._state.rollouts
+        phases = GaugeMetricFamily(
+            "wallwell_rollout_phase", "1 for the phase a service's last rollout is in.", labels=["service", "phase"]
+        )
+        share = GaugeMetricFamily(
+            "wallwell_rollout_share", "Part of new requests for the target version.", labels=["service"]
+        )
+        requests = CounterMetricFamily(
+            "wallwell_rollout_requests", "Attempts of this node by side.", labels=["service", "side"]
+        )
+        failed = CounterMetricFamily(
+            "wallwell_rollout_failures", "Failed answers to this node by side.", labels=["service", "side"]
+        )
+        for service in rollouts.active:
+            record = rollouts.effective(service)
+            if record is not None:
+                phases.add_metric([service, record.phase.value], 1)
+                share.add_metric([service], record.share)
+        for service, tally in rollouts.tally.by_service.items():
+            requests.add_metric([service, "current"], tally.current_requests)
+            requests.add_metric([service, "target"], tally.target_requests)
+            failed.add_metric([service, "current"], tally.failures(is_target=False))
+            failed.add_metric([service, "target"], tally.failures(is_target=True))
+        yield from (phases, share, requests, failed)
+
 
 def _counter(name: str, text: str, label: str, counts: Mapping[str, int]) -> CounterMetricFamily:
     family = CounterMetricFamily(name, text, labels=[label])
--- a/src/wallwell/gateway/fleet_node.py
+++ b/src/wallwell/gateway/fleet_node.py
@@ -160,7 +160,8 @@
 
     def is_ready(self) -> bool:
         """Whether callers' new connections should come here."""
-        return not self.draining and self.state.is_ready(time.monotonic())
+        # Until this product's own rows are read, the node does not know which versions are barred.
+        return not self.draining and self._members.known and self.state.is_ready(time.monotonic())
 
     def closing_connections(self) -> bool:
         """Whether callers should take their next request to another node."""
--- a/src/wallwell/rollout/driver.py
+++ b/src/wallwell/rollout/driver.py
@@ -34,6 +34,13 @@
 """Intervals of reports for which a new holder decides nothing: every node's totals have then come."""
 
 
+COMPLETE_AFTER_S = 2.0
+"""How long a node has to have held the lease to end a rollout as complete.
+
+What dead nodes counted is lost to a new holder, and nobody watched the version meanwhile; so it first sees some
+seconds of answers. A late end costs little."""
+
+
 class Planner(Protocol):
     """Decides what a rollout does next; see :mod:`wallwell.rollout.planner`."""
 
@@ -163,6 +170,10 @@
         counts = self._counts.total(record)
         capacity = self._capacity(record.service, now_s)
         decision = self._planner.decide(record, counts, capacity, self._clock.to_store_s(now_s))
+        if decision.phase is Phase.COMPLETE and now_s - (self._held_since_s or now_s) < COMPLETE_AFTER_S:
+            decision = RolloutDecision(
+                record.phase, record.share, "the lease was taken a moment ago", decision.inputs
+            )
         decided = self._apply(record, counts, decision)
         if _is_urgent(record, decided) or now_s - held.written_s >= CHECKPOINT_S:
             await self._write(held, decided, dict(decision.inputs))
--- a/src/wallwell/rollout/tally.py
+++ b/src/wallwell/rollout/tally.py
@@ -41,6 +41,10 @@
         )
         return RolloutCounts(self.order, self.current_requests, self.target_requests, answers)
 
+    def failures(self, is_target: bool) -> int:
+        """Return the failed answers of a side."""
+        return sum(each.failed for source, each in self.answers.items() if source[1] == is_target)
+
     def on_sent(self, is_target: bool) -> None:
         """An attempt is sent."""
         if is_target:
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -222,3 +222,24 @@
 
     bounds = on_platform(scenario)
     assert (bounds.exposure_share, bounds.exposure_requests, bounds.rollback_s) == (0.1, 50, 5.0)
+
+
+def test_figures_tell_phase_and_requests_by_side(on_platform):
+    async def scenario(harness):
+        order(harness, duration_s=60)
+        await harness.until(lambda: "svc" in harness.node.state.rollouts.tally.by_service)
+        await harness.call()
+        return harness.node.metrics_text().decode()
+
+    text = on_platform(scenario)
+    assert 'wallwell_rollout_phase{phase="canary",service="svc"} 1.0' in text
+    assert 'wallwell_rollout_requests_total{service="svc",side="current"} 1.0' in text
+    assert 'wallwell_rollout_failures_total{service="svc",side="target"} 0.0' in text
+
+
+def test_a_node_is_not_ready_before_it_knows_which_versions_are_barred(on_platform):
+    async def scenario(harness):
+        harness.node._members._own_version = None
+        return harness.node.is_ready()
+
+    assert not on_platform(scenario)
