Tests of waits, persistence and spans of the rollout planner

Cause: these rules were held by drawn rollouts only.

Change: tables for the canary's wait, the last decision, lasting slowness, a sick machine and an overload in a span.

--- a/tests/unit/rollout/test_evidence.py
+++ b/tests/unit/rollout/test_evidence.py
@@ -118,6 +118,25 @@
     assert log.slowness_has_passed()
 
 
+def test_a_sick_machine_condemns_no_version_in_a_span_where_few_back_ends_answered():
+    log = EvidenceLog(30.0)
+    before = [target("t0", 40, 16), target("t1", 40), target("t2", 40)]
+    log.observe(RolloutCounts(1, answers=(current(), *before)), 10.0)
+    log.observe(RolloutCounts(1, answers=(current(), target("t0", 80, 34), *before[1:])), 12.0)
+    assert worse(log).log_evidence < BAD
+
+
+def test_an_overload_of_both_sides_within_a_span_is_no_badness_afterwards():
+    log = EvidenceLog(30.0)
+    slow = {8: 1_000, 9: 400, 10: 180, 12: 20, 14: 400}
+    counted = [(USUAL, {8: 100}), (slow, {8: 150, 14: 40}), ({**slow, 8: 3_000}, {8: 300, 14: 40})]
+    for number, (current_delays, target_delays) in enumerate(counted):
+        side = current(answered=sum(current_delays.values()), delays=current_delays)
+        mine = target("t1", sum(target_delays.values()), delays=target_delays)
+        log.observe(RolloutCounts(1, answers=(side, mine)), 10.0 + 5.0 * number)
+    assert worse(log).log_evidence < BAD
+
+
 def test_few_starts_are_kept():
     log = EvidenceLog(30.0)
     for tick in range(200):
--- a/tests/unit/rollout/test_planner.py
+++ b/tests/unit/rollout/test_planner.py
@@ -4,7 +4,14 @@
 import pytest
 
 from wallwell.rollout.model import AnswerCounts, Capacity, Phase, RolloutBounds, RolloutCounts, RolloutRecord
-from wallwell.rollout.planner import COMPLETE_MARGIN_S, DRAIN_S, SETTLE_S, RolloutPlanner
+from wallwell.rollout.planner import (
+    CANARY_WAIT_PART,
+    COMPLETE_MARGIN_S,
+    DRAIN_S,
+    PERSISTENCE_S,
+    SETTLE_S,
+    RolloutPlanner,
+)
 
 ORDERED_S = 100.0
 DURATION_S = 30.0
@@ -101,6 +108,58 @@
     assert decision.phase is phase, decision
 
 
+@pytest.mark.parametrize(
+    ("left_s", "phase"), [(0.6, Phase.SWITCHING), (0.3, Phase.COMPLETE), (0.0, Phase.SWITCHING)]
+)
+def test_the_last_decision_before_the_deadline_ends_a_canary_without_a_switch(left_s, phase):
+    at_s = DURATION_S - left_s
+    assert decide(RECORD, counts(at_s), at_s).phase is phase
+
+
+@pytest.mark.parametrize(
+    ("backends", "at_s", "waits"),
+    [
+        (0, 1.0, True),
+        (2, CANARY_WAIT_PART * DURATION_S - 0.1, True),
+        (2, CANARY_WAIT_PART * DURATION_S, False),
+        (3, 1.0, False),
+    ],
+)
+def test_the_canary_waits_for_back_ends_that_tell_a_sick_machine_from_a_bad_version(backends, at_s, waits):
+    decision = decide(RECORD, counts(at_s), at_s, Capacity(100, 10 * backends, backends))
+    assert (decision.share == 0.0) is waits
+
+
+def late_in_the_switch(at_s, slow, usual):
+    """Return counts of a switch in which ``slow`` and ``usual`` answers of three target back ends came."""
+    targets = [AnswerCounts("a", True, f"t{n}", slow + usual, 0, 0, {8: usual, 16: slow}) for n in range(3)]
+    current = AnswerCounts("a", False, "", 5_000, 4, 0, {8: 5_000})
+    return RolloutCounts(1, 5_000, 3 * (slow + usual), (current, *targets))
+
+
+def test_slowness_in_the_switch_must_last_but_failures_need_not():
+    planner = RolloutPlanner(RolloutBounds())
+    phases = {}
+    for tick in range(12):
+        after_s = tick * 0.3
+        seen = late_in_the_switch(after_s, slow=20 * tick, usual=100 + 20 * tick)
+        phases[after_s] = planner.decide(SWITCHING, seen, ENOUGH, ORDERED_S + 31.0 + after_s).phase
+    rolled_back_s = min(at_s for at_s, phase in phases.items() if phase is Phase.ROLLED_BACK)
+    assert PERSISTENCE_S <= rolled_back_s <= PERSISTENCE_S + 0.7
+
+
+def test_slowness_that_passes_in_the_switch_is_forgiven_once():
+    planner = RolloutPlanner(RolloutBounds())
+    phase = Phase.SWITCHING
+    for tick in range(20):
+        after_s = tick * 0.3
+        seen = late_in_the_switch(after_s, slow=20 * min(tick, 4), usual=100 + 60 * tick)
+        phase = planner.decide(SWITCHING, seen, ENOUGH, ORDERED_S + 31.0 + after_s).phase
+        if phase.is_final:
+            break
+    assert phase is Phase.COMPLETE
+
+
 def test_a_route_without_answers_delays_the_switch():
     first, second = GOOD.answers
     silent = AnswerCounts("b", False, "", first.answered, 4, 0, {8: first.answered})
