Tests of overloads of both sides and of the last decision

Cause: without the allowed rate of a test's own span, the recent rate, the discount or the last part of the bound no unit test failed.

Change: tables for each; with each of the four taken out one fails.

--- a/tests/unit/rollout/test_evidence.py
+++ b/tests/unit/rollout/test_evidence.py
@@ -126,15 +126,31 @@
     assert worse(log).log_evidence < BAD
 
 
-def test_an_overload_of_both_sides_within_a_span_is_no_badness_afterwards():
+def sides(current_usual, current_slow, target_usual, target_slow):
+    """Return counts of a route with usual and slow answers of both sides."""
+    mine = current(answered=current_usual + current_slow, delays={8: current_usual, 14: current_slow})
+    return (mine, target("t1", target_usual + target_slow, delays={8: target_usual, 14: target_slow}))
+
+
+BEFORE = (0, 0, 0, 0)
+SEEN_BEFORE = (0, 0, 1_000, 0)
+OVERLOADS = [
+    ("both in a span that has passed", [SEEN_BEFORE, (2_000, 500, 1_150, 40), (4_000, 500, 1_200, 40)], 5.0, False),
+    ("the target side alone in that span", [SEEN_BEFORE, (2_500, 0, 1_150, 40), (4_500, 0, 1_200, 40)], 5.0, True),
+    ("both of late, the target side new", [BEFORE, (300, 100, 45, 15)], 2.0, False),
+    ("the target side new and slow", [BEFORE, (400, 0, 45, 15)], 2.0, True),
+    ("both, the target side more", [BEFORE, (300, 100, 35, 55)], 2.0, False),
+    ("both, the target side nearly all", [BEFORE, (300, 100, 0, 200)], 2.0, True),
+]
+
+
+@pytest.mark.parametrize(("steps", "apart_s", "is_bad"), [c[1:] for c in OVERLOADS], ids=[c[0] for c in OVERLOADS])
+def test_an_overload_of_both_sides_is_no_badness(steps, apart_s, is_bad):
+    """Each step adds to 50,000 usual answers of the current side before. At 11.3 s a start is taken that is kept."""
     log = EvidenceLog(30.0)
-    slow = {8: 1_000, 9: 400, 10: 180, 12: 20, 14: 400}
-    counted = [(USUAL, {8: 100}), (slow, {8: 150, 14: 40}), ({**slow, 8: 3_000}, {8: 300, 14: 40})]
-    for number, (current_delays, target_delays) in enumerate(counted):
-        side = current(answered=sum(current_delays.values()), delays=current_delays)
-        mine = target("t1", sum(target_delays.values()), delays=target_delays)
-        log.observe(RolloutCounts(1, answers=(side, mine)), 10.0 + 5.0 * number)
-    assert worse(log).log_evidence < BAD
+    for number, (current_usual, *others) in enumerate(steps):
+        log.observe(RolloutCounts(1, answers=sides(50_000 + current_usual, *others)), 11.3 + apart_s * number)
+    assert (worse(log).log_evidence >= BAD) is is_bad
 
 
 def test_few_starts_are_kept():
--- a/tests/unit/rollout/test_exposure.py
+++ b/tests/unit/rollout/test_exposure.py
@@ -4,8 +4,8 @@
 
 from wallwell.rollout.exposure import (
     LARGEST_SHARE,
+    LAST_PART,
     OVERDUE_SHARE,
-    SPENT_PART,
     Traffic,
     TrafficLog,
     plan_exposure,
@@ -45,6 +45,9 @@
         (20.0, 10.0, 2.0, 37, False),
         (20.0, 11.2, 0.8, 30, True),
         (20.0, 11.0, 1.0, 37, False),
+        (1_000.0, 9.5, 0.5, 350, False),
+        (1_000.0, 9.6, 0.4, 420, True),
+        (1_000.0, 9.6, 0.4, 550, False),
         (0.1, 20.0, 40.0, 0, False),
         (0.1, 56.0, 4.0, 0, True),
         (20.0, 20.0, -1.0, 500, True),
@@ -54,7 +57,7 @@
     exposure = plan_exposure(BOUNDS, traffic(rate, since_s, target), left_s, 0.05)
     assert exposure.switch_fits is fits
     if fits and left_s > 0:
-        assert exposure.spent + exposure.coming <= SPENT_PART * exposure.bound
+        assert exposure.spent + exposure.coming <= LAST_PART * exposure.bound
 
 
 def test_a_burst_delays_the_switch_and_a_fall_does_not_hasten_it():
