--- a/tests/unit/rollout/test_evidence.py
+++ b/tests/unit/rollout/test_evidence.py
@@ -146,7 +146,7 @@
 
 @pytest.mark.parametrize(("steps", "apart_s", "is_bad"), [c[1:] for c in OVERLOADS], ids=[c[0] for c in OVERLOADS])
 def test_an_overload_of_both_sides_is_no_badness(steps, apart_s, is_bad):
-    """Each step adds to 50,000 usual answers of the current side before. At 11.3 s a start is taken that is kept."""
+    """Each step adds to 50,000 usual answers of the current side before. The start at 11.3 s is one that is kept."""
     log = EvidenceLog(30.0)
     for number, (current_usual, *others) in enumerate(steps):
         log.observe(RolloutCounts(1, answers=sides(50_000 + current_usual, *others)), 11.3 + apart_s * number)
