A version listed after a complete rollout is used as any other

Cause: back ends of a version that nobody ordered, as of a later release, were only the last resort beside the version that a rollout had brought, so its last few back ends would have got all requests. Change: once a rollout is complete, all that is not barred serves together; a version that waits for its order is not barred with those replaced. Tests of whose turn it is to take a lease.

--- a/src/wallwell/rollout/records.py
+++ b/src/wallwell/rollout/records.py
@@ -152,8 +152,8 @@
         return record is not None and (version == record.target_version or version in record.barred)
 
     def known_versions(self, service: str) -> set[str]:
-        """Return every version that was listed for a service."""
-        return self._known.get(service, set())
+        """Return every version that was listed for a service, without those that wait for an order."""
+        return self._known.get(service, set()) - set(self._held.get(service, {}))
 
     def release_held(self, now_s: float) -> None:
         """Let versions be used whose time without requests is over."""
--- a/src/wallwell/rollout/sides.py
+++ b/src/wallwell/rollout/sides.py
@@ -21,7 +21,11 @@
 
 @dataclass(frozen=True)
 class Sides:
-    """Listed back ends of a service by what they are in its rollout."""
+    """Listed back ends of a service by what they are in its rollout.
+
+    Once it is complete, all that may get requests are on the target side: a version that is listed later without an
+    order is used as any other.
+    """
 
     current: list[Backend]
     target: list[Backend]
@@ -61,6 +65,8 @@
         held = {version for version, until_s in self.held_until_s.items() if now_s < until_s}
         current = [each for each in others if each.record.software not in barred]
         current = [each for each in current if each.record.software not in held]
+        if record is not None and record.phase is Phase.COMPLETE:
+            target, current = target + current, []
         share = record.share if record is not None and record.phase is Phase.CANARY else 0.0
         return Sides(current, target, canary_backends(self.service, target, len(current), share))
 
@@ -89,7 +95,7 @@
         if record is None or record.phase is Phase.ROLLED_BACK:
             return [sides.current]
         if record.phase is Phase.COMPLETE:
-            return [sides.target, sides.current]
+            return [sides.target]
         if record.phase is Phase.SWITCHING:
             target = sides.target
         elif record.share > 0:
@@ -103,8 +109,6 @@
         record, sides = self.record, self.sides(listed, now_s)
         if record is None or record.phase is Phase.ROLLED_BACK:
             return sides.current
-        if record.phase is Phase.COMPLETE:
-            return sides.target + sides.current
         if not sides.current:
             return sides.target
         if not self.is_heard(now_s):
--- /dev/null
+++ b/tests/unit/cluster/test_lease_turn.py
@@ -0,0 +1,134 @@
+"""Whose turn it is to try for a lease."""
+
+import asyncio
+import time
+
+import pytest
+
+from tests.faulty_table import FaultyTable
+from tests.virtual_time import run_virtual
+from wallwell.cluster.lease_turn import CANDIDATE_DELAY_S, CANDIDATE_STEP_S, LeaseTurn
+from wallwell.cluster.leases import LEASE_PREFIX, LeaseKeeper
+from wallwell.storage.feed import FeedRow
+
+VALID_S = 1.5
+NAMES = ("a", "b", "c", "d")
+TICK_S = 0.05
+
+
+class Turns:
+    """Nodes that all have work to do, over one table."""
+
+    def __init__(self):
+        self.table = FaultyTable()
+        self.turns = {name: self._turn(name) for name in NAMES}
+        self.away: set[str] = set()
+
+    def _turn(self, name):
+        return LeaseTurn("work", name, LeaseKeeper("work", name, VALID_S, self.table), VALID_S, lambda: NAMES)
+
+    async def step(self, is_due=True):
+        """Let time pass; every node that is there follows the row and tries when it is its turn."""
+        await asyncio.sleep(TICK_S)
+        row = self.table.model.rows.get(LEASE_PREFIX + "work")
+        for name, turn in self.turns.items():
+            if name in self.away:
+                continue
+            if row is not None:
+                turn.observe(FeedRow(row.key, row.value.encode(), row.version), time.monotonic())
+            turn.set_due(is_due, time.monotonic())
+            if is_due:
+                await turn.hold(time.monotonic())
+
+    def holders(self):
+        return [name for name, turn in self.turns.items() if turn.is_held()]
+
+    async def until_held(self):
+        started_s = time.monotonic()
+        while not self.holders():
+            await self.step()
+        return self.holders()[0], time.monotonic() - started_s
+
+
+def play(scenario):
+    async def work():
+        return await scenario(Turns())
+
+    return run_virtual(work())
+
+
+def test_one_node_takes_the_lease_and_keeps_it_while_there_is_work():
+    async def scenario(turns):
+        first, _ = await turns.until_held()
+        seen = set()
+        for _ in range(200):
+            await turns.step()
+            seen.add(tuple(turns.holders()))
+        return seen == {(first,)}
+
+    assert play(scenario)
+
+
+def test_without_work_nobody_tries_and_a_lease_runs_out():
+    async def scenario(turns):
+        await turns.step(is_due=False)
+        untouched = not turns.table.model.rows
+        await turns.until_held()
+        for _ in range(round(VALID_S / TICK_S) + 1):
+            await turns.step(is_due=False)
+        return untouched, turns.holders()
+
+    assert play(scenario) == (True, [])
+
+
+def test_the_last_holder_is_first_when_work_comes_back():
+    async def scenario(turns):
+        first, _ = await turns.until_held()
+        for _ in range(100):
+            await turns.step(is_due=False)
+        return (await turns.until_held()) == (first, pytest.approx(TICK_S))
+
+    assert play(scenario)
+
+
+def test_a_dead_holder_is_followed_after_its_time_and_the_others_delays():
+    async def scenario(turns):
+        first, _ = await turns.until_held()
+        turns.away.add(first)
+        await asyncio.sleep(0)
+        while first in turns.holders():
+            await turns.step()
+        second, took_s = await turns.until_held()
+        return second != first, took_s
+
+    is_other, took_s = play(scenario)
+    assert is_other
+    assert took_s <= CANDIDATE_DELAY_S + len(NAMES) * CANDIDATE_STEP_S
+
+
+def test_a_draining_node_keeps_what_it_holds_and_takes_no_new_lease():
+    async def scenario(turns):
+        first, _ = await turns.until_held()
+        turns.turns[first].drain()
+        for _ in range(60):
+            await turns.step()
+        kept = turns.holders()
+        for _ in range(100):
+            await turns.step(is_due=False)
+        second, _ = await turns.until_held()
+        return kept == [first], second != first
+
+    assert play(scenario) == (True, True)
+
+
+def test_without_the_store_the_lease_runs_on_to_its_end_only():
+    async def scenario(turns):
+        first, _ = await turns.until_held()
+        turns.table.down = True
+        await turns.step()
+        kept = turns.holders()
+        for _ in range(round(VALID_S / TICK_S) + 1):
+            await turns.step()
+        return kept == [first], turns.holders()
+
+    assert play(scenario) == (True, [])
--- a/tests/unit/rollout/test_records.py
+++ b/tests/unit/rollout/test_records.py
@@ -128,3 +128,10 @@
     known.on_listed("svc", "v1", 0.0, at_start=True)
     known.on_listed("svc", "v2", 10.0, at_start=False)
     assert known.active["svc"].held_until_s == {}
+
+
+def test_a_version_that_waits_for_its_order_does_not_count_as_replaced():
+    known = book(record())
+    known.on_listed("svc", "v1", 0.0, at_start=True)
+    known.on_listed("svc", "v3", 10.0, at_start=False)
+    assert known.known_versions("svc") == {"v1"}
