Evidence since the order begins with the target side's first answers

Cause: a target side that started late was compared with the current side's answers before it came; an overload of both after that looked like badness of the target alone.

Change: tests since the order start at the last totals without a target answer. Verdict moves to measures.py.

--- a/src/wallwell/rollout/evidence.py
+++ b/src/wallwell/rollout/evidence.py
@@ -18,6 +18,7 @@
     SLOWNESS,
     USUAL_PART,
     Measure,
+    Verdict,
     count_bad,
 )
 from wallwell.rollout.model import RolloutCounts
@@ -44,22 +45,6 @@
 """Least time between two starts: counts arrive every 0.3 s."""
 
 
-@dataclass(frozen=True)
-class Verdict:
-    """What the answers say. ``log_evidence`` of a bad version, and where it is greatest.
-
-    ``excess`` is how many bad answers more the target side gave there than is expected at most.
-    """
-
-    log_evidence: float = -math.inf
-    measure: str = ""
-    route: str = ""
-    excess: float = 0.0
-    strongest_single: float = -math.inf
-    """The greatest evidence of a single test without its weight, among those with :attr:`single_excess`."""
-    single_excess: float = 0.0
-
-
 @dataclass
 class _Sums:
     """Bad and all answers of a test, and how many bad ones the null rates allow."""
@@ -98,6 +83,8 @@
         self._step_s = max(SHORTEST_START_STEP_S, 2.0 * duration_s / STARTS)
         self._starts: dict[int, Totals] = {}
         self._newest = Totals(RolloutCounts(0), 0.0)
+        self._before_target: Totals | None = None
+        """The last totals without an answer of the target side: what the current side gave before has no match."""
         self._forgotten: Totals | None = None
 
     @property
@@ -108,6 +95,8 @@
     def observe(self, counts: RolloutCounts, since_order_s: float) -> None:
         """Take in totals; some are kept as starts, the fewer the older."""
         self._newest = Totals(counts, since_order_s)
+        if not self._newest.target_answers:
+            self._before_target = self._newest
         step = int(since_order_s / self._step_s)
         if step >= 1 and step not in self._starts:
             self._starts[step] = self._newest
@@ -115,7 +104,7 @@
 
     def verdict(self, measures: tuple[Measure, ...], is_switching: bool) -> Verdict:
         """Judge the newest totals; ``is_switching`` allows first pieces of generations what cold caches cost."""
-        first = self._forgotten if measures is SLOWNESS else None
+        first = (self._forgotten if measures is SLOWNESS else None) or self._before_target
         windows = [(first, math.log(0.5 / MEASURES))]
         starts = [each for each in self._starts.values() if first is None or each.at_s > first.at_s]
         windows += [(start, math.log(0.5 / STARTS / MEASURES)) for start in starts if start is not self._newest]
--- a/src/wallwell/rollout/measures.py
+++ b/src/wallwell/rollout/measures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from wallwell.rollout.totals import Key, Totals
@@ -45,6 +46,22 @@
 """Beyond the usual, for first pieces of generations: a cold cache alone may make them later by up to 1.4."""
 
 
+@dataclass(frozen=True)
+class Verdict:
+    """What the answers say. ``log_evidence`` of a bad version, and where it is greatest.
+
+    ``excess`` is how many bad answers more the target side gave there than is expected at most.
+    """
+
+    log_evidence: float = -math.inf
+    measure: str = ""
+    route: str = ""
+    excess: float = 0.0
+    strongest_single: float = -math.inf
+    """The greatest evidence of a single test without its weight, among those with :attr:`single_excess`."""
+    single_excess: float = 0.0
+
+
 def count_bad(totals: Totals, measure: Measure, key: Key, bucket: int) -> tuple[int, int]:
     """Return bad and all answers of a key by a measure."""
     if not measure.field:
--- a/src/wallwell/rollout/planner.py
+++ b/src/wallwell/rollout/planner.py
@@ -9,9 +9,9 @@
 import math
 from dataclasses import dataclass, field
 
-from wallwell.rollout.evidence import EvidenceLog, Verdict
+from wallwell.rollout.evidence import EvidenceLog
 from wallwell.rollout.exposure import LAST_DECISION_S, Exposure, Traffic, TrafficLog, plan_exposure
-from wallwell.rollout.measures import FAILURES, SLOWNESS
+from wallwell.rollout.measures import FAILURES, SLOWNESS, Verdict
 from wallwell.rollout.model import (
     Capacity,
     Phase,
