--- a/src/wallwell/gateway/backend_choice.py
+++ b/src/wallwell/gateway/backend_choice.py
@@ -9,6 +9,7 @@
 from wallwell.errors import OverloadedError
 from wallwell.gateway.exchange_state import Exchange
 from wallwell.gateway.fleet_state import FleetState
+from wallwell.gateway.side_choice import taking
 from wallwell.routing.overload import Occupancy, refused_part, return_after_s
 from wallwell.routing.prefix_home import (
     choose_engine,
@@ -37,13 +38,18 @@
     def __init__(self, state: FleetState) -> None:
         self._state = state
 
-    def choose(self, exchange: Exchange, candidates: Sequence[Backend]) -> Backend:
-        """Return one of the candidates, of which there is at least one."""
+    def choose(
+        self, exchange: Exchange, candidates: Sequence[Backend], listed: Sequence[Backend] | None = None
+    ) -> Backend:
+        """Return one of the candidates, of which there is at least one.
+
+        Engines' pools are formed from ``listed``, by default all back ends of the service.
+        """
         state = self._state
         generation = exchange.request.generation
         if generation is None:
             return state.least_loaded(candidates)
-        listed = state.backends.of_service(exchange.service)
+        listed = state.backends.of_service(exchange.service) if listed is None else listed
         pool = regional_pools(listed, generation.prompt_tokens, state.places)
         near, far = self._by_region(candidates, self._home_region(exchange, pool))
         key, nodes = exchange.placement, state.node_count
@@ -98,7 +104,7 @@
         generation = exchange.request.generation
         if generation is None or generation.resume_after is not None or exchange.history.tried:
             return
-        engines = [each for each in self._state.backends.of_service(exchange.service) if each.is_open(now_s)]
+        engines = [each for each in taking(self._state, exchange.service, now_s) if each.is_open(now_s)]
         if any(each.peers_load is None for each in engines):
             return  # What one node has under way says little of the fleet.
         load = sum(each.fleet_load() for each in engines)
--- a/src/wallwell/gateway/fleet_node.py
+++ b/src/wallwell/gateway/fleet_node.py
@@ -25,6 +25,10 @@
 from wallwell.gateway.loop_lag import TICK_S, LoopLag
 from wallwell.gateway.pipeline import RequestPipeline
 from wallwell.placement.weights_roll_driver import EngineControl, WeightsRollDriver
+from wallwell.rollout.driver import RolloutDriver
+from wallwell.rollout.planner import RolloutPlanner
+from wallwell.rollout.reporter import CountsReporter
+from wallwell.rollout.reports import CountsReport, FleetCounts
 from wallwell.storage.feed import FollowedPage, RowFollower, RowSource
 
 OPERATORS_WAIT_S = 0.8
@@ -71,12 +75,19 @@
         self._weights_roll = WeightsRollDriver(self.state, sources.table, control, self._clock)
         self._order = UpstreamOrder(node, zone, places=places)
         self.state.zones.on_return = self._order.on_zone_returned
+        counts = FleetCounts()
+        self._rollouts = RolloutDriver(
+            self.state, sources.table, sources.rollouts, RolloutPlanner(bounds.rollout), counts, self._clock
+        )
+        self._reporter = CountsReporter(
+            node, self.state.rollouts.tally, counts, lambda: self._rollouts.holder, lambda: self._order.members
+        )
         self._link_mbps = link_mbps
         self._tasks: list[asyncio.Task[None]] = []
         self._relayed: dict[str, RelayedRows] = {}
         self._operators = OperatorRows(self.state, sources)
         self._listing = BackendRows(self.state, sources, pool)
-        self._members = MemberRows(self.state, sources.table, self._order, self._weights_roll)
+        self._members = MemberRows(self.state, sources.table, self._order, (self._weights_roll, self._rollouts))
         self._followers = (
             self._follower("operators", sources.operators, self._operators.apply, OPERATORS_WAIT_S, 0.0),
             self._follower("backends", sources.backends, self._listing.apply, BACKENDS_WAIT_S, BACKENDS_PAUSE_S),
@@ -91,6 +102,7 @@
                 ZoneLoad: self._exchange.on_zone,
                 RegionLoad: self._exchange.between_regions.on_region,
                 CacheRequest: self._kept_caches.answer,
+                CountsReport: self._reporter.on_report,
             }
         )
 
@@ -118,6 +130,7 @@
         loops += [self._housekeeping, self._watch_lag]
         if self.state.places.has_regions:
             loops.append(self._exchange.between_regions.run)
+        loops += [self._rollouts.run, self._reporter.run]
         self._tasks = [asyncio.create_task(self._supervise(loop)) for loop in loops]
 
     async def _supervise(self, loop: Callable[[], Coroutine[Any, Any, None]]) -> None:
@@ -166,7 +179,10 @@
     def is_ready(self) -> bool:
         """Whether callers' new connections should come here."""
         now_s = time.monotonic()
-        return not self.draining and not self.lag.is_starved(now_s) and self.state.is_ready(now_s)
+        if self.draining or self.lag.is_starved(now_s):
+            return False
+        # Until this product's own rows are read, the node does not know which versions are barred.
+        return self._members.known and self.state.is_ready(now_s)
 
     def closing_connections(self) -> bool:
         """Whether callers should take their next request to another node."""
@@ -182,6 +198,7 @@
         emit(Event.NODE_DRAINING, in_flight=self.in_flight)
         self.draining = True
         self._weights_roll.drain()
+        self._rollouts.drain()
         self._peers.close()
         end_s = time.monotonic() + grace_s * (1.0 - STOP_RESERVE_PART)
         await asyncio.sleep(min(NOTICE_S, grace_s / 2))
@@ -198,6 +215,7 @@
         self._peers.close()
         self._exchange.close()
         self._kept_caches.close()
+        self._reporter.close()
         for rows in self._relayed.values():
             rows.close()
         self._pool.close()
