Soak: links of single nodes, and two regions behind a slow and narrow link

Cause: all nodes shared a worker's link, so that no single node could be cut off from it, and there were no regions. Drawing, versions and configuration are modules of their own.

--- a/src/wallwell/cli/soak.py
+++ b/src/wallwell/cli/soak.py
@@ -29,6 +29,7 @@
     parser.add_argument("--nodes", type=int, default=DEFAULT_NODES)
     parser.add_argument("--engines", type=int, default=DEFAULT_ENGINES)
     parser.add_argument("--instances", type=int, default=DEFAULT_INSTANCES, help="workers that answer calls")
+    parser.add_argument("--regions", type=int, default=1, help="2: two regions behind a slow and narrow link")
     parser.add_argument("--rollout", default="", help="roll out a version of this kind: good, failing, slow, ...")
     parser.add_argument("--keep", type=Path, help="folder for schedule, logs and histories, kept in any case")
     parser.add_argument("--regressions", type=Path, help="play the runs of this file instead")
@@ -39,15 +40,18 @@
 
 def run(options: argparse.Namespace) -> int:
     """Run once, or all kept runs; status 1 if a promise was broken. Raises :class:`wallwell.errors.SoakError`."""
+    from wallwell.soak.drawing import draw_schedule
     from wallwell.soak.regressions import load_regressions, schedule_of
-    from wallwell.soak.schedule import Shape, draw_schedule
+    from wallwell.soak.schedule import Shape
 
     if options.regressions is not None:
         kept = load_regressions(options.regressions)
         print(f"{len(kept)} kept runs")
         statuses = [_play(schedule_of(each), None, options.checkout) for each in kept]
         return max(statuses, default=0)
-    shape = Shape(options.seconds, options.nodes, options.engines, options.instances, options.rollout)
+    shape = Shape(
+        options.seconds, options.nodes, options.engines, options.instances, options.regions, options.rollout
+    )
     schedule = draw_schedule(options.seed, shape)
     if options.print_schedule:
         _print_schedule(schedule)
@@ -83,10 +87,11 @@
 def replay_command(schedule: Schedule) -> str:
     """Return the line that plays a schedule again."""
     shape = schedule.shape
+    regions = f" --regions {shape.regions}" if shape.regions > 1 else ""
     rollout = f" --rollout {shape.rollout}" if shape.rollout else ""
     return (
         f"wallwell soak --seed {schedule.seed} --seconds {shape.seconds:g} --nodes {shape.nodes} "
-        f"--engines {shape.engines} --instances {shape.instances}{rollout}"
+        f"--engines {shape.engines} --instances {shape.instances}{regions}{rollout}"
     )
 
 
--- /dev/null
+++ b/src/wallwell/soak/configuration.py
@@ -0,0 +1,68 @@
+"""What the operator of a run puts in force, and the bounds that its routers are told."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from wallwell.soak.caller_process import MODEL, PATHS, ROUTE_HOST
+from wallwell.soak.history import CONTACT_S, RequestKind
+from wallwell.soak.schedule import (
+    EXPOSURE_REQUESTS,
+    EXPOSURE_SHARE,
+    LIMIT_BURST,
+    LIMIT_RATE_PER_S,
+    LIMITED_KEY,
+    REVOKE_S,
+    ROLLBACK_S,
+    VERSION_S,
+)
+
+ENGINES = "engines"
+ORDERS = "orders"
+BOUNDS: Mapping[str, object] = {
+    "strict_revoke": True,
+    "revoke_ms": REVOKE_S * 1000,
+    "retry_budget_ratio": 0.2,
+    "retry_budget_extra": 50,
+    "lease_ms": 2000,
+    "contact_ms": CONTACT_S * 1000,
+    "version_ms": VERSION_S * 1000,
+    "exposure_share": EXPOSURE_SHARE,
+    "exposure_slack": EXPOSURE_REQUESTS,
+    "rollback_ms": ROLLBACK_S * 1000,
+    "grace_s": 5,
+}
+"""Bounds that routers are told; shorter than a deployment's, so that runs of seconds reach them."""
+
+
+def configuration(version: int, keys: tuple[str, ...]) -> dict[str, object]:
+    """Return the operator's configuration: a route for each kind of request, a tenant for each key."""
+    return {
+        "version": version,
+        "routes": [_route(kind) for kind in RequestKind],
+        "services": [
+            {"name": ENGINES, "max_conns": 400, "engine": {"slots": 16, "models": [{"name": MODEL}]}},
+            {"name": ORDERS, "max_conns": 400},
+        ],
+        "tenants": [_tenant(key) for key in keys],
+    }
+
+
+def _tenant(key: str) -> dict[str, object]:
+    limit = {"rate_per_s": LIMIT_RATE_PER_S, "burst": LIMIT_BURST} if key == LIMITED_KEY else {}
+    return {"name": f"tenant-{key}", "api_keys": [key], **limit}
+
+
+def _route(kind: RequestKind) -> dict[str, object]:
+    return {
+        "name": kind.value,
+        "host": ROUTE_HOST,
+        "path_prefix": PATHS[kind],
+        "kind": RequestKind.STREAM.value if kind.is_stream else kind.value,
+        "service": ENGINES if kind.is_stream else ORDERS,
+        "timeout_ms": 4000,
+        "slo_ms": 500,
+        "gap_slo_ms": 300,
+        "attempts": 2,
+        "can_resume": kind is RequestKind.RESUMABLE,
+    }
--- a/src/wallwell/soak/control.py
+++ b/src/wallwell/soak/control.py
@@ -72,10 +72,12 @@
 
 
 class OpenLink(PeerMessage, frozen=True):
-    """Make a link that is entered at ``host``; it leads nowhere yet."""
+    """Make a link that is entered at ``host``; it leads nowhere yet. ``region`` is that of its far end."""
 
     link: str
     host: str
+    region: int = 0
+    port: int = 0
 
 
 class AimLink(PeerMessage, frozen=True):
@@ -85,6 +87,14 @@
     target: str
 
 
+class KnowNode(PeerMessage, frozen=True):
+    """A node's process and region: the proxy knows by them whose connection it carries."""
+
+    node: str
+    pid: int
+    region: int = 0
+
+
 class HarmLink(PeerMessage, frozen=True):
     """What a link does to its connections from now on. All off: it is sound again.
 
@@ -94,6 +104,8 @@
     """
 
     link: str
+    node: str = ""
+    """Only connections of this node; empty for those of all."""
     delay_s: float = 0.0
     bytes_per_s: float = 0.0
     reset: bool = False
--- /dev/null
+++ b/src/wallwell/soak/drawing.py
@@ -0,0 +1,136 @@
+"""Draws the schedule of a run from its seed alone."""
+
+from __future__ import annotations
+
+import random
+
+from wallwell.errors import SoakError
+from wallwell.soak.history import RequestKind
+from wallwell.soak.schedule import (
+    ALL_NODES,
+    BETWEEN_REGIONS,
+    KEY_WEIGHTS,
+    LINK_FAULTS,
+    NODE_FAULTS,
+    RECOVERY_S,
+    REGION_FAULTS,
+    SHOWN_RECOVERED_S,
+    STORE,
+    STORE_FAULTS,
+    VERSION_S,
+    WORKER_FAULTS,
+    FaultKind,
+    OperationKind,
+    PlannedFault,
+    PlannedOperation,
+    PlannedRequest,
+    Schedule,
+    Shape,
+)
+from wallwell.soak.versions import ROLLOUT_AT_S, ROLLOUTS
+
+FIRST_FAULT_S = 1.0
+SETTLE_S = 3.5
+"""Time between the last single fault's begin and the end of all nodes: the longest fault and some more."""
+SHORTEST_RUN_S = 15.0
+FAULT_PERIODS_S = (1.0, 3.0, 1000.0)
+"""Mean time between two faults, one drawn for each run; a fault lasts 0.3 to 2.5 s, so that some overlap.
+
+The last leaves one fault before all nodes are killed: bounds that count for nodes in touch need quiet spans."""
+FAULT_LASTS_S = (0.3, 2.5)
+REQUESTS_PER_S = 40.0
+KIND_WEIGHTS = {
+    RequestKind.SAFE: 2.0,
+    RequestKind.UNSAFE: 3.0,
+    RequestKind.STREAM: 3.0,
+    RequestKind.RESUMABLE: 2.0,
+}
+LEAVE_SHARE = 0.08
+"""Part of the callers that leave before the end."""
+LEAVE_AFTER_S = (0.02, 0.4)
+STREAM_EVENTS = (3, 120)
+PROMPT_TOKENS = (50, 1500)
+SHARED_PARTS = 6
+
+
+def draw_schedule(seed: int, shape: Shape) -> Schedule:
+    """Return the schedule of a seed: the same for the same arguments. Raises :class:`SoakError`."""
+    if shape.seconds < SHORTEST_RUN_S:
+        raise SoakError(f"a run takes {SHORTEST_RUN_S:g} s at least: the fleet's recovery is part of it")
+    if shape.rollout and shape.rollout not in ROLLOUTS:
+        raise SoakError(f"no version {shape.rollout} to roll out; there are {', '.join(ROLLOUTS)}")
+    faults = _draw_faults(random.Random(f"{seed}/faults"), shape)
+    requests = _draw_requests(random.Random(f"{seed}/requests"), seed, shape)
+    operations = _draw_operations(random.Random(f"{seed}/operations"), shape)
+    return Schedule(seed, shape, tuple(faults), tuple(requests), tuple(operations))
+
+
+def _draw_operations(generator: random.Random, shape: Shape) -> list[PlannedOperation]:
+    latest_s = shape.seconds - RECOVERY_S - SHOWN_RECOVERED_S - VERSION_S
+    keys_s, weights_s = (round(generator.uniform(0.5, max(1.0, latest_s)), 2) for _ in range(2))
+    operations = [
+        PlannedOperation(keys_s, OperationKind.CHANGE_KEYS),
+        PlannedOperation(weights_s, OperationKind.NAME_WEIGHTS),
+    ]
+    if shape.rollout:
+        operations.append(PlannedOperation(ROLLOUT_AT_S, OperationKind.ROLL_OUT))
+    return operations
+
+
+def _draw_faults(generator: random.Random, shape: Shape) -> list[PlannedFault]:
+    faults: list[PlannedFault] = []
+    busy: dict[str, float] = {}
+    period_s = generator.choice(FAULT_PERIODS_S)
+    at_s = FIRST_FAULT_S
+    kill_at_s = shape.seconds - RECOVERY_S - SHOWN_RECOVERED_S
+    while at_s < kill_at_s - SETTLE_S:
+        kind, target = _draw_target(generator, shape)
+        lasts_s = round(generator.uniform(*FAULT_LASTS_S), 2)
+        if busy.get(target, 0.0) <= at_s:
+            faults.append(PlannedFault(round(at_s, 2), lasts_s, kind, target))
+            busy[target] = at_s + lasts_s + FIRST_FAULT_S
+        at_s += generator.expovariate(1 / period_s)
+    faults.append(PlannedFault(round(kill_at_s, 2), 0.3, FaultKind.KILL_ALL_NODES, ALL_NODES))
+    return faults
+
+
+def _draw_target(generator: random.Random, shape: Shape) -> tuple[FaultKind, str]:
+    groups: list[tuple[tuple[FaultKind, ...], tuple[str, ...]]] = [
+        (NODE_FAULTS, shape.node_names()),
+        (WORKER_FAULTS, shape.worker_names()),
+        (STORE_FAULTS, (STORE,)),
+        (LINK_FAULTS, shape.links()),
+    ]
+    if shape.regions > 1:
+        groups.append((REGION_FAULTS, (BETWEEN_REGIONS,)))
+    kinds, targets = generator.choice(groups)
+    return generator.choice(kinds), generator.choice(targets)
+
+
+def _draw_requests(generator: random.Random, seed: int, shape: Shape) -> list[PlannedRequest]:
+    requests: list[PlannedRequest] = []
+    at_s = 0.0
+    while at_s < shape.seconds:
+        requests.append(_draw_request(generator, f"{seed}-{len(requests)}", at_s, shape))
+        at_s += generator.expovariate(REQUESTS_PER_S)
+    return requests
+
+
+def _draw_request(generator: random.Random, request: str, at_s: float, shape: Shape) -> PlannedRequest:
+    kind = generator.choices(list(KIND_WEIGHTS), list(KIND_WEIGHTS.values()))[0]
+    leaves_after_s = generator.uniform(*LEAVE_AFTER_S) if generator.random() < LEAVE_SHARE else 0.0
+    shared = generator.randrange(SHARED_PARTS)
+    tokens = generator.randint(*PROMPT_TOKENS)
+    events = generator.randint(*STREAM_EVENTS)
+    return PlannedRequest(
+        at_s=round(at_s, 3),
+        request=request,
+        kind=kind,
+        node=generator.randrange(shape.nodes),
+        key=generator.choices(list(KEY_WEIGHTS), list(KEY_WEIGHTS.values()))[0],
+        deadline_s=round(generator.uniform(1.0, 4.0), 2),
+        events=events if kind.is_stream else 0,
+        prompt_parts=f"5a{shared:02x}:400,{generator.getrandbits(32):08x}:{tokens}" if kind.is_stream else "",
+        prompt_tokens=400 + tokens if kind.is_stream else 0,
+        leaves_after_s=round(leaves_after_s, 3),
+    )
--- a/src/wallwell/soak/faults.py
+++ b/src/wallwell/soak/faults.py
@@ -11,9 +11,9 @@
 
 from wallwell.errors import PeerUnavailableError, SoakError
 from wallwell.soak.control import AimLink, ForgetHistory, HarmLink, SwitchStore
-from wallwell.soak.fleet import Fleet, store_host
+from wallwell.soak.fleet import REGION_BYTES_PER_S, REGION_DELAY_S, Fleet, sound_link, store_host
 from wallwell.soak.history import FaultBegan, FaultEnded
-from wallwell.soak.schedule import FaultKind, PlannedFault
+from wallwell.soak.schedule import ALL_NODES, STORE, FaultKind, PlannedFault
 
 Action = Callable[[PlannedFault], Awaitable[None]]
 LOST_ANSWERS = 5
@@ -34,6 +34,8 @@
     FaultKind.LINK_SILENT: {"silence": True},
     FaultKind.LINK_CUT_FORTH: {"hold_forth": True},
     FaultKind.LINK_CUT_BACK: {"hold_back": True},
+    FaultKind.REGIONS_CUT: {"hold_forth": True, "hold_back": True},
+    FaultKind.REGIONS_NARROW: {"delay_s": REGION_DELAY_S, "bytes_per_s": REGION_BYTES_PER_S / 100},
 }
 
 
@@ -42,7 +44,9 @@
 
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
-        self._node_turns = {node: asyncio.Lock() for node in fleet.schedule.shape.node_names()}
+        shape = fleet.schedule.shape
+        self._turns = {name: asyncio.Lock() for name in (*shape.node_names(), *shape.worker_names())}
+        """Held while a process is ended and started again: a leave or a planned stop may outlast its fault."""
         self._actions: dict[FaultKind, Action] = {
             FaultKind.KILL_NODE: self._kill_node,
             FaultKind.KILL_ALL_NODES: self._kill_all_nodes,
@@ -72,7 +76,7 @@
     # --- routers ---------------------------------------------------------------------------------------
 
     async def _kill_node(self, fault: PlannedFault) -> None:
-        async with self._node_turns[fault.target]:
+        async with self._turns[fault.target]:
             await self._fleet.node(fault.target).end(signal.SIGKILL)
             await asyncio.sleep(fault.lasts_s)
             await self._fleet.start_node(fault.target)
@@ -81,38 +85,40 @@
         nodes = self._fleet.schedule.shape.node_names()
         async with contextlib.AsyncExitStack() as turns:
             for node in nodes:
-                await turns.enter_async_context(self._node_turns[node])
+                await turns.enter_async_context(self._turns[node])
             await asyncio.gather(*(self._fleet.node(node).end(signal.SIGKILL) for node in nodes))
             await asyncio.sleep(fault.lasts_s)
             for node in nodes:
                 await self._fleet.start_node(node)
 
     async def _pause_node(self, fault: PlannedFault) -> None:
-        async with self._node_turns[fault.target]:
+        async with self._turns[fault.target]:
             node = self._fleet.node(fault.target)
             node.send(signal.SIGSTOP)
             await asyncio.sleep(fault.lasts_s)
             node.send(signal.SIGCONT)
 
     async def _stop_node(self, fault: PlannedFault) -> None:
-        async with self._node_turns[fault.target]:
+        async with self._turns[fault.target]:
             await self._fleet.node(fault.target).end(signal.SIGTERM)
             await self._fleet.start_node(fault.target)
 
     # --- workers ---------------------------------------------------------------------------------------
 
     async def _crash_worker(self, fault: PlannedFault) -> None:
-        await self._fleet.worker(fault.target).end(signal.SIGKILL)
-        await self._fleet.tell_proxy(AimLink(f"nodes>{fault.target}", ""))
-        await asyncio.sleep(fault.lasts_s)
-        await self._fleet.start_worker(fault.target)
+        async with self._turns[fault.target]:
+            await self._fleet.worker(fault.target).end(signal.SIGKILL)
+            await self._fleet.tell_proxy(AimLink(fault.target, ""))
+            await asyncio.sleep(fault.lasts_s)
+            await self._fleet.start_worker(fault.target)
 
     async def _drain_worker(self, fault: PlannedFault) -> None:
-        worker = self._fleet.worker(fault.target)
-        worker.send(signal.SIGUSR1)
-        await worker.wait()
-        await self._fleet.tell_proxy(AimLink(f"nodes>{fault.target}", ""))
-        await self._fleet.start_worker(fault.target)
+        async with self._turns[fault.target]:
+            worker = self._fleet.worker(fault.target)
+            worker.send(signal.SIGUSR1)
+            await worker.wait()
+            await self._fleet.tell_proxy(AimLink(fault.target, ""))
+            await self._fleet.start_worker(fault.target)
 
     # --- store and links -------------------------------------------------------------------------------
 
@@ -132,6 +138,18 @@
         await self._fleet.tell_store(ForgetHistory())
 
     async def _harm_link(self, fault: PlannedFault) -> None:
-        await self._fleet.tell_proxy(HarmLink(fault.target, **LINK_HARMS[fault.kind]))
+        link, node = link_of(fault.target)
+        await self._fleet.tell_proxy(HarmLink(link, node, **LINK_HARMS[fault.kind]))
         await asyncio.sleep(fault.lasts_s)
-        await self._fleet.tell_proxy(HarmLink(fault.target))
+        await self._fleet.tell_proxy(sound_link(link, node))
+
+
+def link_of(target: str) -> tuple[str, str]:
+    """Return the proxy's link and the node whose connections are harmed, empty for all of the link's.
+
+    Each node has a link of its own to the store; a worker's link is entered by all nodes.
+    """
+    source, arrow, end = target.partition(">")
+    if not arrow or end == STORE:
+        return target, ""
+    return end, "" if source == ALL_NODES else source
--- a/src/wallwell/soak/fleet.py
+++ b/src/wallwell/soak/fleet.py
@@ -8,7 +8,6 @@
 import socket
 import sys
 import time
-from collections.abc import Mapping
 from pathlib import Path
 
 import aiohttp
@@ -16,48 +15,25 @@
 from wallwell.cluster.peer_link import PeerLink, PeerMessage
 from wallwell.errors import SoakError
 from wallwell.platform import names
-from wallwell.soak.caller_process import MODEL, PATHS, ROUTE_HOST
-from wallwell.soak.control import AimLink, Done, LinkAddress, OpenLink, PutRow, ReadRow, RowText
-from wallwell.soak.history import CONTACT_S, HISTORY_SUFFIX, HistoryWriter, KeysInForce, NodeExited, RequestKind
-from wallwell.soak.schedule import (
-    EXPOSURE_REQUESTS,
-    EXPOSURE_SHARE,
-    FIRST_KEYS,
-    LIMIT_BURST,
-    LIMIT_RATE_PER_S,
-    LIMITED_KEY,
-    REVOKE_S,
-    ROLLBACK_S,
-    VERSION_S,
-    Badness,
-    Schedule,
-)
+from wallwell.soak.caller_process import MODEL
+from wallwell.soak.configuration import BOUNDS, ENGINES, ORDERS, configuration
+from wallwell.soak.control import AimLink, Done, HarmLink, KnowNode, LinkAddress, OpenLink, PutRow, ReadRow, RowText
+from wallwell.soak.history import HISTORY_SUFFIX, HistoryWriter, KeysInForce, NodeExited
+from wallwell.soak.schedule import BETWEEN_REGIONS, FIRST_KEYS, STORE, Schedule
 from wallwell.soak.store_process import StoreSettings
 from wallwell.soak.supervisor import ChildProcess, Supervisor
+from wallwell.soak.versions import Badness
 from wallwell.soak.worker_process import WorkerSettings
 
-ENGINES = "engines"
-ORDERS = "orders"
 FIRST_VERSION = "v1"
+REGION_DELAY_S = 0.02
+REGION_BYTES_PER_S = 30e6 / 8
+"""One way and width each way between regions, for all traffic of nodes with what stands there."""
 HEARTBEAT_S = 0.5
 CONTROL_TIMEOUT_S = 3.0
 READY_TIMEOUT_S = 20.0
 READY_PERIOD_S = 0.05
 PEER_PORTS = 8
-BOUNDS: Mapping[str, object] = {
-    "strict_revoke": True,
-    "revoke_ms": REVOKE_S * 1000,
-    "retry_budget_ratio": 0.2,
-    "retry_budget_extra": 50,
-    "lease_ms": 2000,
-    "contact_ms": CONTACT_S * 1000,
-    "version_ms": VERSION_S * 1000,
-    "exposure_share": EXPOSURE_SHARE,
-    "exposure_slack": EXPOSURE_REQUESTS,
-    "rollback_ms": ROLLBACK_S * 1000,
-    "grace_s": 5,
-}
-"""Bounds that routers are told; shorter than a deployment's, so that runs of seconds reach them."""
 
 
 class Fleet:
@@ -147,11 +123,15 @@
             return (await self._store.ask(ReadRow(table, key), RowText, CONTROL_TIMEOUT_S)).text
 
     async def _open_links(self) -> None:
-        for index, link in enumerate(self.schedule.shape.links()):
-            opened = await self._proxy.ask(OpenLink(link, f"127.1.1.{index + 1}"), LinkAddress, CONTROL_TIMEOUT_S)
-            self._links[link] = opened.address
+        shape = self.schedule.shape
+        ends = {f"{node}>{STORE}": STORE for node in shape.node_names()}
+        ends |= {worker: worker for worker in shape.worker_names() + shape.target_names()}
+        for index, (link, end) in enumerate(ends.items()):
+            request = OpenLink(link, f"127.1.1.{index + 1}", shape.region_of(end))
+            self._links[link] = (await self._proxy.ask(request, LinkAddress, CONTROL_TIMEOUT_S)).address
         for node, address in self._store_addresses.items():
-            await self.tell_proxy(AimLink(f"{node}>store", address))
+            await self.tell_proxy(AimLink(f"{node}>{STORE}", address))
+        await self.tell_proxy(sound_link(BETWEEN_REGIONS))
 
     # --- workers ---------------------------------------------------------------------------------------
 
@@ -160,24 +140,24 @@
         software, badness = self.software.get(name, (FIRST_VERSION, Badness()))
         number = self._incarnations[name] = self._incarnations.get(name, 0) + 1
         incarnation = f"{name}.{number}"
-        link = f"nodes>{name}"
         places = self.schedule.shape.worker_names() + self.schedule.shape.target_names()
         settings = WorkerSettings(
             incarnation=incarnation,
             service=ENGINES if name.startswith("engine") else ORDERS,
             model=MODEL,
             host=f"127.1.2.{places.index(name) + 1}",
-            told_address=self._links[link],
+            told_address=self._links[name],
             store_control=self._store_control,
             history=str(self.folder / f"{incarnation}{HISTORY_SUFFIX}"),
             seed=self.schedule.seed,
+            zone=f"z{self.schedule.shape.region_of(name)}",
             software=software,
             weights=self.weights,
             badness=badness,
             heartbeat_s=HEARTBEAT_S,
         )
         announced = await self.supervisor.start_own("worker", incarnation, settings)
-        await self.tell_proxy(AimLink(link, announced.addresses[0]))
+        await self.tell_proxy(AimLink(name, announced.addresses[0]))
 
     def worker(self, name: str) -> ChildProcess:
         """Return the newest incarnation's process."""
@@ -193,7 +173,7 @@
         self._ready[node] = f"{host}:{ready}"
         bounds = "\n".join(f"{name} = {json.dumps(value)}" for name, value in BOUNDS.items())
         text = f"""node = "{node}"
-zone = "z1"
+zone = "z{self.schedule.shape.region_of(node)}"
 ip = "{host}"
 port_range = [{first_peer}, {first_peer + PEER_PORTS}]
 listen = {{ front = "{self._front[node]}", ready = "{self._ready[node]}" }}
@@ -207,6 +187,7 @@
         """Start a router with the settings file that was written for it."""
         environment = {names.SETTINGS_VARIABLE: str(self.folder / f"{node}.toml")}
         child = await self.supervisor.start(node, (sys.executable, str(self._router)), environment)
+        await self.tell_proxy(KnowNode(node, child.pid, self.schedule.shape.region_of(node)))
         watcher = asyncio.create_task(self._watch(child))
         self._watchers.add(watcher)
         watcher.add_done_callback(self._watchers.discard)
@@ -243,37 +224,11 @@
     return f"127.1.3.{index + 1}"
 
 
-def configuration(version: int, keys: tuple[str, ...]) -> dict[str, object]:
-    """Return the operator's configuration: a route for each kind of request, a tenant for each key."""
-    return {
-        "version": version,
-        "routes": [_route(kind) for kind in RequestKind],
-        "services": [
-            {"name": ENGINES, "max_conns": 400, "engine": {"slots": 16, "models": [{"name": MODEL}]}},
-            {"name": ORDERS, "max_conns": 400},
-        ],
-        "tenants": [_tenant(key) for key in keys],
-    }
-
-
-def _tenant(key: str) -> dict[str, object]:
-    limit = {"rate_per_s": LIMIT_RATE_PER_S, "burst": LIMIT_BURST} if key == LIMITED_KEY else {}
-    return {"name": f"tenant-{key}", "api_keys": [key], **limit}
-
-
-def _route(kind: RequestKind) -> dict[str, object]:
-    return {
-        "name": kind.value,
-        "host": ROUTE_HOST,
-        "path_prefix": PATHS[kind],
-        "kind": RequestKind.STREAM.value if kind.is_stream else kind.value,
-        "service": ENGINES if kind.is_stream else ORDERS,
-        "timeout_ms": 4000,
-        "slo_ms": 500,
-        "gap_slo_ms": 300,
-        "attempts": 2,
-        "can_resume": kind is RequestKind.RESUMABLE,
-    }
+def sound_link(link: str, node: str = "") -> HarmLink:
+    """Return what a link does without a fault: nothing, but for what lies between regions."""
+    if link == BETWEEN_REGIONS:
+        return HarmLink(link, delay_s=REGION_DELAY_S, bytes_per_s=REGION_BYTES_PER_S)
+    return HarmLink(link, node)
 
 
 def _free_port(host: str) -> int:
--- a/src/wallwell/soak/operator.py
+++ b/src/wallwell/soak/operator.py
@@ -14,14 +14,8 @@
 from wallwell.soak.control import AimLink
 from wallwell.soak.fleet import Fleet
 from wallwell.soak.history import RolloutOrdered, RolloutState, WeightsNamed
-from wallwell.soak.schedule import (
-    LATER_KEYS,
-    ROLLOUT_SERVICE,
-    ROLLOUTS,
-    TARGET_VERSION,
-    OperationKind,
-    PlannedOperation,
-)
+from wallwell.soak.schedule import LATER_KEYS, OperationKind, PlannedOperation
+from wallwell.soak.versions import ROLLOUT_SERVICE, ROLLOUTS, TARGET_VERSION
 
 LATER_VERSION = 2
 """Of the configuration and of the weights."""
@@ -106,4 +100,4 @@
         for name in shape.worker_names():
             if name.startswith(ROLLOUT_SERVICE):
                 await self._fleet.worker(name).end(signal.SIGTERM)
-                await self._fleet.tell_proxy(AimLink(f"nodes>{name}", ""))
+                await self._fleet.tell_proxy(AimLink(name, ""))
--- a/src/wallwell/soak/proxy.py
+++ b/src/wallwell/soak/proxy.py
@@ -5,9 +5,21 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Sequence
 
 from wallwell.cluster.peer_link import PeerServer
-from wallwell.soak.control import AimLink, Announcement, Done, HarmLink, LinkAddress, OpenLink, announce
+from wallwell.soak.control import (
+    AimLink,
+    Announcement,
+    Done,
+    HarmLink,
+    KnowNode,
+    LinkAddress,
+    OpenLink,
+    announce,
+)
+from wallwell.soak.schedule import BETWEEN_REGIONS
+from wallwell.soak.socket_owner import owner_of
 
 PIECE_BYTES = 65536
 QUEUE_PIECES = 64
@@ -25,11 +37,33 @@
     writer.transport.abort()
 
 
+class Wire:
+    """What everything that goes one way shares: a delay and a width."""
+
+    def __init__(self) -> None:
+        self.harm = HarmLink("")
+        self._free_from_s = {True: 0.0, False: 0.0}
+
+    def due_s(self, at_s: float, size: int, forth: bool) -> float:
+        """Return when a piece that comes at ``at_s`` leaves."""
+        begin_s = max(at_s, self._free_from_s[forth])
+        takes_s = size / self.harm.bytes_per_s if self.harm.bytes_per_s else 0.0
+        self._free_from_s[forth] = begin_s + takes_s
+        return begin_s + takes_s + self.harm.delay_s
+
+    def holds(self, forth: bool) -> bool:
+        """Whether nothing passes this way now."""
+        return self.harm.hold_forth if forth else self.harm.hold_back
+
+
 class Connection:
-    """One connection through a link."""
+    """One connection through a link, of a node where that is known, over the wires that it crosses."""
 
-    def __init__(self, link: Link, near: asyncio.StreamWriter, far: asyncio.StreamWriter) -> None:
-        self._link = link
+    def __init__(
+        self, node: str, wires: Sequence[Wire], near: asyncio.StreamWriter, far: asyncio.StreamWriter
+    ) -> None:
+        self.node = node
+        self._wires = wires
         self._writers = (near, far)
         self.silent = False
 
@@ -60,8 +94,14 @@
         self, reader: asyncio.StreamReader, waiting: asyncio.Queue[tuple[float, bytes]], forth: bool
     ) -> None:
         while data := await reader.read(PIECE_BYTES):
-            await waiting.put((self._link.due_s(len(data), forth), data))
-        await waiting.put((self._link.due_s(0, forth), b""))
+            await waiting.put((self._due_s(len(data), forth), data))
+        await waiting.put((self._due_s(0, forth), b""))
+
+    def _due_s(self, size: int, forth: bool) -> float:
+        at_s = asyncio.get_running_loop().time()
+        for wire in self._wires:
+            at_s = wire.due_s(at_s, size, forth)
+        return at_s
 
     async def _hand_out(
         self, waiting: asyncio.Queue[tuple[float, bytes]], writer: asyncio.StreamWriter, forth: bool
@@ -70,7 +110,7 @@
         while True:
             due_s, data = await waiting.get()
             await asyncio.sleep(due_s - loop.time())
-            while self.silent or self._link.holds(forth):
+            while self.silent or any(wire.holds(forth) for wire in self._wires):
                 await asyncio.sleep(LOOK_AGAIN_S)
             if not data:
                 writer.write_eof()
@@ -79,18 +119,40 @@
             await writer.drain()
 
 
+class Nodes:
+    """The routers' processes and regions, and what lies between regions."""
+
+    def __init__(self) -> None:
+        self.between_regions = Wire()
+        self._processes: dict[str, int] = {}
+        self._regions: dict[str, int] = {}
+
+    def know(self, node: KnowNode) -> None:
+        """A node has started."""
+        self._processes[node.node] = node.pid
+        self._regions[node.node] = node.region
+
+    def owner_of(self, writer: asyncio.StreamWriter) -> str:
+        """Return whose connection this is, empty if it is no node's."""
+        return owner_of(writer.get_extra_info("peername"), self._processes)
+
+    def crossed(self, node: str, region: int) -> tuple[Wire, ...]:
+        """Return what a connection of a node to a region crosses besides its link."""
+        return (self.between_regions,) if self._regions.get(node, region) != region else ()
+
+
 class Link:
-    """One link: where it is entered, where it leads, and the harm it does."""
+    """One link: where it is entered, where it leads, and the harm it does to all or to single nodes."""
 
-    def __init__(self, name: str, host: str) -> None:
-        self.name = name
-        self.harm = HarmLink(name)
-        self._host = host
-        self._port = 0
+    def __init__(self, request: OpenLink, nodes: Nodes) -> None:
+        self._host = request.host
+        self._port = request.port
+        self._region = request.region
+        self._nodes = nodes
         self._target = ""
         self._server: asyncio.Server | None = None
         self._connections: set[Connection] = set()
-        self._free_from_s = {True: 0.0, False: 0.0}
+        self._wires: dict[str, Wire] = {"": Wire()}
 
     async def open(self) -> str:
         """Listen; returns where the link is entered."""
@@ -104,37 +166,33 @@
         if not target and self._server is not None:
             self._server.close()
             self._server = None
-            self._reset_all()
+            self._reset("")
         elif target and self._server is None:
             await self.open()
 
     def apply(self, harm: HarmLink) -> None:
         """Do this harm from now on."""
-        self.harm = harm
+        self._wire_of(harm.node).harm = harm
         if harm.reset:
-            self._reset_all()
+            self._reset(harm.node)
         if harm.silence:
-            for connection in self._connections:
+            for connection in self._connections_of(harm.node):
                 connection.silent = True
 
-    def holds(self, forth: bool) -> bool:
-        """Whether nothing passes this way now."""
-        return self.harm.hold_forth if forth else self.harm.hold_back
+    def _wire_of(self, node: str) -> Wire:
+        return self._wires.setdefault(node, Wire())
 
-    def due_s(self, size: int, forth: bool) -> float:
-        """Return when a piece that arrives now is handed out, by delay and width."""
-        now_s = asyncio.get_running_loop().time()
-        begin_s = max(now_s, self._free_from_s[forth])
-        takes_s = size / self.harm.bytes_per_s if self.harm.bytes_per_s else 0.0
-        self._free_from_s[forth] = begin_s + takes_s
-        return begin_s + takes_s + self.harm.delay_s
+    def _connections_of(self, node: str) -> list[Connection]:
+        return [each for each in self._connections if node in ("", each.node)]
 
-    def _reset_all(self) -> None:
-        for connection in list(self._connections):
+    def _reset(self, node: str) -> None:
+        for connection in self._connections_of(node):
             connection.reset()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self.harm.reset:
+        node = self._nodes.owner_of(writer)
+        wires = [self._wires[""], self._wire_of(node or "none"), *self._nodes.crossed(node, self._region)]
+        if any(wire.harm.reset for wire in wires):
             reset(writer)
             return
         host, _, port = self._target.rpartition(":")
@@ -144,7 +202,7 @@
         except (OSError, ValueError, TimeoutError):
             reset(writer)  # Nobody is there: the caller sees its connection end.
             return
-        connection = Connection(self, writer, far_writer)
+        connection = Connection(node, wires, writer, far_writer)
         self._connections.add(connection)
         try:
             await connection.carry(reader, far_reader)
@@ -158,8 +216,11 @@
     """All links of a run."""
 
     def __init__(self) -> None:
+        self._nodes = Nodes()
         self._links: dict[str, Link] = {}
-        self._control = PeerServer({OpenLink: self._open, AimLink: self._aim, HarmLink: self._harm})
+        self._control = PeerServer(
+            {OpenLink: self._open, AimLink: self._aim, HarmLink: self._harm, KnowNode: self._know}
+        )
 
     async def start(self) -> None:
         """Take what the run tells."""
@@ -167,7 +228,7 @@
         announce(Announcement((), self._control.address))
 
     async def _open(self, request: OpenLink) -> LinkAddress:
-        link = self._links[request.link] = Link(request.link, request.host)
+        link = self._links[request.link] = Link(request, self._nodes)
         return LinkAddress(await link.open())
 
     async def _aim(self, request: AimLink) -> Done:
@@ -175,5 +236,12 @@
         return Done()
 
     async def _harm(self, request: HarmLink) -> Done:
-        self._links[request.link].apply(request)
+        if request.link == BETWEEN_REGIONS:
+            self._nodes.between_regions.harm = request
+        else:
+            self._links[request.link].apply(request)
+        return Done()
+
+    async def _know(self, request: KnowNode) -> Done:
+        self._nodes.know(request)
         return Done()
--- a/src/wallwell/soak/regressions.py
+++ b/src/wallwell/soak/regressions.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from wallwell.errors import SoakError
-from wallwell.soak.schedule import Schedule, Shape, draw_schedule
+from wallwell.soak.drawing import draw_schedule
+from wallwell.soak.schedule import Schedule, Shape
 
 
 class KeptRun(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/wallwell/soak/schedule.py
+++ b/src/wallwell/soak/schedule.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import enum
-import random
 
 import msgspec
 
-from wallwell.errors import SoakError
 from wallwell.soak.history import RequestKind
+from wallwell.soak.versions import ROLLOUT_AT_S
 
 
 class FaultKind(enum.Enum):
@@ -32,6 +31,8 @@
     LINK_SILENT = "link_silent"  # a link: open connections carry nothing more; new ones work
     LINK_CUT_FORTH = "link_cut_forth"  # a link: nothing reaches the far end, answers would come
     LINK_CUT_BACK = "link_cut_back"  # a link: nothing comes back
+    REGIONS_CUT = "regions_cut"  # all links between regions: nothing passes
+    REGIONS_NARROW = "regions_narrow"  # all links between regions: a hundredth of their width
 
 
 NODE_FAULTS = (FaultKind.KILL_NODE, FaultKind.PAUSE_NODE, FaultKind.STOP_NODE, FaultKind.STORE_REFUSES_NODE)
@@ -51,45 +52,9 @@
     FaultKind.LINK_CUT_FORTH,
     FaultKind.LINK_CUT_BACK,
 )
-
-
-class Badness(msgspec.Struct, frozen=True):
-    """How a software version is bad. All off: it is good.
-
-    ``failure_share`` of the answers fail and all take ``slowness`` times as long, from ``after_s`` of the worker's
-    life on, while at least ``under_load`` requests run there, on paths that begin with ``path``.
-    """
-
-    failure_share: float = 0.0
-    slowness: float = 1.0
-    after_s: float = 0.0
-    under_load: int = 0
-    path: str = "/"
-
-    @property
-    def is_bad(self) -> bool:
-        """Whether anything is on."""
-        return self.failure_share > 0 or self.slowness > 1
-
-    def strikes(self, age_s: float, running: int, path: str) -> bool:
-        """Whether a request that begins now is struck."""
-        is_due = age_s >= self.after_s and running >= self.under_load
-        return self.is_bad and is_due and path.startswith(self.path)
-
-
-ROLLOUTS = {
-    "good": Badness(),
-    "failing": Badness(failure_share=0.5),
-    "slow": Badness(slowness=5.0),
-    "failing_later": Badness(failure_share=0.5, after_s=5.0),
-    "failing_under_load": Badness(failure_share=0.5, under_load=2),
-    "failing_on_one_route": Badness(failure_share=0.5, path="/book/"),
-}
-"""Versions that a run can roll out, by name."""
-ROLLOUT_SERVICE = "orders"
-TARGET_VERSION = "v2"
-ROLLOUT_AT_S = 2.0
+REGION_FAULTS = (FaultKind.REGIONS_CUT, FaultKind.REGIONS_NARROW)
 STORE = "store"
+BETWEEN_REGIONS = "regions"
 ALL_NODES = "all"
 LIMITED_KEY = "key-limited"
 FIRST_KEYS = ("key-a", "key-b", "key-c", LIMITED_KEY)
@@ -106,32 +71,10 @@
 EXPOSURE_REQUESTS = 50.0
 ROLLBACK_S = 5.0
 """Bounds that routers are told; shorter than a deployment's where runs of seconds would not reach them."""
-FIRST_FAULT_S = 1.0
 RECOVERY_S = 5.0
 """Time after which a fleet whose nodes were all killed serves again, counted from their start."""
 SHOWN_RECOVERED_S = 3.0
 """Time at the end of a run in which requests show that the fleet has recovered."""
-SETTLE_S = 3.5
-"""Time between the last single fault's begin and the end of all nodes: the longest fault and some more."""
-SHORTEST_RUN_S = 15.0
-FAULT_PERIODS_S = (1.0, 3.0, 1000.0)
-"""Mean time between two faults, one drawn for each run; a fault lasts 0.3 to 2.5 s, so that some overlap.
-
-The last leaves one fault before all nodes are killed: bounds that count for nodes in touch need quiet spans."""
-FAULT_LASTS_S = (0.3, 2.5)
-REQUESTS_PER_S = 40.0
-KIND_WEIGHTS = {
-    RequestKind.SAFE: 2.0,
-    RequestKind.UNSAFE: 3.0,
-    RequestKind.STREAM: 3.0,
-    RequestKind.RESUMABLE: 2.0,
-}
-LEAVE_SHARE = 0.08
-"""Part of the callers that leave before the end."""
-LEAVE_AFTER_S = (0.02, 0.4)
-STREAM_EVENTS = (3, 120)
-PROMPT_TOKENS = (50, 1500)
-SHARED_PARTS = 6
 
 
 class PlannedRequest(msgspec.Struct, frozen=True):
@@ -186,6 +129,8 @@
     nodes: int = 3
     engines: int = 4
     instances: int = 2
+    regions: int = 1
+    """Nodes and workers stand in regions by turns; the store stands in the first."""
     rollout: str = ""
     """Name of :data:`ROLLOUTS`, empty for none."""
 
@@ -206,10 +151,20 @@
         """Time from a rollout's order to its deadline: it ends before all nodes are killed."""
         return self.seconds - RECOVERY_S - SHOWN_RECOVERED_S - ROLLOUT_AT_S - 1.0
 
+    def far_ends(self) -> tuple[str, ...]:
+        """Names of what nodes reach through the proxy."""
+        return (STORE, *self.worker_names(), *self.target_names())
+
     def links(self) -> tuple[str, ...]:
-        """Links that go through the proxy: to each worker from all nodes, and from each node to the store."""
-        to_store = tuple(f"{node}>store" for node in self.node_names())
-        return to_store + tuple(f"nodes>{worker}" for worker in self.worker_names() + self.target_names())
+        """Links that a fault can harm: of each node, and of all of them, to each far end but the store."""
+        sources = (ALL_NODES, *self.node_names())
+        to_workers = tuple(f"{source}>{worker}" for worker in self.worker_names() for source in sources)
+        return tuple(f"{node}>{STORE}" for node in self.node_names()) + to_workers
+
+    def region_of(self, name: str) -> int:
+        """Return the region of a node or a worker, or of the store."""
+        number = name.rpartition("-")[2]
+        return int(number) % self.regions if number.isdecimal() else 0
 
 
 class Schedule(msgspec.Struct, frozen=True):
@@ -220,84 +175,3 @@
     faults: tuple[PlannedFault, ...]
     requests: tuple[PlannedRequest, ...]
     operations: tuple[PlannedOperation, ...] = ()
-
-
-def draw_schedule(seed: int, shape: Shape) -> Schedule:
-    """Return the schedule of a seed: the same for the same arguments. Raises :class:`SoakError`."""
-    if shape.seconds < SHORTEST_RUN_S:
-        raise SoakError(f"a run takes {SHORTEST_RUN_S:g} s at least: the fleet's recovery is part of it")
-    if shape.rollout and shape.rollout not in ROLLOUTS:
-        raise SoakError(f"no version {shape.rollout} to roll out; there are {', '.join(ROLLOUTS)}")
-    faults = _draw_faults(random.Random(f"{seed}/faults"), shape)
-    requests = _draw_requests(random.Random(f"{seed}/requests"), seed, shape)
-    operations = _draw_operations(random.Random(f"{seed}/operations"), shape)
-    return Schedule(seed, shape, tuple(faults), tuple(requests), tuple(operations))
-
-
-def _draw_operations(generator: random.Random, shape: Shape) -> list[PlannedOperation]:
-    latest_s = shape.seconds - RECOVERY_S - SHOWN_RECOVERED_S - VERSION_S
-    keys_s, weights_s = (round(generator.uniform(0.5, max(1.0, latest_s)), 2) for _ in range(2))
-    operations = [
-        PlannedOperation(keys_s, OperationKind.CHANGE_KEYS),
-        PlannedOperation(weights_s, OperationKind.NAME_WEIGHTS),
-    ]
-    if shape.rollout:
-        operations.append(PlannedOperation(ROLLOUT_AT_S, OperationKind.ROLL_OUT))
-    return operations
-
-
-def _draw_faults(generator: random.Random, shape: Shape) -> list[PlannedFault]:
-    faults: list[PlannedFault] = []
-    busy: dict[str, float] = {}
-    period_s = generator.choice(FAULT_PERIODS_S)
-    at_s = FIRST_FAULT_S
-    kill_at_s = shape.seconds - RECOVERY_S - SHOWN_RECOVERED_S
-    while at_s < kill_at_s - SETTLE_S:
-        kind, target = _draw_target(generator, shape)
-        lasts_s = round(generator.uniform(*FAULT_LASTS_S), 2)
-        if busy.get(target, 0.0) <= at_s:
-            faults.append(PlannedFault(round(at_s, 2), lasts_s, kind, target))
-            busy[target] = at_s + lasts_s + FIRST_FAULT_S
-        at_s += generator.expovariate(1 / period_s)
-    faults.append(PlannedFault(round(kill_at_s, 2), 0.3, FaultKind.KILL_ALL_NODES, ALL_NODES))
-    return faults
-
-
-def _draw_target(generator: random.Random, shape: Shape) -> tuple[FaultKind, str]:
-    groups: list[tuple[tuple[FaultKind, ...], tuple[str, ...]]] = [
-        (NODE_FAULTS, shape.node_names()),
-        (WORKER_FAULTS, shape.worker_names()),
-        (STORE_FAULTS, (STORE,)),
-        (LINK_FAULTS, shape.links()),
-    ]
-    kinds, targets = generator.choice(groups)
-    return generator.choice(kinds), generator.choice(targets)
-
-
-def _draw_requests(generator: random.Random, seed: int, shape: Shape) -> list[PlannedRequest]:
-    requests: list[PlannedRequest] = []
-    at_s = 0.0
-    while at_s < shape.seconds:
-        requests.append(_draw_request(generator, f"{seed}-{len(requests)}", at_s, shape))
-        at_s += generator.expovariate(REQUESTS_PER_S)
-    return requests
-
-
-def _draw_request(generator: random.Random, request: str, at_s: float, shape: Shape) -> PlannedRequest:
-    kind = generator.choices(list(KIND_WEIGHTS), list(KIND_WEIGHTS.values()))[0]
-    leaves_after_s = generator.uniform(*LEAVE_AFTER_S) if generator.random() < LEAVE_SHARE else 0.0
-    shared = generator.randrange(SHARED_PARTS)
-    tokens = generator.randint(*PROMPT_TOKENS)
-    events = generator.randint(*STREAM_EVENTS)
-    return PlannedRequest(
-        at_s=round(at_s, 3),
-        request=request,
-        kind=kind,
-        node=generator.randrange(shape.nodes),
-        key=generator.choices(list(KEY_WEIGHTS), list(KEY_WEIGHTS.values()))[0],
-        deadline_s=round(generator.uniform(1.0, 4.0), 2),
-        events=events if kind.is_stream else 0,
-        prompt_parts=f"5a{shared:02x}:400,{generator.getrandbits(32):08x}:{tokens}" if kind.is_stream else "",
-        prompt_tokens=400 + tokens if kind.is_stream else 0,
-        leaves_after_s=round(leaves_after_s, 3),
-    )
--- a/src/wallwell/soak/worker_process.py
+++ b/src/wallwell/soak/worker_process.py
@@ -19,7 +19,7 @@
 from wallwell.soak.answers import call_body, event_text
 from wallwell.soak.control import Announcement, Done, Farewell, Heartbeat, announce
 from wallwell.soak.history import Arrived, Began, Ended, HistoryWriter, OrderTaken
-from wallwell.soak.schedule import Badness
+from wallwell.soak.versions import Badness
 
 CONTROL_TIMEOUT_S = 1.0
 MISDIRECTED = 421
--- a/tests/unit/soak/test_proxy.py
+++ b/tests/unit/soak/test_proxy.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import os
 
 import pytest
 
-from wallwell.soak.control import HarmLink
-from wallwell.soak.proxy import Link
+from wallwell.soak.control import HarmLink, KnowNode, OpenLink
+from wallwell.soak.proxy import Link, Nodes, Wire
 
 HELD_S = 0.05
 """Time in which nothing may come; what would come takes well under a millisecond."""
@@ -22,7 +23,8 @@
     async def __aenter__(self):
         self.server = await asyncio.start_server(self._repeat, "127.0.0.1", 0)
         self.target = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
-        self.link = Link("l", "127.0.0.1")
+        self.nodes = Nodes()
+        self.link = Link(OpenLink("l", "127.0.0.1", region=1), self.nodes)
         self.entry = await self.link.open()
         await self.link.aim(self.target)
         return self
@@ -133,11 +135,36 @@
     assert through_link(run_async, scenario) == b"a"
 
 
-def test_delay_and_width_add_up_over_pieces_of_one_way(run_async):
+def test_delay_and_width_add_up_over_pieces_of_one_way():
+    wire = Wire()
+    wire.harm = HarmLink("l", delay_s=0.5, bytes_per_s=1000.0)
+    due = [wire.due_s(10.0, 200, True), wire.due_s(10.0, 200, True), wire.due_s(10.0, 200, False)]
+    assert [round(each, 2) for each in due] == [10.7, 10.9, 10.7]
+
+
+@pytest.mark.parametrize(("node", "comes_during"), [("us", b""), ("another", b"b")])
+def test_a_harm_of_one_node_leaves_the_others_alone(run_async, node, comes_during):
+    async def scenario(ends):
+        ends.nodes.know(KnowNode("us", os.getpid()))
+        reader, writer = await ends.connect()
+        writer.write(b"a")
+        await reader.readexactly(1)
+        ends.link.apply(HarmLink("l", node=node, hold_back=True))
+        writer.write(b"b")
+        return await comes(reader)
+
+    assert through_link(run_async, scenario) == comes_during
+
+
+@pytest.mark.parametrize(("region", "comes_during"), [(0, b""), (1, b"b")])
+def test_what_lies_between_regions_is_crossed_by_nodes_of_another_region_only(run_async, region, comes_during):
     async def scenario(ends):
-        ends.link.apply(HarmLink("l", delay_s=0.5, bytes_per_s=1000.0))
-        now_s = asyncio.get_running_loop().time()
-        due = [ends.link.due_s(200, True), ends.link.due_s(200, True), ends.link.due_s(200, False)]
-        return [round(each - now_s, 2) for each in due]
+        ends.nodes.know(KnowNode("us", os.getpid(), region))
+        reader, writer = await ends.connect()
+        writer.write(b"a")
+        await reader.readexactly(1)
+        ends.nodes.between_regions.harm = HarmLink("regions", hold_forth=True)
+        writer.write(b"b")
+        return await comes(reader)
 
-    assert through_link(run_async, scenario) == [0.7, 0.9, 0.7]
+    assert through_link(run_async, scenario) == comes_during
--- a/tests/unit/soak/test_regressions.py
+++ b/tests/unit/soak/test_regressions.py
@@ -5,8 +5,9 @@
 import pytest
 
 from wallwell.errors import SoakError
+from wallwell.soak.drawing import draw_schedule
 from wallwell.soak.regressions import KeptRun, load_regressions, schedule_of
-from wallwell.soak.schedule import Shape, draw_schedule
+from wallwell.soak.schedule import Shape
 
 KEPT = """
 [[run]]
--- a/tests/unit/soak/test_schedule.py
+++ b/tests/unit/soak/test_schedule.py
@@ -2,14 +2,8 @@
 
 import pytest
 
-from wallwell.soak.schedule import (
-    RECOVERY_S,
-    SHORTEST_RUN_S,
-    SHOWN_RECOVERED_S,
-    FaultKind,
-    Shape,
-    draw_schedule,
-)
+from wallwell.soak.drawing import SHORTEST_RUN_S, draw_schedule
+from wallwell.soak.schedule import RECOVERY_S, REGION_FAULTS, SHOWN_RECOVERED_S, FaultKind, Shape
 
 
 def test_a_seed_draws_the_same_schedule_each_time_and_another_one_another():
@@ -37,5 +31,21 @@
 
 
 def test_every_kind_of_fault_is_drawn_by_some_seed():
-    drawn = {fault.kind for seed in range(100) for fault in draw_schedule(seed, Shape()).faults}
+    drawn = {fault.kind for seed in range(100) for fault in draw_schedule(seed, Shape(regions=2)).faults}
     assert drawn == set(FaultKind)
+
+
+def test_one_region_has_no_faults_between_regions():
+    drawn = {fault.kind for seed in range(100) for fault in draw_schedule(seed, Shape()).faults}
+    assert drawn == set(FaultKind) - set(REGION_FAULTS)
+
+
+def test_nodes_and_workers_stand_in_regions_by_turns_and_the_store_in_the_first():
+    shape = Shape(regions=2)
+    assert [shape.region_of(name) for name in ("node-0", "node-1", "engine-3", "orders-new-1", "store")] == [
+        0,
+        1,
+        1,
+        1,
+        0,
+    ]
