--- a/src/wallwell/gateway/head_wait.py
+++ b/src/wallwell/gateway/head_wait.py
@@ -9,6 +9,7 @@
 from wallwell.gateway.exchange import AttemptError, BackendAnswer, BackendClient, Dispatch
 from wallwell.gateway.exchange_state import Exchange
 from wallwell.gateway.fleet_state import FleetState
+from wallwell.late_loop import is_done_within
 from wallwell.routing.outcome import TransportEvent
 
 FIRST_BYTE_PATIENCE = 0.6
@@ -32,13 +33,14 @@
         sending = asyncio.create_task(self._send(dispatch))
         try:
             if silence_s is not None and (begin_within_s is None or silence_s < begin_within_s):
-                done, _ = await asyncio.wait({sending}, timeout=silence_s)
+                is_silent = not await is_done_within(sending, silence_s)
                 # A repeat is paid for before the attempt is given up; a late answer is better than none.
-                if not done and self._is_repeat_better(exchange):
-                    raise AttemptError(TransportEvent.ANSWER_TIMEOUT, "no answer in time")
+                if is_silent and self._is_repeat_better(exchange):
+                    await _withdraw(sending)
+                    raise _silence(dispatch)
             if not sending.done() and begin_within_s is not None:
-                await asyncio.wait({sending}, timeout=self._begin_within_s(exchange, backend) or MIN_REMAINING_S)
-                if not sending.done():
+                begin_within_s = self._begin_within_s(exchange, backend) or MIN_REMAINING_S
+                if not await is_done_within(sending, begin_within_s):
                     raise AttemptError(TransportEvent.ANSWER_TIMEOUT, "its weights are too old to begin")
             return await sending
         except BaseException:
@@ -93,6 +95,13 @@
         return untried and self._state.budget_of(exchange.service).left(now_s, self._state.node_count) >= 1.0
 
 
+def _silence(dispatch: Dispatch) -> AttemptError:
+    """Return how a withdrawn attempt ended: one that was still connecting cannot have run."""
+    if dispatch.progress.connecting:
+        return AttemptError(TransportEvent.CONNECT_TIMEOUT, "no connection in time")
+    return AttemptError(TransportEvent.ANSWER_TIMEOUT, "no answer in time")
+
+
 async def _withdraw(sending: asyncio.Task[BackendAnswer]) -> None:
     """Give a dispatch up; an answer whose head has come all the same is closed, so that its back end stops."""
     sending.cancel()
