The emulated store gives one version to all rows of a transaction

Cause: as the platform does; each row had a version of its own. Workers' stand-ins can be told their software version, which the rollouts' tests need; this and the former came up in those tests.

--- a/src/wallwell/emulator/platform_store.py
+++ b/src/wallwell/emulator/platform_store.py
@@ -90,6 +90,9 @@
     def put(self, table: str, key: str, value: object | None) -> None:
         """Write a row; ``value`` is JSON-encoded unless it is text, or None, which deletes."""
         self.version += 1
+        self._put(table, key, value)
+
+    def _put(self, table: str, key: str, value: object | None) -> None:
         if value is None:
             self.rows.pop((table, key), None)
         else:
@@ -159,10 +162,11 @@
         for condition in body.expect_rev:
             if self.rows.get((condition.table, condition.key), ("", 0))[1] != condition.ver:
                 return False
+        self.version += 1  # One version for all rows of a transaction.
         for entry in body.put:
-            self.put(entry.table, entry.key, base64.b64decode(entry.value).decode())
+            self._put(entry.table, entry.key, base64.b64decode(entry.value).decode())
         for gone in body.delete:
-            self.put(gone.table, gone.key, None)
+            self._put(gone.table, gone.key, None)
         return True
 
     async def _apply_late(self, body: TransactBody) -> None:
--- a/src/wallwell/emulator/platform_worker.py
+++ b/src/wallwell/emulator/platform_worker.py
@@ -15,13 +15,13 @@
 class PlatformWorkerEmulator:
     """One incarnation of one worker."""
 
-    def __init__(self, incarnation: str, service: str = "svc", model: str = "m") -> None:
+    def __init__(self, incarnation: str, service: str = "svc", model: str = "m", software: str = "") -> None:
         self.incarnation = incarnation
         self.service = service
         self.model = model
         self.zone = "z1"
         self.slots = 8
-        self.software = ""
+        self.software = software
         self.version = 1
         """Weights version of ``model``."""
         self.draining = False
@@ -44,16 +44,16 @@
 
     def entry(self) -> dict[str, Any]:
         """Return the worker's own entry in the store."""
-        entry = {
+        return {
             "service": self.service,
             "addr": self.address,
             "zone": self.zone,
+            "version": self.software,
             "slots": self.slots,
             "state": "draining" if self.draining else "ready",
             "models": [{"name": self.model, "version": self.version}],
             "seq": 1,
         }
-        return {**entry, "version": self.software} if self.software else entry
 
     def headers(self, request: web.BaseRequest, **more: str) -> dict[str, str]:
         """Return what every answer to a request carries."""
--- a/src/wallwell/soak/worker_process.py
+++ b/src/wallwell/soak/worker_process.py
@@ -63,10 +63,9 @@
     """One incarnation."""
 
     def __init__(self, settings: WorkerSettings) -> None:
-        super().__init__(settings.incarnation, settings.service, settings.model)
+        super().__init__(settings.incarnation, settings.service, settings.model, settings.software)
         self.zone = settings.zone
         self.slots = settings.slots
-        self.software = settings.software
         self.version = settings.weights
         self._settings = settings
         self._history = HistoryWriter(Path(settings.history))
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -24,8 +24,8 @@
 class WorkerStandIn(PlatformWorkerEmulator):
     """A worker that answers as it is told and records what reached it."""
 
-    def __init__(self, incarnation, service="svc"):
-        super().__init__(incarnation, service)
+    def __init__(self, incarnation, service="svc", software=""):
+        super().__init__(incarnation, service, software=software)
         self.requests: list[web.Request] = []
         self.bodies: list[bytes] = []
         self.respond = self.answer_ok
