Soak: calls take long enough to be struck, replaced workers stay away

Cause: a call of 20 ms was hardly ever under way when its worker crashed; a fault could start a worker again that a complete rollout had replaced. Change: calls take 150 ms; places of replaced workers are retired.

--- a/src/wallwell/soak/fleet.py
+++ b/src/wallwell/soak/fleet.py
@@ -29,6 +29,10 @@
 REGION_DELAY_S = 0.02
 REGION_BYTES_PER_S = 30e6 / 8
 """One way and width each way between regions, for all traffic of nodes with what stands there."""
+CALL_S = 0.15
+"""Time of a call: long enough that faults on its worker strike some under way."""
+PROMPT_S = 0.02
+"""Time to a stream's first event."""
 HEARTBEAT_S = 0.5
 CONTROL_TIMEOUT_S = 3.0
 READY_TIMEOUT_S = 20.0
@@ -51,6 +55,8 @@
         """Newest weights version that was named."""
         self.software: dict[str, tuple[str, Badness]] = {}
         """Software of the places that do not run the first version."""
+        self.retired: set[str] = set()
+        """Places whose workers a rollout has replaced; none is started there any more."""
         self._incarnations: dict[str, int] = {}
         self._links: dict[str, str] = {}
         self._front: dict[str, str] = {}
@@ -137,19 +143,23 @@
 
     async def start_worker(self, name: str) -> None:
         """Start a new incarnation of a worker behind its link, with the newest weights and its place's software."""
+        if name in self.retired:
+            return
         software, badness = self.software.get(name, (FIRST_VERSION, Badness()))
         number = self._incarnations[name] = self._incarnations.get(name, 0) + 1
         incarnation = f"{name}.{number}"
+        service = ENGINES if name.startswith("engine") else ORDERS
         places = self.schedule.shape.worker_names() + self.schedule.shape.target_names()
         settings = WorkerSettings(
             incarnation=incarnation,
-            service=ENGINES if name.startswith("engine") else ORDERS,
+            service=service,
             model=MODEL,
             host=f"127.1.2.{places.index(name) + 1}",
             told_address=self._links[name],
             store_control=self._store_control,
             history=str(self.folder / f"{incarnation}{HISTORY_SUFFIX}"),
             seed=self.schedule.seed,
+            work_s=CALL_S if service == ORDERS else PROMPT_S,
             zone=f"z{self.schedule.shape.region_of(name)}",
             software=software,
             weights=self.weights,
--- a/src/wallwell/soak/operator.py
+++ b/src/wallwell/soak/operator.py
@@ -99,5 +99,6 @@
         shape = self._fleet.schedule.shape
         for name in shape.worker_names():
             if name.startswith(ROLLOUT_SERVICE):
+                self._fleet.retired.add(name)
                 await self._fleet.worker(name).end(signal.SIGTERM)
                 await self._fleet.tell_proxy(AimLink(name, ""))
--- a/src/wallwell/soak/worker_process.py
+++ b/src/wallwell/soak/worker_process.py
@@ -43,6 +43,8 @@
     store_control: str
     history: str
     seed: int
+    work_s: float
+    """Time of a call, and until a stream's first event."""
     zone: str = "z1"
     slots: int = 16
     software: str = ""
@@ -50,8 +52,6 @@
     heartbeat_s: float = 0.5
     event_s: float = 0.015
     """Time of one event of a stream."""
-    work_s: float = 0.02
-    """Time of a call, and until a stream's first event."""
     load_s: float = 0.3
     """Time that new weights take."""
     drain_s: float = 3.0
