The command line imports the module of the command given alone

Cause: `wallwell explain` imported the router, the stand-ins and the demo. Change: a table of commands and modules; the overview of all commands still imports them all.

--- a/src/wallwell/cli/main.py
+++ b/src/wallwell/cli/main.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import argparse
+import importlib
 import sys
 from collections.abc import Sequence
 
 from wallwell import __version__
-from wallwell.cli import bench, catalogue, config_commands, demo, emulate, explain, router, soak
 from wallwell.errors import WallwellError
 
 EXIT_OK = 0
@@ -15,19 +15,37 @@
 EXIT_USAGE = 2
 
 
-def build_parser() -> argparse.ArgumentParser:
-    """Return the parser with every command."""
+MODULES = {
+    "router": "router",
+    "check": "config_commands",
+    "apply": "config_commands",
+    "remove": "config_commands",
+    "get": "config_commands",
+    "status": "config_commands",
+    "emulate": "emulate",
+    "demo": "demo",
+    "bench": "bench",
+    "catalogue": "catalogue",
+    "explain": "explain",
+    "soak": "soak",
+}
+"""The module of ``wallwell.cli`` that declares each command. Only that of the command given is imported."""
+
+
+def build_parser(command: str = "") -> argparse.ArgumentParser:
+    """Return the parser of one command, or of all if there is none of this name."""
     parser = argparse.ArgumentParser(prog="wallwell", description="Router for language-model traffic.")
     parser.add_argument("--version", action="version", version=__version__)
     commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
-    for module in (router, config_commands, emulate, demo, bench, catalogue, explain, soak):
-        module.register(commands)
+    for module in [MODULES[command]] if command in MODULES else dict.fromkeys(MODULES.values()):
+        importlib.import_module(f"wallwell.cli.{module}").register(commands)
     return parser
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run one command; returns the exit status."""
-    options = build_parser().parse_args(arguments)
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    options = build_parser(given[0] if given else "").parse_args(given)
     try:
         return int(options.run(options))
     except WallwellError as error:
