--- a/src/wallwell/cli/soak.py
+++ b/src/wallwell/cli/soak.py
@@ -19,6 +19,7 @@
 DEFAULT_NODES = 3
 DEFAULT_ENGINES = 4
 DEFAULT_INSTANCES = 2
+DEFAULT_RATE_PER_S = 40.0
 
 
 def register(commands: Any) -> None:
@@ -30,6 +31,7 @@
     parser.add_argument("--engines", type=int, default=DEFAULT_ENGINES)
     parser.add_argument("--instances", type=int, default=DEFAULT_INSTANCES, help="workers that answer calls")
     parser.add_argument("--regions", type=int, default=1, help="2: two regions behind a slow and narrow link")
+    parser.add_argument("--rate", type=float, default=DEFAULT_RATE_PER_S, help="requests a second")
     parser.add_argument("--rollout", default="", help="roll out a version of this kind: good, failing, slow, ...")
     parser.add_argument("--keep", type=Path, help="folder for schedule, logs and histories, kept in any case")
     parser.add_argument("--regressions", type=Path, help="play the runs of this file instead")
@@ -50,7 +52,13 @@
         statuses = [_play(schedule_of(each), None, options.checkout) for each in kept]
         return max(statuses, default=0)
     shape = Shape(
-        options.seconds, options.nodes, options.engines, options.instances, options.regions, options.rollout
+        seconds=options.seconds,
+        nodes=options.nodes,
+        engines=options.engines,
+        instances=options.instances,
+        regions=options.regions,
+        requests_per_s=options.rate,
+        rollout=options.rollout,
     )
     schedule = draw_schedule(options.seed, shape)
     if options.print_schedule:
@@ -88,10 +96,11 @@
     """Return the line that plays a schedule again."""
     shape = schedule.shape
     regions = f" --regions {shape.regions}" if shape.regions > 1 else ""
+    rate = f" --rate {shape.requests_per_s:g}" if shape.requests_per_s != DEFAULT_RATE_PER_S else ""
     rollout = f" --rollout {shape.rollout}" if shape.rollout else ""
     return (
         f"wallwell soak --seed {schedule.seed} --seconds {shape.seconds:g} --nodes {shape.nodes} "
-        f"--engines {shape.engines} --instances {shape.instances}{regions}{rollout}"
+        f"--engines {shape.engines} --instances {shape.instances}{regions}{rate}{rollout}"
     )
 
 
--- a/src/wallwell/soak/configuration.py
+++ b/src/wallwell/soak/configuration.py
@@ -5,10 +5,11 @@
 from collections.abc import Mapping
 
 from wallwell.soak.caller_process import MODEL, PATHS, ROUTE_HOST
-from wallwell.soak.history import CONTACT_S, RequestKind
+from wallwell.soak.history import RequestKind
 from wallwell.soak.schedule import (
     EXPOSURE_REQUESTS,
     EXPOSURE_SHARE,
+    GRACE_S,
     LIMIT_BURST,
     LIMIT_RATE_PER_S,
     LIMITED_KEY,
@@ -16,6 +17,7 @@
     ROLLBACK_S,
     VERSION_S,
 )
+from wallwell.soak.timeline import CONTACT_S
 
 ENGINES = "engines"
 ORDERS = "orders"
@@ -30,7 +32,7 @@
     "exposure_share": EXPOSURE_SHARE,
     "exposure_slack": EXPOSURE_REQUESTS,
     "rollback_ms": ROLLBACK_S * 1000,
-    "grace_s": 5,
+    "grace_s": GRACE_S,
 }
 """Bounds that routers are told; shorter than a deployment's, so that runs of seconds reach them."""
 
--- a/src/wallwell/soak/drawing.py
+++ b/src/wallwell/soak/drawing.py
@@ -38,7 +38,6 @@
 
 The last leaves one fault before all nodes are killed: bounds that count for nodes in touch need quiet spans."""
 FAULT_LASTS_S = (0.3, 2.5)
-REQUESTS_PER_S = 40.0
 KIND_WEIGHTS = {
     RequestKind.SAFE: 2.0,
     RequestKind.UNSAFE: 3.0,
@@ -112,7 +111,7 @@
     at_s = 0.0
     while at_s < shape.seconds:
         requests.append(_draw_request(generator, f"{seed}-{len(requests)}", at_s, shape))
-        at_s += generator.expovariate(REQUESTS_PER_S)
+        at_s += generator.expovariate(shape.requests_per_s)
     return requests
 
 
--- a/src/wallwell/soak/promises.py
+++ b/src/wallwell/soak/promises.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from wallwell.soak import promises_fleet, promises_requests, promises_rollout
-from wallwell.soak.history import History
+from wallwell.soak.timeline import History
 from wallwell.soak.verdicts import Check
 
 
--- a/src/wallwell/soak/promises_fleet.py
+++ b/src/wallwell/soak/promises_fleet.py
@@ -8,25 +8,17 @@
 
 from collections import defaultdict
 
-from wallwell.soak.history import (
-    Began,
-    FaultBegan,
-    History,
-    NodeExited,
-    OrderTaken,
-    Sent,
-    WeightsNamed,
-    WorkerState,
-)
+from wallwell.soak.history import Began, NodeExited, OrderTaken, Sent, WeightsNamed, WorkerState
 from wallwell.soak.schedule import (
     DRAIN_BOUND_S,
+    GRACE_S,
     LIMIT_BURST,
     LIMIT_RATE_PER_S,
     LIMITED_KEY,
     REVOKE_S,
     VERSION_S,
-    FaultKind,
 )
+from wallwell.soak.timeline import History
 from wallwell.soak.verdicts import HELD, Cases
 
 CANCEL_S = 0.5
@@ -35,6 +27,7 @@
 LEAST_LEFT = 4
 BACK_SLACK_S = 0.25
 """Time after the first effect of a configuration in which an older one may still be seen at the same node."""
+GRACE_PART = 5 / 6
 LIMIT_WINDOW_S = 4.0
 LIMIT_OVERAGE = 0.1
 LIMIT_SLACK = 8.0
@@ -83,27 +76,26 @@
 
 
 def planned_stop_cuts_nothing(history: History) -> Cases:
-    """A request that a node had passed on when it was told to stop gets its whole answer."""
-    stops = [each for each in history.records if isinstance(each, FaultBegan)]
-    for stop in stops:
-        if stop.fault != FaultKind.STOP_NODE.value:
-            continue
+    """What a node has passed on when it is told to stop, or passes on until it ends, gets its whole answer.
+
+    Left out is what a worker would still be at work on in the last sixth of the time that a planned stop is given.
+    """
+    for stop, exited_s in history.planned_stops():
         for sent in history.sent.values():
             answer = history.answers.get(sent.request)
             if sent.node != stop.target or answer is None or sent.request in history.left:
                 continue
-            if not sent.at_s < stop.at_s < answer.at_s or sent.request not in history.began:
+            if not sent.at_s < exited_s or not stop.at_s < answer.at_s:
+                continue
+            began = history.began.get(sent.request, ())
+            if not began or any(each.would_end_s > stop.at_s + GRACE_S * GRACE_PART for each in began):
                 continue
             if not history.calm(sent.at_s, answer.at_s, besides=stop):
                 continue
             if answer.whole:
                 yield HELD
             else:
-                yield (
-                    answer.at_s,
-                    sent.request,
-                    f"cut with {answer.status} by the stop of {sent.node}",
-                )
+                yield answer.at_s, sent.request, f"cut with {answer.status} by the stop of {sent.node}"
 
 
 def revoked_key_unused(history: History) -> Cases:
--- a/src/wallwell/soak/promises_requests.py
+++ b/src/wallwell/soak/promises_requests.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from wallwell.soak.history import FaultBegan, FaultEnded, History, NodeExited
+from wallwell.soak.history import FaultBegan, FaultEnded, NodeExited
 from wallwell.soak.schedule import RECOVERY_S, FaultKind
+from wallwell.soak.timeline import History
 from wallwell.soak.verdicts import HELD, Cases
 
 PROMISES_THAT_IT_DID_NOT_RUN = frozenset((408, 421, 429, 503))
--- a/src/wallwell/soak/promises_rollout.py
+++ b/src/wallwell/soak/promises_rollout.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from wallwell.soak.history import Arrived, Began, Ended, History, RolloutOrdered, RolloutState
+from wallwell.soak.history import Arrived, Began, Ended, RolloutOrdered, RolloutState
 from wallwell.soak.schedule import EXPOSURE_REQUESTS, EXPOSURE_SHARE, ROLLBACK_S
+from wallwell.soak.timeline import History
 from wallwell.soak.verdicts import HELD, Cases
 
+LEAST_SHOWN = 5
+"""Bad answers below which a version has not shown that it is bad."""
 BAD_ANSWERS = 50
 """Bad answers after which a version must be rolled back within the bound."""
 
@@ -14,6 +17,12 @@
     return [each for each in history.records if isinstance(each, RolloutOrdered)]
 
 
+def _bad_answers(history: History, order: RolloutOrdered, until_s: float) -> int:
+    return sum(
+        isinstance(each, Ended) and each.bad and order.at_s < each.at_s < until_s for each in history.records
+    )
+
+
 def exposure(history: History) -> Cases:
     """Between order and deadline a bad version gets no more than its share of the service's requests."""
     for order in _orders(history):
@@ -64,6 +73,9 @@
         right = "rolled_back" if order.bad else "complete"
         own = [each for each in states if each.service == order.service and each.at_s >= order.at_s]
         final = [each for each in own if each.state != "running"]
+        decided_s = final[0].at_s if final else until_s
+        if order.bad and _bad_answers(history, order, decided_s) < LEAST_SHOWN:
+            continue  # Nobody could have told it from a good one.
         if final and final[0].state != right and (order.bad or history.calm(order.at_s, until_s)):
             yield final[0].at_s, order.service, f"{order.target_version} {final[0].state}, it is to be {right}"
         elif not history.calm(order.at_s, until_s) or history.end_s < until_s:
--- a/src/wallwell/soak/proxy.py
+++ b/src/wallwell/soak/proxy.py
@@ -134,7 +134,8 @@
 
     def owner_of(self, writer: asyncio.StreamWriter) -> str:
         """Return whose connection this is, empty if it is no node's."""
-        return owner_of(writer.get_extra_info("peername"), self._processes)
+        peer, own = writer.get_extra_info("peername"), writer.get_extra_info("sockname")
+        return owner_of(peer, own, self._processes) if peer and own else ""
 
     def crossed(self, node: str, region: int) -> tuple[Wire, ...]:
         """Return what a connection of a node to a region crosses besides its link."""
@@ -190,6 +191,12 @@
             connection.reset()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await self._pass_on(reader, writer)
+        except asyncio.CancelledError:
+            pass  # The process ends; asyncio would log a cancelled task as an error.
+
+    async def _pass_on(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         node = self._nodes.owner_of(writer)
         wires = [self._wires[""], self._wire_of(node or "none"), *self._nodes.crossed(node, self._region)]
         if any(wire.harm.reset for wire in wires):
@@ -206,8 +213,6 @@
         self._connections.add(connection)
         try:
             await connection.carry(reader, far_reader)
-        except asyncio.CancelledError:
-            pass  # The process ends; asyncio would log a cancelled task as an error.
         finally:
             self._connections.discard(connection)
 
--- a/src/wallwell/soak/run.py
+++ b/src/wallwell/soak/run.py
@@ -17,10 +17,11 @@
 from wallwell.soak.caller_process import CallerSettings
 from wallwell.soak.faults import FaultRunner
 from wallwell.soak.fleet import Fleet
-from wallwell.soak.history import HISTORY_SUFFIX, History, read_history
+from wallwell.soak.history import HISTORY_SUFFIX, read_history
 from wallwell.soak.operator import Operator
 from wallwell.soak.promises import Verdict, judge
 from wallwell.soak.schedule import Schedule
+from wallwell.soak.timeline import History
 
 LEAD_S = 1.0
 """Time from the callers' start to their first request."""
--- a/src/wallwell/soak/schedule.py
+++ b/src/wallwell/soak/schedule.py
@@ -67,6 +67,7 @@
 REVOKE_S = 4.0
 VERSION_S = 6.0
 DRAIN_BOUND_S = 2.0
+GRACE_S = 5.0
 EXPOSURE_SHARE = 0.1
 EXPOSURE_REQUESTS = 50.0
 ROLLBACK_S = 5.0
@@ -131,6 +132,7 @@
     instances: int = 2
     regions: int = 1
     """Nodes and workers stand in regions by turns; the store stands in the first."""
+    requests_per_s: float = 40.0
     rollout: str = ""
     """Name of :data:`ROLLOUTS`, empty for none."""
 
--- a/src/wallwell/soak/verdicts.py
+++ b/src/wallwell/soak/verdicts.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterator
 
-from wallwell.soak.history import History
+from wallwell.soak.timeline import History
 
 HELD = None
 """A case in which the promise was put to the test and held."""
--- /dev/null
+++ b/tests/unit/cli/test_soak.py
@@ -0,0 +1,26 @@
+"""The line that plays a run again draws the same schedule."""
+
+import argparse
+import shlex
+
+import pytest
+
+from wallwell.cli import soak
+from wallwell.soak.drawing import draw_schedule
+from wallwell.soak.schedule import Shape
+
+
+@pytest.mark.parametrize(
+    "shape",
+    [Shape(), Shape(30.5, 5, 6, 3, regions=2, requests_per_s=80.0, rollout="slow")],
+    ids=["as it is", "all told"],
+)
+def test_the_line_that_plays_again_names_all_that_draws_the_schedule(shape, monkeypatch):
+    schedule = draw_schedule(7, shape)
+    played = []
+    monkeypatch.setattr(soak, "_play", lambda again, keep, checkout: played.append(again) or 0)
+    parser = argparse.ArgumentParser()
+    soak.register(parser.add_subparsers())
+    options = parser.parse_args(shlex.split(soak.replay_command(schedule))[1:])
+    assert options.run(options) == 0
+    assert played == [schedule]
--- a/tests/unit/soak/records.py
+++ b/tests/unit/soak/records.py
@@ -1,6 +1,7 @@
 """Short builders of a recorded history."""
 
-from wallwell.soak.history import Answered, Began, History, RequestKind, Sent
+from wallwell.soak.history import Answered, Began, RequestKind, Sent
+from wallwell.soak.timeline import History
 
 
 def sent(request="r", kind=RequestKind.UNSAFE, at_s=1.0, events=0, **more):
