--- a/src/wallwell/gateway/fleet_state.py
+++ b/src/wallwell/gateway/fleet_state.py
@@ -8,7 +8,8 @@
 
 from wallwell.deployment.backends import Backend, BackendRegistry
 from wallwell.deployment.freshness import Freshness
-from wallwell.deployment.routes import DeploymentConfig
+from wallwell.deployment.places import ONE_REGION, Distance, Places
+from wallwell.deployment.routes import DeploymentConfig, Service
 from wallwell.deployment.weights import WeightsTargets
 from wallwell.deployment.zone_suspicion import ZoneSuspicion
 from wallwell.events import Event, emit
@@ -21,6 +22,7 @@
 from wallwell.routing.kept_cache import KeptCache
 from wallwell.routing.overload import GenerationTime
 from wallwell.routing.reading_pace import ReadingPace
+from wallwell.routing.region_traffic import RegionTraffic
 from wallwell.routing.rendezvous import owner
 from wallwell.routing.return_time import ShortestAnswer
 from wallwell.routing.split import WeightedSplit
@@ -33,6 +35,9 @@
 """What a full back end counts as free, so that one is chosen if all are full."""
 DEFAULT_CALL_S = 0.05
 """Time of a call until some have been observed."""
+FREE_PART_OF_REGION = 0.25
+"""Part of a region's places that has to be free for its calls to stay there. What the fleet sends while loads grow
+old (0.1 to 0.2 s) takes a few; beyond that a call waits longer than the way there and back takes (40 ms)."""
 START_PART = 0.8
 """Part of the time given to a started machine after which estimated ages count."""
 
@@ -84,6 +89,9 @@
     split_offset: float = 0.0
     started_s: float = float("-inf")
     """When this node started, on its own clock."""
+    places: Places = ONE_REGION
+    """Which zones are near; without a map of regions all of them are of one."""
+    region_traffic: RegionTraffic = field(default_factory=RegionTraffic)
 
     def __post_init__(self) -> None:
         self.split_offset = self.rng.random()
@@ -151,16 +159,19 @@
         if self.zones.on_answer(backend, self.backends.all(), now_s):
             emit(Event.ZONE_RETURNED, zone=backend.record.zone)
 
-    def kv_store_addresses(self) -> list[str]:
-        """Return the addresses of all stores of kept KV cache."""
-        return [] if self.config is None else [store.kv_store_address for store in self.config.kv_stores]
+    def kv_stores_near(self, engine_zone: str) -> list[Service]:
+        """Return the stores of kept KV cache in the region of an engine; all of them without regions."""
+        stores = () if self.config is None else self.config.kv_stores
+        between = self.places.between
+        return [store for store in stores if between(engine_zone, store.zone) is not Distance.OTHER_REGION]
 
-    def kv_store_address(self, placement: int) -> str:
+    def kv_store_address(self, placement: int, engine_zone: str = "") -> str:
         """Return the store of kept KV cache for prompts placed by a key, empty if there is none.
 
-        Every node takes the same one for the same prompts, so that what one engine saved another one finds.
+        Every node takes the same one for the same prompts and region, so that what one engine saved another one
+        finds. It stands in the region of the engine that reads the prompt, whichever node sends it there.
         """
-        addresses = self.kv_store_addresses()
+        addresses = [store.kv_store_address for store in self.kv_stores_near(engine_zone)]
         return owner(addresses, placement) if addresses else ""
 
     def estimated_naming_s(self, now_s: float) -> float:
@@ -199,6 +210,8 @@
     def least_loaded(self, candidates: Sequence[Backend]) -> Backend:
         """Return a back end for a call: one of the own zone with places free, else one by its free places.
 
+        Where there are regions, those of the own one are preferred while they have places free.
+
         Loads of other nodes are some hundred milliseconds old. If every node took the least loaded back end, all
         would take the same one in that time; so the choice is random, weighed by what is free.
         """
@@ -206,9 +219,19 @@
         near = [each for each in candidates if each.record.zone == self.zone and self._is_half_free(each, nodes)]
         if near:
             return min(near, key=lambda each: (each.fleet_load(nodes), self.rng.random()))
+        candidates = self._with_places_in_region(candidates, nodes)
         free = [max(MIN_FREE_PLACES, each.record.slots - each.fleet_load(nodes)) for each in candidates]
         return self.rng.choices(candidates, [places * places for places in free])[0]
 
+    def _with_places_in_region(self, candidates: Sequence[Backend], nodes: int) -> Sequence[Backend]:
+        """Return the candidates of the own region if enough of its places are free, else all."""
+        if not self.places.has_regions:
+            return candidates
+        own = [each for each in candidates if self.places.is_own_region(each.record.zone)]
+        free = sum(max(0, each.record.slots - each.fleet_load(nodes)) for each in own)
+        is_enough = bool(own) and free >= FREE_PART_OF_REGION * sum(each.record.slots for each in own)
+        return own if is_enough else candidates
+
     def _is_half_free(self, backend: Backend, nodes: int) -> bool:
         return 2 * backend.fleet_load(nodes) < backend.record.slots
 
--- a/src/wallwell/gateway/kept_cache_watch.py
+++ b/src/wallwell/gateway/kept_cache_watch.py
@@ -1,4 +1,8 @@
-"""Follows what the stores of kept KV cache hold: from a peer that follows a store, or from the store itself."""
+"""Follows what the stores of kept KV cache hold: from a peer that follows a store, or from the store itself.
+
+Only stores of the node's region are followed; the peers that are asked are of it as well (see ``UpstreamOrder``).
+Calls and bytes between regions are dear, and engines of another region get few requests from here.
+"""
 
 from __future__ import annotations
 
@@ -83,7 +87,8 @@
 
     def _reconcile(self) -> None:
         config = self._state.config
-        wanted = {each.kv_store_address for each in config.kv_stores} if config is not None else set()
+        stores = config.kv_stores if config is not None else ()
+        wanted = {each.kv_store_address for each in stores if self._state.places.is_own_region(each.zone)}
         for address in self._followers.keys() - wanted:
             self._followers.pop(address).cancel()
             self._state.kept_caches.pop(address, None)
--- /dev/null
+++ b/tests/unit/gateway/test_regions.py
@@ -0,0 +1,347 @@
+"""Requests and kept KV cache stay within a region, unless the other one is better by more than the way."""
+
+import asyncio
+import dataclasses
+import random
+import time
+from collections import Counter
+
+import pytest
+
+from tests.unit.gateway.fakes import (
+    FakeClient,
+    FakeReply,
+    Script,
+    event,
+    make_generation,
+    make_request,
+    make_route,
+    make_state,
+)
+from tests.virtual_time import run_virtual
+from wallwell.cluster.upstream import Member, UpstreamOrder
+from wallwell.deployment.backends import BackendRecord
+from wallwell.deployment.places import Places
+from wallwell.deployment.routes import RouteKind, Service
+from wallwell.gateway.backend_choice import BackendChoice
+from wallwell.gateway.counters import FleetCounters
+from wallwell.gateway.exchange_state import Exchange
+from wallwell.gateway.fleet_metrics import render
+from wallwell.gateway.kept_cache_watch import KeptCacheWatch
+from wallwell.gateway.pipeline import RequestPipeline
+from wallwell.placement.weights_roll import divide
+from wallwell.routing.kept_cache import CacheEntry, CachePage, CachePosition, KeptCache
+from wallwell.routing.outcome import AttemptLog
+from wallwell.routing.prefix_home import PromptPart
+
+MAP = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+STREAM = make_route(RouteKind.STREAM, attempts=1)
+STORE_ZONES = ("a1", "a2", "b1", "b2")
+STORES = {zone: f"10.9.0.{index}:1" for index, zone in enumerate(STORE_ZONES)}
+PROMPTS = [f"shared{index}" for index in range(40)]
+
+
+def fleet_state(node_zone, engine_zones, store_zones=STORE_ZONES):
+    """Return a node's state with an engine in each listed zone."""
+    state = make_state(STREAM, backends=0)
+    state.zone, state.places = node_zone, Places(node_zone, MAP)
+    services = tuple(Service(zone, kv_store_address=STORES[zone], zone=zone) for zone in store_zones)
+    state.apply_config(dataclasses.replace(state.config, version=2, services=services))
+    for index, zone in enumerate(engine_zones):
+        state.backends.upsert(BackendRecord(f"i-{index}", "svc", f"10.0.0.{index}:80", zone, 8, versions={"m": 1}))
+    return state
+
+
+def cache_plans(node_zone, engine_zone, prompts, prepare=lambda state: None, store_zones=STORE_ZONES):
+    """Return the plan of each prompt at the one engine."""
+
+    async def work():
+        state = fleet_state(node_zone, [engine_zone], store_zones)
+        state.freshness.confirm(time.monotonic())
+        prepare(state)
+        client = FakeClient(Script(chunks=(event(1),), stream=True))
+        for prompt in prompts:
+            parts = (PromptPart(prompt, 2000), PromptPart("own", 9))
+            generation = dataclasses.replace(make_generation(), parts=parts)
+            await RequestPipeline(state, client).serve(make_request(generation=generation), FakeReply())
+        return [sent.cache for sent in client.sent]
+
+    return run_virtual(work())
+
+
+def kept(*parts, tokens=2000):
+    cache = KeptCache()
+    entries = tuple(CacheEntry(1, "m:1", part, tokens) for part in parts)
+    cache.take(CachePage(CachePosition(1, 1), entries, whole=True))
+    return cache
+
+
+@pytest.mark.parametrize(("engine_zone", "region"), [("a1", "a"), ("a2", "a"), ("b1", "b")])
+def test_parts_stay_in_the_region_of_the_engine_and_all_nodes_agree(engine_zone, region):
+    """A move between regions takes ten times as long and holds the engine's other moves up."""
+    from_a = [plan.fetch_from for plan in cache_plans("a1", engine_zone, PROMPTS)]
+    from_b = [plan.fetch_from for plan in cache_plans("b2", engine_zone, PROMPTS)]
+    assert from_a == from_b
+    assert set(from_a) == {STORES[zone] for zone in STORE_ZONES if MAP[zone] == region}
+
+
+def test_engines_of_a_region_find_what_another_zone_saved():
+    saved = [plan.save_to for plan in cache_plans("a1", "a1", PROMPTS)]
+    found = [plan.fetch_from for plan in cache_plans("a2", "a2", PROMPTS)]
+    assert saved == found
+
+
+@pytest.mark.parametrize(("engine_zone", "saves"), [("a2", True), ("b1", False)])
+def test_a_node_saves_only_where_it_knows_what_is_lacking(engine_zone, saves):
+    """What the other region's stores hold is not followed; each prompt sent there would be saved once more."""
+    assert {bool(plan.save_to) for plan in cache_plans("a1", engine_zone, PROMPTS)} == {saves}
+
+
+def test_an_engine_without_a_store_in_its_region_reads_by_itself():
+    (plan,) = cache_plans("b1", "b1", ["shared"], store_zones=("a1", "a2"))
+    assert (plan.fetch_from, plan.save_to) == ("", "")
+
+
+@pytest.mark.parametrize(
+    ("tokens_near", "from_near"), [(2000, True), (1600, True), (1400, False)], ids=["all", "most", "fewer"]
+)
+def test_what_is_fetched_is_weighed_by_the_time_of_the_move(tokens_near, from_near):
+    """Between zones a move takes twice as long: 0.6 of a token's reading is saved, in the zone 0.8."""
+
+    def prepare(state):
+        state.kept_caches[STORES["a1"]] = kept("shared", tokens=tokens_near)
+        state.kept_caches[STORES["a2"]] = kept("shared")
+
+    (plan,) = cache_plans("a1", "a1", ["shared"], prepare)
+    assert plan.fetch_from == STORES["a1" if from_near else "a2"]
+
+
+def test_without_a_map_the_stores_of_all_zones_are_used():
+    def forget_regions(state):
+        state.places = Places("a1")
+
+    plans = cache_plans("a1", "a1", PROMPTS, forget_regions)
+    assert {plan.save_to for plan in plans} == set(STORES.values())
+
+
+class CountingSource:
+    """Stores that hold nothing and say so; counts who is asked."""
+
+    def __init__(self):
+        self.asked = set()
+
+    async def events(self, address, position, wait_s):
+        self.asked.add(address)
+        await asyncio.sleep(wait_s)
+        return CachePage(CachePosition(1, 0), whole=True)
+
+    async def listing(self, address):
+        return await self.events(address, CachePosition(), 0.0)
+
+
+def test_only_stores_of_the_own_region_are_followed():
+    async def work():
+        source = CountingSource()
+        state = fleet_state("b1", [])
+        state.rng = random.Random(1)
+        watch = KeptCacheWatch(state, source, UpstreamOrder("n1", "b1"))
+        running = asyncio.create_task(watch.run())
+        await asyncio.sleep(3.0)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        return source.asked
+
+    assert run_virtual(work()) == {STORES["b1"], STORES["b2"]}
+
+
+def test_a_peer_of_the_other_region_is_not_asked_for_a_stores_events():
+    """It follows other stores; each step would cross the link for nothing."""
+
+    async def work():
+        source = CountingSource()
+        state = fleet_state("b1", [])
+        state.kept_caches[STORES["b1"]] = KeptCache()
+        order = UpstreamOrder("n1", "b1", places=Places("b1", MAP))
+        zones = ("b1", "a1", "a2")
+        order.members = {f"n{index}": Member(zone, "192.0.2.1:9") for index, zone in enumerate(zones, 1)}
+        watch = KeptCacheWatch(state, source, order)
+        await watch.step(STORES["b1"])
+        return source.asked, [len(links) for links in watch._links.values()]
+
+    asked, links = run_virtual(work())
+    assert asked == {STORES["b1"]}
+    assert not any(links)
+
+
+def exchange_of(prompt, tokens=100):
+    """Return the exchange of a generation with a shared part of this name."""
+    parts = (PromptPart(prompt, tokens), PromptPart("own", 9))
+    request = make_request(generation=dataclasses.replace(make_generation(), parts=parts))
+    return Exchange(request, None, STREAM, None, "svc", 1e9, AttemptLog(repeatable=True))
+
+
+ENGINE_ZONES = ("a1", "a2", "b1", "b2") * 3
+LONG = 9_000
+SLOTS = 8
+
+
+def chosen_regions(node_zone, loads, tokens=100, prompts=100, without=()):
+    """Return the regions of the engines that prompts go to; ``loads`` are of all nodes, by region."""
+
+    async def work():
+        state = fleet_state(node_zone, ENGINE_ZONES)
+        for engine in state.backends.all():
+            engine.peers_load = loads[MAP[engine.record.zone]]
+        candidates = [each for each in state.backends.of_service("svc") if MAP[each.record.zone] not in without]
+        choice = BackendChoice(state)
+        chosen = Counter()
+        for number in range(prompts):
+            exchange = exchange_of(f"p{number}", tokens)
+            chosen[MAP[choice.choose(exchange, candidates).record.zone]] += 1
+        return chosen
+
+    return run_virtual(work())
+
+
+@pytest.mark.parametrize("tokens", [100, LONG])
+@pytest.mark.parametrize(("zone", "region"), [("a1", "a"), ("b2", "b")])
+def test_prompts_stay_in_the_region_while_it_has_room(zone, region, tokens):
+    assert set(chosen_regions(zone, {"a": 2, "b": 2}, tokens)) == {region}
+
+
+@pytest.mark.parametrize(
+    ("loads", "region"),
+    [
+        ({"a": SLOTS - 1, "b": 0}, "a"),
+        ({"a": SLOTS, "b": 0}, "b"),
+        ({"a": SLOTS, "b": SLOTS - 1}, "a"),
+        ({"a": 3 * SLOTS, "b": 3 * SLOTS}, "a"),
+    ],
+    ids=["one place left", "full", "other nearly full", "both full"],
+)
+def test_prompts_go_to_the_other_region_only_while_it_has_more_room(loads, region):
+    assert set(chosen_regions("a1", loads)) == {region}
+
+
+def test_a_long_prompt_goes_where_it_begins_in_time_in_spite_of_the_way():
+    """At 70 ms a unit an engine begins five units in 0.4 s; the way leaves time for one less there."""
+    assert set(chosen_regions("a1", {"a": 5, "b": 5}, LONG)) == {"a"}
+    assert set(chosen_regions("a1", {"a": 6, "b": 5}, LONG)) == {"b"}
+    assert set(chosen_regions("a1", {"a": 6, "b": 6}, LONG)) == {"a"}
+
+
+def test_prompts_that_leave_the_region_spread_over_the_other_one():
+    """All nodes know of the other region's loads alike and late; they must not all take the idlest engine there."""
+
+    async def work():
+        state = fleet_state("a1", ENGINE_ZONES)
+        for engine in state.backends.all():
+            engine.peers_load = SLOTS if MAP[engine.record.zone] == "a" else 2
+        state.backends.get("i-2").peers_load = 0
+        choice = BackendChoice(state)
+        chosen = Counter()
+        for number in range(300):
+            chosen[choice.choose(exchange_of(f"p{number}"), state.backends.of_service("svc")).incarnation] += 1
+        return chosen
+
+    chosen = run_virtual(work())
+    assert len(chosen) == 2  # The other region's pool for short prompts.
+    assert max(chosen.values()) < 0.65 * 300
+
+
+@pytest.mark.parametrize("tokens", [100, LONG])
+def test_without_engines_in_the_region_everything_goes_to_the_other(tokens):
+    assert set(chosen_regions("a1", {"a": 0, "b": 3}, tokens, without=("a",))) == {"b"}
+    assert set(chosen_regions("a1", {"a": 0, "b": 30}, tokens, without=("a",))) == {"b"}
+
+
+def test_a_prefix_has_the_same_home_for_all_nodes_of_a_region():
+    async def homes(zone):
+        state = fleet_state(zone, ENGINE_ZONES)
+        for engine in state.backends.all():
+            engine.peers_load = 0
+        choice = BackendChoice(state)
+        found = []
+        for number in range(50):
+            exchange = exchange_of(f"p{number}", LONG)
+            found.append(choice.choose(exchange, state.backends.of_service("svc")).incarnation)
+        return found
+
+    first, second, other = (run_virtual(homes(zone)) for zone in ("a1", "a2", "b1"))
+    assert first == second
+    assert not set(first) & set(other)
+
+
+def test_each_region_has_engines_of_its_own_for_short_prompts():
+    state = run_virtual(async_state())
+    listed = state.backends.of_service("svc")
+    short, long = divide(listed, state.places)
+    for region in ("a", "b"):
+        assert sum(MAP[each.record.zone] == region for each in short) == 2
+        assert sum(MAP[each.record.zone] == region for each in long) == 4
+
+
+def test_half_of_a_pool_is_half_of_each_region():
+    """Engines are reloaded half a pool at a time: never all of a region's at once."""
+    state = run_virtual(async_state())
+    for pool in divide(state.backends.of_service("svc"), state.places):
+        first_half = pool[: len(pool) // 2]
+        assert len({MAP[each.record.zone] for each in first_half}) == 2
+
+
+async def async_state():
+    return fleet_state("a1", ENGINE_ZONES)
+
+
+CALL_SLOTS = 6
+
+
+def call_shares(node_zone, loads):
+    """Return how many of many calls each zone's back end gets; ``loads`` are of the other nodes, by zone."""
+
+    async def work():
+        state = fleet_state(node_zone, ())
+        for index, (zone, load) in enumerate(loads.items()):
+            record = BackendRecord(f"b{index}", "calls", f"10.0.1.{index}:1", zone, CALL_SLOTS)
+            state.backends.upsert(record).peers_load = load
+        candidates = state.backends.of_service("calls")
+        return Counter(state.least_loaded(candidates).record.zone for _ in range(400))
+
+    return run_virtual(work())
+
+
+@pytest.mark.parametrize(
+    ("loads", "zones"),
+    [
+        ({"a1": 1, "a2": 0, "b1": 0, "b2": 0}, {"a1"}),
+        ({"a1": 5, "a2": 3, "b1": 0, "b2": 0}, {"a1", "a2"}),
+        ({"a2": 2, "b1": 0, "b2": 0}, {"a2"}),
+        ({"b1": 0, "b2": 0}, {"b1", "b2"}),
+    ],
+    ids=["own zone", "own region", "none in the zone", "none in the region"],
+)
+def test_calls_go_to_the_own_zone_then_the_region_then_the_other(loads, zones):
+    assert set(call_shares("a1", loads)) == zones
+
+
+def test_calls_leave_a_region_that_is_nearly_full():
+    shares = call_shares("a1", {"a1": 6, "a2": 5, "b1": 1, "b2": 1})
+    assert shares["b1"] + shares["b2"] > 300
+
+
+@pytest.mark.parametrize(("engine_zone", "crosses"), [("a2", False), ("b1", True)])
+def test_what_crosses_the_link_is_counted_by_cause(engine_zone, crosses):
+    async def work():
+        state = fleet_state("a1", [engine_zone])
+        state.freshness.confirm(time.monotonic())
+        client = FakeClient(Script(chunks=(event(1), event(2)), stream=True))
+        request = make_request(generation=make_generation(), body=b"x" * 100)
+        await RequestPipeline(state, client).serve(request, FakeReply())
+        return state, render(FleetCounters(), state).decode()
+
+    state, text = run_virtual(work())
+    size = 100 + len(event(1)) + len(event(2))
+    assert state.region_traffic.exchanges == ({"stream": 1} if crosses else {})
+    assert state.region_traffic.bytes == ({"stream": size} if crosses else {})
+    assert (f'wallwell_region_bytes_total{{cause="stream"}} {float(size)}' in text) is crosses
+    assert ('wallwell_region_exchanges_total{cause="stream"} 1.0' in text) is crosses
