--- a/src/wallwell/soak/worker_process.py
+++ b/src/wallwell/soak/worker_process.py
@@ -19,7 +19,7 @@
 from wallwell.soak.answers import call_body, event_text
 from wallwell.soak.control import Announcement, Done, Farewell, Heartbeat, announce
 from wallwell.soak.history import Arrived, Began, Ended, HistoryWriter, OrderTaken
-from wallwell.soak.schedule import Badness
+from wallwell.soak.versions import Badness
 
 CONTROL_TIMEOUT_S = 1.0
 MISDIRECTED = 421
@@ -43,6 +43,8 @@
     store_control: str
     history: str
     seed: int
+    work_s: float
+    """Time of a call, and until a stream's first event."""
     zone: str = "z1"
     slots: int = 16
     software: str = ""
@@ -50,8 +52,6 @@
     heartbeat_s: float = 0.5
     event_s: float = 0.015
     """Time of one event of a stream."""
-    work_s: float = 0.02
-    """Time of a call, and until a stream's first event."""
     load_s: float = 0.3
     """Time that new weights take."""
     drain_s: float = 3.0
@@ -63,10 +63,9 @@
     """One incarnation."""
 
     def __init__(self, settings: WorkerSettings) -> None:
-        super().__init__(settings.incarnation, settings.service, settings.model)
+        super().__init__(settings.incarnation, settings.service, settings.model, settings.software)
         self.zone = settings.zone
         self.slots = settings.slots
-        self.software = settings.software
         self.version = settings.weights
         self._settings = settings
         self._history = HistoryWriter(Path(settings.history))
