A request whose connection hung goes to another zone, its own first

Cause: from inside a cut, a request could run into each of the other zones in turn and was given back after three hung connections. Change: zones into which a connection of the request hung are left out of its next choice while there are others, and the own zone goes first then.

--- a/src/wallwell/gateway/exchange.py
+++ b/src/wallwell/gateway/exchange.py
@@ -188,4 +188,6 @@
     arrivals: int = 0
     paid_repeats: int = 0
     """Repeats drawn from the budget before the attempt that they follow was given up."""
+    hung_zones: set[str] = field(default_factory=set)
+    """Zones into which a connection of this request hung."""
     details: list[str] = field(default_factory=list)
--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -187,7 +187,19 @@
                 exchange, "no back end can take the request", self._cause_of_none(exchange, now_s)
             )
         self._choice.refuse_if_overloaded(exchange, now_s)
-        return self._choice.choose(exchange, candidates)
+        return self._choice.choose(exchange, self._apart_from_hung(exchange, candidates))
+
+    def _apart_from_hung(self, exchange: Exchange, candidates: list[Backend]) -> list[Backend]:
+        """Leave out the zones into which this request's connections hung; then the own zone goes first.
+
+        Each such connection costs the request 0.25 s, and nothing is less likely to be cut off than the own zone.
+        """
+        hung = exchange.history.hung_zones
+        if not hung:
+            return candidates
+        apart = [each for each in candidates if each.record.zone not in hung]
+        near = [each for each in apart if each.record.zone == self._state.zone]
+        return near or apart or candidates
 
     def _least_left_s(self, exchange: Exchange) -> float:
         """Return the time that must be left for an attempt; a run that goes on has less to do than a whole one."""
@@ -381,6 +393,7 @@
         event = failure.event
         generation = exchange.request.generation
         if event is TransportEvent.CONNECT_TIMEOUT:
+            exchange.history.hung_zones.add(backend.record.zone)
             self._state.on_hung(backend, now_s)
         elif event is not TransportEvent.ANSWER_TIMEOUT and event not in ENDS_BY_ITSELF:
             self._state.on_sign_of_life(backend, now_s)
--- a/tests/unit/gateway/test_zone_cut.py
+++ b/tests/unit/gateway/test_zone_cut.py
@@ -53,7 +53,9 @@
         for name in ZONES:
             for number in range(PER_ZONE):
                 address = f"{name}-{number}"
-                state.backends.upsert(BackendRecord(address, "svc", f"{address}:1", name, 6))
+                backend = state.backends.upsert(BackendRecord(address, "svc", f"{address}:1", name, 6))
+                # Calls leave their zone only while its back ends are busy.
+                backend.peers_load = 4 if name == zone else 0
         network = Network()
         liveness = Liveness(state, network)
         pipeline = RequestPipeline(state, network, liveness=liveness)
@@ -80,17 +82,22 @@
     return run_virtual(work())
 
 
-@pytest.mark.parametrize("cut", [("z2",), ("z2", "z3", "z4")], ids=["from outside", "from inside"])
-def test_requests_run_into_a_cut_zone_for_less_than_a_second_only(cut):
-    """Measured from the first; of those few one is given back, when three of the three other zones hang in turn."""
-    took, _, hung = play(cut)
+@pytest.mark.parametrize(
+    ("cut", "zone"),
+    [(("z2",), "z9"), (("z2",), "z1"), (("z2", "z3", "z4"), "z1"), (("z2", "z3", "z4"), "z9")],
+    ids=["one, no own back ends", "from outside", "from inside", "three, no own back ends"],
+)
+def test_requests_run_into_a_cut_zone_for_less_than_a_second_only(cut, zone):
+    """Measured from the first; a request runs into each cut zone once at most, and none is given back."""
+    took, _, hung = play(cut, zone)
     settled_s = min(hung) + 1.0
     assert max(hung) < settled_s
     assert len(hung) <= REQUESTS_PER_S
     settled = [(status, seconds) for at_s, status, seconds in took if at_s >= settled_s]
     assert {status for status, _ in settled} == {200}
     assert max(seconds for _, seconds in settled) < 2 * WORK_S
-    assert Counter(status for _, status, _ in took)[200] >= len(took) - 1
+    assert {status for _, status, _ in took} == {200}
+    assert max(seconds for _, _, seconds in took) < len(cut) * CONNECT_S + 2 * WORK_S
 
 
 def test_a_cut_zone_serves_again_soon_after_its_end_without_a_herd():
