--- a/tests/unit/backends/test_http_connection.py
+++ b/tests/unit/backends/test_http_connection.py
@@ -6,10 +6,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
 import socket
 import struct
 
 import pytest
+import uvloop
 
 from wallwell.backends.http_connection import (
     ConnectFailedError,
@@ -291,3 +294,39 @@
             return made
 
     assert run_async(scenario()) == 4
+
+
+@pytest.mark.parametrize("loop", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uvloop"])
+def test_connections_that_hang_time_out_and_leave_nothing_open(run_async, loop):
+    """A listener whose queue is full drops what knocks, as a zone that is cut off does."""
+
+    def open_files():
+        return len(os.listdir("/proc/self/fd"))
+
+    async def work():
+        with contextlib.ExitStack() as stack:
+            listener = stack.enter_context(socket.create_server(("127.0.0.1", 0), backlog=0))
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            for _ in range(3):
+                waiting = stack.enter_context(socket.socket())
+                waiting.setblocking(False)
+                waiting.connect_ex(listener.getsockname())
+            pool = ConnectionPool("X", 0.05, 1.0)
+            with pytest.raises(ConnectFailedError):
+                await pool.acquire(address)  # A loop opens files of its own with its first connection.
+            before = open_files()
+            for _ in range(3):
+                with pytest.raises(ConnectFailedError) as failure:
+                    await pool.acquire(address)
+                assert failure.value.timed_out
+            given_up = asyncio.ensure_future(pool.acquire(address))
+            await asyncio.sleep(0.01)
+            given_up.cancel()
+            await asyncio.gather(given_up, return_exceptions=True)
+            await asyncio.sleep(0.05)
+            assert given_up.cancelled()
+            return open_files() - before, len(asyncio.all_tasks())
+
+    left_open, tasks = run_async(work(), loop)
+    assert left_open == 0
+    assert tasks == 1
