--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -190,7 +190,7 @@
                 exchange, "no back end can take the request", self._cause_of_none(exchange, now_s)
             )
         self._choice.refuse_if_overloaded(exchange, now_s)
-        return self._choice.choose(exchange, candidates, listed)
+        return self._choice.choose(exchange, self._choice.apart_from_hung(exchange, candidates), listed)
 
     def _least_left_s(self, exchange: Exchange) -> float:
         """Return the time that must be left for an attempt; a run that goes on has less to do than a whole one."""
@@ -398,6 +398,7 @@
         event = failure.event
         generation = exchange.request.generation
         if event is TransportEvent.CONNECT_TIMEOUT:
+            exchange.history.hung_zones.add(backend.record.zone)
             self._state.on_hung(backend, now_s)
         elif event is not TransportEvent.ANSWER_TIMEOUT and event not in ENDS_BY_ITSELF:
             self._state.on_sign_of_life(backend, now_s)
