--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -25,7 +25,8 @@
 def build_node(settings: PlatformSettings) -> FleetNode:
     """Wire a node to the platform's store and workers."""
     store = PlatformStore(settings.provider.addr)
-    workers = WorkerClient()
+    places = settings.places()
+    workers = WorkerClient(places)
     sources = NodeSources(
         operators=TableRows(store, names.OPERATOR_TABLE),
         backends=TableRows(store, names.BACKENDS_TABLE),
@@ -48,7 +49,7 @@
         workers,
         workers.pool,
         link_mbps=settings.limits.link_mbps,
-        places=settings.places(),
+        places=places,
     )
 
 
--- a/src/wallwell/platform/workers.py
+++ b/src/wallwell/platform/workers.py
@@ -14,6 +14,7 @@
     ConnectionPool,
 )
 from wallwell.deployment.backends import BackendRecord
+from wallwell.deployment.places import ONE_REGION, Distance, Places
 from wallwell.gateway.exchange import AnswerHead, AttemptError, Dispatch
 from wallwell.placement.weights_roll import EngineReport, LoadOrder, OrderReply
 from wallwell.platform import names
@@ -22,6 +23,8 @@
 CONNECT_TIMEOUT_S = 0.25
 REACHABLE_TIMEOUT_S = 0.12
 """How long a machine is given to answer a connection's first packet; more than the longest way within a region."""
+FAR_REACHABLE_TIMEOUT_S = 0.25
+"""The same in another region: 40 ms there and back, and what may stand in the queue of the link between them."""
 USER_TIMEOUT_S = 1.0
 CONTROL_TIMEOUT_S = 1.0
 MAX_PRIORITY = 9
@@ -66,7 +69,8 @@
 class WorkerClient:
     """Sends requests, orders and report calls to workers."""
 
-    def __init__(self) -> None:
+    def __init__(self, places: Places = ONE_REGION) -> None:
+        self._places = places
         self.pool = ConnectionPool(names.REQUEST_ID, CONNECT_TIMEOUT_S, USER_TIMEOUT_S)
 
     async def send(self, dispatch: Dispatch) -> WorkerAnswer:
@@ -99,8 +103,10 @@
 
     async def is_reachable(self, backend: BackendRecord) -> bool:
         """See :class:`wallwell.gateway.liveness.ReachabilityCheck`; the connection serves the next request."""
+        is_far = self._places.distance(backend.zone) is Distance.OTHER_REGION
         try:
-            await self.pool.open_resting(backend.address, REACHABLE_TIMEOUT_S)
+            timeout_s = FAR_REACHABLE_TIMEOUT_S if is_far else REACHABLE_TIMEOUT_S
+            await self.pool.open_resting(backend.address, timeout_s)
         except ConnectFailedError as error:
             return not error.timed_out
         return True
--- a/tests/platform/test_reachability.py
+++ b/tests/platform/test_reachability.py
@@ -6,7 +6,8 @@
 
 from wallwell.backends.http_connection import ConnectFailedError
 from wallwell.deployment.backends import BackendRecord
-from wallwell.platform.workers import REACHABLE_TIMEOUT_S, WorkerClient
+from wallwell.deployment.places import Places
+from wallwell.platform.workers import FAR_REACHABLE_TIMEOUT_S, REACHABLE_TIMEOUT_S, WorkerClient
 
 
 @pytest.fixture
@@ -67,3 +68,19 @@
     monkeypatch.setattr(client.pool, "open_resting", fail)
     assert run_async(client.is_reachable(record("10.0.0.1:80"))) is reachable
     assert asked == [("10.0.0.1:80", REACHABLE_TIMEOUT_S)]
+
+
+@pytest.mark.parametrize(
+    ("zone", "timeout_s"),
+    [("z", REACHABLE_TIMEOUT_S), ("far", FAR_REACHABLE_TIMEOUT_S), ("new", REACHABLE_TIMEOUT_S)],
+)
+def test_a_machine_of_another_region_is_given_the_time_of_the_way(run_async, monkeypatch, zone, timeout_s):
+    client = WorkerClient(Places("z", {"z": "east", "far": "west"}))
+    waited = []
+
+    async def open_resting(address, limit_s):
+        waited.append(limit_s)
+
+    monkeypatch.setattr(client.pool, "open_resting", open_resting)
+    assert run_async(client.is_reachable(BackendRecord("i-1", "svc", "10.0.0.1:1", zone, 8)))
+    assert waited == [timeout_s]
