--- /dev/null
+++ b/tests/unit/soak/test_stand_ins.py
@@ -0,0 +1,205 @@
+"""The run's own store and workers: entries kept by heartbeats, bad versions, refusals, and what they record."""
+
+from __future__ import annotations
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from wallwell.platform import names
+from wallwell.soak.answers import call_body, event_text
+from wallwell.soak.control import Done, ForgetHistory, Heartbeat, PutRow, SwitchStore
+from wallwell.soak.history import HISTORY_SUFFIX, Arrived, Began, Ended, OrderTaken, WorkerState, read_history
+from wallwell.soak.store_process import StoreProcess, StoreSettings
+from wallwell.soak.versions import ROLLOUTS, Badness
+from wallwell.soak.worker_process import SoakWorker, WorkerSettings
+
+ENTRY = {"service": "orders", "addr": "127.0.0.1:1", "state": "ready", "version": "v1", "seq": 1}
+
+
+def store(tmp_path):
+    return StoreProcess(StoreSettings(str(tmp_path / f"store{HISTORY_SUFFIX}"), ("127.0.0.1",), heartbeat_s=0.3))
+
+
+def worker(tmp_path, **more):
+    path = str(tmp_path / f"w{HISTORY_SUFFIX}")
+    values = {"seed": 1, "work_s": 0.0, "event_s": 0.0, "load_s": 0.0, "software": "v1", **more}
+    return SoakWorker(
+        WorkerSettings("w.1", "orders", "m", "127.0.0.1", "127.9.9.9:9", "127.0.0.1:1", path, **values)
+    )
+
+
+def with_worker(run_async, tmp_path, scenario, **more):
+    """Return what a scenario with a started worker and a caller returns, and the worker's records."""
+
+    async def work():
+        stand_in = worker(tmp_path, **more)
+        await stand_in.start()
+        async with aiohttp.ClientSession() as session:
+
+            def call(path="/book/r", identity="r", method="POST", **headers):
+                named = {name.replace("_", "-"): value for name, value in headers.items()}
+                sent = {names.REQUEST_ID: identity, **named}
+                return session.request(method, f"http://{stand_in.address}{path}", headers=sent)
+
+            try:
+                return await scenario(stand_in, call)
+            finally:
+                await stand_in.stop()
+
+    return run_async(work()), read_history(tmp_path)
+
+
+def test_an_entry_stays_while_heartbeats_come_and_goes_without(run_async, tmp_path):
+    async def work():
+        process = store(tmp_path)
+        process._expiry = asyncio.create_task(process._expire())
+        for _ in range(8):
+            await process._heartbeat(Heartbeat("w.1", ENTRY))
+            await asyncio.sleep(0.01)
+        kept, version = process.store.value("servers", "w.1"), process.store.version
+        async with asyncio.timeout(10):
+            while process.store.value("servers", "w.1") is not None:
+                await asyncio.sleep(0.01)
+        return kept is not None, version
+
+    # Heartbeats alone do not change the entry's row.
+    assert run_async(work()) == (True, 1)
+    states = [record.state for record in read_history(tmp_path) if isinstance(record, WorkerState)]
+    assert states == ["ready", "gone"]
+
+
+def test_a_store_that_is_down_hears_no_heartbeat(run_async, tmp_path):
+    async def work():
+        process = store(tmp_path)
+        await process._switch(SwitchStore({"refuse_status": 503}))
+        await process._heartbeat(Heartbeat("w.1", ENTRY))
+        during = process.store.value("servers", "w.1")
+        await process._switch(SwitchStore({"refuse_status": 0}))
+        await process._heartbeat(Heartbeat("w.1", ENTRY))
+        return during, process.store.value("servers", "w.1") is not None
+
+    assert run_async(work()) == (None, True)
+
+
+def test_the_operator_writes_rows_and_an_unknown_switch_is_refused(run_async, tmp_path):
+    async def work():
+        process = store(tmp_path)
+        assert await process._put(PutRow("op", "config", "{}")) == Done()
+        await process._forget(ForgetHistory())
+        with pytest.raises(ValueError, match="no switch"):
+            await process._switch(SwitchStore({"rows": {}}))
+        return process.store.value("op", "config"), process.store.forgotten
+
+    assert run_async(work()) == ("{}", 1)
+
+
+def test_a_call_is_recorded_answered_whole_and_sealed(run_async, tmp_path):
+    async def scenario(stand_in, call):
+        async with call(X_Tenant="t") as response:
+            return response.status, response.headers[names.SEAL], await response.read()
+
+    answer, records = with_worker(run_async, tmp_path, scenario)
+    assert answer == (200, "seal-w.1", call_body("r"))
+    began, ended = records
+    assert isinstance(began, Began) and (began.request, began.tenant, began.software) == ("r", "t", "v1")
+    assert isinstance(ended, Ended) and (ended.status, ended.bad) == (200, False)
+
+
+def test_a_stream_goes_on_after_the_event_that_the_caller_has(run_async, tmp_path):
+    async def scenario(stand_in, call):
+        async with call(X_Token_Usage="10,4", Last_Event_Id="2") as response:
+            return response.headers[names.WEIGHT_VERSION], await response.read()
+
+    answer, records = with_worker(run_async, tmp_path, scenario)
+    assert answer == ("1", event_text("r", 3) + event_text("r", 4))
+    assert records[0].resume_after == 2
+
+
+@pytest.mark.parametrize("header", [{"X_Expect_Instance": "w.2"}, {"X_Expect_Version": "2"}])
+def test_what_another_worker_is_named_for_is_not_run(run_async, tmp_path, header):
+    async def scenario(stand_in, call):
+        async with call(**header) as response:
+            return response.status, names.NOT_RUN in response.headers
+
+    answer, records = with_worker(run_async, tmp_path, scenario)
+    assert answer == (421, True)
+    assert [type(record) for record in records] == [Arrived]
+
+
+def test_a_bad_version_fails_its_share_and_says_so_in_the_records(run_async, tmp_path):
+    async def scenario(stand_in, call):
+        statuses = []
+        for index in range(60):
+            async with call(identity=f"r{index}") as response:
+                statuses.append(response.status)
+        return statuses
+
+    statuses, records = with_worker(run_async, tmp_path, scenario, badness=Badness(failure_share=0.5))
+    assert 15 < statuses.count(500) < 45
+    assert [record.status == 500 for record in records if isinstance(record, Ended)] == [
+        record.bad for record in records if isinstance(record, Ended)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("kind", "age_s", "running", "path", "struck"),
+    [
+        ("good", 100.0, 9, "/book/", False),
+        ("failing", 0.0, 1, "/read/", True),
+        ("slow", 0.0, 1, "/read/", True),
+        ("failing_later", 4.9, 1, "/book/", False),
+        ("failing_later", 5.0, 1, "/book/", True),
+        ("failing_under_load", 9.0, 1, "/book/", False),
+        ("failing_under_load", 0.0, 2, "/book/", True),
+        ("failing_on_one_route", 9.0, 9, "/read/", False),
+        ("failing_on_one_route", 0.0, 1, "/book/r", True),
+    ],
+)
+def test_a_version_is_bad_when_its_kind_says_so(kind, age_s, running, path, struck):
+    assert ROLLOUTS[kind].strikes(age_s, running, path) is struck
+
+
+def test_orders_are_recorded_and_a_lower_fence_is_refused(run_async, tmp_path):
+    async def scenario(stand_in, call):
+        replies = []
+        for fence, version in ((5, 2), (4, 3), (6, 2)):
+            order = {"op": "version", "model": "m", "version": version, "holder": "n", "fence": fence}
+            replies.append((await stand_in.take_order(order)).status)
+            if stand_in.busy:
+                await stand_in._load
+        return replies, stand_in.version
+
+    answer, records = with_worker(run_async, tmp_path, scenario)
+    assert answer == ([202, 412, 200], 2)
+    assert [record.fence for record in records if isinstance(record, OrderTaken)] == [5, 4, 6]
+
+
+def test_a_cancelled_request_ends_without_a_status(run_async, tmp_path):
+    async def scenario(stand_in, call):
+        async def leave_at_work():
+            async with call() as response:
+                await response.read()
+
+        caller = asyncio.create_task(leave_at_work())
+        async with asyncio.timeout(10):
+            while not stand_in._running:
+                await asyncio.sleep(0.01)
+            caller.cancel()
+            while stand_in._running:
+                await asyncio.sleep(0.01)
+
+    _, records = with_worker(run_async, tmp_path, scenario, work_s=60.0)
+    assert [record.status for record in records if isinstance(record, Ended)] == [0]
+
+
+def test_the_entry_tells_the_links_address_and_that_the_worker_leaves(tmp_path):
+    stand_in = worker(tmp_path)
+    assert (stand_in.entry()["addr"], stand_in.entry()["state"], stand_in.entry()["version"]) == (
+        "127.9.9.9:9",
+        "ready",
+        "v1",
+    )
+    stand_in.draining = True
+    assert stand_in.entry()["state"] == "draining"
