--- a/src/wallwell/gateway/fleet_state.py
+++ b/src/wallwell/gateway/fleet_state.py
@@ -15,6 +15,8 @@
 from wallwell.events import Event, emit
 from wallwell.gateway.exchange import Generation
 from wallwell.placement.weights_roll import OVERDUE_PART
+from wallwell.rollout.model import RolloutBounds
+from wallwell.rollout.records import RolloutBook
 from wallwell.routing.demand import FleetDemand
 from wallwell.routing.first_piece import FirstPieces
 from wallwell.routing.fleet_budget import FleetRetryBudget
@@ -58,6 +60,7 @@
     """How long a machine that has started is given before bounds in time hold for it."""
     version_s: float = 8.0
     """How long after its naming a weights version may be missing on an engine that gets generations."""
+    rollout: RolloutBounds = field(default_factory=RolloutBounds)
 
 
 @dataclass
@@ -86,6 +89,8 @@
     _budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
     zones: ZoneSuspicion = field(init=False)
     """Which zones are cut off from this node."""
+    rollouts: RolloutBook = field(default_factory=RolloutBook)
+    """Rollouts of services' software."""
     split_offset: float = 0.0
     started_s: float = float("-inf")
     """When this node started, on its own clock."""
@@ -96,6 +101,7 @@
     def __post_init__(self) -> None:
         self.split_offset = self.rng.random()
         self.zones = ZoneSuspicion(self.rng)
+        self.rollouts.bounds = self.bounds.rollout
 
     @property
     def backends(self) -> BackendRegistry:
@@ -125,6 +131,17 @@
         self.load.limits.set_limits(config.limits_by_tenant)
         return True
 
+    def knows_service(self, service: str) -> bool:
+        """Whether the configuration or the listing names a service."""
+        config = self.config
+        if config is not None and any(service == each.name for each in config.services):
+            return True
+        if config is not None and any(
+            service == each.service for route in config.routes for each in route.services
+        ):
+            return True
+        return bool(self.backends.of_service(service))
+
     def is_fresh(self, arrival_s: float) -> bool:
         """Whether a request that arrived then may rely on the configuration known here."""
         if not self.bounds.strict_revocation:
@@ -159,11 +176,16 @@
         if self.zones.on_answer(backend, self.backends.all(), now_s):
             emit(Event.ZONE_RETURNED, zone=backend.record.zone)
 
+    def kv_stores(self) -> Sequence[Service]:
+        """Return all stores of kept KV cache."""
+        return () if self.config is None else self.config.kv_stores
+
     def kv_stores_near(self, engine_zone: str) -> list[Service]:
         """Return the stores of kept KV cache in the region of an engine; all of them without regions."""
-        stores = () if self.config is None else self.config.kv_stores
         between = self.places.between
-        return [store for store in stores if between(engine_zone, store.zone) is not Distance.OTHER_REGION]
+        return [
+            store for store in self.kv_stores() if between(engine_zone, store.zone) is not Distance.OTHER_REGION
+        ]
 
     def kv_store_address(self, placement: int, engine_zone: str = "") -> str:
         """Return the store of kept KV cache for prompts placed by a key, empty if there is none.
@@ -182,8 +204,11 @@
         return now_s - (self.bounds.version_s * OVERDUE_PART - self.bounds.contact_s * START_PART)
 
     def usable_backends(self, service: str, generation: Generation | None, now_s: float) -> list[Backend]:
-        """Back ends that may get a request now, without those that are only a last resort if there are others."""
-        listed = self.backends.of_service(service)
+        """Back ends of a service that may get a request now; see :meth:`usable_of`."""
+        return self.usable_of(self.backends.of_service(service), generation, now_s)
+
+    def usable_of(self, listed: Sequence[Backend], generation: Generation | None, now_s: float) -> list[Backend]:
+        """Those that may get a request now, without those that are only a last resort if there are others."""
         usable = [each for each in listed if each.is_open(now_s)]
         if not usable:
             # Every back end is suspended: one that may have recovered is better than none.
--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -43,6 +43,7 @@
 from wallwell.gateway.liveness import Liveness
 from wallwell.gateway.region_answers import CountedAnswer
 from wallwell.gateway.return_times import ReturnTimes
+from wallwell.gateway.side_choice import begin_attempt, end_attempt, offer
 from wallwell.outcomes import Outcome
 from wallwell.routing.outcome import REFUSED_BY_BACKEND, TransportEvent
 from wallwell.routing.prefix_home import request_load
@@ -164,6 +165,7 @@
             route=exchange.route.name,
             tenant=exchange.tenant.name if exchange.tenant is not None else "",
             backend=backend.incarnation,
+            software=backend.record.software,
             backend_in_flight=backend.in_flight,
             attempts=exchange.log.attempts + 1,
             prompt_tokens=request.generation.prompt_tokens if request.generation is not None else 0,
@@ -180,8 +182,7 @@
         if exchange.remaining_s() < self._least_left_s(exchange):
             raise self._deadline_error(exchange)
         now_s = time.monotonic()
-        state = self._state
-        usable = state.usable_backends(exchange.service, exchange.request.generation, now_s)
+        listed, usable = offer(self._state, exchange, now_s)
         fresh = [each for each in usable if each.incarnation not in exchange.history.tried]
         candidates = fresh or (usable if self._all_unrun(exchange) else [])
         if not candidates:
@@ -189,7 +190,7 @@
                 exchange, "no back end can take the request", self._cause_of_none(exchange, now_s)
             )
         self._choice.refuse_if_overloaded(exchange, now_s)
-        return self._choice.choose(exchange, candidates)
+        return self._choice.choose(exchange, candidates, listed)
 
     def _least_left_s(self, exchange: Exchange) -> float:
         """Return the time that must be left for an attempt; a run that goes on has less to do than a whole one."""
@@ -220,13 +221,22 @@
         backend.in_flight += 1
         backend.load += load
         exchange.history.tried.add(backend.incarnation)
-        exchange.timing.on_sent(time.monotonic(), backend.fleet_load(self._state.node_count))
+        sent_s = time.monotonic()
+        exchange.timing.on_sent(sent_s, backend.fleet_load(self._state.node_count))
+        counted = begin_attempt(self._state, exchange, backend, sent_s)
+        failure: BaseException | None = None
         answer: BackendAnswer | None = None
         try:
             async with asyncio.timeout(exchange.remaining_s()), self._watch(exchange, backend):
                 answer = await self._send(exchange, backend)
                 return await self._pass_on(exchange, backend, answer)
+        except BaseException as error:
+            failure = error
+            raise
         finally:
+            if counted is not None:
+                status = answer.head.status if answer is not None else 0
+                end_attempt(counted, exchange, status, failure, time.monotonic())
             backend.in_flight -= 1
             backend.load -= load
             if answer is not None:
@@ -363,6 +373,7 @@
             Event.REQUEST_RETRIED,
             request_id=exchange.request.request_id,
             backend=backend.incarnation,
+            software=backend.record.software,
             reason=event.value,
             detail=failure.detail,
             attempts=exchange.log.attempts,
--- /dev/null
+++ b/tests/unit/rollout/test_evidence.py
@@ -0,0 +1,176 @@
+"""Verdicts on the target version by counted answers."""
+
+import math
+
+import pytest
+
+from wallwell.rollout.evidence import EvidenceLog
+from wallwell.rollout.measures import FAILURES, SLOWNESS
+from wallwell.rollout.model import AnswerCounts, RolloutCounts
+from wallwell.rollout.totals import Totals, answers_short
+
+BAD = math.log(2_000)
+USUAL = {8: 400, 9: 400, 10: 180, 12: 20}
+"""Delays of 1,000 answers of the current side."""
+
+
+def current(route="a", answered=1_000, failed=4, delays=USUAL, gaps=None):
+    return AnswerCounts(route, False, "", answered, failed, 0, delays, gaps or {})
+
+
+def target(backend, answered, failed=0, delays=None, gaps=None, route="a", broken=0):
+    return AnswerCounts(route, True, backend, answered, failed, broken, delays or {8: answered}, gaps or {})
+
+
+def verdict(*answers, is_switching=False):
+    log = EvidenceLog(30.0)
+    log.observe(RolloutCounts(1, answers=answers), 10.0)
+    return worse(log, is_switching)
+
+
+def worse(log, is_switching=False):
+    """Return the worse of both verdicts."""
+    verdicts = [log.verdict(measures, is_switching) for measures in (FAILURES, SLOWNESS)]
+    return max(verdicts, key=lambda each: each.log_evidence)
+
+
+CASES = [
+    ("good", [current(), target("t1", 60), target("t2", 60)], False),
+    ("no answers", [], False),
+    ("no current answers", [target("t1", 60, 10)], False),
+    ("failures", [current(), target("t1", 60, 12), target("t2", 60, 12)], True),
+    ("failures of all of three", [current(), *(target(f"t{n}", 40, 8) for n in range(3))], True),
+    ("one sick of three", [current(), target("t0", 40, 16), target("t1", 40), target("t2", 40)], False),
+    (
+        "failures by nature",
+        [current("lookup", failed=140), *(target(f"t{n}", 60, 9, route="lookup") for n in range(3))],
+        False,
+    ),
+    (
+        "failures beyond nature",
+        [current("lookup", failed=140), *(target(f"t{n}", 60, 27, route="lookup") for n in range(3))],
+        True,
+    ),
+    (
+        "failures on one route of two",
+        [current(), current("b"), target("t1", 80), target("t1", 30, 9, route="b")],
+        True,
+    ),
+    ("late by 4", [current(), target("t1", 60, delays={8: 30, 13: 30})], True),
+    ("a few late", [current(), target("t1", 60, delays={8: 55, 11: 3, 12: 2})], False),
+    ("broken only", [current(), target("t1", 20, broken=50)], False),
+    (
+        "slow pieces",
+        [current(gaps={8: 1_000}), target("t1", 60, gaps={8: 30, 12: 30})],
+        True,
+    ),
+    (
+        "too few answers of the current side",
+        [current(answered=3, failed=0, delays={8: 3}), target("t1", 4, 2)],
+        False,
+    ),
+]
+
+
+@pytest.mark.parametrize(("answers", "is_bad"), [case[1:] for case in CASES], ids=[case[0] for case in CASES])
+def test_a_verdict_compares_with_the_current_side(answers, is_bad):
+    assert (verdict(*answers).log_evidence >= BAD) is is_bad
+
+
+def test_cold_caches_of_generations_are_no_badness_while_the_service_moves():
+    answers = [current(gaps={8: 1_000}), target("t1", 60, delays={8: 30, 13: 30}, gaps={8: 60})]
+    assert verdict(*answers).log_evidence >= BAD
+    assert verdict(*answers, is_switching=True).log_evidence < BAD
+
+
+def test_a_good_past_does_not_hide_a_late_turn():
+    log = EvidenceLog(30.0)
+    log.observe(RolloutCounts(1, answers=(current(), target("t1", 2_000, 8))), 10.0)
+    log.observe(RolloutCounts(1, answers=(current(), target("t1", 2_060, 26))), 12.0)
+    late = worse(log)
+    assert late.log_evidence >= BAD
+    assert verdict(current(), target("t1", 2_060, 26)).log_evidence < BAD
+
+
+def test_a_current_side_that_is_slow_at_the_same_time_raises_what_is_allowed():
+    def seen(current_slow):
+        log = EvidenceLog(30.0)
+        log.observe(RolloutCounts(1, answers=(current(), target("t1", 60))), 10.0)
+        later = current(answered=1_200, delays={**USUAL, 8: 600 - current_slow, 13: current_slow})
+        log.observe(RolloutCounts(1, answers=(later, target("t1", 90, delays={8: 75, 13: 15}))), 12.0)
+        return worse(log).log_evidence
+
+    assert seen(current_slow=0) >= BAD
+    assert seen(current_slow=80) < BAD
+
+
+def test_slowness_that_has_passed_can_be_forgotten():
+    log = EvidenceLog(30.0)
+    slow = target("t1", 100, delays={8: 40, 16: 60})
+    log.observe(RolloutCounts(1, answers=(current(), target("t1", 40))), 10.0)
+    log.observe(RolloutCounts(1, answers=(current(), slow)), 12.0)
+    assert worse(log).log_evidence >= BAD
+    assert not log.slowness_has_passed()
+    log.forget_slowness()
+    later = target("t1", 200, delays={8: 140, 16: 60})
+    log.observe(RolloutCounts(1, answers=(current(), later)), 14.0)
+    assert worse(log).log_evidence < BAD
+    assert log.slowness_has_passed()
+
+
+def test_a_sick_machine_condemns_no_version_in_a_span_where_few_back_ends_answered():
+    log = EvidenceLog(30.0)
+    before = [target("t0", 40, 16), target("t1", 40), target("t2", 40)]
+    log.observe(RolloutCounts(1, answers=(current(), *before)), 10.0)
+    log.observe(RolloutCounts(1, answers=(current(), target("t0", 80, 34), *before[1:])), 12.0)
+    assert worse(log).log_evidence < BAD
+
+
+def sides(current_usual, current_slow, target_usual, target_slow):
+    """Return counts of a route with usual and slow answers of both sides."""
+    mine = current(answered=current_usual + current_slow, delays={8: current_usual, 14: current_slow})
+    return (mine, target("t1", target_usual + target_slow, delays={8: target_usual, 14: target_slow}))
+
+
+BEFORE = (0, 0, 0, 0)
+SEEN_BEFORE = (0, 0, 1_000, 0)
+OVERLOADS = [
+    ("both in a span that has passed", [SEEN_BEFORE, (2_000, 500, 1_150, 40), (4_000, 500, 1_200, 40)], 5.0, False),
+    ("both, the target side new then", [BEFORE, (2_000, 500, 150, 40), (4_000, 500, 200, 40)], 5.0, False),
+    ("the target side alone in that span", [SEEN_BEFORE, (2_500, 0, 1_150, 40), (4_500, 0, 1_200, 40)], 5.0, True),
+    ("both of late, the target side new", [BEFORE, (300, 100, 45, 15)], 2.0, False),
+    ("the target side new and slow", [BEFORE, (400, 0, 45, 15)], 2.0, True),
+    ("both, the target side more", [BEFORE, (300, 100, 35, 55)], 2.0, False),
+    ("both, the target side nearly all", [BEFORE, (300, 100, 0, 200)], 2.0, True),
+]
+
+
+@pytest.mark.parametrize(("steps", "apart_s", "is_bad"), [c[1:] for c in OVERLOADS], ids=[c[0] for c in OVERLOADS])
+def test_an_overload_of_both_sides_is_no_badness(steps, apart_s, is_bad):
+    """Each step adds to 50,000 usual answers of the current side. The start at 11.3 s is one that is kept."""
+    log = EvidenceLog(30.0)
+    for number, (current_usual, *others) in enumerate(steps):
+        log.observe(RolloutCounts(1, answers=sides(50_000 + current_usual, *others)), 11.3 + apart_s * number)
+    assert (worse(log).log_evidence >= BAD) is is_bad
+
+
+def test_few_starts_are_kept():
+    log = EvidenceLog(30.0)
+    for tick in range(200):
+        log.observe(RolloutCounts(1), tick * 0.3)
+    assert len(log._starts) <= 12
+
+
+@pytest.mark.parametrize(
+    ("rare_current", "rare_target", "is_short"),
+    [(10, 0, False), (1_000, 0, True), (1_000, 11, True), (1_000, 12, False)],
+)
+def test_a_route_asks_for_answers_as_its_traffic_gives_them(rare_current, rare_target, is_short):
+    answers = (
+        current("often"),
+        current("rare", answered=rare_current),
+        target("t1", 100, route="often"),
+        target("t1", rare_target, route="rare"),
+    )
+    short = answers_short(Totals(RolloutCounts(1, answers=answers), 0.0), 12)
+    assert ("rare" in short) is is_short
