--- a/src/wallwell/rollout/reporter.py
+++ b/src/wallwell/rollout/reporter.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import time
+import secrets
 from collections.abc import Callable, Mapping
 
 from wallwell.cluster.peer_link import PeerLinks
@@ -18,6 +18,8 @@
 Larger fleets report less often, so that the node that decides takes some 330 reports a second at most."""
 NODES_AT_FULL_PACE = 100
 ANSWER_TIMEOUT_S = 0.3
+LIFE_BITS = 63
+"""Length of the random number that tells a node's life from its earlier ones; a positive JSON integer."""
 
 
 def report_interval_s(nodes: int) -> float:
@@ -38,7 +40,7 @@
     ) -> None:
         """``fleet`` is what this node decides by when it holds the lease, ``holder`` names who does."""
         self._node = node
-        self._life = time.time_ns()
+        self._life = secrets.randbits(LIFE_BITS)
         self._tally = tally
         self._fleet = fleet
         self._holder = holder
