--- a/src/wallwell/soak/fleet.py
+++ b/src/wallwell/soak/fleet.py
@@ -182,8 +182,11 @@
         self._front[node] = f"{host}:{front}"
         self._ready[node] = f"{host}:{ready}"
         bounds = "\n".join(f"{name} = {json.dumps(value)}" for name, value in BOUNDS.items())
+        zones = ", ".join(f'z{region} = "region-{region}"' for region in range(self.schedule.shape.regions))
         text = f"""node = "{node}"
 zone = "z{self.schedule.shape.region_of(node)}"
+region = "region-{self.schedule.shape.region_of(node)}"
+zones = {{ {zones} }}
 ip = "{host}"
 port_range = [{first_peer}, {first_peer + PEER_PORTS}]
 listen = {{ front = "{self._front[node]}", ready = "{self._ready[node]}" }}
