Prompts leave a region whose engines are further behind, where neither region has room

Change: where neither has room, a part of the keys that grows with the difference of mean loads goes to the other region, from a quarter more on. Test of the parts; the earlier ones hold as they are.

--- a/src/wallwell/gateway/backend_choice.py
+++ b/src/wallwell/gateway/backend_choice.py
@@ -16,6 +16,7 @@
     choose_from_tiers,
     find_room,
     is_long,
+    leaves_region,
     regional_pools,
     shared_parts,
 )
@@ -59,7 +60,7 @@
             chosen = (
                 find_room(_tiers(near, pool), key, nodes, room)
                 or find_room(_tiers(far, pool), key, nodes, far_room, FAR_SLOTS_PART)
-                or choose_engine(near, key, nodes)
+                or choose_engine(far if leaves_region(near, far, key, nodes) else near, key, nodes)
             )
         else:
             chosen = choose_from_tiers(_tiers(near or far, pool), key, nodes, room if near else far_room)
--- a/src/wallwell/routing/prefix_home.py
+++ b/src/wallwell/routing/prefix_home.py
@@ -27,6 +27,9 @@
 """One engine in so many of a tier has to have room for the tier to be used."""
 MIN_LOAD_BOUND = 3
 LOAD_BOUND_FACTOR = 1.5
+LEAVE_REGION_FACTOR = 1.25
+"""Mean load of a region's engines by the other one's from which prompts leave it where neither has room: less is
+made up for by the way and by what the region's engines and stores keep."""
 
 
 @dataclass(frozen=True)
@@ -117,3 +120,21 @@
 ) -> Backend | None:
     """Return an engine of the first tier in which enough have room; one of the last tier by the key if none has."""
     return find_room(tiers, key, nodes, room) or choose_engine(tiers[-1], key, nodes)
+
+
+def leaves_region(near: Sequence[Backend], far: Sequence[Backend], key: int, nodes: int = 1) -> bool:
+    """Whether a prompt goes to another region though its own is preferred, where neither has room.
+
+    The part of the keys that leave grows with the difference of mean loads, so that loads that are known late do
+    not send all prompts to and fro. A prefix leaves as long as its key's part does.
+    """
+    near_load = _mean_load(near, nodes)
+    far_load = _mean_load(far, nodes)
+    excess = near_load - far_load * LEAVE_REGION_FACTOR
+    if excess <= 0:
+        return False
+    return rendezvous_score("another region", key) < excess / (near_load + far_load) * 2**64
+
+
+def _mean_load(engines: Sequence[Backend], nodes: int) -> float:
+    return sum(engine.fleet_load(nodes) for engine in engines) / len(engines)
--- a/tests/unit/gateway/test_regions.py
+++ b/tests/unit/gateway/test_regions.py
@@ -221,6 +221,21 @@
     assert set(chosen_regions("a1", loads)) == {region}
 
 
+@pytest.mark.parametrize(
+    ("loads", "least", "most"),
+    [
+        ({"a": 60, "b": 50}, 0, 0),
+        ({"a": 60, "b": 40}, 50, 180),
+        ({"a": 90, "b": 30}, 350, 550),
+        ({"a": 40, "b": 60}, 0, 0),
+    ],
+    ids=["alike", "half as much again", "three times", "less"],
+)
+def test_a_part_of_the_prompts_leaves_a_region_that_is_further_behind(loads, least, most):
+    """On a day on which 7 of 15 engines of one region were away, its engines had 61 to 92 and the others 47."""
+    assert least <= chosen_regions("a1", loads, prompts=1000)["b"] <= most
+
+
 def test_a_long_prompt_goes_where_it_begins_in_time_in_spite_of_the_way():
     """At 95 ms a unit an engine begins a prompt in 0.4 s up to a load of 4.2, with the way up to 3.8."""
     assert set(chosen_regions("a1", {"a": 4, "b": 3}, LONG)) == {"a"}
