Back ends of an unnamed version are used at once if no other stays

Cause: a version that no order names gets nothing for 2 s. When the back ends known before had left or were draining, a service without any rollout refused all its requests for that time, although back ends were listed. Change: such back ends are the last resort while every other one is leaving; one that is only suspended keeps them waiting as before.

--- a/src/wallwell/rollout/sides.py
+++ b/src/wallwell/rollout/sides.py
@@ -31,6 +31,8 @@
     target: list[Backend]
     canary: list[Backend]
     """The target back ends that carry the canary."""
+    held: list[Backend]
+    """Back ends of versions that nobody has named; a last resort until their time without requests is over."""
 
 
 @dataclass
@@ -63,12 +65,13 @@
         others = [each for each in listed if not self.is_target(each)]
         barred = record.barred if record is not None else ()
         held = {version for version, until_s in self.held_until_s.items() if now_s < until_s}
-        current = [each for each in others if each.record.software not in barred]
-        current = [each for each in current if each.record.software not in held]
+        unbarred = [each for each in others if each.record.software not in barred]
+        current = [each for each in unbarred if each.record.software not in held]
+        waiting = [each for each in unbarred if each.record.software in held]
         if record is not None and record.phase is Phase.COMPLETE:
             target, current = target + current, []
         share = record.share if record is not None and record.phase is Phase.CANARY else 0.0
-        return Sides(current, target, canary_backends(self.service, target, len(current), share))
+        return Sides(current, target, canary_backends(self.service, target, len(current), share), waiting)
 
     def is_target(self, backend: Backend) -> bool:
         """Whether a back end runs the version that is rolled out."""
@@ -91,7 +94,12 @@
 
     def tiers(self, listed: Sequence[Backend], prefers_target: bool, now_s: float) -> list[list[Backend]]:
         """Return the groups of back ends that a request may go to, the better one first."""
-        record, sides = self.record, self.sides(listed, now_s)
+        sides = self.sides(listed, now_s)
+        tiers = self._named_tiers(sides, prefers_target)
+        return [*tiers, sides.held] if _is_last_resort(sides, now_s) else tiers
+
+    def _named_tiers(self, sides: Sides, prefers_target: bool) -> list[list[Backend]]:
+        record = self.record
         if record is None or record.phase is Phase.ROLLED_BACK:
             return [sides.current]
         if record.phase is Phase.COMPLETE:
@@ -107,6 +115,8 @@
     def taking(self, listed: Sequence[Backend], now_s: float) -> list[Backend]:
         """Return the back ends that new requests are meant for."""
         record, sides = self.record, self.sides(listed, now_s)
+        if _is_last_resort(sides, now_s):
+            return sides.held
         if record is None or record.phase is Phase.ROLLED_BACK:
             return sides.current
         if not sides.current:
@@ -116,6 +126,16 @@
         return sides.target if record.phase is Phase.SWITCHING else sides.current + sides.canary
 
 
+def _is_last_resort(sides: Sides, now_s: float) -> bool:
+    """Whether back ends of versions that nobody has named are the only ones that stay.
+
+    An ordinary replacement of all back ends at once must not leave a service without any while they wait.
+    """
+    if not sides.held:
+        return False
+    return all(each.is_leaving(now_s) for each in (*sides.current, *sides.target))
+
+
 def canary_backends(service: str, target: Sequence[Backend], current_count: int, share: float) -> list[Backend]:
     """Return the target back ends that carry a share of requests: so few that each sees a usual load.
 
--- a/tests/unit/gateway/test_rollout_requests.py
+++ b/tests/unit/gateway/test_rollout_requests.py
@@ -249,3 +249,25 @@
         logger.remove(sink)
     named = [(line["event"], line["software"]) for line in lines if "software" in line]
     assert named == [(3002, "v2"), (3001, "v1")]
+
+
+@pytest.mark.parametrize("is_old_listed", [False, True])
+def test_without_a_rollout_the_only_back_ends_left_are_used_whatever_their_version(is_old_listed):
+    async def work():
+        state = make_state(SAFE, backends=0)
+        now_s = time.monotonic()
+        old = BackendRecord("old", "svc", "old:80", "z1", 8, software="v1")
+        state.rollouts.on_listed("svc", "v1", now_s, True)
+        state.backends.upsert(old)
+        state.rollouts.on_listed("svc", "v2", now_s, False)
+        state.backends.upsert(replace(old, incarnation="new", address="new:80", software="v2"))
+        if is_old_listed:
+            state.backends.upsert(replace(old, draining=True))
+        else:
+            state.backends.remove("old")
+        client, reply = FakeClient(OK), FakeReply()
+        await RequestPipeline(state, client).serve(make_request(), reply)
+        return reply, client
+
+    reply, client = run_virtual(work())
+    assert (reply.status, [each.backend.incarnation for each in client.sent]) == (200, ["new"])
--- a/tests/unit/rollout/test_sides.py
+++ b/tests/unit/rollout/test_sides.py
@@ -1,6 +1,7 @@
 """Which back ends may get a request, by the phase of the service's rollout."""
 
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -123,3 +124,43 @@
 )
 def test_load_is_counted_of_the_back_ends_that_take_requests(phase, share, heard_s, expected):
     assert len(sides(phase, share, heard_s).taking([*OLD, *NEW], NOW_S)) == expected
+
+
+def unnamed(known, held_until_s=NOW_S + 2.0):
+    """Back ends of an ordinary replacement: ``known`` ones, and one of a version that waits for an order."""
+    listed = [*known, backend("next-0", "v9")]
+    return ServiceSides("svc", None, {"v9": held_until_s}), listed
+
+
+@pytest.mark.parametrize("end", ["none", "draining", "lapsed", "superseded", "gone"])
+def test_back_ends_of_an_unnamed_version_are_used_at_once_if_no_other_stays(end):
+    last = backend("old-0", "v1")
+    service, listed = unnamed([] if end == "none" else [last])
+    assert names(service.taking(listed, NOW_S)) == ({"next-0"} if end == "none" else {"old-0"})
+    match end:
+        case "draining":
+            last.record = replace(last.record, draining=True)
+        case "lapsed":
+            last.lapses_at_s = NOW_S
+        case "superseded":
+            last.superseded = True
+        case "gone":
+            last.gone = True
+    assert names(service.taking(listed, NOW_S)) == {"next-0"}
+    assert "next-0" in names(service.tiers(listed, False, NOW_S)[-1])
+
+
+def test_back_ends_of_an_unnamed_version_wait_while_another_is_only_suspended():
+    last = backend("old-0", "v1")
+    last.suspended_until_s = NOW_S + 60.0
+    service, listed = unnamed([last])
+    assert names(service.taking(listed, NOW_S)) == {"old-0"}
+    assert [names(tier) for tier in service.tiers(listed, False, NOW_S)] == [{"old-0"}]
+
+
+@pytest.mark.parametrize("phase", [Phase.COMPLETE, Phase.ROLLED_BACK])
+def test_after_a_rollout_an_unnamed_version_is_used_at_once_if_no_other_stays(phase):
+    service = sides(phase, barred=("v1",), held={"v9": NOW_S + 2.0})
+    listed = [OLD[0], backend("next-0", "v9")]
+    assert names(service.taking(listed, NOW_S)) == {"next-0"}
+    assert names(service.tiers(listed, True, NOW_S)[-1]) == {"next-0"}
