During a rollout engines of one side do not stand in for those of the other that load weights

Cause: the weights roll counted all listed engines as serving, also those of a target version that gets a small share or none. With as many target engines as current ones 8 of 10 current ones loaded at once instead of 5. Change: loads are planned for each side of a rollout that has not ended by itself; without a rollout as before.

--- a/src/wallwell/placement/weights_roll_driver.py
+++ b/src/wallwell/placement/weights_roll_driver.py
@@ -129,7 +129,9 @@
         self._turn.set_due(is_due, now_s)
         if not is_due or not await self._turn.hold(now_s):
             return
-        started = self._planner.next_tasks(engines, time.monotonic())
+        started = [
+            task for side in self._sides(engines) for task in self._planner.next_tasks(side, time.monotonic())
+        ]
         if started:
             await self._start(started)
         elif self._unpublished:
@@ -144,6 +146,13 @@
             and not rollouts.gets_nothing_more(each.record.service, each.record.software)
         ]
 
+    def _sides(self, engines: list[Backend]) -> list[list[Backend]]:
+        """Return the engines by the side of their rollout: those of one cannot stand in for those of the other."""
+        sides: tuple[list[Backend], list[Backend]] = ([], [])
+        for each in engines:
+            sides[self._state.rollouts.is_beside(each.record.service, each.record.software)].append(each)
+        return [side for side in sides if side]
+
     # --- loads -----------------------------------------------------------------------------------------
 
     async def _start(self, tasks: list[LoadTask]) -> None:
--- a/src/wallwell/rollout/records.py
+++ b/src/wallwell/rollout/records.py
@@ -109,6 +109,12 @@
         is_rolled_back = record.phase is Phase.ROLLED_BACK and software == record.target_version
         return is_rolled_back or software in record.barred
 
+    def is_beside(self, service: str, software: str) -> bool:
+        """Whether back ends of a version run beside the current ones in a rollout that has not ended."""
+        sides = self.active.get(service)
+        record = sides.record if sides is not None else None
+        return record is not None and not record.phase.is_final and software == record.target_version
+
     def is_due(self, service: str) -> bool:
         """Whether something is left to decide."""
         record = self.effective(service)
--- a/tests/unit/placement/test_weights_roll_driver.py
+++ b/tests/unit/placement/test_weights_roll_driver.py
@@ -291,3 +291,26 @@
 
     fleet = play(scenario)
     assert sorted(len(engine.given) for engine in fleet.engines.values()) == [0, 0, 1, 1, 1, 1]
+
+
+@pytest.mark.parametrize("phase", [Phase.CANARY, Phase.SWITCHING])
+def test_engines_beside_the_current_ones_in_a_rollout_do_not_stand_in_for_those_that_load(phase):
+    async def scenario(fleet):
+        target = sorted(fleet.engines)[10:]
+        record = RolloutRecord("s", "v2", 1, 0.0, 20.0, phase)
+        for incarnation in target:
+            fleet.engines[incarnation].version = 2
+        for state in fleet.states:
+            for incarnation in fleet.engines:
+                known = state.backends.get(incarnation).record
+                fields = {"software": "v2", "versions": {"m": 2}} if incarnation in target else {"software": "v1"}
+                state.backends.upsert(replace(known, **fields))
+            state.rollouts.on_record(record, 1, time.monotonic())
+        fleet.name(2)
+        await asyncio.sleep(8.0)
+
+    fleet = play(scenario, engines=20)
+    given_s = [at_s for at_s, _, _ in fleet.orders()]
+    assert len(given_s) == 10
+    # An engine loads for 0.6 s after its order; half of the current ones have to go on serving.
+    assert max(sum(at_s <= other_s < at_s + 0.6 for other_s in given_s) for at_s in given_s) <= 5
