A node that has not heard of a watched rollout sends nothing to its target while a current back end stays

Cause: with all current back ends suspended the target side was the second choice, also with a stale record, when nobody may be watching the version.

--- a/src/wallwell/rollout/sides.py
+++ b/src/wallwell/rollout/sides.py
@@ -95,15 +95,17 @@
     def tiers(self, listed: Sequence[Backend], prefers_target: bool, now_s: float) -> list[list[Backend]]:
         """Return the groups of back ends that a request may go to, the better one first."""
         sides = self.sides(listed, now_s)
-        tiers = self._named_tiers(sides, prefers_target)
+        tiers = self._named_tiers(sides, prefers_target, now_s)
         return [*tiers, sides.held] if _is_last_resort(sides, now_s) else tiers
 
-    def _named_tiers(self, sides: Sides, prefers_target: bool) -> list[list[Backend]]:
+    def _named_tiers(self, sides: Sides, prefers_target: bool, now_s: float) -> list[list[Backend]]:
         record = self.record
         if record is None or record.phase is Phase.ROLLED_BACK:
             return [sides.current]
         if record.phase is Phase.COMPLETE:
             return [sides.target]
+        if not self.is_heard(now_s) and any(not each.is_leaving(now_s) for each in sides.current):
+            return [sides.current]
         if record.phase is Phase.SWITCHING:
             target = sides.target
         elif record.share > 0:
--- a/tests/unit/rollout/test_sides.py
+++ b/tests/unit/rollout/test_sides.py
@@ -164,3 +164,13 @@
     listed = [OLD[0], backend("next-0", "v9")]
     assert names(service.taking(listed, NOW_S)) == {"next-0"}
     assert names(service.tiers(listed, True, NOW_S)[-1]) == {"next-0"}
+
+
+@pytest.mark.parametrize("phase", [Phase.CANARY, Phase.SWITCHING])
+def test_a_node_that_has_not_heard_of_a_rollout_keeps_to_current_back_ends_that_are_only_suspended(phase):
+    last = backend("old-0", "v1")
+    last.suspended_until_s = NOW_S + 60.0
+    service = sides(phase, 0.2, heard_s=NOW_S - 2.5)
+    assert [names(tier) for tier in service.tiers([last, *NEW], False, NOW_S)] == [{"old-0"}]
+    last.superseded = True
+    assert len(service.tiers([last, *NEW], False, NOW_S)[-1]) >= 3
