--- a/src/wallwell/deployment/backends.py
+++ b/src/wallwell/deployment/backends.py
@@ -48,9 +48,12 @@
     from_s: float = float("-inf")
 
 
-@dataclass
+@dataclass(eq=False)
 class Backend:
-    """A listed back end and this node's own observations of it. Times are on this node's clock."""
+    """A listed back end and this node's own observations of it. Times are on this node's clock.
+
+    Compared by identity: each choice of an engine looks some thousand times whether one is in a list.
+    """
 
     record: BackendRecord
     in_flight: int = 0
--- a/tests/unit/deployment/test_backends.py
+++ b/tests/unit/deployment/test_backends.py
@@ -139,3 +139,7 @@
         registry.upsert(record(f"i-{index}", address="a:1"))
         registry.remove(f"i-{index - 1}")
     assert len(registry._superseded) == MAX_SUPERSEDED_KNOWN
+
+
+def test_back_ends_are_told_apart_by_identity_so_that_looking_one_up_in_a_list_costs_little():
+    assert Backend(record()) not in [Backend(record())]
