Short requests: one slow answer refuses them no longer for ever, resumed ones not at all

A node learns the shortest answer from what it sends only, so callers with less than half of a slow first answer's time got WW3007 for its life. One in 20 is sent. A run that its caller goes on with is no whole one. Tests fail without it.

--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -179,7 +179,7 @@
         if exchange.reply.is_caller_gone():
             # On a node that is short of processor time a request can be read after its caller has left.
             raise CallerGoneError("closed before its request was sent on")
-        if exchange.remaining_s() < self._least_left_s(exchange):
+        if self._is_too_late(exchange):
             raise self._deadline_error(exchange)
         now_s = time.monotonic()
         listed, usable = offer(self._state, exchange, now_s)
@@ -192,12 +192,14 @@
         self._choice.refuse_if_overloaded(exchange, now_s)
         return self._choice.choose(exchange, self._choice.apart_from_hung(exchange, candidates), listed)
 
-    def _least_left_s(self, exchange: Exchange) -> float:
-        """Return the time that must be left for an attempt; a run that goes on has less to do than a whole one."""
+    def _is_too_late(self, exchange: Exchange) -> bool:
+        """Whether too little time is left for an attempt; a run that goes on has less to do than a whole one."""
+        generation = exchange.request.generation
+        goes_on = bool(exchange.history.runs) or (generation is not None and generation.resume_after is not None)
         shortest = self._state.shortest_answers.get(exchange.route.name)
-        if shortest is None or exchange.history.runs:
-            return MIN_REMAINING_S
-        return shortest.least_left_s(MIN_REMAINING_S)
+        if shortest is None or goes_on:
+            return exchange.remaining_s() < MIN_REMAINING_S
+        return shortest.is_too_late(exchange.remaining_s(), MIN_REMAINING_S)
 
     def _cause_of_none(self, exchange: Exchange, now_s: float) -> ReturnCause:
         """Return why no back end may be asked: none is listed, or none has weights that are new enough."""
--- a/src/wallwell/routing/return_time.py
+++ b/src/wallwell/routing/return_time.py
@@ -35,6 +35,9 @@
 """Part of a request's usual time after which places of a full service are free again."""
 ANSWER_PART = 0.5
 """Part of the shortest answer seen that a request must have left to be sent; half, since loads and sizes differ."""
+TRIED_ONE_IN = 20
+"""One in so many requests with less time is sent all the same. Otherwise a node whose first answers were slow would
+refuse short ones for its life, since it learns from what it sends only."""
 
 
 class ReturnCause(enum.Enum):
@@ -103,6 +106,17 @@
     """The shortest time from a request's sending to the end of its answer, of one route at this node."""
 
     seconds: float = float("inf")
+    _short: int = 0
+    """Requests that had too little time."""
+
+    def is_too_late(self, left_s: float, floor_s: float) -> bool:
+        """Whether a request with ``left_s`` is to be refused; counts those that have too little time."""
+        if left_s < floor_s:
+            return True
+        if left_s >= self.least_left_s(floor_s):
+            return False
+        self._short += 1
+        return self._short % TRIED_ONE_IN != 0
 
     def observe(self, seconds: float) -> None:
         """Learn from one that has ended well."""
--- a/tests/unit/gateway/test_pipeline.py
+++ b/tests/unit/gateway/test_pipeline.py
@@ -26,6 +26,7 @@
 from wallwell.routing.outcome import TransportEvent as T
 from wallwell.routing.prefix_home import request_load
 from wallwell.routing.reading_pace import DEFAULT_S, SMOOTHING
+from wallwell.routing.return_time import ShortestAnswer
 
 OK = Script(chunks=(b"ok",))
 SHED = Script(fails=T.BACKEND_OVERLOADED)
@@ -245,6 +246,39 @@
     assert tried.status == 504
 
 
+def test_short_requests_are_served_again_after_one_slow_answer():
+    async def work():
+        client = FakeClient(Script(chunks=(b"ok",), head_after_s=2.5), Script(chunks=(b"ok",), head_after_s=0.05))
+        fleet = make_state(UNSAFE)
+        pipeline = RequestPipeline(fleet, client)
+        replies = [FakeReply() for _ in range(60)]
+        for number, reply in enumerate(replies):
+            fleet.freshness.confirm(time.monotonic())
+            await pipeline.serve(make_request(allowance_s=1.0 if number else 9.0), reply)
+        return [reply.status for reply in replies]
+
+    statuses = run_virtual(work())
+    assert statuses.count(503) <= 20
+    assert statuses[-30:] == [200] * 30
+
+
+def test_a_generation_that_its_caller_goes_on_with_needs_less_time_than_a_whole_one():
+    route = make_route(RouteKind.STREAM)
+
+    def learn(fleet):
+        fleet.shortest_answers[route.name] = ShortestAnswer(4.0)
+
+    def refused(resume_after):
+        generation = make_generation(resume_after=resume_after)
+        _, client, _ = play(
+            [OK], route, lambda: make_request(generation=generation, allowance_s=1.0), prepare=learn
+        )
+        return len(client.sent) == 0
+
+    assert refused(None)
+    assert not refused(2)
+
+
 # --- who may ask ---------------------------------------------------------------------------------------
 
 
--- a/tests/unit/routing/test_return_time.py
+++ b/tests/unit/routing/test_return_time.py
@@ -15,6 +15,7 @@
     NONE_LISTED_S,
     SHORTEST_S,
     SPREAD,
+    TRIED_ONE_IN,
     ReturnCause,
     ReturnKnowledge,
     ShortestAnswer,
@@ -90,3 +91,15 @@
         shortest.observe(seconds)
     assert shortest.least_left_s(0.02) == pytest.approx(ANSWER_PART * 0.4)
     assert shortest.least_left_s(1.0) == 1.0
+
+
+def test_one_slow_first_answer_does_not_refuse_short_requests_for_ever():
+    shortest = ShortestAnswer()
+    shortest.observe(8.0)
+    refused = 0
+    while shortest.is_too_late(1.0, 0.02):
+        refused += 1
+    assert refused == TRIED_ONE_IN - 1
+    shortest.observe(0.1)
+    assert not any(shortest.is_too_late(1.0, 0.02) for _ in range(100))
+    assert all(shortest.is_too_late(0.01, 0.02) for _ in range(100))
