Zone suspicion: no zone is none, and a suspected zone is asked at one that has not hung

Back ends without a zone were suspected together. Dead ones asked first kept the live ones of their zone out for half a second each. Tests fail without it.

--- a/src/wallwell/deployment/zone_suspicion.py
+++ b/src/wallwell/deployment/zone_suspicion.py
@@ -38,6 +38,10 @@
     suspected: bool = False
     asked_s: float = float("-inf")
 
+    def recently_hung(self, now_s: float) -> dict[str, float]:
+        """Return those that hung within the window."""
+        return {each: at_s for each, at_s in self.hung.items() if now_s - at_s < HUNG_WINDOW_S}
+
 
 class ZoneSuspicion:
     """What one node suspects of zones. Suspicion shows in ``Backend.suspended_until_s`` and nowhere else."""
@@ -57,8 +61,10 @@
     def on_hung(self, backend: Backend, listed: Iterable[Backend], now_s: float) -> bool:
         """A connection to a back end hung; returns True if its zone is now suspected and was not before."""
         name = backend.record.zone
+        if not name:
+            return False  # Back ends that name no zone need have none in common.
         zone = self._zones.setdefault(name, _Zone())
-        zone.hung = {each: at_s for each, at_s in zone.hung.items() if now_s - at_s < HUNG_WINDOW_S}
+        zone.hung = zone.recently_hung(now_s)
         zone.hung[backend.incarnation] = now_s
         if not zone.suspected and len(zone.hung) < HUNG_TO_SUSPECT:
             return False
@@ -90,10 +96,10 @@
         asked = []
         for name, zone in due.items():
             of_zone = [each for each in listed if each.record.zone == name and not each.is_leaving(now_s)]
-            # Whether others are cut off as well is told by one that has not hung.
-            candidates = (
-                of_zone if zone.suspected else [each for each in of_zone if each.incarnation not in zone.hung]
-            )
+            # Whether others are cut off as well is told by one that has not hung; those that have may be dead.
+            recent = zone.recently_hung(now_s)
+            others = [each for each in of_zone if each.incarnation not in recent]
+            candidates = others or (of_zone if zone.suspected else [])
             if candidates:
                 zone.asked_s = now_s
                 asked.append(self._rng.choice(candidates))
@@ -102,5 +108,4 @@
     def _is_due(self, zone: _Zone, now_s: float) -> bool:
         if now_s - zone.asked_s < ASK_AGAIN_S:
             return False
-        recent = sum(now_s - at_s < HUNG_WINDOW_S for at_s in zone.hung.values())
-        return zone.suspected or recent >= HUNG_TO_ASK
+        return zone.suspected or len(zone.recently_hung(now_s)) >= HUNG_TO_ASK
--- a/tests/unit/deployment/test_zone_suspicion.py
+++ b/tests/unit/deployment/test_zone_suspicion.py
@@ -119,3 +119,19 @@
     assert zones.returned == ["a"]
     assert not zones.answer("a3", at_s=15.6)
     assert zones.named("a0").consecutive_failures == 0
+
+
+def test_back_ends_that_name_no_zone_are_not_taken_for_one():
+    zones = Zones()
+    zones.listed = [Backend(BackendRecord(f"n{number}", "svc", f"n{number}:1", "", 8)) for number in range(5)]
+    assert zones.hang("n0", "n1", "n2", "n3") == [False] * 4
+    assert len(zones.open(10.0)) == 5
+
+
+def test_a_suspected_zone_is_asked_at_one_that_has_not_hung_so_that_dead_ones_do_not_keep_it_suspected():
+    for seed in range(20):
+        zones = Zones()
+        zones.suspicion = ZoneSuspicion(random.Random(seed))
+        zones.hang("a0", "a1", "a2")
+        (asked,) = zones.ask(10.0 + ASK_AGAIN_S)
+        assert asked in ("a3", "a4")
