Region exchange: a region that goes while it is asked is no internal error

Its speakers were empty, and the place of the next one a division by zero, which restarted the loop with WW internal error. Test fails without it.

--- a/src/wallwell/cluster/region_exchange.py
+++ b/src/wallwell/cluster/region_exchange.py
@@ -108,7 +108,9 @@
             return
         message = RegionLoad(_pack(own))
         await asyncio.gather(*(self._ask_region(region, message) for region in regions))
-        self._links.keep({self._next_asked(region)[0] for region in regions})
+        # The last nodes of a region may have gone while they were asked.
+        left = [region for region in regions if self._order.speakers_of(region)]
+        self._links.keep({self._next_asked(region)[0] for region in left})
 
     def speaks_to(self, region: str, now_s: float) -> bool:
         """Whether it is this node that exchanges with a region now."""
@@ -126,6 +128,8 @@
     async def _ask_region(self, region: str, message: RegionLoad) -> None:
         """Ask nodes of a region by turns until one knows it, or one does not answer."""
         for _ in self._order.speakers_of(region):
+            if not self._order.speakers_of(region):
+                return
             try:
                 heard = await self._ask(*self._next_asked(region), message)
             except PeerUnavailableError:
--- a/tests/unit/cluster/test_region_exchange.py
+++ b/tests/unit/cluster/test_region_exchange.py
@@ -324,3 +324,26 @@
 
     assert run(scenario)
     assert not events
+
+
+@pytest.mark.parametrize("reply_is_lost", [True, False])
+def test_a_region_whose_nodes_all_go_while_one_is_asked_is_asked_no_more(reply_is_lost):
+    async def work():
+        network = Network()
+        asker = network.speakers()[0]
+        between = asker.exchange.between_regions
+        gone = [name for name, node in network.nodes.items() if node.region == "b"]
+
+        async def ask(name, address, message):
+            for each in gone:
+                network.members.pop(each, None)
+            if reply_is_lost:
+                raise PeerUnavailableError("gone")
+
+        between._ask = ask
+        await between.step(now())
+        for node in network.nodes.values():
+            node.kill()
+        return asker.order.other_regions()
+
+    assert run_virtual(work()) == []
