--- a/src/wallwell/cluster/load_exchange.py
+++ b/src/wallwell/cluster/load_exchange.py
@@ -158,6 +158,11 @@
         now_s = time.monotonic()
         self._zones.take(message.node, message.load, now_s)
         self._load.limits.take_relay(message.node, message.life, message.spent_totals, now_s)
+        if message.node not in self._totals:
+            # Nodes are replaced under new names, and each told all tenants that spend.
+            self._totals = {
+                name: told for name, told in self._totals.items() if now_s - told[1] < REPORT_LIFETIME_S
+            }
         self._totals[message.node] = (RelayTotals(message.node, message.life, message.spent_totals), now_s)
         for region_sum in message.regions:
             self.between_regions.on_passed_on(region_sum)
--- a/src/wallwell/routing/tenant_limits.py
+++ b/src/wallwell/routing/tenant_limits.py
@@ -299,6 +299,8 @@
         Not after a silence: what was spent in it was earned in it. ``is_near`` tells relays of this node's region.
         """
         last = self._relays.get(relay)
+        if last is None:
+            self._forget_silent_relays(now_s)
         self._relays[relay] = _RelayTotals(life, totals, now_s)
         if last is None or last.life != life or now_s - last.at_s > RELAY_SILENCE_S:
             return
@@ -311,6 +313,10 @@
                 bucket.level -= spent
                 bucket.near_total += spent * is_near
 
+    def _forget_silent_relays(self, now_s: float) -> None:
+        """Drop what counts no more: nodes are replaced under new names, and each tells all tenants that spend."""
+        self._relays = {name: told for name, told in self._relays.items() if now_s - told.at_s <= RELAY_SILENCE_S}
+
     def on_region_heard(self, region: str) -> None:
         """Another region has told what was spent there until now."""
         self._near_totals[region] = {tenant: bucket.near_total for tenant, bucket in self._all.items()}
--- a/tests/unit/cluster/test_load_exchange.py
+++ b/tests/unit/cluster/test_load_exchange.py
@@ -1,9 +1,11 @@
 """Every node learns what all others have under way, over sockets, whichever nodes stand between."""
 
+import asyncio
 import time
 
 import pytest
 
+from tests.virtual_time import run_virtual
 from wallwell.cluster.load_exchange import (
     INTERVAL_S,
     THIN_LINK_INTERVAL_S,
@@ -18,6 +20,7 @@
 from wallwell.routing.demand import RATE_WINDOW_S
 from wallwell.routing.first_piece import MIN_ANSWERS
 from wallwell.routing.fleet_load import FleetLoad
+from wallwell.routing.load_reports import REPORT_LIFETIME_S, Load
 
 ENGINES = ("e0", "e1", "e2")
 
@@ -206,3 +209,14 @@
         return passed_over, [name for name, _ in first.order.relays(9.0)]
 
     assert with_nodes("ab", scenario) == ([], ["n1"])
+
+
+def test_totals_of_relays_that_are_gone_are_not_remembered():
+    async def work():
+        exchange = LoadExchange("n1", FleetLoad(), UpstreamOrder("n1", "z1"))
+        for number in range(100):
+            await exchange.on_zone(ZoneLoad(f"relay-{number}", Load(nodes=1), 1, {"t": number}))
+            await asyncio.sleep(2 * REPORT_LIFETIME_S)
+        return len(exchange._totals)
+
+    assert run_virtual(work()) == 1
--- a/tests/unit/routing/test_tenant_limits.py
+++ b/tests/unit/routing/test_tenant_limits.py
@@ -357,3 +357,10 @@
     assert before - limits.levels(100.0)[TENANT] == 1_070 + 2 * 1_000
     limits.on_region_lost("west", 2.0, now_s=100.0)
     assert before - limits.levels(100.0)[TENANT] == 3_070
+
+
+def test_relays_that_are_gone_are_not_remembered():
+    limits = FleetLimits(random.Random(1))
+    for number in range(100):
+        limits.take_relay(f"relay-{number}", 1, {"t": number}, 2.0 * RELAY_SILENCE_S * number)
+    assert len(limits._relays) == 1
