--- a/tests/unit/deployment/test_backends.py
+++ b/tests/unit/deployment/test_backends.py
@@ -177,3 +177,7 @@
     assert not successor.superseded
     registry.remove("i-3")
     assert not registry.get("i-1").superseded
+
+
+def test_back_ends_are_told_apart_by_identity_so_that_looking_one_up_in_a_list_costs_little():
+    assert Backend(record()) not in [Backend(record())]
