--- a/src/wallwell/bench/__init__.py
+++ b/src/wallwell/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Workloads, virtual-time experiments, load generation and the scale run."""
+"""Workloads, virtual-time experiments, load generation and fault scenarios."""
--- a/src/wallwell/cluster/node.py
+++ b/src/wallwell/cluster/node.py
@@ -1,8 +1,8 @@
 """One node's part in the cluster, as a single sans-I/O object.
 
 It joins membership, region exchange, configuration spread, directory shards and shared limits behind three
-calls: ``tick``, ``handle`` and the methods of the request path. The router drives it over sockets; hollow
-nodes and tests drive the same object over an in-memory network in virtual time.
+calls: ``tick``, ``handle`` and the methods of the request path. The router drives it over sockets; tests
+drive the same object over an in-memory network in virtual time.
 """
 
 from __future__ import annotations
