--- a/src/wallwell/gateway/backend_choice.py
+++ b/src/wallwell/gateway/backend_choice.py
@@ -73,7 +73,7 @@
         if not places.has_regions:
             return candidates, ()
         near = [each for each in candidates if places.region_of(each.record.zone) == region]
-        return near, [each for each in candidates if each not in near]
+        return near, [each for each in candidates if places.region_of(each.record.zone) != region]
 
     def _home_region(self, exchange: Exchange, pool: Sequence[Backend]) -> str:
         """Return the region in which a prompt is to be read: the node's, or that of its home if much is shared.
@@ -159,4 +159,5 @@
 
 def _tiers(engines: Sequence[Backend], pool: Sequence[Backend]) -> tuple[Sequence[Backend], Sequence[Backend]]:
     """Return the engines that are meant for a prompt's length, and all of them."""
-    return [each for each in engines if each in pool], engines
+    meant = set(pool)
+    return [each for each in engines if each in meant], engines
