Log lines of failed attempts say what the request holds

Cause: no line told which broken requests hold the same thing, so a request that ends engines looked like many that are beside it. No change of decisions.

--- a/src/wallwell/gateway/exchange_state.py
+++ b/src/wallwell/gateway/exchange_state.py
@@ -11,6 +11,7 @@
 from wallwell.gateway.exchange import AttemptHistory, CallerReply, CallerRequest
 from wallwell.routing.outcome import AttemptLog
 from wallwell.routing.prefix_home import placement_key
+from wallwell.routing.request_content import content_digest
 from wallwell.routing.tenant_limits import Admitted
 
 
@@ -83,6 +84,13 @@
         scope = self.tenant.name if self.tenant is not None and self.tenant.isolated else ""
         return placement_key(self.request.generation.parts, scope)
 
+    @cached_property
+    def content(self) -> str:
+        """The digest of what the request holds; the same each time its caller sends it again."""
+        request = self.request
+        caller = self.tenant.name if self.tenant is not None else request.credential
+        return content_digest(request.host, request.target, caller, request.body)
+
     def remaining_s(self) -> float:
         """Time left before the caller or the route gives the request up."""
         return self.deadline_s - time.monotonic()
--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -380,6 +380,7 @@
             detail=failure.detail,
             attempts=exchange.log.attempts,
             events=exchange.position.events_passed,
+            content=exchange.content,
         )
         if not may_retry:
             raise self._exhausted(exchange, failure.detail or event.value, ReturnCause.REFUSED)
--- /dev/null
+++ b/src/wallwell/routing/request_content.py
@@ -0,0 +1,23 @@
+"""What a request holds, as one number: the same however often it comes, under whatever id and at whatever node. Pure."""
+
+from __future__ import annotations
+
+import hashlib
+
+DIGEST_BYTES = 16
+"""128 bits: no two requests of a fleet's life share a digest by chance."""
+
+
+def content_digest(host: str, target: str, caller: str, body: bytes) -> str:
+    """Return the digest of a request's address, caller and body in hexadecimal.
+
+    ``target`` is path and query, ``caller`` names who sends it: its tenant, or its credential without one. Nothing
+    that changes from one sending to the next is part of it: not the request's id, its deadline or where it resumes.
+    """
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for text in (host, target, caller):
+        data = text.encode()
+        digest.update(len(data).to_bytes(4, "big"))
+        digest.update(data)
+    digest.update(body)
+    return digest.hexdigest()
--- /dev/null
+++ b/tests/unit/routing/test_request_content.py
@@ -0,0 +1,32 @@
+"""What a request holds: the same each time it is sent, and different for all else."""
+
+import dataclasses
+
+from tests.unit.gateway.fakes import FakeReply, make_request, make_route
+from wallwell.deployment.routes import TenantAccess
+from wallwell.gateway.exchange_state import Exchange
+from wallwell.routing.outcome import AttemptLog
+from wallwell.routing.request_content import content_digest
+
+BASE = {"host": "h", "target": "/p?q=1", "caller": "t", "body": b"body"}
+
+
+def test_each_part_counts_and_none_runs_into_the_next():
+    changed = [{**BASE, name: value} for name, value in (("host", "h2"), ("target", "/p"), ("caller", "u"))]
+    changed += [
+        {**BASE, "body": b"bod"},
+        {**BASE, "caller": "tb", "body": b"ody"},
+        {**BASE, "host": "", "target": "h/p"},
+    ]
+    digests = {content_digest(**each) for each in (BASE, *changed)}
+    assert len(digests) == 1 + len(changed)
+
+
+def test_a_request_that_is_sent_again_under_another_id_and_deadline_holds_the_same():
+    def content(**changes):
+        request = dataclasses.replace(make_request(body=b"body"), **changes)
+        tenant = TenantAccess("t", ("key", "key2"))
+        return Exchange(request, FakeReply(), make_route(), tenant, "svc", 0.0, AttemptLog(True)).content
+
+    again = {"request_id": "r-2", "allowance_s": 1.0, "credential": "key2", "headers": (("Last-Event-Id", "3"),)}
+    assert content() == content(**again) != content(body=b"other")
