--- a/src/wallwell/emulator/platform_worker.py
+++ b/src/wallwell/emulator/platform_worker.py
@@ -42,6 +42,16 @@
         """Close the listener and its connections."""
         await self._runner.cleanup()
 
+    def crash(self) -> None:
+        """End as a killed process does: every connection is reset, and nothing listens at the address any more."""
+        for site in self._runner.sites:
+            assert isinstance(site, web.TCPSite)
+            site._server.close()  # type: ignore[union-attr]
+        assert self._runner.server is not None
+        for connection in list(self._runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+
     def entry(self) -> dict[str, Any]:
         """Return the worker's own entry in the store."""
         return {
--- /dev/null
+++ b/tests/platform/test_crashing_request.py
@@ -0,0 +1,156 @@
+"""A request under which every worker that begins to run it crashes.
+
+Seen: ten and eleven engines of six, replaced as they fell, ended one after the other at the pace of two callers that
+came again and again; each took the streams of all other callers on it along.
+How it came about: the request came with a new id, mostly at another node, and every node sent it on as a new one.
+Cause: what a request did to its back ends was known of its id only, at one node, while it was under way.
+Proof: the same request over these three nodes ends a worker each time it comes, however often that is.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+from aiohttp import web
+
+from tests.platform.conftest import PlatformHarness, config, route
+from tests.platform.stand_ins import WorkerStandIn
+from tests.platform.test_peers import second_node
+from tests.unit.gateway.fakes import event
+from wallwell.platform.callers import CallersListener
+
+NODES, WORKERS, SENDINGS = 3, 5, 10
+CRASHES_TO_KNOW = 3
+RETRIES_ALLOWED = 3
+CRASHING = b"crashing"
+HARMLESS = b"harmless"
+SPREAD_S = 0.4
+"""Time between two sendings, in which what one node has learnt can reach the others."""
+STREAM = {"kind": "stream", "attempts": 1}
+RESUMABLE = {"kind": "stream", "attempts": 2, "can_resume": True}
+SAFE = {"kind": "safe", "attempts": 2}
+UNSAFE = {"kind": "unsafe", "attempts": 1}
+
+
+class CrashingWorker(WorkerStandIn):
+    """Ends soon after it has begun to run the crashing request; a new incarnation takes its place at once."""
+
+    def __init__(self, harness, incarnation):
+        super().__init__(incarnation)
+        self._harness = harness
+
+    async def serve(self, request):
+        if await request.read() == CRASHING:
+            self._harness.crashes += 1
+            asyncio.get_running_loop().call_later(0.01, self._end)
+            await asyncio.sleep(3600)
+        if request.headers.get("X-Model"):
+            return await self.stream(event(1), event(2))(request)
+        return web.Response(body=b"ok", headers=self.headers(request))
+
+    def _end(self):
+        self.crash()
+        self._harness.replace(self)
+
+
+class CrashingFleet(PlatformHarness):
+    """Several nodes on one store, and workers that are replaced when they crash."""
+
+    def __init__(self):
+        super().__init__(workers=0)
+        self.crashes = 0
+        self.ports = []
+        self._started = 0
+        self._others = []
+        self._runners = []
+        self._tasks = set()
+        self.workers = [self._next_worker() for _ in range(WORKERS)]
+
+    def _next_worker(self):
+        self._started += 1
+        return CrashingWorker(self, f"i-{self._started}")
+
+    def replace(self, worker):
+        """Take a crashed worker's entry away and start another one."""
+        task = asyncio.create_task(self._replace(worker))
+        self._tasks.add(task)
+
+    async def _replace(self, worker):
+        successor = self._next_worker()
+        await successor.start()
+        self.workers.append(successor)
+        self.publish(successor)
+        self.store.put("servers", worker.incarnation, None)
+
+    async def start(self, configuration=None):
+        await super().start(configuration)
+        await self.node.listen_for_peers("127.0.0.1", [0])
+        self.ports = [self.port]
+        for number in range(2, NODES + 1):
+            await self.add_node(f"n{number}")
+
+    async def add_node(self, name):
+        """Start one more node and its listener; return its port."""
+        node = await second_node(self, name)
+        node.state.started_s = float("-inf")
+        runner = web.ServerRunner(CallersListener(node).server(), shutdown_timeout=0.01)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        self._others.append(node)
+        self._runners.append(runner)
+        self.ports.append(site._server.sockets[0].getsockname()[1])
+        await self.until(node.is_ready)
+        return self.ports[-1]
+
+    async def stop(self):
+        for runner in self._runners:
+            await runner.cleanup()
+        for node in self._others:
+            await node.stop()
+        await super().stop()
+
+    async def send(self, port, body, request_id, **headers):
+        """Return a request's status at one node, 0 if the connection broke."""
+        self.port = port
+        try:
+            status, _, _ = await self.call(body=body, X_Request_Id=request_id, **headers)
+        except (ConnectionError, OSError, asyncio.IncompleteReadError):
+            return 0
+        except Exception as error:
+            if type(error).__module__.startswith("aiohttp"):
+                return 0
+            raise
+        return status
+
+
+def play(run_async, scenario, kind):
+    async def work():
+        fleet = CrashingFleet()
+        await fleet.start(config(routes=[route(**kind)]))
+        try:
+            return await scenario(fleet)
+        finally:
+            with contextlib.suppress(TimeoutError):
+                await fleet.stop()
+
+    return run_async(work())
+
+
+@pytest.mark.parametrize("kind", [STREAM, RESUMABLE, SAFE, UNSAFE], ids=["stream", "resumable", "safe", "unsafe"])
+def test_a_request_that_comes_again_and_again_ends_few_workers(run_async, kind):
+    headers = {"X_Model": "m", "X_Prefix_Hash": "aa:100"} if kind["kind"] == "stream" else {}
+
+    async def scenario(fleet):
+        harmless = []
+        for number in range(SENDINGS):
+            await fleet.send(fleet.ports[number % NODES], CRASHING, f"crash-{number}", **headers)
+            await asyncio.sleep(SPREAD_S)
+            harmless.append(await fleet.send(fleet.ports[0], HARMLESS, f"calm-{number}", **headers))
+        return fleet.crashes, harmless
+
+    crashes, harmless = play(run_async, scenario, kind)
+    assert CRASHES_TO_KNOW <= crashes <= CRASHES_TO_KNOW + RETRIES_ALLOWED
+    assert harmless == [200] * SENDINGS
