A request that crashes the back ends that run it is quarantined in the whole fleet

Cause: what a request did to its back ends was known by its id only, at one node, while it was under way; each return under a new id, mostly at another node, ended one more engine with all its streams. Class: retry of work without a memory of what it did to whoever ran it. Change: what a request holds (address, caller, body) names it. A broken run on an address that refuses connections twice, 0.3 s apart, without a sign of life between is a crash; each crash is one unconditional row for each request that was running and is not answered elsewhere meanwhile. Three different back ends make a quarantine of ten minutes: 503 with the time left, nothing sent. An answer clears a request, beforehand too for 30 s.

--- a/src/wallwell/backends/http_connection.py
+++ b/src/wallwell/backends/http_connection.py
@@ -32,9 +32,11 @@
 class ConnectFailedError(Exception):
     """No connection was made, so nothing can have reached the back end."""
 
-    def __init__(self, timed_out: bool, detail: str) -> None:
+    def __init__(self, timed_out: bool, detail: str, refused: bool = False) -> None:
+        """``refused`` tells that the machine itself said that nothing listens there."""
         super().__init__(detail)
         self.timed_out = timed_out
+        self.refused = refused
 
 
 class ConnectionBrokenError(Exception):
@@ -242,7 +244,8 @@
         except TimeoutError as error:
             raise ConnectFailedError(True, "no connection in the system's time") from error
         except OSError as error:
-            raise ConnectFailedError(False, type(error).__name__) from error
+            refused = isinstance(error, ConnectionRefusedError)
+            raise ConnectFailedError(False, type(error).__name__, refused) from error
         finally:
             await _abandon(connecting)
         end_when_silent(connection.transport, self._user_timeout_s)
--- a/src/wallwell/errors.py
+++ b/src/wallwell/errors.py
@@ -190,6 +190,13 @@
     http_status = 503
 
 
+class RequestQuarantinedError(RequestError):
+    """Back ends that ran this request crashed, so it is sent to none; ``retry_after_ms`` says for how long."""
+
+    code = "WW3020"
+    http_status = 503
+
+
 class KeyReusedError(RequestError):
     """The idempotency key was used before with another body."""
 
--- /dev/null
+++ b/src/wallwell/gateway/crash_watch.py
@@ -0,0 +1,175 @@
+"""Finds back ends that have crashed, and keeps in the store which requests they were running.
+
+A run that broke off is no proof of a crash: connections are reset on the way, by a back end with too many of them,
+and at the end of a planned stop. A back end counts as crashed when its address refuses connections, still does so a
+moment later, and nothing has come from it meanwhile. One row for each request and crash goes to the store, without
+a condition: writing it twice changes nothing, every node counts the rows, and a node that starts reads them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from wallwell.deployment.backends import Backend, BackendRecord
+from wallwell.errors import PlatformUnavailableError, TableConflictError
+from wallwell.events import Event, emit
+from wallwell.gateway.fleet_state import FleetState
+from wallwell.routing.rendezvous import key_of, owner
+from wallwell.storage.feed import FeedRow
+from wallwell.storage.table import Put, TableService, Transaction
+
+CRASH_PREFIX = "crash/"
+"""Rows ``crash/CONTENT/INCARNATION``; the value names the node that saw it."""
+FIRST_LOOK_S = 0.02
+"""Time from a broken run to the first look: the runs that break with it are then known, and cost one write."""
+SECOND_LOOK_S = 0.3
+"""Time from there to the second look. A back end that only has too many connections has sent something by then: its
+other streams pause for less than half a second in the users' sheets, and some of many are always about to send."""
+MAX_WRITES = 100
+"""Entries of one transaction (the store's bound)."""
+RETRY_S = 0.4
+"""Mean time after a failed write until the next."""
+SWEEP_S = 5.0
+"""Time between two looks for crashes whose time is over; they count for minutes."""
+
+
+class CrashCheck(Protocol):
+    """Tells whether a back end's process is gone."""
+
+    async def is_refused(self, backend: BackendRecord) -> bool:
+        """Make a new connection; returns True only if the machine says that nothing listens there."""
+        ...
+
+
+class CrashWatch:
+    """One node's part: looks, counts, writes, and removes what counts no longer."""
+
+    def __init__(
+        self, state: FleetState, check: CrashCheck, table: TableService, members: Callable[[], Iterable[str]]
+    ) -> None:
+        """``members`` names the nodes that share the removal of old rows."""
+        self._state = state
+        self._check = check
+        self._table = table
+        self._members = members
+        self._broken: dict[str, set[str]] = {}
+        """Contents of runs that broke off, by the incarnation that is being looked at."""
+        self._looking: set[asyncio.Task[None]] = set()
+        self._unwritten: dict[str, bool] = {}
+        """Keys to write (True) or to delete (False)."""
+        self._has_work = asyncio.Event()
+
+    # --- what attempts show ----------------------------------------------------------------------------
+
+    def on_broken_run(self, content: str, backend: Backend) -> None:
+        """The connection of a run ended before its answer was whole."""
+        if backend.is_leaving(time.monotonic()) and not backend.superseded:
+            return  # The end of a planned stop.
+        broken = self._broken.get(backend.incarnation)
+        if broken is not None:
+            broken.add(content)
+            return
+        self._broken[backend.incarnation] = {content}
+        task = asyncio.create_task(self._look(backend, time.monotonic()))
+        self._looking.add(task)
+        task.add_done_callback(self._looking.discard)
+
+    def on_answered(self, content: str) -> None:
+        """A request was answered: whatever crashed beside it, it was not the cause."""
+        crashes = self._state.quarantine.on_answered(content, time.monotonic())
+        self._write({_key(content, incarnation): False for incarnation in crashes})
+
+    async def _look(self, backend: Backend, broken_s: float) -> None:
+        try:
+            has_crashed = await self._has_crashed(backend, broken_s)
+        finally:
+            contents = self._broken.pop(backend.incarnation)
+        if has_crashed:
+            emit(Event.BACKEND_CRASHED, backend=backend.incarnation, runs=len(contents))
+            for content in contents:
+                self._count(content, backend.incarnation)
+
+    async def _has_crashed(self, backend: Backend, broken_s: float) -> bool:
+        for pause_s in (FIRST_LOOK_S, SECOND_LOOK_S):
+            await asyncio.sleep(pause_s)
+            if not await self._check.is_refused(backend.record) or backend.silence.heard_s > broken_s:
+                return False
+        return True
+
+    def _count(self, content: str, incarnation: str) -> None:
+        if self._learn(content, incarnation, time.monotonic()):
+            self._write({_key(content, incarnation): True})
+
+    def _learn(self, content: str, incarnation: str, now_s: float) -> bool:
+        """Count a crash; returns whether it was news."""
+        quarantine = self._state.quarantine
+        was_free = not quarantine.left_s(content, now_s)
+        is_news = quarantine.on_crash(content, incarnation, now_s)
+        if was_free and quarantine.left_s(content, now_s):
+            emit(Event.REQUEST_QUARANTINED, content=content, last_crashed=incarnation)
+        return is_news
+
+    # --- what other nodes have written -----------------------------------------------------------------
+
+    def on_row(self, row: FeedRow, now_s: float) -> None:
+        """Take a row of this product's own table."""
+        if not row.key.startswith(CRASH_PREFIX):
+            return
+        content, _, incarnation = row.key[len(CRASH_PREFIX) :].partition("/")
+        if row.value is None:
+            self._state.quarantine.forget(content, incarnation)
+        elif self._state.quarantine.is_cleared(content, now_s):
+            self._write({row.key: False})
+        else:
+            self._learn(content, incarnation, now_s)
+
+    # --- the store -------------------------------------------------------------------------------------
+
+    def _write(self, changes: dict[str, bool]) -> None:
+        if changes:
+            self._unwritten.update(changes)
+            self._has_work.set()
+
+    async def run(self) -> None:
+        """Write what is to be written, and remove what counts no longer, until cancelled."""
+        while True:
+            try:
+                async with asyncio.timeout(SWEEP_S):
+                    await self._has_work.wait()
+            except TimeoutError:
+                self._sweep(time.monotonic())
+            if self._unwritten and not await self.write_some():
+                await asyncio.sleep(RETRY_S * self._state.rng.uniform(0.5, 1.5))
+
+    async def write_some(self) -> bool:
+        """Write as much as one transaction takes; returns False if the store did not take it."""
+        batch = dict(list(self._unwritten.items())[:MAX_WRITES])
+        puts = tuple(Put(key, self._state.node) for key, is_put in batch.items() if is_put)
+        deletes = tuple(key for key, is_put in batch.items() if not is_put)
+        try:
+            await self._table.transact(Transaction((), puts, deletes))
+        except (PlatformUnavailableError, TableConflictError) as error:
+            emit(Event.CRASHES_NOT_WRITTEN, rows=len(batch), reason=str(error))
+            return False
+        for key, is_put in batch.items():
+            if self._unwritten.get(key) is is_put:
+                del self._unwritten[key]
+        if not self._unwritten:
+            self._has_work.clear()
+        return True
+
+    def _sweep(self, now_s: float) -> None:
+        """Forget crashes whose time is over; one node removes each row."""
+        quarantine = self._state.quarantine
+        members = {*self._members(), self._state.node}
+        for content, incarnation in list(quarantine.expired(now_s)):
+            quarantine.forget(content, incarnation)
+            if owner(members, key_of(content)) == self._state.node:
+                self._write({_key(content, incarnation): False})
+
+
+def _key(content: str, incarnation: str) -> str:
+    return f"{CRASH_PREFIX}{content}/{incarnation}"
--- a/src/wallwell/gateway/fleet_metrics.py
+++ b/src/wallwell/gateway/fleet_metrics.py
@@ -55,6 +55,9 @@
         yield GaugeMetricFamily("wallwell_backends_open", "Back ends that get new requests.", value=opened)
         in_flight = sum(each.in_flight for each in listed)
         yield GaugeMetricFamily("wallwell_in_flight", "Attempts under way.", value=in_flight)
+        suspects, quarantined = state.quarantine.suspects, state.quarantine.quarantined
+        yield GaugeMetricFamily("wallwell_crash_suspects", "Requests that back ends crashed under.", value=suspects)
+        yield GaugeMetricFamily("wallwell_quarantined", "Requests that get no back end.", value=quarantined)
         yield from self._collect_limits(now_s)
         traffic = state.region_traffic
         yield _counter("wallwell_region_exchanges", "Exchanges with other regions.", "cause", traffic.exchanges)
--- a/src/wallwell/gateway/fleet_node.py
+++ b/src/wallwell/gateway/fleet_node.py
@@ -6,7 +6,7 @@
 import random
 import time
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
-from typing import Any
+from typing import Any, Protocol
 
 from wallwell.backends.http_connection import ConnectionPool
 from wallwell.cluster.load_exchange import LoadExchange, MemberLoad, ZoneLoad
@@ -17,6 +17,7 @@
 from wallwell.deployment.freshness import StoreClock
 from wallwell.deployment.places import Places
 from wallwell.events import Event, emit
+from wallwell.gateway.crash_watch import CrashCheck, CrashWatch
 from wallwell.gateway.exchange import BackendClient, CallerReply, CallerRequest
 from wallwell.gateway.fleet_rows import BackendRows, MemberRows, NodeSources, OperatorRows
 from wallwell.gateway.fleet_state import FleetBounds, FleetState
@@ -45,6 +46,10 @@
 """Part of the grace period kept for closing; what still runs in the last sixth may be cut (the users' rules)."""
 
 
+class BackendCheck(ReachabilityCheck, CrashCheck, Protocol):
+    """Tells by new connections how back ends fare."""
+
+
 class FleetNode:
     """Wires one node's state, followers and pipeline together."""
 
@@ -56,7 +61,7 @@
         sources: NodeSources,
         client: BackendClient,
         control: EngineControl,
-        check: ReachabilityCheck,
+        check: BackendCheck,
         pool: ConnectionPool,
         seed: int | None = None,
         link_mbps: float = 0.0,
@@ -70,7 +75,8 @@
         self.lag = LoopLag()
         self._pool = pool
         self._liveness = Liveness(self.state, check)
-        self._pipeline = RequestPipeline(self.state, client, liveness=self._liveness)
+        self._crashes = CrashWatch(self.state, check, sources.table, lambda: self._order.members)
+        self._pipeline = RequestPipeline(self.state, client, liveness=self._liveness, crashes=self._crashes)
         self._clock = StoreClock()
         self._weights_roll = WeightsRollDriver(self.state, sources.table, control, self._clock)
         self._order = UpstreamOrder(node, zone, places=places)
@@ -87,7 +93,9 @@
         self._relayed: dict[str, RelayedRows] = {}
         self._operators = OperatorRows(self.state, sources)
         self._listing = BackendRows(self.state, sources, pool)
-        self._members = MemberRows(self.state, sources.table, self._order, (self._weights_roll, self._rollouts))
+        self._members = MemberRows(
+            self.state, sources.table, self._order, (self._weights_roll, self._rollouts, self._crashes)
+        )
         self._followers = (
             self._follower("operators", sources.operators, self._operators.apply, OPERATORS_WAIT_S, 0.0),
             self._follower("backends", sources.backends, self._listing.apply, BACKENDS_WAIT_S, BACKENDS_PAUSE_S),
@@ -127,7 +135,7 @@
         """Start following the store."""
         loops: list[Callable[[], Coroutine[Any, Any, None]]] = [each.run for each in self._followers]
         loops += [self._weights_roll.run, self._exchange.run, self._kept_caches.run, self._liveness.run]
-        loops += [self._housekeeping, self._watch_lag]
+        loops += [self._housekeeping, self._watch_lag, self._crashes.run]
         if self.state.places.has_regions:
             loops.append(self._exchange.between_regions.run)
         loops += [self._rollouts.run, self._reporter.run]
--- a/src/wallwell/gateway/fleet_state.py
+++ b/src/wallwell/gateway/fleet_state.py
@@ -23,6 +23,7 @@
 from wallwell.routing.fleet_load import FleetLoad
 from wallwell.routing.kept_cache import KeptCache
 from wallwell.routing.overload import GenerationTime
+from wallwell.routing.quarantine import Quarantine
 from wallwell.routing.reading_pace import ReadingPace
 from wallwell.routing.region_traffic import RegionTraffic
 from wallwell.routing.rendezvous import owner
@@ -97,6 +98,8 @@
     places: Places = ONE_REGION
     """Which zones are near; without a map of regions all of them are of one."""
     region_traffic: RegionTraffic = field(default_factory=RegionTraffic)
+    quarantine: Quarantine = field(default_factory=Quarantine)
+    """Requests that crash the back ends that run them."""
 
     def __post_init__(self) -> None:
         self.split_offset = self.rng.random()
--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -20,6 +20,7 @@
     NoBackendError,
     OutcomeUnknownError,
     RequestError,
+    RequestQuarantinedError,
     RetriesExhaustedError,
     StreamOrderError,
 )
@@ -28,6 +29,7 @@
 from wallwell.gateway.backend_choice import BackendChoice
 from wallwell.gateway.cache_planning import CachePlanner
 from wallwell.gateway.counters import FleetCounters
+from wallwell.gateway.crash_watch import CrashWatch
 from wallwell.gateway.exchange import (
     AttemptError,
     BackendAnswer,
@@ -75,9 +77,11 @@
         client: BackendClient,
         counters: FleetCounters | None = None,
         liveness: Liveness | None = None,
+        crashes: CrashWatch | None = None,
     ) -> None:
         self._state = state
         self._liveness = liveness
+        self._crashes = crashes
         self._admission = Admission(state)
         self._wait = HeadWait(state, client)
         self._choice = BackendChoice(state)
@@ -154,6 +158,8 @@
     def _log_end(self, exchange: Exchange, backend: Backend) -> None:
         request, timing = exchange.request, exchange.timing
         now_s = time.monotonic()
+        if self._crashes is not None:
+            self._crashes.on_answered(exchange.content)
         self._choice.learn_time(exchange, now_s)
         first_s = timing.first_s or now_s
         gap_s = timing.max_gap_s if timing.first_s is not None else None
@@ -182,6 +188,7 @@
         if self._is_too_late(exchange):
             raise self._deadline_error(exchange)
         now_s = time.monotonic()
+        self._refuse_if_quarantined(exchange, now_s)
         listed, usable = offer(self._state, exchange, now_s)
         fresh = [each for each in usable if each.incarnation not in exchange.history.tried]
         candidates = fresh or (usable if self._all_unrun(exchange) else [])
@@ -192,6 +199,20 @@
         self._choice.refuse_if_overloaded(exchange, now_s)
         return self._choice.choose(exchange, self._choice.apart_from_hung(exchange, candidates), listed)
 
+    def _refuse_if_quarantined(self, exchange: Exchange, now_s: float) -> None:
+        """Refuse what crashes the back ends that run it: each further try would end one more, with all its runs.
+
+        Looked at before each attempt, since other nodes may have seen the crashes. Raises :class:`RequestError`.
+        """
+        quarantine = self._state.quarantine
+        left_s = quarantine.left_s(exchange.content, now_s) if quarantine.quarantined else 0.0
+        if not left_s:
+            return
+        detail = "back ends crashed under this request"
+        if exchange.log.outcome is Outcome.NOT_RUN:
+            raise RequestQuarantinedError(detail, retry_after_ms=round(left_s * 1000))
+        raise self._exhausted(exchange, detail, ReturnCause.REFUSED)
+
     def _is_too_late(self, exchange: Exchange) -> bool:
         """Whether too little time is left for an attempt; a run that goes on has less to do than a whole one."""
         generation = exchange.request.generation
@@ -412,6 +433,8 @@
             return
         if event in REFUSED_BY_BACKEND or event is TransportEvent.ERROR_ANSWER:
             return
+        if event is TransportEvent.RESET_AFTER_SEND and self._crashes is not None:
+            self._crashes.on_broken_run(exchange.content, backend)
         if event is TransportEvent.ANSWER_TIMEOUT and backend.is_answering(now_s):
             return  # Busy, not broken.
         if backend.on_failure(now_s, unreachable=event in UNREACHABLE):
--- a/src/wallwell/platform/workers.py
+++ b/src/wallwell/platform/workers.py
@@ -105,13 +105,23 @@
 
     async def is_reachable(self, backend: BackendRecord) -> bool:
         """See :class:`wallwell.gateway.liveness.ReachabilityCheck`; the connection serves the next request."""
+        failure = await self._knock(backend)
+        return failure is None or not failure.timed_out
+
+    async def is_refused(self, backend: BackendRecord) -> bool:
+        """See :class:`wallwell.gateway.crash_watch.CrashCheck`; a connection that is made is kept."""
+        failure = await self._knock(backend)
+        return failure is not None and failure.refused
+
+    async def _knock(self, backend: BackendRecord) -> ConnectFailedError | None:
+        """Make a connection that the next exchange uses; returns why there is none."""
         is_far = self._places.distance(backend.zone) is Distance.OTHER_REGION
         try:
             timeout_s = FAR_REACHABLE_TIMEOUT_S if is_far else REACHABLE_TIMEOUT_S
             await self.pool.open_resting(backend.address, timeout_s)
         except ConnectFailedError as error:
-            return not error.timed_out
-        return True
+            return error
+        return None
 
     # --- orders ----------------------------------------------------------------------------------------
 
--- /dev/null
+++ b/src/wallwell/routing/quarantine.py
@@ -0,0 +1,143 @@
+"""Which requests crash the back ends that run them, so that they get no back end any more. Pure.
+
+A request is known by what it holds, since it comes again under other ids at other nodes. Each crash makes suspects
+of all requests that the back end was running; what is answered anywhere, well or with an error, is cleared. One
+that is left with crashes of ``CRASHES_TO_QUARANTINE`` back ends is quarantined: the others under a crash go on to
+other back ends, and only one that crashes those as well stays a suspect.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+CRASHES_TO_QUARANTINE = 3
+"""Crashed back ends after which a request gets none. Where engines go down and up by turns, each 10 s, a stream of
+2 s meets an end by chance one time in 5: two in a row are one in 25 and too many to refuse, three one in 125."""
+SUSPECT_S = 300.0
+"""How long a crash counts against a request that is not quarantined: one that comes back less often does little."""
+QUARANTINE_S = 600.0
+"""How long a quarantine lasts from its last crash. After it, the request may crash some back ends again."""
+CLEARED_S = 30.0
+"""How long an answer clears a request beforehand. Many back ends can end at once under one that many callers send;
+within this time some of them have been answered."""
+MAX_CLEARED = 2048
+"""Answered requests remembered; 30 s of 70 requests a second, some ten times what a node serves."""
+MAX_SUSPECTS = 4096
+"""Suspects remembered, about 1 MB; the oldest that are not quarantined give way."""
+
+
+@dataclass
+class Suspect:
+    """The back ends that crashed under a request. Times are on this node's clock."""
+
+    crashed: set[str] = field(default_factory=set)
+    """Their incarnations."""
+    last_s: float = float("-inf")
+    """When the last of them was learnt of."""
+
+    @property
+    def is_quarantined(self) -> bool:
+        """Whether it has crashed enough of them."""
+        return len(self.crashed) >= CRASHES_TO_QUARANTINE
+
+    @property
+    def ends_s(self) -> float:
+        """Until when the crashes count."""
+        return self.last_s + (QUARANTINE_S if self.is_quarantined else SUSPECT_S)
+
+
+class Quarantine:
+    """What one node knows of requests that crash back ends, from its own attempts and from other nodes."""
+
+    def __init__(self) -> None:
+        self._suspects: dict[str, Suspect] = {}
+        """By content, in the order of their first crashes."""
+        self._cleared: dict[str, float] = {}
+        """When a content was answered last, in that order."""
+        self._quarantined = 0
+
+    @property
+    def quarantined(self) -> int:
+        """Requests that get no back end."""
+        return self._quarantined
+
+    @property
+    def suspects(self) -> int:
+        """Requests under which a back end has crashed, quarantined or not."""
+        return len(self._suspects)
+
+    def is_suspect(self, content: str) -> bool:
+        """Whether a back end has crashed under a request."""
+        return content in self._suspects
+
+    def left_s(self, content: str, now_s: float) -> float:
+        """Return how much longer a request gets no back end; 0 if it may go to one."""
+        suspect = self._suspects.get(content)
+        if suspect is None or not suspect.is_quarantined:
+            return 0.0
+        return max(0.0, suspect.ends_s - now_s)
+
+    def is_cleared(self, content: str, now_s: float) -> bool:
+        """Whether a request was answered lately, so that a crash beside it says nothing against it."""
+        answered_s = self._cleared.get(content)
+        return answered_s is not None and now_s - answered_s < CLEARED_S
+
+    def on_crash(self, content: str, incarnation: str, now_s: float) -> bool:
+        """A back end crashed while it ran a request; returns False if that was known or says nothing."""
+        if self.is_cleared(content, now_s):
+            return False
+        suspect = self._suspects.setdefault(content, Suspect())
+        if incarnation in suspect.crashed:
+            return False
+        was_quarantined = suspect.is_quarantined
+        suspect.crashed.add(incarnation)
+        suspect.last_s = now_s
+        self._quarantined += suspect.is_quarantined - was_quarantined
+        self._bound_suspects()
+        return True
+
+    def on_answered(self, content: str, now_s: float) -> tuple[str, ...]:
+        """A request was answered; returns the crashes that no longer count against it."""
+        self._cleared.pop(content, None)
+        self._cleared[content] = now_s
+        self._bound_cleared(now_s)
+        suspect = self._drop(content)
+        return tuple(suspect.crashed) if suspect is not None else ()
+
+    def forget(self, content: str, incarnation: str) -> None:
+        """A crash counts no longer against a request."""
+        suspect = self._suspects.get(content)
+        if suspect is None or incarnation not in suspect.crashed:
+            return
+        self._quarantined -= suspect.is_quarantined
+        suspect.crashed.discard(incarnation)
+        self._quarantined += suspect.is_quarantined
+        if not suspect.crashed:
+            del self._suspects[content]
+
+    def expired(self, now_s: float) -> Iterator[tuple[str, str]]:
+        """Yield the crashes whose time is over, as content and incarnation."""
+        for content, suspect in self._suspects.items():
+            if now_s >= suspect.ends_s:
+                for incarnation in suspect.crashed:
+                    yield content, incarnation
+
+    def _drop(self, content: str) -> Suspect | None:
+        suspect = self._suspects.pop(content, None)
+        if suspect is not None:
+            self._quarantined -= suspect.is_quarantined
+        return suspect
+
+    def _bound_suspects(self) -> None:
+        if len(self._suspects) <= MAX_SUSPECTS:
+            return
+        oldest = next((each for each, known in self._suspects.items() if not known.is_quarantined), None)
+        self._drop(oldest if oldest is not None else next(iter(self._suspects)))
+
+    def _bound_cleared(self, now_s: float) -> None:
+        while self._cleared:
+            oldest = next(iter(self._cleared))
+            if len(self._cleared) <= MAX_CLEARED and now_s - self._cleared[oldest] < CLEARED_S:
+                return
+            del self._cleared[oldest]
--- a/src/wallwell/routing/request_content.py
+++ b/src/wallwell/routing/request_content.py
@@ -1,4 +1,4 @@
-"""What a request holds, as one number: the same however often it comes, under whatever id and at whatever node. Pure."""
+"""What a request holds, as one number: the same each time it comes, under any id and at any node. Pure."""
 
 from __future__ import annotations
 
--- a/tests/platform/test_crashing_request.py
+++ b/tests/platform/test_crashing_request.py
@@ -1,7 +1,7 @@
 """A request under which every worker that begins to run it crashes.
 
-Seen: ten and eleven engines of six, replaced as they fell, ended one after the other at the pace of two callers that
-came again and again; each took the streams of all other callers on it along.
+Seen: ten and eleven engines of six, replaced as they fell, ended one after the other at the pace of two callers
+that came again and again; each took the streams of all other callers on it along.
 How it came about: the request came with a new id, mostly at another node, and every node sent it on as a new one.
 Cause: what a request did to its back ends was known of its id only, at one node, while it was under way.
 Proof: the same request over these three nodes ends a worker each time it comes, however often that is.
@@ -11,7 +11,9 @@
 
 import asyncio
 import contextlib
+import json
 
+import aiohttp
 import pytest
 from aiohttp import web
 
@@ -46,6 +48,8 @@
             self._harness.crashes += 1
             asyncio.get_running_loop().call_later(0.01, self._end)
             await asyncio.sleep(3600)
+        if (await request.read()).startswith(b"slow") and request.headers["X-Request-Id"].startswith("first"):
+            await asyncio.sleep(2.0)
         if request.headers.get("X-Model"):
             return await self.stream(event(1), event(2))(request)
         return web.Response(body=b"ok", headers=self.headers(request))
@@ -112,17 +116,21 @@
             await node.stop()
         await super().stop()
 
+    async def slow(self, port, text):
+        """Send a request that is under way for some time, whatever becomes of it."""
+        url = f"http://127.0.0.1:{port}/a"
+        headers = self.headers(X_Request_Id=f"first {text}")
+        with contextlib.suppress(aiohttp.ClientError):
+            async with self.session.post(url, data=text.encode(), headers=headers) as response:
+                await response.read()
+
     async def send(self, port, body, request_id, **headers):
         """Return a request's status at one node, 0 if the connection broke."""
         self.port = port
         try:
             status, _, _ = await self.call(body=body, X_Request_Id=request_id, **headers)
-        except (ConnectionError, OSError, asyncio.IncompleteReadError):
+        except aiohttp.ClientError:
             return 0
-        except Exception as error:
-            if type(error).__module__.startswith("aiohttp"):
-                return 0
-            raise
         return status
 
 
@@ -154,3 +162,49 @@
     crashes, harmless = play(run_async, scenario, kind)
     assert CRASHES_TO_KNOW <= crashes <= CRASHES_TO_KNOW + RETRIES_ALLOWED
     assert harmless == [200] * SENDINGS
+
+
+def test_a_node_that_starts_later_knows_it_at_once(run_async):
+    """What is known must outlast every node that has seen a crash, since a caller may come back for minutes."""
+
+    async def scenario(fleet):
+        for number in range(CRASHES_TO_KNOW):
+            await fleet.send(fleet.ports[number % NODES], CRASHING, f"crash-{number}")
+            await asyncio.sleep(SPREAD_S)
+        await fleet.until(lambda: sum(key.startswith("crash/") for _, key in fleet.store.rows) == CRASHES_TO_KNOW)
+        port = await fleet.add_node("n9")
+        crashes = fleet.crashes
+        status = await fleet.send(port, CRASHING, "crash-late")
+        return crashes, fleet.crashes, status, await fleet.send(port, HARMLESS, "calm")
+
+    before, after, status, calm = play(run_async, scenario, UNSAFE)
+    assert (before, after, status, calm) == (CRASHES_TO_KNOW, CRASHES_TO_KNOW, 503, 200)
+
+
+def test_the_refusal_says_when_to_come_back_and_that_nothing_ran(run_async):
+    async def scenario(fleet):
+        for number in range(CRASHES_TO_KNOW):
+            await fleet.send(fleet.ports[0], CRASHING, f"crash-{number}")
+            await asyncio.sleep(SPREAD_S)
+        return await fleet.call(body=CRASHING, X_Request_Id="again")
+
+    status, headers, body = play(run_async, scenario, UNSAFE)
+    assert (status, json.loads(body)["outcome"], headers["X-Request-Id"]) == (503, "not_run", "again")
+    assert float(headers["Retry-After"]) > 60
+
+
+def test_other_callers_on_the_workers_that_crash_are_not_refused(run_async):
+    """Their requests are suspects too, until they are answered elsewhere or come again and are."""
+
+    async def scenario(fleet):
+        hung = [
+            asyncio.create_task(fleet.slow(port, f"slow {number}")) for number, port in enumerate(fleet.ports * 8)
+        ]
+        for number in range(CRASHES_TO_KNOW + 2):
+            await asyncio.sleep(SPREAD_S)
+            await fleet.send(fleet.ports[number % NODES], CRASHING, f"crash-{number}")
+        await asyncio.gather(*hung)
+        port = fleet.ports[0]
+        return [await fleet.send(port, f"slow {number}".encode(), f"again-{number}") for number in range(len(hung))]
+
+    assert set(play(run_async, scenario, UNSAFE)) == {200}
--- a/tests/platform/test_reachability.py
+++ b/tests/platform/test_reachability.py
@@ -84,3 +84,31 @@
     monkeypatch.setattr(client.pool, "open_resting", open_resting)
     assert run_async(client.is_reachable(BackendRecord("i-1", "svc", "10.0.0.1:1", zone, 8)))
     assert waited == [timeout_s]
+
+
+def test_only_a_machine_that_says_so_refuses(run_async, patient):
+    """A process that has ended, one that accepts and resets, and a network that knows no way."""
+
+    async def work():
+        server = await asyncio.start_server(lambda reader, writer: writer.transport.abort(), "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        client = WorkerClient()
+        accepts = await client.is_refused(record(address))
+        server.close()
+        await server.wait_closed()
+        ended = await client.is_refused(record(address))
+        client.pool.close()
+        return accepts, ended
+
+    assert run_async(work()) == (False, True)
+
+
+@pytest.mark.parametrize("timed_out", [True, False])
+def test_silence_and_other_failures_are_no_refusal(run_async, monkeypatch, timed_out):
+    client = WorkerClient()
+
+    async def fail(address, timeout_s):
+        raise ConnectFailedError(timed_out, "scripted")
+
+    monkeypatch.setattr(client.pool, "open_resting", fail)
+    assert not run_async(client.is_refused(record("10.0.0.1:80")))
--- /dev/null
+++ b/tests/unit/gateway/test_crash_watch.py
@@ -0,0 +1,287 @@
+"""What counts as a crash of a back end, and how its suspects become known and are cleared, in virtual time."""
+
+import asyncio
+import time
+
+import pytest
+
+from tests.faulty_table import DELAYED, LOST_AFTER, LOST_BEFORE, FaultyTable
+from tests.unit.gateway.fakes import FakeClient, FakeReply, Script, event, make_generation, make_request, make_route
+from tests.unit.gateway.fakes import make_state as fresh_state
+from tests.virtual_time import run_virtual
+from wallwell.deployment.routes import RouteKind
+from wallwell.gateway.crash_watch import CRASH_PREFIX, FIRST_LOOK_S, SECOND_LOOK_S, SWEEP_S, CrashWatch
+from wallwell.gateway.pipeline import RequestPipeline
+from wallwell.outcomes import Outcome
+from wallwell.routing.outcome import TransportEvent as T
+from wallwell.routing.quarantine import CRASHES_TO_QUARANTINE, QUARANTINE_S, SUSPECT_S
+from wallwell.storage.feed import FeedRow
+
+LOOKED_S = FIRST_LOOK_S + SECOND_LOOK_S + 0.1
+REFUSED, ANSWERS = True, False
+SAFE = make_route(RouteKind.SAFE)
+UNSAFE = make_route(RouteKind.UNSAFE, attempts=1)
+RESUMABLE = make_route(RouteKind.STREAM, resumable=True, attempts=2)
+OK = Script(chunks=(b"ok",))
+RESET = Script(fails=T.RESET_AFTER_SEND)
+CUT_STREAM = Script(chunks=(event(1),), breaks=T.RESET_AFTER_SEND, stream=True)
+
+
+class Check:
+    """Gives the listed answers to looks; the last one repeats."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.looks = 0
+
+    async def is_refused(self, backend):
+        self.looks += 1
+        return self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+
+
+class Node:
+    """A node's watch on a table, with what it would hear from the table's feed."""
+
+    def __init__(self, check=None, table=None, members=("n1",), route=None):
+        self.state = fresh_state(route)
+        self.table = table or FaultyTable()
+        self.check = check or Check(REFUSED)
+        self.watch = CrashWatch(self.state, self.check, self.table, lambda: members)
+        self.running = asyncio.create_task(self.watch.run())
+
+    @property
+    def rows(self):
+        return {key[len(CRASH_PREFIX) :] for key in self.table.model.rows}
+
+    def hear(self, content, incarnation, value=b"n2"):
+        self.watch.on_row(FeedRow(f"{CRASH_PREFIX}{content}/{incarnation}", value, 1), time.monotonic())
+
+    def backend(self, number=0):
+        return self.state.backends.get(f"i-{number}")
+
+    def hear_quarantine(self, content="c"):
+        for number in range(CRASHES_TO_QUARANTINE):
+            self.hear(content, f"gone-{number}")
+
+
+def sign_of_life(node):
+    node.backend().silence.on_heard(time.monotonic())
+
+
+def leaving(node):
+    node.state.backends.lapse("i-0", 0.0)
+
+
+def nothing(node):
+    pass
+
+
+@pytest.mark.parametrize(
+    ("answers", "before", "meanwhile", "is_crash"),
+    [
+        ([REFUSED], nothing, nothing, True),
+        ([REFUSED, ANSWERS], nothing, nothing, False),
+        ([ANSWERS], nothing, nothing, False),
+        ([REFUSED], nothing, sign_of_life, False),
+        ([REFUSED], leaving, nothing, False),
+        ([REFUSED], sign_of_life, nothing, True),
+    ],
+    ids=["refused", "back at once", "answers", "sends on", "planned end", "heard before"],
+)
+def test_what_counts_as_a_crash(answers, before, meanwhile, is_crash):
+    async def work():
+        node = Node(Check(*answers))
+        before(node)
+        await asyncio.sleep(0.01)
+        node.watch.on_broken_run("c", node.backend())
+        await asyncio.sleep(FIRST_LOOK_S + 0.01)
+        meanwhile(node)
+        await asyncio.sleep(LOOKED_S)
+        return node.rows, node.state.quarantine.is_suspect("c")
+
+    assert run_virtual(work()) == ({"c/i-0"} if is_crash else set(), is_crash)
+
+
+def test_runs_that_break_together_cost_two_looks_and_one_write():
+    async def work():
+        node = Node()
+        writes = []
+        node.table.before_transact = lambda: writes.append(1)
+        for number in range(20):
+            node.watch.on_broken_run(f"c-{number}", node.backend())
+        await asyncio.sleep(LOOKED_S)
+        return node.check.looks, len(writes), len(node.rows)
+
+    assert run_virtual(work()) == (2, 1, 20)
+
+
+def test_more_suspects_than_one_transaction_takes():
+    async def work():
+        node = Node()
+        for number in range(230):
+            node.watch.on_broken_run(f"c-{number}", node.backend())
+        await asyncio.sleep(LOOKED_S)
+        return len(node.rows)
+
+    assert run_virtual(work()) == 230
+
+
+@pytest.mark.parametrize("faults", [[LOST_BEFORE], [LOST_AFTER], [DELAYED], [LOST_BEFORE] * 5])
+def test_a_write_that_failed_is_made_again(faults):
+    async def work():
+        node = Node(table=FaultyTable(faults=faults))
+        node.watch.on_broken_run("c", node.backend())
+        await asyncio.sleep(LOOKED_S + 5.0)
+        return node.rows
+
+    assert run_virtual(work()) == {"c/i-0"}
+
+
+def test_while_the_store_is_down_the_node_goes_by_what_it_saw_and_tells_later():
+    async def work():
+        node = Node()
+        node.table.down = True
+        for number in range(CRASHES_TO_QUARANTINE):
+            node.watch.on_broken_run("c", node.backend(number))
+        await asyncio.sleep(10.0)
+        known = node.state.quarantine.left_s("c", time.monotonic()) > 0
+        node.table.down = False
+        await asyncio.sleep(2.0)
+        return known, len(node.rows)
+
+    assert run_virtual(work()) == (True, CRASHES_TO_QUARANTINE)
+
+
+def test_what_a_node_that_answered_the_request_hears_of_it_is_taken_back():
+    async def work():
+        node = Node()
+        node.table.model.rows.update(dict.fromkeys([CRASH_PREFIX + "c/i-9"]))
+        node.watch.on_answered("c")
+        node.hear("c", "i-9")
+        await asyncio.sleep(0.1)
+        return node.rows, node.state.quarantine.suspects
+
+    assert run_virtual(work()) == (set(), 0)
+
+
+def test_an_answer_takes_back_what_was_written():
+    async def work():
+        node = Node()
+        node.watch.on_broken_run("c", node.backend())
+        await asyncio.sleep(LOOKED_S)
+        before = node.rows
+        node.watch.on_answered("c")
+        await asyncio.sleep(0.1)
+        return before, node.rows
+
+    assert run_virtual(work()) == ({"c/i-0"}, set())
+
+
+def test_a_row_that_goes_counts_no_longer():
+    async def work():
+        node = Node()
+        node.hear_quarantine()
+        node.hear("c", "gone-0", value=None)
+        return node.state.quarantine.left_s("c", time.monotonic())
+
+    assert run_virtual(work()) == 0
+
+
+@pytest.mark.parametrize(("members", "removes"), [(("n1",), True), ((), True), (("n1", "n2", "n3", "n4"), None)])
+def test_old_crashes_are_removed_by_one_node(members, removes):
+    async def work():
+        nodes = [Node(members=members) for _ in members or ("n1",)]
+        for node, name in zip(nodes, members or ("n1",), strict=True):
+            node.state.node = name
+            node.hear("c", "i-9")
+            node.table.model.rows[CRASH_PREFIX + "c/i-9"] = None
+        await asyncio.sleep(SUSPECT_S + 2 * SWEEP_S)
+        return [not node.rows for node in nodes], [node.state.quarantine.suspects for node in nodes]
+
+    removed, known = run_virtual(work())
+    assert sum(removed) == 1
+    assert set(known) == {0}
+
+
+# --- requests ----------------------------------------------------------------------------------------------
+
+
+def serve(route, scripts, prepare=nothing, generation=None, settle_s=LOOKED_S):
+    """Serve one request on a node; return reply, number of sends and the node's rows a moment later."""
+
+    async def work():
+        node = Node(route=route)
+        reply, client = FakeReply(), FakeClient(*scripts)
+        pipeline = RequestPipeline(node.state, client, crashes=node.watch)
+        request = make_request(generation=generation)
+        prepare(node)
+        await pipeline.serve(request, reply)
+        await asyncio.sleep(settle_s)
+        return reply, len(client.sent), node.rows
+
+    return run_virtual(work())
+
+
+def content_of(route):
+    """The content of the requests that :func:`serve` sends."""
+    _, _, rows = serve(UNSAFE, [RESET])
+    ((content, _),) = (row.split("/") for row in rows)
+    return content
+
+
+CONTENT = content_of(UNSAFE)
+
+
+def quarantined(node):
+    node.hear_quarantine(CONTENT)
+
+
+@pytest.mark.parametrize(
+    ("route", "generation"),
+    [(SAFE, None), (UNSAFE, None), (RESUMABLE, make_generation())],
+    ids=["safe", "unsafe", "stream"],
+)
+def test_a_quarantined_request_is_refused_at_once_and_sent_to_nobody(route, generation):
+    reply, sends, _ = serve(route, [OK], quarantined, generation)
+    assert (reply.status, sends, reply.error.code) == (503, 0, "WW3020")
+    assert reply.error.outcome is Outcome.NOT_RUN
+    assert QUARANTINE_S - 1 <= reply.error.retry_after_ms / 1000 <= QUARANTINE_S
+
+
+def test_a_repeat_that_would_crash_one_more_is_not_made():
+    """Other nodes see two crashes; this one's attempt is the third, known before the second attempt begins."""
+
+    def two_crashes(node):
+        for number in range(CRASHES_TO_QUARANTINE - 1):
+            node.hear(CONTENT, f"gone-{number}")
+
+        async def third():
+            await asyncio.sleep(0.1)
+            node.hear(CONTENT, "gone-9")
+
+        node.third = asyncio.create_task(third())
+
+    slow_reset = Script(fails=T.RESET_AFTER_SEND, head_after_s=0.2)
+    reply, sends, _ = serve(SAFE, [slow_reset, OK], two_crashes)
+    assert (reply.status, sends, reply.error.outcome) == (504, 1, Outcome.UNKNOWN)
+
+
+def test_a_stream_that_has_begun_is_broken_off_rather_than_continued():
+    def third_crash_meanwhile(node):
+        for number in range(CRASHES_TO_QUARANTINE - 1):
+            node.hear(CONTENT, f"gone-{number}")
+        asyncio.get_running_loop().call_later(0.1, lambda: node.hear(CONTENT, "gone-9"))
+
+    slow_cut = Script(chunks=(event(1), 0.2), breaks=T.RESET_AFTER_SEND, stream=True)
+    reply, sends, _ = serve(RESUMABLE, [slow_cut, CUT_STREAM], third_crash_meanwhile, make_generation())
+    assert (reply.ended, sends) == ("aborted", 1)
+
+
+def test_what_is_answered_after_a_crash_is_no_suspect():
+    reply, sends, rows = serve(SAFE, [RESET, OK], settle_s=3.0)
+    assert (reply.status, sends, rows) == (200, 2, set())
+
+
+def test_other_requests_are_served_beside_a_quarantine():
+    reply, sends, _ = serve(SAFE, [OK], lambda node: node.hear_quarantine("other"))
+    assert (reply.status, sends) == (200, 1)
