--- a/src/wallwell/backends/engine_client.py
+++ b/src/wallwell/backends/engine_client.py
@@ -11,6 +11,8 @@
 
 from wallwell.backends import engine_protocol as wire
 from wallwell.backends.attempt import AttemptFailed
+from wallwell.clock import bounded
+from wallwell.late_loop import is_done_within
 from wallwell.routing.outcome import TransportEvent
 
 CONNECT_TIMEOUT_S = 1.0
@@ -98,8 +100,7 @@
             self._session.post(self._base + call.path, data=call.body, headers=headers, timeout=timeout)
         )
         try:
-            await asyncio.wait({sending}, timeout=call.first_token_timeout_s)
-            if not sending.done():
+            if not await is_done_within(sending, call.first_token_timeout_s):
                 # The cancel goes first: closing the connection would stop the work without telling whether it ran.
                 state = await self.cancel(call.attempt_id)
                 if state is wire.CancelState.NEVER_STARTED:
@@ -155,7 +156,7 @@
         buffer = b""
         while True:
             try:
-                async with asyncio.timeout(stall_timeout_s):
+                async with bounded(stall_timeout_s):
                     data = await response.content.readany()
             except TimeoutError as error:
                 raise AttemptFailed(TransportEvent.ANSWER_TIMEOUT, "stream stalled") from error
--- a/src/wallwell/backends/engine_watch.py
+++ b/src/wallwell/backends/engine_watch.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 
 import aiohttp
@@ -17,6 +16,7 @@
 
 from wallwell.backends import engine_protocol as wire
 from wallwell.backends.engine_client import EngineClient
+from wallwell.clock import boot_time_s
 from wallwell.cluster.messages import INTERACTIVE_RANK, EngineNews
 from wallwell.cluster.node import ClusterNode
 from wallwell.cluster.shards import EngineReader
@@ -80,7 +80,7 @@
 
     def _publish(self, engines: dict[str, Engine]) -> None:
         """Put incarnations and waiting times into this node's gossip state."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         reading = sorted(name for name in self.status if name in engines)
         serving = [name for name in reading if self.status[name].state is wire.EngineState.SERVING]
         news = tuple(
@@ -158,7 +158,7 @@
         # Everything up to the previous load line should have arrived by now.
         reader.doubtful |= reader.sequence < reader.sequence_at_last_load
         reader.sequence_at_last_load = line.sequence
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         report = LoadReport(
             line.running,
             line.waiting,
@@ -171,7 +171,7 @@
 
     async def _resynchronise(self, engine: str, client: EngineClient) -> None:
         """Replace what is known by a snapshot, at most once per interval and engine."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         if now_s - self._snapshot_at_s.get(engine, float("-inf")) < SNAPSHOT_INTERVAL_S:
             return
         self._snapshot_at_s[engine] = now_s
--- a/src/wallwell/backends/http_connection.py
+++ b/src/wallwell/backends/http_connection.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import AsyncIterator, Callable
 
 from aiohttp.base_protocol import BaseProtocol
@@ -17,6 +16,7 @@
 from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
+from wallwell.clock import boot_time_s, bounded
 from wallwell.events import Event, emit
 from wallwell.late_loop import is_done_within
 from wallwell.socket_options import end_when_silent
@@ -123,7 +123,7 @@
         if not ended or self._tainted or self._reads_to_end:
             self.close()
             return False
-        self.idle_since_s = time.monotonic()
+        self.idle_since_s = boot_time_s()
         return not self.closed
 
     def close(self) -> None:
@@ -216,7 +216,7 @@
 
     async def acquire(self, address: str, reusable: bool = True) -> BackendConnection:
         """Return a connection. Raises :class:`ConnectFailedError`."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         idle = self._idle.get(address, [])
         while reusable and idle:
             connection = idle.pop()
@@ -228,7 +228,7 @@
     async def open_resting(self, address: str, timeout_s: float) -> None:
         """Make a connection that the next exchange uses. Raises :class:`ConnectFailedError`."""
         connection = await self._connect(address, timeout_s)
-        connection.idle_since_s = time.monotonic()
+        connection.idle_since_s = boot_time_s()
         self._keep(address, connection)
 
     async def _connect(self, address: str, timeout_s: float | None = None) -> BackendConnection:
@@ -257,7 +257,7 @@
         Raises :class:`ConnectFailedError`, :class:`ConnectionBrokenError` or TimeoutError.
         """
         try:
-            async with asyncio.timeout(timeout_s):
+            async with bounded(timeout_s):
                 connection = await self.acquire(address)
                 try:
                     message = await connection.exchange("", request)
--- /dev/null
+++ b/src/wallwell/clock.py
@@ -0,0 +1,73 @@
+"""The clock of every decision: it goes on while the machine is suspended, as the world outside does.
+
+The steady clock stands still then, and so do the event loop's timers. A machine that wakes would take a credential
+for confirmed a moment ago, a lease for held and a caller for waiting, each by as long as it was away. So times are
+read here, and bounds on waiting are brought forward by :class:`SuspensionWatch`, which sees the two clocks part.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from wallwell.events import Event, emit
+
+_BOOT_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+"""Systems without this clock count a suspension in none, and are not suspended in service."""
+NOTICED_S = 0.05
+"""How far the clocks must part to count as a suspension; they are read one after the other, and a thread may lose
+the processor in between for some milliseconds."""
+
+_open_bounds: set[asyncio.Timeout] = set()
+"""Bounds of this process that have neither ended nor been left."""
+
+
+TICK_S = 0.25
+"""Time between two looks for a suspension; what a bound may end too late after one."""
+
+
+def boot_time_s() -> float:
+    """Return the seconds since the machine started, those in which it was suspended among them."""
+    return time.clock_gettime(_BOOT_CLOCK)
+
+
+@asynccontextmanager
+async def bounded(seconds: float | None) -> AsyncIterator[asyncio.Timeout]:
+    """Bound what is waited for as :func:`asyncio.timeout` does; time of a suspension counts."""
+    async with asyncio.timeout(seconds) as bound:
+        _open_bounds.add(bound)
+        try:
+            yield bound
+        finally:
+            _open_bounds.discard(bound)
+
+
+def _advance_bounds(seconds: float) -> None:
+    """Bring the ends of all open bounds forward."""
+    now_s = asyncio.get_running_loop().time()
+    for bound in list(_open_bounds):
+        end_s = bound.when()
+        if end_s is not None and not bound.expired():
+            bound.reschedule(max(now_s, end_s - seconds))
+
+
+class SuspensionWatch:
+    """Notices that the machine was suspended, and brings open bounds forward by as long as that was."""
+
+    def __init__(self) -> None:
+        self._apart_s = self._read()
+
+    def _read(self) -> float:
+        return boot_time_s() - time.monotonic()
+
+    def look(self) -> None:
+        """Compare the clocks; to be called each ``TICK_S`` in the event loop."""
+        apart_s = self._read()
+        suspended_s = apart_s - self._apart_s
+        self._apart_s = apart_s
+        if suspended_s < NOTICED_S:
+            return
+        _advance_bounds(suspended_s)
+        emit(Event.MACHINE_WOKEN, suspended_ms=round(suspended_s * 1000))
--- a/src/wallwell/cluster/lease_turn.py
+++ b/src/wallwell/cluster/lease_turn.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Iterable
 
+from wallwell.clock import boot_time_s
 from wallwell.cluster.leases import LEASE_PREFIX, LeaseKeeper
 from wallwell.errors import LeaseLostError, PlatformUnavailableError
 from wallwell.events import Event, emit
@@ -72,7 +72,7 @@
     def is_held(self) -> bool:
         """Whether the lease is certainly held now."""
         try:
-            self._keeper.check(time.monotonic())
+            self._keeper.check(boot_time_s())
         except LeaseLostError:
             return False
         return True
--- a/src/wallwell/cluster/load_exchange.py
+++ b/src/wallwell/cluster/load_exchange.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 import msgspec
 
+from wallwell.clock import boot_time_s
 from wallwell.cluster.peer_link import PeerLinks, PeerMessage
 from wallwell.cluster.region_exchange import RegionExchange, RegionSum, RelayTotals
 from wallwell.cluster.upstream import UpstreamOrder
@@ -85,7 +85,7 @@
     async def run(self) -> None:
         """Exchange within the region until cancelled."""
         while True:
-            await asyncio.sleep(self._interval_s(time.monotonic()))
+            await asyncio.sleep(self._interval_s(boot_time_s()))
             await self.step()
 
     def _interval_s(self, now_s: float) -> float:
@@ -98,14 +98,14 @@
 
     async def step(self) -> None:
         """Exchange once, and give the back ends what their load from other nodes is."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         candidates = self._order.in_zone(now_s)
         if candidates:
             self.between_regions.stand_down()
             await self._report_to(*candidates[0])
         else:
             await self._exchange_with(self._order.relays(now_s))
-        if time.monotonic() - self._heard_at_s >= REPORT_LIFETIME_S:
+        if boot_time_s() - self._heard_at_s >= REPORT_LIFETIME_S:
             self._load.forget(self._order.fleet_size())
 
     async def _report_to(self, name: str, address: str) -> None:
@@ -121,13 +121,13 @@
         finally:
             limits.end_report(taken)
         self._learn(reply.load)
-        limits.learn_levels(reply.levels, time.monotonic())
+        limits.learn_levels(reply.levels, boot_time_s())
 
     async def _exchange_with(self, relays: list[tuple[str, str]]) -> None:
         self._links.keep({name for name, _ in relays})
         message = self._zone_message(self.between_regions.to_pass_on())
         await asyncio.gather(*(self._exchange_sums(name, address, message) for name, address in relays))
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         self.between_regions.notice_silence(now_s)
         members, others = self._members.recent(now_s), self._of_other_zones(now_s)
         self._learn(sum_loads((*members, *others)))
@@ -139,23 +139,23 @@
         try:
             reply = await self._links.to(name, address).ask(message, ZoneLoad, ANSWER_TIMEOUT_S)
         except PeerUnavailableError:
-            self._order.on_failure(name, time.monotonic())
+            self._order.on_failure(name, boot_time_s())
             return
         self._order.on_success(name)
         self._take_zone(reply)
 
     def _own_load(self) -> Load:
-        return self._load.own(time.monotonic())
+        return self._load.own(boot_time_s())
 
     def _zone_load(self) -> Load:
-        return sum_loads((*self._members.recent(time.monotonic()), self._own_load()))
+        return sum_loads((*self._members.recent(boot_time_s()), self._own_load()))
 
     def _zone_message(self, regions: tuple[RegionSum, ...] = ()) -> ZoneLoad:
         limits = self._load.limits
         return ZoneLoad(self._node, self._zone_load(), limits.life, limits.spent_totals(), regions)
 
     def _take_zone(self, message: ZoneLoad) -> None:
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         self._zones.take(message.node, message.load, now_s)
         self._load.limits.take_relay(message.node, message.life, message.spent_totals, now_s)
         if message.node not in self._totals:
@@ -169,7 +169,7 @@
 
     def _region_sum(self) -> RegionSum | None:
         """Return what this node knows of its region; None if it relays for nobody."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         if self._order.in_zone(now_s) or not self._order.fleet_size():
             return None
         limits = self._load.limits
@@ -179,26 +179,26 @@
         return RegionSum(self._order.places.own_region, load, relays)
 
     def _take_region(self, heard: RegionSum) -> None:
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         self._regions.take(heard.region, heard.load, now_s)
         for totals in heard.relays:
             self._load.limits.take_relay(totals.relay, totals.life, totals.spent, now_s, is_near=False)
         self._load.limits.on_region_heard(heard.region)
 
     def _forget_region(self, last: RegionSum) -> None:
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         own_nodes = sum_loads((self._zone_load(), *self._zones.recent(now_s))).nodes
         self._load.limits.on_region_lost(last.region, last.load.nodes / own_nodes, now_s)
 
     def _learn(self, load: Load) -> None:
-        self._heard_at_s = time.monotonic()
+        self._heard_at_s = boot_time_s()
         self._load.learn(load, self._order.fleet_size())
 
     # --- what peers say --------------------------------------------------------------------------------
 
     async def on_member(self, message: MemberLoad) -> OthersLoad:
         """Take a member's report and return what all others have under way."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         self._members.take(message.node, message.load, now_s)
         limits = self._load.limits
         limits.take_member(message.spent, now_s)
--- a/src/wallwell/cluster/peer_link.py
+++ b/src/wallwell/cluster/peer_link.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from wallwell.clock import bounded
 from wallwell.errors import PeerUnavailableError
 from wallwell.socket_options import end_when_silent
 
@@ -46,12 +47,12 @@
     async def _exchange(self, line: bytes, timeout_s: float) -> bytes:
         if self._streams is None:
             host, _, port = self.address.rpartition(":")
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with bounded(CONNECT_TIMEOUT_S):
                 self._streams = await asyncio.open_connection(host, int(port), limit=MAX_LINE_BYTES)
             end_when_silent(self._streams[1].transport, UNACKNOWLEDGED_S)
         reader, writer = self._streams
         writer.write(line)
-        async with asyncio.timeout(timeout_s):
+        async with bounded(timeout_s):
             return await reader.readuntil(b"\n")
 
     def close(self) -> None:
--- a/src/wallwell/cluster/region_exchange.py
+++ b/src/wallwell/cluster/region_exchange.py
@@ -9,12 +9,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 import zlib
 from collections.abc import Callable
 
 import msgspec
 
+from wallwell.clock import boot_time_s
 from wallwell.cluster.peer_link import PeerLinks, PeerMessage
 from wallwell.cluster.upstream import UpstreamOrder
 from wallwell.errors import PeerUnavailableError
@@ -84,7 +84,7 @@
         self._links = PeerLinks()
         self._asked: dict[str, int] = {}
         """By region, the place in its order of the node that is asked."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         self._started_s = now_s
         self._told_at_s: dict[str, float] = {}
         """When another node of this region last passed on the word of a region."""
@@ -97,7 +97,7 @@
         """Exchange until cancelled."""
         while True:
             await asyncio.sleep(REGION_INTERVAL_S)
-            await self.step(time.monotonic())
+            await self.step(boot_time_s())
 
     async def step(self, now_s: float) -> None:
         """Exchange once with each region for which it is this node's turn."""
@@ -153,7 +153,7 @@
         self._note(heard)
 
     def _note(self, heard: RegionSum) -> None:
-        self._heard[heard.region] = (heard, time.monotonic())
+        self._heard[heard.region] = (heard, boot_time_s())
         if heard.region in self._lost:
             self._lost.discard(heard.region)
             emit(Event.REGION_REGAINED, region=heard.region)
@@ -190,7 +190,7 @@
 
     def on_passed_on(self, heard: RegionSum) -> None:
         """Another relay of this region has heard a sum."""
-        self._told_at_s[heard.region] = time.monotonic()
+        self._told_at_s[heard.region] = boot_time_s()
         self._note(heard)
 
     def to_pass_on(self) -> tuple[RegionSum, ...]:
--- a/src/wallwell/cluster/relay.py
+++ b/src/wallwell/cluster/relay.py
@@ -8,12 +8,12 @@
 
 import asyncio
 import functools
-import time
 import zlib
 from collections.abc import Awaitable, Callable, Mapping
 
 import msgspec
 
+from wallwell.clock import boot_time_s, bounded
 from wallwell.cluster.peer_link import PeerLinks, PeerMessage
 from wallwell.cluster.upstream import UpstreamOrder
 from wallwell.deployment.freshness import StoreClock
@@ -113,14 +113,14 @@
 
     async def _from_peer(self, after: int | None, wait_s: float) -> FeedPage | None:
         """Return a peer's page, None if the store is to be asked. Raises :class:`HistoryLostError`."""
-        candidates = self._order.candidates(time.monotonic())
+        candidates = self._order.candidates(boot_time_s())
         self.links.keep({name for name, _ in candidates})
         for name, address in candidates[:MAX_PEERS_ASKED]:
             try:
                 held_s = min(wait_s, OTHER_ZONE_WAIT_S) if self._order.is_in_other_zone(name) else wait_s
                 page = await self._ask(name, address, RowsRequest(self.table, held_s, after))
             except PeerUnavailableError as error:
-                self._order.on_failure(name, time.monotonic())
+                self._order.on_failure(name, boot_time_s())
                 emit(Event.RELAY_LOST, peer=name, rows=self.table, reason=str(error))
                 continue
             self._order.on_success(name)
@@ -159,17 +159,17 @@
             return RowsReply(history_lost=True)
 
     async def _wait_for_change(self, after: int, wait_s: float) -> None:
-        give_up_s = time.monotonic() + wait_s
-        while self.replica.changed_version <= after and (left_s := give_up_s - time.monotonic()) > 0:
+        give_up_s = boot_time_s() + wait_s
+        while self.replica.changed_version <= after and (left_s := give_up_s - boot_time_s()) > 0:
             try:
-                async with asyncio.timeout(min(left_s, max(0.0, self._stale_s - self._age_s()))):
+                async with bounded(min(left_s, max(0.0, self._stale_s - self._age_s()))):
                     await self._advanced.wait()
             except TimeoutError:
                 return
 
     def _age_s(self) -> float:
         """Return how long ago the copy was certainly current, by the store's own clock."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         return now_s - self._clock.confirmed_by_relay_s(now_s, self.replica.store_s)
 
     def _is_stale(self) -> bool:
--- a/src/wallwell/cluster/transport.py
+++ b/src/wallwell/cluster/transport.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from wallwell.backends.engine_protocol import pack_hashes
+from wallwell.clock import boot_time_s, bounded
 from wallwell.cluster.codec import LineCodec
 from wallwell.cluster.messages import Action, FetchConfig, Lookup, Send
 from wallwell.cluster.node import ClusterNode
@@ -66,7 +67,7 @@
 
     def __init__(self, codec: LineCodec, listener: Listener, budget_bytes_per_s: float) -> None:
         burst = budget_bytes_per_s * BUDGET_BURST_S
-        self._budget = TokenBucket(budget_bytes_per_s, burst, burst, time.monotonic())
+        self._budget = TokenBucket(budget_bytes_per_s, burst, burst, boot_time_s())
         self._codec = codec
         self._listener = listener
         self._server: asyncio.Server | None = None
@@ -116,7 +117,7 @@
 
     async def _tick_forever(self, node: ClusterNode) -> None:
         while True:
-            self.perform(node.tick(time.monotonic(), int(time.time() * 1000)))
+            self.perform(node.tick(boot_time_s(), int(time.time() * 1000)))
             await asyncio.sleep(TICK_INTERVAL_S)
 
     # --- datagrams -------------------------------------------------------------------------------------
@@ -131,7 +132,7 @@
         except ClusterMessageError as error:
             emit(Event.CLUSTER_MESSAGE_REFUSED, sender=sender, code=error.code)
             return
-        self.perform(self.node.handle(message, sender, time.monotonic()))
+        self.perform(self.node.handle(message, sender, boot_time_s()))
         self._wake_lookups()
 
     def _wake_lookups(self) -> None:
@@ -152,7 +153,7 @@
         if self._datagrams is None or self._datagrams.is_closing() or not action.address:
             return
         data = self._codec.encode(action.message)
-        if not self._budget.try_take(time.monotonic(), len(data)):
+        if not self._budget.try_take(boot_time_s(), len(data)):
             self.traffic.dropped_messages += 1
             return
         host, _, port = action.address.rpartition(":")
@@ -174,7 +175,8 @@
         lookup = Lookup(sequence, pack_hashes(lookup_hashes(chain)))
         self._send(Send(node.membership.address_of(owner), lookup))
         try:
-            await asyncio.wait_for(waiter, LOOKUP_DEADLINE_S)
+            async with bounded(LOOKUP_DEADLINE_S):
+                await waiter
         except TimeoutError:
             return LookupResult(sequence, [])
         finally:
@@ -221,7 +223,7 @@
         request = self._codec.encode(FetchRevisions(after))
         writer: asyncio.StreamWriter | None = None
         try:
-            async with asyncio.timeout(FETCH_TIMEOUT_S):
+            async with bounded(FETCH_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(host, int(port), limit=MAX_LINE_BYTES)
                 writer.write(request)
                 line = await reader.readline()
@@ -237,7 +239,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
-            async with asyncio.timeout(FETCH_TIMEOUT_S), self._state_requests:
+            async with bounded(FETCH_TIMEOUT_S), self._state_requests:
                 request = self._codec.decode_as(await reader.readline(), FetchRevisions)
                 if self.node is None:
                     return
--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -23,6 +23,7 @@
     NODE_DRAINING = (1003, "INFO", "planned stop: refusing new work and finishing what is open")
     NODE_STOPPED = (1004, "INFO", "node stopped")
     NODE_STOP_FORCED = (1009, "WARNING", "planned stop ended by the end of its grace time")
+    MACHINE_WOKEN = (1010, "WARNING", "machine was suspended; bounds on waiting are brought forward")
     INTERNAL_ERROR = (1006, "ERROR", "unexpected error")
     LOG_LINES_LOST = (1008, "WARNING", "log lines lost")
     CONFIG_ADVANCED = (2001, "INFO", "configuration advanced to a higher revision")
--- a/src/wallwell/gateway/admission.py
+++ b/src/wallwell/gateway/admission.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import time
-
+from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import Route, TenantAccess
 from wallwell.errors import (
     BodyTooLargeError,
@@ -48,9 +47,9 @@
         if request.allowance_s is not None:
             allowance_s = min(allowance_s, request.allowance_s)
         service = self._state.split.choose(route, self._state.split_offset)
-        self._state.budget_of(service).on_request(time.monotonic())
+        self._state.budget_of(service).on_request(boot_time_s())
         if request.generation is not None:
-            self._state.demand.own.add(time.monotonic())
+            self._state.demand.own.add(boot_time_s())
         return Exchange(
             request=request,
             reply=reply,
@@ -83,7 +82,7 @@
         if tenant is None or tenant.limit is None:
             return None
         cost = tenant.limit.cost(request.told_tokens)
-        taken = self._state.load.limits.admit(tenant.name, cost, time.monotonic())
+        taken = self._state.load.limits.admit(tenant.name, cost, boot_time_s())
         if isinstance(taken, OverLimit):
             detail = f"the limit of {tenant.name} is used up"
             raise RateLimitedError(detail, retry_after_ms=round(taken.wait_s * 1000))
--- a/src/wallwell/gateway/caller.py
+++ b/src/wallwell/gateway/caller.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import asyncio
 import hashlib
 import re
 import secrets
-import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -14,6 +12,7 @@
 import msgspec
 from aiohttp import web
 
+from wallwell.clock import boot_time_s, bounded
 from wallwell.cluster.limits import TenantLimit
 from wallwell.config.compiled import Tenant
 from wallwell.config.schema import PrioritySpec
@@ -87,7 +86,7 @@
         raise NotReadyError("this router is stopping", retry_after_ms=100)
     tenant = _authenticate(context, request)
     name, priority = _priority(context, request, tenant)
-    now_s = time.monotonic()
+    now_s = boot_time_s()
     deadline_ms = _deadline_ms(request, priority.deadline_ms)
     key = request.headers.get(IDEMPOTENCY_HEADER, "")
     if key and not _IDEMPOTENCY_KEY.match(key):
@@ -133,7 +132,7 @@
     """Hold the tenant's concurrency for the block. Raises :class:`RateLimitedError`."""
     spec = caller.tenant.spec
     limit = TenantLimit(spec.requests_per_s, spec.burst, spec.concurrency)
-    retry_s = context.node.limits.try_start(caller.tenant.name, limit, time.monotonic())
+    retry_s = context.node.limits.try_start(caller.tenant.name, limit, boot_time_s())
     if retry_s is not None:
         raise RateLimitedError("the tenant's limit is used up", retry_after_ms=max(1, round(retry_s * 1000)))
     context.in_flight += 1
@@ -150,7 +149,7 @@
     """Read the whole body. Raises :class:`BodyTooLargeError` or :class:`MalformedRequestError`."""
     timeout_s = context.settings.limits.request_read_timeout_s
     try:
-        async with asyncio.timeout(timeout_s):
+        async with bounded(timeout_s):
             return await request.read()
     except web.HTTPRequestEntityTooLarge as error:
         raise BodyTooLargeError("body is larger than the limit") from error
--- a/src/wallwell/gateway/crash_watch.py
+++ b/src/wallwell/gateway/crash_watch.py
@@ -9,10 +9,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
+from wallwell.clock import boot_time_s, bounded
 from wallwell.deployment.backends import Backend, BackendRecord
 from wallwell.errors import PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
@@ -66,20 +66,20 @@
 
     def on_broken_run(self, content: str, backend: Backend) -> None:
         """The connection of a run ended before its answer was whole."""
-        if backend.is_leaving(time.monotonic()) and not backend.superseded:
+        if backend.is_leaving(boot_time_s()) and not backend.superseded:
             return  # The end of a planned stop.
         broken = self._broken.get(backend.incarnation)
         if broken is not None:
             broken.add(content)
             return
         self._broken[backend.incarnation] = {content}
-        task = asyncio.create_task(self._look(backend, time.monotonic()))
+        task = asyncio.create_task(self._look(backend, boot_time_s()))
         self._looking.add(task)
         task.add_done_callback(self._looking.discard)
 
     def on_answered(self, content: str) -> None:
         """A request was answered: whatever crashed beside it, it was not the cause."""
-        crashes = self._state.quarantine.on_answered(content, time.monotonic())
+        crashes = self._state.quarantine.on_answered(content, boot_time_s())
         self._write({_key(content, incarnation): False for incarnation in crashes})
 
     async def _look(self, backend: Backend, broken_s: float) -> None:
@@ -100,7 +100,7 @@
         return True
 
     def _count(self, content: str, incarnation: str) -> None:
-        if self._learn(content, incarnation, time.monotonic()):
+        if self._learn(content, incarnation, boot_time_s()):
             self._write({_key(content, incarnation): True})
 
     def _learn(self, content: str, incarnation: str, now_s: float) -> bool:
@@ -137,10 +137,10 @@
         """Write what is to be written, and remove what counts no longer, until cancelled."""
         while True:
             try:
-                async with asyncio.timeout(SWEEP_S):
+                async with bounded(SWEEP_S):
                     await self._has_work.wait()
             except TimeoutError:
-                self._sweep(time.monotonic())
+                self._sweep(boot_time_s())
             if self._unwritten and not await self.write_some():
                 await asyncio.sleep(RETRY_S * self._state.rng.uniform(0.5, 1.5))
 
--- a/src/wallwell/gateway/exchange_state.py
+++ b/src/wallwell/gateway/exchange_state.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import time
 from dataclasses import dataclass, field
 from functools import cached_property
 
+from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import Route, TenantAccess
 from wallwell.gateway.event_stream import StreamPosition
 from wallwell.gateway.exchange import AttemptHistory, CallerReply, CallerRequest
@@ -93,4 +93,4 @@
 
     def remaining_s(self) -> float:
         """Time left before the caller or the route gives the request up."""
-        return self.deadline_s - time.monotonic()
+        return self.deadline_s - boot_time_s()
--- a/src/wallwell/gateway/fleet_metrics.py
+++ b/src/wallwell/gateway/fleet_metrics.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Iterator, Mapping
 
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, HistogramMetricFamily, Metric
 
+from wallwell.clock import boot_time_s
 from wallwell.gateway.counters import LATENCY_BOUNDS_S, FleetCounters, LatencyHistogram
 from wallwell.gateway.fleet_state import FleetState
 
@@ -42,7 +42,7 @@
         yield _histogram("wallwell_largest_gap_seconds", "Largest pause of a stream.", counters.largest_gap)
 
     def _collect_state(self) -> Iterator[Metric]:
-        state, now_s = self._state, time.monotonic()
+        state, now_s = self._state, boot_time_s()
         age_s = now_s - state.freshness.confirmed_at_s
         yield GaugeMetricFamily("wallwell_store_age_seconds", "Age of the store's last word.", value=age_s)
         version = state.config.version if state.config is not None else 0
--- a/src/wallwell/gateway/fleet_node.py
+++ b/src/wallwell/gateway/fleet_node.py
@@ -9,6 +9,7 @@
 from typing import Any, Protocol
 
 from wallwell.backends.http_connection import ConnectionPool
+from wallwell.clock import SuspensionWatch, boot_time_s
 from wallwell.cluster.load_exchange import LoadExchange, MemberLoad, ZoneLoad
 from wallwell.cluster.peer_link import PeerServer
 from wallwell.cluster.region_exchange import RegionLoad
@@ -69,10 +70,11 @@
     ) -> None:
         rng = random.Random(seed if seed is not None else f"{node}/{time.time_ns()}")
         places = places or Places(zone)
-        self.state = FleetState(node, zone, bounds, rng, started_s=time.monotonic(), places=places)
+        self.state = FleetState(node, zone, bounds, rng, started_s=boot_time_s(), places=places)
         self.draining = False
         self.in_flight = 0
         self.lag = LoopLag()
+        self._suspensions = SuspensionWatch()
         self._pool = pool
         self._liveness = Liveness(self.state, check)
         self._crashes = CrashWatch(self.state, check, sources.table, lambda: self._order.members)
@@ -152,9 +154,10 @@
 
     async def _watch_lag(self) -> None:
         while True:
-            due_s = time.monotonic() + TICK_S
+            due_s = boot_time_s() + TICK_S
             await asyncio.sleep(TICK_S)
-            now_s = time.monotonic()
+            now_s = boot_time_s()
+            self._suspensions.look()
             self.lag.observe(now_s - due_s, now_s)
 
     async def _housekeeping(self) -> None:
@@ -164,8 +167,8 @@
         while True:
             await self._members.register(Member(self.state.zone, self._peers.address, self._link_mbps))
             await asyncio.sleep(HOUSEKEEPING_S * self.state.rng.uniform(0.8, 1.2))
-            self._pool.sweep(time.monotonic())
-            self._listing.drop_lapsed(time.monotonic())
+            self._pool.sweep(boot_time_s())
+            self._listing.drop_lapsed(boot_time_s())
 
     # --- callers ---------------------------------------------------------------------------------------
 
@@ -186,7 +189,7 @@
 
     def is_ready(self) -> bool:
         """Whether callers' new connections should come here."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         if self.draining or self.lag.is_starved(now_s):
             return False
         # Until this product's own rows are read, the node does not know which versions are barred.
@@ -194,7 +197,7 @@
 
     def closing_connections(self) -> bool:
         """Whether callers should take their next request to another node."""
-        return self.draining or not self.state.is_fresh(time.monotonic())
+        return self.draining or not self.state.is_fresh(boot_time_s())
 
     # --- stop ------------------------------------------------------------------------------------------
 
@@ -208,10 +211,10 @@
         self._weights_roll.drain()
         self._rollouts.drain()
         self._peers.close()
-        end_s = time.monotonic() + grace_s * (1.0 - STOP_RESERVE_PART)
+        end_s = boot_time_s() + grace_s * (1.0 - STOP_RESERVE_PART)
         await asyncio.sleep(min(NOTICE_S, grace_s / 2))
         await close_listener()
-        while self.in_flight and time.monotonic() < end_s:
+        while self.in_flight and boot_time_s() < end_s:
             await asyncio.sleep(DRAIN_TICK_S)
 
     async def stop(self) -> None:
--- a/src/wallwell/gateway/fleet_rows.py
+++ b/src/wallwell/gateway/fleet_rows.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -10,6 +9,7 @@
 import msgspec
 
 from wallwell.backends.http_connection import ConnectionPool
+from wallwell.clock import boot_time_s
 from wallwell.cluster.upstream import Member, UpstreamOrder
 from wallwell.deployment.backends import Backend, BackendRecord
 from wallwell.deployment.routes import DeploymentConfig
@@ -93,7 +93,7 @@
             return
         if not self._state.knows_service(order.service):
             emit(Event.ROLLOUT_REFUSED, row=key, error="no such service is configured or listed")
-        if self._state.rollouts.on_order(order, time.monotonic()):
+        if self._state.rollouts.on_order(order, boot_time_s()):
             emit(
                 Event.ROLLOUT_ORDERED,
                 service=order.service,
@@ -104,7 +104,7 @@
 
     def _named_since_s(self, unconfirmed_since_s: float) -> tuple[float, bool]:
         """Return since when a version just seen counts as named, and whether that is a guess."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         if unconfirmed_since_s == float("-inf"):
             return self._state.estimated_naming_s(now_s), True
         # After a silence of the store, the version may have been named at any time within it.
@@ -127,7 +127,7 @@
     def apply(self, followed: FollowedPage) -> None:
         """Take a page; a row that cannot be understood changes nothing."""
         registry = self._state.backends
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         if now_s - followed.unconfirmed_since_s > SILENCE_S and self._state.backends_known:
             self._store_returned_s = now_s
         if followed.whole:
@@ -167,7 +167,7 @@
                 versions=dict(record.versions),
                 software=record.software,
             )
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         is_start = not self._state.backends_known
         self._state.rollouts.on_listed(record.service, record.software, now_s, is_start)
         backend = self._state.backends.upsert(record)
@@ -209,7 +209,7 @@
 
     def apply(self, followed: FollowedPage) -> None:
         """Take a page."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         members = {} if followed.whole else dict(self._order.members)
         if followed.whole:
             self._own_version = 0
--- a/src/wallwell/gateway/generation.py
+++ b/src/wallwell/gateway/generation.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from contextlib import aclosing
 from dataclasses import dataclass, field
 
@@ -20,6 +19,7 @@
 from wallwell.backends.attempt import AttemptFailed
 from wallwell.backends.engine_client import EngineClient, GenerationCall, GenerationHead
 from wallwell.backends.engine_protocol import DONE_EVENT, Resume
+from wallwell.clock import boot_time_s
 from wallwell.cluster.messages import EngineNews
 from wallwell.cluster.transport import LookupResult
 from wallwell.config.compiled import Engine
@@ -171,7 +171,7 @@
         version, current = engines_to_use(generation.body.model, generation.model, serving)
         self._use_version(generation, version)
         generation.lookup = await context.transport.lookup(generation.chain)
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         # An engine nobody can read is tried only when there is no other.
         known = [engines[name] for name in current] or list(engines.values())
         views = [EngineView(each.name, each.zone, current.get(each.name, "")) for each in known]
@@ -202,7 +202,7 @@
         selector = context.selector
         attempt_id = _attempt_id(generation)
         incarnation = generation.news.incarnation if generation.news is not None else ""
-        sent_s = time.monotonic()
+        sent_s = boot_time_s()
         rank = generation.caller.priority.rank
         selector.on_dispatch(attempt_id, choice, incarnation, generation.chain, rank, sent_s)
         if incarnation:
@@ -219,12 +219,12 @@
                     if len(generation.events) == call.first_index:
                         self._on_first_event(generation, engine, choice, attempt_id, sent_s)
                     generation.events.append(event)
-                    generation.last_token_s = time.monotonic()
+                    generation.last_token_s = boot_time_s()
                     await self._forward(request, generation, event)
             stopped = True
         except AttemptFailed as failure:
             if failure.event in (TransportEvent.CANCELLED_NEVER_STARTED, TransportEvent.ANSWER_TIMEOUT):
-                now_s = time.monotonic()
+                now_s = boot_time_s()
                 self._calibrate(generation, choice, now_s - sent_s, now_s)
             raise
         finally:
@@ -235,7 +235,7 @@
     def _call(self, generation: Generation, attempt_id: str, incarnation: str, choice: Choice) -> GenerationCall:
         patience_s = max(MIN_FIRST_TOKEN_TIMEOUT_S, choice.expected_first_token_s * FIRST_TOKEN_TIMEOUT_FACTOR)
         if not generation.events:
-            remaining_s = generation.caller.remaining_s(time.monotonic())
+            remaining_s = generation.caller.remaining_s(boot_time_s())
             patience_s = max(MIN_PATIENCE_S, min(patience_s, remaining_s))
         return GenerationCall(
             path=generation.path,
@@ -253,7 +253,7 @@
     def _on_first_event(
         self, generation: Generation, engine: Engine, choice: Choice, attempt_id: str, sent_s: float
     ) -> None:
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         head = generation.head
         selector = self._context.selector
         selector.breaker_of(engine.name).on_success(now_s)
@@ -281,7 +281,7 @@
     ) -> None:
         """Decide on another attempt; raises the request's error if there is none."""
         context = self._context
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         generation.failed_engines.add(engine.name)
         self._learn(generation, engine, failure, now_s)
         may_retry = generation.log.record(failure.event)
--- a/src/wallwell/gateway/head_wait.py
+++ b/src/wallwell/gateway/head_wait.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
+from wallwell.clock import boot_time_s
 from wallwell.deployment.backends import Backend
 from wallwell.gateway.exchange import AttemptError, BackendAnswer, BackendClient, Dispatch
 from wallwell.gateway.exchange_state import Exchange
@@ -57,13 +57,13 @@
         Not while all engines are behind: another one would read the prompt from its start behind others, and what
         this one has read or queued would be lost.
         """
-        if exchange.request.generation is not None and self._state.first_pieces.is_fleet_behind(time.monotonic()):
+        if exchange.request.generation is not None and self._state.first_pieces.is_fleet_behind(boot_time_s()):
             return False
         return self._pay_for_repeat(exchange)
 
     def _pay_for_repeat(self, exchange: Exchange) -> bool:
         """Draw on the budget for the attempt that follows a silence; False if it is used up."""
-        if not self._state.budget_of(exchange.service).try_retry(time.monotonic(), self._state.node_count):
+        if not self._state.budget_of(exchange.service).try_retry(boot_time_s(), self._state.node_count):
             return False
         exchange.history.paid_repeats += 1
         return True
@@ -73,7 +73,7 @@
         generation = exchange.request.generation
         if generation is None:
             return None
-        left_s = self._state.begin_by_s(backend, generation.model) - time.monotonic()
+        left_s = self._state.begin_by_s(backend, generation.model) - boot_time_s()
         return max(MIN_REMAINING_S, left_s) if left_s < exchange.remaining_s() else None
 
     def _silence_s(self, exchange: Exchange) -> float | None:
@@ -90,7 +90,7 @@
         return min(exchange.remaining_s() * 0.6, patience_s)
 
     def has_alternative(self, exchange: Exchange) -> bool:
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         usable = offer(self._state, exchange, now_s).usable
         untried = any(each.incarnation not in exchange.history.tried for each in usable)
         return untried and self._state.budget_of(exchange.service).left(now_s, self._state.node_count) >= 1.0
--- a/src/wallwell/gateway/kept_cache_watch.py
+++ b/src/wallwell/gateway/kept_cache_watch.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections import defaultdict
 from typing import Protocol
 
 import msgspec
 
+from wallwell.clock import boot_time_s, bounded
 from wallwell.cluster.peer_link import PeerLinks, PeerMessage
 from wallwell.cluster.upstream import UpstreamOrder
 from wallwell.errors import CacheEventsRefusedError, CacheStoreSilentError, PeerUnavailableError
@@ -102,7 +102,7 @@
         """Take one page of a store's events; returns False if nobody told any."""
         cache = self._state.kept_caches[address]
         page = None
-        candidates = self._order.candidates(time.monotonic())
+        candidates = self._order.candidates(boot_time_s())
         if candidates:
             page = await self._from_peer(*candidates[0], address, cache)
         if page is None:
@@ -150,20 +150,20 @@
 
     def _note_listing(self, address: str, page: CachePage) -> None:
         if page.whole:
-            self._listed_at_s[address] = time.monotonic()
+            self._listed_at_s[address] = boot_time_s()
 
     def _may_list(self, address: str) -> bool:
-        return time.monotonic() - self._listed_at_s.get(address, float("-inf")) >= LISTING_INTERVAL_S
+        return boot_time_s() - self._listed_at_s.get(address, float("-inf")) >= LISTING_INTERVAL_S
 
     async def answer(self, request: CacheRequest) -> CacheReply:
         """Answer a peer from the copy, once there is something new or the agreed wait is over."""
         cache = self._state.kept_caches.get(request.address)
         if cache is None or not cache.known:
             return CacheReply()
-        give_up_s = time.monotonic() + request.wait_s
-        while cache.position == request.position and (left_s := give_up_s - time.monotonic()) > 0:
+        give_up_s = boot_time_s() + request.wait_s
+        while cache.position == request.position and (left_s := give_up_s - boot_time_s()) > 0:
             try:
-                async with asyncio.timeout(left_s):
+                async with bounded(left_s):
                     await self._advanced.wait()
             except TimeoutError:
                 break
--- a/src/wallwell/gateway/liveness.py
+++ b/src/wallwell/gateway/liveness.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
 from typing import Any, Protocol
 
+from wallwell.clock import boot_time_s
 from wallwell.deployment.backends import Backend, BackendRecord
 from wallwell.events import Event, emit
 from wallwell.gateway.exchange import AttemptError
@@ -43,7 +43,7 @@
 
     def step(self) -> None:
         """Ask every back end that has been silent for long, and one of each zone that may be cut off."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         for incarnation in list(self._repeatable):
             backend = self._state.backends.get(incarnation)
             if backend is not None and backend.silence.should_ask(now_s):
@@ -59,15 +59,15 @@
     async def _ask_zone(self, backend: Backend) -> None:
         """Ask one back end for all of its zone."""
         if await self._check.is_reachable(backend.record):
-            self._state.on_sign_of_life(backend, time.monotonic())
+            self._state.on_sign_of_life(backend, boot_time_s())
         else:
-            self._state.on_hung(backend, time.monotonic())
+            self._state.on_hung(backend, boot_time_s())
 
     async def _ask(self, backend: Backend) -> None:
-        asked_s = time.monotonic()
+        asked_s = boot_time_s()
         if await self._check.is_reachable(backend.record) or backend.silence.heard_s >= asked_s:
             return
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         backend.on_failure(now_s, unreachable=True)
         self._state.on_hung(backend, now_s)
         emit(
--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -6,10 +6,9 @@
 
 from __future__ import annotations
 
-import asyncio
-import time
 from contextlib import AbstractAsyncContextManager, aclosing, nullcontext
 
+from wallwell.clock import boot_time_s, bounded
 from wallwell.deployment.backends import Backend
 from wallwell.deployment.places import Distance
 from wallwell.deployment.routes import RouteKind
@@ -125,7 +124,7 @@
             reason=error.detail,
             config=self._state.config.version if self._state.config is not None else 0,
             store_age_ms=self._store_age_ms(),
-            after_ms=round((time.monotonic() - request.arrived_s) * 1000),
+            after_ms=round((boot_time_s() - request.arrived_s) * 1000),
         )
         if reply.started:
             reply.abort()
@@ -135,7 +134,7 @@
     def _store_age_ms(self) -> int:
         """Return how old the store's last word is; -1 if there was none."""
         confirmed_s = self._state.freshness.confirmed_at_s
-        return -1 if confirmed_s == float("-inf") else round((time.monotonic() - confirmed_s) * 1000)
+        return -1 if confirmed_s == float("-inf") else round((boot_time_s() - confirmed_s) * 1000)
 
     # --- attempts --------------------------------------------------------------------------------------
 
@@ -149,7 +148,7 @@
             except AttemptError as failure:
                 self._after_failure(exchange, backend, failure)
             except TimeoutError:
-                self._choice.learn_silence(exchange, time.monotonic())
+                self._choice.learn_silence(exchange, boot_time_s())
                 # The attempt was under way: it may have reached its back end, whatever became of earlier ones.
                 exchange.log.record(TransportEvent.ANSWER_TIMEOUT)
                 exchange.history.runs += 1
@@ -157,7 +156,7 @@
 
     def _log_end(self, exchange: Exchange, backend: Backend) -> None:
         request, timing = exchange.request, exchange.timing
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         if self._crashes is not None:
             self._crashes.on_answered(exchange.content)
         self._choice.learn_time(exchange, now_s)
@@ -187,7 +186,7 @@
             raise CallerGoneError("closed before its request was sent on")
         if self._is_too_late(exchange):
             raise self._deadline_error(exchange)
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         self._refuse_if_quarantined(exchange, now_s)
         listed, usable = offer(self._state, exchange, now_s)
         fresh = [each for each in usable if each.incarnation not in exchange.history.tried]
@@ -240,17 +239,17 @@
         if exchange.history.runs and exchange.admitted is not None:
             self._state.load.limits.charge_again(exchange.admitted)
         if not backend.in_flight:
-            backend.silence.on_idle_ended(time.monotonic())
+            backend.silence.on_idle_ended(boot_time_s())
         backend.in_flight += 1
         backend.load += load
         exchange.history.tried.add(backend.incarnation)
-        sent_s = time.monotonic()
+        sent_s = boot_time_s()
         exchange.timing.on_sent(sent_s, backend.fleet_load(self._state.node_count))
         counted = begin_attempt(self._state, exchange, backend, sent_s)
         failure: BaseException | None = None
         answer: BackendAnswer | None = None
         try:
-            async with asyncio.timeout(exchange.remaining_s()), self._watch(exchange, backend):
+            async with bounded(exchange.remaining_s()), self._watch(exchange, backend):
                 answer = await self._send(exchange, backend)
                 return await self._pass_on(exchange, backend, answer)
         except BaseException as error:
@@ -259,7 +258,7 @@
         finally:
             if counted is not None:
                 status = answer.head.status if answer is not None else 0
-                end_attempt(counted, exchange, status, failure, time.monotonic())
+                end_attempt(counted, exchange, status, failure, boot_time_s())
             backend.in_flight -= 1
             backend.load -= load
             if answer is not None:
@@ -286,10 +285,10 @@
         generation = exchange.request.generation
         if generation is not None and answer.head.weights_version:
             backend.learn_version(generation.model, answer.head.weights_version)
-        backend.silence.on_heard(time.monotonic())
-        self._state.on_sign_of_life(backend, time.monotonic())
+        backend.silence.on_heard(boot_time_s())
+        self._state.on_sign_of_life(backend, boot_time_s())
         if answer.head.ok:
-            backend.on_success(time.monotonic())
+            backend.on_success(boot_time_s())
         return answer
 
     def _dispatch(self, exchange: Exchange, backend: Backend) -> Dispatch:
@@ -300,7 +299,7 @@
         resume_after = None
         if generation is not None:
             version = backend.believed_version(generation.model)
-            cache = self._caches.plan(exchange, backend, time.monotonic())
+            cache = self._caches.plan(exchange, backend, boot_time_s())
             resume_after = generation.resume_after
             if exchange.position.last_number is not None:
                 resume_after = exchange.position.last_number
@@ -320,7 +319,7 @@
     async def _pass_on(self, exchange: Exchange, backend: Backend, answer: BackendAnswer) -> bool:
         if exchange.route.kind is RouteKind.STREAM and answer.head.ok and answer.head.is_event_stream:
             await self._pass_stream(exchange, backend, answer)
-            backend.on_success(time.monotonic())
+            backend.on_success(boot_time_s())
             return True
         if exchange.reply.started:
             raise AttemptError(TransportEvent.ERROR_ANSWER, "a run that was to continue the stream failed")
@@ -329,7 +328,7 @@
             exchange.history.runs += 1
             exchange.log.record(TransportEvent.ERROR_ANSWER)
             return False
-        backend.on_success(time.monotonic())
+        backend.on_success(boot_time_s())
         await exchange.reply.answer(answer.head, body)
         return True
 
@@ -339,7 +338,7 @@
             return False
         if not self._wait.has_alternative(exchange):
             return False
-        return self._state.budget_of(exchange.service).try_retry(time.monotonic(), self._state.node_count)
+        return self._state.budget_of(exchange.service).try_retry(boot_time_s(), self._state.node_count)
 
     async def _pass_stream(self, exchange: Exchange, backend: Backend, answer: BackendAnswer) -> None:
         """Pass events on as they come. Raises :class:`AttemptError` if the run breaks off."""
@@ -351,15 +350,15 @@
         async with aclosing(answer.chunks()) as chunks:  # type: ignore[type-var]
             while True:
                 try:
-                    async with asyncio.timeout(stall_s):
+                    async with bounded(stall_s):
                         data = await anext(chunks, None)
                 except TimeoutError:
                     raise AttemptError(TransportEvent.ANSWER_TIMEOUT, "the stream stalled") from None
                 if data is None:
                     break
-                backend.silence.on_heard(time.monotonic())
-                self._state.on_sign_of_life(backend, time.monotonic())
-                self._choice.learn_pace(exchange, time.monotonic())
+                backend.silence.on_heard(boot_time_s())
+                self._state.on_sign_of_life(backend, boot_time_s())
+                self._choice.learn_pace(exchange, boot_time_s())
                 await self._write_events(exchange, answer, data)
         if position.has_remainder or not position.events_passed:
             raise AttemptError(TransportEvent.RESET_AFTER_SEND, "the stream ended inside an event")
@@ -374,14 +373,14 @@
             return
         if not exchange.reply.started:
             await exchange.reply.start(answer.head)
-        exchange.timing.on_piece(time.monotonic())
+        exchange.timing.on_piece(boot_time_s())
         await exchange.reply.write(b"".join(events))
 
     # --- failures --------------------------------------------------------------------------------------
 
     def _after_failure(self, exchange: Exchange, backend: Backend, failure: AttemptError) -> None:
         """Learn from a failed attempt and decide on another. Raises :class:`RequestError` if there is none."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         history = exchange.history
         event = failure.event
         may_retry = exchange.log.record(event)
--- a/src/wallwell/gateway/return_times.py
+++ b/src/wallwell/gateway/return_times.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import time
-
+from wallwell.clock import boot_time_s
 from wallwell.gateway.exchange import CallerRequest
 from wallwell.gateway.exchange_state import Exchange
 from wallwell.gateway.fleet_state import FleetState
@@ -21,7 +20,7 @@
 
     def of_arrival(self, cause: ReturnCause, request: CallerRequest) -> int:
         """Return the wait of a request that has no route yet, in milliseconds."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         allowance_s = ASSUMED_ALLOWANCE_S if request.allowance_s is None else request.allowance_s
         remaining_s = request.arrived_s + allowance_s - now_s
         return self._after_ms(cause, ReturnKnowledge(remaining_s, self._silence_s(now_s), self._hears_fleet()))
@@ -29,7 +28,7 @@
     def of_exchange(self, cause: ReturnCause, exchange: Exchange) -> int:
         """Return the wait of an admitted request, in milliseconds; 0 if none is worth its while."""
         state = self._state
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         service_time = state.call_time if exchange.request.generation is None else state.generation_time
         knowledge = ReturnKnowledge(
             remaining_s=exchange.remaining_s(),
--- a/src/wallwell/gateway/router_node.py
+++ b/src/wallwell/gateway/router_node.py
@@ -15,6 +15,7 @@
 from wallwell.backends.engine_client import client_session
 from wallwell.backends.engine_watch import EngineWatch
 from wallwell.backends.service_client import ServiceClient
+from wallwell.clock import TICK_S, SuspensionWatch, boot_time_s
 from wallwell.cluster.claims import ClaimTable
 from wallwell.cluster.codec import LineCodec
 from wallwell.cluster.members import MembershipTimings
@@ -94,6 +95,7 @@
             self._poll_platform,
             self._poll_machines,
             self._housekeeping,
+            self._watch_suspensions,
         )
         self._tasks = [asyncio.create_task(self._supervise(loop)) for loop in loops]
         emit(Event.NODE_STARTED, node=settings.node, callers=self.callers_address, cluster=address)
@@ -165,7 +167,7 @@
 
     async def _become_ready(self) -> None:
         """Ask peers and platform together; serve from the highest revision any of them has."""
-        started_s = time.monotonic()
+        started_s = boot_time_s()
         seeds = [seed for seed in self.context.node.membership.seeds if seed != self.transport.address]
         fetches = [asyncio.create_task(self._fetch_from(seed)) for seed in seeds]
         platform = asyncio.create_task(self._refresh())
@@ -174,7 +176,7 @@
             if platform.done() and not platform.result():
                 platform = asyncio.create_task(self._refresh_later())
         self.context.ready = True
-        elapsed_ms = round((time.monotonic() - started_s) * 1000)
+        elapsed_ms = round((boot_time_s() - started_s) * 1000)
         emit(
             Event.NODE_READY,
             node=self.settings.node,
@@ -243,6 +245,12 @@
             leaving = {machine.address for machine in listed if machine.state is MachineState.LEAVING}
             node.leaving_by_machine_list = leaving
 
+    async def _watch_suspensions(self) -> None:
+        suspensions = SuspensionWatch()
+        while True:
+            await asyncio.sleep(TICK_S)
+            suspensions.look()
+
     async def _housekeeping(self) -> None:
         while True:
             self._log_member_changes()
@@ -253,7 +261,7 @@
                 self.context.selector.on_incarnation(engine.name, engine.incarnation)
             node.shard.directory.sweep()
             self.context.selector.forget_missing(self.context.region_engines())
-            node.limits.forget_idle(time.monotonic())
+            node.limits.forget_idle(boot_time_s())
 
     def _log_member_changes(self) -> None:
         for change in self.context.node.take_member_changes():
@@ -269,8 +277,8 @@
         self.transport.perform(context.node.membership.leave())
         await asyncio.sleep(STOP_NOTICE_S)
         context.refusing = True
-        deadline_s = time.monotonic() + self.settings.limits.stop_grace_s
-        while (context.in_flight or context.background) and time.monotonic() < deadline_s:
+        deadline_s = boot_time_s() + self.settings.limits.stop_grace_s
+        while (context.in_flight or context.background) and boot_time_s() < deadline_s:
             await asyncio.sleep(0.02)
         await self.close()
         emit(Event.NODE_STOPPED, node=self.settings.node)
--- a/src/wallwell/gateway/service_calls.py
+++ b/src/wallwell/gateway/service_calls.py
@@ -5,7 +5,6 @@
 import asyncio
 import hashlib
 import secrets
-import time
 from collections.abc import Awaitable, Callable
 from functools import partial
 
@@ -13,6 +12,7 @@
 
 from wallwell.backends.attempt import AttemptFailed
 from wallwell.backends.service_client import ServiceAnswer, ServiceCall
+from wallwell.clock import boot_time_s
 from wallwell.cluster.claims import Claim, ClaimResult
 from wallwell.config.schema import ServiceInstance, ServiceSpec
 from wallwell.errors import (
@@ -83,7 +83,7 @@
         if caller.idempotency_key:
             headers[IDEMPOTENCY_HEADER] = caller.idempotency_key
         query = f"?{request.query_string}" if request.query_string else ""
-        remaining_s = caller.remaining_s(time.monotonic())
+        remaining_s = caller.remaining_s(boot_time_s())
         timeout_s = max(0.05, min(spec.timeout_ms / 1000, remaining_s))
         return ServiceCall(request.method, path + query, caller.request_id, headers, body, timeout_s)
 
@@ -103,7 +103,7 @@
         if claim.result is ClaimResult.OPEN_ELSEWHERE:
             raise OutcomeUnknownError("an earlier call with this key has not ended", retry_after_ms=1000)
         try:
-            if caller.remaining_s(time.monotonic()) <= 0:
+            if caller.remaining_s(boot_time_s()) <= 0:
                 raise DeadlineUnreachableError("the deadline passed while the claim was recorded")
             answer = await self._send(service, call, caller, repeatable=False)
         except RequestError as error:
@@ -151,7 +151,7 @@
     def _choose(self, service: str, failed: set[str]) -> ServiceInstance | None:
         """Least requests in flight of two random instances; instances not tried yet come first."""
         context = self._context
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         leaving = context.node.leaving_addresses()
         live = [
             instance
@@ -179,14 +179,14 @@
             answer = await context.services.call(instance.address, attempt)
         finally:
             in_flight[instance.name] -= 1
-        self._breaker(instance.name).on_success(time.monotonic())
+        self._breaker(instance.name).on_success(boot_time_s())
         return answer
 
     async def _after_failure(
         self, instance: ServiceInstance, failure: AttemptFailed, log: AttemptLog, caller: CallerRequest
     ) -> None:
         context = self._context
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         if failure.event is TransportEvent.BACKEND_LEAVING:
             context.service_paused_until_s[instance.name] = now_s + LEAVING_PAUSE_S
         elif failure.event is not TransportEvent.ERROR_ANSWER:
--- a/src/wallwell/late_loop.py
+++ b/src/wallwell/late_loop.py
@@ -10,6 +10,8 @@
 import asyncio
 from typing import Any
 
+from wallwell.clock import bounded
+
 GRACE_TURNS = 8
 """Turns of the loop that are waited beyond the bound, for reading, waking the reader, and the tasks between it and
 the one that waits. Microseconds on an idle loop."""
@@ -17,8 +19,12 @@
 
 async def is_done_within(task: asyncio.Future[Any], seconds: float) -> bool:
     """Wait until a task has ended, at most ``seconds`` and what the loop owes it; it is not cancelled."""
-    done, _ = await asyncio.wait({task}, timeout=seconds)
-    if done:
+    try:
+        async with bounded(seconds):
+            await asyncio.wait({task})
+    except TimeoutError:
+        pass  # It may be done all the same, see below.
+    if task.done():
         return True
     for _ in range(GRACE_TURNS):
         await asyncio.sleep(0)
--- a/src/wallwell/placement/controller.py
+++ b/src/wallwell/placement/controller.py
@@ -7,10 +7,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 from wallwell.backends.engine_client import EngineClient
 from wallwell.backends.engine_protocol import LoadOrder
+from wallwell.clock import boot_time_s
 from wallwell.cluster.leases import LeaseKeeper
 from wallwell.config.schema import ModelSpec
 from wallwell.errors import LeaseLostError, PlatformUnavailableError
@@ -64,7 +64,7 @@
 
     def _loading(self, model: str, spec: ModelSpec) -> set[str]:
         """Engines ordered lately that do not serve the declared version yet."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         serving = self._context.node.serving_engines()
         loading = set()
         for (ordered_model, name), at_s in self._ordered_at_s.items():
@@ -83,10 +83,10 @@
             self._leases[model] = lease
         held_before = lease.held is not None
         try:
-            held = await lease.try_acquire(time.monotonic())
+            held = await lease.try_acquire(boot_time_s())
             if held is not None and not held_before:
                 emit(Event.LEASE_ACQUIRED, lease=name, fence=held.fence)
-            return lease.check(time.monotonic())
+            return lease.check(boot_time_s())
         except LeaseLostError:
             if held_before:
                 emit(Event.LEASE_LOST, lease=name)
@@ -95,7 +95,7 @@
             return None
 
     async def _order(self, model: str, spec: ModelSpec, name: str, address: str, fence: int) -> None:
-        self._ordered_at_s[(model, name)] = time.monotonic()
+        self._ordered_at_s[(model, name)] = boot_time_s()
         order = LoadOrder(fence, model, spec.weights_version)
         status = await EngineClient(address, self._context.session).order(order, ORDER_TIMEOUT_S)
         event = Event.ORDER_REFUSED if status == 409 else Event.ORDER_SENT
--- a/src/wallwell/placement/weights_roll_driver.py
+++ b/src/wallwell/placement/weights_roll_driver.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Coroutine
 from typing import Any, Protocol
 
 import msgspec
 
+from wallwell.clock import boot_time_s, bounded
 from wallwell.cluster.lease_turn import LeaseTurn
 from wallwell.cluster.leases import LeaseKeeper
 from wallwell.deployment.backends import Backend, BackendRecord, LoadInProgress
@@ -123,15 +123,13 @@
 
     async def step(self) -> None:
         """Look once whether something is due, and do this node's part of it."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         engines = self._engines()
         is_due = bool(self._tasks or self._unpublished) or self._planner.is_due(engines, now_s)
         self._turn.set_due(is_due, now_s)
         if not is_due or not await self._turn.hold(now_s):
             return
-        started = [
-            task for side in self._sides(engines) for task in self._planner.next_tasks(side, time.monotonic())
-        ]
+        started = [task for side in self._sides(engines) for task in self._planner.next_tasks(side, boot_time_s())]
         if started:
             await self._start(started)
         elif self._unpublished:
@@ -158,7 +156,7 @@
     async def _start(self, tasks: list[LoadTask]) -> None:
         for task in tasks:
             self._loading[task.backend.incarnation] = task
-            now_s = time.monotonic()
+            now_s = boot_time_s()
             task.backend.expect_load(_load_to_come(task.model, task.version, now_s), now_s)
         await self._publish(tasks[0].model)
         for task in tasks:
@@ -180,7 +178,7 @@
         named = tuple((each.version, self._clock.to_store_s(each.known_since_s)) for each in certain)
         body = msgspec.json.encode(Progress(model, loading, finished, named[-MAX_NAMED:])).decode()
         try:
-            async with asyncio.timeout(self._valid_s / 4):
+            async with bounded(self._valid_s / 4):
                 await self._table.transact(Transaction((), (Put(PROGRESS_PREFIX + model, body),)))
         except (PlatformUnavailableError, TableConflictError, TimeoutError):
             return
@@ -190,7 +188,7 @@
         try:
             done = await self._order_and_watch(task)
         finally:
-            now_s = time.monotonic()
+            now_s = boot_time_s()
             incarnation = task.backend.incarnation
             self._loading.pop(incarnation, None)
             task.backend.loading = None
@@ -205,10 +203,10 @@
         """Give the order and wait until the engine reports the version; returns whether it did."""
         record = task.backend.record
         await asyncio.sleep(SETTLE_S)
-        give_up_s = time.monotonic() + LOAD_TIMEOUT_S
+        give_up_s = boot_time_s() + LOAD_TIMEOUT_S
         ordered = False
         silent = 0
-        while time.monotonic() < give_up_s and not task.backend.gone and silent < MAX_SILENT_REPORTS:
+        while boot_time_s() < give_up_s and not task.backend.gone and silent < MAX_SILENT_REPORTS:
             report = await self._control.report(record)
             silent = silent + 1 if report is None else 0
             if report is not None and report.versions.get(task.model, 0) >= task.version:
@@ -226,7 +224,7 @@
 
     async def _order(self, task: LoadTask, report: EngineReport) -> OrderReply:
         try:
-            fence = self._lease.check(time.monotonic())
+            fence = self._lease.check(boot_time_s())
         except LeaseLostError:
             return OrderReply.FENCED
         order = LoadOrder(task.model, task.version, self._state.node, fence, report.orders_taken)
--- a/src/wallwell/platform/callers.py
+++ b/src/wallwell/platform/callers.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import math
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -15,6 +14,7 @@
 from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from wallwell.clock import boot_time_s
 from wallwell.errors import BodyTooLargeError, InternalRequestError, MalformedRequestError, RequestError
 from wallwell.events import Event, emit
 from wallwell.gateway.exchange import AnswerHead, CallerRequest, Generation
@@ -177,7 +177,7 @@
                 request.protocol.close()
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
-        arrived_s = time.monotonic()
+        arrived_s = boot_time_s()
         reply = HttpReply(request, request.headers.get(names.REQUEST_ID, ""), self._node.closing_connections)
         try:
             try:
--- a/src/wallwell/rollout/driver.py
+++ b/src/wallwell/rollout/driver.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from dataclasses import dataclass
 from typing import Protocol
 
 import msgspec
 
+from wallwell.clock import boot_time_s, bounded
 from wallwell.cluster.lease_turn import LeaseTurn
 from wallwell.cluster.leases import LeaseKeeper
 from wallwell.deployment.freshness import StoreClock
@@ -121,7 +121,7 @@
 
     async def step(self) -> None:
         """Look once whether something is due, and do this node's part of it."""
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         self._book.release_held(now_s)
         due = [service for service in self._book.due() if self._state.knows_service(service)]
         self._counts.keep(due)
@@ -134,7 +134,7 @@
             self._held_since_s = now_s
         for service in due:
             try:
-                async with asyncio.timeout(self._valid_s):
+                async with bounded(self._valid_s):
                     await self._advance(service)
             except (TableConflictError, PlatformUnavailableError, TimeoutError) as error:
                 self._on_write_failed(service, error)
@@ -154,14 +154,14 @@
         if order is not None and (record is None or record.order < order.store_version):
             ordered_at_s = self._clock.to_store_s(self._book.ordered_at_s[service])
             opened = opening_record(order, record, ordered_at_s)
-            await self._write(held, opened, {"ordered_ago_s": time.monotonic() - self._book.ordered_at_s[service]})
+            await self._write(held, opened, {"ordered_ago_s": boot_time_s() - self._book.ordered_at_s[service]})
         elif record is not None and not record.phase.is_final:
             await self._decide(held, record)
         elif record is not None:
             self._learn(held.stored)  # Another holder has ended it, or this one, whose answer was lost.
 
     async def _decide(self, held: _Held, record: RolloutRecord) -> None:
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         self._learn(held.stored)
         if self._is_new_holder(now_s):
             if now_s - held.written_s >= CHECKPOINT_S:
@@ -202,7 +202,7 @@
         """Write a record and log what is new of it. Raises what the store raises."""
         lease = self._lease.held
         assert lease is not None  # It was held a moment ago; whether it still is, the store decides.
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         record = msgspec.structs.replace(record, written_at_s=self._clock.to_store_s(now_s))
         before = held.stored
         held.stored = await self._store.write(record, before, lease.version)
--- a/src/wallwell/storage/feed.py
+++ b/src/wallwell/storage/feed.py
@@ -8,11 +8,11 @@
 
 import asyncio
 import random
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
+from wallwell.clock import boot_time_s
 from wallwell.deployment.freshness import StoreClock
 from wallwell.errors import HistoryLostError, PlatformUnavailableError
 from wallwell.events import Event, emit
@@ -106,7 +106,7 @@
 
     async def step(self) -> None:
         """One reading. Raises :class:`HistoryLostError` or :class:`PlatformUnavailableError`."""
-        sent_s = time.monotonic()
+        sent_s = boot_time_s()
         whole = self._version is None
         if self._version is None:
             page = await self._source.read_all()
@@ -122,7 +122,7 @@
 
     def _confirmed_s(self, page: FeedPage, sent_s: float) -> float:
         if page.relayed:
-            return self._clock.confirmed_by_relay_s(time.monotonic(), page.store_s)
+            return self._clock.confirmed_by_relay_s(boot_time_s(), page.store_s)
         return self._clock.confirmed_s(sent_s, page.store_s)
 
     def _on_failure(self, error: PlatformUnavailableError) -> None:
--- a/tests/contract/test_fleet.py
+++ b/tests/contract/test_fleet.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import secrets
-import time
 
 import pytest
 
@@ -11,6 +10,7 @@
 from tests.contract.test_streams import text_of
 from wallwell.backends.engine_protocol import EngineState
 from wallwell.bench.fleet import replace_spec_text
+from wallwell.clock import boot_time_s
 from wallwell.config.commit import ApplyRequest
 from wallwell.config.schema import EnginePoolSpec
 from wallwell.storage.machines import MachineState
@@ -139,11 +139,11 @@
         await old.close()
         fleet.platform_server.faults.set(**switches)
         head = max(router.context.node.config.head for router in fleet.routers)
-        started_s = time.monotonic()
+        started_s = boot_time_s()
         router = await fleet.start_router(old.settings.node, old.settings.zone, old.settings.region)
         while not router.context.ready:
             await asyncio.sleep(0.005)
-        elapsed_s = time.monotonic() - started_s
+        elapsed_s = boot_time_s() - started_s
         status, _, _ = await harness.generate(router=len(fleet.routers) - 1)
         return status, router.context.node.config.head - head, elapsed_s
 
--- a/tests/platform/test_busy_node.py
+++ b/tests/platform/test_busy_node.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from tests.platform.conftest import config, route
+from wallwell.clock import boot_time_s
 from wallwell.gateway.loop_lag import LATE_S, LoopLag
 from wallwell.platform.main import _listen
 
@@ -37,10 +38,10 @@
     async def scenario(harness):
         await harness.call()
         busy = asyncio.create_task(hog(0.05))
-        started_s = time.monotonic()
+        started_s = boot_time_s()
         callers = [harness.call(Connection="close", X_Deadline_Ms="9000") for _ in range(CALLERS)]
         answers = await asyncio.gather(*callers)
-        took_s = time.monotonic() - started_s
+        took_s = boot_time_s() - started_s
         busy.cancel()
         return [answer[0] for answer in answers], harness.node.is_ready(), took_s
 
@@ -76,7 +77,7 @@
         for delays in ((), (9.0,), (9.0, 9.0), ()):
             harness.node.lag = LoopLag()
             for delay_s in delays:
-                harness.node.lag.observe(delay_s, time.monotonic() + 60.0)
+                harness.node.lag.observe(delay_s, boot_time_s() + 60.0)
             async with harness.session.get(url) as response:
                 answers.append(response.status)
         await runner.cleanup()
--- a/tests/platform/test_caller_gone.py
+++ b/tests/platform/test_caller_gone.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import socket
-import time
 
 import pytest
 import uvloop
@@ -12,6 +11,7 @@
 from tests.platform.conftest import config, route
 from tests.unit.gateway.fakes import event
 from wallwell.backends.http_connection import BackendConnection
+from wallwell.clock import boot_time_s
 
 STOPS_WITHIN_S = 0.5
 STREAM_HEADERS = {"X_Model": "m", "X_Prefix_Hash": "aa:100,bb:50", "X_Token_Usage": "150,10"}
@@ -59,9 +59,9 @@
     """Close the caller's connection; return the seconds until no worker works for it."""
     asking.cancel()
     await asyncio.gather(asking, return_exceptions=True)
-    left_s = time.monotonic()
+    left_s = boot_time_s()
     await harness.until(lambda: not working(harness))
-    return time.monotonic() - left_s
+    return boot_time_s() - left_s
 
 
 @pytest.mark.parametrize(
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 
 import aiohttp
 import pytest
@@ -12,6 +11,7 @@
 from tests.platform.conftest import config, route
 from tests.platform.stand_ins import SEAL
 from tests.unit.gateway.fakes import event
+from wallwell.clock import boot_time_s
 
 PARTS = "aa:100,bb:50"
 
@@ -278,7 +278,7 @@
     """What cannot be understood counts as a request without tokens."""
 
     async def scenario(harness):
-        await harness.until(lambda: harness.node.state.load.limits.levels(time.monotonic()).get("t1", 10) >= 9)
+        await harness.until(lambda: harness.node.state.load.limits.levels(boot_time_s()).get("t1", 10) >= 9)
         first = await harness.call(X_Token_Usage=usage)
         second = await harness.call(X_Token_Usage=usage)
         return first, second
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -7,13 +7,13 @@
 import signal
 import socket
 import sys
-import time
 from pathlib import Path
 
 import pytest
 
 from tests.platform.conftest import HOST, config, route
 from tests.platform.stand_ins import StoreStandIn, WorkerStandIn
+from wallwell.clock import boot_time_s
 from wallwell.platform.names import SETTINGS_VARIABLE
 from wallwell.platform.stop_deadline import end_process_after
 
@@ -125,10 +125,10 @@
                     await asyncio.sleep(0.01)
             store.silent = True
             process.send_signal(signal.SIGTERM)
-            sent_s = time.monotonic()
+            sent_s = boot_time_s()
             async with asyncio.timeout(30):
                 status = await process.wait()
-            return status, time.monotonic() - sent_s
+            return status, boot_time_s() - sent_s
         finally:
             if process.returncode is None:
                 process.kill()
@@ -149,6 +149,6 @@
     timer.join(10.0)
     assert ended == [0]
     later = end_process_after(60.0, ended.append)
-    assert 59.0 < later.interval < 60.0
+    assert 59.0 < later.due_s - boot_time_s() < 60.0
     assert later.daemon
     later.cancel()
--- a/tests/platform/test_time_of_day.py
+++ b/tests/platform/test_time_of_day.py
@@ -20,8 +20,29 @@
 IMPORTED_LATER = ("wallwell.gateway.fleet_metrics",)
 """Modules that a node imports only where they are used."""
 OF_THE_DAY = {"time", "time_ns", "ctime", "localtime", "gmtime", "strftime", "asctime", "clock_gettime"}
-SEEDS = {("wallwell.gateway.fleet_node", "time_ns"): 1}
-"""The seed of a node's random generator."""
+SEEDS = {("wallwell.gateway.fleet_node", "time_ns"): 1, ("wallwell.clock", "clock_gettime"): 1}
+"""The seed of a node's random generator, and the boot clock."""
+STOPPED_BY_SUSPENSION = {"monotonic", "monotonic_ns", "perf_counter", "timeout", "timeout_at", "wait_for"}
+"""The steady clock, and bounds on waiting that go by it."""
+UNTOUCHED_BY_SUSPENSION = {
+    ("wallwell.clock", "monotonic"): 1,
+    ("wallwell.clock", "timeout"): 1,
+    ("wallwell.gateway.liveness", "timeout"): 1,
+    ("wallwell.log_writer", "monotonic"): 1,
+}
+"""The clock itself; an end that is set by hand and has no time; the rate of routine log lines."""
+OWN_DEPLOYMENT = (
+    "backends.engine_client",
+    "backends.engine_watch",
+    "backends.service_client",
+    "cluster.node",
+    "cluster.transport",
+    "gateway.generation",
+    "gateway.router_node",
+    "gateway.service_calls",
+    "placement.controller",
+)
+"""Modules with clocks that only the router of the own deployment has."""
 LIST_MODULES = f"""
 import importlib, json, sys, wallwell.platform.main
 for name in {IMPORTED_LATER!r}:
@@ -47,10 +68,14 @@
     return used
 
 
-def test_no_module_of_a_node_asks_for_the_time_of_day():
+def modules_of_a_node():
     command = [sys.executable, "-c", LIST_MODULES]
     listed = subprocess.run(command, capture_output=True, check=True, env={"PYTHONPATH": str(SOURCES)})
-    modules = json.loads(listed.stdout)
+    return json.loads(listed.stdout)
+
+
+def test_no_module_of_a_node_asks_for_the_time_of_day():
+    modules = modules_of_a_node()
     assert {"wallwell.gateway.pipeline", "wallwell.cluster.leases", "wallwell.routing.tenant_limits"} <= set(
         modules
     )
@@ -58,6 +83,25 @@
     assert {each: found.count(each) for each in found} == SEEDS
 
 
+def uses_of_stopped_clocks(module):
+    """Return the names of the steady clock and of bounds by it that a module's source uses."""
+    tree = ast.parse((SOURCES / (module.replace(".", "/") + ".py")).read_text())
+    owners = ("time", "asyncio", "loop")
+    for node in ast.walk(tree):
+        if not isinstance(node, ast.Attribute) or not isinstance(node.value, ast.Name):
+            continue
+        if node.value.id in owners and node.attr in STOPPED_BY_SUSPENSION:
+            yield node.attr
+
+
+def test_no_module_goes_by_a_clock_that_stands_still_while_the_machine_is_suspended():
+    """Of the node on the platform and of the router of the own deployment alike."""
+    own = [f"wallwell.{each}" for each in OWN_DEPLOYMENT]
+    modules = [each for each in modules_of_a_node() if (SOURCES / (each.replace(".", "/") + ".py")).exists()]
+    found = [(module, name) for module in {*modules, *own} for name in uses_of_stopped_clocks(module)]
+    assert {each: found.count(each) for each in found} == UNTOUCHED_BY_SUSPENSION
+
+
 @pytest.mark.parametrize("step_s", [3600.0, -3600.0])
 def test_requests_and_leases_go_on_while_the_time_of_day_jumps(on_platform, monkeypatch, step_s):
     """Each look at the clock finds it an hour further, or an hour back."""
--- a/tests/unit/cluster/test_lease_turn.py
+++ b/tests/unit/cluster/test_lease_turn.py
@@ -1,12 +1,12 @@
 """Whose turn it is to try for a lease."""
 
 import asyncio
-import time
 
 import pytest
 
 from tests.faulty_table import FaultyTable
 from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
 from wallwell.cluster.lease_turn import CANDIDATE_DELAY_S, CANDIDATE_STEP_S, LeaseTurn
 from wallwell.cluster.leases import LEASE_PREFIX, LeaseKeeper
 from wallwell.storage.feed import FeedRow
@@ -35,19 +35,19 @@
             if name in self.away:
                 continue
             if row is not None:
-                turn.observe(FeedRow(row.key, row.value.encode(), row.version), time.monotonic())
-            turn.set_due(is_due, time.monotonic())
+                turn.observe(FeedRow(row.key, row.value.encode(), row.version), boot_time_s())
+            turn.set_due(is_due, boot_time_s())
             if is_due:
-                await turn.hold(time.monotonic())
+                await turn.hold(boot_time_s())
 
     def holders(self):
         return [name for name, turn in self.turns.items() if turn.is_held()]
 
     async def until_held(self):
-        started_s = time.monotonic()
+        started_s = boot_time_s()
         while not self.holders():
             await self.step()
-        return self.holders()[0], time.monotonic() - started_s
+        return self.holders()[0], boot_time_s() - started_s
 
 
 def play(scenario):
--- a/tests/unit/cluster/test_load_exchange.py
+++ b/tests/unit/cluster/test_load_exchange.py
@@ -1,11 +1,11 @@
 """Every node learns what all others have under way, over sockets, whichever nodes stand between."""
 
 import asyncio
-import time
 
 import pytest
 
 from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
 from wallwell.cluster.load_exchange import (
     INTERVAL_S,
     THIN_LINK_INTERVAL_S,
@@ -91,9 +91,9 @@
     async def scenario(nodes):
         for index, node in enumerate(nodes):
             for _ in range(index + 1):
-                node.demand.own.add(time.monotonic())
+                node.demand.own.add(boot_time_s())
         await exchange(nodes)
-        return [node.demand.per_s(time.monotonic(), len(nodes)) for node in nodes]
+        return [node.demand.per_s(boot_time_s(), len(nodes)) for node in nodes]
 
     count = len(zones)
     assert with_nodes(zones, scenario) == [count * (count + 1) / 2 / RATE_WINDOW_S] * count
@@ -102,11 +102,11 @@
 @pytest.mark.parametrize("zones", ["a", "aaaa", "abc", "aaabbc"])
 def test_everyone_knows_whether_answers_begin_late(with_nodes, zones):
     async def scenario(nodes):
-        before = [node.load.first_pieces.is_fleet_behind(time.monotonic()) for node in nodes]
+        before = [node.load.first_pieces.is_fleet_behind(boot_time_s()) for node in nodes]
         for _ in range(MIN_ANSWERS):
-            nodes[-1].load.first_pieces.observe(2.0, 0.8, time.monotonic())
+            nodes[-1].load.first_pieces.observe(2.0, 0.8, boot_time_s())
         await exchange(nodes)
-        return before, [node.load.first_pieces.is_fleet_behind(time.monotonic()) for node in nodes]
+        return before, [node.load.first_pieces.is_fleet_behind(boot_time_s()) for node in nodes]
 
     assert with_nodes(zones, scenario) == ([False] * len(zones), [True] * len(zones))
 
@@ -114,12 +114,12 @@
 def test_a_node_that_is_gone_stops_counting(with_nodes, monkeypatch):
     async def scenario(nodes):
         await exchange(nodes)
-        gone = next(node for node in nodes if node.order.candidates(time.monotonic()))
+        gone = next(node for node in nodes if node.order.candidates(boot_time_s()))
         staying = [node for node in nodes if node is not gone]
         monkeypatch.setattr("wallwell.routing.load_reports.REPORT_LIFETIME_S", 0.0)
         monkeypatch.setattr("wallwell.cluster.load_exchange.REPORT_LIFETIME_S", 60.0)
         await exchange(staying, rounds=1)
-        return [node.peers_loads()[1] for node in staying if not node.order.candidates(time.monotonic())]
+        return [node.peers_loads()[1] for node in staying if not node.order.candidates(boot_time_s())]
 
     assert with_nodes("aaa", scenario) == [0]
 
@@ -127,7 +127,7 @@
 def test_without_word_of_others_each_node_judges_by_itself(with_nodes, monkeypatch):
     async def scenario(nodes):
         await exchange(nodes)
-        follower = next(node for node in nodes if node.order.candidates(time.monotonic()))
+        follower = next(node for node in nodes if node.order.candidates(boot_time_s()))
         for node in nodes:
             if node is not follower:
                 node.server.close()
@@ -144,15 +144,15 @@
     async def scenario(nodes):
         for node in nodes:
             node.load.limits.set_limits({"t": TenantLimit(1e-6, 10_000, counts_tokens=True)})
-            node.load.limits.levels(time.monotonic())
+            node.load.limits.levels(boot_time_s())
         await exchange(nodes)
-        full_at_s = time.monotonic() + 1e11
+        full_at_s = boot_time_s() + 1e11
         for node in nodes:
             node.load.limits.levels(full_at_s)
         for node in (nodes[1], nodes[-1]):
             node.load.limits.admit("t", 1_000, full_at_s)
         await exchange(nodes, rounds=2)
-        return [node.load.limits.levels(time.monotonic()).get("t") for node in nodes]
+        return [node.load.limits.levels(boot_time_s()).get("t") for node in nodes]
 
     assert with_nodes("aaabbc", scenario) == [8_000] * 6
 
@@ -161,7 +161,7 @@
     async def scenario(nodes):
         for index, node in enumerate(nodes):
             node.load.limits.set_limits({"t": TenantLimit(1e9, 1e9, counts_tokens=True)})
-            node.load.limits.admit("t", 10**index, time.monotonic())
+            node.load.limits.admit("t", 10**index, boot_time_s())
         await exchange(nodes)
         return [node.load.limits.asked_of_peers("t") for node in nodes]
 
--- a/tests/unit/cluster/test_region_exchange.py
+++ b/tests/unit/cluster/test_region_exchange.py
@@ -1,13 +1,13 @@
 """Regions tell each other their loads through one pair of nodes, whoever of them is lost, in virtual time."""
 
 import asyncio
-import time
 from collections import Counter
 
 import msgspec
 import pytest
 
 from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
 from wallwell.cluster import region_exchange
 from wallwell.cluster.load_exchange import LoadExchange, MemberLoad, ZoneLoad
 from wallwell.cluster.peer_link import CONNECT_TIMEOUT_S, PeerLinks
@@ -136,7 +136,7 @@
 
 
 def now():
-    return time.monotonic()
+    return boot_time_s()
 
 
 def run(scenario, **options):
--- a/tests/unit/cluster/test_relay.py
+++ b/tests/unit/cluster/test_relay.py
@@ -3,13 +3,13 @@
 import asyncio
 import contextlib
 import random
-import time
 import zlib
 
 import msgspec
 import pytest
 
 from tests.unit.storage.memory_rows import MemoryRows, Mirror
+from wallwell.clock import boot_time_s
 from wallwell.cluster.peer_link import PeerServer
 from wallwell.cluster.relay import RelayedRows, RowsReply, RowsRequest, _reply, _unpack, answer_from
 from wallwell.cluster.upstream import Member, UpstreamOrder
@@ -90,7 +90,7 @@
             members = {node.name: Member("z", node.server.address) for node in nodes}
             for node in nodes:
                 node.order.members = members
-            nodes.sort(key=lambda node: len(node.order.candidates(time.monotonic())))
+            nodes.sort(key=lambda node: len(node.order.candidates(boot_time_s())))
             try:
                 return await scenario(store, nodes)
             finally:
--- a/tests/unit/cluster/test_relay_network.py
+++ b/tests/unit/cluster/test_relay_network.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import random
-import time
 
 import pytest
 from hypothesis import given, settings
@@ -14,6 +13,7 @@
 
 from tests.unit.storage.memory_rows import MemoryRows
 from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
 from wallwell.cluster.peer_link import PeerLinks
 from wallwell.cluster.relay import RelayedRows
 from wallwell.cluster.upstream import Member, UpstreamOrder
@@ -40,7 +40,7 @@
 
     def write(self, key, value):
         super().write(key, value)
-        self.written_at_s.append((time.monotonic(), self.version))
+        self.written_at_s.append((boot_time_s(), self.version))
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -184,7 +184,7 @@
         """``zones`` has a letter for each node; ``regions`` gives the region of each zone."""
         self.regions = regions or {}
         self.store = Store()
-        self.store._now_s = lambda: time.monotonic() + STORE_OFFSET_S
+        self.store._now_s = lambda: boot_time_s() + STORE_OFFSET_S
         self.members = {f"n{index}": Member(zone, f"n{index}:1") for index, zone in enumerate(zones)}
         self.cut = set()
         self.nodes = {name: Node(self, name) for name in self.members}
@@ -202,7 +202,7 @@
         return next(
             node
             for node in self.nodes.values()
-            if not node.order.candidates(time.monotonic())
+            if not node.order.candidates(boot_time_s())
             and (region is None or self.regions[node.order.zone] == region)
         )
 
@@ -290,10 +290,10 @@
         else:
             relay.store.mode = trouble
         network.store.write("a", b"2")
-        started_s = time.monotonic()
+        started_s = boot_time_s()
         while any(node.known["a"][1] != b"2" for node in others):
             await asyncio.sleep(0.01)
-        return time.monotonic() - started_s
+        return boot_time_s() - started_s
 
     assert run_virtual(work()) < 1.6
 
@@ -343,13 +343,13 @@
         network.store.write("a", b"1")
         for node in network.nodes.values():
             # As every node does when it starts, before it knows any peer.
-            sent_s = time.monotonic()
+            sent_s = boot_time_s()
             node.clock.confirmed_s(sent_s, (await node.store.read_all()).store_s)
         await asyncio.sleep(5.0)
         oldest_s = 0.0
         for _ in range(100):
             await asyncio.sleep(0.07)
-            ages = [time.monotonic() - node.follower.confirmed_at_s for node in network.nodes.values()]
+            ages = [boot_time_s() - node.follower.confirmed_at_s for node in network.nodes.values()]
             oldest_s = max(oldest_s, *ages)
         return oldest_s
 
@@ -370,7 +370,7 @@
 async def ask_once(network):
     """Let each node call the store, as every node does when it starts, before it knows any peer."""
     for node in network.nodes.values():
-        sent_s = time.monotonic()
+        sent_s = boot_time_s()
         node.clock.confirmed_s(sent_s, (await node.store.read_all()).store_s)
 
 
@@ -398,11 +398,11 @@
 
 
 async def time_until_known(network, nodes, key, value):
-    started_s = time.monotonic()
+    started_s = boot_time_s()
     while any(node.known.get(key, (0, None))[1] != value for node in nodes):
-        assert time.monotonic() - started_s < 30.0
+        assert boot_time_s() - started_s < 30.0
         await asyncio.sleep(0.01)
-    return time.monotonic() - started_s
+    return boot_time_s() - started_s
 
 
 @pytest.mark.parametrize("region", ["east", "west"])
@@ -438,7 +438,7 @@
         standing_by = next(
             node
             for node in others
-            if [name for name, _ in node.order.candidates(time.monotonic())] == [relay.name]
+            if [name for name, _ in node.order.candidates(boot_time_s())] == [relay.name]
             and node.order.zone != relay.order.zone
         )
         relay.kill()
@@ -463,13 +463,13 @@
         network.store.write("a", b"1")
         await asyncio.sleep(5.0)
         west, east = network.of_region("west"), network.of_region("east")
-        cut_at_s = time.monotonic()
+        cut_at_s = boot_time_s()
         for node in west:
             node.store.mode = "silent"
         await asyncio.sleep(0.05)
         network.store.write("a", b"2")
         near_s = await time_until_known(network, east, "a", b"2")
-        while time.monotonic() - cut_at_s < cut_s:
+        while boot_time_s() - cut_at_s < cut_s:
             await asyncio.sleep(0.1)
             # Nobody takes its knowledge for newer than the cut, so each can stop relying on it in time.
             assert all(node.follower.confirmed_at_s <= cut_at_s + LINK_ROUND_TRIP_S for node in west)
@@ -477,7 +477,7 @@
             node.store.mode = "well"
         regained_s = await time_until_known(network, west, "a", b"2")
         await asyncio.sleep(SETTLE_S)
-        asking = [node for node in west if not node.order.candidates(time.monotonic())]
+        asking = [node for node in west if not node.order.candidates(boot_time_s())]
         return near_s, regained_s, len(asking)
 
     near_s, regained_s, asking = run_virtual(work())
@@ -502,7 +502,7 @@
             await asyncio.sleep(0.07)
             if number % 10 == 0:
                 network.store.write("a", b"%d" % number)
-            ages += [time.monotonic() - node.follower.confirmed_at_s for node in network.of_region("west")]
+            ages += [boot_time_s() - node.follower.confirmed_at_s for node in network.of_region("west")]
         return max(ages), sum(age < 2.0 for age in ages) / len(ages)
 
     oldest_s, fresh_part = run_virtual(work())
--- a/tests/unit/gateway/fakes.py
+++ b/tests/unit/gateway/fakes.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import random
-import time
 from dataclasses import dataclass, field
 
+from wallwell.clock import boot_time_s
 from wallwell.deployment.backends import BackendRecord
 from wallwell.deployment.routes import DeploymentConfig, Route, RouteKind, TenantAccess, WeightedService
 from wallwell.errors import RequestError
@@ -69,7 +69,7 @@
 
     async def send(self, dispatch):
         self.sent.append(dispatch)
-        self.sent_at_s.append(time.monotonic())
+        self.sent_at_s.append(boot_time_s())
         script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
         try:
             await asyncio.sleep(script.head_after_s)
@@ -97,7 +97,7 @@
     def _end(self, how):
         assert not self.ended, f"ended twice: {self.ended}, {how}"
         self.ended = how
-        self.ended_at_s = time.monotonic()
+        self.ended_at_s = boot_time_s()
 
     def is_caller_gone(self):
         return False
@@ -143,7 +143,7 @@
         address = f"10.0.0.{index}:80"
         state.backends.upsert(BackendRecord(f"i-{index}", "svc", address, "z1", 8, versions=versions or {}))
     state.backends_known = True
-    state.freshness.confirm(time.monotonic())
+    state.freshness.confirm(boot_time_s())
     return state
 
 
@@ -157,7 +157,7 @@
         body=body,
         credential=credential,
         allowance_s=allowance_s,
-        arrived_s=time.monotonic(),
+        arrived_s=boot_time_s(),
         generation=generation,
     )
 
--- a/tests/unit/gateway/test_backend_rows.py
+++ b/tests/unit/gateway/test_backend_rows.py
@@ -1,13 +1,13 @@
 """Entries of back ends that go missing: at once, or after the store was away, when living ones come back."""
 
 import asyncio
-import time
 
 import pytest
 
 from tests.unit.gateway.fakes import make_state
 from tests.virtual_time import run_virtual
 from wallwell.backends.http_connection import ConnectionPool
+from wallwell.clock import boot_time_s
 from wallwell.deployment.backends import BackendRecord
 from wallwell.events import Event
 from wallwell.gateway import fleet_rows
@@ -56,13 +56,13 @@
         self.confirmed_s = float("-inf")
 
     def take(self, whole=False, **rows):
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         page = tuple(FeedRow(key, value, 1) for key, value in rows.items())
         self.rows.apply(FollowedPage(FeedPage(page, 1, 0.0), whole, now_s, self.confirmed_s))
         self.confirmed_s = now_s
 
     def open(self):
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         return sorted(each.incarnation for each in self.state.backends.of_service("svc") if each.is_open(now_s))
 
     async def pass_time(self, seconds, told=True):
@@ -72,7 +72,7 @@
             if told:
                 self.take()
             else:
-                self.rows.drop_lapsed(time.monotonic())
+                self.rows.drop_lapsed(boot_time_s())
 
 
 def play(scenario):
@@ -151,7 +151,7 @@
     async def work():
         followed = Followed()
         rows = tuple(FeedRow(name, b"ready@same", version) for version, name in enumerate(names, start=1))
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         page = tuple(sorted(rows, key=lambda row: row.key))
         followed.rows.apply(FollowedPage(FeedPage(page, 2, 0.0), True, now_s, now_s))
         return followed.open()
@@ -188,7 +188,7 @@
                 followed.take(whole=not seen, **step)
             else:
                 await followed.pass_time(step)
-            now_s = time.monotonic()
+            now_s = boot_time_s()
             followed.state.rollouts.release_held(now_s)
             seen.append(sorted(each.incarnation for each in taking(followed.state, "svc", now_s)))
         return seen
@@ -209,7 +209,7 @@
     async def work():
         followed = VersionedFollowed()
         followed.take(whole=True, a=b"v1@3")
-        seen_s = time.monotonic()
+        seen_s = boot_time_s()
         await followed.pass_time(1.0)
         followed.take(a=b"v1@3")
         return followed.state.backends.get("a").slow_until_s - seen_s
--- a/tests/unit/gateway/test_cache_planning.py
+++ b/tests/unit/gateway/test_cache_planning.py
@@ -1,7 +1,6 @@
 """What an engine takes from a store of kept KV cache and leaves there, beside changes of weights."""
 
 import dataclasses
-import time
 
 import pytest
 
@@ -16,6 +15,7 @@
     make_state,
 )
 from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
 from wallwell.deployment.backends import LoadInProgress
 from wallwell.deployment.routes import RouteKind, Service
 from wallwell.gateway.cache_planning import MIN_FETCH_TOKENS
@@ -59,11 +59,11 @@
 
 
 def loading(fleet):
-    fleet.backends.get("i-0").loading = LoadInProgress("m", 2, time.monotonic() + 1.0)
+    fleet.backends.get("i-0").loading = LoadInProgress("m", 2, boot_time_s() + 1.0)
 
 
 def old_word_of_the_store(fleet):
-    fleet.freshness.confirmed_at_s = time.monotonic() - 2.5
+    fleet.freshness.confirmed_at_s = boot_time_s() - 2.5
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/gateway/test_crash_watch.py
+++ b/tests/unit/gateway/test_crash_watch.py
@@ -1,7 +1,6 @@
 """What counts as a crash of a back end, and how its suspects become known and are cleared, in virtual time."""
 
 import asyncio
-import time
 
 import pytest
 
@@ -9,6 +8,7 @@
 from tests.unit.gateway.fakes import FakeClient, FakeReply, Script, event, make_generation, make_request, make_route
 from tests.unit.gateway.fakes import make_state as fresh_state
 from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import RouteKind
 from wallwell.gateway.crash_watch import CRASH_PREFIX, FIRST_LOOK_S, SECOND_LOOK_S, SWEEP_S, CrashWatch
 from wallwell.gateway.pipeline import RequestPipeline
@@ -54,7 +54,7 @@
         return {key[len(CRASH_PREFIX) :] for key in self.table.model.rows}
 
     def hear(self, content, incarnation, value=b"n2"):
-        self.watch.on_row(FeedRow(f"{CRASH_PREFIX}{content}/{incarnation}", value, 1), time.monotonic())
+        self.watch.on_row(FeedRow(f"{CRASH_PREFIX}{content}/{incarnation}", value, 1), boot_time_s())
 
     def backend(self, number=0):
         return self.state.backends.get(f"i-{number}")
@@ -65,7 +65,7 @@
 
 
 def sign_of_life(node):
-    node.backend().silence.on_heard(time.monotonic())
+    node.backend().silence.on_heard(boot_time_s())
 
 
 def leaving(node):
@@ -144,7 +144,7 @@
         for number in range(CRASHES_TO_QUARANTINE):
             node.watch.on_broken_run("c", node.backend(number))
         await asyncio.sleep(10.0)
-        known = node.state.quarantine.left_s("c", time.monotonic()) > 0
+        known = node.state.quarantine.left_s("c", boot_time_s()) > 0
         node.table.down = False
         await asyncio.sleep(2.0)
         return known, len(node.rows)
@@ -182,7 +182,7 @@
         node = Node()
         node.hear_quarantine()
         node.hear("c", "gone-0", value=None)
-        return node.state.quarantine.left_s("c", time.monotonic())
+        return node.state.quarantine.left_s("c", boot_time_s())
 
     assert run_virtual(work()) == 0
 
--- a/tests/unit/gateway/test_head_wait.py
+++ b/tests/unit/gateway/test_head_wait.py
@@ -1,7 +1,6 @@
 """Waiting for heads: an answer that nobody waits for any more is closed, so that its back end stops."""
 
 import asyncio
-import time
 
 import pytest
 
@@ -16,6 +15,7 @@
     make_state,
 )
 from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import RouteKind
 from wallwell.gateway.pipeline import RequestPipeline
 from wallwell.routing.first_piece import Delays
@@ -72,7 +72,7 @@
             Script(chunks=(event(1),), head_after_s=1.5, stream=True), Script(chunks=(event(1),), stream=True)
         )
         await RequestPipeline(state, client).serve(make_request(generation=make_generation()), FakeReply())
-        return state.first_pieces.own(time.monotonic())
+        return state.first_pieces.own(boot_time_s())
 
     delays = run_virtual(work())
     assert delays == Delays(2, 1)
--- a/tests/unit/gateway/test_kv_store_choice.py
+++ b/tests/unit/gateway/test_kv_store_choice.py
@@ -1,7 +1,6 @@
 """Which store of kept KV cache a prompt's parts go to and come from."""
 
 import dataclasses
-import time
 
 import pytest
 
@@ -15,6 +14,7 @@
     make_state,
 )
 from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import RouteKind, Service
 from wallwell.gateway.pipeline import RequestPipeline
 from wallwell.routing.prefix_home import PromptPart
@@ -34,7 +34,7 @@
         state = make_state(STREAM, versions={"m": 1})
         state.zone = node_zone
         state.apply_config(dataclasses.replace(state.config, version=2, services=kv_stores))
-        state.freshness.confirm(time.monotonic())
+        state.freshness.confirm(boot_time_s())
         client = FakeClient(ANSWER)
         for prompt in prompts:
             generation = dataclasses.replace(
--- a/tests/unit/gateway/test_limited_requests.py
+++ b/tests/unit/gateway/test_limited_requests.py
@@ -1,12 +1,12 @@
 """Requests of a tenant with a limit: what is taken of it, what is given back, and what a refused caller is told."""
 
 import dataclasses
-import time
 
 import pytest
 
 from tests.unit.gateway.fakes import FakeClient, FakeReply, Script, make_request, make_route, make_state
 from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import RouteKind, TenantAccess, TenantLimit
 from wallwell.gateway.pipeline import RequestPipeline
 from wallwell.outcomes import Outcome
@@ -23,7 +23,7 @@
 
     async def work():
         state = make_state(route, tenants=(TenantAccess("t", ("key",), limit=LIMIT),))
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         state.load.limits.learn_fleet({}, 0, 1)
         state.load.limits.levels(now_s - 2.0)
         state.load.limits.levels(now_s)
--- a/tests/unit/gateway/test_liveness.py
+++ b/tests/unit/gateway/test_liveness.py
@@ -1,7 +1,6 @@
 """Back ends that stop without a word, in virtual time: attempts there go elsewhere soon, where that is safe."""
 
 import asyncio
-import time
 
 import pytest
 
@@ -16,6 +15,7 @@
     make_state,
 )
 from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import RouteKind
 from wallwell.gateway.liveness import Liveness
 from wallwell.gateway.pipeline import RequestPipeline
@@ -55,10 +55,10 @@
         watching = asyncio.create_task(liveness.run())
         client, reply = FakeClient(*scripts), FakeReply()
         request = make_request(generation=make_generation() if generation else None)
-        started_s = time.monotonic()
+        started_s = boot_time_s()
         await RequestPipeline(state, client, liveness=liveness).serve(request, reply)
         watching.cancel()
-        suspended = [each.suspended_until_s > time.monotonic() for each in state.backends.all()]
+        suspended = [each.suspended_until_s > boot_time_s() for each in state.backends.all()]
         assert not liveness._repeatable
         return reply, client, check, reply.ended_at_s - started_s, suspended
 
--- a/tests/unit/gateway/test_pipeline.py
+++ b/tests/unit/gateway/test_pipeline.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import time
 
 import pytest
 
@@ -19,6 +18,7 @@
     make_state,
 )
 from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import RouteKind, TenantAccess, WeightedService
 from wallwell.gateway.exchange import CallerGoneError
 from wallwell.gateway.pipeline import RequestPipeline
@@ -47,7 +47,7 @@
         if prepare is not None:
             prepare(fleet)
         client, reply = FakeClient(*scripts), FakeReply()
-        started_s = time.monotonic()
+        started_s = boot_time_s()
         arguments = request() if request is not None else make_request()
         await RequestPipeline(fleet, client).serve(arguments, reply)
         return reply, client, reply.ended_at_s - started_s
@@ -142,9 +142,7 @@
 
     def use_up_while_waiting(fleet):
         budget = fleet.budget_of("svc")
-        asyncio.get_running_loop().call_later(
-            0.1, lambda: [budget.try_retry(time.monotonic(), 1) for _ in range(99)]
-        )
+        asyncio.get_running_loop().call_later(0.1, lambda: [budget.try_retry(boot_time_s(), 1) for _ in range(99)])
 
     late = Script(chunks=(b"late",), head_after_s=1.0)
     reply, client, _ = play([late], SAFE, prepare=use_up_while_waiting)
@@ -155,9 +153,9 @@
     async def work():
         fleet = make_state(SAFE)
         budget = fleet.budget_of("svc")
-        before = budget.left(time.monotonic(), 1)
+        before = budget.left(boot_time_s(), 1)
         await RequestPipeline(fleet, FakeClient(Script(head_after_s=60.0), OK)).serve(make_request(), FakeReply())
-        return before - budget.left(time.monotonic(), 1)
+        return before - budget.left(boot_time_s(), 1)
 
     assert 0.8 < run_virtual(work()) <= 1.0
 
@@ -166,7 +164,7 @@
     async def work():
         fleet = make_state(SAFE, backends=2)
         for each in fleet.backends.all():
-            each.on_success(time.monotonic())
+            each.on_success(boot_time_s())
         client = FakeClient(Script(head_after_s=60.0), OK)
         await RequestPipeline(fleet, client).serve(make_request(), FakeReply())
         return [each.consecutive_failures for each in fleet.backends.all()]
@@ -202,15 +200,15 @@
         fleet.call_time.seconds = 1.0
 
     def hear_fleet(fleet):
-        fleet.freshness.confirmed_at_s = time.monotonic() - 5.0
+        fleet.freshness.confirmed_at_s = boot_time_s() - 5.0
         fleet.demand.peers_generations = 10
 
     def hear_nobody(fleet):
-        fleet.freshness.confirmed_at_s = time.monotonic() - 5.0
+        fleet.freshness.confirmed_at_s = boot_time_s() - 5.0
 
     def start_without_configuration(fleet):
         fleet.config = None
-        fleet.started_s = time.monotonic() - 0.5
+        fleet.started_s = boot_time_s() - 0.5
 
     assert come_back([SHED], UNSAFE, prepare=know_calls) > 0.3
     assert come_back([SHED], UNSAFE) < 0.1
@@ -253,7 +251,7 @@
         pipeline = RequestPipeline(fleet, client)
         replies = [FakeReply() for _ in range(60)]
         for number, reply in enumerate(replies):
-            fleet.freshness.confirm(time.monotonic())
+            fleet.freshness.confirm(boot_time_s())
             await pipeline.serve(make_request(allowance_s=1.0 if number else 9.0), reply)
         return [reply.status for reply in replies]
 
@@ -302,7 +300,7 @@
     """A credential may have been taken away, and a missing one may have been added, since the last confirmation."""
 
     def age(fleet):
-        fleet.freshness.confirmed_at_s = time.monotonic() - 4.7
+        fleet.freshness.confirmed_at_s = boot_time_s() - 4.7
 
     reply, client, _ = play([OK], SAFE, lambda: make_request(credential=credential), prepare=age)
     assert (reply.status, reply.error.outcome, client.sent) == (503, Outcome.NOT_RUN, [])
@@ -411,7 +409,7 @@
 @pytest.mark.parametrize(("told", "expected"), [(5, 5), (0, 4)], ids=["told by the engine", "newest named"])
 def test_a_refused_version_is_corrected_for_the_next_attempt(told, expected):
     def name_newer(fleet):
-        fleet.weights.name("m", 4, time.monotonic())
+        fleet.weights.name("m", 4, boot_time_s())
 
     refused = Script(fails=T.PRECONDITION_REFUSED, refused_version=told)
     _, client, _ = play(
@@ -422,7 +420,7 @@
 
 def test_an_engine_on_overdue_weights_begins_nothing():
     def name_long_ago(fleet):
-        fleet.weights.name("m", 2, time.monotonic() - 7.9)
+        fleet.weights.name("m", 2, boot_time_s() - 7.9)
         fleet.backends.get("i-1").learn_version("m", 2)
 
     _, client, _ = play([stream(event(1))], ONCE, generate(), versions={"m": 1}, prepare=name_long_ago)
@@ -434,7 +432,7 @@
     waiting = stream(event(1), head_after_s=5.0)
 
     def name_some_time_ago(fleet):
-        fleet.weights.name("m", 2, time.monotonic() - 6.1)
+        fleet.weights.name("m", 2, boot_time_s() - 6.1)
 
     reply, client, took_s = play([waiting], ONCE, generate(), versions={"m": 1}, prepare=name_some_time_ago)
     assert (reply.ended, client.cancelled) == ("refused", 1)
@@ -443,7 +441,7 @@
 
 def test_older_weights_serve_to_the_last_when_no_engine_has_newer_ones():
     def name_a_while_ago(fleet):
-        fleet.weights.name("m", 2, time.monotonic() - 7.0)
+        fleet.weights.name("m", 2, boot_time_s() - 7.0)
 
     reply, _, _ = play([stream(event(1))], ONCE, generate(), versions={"m": 1}, prepare=name_a_while_ago)
     assert reply.ended == "finished"
@@ -455,7 +453,7 @@
         ONCE,
         generate(),
         versions={"m": 1},
-        prepare=lambda fleet: fleet.weights.name("m", 2, time.monotonic() - 7.9),
+        prepare=lambda fleet: fleet.weights.name("m", 2, boot_time_s() - 7.9),
     )
     assert (reply.status, client.sent) == (503, [])
 
@@ -476,7 +474,7 @@
     """Streams go on while weights load, so emptying an engine ahead of its order would only cost places."""
 
     def name_earlier(fleet):
-        fleet.weights.name("m", 2, time.monotonic() - age_s)
+        fleet.weights.name("m", 2, boot_time_s() - age_s)
 
     homes = set()
     for prepare in (None, name_earlier):
--- a/tests/unit/gateway/test_regions.py
+++ b/tests/unit/gateway/test_regions.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import random
-import time
 from collections import Counter
 
 import pytest
@@ -19,6 +18,7 @@
     make_state,
 )
 from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
 from wallwell.cluster.upstream import UpstreamOrder
 from wallwell.deployment.backends import BackendRecord
 from wallwell.deployment.places import Places
@@ -57,7 +57,7 @@
 
     async def work():
         state = fleet_state(node_zone, [engine_zone], store_zones)
-        state.freshness.confirm(time.monotonic())
+        state.freshness.confirm(boot_time_s())
         prepare(state)
         client = FakeClient(Script(chunks=(event(1),), stream=True))
         for prompt in prompts:
@@ -361,7 +361,7 @@
 def test_what_crosses_the_link_is_counted_by_cause(engine_zone, crosses):
     async def work():
         state = fleet_state("a1", [engine_zone])
-        state.freshness.confirm(time.monotonic())
+        state.freshness.confirm(boot_time_s())
         client = FakeClient(Script(chunks=(event(1), event(2)), stream=True))
         request = make_request(generation=make_generation(), body=b"x" * 100)
         await RequestPipeline(state, client).serve(request, FakeReply())
--- a/tests/unit/gateway/test_rollout_requests.py
+++ b/tests/unit/gateway/test_rollout_requests.py
@@ -1,6 +1,5 @@
 """Requests while a service's software is rolled out: which side runs them, and what is counted."""
 
-import time
 from dataclasses import replace
 
 import pytest
@@ -16,6 +15,7 @@
     make_state,
 )
 from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
 from wallwell.deployment.backends import BackendRecord
 from wallwell.deployment.routes import RouteKind
 from wallwell.gateway.exchange import Generation
@@ -41,10 +41,10 @@
         for index in range(count):
             name = f"{software}-{index}"
             record = BackendRecord(name, "svc", f"{name}:80", "z1", 8, versions=versions, software=software)
-            state.backends.upsert(record).slow_until_s = time.monotonic() + slow_for_s
+            state.backends.upsert(record).slow_until_s = boot_time_s() + slow_for_s
     barred = ("v1",) if phase is Phase.COMPLETE else ()
     record = RolloutRecord("svc", "v2", 1, 0.0, 30.0, phase, share, barred=barred)
-    state.rollouts.on_record(record, 1, time.monotonic())
+    state.rollouts.on_record(record, 1, boot_time_s())
     return state
 
 
@@ -69,7 +69,7 @@
     def prepare(state):
         for each in state.backends.all():
             if each.record.software == software:
-                each.suspended_until_s = time.monotonic() + 60
+                each.suspended_until_s = boot_time_s() + 60
 
     return prepare
 
@@ -96,7 +96,7 @@
 
 def test_an_order_takes_requests_off_a_version_before_any_record():
     def prepare(state):
-        state.rollouts.on_order(RolloutOrder("svc", "v2", 30.0, 9), time.monotonic())
+        state.rollouts.on_order(RolloutOrder("svc", "v2", 30.0, 9), boot_time_s())
 
     assert set(serve([OK], requests=50, phase=Phase.SWITCHING, prepare=prepare)[0]) == {"v1"}
 
@@ -132,7 +132,7 @@
 
 def test_a_node_without_recent_word_of_a_rollout_uses_the_current_side():
     def prepare(state):
-        state.rollouts.active["svc"].heard_s = time.monotonic() - state.bounds.rollout.rollback_s / 2
+        state.rollouts.active["svc"].heard_s = boot_time_s() - state.bounds.rollout.rollback_s / 2
 
     assert set(serve([OK], requests=50, phase=Phase.SWITCHING, prepare=prepare)[0]) == {"v1"}
 
@@ -144,7 +144,7 @@
 
 def test_engines_without_due_weights_are_stood_in_for_by_the_current_side():
     def prepare(state):
-        state.weights.name("m", 1, time.monotonic() - 60)
+        state.weights.name("m", 1, boot_time_s() - 60)
 
     sent, _, _ = serve(
         [PIECES], phase=Phase.SWITCHING, route=STREAM, new_weights=0, generation=make_generation(), prepare=prepare
@@ -177,7 +177,7 @@
     def prepare(state):
         for each in state.backends.all():
             if each.record.software == "v2":
-                each.suspended_until_s = time.monotonic() + 1.0
+                each.suspended_until_s = boot_time_s() + 1.0
         state.rollouts.active["svc"].heard_s -= 1.0
 
     slow = Script(fails=T.RESET_AFTER_SEND, head_after_s=3.0)
@@ -255,7 +255,7 @@
 def test_without_a_rollout_the_only_back_ends_left_are_used_whatever_their_version(is_old_listed):
     async def work():
         state = make_state(SAFE, backends=0)
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         old = BackendRecord("old", "svc", "old:80", "z1", 8, software="v1")
         state.rollouts.on_listed("svc", "v1", now_s, True)
         state.backends.upsert(old)
--- a/tests/unit/gateway/test_zone_cut.py
+++ b/tests/unit/gateway/test_zone_cut.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import random
-import time
 from collections import Counter
 
 import pytest
 
 from tests.unit.gateway.fakes import FakeClient, FakeReply, Script, make_request, make_route, make_state
 from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
 from wallwell.cluster.upstream import Member, UpstreamOrder
 from wallwell.deployment.backends import BackendRecord
 from wallwell.deployment.routes import RouteKind
@@ -33,7 +33,7 @@
 
     async def send(self, dispatch):
         if dispatch.backend.zone in self.cut:
-            self.hung.append(time.monotonic())
+            self.hung.append(boot_time_s())
             dispatch.progress.connecting = True
             await asyncio.sleep(CONNECT_S)
             raise AttemptError(TransportEvent.CONNECT_TIMEOUT, "scripted")
@@ -61,11 +61,11 @@
         pipeline = RequestPipeline(state, network, liveness=liveness)
         watching = asyncio.create_task(liveness.run())
         serving, replies = [], []
-        started_s = time.monotonic()
+        started_s = boot_time_s()
         for number in range(10 * REQUESTS_PER_S):
             at_s = number / REQUESTS_PER_S
             network.cut = set(cut) if CUT_FROM_S <= at_s < CUT_FROM_S + CUT_S else set()
-            state.freshness.confirm(time.monotonic())
+            state.freshness.confirm(boot_time_s())
             reply = FakeReply()
             replies.append((at_s, reply))
             serving.append(asyncio.create_task(pipeline.serve(make_request(), reply)))
--- a/tests/unit/placement/test_weights_roll_driver.py
+++ b/tests/unit/placement/test_weights_roll_driver.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import random
-import time
 from dataclasses import replace
 
 import pytest
 
 from tests.faulty_table import FaultyTable
 from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
 from wallwell.deployment.backends import BackendRecord
 from wallwell.deployment.freshness import StoreClock
 from wallwell.errors import PlatformUnavailableError
@@ -37,11 +37,11 @@
     async def report(self, backend):
         engine = self.engines[backend.incarnation]
         await asyncio.sleep(0.002)
-        return EngineReport({"m": engine.version}, time.monotonic() < engine.busy_until_s, engine.orders)
+        return EngineReport({"m": engine.version}, boot_time_s() < engine.busy_until_s, engine.orders)
 
     async def order(self, backend, order):
         engine = self.engines[backend.incarnation]
-        engine.given.append((time.monotonic(), order.holder, order.fence))
+        engine.given.append((boot_time_s(), order.holder, order.fence))
         if engine.late_s:
             late_s, engine.late_s = engine.late_s, 0.0
             asyncio.get_running_loop().call_later(late_s, self._take, engine, order)
@@ -55,10 +55,10 @@
     def _take(self, engine, order):
         if order.fence < engine.fence:
             return OrderReply.FENCED
-        if order.expected_orders != engine.orders or time.monotonic() < engine.busy_until_s:
+        if order.expected_orders != engine.orders or boot_time_s() < engine.busy_until_s:
             return OrderReply.BUSY
         engine.fence, engine.orders = order.fence, engine.orders + 1
-        engine.busy_until_s = time.monotonic() + 0.6
+        engine.busy_until_s = boot_time_s() + 0.6
         asyncio.get_running_loop().call_later(0.6, setattr, engine, "version", order.version)
         return OrderReply.ACCEPTED
 
@@ -95,11 +95,11 @@
                 if seen.get(row.key) != row.version:
                     seen[row.key] = row.version
                     for driver in self.drivers:
-                        driver.on_row(FeedRow(row.key, row.value.encode(), row.version), time.monotonic())
+                        driver.on_row(FeedRow(row.key, row.value.encode(), row.version), boot_time_s())
 
     def name(self, version):
         for state in self.states:
-            state.weights.name("m", version, time.monotonic())
+            state.weights.name("m", version, boot_time_s())
 
     def kill(self, index):
         self.tasks[index].cancel()
@@ -238,16 +238,16 @@
     """Found by a hunt: a restarted node saw only the newest name, and sent to an engine two versions behind."""
 
     async def scenario(fleet):
-        started_s = time.monotonic()
+        started_s = boot_time_s()
         fleet.name(2)
         await asyncio.sleep(3.0)
         fleet.name(3)
         await asyncio.sleep(4.0)
         late = FleetState("late", "z", FleetBounds(lease_s=LEASE_S), random.Random(9))
-        late.weights.name("m", 4, time.monotonic(), estimated=True)
+        late.weights.name("m", 4, boot_time_s(), estimated=True)
         driver = WeightsRollDriver(late, fleet.table, Control(fleet.engines, "late"), StoreClock())
         for row in (await fleet.table.scan("", 0)).rows:
-            driver.on_row(FeedRow(row.key, row.value.encode(), row.version), time.monotonic())
+            driver.on_row(FeedRow(row.key, row.value.encode(), row.version), boot_time_s())
         ages = [(each.version, round(each.known_since_s - started_s, 1)) for each in late.weights.certain("m")]
         assert ages == [(2, 0.0), (3, 3.0)]
         assert late.weights.minimum_version("m", started_s + 7.0, 6.4, in_place=3) == 2
@@ -268,9 +268,9 @@
             for incarnation, engine in fleet.engines.items():
                 backend = state.backends.get(incarnation)
                 assert backend.believed_version("m") <= engine.version
-                if engine.version >= 2 and time.monotonic() > engine.busy_until_s + 0.5:
+                if engine.version >= 2 and boot_time_s() > engine.busy_until_s + 0.5:
                     assert backend.believed_version("m") == engine.version
-                    assert not backend.is_loading(time.monotonic())
+                    assert not backend.is_loading(boot_time_s())
 
     play(scenario)
 
@@ -284,7 +284,7 @@
                 known = state.backends.get(incarnation).record
                 software = "v1" if incarnation in left else "v2"
                 state.backends.upsert(replace(known, software=software))
-            state.rollouts.on_record(record, 1, time.monotonic())
+            state.rollouts.on_record(record, 1, boot_time_s())
         fleet.name(2)
         await asyncio.sleep(8.0)
         return left
@@ -305,7 +305,7 @@
                 known = state.backends.get(incarnation).record
                 fields = {"software": "v2", "versions": {"m": 2}} if incarnation in target else {"software": "v1"}
                 state.backends.upsert(replace(known, **fields))
-            state.rollouts.on_record(record, 1, time.monotonic())
+            state.rollouts.on_record(record, 1, boot_time_s())
         fleet.name(2)
         await asyncio.sleep(8.0)
 
--- a/tests/unit/rollout/fleet.py
+++ b/tests/unit/rollout/fleet.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import random
-import time
 
 import msgspec
 
 from tests.faulty_table import FaultyTable
 from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
 from wallwell.cluster.leases import LEASE_PREFIX
 from wallwell.deployment.backends import BackendRecord
 from wallwell.deployment.freshness import StoreClock
@@ -60,7 +60,7 @@
             Condition(status_key, seen.status_version),
         )
         version = await self.table.transact(Transaction(conditions, tuple(puts)))
-        self.writes.append((time.monotonic(), record))
+        self.writes.append((boot_time_s(), record))
         return StoredRollout(record, version, status, version if len(puts) > 1 else seen.status_version)
 
 
@@ -94,7 +94,7 @@
         self.store = TableRollouts(self.table)
         self.planner = fleet.make_planner()
         self.counts = FleetCounts()
-        self.life = time.monotonic_ns()
+        self.life = round(boot_time_s() * 1e9)
         self.seen: dict[str, int] = {}
         self.cut = False
         self.driver = RolloutDriver(
@@ -109,7 +109,7 @@
     def list_backends(self, service, software, count, at_start=True):
         for index in range(count):
             name = f"{service}-{software}-{index}"
-            self.book.on_listed(service, software, time.monotonic(), at_start)
+            self.book.on_listed(service, software, boot_time_s(), at_start)
             self.state.backends.upsert(BackendRecord(name, service, f"{name}:80", "z", 8, software=software))
             self.state.backends.learn_peer_loads({})
 
@@ -119,7 +119,7 @@
         for key, row in rows.items():
             if self.seen.get(key) != row.version:
                 self.seen[key] = row.version
-                self.driver.on_row(FeedRow(key, row.value.encode(), row.version), time.monotonic())
+                self.driver.on_row(FeedRow(key, row.value.encode(), row.version), boot_time_s())
 
     def report(self):
         return CountsReport(self.state.node, self.life, self.book.tally.counts())
@@ -151,7 +151,7 @@
             for software in self.versions:
                 node.list_backends(service, software, 4)
         for order in self.orders:
-            node.book.on_order(order, time.monotonic())
+            node.book.on_order(order, boot_time_s())
 
     async def _feed(self):
         while True:
@@ -173,7 +173,7 @@
         order = RolloutOrder(service, target, duration_s, self.model.commit)
         self.orders.append(order)
         for node in self.nodes:
-            node.book.on_order(order, time.monotonic())
+            node.book.on_order(order, boot_time_s())
 
     def kill(self, node):
         node.task.cancel()
@@ -204,9 +204,9 @@
         return row.value if row else ""
 
     async def until(self, condition, bound_s=60.0):
-        give_up_s = time.monotonic() + bound_s
+        give_up_s = boot_time_s() + bound_s
         while not condition():
-            assert time.monotonic() < give_up_s, "it does not come"
+            assert boot_time_s() < give_up_s, "it does not come"
             await asyncio.sleep(0.05)
 
     async def until_phase(self, phase, service="svc"):
--- a/tests/unit/rollout/test_driver.py
+++ b/tests/unit/rollout/test_driver.py
@@ -1,12 +1,12 @@
 """The driver over a table with faults: what is decided is written once, whatever becomes of nodes and store."""
 
 import asyncio
-import time
 
 import pytest
 
 from tests.faulty_table import DELAYED, LOST_AFTER, LOST_BEFORE
 from tests.unit.rollout.fleet import LEASE_KEY, RECORD_PREFIX, SHARE, STATUS_PREFIX, SWITCHED_S, play
+from wallwell.clock import boot_time_s
 from wallwell.deployment.backends import BackendRecord
 from wallwell.emulator.platform_server import ConditionFailed
 from wallwell.errors import TableConflictError
@@ -51,9 +51,9 @@
 def test_the_status_says_running_soon_after_the_order():
     async def scenario(fleet):
         fleet.order()
-        ordered_s = time.monotonic()
+        ordered_s = boot_time_s()
         await fleet.until(lambda: fleet.status() == "running v2")
-        return time.monotonic() - ordered_s
+        return boot_time_s() - ordered_s
 
     assert play(scenario) < 1.5
 
@@ -101,12 +101,12 @@
         heard = set()
         for _ in range(15):
             await asyncio.sleep(0.1)
-            heard |= {node.book.active["svc"].is_heard(time.monotonic()) for node in fleet.nodes}
+            heard |= {node.book.active["svc"].is_heard(boot_time_s()) for node in fleet.nodes}
         fleet.kill(fleet.holder)
         for node in fleet.nodes:
             node.driver.drain()  # Nobody takes over.
         await asyncio.sleep(2.5)
-        return heard, {node.book.active["svc"].is_heard(time.monotonic()) for node in fleet.nodes}
+        return heard, {node.book.active["svc"].is_heard(boot_time_s()) for node in fleet.nodes}
 
     assert play(scenario) == ({True}, {False})
 
@@ -118,9 +118,9 @@
         await fleet.until_phase(phase)
         dead = fleet.holder
         fleet.kill(dead)
-        killed_s = time.monotonic()
+        killed_s = boot_time_s()
         await fleet.until(lambda: fleet.holder is not None)
-        took_s = time.monotonic() - killed_s
+        took_s = boot_time_s() - killed_s
         await fleet.until_phase(Phase.COMPLETE)
         return took_s, fleet.status(), dead.state.node in writers(fleet)
 
@@ -306,7 +306,7 @@
         first_gets = {
             each.record.software
             for node in fleet.nodes
-            for each in node.book.active["svc"].taking(node.state.backends.of_service("svc"), time.monotonic())
+            for each in node.book.active["svc"].taking(node.state.backends.of_service("svc"), boot_time_s())
         }
         await fleet.until(lambda: fleet.record().target_version == "v3")
         status = fleet.status()
@@ -346,7 +346,7 @@
     async def scenario(fleet):
         fleet.order("v1", duration_s=10.0)
         await fleet.until_phase(Phase.COMPLETE)
-        return fleet.status(), len(fleet.nodes[0].book.active["svc"].taking(backends(fleet), time.monotonic()))
+        return fleet.status(), len(fleet.nodes[0].book.active["svc"].taking(backends(fleet), boot_time_s()))
 
     assert play(scenario, versions=("v1",), make_planner=real_planner) == ("complete v1", 4)
 
@@ -359,7 +359,7 @@
     async def scenario(fleet):
         fleet.order("v2", duration_s=10.0)
         await fleet.until_phase(Phase.ROLLED_BACK)
-        return fleet.status(), len(fleet.nodes[0].book.active["svc"].taking(backends(fleet), time.monotonic()))
+        return fleet.status(), len(fleet.nodes[0].book.active["svc"].taking(backends(fleet), boot_time_s()))
 
     assert play(scenario, versions=("v1",), make_planner=real_planner) == ("rolled_back v2", 4)
 
@@ -387,9 +387,9 @@
         during = fleet.record().phase, {node.book.effective("svc").phase for node in fleet.nodes}
         for node in fleet.nodes:
             node.down(False)
-        back_s = time.monotonic()
+        back_s = boot_time_s()
         await fleet.until_phase(Phase.COMPLETE)
-        return during, time.monotonic() - back_s < 5.0, fleet.status()
+        return during, boot_time_s() - back_s < 5.0, fleet.status()
 
     assert play(scenario) == ((Phase.SWITCHING, {Phase.SWITCHING}), True, "complete v2")
 
@@ -416,10 +416,10 @@
                 node.book.tally.by_service["svc"].on_sent(is_target=False)
         fleet.kill(fleet.holder)
         await fleet.until(lambda: fleet.holder is not None)
-        taken_s = time.monotonic()
+        taken_s = boot_time_s()
         planner = fleet.holder.planner
         await fleet.until(lambda: planner.asked)
-        return time.monotonic() - taken_s, planner.asked[0][1]
+        return boot_time_s() - taken_s, planner.asked[0][1]
 
     waited_s, requests = play(scenario)
     assert waited_s >= 2 * REPORT_INTERVAL_S
@@ -438,9 +438,9 @@
         for node in fleet.nodes:
             node.down(False)
         await fleet.until(lambda: fleet.holder is not None)
-        taken_s = time.monotonic()
+        taken_s = boot_time_s()
         await fleet.until_phase(Phase.COMPLETE)
-        return time.monotonic() - taken_s
+        return boot_time_s() - taken_s
 
     assert play(scenario) >= COMPLETE_AFTER_S - 0.1
 
@@ -470,7 +470,7 @@
     async def scenario(fleet):
         fleet.order("v2")
         older = RolloutOrder("svc", "v0", 20.0, 0)
-        assert not any(node.book.on_order(older, time.monotonic()) for node in fleet.nodes)
+        assert not any(node.book.on_order(older, boot_time_s()) for node in fleet.nodes)
         await fleet.until_phase(Phase.COMPLETE)
         return fleet.status()
 
--- a/tests/unit/rollout/test_rollout_network.py
+++ b/tests/unit/rollout/test_rollout_network.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import random
-import time
 
 import pytest
 
 from tests.unit.rollout.fleet import play
+from wallwell.clock import boot_time_s
 from wallwell.rollout.model import Phase, RolloutBounds
 from wallwell.rollout.planner import RolloutPlanner
 
@@ -27,7 +27,7 @@
         self.fleet = fleet
         self.failed_part = failed_part
         self.rng = random.Random(5)
-        self.started_s = time.monotonic()
+        self.started_s = boot_time_s()
         self.bad_from_s = self.started_s + bad_from_s
         self.requests = 0
         self.target_sent_s: list[float] = []
@@ -42,7 +42,7 @@
                     self._request(node)
 
     def _request(self, node):
-        now_s = time.monotonic()
+        now_s = boot_time_s()
         self.requests += 1
         is_target = node.book.active["svc"].draws_target(node.state.rng, now_s)
         tally = node.book.tally.by_service.get("svc")
@@ -72,10 +72,10 @@
         await asyncio.sleep(0.01)
         traffic = Traffic(fleet, failed_part, bad_from_s)
         if on_bad is not None:
-            await fleet.until(lambda: time.monotonic() >= traffic.bad_from_s)
+            await fleet.until(lambda: boot_time_s() >= traffic.bad_from_s)
             on_bad(fleet)
         await fleet.until(lambda: fleet.record() is not None and fleet.record().phase.is_final)
-        took_s = time.monotonic() - traffic.started_s
+        took_s = boot_time_s() - traffic.started_s
         await asyncio.sleep(1.0)
         traffic.task.cancel()
         return fleet.record(), traffic, took_s
--- a/tests/unit/rollout/test_tally_and_reports.py
+++ b/tests/unit/rollout/test_tally_and_reports.py
@@ -1,10 +1,9 @@
 """What nodes count of a rollout, and what the one that decides makes of it."""
 
-import time
-
 import msgspec
 
 from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
 from wallwell.cluster.peer_link import PeerServer
 from wallwell.cluster.upstream import Member
 from wallwell.rollout.model import Phase, RolloutRecord, delay_bucket
@@ -200,8 +199,8 @@
 def test_nothing_is_kept_or_sent_while_no_rollout_is_on():
     async def work():
         sender, fleet = reporter("n2", "n1", {"n1": Member("z", "127.0.0.1:1")}, counting=False)
-        started_s = time.monotonic()
+        started_s = boot_time_s()
         await sender.step()
-        return fleet.total(RECORD).target_requests, time.monotonic() - started_s
+        return fleet.total(RECORD).target_requests, boot_time_s() - started_s
 
     assert run_virtual(work()) == (0, 0.0)
--- a/tests/unit/test_late_loop.py
+++ b/tests/unit/test_late_loop.py
@@ -1,11 +1,11 @@
 """A bound in time on a loop that stands still: what came before the bound counts, what did not come does not."""
 
 import asyncio
-import time
 
 import pytest
 
 from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
 from wallwell.late_loop import GRACE_TURNS, is_done_within
 
 
@@ -22,9 +22,9 @@
 def test_what_is_under_way_at_the_bound_is_waited_for_by_turns_and_not_by_time(seconds, turns, done):
     async def work():
         task = asyncio.create_task(done_after(seconds, turns))
-        started_s = time.monotonic()
+        started_s = boot_time_s()
         seen = await is_done_within(task, 1.0)
-        return seen, time.monotonic() - started_s, task.cancelled()
+        return seen, boot_time_s() - started_s, task.cancelled()
 
     seen, took_s, cancelled = run_virtual(work())
     assert (seen, cancelled) == (done, False)
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -1,4 +1,7 @@
-"""An event loop in virtual time: waiting costs nothing, and every run sees the same times."""
+"""An event loop in virtual time: waiting costs nothing, and every run sees the same times.
+
+The steady clock and the boot clock both are virtual; they differ by the time in which the machine was suspended.
+"""
 
 from __future__ import annotations
 
@@ -18,6 +21,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.now_s = 1000.0
+        self.suspended_s = 0.0
 
     def select(self, timeout: float | None = None) -> list[Any]:
         ready = super().select(0)
@@ -29,10 +33,19 @@
         return ready
 
 
+def suspend_machine(seconds: float) -> None:
+    """Let time pass outside: no timer of the loop comes nearer, and the steady clock stands still."""
+    selector = asyncio.get_running_loop()._selector  # type: ignore[attr-defined]
+    selector.suspended_s += seconds
+
+
 def run_virtual(work: Coroutine[Any, Any, T]) -> T:
-    """Run a coroutine in virtual time; ``time.monotonic`` is the virtual clock meanwhile."""
+    """Run a coroutine in virtual time; the steady clock and the boot clock are virtual meanwhile."""
     selector = _JumpingSelector()
-    with mock.patch("time.monotonic", lambda: selector.now_s):
+    with (
+        mock.patch("time.monotonic", lambda: selector.now_s),
+        mock.patch("time.clock_gettime", lambda clock: selector.now_s + selector.suspended_s),
+    ):
         loop = asyncio.SelectorEventLoop(selector)
         # Timers due within the clock's resolution count as due, so that rounding cannot hold the clock.
         loop._clock_resolution = 1e-6  # type: ignore[attr-defined]
