Crash looks allow for what is read late, and only success clears a suspect

Cause: a busy node may read what a back end sent before its end after the first refusal, which counted as a sign of life, and the crash was missed; a 504 that a back end gives at a deadline cleared a request that may crash it yet. Change: looks go on (five at most) until two refusals have nothing between them; a successor at the address proves a crash; only a success clears. Tests of each; the three-node test still sees three crashes.

--- a/src/wallwell/gateway/crash_watch.py
+++ b/src/wallwell/gateway/crash_watch.py
@@ -2,8 +2,9 @@
 
 A run that broke off is no proof of a crash: connections are reset on the way, by a back end with too many of them,
 and at the end of a planned stop. A back end counts as crashed when its address refuses connections, still does so a
-moment later, and nothing has come from it meanwhile. One row for each request and crash goes to the store, without
-a condition: writing it twice changes nothing, every node counts the rows, and a node that starts reads them.
+moment later, and nothing has come from it in between, or when another incarnation has taken its address. One row for
+each request and crash goes to the store, without a condition: writing it twice changes nothing, every node counts
+the rows, and a node that starts reads them.
 """
 
 from __future__ import annotations
@@ -28,6 +29,9 @@
 SECOND_LOOK_S = 0.3
 """Time from there to the second look. A back end that only has too many connections has sent something by then: its
 other streams pause for less than half a second in the users' sheets, and some of many are always about to send."""
+MAX_LOOKS = 5
+"""Looks at one back end. On a busy node, what it had sent before its end can be read after the first refusal; then
+one more look is needed."""
 MAX_WRITES = 100
 """Entries of one transaction (the store's bound)."""
 RETRY_S = 0.4
@@ -73,18 +77,18 @@
             broken.add(content)
             return
         self._broken[backend.incarnation] = {content}
-        task = asyncio.create_task(self._look(backend, boot_time_s()))
+        task = asyncio.create_task(self._look(backend))
         self._looking.add(task)
         task.add_done_callback(self._looking.discard)
 
     def on_answered(self, content: str) -> None:
-        """A request was answered: whatever crashed beside it, it was not the cause."""
+        """A request was answered with success: whatever crashed beside it, it was not the cause."""
         crashes = self._state.quarantine.on_answered(content, boot_time_s())
         self._write({_key(content, incarnation): False for incarnation in crashes})
 
-    async def _look(self, backend: Backend, broken_s: float) -> None:
+    async def _look(self, backend: Backend) -> None:
         try:
-            has_crashed = await self._has_crashed(backend, broken_s)
+            has_crashed = await self._has_crashed(backend)
         finally:
             contents = self._broken.pop(backend.incarnation)
         if has_crashed:
@@ -92,12 +96,18 @@
             for content in contents:
                 self._count(content, backend.incarnation)
 
-    async def _has_crashed(self, backend: Backend, broken_s: float) -> bool:
-        for pause_s in (FIRST_LOOK_S, SECOND_LOOK_S):
-            await asyncio.sleep(pause_s)
-            if not await self._check.is_refused(backend.record) or backend.silence.heard_s > broken_s:
+    async def _has_crashed(self, backend: Backend) -> bool:
+        refused_s = None
+        for look in range(MAX_LOOKS):
+            await asyncio.sleep(SECOND_LOOK_S if look else FIRST_LOOK_S)
+            if backend.superseded:
+                return True
+            if not await self._check.is_refused(backend.record):
                 return False
-        return True
+            if refused_s is not None and backend.silence.heard_s <= refused_s:
+                return True
+            refused_s = boot_time_s()
+        return False
 
     def _count(self, content: str, incarnation: str) -> None:
         if self._learn(content, incarnation, boot_time_s()):
--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -157,8 +157,6 @@
     def _log_end(self, exchange: Exchange, backend: Backend) -> None:
         request, timing = exchange.request, exchange.timing
         now_s = boot_time_s()
-        if self._crashes is not None:
-            self._crashes.on_answered(exchange.content)
         self._choice.learn_time(exchange, now_s)
         first_s = timing.first_s or now_s
         gap_s = timing.max_gap_s if timing.first_s is not None else None
@@ -319,7 +317,7 @@
     async def _pass_on(self, exchange: Exchange, backend: Backend, answer: BackendAnswer) -> bool:
         if exchange.route.kind is RouteKind.STREAM and answer.head.ok and answer.head.is_event_stream:
             await self._pass_stream(exchange, backend, answer)
-            backend.on_success(boot_time_s())
+            self._on_whole_answer(exchange, backend, answer)
             return True
         if exchange.reply.started:
             raise AttemptError(TransportEvent.ERROR_ANSWER, "a run that was to continue the stream failed")
@@ -328,10 +326,15 @@
             exchange.history.runs += 1
             exchange.log.record(TransportEvent.ERROR_ANSWER)
             return False
-        backend.on_success(boot_time_s())
+        self._on_whole_answer(exchange, backend, answer)
         await exchange.reply.answer(answer.head, body)
         return True
 
+    def _on_whole_answer(self, exchange: Exchange, backend: Backend, answer: BackendAnswer) -> None:
+        backend.on_success(boot_time_s())
+        if self._crashes is not None and answer.head.ok:
+            self._crashes.on_answered(exchange.content)
+
     def _worth_repeating(self, exchange: Exchange) -> bool:
         """Whether a failed answer leads to another attempt, which it then pays for."""
         if not exchange.route.repeatable or exchange.history.runs + 1 >= exchange.route.max_attempts:
--- a/src/wallwell/routing/quarantine.py
+++ b/src/wallwell/routing/quarantine.py
@@ -1,9 +1,9 @@
 """Which requests crash the back ends that run them, so that they get no back end any more. Pure.
 
 A request is known by what it holds, since it comes again under other ids at other nodes. Each crash makes suspects
-of all requests that the back end was running; what is answered anywhere, well or with an error, is cleared. One
-that is left with crashes of ``CRASHES_TO_QUARANTINE`` back ends is quarantined: the others under a crash go on to
-other back ends, and only one that crashes those as well stays a suspect.
+of all requests that the back end was running; what is answered with success anywhere is cleared. One that is left
+with crashes of ``CRASHES_TO_QUARANTINE`` back ends is quarantined: the others under a crash go on to other back
+ends, and only one that crashes those as well stays a suspect.
 """
 
 from __future__ import annotations
@@ -98,7 +98,7 @@
         return True
 
     def on_answered(self, content: str, now_s: float) -> tuple[str, ...]:
-        """A request was answered; returns the crashes that no longer count against it."""
+        """A request was answered with success; returns the crashes that no longer count against it."""
         self._cleared.pop(content, None)
         self._cleared[content] = now_s
         self._bound_cleared(now_s)
--- a/tests/unit/gateway/test_crash_watch.py
+++ b/tests/unit/gateway/test_crash_watch.py
@@ -10,7 +10,7 @@
 from tests.virtual_time import run_virtual
 from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import RouteKind
-from wallwell.gateway.crash_watch import CRASH_PREFIX, FIRST_LOOK_S, SECOND_LOOK_S, SWEEP_S, CrashWatch
+from wallwell.gateway.crash_watch import CRASH_PREFIX, FIRST_LOOK_S, MAX_LOOKS, SECOND_LOOK_S, SWEEP_S, CrashWatch
 from wallwell.gateway.pipeline import RequestPipeline
 from wallwell.outcomes import Outcome
 from wallwell.routing.outcome import TransportEvent as T
@@ -68,6 +68,19 @@
     node.backend().silence.on_heard(boot_time_s())
 
 
+def goes_on_sending(node):
+    async def send():
+        while True:
+            sign_of_life(node)
+            await asyncio.sleep(0.1)
+
+    node.sending = asyncio.create_task(send())
+
+
+def superseded(node):
+    node.backend().superseded = True
+
+
 def leaving(node):
     node.state.backends.lapse("i-0", 0.0)
 
@@ -82,11 +95,24 @@
         ([REFUSED], nothing, nothing, True),
         ([REFUSED, ANSWERS], nothing, nothing, False),
         ([ANSWERS], nothing, nothing, False),
-        ([REFUSED], nothing, sign_of_life, False),
+        ([REFUSED], nothing, goes_on_sending, False),
+        ([REFUSED], nothing, sign_of_life, True),
+        ([ANSWERS], nothing, superseded, False),
+        ([REFUSED, ANSWERS], nothing, superseded, True),
         ([REFUSED], leaving, nothing, False),
         ([REFUSED], sign_of_life, nothing, True),
     ],
-    ids=["refused", "back at once", "answers", "sends on", "planned end", "heard before"],
+    ids=[
+        "refused",
+        "back at once",
+        "answers",
+        "sends on",
+        "read late",
+        "successor answered the first look",
+        "successor listed before the second look",
+        "planned end",
+        "heard before",
+    ],
 )
 def test_what_counts_as_a_crash(answers, before, meanwhile, is_crash):
     async def work():
@@ -96,7 +122,7 @@
         node.watch.on_broken_run("c", node.backend())
         await asyncio.sleep(FIRST_LOOK_S + 0.01)
         meanwhile(node)
-        await asyncio.sleep(LOOKED_S)
+        await asyncio.sleep(MAX_LOOKS * LOOKED_S)
         return node.rows, node.state.quarantine.is_suspect("c")
 
     assert run_virtual(work()) == ({"c/i-0"} if is_crash else set(), is_crash)
@@ -282,6 +308,17 @@
     assert (reply.status, sends, rows) == (200, 2, set())
 
 
+def test_a_failed_answer_clears_nothing():
+    """A back end may give a request up at its deadline, and end because of it all the same."""
+    reply, _, rows = serve(UNSAFE, [Script(status=504, chunks=(b"late",))], one_crash, settle_s=3.0)
+    assert (reply.status, len(rows)) == (504, 1)
+
+
+def one_crash(node):
+    node.hear(CONTENT, "gone-0")
+    node.table.model.rows[f"{CRASH_PREFIX}{CONTENT}/gone-0"] = None
+
+
 def test_other_requests_are_served_beside_a_quarantine():
     reply, sends, _ = serve(SAFE, [OK], lambda node: node.hear_quarantine("other"))
     assert (reply.status, sends) == (200, 1)
