--- a/src/wallwell/cli/soak.py
+++ b/src/wallwell/cli/soak.py
@@ -32,6 +32,7 @@
     parser.add_argument("--instances", type=int, default=DEFAULT_INSTANCES, help="workers that answer calls")
     parser.add_argument("--regions", type=int, default=1, help="2: two regions behind a slow and narrow link")
     parser.add_argument("--rate", type=float, default=DEFAULT_RATE_PER_S, help="requests a second")
+    parser.add_argument("--crashing", type=int, default=0, help="callers whose request crashes what runs it")
     parser.add_argument("--rollout", default="", help="roll out a version of this kind: good, failing, slow, ...")
     parser.add_argument("--keep", type=Path, help="folder for schedule, logs and histories, kept in any case")
     parser.add_argument("--regressions", type=Path, help="play the runs of this file instead")
@@ -58,6 +59,7 @@
         instances=options.instances,
         regions=options.regions,
         requests_per_s=options.rate,
+        crashing=options.crashing,
         rollout=options.rollout,
     )
     schedule = draw_schedule(options.seed, shape)
@@ -98,9 +100,10 @@
     regions = f" --regions {shape.regions}" if shape.regions > 1 else ""
     rate = f" --rate {shape.requests_per_s:g}" if shape.requests_per_s != DEFAULT_RATE_PER_S else ""
     rollout = f" --rollout {shape.rollout}" if shape.rollout else ""
+    crashing = f" --crashing {shape.crashing}" if shape.crashing else ""
     return (
         f"wallwell soak --seed {schedule.seed} --seconds {shape.seconds:g} --nodes {shape.nodes} "
-        f"--engines {shape.engines} --instances {shape.instances}{regions}{rate}{rollout}"
+        f"--engines {shape.engines} --instances {shape.instances}{regions}{rate}{crashing}{rollout}"
     )
 
 
--- a/src/wallwell/soak/answers.py
+++ b/src/wallwell/soak/answers.py
@@ -5,6 +5,11 @@
 import re
 
 CALL_LINES = 20
+CALM_BODY = b"x" * 64
+CRASHING_BODY = b"c" * 64
+"""Body of a request under which each worker that begins to run it crashes."""
+CRASH_STATUS = 70
+"""Exit status of such a worker, so that the run tells it from any other end."""
 _EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\d+)\Z")
 
 
--- a/src/wallwell/soak/caller_process.py
+++ b/src/wallwell/soak/caller_process.py
@@ -11,7 +11,7 @@
 import yarl
 
 from wallwell.platform import names
-from wallwell.soak.answers import call_body, events_of
+from wallwell.soak.answers import CALM_BODY, CRASHING_BODY, call_body, events_of
 from wallwell.soak.control import Announcement, announce
 from wallwell.soak.history import Answered, HistoryWriter, Left, RequestKind, Sent
 from wallwell.soak.schedule import PlannedRequest
@@ -59,14 +59,16 @@
         node = self._settings.nodes[planned.node]
         node_name = f"node-{planned.node}"
         path = PATHS[planned.kind]
+        sent_s, events, content = time.monotonic(), planned.events, planned.content
         self._history.add(
-            Sent(time.monotonic(), planned.request, planned.kind, path, planned.key, node_name, planned.events)
+            Sent(sent_s, planned.request, planned.kind, path, planned.key, node_name, events, content)
         )
         collected = Collected(planned)
         patience_s = planned.leaves_after_s or planned.deadline_s + GIVE_UP_SLACK_S
         try:
             async with asyncio.timeout(patience_s):
-                await self._exchange(planned, f"http://{node}{path}{planned.request}", collected)
+                url = f"http://{node}{path}{planned.content or planned.request}"
+                await self._exchange(planned, url, collected)
         except TimeoutError:
             self._history.add(Left(time.monotonic(), planned.request))
         except (aiohttp.ClientError, OSError):
@@ -77,7 +79,8 @@
         target = yarl.URL(url, encoded=True)
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
         headers = _headers(planned)
-        async with self._session.post(target, data=b"x" * 64, headers=headers, timeout=timeout) as response:
+        body = CRASHING_BODY if planned.content else CALM_BODY
+        async with self._session.post(target, data=body, headers=headers, timeout=timeout) as response:
             collected.status = response.status
             collected.seal = response.headers.get(names.SEAL, "")
             collected.identity = response.headers.get(names.REQUEST_ID, "")
--- a/src/wallwell/soak/drawing.py
+++ b/src/wallwell/soak/drawing.py
@@ -4,6 +4,8 @@
 
 import random
 
+import msgspec
+
 from wallwell.errors import SoakError
 from wallwell.soak.history import RequestKind
 from wallwell.soak.schedule import (
@@ -50,6 +52,9 @@
 STREAM_EVENTS = (3, 120)
 PROMPT_TOKENS = (50, 1500)
 SHARED_PARTS = 6
+CRASHING_FROM_S = (1.0, 3.0)
+CRASHING_PERIOD_S = (0.2, 1.0)
+"""Time between two sendings of a request that crashes workers; one is drawn for each of its callers."""
 
 
 def draw_schedule(seed: int, shape: Shape) -> Schedule:
@@ -60,6 +65,9 @@
         raise SoakError(f"no version {shape.rollout} to roll out; there are {', '.join(ROLLOUTS)}")
     faults = _draw_faults(random.Random(f"{seed}/faults"), shape)
     requests = _draw_requests(random.Random(f"{seed}/requests"), seed, shape)
+    for number in range(shape.crashing):
+        requests += _draw_crashing(random.Random(f"{seed}/crashing/{number}"), f"{seed}-crashing-{number}", shape)
+    requests.sort(key=lambda request: request.at_s)
     operations = _draw_operations(random.Random(f"{seed}/operations"), shape)
     return Schedule(seed, shape, tuple(faults), tuple(requests), tuple(operations))
 
@@ -115,6 +123,21 @@
     return requests
 
 
+def _draw_crashing(generator: random.Random, content: str, shape: Shape) -> list[PlannedRequest]:
+    """Return the sendings of one request by one caller, at any node."""
+    first = _draw_request(generator, content, generator.uniform(*CRASHING_FROM_S), shape)
+    first = msgspec.structs.replace(first, key="key-a", leaves_after_s=0.0, content=content)
+    period_s = generator.uniform(*CRASHING_PERIOD_S)
+    sendings: list[PlannedRequest] = []
+    at_s = first.at_s
+    while at_s < shape.seconds:
+        request = f"{content}-{len(sendings)}"
+        node = generator.randrange(shape.nodes)
+        sendings.append(msgspec.structs.replace(first, at_s=round(at_s, 3), request=request, node=node))
+        at_s += generator.expovariate(1 / period_s)
+    return sendings
+
+
 def _draw_request(generator: random.Random, request: str, at_s: float, shape: Shape) -> PlannedRequest:
     kind = generator.choices(list(KIND_WEIGHTS), list(KIND_WEIGHTS.values()))[0]
     leaves_after_s = generator.uniform(*LEAVE_AFTER_S) if generator.random() < LEAVE_SHARE else 0.0
--- a/src/wallwell/soak/faults.py
+++ b/src/wallwell/soak/faults.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from wallwell.errors import PeerUnavailableError, SoakError
+from wallwell.soak.answers import CRASH_STATUS
 from wallwell.soak.control import AimLink, ForgetHistory, HarmLink, SwitchStore
 from wallwell.soak.fleet import REGION_BYTES_PER_S, REGION_DELAY_S, Fleet, sound_link, store_host
 from wallwell.soak.history import FaultBegan, FaultEnded
@@ -17,6 +18,10 @@
 
 Action = Callable[[PlannedFault], Awaitable[None]]
 LOST_ANSWERS = 5
+AWAY_S = 1.0
+"""How long a worker that a request has crashed is away."""
+LOOK_S = 0.05
+"""Time between two looks for a worker's next incarnation."""
 SLOW_STORE_S = 0.6
 SLOW_LINK_S = 0.1
 NARROW_LINK_BYTES_PER_S = 20_000.0
@@ -112,6 +117,23 @@
             await asyncio.sleep(fault.lasts_s)
             await self._fleet.start_worker(fault.target)
 
+    async def keep_workers(self) -> None:
+        """Start workers again that a request has crashed, until cancelled."""
+        async with asyncio.TaskGroup() as keepers:
+            for name in self._fleet.schedule.shape.worker_names():
+                keepers.create_task(self._keep_worker(name))
+
+    async def _keep_worker(self, name: str) -> None:
+        while True:
+            worker = self._fleet.worker(name)
+            status = await worker.wait()
+            async with self._turns[name]:
+                if status == CRASH_STATUS and self._fleet.worker(name) is worker:
+                    await self._fleet.tell_proxy(AimLink(name, ""))
+                    await asyncio.sleep(AWAY_S)
+                    await self._fleet.start_worker(name)
+            await asyncio.sleep(LOOK_S)
+
     async def _drain_worker(self, fault: PlannedFault) -> None:
         async with self._turns[fault.target]:
             worker = self._fleet.worker(fault.target)
--- a/src/wallwell/soak/history.py
+++ b/src/wallwell/soak/history.py
@@ -48,6 +48,8 @@
     key: str
     node: str
     events: int = 0
+    content: str = ""
+    """What a request that is sent several times holds each time."""
 
 
 class Answered(Record, frozen=True):
--- a/src/wallwell/soak/promises.py
+++ b/src/wallwell/soak/promises.py
@@ -36,6 +36,7 @@
     "only_asked": promises_requests.only_asked,
     "refused_not_run": promises_requests.refused_not_run,
     "stream_order": promises_requests.stream_order,
+    "crashes_few": promises_requests.crashes_few,
     "recovers": promises_requests.recovers,
     "nodes_stay": promises_requests.nodes_stay,
     "drained_gets_nothing": promises_fleet.drained_gets_nothing,
--- a/src/wallwell/soak/promises_requests.py
+++ b/src/wallwell/soak/promises_requests.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from wallwell.soak.history import FaultBegan, FaultEnded, NodeExited
+from wallwell.soak.history import Began, FaultBegan, FaultEnded, NodeExited
 from wallwell.soak.schedule import RECOVERY_S, FaultKind
-from wallwell.soak.timeline import History
+from wallwell.soak.timeline import CONTACT_S, History
 from wallwell.soak.verdicts import HELD, Cases
 
 PROMISES_THAT_IT_DID_NOT_RUN = frozenset((408, 421, 429, 503))
 LEAST_SERVED_SHARE = 0.25
+CRASHES_TO_KNOW = 3
+LATER_CRASHES = 3
+"""Workers that a request may crash later than the time of contact after the third."""
 LEAST_REQUESTS = 8
 """Requests below which a share served says nothing."""
 
@@ -82,6 +85,24 @@
     return f"{events[max(0, first - 2) : first + 2]} at place {first + 1}"
 
 
+def crashes_few(history: History) -> Cases:
+    """A request that has crashed three workers soon gets no more of them, whatever its ids and nodes."""
+    by_content: dict[str, list[Began]] = {}
+    for began in history.begins:
+        sent = history.sent.get(began.request)
+        if sent is not None and sent.content:
+            by_content.setdefault(sent.content, []).append(began)
+    for content, runs in by_content.items():
+        if len(runs) < CRASHES_TO_KNOW:
+            continue
+        known_s = runs[CRASHES_TO_KNOW - 1].at_s
+        later = [run for run in runs if run.at_s > known_s + CONTACT_S and history.calm(run.at_s, run.at_s)]
+        if len(later) <= LATER_CRASHES:
+            yield HELD
+        else:
+            yield later[0].at_s, content, f"crashed {len(runs)} workers, {len(later)} of them late"
+
+
 def recovers(history: History) -> Cases:
     """After all nodes were killed and started again, requests are served again within a bound."""
     ends = [each for each in history.records if isinstance(each, FaultEnded)]
--- a/src/wallwell/soak/run.py
+++ b/src/wallwell/soak/run.py
@@ -66,9 +66,12 @@
     await fleet.supervisor.start_own("callers", "callers", settings)
     try:
         async with asyncio.timeout(LEAD_S + schedule.shape.seconds + TAIL_S):
-            faults = FaultRunner(fleet).run(schedule.faults, start_s)
+            runner = FaultRunner(fleet)
+            keeping = asyncio.create_task(runner.keep_workers())
+            faults = runner.run(schedule.faults, start_s)
             await asyncio.gather(faults, Operator(fleet).run(schedule.operations, start_s))
             status = await fleet.supervisor.child("callers").wait()
+            keeping.cancel()
     except TimeoutError as error:
         raise SoakError("the callers did not end in time") from error
     if status != 0:
--- a/src/wallwell/soak/schedule.py
+++ b/src/wallwell/soak/schedule.py
@@ -91,6 +91,8 @@
     prompt_parts: str = ""
     prompt_tokens: int = 0
     leaves_after_s: float = 0.0
+    content: str = ""
+    """What a request that is sent several times holds each time; empty for one that is sent once."""
 
 
 class PlannedFault(msgspec.Struct, frozen=True):
@@ -133,6 +135,8 @@
     regions: int = 1
     """Nodes and workers stand in regions by turns; the store stands in the first."""
     requests_per_s: float = 40.0
+    crashing: int = 0
+    """Callers that send, again and again, a request under which each worker that begins to run it crashes."""
     rollout: str = ""
     """Name of :data:`ROLLOUTS`, empty for none."""
 
--- a/src/wallwell/soak/worker_process.py
+++ b/src/wallwell/soak/worker_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import signal
 import time
@@ -16,7 +17,7 @@
 from wallwell.emulator.platform_worker import ACCEPTED, PlatformWorkerEmulator
 from wallwell.errors import PeerUnavailableError
 from wallwell.platform import names
-from wallwell.soak.answers import call_body, event_text
+from wallwell.soak.answers import CRASH_STATUS, CRASHING_BODY, call_body, event_text
 from wallwell.soak.control import Announcement, Done, Farewell, Heartbeat, announce
 from wallwell.soak.history import Arrived, Began, Ended, HistoryWriter, OrderTaken
 from wallwell.soak.versions import Badness
@@ -28,6 +29,8 @@
 LATE = 504
 BUSY = 409
 FENCED = 412
+CRASH_AFTER_S = 0.05
+"""How long a worker runs a request that crashes it: other requests are under way beside it."""
 QUEUE_PLACES = 4
 """Requests that a worker takes beyond its slots before it says that it is full."""
 
@@ -118,7 +121,7 @@
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Refuse, or run and record it."""
-        await request.read()
+        body = await request.read()
         identity = request.headers.get(names.REQUEST_ID, "")
         refusal = self._refusal(request)
         if refusal:
@@ -132,6 +135,8 @@
         generator = random.Random(f"{self._settings.seed}/{self.incarnation}/{identity}")
         fails = is_struck and generator.random() < badness.failure_share
         self._history.add(self._began(request, identity, factor))
+        if body == CRASHING_BODY:
+            asyncio.get_running_loop().call_later(CRASH_AFTER_S, os._exit, CRASH_STATUS)
         status = 0
         try:
             response = await self._run(request, identity, factor, fails)
--- a/tests/unit/soak/test_promises.py
+++ b/tests/unit/soak/test_promises.py
@@ -45,6 +45,16 @@
     return records
 
 
+def crashing(begins_s):
+    """The same request comes again under other ids and crashes a worker each time."""
+    records = []
+    for number, at_s in enumerate(begins_s):
+        request = f"r{number}"
+        records += [sent(request, at_s=at_s, content="c"), began(request, f"w.{number}", at_s=at_s + 0.01)]
+        records.append(answered(request, 504, "", at_s + 0.05))
+    return records
+
+
 def leaving(reached_after_s, state="draining"):
     """A worker leaves and a request reaches it so much later."""
     at_s = 10.0 + reached_after_s
@@ -164,6 +174,12 @@
     "a planned stop": [NodeExited(1.0, "n", 0, "SIGTERM")],
     "a kill": [NodeExited(1.0, "n", -9, "SIGKILL")],
     "a recovery": recovery(served=4, of=10),
+    "a request that crashes workers, and few of them late": crashing([1.0, 1.5, 2.0, 2.5, 3.9, 5.0, 6.0, 7.0]),
+    "one that crashes many while nodes cannot know": [
+        *crashing([1.0, 1.5, 2.0, 5.0, 5.5, 6.0, 6.5, 7.0]),
+        FaultBegan(4.9, "store_down", "store"),
+        FaultEnded(6.0, "store_down", "store"),
+    ],
 }
 BROKEN = {
     "a worker that left is reached": ("drained_gets_nothing", leaving(DRAIN_BOUND_S + 0.1)),
@@ -225,6 +241,7 @@
     "a double": ("stream_order", [STREAM, began(), answered(events=(1, 2, 2, 3))]),
     "a late start": ("stream_order", [STREAM, began(), answered(events=(2, 3))]),
     "an early end that looks complete": ("stream_order", [STREAM, began(), answered(events=(1, 2))]),
+    "a request that goes on to crash workers": ("crashes_few", crashing([1.0, 1.5, 2.0, 4.1, 5.0, 6.0, 7.0])),
     "no recovery": ("recovers", recovery(served=2, of=10)),
     "a node that ends by itself": ("nodes_stay", [NodeExited(1.0, "n", 0, "")]),
     "a planned stop that fails": ("nodes_stay", [NodeExited(1.0, "n", 1, "SIGTERM")]),
