Routers of the own deployment tell each other of requests that crash back ends

Cause: each router remembered by itself, so a fleet of N lost three back ends for each of them to one request. Change: a notice to each member of the region, again at growing intervals, and to one of each other region. 5, 70 and 60 nodes (three regions), clean and with a tenth of the datagrams lost, in virtual time: all hear within 30 s; a router refuses at once what another one has seen (contract test, three routers).

--- a/src/wallwell/cluster/messages.py
+++ b/src/wallwell/cluster/messages.py
@@ -182,6 +182,17 @@
     amount: float
 
 
+class CrashNotice(msgspec.Struct, frozen=True, array_like=True, tag="c"):
+    """A life of a back end ended under a request; with an empty ``life``, the request has been answered.
+
+    ``content`` is the digest of what the request holds. ``to_region``: the receiver tells its own region.
+    """
+
+    content: str
+    life: str
+    to_region: bool = False
+
+
 ClusterMessage = (
     Sync
     | SyncReply
@@ -196,6 +207,7 @@
     | BlockReport
     | TokenRequest
     | TokenGrant
+    | CrashNotice
 )
 
 
--- a/src/wallwell/cluster/node.py
+++ b/src/wallwell/cluster/node.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from wallwell.cluster import messages as msg
+from wallwell.cluster.crash_notices import CrashNotices
 from wallwell.cluster.limits import SharedLimits, TenantLimit
 from wallwell.cluster.members import Member, MemberChange, MembershipTimings
 from wallwell.cluster.membership import Membership
@@ -59,6 +60,7 @@
         self.regions = RegionDelegate(identity.node, identity.region, rng)
         self.shard = DirectoryShard(rng)
         self.limits = SharedLimits(rng)
+        self.crash_notices = CrashNotices()
         self.readers: dict[str, EngineReader] = {}
         self.leaving_by_machine_list: set[str] = set()
         self.leaving_by_own_word: set[str] = set()
@@ -93,8 +95,19 @@
             actions.extend(self._flush_reports(now_s))
         if self.limits.has_demand:
             actions.extend(self.limits.tick(now_s, self._peer_addresses(alive)))
+        for notice in self.crash_notices.due(now_s):
+            actions.extend(self._tell_all(notice, alive))
         return actions
 
+    def _tell_all(self, notice: msg.CrashNotice, alive: Sequence[str]) -> Iterator[Action]:
+        """Yield a notice for each member of the region and for one of each other region."""
+        for address in self._peer_addresses(alive):
+            yield Send(address, notice)
+        far = msg.CrashNotice(notice.content, notice.life, to_region=True)
+        for region, summary in self.regions.summaries.items():
+            if region != self.identity.region and summary.contacts:
+                yield Send(self.rng.choice(summary.contacts), far)
+
     def own_waiting_ms(self) -> tuple[tuple[int, int], ...]:
         """Waiting time of the engines this node reads, in the order of its record; set by the owner."""
         return self._waiting_ms
@@ -196,6 +209,8 @@
                 return self.limits.on_request(message, sender, limit, now_s) if limit else []
             case msg.TokenGrant():
                 self.limits.on_grant(message)
+            case msg.CrashNotice():
+                self.crash_notices.hear(message, now_s)
         return []
 
     def _join_through(self, message: msg.RegionNews) -> list[Action]:
--- a/src/wallwell/gateway/context.py
+++ b/src/wallwell/gateway/context.py
@@ -42,8 +42,8 @@
     claims: ClaimTable
     committer: ConfigCommitter
     metrics: NodeMetrics
+    crashes: CrashMemory
     retry_budget: RetryBudget = field(default_factory=RetryBudget)
-    crashes: CrashMemory = field(default_factory=CrashMemory)
     refuted_news: dict[str, EngineNews] = field(default_factory=dict)
     service_in_flight: dict[str, int] = field(default_factory=dict)
     service_paused_until_s: dict[str, float] = field(default_factory=dict)
--- a/src/wallwell/gateway/crash_memory.py
+++ b/src/wallwell/gateway/crash_memory.py
@@ -1,7 +1,7 @@
 """What one router of the own deployment remembers of requests under which back ends crashed.
 
-A crash is a run whose connection broke at an address that then refuses connections. Routers do not tell each other:
-each of them can lose ``CRASHES_TO_QUARANTINE`` back ends to one request before it refuses it.
+A crash is a run whose connection broke at an address that then refuses connections. Routers tell each other by
+:mod:`wallwell.cluster.crash_notices`.
 """
 
 from __future__ import annotations
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from wallwell.clock import boot_time_s, bounded
+from wallwell.cluster.crash_notices import CrashNotices
 from wallwell.errors import RequestQuarantinedError
 from wallwell.events import Event, emit
 from wallwell.routing.outcome import TransportEvent
@@ -39,10 +40,15 @@
 class CrashMemory:
     """Crashes by what requests hold, and the lives of back ends as this router has seen them end."""
 
+    node: str
+    notices: CrashNotices
     quarantine: Quarantine = field(default_factory=Quarantine)
     _lives: dict[str, tuple[int, float]] = field(default_factory=dict)
     """By back end, how many crashes of it were seen, and when the last one was."""
 
+    def __post_init__(self) -> None:
+        self.notices.listener = self._on_notice
+
     def refuse_if_quarantined(self, content: str) -> None:
         """Raise :class:`RequestQuarantinedError` for a request that crashes back ends."""
         left_s = self.quarantine.left_s(content, boot_time_s())
@@ -59,19 +65,39 @@
         for expired in list(self.quarantine.expired(now_s)):
             self.quarantine.forget(*expired)
         life = self._ended_life(backend, now_s)
-        if self.quarantine.on_crash(content, f"{backend}/{life}", now_s):
+        if self._count(content, life, now_s):
             emit(Event.BACKEND_CRASHED, backend=backend, runs=1)
-        if self.quarantine.left_s(content, now_s):
-            emit(Event.REQUEST_QUARANTINED, content=content, last_crashed=backend)
+            self.notices.tell(content, life, now_s)
 
     def on_answered(self, content: str) -> None:
         """A request was answered with success."""
-        self.quarantine.on_answered(content, boot_time_s())
+        now_s = boot_time_s()
+        if self.quarantine.on_answered(content, now_s):
+            self.notices.tell(content, "", now_s)
+
+    def _on_notice(self, content: str, life: str) -> None:
+        """Another router saw a back end end under a request, or the request answered."""
+        now_s = boot_time_s()
+        if life:
+            self._count(content, life, now_s)
+        else:
+            self.quarantine.on_answered(content, now_s)
+
+    def _count(self, content: str, life: str, now_s: float) -> bool:
+        """Count a crash; returns whether it was news."""
+        was_free = not self.quarantine.left_s(content, now_s)
+        is_news = self.quarantine.on_crash(content, life, now_s)
+        if was_free and self.quarantine.left_s(content, now_s):
+            emit(Event.REQUEST_QUARANTINED, content=content, last_crashed=life)
+        return is_news
+
+    def _ended_life(self, backend: str, now_s: float) -> str:
+        """Return a name for the life of a back end that has just ended, as this router has counted its lives.
 
-    def _ended_life(self, backend: str, now_s: float) -> int:
-        """Return the number of the life of a back end that has just ended."""
+        Two routers that see the same end name it differently, so that a request under way at both counts it twice.
+        """
         number, ended_s = self._lives.get(backend, (0, float("-inf")))
         if now_s - ended_s > SAME_CRASH_S:
             number += 1
         self._lives[backend] = (number, now_s)
-        return number
+        return f"{backend}/{self.node}/{number}"
--- a/src/wallwell/gateway/router_node.py
+++ b/src/wallwell/gateway/router_node.py
@@ -27,6 +27,7 @@
 from wallwell.events import Event, emit
 from wallwell.gateway.callers_app import CallersApp
 from wallwell.gateway.context import NodeContext
+from wallwell.gateway.crash_memory import CrashMemory
 from wallwell.gateway.metrics import NodeMetrics
 from wallwell.gateway.operators_app import OperatorsApp
 from wallwell.placement.controller import PlacementController
@@ -124,6 +125,7 @@
             claims=ClaimTable(table),
             committer=ConfigCommitter(table, node.config, self.transport.adopt),
             metrics=NodeMetrics(),
+            crashes=CrashMemory(settings.node, node.crash_notices),
         )
 
     async def _listen(self, app: web.Application, listener: Listener, max_header_bytes: int) -> str:
--- a/tests/contract/test_crashing_request.py
+++ b/tests/contract/test_crashing_request.py
@@ -47,6 +47,19 @@
     assert calm == 200
 
 
+def test_a_router_knows_what_another_one_has_seen(harness):
+    async def scenario():
+        first = (await harness.generate(CRASHING * 20))[0]
+        await asyncio.sleep(PAUSE_S)
+        before = crashes(harness.fleet.engines)
+        others = [(await harness.generate(CRASHING * 20, router=number))[0] for number in (1, 2)]
+        return first, before, others
+
+    first, before, others = harness.run(scenario())
+    assert (first, before, others) == (502, CRASHES_TO_QUARANTINE, [503, 503])
+    assert crashes(harness.fleet.engines) == CRASHES_TO_QUARANTINE
+
+
 @pytest.mark.parametrize(("method", "pause_s"), [("GET", PAUSE_S), ("POST", AWAY_S + PAUSE_S)])
 def test_a_call_ends_few_instances_however_often_it_comes(harness, method, pause_s):
     """One that may be repeated is also sent on by the router itself."""
--- /dev/null
+++ b/tests/unit/cluster/test_crash_notices.py
@@ -0,0 +1,95 @@
+"""Notices of crashes: who is told, how often, and what losses, late starts and other regions do to them."""
+
+import random
+
+import pytest
+
+from tests.unit.cluster.test_network import LOSSY, all_know_their_region, make_network
+from wallwell.bench.virtual_network import LinkFaults
+from wallwell.cluster.crash_notices import LONGEST_PAUSE_S, MAX_TOLD, TOLD_FOR_S, CrashNotices
+from wallwell.cluster.messages import CrashNotice
+from wallwell.cluster.node import ClusterNode
+
+
+def listening(network):
+    """Return what each node has heard."""
+    heard = {}
+    for node in network.nodes():
+        heard[node.identity.node] = known = set()
+        node.crash_notices.listener = lambda content, life, known=known: known.add((content, life))
+    return heard
+
+
+@pytest.mark.parametrize("faults", [LinkFaults(), LOSSY], ids=["clean", "lossy"])
+@pytest.mark.parametrize(("nodes", "regions"), [(5, 1), (70, 1), (60, 3)])
+def test_every_node_of_every_region_hears_of_a_crash_soon(nodes, regions, faults):
+    network = make_network(nodes, regions, faults=faults)
+    assert network.run_until(lambda: all_know_their_region(network), limit_s=30) is not None
+    network.run_until(lambda: False, limit_s=10)
+    heard = listening(network)
+    teller = network.nodes()[3]
+    teller.crash_notices.tell("c", "e/1", network.now_s)
+    others = [known for name, known in heard.items() if name != teller.identity.node]
+    took_s = network.run_until(lambda: all(others), limit_s=30)
+    assert took_s is not None
+    assert all(known == {("c", "e/1")} for known in others)
+
+
+def test_a_node_that_starts_later_hears_of_it_too():
+    network = make_network(5)
+    network.run_until(lambda: all_know_their_region(network), limit_s=30)
+    first, late = network.nodes()[0], network.nodes()[4]
+    network.kill(late.identity.address)
+    first.crash_notices.tell("c", "e/1", network.now_s)
+    network.run_until(lambda: False, limit_s=20)
+    again = type(late.identity)(
+        *(getattr(late.identity, name) for name in ("node", "zone", "region", "address")), 2**50
+    )
+    network.add(ClusterNode(again, random.Random(9), late.membership.seeds))
+    heard = listening(network)
+    assert network.run_until(lambda: heard[again.node], limit_s=2 * LONGEST_PAUSE_S) is not None
+
+
+def times_told(notices, until_s):
+    return [now_s for now_s in range(int(until_s)) if notices.due(float(now_s))]
+
+
+def test_a_notice_is_told_at_growing_intervals_and_then_no_more():
+    notices = CrashNotices()
+    notices.tell("c", "e/1", 0.0)
+    told = times_told(notices, 3 * TOLD_FOR_S)
+    assert told[:5] == [0, 1, 3, 7, 15]
+    assert len(told) == 10
+    assert told[-1] <= TOLD_FOR_S
+
+
+def test_the_same_crash_told_twice_is_one_notice():
+    notices = CrashNotices()
+    for now_s in (0.0, 0.5):
+        notices.tell("c", "e/1", now_s)
+        notices.due(now_s)
+    assert notices.due(0.9) == []
+
+
+def test_an_answer_takes_the_place_of_the_crashes():
+    notices = CrashNotices()
+    notices.tell("c", "e/1", 0.0)
+    notices.tell("d", "e/1", 0.0)
+    notices.tell("c", "", 0.0)
+    assert {(each.content, each.life) for each in notices.due(0.0)} == {("c", ""), ("d", "e/1")}
+
+
+def test_only_what_comes_from_another_region_is_told_on():
+    notices = CrashNotices()
+    notices.hear(CrashNotice("near", "e/1"), 0.0)
+    notices.hear(CrashNotice("far", "e/1", to_region=True), 0.0)
+    assert [each.content for each in notices.due(0.0)] == ["far"]
+    notices.hear(CrashNotice("far", "e/1", to_region=True), 0.5)
+    assert notices.due(0.5) == []
+
+
+def test_notices_told_again_are_bounded():
+    notices = CrashNotices()
+    for number in range(MAX_TOLD + 3):
+        notices.tell(f"c-{number}", "e/1", 0.0)
+    assert len(notices.due(0.0)) == MAX_TOLD
