A crash is found where a connection is still taken after the runs are reset, and where a successor is back at once

Cause: the first look, 20 ms after the runs broke, found the address listening, and that was final; a process that ends, or a proxy before it, may take a connection a little longer. Change: two looks in a row must find it listening; a successor that is listed within 3 s proves the crash as well; a connection that rests tells without another one. The test of refusals waits for the reset to be read, which a resting connection now answers for.

--- a/src/wallwell/backends/http_connection.py
+++ b/src/wallwell/backends/http_connection.py
@@ -231,6 +231,11 @@
         connection.idle_since_s = boot_time_s()
         self._keep(address, connection)
 
+    def has_resting(self, address: str) -> bool:
+        """Whether a connection to an address rests here that has not ended."""
+        now_s = boot_time_s()
+        return any(connection.is_reusable(now_s) for connection in self._idle.get(address, ()))
+
     async def _connect(self, address: str, timeout_s: float | None = None) -> BackendConnection:
         timeout_s = self._connect_timeout_s if timeout_s is None else timeout_s
         loop = asyncio.get_running_loop()
--- a/src/wallwell/gateway/crash_watch.py
+++ b/src/wallwell/gateway/crash_watch.py
@@ -32,6 +32,12 @@
 MAX_LOOKS = 5
 """Looks at one back end. On a busy node, what it had sent before its end can be read after the first refusal; then
 one more look is needed."""
+LOOKS_TO_LIVE = 2
+"""Looks in a row that find it listening, after which it counts as alive. A process that ends, or a proxy before it,
+may still take a connection after those of its runs are reset."""
+SUCCESSOR_S = 3.0
+"""How long a back end that listens may yet turn out to have been a successor: one that is back within 0.3 s is
+listed at its address within about a second."""
 MAX_WRITES = 100
 """Entries of one transaction (the store's bound)."""
 RETRY_S = 0.4
@@ -44,7 +50,7 @@
     """Tells whether a back end's process is gone."""
 
     async def is_refused(self, backend: BackendRecord) -> bool:
-        """Make a new connection; returns True only if the machine says that nothing listens there."""
+        """Make a connection unless one rests; returns True only if the machine says that nothing listens there."""
         ...
 
 
@@ -90,7 +96,11 @@
         try:
             has_crashed = await self._has_crashed(backend)
         finally:
+            # Runs that break from now on begin looks of their own.
             contents = self._broken.pop(backend.incarnation)
+        if not has_crashed:
+            await asyncio.sleep(SUCCESSOR_S)
+            has_crashed = backend.superseded and not backend.record.draining
         if has_crashed:
             emit(Event.BACKEND_CRASHED, backend=backend.incarnation, runs=len(contents))
             for content in contents:
@@ -98,15 +108,19 @@
 
     async def _has_crashed(self, backend: Backend) -> bool:
         refused_s = None
+        listening = 0
         for look in range(MAX_LOOKS):
             await asyncio.sleep(SECOND_LOOK_S if look else FIRST_LOOK_S)
             if backend.superseded:
                 return True
-            if not await self._check.is_refused(backend.record):
+            if await self._check.is_refused(backend.record):
+                if refused_s is not None and backend.silence.heard_s <= refused_s:
+                    return True
+                refused_s, listening = boot_time_s(), 0
+            else:
+                refused_s, listening = None, listening + 1
+            if listening >= LOOKS_TO_LIVE:
                 return False
-            if refused_s is not None and backend.silence.heard_s <= refused_s:
-                return True
-            refused_s = boot_time_s()
         return False
 
     def _count(self, content: str, incarnation: str) -> None:
--- a/src/wallwell/platform/workers.py
+++ b/src/wallwell/platform/workers.py
@@ -110,6 +110,8 @@
 
     async def is_refused(self, backend: BackendRecord) -> bool:
         """See :class:`wallwell.gateway.crash_watch.CrashCheck`; a connection that is made is kept."""
+        if self.pool.has_resting(backend.address):
+            return False  # The end of its process would have reset it.
         failure = await self._knock(backend)
         return failure is not None and failure.refused
 
--- a/tests/platform/test_reachability.py
+++ b/tests/platform/test_reachability.py
@@ -96,6 +96,8 @@
         accepts = await client.is_refused(record(address))
         server.close()
         await server.wait_closed()
+        while client.pool.has_resting(address):  # Until the reset has been read.
+            await asyncio.sleep(0.005)
         ended = await client.is_refused(record(address))
         client.pool.close()
         return accepts, ended
@@ -103,6 +105,24 @@
     assert run_async(work()) == (False, True)
 
 
+def test_a_connection_that_rests_tells_without_another_one(run_async, patient):
+    accepted = []
+
+    async def work():
+        server = await asyncio.start_server(lambda reader, writer: accepted.append(writer), "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        client = WorkerClient()
+        refused = [await client.is_refused(record(address)) for _ in range(3)]
+        client.pool.close()
+        for writer in accepted:
+            writer.close()
+        server.close()
+        return refused
+
+    assert run_async(work()) == [False] * 3
+    assert len(accepted) == 1
+
+
 @pytest.mark.parametrize("timed_out", [True, False])
 def test_silence_and_other_failures_are_no_refusal(run_async, monkeypatch, timed_out):
     client = WorkerClient()
