A quarantined request's log lines name its content; an outage of the store is logged once

Cause: 3009 of a refused request did not tell which content, so an operator could not find the crashes from its id, and 4005 came with each try. Change: the reason names the content, explain shows crashes before, 4005 once an outage.

--- a/src/wallwell/cli/explain.py
+++ b/src/wallwell/cli/explain.py
@@ -24,6 +24,8 @@
         Event.CONFIG_ADVANCED,
         Event.BACKEND_GONE,
         Event.BACKEND_SUSPENDED,
+        Event.BACKEND_CRASHED,
+        Event.REQUEST_QUARANTINED,
         Event.STORE_LOST,
         Event.STORE_REGAINED,
         Event.RELAY_LOST,
--- a/src/wallwell/gateway/crash_watch.py
+++ b/src/wallwell/gateway/crash_watch.py
@@ -71,6 +71,8 @@
         self._unwritten: dict[str, bool] = {}
         """Keys to write (True) or to delete (False)."""
         self._has_work = asyncio.Event()
+        self._is_refused = False
+        """Whether the store did not take the last write, so that an outage is logged once."""
 
     # --- what attempts show ----------------------------------------------------------------------------
 
@@ -176,8 +178,11 @@
         try:
             await self._table.transact(Transaction((), puts, deletes))
         except (PlatformUnavailableError, TableConflictError) as error:
-            emit(Event.CRASHES_NOT_WRITTEN, rows=len(batch), reason=str(error))
+            if not self._is_refused:
+                emit(Event.CRASHES_NOT_WRITTEN, rows=len(batch), reason=str(error))
+            self._is_refused = True
             return False
+        self._is_refused = False
         for key, is_put in batch.items():
             if self._unwritten.get(key) is is_put:
                 del self._unwritten[key]
--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -205,7 +205,7 @@
         left_s = quarantine.left_s(exchange.content, now_s) if quarantine.quarantined else 0.0
         if not left_s:
             return
-        detail = "back ends crashed under this request"
+        detail = f"back ends crashed under content {exchange.content}"
         if exchange.log.outcome is Outcome.NOT_RUN:
             raise RequestQuarantinedError(detail, retry_after_ms=round(left_s * 1000))
         raise self._exhausted(exchange, detail, ReturnCause.REFUSED)
--- a/tests/unit/cli/test_explain.py
+++ b/tests/unit/cli/test_explain.py
@@ -31,6 +31,8 @@
     line(14.0, "n2", 3001, "request ended", request_id="r5", backend="i-2", first_ms=30, max_gap_ms=70),
     line(15.0, "n2", 3009, "refused", request_id="r6", code="WW3011", outcome="unknown", reason="reset"),
     line(16.0, "n2", 3006, "caller gone", request_id="r7"),
+    line(17.0, "n2", 3010, "request gets no back end any more", content="c1", last_crashed="i-5"),
+    line(17.1, "n2", 3009, "refused", request_id="r8", code="WW3020", outcome="not_run", reason="content c1"),
 ]
 
 
@@ -44,6 +46,7 @@
         ("r5", "answered at the first attempt"),
         ("r6", "refused with WW3011 (it may have run): reset"),
         ("r7", "the caller went away"),
+        ("r8", "refused with WW3020 (it never ran): content c1"),
     ],
 )
 def test_likely_causes(tmp_path, capsys, request_id, cause):
@@ -84,3 +87,10 @@
 @pytest.mark.parametrize("text", ["", "{", "x {bad}", '{"event": "no number"}'])
 def test_other_lines_are_passed_over(text):
     assert parse_line(text) is None
+
+
+def test_the_story_of_a_quarantined_request_names_the_last_crash(tmp_path, capsys):
+    log = tmp_path / "all.log"
+    log.write_text("\n".join(LOGS))
+    main(["explain", "r8", str(log)])
+    assert "last_crashed=i-5" in capsys.readouterr().out
