While the store takes no writes, nodes tell each other which requests crash back ends

Cause: nodes learnt of crashes by rows alone, so each lost three back ends of its own to one request while the store was away. Change: with the loads, members tell their relay what is not written, relays tell each other and their members; nothing is told while the store takes writes. Three nodes, a store that refuses everything, ten sendings: three crashes; without the telling the same test fails.

--- a/src/wallwell/cluster/load_exchange.py
+++ b/src/wallwell/cluster/load_exchange.py
@@ -13,6 +13,7 @@
 from wallwell.clock import boot_time_s
 from wallwell.cluster.peer_link import PeerLinks, PeerMessage
 from wallwell.cluster.region_exchange import RegionExchange, RegionSum, RelayTotals
+from wallwell.cluster.told_crashes import Crash, ToldCrashes
 from wallwell.cluster.upstream import UpstreamOrder
 from wallwell.errors import PeerUnavailableError
 from wallwell.routing.fleet_load import FleetLoad
@@ -33,19 +34,21 @@
 """Time within which a peer of the region answers, 1 ms away: what its processor or a thin link may take."""
 
 
-class MemberLoad(PeerMessage, frozen=True):
+class MemberLoad(PeerMessage, frozen=True, omit_defaults=True):
     """A member's own load, and what it spent of tenants' limits since its last report."""
 
     node: str
     load: Load
     spent: dict[str, int] = {}
+    crashes: tuple[Crash, ...] = ()
 
 
-class OthersLoad(msgspec.Struct, frozen=True):
+class OthersLoad(msgspec.Struct, frozen=True, omit_defaults=True):
     """Answer to :class:`MemberLoad`: the load of all other nodes, and what is left of limits that are not full."""
 
     load: Load
     levels: dict[str, int] = {}
+    crashes: tuple[Crash, ...] = ()
 
 
 class ZoneLoad(PeerMessage, frozen=True, omit_defaults=True):
@@ -60,15 +63,22 @@
     life: int = 0
     spent_totals: dict[str, int] = {}
     regions: tuple[RegionSum, ...] = ()
+    crashes: tuple[Crash, ...] = ()
 
 
 class LoadExchange:
     """One node's part: reports upwards as a member, or exchanges sums with its like if members report to it."""
 
     def __init__(
-        self, node: str, load: FleetLoad, order: UpstreamOrder, traffic: RegionTraffic | None = None
+        self,
+        node: str,
+        load: FleetLoad,
+        order: UpstreamOrder,
+        traffic: RegionTraffic | None = None,
+        crashes: ToldCrashes | None = None,
     ) -> None:
         self._node = node
+        self._crashes = crashes or ToldCrashes(tuple, lambda crash: None)
         self._load = load
         self._order = order
         self._members = LoadReports()
@@ -111,7 +121,7 @@
     async def _report_to(self, name: str, address: str) -> None:
         self._links.keep({name})
         limits = self._load.limits
-        message = MemberLoad(self._node, self._own_load(), limits.begin_report())
+        message = MemberLoad(self._node, self._own_load(), limits.begin_report(), self._crashes.for_relay())
         taken = False
         try:
             reply = await self._links.to(name, address).ask(message, OthersLoad, ANSWER_TIMEOUT_S)
@@ -122,6 +132,7 @@
             limits.end_report(taken)
         self._learn(reply.load)
         limits.learn_levels(reply.levels, boot_time_s())
+        self._crashes.hear_relay(reply.crashes, boot_time_s())
 
     async def _exchange_with(self, relays: list[tuple[str, str]]) -> None:
         self._links.keep({name for name, _ in relays})
@@ -152,11 +163,13 @@
 
     def _zone_message(self, regions: tuple[RegionSum, ...] = ()) -> ZoneLoad:
         limits = self._load.limits
-        return ZoneLoad(self._node, self._zone_load(), limits.life, limits.spent_totals(), regions)
+        crashes = self._crashes.for_relays(boot_time_s())
+        return ZoneLoad(self._node, self._zone_load(), limits.life, limits.spent_totals(), regions, crashes)
 
     def _take_zone(self, message: ZoneLoad) -> None:
         now_s = boot_time_s()
         self._zones.take(message.node, message.load, now_s)
+        self._crashes.hear_relay(message.crashes, now_s)
         self._load.limits.take_relay(message.node, message.life, message.spent_totals, now_s)
         if message.node not in self._totals:
             # Nodes are replaced under new names, and each told all tenants that spend.
@@ -200,11 +213,12 @@
         """Take a member's report and return what all others have under way."""
         now_s = boot_time_s()
         self._members.take(message.node, message.load, now_s)
+        self._crashes.hear_member(message.crashes, now_s)
         limits = self._load.limits
         limits.take_member(message.spent, now_s)
         others = self._members.recent(now_s, without=message.node)
         load = sum_loads((*others, *self._of_other_zones(now_s), self._own_load()))
-        return OthersLoad(load, limits.levels(now_s))
+        return OthersLoad(load, limits.levels(now_s), self._crashes.for_members(now_s))
 
     async def on_zone(self, message: ZoneLoad) -> ZoneLoad:
         """Take another relay's sum and return this one's; a relay that asks is there, whatever was seen of it."""
--- /dev/null
+++ b/src/wallwell/cluster/told_crashes.py
@@ -0,0 +1,65 @@
+"""Crashes that the store does not have yet, told between nodes with their loads. Pure.
+
+Nodes learn of crashes by the store's rows. While the store takes no writes, what each node has seen goes up to its
+relay and down again, as loads do: relays tell each other what their members told, and their members everything. So
+a request that crashes back ends is known to a region within some exchanges (0.05 s each) all the same. Nothing is
+told while the store takes writes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+
+Crash = tuple[str, str]
+"""A request's content and the incarnation that ended under it."""
+HEARD_S = 2.0
+"""How long what was heard is told on: many exchanges, some of which fail. Who saw a crash tells it until it is
+written."""
+MAX_TOLD = 32
+"""Crashes in one message, some 2 KB; the newest first, since those of a request that goes on matter most."""
+
+
+class ToldCrashes:
+    """One node's part. Times are on its clock."""
+
+    def __init__(self, own: Callable[[], Sequence[Crash]], listener: Callable[[Crash], None]) -> None:
+        """``own`` gives what this node has seen and not written, newest first; ``listener`` gets what is heard."""
+        self._own = own
+        self._listener = listener
+        self._from_members: dict[Crash, float] = {}
+        self._from_relays: dict[Crash, float] = {}
+
+    def hear_member(self, crashes: Iterable[Crash], now_s: float) -> None:
+        """Take what a member told this relay."""
+        self._hear(self._from_members, crashes, now_s)
+
+    def hear_relay(self, crashes: Iterable[Crash], now_s: float) -> None:
+        """Take what a relay told, this node's own or another one."""
+        self._hear(self._from_relays, crashes, now_s)
+
+    def _hear(self, known: dict[Crash, float], crashes: Iterable[Crash], now_s: float) -> None:
+        for crash in crashes:
+            known[crash] = now_s
+            self._listener(crash)
+
+    def for_relay(self) -> tuple[Crash, ...]:
+        """Return what a member tells its relay."""
+        return tuple(self._own()[:MAX_TOLD])
+
+    def for_relays(self, now_s: float) -> tuple[Crash, ...]:
+        """Return what a relay tells the others: nothing that it has from one of them, so that it ends."""
+        return self._bounded((self._from_members,), now_s)
+
+    def for_members(self, now_s: float) -> tuple[Crash, ...]:
+        """Return what a relay tells its members."""
+        return self._bounded((self._from_members, self._from_relays), now_s)
+
+    def _bounded(self, sources: Iterable[dict[Crash, float]], now_s: float) -> tuple[Crash, ...]:
+        told = dict.fromkeys(self._own())
+        for known in sources:
+            for crash, heard_s in list(known.items()):
+                if now_s - heard_s > HEARD_S:
+                    del known[crash]
+                else:
+                    told[crash] = None
+        return tuple(told)[:MAX_TOLD]
--- a/src/wallwell/gateway/crash_watch.py
+++ b/src/wallwell/gateway/crash_watch.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
 from wallwell.clock import boot_time_s, bounded
@@ -144,7 +144,7 @@
         """Take a row of this product's own table."""
         if not row.key.startswith(CRASH_PREFIX):
             return
-        content, _, incarnation = row.key[len(CRASH_PREFIX) :].partition("/")
+        content, incarnation = _crash_of(row.key)
         if row.value is None:
             self._state.quarantine.forget(content, incarnation)
         elif self._state.quarantine.is_cleared(content, now_s):
@@ -152,6 +152,17 @@
         else:
             self._learn(content, incarnation, now_s)
 
+    def on_told(self, crash: tuple[str, str]) -> None:
+        """Take a crash that a peer has told, since the store does not have it yet; whoever saw it writes it."""
+        content, incarnation = crash
+        self._learn(content, incarnation, boot_time_s())
+
+    def unwritten(self) -> Sequence[tuple[str, str]]:
+        """Return the crashes that the store has not taken, newest first; nothing while it takes writes."""
+        if not self._is_refused:
+            return ()
+        return [_crash_of(key) for key, is_put in reversed(self._unwritten.items()) if is_put]
+
     # --- the store -------------------------------------------------------------------------------------
 
     def _write(self, changes: dict[str, bool]) -> None:
@@ -200,5 +211,10 @@
                 self._write({_key(content, incarnation): False})
 
 
+def _crash_of(key: str) -> tuple[str, str]:
+    content, _, incarnation = key[len(CRASH_PREFIX) :].partition("/")
+    return content, incarnation
+
+
 def _key(content: str, incarnation: str) -> str:
     return f"{CRASH_PREFIX}{content}/{incarnation}"
--- a/src/wallwell/gateway/fleet_node.py
+++ b/src/wallwell/gateway/fleet_node.py
@@ -14,6 +14,7 @@
 from wallwell.cluster.peer_link import PeerServer
 from wallwell.cluster.region_exchange import RegionLoad
 from wallwell.cluster.relay import RelayedRows, RowsRequest, answer_from
+from wallwell.cluster.told_crashes import ToldCrashes
 from wallwell.cluster.upstream import Member, UpstreamOrder
 from wallwell.deployment.freshness import StoreClock
 from wallwell.deployment.places import Places
@@ -103,7 +104,8 @@
             self._follower("backends", sources.backends, self._listing.apply, BACKENDS_WAIT_S, BACKENDS_PAUSE_S),
             self._follower("own", sources.own, self._members.apply, OWN_WAIT_S, OWN_PAUSE_S),
         )
-        self._exchange = LoadExchange(node, self.state.load, self._order, self.state.region_traffic)
+        told = ToldCrashes(self._crashes.unwritten, self._crashes.on_told)
+        self._exchange = LoadExchange(node, self.state.load, self._order, self.state.region_traffic, told)
         self._kept_caches = KeptCacheWatch(self.state, sources.cache_events, self._order)
         self._peers = PeerServer(
             {
--- a/tests/platform/test_crashing_request.py
+++ b/tests/platform/test_crashing_request.py
@@ -181,6 +181,19 @@
     assert (before, after, status, calm) == (CRASHES_TO_KNOW, CRASHES_TO_KNOW, 503, 200)
 
 
+def test_while_the_store_takes_nothing_nodes_tell_each_other(run_async):
+    async def scenario(fleet):
+        await fleet.until(lambda: len(fleet.node.state.members) == NODES)
+        await asyncio.sleep(SPREAD_S)
+        fleet.store.refuse_status = 503
+        for number in range(SENDINGS):
+            await fleet.send(fleet.ports[number % NODES], CRASHING, f"crash-{number}")
+            await asyncio.sleep(SPREAD_S)
+        return fleet.crashes
+
+    assert play(run_async, scenario, UNSAFE) == CRASHES_TO_KNOW
+
+
 def test_the_refusal_says_when_to_come_back_and_that_nothing_ran(run_async):
     async def scenario(fleet):
         for number in range(CRASHES_TO_KNOW):
--- a/tests/unit/cluster/test_load_exchange.py
+++ b/tests/unit/cluster/test_load_exchange.py
@@ -14,6 +14,7 @@
     ZoneLoad,
 )
 from wallwell.cluster.peer_link import PeerServer
+from wallwell.cluster.told_crashes import HEARD_S, MAX_TOLD, ToldCrashes
 from wallwell.cluster.upstream import Member, UpstreamOrder
 from wallwell.deployment.backends import BackendRecord
 from wallwell.deployment.routes import TenantLimit
@@ -33,7 +34,10 @@
         self.backends, self.demand = self.load.backends, self.load.demand
         for engine in ENGINES:
             self.backends.upsert(BackendRecord(engine, "s", f"{engine}:1", zone, 16))
-        self.exchange = LoadExchange(name, self.load, self.order)
+        self.unwritten = []
+        self.heard = set()
+        told = ToldCrashes(lambda: self.unwritten, self.heard.add)
+        self.exchange = LoadExchange(name, self.load, self.order, crashes=told)
         self.server = PeerServer({MemberLoad: self.exchange.on_member, ZoneLoad: self.exchange.on_zone})
 
     def put_load(self, engine, load):
@@ -220,3 +224,45 @@
         return len(exchange._totals)
 
     assert run_virtual(work()) == 1
+
+
+# --- crashes that the store does not have --------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("zones", ["aaaa", "abc", "aaabbc", "a" * 45 + "bb"])
+def test_everyone_hears_of_a_crash_that_is_not_written(with_nodes, zones):
+    async def scenario(nodes):
+        nodes[-1].unwritten = [("c", "e0")]
+        await exchange(nodes)
+        return [node.heard for node in nodes[:-1]]
+
+    assert all(heard == {("c", "e0")} for heard in with_nodes(zones, scenario))
+
+
+def test_a_crash_is_told_on_for_a_while_only_once_it_is_written():
+    heard = []
+    told = ToldCrashes(tuple, heard.append)
+    told.hear_member([("c", "e0")], 10.0)
+    told.hear_relay([("d", "e1")], 10.0)
+    assert told.for_relays(10.0) == (("c", "e0"),)
+    assert set(told.for_members(10.0 + HEARD_S)) == {("c", "e0"), ("d", "e1")}
+    assert told.for_members(10.1 + HEARD_S) == told.for_relays(10.1 + HEARD_S) == ()
+    assert heard == [("c", "e0"), ("d", "e1")]
+
+
+def test_relays_do_not_keep_a_crash_alive_between_them():
+    relays = [ToldCrashes(tuple, lambda crash: None) for _ in range(2)]
+    relays[0].hear_member([("c", "e0")], 0.0)
+    for step in range(100):
+        now_s = 0.1 * step
+        relays[1].hear_relay(relays[0].for_relays(now_s), now_s)
+        relays[0].hear_relay(relays[1].for_relays(now_s), now_s)
+    assert relays[0].for_members(10.0) == relays[1].for_members(10.0) == ()
+
+
+def test_crashes_in_a_message_are_bounded_and_own_ones_go_first():
+    own = [(f"c{number}", "e0") for number in range(MAX_TOLD - 1)]
+    told = ToldCrashes(lambda: own, lambda crash: None)
+    told.hear_member([("m1", "e0"), ("m2", "e0")], 0.0)
+    assert told.for_members(0.0) == (*own, ("m1", "e0"))
+    assert told.for_relay() == tuple(own)
--- a/tests/unit/gateway/test_crash_watch.py
+++ b/tests/unit/gateway/test_crash_watch.py
@@ -205,6 +205,37 @@
     assert run_virtual(work()) == (True, CRASHES_TO_QUARANTINE)
 
 
+def test_only_what_the_store_does_not_take_is_told_to_peers():
+    async def work():
+        node = Node()
+        node.watch.on_broken_run("c", node.backend(0))
+        await asyncio.sleep(LOOKED_S)
+        told = [list(node.watch.unwritten())]
+        node.table.down = True
+        for number in (1, 2):
+            node.watch.on_broken_run("c", node.backend(number))
+            await asyncio.sleep(LOOKED_S)
+        told.append(list(node.watch.unwritten()))
+        node.table.down = False
+        await asyncio.sleep(2.0)
+        told.append(list(node.watch.unwritten()))
+        return told
+
+    assert run_virtual(work()) == [[], [("c", "i-2"), ("c", "i-1")], []]
+
+
+def test_what_peers_tell_counts_as_if_it_had_been_read_and_is_not_written_again():
+    async def work():
+        node = Node()
+        for number in range(CRASHES_TO_QUARANTINE):
+            node.watch.on_told(("c", f"gone-{number}"))
+            node.watch.on_told(("c", f"gone-{number}"))
+        await asyncio.sleep(1.0)
+        return node.state.quarantine.left_s("c", boot_time_s()) > 0, node.rows
+
+    assert run_virtual(work()) == (True, set())
+
+
 def test_what_a_node_that_answered_the_request_hears_of_it_is_taken_back():
     async def work():
         node = Node()
