--- a/src/wallwell/soak/caller_process.py
+++ b/src/wallwell/soak/caller_process.py
@@ -61,7 +61,17 @@
         path = PATHS[planned.kind]
         sent_s, events, content = time.monotonic(), planned.events, planned.content
         self._history.add(
-            Sent(sent_s, planned.request, planned.kind, path, planned.key, node_name, events, content)
+            Sent(
+                sent_s,
+                planned.request,
+                planned.kind,
+                path,
+                planned.key,
+                node_name,
+                events,
+                content,
+                planned.deadline_s,
+            )
         )
         collected = Collected(planned)
         patience_s = planned.leaves_after_s or planned.deadline_s + GIVE_UP_SLACK_S
--- a/src/wallwell/soak/history.py
+++ b/src/wallwell/soak/history.py
@@ -50,6 +50,8 @@
     events: int = 0
     content: str = ""
     """What a request that is sent several times holds each time."""
+    deadline_s: float = 0.0
+    """How long its caller waits; 0 if it does not tell."""
 
 
 class Answered(Record, frozen=True):
--- a/src/wallwell/soak/promises_fleet.py
+++ b/src/wallwell/soak/promises_fleet.py
@@ -28,6 +28,8 @@
 BACK_SLACK_S = 0.25
 """Time after the first effect of a configuration in which an older one may still be seen at the same node."""
 GRACE_PART = 5 / 6
+DEADLINE_SLACK_S = 0.02
+"""How much before its deadline an answer may end because of it: clocks are read at both ends, and timers round."""
 LIMIT_WINDOW_S = 4.0
 LIMIT_OVERAGE = 0.1
 LIMIT_SLACK = 8.0
@@ -78,7 +80,8 @@
 def planned_stop_cuts_nothing(history: History) -> Cases:
     """What a node has passed on when it is told to stop, or passes on until it ends, gets its whole answer.
 
-    Left out is what a worker would still be at work on in the last sixth of the time that a planned stop is given.
+    Left out is what a worker would still be at work on in the last sixth of the time that a planned stop is given,
+    and what ends at its caller's deadline.
     """
     for stop, exited_s in history.planned_stops():
         for sent in history.sent.values():
@@ -92,6 +95,8 @@
                 continue
             if not history.calm(sent.at_s, answer.at_s, besides=stop):
                 continue
+            if sent.deadline_s and answer.at_s >= sent.at_s + sent.deadline_s - DEADLINE_SLACK_S:
+                continue
             if answer.whole:
                 yield HELD
             else:
