A bound that begins after a wake keeps its time

Seen while reading the diff: a request that comes in the quarter of a second before a suspension is noticed had its bound brought forward by all of it, so it would have ended at once. Cause: bounds were moved by how far the clocks had parted, whenever they had begun. Change: each bound keeps its end by the boot clock. The new test fails before and passes after.

--- a/src/wallwell/clock.py
+++ b/src/wallwell/clock.py
@@ -19,14 +19,12 @@
 NOTICED_S = 0.05
 """How far the clocks must part to count as a suspension; they are read one after the other, and a thread may lose
 the processor in between for some milliseconds."""
-
-_open_bounds: set[asyncio.Timeout] = set()
-"""Bounds of this process that have neither ended nor been left."""
-
-
 TICK_S = 0.25
 """Time between two looks for a suspension; what a bound may end too late after one."""
 
+_open_bounds: dict[asyncio.Timeout, float] = {}
+"""Bounds of this process that have neither ended nor been left, with their ends by the boot clock."""
+
 
 def boot_time_s() -> float:
     """Return the seconds since the machine started, those in which it was suspended among them."""
@@ -34,23 +32,23 @@
 
 
 @asynccontextmanager
-async def bounded(seconds: float | None) -> AsyncIterator[asyncio.Timeout]:
+async def bounded(seconds: float | None) -> AsyncIterator[None]:
     """Bound what is waited for as :func:`asyncio.timeout` does; time of a suspension counts."""
     async with asyncio.timeout(seconds) as bound:
-        _open_bounds.add(bound)
+        if seconds is not None:
+            _open_bounds[bound] = boot_time_s() + seconds
         try:
-            yield bound
+            yield
         finally:
-            _open_bounds.discard(bound)
+            _open_bounds.pop(bound, None)
 
 
-def _advance_bounds(seconds: float) -> None:
-    """Bring the ends of all open bounds forward."""
-    now_s = asyncio.get_running_loop().time()
-    for bound in list(_open_bounds):
-        end_s = bound.when()
-        if end_s is not None and not bound.expired():
-            bound.reschedule(max(now_s, end_s - seconds))
+def _bring_bounds_forward() -> None:
+    """Give every open bound the end that it has by the boot clock; one that began after the wake keeps its own."""
+    loop_s, boot_s = asyncio.get_running_loop().time(), boot_time_s()
+    for bound, end_s in list(_open_bounds.items()):
+        if not bound.expired():
+            bound.reschedule(loop_s + max(0.0, end_s - boot_s))
 
 
 class SuspensionWatch:
@@ -69,5 +67,5 @@
         self._apart_s = apart_s
         if suspended_s < NOTICED_S:
             return
-        _advance_bounds(suspended_s)
+        _bring_bounds_forward()
         emit(Event.MACHINE_WOKEN, suspended_ms=round(suspended_s * 1000))
--- a/src/wallwell/gateway/crash_watch.py
+++ b/src/wallwell/gateway/crash_watch.py
@@ -71,7 +71,7 @@
         self._unwritten: dict[str, bool] = {}
         """Keys to write (True) or to delete (False)."""
         self._has_work = asyncio.Event()
-        self._is_refused = False
+        self._has_failed = False
         """Whether the store did not take the last write, so that an outage is logged once."""
 
     # --- what attempts show ----------------------------------------------------------------------------
@@ -159,7 +159,7 @@
 
     def unwritten(self) -> Sequence[tuple[str, str]]:
         """Return the crashes that the store has not taken, newest first; nothing while it takes writes."""
-        if not self._is_refused:
+        if not self._has_failed:
             return ()
         return [_crash_of(key) for key, is_put in reversed(self._unwritten.items()) if is_put]
 
@@ -189,11 +189,11 @@
         try:
             await self._table.transact(Transaction((), puts, deletes))
         except (PlatformUnavailableError, TableConflictError) as error:
-            if not self._is_refused:
+            if not self._has_failed:
                 emit(Event.CRASHES_NOT_WRITTEN, rows=len(batch), reason=str(error))
-            self._is_refused = True
+            self._has_failed = True
             return False
-        self._is_refused = False
+        self._has_failed = False
         for key, is_put in batch.items():
             if self._unwritten.get(key) is is_put:
                 del self._unwritten[key]
--- a/tests/unit/test_suspended_machine.py
+++ b/tests/unit/test_suspended_machine.py
@@ -109,6 +109,21 @@
     assert run_virtual(take_s(work())) == pytest.approx(8.1, abs=TICK_S + 0.01)
 
 
+def test_a_bound_that_begins_after_the_wake_keeps_its_time():
+    """A request that comes in the moment before the suspension is noticed has been waiting for nothing."""
+
+    async def work():
+        watching = asyncio.create_task(watch())
+        await asyncio.sleep(TICK_S * 1.1)
+        suspend_machine(AWAY_S)
+        started_s = outside_s()
+        await wait_bounded(3.0)
+        watching.cancel()
+        return outside_s() - started_s
+
+    assert run_virtual(work()) == pytest.approx(3.0, abs=0.01)
+
+
 def test_clocks_that_part_by_little_move_no_bound():
     assert run_virtual(take_s(wait_bounded(8.0), away_s=0.03)) == pytest.approx(8.03, abs=0.01)
 
