A request to a dead address is no sign of its life

Cause: what was taken for the last thing heard of a back end is also set when a request is sent to it after it had none, since silence counts from there; with other requests refused by the dead address twenty times a second, no two looks had a pause between them, and the crash did not count. Change: what a back end itself sent has a time of its own.

--- a/src/wallwell/gateway/crash_watch.py
+++ b/src/wallwell/gateway/crash_watch.py
@@ -116,7 +116,7 @@
             if backend.superseded:
                 return True
             if await self._check.is_refused(backend.record):
-                if refused_s is not None and backend.silence.heard_s <= refused_s:
+                if refused_s is not None and backend.silence.sent_s <= refused_s:
                     return True
                 refused_s, listening = boot_time_s(), 0
             else:
--- a/src/wallwell/routing/silence.py
+++ b/src/wallwell/routing/silence.py
@@ -26,6 +26,8 @@
 
     heard_s: float = float("-inf")
     """When it last sent anything, or was last sent a request after it had nothing under way."""
+    sent_s: float = float("-inf")
+    """When it last sent anything: a sign of life, which requests to it are not."""
     _largest_s: float | None = None
     _updated_s: float = 0.0
     _asked_s: float = float("-inf")
@@ -41,7 +43,7 @@
         if usual_s is None or silent_s >= usual_s:
             self._largest_s = silent_s
             self._updated_s = now_s
-        self.heard_s = now_s
+        self.heard_s = self.sent_s = now_s
 
     def usual_s(self, now_s: float) -> float | None:
         """Return the largest usual silence, None if nothing has been heard yet."""
--- a/tests/unit/gateway/test_crash_watch.py
+++ b/tests/unit/gateway/test_crash_watch.py
@@ -86,6 +86,17 @@
     node.sending = asyncio.create_task(send())
 
 
+def gets_more_requests(node):
+    """Each is refused by the dead address; the first after others have ended begins the count of silence."""
+
+    async def send():
+        while True:
+            node.backend().silence.on_idle_ended(boot_time_s())
+            await asyncio.sleep(0.05)
+
+    node.sending = asyncio.create_task(send())
+
+
 def superseded(node):
     node.backend().superseded = True
 
@@ -118,6 +129,7 @@
         ([REFUSED, ANSWERS, REFUSED], nothing, nothing, True),
         ([REFUSED], nothing, goes_on_sending, False),
         ([REFUSED], nothing, sign_of_life, True),
+        ([REFUSED], nothing, gets_more_requests, True),
         ([ANSWERS], nothing, superseded, True),
         ([ANSWERS], nothing, succeeded_later, True),
         ([ANSWERS], nothing, replaced_as_planned, False),
@@ -133,6 +145,7 @@
         "a proxy takes connections between",
         "sends on",
         "read late",
+        "gets more requests",
         "successor answered the first look",
         "successor answered all looks",
         "replaced as planned meanwhile",
