Own deployment: that a request was answered is told for five seconds, not for five minutes

Seen while reading the diff: each telling clears the request at the others for half a minute, so crashes under one that has begun to cause them since would not have counted for five minutes. A test of when it is told.

--- a/src/wallwell/cluster/crash_notices.py
+++ b/src/wallwell/cluster/crash_notices.py
@@ -17,6 +17,9 @@
 """Pauses between two tellings double from the first to the longest."""
 TOLD_FOR_S = 300.0
 """How long a notice is told again: as long as a crash counts against a request that is not quarantined."""
+ANSWER_TOLD_FOR_S = 5.0
+"""The same for a notice that a request was answered. Each telling clears it for half a minute, so that crashes
+under it, if it has begun to cause them since, would not count for as long as it is told."""
 MAX_TOLD = 256
 """Notices told again at a time; the oldest give way."""
 
@@ -48,7 +51,8 @@
         """Return what is to be told now."""
         found = []
         for key, telling in list(self._tellings.items()):
-            if now_s - telling.begun_s > TOLD_FOR_S:
+            told_for_s = TOLD_FOR_S if key[1] else ANSWER_TOLD_FOR_S
+            if now_s - telling.begun_s > told_for_s:
                 del self._tellings[key]
             elif now_s >= telling.due_s:
                 found.append(CrashNotice(*key))
--- a/tests/unit/cluster/test_crash_notices.py
+++ b/tests/unit/cluster/test_crash_notices.py
@@ -63,6 +63,12 @@
     assert told[-1] <= TOLD_FOR_S
 
 
+def test_an_answer_is_told_for_a_short_time_only():
+    notices = CrashNotices()
+    notices.tell("c", "", 0.0)
+    assert times_told(notices, 3 * TOLD_FOR_S) == [0, 1, 3]
+
+
 def test_the_same_crash_told_twice_is_one_notice():
     notices = CrashNotices()
     for now_s in (0.0, 0.5):
