The errors of requests that are given up have a module of their own

No change of behaviour, texts included. Measured: the unit, platform and call tests that this touches pass (gateway, quarantine, placement, notices, tests/platform).

--- a/src/wallwell/gateway/pipeline.py
+++ b/src/wallwell/gateway/pipeline.py
@@ -13,14 +13,7 @@
 from wallwell.deployment.places import Distance
 from wallwell.deployment.routes import RouteKind
 from wallwell.errors import (
-    BackendFailedError,
-    DeadlineExceededError,
-    DeadlineUnreachableError,
-    NoBackendError,
-    OutcomeUnknownError,
     RequestError,
-    RequestQuarantinedError,
-    RetriesExhaustedError,
     StreamOrderError,
 )
 from wallwell.events import Event, emit
@@ -43,7 +36,7 @@
 from wallwell.gateway.head_wait import MIN_REMAINING_S, HeadWait
 from wallwell.gateway.liveness import Liveness
 from wallwell.gateway.region_answers import CountedAnswer
-from wallwell.gateway.return_times import ReturnTimes
+from wallwell.gateway.request_errors import RequestErrors
 from wallwell.gateway.side_choice import begin_attempt, end_attempt, offer
 from wallwell.outcomes import Outcome
 from wallwell.routing.outcome import REFUSED_BY_BACKEND, TransportEvent
@@ -84,7 +77,7 @@
         self._admission = Admission(state)
         self._wait = HeadWait(state, client)
         self._choice = BackendChoice(state)
-        self._returns = ReturnTimes(state)
+        self._errors = RequestErrors(state)
         self._caches = CachePlanner(state)
         self.counters = counters or FleetCounters()
 
@@ -152,7 +145,7 @@
                 # The attempt was under way: it may have reached its back end, whatever became of earlier ones.
                 exchange.log.record(TransportEvent.ANSWER_TIMEOUT)
                 exchange.history.runs += 1
-                raise self._deadline_error(exchange) from None
+                raise self._errors.out_of_time(exchange) from None
 
     def _log_end(self, exchange: Exchange, backend: Backend) -> None:
         request, timing = exchange.request, exchange.timing
@@ -183,33 +176,20 @@
             # On a node that is short of processor time a request can be read after its caller has left.
             raise CallerGoneError("closed before its request was sent on")
         if self._is_too_late(exchange):
-            raise self._deadline_error(exchange)
+            raise self._errors.out_of_time(exchange)
         now_s = boot_time_s()
-        self._refuse_if_quarantined(exchange, now_s)
+        # Before each attempt, since other nodes may have seen crashes under the request meanwhile.
+        refusal = self._errors.quarantined(exchange, now_s)
+        if refusal is not None:
+            raise refusal
         listed, usable = offer(self._state, exchange, now_s)
         fresh = [each for each in usable if each.incarnation not in exchange.history.tried]
         candidates = fresh or (usable if self._all_unrun(exchange) else [])
         if not candidates:
-            raise self._exhausted(
-                exchange, "no back end can take the request", self._cause_of_none(exchange, now_s)
-            )
+            raise self._errors.none_usable(exchange, now_s)
         self._choice.refuse_if_overloaded(exchange, now_s)
         return self._choice.choose(exchange, self._choice.apart_from_hung(exchange, candidates), listed)
 
-    def _refuse_if_quarantined(self, exchange: Exchange, now_s: float) -> None:
-        """Refuse what crashes the back ends that run it: each further try would end one more, with all its runs.
-
-        Looked at before each attempt, since other nodes may have seen the crashes. Raises :class:`RequestError`.
-        """
-        quarantine = self._state.quarantine
-        left_s = quarantine.left_s(exchange.content, now_s) if quarantine.quarantined else 0.0
-        if not left_s:
-            return
-        detail = f"back ends crashed under content {exchange.content}"
-        if exchange.log.outcome is Outcome.NOT_RUN:
-            raise RequestQuarantinedError(detail, retry_after_ms=round(left_s * 1000))
-        raise self._exhausted(exchange, detail, ReturnCause.REFUSED)
-
     def _is_too_late(self, exchange: Exchange) -> bool:
         """Whether too little time is left for an attempt; a run that goes on has less to do than a whole one."""
         generation = exchange.request.generation
@@ -219,12 +199,6 @@
             return exchange.remaining_s() < MIN_REMAINING_S
         return shortest.is_too_late(exchange.remaining_s(), MIN_REMAINING_S)
 
-    def _cause_of_none(self, exchange: Exchange, now_s: float) -> ReturnCause:
-        """Return why no back end may be asked: none is listed, or none has weights that are new enough."""
-        listed = self._state.backends.of_service(exchange.service)
-        is_any_there = any(not each.is_leaving(now_s) for each in listed)
-        return ReturnCause.WEIGHTS_TOO_OLD if is_any_there else ReturnCause.NONE_LISTED
-
     def _all_unrun(self, exchange: Exchange) -> bool:
         return exchange.log.outcome is Outcome.NOT_RUN
 
@@ -406,19 +380,19 @@
             content=exchange.content,
         )
         if not may_retry:
-            raise self._exhausted(exchange, failure.detail or event.value, ReturnCause.REFUSED)
+            raise self._errors.exhausted(exchange, failure.detail or event.value, ReturnCause.REFUSED)
         if history.runs >= exchange.route.max_attempts:
-            raise self._exhausted(exchange, "every allowed attempt was used", ReturnCause.REFUSED)
+            raise self._errors.exhausted(exchange, "every allowed attempt was used", ReturnCause.REFUSED)
         if exchange.log.attempts - history.arrivals >= MAX_UNREACHABLE:
-            raise self._exhausted(exchange, "no back end can be reached", ReturnCause.SUSPENDED)
+            raise self._errors.exhausted(exchange, "no back end can be reached", ReturnCause.SUSPENDED)
         if history.arrivals >= exchange.route.max_attempts + MAX_ARRIVALS_BEYOND_ATTEMPTS:
-            raise self._exhausted(exchange, "too many back ends refused", ReturnCause.REFUSED)
+            raise self._errors.exhausted(exchange, "too many back ends refused", ReturnCause.REFUSED)
         if event in UNREACHABLE:
             return
         if history.paid_repeats:
             history.paid_repeats -= 1
         elif not self._state.budget_of(exchange.service).try_retry(now_s, self._state.node_count):
-            raise self._exhausted(exchange, "the retry budget is used up", ReturnCause.BUDGET_USED)
+            raise self._errors.exhausted(exchange, "the retry budget is used up", ReturnCause.BUDGET_USED)
 
     def _learn(self, exchange: Exchange, backend: Backend, failure: AttemptError, now_s: float) -> None:
         event = failure.event
@@ -446,28 +420,3 @@
                 reason=event.value,
                 failures=backend.consecutive_failures,
             )
-
-    def _deadline_error(self, exchange: Exchange) -> RequestError:
-        """Return the error of a request whose time is over, or too short for any answer."""
-        text = "; ".join(exchange.history.details)
-        if exchange.log.outcome is Outcome.NOT_RUN and not exchange.history.runs:
-            wait_ms = self._returns.of_exchange(ReturnCause.OUT_OF_TIME, exchange)
-            if exchange.log.attempts:
-                return RetriesExhaustedError(text, retry_after_ms=wait_ms)
-            detail = f"{exchange.remaining_s() * 1000:.0f} ms left are too few for any answer"
-            return DeadlineUnreachableError(detail, retry_after_ms=wait_ms)
-        return DeadlineExceededError(text or "the time allowed ran out")
-
-    def _exhausted(self, exchange: Exchange, detail: str, cause: ReturnCause) -> RequestError:
-        """Return the error that states what is proved of all attempts together."""
-        text = "; ".join((detail, *exchange.history.details))
-        if exchange.log.outcome is Outcome.NOT_RUN:
-            wait_ms = self._returns.of_exchange(cause, exchange)
-            if exchange.log.attempts:
-                return RetriesExhaustedError(text, retry_after_ms=wait_ms)
-            return NoBackendError(text, retry_after_ms=wait_ms)
-        if exchange.remaining_s() <= 0:
-            return DeadlineExceededError(text)
-        if exchange.log.outcome is Outcome.FAILED:
-            return BackendFailedError(text)
-        return OutcomeUnknownError(text)
