One way to hold background tasks, to count a crash and to refuse in the own deployment

Cause, found by reading the whole change: eight classes held tasks by the same three lines, and the store's stand-in never let go of those that had ended; a node of a fleet and a router counted and logged a crash by the same code written twice; generations and calls caught an error only to raise it or another; both sides forgot expired crashes by a loop of their own. Change: BackgroundTasks, count_crash, CrashMemory.refusal, Quarantine.expire. The test of a refusal checks the returned error in place of a raised one.

--- /dev/null
+++ b/src/wallwell/background.py
@@ -0,0 +1,20 @@
+"""Tasks that nobody waits for."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+
+
+class BackgroundTasks(set[asyncio.Task[Any]]):
+    """Tasks under way, held until they end: the event loop itself holds its tasks by weak references only."""
+
+    def begin(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
+        """Run work beside its caller."""
+        task = asyncio.create_task(work)
+        self.add(task)
+        task.add_done_callback(self.discard)
+        return task
--- a/src/wallwell/bench/fleet.py
+++ b/src/wallwell/bench/fleet.py
@@ -15,6 +15,7 @@
 import aiohttp
 from aiohttp import web
 
+from wallwell.background import BackgroundTasks
 from wallwell.cli.operator_client import OperatorClient
 from wallwell.config.commit import ApplyRequest
 from wallwell.config.parse import ConfigFile, parse_file
@@ -40,7 +41,7 @@
     def __init__(self, server: EngineServer | ServiceServer | PlatformServer) -> None:
         self.server = server
         self.crashes = 0
-        self._restarts: set[asyncio.Task[None]] = set()
+        self._restarts = BackgroundTasks()
         server.faults.on_crash = self._crash
         self.address = ""
         self._runner: web.AppRunner | None = None
@@ -59,9 +60,7 @@
         assert self._runner is not None
         self.crashes += 1
         end_at_once(self._runner)
-        task = asyncio.create_task(self._restart())
-        self._restarts.add(task)
-        task.add_done_callback(self._restarts.discard)
+        self._restarts.begin(self._restart())
 
     async def _restart(self) -> None:
         await self.stop()
--- a/src/wallwell/cluster/transport.py
+++ b/src/wallwell/cluster/transport.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine, Sequence
-from typing import Any, NamedTuple
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
 
 import msgspec
 
 from wallwell.backends.engine_protocol import pack_hashes
+from wallwell.background import BackgroundTasks
 from wallwell.clock import boot_time_s, bounded
 from wallwell.cluster.codec import LineCodec
 from wallwell.cluster.messages import Action, FetchConfig, Lookup, Send
@@ -72,7 +73,7 @@
         self._listener = listener
         self._server: asyncio.Server | None = None
         self._datagrams: asyncio.DatagramTransport | None = None
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks()
         self._waiters: dict[int, asyncio.Future[None]] = {}
         self._fetching: set[str] = set()
         self._state_requests = asyncio.Semaphore(MAX_CONCURRENT_STATE_REQUESTS)
@@ -99,7 +100,7 @@
     def run(self, node: ClusterNode) -> None:
         """Start the node's rounds."""
         self.node = node
-        self._spawn(self._tick_forever(node))
+        self._tasks.begin(self._tick_forever(node))
 
     async def close(self) -> None:
         """Stop rounds and close sockets."""
@@ -110,11 +111,6 @@
         if self._server is not None:
             self._server.close()
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _tick_forever(self, node: ClusterNode) -> None:
         while True:
             self.perform(node.tick(boot_time_s(), int(time.time() * 1000)))
@@ -195,7 +191,7 @@
         if action.address in self._fetching:
             return
         self._fetching.add(action.address)
-        self._spawn(self._fetch_and_apply(action.address))
+        self._tasks.begin(self._fetch_and_apply(action.address))
 
     async def _fetch_and_apply(self, address: str) -> None:
         assert self.node is not None
--- a/src/wallwell/emulator/platform_store.py
+++ b/src/wallwell/emulator/platform_store.py
@@ -12,6 +12,7 @@
 import msgspec
 from aiohttp import web
 
+from wallwell.background import BackgroundTasks
 from wallwell.emulator.faults import reset_connection
 from wallwell.platform import names
 from wallwell.platform.store import TransactBody
@@ -58,7 +59,7 @@
         self._page_rows = page_rows
         self._closed_tables = closed_tables
         self._changed = asyncio.Event()
-        self._late: set[asyncio.Task[None]] = set()
+        self._late = BackgroundTasks()
 
     @property
     def address(self) -> str:
@@ -144,7 +145,7 @@
             return web.Response(status=FORBIDDEN)
         if self.late_writes:
             self.late_writes -= 1
-            self._late.add(asyncio.create_task(self._apply_late(body)))
+            self._late.begin(self._apply_late(body))
             return reset_connection(request)
         if not self._apply(body):
             return self._conflict(body)
--- a/src/wallwell/gateway/context.py
+++ b/src/wallwell/gateway/context.py
@@ -11,6 +11,7 @@
 import aiohttp
 
 from wallwell.backends.service_client import ServiceClient
+from wallwell.background import BackgroundTasks
 from wallwell.cluster.claims import ClaimTable
 from wallwell.cluster.messages import EngineNews
 from wallwell.cluster.node import ClusterNode
@@ -52,22 +53,16 @@
     draining: bool = False
     refusing: bool = False
     in_flight: int = 0
-    background: set[asyncio.Task[Any]] = field(default_factory=set)
+    background: BackgroundTasks = field(default_factory=BackgroundTasks)
     _region_engines: dict[str, Engine] = field(default_factory=dict)
     _region_revision: int = -1
 
     def spawn(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
         """Run work that outlives its caller; a planned stop waits for it."""
-        task = asyncio.create_task(work)
-        self.background.add(task)
-        task.add_done_callback(self._on_background_done)
+        task = self.background.begin(work)
+        task.add_done_callback(_retrieve_exception)
         return task
 
-    def _on_background_done(self, task: asyncio.Task[Any]) -> None:
-        self.background.discard(task)
-        if not task.cancelled():
-            task.exception()  # Retrieved here, since the caller may be gone.
-
     @property
     def config(self) -> CompiledConfig:
         """The configuration in force."""
@@ -97,3 +92,9 @@
             for name, engine in self.region_engines().items()
             if model in engine.models and not engine.leaving and engine.address not in leaving
         }
+
+
+def _retrieve_exception(task: asyncio.Task[Any]) -> None:
+    """Take a task's exception, since the caller that would take it may be gone."""
+    if not task.cancelled():
+        task.exception()
--- a/src/wallwell/gateway/crash_memory.py
+++ b/src/wallwell/gateway/crash_memory.py
@@ -9,10 +9,12 @@
 import asyncio
 from dataclasses import dataclass, field
 
+from wallwell.background import BackgroundTasks
 from wallwell.clock import boot_time_s, bounded
 from wallwell.cluster.crash_notices import CrashNotices
 from wallwell.errors import RequestQuarantinedError
 from wallwell.events import Event, emit
+from wallwell.gateway.crash_count import count_crash
 from wallwell.routing.outcome import TransportEvent
 from wallwell.routing.quarantine import Quarantine
 
@@ -46,20 +48,19 @@
     node: str
     notices: CrashNotices
     quarantine: Quarantine = field(default_factory=Quarantine)
-    _looking: set[asyncio.Task[None]] = field(default_factory=set)
+    _looking: BackgroundTasks = field(default_factory=BackgroundTasks)
     _lives: dict[str, tuple[int, float]] = field(default_factory=dict)
     """By back end, how many crashes of it were seen, and when the last one was."""
 
     def __post_init__(self) -> None:
         self.notices.listener = self._on_notice
 
-    def refuse_if_quarantined(self, content: str) -> None:
-        """Raise :class:`RequestQuarantinedError` for a request that crashes back ends."""
+    def refusal(self, content: str) -> RequestQuarantinedError | None:
+        """Return the error of a request that crashes back ends, None for any other one."""
         left_s = self.quarantine.left_s(content, boot_time_s())
-        if left_s:
-            raise RequestQuarantinedError(
-                "back ends crashed under this request", retry_after_ms=round(left_s * 1000)
-            )
+        if not left_s:
+            return None
+        return RequestQuarantinedError("back ends crashed under this request", retry_after_ms=round(left_s * 1000))
 
     async def on_failure(self, content: str, event: TransportEvent, backend: str, address: str) -> None:
         """Take a failed attempt of a request at a back end; returns before the next attempt may be made."""
@@ -68,9 +69,7 @@
         if await is_refused(address):
             self._on_crash(content, backend)
             return
-        task = asyncio.create_task(self._look_again(content, backend, address))
-        self._looking.add(task)
-        task.add_done_callback(self._looking.discard)
+        self._looking.begin(self._look_again(content, backend, address))
 
     async def _look_again(self, content: str, backend: str, address: str) -> None:
         await asyncio.sleep(SECOND_LOOK_S)
@@ -80,10 +79,9 @@
     def _on_crash(self, content: str, backend: str) -> None:
         """Count and tell that a back end ended under a request."""
         now_s = boot_time_s()
-        for expired in list(self.quarantine.expired(now_s)):
-            self.quarantine.forget(*expired)
+        self.quarantine.expire(now_s)
         life = self._ended_life(backend, now_s)
-        if self._count(content, life, now_s):
+        if count_crash(self.quarantine, content, life, now_s):
             emit(Event.BACKEND_CRASHED, backend=backend, runs=1)
             self.notices.tell(content, life, now_s)
 
@@ -97,18 +95,10 @@
         """Another router saw a back end end under a request, or the request answered."""
         now_s = boot_time_s()
         if life:
-            self._count(content, life, now_s)
+            count_crash(self.quarantine, content, life, now_s)
         else:
             self.quarantine.on_answered(content, now_s)
 
-    def _count(self, content: str, life: str, now_s: float) -> bool:
-        """Count a crash; returns whether it was news."""
-        was_free = not self.quarantine.left_s(content, now_s)
-        is_news = self.quarantine.on_crash(content, life, now_s)
-        if was_free and self.quarantine.left_s(content, now_s):
-            emit(Event.REQUEST_QUARANTINED, content=content, last_crashed=life)
-        return is_news
-
     def _ended_life(self, backend: str, now_s: float) -> str:
         """Return a name for the life of a back end that has just ended, as this router has counted its lives.
 
--- a/src/wallwell/gateway/crash_watch.py
+++ b/src/wallwell/gateway/crash_watch.py
@@ -13,10 +13,13 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
+from wallwell.background import BackgroundTasks
 from wallwell.clock import boot_time_s, bounded
+from wallwell.cluster.told_crashes import Crash
 from wallwell.deployment.backends import Backend, BackendRecord
 from wallwell.errors import PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
+from wallwell.gateway.crash_count import count_crash
 from wallwell.gateway.fleet_state import FleetState
 from wallwell.routing.rendezvous import key_of, owner
 from wallwell.storage.feed import FeedRow
@@ -67,7 +70,7 @@
         self._members = members
         self._broken: dict[str, set[str]] = {}
         """Contents of runs that broke off, by the incarnation that is being looked at."""
-        self._looking: set[asyncio.Task[None]] = set()
+        self._looking = BackgroundTasks()
         self._unwritten: dict[str, bool] = {}
         """Keys to write (True) or to delete (False)."""
         self._has_work = asyncio.Event()
@@ -85,9 +88,7 @@
             broken.add(content)
             return
         self._broken[backend.incarnation] = {content}
-        task = asyncio.create_task(self._look(backend))
-        self._looking.add(task)
-        task.add_done_callback(self._looking.discard)
+        self._looking.begin(self._look(backend))
 
     def on_answered(self, content: str) -> None:
         """A request was answered with success: whatever crashed beside it, it was not the cause."""
@@ -126,18 +127,9 @@
         return False
 
     def _count(self, content: str, incarnation: str) -> None:
-        if self._learn(content, incarnation, boot_time_s()):
+        if count_crash(self._state.quarantine, content, incarnation, boot_time_s()):
             self._write({_key(content, incarnation): True})
 
-    def _learn(self, content: str, incarnation: str, now_s: float) -> bool:
-        """Count a crash; returns whether it was news."""
-        quarantine = self._state.quarantine
-        was_free = not quarantine.left_s(content, now_s)
-        is_news = quarantine.on_crash(content, incarnation, now_s)
-        if was_free and quarantine.left_s(content, now_s):
-            emit(Event.REQUEST_QUARANTINED, content=content, last_crashed=incarnation)
-        return is_news
-
     # --- what other nodes have written -----------------------------------------------------------------
 
     def on_row(self, row: FeedRow, now_s: float) -> None:
@@ -150,14 +142,13 @@
         elif self._state.quarantine.is_cleared(content, now_s):
             self._write({row.key: False})
         else:
-            self._learn(content, incarnation, now_s)
+            count_crash(self._state.quarantine, content, incarnation, now_s)
 
-    def on_told(self, crash: tuple[str, str]) -> None:
+    def on_told(self, crash: Crash) -> None:
         """Take a crash that a peer has told, since the store does not have it yet; whoever saw it writes it."""
-        content, incarnation = crash
-        self._learn(content, incarnation, boot_time_s())
+        count_crash(self._state.quarantine, *crash, boot_time_s())
 
-    def unwritten(self) -> Sequence[tuple[str, str]]:
+    def unwritten(self) -> Sequence[Crash]:
         """Return the crashes that the store has not taken, newest first; nothing while it takes writes."""
         if not self._has_failed:
             return ()
@@ -203,15 +194,13 @@
 
     def _sweep(self, now_s: float) -> None:
         """Forget crashes whose time is over; one node removes each row."""
-        quarantine = self._state.quarantine
         members = {*self._members(), self._state.node}
-        for content, incarnation in list(quarantine.expired(now_s)):
-            quarantine.forget(content, incarnation)
+        for content, incarnation in self._state.quarantine.expire(now_s):
             if owner(members, key_of(content)) == self._state.node:
                 self._write({_key(content, incarnation): False})
 
 
-def _crash_of(key: str) -> tuple[str, str]:
+def _crash_of(key: str) -> Crash:
     content, _, incarnation = key[len(CRASH_PREFIX) :].partition("/")
     return content, incarnation
 
--- a/src/wallwell/gateway/generation.py
+++ b/src/wallwell/gateway/generation.py
@@ -30,7 +30,6 @@
     ForbiddenError,
     NoBackendError,
     RequestError,
-    RequestQuarantinedError,
     RetriesExhaustedError,
     StreamBrokenError,
     UnknownResourceError,
@@ -174,12 +173,9 @@
 
     def _refuse_if_quarantined(self, generation: Generation) -> None:
         """Refuse what crashes engines: each further attempt or resumption would end one more."""
-        try:
-            self._context.crashes.refuse_if_quarantined(generation.content)
-        except RequestQuarantinedError:
-            if generation.log.outcome is Outcome.NOT_RUN:
-                raise
-            raise self._exhausted(generation) from None
+        refusal = self._context.crashes.refusal(generation.content)
+        if refusal is not None:
+            raise refusal if generation.log.outcome is Outcome.NOT_RUN else self._exhausted(generation)
 
     async def _choose(self, generation: Generation) -> tuple[Engine, Choice]:
         context = self._context
--- a/src/wallwell/gateway/liveness.py
+++ b/src/wallwell/gateway/liveness.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Coroutine
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Any, Protocol
+from typing import Protocol
 
+from wallwell.background import BackgroundTasks
 from wallwell.clock import boot_time_s
 from wallwell.deployment.backends import Backend, BackendRecord
 from wallwell.events import Event, emit
@@ -33,7 +34,7 @@
         self._check = check
         self._repeatable: dict[str, set[asyncio.Timeout]] = {}
         """Attempts under way that may be made elsewhere, by back end."""
-        self._asking: set[asyncio.Task[None]] = set()
+        self._asking = BackgroundTasks()
 
     async def run(self) -> None:
         """Watch until cancelled."""
@@ -47,14 +48,9 @@
         for incarnation in list(self._repeatable):
             backend = self._state.backends.get(incarnation)
             if backend is not None and backend.silence.should_ask(now_s):
-                self._begin(self._ask(backend))
+                self._asking.begin(self._ask(backend))
         for backend in self._state.zones.to_ask(self._state.backends.all(), now_s):
-            self._begin(self._ask_zone(backend))
-
-    def _begin(self, asking: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(asking)
-        self._asking.add(task)
-        task.add_done_callback(self._asking.discard)
+            self._asking.begin(self._ask_zone(backend))
 
     async def _ask_zone(self, backend: Backend) -> None:
         """Ask one back end for all of its zone."""
--- a/src/wallwell/gateway/service_calls.py
+++ b/src/wallwell/gateway/service_calls.py
@@ -22,7 +22,6 @@
     NoBackendError,
     OutcomeUnknownError,
     RequestError,
-    RequestQuarantinedError,
     RetriesExhaustedError,
     UnknownResourceError,
 )
@@ -157,12 +156,9 @@
 
     def _refuse_if_quarantined(self, content: str, log: AttemptLog) -> None:
         """Refuse what crashes the service's instances: each further attempt would end one more."""
-        try:
-            self._context.crashes.refuse_if_quarantined(content)
-        except RequestQuarantinedError as error:
-            if log.outcome is Outcome.NOT_RUN:
-                raise
-            raise self._error(log, error.detail) from None
+        refusal = self._context.crashes.refusal(content)
+        if refusal is not None:
+            raise refusal if log.outcome is Outcome.NOT_RUN else self._error(log, refusal.detail)
 
     def _choose(self, service: str, failed: set[str]) -> ServiceInstance | None:
         """Least requests in flight of two random instances; instances not tried yet come first."""
--- a/src/wallwell/placement/weights_roll_driver.py
+++ b/src/wallwell/placement/weights_roll_driver.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
-from typing import Any, Protocol
+from typing import Protocol
 
 import msgspec
 
+from wallwell.background import BackgroundTasks
 from wallwell.clock import boot_time_s, bounded
 from wallwell.cluster.lease_turn import LeaseTurn
 from wallwell.cluster.leases import LeaseKeeper
@@ -91,7 +91,7 @@
         """Model and version last brought to each engine."""
         self._unpublished = ""
         """Model of which a load has ended since its progress was published; empty if none."""
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks()
 
     # --- what other nodes tell -------------------------------------------------------------------------
 
@@ -160,12 +160,7 @@
             task.backend.expect_load(_load_to_come(task.model, task.version, now_s), now_s)
         await self._publish(tasks[0].model)
         for task in tasks:
-            self._spawn(self._load(task))
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        running = asyncio.create_task(work)
-        self._tasks.add(running)
-        running.add_done_callback(self._tasks.discard)
+            self._tasks.begin(self._load(task))
 
     async def _publish(self, model: str) -> None:
         """Tell every node what loads; without an answer from the store the weights roll goes on all the same."""
--- a/src/wallwell/routing/quarantine.py
+++ b/src/wallwell/routing/quarantine.py
@@ -123,6 +123,13 @@
                 for incarnation in suspect.crashed:
                     yield content, incarnation
 
+    def expire(self, now_s: float) -> list[tuple[str, str]]:
+        """Forget the crashes whose time is over and return them."""
+        found = list(self.expired(now_s))
+        for content, incarnation in found:
+            self.forget(content, incarnation)
+        return found
+
     def _drop(self, content: str) -> Suspect | None:
         suspect = self._suspects.pop(content, None)
         if suspect is not None:
--- a/src/wallwell/soak/fleet.py
+++ b/src/wallwell/soak/fleet.py
@@ -12,6 +12,7 @@
 
 import aiohttp
 
+from wallwell.background import BackgroundTasks
 from wallwell.cluster.peer_link import PeerLink, PeerMessage
 from wallwell.errors import SoakError
 from wallwell.platform import names
@@ -61,7 +62,7 @@
         self._links: dict[str, str] = {}
         self._front: dict[str, str] = {}
         self._ready: dict[str, str] = {}
-        self._watchers: set[asyncio.Task[None]] = set()
+        self._watchers = BackgroundTasks()
 
     @property
     def callers_addresses(self) -> tuple[str, ...]:
@@ -201,9 +202,7 @@
         environment = {names.SETTINGS_VARIABLE: str(self.folder / f"{node}.toml")}
         child = await self.supervisor.start(node, (sys.executable, str(self._router)), environment)
         await self.tell_proxy(KnowNode(node, child.pid, self.schedule.shape.region_of(node)))
-        watcher = asyncio.create_task(self._watch(child))
-        self._watchers.add(watcher)
-        watcher.add_done_callback(self._watchers.discard)
+        self._watchers.begin(self._watch(child))
 
     async def _watch(self, child: ChildProcess) -> None:
         status = await child.wait()
--- a/tests/unit/gateway/test_crash_memory.py
+++ b/tests/unit/gateway/test_crash_memory.py
@@ -73,13 +73,13 @@
     async def scenario(memory):
         for number in range(CRASHES_TO_QUARANTINE):
             memory.notices.hear(CrashNotice("c", f"e/n2/{number}"), boot_time_s())
-        with pytest.raises(RequestQuarantinedError) as refused:
-            memory.refuse_if_quarantined("c")
+        refused = memory.refusal("c")
         memory.notices.hear(CrashNotice("c", ""), boot_time_s())
-        memory.refuse_if_quarantined("c")
-        return refused.value
+        assert memory.refusal("c") is None
+        return refused
 
     refused, _ = with_memory([REFUSED], scenario)
+    assert isinstance(refused, RequestQuarantinedError)
     assert (refused.outcome, refused.http_status) == (Outcome.NOT_RUN, 503)
     assert refused.retry_after_ms > 60_000
 
--- /dev/null
+++ b/tests/unit/test_background.py
@@ -0,0 +1,40 @@
+"""Tasks that nobody waits for are held until they end, whatever way."""
+
+import asyncio
+import gc
+
+import pytest
+
+from tests.virtual_time import run_virtual
+from wallwell.background import BackgroundTasks
+
+
+async def fail():
+    await asyncio.sleep(0.1)
+    raise ValueError("scripted")
+
+
+@pytest.mark.parametrize("work", [lambda: asyncio.sleep(0.1), fail], ids=["ends", "fails"])
+def test_a_task_is_held_until_it_ends(work):
+    async def scenario():
+        tasks = BackgroundTasks()
+        task = tasks.begin(work())
+        gc.collect()
+        held = set(tasks) == {task}
+        await asyncio.wait({task})
+        await asyncio.sleep(0)
+        return held, bool(tasks)
+
+    assert run_virtual(scenario()) == (True, False)
+
+
+def test_a_cancelled_task_is_let_go():
+    async def scenario():
+        tasks = BackgroundTasks()
+        task = tasks.begin(asyncio.sleep(60.0))
+        task.cancel()
+        await asyncio.wait({task})
+        await asyncio.sleep(0)
+        return bool(tasks)
+
+    assert not run_virtual(scenario())
