Soak: a crashed worker that cannot be started again ends the run with an error

Cause: the task that starts crashed workers again was cancelled at the end and never looked at, so that a run whose workers stayed away would have been judged as if they were there; on a run that ended early it was not cancelled either. Its three lines of a restart stood in three places. Change: the runner keeps the workers around the play and raises what went wrong; one way to replace a worker.

--- a/src/wallwell/soak/faults.py
+++ b/src/wallwell/soak/faults.py
@@ -6,7 +6,7 @@
 import contextlib
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
 from wallwell.errors import PeerUnavailableError, SoakError
@@ -113,12 +113,27 @@
     async def _crash_worker(self, fault: PlannedFault) -> None:
         async with self._turns[fault.target]:
             await self._fleet.worker(fault.target).end(signal.SIGKILL)
-            await self._fleet.tell_proxy(AimLink(fault.target, ""))
-            await asyncio.sleep(fault.lasts_s)
-            await self._fleet.start_worker(fault.target)
-
-    async def keep_workers(self) -> None:
-        """Start workers again that a request has crashed, until cancelled."""
+            await self._replace_worker(fault.target, fault.lasts_s)
+
+    async def _replace_worker(self, name: str, away_s: float) -> None:
+        """Start a new incarnation of a worker that has ended; its link refuses connections meanwhile."""
+        await self._fleet.tell_proxy(AimLink(name, ""))
+        await asyncio.sleep(away_s)
+        await self._fleet.start_worker(name)
+
+    @contextlib.asynccontextmanager
+    async def workers_kept(self) -> AsyncIterator[None]:
+        """Start workers again that a request has crashed; raises :class:`SoakError` at the end if that failed."""
+        keeping = asyncio.create_task(self._keep_workers())
+        try:
+            yield
+        finally:
+            keeping.cancel()
+            (ended,) = await asyncio.gather(keeping, return_exceptions=True)
+        if isinstance(ended, Exception):
+            raise SoakError(f"a crashed worker was not started again: {ended!r}") from ended
+
+    async def _keep_workers(self) -> None:
         async with asyncio.TaskGroup() as keepers:
             for name in self._fleet.schedule.shape.worker_names():
                 keepers.create_task(self._keep_worker(name))
@@ -129,9 +144,7 @@
             status = await worker.wait()
             async with self._turns[name]:
                 if status == CRASH_STATUS and self._fleet.worker(name) is worker:
-                    await self._fleet.tell_proxy(AimLink(name, ""))
-                    await asyncio.sleep(AWAY_S)
-                    await self._fleet.start_worker(name)
+                    await self._replace_worker(name, AWAY_S)
             await asyncio.sleep(LOOK_S)
 
     async def _drain_worker(self, fault: PlannedFault) -> None:
@@ -139,8 +152,7 @@
             worker = self._fleet.worker(fault.target)
             worker.send(signal.SIGUSR1)
             await worker.wait()
-            await self._fleet.tell_proxy(AimLink(fault.target, ""))
-            await self._fleet.start_worker(fault.target)
+            await self._replace_worker(fault.target, 0.0)
 
     # --- store and links -------------------------------------------------------------------------------
 
--- a/src/wallwell/soak/run.py
+++ b/src/wallwell/soak/run.py
@@ -67,11 +67,10 @@
     try:
         async with asyncio.timeout(LEAD_S + schedule.shape.seconds + TAIL_S):
             runner = FaultRunner(fleet)
-            keeping = asyncio.create_task(runner.keep_workers())
-            faults = runner.run(schedule.faults, start_s)
-            await asyncio.gather(faults, Operator(fleet).run(schedule.operations, start_s))
-            status = await fleet.supervisor.child("callers").wait()
-            keeping.cancel()
+            async with runner.workers_kept():
+                faults = runner.run(schedule.faults, start_s)
+                await asyncio.gather(faults, Operator(fleet).run(schedule.operations, start_s))
+                status = await fleet.supervisor.child("callers").wait()
     except TimeoutError as error:
         raise SoakError("the callers did not end in time") from error
     if status != 0:
--- a/tests/unit/soak/test_faults.py
+++ b/tests/unit/soak/test_faults.py
@@ -1,8 +1,14 @@
 """Targets of faults on links name what the proxy harms."""
 
+import asyncio
+import types
+
 import pytest
 
-from wallwell.soak.faults import LINK_HARMS, STORE_SWITCHES, link_of
+from tests.virtual_time import run_virtual
+from wallwell.errors import PeerUnavailableError, SoakError
+from wallwell.soak.answers import CRASH_STATUS
+from wallwell.soak.faults import LINK_HARMS, STORE_SWITCHES, FaultRunner, link_of
 from wallwell.soak.fleet import REGION_DELAY_S, sound_link
 from wallwell.soak.schedule import LINK_FAULTS, REGION_FAULTS, STORE_FAULTS, FaultKind, Shape
 
@@ -34,3 +40,54 @@
 def test_what_lies_between_regions_stays_slow_without_a_fault():
     assert sound_link("regions").delay_s == REGION_DELAY_S
     assert sound_link("engine-0", "node-1").delay_s == 0
+
+
+class FleetOfOne:
+    """A worker that ends with a status; its successor can be started or not."""
+
+    def __init__(self, status, can_start=True):
+        self.schedule = types.SimpleNamespace(shape=Shape(nodes=1, engines=1, instances=0))
+        self.started = 0
+        self._status = status
+        self._can_start = can_start
+        self._worker = self
+
+    def worker(self, name):
+        return self._worker
+
+    async def wait(self):
+        return self._status
+
+    async def tell_proxy(self, message):
+        pass
+
+    async def start_worker(self, name):
+        if not self._can_start:
+            raise PeerUnavailableError("scripted")
+        self.started += 1
+        self._worker = RunningWorker()
+
+
+class RunningWorker:
+    async def wait(self):
+        await asyncio.Event().wait()
+
+
+def keep(fleet):
+    async def work():
+        async with FaultRunner(fleet).workers_kept():
+            await asyncio.sleep(5.0)
+
+    run_virtual(work())
+    return fleet.started
+
+
+@pytest.mark.parametrize(("status", "started"), [(CRASH_STATUS, 1), (0, 0), (-9, 0)])
+def test_only_workers_that_a_request_crashed_are_started_again(status, started):
+    """Those that a fault ended are started by the fault."""
+    assert keep(FleetOfOne(status)) == started
+
+
+def test_a_worker_that_cannot_be_started_again_ends_the_run_with_an_error():
+    with pytest.raises(SoakError, match="scripted"):
+        keep(FleetOfOne(CRASH_STATUS, can_start=False))
