Test modules of two jobs are split, and the pipeline's scripts stand once

Change: relay_network.py, plays.py, drawn_scenarios.py and drawn_report.py beside the tests; generations and failing holders in modules of their own.

--- /dev/null
+++ b/tests/unit/cluster/relay_network.py
@@ -0,0 +1,201 @@
+"""Nodes that follow a store through each other, with links that are cut and a store that fails, in virtual time."""
+
+import asyncio
+import random
+
+from tests.unit.storage.memory_rows import MemoryRows
+from wallwell.clock import boot_time_s
+from wallwell.cluster.peer_link import PeerLinks
+from wallwell.cluster.relay import RelayedRows
+from wallwell.cluster.upstream import Member, UpstreamOrder
+from wallwell.deployment.freshness import StoreClock
+from wallwell.deployment.places import Places
+from wallwell.errors import PeerUnavailableError, PlatformUnavailableError
+from wallwell.storage.feed import RowFollower
+
+NODES = 4
+WAIT_S = 0.8
+ROUND_TRIP_S = 0.004
+STORE_OFFSET_S = -900.0
+SETTLE_S = 25.0
+
+
+class Store(MemoryRows):
+    """Rows with the times of their writes; wakes who waits."""
+
+    def __init__(self):
+        super().__init__()
+        self.calls = 0
+        self.written_at_s = []
+        self._changed = asyncio.Event()
+
+    def write(self, key, value):
+        super().write(key, value)
+        self.written_at_s.append((boot_time_s(), self.version))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def newest_at(self, at_s):
+        """Return the newest version written strictly before a time."""
+        return max((version for written_s, version in self.written_at_s if written_s < at_s), default=0)
+
+    async def wait_for_change(self, after_version, wait_s):
+        try:
+            async with asyncio.timeout(wait_s):
+                while self.version <= after_version:
+                    await self._changed.wait()
+        except TimeoutError:
+            return
+
+
+class StoreOfNode:
+    """The store as one node reaches it: well, refusing, or silent."""
+
+    def __init__(self, store):
+        self.store = store
+        self.mode = "well"
+        self.round_trip_s = ROUND_TRIP_S
+        self.loses = lambda: False
+        self.calls = 0
+
+    async def _call(self, read):
+        self.store.calls += 1
+        self.calls += 1
+        mode = self.mode
+        if self.loses():
+            mode = "silent"
+        await asyncio.sleep(self.round_trip_s / 2)
+        if mode == "refusing":
+            raise PlatformUnavailableError("refused")
+        page = await read()
+        if "silent" in (mode, self.mode):
+            await asyncio.sleep(1.5)
+            raise PlatformUnavailableError("no answer in time")
+        await asyncio.sleep(self.round_trip_s / 2)
+        return page
+
+    async def read_all(self):
+        return await self._call(self.store.read_all)
+
+    async def changes(self, after_version, wait_s):
+        async def read():
+            await self.store.wait_for_change(after_version, wait_s)
+            return await self.store.changes(after_version, 0.0)
+
+        return await self._call(read)
+
+
+class VirtualLink:
+    """A link to a node in this process; cut links and frozen nodes say nothing, killed ones refuse at once."""
+
+    def __init__(self, network, asker, name):
+        self._network, self._asker, self._name = network, asker, name
+
+    async def ask(self, request, reply_type, timeout_s):
+        peer = self._network.nodes[self._name]
+        await asyncio.sleep(ROUND_TRIP_S / 2)
+        if not peer.alive:
+            raise PeerUnavailableError("refused")
+        if self._network.is_cut(self._asker, self._name):
+            await asyncio.sleep(timeout_s)
+            raise PeerUnavailableError("silent")
+        try:
+            async with asyncio.timeout(timeout_s):
+                reply = await peer.rows.answer(request)
+        except TimeoutError as error:
+            raise PeerUnavailableError("no answer in time") from error
+        if not peer.alive or self._network.is_cut(self._asker, self._name):
+            raise PeerUnavailableError("lost on the way")
+        assert isinstance(reply, reply_type)
+        await asyncio.sleep(ROUND_TRIP_S / 2)
+        return reply
+
+
+class VirtualLinks(PeerLinks):
+    def __init__(self, network, asker):
+        super().__init__()
+        self._network, self._asker = network, asker
+
+    def to(self, name, address):
+        return VirtualLink(self._network, self._asker, name)
+
+
+class Node:
+    def __init__(self, network, name):
+        self.name = name
+        self.alive = True
+        self.store = StoreOfNode(network.store)
+        zone = network.members[name].zone
+        self.order = UpstreamOrder(name, zone, network.members, Places(zone, network.regions))
+        self.rng = random.Random(name)
+        self._network = network
+        self._start()
+
+    def _start(self):
+        self.clock = StoreClock()
+        self.known = {}
+        self.version = 0
+        self.rows = RelayedRows("rows", self.store, self.order, self.clock, WAIT_S)
+        self.rows.links = VirtualLinks(self._network, self.name)
+        self.follower = RowFollower("rows", self.rows, self._apply, WAIT_S, self.clock, self.rng)
+        self.task = asyncio.create_task(self._run())
+
+    async def _run(self):
+        # Nodes do not begin together, so that their readings are held open at different times.
+        await asyncio.sleep(self.rng.uniform(0.0, WAIT_S))
+        await self.follower.run()
+
+    def _apply(self, followed):
+        if followed.whole:
+            self.known = {}
+        for row in followed.page.rows:
+            assert row.version >= self.known.get(row.key, (0, b""))[0], "a row went back"
+            self.known[row.key] = (row.version, row.value)
+        self.version = max(self.version, followed.page.version)
+        self.check(followed.confirmed_at_s)
+
+    def check(self, confirmed_at_s):
+        """Everything written before the time of confirmation is known."""
+        for key, row in self._network.store.rows.items():
+            if row.version <= self._network.store.newest_at(confirmed_at_s):
+                assert self.known.get(key, (0, b""))[0] >= row.version, "knowledge looks newer than it is"
+
+    def kill(self):
+        self.alive = False
+        self.task.cancel()
+
+    def restart(self):
+        if not self.alive:
+            self.alive = True
+            self._start()
+
+
+class Network:
+    def __init__(self, zones="zzzz", regions=None):
+        """``zones`` has a letter for each node; ``regions`` gives the region of each zone."""
+        self.regions = regions or {}
+        self.store = Store()
+        self.store._now_s = lambda: boot_time_s() + STORE_OFFSET_S
+        self.members = {f"n{index}": Member(zone, f"n{index}:1") for index, zone in enumerate(zones)}
+        self.cut = set()
+        self.nodes = {name: Node(self, name) for name in self.members}
+
+    def is_cut(self, one, other):
+        return frozenset((one, other)) in self.cut
+
+    def heal(self):
+        self.cut.clear()
+        for node in self.nodes.values():
+            node.store.mode = "well"
+            node.restart()
+
+    def root(self, region=None):
+        return next(
+            node
+            for node in self.nodes.values()
+            if not node.order.candidates(boot_time_s())
+            and (region is None or self.regions[node.order.zone] == region)
+        )
+
+    def of_region(self, region):
+        return [node for node in self.nodes.values() if self.regions[node.order.zone] == region]
--- /dev/null
+++ b/tests/unit/gateway/plays.py
@@ -0,0 +1,45 @@
+"""Requests on the pipeline in virtual time, and what back ends do with them."""
+
+from tests.unit.gateway.fakes import (
+    FakeClient,
+    FakeReply,
+    Script,
+    make_request,
+    make_route,
+    make_state,
+)
+from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
+from wallwell.deployment.routes import RouteKind
+from wallwell.gateway.pipeline import RequestPipeline
+from wallwell.routing.outcome import TransportEvent as T
+
+OK = Script(chunks=(b"ok",))
+SHED = Script(fails=T.BACKEND_OVERLOADED)
+MISDIRECTED = Script(fails=T.PRECONDITION_REFUSED)
+UNREACHABLE = Script(fails=T.CONNECT_TIMEOUT)
+NOBODY_LISTENS = Script(fails=T.CONNECT_REFUSED)
+RESET = Script(fails=T.RESET_AFTER_SEND)
+FOREIGN = Script(fails=T.FOREIGN_ANSWER)
+ERROR = Script(status=500, chunks=(b"broken",))
+CUT = Script(chunks=(b"o",), breaks=T.RESET_AFTER_SEND)
+
+
+def play(scripts, route=None, request=None, prepare=None, **state):
+    """Serve one request and return the reply, the client and the seconds it took."""
+
+    async def work():
+        fleet = make_state(route, **state)
+        if prepare is not None:
+            prepare(fleet)
+        client, reply = FakeClient(*scripts), FakeReply()
+        started_s = boot_time_s()
+        arguments = request() if request is not None else make_request()
+        await RequestPipeline(fleet, client).serve(arguments, reply)
+        return reply, client, reply.ended_at_s - started_s
+
+    return run_virtual(work())
+
+
+SAFE = make_route(RouteKind.SAFE)
+UNSAFE = make_route(RouteKind.UNSAFE, attempts=1)
--- a/tests/unit/gateway/test_crash_watch.py
+++ b/tests/unit/gateway/test_crash_watch.py
@@ -8,6 +8,7 @@
 from tests.faulty_table import DELAYED, LOST_AFTER, LOST_BEFORE, FaultyTable
 from tests.unit.gateway.fakes import FakeClient, FakeReply, Script, event, make_generation, make_request, make_route
 from tests.unit.gateway.fakes import make_state as fresh_state
+from tests.unit.gateway.plays import OK, RESET, SAFE, UNSAFE
 from tests.virtual_time import run_virtual
 from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import RouteKind
@@ -28,11 +29,7 @@
 
 LOOKED_S = FIRST_LOOK_S + SECOND_LOOK_S + 0.1
 REFUSED, ANSWERS = True, False
-SAFE = make_route(RouteKind.SAFE)
-UNSAFE = make_route(RouteKind.UNSAFE, attempts=1)
 RESUMABLE = make_route(RouteKind.STREAM, resumable=True, attempts=2)
-OK = Script(chunks=(b"ok",))
-RESET = Script(fails=T.RESET_AFTER_SEND)
 CUT_STREAM = Script(chunks=(event(1),), breaks=T.RESET_AFTER_SEND, stream=True)
 
 
--- a/tests/unit/gateway/test_rollout_requests.py
+++ b/tests/unit/gateway/test_rollout_requests.py
@@ -14,6 +14,7 @@
     make_route,
     make_state,
 )
+from tests.unit.gateway.plays import ERROR, OK, RESET, SAFE, SHED
 from tests.virtual_time import run_virtual
 from wallwell.clock import boot_time_s
 from wallwell.deployment.backends import BackendRecord
@@ -24,11 +25,6 @@
 from wallwell.routing.outcome import TransportEvent as T
 from wallwell.routing.prefix_home import PromptPart, engine_pool
 
-OK = Script(chunks=(b"ok",))
-RESET = Script(fails=T.RESET_AFTER_SEND)
-SHED = Script(fails=T.BACKEND_OVERLOADED)
-ERROR = Script(status=500, chunks=(b"broken",))
-SAFE = make_route(RouteKind.SAFE)
 STREAM = make_route(RouteKind.STREAM, resumable=True, rank=0)
 PIECES = Script(chunks=(event(1), 0.2, event(2), 0.4, event(3)), stream=True, head_after_s=0.3)
 
--- a/tests/unit/rollout/drawn_rollouts.py
+++ b/tests/unit/rollout/drawn_rollouts.py
@@ -1,23 +1,21 @@
 """Rollouts with drawn arrivals and answers in passed time, for the property test of the planner.
 
 Arrivals, sides, answers and delays are drawn by tick and by cell (route, side, back end). Nodes know a row after a
-lag, the planner knows counts after another. ``python -m tests.unit.rollout.drawn_rollouts --rollouts 10000`` prints
-how often versions were completed and rolled back, by kind and by rate.
+lag, the planner knows counts after another. :mod:`tests.unit.rollout.drawn_report` prints what became of many.
 """
 
 from __future__ import annotations
 
-import argparse
 import itertools
 import math
 import random
 from collections import Counter, defaultdict
-from collections.abc import Sequence
 from dataclasses import dataclass, field
 from functools import cache
 
 import msgspec
 
+from tests.unit.rollout.drawn_scenarios import Badness, Route, Scenario, draw_scenario
 from wallwell.rollout.model import (
     BUCKETS_PER_DOUBLING,
     AnswerCounts,
@@ -32,144 +30,10 @@
 TICK_S = 0.15
 TICKS_A_DECISION = 2
 BOUNDS = RolloutBounds()
-CALL_DELAY_S = 0.03
 LEAST_CANARY_BACKENDS = 3
 PLACES = 8
 NORMAL_FROM = 60
 """Draws from which a count is drawn by the normal distribution."""
-FAULTS = ("none", "crash", "sick target", "sick current", "lost answers", "weights load", "overload", "late start")
-KINDS = ("failures", "slowness")
-
-
-@dataclass(frozen=True)
-class Route:
-    """A route: its part of requests, failures by nature, median and spread of delays, time to the whole answer."""
-
-    name: str
-    part: float
-    failing: float
-    first_delay_s: float
-    spread: float
-    piece_gap_s: float
-    latency_s: float
-
-
-@dataclass(frozen=True)
-class Badness:
-    """How a version is bad. ``part`` of answers fail, or are ``factor`` times slower, from ``from_s`` on."""
-
-    kind: str
-    part: float
-    factor: float
-    from_s: float
-    route: str = ""
-    above_load: float = 0.0
-
-
-@dataclass(frozen=True)
-class Scenario:
-    """All that is drawn before a rollout begins."""
-
-    seed: int
-    rate: float
-    nodes: int
-    duration_s: float
-    routes: Sequence[Route]
-    current_backends: int
-    target_backends: int
-    fault: str
-    fault_at_s: float
-    fault_span_s: float
-    cold_factor: float
-    side_factor: float
-    wave_part: float
-    wave_span_s: float
-    load_change: float
-    load_change_at_s: float
-    load_change_span_s: float
-    holder_changes_at_s: float
-    bad: Badness | None
-
-    @property
-    def row_lag_s(self) -> float:
-        """Time until the last node knows a row."""
-        return 0.05 + 0.55 * self.nodes / 410
-
-    @property
-    def count_lag_s(self) -> float:
-        """Age of the counts that the planner sees."""
-        return 0.3 + 0.7 * self.nodes / 410
-
-    def load(self, at_s: float) -> float:
-        """Return the rate at a time by the mean one."""
-        load = 1.0 + self.wave_part * math.sin(2 * math.pi * at_s / self.wave_span_s)
-        if 0.0 <= at_s - self.load_change_at_s < self.load_change_span_s:
-            load *= self.load_change
-        return load
-
-
-def draw_scenario(seed: int, is_bad: bool, longest_s: float = 60.0) -> Scenario:
-    """Draw a rollout over all rates, sizes and durations that are planned for."""
-    generator = random.Random(seed)
-    rate = math.exp(generator.uniform(math.log(20), math.log(3_300)))
-    scale = math.log(rate / 20) / math.log(165)
-    nodes = max(3, min(410, round(3 * math.exp(scale * math.log(137) * generator.uniform(0.6, 1.1)))))
-    duration = generator.uniform(8.0, longest_s)
-    routes = _draw_routes(generator)
-    change = generator.choice([1.0, 1.0, 0.5, 2.0])
-    return Scenario(
-        seed=seed,
-        rate=rate,
-        nodes=nodes,
-        duration_s=duration,
-        routes=routes,
-        current_backends=(backends := generator.randint(4, 30)),
-        target_backends=backends,
-        fault="none" if is_bad and generator.random() < 0.5 else generator.choice(FAULTS),
-        fault_at_s=generator.uniform(0.0, duration),
-        fault_span_s=generator.uniform(1.0, 4.0),
-        cold_factor=generator.uniform(1.0, 1.3),
-        side_factor=generator.uniform(0.9, 1.1),
-        wave_part=generator.uniform(0.0, 0.25),
-        wave_span_s=generator.uniform(2.0, 20.0),
-        load_change=change,
-        load_change_at_s=generator.uniform(0.0, duration),
-        load_change_span_s=generator.uniform(1.0, 5.0) if change > 1.0 else math.inf,
-        holder_changes_at_s=generator.uniform(0.0, duration) if generator.random() < 0.2 else math.inf,
-        bad=_draw_badness(generator, routes, duration) if is_bad else None,
-    )
-
-
-def _draw_routes(generator: random.Random) -> list[Route]:
-    weights = [generator.uniform(0.2, 1.0) for _ in range(generator.randint(1, 4))]
-    routes = []
-    for number, weight in enumerate(weights):
-        is_generation = generator.random() < 0.5
-        is_lookup = not is_generation and generator.random() < 0.5
-        routes.append(
-            Route(
-                f"r{number}",
-                weight / sum(weights),
-                0.14 if is_lookup else 0.004,
-                generator.uniform(0.05, 0.3) if is_generation else CALL_DELAY_S,
-                generator.uniform(0.2, 0.6),
-                0.02 if is_generation else 0.0,
-                generator.uniform(0.3, 2.0) if is_generation else CALL_DELAY_S,
-            )
-        )
-    return routes
-
-
-def _draw_badness(generator: random.Random, routes: Sequence[Route], duration_s: float) -> Badness:
-    kind = generator.choice(KINDS)
-    return Badness(
-        kind,
-        generator.uniform(0.05, 0.6) if kind == "failures" else generator.uniform(0.2, 1.0),
-        generator.uniform(2.0, 8.0),
-        generator.choice([0.0, generator.uniform(0.0, duration_s)]),
-        generator.choice(["", generator.choice(routes).name]),
-        generator.choice([0.0, 0.0, generator.uniform(0.8, 1.1)]),
-    )
 
 
 @cache
@@ -504,87 +368,3 @@
 def play(seed: int, longest_s: float = 60.0) -> Result:
     """Play a rollout: with an odd seed of a bad version, with an even one of a good one."""
     return DrawnRollout(draw_scenario(seed, seed % 2 == 1, longest_s)).run()
-
-
-def rate_band(rate: float) -> str:
-    """Return the band of a request rate."""
-    return "20 to 100/s" if rate < 100 else "100 to 600/s" if rate < 600 else "600 to 3,300/s"
-
-
-def badness_kind(bad: Badness) -> str:
-    """Return the kind of a bad version as the report lists it."""
-    if bad.kind == "failures":
-        size = "failures 5 to 20 in 100" if bad.part < 0.2 else "failures 20 to 60 in 100"
-    else:
-        size = "slowness 2 to 4 times" if bad.factor < 4 else "slowness 4 to 8 times"
-    return f"{size}, {'one route' if bad.route else 'all routes'}"
-
-
-def onset(result: Result) -> str:
-    """Return when a bad version turns bad."""
-    bad = result.scenario.bad
-    assert bad is not None
-    if bad.from_s == 0.0:
-        return "from the start"
-    left_s = result.scenario.duration_s - bad.from_s
-    return "turns in the last 3 s" if left_s < 3 else "turns 3 to 8 s before" if left_s < 8 else "turns earlier"
-
-
-def report(results: Sequence[Result]) -> str:
-    """Return the tables of the design page."""
-    lines = []
-    for title, is_bad in (("good", False), ("bad", True)):
-        mine = [each for each in results if (each.scenario.bad is not None) is is_bad]
-        groups: dict[str, list[Result]] = defaultdict(list)
-        for each in mine:
-            groups["all"].append(each)
-            groups[rate_band(each.scenario.rate)].append(each)
-            if each.scenario.bad is None:
-                groups["fault: " + each.scenario.fault].append(each)
-            else:
-                groups[badness_kind(each.scenario.bad)].append(each)
-                groups[onset(each)].append(each)
-                if each.scenario.bad.above_load:
-                    groups["above a load only"].append(each)
-        lines.append(
-            f"{title}: rollouts, complete in time, complete late, rolled back, over the bound, sent too late, "
-            "complete after 20 bad answers or more"
-        )
-        for name, group in sorted(groups.items()):
-            complete = [each for each in group if each.phase is Phase.COMPLETE]
-            in_time = sum(each.in_time for each in complete)
-            rolled = sum(each.phase is Phase.ROLLED_BACK for each in group)
-            over = sum(each.over_bound for each in group) if is_bad else 0
-            late = sum(each.requests_too_late > 0 for each in group)
-            seen = sum(each.bad_answers >= 20 for each in complete)
-            counts = (len(group), in_time, len(complete) - in_time, rolled, over, late, seen)
-            lines.append(f"| {name} | {' | '.join(map(str, counts))} |")
-    return "\n".join(lines)
-
-
-def main() -> None:
-    """Play as many rollouts as asked for and print the report."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--rollouts", type=int, default=10_000)
-    parser.add_argument("--first-seed", type=int, default=0)
-    parser.add_argument("--show", action="store_true", help="print rollouts that went wrong")
-    options = parser.parse_args()
-    results = [play(options.first_seed + number) for number in range(options.rollouts)]
-    print(report(results))
-    if options.show:
-        for each in results:
-            bad = each.scenario.bad
-            late = each.requests_too_late
-            over = bad is not None and each.over_bound
-            wrong = (bad is None) is not (each.phase is Phase.COMPLETE and each.in_time)
-            if late or over or wrong:
-                print(
-                    each.scenario.seed, f"rate {each.scenario.rate:.0f} duration {each.scenario.duration_s:.1f}",
-                    each.scenario.fault, f"{each.scenario.fault_at_s:.1f}", bad, each.phase.value, each.reason,
-                    f"ended {each.ended_at_s:.1f} exposed {each.exposed}/{each.requests}",
-                    f"late {each.requests_too_late} fiftieth {each.fiftieth_at_s:.1f} bad {each.bad_answers}",
-                )  # fmt: skip
-
-
-if __name__ == "__main__":
-    main()
--- a/tests/unit/rollout/fleet.py
+++ b/tests/unit/rollout/fleet.py
@@ -229,3 +229,8 @@
             fleet.stop()
 
     return run_virtual(work())
+
+
+def writers(fleet):
+    """Return the nodes that have written."""
+    return {node.state.node for node in fleet.nodes if node.store.writes}
--- a/tests/unit/rollout/test_driver.py
+++ b/tests/unit/rollout/test_driver.py
@@ -2,14 +2,9 @@
 
 import asyncio
 
-import pytest
-
-from tests.faulty_table import DELAYED, LOST_AFTER, LOST_BEFORE
-from tests.unit.rollout.fleet import LEASE_KEY, RECORD_PREFIX, SHARE, STATUS_PREFIX, SWITCHED_S, play
+from tests.unit.rollout.fleet import RECORD_PREFIX, SHARE, STATUS_PREFIX, SWITCHED_S, play, writers
 from wallwell.clock import boot_time_s
 from wallwell.deployment.backends import BackendRecord
-from wallwell.emulator.platform_server import ConditionFailed
-from wallwell.errors import TableConflictError
 from wallwell.rollout.driver import CHECKPOINT_S, COMPLETE_AFTER_S
 from wallwell.rollout.model import Phase, RolloutBounds, RolloutOrder
 from wallwell.rollout.planner import RolloutPlanner
@@ -23,10 +18,6 @@
     return RolloutPlanner(RolloutBounds())
 
 
-def writers(fleet):
-    return {node.state.node for node in fleet.nodes if node.store.writes}
-
-
 def test_a_good_version_is_brought_to_completion_by_one_node():
     async def scenario(fleet):
         fleet.order()
@@ -111,180 +102,6 @@
     assert play(scenario) == ({True}, {False})
 
 
-@pytest.mark.parametrize("phase", PHASES)
-def test_a_dead_holder_is_followed_by_another_node(phase):
-    async def scenario(fleet):
-        fleet.order()
-        await fleet.until_phase(phase)
-        dead = fleet.holder
-        fleet.kill(dead)
-        killed_s = boot_time_s()
-        await fleet.until(lambda: fleet.holder is not None)
-        took_s = boot_time_s() - killed_s
-        await fleet.until_phase(Phase.COMPLETE)
-        return took_s, fleet.status(), dead.state.node in writers(fleet)
-
-    took_s, status, dead_acts = play(scenario)
-    assert took_s < 3.5
-    assert (status, dead_acts) == ("complete v2", False)
-
-
-def test_a_holder_killed_before_its_first_write_loses_no_order():
-    async def scenario(fleet):
-        async def hang(*_):
-            await asyncio.Event().wait()
-
-        whole = {node: node.store.write for node in fleet.nodes}
-        for node in fleet.nodes:
-            node.store.write = hang
-        fleet.order()
-        await fleet.until(lambda: fleet.holder is not None)
-        fleet.kill(fleet.holder)
-        before = fleet.record()
-        for node in fleet.nodes:
-            node.store.write = whole[node]
-        await fleet.until_phase(Phase.COMPLETE)
-        return before, fleet.status()
-
-    assert play(scenario) == (None, "complete v2")
-
-
-@pytest.mark.parametrize("phase", [*PHASES, Phase.COMPLETE])
-def test_the_record_alone_is_enough_to_go_on_after_all_nodes_were_killed(phase):
-    async def scenario(fleet):
-        fleet.order()
-        await fleet.until_phase(phase)
-        before = fleet.record()
-        fleet.kill_all()
-        await asyncio.sleep(0.5)
-        fleet.start_again()
-        await fleet.until_phase(Phase.COMPLETE)
-        await asyncio.sleep(0.2)
-        return before.ordered_at_s - fleet.record().ordered_at_s, {
-            node.book.effective("svc").phase for node in fleet.nodes
-        }
-
-    assert play(scenario) == (0.0, {Phase.COMPLETE})
-
-
-def test_an_order_given_while_no_node_ran_is_found_at_the_start():
-    async def scenario(fleet):
-        fleet.kill_all()
-        fleet.order()
-        await asyncio.sleep(3.0)
-        fleet.start_again()
-        await fleet.until_phase(Phase.COMPLETE)
-        return fleet.status()
-
-    assert play(scenario) == "complete v2"
-
-
-def test_a_write_of_a_frozen_holder_changes_neither_row_when_it_arrives_late():
-    async def scenario(fleet):
-        fleet.order()
-        await fleet.until_phase(Phase.SWITCHING)
-        frozen = fleet.holder
-        captured = []
-
-        async def hold_back(transaction):
-            captured.append(transaction)
-            await asyncio.Event().wait()
-
-        frozen.table.transact = hold_back
-        await fleet.until(lambda: captured)
-        fleet.kill(frozen)
-        fleet.bad.add("v2")
-        await fleet.until_phase(Phase.ROLLED_BACK)
-        with pytest.raises(ConditionFailed):
-            fleet.model.transact(captured[0])
-        return fleet.status()
-
-    assert play(scenario) == "rolled_back v2"
-
-
-def test_a_thawed_holder_whose_lease_another_took_writes_nothing_even_to_unchanged_rows():
-    async def scenario(fleet):
-        fleet.order()
-        await fleet.until_phase(Phase.CANARY)
-        thawed = fleet.holder
-        lease_version = thawed.driver._lease.held.version
-        fleet.kill(thawed)
-        await fleet.until(lambda: fleet.model.rows[LEASE_KEY].version != lease_version)
-        seen = await thawed.store.read("svc")
-        with pytest.raises(TableConflictError):
-            await thawed.store.write(seen.record, seen, lease_version)
-
-    play(scenario)
-
-
-def test_a_holder_that_cannot_renew_its_lease_stops_writing():
-    async def scenario(fleet):
-        fleet.order()
-        await fleet.until_phase(Phase.CANARY)
-        node = fleet.holder
-        node.lease_table.down = True
-        await asyncio.sleep(1.6)
-        before = len(node.store.writes)
-        await asyncio.sleep(3.0)
-        return len(node.store.writes) - before
-
-    assert play(scenario, nodes=1) == 0
-
-
-def test_an_end_whose_answer_was_lost_is_followed_before_the_feed_tells_it():
-    async def scenario(fleet):
-        fleet.order()
-        await fleet.until_phase(Phase.SWITCHING)
-        node = fleet.holder
-        node.cut = True  # Its feed is silent, its calls are answered.
-        whole = node.store.write
-
-        async def write(record, seen, lease_version):
-            if record.phase is Phase.COMPLETE:
-                node.table.faults.append(LOST_AFTER)
-            return await whole(record, seen, lease_version)
-
-        node.store.write = write
-        await fleet.until_phase(Phase.COMPLETE)
-        await asyncio.sleep(0.5)
-        return node.book.effective("svc").phase
-
-    assert play(scenario, nodes=1) is Phase.COMPLETE
-
-
-def test_a_holder_turned_away_by_the_store_is_followed_by_another_node():
-    async def scenario(fleet):
-        fleet.order()
-        await fleet.until_phase(Phase.CANARY)
-        away = fleet.holder
-        away.down()
-        await fleet.until(lambda: fleet.holder is not None and fleet.holder is not away)
-        await fleet.until_phase(Phase.COMPLETE)
-        away.down(False)
-        await asyncio.sleep(0.5)
-        return fleet.status(), away.book.effective("svc").phase
-
-    assert play(scenario) == ("complete v2", Phase.COMPLETE)
-
-
-@pytest.mark.parametrize("fault", [LOST_BEFORE, LOST_AFTER, DELAYED])
-@pytest.mark.parametrize("phase", [None, Phase.SWITCHING])
-def test_a_write_whose_answer_was_lost_is_resolved_by_reading_back(fault, phase):
-    async def scenario(fleet):
-        if phase is None:
-            for node in fleet.nodes:
-                node.table.faults.extend(["ok", "ok", fault])  # Two readings, then the first write.
-            fleet.order()
-        else:
-            fleet.order()
-            await fleet.until_phase(phase)
-            fleet.holder.table.faults.append(fault)
-        await fleet.until_phase(Phase.COMPLETE)
-        return fleet.status(), fleet.record().target_version
-
-    assert play(scenario) == ("complete v2", "v2")
-
-
 def test_a_row_that_somebody_else_has_changed_is_read_again():
     async def scenario(fleet):
         fleet.order()
--- a/tests/unit/rollout/test_planner_property.py
+++ b/tests/unit/rollout/test_planner_property.py
@@ -1,6 +1,6 @@
 """Bounds on bad versions and ends of good ones over drawn rollouts.
 
-``python -m tests.unit.rollout.drawn_rollouts --rollouts 10000`` plays as many as wanted, up to 60 s long.
+``python -m tests.unit.rollout.drawn_report --rollouts 10000`` plays as many as wanted, up to 60 s long.
 """
 
 import os
