--- a/src/wallwell/platform/names.py
+++ b/src/wallwell/platform/names.py
@@ -46,7 +46,9 @@
 """The worker's signature; a 2xx without it does not come from the worker."""
 INSTANCE_ID = "X-Instance-Id"
 RETRY_AFTER = "Retry-After"
-"""Seconds; fractions are allowed here."""
+"""Seconds; fractions are allowed here. From a worker: for how long it wants nothing from this node."""
+LEAVING = "Server-Leaving"
+"""``1`` on every answer of a worker that is about to end; "server" is the platform's other name of a worker."""
 
 # --- headers that are not wallwell's to use --------------------------------------------------------------------
 
--- a/src/wallwell/routing/health/backend.py
+++ b/src/wallwell/routing/health/backend.py
@@ -49,6 +49,10 @@
     """Weights version believed to be in place, per model."""
     loading: LoadInProgress | None = None
     gone: bool = False
+    announced_leaving: bool = False
+    """Whether one of its answers has said that it is leaving."""
+    backoff_until_s: float = float("-inf")
+    """Until when it wants nothing from this node, by its own refusals."""
     superseded: bool = False
     """Whether a later incarnation has been listed at its address, so that this one has ended."""
     lapses_at_s: float | None = None
@@ -93,6 +97,22 @@
         load = self.loading
         return load is not None and now_s < load.until_s and self.believed_version(load.model) < load.version
 
+    def is_backing_off(self, now_s: float) -> bool:
+        """Whether the back end has asked this node to send it nothing now."""
+        return now_s < self.backoff_until_s
+
+    def on_leaving_announced(self) -> bool:
+        """Note that an answer said that it is leaving; returns False if that was known."""
+        is_new = not self.announced_leaving
+        self.announced_leaving = True
+        return is_new
+
+    def on_backoff_requested(self, backoff_s: float, now_s: float) -> bool:
+        """Note a request for back-off, of which the longest holds; returns False if one was already in force."""
+        is_new = not self.is_backing_off(now_s)
+        self.backoff_until_s = max(self.backoff_until_s, now_s + backoff_s)
+        return is_new
+
     def on_success(self, now_s: float) -> None:
         """Note an answer: failures before it count no more."""
         self.consecutive_failures = 0
