--- a/src/wallwell/emulator/platform_worker.py
+++ b/src/wallwell/emulator/platform_worker.py
@@ -30,6 +30,9 @@
         self.version = 1
         """Weights version of ``model``."""
         self.draining = False
+        """Whether its entry says that it leaves."""
+        self.leaving = False
+        """Whether its answers say so."""
         self.busy = False
         """Whether an order is being carried out."""
         self.orders: list[dict[str, Any]] = []
@@ -67,7 +70,9 @@
 
     def headers(self, request: web.BaseRequest, **more: str) -> dict[str, str]:
         """Return the headers of every answer to a request."""
-        return {names.REQUEST_ID: request.headers[names.REQUEST_ID], names.SEAL: f"seal-{self.incarnation}", **more}
+        identity = {names.REQUEST_ID: request.headers[names.REQUEST_ID], names.SEAL: f"seal-{self.incarnation}"}
+        leaving = {names.LEAVING: "1"} if self.leaving else {}
+        return {**identity, **leaving, **more}
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
