Back ends that say they leave, or ask for back-off, get no requests

Cause: of an answer a node kept what it proves of the request and nothing of what it states about its back end; who leaves was known from the listing alone, which is as old as the store's last answer and can be overwritten. Change: notices are handed on from the one place where heads of answers are read, for requests, reports and orders. Leaving belongs to the incarnation and nothing takes it back, no later entry either. Back-off is a state of its own with the longest end asked for; no answer, failure or returning zone shortens it, and one request tries the back end before others follow. All back ends leaving: used for 1 s more. All backing off: a request that can still be in time is held, any other refused at once with the first end in Retry-After. 6016 to 6019 log it.

--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -107,8 +107,14 @@
     )
     ZONE_RETURNED = (6013, "INFO", "a zone answers again; its back ends get requests")
     BACKEND_CRASHED = (6014, "WARNING", "back end crashed; the requests it was running are suspects")
-    BACKEND_ANNOUNCED_LEAVING = (6016, "INFO", "answer of a back end says that it is leaving")
+    BACKEND_ANNOUNCED_LEAVING = (
+        6016,
+        "INFO",
+        "answer of a back end says that it is leaving; it gets no new requests",
+    )
     BACKEND_REQUESTED_BACKOFF = (6017, "INFO", "refusal of a back end asks for a time without requests")
+    BACKEND_BACKOFF_ENDED = (6018, "INFO", "back end accepts requests again after it had asked for none")
+    BACKEND_NOTICE_UNREADABLE = (6019, "INFO", "Retry-After of a back end is no number of seconds; it is ignored")
     CACHE_EVENTS_REFUSED = (6015, "WARNING", "KV store answers but sends no events; its known content is used on")
 
     # 7001 and on: weights on engines, and rollouts of software.
--- a/src/wallwell/http_connection.py
+++ b/src/wallwell/http_connection.py
@@ -10,6 +10,8 @@
 import asyncio
 from collections.abc import Callable
 
+from aiohttp.http_parser import RawResponseMessage
+
 from wallwell.backend_connection import BackendConnection, ConnectionBrokenError
 from wallwell.clock import boot_time_s, bounded
 from wallwell.late_loop import is_done_within
@@ -59,9 +61,16 @@
             connection.close()
         return await self._connect(address, self._connect_timeout_s)
 
-    async def fetch(self, address: str, request: bytes, timeout_s: float) -> tuple[int, bytes]:
+    async def fetch(
+        self,
+        address: str,
+        request: bytes,
+        timeout_s: float,
+        on_head: Callable[[RawResponseMessage], None] | None = None,
+    ) -> tuple[int, bytes]:
         """Make one call, which any answer on its connection answers; return status and body.
 
+        ``on_head`` is called with the answer's head, also if the body then does not come.
         Raises :class:`ConnectFailedError`, :class:`ConnectionBrokenError` or TimeoutError.
         """
         try:
@@ -69,6 +78,8 @@
                 connection = await self.acquire(address)
                 try:
                     message = await connection.round_trip("", request)
+                    if on_head is not None:
+                        on_head(message)
                     return message.code, b"".join([chunk async for chunk in connection.body()])
                 finally:
                     self.release(address, connection)
--- a/src/wallwell/node/adapter.py
+++ b/src/wallwell/node/adapter.py
@@ -19,6 +19,7 @@
 from wallwell.placement.weights_roll_driver import EngineControl
 from wallwell.rollout.model import RolloutOrder
 from wallwell.rollout.store import RolloutStore
+from wallwell.routing.health.backend_notice import BackendNotices
 from wallwell.serving.liveness import ReachabilityCheck
 from wallwell.serving.messages import BackendClient
 from wallwell.storage.feed import RowSource
@@ -66,3 +67,5 @@
     check: BackendCheck
     pool: ConnectionPool
     """The connections that ``client`` uses; the node closes those that rest for too long."""
+    notices: BackendNotices
+    """Through which ``client`` and ``control`` hand on what answers state about their back ends."""
--- a/src/wallwell/node/backend_rows.py
+++ b/src/wallwell/node/backend_rows.py
@@ -84,10 +84,12 @@
         is_start = not self._state.backends_known
         self._state.rollouts.on_listed(record.service, record.software, now_s, is_start)
         backend = self._state.backends.upsert(record)
+        if record.draining:
+            self._state.backends.on_leaving(backend, now_s)
         if is_new:
             backend.slow_until_s = now_s + record.slow_for_s
 
     def _on_missing(self, backend: Backend, now_s: float) -> None:
         """An entry is missing: the back end has left, or the entry lapsed while the store was unavailable."""
-        grace_ends_s = now_s if backend.record.draining else self._store_returned_s + LAPSE_GRACE_S
+        grace_ends_s = now_s if backend.leaving_since_s is not None else self._store_returned_s + LAPSE_GRACE_S
         self._state.backends.lapse(backend.incarnation, max(now_s, grace_ends_s))
--- a/src/wallwell/node/metrics.py
+++ b/src/wallwell/node/metrics.py
@@ -70,9 +70,9 @@
         opened = sum(each.is_open(now_s) for each in listed)
         yield GaugeMetricFamily("wallwell_backends", "Listed back ends.", value=len(listed))
         yield GaugeMetricFamily("wallwell_backends_open", "Back ends that get new requests.", value=opened)
-        leaving = sum(each.announced_leaving for each in listed)
-        yield GaugeMetricFamily("wallwell_backends_leaving", "Back ends whose answers say so.", value=leaving)
-        backing_off = sum(each.is_backing_off(now_s) for each in listed)
+        leaving = sum(each.leaving_since_s is not None for each in listed)
+        yield GaugeMetricFamily("wallwell_backends_leaving", "Listed back ends that leave.", value=leaving)
+        backing_off = sum(each.backoff.is_in_force(now_s) for each in listed)
         yield GaugeMetricFamily(
             "wallwell_backends_backing_off", "Back ends that asked for no requests now.", value=backing_off
         )
--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -11,6 +11,7 @@
 import random
 import time
 from collections.abc import Awaitable, Callable, Iterable
+from functools import partial
 
 import msgspec
 
@@ -26,6 +27,7 @@
 from wallwell.deployment.topology import Topology
 from wallwell.events import Event, emit
 from wallwell.node.adapter import NodeAdapter, NodeSources
+from wallwell.node.backend_notices import apply_notice
 from wallwell.node.backend_rows import BackendRows
 from wallwell.node.crash_watch import CrashWatch
 from wallwell.node.followers import BACKENDS_TIMING, OPERATORS_TIMING, OWN_TIMING, TableFollowers
@@ -80,6 +82,7 @@
         self._clock = StoreClock()
         self._order = UpstreamOrder(profile.name, profile.zone, topology=profile.topology)
         self.state.zones.on_return = self._order.on_zone_returned
+        adapter.notices.on_notice = partial(apply_notice, self.state)
         self._tasks: list[asyncio.Task[None]] = []
 
         self._build_pipeline(adapter)
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -28,6 +28,7 @@
 from wallwell.platform.worker_orders import WorkerControl
 from wallwell.platform.worker_probes import WorkerProbes
 from wallwell.platform.workers import WorkerClient, worker_pool
+from wallwell.routing.health.backend_notice import BackendNotices
 
 SHUTDOWN_TIMEOUT_S = 0.1
 """Seconds for which a listener waits for handlers as it closes. Chosen, not measured: by then the node has waited
@@ -44,13 +45,15 @@
     store = PlatformStore(settings.provider.addr)
     topology = settings.topology()
     pool = worker_pool()
+    notices = BackendNotices()
     profile = NodeProfile(settings.node, topology, settings.limits.link_mbps)
     adapter = NodeAdapter(
         _sources(store, CacheEventsClient(pool)),
-        client=WorkerClient(pool),
-        control=WorkerControl(pool),
+        client=WorkerClient(pool, notices),
+        control=WorkerControl(pool, notices),
         check=WorkerProbes(pool, topology),
         pool=pool,
+        notices=notices,
     )
     return FleetNode(profile, settings.fleet_bounds(), adapter)
 
--- /dev/null
+++ b/src/wallwell/platform/worker_notices.py
@@ -0,0 +1,49 @@
+"""What a worker's answer states about the worker: that it leaves, or for how long it wants nothing from this node.
+
+Owns the meaning of the two headers. Decides nothing; what follows is decided in ``routing/health``. Relies on the
+caller to pass the head of each answer, also of those that are no answer to a request of a caller.
+"""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+from aiohttp.http_parser import RawResponseMessage
+
+from wallwell.events import Event, emit
+from wallwell.platform import names
+from wallwell.routing.health.backend_notice import NO_NOTICE, BackendNotice
+
+BACKOFF_STATUSES = frozenset((HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE))
+"""Statuses on which ``names.RETRY_AFTER`` asks this node to send the worker nothing, as HTTP defines both."""
+IS_LEAVING = "1"
+"""Value of ``names.LEAVING`` by which a worker says that it leaves."""
+MAX_LOGGED_CHARS = 40
+"""Characters of a header that are logged: more than any number or date has."""
+
+
+def backend_notice(message: RawResponseMessage, incarnation: str) -> BackendNotice:
+    """Return what an answer to a call of ``incarnation`` states about it; nothing if another one has answered."""
+    if message.headers.get(names.INSTANCE_ID, incarnation) != incarnation:
+        return NO_NOTICE
+    leaving = message.headers.get(names.LEAVING) == IS_LEAVING
+    return BackendNotice(leaving, _backoff_s(message, incarnation))
+
+
+def _backoff_s(message: RawResponseMessage, incarnation: str) -> float:
+    """Return for how long the worker wants nothing, the longest of several such headers; 0 if it asks for
+    nothing."""
+    if message.code not in BACKOFF_STATUSES:
+        return 0.0
+    return max((_seconds(text, incarnation) for text in message.headers.getall(names.RETRY_AFTER, ())), default=0.0)
+
+
+def _seconds(text: str, incarnation: str) -> float:
+    """Return a header's seconds. Text that is no number is logged and asks for nothing: HTTP also allows a date
+    here, which workers do not send."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        emit(Event.BACKEND_NOTICE_UNREADABLE, backend=incarnation, retry_after=text[:MAX_LOGGED_CHARS])
+        return 0.0
+    return seconds if seconds > 0 else 0.0  # False for what is not a number too.
--- a/src/wallwell/platform/worker_orders.py
+++ b/src/wallwell/platform/worker_orders.py
@@ -9,6 +9,7 @@
 from http import HTTPStatus
 
 import msgspec
+from aiohttp.http_parser import RawResponseMessage
 
 from wallwell.backend_connection import ConnectionBrokenError
 from wallwell.deployment.backends import BackendRecord
@@ -16,6 +17,8 @@
 from wallwell.http_connection import ConnectFailedError, ConnectionPool
 from wallwell.placement.weights_roll import EngineReport, OrderReply, WeightsOrder
 from wallwell.platform import names
+from wallwell.platform.worker_notices import backend_notice
+from wallwell.routing.health.backend_notice import NO_NOTICE, BackendNotices
 
 CONTROL_TIMEOUT_S = 1.0
 """Seconds for one call, connecting included. Chosen, not measured: a third of the lease under which orders are
@@ -75,8 +78,10 @@
 class WorkerControl:
     """Asks workers for reports and gives them orders."""
 
-    def __init__(self, pool: ConnectionPool) -> None:
+    def __init__(self, pool: ConnectionPool, notices: BackendNotices) -> None:
+        """``notices`` receives what answers state about their workers."""
         self._pool = pool
+        self._notices = notices
         self._failing: dict[str, None] = {}
         """Incarnations whose last call failed, the longest known first."""
 
@@ -124,8 +129,15 @@
         head += f"{names.EXPECT_INSTANCE}: {backend.incarnation}\r\n"
         if body:
             head += "Content-Type: application/json\r\n"
+
+        def on_head(message: RawResponseMessage) -> None:
+            notice = backend_notice(message, backend.incarnation)
+            if notice != NO_NOTICE:
+                self._notices.on_notice(backend.incarnation, notice)
+
+        request = head.encode() + b"\r\n" + body
         try:
-            return await self._pool.fetch(backend.address, head.encode() + b"\r\n" + body, CONTROL_TIMEOUT_S)
+            return await self._pool.fetch(backend.address, request, CONTROL_TIMEOUT_S, on_head)
         except (ConnectFailedError, ConnectionBrokenError, TimeoutError) as error:
             self._on_failure(backend, path, f"{type(error).__name__}: {error}")
             return None
--- a/src/wallwell/platform/worker_requests.py
+++ b/src/wallwell/platform/worker_requests.py
@@ -12,7 +12,6 @@
 from aiohttp.http_parser import RawResponseMessage
 
 from wallwell.platform import names
-from wallwell.routing.health.backend_notice import MAX_BACKOFF_S, BackendNotice
 from wallwell.routing.retry.attempt_outcome import TransportEvent
 from wallwell.serving.messages import AnswerHead, AttemptError, CachePlan, CallerRequest, Dispatch
 
@@ -33,11 +32,6 @@
 """Statuses that state to a caller that nothing ran. From a worker they prove that only together with
 ``names.NOT_RUN``, so without that header such an answer must not be passed on."""
 
-BACKOFF_STATUSES = frozenset((HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE))
-"""Statuses on which ``names.RETRY_AFTER`` asks this node to send the worker nothing, as HTTP defines both."""
-LEAVING = "1"
-"""Value of ``names.LEAVING`` by which a worker says that it leaves."""
-
 
 def encode_request(dispatch: Dispatch) -> bytes:
     """Return the whole request of an attempt as sent to the worker."""
@@ -95,43 +89,20 @@
         headers=headers,
         weights_version=int(version) if version.isdigit() else 0,
         is_event_stream=content_type.startswith(names.EVENT_STREAM),
-        notice=_backend_notice(message),
     )
 
 
-def _backend_notice(message: RawResponseMessage) -> BackendNotice:
-    return BackendNotice(message.headers.get(names.LEAVING) == LEAVING, _backoff_s(message))
-
-
-def _backoff_s(message: RawResponseMessage) -> float:
-    """Return for how long the worker wants nothing, 0 if it does not say so in seconds.
-
-    Text that is no number asks for nothing: HTTP also allows a date here, which workers do not send. What came is
-    logged with the attempt (3002).
-    """
-    if message.code not in BACKOFF_STATUSES:
-        return 0.0
-    try:
-        seconds = float(message.headers.get(names.RETRY_AFTER, "0"))
-    except ValueError:
-        return 0.0
-    return min(seconds, MAX_BACKOFF_S) if seconds > 0 else 0.0
-
-
 def attempt_failure(message: RawResponseMessage, head: AnswerHead) -> AttemptError | None:
     """Return how the attempt failed, None if this is the worker's answer to the request.
 
     A worker's own errors, such as 500 or 504, are its answer and are passed on.
     """
     if message.code == HTTPStatus.MISDIRECTED_REQUEST:
-        return AttemptError(
-            TransportEvent.PRECONDITION_REFUSED, str(message.code), head.weights_version, head.notice
-        )
-    status = _status_text(message)
+        return AttemptError(TransportEvent.PRECONDITION_REFUSED, str(message.code), head.weights_version)
     if names.NOT_RUN in message.headers:
-        return AttemptError(TransportEvent.BACKEND_OVERLOADED, status, notice=head.notice)
+        return AttemptError(TransportEvent.BACKEND_OVERLOADED, _status_text(message))
     if message.code in NOT_RUN_STATUSES:
-        return AttemptError(TransportEvent.CANCEL_UNACKNOWLEDGED, f"{status} without proof", notice=head.notice)
+        return AttemptError(TransportEvent.CANCEL_UNACKNOWLEDGED, f"{message.code} without proof")
     if "Content-Encoding" in message.headers:
         return AttemptError(TransportEvent.FOREIGN_ANSWER, "encoded body")
     if head.ok and names.SEAL not in message.headers:
--- a/src/wallwell/routing/health/backend.py
+++ b/src/wallwell/routing/health/backend.py
@@ -1,7 +1,8 @@
 """What this node has observed of one listed back end, and what follows for sending it requests. Pure.
 
-Owns the observations: requests in flight, failures, suspension, weights versions believed to be in place, silence.
-Relies on :mod:`.suspension` for how long a failure suspends, and on :mod:`.silence` for when it is probed. The
+Owns the observations: requests in flight, failures, suspension, weights versions believed to be in place, silence,
+and what it has stated about itself. Relies on :mod:`.suspension` for how long a failure suspends, on
+:mod:`.backoff` for how long it is left alone at its own request, and on :mod:`.silence` for when it is probed. The
 selection of back ends reads it; the pipeline and the watches of a node write to it. Times are on this node's clock.
 """
 
@@ -11,6 +12,7 @@
 
 from wallwell.deployment.backends import BackendRecord
 from wallwell.routing.health import suspension
+from wallwell.routing.health.backoff import RequestedBackoff
 from wallwell.routing.health.silence import Silence
 
 
@@ -49,10 +51,10 @@
     """Weights version believed to be in place, per model."""
     loading: LoadInProgress | None = None
     gone: bool = False
-    announced_leaving: bool = False
-    """Whether one of its answers has said that it is leaving."""
-    backoff_until_s: float = float("-inf")
-    """Until when it wants nothing from this node, by its own refusals."""
+    leaving_since_s: float | None = None
+    """When its entry or one of its answers first said that it leaves. Nothing takes that back: leaving ends with
+    the end of the back end, and an entry that says otherwise is older."""
+    backoff: RequestedBackoff = field(default_factory=RequestedBackoff)
     superseded: bool = False
     """Whether a later incarnation has been listed at its address, so that this one has ended."""
     lapses_at_s: float | None = None
@@ -70,12 +72,23 @@
 
     def is_open(self, now_s: float) -> bool:
         """Whether the back end may get new requests."""
-        return not (self.is_leaving(now_s) or now_s < self.suspended_until_s)
+        if self.is_leaving(now_s) or now_s < self.suspended_until_s:
+            return False
+        return self.backoff.allows_request(now_s)
 
     def is_leaving(self, now_s: float) -> bool:
-        """Whether it is draining, gone or superseded."""
+        """Whether it is leaving by its entry or its answers, gone or superseded."""
+        return self.record.draining or self.leaving_since_s is not None or self._has_ended(now_s)
+
+    def _has_ended(self, now_s: float) -> bool:
         has_lapsed = self.lapses_at_s is not None and now_s >= self.lapses_at_s
-        return self.gone or self.superseded or self.record.draining or has_lapsed
+        return self.gone or self.superseded or has_lapsed
+
+    def still_serves(self, bound_s: float, now_s: float) -> bool:
+        """Whether it is leaving, but has not been known to for ``bound_s`` yet."""
+        if self.leaving_since_s is None or self._has_ended(now_s):
+            return False
+        return now_s < self.leaving_since_s + bound_s
 
     def is_loading(self, now_s: float) -> bool:
         """Whether it is believed to be loading weights by an order."""
@@ -97,22 +110,6 @@
         load = self.loading
         return load is not None and now_s < load.until_s and self.believed_version(load.model) < load.version
 
-    def is_backing_off(self, now_s: float) -> bool:
-        """Whether the back end has asked this node to send it nothing now."""
-        return now_s < self.backoff_until_s
-
-    def on_leaving_announced(self) -> bool:
-        """Note that an answer said that it is leaving; returns False if that was known."""
-        is_new = not self.announced_leaving
-        self.announced_leaving = True
-        return is_new
-
-    def on_backoff_requested(self, backoff_s: float, now_s: float) -> bool:
-        """Note a request for back-off, of which the longest holds; returns False if one was already in force."""
-        is_new = not self.is_backing_off(now_s)
-        self.backoff_until_s = max(self.backoff_until_s, now_s + backoff_s)
-        return is_new
-
     def on_success(self, now_s: float) -> None:
         """Note an answer: failures before it count no more."""
         self.consecutive_failures = 0
--- a/src/wallwell/routing/health/backend_notice.py
+++ b/src/wallwell/routing/health/backend_notice.py
@@ -1,17 +1,15 @@
 """What a back end states about itself in an answer, beside the answer to the request. Pure.
 
-Decoded in ``platform/`` from the head of each answer, refusals included, and kept by
-:class:`~wallwell.routing.health.backend.Backend`. It is newer than the listing, and comes also while the store
-cannot be read.
+Decoded in ``platform/`` from the head of each answer that a node reads, of whatever status and to whatever call,
+and handed on by one :class:`BackendNotices`, so that no path of a request has a copy of its own. It is newer than
+the listing, and comes also while the store cannot be read.
 """
 
 from __future__ import annotations
 
-import msgspec
+from collections.abc import Callable
 
-MAX_BACKOFF_S = 3600.0
-"""Longest time in seconds for which a back end is left out at its own request. Chosen, not measured: no overload is
-expected to last as long, and a figure that was meant in milliseconds must not remove a back end for good."""
+import msgspec
 
 
 class BackendNotice(msgspec.Struct, frozen=True):
@@ -24,3 +22,11 @@
 
 
 NO_NOTICE = BackendNotice()
+
+
+class BackendNotices:
+    """Hands notices from the clients of back ends to the node that they were wired for."""
+
+    def __init__(self) -> None:
+        self.on_notice: Callable[[str, BackendNotice], None] = lambda incarnation, notice: None
+        """Called with the incarnation that answered and what it stated, unless that is nothing."""
--- a/src/wallwell/routing/health/backend_registry.py
+++ b/src/wallwell/routing/health/backend_registry.py
@@ -15,6 +15,9 @@
 
 MAX_SUPERSEDED_KNOWN = 1000
 """Superseded incarnations remembered. Entries of ended ones stay for seconds, in which far fewer end."""
+MAX_LEAVING_KNOWN = 1000
+"""Leaving incarnations remembered, listed or not. An entry that lapsed may return some seconds later, in which far
+fewer leave."""
 
 
 class BackendRegistry:
@@ -23,6 +26,9 @@
     def __init__(self) -> None:
         self._superseded: dict[str, None] = {}
         """Superseded incarnations in the order of their ends; their entries may lapse and be listed again."""
+        self._leaving_since_s: dict[str, float] = {}
+        """When incarnations were first known to leave, in that order. Kept beyond their entries: one that lapsed
+        while the store was away may be listed again as it was."""
         self._by_incarnation: dict[str, Backend] = {}
         self._by_service: dict[str, list[Backend]] = {}
         self._by_address: dict[str, list[Backend]] = {}
@@ -60,7 +66,11 @@
         """Take a new or changed entry; observations of the same incarnation are kept."""
         backend = self._by_incarnation.get(record.incarnation)
         if backend is None:
-            backend = Backend(record, superseded=record.incarnation in self._superseded)
+            backend = Backend(
+                record,
+                superseded=record.incarnation in self._superseded,
+                leaving_since_s=self._leaving_since_s.get(record.incarnation),
+            )
             if not backend.superseded:
                 self._supersede_at(record.address)
             self._add(backend)
@@ -76,6 +86,21 @@
         backend.lapses_at_s = None
         return backend
 
+    def on_leaving(self, backend: Backend, now_s: float) -> bool:
+        """A back end is known to leave, by its entry or an answer; returns False if that was known.
+
+        Its service gets a new list, as with any change of its entry: groups of a rollout are formed anew.
+        """
+        if backend.leaving_since_s is not None:
+            return False
+        backend.leaving_since_s = now_s
+        self._leaving_since_s[backend.incarnation] = now_s
+        if len(self._leaving_since_s) > MAX_LEAVING_KNOWN:
+            del self._leaving_since_s[next(iter(self._leaving_since_s))]
+        service = backend.record.service
+        self._by_service[service] = list(self._by_service[service])
+        return True
+
     def _supersede_at(self, address: str) -> None:
         """A new incarnation is listed at an address: those listed there before have ended.
 
--- a/src/wallwell/routing/retry/retry_after.py
+++ b/src/wallwell/routing/retry/retry_after.py
@@ -47,6 +47,9 @@
 SUSPENSION_MARGIN_S = 0.005
 """Added in seconds to the end of a suspension, so that a caller does not arrive just before it. Chosen, not
 measured."""
+BACKOFF_SPREAD = (1.0, 1.25)
+"""Multiples of the time until a back-off ends over which callers are spread: a back end that was full should not
+get all of them at once. None comes before the end, when it would be refused. Chosen, not measured."""
 FREE_SLOTS_FRACTION = 0.5
 """Fraction of a request's usual duration after which slots of a full service are free again. Chosen, not measured:
 requests in flight at a random moment have on average half of their duration left."""
@@ -68,6 +71,7 @@
     STALE_CONFIGURATION = "configuration not confirmed lately"
     NO_BACKEND_LISTED = "no back end is listed"
     ALL_SUSPENDED = "all back ends are suspended"
+    ALL_BACKING_OFF = "all back ends asked for back-off"
     REFUSED_BY_BACKENDS = "back ends refused"
     WEIGHTS_TOO_OLD = "no back end has new enough weights"
     RETRY_BUDGET_EXHAUSTED = "retry budget exhausted"
@@ -85,6 +89,8 @@
     """Whether other nodes report their loads to this one, so that the store may be silent for them as well."""
     suspension_ends_in_s: float = 0.0
     """Time until the first suspended back end may be tried; 0 if one may be now."""
+    backoff_ends_in_s: float = 0.0
+    """Time until the first back end that asked for back-off may be tried."""
     usual_duration_s: float = 0.0
     """Usual duration of a request of this kind at its back end."""
 
@@ -98,6 +104,8 @@
         # The end of the suspension is known, so the spread begins there.
         earliest_s = circumstances.suspension_ends_in_s + SUSPENSION_MARGIN_S
         wait_s = earliest_s + rng.uniform(0.0, ELSEWHERE_S)
+    elif cause is RefusalCause.ALL_BACKING_OFF:
+        wait_s = circumstances.backoff_ends_in_s * rng.uniform(*BACKOFF_SPREAD)
     else:
         wait_s = _expected_s(cause, circumstances) * rng.uniform(*SPREAD)
     if wait_s > longest_s:
--- a/src/wallwell/routing/selection/candidates.py
+++ b/src/wallwell/routing/selection/candidates.py
@@ -4,7 +4,9 @@
 named, and the zones into which this request's connections timed out. Three rules apply, each with a last resort, so
 that a request that could be served somewhere is not refused:
 
-1. Back ends that leave (draining, gone, superseded) get nothing. Suspended ones get nothing while another is open.
+1. Back ends that have ended (gone, superseded) get nothing. Suspended ones get nothing while another is open, nor
+   do those that are being tried after a back-off. Those that leave get nothing while another stays, and then only
+   for ``LEAVING_GRACE_S``. One that has asked for back-off gets nothing until its end.
 2. Generations go to engines that have every weights version that was named long enough ago
    (``OVERDUE_FRACTION`` of the operators' bound, ``LAST_RESORT_FRACTION`` if no engine has them), and to engines
    that are loading weights only if no other one is left.
@@ -30,6 +32,10 @@
 """Seconds before the end of the operators' bound by which a generation on older weights has to have begun.
 
 Chosen, not measured: a request begins some time after it was sent, and nodes learn names at different times."""
+LEAVING_GRACE_S = 1.0
+"""Seconds after a node has learnt that a back end leaves, up to which it is used if all others leave as well.
+Chosen, not measured: half of the shortest time in use (2 s) after which it must get nothing more, since it may have
+said so to the store before this node knew."""
 
 
 class Candidates(NamedTuple):
@@ -56,10 +62,7 @@
 
     ``requirement`` is None for calls, which need no weights.
     """
-    usable = [each for each in listed if each.is_open(now_s)]
-    if not usable:
-        # Every back end is suspended: one that may have recovered is better than none.
-        usable = [each for each in listed if not each.is_leaving(now_s)]
+    usable = [each for each in listed if each.is_open(now_s)] or _last_resorts(listed, now_s)
     if requirement is None:
         return usable
     current = _on_due_weights(usable, requirement, OVERDUE_FRACTION, now_s)
@@ -69,6 +72,25 @@
     return [each for each in current if not each.is_loading(now_s)] or current
 
 
+def _last_resorts(listed: Sequence[Backend], now_s: float) -> list[Backend]:
+    """Return what is left where no back end is open: one that may have recovered or still serves is better than
+    none.
+
+    A back end that has asked for back-off has said that it would refuse.
+    """
+    staying = [each for each in listed if not each.is_leaving(now_s)]
+    candidates = staying or [each for each in listed if each.still_serves(LEAVING_GRACE_S, now_s)]
+    return [each for each in candidates if not each.backoff.is_in_force(now_s)]
+
+
+def backoff_ends_s(listed: Sequence[Backend], now_s: float) -> float | None:
+    """Return when the first back-off ends, None if a back end that stays has not asked for any."""
+    staying = [each for each in listed if not each.is_leaving(now_s)]
+    if not staying or any(not each.backoff.is_in_force(now_s) for each in staying):
+        return None
+    return min(each.backoff.until_s for each in staying)
+
+
 def candidates_of_tiers(
     tiers: Sequence[Sequence[Backend]], requirement: WeightsRequirement | None, now_s: float
 ) -> Candidates:
--- a/src/wallwell/serving/attempt.py
+++ b/src/wallwell/serving/attempt.py
@@ -88,6 +88,7 @@
         sent_s = boot_time_s()
         if not backend.in_flight:
             backend.silence.on_idle_ended(sent_s)
+        backend.backoff.on_sent(sent_s)
         backend.in_flight += 1
         backend.load += load
         active.history.tried.add(backend.incarnation)
--- a/src/wallwell/serving/attempt_learning.py
+++ b/src/wallwell/serving/attempt_learning.py
@@ -10,7 +10,6 @@
 from wallwell.events import Event, emit
 from wallwell.node.state import NodeState
 from wallwell.routing.health.backend import Backend
-from wallwell.routing.health.backend_notice import BackendNotice
 from wallwell.routing.retry.attempt_history import UNREACHABLE
 from wallwell.routing.retry.attempt_outcome import REFUSED_BY_BACKEND, TransportEvent
 from wallwell.serving.active_request import ActiveRequest
@@ -40,12 +39,18 @@
         if generation is not None and head.weights_version:
             backend.learn_version(generation.model, head.weights_version)
         now_s = boot_time_s()
-        self._learn_notice(backend, head.notice, now_s)
         backend.silence.on_heard(now_s)
         self._state.on_sign_of_life(backend, now_s)
+        self._learn_acceptance(backend, now_s)
         if head.ok:
             backend.on_success(now_s)
 
+    def _learn_acceptance(self, backend: Backend, now_s: float) -> None:
+        """A request was taken: a back end that had asked for back-off wants requests again."""
+        backoff_s = backend.backoff.on_accepted(now_s)
+        if backoff_s is not None:
+            emit(Event.BACKEND_BACKOFF_ENDED, backend=backend.incarnation, since_first_ms=round(backoff_s * 1000))
+
     def on_stream_data(self, active: ActiveRequest, backend: Backend, now_s: float) -> None:
         """Bytes of a stream came."""
         backend.silence.on_heard(now_s)
@@ -61,12 +66,12 @@
     def on_failure(self, active: ActiveRequest, backend: Backend, failure: AttemptError, now_s: float) -> None:
         """An attempt ended without a whole answer."""
         event = failure.event
-        self._learn_notice(backend, failure.notice, now_s)
         self._learn_reachability(active, backend, event, now_s)
         if event is TransportEvent.ANSWER_TIMEOUT:
             self._choice.learn_silence(active, now_s)
         generation = active.request.generation
         if event is TransportEvent.PRECONDITION_REFUSED and generation is not None:
+            self._learn_acceptance(backend, now_s)  # It is not full: it refuses what was expected of it.
             self._state.on_version_refused(backend, generation.model, failure.weights_version)
             return
         if event in REFUSED_BY_BACKEND or event is TransportEvent.ERROR_ANSWER:
@@ -77,14 +82,6 @@
             return  # Busy, not broken.
         self._count_failure(backend, event, now_s)
 
-    def _learn_notice(self, backend: Backend, notice: BackendNotice, now_s: float) -> None:
-        """Keep what the back end stated about itself; log it once for as long as it holds."""
-        if notice.leaving and backend.on_leaving_announced():
-            emit(Event.BACKEND_ANNOUNCED_LEAVING, backend=backend.incarnation)
-        if notice.backoff_s and backend.on_backoff_requested(notice.backoff_s, now_s):
-            backoff_ms = round(notice.backoff_s * 1000)
-            emit(Event.BACKEND_REQUESTED_BACKOFF, backend=backend.incarnation, backoff_ms=backoff_ms)
-
     def _learn_reachability(
         self, active: ActiveRequest, backend: Backend, event: TransportEvent, now_s: float
     ) -> None:
--- a/src/wallwell/serving/messages.py
+++ b/src/wallwell/serving/messages.py
@@ -15,7 +15,6 @@
 from wallwell.deployment.backends import BackendRecord
 from wallwell.errors import RequestError
 from wallwell.routing.health.backend import Backend
-from wallwell.routing.health.backend_notice import NO_NOTICE, BackendNotice
 from wallwell.routing.retry.attempt_outcome import TransportEvent
 from wallwell.routing.selection.prefix_home import PromptPart
 
@@ -99,7 +98,6 @@
     headers: Headers
     weights_version: int = 0
     is_event_stream: bool = False
-    notice: BackendNotice = NO_NOTICE
 
     @property
     def ok(self) -> bool:
@@ -110,19 +108,11 @@
 class AttemptError(Exception):
     """An attempt ended without a whole answer; ``event`` says how, which decides what may follow."""
 
-    def __init__(
-        self,
-        event: TransportEvent,
-        detail: str = "",
-        weights_version: int = 0,
-        notice: BackendNotice = NO_NOTICE,
-    ) -> None:
-        """``notice`` is what the back end stated about itself, if it answered at all."""
+    def __init__(self, event: TransportEvent, detail: str = "", weights_version: int = 0) -> None:
         super().__init__(f"{event.value} {detail}")
         self.event = event
         self.detail = detail
         self.weights_version = weights_version
-        self.notice = notice
 
 
 class CallerGoneError(ConnectionError):
--- a/src/wallwell/serving/pipeline.py
+++ b/src/wallwell/serving/pipeline.py
@@ -14,15 +14,21 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Sequence
+
+import msgspec
+
 from wallwell.clock import boot_time_s
 from wallwell.errors import RequestError
 from wallwell.node.state import NodeState
 from wallwell.outcomes import Outcome
+from wallwell.routing.admission.backoff_hold import hold_s
 from wallwell.routing.admission.remaining_time import is_too_late
 from wallwell.routing.health.backend import Backend
 from wallwell.routing.retry.attempt_outcome import TransportEvent
 from wallwell.routing.retry.retry_policy import GiveUp, RetryPolicy
-from wallwell.routing.selection.candidates import without_unresponsive_zones
+from wallwell.routing.selection.candidates import backoff_ends_s, without_unresponsive_zones
 from wallwell.serving.active_request import ActiveRequest
 from wallwell.serving.admission import Admission
 from wallwell.serving.attempt import Attempts
@@ -43,6 +49,12 @@
 from wallwell.serving.version_choice import candidates_for
 
 
+class Hold(msgspec.Struct, frozen=True):
+    """A request waits before its next back end is chosen."""
+
+    seconds: float
+
+
 class RequestPipeline:
     """Serves requests of any callers' interface from any kind of back end."""
 
@@ -96,7 +108,7 @@
     async def _run(self, active: ActiveRequest) -> None:
         """Make attempts until one ends the request. Raises :class:`RequestError` or :class:`CallerGoneError`."""
         while True:
-            backend = self._choose(active)
+            backend = await self._next_backend(active)
             try:
                 if await self._attempts.make(active, backend):
                     self._on_answered(active, backend)
@@ -121,8 +133,22 @@
 
     # --- before an attempt -----------------------------------------------------------------------------
 
-    def _choose(self, active: ActiveRequest) -> Backend:
-        """Return the back end of the next attempt. Raises :class:`RequestError` or :class:`CallerGoneError`."""
+    async def _next_backend(self, active: ActiveRequest) -> Backend:
+        """Return the back end of the next attempt, waiting for the end of a back-off where that is soon enough.
+
+        Raises :class:`RequestError` or :class:`CallerGoneError`.
+        """
+        while True:
+            chosen = self._choose(active)
+            if isinstance(chosen, Backend):
+                return chosen
+            await asyncio.sleep(chosen.seconds)
+
+    def _choose(self, active: ActiveRequest) -> Backend | Hold:
+        """Return the back end of the next attempt, or for how long the request is held.
+
+        Raises :class:`RequestError` or :class:`CallerGoneError`.
+        """
         if active.reply.is_caller_gone():
             # On a node that is short of processor time a request can be read after its caller has left.
             raise CallerGoneError("closed before its request was sent on")
@@ -138,13 +164,24 @@
         untried = [each for each in usable if each.incarnation not in tried]
         candidates = untried or (usable if self._is_proved_unrun(active) else [])
         if not candidates:
-            raise self._errors.none_usable(active, now_s)
+            hold = self._hold(active, listed, now_s)
+            if hold is None:
+                raise self._errors.none_usable(active, now_s)
+            return hold
         self._choice.refuse_if_overloaded(active, now_s)
         unresponsive = active.history.unresponsive_zones
         return self._choice.choose(
             active, without_unresponsive_zones(candidates, unresponsive, self._state.zone), listed
         )
 
+    def _hold(self, active: ActiveRequest, listed: Sequence[Backend], now_s: float) -> Hold | None:
+        ends_s = backoff_ends_s(listed, now_s)
+        if ends_s is None:
+            return None
+        objective_left_s = active.request.arrived_s + active.route.objective_s - now_s
+        seconds = hold_s(ends_s - now_s, objective_left_s, self._state.rng)
+        return None if seconds is None else Hold(seconds)
+
     def _is_too_late(self, active: ActiveRequest) -> bool:
         generation = active.request.generation
         is_resumed = generation is not None and generation.resume_after is not None
--- a/src/wallwell/serving/request_errors.py
+++ b/src/wallwell/serving/request_errors.py
@@ -20,6 +20,7 @@
 from wallwell.node.state import NodeState
 from wallwell.outcomes import Outcome
 from wallwell.routing.retry.retry_after import RefusalCause
+from wallwell.routing.selection.candidates import backoff_ends_s
 from wallwell.serving.active_request import ActiveRequest
 from wallwell.serving.retry_after import RetryAfter
 
@@ -57,8 +58,11 @@
         return OutcomeUnknownError(text)
 
     def none_usable(self, active: ActiveRequest, now_s: float) -> RequestError:
-        """Return the error where no back end may be asked: none is listed, or none has weights new enough."""
+        """Return the error where no back end may be asked: none stays, wants requests, or has weights new
+        enough."""
         listed = self._state.backends.of_service(active.service)
+        if backoff_ends_s(listed, now_s) is not None:
+            return self.exhausted(active, "every back end asked for back-off", RefusalCause.ALL_BACKING_OFF)
         is_any_present = any(not each.is_leaving(now_s) for each in listed)
         cause = RefusalCause.WEIGHTS_TOO_OLD if is_any_present else RefusalCause.NO_BACKEND_LISTED
         return self.exhausted(active, "no back end can take the request", cause)
--- a/src/wallwell/serving/retry_after.py
+++ b/src/wallwell/serving/retry_after.py
@@ -9,6 +9,7 @@
 from wallwell.clock import boot_time_s
 from wallwell.node.state import NodeState
 from wallwell.routing.retry.retry_after import RefusalCause, RefusalCircumstances, retry_after_s
+from wallwell.routing.selection.candidates import backoff_ends_s
 from wallwell.serving.active_request import ActiveRequest
 from wallwell.serving.messages import CallerRequest
 
@@ -44,6 +45,7 @@
             store_silence_s=self._store_silence_s(now_s),
             receives_peer_loads=self._receives_peer_loads(),
             suspension_ends_in_s=self._suspension_ends_in_s(active.service, now_s),
+            backoff_ends_in_s=self._backoff_ends_in_s(active.service, now_s),
             usual_duration_s=duration.seconds,
         )
         return self._retry_after_ms(cause, circumstances)
@@ -58,6 +60,11 @@
     def _receives_peer_loads(self) -> bool:
         return self._state.demand.peers_generations is not None
 
+    def _backoff_ends_in_s(self, service: str, now_s: float) -> float:
+        """Return when the first back-off of a service ends, 0 if a back end has not asked for any."""
+        ends_s = backoff_ends_s(self._state.backends.of_service(service), now_s)
+        return 0.0 if ends_s is None else ends_s - now_s
+
     def _suspension_ends_in_s(self, service: str, now_s: float) -> float:
         """Return when the first back end of a service may be tried again, 0 if one may be now."""
         listed = self._state.backends.of_service(service)
--- a/tests/unit/node/test_backend_rows.py
+++ b/tests/unit/node/test_backend_rows.py
@@ -10,8 +10,10 @@
 from wallwell.deployment.backends import BackendRecord
 from wallwell.events import Event
 from wallwell.http_connection import ConnectionPool
-from wallwell.node import backend_rows
+from wallwell.node import backend_notices, backend_rows
+from wallwell.node.backend_notices import apply_notice
 from wallwell.node.backend_rows import LAPSE_GRACE_S, BackendRows
+from wallwell.routing.health.backend_notice import BackendNotice
 from wallwell.serving.version_choice import eligible_backends
 from wallwell.storage.feed import FeedPage, FeedRow, FollowedPage
 
@@ -93,6 +95,43 @@
     assert play(scenario) == ["b"]
 
 
+def test_an_entry_that_says_otherwise_later_does_not_bring_a_leaving_back_end_back():
+    """After an outage the store may list as ready what has said in its answers that it leaves."""
+
+    async def scenario(followed):
+        state = followed.state
+        apply_notice(state, "a", BackendNotice(leaving=True))
+        seen = [followed.open()]
+        await followed.pass_time(AWAY_S, told=False)
+        followed.take(whole=True, a=b"ready", b=b"ready", c=b"ready")
+        seen.append(followed.open())
+        followed.take(a=None)
+        followed.take(a=b"ready")
+        seen.append(followed.open())
+        return seen
+
+    assert play(scenario) == [["b"], ["b"], ["b"]]
+
+
+def test_a_notice_is_logged_once_and_one_of_an_unlisted_back_end_is_ignored(monkeypatch):
+    lines = []
+    monkeypatch.setattr(backend_notices, "emit", lambda event, **fields: lines.append((event, fields["backend"])))
+
+    async def scenario(followed):
+        for _ in range(3):
+            apply_notice(followed.state, "a", BackendNotice(leaving=True, backoff_s=1.0))
+            apply_notice(followed.state, "unlisted", BackendNotice(leaving=True, backoff_s=1.0))
+        await asyncio.sleep(1.1)
+        apply_notice(followed.state, "a", BackendNotice(backoff_s=1.0))
+
+    play(scenario)
+    assert lines == [
+        (Event.BACKEND_ANNOUNCED_LEAVING, "a"),
+        (Event.BACKEND_REQUESTED_BACKOFF, "a"),
+        (Event.BACKEND_REQUESTED_BACKOFF, "a"),
+    ]
+
+
 @pytest.mark.parametrize("whole", [True, False], ids=["whole reading", "changes"])
 def test_living_back_ends_serve_on_while_their_entries_come_back(whole):
     async def scenario(followed):
--- a/tests/unit/routing/health/test_backend_registry.py
+++ b/tests/unit/routing/health/test_backend_registry.py
@@ -7,7 +7,7 @@
 from wallwell.deployment.backends import BackendRecord
 from wallwell.routing.health import backend_registry
 from wallwell.routing.health.backend import Backend, LoadInProgress
-from wallwell.routing.health.backend_registry import MAX_SUPERSEDED_KNOWN, BackendRegistry
+from wallwell.routing.health.backend_registry import MAX_LEAVING_KNOWN, MAX_SUPERSEDED_KNOWN, BackendRegistry
 from wallwell.routing.health.suspension import FIRST_PAUSE_S, MAX_PAUSE_S
 
 
@@ -131,6 +131,53 @@
     assert alive.is_open(0.0)
 
 
+@pytest.mark.parametrize("later", ["ready", "lapsed and listed again", "moved"])
+def test_no_entry_takes_back_that_a_back_end_leaves(later):
+    registry = BackendRegistry()
+    backend = registry.upsert(record())
+    assert registry.on_leaving(backend, 3.0)
+    assert not registry.on_leaving(backend, 4.0)
+    if later == "lapsed and listed again":
+        registry.remove("i-1")
+    again = registry.upsert(record(address="b:1" if later == "moved" else ""))
+    assert again.is_leaving(100.0)
+    assert again.leaving_since_s == 3.0
+
+
+def test_groups_of_back_ends_are_formed_anew_when_one_leaves():
+    registry = BackendRegistry()
+    backend = registry.upsert(record())
+    listed = registry.of_service("s")
+    registry.on_leaving(backend, 3.0)
+    assert registry.of_service("s") is not listed
+    assert registry.of_service("s") == listed
+
+
+def test_another_incarnation_does_not_leave_with_the_one_before():
+    registry = BackendRegistry()
+    registry.on_leaving(registry.upsert(record("i-1", address="a:1")), 3.0)
+    assert registry.upsert(record("i-2", address="a:1")).is_open(4.0)
+
+
+def test_leaving_incarnations_are_not_remembered_without_bound():
+    registry = BackendRegistry()
+    for index in range(MAX_LEAVING_KNOWN + 50):
+        registry.on_leaving(registry.upsert(record(f"i-{index}")), 3.0)
+        registry.remove(f"i-{index}")
+    assert len(registry._leaving_since_s) == MAX_LEAVING_KNOWN
+    assert registry.upsert(record(f"i-{MAX_LEAVING_KNOWN + 49}")).is_leaving(4.0)
+
+
+def test_failures_answers_and_the_return_of_a_zone_do_not_shorten_a_back_off():
+    backend = Backend(record())
+    backend.backoff.on_requested(10.0, 0.0)
+    backend.on_failure(1.0, unreachable=True)
+    backend.on_success(2.0)
+    backend.forgive_failures(2.0)
+    backend.suspend_at_least_until(3.0)
+    assert [backend.is_open(now_s) for now_s in (9.9, 10.0)] == [False, True]
+
+
 def test_ended_incarnations_are_not_remembered_without_bound():
     registry = BackendRegistry()
     for index in range(MAX_SUPERSEDED_KNOWN + 50):
--- a/tests/unit/routing/retry/test_retry_after.py
+++ b/tests/unit/routing/retry/test_retry_after.py
@@ -61,6 +61,7 @@
             (0.4 + SUSPENSION_MARGIN_S, 0.4 + SUSPENSION_MARGIN_S + ELSEWHERE_S),
         ),
         (C.ALL_SUSPENDED, {"suspension_ends_in_s": 0.0}, (SHORTEST_S, SUSPENSION_MARGIN_S + ELSEWHERE_S)),
+        (C.ALL_BACKING_OFF, {"backoff_ends_in_s": 0.8, "suspension_ends_in_s": 0.1}, (0.8, 1.0)),
         (C.REFUSED_BY_BACKENDS, {"usual_duration_s": 1.2}, around(FREE_SLOTS_FRACTION * 1.2)),
         (C.REFUSED_BY_BACKENDS, {"usual_duration_s": 0.02}, around(ELSEWHERE_S)),
         (C.RETRY_BUDGET_EXHAUSTED, {"usual_duration_s": 9.0, "suspension_ends_in_s": 9.0}, around(ELSEWHERE_S)),
@@ -81,6 +82,7 @@
         "store_silence_s": 60.0,
         "receives_peer_loads": True,
         "suspension_ends_in_s": 60.0,
+        "backoff_ends_in_s": 60.0,
         "usual_duration_s": 60.0,
     }
     seen = waits(cause, remaining_s=remaining_s, **known)
--- a/tests/unit/routing/selection/drawn_fleet.py
+++ b/tests/unit/routing/selection/drawn_fleet.py
@@ -44,6 +44,10 @@
     if not all_open:
         backend.suspended_until_s = draw(TIMES_S)
         backend.superseded, backend.gone = draw(RARELY), draw(RARELY)
+        backend.leaving_since_s = draw(st.none() | TIMES_S) if draw(RARELY) else None
+        if draw(RARELY):
+            backend.backoff.on_requested(1.0, draw(TIMES_S))
+            backend.backoff.on_sent(draw(TIMES_S))
         backend.lapses_at_s = draw(st.none() | TIMES_S)
     return backend
 
--- /dev/null
+++ b/tests/unit/serving/test_requested_backoff.py
@@ -0,0 +1,79 @@
+"""Requests while back ends of their service have asked for back-off: served elsewhere, held, or refused at once."""
+
+import pytest
+
+from tests.unit.serving.fakes import FakeClient, FakeReply, make_request, make_route, make_state
+from tests.unit.serving.plays import OK, SHED, play
+from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
+from wallwell.routing.admission.backoff_hold import HOLD_FRACTION, SPREAD_S, hold_s
+from wallwell.routing.retry.retry_after import BACKOFF_SPREAD
+from wallwell.serving.pipeline import RequestPipeline
+
+OBJECTIVE_S = make_route().objective_s
+
+
+def asks_for_backoff(*seconds):
+    """Return what makes the first back ends of a state ask for back-off, each for its time."""
+
+    def prepare(state):
+        for index, each in enumerate(seconds):
+            state.backends.get(f"i-{index}").backoff.on_requested(each, boot_time_s())
+
+    return prepare
+
+
+def test_requests_go_to_the_back_ends_that_have_not_asked():
+    reply, client, took_s = play([OK], prepare=asks_for_backoff(3.0, 3.0))
+    assert (reply.status, took_s) == (200, 0.0)
+    assert [each.backend.incarnation for each in client.sent] == ["i-2"]
+
+
+def test_a_request_that_can_still_be_in_time_is_held_for_the_first_end():
+    ends_s = HOLD_FRACTION * OBJECTIVE_S - 0.05
+    reply, client, took_s = play([OK], prepare=asks_for_backoff(3.0, ends_s, 3.0))
+    assert reply.status == 200
+    assert ends_s <= took_s <= ends_s + SPREAD_S
+    assert [each.backend.incarnation for each in client.sent] == ["i-1"]
+
+
+def test_any_other_is_refused_at_once_and_told_the_first_end():
+    reply, client, took_s = play([OK], prepare=asks_for_backoff(1.2, 1.0, 3.0))
+    assert (reply.status, took_s, client.sent) == (503, 0.0, [])
+    low, high = BACKOFF_SPREAD
+    assert 1000 * low <= reply.error.retry_after_ms <= 1000 * high
+
+
+def test_a_request_that_is_refused_after_its_hold_is_held_again_only_within_its_objective():
+
+    async def work():
+        state = make_state(backends=1)
+        backend = state.backends.get("i-0")
+        backend.backoff.on_requested(0.1, boot_time_s())
+        held = FakeReply()
+
+        class Refusing(FakeClient):
+            async def send(self, dispatch):
+                backend.backoff.on_requested(0.1, boot_time_s())
+                return await super().send(dispatch)
+
+        started_s = boot_time_s()
+        client = Refusing(SHED)
+        await RequestPipeline(state, client).serve(make_request(), held)
+        return held.status, held.ended_at_s - started_s, len(client.sent)
+
+    status, took_s, sent = run_virtual(work())
+    assert status == 503
+    assert 0.1 <= took_s <= OBJECTIVE_S
+    assert sent >= 2
+
+
+@pytest.mark.parametrize(
+    ("ends_in_s", "objective_left_s", "is_held"),
+    [(0.2, 0.4, True), (0.21, 0.4, False), (0.0, 0.0, True), (0.1, -1.0, False), (3.0, 10.0, True)],
+)
+def test_a_hold_takes_half_of_the_objective_at_most(ends_in_s, objective_left_s, is_held):
+    state = make_state()
+    seconds = hold_s(ends_in_s, objective_left_s, state.rng)
+    assert (seconds is not None) is is_held
+    assert seconds is None or ends_in_s <= seconds <= ends_in_s + SPREAD_S
