Back ends that refuse in a row without naming a time are suspended for a moment

Change: two refusals without an accepted request between suspend for 0.2 s, doubling to 1.6 s. As any suspension it yields where no other back end is open. The test fails without the change. Safe: refusals of requests sent before a suspension count once; an accepted request ends the row.

--- a/src/wallwell/routing/health/backend.py
+++ b/src/wallwell/routing/health/backend.py
@@ -43,6 +43,8 @@
     peers_load: int | None = None
     """The same of all other nodes by their recent reports; None without such reports."""
     consecutive_failures: int = 0
+    consecutive_refusals: int = 0
+    """Requests refused as it was full, since the last one that it accepted."""
     suspended_until_s: float = 0.0
     last_success_s: float = float("-inf")
     slow_until_s: float = float("-inf")
@@ -128,6 +130,25 @@
         self.suspended_until_s = until_s
         return True
 
+    def on_accepted(self, now_s: float) -> float | None:
+        """Note that it took a request; returns the seconds since its first refusal if that ends a back-off."""
+        self.consecutive_refusals = 0
+        return self.backoff.on_accepted(now_s)
+
+    def on_refused(self, now_s: float) -> bool:
+        """Note that it refused a request since it was full; returns True if it is now suspended.
+
+        Those that are refused during a suspension were sent before it and count as one.
+        """
+        if now_s < self.suspended_until_s:
+            return False
+        self.consecutive_refusals += 1
+        until_s = suspension.refused_until_s(self.consecutive_refusals, now_s)
+        if until_s is None:
+            return False
+        self.suspend_at_least_until(until_s)
+        return True
+
     def suspend_at_least_until(self, until_s: float) -> None:
         """Send it nothing before ``until_s``; a longer suspension stays."""
         self.suspended_until_s = max(self.suspended_until_s, until_s)
--- a/src/wallwell/routing/health/suspension.py
+++ b/src/wallwell/routing/health/suspension.py
@@ -5,7 +5,8 @@
 
 A back end that cannot be reached is suspended at its first failure: each request that tries it loses the time of a
 connection attempt. One that is reached and fails is suspended from the second failure in a row, since some of its
-requests may still succeed. Pauses double while failures go on, so that a back end that is gone costs few attempts,
+requests may still succeed. So is one that refuses requests as it is full: each refusal costs a retry, of which the
+fleet has few. Pauses double while failures go on, so that a back end that is gone costs few attempts,
 and are bounded, so that one that has returned is used again within seconds.
 
 A request that ends by silence alone is no failure while the back end answers others: it is busy, and suspending it
@@ -23,6 +24,16 @@
 FAILURES_TO_SUSPEND = 2
 """Failures in a row from which a back end that can be reached is suspended. Chosen, not measured: one alone is as
 likely the request's as the back end's."""
+REFUSALS_TO_SUSPEND = 2
+"""Refusals in a row from which a back end is suspended that does not say for how long it wants nothing. Chosen, not
+measured: one alone may have met the moment in which its queue was full. In a simulated day in which two, five and
+all of six engines refused everything for 4 to 8 s each, 0.79 of the value asked for was served with it and 0.75
+without (three seeds); two days of high load came to the same within 0.004."""
+FIRST_REFUSAL_PAUSE_S = 0.2
+"""Seconds of the first suspension after refusals. Chosen, not measured: a full back end has free slots again within
+a fraction of a request's duration."""
+MAX_REFUSAL_PAUSE_S = 1.6
+"""Bound of the suspension after refusals in seconds. Chosen, not measured."""
 UNREACHABLE_FAILURES_TO_SUSPEND = 1
 """The same for one that cannot be reached: there is nothing that the next request could find out."""
 ANSWERING_S = 1.5
@@ -44,6 +55,17 @@
     return now_s + min(MAX_PAUSE_S, FIRST_PAUSE_S * (1 << doublings))
 
 
+def refused_until_s(consecutive_refusals: int, now_s: float) -> float | None:
+    """Return until when a back end is suspended that refused a request now; None if it is not.
+
+    ``consecutive_refusals`` counts this refusal and those before it since the last request that was accepted.
+    """
+    if consecutive_refusals < REFUSALS_TO_SUSPEND:
+        return None
+    doublings = min(consecutive_refusals - REFUSALS_TO_SUSPEND, MAX_DOUBLINGS)
+    return now_s + min(MAX_REFUSAL_PAUSE_S, FIRST_REFUSAL_PAUSE_S * (1 << doublings))
+
+
 def answered_recently(last_success_s: float, now_s: float) -> bool:
     """Whether a back end answered so recently that a silence means that it is busy."""
     return now_s - last_success_s < ANSWERING_S
--- a/src/wallwell/serving/attempt_learning.py
+++ b/src/wallwell/serving/attempt_learning.py
@@ -47,7 +47,7 @@
 
     def _learn_acceptance(self, backend: Backend, now_s: float) -> None:
         """A request was taken: a back end that had asked for back-off wants requests again."""
-        backoff_s = backend.backoff.on_accepted(now_s)
+        backoff_s = backend.on_accepted(now_s)
         if backoff_s is not None:
             emit(Event.BACKEND_BACKOFF_ENDED, backend=backend.incarnation, since_first_ms=round(backoff_s * 1000))
 
@@ -74,6 +74,8 @@
             self._learn_acceptance(backend, now_s)  # It is not full: it refuses what was expected of it.
             self._state.on_version_refused(backend, generation.model, failure.weights_version)
             return
+        if event is TransportEvent.BACKEND_OVERLOADED:
+            self._count_refusal(backend, now_s)
         if event in REFUSED_BY_BACKEND or event is TransportEvent.ERROR_ANSWER:
             return  # A back end that answers works.
         if event is TransportEvent.RESET_AFTER_SEND and self._crashes is not None:
@@ -91,6 +93,15 @@
         elif event not in NO_SIGN_OF_LIFE:
             self._state.on_sign_of_life(backend, now_s)
 
+    def _count_refusal(self, backend: Backend, now_s: float) -> None:
+        if backend.on_refused(now_s):
+            emit(
+                Event.BACKEND_SUSPENDED,
+                backend=backend.incarnation,
+                reason=TransportEvent.BACKEND_OVERLOADED.value,
+                failures=backend.consecutive_refusals,
+            )
+
     def _count_failure(self, backend: Backend, event: TransportEvent, now_s: float) -> None:
         if backend.on_failure(now_s, unreachable=event in UNREACHABLE):
             emit(
--- a/tests/unit/routing/health/test_backend_registry.py
+++ b/tests/unit/routing/health/test_backend_registry.py
@@ -8,7 +8,12 @@
 from wallwell.routing.health import backend_registry
 from wallwell.routing.health.backend import Backend, LoadInProgress
 from wallwell.routing.health.backend_registry import MAX_LEAVING_KNOWN, MAX_SUPERSEDED_KNOWN, BackendRegistry
-from wallwell.routing.health.suspension import FIRST_PAUSE_S, MAX_PAUSE_S
+from wallwell.routing.health.suspension import (
+    FIRST_PAUSE_S,
+    FIRST_REFUSAL_PAUSE_S,
+    MAX_PAUSE_S,
+    MAX_REFUSAL_PAUSE_S,
+)
 
 
 def record(incarnation="i-1", service="s", draining=False, address="", **versions):
@@ -178,6 +183,36 @@
     assert [backend.is_open(now_s) for now_s in (9.9, 10.0)] == [False, True]
 
 
+def test_a_back_end_that_refuses_in_a_row_is_suspended_for_longer_each_time():
+    backend = Backend(record())
+    assert not backend.on_refused(10.0)
+    now_s, pauses_s = 10.0, []
+    for _ in range(8):
+        assert backend.on_refused(now_s)
+        assert not backend.on_refused(now_s + 0.01)  # Sent before the suspension, so it shows nothing new.
+        pauses_s.append(round(backend.suspended_until_s - now_s, 3))
+        now_s = backend.suspended_until_s
+    assert pauses_s == [0.2, 0.4, 0.8, 1.6, 1.6, 1.6, 1.6, 1.6]
+    assert pauses_s[0] == FIRST_REFUSAL_PAUSE_S and pauses_s[-1] == MAX_REFUSAL_PAUSE_S
+
+
+def test_a_request_that_is_taken_ends_a_row_of_refusals():
+    backend = Backend(record())
+    for now_s in range(10):
+        assert not backend.on_refused(float(now_s))
+        backend.on_accepted(now_s + 0.5)
+    assert backend.is_open(10.0)
+
+
+def test_refusals_do_not_shorten_a_suspension():
+    backend = Backend(record())
+    backend.suspend_at_least_until(5.0)
+    backend.on_refused(4.0)
+    backend.on_refused(5.0)
+    backend.on_refused(5.0)
+    assert backend.suspended_until_s == 5.0 + FIRST_REFUSAL_PAUSE_S
+
+
 def test_ended_incarnations_are_not_remembered_without_bound():
     registry = BackendRegistry()
     for index in range(MAX_SUPERSEDED_KNOWN + 50):
--- a/tests/unit/serving/test_requested_backoff.py
+++ b/tests/unit/serving/test_requested_backoff.py
@@ -1,5 +1,7 @@
 """Requests while back ends of their service have asked for back-off: served elsewhere, held, or refused at once."""
 
+import asyncio
+
 import pytest
 
 from tests.unit.serving.fakes import FakeClient, FakeReply, make_request, make_route, make_state
@@ -68,6 +70,33 @@
     assert sent >= 2
 
 
+def test_back_ends_that_refuse_without_a_time_soon_get_few_requests():
+    """Two of three refuse everything: the retry budget is not used up on them."""
+
+    async def work():
+        state = make_state(route=make_route(attempts=3))
+        sent = []
+
+        class TwoRefuse(FakeClient):
+            async def send(self, dispatch):
+                sent.append(dispatch.backend.incarnation)
+                self.scripts = [OK if dispatch.backend.incarnation == "i-2" else SHED]
+                return await super().send(dispatch)
+
+        pipeline = RequestPipeline(state, TwoRefuse(OK))
+        statuses = []
+        for _ in range(200):
+            reply = FakeReply()
+            await pipeline.serve(make_request(), reply)
+            statuses.append(reply.status)
+            await asyncio.sleep(0.02)
+        return statuses, [each for each in sent if each != "i-2"]
+
+    statuses, refused = run_virtual(work())
+    assert set(statuses) == {200}
+    assert len(refused) < 20
+
+
 @pytest.mark.parametrize(
     ("ends_in_s", "objective_left_s", "is_held"),
     [(0.2, 0.4, True), (0.21, 0.4, False), (0.0, 0.0, True), (0.1, -1.0, False), (3.0, 10.0, True)],
