Soak: workers that state in their answers that they leave or want no requests

Change: each run but kept ones has an engine that refuses for 2.5 s and asks for a second of back-off, and a worker that leaves while the store is down; invariants announced_gets_nothing and backoff_kept bind each node by what it has read itself. A run prints the invariants that it did not test. Drawn by a generator of their own: what else a seed draws is unchanged (test). Safe: kept runs are drawn without; routers are not touched.

--- a/src/wallwell/cli/soak.py
+++ b/src/wallwell/cli/soak.py
@@ -27,6 +27,8 @@
 """Chosen, not measured: enough that some serve while others load weights."""
 DEFAULT_INSTANCES = 2
 """Workers that answer calls: the fewest between which a call can be retried."""
+NOTICES = 1
+"""Workers that refuse requests and workers that leave while the store is down, in each run but kept ones."""
 DEFAULT_RATE_PER_S = 40.0
 """Requests a second. Chosen, not measured: what all processes of a run serve on one machine."""
 
@@ -70,6 +72,7 @@
         regions=options.regions,
         requests_per_s=options.rate,
         crashing=options.crashing,
+        notices=NOTICES,
         rollout=options.rollout,
     )
     schedule = draw_schedule(options.seed, shape)
@@ -105,12 +108,14 @@
 
 
 def replay_command(schedule: Schedule) -> str:
-    """Return the line that plays a schedule again."""
+    """Return the line that plays a schedule again; kept runs may have a shape that no line names."""
     shape = schedule.shape
     regions = f" --regions {shape.regions}" if shape.regions > 1 else ""
     rate = f" --rate {shape.requests_per_s:g}" if shape.requests_per_s != DEFAULT_RATE_PER_S else ""
     rollout = f" --rollout {shape.rollout}" if shape.rollout else ""
     crashing = f" --crashing {shape.crashing}" if shape.crashing else ""
+    if shape.notices != NOTICES:
+        return f"wallwell soak --regressions FILE, with seed {schedule.seed} and {shape} in the file"
     return (
         f"wallwell soak --seed {schedule.seed} --seconds {shape.seconds:g} --nodes {shape.nodes} "
         f"--engines {shape.engines} --instances {shape.instances}{regions}{rate}{crashing}{rollout}"
@@ -129,5 +134,7 @@
     print(f"{result.requests} requests, {result.served} served whole; {len(result.found.breaches)} breaches")
     cases = ", ".join(f"{name} {count}" for name, count in result.found.cases.items())
     print(f"  cases checked: {cases}")
+    untested = [name for name, count in result.found.cases.items() if not count]
+    print(f"  not tested by this run: {', '.join(untested) or 'none'}")
     for breach in result.found.breaches[:SHOWN_BREACHES]:
         print(f"  {breach}")
--- a/src/wallwell/soak/drawing.py
+++ b/src/wallwell/soak/drawing.py
@@ -70,6 +70,12 @@
 """Parts of prompts that requests share."""
 SHARED_PART_TOKENS = 400
 """Tokens of each of them."""
+SHED_LASTS_S = 2.5
+"""Seconds for which a worker refuses requests: two back-offs and some more."""
+STORE_DOWN_S = 4.5
+"""Seconds of a store's outage in which a worker leaves: until it has ended, so that its answers alone say so."""
+LEAVES_AFTER_S = 0.3
+"""Seconds from the begin of that outage to the worker's leave."""
 CRASHING_FROM_S = (1.0, 3.0)
 """Seconds after which a caller first sends a request that crashes workers."""
 CRASHING_PERIOD_S = (0.2, 1.0)
@@ -87,6 +93,9 @@
     for number in range(shape.crashing):
         requests += _draw_crashing(random.Random(f"{seed}/crashing/{number}"), f"{seed}-crashing-{number}", shape)
     requests.sort(key=lambda request: request.at_s)
+    if shape.notices:
+        faults += _draw_notices(random.Random(f"{seed}/notices"), shape)
+        faults.sort(key=lambda fault: fault.at_s)
     operations = _draw_operations(random.Random(f"{seed}/operations"), shape)
     return Schedule(seed, shape, tuple(faults), tuple(requests), tuple(operations))
 
@@ -120,6 +129,25 @@
     return faults
 
 
+def _draw_notices(generator: random.Random, shape: Shape) -> list[PlannedFault]:
+    """Return times in which workers state something about themselves that the store does not."""
+    latest_s = shape.seconds - RECOVERY_S - SHOWN_RECOVERED_S - STORE_DOWN_S
+    faults: list[PlannedFault] = []
+    engines = [name for name in shape.worker_names() if name.startswith("engine")]
+    instances = [name for name in shape.worker_names() if name not in engines]
+    leaving = generator.choice(instances)  # Each of the few gets many requests, so that nodes soon know.
+    for worker in generator.sample(engines, k=min(len(engines), shape.notices)):
+        at_s = round(generator.uniform(FIRST_FAULT_S, latest_s), 2)
+        faults.append(PlannedFault(at_s, SHED_LASTS_S, FaultKind.SHED_WORKER, worker))
+    at_s = FIRST_FAULT_S
+    for _ in range(shape.notices):
+        at_s = round(generator.uniform(at_s, max(at_s, latest_s)), 2)
+        faults.append(PlannedFault(at_s, STORE_DOWN_S, FaultKind.STORE_DOWN, STORE))
+        faults.append(PlannedFault(round(at_s + LEAVES_AFTER_S, 2), 0.0, FaultKind.DRAIN_WORKER, leaving))
+        at_s += STORE_DOWN_S
+    return faults
+
+
 def _draw_target(generator: random.Random, shape: Shape) -> tuple[FaultKind, str]:
     groups: list[tuple[tuple[FaultKind, ...], tuple[str, ...]]] = [
         (NODE_FAULTS, shape.node_names()),
--- a/src/wallwell/soak/faults.py
+++ b/src/wallwell/soak/faults.py
@@ -72,6 +72,7 @@
             FaultKind.STOP_NODE: self._stop_node,
             FaultKind.CRASH_WORKER: self._crash_worker,
             FaultKind.DRAIN_WORKER: self._drain_worker,
+            FaultKind.SHED_WORKER: self._shed_worker,
             FaultKind.STORE_FORGETS: self._forget,
             FaultKind.STORE_REFUSES_NODE: self._refuse_node,
             **dict.fromkeys(STORE_SWITCHES, self._switch_store),
@@ -167,6 +168,13 @@
             await worker.wait()
             await self._replace_worker(fault.target, 0.0)
 
+    async def _shed_worker(self, fault: PlannedFault) -> None:
+        async with self._locks[fault.target]:
+            worker = self._fleet.worker(fault.target)
+            worker.send(signal.SIGUSR2)
+            await asyncio.sleep(fault.lasts_s)
+            worker.send(signal.SIGUSR2)
+
     # --- store and links -------------------------------------------------------------------------------
 
     async def _switch_store(self, fault: PlannedFault) -> None:
--- a/src/wallwell/soak/history.py
+++ b/src/wallwell/soak/history.py
@@ -111,6 +111,15 @@
     status: int
     service: str = ""
     software: str = ""
+    backoff_s: float = 0.0
+    """For how long it wants nothing from the node that sent it; 0 if it does not say."""
+
+
+class LeavingStated(Record, frozen=True):
+    """A worker that leaves said so in its answer to a request."""
+
+    request: str
+    worker: str
 
 
 class OrderTaken(Record, frozen=True):
@@ -191,6 +200,7 @@
     | Began
     | Ended
     | Arrived
+    | LeavingStated
     | OrderTaken
     | WorkerState
     | KeysInForce
--- a/src/wallwell/soak/invariants.py
+++ b/src/wallwell/soak/invariants.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from wallwell.soak import invariants_fleet, invariants_requests, invariants_rollout
+from wallwell.soak import invariants_fleet, invariants_notices, invariants_requests, invariants_rollout
 from wallwell.soak.cases import Check
 from wallwell.soak.timeline import History
 
@@ -44,6 +44,8 @@
     "recovers": invariants_requests.recovers,
     "nodes_stay": invariants_requests.nodes_stay,
     "drained_gets_nothing": invariants_fleet.drained_gets_nothing,
+    "announced_gets_nothing": invariants_notices.announced_gets_nothing,
+    "backoff_kept": invariants_notices.backoff_kept,
     "left_is_cancelled": invariants_fleet.left_is_cancelled,
     "planned_stop_cuts_nothing": invariants_fleet.planned_stop_cuts_nothing,
     "revoked_key_unused": invariants_fleet.revoked_key_unused,
--- a/src/wallwell/soak/schedule.py
+++ b/src/wallwell/soak/schedule.py
@@ -22,6 +22,7 @@
     STOP_NODE = "stop_node"  # a node: SIGTERM, started again at the end
     CRASH_WORKER = "crash_worker"  # a worker: SIGKILL, a new incarnation at the end
     DRAIN_WORKER = "drain_worker"  # a worker: announces its leave, serves on, ends; a new incarnation at the end
+    SHED_WORKER = "shed_worker"  # a worker: refuses every request and asks for back-off
     STORE_DOWN = "store_down"  # the store: 503 to all
     STORE_REFUSES_NODE = "store_refuses_node"  # a node: 503 at the store
     STORE_SILENT = "store_silent"  # the store: calls get no answer
@@ -76,6 +77,12 @@
 """Seconds after which named weights must be in place wherever generations begin."""
 DRAIN_BOUND_S = 2.0
 """Seconds after which a worker that leaves must get nothing more."""
+BACKOFF_S = 1.0
+"""Seconds for which a worker that refuses requests asks a node for none."""
+BACKOFF_SLACK_S = 0.5
+"""Seconds after such a refusal in which requests may still arrive that were sent before it was read."""
+LATE_REQUESTS = 2
+"""Requests of a node that may arrive after that and before the end of the back-off."""
 GRACE_S = 5.0
 """Seconds that a planned stop is given."""
 EXPOSURE_SHARE = 0.1
@@ -152,6 +159,8 @@
     """Callers that send, again and again, a request under which each worker that begins to run it crashes."""
     rollout: str = ""
     """Name of :data:`ROLLOUTS`, empty for none."""
+    notices: int = 0
+    """Workers that refuse requests and ask for back-off, and workers that leave while the store is down."""
 
     def node_names(self) -> tuple[str, ...]:
         """Names of the router processes."""
--- a/src/wallwell/soak/timeline.py
+++ b/src/wallwell/soak/timeline.py
@@ -16,12 +16,13 @@
     NodeExited,
     Sent,
 )
+from wallwell.soak.schedule import ALL_NODES, BETWEEN_REGIONS
 
 CONTACT_S = 2.0
 """Seconds after a fault until the nodes count as connected again."""
 PLANNED_STOP = "stop_node"
 """Name of the fault that stops a node as planned."""
-FAULTS_OF_WORKERS = frozenset(("crash_worker", "drain_worker"))
+FAULTS_OF_WORKERS = frozenset(("crash_worker", "drain_worker", "shed_worker"))
 """Faults that leave nodes, links and the store alone."""
 
 
@@ -52,6 +53,21 @@
             for began, ended_s in self._disturbed
         )
 
+    def life_ends_s(self, node: str, from_s: float) -> float:
+        """Return until when a node's process ran on from a time: until it ended or stood still, or a link of it was
+        harmed."""
+        exits = (
+            each.at_s
+            for each in self.records
+            if isinstance(each, NodeExited) and each.node == node and each.at_s >= from_s
+        )
+        harms = (
+            max(from_s, began.at_s)
+            for began, ended_s in self._disturbed
+            if ended_s >= from_s and _touches(began, node)
+        )
+        return min((*exits, *harms), default=float("inf"))
+
     def planned_stops(self) -> list[tuple[FaultBegan, float]]:
         """Return each planned stop of a node with the time at which the node had ended."""
         found = []
@@ -91,6 +107,14 @@
         return self.records[-1].at_s if self.records else 0.0
 
 
+def _touches(fault: FaultBegan, node: str) -> bool:
+    """Whether a fault strikes a node or links that it uses; the store's own faults strike neither."""
+    source, arrow, _ = fault.target.partition(">")
+    if arrow:
+        return source in (node, ALL_NODES)
+    return fault.target in (node, ALL_NODES, BETWEEN_REGIONS)
+
+
 def _disturbances(records: Sequence[AnyRecord]) -> list[tuple[FaultBegan, float]]:
     """Return each fault on nodes, links or the store with its end; one that never ended lasts."""
     found = []
--- a/src/wallwell/soak/worker_process.py
+++ b/src/wallwell/soak/worker_process.py
@@ -23,7 +23,8 @@
 from wallwell.platform import names
 from wallwell.soak.answers import CRASH_STATUS, CRASHING_BODY, call_body, event_text
 from wallwell.soak.control import Announcement, Done, Farewell, Heartbeat, announce
-from wallwell.soak.history import Arrived, Began, Ended, HistoryWriter, OrderTaken
+from wallwell.soak.history import Arrived, Began, Ended, HistoryWriter, LeavingStated, OrderTaken
+from wallwell.soak.schedule import BACKOFF_S
 from wallwell.soak.versions import Badness
 
 CONTROL_TIMEOUT_S = 1.0
@@ -77,6 +78,7 @@
         self._settings = settings
         self._history = HistoryWriter(Path(settings.history))
         self._running = 0
+        self._is_shedding = False
         self._highest_fence = 0
         self._started_s = time.monotonic()
         self._store = PeerLink(settings.store_control)
@@ -87,10 +89,12 @@
         return {**super().entry(), "addr": self._settings.listed_address}
 
     async def run(self) -> None:
-        """Serve until SIGTERM; SIGUSR1 begins a planned leave. The entry is kept by heartbeats."""
+        """Serve until SIGTERM; SIGUSR1 begins a planned leave, SIGUSR2 begins or ends a time in which it refuses
+        everything. The entry is kept by heartbeats."""
         loop = asyncio.get_running_loop()
         leaving, ending = asyncio.Event(), asyncio.Event()
         loop.add_signal_handler(signal.SIGUSR1, leaving.set)
+        loop.add_signal_handler(signal.SIGUSR2, self._toggle_shedding)
         loop.add_signal_handler(signal.SIGTERM, ending.set)
         await self.start(self._settings.host)
         announce(Announcement((self.address,)))
@@ -104,11 +108,14 @@
 
     async def _leave(self, leaving: asyncio.Event, ending: asyncio.Event) -> None:
         await leaving.wait()
-        self.draining = True
+        self.draining = self.leaving = True
         await self._report(Heartbeat(self.incarnation, self.entry()))
         await asyncio.sleep(self._settings.drain_s)
         ending.set()
 
+    def _toggle_shedding(self) -> None:
+        self._is_shedding = not self._is_shedding
+
     async def _beat(self) -> None:
         while True:
             await self._report(Heartbeat(self.incarnation, self.entry()))
@@ -128,10 +135,10 @@
         body = await request.read()
         identity = request.headers.get(names.REQUEST_ID, "")
         refusal = self._refusal(request)
+        if self.leaving:
+            self._history.add(LeavingStated(time.monotonic(), identity, self.incarnation))
         if refusal:
-            now_s = time.monotonic()
-            self._history.add(Arrived(now_s, identity, self.incarnation, refusal, self.service, self.software))
-            return web.Response(status=refusal, headers={names.REQUEST_ID: identity, names.NOT_RUN: "1"})
+            return self._refuse(request, identity, refusal)
         self._running += 1
         badness = self._settings.badness
         is_struck = badness.strikes(time.monotonic() - self._started_s, self._running, request.path)
@@ -150,12 +157,23 @@
             self._running -= 1
             self._history.add(Ended(time.monotonic(), identity, self.incarnation, status, fails or factor > 1))
 
+    def _refuse(self, request: web.BaseRequest, identity: str, status: int) -> web.Response:
+        backoff_s = BACKOFF_S if status == FULL and self._is_shedding else 0.0
+        now_s = time.monotonic()
+        self._history.add(
+            Arrived(now_s, identity, self.incarnation, status, self.service, self.software, backoff_s)
+        )
+        headers = self.headers(request, **{names.NOT_RUN: "1"})
+        if backoff_s:
+            headers[names.RETRY_AFTER] = f"{backoff_s:g}"
+        return web.Response(status=status, headers=headers)
+
     def _refusal(self, request: web.BaseRequest) -> int:
         if request.headers.get(names.EXPECT_INSTANCE, self.incarnation) != self.incarnation:
             return MISDIRECTED
         if request.headers.get(names.EXPECT_VERSION, str(self.version)) != str(self.version):
             return MISDIRECTED
-        if self.busy or self._running >= self.slots + QUEUE_LENGTH:
+        if self._is_shedding or self.busy or self._running >= self.slots + QUEUE_LENGTH:
             return FULL
         return 0
 
--- a/tests/contract/test_soak.py
+++ b/tests/contract/test_soak.py
@@ -112,7 +112,8 @@
 
 
 def test_a_short_run_breaks_no_invariant(tmp_path):
-    """One seed, with a caller whose request crashes what runs it; longer ones and more seeds are played by hand."""
+    """One seed, with a caller whose request crashes what runs it, and workers that state in their answers that they
+    leave or want no requests; longer ones and more seeds are played by hand."""
     run = "wallwell.cli.main", "soak", "--seed", "3", "--seconds", "15", "--crashing", "1"
     command = [sys.executable, "-m", *run, "--keep", str(tmp_path / "run"), "--checkout", str(ROOT)]
     played = subprocess.run(command, capture_output=True, text=True, timeout=120)
--- a/tests/unit/soak/test_invariants.py
+++ b/tests/unit/soak/test_invariants.py
@@ -4,10 +4,12 @@
 
 from tests.unit.soak.records import answered, began, history, sent
 from wallwell.soak.history import (
+    Arrived,
     Ended,
     FaultBegan,
     FaultEnded,
     KeysInForce,
+    LeavingStated,
     Left,
     NodeExited,
     OrderTaken,
@@ -61,6 +63,23 @@
     return [WorkerState(10.0, "w.1", "orders", "", state), sent(at_s=at_s), began(at_s=at_s + 0.01)]
 
 
+def stated_leaving(sent_after_s, node="node-0", more=()):
+    """A node passes on at 10 s that a worker leaves; a request sent so much later to a node reaches that worker."""
+    at_s = 10.0 + sent_after_s
+    first = [sent("first", at_s=9.8, node="node-0"), began("first", at_s=9.9)]
+    stated = [LeavingStated(9.95, "first", "w.1"), answered("first", at_s=10.0)]
+    return [*first, *stated, *more, sent("later", at_s=at_s, node=node), began("later", at_s=at_s + 0.01)]
+
+
+def backing_off(arrivals_s, more=(), status=503):
+    """A worker asks a node at 10 s for a second without requests; some reach it so much later."""
+    records = [sent("r0", at_s=9.99, node="node-0"), Arrived(10.0, "r0", "w.1", 503, backoff_s=1.0), *more]
+    for number, after_s in enumerate(arrivals_s, 1):
+        records.append(sent(f"r{number}", at_s=9.9 + after_s, node="node-0"))
+        records.append(Arrived(10.0 + after_s, f"r{number}", "w.1", status))
+    return records
+
+
 def callers_left(ended_after_s, callers=6):
     """Callers leave; each has work of two more seconds, which ends so much later."""
     records = []
@@ -128,6 +147,21 @@
 SOUND = {
     "a worker that leaves is reached within the bound": leaving(DRAIN_BOUND_S - 0.1),
     "a worker that leaves is reached by nodes cut off from the store": [*leaving(DRAIN_BOUND_S + 0.1), *FAULT],
+    "a worker that stated its leave is reached within the bound": stated_leaving(DRAIN_BOUND_S - 0.1),
+    "a worker that stated its leave is not reached, though its node is asked": [
+        *stated_leaving(DRAIN_BOUND_S + 0.1)[:-1],
+        began("later", "w.2", at_s=10.2 + DRAIN_BOUND_S),
+    ],
+    "it is reached by a node that has not passed its word on": stated_leaving(DRAIN_BOUND_S + 0.1, "node-1"),
+    "it is reached by the node's next life": stated_leaving(
+        DRAIN_BOUND_S + 0.1, more=[NodeExited(10.5, "node-0", -9, "SIGKILL")]
+    ),
+    "a worker that wants nothing gets what was on its way": backing_off([0.1, 0.2, 0.3, 0.4, 0.6, 0.9]),
+    "it gets requests again after its time": backing_off([1.01, 1.02, 1.03, 1.04]),
+    "it gets requests from a node that stood still": backing_off(
+        [0.6, 0.7, 0.8], more=[FaultBegan(10.1, "pause_node", "node-0"), FaultEnded(10.5, "pause_node", "node-0")]
+    ),
+    "requests meant for another one reach it": backing_off([0.6, 0.7, 0.8], status=421),
     "a lapsed entry came back": [
         *leaving(5.0, "gone"),
         WorkerState(12.0, "w.1", "orders", "", "ready"),
@@ -185,6 +219,15 @@
 BROKEN = {
     "a worker that left is reached": ("drained_gets_nothing", leaving(DRAIN_BOUND_S + 0.1)),
     "a worker whose entry went is reached": ("drained_gets_nothing", leaving(DRAIN_BOUND_S + 0.1, "gone")),
+    "a worker that stated its leave is reached late": (
+        "announced_gets_nothing",
+        stated_leaving(DRAIN_BOUND_S + 0.1),
+    ),
+    "the same while the store is down": (
+        "announced_gets_nothing",
+        stated_leaving(DRAIN_BOUND_S + 0.1, more=[FaultBegan(9.0, "store_down", "store")]),
+    ),
+    "a worker that wants nothing gets much": ("backoff_kept", backing_off([0.6, 0.7, 0.8])),
     "work for callers that left": ("left_is_cancelled", callers_left(ended_after_s=1.9)),
     "a cut by a planned stop": ("planned_stop_cuts_nothing", stopped(whole=False)),
     "a cut shortly before the deadline": ("planned_stop_cuts_nothing", stopped(whole=False, deadline_s=0.35)),
--- a/tests/unit/soak/test_schedule.py
+++ b/tests/unit/soak/test_schedule.py
@@ -5,6 +5,9 @@
 from wallwell.soak.drawing import SHORTEST_RUN_S, draw_schedule
 from wallwell.soak.schedule import RECOVERY_S, REGION_FAULTS, SHOWN_RECOVERED_S, FaultKind, Shape
 
+WORKER_DRAIN_S = 3.0
+"""Seconds for which a worker that leaves serves on."""
+
 
 def test_a_seed_draws_the_same_schedule_each_time_and_another_one_another():
     shape = Shape()
@@ -31,12 +34,12 @@
 
 
 def test_every_kind_of_fault_is_drawn_by_some_seed():
-    drawn = {fault.kind for seed in range(100) for fault in draw_schedule(seed, Shape(regions=2)).faults}
+    drawn = {fault.kind for seed in range(100) for fault in draw_schedule(seed, Shape(regions=2, notices=1)).faults}
     assert drawn == set(FaultKind)
 
 
 def test_one_region_has_no_faults_between_regions():
-    drawn = {fault.kind for seed in range(100) for fault in draw_schedule(seed, Shape()).faults}
+    drawn = {fault.kind for seed in range(100) for fault in draw_schedule(seed, Shape(notices=1)).faults}
     assert drawn == set(FaultKind) - set(REGION_FAULTS)
 
 
@@ -49,3 +52,15 @@
         1,
         0,
     ]
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_workers_that_state_something_are_added_to_what_a_seed_draws_without_them(seed):
+    """Kept runs are drawn without; what else a seed draws stays the same."""
+    without, drawn = draw_schedule(seed, Shape()), draw_schedule(seed, Shape(notices=1))
+    assert drawn.requests == without.requests
+    added = [fault for fault in drawn.faults if fault not in without.faults]
+    assert {fault.kind for fault in added} == {FaultKind.SHED_WORKER, FaultKind.DRAIN_WORKER, FaultKind.STORE_DOWN}
+    leave = next(fault for fault in added if fault.kind is FaultKind.DRAIN_WORKER)
+    outage = next(fault for fault in added if fault.kind is FaultKind.STORE_DOWN)
+    assert outage.at_s < leave.at_s < leave.at_s + WORKER_DRAIN_S < outage.at_s + outage.lasts_s
