What a back end stated holds for one start of it: a later one under its identity begins anew

Cause: a worker may start again under its id; without telling starts apart, one that had said that it leaves would get nothing for good, or a late entry of the earlier start would take its word back. Change: the entry's start (born) is decoded; a later one replaces the back end with all that was observed of it, and its idle connections are closed; an earlier one changes nothing; entries that do not say are of the same start. Measured: new tests of registry, rows and a node; compatibility of rows unchanged (the field is left out if not given). Safe: without the field everything is as before.

--- a/src/wallwell/deployment/backends.py
+++ b/src/wallwell/deployment/backends.py
@@ -28,3 +28,12 @@
     software: str = ""
     slow_for_s: float = field(default=0.0, compare=False)
     """Seconds. Falls with each heartbeat, and so is left out when entries are compared to log a change."""
+    started_unix_ms: int | None = None
+    """When it started, by its own clock, as it may start again under its identity; None if its entry does not
+    say."""
+
+    def is_later_start_than(self, other: BackendRecord) -> bool:
+        """Whether it speaks of a later start of the same back end; False where one of them does not say when."""
+        if self.started_unix_ms is None or other.started_unix_ms is None:
+            return False
+        return self.started_unix_ms > other.started_unix_ms
--- a/src/wallwell/node/backend_rows.py
+++ b/src/wallwell/node/backend_rows.py
@@ -69,6 +69,11 @@
     def _on_row(self, incarnation: str, value: bytes) -> None:
         record = self._decode(incarnation, value)
         known = self._state.backends.get(incarnation)
+        if known is not None and known.record.is_later_start_than(record):
+            return  # Late news of an earlier start of the same back end.
+        if known is not None and record.is_later_start_than(known.record):
+            # Behind a cut its old connections may stay open, and nobody answers on them any more.
+            self._pool.forget(known.record.address)
         is_new = known is None or known.record != record
         if is_new:
             emit(
--- a/src/wallwell/platform/rows.py
+++ b/src/wallwell/platform/rows.py
@@ -188,6 +188,8 @@
     cold_left_ms: float = 0.0
     """How much longer it stays slow after its start, as of the entry's writing."""
     models: tuple[LoadedModelRow, ...] = ()
+    born: int | msgspec.UnsetType = msgspec.UNSET
+    """Unix milliseconds of the start that the entry speaks of: a worker may start again under its id."""
 
 
 def decode_config(value: bytes) -> DeploymentConfig:
@@ -268,4 +270,5 @@
         versions={model.name: model.version for model in row.models if model.version},
         software=row.version,
         slow_for_s=row.cold_left_ms / 1000,
+        started_unix_ms=None if row.born is msgspec.UNSET else row.born,
     )
--- a/src/wallwell/routing/health/backend_registry.py
+++ b/src/wallwell/routing/health/backend_registry.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import bisect
+import dataclasses
 from collections.abc import Iterable, Mapping
 
 from wallwell.deployment.backends import BackendRecord
@@ -16,7 +17,7 @@
 MAX_SUPERSEDED_KNOWN = 1000
 """Superseded incarnations remembered. Entries of ended ones stay for seconds, in which far fewer end."""
 MAX_LEAVING_KNOWN = 1000
-"""Leaving incarnations remembered, listed or not. An entry that lapsed may return some seconds later, in which far
+"""Leaving back ends remembered, listed or not. An entry that lapsed may return some seconds later, in which far
 fewer leave."""
 
 
@@ -26,9 +27,9 @@
     def __init__(self) -> None:
         self._superseded: dict[str, None] = {}
         """Superseded incarnations in the order of their ends; their entries may lapse and be listed again."""
-        self._leaving_since_s: dict[str, float] = {}
-        """When incarnations were first known to leave, in that order. Kept beyond their entries: one that lapsed
-        while the store was away may be listed again as it was."""
+        self._leaving_since_s: dict[tuple[str, int | None], float] = {}
+        """When starts of back ends were first known to leave, in that order. Kept beyond their entries: one that
+        lapsed while the store was away may be listed again as it was."""
         self._by_incarnation: dict[str, Backend] = {}
         self._by_service: dict[str, list[Backend]] = {}
         self._by_address: dict[str, list[Backend]] = {}
@@ -63,19 +64,29 @@
             backend.peers_load = None
 
     def upsert(self, record: BackendRecord) -> Backend:
-        """Take a new or changed entry; observations of the same incarnation are kept."""
+        """Take a new or changed entry; observations of the same start of a back end are kept.
+
+        A later start under the same identity knows nothing of the one before, and nothing observed of that one
+        holds for it. An entry of an earlier start changes nothing.
+        """
         backend = self._by_incarnation.get(record.incarnation)
+        if backend is not None and backend.record.is_later_start_than(record):
+            return backend
+        if backend is not None and record.is_later_start_than(backend.record):
+            self._drop(backend)
+            backend.gone = True
+            backend = None
         if backend is None:
             backend = Backend(
                 record,
                 superseded=record.incarnation in self._superseded,
-                leaving_since_s=self._leaving_since_s.get(record.incarnation),
+                leaving_since_s=self._leaving_since_s.get(_start_of(record)),
             )
             if not backend.superseded:
                 self._supersede_at(record.address)
             self._add(backend)
-        elif not record.versions:
-            record = BackendRecord(**{**record.__dict__, "versions": backend.record.versions})
+        else:
+            record = _with_known(record, backend.record)
         if record.versions != backend.record.versions or not backend.versions:
             backend.versions = dict(record.versions)
         if (record.service, record.address) != (backend.record.service, backend.record.address):
@@ -94,7 +105,7 @@
         if backend.leaving_since_s is not None:
             return False
         backend.leaving_since_s = now_s
-        self._leaving_since_s[backend.incarnation] = now_s
+        self._leaving_since_s[_start_of(backend.record)] = now_s
         if len(self._leaving_since_s) > MAX_LEAVING_KNOWN:
             del self._leaving_since_s[next(iter(self._leaving_since_s))]
         service = backend.record.service
@@ -170,5 +181,18 @@
                 del index[key]
 
 
+def _with_known(record: BackendRecord, known: BackendRecord) -> BackendRecord:
+    """Return an entry with what it leaves out and the one before it said."""
+    versions = record.versions or known.versions
+    started = known.started_unix_ms if record.started_unix_ms is None else record.started_unix_ms
+    if versions is record.versions and started == record.started_unix_ms:
+        return record
+    return dataclasses.replace(record, versions=versions, started_unix_ms=started)
+
+
+def _start_of(record: BackendRecord) -> tuple[str, int | None]:
+    return record.incarnation, record.started_unix_ms
+
+
 def _identity(backend: Backend) -> str:
     return backend.incarnation
--- a/tests/platform/test_leaving_back_end.py
+++ b/tests/platform/test_leaving_back_end.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 
 import pytest
@@ -20,6 +21,8 @@
 LATER_REQUESTS = 20
 """Requests after the answer: with two back ends that are equally good, none of them reaches one by chance once in a
 million plays."""
+DRAIN_S = 2.0
+"""Seconds after which a back end that leaves must get nothing more."""
 ANSWERS = {
     "a whole answer": lambda worker: worker.answer_ok,
     "its own error": lambda worker: worker.answer(500),
@@ -54,3 +57,20 @@
 
     routes = [route(kind="stream" if is_stream else "safe")]
     assert on_platform(scenario, config(routes=routes)) == 1
+
+
+def test_its_later_start_under_the_same_identity_is_used_again(on_platform):
+    async def scenario(harness):
+        (worker,) = harness.workers
+        worker.leaving = True
+        await harness.call()
+        worker.leaving = False
+        harness.store.put("servers", worker.incarnation, {**worker.entry(), "born": 1_000})
+        await asyncio.sleep(DRAIN_S)
+        status_before, _, _ = await harness.call()
+        harness.store.put("servers", worker.incarnation, {**worker.entry(), "born": 2_000})
+        await harness.until(lambda: harness.node.state.backends.get(worker.incarnation).leaving_since_s is None)
+        status_after, _, _ = await harness.call()
+        return status_before, status_after
+
+    assert on_platform(scenario, workers=1) == (503, 200)
--- a/tests/unit/node/test_backend_rows.py
+++ b/tests/unit/node/test_backend_rows.py
@@ -39,6 +39,15 @@
         return BackendRecord(incarnation, "svc", incarnation, "z", 8, draining, slow_for_s=float(slow_for_s))
 
 
+class StartedSources:
+    """Decodes a row's value as when the back end started, and its state."""
+
+    @staticmethod
+    def decode_backend(incarnation, value):
+        started, _, state = value.decode().partition(" ")
+        return BackendRecord(incarnation, "svc", "a", "z", 8, state == "draining", started_unix_ms=int(started))
+
+
 def test_a_back_end_is_not_logged_as_changed_while_it_becomes_warm(monkeypatch):
     """Its entry changes with each heartbeat then: 250 lines a node in 36 s with 30 back ends."""
     listed = []
@@ -113,6 +122,18 @@
     assert play(scenario) == [["b"], ["b"], ["b"]]
 
 
+def test_late_news_of_an_earlier_start_is_not_logged_as_a_change(monkeypatch):
+    listed, forgotten = [], []
+    monkeypatch.setattr(backend_rows, "emit", lambda event, **fields: listed.append(fields["draining"]))
+    pool = ConnectionPool("X", 1.0, 1.0)
+    pool.forget = forgotten.append
+    rows = BackendRows(make_state(backends=0), StartedSources(), pool)
+    for value in (b"1000 ready", b"2000 ready", b"1000 draining", b"2000 draining"):
+        rows.apply(FollowedPage(FeedPage((FeedRow("a", value, 1),), 1, 0.0), False, 0.0, 0.0))
+    assert listed == [False, False, True]
+    assert forgotten == ["a"]
+
+
 def test_a_notice_is_logged_once_and_one_of_an_unlisted_back_end_is_ignored(monkeypatch):
     lines = []
     monkeypatch.setattr(backend_notices, "emit", lambda event, **fields: lines.append((event, fields["backend"])))
--- a/tests/unit/routing/health/test_backend_registry.py
+++ b/tests/unit/routing/health/test_backend_registry.py
@@ -16,8 +16,9 @@
 )
 
 
-def record(incarnation="i-1", service="s", draining=False, address="", **versions):
-    return BackendRecord(incarnation, service, address or f"{incarnation}:80", "z", 4, draining, versions)
+def record(incarnation="i-1", service="s", draining=False, address="", started=None, **versions):
+    address = address or f"{incarnation}:80"
+    return BackendRecord(incarnation, service, address, "z", 4, draining, versions, started_unix_ms=started)
 
 
 def test_an_update_keeps_observations_of_the_same_incarnation():
@@ -149,6 +150,42 @@
     assert again.leaving_since_s == 3.0
 
 
+def test_a_later_start_under_the_same_identity_is_not_bound_by_what_the_one_before_said():
+    registry = BackendRegistry()
+    before = registry.upsert(record(started=1000, m=2))
+    registry.on_leaving(before, 3.0)
+    before.backoff.on_requested(50.0, 3.0)
+    before.learn_version("m", 5)
+    after = registry.upsert(record(started=2000, m=2))
+    assert before.gone and after is not before
+    assert after.is_open(4.0)
+    assert after.believed_version("m") == 2
+    assert list(registry.all()) == [after]
+    assert registry.of_service("s") == [after]
+
+
+@pytest.mark.parametrize("is_listed", [True, False], ids=["listed", "its entry had gone"])
+def test_late_news_of_an_earlier_start_changes_nothing(is_listed):
+    registry = BackendRegistry()
+    registry.on_leaving(registry.upsert(record(started=1000)), 3.0)
+    if not is_listed:
+        registry.remove("i-1")
+    after = registry.upsert(record(started=2000))
+    assert registry.upsert(record(started=1000, draining=True)) is after
+    assert after.is_open(4.0)
+    assert not after.record.draining
+
+
+@pytest.mark.parametrize(("first", "second"), [(None, None), (None, 1000), (1000, None), (1000, 1000)])
+def test_entries_that_do_not_tell_two_starts_apart_speak_of_one(first, second):
+    registry = BackendRegistry()
+    backend = registry.upsert(record(started=first))
+    registry.on_leaving(backend, 3.0)
+    assert registry.upsert(record(started=second)) is backend
+    assert backend.is_leaving(4.0)
+    assert backend.record.started_unix_ms == (first if second is None else second)
+
+
 def test_groups_of_back_ends_are_formed_anew_when_one_leaves():
     registry = BackendRegistry()
     backend = registry.upsert(record())
