Standalone router: an instance of a service that names a time is left alone for that time

Change: its own figure goes before ours, the longest of several holds. The header is read by one function for both routers. The emulated service can ask for back-off.

--- a/src/wallwell/emulator/service_server.py
+++ b/src/wallwell/emulator/service_server.py
@@ -40,6 +40,10 @@
         self.journal: list[JournalEntry] = []
         self.faults = FaultControl()
         self.leaving = False
+        self.backoff_s = 0.0
+        """Seconds for which it asks to be left alone; it refuses every call while that is not 0."""
+        self.refused = 0
+        """Calls refused so."""
         self._work_s = work_s
 
     def app(self) -> web.Application:
@@ -53,6 +57,10 @@
     async def _handle(self, request: web.Request) -> web.Response:
         if self.leaving:
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE, headers={REFUSED_HEADER: "leaving"})
+        if self.backoff_s:
+            self.refused += 1
+            headers = {REFUSED_HEADER: "full", "Retry-After": f"{self.backoff_s:g}"}
+            return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE, headers=headers)
         body = (await request.read()).decode(errors="replace")
         request_id = request.headers.get(REQUEST_ID, "")
         key = request.headers.get(IDEMPOTENCY_KEY, "")
--- a/src/wallwell/platform/worker_notices.py
+++ b/src/wallwell/platform/worker_notices.py
@@ -13,6 +13,7 @@
 from wallwell.events import Event, emit
 from wallwell.platform import names
 from wallwell.routing.health.backend_notice import NO_NOTICE, BackendNotice
+from wallwell.routing.health.backoff import stated_backoff_s
 
 BACKOFF_STATUSES = frozenset((HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE))
 """Statuses on which ``names.RETRY_AFTER`` asks this node to send the worker nothing, as HTTP defines both."""
@@ -39,11 +40,9 @@
 
 
 def _seconds(text: str, incarnation: str) -> float:
-    """Return a header's seconds. Text that is no number is logged and asks for nothing: HTTP also allows a date
-    here, which workers do not send."""
-    try:
-        seconds = float(text)
-    except ValueError:
+    """Return a header's seconds; text that cannot be understood is logged and asks for nothing."""
+    seconds = stated_backoff_s(text)
+    if seconds is None:
         emit(Event.BACKEND_NOTICE_UNREADABLE, backend=incarnation, retry_after=text[:MAX_LOGGED_CHARS])
         return 0.0
-    return seconds if seconds > 0 else 0.0  # False for what is not a number too.
+    return seconds
--- a/src/wallwell/routing/health/backoff.py
+++ b/src/wallwell/routing/health/backoff.py
@@ -21,6 +21,18 @@
 measured: refusals come within milliseconds, and first tokens of an engine that keeps up within its objective."""
 
 
+def stated_backoff_s(text: str) -> float | None:
+    """Return the seconds that a ``Retry-After`` header asks for, 0 if none; None if it is no number.
+
+    HTTP also allows a date there, which back ends do not send.
+    """
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return seconds if seconds > 0 else 0.0  # False for "not a number" too.
+
+
 @dataclass
 class RequestedBackoff:
     """The back-off that one back end asks of this node."""
--- a/src/wallwell/standalone/backends/service_client.py
+++ b/src/wallwell/standalone/backends/service_client.py
@@ -12,6 +12,8 @@
 
 import aiohttp
 
+from wallwell.events import Event, emit
+from wallwell.routing.health.backoff import MAX_BACKOFF_S, stated_backoff_s
 from wallwell.routing.retry.attempt_outcome import TransportEvent
 from wallwell.standalone.backends.attempt import AttemptFailed
 from wallwell.standalone.backends.engine_protocol import REQUEST_ID
@@ -82,11 +84,25 @@
         return self._checked(response, body, call)
 
     def _checked(self, response: aiohttp.ClientResponse, body: bytes, call: ServiceCall) -> ServiceAnswer:
+        backoff_s = _backoff_s(response)
         if response.status == HTTPStatus.SERVICE_UNAVAILABLE and NOT_RUN_HEADER in response.headers:
-            raise AttemptFailed(TransportEvent.BACKEND_LEAVING, response.headers[NOT_RUN_HEADER])
+            detail = response.headers[NOT_RUN_HEADER]
+            raise AttemptFailed(TransportEvent.BACKEND_LEAVING, detail, backoff_s=backoff_s)
         if response.headers.get(REQUEST_ID) != call.attempt_id:
             raise AttemptFailed(TransportEvent.FOREIGN_ANSWER, "answer has another request id")
         answer = ServiceAnswer(response.status, body, response.headers.get("Content-Type", ""))
         if response.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
-            raise AttemptFailed(TransportEvent.ERROR_ANSWER, f"status {answer.status}", answer.status, body)
+            detail = f"status {answer.status}"
+            raise AttemptFailed(TransportEvent.ERROR_ANSWER, detail, answer.status, body, backoff_s)
         return answer
+
+
+def _backoff_s(response: aiohttp.ClientResponse) -> float:
+    """Return for how long a refusing instance wants nothing, 0 if it does not say so in seconds."""
+    if response.status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return 0.0
+    seconds = stated_backoff_s(response.headers.get("Retry-After", "0"))
+    if seconds is None:
+        emit(Event.BACKEND_NOTICE_UNREADABLE, backend=str(response.url.authority), retry_after="no number")
+        return 0.0
+    return min(seconds, MAX_BACKOFF_S)
--- a/src/wallwell/standalone/callers/service_call.py
+++ b/src/wallwell/standalone/callers/service_call.py
@@ -114,7 +114,7 @@
         self.failed.add(instance.name)
         await context.crashes.on_failure(self._content, failure.event, instance.name, instance.address)
         now_s = boot_time_s()
-        self._learn(instance, failure.event, now_s)
+        self._learn(instance, failure, now_s)
         permitted = self._log.record(failure.event)
         remaining_s = self.caller.remaining_s(now_s)
         decision = after_failed_service_call(
@@ -125,10 +125,16 @@
         context.metrics.retries.labels("service").inc()
         await asyncio.sleep(decision.delay_s)
 
-    def _learn(self, instance: ServiceInstance, event: TransportEvent, now_s: float) -> None:
-        """Leave the instance out for a while if it is leaving, or if it fails repeatedly."""
+    def _learn(self, instance: ServiceInstance, failure: AttemptFailed, now_s: float) -> None:
+        """Leave the instance out for a while if it asks for that, if it is leaving, or if it fails repeatedly."""
+        event, pauses_until_s = failure.event, self.context.service_paused_until_s
+        if failure.backoff_s:
+            # Its own figure goes before ours; the longest of several holds.
+            known_s = pauses_until_s.get(instance.name, 0.0)
+            pauses_until_s[instance.name] = max(known_s, now_s + failure.backoff_s)
+            return
         if event is TransportEvent.BACKEND_LEAVING:
-            self.context.service_paused_until_s[instance.name] = now_s + LEAVING_PAUSE_S
+            pauses_until_s[instance.name] = now_s + LEAVING_PAUSE_S
             return
         if event is TransportEvent.ERROR_ANSWER:
             return  # It ran and answered: an error of the call, not of the instance.
--- a/tests/contract/test_services.py
+++ b/tests/contract/test_services.py
@@ -7,6 +7,9 @@
 
 from tests.contract.conftest import Harness
 
+BACKOFF_S = 1.5
+"""Seconds for which a full instance asks to be left alone: longer than 20 calls take, shorter than the pause of one
+that names no time."""
 # (name, switches of every instance, outcome, runs of the key)
 ONCE_ONLY = [
     ("no fault", {}, "completed", 1),
@@ -144,3 +147,25 @@
         assert runs(harness, "dies") <= 1
     finally:
         harness.run(harness.stop())
+
+
+def test_an_instance_that_names_a_time_is_left_alone_for_it_by_each_router_and_no_longer(harness):
+    full = harness.fleet.service(next(iter(harness.fleet.services)))
+
+    async def calls(count):
+        return [(await harness.call("GET", f"/orders/status-{number}"))[1] for number in range(count)]
+
+    async def scenario():
+        full.backoff_s = BACKOFF_S
+        outcomes = await calls(20)
+        refused = full.refused
+        full.backoff_s = 0.0
+        await asyncio.sleep(BACKOFF_S)
+        ran_before = len(full.journal)
+        outcomes += await calls(20)
+        return outcomes, refused, len(full.journal) - ran_before
+
+    outcomes, refused, ran = harness.run(scenario())
+    assert set(outcomes) == {"completed"}
+    assert refused == 1
+    assert ran > 0
