--- a/tests/unit/cli/test_soak.py
+++ b/tests/unit/cli/test_soak.py
@@ -12,7 +12,10 @@
 
 @pytest.mark.parametrize(
     "shape",
-    [Shape(), Shape(30.5, 5, 6, 3, regions=2, requests_per_s=80.0, rollout="slow")],
+    [
+        Shape(notices=soak.NOTICES),
+        Shape(30.5, 5, 6, 3, regions=2, requests_per_s=80.0, rollout="slow", notices=soak.NOTICES),
+    ],
     ids=["as it is", "all told"],
 )
 def test_the_line_that_plays_again_names_all_that_draws_the_schedule(shape, monkeypatch):
@@ -24,3 +27,8 @@
     options = parser.parse_args(shlex.split(soak.replay_command(schedule))[1:])
     assert options.run(options) == 0
     assert played == [schedule]
+
+
+def test_a_kept_run_that_no_line_names_is_played_from_its_file():
+    """Kept runs are drawn without workers that state something, as they were when they were kept."""
+    assert "--regressions" in soak.replay_command(draw_schedule(7, Shape()))
