Doubling pauses are one function; wallwell_ready says what the readiness address says

Refusals are learnt from in a method of their own. Measured: a test of the metric that fails without the change; tests of cluster, routing, serving, node pass. Safe: the pauses are the same figures (their tests are unchanged).

--- a/src/wallwell/cluster/peer_health.py
+++ b/src/wallwell/cluster/peer_health.py
@@ -8,13 +8,13 @@
 
 from dataclasses import dataclass, field
 
+from wallwell.routing.doubling_pause import doubling_pause_s
+
 FIRST_PAUSE_S = 2.0
 """Seconds of the first pause. Chosen, not measured: longer than the 1.3 s in which a peer that does not answer is
 found, so that less than half of the time goes into asking it."""
 MAX_PAUSE_S = 16.0
 """Bound of the pauses in seconds: how late a peer that works again is asked. Chosen, not measured."""
-MAX_DOUBLINGS = 4
-"""Bound of the exponent, so that it stays small however long failures go on; three reach ``MAX_PAUSE_S``."""
 
 
 @dataclass
@@ -41,9 +41,8 @@
         health = self._by_name.setdefault(name, PeerHealth())
         if now_s < health.until_s:
             return
+        health.until_s = now_s + doubling_pause_s(FIRST_PAUSE_S, MAX_PAUSE_S, health.failures)
         health.failures += 1
-        doublings = min(health.failures - 1, MAX_DOUBLINGS)
-        health.until_s = now_s + min(MAX_PAUSE_S, FIRST_PAUSE_S * (1 << doublings))
 
     def on_success(self, name: str) -> None:
         """A peer answered, or may be reachable again: its failures are forgotten."""
--- a/src/wallwell/node/metrics.py
+++ b/src/wallwell/node/metrics.py
@@ -23,9 +23,11 @@
 class FleetCollector:
     """Turns a node's numbers into metrics at the moment they are collected."""
 
-    def __init__(self, counters: FleetCounters, state: NodeState) -> None:
+    def __init__(self, counters: FleetCounters, state: NodeState, is_ready: bool) -> None:
+        """``is_ready`` is what the node's readiness address says now."""
         self._counters = counters
         self._state = state
+        self._is_ready = is_ready
 
     def collect(self) -> Iterator[Metric]:
         """Yield every metric."""
@@ -62,7 +64,7 @@
         yield GaugeMetricFamily("wallwell_store_age_seconds", "Time since the store last answered.", value=age_s)
         version = state.config.version if state.config is not None else 0
         yield GaugeMetricFamily("wallwell_config_version", "Configuration in force.", value=version)
-        yield GaugeMetricFamily("wallwell_ready", "Whether the node is ready.", value=float(state.is_ready(now_s)))
+        yield GaugeMetricFamily("wallwell_ready", "Whether the node is ready.", value=float(self._is_ready))
         yield GaugeMetricFamily("wallwell_nodes", "Nodes that share budgets.", value=state.node_count)
 
     def _collect_backends(self, now_s: float) -> Iterator[Metric]:
@@ -159,8 +161,8 @@
     return family
 
 
-def metrics_text(counters: FleetCounters, state: NodeState) -> bytes:
-    """Return the text exposition of one node."""
+def metrics_text(counters: FleetCounters, state: NodeState, is_ready: bool) -> bytes:
+    """Return the text exposition of one node; ``is_ready`` as for :class:`FleetCollector`."""
     registry = CollectorRegistry()
-    registry.register(FleetCollector(counters, state))
+    registry.register(FleetCollector(counters, state, is_ready))
     return generate_latest(registry)
--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -192,7 +192,7 @@
         # Imported here: a node whose settings name no address for metrics need not load the library.
         from wallwell.node.metrics import metrics_text
 
-        return metrics_text(self._pipeline.counters, self.state)
+        return metrics_text(self._pipeline.counters, self.state, self.is_ready())
 
     def is_ready(self) -> bool:
         """Whether callers' new connections should come here."""
--- a/src/wallwell/routing/health/suspension.py
+++ b/src/wallwell/routing/health/suspension.py
@@ -15,12 +15,12 @@
 
 from __future__ import annotations
 
+from wallwell.routing.doubling_pause import doubling_pause_s
+
 FIRST_PAUSE_S = 0.6
 """Seconds of the first suspension. Chosen, not measured: a process that was restarted may be back by then."""
 MAX_PAUSE_S = 4.0
 """Bound of the suspension in seconds, and so of how late a return is noticed. Chosen, not measured."""
-MAX_DOUBLINGS = 6
-"""Bound of the exponent, so that it stays small however long failures go on; three reach ``MAX_PAUSE_S``."""
 FAILURES_TO_SUSPEND = 2
 """Failures in a row from which a back end that can be reached is suspended. Chosen, not measured: one alone is as
 likely the request's as the back end's."""
@@ -51,8 +51,7 @@
     threshold = UNREACHABLE_FAILURES_TO_SUSPEND if unreachable else FAILURES_TO_SUSPEND
     if consecutive_failures < threshold:
         return None
-    doublings = min(consecutive_failures - threshold, MAX_DOUBLINGS)
-    return now_s + min(MAX_PAUSE_S, FIRST_PAUSE_S * (1 << doublings))
+    return now_s + doubling_pause_s(FIRST_PAUSE_S, MAX_PAUSE_S, consecutive_failures - threshold)
 
 
 def refused_until_s(consecutive_refusals: int, now_s: float) -> float | None:
@@ -62,8 +61,8 @@
     """
     if consecutive_refusals < REFUSALS_TO_SUSPEND:
         return None
-    doublings = min(consecutive_refusals - REFUSALS_TO_SUSPEND, MAX_DOUBLINGS)
-    return now_s + min(MAX_REFUSAL_PAUSE_S, FIRST_REFUSAL_PAUSE_S * (1 << doublings))
+    refusals_before = consecutive_refusals - REFUSALS_TO_SUSPEND
+    return now_s + doubling_pause_s(FIRST_REFUSAL_PAUSE_S, MAX_REFUSAL_PAUSE_S, refusals_before)
 
 
 def answered_recently(last_success_s: float, now_s: float) -> bool:
--- a/src/wallwell/serving/attempt_learning.py
+++ b/src/wallwell/serving/attempt_learning.py
@@ -69,15 +69,11 @@
         self._learn_reachability(active, backend, event, now_s)
         if event is TransportEvent.ANSWER_TIMEOUT:
             self._choice.learn_silence(active, now_s)
-        generation = active.request.generation
-        if event is TransportEvent.PRECONDITION_REFUSED and generation is not None:
-            self._learn_acceptance(backend, now_s)  # It is not full: it refuses what was expected of it.
-            self._state.on_version_refused(backend, generation.model, failure.weights_version)
-            return
-        if event is TransportEvent.BACKEND_OVERLOADED:
-            self._count_refusal(backend, now_s)
-        if event in REFUSED_BY_BACKEND or event is TransportEvent.ERROR_ANSWER:
+        if event in REFUSED_BY_BACKEND:
+            self._learn_refusal(active, backend, failure, now_s)
             return  # A back end that answers works.
+        if event is TransportEvent.ERROR_ANSWER:
+            return
         if event is TransportEvent.RESET_AFTER_SEND and self._crashes is not None:
             self._crashes.on_broken_run(active.content, backend)
         if event is TransportEvent.ANSWER_TIMEOUT and backend.is_answering(now_s):
@@ -93,6 +89,15 @@
         elif event not in NO_SIGN_OF_LIFE:
             self._state.on_sign_of_life(backend, now_s)
 
+    def _learn_refusal(self, active: ActiveRequest, backend: Backend, failure: AttemptError, now_s: float) -> None:
+        """Learn from a refusal that the back end is full, or that its weights are others than was expected."""
+        generation = active.request.generation
+        if failure.event is TransportEvent.PRECONDITION_REFUSED and generation is not None:
+            self._learn_acceptance(backend, now_s)  # It is not full, since it looked at what was expected of it.
+            self._state.on_version_refused(backend, generation.model, failure.weights_version)
+        elif failure.event is TransportEvent.BACKEND_OVERLOADED:
+            self._count_refusal(backend, now_s)
+
     def _count_refusal(self, backend: Backend, now_s: float) -> None:
         if backend.on_refused(now_s):
             emit(
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -265,6 +265,17 @@
 # --- figures and logs ----------------------------------------------------------------------------------
 
 
+def test_figures_say_of_readiness_what_its_address_says(on_platform):
+    async def scenario(harness):
+        before = harness.node.metrics_text()
+        harness.node.readiness.draining = True
+        return before, harness.node.metrics_text()
+
+    before, draining = on_platform(scenario)
+    assert b"wallwell_ready 1.0" in before
+    assert b"wallwell_ready 0.0" in draining
+
+
 def test_figures_tell_what_was_answered_and_refused(on_platform):
     async def scenario(harness):
         await harness.call()
--- a/tests/wire_subjects.py
+++ b/tests/wire_subjects.py
@@ -424,7 +424,7 @@
     """Return type, labels and bounds of the metrics of a router on the platform, by exposed name."""
     counters = FleetCounters()
     counters.on_answered("stream", 0.1, 0.2, 0.1)
-    collector = FleetCollector(counters, _node().state)
+    collector = FleetCollector(counters, _node().state, is_ready=True)
     registry = CollectorRegistry()
     registry.register(collector)  # type: ignore[arg-type]
     declared = {each.name: tuple(each._labelnames) for each in collector.collect()}
