A back end that said in its answers that it leaves is not taken for crashed when its successor comes

Change: one property says that a back end leaves by its own word, and the crash probe asks it. Requests, reports and orders hand notices on by one function; a refusal's header is cut to 40 characters in the log; back-off has slots. Measured: the new case of what counts as a crash fails without the change; a test for heads of reports and orders. Safe: entries that say draining are judged as before.

--- a/src/wallwell/node/crash_probe.py
+++ b/src/wallwell/node/crash_probe.py
@@ -70,4 +70,4 @@
     async def is_replaced_soon(self, backend: Backend) -> bool:
         """Wait for :data:`SUCCESSOR_S` and return whether another incarnation has taken the address unannounced."""
         await asyncio.sleep(SUCCESSOR_S)
-        return backend.superseded and not backend.record.draining
+        return backend.superseded and not backend.has_announced_leave
--- a/src/wallwell/platform/worker_notices.py
+++ b/src/wallwell/platform/worker_notices.py
@@ -12,7 +12,7 @@
 
 from wallwell.events import Event, emit
 from wallwell.platform import names
-from wallwell.routing.health.backend_notice import NO_NOTICE, BackendNotice
+from wallwell.routing.health.backend_notice import NO_NOTICE, BackendNotice, BackendNotices
 from wallwell.routing.health.backoff import stated_backoff_s
 
 BACKOFF_STATUSES = frozenset((HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE))
@@ -23,6 +23,13 @@
 """Characters of a header that are logged: more than any number or date has."""
 
 
+def hand_on_notice(notices: BackendNotices, message: RawResponseMessage, incarnation: str) -> None:
+    """Hand on what an answer to a call of ``incarnation`` states about it, unless that is nothing."""
+    notice = backend_notice(message, incarnation)
+    if notice != NO_NOTICE:
+        notices.on_notice(incarnation, notice)
+
+
 def backend_notice(message: RawResponseMessage, incarnation: str) -> BackendNotice:
     """Return what an answer to a call of ``incarnation`` states about it; nothing if another one has answered."""
     if message.headers.get(names.INSTANCE_ID, incarnation) != incarnation:
--- a/src/wallwell/platform/worker_orders.py
+++ b/src/wallwell/platform/worker_orders.py
@@ -17,8 +17,8 @@
 from wallwell.http_connection import ConnectFailedError, ConnectionPool
 from wallwell.placement.weights_roll import EngineReport, OrderReply, WeightsOrder
 from wallwell.platform import names
-from wallwell.platform.worker_notices import backend_notice
-from wallwell.routing.health.backend_notice import NO_NOTICE, BackendNotices
+from wallwell.platform.worker_notices import hand_on_notice
+from wallwell.routing.health.backend_notice import BackendNotices
 
 CONTROL_TIMEOUT_S = 1.0
 """Seconds for one call, connecting included. Chosen, not measured: a third of the lease under which orders are
@@ -131,9 +131,7 @@
             head += "Content-Type: application/json\r\n"
 
         def on_head(message: RawResponseMessage) -> None:
-            notice = backend_notice(message, backend.incarnation)
-            if notice != NO_NOTICE:
-                self._notices.on_notice(backend.incarnation, notice)
+            hand_on_notice(self._notices, message, backend.incarnation)
 
         request = head.encode() + b"\r\n" + body
         try:
--- a/src/wallwell/platform/worker_requests.py
+++ b/src/wallwell/platform/worker_requests.py
@@ -12,6 +12,7 @@
 from aiohttp.http_parser import RawResponseMessage
 
 from wallwell.platform import names
+from wallwell.platform.worker_notices import MAX_LOGGED_CHARS
 from wallwell.routing.retry.attempt_outcome import TransportEvent
 from wallwell.serving.messages import AnswerHead, AttemptError, CachePlan, CallerRequest, Dispatch
 
@@ -113,4 +114,4 @@
 def _status_text(message: RawResponseMessage) -> str:
     """Return the status for the log, with the back-off as the worker wrote it."""
     backoff = message.headers.get(names.RETRY_AFTER)
-    return str(message.code) if backoff is None else f"{message.code} retry after {backoff}"
+    return str(message.code) if backoff is None else f"{message.code} retry after {backoff[:MAX_LOGGED_CHARS]}"
--- a/src/wallwell/platform/workers.py
+++ b/src/wallwell/platform/workers.py
@@ -14,9 +14,9 @@
 from wallwell.backend_connection import BackendConnection, ConnectionBrokenError
 from wallwell.http_connection import ConnectFailedError, ConnectionPool
 from wallwell.platform import names
-from wallwell.platform.worker_notices import backend_notice
+from wallwell.platform.worker_notices import hand_on_notice
 from wallwell.platform.worker_requests import answer_head, attempt_failure, encode_request, has_answer_body
-from wallwell.routing.health.backend_notice import NO_NOTICE, BackendNotices
+from wallwell.routing.health.backend_notice import BackendNotices
 from wallwell.routing.retry.attempt_outcome import TransportEvent
 from wallwell.serving.messages import AnswerHead, AttemptError, Dispatch
 
@@ -79,20 +79,14 @@
         answer = WorkerAnswer(head, connection, dispatch.backend.address, self._pool)
         failure = attempt_failure(message, head)
         if failure is None or failure.event is not TransportEvent.FOREIGN_ANSWER:
-            self._hand_on_notice(dispatch, message)
+            # An answer that is not the worker's own states nothing about it.
+            hand_on_notice(self._notices, message, dispatch.backend.incarnation)
         if failure is not None:
             # A refusal's body may never come. The connection is kept if it came together with the head.
             answer.close()
             raise failure
         return answer
 
-    def _hand_on_notice(self, dispatch: Dispatch, message: RawResponseMessage) -> None:
-        """Hand on what an answer states about the worker; one that is not the worker's own states nothing."""
-        incarnation = dispatch.backend.incarnation
-        notice = backend_notice(message, incarnation)
-        if notice != NO_NOTICE:
-            self._notices.on_notice(incarnation, notice)
-
     async def _connect(self, dispatch: Dispatch) -> BackendConnection:
         dispatch.progress.connecting = True
         try:
--- a/src/wallwell/routing/health/backend.py
+++ b/src/wallwell/routing/health/backend.py
@@ -78,9 +78,14 @@
             return False
         return self.backoff.allows_request(now_s)
 
+    @property
+    def has_announced_leave(self) -> bool:
+        """Whether it leaves by its own word, in its entry or its answers."""
+        return self.record.draining or self.leaving_since_s is not None
+
     def is_leaving(self, now_s: float) -> bool:
-        """Whether it is leaving by its entry or its answers, gone or superseded."""
-        return self.record.draining or self.leaving_since_s is not None or self._has_ended(now_s)
+        """Whether it leaves by its own word, is gone or superseded."""
+        return self.has_announced_leave or self._has_ended(now_s)
 
     def _has_ended(self, now_s: float) -> bool:
         has_lapsed = self.lapses_at_s is not None and now_s >= self.lapses_at_s
--- a/src/wallwell/routing/health/backoff.py
+++ b/src/wallwell/routing/health/backoff.py
@@ -33,7 +33,7 @@
     return seconds if seconds > 0 else 0.0  # False for "not a number" too.
 
 
-@dataclass
+@dataclass(slots=True)
 class RequestedBackoff:
     """The back-off that one back end asks of this node."""
 
--- a/tests/unit/node/test_crash_watch.py
+++ b/tests/unit/node/test_crash_watch.py
@@ -102,6 +102,12 @@
     succeeded_later(node)
 
 
+def replaced_after_its_own_word(node):
+    """Its answers said that it leaves, and the store did not."""
+    node.state.backends.on_leaving(node.backend(), boot_time_s())
+    succeeded_later(node)
+
+
 def leaving(node):
     node.state.backends.lapse("i-0", 0.0)
 
@@ -124,6 +130,7 @@
         ([ANSWERS], nothing, superseded, True),
         ([ANSWERS], nothing, succeeded_later, True),
         ([ANSWERS], nothing, replaced_as_planned, False),
+        ([ANSWERS], nothing, replaced_after_its_own_word, False),
         ([REFUSED, ANSWERS], nothing, superseded, True),
         ([REFUSED], leaving, nothing, False),
         ([REFUSED], sign_of_life, nothing, True),
@@ -140,6 +147,7 @@
         "successor answered the first look",
         "successor answered all looks",
         "replaced as planned meanwhile",
+        "replaced after it said that it leaves",
         "successor listed before the second look",
         "planned end",
         "heard before",
--- a/tests/unit/platform/test_worker_orders.py
+++ b/tests/unit/platform/test_worker_orders.py
@@ -5,7 +5,10 @@
 import json
 
 import pytest
+from aiohttp import HttpVersion11
+from aiohttp.http_parser import RawResponseMessage
 from loguru import logger
+from multidict import CIMultiDict, CIMultiDictProxy
 
 from wallwell.backend_connection import ConnectionBrokenError
 from wallwell.deployment.backends import BackendRecord
@@ -14,7 +17,7 @@
 from wallwell.placement.weights_roll import OrderReply, WeightsOrder
 from wallwell.platform import worker_orders
 from wallwell.platform.worker_orders import WorkerControl
-from wallwell.routing.health.backend_notice import BackendNotices
+from wallwell.routing.health.backend_notice import BackendNotice, BackendNotices
 
 REPORT = (200, json.dumps({"models": [{"name": "m", "version": 3}], "busy": True, "seq": 2}).encode())
 ORDER = WeightsOrder("m", 4, "n1", 8, 2)
@@ -115,3 +118,20 @@
     run_async(work())
     assert [line[0] for line in failures] == ["a", "b", "c"]
     assert list(control._failing) == ["b", "c"]
+
+
+@pytest.mark.parametrize("call", ["report", "order"])
+def test_answers_to_reports_and_orders_state_something_too(run_async, failures, call):
+    """Also an answer that is no usable report."""
+
+    class StatingPool:
+        async def fetch(self, address, request, timeout_s, on_head):
+            headers = CIMultiDictProxy(CIMultiDict({"Server-Leaving": "1", "Retry-After": "2"}))
+            on_head(RawResponseMessage(HttpVersion11, 503, "", headers, (), False, None, False, False))
+            return 503, b""
+
+    notices, stated = BackendNotices(), []
+    notices.on_notice = lambda incarnation, notice: stated.append((incarnation, notice))
+    control = WorkerControl(StatingPool(), notices)
+    run_async(control.report(record()) if call == "report" else control.order(record(), ORDER))
+    assert stated == [("i-1", BackendNotice(leaving=True, backoff_s=2.0))]
