--- a/src/wallwell/soak/drawing.py
+++ b/src/wallwell/soak/drawing.py
@@ -74,6 +74,8 @@
 """Seconds for which a worker refuses requests: two back-offs and some more."""
 STORE_DOWN_S = 4.5
 """Seconds of a store's outage in which a worker leaves: until it has ended, so that its answers alone say so."""
+OUTAGE_FRACTION = 0.5
+"""Fraction of the seeds with such an outage: invariants with a time bound are not checked while it lasts."""
 LEAVES_AFTER_S = 0.3
 """Seconds from the begin of that outage to the worker's leave."""
 CRASHING_FROM_S = (1.0, 3.0)
@@ -139,6 +141,8 @@
     for worker in generator.sample(engines, k=min(len(engines), shape.notices)):
         at_s = round(generator.uniform(FIRST_FAULT_S, latest_s), 2)
         faults.append(PlannedFault(at_s, SHED_LASTS_S, FaultKind.SHED_WORKER, worker))
+    if generator.random() >= OUTAGE_FRACTION:
+        return faults
     at_s = FIRST_FAULT_S
     for _ in range(shape.notices):
         at_s = round(generator.uniform(at_s, max(at_s, latest_s)), 2)
