Retry-After of a refusal is read by one function; back-off holds one state fewer

Cause: each router read the header in code of its own (the standalone one took the first of several and did not log the text that it could not read), and whether a back end is being tried again stood beside the time from which that follows. Change: stated_backoff reads all headers of a refusal, names those that are no number, and serves both; the time of the first refusal is None once a request was accepted. Measured: the tests of notices, back-off and services pass unchanged.

--- a/src/wallwell/platform/worker_notices.py
+++ b/src/wallwell/platform/worker_notices.py
@@ -13,14 +13,12 @@
 from wallwell.events import Event, emit
 from wallwell.platform import names
 from wallwell.routing.health.backend_notice import NO_NOTICE, BackendNotice, BackendNotices
-from wallwell.routing.health.backoff import stated_backoff_s
+from wallwell.routing.health.backoff import stated_backoff
 
 BACKOFF_STATUSES = frozenset((HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE))
 """Statuses on which ``names.RETRY_AFTER`` asks this node to send the worker nothing, as HTTP defines both."""
 IS_LEAVING = "1"
 """Value of ``names.LEAVING`` by which a worker says that it leaves."""
-MAX_LOGGED_CHARS = 40
-"""Characters of a header that are logged: more than any number or date has."""
 
 
 def hand_on_notice(notices: BackendNotices, message: RawResponseMessage, incarnation: str) -> None:
@@ -39,17 +37,10 @@
 
 
 def _backoff_s(message: RawResponseMessage, incarnation: str) -> float:
-    """Return for how long the worker wants nothing, the longest of several such headers; 0 if it asks for
-    nothing."""
+    """Return for how long the worker wants nothing, 0 if it does not say; what cannot be understood is logged."""
     if message.code not in BACKOFF_STATUSES:
         return 0.0
-    return max((_seconds(text, incarnation) for text in message.headers.getall(names.RETRY_AFTER, ())), default=0.0)
-
-
-def _seconds(text: str, incarnation: str) -> float:
-    """Return a header's seconds; text that cannot be understood is logged and asks for nothing."""
-    seconds = stated_backoff_s(text)
-    if seconds is None:
-        emit(Event.BACKEND_NOTICE_UNREADABLE, backend=incarnation, retry_after=text[:MAX_LOGGED_CHARS])
-        return 0.0
-    return seconds
+    stated = stated_backoff(message.headers.getall(names.RETRY_AFTER, ()))
+    for text in stated.unreadable:
+        emit(Event.BACKEND_NOTICE_UNREADABLE, backend=incarnation, retry_after=text)
+    return stated.seconds
--- a/src/wallwell/platform/worker_requests.py
+++ b/src/wallwell/platform/worker_requests.py
@@ -12,7 +12,7 @@
 from aiohttp.http_parser import RawResponseMessage
 
 from wallwell.platform import names
-from wallwell.platform.worker_notices import MAX_LOGGED_CHARS
+from wallwell.routing.health.backoff import MAX_LOGGED_CHARS
 from wallwell.routing.retry.attempt_outcome import TransportEvent
 from wallwell.serving.messages import AnswerHead, AttemptError, CachePlan, CallerRequest, Dispatch
 
--- a/src/wallwell/routing/health/backoff.py
+++ b/src/wallwell/routing/health/backoff.py
@@ -11,7 +11,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 MAX_BACKOFF_S = 3600.0
 """Longest time in seconds for which a back end is left out at its own request. Chosen, not measured: no overload is
@@ -19,18 +21,29 @@
 TRIAL_TIMEOUT_S = 0.5
 """Seconds for which the first request after a back-off is waited for before another one is sent. Chosen, not
 measured: refusals come within milliseconds, and first tokens of an engine that keeps up within its objective."""
+MAX_LOGGED_CHARS = 40
+"""Characters of a header that are logged: more than any number or date has."""
 
 
-def stated_backoff_s(text: str) -> float | None:
-    """Return the seconds that a ``Retry-After`` header asks for, 0 if none; None if it is no number.
+class StatedBackoff(NamedTuple):
+    """What the ``Retry-After`` headers of one refusal ask for."""
 
-    HTTP also allows a date there, which back ends do not send.
-    """
-    try:
-        seconds = float(text)
-    except ValueError:
-        return None
-    return seconds if seconds > 0 else 0.0  # False for "not a number" too.
+    seconds: float
+    """The longest time asked for, 0 if none."""
+    unreadable: tuple[str, ...]
+    """Headers that are no number, cut for the log. HTTP also allows a date there, which back ends do not send."""
+
+
+def stated_backoff(headers: Iterable[str]) -> StatedBackoff:
+    """Read the ``Retry-After`` headers of one refusal."""
+    longest_s = 0.0
+    unreadable: list[str] = []
+    for text in headers:
+        try:
+            longest_s = max(longest_s, float(text))  # The first one stays where the other is not a number.
+        except ValueError:
+            unreadable.append(text[:MAX_LOGGED_CHARS])
+    return StatedBackoff(longest_s, tuple(unreadable))
 
 
 @dataclass(slots=True)
@@ -39,9 +52,8 @@
 
     until_s: float = float("-inf")
     """End of the longest time asked for."""
-    _began_s: float = float("-inf")
-    _awaits_trial: bool = False
-    """Whether no request was accepted since the back end asked for back-off."""
+    _refused_since_s: float | None = None
+    """When it first asked, if it has accepted no request since; None otherwise."""
     _trial_until_s: float = float("-inf")
 
     def is_in_force(self, now_s: float) -> bool:
@@ -55,22 +67,22 @@
     def on_requested(self, backoff_s: float, now_s: float) -> bool:
         """Note a refusal that asks for back-off; returns False if one was in force already."""
         is_new = not self.is_in_force(now_s)
-        if not self._awaits_trial:
-            self._began_s = now_s
+        if self._refused_since_s is None:
+            self._refused_since_s = now_s
         self.until_s = max(self.until_s, now_s + min(backoff_s, MAX_BACKOFF_S))
-        self._awaits_trial = True
         self._trial_until_s = float("-inf")
         return is_new
 
     def on_sent(self, now_s: float) -> None:
         """Note a request to the back end: the first one after a back-off is waited for."""
-        if self._awaits_trial and now_s >= self.until_s:
+        if self._refused_since_s is not None and now_s >= self.until_s:
             self._trial_until_s = now_s + TRIAL_TIMEOUT_S
 
     def on_accepted(self, now_s: float) -> float | None:
         """Note that a request was accepted; returns the seconds since the first refusal if that ends a back-off."""
-        if not self._awaits_trial or self.is_in_force(now_s):
+        if self._refused_since_s is None or self.is_in_force(now_s):
             return None
-        self._awaits_trial = False
+        refused_s = now_s - self._refused_since_s
+        self._refused_since_s = None
         self._trial_until_s = float("-inf")
-        return now_s - self._began_s
+        return refused_s
--- a/src/wallwell/standalone/backends/service_client.py
+++ b/src/wallwell/standalone/backends/service_client.py
@@ -13,7 +13,7 @@
 import aiohttp
 
 from wallwell.events import Event, emit
-from wallwell.routing.health.backoff import MAX_BACKOFF_S, stated_backoff_s
+from wallwell.routing.health.backoff import MAX_BACKOFF_S, stated_backoff
 from wallwell.routing.retry.attempt_outcome import TransportEvent
 from wallwell.standalone.backends.attempt import AttemptFailed
 from wallwell.standalone.backends.engine_protocol import REQUEST_ID
@@ -84,7 +84,7 @@
         return self._checked(response, body, call)
 
     def _checked(self, response: aiohttp.ClientResponse, body: bytes, call: ServiceCall) -> ServiceAnswer:
-        backoff_s = _backoff_s(response)
+        backoff_s = _requested_backoff_s(response)
         if response.status == HTTPStatus.SERVICE_UNAVAILABLE and NOT_RUN_HEADER in response.headers:
             detail = response.headers[NOT_RUN_HEADER]
             raise AttemptFailed(TransportEvent.BACKEND_LEAVING, detail, backoff_s=backoff_s)
@@ -97,12 +97,12 @@
         return answer
 
 
-def _backoff_s(response: aiohttp.ClientResponse) -> float:
-    """Return for how long a refusing instance wants nothing, 0 if it does not say so in seconds."""
+def _requested_backoff_s(response: aiohttp.ClientResponse) -> float:
+    """Return for how long a refusing instance wants nothing, 0 if it does not say; what cannot be understood is
+    logged."""
     if response.status != HTTPStatus.SERVICE_UNAVAILABLE:
         return 0.0
-    seconds = stated_backoff_s(response.headers.get("Retry-After", "0"))
-    if seconds is None:
-        emit(Event.BACKEND_NOTICE_UNREADABLE, backend=str(response.url.authority), retry_after="no number")
-        return 0.0
-    return min(seconds, MAX_BACKOFF_S)
+    stated = stated_backoff(response.headers.getall("Retry-After", ()))
+    for text in stated.unreadable:
+        emit(Event.BACKEND_NOTICE_UNREADABLE, backend=str(response.url.authority), retry_after=text)
+    return min(stated.seconds, MAX_BACKOFF_S)
