Soak: whether workers state something is a yes or no; a fault between two signals is written once

Cause: Shape.notices was a count of which only 0 and 1 were in use, with loops for more; the status of a misdirected request had a second name; pausing a node and shedding of a worker were the same lines; a run without engines or without instances could no longer be drawn. Change: a flag, HTTPStatus, one method for faults between two signals; such runs are drawn as before the flag. Safe: routers are not touched; tests give the flag in place of the count, with the same assertions.

--- a/src/wallwell/cli/soak.py
+++ b/src/wallwell/cli/soak.py
@@ -27,8 +27,6 @@
 """Chosen, not measured: enough that some serve while others load weights."""
 DEFAULT_INSTANCES = 2
 """Workers that answer calls: the fewest between which a call can be retried."""
-NOTICES = 1
-"""Workers that refuse requests and workers that leave while the store is down, in each run but kept ones."""
 DEFAULT_RATE_PER_S = 40.0
 """Requests a second. Chosen, not measured: what all processes of a run serve on one machine."""
 
@@ -72,7 +70,7 @@
         regions=options.regions,
         requests_per_s=options.rate,
         crashing=options.crashing,
-        notices=NOTICES,
+        notices=True,  # Kept runs are as they were drawn; all others have such workers.
         rollout=options.rollout,
     )
     schedule = draw_schedule(options.seed, shape)
@@ -114,7 +112,7 @@
     rate = f" --rate {shape.requests_per_s:g}" if shape.requests_per_s != DEFAULT_RATE_PER_S else ""
     rollout = f" --rollout {shape.rollout}" if shape.rollout else ""
     crashing = f" --crashing {shape.crashing}" if shape.crashing else ""
-    if shape.notices != NOTICES:
+    if not shape.notices:
         return f"wallwell soak --regressions FILE, with seed {schedule.seed} and {shape} in the file"
     return (
         f"wallwell soak --seed {schedule.seed} --seconds {shape.seconds:g} --nodes {shape.nodes} "
--- a/src/wallwell/soak/drawing.py
+++ b/src/wallwell/soak/drawing.py
@@ -95,7 +95,7 @@
     for number in range(shape.crashing):
         requests += _draw_crashing(random.Random(f"{seed}/crashing/{number}"), f"{seed}-crashing-{number}", shape)
     requests.sort(key=lambda request: request.at_s)
-    if shape.notices:
+    if shape.notices and shape.engines and shape.instances:
         faults += _draw_notices(random.Random(f"{seed}/notices"), shape)
         faults.sort(key=lambda fault: fault.at_s)
     operations = _draw_operations(random.Random(f"{seed}/operations"), shape)
@@ -134,21 +134,17 @@
 def _draw_notices(generator: random.Random, shape: Shape) -> list[PlannedFault]:
     """Return times in which workers state something about themselves that the store does not."""
     latest_s = shape.seconds - RECOVERY_S - SHOWN_RECOVERED_S - STORE_DOWN_S
-    faults: list[PlannedFault] = []
     engines = [name for name in shape.worker_names() if name.startswith("engine")]
     instances = [name for name in shape.worker_names() if name not in engines]
     leaving = generator.choice(instances)  # Each of the few gets many requests, so that nodes soon know.
-    for worker in generator.sample(engines, k=min(len(engines), shape.notices)):
-        at_s = round(generator.uniform(FIRST_FAULT_S, latest_s), 2)
-        faults.append(PlannedFault(at_s, SHED_LASTS_S, FaultKind.SHED_WORKER, worker))
-    if generator.random() >= OUTAGE_FRACTION:
-        return faults
-    at_s = FIRST_FAULT_S
-    for _ in range(shape.notices):
-        at_s = round(generator.uniform(at_s, max(at_s, latest_s)), 2)
-        faults.append(PlannedFault(at_s, STORE_DOWN_S, FaultKind.STORE_DOWN, STORE))
-        faults.append(PlannedFault(round(at_s + LEAVES_AFTER_S, 2), 0.0, FaultKind.DRAIN_WORKER, leaving))
-        at_s += STORE_DOWN_S
+    (shedding,) = generator.sample(engines, k=1)
+    shed_at_s = round(generator.uniform(FIRST_FAULT_S, latest_s), 2)
+    faults = [PlannedFault(shed_at_s, SHED_LASTS_S, FaultKind.SHED_WORKER, shedding)]
+    if generator.random() < OUTAGE_FRACTION:
+        down_at_s = round(generator.uniform(FIRST_FAULT_S, latest_s), 2)
+        leaves_at_s = round(down_at_s + LEAVES_AFTER_S, 2)
+        faults.append(PlannedFault(down_at_s, STORE_DOWN_S, FaultKind.STORE_DOWN, STORE))
+        faults.append(PlannedFault(leaves_at_s, 0.0, FaultKind.DRAIN_WORKER, leaving))
     return faults
 
 
--- a/src/wallwell/soak/faults.py
+++ b/src/wallwell/soak/faults.py
@@ -18,6 +18,7 @@
 from wallwell.soak.fleet import REGION_BYTES_PER_S, REGION_DELAY_S, RunProcesses, sound_link, store_host
 from wallwell.soak.history import FaultBegan, FaultEnded
 from wallwell.soak.schedule import ALL_NODES, STORE, FaultKind, PlannedFault
+from wallwell.soak.supervisor import ChildProcess
 
 Action = Callable[[PlannedFault], Awaitable[None]]
 LOST_ANSWERS = 5
@@ -92,6 +93,20 @@
             raise SoakError(f"{fault}: {error}") from error
         self._fleet.history.add(FaultEnded(time.monotonic(), fault.kind.value, fault.target))
 
+    async def _between_signals(
+        self,
+        fault: PlannedFault,
+        process_of: Callable[[str], ChildProcess],
+        begin: signal.Signals,
+        end: signal.Signals,
+    ) -> None:
+        """Carry out a fault that one signal to a process begins and another one ends."""
+        async with self._locks[fault.target]:
+            process = process_of(fault.target)
+            process.send(begin)
+            await asyncio.sleep(fault.lasts_s)
+            process.send(end)
+
     # --- routers ---------------------------------------------------------------------------------------
 
     async def _kill_node(self, fault: PlannedFault) -> None:
@@ -111,11 +126,7 @@
                 await self._fleet.start_node(node)
 
     async def _pause_node(self, fault: PlannedFault) -> None:
-        async with self._locks[fault.target]:
-            node = self._fleet.node(fault.target)
-            node.send(signal.SIGSTOP)
-            await asyncio.sleep(fault.lasts_s)
-            node.send(signal.SIGCONT)
+        await self._between_signals(fault, self._fleet.node, signal.SIGSTOP, signal.SIGCONT)
 
     async def _stop_node(self, fault: PlannedFault) -> None:
         async with self._locks[fault.target]:
@@ -169,11 +180,7 @@
             await self._replace_worker(fault.target, 0.0)
 
     async def _shed_worker(self, fault: PlannedFault) -> None:
-        async with self._locks[fault.target]:
-            worker = self._fleet.worker(fault.target)
-            worker.send(signal.SIGUSR2)
-            await asyncio.sleep(fault.lasts_s)
-            worker.send(signal.SIGUSR2)
+        await self._between_signals(fault, self._fleet.worker, signal.SIGUSR2, signal.SIGUSR2)
 
     # --- store and links -------------------------------------------------------------------------------
 
--- a/src/wallwell/soak/invariants_notices.py
+++ b/src/wallwell/soak/invariants_notices.py
@@ -8,15 +8,13 @@
 
 from collections import defaultdict
 from collections.abc import Iterator
+from http import HTTPStatus
 
 from wallwell.soak.cases import HELD, Cases, Violation
 from wallwell.soak.history import Arrived, Began, LeavingStated
 from wallwell.soak.schedule import BACKOFF_SLACK_S, DRAIN_BOUND_S, LATE_REQUESTS
 from wallwell.soak.timeline import History
 
-MISDIRECTED = 421
-"""Status of a worker that is not the one that a request was meant for."""
-
 
 def announced_gets_nothing(history: History) -> Cases:
     """A worker gets no request that was sent to a node later than a bound after that node passed on its answer
@@ -78,7 +76,7 @@
         if isinstance(record, Began):
             is_meant = True
         elif isinstance(record, Arrived):
-            is_meant = record.status != MISDIRECTED
+            is_meant = record.status != HTTPStatus.MISDIRECTED_REQUEST
         else:
             continue
         if is_meant and record.request in history.sent:
--- a/src/wallwell/soak/schedule.py
+++ b/src/wallwell/soak/schedule.py
@@ -159,8 +159,8 @@
     """Callers that send, again and again, a request under which each worker that begins to run it crashes."""
     rollout: str = ""
     """Name of :data:`ROLLOUTS`, empty for none."""
-    notices: int = 0
-    """Workers that refuse requests and ask for back-off, and workers that leave while the store is down."""
+    notices: bool = False
+    """Whether a worker refuses requests and asks for back-off, and one may leave while the store is down."""
 
     def node_names(self) -> tuple[str, ...]:
         """Names of the router processes."""
--- a/tests/unit/cli/test_soak.py
+++ b/tests/unit/cli/test_soak.py
@@ -13,8 +13,8 @@
 @pytest.mark.parametrize(
     "shape",
     [
-        Shape(notices=soak.NOTICES),
-        Shape(30.5, 5, 6, 3, regions=2, requests_per_s=80.0, rollout="slow", notices=soak.NOTICES),
+        Shape(notices=True),
+        Shape(30.5, 5, 6, 3, regions=2, requests_per_s=80.0, rollout="slow", notices=True),
     ],
     ids=["as it is", "all told"],
 )
--- a/tests/unit/soak/test_schedule.py
+++ b/tests/unit/soak/test_schedule.py
@@ -34,12 +34,14 @@
 
 
 def test_every_kind_of_fault_is_drawn_by_some_seed():
-    drawn = {fault.kind for seed in range(100) for fault in draw_schedule(seed, Shape(regions=2, notices=1)).faults}
+    drawn = {
+        fault.kind for seed in range(100) for fault in draw_schedule(seed, Shape(regions=2, notices=True)).faults
+    }
     assert drawn == set(FaultKind)
 
 
 def test_one_region_has_no_faults_between_regions():
-    drawn = {fault.kind for seed in range(100) for fault in draw_schedule(seed, Shape(notices=1)).faults}
+    drawn = {fault.kind for seed in range(100) for fault in draw_schedule(seed, Shape(notices=True)).faults}
     assert drawn == set(FaultKind) - set(REGION_FAULTS)
 
 
@@ -56,7 +58,7 @@
 
 def test_some_seeds_have_no_outage_in_which_a_worker_leaves():
     """In the others the store's outage leaves less time for invariants with a time bound."""
-    drawn = [{fault.kind for fault in draw_schedule(seed, Shape(notices=1)).faults} for seed in range(100)]
+    drawn = [{fault.kind for fault in draw_schedule(seed, Shape(notices=True)).faults} for seed in range(100)]
     assert all(FaultKind.SHED_WORKER in kinds for kinds in drawn)
     without = [{fault.kind for fault in draw_schedule(seed, Shape()).faults} for seed in range(100)]
     pairs = zip(drawn, without, strict=True)
@@ -64,10 +66,15 @@
     assert 20 < outages < 80
 
 
+@pytest.mark.parametrize("lacking", [{"engines": 0}, {"instances": 0}], ids=["engines", "instances"])
+def test_a_run_without_a_kind_of_workers_is_drawn_all_the_same(lacking):
+    assert draw_schedule(3, Shape(notices=True, **lacking)).faults == draw_schedule(3, Shape(**lacking)).faults
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_workers_that_state_something_are_added_to_what_a_seed_draws_without_them(seed):
     """Kept runs are drawn without; what else a seed draws stays the same."""
-    without, drawn = draw_schedule(seed, Shape()), draw_schedule(seed, Shape(notices=1))
+    without, drawn = draw_schedule(seed, Shape()), draw_schedule(seed, Shape(notices=True))
     assert drawn.requests == without.requests
     added = [fault for fault in drawn.faults if fault not in without.faults]
     kinds = {fault.kind for fault in added}
