--- a/src/wallwell/cli/explain.py
+++ b/src/wallwell/cli/explain.py
@@ -32,6 +32,8 @@
         Event.BACKEND_ANNOUNCED_LEAVING,
         Event.BACKEND_REQUESTED_BACKOFF,
         Event.BACKEND_BACKOFF_ENDED,
+        Event.BACKEND_LIMIT_STATED,
+        Event.BACKEND_LIMIT_ENDED,
         Event.BACKEND_CRASHED,
         Event.REQUEST_QUARANTINED,
         Event.STORE_LOST,
--- a/src/wallwell/platform/names.py
+++ b/src/wallwell/platform/names.py
@@ -49,6 +49,8 @@
 """Seconds; fractions are allowed here. From a worker: for how long it wants nothing from this node."""
 LEAVING = "Server-Leaving"
 """``1`` on every answer of a worker that is about to end; "server" is the platform's other name of a worker."""
+REQUEST_LIMIT = "Server-Limit"
+"""Requests a second, a decimal number, that a worker takes from all nodes together while its answers name it."""
 
 # --- headers that are not wallwell's to use --------------------------------------------------------------------
 
--- a/src/wallwell/platform/worker_notices.py
+++ b/src/wallwell/platform/worker_notices.py
@@ -1,6 +1,6 @@
-"""What a worker's answer states about the worker: that it leaves, or for how long it wants nothing from this node.
+"""What a worker's answer states about the worker: that it leaves, for how long it wants nothing, how much it takes.
 
-Owns the meaning of the two headers. Decides nothing; what follows is decided in ``routing/health``. Relies on the
+Owns the meaning of the three headers. Decides nothing; what follows is decided in ``routing/health``. Relies on the
 caller to pass the head of each answer, also of those that are no answer to a request of a caller.
 """
 
@@ -13,7 +13,8 @@
 from wallwell.events import Event, emit
 from wallwell.platform import names
 from wallwell.routing.health.backend_notice import NO_NOTICE, BackendNotice, BackendNotices
-from wallwell.routing.health.backoff import stated_backoff
+from wallwell.routing.health.backoff import MAX_LOGGED_CHARS, stated_backoff
+from wallwell.routing.health.request_limit import NO_LIMIT_PER_S, LimitStatement, read_limit
 
 BACKOFF_STATUSES = frozenset((HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE))
 """Statuses on which ``names.RETRY_AFTER`` asks this node to send the worker nothing, as HTTP defines both."""
@@ -21,19 +22,27 @@
 """Value of ``names.LEAVING`` by which a worker says that it leaves."""
 
 
-def hand_on_notice(notices: BackendNotices, message: RawResponseMessage, incarnation: str) -> None:
-    """Hand on what an answer to a call of ``incarnation`` states about it, unless that is nothing."""
-    notice = backend_notice(message, incarnation)
+def hand_on_notice(
+    notices: BackendNotices, message: RawResponseMessage, incarnation: str, sent_s: float | None = None
+) -> None:
+    """Hand on what an answer to a call of ``incarnation`` states about it, unless that is nothing.
+
+    ``sent_s`` is when the request was sent that it answers, None for other calls.
+    """
+    notice = backend_notice(message, incarnation, sent_s)
     if notice != NO_NOTICE:
         notices.on_notice(incarnation, notice)
 
 
-def backend_notice(message: RawResponseMessage, incarnation: str) -> BackendNotice:
-    """Return what an answer to a call of ``incarnation`` states about it; nothing if another one has answered."""
+def backend_notice(message: RawResponseMessage, incarnation: str, sent_s: float | None = None) -> BackendNotice:
+    """Return what an answer to a call of ``incarnation`` states about it; nothing if another one has answered.
+
+    ``sent_s`` as for :func:`hand_on_notice`.
+    """
     if message.headers.get(names.INSTANCE_ID, incarnation) != incarnation:
         return NO_NOTICE
     leaving = message.headers.get(names.LEAVING) == IS_LEAVING
-    return BackendNotice(leaving, _backoff_s(message, incarnation))
+    return BackendNotice(leaving, _backoff_s(message, incarnation), _limit_statement(message, incarnation, sent_s))
 
 
 def _backoff_s(message: RawResponseMessage, incarnation: str) -> float:
@@ -44,3 +53,16 @@
     for text in stated.unreadable:
         emit(Event.BACKEND_NOTICE_UNREADABLE, backend=incarnation, retry_after=text)
     return stated.seconds
+
+
+def _limit_statement(message: RawResponseMessage, incarnation: str, sent_s: float | None) -> LimitStatement | None:
+    """Return what an answer says of its worker's limit; that it names none means something for requests only."""
+    texts = message.headers.getall(names.REQUEST_LIMIT, ())
+    per_s = read_limit(texts)
+    if per_s is None:
+        text = ", ".join(texts)[:MAX_LOGGED_CHARS]
+        emit(Event.BACKEND_NOTICE_UNREADABLE, backend=incarnation, request_limit=text)
+        return None
+    if sent_s is not None:
+        return LimitStatement(per_s, sent_s)
+    return None if per_s == NO_LIMIT_PER_S else LimitStatement(per_s)
--- a/src/wallwell/platform/workers.py
+++ b/src/wallwell/platform/workers.py
@@ -12,6 +12,7 @@
 from aiohttp.http_parser import RawResponseMessage
 
 from wallwell.backend_connection import BackendConnection, ConnectionBrokenError
+from wallwell.clock import boot_time_s
 from wallwell.http_connection import ConnectFailedError, ConnectionPool
 from wallwell.platform import names
 from wallwell.platform.worker_notices import hand_on_notice
@@ -75,12 +76,14 @@
     async def send(self, dispatch: Dispatch) -> WorkerAnswer:
         """See :class:`wallwell.serving.messages.BackendClient`."""
         connection = await self._connect(dispatch)
+        sent_s = boot_time_s()
         message, head = await self._round_trip(connection, dispatch)
         answer = WorkerAnswer(head, connection, dispatch.backend.address, self._pool)
         failure = attempt_failure(message, head)
         if failure is None or failure.event is not TransportEvent.FOREIGN_ANSWER:
             # An answer that is not the worker's own states nothing about it.
-            hand_on_notice(self._notices, message, dispatch.backend.incarnation)
+            is_sure_sender = failure is None or failure.event is TransportEvent.BACKEND_OVERLOADED
+            hand_on_notice(self._notices, message, dispatch.backend.incarnation, sent_s if is_sure_sender else None)
         if failure is not None:
             # A refusal's body may never come. The connection is kept if it came together with the head.
             answer.close()
--- a/src/wallwell/routing/health/backend.py
+++ b/src/wallwell/routing/health/backend.py
@@ -13,6 +13,7 @@
 from wallwell.deployment.backends import BackendRecord
 from wallwell.routing.health import suspension
 from wallwell.routing.health.backoff import RequestedBackoff
+from wallwell.routing.health.request_limit import NO_LIMIT_PER_S
 from wallwell.routing.health.silence import Silence
 
 
@@ -57,6 +58,8 @@
     """When its entry or one of its answers first said that it leaves. Nothing takes that back: leaving ends with
     the end of the back end, and an entry that says otherwise is older."""
     backoff: RequestedBackoff = field(default_factory=RequestedBackoff)
+    limit_per_s: float = NO_LIMIT_PER_S
+    """Requests a second that it takes from all nodes together, as its last answer said."""
     superseded: bool = False
     """Whether a later incarnation has been listed at its address, so that this one has ended."""
     lapses_at_s: float | None = None
--- a/src/wallwell/routing/health/backend_notice.py
+++ b/src/wallwell/routing/health/backend_notice.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from wallwell.routing.health.request_limit import LimitStatement
+
 
 class BackendNotice(msgspec.Struct, frozen=True):
     """What one answer states about its back end."""
@@ -19,6 +21,8 @@
     """Whether it is about to end, so that it must get nothing new."""
     backoff_s: float = 0.0
     """Seconds for which it wants nothing from this node; 0 if it does not ask for that."""
+    limit: LimitStatement | None = None
+    """What it says of a limit of requests; None if it says nothing that can be understood."""
 
 
 NO_NOTICE = BackendNotice()
--- a/tests/unit/platform/test_worker_notices.py
+++ b/tests/unit/platform/test_worker_notices.py
@@ -15,6 +15,7 @@
 from wallwell.platform.worker_notices import backend_notice
 from wallwell.platform.worker_requests import answer_head, attempt_failure
 from wallwell.routing.health.backend_notice import NO_NOTICE, BackendNotice
+from wallwell.routing.health.request_limit import NO_LIMIT_PER_S, LimitStatement
 
 LEAVING = {"Server-Leaving": "1"}
 NOT_RUN = {"X-Not-Run": "1"}
@@ -78,6 +79,43 @@
     assert [(each["event"], each["backend"], each["retry_after"]) for each in lines] == [(6019, "i-1", "x" * 40)]
 
 
+@pytest.mark.parametrize(
+    ("status", "headers", "expected"),
+    [
+        (200, {"Server-Limit": "3.1"}, LimitStatement(3.1, 7.0)),
+        (200, {"server-limit": "12"}, LimitStatement(12.0, 7.0)),
+        (503, {"Server-Limit": "0.5", **NOT_RUN}, LimitStatement(0.5, 7.0)),
+        (500, {"Server-Limit": "0"}, LimitStatement(0.0, 7.0)),
+        (200, {}, LimitStatement(NO_LIMIT_PER_S, 7.0)),
+        (200, {"Server-Limit": ""}, None),
+        (200, {"Server-Limit": "-1"}, None),
+        (200, {"Server-Limit": "nan"}, None),
+        (200, {"Server-Limit": "inf"}, None),
+        (200, {"Server-Limit": "few"}, None),
+        (200, {"Server-Limit": "3", "X-Instance-Id": "i-2"}, None),
+    ],
+)
+def test_an_answer_to_a_request_states_a_limit_or_that_there_is_none(status, headers, expected):
+    assert backend_notice(message(status, **headers), "i-1", 7.0).limit == expected
+
+
+def test_an_answer_to_another_call_states_a_limit_but_not_that_there_is_none():
+    assert backend_notice(message(200, **{"Server-Limit": "3"}), "i-1").limit == LimitStatement(3.0)
+    assert backend_notice(message(200), "i-1").limit is None
+
+
+def test_the_lowest_of_several_limits_is_taken():
+    headers = CIMultiDict([("Server-Limit", "4"), ("Server-Limit", "2.5")])
+    answer = RawResponseMessage(HttpVersion11, 200, "", CIMultiDictProxy(headers), (), False, None, False, False)
+    assert backend_notice(answer, "i-1").limit == LimitStatement(2.5)
+
+
+@given(st.text(max_size=60))
+def test_any_text_as_a_limit_states_a_number_or_nothing(text):
+    limit = backend_notice(message(200, **{"Server-Limit": text}), "i-1").limit
+    assert limit is None or 0 <= limit.per_s < math.inf
+
+
 @pytest.mark.parametrize(
     ("headers", "detail"),
     [(NOT_RUN, "503 retry after 3"), ({}, "503 without proof")],
