--- a/src/wallwell/emulator/platform_worker.py
+++ b/src/wallwell/emulator/platform_worker.py
@@ -33,6 +33,8 @@
         """Whether its entry says that it leaves."""
         self.leaving = False
         """Whether its answers say so."""
+        self.limit_per_s: float | None = None
+        """Requests a second from all nodes together that its answers name; None if they name none."""
         self.busy = False
         """Whether an order is being carried out."""
         self.orders: list[dict[str, Any]] = []
@@ -72,7 +74,8 @@
         """Return the headers of every answer to a request."""
         identity = {names.REQUEST_ID: request.headers[names.REQUEST_ID], names.SEAL: f"seal-{self.incarnation}"}
         leaving = {names.LEAVING: "1"} if self.leaving else {}
-        return {**identity, **leaving, **more}
+        limit = {names.REQUEST_LIMIT: f"{self.limit_per_s:g}"} if self.limit_per_s is not None else {}
+        return {**identity, **leaving, **limit, **more}
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -38,6 +38,21 @@
     return {"version": version, "routes": routes, "services": [], "tenants": tenants, **more}
 
 
+class CallersPort:
+    """The listener of one node for callers, on a port the system chose."""
+
+    def __init__(self, node):
+        self.listener = CallersListener(node)
+        self.server = self.listener.server()
+        self.runner = web.ServerRunner(self.server, shutdown_timeout=0.01)
+
+    async def start(self):
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        self.port = site._server.sockets[0].getsockname()[1]
+
+
 class PlatformHarness:
     """A store, workers, one node with its listener, and a caller."""
 
@@ -58,14 +73,15 @@
         self.node = build_node(settings)
         # A node that has just started repeats little; these tests are about one that has run for a while.
         self.node.state.started_s = float("-inf")
-        self.listener = CallersListener(self.node)
+        callers = CallersPort(self.node)
         self.node.start()
-        self.server = self.listener.server()
-        self.runner = web.ServerRunner(self.server, shutdown_timeout=0.01)
-        await self.runner.setup()
-        site = web.TCPSite(self.runner, "127.0.0.1", 0)
-        await site.start()
-        self.port = site._server.sockets[0].getsockname()[1]
+        await callers.start()
+        self.listener, self.server, self.runner, self.port = (
+            callers.listener,
+            callers.server,
+            callers.runner,
+            callers.port,
+        )
         self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0), auto_decompress=False)
         if configuration is not False:
             await self.until(self.node.is_ready)
@@ -91,9 +107,9 @@
         named = {name.replace("_", "-"): value for name, value in more.items()}
         return {"Host": HOST, "X-Request-Id": "req-1", "X-Credential": "k1", "X-Deadline-Ms": "3000", **named}
 
-    def request(self, path="/a", method="POST", body=b"body", **headers):
-        """Return a context manager of the caller's response."""
-        url = yarl.URL(f"http://127.0.0.1:{self.port}{path}", encoded=True)
+    def request(self, path="/a", method="POST", body=b"body", port=None, **headers):
+        """Return a context manager of the caller's response; ``port`` is another node's."""
+        url = yarl.URL(f"http://127.0.0.1:{port or self.port}{path}", encoded=True)
         return self.session.request(method, url, data=body, headers=self.headers(**headers))
 
     async def call(self, *args, **kwargs):
--- /dev/null
+++ b/tests/platform/test_stated_limit.py
@@ -0,0 +1,154 @@
+"""A back end whose answers say how many requests a second it takes from all nodes together.
+
+Seen: an engine stated 3.1 requests a second, later 1.8. Seven nodes went on sending it 6 to 8, what the engine
+beside it got as well; up to 40 in some 4 s. It refused nothing, so no caller noticed.
+How it came about: the prompts that share a prefix go to the engine that holds it, from every node.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+
+import pytest
+
+from tests.platform.conftest import CallersPort, config, route
+from tests.platform.test_peers import both_know_each_other, second_node
+from tests.unit.serving.fakes import event
+from wallwell.clock import boot_time_s
+
+LIMIT_PER_S = 3.0
+CONTACT_S = 3.0
+"""Seconds from the first statement after which the limit must hold."""
+WINDOW_S = 4.0
+OVERAGE_FACTOR = 1.5
+OVERAGE_REQUESTS = 5
+"""In a window at most this much more than ``OVERAGE_FACTOR`` times the limit."""
+STATED_S = CONTACT_S + WINDOW_S + 1.0
+"""Seconds for which the limit is stated."""
+ENDED_S = 3.0
+"""Seconds after its end in which the back end is used as before."""
+REQUEST_PERIOD_S = 0.025
+OBJECTIVE_S = 0.4
+
+
+class LimitedFleet:
+    """Three nodes with callers; records what reaches each worker and what callers get."""
+
+    def __init__(self, harness, is_stream):
+        self.harness = harness
+        self.arrivals = {worker.incarnation: [] for worker in harness.workers}
+        self.outcomes = []
+        """Time, status, seconds to the answer and Retry-After of each request."""
+        self._headers = {}
+        if is_stream:
+            self._headers = {"X-Model": "m", "X-Token-Usage": "300,5", "X-Prefix-Hash": "a1:200,b2:100"}
+        for worker in harness.workers:
+            worker.respond = self._record(worker, is_stream)
+
+    def _record(self, worker, is_stream):
+        respond = worker.stream(event(1)) if is_stream else worker.answer_ok
+
+        async def arrive(request):
+            self.arrivals[worker.incarnation].append(boot_time_s())
+            return await respond(request)
+
+        return arrive
+
+    async def start(self):
+        first = self.harness.node
+        await first.listen_for_peers("127.0.0.1", [0])
+        others = [await second_node(self.harness, name) for name in ("n2", "n3")]
+        self.nodes = [first, *others]
+        await self.harness.until(lambda: both_know_each_other(self.nodes))
+        await self.harness.until(lambda: all(node.is_ready() for node in self.nodes))
+        self._others = [CallersPort(node) for node in others]
+        for callers in self._others:
+            await callers.start()
+        self._ports = [self.harness.port, *(callers.port for callers in self._others)]
+
+    async def stop(self):
+        for callers, node in zip(self._others, self.nodes[1:], strict=True):
+            await callers.runner.cleanup()
+            await node.stop()
+
+    async def call_for(self, seconds):
+        """Send requests to nodes drawn at random, without waiting for their answers in between."""
+        rng = random.Random(1)
+        ends_s = boot_time_s() + seconds
+        async with asyncio.TaskGroup() as tasks:
+            for number in itertools.count():
+                if boot_time_s() >= ends_s:
+                    return
+                tasks.create_task(self._call(rng.choice(self._ports), f"req-{number}"))
+                await asyncio.sleep(REQUEST_PERIOD_S)
+
+    async def _call(self, port, request_id):
+        sent_s = boot_time_s()
+        status, headers, _ = await self.harness.call(port=port, X_Request_Id=request_id, **self._headers)
+        took_s = boot_time_s() - sent_s
+        self.outcomes.append((sent_s, status, took_s, float(headers.get("Retry-After", 0))))
+
+
+def largest_window(times, from_s):
+    """Return the most arrivals in a window that ends at ``from_s`` or later."""
+    return max(sum(end_s - WINDOW_S < at_s <= end_s for at_s in times) for end_s in times if end_s >= from_s)
+
+
+def count_between(times, from_s, to_s):
+    return sum(from_s <= at_s < to_s for at_s in times)
+
+
+ALLOWED = OVERAGE_FACTOR * LIMIT_PER_S * WINDOW_S + OVERAGE_REQUESTS
+
+
+@pytest.mark.parametrize("is_stream", [False, True], ids=["calls", "prompts with one prefix"])
+def test_all_nodes_together_keep_the_limit_of_a_back_end_until_it_states_none(on_platform, is_stream):
+    async def scenario(harness):
+        fleet = LimitedFleet(harness, is_stream)
+        await fleet.start()
+        await fleet.call_for(1.0)
+        limited = max(harness.workers, key=lambda worker: len(fleet.arrivals[worker.incarnation]))
+        stated_s = boot_time_s()
+        limited.limit_per_s = LIMIT_PER_S
+        await fleet.call_for(STATED_S)
+        limited.limit_per_s = None
+        await fleet.call_for(ENDED_S)
+        await fleet.stop()
+        return fleet.arrivals[limited.incarnation], stated_s, fleet.outcomes
+
+    routes = [route(kind="stream" if is_stream else "safe", slo_ms=OBJECTIVE_S * 1000)]
+    times, stated_s, outcomes = on_platform(scenario, config(routes=routes), workers=3)
+    ended_s = stated_s + STATED_S
+    while_stated = [at_s for at_s in times if at_s < ended_s]
+    assert largest_window(while_stated, stated_s + CONTACT_S) <= ALLOWED
+    # It is still given work, about what it says that it takes, and all of its part once it says no more.
+    assert count_between(times, stated_s + CONTACT_S, ended_s) >= 0.5 * LIMIT_PER_S * (STATED_S - CONTACT_S)
+    assert count_between(times, ended_s + ENDED_S / 2, ended_s + ENDED_S) > 2 * LIMIT_PER_S * ENDED_S / 2
+    assert {status for _, status, _, _ in outcomes} == {200}
+
+
+def test_what_all_back_ends_together_do_not_take_is_refused_at_once(on_platform):
+    async def scenario(harness):
+        fleet = LimitedFleet(harness, is_stream=False)
+        await fleet.start()
+        stated_s = boot_time_s()
+        for worker in harness.workers:
+            worker.limit_per_s = LIMIT_PER_S
+        await fleet.call_for(STATED_S)
+        await fleet.stop()
+        return fleet.arrivals, stated_s, fleet.outcomes
+
+    routes = [route(slo_ms=OBJECTIVE_S * 1000)]
+    arrivals, stated_s, outcomes = on_platform(scenario, config(routes=routes), workers=3)
+    for times in arrivals.values():
+        assert largest_window(times, stated_s + CONTACT_S) <= ALLOWED
+    late = [each for each in outcomes if each[0] >= stated_s + CONTACT_S]
+    served = [each for each in late if each[1] == 200]
+    refused = [each for each in late if each[1] == 503]
+    assert len(served) + len(refused) == len(late)
+    assert len(served) >= 0.5 * LIMIT_PER_S * len(arrivals) * (STATED_S - CONTACT_S)
+    assert all(retry_after_s > 0 for *_, retry_after_s in refused)
+    # Held for half of the objective at most, and answered without another wait.
+    assert max(took_s for _, _, took_s, _ in refused) < OBJECTIVE_S
