Limits that all nodes keep together: modules are named for the mechanism, not for tenants

tenant_limits.py and tenant_bucket.py become fleet_limits.py and fleet_bucket.py, TenantBucket becomes FleetBucket: the mechanism is to keep limits of back ends as well. No behaviour changes.

--- a/src/wallwell/cluster/fleet_load.py
+++ b/src/wallwell/cluster/fleet_load.py
@@ -10,7 +10,7 @@
 
 from wallwell.cluster.demand import FleetDemand
 from wallwell.cluster.load_reports import Load
-from wallwell.routing.admission.tenant_limits import FleetLimits
+from wallwell.routing.admission.fleet_limits import FleetLimits
 from wallwell.routing.health.backend_registry import BackendRegistry
 from wallwell.routing.retry.first_token import Delays, FirstTokenDelays
 
--- a/src/wallwell/cluster/load_reports.py
+++ b/src/wallwell/cluster/load_reports.py
@@ -25,7 +25,7 @@
     ``requests`` counts by back end, long prompts several times. ``generations`` counts those that came in the last
     ``RATE_WINDOW_S`` of :mod:`wallwell.cluster.demand`. ``delays`` says how soon answers began. ``asked`` counts
     what tenants with a limit asked for in the last ``ASKED_WINDOW_S`` of
-    :mod:`wallwell.routing.admission.tenant_limits`.
+    :mod:`wallwell.routing.admission.fleet_limits`.
     """
 
     requests: dict[str, int] = {}
--- a/src/wallwell/routing/admission/access.py
+++ b/src/wallwell/routing/admission/access.py
@@ -5,7 +5,7 @@
 be retried) wherever newer configuration could change the answer, and a definite refusal (404, 401, 413) elsewhere.
 Public routes and deployments without tenants need no credential, so they are served on old knowledge too.
 
-``serving/admission.py`` raises the error that belongs to a denial; tenants' limits are in ``tenant_limits``.
+``serving/admission.py`` raises the error that belongs to a denial; tenants' limits are in ``fleet_limits``.
 """
 
 from __future__ import annotations
--- a/src/wallwell/routing/admission/tenant_bucket.py
+++ b/src/wallwell/routing/admission/fleet_bucket.py
@@ -1,7 +1,7 @@
 """One tenant's token bucket for the whole fleet, as far as one node knows it. Pure.
 
 Every node keeps such a bucket of each limited tenant. Time fills it, spending anywhere in the fleet empties it;
-``tenant_limits`` decides by it and brings the news of other nodes. Amounts are tokens, or requests if the limit
+``fleet_limits`` decides by it and brings the news of other nodes. Amounts are tokens, or requests if the limit
 counts these.
 """
 
@@ -17,7 +17,7 @@
 
 
 @dataclass
-class TenantBucket:
+class FleetBucket:
     """What is left of one tenant's limit for the fleet, and what this node has spent and was asked for."""
 
     limit: TenantLimit
--- a/src/wallwell/routing/admission/tenant_limits.py
+++ b/src/wallwell/routing/admission/fleet_limits.py
@@ -1,6 +1,6 @@
 """Whether a tenant is beyond its limit for the whole fleet, by what nodes report to each other. Pure.
 
-Each node keeps an estimate of the fleet's token bucket of each tenant (``tenant_bucket``): what nodes spend is
+Each node keeps an estimate of the fleet's token bucket of each tenant (``fleet_bucket``): what nodes spend is
 reported within some hundred milliseconds, and time fills all buckets alike. In that delay every node would spend
 what is left as if it were alone. So the tokens that may be spent now are shared by demand: while a tenant asks for
 more than its limit gives, each node admits the same fraction of what it is asked for. Nodes need not agree on
@@ -24,9 +24,9 @@
 import msgspec
 
 from wallwell.deployment.routes import TenantLimit
+from wallwell.routing.admission.fleet_bucket import ASKED_WINDOW_S, FleetBucket
 from wallwell.routing.admission.fleet_share import spendable_fraction
 from wallwell.routing.admission.relay_spending import RelaySpending
-from wallwell.routing.admission.tenant_bucket import ASKED_WINDOW_S, TenantBucket
 
 SPEND_DOWN_S = 0.5
 """Seconds in which saved tokens are spent, and in which a debt is worked off, while demand exceeds the limit.
@@ -81,7 +81,7 @@
         self._rng = rng or random.Random()
         self.life = self._rng.getrandbits(LIFE_BITS)
         """Random number that sets the totals of this node's life apart from those of earlier ones."""
-        self._buckets: dict[str, TenantBucket] | None = None
+        self._buckets: dict[str, FleetBucket] | None = None
         """By tenant; None before any limits are known."""
         self._relays = RelaySpending()
         self._near_totals: dict[str, dict[str, int]] = {}
@@ -105,7 +105,7 @@
         for tenant, limit in limits.items():
             bucket = known.get(tenant)
             if bucket is None:
-                bucket = TenantBucket(limit, 0.0 if is_start else limit.burst)
+                bucket = FleetBucket(limit, 0.0 if is_start else limit.burst)
             bucket.change(limit)
             self._buckets[tenant] = bucket
 
@@ -134,26 +134,26 @@
         return Admitted(tenant, tokens)
 
     @property
-    def _all(self) -> dict[str, TenantBucket]:
+    def _all(self) -> dict[str, FleetBucket]:
         return self._buckets or {}
 
-    def _refill(self, bucket: TenantBucket, now_s: float) -> None:
+    def _refill(self, bucket: FleetBucket, now_s: float) -> None:
         if self._levels_received_s is None or now_s - self._levels_received_s <= LEVELS_VALID_S:
             bucket.refill(now_s, self._fraction)
 
-    def _admitted_fraction(self, bucket: TenantBucket, now_s: float) -> float:
+    def _admitted_fraction(self, bucket: FleetBucket, now_s: float) -> float:
         """Return the fraction of what is asked for that may be served now."""
         spendable = self._rate_per_s(bucket) * ASKED_WINDOW_S + bucket.level * ASKED_WINDOW_S / SPEND_DOWN_S
         return max(0.0, spendable) / max(1.0, self._asked(bucket, now_s))
 
-    def _rate_per_s(self, bucket: TenantBucket) -> float:
+    def _rate_per_s(self, bucket: FleetBucket) -> float:
         return bucket.limit.rate_per_s * self._fraction
 
-    def _asked(self, bucket: TenantBucket, now_s: float) -> float:
+    def _asked(self, bucket: FleetBucket, now_s: float) -> float:
         """Return the tokens that all nodes were asked for in the last window."""
         return bucket.asked.total(now_s) + (bucket.asked_of_peers if self._heard_nodes is not None else 0)
 
-    def _wait_s(self, bucket: TenantBucket, tokens: int, now_s: float) -> float:
+    def _wait_s(self, bucket: FleetBucket, tokens: int, now_s: float) -> float:
         """Return when a request can expect to be served: its own tokens behind those that were asked for."""
         rate_per_s = max(1.0, self._rate_per_s(bucket))
         waiting = max(float(tokens), self._asked(bucket, now_s) - rate_per_s * ASKED_WINDOW_S) - bucket.level
--- a/src/wallwell/routing/retry/retry_after.py
+++ b/src/wallwell/routing/retry/retry_after.py
@@ -9,7 +9,7 @@
 :func:`overload_retry_after_s` for generations refused while engines have more to do than they can serve in time.
 
 Two further causes have a wait that is known where they are decided, and is sent as it is: a tenant beyond its limit
-(:mod:`wallwell.routing.admission.tenant_limits`: the time until its limit allows the request) and a request in
+(:mod:`wallwell.routing.admission.fleet_limits`: the time until its limit allows the request) and a request in
 quarantine (:mod:`wallwell.routing.admission.quarantine`: what is left of it).
 """
 
--- a/src/wallwell/serving/active_request.py
+++ b/src/wallwell/serving/active_request.py
@@ -13,8 +13,8 @@
 
 from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import Route, TenantAccess
+from wallwell.routing.admission.fleet_limits import Admitted
 from wallwell.routing.admission.request_content import content_digest
-from wallwell.routing.admission.tenant_limits import Admitted
 from wallwell.routing.retry.attempt_history import AttemptHistory
 from wallwell.routing.retry.attempt_outcome import AttemptLog
 from wallwell.routing.selection.prefix_home import placement_key
--- a/src/wallwell/serving/admission.py
+++ b/src/wallwell/serving/admission.py
@@ -1,7 +1,7 @@
 """Admits a request: access, its tenant's limit, its service and deadline, before anything is sent. No I/O.
 
 This is the adapter between the node's state and the decisions in ``routing/admission/`` (``access``,
-``tenant_limits``): it raises the error that belongs to a denial, and counts the request for the retry budget and
+``fleet_limits``): it raises the error that belongs to a denial, and counts the request for the retry budget and
 the demand of the fleet. Relies on the state's configuration and on how recently the store confirmed it.
 """
 
@@ -20,7 +20,7 @@
 )
 from wallwell.node.state import NodeState
 from wallwell.routing.admission.access import AccessRequest, Denial, decide_access
-from wallwell.routing.admission.tenant_limits import Admitted, OverLimit
+from wallwell.routing.admission.fleet_limits import Admitted, OverLimit
 from wallwell.routing.retry.attempt_outcome import AttemptLog
 from wallwell.routing.retry.retry_after import RefusalCause
 from wallwell.serving.active_request import ActiveRequest
--- a/tests/platform/test_time_of_day.py
+++ b/tests/platform/test_time_of_day.py
@@ -88,7 +88,7 @@
     assert {
         "wallwell.serving.pipeline",
         "wallwell.cluster.leases",
-        "wallwell.routing.admission.tenant_limits",
+        "wallwell.routing.admission.fleet_limits",
     } <= set(modules)
     found = [(module, name) for module in modules for name in uses_of_the_day(module)]
     assert {each: found.count(each) for each in found} == SEEDS
--- a/tests/unit/routing/admission/limit_fleet.py
+++ b/tests/unit/routing/admission/limit_fleet.py
@@ -16,7 +16,7 @@
 from wallwell.cluster.load_reports import REPORT_LIFETIME_S, Load, sum_loads
 from wallwell.cluster.region_load_reporter import REGION_INTERVAL_S
 from wallwell.deployment.routes import TenantLimit
-from wallwell.routing.admission.tenant_limits import Admitted, FleetLimits
+from wallwell.routing.admission.fleet_limits import Admitted, FleetLimits
 
 INTERVAL_S = 0.25
 PASSED_ON_S = 0.1
--- a/tests/unit/routing/admission/test_tenant_limits.py
+++ b/tests/unit/routing/admission/test_fleet_limits.py
@@ -6,8 +6,8 @@
 
 from tests.unit.routing.admission.limit_fleet import TENANT, LimitFleet
 from wallwell.deployment.routes import TenantLimit
+from wallwell.routing.admission.fleet_limits import LONGEST_WAIT_S, Admitted, FleetLimits, OverLimit
 from wallwell.routing.admission.relay_spending import RELAY_SILENCE_S
-from wallwell.routing.admission.tenant_limits import LONGEST_WAIT_S, Admitted, FleetLimits, OverLimit
 
 LARGE = TenantLimit(307_096, 307_096, counts_tokens=True)
 SMALL = TenantLimit(29_000, 29_000, counts_tokens=True)
