Nodes keep the limit of requests that a back end states, all together

What callers saw: nothing; the back end did. After it had stated 3.1 and 1.8 requests a second, seven nodes sent it 6 to 8, up to 40 in some 4 s.

Cause: what an answer says of a limit was not read, and no node knew what all of them send to a back end: they tell each other what is in flight, and short requests do not show there. Class: each node knows its own part, and nobody the sum.

The mend: the mechanism that keeps tenants' limits for the fleet keeps those of back ends too. Nodes report to each other what they read, with its age, in the messages of loads; a field that is left out where nobody states a limit. A choice and its count are one step: a back end whose limit allows no more is left out and the choice is made again, so a busy prefix gets its next home. Where all are used up a request is held if it can still be in time, else refused at once with the wait in Retry-After. What a node sent in the second before it knew counts, 3 s of the rate at most.

Why it is safe: where nothing is stated a request costs one more append and messages are the same bytes (compatibility tests unchanged). An older node neither reads nor reports; through a relay of an older version the rate is shared by demand, and nothing is saved up.

--- a/src/wallwell/cluster/fleet_load.py
+++ b/src/wallwell/cluster/fleet_load.py
@@ -10,6 +10,7 @@
 
 from wallwell.cluster.demand import FleetDemand
 from wallwell.cluster.load_reports import Load
+from wallwell.cluster.stated_limits import StatedLimits
 from wallwell.routing.admission.fleet_limits import FleetLimits
 from wallwell.routing.health.backend_registry import BackendRegistry
 from wallwell.routing.retry.first_token import Delays, FirstTokenDelays
@@ -23,6 +24,10 @@
     demand: FleetDemand = field(default_factory=FleetDemand)
     first_token_delays: FirstTokenDelays = field(default_factory=FirstTokenDelays)
     limits: FleetLimits = field(default_factory=FleetLimits)
+    stated_limits: StatedLimits = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.stated_limits = StatedLimits(self.backends, self.limits)
 
     def own(self, now_s: float) -> Load:
         """Return what this node reports."""
@@ -32,10 +37,12 @@
             delays=self.first_token_delays.own(now_s),
             asked=self.limits.asked(now_s),
             nodes=1,
+            stated_limits=self.stated_limits.own(now_s),
         )
 
-    def learn(self, others: Load, nodes: int) -> None:
+    def learn(self, others: Load, nodes: int, now_s: float) -> None:
         """Take what all other nodes have reported; ``nodes`` is the size of the fleet, 0 if it is not known."""
+        self.stated_limits.on_reported(others.stated_limits, now_s)
         self.backends.learn_peer_loads(others.requests)
         self.demand.peers_generations = others.generations
         self.first_token_delays.peers = others.delays
--- a/src/wallwell/cluster/known_loads.py
+++ b/src/wallwell/cluster/known_loads.py
@@ -34,6 +34,8 @@
         """Take a member's report and return what all others have in flight."""
         self._members.take(message.node, message.load, now_s)
         self._crashes.receive_from_member(message.crashes, now_s)
+        # First, so that what was spent of a limit which is new here is counted.
+        self._load.stated_limits.on_reported(message.load.stated_limits, now_s)
         limits = self._load.limits
         limits.take_member(message.spent, now_s)
         others = self._members.recent(now_s, without=message.node)
@@ -44,6 +46,7 @@
         """Take the sum of another relay of this region."""
         self._relays.take(message.node, message.load, now_s)
         self._crashes.receive_from_relay(message.crashes, now_s)
+        self._load.stated_limits.on_reported(message.load.stated_limits, now_s)
         self._load.limits.take_relay(message.node, message.life, message.spent_totals, now_s)
         if message.node not in self._totals:
             # Nodes are replaced under new names, and each has reported all tenants that spend.
@@ -53,6 +56,7 @@
     def on_region(self, received: RegionSum, now_s: float) -> None:
         """Take the sum of another region."""
         self._regions.take(received.region, received.load, now_s)
+        self._load.stated_limits.on_reported(received.load.stated_limits, now_s)
         limits = self._load.limits
         for totals in received.relays:
             limits.take_relay(totals.relay, totals.life, totals.spent, now_s, is_near=False)
--- a/src/wallwell/cluster/load_reporter.py
+++ b/src/wallwell/cluster/load_reporter.py
@@ -159,7 +159,7 @@
 
     def _learn(self, load: Load) -> None:
         self._received_at_s = boot_time_s()
-        self._load.learn(load, self._order.fleet_size())
+        self._load.learn(load, self._order.fleet_size(), self._received_at_s)
 
     # --- requests of peers -------------------------------------------------------------------------------
 
--- a/src/wallwell/cluster/load_reports.py
+++ b/src/wallwell/cluster/load_reports.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from wallwell.cluster.stated_limits import ReportedLimit, newest_limits
 from wallwell.routing.retry.first_token import Delays, sum_delays
 
 REPORT_LIFETIME_S = 1.5
@@ -25,7 +26,8 @@
     ``requests`` counts by back end, long prompts several times. ``generations`` counts those that came in the last
     ``RATE_WINDOW_S`` of :mod:`wallwell.cluster.demand`. ``delays`` says how soon answers began. ``asked`` counts
     what tenants with a limit asked for in the last ``ASKED_WINDOW_S`` of
-    :mod:`wallwell.routing.admission.fleet_limits`.
+    :mod:`wallwell.routing.admission.fleet_limits`. ``stated_limits`` has what these nodes have read of limits that
+    back ends state; it is left out where none does, and nodes of older versions neither send nor read it.
     """
 
     requests: dict[str, int] = {}
@@ -33,6 +35,14 @@
     delays: Delays = Delays()
     asked: dict[str, int] = {}
     nodes: int = 0
+    stated_limits: dict[str, ReportedLimit] | msgspec.UnsetType = msgspec.UNSET
+
+    def older_by(self, seconds: float) -> Load:
+        """Return it as it is to be passed on ``seconds`` after it was received."""
+        if self.stated_limits is msgspec.UNSET:
+            return self
+        aged = {incarnation: limit.older_by(seconds) for incarnation, limit in self.stated_limits.items()}
+        return msgspec.structs.replace(self, stated_limits=aged)
 
 
 def sum_loads(loads: Collection[Load]) -> Load:
@@ -48,6 +58,9 @@
         delays=sum_delays(load.delays for load in loads),
         asked=dict(asked),
         nodes=sum(load.nodes for load in loads),
+        stated_limits=newest_limits(
+            [load.stated_limits for load in loads if load.stated_limits is not msgspec.UNSET]
+        ),
     )
 
 
@@ -68,4 +81,4 @@
             for sender, (load, at_s) in self._reports.items()
             if now_s - at_s < REPORT_LIFETIME_S
         }
-        return [load for sender, (load, _) in self._reports.items() if sender != without]
+        return [load.older_by(now_s - at_s) for sender, (load, at_s) in self._reports.items() if sender != without]
--- a/src/wallwell/deployment/routes.py
+++ b/src/wallwell/deployment/routes.py
@@ -77,11 +77,16 @@
     zone: str = ""
 
 
-class TenantLimit(msgspec.Struct, frozen=True):
-    """What all nodes together may serve of a tenant: ``rate_per_s``, and ``burst`` saved up from quieter times."""
+class FleetRate(msgspec.Struct, frozen=True):
+    """What all nodes together may do: ``rate_per_s``, and ``burst`` saved up from quieter times."""
 
     rate_per_s: float
     burst: float
+
+
+class TenantLimit(FleetRate, frozen=True):
+    """What all nodes together may serve of a tenant."""
+
     counts_tokens: bool = False
     """Whether the amounts are tokens; requests otherwise."""
     plain_tokens: int = 1
--- a/src/wallwell/node/backend_notices.py
+++ b/src/wallwell/node/backend_notices.py
@@ -1,6 +1,7 @@
 """Applies what back ends state about themselves in their answers to what this node knows of them, and logs it.
 
-Owns no state: leaving and back-off are kept with the back end. Relies on the clients of back ends to hand every
+Owns no state: leaving and back-off are kept with the back end, limits by
+:mod:`wallwell.cluster.stated_limits`, which logs them too. Relies on the clients of back ends to hand every
 notice on (:class:`~wallwell.routing.health.backend_notice.BackendNotices`).
 """
 
@@ -9,9 +10,7 @@
 from wallwell.clock import boot_time_s
 from wallwell.events import Event, emit
 from wallwell.node.state import NodeState
-from wallwell.routing.health.backend import Backend
 from wallwell.routing.health.backend_notice import BackendNotice
-from wallwell.routing.health.request_limit import NO_LIMIT_PER_S
 
 
 def apply_notice(state: NodeState, incarnation: str, notice: BackendNotice) -> None:
@@ -29,15 +28,5 @@
             service=backend.record.service,
             backoff_ms=round(notice.backoff_s * 1000),
         )
-    if notice.limit is not None and notice.limit.per_s != backend.limit_per_s:
-        backend.limit_per_s = notice.limit.per_s
-        _log_limit(backend)
-
-
-def _log_limit(backend: Backend) -> None:
-    """Log a limit that was stated, changed or ended."""
-    fields = {"backend": backend.incarnation, "service": backend.record.service}
-    if backend.limit_per_s == NO_LIMIT_PER_S:
-        emit(Event.BACKEND_LIMIT_ENDED, **fields)
-    else:
-        emit(Event.BACKEND_LIMIT_STATED, **fields, limit_per_s=backend.limit_per_s, in_flight=backend.in_flight)
+    if notice.limit is not None:
+        state.load.stated_limits.on_answer(backend, notice.limit, now_s)
--- a/src/wallwell/node/metrics.py
+++ b/src/wallwell/node/metrics.py
@@ -13,7 +13,6 @@
 
 from wallwell.clock import boot_time_s
 from wallwell.node.state import NodeState
-from wallwell.routing.health.request_limit import NO_LIMIT_PER_S
 from wallwell.serving.counters import LATENCY_BOUNDS_S, FleetCounters, LatencyHistogram
 
 MAX_TENANTS_SHOWN = 20
@@ -79,10 +78,15 @@
         yield GaugeMetricFamily(
             "wallwell_backends_backing_off", "Back ends that asked for no requests now.", value=backing_off
         )
-        limited = sum(each.limit_per_s != NO_LIMIT_PER_S for each in listed)
+        limited = sum(each.is_limited for each in listed)
         yield GaugeMetricFamily(
             "wallwell_backends_limited", "Back ends that state how many requests they take.", value=limited
         )
+        yield CounterMetricFamily(
+            "wallwell_limited_passed_over",
+            "Choices of a back end that went elsewhere for the limit that it states.",
+            value=self._state.load.stated_limits.passed_over,
+        )
         in_flight = sum(each.in_flight for each in listed)
         yield GaugeMetricFamily("wallwell_in_flight", "Attempts in flight.", value=in_flight)
 
--- a/src/wallwell/routing/admission/fleet_bucket.py
+++ b/src/wallwell/routing/admission/fleet_bucket.py
@@ -1,15 +1,16 @@
-"""One tenant's token bucket for the whole fleet, as far as one node knows it. Pure.
+"""The token bucket of one limit for the whole fleet, as far as one node knows it. Pure.
 
-Every node keeps such a bucket of each limited tenant. Time fills it, spending anywhere in the fleet empties it;
-``fleet_limits`` decides by it and brings the news of other nodes. Amounts are tokens, or requests if the limit
-counts these.
+Every node keeps such a bucket of each limited tenant and back end. Time fills it, spending anywhere in the fleet
+empties it; ``fleet_limits`` decides by it and brings the news of other nodes. Amounts are tokens or requests, by
+the limit; thousandths of requests for a back end.
 """
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
-from wallwell.deployment.routes import TenantLimit
+from wallwell.deployment.routes import FleetRate
 from wallwell.routing.sliding_window import SlidingWindow
 
 ASKED_WINDOW_S = 1.0
@@ -18,11 +19,13 @@
 
 @dataclass
 class FleetBucket:
-    """What is left of one tenant's limit for the fleet, and what this node has spent and was asked for."""
+    """What is left of one limit for the fleet, and what this node has spent and was asked for."""
 
-    limit: TenantLimit
+    limit: FleetRate
     level: float
     """Negative while the fleet has spent more than the limit gave."""
+    largest_debt: float = math.inf
+    """Most that the level may be below zero; what was spent beyond that is not made up for."""
     updated_s: float | None = None
     """When what time has earned was last added; None before the first time."""
     unreported: int = 0
@@ -43,10 +46,11 @@
     def refill(self, now_s: float, fraction: float) -> None:
         """Add what time has earned of a fraction of the limit."""
         elapsed_s = max(0.0, now_s - self.updated_s) if self.updated_s is not None else 0.0
-        self.level = min(self.limit.burst * fraction, self.level + elapsed_s * self.limit.rate_per_s * fraction)
+        level = self.level + elapsed_s * self.limit.rate_per_s * fraction
+        self.level = max(-self.largest_debt, min(self.limit.burst * fraction, level))
         self.updated_s = now_s
 
-    def change(self, limit: TenantLimit) -> None:
+    def change(self, limit: FleetRate) -> None:
         """Take another limit: what it raises may be spent at once, what it lowers was not saved up."""
         self.level = min(limit.burst, self.level + max(0.0, limit.burst - self.limit.burst))
         self.limit = limit
--- a/src/wallwell/routing/admission/fleet_limits.py
+++ b/src/wallwell/routing/admission/fleet_limits.py
@@ -1,10 +1,11 @@
-"""Whether a tenant is beyond its limit for the whole fleet, by what nodes report to each other. Pure.
+"""Whether a limit for the whole fleet is used up, by what nodes report to each other. Pure.
 
-Each node keeps an estimate of the fleet's token bucket of each tenant (``fleet_bucket``): what nodes spend is
-reported within some hundred milliseconds, and time fills all buckets alike. In that delay every node would spend
-what is left as if it were alone. So the tokens that may be spent now are shared by demand: while a tenant asks for
-more than its limit gives, each node admits the same fraction of what it is asked for. Nodes need not agree on
-shares, and a tenant may use its whole limit through a single node.
+Two kinds of limits are kept: what operators allow a tenant, and what a back end says that it takes. Each node keeps
+an estimate of the fleet's token bucket of each (``fleet_bucket``): what nodes spend is reported within some hundred
+milliseconds, and time fills all buckets alike. In that delay every node would spend what is left as if it were
+alone. So the tokens that may be spent now are shared by demand: while more is asked for than a limit gives, each
+node admits the same fraction of what it is asked for. Nodes need not agree on shares, and a whole limit may be used
+through a single node.
 
 A node that hears nobody keeps to an equal share, and those that miss nodes leave these their shares, so that a
 fleet that is cut in two does not spend the limit twice (``fleet_share``).
@@ -12,8 +13,9 @@
 Until a cut between regions is noticed, each side spends what both of them had saved up. Each then takes the other
 one to have spent as it did itself, and works that debt off.
 
-Inputs: limits from the configuration, requests, and reports of members, relays and regions, brought by
-``cluster/load_reporter.py``. Outputs: ``Admitted`` or ``OverLimit`` for a request, and what this node reports.
+Inputs: limits from the configuration and of back ends, requests, and reports of members, relays and regions,
+brought by ``cluster/load_reporter.py``. Outputs: ``Admitted`` or ``OverLimit`` for a request, and what this node
+reports.
 """
 
 from __future__ import annotations
@@ -23,7 +25,7 @@
 
 import msgspec
 
-from wallwell.deployment.routes import TenantLimit
+from wallwell.deployment.routes import FleetRate, TenantLimit
 from wallwell.routing.admission.fleet_bucket import ASKED_WINDOW_S, FleetBucket
 from wallwell.routing.admission.fleet_share import spendable_fraction
 from wallwell.routing.admission.relay_spending import RelaySpending
@@ -49,15 +51,33 @@
 Chosen, not measured."""
 
 
+REQUEST_UNITS = 1000
+"""What a request costs of a back end's limit. Levels are reported as whole numbers, and a limit may be below one
+request a second."""
+BACKEND_BURST_S = 0.5
+"""Seconds of a back end's rate that may be saved up: it asks for relief, so little."""
+BACKEND_DEBT_S = 3.0
+"""Most seconds of a back end's rate that earlier requests may be ahead of it: it gets nothing for so long at most,
+since somebody must hear when it takes more again."""
+LOWEST_BACKEND_PER_S = 0.1
+"""Least rate in requests a second that is kept for a back end: one that states 0 must be asked now and then, or
+nobody would learn that it takes requests again."""
+HIGHEST_BACKEND_PER_S = 1e6
+"""Most requests a second that are counted for one back end."""
+_BACKEND_PREFIX = "\n"
+"""Sets the names of back ends apart from tenants': those are sent as a header, so none has a line break."""
+
+
 class Admitted(msgspec.Struct, frozen=True):
     """Tokens taken for a request; refunded if it turns out not to have run."""
 
-    tenant: str
+    subject: str
+    """Whose limit they were taken of: a tenant, or a back end as :func:`backend_subject` names it."""
     tokens: int
 
 
 class OverLimit(msgspec.Struct, frozen=True):
-    """The tenant's limit is used up; ``wait_s`` is when the tokens can be expected to be there."""
+    """The limit is used up; ``wait_s`` is when the tokens can be expected to be there."""
 
     wait_s: float
 
@@ -74,15 +94,24 @@
     """Requests that this node refused since it started."""
 
 
+def backend_subject(incarnation: str) -> str:
+    """Return the name under which the limit of a back end is kept and reported."""
+    return _BACKEND_PREFIX + incarnation
+
+
 class FleetLimits:
-    """One node's share in keeping the limits of all tenants that have one."""
+    """One node's share in keeping the limits of all tenants and back ends that have one."""
 
     def __init__(self, rng: random.Random | None = None) -> None:
         self._rng = rng or random.Random()
         self.life = self._rng.getrandbits(LIFE_BITS)
         """Random number that sets the totals of this node's life apart from those of earlier ones."""
-        self._buckets: dict[str, FleetBucket] | None = None
+        self._tenants: dict[str, FleetBucket] | None = None
         """By tenant; None before any limits are known."""
+        self._backends: dict[str, FleetBucket] = {}
+        """By the subject of a back end."""
+        self._all: dict[str, FleetBucket] = {}
+        """Both of them."""
         self._relays = RelaySpending()
         self._near_totals: dict[str, dict[str, int]] = {}
         """By region, what had been spent in this one when the other was last heard, by tenant."""
@@ -100,14 +129,38 @@
         A node that starts does not know what was spent before: its buckets begin empty, so that nodes which start
         together do not spend everything saved up once more.
         """
-        known, is_start = self._buckets or {}, self._buckets is None
-        self._buckets = {}
+        known, is_start = self._tenants or {}, self._tenants is None
+        self._tenants = {}
         for tenant, limit in limits.items():
             bucket = known.get(tenant)
             if bucket is None:
                 bucket = FleetBucket(limit, 0.0 if is_start else limit.burst)
             bucket.change(limit)
-            self._buckets[tenant] = bucket
+            self._tenants[tenant] = bucket
+        self._all = {**self._tenants, **self._backends}
+
+    def limit_backend(self, incarnation: str, per_s: float, sent: int) -> None:
+        """Keep a back end's limit from now on, in requests a second.
+
+        ``sent`` requests went there from this node in the last second, on which it has no claim any more: a back
+        end is in need because of them.
+        """
+        rate = min(HIGHEST_BACKEND_PER_S, max(LOWEST_BACKEND_PER_S, per_s)) * REQUEST_UNITS
+        limit = FleetRate(rate, rate * BACKEND_BURST_S)
+        subject = backend_subject(incarnation)
+        bucket = self._backends.get(subject)
+        if bucket is None:
+            bucket = self._backends[subject] = FleetBucket(limit, limit.burst)
+            self._all[subject] = bucket
+        bucket.change(limit)
+        bucket.largest_debt = rate * BACKEND_DEBT_S
+        bucket.spend(sent * REQUEST_UNITS)
+
+    def forget_backend(self, incarnation: str) -> None:
+        """Drop the limit of a back end that has ended, or has stated none for long."""
+        subject = backend_subject(incarnation)
+        self._backends.pop(subject, None)
+        self._all.pop(subject, None)
 
     def _set_fraction(self, nodes: int) -> None:
         """Set which fraction of each limit may be spent here, in a fleet of ``nodes``, 0 if unknown."""
@@ -119,9 +172,9 @@
 
     # --- requests --------------------------------------------------------------------------------------
 
-    def admit(self, tenant: str, tokens: int, now_s: float) -> Admitted | OverLimit | None:
-        """Take a request's tokens, or say when they can be expected; None if the tenant has no limit."""
-        bucket = self._all.get(tenant)
+    def admit(self, subject: str, tokens: int, now_s: float) -> Admitted | OverLimit | None:
+        """Take a request's tokens, or say when they can be expected; None if the subject has no limit."""
+        bucket = self._all.get(subject)
         if bucket is None:
             return None
         self._refill(bucket, now_s)
@@ -131,11 +184,15 @@
             bucket.refused += 1
             return OverLimit(self._wait_s(bucket, tokens, now_s))
         bucket.spend(tokens)
-        return Admitted(tenant, tokens)
+        return Admitted(subject, tokens)
 
-    @property
-    def _all(self) -> dict[str, FleetBucket]:
-        return self._buckets or {}
+    def has_room(self, subject: str, now_s: float) -> bool:
+        """Whether some requests of a subject would be admitted now."""
+        bucket = self._all.get(subject)
+        if bucket is None:
+            return True
+        self._refill(bucket, now_s)
+        return self._admitted_fraction(bucket, now_s) > 0.0
 
     def _refill(self, bucket: FleetBucket, now_s: float) -> None:
         if self._levels_received_s is None or now_s - self._levels_received_s <= LEVELS_VALID_S:
@@ -162,14 +219,14 @@
 
     def refund(self, admitted: Admitted) -> None:
         """A request has not run."""
-        self._spend(admitted.tenant, -admitted.tokens)
+        self._spend(admitted.subject, -admitted.tokens)
 
     def charge_retry(self, admitted: Admitted) -> None:
         """A request that may have run is sent to another back end."""
-        self._spend(admitted.tenant, admitted.tokens)
+        self._spend(admitted.subject, admitted.tokens)
 
-    def _spend(self, tenant: str, tokens: int) -> None:
-        bucket = self._all.get(tenant)
+    def _spend(self, subject: str, tokens: int) -> None:
+        bucket = self._all.get(subject)
         if bucket is not None:
             bucket.spend(tokens)
 
@@ -177,7 +234,7 @@
         """Return the tenants of which this node refused most, those that ask for most first among equals."""
         uses = [
             TenantUse(tenant, bucket.level, self._asked(bucket, now_s) / ASKED_WINDOW_S, bucket.refused)
-            for tenant, bucket in self._all.items()
+            for tenant, bucket in (self._tenants or {}).items()
         ]
         uses.sort(key=lambda use: (use.refused, use.asked_per_s), reverse=True)
         return uses[:count]
@@ -185,9 +242,9 @@
     # --- what a node reports ---------------------------------------------------------------------------
 
     def asked(self, now_s: float) -> dict[str, int]:
-        """Return the tokens that this node was asked for lately, by tenant, without those that were not."""
-        totals = {tenant: round(bucket.asked.total(now_s)) for tenant, bucket in self._all.items()}
-        return {tenant: total for tenant, total in totals.items() if total}
+        """Return the tokens that this node was asked for lately, by subject, without those that were not."""
+        totals = {subject: round(bucket.asked.total(now_s)) for subject, bucket in self._all.items()}
+        return {subject: total for subject, total in totals.items() if total}
 
     def asked_of_peers(self, tenant: str) -> int:
         """Return the tokens that all other nodes were asked for lately, as they reported."""
@@ -210,12 +267,12 @@
         return {tenant: bucket.spent_total for tenant, bucket in self._all.items() if bucket.spent_total}
 
     def levels(self, now_s: float) -> dict[str, int]:
-        """Return what is left of each limit, by tenant, without those that are full."""
+        """Return what is left of each limit, by subject, without those of tenants that are full."""
         levels = {}
-        for tenant, bucket in self._all.items():
+        for subject, bucket in self._all.items():
             self._refill(bucket, now_s)
-            if bucket.level < bucket.limit.burst * self._fraction:
-                levels[tenant] = round(bucket.level)
+            if bucket.level < bucket.limit.burst * self._fraction or subject in self._backends:
+                levels[subject] = round(bucket.level)
         return levels
 
     # --- what a node learns ----------------------------------------------------------------------------
@@ -265,11 +322,16 @@
                 bucket.updated_s = None
 
     def learn_levels(self, levels: Mapping[str, int], now_s: float) -> None:
-        """The relay of this node reports what is left; what was spent since its report is taken off."""
+        """The relay of this node reports what is left; what was spent since its report is taken off.
+
+        A tenant's limit that it leaves out is full. Of a back end's it knows nothing yet, or never will if it is of
+        an older version: nothing is saved up then, and the rate is shared by demand.
+        """
         self._levels_received_s = now_s
-        for tenant, bucket in self._all.items():
+        for subject, bucket in self._all.items():
             full = bucket.limit.burst * self._fraction
-            bucket.level = min(full, levels.get(tenant, full)) - bucket.unreported
+            unnamed = 0.0 if subject in self._backends else full
+            bucket.level = min(full, levels.get(subject, unnamed)) - bucket.unreported
             bucket.updated_s = now_s
 
     def learn_fleet(self, asked_of_peers: Mapping[str, int], other_nodes: int, nodes: int) -> None:
--- a/src/wallwell/routing/health/backend.py
+++ b/src/wallwell/routing/health/backend.py
@@ -13,7 +13,7 @@
 from wallwell.deployment.backends import BackendRecord
 from wallwell.routing.health import suspension
 from wallwell.routing.health.backoff import RequestedBackoff
-from wallwell.routing.health.request_limit import NO_LIMIT_PER_S
+from wallwell.routing.health.request_limit import NO_LIMIT_PER_S, RequestLimit
 from wallwell.routing.health.silence import Silence
 
 
@@ -58,8 +58,8 @@
     """When its entry or one of its answers first said that it leaves. Nothing takes that back: leaving ends with
     the end of the back end, and an entry that says otherwise is older."""
     backoff: RequestedBackoff = field(default_factory=RequestedBackoff)
-    limit_per_s: float = NO_LIMIT_PER_S
-    """Requests a second that it takes from all nodes together, as its last answer said."""
+    request_limit: RequestLimit | None = None
+    """What it has stated of how many requests it takes; None if it never stated a limit."""
     superseded: bool = False
     """Whether a later incarnation has been listed at its address, so that this one has ended."""
     lapses_at_s: float | None = None
@@ -71,6 +71,11 @@
         """The identity of this life of the back end."""
         return self.record.incarnation
 
+    @property
+    def is_limited(self) -> bool:
+        """Whether it says now how many requests it takes from all nodes together."""
+        return self.request_limit is not None and self.request_limit.per_s != NO_LIMIT_PER_S
+
     def fleet_load(self, nodes: int = 1) -> int:
         """Return the requests of all nodes in flight; without reports each is taken to send as much as this one."""
         return self.load * nodes if self.peers_load is None else self.load + self.peers_load
--- a/src/wallwell/routing/health/request_limit.py
+++ b/src/wallwell/routing/health/request_limit.py
@@ -1,13 +1,18 @@
-"""What a back end states about how many requests a second it takes from all nodes together. Pure.
+"""How many requests a second a back end takes from all nodes together, by its own word. Pure.
 
-Inputs are the headers of its answers. A back end in need names a limit in each answer for as long as the limit
-holds, so an answer to a later request that names none ends it.
+Inputs are the headers of its answers to this node, and what other nodes report of those that they read. A back end
+in need names a limit in each answer for as long as the limit holds, so an answer to a later request that names none
+ends it. Times are on this node's clock.
+
+Answers overtake each other. A lower limit holds at once. A higher one, or none, holds only if the answer belongs to
+a request that was sent after the limit in force was last read: an earlier one may have been answered before that.
 """
 
 from __future__ import annotations
 
 import math
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 import msgspec
 
@@ -40,3 +45,29 @@
             return None
         lowest_per_s = min(lowest_per_s, per_s)
     return lowest_per_s
+
+
+@dataclass(slots=True)
+class RequestLimit:
+    """The limit of one back end: the newest that any node has read, and the last that this node read itself."""
+
+    per_s: float = NO_LIMIT_PER_S
+    """In force."""
+    read_s: float = -math.inf
+    """When a node last read the one in force in an answer."""
+    own_per_s: float = NO_LIMIT_PER_S
+    own_read_s: float = -math.inf
+    """When this node last read one, or that there is none."""
+
+    def on_answer(self, statement: LimitStatement, now_s: float) -> None:
+        """Take what an answer to this node says."""
+        if statement.per_s > self.per_s and statement.sent_s <= self.read_s:
+            return
+        self.per_s = self.own_per_s = statement.per_s
+        self.read_s = self.own_read_s = now_s
+
+    def on_reported(self, per_s: float, read_s: float) -> None:
+        """Take what another node read, unless something newer is known."""
+        if read_s > self.read_s:
+            self.per_s = per_s
+            self.read_s = read_s
--- a/src/wallwell/routing/retry/retry_after.py
+++ b/src/wallwell/routing/retry/retry_after.py
@@ -72,6 +72,7 @@
     NO_BACKEND_LISTED = "no back end is listed"
     ALL_SUSPENDED = "all back ends are suspended"
     ALL_BACKING_OFF = "all back ends asked for back-off"
+    ALL_LIMITED = "limits of all back ends are used up"
     REFUSED_BY_BACKENDS = "back ends refused"
     WEIGHTS_TOO_OLD = "no back end has new enough weights"
     RETRY_BUDGET_EXHAUSTED = "retry budget exhausted"
@@ -91,6 +92,8 @@
     """Time until the first suspended back end may be tried; 0 if one may be now."""
     backoff_ends_in_s: float = 0.0
     """Time until the first back end that asked for back-off may be tried."""
+    limit_wait_s: float = 0.0
+    """Time until the limit of the first back end probably allows the request; spread over callers already."""
     usual_duration_s: float = 0.0
     """Usual duration of a request of this kind at its back end."""
 
@@ -106,6 +109,8 @@
         wait_s = earliest_s + rng.uniform(0.0, ELSEWHERE_S)
     elif cause is RefusalCause.ALL_BACKING_OFF:
         wait_s = circumstances.backoff_ends_in_s * rng.uniform(*BACKOFF_SPREAD)
+    elif cause is RefusalCause.ALL_LIMITED:
+        wait_s = circumstances.limit_wait_s
     else:
         wait_s = _expected_s(cause, circumstances) * rng.uniform(*SPREAD)
     if wait_s > longest_s:
--- a/src/wallwell/routing/selection/candidates.py
+++ b/src/wallwell/routing/selection/candidates.py
@@ -6,7 +6,8 @@
 
 1. Back ends that have ended (gone, superseded) get nothing. Suspended ones get nothing while another is open, nor
    do those that are being tried after a back-off. Those that leave get nothing while another stays, and then only
-   for ``LEAVING_GRACE_S``. One that has asked for back-off gets nothing until its end.
+   for ``LEAVING_GRACE_S``. One that has asked for back-off gets nothing until its end, one whose stated limit is
+   used up nothing at this moment.
 2. Generations go to engines that have every weights version that was named long enough ago
    (``OVERDUE_FRACTION`` of the operators' bound, ``LAST_RESORT_FRACTION`` if no engine has them), and to engines
    that are loading weights only if no other one is left.
@@ -56,12 +57,17 @@
 
 
 def usable_backends(
-    listed: Sequence[Backend], requirement: WeightsRequirement | None, now_s: float
+    listed: Sequence[Backend],
+    requirement: WeightsRequirement | None,
+    now_s: float,
+    without: Collection[Backend] = (),
 ) -> list[Backend]:
     """Return those of the listed that may get a request now, last resorts only if there are no others.
 
-    ``requirement`` is None for calls, which need no weights.
+    ``requirement`` is None for calls, which need no weights. Those ``without`` have used up their limits.
     """
+    if without:
+        listed = [each for each in listed if each not in without]
     usable = [each for each in listed if each.is_open(now_s)] or _last_resorts(listed, now_s)
     if requirement is None:
         return usable
@@ -92,7 +98,10 @@
 
 
 def candidates_of_tiers(
-    tiers: Sequence[Sequence[Backend]], requirement: WeightsRequirement | None, now_s: float
+    tiers: Sequence[Sequence[Backend]],
+    requirement: WeightsRequirement | None,
+    now_s: float,
+    without: Collection[Backend] = (),
 ) -> Candidates:
     """Return the candidates of the first tier that can serve the request; there is at least one tier.
 
@@ -100,12 +109,12 @@
     passed over first; if that leaves none, the first that has a last resort is taken.
     """
     for tier in tiers:
-        if any(each.is_open(now_s) for each in tier):
-            usable = usable_backends(tier, requirement, now_s)
+        if any(each.is_open(now_s) and each not in without for each in tier):
+            usable = usable_backends(tier, requirement, now_s, without)
             if usable:
                 return Candidates(tier, usable)
     # Every back end is suspended or on old weights: the last resort of the side that the request belongs to.
-    by_tier = [Candidates(tier, usable_backends(tier, requirement, now_s)) for tier in tiers]
+    by_tier = [Candidates(tier, usable_backends(tier, requirement, now_s, without)) for tier in tiers]
     return next((each for each in by_tier if each.usable), by_tier[0])
 
 
--- a/src/wallwell/serving/attempt.py
+++ b/src/wallwell/serving/attempt.py
@@ -89,6 +89,7 @@
         if not backend.in_flight:
             backend.silence.on_idle_ended(sent_s)
         backend.backoff.on_sent(sent_s)
+        self._state.load.stated_limits.on_sent(backend.incarnation, sent_s)
         backend.in_flight += 1
         backend.load += load
         active.history.tried.add(backend.incarnation)
--- a/src/wallwell/serving/backend_choice.py
+++ b/src/wallwell/serving/backend_choice.py
@@ -60,6 +60,8 @@
             return
         state = self._state
         engines = eligible_backends(state, active.service, now_s)
+        # The free slots of one that states a limit cannot be used.
+        engines = [each for each in engines if not each.is_limited] or engines
         occupancy = overloaded_occupancy(engines, active.rank, now_s, state.rng)
         if occupancy is None:
             return
--- a/src/wallwell/serving/pipeline.py
+++ b/src/wallwell/serving/pipeline.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 import msgspec
 
@@ -26,6 +26,7 @@
 from wallwell.routing.admission.backoff_hold import hold_s
 from wallwell.routing.admission.remaining_time import is_too_late
 from wallwell.routing.health.backend import Backend
+from wallwell.routing.retry.attempt_history import UNREACHABLE
 from wallwell.routing.retry.attempt_outcome import TransportEvent
 from wallwell.routing.retry.retry_policy import GiveUp, RetryPolicy
 from wallwell.routing.selection.candidates import backoff_ends_s, without_unresponsive_zones
@@ -159,23 +160,46 @@
         refusal = self._errors.quarantined(active, now_s)
         if refusal is not None:
             raise refusal
-        listed, usable = candidates_for(self._state, active, now_s)
+        limit_waits_s: dict[Backend, float] = {}
+        """Back ends that would have been chosen, and the seconds until their limits probably allow the request."""
+        while True:
+            listed, candidates = self._candidates(active, now_s, limit_waits_s)
+            if not candidates:
+                break
+            if not limit_waits_s:
+                self._choice.refuse_if_overloaded(active, now_s)
+            backend = self._choice.choose(active, candidates, listed)
+            wait_s = self._state.load.stated_limits.take(backend, now_s)
+            if wait_s is None:
+                return backend
+            limit_waits_s[backend] = wait_s
+        hold = self._hold(active, listed, limit_waits_s, now_s)
+        if hold is None:
+            raise self._errors.none_usable(active, now_s, limit_waits_s.values())
+        return hold
+
+    def _candidates(
+        self, active: ActiveRequest, now_s: float, without: Collection[Backend]
+    ) -> tuple[Sequence[Backend], Sequence[Backend]]:
+        """Return the listed back ends and those of them that may get the next attempt, but for some."""
+        listed, usable = candidates_for(self._state, active, now_s, without)
         tried = active.history.tried
         untried = [each for each in usable if each.incarnation not in tried]
         candidates = untried or (usable if self._is_proved_unrun(active) else [])
-        if not candidates:
-            hold = self._hold(active, listed, now_s)
-            if hold is None:
-                raise self._errors.none_usable(active, now_s)
-            return hold
-        self._choice.refuse_if_overloaded(active, now_s)
         unresponsive = active.history.unresponsive_zones
-        return self._choice.choose(
-            active, without_unresponsive_zones(candidates, unresponsive, self._state.zone), listed
-        )
+        return listed, without_unresponsive_zones(candidates, unresponsive, self._state.zone)
 
-    def _hold(self, active: ActiveRequest, listed: Sequence[Backend], now_s: float) -> Hold | None:
-        ends_s = backoff_ends_s(listed, now_s)
+    def _hold(
+        self,
+        active: ActiveRequest,
+        listed: Sequence[Backend],
+        limit_waits_s: Mapping[Backend, float],
+        now_s: float,
+    ) -> Hold | None:
+        if limit_waits_s:
+            ends_s: float | None = now_s + min(limit_waits_s.values())
+        else:
+            ends_s = backoff_ends_s(listed, now_s)
         if ends_s is None:
             return None
         objective_left_s = active.request.arrived_s + active.route.objective_s - now_s
@@ -202,6 +226,8 @@
         active.history.details.append(f"{backend.incarnation} {event.value} {failure.detail}")
         self._learning.on_failure(active, backend, failure, now_s)
         self._reports.on_attempt_failed(active, backend, failure)
+        if event in UNREACHABLE:
+            self._state.load.stated_limits.give_back(backend)
         budget = self._state.budget_of(active.service)
         decision = self._policy.after_failure(
             active.route, active.history, active.log.attempts, event, budget, now_s
--- a/src/wallwell/serving/request_errors.py
+++ b/src/wallwell/serving/request_errors.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from wallwell.errors import (
     BackendFailedError,
     DeadlineExceededError,
@@ -43,11 +45,16 @@
             return DeadlineUnreachableError(detail, retry_after_ms=wait_ms)
         return DeadlineExceededError(text or "the time allowed ran out")
 
-    def exhausted(self, active: ActiveRequest, detail: str, cause: RefusalCause) -> RequestError:
-        """Return the error that states what is proved of all attempts together."""
+    def exhausted(
+        self, active: ActiveRequest, detail: str, cause: RefusalCause, limit_wait_s: float = 0.0
+    ) -> RequestError:
+        """Return the error that states what is proved of all attempts together.
+
+        ``limit_wait_s`` is the time until a limit allows the request, where that is the cause.
+        """
         text = "; ".join((detail, *active.history.details))
         if active.log.outcome is Outcome.NOT_RUN:
-            wait_ms = self._retry_after.of_request(cause, active)
+            wait_ms = self._retry_after.of_request(cause, active, limit_wait_s)
             if active.log.attempts:
                 return RetriesExhaustedError(text, retry_after_ms=wait_ms)
             return NoBackendError(text, retry_after_ms=wait_ms)
@@ -57,9 +64,17 @@
             return BackendFailedError(text)
         return OutcomeUnknownError(text)
 
-    def none_usable(self, active: ActiveRequest, now_s: float) -> RequestError:
+    def none_usable(
+        self, active: ActiveRequest, now_s: float, limit_waits_s: Collection[float] = ()
+    ) -> RequestError:
         """Return the error where no back end may be asked: none stays, wants requests, or has weights new
-        enough."""
+        enough.
+
+        ``limit_waits_s`` are the times until the limits that are used up probably allow the request.
+        """
+        if limit_waits_s:
+            detail = "limits of the back ends are used up"
+            return self.exhausted(active, detail, RefusalCause.ALL_LIMITED, min(limit_waits_s))
         listed = self._state.backends.of_service(active.service)
         if backoff_ends_s(listed, now_s) is not None:
             return self.exhausted(active, "every back end asked for back-off", RefusalCause.ALL_BACKING_OFF)
--- a/src/wallwell/serving/retry_after.py
+++ b/src/wallwell/serving/retry_after.py
@@ -35,8 +35,11 @@
         )
         return self._retry_after_ms(cause, circumstances)
 
-    def of_request(self, cause: RefusalCause, active: ActiveRequest) -> int:
-        """Return the wait of an admitted request, in milliseconds; 0 if a retry within its time is no use."""
+    def of_request(self, cause: RefusalCause, active: ActiveRequest, limit_wait_s: float = 0.0) -> int:
+        """Return the wait of an admitted request, in milliseconds; 0 if a retry within its time is no use.
+
+        ``limit_wait_s`` as in :class:`RefusalCircumstances`.
+        """
         state = self._state
         now_s = boot_time_s()
         duration = state.call_time if active.request.generation is None else state.generation_time
@@ -46,6 +49,7 @@
             receives_peer_loads=self._receives_peer_loads(),
             suspension_ends_in_s=self._suspension_ends_in_s(active.service, now_s),
             backoff_ends_in_s=self._backoff_ends_in_s(cause, active.service, now_s),
+            limit_wait_s=limit_wait_s,
             usual_duration_s=duration.seconds,
         )
         return self._retry_after_ms(cause, circumstances)
--- a/src/wallwell/serving/version_choice.py
+++ b/src/wallwell/serving/version_choice.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from wallwell.node.state import NodeState
 from wallwell.rollout.service_rollout import ServiceRollout
@@ -26,18 +26,20 @@
 from wallwell.serving.messages import AttemptError
 
 
-def candidates_for(state: NodeState, active: ActiveRequest, now_s: float) -> Candidates:
-    """Return the back ends among which the next attempt's is chosen."""
+def candidates_for(
+    state: NodeState, active: ActiveRequest, now_s: float, without: Collection[Backend] = ()
+) -> Candidates:
+    """Return the back ends among which the next attempt's is chosen; those ``without`` are listed, not usable."""
     listed = state.backends.of_service(active.service)
     generation = active.request.generation
     requirement = None if generation is None else _weights_requirement(state, generation.model)
     rollout = state.rollouts.active.get(active.service)
     if rollout is None:
-        return Candidates(listed, usable_backends(listed, requirement, now_s))
+        return Candidates(listed, usable_backends(listed, requirement, now_s, without))
     if active.prefers_target is None:
         active.prefers_target = rollout.draws_target(state.rng, now_s)
     prefers_target = active.prefers_target and _may_prefer_target(rollout, now_s)
-    return candidates_of_tiers(rollout.tiers(listed, prefers_target, now_s), requirement, now_s)
+    return candidates_of_tiers(rollout.tiers(listed, prefers_target, now_s), requirement, now_s, without)
 
 
 def begin_by_s(state: NodeState, backend: Backend, model: str) -> float:
--- a/tests/unit/routing/retry/test_retry_after.py
+++ b/tests/unit/routing/retry/test_retry_after.py
@@ -74,6 +74,10 @@
     assert max(seen) - min(seen) > 0.8 * (high_s - low_s)
 
 
+def test_the_wait_for_a_limit_is_sent_as_it_is_since_it_is_spread_where_it_is_decided():
+    assert set(waits(C.ALL_LIMITED, limit_wait_s=0.7, suspension_ends_in_s=0.1)) == {0.7}
+
+
 @pytest.mark.parametrize("remaining_s", [0.06, 0.663, 4.47])
 @pytest.mark.parametrize("cause", [each for each in RefusalCause if each is not RefusalCause.TOO_LITTLE_TIME])
 def test_no_wait_is_longer_than_callers_honour_and_cut_ones_are_still_spread(cause, remaining_s):
@@ -83,6 +87,7 @@
         "receives_peer_loads": True,
         "suspension_ends_in_s": 60.0,
         "backoff_ends_in_s": 60.0,
+        "limit_wait_s": 60.0,
         "usual_duration_s": 60.0,
     }
     seen = waits(cause, remaining_s=remaining_s, **known)
