Tests: a model of a fleet that keeps a back end's limit, and what a node takes from answers and reports

Nodes in virtual time with the product's state and messages: 7 and 79 nodes, cuts, restarts, lost exchanges, two regions, skewed callers, limits that change, fall to nothing and end. Low rates showed that a debt of three seconds of the rate forgave requests of nodes that did not know of each other's: at 0.3 a second and four reports a second 79 nodes sent 0.7. The debt is now three requests at least.

--- a/src/wallwell/routing/admission/fleet_limits.py
+++ b/src/wallwell/routing/admission/fleet_limits.py
@@ -59,6 +59,8 @@
 BACKEND_DEBT_S = 3.0
 """Most seconds of a back end's rate that earlier requests may be ahead of it: it gets nothing for so long at most,
 since somebody must hear when it takes more again."""
+BACKEND_DEBT_REQUESTS = 3
+"""The same in requests where that is more: at low rates, nodes that do not know of each other's yet send as many."""
 LOWEST_BACKEND_PER_S = 0.1
 """Least rate in requests a second that is kept for a back end: one that states 0 must be asked now and then, or
 nobody would learn that it takes requests again."""
@@ -153,7 +155,7 @@
             bucket = self._backends[subject] = FleetBucket(limit, limit.burst)
             self._all[subject] = bucket
         bucket.change(limit)
-        bucket.largest_debt = rate * BACKEND_DEBT_S
+        bucket.largest_debt = max(rate * BACKEND_DEBT_S, BACKEND_DEBT_REQUESTS * REQUEST_UNITS)
         bucket.spend(sent * REQUEST_UNITS)
 
     def forget_backend(self, incarnation: str) -> None:
--- /dev/null
+++ b/tests/unit/cluster/test_stated_limits_fleet.py
@@ -0,0 +1,128 @@
+"""All nodes together keep the limit that a back end states, whatever happens to nodes and to what lies between."""
+
+import pytest
+
+from tests.unit.cluster.limit_network import CONTACT_S, LimitNetwork, allowed
+from wallwell.routing.health.request_limit import NO_LIMIT_PER_S
+
+STATED_S, ENDED_S, END_S = 5.0, 25.0, 40.0
+JUDGED_S = STATED_S + CONTACT_S
+THIN_LINK_INTERVAL_S = 0.25
+
+
+def stated(per_s):
+    return lambda now_s: per_s if STATED_S <= now_s < ENDED_S else NO_LIMIT_PER_S
+
+
+def fewer_callers_at_each_further_node(network):
+    network.weights = [1 / (index + 1) ** 1.2 for index in range(len(network.nodes))]
+
+
+def a_third_is_cut_off(network):
+    network.cut_off(network.nodes[::3], 10.0, 18.0)
+
+
+def a_relay_is_cut_off(network):
+    network.cut_off(network.nodes[:1], 10.0, 18.0)
+
+
+def one_node_restarts_after_the_other(network):
+    for index, node in enumerate(network.nodes):
+        network.restart(node, 6.0 + index * 16.0 / len(network.nodes))
+
+
+def all_nodes_restart(network):
+    for node in network.nodes:
+        network.restart(node, 12.0)
+
+
+def two_in_five_exchanges_are_lost(network):
+    network.lost_fraction = 0.4
+
+
+def the_regions_lose_each_other(network):
+    network.regions = 2
+
+    def cut(value):
+        network.region_cut = value
+
+    network.at(11.0, lambda now_s: cut(True))
+    network.at(17.0, lambda now_s: cut(False))
+
+
+def two_regions(network):
+    network.regions = 2
+
+
+def nothing_happens(network):
+    pass
+
+
+EVENTS = [
+    nothing_happens,
+    fewer_callers_at_each_further_node,
+    a_third_is_cut_off,
+    a_relay_is_cut_off,
+    one_node_restarts_after_the_other,
+    all_nodes_restart,
+    two_in_five_exchanges_are_lost,
+    two_regions,
+    the_regions_lose_each_other,
+]
+
+
+def play(event, nodes, per_s, wanted_per_s, interval_s=0.05, seed=1):
+    network = LimitNetwork(seed, nodes, stated(per_s), wanted_per_s, interval_s)
+    event(network)
+    network.run(END_S)
+    return network
+
+
+@pytest.mark.parametrize("per_s", [0.3, 1.8, 10.0])
+@pytest.mark.parametrize("event", EVENTS, ids=lambda event: event.__name__)
+def test_seven_nodes_keep_a_limit_and_use_it(event, per_s):
+    network = play(event, 7, per_s, 4 * per_s)
+    assert network.largest_window(JUDGED_S, ENDED_S) <= allowed(per_s)
+    assert network.rate(JUDGED_S, ENDED_S) >= 0.5 * per_s
+    # Of a slow rate the next request alone can show that the limit has ended.
+    known_s = ENDED_S + max(2.0, 3 / per_s)
+    assert not [at_s for at_s in network.passed_over_s if at_s >= known_s]
+
+
+@pytest.mark.parametrize("event", [nothing_happens, one_node_restarts_after_the_other, the_regions_lose_each_other])
+def test_79_nodes_that_report_four_times_a_second_keep_a_limit(event):
+    per_s = 2.0
+    network = play(event, 79, per_s, 4 * per_s, THIN_LINK_INTERVAL_S)
+    assert network.largest_window(JUDGED_S, ENDED_S) <= allowed(per_s)
+    assert network.rate(JUDGED_S, ENDED_S) >= 0.5 * per_s
+
+
+def test_a_limit_that_falls_and_rises_is_kept_at_each_value():
+    values = [(5.0, 8.0), (12.0, 2.0), (20.0, 5.0)]
+
+    def per_s(now_s):
+        return next((value for at_s, value in reversed(values) if at_s <= now_s), NO_LIMIT_PER_S)
+
+    network = LimitNetwork(2, 7, per_s, 16.0)
+    network.run(28.0)
+    ends_s = [at_s for at_s, _ in values[1:]] + [28.0]
+    for (at_s, value), end_s in zip(values, ends_s, strict=True):
+        assert network.largest_window(at_s + CONTACT_S, end_s) <= allowed(value)
+        assert network.rate(at_s + CONTACT_S, end_s) >= 0.5 * value
+
+
+def test_a_back_end_that_takes_nothing_is_asked_now_and_then_and_used_again_when_it_takes_requests():
+    network = LimitNetwork(3, 7, lambda now_s: 0.0 if STATED_S <= now_s < 45.0 else NO_LIMIT_PER_S, 3.0)
+    network.run(70.0)
+    assert network.largest_window(JUDGED_S, 45.0) <= allowed(0.0)
+    assert 0 < network.rate(JUDGED_S, 45.0) <= 0.2
+    assert network.rate(60.0, 70.0) > 2.0
+
+
+def test_a_node_that_was_told_by_others_alone_keeps_the_limit_as_well():
+    network = LimitNetwork(4, 7, stated(1.0), 4.0)
+    silent = network.nodes[-1]
+    network.weights[-1] = 0.0
+    network.run(JUDGED_S)
+    limit = silent.load.backends.get("i-0").request_limit
+    assert (limit.per_s, limit.own_per_s) == (1.0, NO_LIMIT_PER_S)
