--- a/src/wallwell/routing/admission/fleet_limits.py
+++ b/src/wallwell/routing/admission/fleet_limits.py
@@ -60,7 +60,7 @@
 """Most seconds of a back end's rate that earlier requests may be ahead of it: it gets nothing for so long at most,
 since somebody must hear when it takes more again."""
 BACKEND_DEBT_REQUESTS = 3
-"""The same in requests where that is more: at low rates, nodes that do not know of each other's yet send as many."""
+"""The same in requests where that is more: so many may be sent at low rates before nodes know of each other's."""
 LOWEST_BACKEND_PER_S = 0.1
 """Least rate in requests a second that is kept for a back end: one that states 0 must be asked now and then, or
 nobody would learn that it takes requests again."""
--- a/src/wallwell/soak/drawing.py
+++ b/src/wallwell/soak/drawing.py
@@ -72,6 +72,10 @@
 """Tokens of each of them."""
 SHED_LASTS_S = 2.5
 """Seconds for which a worker refuses requests: two back-offs and some more."""
+LIMIT_LASTS_S = 9.0
+"""Seconds for which a worker states a limit: until it must be kept, a span in which it is counted, and more."""
+LIMIT_FROM_S = (0.5, 2.5)
+"""Seconds after which it first does."""
 STORE_DOWN_S = 4.5
 """Seconds of a store's outage in which a worker leaves: until it has ended, so that its answers alone say so."""
 OUTAGE_FRACTION = 0.5
@@ -97,7 +101,9 @@
     requests.sort(key=lambda request: request.at_s)
     if shape.notices and shape.engines and shape.instances:
         faults += _draw_notices(random.Random(f"{seed}/notices"), shape)
-        faults.sort(key=lambda fault: fault.at_s)
+    if shape.limits:
+        faults.append(_draw_limit(random.Random(f"{seed}/limits"), shape))
+    faults.sort(key=lambda fault: fault.at_s)
     operations = _draw_operations(random.Random(f"{seed}/operations"), shape)
     return Schedule(seed, shape, tuple(faults), tuple(requests), tuple(operations))
 
@@ -148,6 +154,14 @@
     return faults
 
 
+def _draw_limit(generator: random.Random, shape: Shape) -> PlannedFault:
+    """Return a time in which a worker states a limit, from early on until all nodes are killed or before."""
+    at_s = round(generator.uniform(*LIMIT_FROM_S), 2)
+    until_s = min(at_s + LIMIT_LASTS_S, shape.seconds - RECOVERY_S - SHOWN_RECOVERED_S)
+    limited = generator.choice(shape.worker_names())
+    return PlannedFault(at_s, round(until_s - at_s, 2), FaultKind.LIMIT_WORKER, limited)
+
+
 def _draw_target(generator: random.Random, shape: Shape) -> tuple[FaultKind, str]:
     groups: list[tuple[tuple[FaultKind, ...], tuple[str, ...]]] = [
         (NODE_FAULTS, shape.node_names()),
--- a/src/wallwell/soak/faults.py
+++ b/src/wallwell/soak/faults.py
@@ -74,6 +74,7 @@
             FaultKind.CRASH_WORKER: self._crash_worker,
             FaultKind.DRAIN_WORKER: self._drain_worker,
             FaultKind.SHED_WORKER: self._shed_worker,
+            FaultKind.LIMIT_WORKER: self._limit_worker,
             FaultKind.STORE_FORGETS: self._forget,
             FaultKind.STORE_REFUSES_NODE: self._refuse_node,
             **dict.fromkeys(STORE_SWITCHES, self._switch_store),
@@ -182,6 +183,9 @@
     async def _shed_worker(self, fault: PlannedFault) -> None:
         await self._between_signals(fault, self._fleet.worker, signal.SIGUSR2, signal.SIGUSR2)
 
+    async def _limit_worker(self, fault: PlannedFault) -> None:
+        await self._between_signals(fault, self._fleet.worker, signal.SIGHUP, signal.SIGHUP)
+
     # --- store and links -------------------------------------------------------------------------------
 
     async def _switch_store(self, fault: PlannedFault) -> None:
--- a/src/wallwell/soak/history.py
+++ b/src/wallwell/soak/history.py
@@ -122,6 +122,14 @@
     worker: str
 
 
+class LimitStated(Record, frozen=True):
+    """A worker said in its answer to a request how many requests a second it takes from all nodes together."""
+
+    request: str
+    worker: str
+    per_s: float
+
+
 class OrderTaken(Record, frozen=True):
     """An order of new weights reached a worker."""
 
@@ -201,6 +209,7 @@
     | Ended
     | Arrived
     | LeavingStated
+    | LimitStated
     | OrderTaken
     | WorkerState
     | KeysInForce
--- a/src/wallwell/soak/invariants.py
+++ b/src/wallwell/soak/invariants.py
@@ -46,6 +46,7 @@
     "drained_gets_nothing": invariants_fleet.drained_gets_nothing,
     "announced_gets_nothing": invariants_notices.announced_gets_nothing,
     "backoff_kept": invariants_notices.backoff_kept,
+    "stated_limit_kept": invariants_notices.stated_limit_kept,
     "left_is_cancelled": invariants_fleet.left_is_cancelled,
     "planned_stop_cuts_nothing": invariants_fleet.planned_stop_cuts_nothing,
     "revoked_key_unused": invariants_fleet.revoked_key_unused,
--- a/src/wallwell/soak/schedule.py
+++ b/src/wallwell/soak/schedule.py
@@ -23,6 +23,7 @@
     CRASH_WORKER = "crash_worker"  # a worker: SIGKILL, a new incarnation at the end
     DRAIN_WORKER = "drain_worker"  # a worker: announces its leave, serves on, ends; a new incarnation at the end
     SHED_WORKER = "shed_worker"  # a worker: refuses every request and asks for back-off
+    LIMIT_WORKER = "limit_worker"  # a worker: its answers say how many requests a second it takes
     STORE_DOWN = "store_down"  # the store: 503 to all
     STORE_REFUSES_NODE = "store_refuses_node"  # a node: 503 at the store
     STORE_SILENT = "store_silent"  # the store: calls get no answer
@@ -83,6 +84,17 @@
 """Seconds after such a refusal in which requests may still arrive that were sent before it was read."""
 LATE_REQUESTS = 2
 """Requests of a node that may arrive after that and before the end of the back-off."""
+STATED_LIMIT_PER_S = 3.0
+"""Requests a second that a worker says it takes from all nodes together: less than a third of what it gets."""
+LIMIT_CONTACT_S = 3.0
+"""Seconds after a worker first states a limit from which it must be kept."""
+LIMIT_WINDOW_S = 4.0
+"""Span in which requests are counted for that."""
+LIMIT_FACTOR = 1.5
+"""Times what the limit allows in a span that may come, and ``LIMIT_EXTRA`` requests."""
+LIMIT_EXTRA = 5
+LIMIT_KNOWN_S = 0.5
+"""Seconds after a node has passed on such an answer from which its requests count."""
 GRACE_S = 5.0
 """Seconds that a planned stop is given."""
 EXPOSURE_SHARE = 0.1
@@ -161,6 +173,8 @@
     """Name of :data:`ROLLOUTS`, empty for none."""
     notices: bool = False
     """Whether a worker refuses requests and asks for back-off, and one may leave while the store is down."""
+    limits: bool = False
+    """Whether a worker states how many requests it takes."""
 
     def node_names(self) -> tuple[str, ...]:
         """Names of the router processes."""
--- a/src/wallwell/soak/worker_process.py
+++ b/src/wallwell/soak/worker_process.py
@@ -23,8 +23,8 @@
 from wallwell.platform import names
 from wallwell.soak.answers import CRASH_STATUS, CRASHING_BODY, call_body, event_text
 from wallwell.soak.control import Announcement, Done, Farewell, Heartbeat, announce
-from wallwell.soak.history import Arrived, Began, Ended, HistoryWriter, LeavingStated, OrderTaken
-from wallwell.soak.schedule import BACKOFF_S
+from wallwell.soak.history import Arrived, Began, Ended, HistoryWriter, LeavingStated, LimitStated, OrderTaken
+from wallwell.soak.schedule import BACKOFF_S, STATED_LIMIT_PER_S
 from wallwell.soak.versions import Badness
 
 CONTROL_TIMEOUT_S = 1.0
@@ -90,11 +90,12 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM; SIGUSR1 begins a planned leave, SIGUSR2 begins or ends a time in which it refuses
-        everything. The entry is kept by heartbeats."""
+        everything, SIGHUP one in which it states a limit. The entry is kept by heartbeats."""
         loop = asyncio.get_running_loop()
         leaving, ending = asyncio.Event(), asyncio.Event()
         loop.add_signal_handler(signal.SIGUSR1, leaving.set)
         loop.add_signal_handler(signal.SIGUSR2, self._toggle_shedding)
+        loop.add_signal_handler(signal.SIGHUP, self._toggle_limit)
         loop.add_signal_handler(signal.SIGTERM, ending.set)
         await self.start(self._settings.host)
         announce(Announcement((self.address,)))
@@ -116,6 +117,9 @@
     def _toggle_shedding(self) -> None:
         self._is_shedding = not self._is_shedding
 
+    def _toggle_limit(self) -> None:
+        self.limit_per_s = STATED_LIMIT_PER_S if self.limit_per_s is None else None
+
     async def _beat(self) -> None:
         while True:
             await self._report(Heartbeat(self.incarnation, self.entry()))
@@ -130,6 +134,13 @@
 
     # --- requests --------------------------------------------------------------------------------------
 
+    def headers(self, request: web.BaseRequest, **more: str) -> dict[str, str]:
+        """See :class:`PlatformWorkerEmulator`; what an answer states of a limit is recorded."""
+        if self.limit_per_s is not None:
+            identity = request.headers.get(names.REQUEST_ID, "")
+            self._history.add(LimitStated(time.monotonic(), identity, self.incarnation, self.limit_per_s))
+        return super().headers(request, **more)
+
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Refuse, or run and record it."""
         body = await request.read()
--- a/tests/unit/soak/test_invariants.py
+++ b/tests/unit/soak/test_invariants.py
@@ -11,6 +11,7 @@
     KeysInForce,
     LeavingStated,
     Left,
+    LimitStated,
     NodeExited,
     OrderTaken,
     RequestKind,
@@ -57,6 +58,20 @@
     return records
 
 
+def stating_a_limit(per_s, nodes=1, more=()):
+    """A worker states that it takes three requests a second, and gets ``per_s`` for eight seconds."""
+    records = [*more]
+    for number in range(round(8 * per_s)):
+        at_s, request = 1.0 + number / per_s, f"l{number}"
+        records += [
+            sent(request, at_s=at_s, node=f"n{number % nodes}"),
+            began(request, at_s=at_s),
+            LimitStated(at_s, request, "w.1", 3.0),
+            answered(request, at_s=at_s + 0.05),
+        ]
+    return records
+
+
 def leaving(reached_after_s, state="draining"):
     """A worker leaves and a request reaches it so much later."""
     at_s = 10.0 + reached_after_s
@@ -197,6 +212,10 @@
     "a good version that is complete": rollout(to_target=90, to_current=10, bad=False, state="complete"),
     "a bad version that is reached within the bound": [*BAD_ENOUGH, *reaches_target(LATEST_BAD_S - 0.1)],
     "a call": [sent(), began(), answered()],
+    "a limit that is kept": stating_a_limit(per_s=5.5),
+    "a limit that a paused node does not keep": stating_a_limit(
+        per_s=6.1, more=[FaultBegan(2.0, "pause_node", "n0"), FaultEnded(9.0, "pause_node", "n0")]
+    ),
     "a failure of the worker": [sent(), began(), answered(status=500)],
     "a refusal of what did not run": [sent(), answered(status=503, worker="")],
     "a safe call that ran twice": [SAFE, began(worker="w.1"), began(worker="w.2"), answered(worker="w.2")],
@@ -227,6 +246,8 @@
         "announced_gets_nothing",
         stated_leaving(DRAIN_BOUND_S + 0.1, more=[FaultBegan(9.0, "store_down", "store")]),
     ),
+    "a worker that states a limit gets more": ("stated_limit_kept", stating_a_limit(per_s=6.1)),
+    "the same from two nodes together": ("stated_limit_kept", stating_a_limit(per_s=6.1, nodes=2)),
     "a worker that wants nothing gets much": ("backoff_kept", backing_off([0.6, 0.7, 0.8])),
     "work for callers that left": ("left_is_cancelled", callers_left(ended_after_s=1.9)),
     "a cut by a planned stop": ("planned_stop_cuts_nothing", stopped(whole=False)),
--- a/tests/unit/soak/test_schedule.py
+++ b/tests/unit/soak/test_schedule.py
@@ -35,13 +35,16 @@
 
 def test_every_kind_of_fault_is_drawn_by_some_seed():
     drawn = {
-        fault.kind for seed in range(100) for fault in draw_schedule(seed, Shape(regions=2, notices=True)).faults
+        fault.kind
+        for seed in range(100)
+        for fault in draw_schedule(seed, Shape(regions=2, notices=True, limits=True)).faults
     }
     assert drawn == set(FaultKind)
 
 
 def test_one_region_has_no_faults_between_regions():
-    drawn = {fault.kind for seed in range(100) for fault in draw_schedule(seed, Shape(notices=True)).faults}
+    shape = Shape(notices=True, limits=True)
+    drawn = {fault.kind for seed in range(100) for fault in draw_schedule(seed, shape).faults}
     assert drawn == set(FaultKind) - set(REGION_FAULTS)
 
 
@@ -66,6 +69,15 @@
     assert 20 < outages < 80
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_a_worker_that_states_a_limit_is_added_to_what_a_seed_draws_without_it(seed):
+    without, drawn = draw_schedule(seed, Shape(notices=True)), draw_schedule(seed, Shape(notices=True, limits=True))
+    assert drawn.requests == without.requests
+    (added,) = [fault for fault in drawn.faults if fault not in without.faults]
+    assert added.kind is FaultKind.LIMIT_WORKER
+    assert added.lasts_s > 7.0
+
+
 @pytest.mark.parametrize("lacking", [{"engines": 0}, {"instances": 0}], ids=["engines", "instances"])
 def test_a_run_without_a_kind_of_workers_is_drawn_all_the_same(lacking):
     assert draw_schedule(3, Shape(notices=True, **lacking)).faults == draw_schedule(3, Shape(**lacking)).faults
