--- a/src/wallwell/backend_connection.py
+++ b/src/wallwell/backend_connection.py
@@ -20,16 +20,16 @@
 from wallwell.events import Event, emit
 
 READ_BYTES = 32 * 1024
-"""Bytes of a body that are buffered before reading from the socket pauses. Chosen, not measured: several events
-of a stream, and little memory for each of some hundred connections."""
+"""Bytes of a body that are buffered before reading from the socket pauses: several events of a stream, and little
+memory for each of some hundred connections."""
 MAX_HEADER_BYTES = 32 * 1024
 """Bytes of a status line or a header, as much as callers may send."""
 DEFAULT_IDLE_S = 4.0
-"""Seconds for which a connection stays usable while idle, if the back end does not state a time. Chosen, not
-measured: below the five seconds after which many servers close."""
+"""Seconds for which a connection stays usable while idle, if the back end does not state a time: below the five
+seconds after which many servers close."""
 IDLE_MARGIN_S = 0.8
-"""Seconds before the back end's own idle time-out at which a connection is no longer used, so that no request
-meets a connection that is just being closed. Chosen, not measured: back ends state whole seconds."""
+"""Seconds before the back end's own idle time-out at which a connection is no longer used, so that no request meets
+a connection that is just being closed: back ends state whole seconds."""
 
 
 class ConnectionBrokenError(Exception):
--- a/src/wallwell/bench/overhead.py
+++ b/src/wallwell/bench/overhead.py
@@ -22,12 +22,11 @@
 from wallwell.emulator.engine_model import EngineProfile
 
 PAIRS = 200
-"""Pairs of streams, one straight and one routed: the 99th percentile then rests on two streams. Chosen, not
-measured."""
+"""Pairs of streams, one straight and one routed: the 99th percentile then rests on two streams."""
 QUICK_PAIRS = 60
 """The same with ``--quick``; the 99th percentile is then about the slowest stream."""
 CHUNKS = 200
-"""Tokens of each stream. Chosen, not measured: enough for a mean per chunk."""
+"""Tokens of each stream: enough for a mean per chunk."""
 _FAST = EngineProfile(step_base_s=0.0005, decode_s_per_request=0.0, prefill_s_per_token=1e-7)
 """An engine that takes half a millisecond a token, so that the router's part is not lost in the engine's."""
 _PROMPT = "Dosage guidance that many baskets share. " * 400
--- a/src/wallwell/bench/profiles.py
+++ b/src/wallwell/bench/profiles.py
@@ -1,7 +1,7 @@
 """Traffic of both example deployments: classes of requests, their shares, sizes and tenants.
 
-Owns the figures of the traffic, which are chosen, not measured; names of models, services and priorities are those
-of the examples' operators' files. :mod:`.workload` draws traces from them.
+Owns the figures of the traffic; names of models, services and priorities are those of the examples' operators'
+files. :mod:`.workload` draws traces from them.
 """
 
 from __future__ import annotations
--- a/src/wallwell/bench/workload.py
+++ b/src/wallwell/bench/workload.py
@@ -19,7 +19,7 @@
 BLOCK_BYTES = 64
 """Bytes of text that block counts refer to: an engine's block of 16 tokens of 4 bytes."""
 SECTION_ZIPF = 0.8
-"""Exponent of the heat of a document's sections. Chosen, not measured: flatter than that of documents."""
+"""Exponent of the heat of a document's sections: flatter than that of documents."""
 SENTENCE_WORDS = (6, 14)
 """Fewest and most words of a sentence."""
 
--- a/src/wallwell/cli/config_commands.py
+++ b/src/wallwell/cli/config_commands.py
@@ -25,7 +25,7 @@
 TOKEN_VARIABLE = "WALLWELL_OPERATOR_TOKEN"
 """Environment variable with the operator's bearer token."""
 DEFAULT_WAIT_S = 10.0
-"""Seconds that ``apply --wait`` waits by default. Chosen, not measured: a person waits at a terminal."""
+"""Seconds that ``apply --wait`` waits by default: a person waits at a terminal."""
 DIGEST_LENGTH = 12
 """Characters of a file's digest that are printed: enough to distinguish two revisions."""
 APPLY_ID_BYTES = 12
--- a/src/wallwell/cli/demo.py
+++ b/src/wallwell/cli/demo.py
@@ -19,9 +19,9 @@
 from wallwell.events import configure_logging
 
 REQUESTS = 300
-"""Requests by default. Chosen, not measured: ten seconds at ``RATE_PER_S``."""
+"""Requests by default: ten seconds at ``RATE_PER_S``."""
 RATE_PER_S = 30.0
-"""Requests a second. Chosen, not measured: what stand-ins, routers and callers do in one process."""
+"""Requests a second: what stand-ins, routers and callers do in one process."""
 SEED = 7
 """Draws the requests, so that each run sends the same ones."""
 SHOWN_VIOLATIONS = 5
--- a/src/wallwell/cli/emulate.py
+++ b/src/wallwell/cli/emulate.py
@@ -15,7 +15,7 @@
 from wallwell.standalone.settings import Listener
 
 SHUTDOWN_TIMEOUT_S = 0.1
-"""Seconds for which handlers are waited for. Chosen, not measured: a stand-in has nothing to finish."""
+"""Seconds for which handlers are waited for: a stand-in has nothing to finish."""
 
 
 class EmulatorService(aiomisc.Service):
--- a/src/wallwell/cli/explain.py
+++ b/src/wallwell/cli/explain.py
@@ -18,7 +18,7 @@
 from wallwell.events import Event
 
 CONTEXT_S = 3.0
-"""Seconds before a request's end for which the node's own events are shown. Chosen, not measured."""
+"""Seconds before a request's end for which the node's own events are shown."""
 REQUEST_EVENTS = frozenset(
     event.number for event in (Event.REQUEST_ENDED, Event.REQUEST_RETRIED, Event.REQUEST_REFUSED, Event.CALLER_GONE)
 )
@@ -49,11 +49,11 @@
 )
 """Events that change what a node decides about the requests that follow."""
 SLOW_FIRST_MS = 500
-"""Milliseconds to the first token above which a request counts as slow. Chosen, not measured: half of the objective
-that a route has by default."""
+"""Milliseconds to the first token above which a request counts as slow: half of the objective that a route has by
+default."""
 LONG_GAP_MS = 450
-"""Milliseconds between tokens above which a pause counts as long. Chosen, not measured: just below the longest
-pause that a route allows by default."""
+"""Milliseconds between tokens above which a pause counts as long: just below the longest pause that a route allows
+by default."""
 
 
 class LogLine(msgspec.Struct, frozen=True):
--- a/src/wallwell/cli/operator_client.py
+++ b/src/wallwell/cli/operator_client.py
@@ -17,9 +17,9 @@
 from wallwell.standalone.operators_app import FileView, OperatorError, StatusAnswer
 
 TIMEOUT_S = 30.0
-"""Seconds for one call. Chosen, not measured: bounds a call to a router that does not answer."""
+"""Seconds for one call: bounds a call to a router that does not answer."""
 POLL_INTERVAL_S = 0.1
-"""Seconds between two checks whether a revision is in force. Chosen, not measured."""
+"""Seconds between two checks whether a revision is in force."""
 _TIMEOUT = aiohttp.ClientTimeout(total=TIMEOUT_S)
 _TYPES = {error_type.code: error_type for error_type in all_error_types()}
 T = TypeVar("T")
--- a/src/wallwell/cli/router.py
+++ b/src/wallwell/cli/router.py
@@ -14,8 +14,7 @@
 from wallwell.standalone.settings import NodeSettings, load_settings
 
 _SHUTDOWN_MARGIN_S = 10.0
-"""Seconds beyond the node's own grace time until aiomisc gives up. Chosen, not measured: the node ends a stop
-itself."""
+"""Seconds beyond the node's own grace time until aiomisc gives up: the node ends a stop itself."""
 _SETTING_OF_OPTION = {
     "node": "node",
     "zone": "zone",
--- a/src/wallwell/cli/soak.py
+++ b/src/wallwell/cli/soak.py
@@ -24,11 +24,11 @@
 DEFAULT_NODES = 3
 """The fewest nodes of which a majority is left when one is lost."""
 DEFAULT_ENGINES = 4
-"""Chosen, not measured: enough that some serve while others load weights."""
+"""Enough that some serve while others load weights."""
 DEFAULT_INSTANCES = 2
 """Workers that answer calls: the fewest between which a call can be retried."""
 DEFAULT_RATE_PER_S = 40.0
-"""Requests a second. Chosen, not measured: what all processes of a run serve on one machine."""
+"""Requests a second: what all processes of a run serve on one machine."""
 
 
 def register(commands: Any) -> None:
--- a/src/wallwell/cluster/demand.py
+++ b/src/wallwell/cluster/demand.py
@@ -11,7 +11,7 @@
 from wallwell.routing.sliding_window import SlidingWindow
 
 RATE_WINDOW_S = 4.0
-"""Seconds over which generations are counted, by every node alike. Chosen, not measured."""
+"""Seconds over which generations are counted, by every node alike."""
 
 
 @dataclass
--- a/src/wallwell/cluster/lease_turn.py
+++ b/src/wallwell/cluster/lease_turn.py
@@ -20,7 +20,7 @@
 """Fraction of the time for which a renewal is trusted, after which the next one is made: a call that fails can be
 made again before that time is over."""
 CANDIDATE_DELAY_S = 0.7
-"""Seconds for which others leave the lease to its last holder. Chosen, not measured: some calls to the store."""
+"""Seconds for which others leave the lease to its last holder: some calls to the store."""
 CANDIDATE_STEP_S = 0.35
 """Seconds between the tries of two candidates; the calls of a try take a small fraction of it."""
 
--- a/src/wallwell/cluster/load_messages.py
+++ b/src/wallwell/cluster/load_messages.py
@@ -16,7 +16,7 @@
 from wallwell.errors import PeerUnavailableError
 
 PACK_LEVEL = 6
-"""Level of zlib, its default: between speed and size. Chosen, not measured."""
+"""Level of zlib, its default: between speed and size."""
 
 
 class RelayTotals(msgspec.Struct, frozen=True, array_like=True):
--- a/src/wallwell/cluster/load_reporter.py
+++ b/src/wallwell/cluster/load_reporter.py
@@ -30,13 +30,12 @@
 zones grow with the zones and not with their square.
 
 What nodes know of each other's load is one to three times as old, and long prompts that meet at an engine unseen
-delay each other. In a simulated day of 79 nodes before 45 engines, 87 in 100 of the requests' value were served at
-0.25 s, 91 at 0.1 s and 92 at 0.05 s."""
+delay each other."""
 THIN_LINK_INTERVAL_S = 0.25
 """The same where the node that is reported to has a thin link: it answers 40 members with 2 KB each, which is 2.6
 Mbit/s at this interval and 13 at the other."""
 THIN_LINK_MBPS = 50.0
-"""Links below this are thin, in Mbit/s. Chosen, not measured: the answers at the short interval take a quarter."""
+"""Links below this are thin, in Mbit/s: the answers at the short interval take a quarter."""
 ANSWER_TIMEOUT_S = 0.3
 """Seconds within which a peer of the region answers, 1 ms away: what its processor or a thin link may take."""
 
--- a/src/wallwell/cluster/load_reports.py
+++ b/src/wallwell/cluster/load_reports.py
@@ -16,8 +16,8 @@
 from wallwell.routing.retry.first_token import Delays, sum_delays
 
 REPORT_LIFETIME_S = 1.5
-"""Seconds for which a report counts; a node that is silent for longer may be gone with its requests. Chosen, not
-measured: long enough for the third delegate of a region to be heard, after 1.45 s."""
+"""Seconds for which a report counts; a node that is silent for longer may be gone with its requests: long enough
+for the third delegate of a region to be heard, after 1.45 s."""
 
 
 class Load(msgspec.Struct, frozen=True):
--- a/src/wallwell/cluster/peer_health.py
+++ b/src/wallwell/cluster/peer_health.py
@@ -11,10 +11,10 @@
 from wallwell.routing.doubling_pause import doubling_pause_s
 
 FIRST_PAUSE_S = 2.0
-"""Seconds of the first pause. Chosen, not measured: longer than the 1.3 s in which a peer that does not answer is
-found, so that less than half of the time goes into asking it."""
+"""Seconds of the first pause: longer than the 1.3 s in which a peer that does not answer is found, so that less
+than half of the time goes into asking it."""
 MAX_PAUSE_S = 16.0
-"""Bound of the pauses in seconds: how late a peer that works again is asked. Chosen, not measured."""
+"""Bound of the pauses in seconds: how late a peer that works again is asked."""
 
 
 @dataclass
--- a/src/wallwell/cluster/peer_link.py
+++ b/src/wallwell/cluster/peer_link.py
@@ -19,15 +19,14 @@
 from wallwell.socket_options import end_when_silent
 
 MAX_LINE_BYTES = 16 * 1024 * 1024
-"""Bytes of the longest message, so that a peer that sends no end of line cannot fill the memory. Chosen, not
-measured: a whole table of rows is one message."""
+"""Bytes of the longest message, so that a peer that sends no end of line cannot fill the memory: a whole table of
+rows is one message."""
 CONNECT_TIMEOUT_S = 0.3
 """Seconds for a connection: several times the 40 ms there and back between two regions."""
 UNACKNOWLEDGED_S = 1.0
 """Seconds after which a link ends whose peer acknowledges nothing; requests have shorter or similar time-outs."""
 REFUSALS_LOGGED_EVERY_S = 10.0
-"""Seconds between two log lines of refused requests, since a peer of another version connects again at once.
-Chosen, not measured."""
+"""Seconds between two log lines of refused requests, since a peer of another version connects again at once."""
 MAX_SILENT_KNOWN = 1000
 """Addresses remembered as silent. Nodes are replaced under new addresses, and the old ones never answer again."""
 
--- a/src/wallwell/cluster/relay.py
+++ b/src/wallwell/cluster/relay.py
@@ -24,16 +24,15 @@
 from wallwell.storage.replica import RowReplica
 
 ANSWER_MARGIN_S = 0.5
-"""Seconds for which a peer's answer is waited for beyond the agreed wait. Chosen, not measured."""
+"""Seconds for which a peer's answer is waited for beyond the agreed wait."""
 STALE_MARGIN_S = 0.7
-"""Seconds by which a copy may be older than one held call to the store and still be passed on. Chosen, not
-measured: with a call held for 0.8 s a node behind a relay that is cut off learns of a change at most 1.5 s
-late."""
+"""Seconds by which a copy may be older than one held call to the store and still be passed on: with a call held for
+0.8 s a node behind a relay that is cut off learns of a change at most 1.5 s late."""
 OTHER_ZONE_WAIT_S = 0.25
 """Seconds for which a relay of another zone is asked to hold a request, since its answer passes one node more: so a
 confirmation of the store in the last zone is younger than 2 s."""
 MAX_PEERS_ASKED = 2
-"""Peers asked in one call before the store is. Chosen, not measured: each costs a time-out if it is gone."""
+"""Peers asked in one call before the store is: each costs a time-out if it is gone."""
 
 
 class RelayedRows:
--- a/src/wallwell/cluster/row_messages.py
+++ b/src/wallwell/cluster/row_messages.py
@@ -15,9 +15,8 @@
 from wallwell.storage.feed import FeedPage, FeedRow
 
 PACK_BYTES = 2048
-"""Bytes from which rows are compressed: a relay sends a change once for each member, and its link may be thin. In
-a simulated deployment of 69 nodes, configurations sent plain kept relays of 10 Mbit/s from connecting to back ends
-for two seconds. The size is chosen, not measured."""
+"""Bytes from which rows are compressed: a relay sends a change once for each member, and its link may be thin. of
+10 Mbit/s."""
 
 
 class RowsRequest(PeerMessage, frozen=True):
--- a/src/wallwell/cluster/upstream.py
+++ b/src/wallwell/cluster/upstream.py
@@ -26,8 +26,8 @@
 from wallwell.routing.rendezvous import key_of, rendezvous_score
 
 MEMBERS_PER_RELAY = 40
-"""Members of a zone that one relay serves. Chosen, not measured: at 2 KB for each answer of a load report, 40 take
-13 Mbit/s of its link at 20 reports a second."""
+"""Members of a zone that one relay serves: at 2 KB for each answer of a load report, 40 take 13 Mbit/s of its link
+at 20 reports a second."""
 FOLLOWING_ZONES = 2
 """Zones whose relays follow the store; those of other zones follow these. Two, so that either may be lost."""
 FOLLOWING_ZONES_OF_REGION = 1
--- a/src/wallwell/deployment/freshness.py
+++ b/src/wallwell/deployment/freshness.py
@@ -13,8 +13,7 @@
 from dataclasses import dataclass
 
 DRIFT_PER_S = 200e-6
-"""Seconds by which two steady clocks drift apart in a second, at most; the bounds are relaxed by it. Chosen, not
-measured."""
+"""Seconds by which two steady clocks drift apart in a second, at most; the bounds are relaxed by it."""
 
 
 @dataclass
--- a/src/wallwell/deployment/weights.py
+++ b/src/wallwell/deployment/weights.py
@@ -13,7 +13,7 @@
 
 OVERDUE_FRACTION = 0.85
 """Fraction of the time allowed for a version, from which on an engine on older weights is overdue: it gets no new
-generation while others are on newer ones, and its order to load is due. Chosen, not measured."""
+generation while others are on newer ones, and its order to load is due."""
 
 
 class NamedVersion(msgspec.Struct, frozen=True):
--- a/src/wallwell/emulator/deployment.py
+++ b/src/wallwell/emulator/deployment.py
@@ -35,17 +35,17 @@
 CLUSTER_KEY = "fleet-cluster-key-0123456789"
 HOST = "127.0.0.1"
 AWAY_S = 1.2
-"""Seconds until a stand-in that has crashed listens again. Chosen, not measured."""
+"""Seconds until a stand-in that has crashed listens again."""
 SHUTDOWN_TIMEOUT_S = 0.05
 """Seconds for which handlers are waited for: a stand-in has nothing to finish."""
 CALLS_PER_S = 2000.0
 """Calls a second that the platform serves, so that its limit is none for a deployment in one process."""
 SYNC_INTERVAL_S = 0.2
-"""Seconds between two reconciliations of routers. Chosen, not measured: short, so that tests need not wait."""
+"""Seconds between two reconciliations of routers: short, so that tests need not wait."""
 SUSPICION_TIMEOUT_S = 1.0
-"""Seconds until a suspected router counts as failed. Chosen, not measured: short, so that tests need not wait."""
+"""Seconds until a suspected router counts as failed: short, so that tests need not wait."""
 READY_TIMEOUT_S = 15.0
-"""Seconds until all routers must be ready. Chosen, not measured: one process starts them all."""
+"""Seconds until all routers must be ready: one process starts them all."""
 READY_CHECK_S = 0.05
 """Seconds between two checks of that."""
 APPLY_ID_BYTES = 12
--- a/src/wallwell/emulator/engine_feed.py
+++ b/src/wallwell/emulator/engine_feed.py
@@ -18,11 +18,11 @@
 from wallwell.standalone.backends import engine_protocol as wire
 
 EVENT_DELAY_S = 0.1
-"""Seconds between two batches of cache events. Chosen, not measured."""
+"""Seconds between two batches of cache events."""
 LOAD_LAG_S = 0.2
-"""Age, in seconds, that load reports state. Chosen, not measured."""
+"""Age, in seconds, that load reports state."""
 _LOAD_INTERVAL_S = 0.5
-"""Seconds between two load reports. Chosen, not measured."""
+"""Seconds between two load reports."""
 _GOLDEN_FRACTION = 0.618034
 """Fractional part of the golden ratio: its multiples spread dropped events evenly, and the same ones each time."""
 
--- a/src/wallwell/emulator/engine_model.py
+++ b/src/wallwell/emulator/engine_model.py
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True)
 class EngineProfile:
-    """Speed and size of one engine. Chosen, not measured: in the order of a small model on one accelerator."""
+    """Speed and size of one engine: in the order of a small model on one accelerator."""
 
     block_tokens: int = 16
     """Tokens of one cached block."""
--- a/src/wallwell/emulator/engine_process.py
+++ b/src/wallwell/emulator/engine_process.py
@@ -17,7 +17,7 @@
 from wallwell.standalone.backends import engine_protocol as wire
 
 WEIGHT_LOAD_S = 0.3
-"""Seconds that new weights take to load. Chosen, not measured: short, so that tests need not wait."""
+"""Seconds that new weights take to load: short, so that tests need not wait."""
 INCARNATION_BYTES = 4
 """Random bytes of the name of an incarnation."""
 _STALL_CHECK_S = 0.02
--- a/src/wallwell/emulator/engine_server.py
+++ b/src/wallwell/emulator/engine_server.py
@@ -23,7 +23,7 @@
 from wallwell.standalone.routing.blocks import hash_chain
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
-"""Bytes of a request's body. Chosen, not measured: above what a router accepts."""
+"""Bytes of a request's body: above what a router accepts."""
 REQUEST_ID_BYTES = 8
 """Random bytes of the id of a request that comes without one."""
 _CUT_DELAY_S = 0.02
--- a/src/wallwell/emulator/platform_server.py
+++ b/src/wallwell/emulator/platform_server.py
@@ -20,13 +20,13 @@
 from wallwell.storage.table import Row, Scan, Transaction
 
 CALLS_PER_S = 500.0
-"""Calls a second that are served; more get 429. Chosen, not measured: far above what three routers make."""
+"""Calls a second that are served; more get 429: far above what three routers make."""
 WEIGHT_LOAD_S = 0.2
-"""Seconds that one engine needs to load weights. Chosen, not measured."""
+"""Seconds that one engine needs to load weights."""
 WEIGHT_SLOTS = 2
-"""Engines that load side by side without slowing each other down. Chosen, not measured."""
+"""Engines that load side by side without slowing each other down."""
 MAX_BODY_BYTES = 64 * 1024 * 1024
-"""Largest object, in bytes. Chosen, not measured."""
+"""Largest object, in bytes."""
 
 
 class ConditionFailed(Exception):
--- a/src/wallwell/emulator/service_server.py
+++ b/src/wallwell/emulator/service_server.py
@@ -19,7 +19,7 @@
 REFUSED_HEADER = "X-Not-Run"
 """Header of an answer that states that the call did not run."""
 WORK_S = 0.005
-"""Seconds that a call takes. Chosen, not measured."""
+"""Seconds that a call takes."""
 
 
 class JournalEntry(msgspec.Struct, frozen=True):
--- a/src/wallwell/http_connection.py
+++ b/src/wallwell/http_connection.py
@@ -20,7 +20,7 @@
 __all__ = ["BackendConnection", "ConnectFailedError", "ConnectionBrokenError", "ConnectionPool"]
 
 MAX_IDLE_CONNECTIONS = 8
-"""Idle connections kept for an address. Chosen, not measured: about the slots of a back end."""
+"""Idle connections kept for an address: about the slots of a back end."""
 
 
 class ConnectFailedError(Exception):
--- a/src/wallwell/log_writer.py
+++ b/src/wallwell/log_writer.py
@@ -17,13 +17,12 @@
 import xxhash
 
 MAX_LINES = 2000
-"""Lines queued while the reader is slow. Chosen, not measured: about a megabyte of lines of some hundred bytes."""
+"""Lines queued while the reader is slow: about a megabyte of lines of some hundred bytes."""
 MAX_ROUTINE_PER_S = 20.0
-"""Lines a second up to which every ordinary success is written. Chosen, not measured: whole histories at low
-load."""
+"""Lines a second up to which every ordinary success is written: whole histories at low load."""
 SAMPLE_ONE_IN = 16
-"""Beyond that rate, one request id in this many is written. Chosen, not measured. It is the same at every node,
-so the lines of a chosen request are complete over all nodes."""
+"""Beyond that rate, one request id in this many is written. It is the same at every node, so the lines of a chosen
+request are complete over all nodes."""
 MAX_SAVED_S = 1.0
 """Seconds whose unused lines are saved up; the time before the first line, which is unknown, counts as this
 much."""
--- a/src/wallwell/node/crash_probe.py
+++ b/src/wallwell/node/crash_probe.py
@@ -18,20 +18,19 @@
 from wallwell.routing.health.backend import Backend
 
 FIRST_PROBE_DELAY_S = 0.02
-"""Seconds from a broken attempt to the first probe: those that break with it are then known, and cost one write.
-Chosen, not measured."""
+"""Seconds from a broken attempt to the first probe: those that break with it are then known, and cost one write."""
 PROBE_INTERVAL_S = 0.3
 """Seconds between two probes. A back end that only has too many connections has sent something by then: its other
 streams pause for less than half a second, and with many streams some are always about to send."""
 MAX_PROBES = 5
 """Probes of one back end. On a busy node, what it had sent before its end can be read after the first refusal; then
-one more probe is needed. The rest is a margin, chosen, not measured."""
+one more probe is needed. The rest is a margin."""
 PROBES_TO_LIVE = 2
 """Probes in a row that find it listening, after which it counts as alive. A process that ends, or a proxy before
 it, may still take a connection after those of its attempts are reset."""
 SUCCESSOR_S = 3.0
-"""Seconds for which a back end that listens may yet turn out to have been a successor: one that is back within
-0.3 s is listed at its address within about a second; three times that is chosen, not measured."""
+"""Seconds for which a back end that listens may yet turn out to have been a successor: one that is back within 0.3
+s is listed at its address within about a second."""
 
 
 class CrashCheck(Protocol):
--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -32,12 +32,11 @@
 MAX_WRITES = 100
 """Entries of one transaction (the store's bound)."""
 RETRY_S = 0.4
-"""Mean seconds from a failed write to the next. Chosen, not measured."""
+"""Mean seconds from a failed write to the next."""
 RETRY_JITTER = (0.5, 1.5)
 """Range of factors on that time, so that nodes do not write together once the store is back."""
 SWEEP_S = 5.0
-"""Seconds between two removals of expired crashes. Chosen, not measured: small beside the minutes they count
-for."""
+"""Seconds between two removals of expired crashes: small beside the minutes they count for."""
 
 
 class CrashWatch:
--- a/src/wallwell/node/followers.py
+++ b/src/wallwell/node/followers.py
@@ -31,12 +31,10 @@
 within which a configuration has to be applied and a stopping back end to be left. A longer wait would cost fewer
 calls to the store. No pause: each change counts at once."""
 BACKENDS_TIMING = FeedTiming(wait_s=0.8, pause_s=0.1)
-"""The same wait for the same bound. The pause joins the entries of back ends that change together; 0.1 s is chosen,
-not measured."""
+"""The same wait for the same bound. The pause joins the entries of back ends that change together."""
 OWN_TIMING = FeedTiming(wait_s=2.0, pause_s=0.2)
 """A change ends a reading at once, so a longer wait delays nothing while the store answers, and costs fewer calls.
-A relay that has lost the store is noticed after 2.7 s instead of 1.5 s (``relay.STALE_MARGIN_S``). Chosen, not
-measured."""
+A relay that has lost the store is noticed after 2.7 s instead of 1.5 s (``relay.STALE_MARGIN_S``)."""
 
 
 class TableFollowers:
--- a/src/wallwell/node/housekeeping.py
+++ b/src/wallwell/node/housekeeping.py
@@ -17,12 +17,12 @@
 from wallwell.node.member_rows import MemberRows
 
 HOUSEKEEPING_S = 1.0
-"""Mean seconds between two rounds. Chosen, not measured: lapsed back ends are dropped at most this much late."""
+"""Mean seconds between two rounds: lapsed back ends are dropped at most this much late."""
 HOUSEKEEPING_JITTER = (0.8, 1.2)
 """Range of factors on the period, so that nodes that start together do not write to the store together."""
 FIRST_REGISTRATION_TICK_S = 0.1
-"""Seconds between two checks whether the own rows are read. Chosen, not measured: until a node is registered it
-cannot follow a peer, and each of its readings is a call to the store."""
+"""Seconds between two checks whether the own rows are read: until a node is registered it cannot follow a peer, and
+each of its readings is a call to the store."""
 
 
 class Housekeeping:
--- a/src/wallwell/node/kv_store_watch.py
+++ b/src/wallwell/node/kv_store_watch.py
@@ -25,19 +25,18 @@
 """Seconds for which a call is held open until there is an event; as for the tables
 (:mod:`wallwell.node.followers`)."""
 PAUSE_S = 0.1
-"""Seconds after a page, so that events which come close together cost one call. Chosen, not measured."""
+"""Seconds after a page, so that events which come close together cost one call."""
 RETRY_S = 0.5
-"""Mean seconds after a failed call until the next. Chosen, not measured."""
+"""Mean seconds after a failed call until the next."""
 RETRY_JITTER = (0.8, 1.2)
 """Range of factors on that time, so that nodes do not call together once a store is back."""
 ANSWER_MARGIN_S = 0.5
 """Seconds for which a peer's answer is waited for beyond the agreed wait; as for the tables
 (``relay.ANSWER_MARGIN_S``)."""
 CONFIG_TICK_S = 0.2
-"""Seconds between two checks which stores are configured. Chosen, not measured."""
+"""Seconds between two checks which stores are configured."""
 LISTING_INTERVAL_S = 5.0
-"""Least seconds between two whole listings that missing events call for; a listing keeps the store busy. Chosen,
-not measured."""
+"""Least seconds between two whole listings that missing events call for; a listing keeps the store busy."""
 
 
 class CacheEventSource(Protocol):
--- a/src/wallwell/node/loop_lag.py
+++ b/src/wallwell/node/loop_lag.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 
 TICK_S = 0.25
-"""Seconds between two timers; four wake-ups a second. Chosen, not measured."""
+"""Seconds between two timers; four wake-ups a second."""
 LATE_S = 0.5
 """Seconds of delay from which a timer counts as late: a request needs more than one turn of the loop, and a caller
 waits 1 s."""
@@ -21,7 +21,7 @@
 """Late timers in a row that make starvation: one is what a machine sees that was frozen."""
 STARVED_S = 1.0
 """Seconds for which a node counts as starved after its last late timer; short, so that its capacity is missing no
-longer than callers need to move their connections. Chosen, not measured."""
+longer than callers need to move their connections."""
 
 
 @dataclass
--- a/src/wallwell/node/metrics.py
+++ b/src/wallwell/node/metrics.py
@@ -16,8 +16,8 @@
 from wallwell.serving.counters import LATENCY_BOUNDS_S, FleetCounters, LatencyHistogram
 
 MAX_TENANTS_SHOWN = 20
-"""Tenants with series of their own: those that were refused most, so that labels stay bounded with any
-number of tenants. Chosen, not measured."""
+"""Tenants with series of their own: those that were refused most, so that labels stay bounded with any number of
+tenants."""
 
 
 class FleetCollector:
--- a/src/wallwell/node/planned_stop.py
+++ b/src/wallwell/node/planned_stop.py
@@ -17,12 +17,12 @@
 
 NOTICE_S = 2.6
 """Seconds for which a stopping node still takes requests. Load balancers check readiness each second and leave a
-node out after two failed checks, so after 2 s at most; the margin of 0.6 s is chosen, not measured."""
+node out after two failed checks, so after 2 s at most."""
 LARGEST_NOTICE_FRACTION = 0.5
 """Largest fraction of the grace period that the notice may take, so that open requests get the rest."""
 DRAIN_TICK_S = 0.05
-"""Seconds between two checks whether requests are still in flight. Chosen, not measured: small beside the grace
-period of some seconds."""
+"""Seconds between two checks whether requests are still in flight: small beside the grace period of some
+seconds."""
 STOP_RESERVE_FRACTION = 0.125
 """Fraction of the grace period kept for closing connections. Requests that still run in the last sixth of the
 period may be cut, and an eighth lies within it."""
--- a/src/wallwell/node/state.py
+++ b/src/wallwell/node/state.py
@@ -51,11 +51,9 @@
 from wallwell.routing.selection.split import WeightedSplit
 
 DEFAULT_CALL_S = 0.05
-"""Seconds of a call until some have been observed. Chosen, not measured."""
+"""Seconds of a call until some have been observed."""
 START_FRACTION = 0.8
-"""Fraction of the time given to a started machine after which versions of estimated age count as due.
-
-Chosen, not measured."""
+"""Fraction of the time given to a started machine after which versions of estimated age count as due."""
 
 
 @dataclass(frozen=True)
@@ -65,7 +63,7 @@
     revocation_s: float = 5.0
     """How long after its removal a credential may still be accepted."""
     revocation_margin_s: float = 0.4
-    """How much earlier this node stops relying on what the store confirmed. Chosen, not measured."""
+    """How much earlier this node stops relying on what the store confirmed."""
     strict_revocation: bool = True
     """Whether requests with credentials are refused when ``revocation_s`` cannot be kept."""
     retry_ratio: float = 0.2
--- a/src/wallwell/node/supervision.py
+++ b/src/wallwell/node/supervision.py
@@ -14,8 +14,7 @@
 Loop = Callable[[], Coroutine[Any, Any, None]]
 
 RESTART_PAUSE_S = 1.0
-"""Seconds before a loop that ended starts again. Chosen, not measured: long enough that an error that persists logs
-one line a second."""
+"""Seconds before a loop that ended starts again: long enough that an error that persists logs one line a second."""
 
 
 async def run_for_life(loop: Loop) -> None:
--- a/src/wallwell/placement/weights_roll.py
+++ b/src/wallwell/placement/weights_roll.py
@@ -26,15 +26,13 @@
 
 LONGEST_DELAY_FRACTION = 0.52
 """Fraction of the time allowed for a version (``version_s``) after which a weights roll begins at the latest, so
-that the rest of that time covers the loads. Chosen, not measured."""
+that the rest of that time covers the loads."""
 CONCURRENT_LOADS_FRACTION = 0.4
-"""Fraction of a pool's engines that load at the same time. Chosen, not measured: more would finish sooner and leave
-fewer to serve."""
+"""Fraction of a pool's engines that load at the same time: more would finish sooner and leave fewer to serve."""
 SERVING_FRACTION = 0.5
-"""Fraction of all engines that must go on serving during a weights roll; crashed ones do not count as serving.
-Chosen, not measured."""
+"""Fraction of all engines that must go on serving during a weights roll; crashed ones do not count as serving."""
 RETRY_S = 0.8
-"""Seconds after a load that failed until its engine is tried again. Chosen, not measured."""
+"""Seconds after a load that failed until its engine is tried again."""
 
 
 class OrderReply(enum.Enum):
--- a/src/wallwell/placement/weights_roll_driver.py
+++ b/src/wallwell/placement/weights_roll_driver.py
@@ -30,30 +30,28 @@
 LEASE_NAME = "weights"
 PROGRESS_PREFIX = "weights/"
 TICK_S = 0.15
-"""Seconds between two steps. Chosen, not measured: a load starts at most this much late."""
+"""Seconds between two steps: a load starts at most this much late."""
 VALID_FRACTION = 0.4
 """Fraction of the lease's time for which a holder trusts one renewal. Others wait for that and the whole lease's
 time again, so that the last order of one holder and the first of the next are a lease apart."""
 REPORT_INTERVAL_S = 0.3
-"""Seconds between two reports that a loading engine is asked for. Chosen, not measured."""
+"""Seconds between two reports that a loading engine is asked for."""
 LOAD_TIMEOUT_S = 6.0
-"""Seconds from an order's settle time to the load's end, after which the load counts as failed. Chosen, not
-measured."""
+"""Seconds from an order's settle time to the load's end, after which the load counts as failed."""
 MAX_SILENT_REPORTS = 2
-"""Unanswered reports in a row after which the load counts as failed and another engine may load. Chosen, not
-measured."""
+"""Unanswered reports in a row after which the load counts as failed and another engine may load."""
 MAX_NAMED = 16
-"""Versions whose time of naming is recorded; older ones are long due. Chosen, not measured: it bounds the row."""
+"""Versions whose time of naming is recorded; older ones are long due: it bounds the row."""
 LOADING_HINT_S = 4.0
-"""Seconds from an announcement for which nodes take an engine to be loading, unless they learn of its end before.
-Chosen, not measured: a lost announcement of the end keeps an engine out no longer."""
+"""Seconds from an announcement for which nodes take an engine to be loading, unless they learn of its end before: a
+lost announcement of the end keeps an engine out no longer."""
 SETTLE_S = 0.25
 """Seconds between the announcement that an engine will load and its order. KV cache that an engine computes while
 it changes weights must not be saved: nothing sent to it after the announcement is saved, and by the end of this
 time it has prefilled what was sent before."""
 ORDER_LEAD_S = 0.03
 """Seconds before its order from which an engine gets no new requests; one that has not begun by the order would be
-refused. Chosen, not measured."""
+refused."""
 PUBLISH_TIMEOUT_FRACTION = 0.25
 """Fraction of a renewal's time for which a write of progress is waited for, so that a silent store uses up little
 of the lease."""
--- a/src/wallwell/placement/weights_roll_timing.py
+++ b/src/wallwell/placement/weights_roll_timing.py
@@ -25,10 +25,10 @@
 LOAD_COST = 1.4
 """Cost of a load and its order, in generations: 1.3 to 1.5 in most of the operators' price lists, 0.8 in two."""
 NAMING_TOLERANCE_S = 0.5
-"""Seconds by which a version may be later than the usual interval and still be expected. Chosen, not measured."""
+"""Seconds by which a version may be later than the usual interval and still be expected."""
 INTERVALS_REMEMBERED = 4
-"""Newest intervals between versions whose median is the usual one. Chosen, not measured: few, so that a change of
-the operators' habit counts soon."""
+"""Newest intervals between versions whose median is the usual one: few, so that a change of the operators' habit
+counts soon."""
 
 
 class RollCircumstances(msgspec.Struct, frozen=True):
--- a/src/wallwell/platform/cache_events.py
+++ b/src/wallwell/platform/cache_events.py
@@ -18,10 +18,10 @@
 from wallwell.routing.selection.kv_store import CacheEntry, CachePage, CachePosition
 
 ANSWER_MARGIN_S = 0.6
-"""Seconds beyond the agreed wait after which a held call counts as unanswered. Chosen, not measured: covers
-connecting and a round trip to another region."""
+"""Seconds beyond the agreed wait after which a held call counts as unanswered: covers connecting and a round trip
+to another region."""
 LISTING_TIMEOUT_S = 1.5
-"""Seconds for a listing. Chosen, not measured: it holds every cached part and may be some megabytes."""
+"""Seconds for a listing: it holds every cached part and may be some megabytes."""
 
 Body = TypeVar("Body", bound=msgspec.Struct)
 
--- a/src/wallwell/platform/callers.py
+++ b/src/wallwell/platform/callers.py
@@ -24,17 +24,16 @@
 from wallwell.serving.messages import CallerRequest
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
-"""Bytes of a body that are read at all, which bounds the node's memory. Chosen, not measured: well above the 4 MB
-that operators allow by default, whose limit is checked once the route is known."""
+"""Bytes of a body that are read at all, which bounds the node's memory: well above the 4 MB that operators allow by
+default, whose limit is checked once the route is known."""
 MAX_FIELD_BYTES = 32 * 1024
-"""Bytes of a request line or a header. Chosen, not measured: four times aiohttp's default, since one header lists
-every part of a prompt."""
+"""Bytes of a request line or a header: four times aiohttp's default, since one header lists every part of a
+prompt."""
 TURNS_TO_BEGIN = 5
 """Turns of the event loop after which the handler of a request that has been read has certainly begun."""
 KEEPALIVE_S = 75.0
-"""Seconds for which a caller's idle connection is kept. Chosen, not measured: longer than the 60 s of idle time
-that operators allow callers by default, so that the caller closes first and no request meets a closed
-connection."""
+"""Seconds for which a caller's idle connection is kept: longer than the 60 s of idle time that operators allow
+callers by default, so that the caller closes first and no request meets a closed connection."""
 INTERIM_ANSWER = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -31,8 +31,8 @@
 from wallwell.routing.health.backend_notice import BackendNotices
 
 SHUTDOWN_TIMEOUT_S = 0.1
-"""Seconds for which a listener waits for handlers as it closes. Chosen, not measured: by then the node has waited
-for open requests, and this time is taken from its grace period."""
+"""Seconds for which a listener waits for handlers as it closes: by then the node has waited for open requests, and
+this time is taken from its grace period."""
 ACCEPT_QUEUE = 512
 """Connections that the system keeps until the event loop accepts them. aiohttp's 128 overflow when all callers of a
 lost node connect again while the loop has little processor time, and an overflow costs a caller a second."""
--- a/src/wallwell/platform/stop_deadline.py
+++ b/src/wallwell/platform/stop_deadline.py
@@ -15,8 +15,8 @@
 from wallwell.events import Event, emit
 
 EXIT_MARGIN_S = 0.25
-"""Seconds before the end of the grace time at which the process is ended. Chosen, not measured: time for the
-system to release its memory and sockets."""
+"""Seconds before the end of the grace time at which the process is ended: time for the system to release its memory
+and sockets."""
 CLOCK_CHECK_S = 0.1
 """Longest wait, in seconds, between two readings of the clock. A suspension of the machine lengthens a wait,
 which so ends at most this much too late."""
--- a/src/wallwell/platform/store.py
+++ b/src/wallwell/platform/store.py
@@ -27,14 +27,13 @@
 from wallwell.storage.table import Row, Scan, Transaction
 
 CALL_TIMEOUT_S = 1.5
-"""Seconds for one call, connecting included. Chosen, not measured: two calls fit into the 3 s of a lease."""
+"""Seconds for one call, connecting included: two calls fit into the 3 s of a lease."""
 CONNECT_TIMEOUT_S = 1.0
-"""Seconds for a new connection. Chosen, not measured: leaves a third of the call's time for its answer."""
+"""Seconds for a new connection: leaves a third of the call's time for its answer."""
 PAGE_ROWS = 500
 """Rows in one page: the most that the store's protocol allows."""
 MAX_IDLE_CONNECTIONS = 6
-"""Idle connections kept. Chosen, not measured: three feeds are held open at the same time, and as many other
-calls."""
+"""Idle connections kept: three feeds are held open at the same time, and as many other calls."""
 AFTER_KEY = "\x00"
 """Appended to the last key of a page, it makes the smallest key that follows: keys are ordered by their bytes."""
 
--- a/src/wallwell/platform/worker_orders.py
+++ b/src/wallwell/platform/worker_orders.py
@@ -21,8 +21,8 @@
 from wallwell.routing.health.backend_notice import BackendNotices
 
 CONTROL_TIMEOUT_S = 1.0
-"""Seconds for one call, connecting included. Chosen, not measured: a third of the lease under which orders are
-given, and workers answer reports and orders without waiting for a slot."""
+"""Seconds for one call, connecting included: a third of the lease under which orders are given, and workers answer
+reports and orders without waiting for a slot."""
 LOAD_WEIGHTS = "version"
 """The order to load a version of a model's weights."""
 STREAMS_GO_ON = "retain"
--- a/src/wallwell/platform/workers.py
+++ b/src/wallwell/platform/workers.py
@@ -25,8 +25,8 @@
 """Seconds for a new connection. Covers 40 ms of round trip to another region and the queue of the link between
 regions; each request that meets an unresponsive worker loses this much of its time."""
 USER_TIMEOUT_S = 1.0
-"""Seconds for which sent bytes may stay unacknowledged before the connection ends. Chosen, not measured: several
-retransmissions of TCP, and shorter than what most callers wait."""
+"""Seconds for which sent bytes may stay unacknowledged before the connection ends: several retransmissions of TCP,
+and shorter than what most callers wait."""
 
 
 def worker_pool() -> ConnectionPool:
--- a/src/wallwell/rollout/driver.py
+++ b/src/wallwell/rollout/driver.py
@@ -29,7 +29,7 @@
 from wallwell.storage.table import TableService
 
 TICK_S = 0.15
-"""Seconds between two steps. Chosen, not measured: small beside ``rollback_s`` (5 s by default)."""
+"""Seconds between two steps: small beside ``rollback_s`` (5 s by default)."""
 VALID_FRACTION = 0.5
 """Fraction of ``lease_s`` for which a holder trusts one renewal. Another node succeeds a dead holder after that and
 a candidate's delay; no guard time is needed, since every write has the lease's row as a condition."""
@@ -39,7 +39,7 @@
 REPORTS_TO_WAIT_FOR = 2.5
 """Report intervals for which a new holder decides nothing: every node's totals have then arrived."""
 COMPLETE_AFTER_S = 2.0
-"""Seconds for which a node must have held the lease to end a rollout as complete. Chosen, not measured.
+"""Seconds for which a node must have held the lease to end a rollout as complete.
 
 What dead nodes counted is lost to a new holder, and nobody compared answers meanwhile; so it first waits for some
 seconds of answers. A late end costs little."""
--- a/src/wallwell/rollout/evidence.py
+++ b/src/wallwell/rollout/evidence.py
@@ -27,18 +27,18 @@
 from wallwell.rollout.totals import Totals
 
 RECENT_S = 4.0
-"""Seconds over which a current version that is slower than before counts as overloaded. Chosen, not measured."""
+"""Seconds over which a current version that is slower than before counts as overloaded."""
 RECENT_ANSWERS = 30
-"""Least answers of the current version in that span for such a judgement. Chosen, not measured."""
+"""Least answers of the current version in that span for such a judgement."""
 OVERLOAD_FACTOR = 2.0
 """Ratio of the current version's recent rate of late answers to its overall one, from which it counts as
-overloaded. Chosen, not measured."""
+overloaded."""
 OVERLOAD_DISCOUNT = 0.5
-"""Factor on evidence of slowness while the current version is overloaded as well. Chosen, not measured."""
+"""Factor on evidence of slowness while the current version is overloaded as well."""
 NOW_S = 0.9
 """Least seconds of answers that show the present: counts of all nodes arrive within a second."""
 NOW_ANSWERS = 60
-"""Least answers of the target version in such a span to find that it is not slow. Chosen, not measured."""
+"""Least answers of the target version in such a span to find that it is not slow."""
 STARTS = 64
 """Starts of tests beside the order's, over twice the duration, at which a rollout ends at the latest."""
 SHORTEST_START_STEP_S = 0.5
--- a/src/wallwell/rollout/exposure.py
+++ b/src/wallwell/rollout/exposure.py
@@ -15,44 +15,42 @@
 from wallwell.rollout.model import RolloutBounds
 
 CANARY_FRACTION = 0.5
-"""Fraction of the bound that the canary spends where requests are few. Chosen, not measured."""
+"""Fraction of the bound that the canary spends where requests are few."""
 CANARY_FRACTION_OF_MANY = 0.25
-"""Fraction of the bound that it spends where requests are many. Chosen, not measured."""
+"""Fraction of the bound that it spends where requests are many."""
 CANARY_ENOUGH = 600.0
 """Requests beyond which the canary spends only :data:`CANARY_FRACTION_OF_MANY`: 400 answers show failures of 5 in
 100. What it leaves makes the switch longer, so that more requests in flight at current back ends end by
 themselves."""
 SPENT_FRACTION = 0.8
-"""Fraction of the bound that is planned to be spent; the rest is for bursts and for counts that lag. Chosen, not
-measured."""
+"""Fraction of the bound that is planned to be spent; the rest is for bursts and for counts that lag."""
 LAST_FRACTION = 0.95
 """Fraction of the bound that the last decision before the deadline may plan with: little can go wrong after it."""
 LAST_DECISION_S = 0.4
-"""Seconds before the deadline at which the next decision would come too late. Chosen, not measured: more than
-two steps of the driver (0.15 s each)."""
+"""Seconds before the deadline at which the next decision would come too late: more than two steps of the driver
+(0.15 s each)."""
 COUNT_LAG_S = 1.0
 """Age in seconds of the oldest counts: nodes send every 0.3 s, a large fleet up to every second."""
 WINDOW_S = 1.0
 """Seconds over which a rate is taken: several reports of each node."""
 MEMORY_S = 10.0
-"""Seconds for which a burst is remembered. Chosen, not measured."""
+"""Seconds for which a burst is remembered."""
 LARGEST_RATE_FACTOR = 3.0
 """Largest multiple of the mean rate since the order that a rate counts as: a higher one comes of counts that
-arrived late at a new holder. Chosen, not measured."""
+arrived late at a new holder."""
 LEAST_FRACTION = 0.2
 """Fraction of ``exposure_share`` that a canary gets also when its budget is spent: a version that turns bad late
-shows by it. Chosen, not measured."""
+shows by it."""
 LARGEST_SHARE = 0.3
 """Largest share of a canary before the deadline: its share follows a burst only after counts and record have
-arrived. Chosen, not measured."""
+arrived."""
 OVERDUE_SHARE = 0.25
-"""Share after the deadline, where no bound holds and more answers are needed. Chosen, not measured."""
+"""Share after the deadline, where no bound holds and more answers are needed."""
 SHARE_TOLERANCE = 0.25
-"""Relative change up to which the share stays: every change is a write and a row to all nodes. Chosen, not
-measured."""
+"""Relative change up to which the share stays: every change is a write and a row to all nodes."""
 LONGEST_SWITCH_S = 5.0
 """Seconds before the deadline at which the switch begins at the earliest: the longer the canary, the more late
-turns it shows. Chosen, not measured."""
+turns it shows."""
 DEVIATIONS = 2.0
 """Standard deviations of the number of arrivals that are planned for: exceeded in about 1 of 40 plans for a normal
 distribution."""
--- a/src/wallwell/rollout/likelihood.py
+++ b/src/wallwell/rollout/likelihood.py
@@ -18,7 +18,7 @@
 """Standard deviations by which a null rate lies above the observed rate: for a normal distribution it is too low in
 about 1 of 40 rollouts."""
 LEAST_NULL_RATE = 1e-4
-"""Least null rate that is tested against; keeps the logarithm of the ratio finite. Chosen, not measured."""
+"""Least null rate that is tested against; keeps the logarithm of the ratio finite."""
 
 
 def upper_rate(events: int, answers: int, deviations: float = NULL_DEVIATIONS) -> float:
--- a/src/wallwell/rollout/measures.py
+++ b/src/wallwell/rollout/measures.py
@@ -17,11 +17,11 @@
 late."""
 SLOW_SLACK_FACTOR = 1.25
 """Factor by which the target version's rate of late answers may exceed the current one's: its caches are colder,
-and its back ends are others. Chosen, not measured."""
+and its back ends are others."""
 SLOW_SLACK = 0.01
-"""What that rate may exceed the current one by beside the factor. Chosen, not measured."""
+"""What that rate may exceed the current one by beside the factor."""
 FAILED_SLACK = 0.002
-"""What the target version's rate of failures may exceed the current one's by. Chosen, not measured."""
+"""What the target version's rate of failures may exceed the current one's by."""
 
 
 class Measure(msgspec.Struct, frozen=True):
--- a/src/wallwell/rollout/planner.py
+++ b/src/wallwell/rollout/planner.py
@@ -5,8 +5,7 @@
 totals of each order; all that must last is in the record, so that a new holder can go on with less of both.
 Decisions show in the log as ``ROLLOUT_DECIDED`` (7008) with their inputs.
 
-Thresholds that are marked as chosen were not measured one by one. Together they ended 398 of 400 good versions
-in time and rolled back 318 of 400 bad ones in simulated rollouts (``docs/design/rollouts.md``).
+What the thresholds give together is in ``docs/design/rollouts.md``.
 """
 
 from __future__ import annotations
@@ -36,8 +35,7 @@
 fewer than 1 in 100 good versions have as much at their end. With 0.01 in place of 0.03 (the likelihood ratio), 5 in
 place of 2 of 400 good versions ended late, and 75 in place of 82 of 400 bad ones were completed."""
 LOG_BAD_MANY = math.log(3_000)
-"""Evidence of a single test, without its weight, that rolls back together with :data:`MANY_BAD`. Chosen, not
-measured."""
+"""Evidence of a single test, without its weight, that rolls back together with :data:`MANY_BAD`."""
 MANY_BAD = 20.0
 """Bad answers beyond the allowed. A bad version must be stopped after its 50th; the rest is for counts and record
 on their way."""
@@ -48,30 +46,28 @@
 CANARY_BACKENDS = 3
 """Target back ends from which the canary begins: with fewer, a sick machine looks like a bad version."""
 CANARY_WAIT_FRACTION = 0.2
-"""Fraction of the duration for which the canary waits for them. Chosen, not measured."""
+"""Fraction of the duration for which the canary waits for them."""
 ANSWERS_TO_SWITCH = 16
-"""Whole answers of the target version, over all routes, that the switch needs. Chosen, not measured."""
+"""Whole answers of the target version, over all routes, that the switch needs."""
 ANSWERS_TO_COMPLETE = 20
-"""The same for the end. Chosen, not measured."""
+"""The same for the end."""
 ROUTE_ANSWERS = 12
-"""Whole answers of the target version on each route, where its traffic gives them. Chosen, not measured."""
+"""Whole answers of the target version on each route, where its traffic gives them."""
 ENOUGH_SLOTS_RATIO = 0.8
-"""Target slots in relation to current ones from which the target version can serve all requests. Chosen, not
-measured."""
+"""Target slots in relation to current ones from which the target version can serve all requests."""
 COMPLETE_MARGIN_S = 0.6
 """Seconds before the deadline at which a good rollout ends: two decisions, a write to a slow store and the record's
 way to all nodes."""
 SETTLE_S = 2.0
 """Least seconds in the switch where no deadline ends it: answers at full load are counted about a second later."""
 DRAIN_S = 5.0
-"""Longest wait in seconds after the deadline for requests in flight at current back ends. Chosen, not measured."""
+"""Longest wait in seconds after the deadline for requests in flight at current back ends."""
 SAME_VERSION_S = 2.0
-"""Seconds since the order, without a current back end, after which the target version counts as already running.
-Chosen, not measured."""
+"""Seconds since the order, without a current back end, after which the target version counts as already running."""
 MISSING_GRACE_S = 3.0
-"""Seconds after the deadline for which the first target back end is waited for. Chosen, not measured."""
+"""Seconds after the deadline for which the first target back end is waited for."""
 OVERDUE_FACTOR = 2.0
-"""Multiple of the duration after which a rollout that is still undecided is rolled back. Chosen, not measured."""
+"""Multiple of the duration after which a rollout that is still undecided is rolled back."""
 
 
 @dataclass
--- a/src/wallwell/rollout/records.py
+++ b/src/wallwell/rollout/records.py
@@ -18,7 +18,7 @@
 """Seconds from its first listing for which a version that no order has named gets nothing. Entries and orders come
 on different feeds, of which one may be behind by its wait and a relay's (0.8 s each)."""
 MAX_EXCLUDED = 16
-"""Excluded versions that a record names; older ones are long gone. Chosen, not measured: it bounds the row."""
+"""Excluded versions that a record names; older ones are long gone: it bounds the row."""
 
 
 def opening_record(
--- a/src/wallwell/rollout/reporter.py
+++ b/src/wallwell/rollout/reporter.py
@@ -17,8 +17,8 @@
 from wallwell.rollout.tally import RolloutTally
 
 REPORT_INTERVAL_S = 0.3
-"""Seconds between two reports of a node in a fleet of up to :data:`NODES_AT_FULL_RATE`. Chosen, not measured: a
-small part of ``rollback_s`` (5 s by default)."""
+"""Seconds between two reports of a node in a fleet of up to :data:`NODES_AT_FULL_RATE`. A small part of
+``rollback_s`` (5 s by default)."""
 NODES_AT_FULL_RATE = 100
 """Nodes up to which each reports at the full rate. Larger fleets report less often, so that the deciding node
 receives some 330 reports a second at most."""
--- a/src/wallwell/rollout/service_rollout.py
+++ b/src/wallwell/rollout/service_rollout.py
@@ -25,8 +25,7 @@
 """Fraction of ``rollback_s`` for which a record is valid after its writing. A node whose record is older sends
 nothing to the target version, since nobody may be comparing its answers.
 
-The rest of ``rollback_s`` is for counts on their way, the decision, and the record's way to every node. The half is
-chosen, not measured."""
+The rest of ``rollback_s`` is for counts on their way, the decision, and the record's way to every node."""
 
 
 class BackendGroups(msgspec.Struct, frozen=True):
--- a/src/wallwell/routing/admission/backoff_hold.py
+++ b/src/wallwell/routing/admission/backoff_hold.py
@@ -11,11 +11,10 @@
 import random
 
 HOLD_FRACTION = 0.5
-"""Fraction of what is left of the objective for which a request is held at most; the rest is for the attempt.
-Chosen, not measured."""
+"""Fraction of what is left of the objective for which a request is held at most; the rest is for the attempt."""
 SPREAD_S = 0.03
 """Seconds over which held requests are sent after the end of the back-off, so that the back end gets them one after
-the other. Chosen, not measured."""
+the other."""
 
 
 def hold_s(ends_in_s: float, objective_left_s: float, rng: random.Random) -> float | None:
--- a/src/wallwell/routing/admission/fleet_limits.py
+++ b/src/wallwell/routing/admission/fleet_limits.py
@@ -33,22 +33,18 @@
 SPEND_DOWN_S = 0.5
 """Seconds in which saved tokens are spent, and in which a debt is worked off, while demand exceeds the limit.
 
-Longer than the age of what nodes know of each other. With twice as much, the fleet refuses up to 1% more of what
-the limit allows, in a model of 79 nodes with four reports a second."""
+Longer than the age of what nodes know of each other."""
 LIFE_BITS = 48
 """Random bits of a life's number: two lives of a node do not get the same one, and it is exact in any JSON."""
 LEVELS_VALID_S = 0.3
 """Seconds for which reported levels hold: the time between two reports over a thin link (0.25 s; 0.05 s over
 others) and a little more."""
 SHORTEST_WAIT_S = 0.2
-"""Least Retry-After of a refused caller, in seconds. Chosen, not measured: sooner, what others spend is unknown."""
+"""Least Retry-After of a refused caller, in seconds: sooner, what others spend is unknown."""
 LONGEST_WAIT_S = 5.0
-"""Most Retry-After of a refused caller, in seconds. Chosen, not measured: an excess may end before it is worked
-off."""
+"""Most Retry-After of a refused caller, in seconds: an excess may end before it is worked off."""
 RETURN_SPREAD = 0.3
-"""Fraction of the wait over which refused callers are spread, so that they do not return together.
-
-Chosen, not measured."""
+"""Fraction of the wait over which refused callers are spread, so that they do not return together."""
 
 
 REQUEST_UNITS = 1000
@@ -305,11 +301,7 @@
         self._near_totals[region] = {tenant: bucket.near_total for tenant, bucket in self._all.items()}
 
     def on_region_lost(self, region: str, size: float, now_s: float) -> None:
-        """Another region, ``size`` times this one, is silent for too long: it may have spent as much as this one.
-
-        In a model of 90 nodes, two regions that were cut off from each other right before an excess else spent 1.14
-        times what a limit allows in 8 s.
-        """
+        """Another region, ``size`` times this one, is silent for too long: it may have spent as much as this."""
         for tenant, known in self._near_totals.pop(region, {}).items():
             bucket = self._all.get(tenant)
             if bucket is not None:
--- a/src/wallwell/routing/admission/fleet_share.py
+++ b/src/wallwell/routing/admission/fleet_share.py
@@ -9,13 +9,13 @@
 TOLERATED_MISSING = 0.05
 """Fraction of the nodes that may be unheard without the others giving up their rate: stopped or replaced ones.
 
-Chosen, not measured. Only for a majority, so that two halves of a fleet cannot both use it."""
+Only for a majority, so that two halves of a fleet cannot both use it."""
 MAJORITY = 0.5
 """Fraction of the nodes above which those that hear each other are a majority."""
 ASSUMED_NODES = 100
 """Size of the fleet for a node that knows of no others yet; it knows them within a second of its start.
 
-Chosen, not measured: a larger figure lets nodes that start admit less in that second."""
+A larger figure lets nodes that start admit less in that second."""
 
 
 def spendable_fraction(heard_nodes: int | None, fleet_nodes: int) -> float:
--- a/src/wallwell/routing/admission/overload.py
+++ b/src/wallwell/routing/admission/overload.py
@@ -3,8 +3,7 @@
 An engine serves a bounded number of generations at once, the rest wait in its queue. Once that wait is longer than
 callers' objectives, all answers are late, and late ones hold slots for as long as others: the queue then lasts
 until long after its cause. Refusing a fraction at once keeps the others in time, and the refused callers return
-when there are free slots. In a simulated day of 45 engines of which 11 were away for 14 s, 67% of the value asked
-for was served without this and 75% with it.
+when there are free slots.
 
 What nodes know of each other's load is old by some reports and the same everywhere. With a single threshold all of
 them would refuse and admit alternately, so the fraction that is refused grows with the load.
@@ -23,22 +22,17 @@
 BEGIN_REFUSING = 1.1
 """Load of the usable engines, by slot, from which generations of the most urgent rank are refused.
 
-Long prompts count several times in a load (see ``request_load``), so a fleet in time may be at 1. In the simulated
-day above 71% of the value was served from 1.2, 74% from 1.2 with returning callers preferred, and 75% from 1.05; in
-a day with crashes of a third of the engines 74%, 74% and 72%. 1.1 itself was chosen between them, not measured."""
+Long prompts count several times in a load (see ``request_load``), so a fleet in time may be at 1."""
 REFUSE_ALL = 1.7
-"""Load by slot from which all of them are refused: most of a batch waits behind the one being served. Chosen, not
-measured."""
+"""Load by slot from which all of them are refused: most of a batch waits behind the one being served."""
 RANK_STEP = 0.1
-"""How much earlier each less urgent rank is refused, in load by slot. Chosen, not measured."""
+"""How much earlier each less urgent rank is refused, in load by slot."""
 MAX_RANK_STEPS = 3
-"""Ranks beyond the most urgent one that differ: refusing begins at a load by slot of 0.8 at the least.
-
-Chosen, not measured."""
+"""Ranks beyond the most urgent one that differ: refusing begins at a load by slot of 0.8 at the least."""
 DEFAULT_GENERATION_S = 1.5
-"""Seconds of a generation until some have been observed. Chosen, not measured."""
+"""Seconds of a generation until some have been observed."""
 SMOOTHING = 0.05
-"""Weight of the newest observation in the average: some twenty decide. Chosen, not measured."""
+"""Weight of the newest observation in the average: some twenty decide."""
 
 
 class Occupancy(msgspec.Struct, frozen=True):
--- a/src/wallwell/routing/admission/quarantine.py
+++ b/src/wallwell/routing/admission/quarantine.py
@@ -26,17 +26,17 @@
 SUSPECT_S = 300.0
 """Seconds that a crash counts against a request that is not quarantined.
 
-Chosen, not measured: a request that is sent again less often than every five minutes crashes few back ends."""
+A request that is sent again less often than every five minutes crashes few back ends."""
 QUARANTINE_S = 600.0
 """Seconds that a quarantine lasts from its last crash.
 
-Chosen, not measured: after it the request may crash three back ends again, so it loses the fleet three of them each
-ten minutes at most, and a harmless one that was quarantined by chance is served again."""
+After it the request may crash three back ends again, so it loses the fleet three of them each ten minutes at most,
+and a harmless one that was quarantined by chance is served again."""
 CLEARED_S = 30.0
 """Seconds for which an answer clears a request beforehand.
 
-Chosen, not measured: many back ends can end at once under a request that many callers send, and within this time
-some of these callers have been answered."""
+Many back ends can end at once under a request that many callers send, and within this time some of these callers
+have been answered."""
 MAX_CLEARED = 2048
 """Answered requests remembered. Arithmetic: 30 s of 68 requests a second, some ten times what a node serves."""
 MAX_SUSPECTS = 4096
--- a/src/wallwell/routing/admission/remaining_time.py
+++ b/src/wallwell/routing/admission/remaining_time.py
@@ -10,13 +10,13 @@
 from dataclasses import dataclass
 
 MIN_REMAINING_S = 0.02
-"""Time in seconds below which no attempt is made, nor an engine waited for. Chosen, not measured."""
+"""Time in seconds below which no attempt is made, nor an engine waited for."""
 ANSWER_FRACTION = 0.5
-"""Fraction of the shortest answer seen that a request must have left to be sent. Chosen, not measured: a half,
-since loads and sizes of requests differ."""
+"""Fraction of the shortest answer seen that a request must have left to be sent: a half, since loads and sizes of
+requests differ."""
 PROBE_ONE_IN = 20
 """One in so many requests with less time is sent all the same. A node learns only from what it sends, so one whose
-first answers were slow would otherwise refuse short requests for its whole life. Chosen, not measured."""
+first answers were slow would otherwise refuse short requests for its whole life."""
 
 
 @dataclass
--- a/src/wallwell/routing/health/backoff.py
+++ b/src/wallwell/routing/health/backoff.py
@@ -16,11 +16,11 @@
 from typing import NamedTuple
 
 MAX_BACKOFF_S = 3600.0
-"""Longest time in seconds for which a back end is left out at its own request. Chosen, not measured: no overload is
-expected to last as long, and a figure that was meant in milliseconds must not remove a back end for good."""
+"""Longest time in seconds for which a back end is left out at its own request: no overload is expected to last as
+long, and a figure that was meant in milliseconds must not remove a back end for good."""
 TRIAL_TIMEOUT_S = 0.5
-"""Seconds for which the first request after a back-off is waited for before another one is sent. Chosen, not
-measured: refusals come within milliseconds, and first tokens of an engine that keeps up within its objective."""
+"""Seconds for which the first request after a back-off is waited for before another one is sent: refusals come
+within milliseconds, and first tokens of an engine that keeps up within its objective."""
 MAX_LOGGED_CHARS = 40
 """Characters of a header that are logged: more than any number or date has."""
 
--- a/src/wallwell/routing/health/silence.py
+++ b/src/wallwell/routing/health/silence.py
@@ -19,16 +19,15 @@
 from dataclasses import dataclass
 
 HALF_LIFE_S = 4.0
-"""Seconds in which half of the largest silence is forgotten. Chosen, not measured."""
+"""Seconds in which half of the largest silence is forgotten."""
 LONG_FACTOR = 1.5
 """Multiple of the largest usual silence that counts as long; 1.3 was worse, see above."""
 MIN_LONG_SILENCE_S = 0.18
 """Seconds below which no silence is long, whatever is usual; 0.15 was worse, see above."""
 MAX_LONG_SILENCE_S = 1.0
-"""Seconds from which a silence is long for any back end, also for one that has not been heard yet. Chosen, not
-measured."""
+"""Seconds from which a silence is long for any back end, also for one that has not been heard yet."""
 PROBE_INTERVAL_S = 0.5
-"""Seconds between two probes of a silent back end. Chosen, not measured: a probe costs it one connection."""
+"""Seconds between two probes of a silent back end: a probe costs it one connection."""
 
 
 def long_silence_s(usual_s: float | None) -> float:
--- a/src/wallwell/routing/health/suspension.py
+++ b/src/wallwell/routing/health/suspension.py
@@ -18,29 +18,25 @@
 from wallwell.routing.doubling_pause import doubling_pause_s
 
 FIRST_PAUSE_S = 0.6
-"""Seconds of the first suspension. Chosen, not measured: a process that was restarted may be back by then."""
+"""Seconds of the first suspension: a process that was restarted may be back by then."""
 MAX_PAUSE_S = 4.0
-"""Bound of the suspension in seconds, and so of how late a return is noticed. Chosen, not measured."""
+"""Bound of the suspension in seconds, and so of how late a return is noticed."""
 FAILURES_TO_SUSPEND = 2
-"""Failures in a row from which a back end that can be reached is suspended. Chosen, not measured: one alone is as
-likely the request's as the back end's."""
+"""Failures in a row from which a back end that can be reached is suspended: one alone is as likely the request's as
+the back end's."""
 REFUSALS_TO_SUSPEND = 2
-"""Refusals in a row from which a back end is suspended that does not say for how long it wants nothing. Chosen, not
-measured: one alone may have met the moment in which its queue was full. In a simulated day in which two, five and
-all of six engines refused everything for 4 to 8 s each, 0.79 of the value asked for was served with it and 0.75
-without (three seeds); two days of high load came to the same within 0.004."""
+"""Refusals in a row from which a back end is suspended that does not say for how long it wants nothing: one alone
+may have met the moment in which its queue was full."""
 FIRST_REFUSAL_PAUSE_S = 0.2
-"""Seconds of the first suspension after refusals. Chosen, not measured: a full back end has free slots again within
-a fraction of a request's duration."""
+"""Seconds of the first suspension after refusals: a full back end has free slots again within a fraction of a
+request's duration."""
 MAX_REFUSAL_PAUSE_S = 1.6
-"""Bound of the suspension after refusals in seconds. Chosen, not measured."""
+"""Bound of the suspension after refusals in seconds."""
 UNREACHABLE_FAILURES_TO_SUSPEND = 1
 """The same for one that cannot be reached: there is nothing that the next request could find out."""
 ANSWERING_S = 1.5
-"""Seconds for which an answer shows that a back end works. The figure is chosen, not measured: longer than the gap
-between two answers of a busy engine. The rule was measured together with drawing the retry budget before an attempt
-is given up: in simulated days of 173 engines the share of requests' value served was 0.96, 1.00 and 0.80 without
-both and 0.98, 1.00 and 0.76 with them, which is within the noise of single days."""
+"""Seconds for which an answer shows that a back end works: longer than the gap between two answers of a busy
+engine."""
 
 
 def suspended_until_s(consecutive_failures: int, unreachable: bool, now_s: float) -> float | None:
--- a/src/wallwell/routing/health/zone_suspicion.py
+++ b/src/wallwell/routing/health/zone_suspicion.py
@@ -25,22 +25,19 @@
 
 TIMEOUTS_TO_PROBE = 2
 """Back ends of a zone whose connections timed out, with no sign of life from it between, from which another one is
-probed. Chosen, not measured: one alone looks like a lost packet."""
+probed: one alone looks like a lost packet."""
 TIMEOUTS_TO_SUSPECT = 3
 """The same, from which the whole zone is suspected. Three that lose power at once look alike, but then others of
-their zone answer, which ends the suspicion at once. Chosen, not measured."""
+their zone answer, which ends the suspicion at once."""
 TIMEOUT_WINDOW_S = 2.0
-"""Seconds for which a time-out counts; a node with few requests tries a back end in some hundred milliseconds.
-Chosen, not measured."""
+"""Seconds for which a time-out counts; a node with few requests tries a back end in some hundred milliseconds."""
 PROBE_INTERVAL_S = 0.5
-"""Seconds between two probes of a zone: how late its return is noticed, against connections that cannot come up.
-Chosen, not measured."""
+"""Seconds between two probes of a zone: how late its return is noticed, against connections that cannot come up."""
 SUSPENSION_S = 1.5
-"""Seconds for which back ends of a suspected zone get nothing after a time-out: past the next probe. Chosen, not
-measured."""
+"""Seconds for which back ends of a suspected zone get nothing after a time-out: past the next probe."""
 RETURN_SPREAD_S = 0.3
 """Seconds over which the back ends of a zone return, so that requests do not all go there in the moment in which it
-looks empty; a node knows the loads from other nodes after 0.05 to 0.2 s. Chosen, not measured."""
+looks empty; a node knows the loads from other nodes after 0.05 to 0.2 s."""
 
 
 @dataclass
--- a/src/wallwell/routing/retry/first_token.py
+++ b/src/wallwell/routing/retry/first_token.py
@@ -16,16 +16,15 @@
 from wallwell.routing.sliding_window import SlidingWindow
 
 DELAY_WINDOW_S = 2.0
-"""Seconds over which delays are counted: long enough for some answers a node, short against an overload.
-Chosen, not measured."""
+"""Seconds over which delays are counted: long enough for some answers a node, short against an overload."""
 BEHIND_FRACTION = 0.4
 """Fraction of answers beginning after their objective from which the fleet counts as behind.
 
-In simulated days fleets that kept up had less than 0.1, those that did not about a half; 0.4 is chosen between.
+Fleets that keep up have less than 0.1, those that do not about a half.
 While some engines are unresponsive, each attempt there is late and its retry elsewhere is not: with half of all
 engines unresponsive, a third of the answers would be late."""
 MIN_ANSWERS = 5
-"""Answers below which that fraction is not relied on. Chosen, not measured."""
+"""Answers below which that fraction is not relied on."""
 
 
 class Delays(msgspec.Struct, frozen=True, array_like=True):
--- a/src/wallwell/routing/retry/response_timeout.py
+++ b/src/wallwell/routing/retry/response_timeout.py
@@ -12,17 +12,17 @@
 
 OBJECTIVE_FRACTION = 0.6
 """Fraction of a route's objective after which a silent back end is abandoned, so that a second attempt can still
-answer within the objective. Chosen, not measured."""
+answer within the objective."""
 REMAINING_FRACTION = 0.6
 """Fraction of the caller's remaining time that one silent back end may take at most: two fifths are left to the
-next one. Chosen, not measured."""
+next one."""
 SLOWEST_PREFILL_TOKENS_PER_S = 10_000.0
 """Prefill rate, in tokens per second, below which an engine counts as silent: a prompt is allowed the time of its
-whole prefill at this rate. Chosen, not measured: about a ninth of the fastest engines known, 94 tokens per ms, and
-a quarter of the slowest, 38."""
+whole prefill at this rate. About a ninth of the fastest engines known, 94 tokens per ms, and a quarter of the
+slowest, 38."""
 STALL_TIMEOUT_FACTOR = 2.0
-"""Multiple of a route's largest allowed gap after which a silent stream is continued elsewhere. Chosen, not
-measured: a gap of up to the allowed length is normal, one of twice that is late whatever follows."""
+"""Multiple of a route's largest allowed gap after which a silent stream is continued elsewhere: a gap of up to the
+allowed length is normal, one of twice that is late whatever follows."""
 
 
 def response_timeout_s(objective_s: float, remaining_s: float, prompt_tokens: int | None) -> float:
--- a/src/wallwell/routing/retry/retry_after.py
+++ b/src/wallwell/routing/retry/retry_after.py
@@ -26,42 +26,39 @@
 """Fraction of its remaining time up to which a caller waits; longer waits are cut to it. A bound of the callers'
 protocol."""
 SHORTEST_S = 0.01
-"""Shortest wait that is sent, in seconds: a refused caller must not retry faster than its connection is made.
-Chosen, not measured."""
+"""Shortest wait that is sent, in seconds: a refused caller must not retry faster than its connection is made."""
 ELSEWHERE_S = 0.04
-"""Wait in seconds where any other node can be expected to serve: only long enough that the callers of one node
-do not arrive at the others in one moment. Chosen, not measured."""
+"""Wait in seconds where any other node can be expected to serve: only long enough that the callers of one node do
+not arrive at the others in one moment."""
 STORE_SILENCE_FRACTION = 0.5
 """Fraction of the store's silence so far for which it is expected to last on. Arithmetic: of outages seen at a
 random moment, as many have ended after half of their age again as have not."""
 LONGEST_STORE_WAIT_S = 2.0
-"""Longest wait in seconds for a silent store, so that callers notice its return soon. Chosen, not measured."""
+"""Longest wait in seconds for a silent store, so that callers notice its return soon."""
 NO_BACKEND_LISTED_S = 1.0
 """Wait in seconds where no back end is listed: about the time in which a started one is listed and known to all
 nodes."""
 SPREAD = (0.75, 1.25)
-"""Multiples of a wait over which callers are spread, so that they do not retry together. Chosen, not measured."""
+"""Multiples of a wait over which callers are spread, so that they do not retry together."""
 CUT_SPREAD = 0.5
-"""Fraction of the longest wait a caller honours over which callers are spread who would have to wait longer.
-Chosen, not measured."""
+"""Fraction of the longest wait a caller honours over which callers are spread who would have to wait longer."""
 SUSPENSION_MARGIN_S = 0.005
-"""Added in seconds to the end of a suspension, so that a caller does not arrive just before it. Chosen, not
-measured."""
+"""Added in seconds to the end of a suspension, so that a caller does not arrive just before it."""
 BACKOFF_SPREAD = (1.0, 1.25)
 """Multiples of the time until a back-off ends over which callers are spread: a back end that was full should not
-get all of them at once. None comes before the end, when it would be refused. Chosen, not measured."""
+get all of them at once. None comes before the end, when it would be refused."""
 FREE_SLOTS_FRACTION = 0.5
-"""Fraction of a request's usual duration after which slots of a full service are free again. Chosen, not measured:
-requests in flight at a random moment have on average half of their duration left."""
+"""Fraction of a request's usual duration after which slots of a full service are free again: requests in flight at
+a random moment have on average half of their duration left."""
 
 OVERLOAD_FREE_SLOTS_FRACTION = 0.5
-"""Fraction of a generation's usual duration after which the first slots are free again. Chosen, not measured: as
+"""Fraction of a generation's usual duration after which the first slots are free again: as
 ``FREE_SLOTS_FRACTION``."""
 OVERLOAD_SPREAD = (0.75, 1.75)
-"""Multiples of the expected time over which retries of generations are spread, so that they do not arrive at once.
-Chosen, not measured."""
+"""Multiples of the expected time over which retries of generations are spread, so that they do not arrive at
+once."""
 OVERLOAD_RANK_DELAY = 0.25
-"""Fraction of that time by which each less urgent rank retries later. Chosen, not measured."""
+"""Fraction of that time by which each less urgent rank retries later."""
 
 
 class RefusalCause(enum.Enum):
--- a/src/wallwell/routing/retry/retry_budget.py
+++ b/src/wallwell/routing/retry/retry_budget.py
@@ -13,7 +13,7 @@
 from wallwell.routing.sliding_window import SlidingWindow
 
 SAFETY = 0.8
-"""Fraction of the budget that is used, since nodes' counts of each other lag. Chosen, not measured."""
+"""Fraction of the budget that is used, since nodes' counts of each other lag."""
 RETRY_COST = 1.0
 """What one retry takes of a budget, which is counted in retries."""
 
--- a/src/wallwell/routing/retry/retry_policy.py
+++ b/src/wallwell/routing/retry/retry_policy.py
@@ -26,12 +26,11 @@
 from wallwell.routing.retry.retry_budget import FleetRetryBudget
 
 MAX_REFUSALS_BEYOND_ATTEMPTS = 3
-"""Further arrivals beyond a route's attempts, for back ends that prove that they did not run the request.
-Chosen, not measured."""
+"""Further arrivals beyond a route's attempts, for back ends that prove that they did not run the request."""
 MAX_UNREACHABLE = 3
 """Back ends that could not be connected to, after which the request is refused: the cause is then probably on this
 node's side of the network, and its caller reaches another node. Error answers that were retried count as well,
-since they are attempts that failed without counting as arrivals. Chosen, not measured."""
+since they are attempts that failed without counting as arrivals."""
 
 
 class Retry(msgspec.Struct, frozen=True):
--- a/src/wallwell/routing/selection/call_choice.py
+++ b/src/wallwell/routing/selection/call_choice.py
@@ -19,7 +19,7 @@
 MIN_FREE_SLOTS = 0.25
 """Free slots that a full back end counts as having, so that one is chosen if all are full.
 
-Chosen, not measured: beside one with a single free slot it gets one call in 17."""
+Beside one with a single free slot it gets one call in 17."""
 FREE_FRACTION_OF_REGION = 0.25
 """Fraction of a region's slots that has to be free for its calls to stay there.
 
@@ -28,7 +28,7 @@
 FULL_FRACTION_OF_ZONE = 0.5
 """Load of a back end of the own zone, by its slots, below which calls stay in the zone.
 
-Chosen, not measured: half of the slots are left for what other nodes send while loads grow old."""
+Half of the slots are left for what other nodes send while loads grow old."""
 
 
 def choose_for_call(
--- a/src/wallwell/routing/selection/candidates.py
+++ b/src/wallwell/routing/selection/candidates.py
@@ -28,15 +28,15 @@
 LAST_RESORT_FRACTION = 0.93
 """Fraction of the operators' bound up to which older weights are used if no engine has newer ones.
 
-Chosen, not measured: of the default bound of 8 s it leaves 0.56 s, some twice ``BEGIN_MARGIN_S``."""
+Of the default bound of 8 s it leaves 0.56 s, some twice ``BEGIN_MARGIN_S``."""
 BEGIN_MARGIN_S = 0.25
 """Seconds before the end of the operators' bound by which a generation on older weights has to have begun.
 
-Chosen, not measured: a request begins some time after it was sent, and nodes learn names at different times."""
+A request begins some time after it was sent, and nodes learn names at different times."""
 LEAVING_GRACE_S = 1.0
-"""Seconds after a node has learnt that a back end leaves, up to which it is used if all others leave as well.
-Chosen, not measured: half of the shortest time in use (2 s) after which it must get nothing more, since it may have
-said so to the store before this node knew."""
+"""Seconds after a node has learnt that a back end leaves, up to which it is used if all others leave as well: half
+of the shortest time in use (2 s) after which it must get nothing more, since it may have said so to the store
+before this node knew."""
 
 
 class Candidates(NamedTuple):
--- a/src/wallwell/routing/selection/engine_choice.py
+++ b/src/wallwell/routing/selection/engine_choice.py
@@ -31,25 +31,23 @@
 FAR_SLOTS_FRACTION = 0.75
 """Fraction of another region's slots that this region's prompts may fill.
 
-Chosen, not measured: the rest is left to that region's own prompts, since its loads arrive here only some times a
-second."""
+The rest is left to that region's own prompts, since its loads arrive here only some times a second."""
 HEADROOM_DIVISOR = 3
 """One engine in so many of a tier has to have headroom for the tier to be used.
 
-Chosen, not measured: among fewer, all nodes with the same old loads would send the fleet's requests to a few."""
+Among fewer, all nodes with the same old loads would send the fleet's requests to a few."""
 MIN_LOAD_BOUND = 3
 """Requests under way below which an engine is never passed over.
 
-Chosen, not measured: in an idle fleet a second request at the same home is no reason to prefill its prefix
-elsewhere."""
+In an idle fleet a second request at the same home is no reason to prefill its prefix elsewhere."""
 LOAD_BOUND_FACTOR = 1.5
 """Multiple of the mean load (plus one) from which an engine is passed over for the next in the key's order.
 
-Chosen, not measured: larger keeps prefixes at their homes, smaller evens loads out."""
+Larger keeps prefixes at their homes, smaller evens loads out."""
 LEAVE_REGION_FACTOR = 1.25
 """Mean load of a region's engines, relative to the other region's, from which prompts leave it without headroom.
 
-Chosen, not measured: less is made up for by the way and by what the region's engines and stores keep."""
+Less is made up for by the way and by what the region's engines and stores keep."""
 KEY_SPACE = 2**64
 """Number of rendezvous scores; a score below a fraction of it is as likely as that fraction."""
 
--- a/src/wallwell/routing/selection/kv_store.py
+++ b/src/wallwell/routing/selection/kv_store.py
@@ -17,13 +17,11 @@
 from wallwell.routing.selection.prefix_home import PromptPart, shared_parts
 
 MAX_JOURNAL = 4000
-"""Changes remembered for peers; a peer that is further behind takes everything anew. Chosen, not measured."""
+"""Changes remembered for peers; a peer that is further behind takes everything anew."""
 SAVE_UNDER_WAY_S = 1.5
-"""Seconds that a save is expected to take until the store reports it; this node saves the same again only then.
-
-Chosen, not measured."""
+"""Seconds that a save is expected to take until the store reports it; this node saves the same again only then."""
 MAX_SAVES_KNOWN = 1000
-"""Saves remembered as under way before those that are over are dropped. Chosen, not measured: it bounds memory."""
+"""Saves remembered as under way before those that are over are dropped: it bounds memory."""
 BLOCK_TOKENS = 16
 """Tokens of a block of KV cache; a store may hold a part without its last, incomplete block."""
 
--- a/src/wallwell/routing/selection/prefill_rate.py
+++ b/src/wallwell/routing/selection/prefill_rate.py
@@ -9,12 +9,11 @@
 from dataclasses import dataclass
 
 DEFAULT_S = 0.07
-"""Seconds per unit of load until something has been observed. Chosen, not measured."""
+"""Seconds per unit of load until something has been observed."""
 SMOOTHING = 0.1
-"""Weight of the newest observation in the average: ten prompts or so decide. Chosen, not measured."""
+"""Weight of the newest observation in the average: ten prompts or so decide."""
 SHORTEST_S = 0.005
-"""Least seconds per unit that one observation counts as, so that the load limit stays finite. Chosen, not
-measured."""
+"""Least seconds per unit that one observation counts as, so that the load limit stays finite."""
 
 
 @dataclass
--- a/src/wallwell/routing/selection/prefix_home.py
+++ b/src/wallwell/routing/selection/prefix_home.py
@@ -21,7 +21,7 @@
 """Prompt tokens that engines prefill in one step; a longer prompt holds up the streams beside it for several
 steps."""
 SHORT_POOL_DIVISOR = 3
-"""One engine in so many is kept for prompts of at most one chunk. Chosen, not measured."""
+"""One engine in so many is kept for prompts of at most one chunk."""
 MIN_ENGINES_TO_DIVIDE = 3
 """Engines from which pools are formed: with fewer, a pool would have none or one of them."""
 _POOL_KEY = key_of("short prompts")
--- a/src/wallwell/serving/counters.py
+++ b/src/wallwell/serving/counters.py
@@ -8,7 +8,7 @@
 
 LATENCY_BOUNDS_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0)
 """Upper bounds of the buckets, in seconds: each about twice the one before, from the fastest calls to the longest
-generations. Chosen, not measured; the metrics page shows them as they are, so changing them changes metrics."""
+generations. The metrics page shows them as they are, so changing them changes metrics."""
 
 
 @dataclass
--- a/src/wallwell/serving/event_stream.py
+++ b/src/wallwell/serving/event_stream.py
@@ -13,7 +13,7 @@
 
 MAX_EVENT_BYTES = 256 * 1024
 """Bytes of one unfinished event beyond which the stream counts as broken, so that a back end that never ends an
-event cannot fill this node's memory. Chosen, not measured."""
+event cannot fill this node's memory."""
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _ID_FIELD = b"id:"
 
--- a/src/wallwell/serving/liveness.py
+++ b/src/wallwell/serving/liveness.py
@@ -24,8 +24,8 @@
 from wallwell.serving.messages import AttemptError
 
 PROBE_TICK_S = 0.04
-"""Seconds between two looks at which back ends are to be probed. Chosen, not measured: a fraction of the
-shortest silence that counts as long."""
+"""Seconds between two looks at which back ends are to be probed: a fraction of the shortest silence that counts as
+long."""
 
 
 class ReachabilityCheck(Protocol):
--- a/src/wallwell/serving/retry_after.py
+++ b/src/wallwell/serving/retry_after.py
@@ -14,8 +14,8 @@
 from wallwell.serving.messages import CallerRequest
 
 ASSUMED_ALLOWANCE_S = 3.0
-"""Time in seconds allowed by a caller who states none, where no route is known that would. Chosen, not measured: a
-short one of those in use."""
+"""Time in seconds allowed by a caller who states none, where no route is known that would: a short one of those in
+use."""
 
 
 class RetryAfter:
--- a/src/wallwell/soak/answers.py
+++ b/src/wallwell/soak/answers.py
@@ -6,7 +6,7 @@
 import re
 
 CALL_LINES = 20
-"""Lines of a call's answer. Chosen, not measured: an answer that is cut off shows at most places."""
+"""Lines of a call's answer: an answer that is cut off shows at most places."""
 HARMLESS_BODY = b"x" * 64
 """Body of any other request."""
 CRASHING_BODY = b"c" * 64
--- a/src/wallwell/soak/drawing.py
+++ b/src/wallwell/soak/drawing.py
@@ -36,8 +36,7 @@
 from wallwell.soak.versions import ROLLOUT_AT_S, ROLLOUTS
 
 FIRST_FAULT_S = 1.0
-"""Seconds before the first fault, and between two faults of one target. Chosen, not measured: some requests have
-been served by then."""
+"""Seconds before the first fault, and between two faults of one target: some requests have been served by then."""
 SETTLE_S = 3.5
 """Time between the last single fault's begin and the end of all nodes: the longest fault and some more."""
 SHORTEST_RUN_S = 15.0
@@ -49,7 +48,7 @@
 
 The last leaves one fault before all nodes are killed: invariants with a time bound need fault-free spans."""
 FAULT_LASTS_S = (0.3, 2.5)
-"""Shortest and longest fault, in seconds. Chosen, not measured: below and beyond the time-outs of connections."""
+"""Shortest and longest fault, in seconds: below and beyond the time-outs of connections."""
 KIND_WEIGHTS = {
     RequestKind.SAFE: 2.0,
     RequestKind.UNSAFE: 3.0,
--- a/src/wallwell/soak/faults.py
+++ b/src/wallwell/soak/faults.py
@@ -22,7 +22,7 @@
 
 Action = Callable[[PlannedFault], Awaitable[None]]
 LOST_ANSWERS = 5
-"""Writes whose answer is lost or late. Chosen, not measured: more than one node retries."""
+"""Writes whose answer is lost or late: more than one node retries."""
 AWAY_S = 1.0
 """How long a worker that a request has crashed stays away."""
 NEXT_CHECK_S = 0.05
@@ -32,7 +32,7 @@
 SLOW_LINK_S = 0.1
 """Seconds by which a slow link delays each chunk."""
 NARROW_LINK_BYTES_PER_S = 20_000.0
-"""Width of a slow link. Chosen, not measured: a stream passes, a listing of rows takes long."""
+"""Width of a slow link: a stream passes, a listing of rows takes long."""
 NARROW_REGIONS_FRACTION = 0.01
 """What is left of the width between regions while they are narrow."""
 STORE_SWITCHES: dict[FaultKind, tuple[dict[str, Any], dict[str, Any]]] = {
--- a/src/wallwell/soak/fleet.py
+++ b/src/wallwell/soak/fleet.py
@@ -42,9 +42,9 @@
 HEARTBEAT_S = 0.5
 """Seconds between two heartbeats of a worker; an entry goes after three without one."""
 CONTROL_TIMEOUT_S = 3.0
-"""Seconds for a message to the store or the proxy. Chosen, not measured: the machine may be busy."""
+"""Seconds for a message to the store or the proxy: the machine may be busy."""
 READY_TIMEOUT_S = 20.0
-"""Seconds until every router must be ready. Chosen, not measured: processes start together on a busy machine."""
+"""Seconds until every router must be ready: processes start together on a busy machine."""
 READY_PERIOD_S = 0.05
 """Seconds between two readiness checks."""
 PEER_PORTS = 8
--- a/src/wallwell/soak/invariants_fleet.py
+++ b/src/wallwell/soak/invariants_fleet.py
@@ -38,7 +38,7 @@
 CANCEL_S = 0.5
 """Seconds after a caller's close in which its work ends."""
 STILL_WORKED_FRACTION = 0.25
-"""Fraction of such work that may go on. Chosen, not measured."""
+"""Fraction of such work that may go on."""
 LEAST_LEFT = 4
 """Requests left while they ran below which that fraction says nothing."""
 BACK_SLACK_S = 0.25
@@ -50,12 +50,11 @@
 """Seconds before its deadline in which an answer may end because of it: clocks are read at both ends, and timers
 round."""
 LIMIT_WINDOW_S = 4.0
-"""Window in which a tenant's requests are counted. Chosen, not measured: several times what nodes need to hear of
-each other."""
+"""Window in which a tenant's requests are counted: several times what nodes need to hear of each other."""
 LIMIT_OVERAGE = 0.1
 """Fraction beyond the limit that nodes may allow, since each learns late what the others have spent."""
 LIMIT_SLACK = 8.0
-"""Requests beyond that. Chosen, not measured."""
+"""Requests beyond that."""
 UNKNOWN_KEY = 401
 """Status of a request whose key the node does not know."""
 
--- a/src/wallwell/soak/invariants_requests.py
+++ b/src/wallwell/soak/invariants_requests.py
@@ -15,8 +15,8 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses by which a router states that a request has not run and never will."""
 LEAST_SERVED_SHARE = 0.25
-"""Fraction of requests that a fleet which has recovered serves at least. Chosen, not measured: one tenant asks
-for more than its limit, and engines are full at times."""
+"""Fraction of requests that a fleet which has recovered serves at least: one tenant asks for more than its limit,
+and engines are full at times."""
 CRASHES_TO_QUARANTINE = 3
 """Crashed workers after which routers send a request to no other."""
 LATER_CRASHES = 3
--- a/src/wallwell/soak/invariants_rollout.py
+++ b/src/wallwell/soak/invariants_rollout.py
@@ -11,7 +11,7 @@
 from wallwell.soak.timeline import History
 
 LEAST_SHOWN = 5
-"""Bad answers below which a version has not shown that it is bad. Chosen, not measured: fewer are chance."""
+"""Bad answers below which a version has not shown that it is bad: fewer are chance."""
 BAD_ANSWERS = 50
 """Bad answers after which a version must be rolled back within the bound."""
 
--- a/src/wallwell/soak/supervisor.py
+++ b/src/wallwell/soak/supervisor.py
@@ -20,7 +20,7 @@
 MAX_MEMORY_BYTES = 2 * 1024**3
 """Resident memory of all processes together at which a run is given up."""
 START_TIMEOUT_S = 20.0
-"""Seconds that a process is given to report ready. Chosen, not measured: many start together."""
+"""Seconds that a process is given to report ready: many start together."""
 END_TIMEOUT_S = 15.0
 """Time that a process is given to end by SIGTERM: the routers' grace and some more."""
 _SET_PARENT_DEATH_SIGNAL = 1
--- a/src/wallwell/standalone/backends/engine_client.py
+++ b/src/wallwell/standalone/backends/engine_client.py
@@ -22,17 +22,15 @@
 from wallwell.standalone.backends.attempt import AttemptFailed
 
 CONNECT_TIMEOUT_S = 1.0
-"""Seconds for a connection to come up. Chosen, not measured."""
+"""Seconds for a connection to come up."""
 CANCEL_TIMEOUT_S = 1.0
-"""Seconds to wait for an engine to confirm a cancellation; without it the attempt may have run. Chosen, not
-measured."""
+"""Seconds to wait for an engine to confirm a cancellation; without it the attempt may have run."""
 SNAPSHOT_TIMEOUT_S = 10.0
-"""Seconds for a list of everything an engine has cached. Chosen, not measured."""
+"""Seconds for a list of everything an engine has cached."""
 MAX_EVENT_BYTES = 256 * 1024
-"""Largest stream event: bounds what one broken stream can make a node hold. Chosen, not measured."""
+"""Largest stream event: bounds what one broken stream can make a node hold."""
 _READ_BYTES = 64 * 1024
-"""Read buffer of a connection to an engine: what a node holds of a stream whose caller reads slowly. Chosen, not
-measured."""
+"""Read buffer of a connection to an engine: what a node holds of a stream whose caller reads slowly."""
 
 _REFUSAL_EVENTS = {
     wire.RefusalReason.INCARNATION: TransportEvent.PRECONDITION_REFUSED,
--- a/src/wallwell/standalone/backends/engine_watch.py
+++ b/src/wallwell/standalone/backends/engine_watch.py
@@ -27,22 +27,18 @@
 from wallwell.standalone.routing.selector import EngineSelector
 
 RECONCILE_INTERVAL_S = 0.5
-"""Seconds between two checks of which engines this node reads: how late a new engine is read. Chosen, not
-measured."""
+"""Seconds between two checks of which engines this node reads: how late a new engine is read."""
 EVENTS_IDLE_TIMEOUT_S = 3.0
 """Seconds without a line after which an engine's event stream counts as broken: six times the interval
 at which the emulated engines report their load (0.5 s)."""
 RECONNECT_S = 0.5
-"""Mean pause before an event stream is opened again, spread so that nodes do not reconnect together.
-Chosen, not measured."""
+"""Mean pause before an event stream is opened again, spread so that nodes do not reconnect together."""
 RECONNECT_SPREAD = (0.5, 1.5)
 """Multiples of that pause, of which one is drawn each time."""
 SNAPSHOT_INTERVAL_S = 2.0
-"""Least seconds between two snapshots of one engine after lost events: a snapshot lists its whole cache. Chosen,
-not measured."""
+"""Least seconds between two snapshots of one engine after lost events: a snapshot lists its whole cache."""
 PEER_REPORT_AGE_S = 1.0
-"""Assumed age of a load that came through another node: it is published and passed on by gossip first. Chosen, not
-measured."""
+"""Assumed age of a load that came through another node: it is published and passed on by gossip first."""
 
 
 class EngineWatch:
--- a/src/wallwell/standalone/backends/service_client.py
+++ b/src/wallwell/standalone/backends/service_client.py
@@ -19,7 +19,7 @@
 from wallwell.standalone.backends.engine_protocol import REQUEST_ID
 
 CONNECT_TIMEOUT_S = 1.0
-"""Seconds for a connection to come up; the same as for engines. Chosen, not measured."""
+"""Seconds for a connection to come up; the same as for engines."""
 NOT_RUN_HEADER = "X-Not-Run"
 """Set by a service on a refusal that ran nothing."""
 
--- a/src/wallwell/standalone/callers/caller.py
+++ b/src/wallwell/standalone/callers/caller.py
@@ -41,10 +41,10 @@
 OUTCOME_HEADER = "X-Outcome"
 IDEMPOTENCY_HEADER = "Idempotency-Key"
 MAX_DEADLINE_MS = 24 * 3600 * 1000
-"""Longest deadline that a caller may ask for, in milliseconds: a day. Chosen, not measured; it refuses a deadline
-that was given in another unit."""
+"""Longest deadline that a caller may ask for, in milliseconds: a day. It refuses a deadline that was given in
+another unit."""
 DEFAULT_PRIORITY = PrioritySpec(rank=8)
-"""Priority of a tenant that declares none. Chosen, not measured: its rank is in the middle of 0 to 15."""
+"""Priority of a tenant that declares none: its rank is in the middle of 0 to 15."""
 _REQUEST_ID_BYTES = 12
 """Random bytes of an id that the router gives: two of a billion requests share one with a chance under 10**-10."""
 _MAX_DEADLINE_DIGITS = 10
--- a/src/wallwell/standalone/callers/claimed_call.py
+++ b/src/wallwell/standalone/callers/claimed_call.py
@@ -26,11 +26,11 @@
 from wallwell.standalone.routing.retry import full_jitter_delay_s
 
 SETTLE_TRIES = 60
-"""Further tries to settle a claim that the table service did not confirm. Chosen, not measured: with pauses of up
-to 1 s, half of that on average, they bridge an outage of about half a minute."""
+"""Further tries to settle a claim that the table service did not confirm: with pauses of up to 1 s, half of that on
+average, they bridge an outage of about half a minute."""
 SETTLE_FIRST_STEP = 4
-"""Step of the backoff at which these tries begin (a pause of up to 0.32 s), since several tries have just failed.
-Chosen, not measured."""
+"""Step of the backoff at which these tries begin (a pause of up to 0.32 s), since several tries have just
+failed."""
 CLAIM_ID_BYTES = 12
 """Random bytes by which one claim differs from another of the same key."""
 
--- a/src/wallwell/standalone/callers/engine_attempt.py
+++ b/src/wallwell/standalone/callers/engine_attempt.py
@@ -21,16 +21,15 @@
 from wallwell.standalone.routing.policy import Choice
 
 STALL_TIMEOUT_S = 2.0
-"""Seconds of silence inside a stream after which it is resumed elsewhere. Chosen, not measured."""
+"""Seconds of silence inside a stream after which it is resumed elsewhere."""
 MIN_FIRST_TOKEN_TIMEOUT_S = 2.0
-"""Least seconds that an engine gets for its first token before another one is tried, unless the deadline is nearer.
-Chosen, not measured."""
+"""Least seconds that an engine gets for its first token before another one is tried, unless the deadline is
+nearer."""
 FIRST_TOKEN_TIMEOUT_FACTOR = 8.0
-"""Multiple of the expected time to the first token after which another engine is tried. Chosen, not measured: an
-estimate that is off by some factor should not cost the work already done on the prompt."""
+"""Multiple of the expected time to the first token after which another engine is tried: an estimate that is off by
+some factor should not cost the work already done on the prompt."""
 MIN_DEADLINE_TIMEOUT_S = 0.05
-"""Least seconds for a first token when the deadline is near, so that an attempt can succeed at all. Chosen, not
-measured."""
+"""Least seconds for a first token when the deadline is near, so that an attempt can succeed at all."""
 
 
 def first_token_timeout_s(expected_s: float, started: bool, remaining_s: float) -> float:
--- a/src/wallwell/standalone/callers/openai_format.py
+++ b/src/wallwell/standalone/callers/openai_format.py
@@ -15,9 +15,9 @@
 from wallwell.standalone.backends.engine_protocol import Resume
 
 DEFAULT_MAX_TOKENS = 64
-"""Tokens generated where the caller gives no number. Chosen, not measured."""
+"""Tokens generated where the caller gives no number."""
 LARGEST_MAX_TOKENS = 32_768
-"""Most tokens that a caller may ask for: bounds what is held of one answer. Chosen, not measured."""
+"""Most tokens that a caller may ask for: bounds what is held of one answer."""
 MaxTokens = Annotated[int, msgspec.Meta(ge=1, le=LARGEST_MAX_TOKENS)]
 
 
--- a/src/wallwell/standalone/callers/service_call.py
+++ b/src/wallwell/standalone/callers/service_call.py
@@ -31,7 +31,7 @@
 from wallwell.standalone.routing.retry_decision import NoRetry, after_failed_service_call
 
 LEAVING_PAUSE_S = 30.0
-"""Seconds for which an instance that reported that it is leaving gets no calls. Chosen, not measured."""
+"""Seconds for which an instance that reported that it is leaving gets no calls."""
 COMPARED_INSTANCES = 2
 """Instances drawn at random, of which the one with fewer calls in flight is taken: nodes with the same view then
 don't all choose the same one."""
--- a/src/wallwell/standalone/callers/service_calls.py
+++ b/src/wallwell/standalone/callers/service_calls.py
@@ -29,7 +29,7 @@
 from wallwell.standalone.config.schema import ServiceSpec
 
 MIN_TIMEOUT_S = 0.05
-"""Least seconds that a call gets when its deadline is near, so that it can succeed at all. Chosen, not measured."""
+"""Least seconds that a call gets when its deadline is near, so that it can succeed at all."""
 
 
 class ServiceHandler:
--- a/src/wallwell/standalone/cluster/anti_entropy.py
+++ b/src/wallwell/standalone/cluster/anti_entropy.py
@@ -15,13 +15,12 @@
 from wallwell.standalone.cluster.reconcile import ReplyContent, is_newer
 
 DIGEST_SAMPLE = 20
-"""Members in one digest beside the sender and the target, so that a datagram does not grow with the fleet.
-Chosen, not measured."""
+"""Members in one digest beside the sender and the target, so that a datagram does not grow with the fleet."""
 DIGEST_RECENT = 6
-"""Of these, members whose status changed last, so that each digest carries news. Chosen, not measured."""
+"""Of these, members whose status changed last, so that each digest carries news."""
 ROSTER_SAMPLE = 12
 """Statuses of further members sent to a node whose set of live members differs; the rest follows in its next
-syncs. Chosen, not measured."""
+syncs."""
 
 
 class AntiEntropy:
--- a/src/wallwell/standalone/cluster/claims.py
+++ b/src/wallwell/standalone/cluster/claims.py
@@ -26,12 +26,12 @@
 
 CLAIM_PREFIX = "claim/"
 _INSERT_TRIES = 3
-"""Tries to write a claim. Each lost answer costs one and is settled by reading the row. Chosen, not measured."""
+"""Tries to write a claim. Each lost answer costs one and is settled by reading the row."""
 MAX_RECORDED_BODY = 64 * 1024
-"""Largest answer recorded with a claim, in characters; a larger one is not replayed to a resend. Bounds rows of
-the table. Chosen, not measured."""
+"""Largest answer recorded with a claim, in characters; a larger one is not replayed to a resend. Bounds rows of the
+table."""
 RETRY_AFTER_MS = 1000
-"""When a caller may ask again after the table gave no certain answer. Chosen, not measured."""
+"""When a caller may ask again after the table gave no certain answer."""
 
 
 class ClaimState(enum.StrEnum):
--- a/src/wallwell/standalone/cluster/crash_notices.py
+++ b/src/wallwell/standalone/cluster/crash_notices.py
@@ -15,10 +15,9 @@
 from wallwell.standalone.cluster.messages import CrashNotice
 
 FIRST_PAUSE_S = 1.0
-"""Seconds before a notice is sent to the other members again; the pause doubles from there. Chosen, not
-measured."""
+"""Seconds before a notice is sent to the other members again; the pause doubles from there."""
 LONGEST_PAUSE_S = 60.0
-"""Seconds up to which the pause between two announcements doubles. Chosen, not measured."""
+"""Seconds up to which the pause between two announcements doubles."""
 ANNOUNCED_FOR_S = 300.0
 """Seconds for which a notice is announced again: as long as a crash counts against a request that is not
 quarantined."""
@@ -26,7 +25,7 @@
 """The same, in seconds, for a notice that a request was answered. Each announcement clears the request for half a
 minute, so crashes that it causes later would not count for as long as it is announced."""
 MAX_ANNOUNCED = 256
-"""Notices announced at a time; the oldest is dropped for a new one. Chosen, not measured."""
+"""Notices announced at a time; the oldest is dropped for a new one."""
 
 
 @dataclass
--- a/src/wallwell/standalone/cluster/limits.py
+++ b/src/wallwell/standalone/cluster/limits.py
@@ -18,19 +18,17 @@
 from wallwell.standalone.routing.limits import TokenBucket
 
 FULL_RETRY_S = 0.1
-"""Retry-After while a tenant's concurrency is used up: any of its requests may end. Chosen, not measured."""
+"""Retry-After while a tenant's concurrency is used up: any of its requests may end."""
 IDLE_S = 300.0
-"""Seconds after which a tenant that was not seen is forgotten. Chosen, not measured."""
+"""Seconds after which a tenant that was not seen is forgotten."""
 REQUEST_INTERVAL_S = 0.25
 """Least time between two requests for tokens of one tenant: four datagrams a second at most."""
 _GRANT_FRACTION = 0.5
-"""Greatest fraction of its tokens that a node grants, so that its own next requests still find some. Chosen, not
-measured."""
+"""Greatest fraction of its tokens that a node grants, so that its own next requests still find some."""
 _LEAST_GRANT = 1.0
 """Tokens; a smaller grant would admit no request."""
 _OPEN_REQUESTS = 256
-"""Requests for tokens whose grants are still accepted; older grants are dropped, which only loses tokens. Chosen,
-not measured."""
+"""Requests for tokens whose grants are still accepted; older grants are dropped, which only loses tokens."""
 
 
 @dataclass
--- a/src/wallwell/standalone/cluster/members.py
+++ b/src/wallwell/standalone/cluster/members.py
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True)
 class MembershipTimings:
-    """Intervals in seconds. Chosen, not measured."""
+    """Intervals in seconds."""
 
     sync_interval_s: float = 1.0
     """Mean time between two rounds; each round probes one member and reconciles with it."""
--- a/src/wallwell/standalone/cluster/membership.py
+++ b/src/wallwell/standalone/cluster/membership.py
@@ -21,15 +21,14 @@
 from wallwell.standalone.cluster.probing import FailureDetector
 
 SYNC_SPREAD = (0.9, 1.1)
-"""Multiples of the sync interval, so that nodes which started together drift apart. Chosen, not measured."""
+"""Multiples of the sync interval, so that nodes which started together drift apart."""
 REJOIN_SPREAD = (0.8, 1.2)
 """The same for tries to reach seeds again."""
 CATCH_UP_FACTOR = 0.25
-"""Fraction of the sync interval after which a node that met an unknown member syncs again. Chosen, not
-measured."""
+"""Fraction of the sync interval after which a node that met an unknown member syncs again."""
 EXPIRY_INTERVAL_S = 0.5
-"""Seconds between two checks for suspects and departed members whose time is over: how much later than its
-timeout a suspect counts as dead. Chosen, not measured."""
+"""Seconds between two checks for suspects and departed members whose time is over: how much later than its timeout
+a suspect counts as dead."""
 
 
 class Membership:
--- a/src/wallwell/standalone/cluster/node.py
+++ b/src/wallwell/standalone/cluster/node.py
@@ -26,10 +26,9 @@
 from wallwell.standalone.config.store import ConfigDelta, ConfigStore
 
 HEAD_FANOUT = 3
-"""Members that are sent a new configuration head at once; the others learn it from gossip. Chosen, not
-measured."""
+"""Members that are sent a new configuration head at once; the others learn it from gossip."""
 LOAD_INTERVAL_S = 1.0
-"""Seconds between two updates of the load that this node's digests carry. Chosen, not measured."""
+"""Seconds between two updates of the load that this node's digests carry."""
 
 
 @dataclass(frozen=True)
--- a/src/wallwell/standalone/cluster/probing.py
+++ b/src/wallwell/standalone/cluster/probing.py
@@ -15,12 +15,11 @@
 
 INDIRECT_PROBES = 3
 """Members asked to probe one that did not answer, as in SWIM: a single lossy path must not make a member
-suspect. Chosen, not measured."""
+suspect."""
 INDIRECT_TIMEOUT_FACTOR = 2
 """Probe timeouts for which an indirect probe is waited for: it takes two round trips."""
 STATUS_FANOUT = 3
-"""Members that receive a suspicion, a refutation or a departure at once; the others learn it from digests.
-Chosen, not measured."""
+"""Members that receive a suspicion, a refutation or a departure at once; the others learn it from digests."""
 
 
 @dataclass
--- a/src/wallwell/standalone/cluster/reconcile.py
+++ b/src/wallwell/standalone/cluster/reconcile.py
@@ -20,7 +20,7 @@
 )
 
 _HEADER_BYTES = 160
-"""Bytes of a datagram left for its header and authentication code. Chosen, not measured: the code takes 17."""
+"""Bytes of a datagram left for its header and authentication code: the code takes 17."""
 _QUOTES_AND_COMMA = 3
 """Bytes that a name takes in JSON beside its own."""
 _PAYLOAD_BYTES = MAX_DATAGRAM_BYTES - _HEADER_BYTES
--- a/src/wallwell/standalone/cluster/region_directory.py
+++ b/src/wallwell/standalone/cluster/region_directory.py
@@ -16,9 +16,9 @@
 
 REPORT_INTERVAL_S = 0.25
 """Seconds between two reports of stored and removed blocks to the owners of their shards: how long a new block
-stays unknown to them. Chosen, not measured."""
+stays unknown to them."""
 MAX_REMEMBERED_OWNERS = 4096
-"""Owners of chains remembered, so that rendezvous hashing is not done for each lookup. Chosen, not measured."""
+"""Owners of chains remembered, so that rendezvous hashing is not done for each lookup."""
 
 
 class RegionDirectory:
--- a/src/wallwell/standalone/cluster/regions.py
+++ b/src/wallwell/standalone/cluster/regions.py
@@ -18,11 +18,11 @@
 DELEGATES = 2
 """Nodes of a region that exchange summaries with other regions: two, so that one may fail."""
 CONTACTS = 3
-"""Addresses of a region that other regions receive, so that one of them may fail. Chosen, not measured."""
+"""Addresses of a region that other regions receive, so that one of them may fail."""
 SPREAD = (0.8, 1.2)
 """Multiples of the interval, so that delegates do not send together."""
 REGION_INTERVAL_S = 1.0
-"""Mean seconds between two exchanges of a delegate, each with one other region. Chosen, not measured."""
+"""Mean seconds between two exchanges of a delegate, each with one other region."""
 
 
 @dataclass
--- a/src/wallwell/standalone/cluster/shards.py
+++ b/src/wallwell/standalone/cluster/shards.py
@@ -29,13 +29,11 @@
 """Hashes in one report, stored and removed ones together. Arithmetic: they take 768 of a datagram's 1,200 bytes
 beside the names of engine and incarnation."""
 ANNOUNCE_PERIOD_S = 120.0
-"""Seconds in which everything known is announced once more, so that a lost report is made good. Chosen, not
-measured."""
+"""Seconds in which everything known is announced once more, so that a lost report is made good."""
 RECENT_LOOKUPS = 256
-"""Lookups of other nodes for which a dispatch report is still accepted; older ones are dropped. Chosen, not
-measured."""
+"""Lookups of other nodes for which a dispatch report is still accepted; older ones are dropped."""
 MAX_SHARD_ENTRIES = 200_000
-"""Checkpoints that one shard holds. Chosen, not measured."""
+"""Checkpoints that one shard holds."""
 
 
 class DirectoryShard:
--- a/src/wallwell/standalone/cluster/transport.py
+++ b/src/wallwell/standalone/cluster/transport.py
@@ -27,19 +27,18 @@
 from wallwell.standalone.settings import Listener
 
 TICK_INTERVAL_S = 0.1
-"""Seconds between two ticks of the state machines: the resolution of their timers. Chosen, not measured."""
+"""Seconds between two ticks of the state machines: the resolution of their timers."""
 LOOKUP_DEADLINE_S = 0.005
-"""Seconds to wait for a directory lookup, which each request pays at most. Chosen, not measured: zones of a region
-are a few milliseconds apart."""
+"""Seconds to wait for a directory lookup, which each request pays at most: zones of a region are a few milliseconds
+apart."""
 FETCH_TIMEOUT_S = 2.0
-"""Seconds for a configuration delta from a peer over TCP. Chosen, not measured."""
+"""Seconds for a configuration delta from a peer over TCP."""
 MAX_LINE_BYTES = 64 * 1024 * 1024
-"""Largest line over TCP, a whole configuration. Chosen, not measured: far above any known one."""
+"""Largest line over TCP, a whole configuration: far above any known one."""
 MAX_CONCURRENT_STATE_REQUESTS = 4
-"""Deltas served at once, so that nodes that start together do not take the processor from requests. Chosen, not
-measured."""
+"""Deltas served at once, so that nodes that start together do not take the processor from requests."""
 BUDGET_BURST_S = 2.0
-"""Seconds of the send budget that may go out at once. Chosen, not measured."""
+"""Seconds of the send budget that may go out at once."""
 
 
 class FetchRevisions(msgspec.Struct, frozen=True):
--- a/src/wallwell/standalone/config/commit.py
+++ b/src/wallwell/standalone/config/commit.py
@@ -42,8 +42,7 @@
 APPLY_PREFIX = "apply/"
 TEXT_PREFIX = "config-text/"
 _TRIES = 6
-"""Tries to commit one change: each conflict with another change or lost answer costs one. Chosen, not
-measured."""
+"""Tries to commit one change: each conflict with another change or lost answer costs one."""
 
 
 class HeadBody(msgspec.Struct, frozen=True):
--- a/src/wallwell/standalone/config/schema.py
+++ b/src/wallwell/standalone/config/schema.py
@@ -1,7 +1,6 @@
 """Typed contents of operators' files. One file is one document: ``kind``, ``name``, ``spec``.
 
-Owns the fields, their ranges and defaults; defaults without a note are chosen, not measured. References between
-files are checked in :mod:`.parse`.
+Owns the fields, their ranges and defaults. References between files are checked in :mod:`.parse`.
 """
 
 from __future__ import annotations
--- a/src/wallwell/standalone/crash_memory.py
+++ b/src/wallwell/standalone/crash_memory.py
@@ -21,14 +21,13 @@
 from wallwell.standalone.cluster.crash_notices import CrashNotices
 
 PROBE_TIMEOUT_S = 0.25
-"""Seconds in which a machine must accept or refuse a connection. Chosen, not measured: above a round trip between
-regions."""
+"""Seconds in which a machine must accept or refuse a connection: above a round trip between regions."""
 SECOND_PROBE_DELAY_S = 0.3
 """Seconds until an address that accepted a connection is probed again: a process that ends, or a proxy before it,
-may accept connections for a moment after those of its runs were reset. Chosen, not measured."""
+may accept connections for a moment after those of its runs were reset."""
 SAME_CRASH_S = 1.0
-"""Seconds after a crash in which further runs that break at the back end count as the same one. Chosen, not
-measured: assumes that a process takes longer to start again."""
+"""Seconds after a crash in which further runs that break at the back end count as the same one: assumes that a
+process takes longer to start again."""
 
 
 async def is_refused(address: str) -> bool:
--- a/src/wallwell/standalone/listeners.py
+++ b/src/wallwell/standalone/listeners.py
@@ -13,7 +13,7 @@
 from wallwell.standalone.settings import Listener, TlsSettings
 
 KEEPALIVE_S = 75.0
-"""Seconds for which an idle connection of a caller is kept. Chosen, not measured: a minute and a little more."""
+"""Seconds for which an idle connection of a caller is kept: a minute and a little more."""
 
 
 class Listeners:
--- a/src/wallwell/standalone/metrics.py
+++ b/src/wallwell/standalone/metrics.py
@@ -5,11 +5,9 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 _FIRST_TOKEN_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 30.0)
-"""Seconds, from a cached prompt on an idle engine to half the default deadline of a priority. Chosen, not
-measured."""
+"""Seconds, from a cached prompt on an idle engine to half the default deadline of a priority."""
 _BETWEEN_BUCKETS = (0.005, 0.01, 0.02, 0.03, 0.044, 0.06, 0.1, 0.2, 0.5, 2.0)
-"""Seconds between two tokens; 0.044 is the objective that 95 of 100 streams are to meet. The others are
-chosen, not measured."""
+"""Seconds between two tokens; 0.044 is the objective that 95 of 100 streams are to meet."""
 
 
 class NodeMetrics:
--- a/src/wallwell/standalone/operators_app.py
+++ b/src/wallwell/standalone/operators_app.py
@@ -19,7 +19,7 @@
 from wallwell.standalone.config.schema import FileKey
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
-"""Largest change, in bytes. Chosen, not measured."""
+"""Largest change, in bytes."""
 
 
 class MemberView(msgspec.Struct, frozen=True):
--- a/src/wallwell/standalone/placement/controller.py
+++ b/src/wallwell/standalone/placement/controller.py
@@ -23,17 +23,16 @@
 from wallwell.standalone.placement.reconcile import loaded_version, next_loads
 
 RECONCILE_INTERVAL_S = 0.5
-"""Mean seconds between two checks for engines that lack the declared weights. Chosen, not measured."""
+"""Mean seconds between two checks for engines that lack the declared weights."""
 SPREAD = (0.8, 1.2)
 """Multiples of the interval, so that nodes do not all check at once."""
 LEASE_TTL_S = 6.0
-"""Seconds a lease lasts without renewal: how long a model waits for a new holder. Chosen, not measured."""
+"""Seconds a lease lasts without renewal: how long a model waits for a new holder."""
 ORDER_TIMEOUT_S = 2.0
-"""Seconds for the answer to an order; after it the order may have been taken, which its fence makes harmless.
-Chosen, not measured."""
+"""Seconds for the answer to an order; after it the order may have been taken, which its fence makes harmless."""
 LOAD_LIMIT_S = 120.0
 """Seconds after which an engine that does not serve the ordered weights no longer counts as loading, so that others
-are ordered in its place. Chosen, not measured."""
+are ordered in its place."""
 
 
 class PlacementController:
--- a/src/wallwell/standalone/platform_reads.py
+++ b/src/wallwell/standalone/platform_reads.py
@@ -21,10 +21,9 @@
 """Seconds between two checks of readiness while starting: how much later than possible a node becomes ready."""
 REFRESH_DELAY_S = (0.2, 1.0)
 """Range, in seconds, of the delay after which a starting node asks the platform again that did not answer; drawn,
-so that nodes which start together do not ask together. Chosen, not measured."""
+so that nodes which start together do not ask together."""
 PLATFORM_POLL_S = 5.0
-"""Mean seconds between two reads of the configuration by a delegate; gossip brings changes sooner. Chosen, not
-measured."""
+"""Mean seconds between two reads of the configuration by a delegate; gossip brings changes sooner."""
 POLL_SPREAD = (0.5, 1.5)
 """Multiples of the polling interval, so that delegates do not read together."""
 MACHINE_POLL_S = 1.0
--- a/src/wallwell/standalone/router_node.py
+++ b/src/wallwell/standalone/router_node.py
@@ -40,15 +40,13 @@
 from wallwell.standalone.table_client import HttpTableService
 
 HOUSEKEEPING_S = 1.0
-"""Seconds between two removals of idle state and of what dead engines held. Chosen, not measured."""
+"""Seconds between two removals of idle state and of what dead engines held."""
 STOP_NOTICE_S = 1.0
-"""Seconds for which a stopping node still serves what arrives, until callers have seen that it is not ready.
-Chosen, not measured."""
+"""Seconds for which a stopping node still serves what arrives, until callers have seen that it is not ready."""
 STOP_TICK_S = 0.02
 """Seconds between two checks whether the last open request has ended."""
 LOOP_RESTART_S = 1.0
-"""Seconds before a loop that ended with an unexpected error is started again, so that it cannot flood the log.
-Chosen, not measured."""
+"""Seconds before a loop that ended with an unexpected error is started again, so that it cannot flood the log."""
 MEMBER_EVENTS = {
     MemberStatus.ALIVE: Event.MEMBER_JOINED,
     MemberStatus.SUSPECT: Event.MEMBER_SUSPECT,
--- a/src/wallwell/standalone/routing/admission.py
+++ b/src/wallwell/standalone/routing/admission.py
@@ -10,12 +10,11 @@
 from dataclasses import dataclass, field
 
 MIN_RETRY_AFTER_S = 0.05
-"""Least seconds after which a refused caller is asked to retry. Chosen, not measured."""
+"""Least seconds after which a refused caller is asked to retry."""
 _SMOOTHING = 0.2
-"""Weight of the latest observation of excess wait. Chosen, not measured."""
+"""Weight of the latest observation of excess wait."""
 _HALF_LIFE_S = 5.0
-"""Seconds in which half of the learned excess is forgotten, so that one bad moment does not refuse for long.
-Chosen, not measured."""
+"""Seconds in which half of the learned excess is forgotten, so that one bad moment does not refuse for long."""
 
 
 @dataclass
--- a/src/wallwell/standalone/routing/directory.py
+++ b/src/wallwell/standalone/routing/directory.py
@@ -21,12 +21,11 @@
 """Bits of an engine slot in an entry: 65,535 engine incarnations."""
 _SLOT_MASK = (1 << _SLOT_BITS) - 1
 EVICT_TO_FRACTION = 0.9
-"""Fraction of the bound down to which entries are evicted, so that not every insertion evicts. Chosen, not
-measured."""
+"""Fraction of the bound down to which entries are evicted, so that not every insertion evicts."""
 MAX_HOLDERS = 4
 """Holders remembered for a block: as many slots as fit one 64-bit entry."""
 DEFAULT_MAX_ENTRIES = 200_000
-"""Entries of a directory unless its owner says otherwise. Chosen, not measured."""
+"""Entries of a directory unless its owner says otherwise."""
 _SHIFTS = tuple(range(0, _SLOT_BITS * MAX_HOLDERS, _SLOT_BITS))
 
 
--- a/src/wallwell/standalone/routing/limits.py
+++ b/src/wallwell/standalone/routing/limits.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 RETRY_WITHOUT_RATE_S = 1.0
-"""Seconds reported for a bucket that gains nothing, where no time would be right. Chosen, not measured."""
+"""Seconds reported for a bucket that gains nothing, where no time would be right."""
 
 
 @dataclass
--- a/src/wallwell/standalone/routing/load.py
+++ b/src/wallwell/standalone/routing/load.py
@@ -13,17 +13,15 @@
 import msgspec
 
 DEFAULT_PREFILL_TOKENS_PER_S = 16_000.0
-"""Prefill rate assumed until an engine's own has been observed, in tokens per second. Chosen, not measured."""
+"""Prefill rate assumed until an engine's own has been observed, in tokens per second."""
 _RATE_SMOOTHING = 0.2
-"""Weight of the latest observation of the prefill rate if it is faster than the estimate. Chosen, not measured."""
+"""Weight of the latest observation of the prefill rate if it is faster than the estimate."""
 _SLOWER_RATE_SMOOTHING = _RATE_SMOOTHING / 8
-"""Weight of a slower observation: less, since a request that waited in the engine's queue seems slow too. Chosen,
-not measured."""
+"""Weight of a slower observation: less, since a request that waited in the engine's queue seems slow too."""
 _MIN_OBSERVED_TOKENS = 256
-"""A prefill of at most this many tokens teaches no rate: its time is mostly waiting and transport. Chosen, not
-measured."""
+"""A prefill of at most this many tokens teaches no rate: its time is mostly waiting and transport."""
 _MAX_PENDING = 512
-"""Own dispatches remembered since an engine's last report; the oldest are forgotten first. Chosen, not measured."""
+"""Own dispatches remembered since an engine's last report; the oldest are forgotten first."""
 LOWEST_RANK = 15
 """Least urgent rank; the interface allows 0 to 15."""
 
--- a/src/wallwell/standalone/routing/policy.py
+++ b/src/wallwell/standalone/routing/policy.py
@@ -16,22 +16,20 @@
 from wallwell.standalone.routing.load import EngineLoad
 
 TIE_MARGIN_S = 0.002
-"""Costs in seconds that differ by no more count as equal, and one is drawn. Chosen, not measured."""
+"""Costs in seconds that differ by no more count as equal, and one is drawn."""
 AFFINITY_BOUND = 1.25
-"""Multiple of the mean load up to which the prefix-affinity baseline keeps a prefix at its home. Chosen, not
-measured."""
+"""Multiple of the mean load up to which the prefix-affinity baseline keeps a prefix at its home."""
 AFFINITY_BLOCKS = 16
-"""Leading blocks of a prompt by which that baseline names its home. Chosen, not measured."""
+"""Leading blocks of a prompt by which that baseline names its home."""
 CROSS_ZONE_COST_S = 0.004
 """Seconds added for an engine of another zone: there and back at 2 ms each way, an assumed time between zones."""
 CONGESTION_UNIT_S = 0.05
 """Wait that doubles the cost of computing cached blocks again. In an overloaded simulator 95.4 requests/s were
 served in time with 0.05 s, 92.4/s with 0.2 s."""
 MAX_CONGESTION = 20.0
-"""Bound of that factor, so that one overloaded engine does not rule every choice. Chosen, not measured."""
+"""Bound of that factor, so that one overloaded engine does not rule every choice."""
 HOME_BLOCKS = 16
-"""Leading blocks of a prompt that name its home; prompts that share fewer get their homes independently. Chosen,
-not measured."""
+"""Leading blocks of a prompt that name its home; prompts that share fewer get their homes independently."""
 HOME_WEIGHT = 0.5
 """Pull of the home under congestion. In a simulator at twice the usual load 117.6 requests/s were served in time
 with it, 78.9/s without."""
--- a/src/wallwell/standalone/routing/retry.py
+++ b/src/wallwell/standalone/routing/retry.py
@@ -9,21 +9,20 @@
 from dataclasses import dataclass
 
 _BASE_DELAY_S = 0.02
-"""Seconds up to which the first pause is drawn; doubled with each step. Chosen, not measured."""
+"""Seconds up to which the first pause is drawn; doubled with each step."""
 _MAX_DELAY_S = 1.0
-"""Seconds up to which any pause is drawn at most. Chosen, not measured."""
+"""Seconds up to which any pause is drawn at most."""
 _MAX_DOUBLINGS = 10
 """Steps after which the cap grows no more: 0.02 s doubled six times exceeds the largest cap already."""
 
 RETRY_RATIO = 0.1
-"""Retries for each first attempt, so that an outage is not amplified by more than a tenth. Chosen, not measured."""
+"""Retries for each first attempt, so that an outage is not amplified by more than a tenth."""
 RETRY_RESERVE = 10.0
-"""Retries that a node may send at once after a quiet time, and the most that it saves up. Chosen, not measured."""
+"""Retries that a node may send at once after a quiet time, and the most that it saves up."""
 LEAST_FRACTION = 0.1
-"""Least fraction of its requests that a back end gets while it starts slowly after a failure. Chosen, not
-measured."""
+"""Least fraction of its requests that a back end gets while it starts slowly after a failure."""
 OPEN_SPREAD = (0.75, 1.25)
-"""Multiples of the pause over which nodes spread their probes of a failed back end. Chosen, not measured."""
+"""Multiples of the pause over which nodes spread their probes of a failed back end."""
 
 
 def full_jitter_delay_s(step: int, rng: random.Random) -> float:
@@ -61,11 +60,11 @@
     """Opens after consecutive failures; lets one probe through after a jittered pause; starts slowly."""
 
     failures_to_open: int = 3
-    """Consecutive failures that open it. Chosen, not measured."""
+    """Consecutive failures that open it."""
     open_s: float = 1.0
-    """Seconds before one probe is let through. Chosen, not measured."""
+    """Seconds before one probe is let through."""
     slow_start_s: float = 2.0
-    """Seconds in which a recovered back end returns to its full share. Chosen, not measured."""
+    """Seconds in which a recovered back end returns to its full share."""
     _failures: int = 0
     _open_until_s: float = 0.0
     _recovered_at_s: float = float("-inf")
--- a/src/wallwell/standalone/routing/retry_decision.py
+++ b/src/wallwell/standalone/routing/retry_decision.py
@@ -19,12 +19,12 @@
 from wallwell.standalone.routing.retry import RetryBudget, full_jitter_delay_s
 
 MAX_GENERATION_ATTEMPTS = 6
-"""Attempts of a generation in a row that bring no new token. Chosen, not measured."""
+"""Attempts of a generation in a row that bring no new token."""
 MAX_RESUMES = 32
 """Times that a stream may be continued after an attempt that brought tokens. Bounds a request that makes engines
-fail. Chosen, not measured: far more faults than one stream is expected to meet."""
+fail: far more faults than one stream is expected to meet."""
 MAX_SERVICE_ATTEMPTS = 4
-"""Attempts of one service call. Chosen, not measured."""
+"""Attempts of one service call."""
 
 
 class NoRetryCause(enum.Enum):
--- a/src/wallwell/standalone/routing/selector.py
+++ b/src/wallwell/standalone/routing/selector.py
@@ -20,19 +20,18 @@
 
 MAX_CANDIDATES = 16
 """Engines up to which all are compared; of a larger pool, only holders, rendezvous owners and a sample are. Bounds
-the work of a choice. Chosen, not measured."""
+the work of a choice."""
 _MAX_HOLDERS = 4
-"""Holders of the longest cached prefixes that are compared. Chosen, not measured."""
+"""Holders of the longest cached prefixes that are compared."""
 QUEUE_FRACTION = 0.25
 """Fraction of the remaining time that may be spent waiting in a queue. In a simulator at twice the usual load
 127.9 requests/s were served in time with it, 117.6/s without."""
 _SAMPLED = 8
-"""Candidates drawn at random, so that idle engines are found. Chosen, not measured."""
+"""Candidates drawn at random, so that idle engines are found."""
 _RENDEZVOUS_OWNERS = 2
-"""Candidates that rank first by rendezvous hashing of the prefix. Chosen, not measured."""
+"""Candidates that rank first by rendezvous hashing of the prefix."""
 RECENT_ENTRIES = 20_000
-"""Checkpoints of own recent dispatches, for the case that the directory does not answer in time. Chosen, not
-measured."""
+"""Checkpoints of own recent dispatches, for the case that the directory does not answer in time."""
 
 
 @dataclass(frozen=True)
--- a/src/wallwell/standalone/routing/table.py
+++ b/src/wallwell/standalone/routing/table.py
@@ -13,8 +13,7 @@
 _INITIAL_SLOTS = 256
 """Slots of an empty table: 4 KiB. A power of two, as every size must be."""
 _MAX_LOAD_NUMERATOR = 2
-"""The table grows when it is more than two thirds full: probe sequences grow steeply beyond. Chosen, not
-measured."""
+"""The table grows when it is more than two thirds full: probe sequences grow steeply beyond."""
 _MAX_LOAD_DENOMINATOR = 3
 """See above; a fraction of integers, so that no size is rounded."""
 _SLOT_BYTES = 16
--- a/src/wallwell/standalone/settings.py
+++ b/src/wallwell/standalone/settings.py
@@ -1,8 +1,7 @@
 """One node's settings file: addresses, zone, seed peers, platform addresses, keys and limits.
 
-The file is YAML. Unknown keys, missing keys and wrong types are refused at start, all of them at once, each
-with its code, key path and line. Command-line flags override single values. Owns the names, bounds and defaults;
-defaults without a note are chosen, not measured.
+The file is YAML. Unknown keys, missing keys and wrong types are refused at start, all of them at once, each with
+its code, key path and line. Command-line flags override single values. Owns the names, bounds and defaults.
 """
 
 from __future__ import annotations
@@ -17,7 +16,7 @@
 from wallwell.standalone.typed import OUT_OF_RANGE, ProblemList, convert_all, load_yaml
 
 MIN_KEY_CHARACTERS = 16
-"""Shortest cluster key and operators' token: they authenticate nodes and operators. Chosen, not measured."""
+"""Shortest cluster key and operators' token: they authenticate nodes and operators."""
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 PositiveSeconds = Annotated[float, msgspec.Meta(gt=0)]
 PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
--- a/src/wallwell/storage/feed.py
+++ b/src/wallwell/storage/feed.py
@@ -22,9 +22,9 @@
 from wallwell.events import Event, emit
 
 MIN_RETRY_S = 0.08
-"""Seconds that the pauses between failed calls start from; they double with each failure. Chosen, not measured."""
+"""Seconds that the pauses between failed calls start from; they double with each failure."""
 MAX_RETRY_S = 0.6
-"""Bound of these pauses in seconds: how late the return of the store is noticed. Chosen, not measured."""
+"""Bound of these pauses in seconds: how late the return of the store is noticed."""
 MAX_DOUBLINGS = 5
 """Bound of the exponent, so that it stays small however long failures go on; three pass ``MAX_RETRY_S``."""
 
--- a/src/wallwell/storage/replica.py
+++ b/src/wallwell/storage/replica.py
@@ -13,8 +13,8 @@
 from wallwell.storage.feed import FeedPage, FeedRow
 
 MAX_DELETIONS = 1000
-"""Deletions remembered. Chosen, not measured: a follower asks every second or so, and a peer that has missed more
-reads every row again, which costs one large answer."""
+"""Deletions remembered: a follower asks every second or so, and a peer that has missed more reads every row again,
+which costs one large answer."""
 
 
 class RowReplica:
