--- a/tests/platform/test_stated_limit.py
+++ b/tests/platform/test_stated_limit.py
@@ -121,6 +121,9 @@
         stated_s = boot_time_s()
         limited.limit_per_s = LIMIT_PER_S
         await fleet.call_for(STATED_S)
+        shown = [node.metrics_text().decode() for node in fleet.nodes]
+        assert all("wallwell_backends_limited 1.0" in text for text in shown)
+        assert not all("wallwell_limited_passed_over_total 0.0" in text for text in shown)
         limited.limit_per_s = None
         await fleet.call_for(ENDED_S)
         await fleet.stop()
--- /dev/null
+++ b/tests/unit/serving/test_stated_limits.py
@@ -0,0 +1,68 @@
+"""Requests while back ends state how many a second they take: sent elsewhere, held, or refused at once."""
+
+import msgspec
+
+from tests.unit.serving.fakes import make_route
+from tests.unit.serving.plays import OK, play
+from wallwell.clock import boot_time_s
+from wallwell.errors import NoBackendError
+from wallwell.routing.admission.backoff_hold import HOLD_FRACTION
+from wallwell.routing.admission.fleet_limits import BACKEND_BURST_S
+from wallwell.routing.health.request_limit import LimitStatement
+
+OBJECTIVE_S = make_route().objective_s
+SPENT = 20
+"""Requests that use up a limit for longer than any request is held."""
+
+
+def states_limits(per_s, *numbers, sent=SPENT):
+    """Return what makes back ends of a state say what they take, after ``sent`` requests to each."""
+
+    def prepare(state):
+        now_s = boot_time_s()
+        limits = state.load.stated_limits
+        for number in numbers:
+            backend = state.backends.get(f"i-{number}")
+            for _ in range(sent):
+                limits.on_sent(backend.incarnation, now_s)
+            limits.on_answer(backend, LimitStatement(per_s, now_s), now_s)
+
+    return prepare
+
+
+def test_requests_go_to_the_back_ends_that_have_room():
+    reply, client, took_s = play([OK], prepare=states_limits(1.0, 0, 2))
+    assert (reply.status, took_s) == (200, 0.0)
+    assert [each.backend.incarnation for each in client.sent] == ["i-1"]
+
+
+def test_a_limit_that_is_not_used_up_sends_nothing_elsewhere():
+    reply, client, took_s = play([OK], prepare=states_limits(100.0, 0, 1, 2, sent=0))
+    assert (reply.status, took_s, len(client.sent)) == (200, 0.0, 1)
+
+
+def test_a_request_is_refused_at_once_where_no_limit_allows_it_in_time():
+    reply, client, took_s = play([OK], prepare=states_limits(1.0, 0, 1, 2))
+    assert (reply.status, took_s, client.sent) == (503, 0.0, [])
+    assert isinstance(reply.error, NoBackendError)
+    assert reply.error.retry_after_ms > 1000 * HOLD_FRACTION * OBJECTIVE_S
+
+
+def test_a_back_end_that_has_failed_is_asked_before_a_request_is_refused():
+    def prepare(state):
+        states_limits(1.0, 0, 1)(state)
+        state.backends.get("i-2").suspend_at_least_until(boot_time_s() + 5.0)
+
+    reply, client, _ = play([OK], prepare=prepare)
+    assert reply.status == 200
+    assert [each.backend.incarnation for each in client.sent] == ["i-2"]
+
+
+def test_a_request_is_held_while_it_can_still_be_in_time():
+    """Sixty requests beyond what is saved up are worked off in 0.6 s: the fleet's size is not known, so this node
+    has a hundredth of the limit."""
+    saved_up = round(10_000 * BACKEND_BURST_S)
+    patient = msgspec.structs.replace(make_route(), objective_s=2.0)
+    reply, _, took_s = play([OK], patient, prepare=states_limits(10_000.0, 0, 1, 2, sent=saved_up + 60))
+    assert reply.status == 200
+    assert 0.6 <= took_s <= HOLD_FRACTION * 2.0
