Entries of back ends that another writer has spoilt name none, and harm no other row

What callers would see: with one value in the listing that is no base64, the follower of the table ended at each reading, so the whole listing stood still; with one that is no text, a relay could not answer its followers. An entry that cannot be decoded left the back end known under its key in use, and an address without a port, negative slots, an unknown state or an empty service were taken as they came. A thousand such entries made a thousand lines.

Cause: in tables that others write, only JSON of the wrong shape was reckoned with.

Fuzzed over each decoder of such rows.

--- a/src/wallwell/cluster/row_messages.py
+++ b/src/wallwell/cluster/row_messages.py
@@ -15,8 +15,7 @@
 from wallwell.storage.feed import FeedPage, FeedRow
 
 PACK_BYTES = 2048
-"""Bytes from which rows are compressed: a relay sends a change once for each member, and its link may be thin. of
-10 Mbit/s."""
+"""Bytes from which rows are compressed: a relay sends a change once for each member, and its link may be thin."""
 
 
 class RowsRequest(PeerMessage, frozen=True):
--- a/src/wallwell/node/backend_rows.py
+++ b/src/wallwell/node/backend_rows.py
@@ -22,6 +22,10 @@
 
 Entries of living back ends are written again within 2 s of the store's return. The figure is below the 2 s within
 which a back end that has left must get nothing more (``drain_ms``), since a missing entry may mean either."""
+MAX_UNREADABLE_LOGGED = 10
+"""Entries of one page that are logged one by one; the last of these lines says how many more there are."""
+MAX_REASON_CHARS = 200
+"""Characters of a reason that are logged: it may quote the entry."""
 
 
 class BackendRows:
@@ -38,7 +42,7 @@
         self._store_returned_s = float("-inf")
 
     def apply(self, followed: FollowedPage) -> None:
-        """Apply a page; a row that cannot be decoded is logged and changes nothing."""
+        """Apply a page. A row that cannot be decoded names no back end: one known under its key counts as gone."""
         registry = self._state.backends
         now_s = boot_time_s()
         if now_s - followed.unconfirmed_since_s > STORE_OUTAGE_S and self._state.backends_known:
@@ -47,6 +51,7 @@
             for backend in registry.unnamed({row.key for row in followed.page.rows}):
                 self._on_missing(backend, now_s)
         # Of two incarnations at one address the one that was written last is the one that lives.
+        unreadable: list[tuple[str, str]] = []
         for row in sorted(followed.page.rows, key=lambda row: row.version):
             known = registry.get(row.key)
             if row.value is None:
@@ -56,7 +61,9 @@
             try:
                 self._on_row(row.key, row.value)
             except msgspec.MsgspecError as error:
-                emit(Event.CONFIG_REFUSED, row=row.key, error=str(error))
+                self._state.backends.lapse(row.key, now_s)
+                unreadable.append((row.key, str(error)))
+        _log_unreadable(unreadable)
         self.drop_lapsed(now_s)
         self._state.backends_known = True
 
@@ -99,3 +106,11 @@
         """An entry is missing: the back end has left, or the entry lapsed while the store was unavailable."""
         grace_ends_s = now_s if backend.has_announced_leave else self._store_returned_s + LAPSE_GRACE_S
         self._state.backends.lapse(backend.incarnation, max(now_s, grace_ends_s))
+
+
+def _log_unreadable(entries: list[tuple[str, str]]) -> None:
+    """Log entries that name no back end, each with its key and the reason."""
+    logged = entries[:MAX_UNREADABLE_LOGGED]
+    for number, (key, reason) in enumerate(logged, start=1):
+        further = len(entries) - len(logged) if number == len(logged) else 0
+        emit(Event.BACKEND_ENTRY_UNREADABLE, backend=key, reason=reason[:MAX_REASON_CHARS], further=further)
--- a/src/wallwell/platform/rows.py
+++ b/src/wallwell/platform/rows.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import Annotated, Literal, TypeVar
 
 import msgspec
 
@@ -26,8 +26,9 @@
 from wallwell.platform import names
 from wallwell.rollout.model import RolloutOrder, RolloutRecord
 
-READY_STATE = "ready"
-"""State of a back end that takes new requests; any other means that it is leaving."""
+READY_STATE: Literal["ready"] = "ready"
+"""State of a back end that takes new requests; the other one means that it is leaving."""
+LARGEST_PORT = 65535
 RUNNING_STATE = "running"
 """State of a rollout that has not ended, whatever its phase."""
 
@@ -145,6 +146,7 @@
 
 
 NameText = Annotated[str, msgspec.Meta(min_length=1)]
+WholeNumber = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class RolloutOrderRow(msgspec.Struct, frozen=True):
@@ -176,25 +178,35 @@
 class BackendRow(msgspec.Struct, frozen=True):
     """A back end's own entry."""
 
-    service: str
+    service: NameText
     addr: str
     """``IP:PORT``."""
     zone: str = ""
-    slots: int = 1
-    state: str = READY_STATE
-    """``ready`` or ``draining``."""
+    slots: WholeNumber = 1
+    state: Literal["ready", "draining"] = READY_STATE
     version: str = ""
     """Version of its software, not of weights."""
     cold_left_ms: float = 0.0
     """How much longer it stays slow after its start, as of the entry's writing."""
     models: tuple[LoadedModelRow, ...] = ()
-    born: int | msgspec.UnsetType = msgspec.UNSET
+    born: WholeNumber | msgspec.UnsetType = msgspec.UNSET
     """Unix milliseconds of the start that the entry speaks of: a worker may start again under its id."""
 
 
+RowType = TypeVar("RowType", bound=msgspec.Struct)
+
+
+def _decode_row(value: bytes, row_type: type[RowType]) -> RowType:
+    """Decode a row's value, whatever another writer put there."""
+    try:
+        return msgspec.json.decode(value, type=row_type)
+    except RecursionError as error:
+        raise msgspec.DecodeError("nested too deeply") from error
+
+
 def decode_config(value: bytes) -> DeploymentConfig:
     """Decode the operators' configuration."""
-    row = msgspec.json.decode(value, type=ConfigRow)
+    row = _decode_row(value, ConfigRow)
     return DeploymentConfig(
         version=row.version,
         routes=tuple(_route(route) for route in row.routes),
@@ -239,13 +251,13 @@
 
 def decode_version(value: bytes) -> tuple[str, int]:
     """Return the model and the weights version that operators name for it."""
-    row = msgspec.json.decode(value, type=VersionRow)
+    row = _decode_row(value, VersionRow)
     return row.model, row.version
 
 
 def decode_rollout_order(key: str, value: bytes, version: int) -> RolloutOrder:
     """Decode an order to replace a service's software."""
-    row = msgspec.json.decode(value, type=RolloutOrderRow)
+    row = _decode_row(value, RolloutOrderRow)
     if key != names.ROLLOUT_KEY_PREFIX + row.service:
         raise msgspec.ValidationError(f"the order names the service {row.service}, its key another one")
     return RolloutOrder(row.service, row.target_version, row.duration_s, version)
@@ -259,7 +271,10 @@
 
 def decode_backend(incarnation: str, value: bytes) -> BackendRecord:
     """Decode a back end's entry."""
-    row = msgspec.json.decode(value, type=BackendRow)
+    row = _decode_row(value, BackendRow)
+    host, _, port = row.addr.rpartition(":")
+    if not host or not (port.isascii() and port.isdecimal()) or not 0 < int(port) <= LARGEST_PORT:
+        raise msgspec.ValidationError("the address is no IP:PORT")
     return BackendRecord(
         incarnation=incarnation,
         service=row.service,
@@ -269,6 +284,6 @@
         draining=row.state != READY_STATE,
         versions={model.name: model.version for model in row.models if model.version},
         software=row.version,
-        slow_for_s=row.cold_left_ms / 1000,
+        slow_for_s=max(0.0, row.cold_left_ms / 1000),
         started_unix_ms=None if row.born is msgspec.UNSET else row.born,
     )
--- a/src/wallwell/platform/store_wire.py
+++ b/src/wallwell/platform/store_wire.py
@@ -106,8 +106,19 @@
 
 
 def feed_row(row: StoredRow) -> FeedRow:
-    """Return a row of the feed; its value is None if the row was removed."""
-    return FeedRow(row.key, None if row.gone else _decode_value(row.value), row.ver)
+    """Return a row of the feed; its value is None if the row was removed.
+
+    Rows hold texts, which nodes pass on to each other as such. What another writer has left is passed on empty if
+    it is no base64 or no text, and refused where the row is decoded.
+    """
+    if row.gone:
+        return FeedRow(row.key, None, row.ver)
+    try:
+        value = _decode_value(row.value)
+        value.decode()
+    except ValueError:
+        value = b""
+    return FeedRow(row.key, value, row.ver)
 
 
 def table_row(row: StoredRow) -> Row:
--- a/src/wallwell/routing/health/backend_registry.py
+++ b/src/wallwell/routing/health/backend_registry.py
@@ -136,9 +136,9 @@
                 self._superseded.pop(each.incarnation, None)
 
     def lapse(self, incarnation: str, at_s: float) -> None:
-        """The entry is missing, but may be listed again until ``at_s``; the first such time counts."""
+        """The entry is missing, but may be listed again until ``at_s``; the earliest such time counts."""
         backend = self._by_incarnation.get(incarnation)
-        if backend is not None and backend.lapses_at_s is None:
+        if backend is not None and (backend.lapses_at_s is None or at_s < backend.lapses_at_s):
             backend.lapses_at_s = at_s
 
     def remove_lapsed(self, now_s: float) -> list[Backend]:
--- /dev/null
+++ b/tests/unit/node/test_unreadable_rows.py
@@ -0,0 +1,91 @@
+"""Entries of back ends that another writer has spoilt: they name none, and all other rows of the page hold.
+
+Seen: a value that is no base64 ended the follower of its table, again at each reading, so that the whole
+listing stood still; one that is no text kept a relay from answering its followers. An entry that cannot be
+decoded was passed over, so that the back end known under its key stayed in use.
+Cause: nothing but missing and undecodable JSON was taken for possible in a table that others write.
+"""
+
+import msgspec
+import pytest
+from loguru import logger
+
+from tests.unit.serving.fakes import make_state
+from wallwell.http_connection import ConnectionPool
+from wallwell.node.backend_rows import MAX_UNREADABLE_LOGGED, BackendRows
+from wallwell.platform.rows import decode_backend
+from wallwell.platform.store_wire import StoredRow, encode_value, feed_row
+from wallwell.storage.feed import FeedPage, FollowedPage
+
+NO_BASE64, NO_TEXT, NO_JSON = "%", "/w==", encode_value("{")
+NO_ADDRESS = encode_value('{"service":"svc"}')
+
+
+class Sources:
+    decode_backend = staticmethod(decode_backend)
+
+
+def entry(number, **changes):
+    fields = {"service": "svc", "addr": f"10.0.0.{number}:80", "zone": "z1", "slots": 4, "born": 1000, **changes}
+    return encode_value(msgspec.json.encode(fields).decode())
+
+
+class Listing:
+    def __init__(self):
+        self.state = make_state(backends=0)
+        self.rows = BackendRows(self.state, Sources, ConnectionPool("X", 1.0, 1.0))
+        self.version = 0
+
+    def take(self, whole=False, **values):
+        stored = []
+        for key, value in values.items():
+            self.version += 1
+            stored.append(feed_row(StoredRow(key, value, self.version)))
+        self.rows.apply(FollowedPage(FeedPage(tuple(stored), self.version, 0.0), whole, 0.0, 0.0))
+
+    def names(self):
+        return [each.incarnation for each in self.state.backends.of_service("svc")]
+
+
+@pytest.fixture
+def logged():
+    lines = []
+    sink = logger.add(lambda line: lines.append(line.record["extra"]), level="WARNING")
+    yield lines
+    logger.remove(sink)
+
+
+@pytest.mark.parametrize("whole", [True, False], ids=["whole", "a change"])
+@pytest.mark.parametrize(
+    "spoilt", [NO_BASE64, NO_TEXT, NO_JSON, NO_ADDRESS], ids=["no base64", "no text", "no JSON", "no address"]
+)
+def test_a_back_end_under_a_spoilt_entry_is_gone_and_the_others_hold(spoilt, whole, logged):
+    listing = Listing()
+    listing.take(True, a=entry(1), b=entry(2))
+    known = listing.state.backends.get("b")
+    listing.take(whole, a=entry(1), b=spoilt, c=entry(3))
+    assert listing.names() == ["a", "c"]
+    assert known.gone
+    assert [(each["event"], each["backend"], each["further"]) for each in logged] == [(6023, "b", 0)]
+
+
+def test_a_back_end_that_lists_itself_again_is_used_again():
+    listing = Listing()
+    listing.take(True, a=entry(1))
+    listing.take(a=NO_JSON)
+    listing.take(a=entry(1))
+    assert listing.names() == ["a"]
+
+
+def test_a_thousand_spoilt_entries_are_logged_in_a_few_lines(logged):
+    listing = Listing()
+    listing.take(True, good=entry(1), **{f"spoilt-{number}": NO_JSON for number in range(1000)})
+    assert listing.names() == ["good"]
+    assert len(logged) == MAX_UNREADABLE_LOGGED
+    assert logged[-1]["further"] == 1000 - MAX_UNREADABLE_LOGGED
+
+
+def test_a_service_that_nobody_has_configured_serves_no_route():
+    listing = Listing()
+    listing.take(True, a=entry(1), b=entry(2, service="unknown"))
+    assert listing.names() == ["a"]
--- /dev/null
+++ b/tests/unit/platform/test_foreign_rows.py
@@ -0,0 +1,100 @@
+"""Rows that another writer left in the store: whatever they hold, they name no back end and harm no other row."""
+
+import base64
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wallwell.cluster.row_messages import reply_with_rows, unpack_rows
+from wallwell.deployment.backends import BackendRecord
+from wallwell.deployment.routes import DeploymentConfig
+from wallwell.platform.rows import decode_backend, decode_config, decode_rollout_order, decode_version
+from wallwell.platform.store_wire import StoredRow, feed_row
+from wallwell.rollout.model import RolloutOrder
+from wallwell.storage.feed import FeedPage
+
+ENTRY = {"service": "svc", "addr": "10.0.0.1:80", "zone": "z1", "slots": 4, "state": "ready", "version": "v1"}
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False, allow_infinity=False) | st.text(),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner, max_size=3),
+    max_leaves=6,
+)
+FIELDS = ("service", "addr", "zone", "slots", "state", "version", "cold_left_ms", "models", "born")
+DECODERS = {
+    "backend": (lambda value: decode_backend("i-1", value), BackendRecord),
+    "configuration": (decode_config, DeploymentConfig),
+    "weights version": (decode_version, tuple),
+    "rollout": (lambda value: decode_rollout_order("rollout/svc", value, 1), RolloutOrder),
+}
+
+
+def encoded(**changes):
+    return msgspec.json.encode({**ENTRY, **changes})
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff\xfe",
+        b"{",
+        b"[]",
+        b"null",
+        encoded(service=7),
+        encoded(service=""),
+        encoded(addr=None),
+        encoded(addr=""),
+        encoded(addr="10.0.0.1"),
+        encoded(addr="10.0.0.1:x"),
+        encoded(addr="10.0.0.1:0"),
+        encoded(addr="10.0.0.1:70000"),
+        encoded(slots="4"),
+        encoded(slots=-1),
+        encoded(state="resting"),
+        encoded(state=3),
+        encoded(models={}),
+        encoded(born="1"),
+        encoded(born=1.5),
+        encoded(born=-1),
+        encoded(born=None),
+        b'{"service":"svc","addr":"10.0.0.1:80","more":' + 100_000 * b"[" + 100_000 * b"]" + b"}",
+        msgspec.json.encode({key: value for key, value in ENTRY.items() if key != "addr"}),
+    ],
+    ids=lambda value: value[:90].decode(errors="replace"),
+)
+def test_an_entry_that_is_not_as_it_should_be_names_no_back_end(value):
+    with pytest.raises(msgspec.MsgspecError):
+        decode_backend("i-1", value)
+
+
+@pytest.mark.parametrize("changes", [{}, {"state": "draining"}, {"born": 0}, {"born": 2**63}, {"seq": 9}])
+def test_an_entry_that_is_as_it_should_be_names_one(changes):
+    assert decode_backend("i-1", encoded(**changes)).address == "10.0.0.1:80"
+
+
+@pytest.mark.parametrize("kind", DECODERS)
+@given(value=st.binary(max_size=60) | JSON.map(msgspec.json.encode))
+def test_any_bytes_are_decoded_or_refused(kind, value):
+    decode, expected = DECODERS[kind]
+    try:
+        assert isinstance(decode(value), expected)
+    except msgspec.MsgspecError:
+        pass
+
+
+@given(changes=st.dictionaries(st.sampled_from(FIELDS), JSON, min_size=1, max_size=3))
+def test_any_field_of_an_entry_may_be_of_another_kind(changes):
+    try:
+        record = decode_backend("i-1", encoded(**changes))
+    except msgspec.MsgspecError:
+        return
+    assert record.slots >= 0 and record.service and record.slow_for_s >= 0
+
+
+@given(text=st.text(max_size=40) | st.binary(max_size=30).map(lambda data: base64.b64encode(data).decode()))
+def test_a_value_that_is_no_base64_or_no_text_is_passed_on_as_one_that_cannot_be_decoded(text):
+    row = feed_row(StoredRow(key="i-1", ver=3, value=text))
+    assert row.value is not None and row.version == 3
+    assert unpack_rows(reply_with_rows(FeedPage((row,), 3, 0.0)), "peer") == (row,)
