--- a/src/wallwell/node/metrics.py
+++ b/src/wallwell/node/metrics.py
@@ -11,6 +11,7 @@
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, HistogramMetricFamily, Metric
 
+from wallwell.build_info import build_commit, build_version
 from wallwell.clock import boot_time_s
 from wallwell.node.state import NodeState
 from wallwell.serving.counters import LATENCY_BOUNDS_S, FleetCounters, LatencyHistogram
@@ -65,6 +66,9 @@
         version = state.config.version if state.config is not None else 0
         yield GaugeMetricFamily("wallwell_config_version", "Configuration in force.", value=version)
         yield GaugeMetricFamily("wallwell_ready", "Whether the node is ready.", value=float(self._is_ready))
+        build = GaugeMetricFamily("wallwell_build_info", "1 for the build it runs.", labels=["version", "commit"])
+        build.add_metric([build_version(), build_commit()], 1)
+        yield build
         yield GaugeMetricFamily("wallwell_nodes", "Nodes that share budgets.", value=state.node_count)
 
     def _collect_backends(self, now_s: float) -> Iterator[Metric]:
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -13,6 +13,7 @@
 import uvloop
 from aiohttp import web
 
+from wallwell.build_info import build_commit, build_version
 from wallwell.errors import WallwellError
 from wallwell.events import Event, configure_logging, emit
 from wallwell.node.adapter import NodeAdapter, NodeSources
@@ -125,7 +126,14 @@
     callers = await listen(callers_server, settings.listen.front)
     ready = await listen(listener.ready_server(), settings.listen.ready)
     metrics = await _listen_for_metrics(listener, settings)
-    emit(Event.NODE_STARTED, node=settings.node, zone=settings.zone, callers=settings.listen.front)
+    emit(
+        Event.NODE_STARTED,
+        node=settings.node,
+        zone=settings.zone,
+        callers=settings.listen.front,
+        version=build_version(),
+        commit=build_commit(),
+    )
     await stopping.wait()
 
     async def close_listener() -> None:
--- a/src/wallwell/standalone/router_node.py
+++ b/src/wallwell/standalone/router_node.py
@@ -14,6 +14,7 @@
 
 import aiohttp
 
+from wallwell.build_info import build_commit, build_version
 from wallwell.clock import TICK_S, SuspensionWatch, boot_time_s
 from wallwell.events import Event, emit
 from wallwell.standalone.backends.engine_client import client_session
@@ -83,7 +84,14 @@
         self.transport.run(self.context.node)
         self.transport.perform(self.context.node.membership.join(0))
         self._tasks = [asyncio.create_task(self._supervise(loop)) for loop in self._loops()]
-        emit(Event.NODE_STARTED, node=settings.node, callers=self.callers_address, cluster=address)
+        emit(
+            Event.NODE_STARTED,
+            node=settings.node,
+            callers=self.callers_address,
+            cluster=address,
+            version=build_version(),
+            commit=build_commit(),
+        )
 
     def _loops(self) -> tuple[Callable[[], Coroutine[Any, Any, None]], ...]:
         """Return what runs until the node stops, in the order of its start."""
--- a/tests/unit/test_import_layers.py
+++ b/tests/unit/test_import_layers.py
@@ -14,6 +14,7 @@
 COMMON = {
     "backend_connection",
     "background",
+    "build_info",
     "clock",
     "errors",
     "events",
