What runs on an earlier start of a back end ends with it, and each of its crashes counts

What callers would see: a request that crashes a back end which starts again under its identity went on to it after the third crash, since crashes were counted by identity. A start that was back within a moment counted as none.

Cause: an identity was taken for one life of a back end. A crash is now counted by its start (identity and born), a later start in the listing supersedes the one before it, and attempts there that may go elsewhere are ended. One that had announced its leave has not crashed.

Two builds side by side: an older node names a crash by the identity alone, so a crash that nodes of both builds see counts as two.

--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -28,7 +28,7 @@
 from wallwell.storage.table import Put, TableService, Transaction
 
 CRASH_PREFIX = "crash/"
-"""Rows ``crash/CONTENT/INCARNATION``; the value names the node that saw it."""
+"""Rows ``crash/CONTENT/START``, by :attr:`Backend.start`; the value names the node that saw it."""
 MAX_WRITES = 100
 """Entries of one transaction (the store's bound)."""
 RETRY_S = 0.4
@@ -51,7 +51,7 @@
         self._table = table
         self._members = members
         self._broken: dict[str, set[str]] = {}
-        """Contents of broken attempts, by the incarnation that is being probed."""
+        """Contents of broken attempts, by the start of a back end that is being probed."""
         self._probes = BackgroundTasks()
         self._unwritten: dict[str, bool] = {}
         """Keys to write (True) or to delete (False)."""
@@ -63,13 +63,13 @@
 
     def on_broken_run(self, content: str, backend: Backend) -> None:
         """The connection of an attempt ended before its answer was whole."""
-        if backend.is_leaving(boot_time_s()) and not backend.superseded:
+        if backend.has_announced_leave or (backend.is_leaving(boot_time_s()) and not backend.superseded):
             return  # The end of a planned stop.
-        broken = self._broken.get(backend.incarnation)
+        broken = self._broken.get(backend.start)
         if broken is not None:
             broken.add(content)
             return
-        self._broken[backend.incarnation] = {content}
+        self._broken[backend.start] = {content}
         self._probes.begin(self._examine(backend))
 
     def on_answered(self, content: str) -> None:
@@ -78,17 +78,18 @@
         self._write({_key(content, incarnation): False for incarnation in crashes})
 
     async def _examine(self, backend: Backend) -> None:
+        start = backend.start
         try:
             has_crashed = await self._probe.has_crashed(backend)
         finally:
             # Attempts that break from now on start probes of their own.
-            contents = self._broken.pop(backend.incarnation)
+            contents = self._broken.pop(start)
         if not has_crashed:
             has_crashed = await self._probe.is_replaced_soon(backend)
         if has_crashed:
             emit(Event.BACKEND_CRASHED, backend=backend.incarnation, runs=len(contents))
             for content in contents:
-                self._count(content, backend.incarnation)
+                self._count(content, start)
 
     def _count(self, content: str, incarnation: str) -> None:
         if count_crash(self._state.quarantine, content, incarnation, boot_time_s()):
--- a/src/wallwell/routing/health/backend.py
+++ b/src/wallwell/routing/health/backend.py
@@ -61,7 +61,8 @@
     request_limit: RequestLimit | None = None
     """What it has stated of how many requests it takes; None if it never stated a limit."""
     superseded: bool = False
-    """Whether a later incarnation has been listed at its address, so that this one has ended."""
+    """Whether a later incarnation has been listed at its address, or a later start of this one, so that it has
+    ended."""
     lapses_at_s: float | None = None
     """When it counts as gone unless it is listed again; None while it is listed."""
     silence: Silence = field(default_factory=Silence)
@@ -71,6 +72,13 @@
         """The identity of this life of the back end."""
         return self.record.incarnation
 
+    @property
+    def start(self) -> str:
+        """Names this start, since a back end may start again under its identity; the identity if it does not say
+        when it started."""
+        started_unix_ms = self.record.started_unix_ms
+        return self.incarnation if started_unix_ms is None else f"{self.incarnation}@{started_unix_ms}"
+
     @property
     def is_limited(self) -> bool:
         """Whether it says now how many requests it takes from all nodes together."""
@@ -99,6 +107,12 @@
         has_lapsed = self.lapses_at_s is not None and now_s >= self.lapses_at_s
         return self.gone or self.superseded or has_lapsed
 
+    @property
+    def is_replaced(self) -> bool:
+        """Whether it is listed no more, and a later one has taken its address or its identity: nobody answers on
+        its connections."""
+        return self.gone and self.superseded
+
     def still_serves(self, bound_s: float, now_s: float) -> bool:
         """Whether it is leaving, but has not been known to for ``bound_s`` yet."""
         if self.leaving_since_s is None or self._has_ended(now_s):
--- a/src/wallwell/routing/health/backend_registry.py
+++ b/src/wallwell/routing/health/backend_registry.py
@@ -74,7 +74,7 @@
             return backend
         if backend is not None and record.is_later_start_than(backend.record):
             self._drop(backend)
-            backend.gone = True
+            backend.gone = backend.superseded = True
             backend = None
         if backend is None:
             backend = Backend(
--- a/src/wallwell/serving/liveness.py
+++ b/src/wallwell/serving/liveness.py
@@ -42,8 +42,8 @@
     def __init__(self, state: NodeState, check: ReachabilityCheck) -> None:
         self._state = state
         self._check = check
-        self._interruptible: dict[str, set[asyncio.Timeout]] = {}
-        """Attempts in flight that may be ended for another back end, by the incarnation of theirs."""
+        self._interruptible: dict[Backend, set[asyncio.Timeout]] = {}
+        """Attempts in flight that may be ended for another back end, by theirs."""
         self._probes = BackgroundTasks()
 
     async def run(self) -> None:
@@ -53,11 +53,15 @@
             self.step()
 
     def step(self) -> None:
-        """Probe every back end that has been silent for long, and one of each zone that may be cut off."""
+        """Probe every back end that has been silent for long, and one of each zone that may be cut off.
+
+        Attempts on back ends that others have replaced are ended.
+        """
         now_s = boot_time_s()
-        for incarnation in list(self._interruptible):
-            backend = self._state.backends.get(incarnation)
-            if backend is not None and backend.silence.begin_probe_if_due(now_s):
+        for backend in list(self._interruptible):
+            if backend.is_replaced:
+                self._end_attempts(backend)
+            elif not backend.gone and backend.silence.begin_probe_if_due(now_s):
                 self._probes.begin(self._probe(backend))
         for backend in self._state.zones.begin_probes(self._state.backends.all(), now_s):
             self._probes.begin(self._probe_zone(backend))
@@ -80,10 +84,14 @@
             Event.BACKEND_SILENT,
             backend=backend.incarnation,
             silent_ms=round((now_s - backend.silence.heard_s) * 1000),
-            attempts=len(self._interruptible.get(backend.incarnation, ())),
+            attempts=len(self._interruptible.get(backend, ())),
         )
-        for attempt in self._interruptible.get(backend.incarnation, set()):
-            attempt.reschedule(asyncio.get_running_loop().time())
+        self._end_attempts(backend)
+
+    def _end_attempts(self, backend: Backend) -> None:
+        for attempt in self._interruptible.get(backend, set()):
+            if not attempt.expired():
+                attempt.reschedule(asyncio.get_running_loop().time())
 
     @asynccontextmanager
     async def watch(self, backend: Backend) -> AsyncIterator[None]:
@@ -92,7 +100,7 @@
         Only for attempts that may be interrupted; the retry policy says which.
         """
         attempt = asyncio.timeout(None)
-        watched = self._interruptible.setdefault(backend.incarnation, set())
+        watched = self._interruptible.setdefault(backend, set())
         watched.add(attempt)
         try:
             async with attempt:
@@ -104,4 +112,4 @@
         finally:
             watched.discard(attempt)
             if not watched:
-                self._interruptible.pop(backend.incarnation, None)
+                self._interruptible.pop(backend, None)
--- /dev/null
+++ b/tests/unit/node/test_restarted_back_end.py
@@ -0,0 +1,131 @@
+"""A back end that starts again under its identity: what runs on the earlier start ends, and each of its crashes
+counts.
+
+Seen in a test: a request that crashed the same back end at three starts was sent to it a fourth time and on, since
+crashes were counted by identity, and one identity counts once. A stream behind a cut waited for a start that was
+listed as ended until its pause was over.
+Cause: an identity was taken for one life of a back end.
+"""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from tests.faulty_table import FaultyTable
+from tests.unit.serving.fakes import (
+    FakeClient,
+    FakeReply,
+    Script,
+    event,
+    make_generation,
+    make_request,
+    make_route,
+    make_state,
+)
+from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
+from wallwell.deployment.routes import RouteKind
+from wallwell.node.crash_watch import CRASH_PREFIX, CrashWatch
+from wallwell.routing.admission.quarantine import CRASHES_TO_QUARANTINE
+from wallwell.serving.liveness import Liveness
+from wallwell.serving.pipeline import RequestPipeline
+
+RESUMABLE = make_route(RouteKind.STREAM, resumable=True, attempts=2)
+HANGS = Script(chunks=(event(1), 30.0), stream=True)
+REST = Script(chunks=(event(2), event(3)), stream=True)
+RESTARTED_S = 0.1
+"""Seconds after which the listing names a later start."""
+
+
+class Refuses:
+    async def is_refused(self, backend):
+        return True
+
+
+class Answers:
+    async def is_reachable(self, backend):
+        return True
+
+
+def start_again(state, incarnation, born):
+    record = state.backends.get(incarnation).record
+    return state.backends.upsert(dataclasses.replace(record, started_unix_ms=born))
+
+
+def test_each_crash_of_the_same_back_end_counts():
+    async def work():
+        state = make_state()
+        watch = CrashWatch(state, Refuses(), FaultyTable(), lambda: ("n1",))
+        running = asyncio.create_task(watch.run())
+        for born in range(1, CRASHES_TO_QUARANTINE + 1):
+            watch.on_broken_run("c", start_again(state, "i-0", born))
+            await asyncio.sleep(5.0)
+        running.cancel()
+        return state.quarantine.left_s("c", boot_time_s()), sorted(watch._table.model.rows)
+
+    left_s, rows = run_virtual(work())
+    assert left_s > 0
+    assert rows == [f"{CRASH_PREFIX}c/i-0@{born}" for born in range(1, CRASHES_TO_QUARANTINE + 1)]
+
+
+def test_a_back_end_that_is_back_within_a_moment_has_crashed_all_the_same():
+    """Its address takes connections at once, so that no probe is refused."""
+
+    class Listens:
+        async def is_refused(self, backend):
+            return False
+
+    async def work():
+        state = make_state()
+        watch = CrashWatch(state, Listens(), FaultyTable(), lambda: ("n1",))
+        first = start_again(state, "i-0", 1)
+        watch.on_broken_run("c", first)
+        await asyncio.sleep(0.1)
+        start_again(state, "i-0", 2)
+        await asyncio.sleep(5.0)
+        return state.quarantine.suspects
+
+    assert run_virtual(work()) == 1
+
+
+def test_one_that_left_as_it_said_and_is_back_has_not_crashed():
+    async def work():
+        state = make_state()
+        watch = CrashWatch(state, Refuses(), FaultyTable(), lambda: ("n1",))
+        first = start_again(state, "i-0", 1)
+        state.backends.on_leaving(first, boot_time_s())
+        start_again(state, "i-0", 2)
+        watch.on_broken_run("c", first)
+        await asyncio.sleep(5.0)
+        return state.quarantine.suspects
+
+    assert run_virtual(work()) == 0
+
+
+@pytest.mark.parametrize("is_listed", [True, False], ids=["a later start", "none"])
+def test_a_stream_on_an_ended_start_goes_on_elsewhere(is_listed):
+    async def work():
+        state = make_state(RESUMABLE, versions={"m": 1}, backends=2)
+        for number in (0, 1):
+            start_again(state, f"i-{number}", 1)
+        liveness = Liveness(state, Answers())
+        watching = asyncio.create_task(liveness.run())
+        client, reply = FakeClient(HANGS, REST), FakeReply()
+        started_s = boot_time_s()
+        serving = asyncio.create_task(
+            RequestPipeline(state, client, liveness=liveness).serve(
+                make_request(generation=make_generation()), reply
+            )
+        )
+        await asyncio.sleep(RESTARTED_S)
+        if is_listed:
+            start_again(state, client.sent[0].backend.incarnation, 2)
+        await serving
+        watching.cancel()
+        assert not liveness._interruptible
+        return reply.ended, reply.ended_at_s - started_s
+
+    ended, took_s = run_virtual(work())
+    assert ended == "finished"
+    assert (took_s < RESUMABLE.max_gap_s) is is_listed
