--- a/src/wallwell/build_info.py
+++ b/src/wallwell/build_info.py
@@ -1,4 +1,4 @@
-"""Which build of wallwell this process runs, so that nodes of two builds can be told apart.
+"""Which build of wallwell this process runs, so that two builds that run side by side can be distinguished.
 
 Owns nothing. The commit is known in a checkout only: it is read from git's own files, since no process is started.
 """
--- a/src/wallwell/cluster/stated_limits.py
+++ b/src/wallwell/cluster/stated_limits.py
@@ -2,7 +2,7 @@
 
 A back end names in its answers how many requests a second it takes from all nodes. What one node sends says
 nothing of the sum, so the limit is kept by the mechanism that counts for the whole fleet, as tenants' limits are.
-A node that has not been told yet would go on sending, and one that sends nothing would not hear of the end, so
+A node that has not read it yet would go on sending, and one that sends nothing would not hear of the end, so
 nodes report what they have read to each other, with its age. Only what a node read itself is reported by it;
 relays put the reports of others together (:mod:`.load_reports`). So a word is never taken for newer by going
 round.
@@ -20,7 +20,8 @@
 import msgspec
 
 from wallwell.events import Event, emit
-from wallwell.routing.admission.fleet_limits import REQUEST_UNITS, Admitted, FleetLimits, OverLimit, backend_subject
+from wallwell.routing.admission.backend_rate import REQUEST_UNITS, backend_subject
+from wallwell.routing.admission.fleet_limits import Admitted, FleetLimits, OverLimit
 from wallwell.routing.health.backend import Backend
 from wallwell.routing.health.backend_registry import BackendRegistry
 from wallwell.routing.health.request_limit import NO_LIMIT_PER_S, LimitStatement, RequestLimit
@@ -149,9 +150,9 @@
         if backend.is_limited:
             self._limits.refund(Admitted(backend_subject(backend.incarnation), REQUEST_UNITS))
 
-    def has_room(self, backend: Backend, now_s: float) -> bool:
+    def has_headroom(self, backend: Backend, now_s: float) -> bool:
         """Whether a back end may be taken to accept a further request."""
-        return not backend.is_limited or self._limits.has_room(backend_subject(backend.incarnation), now_s)
+        return not backend.is_limited or self._limits.has_headroom(backend_subject(backend.incarnation), now_s)
 
     # --- what is reported ------------------------------------------------------------------------------
 
--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -116,9 +116,9 @@
     BACKEND_REQUESTED_BACKOFF = (6017, "INFO", "refusal of a back end asks for a time without requests")
     BACKEND_BACKOFF_ENDED = (6018, "INFO", "back end accepts requests again after it had asked for none")
     BACKEND_NOTICE_UNREADABLE = (6019, "INFO", "figure in an answer of a back end is no number; it is ignored")
-    BACKEND_ENTRY_UNREADABLE = (6023, "WARNING", "entry of a back end cannot be read; it names none")
     BACKEND_LIMIT_STATED = (6021, "INFO", "back end states how many requests a second it takes from all nodes")
     BACKEND_LIMIT_ENDED = (6022, "INFO", "back end states no limit of requests any more")
+    BACKEND_ENTRY_UNREADABLE = (6023, "WARNING", "entry of a back end cannot be read; it names none")
 
     # 7001 and on: weights on engines, and rollouts of software.
     ORDER_SENT = (7001, "INFO", "fenced order sent to an engine")
--- a/src/wallwell/platform/rows.py
+++ b/src/wallwell/platform/rows.py
@@ -29,6 +29,7 @@
 READY_STATE: Literal["ready"] = "ready"
 """State of a back end that takes new requests; the other one means that it is leaving."""
 LARGEST_PORT = 65535
+"""A TCP port has 16 bits."""
 RUNNING_STATE = "running"
 """State of a rollout that has not ended, whatever its phase."""
 
--- a/src/wallwell/routing/admission/fleet_limits.py
+++ b/src/wallwell/routing/admission/fleet_limits.py
@@ -25,7 +25,8 @@
 
 import msgspec
 
-from wallwell.deployment.routes import FleetRate, TenantLimit
+from wallwell.deployment.routes import TenantLimit
+from wallwell.routing.admission.backend_rate import REQUEST_UNITS, backend_rate, backend_subject, largest_debt
 from wallwell.routing.admission.fleet_bucket import ASKED_WINDOW_S, FleetBucket
 from wallwell.routing.admission.fleet_share import spendable_fraction
 from wallwell.routing.admission.relay_spending import RelaySpending
@@ -47,25 +48,6 @@
 """Fraction of the wait over which refused callers are spread, so that they do not return together."""
 
 
-REQUEST_UNITS = 1000
-"""What a request costs of a back end's limit. Levels are reported as whole numbers, and a limit may be below one
-request a second."""
-BACKEND_BURST_S = 0.5
-"""Seconds of a back end's rate that may be saved up: it asks for relief, so little."""
-BACKEND_DEBT_S = 3.0
-"""Most seconds of a back end's rate that earlier requests may be ahead of it: it gets nothing for so long at most,
-since somebody must hear when it takes more again."""
-BACKEND_DEBT_REQUESTS = 3
-"""The same in requests where that is more: so many may be sent at low rates before nodes know of each other's."""
-LOWEST_BACKEND_PER_S = 0.1
-"""Least rate in requests a second that is kept for a back end: one that states 0 must be asked now and then, or
-nobody would learn that it takes requests again."""
-HIGHEST_BACKEND_PER_S = 1e6
-"""Most requests a second that are counted for one back end."""
-_BACKEND_PREFIX = "\n"
-"""Sets the names of back ends apart from tenants': those are sent as a header, so none has a line break."""
-
-
 class Admitted(msgspec.Struct, frozen=True):
     """Tokens taken for a request; refunded if it turns out not to have run."""
 
@@ -92,11 +74,6 @@
     """Requests that this node refused since it started."""
 
 
-def backend_subject(incarnation: str) -> str:
-    """Return the name under which the limit of a back end is kept and reported."""
-    return _BACKEND_PREFIX + incarnation
-
-
 class FleetLimits:
     """One node's share in keeping the limits of all tenants and back ends that have one."""
 
@@ -138,20 +115,15 @@
         self._all = {**self._tenants, **self._backends}
 
     def limit_backend(self, incarnation: str, per_s: float, sent: int) -> None:
-        """Keep a back end's limit from now on, in requests a second.
-
-        ``sent`` requests went there from this node in the last second, on which it has no claim any more: a back
-        end is in need because of them.
-        """
-        rate = min(HIGHEST_BACKEND_PER_S, max(LOWEST_BACKEND_PER_S, per_s)) * REQUEST_UNITS
-        limit = FleetRate(rate, rate * BACKEND_BURST_S)
+        """Keep a limit in requests a second from now on; ``sent`` requests of this node count already."""
+        rate = backend_rate(per_s)
         subject = backend_subject(incarnation)
         bucket = self._backends.get(subject)
         if bucket is None:
-            bucket = self._backends[subject] = FleetBucket(limit, limit.burst)
+            bucket = self._backends[subject] = FleetBucket(rate, rate.burst)
             self._all[subject] = bucket
-        bucket.change(limit)
-        bucket.largest_debt = max(rate * BACKEND_DEBT_S, BACKEND_DEBT_REQUESTS * REQUEST_UNITS)
+        bucket.change(rate)
+        bucket.largest_debt = largest_debt(rate)
         bucket.spend(sent * REQUEST_UNITS)
 
     def forget_backend(self, incarnation: str) -> None:
@@ -184,7 +156,7 @@
         bucket.spend(tokens)
         return Admitted(subject, tokens)
 
-    def has_room(self, subject: str, now_s: float) -> bool:
+    def has_headroom(self, subject: str, now_s: float) -> bool:
         """Whether some requests of a subject would be admitted now."""
         bucket = self._all.get(subject)
         if bucket is None:
--- a/src/wallwell/soak/schedule.py
+++ b/src/wallwell/soak/schedule.py
@@ -91,8 +91,9 @@
 LIMIT_WINDOW_S = 4.0
 """Span in which requests are counted for that."""
 LIMIT_FACTOR = 1.5
-"""Times what the limit allows in a span that may come, and ``LIMIT_EXTRA`` requests."""
+"""Times what the limit allows in a span that may come, and some more."""
 LIMIT_EXTRA = 5
+"""Requests in a span that may come beyond that."""
 LIMIT_KNOWN_S = 0.5
 """Seconds after a node has passed on such an answer from which its requests count."""
 GRACE_S = 5.0
--- a/tests/unit/cluster/test_stated_limits.py
+++ b/tests/unit/cluster/test_stated_limits.py
@@ -175,3 +175,12 @@
         answer(load, 3.0 - number / 10, 10.0 + number * LOG_INTERVAL_S / 10)
     logger.remove(sink)
     assert lines == [3.0, 2.0]
+
+
+def test_behind_a_relay_of_an_older_version_nothing_is_saved_up():
+    """It reports no level of a back end's limit, which must not be taken for a full one."""
+    load = node()
+    answer(load, 2.0, 10.0)
+    load.limits.learn_levels({}, 10.1)
+    (level,) = load.limits.levels(10.1).values()
+    assert level == 0
--- a/tests/unit/serving/test_stated_limits.py
+++ b/tests/unit/serving/test_stated_limits.py
@@ -6,8 +6,8 @@
 from tests.unit.serving.plays import OK, play
 from wallwell.clock import boot_time_s
 from wallwell.errors import NoBackendError
+from wallwell.routing.admission.backend_rate import BURST_S
 from wallwell.routing.admission.backoff_hold import HOLD_FRACTION
-from wallwell.routing.admission.fleet_limits import BACKEND_BURST_S
 from wallwell.routing.health.request_limit import LimitStatement
 
 OBJECTIVE_S = make_route().objective_s
@@ -61,7 +61,7 @@
 def test_a_request_is_held_while_it_can_still_be_in_time():
     """Sixty requests beyond what is saved up are worked off in 0.6 s: the fleet's size is not known, so this node
     has a hundredth of the limit."""
-    saved_up = round(10_000 * BACKEND_BURST_S)
+    saved_up = round(10_000 * BURST_S)
     patient = msgspec.structs.replace(make_route(), objective_s=2.0)
     reply, _, took_s = play([OK], patient, prepare=states_limits(10_000.0, 0, 1, 2, sent=saved_up + 60))
     assert reply.status == 200
