--- a/src/wallwell/cluster/stated_limits.py
+++ b/src/wallwell/cluster/stated_limits.py
@@ -4,11 +4,11 @@
 nothing of the sum, so the limit is kept by the mechanism that counts for the whole fleet, as tenants' limits are.
 A node that has not read it yet would go on sending, and one that sends nothing would not hear of the end, so
 nodes report what they have read to each other, with its age. Only what a node read itself is reported by it;
-relays put the reports of others together (:mod:`.load_reports`). So a word is never taken for newer by going
+relays put the reports of others together (:mod:`.load_reports`). So no report becomes newer by going
 round.
 
 Owns which back ends have stated a limit lately, and what this node sent in the last second. Relies on
-:mod:`wallwell.routing.health.request_limit` for which word holds, and on
+:mod:`wallwell.routing.health.request_limit` for which statement holds, and on
 :mod:`wallwell.routing.admission.fleet_limits` for keeping the rate.
 """
 
@@ -32,7 +32,8 @@
 COUNTED_BEFORE_S = 1.0
 """Seconds before a limit is known whose requests count towards it: it is a rate by the second."""
 LOG_INTERVAL_S = 1.0
-"""Least seconds between two lines about one back end, whose limit may change with each answer."""
+"""Least seconds from a line about one back end to one that says that its limit has changed, which may happen with
+each answer. Its beginning and its end are always logged."""
 
 
 class ReportedLimit(msgspec.Struct, frozen=True, array_like=True):
@@ -80,16 +81,16 @@
         """Another node reports what it and others have read."""
         if reported is msgspec.UNSET:
             return
-        for incarnation, word in reported.items():
+        for incarnation, stated in reported.items():
             backend = self._backends.get(incarnation)
-            if backend is None or _is_of_another_start(word, backend):
+            if backend is None or _is_of_another_start(stated, backend):
                 continue
-            if backend.request_limit is None and word.per_s is None:
+            if backend.request_limit is None and stated.per_s is None:
                 continue
             limit = self._limit_of(backend)
             before_per_s = limit.per_s
-            per_s = NO_LIMIT_PER_S if word.per_s is None else word.per_s
-            limit.on_reported(per_s, now_s - word.age_ms / 1000)
+            per_s = NO_LIMIT_PER_S if stated.per_s is None else stated.per_s
+            limit.on_reported(per_s, now_s - stated.age_ms / 1000)
             self._on_changed(backend, limit, before_per_s, now_s)
 
     def _limit_of(self, backend: Backend) -> RequestLimit:
@@ -103,15 +104,15 @@
     def _on_changed(self, backend: Backend, limit: RequestLimit, before_per_s: float, now_s: float) -> None:
         if limit.per_s == before_per_s:
             return
-        if limit.per_s != NO_LIMIT_PER_S:
-            is_new = before_per_s == NO_LIMIT_PER_S
-            sent = self._sent_lately(backend.incarnation, now_s) if is_new else 0
+        is_begun, is_ended = before_per_s == NO_LIMIT_PER_S, limit.per_s == NO_LIMIT_PER_S
+        if not is_ended:
+            sent = self._sent_lately(backend.incarnation, now_s) if is_begun else 0
             self._limits.limit_backend(backend.incarnation, limit.per_s, sent)
-        self._log(backend, limit, now_s)
+        logged_s = self._logged_s.get(backend.incarnation, float("-inf"))
+        if is_begun or is_ended or now_s - logged_s >= LOG_INTERVAL_S:
+            self._log(backend, limit, now_s)
 
     def _log(self, backend: Backend, limit: RequestLimit, now_s: float) -> None:
-        if now_s - self._logged_s.get(backend.incarnation, float("-inf")) < LOG_INTERVAL_S:
-            return
         self._logged_s[backend.incarnation] = now_s
         event = Event.BACKEND_LIMIT_ENDED if limit.per_s == NO_LIMIT_PER_S else Event.BACKEND_LIMIT_STATED
         emit(
@@ -186,25 +187,25 @@
 def newest_limits(
     reports: list[Mapping[str, ReportedLimit]],
 ) -> dict[str, ReportedLimit] | msgspec.UnsetType:
-    """Return the newest word on each back end; unset if there is none."""
+    """Return the newest report on each back end; unset if there is none."""
     newest: dict[str, ReportedLimit] = {}
     for report in reports:
-        for incarnation, word in report.items():
+        for incarnation, stated in report.items():
             known = newest.get(incarnation)
-            if known is None or _supersedes(word, known):
-                newest[incarnation] = word
+            if known is None or _supersedes(stated, known):
+                newest[incarnation] = stated
     return newest or msgspec.UNSET
 
 
-def _supersedes(word: ReportedLimit, known: ReportedLimit) -> bool:
-    """Whether a word is of a later start of its back end, or of the same and newer."""
-    if _differ(word.started_unix_ms, known.started_unix_ms):
-        return (word.started_unix_ms or 0) > (known.started_unix_ms or 0)
-    return word.age_ms < known.age_ms
+def _supersedes(stated: ReportedLimit, known: ReportedLimit) -> bool:
+    """Whether a report is of a later start of its back end, or of the same and newer."""
+    if _differ(stated.started_unix_ms, known.started_unix_ms):
+        return (stated.started_unix_ms or 0) > (known.started_unix_ms or 0)
+    return stated.age_ms < known.age_ms
 
 
-def _is_of_another_start(word: ReportedLimit, backend: Backend) -> bool:
-    return _differ(word.started_unix_ms, backend.record.started_unix_ms)
+def _is_of_another_start(stated: ReportedLimit, backend: Backend) -> bool:
+    return _differ(stated.started_unix_ms, backend.record.started_unix_ms)
 
 
 def _differ(started_unix_ms: int | None, other_unix_ms: int | None) -> bool:
--- a/tests/unit/cluster/test_stated_limits.py
+++ b/tests/unit/cluster/test_stated_limits.py
@@ -173,8 +173,9 @@
     load = node()
     for number in range(20):
         answer(load, 3.0 - number / 10, 10.0 + number * LOG_INTERVAL_S / 10)
+    answer(load, NO_LIMIT_PER_S, 12.0)
     logger.remove(sink)
-    assert lines == [3.0, 2.0]
+    assert lines == [3.0, 2.0, None]
 
 
 def test_behind_a_relay_of_an_older_version_nothing_is_saved_up():
