Soak: workers that start again under their identity, and an entry that another writer spoils

Two workers of every run but kept ones are killed and start again under their identity with a later born; the entry of another one holds for 4 s what cannot be read, which the store records as gone, so that the invariant on drained workers judges it. What else a seed draws is as before.

--- a/src/wallwell/cli/soak.py
+++ b/src/wallwell/cli/soak.py
@@ -71,7 +71,8 @@
         requests_per_s=options.rate,
         crashing=options.crashing,
         notices=True,
-        limits=True,  # Kept runs are as they were drawn; all others have such workers.
+        limits=True,
+        identities=True,  # Kept runs are as they were drawn; all others have such workers.
         rollout=options.rollout,
     )
     schedule = draw_schedule(options.seed, shape)
@@ -113,7 +114,7 @@
     rate = f" --rate {shape.requests_per_s:g}" if shape.requests_per_s != DEFAULT_RATE_PER_S else ""
     rollout = f" --rollout {shape.rollout}" if shape.rollout else ""
     crashing = f" --crashing {shape.crashing}" if shape.crashing else ""
-    if not (shape.notices and shape.limits):
+    if not (shape.notices and shape.limits and shape.identities):
         return f"wallwell soak --regressions FILE, with seed {schedule.seed} and {shape} in the file"
     return (
         f"wallwell soak --seed {schedule.seed} --seconds {shape.seconds:g} --nodes {shape.nodes} "
--- a/src/wallwell/soak/control.py
+++ b/src/wallwell/soak/control.py
@@ -52,6 +52,13 @@
     text: str
 
 
+class SpoilEntry(PeerMessage, frozen=True):
+    """Another writer spoils a worker's entry, or it is as before."""
+
+    worker: str
+    is_spoilt: bool
+
+
 class ReadRow(PeerMessage, frozen=True):
     """The operator reads a row."""
 
--- a/src/wallwell/soak/drawing.py
+++ b/src/wallwell/soak/drawing.py
@@ -75,6 +75,10 @@
 """Seconds for which a worker states a limit: until it must be kept, a span in which it is counted, and more."""
 LIMIT_FROM_S = (0.5, 2.5)
 """Seconds after which it first does."""
+RESTARTS = 2
+"""Workers that start again under their identity."""
+SPOILT_S = 4.0
+"""Seconds for which an entry is spoilt: longer than nodes may go on sending to its worker."""
 STORE_DOWN_S = 4.5
 """Seconds of a store's outage in which a worker leaves: until it has ended, so that its answers alone say so."""
 OUTAGE_FRACTION = 0.5
@@ -102,6 +106,8 @@
         faults += _draw_notices(random.Random(f"{seed}/notices"), shape)
     if shape.limits:
         faults.append(_draw_limit(random.Random(f"{seed}/limits"), shape))
+    if shape.identities:
+        faults += _draw_identities(random.Random(f"{seed}/identities"), shape)
     faults.sort(key=lambda fault: fault.at_s)
     operations = _draw_operations(random.Random(f"{seed}/operations"), shape)
     return Schedule(seed, shape, tuple(faults), tuple(requests), tuple(operations))
@@ -161,6 +167,23 @@
     return PlannedFault(at_s, round(until_s - at_s, 2), FaultKind.LIMIT_WORKER, limited)
 
 
+def _draw_identities(generator: random.Random, shape: Shape) -> list[PlannedFault]:
+    """Return restarts of workers under their identity, and a time in which the entry of another one is spoilt."""
+    latest_s = shape.seconds - RECOVERY_S - SHOWN_RECOVERED_S - SPOILT_S
+    *restarting, spoilt = generator.sample(shape.worker_names(), k=RESTARTS + 1)
+    faults = [
+        PlannedFault(
+            round(generator.uniform(FIRST_FAULT_S, latest_s), 2),
+            round(generator.uniform(*FAULT_LASTS_S), 2),
+            FaultKind.RESTART_WORKER,
+            name,
+        )
+        for name in restarting
+    ]
+    spoilt_at_s = round(generator.uniform(FIRST_FAULT_S, latest_s), 2)
+    return [*faults, PlannedFault(spoilt_at_s, SPOILT_S, FaultKind.SPOIL_ENTRY, spoilt)]
+
+
 def _draw_target(generator: random.Random, shape: Shape) -> tuple[FaultKind, str]:
     groups: list[tuple[tuple[FaultKind, ...], tuple[str, ...]]] = [
         (NODE_FAULTS, shape.node_names()),
--- a/src/wallwell/soak/faults.py
+++ b/src/wallwell/soak/faults.py
@@ -14,7 +14,7 @@
 
 from wallwell.errors import PeerUnavailableError, SoakError
 from wallwell.soak.answers import CRASH_STATUS
-from wallwell.soak.control import AimLink, ForgetHistory, HarmLink, SwitchStore
+from wallwell.soak.control import AimLink, ForgetHistory, HarmLink, SpoilEntry, SwitchStore
 from wallwell.soak.fleet import REGION_BYTES_PER_S, REGION_DELAY_S, RunProcesses, sound_link, store_host
 from wallwell.soak.history import FaultBegan, FaultEnded
 from wallwell.soak.schedule import ALL_NODES, STORE, FaultKind, PlannedFault
@@ -75,6 +75,8 @@
             FaultKind.DRAIN_WORKER: self._drain_worker,
             FaultKind.SHED_WORKER: self._shed_worker,
             FaultKind.LIMIT_WORKER: self._limit_worker,
+            FaultKind.RESTART_WORKER: self._restart_worker,
+            FaultKind.SPOIL_ENTRY: self._spoil_entry,
             FaultKind.STORE_FORGETS: self._forget,
             FaultKind.STORE_REFUSES_NODE: self._refuse_node,
             **dict.fromkeys(STORE_SWITCHES, self._switch_store),
@@ -141,11 +143,23 @@
             await self._fleet.worker(fault.target).end(signal.SIGKILL)
             await self._replace_worker(fault.target, fault.lasts_s)
 
-    async def _replace_worker(self, name: str, away_s: float) -> None:
-        """Start a new incarnation of a worker that has ended; its link refuses connections meanwhile."""
+    async def _restart_worker(self, fault: PlannedFault) -> None:
+        async with self._locks[fault.target]:
+            await self._fleet.worker(fault.target).end(signal.SIGKILL)
+            await self._replace_worker(fault.target, fault.lasts_s, keeps_identity=True)
+
+    async def _spoil_entry(self, fault: PlannedFault) -> None:
+        worker = self._fleet.worker(fault.target).name
+        await self._fleet.control_store(SpoilEntry(worker, is_spoilt=True))
+        await asyncio.sleep(fault.lasts_s)
+        await self._fleet.control_store(SpoilEntry(worker, is_spoilt=False))
+
+    async def _replace_worker(self, name: str, away_s: float, keeps_identity: bool = False) -> None:
+        """Start a worker that has ended again, as a new incarnation or under its identity; its link refuses
+        connections meanwhile."""
         await self._fleet.control_proxy(AimLink(name, ""))
         await asyncio.sleep(away_s)
-        await self._fleet.start_worker(name)
+        await self._fleet.start_worker(name, keeps_identity)
 
     @contextlib.asynccontextmanager
     async def workers_kept(self) -> AsyncIterator[None]:
--- a/src/wallwell/soak/fleet.py
+++ b/src/wallwell/soak/fleet.py
@@ -152,13 +152,15 @@
 
     # --- workers ---------------------------------------------------------------------------------------
 
-    async def start_worker(self, name: str) -> None:
-        """Start a new incarnation of a worker behind its link, with the newest weights and the software of its
-        name."""
+    async def start_worker(self, name: str, keeps_identity: bool = False) -> None:
+        """Start a worker behind its link, with the newest weights and the software of its name.
+
+        It is a new incarnation, or has the identity of the one before.
+        """
         if name in self.retired:
             return
         software, badness = self.software.get(name, (FIRST_VERSION, Badness()))
-        number = self._incarnations[name] = self._incarnations.get(name, 0) + 1
+        number = self._incarnations[name] = self._incarnations.get(name, 0) + (not keeps_identity)
         incarnation = f"{name}.{number}"
         service = ENGINES if name.startswith("engine") else ORDERS
         worker_names = self.schedule.shape.worker_names() + self.schedule.shape.target_names()
--- a/src/wallwell/soak/schedule.py
+++ b/src/wallwell/soak/schedule.py
@@ -24,6 +24,8 @@
     DRAIN_WORKER = "drain_worker"  # a worker: announces its leave, serves on, ends; a new incarnation at the end
     SHED_WORKER = "shed_worker"  # a worker: refuses every request and asks for back-off
     LIMIT_WORKER = "limit_worker"  # a worker: its answers say how many requests a second it takes
+    RESTART_WORKER = "restart_worker"  # a worker: SIGKILL, starts again under its identity at the end
+    SPOIL_ENTRY = "spoil_entry"  # a worker: another writer puts into its entry what cannot be read
     STORE_DOWN = "store_down"  # the store: 503 to all
     STORE_REFUSES_NODE = "store_refuses_node"  # a node: 503 at the store
     STORE_SILENT = "store_silent"  # the store: calls get no answer
@@ -176,6 +178,8 @@
     """Whether a worker refuses requests and asks for back-off, and one may leave while the store is down."""
     limits: bool = False
     """Whether a worker states how many requests it takes."""
+    identities: bool = False
+    """Whether workers start again under their identity, and an entry is spoilt."""
 
     def node_names(self) -> tuple[str, ...]:
         """Names of the router processes."""
--- a/src/wallwell/soak/store_process.py
+++ b/src/wallwell/soak/store_process.py
@@ -24,11 +24,14 @@
     PutRow,
     ReadRow,
     RowText,
+    SpoilEntry,
     SwitchStore,
     announce,
 )
 from wallwell.soak.history import HistoryWriter, WorkerState
 
+UNREADABLE_ENTRY = "{"
+"""What another writer leaves in an entry."""
 SILENT_HEARTBEATS = 3
 """Heartbeats without which an entry goes."""
 SWITCHES = frozenset(field.name for field in fields(StoreSwitches))
@@ -57,6 +60,7 @@
                 ForgetHistory: self._forget,
                 PutRow: self._put,
                 ReadRow: self._read,
+                SpoilEntry: self._spoil,
                 Heartbeat: self._heartbeat,
                 Farewell: self._farewell,
             }
@@ -87,6 +91,15 @@
     async def _read(self, request: ReadRow) -> RowText:
         return RowText(self.store.value(request.table, request.key))
 
+    async def _spoil(self, request: SpoilEntry) -> Done:
+        """Write an entry that names no worker, or the worker's own again, unless that has gone meanwhile."""
+        entry = self._entries.get(request.worker)
+        if entry is not None:
+            text = UNREADABLE_ENTRY if request.is_spoilt else json.dumps(entry)
+            self.store.put(names.BACKENDS_TABLE, request.worker, text)
+            self._record(request.worker, "gone" if request.is_spoilt else str(entry["state"]))
+        return Done()
+
     async def _heartbeat(self, request: Heartbeat) -> Done:
         if self.store.refuse_status or self.store.silent:
             return Done()  # A store that is down takes no heartbeat.
--- a/src/wallwell/soak/timeline.py
+++ b/src/wallwell/soak/timeline.py
@@ -22,7 +22,9 @@
 """Seconds after a fault until the nodes count as connected again."""
 PLANNED_STOP = "stop_node"
 """Name of the fault that stops a node as planned."""
-FAULTS_OF_WORKERS = frozenset(("crash_worker", "drain_worker", "shed_worker", "limit_worker"))
+FAULTS_OF_WORKERS = frozenset(
+    ("crash_worker", "drain_worker", "shed_worker", "limit_worker", "restart_worker", "spoil_entry")
+)
 """Faults that leave nodes, links and the store alone."""
 
 
--- a/src/wallwell/soak/worker_process.py
+++ b/src/wallwell/soak/worker_process.py
@@ -81,12 +81,13 @@
         self._is_shedding = False
         self._highest_fence = 0
         self._started_s = time.monotonic()
+        self._born_unix_ms = int(time.time() * 1000)
         self._store = PeerLink(settings.store_control)
         self._store_lock = asyncio.Lock()
 
     def entry(self) -> dict[str, Any]:
         """See :class:`PlatformWorkerEmulator`."""
-        return {**super().entry(), "addr": self._settings.listed_address}
+        return {**super().entry(), "addr": self._settings.listed_address, "born": self._born_unix_ms}
 
     async def run(self) -> None:
         """Serve until SIGTERM; SIGUSR1 begins a planned leave, SIGUSR2 begins or ends a time in which it refuses
--- a/tests/unit/cli/test_soak.py
+++ b/tests/unit/cli/test_soak.py
@@ -13,8 +13,19 @@
 @pytest.mark.parametrize(
     "shape",
     [
-        Shape(notices=True, limits=True),
-        Shape(30.5, 5, 6, 3, regions=2, requests_per_s=80.0, rollout="slow", notices=True, limits=True),
+        Shape(notices=True, limits=True, identities=True),
+        Shape(
+            30.5,
+            5,
+            6,
+            3,
+            regions=2,
+            requests_per_s=80.0,
+            rollout="slow",
+            notices=True,
+            limits=True,
+            identities=True,
+        ),
     ],
     ids=["as it is", "all told"],
 )
--- a/tests/unit/soak/test_faults.py
+++ b/tests/unit/soak/test_faults.py
@@ -61,7 +61,7 @@
     async def control_proxy(self, message):
         pass
 
-    async def start_worker(self, name):
+    async def start_worker(self, name, keeps_identity=False):
         if not self._can_start:
             raise PeerUnavailableError("scripted")
         self.started += 1
