--- a/src/wallwell/soak/invariants_fleet.py
+++ b/src/wallwell/soak/invariants_fleet.py
@@ -62,9 +62,14 @@
 def drained_gets_nothing(history: History) -> Cases:
     """A worker that is draining or gone gets no request later than a bound after the store acknowledged it."""
     left_s: dict[str, float] = {}
+    returned_s: list[tuple[str, float]] = []
+    """Workers that were listed again after the bound, and when they had left."""
     reached: set[str] = set()
     for record in history.records:
         if isinstance(record, WorkerState):
+            at_s = left_s.get(record.worker, record.at_s)
+            if record.state == READY_STATE and record.at_s - at_s > DRAIN_BOUND_S:
+                returned_s.append((record.worker, at_s))
             _note_state(left_s, record)
         elif isinstance(record, Began) and record.worker in left_s:
             since_s = record.at_s - left_s[record.worker]
@@ -72,7 +77,7 @@
                 reached.add(record.worker)
                 detail = f"reached {record.worker} {since_s:.2f} s after it left"
                 yield Violation(record.at_s, record.request, detail)
-    for worker, at_s in left_s.items():
+    for worker, at_s in (*left_s.items(), *returned_s):
         if worker not in reached and history.is_fault_free(at_s, at_s + DRAIN_BOUND_S):
             yield HELD
 
--- a/tests/unit/soak/test_invariants.py
+++ b/tests/unit/soak/test_invariants.py
@@ -342,3 +342,8 @@
 def test_the_first_breach_comes_first():
     records = [sent("a"), began("a", at_s=3), began("a", at_s=4), sent("b"), began("b"), began("b", at_s=2)]
     assert [breach.subject for breach in check_invariants(history(*records)).breaches] == ["b", "a"]
+
+
+def test_a_worker_whose_entry_was_away_for_long_is_a_case_though_it_is_listed_again():
+    states = [WorkerState(at_s, "w.1", "orders", "", state) for at_s, state in ((1.0, "gone"), (6.0, "ready"))]
+    assert check_invariants(history(*states)).cases["drained_gets_nothing"] == 1
