--- a/src/wallwell/soak/invariants_fleet.py
+++ b/src/wallwell/soak/invariants_fleet.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Iterator
 
 from wallwell.soak.cases import HELD, Cases, Violation
 from wallwell.soak.history import (
     Answered,
-    Began,
     FaultBegan,
     Left,
     NodeExited,
@@ -61,32 +61,34 @@
 
 def drained_gets_nothing(history: History) -> Cases:
     """A worker that is draining or gone gets no request later than a bound after the store acknowledged it."""
-    left_s: dict[str, float] = {}
-    returned_s: list[tuple[str, float]] = []
-    """Workers that were listed again after the bound, and when they had left."""
-    reached: set[str] = set()
-    for record in history.records:
-        if isinstance(record, WorkerState):
-            at_s = left_s.get(record.worker, record.at_s)
-            if record.state == READY_STATE and record.at_s - at_s > DRAIN_BOUND_S:
-                returned_s.append((record.worker, at_s))
-            _note_state(left_s, record)
-        elif isinstance(record, Began) and record.worker in left_s:
-            since_s = record.at_s - left_s[record.worker]
-            if since_s > DRAIN_BOUND_S and history.is_fault_free(left_s[record.worker], record.at_s):
-                reached.add(record.worker)
-                detail = f"reached {record.worker} {since_s:.2f} s after it left"
-                yield Violation(record.at_s, record.request, detail)
-    for worker, at_s in (*left_s.items(), *returned_s):
-        if worker not in reached and history.is_fault_free(at_s, at_s + DRAIN_BOUND_S):
+    for worker, from_s, until_s in _absences(history):
+        reached = [
+            began
+            for began in history.begins
+            if began.worker == worker
+            and from_s + DRAIN_BOUND_S < began.at_s < until_s
+            and history.is_fault_free(from_s, began.at_s)
+        ]
+        for began in reached:
+            detail = f"reached {worker} {began.at_s - from_s:.2f} s after it left"
+            yield Violation(began.at_s, began.request, detail)
+        lasted = until_s - from_s > DRAIN_BOUND_S
+        if lasted and not reached and history.is_fault_free(from_s, from_s + DRAIN_BOUND_S):
             yield HELD
 
 
-def _note_state(left_s: dict[str, float], record: WorkerState) -> None:
-    if record.state == READY_STATE:
-        left_s.pop(record.worker, None)  # An entry that lapsed is back.
-    else:
-        left_s.setdefault(record.worker, record.at_s)
+def _absences(history: History) -> Iterator[tuple[str, float, float]]:
+    """Yield the times in which a worker was listed as draining or not at all; an entry that lapsed may be back."""
+    left_s: dict[str, float] = {}
+    for record in history.records:
+        if not isinstance(record, WorkerState):
+            continue
+        if record.state != READY_STATE:
+            left_s.setdefault(record.worker, record.at_s)
+        elif record.worker in left_s:
+            yield record.worker, left_s.pop(record.worker), record.at_s
+    for worker, at_s in left_s.items():
+        yield worker, at_s, math.inf
 
 
 def left_is_cancelled(history: History) -> Cases:
