Which of two starts is the later one is decided once; limits kept for the fleet speak of subjects

Stated limits compared starts by a function of their own beside that of the listing's entries; both call one now, which says no where a start is not known. In the parts of fleet_limits that serve tenants and back ends alike, names and texts said tenant. A comment stands again at the loop that it explains; the head of rows.py says what holds.

--- a/src/wallwell/cluster/stated_limits.py
+++ b/src/wallwell/cluster/stated_limits.py
@@ -19,6 +19,7 @@
 
 import msgspec
 
+from wallwell.deployment.backends import is_later_start
 from wallwell.events import Event, emit
 from wallwell.routing.admission.backend_rate import REQUEST_UNITS, backend_subject
 from wallwell.routing.admission.fleet_limits import Admitted, FleetLimits, OverLimit
@@ -199,15 +200,12 @@
 
 def _supersedes(stated: ReportedLimit, known: ReportedLimit) -> bool:
     """Whether a report is of a later start of its back end, or of the same and newer."""
-    if _differ(stated.started_unix_ms, known.started_unix_ms):
-        return (stated.started_unix_ms or 0) > (known.started_unix_ms or 0)
-    return stated.age_ms < known.age_ms
+    if is_later_start(stated.started_unix_ms, known.started_unix_ms):
+        return True
+    is_of_earlier_start = is_later_start(known.started_unix_ms, stated.started_unix_ms)
+    return not is_of_earlier_start and stated.age_ms < known.age_ms
 
 
 def _is_of_another_start(stated: ReportedLimit, backend: Backend) -> bool:
-    return _differ(stated.started_unix_ms, backend.record.started_unix_ms)
-
-
-def _differ(started_unix_ms: int | None, other_unix_ms: int | None) -> bool:
-    """Whether two starts are known to be different ones."""
-    return None not in (started_unix_ms, other_unix_ms) and started_unix_ms != other_unix_ms
+    starts = stated.started_unix_ms, backend.record.started_unix_ms
+    return is_later_start(*starts) or is_later_start(*reversed(starts))
--- a/src/wallwell/deployment/backends.py
+++ b/src/wallwell/deployment/backends.py
@@ -10,6 +10,11 @@
 from dataclasses import dataclass, field
 
 
+def is_later_start(started_unix_ms: int | None, other_unix_ms: int | None) -> bool:
+    """Whether the first of two starts of a back end is the later one; False where one of them is not known."""
+    return started_unix_ms is not None and other_unix_ms is not None and started_unix_ms > other_unix_ms
+
+
 @dataclass(frozen=True)
 class BackendRecord:
     """One incarnation of a back end as the store lists it. ``versions`` maps models to weights versions.
@@ -34,6 +39,4 @@
 
     def is_later_start_than(self, other: BackendRecord) -> bool:
         """Whether it speaks of a later start of the same back end; False where one of them does not say when."""
-        if self.started_unix_ms is None or other.started_unix_ms is None:
-            return False
-        return self.started_unix_ms > other.started_unix_ms
+        return is_later_start(self.started_unix_ms, other.started_unix_ms)
--- a/src/wallwell/node/backend_rows.py
+++ b/src/wallwell/node/backend_rows.py
@@ -50,8 +50,8 @@
         if followed.whole:
             for backend in registry.unnamed({row.key for row in followed.page.rows}):
                 self._on_missing(backend, now_s)
-        # Of two incarnations at one address the one that was written last is the one that lives.
         unreadable: list[tuple[str, str]] = []
+        # Of two incarnations at one address the one that was written last is the one that lives.
         for row in sorted(followed.page.rows, key=lambda row: row.version):
             known = registry.get(row.key)
             if row.value is None:
--- a/src/wallwell/platform/rows.py
+++ b/src/wallwell/platform/rows.py
@@ -2,7 +2,7 @@
 
 Classes ending in ``Row`` have the platform's field names; a comment says what a field holds where its name
 misleads. The ``decode_`` functions return types of ``deployment`` and ``rollout``, with times in seconds, and
-raise ``msgspec.MsgspecError``; whoever applies the row logs that and keeps what was in force.
+raise ``msgspec.MsgspecError``, whatever another writer has put into the row; whoever applies it logs that.
 """
 
 from __future__ import annotations
--- a/src/wallwell/routing/admission/fleet_limits.py
+++ b/src/wallwell/routing/admission/fleet_limits.py
@@ -89,7 +89,7 @@
         """Both of them."""
         self._relays = RelaySpending()
         self._near_totals: dict[str, dict[str, int]] = {}
-        """By region, what had been spent in this one when the other was last heard, by tenant."""
+        """By region, what had been spent in this one when the other was last heard, by subject."""
         self._heard_nodes: int | None = None
         """Nodes of which anything is known, this one among them; None if no other is heard."""
         self._fraction = spendable_fraction(None, 0)
@@ -216,16 +216,16 @@
         totals = {subject: round(bucket.asked.total(now_s)) for subject, bucket in self._all.items()}
         return {subject: total for subject, total in totals.items() if total}
 
-    def asked_of_peers(self, tenant: str) -> int:
+    def asked_of_peers(self, subject: str) -> int:
         """Return the tokens that all other nodes were asked for lately, as they reported."""
-        bucket = self._all.get(tenant)
+        bucket = self._all.get(subject)
         return bucket.asked_of_peers if bucket is not None else 0
 
     def begin_report(self) -> dict[str, int]:
-        """Return what this node has spent since the last report that was taken, by tenant."""
+        """Return what this node has spent since the last report that was taken, by subject."""
         for bucket in self._all.values():
             bucket.begin_report()
-        return {tenant: bucket.reporting for tenant, bucket in self._all.items() if bucket.reporting}
+        return {subject: bucket.reporting for subject, bucket in self._all.items() if bucket.reporting}
 
     def end_report(self, taken: bool) -> None:
         """A report was answered, or may be lost: what it contained is then reported again."""
@@ -233,8 +233,8 @@
             bucket.end_report(taken)
 
     def spent_totals(self) -> dict[str, int]:
-        """Return what was spent through this node and those that report to it since it started, by tenant."""
-        return {tenant: bucket.spent_total for tenant, bucket in self._all.items() if bucket.spent_total}
+        """Return what was spent through this node and those that report to it since it started, by subject."""
+        return {subject: bucket.spent_total for subject, bucket in self._all.items() if bucket.spent_total}
 
     def levels(self, now_s: float) -> dict[str, int]:
         """Return what is left of each limit, by subject, without those of tenants that are full."""
@@ -249,8 +249,8 @@
 
     def take_member(self, spent: Mapping[str, int], now_s: float) -> None:
         """A member that reports to this node has spent something."""
-        for tenant, tokens in spent.items():
-            bucket = self._all.get(tenant)
+        for subject, tokens in spent.items():
+            bucket = self._all.get(subject)
             if bucket is not None:
                 self._refill(bucket, now_s)
                 bucket.take_member(tokens)
@@ -262,20 +262,20 @@
 
         ``is_near`` marks relays of this node's region.
         """
-        for tenant, spent in self._relays.take(relay, life, totals, now_s).items():
-            bucket = self._all.get(tenant)
+        for subject, spent in self._relays.take(relay, life, totals, now_s).items():
+            bucket = self._all.get(subject)
             if bucket is not None:
                 self._refill(bucket, now_s)
                 bucket.take_relay(spent, is_near)
 
     def on_region_heard(self, region: str) -> None:
         """Another region has reported what was spent there until now."""
-        self._near_totals[region] = {tenant: bucket.near_total for tenant, bucket in self._all.items()}
+        self._near_totals[region] = {subject: bucket.near_total for subject, bucket in self._all.items()}
 
     def on_region_lost(self, region: str, size: float, now_s: float) -> None:
         """Another region, ``size`` times this one, is silent for too long: it may have spent as much as this."""
-        for tenant, known in self._near_totals.pop(region, {}).items():
-            bucket = self._all.get(tenant)
+        for subject, known in self._near_totals.pop(region, {}).items():
+            bucket = self._all.get(subject)
             if bucket is not None:
                 self._refill(bucket, now_s)
                 bucket.level -= (bucket.near_total - known) * size
@@ -305,8 +305,8 @@
         self._heard_nodes = other_nodes + 1
         self._stop_following_levels()
         self._set_fraction(nodes)
-        for tenant, bucket in self._all.items():
-            bucket.asked_of_peers = asked_of_peers.get(tenant, 0)
+        for subject, bucket in self._all.items():
+            bucket.asked_of_peers = asked_of_peers.get(subject, 0)
 
     def forget_fleet(self, nodes: int) -> None:
         """Other nodes have not been heard for too long: an equal share of each limit is left to this node."""
