Every answer of the store is read for its era; events and a gauge tell a restored store from a forgotten history

Cause of the gap: 4006 says the same when the store has come back from an older copy as when it has forgotten for age, and nothing showed which rows a node refuses as older than its own. Now the header of each answer is read (4007 when the era rises, 4008 when it cannot be read, gauge wallwell_store_era), and a node says which rows it refuses (4009: version read, version held, rows). Nothing acts on it yet. The emulated store can be restored from a copy: its versions go back, its era rises.

--- a/src/wallwell/cluster/relay.py
+++ b/src/wallwell/cluster/relay.py
@@ -108,7 +108,10 @@
         return FeedPage(unpack_rows(reply, address), reply.version, reply.store_s, relayed=True)
 
     def _take(self, page: FeedPage, whole: bool) -> FeedPage:
-        self.replica.take(page, whole)
+        held = self.replica.version
+        refused = self.replica.take(page, whole)
+        if refused:
+            emit(Event.ROWS_WENT_BACK, rows=self.table, version=page.version, held=held, refused=refused)
         self._advanced.set()
         self._advanced = asyncio.Event()
         return page
--- a/src/wallwell/emulator/platform_store.py
+++ b/src/wallwell/emulator/platform_store.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 from aiohttp import web
@@ -54,6 +54,13 @@
     """Local addresses at which every call gets 503: each caller has an address of its own."""
 
 
+class StoreCopy(NamedTuple):
+    """What a store holds at one moment."""
+
+    rows: dict[tuple[str, str], tuple[str, int]]
+    version: int
+
+
 class PlatformStoreEmulator(StoreSwitches):
     """One store. ``page_rows`` bounds the rows of one answer; ``closed_tables`` refuse writes of callers."""
 
@@ -63,6 +70,8 @@
         self.history: list[tuple[int, str, str, bool]] = []
         self.version = 0
         self.forgotten = 0
+        self.era = 1
+        """Rises with each :meth:`restore`."""
         self.calls = 0
         self.addresses: tuple[str, ...] = ()
         self._page_rows = page_rows
@@ -78,6 +87,7 @@
     def app(self) -> web.Application:
         """Return the aiohttp application."""
         app = web.Application()
+        app.on_response_prepare.append(self._state_era)
         app.router.add_post(names.ROWS_TRANSACT_PATH, self._transact)
         app.router.add_get(names.ROWS_READ_PATH, self._read)
         app.router.add_get(names.ROWS_FEED_PATH, self._feed)
@@ -122,8 +132,24 @@
         self.forgotten = self.version
         self.history.clear()
 
+    def copy(self) -> StoreCopy:
+        """Return what the store holds now, to be restored later."""
+        return StoreCopy(dict(self.rows), self.version)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: later writes are lost, and their versions are given out again."""
+        self.rows = dict(copy.rows)
+        self.version = copy.version
+        self.era += 1
+        self.forget_history()
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     # --- calls -----------------------------------------------------------------------------------------
 
+    async def _state_era(self, request: web.Request, response: web.StreamResponse) -> None:
+        response.headers[names.STORE_ERA] = str(self.era)
+
     async def _before(self, request: web.Request) -> web.Response | None:
         """Count a call and apply the switches of all calls; returns the answer if the call is refused."""
         self.calls += 1
@@ -210,10 +236,10 @@
     async def _wait_for_changes(self, table: str, after: int, wait_s: float) -> dict[str, bool] | None:
         """Return the keys that changed after a version, and whether each is gone; none of them after ``wait_s``.
 
-        Returns None if the history from that version on is no longer known.
+        Returns None if the history from that version on is no longer known, or the version never was given out.
         """
         give_up_s = asyncio.get_running_loop().time() + wait_s
-        while after >= self.forgotten:
+        while self.forgotten <= after <= self.version:
             changed = {key: gone for version, each, key, gone in self.history if each == table and version > after}
             left_s = give_up_s - asyncio.get_running_loop().time()
             if changed or left_s <= 0:
--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -58,6 +58,9 @@
     STORE_REGAINED = (4004, "INFO", "store answers again for these rows")
     CRASHES_NOT_WRITTEN = (4005, "WARNING", "crashes not recorded in the store; retried")
     FEED_RESTARTED = (4006, "INFO", "store has no changes since the version known here; every row is read again")
+    STORE_RESTORED = (4007, "WARNING", "store has come back from an older copy; what was written since is lost")
+    STORE_ERA_UNREADABLE = (4008, "WARNING", "number of the store's era cannot be read; it is taken as before")
+    ROWS_WENT_BACK = (4009, "WARNING", "rows that were read are older than those held here; they are refused")
 
     # 5001 and on: nodes, leases and links between them.
     MEMBER_JOINED = (5001, "INFO", "member joined")
--- a/src/wallwell/node/adapter.py
+++ b/src/wallwell/node/adapter.py
@@ -22,6 +22,7 @@
 from wallwell.routing.health.backend_notice import BackendNotices
 from wallwell.serving.liveness import ReachabilityCheck
 from wallwell.serving.messages import BackendClient
+from wallwell.storage.era import StoreEra
 from wallwell.storage.feed import RowSource
 from wallwell.storage.table import TableService
 
@@ -41,6 +42,8 @@
     """This product's own table: members, leases, progress, crashes, records of rollouts."""
     table: TableService
     """Writes to this product's own table."""
+    era: StoreEra
+    """The era of the store, by its answers to all of these."""
     config_key: str
     version_prefix: str
     decode_config: Callable[[bytes], DeploymentConfig]
--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -73,7 +73,13 @@
         """``seed`` fixes the node's random draws; by default each start draws differently."""
         rng = random.Random(seed if seed is not None else f"{profile.name}/{time.time_ns()}")
         self.state = NodeState(
-            profile.name, profile.zone, bounds, rng, started_s=boot_time_s(), topology=profile.topology
+            profile.name,
+            profile.zone,
+            bounds,
+            rng,
+            started_s=boot_time_s(),
+            topology=profile.topology,
+            store_era=adapter.sources.era,
         )
         self.in_flight = 0
         """Callers' requests that are not answered yet."""
--- a/src/wallwell/node/state.py
+++ b/src/wallwell/node/state.py
@@ -8,6 +8,8 @@
 ==========================================  ================================  ====================================
 config, weights, rollouts, members,         ``node`` (rows of the store)      ``serving``, ``placement``,
 quarantine, backends_known, freshness                                         ``rollout``, metrics
+store_era                                   ``platform`` (answers of the      ``node``, metrics
+                                            store)
 load (back ends, demand, first tokens,      ``cluster`` (loads of other       ``routing`` through ``serving``,
 tenants' limits)                            nodes), ``serving`` (own ones)    metrics
 kv_store_contents                           ``node/kv_store_watch.py``        ``serving/cache_planning.py``
@@ -49,6 +51,7 @@
 from wallwell.routing.selection.kv_store_choice import KvStores
 from wallwell.routing.selection.prefill_rate import PrefillRate
 from wallwell.routing.selection.split import WeightedSplit
+from wallwell.storage.era import StoreEra
 
 DEFAULT_CALL_S = 0.05
 """Seconds of a call until some have been observed."""
@@ -100,6 +103,8 @@
     """Whether the listing of back ends has been read once."""
     weights: WeightsTargets = field(default_factory=WeightsTargets)
     """Weights versions that operators have named."""
+    store_era: StoreEra = field(default_factory=StoreEra)
+    """The era that the store is in."""
     freshness: Freshness = field(default_factory=Freshness)
     """When the store last confirmed the configuration."""
     split: WeightedSplit = field(default_factory=WeightedSplit)
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -65,6 +65,7 @@
         backends=TableRows(store, names.BACKENDS_TABLE),
         own=TableRows(store, names.OWN_TABLE),
         table=store,
+        era=store.era,
         config_key=names.CONFIG_KEY,
         version_prefix=names.VERSION_KEY_PREFIX,
         decode_config=decode_config,
--- a/src/wallwell/platform/names.py
+++ b/src/wallwell/platform/names.py
@@ -52,6 +52,10 @@
 REQUEST_LIMIT = "Server-Limit"
 """Requests a second, a decimal number, that a worker takes from all nodes together while its answers name it."""
 
+STORE_ERA = "Store-Era"
+"""On every answer of the store: a number that rises by one each time the store comes back from an older copy. What
+was written after the copy was made is lost then, and versions of rows are given out again."""
+
 # --- headers that are not wallwell's to use --------------------------------------------------------------------
 
 _PIN_MS = "X-Pin-Ms"
--- a/src/wallwell/platform/store.py
+++ b/src/wallwell/platform/store.py
@@ -10,9 +10,12 @@
 from urllib.parse import urlencode
 
 import msgspec
+from aiohttp.http_parser import RawResponseMessage
 
 from wallwell.backend_connection import ConnectionBrokenError
+from wallwell.clock import boot_time_s
 from wallwell.errors import HistoryLostError, PlatformUnavailableError, TableConflictError
+from wallwell.events import Event, emit
 from wallwell.http_connection import ConnectFailedError, ConnectionPool
 from wallwell.platform import names
 from wallwell.platform.store_wire import (
@@ -23,6 +26,7 @@
     own_transaction,
     table_row,
 )
+from wallwell.storage.era import UNKNOWN_ERA, StoreEra
 from wallwell.storage.feed import FeedPage, FeedRow
 from wallwell.storage.table import Row, Scan, Transaction
 
@@ -34,6 +38,8 @@
 """Rows in one page: the most that the store's protocol allows."""
 MAX_IDLE_CONNECTIONS = 6
 """Idle connections kept: three feeds are held open at the same time, and as many other calls."""
+MAX_LOGGED_CHARS = 40
+"""Characters that are logged of a header that cannot be read."""
 AFTER_KEY = "\x00"
 """Appended to the last key of a page, it makes the smallest key that follows: keys are ordered by their bytes."""
 
@@ -47,6 +53,8 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._pool = ConnectionPool("", CONNECT_TIMEOUT_S, CALL_TIMEOUT_S, max_idle=MAX_IDLE_CONNECTIONS)
+        self.era = StoreEra()
+        """Kept up to date by every answer, whatever its status."""
 
     def close(self) -> None:
         """Close idle connections."""
@@ -59,12 +67,21 @@
             head += "Content-Type: application/json\r\n"
         head += f"Content-Length: {len(body)}\r\n\r\n"
         try:
-            return await self._pool.fetch(self._address, head.encode() + body, timeout_s)
+            return await self._pool.fetch(self._address, head.encode() + body, timeout_s, self._on_head)
         except (ConnectFailedError, ConnectionBrokenError) as error:
             raise PlatformUnavailableError(str(error)) from error
         except TimeoutError as error:
             raise PlatformUnavailableError(f"no answer within {timeout_s:g} s") from error
 
+    def _on_head(self, message: RawResponseMessage) -> None:
+        text = message.headers.get(names.STORE_ERA, str(UNKNOWN_ERA))
+        try:
+            era = int(text)
+        except ValueError:
+            emit(Event.STORE_ERA_UNREADABLE, era=text[:MAX_LOGGED_CHARS])
+            return
+        self.era.observe(era, boot_time_s())
+
     async def read(self, path: str, query: dict[str, str], timeout_s: float) -> RowsAnswer:
         """Read rows. Raises :class:`HistoryLostError` or :class:`PlatformUnavailableError`."""
         status, data = await self.call("GET", f"{path}?{urlencode(query)}", b"", timeout_s)
--- a/src/wallwell/storage/replica.py
+++ b/src/wallwell/storage/replica.py
@@ -32,34 +32,39 @@
         """Changes after this version are complete; older ones are not."""
         self._max_deletions = max_deletions
 
-    def take(self, page: FeedPage, whole: bool) -> None:
-        """Apply a page; ``whole``: it holds every row. An older whole page than the copy is refused."""
+    def take(self, page: FeedPage, whole: bool) -> int:
+        """Apply a page; ``whole``: it holds every row. An older whole page than the copy is refused.
+
+        Returns how many rows were refused since the copy holds newer ones.
+        """
         if whole:
             if page.version < self.version:
-                return
+                return len(page.rows)
             self._rows = {}
             self._deletions.clear()
             self._floor = page.version
-        for row in page.rows:
-            self._take_row(row)
+        refused = sum(not self._take_row(row) for row in page.rows)
         if page.rows or whole:
             self.changed_version = max(self.changed_version, page.version)
         self.version = max(self.version, page.version)
         self.store_s = max(self.store_s, page.store_s)
+        return refused
 
-    def _take_row(self, row: FeedRow) -> None:
+    def _take_row(self, row: FeedRow) -> bool:
+        """Apply a row; returns False if the copy holds a newer one."""
         known = self._rows.get(row.key) or self._deletions.get(row.key)
         if known is not None and known.version > row.version:
-            return
+            return False
         self._deletions.pop(row.key, None)
         if row.value is not None:
             self._rows[row.key] = row
-            return
+            return True
         self._rows.pop(row.key, None)
         self._deletions[row.key] = row
         if len(self._deletions) > self._max_deletions:
             _, forgotten = self._deletions.popitem(last=False)
             self._floor = max(self._floor, forgotten.version)
+        return True
 
     def everything(self) -> FeedPage:
         """Return every row as of the copy's version."""
