Positions in the store are an era and a version: what a restored store is told reaches every node

Cause: versions were compared as if the store's count only rose. A node's copy of the rows kept the highest version that it had ever held, refused the whole reading with the lower one, and passed on to its peers only rows above it, together with that version; so its followers too were carried back to it and missed every row until the count had passed it. Evidence: both listed tests failed (one node of three knew the configuration, one of three that the engine leaves); the record shows that all nodes learned together at the first write beyond the count of before. Why this works: the store says in each answer how often it has come back. A page now says its era; a later era replaces whatever is held; a change of another era than the follower's is never joined to its rows, also where the store answers it without a 410; relays name the era to each other, and a peer of an earlier one is passed over. An offset of the store's clock holds for one era. A node of a build that knows no eras is followed as before while the store has never come back, and passed over after. Messages between nodes are the same bytes until the store counts eras. Tests: the two listed ones pass and leave KNOWN-RED; the network of nodes in virtual time draws copies and restores; 27 histories with 1, 6 and 40 lost transactions at 4 and 14 nodes.

--- a/src/wallwell/cluster/relay.py
+++ b/src/wallwell/cluster/relay.py
@@ -13,13 +13,23 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Mapping
 
+from msgspec import UNSET
+
 from wallwell.clock import boot_time_s, bounded
 from wallwell.cluster.peer_link import PeerLinks
-from wallwell.cluster.row_messages import RowsReply, RowsRequest, reply_with_rows, unpack_rows
+from wallwell.cluster.row_messages import (
+    RowsReply,
+    RowsRequest,
+    era_received,
+    era_to_send,
+    reply_with_rows,
+    unpack_rows,
+)
 from wallwell.cluster.upstream import UpstreamOrder
 from wallwell.deployment.freshness import StoreClock
 from wallwell.errors import HistoryLostError, PeerUnavailableError
 from wallwell.events import Event, emit
+from wallwell.storage.era import UNKNOWN_ERA, StoreEra, StorePosition
 from wallwell.storage.feed import FeedPage, RowSource
 from wallwell.storage.replica import RowReplica
 
@@ -46,17 +56,19 @@
         clock: StoreClock,
         wait_s: float,
         pause_s: float = 0.0,
+        era: StoreEra | None = None,
     ) -> None:
         """``wait_s`` is how long the store holds a call open for a change.
 
         ``pause_s`` is waited before the store is asked again after a change, so that changes which come close
-        together cost one call.
+        together cost one call. ``era`` is shared by all tables of a node.
         """
         self.table = table
         self.replica = RowReplica()
         self._store = store
         self._order = order
         self._clock = clock
+        self._era = era or StoreEra()
         self._stale_s = wait_s + STALE_MARGIN_S
         self._pause_s = pause_s
         self._last_brought_rows = False
@@ -66,30 +78,35 @@
     # --- reading ---------------------------------------------------------------------------------------
 
     async def read_all(self) -> FeedPage:
-        """See :class:`RowSource`; a peer that knows less than this node is passed over."""
+        """See :class:`RowSource`; a peer that knows less than this node is passed over.
+
+        The first reading of an era is the store's own, since only that says something of its clock then.
+        """
         page = await self._from_peer(None, 0.0)
-        if page is None or page.version < self.replica.version:
+        if page is None or page.position < self.replica.position or self._clock.is_of_another_era(page.era):
             page = await self._store.read_all()
         return self._take(page, whole=True)
 
-    async def changes(self, after_version: int, wait_s: float) -> FeedPage:
+    async def changes(self, after: StorePosition, wait_s: float) -> FeedPage:
         """See :class:`RowSource`."""
-        page = await self._from_peer(after_version, wait_s)
+        if self._era.is_after(after.era):
+            raise HistoryLostError("the store has come back from a copy")
+        page = await self._from_peer(after, wait_s)
         if page is None:
             if self._last_brought_rows and self._pause_s:
                 await asyncio.sleep(self._pause_s)
-            page = await self._store.changes(after_version, wait_s)
+            page = await self._store.changes(after, wait_s)
             self._last_brought_rows = bool(page.rows)
         return self._take(page, whole=False)
 
-    async def _from_peer(self, after: int | None, wait_s: float) -> FeedPage | None:
+    async def _from_peer(self, after: StorePosition | None, wait_s: float) -> FeedPage | None:
         """Return a peer's page, None if the store is to be asked. Raises :class:`HistoryLostError`."""
         candidates = self._order.candidates(boot_time_s())
         self.links.keep({peer.name for peer in candidates})
         for name, address in candidates[:MAX_PEERS_ASKED]:
             try:
                 held_s = min(wait_s, OTHER_ZONE_WAIT_S) if self._order.is_in_other_zone(name) else wait_s
-                page = await self._ask(name, address, RowsRequest(self.table, held_s, after))
+                page = await self._ask(name, address, held_s, after)
             except PeerUnavailableError as error:
                 self._order.on_failure(name, boot_time_s())
                 emit(Event.RELAY_LOST, peer=name, rows=self.table, reason=str(error))
@@ -98,16 +115,27 @@
             return page
         return None
 
-    async def _ask(self, name: str, address: str, request: RowsRequest) -> FeedPage:
+    async def _ask(self, name: str, address: str, held_s: float, after: StorePosition | None) -> FeedPage:
         """Return a peer's page. Raises :class:`PeerUnavailableError` or :class:`HistoryLostError`."""
-        reply = await self.links.to(name, address).ask(request, RowsReply, request.wait_s + ANSWER_MARGIN_S)
+        request = RowsRequest(self.table, held_s)
+        if after is not None:
+            request = RowsRequest(self.table, held_s, after.version, era_to_send(after.era))
+        reply = await self.links.to(name, address).ask(request, RowsReply, held_s + ANSWER_MARGIN_S)
         if reply.stale:
             raise PeerUnavailableError(f"{address}: its copy of the store is old")
         if reply.history_lost:
             raise HistoryLostError("the peer does not know these changes")
-        return FeedPage(unpack_rows(reply, address), reply.version, reply.store_s, relayed=True)
+        era = era_received(reply.era)
+        self._era.observe(era, boot_time_s())
+        if self._era.is_after(era):
+            # So answers a peer that is behind, and one of a build that knows no eras.
+            raise PeerUnavailableError(f"{address}: its rows are from before the store came back from a copy")
+        if after is not None and era != after.era:
+            raise HistoryLostError("the peer knows that the store has come back from a copy")
+        return FeedPage(unpack_rows(reply, address), reply.version, reply.store_s, relayed=True, era=era)
 
     def _take(self, page: FeedPage, whole: bool) -> FeedPage:
+        self._era.observe(page.era, boot_time_s())
         held = self.replica.version
         refused = self.replica.take(page, whole)
         if refused:
@@ -125,26 +153,39 @@
         try:
             if request.after is None:
                 return reply_with_rows(self.replica.everything())
+            era = self.replica.era
+            if request.era is UNSET:
+                # Of a build without eras, or of an era before the first: the reply says which era its rows are of.
+                if era != UNKNOWN_ERA and request.after > self.replica.version:
+                    return RowsReply(history_lost=True)
+            elif request.era != era:
+                return RowsReply(history_lost=True) if request.era < era else RowsReply(stale=True)
             await self._wait_for_change(request.after, request.wait_s)
             if self._is_stale():
                 return RowsReply(stale=True)
+            if self.replica.era != era:
+                return RowsReply(history_lost=True)
             return reply_with_rows(self.replica.after(request.after))
         except HistoryLostError:
             return RowsReply(history_lost=True)  # The peer reads every row again, and logs it (FEED_RESTARTED).
 
     async def _wait_for_change(self, after: int, wait_s: float) -> None:
         give_up_s = boot_time_s() + wait_s
-        while self.replica.changed_version <= after and (left_s := give_up_s - boot_time_s()) > 0:
+        era = self.replica.era
+        while self._has_nothing_after(era, after) and (left_s := give_up_s - boot_time_s()) > 0:
             try:
                 async with bounded(min(left_s, max(0.0, self._stale_s - self._age_s()))):
                     await self._advanced.wait()
             except TimeoutError:
                 return  # Nothing new within the agreed wait, which is no fault: the answer then says just that.
 
+    def _has_nothing_after(self, era: int, version: int) -> bool:
+        return self.replica.era == era and self.replica.changed_version <= version
+
     def _age_s(self) -> float:
         """Return how long ago the copy was certainly current, by the store's own clock."""
         now_s = boot_time_s()
-        return now_s - self._clock.confirmed_by_relay_s(now_s, self.replica.store_s)
+        return now_s - self._clock.confirmed_by_relay_s(now_s, self.replica.store_s, self.replica.era)
 
     def _is_stale(self) -> bool:
         return self._age_s() >= self._stale_s
--- a/src/wallwell/cluster/row_messages.py
+++ b/src/wallwell/cluster/row_messages.py
@@ -9,9 +9,11 @@
 import zlib
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 from wallwell.cluster.peer_link import PeerMessage
 from wallwell.errors import PeerUnavailableError
+from wallwell.storage.era import UNKNOWN_ERA
 from wallwell.storage.feed import FeedPage, FeedRow
 
 PACK_BYTES = 2048
@@ -19,11 +21,16 @@
 
 
 class RowsRequest(PeerMessage, frozen=True):
-    """Ask for rows of a table: every row if ``after`` is None, else what changed after that version."""
+    """Ask for rows of a table: every row if ``after`` is None, else what changed after that version.
+
+    ``era`` is the store's in which the version was given out. It is left out where that is ``UNKNOWN_ERA``, and by
+    nodes of builds that know no eras.
+    """
 
     table: str
     wait_s: float
     after: int | None = None
+    era: int | UnsetType = UNSET
 
 
 class RelayedRow(msgspec.Struct, frozen=True, array_like=True):
@@ -46,6 +53,18 @@
     packed: bytes = b""
     stale: bool = False
     history_lost: bool = False
+    era: int | UnsetType = UNSET
+    """As in :class:`RowsRequest`."""
+
+
+def era_to_send(era: int) -> int | UnsetType:
+    """Return an era as messages carry it: no byte as long as the store counts none."""
+    return UNSET if era == UNKNOWN_ERA else era
+
+
+def era_received(era: int | UnsetType) -> int:
+    """Return the era that a message carries."""
+    return UNKNOWN_ERA if era is UNSET else era
 
 
 @functools.lru_cache(maxsize=8)
@@ -72,4 +91,4 @@
 def reply_with_rows(page: FeedPage) -> RowsReply:
     """Return a page of the own copy as a reply."""
     rows, packed = _pack(page.rows)
-    return RowsReply(page.version, page.store_s, rows, packed)
+    return RowsReply(page.version, page.store_s, rows, packed, era=era_to_send(page.era))
--- a/src/wallwell/deployment/freshness.py
+++ b/src/wallwell/deployment/freshness.py
@@ -12,33 +12,50 @@
 
 from dataclasses import dataclass
 
+from wallwell.storage.era import UNKNOWN_ERA
+
 DRIFT_PER_S = 200e-6
 """Seconds by which two steady clocks drift apart in a second, at most; the bounds are relaxed by it."""
 
 
 @dataclass
 class StoreClock:
-    """Bounds on ``local time - store time`` from calls observed so far."""
+    """Bounds on ``local time - store time`` from the calls observed in the newest era of the store.
+
+    A store that has come back from a copy may run on another machine, with another clock.
+    """
 
     _lower_s: float | None = None
     _observed_s: float = 0.0
+    _era: int = UNKNOWN_ERA
+
+    def is_of_another_era(self, era: int) -> bool:
+        """Whether the calls observed so far say nothing of the store's clock in ``era``."""
+        return self._lower_s is not None and era != self._era
 
-    def confirmed_s(self, sent_s: float, store_s: float) -> float:
-        """Return the local time at which an answer was certainly current.
+    def confirmed_s(self, sent_s: float, store_s: float, era: int = UNKNOWN_ERA) -> float:
+        """Return the local time at which an answer was certainly current; minus infinity for an earlier era.
 
         ``sent_s`` is the local time at which the call was started, ``store_s`` the store's clock in the answer.
         """
+        if era < self._era:
+            return float("-inf")
+        if era > self._era:
+            self._era = era
+            self._lower_s = None
         lower_s = max(sent_s - store_s, self._relaxed_lower_s(sent_s))
         self._lower_s = lower_s
         self._observed_s = sent_s
         return max(sent_s, store_s + lower_s)
 
-    def confirmed_by_relay_s(self, now_s: float, store_s: float) -> float:
+    def confirmed_by_relay_s(self, now_s: float, store_s: float, era: int = UNKNOWN_ERA) -> float:
         """Return the local time at which an answer that a peer passed on was certainly current.
 
         The peer may have kept it for any time, so the call through it says nothing of the offset of the clocks;
         only this node's own calls to the store say something of that. Minus infinity without any.
         """
+        if era != self._era:
+            return float("-inf")
         return store_s + self._relaxed_lower_s(now_s)
 
     def _relaxed_lower_s(self, now_s: float) -> float:
--- a/src/wallwell/node/followers.py
+++ b/src/wallwell/node/followers.py
@@ -50,7 +50,8 @@
 
     def add(self, name: str, store: RowSource, apply: Callable[[FollowedPage], None], timing: FeedTiming) -> None:
         """Follow a table. ``name`` is its name between nodes; ``apply`` receives every page in order."""
-        rows = RelayedRows(name, store, self._order, self._clock, timing.wait_s, timing.pause_s)
+        era = self._state.store_era
+        rows = RelayedRows(name, store, self._order, self._clock, timing.wait_s, timing.pause_s, era)
         self.relayed[name] = rows
         self.followers.append(RowFollower(name, rows, apply, timing.wait_s, self._clock, self._state.rng))
 
--- a/src/wallwell/platform/store.py
+++ b/src/wallwell/platform/store.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from http import HTTPStatus
+from typing import NamedTuple
 from urllib.parse import urlencode
 
 import msgspec
@@ -26,7 +27,7 @@
     own_transaction,
     table_row,
 )
-from wallwell.storage.era import UNKNOWN_ERA, StoreEra
+from wallwell.storage.era import UNKNOWN_ERA, StoreEra, StorePosition
 from wallwell.storage.feed import FeedPage, FeedRow
 from wallwell.storage.table import Row, Scan, Transaction
 
@@ -44,6 +45,21 @@
 """Appended to the last key of a page, it makes the smallest key that follows: keys are ordered by their bytes."""
 
 
+class StoreAnswer(NamedTuple):
+    """An answer of the store, whatever its status."""
+
+    status: int
+    body: bytes
+    era: int
+
+
+class RowsRead(NamedTuple):
+    """An answer about rows; versions in it are those of the era."""
+
+    rows: RowsAnswer
+    era: int
+
+
 class PlatformStore:
     """The store at one address, one connection for each call in progress.
 
@@ -60,36 +76,48 @@
         """Close idle connections."""
         self._pool.close()
 
-    async def call(self, method: str, path: str, body: bytes, timeout_s: float) -> tuple[int, bytes]:
-        """Make one call and return status and body. Raises :class:`PlatformUnavailableError`."""
+    async def call(self, method: str, path: str, body: bytes, timeout_s: float) -> StoreAnswer:
+        """Make one call. Raises :class:`PlatformUnavailableError`."""
         head = f"{method} {path} HTTP/1.1\r\nHost: {self._address}\r\n"
         if body:
             head += "Content-Type: application/json\r\n"
         head += f"Content-Length: {len(body)}\r\n\r\n"
+        era = UNKNOWN_ERA
+
+        def on_head(message: RawResponseMessage) -> None:
+            nonlocal era
+            era = self._observe_era(message)
+
         try:
-            return await self._pool.fetch(self._address, head.encode() + body, timeout_s, self._on_head)
+            status, data = await self._pool.fetch(self._address, head.encode() + body, timeout_s, on_head)
+            return StoreAnswer(status, data, era)
         except (ConnectFailedError, ConnectionBrokenError) as error:
             raise PlatformUnavailableError(str(error)) from error
         except TimeoutError as error:
             raise PlatformUnavailableError(f"no answer within {timeout_s:g} s") from error
 
-    def _on_head(self, message: RawResponseMessage) -> None:
+    def _observe_era(self, message: RawResponseMessage) -> int:
+        """Return the era that an answer states; one that cannot be read is logged and taken as before."""
         text = message.headers.get(names.STORE_ERA, str(UNKNOWN_ERA))
         try:
             era = int(text)
         except ValueError:
             emit(Event.STORE_ERA_UNREADABLE, era=text[:MAX_LOGGED_CHARS])
-            return
+            return self.era.number or UNKNOWN_ERA
         self.era.observe(era, boot_time_s())
+        return era
 
-    async def read(self, path: str, query: dict[str, str], timeout_s: float) -> RowsAnswer:
-        """Read rows. Raises :class:`HistoryLostError` or :class:`PlatformUnavailableError`."""
-        status, data = await self.call("GET", f"{path}?{urlencode(query)}", b"", timeout_s)
-        if status == HTTPStatus.GONE:
+    async def read(self, path: str, query: dict[str, str], timeout_s: float) -> RowsRead:
+        """Read rows. Raises :class:`HistoryLostError`, or :class:`PlatformUnavailableError`, also for a late answer
+        of an earlier era."""
+        answer = await self.call("GET", f"{path}?{urlencode(query)}", b"", timeout_s)
+        if answer.status == HTTPStatus.GONE:
             raise HistoryLostError("the store no longer has the changes after that version")
-        if status != HTTPStatus.OK:
-            raise PlatformUnavailableError(f"status {status}")
-        return decode_answer(data)
+        if answer.status != HTTPStatus.OK:
+            raise PlatformUnavailableError(f"status {answer.status}")
+        if self.era.is_after(answer.era):
+            raise PlatformUnavailableError("the answer is from before the store came back from a copy")
+        return RowsRead(decode_answer(answer.body), answer.era)
 
     async def transact_rows(self, body: TransactBody) -> int:
         """Carry out a transaction over rows of any tables and return the version of what it wrote.
@@ -98,17 +126,17 @@
         it was written).
         """
         payload = msgspec.json.encode(body)
-        status, data = await self.call("POST", names.ROWS_TRANSACT_PATH, payload, CALL_TIMEOUT_S)
-        if status == HTTPStatus.PRECONDITION_FAILED:
+        answer = await self.call("POST", names.ROWS_TRANSACT_PATH, payload, CALL_TIMEOUT_S)
+        if answer.status == HTTPStatus.PRECONDITION_FAILED:
             raise TableConflictError("a condition does not hold")
-        if status != HTTPStatus.OK:
-            raise PlatformUnavailableError(f"status {status}")
-        return decode_answer(data).ver
+        if answer.status != HTTPStatus.OK:
+            raise PlatformUnavailableError(f"status {answer.status}")
+        return decode_answer(answer.body).ver
 
     async def get_row(self, table: str, key: str) -> Row | None:
         """Return a row of a table, None if there is none. Raises :class:`PlatformUnavailableError`."""
         query = {"table": table, "part": names.WHOLE_TABLE, "from": key, "limit": "1"}
-        answer = await self.read(names.ROWS_READ_PATH, query, CALL_TIMEOUT_S)
+        answer, _ = await self.read(names.ROWS_READ_PATH, query, CALL_TIMEOUT_S)
         # The store answers the first row from this key on, which may be a later one.
         found = next((row for row in answer.rows if row.key == key), None)
         return table_row(found) if found is not None else None
@@ -144,21 +172,30 @@
         Version and time are those of the first page: a change made while later pages are read is then read from
         the feed again, and none is missed.
         """
-        first = answer = await self._read_page("")
+        first, era = await self._read_page("")
         rows: list[FeedRow] = [feed_row(row) for row in first.rows]
+        answer = first
         while answer.more and answer.rows:
-            answer = await self._read_page(answer.rows[-1].key + AFTER_KEY)
+            answer, later_era = await self._read_page(answer.rows[-1].key + AFTER_KEY)
+            _require_same(era, later_era)
             rows.extend(feed_row(row) for row in answer.rows)
-        return FeedPage(tuple(rows), first.ver, first.now_ms / 1000)
+        return FeedPage(tuple(rows), first.ver, first.now_ms / 1000, era=era)
 
-    async def _read_page(self, from_key: str) -> RowsAnswer:
+    async def _read_page(self, from_key: str) -> RowsRead:
         query = {"table": self._table, "part": names.WHOLE_TABLE, "limit": str(PAGE_ROWS)}
         if from_key:
             query["from"] = from_key
         return await self._store.read(names.ROWS_READ_PATH, query, CALL_TIMEOUT_S)
 
-    async def changes(self, after_version: int, wait_s: float) -> FeedPage:
+    async def changes(self, after: StorePosition, wait_s: float) -> FeedPage:
         """See :class:`wallwell.storage.feed.RowSource`."""
-        query = {"table": self._table, "after": str(after_version), "wait_ms": str(round(wait_s * 1000))}
-        answer = await self._store.read(names.ROWS_FEED_PATH, query, wait_s + CALL_TIMEOUT_S)
-        return FeedPage(tuple(feed_row(row) for row in answer.rows), answer.ver, answer.now_ms / 1000)
+        query = {"table": self._table, "after": str(after.version), "wait_ms": str(round(wait_s * 1000))}
+        answer, era = await self._store.read(names.ROWS_FEED_PATH, query, wait_s + CALL_TIMEOUT_S)
+        _require_same(after.era, era)
+        return FeedPage(tuple(feed_row(row) for row in answer.rows), answer.ver, answer.now_ms / 1000, era=era)
+
+
+def _require_same(era: int, later_era: int) -> None:
+    """Raise :class:`HistoryLostError` if rows of two eras would be joined."""
+    if era != later_era:
+        raise HistoryLostError("the store has come back from a copy")
--- a/src/wallwell/storage/era.py
+++ b/src/wallwell/storage/era.py
@@ -10,12 +10,22 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from wallwell.events import Event, emit
 
 UNKNOWN_ERA = 0
 """Era of a store that counts none."""
 
 
+class StorePosition(msgspec.Struct, frozen=True, order=True):
+    """A moment of the store's history. A later era comes after every version of an earlier one."""
+
+    era: int
+    version: int
+    """Number of a transaction in that era."""
+
+
 class StoreEra:
     """The newest era of the store that one node has met."""
 
@@ -25,6 +35,10 @@
         self.since_s = float("-inf")
         """When it was met first, on this node's clock; the store has been in it for longer."""
 
+    def is_after(self, number: int) -> bool:
+        """Whether the store has come back from a copy since an era."""
+        return self.number is not None and self.number > number
+
     def observe(self, number: int, now_s: float) -> None:
         """Take the era of an answer; that of a late answer from before changes nothing."""
         if self.number is not None and number <= self.number:
--- a/src/wallwell/storage/feed.py
+++ b/src/wallwell/storage/feed.py
@@ -1,7 +1,7 @@
 """Following a set of rows: one whole reading, then every change in order, however often the store fails.
 
 For every kind of knowledge that lies in the store: following again is how it recovers. The follower starts over
-with a whole reading when the store has forgotten its history, and never moves back to an older version.
+with a whole reading when the store has forgotten its history or has come back from an older copy.
 
 Owns the version that was reached, when it was confirmed, and the pauses after failures. Relies on a
 :class:`RowSource` for the calls, and on :class:`StoreClock` for how old an answer is.
@@ -20,6 +20,7 @@
 from wallwell.deployment.freshness import StoreClock
 from wallwell.errors import HistoryLostError, PlatformUnavailableError
 from wallwell.events import Event, emit
+from wallwell.storage.era import UNKNOWN_ERA, StorePosition
 
 MIN_RETRY_S = 0.08
 """Seconds that the pauses between failed calls start from; they double with each failure."""
@@ -30,7 +31,7 @@
 
 
 class FeedRow(msgspec.Struct, frozen=True):
-    """A row as of ``version``; ``value`` is None if it was deleted."""
+    """A row as of ``version`` in the era of its page; ``value`` is None if it was deleted."""
 
     key: str
     value: bytes | None
@@ -47,6 +48,12 @@
     version: int
     store_s: float
     relayed: bool = False
+    era: int = UNKNOWN_ERA
+
+    @property
+    def position(self) -> StorePosition:
+        """The moment of the store's history that the page goes up to."""
+        return StorePosition(self.era, self.version)
 
 
 class FollowedPage(msgspec.Struct, frozen=True):
@@ -59,6 +66,9 @@
     """When the rows were certainly current."""
     unconfirmed_since_s: float
     """When they were before this page; -inf for the first one."""
+    restored: bool = False
+    """Whether the store has come back from an older copy since the page before. Rows may then be older than those
+    applied here, and what was written since the copy was made is missing until it is written again."""
 
 
 class RowSource(Protocol):
@@ -68,10 +78,11 @@
         """Return every row. Raises :class:`PlatformUnavailableError`."""
         ...
 
-    async def changes(self, after_version: int, wait_s: float) -> FeedPage:
-        """Return what changed after a version, waiting up to ``wait_s`` for the first change.
+    async def changes(self, after: StorePosition, wait_s: float) -> FeedPage:
+        """Return what changed in the era of ``after``, waiting up to ``wait_s`` for the first change.
 
-        Raises :class:`HistoryLostError` or :class:`PlatformUnavailableError`.
+        Raises :class:`HistoryLostError`, also if the store is in another era, or
+        :class:`PlatformUnavailableError`.
         """
         ...
 
@@ -95,7 +106,9 @@
         self._wait_s = wait_s
         self._clock = clock
         self._rng = rng
-        self._version: int | None = None
+        self._position: StorePosition | None = None
+        """What was reached; None if every row is to be read."""
+        self._applied_era: int | None = None
         self._failures = 0
 
     async def run(self) -> None:
@@ -104,8 +117,9 @@
             try:
                 await self.step()
             except HistoryLostError as error:
-                emit(Event.FEED_RESTARTED, rows=self.name, version=self._version, reason=error.detail)
-                self._version = None
+                version = None if self._position is None else self._position.version
+                emit(Event.FEED_RESTARTED, rows=self.name, version=version, reason=error.detail)
+                self._position = None
             except PlatformUnavailableError as error:
                 self._on_failure(error)
                 await asyncio.sleep(self._retry_delay_s())
@@ -113,23 +127,26 @@
     async def step(self) -> None:
         """One reading. Raises :class:`HistoryLostError` or :class:`PlatformUnavailableError`."""
         sent_s = boot_time_s()
-        whole = self._version is None
-        if self._version is None:
+        whole = self._position is None
+        if self._position is None:
             page = await self._source.read_all()
+            self._position = page.position
         else:
-            page = await self._source.changes(self._version, self._wait_s)
-        self._version = max(self._version or 0, page.version)
+            page = await self._source.changes(self._position, self._wait_s)
+            self._position = max(self._position, page.position)
         unconfirmed_since_s = self.confirmed_at_s
         self.confirmed_at_s = max(self.confirmed_at_s, self._confirmed_s(page, sent_s))
         if self._failures:
             emit(Event.STORE_REGAINED, rows=self.name, failures=self._failures)
             self._failures = 0
-        self._apply(FollowedPage(page, whole, self.confirmed_at_s, unconfirmed_since_s))
+        restored = self._applied_era is not None and page.era > self._applied_era
+        self._applied_era = page.era
+        self._apply(FollowedPage(page, whole, self.confirmed_at_s, unconfirmed_since_s, restored))
 
     def _confirmed_s(self, page: FeedPage, sent_s: float) -> float:
         if page.relayed:
-            return self._clock.confirmed_by_relay_s(boot_time_s(), page.store_s)
-        return self._clock.confirmed_s(sent_s, page.store_s)
+            return self._clock.confirmed_by_relay_s(boot_time_s(), page.store_s, page.era)
+        return self._clock.confirmed_s(sent_s, page.store_s, page.era)
 
     def _on_failure(self, error: PlatformUnavailableError) -> None:
         self._failures += 1
--- a/src/wallwell/storage/replica.py
+++ b/src/wallwell/storage/replica.py
@@ -8,8 +8,10 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterable
 
 from wallwell.errors import HistoryLostError
+from wallwell.storage.era import UNKNOWN_ERA, StorePosition
 from wallwell.storage.feed import FeedPage, FeedRow
 
 MAX_DELETIONS = 1000
@@ -21,6 +23,8 @@
     """Rows by key with their versions, as of ``version`` at the store's time ``store_s``."""
 
     def __init__(self, max_deletions: int = MAX_DELETIONS) -> None:
+        self.era = UNKNOWN_ERA
+        """The era of the store in which every row and version here was given out."""
         self.version = -1
         """The newest version that the copy holds; -1 before the first reading."""
         self.store_s = float("-inf")
@@ -38,11 +42,11 @@
         Returns how many rows were refused since the copy holds newer ones.
         """
         if whole:
-            if page.version < self.version:
+            if page.position < self.position:
                 return len(page.rows)
-            self._rows = {}
-            self._deletions.clear()
-            self._floor = page.version
+            self._begin_again(page)
+        elif page.era != self.era:
+            return len(page.rows)
         refused = sum(not self._take_row(row) for row in page.rows)
         if page.rows or whole:
             self.changed_version = max(self.changed_version, page.version)
@@ -50,6 +54,21 @@
         self.store_s = max(self.store_s, page.store_s)
         return refused
 
+    @property
+    def position(self) -> StorePosition:
+        """The moment of the store's history that the copy goes up to."""
+        return StorePosition(self.era, self.version)
+
+    def _begin_again(self, page: FeedPage) -> None:
+        """Drop every row for those of a whole page; in another era all versions begin anew."""
+        if page.era != self.era:
+            self.era = page.era
+            self.version = self.changed_version = -1
+            self.store_s = float("-inf")
+        self._rows = {}
+        self._deletions.clear()
+        self._floor = page.version
+
     def _take_row(self, row: FeedRow) -> bool:
         """Apply a row; returns False if the copy holds a newer one."""
         known = self._rows.get(row.key) or self._deletions.get(row.key)
@@ -68,7 +87,7 @@
 
     def everything(self) -> FeedPage:
         """Return every row as of the copy's version."""
-        return FeedPage(tuple(self._rows.values()), self.version, self.store_s, relayed=True)
+        return self._page(self._rows.values())
 
     def after(self, version: int) -> FeedPage:
         """Return what changed after ``version``. Raises :class:`HistoryLostError` if that is not all known here."""
@@ -76,4 +95,7 @@
             raise HistoryLostError("changes from before the last whole reading")
         changed = [row for row in (*self._rows.values(), *self._deletions.values()) if row.version > version]
         changed.sort(key=lambda row: row.version)
-        return FeedPage(tuple(changed), self.version, self.store_s, relayed=True)
+        return self._page(changed)
+
+    def _page(self, rows: Iterable[FeedRow]) -> FeedPage:
+        return FeedPage(tuple(rows), self.version, self.store_s, relayed=True, era=self.era)
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -14,6 +14,7 @@
 from wallwell.platform.main import reload_settings
 from wallwell.platform.settings import Bounds, load_platform_settings
 from wallwell.platform.store import PlatformStore, TableRows
+from wallwell.storage.era import StorePosition
 from wallwell.storage.table import Condition, Put, Transaction
 
 
@@ -199,7 +200,7 @@
         with pytest.raises(PlatformUnavailableError):
             await store.get("k")
         with pytest.raises(PlatformUnavailableError):
-            await TableRows(store, "op").changes(0, 0.1)
+            await TableRows(store, "op").changes(StorePosition(stand_in.era, 0), 0.1)
 
     with_store(run_async, scenario)
 
@@ -219,7 +220,7 @@
         stand_in.put("op", "a", {"x": 1})
         stand_in.forget_history()
         with pytest.raises(HistoryLostError):
-            await TableRows(store, "op").changes(0, 0.1)
+            await TableRows(store, "op").changes(StorePosition(stand_in.era, 0), 0.1)
 
     with_store(run_async, scenario)
 
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -2,8 +2,8 @@
 
 Seen: three or four of seven nodes knew nothing of what was written after the store's return, for up to 2.2 s: an
 engine that had said that it leaves got requests, a route that had been added answered 404.
-How it came about: the store counts versions on from those of the copy, and a node passed on to its peers the highest
-version that it had ever seen, and only rows above it.
+How it came about: the store counts versions on from those of the copy, and a node passed on to its peers the
+highest version that it had ever seen, and only rows above it.
 Cause: versions were compared without regard to which life of the store gave them out.
 Proof: the nodes that missed rows learned of all of them at the first write beyond the count from before.
 """
@@ -15,7 +15,12 @@
 import pytest
 
 from tests.platform.conftest import config, route
+from tests.platform.stand_ins import PAGE_ROWS
+from tests.platform.test_node import with_store
 from tests.platform.test_peers import both_know_each_other, second_node
+from wallwell.errors import HistoryLostError, PlatformUnavailableError
+from wallwell.platform.store import TableRows
+from wallwell.storage.era import StorePosition
 
 SOON_S = 1.0
 """Within which a change is known at each node: half of what operators allow."""
@@ -82,3 +87,50 @@
         return known
 
     assert on_platform(scenario) == [True, True, True]
+
+
+def test_pages_of_two_eras_are_not_joined_to_one_reading(run_async):
+    async def scenario(stand_in, store):
+        for number in range(PAGE_ROWS + 1):
+            stand_in.put("op", f"k{number}", "before")
+        copy = stand_in.copy()
+        read_page = store.read
+
+        async def restore_after_the_first_page(*args):
+            page = await read_page(*args)
+            stand_in.restore(copy)
+            return page
+
+        store.read = restore_after_the_first_page
+        with pytest.raises(HistoryLostError):
+            await TableRows(store, "op").read_all()
+
+    with_store(run_async, scenario)
+
+
+def test_a_reading_held_over_a_restore_is_not_continued_though_the_count_has_passed_it(run_async):
+    """The store gives out the version again that the reading goes on from, so it does not answer 410."""
+
+    async def scenario(stand_in, store):
+        copy = stand_in.copy()
+        stand_in.put("op", "k", "lost")
+        after = StorePosition(stand_in.era, stand_in.version)
+        held = asyncio.create_task(TableRows(store, "op").changes(after, 1.0))
+        await asyncio.sleep(0.1)
+        stand_in.restore(copy)
+        stand_in.put("op", "k", "missed")
+        stand_in.put("op", "k", "read")
+        with pytest.raises(HistoryLostError):
+            await held
+
+    with_store(run_async, scenario)
+
+
+def test_a_late_answer_of_an_earlier_era_counts_as_none(run_async):
+    async def scenario(stand_in, store):
+        stand_in.put("wallwell", "k", "v")
+        store.era.observe(stand_in.era + 1, 0.0)
+        with pytest.raises(PlatformUnavailableError):
+            await store.get("k")
+
+    with_store(run_async, scenario)
--- a/tests/unit/cluster/relay_network.py
+++ b/tests/unit/cluster/relay_network.py
@@ -17,6 +17,8 @@
 WAIT_S = 0.8
 ROUND_TRIP_S = 0.004
 STORE_OFFSET_S = -900.0
+NOWHERE = (0, 0)
+"""Before every position of a store."""
 SETTLE_S = 25.0
 
 
@@ -26,23 +28,32 @@
     def __init__(self):
         super().__init__()
         self.calls = 0
-        self.written_at_s = []
+        self.written = {}
+        """When each row was written, and its position: of rows in a copy that of their writing."""
         self._changed = asyncio.Event()
 
     def write(self, key, value):
         super().write(key, value)
-        self.written_at_s.append((boot_time_s(), self.version))
+        self.written[key] = (boot_time_s(), (self.era, self.version))
+        self._wake()
+
+    def copy(self):
+        return super().copy(), dict(self.written)
+
+    def restore(self, copy):
+        rows, written = copy
+        super().restore(rows)
+        self.written = dict(written)
+        self._wake()
+
+    def _wake(self):
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def newest_at(self, at_s):
-        """Return the newest version written strictly before a time."""
-        return max((version for written_s, version in self.written_at_s if written_s < at_s), default=0)
-
-    async def wait_for_change(self, after_version, wait_s):
+    async def wait_for_change(self, after, wait_s):
         try:
             async with asyncio.timeout(wait_s):
-                while self.version <= after_version:
+                while self.era == after.era and self.version <= after.version:
                     await self._changed.wait()
         except TimeoutError:
             return
@@ -77,10 +88,10 @@
     async def read_all(self):
         return await self._call(self.store.read_all)
 
-    async def changes(self, after_version, wait_s):
+    async def changes(self, after, wait_s):
         async def read():
-            await self.store.wait_for_change(after_version, wait_s)
-            return await self.store.changes(after_version, 0.0)
+            await self.store.wait_for_change(after, wait_s)
+            return await self.store.changes(after, 0.0)
 
         return await self._call(read)
 
@@ -134,7 +145,8 @@
     def _start(self):
         self.clock = StoreClock()
         self.known = {}
-        self.version = 0
+        """Position and value by key."""
+        self.era = 0
         self.rows = RelayedRows("rows", self.store, self.order, self.clock, WAIT_S)
         self.rows.links = VirtualLinks(self._network, self.name)
         self.follower = RowFollower("rows", self.rows, self._apply, WAIT_S, self.clock, self.rng)
@@ -148,17 +160,20 @@
     def _apply(self, followed):
         if followed.whole:
             self.known = {}
+        assert followed.page.era >= self.era, "an earlier era came after a later one"
+        self.era = followed.page.era
         for row in followed.page.rows:
-            assert row.version >= self.known.get(row.key, (0, b""))[0], "a row went back"
-            self.known[row.key] = (row.version, row.value)
-        self.version = max(self.version, followed.page.version)
+            position = (self.era, row.version)
+            assert position >= self.known.get(row.key, (NOWHERE, b""))[0], "a row went back"
+            self.known[row.key] = (position, row.value)
         self.check(followed.confirmed_at_s)
 
     def check(self, confirmed_at_s):
         """Everything written before the time of confirmation is known."""
-        for key, row in self._network.store.rows.items():
-            if row.version <= self._network.store.newest_at(confirmed_at_s):
-                assert self.known.get(key, (0, b""))[0] >= row.version, "knowledge looks newer than it is"
+        for key in self._network.store.rows:
+            written_s, position = self._network.store.written[key]
+            if written_s < confirmed_at_s:
+                assert self.known.get(key, (NOWHERE, b""))[0] >= position, "knowledge looks newer than it is"
 
     def kill(self):
         self.alive = False
--- a/tests/unit/cluster/test_relay.py
+++ b/tests/unit/cluster/test_relay.py
@@ -38,13 +38,13 @@
         self.calls += 1
         return await super().read_all()
 
-    async def changes(self, after_version, wait_s):
+    async def changes(self, after, wait_s):
         self.calls += 1
-        if self.version == after_version:
+        if self.version == after.version:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     await self._changed.wait()
-        return await super().changes(after_version, 0.0)
+        return await super().changes(after, 0.0)
 
 
 class Node:
--- a/tests/unit/cluster/test_relay_network.py
+++ b/tests/unit/cluster/test_relay_network.py
@@ -26,6 +26,8 @@
         st.tuples(st.just("write"), st.sampled_from("abc"), st.just("")),
         st.tuples(st.just("delete"), st.sampled_from("abc"), st.just("")),
         st.tuples(st.just("forget"), st.just(""), st.just("")),
+        st.tuples(st.just("copy"), st.just(""), st.just("")),
+        st.tuples(st.just("restore"), st.just(""), st.just("")),
         st.tuples(st.just("store"), NAMES, st.sampled_from(["well", "refusing", "silent"])),
         st.tuples(st.just("cut"), NAMES, NAMES),
         st.tuples(st.just("kill"), NAMES, st.just("")),
@@ -44,6 +46,10 @@
         network.store.write(what, None)
     elif action == "forget":
         network.store.forget()
+    elif action == "copy":
+        network.copy = network.store.copy()
+    elif action == "restore":
+        network.store.restore(network.copy)
     elif action == "store":
         network.nodes[what].store.mode = more
     elif action == "cut" and what != more:
@@ -64,6 +70,7 @@
     async def work():
         network = Network(zones, regions)
         network.store.write("a", b"first")
+        network.copy = network.store.copy()
         await asyncio.sleep(2.0)
         for number, step in enumerate(steps):
             take(network, step, number)
@@ -82,6 +89,52 @@
     run_virtual(work())
 
 
+IN_FORCE_S = 1.6
+"""Within which a change is known everywhere: operators allow two seconds."""
+CONTACT_S = 3.0
+"""Seconds that nodes are given after the store's return before bounds in time hold."""
+
+
+@pytest.mark.parametrize("zones", ["zzzz", "abcd", "aabbccddeeffgg"])
+@pytest.mark.parametrize("away_s", [0.0, 0.3, 2.5])
+@pytest.mark.parametrize("lost", [1, 6, 40])
+def test_what_a_restored_store_is_told_is_known_everywhere_soon(zones, away_s, lost):
+    """Also if its count has passed the one from before when a node asks: nothing but the era tells that apart."""
+
+    async def work():
+        network = Network(zones)
+        network.store.write("a", b"1")
+        await ask_once(network)
+        await asyncio.sleep(3.0)
+        copy = network.store.copy()
+        for number in range(lost):
+            network.store.write("b", b"lost %d" % number)
+        await asyncio.sleep(3.0)
+        for node in network.nodes.values():
+            node.store.mode = "refusing" if away_s else "well"
+        await asyncio.sleep(away_s)
+        network.store.restore(copy)
+        for number in range(8):
+            network.store.write("c", b"%d" % number)
+        for node in network.nodes.values():
+            node.store.mode = "well"
+        await asyncio.sleep(CONTACT_S)
+        longest_s = 0.0
+        for number in range(10):
+            network.store.write("a", b"new %d" % number)
+            longest_s = max(
+                longest_s, await time_until_known(network, network.nodes.values(), "a", b"new %d" % number)
+            )
+            await asyncio.sleep(0.1)
+        await asyncio.sleep(SETTLE_S)
+        for node in network.nodes.values():
+            known = {key: value for key, (_, value) in node.known.items() if value is not None}
+            assert known == {key: row.value for key, row in network.store.rows.items()}
+        return longest_s
+
+    assert run_virtual(work()) < IN_FORCE_S
+
+
 @pytest.mark.parametrize("zones", ["zzzz", "abcd", "aabbccdd"])
 @pytest.mark.parametrize("trouble", ["killed", "silent", "refusing", "cut"])
 def test_a_change_is_known_soon_although_the_relay_is_in_trouble(trouble, zones):
--- a/tests/unit/deployment/test_freshness.py
+++ b/tests/unit/deployment/test_freshness.py
@@ -52,3 +52,15 @@
         now_s = made_s + until_arrival_s
         told_s = now_s - age_s
         assert clock.confirmed_by_relay_s(now_s, told_s + offset_s) <= told_s + 1e-6
+
+
+def test_the_clock_of_a_restored_store_may_stand_elsewhere():
+    """An offset of before would make an answer of a clock that is ahead look newer than now."""
+    clock = StoreClock()
+    clock.confirmed_s(100.0, 50.0, 1)
+    assert clock.is_of_another_era(2)
+    assert clock.confirmed_by_relay_s(100.5, 90.0, 2) == float("-inf")
+    assert clock.confirmed_s(101.0, 90.0, 2) == 101.0
+    assert clock.confirmed_by_relay_s(101.5, 90.4, 2) <= 101.4
+    assert clock.confirmed_s(101.5, 51.5, 1) == float("-inf")
+    assert clock.confirmed_by_relay_s(101.5, 51.5, 1) == float("-inf")
--- a/tests/unit/storage/memory_rows.py
+++ b/tests/unit/storage/memory_rows.py
@@ -13,6 +13,7 @@
         self.rows: dict[str, FeedRow] = {}
         self.history: list[FeedRow] = []
         self.version = 0
+        self.era = 1
         self.forgotten = 0
         self.failures: list[Exception] = []
         self.whole_reads = 0
@@ -38,16 +39,25 @@
         self._fail()
         self.whole_reads += 1
         await asyncio.sleep(0.01)
-        return FeedPage(tuple(self.rows.values()), self.version, self._now_s())
+        return FeedPage(tuple(self.rows.values()), self.version, self._now_s(), era=self.era)
 
-    async def changes(self, after_version, wait_s):
+    async def changes(self, after, wait_s):
         self._fail()
-        if self.version == after_version:
+        if self.version == after.version:
             await asyncio.sleep(wait_s)
-        if after_version < self.forgotten:
+        if not self.forgotten <= after.version <= self.version or after.era != self.era:
             raise HistoryLostError("gone")
-        rows = tuple(row for row in self.history if row.version > after_version)
-        return FeedPage(rows, self.version, self._now_s())
+        rows = tuple(row for row in self.history if row.version > after.version)
+        return FeedPage(rows, self.version, self._now_s(), era=self.era)
+
+    def copy(self):
+        return dict(self.rows), self.version
+
+    def restore(self, copy):
+        """Come back from a copy: versions after it are given out again, in the next era."""
+        self.rows, self.version = dict(copy[0]), copy[1]
+        self.era += 1
+        self.forget()
 
     def _now_s(self):
         return asyncio.get_running_loop().time() - 900.0
--- a/tests/unit/storage/test_replica.py
+++ b/tests/unit/storage/test_replica.py
@@ -55,3 +55,27 @@
     replica.take(FeedPage((FeedRow("a", b"1", 3),), 4, 1.0), whole=True)
     assert replica.everything().rows == (FeedRow("a", b"2", 5),)
     assert (replica.version, replica.store_s) == (5, 2.0)
+
+
+def test_a_whole_page_of_a_later_era_replaces_newer_versions_and_begins_history_anew():
+    replica = RowReplica()
+    replica.take(FeedPage((FeedRow("a", b"2", 5), FeedRow("b", b"1", 9)), 9, 2.0, era=1), whole=True)
+    replica.take(FeedPage((FeedRow("a", b"1", 3),), 4, 1.0, era=2), whole=True)
+    assert replica.everything() == FeedPage((FeedRow("a", b"1", 3),), 4, 1.0, relayed=True, era=2)
+    with pytest.raises(HistoryLostError):
+        replica.after(3)
+
+
+@pytest.mark.parametrize("whole", [False, True])
+def test_a_late_page_of_an_earlier_era_changes_nothing(whole):
+    replica = RowReplica()
+    replica.take(FeedPage((FeedRow("a", b"2", 5),), 5, 2.0, era=2), whole=True)
+    refused = replica.take(FeedPage((FeedRow("a", b"1", 50),), 60, 9.0, era=1), whole)
+    assert (refused, replica.version, replica.everything().rows) == (1, 5, (FeedRow("a", b"2", 5),))
+
+
+def test_a_change_of_a_later_era_is_not_joined_to_the_rows_of_an_earlier_one():
+    replica = RowReplica()
+    replica.take(FeedPage((FeedRow("a", b"2", 5),), 5, 2.0, era=1), whole=True)
+    replica.take(FeedPage((FeedRow("b", b"1", 6),), 6, 9.0, era=2), whole=False)
+    assert (replica.era, replica.version, len(replica.everything().rows)) == (1, 5, 1)
--- a/tests/wire_subjects.py
+++ b/tests/wire_subjects.py
@@ -84,6 +84,7 @@
 from wallwell.standalone.routing.blocks import CacheKey, hash_chain
 from wallwell.standalone.settings import NodeSettings, load_settings, parse_settings
 from wallwell.standalone.table_client import Commit
+from wallwell.storage.era import UNKNOWN_ERA, StorePosition
 from wallwell.storage.feed import FeedPage, FeedRow, FollowedPage
 from wallwell.storage.table import Row, Scan, Transaction
 
@@ -522,7 +523,7 @@
 
     async def act(node: Any, store: Any) -> None:
         await TableRows(store, "servers").read_all()
-        await TableRows(store, "op").changes(9, 0.8)
+        await TableRows(store, "op").changes(StorePosition(UNKNOWN_ERA, 9), 0.8)
         await store.get("lease/weights")
 
     page = b'{"ver":7,"now_ms":1000.0,"rows":[{"key":"a","value":"e30=","ver":3}],"more":true}'
