A lease is of one era of the store: no second holder after a restore, and fences go on rising

What would be seen: two nodes order weights at the same time, or an engine gets a lower fence after a higher one, since the store that comes back from a copy has lost the row of a lease that is held, and gives the versions that were fences out again. Change: a holder that hears of another era holds nothing any more; who has heard of one begins a lease only after the time and guard of a lease, counted from then; an acquiring write adds to its version what lifts its fence above all that can have been lost (2^20 for each era since the row's); a release of an earlier era is not sent. Rows and waits are as before while the store counts no eras.

--- a/src/wallwell/cluster/lease_turn.py
+++ b/src/wallwell/cluster/lease_turn.py
@@ -101,7 +101,7 @@
         """Return when this node may try for the lease."""
         assert self._due_since_s is not None
         if self.holder == self._node:
-            return self._due_since_s
+            return max(self._due_since_s, self._keeper.may_begin_at_s())
         key = key_of(self._name)
         names = sorted({*self._members(), self._node}, key=lambda name: rendezvous_score(name, key))
         delay_s = names.index(self._node) * CANDIDATE_STEP_S
--- a/src/wallwell/placement/weights_roll_driver.py
+++ b/src/wallwell/placement/weights_roll_driver.py
@@ -101,7 +101,8 @@
             state.topology,
         )
         self._valid_s = state.bounds.lease_s * VALID_FRACTION
-        self._lease = LeaseKeeper(LEASE_NAME, state.node, self._valid_s, table, guard_s=state.bounds.lease_s)
+        guard_s = state.bounds.lease_s
+        self._lease = LeaseKeeper(LEASE_NAME, state.node, self._valid_s, table, guard_s, state.store_era)
         self._turn = LeaseTurn(LEASE_NAME, state.node, self._lease, self._valid_s, lambda: state.members)
         self._loading: dict[str, LoadTask] = {}
         self._finished: dict[str, tuple[str, int]] = {}
--- a/src/wallwell/rollout/driver.py
+++ b/src/wallwell/rollout/driver.py
@@ -82,7 +82,7 @@
         self._counts = counts
         self._clock = clock
         self._valid_s = state.bounds.lease_s * VALID_FRACTION
-        self._lease = LeaseKeeper(LEASE_NAME, state.node, self._valid_s, table)
+        self._lease = LeaseKeeper(LEASE_NAME, state.node, self._valid_s, table, era=state.store_era)
         self._turn = LeaseTurn(LEASE_NAME, state.node, self._lease, self._valid_s, lambda: state.members)
         self._rows: dict[str, _StoredRows] = {}
         self._lease_since_s: float | None = None
--- a/tests/unit/cluster/test_leases.py
+++ b/tests/unit/cluster/test_leases.py
@@ -9,20 +9,63 @@
 from tests.unit.standalone.cluster.test_claims import drive
 from wallwell.cluster.leases import LeaseKeeper
 from wallwell.errors import LeaseLostError, PlatformUnavailableError
+from wallwell.storage.era import StoreEra
 
 TTL_S = 10.0
 NODES = 3
 
 
+class TableOfNode:
+    """The table as one node reaches it: only its answers tell of a new era."""
+
+    def __init__(self, machine, era):
+        self._machine = machine
+        self._era = era
+
+    async def get(self, key):
+        row = await self._machine.table.get(key)
+        self._era.observe(self._machine.era, self._machine.now_s)
+        return row
+
+    async def transact(self, transaction):
+        version = await self._machine.table.transact(transaction)
+        self._era.observe(self._machine.era, self._machine.now_s)
+        return version
+
+
 class LeaseMachine(RuleBasedStateMachine):
-    """Nodes acquire, renew, pause and release one lease while answers are lost. Time only moves forward."""
+    """Nodes acquire, renew, pause and release one lease; answers are lost, and the table comes back from copies.
+
+    Time only moves forward. A node hears of another era by an answer of its own.
+    """
 
     def __init__(self):
         super().__init__()
         self.table = FaultyTable()
-        self.keepers = [LeaseKeeper("placement", f"n{i}", TTL_S, self.table) for i in range(NODES)]
+        self.era = 0
+        self.copy = (0, {})
         self.now_s = 0.0
         self.obeyed_fence = 0
+        self.keepers = [self.new_keeper(index) for index in range(NODES)]
+        self.holders = {}
+        """Who has held the lease with which fence."""
+
+    def new_keeper(self, index):
+        era = StoreEra()
+        return LeaseKeeper("placement", f"n{index}", TTL_S, TableOfNode(self, era), era=era)
+
+    @rule()
+    def make_copy(self):
+        self.copy = (self.table.model.commit, dict(self.table.model.rows))
+
+    @rule()
+    def restore(self):
+        self.table.model.commit, self.table.model.rows = self.copy[0], dict(self.copy[1])
+        self.era += 1
+
+    @rule(node=st.integers(0, NODES - 1))
+    def restart(self, node):
+        self.keepers[node] = self.new_keeper(node)
 
     @rule(node=st.integers(0, NODES - 1), fault=st.sampled_from([OK, LOST_BEFORE, LOST_AFTER, DELAYED]))
     def acquire(self, node, fault):
@@ -47,6 +90,7 @@
         held = self.keepers[node].held
         if held is not None and held.fence >= self.obeyed_fence:
             self.obeyed_fence = held.fence
+            assert self.holders.setdefault(held.fence, node) == node, "two holders with one fence"
 
     @invariant()
     def at_most_one_valid_holder(self):
@@ -84,3 +128,91 @@
     assert drive(first.try_acquire(13.0)).fence > taken.fence
     with pytest.raises(LeaseLostError):
         second.check(13.0)
+
+
+class RestoredTable:
+    """A table with leases of two nodes that comes back from a copy; the time is the test's."""
+
+    def __init__(self):
+        self.table = FaultyTable()
+        self.era = 0
+        self.now_s = 0.0
+        self.eras = {}
+
+    def keeper(self, name):
+        era = self.eras[name] = StoreEra()
+        return LeaseKeeper("l", name, TTL_S, TableOfNode(self, era), era=era)
+
+    def copy(self):
+        return self.table.model.commit, dict(self.table.model.rows)
+
+    def restore(self, copy):
+        self.table.model.commit, self.table.model.rows = copy[0], dict(copy[1])
+        self.era += 1
+
+    def acquire(self, keeper):
+        return drive(keeper.try_acquire(self.now_s))
+
+    def acquire_once_allowed(self, keeper):
+        """Hear of the era, wait until a lease may begin in it, and take it."""
+        assert self.acquire(keeper) is None
+        self.now_s += TTL_S
+        return self.acquire(keeper)
+
+
+@pytest.mark.parametrize("has_row", [False, True], ids=["no row in the copy", "an older row in the copy"])
+@pytest.mark.parametrize("is_new", [False, True], ids=["a node that was there", "a node that has just started"])
+def test_fences_rise_over_a_restore_that_lost_the_highest(has_row, is_new):
+    world = RestoredTable()
+    first, second = world.keeper("a"), world.keeper("b")
+    copy = world.copy()
+    world.acquire(first)
+    drive(first.release())
+    if has_row:
+        copy = world.copy()
+    world.acquire(second)
+    drive(second.release())
+    fences = []
+    for _ in range(5):
+        world.now_s += 3 * TTL_S
+        fences.append(world.acquire(first).fence)
+        drive(first.release())
+    world.restore(copy)
+    keeper = world.keeper("c") if is_new else second
+    assert world.acquire_once_allowed(keeper).fence > max(fences)
+
+
+def test_a_lease_whose_row_the_copy_lacks_is_taken_over_only_after_its_time():
+    world = RestoredTable()
+    first, second = world.keeper("a"), world.keeper("b")
+    world.acquire(first)
+    world.restore((0, {}))
+    world.now_s = 0.5
+    assert world.acquire(second) is None
+    world.now_s = TTL_S
+    assert world.acquire(second) is None
+    world.now_s = TTL_S + 0.5
+    assert world.acquire(second) is not None
+
+
+def test_a_holder_that_hears_of_a_restore_holds_no_more():
+    world = RestoredTable()
+    keeper = world.keeper("a")
+    world.acquire(keeper)
+    keeper.check(0.1)
+    world.eras["a"].observe(1, 0.1)
+    with pytest.raises(LeaseLostError):
+        keeper.check(0.1)
+
+
+def test_a_release_from_before_a_restore_does_not_end_the_lease_that_has_its_version_again():
+    world = RestoredTable()
+    first, second = world.keeper("a"), world.keeper("b")
+    copy = world.copy()
+    held = world.acquire(first)
+    world.restore(copy)
+    world.eras["a"].observe(world.era, world.now_s)
+    taken = world.acquire_once_allowed(second)
+    assert taken.version == held.version
+    drive(first.release())
+    assert world.acquire(second).fence == taken.fence
