The listing of a restored store: gone back ends stay gone, missing ones keep their grace, weights do not fall

What would be seen: requests reach a back end whose entry had gone, since the copy still lists it; every back end that was listed after the copy was made is dropped at once if the store was away for less than 2.4 s; an engine is taken to have the weights that the copy names. Change: a start of a back end whose entry went is remembered (1,000 of them); an entry of a whole reading within 5 s of a new era does not bring it back, one that is written then does, and one that still stands after 5 s does (its heartbeats keep it). A return from a copy counts as a return of the store, so missing entries have 1.7 s. Weights versions of one start do not fall.

--- a/src/wallwell/node/backend_rows.py
+++ b/src/wallwell/node/backend_rows.py
@@ -22,6 +22,9 @@
 
 Entries of living back ends are written again within 2 s of the store's return. The figure is below the 2 s within
 which a back end that has left must get nothing more (``drain_ms``), since a missing entry may mean either."""
+RESTORED_ENTRIES_S = 5.0
+"""Seconds from the store's return from a copy for which an entry in the copy does not bring a back end back that
+has gone: by then the entry of one that lives no more has gone again, after three missed heartbeats."""
 MAX_UNREADABLE_LOGGED = 10
 """Entries of one page that are logged one by one; the last of these lines says how many more there are."""
 MAX_REASON_CHARS = 200
@@ -32,7 +35,8 @@
     """Keeps the registry of back ends as the store lists them.
 
     Entries lapse while the store is unavailable, and living back ends list themselves again soon after its return.
-    One that is missing then goes on getting requests for ``LAPSE_GRACE_S`` from the return.
+    One that is missing then goes on getting requests for ``LAPSE_GRACE_S`` from the return. After a return from a
+    copy, an entry may also be there again though its back end has gone: it is held back for a while.
     """
 
     def __init__(self, state: NodeState, sources: NodeSources, pool: ConnectionPool) -> None:
@@ -40,26 +44,31 @@
         self._decode = sources.decode_backend
         self._pool = pool
         self._store_returned_s = float("-inf")
+        self._held_back: dict[str, bytes] = {}
+        """Entries of a copy whose back ends have gone as far as this node knows."""
 
     def apply(self, followed: FollowedPage) -> None:
         """Apply a page. A row that cannot be decoded names no back end: one known under its key counts as gone."""
         registry = self._state.backends
         now_s = boot_time_s()
-        if now_s - followed.unconfirmed_since_s > STORE_OUTAGE_S and self._state.backends_known:
+        is_outage = now_s - followed.unconfirmed_since_s > STORE_OUTAGE_S and self._state.backends_known
+        if is_outage or followed.restored:
             self._store_returned_s = now_s
         if followed.whole:
+            self._held_back.clear()
             for backend in registry.unnamed({row.key for row in followed.page.rows}):
                 self._on_missing(backend, now_s)
         unreadable: list[tuple[str, str]] = []
         # Of two incarnations at one address the one that was written last is the one that lives.
         for row in sorted(followed.page.rows, key=lambda row: row.version):
             known = registry.get(row.key)
+            self._held_back.pop(row.key, None)
             if row.value is None:
                 if known is not None:
                     self._on_missing(known, now_s)
                 continue
             try:
-                self._on_row(row.key, row.value)
+                self._on_row(row.key, row.value, followed.whole and now_s < self._copy_settles_at_s())
             except msgspec.MsgspecError as error:
                 self._state.backends.lapse(row.key, now_s)
                 unreadable.append((row.key, str(error)))
@@ -68,13 +77,24 @@
         self._state.backends_known = True
 
     def drop_lapsed(self, now_s: float) -> None:
-        """Forget the back ends that have not listed themselves again in time."""
+        """Forget the back ends that have not listed themselves again in time; take the entries held back until
+        now."""
+        if self._held_back and now_s >= self._copy_settles_at_s():
+            held_back, self._held_back = self._held_back, {}
+            for incarnation, value in held_back.items():
+                self._on_row(incarnation, value, may_be_old=False)
         for backend in self._state.backends.remove_lapsed(now_s):
             emit(Event.BACKEND_GONE, backend=backend.incarnation)
             self._pool.forget(backend.record.address)
 
-    def _on_row(self, incarnation: str, value: bytes) -> None:
+    def _copy_settles_at_s(self) -> float:
+        return self._state.store_era.since_s + RESTORED_ENTRIES_S
+
+    def _on_row(self, incarnation: str, value: bytes, may_be_old: bool) -> None:
         record = self._decode(incarnation, value)
+        if may_be_old and self._state.backends.is_gone(record):
+            self._held_back[incarnation] = value
+            return
         known = self._state.backends.get(incarnation)
         known_record = None if known is None else known.record
         backend = self._state.backends.upsert(record)
--- a/src/wallwell/routing/health/backend_registry.py
+++ b/src/wallwell/routing/health/backend_registry.py
@@ -19,6 +19,9 @@
 MAX_LEAVING_KNOWN = 1000
 """Leaving back ends remembered, listed or not. An entry that lapsed may return some seconds later, in which far
 fewer leave."""
+MAX_GONE_KNOWN = 1000
+"""Back ends remembered whose entries have gone. A store that comes back from a copy some seconds old may list those
+that went meanwhile, and far fewer go in that time."""
 
 
 class BackendRegistry:
@@ -30,6 +33,8 @@
         self._leaving_since_s: dict[tuple[str, int | None], float] = {}
         """When starts of back ends were first known to leave, in that order. Kept beyond their entries: one that
         lapsed while the store was away may be listed again as it was."""
+        self._gone: dict[tuple[str, int | None], None] = {}
+        """Starts of back ends that were removed and have not been listed again, in that order."""
         self._by_incarnation: dict[str, Backend] = {}
         self._by_service: dict[str, list[Backend]] = {}
         self._by_address: dict[str, list[Backend]] = {}
@@ -84,11 +89,12 @@
             )
             if not backend.superseded:
                 self._supersede_at(record.address)
+            self._gone.pop(_start_of(record), None)
             self._add(backend)
         else:
             record = _with_known(record, backend.record)
         if record.versions != backend.record.versions or not backend.versions:
-            backend.versions = dict(record.versions)
+            backend.versions = _newer_versions(record.versions, backend.versions)
         if (record.service, record.address) != (backend.record.service, backend.record.address):
             self._drop(backend)
             backend.record = record
@@ -158,8 +164,15 @@
         if backend is not None:
             self._drop(backend)
             backend.gone = True
+            self._gone[_start_of(backend.record)] = None
+            if len(self._gone) > MAX_GONE_KNOWN:
+                del self._gone[next(iter(self._gone))]
             self._restore_at(backend.record.address)
 
+    def is_gone(self, record: BackendRecord) -> bool:
+        """Whether this start of a back end was listed and its entry has gone since."""
+        return _start_of(record) in self._gone
+
     def unnamed(self, incarnations: set[str]) -> list[Backend]:
         """Return the back ends that a whole listing does not name."""
         return [each for known, each in self._by_incarnation.items() if known not in incarnations]
@@ -190,6 +203,11 @@
     return dataclasses.replace(record, versions=versions, started_unix_ms=started)
 
 
+def _newer_versions(listed: Mapping[str, int], believed: Mapping[str, int]) -> dict[str, int]:
+    """Return the weights versions of the listed models. Those of one start never fall: a lower one is old news."""
+    return {model: max(version, believed.get(model, 0)) for model, version in listed.items()}
+
+
 def _start_of(record: BackendRecord) -> tuple[str, int | None]:
     return record.incarnation, record.started_unix_ms
 
--- a/tests/unit/node/test_backend_rows.py
+++ b/tests/unit/node/test_backend_rows.py
@@ -12,8 +12,9 @@
 from wallwell.http_connection import ConnectionPool
 from wallwell.node import backend_notices, backend_rows
 from wallwell.node.backend_notices import apply_notice
-from wallwell.node.backend_rows import LAPSE_GRACE_S, BackendRows
+from wallwell.node.backend_rows import LAPSE_GRACE_S, RESTORED_ENTRIES_S, BackendRows
 from wallwell.routing.health.backend_notice import BackendNotice
+from wallwell.routing.health.backend_registry import BackendRegistry
 from wallwell.serving.version_choice import eligible_backends
 from wallwell.storage.feed import FeedPage, FeedRow, FollowedPage
 
@@ -66,12 +67,18 @@
         self.rows = BackendRows(self.state, Sources(), ConnectionPool("X", 1.0, 1.0))
         self.confirmed_s = float("-inf")
 
-    def take(self, whole=False, **rows):
+    def take(self, whole=False, restored=False, **rows):
         now_s = boot_time_s()
         page = tuple(FeedRow(key, value, 1) for key, value in rows.items())
-        self.rows.apply(FollowedPage(FeedPage(page, 1, 0.0), whole, now_s, self.confirmed_s))
+        self.rows.apply(FollowedPage(FeedPage(page, 1, 0.0), whole, now_s, self.confirmed_s, restored))
         self.confirmed_s = now_s
 
+    def take_copy(self, **rows):
+        """Take the whole listing of a store that has come back from a copy a moment ago."""
+        era = self.state.store_era
+        era.observe((era.number or 0) + 1, boot_time_s())
+        self.take(whole=True, restored=True, **rows)
+
     def open(self):
         now_s = boot_time_s()
         return sorted(each.incarnation for each in self.state.backends.of_service("svc") if each.is_open(now_s))
@@ -122,6 +129,69 @@
     assert play(scenario) == [["b"], ["b"], ["b"]]
 
 
+def test_a_back_end_that_has_gone_does_not_return_with_the_listing_of_a_copy():
+    """Seen by reading: it serves on for some seconds after its entry went, and must get nothing."""
+
+    async def scenario(followed):
+        followed.take(a=None)
+        followed.take_copy(a=b"ready", b=b"ready", c=b"draining")
+        seen = [followed.open()]
+        await followed.pass_time(RESTORED_ENTRIES_S - 1.0)
+        seen.append(followed.open())
+        followed.take(a=None)
+        await followed.pass_time(2.0)
+        return [*seen, followed.open()]
+
+    assert play(scenario) == [["b"], ["b"], ["b"]]
+
+
+@pytest.mark.parametrize("writes", [True, False], ids=["its entry changes", "its entry stays"])
+def test_a_back_end_that_lives_although_its_entry_had_gone_is_used_again_after_a_restore(writes):
+    async def scenario(followed):
+        followed.take(a=None)
+        followed.take_copy(a=b"ready", b=b"ready", c=b"draining")
+        if writes:
+            followed.take(a=b"ready")
+        else:
+            await followed.pass_time(RESTORED_ENTRIES_S + 0.5)
+        return followed.open()
+
+    assert play(scenario) == ["a", "b"]
+
+
+@pytest.mark.parametrize("writes", [True, False], ids=["written again in time", "not written again"])
+def test_a_back_end_that_the_copy_lacks_is_used_until_its_entry_must_be_written_again(writes):
+    """The store may have been away for a moment only, too short to count as an outage."""
+
+    async def scenario(followed):
+        followed.take_copy(b=b"ready")
+        seen = [followed.open()]
+        await followed.pass_time(LAPSE_GRACE_S - 0.5)
+        seen.append(followed.open())
+        if writes:
+            followed.take(a=b"ready", c=b"draining")
+        await followed.pass_time(1.0)
+        return [*seen, followed.open()]
+
+    assert play(scenario) == [["a", "b"], ["a", "b"], ["a", "b"] if writes else ["b"]]
+
+
+def test_a_back_end_that_leaves_does_not_stay_because_the_copy_says_that_it_is_ready():
+    async def scenario(followed):
+        followed.take(a=b"draining")
+        followed.take_copy(a=b"ready", b=b"ready", c=b"ready")
+        return followed.open()
+
+    assert play(scenario) == ["b"]
+
+
+def test_an_engine_does_not_go_back_to_the_weights_that_a_copy_names():
+    registry = BackendRegistry()
+    for version in (2, 3, 2):
+        backend = registry.upsert(BackendRecord("e", "llm", "e", "z", 8, versions={"m": version}))
+    assert backend.believed_version("m") == 3
+
+
 def test_late_news_of_an_earlier_start_is_not_logged_as_a_change(monkeypatch):
     listed, forgotten = [], []
     monkeypatch.setattr(backend_rows, "emit", lambda event, **fields: listed.append(fields["draining"]))
