Rollouts over a restored store: an order written again is the same one, and a record that is lost is written again

What would be seen: a rollout that had ended begins anew (a version that was rolled back gets requests again), or an order that operators give after the restore is never carried out, until the store's count has passed the one from before. Orders were told apart and records put in order by the store's versions alone. Change: an order and a record say their era. Over eras an order that asks for the same is the same one; one of the copy that asks for something else counts after 5 s, unless it is written again before; a record of the copy does not replace one written later by the store's steady clock, an end stays an end, and who holds the lease writes again what is lost, status row too. The last holder tries for the lease first after a restore, since it knows best what was lost. Left: a holder that started after the restore and knows only the copy tries a rolled back version again by itself; the other nodes send it nothing.

--- a/src/wallwell/cluster/lease_turn.py
+++ b/src/wallwell/cluster/lease_turn.py
@@ -48,7 +48,9 @@
     def observe(self, row: FeedRow, now_s: float) -> None:
         """Take a row of this product's own table; others than the lease's are left alone."""
         if row.key == LEASE_PREFIX + self._name:
-            self.holder = self._keeper.observe(row.value, row.version, now_s)
+            holder = self._keeper.observe(row.value, row.version, now_s)
+            if holder is not None:
+                self.holder = holder
 
     def set_due(self, is_due: bool, now_s: float) -> None:
         """Say whether there is work to do."""
@@ -100,11 +102,13 @@
     def _candidate_at_s(self) -> float:
         """Return when this node may try for the lease."""
         assert self._due_since_s is not None
+        # After a restore the last holder is first as well: it knows best what the store has lost.
+        begins_s = max(self._due_since_s, self._keeper.may_begin_at_s())
         if self.holder == self._node:
-            return max(self._due_since_s, self._keeper.may_begin_at_s())
+            return begins_s
         key = key_of(self._name)
         names = sorted({*self._members(), self._node}, key=lambda name: rendezvous_score(name, key))
         delay_s = names.index(self._node) * CANDIDATE_STEP_S
         if self.holder:
             delay_s += CANDIDATE_DELAY_S
-        return max(self._due_since_s + delay_s, self._keeper.takeover_at_s())
+        return max(begins_s + delay_s, self._keeper.takeover_at_s())
--- a/src/wallwell/cluster/leases.py
+++ b/src/wallwell/cluster/leases.py
@@ -41,6 +41,11 @@
     """The store's era in which it was written. Left out before the first, and by builds that know no eras: the
     store may then have come back any number of times since."""
 
+    @property
+    def written_in(self) -> int:
+        """The era in which it was written, as far as it says."""
+        return UNKNOWN_ERA if self.era is UNSET else self.era
+
     def fence_at(self, row_version: int) -> int:
         """Return the fence that the row of a version stands for."""
         return self.fence or row_version + (self.fence_offset or 0)
@@ -65,8 +70,7 @@
     number = era.number or UNKNOWN_ERA
     if row is None or body is None:
         return number * LOST_VERSIONS
-    written_in = UNKNOWN_ERA if body.era is UNSET else body.era
-    lost = max(0, number - written_in) * LOST_VERSIONS
+    lost = max(0, number - body.written_in) * LOST_VERSIONS
     return max(0, body.fence_at(row.version) - row.version + lost)
 
 
@@ -149,13 +153,16 @@
             self._seen_since_s = now_s
             self._seen_ttl_s = ttl_s
 
-    def observe(self, value: bytes | None, version: int, now_s: float) -> str:
-        """Take the lease's row from a feed of changes and return its holder, so that no call is spent on it."""
+    def observe(self, value: bytes | None, version: int, now_s: float) -> str | None:
+        """Take the lease's row from a feed of changes and return its holder, so that no call is spent on it.
+
+        Returns None for a row of an earlier era, which does not tell who was the last holder before the restore.
+        """
         if value is None:
             return ""
         body = msgspec.json.decode(value, type=LeaseBody)
         self._see(version, body.ttl_s, now_s)
-        return body.holder
+        return None if self._era.is_after(body.written_in) else body.holder
 
     def takeover_at_s(self) -> float:
         """Return from when another node's lease may be taken over, unless its row changes before."""
--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -129,7 +129,11 @@
         self._operators = OperatorRows(self.state, sources)
         self._listing = BackendRows(self.state, sources, self._pool)
         self._members = MemberRows(
-            self.state, sources.table, self._order, (self._weights_roll, self._rollouts, self._crashes)
+            self.state,
+            sources.table,
+            self._order,
+            listeners=(self._weights_roll, self._rollouts, self._crashes),
+            era_listeners=(self._rollouts,),
         )
         self._tables = TableFollowers(self.state, self._order, self._clock)
         self._tables.add("operators", sources.operators, self._operators.apply, OPERATORS_TIMING)
--- a/src/wallwell/node/operator_rows.py
+++ b/src/wallwell/node/operator_rows.py
@@ -13,7 +13,11 @@
 from wallwell.node.adapter import NodeSources
 from wallwell.node.state import NodeState
 from wallwell.node.store_outage import STORE_OUTAGE_S
-from wallwell.storage.feed import FollowedPage
+from wallwell.storage.feed import FeedRow, FollowedPage
+
+WRITTEN_AGAIN_S = 5.0
+"""Seconds from the store's return from a copy within which operators have written again what the copy lacks; an
+order in the copy that contradicts the known one counts from then."""
 
 
 class OperatorRows:
@@ -30,7 +34,7 @@
                 continue
             try:
                 if row.key.startswith(self._sources.rollout_prefix):
-                    self._on_rollout(row.key, row.value, row.version)
+                    self._on_rollout(row, followed)
                 else:
                     self._on_row(row.key, row.value, followed.unconfirmed_since_s)
             except msgspec.MsgspecError as error:
@@ -49,15 +53,20 @@
             if self._state.weights.name(model, version, since_s, estimated):
                 emit(Event.WEIGHTS_NAMED, model=model, version=version, estimated=estimated)
 
-    def _on_rollout(self, key: str, value: bytes, version: int) -> None:
+    def _on_rollout(self, row: FeedRow, followed: FollowedPage) -> None:
+        assert row.value is not None
         try:
-            order = self._sources.decode_rollout(key, value, version)
+            order = self._sources.decode_rollout(row.key, row.value, row.version)
         except msgspec.MsgspecError as error:
-            emit(Event.ROLLOUT_REFUSED, row=key, error=str(error))
+            emit(Event.ROLLOUT_REFUSED, row=row.key, error=str(error))
             return
+        order = msgspec.structs.replace(order, era=followed.page.era)
         if not self._state.knows_service(order.service):
-            emit(Event.ROLLOUT_REFUSED, row=key, error="no such service is configured or listed")
-        if self._state.rollouts.on_order(order, boot_time_s()):
+            emit(Event.ROLLOUT_REFUSED, row=row.key, error="no such service is configured or listed")
+        counts_from_s = float("-inf")
+        if followed.whole:
+            counts_from_s = self._state.store_era.since_s + WRITTEN_AGAIN_S
+        if self._state.rollouts.on_order(order, boot_time_s(), counts_from_s):
             emit(
                 Event.ROLLOUT_ORDERED,
                 service=order.service,
--- a/src/wallwell/rollout/driver.py
+++ b/src/wallwell/rollout/driver.py
@@ -25,6 +25,7 @@
 from wallwell.rollout.reporter import report_interval_s
 from wallwell.rollout.reports import FleetCounts
 from wallwell.rollout.store import LEASE_NAME, RECORD_PREFIX, RolloutStore, StoredRollout
+from wallwell.storage.era import UNKNOWN_ERA, StorePosition
 from wallwell.storage.feed import FeedRow
 from wallwell.storage.table import TableService
 
@@ -86,12 +87,26 @@
         self._turn = LeaseTurn(LEASE_NAME, state.node, self._lease, self._valid_s, lambda: state.members)
         self._rows: dict[str, _StoredRows] = {}
         self._lease_since_s: float | None = None
+        self._rows_era = UNKNOWN_ERA
+        self._noticed_era: int | None = None
 
     @property
     def holder(self) -> str:
         """The node that decides, as far as this one knows; empty if none."""
         return self._state.node if self._turn.is_held() else self._turn.holder
 
+    def on_era(self, era: int) -> None:
+        """The rows that follow are of this era of the store."""
+        self._rows_era = era
+        self._notice_era()
+
+    def _notice_era(self) -> None:
+        """Have every record confirmed once any answer has told that the store came back from a copy."""
+        era = self._state.store_era.number
+        if self._noticed_era is not None and era != self._noticed_era:
+            self._book.on_restored()
+        self._noticed_era = era
+
     # --- rows of other nodes ---------------------------------------------------------------------------
 
     def on_row(self, row: FeedRow, now_s: float) -> None:
@@ -105,7 +120,7 @@
             emit(Event.ROLLOUT_REFUSED, row=row.key, error=str(error))
             return
         record_written_s = min(now_s, self._clock.to_local_s(record.written_at_s))
-        if self._book.on_record(record, row.version, record_written_s):
+        if self._book.on_record(record, StorePosition(self._rows_era, row.version), record_written_s):
             emit(
                 Event.ROLLOUT_FOLLOWED,
                 service=record.service,
@@ -126,7 +141,9 @@
     async def step(self) -> None:
         """Advance every rollout that has not ended, if this node holds the lease."""
         now_s = boot_time_s()
+        self._notice_era()
         self._book.release_unannounced(now_s)
+        self._book.release_held_back(now_s)
         due = [service for service in self._book.due() if self._state.knows_service(service)]
         self._counts.keep(due)
         self._turn.set_due(bool(due), now_s)
@@ -153,9 +170,12 @@
         rows = self._rows.get(service)
         if rows is None:
             rows = self._rows[service] = _StoredRows(await self._store.read(service))
+        lost = self._book.lost_record(service, rows.stored.record)
+        if lost is not None:
+            await self._write(rows, lost, {"lost": 1.0})
         record = rows.stored.record
         order = self._book.orders.get(service)
-        if order is not None and (record is None or record.order < order.store_version):
+        if order is not None and (record is None or not record.covers(order)):
             ordered_at_s = self._clock.to_store_s(self._book.ordered_at_s[service])
             opened = opening_record(order, record, ordered_at_s)
             await self._write(rows, opened, {"ordered_ago_s": boot_time_s() - self._book.ordered_at_s[service]})
@@ -218,7 +238,8 @@
         """Apply what is stored at once, without waiting for the feed."""
         if stored.record is not None:
             record_written_s = self._clock.to_local_s(stored.record.written_at_s)
-            self._book.on_record(stored.record, stored.record_version, record_written_s)
+            position = StorePosition(self._state.store_era.number or UNKNOWN_ERA, stored.record_version)
+            self._book.on_record(stored.record, position, record_written_s)
 
     def _log(
         self, before: StoredRollout, after: StoredRollout, record: RolloutRecord, inputs: dict[str, float]
--- a/src/wallwell/rollout/model.py
+++ b/src/wallwell/rollout/model.py
@@ -15,6 +15,9 @@
 from dataclasses import dataclass, field
 
 import msgspec
+from msgspec import UNSET, UnsetType
+
+from wallwell.storage.era import UNKNOWN_ERA, StorePosition
 
 
 class Phase(enum.Enum):
@@ -34,12 +37,26 @@
 
 
 class RolloutOrder(msgspec.Struct, frozen=True):
-    """An operator's order. ``store_version`` is the version of its row, so a later order has a larger one."""
+    """An operator's order.
+
+    ``store_version`` is the version of its row in ``era`` of the store: of two orders of an era the later one has
+    the larger version. A store that has lost an order gets it again, in a later era under any version.
+    """
 
     service: str
     target_version: str
     duration_s: float
     store_version: int
+    era: int = UNKNOWN_ERA
+
+    @property
+    def position(self) -> StorePosition:
+        """Where its row stands in the store's history."""
+        return StorePosition(self.era, self.store_version)
+
+    def asks_the_same_as(self, other: RolloutOrder) -> bool:
+        """Whether both ask for the same, so that one may be the other written again."""
+        return (self.target_version, self.duration_s) == (other.target_version, other.duration_s)
 
 
 class RolloutRecord(msgspec.Struct, frozen=True):
@@ -50,7 +67,8 @@
     nodes had sent to each side when the record was written: the least that a new holder of the lease starts from.
     ``barred`` names the excluded versions of the service: they get nothing, since an earlier rollout replaced them
     or rolled them back, until an order names them. ``written_at_s`` is the store's time of the writing: a node
-    without a recent one during a rollout must assume that nobody compares the target version's answers.
+    without a recent one during a rollout must assume that nobody compares the target version's answers. ``era`` is
+    the store's in which ``order`` was given out; it is left out before the first, and by builds that know no eras.
     """
 
     service: str
@@ -65,6 +83,14 @@
     target_requests: int = 0
     barred: tuple[str, ...] = ()
     written_at_s: float = 0.0
+    era: int | UnsetType = UNSET
+
+    def covers(self, order: RolloutOrder) -> bool:
+        """Whether the record is of this order or of a later one."""
+        era = UNKNOWN_ERA if self.era is UNSET else self.era
+        if era == order.era:
+            return self.order >= order.store_version
+        return era > order.era or (self.target_version, self.duration_s) == (order.target_version, order.duration_s)
 
     @property
     def deadline_s(self) -> float:
--- a/src/wallwell/rollout/records.py
+++ b/src/wallwell/rollout/records.py
@@ -10,9 +10,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from msgspec import UNSET
+
 from wallwell.rollout.model import Phase, RolloutBounds, RolloutOrder, RolloutRecord
 from wallwell.rollout.service_rollout import RECORD_VALID_FRACTION, ServiceRollout
 from wallwell.rollout.tally import RolloutTally
+from wallwell.storage.era import StorePosition
 
 UNANNOUNCED_WAIT_S = 2.0
 """Seconds from its first listing for which a version that no order has named gets nothing. Entries and orders come
@@ -39,6 +42,7 @@
         reason="ordered",
         barred=_without_target(excluded, order.target_version),
         written_at_s=written_at_s,
+        era=order.era or UNSET,
     )
 
 
@@ -62,35 +66,73 @@
     ordered_at_s: dict[str, float] = field(default_factory=dict)
     """When this node saw the order of a service first, on its own clock."""
     _records: dict[str, RolloutRecord] = field(default_factory=dict)
-    _versions: dict[str, int] = field(default_factory=dict)
-    """Versions of the records' rows."""
+    _positions: dict[str, StorePosition] = field(default_factory=dict)
+    """Where the records' rows stand in the store's history."""
+    _order_positions: dict[str, StorePosition] = field(default_factory=dict)
+    """The same of the orders' rows as they were read last: an order may be written again in a later era."""
+    _held_back: dict[str, tuple[RolloutOrder, float]] = field(default_factory=dict)
+    """Orders that may be older than the known ones, and the time on this node's clock from which they count."""
+    _unconfirmed: set[str] = field(default_factory=set)
+    """Services whose record the store may have lost: it has come back from a copy since it was read."""
     _known: dict[str, set[str]] = field(default_factory=dict)
     """Versions that back ends have listed, by service."""
     _unannounced: dict[str, dict[str, float]] = field(default_factory=dict)
     """Versions that no order has named, by service, with the time on this node's clock until which they get
     nothing."""
 
-    def on_order(self, order: RolloutOrder, seen_at_s: float) -> bool:
-        """Apply an operator's order; returns False for one that is not newer than the known one."""
+    def on_order(self, order: RolloutOrder, seen_at_s: float, counts_from_s: float = float("-inf")) -> bool:
+        """Apply an operator's order; returns False for one that is not newer than the known one.
+
+        ``counts_from_s``: an order of a later era that asks for something else may until then be one from before
+        the known one, which the copy lacks.
+        """
         known = self.orders.get(order.service)
-        if known is not None and known.store_version >= order.store_version:
-            return False
+        position = self._order_positions.get(order.service)
+        if known is not None and position is not None:
+            if order.position <= position:
+                return False
+            if order.era != position.era and order.asks_the_same_as(known):
+                self._order_positions[order.service] = order.position
+                self._held_back.pop(order.service, None)
+                return False
+            if order.era != position.era and seen_at_s < counts_from_s:
+                self._held_back[order.service] = (order, counts_from_s)
+                return False
+        self._accept(order, seen_at_s)
+        return True
+
+    def _accept(self, order: RolloutOrder, seen_at_s: float) -> None:
+        self._held_back.pop(order.service, None)
+        self._order_positions[order.service] = order.position
         self.orders[order.service] = order
         self.ordered_at_s[order.service] = seen_at_s
         self._refresh(order.service)
-        return True
 
-    def on_record(self, record: RolloutRecord, version: int, record_written_s: float) -> bool:
+    def release_held_back(self, now_s: float) -> None:
+        """Let orders count that nothing has contradicted in time."""
+        for order, counts_from_s in list(self._held_back.values()):
+            if now_s >= counts_from_s:
+                self._accept(order, now_s)
+
+    def on_restored(self) -> None:
+        """The store has come back from a copy, in which records may be missing or older."""
+        self._unconfirmed.update(self._records)
+
+    def on_record(self, record: RolloutRecord, position: StorePosition, record_written_s: float) -> bool:
         """Apply a record as the store keeps it; returns whether the phase or order is another one.
 
-        ``version`` is its row's: one older than the known one changes nothing. ``record_written_s`` is when it was
+        ``position`` is its row's: one older than the known one changes nothing. ``record_written_s`` is when it was
         written, on this node's clock.
         """
         known = self._records.get(record.service)
-        if version < self._versions.get(record.service, 0):
+        known_position = self._positions.get(record.service, position)
+        if position < known_position:
             return False
+        if known is not None and position.era > known_position.era and _is_earlier(record, known):
+            return False  # The copy's; what is known is written again.
+        self._unconfirmed.discard(record.service)
         self._records[record.service] = record
-        self._versions[record.service] = version
+        self._positions[record.service] = position
         rollout = self.active.get(record.service)
         if known is not None and rollout is not None and _is_same_rollout(known, record):
             rollout.record_written_s = max(rollout.record_written_s, record_written_s)
@@ -98,6 +140,13 @@
         self._refresh(record.service, record_written_s)
         return known is None or (known.order, known.phase) != (record.order, record.phase)
 
+    def lost_record(self, service: str, stored: RolloutRecord | None) -> RolloutRecord | None:
+        """Return the record that is to be written again instead of the stored one; None if that is as new."""
+        known = self._records.get(service)
+        if known is None or service not in self._unconfirmed:
+            return None
+        return known if stored is None or _is_earlier(stored, known) else None
+
     def record(self, service: str) -> RolloutRecord | None:
         """Return the record as the store keeps it."""
         return self._records.get(service)
@@ -105,7 +154,7 @@
     def effective(self, service: str) -> RolloutRecord | None:
         """Return what holds for requests: the record, or the beginning of an order that has none yet."""
         order, record = self.orders.get(service), self._records.get(service)
-        if order is None or (record is not None and record.order >= order.store_version):
+        if order is None or (record is not None and record.covers(order)):
             return record
         return opening_record(order, record, ordered_at_s=0.0)
 
@@ -125,12 +174,12 @@
         return record is not None and not record.phase.is_final and software == record.target_version
 
     def is_due(self, service: str) -> bool:
-        """Whether something is left to decide."""
+        """Whether something is left to decide, or a record to be written again."""
         record = self.effective(service)
-        return record is not None and not record.phase.is_final
+        return record is not None and (not record.phase.is_final or service in self._unconfirmed)
 
     def due(self) -> list[str]:
-        """Return the services whose rollout has not ended."""
+        """Return the services for which :meth:`is_due`."""
         return [service for service in self.active if self.is_due(service)]
 
     def _refresh(self, service: str, record_written_s: float = float("-inf")) -> None:
@@ -185,6 +234,18 @@
             self._refresh(service)
 
 
+def _is_earlier(record: RolloutRecord, known: RolloutRecord) -> bool:
+    """Whether a record read after a return from a copy is older than the known one.
+
+    It is if it was written earlier, by the store's steady clock. What ended a rollout stays, though a holder that
+    knows only the copy goes on with it: what was rolled back is not tried again.
+    """
+    if record.written_at_s < known.written_at_s:
+        return True
+    asks_the_same = (record.target_version, record.duration_s) == (known.target_version, known.duration_s)
+    return known.phase.is_final and not record.phase.is_final and asks_the_same
+
+
 def _is_same_rollout(one: RolloutRecord, other: RolloutRecord) -> bool:
     """Whether two records mean the same for requests."""
     return (one.order, one.target_version, one.phase, one.share, one.barred) == (
--- a/tests/unit/placement/test_weights_roll_driver.py
+++ b/tests/unit/placement/test_weights_roll_driver.py
@@ -16,6 +16,7 @@
 from wallwell.placement.weights_roll import EngineReport, OrderReply
 from wallwell.placement.weights_roll_driver import WeightsRollDriver
 from wallwell.rollout.model import Phase, RolloutRecord
+from wallwell.storage.era import StorePosition
 from wallwell.storage.feed import FeedRow
 
 LEASE_S = 3.0
@@ -284,7 +285,7 @@
                 known = state.backends.get(incarnation).record
                 software = "v1" if incarnation in left else "v2"
                 state.backends.upsert(replace(known, software=software))
-            state.rollouts.on_record(record, 1, boot_time_s())
+            state.rollouts.on_record(record, StorePosition(0, 1), boot_time_s())
         fleet.name(2)
         await asyncio.sleep(8.0)
         return left
@@ -305,7 +306,7 @@
                 known = state.backends.get(incarnation).record
                 fields = {"software": "v2", "versions": {"m": 2}} if incarnation in target else {"software": "v1"}
                 state.backends.upsert(replace(known, **fields))
-            state.rollouts.on_record(record, 1, boot_time_s())
+            state.rollouts.on_record(record, StorePosition(0, 1), boot_time_s())
         fleet.name(2)
         await asyncio.sleep(8.0)
 
--- a/tests/unit/rollout/fleet.py
+++ b/tests/unit/rollout/fleet.py
@@ -14,6 +14,7 @@
 from wallwell.deployment.backends import BackendRecord
 from wallwell.deployment.freshness import StoreClock
 from wallwell.emulator.platform_server import TableModel
+from wallwell.node.operator_rows import WRITTEN_AGAIN_S
 from wallwell.node.state import FleetBounds, NodeState
 from wallwell.rollout.driver import RolloutDriver
 from wallwell.rollout.model import Phase, RolloutDecision, RolloutOrder, RolloutRecord
@@ -83,20 +84,42 @@
         return RolloutDecision(Phase.COMPLETE, 1.0, "good")
 
 
+class TableOfNode(FaultyTable):
+    """The table as a node reaches it: each answer tells the era."""
+
+    def __init__(self, fleet, state):
+        super().__init__(fleet.model)
+        self._fleet, self._state = fleet, state
+
+    def _hear(self):
+        self._state.store_era.observe(self._fleet.era, boot_time_s())
+
+    async def get(self, key):
+        row = await super().get(key)
+        self._hear()
+        return row
+
+    async def transact(self, transaction):
+        version = await super().transact(transaction)
+        self._hear()
+        return version
+
+
 class Node:
     """One node's part."""
 
     def __init__(self, fleet, name, seed):
         self.state = NodeState(name, "z", FleetBounds(lease_s=3.0), random.Random(seed))
         self.state.members = set(fleet.names)
-        self.lease_table = FaultyTable(fleet.model)
-        self.table = FaultyTable(fleet.model)
+        self.lease_table = TableOfNode(fleet, self.state)
+        self.table = TableOfNode(fleet, self.state)
         self.store = TableRollouts(self.table)
         self.planner = fleet.make_planner()
         self.counts = FleetCounts()
         self.life = round(boot_time_s() * 1e9)
         self.seen: dict[str, int] = {}
         self.cut = False
+        self.era: int | None = None
         self.driver = RolloutDriver(
             self.state, self.lease_table, self.store, self.planner, self.counts, StoreClock()
         )
@@ -113,9 +136,14 @@
             self.state.backends.upsert(BackendRecord(name, service, f"{name}:80", "z", 8, software=software))
             self.state.backends.learn_peer_loads({})
 
-    def take_rows(self, rows):
+    def take_rows(self, rows, era=0):
         if self.cut:
             return
+        if era != self.era:
+            self.era = era
+            self.seen.clear()
+            self.state.store_era.observe(era, boot_time_s())
+            self.driver.on_era(era)
         for key, row in rows.items():
             if self.seen.get(key) != row.version:
                 self.seen[key] = row.version
@@ -140,6 +168,7 @@
         self.nodes: list[Node] = []
         self.services, self.versions = services, versions
         self.orders: list[RolloutOrder] = []
+        self.era = 0
         for index, name in enumerate(self.names):
             self._add(name, index)
         self.tasks = [asyncio.create_task(self._feed()), asyncio.create_task(self._reports())]
@@ -157,7 +186,7 @@
         while True:
             await asyncio.sleep(0.05)
             for node in self.nodes:
-                node.take_rows(dict(self.model.rows))
+                node.take_rows(dict(self.model.rows), self.era)
 
     async def _reports(self):
         while True:
@@ -170,11 +199,23 @@
 
     def order(self, target="v2", service="svc", duration_s=20.0):
         self.model.commit += 1
-        order = RolloutOrder(service, target, duration_s, self.model.commit)
+        order = RolloutOrder(service, target, duration_s, self.model.commit, self.era)
         self.orders.append(order)
         for node in self.nodes:
             node.book.on_order(order, boot_time_s())
 
+    def copy(self):
+        return self.model.commit, dict(self.model.rows), list(self.orders)
+
+    def restore(self, copy):
+        """Come back from a copy: rows are older, and its orders are read again in the next era."""
+        self.model.commit, self.model.rows = copy[0], dict(copy[1])
+        self.era += 1
+        self.orders = [msgspec.structs.replace(order, era=self.era) for order in copy[2]]
+        for node in self.nodes:
+            for order in self.orders:
+                node.book.on_order(order, boot_time_s(), boot_time_s() + WRITTEN_AGAIN_S)
+
     def kill(self, node):
         node.task.cancel()
         self.nodes.remove(node)
--- a/tests/unit/rollout/test_records.py
+++ b/tests/unit/rollout/test_records.py
@@ -4,6 +4,7 @@
 
 from wallwell.rollout.model import Phase, RolloutBounds, RolloutOrder, RolloutRecord
 from wallwell.rollout.records import UNANNOUNCED_WAIT_S, RolloutBook, exclude_replaced, opening_record
+from wallwell.storage.era import StorePosition
 
 ORDER = RolloutOrder("svc", "v2", 30.0, 10)
 
@@ -17,7 +18,7 @@
     if order is not None:
         known.on_order(order, 1.0)
     for version, each in enumerate(records, 1):
-        known.on_record(each, version, record_written_s=50.0)
+        known.on_record(each, StorePosition(0, version), record_written_s=50.0)
     return known
 
 
@@ -40,8 +41,8 @@
 
 def test_an_older_row_of_a_record_changes_nothing():
     known = book(record())
-    known.on_record(record(Phase.ROLLED_BACK), 5, 51.0)
-    known.on_record(record(share=0.1), 4, 52.0)
+    known.on_record(record(Phase.ROLLED_BACK), StorePosition(0, 5), 51.0)
+    known.on_record(record(share=0.1), StorePosition(0, 4), 52.0)
     assert known.effective("svc").phase is Phase.ROLLED_BACK
 
 
@@ -82,7 +83,7 @@
     known = book(record())
     rollout = known.active["svc"]
     assert not rollout.has_fresh_record(52.6)
-    known.on_record(record(), 2, 52.0)
+    known.on_record(record(), StorePosition(0, 2), 52.0)
     assert known.active["svc"] is rollout
     assert rollout.has_fresh_record(52.6)
 
@@ -90,9 +91,9 @@
 def test_counting_begins_with_the_order_and_ends_with_the_rollout():
     known = book(order=ORDER)
     tally = known.tally.by_service["svc"]
-    known.on_record(record(), 1, 50.0)
+    known.on_record(record(), StorePosition(0, 1), 50.0)
     assert known.tally.by_service["svc"] is tally
-    known.on_record(record(Phase.ROLLED_BACK), 2, 50.0)
+    known.on_record(record(Phase.ROLLED_BACK), StorePosition(0, 2), 50.0)
     assert known.tally.by_service == {}
 
 
--- a/tests/unit/serving/test_rollout_requests.py
+++ b/tests/unit/serving/test_rollout_requests.py
@@ -25,6 +25,7 @@
 from wallwell.routing.selection.prefix_home import PromptPart, engine_pool
 from wallwell.serving.messages import Generation
 from wallwell.serving.pipeline import RequestPipeline
+from wallwell.storage.era import StorePosition
 
 STREAM = make_route(RouteKind.STREAM, resumable=True, rank=0)
 PIECES = Script(chunks=(event(1), 0.2, event(2), 0.4, event(3)), stream=True, head_after_s=0.3)
@@ -41,7 +42,7 @@
             state.backends.upsert(record).slow_until_s = boot_time_s() + slow_for_s
     barred = ("v1",) if phase is Phase.COMPLETE else ()
     record = RolloutRecord("svc", "v2", 1, 0.0, 30.0, phase, share, barred=barred)
-    state.rollouts.on_record(record, 1, boot_time_s())
+    state.rollouts.on_record(record, StorePosition(0, 1), boot_time_s())
     return state
 
 
