What nodes wrote of late is written again after the store has come back from a copy

What would be seen: a request that crashes its back ends is known to nodes that start later as one without crashes, what was taken back counts again; a starting node does not know since when a weights version is named, and has engines reloaded early. Evidence: both tests fail on the code before (there is nobody to tell of an era: AttributeError), and pass.

--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -35,6 +35,11 @@
 """Mean seconds from a failed write to the next."""
 RETRY_JITTER = (0.5, 1.5)
 """Range of factors on that time, so that nodes do not write together once the store is back."""
+WRITTEN_AGAIN_S = 60.0
+"""Seconds for which a row that was written is kept to be written again: a store that comes back from a copy has
+lost the last seconds before it."""
+MAX_WRITTEN_KNOWN = 1000
+"""Rows kept for that, far more than are written in that time."""
 SWEEP_S = 5.0
 """Seconds between two removals of expired crashes: small beside the minutes they count for."""
 
@@ -55,6 +60,9 @@
         self._probes = BackgroundTasks()
         self._unwritten: dict[str, bool] = {}
         """Keys to write (True) or to delete (False)."""
+        self._written: dict[str, tuple[bool, float]] = {}
+        """Keys written or deleted of late, and when, in that order."""
+        self._era: int | None = None
         self._has_work = asyncio.Event()
         self._has_failed = False
         """Whether the store did not take the last write, so that an outage is logged once."""
@@ -120,6 +128,14 @@
             return ()
         return [_crash_of(key) for key, is_put in reversed(self._unwritten.items()) if is_put]
 
+    def on_era(self, era: int) -> None:
+        """The rows that follow are of this era of the store. After a restore, what it may have lost is written
+        again."""
+        if self._era is not None and era != self._era:
+            since_s = boot_time_s() - WRITTEN_AGAIN_S
+            self._write({key: is_put for key, (is_put, at_s) in self._written.items() if at_s > since_s})
+        self._era = era
+
     # --- the store -------------------------------------------------------------------------------------
 
     def _write(self, changes: dict[str, bool]) -> None:
@@ -151,9 +167,14 @@
             self._has_failed = True
             return False
         self._has_failed = False
+        now_s = boot_time_s()
         for key, is_put in batch.items():
+            self._written.pop(key, None)
+            self._written[key] = (is_put, now_s)
             if self._unwritten.get(key) is is_put:
                 del self._unwritten[key]
+        while len(self._written) > MAX_WRITTEN_KNOWN:
+            del self._written[next(iter(self._written))]
         if not self._unwritten:
             self._has_work.clear()
         return True
--- a/src/wallwell/placement/weights_roll_driver.py
+++ b/src/wallwell/placement/weights_roll_driver.py
@@ -107,10 +107,18 @@
         self._loading: dict[str, LoadTask] = {}
         self._finished: dict[str, tuple[str, int]] = {}
         """Model and version last brought to each engine."""
-        self._unpublished = ""
-        """Model of which a load has ended since its progress was published; empty if none."""
+        self._unpublished: set[str] = set()
+        """Models whose row in the store is not up to date."""
+        self._era: int | None = None
         self._tasks = BackgroundTasks()
 
+    def on_era(self, era: int) -> None:
+        """The rows that follow are of this era of the store. After a restore, what this node has written is written
+        again."""
+        if self._era is not None and era != self._era:
+            self._unpublished.update(model for model, _ in self._finished.values())
+        self._era = era
+
     # --- rows of other nodes ---------------------------------------------------------------------------
 
     def on_row(self, row: FeedRow, now_s: float) -> None:
@@ -155,7 +163,7 @@
         if started:
             await self._start(started)
         elif self._unpublished:
-            await self._publish(self._unpublished)
+            await self._publish(next(iter(self._unpublished)))
 
     def _engines(self) -> list[Backend]:
         """Return the engines to load: those of models with named versions that a rollout has not excluded."""
@@ -192,7 +200,7 @@
 
     async def _publish(self, model: str) -> None:
         """Write the progress row; without an answer from the store the weights roll goes on all the same."""
-        self._unpublished = ""
+        self._unpublished.discard(model)
         listed = self._state.backends
         self._finished = {name: done for name, done in self._finished.items() if listed.get(name) is not None}
         loading = tuple((name, task.version) for name, task in sorted(self._loading.items()) if task.model == model)
@@ -222,7 +230,7 @@
             return
         emit(Event.WEIGHTS_IN_PLACE, backend=incarnation, model=task.model, version=task.version)
         self._finished[incarnation] = (task.model, task.version)
-        self._unpublished = task.model
+        self._unpublished.add(task.model)
 
     async def _order_and_wait(self, task: LoadTask) -> bool:
         """Send the order and wait until the engine reports the version; returns whether it did."""
--- a/tests/unit/node/test_crash_watch.py
+++ b/tests/unit/node/test_crash_watch.py
@@ -236,6 +236,27 @@
     assert run_virtual(work()) == [[], [("c", "i-2"), ("c", "i-1")], []]
 
 
+def test_what_a_restored_store_has_lost_is_written_again_and_what_was_taken_back_goes_again():
+    async def work():
+        node = Node()
+        node.watch.on_era(0)
+        node.watch.on_broken_run("c", node.backend())
+        node.watch.on_broken_run("d", node.backend())
+        await asyncio.sleep(PROBED_S)
+        copy = dict(node.table.model.rows)
+        node.watch.on_answered("d")
+        node.watch.on_broken_run("e", node.backend(1))
+        await asyncio.sleep(PROBED_S)
+        written = node.rows
+        node.table.model.rows = copy
+        node.watch.on_era(1)
+        await asyncio.sleep(0.5)
+        return written, node.rows
+
+    written, after = run_virtual(work())
+    assert written == after == {"c/i-0", "e/i-1"}
+
+
 def test_what_peers_tell_counts_as_if_it_had_been_read_and_is_not_written_again():
     async def work():
         node = Node()
--- a/tests/unit/placement/test_weights_roll_driver.py
+++ b/tests/unit/placement/test_weights_roll_driver.py
@@ -1,6 +1,7 @@
 """The driver over a table with faults: one node acts at a time, in virtual time."""
 
 import asyncio
+import json
 import random
 from dataclasses import replace
 
@@ -14,7 +15,7 @@
 from wallwell.errors import PlatformUnavailableError
 from wallwell.node.state import FleetBounds, NodeState
 from wallwell.placement.weights_roll import EngineReport, OrderReply
-from wallwell.placement.weights_roll_driver import WeightsRollDriver
+from wallwell.placement.weights_roll_driver import PROGRESS_PREFIX, WeightsRollDriver
 from wallwell.rollout.model import Phase, RolloutRecord
 from wallwell.storage.era import StorePosition
 from wallwell.storage.feed import FeedRow
@@ -79,9 +80,10 @@
                     BackendRecord(incarnation, "s", f"{incarnation}:80", "z", 8, versions={"m": 1})
                 )
             self.states.append(state)
-            self.drivers.append(
-                WeightsRollDriver(state, self.table, Control(self.engines, state.node), StoreClock())
-            )
+            state.store_era.observe(0, boot_time_s())
+            driver = WeightsRollDriver(state, self.table, Control(self.engines, state.node), StoreClock())
+            driver.on_era(0)
+            self.drivers.append(driver)
 
     def start(self):
         self.tasks = [asyncio.create_task(driver.run()) for driver in self.drivers]
@@ -256,6 +258,24 @@
     play(scenario)
 
 
+def test_progress_that_a_restored_store_has_lost_is_written_again():
+    """Without it a node that starts later does not know since when a version has been named."""
+
+    async def scenario(fleet):
+        fleet.name(2)
+        await asyncio.sleep(6.0)
+        rows = fleet.table.model.rows
+        before = json.loads(rows[f"{PROGRESS_PREFIX}m"].value)
+        rows.clear()
+        for state, driver in zip(fleet.states, fleet.drivers, strict=True):
+            state.store_era.observe(1, boot_time_s())
+            driver.on_era(1)
+        await asyncio.sleep(2 * LEASE_S)
+        assert json.loads(rows[f"{PROGRESS_PREFIX}m"].value)["finished"] == before["finished"] != []
+
+    play(scenario)
+
+
 def test_nodes_know_which_version_each_engine_is_loading():
     """Found on a calm day: an engine that had finished one version counted as loading the next one's."""
 
