A copy confirms no configuration for a second: a node that starts on it takes no key that had been taken away

What would be seen: a node that starts, or is reached by the store again, just after the store has come back from a copy takes a revoked key from the copy for granted, and that as confirmed now, for up to 4.6 s. Cause: the answer of a store that has lost its last writes was taken for the newest word. Change: from a node's first answer of an era on, the store confirms no configuration for 1 s, in which operators write again what is lost; the confirmation of before holds on for its time. Nothing changes while the store counts no eras. Evidence: the test of a node that starts on the copy failed before (it took the key). For callers: requests every 20 ms over an outage of 2 s that ends in a restore all get 200. A start in an era later than the first takes 1 s longer to be ready. Bound: what operators write again later than a second after a node's first answer is not covered.

--- a/src/wallwell/emulator/platform_store.py
+++ b/src/wallwell/emulator/platform_store.py
@@ -70,8 +70,8 @@
         self.history: list[tuple[int, str, str, bool]] = []
         self.version = 0
         self.forgotten = 0
-        self.era = 1
-        """Rises with each :meth:`restore`."""
+        self.era = 0
+        """Rises with each :meth:`restore`; 0 is not stated."""
         self.calls = 0
         self.addresses: tuple[str, ...] = ()
         self._page_rows = page_rows
@@ -148,7 +148,8 @@
     # --- calls -----------------------------------------------------------------------------------------
 
     async def _state_era(self, request: web.Request, response: web.StreamResponse) -> None:
-        response.headers[names.STORE_ERA] = str(self.era)
+        if self.era:
+            response.headers[names.STORE_ERA] = str(self.era)
 
     async def _before(self, request: web.Request) -> web.Response | None:
         """Count a call and apply the switches of all calls; returns the answer if the call is refused."""
--- a/src/wallwell/node/operator_rows.py
+++ b/src/wallwell/node/operator_rows.py
@@ -18,6 +18,10 @@
 WRITTEN_AGAIN_S = 5.0
 """Seconds from the store's return from a copy within which operators have written again what the copy lacks; an
 order in the copy that contradicts the known one counts from then."""
+UNCONFIRMED_S = 1.0
+"""Seconds from a node's first answer of an era for which the store confirms no configuration: it may be a copy that
+lacks the newest one, which operators write again soon. Less than what is left of the time for which the last
+confirmation holds after an outage of some seconds, so that callers notice nothing of it."""
 
 
 class OperatorRows:
@@ -39,9 +43,14 @@
                     self._on_row(row.key, row.value, followed.unconfirmed_since_s)
             except msgspec.MsgspecError as error:
                 emit(Event.CONFIG_REFUSED, row=row.key, error=str(error))
-        if self._state.config is not None:
+        if self._state.config is not None and self._confirms():
             self._state.freshness.confirm(followed.confirmed_at_s)
 
+    def _confirms(self) -> bool:
+        """Whether what the store says is the newest word, and not that of a copy it has just come back from."""
+        era = self._state.store_era
+        return not era.number or boot_time_s() >= era.since_s + UNCONFIRMED_S
+
     def _on_row(self, key: str, value: bytes, unconfirmed_since_s: float) -> None:
         if key == self._sources.config_key:
             config = self._sources.decode_config(value)
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from tests.platform.conftest import config, route
+from tests.platform.conftest import CallersPort, config, route
 from tests.platform.stand_ins import PAGE_ROWS
 from tests.platform.test_node import with_store
 from tests.platform.test_peers import both_know_each_other, second_node
@@ -134,3 +134,50 @@
             await store.get("k")
 
     with_store(run_async, scenario)
+
+
+def test_a_node_that_starts_on_the_copy_does_not_take_a_key_that_had_been_taken_away(on_platform):
+    """The copy still grants it; the operators write their configuration again half a second later."""
+
+    async def scenario(harness):
+        copy = harness.store.copy()
+        taken = config(2, tenants=[{"name": "t1", "api_keys": ["k1"], "isolated": False}])
+        harness.store.put("op", "config", taken)
+        harness.store.restore(copy)
+        late = await second_node(harness, "late")
+        callers = CallersPort(late)
+        await callers.start()
+        statuses = set()
+        for number in range(50):
+            status, *_ = await harness.call(port=callers.port, X_Credential="k2", X_Request_Id=f"req-{number}")
+            statuses.add(status)
+            if number == 25:
+                harness.store.put("op", "config", taken)
+            await asyncio.sleep(0.02)
+        await harness.until(late.is_ready)
+        last, *_ = await harness.call(port=callers.port, X_Credential="k2")
+        granted, *_ = await harness.call(port=callers.port, X_Credential="k1")
+        await callers.runner.cleanup()
+        await late.stop()
+        return statuses, last, granted
+
+    statuses, last, granted = on_platform(scenario)
+    assert statuses <= {401, 503}
+    assert (last, granted) == (401, 200)
+
+
+def test_callers_notice_nothing_of_a_restore_after_some_seconds(on_platform):
+    """Credentials hold for the revocation bound after the last confirmation of before."""
+
+    async def scenario(harness):
+        await asyncio.sleep(1.5)
+        statuses = set()
+        restoring = asyncio.create_task(lose_some_seconds(harness, away_s=2.0))
+        for number in range(250):
+            status, *_ = await harness.call(X_Request_Id=f"req-{number}")
+            statuses.add(status)
+            await asyncio.sleep(0.02)
+        await restoring
+        return statuses
+
+    assert on_platform(scenario) == {200}
