Soak: the store comes back from an older copy, once or twice in a run, after the change of keys

The store answers nobody for 0.1 to 2.5 s and returns as it was 3 s before; the operator writes its rows again within 0.6 s, workers with their next heartbeat, entries of workers that are gone go again after three. Drawn by a generator of its own, so that all else is drawn as before; kept runs are as they were. Two invariants: left_stays_left (what left is not brought back by a copy) and configuration_in_time (a new key is known at each node after 2 s), the second one also without a restore.

--- a/src/wallwell/cli/soak.py
+++ b/src/wallwell/cli/soak.py
@@ -72,7 +72,8 @@
         crashing=options.crashing,
         notices=True,
         limits=True,
-        identities=True,  # Kept runs are as they were drawn; all others have such workers.
+        identities=True,
+        restores=True,  # Kept runs are as they were drawn; all others have all of these.
         rollout=options.rollout,
     )
     schedule = draw_schedule(options.seed, shape)
@@ -114,7 +115,7 @@
     rate = f" --rate {shape.requests_per_s:g}" if shape.requests_per_s != DEFAULT_RATE_PER_S else ""
     rollout = f" --rollout {shape.rollout}" if shape.rollout else ""
     crashing = f" --crashing {shape.crashing}" if shape.crashing else ""
-    if not (shape.notices and shape.limits and shape.identities):
+    if not (shape.notices and shape.limits and shape.identities and shape.restores):
         return f"wallwell soak --regressions FILE, with seed {schedule.seed} and {shape} in the file"
     return (
         f"wallwell soak --seed {schedule.seed} --seconds {shape.seconds:g} --nodes {shape.nodes} "
--- a/src/wallwell/soak/control.py
+++ b/src/wallwell/soak/control.py
@@ -44,6 +44,12 @@
     """The store forgets its history."""
 
 
+class RestoreStore(PeerMessage, frozen=True):
+    """The store comes back as it was ``age_s`` ago; operators and workers write again what it lacks."""
+
+    age_s: float
+
+
 class PutRow(PeerMessage, frozen=True):
     """The operator writes a row; the reply is the acknowledgement."""
 
--- a/src/wallwell/soak/drawing.py
+++ b/src/wallwell/soak/drawing.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Sequence
 
 import msgspec
 
@@ -79,6 +80,14 @@
 """Workers that start again under their identity."""
 SPOILT_S = 4.0
 """Seconds for which an entry is spoilt: longer than nodes may go on sending to its worker."""
+RESTORED_AFTER_KEYS_S = (0.1, 2.0)
+"""Seconds from the change of keys to the store's first outage that ends in a restore: the copy lacks the change."""
+RESTORE_LASTS_S = (0.1, 2.5)
+"""Seconds for which the store is away before it comes back from a copy."""
+SECOND_RESTORE_FRACTION = 0.5
+"""Fraction of the seeds in which it comes back from a copy again soon after."""
+SECOND_RESTORE_AFTER_S = (0.2, 3.0)
+"""Seconds from the first return to the next outage."""
 STORE_DOWN_S = 4.5
 """Seconds of a store's outage in which a worker leaves: until it has ended, so that its answers alone say so."""
 OUTAGE_FRACTION = 0.5
@@ -108,8 +117,10 @@
         faults.append(_draw_limit(random.Random(f"{seed}/limits"), shape))
     if shape.identities:
         faults += _draw_identities(random.Random(f"{seed}/identities"), shape)
-    faults.sort(key=lambda fault: fault.at_s)
     operations = _draw_operations(random.Random(f"{seed}/operations"), shape)
+    if shape.restores:
+        faults += _draw_restores(random.Random(f"{seed}/restores"), shape, operations)
+    faults.sort(key=lambda fault: fault.at_s)
     return Schedule(seed, shape, tuple(faults), tuple(requests), tuple(operations))
 
 
@@ -184,6 +195,22 @@
     return [*faults, PlannedFault(spoilt_at_s, SPOILT_S, FaultKind.SPOIL_ENTRY, spoilt)]
 
 
+def _draw_restores(
+    generator: random.Random, shape: Shape, operations: Sequence[PlannedOperation]
+) -> list[PlannedFault]:
+    """Return one or two times in which the store goes away and comes back from a copy, after the change of keys."""
+    latest_s = shape.seconds - RECOVERY_S - SHOWN_RECOVERED_S - SETTLE_S
+    keys_s = next(each.at_s for each in operations if each.kind is OperationKind.CHANGE_KEYS)
+    at_s = min(keys_s + generator.uniform(*RESTORED_AFTER_KEYS_S), latest_s)
+    lasts_s = generator.uniform(*RESTORE_LASTS_S)
+    faults = [PlannedFault(round(at_s, 2), round(lasts_s, 2), FaultKind.STORE_RESTORED, STORE)]
+    if generator.random() < SECOND_RESTORE_FRACTION:
+        at_s = min(at_s + lasts_s + generator.uniform(*SECOND_RESTORE_AFTER_S), latest_s + SETTLE_S)
+        lasts_s = generator.uniform(*RESTORE_LASTS_S)
+        faults.append(PlannedFault(round(at_s, 2), round(lasts_s, 2), FaultKind.STORE_RESTORED, STORE))
+    return faults
+
+
 def _draw_target(generator: random.Random, shape: Shape) -> tuple[FaultKind, str]:
     groups: list[tuple[tuple[FaultKind, ...], tuple[str, ...]]] = [
         (NODE_FAULTS, shape.node_names()),
--- a/src/wallwell/soak/faults.py
+++ b/src/wallwell/soak/faults.py
@@ -14,10 +14,10 @@
 
 from wallwell.errors import PeerUnavailableError, SoakError
 from wallwell.soak.answers import CRASH_STATUS
-from wallwell.soak.control import AimLink, ForgetHistory, HarmLink, SpoilEntry, SwitchStore
+from wallwell.soak.control import AimLink, ForgetHistory, HarmLink, RestoreStore, SpoilEntry, SwitchStore
 from wallwell.soak.fleet import REGION_BYTES_PER_S, REGION_DELAY_S, RunProcesses, sound_link, store_host
 from wallwell.soak.history import FaultBegan, FaultEnded
-from wallwell.soak.schedule import ALL_NODES, STORE, FaultKind, PlannedFault
+from wallwell.soak.schedule import ALL_NODES, COPY_AGE_S, STORE, FaultKind, PlannedFault
 from wallwell.soak.supervisor import ChildProcess
 
 Action = Callable[[PlannedFault], Awaitable[None]]
@@ -78,6 +78,7 @@
             FaultKind.RESTART_WORKER: self._restart_worker,
             FaultKind.SPOIL_ENTRY: self._spoil_entry,
             FaultKind.STORE_FORGETS: self._forget,
+            FaultKind.STORE_RESTORED: self._restore_store,
             FaultKind.STORE_REFUSES_NODE: self._refuse_node,
             **dict.fromkeys(STORE_SWITCHES, self._switch_store),
             **dict.fromkeys(LINK_HARMS, self._harm_link),
@@ -217,6 +218,13 @@
     async def _forget(self, _fault: PlannedFault) -> None:
         await self._fleet.control_store(ForgetHistory())
 
+    async def _restore_store(self, fault: PlannedFault) -> None:
+        """The copy is made before the store goes away, so that what is written last is lost."""
+        await self._fleet.control_store(SwitchStore({"refuse_status": 503}))
+        await asyncio.sleep(fault.lasts_s)
+        await self._fleet.control_store(RestoreStore(COPY_AGE_S + fault.lasts_s))
+        await self._fleet.control_store(SwitchStore({"refuse_status": 0}))
+
     async def _harm_link(self, fault: PlannedFault) -> None:
         link, node = link_of(fault.target)
         await self._fleet.control_proxy(HarmLink(link, node, **LINK_HARMS[fault.kind]))
--- a/src/wallwell/soak/invariants_fleet.py
+++ b/src/wallwell/soak/invariants_fleet.py
@@ -23,6 +23,7 @@
     WorkerState,
 )
 from wallwell.soak.schedule import (
+    CONFIGURATION_S,
     DRAIN_BOUND_S,
     GRACE_S,
     LIMIT_BURST,
@@ -91,6 +92,29 @@
         yield worker, at_s, math.inf
 
 
+def left_stays_left(history: History) -> Cases:
+    """A worker that has left, as nodes knew, gets nothing from them because a copy of the store lists it again."""
+    lives = _Lives(history)
+    for worker, from_s, until_s in _absences(history):
+        for restore in history.restores():
+            known_s = from_s + DRAIN_BOUND_S
+            if not (known_s < restore.at_s < until_s and history.is_fault_free(from_s, known_s)):
+                continue
+            reached = [
+                (began, history.sent[began.request])
+                for began in history.begins
+                if began.worker == worker and restore.at_s < began.at_s < until_s and began.request in history.sent
+            ]
+            broken = [(began, sent) for began, sent in reached if lives.at(sent.node, known_s) == lives.of(sent)]
+            for began, sent in broken:
+                detail = (
+                    f"reached {worker} from {sent.node} after a restore, {began.at_s - from_s:.2f} s after it left"
+                )
+                yield Violation(began.at_s, began.request, detail)
+            if not broken:
+                yield HELD
+
+
 def left_is_cancelled(history: History) -> Cases:
     """When callers have left, workers soon stop what they would still have done for them."""
     at_work = list(_work_after_leaving(history))
@@ -164,6 +188,22 @@
             yield Violation(sent.at_s, sent.request, detail)
 
 
+def configuration_in_time(history: History) -> Cases:
+    """A key that has come into force is known at each node after a bound, also after a restore of the store."""
+    given_s = history.keys_given_s()
+    for sent in history.sent.values():
+        at_s = given_s.get(sent.key, 0.0)
+        if not at_s or sent.at_s <= at_s + CONFIGURATION_S:
+            continue
+        if not history.is_fault_free(sent.at_s - CONFIGURATION_S, sent.at_s):
+            continue
+        if _status(history, sent.request) == UNKNOWN_KEY:
+            detail = f"{sent.node} did not know {sent.key}, {sent.at_s - at_s:.2f} s after it came into force"
+            yield Violation(sent.at_s, sent.request, detail)
+        else:
+            yield HELD
+
+
 def configuration_never_back(history: History) -> Cases:
     """Once a node has shown a configuration, it does not go back to an older one while it lives."""
     taken_s = history.keys_taken_s()
@@ -203,7 +243,11 @@
 
     def of(self, sent: Sent) -> str:
         """Return the node's name and how many of its lives had ended."""
-        return f"{sent.node}/{sum(end_s < sent.at_s for end_s in self._ends_s[sent.node])}"
+        return self.at(sent.node, sent.at_s)
+
+    def at(self, node: str, at_s: float) -> str:
+        """Return the same of a node at a time."""
+        return f"{node}/{sum(end_s < at_s for end_s in self._ends_s[node])}"
 
 
 def _status(history: History, request: str) -> int:
--- a/src/wallwell/soak/schedule.py
+++ b/src/wallwell/soak/schedule.py
@@ -33,6 +33,7 @@
     STORE_LOSES_ANSWERS = "store_loses_answers"  # the store: done, no answer
     STORE_WRITES_LATE = "store_writes_late"  # the store: no answer, done later
     STORE_FORGETS = "store_forgets"  # the store: history is gone
+    STORE_RESTORED = "store_restored"  # the store: 503 to all, then it comes back from an older copy
     LINK_RESET = "link_reset"  # a link: open connections are reset, new ones too until the end
     LINK_SLOW = "link_slow"  # a link: delayed and narrow
     LINK_SILENT = "link_silent"  # a link: open connections carry nothing more; new ones work
@@ -78,6 +79,10 @@
 """Seconds after which a key that was taken away must not be accepted."""
 VERSION_S = 6.0
 """Seconds after which named weights must be in place wherever generations begin."""
+CONFIGURATION_S = 2.0
+"""Seconds after which a configuration must be in force."""
+COPY_AGE_S = 3.0
+"""Age of the copy that the store comes back from."""
 DRAIN_BOUND_S = 2.0
 """Seconds after which a worker that leaves must get nothing more."""
 BACKOFF_S = 1.0
@@ -180,6 +185,8 @@
     """Whether a worker states how many requests it takes."""
     identities: bool = False
     """Whether workers start again under their identity, and an entry is spoilt."""
+    restores: bool = False
+    """Whether the store comes back from older copies."""
 
     def node_names(self) -> tuple[str, ...]:
         """Names of the router processes."""
--- a/src/wallwell/soak/store_process.py
+++ b/src/wallwell/soak/store_process.py
@@ -7,13 +7,16 @@
 
 import asyncio
 import json
+import random
+from collections import deque
 from dataclasses import fields
 from pathlib import Path
 
 import msgspec
 
+from wallwell.background import BackgroundTasks
 from wallwell.cluster.peer_link import PeerServer
-from wallwell.emulator.platform_store import PlatformStoreEmulator, StoreSwitches
+from wallwell.emulator.platform_store import PlatformStoreEmulator, StoreCopy, StoreSwitches
 from wallwell.platform import names
 from wallwell.soak.control import (
     Announcement,
@@ -23,6 +26,7 @@
     Heartbeat,
     PutRow,
     ReadRow,
+    RestoreStore,
     RowText,
     SpoilEntry,
     SwitchStore,
@@ -34,6 +38,11 @@
 """What another writer leaves in an entry."""
 SILENT_HEARTBEATS = 3
 """Heartbeats without which an entry goes."""
+COPY_PERIOD_S = 0.25
+"""Seconds between two copies of the store, of which the last ``COPIES_KEPT`` are kept."""
+COPIES_KEPT = 40
+WRITTEN_AGAIN_S = (0.0, 0.6)
+"""Range of seconds after a restore in which the operator writes each row again that the copy lacks."""
 SWITCHES = frozenset(field.name for field in fields(StoreSwitches))
 
 
@@ -54,12 +63,18 @@
         self.store = PlatformStoreEmulator(closed_tables=frozenset((names.BACKENDS_TABLE, names.OPERATOR_TABLE)))
         self._entries: dict[str, dict[str, object]] = {}
         self._last_heartbeat_s: dict[str, float] = {}
+        self._operators_rows: dict[tuple[str, str], str] = {}
+        self._copies: deque[tuple[float, StoreCopy]] = deque(maxlen=COPIES_KEPT)
+        self._unconfirmed: set[str] = set()
+        """Workers that have not been heard since the last restore: their entries may be older or missing."""
+        self._writing_again = BackgroundTasks()
         self._control = PeerServer(
             {
                 SwitchStore: self._switch,
                 ForgetHistory: self._forget,
                 PutRow: self._put,
                 ReadRow: self._read,
+                RestoreStore: self._restore,
                 SpoilEntry: self._spoil,
                 Heartbeat: self._heartbeat,
                 Farewell: self._farewell,
@@ -71,6 +86,7 @@
         await self.store.start(self._settings.hosts)
         await self._control.start("127.0.0.1", 0)
         self._expiry = asyncio.create_task(self._expire())
+        self._copying = asyncio.create_task(self._copy())
         announce(Announcement(self.store.addresses, self._control.address))
 
     async def _switch(self, request: SwitchStore) -> Done:
@@ -85,12 +101,40 @@
         return Done()
 
     async def _put(self, request: PutRow) -> Done:
+        self._operators_rows[request.table, request.key] = request.text
         self.store.put(request.table, request.key, request.text)
         return Done()
 
     async def _read(self, request: ReadRow) -> RowText:
         return RowText(self.store.value(request.table, request.key))
 
+    async def _copy(self) -> None:
+        while True:
+            if not self.store.refuse_status:
+                self._copies.append((asyncio.get_running_loop().time(), self.store.copy()))
+            await asyncio.sleep(COPY_PERIOD_S)
+
+    async def _restore(self, request: RestoreStore) -> Done:
+        made_s = asyncio.get_running_loop().time() - request.age_s
+        older = [copy for at_s, copy in self._copies if at_s <= made_s]
+        self.store.restore(older[-1] if older else self._copies[0][1])
+        self._copies.clear()
+        self._copies.append((asyncio.get_running_loop().time(), self.store.copy()))
+        listed = {key for table, key in self.store.rows if table == names.BACKENDS_TABLE}
+        self._unconfirmed = listed | set(self._entries)
+        now_s = asyncio.get_running_loop().time()
+        for worker in listed:
+            self._last_heartbeat_s.setdefault(worker, now_s)
+        for table, key in self._operators_rows:
+            self._writing_again.begin(self._write_again(table, key))
+        return Done()
+
+    async def _write_again(self, table: str, key: str) -> None:
+        await asyncio.sleep(random.uniform(*WRITTEN_AGAIN_S))
+        text = self._operators_rows[table, key]
+        if self.store.value(table, key) != text:
+            self.store.put(table, key, text)
+
     async def _spoil(self, request: SpoilEntry) -> Done:
         """Write an entry that names no worker, or the worker's own again, unless that has gone meanwhile."""
         entry = self._entries.get(request.worker)
@@ -106,10 +150,13 @@
         worker, entry = request.worker, request.entry
         self._last_heartbeat_s[worker] = asyncio.get_running_loop().time()
         known = self._entries.get(worker)
-        if known is None or {**known, "seq": 0} != {**entry, "seq": 0}:
-            self._entries[worker] = entry
+        is_changed = known is None or {**known, "seq": 0} != {**entry, "seq": 0}
+        if is_changed or worker in self._unconfirmed:
             self.store.put(names.BACKENDS_TABLE, worker, json.dumps(entry))
+        if is_changed:
+            self._entries[worker] = entry
             self._record(worker, str(entry["state"]))
+        self._unconfirmed.discard(worker)
         return Done()
 
     async def _farewell(self, request: Farewell) -> Done:
@@ -127,11 +174,13 @@
                 self._remove(worker)
 
     def _remove(self, worker: str) -> None:
-        if self._entries.get(worker) is None:
-            return
-        self.store.put(names.BACKENDS_TABLE, worker, None)
-        self._record(worker, "gone")
-        del self._entries[worker], self._last_heartbeat_s[worker]
+        self._unconfirmed.discard(worker)
+        self._last_heartbeat_s.pop(worker, None)
+        if self.store.value(names.BACKENDS_TABLE, worker) is not None:
+            self.store.put(names.BACKENDS_TABLE, worker, None)
+        if worker in self._entries:
+            self._record(worker, "gone")
+            del self._entries[worker]
 
     def _record(self, worker: str, state: str) -> None:
         entry = self._entries[worker]
--- a/src/wallwell/soak/timeline.py
+++ b/src/wallwell/soak/timeline.py
@@ -22,6 +22,8 @@
 """Seconds after a fault until the nodes count as connected again."""
 PLANNED_STOP = "stop_node"
 """Name of the fault that stops a node as planned."""
+RESTORE = "store_restored"
+"""Name of the fault after which the store comes back from a copy."""
 FAULTS_OF_WORKERS = frozenset(
     ("crash_worker", "drain_worker", "shed_worker", "limit_worker", "restart_worker", "spoil_entry")
 )
@@ -70,6 +72,10 @@
         )
         return min((*exits, *harms), default=float("inf"))
 
+    def restores(self) -> list[FaultBegan]:
+        """Return the outages of the store that end with its return from a copy."""
+        return [each for each in self.records if isinstance(each, FaultBegan) and each.fault == RESTORE]
+
     def planned_stops(self) -> list[tuple[FaultBegan, float]]:
         """Return each planned stop of a node with the time at which the node had ended."""
         found = []
--- a/tests/unit/soak/test_invariants.py
+++ b/tests/unit/soak/test_invariants.py
@@ -154,6 +154,20 @@
     return [sent("late", RequestKind.SAFE, at_s), began("late", at_s=at_s + 0.1, software="v2")]
 
 
+def left_before_a_restore(reached_at_s, more=()):
+    """A worker leaves at 10 s, the store comes back from a copy at 14 s; a request may reach the worker."""
+    restored = [FaultBegan(13.0, "store_restored", "store"), FaultEnded(14.0, "store_restored", "store")]
+    records = [WorkerState(10.0, "w.1", "orders", "", "gone"), *restored, *more]
+    if reached_at_s:
+        records += [sent(at_s=reached_at_s, node="node-0"), began(at_s=reached_at_s + 0.01)]
+    return records
+
+
+def asks_with_new_key(at_s, status):
+    """A request with the key that came into force at 10 s."""
+    return keys_changed(sent(at_s=at_s, key="key-d", node="node-0"), answered(status=status, worker="", at_s=at_s))
+
+
 FAULT = [FaultBegan(9.0, "store_down", "store"), FaultEnded(25.0, "store_down", "store")]
 """A fault on the store, during which time bounds are not checked."""
 BAD_ENOUGH = rollout(to_target=50, answers_bad=True)
@@ -203,6 +217,12 @@
         sent(at_s=12.0, key="key-c", node="node-0"),
         began(at_s=12.1),
     ),
+    "a worker that left before a restore": left_before_a_restore(None),
+    "it is reached by the node's next life after it": left_before_a_restore(
+        15.0, [NodeExited(14.5, "node-0", -9, "SIGKILL")]
+    ),
+    "a new key that is not known yet": asks_with_new_key(11.9, 401),
+    "a new key that is known in time": asks_with_new_key(12.1, 503),
     "a tenant within its limit": limited(count=40, period_s=0.3),
     "orders under rising fences": [OrderTaken(1.0, "w.1", "n1", 5, 2), OrderTaken(2.0, "w.1", "n2", 6, 2)],
     "older weights within the bound": weights(begins_on=1, after_s=VERSION_S - 0.1),
@@ -272,6 +292,8 @@
             answered(status=401, worker="", at_s=12.1),
         ),
     ),
+    "a worker that a copy lists again is reached": ("left_stays_left", left_before_a_restore(15.0)),
+    "a new key that is not known in time": ("configuration_in_time", asks_with_new_key(12.1, 401)),
     "a tenant beyond its limit": ("tenant_limit", limited(count=60, period_s=0.05)),
     "one fence of two holders": (
         "fences_never_lower",
--- a/tests/unit/soak/test_schedule.py
+++ b/tests/unit/soak/test_schedule.py
@@ -37,13 +37,15 @@
     drawn = {
         fault.kind
         for seed in range(100)
-        for fault in draw_schedule(seed, Shape(regions=2, notices=True, limits=True, identities=True)).faults
+        for fault in draw_schedule(
+            seed, Shape(regions=2, notices=True, limits=True, identities=True, restores=True)
+        ).faults
     }
     assert drawn == set(FaultKind)
 
 
 def test_one_region_has_no_faults_between_regions():
-    shape = Shape(notices=True, limits=True, identities=True)
+    shape = Shape(notices=True, limits=True, identities=True, restores=True)
     drawn = {fault.kind for seed in range(100) for fault in draw_schedule(seed, shape).faults}
     assert drawn == set(FaultKind) - set(REGION_FAULTS)
 
