A start that leaves since before its entry told of it is not used for another second

Cause: it had started again under its identity while the store was away and left at once; nodes knew its leave by its answers, under the start that they knew. With the later entry, draining from the first, the leave counted from then on, and as all others of the service were gone too it was used for a second more. An old fault, not of the store's return. Change: a later start whose entry says that it leaves inherits the time at which its identity was first known to leave.

--- a/src/wallwell/routing/health/backend_registry.py
+++ b/src/wallwell/routing/health/backend_registry.py
@@ -77,15 +77,17 @@
         backend = self._by_incarnation.get(record.incarnation)
         if backend is not None and backend.record.is_later_start_than(record):
             return backend
+        leaving_since_s = self._leaving_since_s.get(_start_of(record))
         if backend is not None and record.is_later_start_than(backend.record):
             self._drop(backend)
             backend.gone = backend.superseded = True
+            if record.draining and leaving_since_s is None:
+                # Its answers may have said so while its entry still was that of the earlier start.
+                leaving_since_s = backend.leaving_since_s
             backend = None
         if backend is None:
             backend = Backend(
-                record,
-                superseded=record.incarnation in self._superseded,
-                leaving_since_s=self._leaving_since_s.get(_start_of(record)),
+                record, superseded=record.incarnation in self._superseded, leaving_since_s=leaving_since_s
             )
             if not backend.superseded:
                 self._supersede_at(record.address)
--- a/src/wallwell/soak/fleet.py
+++ b/src/wallwell/soak/fleet.py
@@ -54,14 +54,17 @@
 class RunProcesses:
     """All processes of a run in one folder."""
 
-    def __init__(self, schedule: Schedule, folder: Path, checkout: Path) -> None:
+    def __init__(self, schedule: Schedule, folder: Path, checkout: Path, production: Path | None = None) -> None:
+        """Each node's first process is of the build in ``production``, every later one of that in ``checkout``:
+        faults that start nodes again replace the first build by the second, node by node."""
         self.schedule = schedule
         self.folder = folder
         self.supervisor = Supervisor(folder)
         self.history = HistoryWriter(folder / f"run{HISTORY_SUFFIX}")
-        self._router = checkout / "deploy" / "router.py"
-        if not self._router.is_file():
-            raise SoakError(f"{self._router} is not there; run in a checkout or name one with --checkout")
+        self._router = _router_of(checkout)
+        first_router = _router_of(production or checkout)
+        self._first_routers = dict.fromkeys(schedule.shape.node_names(), first_router)
+        """By nodes that have not been started yet."""
         self.weights = 1
         """Newest weights version that was named."""
         self.software: dict[str, tuple[str, Badness]] = {}
@@ -213,7 +216,8 @@
     async def start_node(self, node: str) -> None:
         """Start a router with the settings file that was written for it."""
         environment = {names.SETTINGS_VARIABLE: str(self.folder / f"{node}.toml")}
-        child = await self.supervisor.start(node, (sys.executable, str(self._router)), environment)
+        router = self._first_routers.pop(node, self._router)
+        child = await self.supervisor.start(node, (sys.executable, str(router)), environment)
         await self.control_proxy(KnowNode(node, child.pid, self.schedule.shape.region_of(node)))
         self._watchers.begin(self._watch(child))
 
@@ -244,6 +248,14 @@
                 await asyncio.sleep(READY_PERIOD_S)
 
 
+def _router_of(checkout: Path) -> Path:
+    """Return the program of a checkout's router. Raises :class:`SoakError`."""
+    router = checkout / "deploy" / "router.py"
+    if not router.is_file():
+        raise SoakError(f"{router} is not there; run in a checkout or name one with --checkout")
+    return router
+
+
 def store_host(index: int) -> str:
     """Return the store's address for the node of an index: the store knows its callers by it."""
     return f"127.1.3.{index + 1}"
--- a/src/wallwell/soak/run.py
+++ b/src/wallwell/soak/run.py
@@ -44,10 +44,13 @@
     found: CheckResult
 
 
-async def run_soak(schedule: Schedule, folder: Path, checkout: Path) -> RunResult:
-    """Play a schedule and leave logs, histories and schedule in ``folder``. Raises :class:`SoakError`."""
+async def run_soak(schedule: Schedule, folder: Path, checkout: Path, production: Path | None = None) -> RunResult:
+    """Play a schedule and leave logs, histories and schedule in ``folder``. Raises :class:`SoakError`.
+
+    ``production`` as for :class:`RunProcesses`.
+    """
     (folder / "schedule.json").write_bytes(msgspec.json.encode(schedule))
-    fleet = RunProcesses(schedule, folder, checkout)
+    fleet = RunProcesses(schedule, folder, checkout, production)
     with _interruptible():
         try:
             await fleet.start()
--- a/tests/unit/node/test_backend_rows.py
+++ b/tests/unit/node/test_backend_rows.py
@@ -192,6 +192,17 @@
     assert backend.believed_version("m") == 3
 
 
+def test_a_start_that_leaves_since_before_its_entry_told_of_it_is_not_used_for_another_while():
+    """Found by a soak: it had started again while the store was away, and its answers said so at once."""
+    registry = BackendRegistry()
+    first = registry.upsert(BackendRecord("a", "svc", "a", "z", 8, started_unix_ms=1000))
+    registry.on_leaving(first, 10.0)
+    again = registry.upsert(BackendRecord("a", "svc", "a", "z", 8, draining=True, started_unix_ms=2000))
+    assert again.leaving_since_s == 10.0
+    ready = registry.upsert(BackendRecord("a", "svc", "a", "z", 8, started_unix_ms=3000))
+    assert ready.leaving_since_s is None
+
+
 def test_late_news_of_an_earlier_start_is_not_logged_as_a_change(monkeypatch):
     listed, forgotten = [], []
     monkeypatch.setattr(backend_rows, "emit", lambda event, **fields: listed.append(fields["draining"]))
