Soak: a stream that ends with its crashed worker is not cut by a planned stop

Trace: engine-2.1 began the request that crashes workers at 2699.7255 and recorded nothing after 2699.7328; the stream beside it ended at 2699.790 after two events. A worker records an end whenever its connection is closed, so it had ended itself, 50 ms after that request as it does. The check left out the caller's deadline, not the worker's crash. Narrowed to just that: a cut by the node still shows, since the worker then records the end (the broken histories have one now).

--- a/src/wallwell/soak/invariants_fleet.py
+++ b/src/wallwell/soak/invariants_fleet.py
@@ -147,7 +147,7 @@
     """What a node has passed on when its planned stop begins, or passes on until it ends, gets its whole answer.
 
     Left out is what a worker would still be at work on in the last sixth of the time that a planned stop is given,
-    and what ends at its caller's deadline.
+    what ends at its caller's deadline, and what a worker did not end since it crashed.
     """
     for stop, exited_s in history.planned_stops():
         for sent in history.sent.values():
@@ -170,6 +170,8 @@
     if sent.deadline_s and answer.at_s >= sent.at_s + sent.deadline_s - DEADLINE_SLACK_S:
         return False
     began = history.began.get(sent.request, ())
+    if any(history.ended_s(each) is None for each in began):
+        return False  # A worker records an end whenever its connection is closed, so it ended itself.
     ends_in_time = all(each.would_end_s <= stop.at_s + GRACE_S * GRACE_FRACTION for each in began)
     return bool(began) and ends_in_time
 
