--- a/src/wallwell/cluster/relay.py
+++ b/src/wallwell/cluster/relay.py
@@ -153,22 +153,28 @@
         try:
             if request.after is None:
                 return reply_with_rows(self.replica.everything())
-            era = self.replica.era
-            if request.era is UNSET:
-                # Of a build without eras, or of an era before the first: the reply says which era its rows are of.
-                if era != UNKNOWN_ERA and request.after > self.replica.version:
-                    return RowsReply(history_lost=True)
-            elif request.era != era:
-                return RowsReply(history_lost=True) if request.era < era else RowsReply(stale=True)
-            await self._wait_for_change(request.after, request.wait_s)
-            if self._is_stale():
-                return RowsReply(stale=True)
-            if self.replica.era != era:
-                return RowsReply(history_lost=True)
-            return reply_with_rows(self.replica.after(request.after))
+            return await self._answer_with_changes(request, request.after)
         except HistoryLostError:
             return RowsReply(history_lost=True)  # The peer reads every row again, and logs it (FEED_RESTARTED).
 
+    async def _answer_with_changes(self, request: RowsRequest, after: int) -> RowsReply:
+        """Raises :class:`HistoryLostError` where the peer has to read every row again."""
+        era = self.replica.era
+        if request.era is UNSET:
+            # Of a build without eras, or of an era before the first: the reply says which era its rows are of.
+            if era != UNKNOWN_ERA and after > self.replica.version:
+                raise HistoryLostError("the version is of an earlier era")
+        elif request.era > era:
+            return RowsReply(stale=True)
+        elif request.era < era:
+            raise HistoryLostError("the version is of an earlier era")
+        await self._wait_for_change(after, request.wait_s)
+        if self._is_stale():
+            return RowsReply(stale=True)
+        if self.replica.era != era:
+            raise HistoryLostError("the store has come back from a copy meanwhile")
+        return reply_with_rows(self.replica.after(after))
+
     async def _wait_for_change(self, after: int, wait_s: float) -> None:
         give_up_s = boot_time_s() + wait_s
         era = self.replica.era
--- a/src/wallwell/node/backend_rows.py
+++ b/src/wallwell/node/backend_rows.py
@@ -15,7 +15,7 @@
 from wallwell.node.state import NodeState
 from wallwell.node.store_outage import STORE_OUTAGE_S
 from wallwell.routing.health.backend import Backend
-from wallwell.storage.feed import FollowedPage
+from wallwell.storage.feed import FeedRow, FollowedPage
 
 LAPSE_GRACE_S = 1.7
 """Seconds from the store's return for which a back end whose entry is missing still gets requests.
@@ -49,33 +49,40 @@
 
     def apply(self, followed: FollowedPage) -> None:
         """Apply a page. A row that cannot be decoded names no back end: one known under its key counts as gone."""
-        registry = self._state.backends
         now_s = boot_time_s()
         is_outage = now_s - followed.unconfirmed_since_s > STORE_OUTAGE_S and self._state.backends_known
         if is_outage or followed.restored:
             self._store_returned_s = now_s
         if followed.whole:
             self._held_back.clear()
-            for backend in registry.unnamed({row.key for row in followed.page.rows}):
+            for backend in self._state.backends.unnamed({row.key for row in followed.page.rows}):
                 self._on_missing(backend, now_s)
+        may_be_old = followed.whole and now_s < self._copy_settles_at_s()
         unreadable: list[tuple[str, str]] = []
         # Of two incarnations at one address the one that was written last is the one that lives.
         for row in sorted(followed.page.rows, key=lambda row: row.version):
-            known = registry.get(row.key)
-            self._held_back.pop(row.key, None)
-            if row.value is None:
-                if known is not None:
-                    self._on_missing(known, now_s)
-                continue
-            try:
-                self._on_row(row.key, row.value, followed.whole and now_s < self._copy_settles_at_s())
-            except msgspec.MsgspecError as error:
-                self._state.backends.lapse(row.key, now_s)
-                unreadable.append((row.key, str(error)))
+            reason = self._take_row(row, may_be_old, now_s)
+            if reason:
+                unreadable.append((row.key, reason))
         _log_unreadable(unreadable)
         self.drop_lapsed(now_s)
         self._state.backends_known = True
 
+    def _take_row(self, row: FeedRow, may_be_old: bool, now_s: float) -> str:
+        """Apply a row; returns why it cannot be decoded, empty if it can."""
+        self._held_back.pop(row.key, None)
+        if row.value is None:
+            known = self._state.backends.get(row.key)
+            if known is not None:
+                self._on_missing(known, now_s)
+            return ""
+        try:
+            self._on_row(row.key, row.value, may_be_old)
+        except msgspec.MsgspecError as error:
+            self._state.backends.lapse(row.key, now_s)
+            return str(error)
+        return ""
+
     def drop_lapsed(self, now_s: float) -> None:
         """Forget the back ends that have not listed themselves again in time; take the entries held back until
         now."""
--- a/src/wallwell/routing/health/backend_registry.py
+++ b/src/wallwell/routing/health/backend_registry.py
@@ -77,22 +77,8 @@
         backend = self._by_incarnation.get(record.incarnation)
         if backend is not None and backend.record.is_later_start_than(record):
             return backend
-        leaving_since_s = self._leaving_since_s.get(_start_of(record))
-        if backend is not None and record.is_later_start_than(backend.record):
-            self._drop(backend)
-            backend.gone = backend.superseded = True
-            if record.draining and leaving_since_s is None:
-                # Its answers may have said so while its entry still was that of the earlier start.
-                leaving_since_s = backend.leaving_since_s
-            backend = None
-        if backend is None:
-            backend = Backend(
-                record, superseded=record.incarnation in self._superseded, leaving_since_s=leaving_since_s
-            )
-            if not backend.superseded:
-                self._supersede_at(record.address)
-            self._gone.pop(_start_of(record), None)
-            self._add(backend)
+        if backend is None or record.is_later_start_than(backend.record):
+            backend = self._begin(record, backend)
         else:
             record = _with_known(record, backend.record)
         if record.versions != backend.record.versions or not backend.versions:
@@ -105,6 +91,23 @@
         backend.lapses_at_s = None
         return backend
 
+    def _begin(self, record: BackendRecord, earlier: Backend | None) -> Backend:
+        """Add a start of a back end; ``earlier`` is the one before it under its identity."""
+        leaving_since_s = self._leaving_since_s.get(_start_of(record))
+        if earlier is not None:
+            self._drop(earlier)
+            earlier.gone = earlier.superseded = True
+            if record.draining and leaving_since_s is None:
+                # Its answers may have said so while its entry still was that of the earlier start.
+                leaving_since_s = earlier.leaving_since_s
+        is_superseded = record.incarnation in self._superseded
+        backend = Backend(record, superseded=is_superseded, leaving_since_s=leaving_since_s)
+        if not is_superseded:
+            self._supersede_at(record.address)
+        self._gone.pop(_start_of(record), None)
+        self._add(backend)
+        return backend
+
     def on_leaving(self, backend: Backend, now_s: float) -> bool:
         """A back end is known to leave, by its entry or an answer; returns False if that was known.
 
--- a/src/wallwell/soak/store_process.py
+++ b/src/wallwell/soak/store_process.py
@@ -39,8 +39,9 @@
 SILENT_HEARTBEATS = 3
 """Heartbeats without which an entry goes."""
 COPY_PERIOD_S = 0.25
-"""Seconds between two copies of the store, of which the last ``COPIES_KEPT`` are kept."""
+"""Seconds between two copies of the store."""
 COPIES_KEPT = 40
+"""Newest copies kept: ten seconds of them, more than any restore goes back."""
 WRITTEN_AGAIN_S = (0.0, 0.6)
 """Range of seconds after a restore in which the operator writes each row again that the copy lacks."""
 SWITCHES = frozenset(field.name for field in fields(StoreSwitches))
