Answers of a stopping standalone router end their connections; two builds replace each other node by node in the soak's tool

By reading: a stopping router kept connections open until it closed them all at its end, and aiohttp drops what arrives on a connection that is to close, so a request that crosses the close gets no answer. Now each answer from the begin of the stop on says Connection: close, so that callers leave before. The new test failed before (no such header).

--- a/src/wallwell/standalone/callers/app.py
+++ b/src/wallwell/standalone/callers/app.py
@@ -39,8 +39,15 @@
         app.router.add_post("/v1/chat/completions", self._generate)
         app.router.add_route("*", "/{service:[a-z0-9][a-z0-9.-]*}/{path:.*}", self._service)
         app.router.add_route("*", "/{unknown:.*}", self._unknown)
+        app.on_response_prepare.append(self._end_connection_while_stopping)
         return app
 
+    async def _end_connection_while_stopping(self, _request: web.Request, response: web.StreamResponse) -> None:
+        """Have callers open no further request on a connection that is about to be closed, where it may be lost."""
+        if self._context.draining:
+            response.headers["Connection"] = "close"
+            response.force_close()
+
     async def _health(self, _request: web.Request) -> web.Response:
         return web.Response(text="ok\n")
 
--- a/tests/contract/test_fleet.py
+++ b/tests/contract/test_fleet.py
@@ -121,6 +121,21 @@
     assert all(harness.run(scenario()))
 
 
+def test_answers_of_a_stopping_router_end_their_connections(own_harness):
+    """A request that is sent on a kept connection as the router closes it gets no answer, though nothing ran."""
+    harness = own_harness
+
+    async def scenario():
+        await harness.generate(router=0)
+        stopping = asyncio.create_task(harness.fleet.routers[0].stop())
+        await asyncio.sleep(0.1)
+        status, headers, _ = await harness.generate(router=0)
+        await stopping
+        return status, headers.get("Connection", "").lower()
+
+    assert harness.run(scenario()) == (200, "close")
+
+
 def restart_cases():
     return [("platform up", {}), ("platform slow", {"slow_s": 0.8}), ("platform down", {"down": True})]
 
--- a/tools/soak_two_builds.py
+++ b/tools/soak_two_builds.py
@@ -2,9 +2,9 @@
 
     python3 tools/soak_two_builds.py --production ../before --seeds 1201,1202 [--nodes 4] [--seconds 25]
 
-Each node starts with the build in ``--production``; whenever a fault of the run has ended it, it starts again with
-the build of this tree. The end of all nodes, some seconds before the end of each run, replaces the rest. Status 1
-if an invariant is broken. Invariants on what only the newer build does may be broken by nodes of the older one.
+Each node starts with the build in ``--production``. They are stopped as planned one after the other, and a node
+that has ended, for whatever cause, starts again with the build of this tree. Status 1 if an invariant is broken.
+Invariants on what only the newer build does may be broken by nodes of the older one.
 """
 
 from __future__ import annotations
@@ -15,17 +15,34 @@
 import tempfile
 from pathlib import Path
 
+import msgspec
+
 from wallwell.soak.drawing import draw_schedule
 from wallwell.soak.run import RunResult, run_soak
-from wallwell.soak.schedule import Shape
+from wallwell.soak.schedule import RECOVERY_S, SHOWN_RECOVERED_S, FaultKind, PlannedFault, Schedule, Shape
 
+FIRST_REPLACED_S = 2.0
+"""Seconds until the first node is replaced; the last one is shortly before all nodes are killed."""
 ROOT = Path(__file__).resolve().parents[1]
 
 
+def with_replacement(schedule: Schedule) -> Schedule:
+    """Return a schedule in which each node is also stopped as planned, one after the other."""
+    shape = schedule.shape
+    span_s = shape.seconds - RECOVERY_S - SHOWN_RECOVERED_S - FIRST_REPLACED_S
+    stops = [
+        PlannedFault(round(FIRST_REPLACED_S + index * span_s / shape.nodes, 2), 0.0, FaultKind.STOP_NODE, node)
+        for index, node in enumerate(shape.node_names())
+    ]
+    faults = sorted([*schedule.faults, *stops], key=lambda fault: fault.at_s)
+    return msgspec.structs.replace(schedule, faults=tuple(faults))
+
+
 def play(seed: int, shape: Shape, folder: Path, production: Path) -> RunResult:
     """Play one run in a folder of its own."""
     folder.mkdir(parents=True)
-    return asyncio.run(run_soak(draw_schedule(seed, shape), folder, ROOT, production.absolute()))
+    schedule = with_replacement(draw_schedule(seed, shape))
+    return asyncio.run(run_soak(schedule, folder, ROOT, production.absolute()))
 
 
 def main() -> int:
