--- a/tools/soak_two_builds.py
+++ b/tools/soak_two_builds.py
@@ -23,18 +23,28 @@
 
 FIRST_REPLACED_S = 2.0
 """Seconds until the first node is replaced; the last one is shortly before all nodes are killed."""
+APART_S = 4.0
+"""Seconds between the planned stop of a node and other faults that end or pause it: a process that is told to stop
+before it has started ends by the signal."""
 ROOT = Path(__file__).resolve().parents[1]
 
 
 def with_replacement(schedule: Schedule) -> Schedule:
-    """Return a schedule in which each node is also stopped as planned, one after the other."""
+    """Return a schedule in which each node is also stopped as planned, one after the other, and without the faults
+    of the same node at that time."""
     shape = schedule.shape
     span_s = shape.seconds - RECOVERY_S - SHOWN_RECOVERED_S - FIRST_REPLACED_S
     stops = [
         PlannedFault(round(FIRST_REPLACED_S + index * span_s / shape.nodes, 2), 0.0, FaultKind.STOP_NODE, node)
         for index, node in enumerate(shape.node_names())
     ]
-    faults = sorted([*schedule.faults, *stops], key=lambda fault: fault.at_s)
+    stopped_s = {stop.target: stop.at_s for stop in stops}
+    others = [
+        fault
+        for fault in schedule.faults
+        if abs(fault.at_s - stopped_s.get(fault.target, float("inf"))) > APART_S  # A process must have started.
+    ]
+    faults = sorted([*others, *stops], key=lambda fault: fault.at_s)
     return msgspec.structs.replace(schedule, faults=tuple(faults))
 
 
