--- a/src/wallwell/platform/store.py
+++ b/src/wallwell/platform/store.py
@@ -71,6 +71,7 @@
         self._pool = ConnectionPool("", CONNECT_TIMEOUT_S, CALL_TIMEOUT_S, max_idle=MAX_IDLE_CONNECTIONS)
         self.era = StoreEra()
         """Kept up to date by every answer, whatever its status."""
+        self._unreadable_era = ""
 
     def close(self) -> None:
         """Close idle connections."""
@@ -102,7 +103,9 @@
         try:
             era = int(text)
         except ValueError:
-            emit(Event.STORE_ERA_UNREADABLE, era=text[:MAX_LOGGED_CHARS])
+            if text != self._unreadable_era:  # Logged once, not with each call.
+                emit(Event.STORE_ERA_UNREADABLE, era=text[:MAX_LOGGED_CHARS])
+            self._unreadable_era = text
             return self.era.number or UNKNOWN_ERA
         self.era.observe(era, boot_time_s())
         return era
--- a/src/wallwell/rollout/driver.py
+++ b/src/wallwell/rollout/driver.py
@@ -172,7 +172,7 @@
             rows = self._rows[service] = _StoredRows(await self._store.read(service))
         lost = self._book.lost_record(service, rows.stored.record)
         if lost is not None:
-            await self._write(rows, lost, {"lost": 1.0})
+            await self._write(rows, lost, {"written_again": 1.0})
         record = rows.stored.record
         order = self._book.orders.get(service)
         if order is not None and (record is None or not record.covers(order)):
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -19,6 +19,8 @@
 from tests.platform.test_node import with_store
 from tests.platform.test_peers import both_know_each_other, second_node
 from wallwell.errors import HistoryLostError, PlatformUnavailableError
+from wallwell.events import Event
+from wallwell.platform import store as platform_store
 from wallwell.platform.store import TableRows
 from wallwell.storage.era import StorePosition
 
@@ -126,6 +128,20 @@
     with_store(run_async, scenario)
 
 
+def test_an_era_that_cannot_be_read_is_logged_once_and_taken_as_before(run_async, monkeypatch):
+    async def scenario(stand_in, store):
+        events = []
+        monkeypatch.setattr(platform_store, "emit", lambda event, **fields: events.append((event, fields["era"])))
+        stand_in.put("wallwell", "k", "v")
+        stand_in.era = 3
+        await store.get("k")
+        stand_in.era = "three"
+        values = [(await store.get("k")).value for _ in range(3)]
+        return values, store.era.number, events
+
+    assert with_store(run_async, scenario) == (["v"] * 3, 3, [(Event.STORE_ERA_UNREADABLE, "three")])
+
+
 def test_a_late_answer_of_an_earlier_era_counts_as_none(run_async):
     async def scenario(stand_in, store):
         stand_in.put("wallwell", "k", "v")
