--- a/tests/unit/cluster/relay_network.py
+++ b/tests/unit/cluster/relay_network.py
@@ -171,7 +171,7 @@
         self.check(followed.confirmed_at_s)
 
     def check(self, confirmed_at_s):
-        """Everything written before the time of confirmation is known, and nothing counts as confirmed in an era that
+        """Everything written before the time of confirmation is known; nothing counts as confirmed in an era that
         was over by then."""
         if self.era < self._network.store.era:
             assert confirmed_at_s <= self._network.store.restored_s, "an era that is over looks confirmed"
