--- a/src/wallwell/cluster/leases.py
+++ b/src/wallwell/cluster/leases.py
@@ -17,9 +17,9 @@
 import msgspec
 from msgspec import UNSET, UnsetType
 
+from wallwell.deployment.store_era import UNKNOWN_ERA, StoreEra
 from wallwell.errors import LeaseLostError, PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
-from wallwell.storage.era import UNKNOWN_ERA, StoreEra
 from wallwell.storage.table import Condition, Put, Row, TableService, Transaction
 
 LEASE_PREFIX = "lease/"
--- a/src/wallwell/cluster/relay.py
+++ b/src/wallwell/cluster/relay.py
@@ -27,9 +27,9 @@
 )
 from wallwell.cluster.upstream import UpstreamOrder
 from wallwell.deployment.freshness import StoreClock
+from wallwell.deployment.store_era import UNKNOWN_ERA, StoreEra, StorePosition
 from wallwell.errors import HistoryLostError, PeerUnavailableError
 from wallwell.events import Event, emit
-from wallwell.storage.era import UNKNOWN_ERA, StoreEra, StorePosition
 from wallwell.storage.feed import FeedPage, RowSource
 from wallwell.storage.replica import RowReplica
 
--- a/src/wallwell/cluster/row_messages.py
+++ b/src/wallwell/cluster/row_messages.py
@@ -12,8 +12,8 @@
 from msgspec import UNSET, UnsetType
 
 from wallwell.cluster.peer_link import PeerMessage
+from wallwell.deployment.store_era import UNKNOWN_ERA
 from wallwell.errors import PeerUnavailableError
-from wallwell.storage.era import UNKNOWN_ERA
 from wallwell.storage.feed import FeedPage, FeedRow
 
 PACK_BYTES = 2048
--- a/src/wallwell/deployment/freshness.py
+++ b/src/wallwell/deployment/freshness.py
@@ -12,7 +12,7 @@
 
 from dataclasses import dataclass
 
-from wallwell.storage.era import UNKNOWN_ERA
+from wallwell.deployment.store_era import UNKNOWN_ERA
 
 DRIFT_PER_S = 200e-6
 """Seconds by which two steady clocks drift apart in a second, at most; the bounds are relaxed by it."""
--- a/src/wallwell/storage/era.py
+++ b/src/wallwell/deployment/store_era.py
@@ -10,9 +10,9 @@
 
 from __future__ import annotations
 
-import msgspec
+from collections.abc import Callable
 
-from wallwell.events import Event, emit
+import msgspec
 
 UNKNOWN_ERA = 0
 """Era of a store that counts none."""
@@ -29,7 +29,9 @@
 class StoreEra:
     """The newest era of the store that one node has met."""
 
-    def __init__(self) -> None:
+    def __init__(self, on_restored: Callable[[int, int], None] | None = None) -> None:
+        """``on_restored`` is called with each further era and the one before it."""
+        self._on_restored = on_restored
         self.number: int | None = None
         """None before the first answer."""
         self.since_s = float("-inf")
@@ -43,7 +45,7 @@
         """Take the era of an answer; that of a late answer from before changes nothing."""
         if self.number is not None and number <= self.number:
             return
-        if self.number is not None:
-            emit(Event.STORE_RESTORED, era=number, before=self.number)
+        if self.number is not None and self._on_restored is not None:
+            self._on_restored(number, self.number)
         self.number = number
         self.since_s = now_s
--- a/src/wallwell/node/adapter.py
+++ b/src/wallwell/node/adapter.py
@@ -13,6 +13,7 @@
 
 from wallwell.deployment.backends import BackendRecord
 from wallwell.deployment.routes import DeploymentConfig
+from wallwell.deployment.store_era import StoreEra
 from wallwell.http_connection import ConnectionPool
 from wallwell.node.crash_probe import CrashCheck
 from wallwell.node.kv_store_watch import CacheEventSource
@@ -22,7 +23,6 @@
 from wallwell.routing.health.backend_notice import BackendNotices
 from wallwell.serving.liveness import ReachabilityCheck
 from wallwell.serving.messages import BackendClient
-from wallwell.storage.era import StoreEra
 from wallwell.storage.feed import RowSource
 from wallwell.storage.table import TableService
 
--- a/src/wallwell/node/state.py
+++ b/src/wallwell/node/state.py
@@ -33,6 +33,7 @@
 from wallwell.cluster.region_traffic import RegionTraffic
 from wallwell.deployment.freshness import Freshness
 from wallwell.deployment.routes import DeploymentConfig
+from wallwell.deployment.store_era import StoreEra
 from wallwell.deployment.topology import ONE_REGION, Topology
 from wallwell.deployment.weights import OVERDUE_FRACTION, WeightsTargets
 from wallwell.events import Event, emit
@@ -51,7 +52,6 @@
 from wallwell.routing.selection.kv_store_choice import KvStores
 from wallwell.routing.selection.prefill_rate import PrefillRate
 from wallwell.routing.selection.split import WeightedSplit
-from wallwell.storage.era import StoreEra
 
 DEFAULT_CALL_S = 0.05
 """Seconds of a call until some have been observed."""
--- a/src/wallwell/platform/store.py
+++ b/src/wallwell/platform/store.py
@@ -15,6 +15,7 @@
 
 from wallwell.backend_connection import ConnectionBrokenError
 from wallwell.clock import boot_time_s
+from wallwell.deployment.store_era import UNKNOWN_ERA, StoreEra, StorePosition
 from wallwell.errors import HistoryLostError, PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
 from wallwell.http_connection import ConnectFailedError, ConnectionPool
@@ -27,7 +28,6 @@
     own_transaction,
     table_row,
 )
-from wallwell.storage.era import UNKNOWN_ERA, StoreEra, StorePosition
 from wallwell.storage.feed import FeedPage, FeedRow
 from wallwell.storage.table import Row, Scan, Transaction
 
@@ -69,7 +69,7 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._pool = ConnectionPool("", CONNECT_TIMEOUT_S, CALL_TIMEOUT_S, max_idle=MAX_IDLE_CONNECTIONS)
-        self.era = StoreEra()
+        self.era = StoreEra(_log_restore)
         """Kept up to date by every answer, whatever its status."""
         self._unreadable_era = ""
 
@@ -198,6 +198,10 @@
         return FeedPage(tuple(feed_row(row) for row in answer.rows), answer.ver, answer.now_ms / 1000, era=era)
 
 
+def _log_restore(era: int, before: int) -> None:
+    emit(Event.STORE_RESTORED, era=era, before=before)
+
+
 def _require_same(era: int, later_era: int) -> None:
     """Raise :class:`HistoryLostError` if rows of two eras would be joined."""
     if era != later_era:
--- a/src/wallwell/rollout/driver.py
+++ b/src/wallwell/rollout/driver.py
@@ -17,6 +17,7 @@
 from wallwell.cluster.lease_turn import LeaseTurn
 from wallwell.cluster.leases import LeaseKeeper
 from wallwell.deployment.freshness import StoreClock
+from wallwell.deployment.store_era import UNKNOWN_ERA, StorePosition
 from wallwell.errors import PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
 from wallwell.node.state import NodeState
@@ -25,7 +26,6 @@
 from wallwell.rollout.reporter import report_interval_s
 from wallwell.rollout.reports import FleetCounts
 from wallwell.rollout.store import LEASE_NAME, RECORD_PREFIX, RolloutStore, StoredRollout
-from wallwell.storage.era import UNKNOWN_ERA, StorePosition
 from wallwell.storage.feed import FeedRow
 from wallwell.storage.table import TableService
 
--- a/src/wallwell/rollout/model.py
+++ b/src/wallwell/rollout/model.py
@@ -17,7 +17,7 @@
 import msgspec
 from msgspec import UNSET, UnsetType
 
-from wallwell.storage.era import UNKNOWN_ERA, StorePosition
+from wallwell.deployment.store_era import UNKNOWN_ERA, StorePosition
 
 
 class Phase(enum.Enum):
--- a/src/wallwell/rollout/records.py
+++ b/src/wallwell/rollout/records.py
@@ -12,10 +12,10 @@
 
 from msgspec import UNSET
 
+from wallwell.deployment.store_era import StorePosition
 from wallwell.rollout.model import Phase, RolloutBounds, RolloutOrder, RolloutRecord
 from wallwell.rollout.service_rollout import RECORD_VALID_FRACTION, ServiceRollout
 from wallwell.rollout.tally import RolloutTally
-from wallwell.storage.era import StorePosition
 
 UNANNOUNCED_WAIT_S = 2.0
 """Seconds from its first listing for which a version that no order has named gets nothing. Entries and orders come
--- a/src/wallwell/storage/feed.py
+++ b/src/wallwell/storage/feed.py
@@ -18,9 +18,9 @@
 
 from wallwell.clock import boot_time_s
 from wallwell.deployment.freshness import StoreClock
+from wallwell.deployment.store_era import UNKNOWN_ERA, StorePosition
 from wallwell.errors import HistoryLostError, PlatformUnavailableError
 from wallwell.events import Event, emit
-from wallwell.storage.era import UNKNOWN_ERA, StorePosition
 
 MIN_RETRY_S = 0.08
 """Seconds that the pauses between failed calls start from; they double with each failure."""
--- a/src/wallwell/storage/replica.py
+++ b/src/wallwell/storage/replica.py
@@ -10,8 +10,8 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 
+from wallwell.deployment.store_era import UNKNOWN_ERA, StorePosition
 from wallwell.errors import HistoryLostError
-from wallwell.storage.era import UNKNOWN_ERA, StorePosition
 from wallwell.storage.feed import FeedPage, FeedRow
 
 MAX_DELETIONS = 1000
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -9,12 +9,12 @@
 
 from tests.platform.conftest import config, route
 from tests.unit.serving.fakes import event
+from wallwell.deployment.store_era import StorePosition
 from wallwell.errors import HistoryLostError, PlatformUnavailableError, SettingsError, TableConflictError
 from wallwell.events import Event
 from wallwell.platform.main import reload_settings
 from wallwell.platform.settings import Bounds, load_platform_settings
 from wallwell.platform.store import PlatformStore, TableRows
-from wallwell.storage.era import StorePosition
 from wallwell.storage.table import Condition, Put, Transaction
 
 
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -18,11 +18,11 @@
 from tests.platform.stand_ins import PAGE_ROWS
 from tests.platform.test_node import with_store
 from tests.platform.test_peers import both_know_each_other, second_node
+from wallwell.deployment.store_era import StorePosition
 from wallwell.errors import HistoryLostError, PlatformUnavailableError
 from wallwell.events import Event
 from wallwell.platform import store as platform_store
 from wallwell.platform.store import TableRows
-from wallwell.storage.era import StorePosition
 
 SOON_S = 1.0
 """Within which a change is known at each node: half of what operators allow."""
--- a/tests/unit/cluster/test_leases.py
+++ b/tests/unit/cluster/test_leases.py
@@ -8,8 +8,8 @@
 from tests.faulty_table import DELAYED, LOST_AFTER, LOST_BEFORE, OK, FaultyTable
 from tests.unit.standalone.cluster.test_claims import drive
 from wallwell.cluster.leases import LeaseKeeper
+from wallwell.deployment.store_era import StoreEra
 from wallwell.errors import LeaseLostError, PlatformUnavailableError
-from wallwell.storage.era import StoreEra
 
 TTL_S = 10.0
 NODES = 3
--- a/tests/unit/placement/test_weights_roll_driver.py
+++ b/tests/unit/placement/test_weights_roll_driver.py
@@ -12,12 +12,12 @@
 from wallwell.clock import boot_time_s
 from wallwell.deployment.backends import BackendRecord
 from wallwell.deployment.freshness import StoreClock
+from wallwell.deployment.store_era import StorePosition
 from wallwell.errors import PlatformUnavailableError
 from wallwell.node.state import FleetBounds, NodeState
 from wallwell.placement.weights_roll import EngineReport, OrderReply
 from wallwell.placement.weights_roll_driver import PROGRESS_PREFIX, WeightsRollDriver
 from wallwell.rollout.model import Phase, RolloutRecord
-from wallwell.storage.era import StorePosition
 from wallwell.storage.feed import FeedRow
 
 LEASE_S = 3.0
--- a/tests/unit/rollout/test_records.py
+++ b/tests/unit/rollout/test_records.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from wallwell.deployment.store_era import StorePosition
 from wallwell.rollout.model import Phase, RolloutBounds, RolloutOrder, RolloutRecord
 from wallwell.rollout.records import UNANNOUNCED_WAIT_S, RolloutBook, exclude_replaced, opening_record
-from wallwell.storage.era import StorePosition
 
 ORDER = RolloutOrder("svc", "v2", 30.0, 10)
 
--- a/tests/unit/serving/test_rollout_requests.py
+++ b/tests/unit/serving/test_rollout_requests.py
@@ -20,12 +20,12 @@
 from wallwell.clock import boot_time_s
 from wallwell.deployment.backends import BackendRecord
 from wallwell.deployment.routes import RouteKind
+from wallwell.deployment.store_era import StorePosition
 from wallwell.rollout.model import Phase, RolloutOrder, RolloutRecord, delay_bucket
 from wallwell.routing.retry.attempt_outcome import TransportEvent as T
 from wallwell.routing.selection.prefix_home import PromptPart, engine_pool
 from wallwell.serving.messages import Generation
 from wallwell.serving.pipeline import RequestPipeline
-from wallwell.storage.era import StorePosition
 
 STREAM = make_route(RouteKind.STREAM, resumable=True, rank=0)
 PIECES = Script(chunks=(event(1), 0.2, event(2), 0.4, event(3)), stream=True, head_after_s=0.3)
--- a/tests/wire_subjects.py
+++ b/tests/wire_subjects.py
@@ -37,6 +37,7 @@
 from wallwell.cluster.row_messages import RelayedRow, RowsReply, reply_with_rows, unpack_rows
 from wallwell.cluster.upstream import NodeRecord
 from wallwell.deployment.backends import BackendRecord
+from wallwell.deployment.store_era import UNKNOWN_ERA, StorePosition
 from wallwell.errors import RequestError, SettingsError, WallwellError, all_error_types
 from wallwell.events import Event
 from wallwell.log_writer import JsonSink, LogWriter
@@ -84,7 +85,6 @@
 from wallwell.standalone.routing.blocks import CacheKey, hash_chain
 from wallwell.standalone.settings import NodeSettings, load_settings, parse_settings
 from wallwell.standalone.table_client import Commit
-from wallwell.storage.era import UNKNOWN_ERA, StorePosition
 from wallwell.storage.feed import FeedPage, FeedRow, FollowedPage
 from wallwell.storage.table import Row, Scan, Transaction
 
