Eras travel and are compared in one place, what an order asks for is said once, one list of listeners; behaviour as it was

Reading the whole change again: the left out era was decoded in three places and encoded in three, the era before the first answer stood for itself six times, what an order asks for was compared by hand in three. store_era.py now has era_to_send, era_received and StoreEra.current; orders and records have asks_for. Two drivers kept an era of their own only to tell a restore from the start, which the page says; and the same three listeners were handed over twice. Tests: the same assertions, calls follow the signature.

--- a/src/wallwell/cluster/leases.py
+++ b/src/wallwell/cluster/leases.py
@@ -17,7 +17,7 @@
 import msgspec
 from msgspec import UNSET, UnsetType
 
-from wallwell.deployment.store_era import UNKNOWN_ERA, StoreEra
+from wallwell.deployment.store_era import UNKNOWN_ERA, StoreEra, era_received, era_to_send
 from wallwell.errors import LeaseLostError, PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
 from wallwell.storage.table import Condition, Put, Row, TableService, Transaction
@@ -44,7 +44,7 @@
     @property
     def written_in(self) -> int:
         """The era in which it was written, as far as it says."""
-        return UNKNOWN_ERA if self.era is UNSET else self.era
+        return era_received(self.era)
 
     def fence_at(self, row_version: int) -> int:
         """Return the fence that the row of a version stands for."""
@@ -67,10 +67,9 @@
     In one era the version alone is. Each time the store comes back from a copy, fences up to ``LOST_VERSIONS``
     above what the copy shows may have been given out.
     """
-    number = era.number or UNKNOWN_ERA
     if row is None or body is None:
-        return number * LOST_VERSIONS
-    lost = max(0, number - body.written_in) * LOST_VERSIONS
+        return era.current * LOST_VERSIONS
+    lost = max(0, era.current - body.written_in) * LOST_VERSIONS
     return max(0, body.fence_at(row.version) - row.version + lost)
 
 
@@ -133,7 +132,7 @@
             self._ttl_s,
             released,
             fence_offset=fence_offset or UNSET,
-            era=self._era.number or UNSET,
+            era=era_to_send(self._era.current),
         )
 
     def _may_take(self, row: Row | None, body: LeaseBody | None, now_s: float) -> bool:
@@ -147,7 +146,7 @@
         return now_s >= self.takeover_at_s()
 
     def _see(self, version: int, ttl_s: float, now_s: float) -> None:
-        seen = (self._era.number or UNKNOWN_ERA, version)
+        seen = (self._era.current, version)
         if seen != self._seen:
             self._seen = seen
             self._seen_since_s = now_s
@@ -173,14 +172,14 @@
 
         A node that has started knows only that the store may have come back a moment before.
         """
-        if not self._era.number:
+        if self._era.current == UNKNOWN_ERA:
             return float("-inf")
         return self._era.since_s + self._ttl_s + self._guard_s
 
     async def _write(self, row: Row | None, body: LeaseBody, now_s: float) -> HeldLease | None:
         condition = Condition(self._key, row.version if row else 0)
         put = Put(self._key, msgspec.json.encode(body).decode())
-        era = self._era.number or UNKNOWN_ERA
+        era = self._era.current
         try:
             version = await self._table.transact(Transaction((condition,), (put,)))
         except TableConflictError:
--- a/src/wallwell/cluster/relay.py
+++ b/src/wallwell/cluster/relay.py
@@ -20,14 +20,12 @@
 from wallwell.cluster.row_messages import (
     RowsReply,
     RowsRequest,
-    era_received,
-    era_to_send,
     reply_with_rows,
     unpack_rows,
 )
 from wallwell.cluster.upstream import UpstreamOrder
 from wallwell.deployment.freshness import StoreClock
-from wallwell.deployment.store_era import UNKNOWN_ERA, StoreEra, StorePosition
+from wallwell.deployment.store_era import UNKNOWN_ERA, StoreEra, StorePosition, era_received, era_to_send
 from wallwell.errors import HistoryLostError, PeerUnavailableError
 from wallwell.events import Event, emit
 from wallwell.storage.feed import FeedPage, RowSource
--- a/src/wallwell/cluster/row_messages.py
+++ b/src/wallwell/cluster/row_messages.py
@@ -12,7 +12,7 @@
 from msgspec import UNSET, UnsetType
 
 from wallwell.cluster.peer_link import PeerMessage
-from wallwell.deployment.store_era import UNKNOWN_ERA
+from wallwell.deployment.store_era import era_to_send
 from wallwell.errors import PeerUnavailableError
 from wallwell.storage.feed import FeedPage, FeedRow
 
@@ -57,16 +57,6 @@
     """As in :class:`RowsRequest`."""
 
 
-def era_to_send(era: int) -> int | UnsetType:
-    """Return an era as messages carry it: no byte as long as the store counts none."""
-    return UNSET if era == UNKNOWN_ERA else era
-
-
-def era_received(era: int | UnsetType) -> int:
-    """Return the era that a message carries."""
-    return UNKNOWN_ERA if era is UNSET else era
-
-
 @functools.lru_cache(maxsize=8)
 def _pack(rows: tuple[FeedRow, ...]) -> tuple[tuple[RelayedRow, ...], bytes]:
     """Return rows as they are sent, plain or compressed; most members ask for the same ones."""
--- a/src/wallwell/deployment/store_era.py
+++ b/src/wallwell/deployment/store_era.py
@@ -13,11 +13,22 @@
 from collections.abc import Callable
 
 import msgspec
+from msgspec import UNSET, UnsetType
 
 UNKNOWN_ERA = 0
 """Era of a store that counts none."""
 
 
+def era_to_send(era: int) -> int | UnsetType:
+    """Return an era as messages and rows carry it: no byte as long as the store counts none."""
+    return UNSET if era == UNKNOWN_ERA else era
+
+
+def era_received(era: int | UnsetType) -> int:
+    """Return the era that a message or row carries; builds that know no eras name none."""
+    return UNKNOWN_ERA if era is UNSET else era
+
+
 class StorePosition(msgspec.Struct, frozen=True, order=True):
     """A moment of the store's history. A later era comes after every version of an earlier one."""
 
@@ -37,6 +48,11 @@
         self.since_s = float("-inf")
         """When it was met first, on this node's clock; the store has been in it for longer."""
 
+    @property
+    def current(self) -> int:
+        """The newest era, also before the first answer."""
+        return UNKNOWN_ERA if self.number is None else self.number
+
     def is_after(self, number: int) -> bool:
         """Whether the store has come back from a copy since an era."""
         return self.number is not None and self.number > number
--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -62,7 +62,6 @@
         """Keys to write (True) or to delete (False)."""
         self._written: dict[str, tuple[bool, float]] = {}
         """Keys written or deleted of late, and when, in that order."""
-        self._era: int | None = None
         self._has_work = asyncio.Event()
         self._has_failed = False
         """Whether the store did not take the last write, so that an outage is logged once."""
@@ -128,13 +127,11 @@
             return ()
         return [_crash_of(key) for key, is_put in reversed(self._unwritten.items()) if is_put]
 
-    def on_era(self, era: int) -> None:
-        """The rows that follow are of this era of the store. After a restore, what it may have lost is written
-        again."""
-        if self._era is not None and era != self._era:
+    def on_era(self, _era: int, is_restored: bool) -> None:
+        """After a restore, what the store may have lost is written again."""
+        if is_restored:
             since_s = boot_time_s() - WRITTEN_AGAIN_S
             self._write({key: is_put for key, (is_put, at_s) in self._written.items() if at_s > since_s})
-        self._era = era
 
     # --- the store -------------------------------------------------------------------------------------
 
--- a/src/wallwell/node/member_rows.py
+++ b/src/wallwell/node/member_rows.py
@@ -31,11 +31,7 @@
         """Apply a row; rows of other kinds are ignored."""
         ...
 
-
-class EraListener(Protocol):
-    """Has rows of its own in this product's table, or compares versions of such rows."""
-
-    def on_era(self, era: int) -> None:
+    def on_era(self, era: int, is_restored: bool) -> None:
         """The rows that follow are of this era of the store: at the start, and after each return from a copy."""
         ...
 
@@ -49,14 +45,12 @@
         table: TableService,
         order: UpstreamOrder,
         listeners: Sequence[OwnRowListener],
-        era_listeners: Sequence[EraListener] = (),
     ) -> None:
         """``listeners`` receive every row that is not a member's."""
         self._state = state
         self._table = table
         self._order = order
         self._listeners = listeners
-        self._era_listeners = era_listeners
         self._era: int | None = None
         self._own_version: int | None = None
         """Version of this node's own row, 0 if there is none, None before the rows were read."""
@@ -72,8 +66,8 @@
         now_s = boot_time_s()
         if followed.page.era != self._era:
             self._era = followed.page.era
-            for listener in self._era_listeners:
-                listener.on_era(self._era)
+            for listener in self._listeners:
+                listener.on_era(self._era, followed.restored)
         members = {} if followed.whole else dict(self._order.members)
         if followed.whole:
             self._own_version = 0
--- a/src/wallwell/node/metrics.py
+++ b/src/wallwell/node/metrics.py
@@ -64,7 +64,7 @@
         age_s = now_s - state.freshness.confirmed_at_s
         yield GaugeMetricFamily("wallwell_store_age_seconds", "Time since the store last answered.", value=age_s)
         yield GaugeMetricFamily(
-            "wallwell_store_era", "Times the store has come back from a copy.", value=state.store_era.number or 0
+            "wallwell_store_era", "Times the store has come back from a copy.", value=state.store_era.current
         )
         version = state.config.version if state.config is not None else 0
         yield GaugeMetricFamily("wallwell_config_version", "Configuration in force.", value=version)
--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -132,8 +132,7 @@
             self.state,
             sources.table,
             self._order,
-            listeners=(self._weights_roll, self._rollouts, self._crashes),
-            era_listeners=(self._weights_roll, self._rollouts, self._crashes),
+            (self._weights_roll, self._rollouts, self._crashes),
         )
         self._tables = TableFollowers(self.state, self._order, self._clock)
         self._tables.add("operators", sources.operators, self._operators.apply, OPERATORS_TIMING)
--- a/src/wallwell/node/operator_rows.py
+++ b/src/wallwell/node/operator_rows.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from wallwell.clock import boot_time_s
+from wallwell.deployment.store_era import UNKNOWN_ERA
 from wallwell.events import Event, emit
 from wallwell.node.adapter import NodeSources
 from wallwell.node.state import NodeState
@@ -49,7 +50,7 @@
     def _confirms(self) -> bool:
         """Whether what the store says is the newest word, and not that of a copy it has just come back from."""
         era = self._state.store_era
-        return not era.number or boot_time_s() >= era.since_s + UNCONFIRMED_S
+        return era.current == UNKNOWN_ERA or boot_time_s() >= era.since_s + UNCONFIRMED_S
 
     def _on_row(self, key: str, value: bytes, unconfirmed_since_s: float) -> None:
         if key == self._sources.config_key:
--- a/src/wallwell/placement/weights_roll_driver.py
+++ b/src/wallwell/placement/weights_roll_driver.py
@@ -109,15 +109,12 @@
         """Model and version last brought to each engine."""
         self._unpublished: set[str] = set()
         """Models whose row in the store is not up to date."""
-        self._era: int | None = None
         self._tasks = BackgroundTasks()
 
-    def on_era(self, era: int) -> None:
-        """The rows that follow are of this era of the store. After a restore, what this node has written is written
-        again."""
-        if self._era is not None and era != self._era:
+    def on_era(self, _era: int, is_restored: bool) -> None:
+        """After a restore, what this node has written is written again."""
+        if is_restored:
             self._unpublished.update(model for model, _ in self._finished.values())
-        self._era = era
 
     # --- rows of other nodes ---------------------------------------------------------------------------
 
--- a/src/wallwell/platform/store.py
+++ b/src/wallwell/platform/store.py
@@ -106,7 +106,7 @@
             if text != self._unreadable_era:  # Logged once, not with each call.
                 emit(Event.STORE_ERA_UNREADABLE, era=text[:MAX_LOGGED_CHARS])
             self._unreadable_era = text
-            return self.era.number or UNKNOWN_ERA
+            return self.era.current
         self.era.observe(era, boot_time_s())
         return era
 
--- a/src/wallwell/rollout/driver.py
+++ b/src/wallwell/rollout/driver.py
@@ -95,7 +95,7 @@
         """The node that decides, as far as this one knows; empty if none."""
         return self._state.node if self._turn.is_held() else self._turn.holder
 
-    def on_era(self, era: int) -> None:
+    def on_era(self, era: int, _is_restored: bool) -> None:
         """The rows that follow are of this era of the store."""
         self._rows_era = era
         self._notice_era()
@@ -238,7 +238,7 @@
         """Apply what is stored at once, without waiting for the feed."""
         if stored.record is not None:
             record_written_s = self._clock.to_local_s(stored.record.written_at_s)
-            position = StorePosition(self._state.store_era.number or UNKNOWN_ERA, stored.record_version)
+            position = StorePosition(self._state.store_era.current, stored.record_version)
             self._book.on_record(stored.record, position, record_written_s)
 
     def _log(
--- a/src/wallwell/rollout/model.py
+++ b/src/wallwell/rollout/model.py
@@ -17,7 +17,7 @@
 import msgspec
 from msgspec import UNSET, UnsetType
 
-from wallwell.deployment.store_era import UNKNOWN_ERA, StorePosition
+from wallwell.deployment.store_era import UNKNOWN_ERA, StorePosition, era_received
 
 
 class Phase(enum.Enum):
@@ -54,9 +54,10 @@
         """Where its row stands in the store's history."""
         return StorePosition(self.era, self.store_version)
 
-    def asks_the_same_as(self, other: RolloutOrder) -> bool:
-        """Whether both ask for the same, so that one may be the other written again."""
-        return (self.target_version, self.duration_s) == (other.target_version, other.duration_s)
+    @property
+    def asks_for(self) -> tuple[str, float]:
+        """What it asks for: an order that asks for the same in a later era may be this one written again."""
+        return self.target_version, self.duration_s
 
 
 class RolloutRecord(msgspec.Struct, frozen=True):
@@ -87,10 +88,15 @@
 
     def covers(self, order: RolloutOrder) -> bool:
         """Whether the record is of this order or of a later one."""
-        era = UNKNOWN_ERA if self.era is UNSET else self.era
+        era = era_received(self.era)
         if era == order.era:
             return self.order >= order.store_version
-        return era > order.era or (self.target_version, self.duration_s) == (order.target_version, order.duration_s)
+        return era > order.era or self.asks_for == order.asks_for
+
+    @property
+    def asks_for(self) -> tuple[str, float]:
+        """See :attr:`RolloutOrder.asks_for`."""
+        return self.target_version, self.duration_s
 
     @property
     def deadline_s(self) -> float:
--- a/src/wallwell/rollout/records.py
+++ b/src/wallwell/rollout/records.py
@@ -10,9 +10,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from msgspec import UNSET
-
-from wallwell.deployment.store_era import StorePosition
+from wallwell.deployment.store_era import StorePosition, era_to_send
 from wallwell.rollout.model import Phase, RolloutBounds, RolloutOrder, RolloutRecord
 from wallwell.rollout.service_rollout import RECORD_VALID_FRACTION, ServiceRollout
 from wallwell.rollout.tally import RolloutTally
@@ -42,7 +40,7 @@
         reason="ordered",
         barred=_without_target(excluded, order.target_version),
         written_at_s=written_at_s,
-        era=order.era or UNSET,
+        era=era_to_send(order.era),
     )
 
 
@@ -91,7 +89,7 @@
         if known is not None and position is not None:
             if order.position <= position:
                 return False
-            if order.era != position.era and order.asks_the_same_as(known):
+            if order.era != position.era and order.asks_for == known.asks_for:
                 self._order_positions[order.service] = order.position
                 self._held_back.pop(order.service, None)
                 return False
@@ -242,8 +240,7 @@
     """
     if record.written_at_s < known.written_at_s:
         return True
-    asks_the_same = (record.target_version, record.duration_s) == (known.target_version, known.duration_s)
-    return known.phase.is_final and not record.phase.is_final and asks_the_same
+    return known.phase.is_final and not record.phase.is_final and record.asks_for == known.asks_for
 
 
 def _is_same_rollout(one: RolloutRecord, other: RolloutRecord) -> bool:
--- a/tests/unit/compatibility/test_two_builds.py
+++ b/tests/unit/compatibility/test_two_builds.py
@@ -9,9 +9,10 @@
 from tests.unit.storage.memory_rows import MemoryRows
 from wallwell.cluster.leases import LeaseBody
 from wallwell.cluster.relay import RelayedRows
-from wallwell.cluster.row_messages import RelayedRow, RowsReply, RowsRequest, era_received
+from wallwell.cluster.row_messages import RelayedRow, RowsReply, RowsRequest
 from wallwell.cluster.upstream import NodeRecord, UpstreamOrder
 from wallwell.deployment.freshness import StoreClock
+from wallwell.deployment.store_era import era_received
 from wallwell.rollout.model import Phase, RolloutOrder, RolloutRecord
 from wallwell.storage.feed import RowFollower
 
--- a/tests/unit/node/test_crash_watch.py
+++ b/tests/unit/node/test_crash_watch.py
@@ -239,7 +239,7 @@
 def test_what_a_restored_store_has_lost_is_written_again_and_what_was_taken_back_goes_again():
     async def work():
         node = Node()
-        node.watch.on_era(0)
+        node.watch.on_era(0, False)
         node.watch.on_broken_run("c", node.backend())
         node.watch.on_broken_run("d", node.backend())
         await asyncio.sleep(PROBED_S)
@@ -249,7 +249,7 @@
         await asyncio.sleep(PROBED_S)
         written = node.rows
         node.table.model.rows = copy
-        node.watch.on_era(1)
+        node.watch.on_era(1, True)
         await asyncio.sleep(0.5)
         return written, node.rows
 
--- a/tests/unit/node/test_member_rows.py
+++ b/tests/unit/node/test_member_rows.py
@@ -75,6 +75,9 @@
     def __init__(self):
         self.taken = []
 
+    def on_era(self, era, is_restored):
+        pass
+
     def on_row(self, row, now_s):
         if row.value == b"not to be read":
             raise msgspec.ValidationError("not as expected")
--- a/tests/unit/placement/test_weights_roll_driver.py
+++ b/tests/unit/placement/test_weights_roll_driver.py
@@ -82,7 +82,7 @@
             self.states.append(state)
             state.store_era.observe(0, boot_time_s())
             driver = WeightsRollDriver(state, self.table, Control(self.engines, state.node), StoreClock())
-            driver.on_era(0)
+            driver.on_era(0, False)
             self.drivers.append(driver)
 
     def start(self):
@@ -269,7 +269,7 @@
         rows.clear()
         for state, driver in zip(fleet.states, fleet.drivers, strict=True):
             state.store_era.observe(1, boot_time_s())
-            driver.on_era(1)
+            driver.on_era(1, True)
         await asyncio.sleep(2 * LEASE_S)
         assert json.loads(rows[f"{PROGRESS_PREFIX}m"].value)["finished"] == before["finished"] != []
 
--- a/tests/unit/rollout/fleet.py
+++ b/tests/unit/rollout/fleet.py
@@ -143,7 +143,7 @@
             self.era = era
             self.seen.clear()
             self.state.store_era.observe(era, boot_time_s())
-            self.driver.on_era(era)
+            self.driver.on_era(era, bool(era))
         for key, row in rows.items():
             if self.seen.get(key) != row.version:
                 self.seen[key] = row.version
