Soak: a crash that no node lived to see is none of the three after which a request must be quarantined

Trace: the third run of the request began 10 ms before all nodes were killed, and its worker ends 50 ms after it begins, so no process was there to see it end. After their start the nodes knew two crashes, as the store did; the runs at 5471.9 s were the third for them, two more were sent before the probes of that crash had ended (0.3 s), and from 3010 on each was refused. The check counted from the unseen third. Narrowed to that: a crash whose sending node ends within 1 s of it does not count among the three; all runs still count as late ones.

--- a/src/wallwell/soak/invariants_requests.py
+++ b/src/wallwell/soak/invariants_requests.py
@@ -22,6 +22,8 @@
 LATER_CRASHES = 3
 """Workers that a request may crash later than the time of contact after the third: what nodes send before they
 know."""
+CRASH_SEEN_S = 1.0
+"""Seconds in which a node that lives tells of a crash: the worker's end, some probes of its address, the write."""
 LEAST_REQUESTS = 8
 """Requests below which a fraction served says nothing."""
 
@@ -102,16 +104,20 @@
 
 
 def crashes_few(history: History) -> Cases:
-    """A request that has crashed three workers soon gets no more of them, whatever its ids and nodes."""
+    """A request that has crashed three workers soon gets no more of them, whatever its ids and nodes.
+
+    A crash counts among the three if the node that had sent the request lived to see it.
+    """
     by_content: dict[str, list[Began]] = {}
     for began in history.begins:
         sent = history.sent.get(began.request)
         if sent is not None and sent.content:
             by_content.setdefault(sent.content, []).append(began)
     for content, runs in by_content.items():
-        if len(runs) < CRASHES_TO_QUARANTINE:
+        seen = [run for run in runs if not _ended_before_it_saw(history, run)]
+        if len(seen) < CRASHES_TO_QUARANTINE:
             continue
-        known_s = runs[CRASHES_TO_QUARANTINE - 1].at_s
+        known_s = seen[CRASHES_TO_QUARANTINE - 1].at_s
         later = [
             run for run in runs if run.at_s > known_s + CONTACT_S and history.is_fault_free(run.at_s, run.at_s)
         ]
@@ -121,6 +127,15 @@
             yield Violation(later[0].at_s, content, f"crashed {len(runs)} workers, {len(later)} of them late")
 
 
+def _ended_before_it_saw(history: History, run: Began) -> bool:
+    """Whether the node that sent a request which crashes its worker ended before it can have told of the crash."""
+    node = history.sent[run.request].node
+    return any(
+        isinstance(each, NodeExited) and each.node == node and run.at_s <= each.at_s < run.at_s + CRASH_SEEN_S
+        for each in history.records
+    )
+
+
 def recovers(history: History) -> Cases:
     """After all nodes were killed and started again, requests are served again within a bound."""
     for from_s, until_s in _spans_after_recovery(history):
--- a/tests/unit/soak/test_invariants.py
+++ b/tests/unit/soak/test_invariants.py
@@ -253,6 +253,10 @@
     "a recovery": recovery(served=4, of=10),
     "an end at the caller's deadline during a planned stop": stopped(whole=False, deadline_s=0.3),
     "a request that crashes workers, and few of them late": crashing([1.0, 1.5, 2.0, 2.5, 3.9, 5.0, 6.0, 7.0]),
+    "one whose third crash no node lived to see": [
+        *crashing([1.0, 1.5, 2.0, 4.1, 4.2, 5.0, 5.1]),
+        NodeExited(2.02, "127.1.0.1:1", -9, "SIGKILL"),
+    ],
     "one that crashes many while nodes cannot know": [
         *crashing([1.0, 1.5, 2.0, 5.0, 5.5, 6.0, 6.5, 7.0]),
         FaultBegan(4.9, "store_down", "store"),
@@ -334,6 +338,10 @@
     "a late start": ("stream_order", [STREAM, began(), answered(events=(2, 3))]),
     "an early end that looks complete": ("stream_order", [STREAM, began(), answered(events=(1, 2))]),
     "a request that goes on to crash workers": ("crashes_few", crashing([1.0, 1.5, 2.0, 4.1, 5.0, 6.0, 7.0])),
+    "the same though a node ended long after the third crash": (
+        "crashes_few",
+        [*crashing([1.0, 1.5, 2.0, 4.1, 4.2, 5.0, 5.1]), NodeExited(3.1, "127.1.0.1:1", -9, "SIGKILL")],
+    ),
     "no recovery": ("recovers", recovery(served=2, of=10)),
     "a node that ends by itself": ("nodes_stay", [NodeExited(1.0, "n", 0, "")]),
     "a planned stop that fails": ("nodes_stay", [NodeExited(1.0, "n", 1, "SIGTERM")]),
