--- a/src/wallwell/bench/load.py
+++ b/src/wallwell/bench/load.py
@@ -17,7 +17,7 @@
 from wallwell.bench.load_result import LoadResult, PriorityResult
 from wallwell.bench.received_stream import ReceivedStream
 from wallwell.bench.workload import GenerationRequest, ServiceRequest, TraceRequest
-from wallwell.errors import NotReadyError
+from wallwell.errors import ConnectionEndedError, NotReadyError
 from wallwell.outcomes import Outcome
 from wallwell.standalone.callers.caller import (
     IDEMPOTENCY_HEADER,
@@ -33,6 +33,7 @@
 """Outcome of a stream that ended without its terminal marker."""
 STOPPING = "stopping"
 """Answer of a router that is stopping: the request goes to the next one."""
+STOPPING_ERRORS = (NotReadyError, ConnectionEndedError)
 ExpectedWord = Callable[[bytes, int], str]
 """Returns the token that an engine must generate for a prompt at an index."""
 
@@ -166,8 +167,8 @@
 
     async def _refusal(self, response: aiohttp.ClientResponse) -> str:
         """Return the outcome a router names, or that it is stopping."""
-        if response.status == NotReadyError.http_status:
+        if response.status in {error.http_status for error in STOPPING_ERRORS}:
             error = msgspec.json.decode(await response.read(), type=CallerErrorBody)
-            if error.code == NotReadyError.code:
+            if error.code in {error.code for error in STOPPING_ERRORS}:
                 return STOPPING
         return response.headers.get(OUTCOME_HEADER, f"status_{response.status}")
--- a/src/wallwell/standalone/listeners.py
+++ b/src/wallwell/standalone/listeners.py
@@ -1,19 +1,27 @@
 """HTTP listeners of one node: callers' and operators' applications over TCP, with TLS if the settings name one.
 
-Owns the servers; closing them ends what they still serve.
+Owns the servers and how they close: connections at a planned stop as :mod:`wallwell.callers_server` does it, all at
+once at an abrupt one.
 """
 
 from __future__ import annotations
 
+import asyncio
 import ssl
 
 from aiohttp import web
 
-from wallwell.errors import AddressInUseError
+from wallwell.callers_server import CallersServer, closing_answer
+from wallwell.errors import AddressInUseError, ConnectionEndedError
+from wallwell.standalone.callers.caller import OUTCOME_HEADER, error_body
 from wallwell.standalone.settings import Listener, TlsSettings
 
 KEEPALIVE_S = 75.0
 """Seconds for which an idle connection of a caller is kept: a minute and a little more."""
+_ENDED = ConnectionEndedError("this router is stopping")
+CLOSING_ANSWER = closing_answer(
+    f"Content-Type: application/json\r\n{OUTCOME_HEADER}: {_ENDED.outcome.value}\r\n", error_body(_ENDED, "")
+)
 
 
 class Listeners:
@@ -22,20 +30,17 @@
     def __init__(self, tls: TlsSettings | None, max_header_bytes: int) -> None:
         self._tls = tls
         self._max_header_bytes = max_header_bytes
-        self.runners: list[web.AppRunner] = []
+        self._applications: list[web.AppRunner] = []
+        self.runners: list[web.ServerRunner] = []
+        self._servers: list[CallersServer] = []
 
     async def listen(self, app: web.Application, listener: Listener) -> str:
         """Serve an application; returns ``IP:port``. Raises :class:`AddressInUseError`."""
-        runner = web.AppRunner(
-            app,
-            handler_cancellation=True,
-            max_line_size=self._max_header_bytes,
-            max_field_size=self._max_header_bytes,
-            access_log=None,
-            keepalive_timeout=KEEPALIVE_S,
-        )
+        server = await self._server(app)
+        runner = web.ServerRunner(server)
         await runner.setup()
         self.runners.append(runner)
+        self._servers.append(server)
         site = web.TCPSite(runner, listener.host, listener.port, ssl_context=self._tls_context())
         try:
             await site.start()
@@ -44,6 +49,23 @@
         port = runner.addresses[0][1]
         return f"{listener.host}:{port}"
 
+    async def _server(self, app: web.Application) -> CallersServer:
+        """Return a server of ours in place of the one that aiohttp makes for an application."""
+        application = web.AppRunner(app, access_log=None)
+        await application.setup()
+        self._applications.append(application)
+        assert application.server is not None
+        return CallersServer(
+            application.server.request_handler,
+            CLOSING_ANSWER,
+            request_factory=application.server.request_factory,
+            handler_cancellation=True,
+            max_line_size=self._max_header_bytes,
+            max_field_size=self._max_header_bytes,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_S,
+        )
+
     def _tls_context(self) -> ssl.SSLContext | None:
         if self._tls is None:
             return None
@@ -51,13 +73,18 @@
         context.load_cert_chain(self._tls.certificate_file, self._tls.key_file)
         return context
 
-    async def stop_accepting(self) -> None:
-        """Accept no further connection; those that are open are served on."""
+    async def close_idle(self) -> None:
+        """Accept no further connection, end each one that is or becomes idle, and wait until none is left."""
         for runner in self.runners:
             for site in list(runner.sites):
                 await site.stop()
+        for server in self._servers:
+            server.start_closing()
+        await asyncio.gather(*(server.wait_closed() for server in self._servers))
 
     async def close(self) -> None:
         """Close every server and its connections."""
         for runner in self.runners:
             await runner.cleanup()
+        for application in self._applications:
+            await application.cleanup()
--- a/src/wallwell/standalone/router_node.py
+++ b/src/wallwell/standalone/router_node.py
@@ -15,7 +15,7 @@
 import aiohttp
 
 from wallwell.build_info import build_commit, build_version
-from wallwell.clock import TICK_S, SuspensionWatch, boot_time_s
+from wallwell.clock import TICK_S, SuspensionWatch, boot_time_s, bounded
 from wallwell.events import Event, emit
 from wallwell.standalone.backends.engine_client import client_session
 from wallwell.standalone.backends.engine_watch import EngineWatch
@@ -44,9 +44,9 @@
 """Seconds between two removals of idle state and of what dead engines held."""
 STOP_NOTICE_S = 1.0
 """Seconds for which a stopping node still serves what arrives, until callers have seen that it is not ready."""
-LAST_ANSWERS_S = 0.1
-"""Seconds between the last connection that is accepted and the close of all: what has arrived on them by then is
-answered, a request that arrives as its connection closes would get no answer."""
+CLOSE_S = 1.0
+"""Seconds that callers' connections get to end once the last open request has been answered: longer than the
+answers that say that the router stops take, and than ended connections are still read."""
 STOP_TICK_S = 0.02
 """Seconds between two checks whether the last open request has ended."""
 LOOP_RESTART_S = 1.0
@@ -191,8 +191,11 @@
         deadline_s = boot_time_s() + self.settings.limits.stop_grace_s
         while (context.in_flight or context.background) and boot_time_s() < deadline_s:
             await asyncio.sleep(STOP_TICK_S)
-        await self.listeners.stop_accepting()
-        await asyncio.sleep(LAST_ANSWERS_S)
+        try:
+            async with bounded(CLOSE_S):
+                await self.listeners.close_idle()
+        except TimeoutError:
+            pass  # Told by the event that names how many connections were cut.
         await self.close()
         emit(Event.NODE_STOPPED, node=self.settings.node)
 
--- a/tests/contract/test_fleet.py
+++ b/tests/contract/test_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import secrets
 
 import pytest
@@ -13,6 +14,7 @@
 from wallwell.standalone.config.commit import ApplyRequest
 from wallwell.standalone.config.schema import EnginePoolSpec
 from wallwell.standalone.machines import MachineState
+from wallwell.standalone.router_node import STOP_NOTICE_S
 
 LEAVING_BOUND_S = 3.0
 
@@ -136,6 +138,62 @@
     assert harness.run(scenario()) == (200, "close")
 
 
+def raw_call(harness, name):
+    """Return the bytes of a plain call, for a connection that the test keeps itself."""
+    head = [
+        "POST /orders/pickup-notices HTTP/1.1",
+        "Host: router",
+        f"X-Request-Id: {name}",
+        *(f"{key}: {value}" for key, value in harness.headers("web-shop").items()),
+        "Content-Length: 2",
+    ]
+    return "\r\n".join([*head, "", "{}"]).encode()
+
+
+async def raw_answer(reader):
+    """Return status and headers of the next answer; raises OSError or EOFError if there is none."""
+    lines = (await reader.readuntil(b"\r\n\r\n")).decode().lower().split("\r\n")
+    headers = dict(line.split(": ", 1) for line in lines[1:] if line)
+    await reader.readexactly(int(headers["content-length"]))
+    return int(lines[0].split()[1]), headers
+
+
+def test_connections_kept_idle_over_the_whole_stop_of_a_router_end_with_a_true_answer(own_harness):
+    """A request sent on a kept connection just as the stopping router closed it got no answer."""
+    harness = own_harness
+    host, port = harness.fleet.routers[0].callers_address.split(":")
+    draws = random.Random(3)
+    closes_s = STOP_NOTICE_S + 0.05
+
+    async def keep(number):
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(raw_call(harness, f"first-{number}"))
+        assert (await raw_answer(reader))[0] == 200
+        return reader, writer
+
+    async def use(number, reader, writer):
+        await asyncio.sleep(closes_s + draws.uniform(-0.05, 0.15))
+        if reader.at_eof():
+            return "closed before"
+        try:
+            writer.write(raw_call(harness, f"second-{number}"))
+            status, headers = await raw_answer(reader)
+        except (OSError, EOFError) as error:
+            return repr(error)
+        finally:
+            writer.close()
+        return "true" if status == 200 or headers["x-outcome"] == "not_run" else status
+
+    async def scenario():
+        connections = [await keep(number) for number in range(200)]
+        stopping = asyncio.create_task(harness.fleet.routers[0].stop())
+        ends = await asyncio.gather(*(use(number, *each) for number, each in enumerate(connections)))
+        await stopping
+        return set(ends) - {"closed before"}
+
+    assert harness.run(scenario()) == {"true"}
+
+
 def restart_cases():
     return [("platform up", {}), ("platform slow", {"slow_s": 0.8}), ("platform down", {"down": True})]
 
