A signal that reaches a router while it imports its modules no longer kills it

Cause: handlers came after all imports, the settings and the loop. The new test failed before (no handler while an import lasts).

--- a/deploy/router.py
+++ b/deploy/router.py
@@ -1,12 +1,17 @@
 """Starts a router from a checkout, with the dependencies of ``deploy/requirements.lock`` on the path.
 
-aiohttp is loaded before anything else imports it, see :mod:`wallwell.plain_http`.
+Signals are handled before anything is imported that takes time (:mod:`wallwell.start_signals`); aiohttp is loaded
+before anything else imports it, see :mod:`wallwell.plain_http`.
 """
 
+import os
 import sys
-from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.realpath(__file__))), "src"))
+
+from wallwell.start_signals import handle_signals_while_starting
+
+handle_signals_while_starting()
 
 from wallwell.plain_http import load_aiohttp_without_tls
 
--- a/src/wallwell/cli/main.py
+++ b/src/wallwell/cli/main.py
@@ -9,6 +9,7 @@
 
 from wallwell import __version__
 from wallwell.errors import WallwellError
+from wallwell.start_signals import handle_signals_while_starting
 
 EXIT_FAILED = 1
 """Status of a command that ran and found a failure, or was interrupted."""
@@ -44,6 +45,8 @@
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run one command; returns the exit status."""
     given = list(sys.argv[1:] if arguments is None else arguments)
+    if given[:1] == ["router"]:
+        handle_signals_while_starting()
     options = build_parser(given[0] if given else "").parse_args(given)
     try:
         return int(options.run(options))
--- a/src/wallwell/cli/router.py
+++ b/src/wallwell/cli/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import signal
 from pathlib import Path
 from typing import Any
 
@@ -66,6 +67,8 @@
     configure_logging(settings.log.level, settings.log.json)
     timeout_s = settings.limits.stop_grace_s + _SHUTDOWN_MARGIN_S
     service = RouterService(settings=settings)
+    # aiomisc takes what it finds here for the action of a second signal, which ends the process at once.
+    signal.signal(signal.SIGTERM, signal.SIG_DFL)
     entrypoint = aiomisc.entrypoint(
         service, loop_factory=uvloop.new_event_loop, log_config=False, shutdown_timeout=timeout_s
     )
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -117,8 +117,8 @@
 
 async def run(path: str) -> None:
     """Run until a planned stop has ended. Raises :class:`SettingsError` and OSError."""
-    settings = load_platform_settings(path)
     stopping = _stop_signal(path)
+    settings = load_platform_settings(path)
     node = build_node(settings)
     listener = CallersListener(node)
     await node.listen_for_peers(settings.ip, settings.peer_ports())
--- a/src/wallwell/soak/fleet.py
+++ b/src/wallwell/soak/fleet.py
@@ -223,7 +223,7 @@
 
     async def _watch(self, child: ChildProcess) -> None:
         status = await child.wait()
-        self.history.add(NodeExited(time.monotonic(), child.name, status, child.asked_to_end))
+        self.history.add(NodeExited(time.monotonic(), child.name, status, child.asked_to_end, child.had_handler))
 
     def node(self, name: str) -> ChildProcess:
         """Return a router's newest process."""
--- a/src/wallwell/soak/history.py
+++ b/src/wallwell/soak/history.py
@@ -199,6 +199,8 @@
     node: str
     status: int
     asked: str
+    had_handler: bool = True
+    """Whether the process had a handler for that signal as it was sent."""
 
 
 AnyRecord = (
--- a/src/wallwell/soak/invariants_requests.py
+++ b/src/wallwell/soak/invariants_requests.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import signal
 from collections.abc import Iterator
 
 from wallwell.soak.cases import HELD, Cases, Violation
@@ -161,12 +162,17 @@
 
 
 def nodes_stay(history: History) -> Cases:
-    """A router process ends only when the run stops it, and then with status 0."""
+    """A router process ends only when the run stops it, and then with status 0.
+
+    One whose interpreter has not read its first module yet has no handler, and the signal's own action ends it.
+    """
     for record in history.records:
         if not isinstance(record, NodeExited):
             continue
         if not record.asked:
             yield Violation(record.at_s, record.node, f"ended by itself with status {record.status}")
+        elif record.status == -signal.SIGTERM and record.asked == "SIGTERM" and not record.had_handler:
+            yield HELD
         elif record.asked.startswith("SIGTERM") and record.status != 0:
             yield Violation(record.at_s, record.node, f"ended with status {record.status} after {record.asked}")
         else:
--- a/src/wallwell/soak/supervisor.py
+++ b/src/wallwell/soak/supervisor.py
@@ -38,6 +38,8 @@
         self.name = name
         self.asked_to_end = ""
         """Name of the signal that was sent to end it, empty for none."""
+        self.had_handler = True
+        """Whether the process had a handler for that signal as it was sent."""
         self._process = process
 
     @property
@@ -58,6 +60,7 @@
     async def end(self, number: signal.Signals) -> int:
         """Send a signal that ends the process and return its status; SIGKILL follows where it does not end."""
         self.asked_to_end = number.name
+        self.had_handler = _has_handler(self.pid, number)
         self.send(number)
         try:
             async with asyncio.timeout(END_TIMEOUT_S):
@@ -139,6 +142,15 @@
             await child.wait()
 
 
+def _has_handler(pid: int, number: signal.Signals) -> bool:
+    try:
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError:
+        return True  # It has ended; its status tells how.
+    caught = next((line.split()[1] for line in lines if line.startswith("SigCgt:")), "0")
+    return bool(int(caught, 16) & 1 << (number - 1))
+
+
 def _resident_bytes(pid: int) -> int:
     try:
         pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -143,6 +143,41 @@
     assert took_s <= GRACE_S
 
 
+def handled_signals(pid):
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    caught, ignored = (
+        int(next(line.split()[1] for line in lines if line.startswith(name)), 16) for name in ("SigCgt", "SigIgn")
+    )
+    return {each for each in (signal.SIGTERM, signal.SIGHUP) if (caught | ignored) & 1 << (each - 1)}
+
+
+def test_signals_that_come_while_a_process_still_imports_its_modules_do_not_kill_it(run_async, tmp_path):
+    """SIGHUP took a starting node away, and SIGTERM ended it with a status that looked like a crash."""
+    (tmp_path / "uvloop.py").write_text("import time; time.sleep(600)")
+
+    async def scenario():
+        path = f"{tmp_path}{os.pathsep}{os.environ.get('PYTHONPATH', '')}"
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, str(ROOT / "deploy" / "router.py"), env={**os.environ, "PYTHONPATH": path}
+        )
+        try:
+            async with asyncio.timeout(20):
+                while handled_signals(process.pid) != {signal.SIGTERM, signal.SIGHUP}:
+                    await asyncio.sleep(0.005)
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.05)
+            after_hup = process.returncode
+            process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(5):
+                return after_hup, await process.wait()
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+    assert run_async(scenario()) == (None, 0)
+
+
 def test_the_deadline_ends_the_process_with_success_just_before_the_grace_time():
     ended = []
     timer = end_process_after(0.0, ended.append)
--- a/tests/unit/soak/test_invariants.py
+++ b/tests/unit/soak/test_invariants.py
@@ -250,6 +250,7 @@
     "a resumed stream": [RESUMABLE, began(), began(worker="w.2", resume_after=1), answered(events=(1, 2, 3))],
     "a planned stop": [NodeExited(1.0, "n", 0, "SIGTERM")],
     "a kill": [NodeExited(1.0, "n", -9, "SIGKILL")],
+    "a planned stop before the interpreter could handle it": [NodeExited(1.0, "n", -15, "SIGTERM", False)],
     "a recovery": recovery(served=4, of=10),
     "an end at the caller's deadline during a planned stop": stopped(whole=False, deadline_s=0.3),
     "a request that crashes workers, and few of them late": crashing([1.0, 1.5, 2.0, 2.5, 3.9, 5.0, 6.0, 7.0]),
@@ -345,6 +346,11 @@
     "no recovery": ("recovers", recovery(served=2, of=10)),
     "a node that ends by itself": ("nodes_stay", [NodeExited(1.0, "n", 0, "")]),
     "a planned stop that fails": ("nodes_stay", [NodeExited(1.0, "n", 1, "SIGTERM")]),
+    "a planned stop that a handler should have taken": ("nodes_stay", [NodeExited(1.0, "n", -15, "SIGTERM")]),
+    "a planned stop without a handler that ends otherwise": (
+        "nodes_stay",
+        [NodeExited(1.0, "n", 1, "SIGTERM", False)],
+    ),
     "a planned stop that never ends": ("nodes_stay", [NodeExited(1.0, "n", -9, "SIGTERM, SIGKILL")]),
 }
 
--- a/tests/unit/test_import_layers.py
+++ b/tests/unit/test_import_layers.py
@@ -25,6 +25,7 @@
     "outcomes",
     "plain_http",
     "socket_options",
+    "start_signals",
 }
 """Modules at the top that any package may use, the pure decisions excepted."""
 LEAVES = {"platform", "standalone", "emulator", "soak", "bench", "cli"}
