Crashes expire, and what is to be written is bounded, while the store takes no writes

What users would have seen: memory and reports to peers that grow over an outage, and at its end requests refused (WW3020) for crashes that had expired. Cause: expired crashes were removed only when the wait for something to write timed out, which it never does with something left to write. Three new tests, failed before.

--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -13,6 +13,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable, Sequence
+from itertools import islice
 
 from wallwell.background import BackgroundTasks
 from wallwell.clock import boot_time_s, bounded
@@ -31,6 +32,9 @@
 """Rows ``crash/CONTENT/START``, by :attr:`Backend.start`; the value names the node that saw it."""
 MAX_WRITES = 100
 """Entries of one transaction (the store's bound)."""
+MAX_UNWRITTEN = 4096
+"""Rows that wait for a store that takes no writes: as many as suspects are remembered. The oldest are dropped
+first; the store then lacks a crash that this node knows, or keeps an expired one until nodes expire it again."""
 RETRY_S = 0.4
 """Mean seconds from a failed write to the next."""
 RETRY_JITTER = (0.5, 1.5)
@@ -65,6 +69,8 @@
         self._has_work = asyncio.Event()
         self._has_failed = False
         """Whether the store did not take the last write, so that an outage is logged once."""
+        self._has_dropped = False
+        """Whether rows were dropped since the store took the last write, which is logged once too."""
 
     # --- attempts --------------------------------------------------------------------------------------
 
@@ -136,18 +142,32 @@
     # --- the store -------------------------------------------------------------------------------------
 
     def _write(self, changes: dict[str, bool]) -> None:
-        if changes:
-            self._unwritten.update(changes)
-            self._has_work.set()
+        if not changes:
+            return
+        self._unwritten.update(changes)
+        self._has_work.set()
+        excess = len(self._unwritten) - MAX_UNWRITTEN
+        if excess <= 0:
+            return
+        for key in list(islice(self._unwritten, excess)):
+            del self._unwritten[key]
+        if not self._has_dropped:
+            emit(Event.CRASHES_NOT_WRITTEN, rows=excess, reason=f"dropped: more than {MAX_UNWRITTEN} wait")
+        self._has_dropped = True
 
     async def run(self) -> None:
         """Write crashes and remove expired ones until cancelled."""
+        swept_s = boot_time_s()
         while True:
             try:
                 async with bounded(SWEEP_S):
                     await self._has_work.wait()
-            except TimeoutError:  # Nothing to write for a while: the time to sweep.
-                self._sweep(boot_time_s())
+            except TimeoutError:
+                pass  # Nothing to write for a while.
+            now_s = boot_time_s()
+            if now_s - swept_s >= SWEEP_S:
+                self._sweep(now_s)
+                swept_s = now_s
             if self._unwritten and not await self.write_some():
                 await asyncio.sleep(RETRY_S * self._state.rng.uniform(*RETRY_JITTER))
 
@@ -163,7 +183,7 @@
                 emit(Event.CRASHES_NOT_WRITTEN, rows=len(batch), reason=str(error))
             self._has_failed = True
             return False
-        self._has_failed = False
+        self._has_failed = self._has_dropped = False
         now_s = boot_time_s()
         for key, is_put in batch.items():
             self._written.pop(key, None)
@@ -180,8 +200,11 @@
         """Forget expired crashes; one node removes each row."""
         members = {*self._members(), self._state.node}
         for content, incarnation in self._state.quarantine.expire(now_s):
+            key = _key(content, incarnation)
             if owner(members, key_of(content)) == self._state.node:
-                self._write({_key(content, incarnation): False})
+                self._write({key: False})
+            else:
+                self._unwritten.pop(key, None)  # Written now, it would count anew at every node.
 
 
 def _crash_of(key: str) -> Crash:
--- a/tests/unit/node/test_crash_watch.py
+++ b/tests/unit/node/test_crash_watch.py
@@ -14,7 +14,7 @@
 from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import RouteKind
 from wallwell.node.crash_probe import FIRST_PROBE_DELAY_S, MAX_PROBES, PROBE_INTERVAL_S, SUCCESSOR_S
-from wallwell.node.crash_watch import CRASH_PREFIX, SWEEP_S, CrashWatch
+from wallwell.node.crash_watch import CRASH_PREFIX, MAX_UNWRITTEN, SWEEP_S, CrashWatch
 from wallwell.outcomes import Outcome
 from wallwell.routing.admission.quarantine import CRASHES_TO_QUARANTINE, QUARANTINE_S, SUSPECT_S
 from wallwell.routing.retry.attempt_outcome import TransportEvent as T
@@ -320,6 +320,47 @@
     assert set(known) == {0}
 
 
+@pytest.mark.parametrize("members", [("n1",), ("n1", "n2", "n3", "n4")])
+def test_crashes_expire_while_the_store_takes_no_writes_and_are_not_written_later(members):
+    """During an outage no suspect was ever forgotten, and the store's return brought expired ones back to all."""
+
+    async def work():
+        node = Node(members=members)
+        node.table.down = True
+        for number in range(20):  # With four members, some are another one's to remove.
+            node.watch.on_broken_run(f"c-{number}", node.backend())
+        await asyncio.sleep(PROBED_S)
+        before = node.state.quarantine.suspects
+        await asyncio.sleep(SUSPECT_S + 2 * SWEEP_S)
+        after = node.state.quarantine.suspects
+        node.table.down = False
+        await asyncio.sleep(2.0)
+        return before, after, node.rows
+
+    assert run_virtual(work()) == (20, 0, set())
+
+
+def test_what_waits_for_a_store_that_takes_no_writes_is_bounded_and_the_newest_is_kept():
+    """Rows to be written grew with each crash of an outage, and were all told to peers twenty times a second."""
+
+    async def work():
+        node = Node()
+        node.table.down = True
+        for number in range(MAX_UNWRITTEN + 100):
+            node.watch.on_broken_run(f"c-{number}", node.backend())
+        await asyncio.sleep(PROBED_S)
+        node.watch.on_broken_run("newest", node.backend(1))
+        await asyncio.sleep(PROBED_S)
+        told = node.watch.unwritten()
+        node.table.down = False
+        await asyncio.sleep(10.0)
+        return len(told), told[0], len(node.rows)
+
+    told, newest, written = run_virtual(work())
+    assert told == written == MAX_UNWRITTEN
+    assert newest == ("newest", "i-1")
+
+
 # --- requests ----------------------------------------------------------------------------------------------
 
 
