Lines for three ends that had none: a loss of a KV store told by a peer, a caller that leaves during an attempt, a retried 5xx

What operators saw: 6010 without a 6009, no line for a request whose caller left, attempts above 1 without a 3002 and without a count. Cause: the lines were written by how the pipeline ends, and these ends pass it by. Three tests, failed before by reading: no such line existed. In test_caller_gone.py and test_node.py the waits for a request in flight ask the harness; the checks are as they were.

--- a/src/wallwell/node/kv_store_watch.py
+++ b/src/wallwell/node/kv_store_watch.py
@@ -141,7 +141,7 @@
             return None
         if reply.page is not None:
             self._note_listing(address, reply.page)
-            cache.reachable = reply.reachable
+            _set_reachable(cache, address, reply.reachable, reason=f"told by {name}")
         return reply.page
 
     async def _from_store(self, address: str, cache: KvStoreContents) -> CachePage | None:
@@ -151,9 +151,7 @@
             else:
                 page = await self._source.events(address, cache.position, WAIT_S)
         except CacheStoreSilentError as error:
-            if cache.reachable:
-                emit(Event.CACHE_STORE_LOST, address=address, reason=error.detail)
-            cache.reachable = False
+            _set_reachable(cache, address, reachable=False, reason=error.detail)
             return None
         except CacheEventsRefusedError as error:
             # Logged once until the store sends events again, since the call is made twice a second.
@@ -163,9 +161,7 @@
             return None
         self._refusing.discard(address)
         self._note_listing(address, page)
-        if not cache.reachable:
-            emit(Event.CACHE_STORE_REGAINED, address=address)
-        cache.reachable = True
+        _set_reachable(cache, address, reachable=True)
         return page
 
     def _note_listing(self, address: str, page: CachePage) -> None:
@@ -193,3 +189,12 @@
         """Close the connections to peers."""
         for links in self._links.values():
             links.keep(set())
+
+
+def _set_reachable(cache: KvStoreContents, address: str, reachable: bool, reason: str = "") -> None:
+    """Note whether a store answers, its own word or a peer's; each change is logged once."""
+    if cache.reachable and not reachable:
+        emit(Event.CACHE_STORE_LOST, address=address, reason=reason)
+    elif reachable and not cache.reachable:
+        emit(Event.CACHE_STORE_REGAINED, address=address)
+    cache.reachable = reachable
--- a/src/wallwell/platform/callers.py
+++ b/src/wallwell/platform/callers.py
@@ -99,6 +99,9 @@
         reply = HttpReply(request, request_id, self._node.closing_connections)
         try:
             await self._serve(request, reply, arrived_s)
+        except asyncio.CancelledError:
+            emit(Event.CALLER_GONE, request_id=request_id)
+            raise
         except ConnectionError:
             emit(Event.CALLER_GONE, request_id=request_id)
         except Exception as error:
--- a/src/wallwell/serving/pipeline.py
+++ b/src/wallwell/serving/pipeline.py
@@ -114,6 +114,8 @@
                 if await self._attempts.make(active, backend):
                     self._on_answered(active, backend)
                     return
+                retried = AttemptError(TransportEvent.ERROR_ANSWER, "server error, not passed on")
+                self._reports.on_attempt_failed(active, backend, retried)
             except AttemptError as failure:
                 self._after_failure(active, backend, failure)
             except TimeoutError:
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -100,6 +100,10 @@
             while not condition():
                 await asyncio.sleep(0.005)
 
+    def has_open_requests(self):
+        """Whether a request has been read, in part at least, that is not answered."""
+        return any(not each.is_idle(allow_begun=False) for each in self.server.connections)
+
     def publish(self, worker):
         self.store.put("servers", worker.incarnation, worker.entry())
 
--- a/tests/platform/test_caller_gone.py
+++ b/tests/platform/test_caller_gone.py
@@ -12,6 +12,9 @@
 from tests.unit.serving.fakes import event
 from wallwell.backend_connection import BackendConnection
 from wallwell.clock import boot_time_s
+from wallwell.events import Event
+from wallwell.platform import callers
+from wallwell.serving import request_reports
 
 STOPS_WITHIN_S = 0.5
 STREAM_HEADERS = {"X_Model": "m", "X_Prefix_Hash": "aa:100,bb:50", "X_Token_Usage": "150,10"}
@@ -183,9 +186,9 @@
     async def scenario(harness):
         _, writer = await asyncio.open_connection("127.0.0.1", harness.port)
         writer.write(request_bytes(harness, b"part", length=9))
-        await harness.until(lambda: harness.listener._busy)
+        await harness.until(harness.has_open_requests)
         writer.close()
-        await harness.until(lambda: not harness.listener._busy)
+        await harness.until(lambda: not harness.has_open_requests())
         return requests_at(harness)
 
     assert on_platform(scenario) == 0
@@ -216,3 +219,45 @@
         return len(sent)
 
     assert on_platform(scenario, config(routes=[route(attempts=3)])) == 1
+
+
+def test_a_caller_that_leaves_during_an_attempt_is_logged(on_platform, monkeypatch):
+    """Its request had no line at all, so that nobody could tell it from one that never came."""
+    logged = []
+    monkeypatch.setattr(callers, "emit", lambda event, **fields: logged.append((event, fields["request_id"])))
+
+    async def scenario(harness):
+        for worker in harness.workers:
+            count_stops(worker, worker.hang)
+        asking = asyncio.create_task(harness.call())
+        await harness.until(lambda: requests_at(harness) == 1)
+        await leave(harness, asking)
+
+    on_platform(scenario, SAFE)
+    assert logged == [(Event.CALLER_GONE, "req-1")]
+
+
+def test_an_error_answer_that_is_retried_is_logged_and_counted(on_platform, monkeypatch):
+    """The attempt had no line and no count; the answer to the caller only said that there were two attempts."""
+    logged = []
+
+    def note(event, **fields):
+        if event is Event.REQUEST_RETRIED:
+            logged.append(fields["reason"])
+
+    monkeypatch.setattr(request_reports, "emit", note)
+
+    async def scenario(harness):
+        async def fail_first(request):
+            worker = harness.workers[0]
+            first = requests_at(harness) == 1
+            return await worker.answer(status=500 if first else 200)(request)
+
+        for worker in harness.workers:
+            worker.respond = fail_first
+        status, _, _ = await harness.call()
+        return status, harness.node.metrics_text().decode()
+
+    status, metrics = on_platform(scenario, SAFE)
+    assert (status, logged) == (200, ["error_answer"])
+    assert 'result="error_answer"} 1.0' in metrics
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -149,7 +149,7 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", harness.port)
         head = "\r\n".join(f"{name}: {value}" for name, value in harness.headers().items())
         writer.write(f"POST /a HTTP/1.1\r\n{head}\r\nContent-Length: 10\r\n\r\nfirst".encode())
-        await harness.until(lambda: not any(each.is_idle(True) for each in harness.server.connections))
+        await harness.until(harness.has_open_requests)
         await harness.listener.close_idle(harness.server)
         writer.write(b"-last")
         async with asyncio.timeout(5):
--- a/tests/unit/node/test_kv_store_watch.py
+++ b/tests/unit/node/test_kv_store_watch.py
@@ -244,3 +244,20 @@
 
     asyncio.run(scenario())
     assert events == [Event.CACHE_EVENTS_REFUSED] * 2
+
+
+def test_a_loss_that_a_peer_tells_of_is_logged_like_one_that_was_seen(with_nodes, monkeypatch):
+    """A node that learnt of a store through a peer logged its return (6010) and never its loss (6009)."""
+    events = []
+    monkeypatch.setattr(kv_store_watch, "emit", lambda event, **fields: events.append(event))
+    monkeypatch.setattr("wallwell.node.kv_store_watch.WAIT_S", 0.01)
+
+    async def scenario(store, relay, member):
+        for trouble in (None, CacheStoreSilentError("x"), None):
+            store.trouble = trouble
+            store.save("a")
+            await relay.watch.step(ADDRESS)
+            await member.watch.step(ADDRESS)
+
+    with_nodes(scenario)
+    assert events == [Event.CACHE_STORE_LOST] * 2 + [Event.CACHE_STORE_REGAINED] * 2
