A late attempt ends only for a retry that may be made; a refused retry states what is proved of all attempts

What callers saw (standalone router): with all engines slow, 502 WW3012 or 503 WW3015 after 2 to 3 s of 10 to 20, and 503 WW3007 that said not_run after an attempt that may have run. Cause: an attempt was ended at its time-out though the retry budget was empty; its retry was admitted as if new; the refusal of a retry stated its own outcome. The new tests failed before: 12 of 12 requests on engines 2.5 s late 502, and (503, not_run) after a reset connection, twice. After: the attempt goes on until its deadline unless its retry is paid for; later attempts are not refused as late; errors of a generation state all attempts.

--- a/src/wallwell/standalone/backends/engine_client.py
+++ b/src/wallwell/standalone/backends/engine_client.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from dataclasses import dataclass
 from http import HTTPStatus
+from typing import Any
 
 import aiohttp
 import msgspec
@@ -54,7 +55,12 @@
     rank: int
     first_index: int
     first_token_timeout_s: float
+    """Seconds after which the engine is late with its first token."""
     stall_timeout_s: float
+    longest_first_token_wait_s: float = 0.0
+    """Seconds after which a late attempt ends in any case; at least the time-out."""
+    may_end_late: Callable[[], bool] = lambda: True
+    """Asked each time the time-out has passed: whether a late attempt ends before that, for another one."""
 
 
 @dataclass
@@ -112,7 +118,7 @@
             self._session.post(self._base + call.path, data=call.body, headers=headers, timeout=timeout)
         )
         try:
-            if not await is_done_within(sending, call.first_token_timeout_s):
+            if not await is_answered(sending, call):
                 # The cancel goes first: closing the connection would stop the work, but not prove whether it ran.
                 state = await self.cancel(call.attempt_id)
                 if state is wire.CancelState.NEVER_STARTED:
@@ -243,3 +249,16 @@
     )
     session._retry_connection = False
     return session
+
+
+async def is_answered(sending: asyncio.Future[Any], call: GenerationCall) -> bool:
+    """Wait for an answer's head; returns False once the attempt is to end without it."""
+    left_s = max(call.longest_first_token_wait_s, call.first_token_timeout_s)
+    while left_s > 0:
+        wait_s = min(call.first_token_timeout_s, left_s)
+        if await is_done_within(sending, wait_s):
+            return True
+        left_s -= wait_s
+        if call.may_end_late():
+            return False
+    return False
--- a/src/wallwell/standalone/callers/engine_attempt.py
+++ b/src/wallwell/standalone/callers/engine_attempt.py
@@ -19,6 +19,7 @@
 from wallwell.standalone.callers.generation_run import GenerationRun
 from wallwell.standalone.config.compiled import Engine
 from wallwell.standalone.routing.policy import Choice
+from wallwell.standalone.routing.retry_decision import reserve_retry
 
 STALL_TIMEOUT_S = 2.0
 """Seconds of silence inside a stream after which it is resumed elsewhere."""
@@ -106,6 +107,7 @@
     def _call(self) -> GenerationCall:
         run = self.run
         remaining_s = run.caller.remaining_s(boot_time_s())
+        timeout_s = first_token_timeout_s(self.choice.expected_first_token_s, bool(run.events), remaining_s)
         return GenerationCall(
             path=run.path,
             attempt_id=self._attempt_id,
@@ -115,12 +117,17 @@
             weights_version=run.weights_version,
             rank=run.caller.priority.rank,
             first_index=len(run.events),
-            first_token_timeout_s=first_token_timeout_s(
-                self.choice.expected_first_token_s, bool(run.events), remaining_s
-            ),
+            first_token_timeout_s=timeout_s,
             stall_timeout_s=STALL_TIMEOUT_S,
+            longest_first_token_wait_s=max(timeout_s, remaining_s),
+            may_end_late=self._reserve_retry,
         )
 
+    def _reserve_retry(self) -> bool:
+        run = self.run
+        run.is_retry_reserved = reserve_retry(run.progress, self.context.retry_budget)
+        return run.is_retry_reserved
+
     def _on_first_event(self) -> None:
         """Learn from the attempt's first token; the generation's own first token is measured too."""
         now_s = boot_time_s()
--- a/src/wallwell/standalone/callers/engine_selection.py
+++ b/src/wallwell/standalone/callers/engine_selection.py
@@ -21,7 +21,7 @@
     """Return the engine to send to, and what the policy expects of it.
 
     Raises :class:`NoBackendError` if no engine may be tried, and :class:`DeadlineUnreachableError` if a generation
-    that has not begun could not begin in time.
+    that was not sent yet could not begin in time: one that was sent has been admitted, and its retry is paid for.
     """
     engines = context.engines_for(run.body.model)
     if not engines:
@@ -38,7 +38,7 @@
     choice = context.selector.select(request, views, run.lookup.held, now_s, run.failed_engines)
     if choice is None:
         raise NoBackendError("every engine's circuit breaker is open", retry_after_ms=NO_BACKEND_RETRY_AFTER_MS)
-    if not run.events:
+    if not run.log.attempts:
         _refuse_if_late(context, request, choice, now_s)
     run.published = published.get(choice.engine)
     return engines[choice.engine], choice
--- a/src/wallwell/standalone/callers/generation.py
+++ b/src/wallwell/standalone/callers/generation.py
@@ -17,9 +17,11 @@
 from wallwell.standalone.callers.engine_attempt import EngineAttempt
 from wallwell.standalone.callers.engine_selection import select_engine
 from wallwell.standalone.callers.generation_answer import GenerationAnswer, count_generation
-from wallwell.standalone.callers.generation_retry import await_generation_retry, generation_exhausted
+from wallwell.standalone.callers.generation_retry import await_generation_retry, refused
 from wallwell.standalone.callers.generation_run import GenerationRun, admit_generation
 from wallwell.standalone.callers.openai_format import parse_generation
+from wallwell.standalone.config.compiled import Engine
+from wallwell.standalone.routing.policy import Choice
 
 
 class GenerationHandler:
@@ -52,8 +54,7 @@
     async def _generate(self, run: GenerationRun, answer: GenerationAnswer) -> None:
         """Make attempts until the generation is complete. Raises :class:`RequestError`."""
         while True:
-            self._refuse_if_quarantined(run)
-            engine, choice = await select_engine(self._context, run)
+            engine, choice = await self._next_engine(run)
             try:
                 await EngineAttempt(self._context, run, engine, choice).perform(answer.forward)
                 return
@@ -63,8 +64,12 @@
                 if run.complete:
                     return
 
-    def _refuse_if_quarantined(self, run: GenerationRun) -> None:
-        """Refuse what crashes engines: each further attempt or resumption would end one more."""
+    async def _next_engine(self, run: GenerationRun) -> tuple[Engine, Choice]:
+        """Return where the next attempt goes. Raises :class:`RequestError` if it may go nowhere."""
         refusal = self._context.crashes.refusal(run.content)
         if refusal is not None:
-            raise refusal if run.log.outcome is Outcome.NOT_RUN else generation_exhausted(run)
+            raise refused(run, refusal)  # Each further attempt or resumption would end one more engine.
+        try:
+            return await select_engine(self._context, run)
+        except RequestError as error:
+            raise refused(run, error) from error
--- a/src/wallwell/standalone/callers/generation_retry.py
+++ b/src/wallwell/standalone/callers/generation_retry.py
@@ -31,8 +31,9 @@
     permitted = run.log.record(failure.event)
     before, run.progress = run.progress, run.progress.after_attempt(len(run.events))
     remaining_s = run.caller.remaining_s(now_s)
+    is_reserved, run.is_retry_reserved = run.is_retry_reserved, False
     decision = after_failed_generation(
-        before, run.progress, permitted, remaining_s, context.retry_budget, context.rng
+        before, run.progress, permitted, remaining_s, context.retry_budget, context.rng, is_reserved
     )
     if isinstance(decision, NoRetry):
         if decision.cause is NoRetryCause.FORBIDDEN_BY_OUTCOME:
@@ -42,6 +43,11 @@
     await asyncio.sleep(decision.delay_s)
 
 
+def refused(run: GenerationRun, refusal: RequestError) -> RequestError:
+    """Return the error of a generation that gets no engine: the refusal, unless an earlier attempt may have run."""
+    return refusal if run.log.outcome is Outcome.NOT_RUN else generation_exhausted(run)
+
+
 def generation_exhausted(run: GenerationRun) -> RequestError:
     """Return the error of a generation that is not sent again, by what is proved of its attempts."""
     if run.events:
--- a/src/wallwell/standalone/callers/generation_run.py
+++ b/src/wallwell/standalone/callers/generation_run.py
@@ -47,6 +47,8 @@
     """What was published of the engine that the current attempt was sent to."""
     progress: GenerationProgress = field(default_factory=GenerationProgress)
     """As of the last failed attempt."""
+    is_retry_reserved: bool = False
+    """Whether the current attempt was ended for another one that the retry budget has already paid for."""
     failed_engines: set[str] = field(default_factory=set)
     response: web.StreamResponse | None = None
     """The caller's stream once its head was sent."""
--- a/src/wallwell/standalone/routing/retry_decision.py
+++ b/src/wallwell/standalone/routing/retry_decision.py
@@ -65,6 +65,14 @@
         return GenerationProgress(tokens, self.fruitless_attempts + 1, self.resumes)
 
 
+def reserve_retry(progress: GenerationProgress, budget: RetryBudget) -> bool:
+    """Whether an attempt that is late with its first token may be ended for another one, which is then paid for.
+
+    Where no other may follow, the engine that works on the request is the only one that can still answer it.
+    """
+    return progress.fruitless_attempts + 1 < MAX_GENERATION_ATTEMPTS and budget.try_retry()
+
+
 def after_failed_generation(
     before: GenerationProgress,
     after: GenerationProgress,
@@ -72,13 +80,14 @@
     remaining_s: float,
     budget: RetryBudget,
     rng: random.Random,
+    is_reserved: bool = False,
 ) -> RetryAfterPause | NoRetry:
     """Decide on another attempt of a generation.
 
     ``before`` and ``after`` are its progress before and after the failed attempt; ``permitted`` says whether the
     way in which the attempt ended allows another one. An attempt that brought tokens does not draw on the budget:
     giving the stream up would waste what was generated, and each such attempt shortens what is left. A stream that
-    has begun is continued also beyond the deadline.
+    has begun is continued also beyond the deadline. ``is_reserved`` says that the retry is paid for.
     """
     if not permitted:
         return NoRetry(NoRetryCause.FORBIDDEN_BY_OUTCOME)
@@ -87,7 +96,7 @@
             return NoRetry(NoRetryCause.ATTEMPTS_USED_UP)
     elif after.fruitless_attempts >= MAX_GENERATION_ATTEMPTS:
         return NoRetry(NoRetryCause.ATTEMPTS_USED_UP)
-    elif not budget.try_retry():
+    elif not is_reserved and not budget.try_retry():
         return NoRetry(NoRetryCause.BUDGET_USED_UP)
     delay_s = full_jitter_delay_s(after.fruitless_attempts, rng)
     if after.tokens == 0 and remaining_s <= delay_s:
--- a/tests/contract/test_callers.py
+++ b/tests/contract/test_callers.py
@@ -1,11 +1,13 @@
 """Contract of the callers' listener: answers, typed errors, and a router that goes on after bad input."""
 
+import asyncio
 import json
 from dataclasses import replace
 
 import pytest
 
 from tests.contract.conftest import PROMPT, TOKENS, expected_text
+from wallwell.standalone.callers.engine_attempt import MIN_FIRST_TOKEN_TIMEOUT_S
 from wallwell.standalone.routing.admission import WaitCalibration
 
 GOOD = {"model": "dosage-8b", "prompt": "hello", "max_tokens": 2}
@@ -168,3 +170,50 @@
     ready, refused, metrics = harness.run(scenario())
     assert (ready, refused) == (200, 401)
     assert "wallwell_requests_total" in metrics and PROMPT[:20] not in metrics and "demo-" not in metrics
+
+
+def test_slow_engines_are_left_their_work_when_no_retry_may_follow(harness):
+    """With the retry budget empty a late first token had its attempt cancelled, and the request failed with it."""
+
+    async def scenario():
+        for router in harness.fleet.routers:
+            router.context.selector.calibration = WaitCalibration()
+            router.context.retry_budget.__init__(reserve=0.0)
+        harness.set_engine_faults(slow_s=MIN_FIRST_TOKEN_TIMEOUT_S + 0.5)
+        sent = [harness.generate(f"{number} slow {PROMPT}", router=number % 3) for number in range(12)]
+        return [status for status, _, _ in await asyncio.gather(*sent)]
+
+    assert harness.run(scenario()) == [200] * 12
+
+
+def test_a_retry_that_finds_no_engine_does_not_say_that_nothing_ran(harness, monkeypatch):
+    """After an attempt that may have run, a refusal of the next one still said `not_run`."""
+    context = harness.fleet.routers[0].context
+    found = [context.engines_for("dosage-8b")]
+    monkeypatch.setattr(context, "engines_for", lambda _model: found.pop() if found else {})
+
+    async def scenario():
+        harness.set_engine_faults(down=True)
+        status, headers, _ = await harness.generate("ran " + PROMPT)
+        return status, headers["X-Outcome"]
+
+    assert harness.run(scenario()) == (502, "unknown")
+
+
+def test_a_request_that_was_sent_is_not_refused_as_late_before_its_retry(harness, monkeypatch):
+    """An admitted request whose first attempt failed was refused as if it were new, with most of its time left."""
+    selector = harness.fleet.routers[0].context.selector
+    asked = []
+
+    def refuse_from_the_second_on(_request, _choice, now_s):
+        asked.append(now_s)
+        return None if len(asked) == 1 else 1.0
+
+    monkeypatch.setattr(selector, "refusal_s", refuse_from_the_second_on)
+
+    async def scenario():
+        harness.set_engine_faults(down=True)
+        answers = [await harness.generate("again " + PROMPT), await harness.generate("new " + PROMPT)]
+        return [(status, headers["X-Outcome"]) for status, headers, _ in answers]
+
+    assert harness.run(scenario()) == [(502, "unknown"), (503, "not_run")]
