What still runs at the end of a stop is told that it may have run, in place of a bare close

What callers saw: a request under way as the grace time ended found its connection closed without a word. Cause: aiohttp closes the connection before the cancelled handler can answer. Now a connection whose answer has not begun gets 504 WW3011 (unknown) as it is cut, in both routers; a stream that has begun is closed as before. Two tests; the first failed before (EOF in place of an answer).

--- a/src/wallwell/callers_server.py
+++ b/src/wallwell/callers_server.py
@@ -11,14 +11,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from http import HTTPStatus
-from typing import Any
+from typing import Any, Protocol
 
 from aiohttp import web
 
 from wallwell.clock import boot_time_s
-from wallwell.errors import ConnectionEndedError
+from wallwell.errors import RequestError
 from wallwell.events import Event, emit
 from wallwell.socket_options import has_unread_bytes
 
@@ -33,11 +33,24 @@
 """Seconds between two looks for connections that have become idle."""
 
 
-def closing_answer(headers: str, body: bytes) -> bytes:
-    """Return the answer that ends a connection; ``headers`` are whole lines."""
-    status = HTTPStatus(ConnectionEndedError.http_status)
-    head = f"HTTP/1.1 {status} {status.phrase}\r\n{headers}Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
-    return head.encode() + body
+def last_answer(error: RequestError, headers: Mapping[str, str], body: bytes) -> bytes:
+    """Return an answer with which a connection ends, as the bytes that are sent."""
+    status = HTTPStatus(error.http_status)
+    lines = [f"HTTP/1.1 {status} {status.phrase}", *(f"{name}: {value}" for name, value in headers.items())]
+    lines += ["Content-Type: application/json", f"Content-Length: {len(body)}", "Connection: close", "", ""]
+    return "\r\n".join(lines).encode() + body
+
+
+class LastAnswers(Protocol):
+    """What is sent as connections end, see :func:`last_answer`."""
+
+    def ended(self) -> bytes:
+        """Answer a request that arrives on an ended connection: it has not run."""
+        ...
+
+    def cut(self, request: web.BaseRequest) -> bytes:
+        """Answer a request that is under way as its connection is cut: it may have run."""
+        ...
 
 
 class CallerConnection(web.RequestHandler):
@@ -94,16 +107,22 @@
             transport.write_eof()
         self._loop.call_later(LINGER_S, transport.close)
 
+    def cut(self, answers: LastAnswers) -> None:
+        """Close the connection; a request whose answer has not begun gets one that says that it may have run."""
+        request = self._current_request
+        if self.transport is not None and request is not None and not request.writer.output_size:
+            self.transport.write(answers.cut(request))
+        self.force_close()
+
 
 class CallersServer(web.Server):
     """Callers' connections to one listener."""
 
     def __init__(
-        self, handler: Callable[[Any], Awaitable[web.StreamResponse]], answer: bytes, **options: Any
+        self, handler: Callable[[Any], Awaitable[web.StreamResponse]], answers: LastAnswers, **options: Any
     ) -> None:
-        """``answer`` is sent on a connection as it is ended, see :func:`closing_answer`."""
         super().__init__(handler, **options)
-        self._answer = answer
+        self._answers = answers
         self._closing: asyncio.Task[None] | None = None
 
     def __call__(self) -> web.RequestHandler:
@@ -134,11 +153,14 @@
         connections = [each for each in self.connections if isinstance(each, CallerConnection)]
         idle = [each for each in connections if each.is_idle(allow_begun)]
         for connection in idle:
-            connection.end(self._answer)
+            connection.end(self._answers.ended())
         return idle
 
     async def shutdown(self, timeout: float | None = None) -> None:
         """Close all connections, answered or not; see :class:`aiohttp.web.Server`."""
         if self._closing is not None:
             self._closing.cancel()
+        for connection in self.connections:
+            if isinstance(connection, CallerConnection):
+                connection.cut(self._answers)
         await super().shutdown(timeout)
--- a/src/wallwell/platform/callers.py
+++ b/src/wallwell/platform/callers.py
@@ -14,13 +14,19 @@
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 
-from wallwell.callers_server import CallersServer, closing_answer
+from wallwell.callers_server import CallersServer, last_answer
 from wallwell.clock import boot_time_s
-from wallwell.errors import BodyTooLargeError, ConnectionEndedError, InternalRequestError, RequestError
+from wallwell.errors import (
+    BodyTooLargeError,
+    ConnectionEndedError,
+    InternalRequestError,
+    OutcomeUnknownError,
+    RequestError,
+)
 from wallwell.events import Event, emit
 from wallwell.node.node import FleetNode
 from wallwell.platform import names
-from wallwell.platform.replies import HttpReply, error_body
+from wallwell.platform.replies import HttpReply, encode_error
 from wallwell.platform.request_parsing import expects_continue, parse_request, request_id_of
 from wallwell.serving.messages import CallerRequest
 
@@ -33,10 +39,24 @@
 KEEPALIVE_S = 75.0
 """Seconds for which a caller's idle connection is kept: longer than the 60 s of idle time that operators allow
 callers by default, so that the caller closes first and no request meets a closed connection."""
-CLOSING_ANSWER = closing_answer("Content-Type: application/json\r\n", error_body(ConnectionEndedError()))
 INTERIM_ANSWER = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
+class LastErrors:
+    """The answers with which connections end, as the platform's errors."""
+
+    def ended(self) -> bytes:
+        """See :class:`wallwell.callers_server.LastAnswers`."""
+        error = ConnectionEndedError()
+        return last_answer(error, {}, encode_error(error))
+
+    def cut(self, request: web.BaseRequest) -> bytes:
+        """See :class:`wallwell.callers_server.LastAnswers`."""
+        error = OutcomeUnknownError("the router stops")
+        headers = {names.REQUEST_ID: request.headers.get(names.REQUEST_ID, "")}
+        return last_answer(error, headers, encode_error(error))
+
+
 class CallersListener:
     """Turns HTTP requests into the node's typed requests."""
 
@@ -53,7 +73,7 @@
         """Return the callers' server."""
         return CallersServer(
             self._handle,
-            CLOSING_ANSWER,
+            LastErrors(),
             request_factory=self._make_request,
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_S,
--- a/src/wallwell/platform/replies.py
+++ b/src/wallwell/platform/replies.py
@@ -27,7 +27,7 @@
     outcome: Outcome
 
 
-def error_body(error: RequestError) -> bytes:
+def encode_error(error: RequestError) -> bytes:
     """Return the body of an answer that is a typed error."""
     return msgspec.json.encode(ErrorReply(error.code, type(error).__name__, error.outcome))
 
@@ -62,7 +62,7 @@
         if error.retry_after_ms:
             headers[names.RETRY_AFTER] = f"{error.retry_after_ms / 1000:g}"
         response = web.Response(
-            status=error.http_status, headers=headers, body=error_body(error), content_type="application/json"
+            status=error.http_status, headers=headers, body=encode_error(error), content_type="application/json"
         )
         await self._send(response)
 
--- a/src/wallwell/standalone/listeners.py
+++ b/src/wallwell/standalone/listeners.py
@@ -11,17 +11,30 @@
 
 from aiohttp import web
 
-from wallwell.callers_server import CallersServer, closing_answer
-from wallwell.errors import AddressInUseError, ConnectionEndedError
-from wallwell.standalone.callers.caller import OUTCOME_HEADER, error_body
+from wallwell.callers_server import CallersServer, last_answer
+from wallwell.errors import AddressInUseError, ConnectionEndedError, OutcomeUnknownError, RequestError
+from wallwell.standalone.callers.caller import OUTCOME_HEADER, REQUEST_ID_HEADER, error_body
 from wallwell.standalone.settings import Listener, TlsSettings
 
 KEEPALIVE_S = 75.0
 """Seconds for which an idle connection of a caller is kept: a minute and a little more."""
-_ENDED = ConnectionEndedError("this router is stopping")
-CLOSING_ANSWER = closing_answer(
-    f"Content-Type: application/json\r\n{OUTCOME_HEADER}: {_ENDED.outcome.value}\r\n", error_body(_ENDED, "")
-)
+
+
+class LastErrors:
+    """The answers with which connections end, as this router's errors."""
+
+    def ended(self) -> bytes:
+        """See :class:`wallwell.callers_server.LastAnswers`."""
+        return _error(ConnectionEndedError("this router is stopping"), "")
+
+    def cut(self, request: web.BaseRequest) -> bytes:
+        """See :class:`wallwell.callers_server.LastAnswers`."""
+        return _error(OutcomeUnknownError("this router is stopping"), request.headers.get(REQUEST_ID_HEADER, ""))
+
+
+def _error(error: RequestError, request_id: str) -> bytes:
+    headers = {REQUEST_ID_HEADER: request_id, OUTCOME_HEADER: error.outcome.value}
+    return last_answer(error, headers, error_body(error, request_id))
 
 
 class Listeners:
@@ -57,7 +70,7 @@
         assert application.server is not None
         return CallersServer(
             application.server.request_handler,
-            CLOSING_ANSWER,
+            LastErrors(),
             request_factory=application.server.request_factory,
             handler_cancellation=True,
             max_line_size=self._max_header_bytes,
--- a/tests/platform/test_connections_at_a_stop.py
+++ b/tests/platform/test_connections_at_a_stop.py
@@ -15,6 +15,7 @@
 import pytest
 
 from tests.platform.conftest import HOST, config, route
+from tests.unit.serving.fakes import event
 from wallwell.callers_server import LAST_REQUEST_S, LINGER_S
 from wallwell.errors import ConnectionEndedError
 
@@ -252,3 +253,49 @@
         return len(harness.server.connections)
 
     assert on_platform(scenario, CALLS) == 0
+
+
+def test_a_request_that_is_cut_at_the_end_of_the_stop_is_told_that_it_may_have_run(on_platform):
+    """What still ran at the end of the grace time found its connection closed without a word."""
+
+    async def scenario(harness):
+        for worker in harness.workers:
+            worker.respond = worker.hang
+        reader, writer = await asyncio.open_connection("127.0.0.1", harness.port)
+        writer.write(request("long"))
+        await harness.until(lambda: "long" in ran(harness))
+        await harness.node.drain(GRACE_S, lambda: close_and_wait(harness))
+        await harness.runner.cleanup()
+        status, body = await answer(reader)
+        ended = await reader.read()
+        writer.close()
+        return status, msgspec.json.decode(body)["outcome"], ended
+
+    assert on_platform(scenario, CALLS) == (HTTPStatus.GATEWAY_TIMEOUT, "unknown", b"")
+
+
+def test_a_stream_that_is_cut_at_the_end_of_the_stop_does_not_look_complete(on_platform):
+    """No second answer may follow what has been sent of a stream."""
+
+    async def scenario(harness):
+        async def begin_and_hang(sent):
+            worker = harness.workers[0]
+            response = await worker.stream(event(1))(sent)
+            await asyncio.sleep(60)
+            return response
+
+        for worker in harness.workers:
+            worker.respond = begin_and_hang
+        reader, writer = await asyncio.open_connection("127.0.0.1", harness.port)
+        writer.write(request("stream").replace(b"X-Deadline", b"X-Model: m\r\nX-Token-Usage: 10,5\r\nX-Deadline"))
+        received = await reader.readuntil(b"\r\n\r\n")
+        await harness.listener.close_idle(harness.server)
+        await harness.runner.cleanup()
+        with contextlib.suppress(OSError):
+            received += await reader.read()
+        writer.close()
+        return received
+
+    received = on_platform(scenario, config(routes=[route(kind="stream", attempts=1)]))
+    assert received.count(b"HTTP/1.1") == 1
+    assert not received.endswith(b"0\r\n\r\n")
