--- a/src/wallwell/clock.py
+++ b/src/wallwell/clock.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import time
+from collections.abc import Awaitable
 from types import TracebackType
 
 from wallwell.events import Event, emit
@@ -57,6 +58,16 @@
     return Bounded(seconds)
 
 
+async def ends_within(work: Awaitable[object], seconds: float) -> bool:
+    """Await ``work`` for at most ``seconds``, time of a suspension included; returns whether it ended in time."""
+    try:
+        async with bounded(seconds):
+            await work
+    except TimeoutError:
+        return False
+    return True
+
+
 def _bring_bounds_forward() -> None:
     """Give every open time-out the end that it has on the boot clock; one opened after the wake keeps its own."""
     loop_s, boot_s = asyncio.get_running_loop().time(), boot_time_s()
--- a/src/wallwell/cluster/relay.py
+++ b/src/wallwell/cluster/relay.py
@@ -15,7 +15,7 @@
 
 from msgspec import UNSET
 
-from wallwell.clock import boot_time_s, bounded
+from wallwell.clock import boot_time_s, ends_within
 from wallwell.cluster.peer_link import PeerLinks
 from wallwell.cluster.row_messages import (
     RowsReply,
@@ -177,11 +177,8 @@
         give_up_s = boot_time_s() + wait_s
         era = self.replica.era
         while self._has_nothing_after(era, after) and (left_s := give_up_s - boot_time_s()) > 0:
-            try:
-                async with bounded(min(left_s, max(0.0, self._stale_s - self._age_s()))):
-                    await self._advanced.wait()
-            except TimeoutError:
-                return  # Nothing new within the agreed wait, which is no fault: the answer then says just that.
+            if not await ends_within(self._advanced.wait(), min(left_s, max(0.0, self._stale_s - self._age_s()))):
+                return
 
     def _has_nothing_after(self, era: int, version: int) -> bool:
         return self.replica.era == era and self.replica.changed_version <= version
--- a/src/wallwell/emulator/platform_store.py
+++ b/src/wallwell/emulator/platform_store.py
@@ -17,6 +17,7 @@
 from aiohttp import web
 
 from wallwell.background import BackgroundTasks
+from wallwell.clock import ends_within
 from wallwell.emulator.faults import reset_connection
 from wallwell.platform import names
 from wallwell.platform.store_wire import TransactBody
@@ -245,11 +246,7 @@
             left_s = give_up_s - asyncio.get_running_loop().time()
             if changed or left_s <= 0:
                 return changed
-            try:
-                async with asyncio.timeout(left_s):
-                    await self._changed.wait()
-            except TimeoutError:
-                continue  # The time is over; what has changed by now is still answered.
+            await ends_within(self._changed.wait(), left_s)
         return None
 
 
--- a/src/wallwell/late_loop.py
+++ b/src/wallwell/late_loop.py
@@ -10,7 +10,7 @@
 import asyncio
 from typing import Any
 
-from wallwell.clock import bounded
+from wallwell.clock import ends_within
 
 GRACE_TURNS = 8
 """Turns of the loop that a task is given beyond the time-out: for reading, waking the reader, and the tasks
@@ -20,12 +20,7 @@
 async def is_done_within(task: asyncio.Future[Any], seconds: float) -> bool:
     """Wait until a task has ended, at most ``seconds`` and ``GRACE_TURNS``; returns whether it has. Never cancels
     it."""
-    try:
-        async with bounded(seconds):
-            await asyncio.wait({task})
-    except TimeoutError:
-        pass  # It may be done all the same, see below.
-    if task.done():
+    if await ends_within(asyncio.wait({task}), seconds):
         return True
     for _ in range(GRACE_TURNS):
         await asyncio.sleep(0)
--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -16,7 +16,7 @@
 from itertools import islice
 
 from wallwell.background import BackgroundTasks
-from wallwell.clock import boot_time_s, bounded
+from wallwell.clock import boot_time_s, ends_within
 from wallwell.cluster.crash_count import count_crash
 from wallwell.cluster.crash_reports import Crash
 from wallwell.errors import PlatformUnavailableError, TableConflictError
@@ -159,11 +159,7 @@
         """Write crashes and remove expired ones until cancelled."""
         swept_s = boot_time_s()
         while True:
-            try:
-                async with bounded(SWEEP_S):
-                    await self._has_work.wait()
-            except TimeoutError:
-                pass  # Nothing to write for a while.
+            await ends_within(self._has_work.wait(), SWEEP_S)
             now_s = boot_time_s()
             if now_s - swept_s >= SWEEP_S:
                 self._sweep(now_s)
--- a/src/wallwell/node/kv_store_watch.py
+++ b/src/wallwell/node/kv_store_watch.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from wallwell.clock import boot_time_s, bounded
+from wallwell.clock import boot_time_s, ends_within
 from wallwell.cluster.peer_link import PeerLinks, PeerMessage
 from wallwell.cluster.upstream import UpstreamOrder
 from wallwell.errors import CacheEventsRefusedError, CacheStoreSilentError, PeerUnavailableError
@@ -178,11 +178,7 @@
             return CacheReply()
         give_up_s = boot_time_s() + request.wait_s
         while cache.position == request.position and (left_s := give_up_s - boot_time_s()) > 0:
-            try:
-                async with bounded(left_s):
-                    await self._advanced.wait()
-            except TimeoutError:
-                break  # The agreed wait is over: the peer gets an empty page.
+            await ends_within(self._advanced.wait(), left_s)
         return CacheReply(cache.after(request.position), cache.reachable)
 
     def close(self) -> None:
--- a/src/wallwell/node/planned_stop.py
+++ b/src/wallwell/node/planned_stop.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Protocol
 
-from wallwell.clock import boot_time_s, bounded
+from wallwell.clock import boot_time_s, ends_within
 from wallwell.cluster.peer_link import PeerServer
 from wallwell.events import Event, emit
 from wallwell.node.readiness import Readiness
@@ -61,10 +61,6 @@
         self._peers.close()
         end_s = boot_time_s() + grace_s * (1.0 - STOP_RESERVE_FRACTION)
         await asyncio.sleep(min(NOTICE_S, grace_s * LARGEST_NOTICE_FRACTION))
-        try:
-            async with bounded(end_s - boot_time_s()):
-                await close_listener()
-        except TimeoutError:
-            pass  # Told by the event that names how many connections were cut.
+        await ends_within(close_listener(), end_s - boot_time_s())
         while self._in_flight() and boot_time_s() < end_s:
             await asyncio.sleep(DRAIN_TICK_S)
--- a/src/wallwell/standalone/router_node.py
+++ b/src/wallwell/standalone/router_node.py
@@ -15,7 +15,7 @@
 import aiohttp
 
 from wallwell.build_info import build_commit, build_version
-from wallwell.clock import TICK_S, SuspensionWatch, boot_time_s, bounded
+from wallwell.clock import TICK_S, SuspensionWatch, boot_time_s, ends_within
 from wallwell.events import Event, emit
 from wallwell.standalone.backends.engine_client import client_session
 from wallwell.standalone.backends.engine_watch import EngineWatch
@@ -191,11 +191,7 @@
         deadline_s = boot_time_s() + self.settings.limits.stop_grace_s
         while (context.in_flight or context.background) and boot_time_s() < deadline_s:
             await asyncio.sleep(STOP_TICK_S)
-        try:
-            async with bounded(CLOSE_S):
-                await self.listeners.close_idle()
-        except TimeoutError:
-            pass  # Told by the event that names how many connections were cut.
+        await ends_within(self.listeners.close_idle(), CLOSE_S)
         await self.close()
         emit(Event.NODE_STOPPED, node=self.settings.node)
 
