A row deleted while a node's feed lost its history is told as deleted

What callers could see: a request refused for ten minutes (WW3020) at some nodes after operators had taken its quarantine back. Cause: a whole reading names what is there, and the listeners of the nodes' own rows learn of deletions row by row only. Evidence: the new test, one of two cases failed before (no row told as gone). A reading after a return from a copy tells of none, as its missing rows are written again.

--- a/src/wallwell/node/member_rows.py
+++ b/src/wallwell/node/member_rows.py
@@ -55,6 +55,8 @@
         self._own_version: int | None = None
         """Version of this node's own row, 0 if there is none, None before the rows were read."""
         self._registration_failing = False
+        self._listened: set[str] = set()
+        """Keys of the rows that the listeners have and that were not deleted."""
 
     @property
     def known(self) -> bool:
@@ -71,6 +73,7 @@
         members = {} if followed.whole else dict(self._order.members)
         if followed.whole:
             self._own_version = 0
+            self._on_missing_rows(followed, now_s)
         for row in followed.page.rows:
             if row.key.startswith(MEMBER_PREFIX):
                 self._on_member(members, row)
@@ -79,7 +82,22 @@
         self._order.members = members
         self._state.members = set(members)
 
+    def _on_missing_rows(self, followed: FollowedPage, now_s: float) -> None:
+        """Tell the listeners of rows that were deleted in a part of the history that was not read.
+
+        After a return from a copy a missing row may be one that the copy lacks; those are written again.
+        """
+        missing = self._listened - {row.key for row in followed.page.rows}
+        self._listened -= missing
+        if not followed.restored:
+            for key in sorted(missing):
+                self._on_other_row(FeedRow(key, None, followed.page.version), now_s)
+
     def _on_other_row(self, row: FeedRow, now_s: float) -> None:
+        if row.value is None:
+            self._listened.discard(row.key)
+        else:
+            self._listened.add(row.key)
         for listener in self._listeners:
             try:
                 listener.on_row(row, now_s)
--- a/tests/unit/node/test_backend_rows.py
+++ b/tests/unit/node/test_backend_rows.py
@@ -192,6 +192,15 @@
     assert backend.believed_version("m") == 3
 
 
+def test_an_entry_does_not_take_back_the_weights_that_an_answer_has_told_of():
+    """A changed entry with older versions had requests sent that the engine then refused."""
+    registry = BackendRegistry()
+    backend = registry.upsert(BackendRecord("e", "llm", "e", "z", 8, versions={"m": 1}))
+    backend.learn_version("m", 3)
+    registry.upsert(BackendRecord("e", "llm", "e", "z", 9, versions={"m": 2}))
+    assert backend.believed_version("m") == 3
+
+
 def test_a_start_that_leaves_since_before_its_entry_told_of_it_is_not_used_for_another_while():
     """Found by a soak: it had started again while the store was away, and its answers said so at once."""
     registry = BackendRegistry()
--- a/tests/unit/node/test_member_rows.py
+++ b/tests/unit/node/test_member_rows.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import msgspec
+import pytest
 
 from tests.unit.serving.fakes import make_state
 from wallwell.cluster.upstream import NodeRecord, UpstreamOrder
@@ -92,3 +93,25 @@
     assert first.taken == second.taken == ["lease/x"]
     assert set(order.members) == {"n2"}
     assert events == [Event.OWN_ROW_UNREADABLE] * 2
+
+
+@pytest.mark.parametrize(("restored", "gone"), [(False, ["crash/c/1"]), (True, [])])
+def test_a_row_deleted_while_the_history_was_lost_is_told_as_deleted(monkeypatch, restored, gone):
+    """A quarantine that operators took back went on at nodes whose feed had lost its history just then."""
+    told = []
+
+    class Listener:
+        def on_row(self, row, now_s):
+            told.append((row.key, row.value))
+
+        def on_era(self, era, is_restored):
+            pass
+
+    rows, _, _ = make_rows(monkeypatch, Table(failures=0), (Listener(),))
+    rows.apply(page(FeedRow("crash/c/1", b"n", 1), FeedRow("crash/c/2", b"n", 2), FeedRow("crash/c/3", b"n", 3)))
+    deleted = FeedRow("crash/c/3", None, 4)
+    rows.apply(FollowedPage(FeedPage((deleted,), 4, 0.0), False, 0.0, 0.0))
+    told.clear()
+    whole = FeedPage((FeedRow("crash/c/2", b"n", 2),), 5, 0.0)
+    rows.apply(FollowedPage(whole, True, 0.0, 0.0, restored))
+    assert [key for key, value in told if value is None] == gone
