Connections that had been idle for long end as those of a stop do; a cut waits for what is about to end

What callers saw: a request that crossed the end of a connection idle for 75 s got no answer. Same cause as in a stop: aiohttp closes it whatever is on its way. Evidence: the new test failed before (EOF). aiohttp's timer now leads to the same end, with 408. The answers at the end of the grace time come after the 0.1 s that handlers had before; without it the test with slow turns had answers 504 that were 200 before.

--- a/src/wallwell/callers_server.py
+++ b/src/wallwell/callers_server.py
@@ -1,4 +1,4 @@
-"""The HTTP server for callers, whose planned stop leaves no request without an answer.
+"""The HTTP server for callers: no request goes unanswered as a connection ends, idle for long or at a planned stop.
 
 aiohttp closes a connection whatever has been read on it or waits in its socket, and drops what arrives from then
 on. Here a connection is ended only between two requests, and a request that crosses that end on its way finds an
@@ -17,7 +17,7 @@
 
 from aiohttp import web
 
-from wallwell.clock import boot_time_s
+from wallwell.clock import boot_time_s, ends_within
 from wallwell.errors import RequestError
 from wallwell.events import Event, emit
 from wallwell.socket_options import has_unread_bytes
@@ -56,10 +56,11 @@
 class CallerConnection(web.RequestHandler):
     """One caller's connection."""
 
-    __slots__ = ("_crossed", "_ended", "_head_begun")
+    __slots__ = ("_answers", "_crossed", "_ended", "_head_begun")
 
     def __init__(self, server: CallersServer, **options: Any) -> None:
         super().__init__(server, **options)
+        self._answers = server.answers
         self._head_begun = False
         """Whether a part of the next request's head has been read."""
         self._ended = False
@@ -92,8 +93,17 @@
             return False
         return allow_begun or (self._request_count > 0 and not self._head_begun)
 
-    def end(self, answer: bytes) -> None:
-        """Close an idle connection; a request that is on its way gets ``answer``."""
+    def _process_keepalive(self) -> None:
+        """End a connection that has been idle for too long. aiohttp would close it under a request on its way."""
+        if self._loop.time() < self._next_keepalive_close_time:
+            super()._process_keepalive()  # Too early: comes again.
+            return
+        self._keepalive_handle = None
+        if self.is_idle(allow_begun=True):
+            self.end()
+
+    def end(self) -> None:
+        """Close an idle connection; a request that is on its way is told that it has not run."""
         transport = self.transport
         assert transport is not None
         if not self._request_count and not self._head_begun:
@@ -102,16 +112,16 @@
             return
         self.close()  # Ends aiohttp's task; the transport stays open.
         self._ended = True
-        transport.write(answer)
+        transport.write(self._answers.ended())
         if transport.can_write_eof():
             transport.write_eof()
         self._loop.call_later(LINGER_S, transport.close)
 
-    def cut(self, answers: LastAnswers) -> None:
+    def cut(self) -> None:
         """Close the connection; a request whose answer has not begun gets one that says that it may have run."""
         request = self._current_request
         if self.transport is not None and request is not None and not request.writer.output_size:
-            self.transport.write(answers.cut(request))
+            self.transport.write(self._answers.cut(request))
         self.force_close()
 
 
@@ -122,7 +132,7 @@
         self, handler: Callable[[Any], Awaitable[web.StreamResponse]], answers: LastAnswers, **options: Any
     ) -> None:
         super().__init__(handler, **options)
-        self._answers = answers
+        self.answers = answers
         self._closing: asyncio.Task[None] | None = None
 
     def __call__(self) -> web.RequestHandler:
@@ -153,14 +163,18 @@
         connections = [each for each in self.connections if isinstance(each, CallerConnection)]
         idle = [each for each in connections if each.is_idle(allow_begun)]
         for connection in idle:
-            connection.end(self._answers.ended())
+            connection.end()
         return idle
 
+    def pre_shutdown(self) -> None:
+        """Do nothing, where aiohttp would have connections drop what arrives on them."""
+
     async def shutdown(self, timeout: float | None = None) -> None:
-        """Close all connections, answered or not; see :class:`aiohttp.web.Server`."""
+        """Close all connections; those that are being closed get ``timeout`` for what is still under way."""
         if self._closing is not None:
+            await ends_within(self.wait_closed(), timeout or 0.0)
             self._closing.cancel()
         for connection in self.connections:
             if isinstance(connection, CallerConnection):
-                connection.cut(self._answers)
+                connection.cut()
         await super().shutdown(timeout)
--- a/src/wallwell/errors.py
+++ b/src/wallwell/errors.py
@@ -236,7 +236,8 @@
 
 
 class ConnectionEndedError(RequestError):
-    """The router stops and had ended the connection before the request arrived on it; it has not run."""
+    """The router had ended the connection before the request arrived on it: it stops, or the connection had been
+    idle for long. The request has not run."""
 
     code = "WW3021"
     http_status = 408
--- a/src/wallwell/platform/callers.py
+++ b/src/wallwell/platform/callers.py
@@ -38,7 +38,7 @@
 prompt."""
 KEEPALIVE_S = 75.0
 """Seconds for which a caller's idle connection is kept: longer than the 60 s of idle time that operators allow
-callers by default, so that the caller closes first and no request meets a closed connection."""
+callers by default, so that the caller closes first."""
 INTERIM_ANSWER = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
