--- a/src/wallwell/cli/soak.py
+++ b/src/wallwell/cli/soak.py
@@ -43,6 +43,7 @@
     parser.add_argument("--rate", type=float, default=DEFAULT_RATE_PER_S, help="requests a second")
     parser.add_argument("--crashing", type=int, default=0, help="callers whose request crashes what runs it")
     parser.add_argument("--rollout", default="", help="roll out a version of this kind: good, failing, slow, ...")
+    parser.add_argument("--calm", type=float, default=0.0, help="seconds without faults after these, for weights")
     parser.add_argument("--keep", type=Path, help="folder for schedule, logs and histories, kept in any case")
     parser.add_argument("--regressions", type=Path, help="play the runs of this file instead")
     parser.add_argument("--checkout", type=Path, default=Path(), help="where deploy/router.py is")
@@ -75,6 +76,7 @@
         identities=True,
         restores=True,  # Kept runs are as they were drawn; all others have all of these.
         rollout=options.rollout,
+        calm_s=options.calm,
     )
     schedule = draw_schedule(options.seed, shape)
     if options.print_schedule:
@@ -114,12 +116,13 @@
     regions = f" --regions {shape.regions}" if shape.regions > 1 else ""
     rate = f" --rate {shape.requests_per_s:g}" if shape.requests_per_s != DEFAULT_RATE_PER_S else ""
     rollout = f" --rollout {shape.rollout}" if shape.rollout else ""
+    calm = f" --calm {shape.calm_s:g}" if shape.calm_s else ""
     crashing = f" --crashing {shape.crashing}" if shape.crashing else ""
     if not (shape.notices and shape.limits and shape.identities and shape.restores):
         return f"wallwell soak --regressions FILE, with seed {schedule.seed} and {shape} in the file"
     return (
         f"wallwell soak --seed {schedule.seed} --seconds {shape.seconds:g} --nodes {shape.nodes} "
-        f"--engines {shape.engines} --instances {shape.instances}{regions}{rate}{crashing}{rollout}"
+        f"--engines {shape.engines} --instances {shape.instances}{regions}{rate}{crashing}{rollout}{calm}"
     )
 
 
--- a/src/wallwell/soak/drawing.py
+++ b/src/wallwell/soak/drawing.py
@@ -96,6 +96,10 @@
 """Seconds from the begin of that outage to the worker's leave."""
 CRASHING_FROM_S = (1.0, 3.0)
 """Seconds after which a caller first sends a request that crashes workers."""
+CALM_BEFORE_WEIGHTS_S = 2.5
+"""Seconds without faults before weights are named: nodes must be in contact with the store, and some more."""
+CALM_BEFORE_STOP_S = CALM_BEFORE_WEIGHTS_S + VERSION_S + 4.0
+"""Seconds without faults before a planned stop: requests have shown whether the weights are in place."""
 CRASHING_PERIOD_S = (0.2, 1.0)
 """Time between two sendings of a request that crashes workers; one is drawn for each of its callers."""
 
@@ -120,6 +124,10 @@
     operations = _draw_operations(random.Random(f"{seed}/operations"), shape)
     if shape.restores:
         faults += _draw_restores(random.Random(f"{seed}/restores"), shape, operations)
+    if shape.calm_s > CALM_BEFORE_STOP_S:
+        stopped = random.Random(f"{seed}/calm").choice(shape.node_names())
+        stop_at_s = shape.seconds + CALM_BEFORE_STOP_S
+        faults.append(PlannedFault(stop_at_s, KILL_ALL_LASTS_S, FaultKind.STOP_NODE, stopped))
     faults.sort(key=lambda fault: fault.at_s)
     return Schedule(seed, shape, tuple(faults), tuple(requests), tuple(operations))
 
@@ -127,6 +135,8 @@
 def _draw_operations(generator: random.Random, shape: Shape) -> list[PlannedOperation]:
     latest_s = shape.seconds - RECOVERY_S - SHOWN_RECOVERED_S - VERSION_S
     keys_s, weights_s = (round(generator.uniform(0.5, max(1.0, latest_s)), 2) for _ in range(2))
+    if shape.calm_s:
+        weights_s = shape.seconds + CALM_BEFORE_WEIGHTS_S
     operations = [
         PlannedOperation(keys_s, OperationKind.CHANGE_KEYS),
         PlannedOperation(weights_s, OperationKind.NAME_WEIGHTS),
@@ -227,7 +237,7 @@
 def _draw_requests(generator: random.Random, seed: int, shape: Shape) -> list[PlannedRequest]:
     requests: list[PlannedRequest] = []
     at_s = 0.0
-    while at_s < shape.seconds:
+    while at_s < shape.length_s:
         requests.append(_draw_request(generator, f"{seed}-{len(requests)}", at_s, shape))
         at_s += generator.expovariate(shape.requests_per_s)
     return requests
--- a/src/wallwell/soak/run.py
+++ b/src/wallwell/soak/run.py
@@ -69,7 +69,7 @@
     settings = CallerSettings(history, fleet.callers_addresses, start_s, schedule.requests)
     await fleet.supervisor.start_own("callers", "callers", settings)
     try:
-        async with asyncio.timeout(LEAD_S + schedule.shape.seconds + TAIL_S):
+        async with asyncio.timeout(LEAD_S + schedule.shape.length_s + TAIL_S):
             runner = FaultRunner(fleet)
             async with runner.workers_kept():
                 faults = runner.run(schedule.faults, start_s)
--- a/src/wallwell/soak/schedule.py
+++ b/src/wallwell/soak/schedule.py
@@ -187,6 +187,14 @@
     """Whether workers start again under their identity, and an entry is spoilt."""
     restores: bool = False
     """Whether the store comes back from older copies."""
+    calm_s: float = 0.0
+    """Seconds after ``seconds`` with weights that are named and, if there is time, one planned stop, and no faults:
+    invariants with a time bound need that."""
+
+    @property
+    def length_s(self) -> float:
+        """Seconds of the whole schedule."""
+        return self.seconds + self.calm_s
 
     def node_names(self) -> tuple[str, ...]:
         """Names of the router processes."""
--- a/tests/unit/cli/test_soak.py
+++ b/tests/unit/cli/test_soak.py
@@ -26,6 +26,7 @@
             limits=True,
             identities=True,
             restores=True,
+            calm_s=18.0,
         ),
     ],
     ids=["as it is", "all told"],
--- a/tests/unit/soak/test_schedule.py
+++ b/tests/unit/soak/test_schedule.py
@@ -3,7 +3,16 @@
 import pytest
 
 from wallwell.soak.drawing import SHORTEST_RUN_S, draw_schedule
-from wallwell.soak.schedule import RECOVERY_S, REGION_FAULTS, SHOWN_RECOVERED_S, FaultKind, Shape
+from wallwell.soak.schedule import (
+    RECOVERY_S,
+    REGION_FAULTS,
+    SHOWN_RECOVERED_S,
+    VERSION_S,
+    FaultKind,
+    OperationKind,
+    Shape,
+)
+from wallwell.soak.timeline import CONTACT_S
 
 WORKER_DRAIN_S = 3.0
 """Seconds for which a worker that leaves serves on."""
@@ -108,3 +117,19 @@
     for outage in (fault for fault in added if fault.kind is FaultKind.STORE_DOWN):
         leave = next(fault for fault in added if fault.kind is FaultKind.DRAIN_WORKER)
         assert outage.at_s < leave.at_s < leave.at_s + WORKER_DRAIN_S < outage.at_s + outage.lasts_s
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_calm_end_is_added_to_what_a_seed_draws_without_it_and_leaves_time_for_weights(seed):
+    """No run put the bound on weights to the test: faults and restores left no span without a disturbance."""
+    more = {"notices": True, "limits": True, "identities": True, "restores": True}
+    without, drawn = draw_schedule(seed, Shape(**more)), draw_schedule(seed, Shape(**more, calm_s=18.0))
+    *same, stop = drawn.faults
+    assert tuple(same) == without.faults
+    assert stop.kind is FaultKind.STOP_NODE
+    assert drawn.requests[: len(without.requests)] == without.requests
+    last_fault_ends_s = max(fault.at_s + fault.lasts_s for fault in same)
+    (named_s,) = (each.at_s for each in drawn.operations if each.kind is OperationKind.NAME_WEIGHTS)
+    assert named_s > last_fault_ends_s + CONTACT_S
+    assert sum(named_s + VERSION_S < request.at_s < stop.at_s - 1.0 for request in drawn.requests) > 50
+    assert sum(request.at_s > stop.at_s for request in drawn.requests) > 50
