An idle connection on which something has just arrived is looked at again

What callers could do: hold a connection open for good with part of a request that arrived in the moment in which its idle time ended. The new test failed before (the connection stayed open).

--- a/src/wallwell/callers_server.py
+++ b/src/wallwell/callers_server.py
@@ -98,9 +98,12 @@
         if self._loop.time() < self._next_keepalive_close_time:
             super()._process_keepalive()  # Too early: comes again.
             return
-        self._keepalive_handle = None
+        self._keepalive_handle = None  # aiohttp sets the timer again after the next answer.
         if self.is_idle(allow_begun=True):
             self.end()
+        elif self._waits():
+            # Something has arrived that is not read yet, and may be no whole request.
+            self._keepalive_handle = self._loop.call_later(LAST_REQUEST_S, self._process_keepalive)
 
     def end(self) -> None:
         """Close an idle connection; a request that is on its way is told that it has not run."""
--- a/tests/platform/test_ends_of_connections.py
+++ b/tests/platform/test_ends_of_connections.py
@@ -16,6 +16,7 @@
 
 from tests.platform.conftest import HOST, config, route
 from tests.unit.serving.fakes import event
+from wallwell import callers_server
 from wallwell.callers_server import LAST_REQUEST_S, LINGER_S
 from wallwell.errors import ConnectionEndedError
 from wallwell.platform import callers
@@ -341,3 +342,19 @@
         return statuses
 
     assert on_platform(scenario, CALLS) == [HTTPStatus.OK] * 4
+
+
+def test_an_idle_connection_on_which_something_has_just_arrived_is_looked_at_again(on_platform, monkeypatch):
+    """One that is left open at its time for bytes that come to no request would stay open for good."""
+    monkeypatch.setattr(callers, "KEEPALIVE_S", 0.2)
+    arrived = [True]
+    monkeypatch.setattr(callers_server, "has_unread_bytes", lambda _transport: bool(arrived) and arrived.pop())
+
+    async def scenario(harness):
+        reader, writer = await keep_connection(harness, "first")
+        async with asyncio.timeout(5):
+            status, _ = await answer(reader)
+        writer.close()
+        return status, arrived
+
+    assert on_platform(scenario, CALLS) == (HTTPStatus.REQUEST_TIMEOUT, [])
