Standalone router: a request that outlives its stop is cut in time, with an answer

What callers saw: a request still open at the end of stop_grace_s held up the stop for as long as it took, up to a minute (aiohttp's default), before its connection was closed. Now its connection is cut at the end of that time, with 504 and unknown. The new test failed on the code before (503 not_run after ten seconds, by the request's own deadline).

--- a/src/wallwell/standalone/listeners.py
+++ b/src/wallwell/standalone/listeners.py
@@ -20,12 +20,16 @@
 """Seconds for which an idle connection of a caller is kept: a minute and a little more."""
 
 
+CUT_S = 0.1
+"""Seconds that handlers get to end as their connections are cut: a planned stop has waited for them before."""
+
+
 class LastErrors:
     """The answers with which connections end, as this router's errors."""
 
     def ended(self) -> bytes:
         """See :class:`wallwell.callers_server.LastAnswers`."""
-        return _error(ConnectionEndedError("this router is stopping"), "")
+        return _error(ConnectionEndedError("the connection had been ended"), "")
 
     def cut(self, request: web.BaseRequest) -> bytes:
         """See :class:`wallwell.callers_server.LastAnswers`."""
@@ -50,7 +54,7 @@
     async def listen(self, app: web.Application, listener: Listener) -> str:
         """Serve an application; returns ``IP:port``. Raises :class:`AddressInUseError`."""
         server = await self._server(app)
-        runner = web.ServerRunner(server)
+        runner = web.ServerRunner(server, shutdown_timeout=CUT_S)
         await runner.setup()
         self.runners.append(runner)
         self._servers.append(server)
--- a/tests/contract/test_fleet.py
+++ b/tests/contract/test_fleet.py
@@ -5,6 +5,7 @@
 import random
 import secrets
 
+import msgspec
 import pytest
 
 from tests.contract.conftest import PROMPT, Harness, expected_text, replace_spec_text
@@ -14,7 +15,7 @@
 from wallwell.standalone.config.commit import ApplyRequest
 from wallwell.standalone.config.schema import EnginePoolSpec
 from wallwell.standalone.machines import MachineState
-from wallwell.standalone.router_node import STOP_NOTICE_S
+from wallwell.standalone.router_node import CLOSE_S, STOP_NOTICE_S
 
 LEAVING_BOUND_S = 3.0
 
@@ -194,6 +195,29 @@
     assert harness.run(scenario()) == {"true"}
 
 
+def test_a_request_that_outlives_the_stop_is_told_that_it_may_have_run(own_harness):
+    """The stop waited for it beyond its time, up to a minute, and then closed its connection without a word."""
+    harness = own_harness
+    router = harness.fleet.routers[0]
+    limits = msgspec.structs.replace(router.settings.limits, stop_grace_s=0.2)
+    router.settings = msgspec.structs.replace(router.settings, limits=limits)
+    harness.set_engine_faults(slow_s=30.0)
+
+    async def scenario():
+        call = asyncio.create_task(harness.generate(router=0))
+        while not router.context.in_flight:
+            await asyncio.sleep(0.01)
+        begun_s = boot_time_s()
+        await router.stop()
+        took_s = boot_time_s() - begun_s
+        status, headers, _ = await call
+        return status, headers["X-Outcome"], took_s
+
+    status, outcome, took_s = harness.run(scenario())
+    assert (status, outcome) == (504, "unknown")
+    assert took_s < STOP_NOTICE_S + 0.2 + CLOSE_S + 2.0  # Two seconds for a busy machine.
+
+
 def restart_cases():
     return [("platform up", {}), ("platform slow", {"slow_s": 0.8}), ("platform down", {"down": True})]
 
