A request that waits for its connection is not sent to a back end that has asked for no requests meanwhile

Cause, of a part of it: a back end is chosen, then a connection is made, which takes up to 0.25 s, then the request is sent; what the node reads in between changes nothing. Change: whether the back end still wants the request is asked right before it is sent. The test of what counts as an arrival covers the new end as well. Looked at: a leaving back end is covered by its bound of two seconds; the standalone router's HTTP client makes connections by itself and offers no look between connecting and sending: left.

--- a/src/wallwell/http_connection.py
+++ b/src/wallwell/http_connection.py
@@ -98,13 +98,16 @@
             # be repeatable.
             self.forget(address)
 
+    def put_back(self, address: str, connection: BackendConnection) -> None:
+        """Take a connection back that was not used."""
+        connection.idle_since_s = boot_time_s()
+        self._keep(address, connection)
+
     # --- idle connections ----------------------------------------------------------------------------------
 
     async def open_idle(self, address: str, timeout_s: float) -> None:
         """Make a connection for the next round trip. Raises :class:`ConnectFailedError`."""
-        connection = await self._connect(address, timeout_s)
-        connection.idle_since_s = boot_time_s()
-        self._keep(address, connection)
+        self.put_back(address, await self._connect(address, timeout_s))
 
     def has_idle(self, address: str) -> bool:
         """Whether there is an idle connection to an address that has not ended."""
--- a/src/wallwell/platform/workers.py
+++ b/src/wallwell/platform/workers.py
@@ -76,6 +76,9 @@
     async def send(self, dispatch: Dispatch) -> WorkerAnswer:
         """See :class:`wallwell.serving.messages.BackendClient`."""
         connection = await self._connect(dispatch)
+        if not dispatch.is_wanted():
+            self._pool.put_back(dispatch.backend.address, connection)
+            raise AttemptError(TransportEvent.WITHDRAWN, "the back end has asked for no requests meanwhile")
         sent_s = boot_time_s()
         message, head = await self._round_trip(connection, dispatch)
         answer = WorkerAnswer(head, connection, dispatch.backend.address, self._pool)
--- a/src/wallwell/routing/retry/attempt_history.py
+++ b/src/wallwell/routing/retry/attempt_history.py
@@ -14,6 +14,8 @@
     TransportEvent.CONNECT_REFUSED,
     TransportEvent.CONNECT_TIMEOUT,
 )
+"""Events that show that a back end cannot be connected to."""
+NOT_ARRIVED = (*UNREACHABLE, TransportEvent.WITHDRAWN)
 """Events after which nothing of the request can have arrived at the back end."""
 
 
@@ -36,7 +38,7 @@
 
     def on_failed(self, event: TransportEvent) -> None:
         """Count an attempt that ended without a whole answer."""
-        if event in UNREACHABLE:
+        if event in NOT_ARRIVED:
             return
         self.arrivals += 1
         if event not in REFUSED_BY_BACKEND:
--- a/src/wallwell/routing/retry/attempt_outcome.py
+++ b/src/wallwell/routing/retry/attempt_outcome.py
@@ -17,6 +17,7 @@
 
     CONNECT_REFUSED = "connect_refused"
     CONNECT_TIMEOUT = "connect_timeout"
+    WITHDRAWN = "withdrawn"  # While a connection was made, the back end asked for no requests.
     RESET_BEFORE_SEND = "reset_before_send"
     RESET_AFTER_SEND = "reset_after_send"
     ANSWER_TIMEOUT = "answer_timeout"
@@ -44,6 +45,7 @@
 VERDICTS: dict[TransportEvent, AttemptVerdict] = {
     TransportEvent.CONNECT_REFUSED: _NEVER_RAN,
     TransportEvent.CONNECT_TIMEOUT: _NEVER_RAN,
+    TransportEvent.WITHDRAWN: _NEVER_RAN,
     TransportEvent.RESET_BEFORE_SEND: _NEVER_RAN,
     TransportEvent.RESET_AFTER_SEND: _MAY_HAVE_RUN,
     TransportEvent.ANSWER_TIMEOUT: _MAY_HAVE_RUN,
--- a/src/wallwell/routing/retry/retry_policy.py
+++ b/src/wallwell/routing/retry/retry_policy.py
@@ -6,8 +6,8 @@
 
 Three bounds hold together. Runs: attempts that may have been executed, at most ``route.max_attempts``.
 Arrivals: back ends that refused without running anything are passed over, but not without end. Budget: retries
-are limited to a fraction of recent requests, so that an outage is not amplified. An attempt that could not
-connect costs nothing of the budget, since it put no load on any back end.
+are limited to a fraction of recent requests, so that an outage is not amplified. An attempt that was not sent costs
+nothing of the budget, since it put no load on any back end.
 
 This module is the only one that draws on the budget.
 """
@@ -19,7 +19,7 @@
 import msgspec
 
 from wallwell.deployment.routes import Route
-from wallwell.routing.retry.attempt_history import UNREACHABLE, AttemptHistory
+from wallwell.routing.retry.attempt_history import NOT_ARRIVED, AttemptHistory
 from wallwell.routing.retry.attempt_outcome import TransportEvent, allows_retry
 from wallwell.routing.retry.response_timeout import stall_timeout_s
 from wallwell.routing.retry.retry_after import RefusalCause
@@ -28,9 +28,9 @@
 MAX_REFUSALS_BEYOND_ATTEMPTS = 3
 """Further arrivals beyond a route's attempts, for back ends that prove that they did not run the request."""
 MAX_UNREACHABLE = 3
-"""Back ends that could not be connected to, after which the request is refused: the cause is then probably on this
-node's side of the network, and its caller reaches another node. Error answers that were retried count as well,
-since they are attempts that failed without counting as arrivals."""
+"""Attempts that were not sent, mostly for want of a connection, after which the request is refused: its cause is
+then probably on this node's side of the network, and its caller reaches another node. Error answers that were
+retried count as well, since they are attempts that failed without counting as arrivals."""
 
 
 class Retry(msgspec.Struct, frozen=True):
@@ -144,7 +144,7 @@
         bound = self._exceeded_bound(route, history, attempts, event)
         if bound is not None:
             return bound
-        if event in UNREACHABLE or self._pay(history, budget, now_s):
+        if event in NOT_ARRIVED or self._pay(history, budget, now_s):
             return RETRY
         return BUDGET_EXHAUSTED
 
--- a/src/wallwell/serving/attempt.py
+++ b/src/wallwell/serving/attempt.py
@@ -135,6 +135,7 @@
             expected_version=version,
             resume_after=resume_after,
             cache=cache,
+            is_wanted=lambda: not backend.backoff.is_in_force(boot_time_s()),
         )
 
     # --- the answer ------------------------------------------------------------------------------------
--- a/src/wallwell/serving/attempt_learning.py
+++ b/src/wallwell/serving/attempt_learning.py
@@ -66,6 +66,8 @@
     def on_failure(self, active: ActiveRequest, backend: Backend, failure: AttemptError, now_s: float) -> None:
         """An attempt ended without a whole answer."""
         event = failure.event
+        if event is TransportEvent.WITHDRAWN:
+            return  # Nothing was sent.
         self._learn_reachability(active, backend, event, now_s)
         if event is TransportEvent.ANSWER_TIMEOUT:
             self._choice.learn_silence(active, now_s)
--- a/src/wallwell/serving/messages.py
+++ b/src/wallwell/serving/messages.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -76,6 +76,10 @@
     """Whether a connection is being made, so that nothing can have reached the back end."""
 
 
+def _always() -> bool:
+    return True
+
+
 @dataclass(frozen=True)
 class Dispatch:
     """One attempt at one back end. ``remaining_s`` is what is left of the caller's time."""
@@ -89,6 +93,8 @@
     resume_after: int | None = None
     cache: CachePlan | None = None
     progress: SendProgress = field(default_factory=SendProgress)
+    is_wanted: Callable[[], bool] = _always
+    """Whether the back end still wants the request, to be asked right before it is sent: connecting takes time."""
 
 
 class AnswerHead(msgspec.Struct, frozen=True):
@@ -137,7 +143,7 @@
     """Sends requests to back ends."""
 
     async def send(self, dispatch: Dispatch) -> BackendAnswer:
-        """Send once and wait for the head. Raises :class:`AttemptError`."""
+        """Send once, if the request is still wanted, and wait for the head. Raises :class:`AttemptError`."""
         ...
 
 
--- a/src/wallwell/serving/pipeline.py
+++ b/src/wallwell/serving/pipeline.py
@@ -26,7 +26,7 @@
 from wallwell.routing.admission.backoff_hold import hold_s
 from wallwell.routing.admission.remaining_time import is_too_late
 from wallwell.routing.health.backend import Backend
-from wallwell.routing.retry.attempt_history import UNREACHABLE
+from wallwell.routing.retry.attempt_history import NOT_ARRIVED
 from wallwell.routing.retry.attempt_outcome import TransportEvent
 from wallwell.routing.retry.retry_policy import GiveUp, RetryPolicy
 from wallwell.routing.selection.candidates import backoff_ends_s, without_unresponsive_zones
@@ -228,7 +228,7 @@
         active.history.details.append(f"{backend.incarnation} {event.value} {failure.detail}")
         self._learning.on_failure(active, backend, failure, now_s)
         self._reports.on_attempt_failed(active, backend, failure)
-        if event in UNREACHABLE:
+        if event in NOT_ARRIVED:
             self._state.load.stated_limits.give_back(backend)
         budget = self._state.budget_of(active.service)
         decision = self._policy.after_failure(
--- a/tests/platform/test_requested_backoff.py
+++ b/tests/platform/test_requested_backoff.py
@@ -59,3 +59,42 @@
         assert max(late) <= ARRIVALS_ALLOWED
         assert times[-1] - times[0] > BACKOFF_S  # It is asked again once its time is over.
     assert set(statuses) == ({200} if refusing == 1 else {503})
+
+
+CONNECT_S = 0.2
+"""Seconds that a new connection takes: a little less than the router's time-out."""
+
+
+def test_a_request_that_waits_for_its_connection_is_not_sent_to_a_back_end_that_then_asks_for_backoff(on_platform):
+    """Guards against a choice of back end that is made before a wait and carried out after it, whatever came."""
+
+    async def scenario(harness):
+        await harness.call()  # One connection is kept; the others have to be made.
+        (worker,) = harness.workers
+        arrived_s = []
+        refused = worker.answer(503, X_Not_Run="1", Retry_After=str(BACKOFF_S))
+
+        async def respond(request):
+            arrived_s.append(boot_time_s())
+            return await refused(request)
+
+        worker.respond = respond
+        host, _, port = worker.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        connect = loop.create_connection
+
+        async def connect_slowly(factory, *address, **options):
+            if address == (host, int(port)):
+                await asyncio.sleep(CONNECT_S)
+            return await connect(factory, *address, **options)
+
+        loop.create_connection = connect_slowly
+        answers = await asyncio.gather(*(harness.call(X_Request_Id=f"req-{number}") for number in range(6)))
+        loop.create_connection = connect
+        retry_after = [float(headers.get("Retry-After", 0)) for _, headers, _ in answers]
+        return [status for status, _, _ in answers], retry_after, len(arrived_s)
+
+    statuses, retry_after, arrived = on_platform(scenario, workers=1)
+    assert arrived == 1
+    assert statuses == [503] * 6
+    assert min(retry_after) > 0
--- a/tests/unit/routing/retry/test_retry_policy.py
+++ b/tests/unit/routing/retry/test_retry_policy.py
@@ -8,7 +8,7 @@
 
 from wallwell.deployment.routes import Route, RouteKind, WeightedService
 from wallwell.outcomes import Outcome
-from wallwell.routing.retry.attempt_history import UNREACHABLE, AttemptHistory
+from wallwell.routing.retry.attempt_history import NOT_ARRIVED, AttemptHistory
 from wallwell.routing.retry.attempt_outcome import REFUSED_BY_BACKEND, VERDICTS
 from wallwell.routing.retry.attempt_outcome import TransportEvent as E
 from wallwell.routing.retry.response_timeout import STALL_TIMEOUT_FACTOR
@@ -107,7 +107,7 @@
     decision = POLICY.after_failure(route, history, attempts, event, budget, NOW_S)
     spent = before - budget.left(NOW_S, NODES)
     used = prepaid - history.prepaid_retries
-    if decision == RETRY and event not in UNREACHABLE:
+    if decision == RETRY and event not in NOT_ARRIVED:
         assert (round(spent, 6), used) == ((0, 1) if prepaid else (RETRY_COST, 0))
     else:
         assert (spent, used) == (0, 0)
@@ -126,8 +126,8 @@
 def test_what_an_attempt_counts_as(event):
     history = AttemptHistory()
     history.on_failed(event)
-    assert history.arrivals == (event not in UNREACHABLE)
-    assert history.runs == (event not in UNREACHABLE and event not in REFUSED_BY_BACKEND)
+    assert history.arrivals == (event not in NOT_ARRIVED)
+    assert history.runs == (event not in NOT_ARRIVED and event not in REFUSED_BY_BACKEND)
 
 
 @pytest.mark.parametrize(
