A key that peers know to be taken away is not accepted by a node that knows the store's copy alone

What callers could do: use a key that operators had taken away, the store had acknowledged, and all other nodes refused, at a node that started (or was reached again) just after the store came back from a copy, from a second after its first answer on until operators wrote the configuration again. Cause: the node waited a second for operators and then took the copy's silence for a confirmation. What the others had in force reached it nowhere. One that cannot be decoded here holds nothing up. Two builds: an older one ignores the field, its own reports lack it and count as nothing.

--- a/src/wallwell/cluster/fleet_load.py
+++ b/src/wallwell/cluster/fleet_load.py
@@ -8,6 +8,8 @@
 
 from dataclasses import dataclass, field
 
+import msgspec
+
 from wallwell.cluster.demand import FleetDemand
 from wallwell.cluster.load_reports import Load
 from wallwell.cluster.stated_limits import StatedLimits
@@ -25,6 +27,10 @@
     first_token_delays: FirstTokenDelays = field(default_factory=FirstTokenDelays)
     limits: FleetLimits = field(default_factory=FleetLimits)
     stated_limits: StatedLimits = field(init=False)
+    own_configuration: int = 0
+    """Version of the configuration in force that this node reports, 0 for none."""
+    peers_configuration: int = 0
+    """Newest version that any other node has reported."""
 
     def __post_init__(self) -> None:
         self.stated_limits = StatedLimits(self.backends, self.limits)
@@ -38,11 +44,14 @@
             asked=self.limits.asked(now_s),
             nodes=1,
             stated_limits=self.stated_limits.own(now_s),
+            configuration=self.own_configuration or msgspec.UNSET,
         )
 
     def learn(self, others: Load, nodes: int, now_s: float) -> None:
         """Take what all other nodes have reported; ``nodes`` is the size of the fleet, 0 if it is not known."""
         self.stated_limits.on_reported(others.stated_limits, now_s)
+        if others.configuration is not msgspec.UNSET:
+            self.peers_configuration = max(self.peers_configuration, others.configuration)
         self.backends.learn_peer_loads(others.requests)
         self.demand.peers_generations = others.generations
         self.first_token_delays.peers = others.delays
--- a/src/wallwell/cluster/load_reports.py
+++ b/src/wallwell/cluster/load_reports.py
@@ -28,6 +28,8 @@
     what tenants with a limit asked for in the last ``ASKED_WINDOW_S`` of
     :mod:`wallwell.routing.admission.fleet_limits`. ``stated_limits`` has what these nodes have read of limits that
     back ends state; it is left out where none does, and nodes of older versions neither send nor read it.
+    ``configuration`` is the newest version of the operators' configuration that these nodes have in force, left out
+    while the store counts no eras, and read like that.
     """
 
     requests: dict[str, int] = {}
@@ -36,6 +38,7 @@
     asked: dict[str, int] = {}
     nodes: int = 0
     stated_limits: dict[str, ReportedLimit] | msgspec.UnsetType = msgspec.UNSET
+    configuration: int | msgspec.UnsetType = msgspec.UNSET
 
     def older_by(self, seconds: float) -> Load:
         """Return it as it is to be passed on ``seconds`` after it was received."""
@@ -61,6 +64,10 @@
         stated_limits=newest_limits(
             [load.stated_limits for load in loads if load.stated_limits is not msgspec.UNSET]
         ),
+        configuration=max(
+            (load.configuration for load in loads if load.configuration is not msgspec.UNSET),
+            default=msgspec.UNSET,
+        ),
     )
 
 
--- a/src/wallwell/node/operator_rows.py
+++ b/src/wallwell/node/operator_rows.py
@@ -31,6 +31,11 @@
     def __init__(self, state: NodeState, sources: NodeSources) -> None:
         self._state = state
         self._sources = sources
+        self._is_config_unreadable = False
+        self._behind_since_s: float | None = None
+        """Since when other nodes have known a newer configuration than the store has shown here."""
+        self._behind_logged = 0
+        """Version of theirs for which that was logged last."""
 
     def apply(self, followed: FollowedPage) -> None:
         """Apply a page; a row that cannot be decoded is logged and changes nothing."""
@@ -43,18 +48,42 @@
                 else:
                     self._on_row(row.key, row.value, followed.unconfirmed_since_s)
             except msgspec.MsgspecError as error:
+                self._is_config_unreadable |= row.key == self._sources.config_key
                 emit(Event.CONFIG_REFUSED, row=row.key, error=str(error))
-        if self._state.config is not None and self._confirms():
+        config = self._state.config
+        if config is None:
+            return
+        era = self._state.store_era
+        if era.current == UNKNOWN_ERA:
+            self._state.freshness.confirm(followed.confirmed_at_s)
+            return
+        # The store may have come back from a copy that lacks the newest configuration.
+        self._state.load.own_configuration = config.version
+        now_s = boot_time_s()
+        if not self._is_behind(config.version, now_s) and now_s >= era.since_s + UNCONFIRMED_S:
             self._state.freshness.confirm(followed.confirmed_at_s)
 
-    def _confirms(self) -> bool:
-        """Whether what the store says is the newest word, and not that of a copy it has just come back from."""
-        era = self._state.store_era
-        return era.current == UNKNOWN_ERA or boot_time_s() >= era.since_s + UNCONFIRMED_S
+    def _is_behind(self, version: int, now_s: float) -> bool:
+        """Whether other nodes know a newer configuration, which may have taken credentials away.
+
+        One that this node cannot read would not be known here either way, so it holds nothing up.
+        """
+        peers_version = self._state.load.peers_configuration
+        if version >= peers_version or self._is_config_unreadable:
+            self._behind_since_s = None
+            return False
+        if self._behind_since_s is None:
+            self._behind_since_s = now_s
+        elif now_s >= self._behind_since_s + UNCONFIRMED_S and self._behind_logged != peers_version:
+            # A peer may also just have been faster.
+            self._behind_logged = peers_version
+            emit(Event.CONFIG_BEHIND, version=version, peers_version=peers_version)
+        return True
 
     def _on_row(self, key: str, value: bytes, unconfirmed_since_s: float) -> None:
         if key == self._sources.config_key:
             config = self._sources.decode_config(value)
+            self._is_config_unreadable = False
             if self._state.apply_config(config):
                 emit(Event.CONFIG_ADVANCED, version=config.version, routes=len(config.routes))
         elif key.startswith(self._sources.version_prefix):
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -30,6 +30,8 @@
 """Seconds for which the store is away: long enough for every follower to notice."""
 FOLLOWED_S = 1.2
 """After which each node has followed a write that concerns none of its tables."""
+OPERATORS_LATE_CALLS = 150
+"""Calls, 20 ms apart, until operators write again what is lost: three times as long as nodes wait for them."""
 LOST_WRITES = 40
 """Transactions that the copy lacks: more than the test makes after the restore."""
 
@@ -182,6 +184,36 @@
     assert (last, granted) == (401, 200)
 
 
+def test_a_key_that_peers_know_to_be_taken_away_is_not_accepted_before_operators_write_again(on_platform):
+    """Guards against a node that starts on the copy and takes it for the newest word: operators are late."""
+
+    async def scenario(harness):
+        nodes = await three_nodes(harness)
+        copy = harness.store.copy()
+        taken = config(2, tenants=[{"name": "t1", "api_keys": ["k1"], "isolated": False}])
+        harness.store.put("op", "config", taken)
+        await harness.until(lambda: all(node.state.config.version == 2 for node in nodes))
+        harness.store.restore(copy)
+        late = await second_node(harness, "late")
+        callers = CallersPort(late)
+        await callers.start()
+        statuses = set()
+        for number in range(OPERATORS_LATE_CALLS):
+            status, *_ = await harness.call(port=callers.port, X_Credential="k2", X_Request_Id=f"req-{number}")
+            statuses.add(status)
+            await asyncio.sleep(0.02)
+        harness.store.put("op", "config", taken)
+        await harness.until(late.is_ready)
+        granted, *_ = await harness.call(port=callers.port, X_Credential="k1")
+        await callers.runner.cleanup()
+        await stop_others([*nodes, late])
+        return statuses, granted
+
+    statuses, granted = on_platform(scenario)
+    assert statuses <= {401, 503}
+    assert granted == 200
+
+
 def test_callers_notice_nothing_of_a_restore_after_some_seconds(on_platform):
     """Credentials hold for the revocation bound after the last confirmation of before."""
 
--- /dev/null
+++ b/tests/unit/node/test_operator_rows.py
@@ -0,0 +1,103 @@
+"""When a page of the operators' rows confirms the configuration, in a fleet whose store comes back from copies."""
+
+import asyncio
+import dataclasses
+
+import msgspec
+import pytest
+
+from tests.unit.serving.fakes import make_state
+from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
+from wallwell.cluster.fleet_load import FleetLoad
+from wallwell.cluster.load_messages import OthersLoad
+from wallwell.cluster.load_reports import Load, sum_loads
+from wallwell.events import Event
+from wallwell.node import operator_rows
+from wallwell.node.operator_rows import UNCONFIRMED_S, OperatorRows
+from wallwell.storage.feed import FeedPage, FeedRow, FollowedPage
+
+CONFIG_KEY = "config"
+
+
+class Sources:
+    """Decodes a row's value as the version of a configuration."""
+
+    config_key = CONFIG_KEY
+    version_prefix = "version/"
+    rollout_prefix = "rollout/"
+
+    def __init__(self, config):
+        self._config = config
+
+    def decode_config(self, value):
+        if not value.isdigit():
+            raise msgspec.DecodeError("no configuration")
+        return dataclasses.replace(self._config, version=int(value))
+
+
+class Followed:
+    """One node's operators' rows, long after the first answer of the store."""
+
+    def __init__(self, era=1):
+        self.state = make_state()
+        self.state.freshness.confirmed_at_s = float("-inf")
+        self.state.store_era.observe(era, boot_time_s() - UNCONFIRMED_S)
+        self.rows = OperatorRows(self.state, Sources(self.state.config))
+
+    def read(self, value=None):
+        """Apply a page with a configuration or with nothing new; returns whether it confirms what is known."""
+        now_s = boot_time_s()
+        rows = () if value is None else (FeedRow(CONFIG_KEY, value, 1),)
+        self.rows.apply(FollowedPage(FeedPage(rows, 1, 0.0), False, now_s, now_s))
+        return self.state.freshness.confirmed_at_s == now_s
+
+
+@pytest.mark.parametrize(
+    ("era", "peers_version", "value", "is_confirmed"),
+    [
+        (1, 0, b"5", True),  # No peer is heard.
+        (1, 5, b"5", True),
+        (1, 4, b"5", True),
+        (1, 6, b"5", False),
+        (1, 6, b"unreadable", True),  # By a build that does not know it; nothing would show the newer one here.
+        (0, 6, b"5", True),  # The store counts no eras, so it never comes back from a copy.
+    ],
+)
+def test_a_configuration_older_than_that_of_peers_is_not_confirmed(era, peers_version, value, is_confirmed):
+    """Guards against a revoked key that is accepted because the store's copy has never heard of its end."""
+
+    async def work():
+        followed = Followed(era)
+        followed.state.load.learn(Load(configuration=peers_version or msgspec.UNSET), 2, boot_time_s())
+        return followed.read(value)
+
+    assert run_virtual(work()) is is_confirmed
+
+
+def test_it_is_confirmed_again_once_operators_have_written_it_and_logged_once_until_then(monkeypatch):
+    events = []
+    monkeypatch.setattr(operator_rows, "emit", lambda event, **fields: events.append((event, fields)))
+
+    async def work():
+        followed = Followed()
+        followed.read(b"5")
+        followed.state.load.learn(Load(configuration=7), 2, boot_time_s())
+        confirmed = []
+        for _ in range(3):
+            await asyncio.sleep(UNCONFIRMED_S)
+            confirmed.append(followed.read())
+        confirmed.append(followed.read(b"7"))
+        return confirmed
+
+    assert run_virtual(work()) == [False, False, False, True]
+    behind = [fields for event, fields in events if event is Event.CONFIG_BEHIND]
+    assert behind == [{"version": 5, "peers_version": 7}]
+
+
+def test_the_newest_version_travels_with_the_loads_and_nothing_does_while_the_store_counts_no_eras():
+    behind, ahead = FleetLoad(), FleetLoad()
+    behind.own_configuration, ahead.own_configuration = 5, 7
+    total = sum_loads([behind.own(1.0), ahead.own(1.0), FleetLoad().own(1.0)])
+    assert total.configuration == 7
+    assert b"configuration" not in msgspec.json.encode(OthersLoad(sum_loads([FleetLoad().own(1.0)])))
