What reached a back end before its limit was known is made up for until it is out of the span it counts

Cause: a debt beyond three seconds of the rate was forgiven, and requests begin again half a second before a debt is paid. Change: 4.5 s of the rate are kept. Cost: a back end that was overrun gets nothing for 4 s, not 2.5.

--- a/src/wallwell/routing/admission/backend_rate.py
+++ b/src/wallwell/routing/admission/backend_rate.py
@@ -12,8 +12,9 @@
 """What a request costs."""
 BURST_S = 0.5
 """Seconds of the rate that may be saved up: the back end asks for relief, so little."""
-DEBT_S = 3.0
-"""Most seconds of the rate that earlier requests may be ahead of it: the back end gets nothing for so long at most,
+DEBT_S = 4.5
+"""Most seconds of the rate that earlier requests may be ahead of it. A back end may count over four seconds: what
+reached it before anybody knew has to be out of that span before more follows. It gets nothing for so long at most,
 since somebody must hear when it takes more again."""
 DEBT_REQUESTS = 3
 """The same in requests where that is more: so many may be sent at low rates before nodes know of each other's."""
--- a/tests/unit/cluster/limit_network.py
+++ b/tests/unit/cluster/limit_network.py
@@ -110,6 +110,10 @@
 
     def _arrive(self, now_s):
         self.at(now_s + self.rng.expovariate(self.wanted_per_s), self._arrive)
+        self.request(now_s)
+
+    def request(self, now_s):
+        """A caller wants one request served, by a node that is up."""
         up = [(node, weight) for node, weight in zip(self.nodes, self.weights, strict=True) if not node.down]
         if not up:
             return
--- a/tests/unit/cluster/test_stated_limits_fleet.py
+++ b/tests/unit/cluster/test_stated_limits_fleet.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.unit.cluster.limit_network import CONTACT_S, LimitNetwork, allowed
+from tests.unit.cluster.limit_network import ANSWER_S, CONTACT_S, LimitNetwork, allowed
 from wallwell.routing.health.request_limit import NO_LIMIT_PER_S
 
 STATED_S, ENDED_S, END_S = 5.0, 25.0, 40.0
@@ -97,6 +97,25 @@
     assert network.rate(JUDGED_S, ENDED_S) >= 0.5 * per_s
 
 
+@pytest.mark.parametrize("per_s", [0.3, 1.8, 3.0, 10.0])
+@pytest.mark.parametrize("seed", range(5))
+def test_what_came_before_anybody_knew_is_made_up_for_until_it_is_out_of_the_window(per_s, seed):
+    """Guards against a debt that is forgiven too early: callers ask for all that a window allows at one moment."""
+    network = LimitNetwork(seed, 3, stated(per_s), 4 * per_s)
+    network.wanted_per_s = 1e-6
+    for number in range(int(allowed(per_s))):
+        network.at(STATED_S - ANSWER_S + 0.001 * number / per_s, network.request)
+
+    def want(now_s):
+        network.wanted_per_s = 4 * per_s
+        network.at(now_s, network._arrive)
+
+    network.at(STATED_S + 0.5, want)
+    network.run(STATED_S + 20.0)
+    assert network.largest_sum(JUDGED_S, STATED_S + 20.0) <= allowed(per_s)
+    assert network.rate(STATED_S + 10.0, STATED_S + 20.0) >= 0.5 * per_s
+
+
 def test_a_limit_that_falls_and_rises_is_kept_at_each_value():
     values = [(5.0, 8.0), (12.0, 2.0), (20.0, 5.0)]
 
