A crashed engine counts as serving again once it has answered, not whenever its suspension has run out

Cause: the planner of weights rolls counted every engine that may be tried. Change: Backend.is_serving: open, and not within two seconds of a suspension that failures brought on unless it has answered since. The roll's longest wait bounds the delay as before.

--- a/src/wallwell/placement/weights_roll.py
+++ b/src/wallwell/placement/weights_roll.py
@@ -143,7 +143,7 @@
     ) -> float:
         newest = self.targets.newest(model)
         lacking = [each for each in engines if each.believed_version(model) < newest]
-        serving = all(each.is_open(now_s) for each in engines if not each.is_leaving(now_s))
+        serving = all(each.is_serving(now_s) for each in engines if not each.is_leaving(now_s))
         circumstances = RollCircumstances(self.generations_per_s(now_s), len(lacking), serving)
         longest_s = self.allowance_s * LONGEST_DELAY_FRACTION
         return start_delay_s(self.targets.named(model), missing, circumstances, longest_s, now_s)
@@ -160,7 +160,7 @@
         return tasks
 
     def _count_serving(self, engines: Sequence[Backend], now_s: float) -> int:
-        return sum(each.is_open(now_s) and each.incarnation not in self._in_progress for each in engines)
+        return sum(each.is_serving(now_s) and each.incarnation not in self._in_progress for each in engines)
 
     def _next_of_pool(
         self, pool: Sequence[Backend], engines: Sequence[Backend], spare: int, now_s: float
--- a/src/wallwell/routing/health/backend.py
+++ b/src/wallwell/routing/health/backend.py
@@ -94,6 +94,12 @@
             return False
         return self.backoff.allows_request(now_s)
 
+    def is_serving(self, now_s: float) -> bool:
+        """Whether requests to it can be expected to be served: it is open, and not only to be tried again after a
+        suspension that its failures have brought on."""
+        is_tried = self.consecutive_failures > 0 and now_s < self.suspended_until_s + suspension.TRIED_FOR_S
+        return self.is_open(now_s) and not is_tried
+
     @property
     def has_announced_leave(self) -> bool:
         """Whether it leaves by its own word, in its entry or its answers."""
--- a/src/wallwell/routing/health/suspension.py
+++ b/src/wallwell/routing/health/suspension.py
@@ -34,6 +34,9 @@
 """Bound of the suspension after refusals in seconds."""
 UNREACHABLE_FAILURES_TO_SUSPEND = 1
 """The same for one that cannot be reached: there is nothing that the next request could find out."""
+TRIED_FOR_S = 2.0
+"""Seconds after a suspension within which a request will have shown whether the back end works again. After that it
+counts as working: perhaps nobody has asked it."""
 ANSWERING_S = 1.5
 """Seconds for which an answer shows that a back end works: longer than the gap between two answers of a busy
 engine."""
--- a/tests/unit/placement/test_weights_roll.py
+++ b/tests/unit/placement/test_weights_roll.py
@@ -12,6 +12,7 @@
 )
 from wallwell.placement.weights_roll_timing import SOONEST_S
 from wallwell.routing.health.backend import Backend
+from wallwell.routing.health.suspension import FIRST_PAUSE_S
 
 ALLOWANCE_S = 8.0
 DUE_S = ALLOWANCE_S * LONGEST_DELAY_FRACTION
@@ -121,6 +122,23 @@
     assert len(serving) >= 3
 
 
+@pytest.mark.parametrize("has_returned", [False, True])
+def test_a_crashed_engine_counts_as_serving_only_once_it_has_answered_again(has_returned):
+    """Guards against one that is counted each time its suspension has just run out, and serves nobody."""
+    plan, listed = planner((2, 0.0)), engines(6)
+    for crashed in listed[:2]:
+        crashed.on_failure(SOONEST_S - FIRST_PAUSE_S, unreachable=True)
+        if has_returned:
+            crashed.on_success(SOONEST_S)
+    assert all(each.is_open(SOONEST_S) for each in listed)
+    assert plan.is_due(listed, SOONEST_S) == has_returned
+    for crashed in listed[:2]:
+        crashed.suspended_until_s = DUE_S  # It has just run out.
+    ordered = {task.backend for task in plan.next_tasks(listed, DUE_S)}
+    serving = set(listed if has_returned else listed[2:]) - ordered
+    assert len(serving) >= 3
+
+
 def test_some_engines_of_each_pool_go_on_serving():
     plan, listed = planner((2, 0.0)), engines(9)
     ordered = {task.backend.incarnation for task in plan.next_tasks(listed, DUE_S)}
