Connections that wait to be accepted as a listener closes are accepted and answered; soak: rollouts in the calm span

Cause: the system resets what waits at a listening socket that closes. Change: a stop closes a listening socket only in a turn in which nothing waits there and nothing has for three turns (asyncio needs them to hand an accepted connection to its server), 100 turns at most.

Soak: the invariants of rollouts never had a case, since a rollout was ordered at 2 s and faults begin at 1 s.

--- a/src/wallwell/callers_server.py
+++ b/src/wallwell/callers_server.py
@@ -20,7 +20,7 @@
 from wallwell.clock import boot_time_s, ends_within
 from wallwell.errors import RequestError
 from wallwell.events import Event, emit
-from wallwell.socket_options import has_unread_bytes
+from wallwell.socket_options import has_unread_bytes, is_readable
 
 LAST_REQUEST_S = 0.3
 """Seconds that a caller gets, once connections are being ended, to send the first request on a new connection or
@@ -29,10 +29,33 @@
 """Seconds for which an ended connection is still read. Closed at once, a request that arrives would make the system
 reset the connection, and the reset may overtake the answer. A request that crosses the end arrives within one way
 over the network."""
+ACCEPT_TURNS = 100
+"""Most turns of the event loop in which waiting connections are accepted before a listening socket closes."""
+ACCEPTED_TURNS = 3
+"""Turns after which an accepted connection belongs to the server and outlives the listening socket."""
 CLOSE_TICK_S = 0.01
 """Seconds between two looks for connections that have become idle."""
 
 
+async def stop_accepting(runner: web.BaseRunner) -> None:
+    """Close a server's listening sockets, once the connections that wait there are accepted: the system resets what
+    waits in a socket that closes, with the requests in it unread."""
+    sites = [site for site in runner.sites if isinstance(site, web.TCPSite)]
+    quiet_turns = 0
+    for _ in range(ACCEPT_TURNS):
+        quiet_turns = 0 if any(_has_waiting(site) for site in sites) else quiet_turns + 1
+        if quiet_turns > ACCEPTED_TURNS:
+            break
+        await asyncio.sleep(0)
+    for site in sites:
+        await site.stop()
+
+
+def _has_waiting(site: web.TCPSite) -> bool:
+    listening = getattr(site._server, "sockets", ())
+    return any(is_readable(each.fileno()) for each in listening)
+
+
 def last_answer(error: RequestError, headers: Mapping[str, str], body: bytes) -> bytes:
     """Return an answer with which a connection ends, as the bytes that are sent."""
     status = HTTPStatus(error.http_status)
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 
 from wallwell.build_info import build_commit, build_version
+from wallwell.callers_server import stop_accepting
 from wallwell.errors import WallwellError
 from wallwell.events import Event, configure_logging, emit
 from wallwell.node.adapter import NodeAdapter, NodeSources
@@ -138,8 +139,7 @@
     await stopping.wait()
 
     async def close_listener() -> None:
-        for site in list(callers.sites):
-            await site.stop()
+        await stop_accepting(callers)
         await listener.close_idle(callers_server)
         await callers_server.wait_closed()
 
--- a/src/wallwell/soak/drawing.py
+++ b/src/wallwell/soak/drawing.py
@@ -16,6 +16,8 @@
 from wallwell.soak.schedule import (
     ALL_NODES,
     BETWEEN_REGIONS,
+    CALM_BEFORE_STOP_S,
+    CALM_BEFORE_WEIGHTS_S,
     KEY_WEIGHTS,
     LINK_FAULTS,
     NODE_FAULTS,
@@ -34,7 +36,7 @@
     Schedule,
     Shape,
 )
-from wallwell.soak.versions import ROLLOUT_AT_S, ROLLOUTS
+from wallwell.soak.versions import ROLLOUTS
 
 FIRST_FAULT_S = 1.0
 """Seconds before the first fault, and between two faults of one target: some requests have been served by then."""
@@ -96,10 +98,6 @@
 """Seconds from the begin of that outage to the worker's leave."""
 CRASHING_FROM_S = (1.0, 3.0)
 """Seconds after which a caller first sends a request that crashes workers."""
-CALM_BEFORE_WEIGHTS_S = 2.5
-"""Seconds without faults before weights are named: nodes must be in contact with the store, and some more."""
-CALM_BEFORE_STOP_S = CALM_BEFORE_WEIGHTS_S + VERSION_S + 4.0
-"""Seconds without faults before a planned stop: requests have shown whether the weights are in place."""
 CRASHING_PERIOD_S = (0.2, 1.0)
 """Time between two sendings of a request that crashes workers; one is drawn for each of its callers."""
 
@@ -142,7 +140,7 @@
         PlannedOperation(weights_s, OperationKind.NAME_WEIGHTS),
     ]
     if shape.rollout:
-        operations.append(PlannedOperation(ROLLOUT_AT_S, OperationKind.ROLL_OUT))
+        operations.append(PlannedOperation(shape.rollout_at_s, OperationKind.ROLL_OUT))
     return operations
 
 
--- a/src/wallwell/soak/schedule.py
+++ b/src/wallwell/soak/schedule.py
@@ -112,6 +112,11 @@
 ROLLBACK_S = 5.0
 """Seconds after its 50th bad answer after which a bad version must get nothing more."""
 
+CALM_BEFORE_WEIGHTS_S = 2.5
+"""Seconds without faults before weights are named: nodes must be in contact with the store, and some more."""
+CALM_BEFORE_STOP_S = CALM_BEFORE_WEIGHTS_S + VERSION_S + 4.0
+"""Seconds without faults before a planned stop: requests have shown whether the weights are in place."""
+
 RECOVERY_S = 5.0
 """Time after which a fleet whose nodes were all killed serves again, counted from their start."""
 SHOWN_RECOVERED_S = 3.0
@@ -188,8 +193,8 @@
     restores: bool = False
     """Whether the store comes back from older copies."""
     calm_s: float = 0.0
-    """Seconds after ``seconds`` with weights that are named and, if there is time, one planned stop, and no faults:
-    invariants with a time bound need that."""
+    """Seconds after ``seconds`` without faults, in which weights are named, software is rolled out and, if there is
+    time, one node stops as planned: invariants with a time bound need that."""
 
     @property
     def length_s(self) -> float:
@@ -209,8 +214,15 @@
         """Names of a rollout's target workers."""
         return tuple(f"orders-new-{index}" for index in range(self.instances)) if self.rollout else ()
 
+    @property
+    def rollout_at_s(self) -> float:
+        """When a rollout is ordered."""
+        return self.seconds + CALM_BEFORE_WEIGHTS_S if self.calm_s else ROLLOUT_AT_S
+
     def rollout_duration_s(self) -> float:
-        """Time from a rollout's order to its deadline: it ends before all nodes are killed."""
+        """Time from a rollout's order to its deadline, which is before the next planned stop or end of nodes."""
+        if self.calm_s:
+            return CALM_BEFORE_STOP_S - CALM_BEFORE_WEIGHTS_S - 1.0
         return self.seconds - RECOVERY_S - SHOWN_RECOVERED_S - ROLLOUT_AT_S - 1.0
 
     def links(self) -> tuple[str, ...]:
--- a/src/wallwell/socket_options.py
+++ b/src/wallwell/socket_options.py
@@ -41,10 +41,15 @@
 def has_unread_bytes(transport: asyncio.BaseTransport | None) -> bool:
     """Whether bytes of the other end, or its close, wait in the socket for the event loop to read them."""
     raw = transport.get_extra_info("socket") if transport is not None else None
-    if raw is None or not hasattr(select, "poll"):
+    return raw is not None and is_readable(raw.fileno())
+
+
+def is_readable(descriptor: int) -> bool:
+    """Whether bytes wait in a socket, or connections in a listening one; false where the system cannot say."""
+    if not hasattr(select, "poll"):
         return False
     poll = select.poll()
-    poll.register(raw.fileno(), select.POLLIN)
+    poll.register(descriptor, select.POLLIN)
     return bool(poll.poll(0))
 
 
--- a/src/wallwell/standalone/listeners.py
+++ b/src/wallwell/standalone/listeners.py
@@ -11,7 +11,7 @@
 
 from aiohttp import web
 
-from wallwell.callers_server import CallersServer, last_answer
+from wallwell.callers_server import CallersServer, last_answer, stop_accepting
 from wallwell.errors import AddressInUseError, ConnectionEndedError, OutcomeUnknownError, RequestError
 from wallwell.standalone.callers.caller import OUTCOME_HEADER, REQUEST_ID_HEADER, error_body
 from wallwell.standalone.settings import Listener, TlsSettings
@@ -93,8 +93,7 @@
     async def close_idle(self) -> None:
         """Accept no further connection, end each one that is or becomes idle, and wait until none is left."""
         for runner in self.runners:
-            for site in list(runner.sites):
-                await site.stop()
+            await stop_accepting(runner)
         for server in self._servers:
             server.start_closing()
         await asyncio.gather(*(server.wait_closed() for server in self._servers))
--- a/tests/platform/test_ends_of_connections.py
+++ b/tests/platform/test_ends_of_connections.py
@@ -133,6 +133,29 @@
     assert statuses <= allowed  # On slow turns the grace time may end under a request: it may have run.
 
 
+def test_a_connection_that_waits_to_be_accepted_as_the_listener_closes_is_answered(on_platform):
+    """Guards against a close of the listening socket that resets what waits in it, with its request unread."""
+
+    async def scenario(harness):
+        waiting = []
+        for number in range(20):  # Without a turn of the loop, so that the system alone knows of them.
+            connection = socket.create_connection(("127.0.0.1", harness.port))
+            connection.sendall(request(f"waiting-{number}"))
+            connection.setblocking(False)
+            waiting.append(connection)
+        await callers_server.stop_accepting(harness.runner)
+        closing = asyncio.create_task(close_and_wait(harness))
+        statuses = []
+        for connection in waiting:
+            reader, writer = await asyncio.open_connection(sock=connection)
+            statuses.append((await asyncio.wait_for(answer(reader), 5.0))[0])
+            writer.close()
+        await closing
+        return statuses
+
+    assert on_platform(scenario) == [HTTPStatus.OK] * 20
+
+
 def test_a_request_that_crosses_the_close_is_told_that_it_has_not_run(on_platform):
     """A request on its way as its idle connection was closed got no answer, so that its caller could not retry."""
 
--- a/tests/unit/soak/test_schedule.py
+++ b/tests/unit/soak/test_schedule.py
@@ -119,6 +119,17 @@
         assert outage.at_s < leave.at_s < leave.at_s + WORKER_DRAIN_S < outage.at_s + outage.lasts_s
 
 
+def test_a_rollout_in_a_run_with_a_calm_end_is_ordered_in_it_and_over_before_the_planned_stop():
+    """Guards against invariants of rollouts that no run puts to the test: they need a span without faults."""
+    shape = Shape(rollout="failing", calm_s=18.0)
+    schedule = draw_schedule(1, shape)
+    (order,) = [each for each in schedule.operations if each.kind is OperationKind.ROLL_OUT]
+    stop = schedule.faults[-1]
+    assert stop.kind is FaultKind.STOP_NODE
+    assert all(fault.at_s + fault.lasts_s + CONTACT_S < order.at_s for fault in schedule.faults[:-1])
+    assert order.at_s + shape.rollout_duration_s() < stop.at_s
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_a_calm_end_is_added_to_what_a_seed_draws_without_it_and_leaves_time_for_weights(seed):
     """No run put the bound on weights to the test: faults and restores left no span without a disturbance."""
