The soak in continuous integration asks for the case of a stated limit in runs in which the limited worker serves calls

Cause, traced over 52 plays at loads of 6 to 24: the limited worker is one of four engines, which gets 0 to 9 requests in the three seconds that the check judges; and the request that crashes workers can end it before (one of 60 plays: at 1.5 s). Nothing of the router was wrong. Change: 20 s in place of 15, so that the check judges eight seconds; seed 3 is still played, for its crashes, and seed 9 comes in for the limit: in seeds 4 and 9 the limited worker serves calls, which no crashing request reaches. Every invariant asked for before is asked for as often.

--- a/src/wallwell/platform/callers.py
+++ b/src/wallwell/platform/callers.py
@@ -42,7 +42,7 @@
 INTERIM_ANSWER = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class LastErrors:
+class PlatformLastAnswers:
     """The answers with which connections end, as the platform's errors."""
 
     def ended(self) -> bytes:
@@ -73,7 +73,7 @@
         """Return the callers' server."""
         return CallersServer(
             self._handle,
-            LastErrors(),
+            PlatformLastAnswers(),
             request_factory=self._make_request,
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_S,
--- a/src/wallwell/serving/response_timeout.py
+++ b/src/wallwell/serving/response_timeout.py
@@ -18,7 +18,7 @@
 from wallwell.serving.active_request import ActiveRequest
 from wallwell.serving.alternatives import has_untried_backend
 from wallwell.serving.messages import AttemptError, BackendAnswer, BackendClient, Dispatch
-from wallwell.serving.version_choice import begin_by_s
+from wallwell.serving.version_choice import generation_begins_by_s
 
 
 class ResponseWait:
@@ -89,7 +89,7 @@
         generation = active.request.generation
         if generation is None:
             return None
-        usable_for_s = begin_by_s(self._state, backend, generation.model) - boot_time_s()
+        usable_for_s = generation_begins_by_s(self._state, backend, generation.model) - boot_time_s()
         return begin_timeout_s(usable_for_s, active.remaining_s())
 
 
--- a/src/wallwell/serving/version_choice.py
+++ b/src/wallwell/serving/version_choice.py
@@ -42,7 +42,7 @@
     return candidates_of_tiers(rollout.tiers(listed, prefers_target, now_s), requirement, now_s, without)
 
 
-def begin_by_s(state: NodeState, backend: Backend, model: str) -> float:
+def generation_begins_by_s(state: NodeState, backend: Backend, model: str) -> float:
     """Return until when a generation may begin at a back end on the weights it is believed to have."""
     return candidates.begin_by_s(backend, _weights_requirement(state, model))
 
--- a/src/wallwell/standalone/listeners.py
+++ b/src/wallwell/standalone/listeners.py
@@ -24,7 +24,7 @@
 """Seconds that handlers get to end as their connections are cut: a planned stop has waited for them before."""
 
 
-class LastErrors:
+class StandaloneLastAnswers:
     """The answers with which connections end, as this router's errors."""
 
     def ended(self) -> bytes:
@@ -74,7 +74,7 @@
         assert application.server is not None
         return CallersServer(
             application.server.request_handler,
-            LastErrors(),
+            StandaloneLastAnswers(),
             request_factory=application.server.request_factory,
             handler_cancellation=True,
             max_line_size=self._max_header_bytes,
--- a/tests/contract/test_soak.py
+++ b/tests/contract/test_soak.py
@@ -115,15 +115,16 @@
 @pytest.mark.parametrize(
     ("seed", "tested"),
     [
-        (3, ("crashes_few", "stated_limit_kept")),
+        (3, ("crashes_few",)),
         (4, ("crashes_few", "announced_gets_nothing", "stated_limit_kept")),
+        (9, ("crashes_few", "stated_limit_kept")),
     ],
 )
 def test_a_short_run_breaks_no_invariant(tmp_path, seed, tested):
-    """Two seeds, each with a caller whose request crashes what runs it, an engine that wants no requests and a
-    worker that says how many it takes; in the second a worker leaves while the store is down. Longer ones and
-    more seeds are played by hand."""
-    run = "wallwell.cli.main", "soak", "--seed", str(seed), "--seconds", "15", "--crashing", "1"
+    """Three seeds, each with a caller whose request crashes what runs it, an engine that wants no requests and a
+    worker that says how many it takes; in the second a worker leaves while the store is down. In the last two that
+    worker serves calls, so that no request crashes it. Longer ones and more seeds are played by hand."""
+    run = "wallwell.cli.main", "soak", "--seed", str(seed), "--seconds", "20", "--crashing", "1"
     command = [sys.executable, "-m", *run, "--keep", str(tmp_path / "run"), "--checkout", str(ROOT)]
     played = subprocess.run(command, capture_output=True, text=True, timeout=120)
     assert played.returncode == 0, played.stdout[-2000:] + played.stderr[-2000:]
