Events in the order of their numbers, who writes the loads' configuration, the test of waiting connections under both event loops

The router runs under uvloop; the test of the accept queue ran under asyncio's loop alone. No behaviour changed.

--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -37,8 +37,8 @@
     CONFIG_REFUSED = (2003, "WARNING", "operators' change refused")
     CONFIG_WITHOUT_EFFECT = (2004, "WARNING", "accepted file has settings without effect")
     CONFIG_FETCH_FAILED = (2010, "INFO", "peer did not give the configuration; it is asked for elsewhere")
-    CONFIG_BEHIND = (2012, "WARNING", "peers know a newer configuration than the store; keys are not confirmed")
     CONFIG_WRITE_RETRIED = (2011, "INFO", "table service did not confirm a change of configuration; tried again")
+    CONFIG_BEHIND = (2012, "WARNING", "peers know a newer configuration than the store; keys are not confirmed")
 
     # 3001 and on: single requests, by X-Request-Id.
     REQUEST_ENDED = (3001, "INFO", "request ended")
--- a/src/wallwell/node/state.py
+++ b/src/wallwell/node/state.py
@@ -11,7 +11,8 @@
 store_era                                   ``platform`` (answers of the      ``node``, metrics
                                             store)
 load (back ends, demand, first tokens,      ``cluster`` (loads of other       ``routing`` through ``serving``,
-tenants' limits)                            nodes), ``serving`` (own ones)    metrics
+tenants' limits, configuration of peers)    nodes), ``serving`` (own ones),   metrics; ``node``
+                                            ``node`` (own configuration)
 kv_store_contents                           ``node/kv_store_watch.py``        ``serving/cache_planning.py``
 prefill_rate, generation_time, call_time,   ``serving/backend_choice.py``     ``serving``
 shortest_answers
--- a/tests/platform/test_ends_of_connections.py
+++ b/tests/platform/test_ends_of_connections.py
@@ -13,6 +13,7 @@
 
 import msgspec
 import pytest
+import uvloop
 
 from tests.platform.conftest import HOST, config, route
 from tests.unit.serving.fakes import event
@@ -133,7 +134,8 @@
     assert statuses <= allowed  # On slow turns the grace time may end under a request: it may have run.
 
 
-def test_a_connection_that_waits_to_be_accepted_as_the_listener_closes_is_answered(on_platform):
+@pytest.mark.parametrize("loop", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uvloop"])
+def test_a_connection_that_waits_to_be_accepted_as_the_listener_closes_is_answered(on_platform, loop):
     """Guards against a close of the listening socket that resets what waits in it, with its request unread."""
 
     async def scenario(harness):
@@ -153,7 +155,7 @@
         await closing
         return statuses
 
-    assert on_platform(scenario) == [HTTPStatus.OK] * 20
+    assert on_platform(scenario, loop=loop) == [HTTPStatus.OK] * 20
 
 
 def test_a_request_that_crosses_the_close_is_told_that_it_has_not_run(on_platform):
