The watch of the stop test no longer ends with the first thread of the process that does

Now the process's own entry decides, and a thread that has gone is passed over. Stronger, nothing allowed that was not.

--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import signal
 import socket
@@ -116,22 +117,27 @@
         """Seconds of them for which one of its threads, the worst off, was ready to run and got no processor."""
 
     def run(self):
-        while True:
-            try:
-                state = (self._process / "stat").read_text().rpartition(")")[2].split()[0]
-                waited_s = self._waited_s()
-            except OSError:
-                return
-            if state in "ZX":
-                return
+        while self._is_alive():
             self.lived_s = boot_time_s() - self.begun_s
-            self.waited_s = max(waited_s[thread] - self._waited_before_s.get(thread, 0.0) for thread in waited_s)
+            before_s = self._waited_before_s
+            waits_s = [waited_s - before_s.get(thread, 0.0) for thread, waited_s in self._waited_s().items()]
+            self.waited_s = max(waits_s, default=self.waited_s)
             time.sleep(0.002)
 
+    def _is_alive(self):
+        try:
+            return (self._process / "stat").read_text().rpartition(")")[2].split()[0] not in "ZX"
+        except OSError:
+            return False
+
     def _waited_s(self):
         """Return the seconds that each thread has waited for a processor in its life."""
-        tasks = (self._process / "task").iterdir()
-        return {each.name: int((each / "schedstat").read_text().split()[1]) / 1e9 for each in tasks}
+        waited_s = {}
+        with contextlib.suppress(OSError):  # The process has ended.
+            for task in (self._process / "task").iterdir():
+                with contextlib.suppress(OSError):  # A thread has ended; its process may live on.
+                    waited_s[task.name] = int((task / "schedstat").read_text().split()[1]) / 1e9
+        return waited_s
 
 
 @pytest.mark.parametrize(
