Say when a node can connect to no back end of a service

Events 6024 and 6025 mark the time in which no connection of a node to a service's back ends comes up, with whether other nodes are heard; two gauges count them. A node cut off alone logs 6024 while the others do not; back ends that are away make every node log it. No decision reads the new state yet.

--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -124,6 +124,8 @@
     BACKEND_LIMIT_STATED = (6021, "INFO", "back end states a limit of requests per second for all nodes together")
     BACKEND_LIMIT_ENDED = (6022, "INFO", "back end no longer states a request limit")
     BACKEND_ENTRY_UNREADABLE = (6023, "WARNING", "entry of a back end cannot be decoded; it counts as absent")
+    SERVICE_UNREACHABLE = (6024, "WARNING", "this node can connect to no back end of a service")
+    SERVICE_REACHABLE = (6025, "INFO", "this node can connect to a back end of a service again")
 
     # 7001 and up: weights on engines, and rollouts of software.
     ORDER_SENT = (7001, "INFO", "fenced order sent to an engine")
--- a/src/wallwell/node/metrics.py
+++ b/src/wallwell/node/metrics.py
@@ -88,6 +88,17 @@
         yield GaugeMetricFamily(
             "wallwell_backends_limited", "Back ends that state how many requests they take.", value=limited_count
         )
+        unreachable_count = sum(each.unreachable_since_s is not None for each in backends)
+        yield GaugeMetricFamily(
+            "wallwell_backends_unreachable",
+            "Back ends that this node cannot connect to since their last answer.",
+            value=unreachable_count,
+        )
+        yield GaugeMetricFamily(
+            "wallwell_services_unreachable",
+            "Services none of whose back ends this node can connect to.",
+            value=len(self._state.reachability.unreachable_services()),
+        )
         yield CounterMetricFamily(
             "wallwell_limited_passed_over",
             "Choices of a back end that went elsewhere for the limit that it states.",
--- a/src/wallwell/node/state.py
+++ b/src/wallwell/node/state.py
@@ -16,7 +16,7 @@
 kv_store_contents                           ``node/kv_store_watch.py``        ``serving/cache_planning.py``
 prefill_rate, generation_time, call_time,   ``serving/backend_selector.py``   ``serving``
 shortest_answers
-zones                                       methods below, called by          ``serving``, ``node``
+zones, reachability                         methods below, called by          ``serving``, ``node``
                                             ``serving``
 retry budgets, split                        ``serving``                       ``serving``, metrics
 region_traffic                              ``serving``, ``cluster``          metrics
@@ -46,6 +46,7 @@
 from wallwell.routing.admission.remaining_time import ShortestAnswerTime
 from wallwell.routing.health.backend import Backend
 from wallwell.routing.health.backend_registry import BackendRegistry
+from wallwell.routing.health.reachability import ServiceReachability
 from wallwell.routing.health.zone_suspicion import ZoneSuspicion
 from wallwell.routing.retry.first_token import FirstTokenDelays
 from wallwell.routing.retry.retry_budget import FleetRetryBudget
@@ -126,6 +127,8 @@
     """Retry budgets by service."""
     zones: ZoneSuspicion = field(init=False)
     """Zones suspected to be cut off from this node."""
+    reachability: ServiceReachability = field(default_factory=ServiceReachability)
+    """Services none of whose back ends this node can connect to."""
     rollouts: RolloutRegistry = field(default_factory=RolloutRegistry)
     """Rollouts of software versions, by service."""
     split_offset: float = 0.0
@@ -209,6 +212,24 @@
             for service, budget in self._retry_budgets.items()
         }
 
+    def on_connect_failed(self, backend: Backend, now_s: float) -> None:
+        """Record that a connection to a back end timed out, or was refused or reset while it was made."""
+        service = backend.record.service
+        listed = self.backends.backends_of_service(service)
+        if self.reachability.on_connect_failed(backend, listed, now_s):
+            emit(
+                Event.SERVICE_UNREACHABLE,
+                service=service,
+                backends=len(listed),
+                zones=len({each.record.zone for each in listed}),
+                peers_answer=backend.peers_load is not None,
+            )
+
+    def on_reached(self, backend: Backend) -> None:
+        """Record that a back end answered, or accepted a new connection."""
+        if self.reachability.on_reached(backend):
+            emit(Event.SERVICE_REACHABLE, service=backend.record.service, backend=backend.incarnation)
+
     def on_connect_timeout(self, backend: Backend, now_s: float) -> None:
         """Record that a connection to a back end timed out: it was neither established nor refused."""
         if self.zones.on_connect_timeout(backend, self.backends.all_backends(), now_s):
--- a/src/wallwell/serving/attempt_feedback.py
+++ b/src/wallwell/serving/attempt_feedback.py
@@ -41,6 +41,7 @@
         now_s = boot_time_s()
         backend.silence.on_received(now_s)
         self._state.on_sign_of_life(backend, now_s)
+        self._state.on_reached(backend)
         self._record_acceptance(backend, now_s)
         if head.ok:
             backend.on_success(now_s)
@@ -85,6 +86,8 @@
     def _record_reachability(
         self, active: ActiveRequest, backend: Backend, event: TransportEvent, now_s: float
     ) -> None:
+        if event in CONNECT_FAILURES:
+            self._state.on_connect_failed(backend, now_s)
         if event is TransportEvent.CONNECT_TIMEOUT:
             active.history.unresponsive_zones.add(backend.record.zone)
             self._state.on_connect_timeout(backend, now_s)
