Learn that a service is unreachable from a few back ends and by probes

Refusals count like time-outs: a partition shows as either. Requests are served as before: nothing reads the state but events and a gauge.

--- a/src/wallwell/node/metrics.py
+++ b/src/wallwell/node/metrics.py
@@ -88,12 +88,6 @@
         yield GaugeMetricFamily(
             "wallwell_backends_limited", "Back ends that state how many requests they take.", value=limited_count
         )
-        unreachable_count = sum(each.unreachable_since_s is not None for each in backends)
-        yield GaugeMetricFamily(
-            "wallwell_backends_unreachable",
-            "Back ends that this node cannot connect to since their last answer.",
-            value=unreachable_count,
-        )
         yield GaugeMetricFamily(
             "wallwell_services_unreachable",
             "Services none of whose back ends this node can connect to.",
--- a/src/wallwell/node/state.py
+++ b/src/wallwell/node/state.py
@@ -127,7 +127,7 @@
     """Retry budgets by service."""
     zones: ZoneSuspicion = field(init=False)
     """Zones suspected to be cut off from this node."""
-    reachability: ServiceReachability = field(default_factory=ServiceReachability)
+    reachability: ServiceReachability = field(init=False)
     """Services none of whose back ends this node can connect to."""
     rollouts: RolloutRegistry = field(default_factory=RolloutRegistry)
     """Rollouts of software versions, by service."""
@@ -145,6 +145,7 @@
     def __post_init__(self) -> None:
         self.split_offset = self.rng.random()
         self.zones = ZoneSuspicion(self.rng)
+        self.reachability = ServiceReachability(self.rng)
         self.rollouts.bounds = self.bounds.rollout
 
     @property
--- a/src/wallwell/platform/worker_probes.py
+++ b/src/wallwell/platform/worker_probes.py
@@ -27,6 +27,10 @@
         failure = await self._open_connection(backend)
         return failure is None or not failure.timed_out
 
+    async def accepts_connections(self, backend: BackendRecord) -> bool:
+        """See :class:`wallwell.serving.liveness.ReachabilityCheck`."""
+        return await self._open_connection(backend) is None
+
     async def refuses_connections(self, backend: BackendRecord) -> bool:
         """See :class:`wallwell.node.crash_probe.CrashCheck`."""
         if self._pool.has_idle(backend.address):
--- a/src/wallwell/routing/health/backend.py
+++ b/src/wallwell/routing/health/backend.py
@@ -43,8 +43,6 @@
     consecutive_failures: int = 0
     consecutive_refusals: int = 0
     """Requests refused because the back end was full, since the last accepted request."""
-    unreachable_since_s: float | None = None
-    """When the first connection attempt failed since this node last received something from the back end."""
     suspended_until_s: float = 0.0
     last_success_s: float = float("-inf")
     slow_until_s: float = float("-inf")
@@ -166,15 +164,6 @@
         self.suspended_until_s = until_s
         return True
 
-    def on_connect_failed(self, now_s: float) -> None:
-        """Record that a connection to the back end could not be made."""
-        if self.unreachable_since_s is None:
-            self.unreachable_since_s = now_s
-
-    def on_reached(self) -> None:
-        """Record that the back end answered, or that a connection to it was made."""
-        self.unreachable_since_s = None
-
     def on_accepted(self, now_s: float) -> float | None:
         """Record an accepted request; returns the seconds since the first refusal if this ends a back-off."""
         self.consecutive_refusals = 0
--- a/src/wallwell/serving/liveness.py
+++ b/src/wallwell/serving/liveness.py
@@ -1,9 +1,10 @@
 """Detects back ends that stopped without closing their connections, and interrupts attempts that may be retried.
 
 A machine that loses power sends nothing: its connections stay open and its streams stall. A back end that is silent
-for long while requests are in flight is probed with a new connection, and so is one back end of each zone that may
-be cut off. This module runs the probes and keeps the interruptible attempts. The back end's silence record decides
-when a silence is long, the zones' record which zone is probed, the retry policy which attempts are interruptible.
+for long while requests are in flight is probed with a new connection. So is one back end of each zone that may be
+cut off, and some of each service whose connections fail. This module runs the probes and keeps the interruptible
+attempts. The back end's silence record decides when a silence is long, the zones' record and the services' record
+what else is probed, the retry policy which attempts are interruptible.
 """
 
 from __future__ import annotations
@@ -34,6 +35,10 @@
         """Open a new connection; return False if there is no response to it, not even a refusal."""
         ...
 
+    async def accepts_connections(self, backend: BackendRecord) -> bool:
+        """Open a new connection; return False if it times out or is refused."""
+        ...
+
 
 class LivenessMonitor:
     """Probes back ends that are silent for long while requests are in flight, and interrupts their attempts."""
@@ -52,7 +57,8 @@
             self.probe_due_backends()
 
     def probe_due_backends(self) -> None:
-        """Start probes of back ends that have been silent for long, and of one in each zone that may be cut off.
+        """Start probes of back ends that have been silent for long, and of some in each zone and each service that
+        may be cut off from this node.
 
         Attempts on back ends that have been replaced are interrupted without a probe.
         """
@@ -64,13 +70,27 @@
                 self._probes.start(self._probe(backend))
         for backend in self._state.zones.begin_probes(self._state.backends.all_backends(), now_s):
             self._probes.start(self._probe_zone(backend))
+        for backend in self._state.reachability.begin_probes(self._state.backends.backends_of_service, now_s):
+            self._probes.start(self._probe_service(backend))
 
     async def _probe_zone(self, backend: Backend) -> None:
         """Probe one back end to find out whether its zone is reachable."""
         if await self._reachability.is_reachable(backend.record):
             self._state.on_sign_of_life(backend, boot_time_s())
         else:
-            self._state.on_connect_timeout(backend, boot_time_s())
+            self._on_connect_timeout(backend, boot_time_s())
+
+    async def _probe_service(self, backend: Backend) -> None:
+        """Probe one back end to find out whether any of its service accepts connections of this node."""
+        if await self._reachability.accepts_connections(backend.record):
+            self._state.on_sign_of_life(backend, boot_time_s())
+            self._state.on_reached(backend)
+        else:
+            self._state.on_connect_failed(backend, boot_time_s())
+
+    def _on_connect_timeout(self, backend: Backend, now_s: float) -> None:
+        self._state.on_connect_timeout(backend, now_s)
+        self._state.on_connect_failed(backend, now_s)
 
     async def _probe(self, backend: Backend) -> None:
         probe_started_s = boot_time_s()
@@ -81,7 +101,7 @@
             return
         now_s = boot_time_s()
         backend.on_failure(now_s, unreachable=True)
-        self._state.on_connect_timeout(backend, now_s)
+        self._on_connect_timeout(backend, now_s)
         emit(
             Event.BACKEND_SILENT,
             backend=backend.incarnation,
--- a/tests/unit/node/test_restarted_back_end.py
+++ b/tests/unit/node/test_restarted_back_end.py
@@ -45,6 +45,8 @@
     async def is_reachable(self, backend):
         return True
 
+    accepts_connections = is_reachable
+
 
 def restart(state, incarnation, started_unix_ms):
     record = state.backends.get(incarnation).record
--- a/tests/unit/serving/test_liveness.py
+++ b/tests/unit/serving/test_liveness.py
@@ -44,6 +44,8 @@
         await asyncio.sleep(0.001 if self.reachable else 0.1)
         return self.reachable
 
+    accepts_connections = is_reachable
+
 
 def serve_one(scripts, route, reachable, generation=True):
     """Serve one request; return reply, client, check, duration in seconds, and which back ends are suspended."""
--- a/tests/unit/serving/test_zone_outage.py
+++ b/tests/unit/serving/test_zone_outage.py
@@ -43,6 +43,8 @@
         await asyncio.sleep(CHECK_S if backend.zone in self.unreachable_zones else 0.002)
         return backend.zone not in self.unreachable_zones
 
+    accepts_connections = is_reachable
+
 
 def serve_through_outage(cut_zones, zone="z9"):
     """Serve requests for ten seconds with zones cut off for six.
