Have attempts made by a peer while a node reaches no back end of a service

What callers saw: a node that had lost its links to all back ends refused or failed all requests, though it was ready and the nodes beside it served theirs: 1 of 33 and 0 of 67 first tries there, 184 of 184 and 149 of 149 at the others. Cause: a node could reach a back end only by its own connections.

The node keeps all decisions and counts; a peer that reaches the back end sends the request once and passes the answer on, after checking access, leaving, back-off and quarantine itself. A request whose first two connections failed goes that way at once.

--- a/src/wallwell/cli/explain.py
+++ b/src/wallwell/cli/explain.py
@@ -20,7 +20,14 @@
 CONTEXT_S = 3.0
 """Seconds before a request's end from which other events of its node are printed."""
 REQUEST_EVENTS = frozenset(
-    event.number for event in (Event.REQUEST_ENDED, Event.REQUEST_RETRIED, Event.REQUEST_REFUSED, Event.CALLER_GONE)
+    event.number
+    for event in (
+        Event.REQUEST_ENDED,
+        Event.REQUEST_RETRIED,
+        Event.REQUEST_REFUSED,
+        Event.CALLER_GONE,
+        Event.ATTEMPT_FOR_PEER,
+    )
 )
 """Numbers of the events that describe a single request."""
 CONTEXT_EVENTS = frozenset(
@@ -35,6 +42,8 @@
         Event.BACKEND_LIMIT_STATED,
         Event.BACKEND_LIMIT_ENDED,
         Event.BACKEND_CRASHED,
+        Event.SERVICE_UNREACHABLE,
+        Event.SERVICE_REACHABLE,
         Event.REQUEST_QUARANTINED,
         Event.STORE_LOST,
         Event.STORE_REGAINED,
--- a/src/wallwell/cluster/peer_link.py
+++ b/src/wallwell/cluster/peer_link.py
@@ -1,5 +1,7 @@
 """Requests between nodes: JSON lines over TCP, with one request and one reply at a time per connection.
 
+Some requests get a stream of messages as their reply; each of these uses a connection of its own.
+
 All messages between nodes use these links. Owns the connections, and the set of peers that do not answer, so that
 each change is logged once. Callers choose the peer and the time-out. Relies on :mod:`wallwell.socket_options` to
 end connections whose peer is silent.
@@ -32,6 +34,8 @@
 
 Reply = TypeVar("Reply", bound=msgspec.Struct)
 Handler = Callable[[Any], Awaitable[msgspec.Struct]]
+StreamHandler = Callable[[Any, "ReplyStream"], Awaitable[None]]
+"""Handles a request whose reply has several messages. The connection is closed when it returns."""
 
 
 class PeerMessage(msgspec.Struct, frozen=True, tag=True):
@@ -128,14 +132,50 @@
             self._links.pop(name).close()
 
 
+class ReplyStream:
+    """The rest of a connection whose request gets several messages as its reply."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    async def send(self, message: msgspec.Struct) -> None:
+        """Send one message; waits while the peer reads slowly. Raises OSError if the peer is gone."""
+        self._writer.write(msgspec.json.encode(message) + b"\n")
+        await self._writer.drain()
+
+    async def wait_disconnected(self) -> None:
+        """Return once the peer has closed the connection, or has sent anything more, which it must not."""
+        try:
+            await self._reader.read(1)
+        except OSError:
+            pass  # Reset: disconnected too.
+
+    def is_disconnected(self) -> bool:
+        """Whether the connection has been closed or reset."""
+        return self._reader.at_eof() or self._writer.transport.is_closing()
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._writer.transport.abort()
+
+
 class PeerServer:
-    """Serves requests of peers; ``handlers`` has one entry per type of request."""
+    """Serves requests of peers; ``handlers`` and ``stream_handlers`` have one entry per type of request."""
 
-    def __init__(self, handlers: Mapping[type[PeerMessage], Handler]) -> None:
+    def __init__(
+        self,
+        handlers: Mapping[type[PeerMessage], Handler],
+        stream_handlers: Mapping[type[PeerMessage], StreamHandler] | None = None,
+    ) -> None:
         self._handlers = handlers
-        self._decoder = msgspec.json.Decoder(_union_of(tuple(handlers)))
+        self._stream_handlers = stream_handlers or {}
+        self._decoder = msgspec.json.Decoder(_union_of((*handlers, *self._stream_handlers)))
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
+        """Connections that may be closed between two requests."""
+        self._streams: set[asyncio.Task[None]] = set()
+        """Connections whose request is answered by a stream handler."""
         self._unlogged_refusals = 0
         """Requests refused since the last log line about refusals."""
         self._refusal_logged_s = float("-inf")
@@ -160,6 +200,7 @@
             pass  # Closed below. Not raised again, since asyncio would log a cancelled connection task as an error.
         finally:
             self._connections.discard(task)
+            self._streams.discard(task)
             writer.transport.abort()
 
     def _on_refusal(self, peer: Any, error: Exception) -> None:
@@ -176,17 +217,36 @@
     async def _serve_requests(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while line := await reader.readline():
             request = self._decoder.decode(line)
+            stream_handler = self._stream_handlers.get(type(request))
+            if stream_handler is not None:
+                self._begin_stream()
+                await stream_handler(request, ReplyStream(reader, writer))
+                writer.close()
+                await writer.wait_closed()  # Sends what is still buffered.
+                return
             reply = await self._handlers[type(request)](request)
             writer.write(msgspec.json.encode(reply) + b"\n")
             await writer.drain()
 
+    def _begin_stream(self) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._connections.discard(task)
+        self._streams.add(task)
+
     def close(self) -> None:
-        """Stop listening and close the connections of peers, which then turn to other nodes at once."""
+        """Stop listening and close the connections of peers, which then turn to other nodes at once. Replies of
+        stream handlers go on until :meth:`abort_streams`."""
         if self._server is not None:
             self._server.close()
         for task in list(self._connections):
             task.cancel()
 
+    def abort_streams(self) -> None:
+        """Cancel the stream handlers."""
+        for task in list(self._streams):
+            task.cancel()
+
 
 def _union_of(types: tuple[type[PeerMessage], ...]) -> Any:
     union: Any = types[0]
--- a/src/wallwell/cluster/upstream.py
+++ b/src/wallwell/cluster/upstream.py
@@ -45,6 +45,8 @@
     zone: str
     relay: str = ""
     link_mbps: float = 0.0
+    makes_attempts: bool | msgspec.UnsetType = msgspec.UNSET
+    """Whether the node makes attempts for peers; omitted if it does not, as in rows of earlier versions."""
 
 
 class Peer(NamedTuple):
--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -51,6 +51,7 @@
     ANSWER_DISCARDED = (3008, "WARNING", "received bytes discarded: they answer no request in flight")
     REQUEST_REFUSED = (3009, "INFO", "request ended with an error of the router")
     REQUEST_QUARANTINED = (3010, "WARNING", "request is quarantined: back ends that ran it crashed")
+    ATTEMPT_FOR_PEER = (3011, "INFO", "attempt made, declined or cancelled for a peer that has no path of its own")
     CLAIM_RETRIED = (3020, "INFO", "table service did not confirm a claim; retrying")
 
     # 4001 and up: the platform's store and other services.
--- a/src/wallwell/node/metrics.py
+++ b/src/wallwell/node/metrics.py
@@ -44,6 +44,12 @@
         yield requests
         yield _counter("wallwell_refusals", "Own errors by code.", "code", counters.refusals)
         yield _counter("wallwell_attempts", "Attempts by result.", "result", counters.attempts)
+        yield _counter(
+            "wallwell_attempts_by_peers", "Attempts made by peers.", "result", counters.attempts_by_peers
+        )
+        yield _counter(
+            "wallwell_attempts_for_peers", "Attempts made for peers.", "result", counters.attempts_for_peers
+        )
         yield _histogram("wallwell_first_piece_seconds", "Time to the first token.", counters.first_token_latency)
         yield _histogram("wallwell_answer_seconds", "Time to the whole answer.", counters.answer_latency)
         yield _histogram("wallwell_largest_gap_seconds", "Largest pause of a stream.", counters.largest_event_gap)
--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -9,16 +9,17 @@
 import asyncio
 import random
 import time
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from functools import partial
 
 import msgspec
+from msgspec import UNSET
 
 from wallwell.clock import boot_time_s
 from wallwell.cluster.crash_reports import CrashReports
 from wallwell.cluster.load_messages import MemberLoad, RegionLoad, ZoneLoad
 from wallwell.cluster.load_reporter import LoadReporter
-from wallwell.cluster.peer_link import PeerServer
+from wallwell.cluster.peer_link import PeerServer, ReplyStream
 from wallwell.cluster.relay import rows_handler
 from wallwell.cluster.row_messages import RowsRequest
 from wallwell.cluster.upstream import NodeRecord, UpstreamOrder
@@ -38,11 +39,16 @@
 from wallwell.node.readiness import Readiness
 from wallwell.node.state import FleetBounds, NodeState
 from wallwell.node.supervision import LoopFunction, run_supervised
+from wallwell.peer_attempts.client import PeerAttemptClient
+from wallwell.peer_attempts.messages import AttemptRequest
+from wallwell.peer_attempts.paths import AttemptPaths
+from wallwell.peer_attempts.server import PeerAttemptServer
 from wallwell.placement.weights_roll_driver import WeightsRollDriver
 from wallwell.rollout.driver import RolloutDriver
 from wallwell.rollout.planner import RolloutPlanner
 from wallwell.rollout.reporter import CountsReporter
 from wallwell.rollout.reports import CountsReport, FleetCounts
+from wallwell.routing.selection.peer_choice import PeerChoice, PeerNode
 from wallwell.serving.liveness import LivenessMonitor
 from wallwell.serving.messages import CallerReply, CallerRequest
 from wallwell.serving.pipeline import RequestPipeline
@@ -109,10 +115,29 @@
         self._crash_watch = CrashWatch(
             self.state, adapter.backend_check, adapter.sources.own_table, lambda: self._order.members
         )
+        choice = PeerChoice(self.state.topology, self.state.rng)
+        peer_client = PeerAttemptClient(choice, self._attempt_peers, adapter.notices)
         self._pipeline = RequestPipeline(
-            self.state, adapter.client, liveness=self._liveness, crash_observer=self._crash_watch
+            self.state,
+            AttemptPaths(adapter.client, peer_client),
+            liveness=self._liveness,
+            crash_observer=self._crash_watch,
+        )
+        self._peer_attempts = PeerAttemptServer(
+            self.state,
+            adapter.client,
+            self._pipeline.feedback,
+            self._liveness,
+            self._pipeline.counters,
+            self.is_ready,
         )
 
+    def _attempt_peers(self) -> Iterator[PeerNode]:
+        """Yield the other nodes that make attempts for peers."""
+        for name, member in self._order.members.items():
+            if name != self.state.node and member.makes_attempts is True and member.relay:
+                yield PeerNode(name, member.zone, member.relay)
+
     def _build_drivers(self, adapter: NodeAdapter) -> None:
         """Build the drivers of weights rolls and rollouts, each of which runs on at most one node at a time."""
         sources = adapter.sources
@@ -159,11 +184,13 @@
                 RegionLoad: self._load_reporter.region_reporter.on_region_load,
                 CacheRequest: self._kv_store_watch.answer_peer,
                 CountsReport: self._counts_reporter.on_counts_report,
-            }
+            },
+            {AttemptRequest: self._make_attempt_for_peer},
         )
 
     def _own_record(self) -> NodeRecord:
-        return NodeRecord(self._profile.zone, self._peer_server.address, self._profile.link_mbps)
+        relay = self._peer_server.address
+        return NodeRecord(self._profile.zone, relay, self._profile.link_mbps, True if relay else UNSET)
 
     # --- start -----------------------------------------------------------------------------------------
 
@@ -201,6 +228,14 @@
         finally:
             self.in_flight -= 1
 
+    async def _make_attempt_for_peer(self, message: AttemptRequest, replies: ReplyStream) -> None:
+        """Make an attempt of another node's request, for which a planned stop of this node waits too."""
+        self.in_flight += 1
+        try:
+            await self._peer_attempts.serve(message, replies)
+        finally:
+            self.in_flight -= 1
+
     def metrics_text(self) -> bytes:
         """Return this node's metrics in the Prometheus text format."""
         # Imported here so that a node without a metrics address does not load the Prometheus library.
@@ -229,6 +264,7 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._peer_server.close()
+        self._peer_server.abort_streams()
         self._load_reporter.close()
         self._kv_store_watch.close()
         self._counts_reporter.close()
--- /dev/null
+++ b/src/wallwell/peer_attempts/server.py
@@ -0,0 +1,276 @@
+"""Makes single attempts for peers that cannot connect to the back ends of a service themselves.
+
+Checks the request's access by this node's own configuration, and whether the back end may get requests from this
+node: what a back end states in its answers binds each node that passed it on. The asking node chooses the back end,
+counts the attempt and decides what follows; this one only records what the attempt shows about its own links to the
+back end, and whether the request crashes back ends.
+
+Owns the attempts in flight. Of a peer's message only what a caller could have sent is believed: tenant, priority,
+expected weights and cache scope are this node's own.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from contextlib import aclosing, nullcontext
+
+from wallwell.clock import boot_time_s, time_limit
+from wallwell.cluster.peer_link import ReplyStream
+from wallwell.errors import RequestError
+from wallwell.events import Event, emit
+from wallwell.node.state import NodeState
+from wallwell.peer_attempts.messages import (
+    MAX_DATA_BYTES,
+    AnswerData,
+    AnswerEnded,
+    AnswerStarted,
+    AttemptDeclined,
+    AttemptFailed,
+    AttemptRequest,
+    PeerNotice,
+    encode_headers,
+)
+from wallwell.routing.admission.access import AccessRequest, Denial, Granted, decide_access
+from wallwell.routing.health.backend import Backend
+from wallwell.routing.retry.attempt_outcome import AttemptLog, TransportEvent
+from wallwell.serving.active_request import ActiveRequest
+from wallwell.serving.attempt_feedback import AttemptFeedback
+from wallwell.serving.cache_planning import CachePlanner
+from wallwell.serving.counters import RequestCounters
+from wallwell.serving.liveness import LivenessMonitor
+from wallwell.serving.messages import (
+    AnswerHead,
+    AttemptError,
+    BackendClient,
+    CallerRequest,
+    Dispatch,
+)
+from wallwell.serving.request_errors import RequestErrorFactory
+
+
+class PeerReply:
+    """The answer to the asking node. Implements :class:`wallwell.serving.messages.CallerReply`."""
+
+    def __init__(self, replies: ReplyStream) -> None:
+        self._replies = replies
+        self.started = False
+
+    def is_caller_gone(self) -> bool:
+        """Whether the asking node has closed the connection."""
+        return self._replies.is_disconnected()
+
+    async def answer(self, head: AnswerHead, body: bytes) -> None:
+        """Send a complete answer."""
+        await self.start(head)
+        await self.write(body)
+        await self.finish()
+
+    async def refuse(self, error: RequestError) -> None:
+        """Send an error of this node: nothing was sent to a back end."""
+        await self._replies.send(AttemptFailed(TransportEvent.WITHDRAWN.value, error.detail))
+
+    async def start(self, head: AnswerHead) -> None:
+        """Send the head of an answer."""
+        self.started = True
+        headers = encode_headers(head.headers)
+        notice = PeerNotice.of(head.notice)
+        await self._replies.send(
+            AnswerStarted(head.status, headers, head.weights_version, head.is_event_stream, notice)
+        )
+
+    async def write(self, data: bytes) -> None:
+        """Send part of the body; waits while the asking node reads slowly."""
+        for start in range(0, len(data), MAX_DATA_BYTES):
+            await self._replies.send(AnswerData(data[start : start + MAX_DATA_BYTES]))
+
+    async def finish(self) -> None:
+        """Send the end of the body."""
+        await self._replies.send(AnswerEnded())
+
+    def abort(self) -> None:
+        """Close the connection, so that the answer cannot look complete."""
+        self._replies.abort()
+
+
+class PeerAttemptServer:
+    """Makes attempts for the peers of one node."""
+
+    def __init__(
+        self,
+        state: NodeState,
+        client: BackendClient,
+        feedback: AttemptFeedback,
+        liveness: LivenessMonitor,
+        counters: RequestCounters,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        """``client`` sends to back ends directly. ``is_ready`` returns whether this node takes requests at all."""
+        self._state = state
+        self._client = client
+        self._feedback = feedback
+        self._liveness = liveness
+        self._is_ready = is_ready
+        self._errors = RequestErrorFactory(state)
+        self._cache_planner = CachePlanner(state)
+        self._counters = counters
+
+    async def serve(self, message: AttemptRequest, replies: ReplyStream) -> None:
+        """Make the attempt, or decline it; cancel it if the peer closes the connection."""
+        now_s = boot_time_s()
+        request = message.caller_request(now_s)
+        declined = self._decline(message, request, now_s)
+        if declined is not None:
+            self._count(message, "declined", declined.reason)
+            await replies.send(declined)
+            return
+        attempt = asyncio.ensure_future(self._make_attempt(message, request, replies))
+        disconnected = asyncio.ensure_future(replies.wait_disconnected())
+        try:
+            await asyncio.wait((attempt, disconnected), return_when=asyncio.FIRST_COMPLETED)
+            if not attempt.done():
+                self._count(message, "cancelled")
+        finally:
+            attempt.cancel()
+            disconnected.cancel()
+            await asyncio.gather(attempt, disconnected, return_exceptions=True)
+
+    # --- whether to make it ----------------------------------------------------------------------------
+
+    def _decline(self, message: AttemptRequest, request: CallerRequest, now_s: float) -> AttemptDeclined | None:
+        """Return why this node does not make an attempt; None if it does."""
+        if not self._is_ready():
+            return AttemptDeclined("the node is not ready")
+        access = self._decide_access(request)
+        if isinstance(access, Denial):
+            return AttemptDeclined(access.value)
+        backend = self._state.backends.get(message.incarnation)
+        if backend is None:
+            return None
+        service = backend.record.service
+        if all(each.service != service for each in access.route.services):
+            return AttemptDeclined("the route does not lead to this service")
+        if self._state.reachability.is_unreachable(service):
+            return AttemptDeclined("the node cannot connect to the service either", is_unreachable=True)
+        return None
+
+    def _decide_access(self, request: CallerRequest) -> Granted | Denial:
+        state = self._state
+        access_request = AccessRequest(request.host, request.path, request.credential, len(request.body))
+        return decide_access(state.config, state.is_fresh(request.arrived_s), access_request)
+
+    def _usable_backend(self, message: AttemptRequest, active: ActiveRequest, now_s: float) -> Backend:
+        """Return the back end of an attempt. Raises :class:`AttemptError` if it must get nothing from this node."""
+        backend = self._state.backends.get(message.incarnation)
+        if backend is None or backend.is_leaving(now_s):
+            raise AttemptError(TransportEvent.WITHDRAWN, "the back end is leaving or not listed")
+        if message.started_unix_ms is not None and backend.record.started_unix_ms != message.started_unix_ms:
+            raise AttemptError(TransportEvent.WITHDRAWN, "another start of the back end is listed")
+        if not backend.backoff.allows_request(now_s):
+            raise AttemptError(TransportEvent.WITHDRAWN, "the back end asked for no requests")
+        if now_s < backend.suspended_until_s and self._is_any_open(backend.record.service, now_s):
+            raise AttemptError(TransportEvent.WITHDRAWN, "the back end is suspended")
+        if self._errors.quarantine_error(active, now_s) is not None:
+            raise AttemptError(TransportEvent.WITHDRAWN, "the request is in quarantine")
+        return backend
+
+    def _is_any_open(self, service: str, now_s: float) -> bool:
+        return any(each.is_open(now_s) for each in self._state.backends.backends_of_service(service))
+
+    # --- the attempt -----------------------------------------------------------------------------------
+
+    async def _make_attempt(self, message: AttemptRequest, request: CallerRequest, replies: ReplyStream) -> None:
+        active = self._active_request(message, request, PeerReply(replies))
+        try:
+            async with time_limit(message.remaining_s):
+                status = await self._send_and_reply(message, active)
+            self._count(message, "answered", str(status))
+        except AttemptError as failure:
+            self._count(message, failure.event.value, failure.detail)
+            await replies.send(_failed(failure))
+        except TimeoutError:
+            self._count(message, "deadline")
+            await replies.send(AttemptFailed(TransportEvent.ANSWER_TIMEOUT.value, "the deadline passed"))
+
+    async def _send_and_reply(self, message: AttemptRequest, active: ActiveRequest) -> int:
+        """Send the request, pass on the answer, return its status. Raises :class:`AttemptError` or TimeoutError."""
+        backend = self._usable_backend(message, active, boot_time_s())
+        is_interruptible = active.route.repeatable
+        self._on_sent(backend, boot_time_s())
+        try:
+            async with self._liveness.watch(backend, active.progress) if is_interruptible else nullcontext():
+                return await self._pass_on(self._dispatch(message, active, backend), active, backend)
+        except AttemptError as failure:
+            self._feedback.on_failure(active, backend, failure, boot_time_s())
+            raise
+        finally:
+            backend.in_flight -= 1
+
+    def _on_sent(self, backend: Backend, now_s: float) -> None:
+        """Record a request in flight at the back end; its load is in the report of the asking node."""
+        if not backend.in_flight:
+            backend.silence.on_idle_ended(now_s)
+        backend.in_flight += 1
+        backend.backoff.on_sent(now_s)
+
+    async def _pass_on(self, dispatch: Dispatch, active: ActiveRequest, backend: Backend) -> int:
+        """Send the request and pass on the answer as it comes; return its status."""
+        answer = await self._client.send(dispatch)
+        try:
+            self._feedback.on_head(active, backend, answer.head)
+            await active.reply.start(answer.head)
+            async with aclosing(answer.chunks()) as chunks:  # type: ignore[type-var]
+                async for data in chunks:
+                    self._feedback.on_stream_data(active, backend, boot_time_s())
+                    await active.reply.write(data)
+            backend.on_success(boot_time_s())
+            await active.reply.finish()
+            return answer.head.status
+        finally:
+            answer.close()
+
+    def _active_request(self, message: AttemptRequest, request: CallerRequest, reply: PeerReply) -> ActiveRequest:
+        access = self._decide_access(request)
+        assert isinstance(access, Granted)
+        backend = self._state.backends.get(message.incarnation)
+        return ActiveRequest(
+            request=request,
+            reply=reply,
+            route=access.route,
+            tenant=access.tenant,
+            service=backend.record.service if backend is not None else "",
+            deadline_s=boot_time_s() + message.remaining_s,
+            attempt_log=AttemptLog(repeatable=access.route.repeatable),
+        )
+
+    def _dispatch(self, message: AttemptRequest, active: ActiveRequest, backend: Backend) -> Dispatch:
+        generation = active.request.generation
+        version = 0 if generation is None else backend.believed_version(generation.model)
+        cache = None if generation is None else self._cache_planner.plan(active, backend, boot_time_s())
+        return Dispatch(
+            backend=backend.record,
+            request=active.request,
+            tenant=active.tenant.name if active.tenant is not None else "",
+            remaining_s=active.remaining_s(),
+            rank=active.rank,
+            expected_version=version,
+            resume_after=message.resume_after,
+            cache=cache,
+            may_send=lambda: not backend.backoff.is_in_force(boot_time_s()),
+        )
+
+    def _count(self, message: AttemptRequest, result: str, detail: str = "") -> None:
+        self._counters.attempts_for_peers[result] += 1
+        emit(
+            Event.ATTEMPT_FOR_PEER,
+            request_id=message.request_id,
+            backend=message.incarnation,
+            result=result,
+            detail=detail,
+        )
+
+
+def _failed(failure: AttemptError) -> AttemptFailed:
+    return AttemptFailed(
+        failure.event.value, failure.detail, failure.weights_version, PeerNotice.of(failure.notice)
+    )
--- a/src/wallwell/platform/worker_client.py
+++ b/src/wallwell/platform/worker_client.py
@@ -9,6 +9,7 @@
 
 from collections.abc import AsyncIterator
 
+import msgspec
 from aiohttp.http_parser import RawResponseMessage
 
 from wallwell.backend_connection import BackendConnection, ConnectionBrokenError
@@ -17,7 +18,7 @@
 from wallwell.platform import names
 from wallwell.platform.worker_notices import deliver_notice
 from wallwell.platform.worker_requests import attempt_failure, encode_request, has_answer_body, parse_answer_head
-from wallwell.routing.health.backend_notice import BackendNotices
+from wallwell.routing.health.backend_notice import NO_NOTICE, BackendNotices
 from wallwell.routing.retry.attempt_outcome import TransportEvent
 from wallwell.serving.messages import AnswerHead, AttemptError, Dispatch
 
@@ -81,13 +82,17 @@
             raise AttemptError(TransportEvent.WITHDRAWN, "the back end asked for no more requests while connecting")
         sent_s = boot_time_s()
         message, head = await self._round_trip(connection, dispatch)
-        answer = WorkerAnswer(head, connection, dispatch.backend.address, self._pool)
         failure = attempt_failure(message, head)
+        notice = NO_NOTICE
         if failure is None or failure.event is not TransportEvent.FOREIGN_ANSWER:
             # Headers of a foreign answer, which the worker did not send, state nothing about the worker.
             from_worker = failure is None or failure.event is TransportEvent.BACKEND_OVERLOADED
-            deliver_notice(self._notices, message, dispatch.backend.incarnation, sent_s if from_worker else None)
+            incarnation = dispatch.backend.incarnation
+            notice = deliver_notice(self._notices, message, incarnation, sent_s if from_worker else None)
+        head = msgspec.structs.replace(head, notice=notice)
+        answer = WorkerAnswer(head, connection, dispatch.backend.address, self._pool)
         if failure is not None:
+            failure.notice = notice
             # Does not wait for the body, which may never arrive. The connection is reused if the body is complete.
             answer.close()
             raise failure
--- a/src/wallwell/platform/worker_notices.py
+++ b/src/wallwell/platform/worker_notices.py
@@ -24,14 +24,15 @@
 
 def deliver_notice(
     notices: BackendNotices, message: RawResponseMessage, incarnation: str, sent_s: float | None = None
-) -> None:
-    """Parse the notice in an answer to a call to ``incarnation``, and deliver it unless it is empty.
+) -> BackendNotice:
+    """Parse the notice in an answer to a call to ``incarnation``, deliver it unless it is empty, and return it.
 
     ``sent_s`` is when the answered request was sent; None for calls that are not requests, such as reports.
     """
     notice = parse_notice(message, incarnation, sent_s)
     if notice != NO_NOTICE:
         notices.on_notice(incarnation, notice)
+    return notice
 
 
 def parse_notice(message: RawResponseMessage, incarnation: str, sent_s: float | None = None) -> BackendNotice:
--- a/src/wallwell/routing/health/reachability.py
+++ b/src/wallwell/routing/health/reachability.py
@@ -25,8 +25,8 @@
 FAILURES_TO_DECIDE = 4
 """Back ends of a service that could not be connected to, with none reached in between, from which the service is
 unreachable; all of them if there are fewer."""
-ZONES_TO_DECIDE = 2
-"""Zones that these back ends must be in, if there are as many: one zone may be cut off."""
+ZONES_TO_DECIDE = 4
+"""Zones that these back ends must be in, if there are as many: all but one may be cut off."""
 FAILURE_WINDOW_S = 5.0
 """Seconds for which a failed connection counts; a node with few requests connects seldom."""
 PROBES_AT_ONCE = 2
--- a/src/wallwell/routing/retry/attempt_history.py
+++ b/src/wallwell/routing/retry/attempt_history.py
@@ -31,11 +31,29 @@
     """Failed attempts that were connected to a back end, whether it ran or refused them or the connection broke."""
     prepaid_retries: int = 0
     """Retries taken from the budget in advance, when a silent attempt was abandoned."""
+    unreached_incarnations: set[str] = field(default_factory=set)
+    """Back ends that this node could not connect to for this request; peers may still reach them."""
+    unreached_peer_attempts: int = 0
+    """Attempts made by peers that did not arrive at a back end."""
+    found_no_peer: bool = False
+    """Whether an attempt was to be made by a peer, and none made it."""
     unresponsive_zones: set[str] = field(default_factory=set)
     """Zones in which a connection attempt of this request timed out."""
     failure_details: list[str] = field(default_factory=list)
     """One line per failed attempt, for the error's detail."""
 
+    @property
+    def direct_connect_failures(self) -> int:
+        """Number of back ends that this node could not connect to for this request."""
+        return len(self.unreached_incarnations)
+
+    def record_unreached(self, incarnation: str, event: TransportEvent, via_peer: bool) -> None:
+        """Record an attempt that did not arrive at a back end."""
+        if via_peer:
+            self.unreached_peer_attempts += 1
+        elif event in CONNECT_FAILURES:
+            self.unreached_incarnations.add(incarnation)
+
     def record_failure(self, event: TransportEvent) -> None:
         """Count an attempt that ended without a complete answer."""
         if event in NOT_ARRIVED:
--- a/src/wallwell/routing/retry/retry_policy.py
+++ b/src/wallwell/routing/retry/retry_policy.py
@@ -19,7 +19,7 @@
 import msgspec
 
 from wallwell.deployment.routes import Route
-from wallwell.routing.retry.attempt_history import NOT_ARRIVED, AttemptHistory
+from wallwell.routing.retry.attempt_history import CONNECT_FAILURES, NOT_ARRIVED, AttemptHistory
 from wallwell.routing.retry.attempt_outcome import TransportEvent, is_safe_to_retry
 from wallwell.routing.retry.response_timeout import stall_timeout_s
 from wallwell.routing.retry.retry_after import RefusalCause
@@ -31,6 +31,11 @@
 """Number of attempts that were not sent, mostly for lack of a connection, after which the request is refused. The
 cause is then probably this node's side of the network, and the caller's retry reaches another node. Retried error
 answers count as well, since they are attempts that do not count as failed arrivals."""
+MAX_DIRECT_CONNECT_FAILURES = 2
+"""Back ends that this node could not connect to for a request, after which a peer makes its next attempt. One may
+have crashed."""
+MAX_UNREACHED_PEER_ATTEMPTS = 3
+"""The same as ``MAX_UNREACHED_ATTEMPTS`` for attempts made by peers."""
 
 
 class Retry(msgspec.Struct, frozen=True):
@@ -156,8 +161,11 @@
         if not self.may_run_again(route, history.runs):
             return RUNS_EXHAUSTED
         # A retried error answer counts here too: it is an attempt but not a failed arrival.
-        if attempts - history.failed_arrivals >= MAX_UNREACHED_ATTEMPTS:
+        unreached = attempts - history.failed_arrivals - history.unreached_peer_attempts
+        if unreached >= MAX_UNREACHED_ATTEMPTS or history.unreached_peer_attempts >= MAX_UNREACHED_PEER_ATTEMPTS:
             return NO_BACKEND_REACHABLE
+        if history.found_no_peer and event in CONNECT_FAILURES:
+            return NO_BACKEND_REACHABLE  # Neither this node nor a peer reaches one.
         if history.failed_arrivals >= route.max_attempts + MAX_EXTRA_ARRIVALS:
             return TOO_MANY_REFUSALS
         return None
--- a/src/wallwell/serving/active_request.py
+++ b/src/wallwell/serving/active_request.py
@@ -18,7 +18,7 @@
 from wallwell.routing.retry.attempt_outcome import AttemptLog
 from wallwell.routing.selection.prefix_home import placement_key
 from wallwell.serving.event_stream import StreamPosition
-from wallwell.serving.messages import CallerReply, CallerRequest
+from wallwell.serving.messages import CallerReply, CallerRequest, SendProgress
 
 
 @dataclass
@@ -77,6 +77,8 @@
     history: AttemptHistory = field(default_factory=AttemptHistory)
     stream_position: StreamPosition = field(default_factory=StreamPosition)
     timing: AnswerTiming = field(default_factory=AnswerTiming)
+    progress: SendProgress = field(default_factory=SendProgress)
+    """Progress of the current attempt."""
     prefers_target: bool | None = None
     """Whether the target version of a rollout is tried first; None until the version has been drawn."""
 
--- a/src/wallwell/serving/attempt.py
+++ b/src/wallwell/serving/attempt.py
@@ -23,7 +23,8 @@
 from wallwell.serving.cache_planning import CachePlanner
 from wallwell.serving.counted_answer import TrafficCountedAnswer
 from wallwell.serving.liveness import LivenessMonitor
-from wallwell.serving.messages import AttemptError, BackendAnswer, BackendClient, Dispatch
+from wallwell.serving.messages import AttemptError, BackendAnswer, BackendClient, Dispatch, SendProgress
+from wallwell.serving.peer_preference import prefers_peer_attempts
 from wallwell.serving.response_wait import ResponseWaiter
 from wallwell.serving.stream_forwarding import StreamForwarder
 from wallwell.serving.untried_backends import has_untried_backend
@@ -59,6 +60,7 @@
 
         Raises :class:`AttemptError` if the attempt fails, TimeoutError at the request's deadline.
         """
+        prefers_peers = prefers_peer_attempts(self._state, active)
         load = _load_units(active)
         sent_s = self._on_sent(active, backend, load)
         counted_attempt = count_attempt_start(self._state, active, backend, sent_s)
@@ -66,7 +68,7 @@
         answer: BackendAnswer | None = None
         try:
             async with time_limit(active.remaining_s()), self._liveness_watch(active, backend):
-                answer = await self._send(active, backend)
+                answer = await self._send(active, backend, prefers_peers)
                 return await self._forward_answer(active, backend, answer)
         except BaseException as error:
             failure = error
@@ -92,6 +94,7 @@
         backend.in_flight += 1
         backend.load += load
         active.history.tried_incarnations.add(backend.incarnation)
+        active.progress = SendProgress()
         active.timing.on_sent(sent_s, backend.fleet_load(self._state.node_count))
         return sent_s
 
@@ -99,12 +102,12 @@
         """Return a context that interrupts the attempt if its back end stops, provided that a retry is allowed."""
         if self._liveness is None or not self._policy.may_interrupt(active.route, active.history):
             return nullcontext()
-        return self._liveness.watch(backend)
+        return self._liveness.watch(backend, active.progress)
 
     # --- the request -----------------------------------------------------------------------------------
 
-    async def _send(self, active: ActiveRequest, backend: Backend) -> BackendAnswer:
-        dispatch = self._build_dispatch(active, backend)
+    async def _send(self, active: ActiveRequest, backend: Backend, prefers_peers: bool) -> BackendAnswer:
+        dispatch = self._build_dispatch(active, backend, prefers_peers)
         answer = await self._response_waiter.await_response(active, backend, dispatch)
         if self._state.topology.distance_to(backend.record.zone) is Distance.OTHER_REGION:
             cause = active.route.kind.value
@@ -113,7 +116,7 @@
         self._feedback.on_head(active, backend, answer.head)
         return answer
 
-    def _build_dispatch(self, active: ActiveRequest, backend: Backend) -> Dispatch:
+    def _build_dispatch(self, active: ActiveRequest, backend: Backend, prefers_peers: bool) -> Dispatch:
         request = active.request
         generation = request.generation
         version = 0
@@ -121,7 +124,11 @@
         resume_after = None
         if generation is not None:
             version = backend.believed_version(generation.model)
-            cache = self._cache_planner.plan(active, backend, boot_time_s())
+            if prefers_peers:
+                # The peer plans transfers itself.
+                cache = self._cache_planner.plan_without_transfers(active, backend)
+            else:
+                cache = self._cache_planner.plan(active, backend, boot_time_s())
             resume_after = generation.resume_after
             if active.stream_position.last_event_number is not None:
                 resume_after = active.stream_position.last_event_number
@@ -134,6 +141,8 @@
             expected_version=version,
             resume_after=resume_after,
             cache=cache,
+            progress=active.progress,
+            prefers_peers=prefers_peers,
             may_send=lambda: not backend.backoff.is_in_force(boot_time_s()),
         )
 
--- a/src/wallwell/serving/attempt_feedback.py
+++ b/src/wallwell/serving/attempt_feedback.py
@@ -39,10 +39,12 @@
         if generation is not None and head.weights_version:
             backend.set_believed_version(generation.model, head.weights_version)
         now_s = boot_time_s()
+        self._record_acceptance(backend, now_s)
+        if active.progress.via_peer:
+            return  # Says nothing about this node's own links.
         backend.silence.on_received(now_s)
         self._state.on_sign_of_life(backend, now_s)
         self._state.on_reached(backend)
-        self._record_acceptance(backend, now_s)
         if head.ok:
             backend.on_success(now_s)
 
@@ -54,13 +56,15 @@
 
     def on_stream_data(self, active: ActiveRequest, backend: Backend, now_s: float) -> None:
         """Record the arrival of bytes of a stream."""
-        backend.silence.on_received(now_s)
-        self._state.on_sign_of_life(backend, now_s)
+        if not active.progress.via_peer:
+            backend.silence.on_received(now_s)
+            self._state.on_sign_of_life(backend, now_s)
         self._selector.record_first_token(active, now_s)
 
     def on_complete_answer(self, active: ActiveRequest, backend: Backend, head: AnswerHead) -> None:
         """Record that an answer is complete."""
-        backend.on_success(boot_time_s())
+        if not active.progress.via_peer:
+            backend.on_success(boot_time_s())
         if self._crash_observer is not None and head.ok:
             self._crash_observer.on_answered(active.content_digest)
 
@@ -69,14 +73,15 @@
         event = failure.event
         if event is TransportEvent.WITHDRAWN:
             return  # Nothing was sent.
-        self._record_reachability(active, backend, event, now_s)
         if event is TransportEvent.ANSWER_TIMEOUT:
             self._selector.record_no_first_token(active, now_s)
+        if not active.progress.via_peer:
+            self._record_reachability(active, backend, event, now_s)
         if event in REFUSED_BY_BACKEND:
             self._record_refusal(active, backend, failure, now_s)
             return  # A back end that refuses explicitly is healthy.
-        if event is TransportEvent.ERROR_ANSWER:
-            return
+        if event is TransportEvent.ERROR_ANSWER or active.progress.via_peer:
+            return  # A peer that made the attempt records itself what it shows of the back end.
         if event is TransportEvent.RESET_AFTER_SEND and self._crash_observer is not None:
             self._crash_observer.on_broken_run(active.content_digest, backend)
         if event is TransportEvent.ANSWER_TIMEOUT and backend.is_answering(now_s):
--- a/src/wallwell/serving/cache_planning.py
+++ b/src/wallwell/serving/cache_planning.py
@@ -26,6 +26,12 @@
     def __init__(self, state: NodeState) -> None:
         self._state = state
 
+    def plan_without_transfers(self, active: ActiveRequest, backend: Backend) -> CachePlan:
+        """Return the plan of an attempt that fetches and saves nothing."""
+        generation = active.request.generation
+        assert generation is not None
+        return CachePlan(_cache_scope(active, generation.model, backend.believed_version(generation.model)))
+
     def plan(self, active: ActiveRequest, backend: Backend, now_s: float) -> CachePlan:
         """Return the cache plan of an attempt at an engine. A planned save is recorded as in progress."""
         state = self._state
--- a/src/wallwell/serving/counters.py
+++ b/src/wallwell/serving/counters.py
@@ -34,6 +34,10 @@
     """Refused requests by error code."""
     attempts: Counter[str] = field(default_factory=Counter)
     """Attempts by result."""
+    attempts_by_peers: Counter[str] = field(default_factory=Counter)
+    """Those of them that a peer made for this node, by result."""
+    attempts_for_peers: Counter[str] = field(default_factory=Counter)
+    """Attempts that this node made for peers, or declined, by result; not counted in the others."""
     first_token_latency: dict[str, LatencyHistogram] = field(default_factory=dict)
     answer_latency: dict[str, LatencyHistogram] = field(default_factory=dict)
     largest_event_gap: dict[str, LatencyHistogram] = field(default_factory=dict)
--- a/src/wallwell/serving/liveness.py
+++ b/src/wallwell/serving/liveness.py
@@ -21,7 +21,7 @@
 from wallwell.node.state import NodeState
 from wallwell.routing.health.backend import Backend
 from wallwell.routing.retry.attempt_outcome import TransportEvent
-from wallwell.serving.messages import AttemptError
+from wallwell.serving.messages import AttemptError, SendProgress
 
 PROBE_CHECK_INTERVAL_S = 0.04
 """Interval in seconds at which back ends are checked for due probes: a fraction of the shortest silence that counts
@@ -46,7 +46,7 @@
     def __init__(self, state: NodeState, reachability_check: ReachabilityCheck) -> None:
         self._state = state
         self._reachability = reachability_check
-        self._interruptible_attempts: dict[Backend, set[asyncio.Timeout]] = {}
+        self._interruptible_attempts: dict[Backend, dict[asyncio.Timeout, SendProgress]] = {}
         """Attempts in flight that may be interrupted for a retry elsewhere, by back end."""
         self._probes = BackgroundTasks()
 
@@ -66,7 +66,7 @@
         for backend in list(self._interruptible_attempts):
             if backend.is_replaced:
                 self._end_attempts(backend)
-            elif not backend.gone and backend.silence.begin_probe_if_due(now_s):
+            elif self._has_own_attempts(backend) and not backend.gone and backend.silence.begin_probe_if_due(now_s):
                 self._probes.start(self._probe(backend))
         for backend in self._state.zones.begin_probes(self._state.backends.all_backends(), now_s):
             self._probes.start(self._probe_zone(backend))
@@ -110,20 +110,24 @@
         )
         self._end_attempts(backend)
 
+    def _has_own_attempts(self, backend: Backend) -> bool:
+        """Whether this node makes an attempt there itself: its probes say nothing about those that peers make."""
+        return any(not progress.via_peer for progress in self._interruptible_attempts[backend].values())
+
     def _end_attempts(self, backend: Backend) -> None:
-        for attempt in self._interruptible_attempts.get(backend, set()):
-            if not attempt.expired():
+        for attempt, progress in self._interruptible_attempts.get(backend, {}).items():
+            if not attempt.expired() and not progress.via_peer:
                 attempt.reschedule(asyncio.get_running_loop().time())
 
     @asynccontextmanager
-    async def watch(self, backend: Backend) -> AsyncIterator[None]:
+    async def watch(self, backend: Backend, progress: SendProgress) -> AsyncIterator[None]:
         """Run one attempt and interrupt it with :class:`AttemptError` if its back end is found to have stopped.
 
-        Only for attempts that the retry policy allows to interrupt.
+        Only for attempts that the retry policy allows to interrupt. Once a peer makes the attempt, it goes on.
         """
         attempt = asyncio.timeout(None)
-        watched = self._interruptible_attempts.setdefault(backend, set())
-        watched.add(attempt)
+        watched = self._interruptible_attempts.setdefault(backend, {})
+        watched[attempt] = progress
         try:
             async with attempt:
                 yield
@@ -132,6 +136,6 @@
                 raise
             raise AttemptError(TransportEvent.RESET_AFTER_SEND, "the back end has stopped") from None
         finally:
-            watched.discard(attempt)
+            del watched[attempt]
             if not watched:
                 self._interruptible_attempts.pop(backend, None)
--- a/src/wallwell/serving/messages.py
+++ b/src/wallwell/serving/messages.py
@@ -15,6 +15,7 @@
 from wallwell.deployment.backends import BackendRecord
 from wallwell.errors import RequestError
 from wallwell.routing.health.backend import Backend
+from wallwell.routing.health.backend_notice import NO_NOTICE, BackendNotice
 from wallwell.routing.retry.attempt_outcome import TransportEvent
 from wallwell.routing.selection.prefix_home import PromptPart
 
@@ -74,6 +75,10 @@
 
     connecting: bool = False
     """Whether the connection is still being opened, so that nothing can have reached the back end."""
+    via_peer: str = ""
+    """Name of the node that makes the attempt for this one; empty if this node makes it itself."""
+    found_no_peer: bool = False
+    """Whether peers were to make the attempt, and none did."""
 
 
 def _always_true() -> bool:
@@ -93,6 +98,8 @@
     resume_after: int | None = None
     cache: CachePlan | None = None
     progress: SendProgress = field(default_factory=SendProgress)
+    prefers_peers: bool = False
+    """Whether a peer is to make the attempt, since this node cannot connect to the service's back ends."""
     may_send: Callable[[], bool] = _always_true
     """Whether the back end still accepts requests; called right before sending, since connecting takes time."""
 
@@ -104,6 +111,8 @@
     headers: Headers
     weights_version: int = 0
     is_event_stream: bool = False
+    notice: BackendNotice = NO_NOTICE
+    """What the answer states about its back end; already applied to this node's state."""
 
     @property
     def ok(self) -> bool:
@@ -114,8 +123,16 @@
 class AttemptError(Exception):
     """An attempt ended without a complete answer; ``event`` says how, and decides whether a retry is allowed."""
 
-    def __init__(self, event: TransportEvent, detail: str = "", weights_version: int = 0) -> None:
+    def __init__(
+        self,
+        event: TransportEvent,
+        detail: str = "",
+        weights_version: int = 0,
+        notice: BackendNotice = NO_NOTICE,
+    ) -> None:
+        """``notice`` is what a refusing answer states about its back end; already applied to this node's state."""
         super().__init__(f"{event.value} {detail}")
+        self.notice = notice
         self.event = event
         self.detail = detail
         self.weights_version = weights_version
--- a/src/wallwell/serving/pipeline.py
+++ b/src/wallwell/serving/pipeline.py
@@ -71,8 +71,8 @@
         self._selector = BackendSelector(state)
         self._error_factory = RequestErrorFactory(state)
         self._policy = RetryPolicy(lambda: state.node_count)
-        self._feedback = AttemptFeedback(state, self._selector, crash_observer)
-        self._attempt_runner = AttemptRunner(state, client, self._policy, self._feedback, liveness)
+        self.feedback = AttemptFeedback(state, self._selector, crash_observer)
+        self._attempt_runner = AttemptRunner(state, client, self._policy, self.feedback, liveness)
         self.counters = counters or RequestCounters()
         self._reporter = RequestReporter(state, self.counters)
 
@@ -184,10 +184,13 @@
     ) -> tuple[Sequence[Backend], Sequence[Backend]]:
         """Return the listed back ends, and those that may get the next attempt apart from the excluded ones."""
         listed, usable = candidates_for(self._state, active, now_s, excluded)
-        tried = active.history.tried_incarnations
+        tried: Collection[str] = active.history.tried_incarnations
+        unresponsive: Collection[str] = active.history.unresponsive_zones
+        if self._state.reachability.is_unreachable(active.service):
+            # Peers may reach what this node could not connect to.
+            tried, unresponsive = active.history.tried_incarnations - active.history.unreached_incarnations, ()
         untried = [each for each in usable if each.incarnation not in tried]
         candidates = untried or (usable if self._is_proved_not_run(active) else [])
-        unresponsive = active.history.unresponsive_zones
         return listed, exclude_unresponsive_zones(candidates, unresponsive, self._state.zone)
 
     def _decide_hold(
@@ -225,9 +228,13 @@
         now_s = boot_time_s()
         event = failure.event
         active.attempt_log.record(event)
+        via_peer = bool(active.progress.via_peer)
         active.history.record_failure(event)
+        active.history.found_no_peer |= active.progress.found_no_peer
+        if event in NOT_ARRIVED:
+            active.history.record_unreached(backend.incarnation, event, via_peer)
         active.history.failure_details.append(f"{backend.incarnation} {event.value} {failure.detail}")
-        self._feedback.on_failure(active, backend, failure, now_s)
+        self.feedback.on_failure(active, backend, failure, now_s)
         self._reporter.on_attempt_failed(active, backend, failure)
         if event in NOT_ARRIVED:
             self._state.load.stated_limits.refund(backend)
--- a/src/wallwell/serving/request_reports.py
+++ b/src/wallwell/serving/request_reports.py
@@ -41,6 +41,8 @@
         """Report an attempt that ended without a complete answer."""
         reason = failure.event.value
         self._counters.attempts[reason] += 1
+        if active.progress.via_peer:
+            self._counters.attempts_by_peers[reason] += 1
         emit(
             Event.REQUEST_RETRIED,
             request_id=active.request.request_id,
@@ -51,6 +53,7 @@
             attempts=active.attempt_log.attempts,
             events=active.stream_position.events_forwarded,
             content=active.content_digest,
+            **_path_field(active),
         )
 
     def on_answered(self, active: ActiveRequest, backend: Backend, now_s: float) -> None:
@@ -60,6 +63,8 @@
         gap_s = timing.max_gap_s if timing.first_event_s is not None else None
         kind = active.route.kind.value
         self._counters.on_answered(kind, first_event_s - request.arrived_s, now_s - request.arrived_s, gap_s)
+        if active.progress.via_peer:
+            self._counters.attempts_by_peers["answered"] += 1
         emit(
             Event.REQUEST_ENDED,
             request_id=request.request_id,
@@ -73,6 +78,7 @@
             first_ms=round((first_event_s - request.arrived_s) * 1000),
             max_gap_ms=round(timing.max_gap_s * 1000),
             total_ms=round((now_s - request.arrived_s) * 1000),
+            **_path_field(active),
         )
 
     def _store_age_ms(self) -> int:
@@ -81,3 +87,9 @@
         if confirmed_s == float("-inf"):
             return NEVER_CONFIRMED_AGE_MS
         return round((boot_time_s() - confirmed_s) * 1000)
+
+
+def _path_field(active: ActiveRequest) -> dict[str, str]:
+    """Return the log field that names the peer that made the current attempt; empty if this node made it."""
+    via_peer = active.progress.via_peer
+    return {"via": via_peer} if via_peer else {}
--- a/tests/unit/routing/health/test_reachability.py
+++ b/tests/unit/routing/health/test_reachability.py
@@ -41,6 +41,8 @@
         ("abcabcabc", [0, 1, 2, 3], True),
         ("aaaaabb", [0, 1, 2, 3], False),
         ("aaaaabb", [0, 1, 2, 3, 5], True),
+        ("aabbccdd", [0, 1, 2, 3, 4], False),
+        ("aabbccdd", [0, 2, 4, 6], True),
         ("ab", [0, 0, 0], False),
     ],
 )
--- /dev/null
+++ b/tests/unit/routing/selection/test_peer_choice.py
@@ -0,0 +1,58 @@
+"""Which peers are asked to make an attempt, and how long those that declined are left out."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+from wallwell.deployment.topology import Topology
+from wallwell.routing.selection.peer_choice import (
+    MAX_PEERS_ASKED,
+    SILENT_MEMORY_S,
+    UNREACHABLE_MEMORY_S,
+    PeerChoice,
+    PeerNode,
+)
+
+TOPOLOGY = Topology("z1", {"z1": "east", "z2": "east", "z3": "east", "z4": "west"})
+
+
+def choice(seed=1):
+    return PeerChoice(TOPOLOGY, random.Random(seed))
+
+
+def peers(*zones):
+    return [PeerNode(f"n{index}", zone, f"10.0.0.{index}:1") for index, zone in enumerate(zones)]
+
+
+def names(chosen):
+    return [peer.name for peer in chosen]
+
+
+def test_peers_of_the_own_zone_and_of_the_back_ends_zone_are_asked_first_and_another_region_last():
+    chosen = choice().choose(peers("z4", "z3", "z2", "z1"), "svc", "z2", 0.0)
+    assert set(names(chosen[:2])) == {"n2", "n3"}
+    assert names(chosen[2:]) == ["n1"]
+    assert len(chosen) == MAX_PEERS_ASKED
+
+
+def test_many_nodes_spread_over_all_peers():
+    listed = peers(*["z2"] * 10)
+    first = Counter(choice(seed).choose(listed, "svc", "z2", 0.0)[0].name for seed in range(400))
+    assert len(first) == 10
+    assert max(first.values()) < 2 * 400 / 10
+
+
+def test_peer_that_cannot_reach_a_service_is_left_out_for_that_service_for_a_while():
+    tested, listed = choice(), peers("z2", "z2")
+    tested.on_unreachable("n0", "svc", 5.0)
+    assert names(tested.choose(listed, "svc", "z2", 5.0)) == ["n1"]
+    assert set(names(tested.choose(listed, "other", "z2", 5.0))) == {"n0", "n1"}
+    assert set(names(tested.choose(listed, "svc", "z2", 5.0 + UNREACHABLE_MEMORY_S))) == {"n0", "n1"}
+
+
+def test_silent_peer_is_left_out_for_all_services_for_a_while():
+    tested, listed = choice(), peers("z2")
+    tested.on_silent("n0", 5.0)
+    assert not tested.choose(listed, "svc", "z2", 5.0)
+    assert names(tested.choose(listed, "svc", "z2", 5.0 + SILENT_MEMORY_S)) == ["n0"]
--- a/tests/unit/test_import_layers.py
+++ b/tests/unit/test_import_layers.py
@@ -40,8 +40,19 @@
     "rollout": COMMON | {"cluster", "deployment", "node.state", "routing", "storage"},
     "placement": COMMON | {"cluster", "deployment", "node.state", "routing", "storage"},
     "serving": COMMON | {"cluster", "deployment", "node.state", "rollout", "routing"},
+    "peer_attempts": COMMON | {"cluster", "deployment", "node.state", "routing", "serving"},
     "node": COMMON
-    | {"cluster", "deployment", "node.state", "placement", "rollout", "routing", "serving", "storage"},
+    | {
+        "cluster",
+        "deployment",
+        "node.state",
+        "peer_attempts",
+        "placement",
+        "rollout",
+        "routing",
+        "serving",
+        "storage",
+    },
     "platform": COMMON
     | {"cluster", "deployment", "node", "node.state", "placement", "rollout", "routing", "serving", "storage"},
     "standalone": COMMON | {"cluster", "routing", "storage"},
