Count no crash of a back end while a node reaches no other one either

A partition that resets connections and refuses new ones looks like a crash of each back end with a request in flight; three of them under one content (a call with an empty body, asked by many) quarantine it in the whole fleet for ten minutes. The refusals now count only if something came from another back end since, or one of three others accepts a connection, of other services first. A crash behind the cut still counts by the listed successor. One connection more for a crash on an idle node.

--- a/src/wallwell/node/crash_probe.py
+++ b/src/wallwell/node/crash_probe.py
@@ -2,7 +2,8 @@
 
 A broken attempt alone does not prove a crash: connections are also reset by the network, by a back end with too
 many connections, and at the end of a planned stop. A back end counts as crashed when two probes in a row are
-refused and nothing was received from it in between, or when another incarnation has taken its address.
+refused and nothing was received from it in between, or when another incarnation has taken its address. Refusals do
+not count while this node reaches no other back end either: then its own links have failed.
 
 Owns no state. Relies on the registry to mark replaced incarnations (``Backend.superseded``) and on attempts to
 record when data is received (``Backend.silence``).
@@ -11,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from wallwell.clock import boot_time_s
@@ -28,6 +30,9 @@
 ALIVE_AFTER_PROBES = 2
 """Successful probes in a row after which a back end counts as alive. One is not enough: an ending process, or a
 proxy in front of it, may still accept a connection after it has reset those of its attempts."""
+MAX_COMPARED = 3
+"""Other back ends that are connected to before a back end counts as crashed; those of other services first, since a
+request may crash all of one."""
 SUCCESSOR_WAIT_S = 3.0
 """Seconds to wait for the entry of a successor at the address of a back end that accepts connections. A process
 that restarts within 0.3 s is listed within about a second."""
@@ -40,16 +45,22 @@
         """Connect, unless a connection is idle; returns True only if the machine refuses the connection."""
         ...
 
+    async def accepts_connections(self, backend: BackendRecord) -> bool:
+        """Open a new connection; return False if it times out or is refused."""
+        ...
+
 
 class CrashProbe:
     """Probes back ends through a :class:`CrashCheck`."""
 
-    def __init__(self, check: CrashCheck) -> None:
+    def __init__(self, check: CrashCheck, all_backends: Callable[[], Iterable[Backend]]) -> None:
+        """``all_backends`` returns the listed back ends of all services."""
         self._check = check
+        self._all_backends = all_backends
 
     async def has_crashed(self, backend: Backend) -> bool:
         """Probe a back end after a broken attempt, at most :data:`MAX_PROBES` times; returns whether it crashed."""
-        refused_at_s = None
+        refused_at_s = first_refused_at_s = None
         listening_probes = 0
         for probe in range(MAX_PROBES):
             await asyncio.sleep(PROBE_INTERVAL_S if probe else FIRST_PROBE_DELAY_S)
@@ -57,14 +68,28 @@
                 return True
             if await self._check.refuses_connections(backend.record):
                 if refused_at_s is not None and backend.silence.last_received_s <= refused_at_s:
-                    return True
+                    return await self._reaches_another(backend, first_refused_at_s or refused_at_s)
                 refused_at_s, listening_probes = boot_time_s(), 0
+                first_refused_at_s = first_refused_at_s or refused_at_s
             else:
                 refused_at_s, listening_probes = None, listening_probes + 1
             if listening_probes >= ALIVE_AFTER_PROBES:
                 return False
         return False
 
+    async def _reaches_another(self, suspect: Backend, since_s: float) -> bool:
+        """Whether this node has received something from another back end since ``since_s``, or can connect to one
+        now. True if no other is listed: then nothing can be compared."""
+        now_s = boot_time_s()
+        others = [each for each in self._all_backends() if each is not suspect and not each.is_leaving(now_s)]
+        if not others or any(each.silence.last_received_s > since_s for each in others):
+            return True
+        others.sort(key=lambda each: (each.record.service == suspect.record.service, -each.last_success_s))
+        for each in others[:MAX_COMPARED]:
+            if await self._check.accepts_connections(each.record):
+                return True
+        return False
+
     async def wait_for_successor(self, backend: Backend) -> bool:
         """Wait for :data:`SUCCESSOR_WAIT_S`; return whether another incarnation took the address unannounced."""
         await asyncio.sleep(SUCCESSOR_WAIT_S)
--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -56,7 +56,7 @@
     ) -> None:
         """``member_names`` returns the names of the nodes that share the removal of expired rows."""
         self._state = state
-        self._probe = CrashProbe(check)
+        self._probe = CrashProbe(check, state.backends.all_backends)
         self._table = table
         self._member_names = member_names
         self._broken_digests: dict[str, set[str]] = {}
--- a/tests/unit/node/test_crash_watch.py
+++ b/tests/unit/node/test_crash_watch.py
@@ -30,9 +30,13 @@
 class FakeCheck:
     """Answers probes from a list; the last answer repeats."""
 
-    def __init__(self, *answers):
+    def __init__(self, *answers, reaches_others=True):
         self.answers = list(answers)
         self.probes = 0
+        self.reaches_others = reaches_others
+
+    async def accepts_connections(self, backend):
+        return self.reaches_others
 
     async def refuses_connections(self, backend):
         self.probes += 1
@@ -167,6 +171,33 @@
     assert run_virtual(work()) == ({"c/i-0"} if is_crash else set(), is_crash)
 
 
+def test_a_node_that_has_lost_its_links_counts_no_crashes():
+    """Guards against a quarantine of innocent requests: a partition resets and refuses all connections, so that a
+    request in flight at three back ends would be taken for one that crashes them."""
+
+    async def work(reaches_others):
+        node = WatchedNode(FakeCheck(REFUSED, reaches_others=reaches_others))
+        for number in range(2):
+            node.watch.on_broken_run("c", node.backend(number))
+        await asyncio.sleep(MAX_PROBES * PROBED_S + SUCCESSOR_WAIT_S)
+        return len(node.rows)
+
+    assert run_virtual(work(reaches_others=True)) == 2
+    assert run_virtual(work(reaches_others=False)) == 0
+
+
+def test_a_crash_behind_a_partition_is_counted_once_the_successor_is_listed():
+    async def work():
+        node = WatchedNode(FakeCheck(REFUSED, reaches_others=False))
+        node.watch.on_broken_run("c", node.backend())
+        await asyncio.sleep(PROBED_S)
+        supersede(node)
+        await asyncio.sleep(SUCCESSOR_WAIT_S)
+        return node.rows
+
+    assert run_virtual(work()) == {"c/i-0"}
+
+
 def test_attempts_that_break_together_cost_two_probes_and_one_write():
     async def work():
         node = WatchedNode()
--- a/tests/unit/node/test_restarted_back_end.py
+++ b/tests/unit/node/test_restarted_back_end.py
@@ -40,6 +40,9 @@
     async def refuses_connections(self, backend):
         return True
 
+    async def accepts_connections(self, backend):
+        return True
+
 
 class ReachableCheck:
     async def is_reachable(self, backend):
