Leave a weights roll to another node while its holder reaches no engine

A node that takes the services of all engines for unreachable has no work, so its lease expires and another node acts. In the new test all engines were still on version 2 after 8 s, now all have version 3.

--- a/src/wallwell/placement/weights_roll_driver.py
+++ b/src/wallwell/placement/weights_roll_driver.py
@@ -152,6 +152,8 @@
         now_s = boot_time_s()
         engines = self._loadable_engines()
         is_pending = bool(self._tasks or self._unpublished_models) or self._planner.is_any_load_due(engines, now_s)
+        # A node that reaches no engine leaves the lease to one that does.
+        is_pending = is_pending and self._reaches_any(engines)
         self._lease_candidate.set_work_pending(is_pending, now_s)
         if not is_pending or not await self._lease_candidate.acquire_or_renew(now_s):
             return
@@ -165,6 +167,11 @@
         elif self._unpublished_models:
             await self._publish_progress(next(iter(self._unpublished_models)))
 
+    def _reaches_any(self, engines: list[Backend]) -> bool:
+        """Whether this node can connect to engines of at least one service, as far as it knows."""
+        services = {engine.record.service for engine in engines}
+        return not services or any(not self._state.reachability.is_unreachable(service) for service in services)
+
     def _loadable_engines(self) -> list[Backend]:
         """Return the engines of models with a named version whose software version no rollout excludes."""
         targets, rollouts = self._state.weights, self._state.rollouts
--- a/tests/unit/placement/test_weights_roll_driver.py
+++ b/tests/unit/placement/test_weights_roll_driver.py
@@ -35,13 +35,18 @@
 class SimulatedControl:
     def __init__(self, engines, node):
         self.engines, self.node = engines, node
+        self.is_cut_off = False
 
     async def fetch_report(self, backend):
+        if self.is_cut_off:
+            return None
         engine = self.engines[backend.incarnation]
         await asyncio.sleep(0.002)
         return EngineReport({"m": engine.version}, boot_time_s() < engine.busy_until_s, engine.orders)
 
     async def send_order(self, backend, order):
+        if self.is_cut_off:
+            return OrderReply.UNKNOWN
         engine = self.engines[backend.incarnation]
         engine.received_orders.append((boot_time_s(), order.holder, order.fence))
         if engine.order_delay_s:
@@ -71,7 +76,7 @@
     def __init__(self, nodes=3, engines=6):
         self.table = FaultyTable()
         self.engines = {f"i-{index}": SimulatedEngine() for index in range(engines)}
-        self.states, self.drivers, self.tasks = [], [], []
+        self.states, self.drivers, self.tasks, self.controls = [], [], [], []
         for index in range(nodes):
             state = NodeState(f"n{index}", "z", FleetBounds(lease_s=LEASE_S), random.Random(index))
             state.members = {f"n{each}" for each in range(nodes)}
@@ -81,7 +86,8 @@
                 )
             self.states.append(state)
             state.store_era.observe(0, boot_time_s())
-            driver = WeightsRollDriver(state, self.table, SimulatedControl(self.engines, state.node), StoreClock())
+            self.controls.append(SimulatedControl(self.engines, state.node))
+            driver = WeightsRollDriver(state, self.table, self.controls[-1], StoreClock())
             driver.on_era(0, False)
             self.drivers.append(driver)
 
@@ -186,6 +192,25 @@
     assert min(fence for _, fence in second) > max(fence for _, fence in first)
 
 
+def test_a_holder_that_reaches_no_engine_leaves_the_roll_to_another_node():
+    """Guards against a roll that stands still for as long as its holder's links to all engines are cut."""
+
+    async def scenario(fleet):
+        fleet.name_version(2)
+        await asyncio.sleep(10.0)
+        assert fleet.versions() == {2}
+        holder = int(fleet.orders()[-1][1][1:])
+        fleet.controls[holder].is_cut_off = True
+        state = fleet.states[holder]
+        for backend in state.backends.all_backends():
+            state.on_connect_failed(backend, boot_time_s())
+        fleet.name_version(3)
+        await asyncio.sleep(state.bounds.weights_staleness_s)
+        assert fleet.versions() == {3}
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("fault", ["lose", "late"])
 def test_unanswered_orders_are_accepted_once(fault):
     async def scenario(fleet):
