Keep connections to workers through a silence of a second or so

A sound worker may fall silent for a second; connections to workers were given up after 1 s without an acknowledgement, so an unsafe request there ended with 504. The time for unacknowledged bytes (TCP_USER_TIMEOUT) also decides when keepalive probes give up, whatever their count: with 1 s, an idle connection whose first probe met the silence was lost after 1 s too. Now 2.5 s: a silence of 2 s is survived, and a connection without packets still ends within the 3 s after which a cut must not show. The arithmetic is in two functions that a test holds to both bounds (before: survived 1.0 s of 1.5 s).

--- a/src/wallwell/platform/worker_client.py
+++ b/src/wallwell/platform/worker_client.py
@@ -25,9 +25,10 @@
 CONNECT_TIMEOUT_S = 0.25
 """Timeout of connecting in seconds. Covers 40 ms of round trip to another region and queueing on the link between
 regions. Each request sent to an unresponsive worker loses this much of its time."""
-TCP_USER_TIMEOUT_S = 1.0
-"""Seconds for which sent bytes may stay unacknowledged before the connection is closed: long enough for several TCP
-retransmissions, and shorter than most callers wait."""
+TCP_USER_TIMEOUT_S = 2.5
+"""Seconds for which sent bytes may stay unacknowledged before the connection is closed. A sound worker may fall
+silent for a second or so; what runs there and may not be repeated must not be given up for that. Attempts that may
+be repeated are moved by probes long before."""
 
 
 def make_worker_pool() -> ConnectionPool:
--- a/src/wallwell/socket_options.py
+++ b/src/wallwell/socket_options.py
@@ -14,17 +14,14 @@
 """Seconds without a packet after which the system sends a keepalive probe.
 
 The minimum that the system allows. Engines send nothing for up to half a second between the events of a stream."""
-KEEPALIVE_PROBES = 1
-"""Unanswered probes after which the connection ends. Each is given ``KEEPALIVE_PROBE_S``, so the end comes after
-2 s."""
 
 
 def enable_keepalive(transport: asyncio.BaseTransport | None, unacknowledged_s: float) -> None:
     """Let the system end a connection, idle or in use, whose remote end no longer acknowledges packets.
 
     Without this, a connection whose packets the network drops looks open forever. With unacknowledged bytes it ends
-    after ``unacknowledged_s`` seconds; an idle one ends after ``KEEPALIVE_PROBE_S`` plus the same time for each
-    unanswered probe. Options that the system lacks are skipped.
+    after ``unacknowledged_s`` seconds, an idle one after :func:`idle_end_s`. Options that the system lacks are
+    skipped.
     """
     sock = transport.get_extra_info("socket") if transport is not None else None
     if sock is None:
@@ -33,11 +30,33 @@
     if hasattr(socket, "TCP_KEEPIDLE"):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_PROBE_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_PROBE_S)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _probe_count(unacknowledged_s))
     if hasattr(socket, "TCP_USER_TIMEOUT"):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, math.ceil(unacknowledged_s * 1000))
 
 
+def idle_end_s(unacknowledged_s: float) -> float:
+    """Return the seconds after the last packet at which an idle connection ends.
+
+    On Linux, a ``TCP_USER_TIMEOUT`` that is set replaces the count of keepalive probes: the connection ends when a
+    probe is due, an earlier one is unanswered and nothing came for that time. The count that is set gives the same.
+    """
+    return float((1 + _probe_count(unacknowledged_s)) * KEEPALIVE_PROBE_S)
+
+
+def survived_silence_s(unacknowledged_s: float) -> float:
+    """Return for how many seconds a remote end may acknowledge nothing without losing any of its connections.
+
+    An idle connection may send its first probe as the silence begins, and bytes may be sent then.
+    """
+    return min(unacknowledged_s, idle_end_s(unacknowledged_s) - KEEPALIVE_PROBE_S)
+
+
+def _probe_count(unacknowledged_s: float) -> int:
+    """Return the number of unanswered probes after which an idle connection ends."""
+    return max(1, math.ceil(unacknowledged_s / KEEPALIVE_PROBE_S) - 1)
+
+
 def has_unread_bytes(transport: asyncio.BaseTransport | None) -> bool:
     """Whether the socket holds received bytes, or the remote end's close, that the event loop has not read yet."""
     sock = transport.get_extra_info("socket") if transport is not None else None
--- a/tests/unit/test_socket_options.py
+++ b/tests/unit/test_socket_options.py
@@ -11,7 +11,13 @@
 from wallwell.cluster.peer_link import PeerLink
 from wallwell.errors import PeerUnavailableError
 from wallwell.http_connection import ConnectionPool
-from wallwell.socket_options import KEEPALIVE_PROBE_S, KEEPALIVE_PROBES
+from wallwell.platform.worker_client import TCP_USER_TIMEOUT_S
+from wallwell.socket_options import KEEPALIVE_PROBE_S, idle_end_s, survived_silence_s
+
+SOUND_SILENCE_S = 1.5
+"""Longest silence, in seconds, of a worker that is sound."""
+CONTACT_S = 3.0
+"""Seconds after the start of a cut from which requests must be served, so that no dead connection is used then."""
 
 
 async def pooled(address):
@@ -48,4 +54,21 @@
         server.close()
         return options
 
-    assert run_async(scenario()) == [1, KEEPALIVE_PROBE_S, KEEPALIVE_PROBES, 1000]
+    assert run_async(scenario()) == [1, KEEPALIVE_PROBE_S, 1, 1000]
+
+
+def test_connections_to_workers_survive_a_short_silence_and_end_soon_after_a_cut():
+    """Guards against giving up unsafe requests at a sound worker that is silent for a second or so."""
+    assert survived_silence_s(TCP_USER_TIMEOUT_S) > SOUND_SILENCE_S
+    assert idle_end_s(TCP_USER_TIMEOUT_S) <= CONTACT_S
+
+
+@pytest.mark.parametrize(
+    ("unacknowledged_s", "idle_ends_s", "survived_s"),
+    [(0.5, 2.0, 0.5), (1.0, 2.0, 1.0), (1.5, 2.0, 1.0), (2.5, 3.0, 2.0)],
+)
+def test_time_for_unacknowledged_bytes_also_decides_when_idle_connections_end(
+    unacknowledged_s, idle_ends_s, survived_s
+):
+    assert idle_end_s(unacknowledged_s) == idle_ends_s
+    assert survived_silence_s(unacknowledged_s) == survived_s
