Keep brittle back ends from falling by sharing their slots between the nodes

Workers may state Server-Brittle: one that has to refuse more than N requests in a second, of all nodes together, falls over. Nodes did not read it; what each sends is harmless alone, and together it is not.

--- a/src/wallwell/emulator/platform_worker.py
+++ b/src/wallwell/emulator/platform_worker.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import json
+from collections import deque
 from http import HTTPStatus
 from typing import Any
 
 from aiohttp import web
 
+from wallwell.clock import boot_time_s
 from wallwell.emulator.faults import abort_listener
 from wallwell.platform import names
 
@@ -35,6 +37,13 @@
         """Whether responses state that the worker is leaving."""
         self.limit_per_s: float | None = None
         """Limit stated in responses, in requests per second from all nodes together; None if not stated."""
+        self.brittle_per_s: float | None = None
+        """Refusals per second, stated in responses, beyond which the worker falls over; None if it is not brittle.
+        A brittle worker queues nothing."""
+        self.falls = 0
+        """How often it has fallen over; a test starts it again."""
+        self._running = 0
+        self._refused_at_s: deque[float] = deque()
         self.busy = False
         """Whether an order is being carried out."""
         self.orders: list[dict[str, Any]] = []
@@ -74,7 +83,8 @@
         identity = {names.REQUEST_ID: request.headers[names.REQUEST_ID], names.SEAL: f"seal-{self.incarnation}"}
         leaving = {names.LEAVING: "1"} if self.leaving else {}
         limit = {names.REQUEST_LIMIT: f"{self.limit_per_s:g}"} if self.limit_per_s is not None else {}
-        return {**identity, **leaving, **limit, **more}
+        brittle = {names.BRITTLE: f"{self.brittle_per_s:g}"} if self.brittle_per_s is not None else {}
+        return {**identity, **leaving, **limit, **brittle, **more}
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request; subclasses override this."""
@@ -92,4 +102,24 @@
         if request.path == names.ORDER_PATH:
             self.orders.append(json.loads(await request.read()))
             return await self.handle_order(self.orders[-1])
-        return await self.serve(request)
+        if self.brittle_per_s is not None and self._running >= self.slots:
+            return self._refuse_for_room(request)
+        self._running += 1
+        try:
+            return await self.serve(request)
+        finally:
+            self._running -= 1
+
+    def _refuse_for_room(self, request: web.BaseRequest) -> web.Response:
+        """Refuse a request for want of room; falls over if that was one too many within a second."""
+        assert self.brittle_per_s is not None
+        now_s = boot_time_s()
+        self._refused_at_s.append(now_s)
+        while self._refused_at_s[0] <= now_s - 1.0:
+            self._refused_at_s.popleft()
+        if len(self._refused_at_s) > self.brittle_per_s:
+            self.falls += 1
+            self._refused_at_s.clear()
+            self.crash()
+        headers = self.headers(request, **{names.NOT_RUN: "1"})
+        return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE, headers=headers)
--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -127,6 +127,8 @@
     BACKEND_ENTRY_UNREADABLE = (6023, "WARNING", "entry of a back end cannot be decoded; it counts as absent")
     SERVICE_UNREACHABLE = (6024, "WARNING", "this node can connect to no back end of a service")
     SERVICE_REACHABLE = (6025, "INFO", "this node can connect to a back end of a service again")
+    SERVICE_BRITTLE = (6026, "WARNING", "back ends of a service fail if they refuse more requests per second")
+    SERVICE_NOT_BRITTLE = (6027, "INFO", "back ends of a service are no longer brittle")
 
     # 7001 and up: weights on engines, and rollouts of software.
     ORDER_SENT = (7001, "INFO", "fenced order sent to an engine")
--- a/src/wallwell/node/backend_notices.py
+++ b/src/wallwell/node/backend_notices.py
@@ -10,6 +10,8 @@
 from wallwell.clock import boot_time_s
 from wallwell.events import Event, emit
 from wallwell.node.state import NodeState
+from wallwell.routing.admission.brittle_room import BrittleStatement, ServiceBrittleness
+from wallwell.routing.health.backend import Backend
 from wallwell.routing.health.backend_notice import BackendNotice
 
 
@@ -28,5 +30,28 @@
             service=backend.record.service,
             backoff_ms=round(notice.backoff_s * 1000),
         )
+    if notice.brittle is not None:
+        _apply_brittle_statement(state, backend, notice.brittle, now_s)
     if notice.limit is not None:
         state.load.stated_limits.on_answer(backend, notice.limit, now_s)
+
+
+def _apply_brittle_statement(state: NodeState, backend: Backend, statement: BrittleStatement, now_s: float) -> None:
+    service = backend.record.service
+    brittleness = state.brittleness.get(service)
+    if brittleness is None:
+        if statement.tolerated_per_s is None:
+            return
+        brittleness = state.brittleness[service] = ServiceBrittleness()
+    if not brittleness.on_answer(statement, now_s):
+        return
+    if statement.tolerated_per_s is None:
+        del state.brittleness[service]
+        emit(Event.SERVICE_NOT_BRITTLE, service=service, backend=backend.incarnation)
+    else:
+        emit(
+            Event.SERVICE_BRITTLE,
+            service=service,
+            backend=backend.incarnation,
+            tolerated_per_s=statement.tolerated_per_s,
+        )
--- a/src/wallwell/node/state.py
+++ b/src/wallwell/node/state.py
@@ -16,7 +16,7 @@
 kv_store_contents                           ``node/kv_store_watch.py``        ``serving/cache_planning.py``
 prefill_rate, generation_time, call_time,   ``serving/backend_selector.py``   ``serving``
 shortest_answers
-zones, reachability                         methods below, called by          ``serving``, ``node``
+zones, reachability, brittleness            methods below, called by          ``serving``, ``node``
                                             ``serving``
 retry budgets, split                        ``serving``                       ``serving``, metrics
 region_traffic                              ``serving``, ``cluster``          metrics
@@ -41,6 +41,7 @@
 from wallwell.rollout.model import RolloutBounds
 from wallwell.rollout.records import RolloutRegistry
 from wallwell.routing.admission.access import RevocationBound, is_fresh_enough
+from wallwell.routing.admission.brittle_room import ServiceBrittleness, SlotUse
 from wallwell.routing.admission.overload import AverageDuration
 from wallwell.routing.admission.quarantine import Quarantine
 from wallwell.routing.admission.remaining_time import ShortestAnswerTime
@@ -123,6 +124,8 @@
     """Shortest answer time by route."""
     kv_store_contents: dict[str, KvStoreContents] = field(default_factory=dict)
     """Contents of each KV store, by address."""
+    brittleness: dict[str, ServiceBrittleness] = field(default_factory=dict)
+    """Services whose back ends have stated that they are brittle, by name."""
     _retry_budgets: dict[str, FleetRetryBudget] = field(default_factory=dict)
     """Retry budgets by service."""
     zones: ZoneSuspicion = field(init=False)
@@ -213,6 +216,28 @@
             for service, budget in self._retry_budgets.items()
         }
 
+    def brittle_wait_s(self, backend: Backend, duration_s: float, now_s: float) -> float | None:
+        """Count a request about to be sent and return None, or return the seconds until a brittle back end probably
+        has room; ``duration_s`` is the usual duration of such a request."""
+        brittleness = self.brittleness.get(backend.record.service)
+        if brittleness is None or not brittleness.is_brittle(now_s):
+            return None
+        listed = [
+            each for each in self.backends.backends_of_service(backend.record.service) if not each.is_leaving(now_s)
+        ]
+        before = [each for each in listed if each.incarnation < backend.incarnation]
+        use = SlotUse(
+            incarnation=backend.incarnation,
+            slots=backend.record.slots,
+            slots_before=sum(each.record.slots for each in before),
+            service_slots=sum(each.record.slots for each in listed),
+            in_flight=backend.in_flight,
+            node=self.node,
+            members=self.members,
+            duration_s=duration_s,
+        )
+        return brittleness.admit(use, now_s, self.rng)
+
     def on_connect_failed(self, backend: Backend, now_s: float) -> None:
         """Record that a connection to a back end timed out, or was refused or reset while it was made."""
         service = backend.record.service
--- a/src/wallwell/peer_attempts/messages.py
+++ b/src/wallwell/peer_attempts/messages.py
@@ -14,6 +14,7 @@
 
 from wallwell.cluster.peer_link import PeerMessage
 from wallwell.errors import PeerUnavailableError
+from wallwell.routing.admission.brittle_room import BrittleStatement
 from wallwell.routing.health.backend_notice import BackendNotice
 from wallwell.routing.health.request_limit import NO_LIMIT_PER_S, LimitStatement
 from wallwell.serving.messages import CallerRequest, Generation, Headers
@@ -69,20 +70,29 @@
     limit_per_s: float | msgspec.UnsetType | None = msgspec.UNSET
     """Requests per second from all nodes together; None if the answer states no limit, omitted if unknown."""
 
+    brittle_per_s: float | msgspec.UnsetType | None = msgspec.UNSET
+    """Refused requests per second that the back end tolerates; None if it is not brittle, omitted if unknown."""
+
     @classmethod
     def of(cls, notice: BackendNotice) -> PeerNotice:
         """Return the notice as it is sent."""
         per_s: float | msgspec.UnsetType | None = msgspec.UNSET
         if notice.limit is not None:
             per_s = None if notice.limit.per_s == NO_LIMIT_PER_S else notice.limit.per_s
-        return cls(notice.leaving, notice.backoff_s, per_s)
+        brittle = notice.brittle
+        return cls(
+            notice.leaving, notice.backoff_s, per_s, msgspec.UNSET if brittle is None else brittle.tolerated_per_s
+        )
 
     def notice(self, sent_s: float) -> BackendNotice:
         """Return the notice in an answer to a request that this node sent at ``sent_s`` on its clock."""
         limit = None
         if self.limit_per_s is not msgspec.UNSET:
             limit = LimitStatement(NO_LIMIT_PER_S if self.limit_per_s is None else self.limit_per_s, sent_s)
-        return BackendNotice(self.leaving, self.backoff_s, limit)
+        brittle = None
+        if self.brittle_per_s is not msgspec.UNSET:
+            brittle = BrittleStatement(self.brittle_per_s, sent_s)
+        return BackendNotice(self.leaving, self.backoff_s, limit, brittle)
 
 
 class AttemptDeclined(msgspec.Struct, frozen=True, tag=True):
--- a/src/wallwell/platform/names.py
+++ b/src/wallwell/platform/names.py
@@ -49,6 +49,8 @@
 """Seconds; may be fractional here. From a worker: how long this node should send it no requests."""
 LEAVING = "Server-Leaving"
 """``1`` on every answer of a worker that is about to exit. The platform also calls a worker a "server"."""
+BRITTLE = "Server-Brittle"
+"""Header with the refused requests per second that a worker tolerates before it fails; only while it is brittle."""
 REQUEST_LIMIT = "Server-Limit"
 """Requests per second (decimal) that a worker accepts from all nodes together, while its answers state it."""
 
--- a/src/wallwell/platform/worker_notices.py
+++ b/src/wallwell/platform/worker_notices.py
@@ -1,17 +1,20 @@
-"""Parses a worker's statements about itself from its answers: whether it leaves, its back-off and request limit.
+"""Parses a worker's statements about itself from its answers: whether it leaves, its back-off and request limit,
+and whether it is brittle.
 
-Owns the meaning of these three headers; ``routing/health`` decides what follows from them. The calling code passes
+Owns the meaning of these headers; ``routing/health`` decides what follows from them. The calling code passes
 the head of every answer, including answers to reports and orders.
 """
 
 from __future__ import annotations
 
+import math
 from http import HTTPStatus
 
 from aiohttp.http_parser import RawResponseMessage
 
 from wallwell.events import Event, emit
 from wallwell.platform import names
+from wallwell.routing.admission.brittle_room import BrittleStatement
 from wallwell.routing.health.backend_notice import NO_NOTICE, BackendNotice, BackendNotices
 from wallwell.routing.health.backoff import MAX_LOGGED_CHARS, parse_retry_after
 from wallwell.routing.health.request_limit import NO_LIMIT_PER_S, LimitStatement, parse_limit_headers
@@ -43,7 +46,12 @@
     if message.headers.get(names.INSTANCE_ID, incarnation) != incarnation:
         return NO_NOTICE
     leaving = message.headers.get(names.LEAVING) == LEAVING_VALUE
-    return BackendNotice(leaving, _backoff_s(message, incarnation), _limit_statement(message, incarnation, sent_s))
+    return BackendNotice(
+        leaving,
+        _backoff_s(message, incarnation),
+        _limit_statement(message, incarnation, sent_s),
+        _brittle_statement(message, incarnation, sent_s),
+    )
 
 
 def _backoff_s(message: RawResponseMessage, incarnation: str) -> float:
@@ -67,3 +75,21 @@
     if sent_s is not None:
         return LimitStatement(per_s, sent_s)
     return None if per_s == NO_LIMIT_PER_S else LimitStatement(per_s)
+
+
+def _brittle_statement(
+    message: RawResponseMessage, incarnation: str, sent_s: float | None
+) -> BrittleStatement | None:
+    """Return what an answer states about refusals. Only in answers to requests does a missing header mean that the
+    worker is not brittle."""
+    text = message.headers.get(names.BRITTLE)
+    if text is None:
+        return None if sent_s is None else BrittleStatement(None, sent_s)
+    try:
+        tolerated_per_s = float(text)
+    except ValueError:
+        tolerated_per_s = math.nan
+    if not 0.0 <= tolerated_per_s < math.inf:
+        emit(Event.BACKEND_NOTICE_UNREADABLE, backend=incarnation, brittle=text[:MAX_LOGGED_CHARS])
+        return None
+    return BrittleStatement(tolerated_per_s, -math.inf if sent_s is None else sent_s)
--- a/src/wallwell/routing/health/backend_notice.py
+++ b/src/wallwell/routing/health/backend_notice.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from wallwell.routing.admission.brittle_room import BrittleStatement
 from wallwell.routing.health.request_limit import LimitStatement
 
 
@@ -23,6 +24,8 @@
     """Seconds of back-off that the back end asks of this node; 0 if none."""
     limit: LimitStatement | None = None
     """Statement about the limit of requests; None if there is no readable one."""
+    brittle: BrittleStatement | None = None
+    """Statement about how many refused requests the back end tolerates; None if there is no readable one."""
 
 
 NO_NOTICE = BackendNotice()
--- a/src/wallwell/serving/attempt_feedback.py
+++ b/src/wallwell/serving/attempt_feedback.py
@@ -109,6 +109,9 @@
             self._count_overload_refusal(backend, now_s)
 
     def _count_overload_refusal(self, backend: Backend, now_s: float) -> None:
+        brittleness = self._state.brittleness.get(backend.record.service)
+        if brittleness is not None:
+            brittleness.on_refused(backend.incarnation, self._state.node_count, now_s, self._state.rng)
         if backend.on_refused(now_s):
             emit(
                 Event.BACKEND_SUSPENDED,
--- a/src/wallwell/serving/pipeline.py
+++ b/src/wallwell/serving/pipeline.py
@@ -14,7 +14,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Iterator, Mapping, Sequence
+from contextlib import contextmanager
 
 import msgspec
 
@@ -144,7 +145,21 @@
             chosen = self._choose_or_hold(active)
             if isinstance(chosen, Backend):
                 return chosen
-            await asyncio.sleep(chosen.seconds)
+            with self._count_held(active):
+                await asyncio.sleep(chosen.seconds)
+
+    @contextmanager
+    def _count_held(self, active: ActiveRequest) -> Iterator[None]:
+        """Count a request as held at a brittle service, so that later ones know how many wait before them."""
+        brittleness = self._state.brittleness.get(active.service)
+        if brittleness is None:
+            yield
+            return
+        brittleness.held += 1
+        try:
+            yield
+        finally:
+            brittleness.held -= 1
 
     def _choose_or_hold(self, active: ActiveRequest) -> Backend | Hold:
         """Return the back end of the next attempt, or the hold to wait for before choosing again.
@@ -170,7 +185,7 @@
             if not limit_waits_s:
                 self._selector.refuse_if_overloaded(active, now_s)
             backend = self._selector.choose(active, candidates, listed)
-            wait_s = self._state.load.stated_limits.admit(backend, now_s)
+            wait_s = self._wait_for_room_s(active, backend, now_s)
             if wait_s is None:
                 return backend
             limit_waits_s[backend] = wait_s
@@ -179,6 +194,13 @@
             raise self._error_factory.no_usable_backend_error(active, now_s, limit_waits_s.values())
         return hold
 
+    def _wait_for_room_s(self, active: ActiveRequest, backend: Backend, now_s: float) -> float | None:
+        """Return None if what a back end states allows the request, else the seconds until it probably does."""
+        state = self._state
+        average = state.call_time if active.request.generation is None else state.generation_time
+        wait_s = state.brittle_wait_s(backend, average.seconds, now_s)
+        return wait_s if wait_s is not None else state.load.stated_limits.admit(backend, now_s)
+
     def _candidates(
         self, active: ActiveRequest, now_s: float, excluded: Collection[Backend]
     ) -> tuple[Sequence[Backend], Sequence[Backend]]:
