Soak: sound workers that fall silent for a second or so

Three silences of 0.6 to 1.5 s of one worker each in every run but kept ones, drawn by a generator of their own; with a calm span, one falls into it. silence_ends_nothing: what may run once only and is at work there is not given up. The stopped process's kernel goes on acknowledging, so what rests on unacknowledged bytes is held by tests/unit/test_socket_options.py alone.

--- a/src/wallwell/cli/soak.py
+++ b/src/wallwell/cli/soak.py
@@ -74,7 +74,8 @@
         notices=True,
         limits=True,
         identities=True,
-        restores=True,  # Kept runs keep their recorded shape; all other runs have these four features.
+        silences=True,
+        restores=True,  # Kept runs keep their recorded shape; all other runs have these five features.
         rollout=options.rollout,
         calm_s=options.calm,
     )
--- a/src/wallwell/soak/drawing.py
+++ b/src/wallwell/soak/drawing.py
@@ -82,6 +82,10 @@
 """Workers that start again under their identity."""
 SPOILT_S = 4.0
 """Seconds for which an entry is spoilt: longer than nodes may go on sending to its worker."""
+SILENCES = 3
+"""Times in which a sound worker falls silent."""
+SILENCE_LASTS_S = (0.6, 1.5)
+"""Seconds for which it does."""
 RESTORED_AFTER_KEYS_S = (0.1, 2.0)
 """Seconds from the change of keys to the store's first outage that ends in a restore: the copy lacks the change."""
 RESTORE_LASTS_S = (0.1, 2.5)
@@ -119,6 +123,8 @@
         faults.append(_draw_limit(random.Random(f"{seed}/limits"), shape))
     if shape.identities:
         faults += _draw_identities(random.Random(f"{seed}/identities"), shape)
+    if shape.silences:
+        faults += _draw_silences(random.Random(f"{seed}/silences"), shape)
     operations = _draw_operations(random.Random(f"{seed}/operations"), shape)
     if shape.restores:
         faults += _draw_restores(random.Random(f"{seed}/restores"), shape, operations)
@@ -203,6 +209,19 @@
     return [*faults, PlannedFault(spoilt_at_s, SPOILT_S, FaultKind.SPOIL_ENTRY, spoilt)]
 
 
+def _draw_silences(generator: random.Random, shape: Shape) -> list[PlannedFault]:
+    """Return times in which sound workers send nothing; a part of the run's calm span has one, if there is any."""
+    latest_s = shape.seconds - RECOVERY_S - SHOWN_RECOVERED_S - SILENCE_LASTS_S[1]
+    times_s = [generator.uniform(FIRST_FAULT_S, latest_s) for _ in range(SILENCES)]
+    if shape.calm_s:
+        times_s[-1] = shape.seconds + generator.uniform(0.0, CALM_BEFORE_WEIGHTS_S)
+    names = generator.sample(shape.worker_names(), k=min(SILENCES, len(shape.worker_names())))
+    return [
+        PlannedFault(round(at_s, 2), round(generator.uniform(*SILENCE_LASTS_S), 2), FaultKind.SILENCE_WORKER, name)
+        for at_s, name in zip(times_s, names, strict=False)
+    ]
+
+
 def _draw_restores(
     generator: random.Random, shape: Shape, operations: Sequence[PlannedOperation]
 ) -> list[PlannedFault]:
--- a/src/wallwell/soak/faults.py
+++ b/src/wallwell/soak/faults.py
@@ -76,6 +76,7 @@
             FaultKind.SHED_WORKER: self._shed_worker,
             FaultKind.LIMIT_WORKER: self._limit_worker,
             FaultKind.RESTART_WORKER: self._restart_worker,
+            FaultKind.SILENCE_WORKER: self._silence_worker,
             FaultKind.SPOIL_ENTRY: self._spoil_entry,
             FaultKind.STORE_FORGETS: self._forget,
             FaultKind.STORE_RESTORED: self._restore_store,
@@ -201,6 +202,9 @@
     async def _limit_worker(self, fault: PlannedFault) -> None:
         await self._between_signals(fault, self._fleet.worker, signal.SIGHUP, signal.SIGHUP)
 
+    async def _silence_worker(self, fault: PlannedFault) -> None:
+        await self._between_signals(fault, self._fleet.worker, signal.SIGSTOP, signal.SIGCONT)
+
     # --- store and links -------------------------------------------------------------------------------
 
     async def _switch_store(self, fault: PlannedFault) -> None:
--- a/src/wallwell/soak/invariants_fleet.py
+++ b/src/wallwell/soak/invariants_fleet.py
@@ -22,6 +22,7 @@
     WeightsNamed,
     WorkerState,
 )
+from wallwell.soak.invariants_requests import is_at_its_deadline
 from wallwell.soak.schedule import (
     CONFIGURATION_S,
     DRAIN_BOUND_S,
@@ -47,9 +48,6 @@
 records of callers and workers are written at different moments."""
 GRACE_FRACTION = 5 / 6
 """What still runs in the last sixth of the time that a planned stop is given may be cut."""
-DEADLINE_SLACK_S = 0.02
-"""Seconds before its deadline in which an answer may end because of it: clocks are read at both ends, and timers
-round."""
 LIMIT_WINDOW_S = 4.0
 """Window in which a tenant's requests are counted: several times what nodes need to hear of each other."""
 LIMIT_OVERAGE = 0.1
@@ -167,7 +165,7 @@
     in_flight = sent.at_s < exited_s and stop.at_s < answer.at_s
     if not in_flight or not history.is_fault_free(sent.at_s, answer.at_s, besides=stop):
         return False
-    if sent.deadline_s and answer.at_s >= sent.at_s + sent.deadline_s - DEADLINE_SLACK_S:
+    if is_at_its_deadline(sent, answer):
         return False
     began = history.began.get(sent.request, ())
     if any(history.ended_s(each) is None for each in began):
--- a/src/wallwell/soak/schedule.py
+++ b/src/wallwell/soak/schedule.py
@@ -25,6 +25,7 @@
     SHED_WORKER = "shed_worker"  # a worker: refuses every request and asks for back-off
     LIMIT_WORKER = "limit_worker"  # a worker: its answers say how many requests a second it takes
     RESTART_WORKER = "restart_worker"  # a worker: SIGKILL, starts again under its identity at the end
+    SILENCE_WORKER = "silence_worker"  # a worker: SIGSTOP, SIGCONT at the end
     SPOIL_ENTRY = "spoil_entry"  # a worker: another writer puts into its entry what cannot be read
     STORE_DOWN = "store_down"  # the store: 503 to all
     STORE_REFUSES_NODE = "store_refuses_node"  # a node: 503 at the store
@@ -190,6 +191,8 @@
     """Whether a worker states how many requests it takes."""
     identities: bool = False
     """Whether workers start again under their identity, and an entry is spoilt."""
+    silences: bool = False
+    """Whether sound workers fall silent for a second or so."""
     restores: bool = False
     """Whether the store comes back from older copies."""
     calm_s: float = 0.0
--- a/src/wallwell/soak/timeline.py
+++ b/src/wallwell/soak/timeline.py
@@ -25,7 +25,15 @@
 RESTORE = "store_restored"
 """Name of the fault after which the store comes back from a copy."""
 FAULTS_OF_WORKERS = frozenset(
-    ("crash_worker", "drain_worker", "shed_worker", "limit_worker", "restart_worker", "spoil_entry")
+    (
+        "crash_worker",
+        "drain_worker",
+        "shed_worker",
+        "limit_worker",
+        "restart_worker",
+        "silence_worker",
+        "spoil_entry",
+    )
 )
 """Faults that leave nodes, links and the store alone."""
 
--- a/tests/unit/cli/test_soak.py
+++ b/tests/unit/cli/test_soak.py
@@ -13,7 +13,7 @@
 @pytest.mark.parametrize(
     "shape",
     [
-        Shape(notices=True, limits=True, identities=True, restores=True),
+        Shape(notices=True, limits=True, identities=True, silences=True, restores=True),
         Shape(
             30.5,
             5,
@@ -25,6 +25,7 @@
             notices=True,
             limits=True,
             identities=True,
+            silences=True,
             restores=True,
             calm_s=18.0,
         ),
--- a/tests/unit/soak/test_invariants.py
+++ b/tests/unit/soak/test_invariants.py
@@ -86,6 +86,18 @@
     return [*first, *stated, *more, sent("later", at_s=at_s, node=node), began("later", at_s=at_s + 0.01)]
 
 
+def silenced(status, **more):
+    """An unsafe request is at work at a worker that falls silent for a second."""
+    return [
+        sent(at_s=10.0, deadline_s=4.0),
+        began(worker="orders-0.1", at_s=10.1),
+        FaultBegan(10.2, "silence_worker", "orders-0"),
+        FaultEnded(11.4, "silence_worker", "orders-0"),
+        Ended(11.5, "r", "orders-0.1", 200, False),
+        answered(status=status, worker="orders-0.1" if status == 200 else "", at_s=11.3, **more),
+    ]
+
+
 def backing_off(arrivals_s, more=(), status=503):
     """A worker asks a node at 10 s for a second without requests; some reach it so much later."""
     records = [sent("r0", at_s=9.99, node="node-0"), Arrived(10.0, "r0", "w.1", 503, backoff_s=1.0), *more]
@@ -186,6 +198,8 @@
     "it is reached by the node's next life": stated_leaving(
         DRAIN_BOUND_S + 0.1, more=[NodeExited(10.5, "node-0", -9, "SIGKILL")]
     ),
+    "an unsafe request outlasts a silence of its worker": silenced(status=200),
+    "one that ends at its deadline in a silence": [sent(at_s=7.3, deadline_s=4.0), *silenced(status=504)[1:]],
     "a worker that wants nothing gets what was on its way": backing_off([0.1, 0.2, 0.3, 0.4, 0.6, 0.9]),
     "it gets requests again after its time": backing_off([1.01, 1.02, 1.03, 1.04]),
     "it gets requests from a node that stood still": backing_off(
@@ -277,6 +291,7 @@
     ),
     "a worker that states a limit gets more": ("stated_limit_kept", stating_a_limit(per_s=6.1)),
     "the same from two nodes together": ("stated_limit_kept", stating_a_limit(per_s=6.1, nodes=2)),
+    "an unsafe request is given up in a silence of its worker": ("silence_ends_nothing", silenced(status=504)),
     "a worker that wants nothing gets much": ("backoff_kept", backing_off([0.6, 0.7, 0.8])),
     "work for callers that left": ("left_is_cancelled", callers_left(ended_after_s=1.9)),
     "a cut by a planned stop": ("planned_stop_cuts_nothing", stopped(whole=False)),
--- a/tests/unit/soak/test_schedule.py
+++ b/tests/unit/soak/test_schedule.py
@@ -47,14 +47,14 @@
         fault.kind
         for seed in range(100)
         for fault in draw_schedule(
-            seed, Shape(regions=2, notices=True, limits=True, identities=True, restores=True)
+            seed, Shape(regions=2, notices=True, limits=True, identities=True, silences=True, restores=True)
         ).faults
     }
     assert drawn == set(FaultKind)
 
 
 def test_one_region_has_no_faults_between_regions():
-    shape = Shape(notices=True, limits=True, identities=True, restores=True)
+    shape = Shape(notices=True, limits=True, identities=True, silences=True, restores=True)
     drawn = {fault.kind for seed in range(100) for fault in draw_schedule(seed, shape).faults}
     assert drawn == set(FaultKind) - set(REGION_FAULTS)
 
@@ -98,6 +98,15 @@
     assert len({fault.target for fault in added}) == len(added)
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_silences_of_sound_workers_are_added_to_what_a_seed_draws_without_them(seed):
+    without, drawn = draw_schedule(seed, Shape()), draw_schedule(seed, Shape(silences=True))
+    assert drawn.requests == without.requests
+    added = [fault for fault in drawn.faults if fault not in without.faults]
+    assert {fault.kind for fault in added} == {FaultKind.SILENCE_WORKER}
+    assert all(0.6 <= fault.lasts_s <= 1.5 for fault in added)
+
+
 @pytest.mark.parametrize("lacking", [{"engines": 0}, {"instances": 0}], ids=["engines", "instances"])
 def test_a_run_without_a_kind_of_workers_is_drawn_all_the_same(lacking):
     assert draw_schedule(3, Shape(notices=True, **lacking)).faults == draw_schedule(3, Shape(**lacking)).faults
--- a/tools/soak_two_builds.py
+++ b/tools/soak_two_builds.py
@@ -79,6 +79,7 @@
         notices=True,
         limits=True,
         identities=True,
+        silences=True,
         restores=not options.without_restores,
     )
     is_broken = False
