--- a/tests/platform/test_partitioned_nodes.py
+++ b/tests/platform/test_partitioned_nodes.py
@@ -98,10 +98,12 @@
 class PartitionedFleet:
     """Three nodes with callers that try each request once; records the results by node and kind."""
 
-    def __init__(self, harness):
+    def __init__(self, harness, work_s=0.0):
+        """``work_s`` is the time that a worker takes for a request."""
         self.harness = harness
-        self.results = []
-        """Kind, node index, time of sending and status of each request."""
+        self._work_s = work_s
+        self.ended = []
+        """Kind, node index, time of sending, status and id of each request."""
         self.runs = collections.Counter()
         """Times that workers got each request, by id."""
         self._turns = itertools.cycle(itertools.product(KINDS, range(3)))
@@ -114,6 +116,7 @@
 
         async def respond(request):
             self.runs[request.headers["X-Request-Id"]] += 1
+            await asyncio.sleep(self._work_s)
             is_stream = request.path.startswith("/stream/")
             return await (stream if is_stream else worker.answer_ok)(request)
 
@@ -154,12 +157,12 @@
             assert headers["X-Request-Id"] == request_id
             assert headers["X-Response-Seal"].startswith("seal-")
             assert body == (event(1) + event(2) if kind == "stream" else b"ok")
-        self.results.append((kind, index, sent_s, status))
+        self.ended.append((kind, index, sent_s, status, request_id))
 
     def served_ratio(self, kind, indices, from_s):
         statuses = [
             status
-            for each, index, sent_s, status in self.results
+            for each, index, sent_s, status, _ in self.ended
             if each == kind and index in indices and sent_s >= from_s
         ]
         assert len(statuses) >= MIN_JUDGED
