--- a/src/wallwell/routing/admission/brittle_room.py
+++ b/src/wallwell/routing/admission/brittle_room.py
@@ -98,8 +98,8 @@
     """Requests of this node that are held until there is room."""
     _paused_until_s: dict[str, float] = field(default_factory=dict)
     """Until when this node sends nothing to a back end that refused a request, by its incarnation."""
-    _next_start_s: float = -math.inf
-    """When this node may start the next request, where the slots are not divided."""
+    _next_start_s: float | None = None
+    """When this node may start the next request, where the slots are not divided; None before the first one."""
 
     def is_brittle(self, now_s: float) -> bool:
         """Whether the back ends are brittle now."""
@@ -114,6 +114,7 @@
         self.tolerated_per_s = statement.tolerated_per_s
         if statement.tolerated_per_s is None:
             self._paused_until_s.clear()
+            self._next_start_s = None
         else:
             self.read_at_s = now_s
         return has_changed
@@ -143,7 +144,7 @@
 
     def _admit_by_rate(self, use: SlotUse, now_s: float, rng: random.Random) -> float | None:
         interval_s = use.duration_s * use.node_count() / (SHARED_LOAD * max(1, use.service_slots))
-        if now_s - self._next_start_s > interval_s:
+        if self._next_start_s is None:
             # The rate begins to bind, at all nodes at about the same time.
             self._next_start_s = now_s + rng.uniform(0.0, interval_s)
         if now_s < self._next_start_s:
