Count a soak worker's requests once

Cause: the emulated worker got a count of requests under the name that the soak's worker, its subclass, uses for its own, so that each request counted twice there: it refused at half of its places, and software that is bad under load was so at half of it. Not seen by a test; read in the last review of the change. The emulator's count has a name of its own. Checks: lint, types, tests of the soak and of brittle workers.

--- a/src/wallwell/emulator/platform_worker.py
+++ b/src/wallwell/emulator/platform_worker.py
@@ -42,7 +42,7 @@
         A brittle worker queues nothing."""
         self.falls = 0
         """How often it has fallen over; a test starts it again."""
-        self._running = 0
+        self._in_progress = 0
         self._refused_at_s: deque[float] = deque()
         self.busy = False
         """Whether an order is being carried out."""
@@ -102,13 +102,13 @@
         if request.path == names.ORDER_PATH:
             self.orders.append(json.loads(await request.read()))
             return await self.handle_order(self.orders[-1])
-        if self.brittle_per_s is not None and self._running >= self.slots:
+        if self.brittle_per_s is not None and self._in_progress >= self.slots:
             return self._refuse_for_room(request)
-        self._running += 1
+        self._in_progress += 1
         try:
             return await self.serve(request)
         finally:
-            self._running -= 1
+            self._in_progress -= 1
 
     def _refuse_for_room(self, request: web.BaseRequest) -> web.Response:
         """Refuse a request for want of room; falls over if that was one too many within a second."""
