Say where and at which software version a stream goes on

The record of the incident could not tell a stream that the router continues at another version within one answer from one that its caller takes up in another request: 3002 names the version that failed, only a whole answer the last one, and the header by which a caller names the stream's first request was not read. No decision changes. Checks: unit tests of serving, cli, platform, lint, types.

--- a/src/wallwell/cli/explain.py
+++ b/src/wallwell/cli/explain.py
@@ -24,6 +24,7 @@
     for event in (
         Event.REQUEST_ENDED,
         Event.REQUEST_RETRIED,
+        Event.STREAM_RESUMED,
         Event.REQUEST_REFUSED,
         Event.CALLER_GONE,
         Event.ATTEMPT_FOR_PEER,
@@ -97,6 +98,15 @@
     return [line for line in lines if line.fields.get("request_id") == request_id and line.event in REQUEST_EVENTS]
 
 
+def find_continuation_lines(lines: Iterable[LogLine], request_id: str) -> list[LogLine]:
+    """Return the lines about later requests by which the caller got the rest of this request's stream."""
+    return [
+        line
+        for line in lines
+        if line.fields.get("first_request_id") == request_id and line.fields.get("request_id") != request_id
+    ]
+
+
 def find_context_lines(lines: Iterable[LogLine], request_lines: list[LogLine]) -> list[LogLine]:
     """Return events of the request's last node shortly before its end; none if the end is not in seconds."""
     last = request_lines[-1]
@@ -124,6 +134,8 @@
         return f"refused with {code} ({execution}): {reason}"
     if last.event == Event.CALLER_GONE.number:
         return "the caller disconnected"
+    if last.event == Event.STREAM_RESUMED.number:
+        return f"the stream went on at {last.fields.get('backend')}; its end is not logged"
     if retries:
         return f"answered after failed attempts: {failed_attempts}"
     if last.fields.get("first_ms", 0) > SLOW_FIRST_TOKEN_MS:
@@ -157,6 +169,8 @@
         print("  before", format_line(line))
     for line in request_lines:
         print(format_line(line))
+    for line in find_continuation_lines(lines, options.request_id):
+        print("  resumed by", line.fields.get("request_id"), format_line(line))
     print(f"likely cause: {likely_cause(request_lines)}")
     return 0
 
--- a/src/wallwell/platform/names.py
+++ b/src/wallwell/platform/names.py
@@ -19,6 +19,8 @@
 """Not past usage: the prompt's tokens and the maximum tokens of the answer, separated by a comma."""
 RESUME_AFTER = "Last-Event-Id"
 """Number of the last event that the caller received; the answer continues with the next one."""
+RESUMES = "Resumes"
+"""Not the previous request: id of the caller's request whose answer contained the first event of the stream."""
 
 # --- headers that the router adds to requests ----------------------------------------------------------------
 
--- a/src/wallwell/platform/request_parsing.py
+++ b/src/wallwell/platform/request_parsing.py
@@ -31,6 +31,7 @@
         caller_timeout_s=_parse_caller_timeout_s(headers.get(names.DEADLINE_MS, "")),
         arrived_s=arrived_s,
         generation=_parse_generation(headers),
+        first_request_id=headers.get(names.RESUMES, ""),
         declared_tokens=_parse_declared_tokens(headers.get(names.TOKEN_USAGE, "")),
     )
 
--- a/src/wallwell/serving/active_request.py
+++ b/src/wallwell/serving/active_request.py
@@ -79,6 +79,8 @@
     timing: AnswerTiming = field(default_factory=AnswerTiming)
     progress: SendProgress = field(default_factory=SendProgress)
     """Progress of the current attempt."""
+    stream_software: str | None = None
+    """Software version whose back ends sent the events that the caller has; None if it has none, or not known."""
     prefers_target: bool | None = None
     """Whether the target version of a rollout is tried first; None until the version has been drawn."""
 
--- a/src/wallwell/serving/attempt.py
+++ b/src/wallwell/serving/attempt.py
@@ -25,6 +25,7 @@
 from wallwell.serving.liveness import LivenessMonitor
 from wallwell.serving.messages import AttemptError, BackendAnswer, BackendClient, Dispatch, SendProgress
 from wallwell.serving.peer_preference import prefers_peer_attempts
+from wallwell.serving.request_reports import RequestReporter
 from wallwell.serving.response_wait import ResponseWaiter
 from wallwell.serving.stream_forwarding import StreamForwarder
 from wallwell.serving.untried_backends import has_untried_backend
@@ -46,13 +47,14 @@
         policy: RetryPolicy,
         feedback: AttemptFeedback,
         liveness: LivenessMonitor | None,
+        reporter: RequestReporter,
     ) -> None:
         self._state = state
         self._policy = policy
         self._feedback = feedback
         self._liveness = liveness
         self._response_waiter = ResponseWaiter(state, client, policy)
-        self._stream_forwarder = StreamForwarder(policy, feedback)
+        self._stream_forwarder = StreamForwarder(policy, feedback, reporter)
         self._cache_planner = CachePlanner(state)
 
     async def make_attempt(self, active: ActiveRequest, backend: Backend) -> bool:
--- a/src/wallwell/serving/backend_selector.py
+++ b/src/wallwell/serving/backend_selector.py
@@ -56,7 +56,7 @@
         A stream that a caller resumes and a request that was already sent do not count as new.
         """
         generation = active.request.generation
-        if generation is None or generation.resume_after is not None or active.history.tried_incarnations:
+        if generation is None or active.request.resumes_stream or active.history.tried_incarnations:
             return
         state = self._state
         engines = eligible_backends(state, active.service, now_s)
--- a/src/wallwell/serving/messages.py
+++ b/src/wallwell/serving/messages.py
@@ -54,6 +54,13 @@
     generation: Generation | None = None
     declared_tokens: int | None = None
     """Prompt tokens plus the largest number of output tokens; None if the caller does not say."""
+    first_request_id: str = ""
+    """Id of the request whose answer began the stream that this one resumes; empty if the caller does not say."""
+
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether the caller already has events of the stream, from the answer to an earlier request."""
+        return self.generation is not None and self.generation.resume_after is not None
 
     @property
     def path(self) -> str:
--- a/src/wallwell/serving/pipeline.py
+++ b/src/wallwell/serving/pipeline.py
@@ -73,9 +73,9 @@
         self._error_factory = RequestErrorFactory(state)
         self._policy = RetryPolicy(lambda: state.node_count)
         self.feedback = AttemptFeedback(state, self._selector, crash_observer)
-        self._attempt_runner = AttemptRunner(state, client, self._policy, self.feedback, liveness)
         self.counters = counters or RequestCounters()
         self._reporter = RequestReporter(state, self.counters)
+        self._attempt_runner = AttemptRunner(state, client, self._policy, self.feedback, liveness, self._reporter)
 
     async def serve(self, request: CallerRequest, reply: CallerReply) -> None:
         """Serve one request through ``reply``. Raises :class:`CallerGoneError` if the caller has disconnected."""
@@ -233,12 +233,9 @@
         return None if seconds is None else Hold(seconds)
 
     def _is_too_late(self, active: ActiveRequest) -> bool:
-        generation = active.request.generation
-        is_resumed = generation is not None and generation.resume_after is not None
         shortest = self._state.shortest_answers.get(active.route.name)
-        return has_too_little_time(
-            shortest, active.remaining_s(), continues_run=bool(active.history.runs) or is_resumed
-        )
+        continues_run = bool(active.history.runs) or active.request.resumes_stream
+        return has_too_little_time(shortest, active.remaining_s(), continues_run=continues_run)
 
     def _is_proved_not_run(self, active: ActiveRequest) -> bool:
         return active.attempt_log.outcome is Outcome.NOT_RUN
--- a/src/wallwell/serving/request_reports.py
+++ b/src/wallwell/serving/request_reports.py
@@ -56,6 +56,23 @@
             **_path_field(active),
         )
 
+    def on_stream_resumed(self, active: ActiveRequest, backend: Backend, by_caller: bool) -> None:
+        """Report that the first events of a back end that continues a stream have arrived.
+
+        ``by_caller``: whether the caller sent a request for the rest; otherwise it goes on within one answer.
+        """
+        software, software_before = backend.record.software, active.stream_software
+        self._counters.on_stream_resumed(by_caller, software_before, software)
+        emit(
+            Event.STREAM_RESUMED,
+            request_id=active.request.request_id,
+            first_request_id=active.request.first_request_id,
+            by="caller" if by_caller else "router",
+            backend=backend.incarnation,
+            software=software,
+            software_before=software_before,
+        )
+
     def on_answered(self, active: ActiveRequest, backend: Backend, now_s: float) -> None:
         """Report a request that got a complete answer."""
         request, timing = active.request, active.timing
--- a/src/wallwell/serving/stream_forwarding.py
+++ b/src/wallwell/serving/stream_forwarding.py
@@ -17,14 +17,16 @@
 from wallwell.serving.active_request import ActiveRequest
 from wallwell.serving.attempt_feedback import AttemptFeedback
 from wallwell.serving.messages import AttemptError, BackendAnswer
+from wallwell.serving.request_reports import RequestReporter
 
 
 class StreamForwarder:
     """Forwards streamed answers of one node."""
 
-    def __init__(self, policy: RetryPolicy, feedback: AttemptFeedback) -> None:
+    def __init__(self, policy: RetryPolicy, feedback: AttemptFeedback, reporter: RequestReporter) -> None:
         self._policy = policy
         self._feedback = feedback
+        self._reporter = reporter
 
     async def forward(self, active: ActiveRequest, backend: Backend, answer: BackendAnswer) -> None:
         """Forward events until the stream ends. Raises :class:`AttemptError` if the stream stalls or breaks off."""
@@ -41,18 +43,29 @@
                 if data is None:
                     break
                 self._feedback.on_stream_data(active, backend, boot_time_s())
-                await self._write_events(active, answer, data)
+                await self._write_events(active, backend, answer, data)
         if position.has_partial_event or not position.events_forwarded:
             raise AttemptError(TransportEvent.RESET_AFTER_SEND, "the stream ended empty or within an event")
         await active.reply.finish()
 
-    async def _write_events(self, active: ActiveRequest, answer: BackendAnswer, data: bytes) -> None:
+    def _on_first_events(self, active: ActiveRequest, backend: Backend) -> None:
+        """Record where the stream begins or goes on; called before the first events of an attempt are forwarded."""
+        resumed_by_router = active.reply.started
+        if resumed_by_router or active.request.resumes_stream:
+            self._reporter.on_stream_resumed(active, backend, by_caller=not resumed_by_router)
+        active.stream_software = backend.record.software
+
+    async def _write_events(
+        self, active: ActiveRequest, backend: Backend, answer: BackendAnswer, data: bytes
+    ) -> None:
         try:
             events = active.stream_position.feed(data)
         except StreamOrderError as error:
             raise AttemptError(TransportEvent.FOREIGN_ANSWER, error.detail) from error
         if not events:
             return
+        if active.timing.attempt_first_event_s is None:
+            self._on_first_events(active, backend)
         if not active.reply.started:
             await active.reply.start(answer.head)
         active.timing.on_events_forwarded(boot_time_s())
--- a/tests/unit/cli/test_explain.py
+++ b/tests/unit/cli/test_explain.py
@@ -32,6 +32,7 @@
     log_line(15.0, "n2", 3009, "refused", request_id="r6", code="WW3011", outcome="unknown", reason="reset"),
     log_line(16.0, "n2", 3006, "caller gone", request_id="r7"),
     log_line(17.0, "n2", 3010, "request gets no back end any more", content="c1", last_crashed="i-5"),
+    log_line(18.0, "n3", 3003, "stream resumed", request_id="r9", first_request_id="r1", software="v2"),
     log_line(17.1, "n2", 3009, "refused", request_id="r8", code="WW3020", outcome="not_run", reason="content c1"),
 ]
 
@@ -47,6 +48,7 @@
         ("r6", "refused with WW3011 (it may have run): reset"),
         ("r7", "the caller disconnected"),
         ("r8", "refused with WW3020 (it never ran): content c1"),
+        ("r9", "the stream went on at None; its end is not logged"),
     ],
 )
 def test_prints_the_likely_cause(tmp_path, capsys, request_id, cause):
@@ -77,6 +79,13 @@
     assert "target=v2 phase=canary" in shown
 
 
+def test_output_has_the_later_request_that_resumed_the_stream(tmp_path, capsys):
+    log = tmp_path / "all.log"
+    log.write_text("\n".join(LOG_LINES))
+    main(["explain", "r1", str(log)])
+    assert "resumed by r9" in capsys.readouterr().out
+
+
 def test_unknown_request_is_an_error(tmp_path, capsys):
     log = tmp_path / "all.log"
     log.write_text("\n".join(LOG_LINES))
--- a/tests/unit/platform/test_request_parsing.py
+++ b/tests/unit/platform/test_request_parsing.py
@@ -65,6 +65,12 @@
     assert generation.parts == (PromptPart("5c", 800), PromptPart("91", 410), PromptPart("x", 0))
 
 
+def test_a_resuming_request_names_the_request_that_began_the_stream():
+    request = parse(("X-Model", "m"), ("Last-Event-Id", "12"), ("Resumes", "req-0"))
+    assert (request.resumes_stream, request.first_request_id) == (True, "req-0")
+    assert ("Resumes", "req-0") in request.headers
+
+
 @pytest.mark.parametrize("resume", ["", "-1", "last"])
 def test_invalid_event_number_means_no_resumption(resume):
     generation = parse(("X-Model", "m"), ("Last-Event-Id", resume)).generation
--- a/tests/unit/serving/fakes.py
+++ b/tests/unit/serving/fakes.py
@@ -158,7 +158,13 @@
 
 
 def make_request(
-    credential="key", caller_timeout_s=None, generation=None, host="h.example", target="/p?q=1", body=b""
+    credential="key",
+    caller_timeout_s=None,
+    generation=None,
+    host="h.example",
+    target="/p?q=1",
+    body=b"",
+    first_request_id="",
 ):
     return CallerRequest(
         request_id="r-1",
@@ -171,6 +177,7 @@
         caller_timeout_s=caller_timeout_s,
         arrived_s=boot_time_s(),
         generation=generation,
+        first_request_id=first_request_id,
     )
 
 
