Have a resumed stream go on at the software version that began it, at any node

Callers that took a stream up in another request got the rest from back ends of another version: the node that received it knew neither the first request nor its version.

Now the node that begins a resumable stream remembers its version under a digest of caller and request id and, while the service has several versions, tells two other nodes by rendezvous hashing before the caller has the first event (one datagram each, about 160 bytes). The node at which it is resumed asks four, for 0.2 s at most. Unknown streams are served only if no node that answers has seen another version for as long as a stream lasts, else refused at once: 503 WW3022. Streams that began before the second version are told of once it is listed. With one version nothing is sent.

A member's row has 21 bytes more. Checks: tests/unit, tests/platform, lint, types.

--- a/src/wallwell/cluster/upstream.py
+++ b/src/wallwell/cluster/upstream.py
@@ -47,6 +47,8 @@
     link_mbps: float = 0.0
     makes_attempts: bool | msgspec.UnsetType = msgspec.UNSET
     """Whether the node makes attempts for peers; omitted if it does not, as in rows of earlier versions."""
+    keeps_streams: bool | msgspec.UnsetType = msgspec.UNSET
+    """Whether the node answers datagrams about streams at the port of ``relay``; omitted as above."""
 
 
 class Peer(NamedTuple):
--- a/src/wallwell/deployment/routes.py
+++ b/src/wallwell/deployment/routes.py
@@ -149,6 +149,16 @@
         """The services that are KV stores."""
         return tuple(service for service in self.services if service.kv_store_address)
 
+    @cached_property
+    def longest_stream_s(self) -> dict[str, float]:
+        """Longest time in seconds that an answer on a route with resumable streams may take, by service."""
+        longest: dict[str, float] = {}
+        for route in self.routes:
+            if route.kind is RouteKind.STREAM and route.resumable:
+                for each in route.services:
+                    longest[each.service] = max(route.timeout_s, longest.get(each.service, 0.0))
+        return longest
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of ``host`` with the longest prefix that matches ``path``, None if no prefix does."""
         for route in self._routes_by_host.get(host, ()):
--- a/src/wallwell/errors.py
+++ b/src/wallwell/errors.py
@@ -243,6 +243,13 @@
     http_status = 408
 
 
+class StreamVersionUnknownError(RequestError):
+    """The caller resumes a stream, but no node knows which software version of the back ends began it."""
+
+    code = "WW3022"
+    http_status = 503
+
+
 class InternalRequestError(RequestError):
     """An unexpected error occurred inside the router; the request's outcome is unknown."""
 
--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -91,6 +91,7 @@
     MEMBER_NOT_REGISTERED = (5021, "WARNING", "store did not accept this node's member row; retried every second")
     MEMBER_ROW_UNREADABLE = (5022, "WARNING", "member row not decodable; node shares budgets but is not followed")
     OWN_ROW_UNREADABLE = (5024, "WARNING", "row of the nodes' own table cannot be decoded; it is ignored")
+    STREAM_DATAGRAM_LOST = (5025, "INFO", "datagrams about streams could not be sent or decoded")
     PEER_PORTS_REFUSED = (5023, "INFO", "could not listen on some ports for peers; the next ones were tried")
 
     # 6001 and up: back ends, engines' caches, KV stores and zones.
--- a/src/wallwell/node/backend_rows.py
+++ b/src/wallwell/node/backend_rows.py
@@ -68,6 +68,7 @@
         _log_unreadable(unreadable)
         self.drop_lapsed(now_s)
         self._state.backends_known = True
+        self._state.software_history.on_confirmed(followed.confirmed_at_s, now_s)
 
     def _apply_row(self, row: FeedRow, may_be_stale: bool, now_s: float) -> str:
         """Apply a row. Returns the decoding error, or an empty string."""
@@ -92,6 +93,7 @@
                 self._on_entry(incarnation, value, may_be_stale=False)
         for backend in self._state.backends.remove_lapsed(now_s):
             emit(Event.BACKEND_GONE, backend=backend.incarnation)
+            self._state.software_history.on_unlisted(backend.record.service, backend.record.software, now_s)
             self._pool.close_idle(backend.record.address)
 
     def _entry_hold_ends_s(self) -> float:
@@ -111,6 +113,10 @@
             # A later start. After a network cut, old connections may stay open although nothing answers on them.
             self._pool.close_idle(previous.record.address)
         is_changed = previous_record != record
+        if previous_record is not None and previous_record.software != backend.record.software:
+            self._state.software_history.on_unlisted(
+                previous_record.service, previous_record.software, boot_time_s()
+            )
         if is_changed:
             emit(
                 Event.BACKEND_LISTED,
--- a/src/wallwell/node/metrics.py
+++ b/src/wallwell/node/metrics.py
@@ -50,14 +50,10 @@
         yield _counter(
             "wallwell_attempts_for_peers", "Attempts made for peers.", "result", counters.attempts_for_peers
         )
-        resumed = CounterMetricFamily(
-            "wallwell_streams_resumed",
-            "Streams that went on, by who resumed them and whether at the same software version.",
-            labels=["by", "version"],
-        )
-        for labels, count in counters.resumed_streams.items():
-            resumed.add_metric(labels, count)
-        yield resumed
+        yield _counter(
+            "wallwell_streams_resumed", "Streams that went on, by who resumed.", "by", counters.resumed_streams
+        )
+        yield _counter("wallwell_stream_lookups", "Streams that callers resume.", "result", counters.stream_lookups)
         yield _histogram("wallwell_first_piece_seconds", "Time to the first token.", counters.first_token_latency)
         yield _histogram("wallwell_answer_seconds", "Time to the whole answer.", counters.answer_latency)
         yield _histogram("wallwell_largest_gap_seconds", "Largest pause of a stream.", counters.largest_event_gap)
--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -22,6 +22,7 @@
 from wallwell.cluster.peer_link import PeerServer, ReplyStream
 from wallwell.cluster.relay import rows_handler
 from wallwell.cluster.row_messages import RowsRequest
+from wallwell.cluster.stream_directory import StreamDirectory
 from wallwell.cluster.upstream import NodeRecord, UpstreamOrder
 from wallwell.deployment.freshness import StoreClock
 from wallwell.deployment.topology import Topology
@@ -117,11 +118,15 @@
         )
         choice = PeerChoice(self.state.topology, self.state.rng)
         peer_client = PeerAttemptClient(choice, self._attempt_peers, adapter.notices)
+        self._stream_directory = StreamDirectory(
+            self.state.node, self.state.topology, lambda: self._order.members, self.state.recent_versions
+        )
         self._pipeline = RequestPipeline(
             self.state,
             AttemptPaths(adapter.client, peer_client),
             liveness=self._liveness,
             crash_observer=self._crash_watch,
+            stream_directory=self._stream_directory,
         )
         self._peer_attempts = PeerAttemptServer(
             self.state,
@@ -190,7 +195,13 @@
 
     def _own_record(self) -> NodeRecord:
         relay = self._peer_server.address
-        return NodeRecord(self._profile.zone, relay, self._profile.link_mbps, True if relay else UNSET)
+        return NodeRecord(
+            self._profile.zone,
+            relay,
+            self._profile.link_mbps,
+            makes_attempts=True if relay else UNSET,
+            keeps_streams=True if self._stream_directory.is_listening else UNSET,
+        )
 
     # --- start -----------------------------------------------------------------------------------------
 
@@ -200,6 +211,7 @@
         for port in ports:
             try:
                 await self._peer_server.start(host, port)
+                await self._listen_for_datagrams()
                 break
             except OSError as error:
                 refused.append(error)  # Another process on the machine may use the port.
@@ -208,6 +220,14 @@
         if refused:
             emit(Event.PEER_PORTS_REFUSED, host=host, ports=len(refused), reason=str(refused[-1]))
 
+    async def _listen_for_datagrams(self) -> None:
+        """Receive datagrams at the port at which peers are served; without them this node keeps no streams."""
+        host, _, port = self._peer_server.address.rpartition(":")
+        try:
+            await self._stream_directory.listen(host, int(port))
+        except OSError as error:
+            emit(Event.PEER_PORTS_REFUSED, host=host, ports=1, reason=str(error))
+
     def start(self) -> None:
         """Start following the store and start all background loops."""
         loops: list[LoopFunction] = [each.run for each in self._followers.followers]
@@ -215,7 +235,7 @@
         loops += [self._housekeeping.run, self.readiness.watch_event_loop, self._crash_watch.run]
         if self._profile.topology.has_other_regions:
             loops.append(self._load_reporter.region_reporter.run)
-        loops += [self._rollout_driver.run, self._counts_reporter.run]
+        loops += [self._rollout_driver.run, self._counts_reporter.run, self._stream_directory.run]
         self._tasks = [asyncio.create_task(run_supervised(loop)) for loop in loops]
 
     # --- callers ---------------------------------------------------------------------------------------
@@ -265,6 +285,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self._peer_server.close()
         self._peer_server.abort_streams()
+        self._stream_directory.close()
         self._load_reporter.close()
         self._kv_store_watch.close()
         self._counts_reporter.close()
--- a/src/wallwell/node/state.py
+++ b/src/wallwell/node/state.py
@@ -7,7 +7,8 @@
 part                                        written by                        read by
 ==========================================  ================================  ====================================
 config, weights, rollouts, members,         ``node`` (rows of the store)      ``serving``, ``placement``,
-quarantine, backends_known, freshness                                         ``rollout``, metrics
+quarantine, backends_known, freshness,                                        ``rollout``, metrics
+software_history
 store_era                                   ``platform`` (answers of the      ``node``, metrics
                                             store)
 load (back ends, demand, first tokens,      ``cluster`` (loads of other       ``routing`` through ``serving``,
@@ -29,6 +30,7 @@
 import random
 from dataclasses import dataclass, field
 
+from wallwell.clock import boot_time_s
 from wallwell.cluster.demand import FleetDemand
 from wallwell.cluster.fleet_load import FleetLoad
 from wallwell.cluster.region_traffic import RegionTraffic
@@ -54,6 +56,7 @@
 from wallwell.routing.selection.kv_store import KvStoreContents
 from wallwell.routing.selection.kv_store_choice import KvStores
 from wallwell.routing.selection.prefill_rate import PrefillRate
+from wallwell.routing.selection.software_history import RESUME_MARGIN_S, SoftwareHistory
 from wallwell.routing.selection.split import WeightedSplit
 
 DEFAULT_CALL_TIME_S = 0.05
@@ -104,6 +107,8 @@
     """Back ends with their load from this node and from other nodes; tenants' limits."""
     backends_known: bool = False
     """Whether the table of back ends has been read once."""
+    software_history: SoftwareHistory = field(default_factory=SoftwareHistory)
+    """Software versions that were listed lately, by service."""
     weights: WeightsTargets = field(default_factory=WeightsTargets)
     """Weights versions that operators have named for serving."""
     store_era: StoreEra = field(default_factory=StoreEra)
@@ -190,6 +195,16 @@
             return True
         return bool(self.backends.backends_of_service(service))
 
+    def stream_time_s(self, service: str) -> float:
+        """Return the seconds after its beginning for which a stream of a service may be resumed."""
+        longest = 0.0 if self.config is None else self.config.longest_stream_s.get(service, 0.0)
+        return longest + RESUME_MARGIN_S
+
+    def recent_versions(self, service: str) -> set[str]:
+        """Return the software versions that may have begun streams which callers still resume."""
+        listed = self.backends.backends_of_service(service)
+        return self.software_history.versions(service, listed, boot_time_s(), self.stream_time_s(service))
+
     def is_fresh(self, arrival_s: float) -> bool:
         """Whether a request that arrived at ``arrival_s`` may rely on this node's configuration."""
         bounds = self.bounds
--- a/src/wallwell/routing/retry/retry_after.py
+++ b/src/wallwell/routing/retry/retry_after.py
@@ -37,6 +37,9 @@
 NO_BACKEND_WAIT_S = 1.0
 """Wait in seconds if no back end is listed: about the time until a started back end is listed and known to all
 nodes."""
+NODE_RETURN_WAIT_S = 1.0
+"""Wait in seconds for a node that would know the caller's stream: about the time in which one that was frozen or
+short of processor time answers again."""
 WAIT_JITTER = (0.75, 1.25)
 """Lowest and highest random factor of a wait, so that callers do not all retry at once."""
 CAPPED_WAIT_JITTER = 0.5
@@ -71,6 +74,7 @@
     WEIGHTS_TOO_OLD = "no back end has new enough weights"
     RETRY_BUDGET_EXHAUSTED = "retry budget exhausted"
     TOO_LITTLE_TIME = "too little time left"
+    STREAM_VERSION_UNKNOWN = "version that began the stream unknown"
 
 
 class RefusalCircumstances(msgspec.Struct, frozen=True):
@@ -122,6 +126,8 @@
             return max(OTHER_NODE_WAIT_S, min(MAX_STORE_WAIT_S, expected_s))
         case RefusalCause.NO_BACKEND_LISTED | RefusalCause.WEIGHTS_TOO_OLD:
             return NO_BACKEND_WAIT_S
+        case RefusalCause.STREAM_VERSION_UNKNOWN:
+            return NODE_RETURN_WAIT_S
         case RefusalCause.REFUSED_BY_BACKENDS:
             return max(OTHER_NODE_WAIT_S, SLOT_RELEASE_FRACTION * circumstances.usual_duration_s)
         case _:
--- a/src/wallwell/serving/attempt.py
+++ b/src/wallwell/serving/attempt.py
@@ -28,6 +28,7 @@
 from wallwell.serving.request_reports import RequestReporter
 from wallwell.serving.response_wait import ResponseWaiter
 from wallwell.serving.stream_forwarding import StreamForwarder
+from wallwell.serving.stream_origin import StreamOriginBinder
 from wallwell.serving.untried_backends import has_untried_backend
 from wallwell.serving.version_choice import count_attempt_end, count_attempt_start, runs_software
 
@@ -48,13 +49,14 @@
         feedback: AttemptFeedback,
         liveness: LivenessMonitor | None,
         reporter: RequestReporter,
+        stream_origins: StreamOriginBinder,
     ) -> None:
         self._state = state
         self._policy = policy
         self._feedback = feedback
         self._liveness = liveness
         self._response_waiter = ResponseWaiter(state, client, policy)
-        self._stream_forwarder = StreamForwarder(state, policy, feedback, reporter)
+        self._stream_forwarder = StreamForwarder(state, policy, feedback, reporter, stream_origins)
         self._cache_planner = CachePlanner(state)
 
     async def make_attempt(self, active: ActiveRequest, backend: Backend) -> bool:
--- a/src/wallwell/serving/counters.py
+++ b/src/wallwell/serving/counters.py
@@ -38,9 +38,11 @@
     """Those of them that a peer made for this node, by result."""
     attempts_for_peers: Counter[str] = field(default_factory=Counter)
     """Attempts that this node made for peers, or declined, by result; not counted in the others."""
-    resumed_streams: Counter[tuple[str, str]] = field(default_factory=Counter)
-    """Streams that went on after a break, by who resumed them and by software version: that of the events before
-    (``same``), another one, or one compared with an unknown version."""
+    resumed_streams: Counter[str] = field(default_factory=Counter)
+    """Streams that went on after a break, by who resumed them: the ``router`` in one answer, or the ``caller``."""
+    stream_lookups: Counter[str] = field(default_factory=Counter)
+    """Streams that callers resumed, by what was found: their version (``known``), that the service has had only one
+    (``one_version``), or neither (``unknown``)."""
     first_token_latency: dict[str, LatencyHistogram] = field(default_factory=dict)
     answer_latency: dict[str, LatencyHistogram] = field(default_factory=dict)
     largest_event_gap: dict[str, LatencyHistogram] = field(default_factory=dict)
@@ -54,11 +56,6 @@
         if gap_s is not None:
             self.largest_event_gap.setdefault(kind, LatencyHistogram()).observe(gap_s)
 
-    def on_stream_resumed(self, by_caller: bool, software_before: str | None, software: str) -> None:
-        """Count a stream that goes on; ``software_before`` is the version of its events so far, None if unknown."""
-        version = "unknown" if software_before is None else "same" if software_before == software else "other"
-        self.resumed_streams["caller" if by_caller else "router", version] += 1
-
     def on_refused(self, kind: str, outcome: str, code: str) -> None:
         """Count a request that was refused with an error of the router itself."""
         self.requests[(kind, outcome)] += 1
--- a/src/wallwell/serving/pipeline.py
+++ b/src/wallwell/serving/pipeline.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from wallwell.clock import boot_time_s
+from wallwell.cluster.stream_directory import StreamDirectory
 from wallwell.errors import RequestError
 from wallwell.node.state import NodeState
 from wallwell.outcomes import Outcome
@@ -47,6 +48,7 @@
 )
 from wallwell.serving.request_errors import RequestErrorFactory
 from wallwell.serving.request_reports import RequestReporter
+from wallwell.serving.stream_origin import StreamOriginBinder
 from wallwell.serving.version_choice import candidates_for
 
 
@@ -66,6 +68,7 @@
         counters: RequestCounters | None = None,
         liveness: LivenessMonitor | None = None,
         crash_observer: CrashObserver | None = None,
+        stream_directory: StreamDirectory | None = None,
     ) -> None:
         self._state = state
         self._admission = Admission(state)
@@ -75,7 +78,11 @@
         self.feedback = AttemptFeedback(state, self._selector, crash_observer)
         self.counters = counters or RequestCounters()
         self._reporter = RequestReporter(state, self.counters)
-        self._attempt_runner = AttemptRunner(state, client, self._policy, self.feedback, liveness, self._reporter)
+        directory = stream_directory or StreamDirectory(state.node, state.topology, dict, state.recent_versions)
+        self._stream_origins = StreamOriginBinder(state, directory, self.counters)
+        self._attempt_runner = AttemptRunner(
+            state, client, self._policy, self.feedback, liveness, self._reporter, self._stream_origins
+        )
 
     async def serve(self, request: CallerRequest, reply: CallerReply) -> None:
         """Serve one request through ``reply``. Raises :class:`CallerGoneError` if the caller has disconnected."""
@@ -108,6 +115,7 @@
 
     async def _run(self, active: ActiveRequest) -> None:
         """Make attempts until one is answered. Raises :class:`RequestError` or :class:`CallerGoneError`."""
+        await self._stream_origins.bind(active)
         while True:
             backend = await self._next_backend(active)
             try:
--- a/src/wallwell/serving/request_reports.py
+++ b/src/wallwell/serving/request_reports.py
@@ -61,16 +61,17 @@
 
         ``by_caller``: whether the caller sent a request for the rest; otherwise it goes on within one answer.
         """
-        software, software_before = backend.record.software, active.stream_software
-        self._counters.on_stream_resumed(by_caller, software_before, software)
+        resumed_by = "caller" if by_caller else "router"
+        self._counters.resumed_streams[resumed_by] += 1
         emit(
             Event.STREAM_RESUMED,
             request_id=active.request.request_id,
             first_request_id=active.request.first_request_id,
-            by="caller" if by_caller else "router",
+            by=resumed_by,
             backend=backend.incarnation,
-            software=software,
-            software_before=software_before,
+            software=backend.record.software,
+            software_before=active.stream_software,
+            **_origin_fields(active),
         )
 
     def on_answered(self, active: ActiveRequest, backend: Backend, now_s: float) -> None:
@@ -106,6 +107,13 @@
         return round((boot_time_s() - confirmed_s) * 1000)
 
 
+def _origin_fields(active: ActiveRequest) -> dict[str, str | int]:
+    """Return the log fields that say who knew the version of a resumed stream; empty if nobody was asked."""
+    if not active.stream_known_by:
+        return {}
+    return {"known_by": active.stream_known_by, "known_age_ms": round(active.stream_known_age_s * 1000)}
+
+
 def _path_field(active: ActiveRequest) -> dict[str, str]:
     """Return the log field that names the peer that made the current attempt; empty if this node made it."""
     via_peer = active.progress.via_peer
--- a/src/wallwell/serving/stream_forwarding.py
+++ b/src/wallwell/serving/stream_forwarding.py
@@ -22,6 +22,7 @@
 from wallwell.serving.attempt_feedback import AttemptFeedback
 from wallwell.serving.messages import AttemptError, BackendAnswer
 from wallwell.serving.request_reports import RequestReporter
+from wallwell.serving.stream_origin import StreamOriginBinder
 from wallwell.serving.untried_backends import has_untried_backend
 from wallwell.serving.version_choice import listed_software
 from wallwell.task_wait import is_done_within
@@ -31,12 +32,18 @@
     """Forwards streamed answers of one node."""
 
     def __init__(
-        self, state: NodeState, policy: RetryPolicy, feedback: AttemptFeedback, reporter: RequestReporter
+        self,
+        state: NodeState,
+        policy: RetryPolicy,
+        feedback: AttemptFeedback,
+        reporter: RequestReporter,
+        origins: StreamOriginBinder,
     ) -> None:
         self._state = state
         self._policy = policy
         self._feedback = feedback
         self._reporter = reporter
+        self._origins = origins
 
     async def forward(self, active: ActiveRequest, backend: Backend, answer: BackendAnswer) -> None:
         """Forward events until the stream ends. Raises :class:`AttemptError` if the stream stalls or breaks off."""
@@ -85,6 +92,8 @@
         if resumed_by_router or active.request.resumes_stream:
             self._reporter.on_stream_resumed(active, backend, by_caller=not resumed_by_router)
         active.stream_software = software
+        if not resumed_by_router:
+            self._origins.on_begun(active, software)
 
     async def _write_events(
         self, active: ActiveRequest, backend: Backend, answer: BackendAnswer, data: bytes
--- /dev/null
+++ b/src/wallwell/serving/stream_origin.py
@@ -0,0 +1,83 @@
+"""Binds a stream that its caller resumes to the software version that began it.
+
+Adapter between requests, the node's listing and :class:`~wallwell.cluster.stream_directory.StreamDirectory`. A
+stream of unknown origin is served only if no node that answers has seen more than one version of its service for as
+long as a stream can last. Otherwise it is refused: events of two versions look whole to the caller and are not.
+"""
+
+from __future__ import annotations
+
+from wallwell.clock import boot_time_s
+from wallwell.cluster.stream_directory import StreamDirectory, StreamFindings
+from wallwell.cluster.stream_messages import stream_digest
+from wallwell.deployment.routes import RouteKind
+from wallwell.errors import StreamVersionUnknownError
+from wallwell.node.state import NodeState
+from wallwell.routing.retry.retry_after import RefusalCause
+from wallwell.routing.selection.software_history import RESUME_MARGIN_S
+from wallwell.serving.active_request import ActiveRequest
+from wallwell.serving.counters import RequestCounters
+from wallwell.serving.retry_after import RetryAfterEstimator
+
+
+class StreamOriginBinder:
+    """Finds the version of streams that are resumed at one node, and records it of those that begin there."""
+
+    def __init__(self, state: NodeState, directory: StreamDirectory, counters: RequestCounters) -> None:
+        self._state = state
+        self._directory = directory
+        self._counters = counters
+        self._retry_after = RetryAfterEstimator(state)
+
+    def on_begun(self, active: ActiveRequest, software: str) -> None:
+        """Record at which version a stream begins or is resumed; called before the caller gets its first event."""
+        if not active.route.resumable:
+            return
+        request = active.request
+        kept_s = max(active.route.timeout_s, request.caller_timeout_s or 0.0) + RESUME_MARGIN_S
+        if not request.resumes_stream:
+            self._directory.on_begun(_stream_of(active, request.request_id), active.service, software, kept_s)
+        elif request.first_request_id:
+            self._directory.on_resumed(_stream_of(active, request.first_request_id), software, kept_s)
+
+    async def bind(self, active: ActiveRequest) -> None:
+        """Set the version at which a resumed stream may go on. Raises :class:`StreamVersionUnknownError`."""
+        if not active.request.resumes_stream or active.route.kind is not RouteKind.STREAM:
+            return
+        findings = await self._find(active)
+        if findings.software is not None:
+            self._counters.stream_lookups["known"] += 1
+            active.stream_software = findings.software
+            active.stream_known_by, active.stream_known_age_s = findings.known_by, findings.age_s
+        elif len(findings.versions) > 1:
+            self._counters.stream_lookups["unknown"] += 1
+            raise self._unknown_error(active, findings)
+        else:
+            self._counters.stream_lookups["one_version"] += 1
+            active.stream_software = next(iter(findings.versions), None)
+
+    async def _find(self, active: ActiveRequest) -> StreamFindings:
+        """Return what is known of a stream; other nodes are asked only if it may have begun at several versions."""
+        state, service = self._state, active.service
+        stream = _stream_of(active, active.request.first_request_id)
+        known = self._directory.find_here(stream)
+        if known is not None:
+            return known
+        versions = state.recent_versions(service)
+        is_complete = state.software_history.is_complete(boot_time_s(), state.stream_time_s(service))
+        if is_complete and len(versions) <= 1:
+            return StreamFindings(None, versions=versions)
+        return await self._directory.find(stream, service)
+
+    def _unknown_error(self, active: ActiveRequest, findings: StreamFindings) -> StreamVersionUnknownError:
+        wait_ms = self._retry_after.for_admitted_request_ms(RefusalCause.STREAM_VERSION_UNKNOWN, active)
+        detail = (
+            f"{len(findings.versions)} versions seen lately; of {findings.asked} nodes asked {findings.answered}"
+            " answered, and none knows the stream"
+        )
+        return StreamVersionUnknownError(detail, retry_after_ms=wait_ms)
+
+
+def _stream_of(active: ActiveRequest, first_request_id: str) -> str:
+    caller = active.tenant.name if active.tenant is not None else active.request.credential
+    return stream_digest(caller, first_request_id)
--- /dev/null
+++ b/tests/unit/serving/test_stream_origin.py
@@ -0,0 +1,105 @@
+"""At which software version a stream goes on that its caller resumes, and when it is refused."""
+
+import dataclasses
+
+import pytest
+
+from tests.unit.serving.fakes import FakeClient, FakeReply, Script, event, make_generation, make_request, make_route
+from tests.unit.serving.fakes import make_state as make_plain_state
+from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
+from wallwell.cluster.stream_directory import StreamDirectory, StreamFindings
+from wallwell.deployment.routes import RouteKind
+from wallwell.outcomes import Outcome
+from wallwell.serving.pipeline import RequestPipeline
+
+ROUTE = make_route(RouteKind.STREAM, resumable=True, attempts=2, timeout_s=6.0)
+REST = Script(chunks=(event(3), event(4)), stream=True)
+LONG_S = 60.0
+
+
+class FakeDirectory(StreamDirectory):
+    """Answers with fixed findings instead of asking other nodes."""
+
+    def __init__(self, state, findings):
+        super().__init__(state.node, state.topology, dict, state.recent_versions)
+        self.findings = findings
+        self.asked = 0
+
+    async def find(self, stream, service):
+        self.asked += 1
+        return self.findings
+
+
+def resume(software, findings, observed_s=LONG_S, listing_age_s=0.0, unlisted=()):
+    """Resume one stream; return the reply, the versions it was sent to, and how often other nodes were asked."""
+
+    async def scenario():
+        state = make_plain_state(ROUTE, backends=len(software), versions={"m": 1})
+        for index, version in enumerate(software):
+            record = state.backends.get(f"i-{index}").record
+            state.backends.upsert(dataclasses.replace(record, software=version))
+        now_s = boot_time_s()
+        state.software_history.on_confirmed(now_s - observed_s, now_s - observed_s)
+        state.software_history.on_confirmed(now_s - listing_age_s, now_s)
+        for version, ago_s in unlisted:
+            state.software_history.on_unlisted("svc", version, now_s - ago_s)
+        directory, client, reply = FakeDirectory(state, findings), FakeClient(REST), FakeReply()
+        pipeline = RequestPipeline(state, client, stream_directory=directory)
+        request = make_request(generation=make_generation(resume_after=2), first_request_id="r-0")
+        await pipeline.serve(request, reply)
+        return reply, [each.backend.software for each in client.sent], directory.asked, pipeline.counters
+
+    return run_virtual(scenario())
+
+
+NOT_FOUND = StreamFindings(None, versions={"v1"})
+
+
+def test_the_stream_goes_on_at_the_version_that_another_node_knows():
+    found = StreamFindings("v2", "n7", 1.0, {"v1", "v2"})
+    reply, versions, asked, counters = resume(["v1"] * 5 + ["v2"], found)
+    assert (reply.status, versions, asked) == (200, ["v2"], 1)
+    assert counters.stream_lookups == {"known": 1}
+
+
+def test_nobody_is_asked_while_the_service_has_had_one_version_for_long():
+    reply, versions, asked, counters = resume(["v1", "v1"], NOT_FOUND)
+    assert (reply.status, versions, asked) == (200, ["v1"], 0)
+    assert counters.stream_lookups == {"one_version": 1}
+
+
+@pytest.mark.parametrize(
+    "history",
+    [
+        {"observed_s": 3.0},
+        {"listing_age_s": 5.0},
+        {"unlisted": [("v0", 3.0)]},
+    ],
+    ids=["started lately", "listing is old", "another version left lately"],
+)
+def test_other_nodes_are_asked_if_the_stream_may_have_begun_at_another_version(history):
+    _, _, asked, _ = resume(["v1", "v1"], NOT_FOUND, **history)
+    assert asked == 1
+
+
+def test_a_stream_that_nobody_knows_is_served_if_no_node_has_seen_another_version():
+    reply, versions, _, _ = resume(["v1", "v1"], NOT_FOUND, observed_s=0.0)
+    assert (reply.status, versions) == (200, ["v1"])
+
+
+def test_a_stream_that_nobody_knows_is_refused_at_once_if_it_may_be_of_another_version():
+    found = StreamFindings(None, versions={"v1", "v2"}, asked=4, answered=4)
+    reply, versions, _, counters = resume(["v1", "v1"], found, observed_s=0.0)
+    assert (reply.status, reply.error.code, reply.error.outcome) == (503, "WW3022", Outcome.NOT_RUN)
+    assert reply.error.retry_after_ms > 0
+    assert versions == []
+    assert counters.stream_lookups == {"unknown": 1}
+
+
+def test_a_stream_whose_version_has_no_back_end_left_is_refused_at_once():
+    reply, versions, _, _ = resume(["v1", "v2"], StreamFindings("v0", "n7", 1.0, {"v1", "v2"}))
+    assert (reply.status, reply.error.code, reply.error.outcome) == (503, "WW3008", Outcome.NOT_RUN)
+    assert "v0" in reply.error.detail
+    assert reply.error.retry_after_ms > 0
+    assert versions == []
