Soak: several software versions side by side, and callers that take streams up

Nothing in the soak ran versions without an order, and its callers never took a stream up, so it could not see streams of two versions. Events name the version that wrote them; one_version_per_stream reads it from the callers' side, resumed_streams_go_on counts the share of 12 or more. stream_order counts from where the caller was. Schedules of one version are unchanged (own generators).

--- a/src/wallwell/cli/soak.py
+++ b/src/wallwell/cli/soak.py
@@ -43,6 +43,7 @@
     parser.add_argument("--rate", type=float, default=DEFAULT_RATE_PER_S, help="requests per second")
     parser.add_argument("--crashing", type=int, default=0, help="callers whose requests crash their workers")
     parser.add_argument("--rollout", default="", help="roll out a version of this kind: good, failing, slow, ...")
+    parser.add_argument("--versions", type=int, default=1, help="software versions of engines, side by side")
     parser.add_argument("--calm", type=float, default=0.0, help="fault-free seconds at the end, for a weights roll")
     parser.add_argument("--keep", type=Path, help="folder for schedule, logs and histories, never deleted")
     parser.add_argument("--regressions", type=Path, help="replay the runs of this file instead")
@@ -77,6 +78,7 @@
         silences=True,
         restores=True,  # Kept runs keep their recorded shape; all other runs have these five features.
         rollout=options.rollout,
+        versions=options.versions,
         calm_s=options.calm,
     )
     schedule = draw_schedule(options.seed, shape)
@@ -118,12 +120,13 @@
     rate = f" --rate {shape.requests_per_s:g}" if shape.requests_per_s != DEFAULT_RATE_PER_S else ""
     rollout = f" --rollout {shape.rollout}" if shape.rollout else ""
     calm = f" --calm {shape.calm_s:g}" if shape.calm_s else ""
+    versions = f" --versions {shape.versions}" if shape.versions > 1 else ""
     crashing = f" --crashing {shape.crashing}" if shape.crashing else ""
     if not (shape.notices and shape.limits and shape.identities and shape.restores):
         return f"wallwell soak --regressions FILE, with seed {schedule.seed} and {shape} in the file"
     return (
         f"wallwell soak --seed {schedule.seed} --seconds {shape.seconds:g} --nodes {shape.nodes} "
-        f"--engines {shape.engines} --instances {shape.instances}{regions}{rate}{crashing}{rollout}{calm}"
+        f"--engines {shape.engines} --instances {shape.instances}{regions}{rate}{crashing}{versions}{rollout}{calm}"
     )
 
 
--- a/src/wallwell/soak/answers.py
+++ b/src/wallwell/soak/answers.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import re
+from typing import NamedTuple
 
 CALL_LINES = 20
 """Lines of a call's answer: an answer that is cut off shows at most places."""
@@ -13,7 +14,7 @@
 """Body of a request under which each worker that begins to run it crashes."""
 CRASH_STATUS = 70
 """Exit status of such a worker, so that the run distinguishes it from any other end."""
-_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\d+)\Z")
+_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\d+)(?: (\S+))?\Z")
 
 
 def call_body(request: str) -> bytes:
@@ -21,18 +22,32 @@
     return "".join(f"{request} {line}\n" for line in range(CALL_LINES)).encode()
 
 
-def event_text(request: str, number: int) -> bytes:
-    """Return one event of a stream."""
-    return f"id: {number}\ndata: {request} {number}\n\n".encode()
+class StreamBody(NamedTuple):
+    """The events of a stream's body."""
 
+    numbers: tuple[int, ...]
+    is_own: bool
+    """Whether all of it belongs to the request."""
+    versions: tuple[str, ...]
+    """Software versions of the workers that wrote the events, in order, without repetition."""
 
-def events_of(request: str, body: bytes) -> tuple[tuple[int, ...], bool]:
-    """Return the numbers of a body's whole events, and whether all of it belongs to ``request``."""
+
+def event_text(request: str, number: int, software: str = "") -> bytes:
+    """Return one event of a stream, written by a worker of a software version."""
+    version = f" {software}" if software else ""
+    return f"id: {number}\ndata: {request} {number}{version}\n\n".encode()
+
+
+def events_of(request: str, body: bytes) -> StreamBody:
+    """Return the whole events of a body that should belong to ``request``."""
     *events, _ = body.split(b"\n\n")
     numbers: list[int] = []
+    versions: dict[str, None] = {}
     for event in events:
         match = _EVENT.match(event.strip(b"\n"))
         if match is None or match[2] != request.encode() or match[1] != match[3]:
-            return tuple(numbers), False
+            return StreamBody(tuple(numbers), False, tuple(versions))
         numbers.append(int(match[1]))
-    return tuple(numbers), True
+        if match[4]:
+            versions[match[4].decode()] = None
+    return StreamBody(tuple(numbers), True, tuple(versions))
--- a/src/wallwell/soak/drawing.py
+++ b/src/wallwell/soak/drawing.py
@@ -82,6 +82,14 @@
 """Workers that start again under their identity."""
 SPOILT_S = 4.0
 """Seconds for which an entry is spoilt: longer than nodes may go on sending to its worker."""
+BREAK_PERIOD_S = 0.6
+"""Mean time between two crashes of engines or ends of nodes where several versions serve, besides the shortest."""
+BREAK_LASTS_S = (0.3, 0.8)
+"""Seconds until the crashed engine's next incarnation, or the node, starts."""
+NODE_BREAK_FRACTION = 0.3
+"""Fraction of these faults that end a node."""
+LONG_STREAMS_PER_S = 8.0
+"""Long streams a second, besides the other requests."""
 SILENCES = 3
 """Times in which a sound worker falls silent."""
 SILENCE_LASTS_S = (0.6, 1.5)
@@ -116,6 +124,8 @@
     requests = _draw_requests(random.Random(f"{seed}/requests"), seed, shape)
     for number in range(shape.crashing):
         requests += _draw_crashing(random.Random(f"{seed}/crashing/{number}"), f"{seed}-crashing-{number}", shape)
+    if shape.versions > 1:
+        requests += _draw_long_streams(random.Random(f"{seed}/streams"), seed, shape)
     requests.sort(key=lambda request: request.at_s)
     if shape.notices and shape.engines and shape.instances:
         faults += _draw_notices(random.Random(f"{seed}/notices"), shape)
@@ -125,6 +135,8 @@
         faults += _draw_identities(random.Random(f"{seed}/identities"), shape)
     if shape.silences:
         faults += _draw_silences(random.Random(f"{seed}/silences"), shape)
+    if shape.versions > 1:
+        faults += _draw_breaks(random.Random(f"{seed}/versions"), shape)
     operations = _draw_operations(random.Random(f"{seed}/operations"), shape)
     if shape.restores:
         faults += _draw_restores(random.Random(f"{seed}/restores"), shape, operations)
@@ -222,6 +234,46 @@
     ]
 
 
+def _draw_breaks(generator: random.Random, shape: Shape) -> list[PlannedFault]:
+    """Return crashes of engines, whose next incarnation has other software, and ends of nodes."""
+    engines = [name for name in shape.worker_names() if name.startswith("engine")]
+    until_s = shape.seconds - RECOVERY_S - SHOWN_RECOVERED_S - BREAK_LASTS_S[1]
+    faults = []
+    at_s = FIRST_FAULT_S
+    while at_s < until_s:
+        lasts_s = round(generator.uniform(*BREAK_LASTS_S), 2)
+        if generator.random() < NODE_BREAK_FRACTION:
+            kind, target = FaultKind.KILL_NODE, generator.choice(shape.node_names())
+        else:
+            kind, target = FaultKind.CRASH_WORKER, generator.choice(engines)
+        faults.append(PlannedFault(round(at_s, 2), lasts_s, kind, target))
+        at_s += BREAK_LASTS_S[1] + generator.expovariate(1 / BREAK_PERIOD_S)
+    return faults
+
+
+def _draw_long_streams(generator: random.Random, seed: int, shape: Shape) -> list[PlannedRequest]:
+    """Return long streams that callers take up when they break off."""
+    requests: list[PlannedRequest] = []
+    at_s = 0.0
+    while at_s < shape.length_s:
+        drawn = _draw_request(generator, f"{seed}-long-{len(requests)}", at_s, shape)
+        tokens = drawn.prompt_tokens or SHARED_PART_TOKENS
+        requests.append(
+            msgspec.structs.replace(
+                drawn,
+                kind=RequestKind.RESUMABLE,
+                key="key-a",
+                deadline_s=DEADLINE_S[1],
+                events=STREAM_EVENTS[1],
+                prompt_parts=drawn.prompt_parts or f"5a00:{SHARED_PART_TOKENS}",
+                prompt_tokens=tokens,
+                leaves_after_s=0.0,
+            )
+        )
+        at_s += generator.expovariate(LONG_STREAMS_PER_S)
+    return requests
+
+
 def _draw_restores(
     generator: random.Random, shape: Shape, operations: Sequence[PlannedOperation]
 ) -> list[PlannedFault]:
--- a/src/wallwell/soak/fleet.py
+++ b/src/wallwell/soak/fleet.py
@@ -26,11 +26,9 @@
 from wallwell.soak.schedule import BETWEEN_REGIONS, FIRST_KEYS, STORE, Schedule
 from wallwell.soak.store_process import StoreSettings
 from wallwell.soak.supervisor import ChildProcess, Supervisor
-from wallwell.soak.versions import Badness
+from wallwell.soak.versions import FIRST_VERSION, Badness, version_of_engine
 from wallwell.soak.worker_process import WorkerSettings
 
-FIRST_VERSION = "v1"
-"""Software of the workers that a run starts with."""
 REGION_DELAY_S = 0.02
 """Seconds of one way between regions."""
 REGION_BYTES_PER_S = 30e6 / 8
@@ -166,6 +164,9 @@
         number = self._incarnations[name] = self._incarnations.get(name, 0) + (not keeps_identity)
         incarnation = f"{name}.{number}"
         service = ENGINES if name.startswith("engine") else ORDERS
+        versions = self.schedule.shape.versions
+        if service == ENGINES and versions > 1:
+            software = version_of_engine(int(name.rpartition("-")[2]), number, versions)
         worker_names = self.schedule.shape.worker_names() + self.schedule.shape.target_names()
         settings = WorkerSettings(
             incarnation=incarnation,
--- a/src/wallwell/soak/history.py
+++ b/src/wallwell/soak/history.py
@@ -53,6 +53,10 @@
     """What a request that is sent several times holds each time."""
     deadline_s: float = 0.0
     """How long its caller waits; 0 if it does not say."""
+    resumes: str = ""
+    """The request that began the stream, if this one takes it up."""
+    resume_after: int = 0
+    """Number of the last event that the caller has then."""
 
 
 class Answered(Record, frozen=True):
@@ -68,6 +72,8 @@
     own: bool = True
     whole: bool = True
     events: tuple[int, ...] = ()
+    versions: tuple[str, ...] = ()
+    """Software versions of the workers that wrote these events."""
 
 
 class Left(Record, frozen=True):
--- a/src/wallwell/soak/invariants.py
+++ b/src/wallwell/soak/invariants.py
@@ -8,7 +8,13 @@
 
 from dataclasses import dataclass
 
-from wallwell.soak import invariants_fleet, invariants_notices, invariants_requests, invariants_rollout
+from wallwell.soak import (
+    invariants_fleet,
+    invariants_notices,
+    invariants_requests,
+    invariants_rollout,
+    invariants_streams,
+)
 from wallwell.soak.cases import Check
 from wallwell.soak.timeline import History
 
@@ -40,6 +46,8 @@
     "only_asked": invariants_requests.only_asked,
     "refused_not_run": invariants_requests.refused_not_run,
     "stream_order": invariants_requests.stream_order,
+    "one_version_per_stream": invariants_streams.one_version_per_stream,
+    "resumed_streams_go_on": invariants_streams.resumed_streams_go_on,
     "crashes_few": invariants_requests.crashes_few,
     "recovers": invariants_requests.recovers,
     "nodes_stay": invariants_requests.nodes_stay,
--- a/src/wallwell/soak/invariants_requests.py
+++ b/src/wallwell/soak/invariants_requests.py
@@ -95,18 +95,17 @@
         sent = history.sent[answer.request]
         if not sent.kind.is_stream or not 200 <= answer.status < 300:
             continue
-        if answer.events != tuple(range(1, len(answer.events) + 1)):
-            yield Violation(answer.at_s, answer.request, f"events {_shown(answer.events)}")
-        elif answer.whole and len(answer.events) < sent.events:
-            yield Violation(
-                answer.at_s, answer.request, f"complete after {len(answer.events)} of {sent.events} events"
-            )
+        received = sent.resume_after + len(answer.events)
+        if answer.events != tuple(range(sent.resume_after + 1, received + 1)):
+            yield Violation(answer.at_s, answer.request, f"events {_shown(answer.events, sent.resume_after)}")
+        elif answer.whole and received < sent.events:
+            yield Violation(answer.at_s, answer.request, f"complete after {received} of {sent.events} events")
         else:
             yield HELD
 
 
-def _shown(events: tuple[int, ...]) -> str:
-    first = next(index for index, number in enumerate(events) if number != index + 1)
+def _shown(events: tuple[int, ...], resume_after: int) -> str:
+    first = next(index for index, number in enumerate(events) if number != resume_after + index + 1)
     return f"{events[max(0, first - 2) : first + 2]} at place {first + 1}"
 
 
--- a/src/wallwell/soak/run.py
+++ b/src/wallwell/soak/run.py
@@ -66,7 +66,9 @@
     schedule = fleet.schedule
     start_s = time.monotonic() + LEAD_S
     history = str(fleet.folder / f"callers{HISTORY_SUFFIX}")
-    settings = CallerSettings(history, fleet.callers_addresses, start_s, schedule.requests)
+    settings = CallerSettings(
+        history, fleet.callers_addresses, start_s, schedule.requests, takes_up=schedule.shape.versions > 1
+    )
     await fleet.supervisor.start_own("callers", "callers", settings)
     try:
         async with asyncio.timeout(LEAD_S + schedule.shape.length_s + TAIL_S):
--- a/src/wallwell/soak/schedule.py
+++ b/src/wallwell/soak/schedule.py
@@ -195,6 +195,9 @@
     """Whether sound workers fall silent for a second or so."""
     restores: bool = False
     """Whether the store comes back from older copies."""
+    versions: int = 1
+    """Software versions of the engines that serve side by side, without an order; each new incarnation of an engine
+    has the next one. With several, callers take up streams that break off."""
     calm_s: float = 0.0
     """Seconds after ``seconds`` without faults, in which weights are named, software is rolled out and, if there is
     time, one node stops as planned: invariants with a time bound need that."""
--- a/src/wallwell/soak/versions.py
+++ b/src/wallwell/soak/versions.py
@@ -29,6 +29,15 @@
         return self.is_bad and is_due and path.startswith(self.path)
 
 
+FIRST_VERSION = "v1"
+
+
+def version_of_engine(index: int, incarnation: int, versions: int) -> str:
+    """Return the software of an engine's incarnation (from 1) among ``versions`` that serve side by side."""
+    number = (index + incarnation - 1) % versions
+    return f"{FIRST_VERSION}.{number}" if number else FIRST_VERSION
+
+
 ROLLOUTS = {
     "good": Badness(),
     "failing": Badness(failure_share=0.5),
--- a/src/wallwell/soak/worker_process.py
+++ b/src/wallwell/soak/worker_process.py
@@ -220,7 +220,7 @@
         await response.prepare(request)
         first = _number(request.headers.get(names.RESUME_AFTER, "")) + 1
         for number in range(first, _events(request) + 1):
-            await response.write(event_text(identity, number))
+            await response.write(event_text(identity, number, self.software))
             await asyncio.sleep(self._settings.event_s * factor)
         await response.write_eof()
         return response
--- a/tests/unit/compatibility/test_metrics_and_commands.py
+++ b/tests/unit/compatibility/test_metrics_and_commands.py
@@ -119,6 +119,7 @@
         "--rollout default=",
         "--seconds type=float default=20.0",
         "--seed type=int default=1",
+        "--versions type=int default=1",
     ],
 }
 """By command: each argument, with its settings that differ from argparse's defaults. The fault runs of
--- a/tests/unit/soak/test_invariants.py
+++ b/tests/unit/soak/test_invariants.py
@@ -72,6 +72,27 @@
     return records
 
 
+def taken_up(goes_on, of, versions=("v1", "v1")):
+    """Streams break off after their first event; ``goes_on`` of them go on when they are taken up."""
+    records = []
+    for number in range(of):
+        first, again, at_s = f"s{number}", f"s{number}-again", 1.0 + 0.1 * number
+        records += [
+            sent(first, RequestKind.RESUMABLE, at_s, events=3),
+            began(first, f"w.{number % 2}", at_s=at_s, software=versions[0]),
+            answered(first, worker=f"w.{number % 2}", whole=False, events=(1,), versions=versions[:1]),
+            sent(again, RequestKind.RESUMABLE, at_s, events=3, resumes=first, resume_after=1),
+        ]
+        if number < goes_on:
+            records += [
+                began(again, software=versions[1], resume_after=1, at_s=at_s),
+                answered(again, events=(2, 3), versions=versions[1:]),
+            ]
+        else:
+            records.append(answered(again, 503, ""))
+    return records
+
+
 def leaving(reached_after_s, state="draining"):
     """A worker leaves and a request reaches it so much later."""
     at_s = 10.0 + reached_after_s
@@ -262,6 +283,8 @@
     "a whole stream": [STREAM, began(), answered(events=(1, 2, 3))],
     "a stream that broke off": [STREAM, began(), answered(events=(1, 2), whole=False)],
     "a resumed stream": [RESUMABLE, began(), began(worker="w.2", resume_after=1), answered(events=(1, 2, 3))],
+    "streams that are taken up, half of which go on": taken_up(goes_on=6, of=12),
+    "few streams that are taken up and end": taken_up(goes_on=0, of=11),
     "a planned stop": [NodeExited(1.0, "n", 0, "SIGTERM")],
     "a kill": [NodeExited(1.0, "n", -9, "SIGKILL")],
     "a planned stop before the interpreter could handle it": [NodeExited(1.0, "n", -15, "SIGTERM", False)],
@@ -353,6 +376,28 @@
     "a double": ("stream_order", [STREAM, began(), answered(events=(1, 2, 2, 3))]),
     "a late start": ("stream_order", [STREAM, began(), answered(events=(2, 3))]),
     "an early end that looks complete": ("stream_order", [STREAM, began(), answered(events=(1, 2))]),
+    "a stream that goes on at another version": ("one_version_per_stream", taken_up(1, 1, ("v1", "v2"))),
+    "an answer with events of two versions": (
+        "one_version_per_stream",
+        [
+            RESUMABLE,
+            began(software="v1"),
+            began(worker="w.2", software="v2", resume_after=1),
+            answered(events=(1, 2, 3), versions=("v1", "v2")),
+        ],
+    ),
+    "streams that are taken up and end": ("resumed_streams_go_on", taken_up(goes_on=5, of=12)),
+    "a stream that is taken up and begins anew": (
+        "stream_order",
+        [
+            RESUMABLE,
+            began(),
+            answered(events=(1,), whole=False),
+            sent("again", RequestKind.RESUMABLE, events=3, resumes="r", resume_after=1),
+            began("again"),
+            answered("again", events=(1, 2, 3)),
+        ],
+    ),
     "a request that goes on to crash workers": ("crashes_few", crashing([1.0, 1.5, 2.0, 4.1, 5.0, 6.0, 7.0])),
     "the same though a node ended long after the third crash": (
         "crashes_few",
--- a/tests/unit/soak/test_stand_ins.py
+++ b/tests/unit/soak/test_stand_ins.py
@@ -113,7 +113,7 @@
             return response.headers[names.WEIGHT_VERSION], await response.read()
 
     answer, records = with_worker(run_async, tmp_path, scenario)
-    assert answer == ("1", event_text("r", 3) + event_text("r", 4))
+    assert answer == ("1", event_text("r", 3, "v1") + event_text("r", 4, "v1"))
     assert records[0].resume_after == 2
 
 
