--- a/tests/platform/test_streams_of_two_versions.py
+++ b/tests/platform/test_streams_of_two_versions.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import json
+import re
 
 import aiohttp
 import pytest
@@ -169,7 +170,7 @@
 
 
 def run_streams(on_platform, play):
-    """Return the events that callers got of each stream, before and after its break."""
+    """Return what ``play`` returns of a started fleet."""
 
     async def scenario(harness):
         fleet = VersionedFleet(harness)
@@ -182,6 +183,18 @@
     return on_platform(scenario, config(routes=ROUTES), software=SOFTWARE)
 
 
+def test_resumed_streams_are_counted(on_platform):
+    async def play(fleet):
+        await _streams_over_requests(fleet, "other nodes")
+        return [node.metrics_text().decode() for node in (fleet.nodes[0], fleet.nodes[2])]
+
+    for metrics in run_streams(on_platform, play):
+        (resumed,) = re.findall(r'wallwell_streams_resumed_total\{by="caller"\} (\d+)', metrics)
+        (known,) = re.findall(r'wallwell_stream_lookups_total\{result="known"\} (\d+)', metrics)
+        assert int(resumed) > 0
+        assert int(known) == STREAMS / 2
+
+
 def assert_streams_keep_their_version(streams):
     begun = [(before, after) for before, after in streams if before]
     assert len(begun) == STREAMS
--- a/tests/unit/compatibility/test_documents_of_services.py
+++ b/tests/unit/compatibility/test_documents_of_services.py
@@ -139,6 +139,7 @@
     "rollout record row",
     "rollout status row",
     "rows reply",
+    "stream datagram",
     "weights progress row",
     "weights version row",
     "zone load reply",
--- a/tests/unit/compatibility/test_messages_between_nodes.py
+++ b/tests/unit/compatibility/test_messages_between_nodes.py
@@ -109,6 +109,12 @@
         ("{}", '{"page":null,"reachable":true}'),
     ],
     "counts reply": [('{"life":9}',)],
+    "stream datagram": [
+        ('{"type":"StreamBegun","stream":"00112233445566778899aabbccddeeff","software":"v1","kept_s":17.0}',),
+        ('{"type":"StreamQuery","number":3,"stream":"00112233445566778899aabbccddeeff","service":"svc"}',),
+        ('{"type":"StreamReply","number":3,"software":"v1","age_s":1.5}',),
+        ('{"type":"StreamReply","number":3,"versions":["v1","v2"]}',),
+    ],
 }
 """By kind: documents that are re-encoded unchanged, and pairs of a document and its re-encoding with defaults."""
 KEY = "0123456789abcdef"
--- a/tests/unit/compatibility/test_metrics_and_commands.py
+++ b/tests/unit/compatibility/test_metrics_and_commands.py
@@ -10,6 +10,8 @@
     "wallwell_requests_total": "counter kind,outcome",
     "wallwell_refusals_total": "counter code",
     "wallwell_attempts_total": "counter result",
+    "wallwell_streams_resumed_total": "counter by",
+    "wallwell_stream_lookups_total": "counter result",
     "wallwell_first_piece_seconds": "histogram kind 0.02,0.05,0.1,0.2,0.4,0.8,1.5,3.0,6.0,15.0,+Inf",
     "wallwell_answer_seconds": "histogram kind 0.02,0.05,0.1,0.2,0.4,0.8,1.5,3.0,6.0,15.0,+Inf",
     "wallwell_largest_gap_seconds": "histogram kind 0.02,0.05,0.1,0.2,0.4,0.8,1.5,3.0,6.0,15.0,+Inf",
--- a/tests/wire_subjects.py
+++ b/tests/wire_subjects.py
@@ -35,6 +35,7 @@
     unpack_region_sum,
 )
 from wallwell.cluster.row_messages import RelayedRow, RowsReply, reply_with_rows, unpack_rows
+from wallwell.cluster.stream_messages import decode_stream_message
 from wallwell.cluster.upstream import NodeRecord
 from wallwell.deployment.backends import BackendRecord
 from wallwell.deployment.store_era import UNKNOWN_ERA, StorePosition
@@ -141,13 +142,15 @@
 
 def kinds() -> list[str]:
     """Return the kinds of documents that :func:`rewrite` supports."""
-    return sorted([*_TYPES, "peer request"])
+    return sorted([*_TYPES, "peer request", "stream datagram"])
 
 
 def rewrite(kind: str, text: str) -> str:
     """Decode a JSON document of a kind and return it re-encoded, both as the product does."""
     if kind == "peer request":
         return msgspec.json.encode(_node()._peer_server._decoder.decode(text)).decode()
+    if kind == "stream datagram":
+        return msgspec.json.encode(decode_stream_message(text.encode())).decode()
     return msgspec.json.encode(msgspec.json.decode(text, type=_TYPES[kind])).decode()
 
 
