Refuse a resumed stream of unknown version at a node whose listing is old and that hears nobody

Read in review: a node cut off from the store and from its peers took its own old listing for all versions there are, and would have resumed a stream at the one version that it knew, though another may have come since and begun the stream. New test: one of three cases failed before (old listing, nobody answers: 200). Checks: unit tests of streams and the directory, the platform test, lint, types.

--- a/src/wallwell/cluster/stream_directory.py
+++ b/src/wallwell/cluster/stream_directory.py
@@ -167,12 +167,12 @@
         known = self.find_here(stream)
         if known is not None:
             return known
-        findings = StreamFindings(None, versions=self._versions(service))
         asked = holders_to_ask(stream, self._members(), self._topology, self._node)
+        findings = StreamFindings(None, versions=self._versions(service), asked=len(asked))
         if not asked or self._transport is None or len(self._queries) >= MAX_QUERIES:
             return findings
         replies = await self._ask(stream, service, asked)
-        findings.asked, findings.answered = len(asked), len(replies)
+        findings.answered = len(replies)
         for name, reply in replies:
             findings.versions |= set(reply.versions)
             if reply.software is not None:
--- a/src/wallwell/routing/selection/software_history.py
+++ b/src/wallwell/routing/selection/software_history.py
@@ -48,7 +48,10 @@
         found.update(each.record.software for each in listed)
         return found
 
+    def is_recent(self, now_s: float) -> bool:
+        """Whether no version can have begun streams that this node has not seen listed."""
+        return now_s - self._confirmed_at_s <= MAX_LISTING_AGE_S
+
     def is_complete(self, now_s: float, within_s: float) -> bool:
         """Whether this node has seen every version that was listed within the last ``within_s`` seconds."""
-        is_current = now_s - self._confirmed_at_s <= MAX_LISTING_AGE_S
-        return is_current and now_s - self._observed_since_s >= within_s
+        return self.is_recent(now_s) and now_s - self._observed_since_s >= within_s
--- a/src/wallwell/serving/stream_origin.py
+++ b/src/wallwell/serving/stream_origin.py
@@ -49,7 +49,7 @@
             self._counters.stream_lookups["known"] += 1
             active.stream_software = findings.software
             active.stream_known_by, active.stream_known_age_s = findings.known_by, findings.age_s
-        elif len(findings.versions) > 1:
+        elif len(findings.versions) > 1 or self._may_lack_versions(findings):
             self._counters.stream_lookups["unknown"] += 1
             raise self._unknown_error(active, findings)
         else:
@@ -69,6 +69,11 @@
             return StreamFindings(None, versions=versions)
         return await self._directory.find(stream, service)
 
+    def _may_lack_versions(self, findings: StreamFindings) -> bool:
+        """Whether this node's listing is old, and none of the nodes that it has to ask answered."""
+        is_alone = bool(findings.asked) and not findings.answered
+        return is_alone and not self._state.software_history.is_recent(boot_time_s())
+
     def _unknown_error(self, active: ActiveRequest, findings: StreamFindings) -> StreamVersionUnknownError:
         wait_ms = self._retry_after.for_admitted_request_ms(RefusalCause.STREAM_VERSION_UNKNOWN, active)
         detail = (
--- a/tests/unit/serving/test_stream_origin.py
+++ b/tests/unit/serving/test_stream_origin.py
@@ -97,6 +97,15 @@
     assert counters.stream_lookups == {"unknown": 1}
 
 
+@pytest.mark.parametrize(("answered", "listing_age_s", "status"), [(0, 5.0, 503), (1, 5.0, 200), (0, 1.0, 200)])
+def test_a_node_with_an_old_listing_that_hears_nobody_refuses_what_it_does_not_know(
+    answered, listing_age_s, status
+):
+    found = StreamFindings(None, versions={"v1"}, asked=4, answered=answered)
+    reply, _, _, _ = resume(["v1", "v1"], found, observed_s=6.0, listing_age_s=listing_age_s)
+    assert reply.status == status
+
+
 def test_a_stream_whose_version_has_no_back_end_left_is_refused_at_once():
     reply, versions, _, _ = resume(["v1", "v2"], StreamFindings("v0", "n7", 1.0, {"v1", "v2"}))
     assert (reply.status, reply.error.code, reply.error.outcome) == (503, "WW3008", Outcome.NOT_RUN)
