--- a/src/wallwell/cluster/stream_directory.py
+++ b/src/wallwell/cluster/stream_directory.py
@@ -41,8 +41,10 @@
 and back (40 ms), together they cost a caller little beside its objective."""
 MAX_QUERIES = 200
 """Queries in flight at most; a request beyond them is answered as if no other node knew its stream."""
-MAX_KEPT_S = 120.0
+MAX_KEPT_S = 300.0
 """Seconds for which a stream is remembered at most, whatever another node says."""
+MAX_VERSIONS_SENT = 16
+"""Versions in a reply at most, so that it fits a datagram. More than one mean the same: the stream may be of any."""
 TELL_INTERVAL_S = 0.5
 """Interval at which streams are told of that began before their service got a second version. Such a version gets
 no requests for longer (``UNANNOUNCED_WAIT_S``)."""
@@ -223,7 +225,8 @@
     def _answer(self, query: StreamQuery, address: str) -> None:
         known = self.find_here(query.stream)
         if known is None:
-            reply = StreamReply(query.number, versions=tuple(sorted(self._versions(query.service))))
+            versions = sorted(self._versions(query.service))[:MAX_VERSIONS_SENT]
+            reply = StreamReply(query.number, versions=tuple(versions))
         else:
             reply = StreamReply(query.number, known.software, known.age_s)
         self._send(reply, address)
--- a/src/wallwell/node/state.py
+++ b/src/wallwell/node/state.py
@@ -56,7 +56,7 @@
 from wallwell.routing.selection.kv_store import KvStoreContents
 from wallwell.routing.selection.kv_store_choice import KvStores
 from wallwell.routing.selection.prefill_rate import PrefillRate
-from wallwell.routing.selection.software_history import RESUME_MARGIN_S, SoftwareHistory
+from wallwell.routing.selection.software_history import SoftwareHistory, stream_time_s
 from wallwell.routing.selection.split import WeightedSplit
 
 DEFAULT_CALL_TIME_S = 0.05
@@ -198,7 +198,7 @@
     def stream_time_s(self, service: str) -> float:
         """Return the seconds after its beginning for which a stream of a service may be resumed."""
         longest = 0.0 if self.config is None else self.config.longest_stream_s.get(service, 0.0)
-        return longest + RESUME_MARGIN_S
+        return stream_time_s(longest)
 
     def recent_versions(self, service: str) -> set[str]:
         """Return the software versions that may have begun streams which callers still resume."""
--- a/src/wallwell/peer_attempts/client.py
+++ b/src/wallwell/peer_attempts/client.py
@@ -126,7 +126,7 @@
             return None
         if not dispatch.may_send():
             connection.close()
-            raise AttemptError(TransportEvent.WITHDRAWN, "the back end asked for no more requests while connecting")
+            raise AttemptError(TransportEvent.WITHDRAWN, "the back end may no longer get the request")
         dispatch.progress.via_peer = peer.name
         sent_s = boot_time_s()
         connection.write(line)
--- a/src/wallwell/platform/worker_client.py
+++ b/src/wallwell/platform/worker_client.py
@@ -80,7 +80,7 @@
         connection = await self._connect(dispatch)
         if not dispatch.may_send():
             self._pool.put_back(dispatch.backend.address, connection)
-            raise AttemptError(TransportEvent.WITHDRAWN, "the back end asked for no more requests while connecting")
+            raise AttemptError(TransportEvent.WITHDRAWN, "the back end may no longer get the request")
         sent_s = boot_time_s()
         message, head = await self._round_trip(connection, dispatch)
         failure = attempt_failure(message, head)
--- a/src/wallwell/routing/retry/attempt_outcome.py
+++ b/src/wallwell/routing/retry/attempt_outcome.py
@@ -17,7 +17,7 @@
 
     CONNECT_REFUSED = "connect_refused"
     CONNECT_TIMEOUT = "connect_timeout"
-    WITHDRAWN = "withdrawn"  # The back end asked for no more requests while the connection was being made.
+    WITHDRAWN = "withdrawn"  # While the connection was being made, the back end became one that may not get it.
     RESET_BEFORE_SEND = "reset_before_send"
     RESET_AFTER_SEND = "reset_after_send"
     ANSWER_TIMEOUT = "answer_timeout"
--- a/src/wallwell/routing/selection/software_history.py
+++ b/src/wallwell/routing/selection/software_history.py
@@ -14,12 +14,19 @@
 MAX_LISTING_AGE_S = 2.0
 """Seconds since the last confirmation for which the listing counts as complete. A version that is listed without an
 order gets no requests for as long, so a stream cannot have begun at one that this node has not seen yet."""
+ANSWERS_PER_STREAM = 2
+"""Answers of its route's longest time that a stream may take: the first one, and one that resumed it."""
 RESUME_MARGIN_S = 2.0
-"""Seconds for which a caller may still resume a stream after the longest time that an answer of its route takes."""
-MAX_REMEMBERED_S = 120.0
+"""Seconds for which a caller may still resume a stream after that."""
+MAX_REMEMBERED_S = 300.0
 """Seconds for which a version is remembered after its last back end; streams are shorter."""
 
 
+def stream_time_s(timeout_s: float) -> float:
+    """Return the seconds for which a stream may be resumed; ``timeout_s`` is that of its route."""
+    return ANSWERS_PER_STREAM * timeout_s + RESUME_MARGIN_S
+
+
 class SoftwareHistory:
     """The software versions of each service that this node has seen. Times are in seconds on the node's clock."""
 
--- a/src/wallwell/serving/active_request.py
+++ b/src/wallwell/serving/active_request.py
@@ -82,7 +82,7 @@
     stream_software: str | None = None
     """Software version whose back ends sent the events that the caller has; None if it has none, or not known."""
     stream_known_by: str = ""
-    """What told the version of a stream that the caller resumes: a node, or the listing; empty if nothing did."""
+    """Node that knew the version of a stream which the caller resumes; empty if it was not in question."""
     stream_known_age_s: float = 0.0
     """Seconds since that node had learned it."""
     prefers_target: bool | None = None
--- a/src/wallwell/serving/messages.py
+++ b/src/wallwell/serving/messages.py
@@ -110,7 +110,7 @@
     prefers_peers: bool = False
     """Whether a peer is to make the attempt, since this node cannot connect to the service's back ends."""
     may_send: Callable[[], bool] = _always_true
-    """Whether the back end still accepts requests; called right before sending, since connecting takes time."""
+    """Whether the back end may still get the request; called right before sending, as connecting takes time."""
 
 
 class AnswerHead(msgspec.Struct, frozen=True):
--- a/src/wallwell/serving/stream_origin.py
+++ b/src/wallwell/serving/stream_origin.py
@@ -14,7 +14,7 @@
 from wallwell.errors import StreamVersionUnknownError
 from wallwell.node.state import NodeState
 from wallwell.routing.retry.retry_after import RefusalCause
-from wallwell.routing.selection.software_history import RESUME_MARGIN_S
+from wallwell.routing.selection.software_history import stream_time_s
 from wallwell.serving.active_request import ActiveRequest
 from wallwell.serving.counters import RequestCounters
 from wallwell.serving.retry_after import RetryAfterEstimator
@@ -34,7 +34,7 @@
         if not active.route.resumable:
             return
         request = active.request
-        kept_s = max(active.route.timeout_s, request.caller_timeout_s or 0.0) + RESUME_MARGIN_S
+        kept_s = stream_time_s(max(active.route.timeout_s, request.caller_timeout_s or 0.0))
         if not request.resumes_stream:
             self._directory.on_begun(_stream_of(active, request.request_id), active.service, software, kept_s)
         elif request.first_request_id:
--- a/tests/contract/test_soak.py
+++ b/tests/contract/test_soak.py
@@ -131,3 +131,14 @@
     assert "; 0 breaches" in played.stdout
     for invariant in tested:
         assert re.search(rf"\b{invariant} [1-9]", played.stdout), played.stdout[-2000:]
+
+
+def test_a_short_run_with_several_software_versions_breaks_no_invariant(tmp_path):
+    """Engines crash and nodes end while three versions serve, and callers take up what broke off."""
+    run = "wallwell.cli.main", "soak", "--seed", "83", "--seconds", "18", "--engines", "6", "--rate", "10"
+    command = [sys.executable, "-m", *run, "--versions", "3", "--keep", str(tmp_path / "run")]
+    command += ["--checkout", str(ROOT)]
+    played = subprocess.run(command, capture_output=True, text=True, timeout=120)
+    assert played.returncode == 0, played.stdout[-2000:] + played.stderr[-2000:]
+    assert "; 0 breaches" in played.stdout
+    assert re.search(r"\bone_version_per_stream [1-9]", played.stdout), played.stdout[-2000:]
