--- a/src/wallwell/cluster/stream_directory.py
+++ b/src/wallwell/cluster/stream_directory.py
@@ -44,7 +44,7 @@
 MAX_KEPT_S = 300.0
 """Seconds for which a stream is remembered at most, whatever another node says."""
 MAX_VERSIONS_SENT = 16
-"""Versions in a reply at most, so that it fits a datagram. More than one mean the same: the stream may be of any."""
+"""Versions in a reply at most, so that it fits a datagram. Any number above one means the same: unknown."""
 TELL_INTERVAL_S = 0.5
 """Interval at which streams are told of that began before their service got a second version. Such a version gets
 no requests for longer (``UNANNOUNCED_WAIT_S``)."""
