Wait for the node's registration in the test that nothing is written

Trace: with the wait for its own rows set to 0.012 s the registration falls there, and the test fails on as well; now it passes at that and at four other waits. The comparison is unchanged; the registration is awaited first.

--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -69,6 +69,8 @@
             "lease": ("wallwell", "lease/software"),
         }
         harness.store.put(*keys[changed], "{}")
+        # The node registers itself once, soon after its start.
+        await harness.until(lambda: harness.store.value("wallwell", "member/n1") is not None)
         before = dict(harness.store.rows)
         final = RolloutRecord("svc", "v2", 3, 10.0, 20.0, Phase.COMPLETE)
         await assert_write_conflicts(rollouts, final, seen, lease_version)
