Compare a back end's software at one place

Read in the last review: runs_software wrapped listed_software for a single caller, while the other caller compared itself. Both now use listed_software the same way; behaviour is unchanged. Checks: lint, types, tests/unit/serving, import layers, the platform test of streams of two versions.

--- a/src/wallwell/serving/attempt.py
+++ b/src/wallwell/serving/attempt.py
@@ -30,7 +30,7 @@
 from wallwell.serving.stream_forwarding import StreamForwarder
 from wallwell.serving.stream_origin import StreamOriginBinder
 from wallwell.serving.untried_backends import has_untried_backend
-from wallwell.serving.version_choice import count_attempt_end, count_attempt_start, runs_software
+from wallwell.serving.version_choice import count_attempt_end, count_attempt_start, listed_software
 
 CALL_LOAD = 1
 """Load units that a call adds to its back end; those of a generation depend on its prompt."""
@@ -153,7 +153,7 @@
 
     def _may_send(self, active: ActiveRequest, backend: Backend) -> bool:
         """Whether a back end still accepts requests, and may still continue the stream if it has begun."""
-        if active.stream_software is not None and not runs_software(self._state, backend, active.stream_software):
+        if active.stream_software not in (None, listed_software(self._state, backend)):
             return False
         return not backend.backoff.is_in_force(boot_time_s())
 
--- a/src/wallwell/serving/version_choice.py
+++ b/src/wallwell/serving/version_choice.py
@@ -57,13 +57,8 @@
     return [each for each in listed if each.record.software == software]
 
 
-def runs_software(state: NodeState, backend: Backend, software: str) -> bool:
-    """Whether a back end runs a software version by its newest entry, which may be of a later start."""
-    return listed_software(state, backend) == software
-
-
 def listed_software(state: NodeState, backend: Backend) -> str:
-    """Return the software version in the newest entry under a back end's identity."""
+    """Return the software version in the newest entry under a back end's identity, perhaps of a later start."""
     newest = state.backends.get(backend.incarnation) or backend
     return newest.record.software
 
