Log what failed generations have in common and for how long they had been writing

Cause: at the end of an engine 106 broken requests were logged with a digest of the whole request, which differs for each; nothing told whether they share a part of their prompt, nor which runs had only just begun to write. Result: tests/unit/serving/test_attempt_reports.py, 3 passed.

--- a/src/wallwell/serving/active_request.py
+++ b/src/wallwell/serving/active_request.py
@@ -60,6 +60,10 @@
         self.attempt_event_reads += 1
         self.last_event_s = now_s
 
+    def writing_s(self, now_s: float) -> float:
+        """Return the seconds since the current attempt's first event was forwarded; 0 if it has none."""
+        return now_s - self.attempt_first_event_s if self.attempt_first_event_s is not None else 0.0
+
 
 @dataclass
 class ActiveRequest:
--- a/src/wallwell/serving/request_reports.py
+++ b/src/wallwell/serving/request_reports.py
@@ -7,6 +7,7 @@
 from wallwell.events import Event, emit
 from wallwell.node.state import NodeState
 from wallwell.routing.health.backend import Backend
+from wallwell.routing.selection.prefix_home import shared_parts
 from wallwell.serving.active_request import ActiveRequest
 from wallwell.serving.counters import RequestCounters
 from wallwell.serving.messages import AttemptError, CallerRequest
@@ -53,6 +54,7 @@
             attempts=active.attempt_log.attempts,
             events=active.stream_position.events_forwarded,
             content=active.content_digest,
+            **_prompt_fields(active),
             **_path_field(active),
         )
 
@@ -114,6 +116,15 @@
     return {"known_by": active.stream_known_by, "known_age_ms": round(active.stream_known_age_s * 1000)}
 
 
+def _prompt_fields(active: ActiveRequest) -> dict[str, str | int]:
+    """Return the log fields that tell which of several failed generations is the likely cause of a crash: the parts
+    of the prompt that other requests may share, and for how long the attempt had been writing its answer."""
+    if active.request.generation is None:
+        return {}
+    parts = ",".join(part.identity for part in shared_parts(active.request.generation.parts))
+    return {"parts": parts, "writing_ms": round(active.timing.writing_s(boot_time_s()) * 1000)}
+
+
 def _path_field(active: ActiveRequest) -> dict[str, str]:
     """Return the log field that names the peer that made the current attempt; empty if this node made it."""
     via_peer = active.progress.via_peer
--- /dev/null
+++ b/tests/unit/serving/test_attempt_reports.py
@@ -0,0 +1,49 @@
+"""What a node logs of attempts that failed.
+
+Guards against logs that cannot tell what the requests had in common under which back ends crashed, nor which of the
+runs that broke with a back end had only just begun to write.
+"""
+
+import pytest
+
+from tests.unit.serving.fakes import FakeClient, FakeReply, Script, event, make_request, make_route, make_state
+from tests.virtual_time import run_virtual
+from wallwell.deployment.routes import RouteKind
+from wallwell.events import Event
+from wallwell.routing.retry.attempt_outcome import TransportEvent
+from wallwell.routing.selection.prefix_home import PromptPart
+from wallwell.serving import request_reports
+from wallwell.serving.messages import Generation
+from wallwell.serving.pipeline import RequestPipeline
+
+ROUTE = make_route(RouteKind.STREAM, attempts=1)
+PARTS = (PromptPart("a1", 100), PromptPart("b2", 50), PromptPart("own", 10))
+BROKEN_AT_ONCE = Script(stream=True, body_error=TransportEvent.RESET_AFTER_SEND)
+BROKEN_LATER = Script(chunks=(event(1), 0.7), stream=True, body_error=TransportEvent.RESET_AFTER_SEND)
+
+
+@pytest.mark.parametrize(("script", "writing_ms"), [(BROKEN_AT_ONCE, 0), (BROKEN_LATER, 700)])
+def test_failed_generation_is_logged_with_its_shared_parts_and_its_writing_time(monkeypatch, script, writing_ms):
+    lines = []
+    monkeypatch.setattr(request_reports, "emit", lambda event, **fields: lines.append((event, fields)))
+
+    async def scenario():
+        pipeline = RequestPipeline(make_state(ROUTE, versions={"m": 1}), FakeClient(script))
+        await pipeline.serve(make_request(generation=Generation("m", PARTS)), FakeReply())
+
+    run_virtual(scenario())
+    (failed,) = [fields for logged, fields in lines if logged is Event.REQUEST_RETRIED]
+    assert (failed["parts"], failed["writing_ms"]) == ("a1,b2", writing_ms)
+
+
+def test_failed_call_is_logged_without_fields_of_a_prompt(monkeypatch):
+    lines = []
+    monkeypatch.setattr(request_reports, "emit", lambda event, **fields: lines.append((event, fields)))
+
+    async def scenario():
+        client = FakeClient(Script(send_error=TransportEvent.RESET_AFTER_SEND))
+        await RequestPipeline(make_state(make_route(RouteKind.UNSAFE)), client).serve(make_request(), FakeReply())
+
+    run_virtual(scenario())
+    (failed,) = [fields for logged, fields in lines if logged is Event.REQUEST_RETRIED]
+    assert "parts" not in failed and "writing_ms" not in failed
