--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -50,11 +50,15 @@
 
         return respond
 
+    async def begin_stream(self, request):
+        """Send the head of a streamed answer."""
+        response = web.StreamResponse(headers=self.headers(request, **{"Content-Type": "text/event-stream"}))
+        await response.prepare(request)
+        return response
+
     def stream(self, *events, break_off=False):
         async def respond(request):
-            headers = self.headers(request, **{"Content-Type": "text/event-stream"})
-            response = web.StreamResponse(headers=headers)
-            await response.prepare(request)
+            response = await self.begin_stream(request)
             for event in events:
                 await response.write(event)
             if break_off:
--- a/tests/platform/test_crashing_request.py
+++ b/tests/platform/test_crashing_request.py
@@ -9,21 +9,17 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 
-import aiohttp
 import pytest
 from aiohttp import web
 
-from tests.platform.conftest import PlatformHarness, config, route
-from tests.platform.fakes import FakeWorker
-from tests.platform.test_peers import second_node
+from tests.platform.conftest import config, route
+from tests.platform.crashing_fleet import NODES, CrashingFleet, CrashingWorker, run_on_fleet
 from tests.unit.serving.fakes import event
 from wallwell.clock import boot_time_s
-from wallwell.platform.caller_listener import CallerListener
 
-NODES, WORKERS, RETRIES = 3, 5, 10
+RETRIES = 10
 MIN_CRASHES = 3
 RETRIES_ALLOWED = 3
 CRASHING = b"crashing"
@@ -38,17 +34,12 @@
 UNSAFE = {"kind": "unsafe", "attempts": 1}
 
 
-class CrashingWorker(FakeWorker):
-    """Crashes soon after it has begun to run the crashing request, and is then replaced by a new worker."""
-
-    def __init__(self, harness, incarnation):
-        super().__init__(incarnation)
-        self._harness = harness
+class RequestCrashingWorker(CrashingWorker):
+    """Crashes soon after it has begun to run the crashing request."""
 
     async def serve(self, request):
         if await request.read() == CRASHING:
-            self._harness.crashes += 1
-            asyncio.get_running_loop().call_later(0.01, self._end)
+            self.crash_soon(0.01)
             await asyncio.sleep(3600)
         if (await request.read()).startswith(b"slow") and request.headers["X-Request-Id"].startswith("first"):
             await asyncio.sleep(2.0)
@@ -56,92 +47,19 @@
             return await self.stream(event(1), event(2))(request)
         return web.Response(body=b"ok", headers=self.headers(request))
 
-    def _end(self):
-        self.crash()
-        self._harness.replace(self)
-
-
-class CrashingFleet(PlatformHarness):
-    """Several nodes on one store, and workers that are replaced when they crash."""
-
-    def __init__(self):
-        super().__init__(workers=0)
-        self.crashes = 0
-        self.ports = []
-        self._started = 0
-        self._others = []
-        self._runners = []
-        self._tasks = set()
-        self.workers = [self._next_worker() for _ in range(WORKERS)]
-
-    def _next_worker(self):
-        self._started += 1
-        return CrashingWorker(self, f"i-{self._started}")
-
-    def replace(self, worker):
-        """Start a replacement of a crashed worker and delete the crashed one's entry."""
-        task = asyncio.create_task(self._replace(worker))
-        self._tasks.add(task)
-
-    async def _replace(self, worker):
-        successor = self._next_worker()
-        await successor.start()
-        self.workers.append(successor)
-        self.publish(successor)
-        self.store.put("servers", worker.incarnation, None)
-
-    async def start(self, configuration=None):
-        await super().start(configuration)
-        await self.node.listen_for_peers("127.0.0.1", [0])
-        self.ports = [self.port]
-        for number in range(2, NODES + 1):
-            await self.add_node(f"n{number}")
-
-    async def add_node(self, name):
-        """Start another node and its listener; return the listener's port."""
-        node = await second_node(self, name)
-        node.state.started_s = float("-inf")
-        runner = web.ServerRunner(CallerListener(node).callers_server(), shutdown_timeout=0.01)
-        await runner.setup()
-        site = web.TCPSite(runner, "127.0.0.1", 0)
-        await site.start()
-        self._others.append(node)
-        self._runners.append(runner)
-        self.ports.append(site._server.sockets[0].getsockname()[1])
-        await self.until(node.is_ready)
-        return self.ports[-1]
-
-    async def stop(self):
-        for runner in self._runners:
-            await runner.cleanup()
-        for node in self._others:
-            await node.stop()
-        await super().stop()
-
-    async def slow(self, port, text):
-        """Send a request that takes some time; ignore a broken connection."""
-        url = f"http://127.0.0.1:{port}/a"
-        headers = self.headers(X_Request_Id=f"first {text}")
-        with contextlib.suppress(aiohttp.ClientError):
-            async with self.session.post(url, data=text.encode(), headers=headers) as response:
-                await response.read()
-
-    async def settle(self):
-        """Wait until every node counts the crashes so far, for ``CONTACT_S`` at most."""
-        due = min(self.crashes, MIN_CRASHES)
-        end_s = boot_time_s() + CONTACT_S
-        while boot_time_s() < end_s and not all(most_crashes(node) >= due for node in (self.node, *self._others)):
-            await asyncio.sleep(0.01)
-        await asyncio.sleep(PAUSE_S)
-
-    async def send(self, port, body, request_id, **headers):
-        """Send a request to one node; return the status, 0 if the connection broke."""
-        self.port = port
-        try:
-            status, _, _ = await self.call(body=body, X_Request_Id=request_id, **headers)
-        except aiohttp.ClientError:
-            return 0
-        return status
+
+async def send_slow(fleet, port, text):
+    """Send a request that takes some time; ignore a broken connection."""
+    await fleet.send(port, text.encode(), f"first {text}")
+
+
+async def settle(fleet):
+    """Wait until every node counts the crashes so far, for ``CONTACT_S`` at most."""
+    due = min(fleet.crashes, MIN_CRASHES)
+    end_s = boot_time_s() + CONTACT_S
+    while boot_time_s() < end_s and not all(most_crashes(node) >= due for node in fleet.nodes):
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(PAUSE_S)
 
 
 def most_crashes(node):
@@ -149,17 +67,9 @@
     return max((len(each.crashed_incarnations) for each in node.state.quarantine._suspects.values()), default=0)
 
 
-def run_on_fleet(run_async, scenario, kind):
-    async def work():
-        fleet = CrashingFleet()
-        await fleet.start(config(routes=[route(**kind)]))
-        try:
-            return await scenario(fleet)
-        finally:
-            with contextlib.suppress(TimeoutError):
-                await fleet.stop()
-
-    return run_async(work())
+def run_scenario(run_async, scenario, kind):
+    fleet = CrashingFleet(RequestCrashingWorker)
+    return run_on_fleet(run_async, fleet, config(routes=[route(**kind)]), scenario)
 
 
 @pytest.mark.parametrize("kind", [STREAM, RESUMABLE, SAFE, UNSAFE], ids=["stream", "resumable", "safe", "unsafe"])
@@ -170,11 +80,11 @@
         harmless = []
         for number in range(RETRIES):
             await fleet.send(fleet.ports[number % NODES], CRASHING, f"crash-{number}", **headers)
-            await fleet.settle()
+            await settle(fleet)
             harmless.append(await fleet.send(fleet.ports[0], HARMLESS, f"calm-{number}", **headers))
         return fleet.crashes, harmless
 
-    crashes, harmless = run_on_fleet(run_async, scenario, kind)
+    crashes, harmless = run_scenario(run_async, scenario, kind)
     assert MIN_CRASHES <= crashes <= MIN_CRASHES + RETRIES_ALLOWED
     assert harmless == [200] * RETRIES
 
@@ -185,14 +95,14 @@
     async def scenario(fleet):
         for number in range(MIN_CRASHES):
             await fleet.send(fleet.ports[number % NODES], CRASHING, f"crash-{number}")
-            await fleet.settle()
+            await settle(fleet)
         await fleet.until(lambda: sum(key.startswith("crash/") for _, key in fleet.store.rows) == MIN_CRASHES)
         port = await fleet.add_node("n9")
         crashes = fleet.crashes
         status = await fleet.send(port, CRASHING, "crash-late")
         return crashes, fleet.crashes, status, await fleet.send(port, HARMLESS, "calm")
 
-    before, after, status, calm = run_on_fleet(run_async, scenario, UNSAFE)
+    before, after, status, calm = run_scenario(run_async, scenario, UNSAFE)
     assert (before, after, status, calm) == (MIN_CRASHES, MIN_CRASHES, 503, 200)
 
 
@@ -202,20 +112,20 @@
         fleet.store.refuse_status = 503
         for number in range(RETRIES):
             await fleet.send(fleet.ports[number % NODES], CRASHING, f"crash-{number}")
-            await fleet.settle()
+            await settle(fleet)
         return fleet.crashes
 
-    assert run_on_fleet(run_async, scenario, UNSAFE) == MIN_CRASHES
+    assert run_scenario(run_async, scenario, UNSAFE) == MIN_CRASHES
 
 
 def test_refusal_states_retry_after_and_that_nothing_ran(run_async):
     async def scenario(fleet):
         for number in range(MIN_CRASHES):
             await fleet.send(fleet.ports[0], CRASHING, f"crash-{number}")
-            await fleet.settle()
+            await settle(fleet)
         return await fleet.call(body=CRASHING, X_Request_Id="again")
 
-    status, headers, body = run_on_fleet(run_async, scenario, UNSAFE)
+    status, headers, body = run_scenario(run_async, scenario, UNSAFE)
     assert (status, json.loads(body)["outcome"], headers["X-Request-Id"]) == (503, "not_run", "again")
     assert float(headers["Retry-After"]) > 60
 
@@ -225,13 +135,14 @@
 
     async def scenario(fleet):
         hung = [
-            asyncio.create_task(fleet.slow(port, f"slow {number}")) for number, port in enumerate(fleet.ports * 8)
+            asyncio.create_task(send_slow(fleet, port, f"slow {number}"))
+            for number, port in enumerate(fleet.ports * 8)
         ]
         for number in range(MIN_CRASHES + 2):
-            await fleet.settle()
+            await settle(fleet)
             await fleet.send(fleet.ports[number % NODES], CRASHING, f"crash-{number}")
         await asyncio.gather(*hung)
         port = fleet.ports[0]
         return [await fleet.send(port, f"slow {number}".encode(), f"again-{number}") for number in range(len(hung))]
 
-    assert set(run_on_fleet(run_async, scenario, UNSAFE)) == {200}
+    assert set(run_scenario(run_async, scenario, UNSAFE)) == {200}
