Refuse requests with a part of their prompt under which back ends crashed

What callers saw: requests that have one part in common crashed 27 engines of a fleet of six, one after the other, with all streams that ran there. Cause: crashes were counted by the digest of a whole request, and these requests are never alike (106 broken requests, 106 digests, no quarantine), though nodes found each crash within 0.32 s. Change: a crash is also counted for the shared parts of all runs that it ended as they began. A part with three crashes that no other quarantined part explains is refused by all nodes (503 WW3020, not run); an answer begun later clears it. Parts that worked last are judged last, and by moments, so that popular ones are neither blamed for what ran beside them nor for the outage of a zone. One node tries a quarantined part by single requests after 20, 120 s. Asked before each attempt and again before it is sent, also for peers.

--- a/src/wallwell/cluster/crash_reports.py
+++ b/src/wallwell/cluster/crash_reports.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterable, Sequence
 
 Crash = tuple[str, str]
-"""Digest of a request's content, and the incarnation of the back end that crashed while running the request."""
+"""Subject of a crash (a request by its content, or a part of prompts), and the start of the crashed back end."""
 RELAYED_CRASH_LIFETIME_S = 2.0
 """Seconds for which a received crash is forwarded: many exchanges, since some of them fail. The node that detected
 a crash reports it until it is written to the store."""
--- a/src/wallwell/errors.py
+++ b/src/wallwell/errors.py
@@ -193,7 +193,7 @@
 
 
 class RequestQuarantinedError(RequestError):
-    """Back ends crashed while running this request, so no other gets it; ``retry_after_ms`` says for how long."""
+    """Back ends crashed under this request or a part of its prompt, so no other gets it; see ``retry_after_ms``."""
 
     code = "WW3020"
     http_status = 503
--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -52,6 +52,13 @@
     REQUEST_REFUSED = (3009, "INFO", "request ended with an error of the router")
     REQUEST_QUARANTINED = (3010, "WARNING", "request is quarantined: back ends that ran it crashed")
     ATTEMPT_FOR_PEER = (3011, "INFO", "attempt made, declined or cancelled for a peer that has no path of its own")
+    PART_QUARANTINED = (
+        3012,
+        "WARNING",
+        "part of prompts is quarantined: back ends that began answers on it crashed",
+    )
+    PART_RELEASED = (3013, "INFO", "part of prompts is no longer quarantined")
+    PART_TRIED = (3014, "INFO", "request with a quarantined part is sent as a trial")
     CLAIM_RETRIED = (3020, "INFO", "table service did not confirm a claim; retrying")
 
     # 4001 and up: the platform's store and other services.
--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -1,18 +1,20 @@
-"""Detects crashes of back ends and records in the store which requests they were running.
+"""Detects crashes of back ends and records in the store which requests, on which parts of prompts, they ran.
 
-:mod:`wallwell.node.crash_probe` decides whether a back end has crashed. For each request and crash one row is
-written to the store, unconditionally, since writing it twice changes nothing. Every node counts the rows, and a
+:mod:`wallwell.node.crash_probe` decides whether a back end has crashed. For each request or part and crash one row
+is written to the store, unconditionally, since writing it twice changes nothing. Every node counts the rows, and a
 starting node reads them.
 
 Owns the probes in progress and the rows that the store has not accepted yet. The counts are in
-``NodeState.quarantine``, which decides which requests are refused. Relies on reports of attempts
-(:meth:`CrashWatch.on_broken_run`, :meth:`CrashWatch.on_answered`) and on the rows of the nodes' own table.
+``NodeState.quarantine`` and ``NodeState.part_quarantine``, which decide which requests are refused. Relies on
+reports of attempts, as their :class:`~wallwell.serving.messages.CrashObserver`, and on the rows of the nodes' own
+table.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
 from itertools import islice
 
 from wallwell.background import BackgroundTasks
@@ -23,13 +25,16 @@
 from wallwell.events import Event, emit
 from wallwell.node.crash_probe import CrashCheck, CrashProbe
 from wallwell.node.state import NodeState
+from wallwell.routing.admission.part_quarantine import QuarantinedPart
 from wallwell.routing.health.backend import Backend
 from wallwell.routing.rendezvous import owner, rendezvous_key
 from wallwell.storage.feed import FeedRow
 from wallwell.storage.table import Put, TableService, Transaction
 
 CRASH_PREFIX = "crash/"
-"""Prefix of keys ``crash/CONTENT_DIGEST/START_ID`` (:attr:`Backend.start_id`); the value is the reporting node."""
+"""Prefix of keys ``crash/SUBJECT/START_ID`` (:attr:`Backend.start_id`); the value is the reporting node. The
+subject is the content digest of a request, or ``PART_PREFIX`` and the digest of a part."""
+PART_PREFIX = "part-"
 MAX_TRANSACTION_ROWS = 100
 """Most rows of one transaction; a limit of the store."""
 MAX_UNWRITTEN_ROWS = 4096
@@ -48,6 +53,21 @@
 """Seconds between two removals of expired crashes: short compared with the minutes for which a crash counts."""
 
 
+@dataclass
+class BrokenRuns:
+    """What a back end was running when it may have crashed."""
+
+    content_digests: set[str] = field(default_factory=set)
+    part_digests: set[str] = field(default_factory=set)
+    """Parts of prompts on which it may have begun an answer just then."""
+
+    def subjects(self) -> Iterable[str]:
+        """Yield the subjects of the crash rows."""
+        yield from self.content_digests
+        for digest in self.part_digests:
+            yield f"{PART_PREFIX}{digest}"
+
+
 class CrashWatch:
     """Probes back ends after broken attempts, counts crashes, writes them to the store and removes expired ones."""
 
@@ -59,8 +79,8 @@
         self._probe = CrashProbe(check, state.backends.all_backends)
         self._table = table
         self._member_names = member_names
-        self._broken_digests: dict[str, set[str]] = {}
-        """Content digests of broken attempts, by the ``start_id`` of a back end that is being probed."""
+        self._broken: dict[str, BrokenRuns] = {}
+        """By the ``start_id`` of a back end that is being probed."""
         self._probes = BackgroundTasks()
         self._unwritten: dict[str, bool] = {}
         """Keys of rows to write (True) or to delete (False)."""
@@ -71,19 +91,27 @@
         """Whether the last write failed, so that an outage is logged once."""
         self._has_dropped_rows = False
         """Whether rows were dropped since the last successful write, which is logged once too."""
+        state.part_quarantine.on_quarantined = _log_quarantined_part
+        state.part_quarantine.on_released = _log_released_part
+        state.part_quarantine.is_trial_node = self._is_owner
 
     # --- attempts --------------------------------------------------------------------------------------
 
-    def on_broken_run(self, content_digest: str, backend: Backend) -> None:
+    def on_broken_run(self, content_digest: str, backend: Backend, parts: Sequence[str] = ()) -> None:
         """Probe a back end whose connection to an attempt ended before the answer was complete."""
         if backend.has_announced_leave or (backend.is_leaving(boot_time_s()) and not backend.superseded):
             return  # A planned stop ends connections too.
-        probed_digests = self._broken_digests.get(backend.start_id)
-        if probed_digests is not None:
-            probed_digests.add(content_digest)
-            return
-        self._broken_digests[backend.start_id] = {content_digest}
-        self._probes.start(self._probe_backend(backend))
+        is_probed = backend.start_id in self._broken
+        broken = self._broken.setdefault(backend.start_id, BrokenRuns())
+        broken.content_digests.add(content_digest)
+        broken.part_digests.update(parts)
+        if not is_probed:
+            self._probes.start(self._probe_backend(backend))
+
+    def on_worked(self, parts: Sequence[str], began_s: float) -> None:
+        """Delete the crashes that these parts cannot have caused, since an answer begun afterwards went on."""
+        cleared = self._state.part_quarantine.on_worked(parts, began_s)
+        self._write({_crash_key(f"{PART_PREFIX}{part}", start_id): False for part, start_id in cleared})
 
     def on_answered(self, content_digest: str) -> None:
         """Delete the crashes of a request that was answered successfully, since it cannot have caused them."""
@@ -96,17 +124,27 @@
             has_crashed = await self._probe.has_crashed(backend)
         finally:
             # Attempts that break from now on start a new series of probes.
-            content_digests = self._broken_digests.pop(start_id)
+            broken = self._broken.pop(start_id)
         if not has_crashed:
             has_crashed = await self._probe.wait_for_successor(backend)
         if has_crashed:
-            emit(Event.BACKEND_CRASHED, backend=backend.incarnation, runs=len(content_digests))
-            for content_digest in content_digests:
-                self._record_crash(content_digest, start_id)
+            parts = ",".join(sorted(broken.part_digests))
+            emit(Event.BACKEND_CRASHED, backend=backend.incarnation, runs=len(broken.content_digests), parts=parts)
+            now_s = boot_time_s()
+            counted = [subject for subject in broken.subjects() if self._count(subject, start_id, now_s)]
+            self._write({_crash_key(subject, start_id): True for subject in counted})
+
+    def _count(self, subject: str, start_id: str, now_s: float) -> bool:
+        """Count a crash of one start of a back end; returns False if it is known or does not count."""
+        if subject.startswith(PART_PREFIX):
+            return self._state.part_quarantine.on_crash(subject.removeprefix(PART_PREFIX), start_id, now_s)
+        return count_crash(self._state.quarantine, subject, start_id, now_s)
 
-    def _record_crash(self, content_digest: str, incarnation: str) -> None:
-        if count_crash(self._state.quarantine, content_digest, incarnation, boot_time_s()):
-            self._write({_crash_key(content_digest, incarnation): True})
+    def _forget(self, subject: str, start_id: str) -> None:
+        if subject.startswith(PART_PREFIX):
+            self._state.part_quarantine.forget_crash(subject.removeprefix(PART_PREFIX), start_id)
+        else:
+            self._state.quarantine.forget_crash(subject, start_id)
 
     # --- rows and reports of other nodes ---------------------------------------------------------------
 
@@ -114,17 +152,17 @@
         """Apply a crash row of the nodes' own table; rows of other kinds are ignored."""
         if not row.key.startswith(CRASH_PREFIX):
             return
-        content_digest, incarnation = _parse_key(row.key)
+        subject, start_id = _parse_key(row.key)
         if row.value is None:
-            self._state.quarantine.forget_crash(content_digest, incarnation)
-        elif self._state.quarantine.is_cleared(content_digest, now_s):
+            self._forget(subject, start_id)
+        elif self._state.quarantine.is_cleared(subject, now_s):
             self._write({row.key: False})
         else:
-            count_crash(self._state.quarantine, content_digest, incarnation, now_s)
+            self._count(subject, start_id, now_s)
 
     def on_peer_report(self, crash: Crash) -> None:
         """Count a crash that the store has not accepted yet; the peer that detected it writes it."""
-        count_crash(self._state.quarantine, *crash, boot_time_s())
+        self._count(*crash, boot_time_s())
 
     def unwritten_crashes(self) -> Sequence[Crash]:
         """Return the crashes that the store has not accepted, newest first; none while it accepts writes."""
@@ -193,19 +231,34 @@
 
     def _sweep(self, now_s: float) -> None:
         """Remove expired crashes from the counts; for each row, one node deletes it from the store."""
-        members = {*self._member_names(), self._state.node}
-        for content_digest, incarnation in self._state.quarantine.remove_expired(now_s):
-            key = _crash_key(content_digest, incarnation)
-            if owner(members, rendezvous_key(content_digest)) == self._state.node:
+        expired = self._state.quarantine.remove_expired(now_s)
+        for part, start_id in self._state.part_quarantine.remove_expired(now_s):
+            expired.append((f"{PART_PREFIX}{part}", start_id))
+        for subject, start_id in expired:
+            key = _crash_key(subject, start_id)
+            if self._is_owner(subject):
                 self._write({key: False})
             else:
                 self._unwritten.pop(key, None)  # Writing an expired crash would make every node count it again.
 
+    def _is_owner(self, name: str) -> bool:
+        """Whether this node, of all members, does what one node must do for a subject or part."""
+        members = {*self._member_names(), self._state.node}
+        return owner(members, rendezvous_key(name)) == self._state.node
+
+
+def _log_quarantined_part(quarantined: QuarantinedPart) -> None:
+    emit(Event.PART_QUARANTINED, part=quarantined.part, crashed=",".join(sorted(quarantined.crashed)))
+
+
+def _log_released_part(part: str) -> None:
+    emit(Event.PART_RELEASED, part=part)
+
 
 def _parse_key(key: str) -> Crash:
-    content_digest, _, incarnation = key[len(CRASH_PREFIX) :].partition("/")
-    return content_digest, incarnation
+    subject, _, start_id = key[len(CRASH_PREFIX) :].partition("/")
+    return subject, start_id
 
 
-def _crash_key(content_digest: str, incarnation: str) -> str:
-    return f"{CRASH_PREFIX}{content_digest}/{incarnation}"
+def _crash_key(subject: str, start_id: str) -> str:
+    return f"{CRASH_PREFIX}{subject}/{start_id}"
--- a/src/wallwell/node/metrics.py
+++ b/src/wallwell/node/metrics.py
@@ -115,6 +115,17 @@
         suspects, quarantined = self._state.quarantine.suspect_count, self._state.quarantine.quarantined_count
         yield GaugeMetricFamily("wallwell_crash_suspects", "Requests that back ends crashed under.", value=suspects)
         yield GaugeMetricFamily("wallwell_quarantined", "Requests that get no back end.", value=quarantined)
+        parts = self._state.part_quarantine
+        yield GaugeMetricFamily(
+            "wallwell_crash_suspect_parts",
+            "Parts of prompts that back ends crashed under.",
+            value=parts.suspect_count,
+        )
+        yield GaugeMetricFamily(
+            "wallwell_quarantined_parts",
+            "Parts of prompts whose requests get no back end.",
+            value=len(parts.quarantined(boot_time_s())),
+        )
 
     def _collect_region_traffic(self) -> Iterator[Metric]:
         traffic = self._state.region_traffic
--- a/src/wallwell/node/state.py
+++ b/src/wallwell/node/state.py
@@ -45,6 +45,7 @@
 from wallwell.routing.admission.access import RevocationBound, is_fresh_enough
 from wallwell.routing.admission.brittle_room import ServiceBrittleness, SlotUse
 from wallwell.routing.admission.overload import AverageDuration
+from wallwell.routing.admission.part_quarantine import PartQuarantine
 from wallwell.routing.admission.quarantine import Quarantine
 from wallwell.routing.admission.remaining_time import ShortestAnswerTime
 from wallwell.routing.health.backend import Backend
@@ -148,6 +149,7 @@
     region_traffic: RegionTraffic = field(default_factory=RegionTraffic)
     """Counts of messages and bytes exchanged with other regions."""
     quarantine: Quarantine = field(default_factory=Quarantine)
+    part_quarantine: PartQuarantine = field(default_factory=PartQuarantine)
     """Requests suspected to crash the back ends that run them."""
 
     def __post_init__(self) -> None:
--- a/src/wallwell/peer_attempts/server.py
+++ b/src/wallwell/peer_attempts/server.py
@@ -46,7 +46,7 @@
     CallerRequest,
     Dispatch,
 )
-from wallwell.serving.request_errors import RequestErrorFactory
+from wallwell.serving.quarantine_check import quarantine_refusal
 
 
 class PeerReply:
@@ -111,7 +111,6 @@
         self._feedback = feedback
         self._liveness = liveness
         self._is_ready = is_ready
-        self._errors = RequestErrorFactory(state)
         self._cache_planner = CachePlanner(state)
         self._counters = counters
 
@@ -174,7 +173,7 @@
             raise AttemptError(TransportEvent.WITHDRAWN, "the back end asked for no requests")
         if now_s < backend.suspended_until_s and self._is_any_open(backend.record.service, now_s):
             raise AttemptError(TransportEvent.WITHDRAWN, "the back end is suspended")
-        if self._errors.quarantine_error(active, now_s) is not None:
+        if quarantine_refusal(self._state, active, now_s) is not None:
             raise AttemptError(TransportEvent.WITHDRAWN, "the request is in quarantine")
         return backend
 
@@ -224,6 +223,7 @@
             await active.reply.start(answer.head)
             async with aclosing(answer.chunks()) as chunks:  # type: ignore[type-var]
                 async for data in chunks:
+                    active.timing.on_events_forwarded(boot_time_s())
                     self._feedback.on_stream_data(active, backend, boot_time_s())
                     await active.reply.write(data)
             backend.on_success(boot_time_s())
@@ -259,9 +259,13 @@
             expected_version=version,
             resume_after=message.resume_after,
             cache=cache,
-            may_send=lambda: not backend.backoff.is_in_force(boot_time_s()),
+            may_send=lambda: self._may_send(active, backend),
         )
 
+    def _may_send(self, active: ActiveRequest, backend: Backend) -> bool:
+        now_s = boot_time_s()
+        return not backend.backoff.is_in_force(now_s) and quarantine_refusal(self._state, active, now_s) is None
+
     def _count(self, message: AttemptRequest, result: str, detail: str = "") -> None:
         self._counters.attempts_for_peers[result] += 1
         emit(
--- /dev/null
+++ b/src/wallwell/routing/admission/part_quarantine.py
@@ -0,0 +1,253 @@
+"""Which shared parts of prompts crash the back ends that begin an answer on them. Pure.
+
+Requests that have such a part in common may otherwise be all different, so counting crashes by request
+(:mod:`.quarantine`) finds nothing. A crash makes suspects of the shared parts of all runs at the back end that had
+only just begun to write, or had not begun. Most of them are harmless and ran beside the cause. Four rules tell them
+apart:
+
+1. A part on which an answer was begun and went on, after a crash was known, is cleared of that crash.
+2. A part is quarantined once ``CRASHES_TO_QUARANTINE`` back ends crashed under it that no other quarantined part
+   explains. Parts that were not seen to work for longest, then those with most crashes, are judged first. So a
+   part that many requests share is not blamed for what ran beside it.
+3. A part that worked shortly before its first crash needs as many separate moments: many back ends may stop in one
+   moment, for a reason of their own, while all run a popular part.
+4. A quarantine is tried out by single requests, at one node, after growing delays.
+
+Every node decides by itself, from the same crashes; nodes learn of each other's by rows and reports
+(``node/crash_watch.py``). Times are seconds on one node's clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+CRASHES_TO_QUARANTINE = 3
+"""Back ends that must crash under a part before it is quarantined. A harmless part is beside a crash often, beside
+three without any answer in between seldom."""
+BEGINNING_S = 1.0
+"""Seconds for which an answer counts as just begun. A part that crashes back ends does so as they begin to write,
+so whatever has been written for longer was not the cause."""
+SIMULTANEOUS_S = 0.25
+"""Crashes that become known within this time count as one moment. What ends many back ends at once does so within
+some ten milliseconds, and nodes are sure of each at most one or two probes (0.3 s) apart."""
+WORKED_RECENTLY_S = 60.0
+"""Seconds before the first crash of a part in which it must have worked to be judged by moments."""
+SUSPECT_S = 300.0
+"""Seconds after its last crash for which a part stays a suspect."""
+QUARANTINE_S = 600.0
+"""Seconds that a quarantine lasts after the last crash."""
+FIRST_TRIAL_S = 20.0
+"""Seconds after a part was quarantined at which one request with it is tried."""
+TRIAL_DELAY_FACTOR = 6.0
+"""Factor from one trial's delay to the next one's: a part that crashes back ends costs two in two minutes, and one
+that was blamed wrongly is refused for little longer than the first delay."""
+MAX_SUSPECT_PARTS = 4096
+"""Suspects kept in memory; the oldest not in quarantine are removed first."""
+MAX_WORKING_PARTS = 1024
+"""Parts remembered that were seen to work, most recently used: enough for the ones that many requests share."""
+MAX_PARTS_OF_REQUEST = 64
+"""Parts of one request that are counted, from the first on; a request with more cannot fill the memory."""
+
+PartCrash = tuple[str, str]
+"""Digest of a part, and the start of the back end that crashed under it."""
+
+
+def part_digest(identity: str) -> str:
+    """Return the digest under which a part is counted, stored and logged; its length is bounded."""
+    return xxhash.xxh3_64_hexdigest(identity.encode())
+
+
+@dataclass(frozen=True)
+class PartRefusal:
+    """Why a request is refused: a quarantined part, and the seconds until its quarantine ends."""
+
+    part: str
+    remaining_s: float
+
+
+@dataclass
+class QuarantinedPart:
+    """One quarantine. ``since_s`` is its beginning as this node decided it."""
+
+    part: str
+    since_s: float
+    crashed: frozenset[str]
+    """Starts of the back ends that crashed under the part."""
+    trials: int = 0
+
+    def is_trial_due(self, now_s: float) -> bool:
+        """Whether the next single request may be tried."""
+        return now_s >= self.since_s + FIRST_TRIAL_S * TRIAL_DELAY_FACTOR**self.trials
+
+
+def _always_true(_part: str) -> bool:
+    return True
+
+
+class PartQuarantine:
+    """Suspected and quarantined parts as one node knows them."""
+
+    def __init__(self) -> None:
+        self.on_quarantined: Callable[[QuarantinedPart], None] = lambda _quarantined: None
+        """Called with each new quarantine."""
+        self.on_released: Callable[[str], None] = lambda _part: None
+        """Called with the digest of each part whose quarantine ended."""
+        self.is_trial_node: Callable[[str], bool] = _always_true
+        """Whether this node makes the trials of a part; only one node of the fleet does."""
+        self._crashes: dict[str, dict[str, float]] = {}
+        """When this node learned of each crash, by part and start of the back end; in the order of learning."""
+        self._worked_s: dict[str, float] = {}
+        """When the last answer on a part was begun that went on; the least recently used part first."""
+        self._quarantined: dict[str, QuarantinedPart] = {}
+        self._is_decided = True
+        """Whether ``_quarantined`` follows from all crashes that are known."""
+
+    @property
+    def suspect_count(self) -> int:
+        """Number of parts with crashes that count, quarantined or not."""
+        return len(self._crashes)
+
+    def quarantined(self, now_s: float) -> Sequence[QuarantinedPart]:
+        """Return the quarantined parts."""
+        self._decide(now_s)
+        return tuple(self._quarantined.values())
+
+    # --- what was seen ---------------------------------------------------------------------------------
+
+    def on_crash(self, part: str, start_id: str, now_s: float) -> bool:
+        """Count a crash of a back end under a part; returns False if it is known already."""
+        crashes = self._crashes.setdefault(part, {})
+        if start_id in crashes:
+            return False
+        crashes[start_id] = now_s
+        self._is_decided = False
+        self._evict_suspects()
+        return True
+
+    def on_worked(self, parts: Iterable[str], began_s: float) -> list[PartCrash]:
+        """Record that an answer on these parts was begun at ``began_s`` and went on; return the crashes that no
+        longer count for that."""
+        cleared: list[PartCrash] = []
+        for part in parts:
+            worked_s = max(began_s, self._worked_s.pop(part, began_s))
+            self._worked_s[part] = worked_s
+            crashes = self._crashes.get(part, {})
+            cleared += [(part, start_id) for start_id, known_s in crashes.items() if known_s <= worked_s]
+            self._is_decided &= not crashes
+        while len(self._worked_s) > MAX_WORKING_PARTS:
+            del self._worked_s[next(iter(self._worked_s))]
+        for part, start_id in cleared:
+            self.forget_crash(part, start_id)
+        return cleared
+
+    def forget_crash(self, part: str, start_id: str) -> None:
+        """Remove one crash from a part's count."""
+        crashes = self._crashes.get(part)
+        if crashes is None or crashes.pop(start_id, None) is None:
+            return
+        self._is_decided = False
+        if not crashes:
+            del self._crashes[part]
+
+    def remove_expired(self, now_s: float) -> list[PartCrash]:
+        """Remove the crashes that have expired, and return them."""
+        self._decide(now_s)
+        expired = [
+            (part, start_id)
+            for part, crashes in self._crashes.items()
+            if now_s >= self._expires_s(part)
+            for start_id in crashes
+        ]
+        for part, start_id in expired:
+            self.forget_crash(part, start_id)
+        return expired
+
+    def _expires_s(self, part: str) -> float:
+        lifetime_s = QUARANTINE_S if part in self._quarantined else SUSPECT_S
+        return max(self._crashes[part].values()) + lifetime_s
+
+    def _evict_suspects(self) -> None:
+        if len(self._crashes) <= MAX_SUSPECT_PARTS:
+            return
+        oldest = next((part for part in self._crashes if part not in self._quarantined), next(iter(self._crashes)))
+        del self._crashes[oldest]
+
+    # --- what follows ----------------------------------------------------------------------------------
+
+    def refusal(self, parts: Sequence[str], now_s: float) -> PartRefusal | None:
+        """Return why a request with these parts gets no back end; None if it may be sent."""
+        if not self._crashes:
+            return None
+        self._decide(now_s)
+        refused = [part for part in parts if part in self._quarantined]
+        if not refused:
+            return None
+        part = max(refused, key=self._expires_s)
+        return PartRefusal(part, max(0.0, self._expires_s(part) - now_s))
+
+    def begin_trial(self, parts: Sequence[str], now_s: float) -> bool:
+        """Whether a request that would be refused is sent as a trial; the next one is due much later.
+
+        None of its other parts is a suspect, so that its end tells of one part alone.
+        """
+        suspects = [part for part in parts if part in self._crashes]
+        if len(suspects) != 1:
+            return False
+        quarantined = self._quarantined.get(suspects[0])
+        if quarantined is None or not quarantined.is_trial_due(now_s) or not self.is_trial_node(quarantined.part):
+            return False
+        quarantined.trials += 1
+        return True
+
+    def _decide(self, now_s: float) -> None:
+        """Bring the quarantined parts up to date with the crashes."""
+        if self._is_decided:
+            return
+        self._is_decided = True
+        quarantined: dict[str, QuarantinedPart] = {}
+        explained: set[str] = set()
+        for part in self._order_of_judgement():
+            crashes = {start: known_s for start, known_s in self._crashes[part].items() if start not in explained}
+            if self._weigh(part, crashes) < CRASHES_TO_QUARANTINE:
+                continue
+            explained.update(crashes)
+            quarantined[part] = self._quarantine(part, now_s)
+        released = [part for part in self._quarantined if part not in quarantined]
+        added = [part for part in quarantined if part not in self._quarantined]
+        self._quarantined = quarantined
+        for part in added:
+            self.on_quarantined(quarantined[part])
+        for part in released:
+            self.on_released(part)
+
+    def _quarantine(self, part: str, now_s: float) -> QuarantinedPart:
+        crashed = frozenset(self._crashes[part])
+        known = self._quarantined.get(part)
+        if known is None:
+            return QuarantinedPart(part, now_s, crashed)
+        known.crashed = crashed
+        return known
+
+    def _order_of_judgement(self) -> list[str]:
+        candidates = [part for part, crashes in self._crashes.items() if len(crashes) >= CRASHES_TO_QUARANTINE]
+        never = float("-inf")
+        return sorted(
+            candidates, key=lambda part: (self._worked_s.get(part, never), -len(self._crashes[part]), part)
+        )
+
+    def _weigh(self, part: str, crashes: dict[str, float]) -> int:
+        """Return the number of crashes that count: of back ends, or of moments for a part that worked recently."""
+        if not crashes:
+            return 0
+        known_s = sorted(crashes.values())
+        worked_s = self._worked_s.get(part)
+        if worked_s is None or worked_s < known_s[0] - WORKED_RECENTLY_S:
+            return len(crashes)
+        moments, moment_s = 0, float("-inf")
+        for at_s in known_s:
+            if at_s - moment_s >= SIMULTANEOUS_S:
+                moments, moment_s = moments + 1, at_s
+        return moments
--- a/src/wallwell/serving/active_request.py
+++ b/src/wallwell/serving/active_request.py
@@ -13,6 +13,7 @@
 from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import Route, TenantAccess
 from wallwell.routing.admission.fleet_limits import Admitted
+from wallwell.routing.admission.part_quarantine import MAX_PARTS_OF_REQUEST, part_digest
 from wallwell.routing.admission.request_content import content_digest
 from wallwell.routing.retry.attempt_history import AttemptHistory
 from wallwell.routing.retry.attempt_outcome import AttemptLog
@@ -42,12 +43,16 @@
     attempt_event_reads: int = 0
     """Number of reads of the current attempt that contained complete events."""
 
+    is_past_beginning: bool = False
+    """Whether the current attempt has been writing too long to crash its back end by beginning."""
+
     def on_sent(self, now_s: float, load: int) -> None:
         """Record that an attempt is sent to a back end with this load."""
         self.unanswered_since_s = self.attempt_sent_s = now_s
         self.load_when_sent = load
         self.attempt_first_event_s = None
         self.attempt_event_reads = 0
+        self.is_past_beginning = False
 
     def on_events_forwarded(self, now_s: float) -> None:
         """Record that events are forwarded to the caller."""
@@ -89,6 +94,8 @@
     """Node that knew the version of a stream which the caller resumes; empty if it was not in question."""
     stream_known_age_s: float = 0.0
     """Seconds since that node had learned it."""
+    is_part_trial: bool = False
+    """Whether the next attempt tries out a quarantined part of the prompt."""
     prefers_target: bool | None = None
     """Whether the target version of a rollout is tried first; None until the version has been drawn."""
 
@@ -116,6 +123,13 @@
         caller = self.tenant.name if self.tenant is not None else request.credential
         return content_digest(request.host, request.target, caller, request.body)
 
+    @cached_property
+    def part_digests(self) -> tuple[str, ...]:
+        """Digests of the parts of the prompt under which crashes are counted: those before its own last part."""
+        generation = self.request.generation
+        parts = generation.parts[:-1][:MAX_PARTS_OF_REQUEST] if generation is not None else ()
+        return tuple(part_digest(part.identity) for part in parts)
+
     def remaining_s(self) -> float:
         """Return the seconds left until the deadline, which is set by the caller's or the route's timeout."""
         return self.deadline_s - boot_time_s()
--- a/src/wallwell/serving/attempt.py
+++ b/src/wallwell/serving/attempt.py
@@ -25,6 +25,7 @@
 from wallwell.serving.liveness import LivenessMonitor
 from wallwell.serving.messages import AttemptError, BackendAnswer, BackendClient, Dispatch, SendProgress
 from wallwell.serving.peer_preference import prefers_peer_attempts
+from wallwell.serving.quarantine_check import quarantine_refusal
 from wallwell.serving.request_reports import RequestReporter
 from wallwell.serving.response_wait import ResponseWaiter
 from wallwell.serving.stream_forwarding import StreamForwarder
@@ -152,10 +153,12 @@
         )
 
     def _may_send(self, active: ActiveRequest, backend: Backend) -> bool:
-        """Whether a back end still accepts requests, and may still continue the stream if it has begun."""
+        """Whether a back end still accepts requests, may still continue the stream if it has begun, and the request
+        has not been quarantined meanwhile."""
         if active.stream_software not in (None, listed_software(self._state, backend)):
             return False
-        return not backend.backoff.is_in_force(boot_time_s())
+        now_s = boot_time_s()
+        return not backend.backoff.is_in_force(now_s) and quarantine_refusal(self._state, active, now_s) is None
 
     # --- the answer ------------------------------------------------------------------------------------
 
--- a/src/wallwell/serving/attempt_feedback.py
+++ b/src/wallwell/serving/attempt_feedback.py
@@ -9,6 +9,7 @@
 from wallwell.clock import boot_time_s
 from wallwell.events import Event, emit
 from wallwell.node.state import NodeState
+from wallwell.routing.admission.part_quarantine import BEGINNING_S
 from wallwell.routing.health.backend import Backend
 from wallwell.routing.retry.attempt_history import CONNECT_FAILURES
 from wallwell.routing.retry.attempt_outcome import REFUSED_BY_BACKEND, TransportEvent
@@ -60,6 +61,10 @@
             backend.silence.on_received(now_s)
             self._state.on_sign_of_life(backend, now_s)
         self._selector.record_first_token(active, now_s)
+        timing = active.timing
+        if not timing.is_past_beginning and timing.writing_s(now_s) >= BEGINNING_S:
+            timing.is_past_beginning = True
+            self._record_worked(active)
 
     def on_complete_answer(self, active: ActiveRequest, backend: Backend, head: AnswerHead) -> None:
         """Record that an answer is complete."""
@@ -67,6 +72,7 @@
             backend.on_success(boot_time_s())
         if self._crash_observer is not None and head.ok:
             self._crash_observer.on_answered(active.content_digest)
+            self._record_worked(active)
 
     def on_failure(self, active: ActiveRequest, backend: Backend, failure: AttemptError, now_s: float) -> None:
         """Record an attempt that ended without a complete answer."""
@@ -83,11 +89,21 @@
         if event is TransportEvent.ERROR_ANSWER or active.progress.via_peer:
             return  # A peer that made the attempt records itself what it shows of the back end.
         if event is TransportEvent.RESET_AFTER_SEND and self._crash_observer is not None:
-            self._crash_observer.on_broken_run(active.content_digest, backend)
+            parts = () if active.timing.writing_s(now_s) >= BEGINNING_S else active.part_digests
+            self._crash_observer.on_broken_run(active.content_digest, backend, parts)
         if event is TransportEvent.ANSWER_TIMEOUT and backend.is_answering(now_s):
             return  # It has answered other requests recently, so it is busy, not faulty.
         self._count_failure(backend, event, now_s)
 
+    def _record_worked(self, active: ActiveRequest) -> None:
+        """Record that the current attempt's answer has been written for a while, or whole."""
+        if self._crash_observer is None or not active.part_digests:
+            return
+        began_s = active.timing.attempt_first_event_s
+        self._crash_observer.on_worked(
+            active.part_digests, began_s if began_s is not None else active.timing.attempt_sent_s
+        )
+
     def _record_reachability(
         self, active: ActiveRequest, backend: Backend, event: TransportEvent, now_s: float
     ) -> None:
--- a/src/wallwell/serving/messages.py
+++ b/src/wallwell/serving/messages.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -176,8 +176,15 @@
 class CrashObserver(Protocol):
     """Receives the results of attempts that show whether a request crashes back ends."""
 
-    def on_broken_run(self, content_digest: str, backend: Backend) -> None:
-        """Called when a connection ends before the answer to the request with this content digest is complete."""
+    def on_broken_run(self, content_digest: str, backend: Backend, parts: Sequence[str] = ()) -> None:
+        """Called when a connection ends before the answer to the request with this content digest is complete.
+
+        ``parts`` are digests of the parts of its prompt that may be the cause of a crash.
+        """
+        ...
+
+    def on_worked(self, parts: Sequence[str], began_s: float) -> None:
+        """Called when an answer on these parts, begun at this time, is not the kind that crashes a back end."""
         ...
 
     def on_answered(self, content_digest: str) -> None:
--- a/src/wallwell/serving/pipeline.py
+++ b/src/wallwell/serving/pipeline.py
@@ -46,6 +46,7 @@
     CallerRequest,
     CrashObserver,
 )
+from wallwell.serving.quarantine_check import begin_part_trial
 from wallwell.serving.request_errors import RequestErrorFactory
 from wallwell.serving.request_reports import RequestReporter
 from wallwell.serving.stream_origin import StreamOriginBinder
@@ -181,6 +182,7 @@
             raise self._error_factory.deadline_error(active)
         now_s = boot_time_s()
         # Checked before each attempt, since other nodes may have observed crashes caused by this request meanwhile.
+        begin_part_trial(self._state, active, now_s)
         refusal = self._error_factory.quarantine_error(active, now_s)
         if refusal is not None:
             raise refusal
@@ -254,6 +256,7 @@
         """Record a failed attempt. Raises :class:`RequestError` unless another attempt follows."""
         now_s = boot_time_s()
         event = failure.event
+        active.is_part_trial = False
         active.attempt_log.record(event)
         via_peer = bool(active.progress.via_peer)
         active.history.record_failure(event)
--- a/src/wallwell/serving/request_errors.py
+++ b/src/wallwell/serving/request_errors.py
@@ -24,6 +24,7 @@
 from wallwell.routing.retry.retry_after import RefusalCause
 from wallwell.routing.selection.candidates import earliest_backoff_end_s
 from wallwell.serving.active_request import ActiveRequest
+from wallwell.serving.quarantine_check import quarantine_refusal
 from wallwell.serving.retry_after import RetryAfterEstimator
 
 
@@ -92,13 +93,9 @@
 
         Each further attempt could crash another back end, with all requests in flight there.
         """
-        quarantine = self._state.quarantine
-        remaining_quarantine_s = (
-            quarantine.remaining_s(active.content_digest, now_s) if quarantine.quarantined_count else 0.0
-        )
-        if not remaining_quarantine_s:
+        refusal = quarantine_refusal(self._state, active, now_s)
+        if refusal is None:
             return None
-        detail = f"back ends crashed while running the request with content digest {active.content_digest}"
         if active.attempt_log.outcome is Outcome.NOT_RUN:
-            return RequestQuarantinedError(detail, retry_after_ms=round(remaining_quarantine_s * 1000))
-        return self.exhausted_error(active, detail, RefusalCause.REFUSED_BY_BACKENDS)
+            return RequestQuarantinedError(refusal.detail, retry_after_ms=round(refusal.remaining_s * 1000))
+        return self.exhausted_error(active, refusal.detail, RefusalCause.REFUSED_BY_BACKENDS)
--- a/src/wallwell/serving/request_reports.py
+++ b/src/wallwell/serving/request_reports.py
@@ -7,7 +7,6 @@
 from wallwell.events import Event, emit
 from wallwell.node.state import NodeState
 from wallwell.routing.health.backend import Backend
-from wallwell.routing.selection.prefix_home import shared_parts
 from wallwell.serving.active_request import ActiveRequest
 from wallwell.serving.counters import RequestCounters
 from wallwell.serving.messages import AttemptError, CallerRequest
@@ -117,12 +116,14 @@
 
 
 def _prompt_fields(active: ActiveRequest) -> dict[str, str | int]:
-    """Return the log fields that tell which of several failed generations is the likely cause of a crash: the parts
-    of the prompt that other requests may share, and for how long the attempt had been writing its answer."""
+    """Return the log fields that tell which of several failed generations is the likely cause of a crash: the
+    digests of the prompt's shared parts, and for how long the attempt had been writing its answer."""
     if active.request.generation is None:
         return {}
-    parts = ",".join(part.identity for part in shared_parts(active.request.generation.parts))
-    return {"parts": parts, "writing_ms": round(active.timing.writing_s(boot_time_s()) * 1000)}
+    return {
+        "parts": ",".join(active.part_digests),
+        "writing_ms": round(active.timing.writing_s(boot_time_s()) * 1000),
+    }
 
 
 def _path_field(active: ActiveRequest) -> dict[str, str]:
--- a/tests/platform/test_stated_limit.py
+++ b/tests/platform/test_stated_limit.py
@@ -32,8 +32,8 @@
 ENDED_S = 1.5
 """Seconds after the end of the limit from which the back end is used as before."""
 USED_S = 6.0
-"""Seconds for which its requests are counted then. Calls are spread at random: of 170 it gets 57 (standard deviation
-6), of those of a second too few to tell that from its limit."""
+"""Seconds for which its requests are counted then. Calls are spread at random: of 170 it gets 57 (standard
+deviation 6), of those of a second too few to tell that from its limit."""
 PREFIX_PERIOD_S = 0.1
 """Seconds between two prompts that share a prefix and therefore go to the same back end."""
 CALL_PERIOD_S = PREFIX_PERIOD_S / 3
--- a/tests/unit/serving/test_attempt_reports.py
+++ b/tests/unit/serving/test_attempt_reports.py
@@ -10,6 +10,7 @@
 from tests.virtual_time import run_virtual
 from wallwell.deployment.routes import RouteKind
 from wallwell.events import Event
+from wallwell.routing.admission.part_quarantine import part_digest
 from wallwell.routing.retry.attempt_outcome import TransportEvent
 from wallwell.routing.selection.prefix_home import PromptPart
 from wallwell.serving import request_reports
@@ -33,7 +34,8 @@
 
     run_virtual(scenario())
     (failed,) = [fields for logged, fields in lines if logged is Event.REQUEST_RETRIED]
-    assert (failed["parts"], failed["writing_ms"]) == ("a1,b2", writing_ms)
+    assert failed["parts"] == ",".join(part_digest(identity) for identity in ("a1", "b2"))
+    assert failed["writing_ms"] == writing_ms
 
 
 def test_failed_call_is_logged_without_fields_of_a_prompt(monkeypatch):
