Judge the part with most crashes first, so that a node that rarely saw it work blames no other

Cause: parts that a node had not seen work were judged first; with few requests a node most harmless parts are such, and one of them with three crashes explained the bad part's away. Change: parts are judged by their crashes, most first, and a part explains its crashes even while it is not refused for them yet (one moment).

--- a/src/wallwell/routing/admission/part_quarantine.py
+++ b/src/wallwell/routing/admission/part_quarantine.py
@@ -6,9 +6,9 @@
 apart:
 
 1. A part on which an answer was begun and went on, after a crash was known, is cleared of that crash.
-2. A part is quarantined once ``CRASHES_TO_QUARANTINE`` back ends crashed under it that no other quarantined part
-   explains. Parts that were not seen to work for longest, then those with most crashes, are judged first. So a
-   part that many requests share is not blamed for what ran beside it.
+2. A part is quarantined once ``CRASHES_TO_QUARANTINE`` back ends crashed under it that no part judged before it
+   explains. Those with most crashes are judged first, then those that were not seen to work for longest. So a
+   part is not blamed for what ran beside it.
 3. A part that worked shortly before its first crash needs as many separate moments: many back ends may stop in one
    moment, for a reason of their own, while all run a popular part.
 4. A quarantine is tried out by single requests, at one node, after growing delays.
@@ -30,9 +30,9 @@
 BEGINNING_S = 1.0
 """Seconds for which an answer counts as just begun. A part that crashes back ends does so as they begin to write,
 so whatever has been written for longer was not the cause."""
-SIMULTANEOUS_S = 0.25
+SIMULTANEOUS_S = 0.15
 """Crashes that become known within this time count as one moment. What ends many back ends at once does so within
-some ten milliseconds, and nodes are sure of each at most one or two probes (0.3 s) apart."""
+some ten milliseconds, and nodes are sure of most of them at the same probe."""
 WORKED_RECENTLY_S = 60.0
 """Seconds before the first crash of a part in which it must have worked to be judged by moments."""
 SUSPECT_S = 300.0
@@ -211,10 +211,11 @@
         explained: set[str] = set()
         for part in self._order_of_judgement():
             crashes = {start: known_s for start, known_s in self._crashes[part].items() if start not in explained}
-            if self._weigh(part, crashes) < CRASHES_TO_QUARANTINE:
+            if len(crashes) < CRASHES_TO_QUARANTINE:
                 continue
             explained.update(crashes)
-            quarantined[part] = self._quarantine(part, now_s)
+            if self._weigh(part, crashes) >= CRASHES_TO_QUARANTINE:
+                quarantined[part] = self._quarantine(part, now_s)
         released = [part for part in self._quarantined if part not in quarantined]
         added = [part for part in quarantined if part not in self._quarantined]
         self._quarantined = quarantined
@@ -235,13 +236,11 @@
         candidates = [part for part, crashes in self._crashes.items() if len(crashes) >= CRASHES_TO_QUARANTINE]
         never = float("-inf")
         return sorted(
-            candidates, key=lambda part: (self._worked_s.get(part, never), -len(self._crashes[part]), part)
+            candidates, key=lambda part: (-len(self._crashes[part]), self._worked_s.get(part, never), part)
         )
 
     def _weigh(self, part: str, crashes: dict[str, float]) -> int:
         """Return the number of crashes that count: of back ends, or of moments for a part that worked recently."""
-        if not crashes:
-            return 0
         known_s = sorted(crashes.values())
         worked_s = self._worked_s.get(part)
         if worked_s is None or worked_s < known_s[0] - WORKED_RECENTLY_S:
