Count a part's crashes by moments, and send a suspect one at a time while few back ends are left

Found by the model: 410 nodes, 60 engines, a third of them ending at once, nothing bad: 2.3 in 100 requests refused; and a bad part in a third of the traffic of a small site, sound before: 8 late requests. Cause: whether a part had worked was asked of each node's own memory, and with less than one request a second a node hardly remembers any; and where all back ends end in one moment, the second and third moments come as they return, when every node sends to each of them at once. Change: moments count for every part. While more back ends have crashed under a part than are left, the nodes send requests with it in turn, one a second, until one is answered or the part is quarantined.

--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -25,9 +25,9 @@
 from wallwell.events import Event, emit
 from wallwell.node.crash_probe import CrashCheck, CrashProbe
 from wallwell.node.state import NodeState
-from wallwell.routing.admission.part_quarantine import QuarantinedPart
+from wallwell.routing.admission.part_quarantine import NodeTurn, QuarantinedPart
 from wallwell.routing.health.backend import Backend
-from wallwell.routing.rendezvous import owner, rendezvous_key
+from wallwell.routing.rendezvous import owner, owners, rendezvous_key
 from wallwell.storage.feed import FeedRow
 from wallwell.storage.table import Put, TableService, Transaction
 
@@ -93,7 +93,7 @@
         """Whether rows were dropped since the last successful write, which is logged once too."""
         state.part_quarantine.on_quarantined = _log_quarantined_part
         state.part_quarantine.on_released = _log_released_part
-        state.part_quarantine.is_trial_node = self._is_owner
+        state.part_quarantine.turn_of = self._turn_of
 
     # --- attempts --------------------------------------------------------------------------------------
 
@@ -246,6 +246,12 @@
         members = {*self._member_names(), self._state.node}
         return owner(members, rendezvous_key(name)) == self._state.node
 
+    def _turn_of(self, part: str) -> NodeTurn:
+        """Return this node's place in the order in which all members try out a part."""
+        members = {*self._member_names(), self._state.node}
+        order = owners(members, rendezvous_key(part), len(members))
+        return NodeTurn(order.index(self._state.node), len(order))
+
 
 def _log_quarantined_part(quarantined: QuarantinedPart) -> None:
     emit(Event.PART_QUARANTINED, part=quarantined.part, crashed=",".join(sorted(quarantined.crashed)))
--- a/src/wallwell/routing/admission/part_quarantine.py
+++ b/src/wallwell/routing/admission/part_quarantine.py
@@ -6,11 +6,12 @@
 apart:
 
 1. A part on which an answer was begun and went on, after a crash was known, is cleared of that crash.
-2. A part is quarantined once ``CRASHES_TO_QUARANTINE`` back ends crashed under it that no part judged before it
-   explains. Those with most crashes are judged first, then those that were not seen to work for longest. So a
-   part is not blamed for what ran beside it.
-3. A part that worked shortly before its first crash needs as many separate moments: many back ends may stop in one
-   moment, for a reason of their own, while all run a popular part.
+2. A part is quarantined once back ends crashed under it in ``CRASHES_TO_QUARANTINE`` separate moments, by crashes
+   that no part judged before it explains. Those with most crashes are judged first, then those that were not seen
+   to work for longest. So a part is not blamed for what ran beside it, nor for back ends that stop in one moment,
+   for a reason of their own, while all run a popular part.
+3. A part with as many crashes in fewer moments is watched: once more back ends have crashed under it than are left,
+   requests with it are sent one at a time, by each node in turn, until one is answered or proves the part bad.
 4. A quarantine is tried out by single requests, at one node, after growing delays.
 
 Every node decides by itself, from the same crashes; nodes learn of each other's by rows and reports
@@ -25,16 +26,17 @@
 import xxhash
 
 CRASHES_TO_QUARANTINE = 3
-"""Back ends that must crash under a part before it is quarantined. A harmless part is beside a crash often, beside
-three without any answer in between seldom."""
+"""Back ends that must crash under a part before it is watched, and moments with such crashes before it is
+quarantined. A harmless part is beside a crash often, beside three without any answer in between seldom."""
 BEGINNING_S = 1.0
 """Seconds for which an answer counts as just begun. A part that crashes back ends does so as they begin to write,
 so whatever has been written for longer was not the cause."""
 SIMULTANEOUS_S = 0.15
 """Crashes that become known within this time count as one moment. What ends many back ends at once does so within
 some ten milliseconds, and nodes are sure of most of them at the same probe."""
-WORKED_RECENTLY_S = 60.0
-"""Seconds before the first crash of a part in which it must have worked to be judged by moments."""
+WATCH_TURN_S = 1.0
+"""Seconds for which it is one node's turn to send a single request with a watched part: about the time until all
+nodes know that it was answered, or crashed its back end."""
 SUSPECT_S = 300.0
 """Seconds after its last crash for which a part stays a suspect."""
 QUARANTINE_S = 600.0
@@ -78,13 +80,46 @@
     """Starts of the back ends that crashed under the part."""
     trials: int = 0
 
-    def is_trial_due(self, now_s: float) -> bool:
-        """Whether the next single request may be tried."""
-        return now_s >= self.since_s + FIRST_TRIAL_S * TRIAL_DELAY_FACTOR**self.trials
+    def on_trial(self, now_s: float) -> None:
+        """Record that a request with the part is sent."""
+        self.trials += 1
 
+    def is_trial_due(self, now_s: float, turn: NodeTurn) -> bool:
+        """Whether this node may try the next single request; only the first of all nodes does."""
+        return turn.rank == 0 and now_s >= self.since_s + FIRST_TRIAL_S * TRIAL_DELAY_FACTOR**self.trials
 
-def _always_true(_part: str) -> bool:
-    return True
+
+@dataclass
+class WatchedPart:
+    """A part whose crashes, all in few moments, do not tell whether it is bad.
+
+    ``since_s`` is when this node learned of the crash that made it so: about the same time at all nodes.
+    """
+
+    since_s: float
+    last_turn: int = -1
+    """Number of the turn in which this node last sent a request with the part."""
+
+    def is_trial_due(self, now_s: float, turn: NodeTurn) -> bool:
+        """Whether it is this node's turn, and it has sent no request with the part in it."""
+        number = int((now_s - self.since_s) / WATCH_TURN_S)
+        return number % turn.nodes == turn.rank and number > self.last_turn
+
+    def on_trial(self, now_s: float) -> None:
+        """Record that this node sends a request with the part."""
+        self.last_turn = int((now_s - self.since_s) / WATCH_TURN_S)
+
+
+@dataclass(frozen=True)
+class NodeTurn:
+    """This node's place among all nodes of the fleet in the order in which they try out a part."""
+
+    rank: int
+    nodes: int
+
+
+def _only_node(_part: str) -> NodeTurn:
+    return NodeTurn(0, 1)
 
 
 class PartQuarantine:
@@ -95,15 +130,16 @@
         """Called with each new quarantine."""
         self.on_released: Callable[[str], None] = lambda _part: None
         """Called with the digest of each part whose quarantine ended."""
-        self.is_trial_node: Callable[[str], bool] = _always_true
-        """Whether this node makes the trials of a part; only one node of the fleet does."""
+        self.turn_of: Callable[[str], NodeTurn] = _only_node
+        """Returns this node's place in the order in which nodes try out a part."""
         self._crashes: dict[str, dict[str, float]] = {}
         """When this node learned of each crash, by part and start of the back end; in the order of learning."""
         self._worked_s: dict[str, float] = {}
         """When the last answer on a part was begun that went on; the least recently used part first."""
         self._quarantined: dict[str, QuarantinedPart] = {}
+        self._watched: dict[str, WatchedPart] = {}
         self._is_decided = True
-        """Whether ``_quarantined`` follows from all crashes that are known."""
+        """Whether ``_quarantined`` and ``_watched`` follow from all crashes that are known."""
 
     @property
     def suspect_count(self) -> int:
@@ -177,29 +213,41 @@
 
     # --- what follows ----------------------------------------------------------------------------------
 
-    def refusal(self, parts: Sequence[str], now_s: float) -> PartRefusal | None:
-        """Return why a request with these parts gets no back end; None if it may be sent."""
+    def refusal(self, parts: Sequence[str], now_s: float, count_open: Callable[[], int]) -> PartRefusal | None:
+        """Return why a request with these parts gets no back end; None if it may be sent.
+
+        ``count_open`` returns how many back ends the request could be sent to.
+        """
         if not self._crashes:
             return None
         self._decide(now_s)
         refused = [part for part in parts if part in self._quarantined]
-        if not refused:
-            return None
-        part = max(refused, key=self._expires_s)
-        return PartRefusal(part, max(0.0, self._expires_s(part) - now_s))
+        if refused:
+            part = max(refused, key=self._expires_s)
+            return PartRefusal(part, max(0.0, self._expires_s(part) - now_s))
+        for part in parts:
+            if part in self._watched and len(self._crashes[part]) > count_open():
+                return PartRefusal(part, WATCH_TURN_S)
+        return None
 
     def begin_trial(self, parts: Sequence[str], now_s: float) -> bool:
         """Whether a request that would be refused is sent as a trial; the next one is due much later.
 
-        None of its other parts is a suspect, so that its end tells of one part alone.
+        A quarantined part is tried by a request of which no other part is a suspect, so that its end tells of one
+        part alone.
         """
+        quarantined = [part for part in parts if part in self._quarantined]
         suspects = [part for part in parts if part in self._crashes]
-        if len(suspects) != 1:
+        if len(quarantined) > 1 or (quarantined and len(suspects) > 1):
             return False
-        quarantined = self._quarantined.get(suspects[0])
-        if quarantined is None or not quarantined.is_trial_due(now_s) or not self.is_trial_node(quarantined.part):
+        tried = [*quarantined, *(part for part in parts if part in self._watched)]
+        if not tried:
             return False
-        quarantined.trials += 1
+        turn = self.turn_of(tried[0])
+        decision = self._quarantined.get(tried[0]) or self._watched[tried[0]]
+        if not decision.is_trial_due(now_s, turn):
+            return False
+        decision.on_trial(now_s)
         return True
 
     def _decide(self, now_s: float) -> None:
@@ -208,17 +256,21 @@
             return
         self._is_decided = True
         quarantined: dict[str, QuarantinedPart] = {}
+        watched: dict[str, WatchedPart] = {}
         explained: set[str] = set()
         for part in self._order_of_judgement():
             crashes = {start: known_s for start, known_s in self._crashes[part].items() if start not in explained}
             if len(crashes) < CRASHES_TO_QUARANTINE:
                 continue
             explained.update(crashes)
-            if self._weigh(part, crashes) >= CRASHES_TO_QUARANTINE:
+            if _count_moments(crashes) >= CRASHES_TO_QUARANTINE:
                 quarantined[part] = self._quarantine(part, now_s)
+            else:
+                since_s = sorted(crashes.values())[CRASHES_TO_QUARANTINE - 1]
+                watched[part] = self._watched.get(part) or WatchedPart(since_s)
         released = [part for part in self._quarantined if part not in quarantined]
         added = [part for part in quarantined if part not in self._quarantined]
-        self._quarantined = quarantined
+        self._quarantined, self._watched = quarantined, watched
         for part in added:
             self.on_quarantined(quarantined[part])
         for part in released:
@@ -239,14 +291,11 @@
             candidates, key=lambda part: (-len(self._crashes[part]), self._worked_s.get(part, never), part)
         )
 
-    def _weigh(self, part: str, crashes: dict[str, float]) -> int:
-        """Return the number of crashes that count: of back ends, or of moments for a part that worked recently."""
-        known_s = sorted(crashes.values())
-        worked_s = self._worked_s.get(part)
-        if worked_s is None or worked_s < known_s[0] - WORKED_RECENTLY_S:
-            return len(crashes)
-        moments, moment_s = 0, float("-inf")
-        for at_s in known_s:
-            if at_s - moment_s >= SIMULTANEOUS_S:
-                moments, moment_s = moments + 1, at_s
-        return moments
+
+def _count_moments(crashes: dict[str, float]) -> int:
+    """Return the number of separate moments in which crashes became known."""
+    moments, moment_s = 0, float("-inf")
+    for known_s in sorted(crashes.values()):
+        if known_s - moment_s >= SIMULTANEOUS_S:
+            moments, moment_s = moments + 1, known_s
+    return moments
--- a/src/wallwell/serving/pipeline.py
+++ b/src/wallwell/serving/pipeline.py
@@ -182,8 +182,9 @@
             raise self._error_factory.deadline_error(active)
         now_s = boot_time_s()
         # Checked before each attempt, since other nodes may have observed crashes caused by this request meanwhile.
-        begin_part_trial(self._state, active, now_s)
         refusal = self._error_factory.quarantine_error(active, now_s)
+        if refusal is not None and begin_part_trial(self._state, active, now_s):
+            refusal = self._error_factory.quarantine_error(active, now_s)
         if refusal is not None:
             raise refusal
         limit_waits_s: dict[Backend, float] = {}
--- a/src/wallwell/serving/quarantine_check.py
+++ b/src/wallwell/serving/quarantine_check.py
@@ -31,16 +31,20 @@
             return QuarantineRefusal(detail, remaining_s)
     if active.is_part_trial or not state.part_quarantine.suspect_count:
         return None
-    refusal = state.part_quarantine.refusal(active.part_digests, now_s)
+    refusal = state.part_quarantine.refusal(active.part_digests, now_s, lambda: _count_open(state, active, now_s))
     if refusal is None:
         return None
     return QuarantineRefusal(f"back ends crashed as they began answers on part {refusal.part}", refusal.remaining_s)
 
 
-def begin_part_trial(state: NodeState, active: ActiveRequest, now_s: float) -> None:
-    """Make the next attempt of a request the trial of its quarantined part, if one is due at this node."""
-    if active.is_part_trial or not state.part_quarantine.suspect_count:
-        return
-    if state.part_quarantine.begin_trial(active.part_digests, now_s):
-        active.is_part_trial = True
-        emit(Event.PART_TRIED, request_id=active.request.request_id, parts=",".join(active.part_digests))
+def begin_part_trial(state: NodeState, active: ActiveRequest, now_s: float) -> bool:
+    """Make the next attempt of a refused request the trial of a part of its prompt, if one is due at this node."""
+    if active.is_part_trial or not state.part_quarantine.begin_trial(active.part_digests, now_s):
+        return False
+    active.is_part_trial = True
+    emit(Event.PART_TRIED, request_id=active.request.request_id, parts=",".join(active.part_digests))
+    return True
+
+
+def _count_open(state: NodeState, active: ActiveRequest, now_s: float) -> int:
+    return sum(each.is_open(now_s) for each in state.backends.backends_of_service(active.service))
--- a/tests/unit/node/test_crash_watch.py
+++ b/tests/unit/node/test_crash_watch.py
@@ -16,7 +16,7 @@
 from wallwell.node.crash_probe import FIRST_PROBE_DELAY_S, MAX_PROBES, PROBE_INTERVAL_S, SUCCESSOR_WAIT_S
 from wallwell.node.crash_watch import CRASH_PREFIX, MAX_UNWRITTEN_ROWS, PART_PREFIX, SWEEP_INTERVAL_S, CrashWatch
 from wallwell.outcomes import Outcome
-from wallwell.routing.admission.part_quarantine import BEGINNING_S, part_digest
+from wallwell.routing.admission.part_quarantine import BEGINNING_S, SIMULTANEOUS_S, part_digest
 from wallwell.routing.admission.quarantine import CRASHES_TO_QUARANTINE, QUARANTINE_S, SUSPECT_S
 from wallwell.routing.retry.attempt_outcome import TransportEvent as T
 from wallwell.routing.selection.prefix_home import PromptPart
@@ -515,6 +515,7 @@
         for number in range(CRASHES_TO_QUARANTINE):
             seen.append(len(node.state.part_quarantine.quarantined(boot_time_s())))
             node.read_row(f"{PART_PREFIX}a", f"gone-{number}")
+            await asyncio.sleep(SIMULTANEOUS_S + 0.01)
         seen.append(len(node.state.part_quarantine.quarantined(boot_time_s())))
         node.read_row(f"{PART_PREFIX}a", "gone-1", None)
         return [
@@ -530,6 +531,7 @@
         node = WatchedNode()
         for number in range(CRASHES_TO_QUARANTINE):
             node.watch.on_peer_report((f"{PART_PREFIX}a", f"gone-{number}"))
+            await asyncio.sleep(SIMULTANEOUS_S + 0.01)
         return len(node.state.part_quarantine.quarantined(boot_time_s()))
 
     assert run_virtual(work()) == 1
@@ -589,6 +591,7 @@
         async def connect_slowly(dispatch):
             for number in range(CRASHES_TO_QUARANTINE):
                 node.read_row(f"{PART_PREFIX}{part_digest('a')}", f"gone-{number}")
+                await asyncio.sleep(SIMULTANEOUS_S + 0.01)
             if not dispatch.may_send():
                 raise AttemptError(T.WITHDRAWN, "quarantined meanwhile")
             client.sent.append(dispatch)
