Close new connections unread while a node is late and has more load than the others

What callers would see: while load balancers send most new connections of a region to one node, it reads each request so late that its deadline has passed, though other nodes are idle. Cause: a node takes every connection, and only reports that it is not ready once timers are half a second late twice; the balancer acts two to three seconds later. Change: a fraction of new connections is closed before anything is read, so that their callers ask another node at once. Events 1012 and 1013, wallwell_connections_shed_total.

--- a/src/wallwell/callers_server.py
+++ b/src/wallwell/callers_server.py
@@ -79,7 +79,14 @@
 class CallerConnection(web.RequestHandler):
     """The protocol of one caller's connection."""
 
-    __slots__ = ("_final_answers", "_has_late_request", "_has_partial_head", "_is_ended")
+    __slots__ = (
+        "_final_answers",
+        "_has_late_request",
+        "_has_partial_head",
+        "_is_ended",
+        "_is_shed",
+        "_sheds_connection",
+    )
 
     def __init__(self, server: CallersServer, **options: Any) -> None:
         super().__init__(server, **options)
@@ -87,9 +94,26 @@
         self._has_partial_head = False
         """Whether part of the next request's head has been read."""
         self._is_ended = False
+        self._is_shed = False
+        """Whether the connection was closed before anything was read."""
+        self._sheds_connection = server.sheds_connection
         self._has_late_request = False
         """Whether bytes arrived after the final answer."""
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Serve a new connection, or close it unread; see :class:`asyncio.Protocol`."""
+        if not self._sheds_connection():
+            super().connection_made(transport)
+            return
+        self._is_shed = True
+        assert isinstance(transport, asyncio.Transport)
+        transport.abort()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the connection; see :class:`asyncio.Protocol`."""
+        if not self._is_shed:
+            super().connection_lost(exc)
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, or discard them after the final answer; see :class:`asyncio.Protocol`."""
         if self._is_ended:
@@ -151,14 +175,24 @@
         self.force_close()
 
 
+def _takes_every_connection() -> bool:
+    return False
+
+
 class CallersServer(web.Server):
     """The server of one listener, with its callers' connections."""
 
     def __init__(
-        self, handler: Callable[[Any], Awaitable[web.StreamResponse]], final_answers: FinalAnswers, **options: Any
+        self,
+        handler: Callable[[Any], Awaitable[web.StreamResponse]],
+        final_answers: FinalAnswers,
+        sheds_connection: Callable[[], bool] = _takes_every_connection,
+        **options: Any,
     ) -> None:
+        """``sheds_connection`` returns whether a new connection is closed unread."""
         super().__init__(handler, **options)
         self.final_answers = final_answers
+        self.sheds_connection = sheds_connection
         self._closing: asyncio.Task[None] | None = None
 
     def __call__(self) -> web.RequestHandler:
--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -30,6 +30,12 @@
     NODE_STOP_FORCED = (1009, "WARNING", "planned stop cut short: its grace period ended")
     MACHINE_WOKEN = (1010, "WARNING", "machine was suspended; open time-outs are shortened by the same time")
     CALLER_CONNECTIONS_ENDED = (1011, "INFO", "planned stop: callers' connections are closed")
+    CONNECTIONS_SHED = (
+        1012,
+        "WARNING",
+        "node is late and has more load than others; closes new connections unread",
+    )
+    CONNECTIONS_TAKEN_AGAIN = (1013, "INFO", "node is in time again; no new connection is closed unread")
 
     # 2001 and up: operators' configuration.
     CONFIG_ADVANCED = (2001, "INFO", "configuration advanced to a higher revision")
--- a/src/wallwell/node/metrics.py
+++ b/src/wallwell/node/metrics.py
@@ -82,6 +82,11 @@
         build.add_metric([build_version(), build_commit()], 1)
         yield build
         yield GaugeMetricFamily("wallwell_nodes", "Nodes that share budgets.", value=state.node_count)
+        yield CounterMetricFamily(
+            "wallwell_connections_shed",
+            "New connections closed unread, since this node is late and others are not.",
+            value=self._counters.shed_connections,
+        )
 
     def _collect_backends(self, now_s: float) -> Iterator[Metric]:
         backends = list(self._state.backends.all_backends())
--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -267,6 +267,13 @@
         """Whether callers should open new connections to this node."""
         return self.readiness.is_ready()
 
+    def sheds_connection(self) -> bool:
+        """Whether a new connection of a caller is closed unread, since this node is late and others are not."""
+        if not self.readiness.shedding.closes_next():
+            return False
+        self._pipeline.counters.shed_connections += 1
+        return True
+
     def is_closing_connections(self) -> bool:
         """Whether callers should send their next request to another node."""
         return self.readiness.is_closing_connections()
--- a/src/wallwell/node/readiness.py
+++ b/src/wallwell/node/readiness.py
@@ -1,7 +1,7 @@
 """Decides whether callers should connect to a node, and whether it keeps their open connections.
 
-Owns the node's ``draining`` flag and the measurement of its event loop's delay. Relies on the store rows that the
-node follows: until they are read, it does not know which callers and back ends are allowed.
+Owns the node's ``draining`` flag, the measurement of its event loop's delay and what follows from that. Relies on
+the store rows that the node follows: until they are read, it does not know which callers and back ends are allowed.
 """
 
 from __future__ import annotations
@@ -9,6 +9,8 @@
 import asyncio
 
 from wallwell.clock import SuspensionWatch, boot_time_s
+from wallwell.events import Event, emit
+from wallwell.node.connection_shedding import ConnectionShedding, is_load_skewed
 from wallwell.node.loop_lag import TIMER_INTERVAL_S, LoopLag
 from wallwell.node.member_rows import MemberRows
 from wallwell.node.state import NodeState
@@ -22,6 +24,7 @@
         self._member_rows = member_rows
         self._suspension_watch = SuspensionWatch()
         self.loop_lag = LoopLag()
+        self.shedding = ConnectionShedding(self._is_load_skewed, state.rng)
         self.draining = False
         """Whether a planned stop has begun."""
 
@@ -45,3 +48,16 @@
             now_s = boot_time_s()
             self._suspension_watch.check()
             self.loop_lag.observe(now_s - due_s, now_s)
+            self._observe_for_shedding(now_s - due_s)
+
+    def _observe_for_shedding(self, delay_s: float) -> None:
+        was_shedding = self.shedding.fraction > 0
+        self.shedding.observe(delay_s)
+        is_shedding = self.shedding.fraction > 0
+        if is_shedding and not was_shedding:
+            emit(Event.CONNECTIONS_SHED, late_ms=round(delay_s * 1000))
+        elif was_shedding and not is_shedding:
+            emit(Event.CONNECTIONS_TAKEN_AGAIN)
+
+    def _is_load_skewed(self) -> bool:
+        return is_load_skewed(*self._state.own_and_peers_load(), self._state.node_count)
--- a/src/wallwell/node/state.py
+++ b/src/wallwell/node/state.py
@@ -178,6 +178,11 @@
         """Number of nodes that share the fleet's budgets, including this one."""
         return max(1, len(self.members | {self.node}))
 
+    def own_and_peers_load(self) -> tuple[int, int]:
+        """Return this node's load on all back ends, and that of all other nodes as far as they report it."""
+        backends = self.backends.all_backends()
+        return sum(each.load for each in backends), sum(each.peers_load or 0 for each in backends)
+
     def apply_config(self, config: DeploymentConfig) -> bool:
         """Put a configuration in force; returns False if its version is not newer than the current one."""
         if self.config is not None and config.version <= self.config.version:
--- a/src/wallwell/platform/caller_listener.py
+++ b/src/wallwell/platform/caller_listener.py
@@ -74,6 +74,7 @@
         return CallersServer(
             self._handle,
             PlatformLastAnswers(),
+            sheds_connection=self._node.sheds_connection,
             request_factory=self._make_request,
             handler_cancellation=True,
             keepalive_timeout=KEEPALIVE_S,
--- a/src/wallwell/serving/counters.py
+++ b/src/wallwell/serving/counters.py
@@ -43,6 +43,8 @@
     stream_lookups: Counter[str] = field(default_factory=Counter)
     """Streams that callers resumed, by what was found: their version (``known``), that the service has had only one
     (``one_version``), or neither (``unknown``)."""
+    shed_connections: int = 0
+    """New connections of callers that were closed unread."""
     first_token_latency: dict[str, LatencyHistogram] = field(default_factory=dict)
     answer_latency: dict[str, LatencyHistogram] = field(default_factory=dict)
     largest_event_gap: dict[str, LatencyHistogram] = field(default_factory=dict)
--- a/tests/wire_subjects.py
+++ b/tests/wire_subjects.py
@@ -736,6 +736,7 @@
 
     def __init__(self, error: RequestError | None, dispatch: dict[str, Any], address: str) -> None:
         self.is_closing_connections = lambda: False
+        self.sheds_connection = lambda: False
         self.seen: dict[str, Any] = {}
         self._error = error
         self._dispatch = dispatch
