--- a/src/wallwell/emulator/platform_worker.py
+++ b/src/wallwell/emulator/platform_worker.py
@@ -19,6 +19,17 @@
 """Seconds to wait for handlers at shutdown: short, since an emulator has nothing to finish."""
 
 
+class UnframedResponse(web.StreamResponse):
+    """A streamed response with neither a length nor chunks: it ends where its connection is closed."""
+
+    async def _prepare_headers(self) -> None:
+        self.force_close()
+        await super()._prepare_headers()
+        assert self._payload_writer is not None
+        self._payload_writer.chunked = False
+        self.headers.popall("Transfer-Encoding", None)
+
+
 class PlatformWorkerEmulator:
     """One incarnation of one worker."""
 
--- /dev/null
+++ b/tests/platform/test_unframed_answers.py
@@ -0,0 +1,139 @@
+"""Answers with neither a length nor chunks, which end with their connection.
+
+Guards against answers that are passed on as whole although they were cut: the end of such an answer can be told only
+from a clean close, and of a stream from the end of its last event.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+
+import aiohttp
+import pytest
+
+from tests.platform.conftest import config, route
+from tests.unit.serving.fakes import event
+from wallwell.emulator.platform_worker import UnframedResponse
+
+STREAM = {"kind": "stream", "attempts": 1}
+RESUMABLE = {"kind": "stream", "attempts": 2, "can_resume": True}
+SAFE, UNSAFE = {"kind": "safe", "attempts": 2}, {"kind": "unsafe", "attempts": 1}
+PROMPT = {"X_Model": "m", "X_Prefix_Hash": "aa:100,bb:20", "X_Token_Usage": "120,3"}
+EVENTS = b"".join(event(number) for number in (1, 2, 3))
+CUT = len(EVENTS) - 4
+"""Length at which a stream ends inside its last event."""
+
+
+def close(request):
+    request.transport.close()
+
+
+def reset(request):
+    linger = struct.pack("ii", 1, 0)
+    request.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    request.transport.abort()
+
+
+def unframed(worker, body, end=None):
+    """Answer ``body`` in small pieces; ``end`` ends the connection before the answer is over."""
+
+    async def respond(request):
+        is_stream = "X-Model" in request.headers
+        more = {"Content-Type": "text/event-stream"} if is_stream else {}
+        response = UnframedResponse(headers=worker.headers(request, **more))
+        await response.prepare(request)
+        for start in range(0, len(body), 16):
+            await response.write(body[start : start + 16])
+            await asyncio.sleep(0.005)
+        if end is not None:
+            end(request)
+            await asyncio.sleep(3600)
+        return response
+
+    return respond
+
+
+async def read_answer(harness, **headers):
+    """Return status, what came of the body, and whether it ended as complete."""
+    received = b""
+    try:
+        async with harness.request(**headers) as response:
+            status = response.status
+            async for data in response.content.iter_any():
+                received += data
+    except aiohttp.ClientError:
+        return status, received, False
+    return status, received, True
+
+
+def play(on_platform, kind, respond, workers=1):
+    async def scenario(harness):
+        for worker in harness.workers:
+            worker.respond = respond(worker)
+        headers = PROMPT if kind["kind"] == "stream" else {}
+        answer = await read_answer(harness, **headers)
+        return answer, sum(len(worker.requests) for worker in harness.workers)
+
+    return on_platform(scenario, config(routes=[route(**kind)]), workers=workers)
+
+
+@pytest.mark.parametrize("kind", [STREAM, RESUMABLE, SAFE, UNSAFE], ids=["stream", "resumable", "safe", "unsafe"])
+def test_whole_unframed_answers_are_passed_on_whole(on_platform, kind):
+    answer, attempts = play(on_platform, kind, lambda worker: unframed(worker, EVENTS))
+    assert (answer, attempts) == ((200, EVENTS, True), 1)
+
+
+@pytest.mark.parametrize("end", [close, reset])
+def test_stream_that_ends_inside_an_event_is_broken_off(on_platform, end):
+    (status, received, is_complete), _ = play(
+        on_platform, STREAM, lambda worker: unframed(worker, EVENTS[:CUT], end)
+    )
+    assert (status, is_complete) == (200, False)
+    assert received == event(1) + event(2)
+
+
+def test_stream_that_is_reset_after_an_event_is_broken_off(on_platform):
+    (status, received, is_complete), _ = play(
+        on_platform, STREAM, lambda worker: unframed(worker, event(1) + event(2), reset)
+    )
+    assert (status, is_complete) == (200, False)
+    assert (event(1) + event(2)).startswith(received)
+
+
+def test_stream_that_ends_without_an_event_is_not_passed_on_as_whole(on_platform):
+    (status, _, _), _ = play(on_platform, STREAM, lambda worker: unframed(worker, b"", close))
+    assert status in (502, 504)
+
+
+@pytest.mark.parametrize("kind", [SAFE, UNSAFE], ids=["safe", "unsafe"])
+def test_call_whose_unframed_answer_is_reset_is_not_answered_with_part_of_it(on_platform, kind):
+    (status, received, _), attempts = play(
+        on_platform, kind, lambda worker: unframed(worker, EVENTS, reset), workers=2
+    )
+    assert status in (502, 504) and not EVENTS.startswith(received)
+    assert attempts == kind["attempts"]
+
+
+def test_resumable_stream_cut_inside_an_event_goes_on_after_the_last_whole_one(on_platform):
+    def respond(worker):
+        async def first_cut_then_rest(request):
+            if "Last-Event-Id" in request.headers:
+                assert request.headers["Last-Event-Id"] == "2"
+                return await unframed(worker, event(3))(request)
+            return await unframed(worker, EVENTS[:CUT], close)(request)
+
+        return first_cut_then_rest
+
+    answer, attempts = play(on_platform, RESUMABLE, respond, workers=2)
+    assert (answer, attempts) == ((200, EVENTS, True), 2)
+
+
+def test_the_connection_of_an_unframed_answer_is_not_used_again(on_platform):
+    async def scenario(harness):
+        (worker,) = harness.workers
+        worker.respond = unframed(worker, b"ok")
+        return [await read_answer(harness, X_Request_Id=f"req-{number}") for number in range(3)]
+
+    assert on_platform(scenario, config(routes=[route(**UNSAFE)]), workers=1) == [(200, b"ok", True)] * 3
