An answer without length is not whole if its worker's process has ended

Cause: such an answer ends with its connection, and the system of a process that was killed closes its connections as cleanly as a process does that has sent everything; a stream that is cut between two events looks whole. Change: after such an answer a connection to the worker is opened, which the next request needs anyway, and if the port refuses it the answer was broken off, unless the worker is known to leave. The soak's links, which go on accepting connections for a process that has ended, now show its end as a reset. Result: three cases of the platform test failed before (stream, safe, unsafe call) and pass; a worker that ends as planned right after its answer is believed (2 cases).

--- a/src/wallwell/backend_connection.py
+++ b/src/wallwell/backend_connection.py
@@ -60,6 +60,11 @@
         """Boot time of the end of the last round trip."""
         self.max_idle_s = DEFAULT_MAX_IDLE_S
 
+    @property
+    def body_ends_at_close(self) -> bool:
+        """Whether the answer has neither a length nor chunks, so that its end is told by the connection's alone."""
+        return self._body_ends_at_close
+
     def is_reusable(self, now_s: float) -> bool:
         """Whether an idle connection may carry another round trip at boot time ``now_s``."""
         return not (self.closed or self._must_close) and now_s - self.idle_since_s < self.max_idle_s
--- a/src/wallwell/emulator/platform_worker.py
+++ b/src/wallwell/emulator/platform_worker.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from aiohttp import web
+from aiohttp.http_writer import StreamWriter
 
 from wallwell.clock import boot_time_s
 from wallwell.emulator.faults import abort_listener
@@ -25,7 +26,7 @@
     async def _prepare_headers(self) -> None:
         self.force_close()
         await super()._prepare_headers()
-        assert self._payload_writer is not None
+        assert isinstance(self._payload_writer, StreamWriter)
         self._payload_writer.chunked = False
         self.headers.popall("Transfer-Encoding", None)
 
--- a/src/wallwell/http_connection.py
+++ b/src/wallwell/http_connection.py
@@ -109,6 +109,14 @@
         """Open a connection and leave it idle for the next round trip. Raises :class:`ConnectFailedError`."""
         self.put_back(address, await self._connect(address, timeout_s))
 
+    async def refuses_connections(self, address: str) -> bool:
+        """Whether a new connection to ``IP:port`` is refused; one that is accepted stays idle for a round trip."""
+        try:
+            await self.open_idle(address, self._connect_timeout_s)
+        except ConnectFailedError as error:
+            return error.refused
+        return False
+
     def has_idle(self, address: str) -> bool:
         """Whether the pool has an idle connection to an address that can be reused."""
         now_s = boot_time_s()
--- a/src/wallwell/platform/worker_client.py
+++ b/src/wallwell/platform/worker_client.py
@@ -43,12 +43,13 @@
         self,
         head: AnswerHead,
         connection: BackendConnection,
-        address: str,
+        dispatch: Dispatch,
         pool: ConnectionPool,
     ) -> None:
         self.head = head
         self._connection: BackendConnection | None = connection
-        self._address = address
+        self._address = dispatch.backend.address
+        self._is_leaving = dispatch.is_leaving
         self._pool = pool
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -57,9 +58,21 @@
             if self._connection is not None:
                 async for data in self._connection.body():
                     yield data
+                await self._check_end(self._connection)
         except ConnectionBrokenError as error:
             raise AttemptError(TransportEvent.RESET_AFTER_SEND, str(error)) from error
 
+    async def _check_end(self, connection: BackendConnection) -> None:
+        """Raise :class:`AttemptError` if the connection's close may not be the answer's end.
+
+        The system of a process that was killed closes its connections as a process does that has sent everything.
+        Unless the worker leaves as planned, its port then refuses a connection (the next request needs one anyway).
+        """
+        if not connection.body_ends_at_close or self._is_leaving():
+            return
+        if await self._pool.refuses_connections(self._address):
+            raise AttemptError(TransportEvent.RESET_AFTER_SEND, "the worker's process has ended")
+
     def close(self) -> None:
         """See :class:`wallwell.serving.messages.BackendAnswer`."""
         if self._connection is not None:
@@ -91,7 +104,7 @@
             incarnation = dispatch.backend.incarnation
             notice = deliver_notice(self._notices, message, incarnation, sent_s if from_worker else None)
         head = msgspec.structs.replace(head, notice=notice)
-        answer = WorkerAnswer(head, connection, dispatch.backend.address, self._pool)
+        answer = WorkerAnswer(head, connection, dispatch, self._pool)
         if failure is not None:
             failure.notice = notice
             # Does not wait for the body, which may never arrive. The connection is reused if the body is complete.
--- a/src/wallwell/serving/messages.py
+++ b/src/wallwell/serving/messages.py
@@ -92,6 +92,10 @@
     return True
 
 
+def _always_false() -> bool:
+    return False
+
+
 @dataclass(frozen=True)
 class Dispatch:
     """One attempt to be sent to a back end. ``remaining_s`` is the time in seconds until the request's deadline."""
@@ -109,6 +113,8 @@
     progress: SendProgress = field(default_factory=SendProgress)
     prefers_peers: bool = False
     """Whether a peer is to make the attempt, since this node cannot connect to the service's back ends."""
+    is_leaving: Callable[[], bool] = _always_false
+    """Whether the back end is known to leave by now, so that its process may end after its last answer."""
     may_send: Callable[[], bool] = _always_true
     """Whether the back end may still get the request; called right before sending, as connecting takes time."""
 
--- a/src/wallwell/soak/proxy.py
+++ b/src/wallwell/soak/proxy.py
@@ -10,7 +10,7 @@
 import asyncio
 import socket
 import struct
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 from wallwell.cluster.peer_link import PeerServer
 from wallwell.soak.control import (
@@ -63,6 +63,10 @@
         return self.harm.hold_forth if forth else self.harm.hold_back
 
 
+async def _has_not_ended() -> bool:
+    return False
+
+
 class Connection:
     """One connection through a link, of a node where that is known, over the wires that it crosses."""
 
@@ -79,23 +83,35 @@
         for writer in self._writers:
             reset(writer)
 
-    async def carry(self, near: asyncio.StreamReader, far: asyncio.StreamReader) -> None:
-        """Carry both ways until both have ended; a reset of one side resets the other."""
+    async def carry(
+        self, near: asyncio.StreamReader, far: asyncio.StreamReader, has_far_ended: Callable[[], Awaitable[bool]]
+    ) -> None:
+        """Carry both ways until both have ended; a reset of one side resets the other.
+
+        So does a far process that has ended: behind a link, which goes on accepting connections, its close is all
+        that is seen of it, though without one its port would refuse connections from then on.
+        """
         near_writer, far_writer = self._writers
         try:
             async with asyncio.TaskGroup() as directions:
                 directions.create_task(self._carry(near, far_writer, forth=True))
-                directions.create_task(self._carry(far, near_writer, forth=False))
+                directions.create_task(self._carry(far, near_writer, forth=False, has_ended=has_far_ended))
         except* OSError:
             self.reset()
         for writer in self._writers:
             writer.close()
 
-    async def _carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, forth: bool) -> None:
+    async def _carry(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        forth: bool,
+        has_ended: Callable[[], Awaitable[bool]] = _has_not_ended,
+    ) -> None:
         waiting: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(QUEUE_CHUNKS)
         async with asyncio.TaskGroup() as ends:
             ends.create_task(self._take(reader, waiting, forth))
-            ends.create_task(self._hand_out(waiting, writer, forth))
+            ends.create_task(self._hand_out(waiting, writer, forth, has_ended))
 
     async def _take(
         self, reader: asyncio.StreamReader, waiting: asyncio.Queue[tuple[float, bytes]], forth: bool
@@ -111,7 +127,11 @@
         return at_s
 
     async def _hand_out(
-        self, waiting: asyncio.Queue[tuple[float, bytes]], writer: asyncio.StreamWriter, forth: bool
+        self,
+        waiting: asyncio.Queue[tuple[float, bytes]],
+        writer: asyncio.StreamWriter,
+        forth: bool,
+        has_ended: Callable[[], Awaitable[bool]],
     ) -> None:
         loop = asyncio.get_running_loop()
         while True:
@@ -120,6 +140,8 @@
             while self.silent or any(wire.holds(forth) for wire in self._wires):
                 await asyncio.sleep(HELD_CHECK_S)
             if not data:
+                if await has_ended():
+                    raise ConnectionResetError("the far process has ended")
                 writer.write_eof()
                 return
             writer.write(data)
@@ -219,10 +241,23 @@
         connection = Connection(node, wires, writer, far_writer)
         self._connections.add(connection)
         try:
-            await connection.carry(reader, far_reader)
+            await connection.carry(reader, far_reader, self._refuses)
         finally:
             self._connections.discard(connection)
 
+    async def _refuses(self) -> bool:
+        """Whether the process at the far end refuses connections, so that it has ended."""
+        host, _, port = self._target.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, ValueError, TimeoutError):
+            return False
+        writer.close()
+        return False
+
 
 class ProxyProcess:
     """All links of a run."""
--- a/tests/platform/test_unframed_answers.py
+++ b/tests/platform/test_unframed_answers.py
@@ -1,7 +1,7 @@
 """Answers with neither a length nor chunks, which end with their connection.
 
-Guards against answers that are passed on as whole although they were cut: the end of such an answer can be told only
-from a clean close, and of a stream from the end of its last event.
+Guards against answers that are passed on as whole although they were cut. The end of such an answer is known only
+from a clean close, and that of a stream also from the end of its last event.
 """
 
 from __future__ import annotations
@@ -137,3 +137,42 @@
         return [await read_answer(harness, X_Request_Id=f"req-{number}") for number in range(3)]
 
     assert on_platform(scenario, config(routes=[route(**UNSAFE)]), workers=1) == [(200, b"ok", True)] * 3
+
+
+@pytest.mark.parametrize("kind", [STREAM, SAFE, UNSAFE], ids=["stream", "safe", "unsafe"])
+def test_unframed_answer_cut_by_the_end_of_the_workers_process_is_not_whole(on_platform, kind):
+    """Guards against streams that end as complete after 1 of 117 events: the system of an ended process closes its
+    connections cleanly, here between two events."""
+
+    async def scenario(harness):
+        (worker,) = harness.workers
+        worker.respond = unframed(worker, event(1) + event(2), lambda request: worker.crash())
+        return await read_answer(harness, **(PROMPT if kind is STREAM else {}))
+
+    status, received, is_complete = on_platform(scenario, config(routes=[route(**kind)]), workers=1)
+    if kind is STREAM:
+        assert (status, received, is_complete) == (200, event(1) + event(2), False)
+    else:
+        assert status in (502, 504)
+
+
+@pytest.mark.parametrize("leaving", ["Server-Leaving", "draining entry"])
+def test_unframed_answer_of_a_worker_that_ends_as_planned_is_whole(on_platform, leaving):
+    """Its process may end right after its last answer."""
+
+    async def scenario(harness):
+        (worker,) = harness.workers
+        respond = unframed(worker, EVENTS, lambda request: worker.crash())
+
+        async def leave(request):
+            worker.leaving, worker.draining = leaving == "Server-Leaving", leaving != "Server-Leaving"
+            harness.publish(worker)
+            if worker.draining:
+                listed = harness.node.state.backends
+                await harness.until(lambda: listed.get(worker.incarnation).record.draining)
+            return await respond(request)
+
+        worker.respond = leave
+        return await read_answer(harness, **PROMPT)
+
+    assert on_platform(scenario, config(routes=[route(**STREAM)]), workers=1) == (200, EVENTS, True)
