Tell the moments of crashes apart by when they happened, not by when a node learned of them

Cause: crashes counted as one moment if a node learned of them together, and a node that starts reads all rows at once. Change: the row of a part says at which time of day the first run broke; crashes within 0.1 s are one moment. While the store takes no writes, reports between nodes count from when they arrive.

--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -17,8 +17,10 @@
 from dataclasses import dataclass, field
 from itertools import islice
 
+import msgspec
+
 from wallwell.background import BackgroundTasks
-from wallwell.clock import boot_time_s, ends_within
+from wallwell.clock import boot_time_s, ends_within, time_of_day_s
 from wallwell.cluster.crash_count import count_crash
 from wallwell.cluster.crash_reports import Crash
 from wallwell.errors import PlatformUnavailableError, TableConflictError
@@ -33,7 +35,8 @@
 
 CRASH_PREFIX = "crash/"
 """Prefix of keys ``crash/SUBJECT/START_ID`` (:attr:`Backend.start_id`); the value is the reporting node. The
-subject is the content digest of a request, or ``PART_PREFIX`` and the digest of a part."""
+subject is the content digest of a request, or ``PART_PREFIX`` and the digest of a part; rows of parts have a
+:class:`PartCrashRow` as value."""
 PART_PREFIX = "part-"
 MAX_TRANSACTION_ROWS = 100
 """Most rows of one transaction; a limit of the store."""
@@ -53,10 +56,19 @@
 """Seconds between two removals of expired crashes: short compared with the minutes for which a crash counts."""
 
 
+class PartCrashRow(msgspec.Struct, frozen=True):
+    """Value of the row of a part: the reporting node, and the time of day of the crash."""
+
+    node: str
+    happened_unix_s: float
+
+
 @dataclass
 class BrokenRuns:
     """What a back end was running when it may have crashed."""
 
+    since_unix_s: float
+    """Time of day at which the first run broke."""
     content_digests: set[str] = field(default_factory=set)
     part_digests: set[str] = field(default_factory=set)
     """Parts of prompts on which it may have begun an answer just then."""
@@ -102,7 +114,7 @@
         if backend.has_announced_leave or (backend.is_leaving(boot_time_s()) and not backend.superseded):
             return  # A planned stop ends connections too.
         is_probed = backend.start_id in self._broken
-        broken = self._broken.setdefault(backend.start_id, BrokenRuns())
+        broken = self._broken.setdefault(backend.start_id, BrokenRuns(time_of_day_s()))
         broken.content_digests.add(content_digest)
         broken.part_digests.update(parts)
         if not is_probed:
@@ -131,13 +143,15 @@
             parts = ",".join(sorted(broken.part_digests))
             emit(Event.BACKEND_CRASHED, backend=backend.incarnation, runs=len(broken.content_digests), parts=parts)
             now_s = boot_time_s()
-            counted = [subject for subject in broken.subjects() if self._count(subject, start_id, now_s)]
+            since_s = broken.since_unix_s
+            counted = [subject for subject in broken.subjects() if self._count(subject, start_id, now_s, since_s)]
             self._write({_crash_key(subject, start_id): True for subject in counted})
 
-    def _count(self, subject: str, start_id: str, now_s: float) -> bool:
+    def _count(self, subject: str, start_id: str, now_s: float, happened_unix_s: float) -> bool:
         """Count a crash of one start of a back end; returns False if it is known or does not count."""
         if subject.startswith(PART_PREFIX):
-            return self._state.part_quarantine.on_crash(subject.removeprefix(PART_PREFIX), start_id, now_s)
+            part = subject.removeprefix(PART_PREFIX)
+            return self._state.part_quarantine.on_crash(part, start_id, now_s, happened_unix_s)
         return count_crash(self._state.quarantine, subject, start_id, now_s)
 
     def _forget(self, subject: str, start_id: str) -> None:
@@ -158,11 +172,11 @@
         elif self._state.quarantine.is_cleared(subject, now_s):
             self._write({row.key: False})
         else:
-            self._count(subject, start_id, now_s)
+            self._count(subject, start_id, now_s, _happened_unix_s(row))
 
     def on_peer_report(self, crash: Crash) -> None:
         """Count a crash that the store has not accepted yet; the peer that detected it writes it."""
-        self._count(*crash, boot_time_s())
+        self._count(*crash, boot_time_s(), time_of_day_s())
 
     def unwritten_crashes(self) -> Sequence[Crash]:
         """Return the crashes that the store has not accepted, newest first; none while it accepts writes."""
@@ -207,7 +221,7 @@
     async def write_batch(self) -> bool:
         """Write as many rows as one transaction may hold; returns False if the store did not accept it."""
         batch = dict(list(self._unwritten.items())[:MAX_TRANSACTION_ROWS])
-        puts = tuple(Put(key, self._state.node) for key, is_put in batch.items() if is_put)
+        puts = tuple(Put(key, self._row_value(key)) for key, is_put in batch.items() if is_put)
         deletes = tuple(key for key, is_put in batch.items() if not is_put)
         try:
             await self._table.transact(Transaction((), puts, deletes))
@@ -229,6 +243,14 @@
             self._has_work.clear()
         return True
 
+    def _row_value(self, key: str) -> str:
+        subject, start_id = _parse_key(key)
+        if not subject.startswith(PART_PREFIX):
+            return self._state.node
+        happened_s = self._state.part_quarantine.happened_unix_s(subject.removeprefix(PART_PREFIX), start_id)
+        row = PartCrashRow(self._state.node, happened_s if happened_s is not None else time_of_day_s())
+        return msgspec.json.encode(row).decode()
+
     def _sweep(self, now_s: float) -> None:
         """Remove expired crashes from the counts; for each row, one node deletes it from the store."""
         expired = self._state.quarantine.remove_expired(now_s)
@@ -261,6 +283,14 @@
     emit(Event.PART_RELEASED, part=part)
 
 
+def _happened_unix_s(row: FeedRow) -> float:
+    """Return the time of day of the crash in a row; now if the row is not of a part, or cannot be read."""
+    try:
+        return msgspec.json.decode(row.value or b"", type=PartCrashRow).happened_unix_s
+    except msgspec.MsgspecError:
+        return time_of_day_s()
+
+
 def _parse_key(key: str) -> Crash:
     subject, _, start_id = key[len(CRASH_PREFIX) :].partition("/")
     return subject, start_id
--- a/src/wallwell/routing/admission/part_quarantine.py
+++ b/src/wallwell/routing/admission/part_quarantine.py
@@ -15,7 +15,8 @@
 4. A quarantine is tried out by single requests, at one node, after growing delays.
 
 Every node decides by itself, from the same crashes; nodes learn of each other's by rows and reports
-(``node/crash_watch.py``). Times are seconds on one node's clock.
+(``node/crash_watch.py``). Times are seconds on one node's clock, but for the moments of crashes, which are times of
+day: nodes that learn of old crashes all at once must still tell them apart.
 """
 
 from __future__ import annotations
@@ -31,9 +32,9 @@
 BEGINNING_S = 1.0
 """Seconds for which an answer counts as just begun. A part that crashes back ends does so as they begin to write,
 so whatever has been written for longer was not the cause."""
-SIMULTANEOUS_S = 0.15
-"""Crashes that become known within this time count as one moment. What ends many back ends at once does so within
-some ten milliseconds, and nodes are sure of most of them at the same probe."""
+SIMULTANEOUS_S = 0.1
+"""Crashes within this time count as one moment. What ends many back ends at once does so within some ten
+milliseconds; nodes read them, and their clocks, a little apart."""
 WATCH_TURN_S = 1.0
 """Seconds for which it is one node's turn to send a single request with a watched part: about the time until all
 nodes know that it was answered, or crashed its back end."""
@@ -62,6 +63,14 @@
     return xxhash.xxh3_64_hexdigest(identity.encode())
 
 
+@dataclass(frozen=True)
+class CrashTimes:
+    """When this node learned of a crash, and the time of day (Unix seconds) at which it happened."""
+
+    known_s: float
+    happened_unix_s: float
+
+
 @dataclass(frozen=True)
 class PartRefusal:
     """Why a request is refused: a quarantined part, and the seconds until its quarantine ends."""
@@ -132,8 +141,8 @@
         """Called with the digest of each part whose quarantine ended."""
         self.turn_of: Callable[[str], NodeTurn] = _only_node
         """Returns this node's place in the order in which nodes try out a part."""
-        self._crashes: dict[str, dict[str, float]] = {}
-        """When this node learned of each crash, by part and start of the back end; in the order of learning."""
+        self._crashes: dict[str, dict[str, CrashTimes]] = {}
+        """By part and start of the back end, in the order of learning."""
         self._worked_s: dict[str, float] = {}
         """When the last answer on a part was begun that went on; the least recently used part first."""
         self._quarantined: dict[str, QuarantinedPart] = {}
@@ -153,12 +162,12 @@
 
     # --- what was seen ---------------------------------------------------------------------------------
 
-    def on_crash(self, part: str, start_id: str, now_s: float) -> bool:
+    def on_crash(self, part: str, start_id: str, now_s: float, happened_unix_s: float) -> bool:
         """Count a crash of a back end under a part; returns False if it is known already."""
         crashes = self._crashes.setdefault(part, {})
         if start_id in crashes:
             return False
-        crashes[start_id] = now_s
+        crashes[start_id] = CrashTimes(now_s, happened_unix_s)
         self._is_decided = False
         self._evict_suspects()
         return True
@@ -171,7 +180,7 @@
             worked_s = max(began_s, self._worked_s.pop(part, began_s))
             self._worked_s[part] = worked_s
             crashes = self._crashes.get(part, {})
-            cleared += [(part, start_id) for start_id, known_s in crashes.items() if known_s <= worked_s]
+            cleared += [(part, start_id) for start_id, times in crashes.items() if times.known_s <= worked_s]
             self._is_decided &= not crashes
         while len(self._worked_s) > MAX_WORKING_PARTS:
             del self._worked_s[next(iter(self._worked_s))]
@@ -203,7 +212,7 @@
 
     def _expires_s(self, part: str) -> float:
         lifetime_s = QUARANTINE_S if part in self._quarantined else SUSPECT_S
-        return max(self._crashes[part].values()) + lifetime_s
+        return max(times.known_s for times in self._crashes[part].values()) + lifetime_s
 
     def _evict_suspects(self) -> None:
         if len(self._crashes) <= MAX_SUSPECT_PARTS:
@@ -211,6 +220,11 @@
         oldest = next((part for part in self._crashes if part not in self._quarantined), next(iter(self._crashes)))
         del self._crashes[oldest]
 
+    def happened_unix_s(self, part: str, start_id: str) -> float | None:
+        """Return the time of day of a crash that counts against a part; None if there is none."""
+        times = self._crashes.get(part, {}).get(start_id)
+        return times.happened_unix_s if times is not None else None
+
     # --- what follows ----------------------------------------------------------------------------------
 
     def refusal(self, parts: Sequence[str], now_s: float, count_open: Callable[[], int]) -> PartRefusal | None:
@@ -259,14 +273,14 @@
         watched: dict[str, WatchedPart] = {}
         explained: set[str] = set()
         for part in self._order_of_judgement():
-            crashes = {start: known_s for start, known_s in self._crashes[part].items() if start not in explained}
+            crashes = {start: times for start, times in self._crashes[part].items() if start not in explained}
             if len(crashes) < CRASHES_TO_QUARANTINE:
                 continue
             explained.update(crashes)
             if _count_moments(crashes) >= CRASHES_TO_QUARANTINE:
                 quarantined[part] = self._quarantine(part, now_s)
             else:
-                since_s = sorted(crashes.values())[CRASHES_TO_QUARANTINE - 1]
+                since_s = sorted(times.known_s for times in crashes.values())[CRASHES_TO_QUARANTINE - 1]
                 watched[part] = self._watched.get(part) or WatchedPart(since_s)
         released = [part for part in self._quarantined if part not in quarantined]
         added = [part for part in quarantined if part not in self._quarantined]
@@ -292,10 +306,10 @@
         )
 
 
-def _count_moments(crashes: dict[str, float]) -> int:
-    """Return the number of separate moments in which crashes became known."""
+def _count_moments(crashes: dict[str, CrashTimes]) -> int:
+    """Return the number of separate moments in which back ends crashed."""
     moments, moment_s = 0, float("-inf")
-    for known_s in sorted(crashes.values()):
-        if known_s - moment_s >= SIMULTANEOUS_S:
-            moments, moment_s = moments + 1, known_s
+    for happened_s in sorted(times.happened_unix_s for times in crashes.values()):
+        if happened_s - moment_s >= SIMULTANEOUS_S:
+            moments, moment_s = moments + 1, happened_s
     return moments
--- a/tests/platform/test_crashing_prompt_part.py
+++ b/tests/platform/test_crashing_prompt_part.py
@@ -156,3 +156,33 @@
     assert crashes >= 3, "the part crashed too few workers for a verdict"
     assert len(late) <= MAX_REACHED, f"{crashes} crashes"
     assert after >= MIN_SOUND_SHARE * before
+
+
+@pytest.mark.parametrize("store_refuses", [False, True], ids=["later-node", "store-refuses"])
+def test_other_nodes_refuse_a_bad_part_too(run_async, store_refuses):
+    """A node that starts later reads the crashes in the store; while that takes no writes, nodes report to peers."""
+
+    async def scenario(fleet):
+        await fleet.until(lambda: len(fleet.node.state.members) == NODES)
+        if store_refuses:
+            fleet.store.refuse_status = 503
+        headers = {"X_Model": "m"}
+        crashes = 0
+        for number in range(COUNTED_CRASHES):
+            request_id = f"crashing-{number}"
+            await fleet.send(
+                fleet.ports[0], b"x", request_id, X_Prefix_Hash=f"a1:100,{BAD}:50,{request_id}:20", **headers
+            )
+            await asyncio.sleep(0.8)
+            sound_id = f"sound-{number}"
+            await fleet.send(fleet.ports[0], b"x", sound_id, X_Prefix_Hash=f"a1:100,b1:50,{sound_id}:20", **headers)
+            crashes = len(fleet.crashed_at_s)
+        port = fleet.ports[1] if store_refuses else await fleet.add_node("n9")
+        late = await fleet.send(port, b"x", "late", X_Prefix_Hash=f"c1:100,{BAD}:50,late:20", **headers)
+        sound = await fleet.send(port, b"x", "sound", X_Prefix_Hash="a1:100,b1:50,sound:20", **headers)
+        return crashes, len(fleet.crashed_at_s), late, sound
+
+    fleet = PartCrashingFleet(is_part_bad=True)
+    stream = {"kind": "stream", "attempts": 1, "timeout_ms": 6000}
+    before, after, late, sound = run_on_fleet(run_async, fleet, config(routes=[route(**stream)]), scenario)
+    assert before == after == 3 and late == 503 and sound == 200
