Soak: parts that crash workers, one node that gets most connections, answers without length

Three invariants, each with histories that hold and break it: bad_part_reaches_few, sound_begin_beside_bad_part, skewed_node_serves.

--- a/src/wallwell/cli/soak.py
+++ b/src/wallwell/cli/soak.py
@@ -42,6 +42,8 @@
     parser.add_argument("--regions", type=int, default=1, help="2: two regions joined by a slow, narrow link")
     parser.add_argument("--rate", type=float, default=DEFAULT_RATE_PER_S, help="requests per second")
     parser.add_argument("--crashing", type=int, default=0, help="callers whose requests crash their workers")
+    parser.add_argument("--bad-parts", type=int, default=0, help="parts of prompts that crash their workers")
+    parser.add_argument("--skew", action="store_true", help="most requests go to one node for some seconds")
     parser.add_argument("--rollout", default="", help="roll out a version of this kind: good, failing, slow, ...")
     parser.add_argument("--versions", type=int, default=1, help="software versions of engines, side by side")
     parser.add_argument("--calm", type=float, default=0.0, help="fault-free seconds at the end, for a weights roll")
@@ -76,7 +78,10 @@
         limits=True,
         identities=True,
         silences=True,
-        restores=True,  # Kept runs keep their recorded shape; all other runs have these five features.
+        restores=True,
+        unframed=True,  # Kept runs keep their recorded shape; all other runs have these six features.
+        bad_parts=options.bad_parts,
+        skews=options.skew,
         rollout=options.rollout,
         versions=options.versions,
         calm_s=options.calm,
@@ -122,11 +127,14 @@
     calm = f" --calm {shape.calm_s:g}" if shape.calm_s else ""
     versions = f" --versions {shape.versions}" if shape.versions > 1 else ""
     crashing = f" --crashing {shape.crashing}" if shape.crashing else ""
+    bad_parts = f" --bad-parts {shape.bad_parts}" if shape.bad_parts else ""
+    skew = " --skew" if shape.skews else ""
     if not (shape.notices and shape.limits and shape.identities and shape.restores):
         return f"wallwell soak --regressions FILE, with seed {schedule.seed} and {shape} in the file"
     return (
         f"wallwell soak --seed {schedule.seed} --seconds {shape.seconds:g} --nodes {shape.nodes} "
-        f"--engines {shape.engines} --instances {shape.instances}{regions}{rate}{crashing}{versions}{rollout}{calm}"
+        f"--engines {shape.engines} --instances {shape.instances}{regions}{rate}{crashing}{bad_parts}{skew}"
+        f"{versions}{rollout}{calm}"
     )
 
 
--- a/src/wallwell/http_connection.py
+++ b/src/wallwell/http_connection.py
@@ -23,6 +23,12 @@
 """Maximum idle connections per address: about the number of slots of a back end."""
 
 
+REFUSAL_CHECKS = 2
+"""Connections that are opened to find out whether a port refuses them."""
+RESET_WAIT_S = 0.01
+"""Seconds in which the reset of a connection arrives that was accepted by a process at its end."""
+
+
 class ConnectFailedError(Exception):
     """No connection was established, so nothing can have reached the back end."""
 
@@ -110,11 +116,20 @@
         self.put_back(address, await self._connect(address, timeout_s))
 
     async def refuses_connections(self, address: str) -> bool:
-        """Whether a new connection to ``IP:port`` is refused; one that is accepted stays idle for a round trip."""
-        try:
-            await self.open_idle(address, self._connect_timeout_s)
-        except ConnectFailedError as error:
-            return error.refused
+        """Whether a new connection to ``IP:port`` is refused; one that stays open is left idle for a round trip.
+
+        A process that is ending may close its connections before its port, and one with too many connections resets
+        a new one. So one that is reset at once is followed by another.
+        """
+        for _ in range(REFUSAL_CHECKS):
+            try:
+                connection = await self._connect(address, self._connect_timeout_s)
+            except ConnectFailedError as error:
+                return error.refused
+            await asyncio.sleep(RESET_WAIT_S)
+            if not connection.closed:
+                self.put_back(address, connection)
+                return False
         return False
 
     def has_idle(self, address: str) -> bool:
--- a/src/wallwell/soak/caller_process.py
+++ b/src/wallwell/soak/caller_process.py
@@ -112,6 +112,8 @@
                 attempt.deadline_s,
                 attempt.resumes,
                 attempt.resume_after,
+                planned.bad_part,
+                planned.skewed,
             )
         )
         collected = Collected(planned, attempt.request)
--- a/src/wallwell/soak/drawing.py
+++ b/src/wallwell/soak/drawing.py
@@ -110,6 +110,16 @@
 """Seconds from the begin of that outage to the worker's leave."""
 CRASHING_FROM_S = (1.0, 3.0)
 """Seconds after which a caller first sends a request that crashes workers."""
+BAD_PART_TOKENS = 200
+"""Tokens of a part that crashes workers."""
+BAD_PART_PERIOD_S = (0.15, 0.6)
+"""Mean time between two requests with a part that crashes workers; one is drawn for each part."""
+SKEW_LASTS_S = 6.0
+"""Seconds for which most requests go to one node: the time of contact, and as much again."""
+SKEW_FRACTION = 0.85
+"""Fraction of the requests of that time that do."""
+SKEW_MORE_PER_S = 40.0
+"""Requests a second to that node besides."""
 CRASHING_PERIOD_S = (0.2, 1.0)
 """Time between two sendings of a request that crashes workers; one is drawn for each of its callers."""
 
@@ -124,6 +134,10 @@
     requests = _draw_requests(random.Random(f"{seed}/requests"), seed, shape)
     for number in range(shape.crashing):
         requests += _draw_crashing(random.Random(f"{seed}/crashing/{number}"), f"{seed}-crashing-{number}", shape)
+    for number in range(shape.bad_parts):
+        requests += _draw_bad_part(random.Random(f"{seed}/bad parts/{number}"), f"{seed}-bad{number}", shape)
+    if shape.skews:
+        requests = _draw_skew(random.Random(f"{seed}/skews"), seed, shape, requests)
     if shape.versions > 1:
         requests += _draw_long_streams(random.Random(f"{seed}/streams"), seed, shape)
     requests.sort(key=lambda request: request.at_s)
@@ -327,6 +341,47 @@
     return sendings
 
 
+def _draw_bad_part(generator: random.Random, part: str, shape: Shape) -> list[PlannedRequest]:
+    """Return requests that have one part in common, besides those that they share with sound ones, at any node."""
+    requests: list[PlannedRequest] = []
+    at_s = generator.uniform(*CRASHING_FROM_S)
+    period_s = generator.uniform(*BAD_PART_PERIOD_S)
+    while at_s < shape.seconds:
+        drawn = _draw_request(generator, f"{part}-{len(requests)}", at_s, shape)
+        if drawn.kind.is_stream:
+            shared, _, own = drawn.prompt_parts.partition(",")
+            parts = f"{shared},{part}:{BAD_PART_TOKENS},{own}"
+            tokens = drawn.prompt_tokens + BAD_PART_TOKENS
+            requests.append(
+                msgspec.structs.replace(
+                    drawn, prompt_parts=parts, prompt_tokens=tokens, bad_part=part, leaves_after_s=0.0
+                )
+            )
+        at_s += generator.expovariate(1 / period_s)
+    return requests
+
+
+def _draw_skew(
+    generator: random.Random, seed: int, shape: Shape, requests: Sequence[PlannedRequest]
+) -> list[PlannedRequest]:
+    """Return the requests, most of those in some seconds moved to one node, and more there besides."""
+    latest_s = shape.seconds - RECOVERY_S - SHOWN_RECOVERED_S - SKEW_LASTS_S
+    from_s = generator.uniform(FIRST_FAULT_S, max(FIRST_FAULT_S, latest_s))
+    until_s = from_s + SKEW_LASTS_S
+    node = generator.randrange(shape.nodes)
+    skewed: list[PlannedRequest] = []
+    for request in requests:
+        if from_s <= request.at_s < until_s and generator.random() < SKEW_FRACTION:
+            request = msgspec.structs.replace(request, node=node, skewed=True)
+        skewed.append(request)
+    at_s = from_s
+    while at_s < until_s:
+        more = _draw_request(generator, f"{seed}-skew-{len(skewed)}", at_s, shape)
+        skewed.append(msgspec.structs.replace(more, node=node, skewed=True))
+        at_s += generator.expovariate(SKEW_MORE_PER_S)
+    return skewed
+
+
 def _draw_request(generator: random.Random, request: str, at_s: float, shape: Shape) -> PlannedRequest:
     kind = generator.choices(list(KIND_WEIGHTS), list(KIND_WEIGHTS.values()))[0]
     leaves_after_s = generator.uniform(*LEAVE_AFTER_S) if generator.random() < LEAVE_FRACTION else 0.0
--- a/src/wallwell/soak/history.py
+++ b/src/wallwell/soak/history.py
@@ -57,6 +57,10 @@
     """The request that began the stream, if this one takes it up."""
     resume_after: int = 0
     """Number of the last event that the caller has then."""
+    bad_part: str = ""
+    """Part of its prompt that crashes the workers that begin to answer it."""
+    skewed: bool = False
+    """Whether it was sent while most new connections go to its node, and for that reason."""
 
 
 class Answered(Record, frozen=True):
--- a/src/wallwell/soak/invariants.py
+++ b/src/wallwell/soak/invariants.py
@@ -11,6 +11,7 @@
 from wallwell.soak import (
     invariants_fleet,
     invariants_notices,
+    invariants_parts,
     invariants_requests,
     invariants_rollout,
     invariants_streams,
@@ -49,6 +50,9 @@
     "one_version_per_stream": invariants_streams.one_version_per_stream,
     "resumed_streams_go_on": invariants_streams.resumed_streams_go_on,
     "crashes_few": invariants_requests.crashes_few,
+    "bad_part_reaches_few": invariants_parts.bad_part_reaches_few,
+    "sound_begin_beside_bad_part": invariants_parts.sound_begin_beside_bad_part,
+    "skewed_node_serves": invariants_parts.skewed_node_serves,
     "recovers": invariants_requests.recovers,
     "nodes_stay": invariants_requests.nodes_stay,
     "drained_gets_nothing": invariants_fleet.drained_gets_nothing,
--- /dev/null
+++ b/src/wallwell/soak/invariants_parts.py
@@ -0,0 +1,138 @@
+"""Invariants about parts of prompts that crash workers, and about a node that gets most new connections."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from wallwell.soak.cases import HELD, Cases, Violation
+from wallwell.soak.history import Answered, Began, RequestKind, Sent
+from wallwell.soak.invariants_requests import ended_before_it_saw
+from wallwell.soak.timeline import CONTACT_S, History
+
+COUNTED_CRASHES = 5
+"""Workers that a part may crash before the time of contact begins."""
+LATER_REQUESTS = 3
+"""Requests with it that may reach workers later than that."""
+LEAST_SOUND = 20
+"""Requests, before and after, below which a share that begins says nothing."""
+LEAST_SOUND_SHARE = 0.5
+"""Fraction of the share of sound requests that begin without such a part, which those beside one reach."""
+LEAST_SKEWED_SHARE = 0.75
+"""Fraction of the share served before, which the node that gets most connections reaches."""
+
+
+def bad_part_reaches_few(history: History) -> Cases:
+    """Requests with a part under which five workers have crashed soon reach no more of them, at whatever node.
+
+    A crash counts among the five if the node that had sent the request lived to see it.
+    """
+    for part, runs in _runs_by_part(history).items():
+        crashes = _crashes(history, runs)
+        if len(crashes) < COUNTED_CRASHES:
+            continue
+        known_s = crashes[COUNTED_CRASHES - 1].at_s + CONTACT_S
+        later = [run for run in runs if _sent_s(history, run) > known_s and _is_undisturbed(history, run)]
+        if len(later) <= LATER_REQUESTS:
+            yield HELD
+        else:
+            yield Violation(later[0].at_s, part, f"crashed {len(crashes)} workers; {len(later)} requests came late")
+
+
+def sound_begin_beside_bad_part(history: History) -> Cases:
+    """While requests with a part that crashes workers still come, sound ones begin half as often as before."""
+    by_part = _runs_by_part(history)
+    bad = [sent for sent in history.sent.values() if sent.bad_part]
+    if not by_part or not bad:
+        return
+    first_s = min(sent.at_s for sent in bad)
+    last_s = max(sent.at_s for sent in bad)
+    crashes = [_crashes(history, runs)[:COUNTED_CRASHES] for runs in by_part.values()]
+    from_s = max(run.at_s for runs in crashes for run in runs) + 2 * CONTACT_S
+    before = list(_sound_streams(history, 0.0, first_s))
+    beside = list(_sound_streams(history, from_s, last_s))
+    if min(len(before), len(beside)) < LEAST_SOUND:
+        return
+    share_before, share_beside = _share_begun(before), _share_begun(beside)
+    if share_beside >= LEAST_SOUND_SHARE * share_before:
+        yield HELD
+    else:
+        yield Violation(from_s, "fleet", f"{share_beside:.2f} of sound streams begin, {share_before:.2f} before")
+
+
+def skewed_node_serves(history: History) -> Cases:
+    """A node that gets most new connections serves what it reads nearly as often as the nodes did before."""
+    skewed = [sent for sent in history.sent.values() if sent.skewed]
+    if not skewed:
+        return
+    from_s = min(sent.at_s for sent in skewed)
+    later = [sent for sent in skewed if sent.at_s > from_s + CONTACT_S and not sent.bad_part]
+    before = [sent for sent in history.sent.values() if sent.at_s < from_s and not sent.bad_part]
+    read_before, read_later = list(_read(history, before)), list(_read(history, later))
+    if min(len(read_before), len(read_later)) < LEAST_SOUND:
+        return
+    share_before, share_later = _share_served(read_before), _share_served(read_later)
+    if share_later >= LEAST_SKEWED_SHARE * share_before:
+        yield HELD
+    else:
+        yield Violation(
+            from_s, later[0].node, f"{share_later:.2f} served of what it read, {share_before:.2f} before"
+        )
+
+
+def _runs_by_part(history: History) -> dict[str, list[Began]]:
+    """Return the runs of requests with a part that crashes workers, in order."""
+    by_part: dict[str, list[Began]] = {}
+    for began in history.begins:
+        sent = history.sent.get(began.request)
+        if sent is not None and sent.bad_part:
+            by_part.setdefault(sent.bad_part, []).append(began)
+    return by_part
+
+
+def _crashes(history: History, runs: Iterable[Began]) -> list[Began]:
+    """Return the first run at each worker of which a node that lived on saw the crash."""
+    by_worker: dict[str, Began] = {}
+    for run in runs:
+        if not ended_before_it_saw(history, run):
+            by_worker.setdefault(run.worker, run)
+    return list(by_worker.values())
+
+
+def _sent_s(history: History, run: Began) -> float:
+    return history.sent[run.request].at_s
+
+
+def _is_undisturbed(history: History, run: Began) -> bool:
+    return history.is_fault_free(_sent_s(history, run), run.at_s)
+
+
+def _sound_streams(history: History, from_s: float, until_s: float) -> Iterator[Answered]:
+    """Yield the answers to sound streams sent in a span without faults."""
+    for sent in history.sent.values():
+        is_sound = (
+            sent.kind in (RequestKind.STREAM, RequestKind.RESUMABLE) and not sent.bad_part and not sent.content
+        )
+        if is_sound and from_s <= sent.at_s < until_s:
+            yield from _undisturbed_answer(history, sent)
+
+
+def _read(history: History, requests: Iterable[Sent]) -> Iterator[Answered]:
+    """Yield the answers to requests that a node read: all but those of which the connection just ended."""
+    for sent in requests:
+        for answer in _undisturbed_answer(history, sent):
+            if answer.status or sent.request in history.began:
+                yield answer
+
+
+def _undisturbed_answer(history: History, sent: Sent) -> Iterator[Answered]:
+    answer = history.answers.get(sent.request)
+    if answer is not None and sent.request not in history.left and history.is_fault_free(sent.at_s, answer.at_s):
+        yield answer
+
+
+def _share_begun(answers: list[Answered]) -> float:
+    return sum(bool(answer.events) for answer in answers) / len(answers)
+
+
+def _share_served(answers: list[Answered]) -> float:
+    return sum(200 <= answer.status < 300 and answer.whole for answer in answers) / len(answers)
--- a/src/wallwell/soak/invariants_requests.py
+++ b/src/wallwell/soak/invariants_requests.py
@@ -120,7 +120,7 @@
         if sent is not None and sent.content:
             by_content.setdefault(sent.content, []).append(began)
     for content, runs in by_content.items():
-        seen = [run for run in runs if not _ended_before_it_saw(history, run)]
+        seen = [run for run in runs if not ended_before_it_saw(history, run)]
         if len(seen) < CRASHES_TO_QUARANTINE:
             continue
         known_s = seen[CRASHES_TO_QUARANTINE - 1].at_s
@@ -133,7 +133,7 @@
             yield Violation(later[0].at_s, content, f"crashed {len(runs)} workers, {len(later)} of them late")
 
 
-def _ended_before_it_saw(history: History, run: Began) -> bool:
+def ended_before_it_saw(history: History, run: Began) -> bool:
     """Whether the node that sent a request which crashes its worker ended before it can have told of the crash."""
     node = history.sent[run.request].node
     return any(
--- a/src/wallwell/soak/proxy.py
+++ b/src/wallwell/soak/proxy.py
@@ -8,11 +8,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import struct
 from collections.abc import Awaitable, Callable, Sequence
 
+from wallwell.clock import ends_within
 from wallwell.cluster.peer_link import PeerServer
+from wallwell.http_connection import REFUSAL_CHECKS, RESET_WAIT_S
 from wallwell.soak.control import (
     AimLink,
     Announcement,
@@ -248,17 +251,26 @@
     async def _refuses(self) -> bool:
         """Whether the process at the far end refuses connections, so that it has ended."""
         host, _, port = self._target.rpartition(":")
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except ConnectionRefusedError:
-            return True
-        except (OSError, ValueError, TimeoutError):
-            return False
-        writer.close()
+        for _ in range(REFUSAL_CHECKS):
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    reader, writer = await asyncio.open_connection(host, int(port))
+            except ConnectionRefusedError:
+                return True
+            except (OSError, ValueError, TimeoutError):
+                return False
+            is_open = not await ends_within(_end_of(reader), RESET_WAIT_S)
+            writer.close()
+            if is_open:
+                return False
         return False
 
 
+async def _end_of(reader: asyncio.StreamReader) -> None:
+    with contextlib.suppress(OSError):
+        await reader.read(1)
+
+
 class ProxyProcess:
     """All links of a run."""
 
--- a/src/wallwell/soak/schedule.py
+++ b/src/wallwell/soak/schedule.py
@@ -139,6 +139,10 @@
     leaves_after_s: float = 0.0
     content: str = ""
     """What a request that is sent several times holds each time; empty for one that is sent once."""
+    bad_part: str = ""
+    """Part of its prompt that crashes each worker that begins to answer it; empty if none does."""
+    skewed: bool = False
+    """Whether it is sent to its node since most new connections go there for a while."""
 
 
 class PlannedFault(msgspec.Struct, frozen=True):
@@ -183,6 +187,12 @@
     requests_per_s: float = 40.0
     crashing: int = 0
     """Callers that send, again and again, a request under which each worker that begins to run it crashes."""
+    bad_parts: int = 0
+    """Parts of prompts that crash each worker that begins to answer a request with them."""
+    skews: bool = False
+    """Whether most requests go to one node for some seconds, and more than before."""
+    unframed: bool = False
+    """Whether some answers of workers have neither a length nor chunks."""
     rollout: str = ""
     """Name of :data:`ROLLOUTS`, empty for none."""
     notices: bool = False
--- a/src/wallwell/soak/worker_process.py
+++ b/src/wallwell/soak/worker_process.py
@@ -18,7 +18,7 @@
 from aiohttp import web
 
 from wallwell.cluster.peer_link import PeerLink
-from wallwell.emulator.platform_worker import ACCEPTED, PlatformWorkerEmulator
+from wallwell.emulator.platform_worker import ACCEPTED, PlatformWorkerEmulator, UnframedResponse
 from wallwell.errors import PeerUnavailableError
 from wallwell.platform import names
 from wallwell.soak.answers import CRASH_STATUS, CRASHING_BODY, call_body, event_text
@@ -36,6 +36,8 @@
 FENCED = HTTPStatus.PRECONDITION_FAILED.value
 CRASH_AFTER_S = 0.05
 """How long a worker runs a request that crashes it: other requests run beside it."""
+UNFRAMED_FRACTION = 0.2
+"""Fraction of the answers without a length or chunks, where some are."""
 QUEUE_LENGTH = 4
 """Requests that a worker queues beyond its slots before it refuses."""
 
@@ -65,6 +67,10 @@
     drain_s: float = 3.0
     """Time that it serves on; longer than nodes may take to send it nothing more."""
     badness: Badness = Badness()
+    bad_parts: tuple[str, ...] = ()
+    """Parts of prompts that crash it as it begins to answer."""
+    unframed: bool = False
+    """Whether some of its answers have neither a length nor chunks."""
 
 
 class SoakWorker(PlatformWorkerEmulator):
@@ -211,12 +217,32 @@
         if fails:
             return web.Response(status=FAILED, headers=self.headers(request), body=b"failed")
         if not request.headers.get(names.TOKEN_USAGE):
-            return web.Response(body=call_body(identity), headers=self.headers(request))
+            return await self._answer_call(request, identity)
         return await self._stream(request, identity, factor)
 
+    def _begins_to_crash(self, request: web.BaseRequest) -> bool:
+        """Whether a part of the prompt other than the last one crashes this worker."""
+        parts = request.headers.get(names.PROMPT_PARTS, "").split(",")[:-1]
+        return any(part.partition(":")[0] in self._settings.bad_parts for part in parts)
+
+    def _is_unframed(self, identity: str) -> bool:
+        drawn = random.Random(f"{self._settings.seed}/unframed/{self.incarnation}/{identity}").random()
+        return self._settings.unframed and drawn < UNFRAMED_FRACTION
+
+    async def _answer_call(self, request: web.BaseRequest, identity: str) -> web.StreamResponse:
+        if not self._is_unframed(identity):
+            return web.Response(body=call_body(identity), headers=self.headers(request))
+        response = UnframedResponse(headers=self.headers(request))
+        await response.prepare(request)
+        await response.write(call_body(identity))
+        return response
+
     async def _stream(self, request: web.BaseRequest, identity: str, factor: float) -> web.StreamResponse:
         more = {"Content-Type": names.EVENT_STREAM, names.WEIGHT_VERSION: str(self.version)}
-        response = web.StreamResponse(headers=self.headers(request, **more))
+        kind = UnframedResponse if self._is_unframed(identity) else web.StreamResponse
+        response = kind(headers=self.headers(request, **more))
+        if self._begins_to_crash(request):
+            asyncio.get_running_loop().call_later(CRASH_AFTER_S, os._exit, CRASH_STATUS)
         await response.prepare(request)
         first = _number(request.headers.get(names.RESUME_AFTER, "")) + 1
         for number in range(first, _events(request) + 1):
--- a/tests/platform/test_crashing_prompt_part.py
+++ b/tests/platform/test_crashing_prompt_part.py
@@ -160,7 +160,7 @@
 
 @pytest.mark.parametrize("store_refuses", [False, True], ids=["later-node", "store-refuses"])
 def test_other_nodes_refuse_a_bad_part_too(run_async, store_refuses):
-    """A node that starts later reads the crashes in the store; while that takes no writes, nodes report to peers."""
+    """A node that starts later reads the crashes in the store; while that takes no writes, nodes report them."""
 
     async def scenario(fleet):
         await fleet.until(lambda: len(fleet.node.state.members) == NODES)
--- a/tests/platform/test_unframed_answers.py
+++ b/tests/platform/test_unframed_answers.py
@@ -176,3 +176,47 @@
         return await read_answer(harness, **PROMPT)
 
     assert on_platform(scenario, config(routes=[route(**STREAM)]), workers=1) == (200, EVENTS, True)
+
+
+def test_unframed_answer_cut_by_a_process_whose_port_closes_last_is_not_whole(on_platform):
+    """Guards against a connection that an ending process still accepts, and resets as its port closes a bit later."""
+
+    async def scenario(harness):
+        (worker,) = harness.workers
+
+        def close_then_end(request):
+            request.transport.close()
+            asyncio.get_running_loop().call_later(0.006, worker.crash)
+
+        worker.respond = unframed(worker, event(1) + event(2), close_then_end)
+        return await read_answer(harness, **PROMPT)
+
+    answer = on_platform(scenario, config(routes=[route(**STREAM)]), workers=1)
+    assert answer == (200, event(1) + event(2), False)
+
+
+def test_unframed_answer_of_a_worker_with_too_many_connections_is_whole(on_platform):
+    """It accepts no more connections than it wants and resets the rest, but lives."""
+
+    async def scenario(harness):
+        (worker,) = harness.workers
+        worker.respond = unframed(worker, EVENTS)
+        server = worker._runner.server
+        made = type(server).__call__
+        accepted = []
+
+        class ResetProtocol(asyncio.Protocol):
+            def connection_made(self, transport):
+                transport.abort()
+
+        def limited(self):
+            accepted.append(1)
+            return made(self) if len(accepted) == 1 else ResetProtocol()
+
+        type(server).__call__ = limited
+        try:
+            return await read_answer(harness, **PROMPT)
+        finally:
+            type(server).__call__ = made
+
+    assert on_platform(scenario, config(routes=[route(**STREAM)]), workers=1) == (200, EVENTS, True)
--- a/tests/unit/compatibility/test_metrics_and_commands.py
+++ b/tests/unit/compatibility/test_metrics_and_commands.py
@@ -24,6 +24,9 @@
     "wallwell_in_flight": "gauge",
     "wallwell_crash_suspects": "gauge",
     "wallwell_quarantined": "gauge",
+    "wallwell_crash_suspect_parts": "gauge",
+    "wallwell_quarantined_parts": "gauge",
+    "wallwell_connections_shed_total": "counter",
     "wallwell_limit_left": "gauge tenant",
     "wallwell_limit_asked_per_second": "gauge tenant",
     "wallwell_limit_refusals_total": "counter tenant",
@@ -107,6 +110,7 @@
     "catalogue": ["<page> required choices=errors,events"],
     "explain": ["<logs> required nargs=* type=Path", "<request_id> required"],
     "soak": [
+        "--bad-parts type=int default=0",
         "--calm type=float default=0.0",
         "--checkout type=Path default=.",
         "--crashing type=int default=0",
@@ -121,6 +125,7 @@
         "--rollout default=",
         "--seconds type=float default=20.0",
         "--seed type=int default=1",
+        "--skew nargs=0 default=False",
         "--versions type=int default=1",
     ],
 }
--- a/tests/unit/soak/test_invariants.py
+++ b/tests/unit/soak/test_invariants.py
@@ -29,6 +29,7 @@
     ROLLBACK_S,
     VERSION_S,
 )
+from wallwell.soak.timeline import CONTACT_S
 
 STREAM = sent(kind=RequestKind.STREAM, events=3)
 RESUMABLE = sent(kind=RequestKind.RESUMABLE, events=3)
@@ -48,6 +49,61 @@
     return records
 
 
+def bad_part(begins_s, more=()):
+    """Requests that share a part crash a worker each, from 3 s on; sound streams run beside them all the time."""
+    records = []
+    for number, at_s in enumerate(begins_s):
+        request = f"bad{number}"
+        records += [sent(request, RequestKind.STREAM, at_s, events=3, bad_part="p")]
+        records += [began(request, f"w.{number}", at_s=at_s + 0.01), answered(request, 504, "", at_s + 0.05)]
+    return [*records, *more]
+
+
+def sound_streams(from_s, until_s, begun_of_ten):
+    """Ten sound streams a second, of which some begin."""
+    records = []
+    for number in range(round((until_s - from_s) * 10)):
+        request, at_s = f"sound{from_s}-{number}", from_s + number / 10
+        records += [sent(request, RequestKind.STREAM, at_s, events=1), began(request, "w.9", at_s=at_s + 0.01)]
+        is_begun = number % 10 < begun_of_ten
+        status, events = (200, (1,)) if is_begun else (503, ())
+        records.append(answered(request, status, "w.9" if is_begun else "", at_s + 0.02, events=events))
+    return [each for each in records if not (each.request not in _begun(records) and hasattr(each, "worker"))]
+
+
+def _begun(records):
+    return {each.request for each in records if getattr(each, "status", 0) == 200}
+
+
+LATE_S = 3.4 + CONTACT_S
+"""From when requests with the part of ``BAD_PART`` count as late."""
+BAD_PART = [3.0, 3.1, 3.2, 3.3, 3.4]
+
+
+def beside_a_bad_part(begun_of_ten):
+    """Sound streams before and, later than twice the time of contact, beside requests with a bad part."""
+    records = bad_part([*BAD_PART, LATE_S + CONTACT_S + 4.0])
+    return [
+        *records,
+        *sound_streams(0.0, 3.0, 9),
+        *sound_streams(LATE_S + CONTACT_S, LATE_S + CONTACT_S + 4.0, begun_of_ten),
+    ]
+
+
+def skewed(served_of_ten, status=503, since_s=10.0):
+    """Most requests go to one node from 10 s on; of those sent after the time of contact some are served."""
+    records = []
+    for number in range(100):
+        request, at_s = f"r{number}", since_s - 3.0 + 0.1 * number
+        is_skewed = at_s >= since_s
+        records.append(sent(request, RequestKind.SAFE, at_s, node="node-0", skewed=is_skewed))
+        if not is_skewed or number % 10 < served_of_ten:
+            records += [began(request, at_s=at_s), answered(request, at_s=at_s + 0.05)]
+        else:
+            records.append(answered(request, status, "", at_s + 0.05, whole=bool(status)))
+    return records
+
+
 def crashing(begins_s):
     """The same request comes again under other ids and crashes a worker each time."""
     records = []
@@ -290,6 +346,17 @@
     "a planned stop before the interpreter could handle it": [NodeExited(1.0, "n", -15, "SIGTERM", False)],
     "a recovery": recovery(served=4, of=10),
     "an end at the caller's deadline during a planned stop": stopped(whole=False, deadline_s=0.3),
+    "a part that crashes workers, and few of its requests late": bad_part([*BAD_PART, 4.0, 6.0, 7.0, 8.0]),
+    "one that reaches workers while nodes cannot know": bad_part(
+        [*BAD_PART, 6.0, 7.0, 8.0, 9.0],
+        [FaultBegan(4.0, "store_down", "store"), FaultEnded(8.0, "store_down", "store")],
+    ),
+    "one whose fifth crash no node lived to see": bad_part(
+        [*BAD_PART, 6.0, 7.0, 8.0, 9.0], [NodeExited(3.42, "127.1.0.1:1", -9, "SIGKILL")]
+    ),
+    "sound streams that begin beside a part that crashes workers": beside_a_bad_part(begun_of_ten=5),
+    "a node that gets most connections and serves most": skewed(served_of_ten=8),
+    "one that closes most of them unread": skewed(served_of_ten=4, status=0),
     "a request that crashes workers, and few of them late": crashing([1.0, 1.5, 2.0, 2.5, 3.9, 5.0, 6.0, 7.0]),
     "one whose third crash no node lived to see": [
         *crashing([1.0, 1.5, 2.0, 4.1, 4.2, 5.0, 5.1]),
@@ -398,6 +465,12 @@
             answered("again", events=(1, 2, 3)),
         ],
     ),
+    "a part whose requests go on to reach workers": (
+        "bad_part_reaches_few",
+        bad_part([*BAD_PART, LATE_S + 0.1, 7.0, 8.0, 9.0]),
+    ),
+    "sound streams that seldom begin beside it": ("sound_begin_beside_bad_part", beside_a_bad_part(begun_of_ten=4)),
+    "a node that gets most connections and refuses many": ("skewed_node_serves", skewed(served_of_ten=7)),
     "a request that goes on to crash workers": ("crashes_few", crashing([1.0, 1.5, 2.0, 4.1, 5.0, 6.0, 7.0])),
     "the same though a node ended long after the third crash": (
         "crashes_few",
