--- a/src/wallwell/soak/invariants_parts.py
+++ b/src/wallwell/soak/invariants_parts.py
@@ -17,6 +17,8 @@
 """Requests, before and after, below which a share that begins says nothing."""
 LEAST_SOUND_SHARE = 0.5
 """Fraction of the share of sound requests that begin without such a part, which those beside one reach."""
+NOT_OWED_STATUSES = frozenset((401, 429))
+"""Statuses of requests without a key that is in force, and beyond their tenant's limit."""
 LEAST_SKEWED_SHARE = 0.75
 """Fraction of the share served before, which the node that gets most connections reaches."""
 
@@ -117,10 +119,14 @@
 
 
 def _read(history: History, requests: Iterable[Sent]) -> Iterator[Answered]:
-    """Yield the answers to requests that a node read: all but those of which the connection just ended."""
+    """Yield the answers to requests that a node read: all but those of which the connection just ended.
+
+    Left out is what may not be served: without a key that is in force, or beyond its tenant's limit.
+    """
     for sent in requests:
         for answer in _undisturbed_answer(history, sent):
-            if answer.status or sent.request in history.began:
+            is_read = bool(answer.status) or sent.request in history.began
+            if is_read and answer.status not in NOT_OWED_STATUSES:
                 yield answer
 
 
