--- a/tests/platform/test_unframed_answers.py
+++ b/tests/platform/test_unframed_answers.py
@@ -190,7 +190,7 @@
 
 
 async def read_while_new_connections_are_reset(harness, monkeypatch, worker, respond, on_reset):
-    """Return the answer of a request on an open connection, while the worker resets new ones after ``on_reset()``."""
+    """Return the answer on an open connection, while the worker resets new connections after ``on_reset()``."""
     await harness.call(**PROMPT)  # Its connection stays open.
     worker.respond = respond
     kind = type(worker._runner.server)
