--- a/src/wallwell/cli/explain.py
+++ b/src/wallwell/cli/explain.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from wallwell.errors import UnknownRequestError
+from wallwell.errors import RequestQuarantinedError, UnknownRequestError
 from wallwell.events import Event
 
 CONTEXT_S = 3.0
@@ -46,6 +46,8 @@
         Event.SERVICE_UNREACHABLE,
         Event.SERVICE_REACHABLE,
         Event.REQUEST_QUARANTINED,
+        Event.PART_QUARANTINED,
+        Event.CONNECTIONS_SHED,
         Event.STORE_LOST,
         Event.STORE_REGAINED,
         Event.RELAY_LOST,
@@ -58,6 +60,8 @@
     )
 )
 """Numbers of the events that change how a node routes the requests that follow."""
+QUARANTINE_EVENTS = frozenset((Event.REQUEST_QUARANTINED.number, Event.PART_QUARANTINED.number))
+"""Numbers of the events that say what is refused for the crashes of back ends."""
 SLOW_FIRST_TOKEN_MS = 500
 """Milliseconds to the first token above which a request counts as slow: half the default objective of a route."""
 LONG_GAP_MS = 450
@@ -123,6 +127,19 @@
     return context
 
 
+def find_quarantine_lines(lines: Iterable[LogLine], request_lines: list[LogLine]) -> list[LogLine]:
+    """Return the quarantines of the content or part that a refusal names, with the crashes that led to them."""
+    last = request_lines[-1]
+    if last.fields.get("code") != RequestQuarantinedError.code:
+        return []
+    named = set(str(last.fields.get("reason", "")).split())
+    return [
+        line
+        for line in lines
+        if line.event in QUARANTINE_EVENTS and {line.fields.get("content"), line.fields.get("part")} & named
+    ]
+
+
 def likely_cause(request_lines: list[LogLine]) -> str:
     """Return one line that states the most likely cause of the request's outcome."""
     last = request_lines[-1]
@@ -169,6 +186,8 @@
         print("  before", format_line(line))
     for line in request_lines:
         print(format_line(line))
+    for line in find_quarantine_lines(lines, request_lines):
+        print("  quarantine", format_line(line))
     for line in find_continuation_lines(lines, options.request_id):
         print("  resumed by", line.fields.get("request_id"), format_line(line))
     print(f"likely cause: {likely_cause(request_lines)}")
--- a/tests/contract/test_soak.py
+++ b/tests/contract/test_soak.py
@@ -142,3 +142,14 @@
     assert played.returncode == 0, played.stdout[-2000:] + played.stderr[-2000:]
     assert "; 0 breaches" in played.stdout
     assert re.search(r"\bone_version_per_stream [1-9]", played.stdout), played.stdout[-2000:]
+
+
+def test_a_short_run_with_a_part_that_crashes_workers_breaks_no_invariant(tmp_path):
+    """Requests with the part come at any node beside faults; some answers have neither a length nor chunks."""
+    run = "wallwell.cli.main", "soak", "--seed", "91", "--seconds", "20", "--engines", "6", "--rate", "20"
+    command = [sys.executable, "-m", *run, "--bad-parts", "1", "--keep", str(tmp_path / "run")]
+    command += ["--checkout", str(ROOT)]
+    played = subprocess.run(command, capture_output=True, text=True, timeout=120)
+    assert played.returncode == 0, played.stdout[-2000:] + played.stderr[-2000:]
+    assert "; 0 breaches" in played.stdout
+    assert re.search(r"\bbad_part_reaches_few [1-9]", played.stdout), played.stdout[-2000:]
--- a/tests/unit/cli/test_explain.py
+++ b/tests/unit/cli/test_explain.py
@@ -103,3 +103,23 @@
     log.write_text("\n".join(LOG_LINES))
     main(["explain", "r8", str(log)])
     assert "last_crashed=i-5" in capsys.readouterr().out
+
+
+def test_output_of_a_request_with_a_quarantined_part_has_the_crashes_under_it(tmp_path, capsys):
+    """They may be minutes old, and another node's: the refusal names the part only."""
+    refused = (
+        'n1 {"event": 3009, "message": "refused", "request_id": "r7", "code": "WW3020", "reason": "on part ab12"}'
+    )
+    log = tmp_path / "all.log"
+    log.write_text(
+        "\n".join(
+            [
+                '10.0 n2 {"event": 3012, "message": "quarantined", "part": "ab12", "crashed": "i-1@5,i-2@6"}',
+                '11.0 n2 {"event": 3012, "message": "quarantined", "part": "cd34", "crashed": "i-9@7"}',
+                f"200.0 {refused}",
+            ]
+        )
+    )
+    main(["explain", "r7", str(log)])
+    shown = capsys.readouterr().out
+    assert "crashed=i-1@5,i-2@6" in shown and "cd34" not in shown
