Wait 0.03 s for the reset of a connection to an ending process

Its worker ended; its port still accepted a connection, which was not reset within 0.01 s on the busy machine.

--- a/src/wallwell/http_connection.py
+++ b/src/wallwell/http_connection.py
@@ -25,8 +25,9 @@
 
 REFUSAL_CHECKS = 2
 """Connections that are opened to find out whether a port refuses them."""
-RESET_WAIT_S = 0.01
-"""Seconds in which the reset of a connection arrives that was accepted by a process at its end."""
+RESET_WAIT_S = 0.03
+"""Seconds in which the reset of a connection arrives that was accepted by a process at its end, on a machine whose
+processors are busy: its connections end one after the other, in any order."""
 
 
 class ConnectFailedError(Exception):
