--- a/src/wallwell/backend_connection.py
+++ b/src/wallwell/backend_connection.py
@@ -62,7 +62,7 @@
 
     @property
     def body_ends_at_close(self) -> bool:
-        """Whether the answer has neither a length nor chunks, so that its end is told by the connection's alone."""
+        """Whether the answer has neither a length nor chunks, so that it ends with its connection."""
         return self._body_ends_at_close
 
     def is_reusable(self, now_s: float) -> bool:
--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -27,7 +27,7 @@
 from wallwell.events import Event, emit
 from wallwell.node.crash_probe import CrashCheck, CrashProbe
 from wallwell.node.state import NodeState
-from wallwell.routing.admission.part_quarantine import NodeTurn, QuarantinedPart
+from wallwell.routing.admission.part_trials import NodeTurn, QuarantinedPart
 from wallwell.routing.health.backend import Backend
 from wallwell.routing.rendezvous import owner, owners, rendezvous_key
 from wallwell.storage.feed import FeedRow
@@ -172,7 +172,7 @@
         elif self._state.quarantine.is_cleared(subject, now_s):
             self._write({row.key: False})
         else:
-            self._count(subject, start_id, now_s, _happened_unix_s(row))
+            self._count(subject, start_id, now_s, _happened_unix_s(row, subject))
 
     def on_peer_report(self, crash: Crash) -> None:
         """Count a crash that the store has not accepted yet; the peer that detected it writes it."""
@@ -283,12 +283,15 @@
     emit(Event.PART_RELEASED, part=part)
 
 
-def _happened_unix_s(row: FeedRow) -> float:
+def _happened_unix_s(row: FeedRow, subject: str) -> float:
     """Return the time of day of the crash in a row; now if the row is not of a part, or cannot be read."""
+    if not subject.startswith(PART_PREFIX):
+        return time_of_day_s()
     try:
         return msgspec.json.decode(row.value or b"", type=PartCrashRow).happened_unix_s
-    except msgspec.MsgspecError:
-        return time_of_day_s()
+    except msgspec.MsgspecError as error:
+        emit(Event.OWN_ROW_UNREADABLE, row=row.key, error=str(error))
+        return time_of_day_s()  # The crash itself is known from the key.
 
 
 def _parse_key(key: str) -> Crash:
--- a/src/wallwell/routing/admission/part_quarantine.py
+++ b/src/wallwell/routing/admission/part_quarantine.py
@@ -16,16 +16,18 @@
 
 Every node decides by itself, from the same crashes; nodes learn of each other's by rows and reports
 (``node/crash_watch.py``). Times are seconds on one node's clock, but for the moments of crashes, which are times of
-day: nodes that learn of old crashes all at once must still tell them apart.
+day: nodes that learn of old crashes all at once must still distinguish their moments.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
 import xxhash
 
+from wallwell.routing.admission.part_trials import WATCH_TURN_S, NodeTurn, QuarantinedPart, WatchedPart
+
 CRASHES_TO_QUARANTINE = 3
 """Back ends that must crash under a part before it is watched, and moments with such crashes before it is
 quarantined. A harmless part is beside a crash often, beside three without any answer in between seldom."""
@@ -35,18 +37,10 @@
 SIMULTANEOUS_S = 0.1
 """Crashes within this time count as one moment. What ends many back ends at once does so within some ten
 milliseconds; nodes read them, and their clocks, a little apart."""
-WATCH_TURN_S = 1.0
-"""Seconds for which it is one node's turn to send a single request with a watched part: about the time until all
-nodes know that it was answered, or crashed its back end."""
 SUSPECT_S = 300.0
 """Seconds after its last crash for which a part stays a suspect."""
 QUARANTINE_S = 600.0
 """Seconds that a quarantine lasts after the last crash."""
-FIRST_TRIAL_S = 20.0
-"""Seconds after a part was quarantined at which one request with it is tried."""
-TRIAL_DELAY_FACTOR = 6.0
-"""Factor from one trial's delay to the next one's: a part that crashes back ends costs two in two minutes, and one
-that was blamed wrongly is refused for little longer than the first delay."""
 MAX_SUSPECT_PARTS = 4096
 """Suspects kept in memory; the oldest not in quarantine are removed first."""
 MAX_WORKING_PARTS = 1024
@@ -79,54 +73,6 @@
     remaining_s: float
 
 
-@dataclass
-class QuarantinedPart:
-    """One quarantine. ``since_s`` is its beginning as this node decided it."""
-
-    part: str
-    since_s: float
-    crashed: frozenset[str]
-    """Starts of the back ends that crashed under the part."""
-    trials: int = 0
-
-    def on_trial(self, now_s: float) -> None:
-        """Record that a request with the part is sent."""
-        self.trials += 1
-
-    def is_trial_due(self, now_s: float, turn: NodeTurn) -> bool:
-        """Whether this node may try the next single request; only the first of all nodes does."""
-        return turn.rank == 0 and now_s >= self.since_s + FIRST_TRIAL_S * TRIAL_DELAY_FACTOR**self.trials
-
-
-@dataclass
-class WatchedPart:
-    """A part whose crashes, all in few moments, do not tell whether it is bad.
-
-    ``since_s`` is when this node learned of the crash that made it so: about the same time at all nodes.
-    """
-
-    since_s: float
-    last_turn: int = -1
-    """Number of the turn in which this node last sent a request with the part."""
-
-    def is_trial_due(self, now_s: float, turn: NodeTurn) -> bool:
-        """Whether it is this node's turn, and it has sent no request with the part in it."""
-        number = int((now_s - self.since_s) / WATCH_TURN_S)
-        return number % turn.nodes == turn.rank and number > self.last_turn
-
-    def on_trial(self, now_s: float) -> None:
-        """Record that this node sends a request with the part."""
-        self.last_turn = int((now_s - self.since_s) / WATCH_TURN_S)
-
-
-@dataclass(frozen=True)
-class NodeTurn:
-    """This node's place among all nodes of the fleet in the order in which they try out a part."""
-
-    rank: int
-    nodes: int
-
-
 def _only_node(_part: str) -> NodeTurn:
     return NodeTurn(0, 1)
 
@@ -247,8 +193,8 @@
     def begin_trial(self, parts: Sequence[str], now_s: float) -> bool:
         """Whether a request that would be refused is sent as a trial; the next one is due much later.
 
-        A quarantined part is tried by a request of which no other part is a suspect, so that its end tells of one
-        part alone.
+        A quarantined part is tried by a request of which no other part is a suspect, so that its end shows
+        something of one part alone.
         """
         quarantined = [part for part in parts if part in self._quarantined]
         suspects = [part for part in parts if part in self._crashes]
@@ -265,30 +211,37 @@
         return True
 
     def _decide(self, now_s: float) -> None:
-        """Bring the quarantined parts up to date with the crashes."""
+        """Bring the quarantined and the watched parts up to date with the crashes."""
         if self._is_decided:
             return
         self._is_decided = True
         quarantined: dict[str, QuarantinedPart] = {}
         watched: dict[str, WatchedPart] = {}
-        explained: set[str] = set()
-        for part in self._order_of_judgement():
-            crashes = {start: times for start, times in self._crashes[part].items() if start not in explained}
-            if len(crashes) < CRASHES_TO_QUARANTINE:
-                continue
-            explained.update(crashes)
+        for part, crashes in self._blamed_parts():
             if _count_moments(crashes) >= CRASHES_TO_QUARANTINE:
                 quarantined[part] = self._quarantine(part, now_s)
             else:
                 since_s = sorted(times.known_s for times in crashes.values())[CRASHES_TO_QUARANTINE - 1]
                 watched[part] = self._watched.get(part) or WatchedPart(since_s)
-        released = [part for part in self._quarantined if part not in quarantined]
-        added = [part for part in quarantined if part not in self._quarantined]
-        self._quarantined, self._watched = quarantined, watched
-        for part in added:
-            self.on_quarantined(quarantined[part])
-        for part in released:
-            self.on_released(part)
+        before, self._quarantined, self._watched = self._quarantined, quarantined, watched
+        self._report_changes(before)
+
+    def _blamed_parts(self) -> Iterator[tuple[str, dict[str, CrashTimes]]]:
+        """Yield the parts with enough crashes that no part yielded before explains, with these crashes."""
+        explained: set[str] = set()
+        for part in self._order_of_judgement():
+            crashes = {start: times for start, times in self._crashes[part].items() if start not in explained}
+            if len(crashes) >= CRASHES_TO_QUARANTINE:
+                explained.update(crashes)
+                yield part, crashes
+
+    def _report_changes(self, before: Collection[str]) -> None:
+        for part, quarantined in self._quarantined.items():
+            if part not in before:
+                self.on_quarantined(quarantined)
+        for part in before:
+            if part not in self._quarantined:
+                self.on_released(part)
 
     def _quarantine(self, part: str, now_s: float) -> QuarantinedPart:
         crashed = frozenset(self._crashes[part])
--- a/src/wallwell/serving/request_reports.py
+++ b/src/wallwell/serving/request_reports.py
@@ -116,7 +116,7 @@
 
 
 def _prompt_fields(active: ActiveRequest) -> dict[str, str | int]:
-    """Return the log fields that tell which of several failed generations is the likely cause of a crash: the
+    """Return the log fields that show which of several failed generations is the likely cause of a crash: the
     digests of the prompt's shared parts, and for how long the attempt had been writing its answer."""
     if active.request.generation is None:
         return {}
--- a/src/wallwell/soak/invariants_parts.py
+++ b/src/wallwell/soak/invariants_parts.py
@@ -33,7 +33,7 @@
         if len(crashes) < COUNTED_CRASHES:
             continue
         known_s = crashes[COUNTED_CRASHES - 1].at_s + CONTACT_S
-        later = [run for run in runs if _sent_s(history, run) > known_s and _is_undisturbed(history, run)]
+        later = [run for run in runs if _sent_s(history, run) > known_s and _came_without_faults(history, run)]
         if len(later) <= LATER_REQUESTS:
             yield HELD
         else:
@@ -69,7 +69,7 @@
     from_s = min(sent.at_s for sent in skewed)
     later = [sent for sent in skewed if sent.at_s > from_s + CONTACT_S and not sent.bad_part]
     before = [sent for sent in history.sent.values() if sent.at_s < from_s and not sent.bad_part]
-    read_before, read_later = list(_read(history, before)), list(_read(history, later))
+    read_before, read_later = list(_read_answers(history, before)), list(_read_answers(history, later))
     if min(len(read_before), len(read_later)) < LEAST_SOUND:
         return
     share_before, share_later = _share_served(read_before), _share_served(read_later)
@@ -104,7 +104,7 @@
     return history.sent[run.request].at_s
 
 
-def _is_undisturbed(history: History, run: Began) -> bool:
+def _came_without_faults(history: History, run: Began) -> bool:
     return history.is_fault_free(_sent_s(history, run), run.at_s)
 
 
@@ -118,7 +118,7 @@
             yield from _undisturbed_answer(history, sent)
 
 
-def _read(history: History, requests: Iterable[Sent]) -> Iterator[Answered]:
+def _read_answers(history: History, requests: Iterable[Sent]) -> Iterator[Answered]:
     """Yield the answers to requests that a node read: all but those of which the connection just ended.
 
     Left out is what may not be served: without a key that is in force, or beyond its tenant's limit.
--- a/tests/unit/routing/admission/part_fleet.py
+++ b/tests/unit/routing/admission/part_fleet.py
@@ -15,7 +15,8 @@
 
 import xxhash
 
-from wallwell.routing.admission.part_quarantine import BEGINNING_S, NodeTurn, PartQuarantine
+from wallwell.routing.admission.part_quarantine import BEGINNING_S, PartQuarantine
+from wallwell.routing.admission.part_trials import NodeTurn
 
 PROBED_S = (0.32, 0.65)
 """Range of seconds after which the nodes that had runs at a crashed back end are sure of the crash."""
--- a/tests/unit/routing/admission/test_part_quarantine.py
+++ b/tests/unit/routing/admission/test_part_quarantine.py
@@ -10,18 +10,15 @@
 
 from wallwell.routing.admission.part_quarantine import (
     CRASHES_TO_QUARANTINE,
-    FIRST_TRIAL_S,
     MAX_SUSPECT_PARTS,
     MAX_WORKING_PARTS,
     QUARANTINE_S,
     SIMULTANEOUS_S,
     SUSPECT_S,
-    TRIAL_DELAY_FACTOR,
-    WATCH_TURN_S,
-    NodeTurn,
     PartQuarantine,
     part_digest,
 )
+from wallwell.routing.admission.part_trials import FIRST_TRIAL_S, TRIAL_DELAY_FACTOR, WATCH_TURN_S, NodeTurn
 
 UNIX_S = 1.8e9
 BAD, POPULAR, OTHER = "bad", "popular", "other"
