After a restore of the store, the owner of a crash writes it again, whoever saw it

Cause: only the node that had written a crash wrote it again after the store came back from a copy. Both such nodes had been killed, and when all nodes were killed 3 s later, nobody knew it any more. Change: the node that owns a crash by rendezvous hashing writes it again too. Result: unit test failed before and passes; one row more for each crash at a restore, nothing else.

--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from itertools import islice
 
@@ -185,10 +185,22 @@
         return [_parse_key(key) for key, is_put in reversed(self._unwritten.items()) if is_put]
 
     def on_era(self, _era: int, is_restored: bool) -> None:
-        """Repeat recent writes and deletions if the store was restored, since it may have lost them."""
-        if is_restored:
-            since_s = boot_time_s() - REWRITE_WINDOW_S
-            self._write({key: is_put for key, (is_put, at_s) in self._recent_writes.items() if at_s > since_s})
+        """Write again what the store may have lost if it was restored: this node's recent writes and deletions, and
+        the crashes that this node owns, as the nodes that wrote them may have ended since."""
+        if not is_restored:
+            return
+        counted = {
+            _crash_key(subject, start): True for subject, start in self._crashes() if self._is_owner(subject)
+        }
+        since_s = boot_time_s() - REWRITE_WINDOW_S
+        recent = {key: is_put for key, (is_put, at_s) in self._recent_writes.items() if at_s > since_s}
+        self._write(counted | recent)
+
+    def _crashes(self) -> Iterator[Crash]:
+        """Yield all crashes that this node counts."""
+        yield from self._state.quarantine.crashes()
+        for part, start_id in self._state.part_quarantine.crashes():
+            yield f"{PART_PREFIX}{part}", start_id
 
     # --- the store -------------------------------------------------------------------------------------
 
--- a/src/wallwell/routing/admission/part_quarantine.py
+++ b/src/wallwell/routing/admission/part_quarantine.py
@@ -166,6 +166,12 @@
         oldest = next((part for part in self._crashes if part not in self._quarantined), next(iter(self._crashes)))
         del self._crashes[oldest]
 
+    def crashes(self) -> Iterator[PartCrash]:
+        """Yield the crashes that count."""
+        for part, crashes in self._crashes.items():
+            for start_id in crashes:
+                yield part, start_id
+
     def happened_unix_s(self, part: str, start_id: str) -> float | None:
         """Return the time of day of a crash that counts against a part; None if there is none."""
         times = self._crashes.get(part, {}).get(start_id)
--- a/src/wallwell/routing/admission/quarantine.py
+++ b/src/wallwell/routing/admission/quarantine.py
@@ -128,6 +128,12 @@
         if not suspect.crashed_incarnations:
             del self._suspects[content_digest]
 
+    def crashes(self) -> Iterator[tuple[str, str]]:
+        """Yield the crashes that count, as content digest and incarnation."""
+        for content_digest, suspect in self._suspects.items():
+            for incarnation in suspect.crashed_incarnations:
+                yield content_digest, incarnation
+
     def expired_crashes(self, now_s: float) -> Iterator[tuple[str, str]]:
         """Yield the crashes that have expired, as content digest and incarnation."""
         for content_digest, suspect in self._suspects.items():
--- a/tests/unit/node/test_crash_watch.py
+++ b/tests/unit/node/test_crash_watch.py
@@ -34,6 +34,8 @@
 from wallwell.storage.feed import FeedRow
 
 UNIX_S = 1.8e9
+OTHERS = tuple(f"other-{number}" for number in range(400))
+"""Names of so many members that this node owns neither of two subjects."""
 PROBED_S = FIRST_PROBE_DELAY_S + PROBE_INTERVAL_S + 0.1
 REFUSED, ANSWERS = True, False
 RESUMABLE = make_route(RouteKind.STREAM, resumable=True, attempts=2)
@@ -637,3 +639,21 @@
         return node.state.part_quarantine.happened_unix_s("a", "gone-1")
 
     assert run_virtual(work()) > UNIX_S - 1e9
+
+
+@pytest.mark.parametrize(
+    ("members", "rewritten"), [(("n1",), {"c/gone-1", f"{PART_PREFIX}a/gone-2"}), (OTHERS, set())]
+)
+def test_crashes_of_ended_nodes_are_written_again_by_their_owner_after_a_restore(members, rewritten):
+    """Guards against crashes that a restored store lacks, whose writers have ended, and that are forgotten once all
+    other nodes start again."""
+
+    async def work():
+        node = WatchedNode(members=members)
+        node.read_row("c", "gone-1")
+        node.read_row(f"{PART_PREFIX}a", "gone-2", part_row(0.0))
+        node.watch.on_era(2, True)
+        await asyncio.sleep(0.1)
+        return node.rows
+
+    assert run_virtual(work()) == rewritten
