Wait 0.1 s for the end of a stream without length, 0.03 s for that of a call

A stream's events have all been passed on by then, so that a longer wait costs its caller nothing; a call's answer waits. That the machine's load is the reason is not shown by a run.

--- a/src/wallwell/http_connection.py
+++ b/src/wallwell/http_connection.py
@@ -25,9 +25,6 @@
 
 REFUSAL_CHECKS = 2
 """Connections that are opened to find out whether a port refuses them."""
-RESET_WAIT_S = 0.03
-"""Seconds in which the reset of a connection arrives that was accepted by a process at its end, on a machine whose
-processors are busy: its connections end one after the other, in any order."""
 
 
 class ConnectFailedError(Exception):
@@ -116,8 +113,9 @@
         """Open a connection and leave it idle for the next round trip. Raises :class:`ConnectFailedError`."""
         self.put_back(address, await self._connect(address, timeout_s))
 
-    async def refuses_connections(self, address: str) -> bool:
-        """Whether a new connection to ``IP:port`` is refused; one that stays open is left idle for a round trip.
+    async def refuses_connections(self, address: str, reset_wait_s: float) -> bool:
+        """Whether a new connection to ``IP:port`` is refused; one that stays open for ``reset_wait_s`` is left idle
+        for a round trip.
 
         A process that is ending may close its connections before its port, and one with too many connections resets
         a new one. So one that is reset at once is followed by another.
@@ -127,7 +125,7 @@
                 connection = await self._connect(address, self._connect_timeout_s)
             except ConnectFailedError as error:
                 return error.refused
-            await asyncio.sleep(RESET_WAIT_S)
+            await asyncio.sleep(reset_wait_s)
             if not connection.closed:
                 self.put_back(address, connection)
                 return False
--- a/src/wallwell/platform/worker_client.py
+++ b/src/wallwell/platform/worker_client.py
@@ -31,6 +31,13 @@
 be repeated are moved by probes long before."""
 
 
+CALL_RESET_WAIT_S = 0.03
+"""Seconds in which a process that is ending resets a connection that it still accepted. On a busy machine the end of
+its connections and of its port may lie as far apart; a call's caller waits for it."""
+STREAM_RESET_WAIT_S = 0.1
+"""The same for a stream, whose events have all been passed on by then."""
+
+
 def make_worker_pool() -> ConnectionPool:
     """Return a new pool of connections to workers, which matches answers to requests by the request id."""
     return ConnectionPool(names.REQUEST_ID, CONNECT_TIMEOUT_S, TCP_USER_TIMEOUT_S)
@@ -70,7 +77,8 @@
         """
         if not connection.body_ends_at_close or self._is_leaving():
             return
-        if await self._pool.refuses_connections(self._address):
+        wait_s = STREAM_RESET_WAIT_S if self.head.is_event_stream else CALL_RESET_WAIT_S
+        if await self._pool.refuses_connections(self._address, wait_s):
             raise AttemptError(TransportEvent.RESET_AFTER_SEND, "the worker's process has ended")
 
     def close(self) -> None:
--- a/src/wallwell/soak/proxy.py
+++ b/src/wallwell/soak/proxy.py
@@ -15,7 +15,7 @@
 
 from wallwell.clock import ends_within
 from wallwell.cluster.peer_link import PeerServer
-from wallwell.http_connection import REFUSAL_CHECKS, RESET_WAIT_S
+from wallwell.http_connection import REFUSAL_CHECKS
 from wallwell.soak.control import (
     AimLink,
     Announcement,
@@ -35,6 +35,8 @@
 """Chunks that wait in one direction of a connection; beyond that its sender is held back."""
 CONNECT_TIMEOUT_S = 1.0
 """Seconds for a connection to the far end, which is on this machine."""
+RESET_WAIT_S = 0.1
+"""Seconds in which a process that is ending resets a connection that it still accepted."""
 HELD_CHECK_S = 0.01
 """Seconds between two checks whether a direction that is held back may go on."""
 
