--- a/src/wallwell/platform/worker_client.py
+++ b/src/wallwell/platform/worker_client.py
@@ -32,8 +32,8 @@
 
 
 CALL_RESET_WAIT_S = 0.03
-"""Seconds in which a process that is ending resets a connection that it still accepted. On a busy machine the end of
-its connections and of its port may lie as far apart; a call's caller waits for it."""
+"""Seconds in which a process that is ending resets a connection that it still accepted. On a busy machine the ends
+of its connections and of its port may lie as far apart; a call's caller waits for it."""
 STREAM_RESET_WAIT_S = 0.1
 """The same for a stream, whose events have all been passed on by then."""
 
