--- a/src/wallwell/clock.py
+++ b/src/wallwell/clock.py
@@ -27,11 +27,6 @@
 """The open time-outs of this process, with the boot time at which each expires."""
 
 
-def time_of_day_s() -> float:
-    """Return the time of day in Unix seconds, by which nodes compare moments. It may jump, and differ by node."""
-    return time.time()
-
-
 def boot_time_s() -> float:
     """Return the seconds since the machine started, including time spent suspended."""
     return time.clock_gettime(_BOOT_CLOCK)
--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -20,7 +20,7 @@
 import msgspec
 
 from wallwell.background import BackgroundTasks
-from wallwell.clock import boot_time_s, ends_within, time_of_day_s
+from wallwell.clock import boot_time_s, ends_within
 from wallwell.cluster.crash_count import count_crash
 from wallwell.cluster.crash_reports import Crash
 from wallwell.errors import PlatformUnavailableError, TableConflictError
@@ -57,18 +57,18 @@
 
 
 class PartCrashRow(msgspec.Struct, frozen=True):
-    """Value of the row of a part: the reporting node, and the time of day of the crash."""
+    """Value of the row of a part: the reporting node, and when the crash happened on the store's clock."""
 
     node: str
-    happened_unix_s: float
+    happened_s: float
 
 
 @dataclass
 class BrokenRuns:
     """What a back end was running when it may have crashed."""
 
-    since_unix_s: float
-    """Time of day at which the first run broke."""
+    since_s: float
+    """When the first run broke, on the store's clock."""
     content_digests: set[str] = field(default_factory=set)
     part_digests: set[str] = field(default_factory=set)
     """Parts of prompts on which it may have begun an answer just then."""
@@ -84,9 +84,16 @@
     """Probes back ends after broken attempts, counts crashes, writes them to the store and removes expired ones."""
 
     def __init__(
-        self, state: NodeState, check: CrashCheck, table: TableService, member_names: Callable[[], Iterable[str]]
+        self,
+        state: NodeState,
+        check: CrashCheck,
+        table: TableService,
+        member_names: Callable[[], Iterable[str]],
+        store_time_s: Callable[[], float] = boot_time_s,
     ) -> None:
-        """``member_names`` returns the names of the nodes that share the removal of expired rows."""
+        """``member_names`` returns the names of the nodes that share the removal of expired rows, ``store_time_s``
+        the time on the store's clock, by which nodes compare when back ends crashed."""
+        self._store_time_s = store_time_s
         self._state = state
         self._probe = CrashProbe(check, state.backends.all_backends)
         self._table = table
@@ -114,7 +121,7 @@
         if backend.has_announced_leave or (backend.is_leaving(boot_time_s()) and not backend.superseded):
             return  # A planned stop ends connections too.
         is_probed = backend.start_id in self._broken
-        broken = self._broken.setdefault(backend.start_id, BrokenRuns(time_of_day_s()))
+        broken = self._broken.setdefault(backend.start_id, BrokenRuns(self._store_time_s()))
         broken.content_digests.add(content_digest)
         broken.part_digests.update(parts)
         if not is_probed:
@@ -143,15 +150,15 @@
             parts = ",".join(sorted(broken.part_digests))
             emit(Event.BACKEND_CRASHED, backend=backend.incarnation, runs=len(broken.content_digests), parts=parts)
             now_s = boot_time_s()
-            since_s = broken.since_unix_s
+            since_s = broken.since_s
             counted = [subject for subject in broken.subjects() if self._count(subject, start_id, now_s, since_s)]
             self._write({_crash_key(subject, start_id): True for subject in counted})
 
-    def _count(self, subject: str, start_id: str, now_s: float, happened_unix_s: float) -> bool:
+    def _count(self, subject: str, start_id: str, now_s: float, happened_s: float) -> bool:
         """Count a crash of one start of a back end; returns False if it is known or does not count."""
         if subject.startswith(PART_PREFIX):
             part = subject.removeprefix(PART_PREFIX)
-            return self._state.part_quarantine.on_crash(part, start_id, now_s, happened_unix_s)
+            return self._state.part_quarantine.on_crash(part, start_id, now_s, happened_s)
         return count_crash(self._state.quarantine, subject, start_id, now_s)
 
     def _forget(self, subject: str, start_id: str) -> None:
@@ -172,11 +179,21 @@
         elif self._state.quarantine.is_cleared(subject, now_s):
             self._write({row.key: False})
         else:
-            self._count(subject, start_id, now_s, _happened_unix_s(row, subject))
+            self._count(subject, start_id, now_s, self._happened_s(row, subject))
+
+    def _happened_s(self, row: FeedRow, subject: str) -> float:
+        """Return when the crash in a row happened; now if the row is not of a part, or cannot be read."""
+        if not subject.startswith(PART_PREFIX):
+            return self._store_time_s()
+        try:
+            return msgspec.json.decode(row.value or b"", type=PartCrashRow).happened_s
+        except msgspec.MsgspecError as error:
+            emit(Event.OWN_ROW_UNREADABLE, row=row.key, error=str(error))
+            return self._store_time_s()  # The crash itself is known from the key.
 
     def on_peer_report(self, crash: Crash) -> None:
         """Count a crash that the store has not accepted yet; the peer that detected it writes it."""
-        self._count(*crash, boot_time_s(), time_of_day_s())
+        self._count(*crash, boot_time_s(), self._store_time_s())
 
     def unwritten_crashes(self) -> Sequence[Crash]:
         """Return the crashes that the store has not accepted, newest first; none while it accepts writes."""
@@ -259,8 +276,8 @@
         subject, start_id = _parse_key(key)
         if not subject.startswith(PART_PREFIX):
             return self._state.node
-        happened_s = self._state.part_quarantine.happened_unix_s(subject.removeprefix(PART_PREFIX), start_id)
-        row = PartCrashRow(self._state.node, happened_s if happened_s is not None else time_of_day_s())
+        happened_s = self._state.part_quarantine.happened_s(subject.removeprefix(PART_PREFIX), start_id)
+        row = PartCrashRow(self._state.node, happened_s if happened_s is not None else self._store_time_s())
         return msgspec.json.encode(row).decode()
 
     def _sweep(self, now_s: float) -> None:
@@ -295,17 +312,6 @@
     emit(Event.PART_RELEASED, part=part)
 
 
-def _happened_unix_s(row: FeedRow, subject: str) -> float:
-    """Return the time of day of the crash in a row; now if the row is not of a part, or cannot be read."""
-    if not subject.startswith(PART_PREFIX):
-        return time_of_day_s()
-    try:
-        return msgspec.json.decode(row.value or b"", type=PartCrashRow).happened_unix_s
-    except msgspec.MsgspecError as error:
-        emit(Event.OWN_ROW_UNREADABLE, row=row.key, error=str(error))
-        return time_of_day_s()  # The crash itself is known from the key.
-
-
 def _parse_key(key: str) -> Crash:
     subject, _, start_id = key[len(CRASH_PREFIX) :].partition("/")
     return subject, start_id
--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -114,7 +114,11 @@
     def _build_pipeline(self, adapter: NodeAdapter) -> None:
         self._liveness = LivenessMonitor(self.state, adapter.backend_check)
         self._crash_watch = CrashWatch(
-            self.state, adapter.backend_check, adapter.sources.own_table, lambda: self._order.members
+            self.state,
+            adapter.backend_check,
+            adapter.sources.own_table,
+            lambda: self._order.members,
+            lambda: self._clock.to_store_s(boot_time_s()),
         )
         choice = PeerChoice(self.state.topology, self.state.rng)
         peer_client = PeerAttemptClient(choice, self._attempt_peers, adapter.notices)
--- a/src/wallwell/routing/admission/part_quarantine.py
+++ b/src/wallwell/routing/admission/part_quarantine.py
@@ -15,8 +15,8 @@
 4. A quarantine is tried out by single requests, at one node, after growing delays.
 
 Every node decides by itself, from the same crashes; nodes learn of each other's by rows and reports
-(``node/crash_watch.py``). Times are seconds on one node's clock, but for the moments of crashes, which are times of
-day: nodes that learn of old crashes all at once must still distinguish their moments.
+(``node/crash_watch.py``). Times are seconds on one node's clock, but for the moments of crashes, which are on the
+store's: nodes that learn of old crashes all at once must still distinguish their moments.
 """
 
 from __future__ import annotations
@@ -36,7 +36,7 @@
 so whatever has been written for longer was not the cause."""
 SIMULTANEOUS_S = 0.1
 """Crashes within this time count as one moment. What ends many back ends at once does so within some ten
-milliseconds; nodes read them, and their clocks, a little apart."""
+milliseconds; nodes read them, and the store's clock, a little apart."""
 SUSPECT_S = 300.0
 """Seconds after its last crash for which a part stays a suspect."""
 QUARANTINE_S = 600.0
@@ -59,10 +59,10 @@
 
 @dataclass(frozen=True)
 class CrashTimes:
-    """When this node learned of a crash, and the time of day (Unix seconds) at which it happened."""
+    """When this node learned of a crash, on its own clock, and when it happened, on the store's."""
 
     known_s: float
-    happened_unix_s: float
+    happened_s: float
 
 
 @dataclass(frozen=True)
@@ -108,12 +108,12 @@
 
     # --- what was seen ---------------------------------------------------------------------------------
 
-    def on_crash(self, part: str, start_id: str, now_s: float, happened_unix_s: float) -> bool:
+    def on_crash(self, part: str, start_id: str, now_s: float, happened_s: float) -> bool:
         """Count a crash of a back end under a part; returns False if it is known already."""
         crashes = self._crashes.setdefault(part, {})
         if start_id in crashes:
             return False
-        crashes[start_id] = CrashTimes(now_s, happened_unix_s)
+        crashes[start_id] = CrashTimes(now_s, happened_s)
         self._is_decided = False
         self._evict_suspects()
         return True
@@ -172,10 +172,10 @@
             for start_id in crashes:
                 yield part, start_id
 
-    def happened_unix_s(self, part: str, start_id: str) -> float | None:
-        """Return the time of day of a crash that counts against a part; None if there is none."""
+    def happened_s(self, part: str, start_id: str) -> float | None:
+        """Return when a crash that counts against a part happened, on the store's clock; None if there is none."""
         times = self._crashes.get(part, {}).get(start_id)
-        return times.happened_unix_s if times is not None else None
+        return times.happened_s if times is not None else None
 
     # --- what follows ----------------------------------------------------------------------------------
 
@@ -268,7 +268,7 @@
 def _count_moments(crashes: dict[str, CrashTimes]) -> int:
     """Return the number of separate moments in which back ends crashed."""
     moments, moment_s = 0, float("-inf")
-    for happened_s in sorted(times.happened_unix_s for times in crashes.values()):
+    for happened_s in sorted(times.happened_s for times in crashes.values()):
         if happened_s - moment_s >= SIMULTANEOUS_S:
             moments, moment_s = moments + 1, happened_s
     return moments
--- a/tests/unit/node/test_crash_watch.py
+++ b/tests/unit/node/test_crash_watch.py
@@ -14,7 +14,6 @@
 from tests.virtual_time import run_virtual
 from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import RouteKind
-from wallwell.node import crash_watch
 from wallwell.node.crash_probe import FIRST_PROBE_DELAY_S, MAX_PROBES, PROBE_INTERVAL_S, SUCCESSOR_WAIT_S
 from wallwell.node.crash_watch import (
     CRASH_PREFIX,
@@ -33,7 +32,7 @@
 from wallwell.serving.pipeline import RequestPipeline
 from wallwell.storage.feed import FeedRow
 
-UNIX_S = 1.8e9
+STORE_S = 1.8e9
 OTHERS = tuple(f"other-{number}" for number in range(400))
 """Names of so many members that this node owns neither of two subjects."""
 PROBED_S = FIRST_PROBE_DELAY_S + PROBE_INTERVAL_S + 0.1
@@ -65,7 +64,8 @@
         self.state = fresh_state(route)
         self.table = table or FaultyTable()
         self.check = check or FakeCheck(REFUSED)
-        self.watch = CrashWatch(self.state, self.check, self.table, lambda: members)
+        self.store_s = STORE_S
+        self.watch = CrashWatch(self.state, self.check, self.table, lambda: members, lambda: self.store_s)
         self.running = asyncio.create_task(self.watch.run())
 
     @property
@@ -521,7 +521,7 @@
 
 
 def part_row(at_s):
-    return msgspec.json.encode(PartCrashRow("n2", UNIX_S + at_s))
+    return msgspec.json.encode(PartCrashRow("n2", STORE_S + at_s))
 
 
 def test_parts_are_quarantined_by_rows_of_other_nodes_and_released_when_these_are_deleted():
@@ -541,11 +541,11 @@
     assert run_virtual(work()) == ([0, 0, 0, 1, 0], 0)
 
 
-def test_a_peers_report_of_a_part_counts(monkeypatch):
+def test_a_peers_report_of_a_part_counts():
     async def work():
         node = WatchedNode()
         for number in range(CRASHES_TO_QUARANTINE):
-            monkeypatch.setattr(crash_watch, "time_of_day_s", lambda number=number: UNIX_S + number)
+            node.store_s = STORE_S + number
             node.watch.on_peer_report((f"{PART_PREFIX}a", f"gone-{number}"))
         return len(node.state.part_quarantine.quarantined(boot_time_s()))
 
@@ -618,9 +618,8 @@
     assert run_virtual(work()) == (0, "WW3020", Outcome.NOT_RUN)
 
 
-def test_the_row_of_a_part_says_when_the_back_end_crashed(monkeypatch):
+def test_the_row_of_a_part_says_when_the_back_end_crashed():
     """Nodes that start later read the crashes all at once, and must still tell their moments apart."""
-    monkeypatch.setattr(crash_watch, "time_of_day_s", lambda: UNIX_S)
 
     async def work():
         node = WatchedNode()
@@ -628,17 +627,17 @@
         await asyncio.sleep(PROBED_S)
         return node.table.model.rows[f"{CRASH_PREFIX}{PART_PREFIX}a/i-0"].value
 
-    assert msgspec.json.decode(run_virtual(work()), type=PartCrashRow) == PartCrashRow("n1", UNIX_S)
+    assert msgspec.json.decode(run_virtual(work()), type=PartCrashRow) == PartCrashRow("n1", STORE_S)
 
 
-@pytest.mark.parametrize("value", [b"n2", b"", b"{}", b'{"node": "n2", "happened_unix_s": "x"}', b"\xff"])
+@pytest.mark.parametrize("value", [b"n2", b"", b"{}", b'{"node": "n2", "happened_s": "x"}', b"\xff"])
 def test_the_row_of_a_part_that_cannot_be_read_counts_from_now(value):
     async def work():
         node = WatchedNode()
         node.read_row(f"{PART_PREFIX}a", "gone-1", value)
-        return node.state.part_quarantine.happened_unix_s("a", "gone-1")
+        return node.state.part_quarantine.happened_s("a", "gone-1")
 
-    assert run_virtual(work()) > UNIX_S - 1e9
+    assert run_virtual(work()) == STORE_S
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/routing/admission/test_part_quarantine.py
+++ b/tests/unit/routing/admission/test_part_quarantine.py
@@ -20,14 +20,14 @@
 )
 from wallwell.routing.admission.part_trials import FIRST_TRIAL_S, TRIAL_DELAY_FACTOR, WATCH_TURN_S, NodeTurn
 
-UNIX_S = 1.8e9
+STORE_S = 1.8e9
 BAD, POPULAR, OTHER = "bad", "popular", "other"
 APART_S = SIMULTANEOUS_S + 0.1
 
 
 def crash(quarantine, start, now_s, *parts):
     for part in parts:
-        quarantine.on_crash(part, start, now_s, UNIX_S + now_s)
+        quarantine.on_crash(part, start, now_s, STORE_S + now_s)
 
 
 def refusal(quarantine, parts, now_s, open_back_ends=9):
@@ -50,7 +50,7 @@
 
 def test_one_crash_reported_by_many_nodes_counts_once():
     quarantine = PartQuarantine()
-    assert [quarantine.on_crash(BAD, "i-1", at_s, UNIX_S + at_s) for at_s in (0.0, 0.1, 5.0)] == [
+    assert [quarantine.on_crash(BAD, "i-1", at_s, STORE_S + at_s) for at_s in (0.0, 0.1, 5.0)] == [
         True,
         False,
         False,
@@ -214,7 +214,7 @@
 def test_memory_is_bounded_and_quarantined_parts_are_kept():
     quarantine = quarantined_part()
     for number in range(MAX_SUSPECT_PARTS + 100):
-        quarantine.on_crash(f"part-{number}", "i-1", 1.0, UNIX_S)
+        quarantine.on_crash(f"part-{number}", "i-1", 1.0, STORE_S)
         quarantine.on_worked((f"other-{number}",), 1.0)
     assert quarantine.suspect_count == MAX_SUSPECT_PARTS
     assert len(quarantine._worked_s) == MAX_WORKING_PARTS
@@ -229,5 +229,5 @@
     """Guards against nodes that start again and take all crashes so far, read from the store, for one moment."""
     quarantine = PartQuarantine()
     for number in range(CRASHES_TO_QUARANTINE):
-        quarantine.on_crash(BAD, f"i-{number}", 50.0, UNIX_S + number * APART_S)
+        quarantine.on_crash(BAD, f"i-{number}", 50.0, STORE_S + number * APART_S)
     assert refused(quarantine, 50.0) == {BAD}
