Let the trials of a quarantined part follow from its crashes, whichever node makes them

What callers would see: each node that becomes the first of the fleet, as nodes are replaced in turn, tries a bad part once more, so that seven replacements cost seven back ends; three such requests are all there may be. Cause: when the next trial was due followed from what that node alone had seen and done. Change: it follows from the last crash and from gaps between crashes, which every node reads in the rows; own trials without a crash count as before. Found by reading.

--- a/src/wallwell/node/metrics.py
+++ b/src/wallwell/node/metrics.py
@@ -129,7 +129,7 @@
         yield GaugeMetricFamily(
             "wallwell_quarantined_parts",
             "Parts of prompts whose requests get no back end.",
-            value=len(parts.quarantined(boot_time_s())),
+            value=len(parts.quarantined()),
         )
 
     def _collect_region_traffic(self) -> Iterator[Metric]:
--- a/src/wallwell/routing/admission/part_quarantine.py
+++ b/src/wallwell/routing/admission/part_quarantine.py
@@ -26,7 +26,13 @@
 
 import xxhash
 
-from wallwell.routing.admission.part_trials import WATCH_TURN_S, NodeTurn, QuarantinedPart, WatchedPart
+from wallwell.routing.admission.part_trials import (
+    WATCH_TURN_S,
+    NodeTurn,
+    QuarantinedPart,
+    WatchedPart,
+    count_failed_trials,
+)
 
 CRASHES_TO_QUARANTINE = 3
 """Back ends that must crash under a part before it is watched, and moments with such crashes before it is
@@ -101,9 +107,9 @@
         """Number of parts with crashes that count, quarantined or not."""
         return len(self._crashes)
 
-    def quarantined(self, now_s: float) -> Sequence[QuarantinedPart]:
+    def quarantined(self) -> Sequence[QuarantinedPart]:
         """Return the quarantined parts."""
-        self._decide(now_s)
+        self._decide()
         return tuple(self._quarantined.values())
 
     # --- what was seen ---------------------------------------------------------------------------------
@@ -145,7 +151,7 @@
 
     def remove_expired(self, now_s: float) -> list[PartCrash]:
         """Remove the crashes that have expired, and return them."""
-        self._decide(now_s)
+        self._decide()
         expired = [
             (part, start_id)
             for part, crashes in self._crashes.items()
@@ -186,7 +192,7 @@
         """
         if not self._crashes:
             return None
-        self._decide(now_s)
+        self._decide()
         refused = [part for part in parts if part in self._quarantined]
         if refused:
             part = max(refused, key=self._expires_s)
@@ -216,7 +222,7 @@
         decision.on_trial(now_s)
         return True
 
-    def _decide(self, now_s: float) -> None:
+    def _decide(self) -> None:
         """Bring the quarantined and the watched parts up to date with the crashes."""
         if self._is_decided:
             return
@@ -225,7 +231,7 @@
         watched: dict[str, WatchedPart] = {}
         for part, crashes in self._blamed_parts():
             if _count_moments(crashes) >= CRASHES_TO_QUARANTINE:
-                quarantined[part] = self._quarantine(part, now_s)
+                quarantined[part] = self._quarantine(part)
             else:
                 since_s = sorted(times.known_s for times in crashes.values())[CRASHES_TO_QUARANTINE - 1]
                 watched[part] = self._watched.get(part) or WatchedPart(since_s)
@@ -249,13 +255,18 @@
             if part not in self._quarantined:
                 self.on_released(part)
 
-    def _quarantine(self, part: str, now_s: float) -> QuarantinedPart:
-        crashed = frozenset(self._crashes[part])
+    def _quarantine(self, part: str) -> QuarantinedPart:
+        crashes = self._crashes[part]
+        quarantined = QuarantinedPart(
+            part,
+            frozenset(crashes),
+            max(times.known_s for times in crashes.values()),
+            count_failed_trials(times.happened_s for times in crashes.values()),
+        )
         known = self._quarantined.get(part)
-        if known is None:
-            return QuarantinedPart(part, now_s, crashed)
-        known.crashed = crashed
-        return known
+        if known is not None:
+            quarantined.own_trials, quarantined.tried_s = known.own_trials, known.tried_s
+        return quarantined
 
     def _order_of_judgement(self) -> list[str]:
         candidates = [part for part, crashes in self._crashes.items() if len(crashes) >= CRASHES_TO_QUARANTINE]
--- a/src/wallwell/routing/admission/part_trials.py
+++ b/src/wallwell/routing/admission/part_trials.py
@@ -6,10 +6,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
+from itertools import pairwise
 
 FIRST_TRIAL_S = 20.0
-"""Seconds after a part was quarantined at which one request with it is tried."""
+"""Seconds after the last crash under a quarantined part at which one request with it is tried."""
+TRIAL_GAP_S = 10.0
+"""Seconds without a crash, below ``FIRST_TRIAL_S``, after which the next one must have been that of a trial."""
 TRIAL_DELAY_FACTOR = 6.0
 """Factor from one trial's delay to the next one's: a part that crashes back ends costs two in two minutes, and one
 that was blamed wrongly is refused for little longer than the first delay."""
@@ -28,21 +32,38 @@
 
 @dataclass
 class QuarantinedPart:
-    """One quarantine. ``since_s`` is its beginning as this node decided it."""
+    """One quarantine.
+
+    Its trials follow from the crashes, which all nodes know, so that a node that becomes the first of all nodes
+    continues where another one ended.
+    """
 
     part: str
-    since_s: float
     crashed: frozenset[str]
     """Starts of the back ends that crashed under the part."""
-    trials: int = 0
+    last_crash_s: float
+    """When this node learned of the last of these crashes."""
+    failed_trials: int = 0
+    """Trials that ended with a crash, made by any node."""
+    own_trials: int = 0
+    """Trials that this node has made, however they ended."""
+    tried_s: float = float("-inf")
+    """When this node made the last of them."""
 
     def is_trial_due(self, now_s: float, turn: NodeTurn) -> bool:
         """Whether this node may try the next single request; only the first of all nodes does."""
-        return turn.rank == 0 and now_s >= self.since_s + FIRST_TRIAL_S * TRIAL_DELAY_FACTOR**self.trials
+        delay_s = FIRST_TRIAL_S * TRIAL_DELAY_FACTOR ** max(self.failed_trials, self.own_trials)
+        return turn.rank == 0 and now_s >= max(self.last_crash_s, self.tried_s) + delay_s
 
     def on_trial(self, now_s: float) -> None:
         """Record that a request with the part is sent."""
-        self.trials += 1
+        self.own_trials += 1
+        self.tried_s = now_s
+
+
+def count_failed_trials(happened_s: Iterable[float]) -> int:
+    """Return how many of the crashes under a part, given by when they happened, were those of trials."""
+    return sum(later - earlier >= TRIAL_GAP_S for earlier, later in pairwise(sorted(happened_s)))
 
 
 @dataclass
