Keep 1,024 suspected parts, not 4,096

With 4,096 parts of three crashes each a decision took 31 ms of the event loop, and it is made anew after each change; a caller can bring that about with many parts a request.

--- a/src/wallwell/routing/admission/part_quarantine.py
+++ b/src/wallwell/routing/admission/part_quarantine.py
@@ -47,7 +47,7 @@
 """Seconds after its last crash for which a part stays a suspect."""
 QUARANTINE_S = 600.0
 """Seconds that a quarantine lasts after the last crash."""
-MAX_SUSPECT_PARTS = 4096
+MAX_SUSPECT_PARTS = 1024
 """Suspects kept in memory; the oldest not in quarantine are removed first."""
 MAX_WORKING_PARTS = 1024
 """Parts remembered that were seen to work, most recently used: enough for the ones that many requests share."""
