--- a/tests/platform/test_crashing_prompt_part.py
+++ b/tests/platform/test_crashing_prompt_part.py
@@ -28,7 +28,7 @@
 MIN_SOUND_SHARE = 0.5
 """Share of sound requests served of the share before the first crash."""
 SOUND_PER_S, CRASHING_PER_S = 30, 5
-CALM_S = 1.0
+CALM_S = 2.0
 """Seconds with sound requests alone."""
 MEASURED_S = 2.0
 """Seconds for which sound requests are counted at the end, while the others still come."""
