--- a/src/wallwell/soak/drawing_faults.py
+++ b/src/wallwell/soak/drawing_faults.py
@@ -77,13 +77,14 @@
 
 
 def draw_faults(generator: random.Random, shape: Shape) -> list[PlannedFault]:
+    """Return the faults of any run: single ones at drawn times, then the end of all nodes at once."""
     faults: list[PlannedFault] = []
     busy: dict[str, float] = {}
     period_s = generator.choice(FAULT_PERIODS_S)
     at_s = FIRST_FAULT_S
     kill_at_s = shape.seconds - RECOVERY_S - SHOWN_RECOVERED_S
     while at_s < kill_at_s - SETTLE_S:
-        kind, target = draw_target(generator, shape)
+        kind, target = _draw_target(generator, shape)
         lasts_s = round(generator.uniform(*FAULT_LASTS_S), 2)
         if busy.get(target, 0.0) <= at_s:
             faults.append(PlannedFault(round(at_s, 2), lasts_s, kind, target))
@@ -181,7 +182,7 @@
     return faults
 
 
-def draw_target(generator: random.Random, shape: Shape) -> tuple[FaultKind, str]:
+def _draw_target(generator: random.Random, shape: Shape) -> tuple[FaultKind, str]:
     groups: list[tuple[tuple[FaultKind, ...], tuple[str, ...]]] = [
         (NODE_FAULTS, shape.node_names()),
         (WORKER_FAULTS, shape.worker_names()),
--- a/src/wallwell/soak/drawing_requests.py
+++ b/src/wallwell/soak/drawing_requests.py
@@ -64,7 +64,7 @@
     requests: list[PlannedRequest] = []
     at_s = 0.0
     while at_s < shape.length_s:
-        drawn = draw_request(generator, f"{seed}-long-{len(requests)}", at_s, shape)
+        drawn = _draw_request(generator, f"{seed}-long-{len(requests)}", at_s, shape)
         tokens = drawn.prompt_tokens or SHARED_PART_TOKENS
         requests.append(
             msgspec.structs.replace(
@@ -83,6 +83,7 @@
 
 
 def draw_requests(generator: random.Random, seed: int, shape: Shape) -> list[PlannedRequest]:
+    """Return the requests of any run."""
     requests: list[PlannedRequest] = []
     at_s = 0.0
     while at_s < shape.length_s:
@@ -93,7 +94,7 @@
 
 def draw_crashing(generator: random.Random, content: str, shape: Shape) -> list[PlannedRequest]:
     """Return the sendings of one request by one caller, at any node."""
-    first = draw_request(generator, content, generator.uniform(*CRASHING_FROM_S), shape)
+    first = _draw_request(generator, content, generator.uniform(*CRASHING_FROM_S), shape)
     first = msgspec.structs.replace(first, key="key-a", leaves_after_s=0.0, content=content)
     period_s = generator.uniform(*CRASHING_PERIOD_S)
     sendings: list[PlannedRequest] = []
@@ -112,7 +113,7 @@
     at_s = generator.uniform(*CRASHING_FROM_S)
     period_s = generator.uniform(*BAD_PART_PERIOD_S)
     while at_s < shape.seconds:
-        drawn = draw_request(generator, f"{part}-{len(requests)}", at_s, shape)
+        drawn = _draw_request(generator, f"{part}-{len(requests)}", at_s, shape)
         if drawn.kind.is_stream:
             shared, _, own = drawn.prompt_parts.partition(",")
             parts = f"{shared},{part}:{BAD_PART_TOKENS},{own}"
@@ -141,13 +142,13 @@
         skewed.append(request)
     at_s = from_s
     while at_s < until_s:
-        more = draw_request(generator, f"{seed}-skew-{len(skewed)}", at_s, shape)
+        more = _draw_request(generator, f"{seed}-skew-{len(skewed)}", at_s, shape)
         skewed.append(msgspec.structs.replace(more, node=node, skewed=True))
         at_s += generator.expovariate(SKEW_MORE_PER_S)
     return skewed
 
 
-def draw_request(generator: random.Random, request: str, at_s: float, shape: Shape) -> PlannedRequest:
+def _draw_request(generator: random.Random, request: str, at_s: float, shape: Shape) -> PlannedRequest:
     kind = generator.choices(list(KIND_WEIGHTS), list(KIND_WEIGHTS.values()))[0]
     leaves_after_s = generator.uniform(*LEAVE_AFTER_S) if generator.random() < LEAVE_FRACTION else 0.0
     shared = generator.randrange(SHARED_PARTS)
