--- a/src/wallwell/soak/drawing_requests.py
+++ b/src/wallwell/soak/drawing_requests.py
@@ -87,7 +87,7 @@
     requests: list[PlannedRequest] = []
     at_s = 0.0
     while at_s < shape.length_s:
-        requests.append(draw_request(generator, f"{seed}-{len(requests)}", at_s, shape))
+        requests.append(_draw_request(generator, f"{seed}-{len(requests)}", at_s, shape))
         at_s += generator.expovariate(shape.requests_per_s)
     return requests
 
