--- a/review/1/case.py
+++ b/review/1/case.py
@@ -175,7 +175,9 @@
         f"{len(answers)} requests, {dict(Counter(answers.values()))}, {extras} answers sent again, "
         f"TWICE {len(twice)}, REFUSED {len(refused)}"
     )
-    return len(twice) + len(refused)
+    if not twice and 2 * sum(status == 200 for status in answers.values()) < len(answers):
+        raise RuntimeError("under half of the calls were served, so the run shows nothing")
+    return len(twice)
 
 
 run(Path(__file__).parent, case)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -139,6 +139,8 @@
 
     def __init__(self, name: str, number: int, platform: Platform, routers: Routers, record: Record) -> None:
         self._name, self._platform, self._routers, self._record = name, platform, routers, record
+        self.begun = 0
+        """Answers that had begun; a request may also be refused, which breaks no rule."""
         self._workers = [
             Worker(f"i-{service}-{name}", service, f"{NET}.3.{2 * number + index + 1}", record)
             for index, service in enumerate((CALLS, CHATS))
@@ -207,6 +209,7 @@
             worker.end()
             sent |= worker.sent()
             self._platform.drop_worker(worker.identity)
+        self.begun = sum(bool(sent.get(request_id)) for request_id, _, _ in results)
         for request_id, outcome, body in results:
             if outcome == "success" and body != whole_body(request_id):
                 broken += 1
@@ -227,6 +230,7 @@
     platform = Platform(record)
     routers = Routers(folder, record, await platform.start(), NAMES)
     broken = {"A": 0, "B": 0}
+    begun = {"A": 0, "B": 0}
     try:
         engine = {"slots": 16, "kv_capacity": 100000, "models": [{"name": "m0"}]}
         services = [{"name": CALLS, "max_conns": 100}, {"name": CHATS, "max_conns": 360, "engine": engine}]
@@ -242,13 +246,18 @@
             one = Round(f"{part}{number}", number, platform, routers, record)
             try:
                 broken[part] += await (one.leave() if part == "A" else one.freeze())
+                begun[part] += one.begun
             finally:
                 one.close()
     finally:
         routers.close()
         await platform.close()
     for part, count in broken.items():
-        record.add(f"part {part}: {count} of {2 * REQUESTS * ROUNDS} answers are broken successes")
+        record.add(
+            f"part {part}: of {2 * REQUESTS * ROUNDS} answers {begun[part]} began, {count} are broken successes"
+        )
+        if not any(broken.values()) and 2 * begun[part] < 2 * REQUESTS * ROUNDS:
+            raise RuntimeError(f"under half of the answers of part {part} began, so the run shows nothing")
     print(f"part A: {broken['A']}, part B: {broken['B']}, each of {2 * REQUESTS * ROUNDS} answers")
     return sum(broken.values())
 
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -196,6 +196,8 @@
         versions = sorted({software for _, software in each.events})
         record.add(f"client: {each.name} has {len(each.events)} events of versions {versions}, end: {each.ended}")
         broken += len(versions) > 1
+    if not broken and any(not each.events for each in streams):
+        raise RuntimeError("a stream had not begun, so the round shows nothing")
     return broken
 
 
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -21,7 +21,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
+BROKEN, HELD, COULD_NOT_RUN = 10, 0, 2
+"""Exit statuses of a case. `run.sh` gives 1 for ``BROKEN`` alone: Python ends with 1 for any error of its own."""
 HEARTBEAT_S = 1.2
 NET = f"127.{20 + os.getpid() % 200}"
 """Loopback addresses of this process, so that several can run side by side."""
@@ -290,16 +291,20 @@
 
 
 def run(folder: Path, case, limit_s: float = 105.0) -> None:
-    """Run ``case(record, temporary folder)``, which returns how often the rule was broken; exit as run.sh must."""
+    """Run ``case(record, temporary folder)``, which returns how often the rule was broken; exit for run.sh.
+
+    SIGTERM and SIGINT end the case early, with everything that it started.
+    """
     record = Record(folder)
     status = COULD_NOT_RUN
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     with tempfile.TemporaryDirectory() as temporary:
         try:
             broken = asyncio.run(asyncio.wait_for(case(record, Path(temporary)), limit_s))
             status = BROKEN if broken else HELD
             record.add(f"result: broken {broken} times; trouble {'on' if TROUBLE else 'off'}")
             print(f"broken {broken} times; trouble {'on' if TROUBLE else 'off'}")
-        except Exception as error:
+        except (Exception, KeyboardInterrupt) as error:
             record.add(f"could not run: {type(error).__name__}: {error}")
             print(f"could not run: {type(error).__name__}: {error}", file=sys.stderr)
         finally:
