Log the connection of each failed attempt, and whose answer was discarded

Cause: 3002 named the back end of a failed attempt, but not the connection, and 3008 said only that bytes were discarded. Of the four hypotheses on calls that ran twice, the logs could tell none from another.

Change: connections have a number in their process and count the requests sent on them. 3002 has both (connection, round_trip); 3008 has them too, with the id that was awaited, the id and the status that came.

--- a/src/wallwell/backend_connection.py
+++ b/src/wallwell/backend_connection.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import AsyncIterator
 
 from aiohttp.base_protocol import BaseProtocol
@@ -32,6 +33,9 @@
 sent while the back end closes the connection. Back ends state the time-out in whole seconds."""
 
 
+_connection_numbers = itertools.count(1)
+
+
 class ConnectionBrokenError(Exception):
     """The connection ended before the complete answer had arrived, so the request may have run."""
 
@@ -42,6 +46,10 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, id_header: str) -> None:
         """``id_header`` is the name of the answer's header that carries the request id."""
         super().__init__(loop)
+        self.number = next(_connection_numbers)
+        """Tells the connections of this process apart in logs."""
+        self.round_trips = 0
+        """Requests that were sent on the connection."""
         self._id_header = id_header
         self._expected_id: str | None = None
         self._head: asyncio.Future[RawResponseMessage] | None = None
@@ -78,6 +86,7 @@
         """
         if self.transport is None or self.closed:
             raise ConnectionBrokenError("closed before sending")
+        self.round_trips += 1
         self._expected_id = request_id
         self._head = self._loop.create_future()
         self._payload = None
@@ -141,7 +150,7 @@
         """Parse received bytes; bytes that arrive outside a round trip close the connection."""
         if self._parser is None:
             if self._head is None and data:
-                emit(Event.ANSWER_DISCARDED, reason="bytes outside a round trip")
+                self._log_discarded("bytes outside a round trip")
                 self.close()
             return
         try:
@@ -161,7 +170,7 @@
         answer_id = message.headers.get(self._id_header)
         if self._head is None or self._head.done() or (self._expected_id and answer_id != self._expected_id):
             self._must_close = True
-            emit(Event.ANSWER_DISCARDED, reason="answer to another request")
+            self._log_discarded("answer to another request", message.code, answer_id)
             return
         if message.should_close:
             self._must_close = True
@@ -171,6 +180,18 @@
         self._payload = payload
         self._head.set_result(message)
 
+    def _log_discarded(self, reason: str, status: int = 0, answer_id: str | None = None) -> None:
+        """Log discarded bytes; with ``status`` and ``answer_id`` if they are an answer, which may be a late one."""
+        emit(
+            Event.ANSWER_DISCARDED,
+            reason=reason,
+            connection=self.number,
+            round_trip=self.round_trips,
+            expected_id=self._expected_id or "",
+            answer_id=answer_id or "",
+            status=status,
+        )
+
     def _read_keep_alive(self, keep_alive: str) -> None:
         for parameter in keep_alive.split(","):
             name, _, value = parameter.strip().partition("=")
--- a/src/wallwell/platform/worker_client.py
+++ b/src/wallwell/platform/worker_client.py
@@ -134,6 +134,8 @@
         self, connection: BackendConnection, dispatch: Dispatch
     ) -> tuple[RawResponseMessage, AnswerHead]:
         request = dispatch.request
+        dispatch.progress.connection = connection.number
+        dispatch.progress.round_trip = connection.round_trips + 1
         try:
             message = await connection.round_trip(
                 request.request_id, encode_request(dispatch), has_body=has_answer_body(request)
--- a/src/wallwell/serving/messages.py
+++ b/src/wallwell/serving/messages.py
@@ -86,6 +86,10 @@
     """Name of the node that makes the attempt for this one; empty if this node makes it itself."""
     found_no_peer: bool = False
     """Whether peers were to make the attempt, and none did."""
+    connection: int = 0
+    """Number of this node's connection on which the request was sent; 0 if it was not sent by this node."""
+    round_trip: int = 0
+    """How many requests had been sent on that connection by then, this one included."""
 
 
 def _always_true() -> bool:
--- a/src/wallwell/serving/request_reports.py
+++ b/src/wallwell/serving/request_reports.py
@@ -53,6 +53,7 @@
             attempts=active.attempt_log.attempts,
             events=active.stream_position.events_forwarded,
             content=active.content_digest,
+            **_connection_fields(active),
             **_prompt_fields(active),
             **_path_field(active),
         )
@@ -130,3 +131,12 @@
     """Return the log field that names the peer that made the current attempt; empty if this node made it."""
     via_peer = active.progress.via_peer
     return {"via": via_peer} if via_peer else {}
+
+
+def _connection_fields(active: ActiveRequest) -> dict[str, int]:
+    """Return the log fields that tell on which connection an attempt was sent, and which of its requests it was;
+    empty if this node sent nothing. Two attempts of one request may share a connection."""
+    progress = active.progress
+    if not progress.connection:
+        return {}
+    return {"connection": progress.connection, "round_trip": progress.round_trip}
