Send each request id only once on a connection, so that a second answer cannot end a later attempt

Callers saw: calls that may not run twice ran twice, and others got 503, which promises that they never ran, and had run.

Cause: an answer was matched by the request id alone, and all attempts of a request have the same id. A back end that rejected a request got it again on the same connection (the pool takes the last used one first); the second copy of the rejection then arrived where the answer to the new attempt was due. The same for a caller that uses an id twice.

Change: a connection remembers (hashes of) the ids that it has carried, and the pool does not give it out for them again; after 256 ids it is replaced. Why it works: on one connection an id then stands for one sending, so that a copy of its answer is either read in this sending's own round trip, as the second message of it, or meets another id or none and is discarded, however late it comes.

Changed tests: three files sent a first request to leave an idle connection for the next of the same id; callers use an id once, so the first now has another id, and the next still finds the connection.

--- a/src/wallwell/backend_connection.py
+++ b/src/wallwell/backend_connection.py
@@ -3,13 +3,16 @@
 aiohttp's session hides what the request pipeline must know: whether a request can have reached the back end,
 whether a body without a length ended cleanly or by a reset, and whether bytes arrived that belong to no request.
 Here each round trip matches its answer by request id, answers to other requests are discarded, and a connection
-that received unexpected bytes is not reused. :mod:`wallwell.http_connection` opens, pools and closes connections.
+that received unexpected bytes is not reused. A back end may send an answer a second time, at any later moment, and
+all attempts of a request have the same id, so a connection carries each id only once: an id then tells which
+sending an answer belongs to. :mod:`wallwell.http_connection` opens, pools and closes connections.
 """
 
 from __future__ import annotations
 
 import asyncio
 import itertools
+from array import array
 from collections.abc import AsyncIterator
 
 from aiohttp.base_protocol import BaseProtocol
@@ -32,6 +35,8 @@
 """Seconds before the back end's own idle time-out at which a connection is no longer reused, so that no request is
 sent while the back end closes the connection. Back ends state the time-out in whole seconds."""
 
+MAX_IDS = 256
+"""Request ids after which a connection is not reused, as it remembers them all: 2 KB at most."""
 
 _connection_numbers = itertools.count(1)
 
@@ -51,6 +56,8 @@
         self.round_trips = 0
         """Requests that were sent on the connection."""
         self._id_header = id_header
+        self._carried_ids = array("q")
+        """Hashes of the request ids that were sent on the connection."""
         self._expected_id: str | None = None
         self._head: asyncio.Future[RawResponseMessage] | None = None
         """Resolves to the answer's head; None outside a round trip."""
@@ -75,18 +82,30 @@
 
     def is_reusable(self, now_s: float) -> bool:
         """Whether an idle connection may carry another round trip at boot time ``now_s``."""
-        return not (self.closed or self._must_close) and now_s - self.idle_since_s < self.max_idle_s
+        if self.closed or self._must_close or len(self._carried_ids) >= MAX_IDS:
+            return False
+        return now_s - self.idle_since_s < self.max_idle_s
+
+    def may_carry(self, request_id: str) -> bool:
+        """Whether the id was never sent on the connection, so that its answer cannot be that to an earlier sending.
+
+        An empty id is never matched. Two ids of the same hash only cost a connection.
+        """
+        return hash(request_id) not in self._carried_ids
 
     # --- round trip ------------------------------------------------------------------------------------
 
     async def round_trip(self, request_id: str, data: bytes, has_body: bool = True) -> RawResponseMessage:
         """Send a request and return the head of its answer; :meth:`body` then yields the body.
 
-        The answer must carry ``request_id``, unless that is empty. Raises :class:`ConnectionBrokenError`.
+        The answer must carry ``request_id``, unless that is empty. :meth:`may_carry` must allow the id. Raises
+        :class:`ConnectionBrokenError`.
         """
         if self.transport is None or self.closed:
             raise ConnectionBrokenError("closed before sending")
         self.round_trips += 1
+        if request_id:
+            self._carried_ids.append(hash(request_id))
         self._expected_id = request_id
         self._head = self._loop.create_future()
         self._payload = None
--- a/src/wallwell/http_connection.py
+++ b/src/wallwell/http_connection.py
@@ -54,16 +54,13 @@
         self._max_idle = max_idle
         self._idle: dict[str, list[BackendConnection]] = {}
 
-    async def acquire(self, address: str) -> BackendConnection:
-        """Return an idle or new connection to ``IP:PORT``. Raises :class:`ConnectFailedError`."""
-        now_s = boot_time_s()
-        idle = self._idle.get(address, [])
-        while idle:
-            connection = idle.pop()
-            if connection.is_reusable(now_s):
-                return connection
-            connection.close()
-        return await self._connect(address, self._connect_timeout_s)
+    async def acquire(self, address: str, request_id: str) -> BackendConnection:
+        """Return a connection to ``IP:PORT`` that is idle or new and on which the request id was never sent.
+
+        Raises :class:`ConnectFailedError`.
+        """
+        idle = self._take_idle(address, request_id)
+        return idle if idle is not None else await self._connect(address, self._connect_timeout_s)
 
     async def fetch(
         self,
@@ -79,7 +76,7 @@
         """
         try:
             async with time_limit(timeout_s):
-                connection = await self.acquire(address)
+                connection = await self.acquire(address, "")
                 try:
                     message = await connection.round_trip("", request)
                     if on_head is not None:
@@ -136,6 +133,20 @@
         now_s = boot_time_s()
         return any(connection.is_reusable(now_s) for connection in self._idle.get(address, ()))
 
+    def _take_idle(self, address: str, request_id: str) -> BackendConnection | None:
+        """Remove and return the most recently used idle connection that may carry the id; None if there is none."""
+        now_s = boot_time_s()
+        idle = self._idle.get(address, [])
+        for connection in reversed(idle.copy()):
+            is_reusable = connection.is_reusable(now_s)
+            if is_reusable and not connection.may_carry(request_id):
+                continue
+            idle.remove(connection)
+            if is_reusable:
+                return connection
+            connection.close()
+        return None
+
     def _add_idle(self, address: str, connection: BackendConnection) -> None:
         idle = self._idle.setdefault(address, [])
         idle.append(connection)
--- a/tests/platform/test_caller_gone.py
+++ b/tests/platform/test_caller_gone.py
@@ -146,7 +146,7 @@
 
     async def scenario(harness):
         # Opens idle connections to workers, so that a request could be sent in the same loop iteration.
-        await asyncio.gather(*(harness.call() for _ in range(count)))
+        await asyncio.gather(*(harness.call(X_Request_Id=f"earlier-{each}") for each in range(count)))
         sent.clear()
         for _ in range(count):
             with socket.create_connection(("127.0.0.1", harness.port)) as caller:
@@ -163,7 +163,7 @@
     """The kernel has seen the close, the event loop has not; its iterations are long on a busy node."""
 
     async def scenario(harness):
-        await harness.call()
+        await harness.call(X_Request_Id="earlier")
         sent.clear()
         admission = harness.node._pipeline._admission
         admit = admission.admit
@@ -198,7 +198,7 @@
     """A worker resets its connection, and the caller leaves, while the node's event loop is blocked."""
 
     async def scenario(harness):
-        await asyncio.gather(*(harness.call() for _ in range(6)))
+        await asyncio.gather(*(harness.call(X_Request_Id=f"earlier-{each}") for each in range(6)))
         sent.clear()
         breaking = []
 
--- a/tests/platform/test_requested_backoff.py
+++ b/tests/platform/test_requested_backoff.py
@@ -67,7 +67,7 @@
     """Guards against sending to a back end chosen before the wait without checking it again after the wait."""
 
     async def scenario(harness):
-        await harness.call()  # Leaves one idle connection; the others must be opened.
+        await harness.call(X_Request_Id="earlier")  # Leaves one idle connection; the others must be opened.
         (worker,) = harness.workers
         arrived_s = []
         refused = worker.answer(503, X_Not_Run="1", Retry_After=str(BACKOFF_S))
--- a/tests/platform/test_second_answers.py
+++ b/tests/platform/test_second_answers.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from tests.platform.conftest import config, route
+from tests.platform.test_peer_attempts import on_cut_node
 from wallwell import backend_connection
 from wallwell.events import Event
 from wallwell.serving import request_reports
@@ -77,3 +78,81 @@
     assert (discarded["expected_id"], discarded["answer_id"], discarded["status"]) == ("second", "first", 200)
     assert discarded["connection"] > 0
     assert discarded["round_trip"] == 2
+
+
+class RepeatingWorker:
+    """Rejects the first requests, each with a second copy of the rejection later, and runs all others."""
+
+    def __init__(self, worker, rejections, status=503, copy_after_s=SECOND_COPY_AFTER_S):
+        self.worker = worker
+        self.rejections = rejections
+        self.status = status
+        self.copy_after_s = copy_after_s
+        self.runs = []
+        self.copies = 0
+        worker.respond = self.respond
+
+    async def respond(self, request):
+        if self.rejections:
+            self.rejections -= 1
+            copy = raw_answer(self.worker, request, self.status, X_Not_Run="1")
+            asyncio.get_running_loop().call_later(self.copy_after_s, self.send, request.transport, copy)
+            return web.Response(status=self.status, headers=self.worker.headers(request, **{"X-Not-Run": "1"}))
+        self.runs.append(request.headers["X-Request-Id"])
+        await asyncio.sleep(RUN_S)
+        return web.Response(body=b"ran", headers=self.worker.headers(request))
+
+    def send(self, transport, data):
+        if transport is not None and not transport.is_closing():
+            self.copies += 1
+            transport.write(data)
+
+
+@pytest.mark.parametrize("status", [503, 429, 421])
+@pytest.mark.parametrize("copy_after_s", [0.0, 0.002, SECOND_COPY_AFTER_S, 2 * RUN_S])
+def test_second_copy_of_a_rejection_does_not_end_the_next_attempt(on_platform, status, copy_after_s):
+    """Guards against a call that runs twice, or that is refused though it ran."""
+
+    async def scenario(harness):
+        (worker,) = harness.workers
+        repeating = RepeatingWorker(worker, rejections=1, status=status, copy_after_s=copy_after_s)
+        answer = await harness.call(X_Request_Id="one")
+        await harness.until(lambda: repeating.copies or copy_after_s == 0.0)
+        next_answer = await harness.call(X_Request_Id="two")
+        return [answer[0], answer[2], next_answer[2]], repeating.runs
+
+    routes = [route(kind="unsafe", attempts=1)]
+    assert on_platform(scenario, config(routes=routes), workers=1) == ([200, b"ran", b"ran"], ["one", "two"])
+
+
+def test_second_copy_to_a_caller_that_uses_an_id_again_answers_nothing(on_platform):
+    """Guards against the answer to one request as the answer to another of the same id."""
+
+    async def scenario(harness):
+        (worker,) = harness.workers
+        bodies = []
+
+        async def respond(request):
+            body = b"answer %d" % len(bodies)
+            bodies.append(body)
+            copy = raw_answer(worker, request, 200, body=body)
+            asyncio.get_running_loop().call_later(SECOND_COPY_AFTER_S, request.transport.write, copy)
+            await asyncio.sleep(0 if len(bodies) == 1 else RUN_S)
+            return web.Response(body=body, headers=worker.headers(request))
+
+        worker.respond = respond
+        return [(await harness.call(X_Request_Id="same"))[2] for _ in range(2)]
+
+    assert on_platform(scenario, workers=1) == [b"answer 0", b"answer 1"]
+
+
+def test_second_copies_of_rejections_at_a_peer_do_not_end_the_next_attempt(on_platform):
+    """Guards against the same fault on the connections of a node that makes attempts for another."""
+
+    async def scenario(harness, fleet):
+        (worker,) = harness.workers
+        repeating = RepeatingWorker(worker, rejections=1)
+        status, _, body = await harness.call("/unsafe/a", X_Request_Id="one")
+        return status, body, repeating.runs, repeating.copies
+
+    assert on_cut_node(on_platform, scenario, workers=1) == (200, b"ran", ["one"], 1)
--- a/tests/platform/test_unframed_answers.py
+++ b/tests/platform/test_unframed_answers.py
@@ -191,7 +191,7 @@
 
 async def read_while_new_connections_are_reset(harness, monkeypatch, worker, respond, on_reset):
     """Return the answer on an open connection, while the worker resets new connections after ``on_reset()``."""
-    await harness.call(**PROMPT)  # Its connection stays open.
+    await harness.call(X_Request_Id="earlier", **PROMPT)  # Its connection stays open, for other ids.
     worker.respond = respond
     kind = type(worker._runner.server)
     serve = kind.__call__
--- a/tests/unit/test_http_connection.py
+++ b/tests/unit/test_http_connection.py
@@ -16,7 +16,7 @@
 import pytest
 import uvloop
 
-from wallwell.backend_connection import ConnectionBrokenError
+from wallwell.backend_connection import MAX_IDS, ConnectionBrokenError
 from wallwell.http_connection import ConnectFailedError, ConnectionPool
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -77,7 +77,7 @@
 
 
 async def fetch(pool, address, request_id="r1"):
-    connection = await pool.acquire(address)
+    connection = await pool.acquire(address, request_id)
     try:
         message = await connection.round_trip(request_id, REQUEST)
         return message.code, b"".join([chunk async for chunk in connection.body()])
@@ -160,6 +160,24 @@
     assert run_scripts(run_async, scripts, ("r1", "r2"))[0] == [b"hello", b"second"]
 
 
+def test_a_connection_carries_each_request_id_once(run_async):
+    """Guards against the second copy of an answer being taken for the answer to a later attempt of its request."""
+    scripts = [[answer(b"r1")], [answer(b"r1", b"again")], [answer(b"r2")], [answer(b"r3")]]
+    results, made = run_scripts(run_async, scripts, ("r1", "r1", "r2", "r3"))
+    assert results == [b"hello", b"again", b"hello", b"hello"]
+    assert made == 2
+
+
+@pytest.mark.parametrize(("requests", "connections"), [(MAX_IDS, 1), (MAX_IDS + 1, 2), (2 * MAX_IDS + 1, 3)])
+def test_a_connection_is_replaced_once_it_has_carried_many_ids(run_async, requests, connections):
+    """Guards against ids that are forgotten, or remembered without bound, on a connection that is never idle."""
+    ids = [f"r{number}" for number in range(requests)]
+    scripts = [[answer(each.encode())] for each in ids]
+    results, made = run_scripts(run_async, scripts, ids)
+    assert results == [b"hello"] * requests
+    assert made == connections
+
+
 def test_refused_connection_raises_connect_failed(run_async):
     async def work():
         with socket.socket() as unused:
@@ -167,7 +185,7 @@
             address = f"127.0.0.1:{unused.getsockname()[1]}"
             pool = ConnectionPool("X-Id", connect_timeout_s=5.0, user_timeout_s=5.0)
             with pytest.raises(ConnectFailedError) as caught:
-                await pool.acquire(address)
+                await pool.acquire(address, "r1")
             return caught.value.timed_out
 
     assert run_async(work()) is False
@@ -211,7 +229,7 @@
         pool = ConnectionPool("X-Id", connect_timeout_s=5.0, user_timeout_s=5.0)
         steps = [b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", PAUSE, end]
         async with ScriptedServer(steps) as server:
-            connection = await pool.acquire(server.address)
+            connection = await pool.acquire(server.address, "r1")
             await connection.round_trip("r1", REQUEST)
             while not connection.closed:
                 await asyncio.sleep(0)
@@ -282,11 +300,11 @@
         async with SilencedServer() as server:
             pool = ConnectionPool("", 1.0, 1.0)
             await asyncio.gather(*(pool.fetch(server.address, REQUEST, 1.0) for _ in range(3)))
-            connection = await pool.acquire(server.address)
+            connection = await pool.acquire(server.address, "r1")
             connection.transport.abort()
             connection.connection_lost(TimeoutError("no acknowledgement"))
             pool.release(server.address, connection)
-            fresh = await pool.acquire(server.address)
+            fresh = await pool.acquire(server.address, "r1")
             made = len(server._open)
             fresh.close()
             pool.close()
@@ -312,13 +330,13 @@
                 waiting.connect_ex(listener.getsockname())
             pool = ConnectionPool("X", 0.05, 1.0)
             with pytest.raises(ConnectFailedError):
-                await pool.acquire(address)  # The loop opens files of its own with its first connection.
+                await pool.acquire(address, "r1")  # The loop opens files of its own with its first connection.
             before = open_files()
             for _ in range(3):
                 with pytest.raises(ConnectFailedError) as failure:
-                    await pool.acquire(address)
+                    await pool.acquire(address, "r1")
                 assert failure.value.timed_out
-            cancelled_attempt = asyncio.ensure_future(pool.acquire(address))
+            cancelled_attempt = asyncio.ensure_future(pool.acquire(address, "r1"))
             await asyncio.sleep(0.01)
             cancelled_attempt.cancel()
             await asyncio.gather(cancelled_attempt, return_exceptions=True)
--- a/tests/unit/test_socket_options.py
+++ b/tests/unit/test_socket_options.py
@@ -21,7 +21,7 @@
 
 
 async def pooled(address):
-    connection = await ConnectionPool("X-Id", 1.0, 1.0).acquire(address)
+    connection = await ConnectionPool("X-Id", 1.0, 1.0).acquire(address, "r1")
     return connection.transport
 
 
