Read and drop the body of a discarded answer, so that it cannot stop its connection

A second copy of an answer of more than 64 KB, in the place of the next answer, would let a sound call time out, though it ran.

Cause: the parser gives a discarded answer a buffer that nobody reads; once it is full, reading from the socket stops, and the awaited answer behind it never arrives. Found by asking what a copy does to the next user of its connection.

Change: what has arrived of a discarded body is dropped with each read.

--- a/src/wallwell/backend_connection.py
+++ b/src/wallwell/backend_connection.py
@@ -62,6 +62,8 @@
         self._head: asyncio.Future[RawResponseMessage] | None = None
         """Resolves to the answer's head; None outside a round trip."""
         self._payload: StreamReader | None = None
+        self._discarded_body: StreamReader | None = None
+        """Body of the last discarded answer, which may still be arriving."""
         self._body_ends_at_close = False
         """Whether the body has no stated length, so that it ends where the connection is closed."""
         self._must_close = False
@@ -182,6 +184,7 @@
             self._must_close = True
         for message, payload in messages:
             self._on_message(message, payload)
+        self._drop_discarded_body()
 
     def _on_message(self, message: RawResponseMessage, payload: StreamReader) -> None:
         if 100 <= message.code < 200:
@@ -189,6 +192,7 @@
         answer_id = message.headers.get(self._id_header)
         if self._head is None or self._head.done() or (self._expected_id and answer_id != self._expected_id):
             self._must_close = True
+            self._discarded_body = payload
             self._log_discarded("answer to another request", message.code, answer_id)
             return
         if message.should_close:
@@ -199,6 +203,16 @@
         self._payload = payload
         self._head.set_result(message)
 
+    def _drop_discarded_body(self) -> None:
+        """Drop what has arrived of a discarded body: a full buffer would stop the reading of the awaited answer."""
+        body = self._discarded_body
+        if body is None:
+            return
+        if body.exception() is None:
+            body.read_nowait()
+        if body.is_eof() or body.exception() is not None:
+            self._discarded_body = None
+
     def _log_discarded(self, reason: str, status: int = 0, answer_id: str | None = None) -> None:
         """Log discarded bytes; with ``status`` and ``answer_id`` if they are an answer, which may be a late one."""
         emit(
--- a/tests/unit/test_http_connection.py
+++ b/tests/unit/test_http_connection.py
@@ -160,6 +160,25 @@
     assert run_scripts(run_async, scripts, ("r1", "r2"))[0] == [b"hello", b"second"]
 
 
+@pytest.mark.parametrize("surplus_bytes", [0, 1000, 1_000_000])
+@pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunks"])
+def test_answer_behind_a_large_discarded_one_is_read(run_async, surplus_bytes, chunked):
+    """Guards against a connection that stops reading, since nobody reads the body of a discarded answer."""
+    surplus = answer(b"r1", b"x" * surplus_bytes)
+    if chunked:
+        body = b"%x\r\n%s\r\n" % (surplus_bytes, b"x" * surplus_bytes) if surplus_bytes else b""
+        surplus = b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n" + body + b"0\r\n\r\n"
+    scripts = [[answer()], [surplus, PAUSE, answer(b"r2", b"second")]]
+
+    async def work():
+        async with asyncio.timeout(5), ScriptedServer(*scripts) as server:
+            pool = ConnectionPool("X-Id", connect_timeout_s=5.0, user_timeout_s=5.0)
+            answers = [(await fetch(pool, server.address, each))[1] for each in ("r1", "r2")]
+            return answers, server.connections
+
+    assert run_async(work()) == ([b"hello", b"second"], 1)
+
+
 def test_a_connection_carries_each_request_id_once(run_async):
     """Guards against the second copy of an answer being taken for the answer to a later attempt of its request."""
     scripts = [[answer(b"r1")], [answer(b"r1", b"again")], [answer(b"r2")], [answer(b"r3")]]
