Send a HEAD request on a connection of its own

Callers would see: a call of which a copy of another call's answer arrived first ended as perhaps run, though its answer followed.

Cause: one parser reads whatever comes in a round trip, and only the awaited request tells it whether a body follows. The copy of an answer with a body was read without it in a HEAD round trip, and the copy of an answer to HEAD took the next answer for its body.

Change: a request whose answer has no body gets a connection that has carried nothing, and is the last on it. Cost: a connection for each HEAD.

--- a/src/wallwell/backend_connection.py
+++ b/src/wallwell/backend_connection.py
@@ -88,11 +88,15 @@
             return False
         return now_s - self.idle_since_s < self.max_idle_s
 
-    def may_carry(self, request_id: str) -> bool:
-        """Whether the id was never sent on the connection, so that its answer cannot be that to an earlier sending.
+    def may_carry(self, request_id: str, has_body: bool) -> bool:
+        """Whether an answer on the connection cannot be that to an earlier request, or be cut wrongly.
 
-        An empty id is never matched. Two ids of the same hash only cost a connection.
+        The id must not have been sent on it; an empty one is never matched, and two ids of the same hash only cost
+        a connection. A request whose answer has no body must be the only one: where another answer arrives in place
+        of the awaited one, only the awaited one tells the parser whether a body follows.
         """
+        if not has_body and self.round_trips:
+            return False
         return hash(request_id) not in self._carried_ids
 
     # --- round trip ------------------------------------------------------------------------------------
@@ -100,7 +104,7 @@
     async def round_trip(self, request_id: str, data: bytes, has_body: bool = True) -> RawResponseMessage:
         """Send a request and return the head of its answer; :meth:`body` then yields the body.
 
-        The answer must carry ``request_id``, unless that is empty. :meth:`may_carry` must allow the id. Raises
+        The answer must carry ``request_id``, unless that is empty. :meth:`may_carry` must allow the request. Raises
         :class:`ConnectionBrokenError`.
         """
         if self.transport is None or self.closed:
@@ -113,6 +117,8 @@
         self._payload = None
         self._body_ends_at_close = False
         self._body_error = ""
+        if not has_body:
+            self._must_close = True
         self._parser = self._new_parser(has_body)
         self.transport.write(data)
         return await self._head
--- a/src/wallwell/http_connection.py
+++ b/src/wallwell/http_connection.py
@@ -54,12 +54,12 @@
         self._max_idle = max_idle
         self._idle: dict[str, list[BackendConnection]] = {}
 
-    async def acquire(self, address: str, request_id: str) -> BackendConnection:
-        """Return a connection to ``IP:PORT`` that is idle or new and on which the request id was never sent.
+    async def acquire(self, address: str, request_id: str, has_body: bool = True) -> BackendConnection:
+        """Return a connection to ``IP:PORT``, idle or new, that may carry the request id.
 
-        Raises :class:`ConnectFailedError`.
+        ``has_body``: whether the answer has a body. Raises :class:`ConnectFailedError`.
         """
-        idle = self._take_idle(address, request_id)
+        idle = self._take_idle(address, request_id, has_body)
         return idle if idle is not None else await self._connect(address, self._connect_timeout_s)
 
     async def fetch(
@@ -133,13 +133,13 @@
         now_s = boot_time_s()
         return any(connection.is_reusable(now_s) for connection in self._idle.get(address, ()))
 
-    def _take_idle(self, address: str, request_id: str) -> BackendConnection | None:
-        """Remove and return the most recently used idle connection that may carry the id; None if there is none."""
+    def _take_idle(self, address: str, request_id: str, has_body: bool) -> BackendConnection | None:
+        """Remove and return the most recently used idle connection that may carry a request; None if none may."""
         now_s = boot_time_s()
         idle = self._idle.get(address, [])
         for connection in reversed(idle.copy()):
             is_reusable = connection.is_reusable(now_s)
-            if is_reusable and not connection.may_carry(request_id):
+            if is_reusable and not connection.may_carry(request_id, has_body):
                 continue
             idle.remove(connection)
             if is_reusable:
--- a/src/wallwell/platform/worker_client.py
+++ b/src/wallwell/platform/worker_client.py
@@ -123,7 +123,9 @@
     async def _connect(self, dispatch: Dispatch) -> BackendConnection:
         dispatch.progress.connecting = True
         try:
-            connection = await self._pool.acquire(dispatch.backend.address, dispatch.request.request_id)
+            connection = await self._pool.acquire(
+                dispatch.backend.address, dispatch.request.request_id, has_answer_body(dispatch.request)
+            )
         except ConnectFailedError as error:
             event = TransportEvent.CONNECT_TIMEOUT if error.timed_out else TransportEvent.CONNECT_REFUSED
             raise AttemptError(event, str(error)) from error
--- a/tests/unit/test_http_connection.py
+++ b/tests/unit/test_http_connection.py
@@ -76,10 +76,10 @@
         return True
 
 
-async def fetch(pool, address, request_id="r1"):
-    connection = await pool.acquire(address, request_id)
+async def fetch(pool, address, request_id="r1", has_body=True):
+    connection = await pool.acquire(address, request_id, has_body)
     try:
-        message = await connection.round_trip(request_id, REQUEST)
+        message = await connection.round_trip(request_id, REQUEST, has_body)
         return message.code, b"".join([chunk async for chunk in connection.body()])
     finally:
         pool.release(address, connection)
@@ -179,6 +179,43 @@
     assert run_async(work()) == ([b"hello", b"second"], 1)
 
 
+HEAD_ANSWER = b"HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 5\r\n\r\n"
+
+
+@pytest.mark.parametrize("heads", [(False, True), (True, False), (True, True)])
+def test_copy_of_an_answer_does_not_spoil_one_with_a_body_or_without(run_async, heads):
+    """Guards against a body that is read as an answer, or an answer that is read as a body: HEAD has none."""
+
+    def answer_of(number):
+        request_id = b"r%d" % number
+        return HEAD_ANSWER % request_id if heads[number] else answer(request_id)
+
+    answers_sent = []
+
+    async def serve(reader, writer):
+        copy = b""
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                own = answer_of(len(answers_sent))
+                answers_sent.append(own)
+                writer.write(copy + own)
+                copy = own
+        except (EOFError, OSError):
+            writer.close()
+
+    async def work():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        pool = ConnectionPool("X-Id", connect_timeout_s=5.0, user_timeout_s=5.0)
+        async with asyncio.timeout(5):
+            answers = [await fetch(pool, address, f"r{each}", not is_head) for each, is_head in enumerate(heads)]
+        pool.close()
+        server.close()
+        return answers
+
+    assert run_async(work()) == [(200, b"" if is_head else b"hello") for is_head in heads]
+
+
 def test_a_connection_carries_each_request_id_once(run_async):
     """Guards against the second copy of an answer being taken for the answer to a later attempt of its request."""
     scripts = [[answer(b"r1")], [answer(b"r1", b"again")], [answer(b"r2")], [answer(b"r3")]]
