Do not take the second copy of another answer for that to an order or a report

Callers would see: generations sent to engines whose weights were taken for loaded, and refused there. Engines got no second order in time.

Cause: reports and orders share connections with calls and have no id, so that whatever answer came first in their round trip was taken: the copy of a call's 200 meant 'already loaded', that of a report too, that of an order's 202 that the next one was accepted.

Change: an answer with an id is never that to a report or order, and a connection carries one request without an id in its life, as it carries each id once. KV stores have only such requests; they get a pool that matches nothing, as events are numbered and an old page of them changes nothing.

--- a/src/wallwell/backend_connection.py
+++ b/src/wallwell/backend_connection.py
@@ -49,7 +49,8 @@
     """A connection that carries one round trip at a time."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, id_header: str) -> None:
-        """``id_header`` is the name of the answer's header that carries the request id."""
+        """``id_header`` is the name of the answer's header that carries the request id; if it is empty, answers are
+        not matched and ids not remembered."""
         super().__init__(loop)
         self.number = next(_connection_numbers)
         """Tells the connections of this process apart in logs."""
@@ -91,9 +92,9 @@
     def may_carry(self, request_id: str, has_body: bool) -> bool:
         """Whether an answer on the connection cannot be that to an earlier request, or be cut wrongly.
 
-        The id must not have been sent on it; an empty one is never matched, and two ids of the same hash only cost
-        a connection. A request whose answer has no body must be the only one: where another answer arrives in place
-        of the awaited one, only the awaited one tells the parser whether a body follows.
+        The id must not have been sent on it, and so only one request without an id; two ids of the same hash only
+        cost a connection. A request whose answer has no body must be the only one: where another answer arrives in
+        place of the awaited one, only the awaited one tells the parser whether a body follows.
         """
         if not has_body and self.round_trips:
             return False
@@ -104,13 +105,13 @@
     async def round_trip(self, request_id: str, data: bytes, has_body: bool = True) -> RawResponseMessage:
         """Send a request and return the head of its answer; :meth:`body` then yields the body.
 
-        The answer must carry ``request_id``, unless that is empty. :meth:`may_carry` must allow the request. Raises
-        :class:`ConnectionBrokenError`.
+        The answer must carry ``request_id``, or no id if that is empty. :meth:`may_carry` must allow the request.
+        Raises :class:`ConnectionBrokenError`.
         """
         if self.transport is None or self.closed:
             raise ConnectionBrokenError("closed before sending")
         self.round_trips += 1
-        if request_id:
+        if self._id_header:
             self._carried_ids.append(hash(request_id))
         self._expected_id = request_id
         self._head = self._loop.create_future()
@@ -195,8 +196,9 @@
     def _on_message(self, message: RawResponseMessage, payload: StreamReader) -> None:
         if 100 <= message.code < 200:
             return  # An interim (1xx) answer; the final answer follows.
-        answer_id = message.headers.get(self._id_header)
-        if self._head is None or self._head.done() or (self._expected_id and answer_id != self._expected_id):
+        answer_id = message.headers.get(self._id_header, "")
+        is_foreign = bool(self._id_header) and answer_id != self._expected_id
+        if self._head is None or self._head.done() or is_foreign:
             self._must_close = True
             self._discarded_body = payload
             self._log_discarded("answer to another request", message.code, answer_id)
@@ -219,7 +221,7 @@
         if body.is_eof() or body.exception() is not None:
             self._discarded_body = None
 
-    def _log_discarded(self, reason: str, status: int = 0, answer_id: str | None = None) -> None:
+    def _log_discarded(self, reason: str, status: int = 0, answer_id: str = "") -> None:
         """Log discarded bytes; with ``status`` and ``answer_id`` if they are an answer, which may be a late one."""
         emit(
             Event.ANSWER_DISCARDED,
@@ -227,7 +229,7 @@
             connection=self.number,
             round_trip=self.round_trips,
             expected_id=self._expected_id or "",
-            answer_id=answer_id or "",
+            answer_id=answer_id,
             status=status,
         )
 
--- a/src/wallwell/http_connection.py
+++ b/src/wallwell/http_connection.py
@@ -47,7 +47,8 @@
         user_timeout_s: float,
         max_idle: int = MAX_IDLE_PER_ADDRESS,
     ) -> None:
-        """``user_timeout_s`` bounds how long sent bytes may stay unacknowledged before a connection ends."""
+        """``id_header`` is as for :class:`BackendConnection`. ``user_timeout_s`` bounds how long sent bytes may
+        stay unacknowledged before a connection ends."""
         self._id_header = id_header
         self._connect_timeout_s = connect_timeout_s
         self._user_timeout_s = user_timeout_s
@@ -69,7 +70,7 @@
         timeout_s: float,
         on_head: Callable[[RawResponseMessage], None] | None = None,
     ) -> tuple[int, bytes]:
-        """Send an encoded request and return status and body. The answer's request id is not checked.
+        """Send an encoded request without an id and return status and body.
 
         ``on_head`` is called with the answer's head, even if reading the body then fails.
         Raises :class:`ConnectFailedError`, :class:`ConnectionBrokenError` or TimeoutError.
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -27,7 +27,7 @@
 from wallwell.platform.settings import PlatformSettings, load_platform_settings, settings_path
 from wallwell.platform.stop_deadline import exit_now, exit_within
 from wallwell.platform.store import PlatformStore, TableRows
-from wallwell.platform.worker_client import WorkerClient, make_worker_pool
+from wallwell.platform.worker_client import WorkerClient, make_cache_store_pool, make_worker_pool
 from wallwell.platform.worker_orders import WorkerControl
 from wallwell.platform.worker_probes import WorkerProbes
 from wallwell.routing.health.backend_notice import BackendNotices
@@ -50,7 +50,7 @@
     notices = BackendNotices()
     profile = NodeProfile(settings.node, topology, settings.limits.link_mbps)
     adapter = NodeAdapter(
-        _node_sources(store, CacheEventsClient(pool)),
+        _node_sources(store, CacheEventsClient(make_cache_store_pool())),
         client=WorkerClient(pool, notices),
         control=WorkerControl(pool, notices),
         backend_check=WorkerProbes(pool, topology),
--- a/src/wallwell/platform/worker_client.py
+++ b/src/wallwell/platform/worker_client.py
@@ -1,6 +1,6 @@
 """Sends requests to workers and returns their answers.
 
-Uses connections of a pool that probes, orders and cache events share. :mod:`.worker_requests` encodes requests and
+Uses connections of a pool that probes, reports and orders share. :mod:`.worker_requests` encodes requests and
 interprets answers. A transport failure is raised as an :class:`AttemptError`, which states whether the request can
 have reached the worker.
 """
@@ -43,6 +43,12 @@
     return ConnectionPool(names.REQUEST_ID, CONNECT_TIMEOUT_S, TCP_USER_TIMEOUT_S)
 
 
+def make_cache_store_pool() -> ConnectionPool:
+    """Return a new pool of connections to KV stores. Answers carry no request id; each numbers what it contains, so
+    that applying one twice, or the one before, changes nothing."""
+    return ConnectionPool("", CONNECT_TIMEOUT_S, TCP_USER_TIMEOUT_S)
+
+
 class WorkerAnswer:
     """An answer whose head has arrived. Closing it returns its connection to the pool."""
 
