Count discarded answers, log them at a bounded rate, and name the back end

Cause: a back end that repeats all its answers wrote a line for each, without its address, and no metric counted them. An engineer on call could not tell which back end was faulty, nor how often.

Change: wallwell_answers_discarded_total by reason counts all; 3008 has the address, whose answer came and while whose was awaited, and comes once a second and back end at most (more: what had no line since). Second answers in one round trip have a reason of their own.

--- a/src/wallwell/backend_connection.py
+++ b/src/wallwell/backend_connection.py
@@ -13,7 +13,7 @@
 import asyncio
 import itertools
 from array import array
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.client_exceptions import ClientPayloadError
@@ -21,7 +21,7 @@
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
 from wallwell.clock import boot_time_s
-from wallwell.events import Event, emit
+from wallwell.discarded_answers import Discarded, DiscardReason
 
 READ_BUFFER_BYTES = 32 * 1024
 """Bytes of a body that are buffered before reading from the socket pauses: enough for several events of a stream,
@@ -48,15 +48,18 @@
 class BackendConnection(BaseProtocol):
     """A connection that carries one round trip at a time."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, id_header: str) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, id_header: str, on_discarded: Callable[[Discarded], None]
+    ) -> None:
         """``id_header`` is the name of the answer's header that carries the request id; if it is empty, answers are
-        not matched and ids not remembered."""
+        not matched and ids not remembered. ``on_discarded`` is called for what answers no request."""
         super().__init__(loop)
         self.number = next(_connection_numbers)
         """Tells the connections of this process apart in logs."""
         self.round_trips = 0
         """Requests that were sent on the connection."""
         self._id_header = id_header
+        self._on_discarded = on_discarded
         self._carried_ids = array("q")
         """Hashes of the request ids that were sent on the connection."""
         self._expected_id: str | None = None
@@ -178,7 +181,7 @@
         """Parse received bytes; bytes that arrive outside a round trip close the connection."""
         if self._parser is None:
             if self._head is None and data:
-                self._log_discarded("bytes outside a round trip")
+                self._report_discarded(DiscardReason.OUTSIDE_A_ROUND_TRIP)
                 self.close()
             return
         try:
@@ -196,12 +199,12 @@
     def _on_message(self, message: RawResponseMessage, payload: StreamReader) -> None:
         if 100 <= message.code < 200:
             return  # An interim (1xx) answer; the final answer follows.
-        answer_id = message.headers.get(self._id_header, "")
-        is_foreign = bool(self._id_header) and answer_id != self._expected_id
-        if self._head is None or self._head.done() or is_foreign:
-            self._must_close = True
-            self._discarded_body = payload
-            self._log_discarded("answer to another request", message.code, answer_id)
+        head = self._head
+        if head is None or head.done():
+            self._discard(DiscardReason.SECOND_ANSWER, message, payload)
+            return
+        if self._id_header and message.headers.get(self._id_header, "") != self._expected_id:
+            self._discard(DiscardReason.ANOTHER_REQUEST, message, payload)
             return
         if message.should_close:
             self._must_close = True
@@ -209,7 +212,7 @@
         self._body_ends_at_close = not length_known and payload is not EMPTY_PAYLOAD
         self._read_keep_alive(message.headers.get("Keep-Alive", ""))
         self._payload = payload
-        self._head.set_result(message)
+        head.set_result(message)
 
     def _drop_discarded_body(self) -> None:
         """Drop what has arrived of a discarded body: a full buffer would stop the reading of the awaited answer."""
@@ -221,17 +224,15 @@
         if body.is_eof() or body.exception() is not None:
             self._discarded_body = None
 
-    def _log_discarded(self, reason: str, status: int = 0, answer_id: str = "") -> None:
-        """Log discarded bytes; with ``status`` and ``answer_id`` if they are an answer, which may be a late one."""
-        emit(
-            Event.ANSWER_DISCARDED,
-            reason=reason,
-            connection=self.number,
-            round_trip=self.round_trips,
-            expected_id=self._expected_id or "",
-            answer_id=answer_id,
-            status=status,
-        )
+    def _discard(self, reason: DiscardReason, message: RawResponseMessage, payload: StreamReader) -> None:
+        """Discard an answer; the awaited one may follow, but nothing else on this connection."""
+        self._must_close = True
+        self._discarded_body = payload
+        self._report_discarded(reason, message.headers.get(self._id_header, ""), message.code)
+
+    def _report_discarded(self, reason: DiscardReason, answer_id: str = "", status: int = 0) -> None:
+        expected_id = self._expected_id or ""
+        self._on_discarded(Discarded(reason, self.number, self.round_trips, expected_id, answer_id, status))
 
     def _read_keep_alive(self, keep_alive: str) -> None:
         for parameter in keep_alive.split(","):
--- a/src/wallwell/http_connection.py
+++ b/src/wallwell/http_connection.py
@@ -9,11 +9,13 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 from aiohttp.http_parser import RawResponseMessage
 
 from wallwell.backend_connection import BackendConnection, ConnectionBrokenError
 from wallwell.clock import boot_time_s, time_limit
+from wallwell.discarded_answers import DiscardedAnswers
 from wallwell.socket_options import enable_keepalive
 from wallwell.task_wait import is_done_within
 
@@ -54,6 +56,8 @@
         self._user_timeout_s = user_timeout_s
         self._max_idle = max_idle
         self._idle: dict[str, list[BackendConnection]] = {}
+        self.discarded_answers = DiscardedAnswers()
+        """What was received on the pool's connections and answers no request."""
 
     async def acquire(self, address: str, request_id: str, has_body: bool = True) -> BackendConnection:
         """Return a connection to ``IP:PORT``, idle or new, that may carry the request id.
@@ -181,7 +185,8 @@
     async def _connect(self, address: str, timeout_s: float) -> BackendConnection:
         loop = asyncio.get_running_loop()
         host, _, port = address.rpartition(":")
-        factory: Callable[[], BackendConnection] = lambda: BackendConnection(loop, self._id_header)  # noqa: E731
+        on_discarded = partial(self.discarded_answers.add, address)
+        factory = partial(BackendConnection, loop, self._id_header, on_discarded)
         connecting = asyncio.ensure_future(loop.create_connection(factory, host, int(port)))
         try:
             if not await is_done_within(connecting, timeout_s):
--- a/src/wallwell/node/metrics.py
+++ b/src/wallwell/node/metrics.py
@@ -23,9 +23,12 @@
 class NodeCollector:
     """Prometheus collector that reads a node's counters and state."""
 
-    def __init__(self, counters: RequestCounters, state: NodeState, is_ready: bool) -> None:
-        """``is_ready``: whether the node reports now that it is ready."""
+    def __init__(
+        self, counters: RequestCounters, discarded_answers: Mapping[str, int], state: NodeState, is_ready: bool
+    ) -> None:
+        """``discarded_answers``: by reason; ``is_ready``: whether the node reports now that it is ready."""
         self._counters = counters
+        self._discarded_answers = discarded_answers
         self._state = state
         self._is_ready = is_ready
 
@@ -54,6 +57,12 @@
             "wallwell_streams_resumed", "Streams that went on, by who resumed.", "by", counters.resumed_streams
         )
         yield _counter("wallwell_stream_lookups", "Streams that callers resume.", "result", counters.stream_lookups)
+        yield _counter(
+            "wallwell_answers_discarded",
+            "Received from back ends, and the answer to no request in flight.",
+            "reason",
+            self._discarded_answers,
+        )
         yield _histogram("wallwell_first_piece_seconds", "Time to the first token.", counters.first_token_latency)
         yield _histogram("wallwell_answer_seconds", "Time to the whole answer.", counters.answer_latency)
         yield _histogram("wallwell_largest_gap_seconds", "Largest pause of a stream.", counters.largest_event_gap)
@@ -207,8 +216,10 @@
     return family
 
 
-def metrics_text(counters: RequestCounters, state: NodeState, is_ready: bool) -> bytes:
-    """Return one node's metrics in the Prometheus text format; ``is_ready`` as for :class:`NodeCollector`."""
+def metrics_text(
+    counters: RequestCounters, discarded_answers: Mapping[str, int], state: NodeState, is_ready: bool
+) -> bytes:
+    """Return one node's metrics in the Prometheus text format; parameters as for :class:`NodeCollector`."""
     registry = CollectorRegistry()
-    registry.register(NodeCollector(counters, state, is_ready))
+    registry.register(NodeCollector(counters, discarded_answers, state, is_ready))
     return generate_latest(registry)
--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -265,7 +265,8 @@
         # Imported here so that a node without a metrics address does not load the Prometheus library.
         from wallwell.node.metrics import metrics_text
 
-        return metrics_text(self._pipeline.counters, self.state, self.is_ready())
+        discarded_answers = self._pool.discarded_answers.counts
+        return metrics_text(self._pipeline.counters, discarded_answers, self.state, self.is_ready())
 
     def is_ready(self) -> bool:
         """Whether callers should open new connections to this node."""
--- a/tests/platform/test_second_answers.py
+++ b/tests/platform/test_second_answers.py
@@ -9,7 +9,7 @@
 
 from tests.platform.conftest import config, route
 from tests.platform.test_peer_attempts import on_cut_node
-from wallwell import backend_connection
+from wallwell import discarded_answers
 from wallwell.events import Event
 from wallwell.serving import request_reports
 
@@ -35,7 +35,7 @@
         lines.append((event, fields))
 
     monkeypatch.setattr(request_reports, "emit", note)
-    monkeypatch.setattr(backend_connection, "emit", note)
+    monkeypatch.setattr(discarded_answers, "emit", note)
     return lines
 
 
@@ -71,13 +71,17 @@
             return web.Response(body=b"second", headers=worker.headers(request))
 
         worker.respond = respond
-        return [(await harness.call(X_Request_Id=each))[2] for each in ("first", "second")]
+        bodies = [(await harness.call(X_Request_Id=each))[2] for each in ("first", "second")]
+        return bodies, harness.node.metrics_text().decode()
 
-    assert on_platform(scenario, workers=1) == [b"first", b"second"]
+    bodies, metrics = on_platform(scenario, workers=1)
+    assert bodies == [b"first", b"second"]
+    assert 'wallwell_answers_discarded_total{reason="answer to another request"} 1.0' in metrics
     (discarded,) = [fields for event, fields in logged if event is Event.ANSWER_DISCARDED]
     assert (discarded["expected_id"], discarded["answer_id"], discarded["status"]) == ("second", "first", 200)
     assert discarded["connection"] > 0
     assert discarded["round_trip"] == 2
+    assert discarded["address"].startswith("127.0.0.1:")
 
 
 class RepeatingWorker:
--- a/tests/unit/compatibility/test_metrics_and_commands.py
+++ b/tests/unit/compatibility/test_metrics_and_commands.py
@@ -26,6 +26,7 @@
     "wallwell_quarantined": "gauge",
     "wallwell_crash_suspect_parts": "gauge",
     "wallwell_quarantined_parts": "gauge",
+    "wallwell_answers_discarded_total": "counter reason",
     "wallwell_connections_shed_total": "counter",
     "wallwell_limit_left": "gauge tenant",
     "wallwell_limit_asked_per_second": "gauge tenant",
--- a/tests/wire_subjects.py
+++ b/tests/wire_subjects.py
@@ -430,7 +430,7 @@
     """Return type, labels and bucket bounds of the metrics of a router on the platform, by exposed name."""
     counters = RequestCounters()
     counters.on_answered("stream", 0.1, 0.2, 0.1)
-    collector = NodeCollector(counters, _node().state, is_ready=True)
+    collector = NodeCollector(counters, {}, _node().state, is_ready=True)
     registry = CollectorRegistry()
     registry.register(collector)  # type: ignore[arg-type]
     declared = {each.name: tuple(each._labelnames) for each in collector.collect()}
