Soak: workers that reject now and then, and send answers twice

Cause: the soak's workers never repeated an answer, and hardly ever rejected a call that they could run, so that no seed could show a call that a second copy of a rejection made run twice.

Kept runs and those without the option are unchanged.

--- a/src/wallwell/cli/soak.py
+++ b/src/wallwell/cli/soak.py
@@ -44,6 +44,9 @@
     parser.add_argument("--crashing", type=int, default=0, help="callers whose requests crash their workers")
     parser.add_argument("--bad-parts", type=int, default=0, help="parts of prompts that crash their workers")
     parser.add_argument("--skew", action="store_true", help="most requests go to one node for some seconds")
+    parser.add_argument(
+        "--second-answers", action="store_true", help="workers reject now and then, and send answers twice"
+    )
     parser.add_argument("--rollout", default="", help="roll out a version of this kind: good, failing, slow, ...")
     parser.add_argument("--versions", type=int, default=1, help="software versions of engines, side by side")
     parser.add_argument("--calm", type=float, default=0.0, help="fault-free seconds at the end, for a weights roll")
@@ -82,6 +85,7 @@
         unframed=True,  # Kept runs keep their recorded shape; all other runs have these six features.
         bad_parts=options.bad_parts,
         skews=options.skew,
+        second_answers=options.second_answers,
         rollout=options.rollout,
         versions=options.versions,
         calm_s=options.calm,
@@ -129,12 +133,13 @@
     crashing = f" --crashing {shape.crashing}" if shape.crashing else ""
     bad_parts = f" --bad-parts {shape.bad_parts}" if shape.bad_parts else ""
     skew = " --skew" if shape.skews else ""
+    second_answers = " --second-answers" if shape.second_answers else ""
     if not (shape.notices and shape.limits and shape.identities and shape.restores):
         return f"wallwell soak --regressions FILE, with seed {schedule.seed} and {shape} in the file"
     return (
         f"wallwell soak --seed {schedule.seed} --seconds {shape.seconds:g} --nodes {shape.nodes} "
         f"--engines {shape.engines} --instances {shape.instances}{regions}{rate}{crashing}{bad_parts}{skew}"
-        f"{versions}{rollout}{calm}"
+        f"{second_answers}{versions}{rollout}{calm}"
     )
 
 
--- a/src/wallwell/soak/history.py
+++ b/src/wallwell/soak/history.py
@@ -140,6 +140,15 @@
     per_s: float
 
 
+class SentAgain(Record, frozen=True):
+    """A worker sent an answer a second time."""
+
+    request: str
+    """Empty for an answer to a report or an order."""
+    worker: str
+    status: int
+
+
 class OrderTaken(Record, frozen=True):
     """An order of new weights reached a worker."""
 
@@ -222,6 +231,7 @@
     | Arrived
     | LeavingStated
     | LimitStated
+    | SentAgain
     | OrderTaken
     | WorkerState
     | KeysInForce
--- a/src/wallwell/soak/invariants.py
+++ b/src/wallwell/soak/invariants.py
@@ -46,6 +46,7 @@
     "at_most_once": invariants_requests.at_most_once,
     "only_asked": invariants_requests.only_asked,
     "refused_not_run": invariants_requests.refused_not_run,
+    "second_answers_end_nothing": invariants_requests.second_answers_end_nothing,
     "stream_order": invariants_requests.stream_order,
     "one_version_per_stream": invariants_streams.one_version_per_stream,
     "resumed_streams_go_on": invariants_streams.resumed_streams_go_on,
--- a/src/wallwell/soak/invariants_requests.py
+++ b/src/wallwell/soak/invariants_requests.py
@@ -10,12 +10,14 @@
 from collections.abc import Iterator
 
 from wallwell.soak.cases import HELD, Cases, Violation
-from wallwell.soak.history import Answered, Began, FaultBegan, FaultEnded, NodeExited, Sent
+from wallwell.soak.history import Answered, Began, Ended, FaultBegan, FaultEnded, NodeExited, Sent, SentAgain
 from wallwell.soak.schedule import RECOVERY_S, FaultKind
 from wallwell.soak.timeline import CONTACT_S, History
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses by which a router states that a request has not run and never will."""
+SUCCESS_STATUS = 200
+"""Status of a worker's success in a run."""
 GIVEN_UP_STATUSES = frozenset((0, 502, 504))
 """Statuses of a request that a router gave up, though it may have run."""
 DEADLINE_SLACK_S = 0.02
@@ -89,6 +91,28 @@
             )
 
 
+def second_answers_end_nothing(history: History) -> Cases:
+    """The success of a worker that had rejected the request before, and rejects it twice, reaches the caller,
+    if the request must not run twice and no fault is near."""
+    rejecting = {
+        (copy.request, copy.worker)
+        for copy in history.records
+        if isinstance(copy, SentAgain) and copy.status in NOT_RUN_STATUSES
+    }
+    for ended in history.records:
+        if not isinstance(ended, Ended) or (ended.request, ended.worker) not in rejecting:
+            continue
+        sent, answer = history.sent.get(ended.request), history.answers.get(ended.request)
+        if sent is None or answer is None or not sent.kind.at_most_once or ended.status != SUCCESS_STATUS:
+            continue
+        if is_at_its_deadline(sent, answer) or not history.is_fault_free(sent.at_s, answer.at_s):
+            continue
+        if answer.status == ended.status:
+            yield HELD
+        else:
+            yield Violation(answer.at_s, ended.request, f"ended with {answer.status}; {ended.worker} answered it")
+
+
 def stream_order(history: History) -> Cases:
     """Events of a stream come one after the other from the first; a stream that ends as complete has all."""
     for answer in history.answers.values():
--- a/src/wallwell/soak/schedule.py
+++ b/src/wallwell/soak/schedule.py
@@ -193,6 +193,8 @@
     """Whether most requests go to one node for some seconds, and more than before."""
     unframed: bool = False
     """Whether some answers of workers have neither a length nor chunks."""
+    second_answers: bool = False
+    """Whether workers reject requests now and then, and send some of all their answers a second time."""
     rollout: str = ""
     """Name of :data:`ROLLOUTS`, empty for none."""
     notices: bool = False
--- a/src/wallwell/soak/worker_process.py
+++ b/src/wallwell/soak/worker_process.py
@@ -23,8 +23,18 @@
 from wallwell.platform import names
 from wallwell.soak.answers import CRASH_STATUS, CRASHING_BODY, call_body, event_text
 from wallwell.soak.control import Announcement, Done, Farewell, Heartbeat, announce
-from wallwell.soak.history import Arrived, Began, Ended, HistoryWriter, LeavingStated, LimitStated, OrderTaken
+from wallwell.soak.history import (
+    Arrived,
+    Began,
+    Ended,
+    HistoryWriter,
+    LeavingStated,
+    LimitStated,
+    OrderTaken,
+    SentAgain,
+)
 from wallwell.soak.schedule import BACKOFF_S, STATED_LIMIT_PER_S
+from wallwell.soak.second_answers import STREAM_BODY, AnswerRepeater
 from wallwell.soak.versions import Badness
 
 CONTROL_TIMEOUT_S = 1.0
@@ -36,6 +46,9 @@
 FENCED = HTTPStatus.PRECONDITION_FAILED.value
 CRASH_AFTER_S = 0.05
 """How long a worker runs a request that crashes it: other requests run beside it."""
+REJECTED_SHARE = 0.4
+"""Share of the requests that a worker rejects though it has room, where answers come twice: many are then sent to
+the worker again that rejected them."""
 UNFRAMED_FRACTION = 0.2
 """Fraction of the answers without a length or chunks, where some are."""
 QUEUE_LENGTH = 4
@@ -71,6 +84,8 @@
     """Parts of prompts that crash it as it begins to answer."""
     unframed: bool = False
     """Whether some of its answers have neither a length nor chunks."""
+    second_answers: bool = False
+    """Whether it rejects some requests though it has room, and sends some of its answers a second time."""
 
 
 class SoakWorker(PlatformWorkerEmulator):
@@ -90,6 +105,8 @@
         self._born_unix_ms = int(time.time() * 1000)
         self._store = PeerLink(settings.store_control)
         self._store_lock = asyncio.Lock()
+        self._generator = random.Random(f"{settings.seed}/second answers/{settings.incarnation}")
+        self._repeater = AnswerRepeater(self._generator, self._record_repeated)
 
     def entry(self) -> dict[str, Any]:
         """See :class:`PlatformWorkerEmulator`."""
@@ -148,6 +165,15 @@
             self._history.add(LimitStated(time.monotonic(), identity, self.incarnation, self.limit_per_s))
         return super().headers(request, **more)
 
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        response = await super()._handle(request)
+        if self._settings.second_answers and not isinstance(response, UnframedResponse):
+            self._repeater.plan(request, request.headers.get(names.REQUEST_ID, ""), response)
+        return response
+
+    def _record_repeated(self, identity: str, status: int) -> None:
+        self._history.add(SentAgain(time.monotonic(), identity, self.incarnation, status))
+
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Refuse, or run and record it."""
         body = await request.read()
@@ -193,6 +219,8 @@
             return MISDIRECTED
         if self._is_shedding or self.busy or self._running >= self.slots + QUEUE_LENGTH:
             return FULL
+        if self._settings.second_answers and self._generator.random() < REJECTED_SHARE:
+            return FULL
         return 0
 
     def _began(self, request: web.BaseRequest, identity: str, factor: float) -> Began:
@@ -243,12 +271,20 @@
         response = kind(headers=self.headers(request, **more))
         if self._begins_to_crash(request):
             asyncio.get_running_loop().call_later(CRASH_AFTER_S, os._exit, CRASH_STATUS)
-        await response.prepare(request)
-        first = _number(request.headers.get(names.RESUME_AFTER, "")) + 1
-        for number in range(first, _events(request) + 1):
-            await response.write(event_text(identity, number, self.software))
-            await asyncio.sleep(self._settings.event_s * factor)
-        await response.write_eof()
+        transport = request.transport
+        self._repeater.begin_answer(request)
+        try:
+            await response.prepare(request)
+            response[STREAM_BODY] = b""
+            first = _number(request.headers.get(names.RESUME_AFTER, "")) + 1
+            for number in range(first, _events(request) + 1):
+                event = event_text(identity, number, self.software)
+                await response.write(event)
+                response[STREAM_BODY] += event
+                await asyncio.sleep(self._settings.event_s * factor)
+            await response.write_eof()
+        finally:
+            self._repeater.end_answer(transport)
         return response
 
     # --- orders ----------------------------------------------------------------------------------------
--- a/tests/contract/test_soak.py
+++ b/tests/contract/test_soak.py
@@ -153,3 +153,15 @@
     assert played.returncode == 0, played.stdout[-2000:] + played.stderr[-2000:]
     assert "; 0 breaches" in played.stdout
     assert re.search(r"\bbad_part_reaches_few [1-9]", played.stdout), played.stdout[-2000:]
+
+
+def test_a_short_run_with_answers_that_come_twice_breaks_no_invariant(tmp_path):
+    """Guards against a second copy of a rejection that ends the next attempt of its call. Rejected calls are sent
+    there again, as there is one instance."""
+    run = "wallwell.cli.main", "soak", "--seed", "34", "--seconds", "15", "--calm", "6", "--engines", "2"
+    command = [sys.executable, "-m", *run, "--instances", "1", "--second-answers", "--keep", str(tmp_path / "run")]
+    command += ["--checkout", str(ROOT)]
+    played = subprocess.run(command, capture_output=True, text=True, timeout=120)
+    assert played.returncode == 0, played.stdout[-2000:] + played.stderr[-2000:]
+    assert "; 0 breaches" in played.stdout
+    assert re.search(r"\bsecond_answers_end_nothing [1-9]", played.stdout), played.stdout[-2000:]
--- a/tests/unit/cli/test_soak.py
+++ b/tests/unit/cli/test_soak.py
@@ -30,6 +30,7 @@
             unframed=True,
             bad_parts=2,
             skews=True,
+            second_answers=True,
             calm_s=18.0,
         ),
     ],
--- a/tests/unit/compatibility/test_metrics_and_commands.py
+++ b/tests/unit/compatibility/test_metrics_and_commands.py
@@ -124,6 +124,7 @@
         "--regions type=int default=1",
         "--regressions type=Path",
         "--rollout default=",
+        "--second-answers nargs=0 default=False",
         "--seconds type=float default=20.0",
         "--seed type=int default=1",
         "--skew nargs=0 default=False",
--- a/tests/unit/soak/test_invariants.py
+++ b/tests/unit/soak/test_invariants.py
@@ -17,6 +17,7 @@
     RequestKind,
     RolloutOrdered,
     RolloutState,
+    SentAgain,
     WeightsNamed,
     WorkerState,
 )
@@ -263,6 +264,18 @@
 BAD_ENOUGH = rollout(to_target=50, answers_bad=True)
 LATEST_BAD_S = 10.5 + 0.01 * 49 + 0.01 + ROLLBACK_S
 
+
+def rejected_twice(status):
+    worker = "" if status == 504 else "w.1"
+    return [
+        sent(),
+        SentAgain(1.15, "r", "w.1", 503),
+        began(),
+        Ended(1.18, "r", "w.1", 200),
+        answered(status=status, worker=worker),
+    ]
+
+
 SOUND = {
     "a worker that leaves is reached within the bound": leaving(DRAIN_BOUND_S - 0.1),
     "a worker that leaves is reached by nodes cut off from the store": [*leaving(DRAIN_BOUND_S + 0.1), *FAULT],
@@ -276,6 +289,8 @@
         DRAIN_BOUND_S + 0.1, more=[NodeExited(10.5, "node-0", -9, "SIGKILL")]
     ),
     "an unsafe request outlasts a silence of its worker": silenced(status=200),
+    "a call that ran where it was rejected before is answered": rejected_twice(status=200),
+    "the same beside a fault": [*rejected_twice(status=504), FaultBegan(1.0, "kill_node", "node-1")],
     "one that ends at its deadline in a silence": [sent(at_s=7.3, deadline_s=4.0), *silenced(status=504)[1:]],
     "a worker that wants nothing gets what was on its way": backing_off([0.1, 0.2, 0.3, 0.4, 0.6, 0.9]),
     "it gets requests again after its time": backing_off([1.01, 1.02, 1.03, 1.04]),
@@ -439,6 +454,10 @@
     "a request that nobody sent": ("only_asked", [began("unknown")]),
     "a refusal of what had run": ("refused_not_run", [sent(), began(), answered(status=503, worker="")]),
     "a refusal of what runs later": ("refused_not_run", [sent(), answered(status=429, worker=""), began(at_s=9)]),
+    "a call that ran where it was rejected before is not answered": (
+        "second_answers_end_nothing",
+        rejected_twice(status=504),
+    ),
     "a gap": ("stream_order", [STREAM, began(), answered(events=(1, 3), whole=False)]),
     "a double": ("stream_order", [STREAM, began(), answered(events=(1, 2, 2, 3))]),
     "a late start": ("stream_order", [STREAM, began(), answered(events=(2, 3))]),
--- a/tests/unit/soak/test_stand_ins.py
+++ b/tests/unit/soak/test_stand_ins.py
@@ -8,9 +8,19 @@
 import pytest
 
 from wallwell.platform import names
+from wallwell.soak import second_answers, worker_process
 from wallwell.soak.answers import call_body, event_text
 from wallwell.soak.control import Done, ForgetHistory, Heartbeat, PutRow, SwitchStore
-from wallwell.soak.history import HISTORY_SUFFIX, Arrived, Began, Ended, OrderTaken, WorkerState, read_history
+from wallwell.soak.history import (
+    HISTORY_SUFFIX,
+    Arrived,
+    Began,
+    Ended,
+    OrderTaken,
+    SentAgain,
+    WorkerState,
+    read_history,
+)
 from wallwell.soak.store_process import StoreProcess, StoreSettings
 from wallwell.soak.versions import ROLLOUTS, Badness
 from wallwell.soak.worker_process import SoakWorker, WorkerSettings
@@ -203,3 +213,33 @@
     )
     stand_in.draining = True
     assert stand_in.entry()["state"] == "draining"
+
+
+async def read_answer(reader):
+    """Return the status line and the body of one answer with a length."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    length = next(line.partition(":")[2] for line in head.splitlines() if line.startswith("Content-Length"))
+    return head.splitlines()[0], await reader.readexactly(int(length)), f"{names.REQUEST_ID}: r" in head
+
+
+@pytest.mark.parametrize(("rejected_share", "status"), [(0.0, 200), (1.0, 503)])
+def test_answers_and_rejections_come_twice_on_their_connection(
+    run_async, tmp_path, monkeypatch, rejected_share, status
+):
+    """Guards against a soak whose workers never repeat what routers must not take for another answer."""
+    monkeypatch.setattr(second_answers, "REPEATED_SHARE", 1.0)
+    monkeypatch.setattr(worker_process, "REJECTED_SHARE", rejected_share)
+
+    async def scenario(stand_in, call):
+        host, _, port = stand_in.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(f"POST /book/r HTTP/1.1\r\nHost: h\r\n{names.REQUEST_ID}: r\r\n\r\n".encode())
+        async with asyncio.timeout(5):
+            answers = [await read_answer(reader) for _ in range(2)]
+        writer.close()
+        return answers
+
+    (answer, copy), records = with_worker(run_async, tmp_path, scenario, second_answers=True)
+    assert answer == copy
+    assert (answer[0].split()[1], answer[2]) == (str(status), True)
+    assert [(each.request, each.status) for each in records if isinstance(each, SentAgain)] == [("r", status)]
