Standalone router: check whose answer a refusal or a cancellation's confirmation is

Callers would see: a generation refused as not run, or run elsewhere too, though an engine ran it.

The id of an engine's answer was compared only if its status was 200; a refusal was believed whoever it was for, and the answer to a cancellation carried no id at all. Connections to engines are kept, so that a second copy could be the first thing that the next request reads.

Change: the id is compared on every answer to a generation, and a cancellation has an id of its own. Attempts of one generation have different ids already, and service calls a connection each. Engines repeat the id on every answer, as the emulated ones now do; the pinned cancellation has one header line more.

--- a/src/wallwell/emulator/engine_server.py
+++ b/src/wallwell/emulator/engine_server.py
@@ -63,6 +63,7 @@
         app.router.add_post("/orders", self._handle_load_order)
         app.router.add_post("/_crash", self._handle_crash)
         app.router.add_post("/_leave", self._handle_leave)
+        app.on_response_prepare.append(_repeat_request_id)
         app.on_startup.append(self._on_startup)
         app.on_cleanup.append(self._on_cleanup)
         return app
@@ -204,3 +205,10 @@
     async def _handle_leave(self, _request: web.Request) -> web.Response:
         self.state = wire.EngineState.LEAVING
         return web.Response()
+
+
+async def _repeat_request_id(request: web.Request, response: web.StreamResponse) -> None:
+    """Repeat the request's id in its answer, unless the handler has put another one there."""
+    request_id = request.headers.get(wire.REQUEST_ID)
+    if request_id is not None:
+        response.headers.setdefault(wire.REQUEST_ID, request_id)
--- a/src/wallwell/standalone/backends/engine_client.py
+++ b/src/wallwell/standalone/backends/engine_client.py
@@ -26,6 +26,8 @@
 """Seconds to wait for a connection to be established."""
 CANCEL_TIMEOUT_S = 1.0
 """Seconds to wait for an engine to confirm a cancellation. An unconfirmed attempt may have run."""
+CANCEL_ID_SUFFIX = ".cancel"
+"""Added to a generation's request id for the id of its cancellation."""
 SNAPSHOT_TIMEOUT_S = 10.0
 """Seconds to wait for the complete list of an engine's cached blocks."""
 MAX_EVENT_BYTES = 256 * 1024
@@ -87,7 +89,6 @@
         """
         response = await self._open(call)
         try:
-            self._check_request_id(response, call)
             head.cached_tokens = int(response.headers.get(wire.CACHED_TOKENS, "0"))
             head.prompt_tokens = int(response.headers.get(wire.PROMPT_TOKENS, "0"))
             head.incarnation = response.headers.get(wire.INCARNATION, "")
@@ -107,6 +108,7 @@
             wire.PRIORITY_RANK: str(call.rank),
         }
         response = await self._receive_head(call, headers)
+        _check_request_id(response, call.attempt_id)
         if response.status != HTTPStatus.OK:
             await self._raise_refusal(response)
         return response
@@ -146,10 +148,6 @@
             ) from None
         raise AttemptFailed(_REFUSAL_EVENTS[reason], reason.value)
 
-    def _check_request_id(self, response: aiohttp.ClientResponse, call: GenerationCall) -> None:
-        if response.headers.get(wire.REQUEST_ID) != call.attempt_id:
-            raise AttemptFailed(TransportEvent.FOREIGN_ANSWER, "answer has another request id")
-
     async def _ordered_events(self, response: aiohttp.ClientResponse, call: GenerationCall) -> AsyncIterator[bytes]:
         expected = call.first_index
         async for event in self._split_events(response, call.stall_timeout_s):
@@ -191,12 +189,19 @@
     async def cancel(self, request_id: str) -> wire.CancelState | None:
         """Cancel a generation; returns how far it had come, None if the engine did not confirm."""
         body = msgspec.json.encode(wire.CancelRequest(request_id))
-        timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S)
+        # Not the generation's own id, so that no answer to the generation can be taken for this one.
+        call_id = f"{request_id}{CANCEL_ID_SUFFIX}"
         try:
-            async with self._session.post(self._base + "/cancel", data=body, timeout=timeout) as response:
+            async with self._session.post(
+                self._base + "/cancel",
+                data=body,
+                headers={wire.REQUEST_ID: call_id},
+                timeout=aiohttp.ClientTimeout(total=CANCEL_TIMEOUT_S),
+            ) as response:
+                _check_request_id(response, call_id)
                 payload = await response.read()
             return msgspec.json.decode(payload, type=wire.CancelAnswer).state
-        except (TimeoutError, aiohttp.ClientError, OSError, msgspec.DecodeError) as error:
+        except (TimeoutError, aiohttp.ClientError, OSError, msgspec.DecodeError, AttemptFailed) as error:
             emit(Event.ENGINE_CALL_FAILED, address=self._base, call="cancel", error=type(error).__name__)
             return None
 
@@ -236,6 +241,14 @@
             return 0
 
 
+def _check_request_id(response: aiohttp.ClientResponse, request_id: str) -> None:
+    """Raise :class:`AttemptFailed` and close the connection if an answer belongs to another request."""
+    if response.headers.get(wire.REQUEST_ID) == request_id:
+        return
+    response.close()
+    raise AttemptFailed(TransportEvent.FOREIGN_ANSWER, "answer has another request id")
+
+
 def client_session(limit_per_host: int = 0) -> aiohttp.ClientSession:
     """Return an HTTP session that never resends a request on its own.
 
--- a/src/wallwell/standalone/backends/engine_protocol.py
+++ b/src/wallwell/standalone/backends/engine_protocol.py
@@ -2,6 +2,8 @@
 
 A generation is an OpenAI-style completion with extra headers. Each server-sent event has the line
 ``id: <request id>/<token index>``, so that the router checks order and ownership without parsing the payload.
+Every answer, refusals included, repeats the request's ``X-Request-Id``: a faulty engine may send an answer a second
+time where the next one is due, and the router must not take it for that.
 Engines send status, load and cache events as JSON lines on one long-lived response. The standalone router and the
 emulated engines share these names of headers and fields.
 """
--- a/tests/unit/compatibility/test_requests_to_engines.py
+++ b/tests/unit/compatibility/test_requests_to_engines.py
@@ -39,6 +39,7 @@
         ],
         "cancel": [
             "POST /cancel HTTP/1.1",
+            "X-Request-Id: r1.1.cancel",
             "Content-Length: 21",
             "Content-Type: application/octet-stream",
             "",
