Put keys and values of crash rows into a module of their own

The subject of a part's row was composed in four places of crash_watch.py and taken apart in three. No behaviour changes; tests import the names from where they now stand.

--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -26,6 +26,14 @@
 from wallwell.errors import PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
 from wallwell.node.crash_probe import CrashCheck, CrashProbe
+from wallwell.node.crash_rows import (
+    CRASH_PREFIX,
+    PartCrashRow,
+    crash_key,
+    parse_crash_key,
+    part_of,
+    part_subject,
+)
 from wallwell.node.state import NodeState
 from wallwell.routing.admission.part_trials import NodeTurn, QuarantinedPart
 from wallwell.routing.health.backend import Backend
@@ -33,11 +41,6 @@
 from wallwell.storage.feed import FeedRow
 from wallwell.storage.table import Put, TableService, Transaction
 
-CRASH_PREFIX = "crash/"
-"""Prefix of keys ``crash/SUBJECT/START_ID`` (:attr:`Backend.start_id`); the value is the reporting node. The
-subject is the content digest of a request, or ``PART_PREFIX`` and the digest of a part; rows of parts have a
-:class:`PartCrashRow` as value."""
-PART_PREFIX = "part-"
 MAX_TRANSACTION_ROWS = 100
 """Most rows of one transaction; a limit of the store."""
 MAX_UNWRITTEN_ROWS = 4096
@@ -56,13 +59,6 @@
 """Seconds between two removals of expired crashes: short compared with the minutes for which a crash counts."""
 
 
-class PartCrashRow(msgspec.Struct, frozen=True):
-    """Value of the row of a part: the reporting node, and when the crash happened on the store's clock."""
-
-    node: str
-    happened_s: float
-
-
 @dataclass
 class BrokenRuns:
     """What a back end was running when it may have crashed."""
@@ -77,7 +73,7 @@
         """Yield the subjects of the crash rows."""
         yield from self.content_digests
         for digest in self.part_digests:
-            yield f"{PART_PREFIX}{digest}"
+            yield part_subject(digest)
 
 
 class CrashWatch:
@@ -130,12 +126,12 @@
     def on_worked(self, parts: Sequence[str], began_s: float) -> None:
         """Delete the crashes that these parts cannot have caused, since an answer begun afterwards went on."""
         cleared = self._state.part_quarantine.on_worked(parts, began_s)
-        self._write({_crash_key(f"{PART_PREFIX}{part}", start_id): False for part, start_id in cleared})
+        self._write({crash_key(part_subject(part), start_id): False for part, start_id in cleared})
 
     def on_answered(self, content_digest: str) -> None:
         """Delete the crashes of a request that was answered successfully, since it cannot have caused them."""
         crashes = self._state.quarantine.on_answered(content_digest, boot_time_s())
-        self._write({_crash_key(content_digest, incarnation): False for incarnation in crashes})
+        self._write({crash_key(content_digest, incarnation): False for incarnation in crashes})
 
     async def _probe_backend(self, backend: Backend) -> None:
         start_id = backend.start_id
@@ -152,18 +148,19 @@
             now_s = boot_time_s()
             since_s = broken.since_s
             counted = [subject for subject in broken.subjects() if self._count(subject, start_id, now_s, since_s)]
-            self._write({_crash_key(subject, start_id): True for subject in counted})
+            self._write({crash_key(subject, start_id): True for subject in counted})
 
     def _count(self, subject: str, start_id: str, now_s: float, happened_s: float) -> bool:
         """Count a crash of one start of a back end; returns False if it is known or does not count."""
-        if subject.startswith(PART_PREFIX):
-            part = subject.removeprefix(PART_PREFIX)
+        part = part_of(subject)
+        if part is not None:
             return self._state.part_quarantine.on_crash(part, start_id, now_s, happened_s)
         return count_crash(self._state.quarantine, subject, start_id, now_s)
 
     def _forget(self, subject: str, start_id: str) -> None:
-        if subject.startswith(PART_PREFIX):
-            self._state.part_quarantine.forget_crash(subject.removeprefix(PART_PREFIX), start_id)
+        part = part_of(subject)
+        if part is not None:
+            self._state.part_quarantine.forget_crash(part, start_id)
         else:
             self._state.quarantine.forget_crash(subject, start_id)
 
@@ -173,7 +170,7 @@
         """Apply a crash row of the nodes' own table; rows of other kinds are ignored."""
         if not row.key.startswith(CRASH_PREFIX):
             return
-        subject, start_id = _parse_key(row.key)
+        subject, start_id = parse_crash_key(row.key)
         if row.value is None:
             self._forget(subject, start_id)
         elif self._state.quarantine.is_cleared(subject, now_s):
@@ -183,7 +180,7 @@
 
     def _happened_s(self, row: FeedRow, subject: str) -> float:
         """Return when the crash in a row happened; now if the row is not of a part, or cannot be read."""
-        if not subject.startswith(PART_PREFIX):
+        if part_of(subject) is None:
             return self._store_time_s()
         try:
             return msgspec.json.decode(row.value or b"", type=PartCrashRow).happened_s
@@ -199,16 +196,14 @@
         """Return the crashes that the store has not accepted, newest first; none while it accepts writes."""
         if not self._is_write_failing:
             return ()
-        return [_parse_key(key) for key, is_put in reversed(self._unwritten.items()) if is_put]
+        return [parse_crash_key(key) for key, is_put in reversed(self._unwritten.items()) if is_put]
 
     def on_era(self, _era: int, is_restored: bool) -> None:
         """Write again what the store may have lost if it was restored: this node's recent writes and deletions, and
         the crashes that this node owns, as the nodes that wrote them may have ended since."""
         if not is_restored:
             return
-        counted = {
-            _crash_key(subject, start): True for subject, start in self._crashes() if self._is_owner(subject)
-        }
+        counted = {crash_key(subject, start): True for subject, start in self._crashes() if self._is_owner(subject)}
         since_s = boot_time_s() - REWRITE_WINDOW_S
         recent = {key: is_put for key, (is_put, at_s) in self._recent_writes.items() if at_s > since_s}
         self._write(counted | recent)
@@ -217,7 +212,7 @@
         """Yield all crashes that this node counts."""
         yield from self._state.quarantine.crashes()
         for part, start_id in self._state.part_quarantine.crashes():
-            yield f"{PART_PREFIX}{part}", start_id
+            yield part_subject(part), start_id
 
     # --- the store -------------------------------------------------------------------------------------
 
@@ -273,10 +268,11 @@
         return True
 
     def _row_value(self, key: str) -> str:
-        subject, start_id = _parse_key(key)
-        if not subject.startswith(PART_PREFIX):
+        subject, start_id = parse_crash_key(key)
+        part = part_of(subject)
+        if part is None:
             return self._state.node
-        happened_s = self._state.part_quarantine.happened_s(subject.removeprefix(PART_PREFIX), start_id)
+        happened_s = self._state.part_quarantine.happened_s(part, start_id)
         row = PartCrashRow(self._state.node, happened_s if happened_s is not None else self._store_time_s())
         return msgspec.json.encode(row).decode()
 
@@ -284,9 +280,9 @@
         """Remove expired crashes from the counts; for each row, one node deletes it from the store."""
         expired = self._state.quarantine.remove_expired(now_s)
         for part, start_id in self._state.part_quarantine.remove_expired(now_s):
-            expired.append((f"{PART_PREFIX}{part}", start_id))
+            expired.append((part_subject(part), start_id))
         for subject, start_id in expired:
-            key = _crash_key(subject, start_id)
+            key = crash_key(subject, start_id)
             if self._is_owner(subject):
                 self._write({key: False})
             else:
@@ -310,12 +306,3 @@
 
 def _log_released_part(part: str) -> None:
     emit(Event.PART_RELEASED, part=part)
-
-
-def _parse_key(key: str) -> Crash:
-    subject, _, start_id = key[len(CRASH_PREFIX) :].partition("/")
-    return subject, start_id
-
-
-def _crash_key(subject: str, start_id: str) -> str:
-    return f"{CRASH_PREFIX}{subject}/{start_id}"
--- a/tests/unit/node/test_crash_watch.py
+++ b/tests/unit/node/test_crash_watch.py
@@ -14,8 +14,8 @@
 from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import RouteKind
 from wallwell.node.crash_probe import FIRST_PROBE_DELAY_S, MAX_PROBES, PROBE_INTERVAL_S, SUCCESSOR_WAIT_S
+from wallwell.node.crash_rows import CRASH_PREFIX
 from wallwell.node.crash_watch import (
-    CRASH_PREFIX,
     MAX_UNWRITTEN_ROWS,
     SWEEP_INTERVAL_S,
     CrashWatch,
--- a/tests/unit/node/test_crash_watch_parts.py
+++ b/tests/unit/node/test_crash_watch_parts.py
@@ -11,7 +11,8 @@
 from tests.virtual_time import run_virtual
 from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import RouteKind
-from wallwell.node.crash_watch import CRASH_PREFIX, PART_PREFIX, SWEEP_INTERVAL_S, PartCrashRow
+from wallwell.node.crash_rows import CRASH_PREFIX, PART_PREFIX, PartCrashRow
+from wallwell.node.crash_watch import SWEEP_INTERVAL_S
 from wallwell.outcomes import Outcome
 from wallwell.routing.admission.part_quarantine import BEGINNING_S, part_digest
 from wallwell.routing.admission.quarantine import CRASHES_TO_QUARANTINE, SUSPECT_S
--- a/tests/unit/node/test_restarted_back_end.py
+++ b/tests/unit/node/test_restarted_back_end.py
@@ -24,7 +24,8 @@
 from tests.virtual_time import run_virtual
 from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import RouteKind
-from wallwell.node.crash_watch import CRASH_PREFIX, CrashWatch
+from wallwell.node.crash_rows import CRASH_PREFIX
+from wallwell.node.crash_watch import CrashWatch
 from wallwell.routing.admission.quarantine import CRASHES_TO_QUARANTINE
 from wallwell.serving.liveness import LivenessMonitor
 from wallwell.serving.pipeline import RequestPipeline
