--- a/tests/unit/platform/test_second_control_answers.py
+++ b/tests/unit/platform/test_second_control_answers.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tests.repeating_server import RepeatingServer, answer
 from wallwell.deployment.backends import BackendRecord
 from wallwell.placement.weights_roll import EngineReport, OrderReply, WeightsOrder
 from wallwell.platform.worker_client import make_worker_pool
@@ -22,40 +23,6 @@
 KINDS = [CALL, ORDERED, REPORTED]
 
 
-def answer(status, body=b"", request_id=""):
-    id_line = f"X-Request-Id: {request_id}\r\n" if request_id else ""
-    return f"HTTP/1.1 {status} S\r\n{id_line}Content-Length: {len(body)}\r\n\r\n".encode() + body
-
-
-class RepeatingServer:
-    """Answers each request with the next of its answers, after a copy of the one before on the connection."""
-
-    def __init__(self, *answers):
-        self._answers = list(answers)
-        self.copies = 0
-
-    async def __aenter__(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
-        return self
-
-    async def __aexit__(self, *_):
-        self._server.close()
-
-    async def _serve(self, reader, writer):
-        before = b""
-        try:
-            while head := await reader.readuntil(b"\r\n\r\n"):
-                length = next((line for line in head.split(b"\r\n") if line.startswith(b"Content-Length")), b": 0")
-                await reader.readexactly(int(length.partition(b":")[2]))
-                self.copies += bool(before)
-                own = self._answers.pop(0)
-                writer.write(before + own)
-                before = own
-        except (EOFError, OSError):
-            writer.close()
-
-
 async def make(kind, pool, address):
     record = BackendRecord("i-1", "svc", address, "z", 8)
     control = WorkerControl(pool, BackendNotices())
@@ -72,8 +39,12 @@
 @pytest.mark.parametrize(
     ("kinds", "answers", "expected"),
     [
-        ((CALL, ORDERED), (answer(200, b"", "r1"), answer(409)), (200, OrderReply.BUSY)),
-        ((CALL, REPORTED), (answer(503, b"", "r1"), answer(200, REPORT)), (503, EngineReport({"m": 3}, False, 2))),
+        ((CALL, ORDERED), (answer(200, X_Request_Id="r1"), answer(409)), (200, OrderReply.BUSY)),
+        (
+            (CALL, REPORTED),
+            (answer(503, X_Request_Id="r1"), answer(200, REPORT)),
+            (503, EngineReport({"m": 3}, False, 2)),
+        ),
         (
             (REPORTED, ORDERED),
             (answer(200, REPORT), answer(409)),
@@ -85,7 +56,7 @@
             (answer(200, REPORT), answer(200, OTHER_REPORT)),
             (EngineReport({"m": 3}, False, 2), EngineReport({"m": 4}, False, 3)),
         ),
-        ((ORDERED, CALL), (answer(202), answer(200, b"", "r1")), (OrderReply.ACCEPTED, 200)),
+        ((ORDERED, CALL), (answer(202), answer(200, X_Request_Id="r1")), (OrderReply.ACCEPTED, 200)),
     ],
     ids=lambda value: "-".join(value) if all(each in KINDS for each in value) else "",
 )
--- a/tests/unit/standalone/backends/test_second_engine_answers.py
+++ b/tests/unit/standalone/backends/test_second_engine_answers.py
@@ -7,50 +7,19 @@
 
 import pytest
 
+from tests.repeating_server import RepeatingServer, answer
 from wallwell.routing.retry.attempt_outcome import TransportEvent
 from wallwell.standalone.backends.attempt import AttemptFailed
 from wallwell.standalone.backends.engine_client import EngineClient, GenerationCall, GenerationHead, client_session
 from wallwell.standalone.backends.engine_protocol import CancelState
 
 
-def answer(status, body, request_id):
-    head = f"HTTP/1.1 {status} S\r\nX-Request-Id: {request_id}\r\nContent-Length: {len(body)}\r\n\r\n"
-    return (head + body).encode()
-
-
 def refusal(request_id):
-    return answer(503, json.dumps({"reason": "loading"}), request_id)
+    return answer(503, b'{"reason":"loading"}', X_Request_Id=request_id)
 
 
 def cancelled(request_id, state):
-    return answer(200, json.dumps({"state": state}), request_id + ".cancel")
-
-
-class RepeatingEngine:
-    """Answers each request with the next of its answers, after a copy of the one before on the connection."""
-
-    def __init__(self, *answers):
-        self._answers = list(answers)
-
-    async def __aenter__(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
-        return self
-
-    async def __aexit__(self, *_):
-        self._server.close()
-
-    async def _serve(self, reader, writer):
-        copy = b""
-        try:
-            while head := (await reader.readuntil(b"\r\n\r\n")).lower():
-                length = next(line for line in head.split(b"\r\n") if line.startswith(b"content-length:"))
-                await reader.readexactly(int(length.partition(b":")[2]))
-                own = self._answers.pop(0)
-                writer.write(copy + own)
-                copy = own
-        except (EOFError, OSError):
-            writer.close()
+    return answer(200, json.dumps({"state": state}).encode(), X_Request_Id=f"{request_id}.cancel")
 
 
 async def generate(client, request_id):
@@ -65,7 +34,7 @@
 def with_engine(run_async, answers, scenario):
     async def work():
         session = client_session()
-        async with asyncio.timeout(5), RepeatingEngine(*answers) as engine:
+        async with asyncio.timeout(5), RepeatingServer(*answers) as engine:
             try:
                 return await scenario(EngineClient(engine.address, session))
             finally:
@@ -74,7 +43,9 @@
     return run_async(work())
 
 
-@pytest.mark.parametrize("second", [refusal("r2"), answer(200, "data: [DONE]\n\n", "r2")], ids=["refused", "runs"])
+@pytest.mark.parametrize(
+    "second", [refusal("r2"), answer(200, b"data: [DONE]\n\n", X_Request_Id="r2")], ids=["refused", "runs"]
+)
 def test_copy_of_a_refusal_does_not_prove_that_the_next_generation_never_ran(run_async, second):
     """Guards against a generation that runs though the router says that it has not run."""
 
--- a/tests/unit/test_http_connection.py
+++ b/tests/unit/test_http_connection.py
@@ -16,6 +16,7 @@
 import pytest
 import uvloop
 
+from tests.repeating_server import RepeatingServer
 from wallwell.backend_connection import MAX_IDS, ConnectionBrokenError
 from wallwell.http_connection import ConnectFailedError, ConnectionPool
 
@@ -190,27 +191,13 @@
         request_id = b"r%d" % number
         return HEAD_ANSWER % request_id if heads[number] else answer(request_id)
 
-    answers_sent = []
-
-    async def serve(reader, writer):
-        copy = b""
-        try:
-            while await reader.readuntil(b"\r\n\r\n"):
-                own = answer_of(len(answers_sent))
-                answers_sent.append(own)
-                writer.write(copy + own)
-                copy = own
-        except (EOFError, OSError):
-            writer.close()
-
     async def work():
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         pool = ConnectionPool("X-Id", connect_timeout_s=5.0, user_timeout_s=5.0)
-        async with asyncio.timeout(5):
-            answers = [await fetch(pool, address, f"r{each}", not is_head) for each, is_head in enumerate(heads)]
+        async with asyncio.timeout(5), RepeatingServer(answer_of(0), answer_of(1)) as server:
+            answers = [
+                await fetch(pool, server.address, f"r{each}", not is_head) for each, is_head in enumerate(heads)
+            ]
         pool.close()
-        server.close()
         return answers
 
     assert run_async(work()) == [(200, b"" if is_head else b"hello") for is_head in heads]
