--- a/src/wallwell/cli/explain.py
+++ b/src/wallwell/cli/explain.py
@@ -140,6 +140,16 @@
     ]
 
 
+def find_discarded_lines(lines: Iterable[LogLine], request_id: str) -> list[LogLine]:
+    """Return the answers that were discarded and carried the request's id, or came while it waited for its own."""
+    return [
+        line
+        for line in lines
+        if line.event == Event.ANSWER_DISCARDED.number
+        and request_id in (line.fields.get("answer_id"), line.fields.get("expected_id"))
+    ]
+
+
 def likely_cause(request_lines: list[LogLine]) -> str:
     """Return one line that states the most likely cause of the request's outcome."""
     last = request_lines[-1]
@@ -188,6 +198,8 @@
         print(format_line(line))
     for line in find_quarantine_lines(lines, request_lines):
         print("  quarantine", format_line(line))
+    for line in find_discarded_lines(lines, options.request_id):
+        print("  discarded", format_line(line))
     for line in find_continuation_lines(lines, options.request_id):
         print("  resumed by", line.fields.get("request_id"), format_line(line))
     print(f"likely cause: {likely_cause(request_lines)}")
--- a/tests/unit/cli/test_explain.py
+++ b/tests/unit/cli/test_explain.py
@@ -123,3 +123,13 @@
     main(["explain", "r7", str(log)])
     shown = capsys.readouterr().out
     assert "crashed=i-1@5,i-2@6" in shown and "cd34" not in shown
+
+
+@pytest.mark.parametrize(("request_id", "shown"), [("r1", 1), ("r2", 1), ("r3", 0)])
+def test_prints_the_discarded_answers_of_a_request(tmp_path, capsys, request_id, shown):
+    """An answer of r1 that came twice, while r2 waited for its own."""
+    fields = {"answer_id": "r1", "expected_id": "r2", "connection": 7, "status": 503}
+    log = tmp_path / "a.log"
+    log.write_text("\n".join([*LOG_LINES, log_line(10.1, "n1", 3008, "received bytes discarded", **fields)]))
+    assert main(["explain", request_id, str(log)]) == 0
+    assert capsys.readouterr().out.count("discarded") == 2 * shown
