--- a/src/wallwell/cli/soak.py
+++ b/src/wallwell/cli/soak.py
@@ -10,12 +10,13 @@
 import shutil
 import sys
 import tempfile
+from collections.abc import Iterator
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
     from wallwell.soak.run import RunResult
-    from wallwell.soak.schedule import Schedule
+    from wallwell.soak.schedule import Schedule, Shape
 
 MAX_PRINTED_BREACHES = 10
 """Maximum number of breaches printed; all of them are written to the run's folder."""
@@ -30,6 +31,19 @@
 DEFAULT_RATE_PER_S = 40.0
 """Requests per second that all processes of a run can serve on one machine."""
 
+FEATURE_OPTIONS = {
+    "--regions": "regions",
+    "--rate": "requests_per_s",
+    "--crashing": "crashing",
+    "--bad-parts": "bad_parts",
+    "--skew": "skews",
+    "--second-answers": "second_answers",
+    "--versions": "versions",
+    "--rollout": "rollout",
+    "--calm": "calm_s",
+}
+"""Options that a replay names only if they were given, with the fields of a shape that they set."""
+
 
 def register(commands: Any) -> None:
     """Add the command to the parser."""
@@ -125,22 +139,29 @@
 def replay_command(schedule: Schedule) -> str:
     """Return the command that replays a schedule. Some shapes of kept runs can only be replayed from their file."""
     shape = schedule.shape
-    regions = f" --regions {shape.regions}" if shape.regions > 1 else ""
-    rate = f" --rate {shape.requests_per_s:g}" if shape.requests_per_s != DEFAULT_RATE_PER_S else ""
-    rollout = f" --rollout {shape.rollout}" if shape.rollout else ""
-    calm = f" --calm {shape.calm_s:g}" if shape.calm_s else ""
-    versions = f" --versions {shape.versions}" if shape.versions > 1 else ""
-    crashing = f" --crashing {shape.crashing}" if shape.crashing else ""
-    bad_parts = f" --bad-parts {shape.bad_parts}" if shape.bad_parts else ""
-    skew = " --skew" if shape.skews else ""
-    second_answers = " --second-answers" if shape.second_answers else ""
     if not (shape.notices and shape.limits and shape.identities and shape.restores):
         return f"wallwell soak --regressions FILE, with seed {schedule.seed} and {shape} in the file"
-    return (
-        f"wallwell soak --seed {schedule.seed} --seconds {shape.seconds:g} --nodes {shape.nodes} "
-        f"--engines {shape.engines} --instances {shape.instances}{regions}{rate}{crashing}{bad_parts}{skew}"
-        f"{second_answers}{versions}{rollout}{calm}"
+    size = (
+        f"--seconds {shape.seconds:g} --nodes {shape.nodes} --engines {shape.engines} --instances {shape.instances}"
     )
+    return " ".join([f"wallwell soak --seed {schedule.seed}", size, *_feature_options(shape)])
+
+
+def _feature_options(shape: Shape) -> Iterator[str]:
+    """Yield the options of the features in which a shape differs from the default."""
+    from wallwell.soak.schedule import Shape
+
+    default = Shape()
+    for option, field in FEATURE_OPTIONS.items():
+        value = getattr(shape, field)
+        if value == getattr(default, field):
+            continue
+        yield option if value is True else f"{option} {_number_text(value)}"
+
+
+def _number_text(value: float | str) -> str:
+    """Return a value as it is typed: 18 rather than 18.0."""
+    return f"{value:g}" if isinstance(value, float) else str(value)
 
 
 def _print_schedule(schedule: Schedule) -> None:
--- a/src/wallwell/soak/fleet.py
+++ b/src/wallwell/soak/fleet.py
@@ -27,7 +27,7 @@
 from wallwell.soak.store_process import StoreSettings
 from wallwell.soak.supervisor import ChildProcess, Supervisor
 from wallwell.soak.versions import FIRST_VERSION, Badness, version_of_engine
-from wallwell.soak.worker_process import WorkerSettings
+from wallwell.soak.worker_settings import WorkerSettings
 
 REGION_DELAY_S = 0.02
 """Seconds of one way between regions."""
--- a/src/wallwell/soak/invariants_requests.py
+++ b/src/wallwell/soak/invariants_requests.py
@@ -94,25 +94,36 @@
 def second_answers_end_nothing(history: History) -> Cases:
     """The success of a worker that had rejected the request before, and rejects it twice, reaches the caller,
     if the request must not run twice and no fault is near."""
-    rejecting = {
+    rejected_twice = {
         (copy.request, copy.worker)
         for copy in history.records
         if isinstance(copy, SentAgain) and copy.status in NOT_RUN_STATUSES
     }
     for ended in history.records:
-        if not isinstance(ended, Ended) or (ended.request, ended.worker) not in rejecting:
+        if not isinstance(ended, Ended) or ended.status != SUCCESS_STATUS:
             continue
-        sent, answer = history.sent.get(ended.request), history.answers.get(ended.request)
-        if sent is None or answer is None or not sent.kind.at_most_once or ended.status != SUCCESS_STATUS:
+        if (ended.request, ended.worker) not in rejected_twice:
             continue
-        if is_at_its_deadline(sent, answer) or not history.is_fault_free(sent.at_s, answer.at_s):
+        answer = _undisturbed_answer(history, ended.request)
+        if answer is None:
             continue
-        if answer.status == ended.status:
+        if answer.status == SUCCESS_STATUS:
             yield HELD
         else:
             yield Violation(answer.at_s, ended.request, f"ended with {answer.status}; {ended.worker} answered it")
 
 
+def _undisturbed_answer(history: History, request: str) -> Answered | None:
+    """Return the answer to a request that must not run twice; None if there is none, or if a fault or the caller's
+    deadline may have ended it."""
+    sent, answer = history.sent.get(request), history.answers.get(request)
+    if sent is None or answer is None or not sent.kind.at_most_once:
+        return None
+    if is_at_its_deadline(sent, answer) or not history.is_fault_free(sent.at_s, answer.at_s):
+        return None
+    return answer
+
+
 def stream_order(history: History) -> Cases:
     """Events of a stream come one after the other from the first; a stream that ends as complete has all."""
     for answer in history.answers.values():
--- a/src/wallwell/soak/process.py
+++ b/src/wallwell/soak/process.py
@@ -27,7 +27,8 @@
         await proxy.start()
         await asyncio.Event().wait()
     elif kind == "worker":
-        from wallwell.soak.worker_process import SoakWorker, WorkerSettings
+        from wallwell.soak.worker_process import SoakWorker
+        from wallwell.soak.worker_settings import WorkerSettings
 
         await SoakWorker(msgspec.json.decode(settings, type=WorkerSettings)).run()
     elif kind == "callers":
--- a/tests/unit/soak/test_stand_ins.py
+++ b/tests/unit/soak/test_stand_ins.py
@@ -23,7 +23,8 @@
 )
 from wallwell.soak.store_process import StoreProcess, StoreSettings
 from wallwell.soak.versions import ROLLOUTS, Badness
-from wallwell.soak.worker_process import SoakWorker, WorkerSettings
+from wallwell.soak.worker_process import SoakWorker
+from wallwell.soak.worker_settings import WorkerSettings
 
 ENTRY = {"service": "orders", "addr": "127.0.0.1:1", "state": "ready", "version": "v1", "seq": 1}
 
