--- a/src/wallwell/backend_connection.py
+++ b/src/wallwell/backend_connection.py
@@ -4,8 +4,8 @@
 whether a body without a length ended cleanly or by a reset, and whether bytes arrived that belong to no request.
 Here each round trip matches its answer by request id, answers to other requests are discarded, and a connection
 that received unexpected bytes is not reused. A back end may send an answer a second time, at any later moment, and
-all attempts of a request have the same id, so a connection carries each id only once: an id then tells which
-sending an answer belongs to. :mod:`wallwell.http_connection` opens, pools and closes connections.
+all attempts of a request have the same id. So a connection carries each id only once, and an answer with that id
+belongs to that one sending. :mod:`wallwell.http_connection` opens, pools and closes connections.
 """
 
 from __future__ import annotations
@@ -93,11 +93,11 @@
         return now_s - self.idle_since_s < self.max_idle_s
 
     def may_carry(self, request_id: str, has_body: bool) -> bool:
-        """Whether an answer on the connection cannot be that to an earlier request, or be cut wrongly.
+        """Whether the connection may carry a request with this id; ``has_body``: whether its answer has a body.
 
-        The id must not have been sent on it, and so only one request without an id; two ids of the same hash only
-        cost a connection. A request whose answer has no body must be the only one: where another answer arrives in
-        place of the awaited one, only the awaited one tells the parser whether a body follows.
+        An id must not have been sent on it before, nor may a second request without an id: a late copy of the
+        first answer could be taken for the second. Two ids of the same hash only cost a connection. A request whose
+        answer has no body must be the first: the parser would read the copy of an earlier answer without its body.
         """
         if not has_body and self.round_trips:
             return False
--- a/src/wallwell/serving/request_reports.py
+++ b/src/wallwell/serving/request_reports.py
@@ -134,8 +134,8 @@
 
 
 def _connection_fields(active: ActiveRequest) -> dict[str, int]:
-    """Return the log fields that tell on which connection an attempt was sent, and which of its requests it was;
-    empty if this node sent nothing. Two attempts of one request may share a connection."""
+    """Return the log fields that name the connection on which an attempt was sent, and which of its requests it
+    was; empty if this node sent nothing."""
     progress = active.progress
     if not progress.connection:
         return {}
