--- a/tests/unit/serving/test_regions.py
+++ b/tests/unit/serving/test_regions.py
@@ -380,7 +380,7 @@
         client = FakeClient(Script(chunks=(event(1), event(2)), stream=True))
         request = make_request(generation=make_generation(), body=b"x" * 100)
         await RequestPipeline(state, client).serve(request, FakeReply())
-        return state, metrics_text(RequestCounters(), state, is_ready=True).decode()
+        return state, metrics_text(RequestCounters(), {}, state, is_ready=True).decode()
 
     state, text = run_virtual(scenario())
     size = 100 + len(event(1)) + len(event(2))
