Take an answer to a report or order unless its id is that of an earlier request

Callers would see: weights that are never loaded, where back ends, or a proxy before them, put an id of their own on answers to requests that came without: since such an answer was discarded and the call timed out.

Change: without an awaited id, only an id that the connection has carried is another request's; a copy of an earlier answer on that connection always has one of these. Requests with an id are matched as strictly as before.

--- a/src/wallwell/backend_connection.py
+++ b/src/wallwell/backend_connection.py
@@ -108,8 +108,8 @@
     async def round_trip(self, request_id: str, data: bytes, has_body: bool = True) -> RawResponseMessage:
         """Send a request and return the head of its answer; :meth:`body` then yields the body.
 
-        The answer must carry ``request_id``, or no id if that is empty. :meth:`may_carry` must allow the request.
-        Raises :class:`ConnectionBrokenError`.
+        The answer must carry ``request_id``; if that is empty, no id of an earlier request. :meth:`may_carry` must
+        allow the request. Raises :class:`ConnectionBrokenError`.
         """
         if self.transport is None or self.closed:
             raise ConnectionBrokenError("closed before sending")
@@ -203,7 +203,7 @@
         if head is None or head.done():
             self._discard(DiscardReason.SECOND_ANSWER, message, payload)
             return
-        if self._id_header and message.headers.get(self._id_header, "") != self._expected_id:
+        if self._is_answer_to_another(message.headers.get(self._id_header, "")):
             self._discard(DiscardReason.ANOTHER_REQUEST, message, payload)
             return
         if message.should_close:
@@ -214,6 +214,18 @@
         self._payload = payload
         head.set_result(message)
 
+    def _is_answer_to_another(self, answer_id: str) -> bool:
+        """Whether an answer with this id, empty if it has none, belongs to another request than the awaited one.
+
+        Where that has no id, an answer may have any but those of the connection's earlier requests: a back end, or
+        what stands before it, may give an id to requests that come without.
+        """
+        if not self._id_header:
+            return False
+        if self._expected_id:
+            return answer_id != self._expected_id
+        return bool(answer_id) and hash(answer_id) in self._carried_ids
+
     def _drop_discarded_body(self) -> None:
         """Drop what has arrived of a discarded body: a full buffer would stop the reading of the awaited answer."""
         body = self._discarded_body
--- a/tests/unit/platform/test_second_control_answers.py
+++ b/tests/unit/platform/test_second_control_answers.py
@@ -56,6 +56,11 @@
             (answer(200, REPORT), answer(200, OTHER_REPORT)),
             (EngineReport({"m": 3}, False, 2), EngineReport({"m": 4}, False, 3)),
         ),
+        (
+            (CALL, ORDERED),
+            (answer(200, X_Request_Id="r1"), answer(409, X_Request_Id="made-by-a-proxy")),
+            (200, OrderReply.BUSY),
+        ),
         ((ORDERED, CALL), (answer(202), answer(200, X_Request_Id="r1")), (OrderReply.ACCEPTED, 200)),
     ],
     ids=lambda value: "-".join(value) if all(each in KINDS for each in value) else "",
