--- a/tests/platform/test_second_answers.py
+++ b/tests/platform/test_second_answers.py
@@ -9,6 +9,7 @@
 
 from tests.platform.conftest import config, route
 from tests.platform.test_peer_attempts import on_cut_node
+from tests.repeating_server import answer
 from wallwell import discarded_answers
 from wallwell.events import Event
 from wallwell.serving import request_reports
@@ -22,8 +23,7 @@
 def raw_answer(worker, request, status, *, body=b"", **headers):
     """Return the bytes of an answer."""
     named = worker.headers(request, **{name.replace("_", "-"): value for name, value in headers.items()})
-    lines = [f"HTTP/1.1 {status} Status", *(f"{name}: {value}" for name, value in named.items())]
-    return "\r\n".join([*lines, f"Content-Length: {len(body)}", "", ""]).encode() + body
+    return answer(status, body, **named)
 
 
 @pytest.fixture
@@ -120,10 +120,10 @@
     async def scenario(harness):
         (worker,) = harness.workers
         repeating = RepeatingWorker(worker, rejections=1, status=status, copy_after_s=copy_after_s)
-        answer = await harness.call(X_Request_Id="one")
+        first = await harness.call(X_Request_Id="one")
         await harness.until(lambda: repeating.copies or copy_after_s == 0.0)
-        next_answer = await harness.call(X_Request_Id="two")
-        return [answer[0], answer[2], next_answer[2]], repeating.runs
+        second = await harness.call(X_Request_Id="two")
+        return [first[0], first[2], second[2]], repeating.runs
 
     routes = [route(kind="unsafe", attempts=1)]
     assert on_platform(scenario, config(routes=routes), workers=1) == ([200, b"ran", b"ran"], ["one", "two"])
