--- a/tests/contract/test_soak.py
+++ b/tests/contract/test_soak.py
@@ -112,6 +112,22 @@
     assert "WW7003 SoakError: a run takes 15 s at least" in result.stderr
 
 
+def play(tmp_path, *options):
+    """Play a run that breaks no invariant, and return what it printed."""
+    soak = [sys.executable, "-m", "wallwell.cli.main", "soak", *options]
+    places = ["--keep", str(tmp_path / "run"), "--checkout", str(ROOT)]
+    played = subprocess.run([*soak, *places], capture_output=True, text=True, timeout=120)
+    assert played.returncode == 0, played.stdout[-2000:] + played.stderr[-2000:]
+    assert "; 0 breaches" in played.stdout
+    return played.stdout
+
+
+def assert_tested(printed, *invariants):
+    """Check that a run put invariants to the test."""
+    for invariant in invariants:
+        assert re.search(rf"\b{invariant} [1-9]", printed), printed[-2000:]
+
+
 @pytest.mark.parametrize(
     ("seed", "tested"),
     [
@@ -124,44 +140,23 @@
     """Three seeds, each with a caller whose request crashes what runs it, an engine that wants no requests and a
     worker that says how many it takes; in the second a worker leaves while the store is down. In the last two that
     worker serves calls, so that no request crashes it. Longer ones and more seeds are played by hand."""
-    run = "wallwell.cli.main", "soak", "--seed", str(seed), "--seconds", "20", "--crashing", "1"
-    command = [sys.executable, "-m", *run, "--keep", str(tmp_path / "run"), "--checkout", str(ROOT)]
-    played = subprocess.run(command, capture_output=True, text=True, timeout=120)
-    assert played.returncode == 0, played.stdout[-2000:] + played.stderr[-2000:]
-    assert "; 0 breaches" in played.stdout
-    for invariant in tested:
-        assert re.search(rf"\b{invariant} [1-9]", played.stdout), played.stdout[-2000:]
+    assert_tested(play(tmp_path, "--seed", str(seed), "--seconds", "20", "--crashing", "1"), *tested)
 
 
 def test_a_short_run_with_several_software_versions_breaks_no_invariant(tmp_path):
     """Engines crash and nodes end while three versions serve, and callers take up what broke off."""
-    run = "wallwell.cli.main", "soak", "--seed", "83", "--seconds", "18", "--engines", "6", "--rate", "10"
-    command = [sys.executable, "-m", *run, "--versions", "3", "--keep", str(tmp_path / "run")]
-    command += ["--checkout", str(ROOT)]
-    played = subprocess.run(command, capture_output=True, text=True, timeout=120)
-    assert played.returncode == 0, played.stdout[-2000:] + played.stderr[-2000:]
-    assert "; 0 breaches" in played.stdout
-    assert re.search(r"\bone_version_per_stream [1-9]", played.stdout), played.stdout[-2000:]
+    size = "--seconds", "18", "--engines", "6", "--rate", "10"
+    assert_tested(play(tmp_path, "--seed", "83", *size, "--versions", "3"), "one_version_per_stream")
 
 
 def test_a_short_run_with_a_part_that_crashes_workers_breaks_no_invariant(tmp_path):
     """Requests with the part come at any node beside faults; some answers have neither a length nor chunks."""
-    run = "wallwell.cli.main", "soak", "--seed", "91", "--seconds", "20", "--engines", "6", "--rate", "20"
-    command = [sys.executable, "-m", *run, "--bad-parts", "1", "--keep", str(tmp_path / "run")]
-    command += ["--checkout", str(ROOT)]
-    played = subprocess.run(command, capture_output=True, text=True, timeout=120)
-    assert played.returncode == 0, played.stdout[-2000:] + played.stderr[-2000:]
-    assert "; 0 breaches" in played.stdout
-    assert re.search(r"\bbad_part_reaches_few [1-9]", played.stdout), played.stdout[-2000:]
+    size = "--seconds", "20", "--engines", "6", "--rate", "20"
+    assert_tested(play(tmp_path, "--seed", "91", *size, "--bad-parts", "1"), "bad_part_reaches_few")
 
 
 def test_a_short_run_with_answers_that_come_twice_breaks_no_invariant(tmp_path):
     """Guards against a second copy of a rejection that ends the next attempt of its call. Rejected calls are sent
     there again, as there is one instance."""
-    run = "wallwell.cli.main", "soak", "--seed", "34", "--seconds", "15", "--calm", "6", "--engines", "2"
-    command = [sys.executable, "-m", *run, "--instances", "1", "--second-answers", "--keep", str(tmp_path / "run")]
-    command += ["--checkout", str(ROOT)]
-    played = subprocess.run(command, capture_output=True, text=True, timeout=120)
-    assert played.returncode == 0, played.stdout[-2000:] + played.stderr[-2000:]
-    assert "; 0 breaches" in played.stdout
-    assert re.search(r"\bsecond_answers_end_nothing [1-9]", played.stdout), played.stdout[-2000:]
+    size = "--seconds", "15", "--calm", "6", "--engines", "2", "--instances", "1"
+    assert_tested(play(tmp_path, "--seed", "34", *size, "--second-answers"), "second_answers_end_nothing")
