Soak: one piece says which answers no fault disturbed

Two modules of invariants looked up the answer to a request and checked that no fault was near it, under one name, one of them added by the check of second answers. History.undisturbed_answer does both; what else each asks for (the caller stayed; must not run twice, not at its deadline) stays where it is asked. A count that no test read left the repeating server.

--- a/src/wallwell/soak/invariants_parts.py
+++ b/src/wallwell/soak/invariants_parts.py
@@ -118,7 +118,7 @@
             sent.kind in (RequestKind.STREAM, RequestKind.RESUMABLE) and not sent.bad_part and not sent.content
         )
         if is_sound and from_s <= sent.at_s < until_s:
-            yield from _undisturbed_answer(history, sent)
+            yield from _awaited_answer(history, sent)
 
 
 def _read_answers(history: History, requests: Iterable[Sent]) -> Iterator[Answered]:
@@ -127,15 +127,16 @@
     Left out is what may not be served: without a key that is in force, or beyond its tenant's limit.
     """
     for sent in requests:
-        for answer in _undisturbed_answer(history, sent):
+        for answer in _awaited_answer(history, sent):
             is_read = bool(answer.status) or sent.request in history.began
             if is_read and answer.status not in NOT_OWED_STATUSES:
                 yield answer
 
 
-def _undisturbed_answer(history: History, sent: Sent) -> Iterator[Answered]:
-    answer = history.answers.get(sent.request)
-    if answer is not None and sent.request not in history.left and history.is_fault_free(sent.at_s, answer.at_s):
+def _awaited_answer(history: History, sent: Sent) -> Iterator[Answered]:
+    """Yield the undisturbed answer to a request whose caller stayed."""
+    answer = history.undisturbed_answer(sent)
+    if answer is not None and sent.request not in history.left:
         yield answer
 
 
--- a/src/wallwell/soak/invariants_requests.py
+++ b/src/wallwell/soak/invariants_requests.py
@@ -104,7 +104,7 @@
             continue
         if (ended.request, ended.worker) not in rejected_twice:
             continue
-        answer = _undisturbed_answer(history, ended.request)
+        answer = _owed_answer(history, ended.request)
         if answer is None:
             continue
         if answer.status == SUCCESS_STATUS:
@@ -113,15 +113,14 @@
             yield Violation(answer.at_s, ended.request, f"ended with {answer.status}; {ended.worker} answered it")
 
 
-def _undisturbed_answer(history: History, request: str) -> Answered | None:
+def _owed_answer(history: History, request: str) -> Answered | None:
     """Return the answer to a request that must not run twice; None if there is none, or if a fault or the caller's
     deadline may have ended it."""
-    sent, answer = history.sent.get(request), history.answers.get(request)
-    if sent is None or answer is None or not sent.kind.at_most_once:
+    sent = history.sent.get(request)
+    if sent is None or not sent.kind.at_most_once:
         return None
-    if is_at_its_deadline(sent, answer) or not history.is_fault_free(sent.at_s, answer.at_s):
-        return None
-    return answer
+    answer = history.undisturbed_answer(sent)
+    return None if answer is None or is_at_its_deadline(sent, answer) else answer
 
 
 def stream_order(history: History) -> Cases:
--- a/src/wallwell/soak/timeline.py
+++ b/src/wallwell/soak/timeline.py
@@ -65,6 +65,11 @@
             for began, ended_s in self._disturbed
         )
 
+    def undisturbed_answer(self, sent: Sent) -> Answered | None:
+        """Return the answer to a request; None if there is none, or if a fault was near."""
+        answer = self.answers.get(sent.request)
+        return answer if answer is not None and self.is_fault_free(sent.at_s, answer.at_s) else None
+
     def life_ends_s(self, node: str, from_s: float) -> float:
         """Return until when a node's process ran on from a time: until it ended or stood still, or a link of it was
         harmed."""
--- a/tests/repeating_server.py
+++ b/tests/repeating_server.py
@@ -19,7 +19,6 @@
 
     def __init__(self, *answers: bytes) -> None:
         self._answers = list(answers)
-        self.connections = 0
 
     async def __aenter__(self) -> RepeatingServer:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -30,7 +29,6 @@
         self._server.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connections += 1
         copy = b""
         try:
             while head := await reader.readuntil(b"\r\n\r\n"):
