--- a/src/wallwell/backend_connection.py
+++ b/src/wallwell/backend_connection.py
@@ -22,6 +22,7 @@
 
 from wallwell.clock import boot_time_s
 from wallwell.discarded_answers import Discarded, DiscardReason
+from wallwell.read_gaps import ReadGaps
 
 READ_BUFFER_BYTES = 32 * 1024
 """Bytes of a body that are buffered before reading from the socket pauses: enough for several events of a stream,
@@ -74,6 +75,7 @@
         """Whether the connection must not be reused for another round trip."""
         self._body_error = ""
         """Why the body is incomplete; empty while no error has occurred."""
+        self._read_gaps = ReadGaps()
         self.closed = False
         self.timed_out = False
         """Whether the connection ended because the back end no longer acknowledged packets."""
@@ -86,6 +88,11 @@
         """Whether the answer has neither a length nor chunks, so that it ends with its connection."""
         return self._body_ends_at_close
 
+    @property
+    def unread_since_s(self) -> float | None:
+        """Since when the connection's close may have waited to be read; None if it was read as it came."""
+        return self._read_gaps.unread_since_s()
+
     def is_reusable(self, now_s: float) -> bool:
         """Whether an idle connection may carry another round trip at boot time ``now_s``."""
         if self.closed or self._must_close or len(self._carried_ids) >= MAX_IDS:
@@ -124,6 +131,7 @@
         if not has_body:
             self._must_close = True
         self._parser = self._new_parser(has_body)
+        self._read_gaps.on_sent(boot_time_s())
         self.transport.write(data)
         return await self._head
 
@@ -184,6 +192,7 @@
                 self._report_discarded(DiscardReason.OUTSIDE_A_ROUND_TRIP)
                 self.close()
             return
+        self._read_gaps.on_read(boot_time_s())
         try:
             messages, upgraded, _ = self._parser.feed_data(data)
         except Exception as error:
@@ -252,9 +261,15 @@
             if name.lower() == "timeout" and value.isdigit():
                 self.max_idle_s = max(0.0, int(value) - IDLE_MARGIN_S)
 
+    def pause_reading(self) -> None:
+        """Pause reading while the caller reads slowly."""
+        self._read_gaps.on_paused(boot_time_s())
+        super().pause_reading()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """A clean close completes a body without a stated length; any other loss breaks the round trip."""
         self.closed = True
+        self._read_gaps.on_read(boot_time_s())
         self.timed_out = isinstance(exc, TimeoutError)
         detail = f"connection lost: {type(exc).__name__ if exc else 'closed'}"
         if self._body_ends_at_close and exc is None and self._payload is not None:
--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -66,6 +66,7 @@
     PART_RELEASED = (3013, "INFO", "part of prompts is no longer quarantined")
     PART_TRIED = (3014, "INFO", "request with a quarantined part is sent as a trial")
     SILENCE_ENDED = (3015, "INFO", "back end was silent: second attempt beside it ended, or none was made")
+    UNFRAMED_ANSWER_ENDED = (3016, "INFO", "answer without a length ended as its connection was closed")
     CLAIM_RETRIED = (3020, "INFO", "table service did not confirm a claim; retrying")
 
     # 4001 and up: the platform's store and other services.
--- a/src/wallwell/platform/worker_client.py
+++ b/src/wallwell/platform/worker_client.py
@@ -14,6 +14,7 @@
 
 from wallwell.backend_connection import BackendConnection, ConnectionBrokenError
 from wallwell.clock import boot_time_s
+from wallwell.events import Event, emit
 from wallwell.http_connection import ConnectFailedError, ConnectionPool
 from wallwell.platform import names
 from wallwell.platform.worker_notices import deliver_notice
@@ -62,6 +63,7 @@
         self._connection: BackendConnection | None = connection
         self._address = dispatch.backend.address
         self._is_leaving = dispatch.is_leaving
+        self._dispatch = dispatch
         self._pool = pool
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -80,11 +82,27 @@
         The system of a process that was killed closes its connections as a process does that has sent everything.
         Unless the worker leaves as planned, its port then refuses a connection (the next request needs one anyway).
         """
-        if not connection.body_ends_at_close or self._is_leaving():
+        if not connection.body_ends_at_close:
+            return
+        if self._is_leaving():
+            self._log_end(connection, "whole", "the back end leaves; its port is not checked")
             return
         wait_s = STREAM_RESET_WAIT_S if self.head.is_event_stream else CALL_RESET_WAIT_S
         if await self._pool.refuses_connections(self._address, wait_s):
+            self._log_end(connection, "broken off", "the port refuses connections")
             raise AttemptError(TransportEvent.RESET_AFTER_SEND, "the worker's process has ended")
+        self._log_end(connection, "whole", "the port does not refuse connections")
+
+    def _log_end(self, connection: BackendConnection, result: str, reason: str) -> None:
+        since_s = connection.unread_since_s
+        emit(
+            Event.UNFRAMED_ANSWER_ENDED,
+            request_id=self._dispatch.request.request_id,
+            backend=self._dispatch.backend.incarnation,
+            result=result,
+            reason=reason,
+            unread_ms=0 if since_s is None else round((boot_time_s() - since_s) * 1000),
+        )
 
     def close(self) -> None:
         """See :class:`wallwell.serving.messages.BackendAnswer`."""
