Answers without a length: the end counts only if the process that answered lives on

Cause: the close of the connection ends such an answer, and the check whether its process was killed was left out for a back end that leaves, and could not tell the next process at the port from the one that answered when the close was read late.

Now a connection to the same process (sentinel) is open from 30 ms after the head on, shared by all such answers of a back end; it ends with the process, whoever listens next. The port is still asked. A pure table decides (routing/health/answer_end.py); what cannot be shown is broken off. A back end that leaves is believed to have finished if it outlived the answer or its entry goes at that moment.

One test changed: a leaving worker that was killed at its last byte was asked to be whole; that is the fault itself (no planned end leaves its entry behind).

--- a/src/wallwell/backend_connection.py
+++ b/src/wallwell/backend_connection.py
@@ -76,7 +76,11 @@
         self._body_error = ""
         """Why the body is incomplete; empty while no error has occurred."""
         self._read_gaps = ReadGaps()
-        self.closed = False
+        self.opened_s = 0.0
+        """Boot time at which the connection was opened."""
+        self.closed_s: float | None = None
+        """Boot time at which its close was read, or at which this node closed it; None while it is open."""
+        self._is_closed = asyncio.Event()
         self.timed_out = False
         """Whether the connection ended because the back end no longer acknowledged packets."""
         self.idle_since_s = 0.0
@@ -88,11 +92,30 @@
         """Whether the answer has neither a length nor chunks, so that it ends with its connection."""
         return self._body_ends_at_close
 
+    @property
+    def closed(self) -> bool:
+        """Whether the connection has been closed, by either side."""
+        return self.closed_s is not None
+
+    async def wait_closed(self) -> None:
+        """Return once the connection has been closed, by either side."""
+        await self._is_closed.wait()
+
+    def _on_closed(self) -> None:
+        if self.closed_s is None:
+            self.closed_s = boot_time_s()
+            self._is_closed.set()
+
     @property
     def unread_since_s(self) -> float | None:
         """Since when the connection's close may have waited to be read; None if it was read as it came."""
         return self._read_gaps.unread_since_s()
 
+    @property
+    def was_paused(self) -> bool:
+        """Whether reading has been paused in this round trip, so that the system may hold more than was read."""
+        return self._read_gaps.was_paused
+
     def is_reusable(self, now_s: float) -> bool:
         """Whether an idle connection may carry another round trip at boot time ``now_s``."""
         if self.closed or self._must_close or len(self._carried_ids) >= MAX_IDS:
@@ -179,12 +202,17 @@
 
     def close(self) -> None:
         """Close the connection at once, which makes the back end cancel the connection's request."""
-        self.closed = True
+        self._on_closed()
         if self.transport is not None:
             self.transport.abort()
 
     # --- asyncio.Protocol --------------------------------------------------------------------------------
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Record when the connection was opened."""
+        self.opened_s = boot_time_s()
+        super().connection_made(transport)
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; bytes that arrive outside a round trip close the connection."""
         if self._parser is None:
@@ -268,7 +296,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """A clean close completes a body without a stated length; any other loss breaks the round trip."""
-        self.closed = True
+        self._on_closed()
         self._read_gaps.on_read(boot_time_s())
         self.timed_out = isinstance(exc, TimeoutError)
         detail = f"connection lost: {type(exc).__name__ if exc else 'closed'}"
--- a/src/wallwell/http_connection.py
+++ b/src/wallwell/http_connection.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Callable
 from functools import partial
+from typing import NamedTuple
 
 from aiohttp.http_parser import RawResponseMessage
 
@@ -19,7 +20,7 @@
 from wallwell.socket_options import enable_keepalive
 from wallwell.task_wait import is_done_within
 
-__all__ = ["BackendConnection", "ConnectFailedError", "ConnectionBrokenError", "ConnectionPool"]
+__all__ = ["BackendConnection", "ConnectFailedError", "ConnectionBrokenError", "ConnectionPool", "PortCheck"]
 
 MAX_IDLE_PER_ADDRESS = 8
 """Maximum idle connections per address: about the number of slots of a back end."""
@@ -39,6 +40,15 @@
         self.refused = refused
 
 
+class PortCheck(NamedTuple):
+    """What an attempt to connect to a port has shown."""
+
+    accepted_at_once: bool
+    """Whether the port accepted a connection at first; it may have been closed since."""
+    refuses: bool
+    """Whether the machine refuses connections, since no process listens on the port."""
+
+
 class ConnectionPool:
     """A pool of connections by address, which reuses the most recently used connection first."""
 
@@ -115,23 +125,43 @@
         """Open a connection and leave it idle for the next round trip. Raises :class:`ConnectFailedError`."""
         self.put_back(address, await self._connect(address, timeout_s))
 
-    async def refuses_connections(self, address: str, reset_wait_s: float) -> bool:
-        """Whether a new connection to ``IP:port`` is refused; one that stays open for ``reset_wait_s`` is left idle
-        for a round trip.
+    async def check_port(self, address: str, reset_wait_s: float) -> PortCheck:
+        """Open a connection to ``IP:port``; one that stays open for ``reset_wait_s`` is left idle for a round trip.
 
         A process that is ending may close its connections before its port, and one with too many connections resets
         a new one. So one that is reset at once is followed by another.
         """
+        accepted_at_once = False
         for _ in range(REFUSAL_CHECKS):
             try:
                 connection = await self._connect(address, self._connect_timeout_s)
             except ConnectFailedError as error:
-                return error.refused
+                return PortCheck(accepted_at_once, error.refused)
+            accepted_at_once = True
             await asyncio.sleep(reset_wait_s)
             if not connection.closed:
                 self.put_back(address, connection)
-                return False
-        return False
+                break
+        return PortCheck(accepted_at_once, refuses=False)
+
+    async def take_or_open(self, address: str) -> BackendConnection:
+        """Return a connection to ``IP:port`` on which nothing is to be sent until :meth:`give_back`.
+
+        Raises :class:`ConnectFailedError`.
+        """
+        idle = self._take_idle(address, "", has_body=True)
+        if idle is not None:
+            return idle
+        connection = await self._connect(address, self._connect_timeout_s)
+        connection.idle_since_s = connection.opened_s
+        return connection
+
+    def give_back(self, address: str, connection: BackendConnection) -> None:
+        """Return a connection of :meth:`take_or_open`, on which the back end has seen nothing meanwhile."""
+        if connection.is_reusable(boot_time_s()):
+            self._add_idle(address, connection)
+        else:
+            connection.close()
 
     def has_idle(self, address: str) -> bool:
         """Whether the pool has an idle connection to an address that can be reused."""
--- a/src/wallwell/peer_attempts/server.py
+++ b/src/wallwell/peer_attempts/server.py
@@ -263,7 +263,7 @@
             expected_version=version,
             resume_after=message.resume_after,
             cache=cache,
-            is_leaving=lambda: backend.is_leaving(boot_time_s()),
+            listing_status=lambda: backend.listing_status(boot_time_s()),
             may_send=lambda: self._may_send(active, backend),
         )
 
--- a/src/wallwell/platform/worker_client.py
+++ b/src/wallwell/platform/worker_client.py
@@ -14,9 +14,10 @@
 
 from wallwell.backend_connection import BackendConnection, ConnectionBrokenError
 from wallwell.clock import boot_time_s
-from wallwell.events import Event, emit
 from wallwell.http_connection import ConnectFailedError, ConnectionPool
 from wallwell.platform import names
+from wallwell.platform.sentinels import Sentinels
+from wallwell.platform.unframed_end import CALL_RESET_WAIT_S, STREAM_RESET_WAIT_S, UnframedEnd
 from wallwell.platform.worker_notices import deliver_notice
 from wallwell.platform.worker_requests import attempt_failure, encode_request, has_answer_body, parse_answer_head
 from wallwell.routing.health.backend_notice import NO_NOTICE, BackendNotices
@@ -31,13 +32,6 @@
 silent for a second or so, and what runs there must not be given up for that."""
 
 
-CALL_RESET_WAIT_S = 0.03
-"""Seconds in which a process that is ending resets a connection that it still accepted. On a busy machine the ends
-of its connections and of its port may lie as far apart; a call's caller waits for it."""
-STREAM_RESET_WAIT_S = 0.1
-"""The same for a stream, whose events have all been passed on by then."""
-
-
 def make_worker_pool() -> ConnectionPool:
     """Return a new pool of connections to workers, which matches answers to requests by the request id."""
     return ConnectionPool(names.REQUEST_ID, CONNECT_TIMEOUT_S, TCP_USER_TIMEOUT_S)
@@ -62,9 +56,9 @@
         self.head = head
         self._connection: BackendConnection | None = connection
         self._address = dispatch.backend.address
-        self._is_leaving = dispatch.is_leaving
-        self._dispatch = dispatch
         self._pool = pool
+        self._end: UnframedEnd | None = None
+        """Judges the end of an answer without a length; None if the answer has one."""
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """See :class:`wallwell.serving.messages.BackendAnswer`."""
@@ -72,40 +66,22 @@
             if self._connection is not None:
                 async for data in self._connection.body():
                     yield data
-                await self._check_end(self._connection)
         except ConnectionBrokenError as error:
             raise AttemptError(TransportEvent.RESET_AFTER_SEND, str(error)) from error
+        if self._end is not None:
+            verdict = await self._end.verdict()
+            if not verdict.is_whole:
+                raise AttemptError(TransportEvent.RESET_AFTER_SEND, verdict.reason)
 
-    async def _check_end(self, connection: BackendConnection) -> None:
-        """Raise :class:`AttemptError` if the connection's close may not be the answer's end.
-
-        The system of a process that was killed closes its connections as a process does that has sent everything.
-        Unless the worker leaves as planned, its port then refuses a connection (the next request needs one anyway).
-        """
-        if not connection.body_ends_at_close:
-            return
-        if self._is_leaving():
-            self._log_end(connection, "whole", "the back end leaves; its port is not checked")
-            return
-        wait_s = STREAM_RESET_WAIT_S if self.head.is_event_stream else CALL_RESET_WAIT_S
-        if await self._pool.refuses_connections(self._address, wait_s):
-            self._log_end(connection, "broken off", "the port refuses connections")
-            raise AttemptError(TransportEvent.RESET_AFTER_SEND, "the worker's process has ended")
-        self._log_end(connection, "whole", "the port does not refuse connections")
-
-    def _log_end(self, connection: BackendConnection, result: str, reason: str) -> None:
-        since_s = connection.unread_since_s
-        emit(
-            Event.UNFRAMED_ANSWER_ENDED,
-            request_id=self._dispatch.request.request_id,
-            backend=self._dispatch.backend.incarnation,
-            result=result,
-            reason=reason,
-            unread_ms=0 if since_s is None else round((boot_time_s() - since_s) * 1000),
-        )
+    def watch_end(self, end: UnframedEnd) -> None:
+        """Have the end of an answer without a length judged, from now on."""
+        self._end = end
+        end.begin(STREAM_RESET_WAIT_S if self.head.is_event_stream else CALL_RESET_WAIT_S)
 
     def close(self) -> None:
         """See :class:`wallwell.serving.messages.BackendAnswer`."""
+        if self._end is not None:
+            self._end.cancel()
         if self._connection is not None:
             self._pool.release(self._address, self._connection)
             self._connection = None
@@ -117,6 +93,7 @@
     def __init__(self, pool: ConnectionPool, notices: BackendNotices) -> None:
         """``notices`` receives the notices that workers' answers contain."""
         self._pool = pool
+        self._sentinels = Sentinels(pool)
         self._notices = notices
 
     async def send(self, dispatch: Dispatch) -> WorkerAnswer:
@@ -141,6 +118,8 @@
             # Does not wait for the body, which may never arrive. The connection is reused if the body is complete.
             answer.close()
             raise failure
+        if connection.body_ends_at_close:
+            answer.watch_end(UnframedEnd(self._pool, self._sentinels, dispatch, connection))
         return answer
 
     async def _connect(self, dispatch: Dispatch) -> BackendConnection:
--- a/src/wallwell/read_gaps.py
+++ b/src/wallwell/read_gaps.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-MIN_RESTART_S = 0.5
+MIN_RESTART_S = 0.25
 """Shortest time in seconds in which a back end's process ends and another listens on its port. A close that waited
 for less is read while nobody else can answer there."""
 
@@ -39,6 +39,11 @@
         if self._paused_since_s is None:
             self._paused_since_s = now_s
 
+    @property
+    def was_paused(self) -> bool:
+        """Whether reading has been paused in this round trip."""
+        return self._paused_since_s is not None
+
     def unread_since_s(self) -> float | None:
         """Return since when a close that has just been read may have waited; None if it was read as it came.
 
--- a/src/wallwell/routing/health/backend.py
+++ b/src/wallwell/routing/health/backend.py
@@ -13,6 +13,7 @@
 
 from wallwell.deployment.backends import BackendRecord
 from wallwell.routing.health import suspension
+from wallwell.routing.health.answer_end import ListingStatus
 from wallwell.routing.health.backoff import RequestedBackoff
 from wallwell.routing.health.request_limit import NO_LIMIT_PER_S, RequestLimit
 from wallwell.routing.health.silence import Silence
@@ -110,6 +111,10 @@
         has_lapsed = self.lapses_at_s is not None and now_s >= self.lapses_at_s
         return self.gone or self.superseded or has_lapsed
 
+    def listing_status(self, now_s: float) -> ListingStatus:
+        """Return what the listing and its own answers say of the back end now."""
+        return ListingStatus(self.is_leaving(now_s), self.superseded, self.lapses_at_s)
+
     @property
     def is_replaced(self) -> bool:
         """Whether the back end is no longer listed and a later start has its address or identity, so that nothing
--- a/src/wallwell/serving/attempt.py
+++ b/src/wallwell/serving/attempt.py
@@ -195,7 +195,7 @@
             cache=cache,
             progress=active.progress,
             prefers_peers=prefers_peers,
-            is_leaving=lambda: backend.is_leaving(boot_time_s()),
+            listing_status=lambda: backend.listing_status(boot_time_s()),
             may_send=lambda: self._may_send(active, backend),
         )
 
--- a/src/wallwell/serving/messages.py
+++ b/src/wallwell/serving/messages.py
@@ -14,6 +14,7 @@
 
 from wallwell.deployment.backends import BackendRecord
 from wallwell.errors import RequestError
+from wallwell.routing.health.answer_end import ListingStatus
 from wallwell.routing.health.backend import Backend
 from wallwell.routing.health.backend_notice import NO_NOTICE, BackendNotice
 from wallwell.routing.retry.attempt_outcome import TransportEvent
@@ -96,10 +97,6 @@
     return True
 
 
-def _always_false() -> bool:
-    return False
-
-
 @dataclass(frozen=True)
 class Dispatch:
     """One attempt to be sent to a back end. ``remaining_s`` is the time in seconds until the request's deadline."""
@@ -117,8 +114,8 @@
     progress: SendProgress = field(default_factory=SendProgress)
     prefers_peers: bool = False
     """Whether a peer is to make the attempt, since this node cannot connect to the service's back ends."""
-    is_leaving: Callable[[], bool] = _always_false
-    """Whether the back end is known to leave by now, so that its process may end after its last answer."""
+    listing_status: Callable[[], ListingStatus] = ListingStatus
+    """What is known by now of whether the back end leaves or has been replaced."""
     may_send: Callable[[], bool] = _always_true
     """Whether the back end may still get the request; called right before sending, as connecting takes time."""
 
--- a/tests/platform/test_unframed_answers.py
+++ b/tests/platform/test_unframed_answers.py
@@ -156,23 +156,72 @@
         assert status in (502, 504)
 
 
-@pytest.mark.parametrize("leaving", ["Server-Leaving", "draining entry"])
-def test_unframed_answer_of_a_worker_that_ends_as_planned_is_whole(on_platform, leaving):
-    """Its process may end right after its last answer."""
+LEAVING = ["Server-Leaving", "draining entry"]
+
+
+def leaving_first(harness, worker, leaving, respond):
+    """Return a response before which the worker announces that it leaves, and the node knows it."""
+
+    async def leave(request):
+        worker.leaving, worker.draining = leaving == "Server-Leaving", leaving != "Server-Leaving"
+        harness.publish(worker)
+        if worker.draining:
+            listed = harness.node.state.backends
+            await harness.until(lambda: listed.get(worker.incarnation).record.draining)
+        return await respond(request)
+
+    return leave
+
+
+@pytest.mark.parametrize("leaving", LEAVING)
+@pytest.mark.parametrize("kind", [STREAM, UNSAFE], ids=["stream", "unsafe"])
+def test_unframed_answer_cut_by_the_end_of_a_leaving_workers_process_is_not_whole(on_platform, kind, leaving):
+    """Guards against parts of answers that are whole for their callers, as the worker had said that it leaves."""
+
+    async def scenario(harness):
+        (worker,) = harness.workers
+        cut = unframed(worker, event(1) + event(2), lambda request: worker.crash())
+        worker.respond = leaving_first(harness, worker, leaving, cut)
+        return await read_answer(harness, **(PROMPT if kind is STREAM else {}))
+
+    status, received, is_complete = on_platform(scenario, config(routes=[route(**kind)]), workers=1)
+    if kind is STREAM:
+        assert (status, received, is_complete) == (200, event(1) + event(2), False)
+    else:
+        assert status in (502, 504)
+
+
+@pytest.mark.parametrize("leaving", LEAVING)
+@pytest.mark.parametrize("kind", [STREAM, UNSAFE], ids=["stream", "unsafe"])
+def test_unframed_answer_of_a_worker_that_ends_as_planned_is_whole(on_platform, kind, leaving):
+    """Its process may end with its last answer; its entry goes as it has left."""
+
+    async def scenario(harness):
+        (worker,) = harness.workers
+
+        def leave_for_good(request):
+            worker.crash()
+            harness.store.put("servers", worker.incarnation, None)
+
+        whole = unframed(worker, EVENTS, leave_for_good)
+        worker.respond = leaving_first(harness, worker, leaving, whole)
+        return await read_answer(harness, **(PROMPT if kind is STREAM else {}))
+
+    assert on_platform(scenario, config(routes=[route(**kind)]), workers=1) == (200, EVENTS, True)
+
+
+@pytest.mark.parametrize("leaving", LEAVING)
+def test_unframed_answer_of_a_leaving_worker_that_ends_a_moment_after_it_is_whole(on_platform, leaving):
+    """A process that is killed ends with its connections; this one outlives its last answer."""
 
     async def scenario(harness):
         (worker,) = harness.workers
-        respond = unframed(worker, EVENTS, lambda request: worker.crash())
 
-        async def leave(request):
-            worker.leaving, worker.draining = leaving == "Server-Leaving", leaving != "Server-Leaving"
-            harness.publish(worker)
-            if worker.draining:
-                listed = harness.node.state.backends
-                await harness.until(lambda: listed.get(worker.incarnation).record.draining)
-            return await respond(request)
+        def end(request):
+            request.transport.close()
+            asyncio.get_running_loop().call_later(0.02, worker.crash)
 
-        worker.respond = leave
+        worker.respond = leaving_first(harness, worker, leaving, unframed(worker, EVENTS, end))
         return await read_answer(harness, **PROMPT)
 
     assert on_platform(scenario, config(routes=[route(**STREAM)]), workers=1) == (200, EVENTS, True)
--- a/tests/unit/test_http_connection.py
+++ b/tests/unit/test_http_connection.py
@@ -410,7 +410,7 @@
         ending.start()
         address = f"127.0.0.1:{listener.getsockname()[1]}"
         asyncio.get_running_loop().call_later(0.005, time.sleep, 0.2)
-        is_refused = await pool.refuses_connections(address, 0.05)
+        is_refused = (await pool.check_port(address, 0.05)).refuses
         ending.join()
         pool.close()
         return is_refused
