After a failed read, ask the store for the next page without a wait

The first read after a failure is no longer held. Cost: one call more after each failure. The test failed before.

--- a/src/wallwell/storage/feed.py
+++ b/src/wallwell/storage/feed.py
@@ -132,7 +132,9 @@
             page = await self._source.read_all()
             self._position = page.position
         else:
-            page = await self._source.changes(self._position, self._wait_s)
+            # After a failure the answer itself is needed, since only it confirms that the rows held are current.
+            wait_s = 0.0 if self._failures else self._wait_s
+            page = await self._source.changes(self._position, wait_s)
             self._position = max(self._position, page.position)
         previous_confirmed_at_s = self.confirmed_at_s
         self.confirmed_at_s = max(self.confirmed_at_s, self._confirmed_s(page, sent_s))
--- a/tests/unit/storage/test_feed.py
+++ b/tests/unit/storage/test_feed.py
@@ -13,7 +13,7 @@
 from wallwell.errors import PlatformUnavailableError
 from wallwell.events import Event
 from wallwell.storage import feed
-from wallwell.storage.feed import RowFollower
+from wallwell.storage.feed import MAX_RETRY_DELAY_S, RowFollower
 
 
 def make_follower(source, mirror, wait_s=1.0):
@@ -109,6 +109,25 @@
     assert 0.03 * failures <= took_s <= 0.7 * failures
 
 
+def test_rows_are_confirmed_as_soon_as_the_store_answers_again():
+    """Guards against a node that refuses credentials for the time of a held read longer after each failure."""
+
+    async def work():
+        source, mirror = MemoryRows(), Mirror()
+        source.write("a", b"1")
+        follower = make_follower(source, mirror, wait_s=0.8)
+        await follower.read_once()
+        before_s = follower.confirmed_at_s
+        source.failures.append(PlatformUnavailableError("scripted"))
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(MAX_RETRY_DELAY_S)
+        task.cancel()
+        return before_s, follower.confirmed_at_s
+
+    before_s, after_s = run_virtual(work())
+    assert after_s > before_s
+
+
 def test_lost_history_is_logged_and_a_snapshot_is_read(monkeypatch):
     events = []
     monkeypatch.setattr(feed, "emit", lambda event, **fields: events.append((event, fields["version"])))
