--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -67,6 +67,7 @@
     PART_TRIED = (3014, "INFO", "request with a quarantined part is sent as a trial")
     SILENCE_ENDED = (3015, "INFO", "back end was silent: second attempt beside it ended, or none was made")
     UNFRAMED_ANSWER_ENDED = (3016, "INFO", "answer without a length ended as its connection was closed")
+    STREAM_LOOKED_UP = (3017, "INFO", "stream that its caller resumes was looked up")
     CLAIM_RETRIED = (3020, "INFO", "table service did not confirm a claim; retrying")
 
     # 4001 and up: the platform's store and other services.
--- a/src/wallwell/routing/selection/software_history.py
+++ b/src/wallwell/routing/selection/software_history.py
@@ -55,6 +55,10 @@
         found.update(each.record.software for each in listed)
         return found
 
+    def observed_for_s(self, now_s: float) -> float:
+        """Return for how many seconds this node has followed the listing."""
+        return max(0.0, now_s - self._observed_since_s)
+
     def is_recent(self, now_s: float) -> bool:
         """Whether no version can have begun streams that this node has not seen listed."""
         return now_s - self._confirmed_at_s <= MAX_LISTING_AGE_S
--- a/src/wallwell/serving/stream_origin.py
+++ b/src/wallwell/serving/stream_origin.py
@@ -12,6 +12,7 @@
 from wallwell.cluster.stream_messages import stream_digest
 from wallwell.deployment.routes import RouteKind
 from wallwell.errors import StreamVersionUnknownError
+from wallwell.events import Event, emit
 from wallwell.node.state import NodeState
 from wallwell.routing.retry.retry_after import RefusalCause
 from wallwell.routing.selection.software_history import stream_time_s
@@ -46,16 +47,30 @@
             return
         findings = await self._find(active)
         if findings.software is not None:
-            self._counters.stream_lookups["known"] += 1
+            self._report(active, findings, "known")
             active.stream_software = findings.software
             active.stream_known_by, active.stream_known_age_s = findings.known_by, findings.age_s
         elif len(findings.versions) > 1 or self._may_lack_versions(findings):
-            self._counters.stream_lookups["unknown"] += 1
+            self._report(active, findings, "unknown")
             raise self._unknown_error(active, findings)
         else:
-            self._counters.stream_lookups["one_version"] += 1
+            self._report(active, findings, "one_version")
             active.stream_software = next(iter(findings.versions), None)
 
+    def _report(self, active: ActiveRequest, findings: StreamFindings, result: str) -> None:
+        self._counters.stream_lookups[result] += 1
+        emit(
+            Event.STREAM_LOOKED_UP,
+            request_id=active.request.request_id,
+            service=active.service,
+            result=result,
+            software=findings.software,
+            versions=sorted(findings.versions),
+            asked=findings.asked,
+            answered=findings.answered,
+            listing_followed_ms=round(self._state.software_history.observed_for_s(boot_time_s()) * 1000),
+        )
+
     async def _find(self, active: ActiveRequest) -> StreamFindings:
         """Return what is known of a stream; other nodes are asked only if it may have begun at several versions."""
         state, service = self._state, active.service
