Resumed streams after the end of all nodes: the store tells which versions served

Cause: a node that has just started went by the versions that others had seen, which were as young as itself; what served before was in memory only.

Now, while a service has several versions, a row in the store names them and the streams that begin are written in batches, in a table that no node follows. A young node reads it for a stream that nobody knows; without an answer the stream is refused. With one version nothing is written. Refusing alone was not chosen: with one version, or two that stay, streams must go on.

The store's tables are objects of their own; tests that used the client as its table use those.

--- a/src/wallwell/cluster/stream_directory.py
+++ b/src/wallwell/cluster/stream_directory.py
@@ -66,6 +66,8 @@
     """Versions of the service that this node and those that answered have seen lately."""
     asked: int = 0
     answered: int = 0
+    lacks_records: bool = False
+    """Whether this node started lately and could not read from the store which versions served before."""
 
 
 class _Query:
@@ -94,12 +96,15 @@
         topology: Topology,
         members: Callable[[], Mapping[str, NodeRecord]],
         versions: Callable[[str], set[str]],
+        record: Callable[[str, str, float], None] | None = None,
     ) -> None:
-        """``versions`` returns the software versions of a service that this node has seen lately."""
+        """``versions`` returns the software versions of a service that this node has seen lately. ``record`` is
+        called with each stream of which others are told, its version, and for how long it may be resumed."""
         self._node = node
         self._topology = topology
         self._members = members
         self._versions = versions
+        self._record = record
         self._origins = StreamOrigins()
         self._queries: dict[int, _Query] = {}
         self._numbers = itertools.count()
@@ -159,6 +164,8 @@
     def _tell(self, stream: str, origin: StreamOrigin, now_s: float) -> None:
         origin.is_told = True
         message = StreamBegun(stream, origin.software, origin.expires_s - now_s)
+        if self._record is not None:
+            self._record(stream, origin.software, message.kept_s)
         for holder in holders_to_tell(stream, self._members(), self._topology, self._node):
             self._send(message, holder.address)
 
--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -108,6 +108,8 @@
     MEMBER_ROW_UNREADABLE = (5022, "WARNING", "member row not decodable; node shares budgets but is not followed")
     OWN_ROW_UNREADABLE = (5024, "WARNING", "row of the nodes' own table cannot be decoded; it is ignored")
     STREAM_DATAGRAM_LOST = (5025, "INFO", "datagrams about streams could not be sent or decoded")
+    STREAMS_NOT_WRITTEN = (5026, "WARNING", "store did not accept versions or streams; retried, logged once")
+    STREAM_RECORDS_UNREAD = (5027, "WARNING", "versions and streams in the store could not be read")
     PEER_PORTS_REFUSED = (5023, "INFO", "could not listen on some ports for peers; the next ones were tried")
 
     # 6001 and up: back ends, engines' caches, KV stores and zones.
--- a/src/wallwell/node/adapter.py
+++ b/src/wallwell/node/adapter.py
@@ -42,6 +42,8 @@
     """Table that nodes write: members, leases, progress of weights rolls, crashes, rollout records."""
     own_table: TableService
     """Client for writing to the table that ``own_rows`` reads."""
+    streams_table: TableService
+    """Table of the nodes that none of them follows: software versions and streams."""
     era: StoreEra
     """The store's era, as stated in its answers to any of these calls."""
     config_key: str
--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -23,6 +23,7 @@
 from wallwell.cluster.relay import rows_handler
 from wallwell.cluster.row_messages import RowsRequest
 from wallwell.cluster.stream_directory import StreamDirectory
+from wallwell.cluster.stream_records import StreamRecords
 from wallwell.cluster.upstream import NodeRecord, UpstreamOrder
 from wallwell.deployment.freshness import StoreClock
 from wallwell.deployment.topology import Topology
@@ -122,8 +123,20 @@
         )
         choice = PeerChoice(self.state.topology, self.state.rng)
         peer_client = PeerAttemptClient(choice, self._attempt_peers, adapter.notices)
+        self._stream_records = StreamRecords(
+            self.state.node,
+            adapter.sources.streams_table,
+            self.state.version_views,
+            lambda: self._clock.to_store_s(boot_time_s()),
+            lambda: self.state.node_count,
+            self.state.rng,
+        )
         self._stream_directory = StreamDirectory(
-            self.state.node, self.state.topology, lambda: self._order.members, self.state.recent_versions
+            self.state.node,
+            self.state.topology,
+            lambda: self._order.members,
+            self.state.recent_versions,
+            self._stream_records.add,
         )
         self._pipeline = RequestPipeline(
             self.state,
@@ -131,6 +144,7 @@
             liveness=self._liveness,
             crash_observer=self._crash_watch,
             stream_directory=self._stream_directory,
+            stream_records=self._stream_records,
         )
         self._peer_attempts = PeerAttemptServer(
             self.state,
@@ -171,7 +185,7 @@
             self.state,
             sources.own_table,
             self._order,
-            (self._weights_roll, self._rollout_driver, self._crash_watch),
+            (self._weights_roll, self._rollout_driver, self._crash_watch, self._stream_records),
         )
         self._followers = TableFollowers(self.state, self._order, self._clock)
         self._followers.add("operators", sources.operator_rows, self._operator_rows.apply, OPERATORS_TIMING)
@@ -240,6 +254,7 @@
         if self._profile.topology.has_other_regions:
             loops.append(self._load_reporter.region_reporter.run)
         loops += [self._rollout_driver.run, self._counts_reporter.run, self._stream_directory.run]
+        loops.append(self._stream_records.run)
         self._tasks = [asyncio.create_task(run_supervised(loop)) for loop in loops]
 
     # --- callers ---------------------------------------------------------------------------------------
--- a/src/wallwell/node/state.py
+++ b/src/wallwell/node/state.py
@@ -34,6 +34,7 @@
 from wallwell.cluster.demand import FleetDemand
 from wallwell.cluster.fleet_load import FleetLoad
 from wallwell.cluster.region_traffic import RegionTraffic
+from wallwell.cluster.stream_records import VersionView
 from wallwell.deployment.freshness import ConfigurationFreshness
 from wallwell.deployment.routes import DeploymentConfig
 from wallwell.deployment.store_era import StoreEra
@@ -212,6 +213,17 @@
         listed = self.backends.backends_of_service(service)
         return self.software_history.versions(service, listed, boot_time_s(), self.stream_time_s(service))
 
+    def version_views(self) -> dict[str, VersionView]:
+        """Return what this node knows of the software versions of each listed service."""
+        now_s = boot_time_s()
+        return {
+            service: VersionView(
+                self.recent_versions(service),
+                self.software_history.is_complete(now_s, self.stream_time_s(service)),
+            )
+            for service in self.backends.services()
+        }
+
     def is_fresh(self, arrival_s: float) -> bool:
         """Whether a request that arrived at ``arrival_s`` may rely on this node's configuration."""
         bounds = self.bounds
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -26,7 +26,7 @@
 from wallwell.platform.rows import decode_backend, decode_config, decode_rollout_order, decode_weights_version
 from wallwell.platform.settings import PlatformSettings, load_platform_settings, settings_path
 from wallwell.platform.stop_deadline import exit_now, exit_within
-from wallwell.platform.store import PlatformStore, TableRows
+from wallwell.platform.store import PlatformStore, StoreTable, TableRows
 from wallwell.platform.worker_client import WorkerClient, make_cache_store_pool, make_worker_pool
 from wallwell.platform.worker_orders import WorkerControl
 from wallwell.platform.worker_probes import WorkerProbes
@@ -65,7 +65,8 @@
         operator_rows=TableRows(store, names.OPERATOR_TABLE),
         backend_rows=TableRows(store, names.BACKENDS_TABLE),
         own_rows=TableRows(store, names.ROUTER_TABLE),
-        own_table=store,
+        own_table=StoreTable(store, names.ROUTER_TABLE),
+        streams_table=StoreTable(store, names.STREAMS_TABLE),
         era=store.era,
         config_key=names.CONFIG_KEY,
         version_prefix=names.VERSION_KEY_PREFIX,
--- a/src/wallwell/platform/store.py
+++ b/src/wallwell/platform/store.py
@@ -61,10 +61,7 @@
 
 
 class PlatformStore:
-    """Client of the store at one address, with one connection for each concurrent call.
-
-    Implements :class:`wallwell.storage.table.TableService` for the router's own table.
-    """
+    """Client of the store at one address, with one connection for each concurrent call."""
 
     def __init__(self, address: str) -> None:
         self._address = address
@@ -144,19 +141,25 @@
         found = next((row for row in answer.rows if row.key == key), None)
         return to_table_row(found) if found is not None else None
 
-    # --- TableService for the router's own table -------------------------------------------------------------
+
+class StoreTable:
+    """One table of the store. Implements :class:`wallwell.storage.table.TableService`."""
+
+    def __init__(self, store: PlatformStore, table: str) -> None:
+        self._store = store
+        self._table = table
 
     async def transact(self, transaction: Transaction) -> int:
         """See :class:`wallwell.storage.table.TableService`."""
-        return await self.transact_rows(transaction_body(transaction))
+        return await self._store.transact_rows(transaction_body(self._table, transaction))
 
     async def get(self, key: str) -> Row | None:
         """See :class:`wallwell.storage.table.TableService`."""
-        return await self.get_row(names.ROUTER_TABLE, key)
+        return await self._store.get_row(self._table, key)
 
     async def scan(self, prefix: str, after_version: int) -> Scan:
         """See :class:`wallwell.storage.table.TableService`. Reads the whole table: a few rows per node."""
-        page = await TableRows(self, names.ROUTER_TABLE).read_all()
+        page = await TableRows(self._store, self._table).read_all()
         rows = [row for row in page.rows if row.key.startswith(prefix) and row.version > after_version]
         return Scan(page.version, tuple(Row(row.key, (row.value or b"").decode(), row.version) for row in rows))
 
--- a/src/wallwell/platform/store_wire.py
+++ b/src/wallwell/platform/store_wire.py
@@ -87,9 +87,8 @@
     return PutEntry(table, names.NO_PARTITION, key, encode_value(text))
 
 
-def transaction_body(transaction: Transaction) -> TransactBody:
-    """Convert a transaction on the router's own table to the store's format."""
-    table = names.ROUTER_TABLE
+def transaction_body(table: str, transaction: Transaction) -> TransactBody:
+    """Convert a transaction on one table to the store's format."""
     return TransactBody(
         expect_rev=tuple(condition_entry(table, each.key, each.version) for each in transaction.conditions),
         put=tuple(put_entry(table, each.key, each.value) for each in transaction.puts),
--- a/src/wallwell/routing/health/backend_registry.py
+++ b/src/wallwell/routing/health/backend_registry.py
@@ -54,6 +54,10 @@
         """Return the listed back ends of a service, sorted by incarnation."""
         return self._by_service.get(service, [])
 
+    def services(self) -> list[str]:
+        """Return the services that have listed back ends."""
+        return list(self._by_service)
+
     def own_loads(self) -> dict[str, int]:
         """Return this node's load on each back end by incarnation, in load units, without idle ones."""
         return {incarnation: each.load for incarnation, each in self._by_incarnation.items() if each.load}
--- a/src/wallwell/routing/selection/software_history.py
+++ b/src/wallwell/routing/selection/software_history.py
@@ -63,6 +63,10 @@
         """Whether no version can have begun streams that this node has not seen listed."""
         return now_s - self._confirmed_at_s <= MAX_LISTING_AGE_S
 
+    def reaches_back(self, now_s: float, within_s: float) -> bool:
+        """Whether this node has followed the listing for the last ``within_s`` seconds."""
+        return self.observed_for_s(now_s) >= within_s
+
     def is_complete(self, now_s: float, within_s: float) -> bool:
         """Whether this node has seen every version that was listed within the last ``within_s`` seconds."""
-        return self.is_recent(now_s) and now_s - self._observed_since_s >= within_s
+        return self.is_recent(now_s) and self.reaches_back(now_s, within_s)
--- a/src/wallwell/serving/pipeline.py
+++ b/src/wallwell/serving/pipeline.py
@@ -21,6 +21,7 @@
 
 from wallwell.clock import boot_time_s
 from wallwell.cluster.stream_directory import StreamDirectory
+from wallwell.cluster.stream_records import StreamRecords
 from wallwell.errors import RequestError
 from wallwell.node.state import NodeState
 from wallwell.outcomes import Outcome
@@ -71,6 +72,7 @@
         liveness: LivenessMonitor | None = None,
         crash_observer: CrashObserver | None = None,
         stream_directory: StreamDirectory | None = None,
+        stream_records: StreamRecords | None = None,
     ) -> None:
         self._state = state
         self._admission = Admission(state)
@@ -81,7 +83,7 @@
         self.counters = counters or RequestCounters()
         self._reporter = RequestReporter(state, self.counters)
         directory = stream_directory or StreamDirectory(state.node, state.topology, dict, state.recent_versions)
-        self._stream_origins = StreamOriginBinder(state, directory, self.counters)
+        self._stream_origins = StreamOriginBinder(state, directory, stream_records, self.counters)
         self._failures = FailureRecorder(state, self.feedback, self._reporter)
         hedger = Hedger(state, self._policy, self._selector, self.feedback, self._failures, self._reporter)
         self._attempt_runner = AttemptRunner(
--- a/src/wallwell/serving/stream_origin.py
+++ b/src/wallwell/serving/stream_origin.py
@@ -10,6 +10,7 @@
 from wallwell.clock import boot_time_s
 from wallwell.cluster.stream_directory import StreamDirectory, StreamFindings
 from wallwell.cluster.stream_messages import stream_digest
+from wallwell.cluster.stream_records import StreamRecords
 from wallwell.deployment.routes import RouteKind
 from wallwell.errors import StreamVersionUnknownError
 from wallwell.events import Event, emit
@@ -20,13 +21,24 @@
 from wallwell.serving.counters import RequestCounters
 from wallwell.serving.retry_after import RetryAfterEstimator
 
+KNOWN_BY_STORE = "the store"
+"""In logs, in place of the node that knows a stream."""
+
 
 class StreamOriginBinder:
     """Finds the version of streams that are resumed at one node, and records it of those that begin there."""
 
-    def __init__(self, state: NodeState, directory: StreamDirectory, counters: RequestCounters) -> None:
+    def __init__(
+        self,
+        state: NodeState,
+        directory: StreamDirectory,
+        records: StreamRecords | None,
+        counters: RequestCounters,
+    ) -> None:
+        """``records`` are those in the store; None if the node has none."""
         self._state = state
         self._directory = directory
+        self._records = records
         self._counters = counters
         self._retry_after = RetryAfterEstimator(state)
 
@@ -82,10 +94,28 @@
         is_complete = state.software_history.is_complete(boot_time_s(), state.stream_time_s(service))
         if is_complete and len(versions) <= 1:
             return StreamFindings(None, versions=versions)
-        return await self._directory.find(stream, service)
+        findings = await self._directory.find(stream, service)
+        if findings.software is None:
+            await self._add_records(findings, stream, service)
+        return findings
+
+    async def _add_records(self, findings: StreamFindings, stream: str, service: str) -> None:
+        """Add what the store holds, which also outlasts the end of all nodes."""
+        if self._records is None:
+            return
+        records = await self._records.read()
+        if records is None:
+            reaches_back = self._state.software_history.reaches_back
+            findings.lacks_records = not reaches_back(boot_time_s(), self._state.stream_time_s(service))
+            return
+        findings.software = records.software.get(stream)
+        findings.known_by = "" if findings.software is None else KNOWN_BY_STORE
+        findings.versions |= records.versions.get(service, set())
 
     def _may_lack_versions(self, findings: StreamFindings) -> bool:
-        """Whether this node's listing is old, and none of the nodes that it has to ask answered."""
+        """Whether another version may have served that neither this node nor those that answered have seen."""
+        if findings.lacks_records:
+            return True
         is_alone = bool(findings.asked) and not findings.answered
         return is_alone and not self._state.software_history.is_recent(boot_time_s())
 
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -8,12 +8,18 @@
 
 from wallwell.emulator.platform_store import PlatformStoreEmulator
 from wallwell.emulator.platform_worker import PlatformWorkerEmulator
-from wallwell.platform.names import SEAL
+from wallwell.platform.names import ROUTER_TABLE, SEAL
+from wallwell.platform.store import PlatformStore, StoreTable
 
-__all__ = ["SEAL", "FakeStore", "FakeWorker"]
+__all__ = ["SEAL", "FakeStore", "FakeWorker", "own_table"]
 PAGE_ROWS = 3
 
 
+def own_table(store: PlatformStore) -> StoreTable:
+    """Return the table of the store that nodes write and follow."""
+    return StoreTable(store, ROUTER_TABLE)
+
+
 class FakeStore(PlatformStoreEmulator):
     """A store with few rows per page, so that reading a whole table takes several calls."""
 
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from tests.platform.conftest import config, route
+from tests.platform.fakes import own_table
 from tests.unit.serving.fakes import event
 from wallwell.deployment.store_era import StorePosition
 from wallwell.errors import HistoryLostError, PlatformUnavailableError, SettingsError, TableConflictError
@@ -182,13 +183,15 @@
 def test_transaction_conditions_and_reads_of_whole_tables(run_async):
     async def scenario(fake_store, store):
         for index in range(8):
-            await store.transact(Transaction((Condition(f"k{index}", 0),), (Put(f"k{index}", f"v{index}"),)))
+            await own_table(store).transact(
+                Transaction((Condition(f"k{index}", 0),), (Put(f"k{index}", f"v{index}"),))
+            )
         with pytest.raises(TableConflictError):
-            await store.transact(Transaction((Condition("k1", 0),), (Put("k1", "x"),)))
-        row = await store.get("k3")
-        scan = await store.scan("k", row.version)
+            await own_table(store).transact(Transaction((Condition("k1", 0),), (Put("k1", "x"),)))
+        row = await own_table(store).get("k3")
+        scan = await own_table(store).scan("k", row.version)
         page = await TableRows(store, "wallwell").read_all()
-        return row.value, await store.get("k33"), [each.key for each in scan.rows], len(page.rows)
+        return row.value, await own_table(store).get("k33"), [each.key for each in scan.rows], len(page.rows)
 
     assert with_store(run_async, scenario) == ("v3", None, ["k4", "k5", "k6", "k7"], 8)
 
@@ -198,7 +201,7 @@
     async def scenario(fake_store, store):
         fake_store.refuse_status = status
         with pytest.raises(PlatformUnavailableError):
-            await store.get("k")
+            await own_table(store).get("k")
         with pytest.raises(PlatformUnavailableError):
             await TableRows(store, "op").changes(StorePosition(fake_store.era, 0), 0.1)
 
@@ -209,8 +212,8 @@
     async def scenario(fake_store, store):
         fake_store.lose_writes = 1
         with pytest.raises(PlatformUnavailableError):
-            await store.transact(Transaction((), (Put("k", "v"),)))
-        return (await store.get("k")).value
+            await own_table(store).transact(Transaction((), (Put("k", "v"),)))
+        return (await own_table(store).get("k")).value
 
     assert with_store(run_async, scenario) == "v"
 
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -13,7 +13,7 @@
 import pytest
 
 from tests.platform.conftest import CallersPort, config, route
-from tests.platform.fakes import PAGE_ROWS
+from tests.platform.fakes import PAGE_ROWS, own_table
 from tests.platform.test_node import with_store
 from tests.platform.test_peers import all_know_each_other, second_node
 from wallwell.deployment.store_era import StorePosition
@@ -134,9 +134,9 @@
         monkeypatch.setattr(platform_store, "emit", lambda event, **fields: events.append((event, fields["era"])))
         fake_store.put("wallwell", "k", "v")
         fake_store.era = 3
-        await store.get("k")
+        await own_table(store).get("k")
         fake_store.era = "three"
-        values = [(await store.get("k")).value for _ in range(3)]
+        values = [(await own_table(store).get("k")).value for _ in range(3)]
         return values, store.era.observed_era, events
 
     assert with_store(run_async, scenario) == (["v"] * 3, 3, [(Event.STORE_ERA_UNREADABLE, "three")])
@@ -147,7 +147,7 @@
         fake_store.put("wallwell", "k", "v")
         store.era.observe(fake_store.era + 1, 0.0)
         with pytest.raises(PlatformUnavailableError):
-            await store.get("k")
+            await own_table(store).get("k")
 
     with_store(run_async, scenario)
 
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -8,7 +8,7 @@
 import pytest
 
 from tests.platform.conftest import config
-from tests.platform.fakes import FakeWorker
+from tests.platform.fakes import FakeWorker, own_table
 from tests.platform.test_peers import two_nodes
 from wallwell.cluster.leases import LeaseKeeper
 from wallwell.errors import PlatformUnavailableError, TableConflictError
@@ -40,7 +40,7 @@
 async def rollouts_and_lease(harness):
     """Return a rollout store on the harness's store, and the version of an acquired rollout lease."""
     store = PlatformStore(harness.store.address)
-    lease = await LeaseKeeper(LEASE_NAME, "n9", 5.0, store).try_acquire(0.0)
+    lease = await LeaseKeeper(LEASE_NAME, "n9", 5.0, own_table(store)).try_acquire(0.0)
     return PlatformRolloutStore(store), lease.version
 
 
--- a/tests/wire_subjects.py
+++ b/tests/wire_subjects.py
@@ -23,6 +23,7 @@
 from prometheus_client import CollectorRegistry, generate_latest
 
 import wallwell
+from tests.platform.fakes import own_table
 from wallwell.catalogue import errors_page, events_page
 from wallwell.cli.main import build_parser
 from wallwell.cluster.leases import LeaseBody
@@ -518,7 +519,7 @@
     node = _node()
     store = PlatformStore("127.0.0.1:3")
     store._pool = pool = _RecordingPool(answers)  # type: ignore[assignment]
-    node._member_rows._table._pool = pool
+    node._member_rows._table._store._pool = pool
     asyncio.run(act(node, store))  # type: ignore[arg-type]
     return pool.sent
 
@@ -529,7 +530,7 @@
     async def act(node: Any, store: Any) -> None:
         await TableRows(store, "servers").read_all()
         await TableRows(store, "op").changes(StorePosition(UNKNOWN_ERA, 9), 0.8)
-        await store.get("lease/weights")
+        await own_table(store).get("lease/weights")
 
     page = b'{"ver":7,"now_ms":1000.0,"rows":[{"key":"a","value":"e30=","ver":3}],"more":true}'
     return _recorded(act, {"GET /api/rows-get?table=servers&part=&limit=500 ": page})
