Answers without a length: the time until the head is the back end's own

An answer that ends within 30 ms of its head has no sentinel, and counted as read late if nothing had been read for 0.25 s before, also while its back end was working: whole answers of slow calls were called broken off. Now only gaps after the head count, and before it the standstills of this process's event loop, which a timer shows (also after a stop of the process).

--- a/src/wallwell/node/loop_lag.py
+++ b/src/wallwell/node/loop_lag.py
@@ -12,8 +12,10 @@
 
 from dataclasses import dataclass
 
-TIMER_INTERVAL_S = 0.25
-"""Seconds between two timers, which makes four wake-ups a second."""
+from wallwell.read_gaps import TIMER_INTERVAL_S
+
+__all__ = ["TIMER_INTERVAL_S", "LoopLag"]
+
 LATE_TIMER_S = 0.5
 """Seconds of delay from which a timer counts as late: a request needs more than one iteration of the event loop,
 and a caller waits 1 s."""
--- a/src/wallwell/node/readiness.py
+++ b/src/wallwell/node/readiness.py
@@ -14,6 +14,7 @@
 from wallwell.node.loop_lag import TIMER_INTERVAL_S, LoopLag
 from wallwell.node.member_rows import MemberRows
 from wallwell.node.state import NodeState
+from wallwell.read_gaps import loop_progress
 
 
 class Readiness:
@@ -42,13 +43,20 @@
 
     async def watch_event_loop(self) -> None:
         """Measure the event loop's delay and detect suspensions of the machine, until cancelled."""
-        while True:
-            due_s = boot_time_s() + TIMER_INTERVAL_S
-            await asyncio.sleep(TIMER_INTERVAL_S)
-            now_s = boot_time_s()
-            self._suspension_watch.check()
-            self.loop_lag.observe(now_s - due_s, now_s)
-            self._observe_for_shedding(now_s - due_s)
+        loop_progress.begin(boot_time_s())
+        try:
+            while True:
+                due_s = boot_time_s() + TIMER_INTERVAL_S
+                await asyncio.sleep(TIMER_INTERVAL_S)
+                self._on_timer(due_s, boot_time_s())
+        finally:
+            loop_progress.end()
+
+    def _on_timer(self, due_s: float, now_s: float) -> None:
+        loop_progress.on_timer(now_s, TIMER_INTERVAL_S)
+        self._suspension_watch.check()
+        self.loop_lag.observe(now_s - due_s, now_s)
+        self._observe_for_shedding(now_s - due_s)
 
     def _observe_for_shedding(self, delay_s: float) -> None:
         was_shedding = self.shedding.fraction > 0
--- a/tests/platform/test_unframed_answers.py
+++ b/tests/platform/test_unframed_answers.py
@@ -85,6 +85,20 @@
     assert (answer, attempts) == ((200, EVENTS, True), 1)
 
 
+@pytest.mark.parametrize("kind", [STREAM, UNSAFE], ids=["stream", "unsafe"])
+def test_whole_unframed_answer_of_a_slow_worker_is_passed_on_whole(on_platform, kind):
+    """All of it arrives at once, after a time in which nothing was read."""
+
+    def respond(worker):
+        async def wait_and_answer(request):
+            await asyncio.sleep(0.4)
+            return await unframed(worker, event(1))(request)
+
+        return wait_and_answer
+
+    assert play(on_platform, kind, respond) == ((200, event(1), True), 1)
+
+
 @pytest.mark.parametrize("end", [close, reset])
 def test_stream_that_ends_inside_an_event_is_broken_off(on_platform, end):
     (status, received, is_complete), _ = play(
--- a/tests/unit/test_import_layers.py
+++ b/tests/unit/test_import_layers.py
@@ -24,6 +24,7 @@
     "log_writer",
     "outcomes",
     "plain_http",
+    "read_gaps",
     "socket_options",
     "start_signals",
 }
