Standalone router: parts of answers without a length, and answers without end

The same causes on the path to the declared services: an answer without a length was whole wherever its connection was closed, also by the system of a killed process, and a body was read into memory until the deadline. Now the port is asked once such an answer has ended, and a body ends the call after 4 MB. Left: a close that is read late, since nothing is kept open beside the call; engines' streams end with a marker and are not concerned.

--- a/src/wallwell/standalone/backends/service_client.py
+++ b/src/wallwell/standalone/backends/service_client.py
@@ -13,6 +13,7 @@
 import aiohttp
 
 from wallwell.events import Event, emit
+from wallwell.http_connection import ConnectionPool
 from wallwell.routing.health.backoff import MAX_BACKOFF_S, parse_retry_after
 from wallwell.routing.retry.attempt_outcome import TransportEvent
 from wallwell.standalone.backends.attempt import AttemptFailed
@@ -20,6 +21,10 @@
 
 CONNECT_TIMEOUT_S = 1.0
 """Seconds to wait for a connection to be established; the same as for engines."""
+RESET_WAIT_S = 0.03
+"""Seconds in which a process that is ending resets a connection that it still accepted."""
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+"""Largest body of an answer, which is held in memory until it is whole."""
 NOT_RUN_HEADER = "X-Not-Run"
 """Header by which a service states that it refused a call without running any of it."""
 
@@ -58,9 +63,12 @@
         )
         # Keeps aiohttp from resending idempotent methods; see ``engine_client.client_session``.
         self._session._retry_connection = False
+        self._ports = ConnectionPool("", CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_S, max_idle=0)
+        """Checks ports; nothing is sent on its connections."""
 
     async def close(self) -> None:
         """Close the HTTP session."""
+        self._ports.close()
         await self._session.close()
 
     async def call(self, address: str, call: ServiceCall) -> ServiceAnswer:
@@ -72,7 +80,9 @@
             async with self._session.request(
                 call.method, url, data=call.body, headers=headers, timeout=timeout, allow_redirects=False
             ) as response:
-                body = await response.read()
+                body = await _read_body(response)
+            if _ends_at_close(response, call):
+                await self._check_end(address)
         except aiohttp.ClientConnectorError as error:
             raise AttemptFailed(TransportEvent.CONNECT_REFUSED, str(error)) from error
         except aiohttp.ConnectionTimeoutError as error:
@@ -83,6 +93,15 @@
             raise AttemptFailed(TransportEvent.RESET_AFTER_SEND, type(error).__name__) from error
         return self._check_response(response, body, call)
 
+    async def _check_end(self, address: str) -> None:
+        """Raise :class:`AttemptFailed` if the process that closed an answer without a length has ended.
+
+        Its system closes the connections of a process that was killed as that does which has sent everything.
+        """
+        port = await self._ports.check_port(address, RESET_WAIT_S)
+        if port.refuses:
+            raise AttemptFailed(TransportEvent.RESET_AFTER_SEND, "the service's process has ended")
+
     def _check_response(self, response: aiohttp.ClientResponse, body: bytes, call: ServiceCall) -> ServiceAnswer:
         backoff_s = _requested_backoff_s(response)
         if response.status == HTTPStatus.SERVICE_UNAVAILABLE and NOT_RUN_HEADER in response.headers:
@@ -97,6 +116,24 @@
         return answer
 
 
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Return the whole body. Raises :class:`AttemptFailed` if it has more bytes than any may have."""
+    body = bytearray()
+    async for data in response.content.iter_any():
+        body += data
+        if len(body) > MAX_ANSWER_BYTES:
+            response.close()
+            raise AttemptFailed(TransportEvent.RESET_AFTER_SEND, f"the body has more than {MAX_ANSWER_BYTES} bytes")
+    return bytes(body)
+
+
+def _ends_at_close(response: aiohttp.ClientResponse, call: ServiceCall) -> bool:
+    """Whether the answer has a body, and neither a length nor chunks."""
+    has_no_body = call.method == "HEAD" or response.status in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+    is_chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
+    return not has_no_body and not is_chunked and "Content-Length" not in response.headers
+
+
 def _requested_backoff_s(response: aiohttp.ClientResponse) -> float:
     """Return the back-off in seconds that a refusing instance requests, 0 if none; logs each unreadable
     ``Retry-After`` header."""
