--- a/src/wallwell/soak/faults.py
+++ b/src/wallwell/soak/faults.py
@@ -151,7 +151,7 @@
             await self._replace_worker(fault.target, fault.lasts_s, keeps_identity=True)
 
     async def _spoil_entry(self, fault: PlannedFault) -> None:
-        worker = self._fleet.worker(fault.target).name
+        worker = self._fleet.worker_incarnation(fault.target)
         await self._fleet.control_store(SpoilEntry(worker, is_spoilt=True))
         await asyncio.sleep(fault.lasts_s)
         await self._fleet.control_store(SpoilEntry(worker, is_spoilt=False))
--- a/src/wallwell/soak/fleet.py
+++ b/src/wallwell/soak/fleet.py
@@ -191,9 +191,13 @@
         announced = await self.supervisor.start_own("worker", incarnation, settings)
         await self.control_proxy(AimLink(name, announced.addresses[0]))
 
+    def worker_incarnation(self, name: str) -> str:
+        """Return the newest incarnation's identity; its process may have ended or be starting."""
+        return f"{name}.{self._incarnations[name]}"
+
     def worker(self, name: str) -> ChildProcess:
-        """Return the newest incarnation's process."""
-        return self.supervisor.child(f"{name}.{self._incarnations[name]}")
+        """Return the newest incarnation's process. Raises KeyError while it has none."""
+        return self.supervisor.child(self.worker_incarnation(name))
 
     # --- routers ---------------------------------------------------------------------------------------
 
--- a/tests/unit/soak/test_faults.py
+++ b/tests/unit/soak/test_faults.py
@@ -10,7 +10,7 @@
 from wallwell.soak.answers import CRASH_STATUS
 from wallwell.soak.faults import LINK_HARMS, STORE_SWITCHES, FaultRunner, link_of
 from wallwell.soak.fleet import REGION_DELAY_S, sound_link
-from wallwell.soak.schedule import LINK_FAULTS, REGION_FAULTS, STORE_FAULTS, FaultKind, Shape
+from wallwell.soak.schedule import LINK_FAULTS, REGION_FAULTS, STORE_FAULTS, FaultKind, PlannedFault, Shape
 
 
 @pytest.mark.parametrize(
@@ -91,3 +91,28 @@
 def test_a_worker_that_cannot_be_started_again_ends_the_run_with_an_error():
     with pytest.raises(SoakError, match="scripted"):
         keep(FleetOfOne(CRASH_STATUS, can_start=False))
+
+
+class FleetWithoutProcess:
+    """A worker whose process has crashed and is not started again yet."""
+
+    def __init__(self):
+        self.schedule = types.SimpleNamespace(shape=Shape(nodes=1, engines=1, instances=0))
+        self.sent = []
+
+    def worker(self, name):
+        raise KeyError(name)
+
+    def worker_incarnation(self, name):
+        return f"{name}.2"
+
+    async def control_store(self, message):
+        self.sent.append(message)
+
+
+def test_the_entry_of_a_worker_without_a_process_can_be_spoilt():
+    """Guards against a run that ends with a KeyError, since a request has just crashed the worker."""
+    fleet = FleetWithoutProcess()
+    runner = FaultRunner(fleet)
+    run_virtual(runner._spoil_entry(PlannedFault(0.0, 1.0, FaultKind.SPOIL_ENTRY, "engine-0")))
+    assert [(each.worker, each.is_spoilt) for each in fleet.sent] == [("engine-0.2", True), ("engine-0.2", False)]
