What the ends of answers wrote again: one way to borrow a connection, one size, one test worker

Found by reading the whole change once more. - The pool's take_or_open did what acquire does, and give_back stood beside put_back, which reset the time since which a connection is idle. That time now begins as the connection opens, put_back keeps it, and both copies go. One effect: a connection whose request was withdrawn is no longer taken for one that has just become idle. - 4 MB as the largest answer stood three times, the wait for a reset twice: one constant each. - The watch of an answer's end starts as it is made: no state in which it has not begun. - The timer's interval was a parameter that had one value. Assertions are unchanged.

--- a/src/wallwell/answer_bounds.py
+++ b/src/wallwell/answer_bounds.py
@@ -11,10 +11,11 @@
 
 from aiohttp.streams import StreamReader
 
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+"""Largest body of an answer that is held in memory until it is whole; also of all that are discarded in a round
+trip, as a copy may be of any answer."""
 MAX_UNUSED_BYTES = 256 * 1024
 """Bytes of a round trip that are no part of a body: heads, and what frames a body."""
-MAX_DISCARDED_BYTES = 4 * 1024 * 1024
-"""Bytes of the bodies of discarded answers in a round trip: as many as the largest answer has."""
 MAX_FRAMING_RATIO = 1
 """Bytes that may frame one byte of a body, in addition: the chunk of a small event has a tenth of that."""
 MAX_UNUSED_MESSAGES = 32
@@ -62,7 +63,7 @@
         ``discarded_body`` is that of a discarded answer which is still arriving.
         """
         discarded_bytes = self._discarded_bytes + _size_of(discarded_body)
-        if self._unused_messages > MAX_UNUSED_MESSAGES or discarded_bytes > MAX_DISCARDED_BYTES:
+        if self._unused_messages > MAX_UNUSED_MESSAGES or discarded_bytes > MAX_ANSWER_BYTES:
             return True
         body_bytes = discarded_bytes + _size_of(body)
         return self._received_bytes - body_bytes > MAX_UNUSED_BYTES + body_bytes * MAX_FRAMING_RATIO
--- a/src/wallwell/backend_connection.py
+++ b/src/wallwell/backend_connection.py
@@ -90,7 +90,7 @@
         self.timed_out = False
         """Whether the connection ended because the back end no longer acknowledged packets."""
         self.idle_since_s = 0.0
-        """Boot time of the end of the last round trip."""
+        """Boot time of the end of the last round trip, or of the opening if there was none."""
         self.max_idle_s = DEFAULT_MAX_IDLE_S
 
     @property
@@ -216,8 +216,8 @@
     # --- asyncio.Protocol --------------------------------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Record when the connection was opened."""
-        self.opened_s = boot_time_s()
+        """Record when the connection was opened; it is idle from then on."""
+        self.opened_s = self.idle_since_s = boot_time_s()
         super().connection_made(transport)
 
     def data_received(self, data: bytes) -> None:
--- a/src/wallwell/http_connection.py
+++ b/src/wallwell/http_connection.py
@@ -31,6 +31,9 @@
 """Largest body of a fetched answer: several times that of a page of rows, or of a KV store's list of contents."""
 REFUSAL_CHECKS = 2
 """Connections that are opened to find out whether a port refuses them."""
+RESET_WAIT_S = 0.03
+"""Seconds in which a process that is ending resets a connection that it still accepted. On a busy machine the ends
+of its connections and of its port may lie as far apart."""
 
 
 class ConnectFailedError(Exception):
@@ -120,9 +123,11 @@
             self.close_idle(address)
 
     def put_back(self, address: str, connection: BackendConnection) -> None:
-        """Return an unused connection to the pool."""
-        connection.idle_since_s = boot_time_s()
-        self._add_idle(address, connection)
+        """Return a connection on which nothing was sent; the back end has seen it idle all the while."""
+        if connection.is_reusable(boot_time_s()):
+            self._add_idle(address, connection)
+        else:
+            connection.close()
 
     # --- idle connections ----------------------------------------------------------------------------------
 
@@ -130,7 +135,7 @@
         """Open a connection and leave it idle for the next round trip. Raises :class:`ConnectFailedError`."""
         self.put_back(address, await self._connect(address, timeout_s))
 
-    async def check_port(self, address: str, reset_wait_s: float) -> PortCheck:
+    async def check_port(self, address: str, reset_wait_s: float = RESET_WAIT_S) -> PortCheck:
         """Open a connection to ``IP:port``; one that stays open for ``reset_wait_s`` is left idle for a round trip.
 
         A process that is ending may close its connections before its port, and one with too many connections resets
@@ -149,25 +154,6 @@
                 break
         return PortCheck(accepted_at_once, refuses=False)
 
-    async def take_or_open(self, address: str) -> BackendConnection:
-        """Return a connection to ``IP:port`` on which nothing is to be sent until :meth:`give_back`.
-
-        Raises :class:`ConnectFailedError`.
-        """
-        idle = self._take_idle(address, "", has_body=True)
-        if idle is not None:
-            return idle
-        connection = await self._connect(address, self._connect_timeout_s)
-        connection.idle_since_s = connection.opened_s
-        return connection
-
-    def give_back(self, address: str, connection: BackendConnection) -> None:
-        """Return a connection of :meth:`take_or_open`, on which the back end has seen nothing meanwhile."""
-        if connection.is_reusable(boot_time_s()):
-            self._add_idle(address, connection)
-        else:
-            connection.close()
-
     def has_idle(self, address: str) -> bool:
         """Whether the pool has an idle connection to an address that can be reused."""
         now_s = boot_time_s()
--- a/src/wallwell/node/loop_lag.py
+++ b/src/wallwell/node/loop_lag.py
@@ -5,17 +5,13 @@
 callers connect elsewhere and its load falls. A single late timer is no sign of starvation: it also occurs when a
 suspended machine resumes.
 
-Owns the count of late timers. Relies on :meth:`LoopLag.observe` being called every :data:`TIMER_INTERVAL_S`.
+Owns the count of late timers. Relies on :meth:`LoopLag.observe` being called each time that the timer fires.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-from wallwell.read_gaps import TIMER_INTERVAL_S
-
-__all__ = ["TIMER_INTERVAL_S", "LoopLag"]
-
 LATE_TIMER_S = 0.5
 """Seconds of delay from which a timer counts as late: a request needs more than one iteration of the event loop,
 and a caller waits 1 s."""
--- a/src/wallwell/node/readiness.py
+++ b/src/wallwell/node/readiness.py
@@ -11,10 +11,10 @@
 from wallwell.clock import SuspensionWatch, boot_time_s
 from wallwell.events import Event, emit
 from wallwell.node.connection_shedding import ConnectionShedding, is_load_skewed
-from wallwell.node.loop_lag import TIMER_INTERVAL_S, LoopLag
+from wallwell.node.loop_lag import LoopLag
 from wallwell.node.member_rows import MemberRows
 from wallwell.node.state import NodeState
-from wallwell.read_gaps import loop_progress
+from wallwell.read_gaps import TIMER_INTERVAL_S, loop_progress
 
 
 class Readiness:
@@ -53,7 +53,7 @@
             loop_progress.end()
 
     def _on_timer(self, due_s: float, now_s: float) -> None:
-        loop_progress.on_timer(now_s, TIMER_INTERVAL_S)
+        loop_progress.on_timer(now_s)
         self._suspension_watch.check()
         self.loop_lag.observe(now_s - due_s, now_s)
         self._observe_for_shedding(now_s - due_s)
--- a/src/wallwell/platform/sentinels.py
+++ b/src/wallwell/platform/sentinels.py
@@ -31,15 +31,15 @@
         async with self._opening:
             if self.connection is None or self.connection.closed:
                 try:
-                    self.connection = await self._pool.take_or_open(self._address)
+                    self.connection = await self._pool.acquire(self._address, "")
                 except ConnectFailedError:
                     self.connection = None  # The end of the answer is then judged without it, and logged.
             return self.connection
 
     def release(self) -> None:
-        """Give the connection back to the pool."""
+        """Return the connection to the pool."""
         if self.connection is not None:
-            self._pool.give_back(self._address, self.connection)
+            self._pool.put_back(self._address, self.connection)
 
 
 class Sentinels:
--- a/src/wallwell/platform/unframed_end.py
+++ b/src/wallwell/platform/unframed_end.py
@@ -12,7 +12,7 @@
 from wallwell.backend_connection import BackendConnection
 from wallwell.clock import boot_time_s, ends_within
 from wallwell.events import Event, emit
-from wallwell.http_connection import ConnectionPool, PortCheck
+from wallwell.http_connection import RESET_WAIT_S, ConnectionPool, PortCheck
 from wallwell.platform.sentinels import Sentinel, Sentinels
 from wallwell.routing.health.answer_end import (
     EndEvidence,
@@ -23,11 +23,9 @@
 )
 from wallwell.serving.messages import Dispatch
 
-CALL_RESET_WAIT_S = 0.03
-"""Seconds in which a process that is ending resets a connection that it still accepted. On a busy machine the ends
-of its connections and of its port may lie as far apart; a call's caller waits for it."""
 STREAM_RESET_WAIT_S = 0.1
-"""The same for a stream, whose events have all been passed on by then."""
+"""As :data:`wallwell.http_connection.RESET_WAIT_S`, for a stream: its events have all been passed on by then, while
+the caller of a call waits for it."""
 SENTINEL_DELAY_S = 0.03
 """Seconds after the head from which an answer needs a sentinel. Most calls have ended by then, and cost none."""
 SENTINEL_CHECK_S = 0.02
@@ -47,30 +45,29 @@
 
 
 class UnframedEnd:
-    """Watches one answer, and judges its end."""
+    """Watches one answer from now on, and judges its end."""
 
     def __init__(
-        self, pool: ConnectionPool, sentinels: Sentinels, dispatch: Dispatch, connection: BackendConnection
+        self,
+        pool: ConnectionPool,
+        sentinels: Sentinels,
+        dispatch: Dispatch,
+        connection: BackendConnection,
+        is_stream: bool,
     ) -> None:
         self._pool = pool
         self._sentinels = sentinels
         self._dispatch = dispatch
         self._connection = connection
-        self._task: asyncio.Task[EndVerdict] | None = None
-
-    def begin(self, reset_wait_s: float) -> None:
-        """Watch the answer; ``reset_wait_s`` as for :meth:`ConnectionPool.check_port`."""
-        self._task = asyncio.create_task(self._watch(reset_wait_s))
+        self._task = asyncio.create_task(self._watch(STREAM_RESET_WAIT_S if is_stream else RESET_WAIT_S))
 
     async def verdict(self) -> EndVerdict:
-        """Return the verdict on the answer, whose connection must have been closed."""
-        assert self._task is not None
+        """Return the verdict on the answer once its connection has been closed."""
         return await self._task
 
     def cancel(self) -> None:
         """End the watch; no verdict is wanted."""
-        if self._task is not None:
-            self._task.cancel()
+        self._task.cancel()
 
     async def _watch(self, reset_wait_s: float) -> EndVerdict:
         address = self._dispatch.backend.address
--- a/src/wallwell/platform/worker_client.py
+++ b/src/wallwell/platform/worker_client.py
@@ -17,7 +17,7 @@
 from wallwell.http_connection import ConnectFailedError, ConnectionPool
 from wallwell.platform import names
 from wallwell.platform.sentinels import Sentinels
-from wallwell.platform.unframed_end import CALL_RESET_WAIT_S, STREAM_RESET_WAIT_S, UnframedEnd
+from wallwell.platform.unframed_end import UnframedEnd
 from wallwell.platform.worker_notices import deliver_notice
 from wallwell.platform.worker_requests import attempt_failure, encode_request, has_answer_body, parse_answer_head
 from wallwell.routing.health.backend_notice import NO_NOTICE, BackendNotices
@@ -57,7 +57,7 @@
         self._connection: BackendConnection | None = connection
         self._address = dispatch.backend.address
         self._pool = pool
-        self._end: UnframedEnd | None = None
+        self.end: UnframedEnd | None = None
         """Judges the end of an answer without a length; None if the answer has one."""
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -68,20 +68,15 @@
                     yield data
         except ConnectionBrokenError as error:
             raise AttemptError(TransportEvent.RESET_AFTER_SEND, str(error)) from error
-        if self._end is not None:
-            verdict = await self._end.verdict()
+        if self.end is not None:
+            verdict = await self.end.verdict()
             if not verdict.is_whole:
                 raise AttemptError(TransportEvent.RESET_AFTER_SEND, verdict.reason)
 
-    def watch_end(self, end: UnframedEnd) -> None:
-        """Have the end of an answer without a length judged, from now on."""
-        self._end = end
-        end.begin(STREAM_RESET_WAIT_S if self.head.is_event_stream else CALL_RESET_WAIT_S)
-
     def close(self) -> None:
         """See :class:`wallwell.serving.messages.BackendAnswer`."""
-        if self._end is not None:
-            self._end.cancel()
+        if self.end is not None:
+            self.end.cancel()
         if self._connection is not None:
             self._pool.release(self._address, self._connection)
             self._connection = None
@@ -119,7 +114,7 @@
             answer.close()
             raise failure
         if connection.body_ends_at_close:
-            answer.watch_end(UnframedEnd(self._pool, self._sentinels, dispatch, connection))
+            answer.end = UnframedEnd(self._pool, self._sentinels, dispatch, connection, head.is_event_stream)
         return answer
 
     async def _connect(self, dispatch: Dispatch) -> BackendConnection:
--- a/src/wallwell/read_gaps.py
+++ b/src/wallwell/read_gaps.py
@@ -31,22 +31,23 @@
     def end(self) -> None:
         """Record that the timer is not set again; nothing is known from then on."""
         self._last_timer_s = None
+        self._began_s = self._ended_s = float("-inf")
 
-    def on_timer(self, now_s: float, interval_s: float) -> None:
-        """Record that a timer fired that was set ``interval_s`` after it had fired before."""
-        began_s = self._standstill_since_s(now_s, interval_s)
+    def on_timer(self, now_s: float) -> None:
+        """Record that the timer fired; it is set again for :data:`TIMER_INTERVAL_S` each time."""
+        began_s = self._standstill_since_s(now_s)
         if began_s is not None:
             self._began_s, self._ended_s = began_s, now_s
         self._last_timer_s = now_s
 
-    def _standstill_since_s(self, now_s: float, interval_s: float) -> float | None:
-        if self._last_timer_s is None or now_s - self._last_timer_s < interval_s + MIN_RESTART_S:
+    def _standstill_since_s(self, now_s: float) -> float | None:
+        if self._last_timer_s is None or now_s - self._last_timer_s < TIMER_INTERVAL_S + MIN_RESTART_S:
             return None
         return self._last_timer_s
 
     def stood_still_since_s(self, since_s: float, now_s: float) -> float | None:
         """Return since when the loop may have stood still, after ``since_s`` and until shortly before now."""
-        began_s = self._standstill_since_s(now_s, TIMER_INTERVAL_S)
+        began_s = self._standstill_since_s(now_s)
         if began_s is None and self._ended_s > max(since_s, now_s - MIN_RESTART_S):
             began_s = self._began_s
         return None if began_s is None else max(began_s, since_s)
--- a/src/wallwell/serving/attempt.py
+++ b/src/wallwell/serving/attempt.py
@@ -12,7 +12,7 @@
 from contextlib import AbstractAsyncContextManager, aclosing, nullcontext
 from dataclasses import dataclass
 
-from wallwell.answer_bounds import AnswerTooLargeError, read_bounded
+from wallwell.answer_bounds import MAX_ANSWER_BYTES, AnswerTooLargeError, read_bounded
 from wallwell.clock import boot_time_s, time_limit
 from wallwell.deployment.routes import RouteKind
 from wallwell.deployment.topology import Distance
@@ -41,9 +41,6 @@
 
 CALL_LOAD = 1
 """Load units that a call adds to its back end; those of a generation depend on its prompt."""
-MAX_CALL_ANSWER_BYTES = 4 * 1024 * 1024
-"""Largest body of an answer that is no stream. It is held in memory until it is whole, so the bound limits what a
-back end that never ends an answer can take of this node's memory."""
 FIRST_SERVER_ERROR_STATUS = 500
 """Lowest HTTP status that reports a failure of the back end."""
 
@@ -258,7 +255,7 @@
     """Return the whole body. Raises :class:`AttemptError` if it ends early or is larger than any may be."""
     async with aclosing(answer.chunks()) as chunks:  # type: ignore[type-var]
         try:
-            return await read_bounded(chunks, MAX_CALL_ANSWER_BYTES)
+            return await read_bounded(chunks, MAX_ANSWER_BYTES)
         except AnswerTooLargeError as error:
             raise AttemptError(TransportEvent.RESET_AFTER_SEND, str(error)) from error
 
--- a/src/wallwell/standalone/backends/service_client.py
+++ b/src/wallwell/standalone/backends/service_client.py
@@ -12,7 +12,7 @@
 
 import aiohttp
 
-from wallwell.answer_bounds import AnswerTooLargeError, read_bounded
+from wallwell.answer_bounds import MAX_ANSWER_BYTES, AnswerTooLargeError, read_bounded
 from wallwell.events import Event, emit
 from wallwell.http_connection import ConnectionPool
 from wallwell.routing.health.backoff import MAX_BACKOFF_S, parse_retry_after
@@ -22,10 +22,6 @@
 
 CONNECT_TIMEOUT_S = 1.0
 """Seconds to wait for a connection to be established; the same as for engines."""
-RESET_WAIT_S = 0.03
-"""Seconds in which a process that is ending resets a connection that it still accepted."""
-MAX_ANSWER_BYTES = 4 * 1024 * 1024
-"""Largest body of an answer, which is held in memory until it is whole."""
 NOT_RUN_HEADER = "X-Not-Run"
 """Header by which a service states that it refused a call without running any of it."""
 
@@ -101,7 +97,7 @@
 
         Its system closes the connections of a process that was killed as that does which has sent everything.
         """
-        port = await self._ports.check_port(address, RESET_WAIT_S)
+        port = await self._ports.check_port(address)
         if port.refuses:
             raise AttemptFailed(TransportEvent.RESET_AFTER_SEND, "the service's process has ended")
 
--- a/tests/platform/process_worker.py
+++ b/tests/platform/process_worker.py
@@ -1,8 +1,7 @@
 """A worker in threads of its own, which goes on while the node's event loop stands still.
 
-Stands for a process: :meth:`ProcessWorker.kill` closes its port and all its connections at once, as the system
-does.
-Its answers have neither a length nor chunks.
+:meth:`ProcessWorker.kill` closes its port and all its connections at once, as the system does when a process is
+killed. Its answers have neither a length nor chunks; a subclass may answer otherwise.
 """
 
 from __future__ import annotations
@@ -16,6 +15,8 @@
 class ProcessWorker:
     """One process of a worker, listening from its creation on."""
 
+    service = "svc"
+
     def __init__(self, incarnation, port=0, shares_port=False, is_stream=False):
         """``shares_port`` lets another process listen on the same port beside this one."""
         self.incarnation = incarnation
@@ -42,11 +43,11 @@
     def _run(self, function, *arguments):
         threading.Thread(target=function, args=arguments, daemon=True).start()
 
-    def entry(self, born=None, state="ready"):
-        """Return the worker's own entry in the store."""
+    def entry(self, **more):
+        """Return the worker's own entry in the store, with ``more`` added."""
         models = [{"name": "m", "version": 1}]
-        entry = {"service": "svc", "addr": f"{HOST}:{self.port}", "zone": "z1", "version": "", "slots": 8}
-        return {**entry, "state": state, "models": models, "seq": 1, **({} if born is None else {"born": born})}
+        entry = {"service": self.service, "addr": f"{HOST}:{self.port}", "zone": "z1", "version": "", "slots": 8}
+        return {**entry, "state": "ready", "models": models, "seq": 1, **more}
 
     def _accept(self):
         try:
@@ -66,11 +67,12 @@
                 if not data:
                     return
                 received += data
-            self._answer(connection, _header(received, b"x-request-id"))
+            self.answer(connection, _header(received, b"x-request-id"))
         except OSError:
             pass  # The connection has been closed.
 
-    def _answer(self, connection, request_id):
+    def answer(self, connection, request_id):
+        """Answer the one request of a connection. Raises OSError once the connection has been closed."""
         head = [b"HTTP/1.1 200 OK", b"X-Request-Id: " + request_id, b"X-Response-Seal: s", b"Connection: close"]
         head.append(b"Content-Type: " + (b"text/event-stream" if self.is_stream else b"text/plain"))
         if self.is_leaving:
--- a/tests/platform/test_all_nodes_killed.py
+++ b/tests/platform/test_all_nodes_killed.py
@@ -10,9 +10,9 @@
 
 import pytest
 
-from tests.platform.conftest import CallersPort, config
+from tests.platform.conftest import CallersPort
 from tests.platform.test_peers import second_node
-from tests.platform.test_streams_of_two_versions import EVENTS, ROUTES, STREAMS, VersionedFleet
+from tests.platform.test_streams_of_two_versions import EVENTS, STREAMS, VersionedFleet, run_streams
 from wallwell.cluster.stream_records import READ_INTERVAL_S
 
 NODES = 2
@@ -61,18 +61,6 @@
             self.harness.store.put("servers", worker.incarnation, None)
 
 
-def play(on_platform, scenario, software):
-    async def run(harness):
-        fleet = KilledFleet(harness)
-        await fleet.start()
-        try:
-            return await scenario(fleet)
-        finally:
-            await fleet.stop()
-
-    return on_platform(run, config(routes=ROUTES), software=software)
-
-
 def versions_of(streams):
     return [{version for _, version in before + after} for before, after in streams]
 
@@ -86,7 +74,7 @@
     async def scenario(fleet):
         return await fleet.begin_and_break(lambda: fleet.leave(0, 1), starts_again_s)
 
-    streams = play(on_platform, scenario, ("v1", "v1", "v2", "v2"))
+    streams = run_streams(on_platform, scenario, KilledFleet, ("v1", "v1", "v2", "v2"))
     assert {version for versions in versions_of(streams) for version in versions} == {"v1", "v2"}
     assert all(len(versions) == 1 for versions in versions_of(streams))
     of_staying = [stream for stream in streams if stream[0][0][1] == "v2"]
@@ -97,7 +85,7 @@
     async def scenario(fleet):
         return await fleet.begin_and_break(lambda: None)
 
-    streams = play(on_platform, scenario, ("v1", "v1", "v2", "v2"))
+    streams = run_streams(on_platform, scenario, KilledFleet, ("v1", "v1", "v2", "v2"))
     assert all(len(versions) == 1 for versions in versions_of(streams))
     assert len(gone_on(streams)) == STREAMS
 
@@ -108,7 +96,7 @@
         rows = [key for table, key in fleet.harness.store.rows if table == "wallwell-streams"]
         return streams, rows
 
-    streams, rows = play(on_platform, scenario, ("v1", "v1", "v1", "v1"))
+    streams, rows = run_streams(on_platform, scenario, KilledFleet, ("v1", "v1", "v1", "v1"))
     assert len(gone_on(streams)) == STREAMS
     assert rows == []
 
@@ -128,6 +116,6 @@
         resumed = await fleet.resume_streams(begun, "/many/a", fleet.ports)
         return [status for status, _ in refused], [status for status, _ in resumed]
 
-    refused, resumed = play(on_platform, scenario, ("v1", "v1", "v1", "v1"))
+    refused, resumed = run_streams(on_platform, scenario, KilledFleet, ("v1", "v1", "v1", "v1"))
     assert refused == [503] * STREAMS
     assert resumed == [200] * STREAMS
--- a/tests/platform/test_endless_answers.py
+++ b/tests/platform/test_endless_answers.py
@@ -7,18 +7,16 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import threading
 import time
 
 import aiohttp
 import pytest
 
 from tests.platform.conftest import config, route
-from wallwell.answer_bounds import MAX_UNUSED_BYTES
+from tests.platform.process_worker import ProcessWorker
+from wallwell.answer_bounds import MAX_ANSWER_BYTES, MAX_UNUSED_BYTES
 from wallwell.backend_connection import BackendConnection, ConnectionBrokenError
 from wallwell.http_connection import ConnectionPool
-from wallwell.serving.attempt import MAX_CALL_ANSWER_BYTES
 
 OBJECTIVE_S = 0.4
 """Objective of the sound requests, by their route. The event loop, which all share, may not be held longer. It is
@@ -67,53 +65,28 @@
 PIECES_PER_SEND = 64 * 1024
 
 
-class EndlessWorker:
-    """A worker in threads, whose answers go on until the node closes the connection."""
+class EndlessWorker(ProcessWorker):
+    """A worker whose answers go on until the node closes the connection."""
+
+    service = "bad"
 
     def __init__(self, begin, unit):
         self._begin = begin
         self._block = unit * (PIECES_PER_SEND // len(unit))
-        self.connections = 0
-        """Open connections on which an answer goes on."""
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.port = self._listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def entry(self):
-        models = [{"name": "m", "version": 1}]
-        entry = {"service": "bad", "addr": f"127.0.0.1:{self.port}", "zone": "z1", "version": "", "slots": 8}
-        return {**entry, "state": "ready", "models": models, "seq": 1}
-
-    def _accept(self):
-        try:
-            while True:
-                connection, _ = self._listener.accept()
-                threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
-        except OSError:
-            pass  # The listener has been closed.
+        self.in_flight = 0
+        """Answers that go on."""
+        super().__init__("i-bad")
 
-    def _serve(self, connection):
-        received = b""
+    def answer(self, connection, request_id):
+        self.in_flight += 1
         try:
-            while b"\r\n\r\n" not in received:
-                data = connection.recv(65536)
-                if not data:
-                    return
-                received += data
-            (line,) = (each for each in received.split(b"\r\n") if each.lower().startswith(b"x-request-id:"))
-            self.connections += 1
-            connection.sendall(self._begin.replace(b"%s", line.partition(b":")[2].strip()))
+            connection.sendall(self._begin.replace(b"%s", request_id))
             while True:
                 connection.sendall(self._block)
-        except OSError:
-            self.connections -= 1
         finally:
+            self.in_flight -= 1
             connection.close()
 
-    def close(self):
-        self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-
 
 async def read_whole(harness, path, **headers):
     """Return the status of an answer, whether it is whole, and the seconds until its end."""
@@ -154,14 +127,14 @@
         ended = await endless
         used_s = time.thread_time() - began_s
         sound.append(await read_whole(harness, "/sound/", X_Request_Id="last"))
-        await harness.until(lambda: worker.connections == 0)
+        await harness.until(lambda: worker.in_flight == 0)
         assert all((status, is_whole) == (200, True) for status, is_whole, _ in sound)
         return ended, used_s
 
     try:
         ended, used_s = on_platform(scenario, config(routes=ROUTES), workers=1)
     finally:
-        worker.close()
+        worker.kill()
     return ended, used_s, sum(read.values())
 
 
@@ -170,7 +143,7 @@
     (status, _, seconds), used_s, read = play(on_platform, monkeypatch, CALLS[form], "/call/")
     assert status in (502, 504)
     assert seconds < AT_ONCE_S and used_s < OBJECTIVE_S
-    assert read <= MAX_CALL_ANSWER_BYTES + MAX_UNUSED_BYTES + READ_BYTES
+    assert read <= MAX_ANSWER_BYTES + MAX_UNUSED_BYTES + READ_BYTES
 
 
 @pytest.mark.parametrize("form", STREAMS)
@@ -178,7 +151,7 @@
     (status, is_whole, seconds), used_s, read = play(on_platform, monkeypatch, STREAMS[form], "/stream/", **PROMPT)
     assert status in (502, 504) or not is_whole
     assert seconds < AT_ONCE_S and used_s < OBJECTIVE_S
-    assert read <= MAX_CALL_ANSWER_BYTES + MAX_UNUSED_BYTES + READ_BYTES
+    assert read <= MAX_ANSWER_BYTES + MAX_UNUSED_BYTES + READ_BYTES
 
 
 def test_rejection_with_an_endless_body_proves_that_nothing_ran(on_platform, monkeypatch):
@@ -212,4 +185,4 @@
         with pytest.raises(ConnectionBrokenError):
             run_async(work())
     finally:
-        worker.close()
+        worker.kill()
--- a/tests/platform/test_ends_read_late.py
+++ b/tests/platform/test_ends_read_late.py
@@ -13,7 +13,7 @@
 
 from tests.platform.conftest import config, route
 from tests.platform.process_worker import ProcessWorker
-from tests.platform.test_unframed_answers import PROMPT, STREAM, UNSAFE, read_answer
+from tests.platform.test_unframed_answers import PROMPT, STREAM, UNSAFE, is_broken_off, read_answer
 from tests.unit.serving.fakes import event
 
 PIECES = [event(1), event(2)]
@@ -24,13 +24,6 @@
 """Seconds in which the node has done what it does after the head of an answer."""
 
 
-def broken_off(answer, kind):
-    status, received, is_complete = answer
-    if kind is STREAM:
-        return (status, received, is_complete) == (200, event(1), False)
-    return status in (502, 504)
-
-
 def play(on_platform, kind, meanwhile, shares_port=False, before=None):
     """Return the answer whose first piece arrives before the event loop stands still for ``meanwhile(worker)``."""
 
@@ -69,7 +62,7 @@
         time.sleep(down_s)
         return [ProcessWorker("i-p", worker.port)]
 
-    assert broken_off(play(on_platform, kind, restart), kind)
+    assert is_broken_off(play(on_platform, kind, restart), kind, event(1))
 
 
 @KINDS
@@ -82,7 +75,7 @@
         worker.kill()
         return next_ones
 
-    assert broken_off(play(on_platform, kind, kill, shares_port=True), kind)
+    assert is_broken_off(play(on_platform, kind, kill, shares_port=True), kind, event(1))
 
 
 @KINDS
--- a/tests/platform/test_streams_of_two_versions.py
+++ b/tests/platform/test_streams_of_two_versions.py
@@ -169,18 +169,18 @@
     return [(before, after) for (_, before), (_, after) in zip(begun, resumed, strict=True)]
 
 
-def run_streams(on_platform, play):
-    """Return what ``play`` returns of a started fleet."""
+def run_streams(on_platform, play, fleet_of=VersionedFleet, software=SOFTWARE):
+    """Return what ``play`` returns of a started fleet of this kind, before back ends of these versions."""
 
     async def scenario(harness):
-        fleet = VersionedFleet(harness)
+        fleet = fleet_of(harness)
         await fleet.start()
         try:
             return await play(fleet)
         finally:
             await fleet.stop()
 
-    return on_platform(scenario, config(routes=ROUTES), software=SOFTWARE)
+    return on_platform(scenario, config(routes=ROUTES), software=software)
 
 
 def test_resumed_streams_are_counted(on_platform):
--- a/tests/platform/test_unframed_answers.py
+++ b/tests/platform/test_unframed_answers.py
@@ -69,6 +69,14 @@
     return status, received, True
 
 
+def is_broken_off(answer, kind, events):
+    """Whether an answer does not look whole: a stream after these events, a call as an error of the router."""
+    status, received, is_complete = answer
+    if kind is STREAM:
+        return (status, received, is_complete) == (200, events, False)
+    return status in (502, 504)
+
+
 def play(on_platform, kind, respond, workers=1):
     async def scenario(harness):
         for worker in harness.workers:
@@ -164,11 +172,8 @@
         worker.respond = unframed(worker, event(1) + event(2), lambda request: worker.crash())
         return await read_answer(harness, **(PROMPT if kind is STREAM else {}))
 
-    status, received, is_complete = on_platform(scenario, config(routes=[route(**kind)]), workers=1)
-    if kind is STREAM:
-        assert (status, received, is_complete) == (200, event(1) + event(2), False)
-    else:
-        assert status in (502, 504)
+    answer = on_platform(scenario, config(routes=[route(**kind)]), workers=1)
+    assert is_broken_off(answer, kind, event(1) + event(2))
 
 
 LEAVING = ["Server-Leaving", "draining entry"]
@@ -199,11 +204,8 @@
         worker.respond = leaving_first(harness, worker, leaving, cut)
         return await read_answer(harness, **(PROMPT if kind is STREAM else {}))
 
-    status, received, is_complete = on_platform(scenario, config(routes=[route(**kind)]), workers=1)
-    if kind is STREAM:
-        assert (status, received, is_complete) == (200, event(1) + event(2), False)
-    else:
-        assert status in (502, 504)
+    answer = on_platform(scenario, config(routes=[route(**kind)]), workers=1)
+    assert is_broken_off(answer, kind, event(1) + event(2))
 
 
 @pytest.mark.parametrize("leaving", LEAVING)
--- a/tests/unit/cluster/test_stream_records.py
+++ b/tests/unit/cluster/test_stream_records.py
@@ -36,9 +36,9 @@
         self.table = FaultyTable(model, faults)
         self.now_s = 1000.0
         self.view = VersionView({"v1"}, is_complete=True)
-        views = lambda: {"svc": self.view}  # noqa: E731
-        clock = lambda: self.now_s  # noqa: E731
-        self.records = StreamRecords("n1", self.table, views, clock, lambda: 3, random.Random(1))
+        self.records = StreamRecords(
+            "n1", self.table, lambda: {"svc": self.view}, lambda: self.now_s, lambda: 3, random.Random(1)
+        )
 
     def sees(self, *versions, is_complete=True):
         self.view = VersionView(set(versions), is_complete)
--- a/tests/unit/node/test_connection_shedding.py
+++ b/tests/unit/node/test_connection_shedding.py
@@ -14,7 +14,7 @@
     ConnectionShedding,
     is_load_skewed,
 )
-from wallwell.node.loop_lag import TIMER_INTERVAL_S
+from wallwell.read_gaps import TIMER_INTERVAL_S
 
 CONTACT_S = 3.0
 MIN_SERVED_SHARE = 0.75
--- a/tests/unit/standalone/test_service_answers_without_length.py
+++ b/tests/unit/standalone/test_service_answers_without_length.py
@@ -11,9 +11,10 @@
 import pytest
 
 from tests.platform.process_worker import ProcessWorker
+from wallwell.answer_bounds import MAX_ANSWER_BYTES
 from wallwell.routing.retry.attempt_outcome import TransportEvent
 from wallwell.standalone.backends.attempt import AttemptFailed
-from wallwell.standalone.backends.service_client import MAX_ANSWER_BYTES, ServiceCall, ServiceClient
+from wallwell.standalone.backends.service_client import ServiceCall, ServiceClient
 
 CALL = ServiceCall("POST", "orders", "a1", {}, b"{}", timeout_s=5.0)
 
--- a/tests/unit/test_read_gaps.py
+++ b/tests/unit/test_read_gaps.py
@@ -67,12 +67,12 @@
     progress = LoopProgress()
     monkeypatch.setattr(read_gaps, "loop_progress", progress)
     for tick in range(5):
-        progress.on_timer(tick * TIMER_INTERVAL_S, TIMER_INTERVAL_S)
+        progress.on_timer(tick * TIMER_INTERVAL_S)
     awake_s = 4 * TIMER_INTERVAL_S + 0.1 + still_s
     found = ReadGaps()
     found.on_sent(4 * TIMER_INTERVAL_S)
     if is_timer_first and still_s:
-        progress.on_timer(awake_s, TIMER_INTERVAL_S)
+        progress.on_timer(awake_s)
     found.on_read(awake_s)
     found.on_head(awake_s)
     found.on_read(awake_s)
