Keep the memory of a versions row until the store has taken its removal

A node forgot the row before it was removed; if the store did not answer just then, the row stayed, and nodes that start later refused streams that nobody knows until one of them removed it. The new test failed before.

--- a/src/wallwell/cluster/stream_records.py
+++ b/src/wallwell/cluster/stream_records.py
@@ -172,8 +172,8 @@
                 if recorded is None or not view.versions <= recorded.versions:
                     await self._add_versions(service, view.versions)
             elif recorded is not None and view.is_complete:
-                del self._recorded[service]
                 await self._remove_versions(service, recorded)
+                del self._recorded[service]
 
     async def _add_versions(self, service: str, versions: set[str]) -> None:
         key = VERSIONS_PREFIX + service
--- a/tests/unit/cluster/test_stream_records.py
+++ b/tests/unit/cluster/test_stream_records.py
@@ -100,6 +100,15 @@
     assert node.sees("v2").write().keys(VERSIONS_PREFIX) == []
 
 
+def test_the_row_of_versions_goes_though_the_store_was_away_once():
+    """Guards against a row that stays, so that nodes that start later refuse streams they know nothing of."""
+    node = Node().sees("v1", "v2").write().sees("v2")
+    node.table.down = True
+    node.write()
+    node.table.down = False
+    assert node.write().keys(VERSIONS_PREFIX) == []
+
+
 def test_a_node_that_read_the_row_of_ended_nodes_removes_it_in_time():
     ended = Node().sees("v1", "v2").write()
     node = young(ended.table.model)
