Log and count the requests that a planned stop cuts

The end of a stop cancelled what was open and logged it as a caller who disconnected (3006), without a word on when the request had been read or what it still had to get. Now 1014 says for each: kind, route, back ends, when it was read counted from the signal, events forwarded, how long its back end had been silent; 1004 and a metric count them by kind, 1004 also those that a stop refused. The steps of a stop stand in one pure module (routing/admission/planned_stop.py), unchanged. Lines still queued for a slow reader were lost as the process exits: the exit waits 0.1 s for it.

--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -36,6 +36,7 @@
         "node is late and has more load than others; closes new connections unread",
     )
     CONNECTIONS_TAKEN_AGAIN = (1013, "INFO", "node is in time again; no new connection is closed unread")
+    REQUEST_CUT_BY_STOP = (1014, "WARNING", "planned stop: request ended before its answer was complete")
 
     # 2001 and up: operators' configuration.
     CONFIG_ADVANCED = (2001, "INFO", "configuration advanced to a higher revision")
@@ -190,12 +191,24 @@
 _HUMAN_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSS} {level: <7} {extra[event]} {message} {extra}"
 
 
+_writers: list[LogWriter] = []
+"""The writer of this process's log, if it writes JSON lines."""
+
+
+def flush_log(timeout_s: float) -> None:
+    """Wait until the log's reader has taken the queued lines, at most ``timeout_s`` seconds."""
+    for writer in _writers:
+        writer.flush_within(timeout_s)
+
+
 def configure_logging(level: str, json_lines: bool) -> None:
     """Log events from ``level`` up to standard error, as JSON lines or as text for people."""
     logger.remove()
+    _writers.clear()
     logger.configure(extra={"event": 0})
     if json_lines:
-        sink = JsonSink(LogWriter(sys.stderr.fileno()), Event.REQUEST_ENDED.number)
-        logger.add(sink, level=level, format="{message}")
+        writer = LogWriter(sys.stderr.fileno())
+        _writers.append(writer)
+        logger.add(JsonSink(writer, Event.REQUEST_ENDED.number), level=level, format="{message}")
     else:
         logger.add(sys.stderr, level=level, format=_HUMAN_FORMAT)
--- a/src/wallwell/log_writer.py
+++ b/src/wallwell/log_writer.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import os
+import select
 import time
 from collections import deque
 from collections.abc import Mapping
@@ -93,6 +94,16 @@
                 continue
             self._partial = self._partial[written:]
 
+    def flush_within(self, timeout_s: float) -> None:
+        """Write queued lines, and wait for the descriptor's reader for at most ``timeout_s`` seconds."""
+        end_s = time.monotonic() + timeout_s
+        poll = select.poll()
+        poll.register(self._descriptor, select.POLLOUT)
+        self.flush()
+        while self._partial and (remaining_s := end_s - time.monotonic()) > 0:
+            poll.poll(remaining_s * 1000)
+            self.flush()
+
 
 class JsonSink:
     """A loguru sink that encodes records as JSON and samples ordinary successes."""
--- a/src/wallwell/node/metrics.py
+++ b/src/wallwell/node/metrics.py
@@ -55,6 +55,9 @@
         yield _counter(
             "wallwell_answers_cut", "Answers cut after they had begun, by code.", "code", counters.cut_answers
         )
+        yield _counter(
+            "wallwell_requests_cut_by_stop", "Requests that a planned stop cut.", "kind", counters.cut_by_stop
+        )
         yield _counter("wallwell_attempts", "Attempts by result.", "result", counters.attempts)
         yield _counter(
             "wallwell_attempts_by_peers", "Attempts made by peers.", "result", counters.attempts_by_peers
--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -50,6 +50,7 @@
 from wallwell.rollout.planner import RolloutPlanner
 from wallwell.rollout.reporter import CountsReporter
 from wallwell.rollout.reports import CountsReport, FleetCounts
+from wallwell.routing.admission.planned_stop import is_cut_by_stop
 from wallwell.routing.selection.peer_choice import PeerChoice, PeerNode
 from wallwell.serving.liveness import LivenessMonitor
 from wallwell.serving.messages import CallerReply, CallerRequest
@@ -107,7 +108,11 @@
             self._member_rows, self._own_record, self._backend_rows, adapter.pool, self.state.rng
         )
         self._planned_stop = PlannedStop(
-            self.readiness, (self._weights_roll, self._rollout_driver), self._peer_server, lambda: self.in_flight
+            self.state,
+            self.readiness,
+            (self._weights_roll, self._rollout_driver),
+            self._peer_server,
+            lambda: self.in_flight,
         )
 
     # --- wiring ----------------------------------------------------------------------------------------
@@ -294,6 +299,10 @@
         self._pipeline.counters.shed_connections += 1
         return True
 
+    def is_cutting_requests(self) -> bool:
+        """Whether a planned stop now ends the requests that are still open."""
+        return is_cut_by_stop(self.state.stop, boot_time_s())
+
     def is_closing_connections(self) -> bool:
         """Whether callers should send their next request to another node."""
         return self.readiness.is_closing_connections()
@@ -304,6 +313,10 @@
         """Finish open requests within ``grace_s`` seconds; see :meth:`PlannedStop.drain`."""
         await self._planned_stop.drain(grace_s, close_listener)
 
+    def unfinished_requests(self) -> dict[str, int]:
+        """Return how many requests a planned stop has refused as too late, and how many it has cut, by kind."""
+        return self._pipeline.counters.ended_by_stop()
+
     async def stop(self) -> None:
         """Cancel all background loops and close all connections."""
         self._weights_roll.stop()
--- a/src/wallwell/node/state.py
+++ b/src/wallwell/node/state.py
@@ -21,6 +21,7 @@
                                             ``serving``
 retry budgets, split                        ``serving``                       ``serving``, metrics
 region_traffic                              ``serving``, ``cluster``          metrics
+stop                                        ``node/planned_stop.py``          ``serving``
 node, zone, bounds, topology, started_s     ``node``, at the start            all modules
 ==========================================  ================================  ====================================
 """
@@ -47,6 +48,7 @@
 from wallwell.routing.admission.brittle_room import ServiceBrittleness, SlotUse
 from wallwell.routing.admission.overload import AverageDuration
 from wallwell.routing.admission.part_quarantine import PartQuarantine
+from wallwell.routing.admission.planned_stop import StopTimes
 from wallwell.routing.admission.quarantine import Quarantine
 from wallwell.routing.admission.remaining_time import ShortestAnswerTime
 from wallwell.routing.health.backend import Backend
@@ -107,6 +109,8 @@
     """The configuration in force; None until one has been read."""
     load: FleetLoad = field(default_factory=FleetLoad)
     """Back ends with their load from this node and from other nodes; tenants' limits."""
+    stop: StopTimes | None = None
+    """The planned stop that has begun; None before."""
     backends_known: bool = False
     """Whether the table of back ends has been read once."""
     software_history: SoftwareHistory = field(default_factory=SoftwareHistory)
--- a/src/wallwell/platform/caller_listener.py
+++ b/src/wallwell/platform/caller_listener.py
@@ -121,7 +121,8 @@
         try:
             await self._serve(request, reply, arrived_s)
         except asyncio.CancelledError:
-            emit(Event.CALLER_GONE, request_id=request_id)
+            if not self._node.is_cutting_requests():  # Otherwise it is logged as cut.
+                emit(Event.CALLER_GONE, request_id=request_id)
             raise
         except ConnectionError:
             emit(Event.CALLER_GONE, request_id=request_id)
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -152,7 +152,7 @@
         *(runner.cleanup() for runner in (callers_runner, ready_runner, metrics_runner) if runner is not None)
     )
     await node.stop()
-    emit(Event.NODE_STOPPED)
+    emit(Event.NODE_STOPPED, **node.unfinished_requests())
 
 
 async def _run_and_exit(path: str) -> None:
--- a/src/wallwell/platform/stop_deadline.py
+++ b/src/wallwell/platform/stop_deadline.py
@@ -12,11 +12,13 @@
 from collections.abc import Callable
 
 from wallwell.clock import boot_time_s
-from wallwell.events import Event, emit
+from wallwell.events import Event, emit, flush_log
 
 EXIT_MARGIN_S = 0.25
 """Seconds before the end of the grace period at which the process exits, so that the system has time to release its
 memory and sockets."""
+LOG_FLUSH_S = 0.1
+"""Maximum seconds for which an exit waits for a slow reader of the log."""
 CLOCK_CHECK_INTERVAL_S = 0.1
 """Maximum seconds between two readings of the clock. A wait does not count the time while the machine is suspended,
 so the timer fires at most this much late."""
@@ -59,9 +61,10 @@
 
 
 def exit_now(exit_process: Callable[[int], object] = os._exit) -> None:
-    """Exit the process with status 0 immediately, without the interpreter's cleanup.
+    """Exit the process with status 0 once its log is written, without the interpreter's cleanup.
 
     The cleanup takes up to a second on a busy machine, and first stops other threads, also the one that would end
-    the process in time. Log lines have been written by then.
+    the process in time.
     """
+    flush_log(LOG_FLUSH_S)
     exit_process(0)
--- a/src/wallwell/serving/counters.py
+++ b/src/wallwell/serving/counters.py
@@ -6,6 +6,8 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from wallwell.errors import ConnectionEndedError
+
 LATENCY_BOUNDS_S = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0)
 """Upper bounds of the buckets in seconds, each about twice the previous one, from the fastest calls to the longest
 generations. They are exported as bucket labels, so changing them changes the metrics."""
@@ -47,6 +49,8 @@
     stream_lookups: Counter[str] = field(default_factory=Counter)
     """Streams that callers resumed, by what was found: their version (``known``), that the service has had only one
     (``one_version``), or neither (``unknown``)."""
+    cut_by_stop: Counter[str] = field(default_factory=Counter)
+    """Requests that a planned stop of this node cut, by kind: ``generation`` or ``call``."""
     shed_connections: int = 0
     """New connections of callers that were closed unread."""
     first_token_latency: dict[str, LatencyHistogram] = field(default_factory=dict)
@@ -66,3 +70,8 @@
         """Count a request that was refused with an error of the router itself."""
         self.requests[(kind, outcome)] += 1
         self.refusals[code] += 1
+
+    def ended_by_stop(self) -> dict[str, int]:
+        """Return the requests that a planned stop refused as too late, and those that it cut, by kind."""
+        cut = {f"cut_{kind}s": self.cut_by_stop[kind] for kind in ("generation", "call")}
+        return {"refused": self.refusals[ConnectionEndedError.code], **cut}
--- a/src/wallwell/serving/pipeline.py
+++ b/src/wallwell/serving/pipeline.py
@@ -26,6 +26,7 @@
 from wallwell.node.state import NodeState
 from wallwell.outcomes import Outcome
 from wallwell.routing.admission.backoff_hold import hold_duration_s
+from wallwell.routing.admission.planned_stop import is_cut_by_stop
 from wallwell.routing.admission.remaining_time import has_too_little_time
 from wallwell.routing.health.backend import Backend
 from wallwell.routing.retry.attempt_outcome import TransportEvent
@@ -96,6 +97,10 @@
         try:
             active = self._admission.admit(request, reply)
             await self._run_admitted(active)
+        except asyncio.CancelledError:
+            if is_cut_by_stop(self._state.stop, boot_time_s()):
+                self._reporter.on_cut_by_stop(request, active)
+            raise
         except RequestError as error:
             self._reporter.on_refused(request, error, active)
             if reply.started:
--- a/src/wallwell/serving/request_reports.py
+++ b/src/wallwell/serving/request_reports.py
@@ -59,6 +59,25 @@
             **self._progress_fields(active),
         )
 
+    def on_cut_by_stop(self, request: CallerRequest, active: ActiveRequest | None) -> None:
+        """Report a request that a planned stop of this node ends before its answer is complete."""
+        now_s, stop = boot_time_s(), self._state.stop
+        assert stop is not None
+        kind = "generation" if request.generation is not None else "call"
+        self._counters.cut_by_stop[kind] += 1
+        tried = active.history.tried_incarnations if active is not None else ()
+        emit(
+            Event.REQUEST_CUT_BY_STOP,
+            request_id=request.request_id,
+            kind=kind,
+            route=active.route.name if active is not None else "",
+            backends=",".join(sorted(tried)),
+            read_after_stop_ms=round((request.arrived_s - stop.requested_s) * 1000),
+            after_ms=round((now_s - request.arrived_s) * 1000),
+            silent_ms=round(active.timing.silent_s(now_s) * 1000) if active is not None else 0,
+            **self._progress_fields(active),
+        )
+
     def _progress_fields(self, active: ActiveRequest | None) -> dict[str, int | float | bool]:
         """Return the log fields that say what the caller had of an admitted request's answer when it ended, and how
         many retries this node had left for its service; empty if it was not admitted."""
--- a/tests/unit/compatibility/test_errors_and_events.py
+++ b/tests/unit/compatibility/test_errors_and_events.py
@@ -61,6 +61,7 @@
     1008: "WARNING",
     1009: "WARNING",
     1010: "WARNING",
+    1014: "WARNING",
     2001: "INFO",
     2002: "INFO",
     2003: "WARNING",
--- a/tests/unit/compatibility/test_metrics_and_commands.py
+++ b/tests/unit/compatibility/test_metrics_and_commands.py
@@ -10,6 +10,7 @@
     "wallwell_requests_total": "counter kind,outcome",
     "wallwell_refusals_total": "counter code",
     "wallwell_answers_cut_total": "counter code",
+    "wallwell_requests_cut_by_stop_total": "counter kind",
     "wallwell_hedges_total": "counter result",
     "wallwell_attempts_total": "counter result",
     "wallwell_streams_resumed_total": "counter by",
