Refuse requests that are read so late in a planned stop that it may cut them

What callers saw: streams without an end around a SIGTERM, with the status of a success.

Cause: the stop closed connections between two requests, and a request that came before the close was served, whenever that was. A connection whose answer began before the signal cannot say that it closes; it becomes idle when that answer ends, up to 7 s after the signal. A caller that goes on within 10 ms is read first, and its stream then runs into the cut at 7 s. So do pipelined requests, and bodies that come slowly. Class: a request is begun whose end lies behind the end of the node.

Change: one time, 2.75 s after the signal, until which a request must have been read whole (routing/admission/planned_stop.py). Admission refuses later ones with 408 WW3021, not run, connection closed: what a request that crosses the end of its connection gets already. This holds for every way in which a request comes late.

--- a/src/wallwell/errors.py
+++ b/src/wallwell/errors.py
@@ -236,8 +236,8 @@
 
 
 class ConnectionEndedError(RequestError):
-    """The router closed the connection before the request arrived, because the router is stopping or the connection
-    had been idle for too long. The request has not run."""
+    """The request came too late: the router had closed its connection after a long idle time, or is stopping and
+    takes no more requests. The request has not run, and may be sent again at once on a new connection."""
 
     code = "WW3021"
     http_status = 408
--- a/src/wallwell/serving/admission.py
+++ b/src/wallwell/serving/admission.py
@@ -1,8 +1,8 @@
 """Admits a request before it is sent: checks access and the tenant's limit, sets service and deadline. No I/O.
 
-Adapter between the node's state and the decisions in ``routing/admission/`` (``access``, ``fleet_limits``): raises
-the error for a denial, and counts the request for the retry budget and the fleet's demand. Depends on the node's
-configuration and on how recently the store confirmed it.
+Adapter between the node's state and the decisions in ``routing/admission/`` (``access``, ``fleet_limits``,
+``planned_stop``): raises the error for a denial, and counts the request for the retry budget and the fleet's
+demand. Depends on the node's configuration and on how recently the store confirmed it.
 """
 
 from __future__ import annotations
@@ -11,6 +11,7 @@
 from wallwell.deployment.routes import TenantAccess
 from wallwell.errors import (
     BodyTooLargeError,
+    ConnectionEndedError,
     NotReadyError,
     RateLimitedError,
     RequestError,
@@ -21,6 +22,7 @@
 from wallwell.node.state import NodeState
 from wallwell.routing.admission.access import AccessRequest, Denial, decide_access
 from wallwell.routing.admission.fleet_limits import Admitted, OverLimit
+from wallwell.routing.admission.planned_stop import is_read_too_late
 from wallwell.routing.retry.attempt_outcome import AttemptLog
 from wallwell.routing.retry.retry_after import RefusalCause
 from wallwell.serving.active_request import ActiveRequest
@@ -38,6 +40,8 @@
     def admit(self, request: CallerRequest, reply: CallerReply) -> ActiveRequest:
         """Return the request with its route, tenant, service and deadline. Raises :class:`RequestError`."""
         state = self._state
+        if is_read_too_late(state.stop, boot_time_s()):
+            raise ConnectionEndedError("the node is stopping and takes no more requests")
         is_fresh = state.is_fresh(request.arrived_s)
         access_request = AccessRequest(request.host, request.path, request.credential, len(request.body))
         access = decide_access(state.config, is_fresh, access_request)
