Answer what a stopping router has in hand: bodies that do not end, pipelined requests

Found with the requests that are begun late, both on connections that a stop closes. - A request whose body did not end in time was waited for until the cut at seven eighths of the grace time and then told that it may have run (504). It is refused as not run 0.3 s after the closing begins, as an incomplete head is closed then. - Requests that had been read behind the one that is answered lost their connection without a word, as that answer says that the connection closes. Now each gets its answer, and the last one closes the connection.

One commit for both, since the second test needs the refusal of the first.

--- a/src/wallwell/callers_server.py
+++ b/src/wallwell/callers_server.py
@@ -18,13 +18,13 @@
 from aiohttp import web
 
 from wallwell.clock import boot_time_s, ends_within
-from wallwell.errors import RequestError
+from wallwell.errors import ConnectionEndedError, RequestError
 from wallwell.events import Event, emit
 from wallwell.socket_options import has_unread_bytes, is_readable
 
 FINAL_REQUEST_WAIT_S = 0.3
 """Seconds that a caller gets, while connections are being closed, to send the first request on a new connection or
-the rest of a request's head."""
+the rest of a request."""
 LINGER_S = 0.3
 """Seconds for which bytes are still read after the final answer has been sent. If the socket were closed at once, a
 late request would make the system reset the connection, and the caller might get the reset before the answer. A
@@ -83,6 +83,7 @@
         "_final_answers",
         "_has_late_request",
         "_has_partial_head",
+        "_is_body_abandoned",
         "_is_ended",
         "_is_shed",
         "_sheds_connection",
@@ -93,6 +94,8 @@
         self._final_answers = server.final_answers
         self._has_partial_head = False
         """Whether part of the next request's head has been read."""
+        self._is_body_abandoned = False
+        """Whether a request was refused before its body was complete, so that no other can be read."""
         self._is_ended = False
         self._is_shed = False
         """Whether the connection was closed before anything was read."""
@@ -125,6 +128,12 @@
         """Whether every request that has been read is answered."""
         return self._waiter is not None and not self._waiter.done()
 
+    def has_next_request(self) -> bool:
+        """Whether the caller has sent more, which will be read as the next request."""
+        if self._is_body_abandoned:
+            return False
+        return bool(self._messages) or has_unread_bytes(self.transport)
+
     @property
     def has_late_request(self) -> bool:
         """Whether a request arrived after the final answer."""
@@ -151,6 +160,15 @@
             # Bytes that may be an incomplete request have arrived and are not read yet.
             self._keepalive_handle = self._loop.call_later(FINAL_REQUEST_WAIT_S, self._process_keepalive)
 
+    def refuse_incomplete_request(self) -> None:
+        """Have the handler that reads a request's body refuse the request, if the body is not complete yet."""
+        request = self._current_request
+        if request is None or request.writer.output_size or request.content.is_eof():
+            return
+        self._is_body_abandoned = True
+        request.content.set_exception(ConnectionEndedError("the request was not complete as the router stopped"))
+        request.content.feed_eof()  # Otherwise aiohttp would read on after the answer.
+
     def end_gracefully(self) -> None:
         """Close an idle connection; a request in transit is answered that it has not run."""
         transport = self.transport
@@ -174,6 +192,12 @@
         self.force_close()
 
 
+def has_next_request(request: web.BaseRequest) -> bool:
+    """Whether the caller of a request has sent the next one behind it without waiting for the answer."""
+    connection = request.protocol
+    return isinstance(connection, CallerConnection) and connection.has_next_request()
+
+
 def _takes_every_connection() -> bool:
     return False
 
@@ -212,12 +236,20 @@
         ended: list[CallerConnection] = []
         try:
             while self.connections:
-                ended += self._end_idle_connections(boot_time_s() - started_s > FINAL_REQUEST_WAIT_S)
+                is_wait_over = boot_time_s() - started_s > FINAL_REQUEST_WAIT_S
+                ended += self._end_idle_connections(allow_partial_head=is_wait_over)
+                if is_wait_over:
+                    self._refuse_incomplete_requests()
                 await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
         finally:
             late_requests = sum(connection.has_late_request for connection in ended)
             emit(Event.CALLER_CONNECTIONS_ENDED, idle=len(ended), crossed=late_requests, cut=len(self.connections))
 
+    def _refuse_incomplete_requests(self) -> None:
+        for connection in self.connections:
+            if isinstance(connection, CallerConnection):
+                connection.refuse_incomplete_request()
+
     def _end_idle_connections(self, allow_partial_head: bool) -> list[CallerConnection]:
         connections = [each for each in self.connections if isinstance(each, CallerConnection)]
         idle = [each for each in connections if each.is_idle(allow_partial_head)]
--- a/src/wallwell/platform/replies.py
+++ b/src/wallwell/platform/replies.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from wallwell.callers_server import has_next_request
 from wallwell.errors import RequestError
 from wallwell.outcomes import Outcome
 from wallwell.platform import names
@@ -91,6 +92,7 @@
 
     async def _prepare(self, response: web.StreamResponse) -> None:
         self.response = response
-        if self._is_closing():
+        # A request that has been sent already gets an answer too; the last answer closes the connection.
+        if self._is_closing() and not has_next_request(self._request):
             response.force_close()
         await response.prepare(self._request)
--- a/tests/platform/test_ends_of_connections.py
+++ b/tests/platform/test_ends_of_connections.py
@@ -19,8 +19,10 @@
 from tests.unit.serving.fakes import event
 from wallwell import callers_server
 from wallwell.callers_server import FINAL_REQUEST_WAIT_S, LINGER_S
+from wallwell.clock import boot_time_s
 from wallwell.errors import ConnectionEndedError
 from wallwell.platform import caller_listener
+from wallwell.routing.admission.planned_stop import plan_stop
 
 GRACE_S = 1.2
 CONNECTIONS = 100
@@ -381,3 +383,68 @@
         return status, arrived
 
     assert on_platform(scenario, CALLS) == (HTTPStatus.REQUEST_TIMEOUT, [])
+
+
+async def send_on(writer, data):
+    """Send the same again and again until cancelled."""
+    while True:
+        writer.write(data)
+        await asyncio.sleep(0.002)
+
+
+def test_pipelined_requests_are_all_answered_as_the_router_stops(on_platform):
+    """Guards against closing a connection behind an answer although requests behind it have been read."""
+
+    async def scenario(harness):
+        release = asyncio.Event()
+
+        async def wait(sent):
+            await release.wait()
+            return await harness.workers[0].answer_ok(sent)
+
+        for worker in harness.workers:
+            worker.respond = wait
+        reader, writer = await asyncio.open_connection("127.0.0.1", harness.port)
+        writer.write(b"".join(request(f"pipelined-{number}") for number in range(4)))
+        await harness.until(lambda: "pipelined-0" in ran(harness))
+        harness.node.state.stop = plan_stop(boot_time_s() - GRACE_S, GRACE_S)
+        harness.node.readiness.draining = True
+        closing = asyncio.create_task(close_and_wait(harness))
+        release.set()
+        statuses = [(await answer(reader))[0] for _ in range(4)]
+        ended = await reader.read()
+        writer.close()
+        await asyncio.wait_for(closing, 5.0)
+        return statuses, ended, ran(harness)
+
+    statuses, ended, has_run = on_platform(scenario, CALLS)
+    assert statuses == [HTTPStatus.OK] + [HTTPStatus.REQUEST_TIMEOUT] * 3
+    assert (ended, has_run) == (b"", {"pipelined-0"})
+
+
+@pytest.mark.parametrize("framing", ["Content-Length: 8", "Transfer-Encoding: chunked"])
+def test_request_whose_body_never_ends_is_refused_as_the_router_stops(on_platform, framing):
+    """Guards against a stop that waits for the rest of a body, and then says that the request may have run."""
+
+    async def scenario(harness):
+        reader, writer = await asyncio.open_connection("127.0.0.1", harness.port)
+        head = request("endless").split(b"\r\nContent-Length")[0]
+        writer.write(head + f"\r\n{framing}\r\n\r\n".encode())
+        writer.write(b"4\r\nbody\r\n" if "chunked" in framing else b"body")
+        await harness.until(harness.has_open_requests)
+        begun_s = time.monotonic()
+        harness.node.readiness.draining = True
+        closing = asyncio.create_task(close_and_wait(harness))
+        sending = asyncio.create_task(send_on(writer, b"1\r\nx\r\n" if "chunked" in framing else b""))
+        status, body = await answer(reader)
+        sending.cancel()
+        took_s = time.monotonic() - begun_s
+        ended = await reader.read()
+        writer.close()
+        await asyncio.wait_for(closing, 5.0)
+        return status, msgspec.json.decode(body)["outcome"], ended, took_s, "endless" in ran(harness)
+
+    status, outcome, ended, took_s, has_run = on_platform(scenario, CALLS)
+    assert (status, outcome, ended, has_run) == (HTTPStatus.REQUEST_TIMEOUT, "not_run", b"", False)
+    # One second more than the server's own limit, for a busy machine.
+    assert took_s < FINAL_REQUEST_WAIT_S + 1.0
