Standalone router: ask no other engine once all tokens of a generation are there

Cause: an engine that falls silent between its last token and the end of its stream counts as stalled, and another engine is asked to go on behind the last token. An engine writes one token at least.

Change: a race whose generation has all tokens is over when its engine is silent.

--- a/src/wallwell/standalone/callers/attempt_race.py
+++ b/src/wallwell/standalone/callers/attempt_race.py
@@ -73,6 +73,8 @@
                         return FailedAttempt(ended, failure)
                     await self._drop(ended, failure)
                 elif self._silence.done():
+                    if self._run.complete:
+                        return None  # Only the end of the stream is missing; another engine would write more.
                     await self._add_attempt()
         finally:
             for task in self._open.values():
--- a/tests/unit/standalone/callers/silent_engines.py
+++ b/tests/unit/standalone/callers/silent_engines.py
@@ -41,7 +41,8 @@
 class ScriptedEngine:
     """An engine that is silent from ``silent_from_s`` for ``silent_s``, counted from the start of the test.
 
-    With ``fault`` it serves no generation: it ``refuses``, ``breaks_off`` or is ``unreachable``.
+    With ``fault`` it serves no generation: it ``refuses``, ``breaks_off`` or is ``unreachable``; or ``lacks_end``:
+    its answers break off behind their last token.
     """
 
     name: str
@@ -68,6 +69,7 @@
 
     def __init__(self, engine, attempt_id, status=200, body=b"", index=0):
         self.engine, self.status, self.index = engine, status, index
+        self._end = max(TOKENS, index + 1)  # An engine writes one token at least.
         self.headers = {wire.REQUEST_ID: attempt_id, wire.PROMPT_TOKENS: "8"}
         self.content = self
         self._id, self._body, self._due_s = attempt_id, body, boot_time_s()
@@ -76,7 +78,9 @@
         await self.engine.until_awake(self._due_s)
         index, self.index = self.index, self.index + 1
         self._due_s = boot_time_s() + STEP_S
-        if index >= TOKENS:
+        if index >= self._end and self.engine.fault == "lacks_end":
+            raise aiohttp.ServerDisconnectedError
+        if index >= self._end:
             return wire.DONE_EVENT + b"\n\n"
         chunk = json.dumps({"choices": [{"text": f"{index} "}]})
         return f"id: {self._id}/{index}\ndata: {chunk}\n\n".encode()
--- a/tests/unit/standalone/callers/test_silent_engines.py
+++ b/tests/unit/standalone/callers/test_silent_engines.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.unit.standalone.callers.silent_engines import FOREVER_S, TOKENS, Router, ScriptedEngine
+from tests.unit.standalone.callers.silent_engines import FOREVER_S, STEP_S, TOKENS, Router, ScriptedEngine
 from tests.virtual_time import run_virtual
 from wallwell.clock import boot_time_s
 from wallwell.standalone.backends.engine_client import CANCEL_TIMEOUT_S
@@ -67,6 +67,21 @@
     assert [each[:2] for each in answers] == [("", WHOLE)] * len(answers)
 
 
+@pytest.mark.parametrize("retries", [0, 10])
+@pytest.mark.parametrize(
+    "engine",
+    [silent("a", (TOKENS + 0.5) * STEP_S, FOREVER_S), ScriptedEngine("a", fault="lacks_end")],
+    ids=["silent", "breaks off"],
+)
+def test_generation_with_all_its_tokens_is_whole_though_its_end_does_not_come(engine, retries):
+    """Guards against asking another engine to go on behind the last token, which writes one more."""
+    engines = [engine, ScriptedEngine("b")]
+    engine.sent.clear()
+    answers, _ = serve(engines, retries)
+    assert [each[:2] for each in answers] == [("", WHOLE)]
+    assert not engines[1].sent
+
+
 def test_stream_past_its_deadline_is_whole_though_the_next_engine_is_silent_too():
     """Guards against a begun stream that is cut since its deadline has passed while both engines are silent."""
     engines = [silent("a", EVENTS, 5.5), silent("b", EVENTS, 5.5)]
