Standalone router: say of a body that does not end in a stop that nothing ran

What callers saw: a request whose body had not ended as a stop closed the connections got 504 WW3011, outcome unknown.

Cause: whatever was open then counted as begun. Nothing is begun before its body is complete.

The stop waits for such a request no longer than for the connections (a second).

--- a/src/wallwell/standalone/callers/caller.py
+++ b/src/wallwell/standalone/callers/caller.py
@@ -17,6 +17,7 @@
 import msgspec
 from aiohttp import web
 
+from wallwell import callers_server
 from wallwell.clock import boot_time_s, time_limit
 from wallwell.errors import (
     BodyTooLargeError,
@@ -167,11 +168,12 @@
 
 
 async def read_body(context: NodeContext, request: web.Request) -> bytes:
-    """Read the whole body. Raises :class:`BodyTooLargeError` or :class:`MalformedRequestError`."""
+    """Read the whole body. Raises :class:`BodyTooLargeError` or :class:`MalformedRequestError`, and
+    :class:`ConnectionEndedError` if the body is not complete as a stop closes connections."""
     timeout_s = context.settings.limits.request_read_timeout_s
     try:
         async with time_limit(timeout_s):
-            return await request.read()
+            return await callers_server.read_body(request)
     except web.HTTPRequestEntityTooLarge as error:
         raise BodyTooLargeError("body is larger than the limit") from error
     except TimeoutError as error:
--- a/tests/contract/test_requests_around_a_stop.py
+++ b/tests/contract/test_requests_around_a_stop.py
@@ -136,6 +136,26 @@
     assert took_s < STOP_NOTICE_S + CLOSE_S + BUSY_MACHINE_S
 
 
+def test_a_body_that_never_ends_is_told_that_nothing_ran_and_holds_the_stop_no_longer(own_harness):
+    """The caller was told that its call may have run, though it was never passed on."""
+    harness = own_harness
+    router = set_grace(harness, 20.0)
+
+    async def scenario():
+        connection = await Connection(harness).open()
+        stopping = asyncio.create_task(stop_took_s(router))
+        connection.send_head("endless", "/orders/pickup-notices", "web-shop", "Content-Length: 100")
+        connection.send(b"{")
+        answer = await connection.answer()
+        connection.close()
+        return answer, await stopping
+
+    answer, took_s = harness.run(scenario())
+    assert is_refused(answer)
+    assert calls_run(harness) == []
+    assert took_s < STOP_NOTICE_S + CLOSE_S + BUSY_MACHINE_S
+
+
 @pytest.mark.parametrize("is_pipelined", [False, True], ids=["after the answer", "while it comes"])
 def test_what_follows_a_stream_that_began_before_the_stop_is_refused(own_harness, is_pipelined):
     """The head of such a stream cannot say that its connection ends, so the caller goes on at once."""
