Standalone router: answer pipelined requests in a stop

What callers saw: of requests that were sent without waiting for answers, only the first was answered from a SIGTERM on. The others lost their connection without a word.

Cause: each answer of a stopping router says that its connection ends, also when the next request has been read.

Change: an answer does not say so while its caller's next request is at hand, as in the platform router.

--- a/src/wallwell/standalone/callers/app.py
+++ b/src/wallwell/standalone/callers/app.py
@@ -11,6 +11,7 @@
 
 from aiohttp import web
 
+from wallwell.callers_server import has_next_request
 from wallwell.errors import InternalRequestError, RequestError, UnknownResourceError, WallwellError
 from wallwell.events import Event, emit
 from wallwell.standalone.callers.caller import CheckedCaller, check_caller, error_response, request_id_or_new
@@ -42,9 +43,12 @@
         app.on_response_prepare.append(self._end_connection_while_stopping)
         return app
 
-    async def _end_connection_while_stopping(self, _request: web.Request, response: web.StreamResponse) -> None:
-        """Have callers open no further request on a connection that is about to be closed, where it may be lost."""
-        if self._context.draining:
+    async def _end_connection_while_stopping(self, request: web.Request, response: web.StreamResponse) -> None:
+        """Have callers open no further request on a connection that is about to be closed, where it may be lost.
+
+        Requests that a caller has sent without waiting for the answer are answered first.
+        """
+        if self._context.draining and not has_next_request(request):
             response.headers["Connection"] = "close"
             response.force_close()
 
--- a/tests/contract/test_requests_around_a_stop.py
+++ b/tests/contract/test_requests_around_a_stop.py
@@ -204,3 +204,28 @@
 
     status, headers, _ = harness.run(scenario())
     assert (status, headers["connection"]) == (200, "close")
+
+
+def test_pipelined_calls_are_each_answered_by_a_stopping_router(own_harness):
+    """The first answer said that the connection ends, and what had been read behind it got none."""
+    harness = own_harness
+    router = set_grace(harness, 10.0)
+    names = ["first", "second", "third"]
+
+    async def scenario():
+        connection = await Connection(harness).open()
+        stopping = asyncio.create_task(stop_took_s(router))
+        await asyncio.sleep(STOP_NOTICE_S / 2)
+        for name in names:
+            connection.send_call(name)
+        answers = [await connection.answer() for _ in names]
+        end = await connection.reader.read()
+        connection.close()
+        await stopping
+        return answers, end
+
+    answers, end = harness.run(scenario())
+    assert [headers["x-request-id"] for _, headers, _ in answers] == names
+    assert [status for status, _, _ in answers] == [200, 200, 200]
+    assert (answers[-1][1]["connection"], end) == ("close", b"")
+    assert sorted(calls_run(harness)) == sorted(names)
