Standalone router: wait in a stop until answers have left the process

What callers saw: a long answer of a call that had run, cut in the middle two seconds after a SIGTERM, with 20 s of grace time.

Cause: the stop waited for admitted requests. A call is no longer one when its answer is at hand, though a caller that reads slowly has not been sent it; the connections then got one second.

Change: the stop also waits for bytes that callers have not taken yet, within the grace time. What the system holds is sent by it after the end of the process.

--- a/src/wallwell/standalone/listeners.py
+++ b/src/wallwell/standalone/listeners.py
@@ -90,6 +90,11 @@
         context.load_cert_chain(self._tls.certificate_file, self._tls.key_file)
         return context
 
+    def has_unsent_bytes(self) -> bool:
+        """Whether part of an answer waits in this process until its caller takes it."""
+        transports = (each.transport for server in self._servers for each in server.connections)
+        return any(each is not None and each.get_write_buffer_size() for each in transports)
+
     async def close_idle(self) -> None:
         """Accept no further connection, end each one that is or becomes idle, and wait until none is left."""
         for runner in self.runners:
--- a/src/wallwell/standalone/router_node.py
+++ b/src/wallwell/standalone/router_node.py
@@ -48,7 +48,7 @@
 """Seconds that callers' connections get to end once the last open request has been answered: longer than the
 answers that say that the router stops take, and than ended connections are still read."""
 STOP_TICK_S = 0.02
-"""Seconds between two checks whether the last open request has ended."""
+"""Seconds between two checks whether anything is still owed to a caller."""
 LOOP_RESTART_S = 1.0
 """Seconds before a loop that ended with an unexpected error is started again, so that it cannot flood the log."""
 MEMBER_EVENTS = {
@@ -189,12 +189,17 @@
         await asyncio.sleep(STOP_NOTICE_S)
         context.refusing = True
         deadline_s = boot_time_s() + self.settings.limits.stop_grace_s
-        while (context.in_flight or context.background) and boot_time_s() < deadline_s:
+        while self._is_owing() and boot_time_s() < deadline_s:
             await asyncio.sleep(STOP_TICK_S)
         await ends_within(self.listeners.close_idle(), CLOSE_S)
         await self.close()
         emit(Event.NODE_STOPPED, node=self.settings.node)
 
+    def _is_owing(self) -> bool:
+        """Whether a request has not ended, its answer has not left this process, or work of one goes on."""
+        context = self.context
+        return bool(context.in_flight or context.background) or self.listeners.has_unsent_bytes()
+
     async def close(self) -> None:
         """Close everything at once, as an abrupt stop does."""
         for task in self._tasks:
--- a/tests/contract/test_process.py
+++ b/tests/contract/test_process.py
@@ -10,16 +10,22 @@
 import msgspec
 import pytest
 import yaml
+from aiohttp import web
 
 from tests.conftest import EXAMPLES
 from tests.faulty_table import FaultyTable
+from wallwell.answer_bounds import MAX_ANSWER_BYTES
 from wallwell.emulator.deployment import EmulatedBackend
 from wallwell.emulator.platform_server import PlatformServer
 from wallwell.emulator.service_server import ServiceServer
+from wallwell.standalone.backends.engine_protocol import REQUEST_ID
 from wallwell.standalone.config.commit import ApplyRequest, ConfigCommitter
 from wallwell.standalone.config.store import ConfigStore
+from wallwell.standalone.router_node import CLOSE_S, STOP_NOTICE_S
 from wallwell.standalone.settings import NodeSettings, load_settings
 
+RECEIVE_BUFFER_BYTES = 64 * 1024
+"""Bytes that the system holds for a caller that does not read."""
 SETTINGS = """
 node: {node}
 zone: stockholm-a
@@ -122,8 +128,9 @@
         return listener.getsockname()[1]
 
 
-async def with_router(tmp_path, scenario):
-    platform, service = EmulatedBackend(PlatformServer()), EmulatedBackend(ServiceServer("o1", work_s=1.5))
+async def with_router(tmp_path, scenario, service_server=None):
+    service = EmulatedBackend(service_server or ServiceServer("o1", work_s=1.5))
+    platform = EmulatedBackend(PlatformServer())
     await platform.start()
     address = await service.start()
     table = platform.server.table
@@ -178,3 +185,54 @@
         return status
 
     assert run_async(with_router(tmp_path, scenario)) != 0
+
+
+class LongAnswers(ServiceServer):
+    """Answers each call with as many bytes as the router passes on."""
+
+    async def _handle(self, request):
+        answer = await super()._handle(request)
+        headers = {REQUEST_ID: answer.headers[REQUEST_ID]}
+        return web.Response(body=b"x" * MAX_ANSWER_BYTES, headers=headers)
+
+
+def test_long_answers_are_not_cut_by_a_stop_that_has_time_left(tmp_path, run_async):
+    """The stop took a call as ended once its answer was at hand, and cut what had not left it a second on."""
+    call = (
+        b"POST /orders/pickup-notices HTTP/1.1\r\nHost: router\r\nAuthorization: Bearer test\r\n"
+        b"Content-Length: 2\r\n\r\n{}"
+    )
+    service = LongAnswers("o1", work_s=0.0)
+
+    async def scenario(router, _session, _service):
+        reader, writer = await slow_connection(router.port)
+        # The system holds much of what is not read: the second answer is for what the first one leaves.
+        writer.write(call + call)
+        await asyncio.sleep(1.0)
+        status = asyncio.create_task(router.stop())
+        await asyncio.sleep(STOP_NOTICE_S + CLOSE_S + 1.0)
+        answers = [await read_answer(reader), await read_answer(reader)]
+        writer.close()
+        return answers, await status
+
+    answers, status = run_async(with_router(tmp_path, scenario, service))
+    assert answers[0] == (200, MAX_ANSWER_BYTES)
+    assert [code for code, _ in answers].count(200) == len(service.journal)
+    assert (answers[1][0] in (200, 503), status) == (True, 0)
+
+
+async def slow_connection(port):
+    """Return the streams of a connection whose caller's side holds little that is not read."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", port))
+    return await asyncio.open_connection(sock=sock, limit=RECEIVE_BUFFER_BYTES)
+
+
+async def read_answer(reader):
+    """Return the status of an answer and the length of its body; raises EOFError or OSError if it is cut."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+    length = int(head.partition("content-length: ")[2].split()[0])
+    await reader.readexactly(length)
+    return int(head.split()[1]), length
