Standalone router: finish operators' changes in a stop, and begin none late

What operators saw: a change sent to a stopping router was cut as the listeners closed: 504 WW3011, outcome unknown, while the table service was slow (0.8 s a call) and grace time left.

Cause: changes were begun at any time of a stop, and the stop did not wait for them. They were also cancelled in the middle if the operator's connection ended.

Change: a change runs as work that a stop waits for; once the router refuses callers it refuses changes too (503 WW3009).

--- a/src/wallwell/standalone/operators_app.py
+++ b/src/wallwell/standalone/operators_app.py
@@ -5,17 +5,24 @@
 
 from __future__ import annotations
 
+import asyncio
 import hmac
 
 import msgspec
 import yaml
 from aiohttp import web
 
-from wallwell.errors import ConfigNotFoundError, MalformedRequestError, UnauthenticatedError, WallwellError
+from wallwell.errors import (
+    ConfigNotFoundError,
+    MalformedRequestError,
+    NotReadyError,
+    UnauthenticatedError,
+    WallwellError,
+)
 from wallwell.events import Event, emit
 from wallwell.standalone.callers.context import NodeContext
 from wallwell.standalone.cluster.messages import MemberStatus
-from wallwell.standalone.config.commit import ApplyRequest
+from wallwell.standalone.config.commit import ApplyAnswer, ApplyRequest
 from wallwell.standalone.config.schema import FileKey
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -108,13 +115,20 @@
                 _error_body(MalformedRequestError, str(error)), MalformedRequestError.http_status
             )
         try:
-            answer = await self._context.committer.apply(apply)
+            answer = await self._commit(apply)
         except WallwellError as error:
             emit(Event.CONFIG_REFUSED, code=error.code, operator=apply.operator)
             raise
         emit(Event.CONFIG_ACCEPTED, file=answer.key, revision=answer.revision, operator=apply.operator)
         return _operator_answer(answer)
 
+    async def _commit(self, apply: ApplyRequest) -> ApplyAnswer:
+        """Commit a change; a planned stop waits for it, and begins none late. Raises :class:`WallwellError`."""
+        context = self._context
+        if context.refusing:
+            raise NotReadyError("this router is stopping; apply the file at another one")
+        return await asyncio.shield(context.spawn(context.committer.apply(apply)))
+
     async def _files(self, _request: web.Request) -> web.Response:
         store = self._context.node.config
         views = [self._view(key) for key in sorted(store.files)]
--- a/tests/contract/test_requests_around_a_stop.py
+++ b/tests/contract/test_requests_around_a_stop.py
@@ -6,8 +6,11 @@
 import msgspec
 import pytest
 
-from tests.contract.conftest import Harness
+from tests.contract.conftest import Harness, replace_spec_text
 from wallwell.clock import boot_time_s
+from wallwell.errors import NotReadyError, WallwellError
+from wallwell.standalone.config.commit import ApplyRequest
+from wallwell.standalone.config.schema import ModelSpec
 from wallwell.standalone.router_node import CLOSE_S, STOP_NOTICE_S
 
 BUSY_MACHINE_S = 2.0
@@ -229,3 +232,46 @@
     assert [status for status, _, _ in answers] == [200, 200, 200]
     assert (answers[-1][1]["connection"], end) == ("close", b"")
     assert sorted(calls_run(harness)) == sorted(names)
+
+
+def change_of(harness, apply_id):
+    """Return a change of one file that is in force."""
+    file = next(each for each in harness.fleet.files if isinstance(each.spec, ModelSpec))
+    return ApplyRequest(apply_id, "op", replace_spec_text(file, "min_serving: 4", "min_serving: 3").body)
+
+
+async def apply_around_a_stop(harness, sent_s):
+    """Send a change seconds after the signal, while the table service is slow; return its answer or its error."""
+    router = set_grace(harness, 20.0)
+    harness.fleet.platform.server.faults.set(slow_s=0.8)
+    stopping = asyncio.create_task(stop_took_s(router))
+    await asyncio.sleep(sent_s)
+    try:
+        return await harness.fleet.operator_client(0, harness.session).apply(change_of(harness, "change"))
+    except WallwellError as error:
+        return error
+    finally:
+        await stopping
+
+
+def test_an_operators_change_that_a_stopping_router_has_begun_is_answered(own_harness):
+    """The stop did not wait for it, and ended its connection while the table service was slow."""
+    result = own_harness.run(apply_around_a_stop(own_harness, STOP_NOTICE_S - 0.1))
+    assert not isinstance(result, WallwellError), result
+    assert result.changed
+
+
+def test_an_operators_change_that_arrives_late_in_a_stop_is_not_begun(own_harness):
+    """It was begun at any time of a stop, and cut with an unknown outcome."""
+    harness = own_harness
+    set_work(harness, LONG_CALL_S)
+
+    async def scenario():
+        call = asyncio.create_task(harness.call())  # The stop waits for it.
+        await asyncio.sleep(0.1)
+        result = await apply_around_a_stop(harness, AFTER_REFUSING_S)
+        return result, (await call)[0]
+
+    result, status = harness.run(scenario())
+    assert isinstance(result, NotReadyError), result
+    assert status == 200
