Answer a peer's request that crosses the beginning of a planned stop

What callers saw: an unsafe request of a node that reaches no back end ended with 504 (unknown) and was not sent to another peer, although nothing had run.

Cause: from SIGTERM on a node closed its server for peers at once. A connection that a peer had just opened for an attempt was reset, in the backlog of the system or before its request was read, and a reset after sending may mean that the attempt has run.

Change: waiting connections are accepted before the listening socket is closed, and a new connection's first request is answered if it comes within a second; a request for an attempt is declined then, and its node asks the next peer. Used connections, which carry reports, end at once as before.

--- a/src/wallwell/cluster/peer_link.py
+++ b/src/wallwell/cluster/peer_link.py
@@ -18,7 +18,7 @@
 from wallwell.clock import boot_time_s, time_limit
 from wallwell.errors import PeerUnavailableError
 from wallwell.events import Event, emit
-from wallwell.socket_options import enable_keepalive
+from wallwell.socket_options import accept_pending, enable_keepalive
 
 MAX_LINE_BYTES = 16 * 1024 * 1024
 """Bytes of the longest message, so that a peer that sends no end of line cannot exhaust memory. Large, since all
@@ -29,6 +29,9 @@
 """Seconds without acknowledgements after which a connection ends; requests have shorter or similar time-outs."""
 REFUSAL_LOG_INTERVAL_S = 10.0
 """Seconds between two log lines about refused requests: a peer of another version reconnects at once each time."""
+FIRST_REQUEST_WAIT_S = 1.0
+"""Seconds that peers get, as the server closes, to send the first request on a new connection. Enough for a request
+of a few megabytes over a link of 50 Mbit/s."""
 MAX_FAILING_PEERS = 1000
 """Failing addresses remembered at most. Nodes are replaced under new addresses; the old ones never answer again."""
 
@@ -174,6 +177,9 @@
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
         """Connections that may be closed between two requests."""
+        self._new: set[asyncio.Task[None]] = set()
+        """Those of ``_connections`` on which no request has been read yet."""
+        self._closing: asyncio.Task[None] | None = None
         self._streams: set[asyncio.Task[None]] = set()
         """Connections whose request is answered by a stream handler."""
         self._unlogged_refusals = 0
@@ -190,8 +196,9 @@
         task = asyncio.current_task()
         assert task is not None
         self._connections.add(task)
+        self._new.add(task)
         try:
-            await self._serve_requests(reader, writer)
+            await self._serve_requests(task, reader, writer)
         except OSError:
             pass  # The peer is gone or unreachable; it logs the failure of its request itself.
         except (ValueError, KeyError, msgspec.MsgspecError) as error:
@@ -200,6 +207,7 @@
             pass  # Closed below. Not raised again, since asyncio would log a cancelled connection task as an error.
         finally:
             self._connections.discard(task)
+            self._new.discard(task)
             self._streams.discard(task)
             writer.transport.abort()
 
@@ -214,36 +222,56 @@
         self._refusal_logged_s = now_s
         self._unlogged_refusals = 0
 
-    async def _serve_requests(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _serve_requests(
+        self, task: asyncio.Task[None], reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         while line := await reader.readline():
             request = self._decoder.decode(line)
             stream_handler = self._stream_handlers.get(type(request))
             if stream_handler is not None:
-                self._begin_stream()
+                self._begin_stream(task)
                 await stream_handler(request, ReplyStream(reader, writer))
-                writer.close()
-                await writer.wait_closed()  # Sends what is still buffered.
-                return
+                break
             reply = await self._handlers[type(request)](request)
             writer.write(msgspec.json.encode(reply) + b"\n")
             await writer.drain()
+            if self._closing is not None:
+                break
+            self._new.discard(task)
+        writer.close()
+        await writer.wait_closed()  # Sends what is still buffered.
 
-    def _begin_stream(self) -> None:
-        task = asyncio.current_task()
-        assert task is not None
+    def _begin_stream(self, task: asyncio.Task[None]) -> None:
         self._connections.discard(task)
+        self._new.discard(task)
         self._streams.add(task)
 
     def close(self) -> None:
-        """Stop listening and close the connections of peers, which then turn to other nodes at once. Replies of
-        stream handlers go on until :meth:`abort_streams`."""
-        if self._server is not None:
-            self._server.close()
-        for task in list(self._connections):
+        """Stop listening and close the connections of peers, which then turn to other nodes at once.
+
+        The first request on a new connection is still answered, if it comes soon: if its connection were reset, its
+        peer could not tell whether it has run. Replies of stream handlers go on until :meth:`abort_streams`.
+        """
+        for task in self._connections - self._new:
             task.cancel()
+        if self._server is not None and self._closing is None:
+            self._closing = asyncio.create_task(self._close(self._server))
+
+    async def _close(self, server: asyncio.Server) -> None:
+        """Stop listening, and close new connections once they have had their time."""
+        try:
+            await accept_pending(server.sockets)
+            server.close()
+            await asyncio.sleep(FIRST_REQUEST_WAIT_S)
+        finally:
+            server.close()
+            for task in list(self._connections):
+                task.cancel()
 
     def abort_streams(self) -> None:
-        """Cancel the stream handlers."""
+        """Cancel the stream handlers, and do not wait for what :meth:`close` waits for."""
+        if self._closing is not None:
+            self._closing.cancel()
         for task in list(self._streams):
             task.cancel()
 
--- a/src/wallwell/socket_options.py
+++ b/src/wallwell/socket_options.py
@@ -1,4 +1,5 @@
-"""TCP socket options that detect a dead remote end, and checks of a socket for unread bytes or a remote close.
+"""TCP socket options that detect a dead remote end, and checks of a socket for unread bytes, a remote close or
+connections that wait.
 
 The system's TCP does the detection, so that it costs the event loop nothing while a connection is open.
 """
@@ -9,11 +10,16 @@
 import math
 import select
 import socket
+from collections.abc import Iterable
 
 KEEPALIVE_PROBE_S = 1
 """Seconds without a packet after which the system sends a keepalive probe.
 
 The minimum that the system allows. Engines send nothing for up to half a second between the events of a stream."""
+MAX_ACCEPT_ITERATIONS = 100
+"""Maximum event loop iterations in which pending connections are accepted."""
+ACCEPT_COMPLETION_ITERATIONS = 3
+"""Event loop iterations after which an accepted connection is independent of the listening socket."""
 
 
 def enable_keepalive(transport: asyncio.BaseTransport | None, unacknowledged_s: float) -> None:
@@ -72,6 +78,18 @@
     return bool(poll.poll(0))
 
 
+async def accept_pending(listening: Iterable[socket.socket]) -> None:
+    """Let the event loop accept the connections that wait at listening sockets, before these are closed: the system
+    resets connections that still wait then, and what was sent on them is lost."""
+    descriptors = [each.fileno() for each in listening]
+    quiet_iterations = 0
+    for _ in range(MAX_ACCEPT_ITERATIONS):
+        quiet_iterations = 0 if any(map(is_readable, descriptors)) else quiet_iterations + 1
+        if quiet_iterations > ACCEPT_COMPLETION_ITERATIONS:
+            return
+        await asyncio.sleep(0)
+
+
 def has_hung_up(transport: asyncio.BaseTransport | None) -> bool:
     """Whether the remote end has closed a connection, which the event loop notices one iteration later.
 
--- a/tests/platform/test_peer_attempts.py
+++ b/tests/platform/test_peer_attempts.py
@@ -16,6 +16,7 @@
 from tests.platform.test_peers import two_nodes
 from tests.unit.serving.fakes import event
 from wallwell.clock import boot_time_s
+from wallwell.peer_attempts.client import PeerAttemptClient
 from wallwell.platform.rows import decode_config
 from wallwell.routing.health.reachability import FAILURES_TO_DECIDE
 
@@ -182,6 +183,27 @@
     on_cut_node(on_platform, scenario)
 
 
+def test_unsafe_request_that_crosses_the_stop_of_a_peer_has_not_run(on_platform, monkeypatch):
+    """Its connection to the peer was reset, so that it ended as unknown and was not sent again."""
+    connect = PeerAttemptClient._connect
+    stopping = []
+
+    async def scenario(harness, fleet):
+        async def connect_to_stopping_peer(client, peer, dispatch):
+            connection = await connect(client, peer, dispatch)
+            stopping.append(asyncio.create_task(fleet.peer.drain(1.0, _nothing)))
+            await asyncio.sleep(0.01)
+            return connection
+
+        monkeypatch.setattr(PeerAttemptClient, "_connect", connect_to_stopping_peer)
+        status, _, body = await harness.call("/unsafe/a")
+        await asyncio.gather(*stopping)
+        assert (status, json.loads(body)["outcome"]) == (503, "not_run")
+        assert requests_at(harness) == []
+
+    on_cut_node(on_platform, scenario)
+
+
 async def _nothing():
     return None
 
