--- a/tests/contract/test_process.py
+++ b/tests/contract/test_process.py
@@ -14,6 +14,7 @@
 
 from tests.conftest import EXAMPLES
 from tests.faulty_table import FaultyTable
+from tests.platform.test_readiness_in_a_stop import NOT_READY, checks_until
 from wallwell.answer_bounds import MAX_ANSWER_BYTES
 from wallwell.emulator.deployment import EmulatedBackend
 from wallwell.emulator.platform_server import PlatformServer
@@ -172,6 +173,29 @@
     assert run_async(with_router(tmp_path, scenario)) == (200, "completed", 0)
 
 
+def test_a_stopping_router_says_that_it_is_not_ready_until_it_closes_its_connections(tmp_path, run_async):
+    """Guards against a check of a load balancer that times out, or finds the router ready, during a stop."""
+    work_s = STOP_NOTICE_S + 1.0
+    service = ServiceServer("o1", work_s)
+
+    async def scenario(router, session, _service):
+        url = f"http://127.0.0.1:{router.port}/orders/pickup-notices"
+        call = asyncio.create_task(session.post(url, headers={"Authorization": "Bearer test"}))
+        while not service.journal:
+            await asyncio.sleep(0.01)
+        status = asyncio.create_task(router.stop())
+        await asyncio.sleep(0.1)
+        answered = asyncio.Event()
+        checking = asyncio.create_task(checks_until(answered, router.port, "/readyz"))
+        code = (await call).status
+        answered.set()
+        checks = await checking
+        checks.pop()  # It may have crossed the end of the connections.
+        return code, {line for _, line in checks}, await status
+
+    assert run_async(with_router(tmp_path, scenario, service)) == (200, {NOT_READY}, 0)
+
+
 def test_a_second_signal_ends_the_process_at_once(tmp_path, run_async):
     async def scenario(router, session, service):
         service.faults.set(slow_s=15.0)
