--- a/tests/contract/test_process.py
+++ b/tests/contract/test_process.py
@@ -211,6 +211,29 @@
     assert run_async(with_router(tmp_path, scenario)) != 0
 
 
+def test_a_call_with_a_key_that_outlives_the_stop_is_never_run_again(tmp_path, run_async):
+    """Guards against a claim that a stop releases while its call may still run."""
+    service = ServiceServer("o1", work_s=3.0)
+
+    async def scenario(router, session, _service):
+        await router.stop()
+        router.path.write_text(router.path.read_text().replace("stop_grace_s: 20", "stop_grace_s: 0.2"))
+        await router.start()
+        url = f"http://127.0.0.1:{router.port}/orders/pickup-notices"
+        headers = {"Authorization": "Bearer test", "Idempotency-Key": "k1"}
+        call = asyncio.create_task(session.post(url, headers=headers))
+        while not service.journal:
+            await asyncio.sleep(0.01)
+        assert await router.stop() == 0
+        first = await call
+        await router.start()
+        second = await session.post(url, headers=headers)
+        return [(each.status, each.headers["X-Outcome"]) for each in (first, second)], len(service.journal)
+
+    unknown = (504, "unknown")
+    assert run_async(with_router(tmp_path, scenario, service)) == ([unknown, unknown], 1)
+
+
 class LongAnswers(ServiceServer):
     """Answers each call with as many bytes as the router passes on."""
 
