Send nothing on a kept connection whose end waits to be read

What callers saw: an unsafe request that met the end of a kept connection to a leaving back end ended with 504 (unknown).

Cause: a kept connection was taken if the event loop had not read its end. On a busy node, the end of a back end's connection waits in the socket for as long as the loop is late. The request was written to it, and the reset that followed may mean that it has run.

Change: the socket is asked first; a connection with its end or with unexpected bytes at hand is closed, and another one used. What crosses the request on the wire is still unknown, and said to be.

--- a/src/wallwell/http_connection.py
+++ b/src/wallwell/http_connection.py
@@ -18,7 +18,7 @@
 from wallwell.backend_connection import BackendConnection, ConnectionBrokenError
 from wallwell.clock import boot_time_s, time_limit
 from wallwell.discarded_answers import DiscardedAnswers
-from wallwell.socket_options import enable_keepalive
+from wallwell.socket_options import enable_keepalive, has_unread_bytes
 from wallwell.task_wait import is_done_within
 
 __all__ = ["BackendConnection", "ConnectFailedError", "ConnectionBrokenError", "ConnectionPool", "PortCheck"]
@@ -168,7 +168,8 @@
             if is_reusable and not connection.may_carry(request_id, has_body):
                 continue
             idle.remove(connection)
-            if is_reusable:
+            # An end that the event loop has not read yet: a request sent now would be lost, as far as is known.
+            if is_reusable and not has_unread_bytes(connection.transport):
                 return connection
             connection.close()
         return None
