Finding: a caller that leaves by itself after the cut's time is logged and counted as cut

Between seven eighths of the grace time and the end of the connections (0.1 s later, more on a busy machine) every cancelled request is 1014 and in 1004 and the metric, whoever ended it. Seen with one process too: a caller that reset its connection 7.05 s after the signal, before anything was cut, was 1014.

--- a/tests/platform/test_caller_gone.py
+++ b/tests/platform/test_caller_gone.py
@@ -14,8 +14,10 @@
 from wallwell.clock import boot_time_s
 from wallwell.events import Event
 from wallwell.platform import caller_listener
+from wallwell.routing.admission.planned_stop import plan_stop
 from wallwell.serving import request_reports
 
+GRACE_S = 8.0
 STOPS_WITHIN_S = 0.5
 STREAM_HEADERS = {"X_Model": "m", "X_Prefix_Hash": "aa:100,bb:50", "X_Token_Usage": "150,10"}
 SAFE = config(routes=[route(attempts=2, slo_ms=200)])
@@ -263,3 +265,23 @@
     status, metrics = on_platform(scenario, SAFE)
     assert (status, logged) == (200, ["error_answer"])
     assert 'result="error_answer"} 1.0' in metrics
+
+
+def test_caller_that_leaves_as_a_stop_cuts_is_logged_as_gone(on_platform, monkeypatch):
+    """Guards against counting a caller who left by itself among the requests that a stop has cut."""
+    logged = []
+    for module in (caller_listener, request_reports):
+        monkeypatch.setattr(module, "emit", lambda event, **_fields: logged.append(event))
+
+    async def scenario(harness):
+        for worker in harness.workers:
+            count_stops(worker, worker.hang)
+        asking = asyncio.create_task(harness.call())
+        await harness.until(lambda: requests_at(harness) == 1)
+        harness.node.state.stop = plan_stop(boot_time_s() - GRACE_S, GRACE_S)  # Nothing has been cut yet.
+        await leave(harness, asking)
+        return harness.node.unfinished_requests()
+
+    counts = on_platform(scenario, SAFE)
+    assert logged == [Event.CALLER_GONE]
+    assert (counts["cut_generations"], counts["cut_calls"]) == (0, 0)
