Finding: a request refused for its incomplete body is neither logged nor counted

Its caller gets 408 WW3021 while 1004 says refused 0 and no 3009 names it: the refusal is raised before the pipeline.

--- a/tests/platform/test_ends_of_connections.py
+++ b/tests/platform/test_ends_of_connections.py
@@ -442,3 +442,20 @@
     assert (status, outcome, was_reset, has_run) == (HTTPStatus.REQUEST_TIMEOUT, "not_run", False, False)
     # One second more than the server's own limit, for a busy machine.
     assert took_s < FINAL_REQUEST_WAIT_S + 1.0
+
+
+def test_request_refused_for_its_incomplete_body_is_counted(on_platform):
+    """Guards against a stop whose log counts fewer refused requests than callers have seen."""
+
+    async def scenario(harness):
+        reader, writer = await asyncio.open_connection("127.0.0.1", harness.port)
+        writer.write(request("endless").replace(b"Content-Length: 0", b"Content-Length: 8"))
+        await harness.until(harness.has_open_requests)
+        harness.node.readiness.draining = True
+        closing = asyncio.create_task(close_and_wait(harness))
+        status, _ = await answer(reader)
+        writer.close()
+        await asyncio.wait_for(closing, 5.0)
+        return status, harness.node.unfinished_requests()["refused"]
+
+    assert on_platform(scenario, CALLS) == (HTTPStatus.REQUEST_TIMEOUT, 1)
