--- a/tests/wire_subjects.py
+++ b/tests/wire_subjects.py
@@ -737,6 +737,7 @@
 
     def __init__(self, error: RequestError | None, dispatch: dict[str, Any], address: str) -> None:
         self.is_closing_connections = lambda: False
+        self.takes_requests = lambda: True
         self.sheds_connection = lambda: False
         self.seen: dict[str, Any] = {}
         self._error = error
