Soak: callers that keep their connections, stops in series, and what a stop may cut

The soak never saw the streams that a stopping node begins late and cuts: its callers take connections from a pool and plan their requests beforehand, its streams last 1.8 s at most, and planned stops are rare and alone.

--kept-connections: 16 callers a node on raw sockets send one request after the other while the router's process takes them: at once after an answer, 5 and 30 ms later, while it comes, with bodies in chunks over up to 0.75 s. Their streams last 0.2 to 7 s, the grace time is a deployment's 8 s, and nodes stop as planned in series, most overlapping, some two at once, with SIGHUP, changes of the configuration and leaves of workers in the middle.

stop_cuts_only_excused states the users' rule on requests lost around a SIGTERM, which the run now records as it sends it. A run prints how many requests met its stops and how, so that one that tested nothing is visible.

--- a/src/wallwell/cli/soak.py
+++ b/src/wallwell/cli/soak.py
@@ -39,6 +39,7 @@
     "--skew": "skews",
     "--second-answers": "second_answers",
     "--group-silences": "group_silences",
+    "--kept-connections": "kept_connections",
     "--versions": "versions",
     "--rollout": "rollout",
     "--calm": "calm_s",
@@ -65,6 +66,11 @@
     parser.add_argument(
         "--group-silences", action="store_true", help="groups of sound workers fall silent beside changes of routes"
     )
+    parser.add_argument(
+        "--kept-connections",
+        action="store_true",
+        help="callers use open connections until a router is gone, and routers stop as planned in series",
+    )
     parser.add_argument("--rollout", default="", help="roll out a version of this kind: good, failing, slow, ...")
     parser.add_argument("--versions", type=int, default=1, help="software versions of engines, side by side")
     parser.add_argument("--calm", type=float, default=0.0, help="fault-free seconds at the end, for a weights roll")
@@ -105,6 +111,7 @@
         skews=options.skew,
         second_answers=options.second_answers,
         group_silences=options.group_silences,
+        kept_connections=options.kept_connections,
         rollout=options.rollout,
         versions=options.versions,
         calm_s=options.calm,
@@ -181,6 +188,9 @@
     print(f"{result.requests} requests, {result.served} served whole; {len(result.found.breaches)} breaches")
     cases = ", ".join(f"{name} {count}" for name, count in result.found.cases.items())
     print(f"  cases checked: {cases}")
+    if result.found.stops["stops"]:
+        stops = ", ".join(f"{name} {count}" for name, count in result.found.stops.items())
+        print(f"  around planned stops: {stops}")
     untested = [name for name, count in result.found.cases.items() if not count]
     print(f"  not tested by this run: {', '.join(untested) or 'none'}")
     for breach in result.found.breaches[:MAX_PRINTED_BREACHES]:
--- a/src/wallwell/soak/answers.py
+++ b/src/wallwell/soak/answers.py
@@ -14,9 +14,21 @@
 """Body of a request under which each worker that begins to run it crashes."""
 CRASH_STATUS = 70
 """Exit status of such a worker, so that the run distinguishes it from any other end."""
+_PACE = re.compile(r"/pace-(\d+)/")
 _EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\d+)(?: (\S+))?\Z")
 
 
+def paced_path(path: str, pace_s: float, request: str) -> str:
+    """Return the path of a request that tells its worker how long an event or a call takes."""
+    return f"{path}pace-{round(pace_s * 1000)}/{request}"
+
+
+def pace_of(path: str) -> float | None:
+    """Return how many seconds an event or a call of a path takes; None if the path does not say."""
+    match = _PACE.search(path)
+    return int(match[1]) / 1000 if match else None
+
+
 def call_body(request: str) -> bytes:
     """Return the body of a call's answer."""
     return "".join(f"{request} {line}\n" for line in range(CALL_LINES)).encode()
--- a/src/wallwell/soak/caller_process.py
+++ b/src/wallwell/soak/caller_process.py
@@ -133,14 +133,17 @@
     async def _round_trip(self, planned: PlannedRequest, attempt: _Try, url: str, collected: Collected) -> None:
         target = yarl.URL(url, encoded=True)
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
-        headers = _headers(planned, attempt)
+        headers = headers_of(planned, attempt.request, attempt.deadline_s)
+        if attempt.resumes:
+            headers[names.RESUMES] = attempt.resumes
+            headers[names.RESUME_AFTER] = str(attempt.resume_after)
         body = CRASHING_BODY if planned.content else HARMLESS_BODY
         async with self._session.post(target, data=body, headers=headers, timeout=timeout) as response:
             collected.status = response.status
             collected.seal = response.headers.get(names.SEAL, "")
             collected.identity = response.headers.get(names.REQUEST_ID, "")
             async for data in response.content.iter_any():
-                collected.body += data
+                collected.take(data)
             collected.whole = True
 
 
@@ -155,32 +158,43 @@
         self.identity = ""
         self.body = b""
         self.whole = False
+        self.kept = False
+        """Whether the head leaves the connection open."""
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the head tells of a success."""
+        return 200 <= self.status < 300
+
+    def take(self, data: bytes) -> None:
+        """Add a part of the body."""
+        self.body += data
 
     def answered(self, now_s: float) -> Answered:
         """Return the record of the answer as far as it came."""
         request = self._request
-        if not 200 <= self.status < 300:
-            return Answered(now_s, request, self.status, self.seal, whole=self.whole)
+        if not self.is_success:
+            return Answered(now_s, request, self.status, self.seal, whole=self.whole, kept=self.kept)
         own_head = self.identity == request
         if self._planned.kind.is_stream:
             body = events_of(request, self.body)
             is_own = own_head and body.is_own
-            return Answered(now_s, request, self.status, self.seal, is_own, self.whole, body.numbers, body.versions)
+            return Answered(
+                now_s, request, self.status, self.seal, is_own, self.whole, body.numbers, body.versions, self.kept
+            )
         expected = call_body(request)
         own_body = self.body == expected if self.whole else expected.startswith(self.body)
-        return Answered(now_s, request, self.status, self.seal, own_head and own_body, self.whole)
+        return Answered(now_s, request, self.status, self.seal, own_head and own_body, self.whole, kept=self.kept)
 
 
-def _headers(planned: PlannedRequest, attempt: _Try) -> dict[str, str]:
+def headers_of(planned: PlannedRequest, request: str, deadline_s: float) -> dict[str, str]:
+    """Return the headers of a request that is sent under an identity."""
     headers = {
         "Host": ROUTE_HOST,
-        names.REQUEST_ID: attempt.request,
+        names.REQUEST_ID: request,
         names.CREDENTIAL: planned.key,
-        names.DEADLINE_MS: str(round(attempt.deadline_s * 1000)),
+        names.DEADLINE_MS: str(round(deadline_s * 1000)),
     }
-    if attempt.resumes:
-        headers[names.RESUMES] = attempt.resumes
-        headers[names.RESUME_AFTER] = str(attempt.resume_after)
     if planned.kind.is_stream:
         headers[names.MODEL] = MODEL
         headers[names.TOKEN_USAGE] = f"{planned.prompt_tokens},{planned.events}"
--- a/src/wallwell/soak/configuration.py
+++ b/src/wallwell/soak/configuration.py
@@ -10,12 +10,12 @@
     ENGINE_SLOTS,
     EXPOSURE_REQUESTS,
     EXPOSURE_SHARE,
-    GRACE_S,
     LIMIT_BURST,
     LIMIT_RATE_PER_S,
     LIMITED_KEY,
     REVOKE_S,
     ROLLBACK_S,
+    ROUTE_TIMEOUT_S,
     VERSION_S,
 )
 from wallwell.soak.timeline import CONTACT_S
@@ -33,24 +33,28 @@
     "exposure_share": EXPOSURE_SHARE,
     "exposure_slack": EXPOSURE_REQUESTS,
     "rollback_ms": ROLLBACK_S * 1000,
-    "grace_s": GRACE_S,
 }
-"""Bounds of the routers' settings; shorter than a deployment's, so that runs of seconds reach them."""
+"""Bounds of the routers' settings; shorter than a deployment's, so that runs of seconds reach them. The grace
+time depends on a run's shape."""
 
 
 def configuration(
-    version: int, keys: tuple[str, ...], engine_slots: int = ENGINE_SLOTS, more_routes: int = 0
+    version: int,
+    keys: tuple[str, ...],
+    engine_slots: int = ENGINE_SLOTS,
+    more_routes: int = 0,
+    route_timeout_s: float = ROUTE_TIMEOUT_S,
 ) -> dict[str, object]:
     """Return the operator's configuration: a route for each kind of request and more that nobody uses, a tenant
     for each key."""
     unused = [
-        {**_route(RequestKind.SAFE), "name": f"added-{number}", "path_prefix": f"/added/{number}/"}
+        {**_route(RequestKind.SAFE, route_timeout_s), "name": f"added-{number}", "path_prefix": f"/added/{number}/"}
         for number in range(more_routes)
     ]
     engine = {"slots": engine_slots, "models": [{"name": MODEL}]}
     return {
         "version": version,
-        "routes": [*(_route(kind) for kind in RequestKind), *unused],
+        "routes": [*(_route(kind, route_timeout_s) for kind in RequestKind), *unused],
         "services": [
             {"name": ENGINES, "max_conns": 400, "engine": engine},
             {"name": ORDERS, "max_conns": 400},
@@ -64,14 +68,14 @@
     return {"name": f"tenant-{key}", "api_keys": [key], **limit}
 
 
-def _route(kind: RequestKind) -> dict[str, object]:
+def _route(kind: RequestKind, timeout_s: float) -> dict[str, object]:
     return {
         "name": kind.value,
         "host": ROUTE_HOST,
         "path_prefix": PATHS[kind],
         "kind": RequestKind.STREAM.value if kind.is_stream else kind.value,
         "service": ENGINES if kind.is_stream else ORDERS,
-        "timeout_ms": 4000,
+        "timeout_ms": round(timeout_s * 1000),
         "slo_ms": 500,
         "gap_slo_ms": 300,
         "attempts": 2,
--- a/src/wallwell/soak/drawing.py
+++ b/src/wallwell/soak/drawing.py
@@ -9,12 +9,15 @@
 import random
 from collections.abc import Sequence
 
+import msgspec
+
 from wallwell.errors import SoakError
-from wallwell.soak import drawing_faults, drawing_requests, drawing_silences
+from wallwell.soak import drawing_faults, drawing_requests, drawing_silences, drawing_stops
 from wallwell.soak.drawing_faults import KILL_ALL_LASTS_S
 from wallwell.soak.schedule import (
     CALM_BEFORE_STOP_S,
     CALM_BEFORE_WEIGHTS_S,
+    MANY_ENGINE_SLOTS,
     RECOVERY_S,
     SHOWN_RECOVERED_S,
     VERSION_S,
@@ -41,13 +44,42 @@
     operations = _draw_operations(random.Random(f"{seed}/operations"), shape)
     faults = _draw_faults(seed, shape, operations)
     requests = _draw_requests(seed, shape)
-    if not shape.group_silences:
-        return Schedule(seed, shape, tuple(faults), tuple(requests), tuple(operations))
+    schedule = Schedule(seed, shape, tuple(faults), tuple(requests), tuple(operations))
+    if shape.kept_connections:
+        schedule = _add_stops(schedule)
+    return _add_group_silences(schedule) if shape.group_silences else schedule
+
+
+def _add_stops(schedule: Schedule) -> Schedule:
+    """Return a schedule with planned stops in series and callers that keep their connections."""
+    seed, shape = schedule.seed, schedule.shape
+    kept_faults = schedule.faults
+    if drawing_stops.draw_quiet(random.Random(f"{seed}/kept quiet")):
+        kept_faults = drawing_stops.without_unplanned(kept_faults)
+    stops = drawing_stops.draw_stops(random.Random(f"{seed}/kept stops"), shape, kept_faults)
+    beside = drawing_stops.draw_work_beside(random.Random(f"{seed}/kept work"), shape, stops, kept_faults)
+    changes = drawing_stops.draw_changes(random.Random(f"{seed}/kept changes"), stops)
+    return msgspec.structs.replace(
+        schedule,
+        faults=tuple(sorted([*kept_faults, *stops, *beside], key=lambda fault: fault.at_s)),
+        operations=(*schedule.operations, *changes),
+        engine_slots=MANY_ENGINE_SLOTS,
+        kept_callers=tuple(drawing_stops.draw_callers(random.Random(f"{seed}/kept callers"), seed, shape)),
+    )
+
+
+def _add_group_silences(schedule: Schedule) -> Schedule:
+    """Return a schedule with silences of groups of workers, and changes of the configuration beside them."""
+    seed, shape, faults = schedule.seed, schedule.shape, schedule.faults
     silences = drawing_silences.draw_silences(random.Random(f"{seed}/group silences"), shape, faults)
-    operations += drawing_silences.draw_changes(random.Random(f"{seed}/changes"), silences)
-    faults = sorted([*faults, *silences], key=lambda fault: fault.at_s)
+    changes = drawing_silences.draw_changes(random.Random(f"{seed}/changes"), silences)
     slots = drawing_silences.draw_slots(random.Random(f"{seed}/slots"))
-    return Schedule(seed, shape, tuple(faults), tuple(requests), tuple(operations), slots)
+    return msgspec.structs.replace(
+        schedule,
+        faults=tuple(sorted([*faults, *silences], key=lambda fault: fault.at_s)),
+        operations=(*schedule.operations, *changes),
+        engine_slots=schedule.engine_slots if shape.kept_connections else slots,
+    )
 
 
 def _draw_requests(seed: int, shape: Shape) -> list[PlannedRequest]:
--- a/src/wallwell/soak/faults.py
+++ b/src/wallwell/soak/faults.py
@@ -71,6 +71,7 @@
             FaultKind.KILL_ALL_NODES: self._kill_all_nodes,
             FaultKind.PAUSE_NODE: self._pause_node,
             FaultKind.STOP_NODE: self._stop_node,
+            FaultKind.RELOAD_NODE: self._reload_node,
             FaultKind.CRASH_WORKER: self._crash_worker,
             FaultKind.DRAIN_WORKER: self._drain_worker,
             FaultKind.SHED_WORKER: self._shed_worker,
@@ -135,9 +136,16 @@
 
     async def _stop_node(self, fault: PlannedFault) -> None:
         async with self._locks[fault.target]:
-            await self._fleet.node(fault.target).end(signal.SIGTERM)
+            await self._fleet.stop_node(fault.target)
             await self._fleet.start_node(fault.target)
 
+    async def _reload_node(self, fault: PlannedFault) -> None:
+        """The node may be stopping, so its lock is not taken; a process that has just been started is left alone,
+        as the signal would end it."""
+        node = self._fleet.node(fault.target)
+        if node.has_handler(signal.SIGHUP):
+            node.send(signal.SIGHUP)
+
     # --- workers ---------------------------------------------------------------------------------------
 
     async def _crash_worker(self, fault: PlannedFault) -> None:
--- a/src/wallwell/soak/fleet.py
+++ b/src/wallwell/soak/fleet.py
@@ -22,7 +22,7 @@
 from wallwell.soak.caller_process import MODEL
 from wallwell.soak.configuration import BOUNDS, ENGINES, ORDERS, configuration
 from wallwell.soak.control import AimLink, Done, HarmLink, KnowNode, LinkAddress, OpenLink, PutRow, ReadRow, RowText
-from wallwell.soak.history import HISTORY_SUFFIX, HistoryWriter, KeysInForce, NodeExited
+from wallwell.soak.history import HISTORY_SUFFIX, HistoryWriter, KeysInForce, NodeExited, StopRequested
 from wallwell.soak.schedule import BETWEEN_REGIONS, ENGINE_SLOTS, FIRST_KEYS, STORE, Schedule
 from wallwell.soak.store_process import StoreSettings
 from wallwell.soak.supervisor import ChildProcess, Supervisor
@@ -130,7 +130,8 @@
 
     async def put_configuration(self, version: int, keys: tuple[str, ...], more_routes: int = 0) -> None:
         """Put a configuration in force and record it."""
-        row = json.dumps(configuration(version, keys, self.schedule.engine_slots, more_routes))
+        timeout_s = self.schedule.shape.route_timeout_s
+        row = json.dumps(configuration(version, keys, self.schedule.engine_slots, more_routes, timeout_s))
         self.history.add(
             KeysInForce(await self.put_row(names.OPERATOR_TABLE, names.CONFIG_KEY, row), version, keys)
         )
@@ -207,7 +208,8 @@
         front, ready, first_peer = (_free_port(host) for _ in range(3))
         self._front[node] = f"{host}:{front}"
         self._ready[node] = f"{host}:{ready}"
-        bounds = "\n".join(f"{name} = {json.dumps(value)}" for name, value in BOUNDS.items())
+        values = {**BOUNDS, "grace_s": self.schedule.shape.grace_s}
+        bounds = "\n".join(f"{name} = {json.dumps(value)}" for name, value in values.items())
         zones = ", ".join(f'z{region} = "region-{region}"' for region in range(self.schedule.shape.regions))
         text = f"""node = "{node}"
 zone = "z{self.schedule.shape.region_of(node)}"
@@ -240,10 +242,16 @@
 
     async def stop_nodes(self) -> None:
         """Stop all routers as planned, at the same time."""
-        nodes = [self.node(name) for name in self.schedule.shape.node_names()]
-        await asyncio.gather(*(node.end(signal.SIGTERM) for node in nodes if node.status is None))
+        names_left = [name for name in self.schedule.shape.node_names() if self.node(name).status is None]
+        await asyncio.gather(*(self.stop_node(name) for name in names_left))
         await asyncio.gather(*self._watchers)
 
+    async def stop_node(self, name: str) -> None:
+        """Stop a router as planned, and record when it was asked to."""
+        grace_s = self.schedule.shape.grace_s
+        self.history.add(StopRequested(time.monotonic(), name, grace_s))
+        await self.node(name).end(signal.SIGTERM)
+
     async def _until_ready(self, node: str) -> None:
         url = f"http://{self._ready[node]}{names.READY_PATH}"
         async with aiohttp.ClientSession() as session:
--- a/src/wallwell/soak/history.py
+++ b/src/wallwell/soak/history.py
@@ -61,6 +61,16 @@
     """Part of its prompt that crashes the workers that begin to answer it."""
     skewed: bool = False
     """Whether it was sent while most new connections go to its node, and for that reason."""
+    behind: str = ""
+    """The request on the same connection whose answer still came then."""
+    in_chunks: bool = False
+    """Whether its body came in chunks, so that another record says when its last byte was sent."""
+
+
+class SentWhole(Record, frozen=True):
+    """The last byte of a request was sent whose body came in chunks."""
+
+    request: str
 
 
 class Answered(Record, frozen=True):
@@ -78,6 +88,8 @@
     events: tuple[int, ...] = ()
     versions: tuple[str, ...] = ()
     """Software versions of the workers that wrote these events."""
+    kept: bool = False
+    """Whether its head left the connection open, and the caller may use it again."""
 
 
 class Left(Record, frozen=True):
@@ -212,6 +224,13 @@
     target: str
 
 
+class StopRequested(Record, frozen=True):
+    """A router process is sent SIGTERM, and has ``grace_s`` seconds to end."""
+
+    node: str
+    grace_s: float
+
+
 class NodeExited(Record, frozen=True):
     """A router process ended. ``asked`` names the signal by which the run asked it to, empty for none."""
 
@@ -224,6 +243,7 @@
 
 AnyRecord = (
     Sent
+    | SentWhole
     | Answered
     | Left
     | Began
@@ -240,6 +260,7 @@
     | RolloutState
     | FaultBegan
     | FaultEnded
+    | StopRequested
     | NodeExited
 )
 
--- a/src/wallwell/soak/invariants.py
+++ b/src/wallwell/soak/invariants.py
@@ -15,6 +15,7 @@
     invariants_requests,
     invariants_rollout,
     invariants_silences,
+    invariants_stops,
     invariants_streams,
 )
 from wallwell.soak.cases import Check
@@ -36,10 +37,12 @@
 
 @dataclass(frozen=True)
 class CheckResult:
-    """How often each invariant was put to the test, and the breaches, the first one first."""
+    """How often each invariant was put to the test, and the breaches, the first one first; ``stops`` tells what
+    planned stops met."""
 
     cases: dict[str, int]
     breaches: tuple[Breach, ...]
+    stops: dict[str, int]
 
 
 INVARIANTS: dict[str, Check] = {
@@ -66,6 +69,7 @@
     "silence_cuts_nothing": invariants_silences.silence_cuts_nothing,
     "left_is_cancelled": invariants_fleet.left_is_cancelled,
     "planned_stop_cuts_nothing": invariants_fleet.planned_stop_cuts_nothing,
+    "stop_cuts_only_excused": invariants_stops.stop_cuts_only_excused,
     "revoked_key_unused": invariants_fleet.revoked_key_unused,
     "configuration_in_time": invariants_fleet.configuration_in_time,
     "configuration_never_back": invariants_fleet.configuration_never_back,
@@ -87,4 +91,5 @@
         found = list(check(history))
         cases[invariant] = len(found)
         breaches += [Breach(case.at_s, invariant, case.subject, case.detail) for case in found if case is not None]
-    return CheckResult(cases, tuple(sorted(breaches, key=lambda breach: breach.at_s)))
+    ordered = tuple(sorted(breaches, key=lambda breach: breach.at_s))
+    return CheckResult(cases, ordered, invariants_stops.count_around_stops(history))
--- a/src/wallwell/soak/invariants_silences.py
+++ b/src/wallwell/soak/invariants_silences.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 
 from wallwell.soak.cases import HELD, Cases, Violation
-from wallwell.soak.history import Answered, Began, FaultBegan, Sent, WorkerState
+from wallwell.soak.history import Answered, Began, FaultBegan, Sent
 from wallwell.soak.invariants_requests import is_at_its_deadline
 from wallwell.soak.timeline import SILENCE, History, worker_name
 
@@ -17,8 +17,6 @@
 """Statuses of a request that a router gave up, though it may have run."""
 WAKE_S = 0.1
 """Seconds after a silence in which a worker begins what reached it meanwhile and lay unread."""
-GONE_STATE = "gone"
-"""State of a worker whose entry went, see :class:`WorkerState`."""
 
 
 def silence_ends_nothing(history: History) -> Cases:
@@ -63,7 +61,7 @@
     any other fault meanwhile, and what a fault on nodes, links or the store was near.
     """
     others = [(fault, ended_s) for fault, ended_s in history.faults_of_workers() if fault.fault != SILENCE]
-    gone_s = _gone_s(history.records)
+    gone_s = history.gone_s()
     taken_s = history.keys_taken_s()
     for request, silence_s in _struck_requests(history).items():
         sent, answer = history.sent.get(request), history.answers.get(request)
@@ -98,17 +96,6 @@
     return history.is_fault_free(sent.at_s, answer.at_s)
 
 
-def _gone_s(records: Iterable[object]) -> dict[str, float]:
-    """Return when workers left for good; one whose entry lapsed in a silence is listed again."""
-    gone_s: dict[str, float] = {}
-    for record in records:
-        if isinstance(record, WorkerState):
-            gone_s.pop(record.worker, None)
-            if record.state == GONE_STATE:
-                gone_s[record.worker] = record.at_s
-    return gone_s
-
-
 def _lived(
     history: History,
     run: Began,
--- a/src/wallwell/soak/process.py
+++ b/src/wallwell/soak/process.py
@@ -35,6 +35,10 @@
         from wallwell.soak.caller_process import CallerProcess, CallerSettings
 
         await CallerProcess(msgspec.json.decode(settings, type=CallerSettings)).run()
+    elif kind == "kept_callers":
+        from wallwell.soak.kept_caller_process import KeptCallerProcess, KeptCallerSettings
+
+        await KeptCallerProcess(msgspec.json.decode(settings, type=KeptCallerSettings)).run()
     else:
         raise ValueError(f"no process of kind {kind}")
 
--- a/src/wallwell/soak/run.py
+++ b/src/wallwell/soak/run.py
@@ -19,10 +19,13 @@
 from wallwell.soak.fleet import RunProcesses
 from wallwell.soak.history import HISTORY_SUFFIX, read_history
 from wallwell.soak.invariants import CheckResult, check_invariants
+from wallwell.soak.kept_caller_process import KeptCallerSettings
 from wallwell.soak.operator import Operator
 from wallwell.soak.schedule import Schedule
 from wallwell.soak.timeline import History
 
+KEPT_CALLERS = "kept_callers"
+"""Kind and name of the process of callers that keep their connections."""
 LEAD_S = 1.0
 """Time from the callers' start to their first request."""
 TAIL_S = 10.0
@@ -70,21 +73,35 @@
         history, fleet.callers_addresses, start_s, schedule.requests, takes_up=schedule.shape.versions > 1
     )
     await fleet.supervisor.start_own("callers", "callers", settings)
+    if schedule.kept_callers:
+        await _start_kept_callers(fleet, start_s)
     try:
         async with asyncio.timeout(LEAD_S + schedule.shape.length_s + TAIL_S):
             runner = FaultRunner(fleet)
             async with runner.workers_kept():
                 faults = runner.run(schedule.faults, start_s)
                 await asyncio.gather(faults, Operator(fleet).run(schedule.operations, start_s))
-                status = await fleet.supervisor.child("callers").wait()
+                statuses = await _until_callers_end(fleet)
     except TimeoutError as error:
         raise SoakError("the callers did not end in time") from error
-    if status != 0:
-        raise SoakError(f"the callers ended with status {status}")
+    if any(statuses):
+        raise SoakError(f"the callers ended with status {', '.join(map(str, statuses))}")
     await fleet.stop_nodes()
     await asyncio.sleep(LATE_WORK_S)
 
 
+async def _start_kept_callers(fleet: RunProcesses, start_s: float) -> None:
+    history = str(fleet.folder / f"{KEPT_CALLERS}{HISTORY_SUFFIX}")
+    settings = KeptCallerSettings(history, fleet.callers_addresses, start_s, fleet.schedule.kept_callers)
+    await fleet.supervisor.start_own(KEPT_CALLERS, KEPT_CALLERS, settings)
+
+
+async def _until_callers_end(fleet: RunProcesses) -> list[int]:
+    """Wait for the callers' processes and return their statuses."""
+    names = ("callers", KEPT_CALLERS) if fleet.schedule.kept_callers else ("callers",)
+    return [await fleet.supervisor.child(name).wait() for name in names]
+
+
 async def _within_memory(fleet: RunProcesses, work: Coroutine[Any, Any, None]) -> None:
     """Do the work, or give it up where the processes hold more memory than they may."""
     tasks = (asyncio.create_task(work), asyncio.create_task(_watch_memory(fleet)))
--- a/src/wallwell/soak/schedule.py
+++ b/src/wallwell/soak/schedule.py
@@ -20,6 +20,7 @@
     KILL_ALL_NODES = "kill_all_nodes"  # every node at once
     PAUSE_NODE = "pause_node"  # a node: SIGSTOP, SIGCONT at the end
     STOP_NODE = "stop_node"  # a node: SIGTERM, started again at the end
+    RELOAD_NODE = "reload_node"  # a node: SIGHUP
     CRASH_WORKER = "crash_worker"  # a worker: SIGKILL, a new incarnation at the end
     DRAIN_WORKER = "drain_worker"  # a worker: announces its leave, serves on, ends; a new incarnation at the end
     SHED_WORKER = "shed_worker"  # a worker: refuses every request and asks for back-off
@@ -62,6 +63,8 @@
     FaultKind.LINK_CUT_BACK,
 )
 REGION_FAULTS = (FaultKind.REGIONS_CUT, FaultKind.REGIONS_NARROW)
+PLANNED_WORK = (FaultKind.STOP_NODE, FaultKind.RELOAD_NODE)
+"""What operators do to nodes on purpose: no request may be lost because of it."""
 STORE = "store"
 BETWEEN_REGIONS = "regions"
 ALL_NODES = "all"
@@ -106,6 +109,12 @@
 """Seconds after a node has passed on such an answer from which its requests count."""
 GRACE_S = 5.0
 """Seconds that a planned stop is given."""
+KEPT_GRACE_S = 8.0
+"""The same where callers keep their connections: a deployment's, so that streams outlast what a stop has left."""
+ROUTE_TIMEOUT_S = 4.0
+"""Seconds that routes give a request."""
+KEPT_ROUTE_TIMEOUT_S = 10.0
+"""The same where callers keep their connections: longer than their longest streams."""
 EXPOSURE_SHARE = 0.1
 """Fraction of a service's requests that a bad version may get."""
 EXPOSURE_REQUESTS = 50.0
@@ -115,6 +124,8 @@
 
 ENGINE_SLOTS = 16
 """Requests that an engine runs at once: more than usual load takes."""
+MANY_ENGINE_SLOTS = 64
+"""The same where callers keep their connections, each with a stream at any time."""
 FEW_ENGINE_SLOTS = 8
 """The same in runs in which engines are soon full while others are silent."""
 
@@ -148,6 +159,31 @@
     """Part of its prompt that crashes each worker that begins to answer it; empty if none does."""
     skewed: bool = False
     """Whether it is sent to its node since most new connections go there for a while."""
+    pace_s: float = 0.0
+    """Seconds between the events of its stream, or that its call takes; 0: as its worker does."""
+
+
+class GoesOn(enum.Enum):
+    """How a caller that keeps its connection goes on after an answer."""
+
+    AT_ONCE = "at_once"
+    AFTER_5_MS = "after_5_ms"
+    AFTER_30_MS = "after_30_ms"
+    CHUNKED = "chunked"  # at once; the body comes in chunks
+    SLOW_CHUNKS = "slow_chunks"  # at once; the chunks come over up to three quarters of a second
+    PIPELINED = "pipelined"  # while the answer comes
+    NEW_CONNECTION = "new_connection"  # at once, but on another connection
+
+
+class KeptCaller(msgspec.Struct, frozen=True):
+    """A caller that sends one request after the other to a node, on a connection that it uses while it is open."""
+
+    caller: str
+    node: int
+    from_s: float
+    until_s: float
+    """When it begins no request any more."""
+    goes_on: GoesOn
 
 
 class PlannedFault(msgspec.Struct, frozen=True):
@@ -214,6 +250,9 @@
     group_silences: bool = False
     """Whether sound workers fall silent by group, several times, most of them right after a change of the
     configuration; some runs have engines with few slots then."""
+    kept_connections: bool = False
+    """Whether more callers use open connections until the router's process is gone, and nodes stop as planned in
+    series; most runs have no unplanned fault on nodes, links or the store then."""
     restores: bool = False
     """Whether the store comes back from older copies."""
     versions: int = 1
@@ -241,6 +280,16 @@
         """Names of a rollout's target workers."""
         return tuple(f"orders-new-{index}" for index in range(self.instances)) if self.rollout else ()
 
+    @property
+    def grace_s(self) -> float:
+        """Seconds that a planned stop is given."""
+        return KEPT_GRACE_S if self.kept_connections else GRACE_S
+
+    @property
+    def route_timeout_s(self) -> float:
+        """Seconds that routes give a request."""
+        return KEPT_ROUTE_TIMEOUT_S if self.kept_connections else ROUTE_TIMEOUT_S
+
     @property
     def rollout_at_s(self) -> float:
         """When a rollout is ordered."""
@@ -274,3 +323,5 @@
     operations: tuple[PlannedOperation, ...] = ()
     engine_slots: int = ENGINE_SLOTS
     """Requests that an engine runs at once."""
+    kept_callers: tuple[KeptCaller, ...] = ()
+    """Callers that send one request after the other as long as their connections are open."""
--- a/src/wallwell/soak/supervisor.py
+++ b/src/wallwell/soak/supervisor.py
@@ -57,6 +57,10 @@
         if self.status is None:
             self._process.send_signal(number)
 
+    def has_handler(self, number: signal.Signals) -> bool:
+        """Whether the process has a handler for a signal, or has ended."""
+        return _has_handler(self.pid, number)
+
     async def end(self, number: signal.Signals) -> int:
         """Send a signal that ends the process and return its status; SIGKILL follows where it does not end."""
         self.asked_to_end = number.name
--- a/src/wallwell/soak/timeline.py
+++ b/src/wallwell/soak/timeline.py
@@ -15,8 +15,11 @@
     Left,
     NodeExited,
     Sent,
+    SentWhole,
+    StopRequested,
+    WorkerState,
 )
-from wallwell.soak.schedule import ALL_NODES, BETWEEN_REGIONS
+from wallwell.soak.schedule import ALL_NODES, BETWEEN_REGIONS, PLANNED_WORK
 
 CONTACT_S = 2.0
 """Seconds after a fault until the nodes count as connected again."""
@@ -26,6 +29,8 @@
 """Name of the fault after which the store comes back from a copy."""
 SILENCE = "silence_worker"
 """Name of the fault in which a sound worker sends nothing for a while."""
+GONE_STATE = "gone"
+"""State of a worker whose entry went, see :class:`WorkerState`."""
 FAULTS_OF_WORKERS = frozenset(
     (
         "crash_worker",
@@ -38,6 +43,7 @@
     )
 )
 """Faults that leave nodes, links and the store alone."""
+_PLANNED = frozenset(kind.value for kind in PLANNED_WORK)
 
 
 class History:
@@ -54,6 +60,7 @@
                 self.began.setdefault(record.request, []).append(record)
         self.begins = [each for each in self.records if isinstance(each, Began)]
         self._ended_s = {(e.request, e.worker): e.at_s for e in self.records if isinstance(e, Ended)}
+        self._whole_s = {each.request: each.at_s for each in self.records if isinstance(each, SentWhole)}
         self._disturbed = _disturbances(self.records)
 
     def ended_s(self, began: Began) -> float | None:
@@ -67,6 +74,17 @@
             for began, ended_s in self._disturbed
         )
 
+    def is_undisrupted(self, from_s: float, until_s: float) -> bool:
+        """Like :meth:`is_fault_free`, where planned work on nodes is no fault."""
+        return not any(
+            began.fault not in _PLANNED and began.at_s <= until_s and ended_s + CONTACT_S >= from_s
+            for began, ended_s in self._disturbed
+        )
+
+    def whole_s(self, sent: Sent) -> float | None:
+        """Return when the last byte of a request was sent, None if it never was."""
+        return self._whole_s.get(sent.request) if sent.in_chunks else sent.at_s
+
     def undisturbed_answer(self, sent: Sent) -> Answered | None:
         """Return the answer to a request; None if there is none, or if a fault was near."""
         answer = self.answers.get(sent.request)
@@ -117,6 +135,28 @@
             found.append((stop, next(exits, float("inf"))))
         return found
 
+    def requested_stops(self) -> list[tuple[StopRequested, float]]:
+        """Return each SIGTERM of a node with the time at which its process had ended."""
+        exits = [each for each in self.records if isinstance(each, NodeExited)]
+        return [
+            (
+                stop,
+                next((e.at_s for e in exits if e.node == stop.node and e.at_s >= stop.at_s), float("inf")),
+            )
+            for stop in self.records
+            if isinstance(stop, StopRequested)
+        ]
+
+    def gone_s(self) -> dict[str, float]:
+        """Return when workers left for good; one whose entry lapsed in a silence is listed again."""
+        gone_s: dict[str, float] = {}
+        for record in self.records:
+            if isinstance(record, WorkerState):
+                gone_s.pop(record.worker, None)
+                if record.state == GONE_STATE:
+                    gone_s[record.worker] = record.at_s
+        return gone_s
+
     def keys_given_s(self) -> dict[str, float]:
         """Return when each key came into force; 0 for those of the first configuration."""
         given: dict[str, float] = {}
--- a/src/wallwell/soak/worker_process.py
+++ b/src/wallwell/soak/worker_process.py
@@ -20,7 +20,7 @@
 from wallwell.emulator.platform_worker import ACCEPTED, PlatformWorkerEmulator, UnframedResponse
 from wallwell.errors import PeerUnavailableError
 from wallwell.platform import names
-from wallwell.soak.answers import CRASH_STATUS, CRASHING_BODY, call_body, event_text
+from wallwell.soak.answers import CRASH_STATUS, CRASHING_BODY, call_body, event_text, pace_of
 from wallwell.soak.control import Announcement, Done, Farewell, Heartbeat, announce
 from wallwell.soak.history import (
     Arrived,
@@ -192,7 +192,7 @@
     def _began(self, request: web.BaseRequest, identity: str, factor: float) -> Began:
         now_s = time.monotonic()
         events = _events(request) - _number(request.headers.get(names.RESUME_AFTER, ""))
-        takes_s = (self._settings.work_s + max(0, events) * self._settings.event_s) * factor
+        takes_s = (self._work_s(request) + max(0, events) * self._event_s(request)) * factor
         return Began(
             at_s=now_s,
             request=identity,
@@ -206,11 +206,20 @@
             would_end_s=now_s + takes_s,
         )
 
+    def _work_s(self, request: web.BaseRequest) -> float:
+        """Return how long a call takes, or a stream until its first event."""
+        pace_s = None if _is_stream(request) else pace_of(request.path)
+        return self._settings.work_s if pace_s is None else pace_s
+
+    def _event_s(self, request: web.BaseRequest) -> float:
+        pace_s = pace_of(request.path)
+        return self._settings.event_s if pace_s is None else pace_s
+
     async def _run(self, request: web.BaseRequest, identity: str, factor: float, fails: bool) -> web.StreamResponse:
-        await asyncio.sleep(self._settings.work_s * factor)
+        await asyncio.sleep(self._work_s(request) * factor)
         if fails:
             return web.Response(status=FAILED, headers=self.headers(request), body=b"failed")
-        if not request.headers.get(names.TOKEN_USAGE):
+        if not _is_stream(request):
             return await self._answer_call(request, identity)
         return await self._stream(request, identity, factor)
 
@@ -247,7 +256,7 @@
                 event = event_text(identity, number, self.software)
                 await response.write(event)
                 response[STREAM_BODY] += event
-                await asyncio.sleep(self._settings.event_s * factor)
+                await asyncio.sleep(self._event_s(request) * factor)
             await response.write_eof()
         finally:
             self._repeater.end_answer(transport)
@@ -278,6 +287,10 @@
         await self._report(Heartbeat(self.incarnation, self.entry()))
 
 
+def _is_stream(request: web.BaseRequest) -> bool:
+    return bool(request.headers.get(names.TOKEN_USAGE))
+
+
 def _events(request: web.BaseRequest) -> int:
     """Return how many events a stream has by what its caller asks for, 0 for a call."""
     return _number(request.headers.get(names.TOKEN_USAGE, "").rpartition(",")[2])
--- a/tests/unit/soak/test_invariants.py
+++ b/tests/unit/soak/test_invariants.py
@@ -18,6 +18,7 @@
     RolloutOrdered,
     RolloutState,
     SentAgain,
+    StopRequested,
     WeightsNamed,
     WorkerState,
 )
@@ -204,6 +205,18 @@
     return [sent(at_s=sent_at_s, node="node-0", **more), work, stop, exited, end, answer]
 
 
+def cut_at_its_end(whole):
+    """A stream is sent 3.5 s after a node is told to stop and ends 7.1 s after it."""
+    return [
+        StopRequested(1.0, "node-0", 8.0),
+        sent(kind=RequestKind.STREAM, at_s=4.5, events=2, node="node-0"),
+        began(at_s=4.6),
+        Ended(8.1, "r", "w.1", 200 if whole else 0),
+        answered(at_s=8.1, events=(1, 2) if whole else (1,), whole=whole),
+        NodeExited(8.3, "node-0", 0, "SIGTERM"),
+    ]
+
+
 def keys_changed(*records):
     """The second configuration takes key-c away and gives key-d."""
     first, second = KeysInForce(0.5, 1, ("key-a", "key-c")), KeysInForce(10.0, 2, ("key-a", "key-d"))
@@ -277,6 +290,7 @@
 
 
 SOUND = {
+    "a stream that is begun late in a stop and ends": cut_at_its_end(whole=True),
     "a worker that leaves is reached within the bound": leaving(DRAIN_BOUND_S - 0.1),
     "a worker that leaves is reached by nodes cut off from the store": [*leaving(DRAIN_BOUND_S + 0.1), *FAULT],
     "a worker that stated its leave is reached within the bound": stated_leaving(DRAIN_BOUND_S - 0.1),
@@ -424,6 +438,7 @@
         "planned_stop_cuts_nothing",
         stopped(whole=False, sent_at_s=1.4),
     ),
+    "a stream that is begun late in a stop and cut": ("stop_cuts_only_excused", cut_at_its_end(whole=False)),
     "a key that was taken away runs": (
         "revoked_key_unused",
         keys_changed(sent(at_s=10.1 + REVOKE_S, key="key-c"), began(at_s=10.2 + REVOKE_S)),
--- a/tests/unit/soak/test_schedule.py
+++ b/tests/unit/soak/test_schedule.py
@@ -43,20 +43,22 @@
 
 
 def test_every_kind_of_fault_is_drawn_by_some_seed():
-    drawn = {
-        fault.kind
-        for seed in range(100)
-        for fault in draw_schedule(
-            seed, Shape(regions=2, notices=True, limits=True, identities=True, silences=True, restores=True)
-        ).faults
-    }
+    more = {"notices": True, "limits": True, "identities": True, "silences": True, "restores": True}
+    shapes = Shape(regions=2, **more), Shape(kept_connections=True)
+    drawn = {fault.kind for shape in shapes for seed in range(100) for fault in draw_schedule(seed, shape).faults}
     assert drawn == set(FaultKind)
 
 
 def test_one_region_has_no_faults_between_regions():
     shape = Shape(notices=True, limits=True, identities=True, silences=True, restores=True)
     drawn = {fault.kind for seed in range(100) for fault in draw_schedule(seed, shape).faults}
-    assert drawn == set(FaultKind) - set(REGION_FAULTS)
+    assert drawn == set(FaultKind) - set(REGION_FAULTS) - {FaultKind.RELOAD_NODE}
+
+
+def test_a_run_without_kept_connections_tells_no_node_to_read_its_settings_again():
+    more = {"notices": True, "limits": True, "identities": True, "silences": True, "restores": True}
+    shape = Shape(regions=2, **more, group_silences=True, versions=2, calm_s=18.0)
+    assert not [fault for fault in draw_schedule(3, shape).faults if fault.kind is FaultKind.RELOAD_NODE]
 
 
 def test_nodes_and_workers_stand_in_regions_by_turns_and_the_store_in_the_first():
