--- a/src/wallwell/callers_server.py
+++ b/src/wallwell/callers_server.py
@@ -18,13 +18,13 @@
 from aiohttp import web
 
 from wallwell.clock import boot_time_s, ends_within
-from wallwell.errors import RequestError
+from wallwell.errors import ConnectionEndedError, RequestError
 from wallwell.events import Event, emit
 from wallwell.socket_options import has_unread_bytes, is_readable
 
 FINAL_REQUEST_WAIT_S = 0.3
 """Seconds that a caller gets, while connections are being closed, to send the first request on a new connection or
-the rest of a request's head."""
+the rest of a request."""
 LINGER_S = 0.3
 """Seconds for which bytes are still read after the final answer has been sent. If the socket were closed at once, a
 late request would make the system reset the connection, and the caller might get the reset before the answer. A
@@ -80,9 +80,11 @@
     """The protocol of one caller's connection."""
 
     __slots__ = (
+        "_body_timeout",
         "_final_answers",
         "_has_late_request",
         "_has_partial_head",
+        "_is_body_abandoned",
         "_is_ended",
         "_is_shed",
         "_sheds_connection",
@@ -93,6 +95,10 @@
         self._final_answers = server.final_answers
         self._has_partial_head = False
         """Whether part of the next request's head has been read."""
+        self._body_timeout: asyncio.Timeout | None = None
+        """Ends the reading of a body; None while none is read."""
+        self._is_body_abandoned = False
+        """Whether a request was refused before its body was complete, so that no other can be read."""
         self._is_ended = False
         self._is_shed = False
         """Whether the connection was closed before anything was read."""
@@ -125,6 +131,12 @@
         """Whether every request that has been read is answered."""
         return self._waiter is not None and not self._waiter.done()
 
+    def has_next_request(self) -> bool:
+        """Whether the caller has sent more, which will be read as the next request."""
+        if self._is_body_abandoned:
+            return False
+        return bool(self._messages) or has_unread_bytes(self.transport)
+
     @property
     def has_late_request(self) -> bool:
         """Whether a request arrived after the final answer."""
@@ -151,6 +163,23 @@
             # Bytes that may be an incomplete request have arrived and are not read yet.
             self._keepalive_handle = self._loop.call_later(FINAL_REQUEST_WAIT_S, self._process_keepalive)
 
+    async def read_body(self, request: web.BaseRequest) -> bytes:
+        """Read a request's body; see :func:`read_body`."""
+        try:
+            async with asyncio.timeout(None) as self._body_timeout:
+                return await request.read()
+        except TimeoutError:
+            # After the answer, aiohttp reads and drops the rest, so that the caller gets the answer.
+            self._is_body_abandoned = True
+            raise ConnectionEndedError("the request was not complete as the router stopped") from None
+        finally:
+            self._body_timeout = None
+
+    def stop_reading_body(self) -> None:
+        """End :meth:`read_body`, if a body is being read."""
+        if self._body_timeout is not None and not self._body_timeout.expired():
+            self._body_timeout.reschedule(self._loop.time())
+
     def end_gracefully(self) -> None:
         """Close an idle connection; a request in transit is answered that it has not run."""
         transport = self.transport
@@ -174,6 +203,20 @@
         self.force_close()
 
 
+async def read_body(request: web.BaseRequest) -> bytes:
+    """Return a request's body. Raises :class:`ConnectionEndedError` if it is not complete in time in a stop."""
+    connection = request.protocol
+    if request.content.is_eof() or not isinstance(connection, CallerConnection):
+        return await request.read()
+    return await connection.read_body(request)
+
+
+def has_next_request(request: web.BaseRequest) -> bool:
+    """Whether the caller of a request has sent the next one behind it without waiting for the answer."""
+    connection = request.protocol
+    return isinstance(connection, CallerConnection) and connection.has_next_request()
+
+
 def _takes_every_connection() -> bool:
     return False
 
@@ -212,12 +255,20 @@
         ended: list[CallerConnection] = []
         try:
             while self.connections:
-                ended += self._end_idle_connections(boot_time_s() - started_s > FINAL_REQUEST_WAIT_S)
+                is_wait_over = boot_time_s() - started_s > FINAL_REQUEST_WAIT_S
+                ended += self._end_idle_connections(allow_partial_head=is_wait_over)
+                if is_wait_over:
+                    self._stop_reading_bodies()
                 await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
         finally:
             late_requests = sum(connection.has_late_request for connection in ended)
             emit(Event.CALLER_CONNECTIONS_ENDED, idle=len(ended), crossed=late_requests, cut=len(self.connections))
 
+    def _stop_reading_bodies(self) -> None:
+        for connection in self.connections:
+            if isinstance(connection, CallerConnection):
+                connection.stop_reading_body()
+
     def _end_idle_connections(self, allow_partial_head: bool) -> list[CallerConnection]:
         connections = [each for each in self.connections if isinstance(each, CallerConnection)]
         idle = [each for each in connections if each.is_idle(allow_partial_head)]
