--- a/tests/contract/test_soak.py
+++ b/tests/contract/test_soak.py
@@ -167,3 +167,11 @@
     fall silent right after a change of the configuration, and again half a second after they have gone on."""
     size = "--seconds", "15", "--calm", "7"
     assert_tested(play(tmp_path, "--seed", "67", *size, "--group-silences"), "silence_cuts_nothing")
+
+
+def test_a_short_run_with_kept_connections_and_planned_stops_breaks_no_invariant(tmp_path):
+    """Guards against streams that a caller on a kept connection begins late in a planned stop, and that are cut."""
+    size = "--seconds", "15", "--rate", "10"
+    printed = play(tmp_path, "--seed", "1", *size, "--kept-connections")
+    assert_tested(printed, "stop_cuts_only_excused")
+    assert_tested(printed, "requests begun after a SIGTERM", "answers ended while connections close")
--- a/tests/unit/soak/test_stand_ins.py
+++ b/tests/unit/soak/test_stand_ins.py
@@ -128,6 +128,22 @@
     assert records[0].resume_after == 2
 
 
+def test_a_path_that_names_a_pace_is_kept(run_async, tmp_path):
+    async def scenario(_, call):
+        begins_s = asyncio.get_running_loop().time()
+        async with call("/book/pace-60/r") as answer:
+            body = await answer.read()
+        async with call("/chat/pace-30/s", "s", X_Token_Usage="1,3") as stream:
+            await stream.read()
+        return body, asyncio.get_running_loop().time() - begins_s
+
+    (body, took_s), records = with_worker(run_async, tmp_path, scenario)
+    assert body == call_body("r")
+    assert took_s >= 0.06 + 3 * 0.03
+    planned_s = [each.would_end_s - each.at_s for each in records if isinstance(each, Began)]
+    assert planned_s == pytest.approx([0.06, 0.09], abs=0.001)
+
+
 @pytest.mark.parametrize("header", [{"X_Expect_Instance": "w.2"}, {"X_Expect_Version": "2"}])
 def test_what_another_worker_is_named_for_is_not_run(run_async, tmp_path, header):
     async def scenario(stand_in, call):
