--- a/src/wallwell/soak/invariants_fleet.py
+++ b/src/wallwell/soak/invariants_fleet.py
@@ -153,7 +153,8 @@
     """What a node has passed on when its planned stop begins, or passes on until it ends, gets its whole answer.
 
     Left out is what a worker would still be at work on in the last sixth of the time that a planned stop is given,
-    what ends at its caller's deadline, and what a worker did not end since it crashed.
+    what ends at its caller's deadline, what a worker did not end since it crashed, and what was on its way from a
+    worker that was killed.
     """
     for stop, exited_s in history.planned_stops():
         for sent in history.sent.values():
@@ -178,6 +179,8 @@
     began = history.began.get(sent.request, ())
     if any(history.ended_s(each) is None for each in began):
         return False  # A worker records an end whenever its connection is closed, so it ended itself.
+    if any(history.is_killed(each, answer.at_s) for each in began):
+        return False
     ends_in_time = all(each.would_end_s <= stop.at_s + GRACE_S * GRACE_FRACTION for each in began)
     return bool(began) and ends_in_time
 
--- a/src/wallwell/soak/timeline.py
+++ b/src/wallwell/soak/timeline.py
@@ -43,6 +43,8 @@
     )
 )
 """Faults that leave nodes, links and the store alone."""
+KILLING_FAULTS = frozenset(("crash_worker", "restart_worker"))
+"""Faults in which a worker is killed."""
 _PLANNED = frozenset(kind.value for kind in PLANNED_WORK)
 
 
@@ -67,6 +69,16 @@
         """Return when a worker stopped working on what it began, None if it recorded no end."""
         return self._ended_s.get((began.request, began.worker))
 
+    def is_killed(self, began: Began, until_s: float) -> bool:
+        """Whether a run's worker was killed since it began: the end of an answer that it has sent may be lost, or
+        not be known as one."""
+        return any(
+            fault.fault in KILLING_FAULTS
+            and fault.target == worker_name(began.worker)
+            and began.at_s <= fault.at_s <= until_s
+            for fault, _ in self.faults_of_workers()
+        )
+
     def is_fault_free(self, from_s: float, until_s: float, besides: FaultBegan | None = None) -> bool:
         """Whether no fault but ``besides`` disturbed nodes, links or the store in a span and shortly before it."""
         return not any(
--- a/tests/unit/soak/test_invariants.py
+++ b/tests/unit/soak/test_invariants.py
@@ -290,6 +290,11 @@
 
 
 SOUND = {
+    "a cut by a planned stop of what was on its way from a worker that was killed": [
+        *stopped(whole=False),
+        FaultBegan(1.25, "crash_worker", "w"),
+        FaultEnded(3.0, "crash_worker", "w"),
+    ],
     "a stream that is begun late in a stop and ends": cut_at_its_end(whole=True),
     "a worker that leaves is reached within the bound": leaving(DRAIN_BOUND_S - 0.1),
     "a worker that leaves is reached by nodes cut off from the store": [*leaving(DRAIN_BOUND_S + 0.1), *FAULT],
@@ -433,6 +438,10 @@
         ],
     ),
     "a cut by a planned stop": ("planned_stop_cuts_nothing", stopped(whole=False)),
+    "a cut by a planned stop before its worker was killed": (
+        "planned_stop_cuts_nothing",
+        [*stopped(whole=False), FaultBegan(1.35, "crash_worker", "w"), FaultEnded(3.0, "crash_worker", "w")],
+    ),
     "a cut shortly before the deadline": ("planned_stop_cuts_nothing", stopped(whole=False, deadline_s=0.35)),
     "a cut of what came after the stop began": (
         "planned_stop_cuts_nothing",
