--- a/src/wallwell/soak/kept_requests.py
+++ b/src/wallwell/soak/kept_requests.py
@@ -21,7 +21,7 @@
 SHORT_STREAM_S = (0.2, 1.5)
 """The same of short ones."""
 SHORT_FRACTION = 0.3
-"""Fraction of the streams that are short: they end soon after the next one has begun elsewhere."""
+"""Fraction of the streams that are short, so that some end at any moment of a stop."""
 EVENT_INTERVALS_S = (0.04, 0.08, 0.16)
 """Seconds between two events of a stream."""
 CALL_S = (0.1, 3.0)
--- a/tests/unit/soak/test_faults.py
+++ b/tests/unit/soak/test_faults.py
@@ -1,6 +1,7 @@
 """Targets of faults on links name what the proxy harms."""
 
 import asyncio
+import signal
 import types
 
 import pytest
@@ -116,3 +117,48 @@
     runner = FaultRunner(fleet)
     run_virtual(runner._spoil_entry(PlannedFault(0.0, 1.0, FaultKind.SPOIL_ENTRY, "engine-0")))
     assert [(each.worker, each.is_spoilt) for each in fleet.sent] == [("engine-0.2", True), ("engine-0.2", False)]
+
+
+class FleetWithANode:
+    """A node's process that is stopping for a second; it has a handler for SIGHUP or not."""
+
+    def __init__(self, has_handler):
+        self.schedule = types.SimpleNamespace(shape=Shape(nodes=1, engines=1, instances=0))
+        self.done = []
+        self._has_handler = has_handler
+
+    def node(self, name):
+        return self
+
+    def has_handler(self, number):
+        return self._has_handler
+
+    def send(self, number):
+        self.done.append(number)
+
+    async def stop_node(self, name):
+        self.done.append("stop")
+        await asyncio.sleep(1.0)
+
+    async def start_node(self, name):
+        self.done.append("start")
+
+
+def reload_while_it_stops(fleet):
+    async def work():
+        runner = FaultRunner(fleet)
+        stopping = asyncio.create_task(runner._stop_node(PlannedFault(0.0, 0.0, FaultKind.STOP_NODE, "node-0")))
+        await asyncio.sleep(0.5)
+        await runner._reload_node(PlannedFault(0.5, 0.0, FaultKind.RELOAD_NODE, "node-0"))
+        await stopping
+
+    run_virtual(work())
+    return fleet.done
+
+
+def test_a_node_is_told_to_read_its_settings_again_in_the_middle_of_its_stop():
+    assert reload_while_it_stops(FleetWithANode(has_handler=True)) == ["stop", signal.SIGHUP, "start"]
+
+
+def test_a_node_without_a_handler_yet_is_not_ended_by_that_signal():
+    assert reload_while_it_stops(FleetWithANode(has_handler=False)) == ["stop", "start"]
