--- a/src/wallwell/soak/timeline.py
+++ b/src/wallwell/soak/timeline.py
@@ -72,12 +72,24 @@
     def is_killed(self, began: Began, until_s: float) -> bool:
         """Whether a run's worker was killed since it began: the end of an answer that it has sent may be lost, or
         not be known as one."""
-        return any(
+        is_killed = any(
             fault.fault in KILLING_FAULTS
             and fault.target == worker_name(began.worker)
             and began.at_s <= fault.at_s <= until_s
             for fault, _ in self.faults_of_workers()
         )
+        return is_killed or self._is_crashed_by_a_request(began.worker, until_s)
+
+    def _is_crashed_by_a_request(self, worker: str, until_s: float) -> bool:
+        """Whether a request that crashes workers has begun at a worker, which has recorded no end of it."""
+        return any(
+            each.worker == worker
+            and each.at_s <= until_s
+            and self.ended_s(each) is None
+            and (sent := self.sent.get(each.request)) is not None
+            and bool(sent.content or sent.bad_part)
+            for each in self.begins
+        )
 
     def is_fault_free(self, from_s: float, until_s: float, besides: FaultBegan | None = None) -> bool:
         """Whether no fault but ``besides`` disturbed nodes, links or the store in a span and shortly before it."""
--- a/tests/unit/soak/test_invariants_stops.py
+++ b/tests/unit/soak/test_invariants_stops.py
@@ -84,6 +84,15 @@
         *stream(sent_s=-1.0, cut_s=5.0, runs_until_s=4.9),
         *fault("restart_worker", 4.95, 6.0, "engine-0"),
     ],
+    "a request that crashes workers crashed its worker as it had written the end of the answer": [
+        *stream(sent_s=-1.0, cut_s=5.0, runs_until_s=4.9),
+        sent("crashing", RequestKind.SAFE, TERM_S + 4.8, node="node-1", content="c"),
+        began("crashing", "engine-0.1", TERM_S + 4.9),
+    ],
+    "its last worker crashed, and the one before, which stands still, ends late": [
+        *stream(sent_s=-1.0, cut_s=5.0, runs_until_s=5.3),
+        began(worker="engine-1.1", at_s=TERM_S + 4.5),
+    ],
     "its worker crashed, and the one before had ended": [
         *stream(sent_s=1.0, cut_s=5.0, runs_until_s=4.0),
         began(worker="engine-1.1", at_s=TERM_S + 3.5),
@@ -131,6 +140,16 @@
         *stream(sent_s=4.0),
         began(worker="engine-1.1", at_s=TERM_S + 3.5),
     ],
+    "a request that crashes workers began at its worker after it": [
+        *CUT,
+        sent("crashing", RequestKind.SAFE, TERM_S + 7.1, node="node-1", content="c"),
+        began("crashing", "engine-0.1", TERM_S + 7.15),
+    ],
+    "a request that crashes workers crashed another one": [
+        *CUT,
+        sent("crashing", RequestKind.SAFE, TERM_S + 4.8, node="node-1", content="c"),
+        began("crashing", "engine-1.1", TERM_S + 4.9),
+    ],
     "another worker was killed": [*CUT, *fault("crash_worker", 4.0, 6.0, "engine-1")],
     "its worker was killed before it began": [*CUT, *fault("restart_worker", 2.0, 3.1, "engine-0")],
     "its worker was killed after it": [*CUT, *fault("crash_worker", 7.15, 8.0, "engine-0")],
