--- a/src/wallwell/soak/invariants_stops.py
+++ b/src/wallwell/soak/invariants_stops.py
@@ -128,8 +128,8 @@
     broken_off = [
         run
         for run in runs
-        if (ended_s := history.ended_s(run)) is None  # A worker records an end unless it was killed before.
-        or gone_s.get(run.worker, math.inf) <= ended_s
+        if history.ended_s(run) is None  # A worker records an end unless it was killed before.
+        or gone_s.get(run.worker, math.inf) <= answer.at_s
         or history.is_killed(run, answer.at_s)
     ]
     if not broken_off or runs[-1] in broken_off:
--- a/tests/unit/soak/test_invariants_stops.py
+++ b/tests/unit/soak/test_invariants_stops.py
@@ -84,6 +84,10 @@
         *stream(sent_s=-1.0, cut_s=5.0, runs_until_s=4.9),
         *fault("restart_worker", 4.95, 6.0, "engine-0"),
     ],
+    "its worker left as it had written the end of the answer": [
+        *stream(sent_s=-1.0, cut_s=5.0, runs_until_s=4.9),
+        WorkerState(TERM_S + 4.95, "engine-0.1", "engines", "", "gone"),
+    ],
     "a request that crashes workers crashed its worker as it had written the end of the answer": [
         *stream(sent_s=-1.0, cut_s=5.0, runs_until_s=4.9),
         sent("crashing", RequestKind.SAFE, TERM_S + 4.8, node="node-1", content="c"),
@@ -140,6 +144,7 @@
         *stream(sent_s=4.0),
         began(worker="engine-1.1", at_s=TERM_S + 3.5),
     ],
+    "its worker left after it": [*CUT, WorkerState(CUT_S + 0.1, "engine-0.1", "engines", "", "gone")],
     "a request that crashes workers began at its worker after it": [
         *CUT,
         sent("crashing", RequestKind.SAFE, TERM_S + 7.1, node="node-1", content="c"),
