--- a/src/wallwell/callers_server.py
+++ b/src/wallwell/callers_server.py
@@ -5,7 +5,8 @@
 answer :class:`~wallwell.errors.ConnectionEndedError`, which says that the request has not run.
 
 Owns callers' connections and the order of their closing, and relies on aiohttp for everything else. Whether a
-connection is waiting for a request is read from aiohttp's private ``_waiter``, as aiohttp's own idle check does.
+connection is waiting for a request is read from aiohttp's private ``_waiter``, as aiohttp's own idle check does;
+its ``_lingering_time`` is set as a stop begins to close connections.
 """
 
 from __future__ import annotations
@@ -33,6 +34,9 @@
 """Maximum event loop iterations in which pending connections are accepted before a listening socket is closed."""
 ACCEPT_COMPLETION_ITERATIONS = 3
 """Event loop iterations after which an accepted connection is independent of the listening socket."""
+UNREAD_BODY_LINGER_S = 1.0
+"""Seconds for which the rest of a body is read and dropped behind the refusal of its request: longer than a caller
+on a slow link takes to see the refusal."""
 IDLE_CHECK_INTERVAL_S = 0.01
 """Seconds between two checks for connections that have become idle."""
 
@@ -84,10 +88,10 @@
         "_final_answers",
         "_has_late_request",
         "_has_partial_head",
-        "_is_body_abandoned",
         "_is_ended",
         "_is_shed",
         "_sheds_connection",
+        "is_aborted",
     )
 
     def __init__(self, server: CallersServer, **options: Any) -> None:
@@ -97,8 +101,8 @@
         """Whether part of the next request's head has been read."""
         self._body_timeout: asyncio.Timeout | None = None
         """Ends the reading of a body; None while none is read."""
-        self._is_body_abandoned = False
-        """Whether a request was refused before its body was complete, so that no other can be read."""
+        self.is_aborted = False
+        """Whether the connection was closed although a request on it had no complete answer."""
         self._is_ended = False
         self._is_shed = False
         """Whether the connection was closed before anything was read."""
@@ -133,8 +137,9 @@
 
     def has_next_request(self) -> bool:
         """Whether the caller has sent more, which will be read as the next request."""
-        if self._is_body_abandoned:
-            return False
+        request = self._current_request
+        if request is not None and not request.content.is_eof():
+            return False  # What comes belongs to the body of this request.
         return bool(self._messages) or has_unread_bytes(self.transport)
 
     @property
@@ -169,12 +174,15 @@
             async with asyncio.timeout(None) as self._body_timeout:
                 return await request.read()
         except TimeoutError:
-            # After the answer, aiohttp reads and drops the rest, so that the caller gets the answer.
-            self._is_body_abandoned = True
+            # aiohttp reads and drops the rest behind the answer, so that the caller gets the answer.
             raise ConnectionEndedError("the request was not complete as the router stopped") from None
         finally:
             self._body_timeout = None
 
+    def shorten_linger(self) -> None:
+        """Let a caller that sends a refused body delay a stop by no more than :data:`UNREAD_BODY_LINGER_S`."""
+        self._lingering_time = UNREAD_BODY_LINGER_S
+
     def stop_reading_body(self) -> None:
         """End :meth:`read_body`, if a body is being read."""
         if self._body_timeout is not None and not self._body_timeout.expired():
@@ -198,6 +206,7 @@
     def abort(self) -> None:
         """Close the connection at once. A request without any answer yet is answered that it may have run."""
         request = self._current_request
+        self.is_aborted = request is not None
         if self.transport is not None and request is not None and not request.writer.output_size:
             self.transport.write(self._final_answers.for_interrupted_request(request))
         self.force_close()
@@ -211,6 +220,12 @@
     return await connection.read_body(request)
 
 
+def is_aborted(request: web.BaseRequest) -> bool:
+    """Whether the connection of a request was closed by this server before its answer was complete."""
+    connection = request.protocol
+    return isinstance(connection, CallerConnection) and connection.is_aborted
+
+
 def has_next_request(request: web.BaseRequest) -> bool:
     """Whether the caller of a request has sent the next one behind it without waiting for the answer."""
     connection = request.protocol
@@ -243,6 +258,9 @@
 
     def start_closing(self) -> None:
         """Start closing each connection as soon as it is idle. Call after the listening socket was closed."""
+        for connection in self.connections:
+            if isinstance(connection, CallerConnection):
+                connection.shorten_linger()
         self._closing = asyncio.create_task(self._close())
 
     async def wait_closed(self) -> None:
--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -27,6 +27,7 @@
 from wallwell.cluster.upstream import NodeRecord, UpstreamOrder
 from wallwell.deployment.freshness import StoreClock
 from wallwell.deployment.topology import Topology
+from wallwell.errors import RequestError
 from wallwell.events import Event, emit
 from wallwell.node.adapter import NodeAdapter, NodeSources
 from wallwell.node.backend_notices import apply_notice
@@ -50,7 +51,7 @@
 from wallwell.rollout.planner import RolloutPlanner
 from wallwell.rollout.reporter import CountsReporter
 from wallwell.rollout.reports import CountsReport, FleetCounts
-from wallwell.routing.admission.planned_stop import is_cut_by_stop
+from wallwell.routing.admission.stop_times import is_read_too_late, plan_stop
 from wallwell.routing.selection.peer_choice import PeerChoice, PeerNode
 from wallwell.serving.liveness import LivenessMonitor
 from wallwell.serving.messages import CallerReply, CallerRequest
@@ -90,7 +91,9 @@
             store_era=adapter.sources.era,
         )
         self.in_flight = 0
-        """Number of callers' requests that are not answered yet."""
+        """Number of requests of callers and peers that are not answered yet."""
+        self._open_requests: dict[CallerReply, str] = {}
+        """The ids of callers' requests that are not answered yet, by the reply."""
         self._profile = profile
         self._pool = adapter.pool
         self._clock = StoreClock()
@@ -267,10 +270,12 @@
     async def serve(self, request: CallerRequest, reply: CallerReply) -> None:
         """Answer one request of a caller."""
         self.in_flight += 1
+        self._open_requests[reply] = request.request_id
         try:
             await self._pipeline.serve(request, reply)
         finally:
             self.in_flight -= 1
+            del self._open_requests[reply]
 
     async def _make_attempt_for_peer(self, message: AttemptRequest, replies: ReplyStream) -> None:
         """Make an attempt of another node's request, for which a planned stop of this node waits too."""
@@ -299,24 +304,37 @@
         self._pipeline.counters.shed_connections += 1
         return True
 
-    def is_cutting_requests(self) -> bool:
-        """Whether a planned stop now ends the requests that are still open."""
-        return is_cut_by_stop(self.state.stop, boot_time_s())
-
     def is_closing_connections(self) -> bool:
         """Whether callers should send their next request to another node."""
         return self.readiness.is_closing_connections()
 
+    def open_request_ids(self) -> list[str]:
+        """Return the ids of callers' requests that are not answered yet; may be called in another thread."""
+        return list(self._open_requests.values())
+
     # --- stop ------------------------------------------------------------------------------------------
 
-    async def drain(self, grace_s: float, close_listener: Callable[[], Awaitable[None]]) -> None:
-        """Finish open requests within ``grace_s`` seconds; see :meth:`PlannedStop.drain`."""
-        await self._planned_stop.drain(grace_s, close_listener)
+    async def drain(
+        self, grace_s: float, close_listener: Callable[[], Awaitable[None]], requested_s: float | None = None
+    ) -> None:
+        """Finish open requests within ``grace_s`` seconds of ``requested_s``, by default now; see
+        :meth:`PlannedStop.drain`."""
+        await self._planned_stop.drain(
+            plan_stop(boot_time_s() if requested_s is None else requested_s, grace_s), close_listener
+        )
 
-    def unfinished_requests(self) -> dict[str, int]:
+    def ended_by_stop(self) -> dict[str, int]:
         """Return how many requests a planned stop has refused as too late, and how many it has cut, by kind."""
         return self._pipeline.counters.ended_by_stop()
 
+    def refuse_unread(self, request_id: str, error: RequestError) -> None:
+        """Log and count a request that is refused before it has been read whole."""
+        self._pipeline.refuse_unread(request_id, error)
+
+    def takes_requests(self) -> bool:
+        """Whether a request that has been read whole by now is served: not late in a planned stop."""
+        return not is_read_too_late(self.state.stop, boot_time_s())
+
     async def stop(self) -> None:
         """Cancel all background loops and close all connections."""
         self._weights_roll.stop()
--- a/src/wallwell/node/planned_stop.py
+++ b/src/wallwell/node/planned_stop.py
@@ -1,6 +1,6 @@
 """The planned stop of a node: it reports not ready, then accepts no new requests, then finishes the open ones.
 
-Owns the order of these steps; :mod:`wallwell.routing.admission.planned_stop` says when each begins. Requests that
+Owns the order of these steps; :mod:`wallwell.routing.admission.stop_times` says when each begins. Requests that
 outlast their time are cut as the listeners are closed, or when the process ends
 (:mod:`wallwell.platform.stop_deadline`).
 """
@@ -16,7 +16,7 @@
 from wallwell.events import Event, emit
 from wallwell.node.readiness import Readiness
 from wallwell.node.state import NodeState
-from wallwell.routing.admission.planned_stop import plan_stop
+from wallwell.routing.admission.stop_times import StopTimes
 
 DRAIN_CHECK_INTERVAL_S = 0.05
 """Seconds between two checks for requests in flight: short compared with the grace period of some seconds."""
@@ -48,15 +48,15 @@
         self._peers = peers
         self._in_flight = in_flight
 
-    async def drain(self, grace_s: float, close_listener: Callable[[], Awaitable[None]]) -> None:
+    async def drain(self, stop: StopTimes, close_listener: Callable[[], Awaitable[None]]) -> None:
         """Report not ready, stop accepting requests after a while, and wait for those in flight.
 
         ``close_listener`` stops accepting connections and closes each connection that is or becomes idle. It
         returns once none is left. Connections still open at the end of the time for requests are cut.
         """
-        stop = plan_stop(boot_time_s(), grace_s)
         self._state.stop = stop
-        emit(Event.NODE_DRAINING, in_flight=self._in_flight(), grace_s=grace_s)
+        late_s = boot_time_s() - stop.requested_s
+        emit(Event.NODE_DRAINING, in_flight=self._in_flight(), late_ms=round(late_s * 1000))
         self._readiness.draining = True
         for driver in self._drivers:
             driver.drain()
--- a/src/wallwell/node/state.py
+++ b/src/wallwell/node/state.py
@@ -48,9 +48,9 @@
 from wallwell.routing.admission.brittle_room import ServiceBrittleness, SlotUse
 from wallwell.routing.admission.overload import AverageDuration
 from wallwell.routing.admission.part_quarantine import PartQuarantine
-from wallwell.routing.admission.planned_stop import StopTimes
 from wallwell.routing.admission.quarantine import Quarantine
 from wallwell.routing.admission.remaining_time import ShortestAnswerTime
+from wallwell.routing.admission.stop_times import StopTimes
 from wallwell.routing.health.backend import Backend
 from wallwell.routing.health.backend_registry import BackendRegistry
 from wallwell.routing.health.reachability import ServiceReachability
--- a/src/wallwell/peer_attempts/server.py
+++ b/src/wallwell/peer_attempts/server.py
@@ -60,6 +60,10 @@
         """Whether the asking node has closed the connection."""
         return self._replies.is_disconnected()
 
+    def is_cut_by_stop(self) -> bool:
+        """Never: the asking node reports what becomes of its request."""
+        return False
+
     async def answer(self, head: AnswerHead, body: bytes) -> None:
         """Send a complete answer."""
         await self.start(head)
--- a/src/wallwell/platform/caller_listener.py
+++ b/src/wallwell/platform/caller_listener.py
@@ -121,7 +121,7 @@
         try:
             await self._serve(request, reply, arrived_s)
         except asyncio.CancelledError:
-            if not self._node.is_cutting_requests():  # Otherwise it is logged as cut.
+            if not reply.is_cut_by_stop():  # Otherwise it is logged as cut.
                 emit(Event.CALLER_GONE, request_id=request_id)
             raise
         except ConnectionError:
@@ -138,7 +138,12 @@
 
     async def _serve(self, request: web.BaseRequest, reply: HttpReply, arrived_s: float) -> None:
         try:
+            if not self._node.takes_requests():
+                raise ConnectionEndedError("the node is stopping and takes no more requests")
             caller_request = await _read_request(request, arrived_s)
+        except ConnectionEndedError as error:
+            self._node.refuse_unread(request.headers.get(names.REQUEST_ID, ""), error)
+            await reply.refuse(error)
         except RequestError as error:
             await reply.refuse(error)
         else:
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -15,6 +15,7 @@
 
 from wallwell.build_info import build_commit, build_version
 from wallwell.callers_server import stop_accepting
+from wallwell.clock import boot_time_s
 from wallwell.errors import WallwellError
 from wallwell.events import Event, configure_logging, emit
 from wallwell.node.adapter import NodeAdapter, NodeSources
@@ -107,19 +108,43 @@
     emit(Event.SETTINGS_RELOADED)
 
 
-def _handle_signals(settings_file: str) -> asyncio.Event:
-    """Install handlers for SIGTERM, SIGINT and SIGHUP; return an event that is set when the process must stop."""
-    loop = asyncio.get_running_loop()
-    stop_requested = asyncio.Event()
-    loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
-    loop.add_signal_handler(signal.SIGINT, stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, reload_settings, settings_file)
-    return stop_requested
+class StopSignal:
+    """The first signal that asks the process to stop, and when it came.
+
+    Python calls the handler between two steps of whatever runs, so a busy event loop learns late of the signal, but
+    knows when it came.
+    """
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._has_come = asyncio.Event()
+        self._received_s: float | None = None
+
+    def on_signal(self, _number: int, _frame: object) -> None:
+        """Handle a signal; see :func:`signal.signal`."""
+        if self._received_s is None:
+            self._received_s = boot_time_s()
+            self._loop.call_soon_threadsafe(self._has_come.set)
+
+    async def wait(self) -> float:
+        """Return when the signal came, once it has, in seconds on the boot clock."""
+        await self._has_come.wait()
+        assert self._received_s is not None
+        return self._received_s
+
+
+def _handle_signals(settings_file: str) -> StopSignal:
+    """Install handlers for SIGTERM, SIGINT and SIGHUP; return the one for a stop."""
+    stop_signal = StopSignal()
+    signal.signal(signal.SIGTERM, stop_signal.on_signal)
+    signal.signal(signal.SIGINT, stop_signal.on_signal)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload_settings, settings_file)
+    return stop_signal
 
 
 async def run(path: str) -> None:
     """Run until a planned stop is complete. Raises :class:`SettingsError`, or OSError if a port cannot be bound."""
-    stop_requested = _handle_signals(path)
+    stop_signal = _handle_signals(path)
     settings = load_platform_settings(path)
     node = build_node(settings)
     listener = CallerListener(node)
@@ -137,22 +162,21 @@
         version=build_version(),
         commit=build_commit(),
     )
-    await stop_requested.wait()
+    requested_s = await stop_signal.wait()
 
     async def close_listener() -> None:
         await stop_accepting(callers_runner)
         await listener.close_idle(server)
         await server.wait_closed()
 
-    grace_s = settings.grace_s
-    exit_within(grace_s)
-    await node.drain(grace_s, close_listener)
+    exit_within(requested_s, settings.grace_s, node.open_request_ids)
+    await node.drain(settings.grace_s, close_listener, requested_s)
     # Concurrently, since aiohttp waits at each server for connections that are still open.
     await asyncio.gather(
         *(runner.cleanup() for runner in (callers_runner, ready_runner, metrics_runner) if runner is not None)
     )
     await node.stop()
-    emit(Event.NODE_STOPPED, **node.unfinished_requests())
+    emit(Event.NODE_STOPPED, **node.ended_by_stop())
 
 
 async def _run_and_exit(path: str) -> None:
--- a/src/wallwell/platform/replies.py
+++ b/src/wallwell/platform/replies.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from wallwell.callers_server import has_next_request
+from wallwell.callers_server import has_next_request, is_aborted
 from wallwell.errors import RequestError
 from wallwell.outcomes import Outcome
 from wallwell.platform import names
@@ -53,6 +53,10 @@
         """See :class:`wallwell.serving.messages.CallerReply`."""
         return has_hung_up(self._request.transport)
 
+    def is_cut_by_stop(self) -> bool:
+        """See :class:`wallwell.serving.messages.CallerReply`."""
+        return is_aborted(self._request)
+
     async def answer(self, head: AnswerHead, body: bytes) -> None:
         """Send a complete answer of a worker."""
         await self._send(web.Response(status=head.status, headers=CIMultiDict(head.headers), body=body))
--- a/src/wallwell/platform/stop_deadline.py
+++ b/src/wallwell/platform/stop_deadline.py
@@ -9,7 +9,7 @@
 
 import os
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from wallwell.clock import boot_time_s
 from wallwell.events import Event, emit, flush_log
@@ -17,6 +17,8 @@
 EXIT_MARGIN_S = 0.25
 """Seconds before the end of the grace period at which the process exits, so that the system has time to release its
 memory and sockets."""
+MAX_NAMED_REQUESTS = 50
+"""Requests that are named at most in the line about a forced exit: a line of two kilobytes."""
 LOG_FLUSH_S = 0.1
 """Maximum seconds for which an exit waits for a slow reader of the log."""
 CLOCK_CHECK_INTERVAL_S = 0.1
@@ -46,16 +48,26 @@
             self._callback()
 
 
-def exit_within(grace_s: float, exit_process: Callable[[int], object] = os._exit) -> BootClockTimer:
-    """Exit the process with status 0 just before ``grace_s`` seconds are over; return the timer that does it."""
+def exit_within(
+    requested_s: float,
+    grace_s: float,
+    open_requests: Callable[[], Collection[str]],
+    exit_process: Callable[[int], object] = os._exit,
+) -> BootClockTimer:
+    """Exit the process with status 0 just before ``grace_s`` seconds from ``requested_s`` on are over.
+
+    ``open_requests`` returns the ids of the requests that this ends, which are logged. Returns the timer.
+    """
 
     def end() -> None:
         try:
-            emit(Event.NODE_STOP_FORCED, grace_s=grace_s)
+            requests = sorted(open_requests())
+            named = ",".join(requests[:MAX_NAMED_REQUESTS])
+            emit(Event.NODE_STOP_FORCED, grace_s=grace_s, in_flight=len(requests), requests=named)
         finally:
             exit_process(0)
 
-    timer = BootClockTimer(boot_time_s() + grace_s - EXIT_MARGIN_S, end)
+    timer = BootClockTimer(requested_s + grace_s - EXIT_MARGIN_S, end)
     timer.start()
     return timer
 
--- a/src/wallwell/routing/admission/planned_stop.py
+++ b/src/wallwell/routing/admission/stop_times.py
@@ -19,7 +19,8 @@
 """Greatest fraction of the grace period that the lame-duck phase may take; open requests get the rest."""
 LATE_REQUEST_S = 0.15
 """Seconds after the closing begins in which requests are still taken that were on their way then. A request sent
-3 s after the signal or later must not be cut, and a busy node may notice the signal a quarter of a second late."""
+3 s after the signal or later must not be cut; a quarter of a second is left for a signal that reaches a process
+late which gets no CPU time."""
 STOP_RESERVE_FRACTION = 0.125
 """Fraction of the grace period reserved for closing connections. Requests that still run in the last sixth of the
 period may be cut, and an eighth is less than that."""
@@ -29,6 +30,7 @@
     """The steps of one planned stop."""
 
     requested_s: float
+    """When the process got the signal."""
     closing_s: float
     """When the node stops accepting connections, and begins to close them."""
     last_request_s: float
@@ -47,8 +49,3 @@
 def is_read_too_late(stop: StopTimes | None, read_s: float) -> bool:
     """Whether a request that had been read whole at ``read_s`` is refused, since the stop might cut it."""
     return stop is not None and read_s > stop.last_request_s
-
-
-def is_cut_by_stop(stop: StopTimes | None, now_s: float) -> bool:
-    """Whether a request that is cancelled now is cut by the stop, and not by its caller."""
-    return stop is not None and now_s >= stop.cut_s
--- a/src/wallwell/serving/admission.py
+++ b/src/wallwell/serving/admission.py
@@ -1,7 +1,7 @@
 """Admits a request before it is sent: checks access and the tenant's limit, sets service and deadline. No I/O.
 
 Adapter between the node's state and the decisions in ``routing/admission/`` (``access``, ``fleet_limits``,
-``planned_stop``): raises the error for a denial, and counts the request for the retry budget and the fleet's
+``stop_times``): raises the error for a denial, and counts the request for the retry budget and the fleet's
 demand. Depends on the node's configuration and on how recently the store confirmed it.
 """
 
@@ -22,7 +22,7 @@
 from wallwell.node.state import NodeState
 from wallwell.routing.admission.access import AccessRequest, Denial, decide_access
 from wallwell.routing.admission.fleet_limits import Admitted, OverLimit
-from wallwell.routing.admission.planned_stop import is_read_too_late
+from wallwell.routing.admission.stop_times import is_read_too_late
 from wallwell.routing.retry.attempt_outcome import AttemptLog
 from wallwell.routing.retry.retry_after import RefusalCause
 from wallwell.serving.active_request import ActiveRequest
--- a/src/wallwell/serving/messages.py
+++ b/src/wallwell/serving/messages.py
@@ -211,6 +211,10 @@
         """Whether the caller has closed its connection; checks the socket, as the event loop is told later."""
         ...
 
+    def is_cut_by_stop(self) -> bool:
+        """Whether this node has ended the reply itself, at the end of its planned stop."""
+        ...
+
     async def answer(self, head: AnswerHead, body: bytes) -> None:
         """Send a complete answer."""
         ...
--- a/src/wallwell/serving/pipeline.py
+++ b/src/wallwell/serving/pipeline.py
@@ -26,7 +26,6 @@
 from wallwell.node.state import NodeState
 from wallwell.outcomes import Outcome
 from wallwell.routing.admission.backoff_hold import hold_duration_s
-from wallwell.routing.admission.planned_stop import is_cut_by_stop
 from wallwell.routing.admission.remaining_time import has_too_little_time
 from wallwell.routing.health.backend import Backend
 from wallwell.routing.retry.attempt_outcome import TransportEvent
@@ -98,7 +97,7 @@
             active = self._admission.admit(request, reply)
             await self._run_admitted(active)
         except asyncio.CancelledError:
-            if is_cut_by_stop(self._state.stop, boot_time_s()):
+            if reply.is_cut_by_stop():
                 self._reporter.on_cut_by_stop(request, active)
             raise
         except RequestError as error:
@@ -108,6 +107,10 @@
             else:
                 await reply.refuse(error)
 
+    def refuse_unread(self, request_id: str, error: RequestError) -> None:
+        """Report a request that is refused before it has been read whole."""
+        self._reporter.on_refused_unread(request_id, error)
+
     async def _run_admitted(self, active: ActiveRequest) -> None:
         """Run a request, and refund the charge to its tenant's limit if the request is proved not to have run."""
         try:
--- a/src/wallwell/serving/request_reports.py
+++ b/src/wallwell/serving/request_reports.py
@@ -59,10 +59,21 @@
             **self._progress_fields(active),
         )
 
+    def on_refused_unread(self, request_id: str, error: RequestError) -> None:
+        """Report a request that is refused before it has been read whole, so that its kind is not known."""
+        self._counters.refusals[error.code] += 1
+        emit(
+            Event.REQUEST_REFUSED,
+            request_id=request_id,
+            code=error.code,
+            outcome=error.outcome.value,
+            reason=error.detail,
+        )
+
     def on_cut_by_stop(self, request: CallerRequest, active: ActiveRequest | None) -> None:
         """Report a request that a planned stop of this node ends before its answer is complete."""
         now_s, stop = boot_time_s(), self._state.stop
-        assert stop is not None
+        requested_s = stop.requested_s if stop is not None else now_s
         kind = "generation" if request.generation is not None else "call"
         self._counters.cut_by_stop[kind] += 1
         tried = active.history.tried_incarnations if active is not None else ()
@@ -72,7 +83,7 @@
             kind=kind,
             route=active.route.name if active is not None else "",
             backends=",".join(sorted(tried)),
-            read_after_stop_ms=round((request.arrived_s - stop.requested_s) * 1000),
+            arrived_after_stop_ms=round((request.arrived_s - requested_s) * 1000),
             after_ms=round((now_s - request.arrived_s) * 1000),
             silent_ms=round(active.timing.silent_s(now_s) * 1000) if active is not None else 0,
             **self._progress_fields(active),
--- a/tests/platform/test_caller_gone.py
+++ b/tests/platform/test_caller_gone.py
@@ -14,7 +14,7 @@
 from wallwell.clock import boot_time_s
 from wallwell.events import Event
 from wallwell.platform import caller_listener
-from wallwell.routing.admission.planned_stop import plan_stop
+from wallwell.routing.admission.stop_times import plan_stop
 from wallwell.serving import request_reports
 
 GRACE_S = 8.0
@@ -280,8 +280,37 @@
         await harness.until(lambda: requests_at(harness) == 1)
         harness.node.state.stop = plan_stop(boot_time_s() - GRACE_S, GRACE_S)  # Nothing has been cut yet.
         await leave(harness, asking)
-        return harness.node.unfinished_requests()
+        return harness.node.ended_by_stop()
 
     counts = on_platform(scenario, SAFE)
     assert logged == [Event.CALLER_GONE]
     assert (counts["cut_generations"], counts["cut_calls"]) == (0, 0)
+
+
+def test_request_that_a_stop_cuts_is_logged_as_cut_and_counted(on_platform, monkeypatch):
+    """Guards against a stop that logs what it cuts as callers who have left, or not at all."""
+    logged = []
+    for module in (caller_listener, request_reports):
+        monkeypatch.setattr(module, "emit", lambda event, **fields: logged.append((event, fields)))
+
+    async def scenario(harness):
+        for worker in harness.workers:
+            count_stops(worker, worker.hang)
+        asking = asyncio.create_task(harness.call())
+        await harness.until(lambda: requests_at(harness) == 1)
+
+        async def close_listener():
+            await harness.listener.close_idle(harness.server)
+            await harness.server.wait_closed()
+
+        await harness.node.drain(0.4, close_listener, boot_time_s() - 0.1)
+        await harness.runner.cleanup()
+        await harness.until(lambda: logged)
+        await asyncio.gather(asking, return_exceptions=True)
+        return harness.node.ended_by_stop()
+
+    counts = on_platform(scenario, SAFE)
+    ((event, fields),) = logged
+    assert event is Event.REQUEST_CUT_BY_STOP
+    assert (fields["kind"], fields["cut"], fields["arrived_after_stop_ms"] <= 100) == ("call", False, True)
+    assert counts == {"refused": 0, "cut_generations": 0, "cut_calls": 1}
--- a/tests/platform/test_ends_of_connections.py
+++ b/tests/platform/test_ends_of_connections.py
@@ -22,7 +22,7 @@
 from wallwell.clock import boot_time_s
 from wallwell.errors import ConnectionEndedError
 from wallwell.platform import caller_listener
-from wallwell.routing.admission.planned_stop import plan_stop
+from wallwell.routing.admission.stop_times import plan_stop
 
 GRACE_S = 1.2
 CONNECTIONS = 100
@@ -456,6 +456,6 @@
         status, _ = await answer(reader)
         writer.close()
         await asyncio.wait_for(closing, 5.0)
-        return status, harness.node.unfinished_requests()["refused"]
+        return status, harness.node.ended_by_stop()["refused"]
 
     assert on_platform(scenario, CALLS) == (HTTPStatus.REQUEST_TIMEOUT, 1)
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import socket
+import subprocess
 import sys
 import threading
 import time
@@ -17,6 +18,8 @@
 from tests.platform.conftest import HOST, config, route
 from tests.platform.fakes import FakeStore, FakeWorker
 from wallwell.clock import boot_time_s
+from wallwell.events import Event
+from wallwell.platform import stop_deadline
 from wallwell.platform.names import SETTINGS_VARIABLE
 from wallwell.platform.stop_deadline import exit_within
 
@@ -236,10 +239,38 @@
 
 def test_process_exits_with_success_just_before_the_grace_period_ends():
     ended = []
-    timer = exit_within(0.0, ended.append)
+    timer = exit_within(boot_time_s(), 0.0, list, ended.append)
     timer.join(10.0)
     assert ended == [0]
-    later = exit_within(60.0, ended.append)
-    assert 59.0 < later.deadline_s - boot_time_s() < 60.0
+    later = exit_within(boot_time_s() - 10.0, 70.0, list, ended.append)
+    assert 59.0 < later.deadline_s - boot_time_s() < 60.0  # Counted from the signal, however late it was noticed.
     assert later.daemon
     later.cancel()
+
+
+def test_forced_exit_names_the_requests_that_it_ends(monkeypatch):
+    """Guards against an end of the process that leaves no line about the requests that it cuts."""
+    logged, ended = [], []
+    monkeypatch.setattr(stop_deadline, "emit", lambda event, **fields: logged.append((event, fields)))
+    exit_within(boot_time_s(), 0.0, lambda: ["r2", "r1"], ended.append).join(10.0)
+    ((event, fields),) = logged
+    assert (event, fields["in_flight"], fields["requests"], ended) == (Event.NODE_STOP_FORCED, 2, "r1,r2", [0])
+
+
+def test_exit_waits_for_a_reader_of_the_log_that_is_slow():
+    """Guards against log lines that are lost since their reader had not taken them as the process exits."""
+    code = """
+import time
+from wallwell.events import Event, configure_logging, emit
+from wallwell.platform import stop_deadline
+stop_deadline.LOG_FLUSH_S = 10.0
+configure_logging("INFO", json_lines=True)
+for number in range(1500):
+    emit(Event.NODE_STOPPED, number=number, filler="x" * 200)
+stop_deadline.exit_now()
+"""
+    environment = {**os.environ, "PYTHONPATH": str(ROOT / "src")}
+    process = subprocess.Popen([sys.executable, "-c", code], stderr=subprocess.PIPE, env=environment)
+    time.sleep(0.5)  # The pipe is full by now, and most lines wait in the process.
+    lines = process.stderr.read().splitlines()
+    assert (process.wait(), len(lines)) == (0, 1500)
--- a/tests/unit/routing/admission/test_planned_stop.py
+++ b/tests/unit/routing/admission/test_stop_times.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wallwell.routing.admission.planned_stop import is_cut_by_stop, is_read_too_late, plan_stop
+from wallwell.routing.admission.stop_times import is_read_too_late, plan_stop
 
 LOAD_BALANCER_S = 2.0
 """Seconds after the signal until which a load balancer may still send callers: two failed checks, one a second."""
@@ -26,7 +26,7 @@
 def test_a_short_grace_period_leaves_half_of_it_for_open_requests(grace_s):
     stop = plan_stop(100.0, grace_s)
     assert stop.closing_s == 100.0 + grace_s / 2
-    assert stop.closing_s < stop.cut_s < 100.0 + grace_s
+    assert stop.closing_s < stop.last_request_s < stop.cut_s < 100.0 + grace_s
 
 
 def test_a_request_is_judged_by_when_it_was_read_whole():
@@ -34,10 +34,3 @@
     assert not is_read_too_late(None, 1e9)
     assert not is_read_too_late(stop, stop.last_request_s)
     assert is_read_too_late(stop, stop.last_request_s + 0.001)
-
-
-def test_only_what_is_open_at_the_end_counts_as_cut():
-    stop = plan_stop(100.0, 8.0)
-    assert not is_cut_by_stop(None, 1e9)
-    assert not is_cut_by_stop(stop, stop.cut_s - 0.001)
-    assert is_cut_by_stop(stop, stop.cut_s)
--- a/tests/unit/serving/fakes.py
+++ b/tests/unit/serving/fakes.py
@@ -102,6 +102,9 @@
     def is_caller_gone(self):
         return False
 
+    def is_cut_by_stop(self):
+        return False
+
     async def answer(self, head, body):
         self.status, self.body = head.status, body
         self.heads.append(head)
