Name the versions of every service in the store, also while there is one

Cause: a service without a row counted as one that has had no other version than is listed. Nothing was written while a service had one version, so what the fleet must know after its own end was kept in its memory.

Change: a row names the versions of each service with resumable streams. A version is in it before the first stream that it begins at a node reaches its caller, for 0.3 s at most if the store is silent; it goes once its streams have ended. Nodes that start add the row's versions to those that they see, for what they tell and write too, so that streams of the version that is left go on after the next kill. A damaged row counts as several versions, and a restore of the store while its rows are read no longer ends the caller's request.

One version: one write for the whole fleet at the first start, one read per start of a node, nothing afterwards.

--- a/src/wallwell/cluster/stream_records.py
+++ b/src/wallwell/cluster/stream_records.py
@@ -1,9 +1,10 @@
 """Keeps in the store what must outlast all nodes about streams: which versions served, and which began each stream.
 
 A node that has just started knows only the versions that are listed now, and so do all others after all of them
-were killed. So while a service has several versions, its row in the store names them, before the later one gets
-requests, and the streams that begin are written there some times a second. While each service has one version,
-nothing is written: a service without a row has had one.
+were killed. So a row in the store names the versions of each service with resumable streams: a version is written
+there before the first stream that it begins reaches its caller, and goes once its streams have ended. While there
+are several, the streams that begin are written too, some times a second. With one version a node reads the row
+once, and nothing is written while it is right.
 
 Owns the rows of one node, and when they are written. Relies on a table of their own, which no node follows, and on
 the store's clock to remove rows of nodes that have ended.
@@ -21,7 +22,7 @@
 import msgspec
 
 from wallwell.clock import boot_time_s, time_limit
-from wallwell.errors import PlatformUnavailableError, TableConflictError
+from wallwell.errors import HistoryLostError, PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
 from wallwell.storage.feed import FeedRow
 from wallwell.storage.table import Condition, Put, Row, TableService, Transaction
@@ -48,6 +49,16 @@
 """Longest time for which a caller waits for the store; then its stream counts as unknown."""
 MAX_KEPT_S = 300.0
 """Longest time for which a row of an ended node is kept, whatever it says."""
+RECORD_TIMEOUT_S = 0.3
+"""Longest time for which the first event of a stream waits until the store names its version, of some hundred
+milliseconds that callers grant a first event. A store that has just failed is not awaited."""
+MIN_RECORDED_S = 4.0
+"""Shortest time for which a version stays in the row that another node may just have written: twice the time after
+which this node would have seen the version listed."""
+MAX_CONFLICTS = 3
+"""Writes of a row of versions that are tried at once while other nodes write it too."""
+UNREADABLE_VERSION = "?"
+"""Stands for the versions of a row that cannot be decoded. No back end has it, so that they count as several."""
 
 
 class StreamsRow(msgspec.Struct, frozen=True):
@@ -59,7 +70,8 @@
 
 
 class VersionsRow(msgspec.Struct, frozen=True):
-    """Versions of a service that may have begun streams which can still be resumed."""
+    """Versions of a service that may have begun streams which can still be resumed. Earlier builds write it only
+    while a service has several, and delete it afterwards."""
 
     versions: list[str]
 
@@ -79,6 +91,8 @@
 
     versions: set[str]
     row_version: int
+    known_since_s: float
+    """When this node first met the row with these versions, on the store's clock."""
 
 
 class VersionView(NamedTuple):
@@ -102,7 +116,7 @@
         node_count: Callable[[], int],
         rng: random.Random,
     ) -> None:
-        """``views`` returns what this node knows of each service that is listed or configured."""
+        """``views`` returns what this node knows of each listed service that has resumable streams."""
         self._key_prefix = f"{STREAMS_PREFIX}{node}/{secrets.token_hex(4)}/"
         self._table = table
         self._views = views
@@ -116,6 +130,7 @@
         """Rows that this node has written and not deleted."""
         self._recorded: dict[str, RecordedVersions] = {}
         """By service, the row of its versions, if this node has read or written one."""
+        self._recording = asyncio.Lock()
         self._expired_keys: set[str] = set()
         """Rows of ended nodes that nobody needs any more."""
         self._is_failing = False
@@ -159,41 +174,68 @@
             await self._write_versions()
             await self._write_streams()
         except (PlatformUnavailableError, TableConflictError) as error:
-            if not self._is_failing:
-                emit(Event.STREAMS_NOT_WRITTEN, streams=len(self._unwritten), reason=str(error))
-            self._is_failing = True
+            self._on_not_written(str(error))
         else:
             self._is_failing = False
 
+    def _on_not_written(self, reason: str) -> None:
+        if not self._is_failing:
+            emit(Event.STREAMS_NOT_WRITTEN, streams=len(self._unwritten), reason=reason)
+        self._is_failing = True
+
+    def recorded_versions(self, service: str) -> set[str]:
+        """Return the versions that the row of a service names, as this node last met it."""
+        recorded = self._recorded.get(service)
+        return set() if recorded is None else recorded.versions
+
+    async def ensure_recorded(self, service: str, software: str) -> None:
+        """Wait until the store names the version of a stream that begins, unless the store does not answer."""
+        if software in self.recorded_versions(service) or self._is_failing:
+            return
+        try:
+            async with time_limit(RECORD_TIMEOUT_S), self._recording:
+                if software not in self.recorded_versions(service):
+                    await self._update_versions(service, {software}, set())
+        except (PlatformUnavailableError, TableConflictError, TimeoutError) as error:
+            self._on_not_written(str(error) or "no answer in time")
+
     async def _write_versions(self) -> None:
         for service, view in self._views().items():
-            recorded = self._recorded.get(service)
-            if len(view.versions) > 1:
-                if recorded is None or not view.versions <= recorded.versions:
-                    await self._add_versions(service, view.versions)
-            elif recorded is not None and view.is_complete:
-                await self._remove_versions(service, recorded)
-                del self._recorded[service]
+            async with self._recording:
+                recorded = self._recorded.get(service)
+                left = self._versions_that_left(view, recorded)
+                if left or recorded is None or not view.versions <= recorded.versions:
+                    await self._update_versions(service, view.versions, left)
+
+    def _versions_that_left(self, view: VersionView, recorded: RecordedVersions | None) -> set[str]:
+        """Return the versions of a row whose streams have certainly ended."""
+        if recorded is None or not view.is_complete:
+            return set()
+        is_settled = self._store_time_s() - recorded.known_since_s >= MIN_RECORDED_S
+        return recorded.versions - view.versions if is_settled else set()
+
+    async def _update_versions(self, service: str, seen: set[str], left: set[str]) -> None:
+        """Have the row name what was ``seen``, and no longer what has ``left``; other nodes may write it too."""
+        for remaining_tries in reversed(range(MAX_CONFLICTS)):
+            try:
+                await self._write_row(service, seen, left)
+                return
+            except TableConflictError:
+                if not remaining_tries:
+                    raise
 
-    async def _add_versions(self, service: str, versions: set[str]) -> None:
+    async def _write_row(self, service: str, seen: set[str], left: set[str]) -> None:
         key = VERSIONS_PREFIX + service
         row = await self._table.get(key)
-        known = _decode_versions(row) if row is not None else set()
-        row_version = row.version if row is not None else 0
-        if not versions <= known:
-            known |= versions
-            value = msgspec.json.encode(VersionsRow(sorted(known))).decode()
+        named = set() if row is None else _versions_of(row)
+        wanted = (named - left) | seen
+        row_version = 0 if row is None else row.version
+        if wanted != named:
+            value = msgspec.json.encode(VersionsRow(sorted(wanted))).decode()
             row_version = await self._table.transact(
                 Transaction((Condition(key, row_version),), (Put(key, value),))
             )
-        self._recorded[service] = RecordedVersions(known, row_version)
-
-    async def _remove_versions(self, service: str, recorded: RecordedVersions) -> None:
-        key = VERSIONS_PREFIX + service
-        try:
-            await self._table.transact(Transaction((Condition(key, recorded.row_version),), deletes=(key,)))
-        except TableConflictError:
-            return  # Another node has removed it, or has added a version.
+        self._recorded[service] = RecordedVersions(wanted, row_version, self._store_time_s())
 
     async def _write_streams(self) -> None:
         now_s = self._store_time_s()
@@ -228,12 +270,13 @@
             try:
                 async with time_limit(READ_TIMEOUT_S):
                     scan = await self._table.scan("", 0)
-            except (PlatformUnavailableError, TimeoutError) as error:
+            except (PlatformUnavailableError, HistoryLostError, TimeoutError) as error:
                 emit(Event.STREAM_RECORDS_UNREAD, reason=str(error) or "no answer in time")
                 # Those that have waited for this answer do not wait for one more each.
                 self._read, self._read_at_s = None, boot_time_s()
             else:
                 self._read, self._read_at_s = self._decode(scan.rows), started_s
+                self._forget_deleted_rows(self._read, scan.commit)
             return self._read
 
     def _decode(self, rows: Iterable[Row]) -> Records:
@@ -248,9 +291,11 @@
     def _decode_row(self, row: Row, found: Records) -> None:
         if row.key.startswith(VERSIONS_PREFIX):
             service = row.key.removeprefix(VERSIONS_PREFIX)
-            versions = _decode_versions(row)
+            versions = _versions_of(row)
             found.versions[service] = versions
-            self._recorded.setdefault(service, RecordedVersions(versions, row.version))
+            recorded = self._recorded.get(service)
+            if recorded is None or recorded.row_version < row.version:
+                self._recorded[service] = RecordedVersions(versions, row.version, self._store_time_s())
         elif row.key.startswith(STREAMS_PREFIX):
             streams = msgspec.json.decode(row.value, type=StreamsRow)
             for software, each in streams.by_version.items():
@@ -259,6 +304,12 @@
             if not now_s < streams.until_s <= now_s + 2 * MAX_KEPT_S and row.key not in self._rows:
                 self._expired_keys.add(row.key)
 
+    def _forget_deleted_rows(self, found: Records, commit: int) -> None:
+        """Have rows of versions written again that were there before ``commit`` and have been deleted."""
+        for service, recorded in list(self._recorded.items()):
+            if service not in found.versions and recorded.row_version <= commit:
+                del self._recorded[service]
+
 
 def _row_of(batch: dict[str, tuple[str, float]]) -> StreamsRow:
     by_version: dict[str, list[str]] = {}
@@ -267,6 +318,10 @@
     return StreamsRow(by_version, max(until_s for _, until_s in batch.values()))
 
 
-def _decode_versions(row: Row) -> set[str]:
-    """Return the versions that a row names. Raises :class:`msgspec.MsgspecError`."""
-    return set(msgspec.json.decode(row.value, type=VersionsRow).versions)
+def _versions_of(row: Row) -> set[str]:
+    """Return the versions that a row names."""
+    try:
+        return set(msgspec.json.decode(row.value, type=VersionsRow).versions)
+    except msgspec.MsgspecError as error:
+        emit(Event.OWN_ROW_UNREADABLE, row=row.key, error=str(error))
+        return {UNREADABLE_VERSION}
--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -135,7 +135,7 @@
             self.state.node,
             self.state.topology,
             lambda: self._order.members,
-            self.state.recent_versions,
+            self._known_versions,
             self._stream_records.add,
         )
         self._pipeline = RequestPipeline(
@@ -155,6 +155,13 @@
             self.is_ready,
         )
 
+    def _known_versions(self, service: str) -> set[str]:
+        """Return the versions that may have begun streams, by the store those from before this node's start too."""
+        view = self.state.version_view(service)
+        if view.is_complete:
+            return view.versions
+        return view.versions | self._stream_records.recorded_versions(service)
+
     def _attempt_peers(self) -> Iterator[PeerNode]:
         """Yield the other nodes that make attempts for peers."""
         for name, member in self._order.members.items():
--- a/src/wallwell/node/state.py
+++ b/src/wallwell/node/state.py
@@ -213,16 +213,15 @@
         listed = self.backends.backends_of_service(service)
         return self.software_history.versions(service, listed, boot_time_s(), self.stream_time_s(service))
 
+    def version_view(self, service: str) -> VersionView:
+        """Return what this node knows of the software versions of a service."""
+        is_complete = self.software_history.is_complete(boot_time_s(), self.stream_time_s(service))
+        return VersionView(self.recent_versions(service), is_complete)
+
     def version_views(self) -> dict[str, VersionView]:
-        """Return what this node knows of the software versions of each listed service."""
-        now_s = boot_time_s()
-        return {
-            service: VersionView(
-                self.recent_versions(service),
-                self.software_history.is_complete(now_s, self.stream_time_s(service)),
-            )
-            for service in self.backends.services()
-        }
+        """Return what this node knows of the software versions of each listed service with resumable streams."""
+        resumable = {} if self.config is None else self.config.longest_stream_s
+        return {service: self.version_view(service) for service in self.backends.services() if service in resumable}
 
     def is_fresh(self, arrival_s: float) -> bool:
         """Whether a request that arrived at ``arrival_s`` may rely on this node's configuration."""
--- a/src/wallwell/serving/stream_forwarding.py
+++ b/src/wallwell/serving/stream_forwarding.py
@@ -93,7 +93,7 @@
             self._reporter.on_stream_resumed(active, backend, by_caller=not resumed_by_router)
         active.stream_software = software
         if not resumed_by_router:
-            self._origins.on_begun(active, software)
+            await self._origins.on_begun(active, software)
 
     async def _write_events(
         self, active: ActiveRequest, backend: Backend, answer: BackendAnswer, data: bytes
--- a/src/wallwell/serving/stream_origin.py
+++ b/src/wallwell/serving/stream_origin.py
@@ -42,11 +42,13 @@
         self._counters = counters
         self._retry_after = RetryAfterEstimator(state)
 
-    def on_begun(self, active: ActiveRequest, software: str) -> None:
+    async def on_begun(self, active: ActiveRequest, software: str) -> None:
         """Record at which version a stream begins or is resumed; called before the caller gets its first event."""
         if not active.route.resumable:
             return
         request = active.request
+        if self._records is not None and not request.resumes_stream:
+            await self._records.ensure_recorded(active.service, software)
         kept_s = stream_time_s(max(active.route.timeout_s, request.caller_timeout_s or 0.0))
         if not request.resumes_stream:
             self._directory.on_begun(_stream_of(active, request.request_id), active.service, software, kept_s)
