Let streams of the only version go on that another one joined while all nodes were down

Cause: the first version's streams are not in the store, as it was alone, and with two versions listed nobody knows which of them began a stream.

Change: the row of versions also tells when it names all there are (a node that has followed the listing for a stream's time says so, once), and which version was alone when a node that had just started added another. A node that has started lately goes by it for a stream which nobody knows, if all nodes that it asked have answered, and if the node that added the other version still lives: then not all nodes have ended since, and streams that began since are known. That node is asked too.

One version: one write more after the first start of a system, which the other nodes read once.

Tests changed: none weakened; rows and datagrams are pinned as they are now, with what earlier builds write.

--- a/src/wallwell/cluster/stream_directory.py
+++ b/src/wallwell/cluster/stream_directory.py
@@ -66,6 +66,10 @@
     """Versions of the service that this node and those that answered have seen lately."""
     asked: int = 0
     answered: int = 0
+    lives: set[str] = field(default_factory=set)
+    """Starts of nodes that answered, and so still live."""
+    recorded: list[str] | None = None
+    """Versions of the service that the store names; None if it was not asked, did not answer or names none."""
     lacks_records: bool = False
     """Whether this node started lately and could not read from the store which versions served before."""
 
@@ -97,14 +101,17 @@
         members: Callable[[], Mapping[str, NodeRecord]],
         versions: Callable[[str], set[str]],
         record: Callable[[str, str, float], None] | None = None,
+        life: str = "",
     ) -> None:
         """``versions`` returns the software versions of a service that this node has seen lately. ``record`` is
-        called with each stream of which others are told, its version, and for how long it may be resumed."""
+        called with each stream of which others are told, its version, and for how long it may be resumed. ``life``
+        tells this start of the node from its others."""
         self._node = node
         self._topology = topology
         self._members = members
         self._versions = versions
         self._record = record
+        self.life = life
         self._origins = StreamOrigins()
         self._queries: dict[int, _Query] = {}
         self._numbers = itertools.count()
@@ -176,17 +183,29 @@
         known = self.find_here(stream)
         if known is not None:
             return known
-        asked = holders_to_ask(stream, self._members(), self._topology, self._node)
-        findings = StreamFindings(None, versions=self._versions(service), asked=len(asked))
+        findings = StreamFindings(None, versions=self._versions(service))
+        await self._add_replies(
+            findings, stream, service, holders_to_ask(stream, self._members(), self._topology, self._node)
+        )
+        return findings
+
+    async def ask_node(self, findings: StreamFindings, name: str, stream: str, service: str) -> None:
+        """Add to the findings what one more node knows."""
+        member = self._members().get(name)
+        if member is not None and member.relay:
+            await self._add_replies(findings, stream, service, [Holder(name, member.relay)])
+
+    async def _add_replies(self, findings: StreamFindings, stream: str, service: str, asked: list[Holder]) -> None:
+        findings.asked += len(asked)
         if not asked or self._transport is None or len(self._queries) >= MAX_QUERIES:
-            return findings
+            return
         replies = await self._ask(stream, service, asked)
-        findings.answered = len(replies)
+        findings.answered += len(replies)
         for name, reply in replies:
             findings.versions |= set(reply.versions)
+            findings.lives.add(reply.life)
             if reply.software is not None:
                 findings.software, findings.known_by, findings.age_s = reply.software, name, reply.age_s
-        return findings
 
     def find_here(self, stream: str) -> StreamFindings | None:
         """Return what this node knows of a stream itself; None if nothing."""
@@ -233,7 +252,7 @@
         known = self.find_here(query.stream)
         if known is None:
             versions = sorted(self._versions(query.service))[:MAX_VERSIONS_SENT]
-            reply = StreamReply(query.number, versions=tuple(versions))
+            reply = StreamReply(query.number, versions=tuple(versions), life=self.life)
         else:
             reply = StreamReply(query.number, known.software, known.age_s)
         self._send(reply, address)
--- a/src/wallwell/cluster/stream_messages.py
+++ b/src/wallwell/cluster/stream_messages.py
@@ -56,6 +56,8 @@
     age_s: float = 0.0
     """Time since the sender learned it."""
     versions: tuple[Version, ...] = ()
+    life: Annotated[str, msgspec.Meta(max_length=300)] = ""
+    """Tells the sender's start from its others; empty from earlier builds, and if the sender knows the version."""
 
 
 StreamMessage = StreamBegun | StreamQuery | StreamReply
--- a/src/wallwell/cluster/stream_records.py
+++ b/src/wallwell/cluster/stream_records.py
@@ -15,13 +15,20 @@
 import asyncio
 import random
 import secrets
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 import msgspec
 
 from wallwell.clock import boot_time_s, time_limit
+from wallwell.cluster.version_rows import (
+    VersionsChange,
+    VersionsRow,
+    changed_row,
+    decode_versions_row,
+    only_version,
+)
 from wallwell.errors import HistoryLostError, PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
 from wallwell.storage.feed import FeedRow
@@ -57,8 +64,6 @@
 which this node would have seen the version listed."""
 MAX_CONFLICTS = 3
 """Writes of a row of versions that are tried at once while other nodes write it too."""
-UNREADABLE_VERSION = "?"
-"""Stands for the versions of a row that cannot be decoded. No back end has it, so that they count as several."""
 
 
 class StreamsRow(msgspec.Struct, frozen=True):
@@ -69,31 +74,34 @@
     """Time on the store's clock from which on none of them can be resumed."""
 
 
-class VersionsRow(msgspec.Struct, frozen=True):
-    """Versions of a service that may have begun streams which can still be resumed. Earlier builds write it only
-    while a service has several, and delete it afterwards."""
-
-    versions: list[str]
-
-
 @dataclass
 class Records:
     """What was read from the store at one time."""
 
     software: dict[str, str] = field(default_factory=dict)
     """By stream, the version that began it."""
-    versions: dict[str, set[str]] = field(default_factory=dict)
-    """By service, the versions that its row names."""
+    rows: dict[str, VersionsRow] = field(default_factory=dict)
+    """By service, the row that names its versions."""
+
+    @property
+    def versions(self) -> dict[str, set[str]]:
+        """By service, the versions that its row names."""
+        return {service: set(row.versions) for service, row in self.rows.items()}
 
 
 class RecordedVersions(NamedTuple):
     """A row that names versions, as this node last read or wrote it."""
 
-    versions: set[str]
+    row: VersionsRow
     row_version: int
     known_since_s: float
     """When this node first met the row with these versions, on the store's clock."""
 
+    @property
+    def versions(self) -> set[str]:
+        """The versions that the row names."""
+        return set(self.row.versions)
+
 
 class VersionView(NamedTuple):
     """What a node knows of a service's versions."""
@@ -102,6 +110,8 @@
     """Versions that it has seen within the time of a stream."""
     is_complete: bool
     """Whether it has followed the listing for that time."""
+    stream_time_s: float = MAX_KEPT_S
+    """The time of a stream."""
 
 
 class StreamRecords:
@@ -117,7 +127,9 @@
         rng: random.Random,
     ) -> None:
         """``views`` returns what this node knows of each listed service that has resumable streams."""
-        self._key_prefix = f"{STREAMS_PREFIX}{node}/{secrets.token_hex(4)}/"
+        self.life = f"{node}/{secrets.token_hex(4)}"
+        """Tells this start of the node from all others."""
+        self._key_prefix = f"{STREAMS_PREFIX}{self.life}/"
         self._table = table
         self._views = views
         self._store_time_s = store_time_s
@@ -131,6 +143,9 @@
         self._recorded: dict[str, RecordedVersions] = {}
         """By service, the row of its versions, if this node has read or written one."""
         self._recording = asyncio.Lock()
+        self._era: int | None = None
+        self._begun_unrecorded: set[str] = set()
+        """Services of which a stream has begun here at a version that the store did not name in time."""
         self._expired_keys: set[str] = set()
         """Rows of ended nodes that nobody needs any more."""
         self._is_failing = False
@@ -150,8 +165,9 @@
     def on_row(self, row: FeedRow, now_s: float) -> None:
         """Ignore the rows of the nodes' other table."""
 
-    def on_era(self, _era: int, is_restored: bool) -> None:
+    def on_era(self, era: int, is_restored: bool) -> None:
         """Write everything again if the store has come back from an older copy."""
+        self._era = era
         if not is_restored:
             return
         self._recorded.clear()
@@ -190,22 +206,29 @@
 
     async def ensure_recorded(self, service: str, software: str) -> None:
         """Wait until the store names the version of a stream that begins, unless the store does not answer."""
-        if software in self.recorded_versions(service) or self._is_failing:
+        if software in self.recorded_versions(service):
             return
         try:
-            async with time_limit(RECORD_TIMEOUT_S), self._recording:
-                if software not in self.recorded_versions(service):
-                    await self._update_versions(service, {software}, set())
+            if not self._is_failing:
+                await self._record_in_time(service, software)
         except (PlatformUnavailableError, TableConflictError, TimeoutError) as error:
             self._on_not_written(str(error) or "no answer in time")
+        if software not in self.recorded_versions(service):
+            self._begun_unrecorded.add(service)
+
+    async def _record_in_time(self, service: str, software: str) -> None:
+        async with time_limit(RECORD_TIMEOUT_S), self._recording:
+            if software not in self.recorded_versions(service):
+                view = self._views().get(service, VersionView(set(), is_complete=False))
+                await self._update_row(service, view._replace(versions=view.versions | {software}), set())
 
     async def _write_versions(self) -> None:
         for service, view in self._views().items():
             async with self._recording:
                 recorded = self._recorded.get(service)
                 left = self._versions_that_left(view, recorded)
-                if left or recorded is None or not view.versions <= recorded.versions:
-                    await self._update_versions(service, view.versions, left)
+                if left or recorded is None or self._must_write(view, recorded):
+                    await self._update_row(service, view, left)
 
     def _versions_that_left(self, view: VersionView, recorded: RecordedVersions | None) -> set[str]:
         """Return the versions of a row whose streams have certainly ended."""
@@ -214,28 +237,42 @@
         is_settled = self._store_time_s() - recorded.known_since_s >= MIN_RECORDED_S
         return recorded.versions - view.versions if is_settled else set()
 
-    async def _update_versions(self, service: str, seen: set[str], left: set[str]) -> None:
-        """Have the row name what was ``seen``, and no longer what has ``left``; other nodes may write it too."""
+    def _must_write(self, view: VersionView, recorded: RecordedVersions) -> bool:
+        if not view.versions <= recorded.versions:
+            return True
+        return view.is_complete and self._era is not None and recorded.row.whole_in_era != self._era
+
+    async def _update_row(self, service: str, view: VersionView, left: set[str]) -> None:
+        """Have a row name the versions of the view, and no longer those that ``left``; others may write it too."""
+        change = VersionsChange(
+            seen=view.versions,
+            left=left,
+            names_all=view.is_complete,
+            may_tell_sole=not view.is_complete and service not in self._begun_unrecorded,
+            era=self._era,
+            writer=self.life,
+            now_s=self._store_time_s(),
+            stream_time_s=view.stream_time_s,
+        )
         for remaining_tries in reversed(range(MAX_CONFLICTS)):
             try:
-                await self._write_row(service, seen, left)
+                await self._write_row(VERSIONS_PREFIX + service, service, change)
                 return
             except TableConflictError:
                 if not remaining_tries:
                     raise
 
-    async def _write_row(self, service: str, seen: set[str], left: set[str]) -> None:
-        key = VERSIONS_PREFIX + service
-        row = await self._table.get(key)
-        named = set() if row is None else _versions_of(row)
-        wanted = (named - left) | seen
-        row_version = 0 if row is None else row.version
-        if wanted != named:
-            value = msgspec.json.encode(VersionsRow(sorted(wanted))).decode()
+    async def _write_row(self, key: str, service: str, change: VersionsChange) -> None:
+        stored = await self._table.get(key)
+        row = None if stored is None else decode_versions_row(stored)
+        wanted = changed_row(row, change)
+        row_version = 0 if stored is None else stored.version
+        if wanted != row:
+            value = msgspec.json.encode(wanted).decode()
             row_version = await self._table.transact(
                 Transaction((Condition(key, row_version),), (Put(key, value),))
             )
-        self._recorded[service] = RecordedVersions(wanted, row_version, self._store_time_s())
+        self._recorded[service] = RecordedVersions(wanted, row_version, change.now_s)
 
     async def _write_streams(self) -> None:
         now_s = self._store_time_s()
@@ -261,6 +298,13 @@
 
     # --- reading ---------------------------------------------------------------------------------------
 
+    def sole_version(self, row: VersionsRow, lives: Collection[str]) -> str | None:
+        """Return the version of all streams of a service that no node knows, given the starts of nodes that live;
+        None if there may have been others."""
+        if row.sole is not None and row.sole.writer in lives and self._store_time_s() < row.sole.until_s:
+            return row.sole.version
+        return only_version(row, self._era)
+
     async def read(self) -> Records | None:
         """Return what the store holds; None if it does not answer in time."""
         async with self._reading:
@@ -291,8 +335,7 @@
     def _decode_row(self, row: Row, found: Records) -> None:
         if row.key.startswith(VERSIONS_PREFIX):
             service = row.key.removeprefix(VERSIONS_PREFIX)
-            versions = _versions_of(row)
-            found.versions[service] = versions
+            versions = found.rows[service] = decode_versions_row(row)
             recorded = self._recorded.get(service)
             if recorded is None or recorded.row_version < row.version:
                 self._recorded[service] = RecordedVersions(versions, row.version, self._store_time_s())
@@ -307,7 +350,7 @@
     def _forget_deleted_rows(self, found: Records, commit: int) -> None:
         """Have rows of versions written again that were there before ``commit`` and have been deleted."""
         for service, recorded in list(self._recorded.items()):
-            if service not in found.versions and recorded.row_version <= commit:
+            if service not in found.rows and recorded.row_version <= commit:
                 del self._recorded[service]
 
 
@@ -316,12 +359,3 @@
     for stream, (software, _) in batch.items():
         by_version.setdefault(software, []).append(stream)
     return StreamsRow(by_version, max(until_s for _, until_s in batch.values()))
-
-
-def _versions_of(row: Row) -> set[str]:
-    """Return the versions that a row names."""
-    try:
-        return set(msgspec.json.decode(row.value, type=VersionsRow).versions)
-    except msgspec.MsgspecError as error:
-        emit(Event.OWN_ROW_UNREADABLE, row=row.key, error=str(error))
-        return {UNREADABLE_VERSION}
--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -137,6 +137,7 @@
             lambda: self._order.members,
             self._known_versions,
             self._stream_records.add,
+            self._stream_records.life,
         )
         self._pipeline = RequestPipeline(
             self.state,
--- a/src/wallwell/node/state.py
+++ b/src/wallwell/node/state.py
@@ -215,8 +215,9 @@
 
     def version_view(self, service: str) -> VersionView:
         """Return what this node knows of the software versions of a service."""
-        is_complete = self.software_history.is_complete(boot_time_s(), self.stream_time_s(service))
-        return VersionView(self.recent_versions(service), is_complete)
+        stream_time_s = self.stream_time_s(service)
+        is_complete = self.software_history.is_complete(boot_time_s(), stream_time_s)
+        return VersionView(self.recent_versions(service), is_complete, stream_time_s)
 
     def version_views(self) -> dict[str, VersionView]:
         """Return what this node knows of the software versions of each listed service with resumable streams."""
--- a/src/wallwell/serving/stream_origin.py
+++ b/src/wallwell/serving/stream_origin.py
@@ -11,6 +11,7 @@
 from wallwell.cluster.stream_directory import StreamDirectory, StreamFindings
 from wallwell.cluster.stream_messages import stream_digest
 from wallwell.cluster.stream_records import StreamRecords
+from wallwell.cluster.version_rows import VersionsRow
 from wallwell.deployment.routes import RouteKind
 from wallwell.errors import StreamVersionUnknownError
 from wallwell.events import Event, emit
@@ -79,7 +80,9 @@
             service=active.service,
             result=result,
             software=findings.software,
+            known_by=findings.known_by,
             versions=sorted(findings.versions),
+            recorded=findings.recorded,
             asked=findings.asked,
             answered=findings.answered,
             listing_followed_ms=round(self._state.software_history.observed_for_s(boot_time_s()) * 1000),
@@ -111,8 +114,31 @@
             findings.lacks_records = not reaches_back(boot_time_s(), self._state.stream_time_s(service))
             return
         findings.software = records.software.get(stream)
-        findings.known_by = "" if findings.software is None else KNOWN_BY_STORE
-        findings.versions |= records.versions.get(service, set())
+        row = records.rows.get(service)
+        if row is not None:
+            findings.recorded = row.versions
+            findings.versions |= set(row.versions)
+        if row is not None and findings.software is None:
+            await self._add_sole_version(findings, row, stream, service)
+        if findings.software is not None and not findings.known_by:
+            findings.known_by = KNOWN_BY_STORE
+
+    async def _add_sole_version(
+        self, findings: StreamFindings, row: VersionsRow, stream: str, service: str
+    ) -> None:
+        """Add the version of streams that nobody knows, if only one had begun any when all nodes ended.
+
+        Only at a node that has started lately itself, and if every node that was asked has answered: streams that
+        began since are known to nodes that live.
+        """
+        assert self._records is not None
+        if self._state.software_history.reaches_back(boot_time_s(), self._state.stream_time_s(service)):
+            return
+        lives = {*findings.lives, self._records.life}
+        if row.sole is not None and row.sole.writer not in lives:
+            await self._directory.ask_node(findings, row.sole.writer_node, stream, service)
+        if findings.software is None and findings.answered == findings.asked:
+            findings.software = self._records.sole_version(row, {*findings.lives, self._records.life})
 
     def _may_lack_versions(self, findings: StreamFindings) -> bool:
         """Whether another version may have served that neither this node nor those that answered have seen."""
--- a/tests/platform/test_all_nodes_killed.py
+++ b/tests/platform/test_all_nodes_killed.py
@@ -7,21 +7,29 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 
 from tests.platform.conftest import CallersPort
-from tests.platform.test_peers import second_node
+from tests.platform.test_peers import all_know_each_other, second_node
 from tests.platform.test_streams_of_two_versions import (
     EVENTS,
+    MIN_RESUMED_RATIO,
     STREAMS,
     VersionedFleet,
     run_streams,
 )
+from wallwell.clock import boot_time_s
 from wallwell.cluster.stream_records import READ_INTERVAL_S
 
 NODES = 2
 STREAMS_TABLE = "wallwell-streams"
+VERSIONS_KEY = "versions/svc"
+SLOTS = 2 * STREAMS // 3
+"""Of a back end: two hold all streams without refusing any, and one is too busy for all of them."""
+LONG_S = 60.0
+"""Longer than a stream lasts."""
 RECORDED_S = 0.6
 """Seconds in which streams that have begun are in the store: two writes, with a margin."""
 
@@ -107,7 +115,7 @@
 
     streams, writes = run_streams(on_platform, scenario, KilledFleet, ("v1", "v1", "v1", "v1"))
     assert len(gone_on(streams)) == STREAMS
-    assert writes == [("versions/svc", False)]
+    assert writes == [(VERSIONS_KEY, False)]
 
 
 def test_streams_are_refused_while_a_new_node_cannot_read_which_versions_served(on_platform):
@@ -139,7 +147,7 @@
         """Begin with a store in which the harness's own node, which saw all back ends, has left nothing."""
         await self.harness.node.stop()
         for index, worker in enumerate(self.harness.workers):
-            worker.slots = STREAMS  # Two of four hold all streams, and those of a second round.
+            worker.slots = SLOTS
             if index in self.SERVING:
                 self.list(index)
             else:
@@ -162,6 +170,21 @@
         ended.crash()
         self.harness.store.put("servers", ended.incarnation, {**successor.entry(), "seq": 2})
 
+    def age_nodes(self):
+        """Have the nodes have followed the listing for longer than a stream lasts."""
+        for node in self.nodes:
+            node.state.software_history.on_confirmed(float("-inf"), boot_time_s() - LONG_S)
+
+    def row_is_whole(self):
+        row = json.loads(self.harness.store.value(STREAMS_TABLE, VERSIONS_KEY) or "{}")
+        return row.get("whole_in_era") is not None
+
+    async def begin_others(self):
+        """Have as many other streams begin at all back ends, and go on."""
+        kept, self.round = self.round, self.round + 1
+        self.others = await self.begin_streams("/many/a", self.ports[0])
+        self.round = kept
+
     async def begin_and_kill(self, before_kill=None, after_kill=None, recorded_s=RECORDED_S):
         """Begin streams and kill all nodes; return what their callers got. Hooks are called around the kill."""
         self.round += 1
@@ -294,3 +317,41 @@
         return refused
 
     assert_not_mixed(run_streams(on_platform, scenario, ReplacedFleet, ("v1", "v1", "v2", "v2")))
+
+
+@pytest.mark.parametrize("listed", ["while no node runs", "as the nodes are killed"])
+def test_streams_of_the_only_version_go_on_though_another_was_listed_meanwhile(on_platform, listed):
+    """Guards against refusing all streams of a version that stays, since another one begins streams beside it."""
+
+    async def scenario(fleet):
+        fleet.age_nodes()
+        await fleet.harness.until(fleet.row_is_whole)
+        hooks = (None, add_others) if listed == "while no node runs" else (add_others, None)
+        begun = await fleet.begin_and_kill(*hooks)
+        await fleet.start_nodes()
+        await fleet.harness.until(lambda: all_know_each_other(fleet.nodes))
+        await fleet.begin_others()
+        return await fleet.resume(begun)
+
+    streams = run_streams(on_platform, scenario, ReplacedFleet, ("v1", "v1", "v2", "v2"))
+    assert_not_mixed(streams)
+    assert len(gone_on(streams)) >= MIN_RESUMED_RATIO * STREAMS
+
+
+def test_streams_that_begin_beside_the_only_version_are_not_taken_for_its_own_after_the_next_kill(on_platform):
+    """Guards against a row whose proof outlives the nodes that know what began since: the second kill comes before
+    the streams are written, and their version leaves in it."""
+
+    async def scenario(fleet):
+        fleet.age_nodes()
+        await fleet.harness.until(fleet.row_is_whole)
+        # The back end that stays has not room for all streams, so that some begin at the others.
+        await fleet.over_a_kill(after_kill=lambda fleet: (fleet.leave(0), fleet.list(2, 3)))
+        begun = await fleet.begin_and_kill(after_kill=lambda fleet: fleet.leave(2, 3), recorded_s=0.0)
+        await fleet.start_nodes()
+        await fleet.harness.until(lambda: all_know_each_other(fleet.nodes))
+        return await fleet.resume(begun)
+
+    streams = run_streams(on_platform, scenario, ReplacedFleet, ("v1", "v1", "v2", "v2"))
+    assert {"v2"} in versions_of(streams)
+    assert_not_mixed(streams)
--- a/tests/unit/cluster/test_stream_directory.py
+++ b/tests/unit/cluster/test_stream_directory.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 import random
 
 import msgspec
@@ -66,12 +67,17 @@
             for number in range(nodes)
         }
         self._by_address = {}
+        self._starts = itertools.count()
         self.directories = {name: self.start(name) for name in self.members}
 
     def start(self, name):
         member = self.members[name]
         directory = StreamDirectory(
-            name, Topology(member.zone), lambda: self.members, lambda service: self.versions
+            name,
+            Topology(member.zone),
+            lambda: self.members,
+            lambda service: self.versions,
+            life=f"{name}/{next(self._starts)}",
         )
         directory._transport = FakeTransport(self, member.relay)
         self._by_address[member.relay] = directory
@@ -282,6 +288,32 @@
     assert events == [1, 5]
 
 
+def test_a_node_that_is_asked_in_addition_tells_whether_it_has_lived_since():
+    """Guards against taking a node that was started again for the one that began streams."""
+
+    async def scenario():
+        network = Network(40)
+        stream = digest_of(1)
+        asking, others = network.directories["n1"], [f"n{number}" for number in range(2, 40)]
+        findings = await asking.find(stream, "svc")
+        name = next(each for each in others if network.directories[each].life not in findings.lives)
+        life = network.directories[name].life
+        await asking.ask_node(findings, name, stream, "svc")
+        lives, counts = set(findings.lives), (findings.asked, findings.answered)
+        network.restart(name)
+        again = await asking.find(stream, "svc")
+        await asking.ask_node(again, name, stream, "svc")
+        network.kill(name)
+        await asking.ask_node(again, name, stream, "svc")
+        await asking.ask_node(again, "gone", stream, "svc")
+        return life, lives, counts, again
+
+    life, lives, counts, again = run_virtual(scenario())
+    assert (life in lives, counts) == (True, (ASKED_HOLDERS + 1, ASKED_HOLDERS + 1))
+    assert life not in again.lives
+    assert (again.asked, again.answered) == (ASKED_HOLDERS + 2, ASKED_HOLDERS + 1)
+
+
 def test_a_reply_that_was_not_asked_for_is_ignored():
     async def scenario():
         network = Network(7)
--- a/tests/unit/cluster/test_stream_records.py
+++ b/tests/unit/cluster/test_stream_records.py
@@ -20,11 +20,11 @@
     READ_TIMEOUT_S,
     RECORD_TIMEOUT_S,
     STREAMS_PREFIX,
-    UNREADABLE_VERSION,
     VERSIONS_PREFIX,
     StreamRecords,
     VersionView,
 )
+from wallwell.cluster.version_rows import UNREADABLE_VERSION
 from wallwell.emulator.platform_server import TableModel
 from wallwell.storage.table import Put, Transaction
 
@@ -65,6 +65,7 @@
         self.records = StreamRecords(
             "n1", self.table, lambda: {"svc": self.view}, lambda: self.now_s, lambda: 3, random.Random(1)
         )
+        self.records.on_era(0, is_restored=False)
 
     def sees(self, *versions, is_complete=True):
         self.view = VersionView(set(versions), is_complete)
@@ -117,6 +118,44 @@
     assert (first.table.calls, {node.table.calls for node in others}) == (2, {1})
 
 
+def test_a_system_that_starts_for_the_first_time_costs_one_write_more():
+    """The second write states that nothing else has served, once a node can know; the others read that once."""
+    first = Node().sees("v1", is_complete=False).write()
+    others = [Node(first.table.model).sees("v1", is_complete=False).write(2) for _ in range(5)]
+    for node in (first, *others):
+        node.sees("v1").write(3)
+    assert first.table.model.commit == 2
+    assert (first.table.calls, {node.table.calls for node in others}) == (4, {2})
+
+
+def lives_of(*nodes):
+    return {node.records.life for node in nodes}
+
+
+def test_streams_that_nobody_knows_are_of_the_version_that_another_one_has_joined_since():
+    """Guards against refusing them although it can be proved which version began them; the proof lasts as long as
+    the node that gave it."""
+    model = Node().write().table.model
+    writer, other = young(model).sees("v1", "v2", is_complete=False), young(model)
+    assert other.records.sole_version(other.read().rows["svc"], lives_of(other)) == "v1"
+    row = writer.begin("v2") and other.read().rows["svc"]
+    assert other.records.sole_version(row, lives_of(other)) is None
+    assert other.records.sole_version(row, lives_of(other, writer)) == "v1"
+    assert other.later(400.0).records.sole_version(row, lives_of(other, writer)) is None
+
+
+def test_nothing_is_proved_by_a_node_that_has_begun_a_stream_without_the_store():
+    """Guards against a proof that passes over streams which began while the store was away."""
+    model = Node().write().table.model
+    node = young(model).sees("v1", "v2", is_complete=False)
+    node.table.down = True
+    node.begin("v2")
+    node.table.down = False
+    row = node.write().read().rows["svc"]
+    assert set(row.versions) == {"v1", "v2"}
+    assert node.records.sole_version(row, lives_of(node)) is None
+
+
 def test_the_only_version_is_known_after_all_nodes_have_ended():
     """Guards against young nodes that take the only version they see for the only one there has been."""
     ended = Node().write()
@@ -276,6 +315,16 @@
     assert (records.versions, records.software) == ({"svc": {"v1", "v2"}}, {"s1": "v1"})
 
 
+def test_what_a_row_of_an_older_copy_proved_counts_no_more():
+    """Guards against a copy from before a version served, by which its streams would be of the one before."""
+    node = Node().write()
+    row = node.read().rows["svc"]
+    assert node.records.sole_version(row, ()) == "v1"
+    node.records.on_era(1, is_restored=True)
+    assert node.records.sole_version(row, ()) is None
+    assert node.records.sole_version(node.write().read().rows["svc"], ()) == "v1"
+
+
 def test_streams_that_wait_for_the_store_are_bounded():
     node = Node().sees("v1", "v2")
     node.table.down = True
--- a/tests/unit/compatibility/test_documents_of_services.py
+++ b/tests/unit/compatibility/test_documents_of_services.py
@@ -140,6 +140,8 @@
     "rollout status row",
     "rows reply",
     "stream datagram",
+    "streams row",
+    "versions row",
     "weights progress row",
     "weights version row",
     "zone load reply",
--- a/tests/unit/compatibility/test_messages_between_nodes.py
+++ b/tests/unit/compatibility/test_messages_between_nodes.py
@@ -114,6 +114,7 @@
         ('{"type":"StreamQuery","number":3,"stream":"00112233445566778899aabbccddeeff","service":"svc"}',),
         ('{"type":"StreamReply","number":3,"software":"v1","age_s":1.5}',),
         ('{"type":"StreamReply","number":3,"versions":["v1","v2"]}',),
+        ('{"type":"StreamReply","number":3,"versions":["v1","v2"],"life":"n1/00aa11bb"}',),
     ],
 }
 """By kind: documents that are re-encoded unchanged, and pairs of a document and its re-encoding with defaults."""
--- a/tests/unit/compatibility/test_store_rows.py
+++ b/tests/unit/compatibility/test_store_rows.py
@@ -37,6 +37,19 @@
         ('{"zone":"z1","relay":"127.0.0.1:9","link_mbps":30.0}',),
         ('{"zone":"z1"}', '{"zone":"z1","relay":"","link_mbps":0.0}'),
     ],
+    "versions row": [
+        ('{"versions":["v1","v2"]}',),
+        ('{"versions":["v1"],"whole_in_era":0}',),
+        (
+            (
+                '{"versions":["v1","v2"],"whole_in_era":3,'
+                '"sole":{"version":"v1","writer":"n1/00aa11bb","until_s":1000.5}}'
+            ),
+        ),
+    ],
+    "streams row": [
+        ('{"by_version":{"v1":["00112233445566778899aabbccddeeff"]},"until_s":1000.5}',),
+    ],
     "weights progress row": [
         ('{"model":"m","loading":[["w1",3]],"finished":[["w2",3]],"named":[[3,1.5]]}',),
         ('{"model":"m","loading":[],"finished":[]}', '{"model":"m","loading":[],"finished":[],"named":[]}'),
--- a/tests/unit/serving/test_stream_origin.py
+++ b/tests/unit/serving/test_stream_origin.py
@@ -1,6 +1,7 @@
 """At which software version a stream goes on that its caller resumes, and when it is refused."""
 
 import dataclasses
+import random
 
 import pytest
 
@@ -9,6 +10,8 @@
 from tests.virtual_time import run_virtual
 from wallwell.clock import boot_time_s
 from wallwell.cluster.stream_directory import StreamDirectory, StreamFindings
+from wallwell.cluster.stream_records import Records, StreamRecords
+from wallwell.cluster.version_rows import SoleVersion, VersionsRow
 from wallwell.deployment.routes import RouteKind
 from wallwell.outcomes import Outcome
 from wallwell.serving.pipeline import RequestPipeline
@@ -25,13 +28,33 @@
         super().__init__(state.node, state.topology, dict, state.recent_versions)
         self.findings = findings
         self.asked = 0
+        self.answering = {}
+        """Starts of the nodes that answer when they are asked in addition, by name."""
 
     async def find(self, stream, service):
         self.asked += 1
         return self.findings
 
+    async def ask_node(self, findings, name, stream, service):
+        findings.asked += 1
+        if name in self.answering:
+            findings.answered += 1
+            findings.lives.add(self.answering[name])
 
-def resume(software, findings, observed_s=LONG_S, listing_age_s=0.0, unlisted=()):
+
+class FakeRecords(StreamRecords):
+    """What the store holds, without one."""
+
+    def __init__(self, state, row):
+        super().__init__(state.node, None, state.version_views, lambda: 0.0, lambda: 1, random.Random(1))
+        self.on_era(0, is_restored=False)
+        self.row = row
+
+    async def read(self):
+        return Records(rows={"svc": self.row})
+
+
+def resume(software, findings, observed_s=LONG_S, listing_age_s=0.0, unlisted=(), row=None, answering=None):
     """Resume one stream; return the reply, the versions it was sent to, and how often other nodes were asked."""
 
     async def scenario():
@@ -45,7 +68,9 @@
         for version, ago_s in unlisted:
             state.software_history.on_unlisted("svc", version, now_s - ago_s)
         directory, client, reply = FakeDirectory(state, findings), FakeClient(REST), FakeReply()
-        pipeline = RequestPipeline(state, client, stream_directory=directory)
+        directory.answering = answering or {}
+        records = None if row is None else FakeRecords(state, row)
+        pipeline = RequestPipeline(state, client, stream_directory=directory, stream_records=records)
         request = make_request(generation=make_generation(resume_after=2), first_request_id="r-0")
         await pipeline.serve(request, reply)
         return reply, [each.backend.software for each in client.sent], directory.asked, pipeline.counters
@@ -112,3 +137,47 @@
     assert "v0" in reply.error.detail
     assert reply.error.retry_after_ms > 0
     assert versions == []
+
+
+JOINED = VersionsRow(["v1", "v2"], 0, SoleVersion("v1", "n7/a", 14.0))
+
+
+def both_versions(answered=4):
+    return StreamFindings(None, versions={"v1", "v2"}, asked=4, answered=answered)
+
+
+@pytest.mark.parametrize(
+    ("row", "answering"),
+    [(VersionsRow(["v1"], 0), {}), (JOINED, {"n7": "n7/a"})],
+    ids=["names one version", "another one has joined it"],
+)
+def test_a_stream_that_nobody_knows_goes_on_at_the_version_that_must_have_begun_it(row, answering):
+    found = both_versions()
+    reply, versions, _, _ = resume(["v2"] * 5 + ["v1"], found, observed_s=1.0, row=row, answering=answering)
+    assert (reply.status, versions, found.known_by) == (200, ["v1"], "the store")
+
+
+@pytest.mark.parametrize(
+    "case",
+    [
+        {"row": VersionsRow(["v1"])},
+        {"row": JOINED},
+        {"row": JOINED, "answering": {"n7": "n7/b"}},
+        {"row": JOINED, "answering": {"n7": "n7/a"}, "observed_s": LONG_S},
+        {"row": JOINED, "answering": {"n7": "n7/a"}, "findings": both_versions(answered=3)},
+        {"row": VersionsRow(["v1"], 0), "findings": both_versions(answered=3)},
+    ],
+    ids=[
+        "row of a first start",
+        "writer gone",
+        "writer started again",
+        "this node has not started lately",
+        "a node that was asked may know it",
+        "a node that was asked may know it, and one version is named",
+    ],
+)
+def test_a_stream_that_nobody_knows_is_refused_without_proof_of_its_version(case):
+    """Guards against streams that began lately at the other version, at a node that has ended or is cut off."""
+    given = {"findings": both_versions(), "observed_s": 1.0, **case}
+    reply, versions, _, _ = resume(["v1", "v2"], **given)
+    assert (reply.status, reply.error.code, versions) == (503, "WW3022", [])
--- a/tests/wire_subjects.py
+++ b/tests/wire_subjects.py
@@ -37,7 +37,9 @@
 )
 from wallwell.cluster.row_messages import RelayedRow, RowsReply, reply_with_rows, unpack_rows
 from wallwell.cluster.stream_messages import decode_stream_message
+from wallwell.cluster.stream_records import StreamsRow
 from wallwell.cluster.upstream import NodeRecord
+from wallwell.cluster.version_rows import VersionsRow
 from wallwell.deployment.backends import BackendRecord
 from wallwell.deployment.store_era import UNKNOWN_ERA, StorePosition
 from wallwell.errors import RequestError, SettingsError, WallwellError, all_error_types
@@ -100,6 +102,8 @@
     "configuration head row": HeadBody,
     "configuration revision row": FileRevision,
     "member row": NodeRecord,
+    "versions row": VersionsRow,
+    "streams row": StreamsRow,
     "weights progress row": LoadProgress,
     "rollout record row": RolloutRecord,
     "rollout status row": rows.RolloutStatusRow,
