Count a connection that ends before anything is sent as not made

What callers saw: an unsafe request ended with 504 (unknown) although nothing had been sent for it.

Cause: a process that ends may accept a connection and reset it at once. The request was then refused by the connection ("closed before sending"), which counted like one that ended after sending.

Change: a new connection is looked at before it is given out. One that has ended is a connection that could not be made, so that the request may be sent elsewhere.

Measured: a connection closed or reset as soon as it is accepted, asyncio and uvloop: before "may have run" in 4 of 4, after not connected in 4 of 4.

--- a/src/wallwell/http_connection.py
+++ b/src/wallwell/http_connection.py
@@ -18,7 +18,7 @@
 from wallwell.backend_connection import BackendConnection, ConnectionBrokenError
 from wallwell.clock import boot_time_s, time_limit
 from wallwell.discarded_answers import DiscardedAnswers
-from wallwell.socket_options import enable_keepalive, has_unread_bytes
+from wallwell.socket_options import enable_keepalive, has_hung_up, has_unread_bytes
 from wallwell.task_wait import is_done_within
 
 __all__ = ["BackendConnection", "ConnectFailedError", "ConnectionBrokenError", "ConnectionPool", "PortCheck"]
@@ -78,10 +78,17 @@
     async def acquire(self, address: str, request_id: str, has_body: bool = True) -> BackendConnection:
         """Return a connection to ``IP:PORT``, idle or new, that may carry the request id.
 
-        ``has_body``: whether the answer has a body. Raises :class:`ConnectFailedError`.
+        ``has_body``: whether the answer has a body. Raises :class:`ConnectFailedError`, also if the back end has
+        closed a new connection at once.
         """
         idle = self._take_idle(address, request_id, has_body)
-        return idle if idle is not None else await self._connect(address, self._connect_timeout_s)
+        if idle is not None:
+            return idle
+        connection = await self._connect(address, self._connect_timeout_s)
+        if has_hung_up(connection.transport):
+            connection.close()
+            raise ConnectFailedError(False, "closed as soon as it was open")
+        return connection
 
     async def fetch(
         self,
--- a/tests/unit/test_http_connection.py
+++ b/tests/unit/test_http_connection.py
@@ -472,3 +472,26 @@
         server.close()
 
     run_async(work(), new_loop)
+
+
+@pytest.mark.parametrize("new_loop", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uvloop"])
+@pytest.mark.parametrize("act", [end_by_close, end_by_reset])
+def test_a_connection_that_ends_before_anything_is_sent_counts_as_not_made(run_async, act, new_loop, monkeypatch):
+    """A request was written to it and ended as unknown, though nothing can have reached the back end."""
+    connect = ConnectionPool._connect
+
+    async def work():
+        server, pool = BlockingServer(), ConnectionPool("X-Id", connect_timeout_s=5.0, user_timeout_s=5.0)
+
+        async def connect_and_end(pool, address, timeout_s):
+            connection = await connect(pool, address, timeout_s)
+            act(server.accept())
+            wait_until_readable(connection)
+            return connection
+
+        monkeypatch.setattr(ConnectionPool, "_connect", connect_and_end)
+        with pytest.raises(ConnectFailedError):
+            await fetch(pool, server.address)
+        server.close()
+
+    run_async(work(), new_loop)
