--- a/tests/platform/stopping_router.py
+++ b/tests/platform/stopping_router.py
@@ -10,10 +10,8 @@
 import contextlib
 import enum
 import itertools
-import os
 import random
 import signal
-import sys
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -21,10 +19,9 @@
 
 from tests.platform.conftest import HOST, config, route
 from tests.platform.fakes import FakeStore, FakeWorker
-from tests.platform.test_stop import ROOT, SETTINGS, START, free_ports, until_ready
+from tests.platform.router_process import SETTINGS, START, free_ports, start_router, until_ready
 from tests.unit.serving.fakes import event
 from wallwell.clock import boot_time_s
-from wallwell.platform.names import SETTINGS_VARIABLE
 
 EVENT_INTERVAL_S = 0.08
 EVENT_COUNTS = (15, 62)
@@ -182,13 +179,7 @@
         )
         log = tmp_path / "log"
         with log.open("wb") as stderr:
-            process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-c",
-                start_busy_for(self._busy_s),
-                env={**os.environ, SETTINGS_VARIABLE: str(path), "PYTHONPATH": str(ROOT / "src")},
-                stderr=stderr,
-            )
+            process = await start_router(path, start_busy_for(self._busy_s), stderr)
         try:
             await until_ready(ready)
             self._front = front
--- a/tests/platform/test_readiness_in_a_stop.py
+++ b/tests/platform/test_readiness_in_a_stop.py
@@ -3,15 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
-import sys
 
 from tests.platform.conftest import HOST, config, route
 from tests.platform.fakes import FakeStore, FakeWorker
-from tests.platform.test_stop import ROOT, SETTINGS, START, free_ports, until_ready
+from tests.platform.router_process import SETTINGS, free_ports, start_router, until_ready
 from wallwell.clock import boot_time_s
-from wallwell.platform.names import SETTINGS_VARIABLE
 
 GRACE_S = 4.0
 CHECK_S = 1.0
@@ -59,13 +56,7 @@
         path = tmp_path / "settings.toml"
         settings = SETTINGS.format(front=front, ready=ready, peer=peer, store=store.address, grace_s=GRACE_S)
         path.write_text(settings.replace("[listen]", f'metrics = "{metrics}/ready"\n[listen]'))
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-c",
-            START,
-            env={**os.environ, SETTINGS_VARIABLE: str(path), "PYTHONPATH": str(ROOT / "src")},
-            stderr=asyncio.subprocess.DEVNULL,
-        )
+        process = await start_router(path)
         try:
             await until_ready(ready)
             _, writer = await asyncio.open_connection("127.0.0.1", front)
--- a/tests/platform/test_stop.py
+++ b/tests/platform/test_stop.py
@@ -6,7 +6,6 @@
 import contextlib
 import os
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -17,15 +16,13 @@
 
 from tests.platform.conftest import HOST, config, route
 from tests.platform.fakes import FakeStore, FakeWorker
+from tests.platform.router_process import ROOT, SETTINGS, START, free_ports, start_router, until_ready
 from wallwell.clock import boot_time_s
 from wallwell.events import Event
 from wallwell.platform import stop_deadline
-from wallwell.platform.names import SETTINGS_VARIABLE
 from wallwell.platform.stop_deadline import exit_within
 
 GRACE_S = 3.0
-ROOT = Path(__file__).parents[2]
-START = "from wallwell.platform.main import main; import sys; sys.exit(main())"
 HANGING_STOP = f"""
 import asyncio, threading, time
 from wallwell.node.node import FleetNode
@@ -63,43 +60,6 @@
 sys.modules["wallwell.kept"] = SlowToTakeApart()
 {START}
 """
-SETTINGS = """
-node = "n1"
-zone = "z1"
-ip = "127.0.0.1"
-port_range = [{peer}, {peer}]
-[listen]
-front = "127.0.0.1:{front}"
-ready = "127.0.0.1:{ready}"
-[provider]
-addr = "{store}"
-[bounds]
-grace_s = {grace_s}
-strict_revoke = true
-"""
-
-
-def free_ports(count):
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
-async def until_ready(port):
-    async with asyncio.timeout(30):
-        while True:
-            try:
-                reader, writer = await asyncio.open_connection("127.0.0.1", port)
-                writer.write(b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-                status = await reader.readline()
-                writer.close()
-                if b"200" in status:
-                    return
-            except OSError:
-                pass
-            await asyncio.sleep(0.05)
 
 
 class LifeWatch(threading.Thread):
@@ -161,13 +121,7 @@
         front, ready, peer = free_ports(3)
         path = tmp_path / "settings.toml"
         path.write_text(SETTINGS.format(front=front, ready=ready, peer=peer, store=store.address, grace_s=GRACE_S))
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-c",
-            code,
-            env={**os.environ, SETTINGS_VARIABLE: str(path), "PYTHONPATH": str(ROOT / "src")},
-            stderr=asyncio.subprocess.DEVNULL,
-        )
+        process = await start_router(path, code)
         connections = []
         try:
             await until_ready(ready)
