Soak: an attempt that a silent worker begins after its request has ended is not its last

Runs that begin after the end of the answer no longer count as the last one; the worker that broke off excuses.

--- a/tests/unit/soak/test_invariants_stops.py
+++ b/tests/unit/soak/test_invariants_stops.py
@@ -97,6 +97,12 @@
         *stream(sent_s=-1.0, cut_s=5.0, runs_until_s=5.3),
         began(worker="engine-1.1", at_s=TERM_S + 4.5),
     ],
+    "its last worker crashed, and the one before, which stands still, begins late": [
+        *stream(sent_s=-1.0, cut_s=5.0)[:2],
+        answered(worker="engine-0.1", at_s=TERM_S + 5.0, events=(1,), whole=False),
+        began(worker="engine-1.1", at_s=TERM_S + 5.5),
+        Ended(TERM_S + 5.51, "r", "engine-1.1", 0),
+    ],
     "its worker crashed, and the one before had ended": [
         *stream(sent_s=1.0, cut_s=5.0, runs_until_s=4.0),
         began(worker="engine-1.1", at_s=TERM_S + 3.5),
