--- a/tests/unit/compatibility/test_metrics_and_commands.py
+++ b/tests/unit/compatibility/test_metrics_and_commands.py
@@ -122,6 +122,7 @@
         "--group-silences nargs=0 default=False",
         "--instances type=int default=2",
         "--keep type=Path",
+        "--kept-connections nargs=0 default=False",
         "--nodes type=int default=3",
         "--print-schedule nargs=0 default=False",
         "--rate type=float default=40.0",
