An answer without a length is whole only if something shows that its process lives

Cause: the answer was too young for a sentinel, and the port was neither accepting nor refusing: the connection was reset as it opened, which a system does whose process is ending. check_port returned at once, and what is not shown dead counted as alive.

Change: such a port is asked once more after the wait; without a sentinel, a process that accepted no connection is not believed to live. The standalone router's services likewise. The table's row (no sentinel, no evidence: lives) asked for the fault; three rows replace it, and a test over all evidence.

--- a/src/wallwell/http_connection.py
+++ b/src/wallwell/http_connection.py
@@ -153,7 +153,10 @@
             try:
                 connection = await self._connect(address, self._connect_timeout_s)
             except ConnectFailedError as error:
-                return PortCheck(accepted_at_once, error.refused)
+                if error.refused or error.timed_out:
+                    return PortCheck(accepted_at_once, error.refused)
+                await asyncio.sleep(reset_wait_s)  # Reset while it was being opened.
+                continue
             accepted_at_once = True
             await asyncio.sleep(reset_wait_s)
             if not connection.closed:
--- a/src/wallwell/platform/unframed_end.py
+++ b/src/wallwell/platform/unframed_end.py
@@ -132,6 +132,7 @@
         return EndEvidence(
             sentinel=_sentinel_state(sentinel),
             port_refuses=port.refuses,
+            port_accepted=port.accepted_at_once,
             outlived_answer=outlived,
             is_read_late=unread_since_s is not None,
             is_leaving=status.is_leaving,
--- a/src/wallwell/routing/health/answer_end.py
+++ b/src/wallwell/routing/health/answer_end.py
@@ -5,7 +5,8 @@
 
 - A sentinel, which is another connection to the process, opened while it certainly lived. It ends with the process.
 - The process's port, which refuses connections once the process has ended. Another process may listen there by
-  then, so the port shows something only if it is asked in the moment of the close.
+  then, so the port shows something only if it is asked in the moment of the close. A port that neither accepts nor
+  refuses a connection shows nothing.
 
 A process that leaves as planned may end right after its last answer. It then outlives the answer by a moment, or
 its entry is removed at once. The entry of one that was killed remains for some heartbeats.
@@ -49,7 +50,7 @@
     LEFT_AS_PLANNED = (True, "the process left as planned")
     PROCESS_ENDED = (False, "the process has ended")
     PROCESS_REPLACED = (False, "another process has taken the place of the one that answered")
-    NOT_SHOWN = (False, "the close was read late, and nothing shows that the process lived on after it")
+    NOT_SHOWN = (False, "nothing shows that the process lived on after the close")
 
     @property
     def is_whole(self) -> bool:
@@ -69,6 +70,8 @@
     sentinel: SentinelState
     port_refuses: bool
     """Whether the port refused a connection in the end."""
+    port_accepted: bool = False
+    """Whether the port accepted a connection at first."""
     outlived_answer: bool = False
     """Whether the process was seen alive after the close, although it may have ended since."""
     is_read_late: bool = False
@@ -85,7 +88,7 @@
         return EndVerdict.PROCESS_REPLACED
     if evidence.port_refuses or evidence.sentinel is SentinelState.ENDED:
         return EndVerdict.LEFT_AS_PLANNED if _has_left_as_planned(evidence) else EndVerdict.PROCESS_ENDED
-    if evidence.is_read_late and evidence.sentinel is SentinelState.NONE:
+    if evidence.sentinel is SentinelState.NONE and (evidence.is_read_late or not evidence.port_accepted):
         return EndVerdict.NOT_SHOWN
     return EndVerdict.PROCESS_LIVES
 
--- a/src/wallwell/standalone/backends/service_client.py
+++ b/src/wallwell/standalone/backends/service_client.py
@@ -93,13 +93,13 @@
         return self._check_response(response, body, call)
 
     async def _check_end(self, address: str) -> None:
-        """Raise :class:`AttemptFailed` if the process that closed an answer without a length has ended.
+        """Raise :class:`AttemptFailed` unless the process that closed an answer without a length lives.
 
         Its system closes the connections of a process that was killed as that does which has sent everything.
         """
         port = await self._ports.check_port(address)
-        if port.refuses:
-            raise AttemptFailed(TransportEvent.RESET_AFTER_SEND, "the service's process has ended")
+        if port.refuses or not port.accepted_at_once:
+            raise AttemptFailed(TransportEvent.RESET_AFTER_SEND, "nothing shows that the service's process lives")
 
     def _check_response(self, response: aiohttp.ClientResponse, body: bytes, call: ServiceCall) -> ServiceAnswer:
         backoff_s = _requested_backoff_s(response)
--- a/tests/unit/routing/health/test_answer_end.py
+++ b/tests/unit/routing/health/test_answer_end.py
@@ -23,7 +23,9 @@
 
 TABLE = [
     # sentinel, port refuses, other evidence, verdict
-    (NONE, False, {}, LIVES),
+    (NONE, False, {}, UNKNOWN),
+    (NONE, False, {"port_accepted": True}, LIVES),
+    (NONE, False, {"port_accepted": True, "is_read_late": True}, UNKNOWN),
     (NONE, False, {"is_read_late": True}, UNKNOWN),
     (NONE, False, {"is_read_late": True, "is_leaving": True}, UNKNOWN),
     (NONE, True, {}, DEAD),
@@ -55,7 +57,7 @@
 
 
 def all_evidence():
-    for sentinel, *flags in itertools.product(SentinelState, *[(False, True)] * 6):
+    for sentinel, *flags in itertools.product(SentinelState, *[(False, True)] * 7):
         yield EndEvidence(sentinel, *flags)
 
 
@@ -66,6 +68,12 @@
             assert not judge_end(evidence).is_whole
 
 
+def test_a_process_is_believed_to_live_only_if_something_shows_it():
+    for evidence in all_evidence():
+        if evidence.sentinel is NONE and not evidence.port_accepted:
+            assert judge_end(evidence) is not LIVES
+
+
 def test_the_removal_of_the_entry_is_awaited_only_where_it_decides():
     for evidence in all_evidence():
         unlisted = EndEvidence(**{**evidence.__dict__, "is_unlisted_at_end": True})
--- a/tests/unit/test_http_connection.py
+++ b/tests/unit/test_http_connection.py
@@ -19,7 +19,7 @@
 
 from tests.repeating_server import RepeatingServer
 from wallwell.backend_connection import MAX_IDS, ConnectionBrokenError
-from wallwell.http_connection import ConnectFailedError, ConnectionPool
+from wallwell.http_connection import ConnectFailedError, ConnectionPool, PortCheck
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 PAUSE = object()
@@ -419,6 +419,29 @@
     assert run_async(work(), loop_factory)
 
 
+@pytest.mark.parametrize(
+    ("second", "expected"),
+    [
+        (ConnectFailedError(False, "ConnectionRefusedError", refused=True), PortCheck(False, True)),
+        (ConnectFailedError(False, "ConnectionResetError"), PortCheck(False, False)),
+    ],
+    ids=["then refuses", "resets again"],
+)
+def test_a_port_that_resets_a_connection_as_it_opens_is_asked_again(run_async, monkeypatch, second, expected):
+    """Guards against taking the port of a process that is ending for one that lives."""
+    failures = [ConnectFailedError(False, "ConnectionResetError"), second]
+
+    async def connect(_address, _timeout_s):
+        raise failures.pop(0)
+
+    async def work():
+        pool = ConnectionPool("X-Id", 1.0, 1.0)
+        monkeypatch.setattr(pool, "_connect", connect)
+        return await pool.check_port("127.0.0.1:1", 0.01)
+
+    assert run_async(work()) == expected
+
+
 class BlockingServer:
     """Accepts connections outside the event loop, so that the loop has not read what happens to them."""
 
