An answer whose status line HTTP does not allow is no answer

Callers saw: a worker in trouble answered with the status 000, and the caller got it as an answer, with the worker's seal. 001 to 099, 600 to 999 and the versions HTTP/0.9, HTTP/2.0 and RTSP/1.0 came through as well; after a 101 that nobody had asked for, the caller waited for its deadline or got what followed.

Cause: whether bytes are an answer was decided by aiohttp's parser, which is made lenient for answers: of a status it checks that there are three digits, and its compiled and its Python form differ in what they take.

Change: answer_head.py decides, without I/O, line by line as the head arrives. A connection checks a head before its parser sees the end of it (answer_boundaries.py finds where heads and bodies begin, since answers to other requests may come first). What is no answer ends the attempt at once like any bytes that are none: it may have run, so only what may be repeated goes on elsewhere; nothing else that such a head states is believed (not run, leaving, limit, back-off, keep-alive); the connection is closed, and the worker's health counts a failure. 3008 and wallwell_answers_discarded_total say so with the reason "not an HTTP answer" and the line, escaped and bounded.

--- a/src/wallwell/answer_bounds.py
+++ b/src/wallwell/answer_bounds.py
@@ -21,6 +21,9 @@
 MAX_UNUSED_MESSAGES = 32
 """Interim and discarded answers of a round trip. Each takes far more processor time than its few bytes say."""
 
+MAX_PIECES_PER_READ = 256
+"""Heads, bodies and parts of bodies before the awaited head that are parsed of one read: each takes a call."""
+
 
 class AnswerTooLargeError(Exception):
     """An answer has more bytes than any may have."""
--- /dev/null
+++ b/src/wallwell/answer_head.py
@@ -0,0 +1,95 @@
+"""Decides whether received bytes are the head of an HTTP/1.1 answer, by RFC 9112 and RFC 9110. No I/O.
+
+Parsers take more for an answer than the protocol allows, and differ in what. So every connection checks a head with
+:class:`HeadCheck` before its parser sees the end of it, and nothing that a malformed head states is believed.
+"""
+
+from __future__ import annotations
+
+import re
+from http import HTTPStatus
+
+LINE_END = b"\r\n"
+EXCERPT_BYTES = 60
+"""Bytes of a malformed line that are logged."""
+MIN_FINAL_STATUS = 200
+"""Lowest status of a final answer; those below are of interim ones."""
+MAX_STATUS = 599
+"""Highest status that has a class."""
+
+_TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
+"""Reason phrases and values of fields: no control byte but the tab."""
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: " + _TEXT + rb")?")
+_STATUSES_WITHOUT_BODY = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+
+
+class MalformedAnswerError(Exception):
+    """Received bytes are no HTTP answer."""
+
+    def __init__(self, reason: str, received: bytes = b"") -> None:
+        """``received`` is what is malformed; its beginning is quoted in the message, with escapes."""
+        quoted = f": {received[:EXCERPT_BYTES]!r}" if received else ""
+        super().__init__(f"{reason}{quoted}")
+
+
+class HeadCheck:
+    """Checks the head of one answer as it arrives."""
+
+    def __init__(self) -> None:
+        self.is_complete = False
+        self.status = 0
+        """0 until the status line has arrived."""
+        self.content_length: int | None = None
+        """Stated length of the body in bytes; None if none is stated."""
+        self.is_chunked = False
+        self._partial_line = b""
+
+    @property
+    def is_interim(self) -> bool:
+        """Whether another answer follows, which is the one to the request."""
+        return 0 < self.status < MIN_FINAL_STATUS
+
+    @property
+    def has_body(self) -> bool:
+        """Whether an answer with this head has a body, unless it answers HEAD."""
+        return not self.is_interim and self.status not in _STATUSES_WITHOUT_BODY and self.content_length != 0
+
+    def feed(self, data: bytes, start: int = 0) -> int:
+        """Check what ``data`` has of the head from ``start``; return where the head ends in it, its length if the
+        head goes on. Raises :class:`MalformedAnswerError` as soon as a line is malformed."""
+        unchecked = self._partial_line + data[start:]
+        line_start = 0
+        while (line_end := unchecked.find(LINE_END, line_start)) >= 0:
+            line = unchecked[line_start:line_end]
+            line_start = line_end + len(LINE_END)
+            if not line and self.status:
+                self._end_head()
+                return len(data) - (len(unchecked) - line_start)
+            self._check_line(line)
+        self._partial_line = unchecked[line_start:]
+        return len(data)
+
+    def _check_line(self, line: bytes) -> None:
+        if self.status:
+            self._read_field(line)
+        else:
+            self._check_status_line(line)
+
+    def _check_status_line(self, line: bytes) -> None:
+        match = _STATUS_LINE.fullmatch(line)
+        if match is None:
+            raise MalformedAnswerError("no status line", line)
+        self.status = int(match[1])
+        if self.status == HTTPStatus.SWITCHING_PROTOCOLS:
+            raise MalformedAnswerError("change of the protocol that was not asked for")
+
+    def _read_field(self, line: bytes) -> None:
+        name, _, value = line.partition(b":")
+        match name.strip().lower():
+            case b"content-length" if value.strip().isdigit():
+                self.content_length = int(value)
+            case b"transfer-encoding":
+                self.is_chunked = True
+
+    def _end_head(self) -> None:
+        self.is_complete = True
--- a/src/wallwell/backend_connection.py
+++ b/src/wallwell/backend_connection.py
@@ -3,7 +3,8 @@
 aiohttp's session hides what the request pipeline must know: whether a request can have reached the back end,
 whether a body without a length ended cleanly or by a reset, and whether bytes arrived that belong to no request.
 Here each round trip matches its answer by request id, answers to other requests are discarded, and a connection
-that received unexpected bytes is not reused. A back end may send an answer a second time, at any later moment, and
+that received unexpected bytes is not reused. :mod:`wallwell.answer_head` checks heads, since the parser takes more
+for an answer than the protocol allows. A back end may send an answer a second time, at any later moment, and
 all attempts of a request have the same id. So a connection carries each id only once, and an answer with that id
 belongs to that one sending. :mod:`wallwell.http_connection` opens, pools and closes connections.
 """
@@ -20,7 +21,9 @@
 from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD, StreamReader
 
-from wallwell.answer_bounds import MAX_UNUSED_MESSAGES, RoundTripBounds
+from wallwell.answer_boundaries import AnswerBoundaries
+from wallwell.answer_bounds import MAX_PIECES_PER_READ, RoundTripBounds
+from wallwell.answer_head import MIN_FINAL_STATUS, MalformedAnswerError
 from wallwell.clock import boot_time_s
 from wallwell.discarded_answers import Discarded, DiscardReason
 from wallwell.read_gaps import ReadGaps
@@ -30,7 +33,6 @@
 and little memory for each of some hundred connections."""
 MAX_HEADER_BYTES = 32 * 1024
 """Maximum bytes of a status line or a header, the same as for callers' requests."""
-HEAD_END = b"\r\n\r\n"
 DEFAULT_MAX_IDLE_S = 4.0
 """Seconds for which an idle connection may be reused if the back end states no keep-alive time-out: less than the
 five seconds after which many servers close idle connections."""
@@ -68,6 +70,7 @@
         self._expected_id: str | None = None
         self._head: asyncio.Future[RawResponseMessage] | None = None
         """Resolves to the answer's head; None outside a round trip."""
+        self._boundaries = AnswerBoundaries(has_body=True)
         self._payload: StreamReader | None = None
         self._is_dropping = False
         self._discarded_body: StreamReader | None = None
@@ -158,6 +161,7 @@
         self._body_ends_at_close = False
         self._body_error = ""
         self._bounds = RoundTripBounds()
+        self._boundaries = AnswerBoundaries(has_body)
         if not has_body:
             self._must_close = True
         self._parser = self._new_parser(has_body)
@@ -229,35 +233,44 @@
             return
         if data:  # Empty when reading goes on after a pause.
             self._read_gaps.on_read(boot_time_s())
+        try:
+            self._parse_pieces(data)
+        except MalformedAnswerError as error:
+            self._reject(str(error))
+
+    def _parse_pieces(self, data: bytes) -> None:
+        """Parse bytes of a round trip, up to one boundary between heads and bodies at a time.
+
+        The parser forgets the answers in its input if something after them is none, so that a whole answer would be
+        lost with the bytes that follow it. Raises :class:`MalformedAnswerError`.
+        """
         start = 0
-        for _ in range(MAX_UNUSED_MESSAGES):
-            end = self._end_of_head(data, start)
-            self._parse(data[start:end])
+        for _ in range(MAX_PIECES_PER_READ):
+            end, may_hold_head = len(data), True
+            if self._awaits_head():
+                may_hold_head = not self._boundaries.is_in_body
+                end = self._boundaries.next_end(data, start)
+            self._parse(data[start:end], may_hold_head)
             if end == len(data) or self._parser is None or self.closed:
                 return
             start = end
-        self._parse(data[start:])
+        raise MalformedAnswerError("more heads and bodies than precede an answer")
 
-    def _end_of_head(self, data: bytes, start: int) -> int:
-        """Return where the next head in ``data`` ends, if the answer's head is awaited; else the end of ``data``.
+    def _awaits_head(self) -> bool:
+        return self._head is not None and not self._head.done()
 
-        The parser forgets the answers in its input if something after them is none, so that a whole answer would be
-        lost with the bytes that follow it.
-        """
-        if self._head is None or self._head.done():
-            return len(data)
-        found = data.find(HEAD_END, start)
-        return len(data) if found < 0 else found + len(HEAD_END)
+    def _parse(self, data: bytes, may_hold_head: bool) -> None:
+        """Parse bytes of a round trip; ``may_hold_head``: whether a checked head may end in them.
 
-    def _parse(self, data: bytes) -> None:
-        """Parse bytes of a round trip."""
+        Raises :class:`MalformedAnswerError`.
+        """
         assert self._parser is not None
         try:
             messages, upgraded, _ = self._parser.feed_data(data)
         except Exception as error:
-            self._fail(ConnectionBrokenError(f"not an HTTP answer: {type(error).__name__}"))
-            self.close()
-            return
+            raise MalformedAnswerError(type(error).__name__, data) from error
+        if messages and not may_hold_head:
+            raise MalformedAnswerError("no boundary before a head", data)
         if upgraded:
             self._must_close = True
         for message, payload in messages:
@@ -265,11 +278,16 @@
         self._drop_discarded_body()
         self._bounds.on_received(len(data))
         if self._bounds.is_exceeded(self._payload, self._discarded_body):
-            self._fail(ConnectionBrokenError("more bytes than an answer has, and none that end it"))
-            self.close()
+            raise MalformedAnswerError("more bytes than an answer has, and none that end it")
+
+    def _reject(self, detail: str) -> None:
+        """Close the connection, since received bytes are no answer; what was whole before them stays whole."""
+        self._report_discarded(DiscardReason.NOT_AN_ANSWER, detail=detail)
+        self._fail(ConnectionBrokenError(f"not an HTTP answer: {detail}"))
+        self.close()
 
     def _on_message(self, message: RawResponseMessage, payload: StreamReader) -> None:
-        if 100 <= message.code < 200:
+        if message.code < MIN_FINAL_STATUS:
             self._bounds.on_unused_message()
             return  # An interim (1xx) answer; the final answer follows.
         head = self._head
@@ -321,6 +339,7 @@
     def _forget_discarded_body(self) -> None:
         if self._discarded_body is not None:
             self._bounds.on_discarded_body(self._discarded_body)
+            self._boundaries.on_body_ended()
         self._discarded_body = None
 
     def _discard(self, reason: DiscardReason, message: RawResponseMessage, payload: StreamReader) -> None:
@@ -331,9 +350,11 @@
         self._discarded_body = payload
         self._report_discarded(reason, message.headers.get(self._id_header, ""), message.code)
 
-    def _report_discarded(self, reason: DiscardReason, answer_id: str = "", status: int = 0) -> None:
+    def _report_discarded(
+        self, reason: DiscardReason, answer_id: str = "", status: int = 0, detail: str = ""
+    ) -> None:
         expected_id = self._expected_id or ""
-        self._on_discarded(Discarded(reason, self.number, self.round_trips, expected_id, answer_id, status))
+        self._on_discarded(Discarded(reason, self.number, self.round_trips, expected_id, answer_id, status, detail))
 
     def _read_keep_alive(self, keep_alive: str) -> None:
         for parameter in keep_alive.split(","):
--- a/src/wallwell/discarded_answers.py
+++ b/src/wallwell/discarded_answers.py
@@ -26,6 +26,7 @@
     OUTSIDE_A_ROUND_TRIP = "bytes outside a round trip"
     SECOND_ANSWER = "second answer in a round trip"
     ANOTHER_REQUEST = "answer to another request"
+    NOT_AN_ANSWER = "not an HTTP answer"
 
 
 class Discarded(msgspec.Struct, frozen=True):
@@ -42,6 +43,8 @@
     """Id that the discarded answer carried; empty if it carried none or was no answer."""
     status: int = 0
     """Status of the discarded answer; 0 if the bytes were not read as an answer."""
+    detail: str = ""
+    """Why the bytes are no answer, and the first of them with escapes; empty for answers."""
 
 
 class DiscardedAnswers:
@@ -72,6 +75,7 @@
             expected_id=discarded.expected_id,
             answer_id=discarded.answer_id,
             status=discarded.status,
+            detail=discarded.detail,
             more=self._unlogged.pop(address, 0),
         )
 
--- /dev/null
+++ b/tests/unit/test_answer_head.py
@@ -0,0 +1,133 @@
+"""What is the head of an HTTP/1.1 answer (RFC 9112, RFC 9110), form by form and byte by byte."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http_parser import HttpResponseParser, HttpResponseParserPy
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wallwell.answer_head import EXCERPT_BYTES, HeadCheck, MalformedAnswerError
+
+OK = b"HTTP/1.1 200 OK\r\n"
+END = b"X-Last: z\r\n\r\n"
+
+SOUND = {
+    "no field": OK + b"\r\n",
+    "length": OK + b"Content-Length: 5\r\n\r\n",
+    "length without blanks": OK + b"Content-Length:5\r\n\r\n",
+    "length among blanks": OK + b"content-length: \t5 \t\r\n\r\n",
+    "length with zeros": OK + b"Content-Length: 0005\r\n\r\n",
+    "chunks": OK + b"Transfer-Encoding: Chunked\r\n\r\n",
+    "HTTP/1.0": b"HTTP/1.0 200 OK\r\n" + END,
+    "no reason": b"HTTP/1.1 200 \r\n" + END,
+    "no reason nor blank": b"HTTP/1.1 200\r\n" + END,
+    "reason of any text": b"HTTP/1.1 200 \xe9\t so-so: 7\r\n" + END,
+    "empty value": OK + b"X-A:\r\n" + END,
+    "value with a colon": OK + b"X-A: b: c\r\n" + END,
+    "interim": b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
+    "interim with an empty body": b"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n",
+    "no content": b"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+    "not modified, with a length": b"HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
+    **{f"status {status}": b"HTTP/1.1 %d S\r\n" % status + END for status in (102, 200, 299, 300, 421, 500, 599)},
+}
+"""Heads that are whole; rare ones among them."""
+
+
+def status_line(line):
+    return line + b"\r\n" + END
+
+
+NO_STATUSES = b"000,001,012,099,600,999,2,20,2000,0200,-20,+20,2x0,OK,,\xb2\xb0\xb0".split(b",")
+NO_VERSIONS = b"HTTP/0.9,HTTP/1.2,HTTP/2.0,HTTP/2,HTTP/11,HTTP/1.10,http/1.1,RTSP/1.0,ICY, HTTP/1.1,".split(b",")
+MALFORMED = {
+    **{f"status {status!r}": status_line(b"HTTP/1.1 " + status + b" OK") for status in NO_STATUSES},
+    **{f"version {version!r}": status_line(version + b" 200 OK") for version in NO_VERSIONS},
+    "tab behind the version": status_line(b"HTTP/1.1\t200 OK"),
+    "two blanks behind the version": status_line(b"HTTP/1.1  200 OK"),
+    "tab behind the status": status_line(b"HTTP/1.1 200\tOK"),
+    "reason at the status": status_line(b"HTTP/1.1 200OK"),
+    "carriage return in the reason": status_line(b"HTTP/1.1 200 O\rK"),
+    "empty line before the answer": b"\r\n" + OK + END,
+}
+
+
+def check(*pieces):
+    """Return the check after it was fed the pieces, and where the head ends in the last of them."""
+    head = HeadCheck()
+    end = 0
+    for piece in pieces:
+        assert not head.is_complete
+        end = head.feed(piece)
+    return head, end
+
+
+def is_head(data):
+    try:
+        head, end = check(data)
+    except MalformedAnswerError:
+        return False
+    assert head.is_complete and end == len(data)
+    return True
+
+
+@pytest.mark.parametrize("form", SOUND)
+def test_sound_head_is_taken_and_its_end_found(form):
+    head, end = check(SOUND[form] + b"body\r\n\r\n")
+    assert head.is_complete
+    assert end == len(SOUND[form])
+
+
+@pytest.mark.parametrize("form", MALFORMED)
+def test_malformed_head_is_no_answer(form):
+    assert not is_head(MALFORMED[form])
+
+
+@pytest.mark.parametrize("status", range(1000))
+def test_statuses_are_those_of_a_class(status):
+    """Guards against a status of 000 that reaches a caller."""
+    assert is_head(b"HTTP/1.1 %03d S\r\n\r\n" % status) == (100 <= status <= 599 and status != 101)
+
+
+@pytest.mark.parametrize("parser_type", [HttpResponseParser, HttpResponseParserPy])
+@pytest.mark.parametrize("form", SOUND)
+def test_parsers_read_what_the_check_takes(run_async, parser_type, form):
+    """Guards against a verdict that depends on whether aiohttp's compiled parser is there."""
+
+    async def parse():
+        loop = asyncio.get_running_loop()
+        options = {"read_until_eof": True, "response_with_body": True, "auto_decompress": False}
+        parser = parser_type(BaseProtocol(loop), loop, 2**16, **options)
+        messages, _, rest = parser.feed_data(SOUND[form])
+        return messages, rest
+
+    messages, rest = run_async(parse())
+    head, _ = check(SOUND[form])
+    ((message, _),) = messages
+    assert not rest
+    assert (message.code, message.chunked) == (head.status, head.is_chunked)
+    fields = [line.partition(b":") for line in SOUND[form].split(b"\r\n")[1:-2]]
+    assert list(message.raw_headers) == [(name, value.strip(b" \t")) for name, _, value in fields]
+
+
+@given(form=st.sampled_from([*SOUND, *MALFORMED]), data=st.data())
+def test_verdict_does_not_depend_on_how_the_bytes_arrive(form, data):
+    whole = {**SOUND, **MALFORMED}[form]
+    cuts = sorted(data.draw(st.sets(st.integers(1, len(whole) - 1), max_size=4)))
+    pieces = [whole[start:end] for start, end in zip([0, *cuts], [*cuts, len(whole)], strict=True)]
+    if form in MALFORMED:
+        with pytest.raises(MalformedAnswerError):
+            check(*pieces)
+    else:
+        head, end = check(*pieces)
+        assert head.is_complete and end == len(pieces[-1])
+
+
+def test_message_quotes_the_line_with_escapes_and_bounded():
+    with pytest.raises(MalformedAnswerError) as caught:
+        check(b"HTTP/1.1 000 \x1b[31m" + b"a" * 10_000 + b"\r\n")
+    assert "\\x1b" in str(caught.value) and "\x1b" not in str(caught.value)
+    assert len(str(caught.value)) < 2 * EXCERPT_BYTES
