A head with a line that HTTP does not allow is no answer

Callers saw: a worker's answer whose head had a blank before the first field's name came through without the blank; one with a blank behind the name of the length, the coding or the connection came through with that line; a line feed before a name ended the head for the parser, so that the rest of the head became the first bytes of the body, under the worker's seal. A control byte in a value was read, but could not be written: the caller's connection was closed without an answer, with 1006 in the log. Codings other than chunks were taken away from the head, and their body passed on as if it had none.

Cause: as for the status line, the parser's own and lenient reading of the head was the only check. A name with a blank inside or with a control byte was refused already, by the compiled parser and by the Python one; the two differ in a dozen other forms (two lengths, carriage returns, versions).

Change: answer_head.py checks each line whole: names are tokens, text has no control byte but the tab, lines end in CR LF, none is folded; at most one length of digits or the coding "chunked", not both, no chunks in HTTP/1.0, no body of an interim answer. What the check takes, both parsers read alike, and the writer of callers' answers accepts.

Byte tables over all 256 values in names (before, inside, behind; first, middle, last line), values and reasons; drawn splits of the bytes give the same verdict.

--- a/src/wallwell/answer_head.py
+++ b/src/wallwell/answer_head.py
@@ -19,7 +19,10 @@
 
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
 """Reason phrases and values of fields: no control byte but the tab."""
-_STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-5][0-9]{2})(?: " + _TEXT + rb")?")
+_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: " + _TEXT + rb")?")
+_FIELD_LINE = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):(" + _TEXT + rb")")
+_LENGTH = re.compile(rb"[0-9]{1,18}")
+"""Eighteen digits fit into the 64 bits of any parser's length."""
 _STATUSES_WITHOUT_BODY = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
 
@@ -42,6 +45,7 @@
         self.content_length: int | None = None
         """Stated length of the body in bytes; None if none is stated."""
         self.is_chunked = False
+        self._is_http_1_0 = False
         self._partial_line = b""
 
     @property
@@ -67,11 +71,13 @@
                 return len(data) - (len(unchecked) - line_start)
             self._check_line(line)
         self._partial_line = unchecked[line_start:]
+        if b"\n" in self._partial_line:
+            raise MalformedAnswerError("line of a head without a carriage return", self._partial_line)
         return len(data)
 
     def _check_line(self, line: bytes) -> None:
         if self.status:
-            self._read_field(line)
+            self._check_field(line)
         else:
             self._check_status_line(line)
 
@@ -79,17 +85,46 @@
         match = _STATUS_LINE.fullmatch(line)
         if match is None:
             raise MalformedAnswerError("no status line", line)
-        self.status = int(match[1])
+        self._is_http_1_0 = match[1] == b"0"
+        self.status = int(match[2])
         if self.status == HTTPStatus.SWITCHING_PROTOCOLS:
             raise MalformedAnswerError("change of the protocol that was not asked for")
 
-    def _read_field(self, line: bytes) -> None:
-        name, _, value = line.partition(b":")
-        match name.strip().lower():
-            case b"content-length" if value.strip().isdigit():
-                self.content_length = int(value)
-            case b"transfer-encoding":
-                self.is_chunked = True
+    def _check_field(self, line: bytes) -> None:
+        match = _FIELD_LINE.fullmatch(line)
+        if match is None:
+            raise MalformedAnswerError("no header field", line)
+        name = match[1].lower()
+        if name == b"content-length":
+            self._read_length(match[2].strip(b" \t"))
+        elif name == b"transfer-encoding":
+            self._read_coding(match[2].strip(b" \t"))
+
+    def _read_length(self, value: bytes) -> None:
+        if self.content_length is not None:
+            raise MalformedAnswerError("second length of the body", value)
+        if not _LENGTH.fullmatch(value):
+            raise MalformedAnswerError("no length of a body", value)
+        self.content_length = int(value)
+
+    def _read_coding(self, value: bytes) -> None:
+        if self.is_chunked:
+            raise MalformedAnswerError("second transfer coding", value)
+        if value.lower() != b"chunked":
+            raise MalformedAnswerError("unknown transfer coding", value)
+        self.is_chunked = True
 
     def _end_head(self) -> None:
+        """Check what the head states of the body."""
+        if self.is_chunked and self.content_length is not None:
+            raise MalformedAnswerError("both a length and chunks")
+        if self.is_chunked and self._is_http_1_0:
+            raise MalformedAnswerError("chunks in HTTP/1.0")
+        if self.is_interim and (self.is_chunked or self.content_length):
+            raise MalformedAnswerError("interim answer with a body")
         self.is_complete = True
+
+
+def is_header_field(name: bytes, value: bytes) -> bool:
+    """Whether an answer may have a header field with this name and value."""
+    return _FIELD_LINE.fullmatch(name + b":" + value) is not None
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -39,7 +39,27 @@
     # What is replaced in a sound head, and by what.
     **{f"status {status}": (b"200", status.encode()) for status in ("000", "001", "012", "099", "600", "999")},
     **{f"version {version}": (b"HTTP/1.1", version.encode()) for version in ("HTTP/2.0", "HTTP/0.9", "RTSP/1.0")},
+    "blank before the first name": (b"X-Request", b" X-Request"),
+    "blank behind the name of the length": (b"Content-Length", b"Content-Length "),
+    "blank behind the name of the coding": (b"Transfer-Encoding", b"Transfer-Encoding "),
+    "blank behind a name": (b"X-Response-Seal", b"X-Response-Seal "),
+    "line feed before a name": (b"X-Response", b"X-A: b\r\n\nX-Response"),
+    "line feeds only": (b"\r\n", b"\n"),
+    "folded line": (b"Seal: s", b"Seal: s\r\n s"),
+    **{
+        f"byte {byte:#04x} in a name": (b"X-Response", b"X-A%c-B: b\r\nX-Response" % byte)
+        for byte in (0, 1, 9, 10, 13, 32, 127, 255)
+    },
+    **{
+        f"byte {byte:#04x} in a value": (b"X-Response", b"X-A: b%cc\r\nX-Response" % byte)
+        for byte in (0, 1, 10, 11, 13, 31, 127)
+    },
     "control byte in the reason": (b"OK", b"O\x01K"),
+    "interim answer with a broken field": (b"HTTP/1.1 200", b"HTTP/1.1 103 Early\r\nA : b\r\n\r\nHTTP/1.1 200"),
+    "change of the protocol": (b"HTTP/1.1 200", b"HTTP/1.1 101 Switch\r\nUpgrade: x\r\n\r\nHTTP/1.1 200"),
+    "unknown coding": (b"chunked", b"gzip, chunked"),
+    "two lengths": (b"Content-Length: ", b"Content-Length: 1\r\nContent-Length: "),
+    "chunks in HTTP/1.0": (b"HTTP/1.1 200 OK\r\n", b"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n"),
 }
 CASES = [(form, framing) for form in BROKEN for framing in FRAMINGS if BROKEN[form][0] in OWN + FRAMINGS[framing]]
 
@@ -227,10 +247,10 @@
 )
 
 
-@pytest.mark.parametrize("status", [b"000", b"600"])
+@pytest.mark.parametrize("status", [b"000", b"503"])
 def test_what_a_broken_answer_states_is_not_believed(on_platform, status):
     """Guards against a promise that a call has not run, or a worker that counts as leaving, without a reason."""
-    answer = sound_answer("unsafe").replace(b"200", status).replace(b"X-Response", CLAIMS + b"X-Response")
+    answer = sound_answer("unsafe").replace(b"200", status).replace(b"X-Response", CLAIMS + b"A : b\r\nX-Response")
     worker = ScriptedWorker("i-bad", answer)
 
     async def scenario(harness):
@@ -246,7 +266,7 @@
     Play(on_platform, [worker]).run(scenario)
 
 
-@pytest.mark.parametrize("sent", [b"HTTP/1.1 000 OK\r\n", b"HTTP/2.0 200 OK\r\n"])
+@pytest.mark.parametrize("sent", [b"HTTP/1.1 000 OK\r\n", b"HTTP/1.1 200 OK\r\nA : b\r\n", b"HTTP/1.1 200 OK\n"])
 def test_caller_does_not_wait_for_the_rest_of_a_broken_head(on_platform, sent):
     worker = ScriptedWorker("i-bad", sent)
     assert is_failure_at_once(*Play(on_platform, [worker]).run(lambda harness: call(harness, "unsafe")))
--- a/tests/unit/test_answer_head.py
+++ b/tests/unit/test_answer_head.py
@@ -10,8 +10,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wallwell.answer_head import EXCERPT_BYTES, HeadCheck, MalformedAnswerError
+from wallwell.answer_head import EXCERPT_BYTES, HeadCheck, MalformedAnswerError, is_header_field
 
+TOKEN_BYTES = frozenset(b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
+TEXT_BYTES = frozenset(b"\t") | frozenset(range(0x20, 0x7F)) | frozenset(range(0x80, 0x100))
 OK = b"HTTP/1.1 200 OK\r\n"
 END = b"X-Last: z\r\n\r\n"
 
@@ -41,6 +43,10 @@
     return line + b"\r\n" + END
 
 
+def with_field(line):
+    return OK + line + b"\r\n" + END
+
+
 NO_STATUSES = b"000,001,012,099,600,999,2,20,2000,0200,-20,+20,2x0,OK,,\xb2\xb0\xb0".split(b",")
 NO_VERSIONS = b"HTTP/0.9,HTTP/1.2,HTTP/2.0,HTTP/2,HTTP/11,HTTP/1.10,http/1.1,RTSP/1.0,ICY, HTTP/1.1,".split(b",")
 MALFORMED = {
@@ -52,6 +58,43 @@
     "reason at the status": status_line(b"HTTP/1.1 200OK"),
     "carriage return in the reason": status_line(b"HTTP/1.1 200 O\rK"),
     "empty line before the answer": b"\r\n" + OK + END,
+    "status line with a line feed only": b"HTTP/1.1 200 OK\n" + END,
+    "line feeds only": (OK + END).replace(b"\r\n", b"\n"),
+    "head that ends with a line feed": OK + b"X-A: b\r\n\n",
+    "line feed before a name": with_field(b"\nX-A: b"),
+    "folded line": with_field(b"X-A: b\r\n c"),
+    "line folded with a tab": with_field(b"X-A: b\r\n\tc"),
+    "blank before the first name": OK + b" X-A: b\r\n" + END,
+    "no colon": with_field(b"X-A"),
+    "no name": with_field(b": b"),
+    "bare carriage return at the end of a value": with_field(b"X-A: b\r"),
+    "blank behind the name of the length": OK + b"Content-Length : 5\r\n\r\n",
+    "blank behind the name of the coding": OK + b"Transfer-Encoding : chunked\r\n\r\n",
+    **{
+        f"length {value!r}": OK + b"Content-Length: " + value + b"\r\n\r\n"
+        for value in (b"", b"+5", b"-5", b"5, 5", b"5 5", b"0x5", b"5a", b"5_0", b"5.0", b"\xb2", b"9" * 19)
+    },
+    "two lengths": OK + b"Content-Length: 5\r\nContent-Length: 4\r\n\r\n",
+    "the same length twice": OK + b"Content-Length: 5\r\nContent-Length: 5\r\n\r\n",
+    **{
+        f"coding {value!r}": OK + b"Transfer-Encoding: " + value + b"\r\n\r\n"
+        for value in (
+            b"",
+            b"gzip",
+            b"identity",
+            b"xchunked",
+            b"chunked, gzip",
+            b"gzip, chunked",
+            b"chunked, chunked",
+        )
+    },
+    "two codings": OK + b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "length and chunks": OK + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "chunks in HTTP/1.0": b"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "interim with a length": b"HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n",
+    "interim with chunks": b"HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "interim with a malformed field": b"HTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\n",
+    "other protocol": b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
 }
 
 
@@ -92,6 +135,37 @@
     assert is_head(b"HTTP/1.1 %03d S\r\n\r\n" % status) == (100 <= status <= 599 and status != 101)
 
 
+POSITIONS = {
+    "first": b"%s\r\nX-Last: z\r\n",
+    "middle": b"X-First: a\r\n%s\r\nX-Last: z\r\n",
+    "last": b"X-First: a\r\n%s\r\n",
+}
+
+
+@pytest.mark.parametrize("position", POSITIONS)
+@pytest.mark.parametrize("name", [b"X-Name", b"Content-Length", b"Transfer-Encoding", b"Connection", b"Upgrade"])
+@pytest.mark.parametrize("place", ["before", "inside", "behind"])
+def test_names_hold_token_bytes_only(position, name, place):
+    """Guards against a blank or a control byte in a name that is passed on or that changes the body."""
+    at = {"before": 0, "inside": 3, "behind": len(name)}[place]
+    for byte in range(256):
+        line = name[:at] + bytes([byte]) + name[at:] + b": 5"
+        head = OK + POSITIONS[position].replace(b"%s", line) + b"\r\n"
+        # A colon ends the name before it.
+        expected = byte in TOKEN_BYTES or (byte == ord(":") and place != "before")
+        if byte == ord(":") and place == "behind" and name in (b"Content-Length", b"Transfer-Encoding"):
+            expected = False  # ": 5" is neither a length nor a coding.
+        assert is_head(head) == expected, line
+
+
+@pytest.mark.parametrize("place", ["reason", "value"])
+def test_text_holds_no_control_bytes_but_the_tab(place):
+    for byte in range(256):
+        text = b"a" + bytes([byte]) + b"b"
+        head = b"HTTP/1.1 200 " + text + b"\r\n" + END if place == "reason" else with_field(b"X-A: " + text)
+        assert is_head(head) == (byte in TEXT_BYTES), text
+
+
 @pytest.mark.parametrize("parser_type", [HttpResponseParser, HttpResponseParserPy])
 @pytest.mark.parametrize("form", SOUND)
 def test_parsers_read_what_the_check_takes(run_async, parser_type, form):
@@ -126,8 +200,30 @@
         assert head.is_complete and end == len(pieces[-1])
 
 
+@pytest.mark.parametrize("form", ["status b'000'", "blank behind the name of the length", "line feeds only"])
+def test_malformed_line_is_noticed_before_the_head_ends(form):
+    """Guards against a caller who waits for the end of what can never become an answer."""
+    with pytest.raises(MalformedAnswerError):
+        check(MALFORMED[form].rstrip(b"\r\n") + MALFORMED[form][-2:][:1] + b"\n")
+
+
 def test_message_quotes_the_line_with_escapes_and_bounded():
     with pytest.raises(MalformedAnswerError) as caught:
-        check(b"HTTP/1.1 000 \x1b[31m" + b"a" * 10_000 + b"\r\n")
+        check(OK + b"X\x1b[31mA" + b"a" * 10_000 + b": b\r\n")
     assert "\\x1b" in str(caught.value) and "\x1b" not in str(caught.value)
     assert len(str(caught.value)) < 2 * EXCERPT_BYTES
+
+
+@pytest.mark.parametrize(
+    ("name", "value", "expected"),
+    [
+        (b"X-A", b"b\t\xff", True),
+        (b"X-A", b"", True),
+        (b"X-A ", b"b", False),
+        (b"", b"b", False),
+        (b"X-A", b"b\r\nX-B: c", False),
+        (b"X-A", b"b\x00", False),
+    ],
+)
+def test_fields_that_a_peer_names_are_held_to_the_same_rule(name, value, expected):
+    assert is_header_field(name, value) == expected
