A peer's word of an answer is held to the same rule as the answer

Callers could see: a node that is cut off from all back ends passes on what a peer says of an answer. The status is a number in the peer's message and each header field a pair of texts; any were let in. A peer of an older build still takes status 000 for an answer, and this node passed it on; with an interim status the caller got no answer at all (60 s, until the test's own limit), with a control byte in a value its connection was closed.

Cause: the message was believed, since the peer had read an answer. Change: the client of peers' attempts asks answer_head.is_final_head before it takes the head or the notice in it; what is no head ends the attempt as a reset does, since it may have run.

--- a/src/wallwell/answer_head.py
+++ b/src/wallwell/answer_head.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterable
 from http import HTTPStatus
 
 LINE_END = b"\r\n"
@@ -125,6 +126,7 @@
         self.is_complete = True
 
 
-def is_header_field(name: bytes, value: bytes) -> bool:
-    """Whether an answer may have a header field with this name and value."""
-    return _FIELD_LINE.fullmatch(name + b":" + value) is not None
+def is_final_head(status: int, fields: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Whether a final answer may have this status and these header fields, as names and values."""
+    is_final = MIN_FINAL_STATUS <= status <= MAX_STATUS
+    return is_final and all(_FIELD_LINE.fullmatch(name + b":" + value) for name, value in fields)
--- a/src/wallwell/peer_attempts/client.py
+++ b/src/wallwell/peer_attempts/client.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from wallwell.answer_head import is_final_head
 from wallwell.clock import boot_time_s, time_limit
 from wallwell.cluster.peer_link import CONNECT_TIMEOUT_S, UNACKNOWLEDGED_TIMEOUT_S
 from wallwell.errors import PeerUnavailableError
@@ -136,8 +137,13 @@
             connection.close()
             raise
         if isinstance(reply, AnswerStarted):
+            try:
+                head = _head_of(reply)
+            except AttemptError:
+                connection.close()
+                raise
             self._deliver(dispatch, reply.notice, sent_s)
-            return PeerAnswer(_head_of(reply), connection)
+            return PeerAnswer(head, connection)
         connection.close()
         if isinstance(reply, AttemptFailed):
             self._deliver(dispatch, reply.notice, sent_s)
@@ -191,6 +197,10 @@
 
 
 def _head_of(reply: AnswerStarted) -> AnswerHead:
+    """Return the head that a peer passes on. Raises :class:`AttemptError` if no final answer may have it."""
+    if not is_final_head(reply.status, reply.headers):
+        detail = f"the peer's word of an answer with status {reply.status} that HTTP does not allow"
+        raise AttemptError(TransportEvent.RESET_AFTER_SEND, detail)
     return AnswerHead(reply.status, decode_headers(reply.headers), reply.weights_version, reply.is_event_stream)
 
 
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -17,6 +17,8 @@
 from tests.platform.test_peer_attempts import on_cut_node
 from wallwell import discarded_answers
 from wallwell.clock import boot_time_s
+from wallwell.peer_attempts.messages import AnswerStarted, PeerNotice, encode_headers
+from wallwell.peer_attempts.server import PeerReply
 from wallwell.routing.health.reachability import FAILURES_TO_DECIDE
 
 ROUTES = [
@@ -292,6 +294,39 @@
     assert line["detail"] == "no status line: b'HTTP/1.1 000 OK'"
 
 
+HEADS_OF_PEERS = {
+    # The status, and a further header field.
+    "status 0": (0, b"X-A", b"b"),
+    "status 99": (99, b"X-A", b"b"),
+    "interim status": (103, b"X-A", b"b"),
+    "status 600": (600, b"X-A", b"b"),
+    "blank in a name": (200, b"X-A ", b"b"),
+    "control byte in a value": (200, b"X-A", b"b\x01"),
+    "second field in a value": (200, b"X-A", b"b\r\nX-B: c"),
+}
+
+
+@pytest.mark.parametrize("form", HEADS_OF_PEERS)
+def test_answer_that_a_peer_should_not_have_taken_for_one_is_not_passed_on(on_platform, monkeypatch, form):
+    """Guards against a peer that believes more of a worker than this node, as an older build does."""
+    status, name, value = HEADS_OF_PEERS[form]
+
+    async def start(reply, head):
+        headers = (*encode_headers(head.headers), (name, value))
+        await reply._replies.send(AnswerStarted(status, headers, notice=PeerNotice(leaving=True)))
+
+    monkeypatch.setattr(PeerReply, "start", start)
+    worker = ScriptedWorker("i-bad", sound_answer("unsafe"))
+
+    async def scenario(harness):
+        answer = await call(harness, "unsafe")
+        assert not harness.node.state.backends.get("i-bad").is_leaving(boot_time_s())
+        return answer
+
+    assert is_failure_at_once(*Play(on_platform, [worker], by_peer=True).run(scenario))
+    assert worker.answers == 1
+
+
 RARE = {
     "no reason": (b"200 OK", b"200 "),
     "no reason nor blank": (b"200 OK", b"200"),
--- a/tests/unit/test_answer_head.py
+++ b/tests/unit/test_answer_head.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wallwell.answer_head import EXCERPT_BYTES, HeadCheck, MalformedAnswerError, is_header_field
+from wallwell.answer_head import EXCERPT_BYTES, HeadCheck, MalformedAnswerError, is_final_head
 
 TOKEN_BYTES = frozenset(b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
 TEXT_BYTES = frozenset(b"\t") | frozenset(range(0x20, 0x7F)) | frozenset(range(0x80, 0x100))
@@ -215,15 +215,18 @@
 
 
 @pytest.mark.parametrize(
-    ("name", "value", "expected"),
+    ("status", "name", "value", "expected"),
     [
-        (b"X-A", b"b\t\xff", True),
-        (b"X-A", b"", True),
-        (b"X-A ", b"b", False),
-        (b"", b"b", False),
-        (b"X-A", b"b\r\nX-B: c", False),
-        (b"X-A", b"b\x00", False),
+        (200, b"X-A", b"b\t\xff", True),
+        (599, b"X-A", b"", True),
+        (0, b"X-A", b"b", False),
+        (103, b"X-A", b"b", False),
+        (600, b"X-A", b"b", False),
+        (200, b"X-A ", b"b", False),
+        (200, b"", b"b", False),
+        (200, b"X-A", b"b\r\nX-B: c", False),
+        (200, b"X-A", b"b\x00", False),
     ],
 )
-def test_fields_that_a_peer_names_are_held_to_the_same_rule(name, value, expected):
-    assert is_header_field(name, value) == expected
+def test_head_in_a_message_is_held_to_the_same_rule(status, name, value, expected):
+    assert is_final_head(status, [(b"X-First", b"a"), (name, value)]) == expected
--- a/tests/unit/test_import_layers.py
+++ b/tests/unit/test_import_layers.py
@@ -13,6 +13,7 @@
 
 COMMON = {
     "answer_bounds",
+    "answer_head",
     "backend_connection",
     "background",
     "build_info",
