The standalone router takes only HTTP answers, by the same rule

Callers could see: the standalone router's services answered with status 000 or 099, a blank before the first name or a control byte in a value, and the call ended as answered; a generation, an order to load weights, an engine's events and the list of its cached blocks believed such answers as well.

Cause: these clients are aiohttp's own sessions, whose lenient parser was the only check, as on the platform.

Change: checked_connector.py, a connector whose connections give each head of an awaited answer, and interim ones before it, to answer_head before aiohttp parses it. Engines, services, table service and machine list use it.

--- a/src/wallwell/discarded_answers.py
+++ b/src/wallwell/discarded_answers.py
@@ -34,9 +34,9 @@
 
     reason: DiscardReason
     connection: int
-    """Number of the connection in this process."""
+    """Number of the connection in this process; 0 if it has none."""
     round_trip: int
-    """How many requests had been sent on the connection."""
+    """How many requests had been sent on the connection; 0 if that is not counted."""
     expected_id: str = ""
     """Id of the request that waited for its answer; empty if none waited or it has no id."""
     answer_id: str = ""
--- a/src/wallwell/standalone/backends/engine_client.py
+++ b/src/wallwell/standalone/backends/engine_client.py
@@ -15,6 +15,7 @@
 import aiohttp
 import msgspec
 
+from wallwell.checked_connector import CheckedConnector
 from wallwell.clock import time_limit
 from wallwell.events import Event, emit
 from wallwell.routing.retry.attempt_outcome import TransportEvent
@@ -249,14 +250,14 @@
 
 
 def client_session(limit_per_host: int = 0) -> aiohttp.ClientSession:
-    """Return an HTTP session that never resends a request on its own.
+    """Return an HTTP session that never resends a request on its own and takes only HTTP answers.
 
     aiohttp resends idempotent methods when a kept-alive connection turns out to be closed. This would break the
     at-most-once guarantee for services that use PUT or DELETE, so it is disabled; the contract test of service
     calls checks this.
     """
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, limit_per_host=limit_per_host),
+        connector=CheckedConnector(limit=0, limit_per_host=limit_per_host),
         auto_decompress=False,
         read_bufsize=_READ_BUFFER_BYTES,
     )
--- a/src/wallwell/standalone/backends/service_client.py
+++ b/src/wallwell/standalone/backends/service_client.py
@@ -13,6 +13,7 @@
 import aiohttp
 
 from wallwell.answer_bounds import MAX_ANSWER_BYTES, AnswerTooLargeError, read_bounded
+from wallwell.checked_connector import CheckedConnector
 from wallwell.events import Event, emit
 from wallwell.http_connection import ConnectionPool
 from wallwell.routing.health.backoff import MAX_BACKOFF_S, parse_retry_after
@@ -56,7 +57,7 @@
 
     def __init__(self) -> None:
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True), auto_decompress=False
+            connector=CheckedConnector(limit=0, force_close=True), auto_decompress=False
         )
         # Keeps aiohttp from resending idempotent methods; see ``engine_client.client_session``.
         self._session._retry_connection = False
--- a/src/wallwell/standalone/router_node.py
+++ b/src/wallwell/standalone/router_node.py
@@ -15,6 +15,7 @@
 import aiohttp
 
 from wallwell.build_info import build_commit, build_version
+from wallwell.checked_connector import CheckedConnector
 from wallwell.clock import SUSPENSION_CHECK_S, SuspensionWatch, boot_time_s, ends_within
 from wallwell.events import Event, emit
 from wallwell.standalone.backends.engine_client import client_session
@@ -127,7 +128,7 @@
         node = self._build_cluster_node(address, seeds)
         session = client_session()
         platform = settings.platform
-        self._platform_session = aiohttp.ClientSession()
+        self._platform_session = aiohttp.ClientSession(connector=CheckedConnector())
         table = HttpTableService(platform.table, self._platform_session, platform.timeout_s)
         return NodeContext(
             settings=settings,
--- a/tests/unit/test_import_layers.py
+++ b/tests/unit/test_import_layers.py
@@ -18,6 +18,7 @@
     "background",
     "build_info",
     "callers_server",
+    "checked_connector",
     "clock",
     "errors",
     "events",
