Header bytes that are not UTF-8 reach the caller as the worker sent them

Callers saw: a sound answer with a high byte in a header's value, which HTTP allows, lost that byte: "caf\xe9" came as "caf", under the worker's seal.

Cause: what is read as surrogates is left out by aiohttp's compiled writer of heads (its Python one raises an error). Requests to workers and peers' messages restored the bytes already; the answer to the caller did not.

Change: AnswerWriter encodes the head of a caller's answer with the surrogates' bytes.

--- a/src/wallwell/platform/caller_listener.py
+++ b/src/wallwell/platform/caller_listener.py
@@ -26,6 +26,7 @@
 from wallwell.events import Event, emit
 from wallwell.node.node import FleetNode
 from wallwell.platform import names
+from wallwell.platform.answer_writer import AnswerWriter
 from wallwell.platform.replies import HttpReply, encode_error
 from wallwell.platform.request_parsing import expects_continue, parse_request, require_request_id
 from wallwell.routing.admission.stop_times import READ_TOO_LATE
@@ -108,6 +109,7 @@
         task: asyncio.Task[None],
     ) -> web.BaseRequest:
         loop = task.get_loop()
+        writer = AnswerWriter(protocol, loop)
         return web.BaseRequest(message, payload, protocol, writer, task, loop, client_max_size=MAX_BODY_BYTES)
 
     async def _handle_ready(self, request: web.BaseRequest) -> web.StreamResponse:
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
 import time
 
@@ -361,3 +362,38 @@
 
     Play(on_platform, [worker]).run(scenario)
     assert framings
+
+
+TEXT_BYTES = bytes(byte for byte in range(256) if byte == 0x09 or (byte >= 0x20 and byte != 0x7F))
+TOKEN_BYTES = b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
+
+async def raw_answer(harness):
+    """Return the bytes of the answer to a call on a connection of its own."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", harness.port)
+    headers = {**harness.headers(), "Connection": "close", "Content-Length": "0"}
+    lines = ["POST /safe/ HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items()), "", ""]
+    writer.write("\r\n".join(lines).encode())
+    async with asyncio.timeout(AT_ONCE_S):
+        answer = await reader.read()
+    writer.close()
+    return answer
+
+
+@pytest.mark.parametrize("by_peer", [False, True], ids=["by the node", "by a peer"])
+@pytest.mark.parametrize(
+    "field",
+    [
+        pytest.param(b"X-Text: a" + TEXT_BYTES + b"z", id="every byte of a value"),
+        pytest.param(TOKEN_BYTES + b": 1", id="every byte of a name"),
+        pytest.param("X-Text: caf\u00e9".encode(), id="UTF-8"),
+        pytest.param("X-Text: caf\u00e9".encode("latin-1"), id="Latin-1"),
+        pytest.param(b"X-Text: \xed\xb3\xbf", id="an encoded surrogate"),
+        pytest.param(b"X-Text: ", id="no value"),
+    ],
+)
+def test_header_field_reaches_the_caller_byte_by_byte(on_platform, field, by_peer):
+    """Guards against header bytes that are lost or changed between a worker and a caller."""
+    worker = ScriptedWorker("i-bad", sound_answer("safe").replace(b"X-Response", field + b"\r\nX-Response"))
+    answer = Play(on_platform, [worker], by_peer).run(raw_answer)
+    assert field in answer.split(b"\r\n\r\n")[0].split(b"\r\n")
