--- a/src/wallwell/answer_head.py
+++ b/src/wallwell/answer_head.py
@@ -18,10 +18,13 @@
 MAX_STATUS = 599
 """Highest status that has a class."""
 
+_TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
 """Reason phrases and values of fields: no control byte but the tab."""
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: " + _TEXT + rb")?")
-_FIELD_LINE = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):(" + _TEXT + rb")")
+_FIELD_LINE = re.compile(rb"(" + _TOKEN + rb"):(" + _TEXT + rb")")
+_NAME = re.compile(_TOKEN)
+_VALUE = re.compile(_TEXT)
 _LENGTH = re.compile(rb"[0-9]{1,18}")
 """Eighteen digits fit into the 64 bits of any parser's length."""
 _STATUSES_WITHOUT_BODY = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
@@ -128,5 +131,6 @@
 
 def is_final_head(status: int, fields: Iterable[tuple[bytes, bytes]]) -> bool:
     """Whether a final answer may have this status and these header fields, as names and values."""
-    is_final = MIN_FINAL_STATUS <= status <= MAX_STATUS
-    return is_final and all(_FIELD_LINE.fullmatch(name + b":" + value) for name, value in fields)
+    if not MIN_FINAL_STATUS <= status <= MAX_STATUS:
+        return False
+    return all(_NAME.fullmatch(name) and _VALUE.fullmatch(value) for name, value in fields)
--- a/src/wallwell/backend_connection.py
+++ b/src/wallwell/backend_connection.py
@@ -268,9 +268,11 @@
         try:
             messages, upgraded, _ = self._parser.feed_data(data)
         except Exception as error:
-            raise MalformedAnswerError(type(error).__name__, data) from error
+            # Bytes of a body are not quoted.
+            received = data if may_hold_head and self._awaits_head() else b""
+            raise MalformedAnswerError(type(error).__name__, received) from error
         if messages and not may_hold_head:
-            raise MalformedAnswerError("no boundary before a head", data)
+            raise MalformedAnswerError("no boundary before a head")
         if upgraded:
             self._must_close = True
         for message, payload in messages:
@@ -334,12 +336,12 @@
         dropped = body.read_nowait() if body.exception() is None else b""
         if body is self._discarded_body and (body.is_eof() or body.exception() is not None):
             self._forget_discarded_body()
+            self._boundaries.on_body_ended()
         return bool(dropped)
 
     def _forget_discarded_body(self) -> None:
         if self._discarded_body is not None:
             self._bounds.on_discarded_body(self._discarded_body)
-            self._boundaries.on_body_ended()
         self._discarded_body = None
 
     def _discard(self, reason: DiscardReason, message: RawResponseMessage, payload: StreamReader) -> None:
--- a/tests/unit/test_answer_head.py
+++ b/tests/unit/test_answer_head.py
@@ -224,6 +224,7 @@
         (600, b"X-A", b"b", False),
         (200, b"X-A ", b"b", False),
         (200, b"", b"b", False),
+        (200, b"X-A:", b"b", False),
         (200, b"X-A", b"b\r\nX-B: c", False),
         (200, b"X-A", b"b\x00", False),
     ],
