A header that states no number takes nothing from its answer

Callers saw: a worker's whole answer with "X-Weight-Versions: \xc2\xb2" (a digit of another script, which HTTP allows in a value) was lost: the caller got 500, 1006 in the log. The same in Keep-Alive ended the connection, and the caller got 504. A number of more than 4,300 digits did the same.

Cause: str.isdigit allows digits that int refuses, and int refuses very long numbers.

Change: parse_header_number takes up to 18 decimal digits of ASCII; what is none is ignored as before.

Evidence: the test failed before in its four cases; all pass now.

--- a/src/wallwell/answer_head.py
+++ b/src/wallwell/answer_head.py
@@ -129,6 +129,11 @@
         self.is_complete = True
 
 
+def parse_header_number(text: str) -> int | None:
+    """Return the whole number that a header's value states; None if it is none, or of more than 18 digits."""
+    return int(text) if re.fullmatch(r"[0-9]{1,18}", text) else None
+
+
 def is_final_head(status: int, fields: Iterable[tuple[bytes, bytes]]) -> bool:
     """Whether a final answer may have this status and these header fields, as names and values."""
     if not MIN_FINAL_STATUS <= status <= MAX_STATUS:
--- a/src/wallwell/backend_connection.py
+++ b/src/wallwell/backend_connection.py
@@ -23,7 +23,7 @@
 
 from wallwell.answer_boundaries import AnswerBoundaries
 from wallwell.answer_bounds import MAX_PIECES_PER_READ, RoundTripBounds
-from wallwell.answer_head import MIN_FINAL_STATUS, MalformedAnswerError
+from wallwell.answer_head import MIN_FINAL_STATUS, MalformedAnswerError, parse_header_number
 from wallwell.clock import boot_time_s
 from wallwell.discarded_answers import Discarded, DiscardReason
 from wallwell.read_gaps import ReadGaps
@@ -361,8 +361,9 @@
     def _read_keep_alive(self, keep_alive: str) -> None:
         for parameter in keep_alive.split(","):
             name, _, value = parameter.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
-                self.max_idle_s = max(0.0, int(value) - IDLE_MARGIN_S)
+            timeout_s = parse_header_number(value) if name.lower() == "timeout" else None
+            if timeout_s is not None:
+                self.max_idle_s = max(0.0, timeout_s - IDLE_MARGIN_S)
 
     def pause_reading(self) -> None:
         """Pause reading while the caller reads slowly."""
--- a/src/wallwell/platform/worker_requests.py
+++ b/src/wallwell/platform/worker_requests.py
@@ -11,6 +11,7 @@
 
 from aiohttp.http_parser import RawResponseMessage
 
+from wallwell.answer_head import parse_header_number
 from wallwell.platform import names
 from wallwell.routing.health.backoff import MAX_LOGGED_CHARS
 from wallwell.routing.retry.attempt_outcome import TransportEvent
@@ -88,7 +89,7 @@
     return AnswerHead(
         status=message.code,
         headers=headers,
-        weights_version=int(version) if version.isdigit() else 0,
+        weights_version=parse_header_number(version) or 0,
         is_event_stream=content_type.startswith(names.EVENT_STREAM),
     )
 
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -397,3 +397,13 @@
     worker = ScriptedWorker("i-bad", sound_answer("safe").replace(b"X-Response", field + b"\r\nX-Response"))
     answer = Play(on_platform, [worker], by_peer).run(raw_answer)
     assert field in answer.split(b"\r\n\r\n")[0].split(b"\r\n")
+
+
+@pytest.mark.parametrize("number", ["\u00b2", "9" * 5000], ids=["another digit", "many digits"])
+@pytest.mark.parametrize("field", ["X-Weight-Versions: ", "Keep-Alive: timeout="])
+def test_header_that_states_no_number_takes_nothing_from_its_answer(on_platform, field, number):
+    """Guards against a sound answer that is lost, since one of its headers cannot be read as a number."""
+    line = f"{field}{number}\r\n".encode()
+    worker = ScriptedWorker("i-bad", sound_answer("unsafe").replace(b"X-Response", line + b"X-Response"))
+    status, _, body, _ = Play(on_platform, [worker]).run(lambda harness: call(harness, "unsafe"))
+    assert (status, body) == (200, EVENT)
--- a/tests/unit/test_answer_head.py
+++ b/tests/unit/test_answer_head.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wallwell.answer_head import EXCERPT_BYTES, HeadCheck, MalformedAnswerError, is_final_head
+from wallwell.answer_head import EXCERPT_BYTES, HeadCheck, MalformedAnswerError, is_final_head, parse_header_number
 
 TOKEN_BYTES = frozenset(b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
 TEXT_BYTES = frozenset(b"\t") | frozenset(range(0x20, 0x7F)) | frozenset(range(0x80, 0x100))
@@ -231,3 +231,13 @@
 )
 def test_head_in_a_message_is_held_to_the_same_rule(status, name, value, expected):
     assert is_final_head(status, [(b"X-First", b"a"), (name, value)]) == expected
+
+
+@pytest.mark.parametrize(("text", "expected"), [("0", 0), ("007", 7), ("9" * 18, 10**18 - 1)])
+def test_numbers_of_headers_are_decimal_digits(text, expected):
+    assert parse_header_number(text) == expected
+
+
+@pytest.mark.parametrize("text", ["", "9" * 19, "\u00b2", "\u0663", "+1", "-1", "1.0", "1_0", " 1", "1\n"])
+def test_other_texts_are_no_numbers_of_headers(text):
+    assert parse_header_number(text) is None
