--- a/tests/unit/test_answer_boundaries.py
+++ b/tests/unit/test_answer_boundaries.py
@@ -10,8 +10,11 @@
 
 import pytest
 
+from tests.unit.test_answer_head import MALFORMED
+from tests.unit.test_http_connection import ScriptedServer
 from wallwell.answer_bounds import MAX_PIECES_PER_READ
 from wallwell.backend_connection import BackendConnection, ConnectionBrokenError
+from wallwell.http_connection import ConnectionPool
 
 FOREIGN = b"HTTP/1.1 200 OK\r\nX-Id: other\r\n"
 BEFORE = {
@@ -140,3 +143,24 @@
 
     (line,) = run_async(work())
     assert line.detail and "secret" not in line.detail
+
+
+def test_fetched_answer_that_is_none_is_not_believed(run_async):
+    """Guards against what the store, a KV store, a report or the answer to an order seems to say."""
+
+    async def fetch(form):
+        heads = []
+        async with ScriptedServer([MALFORMED[form] + b"[]"]) as server:
+            pool = ConnectionPool("", connect_timeout_s=5.0, user_timeout_s=5.0)
+            try:
+                return await pool.fetch(server.address, b"GET / HTTP/1.1\r\n\r\n", 5.0, heads.append), heads
+            except ConnectionBrokenError:
+                return None, heads
+            finally:
+                pool.close()
+
+    async def work():
+        return {form: await fetch(form) for form in MALFORMED}
+
+    believed = {form: result for form, result in run_async(work()).items() if result != (None, [])}
+    assert believed == {}
