The soak's workers send broken answers

Cause: no run could show the fault, since workers of the soak answer through aiohttp's own server, which sends no head that HTTP does not allow.

A short seeded run in continuous integration; the new option is pinned (an addition).

--- a/src/wallwell/cli/soak.py
+++ b/src/wallwell/cli/soak.py
@@ -38,6 +38,7 @@
     "--bad-parts": "bad_parts",
     "--skew": "skews",
     "--second-answers": "second_answers",
+    "--broken-answers": "broken_answers",
     "--group-silences": "group_silences",
     "--kept-connections": "kept_connections",
     "--versions": "versions",
@@ -63,6 +64,7 @@
     parser.add_argument(
         "--second-answers", action="store_true", help="workers reject now and then, and send answers twice"
     )
+    parser.add_argument("--broken-answers", action="store_true", help="workers send what is no answer now and then")
     parser.add_argument(
         "--group-silences", action="store_true", help="groups of sound workers fall silent beside changes of routes"
     )
@@ -110,6 +112,7 @@
         bad_parts=options.bad_parts,
         skews=options.skew,
         second_answers=options.second_answers,
+        broken_answers=options.broken_answers,
         group_silences=options.group_silences,
         kept_connections=options.kept_connections,
         rollout=options.rollout,
--- a/src/wallwell/soak/fleet.py
+++ b/src/wallwell/soak/fleet.py
@@ -188,6 +188,7 @@
             bad_parts=tuple({each.bad_part for each in self.schedule.requests if each.bad_part}),
             unframed=self.schedule.shape.unframed,
             second_answers=self.schedule.shape.second_answers,
+            broken_answers=self.schedule.shape.broken_answers,
         )
         announced = await self.supervisor.start_own("worker", incarnation, settings)
         await self.control_proxy(AimLink(name, announced.addresses[0]))
--- a/src/wallwell/soak/history.py
+++ b/src/wallwell/soak/history.py
@@ -161,6 +161,15 @@
     status: int
 
 
+class SentBroken(Record, frozen=True):
+    """A worker sent what is no answer in place of one."""
+
+    request: str
+    worker: str
+    form: int
+    """Number of its form (:mod:`wallwell.soak.broken_answers`)."""
+
+
 class OrderTaken(Record, frozen=True):
     """An order of new weights reached a worker."""
 
@@ -252,6 +261,7 @@
     | LeavingStated
     | LimitStated
     | SentAgain
+    | SentBroken
     | OrderTaken
     | WorkerState
     | KeysInForce
--- a/src/wallwell/soak/invariants.py
+++ b/src/wallwell/soak/invariants.py
@@ -51,6 +51,7 @@
     "only_asked": invariants_requests.only_asked,
     "refused_not_run": invariants_requests.refused_not_run,
     "second_answers_end_nothing": invariants_requests.second_answers_end_nothing,
+    "broken_answers_reach_nobody": invariants_requests.broken_answers_reach_nobody,
     "stream_order": invariants_requests.stream_order,
     "one_version_per_stream": invariants_streams.one_version_per_stream,
     "resumed_streams_go_on": invariants_streams.resumed_streams_go_on,
--- a/src/wallwell/soak/invariants_requests.py
+++ b/src/wallwell/soak/invariants_requests.py
@@ -8,8 +8,19 @@
 import signal
 from collections.abc import Iterator
 
+from wallwell.soak.broken_answers import BROKEN_SEAL
 from wallwell.soak.cases import HELD, Cases, Violation
-from wallwell.soak.history import Answered, Began, Ended, FaultBegan, FaultEnded, NodeExited, Sent, SentAgain
+from wallwell.soak.history import (
+    Answered,
+    Began,
+    Ended,
+    FaultBegan,
+    FaultEnded,
+    NodeExited,
+    Sent,
+    SentAgain,
+    SentBroken,
+)
 from wallwell.soak.schedule import RECOVERY_S, FaultKind
 from wallwell.soak.timeline import CONTACT_S, History
 
@@ -110,6 +121,18 @@
             yield Violation(answer.at_s, ended.request, f"ended with {answer.status}; {ended.worker} answered it")
 
 
+def broken_answers_reach_nobody(history: History) -> Cases:
+    """What a worker sent and is no answer does not reach the caller."""
+    for broken in history.records:
+        if not isinstance(broken, SentBroken) or broken.request not in history.answers:
+            continue
+        answer = history.answers[broken.request]
+        if answer.seal == BROKEN_SEAL:
+            yield Violation(answer.at_s, broken.request, f"got form {broken.form} of {broken.worker}")
+        else:
+            yield HELD
+
+
 def _owed_answer(history: History, request: str) -> Answered | None:
     """Return the answer to a request that must not run twice; None if there is none, or if a fault or the caller's
     deadline may have ended it."""
--- a/src/wallwell/soak/schedule.py
+++ b/src/wallwell/soak/schedule.py
@@ -237,6 +237,8 @@
     """Whether some answers of workers have neither a length nor chunks."""
     second_answers: bool = False
     """Whether workers reject requests now and then, and send some of all their answers a second time."""
+    broken_answers: bool = False
+    """Whether workers send what is no answer in place of some of their answers."""
     rollout: str = ""
     """Name of :data:`ROLLOUTS`, empty for none."""
     notices: bool = False
--- a/src/wallwell/soak/worker_process.py
+++ b/src/wallwell/soak/worker_process.py
@@ -20,6 +20,7 @@
 from wallwell.emulator.platform_worker import ACCEPTED, PlatformWorkerEmulator, UnframedResponse
 from wallwell.errors import PeerUnavailableError
 from wallwell.platform import names
+from wallwell.soak import broken_answers
 from wallwell.soak.answers import CRASH_STATUS, CRASHING_BODY, call_body, event_text, pace_of
 from wallwell.soak.control import Announcement, Done, Farewell, Heartbeat, announce
 from wallwell.soak.history import (
@@ -31,6 +32,7 @@
     LimitStated,
     OrderTaken,
     SentAgain,
+    SentBroken,
 )
 from wallwell.soak.schedule import BACKOFF_S, STATED_LIMIT_PER_S
 from wallwell.soak.second_answers import STREAM_BODY, AnswerRepeater
@@ -219,10 +221,21 @@
         await asyncio.sleep(self._work_s(request) * factor)
         if fails:
             return web.Response(status=FAILED, headers=self.headers(request), body=b"failed")
+        form = broken_answers.draw_form(self._settings.seed, self.incarnation, identity)
+        if self._settings.broken_answers and form is not None:
+            return self._send_broken(request, identity, form)
         if not _is_stream(request):
             return await self._answer_call(request, identity)
         return await self._stream(request, identity, factor)
 
+    def _send_broken(self, request: web.BaseRequest, identity: str, form: int) -> web.Response:
+        """Send what is no answer and close the connection; return a response that is not sent any more."""
+        if request.transport is not None:
+            self._history.add(SentBroken(time.monotonic(), identity, self.incarnation, form))
+            request.transport.write(broken_answers.broken_answer(form, identity, call_body(identity)))
+            request.transport.close()
+        return web.Response(status=FAILED)
+
     def _begins_to_crash(self, request: web.BaseRequest) -> bool:
         """Whether a part of the prompt other than the last one crashes this worker."""
         parts = request.headers.get(names.PROMPT_PARTS, "").split(",")[:-1]
--- a/src/wallwell/soak/worker_settings.py
+++ b/src/wallwell/soak/worker_settings.py
@@ -39,3 +39,5 @@
     """Whether some of its answers have neither a length nor chunks."""
     second_answers: bool = False
     """Whether it rejects some requests though it has room, and sends some of its answers a second time."""
+    broken_answers: bool = False
+    """Whether it sends what is no answer in place of some of its answers."""
--- a/tests/contract/test_soak.py
+++ b/tests/contract/test_soak.py
@@ -162,6 +162,12 @@
     assert_tested(play(tmp_path, "--seed", "34", *size, "--second-answers"), "second_answers_end_nothing")
 
 
+def test_a_short_run_with_broken_answers_breaks_no_invariant(tmp_path):
+    """Guards against an answer that HTTP does not allow and that reaches a caller, beside faults."""
+    printed = play(tmp_path, "--seed", "501", "--seconds", "15", "--broken-answers")
+    assert_tested(printed, "broken_answers_reach_nobody")
+
+
 def test_a_short_run_with_groups_of_silent_workers_breaks_no_invariant(tmp_path):
     """Guards against streams cut while their sound engine sends nothing for a second: all engines, with few slots,
     fall silent right after a change of the configuration, and again half a second after they have gone on."""
--- a/tests/unit/cli/test_soak.py
+++ b/tests/unit/cli/test_soak.py
@@ -31,6 +31,7 @@
             bad_parts=2,
             skews=True,
             second_answers=True,
+            broken_answers=True,
             kept_connections=True,
             calm_s=18.0,
         ),
--- a/tests/unit/compatibility/test_metrics_and_commands.py
+++ b/tests/unit/compatibility/test_metrics_and_commands.py
@@ -115,6 +115,7 @@
     "explain": ["<logs> required nargs=* type=Path", "<request_id> required"],
     "soak": [
         "--bad-parts type=int default=0",
+        "--broken-answers nargs=0 default=False",
         "--calm type=float default=0.0",
         "--checkout type=Path default=.",
         "--crashing type=int default=0",
--- a/tests/unit/soak/test_invariants.py
+++ b/tests/unit/soak/test_invariants.py
@@ -3,7 +3,9 @@
 import pytest
 
 from tests.unit.soak.records import answered, began, history, sent, silenced_stream
+from wallwell.soak.broken_answers import BROKEN_SEAL
 from wallwell.soak.history import (
+    Answered,
     Arrived,
     Ended,
     FaultBegan,
@@ -18,6 +20,7 @@
     RolloutOrdered,
     RolloutState,
     SentAgain,
+    SentBroken,
     StopRequested,
     WeightsNamed,
     WorkerState,
@@ -290,6 +293,12 @@
 
 
 SOUND = {
+    "an answer that is none, and a failure of the router": [
+        sent(),
+        began(),
+        SentBroken(1.15, "r", "w.1", 0),
+        answered(status=502, worker=""),
+    ],
     "a cut by a planned stop of what was on its way from a worker that was killed": [
         *stopped(whole=False),
         FaultBegan(1.25, "crash_worker", "w"),
@@ -501,6 +510,10 @@
         "second_answers_end_nothing",
         rejected_twice(status=504),
     ),
+    "an answer that is none": (
+        "broken_answers_reach_nobody",
+        [sent(), began(), SentBroken(1.15, "r", "w.1", 0), Answered(1.2, "r", 0, BROKEN_SEAL)],
+    ),
     "a gap": ("stream_order", [STREAM, began(), answered(events=(1, 3), whole=False)]),
     "a double": ("stream_order", [STREAM, began(), answered(events=(1, 2, 2, 3))]),
     "a late start": ("stream_order", [STREAM, began(), answered(events=(2, 3))]),
--- a/tests/unit/soak/test_stand_ins.py
+++ b/tests/unit/soak/test_stand_ins.py
@@ -7,8 +7,9 @@
 import aiohttp
 import pytest
 
+from wallwell.answer_head import HeadCheck, MalformedAnswerError
 from wallwell.platform import names
-from wallwell.soak import second_answers, worker_process
+from wallwell.soak import broken_answers, second_answers, worker_process
 from wallwell.soak.answers import call_body, event_text
 from wallwell.soak.control import Done, ForgetHistory, Heartbeat, PutRow, SwitchStore
 from wallwell.soak.history import (
@@ -18,6 +19,7 @@
     Ended,
     OrderTaken,
     SentAgain,
+    SentBroken,
     WorkerState,
     read_history,
 )
@@ -260,3 +262,24 @@
     assert answer == copy
     assert (answer[0].split()[1], answer[2]) == (str(status), True)
     assert [(each.request, each.status) for each in records if isinstance(each, SentAgain)] == [("r", status)]
+
+
+@pytest.mark.parametrize("form", range(broken_answers.FORMS))
+def test_worker_sends_what_is_no_answer_and_closes(run_async, tmp_path, monkeypatch, form):
+    """Guards against a soak whose workers never send what routers must not take for an answer."""
+    monkeypatch.setattr(broken_answers, "draw_form", lambda *_: form)
+
+    async def scenario(stand_in, call):
+        host, _, port = stand_in.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(f"POST /book/r HTTP/1.1\r\nHost: h\r\n{names.REQUEST_ID}: r\r\n\r\n".encode())
+        async with asyncio.timeout(5):
+            received = await reader.read()
+        writer.close()
+        return received
+
+    received, records = with_worker(run_async, tmp_path, scenario, broken_answers=True)
+    assert received == broken_answers.broken_answer(form, "r", call_body("r"))
+    with pytest.raises(MalformedAnswerError):
+        HeadCheck().feed(received)
+    assert [(each.request, each.form) for each in records if isinstance(each, SentBroken)] == [("r", form)]
