Soak: a broken answer excuses its own request in the checks of silences

Trace: the worker itself sent form 4 to 501-395 (SentBroken at 2988.217), the node logged 3008 and ended the unsafe call with 504 at once, as it should; the silence of the worker plays no part. The two checks of silences take a worker that falls silent for sound otherwise, which it is not towards that request.

Change: both leave out a request to which a worker sent broken bytes in place of an answer. Without the option there is none, so the checks are as strict as before.

--- a/src/wallwell/soak/timeline.py
+++ b/src/wallwell/soak/timeline.py
@@ -15,6 +15,7 @@
     Left,
     NodeExited,
     Sent,
+    SentBroken,
     SentWhole,
     StopRequested,
     WorkerState,
@@ -56,6 +57,8 @@
         self.sent = {each.request: each for each in self.records if isinstance(each, Sent)}
         self.answers = {each.request: each for each in self.records if isinstance(each, Answered)}
         self.left = {each.request: each for each in self.records if isinstance(each, Left)}
+        self.answered_brokenly = {each.request for each in self.records if isinstance(each, SentBroken)}
+        """Requests to which a worker sent what is no answer."""
         self.began: dict[str, list[Began]] = {}
         for record in self.records:
             if isinstance(record, Began):
--- a/tests/unit/soak/test_invariants.py
+++ b/tests/unit/soak/test_invariants.py
@@ -317,6 +317,14 @@
         DRAIN_BOUND_S + 0.1, more=[NodeExited(10.5, "node-0", -9, "SIGKILL")]
     ),
     "an unsafe request outlasts a silence of its worker": silenced(status=200),
+    "an unsafe request to which its silent worker sends what is no answer": [
+        *silenced(status=504),
+        SentBroken(11.2, "r", "orders-0.1", 4),
+    ],
+    "a stream to which its silent worker sends what is no answer": [
+        *silenced_stream(events=(1, 2)),
+        SentBroken(11.2, "r", "engine-0.1", 4),
+    ],
     "a stream outlasts a silence of its worker": silenced_stream(),
     "callers that left what runs at a worker that stands still": [
         *callers_left(ended_after_s=1.9),
