The writer of heads encodes anew only what is not ASCII

Cause: AnswerWriter put every caller's head together a second time to see whether it had bytes to restore, work on the way of each answer. Change: it looks at the values alone first.

--- a/src/wallwell/answer_bounds.py
+++ b/src/wallwell/answer_bounds.py
@@ -20,7 +20,6 @@
 """Bytes that may frame one byte of a body, in addition: the chunk of a small event has a tenth of that."""
 MAX_UNUSED_MESSAGES = 32
 """Interim and discarded answers of a round trip. Each takes far more processor time than its few bytes say."""
-
 MAX_PIECES_PER_READ = 256
 """Heads, bodies and parts of bodies before the awaited head that are parsed of one read: each takes a call."""
 
--- a/src/wallwell/platform/answer_writer.py
+++ b/src/wallwell/platform/answer_writer.py
@@ -16,7 +16,7 @@
     async def write_headers(self, status_line: str, headers: CIMultiDict[str]) -> None:
         """Encode the head; see :class:`aiohttp.abc.AbstractStreamWriter`."""
         await super().write_headers(status_line, headers)
+        if "".join(headers.values()).isascii():
+            return
         lines = [status_line, *(f"{name}: {value}" for name, value in headers.items()), "", ""]
-        head = "\r\n".join(lines)
-        if not head.isascii():
-            self._headers_buf = head.encode("utf-8", "surrogateescape")
+        self._headers_buf = "\r\n".join(lines).encode("utf-8", "surrogateescape")
