A head that arrives whole is checked in one step

Change: a head that arrives whole, as nearly all do, is matched by one expression made of those for its lines, and what states the body's length or coding is found in it by another; lines are looked at one by one only if the head is not whole or is malformed.

Every form of the table is judged alike whole, cut at drawn places, byte by byte and in two parts at each place.

--- a/src/wallwell/answer_head.py
+++ b/src/wallwell/answer_head.py
@@ -21,8 +21,12 @@
 _TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
 """Reason phrases and values of fields: no control byte but the tab."""
-_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: " + _TEXT + rb")?")
-_FIELD_LINE = re.compile(rb"(" + _TOKEN + rb"):(" + _TEXT + rb")")
+_STATUS = rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: " + _TEXT + rb")?"
+_STATUS_LINE = re.compile(_STATUS)
+_FIELD_LINE = re.compile(_TOKEN + rb":" + _TEXT)
+_WHOLE_HEAD = re.compile(_STATUS + rb"\r\n(?:" + _TOKEN + rb":" + _TEXT + rb"\r\n)*\r\n")
+_FRAMING = re.compile(rb"\n(content-length|transfer-encoding):([^\r]*)")
+"""A field that states the body's length or coding, in lower case, behind the end of a line."""
 _NAME = re.compile(_TOKEN)
 _VALUE = re.compile(_TEXT)
 _LENGTH = re.compile(rb"[0-9]{1,18}")
@@ -65,6 +69,16 @@
     def feed(self, data: bytes, start: int = 0) -> int:
         """Check what ``data`` has of the head from ``start``; return where the head ends in it, its length if the
         head goes on. Raises :class:`MalformedAnswerError` as soon as a line is malformed."""
+        whole = None if self.status or self._partial_line else _WHOLE_HEAD.match(data, start)
+        if whole is None:
+            return self._feed_lines(data, start)
+        self._read_status(whole)
+        self._read_framing(whole[0])
+        self._end_head()
+        return whole.end()
+
+    def _feed_lines(self, data: bytes, start: int) -> int:
+        """See :meth:`feed`; for a head that has not arrived whole, or is malformed."""
         unchecked = self._partial_line + data[start:]
         line_start = 0
         while (line_end := unchecked.find(LINE_END, line_start)) >= 0:
@@ -89,20 +103,26 @@
         match = _STATUS_LINE.fullmatch(line)
         if match is None:
             raise MalformedAnswerError("no status line", line)
-        self._is_http_1_0 = match[1] == b"0"
-        self.status = int(match[2])
+        self._read_status(match)
+
+    def _read_status(self, status_line: re.Match[bytes]) -> None:
+        self._is_http_1_0 = status_line[1] == b"0"
+        self.status = int(status_line[2])
         if self.status == HTTPStatus.SWITCHING_PROTOCOLS:
             raise MalformedAnswerError("change of the protocol that was not asked for")
 
     def _check_field(self, line: bytes) -> None:
-        match = _FIELD_LINE.fullmatch(line)
-        if match is None:
+        if not _FIELD_LINE.fullmatch(line):
             raise MalformedAnswerError("no header field", line)
-        name = match[1].lower()
-        if name == b"content-length":
-            self._read_length(match[2].strip(b" \t"))
-        elif name == b"transfer-encoding":
-            self._read_coding(match[2].strip(b" \t"))
+        self._read_framing(LINE_END + line)
+
+    def _read_framing(self, lines: bytes) -> None:
+        """Read the fields that state the body's length or coding from lines behind the end of another one."""
+        for name, value in _FRAMING.findall(lines.lower()):
+            if name == b"content-length":
+                self._read_length(value.strip(b" \t"))
+            else:
+                self._read_coding(value.strip(b" \t"))
 
     def _read_length(self, value: bytes) -> None:
         if self.content_length is not None:
@@ -114,7 +134,7 @@
     def _read_coding(self, value: bytes) -> None:
         if self.is_chunked:
             raise MalformedAnswerError("second transfer coding", value)
-        if value.lower() != b"chunked":
+        if value != b"chunked":
             raise MalformedAnswerError("unknown transfer coding", value)
         self.is_chunked = True
 
