Log rows that could not be applied, errors that nobody awaits, what a node lacks, and why a process ends

Observability for the incident of unreadable addresses; no decision changes. 4010 names the table, the version and the keys of a page that raised; 1015 has what asyncio printed as text (the lines without JSON in the record); 1016 says what a node lacks after 4 s; 1017 tells an end of the process by an unexpected error from others.

--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -37,6 +37,9 @@
     )
     CONNECTIONS_TAKEN_AGAIN = (1013, "INFO", "node is in time again; no new connection is closed unread")
     REQUEST_CUT_BY_STOP = (1014, "WARNING", "planned stop: request ended before its answer was complete")
+    TASK_FAILED = (1015, "ERROR", "unexpected error in a task or callback that nothing awaits")
+    NODE_NOT_READY = (1016, "WARNING", "node is not ready to serve, for lack of what is named")
+    PROCESS_FAILED = (1017, "ERROR", "process ends after an unexpected error")
 
     # 2001 and up: operators' configuration.
     CONFIG_ADVANCED = (2001, "INFO", "configuration advanced to a higher revision")
@@ -80,6 +83,11 @@
     FEED_RESTARTED = (4006, "INFO", "store lacks the changes since this node's version; all rows are read again")
     STORE_RESTORED = (4007, "WARNING", "store was restored from an older copy; rows written since are lost")
     STORE_ERA_UNREADABLE = (4008, "WARNING", "store's era number cannot be parsed; the previous one is used")
+    PAGE_NOT_APPLIED = (
+        4010,
+        "ERROR",
+        "unexpected error while rows were applied; the rest of their page is not applied",
+    )
     ROWS_WENT_BACK = (4009, "WARNING", "rows that were read are older than this node's copy and are ignored")
 
     # 5001 and up: nodes, leases and the links between nodes.
--- a/src/wallwell/node/readiness.py
+++ b/src/wallwell/node/readiness.py
@@ -16,6 +16,9 @@
 from wallwell.node.state import NodeState
 from wallwell.read_gaps import TIMER_INTERVAL_S, loop_progress
 
+NOT_READY_LOG_DELAY_S = 4.0
+"""Seconds after a node's start before it logs what it lacks to be ready: a start takes less than two."""
+
 
 class Readiness:
     """The readiness that one node reports to load balancers."""
@@ -28,6 +31,8 @@
         self.shedding = ConnectionShedding(self._is_load_skewed, state.rng)
         self.draining = False
         """Whether a planned stop has begun."""
+        self._logged_lack: list[str] = []
+        """What the last log line on a node that is not ready yet named as missing."""
 
     def is_ready(self) -> bool:
         """Whether callers should open new connections to this node."""
@@ -37,6 +42,17 @@
         # The nodes' own table lists versions and requests that must not be served.
         return self._member_rows.has_been_read and self._state.is_ready(now_s)
 
+    def _log_lack(self, now_s: float) -> None:
+        """Log what a node lacks to be ready, if its start takes long; once for each change."""
+        if now_s < self._state.started_s + NOT_READY_LOG_DELAY_S:
+            return
+        lack = self._state.lacks_to_be_ready(now_s)
+        if not self._member_rows.has_been_read:
+            lack.append("the nodes' own table")
+        if lack and lack != self._logged_lack:
+            emit(Event.NODE_NOT_READY, lacks=lack)
+        self._logged_lack = lack
+
     def is_closing_connections(self) -> bool:
         """Whether callers should send their next request to another node."""
         return self.draining or not self._state.is_fresh(boot_time_s())
@@ -57,6 +73,7 @@
         self._suspension_watch.check()
         self.loop_lag.observe(now_s - due_s, now_s)
         self._observe_for_shedding(now_s - due_s)
+        self._log_lack(now_s)
 
     def _observe_for_shedding(self, delay_s: float) -> None:
         was_shedding = self.shedding.fraction > 0
--- a/src/wallwell/node/state.py
+++ b/src/wallwell/node/state.py
@@ -236,7 +236,18 @@
 
     def is_ready(self, now_s: float) -> bool:
         """Whether this node can serve callers now."""
-        return self.config is not None and self.backends_known and self.is_fresh(now_s)
+        return not self.lacks_to_be_ready(now_s)
+
+    def lacks_to_be_ready(self, now_s: float) -> list[str]:
+        """Return what this node still lacks to serve callers, in words for the log."""
+        lack = []
+        if self.config is None:
+            lack.append("a configuration")
+        elif not self.is_fresh(now_s):
+            lack.append("a recent confirmation of the configuration")
+        if not self.backends_known:
+            lack.append("the listing of back ends")
+        return lack
 
     def retry_budget(self, service: str) -> FleetRetryBudget:
         """Return this node's share of a service's retry budget."""
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -18,6 +18,7 @@
 from wallwell.clock import boot_time_s
 from wallwell.errors import WallwellError
 from wallwell.events import Event, configure_logging, emit
+from wallwell.loop_errors import log_loop_errors
 from wallwell.node.adapter import NodeAdapter, NodeSources
 from wallwell.node.node import FleetNode, NodeProfile
 from wallwell.platform import names
@@ -144,6 +145,7 @@
 
 async def run(path: str) -> None:
     """Run until a planned stop is complete. Raises :class:`SettingsError`, or OSError if a port cannot be bound."""
+    log_loop_errors(asyncio.get_running_loop())
     stop_signal = _handle_signals(path)
     settings = load_platform_settings(path)
     node = build_node(settings)
@@ -192,4 +194,7 @@
     except WallwellError as error:
         print(str(error), file=sys.stderr)
         return STARTUP_ERROR_EXIT_CODE
+    except Exception as error:
+        emit(Event.PROCESS_FAILED, error=f"{type(error).__name__}: {error}")
+        raise
     return 0
--- a/src/wallwell/storage/feed.py
+++ b/src/wallwell/storage/feed.py
@@ -29,6 +29,9 @@
 MAX_DOUBLINGS = 5
 """Maximum exponent, which keeps the power small in long outages; three doublings exceed ``MAX_RETRY_DELAY_S``."""
 
+MAX_KEYS_LOGGED = 10
+"""Keys of a page that are named in the log if the page could not be applied."""
+
 
 class FeedRow(msgspec.Struct, frozen=True):
     """A row as of ``version`` in its page's era; ``value`` is None if the row was deleted."""
@@ -143,7 +146,24 @@
             self._failures = 0
         is_restored = self._applied_era is not None and page.era > self._applied_era
         self._applied_era = page.era
-        self._apply(FollowedPage(page, is_snapshot, self.confirmed_at_s, previous_confirmed_at_s, is_restored))
+        followed = FollowedPage(page, is_snapshot, self.confirmed_at_s, previous_confirmed_at_s, is_restored)
+        try:
+            self._apply(followed)
+        except Exception as error:
+            self._log_not_applied(followed, error)
+            raise
+
+    def _log_not_applied(self, followed: FollowedPage, error: Exception) -> None:
+        page = followed.page
+        emit(
+            Event.PAGE_NOT_APPLIED,
+            rows=self.name,
+            version=page.version,
+            is_snapshot=followed.is_snapshot,
+            keys=[row.key for row in page.rows[:MAX_KEYS_LOGGED]],
+            count=len(page.rows),
+            error=f"{type(error).__name__}: {error}",
+        )
 
     def _confirmed_s(self, page: FeedPage, sent_s: float) -> float:
         if page.relayed:
--- a/tests/unit/storage/test_feed.py
+++ b/tests/unit/storage/test_feed.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from loguru import logger
 
 from tests.unit.storage.memory_rows import MemoryRows, Mirror
 from tests.virtual_time import run_virtual
@@ -145,3 +146,24 @@
 
     assert run_virtual(work()) == {"a": b"2"}
     assert events == [(Event.FEED_RESTARTED, 1)]
+
+
+def test_rows_that_cannot_be_applied_are_named_in_the_log():
+    def refuse(_followed):
+        raise OverflowError("scripted")
+
+    async def work():
+        source = MemoryRows()
+        source.write("a", b"1")
+        follower = RowFollower("test", source, refuse, 1.0, StoreClock(), random.Random(3))
+        with pytest.raises(OverflowError):
+            await follower.read_once()
+
+    lines = []
+    sink = logger.add(lambda line: lines.append(line.record["extra"]), level="ERROR")
+    try:
+        run_virtual(work())
+    finally:
+        logger.remove(sink)
+    expected = {"rows": "test", "version": 1, "is_snapshot": True, "keys": ["a"], "count": 1}
+    assert lines == [{"event": Event.PAGE_NOT_APPLIED.number, **expected, "error": "OverflowError: scripted"}]
--- a/tests/unit/test_import_layers.py
+++ b/tests/unit/test_import_layers.py
@@ -23,6 +23,7 @@
     "errors",
     "events",
     "http_connection",
+    "loop_errors",
     "task_wait",
     "log_writer",
     "outcomes",
