Any value in a row of the store is decoded or refused by the documented error

Callers could have met absurd numbers later: a sum of slots of 400 digits raises OverflowError where it is divided, and a start time of 30 digits makes the key of a crash's row longer than the store takes. A key with a line break ended the header field that names the back end, so that the rest of the key became a header of its own.

Cause: decoders documented one error, but Python's own errors passed (ValueError of int(), RecursionError), and whole numbers, floats, names and keys had no bounds.

Now every decoder of rows converts the errors that a value can cause into its documented one. Numbers, times and names have bounds far above real values. A key that cannot stand in a header field, or is too long for the store, names no back end.

--- a/src/wallwell/platform/rows.py
+++ b/src/wallwell/platform/rows.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Literal, TypeVar
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -25,6 +25,7 @@
 )
 from wallwell.platform import names
 from wallwell.rollout.model import RolloutOrder, RolloutRecord
+from wallwell.storage.row_values import decode_value, raises_only_msgspec_errors
 
 READY_STATE: Literal["ready"] = "ready"
 """State of a back end that accepts new requests; the only other state, ``draining``, means that it is leaving."""
@@ -33,12 +34,39 @@
 RUNNING_STATE = "running"
 """State of a rollout that has not ended, whatever its phase."""
 
+MAX_NUMBER = 2**53 - 1
+"""Largest whole number of a row: every JSON library keeps it exact, and a float can be computed from it."""
+MAX_START_UNIX_MS = 2**64 - 1
+"""Latest start of a back end, in Unix milliseconds: its 20 digits still fit into the key of a crash's row."""
+MAX_DURATION_MS = 1e12
+"""Longest time in a configuration, in milliseconds: 30 years, which every timer bears."""
+MAX_DURATION_S = MAX_DURATION_MS / 1000
+MAX_RATE = 1e12
+"""Largest rate, burst or weight; sums of these are far from the range of floats."""
+MAX_SLOTS = 1_000_000
+"""Most requests that one back end works on at once: far above any real one, and the sum over all back ends is small
+enough to be sent and divided."""
+MAX_COLD_MS = 24 * 3600 * 1000.0
+"""Longest time in milliseconds for which a back end may stay slow after its start: a day."""
+MAX_NAME_CHARS = 200
+"""Characters of a name in a back end's entry. Keys of the store, which contain names, have 200 bytes at most."""
+MAX_INCARNATION_BYTES = 120
+"""Bytes of an incarnation: with a digest and a start time it must fit into the key of a crash's row (200 bytes)."""
+
+Number = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+NonNegativeInt = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=-MAX_DURATION_MS, le=MAX_DURATION_MS)]
+Rate = Annotated[float, msgspec.Meta(ge=-MAX_RATE, le=MAX_RATE)]
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+NonEmptyName = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARS)]
+Slots = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+
 
 class RouteSplitRow(msgspec.Struct, frozen=True):
     """One of the services among which a route's requests are split."""
 
     service: str
-    weight: float = 1.0
+    weight: Rate = 1.0
     """Weight relative to the route's other services; a service of weight 0 gets no requests."""
 
 
@@ -48,24 +76,24 @@
     host: str
     path_prefix: str
     kind: RouteKind
-    timeout_ms: float
+    timeout_ms: Milliseconds
     """Longest time in milliseconds that the router works on a request."""
     name: str = ""
     service: str = ""
     """The route's only service; used if ``backends`` lists no service with a positive weight."""
     backends: tuple[RouteSplitRow, ...] = ()
     """Services among which requests are split; not back ends."""
-    slo_ms: float = 1000.0
+    slo_ms: Milliseconds = 1000.0
     """Milliseconds within which an answer, or a stream's first event, earns full credit."""
-    priority: int = 5
+    priority: Number = 5
     """Priority of the route's requests; 0 is served first."""
-    attempts: int = 1
+    attempts: Number = 1
     """Maximum number of attempts per request, including the first."""
     public: bool = False
     """Whether requests are accepted without a credential."""
     can_resume: bool = False
     """Whether a broken stream may be continued at another back end."""
-    gap_slo_ms: float = 500.0
+    gap_slo_ms: Milliseconds = 500.0
     """Longest pause between events, in milliseconds, with which a stream meets its objective."""
 
 
@@ -78,9 +106,9 @@
 class EngineRow(msgspec.Struct, frozen=True):
     """The engines of a service."""
 
-    slots: int = 1
+    slots: Number = 1
     """Requests that one engine processes concurrently."""
-    kv_capacity: int = 0
+    kv_capacity: Number = 0
     """Tokens that fit into one engine's memory, for running requests and cached prompt parts together."""
     models: tuple[EngineModelRow, ...] = ()
 
@@ -89,7 +117,7 @@
     """A service as the operator writes it."""
 
     name: str
-    max_conns: int = 0
+    max_conns: Number = 0
     """Connections that one back end accepts from all callers together."""
     engine: EngineRow | None = None
     kv_store_addr: str = ""
@@ -107,31 +135,31 @@
 
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
+    priority: Number | None = None
     """Overrides the route's priority."""
     isolated: bool = False
     """Whether its cached prompt parts are not shared with other tenants."""
-    rate_per_s: float = 0.0
+    rate_per_s: Rate = 0.0
     """Limit over all nodes together, in ``unit`` per second; 0 for no limit."""
-    burst: float = 0.0
+    burst: Rate = 0.0
     """Burst that the limit permits after a quieter time, in ``unit``."""
     unit: str = ""
-    plain_tokens: int = 1
+    plain_tokens: Number = 1
     """Tokens charged for a request that declares no token count."""
 
 
 class LimitsRow(msgspec.Struct, frozen=True):
     """Limits on what callers may send and how long their connections may be idle."""
 
-    max_body_bytes: int = 4 * 1024 * 1024
-    idle_timeout_ms: float = 60_000
+    max_body_bytes: Number = 4 * 1024 * 1024
+    idle_timeout_ms: Milliseconds = 60_000
     """Milliseconds for which callers may leave a connection idle."""
 
 
 class ConfigRow(msgspec.Struct, frozen=True):
     """The operators' complete configuration."""
 
-    version: int
+    version: Number
     """Increases with each change, not always by one."""
     routes: tuple[RouteRow, ...] = ()
     services: tuple[ServiceRow, ...] = ()
@@ -143,20 +171,16 @@
     """A weights version that operators announce and that every engine of the model must load."""
 
     model: str
-    version: int
-
-
-NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
-NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
+    version: Number
 
 
 class RolloutOrderRow(msgspec.Struct, frozen=True):
     """An order to replace the software version of a service."""
 
-    service: NonEmptyText
-    target_version: NonEmptyText
+    service: NonEmptyName
+    target_version: NonEmptyName
     """A software version, not a weights version."""
-    duration_s: Annotated[float, msgspec.Meta(gt=0)]
+    duration_s: Annotated[float, msgspec.Meta(gt=0, le=MAX_DURATION_S)]
     """Seconds within which the rollout must end."""
 
 
@@ -172,42 +196,32 @@
 class LoadedModelRow(msgspec.Struct, frozen=True):
     """A model that a back end has loaded, and its weights version."""
 
-    name: str
-    version: int = 0
+    name: Name
+    version: NonNegativeInt = 0
 
 
 class BackendRow(msgspec.Struct, frozen=True):
     """Entry that a back end has in the platform's table."""
 
-    service: NonEmptyText
+    service: NonEmptyName
     addr: str
     """Address at which it accepts requests, ``IP:PORT``."""
-    zone: str = ""
-    slots: NonNegativeInt = 1
+    zone: Name = ""
+    slots: Slots = 1
     state: Literal["ready", "draining"] = READY_STATE
-    version: str = ""
+    version: Name = ""
     """Software version, not a weights version."""
-    cold_left_ms: float = 0.0
+    cold_left_ms: Annotated[float, msgspec.Meta(le=MAX_COLD_MS)] = 0.0
     """Milliseconds for which it stays slow after its start, as of when the entry was written."""
     models: tuple[LoadedModelRow, ...] = ()
-    born: NonNegativeInt | msgspec.UnsetType = msgspec.UNSET
+    born: Annotated[int, msgspec.Meta(ge=0)] | msgspec.UnsetType = msgspec.UNSET
     """Start time in Unix milliseconds; differs between starts of a worker under the same id."""
 
 
-RowType = TypeVar("RowType", bound=msgspec.Struct)
-
-
-def _decode_row(value: bytes, row_type: type[RowType]) -> RowType:
-    """Decode a row's value. Raises ``msgspec.MsgspecError`` for any invalid value."""
-    try:
-        return msgspec.json.decode(value, type=row_type)
-    except RecursionError as error:
-        raise msgspec.DecodeError("nested too deeply") from error
-
-
+@raises_only_msgspec_errors
 def decode_config(value: bytes) -> DeploymentConfig:
     """Decode the operators' configuration. Raises ``msgspec.MsgspecError``."""
-    row = _decode_row(value, ConfigRow)
+    row = decode_value(value, ConfigRow)
     return DeploymentConfig(
         version=row.version,
         routes=tuple(_to_route(route) for route in row.routes),
@@ -250,15 +264,17 @@
     return Service(row.name, row.max_conns, engines, row.kv_store_addr, row.zone)
 
 
+@raises_only_msgspec_errors
 def decode_weights_version(value: bytes) -> tuple[str, int]:
     """Return a model and the weights version announced for it. Raises ``msgspec.MsgspecError``."""
-    row = _decode_row(value, WeightsVersionRow)
+    row = decode_value(value, WeightsVersionRow)
     return row.model, row.version
 
 
+@raises_only_msgspec_errors
 def decode_rollout_order(key: str, value: bytes, version: int) -> RolloutOrder:
     """Decode a rollout order and check it against its key. Raises ``msgspec.MsgspecError``."""
-    row = _decode_row(value, RolloutOrderRow)
+    row = decode_value(value, RolloutOrderRow)
     if key != names.ROLLOUT_KEY_PREFIX + row.service:
         raise msgspec.ValidationError(f"the order is for service {row.service}, but its key names another service")
     return RolloutOrder(row.service, row.target_version, row.duration_s, version)
@@ -270,9 +286,13 @@
     return msgspec.json.encode(RolloutStatusRow(state, record.target_version, record.service)).decode()
 
 
+@raises_only_msgspec_errors
 def decode_backend(incarnation: str, value: bytes) -> BackendRecord:
     """Decode a back end's entry and check its address. Raises ``msgspec.MsgspecError``."""
-    row = _decode_row(value, BackendRow)
+    _require_incarnation(incarnation)
+    row = decode_value(value, BackendRow)
+    if row.born is not msgspec.UNSET and row.born > MAX_START_UNIX_MS:
+        raise msgspec.ValidationError("the start time is too large")
     host, _, port = row.addr.rpartition(":")
     if not host or not (port.isascii() and port.isdecimal()) or not 0 < int(port) <= MAX_PORT:
         raise msgspec.ValidationError("the address is not IP:PORT")
@@ -288,3 +308,15 @@
         slow_for_s=max(0.0, row.cold_left_ms / 1000),
         started_unix_ms=None if row.born is msgspec.UNSET else row.born,
     )
+
+
+def _require_incarnation(key: str) -> None:
+    """Raise ``msgspec.ValidationError`` if an entry's key cannot name a back end.
+
+    Requests name their back end in a header field. Control characters would end the field, and blanks at the ends
+    of its value would be removed, so that no back end could answer under such a name.
+    """
+    if not key or not key.isprintable() or key != key.strip():
+        raise msgspec.ValidationError("the key cannot stand in a header field")
+    if len(key.encode()) > MAX_INCARNATION_BYTES:
+        raise msgspec.ValidationError(f"the key has more than {MAX_INCARNATION_BYTES} bytes")
