Rows of a page that could not be applied are read again

A node whose page of rows could not be applied went on behind that page: a starting node had no back ends, another one went on using back ends that had left and never used those that had come, until the rows were written again.

Cause: the follower moved its position, its time of confirmation and the store's era before it applied the page, and its supervisor started it again behind it.

Now these three move only once the page is applied. After an error the next reading is of all rows, with the news of a restored store kept. Supervision waits a second before that; from the second failure in a row on the follower waits longer each time, up to 8 s, so that a page that can never be applied costs a node one whole reading in 9 s.

Evidence: the five new tests fail with the follower as it was.

--- a/src/wallwell/storage/feed.py
+++ b/src/wallwell/storage/feed.py
@@ -31,6 +31,12 @@
 
 MAX_KEYS_LOGGED = 10
 """Keys of a page that are named in the log if the page could not be applied."""
+MAX_KEY_CHARS = 100
+"""Characters of each of these keys."""
+FIRST_REREAD_DELAY_S = 1.0
+"""Seconds before rows are read again after two readings that could not be applied; doubles with each further."""
+MAX_REREAD_DELAY_S = 8.0
+"""Longest such delay: a page that can never be applied then costs each node one whole reading in that time."""
 
 
 class FeedRow(msgspec.Struct, frozen=True):
@@ -113,9 +119,14 @@
         """The position reached; None if the next read is a snapshot."""
         self._applied_era: int | None = None
         self._failures = 0
+        self._unapplied_pages = 0
+        """Pages in a row that could not be applied."""
 
     async def run(self) -> None:
-        """Follow the source until cancelled."""
+        """Follow the source until cancelled. Ends with the error of a page that could not be applied; the caller
+        runs it again after a pause, and then all rows are read again, since some of the page's may be missing."""
+        if self._unapplied_pages > 1:
+            await asyncio.sleep(self._reread_delay_s())
         while True:
             try:
                 await self.read_once()
@@ -128,30 +139,38 @@
                 await asyncio.sleep(self._retry_delay_s())
 
     async def read_once(self) -> None:
-        """Read and apply one page. Raises :class:`HistoryLostError` or :class:`PlatformUnavailableError`."""
+        """Read and apply one page. Raises :class:`HistoryLostError` or :class:`PlatformUnavailableError`.
+
+        Raises any error of ``apply`` too. The page then counts as never read: its rows are not confirmed, and the
+        next reading is of all rows.
+        """
         sent_s = boot_time_s()
         is_snapshot = self._position is None
         if self._position is None:
             page = await self._source.read_all()
-            self._position = page.position
+            position = page.position
         else:
             # After a failure the answer itself is needed, since only it confirms that the rows held are current.
             wait_s = 0.0 if self._failures else self._wait_s
             page = await self._source.changes(self._position, wait_s)
-            self._position = max(self._position, page.position)
-        previous_confirmed_at_s = self.confirmed_at_s
-        self.confirmed_at_s = max(self.confirmed_at_s, self._confirmed_s(page, sent_s))
+            position = max(self._position, page.position)
+        confirmed_at_s = max(self.confirmed_at_s, self._confirmed_s(page, sent_s))
         if self._failures:
             emit(Event.STORE_REGAINED, rows=self.name, failures=self._failures)
             self._failures = 0
         is_restored = self._applied_era is not None and page.era > self._applied_era
-        self._applied_era = page.era
-        followed = FollowedPage(page, is_snapshot, self.confirmed_at_s, previous_confirmed_at_s, is_restored)
+        followed = FollowedPage(page, is_snapshot, confirmed_at_s, self.confirmed_at_s, is_restored)
         try:
             self._apply(followed)
         except Exception as error:
+            self._position = None
+            self._unapplied_pages += 1
             self._log_not_applied(followed, error)
             raise
+        self._position = position
+        self._applied_era = page.era
+        self.confirmed_at_s = confirmed_at_s
+        self._unapplied_pages = 0
 
     def _log_not_applied(self, followed: FollowedPage, error: Exception) -> None:
         page = followed.page
@@ -160,7 +179,7 @@
             rows=self.name,
             version=page.version,
             is_snapshot=followed.is_snapshot,
-            keys=[row.key for row in page.rows[:MAX_KEYS_LOGGED]],
+            keys=[row.key[:MAX_KEY_CHARS] for row in page.rows[:MAX_KEYS_LOGGED]],
             count=len(page.rows),
             error=f"{type(error).__name__}: {error}",
         )
@@ -175,6 +194,10 @@
         if self._failures == 1:
             emit(Event.STORE_LOST, rows=self.name, reason=error.detail)
 
+    def _reread_delay_s(self) -> float:
+        doublings = min(self._unapplied_pages - 2, MAX_DOUBLINGS)
+        return min(MAX_REREAD_DELAY_S, FIRST_REREAD_DELAY_S * (1 << doublings))
+
     def _retry_delay_s(self) -> float:
         """Return a random delay in seconds, so that nodes that lost the store together do not retry in step."""
         max_delay_s = min(MAX_RETRY_DELAY_S, MIN_RETRY_DELAY_S * (1 << min(self._failures, MAX_DOUBLINGS)))
--- a/tests/unit/storage/test_feed.py
+++ b/tests/unit/storage/test_feed.py
@@ -13,6 +13,7 @@
 from wallwell.deployment.freshness import StoreClock
 from wallwell.errors import PlatformUnavailableError
 from wallwell.events import Event
+from wallwell.node.supervision import run_supervised
 from wallwell.storage import feed
 from wallwell.storage.feed import MAX_RETRY_DELAY_S, RowFollower
 
@@ -167,3 +168,85 @@
         logger.remove(sink)
     expected = {"rows": "test", "version": 1, "is_snapshot": True, "keys": ["a"], "count": 1}
     assert lines == [{"event": Event.PAGE_NOT_APPLIED.number, **expected, "error": "OverflowError: scripted"}]
+
+
+class FailingMirror(Mirror):
+    """A mirror that fails at its first ``failures`` pages, after half of their rows."""
+
+    def __init__(self, failures):
+        super().__init__()
+        self.failures = failures
+        self.pages = []
+
+    def apply(self, followed):
+        self.pages.append(followed)
+        if self.failures:
+            self.failures -= 1
+            raise ZeroDivisionError("scripted")
+        super().apply(followed)
+
+
+def follow_supervised(source, mirror, seconds, write=lambda: None):
+    """Follow rows as a node does, with ``write`` after two seconds, and return the follower."""
+
+    async def work():
+        follower = make_follower(source, mirror)
+        task = asyncio.create_task(run_supervised(follower.run))
+        await asyncio.sleep(2.0)
+        write()
+        await asyncio.sleep(seconds)
+        task.cancel()
+        return follower
+
+    return run_virtual(work())
+
+
+def test_rows_of_a_page_that_could_not_be_applied_are_read_again():
+    """Guards against a follower that goes on behind such a page, so that a node never gets its rows."""
+    source, mirror = MemoryRows(), FailingMirror(failures=1)
+    source.write("a", b"1")
+    follow_supervised(source, mirror, 3.0)
+    assert mirror.rows == {"a": b"1"}
+
+
+def test_changes_that_could_not_be_applied_are_read_again():
+    source, mirror = MemoryRows(), FailingMirror(failures=0)
+
+    def write():
+        mirror.failures = 1
+        source.write("b", b"2")
+        source.write("a", None)
+
+    source.write("a", b"1")
+    follow_supervised(source, mirror, 4.0, write)
+    assert mirror.rows == {"b": b"2"}
+
+
+def test_a_page_that_could_not_be_applied_confirms_nothing_and_hides_no_restore():
+    """Guards against a node that takes rows for confirmed, or a restored store for the same, after such a page."""
+    source, mirror = MemoryRows(), FailingMirror(failures=0)
+    copy = source.copy()
+
+    def write():
+        mirror.failures = 2
+        source.restore(copy)
+
+    follow_supervised(source, mirror, 6.0, write)
+    failed, repeated, applied = [each for each in mirror.pages if each.is_store_restored]
+    assert failed.previous_confirmed_at_s == repeated.previous_confirmed_at_s == applied.previous_confirmed_at_s
+
+
+def test_a_page_that_can_never_be_applied_is_read_ever_more_rarely():
+    """Guards against a node that reads all rows each second for as long as its fault lasts."""
+    source, mirror = MemoryRows(), FailingMirror(failures=1000)
+    follower = follow_supervised(source, mirror, 100.0)
+    assert source.snapshot_reads <= 16
+    assert follower.confirmed_at_s == float("-inf")
+
+
+def test_after_the_last_failure_all_rows_are_there_within_seconds():
+    source, mirror = MemoryRows(), FailingMirror(failures=8)
+    source.write("a", b"1")
+    follow_supervised(source, mirror, 60.0)
+    assert mirror.rows == {"a": b"1"}
+    assert not mirror.pages[-1].is_snapshot
