A row that cannot be applied costs that row alone

One row whose application raised an error that nobody expects kept all later rows of its page from being applied: back ends, operators' changes, members, crashes, leases. A starting node beside it was not ready, since it never knew its back ends.

Cause: the loops over a page's rows expected only decoding errors, and one error of any other kind left them.

Each row is now applied on its own, in all four tables, for each listener of the nodes' own table, for entries that are held after a restore and for back ends that are removed. A back end whose entry raises counts as gone, as with an entry that cannot be decoded.

--- a/src/wallwell/cluster/stream_records.py
+++ b/src/wallwell/cluster/stream_records.py
@@ -15,6 +15,7 @@
 import asyncio
 import random
 import secrets
+from collections import Counter
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -23,6 +24,7 @@
 
 from wallwell.clock import boot_time_s, time_limit
 from wallwell.cluster.version_rows import (
+    UNREADABLE_VERSION,
     VersionsChange,
     VersionsRow,
     changed_row,
@@ -32,6 +34,8 @@
 from wallwell.errors import HistoryLostError, PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
 from wallwell.storage.feed import FeedRow
+from wallwell.storage.row_isolation import RowErrors
+from wallwell.storage.row_values import decode_value
 from wallwell.storage.table import Condition, Put, Row, TableService, Transaction
 
 VERSIONS_PREFIX = "versions/"
@@ -125,8 +129,10 @@
         store_time_s: Callable[[], float],
         node_count: Callable[[], int],
         rng: random.Random,
+        row_errors: Counter[str] | None = None,
     ) -> None:
-        """``views`` returns what this node knows of each listed service that has resumable streams."""
+        """``views`` returns what this node knows of each listed service that has resumable streams; ``row_errors``
+        counts rows that could not be applied, by table."""
         self.life = f"{node}/{secrets.token_hex(4)}"
         """Tells this start of the node from all others."""
         self._key_prefix = f"{STREAMS_PREFIX}{self.life}/"
@@ -135,6 +141,7 @@
         self._store_time_s = store_time_s
         self._node_count = node_count
         self._rng = rng
+        self._errors = RowErrors("streams", Counter() if row_errors is None else row_errors)
         self._next_row = 0
         self._unwritten: dict[str, tuple[str, float]] = {}
         """By stream, its version and until when it may be resumed, on the store's clock; oldest first."""
@@ -330,6 +337,12 @@
                 self._decode_row(row, found)
             except msgspec.MsgspecError as error:
                 emit(Event.OWN_ROW_UNREADABLE, row=row.key, error=str(error))
+            except Exception as error:
+                self._errors.on_error(row.key, error)
+                if row.key.startswith(VERSIONS_PREFIX):
+                    found.rows[row.key.removeprefix(VERSIONS_PREFIX)] = VersionsRow([UNREADABLE_VERSION])
+            else:
+                self._errors.on_applied(row.key)
         return found
 
     def _decode_row(self, row: Row, found: Records) -> None:
@@ -340,7 +353,7 @@
             if recorded is None or recorded.row_version < row.version:
                 self._recorded[service] = RecordedVersions(versions, row.version, self._store_time_s())
         elif row.key.startswith(STREAMS_PREFIX):
-            streams = msgspec.json.decode(row.value, type=StreamsRow)
+            streams = decode_value(row.value, StreamsRow)
             for software, each in streams.by_version.items():
                 found.software.update(dict.fromkeys(each, software))
             now_s = self._store_time_s()
--- a/src/wallwell/cluster/version_rows.py
+++ b/src/wallwell/cluster/version_rows.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from wallwell.events import Event, emit
+from wallwell.storage.row_values import decode_value
 from wallwell.storage.table import Row
 
 UNREADABLE_VERSION = "?"
@@ -96,7 +97,7 @@
 def decode_versions_row(row: Row) -> VersionsRow:
     """Return the contents of a row; :data:`UNREADABLE_VERSION` if they cannot be decoded."""
     try:
-        return msgspec.json.decode(row.value, type=VersionsRow)
+        return decode_value(row.value, VersionsRow)
     except msgspec.MsgspecError as error:
         emit(Event.OWN_ROW_UNREADABLE, row=row.key, error=str(error))
         return VersionsRow([UNREADABLE_VERSION])
--- a/src/wallwell/node/backend_rows.py
+++ b/src/wallwell/node/backend_rows.py
@@ -16,6 +16,7 @@
 from wallwell.node.store_outage import STORE_OUTAGE_S
 from wallwell.routing.health.backend import Backend
 from wallwell.storage.feed import FeedRow, FollowedPage
+from wallwell.storage.row_isolation import RowErrors
 
 LAPSE_GRACE_S = 1.7
 """Seconds after the store comes back during which a back end whose entry is missing still gets requests.
@@ -44,12 +45,14 @@
         self._state = state
         self._decode = sources.decode_backend
         self._pool = pool
+        self._errors = RowErrors("backends", state.row_errors)
         self._store_returned_s = float("-inf")
         self._held_entries: dict[str, bytes] = {}
         """Restored entries of back ends that this node had removed, by incarnation; not applied yet."""
 
     def apply(self, followed: FollowedPage) -> None:
-        """Apply a page of rows. If a row cannot be decoded, the back end listed under its key counts as gone."""
+        """Apply a page of rows. If one cannot be decoded or applied, the back end listed under its key counts as
+        gone; all others are applied."""
         now_s = boot_time_s()
         is_outage = now_s - followed.previous_confirmed_at_s > STORE_OUTAGE_S and self._state.backends_known
         if is_outage or followed.is_store_restored:
@@ -73,16 +76,25 @@
     def _apply_row(self, row: FeedRow, may_be_stale: bool, now_s: float) -> str:
         """Apply a row. Returns the decoding error, or an empty string."""
         self._held_entries.pop(row.key, None)
-        if row.value is None:
-            listed = self._state.backends.get(row.key)
-            if listed is not None:
-                self._on_missing_entry(listed, now_s)
-            return ""
+        if row.value is not None:
+            return self._apply_entry(row.key, row.value, may_be_stale, now_s)
+        listed = self._state.backends.get(row.key)
+        if listed is not None:
+            self._on_missing_entry(listed, now_s)
+        return ""
+
+    def _apply_entry(self, incarnation: str, value: bytes, may_be_stale: bool, now_s: float) -> str:
+        """Apply an entry. Returns the decoding error, or an empty string."""
         try:
-            self._on_entry(row.key, row.value, may_be_stale)
+            self._on_entry(incarnation, value, may_be_stale)
         except msgspec.MsgspecError as error:
-            self._state.backends.lapse(row.key, now_s)
+            self._state.backends.lapse(incarnation, now_s)
             return str(error)
+        except Exception as error:
+            self._state.backends.lapse(incarnation, now_s)
+            self._errors.on_error(incarnation, error)
+        else:
+            self._errors.on_applied(incarnation)
         return ""
 
     def drop_lapsed(self, now_s: float) -> None:
@@ -90,11 +102,17 @@
         if self._held_entries and now_s >= self._entry_hold_ends_s():
             held_entries, self._held_entries = self._held_entries, {}
             for incarnation, value in held_entries.items():
-                self._on_entry(incarnation, value, may_be_stale=False)
+                self._apply_entry(incarnation, value, may_be_stale=False, now_s=now_s)
         for backend in self._state.backends.remove_lapsed(now_s):
-            emit(Event.BACKEND_GONE, backend=backend.incarnation)
-            self._state.software_history.on_unlisted(backend.record.service, backend.record.software, now_s)
-            self._pool.close_idle(backend.record.address)
+            try:
+                self._on_removed(backend, now_s)
+            except Exception as error:
+                self._errors.on_error(backend.incarnation, error)
+
+    def _on_removed(self, backend: Backend, now_s: float) -> None:
+        emit(Event.BACKEND_GONE, backend=backend.incarnation)
+        self._state.software_history.on_unlisted(backend.record.service, backend.record.software, now_s)
+        self._pool.close_idle(backend.record.address)
 
     def _entry_hold_ends_s(self) -> float:
         return self._state.store_era.observed_since_s + RESTORED_ENTRY_HOLD_S
--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -39,6 +39,7 @@
 from wallwell.routing.health.backend import Backend
 from wallwell.routing.rendezvous import owner, owners, rendezvous_key
 from wallwell.storage.feed import FeedRow
+from wallwell.storage.row_values import decode_value
 from wallwell.storage.table import Put, TableService, Transaction
 
 MAX_TRANSACTION_ROWS = 100
@@ -183,7 +184,7 @@
         if part_of(subject) is None:
             return self._store_time_s()
         try:
-            return msgspec.json.decode(row.value or b"", type=PartCrashRow).happened_s
+            return decode_value(row.value or b"", PartCrashRow).happened_s
         except msgspec.MsgspecError as error:
             emit(Event.OWN_ROW_UNREADABLE, row=row.key, error=str(error))
             return self._store_time_s()  # The crash itself is known from the key.
--- a/src/wallwell/node/member_rows.py
+++ b/src/wallwell/node/member_rows.py
@@ -18,6 +18,8 @@
 from wallwell.events import Event, emit
 from wallwell.node.state import NodeState
 from wallwell.storage.feed import FeedRow, FollowedPage
+from wallwell.storage.row_isolation import RowErrors
+from wallwell.storage.row_values import decode_value
 from wallwell.storage.table import Condition, Put, TableService, Transaction
 
 MEMBER_PREFIX = "member/"
@@ -51,6 +53,7 @@
         self._table = table
         self._order = order
         self._listeners = listeners
+        self._errors = RowErrors("own", state.row_errors)
         self._era: int | None = None
         self._own_version: int | None = None
         """Version of this node's own row; 0 if there is none, None until the table has been read."""
@@ -64,24 +67,30 @@
         return self._own_version is not None
 
     def apply(self, followed: FollowedPage) -> None:
-        """Apply a page of the nodes' own table."""
+        """Apply a page of the nodes' own table. A row that one listener cannot apply reaches all others."""
         now_s = boot_time_s()
         if followed.page.era != self._era:
             self._era = followed.page.era
-            for listener in self._listeners:
-                listener.on_era(self._era, followed.is_store_restored)
+            self._on_era(self._era, followed.is_store_restored)
         members = {} if followed.is_snapshot else dict(self._order.members)
         if followed.is_snapshot:
             self._own_version = 0
             self._report_missing_rows(followed, now_s)
         for row in followed.page.rows:
             if row.key.startswith(MEMBER_PREFIX):
-                self._on_member(members, row)
+                self._apply_member(members, row)
             else:
                 self._on_other_row(row, now_s)
         self._order.members = members
         self._state.members = set(members)
 
+    def _on_era(self, era: int, is_restored: bool) -> None:
+        for listener in self._listeners:
+            try:
+                listener.on_era(era, is_restored)
+            except Exception as error:
+                self._errors.on_error(f"era of {type(listener).__name__}", error)
+
     def _report_missing_rows(self, followed: FollowedPage, now_s: float) -> None:
         """Report to the listeners, as deleted, the rows that are missing from a snapshot.
 
@@ -104,6 +113,16 @@
             except msgspec.MsgspecError as error:
                 # The other rows of the page are still applied.
                 emit(Event.OWN_ROW_UNREADABLE, row=row.key, error=str(error))
+            except Exception as error:
+                self._errors.on_error(row.key, error)
+
+    def _apply_member(self, members: dict[str, NodeRecord], row: FeedRow) -> None:
+        try:
+            self._on_member(members, row)
+        except Exception as error:
+            self._errors.on_error(row.key, error)
+        else:
+            self._errors.on_applied(row.key)
 
     def _on_member(self, members: dict[str, NodeRecord], row: FeedRow) -> None:
         name = row.key[len(MEMBER_PREFIX) :]
@@ -113,7 +132,7 @@
             members.pop(name, None)
             return
         try:
-            members[name] = msgspec.json.decode(row.value, type=NodeRecord)
+            members[name] = decode_value(row.value, NodeRecord)
         except msgspec.MsgspecError as error:
             # The member still shares the fleet's budgets; without a zone and an address no node follows it.
             members[name] = NodeRecord(zone="")
--- a/src/wallwell/node/metrics.py
+++ b/src/wallwell/node/metrics.py
@@ -82,6 +82,12 @@
     def _collect_state(self) -> Iterator[Metric]:
         now_s = boot_time_s()
         yield from self._collect_freshness(now_s)
+        yield _counter(
+            "wallwell_row_errors",
+            "Rows of the store that an unexpected error kept from being applied.",
+            "table",
+            self._state.row_errors,
+        )
         yield from self._collect_backends(now_s)
         yield from self._collect_quarantine()
         yield from self._collect_limits(now_s)
--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -138,6 +138,7 @@
             lambda: self._clock.to_store_s(boot_time_s()),
             lambda: self.state.node_count,
             self.state.rng,
+            self.state.row_errors,
         )
         self._stream_directory = StreamDirectory(
             self.state.node,
--- a/src/wallwell/node/operator_rows.py
+++ b/src/wallwell/node/operator_rows.py
@@ -15,6 +15,7 @@
 from wallwell.node.state import NodeState
 from wallwell.node.store_outage import STORE_OUTAGE_S
 from wallwell.storage.feed import FeedRow, FollowedPage
+from wallwell.storage.row_isolation import RowErrors
 
 REWRITE_GRACE_S = 5.0
 """Seconds after a restore of the store from an older copy within which operators have rewritten the rows that it
@@ -31,6 +32,7 @@
     def __init__(self, state: NodeState, sources: NodeSources) -> None:
         self._state = state
         self._sources = sources
+        self._errors = RowErrors("operators", state.row_errors)
         self._is_config_unreadable = False
         self._behind_since_s: float | None = None
         """Since when other nodes have had a newer configuration than this node has read; None if they have not."""
@@ -38,18 +40,10 @@
         """Newest version of the peers' configuration that was logged as missing here."""
 
     def apply(self, followed: FollowedPage) -> None:
-        """Apply a page; a row that cannot be decoded is logged and changes nothing."""
+        """Apply a page; a row that cannot be decoded or applied is logged, and all others are applied."""
         for row in followed.page.rows:
-            if row.value is None:
-                continue
-            try:
-                if row.key.startswith(self._sources.rollout_prefix):
-                    self._on_rollout_order(row, followed)
-                else:
-                    self._on_row(row.key, row.value, followed.previous_confirmed_at_s)
-            except msgspec.MsgspecError as error:
-                self._is_config_unreadable |= row.key == self._sources.config_key
-                emit(Event.CONFIG_REFUSED, row=row.key, error=str(error))
+            if row.value is not None:
+                self._apply_row(row, row.value, followed)
         config = self._state.config
         if config is None:
             return
@@ -63,6 +57,21 @@
         if not self._is_behind(config.version, now_s) and now_s >= era.observed_since_s + CONFIRMATION_HOLD_S:
             self._state.freshness.confirm(followed.confirmed_at_s)
 
+    def _apply_row(self, row: FeedRow, value: bytes, followed: FollowedPage) -> None:
+        try:
+            if row.key.startswith(self._sources.rollout_prefix):
+                self._on_rollout_order(row, value, followed)
+            else:
+                self._on_row(row.key, value, followed.previous_confirmed_at_s)
+        except msgspec.MsgspecError as error:
+            self._is_config_unreadable |= row.key == self._sources.config_key
+            emit(Event.CONFIG_REFUSED, row=row.key, error=str(error))
+        except Exception as error:
+            self._is_config_unreadable |= row.key == self._sources.config_key
+            self._errors.on_error(row.key, error)
+        else:
+            self._errors.on_applied(row.key)
+
     def _is_behind(self, version: int, now_s: float) -> bool:
         """Whether other nodes have a newer configuration, which may have revoked credentials.
 
@@ -92,10 +101,9 @@
             if self._state.weights.add_version(model, version, named_at_s, estimated):
                 emit(Event.WEIGHTS_NAMED, model=model, version=version, estimated=estimated)
 
-    def _on_rollout_order(self, row: FeedRow, followed: FollowedPage) -> None:
-        assert row.value is not None
+    def _on_rollout_order(self, row: FeedRow, value: bytes, followed: FollowedPage) -> None:
         try:
-            order = self._sources.decode_rollout(row.key, row.value, row.version)
+            order = self._sources.decode_rollout(row.key, value, row.version)
         except msgspec.MsgspecError as error:
             emit(Event.ROLLOUT_REFUSED, row=row.key, error=str(error))
             return
--- a/src/wallwell/node/state.py
+++ b/src/wallwell/node/state.py
@@ -21,6 +21,8 @@
                                             ``serving``
 retry budgets, split                        ``serving``                       ``serving``, metrics
 region_traffic                              ``serving``, ``cluster``          metrics
+row_errors                                  ``node``, ``cluster`` (rows of    metrics
+                                            the store)
 stop                                        ``node/planned_stop.py``          ``serving``
 node, zone, bounds, topology, started_s     ``node``, at the start            all modules
 ==========================================  ================================  ====================================
@@ -29,6 +31,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from dataclasses import dataclass, field
 
 from wallwell.clock import boot_time_s
@@ -125,6 +128,8 @@
     """Position of each route with several services in its weighted round robin."""
     members: set[str] = field(default_factory=set)
     """Names of the live nodes."""
+    row_errors: Counter[str] = field(default_factory=Counter)
+    """By table, how often an unexpected error kept a row from being applied."""
     # --- from answers of back ends and other nodes -----------------------------------------------------
     prefill_rate: PrefillRate = field(default_factory=PrefillRate)
     generation_time: AverageDuration = field(default_factory=AverageDuration)
--- a/src/wallwell/placement/weights_roll_driver.py
+++ b/src/wallwell/placement/weights_roll_driver.py
@@ -25,6 +25,7 @@
 from wallwell.placement.weights_roll import EngineReport, LoadTask, OrderReply, WeightsOrder, WeightsRollPlanner
 from wallwell.routing.health.backend import Backend, ExpectedWeightsLoad
 from wallwell.storage.feed import FeedRow
+from wallwell.storage.row_values import decode_value
 from wallwell.storage.table import Put, TableService, Transaction
 
 LEASE_NAME = "weights"
@@ -125,7 +126,7 @@
         """Apply a row of wallwell's own table; rows other than the lease and load progress are ignored."""
         self._lease_candidate.observe(row, now_s)
         if row.key.startswith(PROGRESS_PREFIX) and row.value is not None:
-            self._on_progress(msgspec.json.decode(row.value, type=LoadProgress), now_s)
+            self._on_progress(decode_value(row.value, LoadProgress), now_s)
 
     def _on_progress(self, progress: LoadProgress, now_s: float) -> None:
         for version, store_s in progress.named:
--- a/src/wallwell/platform/rollouts.py
+++ b/src/wallwell/platform/rollouts.py
@@ -18,6 +18,7 @@
 from wallwell.platform.store_wire import TransactBody, condition_entry, put_entry
 from wallwell.rollout.model import RolloutRecord
 from wallwell.rollout.store import LEASE_NAME, RECORD_PREFIX, StoredRollout
+from wallwell.storage.row_values import decode_value
 
 
 class PlatformRolloutStore:
@@ -59,7 +60,7 @@
 
 def _decode_record(text: str) -> RolloutRecord | None:
     try:
-        return msgspec.json.decode(text, type=RolloutRecord)
+        return decode_value(text, RolloutRecord)
     except msgspec.MsgspecError as error:
         emit(Event.ROLLOUT_REFUSED, row="record", error=str(error))
         return None
--- a/src/wallwell/rollout/driver.py
+++ b/src/wallwell/rollout/driver.py
@@ -27,6 +27,7 @@
 from wallwell.rollout.reports import FleetCounts
 from wallwell.rollout.store import LEASE_NAME, RECORD_PREFIX, RolloutStore, StoredRollout
 from wallwell.storage.feed import FeedRow
+from wallwell.storage.row_values import decode_value
 from wallwell.storage.table import TableService
 
 STEP_INTERVAL_S = 0.15
@@ -114,7 +115,7 @@
         if not row.key.startswith(RECORD_PREFIX) or row.value is None:
             return
         try:
-            record = msgspec.json.decode(row.value, type=RolloutRecord)
+            record = decode_value(row.value, RolloutRecord)
         except msgspec.MsgspecError as error:
             emit(Event.ROLLOUT_REFUSED, row=row.key, error=str(error))
             return
