An unreadable row is logged once a change, not once a heartbeat

Operators got 6023, 2003, 5022, 5024 or 7006 for each time that an unreadable row was written or read again: some lines a second and node for one odd entry, more while streams were resumed. A line could have 70 KB, since decoding errors may quote the value, and keys were logged as they are.

A row is reported again when something else is wrong with it, or after it was in order or gone in between. The reason counts and not the value, since a value changes with each heartbeat. Keys are escaped and bounded, reasons bounded.

--- a/src/wallwell/cluster/stream_records.py
+++ b/src/wallwell/cluster/stream_records.py
@@ -34,7 +34,7 @@
 from wallwell.errors import HistoryLostError, PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
 from wallwell.storage.feed import FeedRow
-from wallwell.storage.row_isolation import RowErrors
+from wallwell.storage.row_isolation import ReportedRows, RowErrors, shown_key, shown_reason
 from wallwell.storage.row_values import decode_value
 from wallwell.storage.table import Condition, Put, Row, TableService, Transaction
 
@@ -141,6 +141,8 @@
         self._store_time_s = store_time_s
         self._node_count = node_count
         self._rng = rng
+        self._unreadable = ReportedRows()
+        """Rows of versions and streams that operators have been told about."""
         self._errors = RowErrors("streams", Counter() if row_errors is None else row_errors)
         self._next_row = 0
         self._unwritten: dict[str, tuple[str, float]] = {}
@@ -271,7 +273,7 @@
 
     async def _write_row(self, key: str, service: str, change: VersionsChange) -> None:
         stored = await self._table.get(key)
-        row = None if stored is None else decode_versions_row(stored)
+        row = None if stored is None else decode_versions_row(stored, self._unreadable)
         wanted = changed_row(row, change)
         row_version = 0 if stored is None else stored.version
         if wanted != row:
@@ -336,7 +338,8 @@
             try:
                 self._decode_row(row, found)
             except msgspec.MsgspecError as error:
-                emit(Event.OWN_ROW_UNREADABLE, row=row.key, error=str(error))
+                if self._unreadable.is_news(row.key, str(error)):
+                    emit(Event.OWN_ROW_UNREADABLE, row=shown_key(row.key), error=shown_reason(error))
             except Exception as error:
                 self._errors.on_error(row.key, error)
                 if row.key.startswith(VERSIONS_PREFIX):
@@ -348,7 +351,7 @@
     def _decode_row(self, row: Row, found: Records) -> None:
         if row.key.startswith(VERSIONS_PREFIX):
             service = row.key.removeprefix(VERSIONS_PREFIX)
-            versions = found.rows[service] = decode_versions_row(row)
+            versions = found.rows[service] = decode_versions_row(row, self._unreadable)
             recorded = self._recorded.get(service)
             if recorded is None or recorded.row_version < row.version:
                 self._recorded[service] = RecordedVersions(versions, row.version, self._store_time_s())
--- a/src/wallwell/cluster/version_rows.py
+++ b/src/wallwell/cluster/version_rows.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from wallwell.events import Event, emit
+from wallwell.storage.row_isolation import ReportedRows, shown_key, shown_reason
 from wallwell.storage.row_values import decode_value
 from wallwell.storage.table import Row
 
@@ -94,10 +95,15 @@
     return row.versions[0] if is_whole and len(row.versions) == 1 else None
 
 
-def decode_versions_row(row: Row) -> VersionsRow:
-    """Return the contents of a row; :data:`UNREADABLE_VERSION` if they cannot be decoded."""
+def decode_versions_row(row: Row, reported: ReportedRows | None = None) -> VersionsRow:
+    """Return the contents of a row; :data:`UNREADABLE_VERSION` if they cannot be decoded, which is logged unless it
+    is among the ``reported``."""
+    reported = ReportedRows() if reported is None else reported
     try:
-        return decode_value(row.value, VersionsRow)
+        versions = decode_value(row.value, VersionsRow)
     except msgspec.MsgspecError as error:
-        emit(Event.OWN_ROW_UNREADABLE, row=row.key, error=str(error))
+        if reported.is_news(row.key, str(error)):
+            emit(Event.OWN_ROW_UNREADABLE, row=shown_key(row.key), error=shown_reason(error))
         return VersionsRow([UNREADABLE_VERSION])
+    reported.forget(row.key)
+    return versions
--- a/src/wallwell/node/backend_rows.py
+++ b/src/wallwell/node/backend_rows.py
@@ -16,7 +16,7 @@
 from wallwell.node.store_outage import STORE_OUTAGE_S
 from wallwell.routing.health.backend import Backend
 from wallwell.storage.feed import FeedRow, FollowedPage
-from wallwell.storage.row_isolation import RowErrors
+from wallwell.storage.row_isolation import ReportedRows, RowErrors, shown_key
 
 LAPSE_GRACE_S = 1.7
 """Seconds after the store comes back during which a back end whose entry is missing still gets requests.
@@ -28,7 +28,7 @@
 end that was removed. By then the entry of an ended back end has been removed again, after three missed
 heartbeats."""
 MAX_UNREADABLE_LOGGED = 10
-"""Unreadable entries of one page that are logged; the last log line states how many more there are."""
+"""Entries of one page that have become unreadable and are logged; the last line states how many more there are."""
 MAX_REASON_CHARS = 200
 """Characters of a decoding error that are logged, since its text may quote the entry."""
 
@@ -46,6 +46,7 @@
         self._decode = sources.decode_backend
         self._pool = pool
         self._errors = RowErrors("backends", state.row_errors)
+        self._unreadable = ReportedRows()
         self._store_returned_s = float("-inf")
         self._held_entries: dict[str, bytes] = {}
         """Restored entries of back ends that this node had removed, by incarnation; not applied yet."""
@@ -59,14 +60,16 @@
             self._store_returned_s = now_s
         if followed.is_snapshot:
             self._held_entries.clear()
-            for backend in self._state.backends.missing_from({row.key for row in followed.page.rows}):
+            listed = {row.key for row in followed.page.rows}
+            self._unreadable.keep(listed)
+            for backend in self._state.backends.missing_from(listed):
                 self._on_missing_entry(backend, now_s)
         may_be_stale = followed.is_snapshot and now_s < self._entry_hold_ends_s()
         unreadable: list[tuple[str, str]] = []
         # Of two incarnations at one address, the one whose entry was written last is the live one.
         for row in sorted(followed.page.rows, key=lambda row: row.version):
             reason = self._apply_row(row, may_be_stale, now_s)
-            if reason:
+            if reason and self._unreadable.is_news(row.key, reason):
                 unreadable.append((row.key, reason))
         _log_unreadable(unreadable)
         self.drop_lapsed(now_s)
@@ -78,6 +81,7 @@
         self._held_entries.pop(row.key, None)
         if row.value is not None:
             return self._apply_entry(row.key, row.value, may_be_stale, now_s)
+        self._unreadable.forget(row.key)
         listed = self._state.backends.get(row.key)
         if listed is not None:
             self._on_missing_entry(listed, now_s)
@@ -95,6 +99,7 @@
             self._errors.on_error(incarnation, error)
         else:
             self._errors.on_applied(incarnation)
+            self._unreadable.forget(incarnation)
         return ""
 
     def drop_lapsed(self, now_s: float) -> None:
@@ -164,4 +169,9 @@
     logged = entries[:MAX_UNREADABLE_LOGGED]
     for number, (key, reason) in enumerate(logged, start=1):
         further_count = len(entries) - len(logged) if number == len(logged) else 0
-        emit(Event.BACKEND_ENTRY_UNREADABLE, backend=key, reason=reason[:MAX_REASON_CHARS], further=further_count)
+        emit(
+            Event.BACKEND_ENTRY_UNREADABLE,
+            backend=shown_key(key),
+            reason=reason[:MAX_REASON_CHARS],
+            further=further_count,
+        )
--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -39,6 +39,7 @@
 from wallwell.routing.health.backend import Backend
 from wallwell.routing.rendezvous import owner, owners, rendezvous_key
 from wallwell.storage.feed import FeedRow
+from wallwell.storage.row_isolation import ReportedRows, shown_key, shown_reason
 from wallwell.storage.row_values import decode_value
 from wallwell.storage.table import Put, TableService, Transaction
 
@@ -100,6 +101,7 @@
         self._probes = BackgroundTasks()
         self._unwritten: dict[str, bool] = {}
         """Keys of rows to write (True) or to delete (False)."""
+        self._unreadable = ReportedRows()
         self._recent_writes: dict[str, tuple[bool, float]] = {}
         """By key: whether a row was last written (True) or deleted (False), and when; oldest first."""
         self._has_work = asyncio.Event()
@@ -173,6 +175,7 @@
             return
         subject, start_id = parse_crash_key(row.key)
         if row.value is None:
+            self._unreadable.forget(row.key)
             self._forget(subject, start_id)
         elif self._state.quarantine.is_cleared(subject, now_s):
             self._write({row.key: False})
@@ -186,7 +189,8 @@
         try:
             return decode_value(row.value or b"", PartCrashRow).happened_s
         except msgspec.MsgspecError as error:
-            emit(Event.OWN_ROW_UNREADABLE, row=row.key, error=str(error))
+            if self._unreadable.is_news(row.key, str(error)):
+                emit(Event.OWN_ROW_UNREADABLE, row=shown_key(row.key), error=shown_reason(error))
             return self._store_time_s()  # The crash itself is known from the key.
 
     def on_peer_report(self, crash: Crash) -> None:
--- a/src/wallwell/node/member_rows.py
+++ b/src/wallwell/node/member_rows.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from dataclasses import dataclass, field
 from typing import Protocol
 
 import msgspec
@@ -18,7 +19,7 @@
 from wallwell.events import Event, emit
 from wallwell.node.state import NodeState
 from wallwell.storage.feed import FeedRow, FollowedPage
-from wallwell.storage.row_isolation import RowErrors
+from wallwell.storage.row_isolation import ReportedRows, RowErrors, shown_key, shown_reason
 from wallwell.storage.row_values import decode_value
 from wallwell.storage.table import Condition, Put, TableService, Transaction
 
@@ -38,6 +39,35 @@
         ...
 
 
+@dataclass
+class _Delivery:
+    """A listener, and what operators have been told about rows that it could not apply."""
+
+    listener: OwnRowListener
+    errors: RowErrors
+    unreadable: ReportedRows = field(default_factory=ReportedRows)
+
+    def deliver(self, row: FeedRow, now_s: float) -> None:
+        """Have the listener apply a row; its errors are logged and keep no other row from being applied."""
+        try:
+            self.listener.on_row(row, now_s)
+        except msgspec.MsgspecError as error:
+            if self.unreadable.is_news(row.key, str(error)):
+                emit(Event.OWN_ROW_UNREADABLE, row=shown_key(row.key), error=shown_reason(error))
+        except Exception as error:
+            self.errors.on_error(row.key, error)
+        else:
+            self.unreadable.forget(row.key)
+            self.errors.on_applied(row.key)
+
+    def on_era(self, era: int, is_restored: bool) -> None:
+        """Tell the listener of an era; an error is logged."""
+        try:
+            self.listener.on_era(era, is_restored)
+        except Exception as error:
+            self.errors.on_error(f"era of {type(self.listener).__name__}", error)
+
+
 class MemberRows:
     """Keeps the list of the fleet's nodes and registers this node in it."""
 
@@ -52,8 +82,10 @@
         self._state = state
         self._table = table
         self._order = order
-        self._listeners = listeners
+        self._deliveries = [_Delivery(each, RowErrors("own", state.row_errors)) for each in listeners]
         self._errors = RowErrors("own", state.row_errors)
+        self._unreadable = ReportedRows()
+        """Member rows that operators have been told about."""
         self._era: int | None = None
         self._own_version: int | None = None
         """Version of this node's own row; 0 if there is none, None until the table has been read."""
@@ -71,7 +103,8 @@
         now_s = boot_time_s()
         if followed.page.era != self._era:
             self._era = followed.page.era
-            self._on_era(self._era, followed.is_store_restored)
+            for delivery in self._deliveries:
+                delivery.on_era(self._era, followed.is_store_restored)
         members = {} if followed.is_snapshot else dict(self._order.members)
         if followed.is_snapshot:
             self._own_version = 0
@@ -84,13 +117,6 @@
         self._order.members = members
         self._state.members = set(members)
 
-    def _on_era(self, era: int, is_restored: bool) -> None:
-        for listener in self._listeners:
-            try:
-                listener.on_era(era, is_restored)
-            except Exception as error:
-                self._errors.on_error(f"era of {type(listener).__name__}", error)
-
     def _report_missing_rows(self, followed: FollowedPage, now_s: float) -> None:
         """Report to the listeners, as deleted, the rows that are missing from a snapshot.
 
@@ -107,14 +133,8 @@
             self._delivered_keys.discard(row.key)
         else:
             self._delivered_keys.add(row.key)
-        for listener in self._listeners:
-            try:
-                listener.on_row(row, now_s)
-            except msgspec.MsgspecError as error:
-                # The other rows of the page are still applied.
-                emit(Event.OWN_ROW_UNREADABLE, row=row.key, error=str(error))
-            except Exception as error:
-                self._errors.on_error(row.key, error)
+        for delivery in self._deliveries:
+            delivery.deliver(row, now_s)
 
     def _apply_member(self, members: dict[str, NodeRecord], row: FeedRow) -> None:
         try:
@@ -130,13 +150,17 @@
             self._own_version = row.version if row.value is not None else 0
         if row.value is None:
             members.pop(name, None)
+            self._unreadable.forget(row.key)
             return
         try:
             members[name] = decode_value(row.value, NodeRecord)
         except msgspec.MsgspecError as error:
             # The member still shares the fleet's budgets; without a zone and an address no node follows it.
             members[name] = NodeRecord(zone="")
-            emit(Event.MEMBER_ROW_UNREADABLE, row=row.key, error=str(error))
+            if self._unreadable.is_news(row.key, str(error)):
+                emit(Event.MEMBER_ROW_UNREADABLE, row=shown_key(row.key), error=shown_reason(error))
+        else:
+            self._unreadable.forget(row.key)
 
     async def register(self, own: NodeRecord) -> None:
         """Write this node's row unless it is current. Peers find this node by its row and share budgets with it."""
--- a/src/wallwell/node/operator_rows.py
+++ b/src/wallwell/node/operator_rows.py
@@ -15,7 +15,7 @@
 from wallwell.node.state import NodeState
 from wallwell.node.store_outage import STORE_OUTAGE_S
 from wallwell.storage.feed import FeedRow, FollowedPage
-from wallwell.storage.row_isolation import RowErrors
+from wallwell.storage.row_isolation import ReportedRows, RowErrors, shown_key, shown_reason
 
 REWRITE_GRACE_S = 5.0
 """Seconds after a restore of the store from an older copy within which operators have rewritten the rows that it
@@ -33,6 +33,7 @@
         self._state = state
         self._sources = sources
         self._errors = RowErrors("operators", state.row_errors)
+        self._unreadable = ReportedRows()
         self._is_config_unreadable = False
         self._behind_since_s: float | None = None
         """Since when other nodes have had a newer configuration than this node has read; None if they have not."""
@@ -41,9 +42,13 @@
 
     def apply(self, followed: FollowedPage) -> None:
         """Apply a page; a row that cannot be decoded or applied is logged, and all others are applied."""
+        if followed.is_snapshot:
+            self._unreadable.keep({row.key for row in followed.page.rows})
         for row in followed.page.rows:
             if row.value is not None:
                 self._apply_row(row, row.value, followed)
+            else:
+                self._unreadable.forget(row.key)
         config = self._state.config
         if config is None:
             return
@@ -65,12 +70,21 @@
                 self._on_row(row.key, value, followed.previous_confirmed_at_s)
         except msgspec.MsgspecError as error:
             self._is_config_unreadable |= row.key == self._sources.config_key
-            emit(Event.CONFIG_REFUSED, row=row.key, error=str(error))
+            self._log_unreadable(row.key, error)
         except Exception as error:
             self._is_config_unreadable |= row.key == self._sources.config_key
             self._errors.on_error(row.key, error)
         else:
             self._errors.on_applied(row.key)
+            self._unreadable.forget(row.key)
+
+    def _log_unreadable(self, key: str, error: msgspec.MsgspecError) -> None:
+        """Log a row that cannot be decoded, once until what is wrong changes."""
+        if not self._unreadable.is_news(key, str(error)):
+            return
+        is_order = key.startswith(self._sources.rollout_prefix)
+        event = Event.ROLLOUT_REFUSED if is_order else Event.CONFIG_REFUSED
+        emit(event, row=shown_key(key), error=shown_reason(error))
 
     def _is_behind(self, version: int, now_s: float) -> bool:
         """Whether other nodes have a newer configuration, which may have revoked credentials.
@@ -102,11 +116,7 @@
                 emit(Event.WEIGHTS_NAMED, model=model, version=version, estimated=estimated)
 
     def _on_rollout_order(self, row: FeedRow, value: bytes, followed: FollowedPage) -> None:
-        try:
-            order = self._sources.decode_rollout(row.key, value, row.version)
-        except msgspec.MsgspecError as error:
-            emit(Event.ROLLOUT_REFUSED, row=row.key, error=str(error))
-            return
+        order = self._sources.decode_rollout(row.key, value, row.version)
         order = msgspec.structs.replace(order, era=followed.page.era)
         if not self._state.knows_service(order.service):
             emit(Event.ROLLOUT_REFUSED, row=row.key, error="no such service is configured or listed")
--- a/src/wallwell/rollout/driver.py
+++ b/src/wallwell/rollout/driver.py
@@ -27,6 +27,7 @@
 from wallwell.rollout.reports import FleetCounts
 from wallwell.rollout.store import LEASE_NAME, RECORD_PREFIX, RolloutStore, StoredRollout
 from wallwell.storage.feed import FeedRow
+from wallwell.storage.row_isolation import ReportedRows, shown_key, shown_reason
 from wallwell.storage.row_values import decode_value
 from wallwell.storage.table import TableService
 
@@ -89,6 +90,7 @@
         self._lease_since_s: float | None = None
         self._feed_era = UNKNOWN_ERA
         self._last_era: int | None = None
+        self._unreadable = ReportedRows()
 
     @property
     def holder(self) -> str:
@@ -112,13 +114,18 @@
     def on_row(self, row: FeedRow, now_s: float) -> None:
         """Apply a row of this product's own table, received at ``now_s``; only the lease and records are used."""
         self._turn.observe(row, now_s)
-        if not row.key.startswith(RECORD_PREFIX) or row.value is None:
+        if not row.key.startswith(RECORD_PREFIX):
+            return
+        if row.value is None:
+            self._unreadable.forget(row.key)
             return
         try:
             record = decode_value(row.value, RolloutRecord)
         except msgspec.MsgspecError as error:
-            emit(Event.ROLLOUT_REFUSED, row=row.key, error=str(error))
+            if self._unreadable.is_news(row.key, str(error)):
+                emit(Event.ROLLOUT_REFUSED, row=shown_key(row.key), error=shown_reason(error))
             return
+        self._unreadable.forget(row.key)
         record_written_s = min(now_s, self._clock.to_local_s(record.written_at_s))
         if self._registry.on_record(record, StorePosition(self._feed_era, row.version), record_written_s):
             emit(
--- a/src/wallwell/storage/row_isolation.py
+++ b/src/wallwell/storage/row_isolation.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Collection
 
 from wallwell.events import Event, emit
 
@@ -26,6 +27,11 @@
     return ascii(key[:MAX_KEY_CHARS])[1:-1]
 
 
+def shown_reason(error: Exception) -> str:
+    """Return the beginning of the text of a decoding error as it is logged."""
+    return str(error)[:MAX_ERROR_CHARS]
+
+
 class ReportedRows:
     """Rows that operators have been told about, by key, with what was wrong."""
 
@@ -51,6 +57,10 @@
         """Record that a row is in order or has been deleted: its next fault is news."""
         self._reasons.pop(key, None)
 
+    def keep(self, keys: Collection[str]) -> None:
+        """Forget all other rows: these are the keys of a whole reading."""
+        self._reasons = {key: reason for key, reason in self._reasons.items() if key in keys}
+
 
 class RowErrors:
     """Reports unexpected errors of single rows of one table."""
--- a/tests/unit/node/test_row_isolation.py
+++ b/tests/unit/node/test_row_isolation.py
@@ -344,3 +344,67 @@
     assert shown_key("i-1") == "i-1"
     assert shown_key("a\r\nb\x1b") == "a\\r\\nb\\x1b"
     assert len(shown_key("\u202e" * 10_000)) <= 1000
+
+
+UNREADABLE = b'{"unreadable":'
+UNREADABLE_ROWS = [
+    (BackendTable, "a", 6023),
+    (OperatorTable, "config", 2003),
+    (OperatorTable, "version/m", 2003),
+    (OperatorTable, "rollout/svc", 7006),
+    (OwnTable, "member/n2", 5022),
+    (OwnTable, "weights/m", 5024),
+    (OwnTable, "software/svc", 7006),
+    (OwnTable, "crash/part-1/i-1", 5024),
+]
+
+
+@pytest.fixture
+def warned():
+    lines = []
+    sink = logger.add(lambda line: lines.append(line.record["extra"]), level="WARNING")
+    yield lines
+    logger.remove(sink)
+
+
+@pytest.mark.parametrize("is_snapshot", [False, True], ids=["changes", "snapshots"])
+@pytest.mark.parametrize(("table_type", "key", "event"), UNREADABLE_ROWS)
+def test_an_unreadable_row_is_logged_once_a_change(table_type, key, event, is_snapshot, warned):
+    """Guards against a line for each heartbeat of a writer whose row cannot be read."""
+    table = table_type()
+    for sequence in range(5):
+        table.apply((key, UNREADABLE + b"%d" % sequence), is_snapshot=is_snapshot)
+    assert [each["event"] for each in warned] == [event]
+    table.apply((key, b"null"), is_snapshot=is_snapshot)
+    assert [each["event"] for each in warned] == [event] * 2
+    assert all(len(str(each)) < 1000 for each in warned)
+
+
+@pytest.mark.parametrize(("table_type", "key", "event"), UNREADABLE_ROWS)
+def test_an_unreadable_row_that_went_in_between_is_logged_again(table_type, key, event, warned):
+    table = table_type()
+    for value in (UNREADABLE, None, UNREADABLE):
+        table.apply((key, value), is_snapshot=False)
+    assert [each["event"] for each in warned] == [event] * 2
+
+
+def test_a_long_key_and_a_long_value_make_a_short_line(warned):
+    table = BackendTable()
+    table.apply(("k\n" * 100, encoded(BackendRow, state="s" * 70_000)))
+    (line,) = warned
+    assert "\n" not in line["backend"] and len(str(line)) < 1000
+
+
+def test_rows_of_versions_and_streams_that_cannot_be_read_are_logged_once(warned):
+    """Guards against a line for each reading of the table, which streams that are resumed cause."""
+    table = FaultyTable()
+    records = StreamRecords("n1", table, dict, lambda: 0.0, lambda: 1, random.Random(1))
+
+    async def work():
+        await table.transact(Transaction((), (Put("versions/svc", "{"), Put("stream/a", "{")), ()))
+        for _ in range(3):
+            records._read_at_s = float("-inf")
+            await records.read()
+
+    asyncio.run(work())
+    assert sorted(each["row"] for each in warned) == ["stream/a", "versions/svc"]
