An odd row does not make the store's answer undecodable

One row with a field of another type made the whole answer undecodable, so that no row of its table was read for as long as it lay there (4003). A value that is no Base64 of UTF-8 raised ValueError in whoever read that one row: the writing of streams' versions, and the driver of a rollout whose status another program had written. An absurd era, version or time of the store was taken over, and no later answer could count after it.

Cause: the rows of an answer were decoded all at once, with one of two ways to read a value bearing odd ones, and without bounds.

An answer that cannot be decoded at once is now decoded row by row. A row that is odd keeps its key and has no readable value, which its reader reports; one without a readable key is left out, which is logged once for each reason (4011).

--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -88,6 +88,7 @@
         "ERROR",
         "unexpected error while rows were applied; the rest of their page is not applied",
     )
+    STORE_ROW_LEFT_OUT = (4011, "WARNING", "row in an answer of the store has no readable key; it is left out")
     ROWS_WENT_BACK = (4009, "WARNING", "rows that were read are older than this node's copy and are ignored")
 
     # 5001 and up: nodes, leases and the links between nodes.
--- a/src/wallwell/platform/store.py
+++ b/src/wallwell/platform/store.py
@@ -22,6 +22,7 @@
 from wallwell.platform import names
 from wallwell.platform.store_wire import (
     RowsAnswer,
+    StoreVersion,
     TransactBody,
     decode_answer,
     to_feed_row,
@@ -29,6 +30,8 @@
     transaction_body,
 )
 from wallwell.storage.feed import FeedPage, FeedRow
+from wallwell.storage.row_isolation import ReportedRows
+from wallwell.storage.row_values import decode_value
 from wallwell.storage.table import Row, Scan, Transaction
 
 CALL_TIMEOUT_S = 1.5
@@ -39,6 +42,8 @@
 """Rows requested per page: the maximum that the store's protocol allows."""
 MAX_IDLE_CONNECTIONS = 6
 """Maximum number of idle connections: enough for three concurrent feeds and as many other calls."""
+MAX_REASON_CHARS = 200
+"""Maximum number of characters that are logged of a decoding error."""
 MAX_LOGGED_CHARS = 40
 """Maximum number of characters that are logged of an invalid header value."""
 NEXT_KEY_SUFFIX = "\x00"
@@ -69,6 +74,8 @@
         self.era = StoreEra(_log_restore)
         """Newest era of the store; updated by every answer, whatever its status."""
         self._unreadable_era = ""
+        self._left_out_rows = ReportedRows()
+        """Reasons, as keys, for which rows were left out of answers."""
 
     def close(self) -> None:
         """Close idle connections."""
@@ -98,8 +105,8 @@
         """Record and return the era that an answer states. Logs an invalid value and returns the current era."""
         text = message.headers.get(names.STORE_ERA, str(UNKNOWN_ERA))
         try:
-            era = int(text)
-        except ValueError:
+            era = decode_value(text, StoreVersion)
+        except msgspec.MsgspecError:
             if text != self._unreadable_era:  # Logged once, not for each call.
                 emit(Event.STORE_ERA_UNREADABLE, era=text[:MAX_LOGGED_CHARS])
             self._unreadable_era = text
@@ -117,7 +124,7 @@
             raise PlatformUnavailableError(f"status {answer.status}")
         if self.era.is_after(answer.era):
             raise PlatformUnavailableError("the answer is from before the store was restored from a copy")
-        return RowsInEra(decode_answer(answer.body), answer.era)
+        return RowsInEra(decode_answer(answer.body, self._on_left_out), answer.era)
 
     async def transact_rows(self, body: TransactBody) -> int:
         """Execute a transaction on rows of any tables and return the version of the rows that it wrote.
@@ -131,7 +138,12 @@
             raise TableConflictError("a condition of the transaction is not met")
         if answer.status != HTTPStatus.OK:
             raise PlatformUnavailableError(f"status {answer.status}")
-        return decode_answer(answer.body).ver
+        return decode_answer(answer.body, self._on_left_out).ver
+
+    def _on_left_out(self, reason: str) -> None:
+        """Log that a row without a readable key was left out of an answer, once for each reason."""
+        if self._left_out_rows.is_news(reason, reason):
+            emit(Event.STORE_ROW_LEFT_OUT, reason=reason[:MAX_REASON_CHARS])
 
     async def get_row(self, table: str, key: str) -> Row | None:
         """Return a row of a table, None if it does not exist. Raises :class:`PlatformUnavailableError`."""
