A lease whose row cannot be read is taken over after its time

A time-to-live without a bound kept the lease for ever.

Cause: acquiring a lease decoded its row without expecting an error.

Such a row now counts as the lease of an unknown holder. It is taken over once the row has not changed for the time of a lease, as with a holder that has ended. The fence is above all earlier ones, as for a lease without a row.

Evidence: the five new tests fail with the code before.

--- a/src/wallwell/cluster/leases.py
+++ b/src/wallwell/cluster/leases.py
@@ -14,28 +14,37 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 from msgspec import UNSET, UnsetType
 
 from wallwell.deployment.store_era import UNKNOWN_ERA, StoreEra, era_received, era_to_send
 from wallwell.errors import LeaseLostError, PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
+from wallwell.storage.row_values import decode_value
 from wallwell.storage.table import Condition, Put, Row, TableService, Transaction
 
 LEASE_PREFIX = "lease/"
 MAX_LOST_VERSIONS = 1 << 20
 """Upper bound of the versions that a store can have given out since the copy that it is restored from was made:
 several minutes of all the writes that it can take."""
+MAX_TTL_S = 3600.0
+"""Longest time-to-live of a lease that is believed: an hour, hundreds of times any setting."""
+MAX_FENCE = 2**62
+"""Largest fence that is believed: later fences above it still fit into 64 bits."""
+
+Fence = Annotated[int, msgspec.Meta(ge=0, le=MAX_FENCE)]
 
 
 class LeaseBody(msgspec.Struct, frozen=True):
     """Contents of a lease row. If ``fence`` is 0, the fence is the row's version plus ``fence_offset``."""
 
     holder: str
-    fence: int
-    ttl_s: float
+    fence: Fence
+    ttl_s: Annotated[float, msgspec.Meta(ge=0, le=MAX_TTL_S)]
     released: bool = False
-    fence_offset: int | UnsetType = UNSET
+    fence_offset: Fence | UnsetType = UNSET
     """Omitted if it is 0."""
     era: int | UnsetType = UNSET
     """The store's era in which the row was written. Omitted before the first era, and by builds without eras: the
@@ -73,6 +82,16 @@
     return max(0, body.fence_for_version(row.version) - row.version + lost)
 
 
+def _decode_body(row: Row | None) -> LeaseBody | None:
+    """Return the contents of a lease's row; None if there is no row, or it cannot be decoded."""
+    if row is None:
+        return None
+    try:
+        return decode_value(row.value, LeaseBody)
+    except msgspec.MsgspecError:
+        return None  # Readers of the feed report the row.
+
+
 class LeaseKeeper:
     """Acquires and renews one named lease for one holder."""
 
@@ -115,7 +134,7 @@
         Raises :class:`PlatformUnavailableError`; a lease that is held then stays valid until it expires.
         """
         row = await self._table.get(self._key)
-        body = msgspec.json.decode(row.value, type=LeaseBody) if row else None
+        body = _decode_body(row)
         if self.held is not None and self._era.is_after(self.held.era):
             self.held = None
         if not self._may_acquire(row, body, now_s):
@@ -138,8 +157,12 @@
     def _may_acquire(self, row: Row | None, body: LeaseBody | None, now_s: float) -> bool:
         if now_s < self.earliest_start_s():
             return False
-        if row is None or body is None:
+        if row is None:
             return True
+        if body is None:
+            # Its writer may hold the lease by a form that this build does not know, so its time is waited for.
+            self._record_seen_row(row.version, self._ttl_s, now_s)
+            return now_s >= self.earliest_takeover_s()
         if body.released or body.holder == self._holder:
             return True
         self._record_seen_row(row.version, body.ttl_s, now_s)
@@ -155,11 +178,12 @@
     def observe(self, value: bytes | None, version: int, now_s: float) -> str | None:
         """Record the lease's row from a feed of changes, which saves a call, and return its holder ("" if deleted).
 
-        Returns None for a row of an earlier era, which may not name the last holder before the restore.
+        Returns None for a row of an earlier era, which may not name the last holder before the restore. Raises
+        ``msgspec.MsgspecError`` for a row that cannot be decoded; its lease can be taken over after its time.
         """
         if value is None:
             return ""
-        body = msgspec.json.decode(value, type=LeaseBody)
+        body = decode_value(value, LeaseBody)
         self._record_seen_row(version, body.ttl_s, now_s)
         return None if self._era.is_after(body.written_era) else body.holder
 
--- a/tests/unit/cluster/test_leases.py
+++ b/tests/unit/cluster/test_leases.py
@@ -7,9 +7,10 @@
 
 from tests.faulty_table import OK, REPLY_LOST, REQUEST_DELAYED, REQUEST_LOST, FaultyTable
 from tests.unit.standalone.cluster.test_claims import run_without_waiting
-from wallwell.cluster.leases import LeaseKeeper
+from wallwell.cluster.leases import LEASE_PREFIX, LeaseKeeper
 from wallwell.deployment.store_era import StoreEra
 from wallwell.errors import LeaseLostError, PlatformUnavailableError
+from wallwell.storage.table import Put, Transaction
 
 TTL_S = 10.0
 NODES = 3
@@ -216,3 +217,19 @@
     assert taken.version == held.version
     run_without_waiting(first.release())
     assert restored.acquire(second).fence == taken.fence
+
+
+@pytest.mark.parametrize(
+    "value",
+    ["", "{", "[" * 5000, '{"holder":7,"fence":0,"ttl_s":1}', '{"holder":"x","fence":0,"ttl_s":1e300}'],
+    ids=["empty", "no JSON", "deep", "wrong type", "for ever"],
+)
+def test_a_lease_whose_row_cannot_be_read_is_taken_over_after_its_time(value):
+    """Guards against weights and rollouts that stand still, their loops failing each second, beside such a row."""
+    machine = LeaseMachine()
+    keeper = machine.keepers[0]
+    run_without_waiting(machine.table.transact(Transaction((), (Put(LEASE_PREFIX + "placement", value),), ())))
+    assert run_without_waiting(keeper.try_acquire(0.0)) is None
+    assert run_without_waiting(keeper.try_acquire(TTL_S - 0.1)) is None
+    held = run_without_waiting(keeper.try_acquire(TTL_S))
+    assert held is not None and held.fence > 1
