Numbers in rows of the nodes' own table have bounds

A number of 400 digits or a time of 1e308 s in the row of a rollout, a lease, a weights roll or a node was accepted and met the arithmetic of other modules later: OverflowError in a driver's loop, or a weights version that no engine can ever have.

Cause: whole numbers and times of these rows had no bounds.

Versions have 64 bits now, counts are exact as floats, times and shares lie within bounds far above real ones. A row beyond them counts as undecodable. What nodes write and read is unchanged.

--- a/src/wallwell/cluster/leases.py
+++ b/src/wallwell/cluster/leases.py
@@ -22,7 +22,7 @@
 from wallwell.deployment.store_era import UNKNOWN_ERA, StoreEra, era_received, era_to_send
 from wallwell.errors import LeaseLostError, PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
-from wallwell.storage.row_values import decode_value
+from wallwell.storage.row_values import Version, decode_value
 from wallwell.storage.table import Condition, Put, Row, TableService, Transaction
 
 LEASE_PREFIX = "lease/"
@@ -46,7 +46,7 @@
     released: bool = False
     fence_offset: Fence | UnsetType = UNSET
     """Omitted if it is 0."""
-    era: int | UnsetType = UNSET
+    era: Version | UnsetType = UNSET
     """The store's era in which the row was written. Omitted before the first era, and by builds without eras: the
     store may then have been restored any number of times since."""
 
--- a/src/wallwell/cluster/stream_records.py
+++ b/src/wallwell/cluster/stream_records.py
@@ -35,7 +35,7 @@
 from wallwell.events import Event, emit
 from wallwell.storage.feed import FeedRow
 from wallwell.storage.row_isolation import ReportedRows, RowErrors, shown_key, shown_reason
-from wallwell.storage.row_values import decode_value
+from wallwell.storage.row_values import Seconds, decode_value
 from wallwell.storage.table import Condition, Put, Row, TableService, Transaction
 
 VERSIONS_PREFIX = "versions/"
@@ -74,7 +74,7 @@
     """Streams that began at one node, by the software version that began them."""
 
     by_version: dict[str, list[str]]
-    until_s: float
+    until_s: Seconds
     """Time on the store's clock from which on none of them can be resumed."""
 
 
--- a/src/wallwell/cluster/upstream.py
+++ b/src/wallwell/cluster/upstream.py
@@ -17,7 +17,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 
@@ -36,6 +36,8 @@
 DELEGATES_PER_RELAY = 3
 """Members of each zone, per relay of the zone, that may be delegates of their region: with three zones, nine nodes
 must be gone at the same time before the exchange of sums with another region stops."""
+MAX_LINK_MBPS = 1e9
+"""Fastest link that a node's row may state, in megabits per second."""
 _ZONE_ORDER_KEY = rendezvous_key("zones")
 
 
@@ -44,7 +46,7 @@
 
     zone: str
     relay: str = ""
-    link_mbps: float = 0.0
+    link_mbps: Annotated[float, msgspec.Meta(ge=0, le=MAX_LINK_MBPS)] = 0.0
     makes_attempts: bool | msgspec.UnsetType = msgspec.UNSET
     """Whether the node makes attempts for peers; omitted if it does not, as in rows of earlier versions."""
     keeps_streams: bool | msgspec.UnsetType = msgspec.UNSET
--- a/src/wallwell/cluster/version_rows.py
+++ b/src/wallwell/cluster/version_rows.py
@@ -15,7 +15,7 @@
 
 from wallwell.events import Event, emit
 from wallwell.storage.row_isolation import ReportedRows, shown_key, shown_reason
-from wallwell.storage.row_values import decode_value
+from wallwell.storage.row_values import Seconds, Version, decode_value
 from wallwell.storage.table import Row
 
 UNREADABLE_VERSION = "?"
@@ -29,7 +29,7 @@
     writer: str
     """Start of the node that added the other one (``StreamRecords.life``: its name, and a token). While it lives,
     not all nodes have ended since, and some node knows the streams that began since."""
-    until_s: float
+    until_s: Seconds
     """When the streams that began before have ended."""
 
     @property
@@ -43,7 +43,7 @@
     while a service has several, without the other fields, and delete it afterwards."""
 
     versions: list[str]
-    whole_in_era: int | None = None
+    whole_in_era: Version | None = None
     """Era of the store in which the row certainly names all of them; None if that is not certain, as in a row that
     nodes wrote which had started lately."""
     sole: SoleVersion | None = None
--- a/src/wallwell/node/crash_rows.py
+++ b/src/wallwell/node/crash_rows.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from wallwell.cluster.crash_reports import Crash
+from wallwell.storage.row_values import Seconds
 
 CRASH_PREFIX = "crash/"
 """Prefix of the keys of all crash rows."""
@@ -21,7 +22,7 @@
     """Value of the row of a part: the reporting node, and when the crash happened on the store's clock."""
 
     node: str
-    happened_s: float
+    happened_s: Seconds
 
 
 def crash_key(subject: str, start_id: str) -> str:
--- a/src/wallwell/placement/weights_roll_driver.py
+++ b/src/wallwell/placement/weights_roll_driver.py
@@ -25,7 +25,7 @@
 from wallwell.placement.weights_roll import EngineReport, LoadTask, OrderReply, WeightsOrder, WeightsRollPlanner
 from wallwell.routing.health.backend import Backend, ExpectedWeightsLoad
 from wallwell.storage.feed import FeedRow
-from wallwell.storage.row_values import decode_value
+from wallwell.storage.row_values import Seconds, Version, decode_value
 from wallwell.storage.table import Put, TableService, Transaction
 
 LEASE_NAME = "weights"
@@ -73,11 +73,11 @@
     """Row that tells all nodes which engines are loading a model's weights and which have finished."""
 
     model: str
-    loading: tuple[tuple[str, int], ...]
+    loading: tuple[tuple[str, Version], ...]
     """Incarnations of loading engines, each with its version."""
-    finished: tuple[tuple[str, int], ...]
+    finished: tuple[tuple[str, Version], ...]
     """Incarnations of engines that have loaded, each with its version."""
-    named: tuple[tuple[int, float], ...] = ()
+    named: tuple[tuple[Version, Seconds], ...] = ()
     """Versions, each with its naming time on the store's clock in seconds, for nodes that start later."""
 
 
--- a/src/wallwell/rollout/model.py
+++ b/src/wallwell/rollout/model.py
@@ -13,11 +13,13 @@
 import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import Annotated
 
 import msgspec
 from msgspec import UNSET, UnsetType
 
 from wallwell.deployment.store_era import UNKNOWN_ERA, StorePosition, era_received
+from wallwell.storage.row_values import Count, Seconds, Version
 
 
 class Phase(enum.Enum):
@@ -75,17 +77,17 @@
 
     service: str
     target_version: str
-    order: int
-    ordered_at_s: float
-    duration_s: float
+    order: Version
+    ordered_at_s: Seconds
+    duration_s: Seconds
     phase: Phase
-    share: float = 0.0
+    share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     reason: str = ""
-    current_requests: int = 0
-    target_requests: int = 0
+    current_requests: Count = 0
+    target_requests: Count = 0
     barred: tuple[str, ...] = ()
-    written_at_s: float = 0.0
-    era: int | UnsetType = UNSET
+    written_at_s: Seconds = 0.0
+    era: Version | UnsetType = UNSET
 
     def covers(self, order: RolloutOrder) -> bool:
         """Whether the record belongs to this order or to a later one."""
--- a/src/wallwell/storage/row_values.py
+++ b/src/wallwell/storage/row_values.py
@@ -8,7 +8,7 @@
 
 import functools
 from collections.abc import Callable
-from typing import ParamSpec, TypeVar
+from typing import Annotated, ParamSpec, TypeVar
 
 import msgspec
 
@@ -18,6 +18,17 @@
 MAX_REASON_CHARS = 200
 """Characters of such an error's text that are kept, since it may quote the value."""
 
+MAX_SECONDS = 1e12
+"""Largest time in a row, in seconds: 30,000 years, still exact to a millisecond as a float."""
+MAX_COUNT = 2**53 - 1
+"""Largest count in a row: a float can be computed from it exactly."""
+MAX_VERSION = 2**63 - 1
+"""Largest version of a row or era: it has 64 bits in messages between nodes."""
+
+Seconds = Annotated[float, msgspec.Meta(ge=-MAX_SECONDS, le=MAX_SECONDS)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Version = Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
+
 Parameters = ParamSpec("Parameters")
 Result = TypeVar("Result")
 
--- a/tests/unit/platform/test_hostile_rows.py
+++ b/tests/unit/platform/test_hostile_rows.py
@@ -91,12 +91,13 @@
     assert raised_errors(lambda value: decode_value(value, row_type), row_type) == {}
 
 
-@pytest.mark.parametrize("row_type", DECODERS, ids=lambda row_type: row_type.__name__)
+@pytest.mark.parametrize("row_type", [*DECODERS, *OWN_ROWS], ids=lambda row_type: row_type.__name__)
 def test_decoded_numbers_can_be_added_up_divided_and_sent(row_type):
     """Guards against a number that is decoded and then ends the arithmetic of another module (OverflowError)."""
+    decode = DECODERS.get(row_type, lambda value: decode_value(value, row_type))
     for name, value in all_hostile_values(row_type, ADDRESSES):
         try:
-            decoded = DECODERS[row_type](value)
+            decoded = decode(value)
         except msgspec.MsgspecError:
             continue
         for number in numbers_of(msgspec.to_builtins(decoded)):
