Log lines that name bytes which are not UTF-8

A caller's request id may hold bytes that are not UTF-8. The line about such a request could not be encoded, so the log lacked it, and standard error had a traceback of the logging library in its place.

Such text is written with escapes, and an id of that kind is sampled like any other. Both tests failed on the code before (UnicodeEncodeError).

--- a/src/wallwell/log_writer.py
+++ b/src/wallwell/log_writer.py
@@ -51,7 +51,7 @@
         if self._tokens >= 1.0:
             self._tokens -= 1.0
             return True
-        return xxhash.xxh3_64_intdigest(request_id.encode()) % self._sample_every == 0
+        return xxhash.xxh3_64_intdigest(request_id.encode("utf-8", "surrogateescape")) % self._sample_every == 0
 
 
 class LogWriter:
@@ -68,7 +68,7 @@
 
     def write(self, fields: Mapping[str, Any], is_important: bool) -> None:
         """Queue one line and write as many queued lines as possible."""
-        line = msgspec.json.encode(fields, enc_hook=str) + b"\n"
+        line = _encode_line(fields)
         (self._important if is_important else self._routine).append(line)
         while len(self._important) + len(self._routine) > self._max_lines:
             (self._routine or self._important).popleft()
@@ -107,6 +107,21 @@
             poll.poll(timeout_s * 1000 / FLUSH_WAITS)
 
 
+def _encode_line(fields: Mapping[str, Any]) -> bytes:
+    """Return one line; text with surrogates, from bytes that are not UTF-8, gets escapes for them."""
+    try:
+        return msgspec.json.encode(fields, enc_hook=str) + b"\n"
+    except UnicodeEncodeError:
+        return msgspec.json.encode({name: _escaped(value) for name, value in fields.items()}) + b"\n"
+
+
+def _escaped(value: Any) -> Any:
+    """Return numbers and None as they are, and anything else as text without surrogates."""
+    if value is None or isinstance(value, int | float):
+        return value
+    return str(value).encode("utf-8", "backslashreplace").decode()
+
+
 class JsonSink:
     """A loguru sink that encodes records as JSON and samples ordinary successes."""
 
--- a/tests/unit/test_log_writer.py
+++ b/tests/unit/test_log_writer.py
@@ -73,3 +73,18 @@
     again = RoutineSampler(rate_per_s=0.0, sample_every=4)
     assert [again.should_write("r500", 9.0)] == [kept[500]]
     assert sampler.should_write("r1", 6.0)
+
+
+def test_bytes_of_a_caller_that_are_not_utf_8_do_not_lose_the_line(pipe):
+    """Such a line raised an error in the sink; a traceback was printed in its place."""
+    read_end, write_end = pipe
+    writer = LogWriter(write_end)
+    fields = {"event": 7, "request_id": "a\udcff", "versions": ["\udcb2"], "ratio": 0.5, "software": None}
+    writer.write(fields, is_important=True)
+    expected = {"event": 7, "request_id": "a\\udcff", "versions": "['\\udcb2']", "ratio": 0.5, "software": None}
+    assert drain(read_end) == [expected]
+
+
+def test_an_id_that_is_not_utf_8_is_sampled_like_others():
+    sampler = RoutineSampler(rate_per_s=0.0)
+    assert sum(sampler.should_write(f"\udcff{number}", 0.0) for number in range(1600)) in range(50, 150)
