Numbers in callers' headers are read by one rule

Counts of eighteen digits were believed: one request used up its tenant's limit for years.

Cause: each header was tested and converted in its own way, by tests that allow more than the conversion, and nothing bounded what was read. Text that cannot be encoded went on to be hashed.

Whole numbers are 1 to 18 ASCII digits, times may have a point; anything else counts as absent, as the module says for invalid values. Names of models and parts are escaped once, where they come in. The digest of a request and the last answer of a closing connection take bytes of any kind.

Of the values that were read before, a deadline like "+1", "1e3" or "1_0" now counts as absent.

--- a/src/wallwell/answer_head.py
+++ b/src/wallwell/answer_head.py
@@ -1,4 +1,5 @@
-"""Decides whether received bytes are the head of an HTTP/1.1 answer, by RFC 9112 and RFC 9110. No I/O.
+"""Decides whether received bytes are the head of an HTTP/1.1 answer, by RFC 9112 and RFC 9110, and reads numbers in
+the values of headers. No I/O.
 
 Parsers take more for an answer than the protocol allows, and differ in what. So every connection checks a head with
 :class:`HeadCheck` before its parser sees the end of it, and nothing that a malformed head states is believed.
@@ -31,6 +32,8 @@
 _VALUE = re.compile(_TEXT)
 _LENGTH = re.compile(rb"[0-9]{1,18}")
 """Eighteen digits fit into the 64 bits of any parser's length."""
+_WHOLE_NUMBER = re.compile(r"[0-9]{1,18}")
+_DECIMAL_NUMBER = re.compile(r"[0-9]{1,18}(?:\.[0-9]{1,18})?")
 _STATUSES_WITHOUT_BODY = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
 
@@ -151,7 +154,13 @@
 
 def parse_header_number(text: str) -> int | None:
     """Return the whole number that a header's value states; None if it is none, or of more than 18 digits."""
-    return int(text) if re.fullmatch(r"[0-9]{1,18}", text) else None
+    return int(text) if _WHOLE_NUMBER.fullmatch(text) else None
+
+
+def parse_header_decimal(text: str) -> float | None:
+    """Return the number that a header's value states in digits with at most one point; None if it is none, or has
+    more than 18 digits before or behind the point."""
+    return float(text) if _DECIMAL_NUMBER.fullmatch(text) else None
 
 
 def is_final_head(status: int, fields: Iterable[tuple[bytes, bytes]]) -> bool:
--- a/src/wallwell/callers_server.py
+++ b/src/wallwell/callers_server.py
@@ -50,7 +50,8 @@
     status = HTTPStatus(error.http_status)
     lines = [f"HTTP/1.1 {status} {status.phrase}", *(f"{name}: {value}" for name, value in headers.items())]
     lines += ["Content-Type: application/json", f"Content-Length: {len(body)}", "Connection: close", "", ""]
-    return "\r\n".join(lines).encode() + body
+    # Header bytes of a caller that are not UTF-8 were decoded to surrogates; this restores the original bytes.
+    return "\r\n".join(lines).encode("utf-8", "surrogateescape") + body
 
 
 class FinalAnswers(Protocol):
--- a/src/wallwell/platform/request_parsing.py
+++ b/src/wallwell/platform/request_parsing.py
@@ -1,15 +1,15 @@
 """Parses a caller's request in the platform's protocol into a :class:`CallerRequest`. No I/O.
 
 aiohttp parses the HTTP message itself. A header with an invalid value is treated as absent, as the platform's
-callers expect; only a missing request id is an error.
+callers expect; only a missing request id is an error. A number is invalid if it is not written in ASCII digits, and
+if no run could have as many tokens or as much time.
 """
 
 from __future__ import annotations
 
-import math
-
 from multidict import CIMultiDictProxy
 
+from wallwell.answer_head import parse_header_decimal, parse_header_number
 from wallwell.errors import MalformedRequestError
 from wallwell.platform import names
 from wallwell.routing.selection.prefix_home import PromptPart
@@ -17,6 +17,12 @@
 
 Headers = CIMultiDictProxy[str]
 
+MAX_TOKENS = 10_000_000
+"""Most tokens that the headers of one request can state together: a hundred times what one engine holds, and still
+small enough for the sums of many requests."""
+MAX_CALLER_TIMEOUT_S = 24 * 3600.0
+"""Longest time in seconds that a caller can state, far above that of any route, which applies if it is shorter."""
+
 
 def parse_request(method: str, target: str, headers: Headers, body: bytes, arrived_s: float) -> CallerRequest:
     """Parse a request; ``target`` is its path and query as sent. Raises :class:`MalformedRequestError`."""
@@ -51,19 +57,20 @@
 
 def _parse_declared_tokens(text: str) -> int | None:
     """Return the prompt's tokens plus the maximum output tokens; None unless both are declared."""
-    counts = [count.strip() for count in text.split(",")]
-    if len(counts) != 2 or not all(count.isdecimal() for count in counts):
+    prompt, _, output = text.partition(",")
+    prompt_tokens, output_tokens = parse_header_number(prompt.strip()), parse_header_number(output.strip())
+    if prompt_tokens is None or output_tokens is None or prompt_tokens + output_tokens > MAX_TOKENS:
         return None
-    return sum(int(count) for count in counts)
+    return prompt_tokens + output_tokens
 
 
 def _parse_caller_timeout_s(text: str) -> float | None:
     """Return how many seconds the caller waits; None if absent or invalid, so that the route's timeout applies."""
-    try:
-        value = float(text)
-    except ValueError:
+    timeout_ms = parse_header_decimal(text)
+    if timeout_ms is None:
         return None  # Absent or not a number; not logged, since it would recur with each request.
-    return value / 1000 if math.isfinite(value) and value > 0 else None
+    timeout_s = timeout_ms / 1000
+    return timeout_s if 0 < timeout_s <= MAX_CALLER_TIMEOUT_S else None
 
 
 def _forwarded_headers(headers: Headers) -> tuple[tuple[str, str], ...]:
@@ -79,12 +86,25 @@
     model = headers.get(names.MODEL)
     if not model:
         return None
-    resume_after = headers.get(names.RESUME_AFTER, "")
-    parts = tuple(_parse_prompt_part(text) for text in headers.get(names.PROMPT_PARTS, "").split(",") if text)
-    return Generation(model, parts, int(resume_after) if resume_after.isdigit() else None)
+    resume_after = parse_header_number(headers.get(names.RESUME_AFTER, ""))
+    return Generation(_escaped(model), _parse_prompt_parts(headers.get(names.PROMPT_PARTS, "")), resume_after)
+
+
+def _parse_prompt_parts(text: str) -> tuple[PromptPart, ...]:
+    """Parse prompt parts; all token counts are 0 if they are too large together."""
+    parts = tuple(_parse_prompt_part(part) for part in text.split(",") if part)
+    if sum(part.tokens for part in parts) > MAX_TOKENS:
+        return tuple(PromptPart(part.identity, 0) for part in parts)
+    return parts
 
 
 def _parse_prompt_part(text: str) -> PromptPart:
     """Parse a prompt part from ``ID:TOKENS``; the token count is 0 if it is missing or invalid."""
     identity, _, tokens = text.strip().partition(":")
-    return PromptPart(identity, int(tokens) if tokens.isdigit() else 0)
+    return PromptPart(_escaped(identity), parse_header_number(tokens) or 0)
+
+
+def _escaped(name: str) -> str:
+    """Return a name with escapes for bytes that are not UTF-8, which were decoded to surrogates: names are hashed,
+    logged and sent to other nodes."""
+    return name.encode("utf-8", "surrogateescape").decode("utf-8", "backslashreplace")
--- a/src/wallwell/routing/admission/request_content.py
+++ b/src/wallwell/routing/admission/request_content.py
@@ -16,7 +16,7 @@
     """
     digest = xxhash.xxh3_128()
     for text in (host, target, caller):
-        encoded = text.encode()
+        encoded = text.encode("utf-8", "surrogateescape")  # Bytes of a caller need not be UTF-8.
         digest.update(len(encoded).to_bytes(4, "big"))
         digest.update(encoded)
     digest.update(body)
--- a/tests/unit/platform/test_request_parsing.py
+++ b/tests/unit/platform/test_request_parsing.py
@@ -42,6 +42,14 @@
         ("soon", None),
         ("inf", None),
         ("nan", None),
+        ("+1", None),
+        ("1_0", None),
+        ("1e3", None),
+        ("\u0661", None),
+        ("86400000", 86400.0),
+        ("86400001", None),
+        ("1e300", None),
+        ("9" * 5000, None),
     ],
 )
 def test_caller_timeout(text, timeout_s):
@@ -50,7 +58,20 @@
 
 @pytest.mark.parametrize(
     ("text", "tokens"),
-    [("1460,80", 1540), (" 1 , 2 ", 3), ("1460", None), ("1,2,3", None), ("1,-2", None), ("a,b", None), ("", None)],
+    [
+        ("1460,80", 1540),
+        (" 1 , 2 ", 3),
+        ("1460", None),
+        ("1,2,3", None),
+        ("1,-2", None),
+        ("a,b", None),
+        ("", None),
+        ("9999999,1", 10_000_000),
+        ("9999999,2", None),
+        ("\u00b2,1", None),
+        ("\u0661,1", None),
+        ("1," + "9" * 5000, None),
+    ],
 )
 def test_declared_tokens(text, tokens):
     assert parse(("X-Token-Usage", text)).declared_tokens == tokens
@@ -71,7 +92,32 @@
     assert ("Resumes", "req-0") in request.headers
 
 
-@pytest.mark.parametrize("resume", ["", "-1", "last"])
+@pytest.mark.parametrize(
+    ("parts", "tokens"),
+    [
+        ("a:9999999,b:1", [9_999_999, 1]),
+        ("a:9999999,b:2", [0, 0]),
+        ("a:\u00b2,b:1", [0, 1]),
+        ("a:\u0661,b:1", [0, 1]),
+        ("a:" + "9" * 5000 + ",b:1", [0, 1]),
+        (":,:3,a:1:2", [0, 3, 0]),
+    ],
+)
+def test_token_counts_that_no_prompt_can_have_are_zero(parts, tokens):
+    """Counts by the thousand digits raised an error; smaller ones made an engine look full to all nodes."""
+    generation = parse(("X-Model", "m"), ("X-Prefix-Hash", parts)).generation
+    assert generation is not None
+    assert [part.tokens for part in generation.parts] == tokens
+
+
+def test_names_with_bytes_that_are_not_utf_8_are_escaped():
+    """They were hashed, and sent to other nodes, as text that cannot be encoded."""
+    generation = parse(("X-Model", "m\udcff"), ("X-Prefix-Hash", "\udcb2:5")).generation
+    assert generation is not None
+    assert (generation.model, generation.parts) == ("m\\xff", (PromptPart("\\xb2", 5),))
+
+
+@pytest.mark.parametrize("resume", ["", "-1", "last", "\u00b2", "\u0661", "9" * 19, "9" * 5000, "1_0", "+1"])
 def test_invalid_event_number_means_no_resumption(resume):
     generation = parse(("X-Model", "m"), ("Last-Event-Id", resume)).generation
     assert generation is not None
--- a/tests/unit/routing/admission/test_request_content.py
+++ b/tests/unit/routing/admission/test_request_content.py
@@ -37,3 +37,8 @@
         "headers": (("Last-Event-Id", "3"),),
     }
     assert digest_of() == digest_of(**repeated) != digest_of(body=b"other")
+
+
+def test_bytes_of_a_caller_that_are_not_utf_8_have_a_digest():
+    """They were encoded strictly, which raised an error."""
+    assert content_digest("h", "/a\udcff", "k", b"") != content_digest("h", "/a\udcfe", "k", b"")
--- a/tests/unit/test_answer_head.py
+++ b/tests/unit/test_answer_head.py
@@ -10,7 +10,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wallwell.answer_head import EXCERPT_BYTES, HeadCheck, MalformedAnswerError, is_final_head, parse_header_number
+from wallwell.answer_head import (
+    EXCERPT_BYTES,
+    HeadCheck,
+    MalformedAnswerError,
+    is_final_head,
+    parse_header_decimal,
+    parse_header_number,
+)
 
 TOKEN_BYTES = frozenset(b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
 TEXT_BYTES = frozenset(b"\t") | frozenset(range(0x20, 0x7F)) | frozenset(range(0x80, 0x100))
@@ -238,6 +245,21 @@
     assert parse_header_number(text) == expected
 
 
+@pytest.mark.parametrize(
+    ("text", "expected"), [("0", 0.0), ("007.50", 7.5), ("9" * 18 + "." + "1" * 18, 1e18), ("3", 3.0)]
+)
+def test_decimal_numbers_of_headers_have_at_most_one_point(text, expected):
+    assert parse_header_decimal(text) == expected
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", ".", "1.", ".5", "1.2.3", "9" * 19, "0." + "3" * 19, "1e3", "nan", "inf", "+1", "-1", "\u0661", "1_0"],
+)
+def test_other_texts_are_no_decimal_numbers_of_headers(text):
+    assert parse_header_decimal(text) is None
+
+
 @pytest.mark.parametrize("text", ["", "9" * 19, "\u00b2", "\u0663", "+1", "-1", "1.0", "1_0", " 1", "1\n"])
 def test_other_texts_are_no_numbers_of_headers(text):
     assert parse_header_number(text) is None
