Numbers in answers of back ends and of the store are bounded

Callers got 500, and operators event 1006, if a back end refused with a Retry-After of 1e308, inf or some hundred digits (OverflowError while the back-off was converted to milliseconds), or numbered an event with thousands of digits (ValueError). A Store-Era of thousands of digits was believed: whatever the store answered afterwards counted as from before a restore.

Cause: the back-off was bounded where it is applied and not where it is read; ids and eras were converted with int.

A back-off is bounded where it is read; ids of events and eras follow the rule for numbers of headers. The log text of a refusal is ASCII, since it is also sent to other nodes.

The pin that an endless Retry-After is passed on as an endless back-off is replaced: such a value is at most MAX_BACKOFF_S, for any text. Every header of answers that is read is played through a node with a table of hostile values; the refusal with Retry-After and the event ids failed on the code before, as did the unit tests named here for eras, back-offs and the log text.

--- a/src/wallwell/platform/store.py
+++ b/src/wallwell/platform/store.py
@@ -13,6 +13,7 @@
 import msgspec
 from aiohttp.http_parser import RawResponseMessage
 
+from wallwell.answer_head import parse_header_number
 from wallwell.backend_connection import ConnectionBrokenError
 from wallwell.clock import boot_time_s
 from wallwell.deployment.store_era import UNKNOWN_ERA, StoreEra, StorePosition
@@ -97,9 +98,8 @@
     def _observe_era(self, message: RawResponseMessage) -> int:
         """Record and return the era that an answer states. Logs an invalid value and returns the current era."""
         text = message.headers.get(names.STORE_ERA, str(UNKNOWN_ERA))
-        try:
-            era = int(text)
-        except ValueError:
+        era = parse_header_number(text)
+        if era is None:
             if text != self._unreadable_era:  # Logged once, not for each call.
                 emit(Event.STORE_ERA_UNREADABLE, era=text[:MAX_LOGGED_CHARS])
             self._unreadable_era = text
--- a/src/wallwell/platform/worker_requests.py
+++ b/src/wallwell/platform/worker_requests.py
@@ -115,4 +115,8 @@
 def _status_text(message: RawResponseMessage) -> str:
     """Return the status for the log, with the worker's ``Retry-After`` value, truncated."""
     backoff = message.headers.get(names.RETRY_AFTER)
-    return str(message.code) if backoff is None else f"{message.code} retry after {backoff[:MAX_LOGGED_CHARS]}"
+    if backoff is None:
+        return str(message.code)
+    # Escaped, since the text goes into logs and messages to other nodes, which are UTF-8.
+    shown = backoff[:MAX_LOGGED_CHARS].encode("ascii", "backslashreplace").decode()
+    return f"{message.code} retry after {shown}"
--- a/src/wallwell/routing/health/backoff.py
+++ b/src/wallwell/routing/health/backoff.py
@@ -29,7 +29,7 @@
     """Back-off that the ``Retry-After`` headers of one refusal ask for."""
 
     seconds: float
-    """The longest time asked for; 0 if none."""
+    """The longest time asked for, at most ``MAX_BACKOFF_S``; 0 if none."""
     unreadable: tuple[str, ...]
     """Headers that are not numbers, truncated for the log. HTTP also allows dates, which back ends do not send."""
 
@@ -43,7 +43,7 @@
             longest_s = max(longest_s, float(header))  # ``max`` keeps its first argument if the second is NaN.
         except ValueError:
             unreadable.append(header[:MAX_LOGGED_CHARS])
-    return StatedBackoff(longest_s, tuple(unreadable))
+    return StatedBackoff(min(longest_s, MAX_BACKOFF_S), tuple(unreadable))
 
 
 @dataclass(slots=True)
--- a/src/wallwell/serving/event_stream.py
+++ b/src/wallwell/serving/event_stream.py
@@ -9,6 +9,7 @@
 import re
 from dataclasses import dataclass, field
 
+from wallwell.answer_head import parse_header_number
 from wallwell.errors import StreamOrderError
 
 MAX_EVENT_BYTES = 256 * 1024
@@ -34,8 +35,7 @@
     """Return the number in the event's ``id:`` line; None if there is no such line or number."""
     for line in event.split(b"\n"):
         if line.startswith(_ID_FIELD):
-            text = line[len(_ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
+            return parse_header_number(line[len(_ID_FIELD) :].strip().decode("latin-1"))
     return None
 
 
