A declared token count beyond any that can be meant is charged as the largest

A count of more than ten million was read as none, so that a request that states one would pass its tenant's limit and be counted by back ends with what it states. It is charged with ten million, as far as it is digits at all.

--- a/src/wallwell/platform/request_parsing.py
+++ b/src/wallwell/platform/request_parsing.py
@@ -58,10 +58,19 @@
 def _parse_declared_tokens(text: str) -> int | None:
     """Return the prompt's tokens plus the maximum output tokens; None unless both are declared."""
     prompt, _, output = text.partition(",")
-    prompt_tokens, output_tokens = parse_header_number(prompt.strip()), parse_header_number(output.strip())
-    if prompt_tokens is None or output_tokens is None or prompt_tokens + output_tokens > MAX_TOKENS:
+    prompt_tokens, output_tokens = _parse_declared_count(prompt.strip()), _parse_declared_count(output.strip())
+    if prompt_tokens is None or output_tokens is None:
         return None
-    return prompt_tokens + output_tokens
+    return min(MAX_TOKENS, prompt_tokens + output_tokens)
+
+
+def _parse_declared_count(text: str) -> int | None:
+    """Parse one declared count, ``MAX_TOKENS`` for a larger one: it is charged to its tenant's limit, so that one
+    which cannot be meant must not count as none."""
+    if not (text.isascii() and text.isdecimal()):
+        return None
+    count = parse_header_number(text.lstrip("0") or "0")
+    return MAX_TOKENS if count is None else min(MAX_TOKENS, count)
 
 
 def _parse_caller_timeout_s(text: str) -> float | None:
--- a/tests/unit/platform/test_request_parsing.py
+++ b/tests/unit/platform/test_request_parsing.py
@@ -67,13 +67,15 @@
         ("a,b", None),
         ("", None),
         ("9999999,1", 10_000_000),
-        ("9999999,2", None),
+        ("9999999,2", 10_000_000),
+        ("0" * 30 + "5,1", 6),
         ("\u00b2,1", None),
         ("\u0661,1", None),
-        ("1," + "9" * 5000, None),
+        ("1," + "9" * 5000, 10_000_000),
     ],
 )
 def test_declared_tokens(text, tokens):
+    """A count beyond any that can be meant is charged as the largest; as none, it would pass a tenant's limit."""
     assert parse(("X-Token-Usage", text)).declared_tokens == tokens
 
 
