A KV store at an address that is none is not used, the rest of the configuration is

Operators who named a KV store at a host name, without a port or with a port of thousands of digits saw 45 to 99 tracebacks in 5 s over three nodes ("Task exception was never retrieved"), and prompts named the odd address to engines.

Cause: the text of the address went unparsed from the row to the connection pool. Its error was none that the store's follower expects; the follower ended, and was started again every 0.2 s.

The row's address is now parsed where the row is decoded. A store whose address is none keeps its name as a service but has no address, so it is neither followed nor planned for; operators are told once per version (2004, with the service and the reason). Everything behind takes Address.

--- a/src/wallwell/deployment/routes.py
+++ b/src/wallwell/deployment/routes.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from wallwell.address import Address
+
 
 class RouteKind(enum.Enum):
     """Kind of a route: whether its requests may be retried, and the form of its answers."""
@@ -72,9 +74,11 @@
     max_connections: int = 0
     """Connections that one back end accepts from all callers together; informational, used by no decision."""
     engines: EngineTraits | None = None
-    kv_store_address: str = ""
-    """Address of a KV store; set only for KV stores, which take no requests."""
+    kv_store_address: Address | None = None
+    """Address of a KV store; set only for KV stores that can be used, which take no requests."""
     zone: str = ""
+    kv_store_error: str = ""
+    """Why a KV store cannot be used; empty for other services. It takes no requests either."""
 
 
 class FleetRate(msgspec.Struct, frozen=True):
@@ -146,8 +150,13 @@
 
     @cached_property
     def kv_stores(self) -> tuple[Service, ...]:
-        """The services that are KV stores."""
-        return tuple(service for service in self.services if service.kv_store_address)
+        """The services that are KV stores and can be used."""
+        return tuple(service for service in self.services if service.kv_store_address is not None)
+
+    @cached_property
+    def unusable_kv_stores(self) -> tuple[Service, ...]:
+        """The services that are KV stores and cannot be used, since the text of their address is none."""
+        return tuple(service for service in self.services if service.kv_store_error)
 
     @cached_property
     def longest_stream_s(self) -> dict[str, float]:
--- a/src/wallwell/node/kv_store_watch.py
+++ b/src/wallwell/node/kv_store_watch.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from wallwell.address import Address, InvalidAddressError, parse_address
 from wallwell.clock import boot_time_s, ends_within
 from wallwell.cluster.peer_link import PeerLinks, PeerMessage
 from wallwell.cluster.upstream import UpstreamOrder
@@ -41,14 +42,14 @@
 class CacheEventSource(Protocol):
     """Reads the events and the full content of a KV store."""
 
-    async def events(self, address: str, position: CachePosition, wait_s: float) -> CachePage:
+    async def events(self, address: Address, position: CachePosition, wait_s: float) -> CachePage:
         """Return the changes after a position, waiting up to ``wait_s``; everything if the position is unknown.
 
         Raises :class:`CacheStoreSilentError` or :class:`CacheEventsRefusedError`.
         """
         ...
 
-    async def listing(self, address: str) -> CachePage:
+    async def listing(self, address: Address) -> CachePage:
         """Return the full content of the store. Raises the same errors as :meth:`events`."""
         ...
 
@@ -75,11 +76,11 @@
         self._state = state
         self._source = source
         self._order = order
-        self._peer_links: defaultdict[str, PeerLinks] = defaultdict(PeerLinks)
+        self._peer_links: defaultdict[Address, PeerLinks] = defaultdict(PeerLinks)
         """By store address: a link carries one request at a time, and one task per store uses it."""
-        self._followers: dict[str, asyncio.Task[None]] = {}
-        self._listed_at_s: dict[str, float] = {}
-        self._refusing_stores: set[str] = set()
+        self._followers: dict[Address, asyncio.Task[None]] = {}
+        self._listed_at_s: dict[Address, float] = {}
+        self._refusing_stores: set[Address] = set()
         """Addresses of stores that refused the last call for events."""
         self._page_applied = asyncio.Event()
 
@@ -96,7 +97,8 @@
 
     def _reconcile(self) -> None:
         config = self._state.config
-        configured = {each.kv_store_address for each in config.kv_stores} if config is not None else set()
+        stores = config.kv_stores if config is not None else ()
+        configured = {each.kv_store_address for each in stores if each.kv_store_address is not None}
         for address in self._followers.keys() - configured:
             self._followers.pop(address).cancel()
             self._state.kv_store_contents.pop(address, None)
@@ -106,12 +108,12 @@
                 self._state.kv_store_contents.setdefault(address, KvStoreContents())
                 self._followers[address] = asyncio.create_task(self._follow(address))
 
-    async def _follow(self, address: str) -> None:
+    async def _follow(self, address: Address) -> None:
         while True:
             has_page = await self.read_once(address)
             await asyncio.sleep(PAGE_PAUSE_S if has_page else RETRY_S * self._state.rng.uniform(*RETRY_JITTER))
 
-    async def read_once(self, address: str) -> bool:
+    async def read_once(self, address: Address) -> bool:
         """Fetch and apply one page of a store's events; returns False if neither a peer nor the store sent one."""
         contents = self._state.kv_store_contents[address]
         page = None
@@ -127,10 +129,12 @@
         self._page_applied = asyncio.Event()
         return True
 
-    async def _ask_peer(self, peer: str, relay: str, address: str, contents: KvStoreContents) -> CachePage | None:
+    async def _ask_peer(
+        self, peer: str, relay: str, address: Address, contents: KvStoreContents
+    ) -> CachePage | None:
         needs_listing = contents.has_gaps and self._may_list(address)
         position = CachePosition() if needs_listing else contents.position
-        request = CacheRequest(address, position, EVENT_WAIT_S)
+        request = CacheRequest(str(address), position, EVENT_WAIT_S)
         links = self._peer_links[address]
         links.keep({peer})
         try:
@@ -143,7 +147,7 @@
             _set_reachable(contents, address, reply.reachable, reason=f"reported by {peer}")
         return reply.page
 
-    async def _ask_store(self, address: str, contents: KvStoreContents) -> CachePage | None:
+    async def _ask_store(self, address: Address, contents: KvStoreContents) -> CachePage | None:
         try:
             if contents.has_gaps and self._may_list(address):
                 page = await self._source.listing(address)
@@ -156,23 +160,26 @@
             # Logged once until the store sends events again, since the call is repeated twice a second.
             if address not in self._refusing_stores:
                 self._refusing_stores.add(address)
-                emit(Event.CACHE_EVENTS_REFUSED, address=address, reason=error.detail)
+                emit(Event.CACHE_EVENTS_REFUSED, address=str(address), reason=error.detail)
             return None
         self._refusing_stores.discard(address)
         self._record_listing(address, page)
         _set_reachable(contents, address, reachable=True)
         return page
 
-    def _record_listing(self, address: str, page: CachePage) -> None:
+    def _record_listing(self, address: Address, page: CachePage) -> None:
         if page.whole:
             self._listed_at_s[address] = boot_time_s()
 
-    def _may_list(self, address: str) -> bool:
+    def _may_list(self, address: Address) -> bool:
         return boot_time_s() - self._listed_at_s.get(address, float("-inf")) >= MIN_LISTING_INTERVAL_S
 
     async def answer_peer(self, request: CacheRequest) -> CacheReply:
         """Answer a peer from the copy as soon as there is a change, or after the wait that the peer asked for."""
-        contents = self._state.kv_store_contents.get(request.address)
+        try:
+            contents = self._state.kv_store_contents.get(parse_address(request.address))
+        except InvalidAddressError:
+            contents = None  # Builds that believed any text may ask for it; none of it is known here.
         if contents is None or not contents.has_been_read:
             return CacheReply()
         deadline_s = boot_time_s() + request.wait_s
@@ -186,10 +193,10 @@
             links.keep(set())
 
 
-def _set_reachable(contents: KvStoreContents, address: str, reachable: bool, reason: str = "") -> None:
+def _set_reachable(contents: KvStoreContents, address: Address, reachable: bool, reason: str = "") -> None:
     """Record whether a store answers, as seen here or reported by a peer; each change is logged once."""
     if contents.reachable and not reachable:
-        emit(Event.CACHE_STORE_LOST, address=address, reason=reason)
+        emit(Event.CACHE_STORE_LOST, address=str(address), reason=reason)
     elif reachable and not contents.reachable:
-        emit(Event.CACHE_STORE_REGAINED, address=address)
+        emit(Event.CACHE_STORE_REGAINED, address=str(address))
     contents.reachable = reachable
--- a/src/wallwell/node/operator_rows.py
+++ b/src/wallwell/node/operator_rows.py
@@ -86,6 +86,13 @@
             self._is_config_unreadable = False
             if self._state.apply_config(config):
                 emit(Event.CONFIG_ADVANCED, version=config.version, routes=len(config.routes))
+                for store in config.unusable_kv_stores:
+                    emit(
+                        Event.CONFIG_WITHOUT_EFFECT,
+                        version=config.version,
+                        service=store.name,
+                        reason=f"KV store not used: {store.kv_store_error}",
+                    )
         elif key.startswith(self._sources.version_prefix):
             model, version = self._sources.decode_version(value)
             named_at_s, estimated = self._named_at_s(previous_confirmed_at_s)
--- a/src/wallwell/node/state.py
+++ b/src/wallwell/node/state.py
@@ -31,6 +31,7 @@
 import random
 from dataclasses import dataclass, field
 
+from wallwell.address import Address
 from wallwell.clock import boot_time_s
 from wallwell.cluster.demand import FleetDemand
 from wallwell.cluster.fleet_load import FleetLoad
@@ -133,7 +134,7 @@
     """Average seconds from sending a call to its end."""
     shortest_answers: dict[str, ShortestAnswerTime] = field(default_factory=dict)
     """Shortest answer time by route."""
-    kv_store_contents: dict[str, KvStoreContents] = field(default_factory=dict)
+    kv_store_contents: dict[Address, KvStoreContents] = field(default_factory=dict)
     """Contents of each KV store, by address."""
     brittleness: dict[str, ServiceBrittleness] = field(default_factory=dict)
     """Services whose back ends have stated that they are brittle, by name."""
--- a/src/wallwell/platform/cache_events.py
+++ b/src/wallwell/platform/cache_events.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from wallwell.address import Address
 from wallwell.backend_connection import ConnectionBrokenError
 from wallwell.errors import CacheEventsRefusedError, CacheStoreSilentError
 from wallwell.http_connection import ConnectFailedError, ConnectionPool
@@ -59,7 +60,7 @@
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
 
-    async def events(self, address: str, position: CachePosition, wait_s: float) -> CachePage:
+    async def events(self, address: Address, position: CachePosition, wait_s: float) -> CachePage:
         """See :class:`wallwell.node.kv_store_watch.CacheEventSource`."""
         target = f"{names.CACHE_EVENTS_PATH}?since={position.number}"
         wait_line = f"{names.WAIT_MS}: {round(wait_s * 1000)}\r\n"
@@ -72,18 +73,18 @@
         )
         return CachePage(CachePosition(body.epoch, body.next_token), entries)
 
-    async def listing(self, address: str) -> CachePage:
+    async def listing(self, address: Address) -> CachePage:
         """See :class:`wallwell.node.kv_store_watch.CacheEventSource`."""
         body = await self._get(address, names.CACHE_LISTING_PATH, "", ListingBody, LISTING_TIMEOUT_S)
         entries = tuple(CacheEntry(body.next_token, scope, part, tokens) for scope, part, tokens, _ in body.held)
         return CachePage(CachePosition(body.epoch, body.next_token), entries, whole=True)
 
     async def _get(
-        self, address: str, target: str, header_lines: str, body_type: type[Body], timeout_s: float
+        self, address: Address, target: str, header_lines: str, body_type: type[Body], timeout_s: float
     ) -> Body:
         head = f"GET {target} HTTP/1.1\r\nHost: {address}\r\n{header_lines}Content-Length: 0\r\n\r\n"
         try:
-            status, data = await self._pool.fetch(address, head.encode(), timeout_s)
+            status, data = await self._pool.fetch(str(address), head.encode(), timeout_s)
         except (ConnectFailedError, ConnectionBrokenError, TimeoutError) as error:
             raise CacheStoreSilentError(f"{address}: {type(error).__name__}") from error
         if status != HTTPStatus.OK:
--- a/src/wallwell/platform/rows.py
+++ b/src/wallwell/platform/rows.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from wallwell.address import InvalidAddressError, parse_address
 from wallwell.deployment.backends import BackendRecord
 from wallwell.deployment.routes import (
     CallerBounds,
@@ -243,11 +244,18 @@
 
 
 def _to_service(row: ServiceRow) -> Service:
+    """Return a service. A KV store whose address is none cannot be used; the rest of the configuration holds."""
     engines = None
     if row.engine is not None:
         models = tuple(model.name for model in row.engine.models)
         engines = EngineTraits(row.engine.slots, row.engine.kv_capacity, models)
-    return Service(row.name, row.max_conns, engines, row.kv_store_addr, row.zone)
+    address, error = None, ""
+    if row.kv_store_addr:
+        try:
+            address = parse_address(row.kv_store_addr)
+        except InvalidAddressError as invalid:
+            error = str(invalid)
+    return Service(row.name, row.max_conns, engines, address, row.zone, error)
 
 
 def decode_weights_version(value: bytes) -> tuple[str, int]:
--- a/src/wallwell/platform/worker_requests.py
+++ b/src/wallwell/platform/worker_requests.py
@@ -66,10 +66,10 @@
 
 def _cache_headers(cache: CachePlan) -> Iterator[tuple[str, object]]:
     yield names.CACHE_SALT, cache.scope
-    if cache.fetch_from:
-        yield names.KV_FETCH, cache.fetch_from
-    if cache.save_to:
-        yield names.KV_SAVE, cache.save_to
+    if cache.fetch_from is not None:
+        yield names.KV_FETCH, str(cache.fetch_from)
+    if cache.save_to is not None:
+        yield names.KV_SAVE, str(cache.save_to)
 
 
 def has_answer_body(request: CallerRequest) -> bool:
--- a/src/wallwell/routing/selection/kv_store_choice.py
+++ b/src/wallwell/routing/selection/kv_store_choice.py
@@ -14,6 +14,7 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
+from wallwell.address import Address
 from wallwell.deployment.routes import Service
 from wallwell.deployment.topology import Distance, Topology
 from wallwell.routing.rendezvous import owner
@@ -38,24 +39,24 @@
     """The KV stores as a node knows them."""
 
     listed: Sequence[Service]
-    contents: Mapping[str, KvStoreContents]
+    contents: Mapping[Address, KvStoreContents]
     """Replica of each store's index, by address."""
     topology: Topology
 
 
-def home_store_address(stores: KvStores, placement_key: int, engine_zone: str) -> str:
-    """Return the address of the store where prompts with a placement key are saved; empty if there is none. The
+def home_store_address(stores: KvStores, placement_key: int, engine_zone: str) -> Address | None:
+    """Return the address of the store where prompts with a placement key are saved; None if there is none. The
     store is in the region of the engine, whichever node sends the prompt to the engine."""
     between = stores.topology.distance_between
-    addresses = [
-        store.kv_store_address
+    addresses = {
+        str(store.kv_store_address): store.kv_store_address
         for store in stores.listed
-        if between(engine_zone, store.zone) is not Distance.OTHER_REGION
-    ]
-    return owner(addresses, placement_key) if addresses else ""
+        if store.kv_store_address is not None and between(engine_zone, store.zone) is not Distance.OTHER_REGION
+    }
+    return addresses[owner(addresses, placement_key)] if addresses else None
 
 
-def is_store_unreachable(stores: KvStores, address: str) -> bool:
+def is_store_unreachable(stores: KvStores, address: Address) -> bool:
     """Whether a store is known not to answer; False if nothing is known of it."""
     contents = stores.contents.get(address)
     return contents is not None and not contents.reachable
@@ -70,8 +71,8 @@
 
 
 def best_source_address(
-    stores: KvStores, home_address: str, scope: str, parts: Sequence[PromptPart], engine_zone: str
-) -> str:
+    stores: KvStores, home_address: Address, scope: str, parts: Sequence[PromptPart], engine_zone: str
+) -> Address:
     """Return the address of the store that holds most of the shared parts.
 
     Returns ``home_address`` if no other store holds more, or if nothing is known of the home store. If there are
@@ -83,8 +84,8 @@
     weighted_tokens = {}
     for store in stores.listed:
         address = store.kv_store_address
-        contents = stores.contents.get(address)
-        if contents is not None and contents.has_been_read and contents.reachable:
+        contents = None if address is None else stores.contents.get(address)
+        if address is not None and contents is not None and contents.has_been_read and contents.reachable:
             weighted_tokens[address] = contents.held_prefix_tokens(scope, shared) * _distance_weight(
                 stores, engine_zone, store
             )
@@ -100,7 +101,7 @@
 
 
 def begin_store_save_if_needed(
-    stores: KvStores, address: str, scope: str, parts: Sequence[PromptPart], now_s: float
+    stores: KvStores, address: Address, scope: str, parts: Sequence[PromptPart], now_s: float
 ) -> bool:
     """Return whether shared parts should be saved to a store now; if so, record the save as pending. True if the
     store lacks parts that this node is not already saving, or if its index has not been read yet."""
--- a/src/wallwell/serving/cache_planning.py
+++ b/src/wallwell/serving/cache_planning.py
@@ -42,15 +42,15 @@
         scope = _cache_scope(active, generation.model, version)
         stores = state.kv_stores
         # Without a known weights version, no cache entry is certain to come from the same weights.
-        home = home_store_address(stores, active.placement_key, zone) if version else ""
-        if not home or is_store_unreachable(stores, home):
+        home = home_store_address(stores, active.placement_key, zone) if version else None
+        if home is None or is_store_unreachable(stores, home):
             return CachePlan(scope)
-        fetch_from = ""
+        fetch_from = None
         if is_worth_fetching(parts, state.first_token_delays, now_s):
             fetch_from = best_source_address(stores, home, scope, parts, zone)
         is_save_allowed = may_save(backend.has_pending_weights_load(now_s), state.freshness.confirmed_at_s, now_s)
         is_saved = is_save_allowed and begin_store_save_if_needed(stores, home, scope, parts, now_s)
-        return CachePlan(scope, fetch_from, home if is_saved else "")
+        return CachePlan(scope, fetch_from, home if is_saved else None)
 
 
 def _cache_scope(active: ActiveRequest, model: str, version: int) -> str:
--- a/src/wallwell/serving/messages.py
+++ b/src/wallwell/serving/messages.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from wallwell.address import Address
 from wallwell.deployment.backends import BackendRecord
 from wallwell.errors import RequestError
 from wallwell.routing.health.answer_end import ListingStatus
@@ -73,8 +74,8 @@
     """KV stores to fetch prompt parts from and to save them to; ``scope`` separates caches that must not mix."""
 
     scope: str
-    fetch_from: str = ""
-    save_to: str = ""
+    fetch_from: Address | None = None
+    save_to: Address | None = None
 
 
 @dataclass
--- a/tests/platform/test_cache_events.py
+++ b/tests/platform/test_cache_events.py
@@ -5,6 +5,7 @@
 import pytest
 from aiohttp import web
 
+from wallwell.address import Address
 from wallwell.errors import CacheEventsRefusedError, CacheStoreSilentError
 from wallwell.platform.cache_events import CacheEventsClient
 from wallwell.platform.worker_client import make_worker_pool
@@ -44,7 +45,7 @@
             await site.start()
             pool = make_worker_pool()
             try:
-                address = f"127.0.0.1:{site._server.sockets[0].getsockname()[1]}"
+                address = Address("127.0.0.1", site._server.sockets[0].getsockname()[1])
                 await scenario(CacheEventsClient(pool), address)
             finally:
                 pool.close()
--- a/tests/unit/node/test_kv_store_choice.py
+++ b/tests/unit/node/test_kv_store_choice.py
@@ -15,6 +15,7 @@
     make_state,
 )
 from tests.virtual_time import run_virtual
+from wallwell.address import Address
 from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import RouteKind, Service
 from wallwell.routing.selection.prefix_home import PromptPart
@@ -25,7 +26,9 @@
 
 
 def stores(*zones):
-    return tuple(Service(f"kv{i}", kv_store_address=f"10.9.0.{i}:1", zone=zone) for i, zone in enumerate(zones))
+    return tuple(
+        Service(f"kv{i}", kv_store_address=Address(f"10.9.0.{i}", 1), zone=zone) for i, zone in enumerate(zones)
+    )
 
 
 def addresses_used(node_zone, kv_stores, prompts):
@@ -60,4 +63,4 @@
 
 
 def test_no_prompt_is_saved_without_a_store():
-    assert addresses_used("z1", (), ["shared"]) == [""]
+    assert addresses_used("z1", (), ["shared"]) == [None]
--- a/tests/unit/node/test_kv_store_watch.py
+++ b/tests/unit/node/test_kv_store_watch.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests.unit.serving.fakes import make_state
+from wallwell.address import Address
 from wallwell.cluster.peer_link import PeerServer
 from wallwell.cluster.upstream import NodeRecord, UpstreamOrder
 from wallwell.deployment.routes import Service
@@ -16,7 +17,7 @@
 from wallwell.routing.selection.kv_store import CacheEntry, CachePage, CachePosition, KvStoreContents
 from wallwell.routing.selection.prefix_home import PromptPart
 
-ADDRESS = "10.9.0.1:80"
+ADDRESS = Address("10.9.0.1", 80)
 REFUSED = CacheEventsRefusedError("status 503")
 
 
@@ -218,7 +219,7 @@
 
     async def scenario(store, relay, member):
         store.save("a")
-        addresses = [ADDRESS, "10.9.0.2:80", "10.9.0.3:80"]
+        addresses = [ADDRESS, Address("10.9.0.2", 80), Address("10.9.0.3", 80)]
         for address in addresses:
             for node in (relay, member):
                 node.state.kv_store_contents.setdefault(address, KvStoreContents())
--- a/tests/unit/serving/test_cache_planning.py
+++ b/tests/unit/serving/test_cache_planning.py
@@ -15,6 +15,7 @@
     make_state,
 )
 from tests.virtual_time import run_virtual
+from wallwell.address import Address
 from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import RouteKind, Service
 from wallwell.routing.health.backend import ExpectedWeightsLoad
@@ -24,7 +25,7 @@
 from wallwell.routing.selection.prefix_home import placement_key
 from wallwell.serving.pipeline import RequestPipeline
 
-STORE = "10.9.0.1:80"
+STORE = Address("10.9.0.1", 80)
 ROUTE = make_route(RouteKind.STREAM, attempts=1)
 
 
@@ -83,7 +84,7 @@
     ids=["unknown", "missing", "held", "unreachable", "about to load", "stale confirmation"],
 )
 def test_fetch_and_save_by_store_contents_and_engine_state(prepare, fetches, saves):
-    assert cache_plan_for(prepare) == (STORE if fetches else "", STORE if saves else "")
+    assert cache_plan_for(prepare) == (STORE if fetches else None, STORE if saves else None)
 
 
 def test_concurrent_requests_save_a_prefix_once():
@@ -116,17 +117,17 @@
 )
 def test_short_shared_parts_are_not_fetched_while_the_fleet_is_behind(prepare, tokens, fetches):
     """In a deployment of 195 nodes, prompts of 800 tokens had waited 2 s in the queue to transfer 200 tokens."""
-    assert cache_plan_for(prepare, tokens)[0] == (STORE if fetches else "")
+    assert cache_plan_for(prepare, tokens)[0] == (STORE if fetches else None)
 
 
-OTHER_STORE = "10.9.0.2:80"
+OTHER_STORE = Address("10.9.0.2", 80)
 
 
 def two_stores(home_parts, other_parts, other_reachable=True):
     """Return a preparation with two stores that hold these parts: the prompt's home store and another one."""
 
     def prepare(node_state):
-        services = tuple(Service(each, kv_store_address=each) for each in (STORE, OTHER_STORE))
+        services = tuple(Service(str(each), kv_store_address=each) for each in (STORE, OTHER_STORE))
         node_state.apply_config(dataclasses.replace(node_state.config, version=3, services=services))
         placement = placement_key(make_generation(2000).parts, "")
         home = home_store_address(node_state.kv_stores, placement, "z1")
@@ -164,4 +165,4 @@
 
     fetch_from, save_to = cache_plan_for(prepare)
     assert (fetch_from == homes[0]) == from_home
-    assert save_to == ("" if "shared" in home_parts else homes[0])
+    assert save_to == (None if "shared" in home_parts else homes[0])
--- a/tests/unit/serving/test_regions.py
+++ b/tests/unit/serving/test_regions.py
@@ -19,6 +19,7 @@
     make_state,
 )
 from tests.virtual_time import run_virtual
+from wallwell.address import Address
 from wallwell.clock import boot_time_s
 from wallwell.cluster.upstream import UpstreamOrder
 from wallwell.deployment.backends import BackendRecord
@@ -39,7 +40,7 @@
 REGION_OF_ZONE = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
 STREAM = make_route(RouteKind.STREAM, attempts=1)
 STORE_ZONES = ("a1", "a2", "b1", "b2")
-STORES = {zone: f"10.9.0.{index}:1" for index, zone in enumerate(STORE_ZONES)}
+STORES = {zone: Address(f"10.9.0.{index}", 1) for index, zone in enumerate(STORE_ZONES)}
 PROMPTS = [f"shared{index}" for index in range(40)]
 
 
@@ -102,7 +103,7 @@
             state.kv_store_contents[address] = store_contents("known")
 
     known, lacking = cache_plans("a1", engine_zone, ["known", "lacking"], prepare)
-    assert known.save_to == ""
+    assert known.save_to is None
     assert lacking.save_to in {
         STORES[zone] for zone in STORE_ZONES if REGION_OF_ZONE[zone] == REGION_OF_ZONE[engine_zone]
     }
@@ -110,7 +111,7 @@
 
 def test_an_engine_without_a_store_in_its_region_neither_fetches_nor_saves():
     (plan,) = cache_plans("b1", "b1", ["shared"], store_zones=("a1", "a2"))
-    assert (plan.fetch_from, plan.save_to) == ("", "")
+    assert (plan.fetch_from, plan.save_to) == (None, None)
 
 
 @pytest.mark.parametrize(
--- a/tests/wire_subjects.py
+++ b/tests/wire_subjects.py
@@ -24,6 +24,7 @@
 
 import wallwell
 from tests.platform.fakes import own_table
+from wallwell.address import parse_address
 from wallwell.catalogue import errors_page, events_page
 from wallwell.cli.main import build_parser
 from wallwell.cluster.leases import LeaseBody
@@ -690,7 +691,8 @@
 def _service(service: Any) -> list[Any]:
     engines = service.engines
     traits = [] if engines is None else [engines.slots, engines.kv_tokens, list(engines.models)]
-    return [service.name, service.max_connections, traits, service.kv_store_address, service.zone]
+    address = "" if service.kv_store_address is None else str(service.kv_store_address)
+    return [service.name, service.max_connections, traits, address, service.zone]
 
 
 def _tenant(tenant: Any) -> list[Any]:
@@ -770,7 +772,7 @@
             await reply.refuse(self._error)
             return
         backend = BackendRecord("inc-1", "svc", self._address, "z1", 1)
-        cache = CachePlan(**self._dispatch["cache"]) if "cache" in self._dispatch else None
+        cache = _cache_plan(self._dispatch["cache"]) if "cache" in self._dispatch else None
         given = {name: value for name, value in self._dispatch.items() if name != "cache"}
         answer = await WorkerClient(make_worker_pool(), BackendNotices()).send(
             Dispatch(backend, request, cache=cache, **given)
@@ -779,6 +781,10 @@
         await reply.answer(answer.head, body)
 
 
+def _cache_plan(given: dict[str, str]) -> CachePlan:
+    return CachePlan(given["scope"], parse_address(given["fetch_from"]), parse_address(given["save_to"]))
+
+
 def pass_through(
     asked: bytes, answered: bytes, dispatch: dict[str, Any], refusal: tuple[str, int] | None = None
 ) -> dict[str, Any]:
@@ -881,10 +887,11 @@
     """Return the calls for a KV store's cache events and listing, and the parsed pages."""
     pool = _RecordingPool({"GET /api/kv-events": events, "GET /api/kv-list": listing})
     client = CacheEventsClient(pool)  # type: ignore[arg-type]
+    address = parse_address("127.0.0.1:6")
 
     async def act() -> list[CachePage]:
-        page = await client.events("127.0.0.1:6", CachePosition(4, 17), 0.5)
-        return [page, await client.listing("127.0.0.1:6")]
+        page = await client.events(address, CachePosition(4, 17), 0.5)
+        return [page, await client.listing(address)]
 
     pages = [msgspec.json.encode(page).decode() for page in asyncio.run(act())]
     return {"sent": pool.sent, "pages": pages}
