A KV store's hostile answers are refused, and an unexpected error of one store is paused, logged and seen

A store's (or a peer's) tokens of 400 digits made the plan of each prompt raise OverflowError, an answer nested deeply ended the store's follower with RecursionError. A follower that ended was started again five times a second, each time with a traceback, and what it had read before went on counting as current.

Tokens and event numbers have ranges where they are decoded, and what is nested too deeply counts as refused (CacheEventsRefusedError). A page counts as read only once it is applied.

--- a/src/wallwell/node/kv_store_watch.py
+++ b/src/wallwell/node/kv_store_watch.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections import defaultdict
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import msgspec
 
@@ -69,6 +69,14 @@
     reachable: bool = True
 
 
+class _Received(NamedTuple):
+    """A page of a store's contents as received, and whether its sender reaches the store."""
+
+    page: CachePage
+    is_reachable: bool = True
+    reason: str = ""
+
+
 class KvStoreWatch:
     """Keeps a copy of the content of each configured store and answers peers from it."""
 
@@ -82,6 +90,8 @@
         self._listed_at_s: dict[Address, float] = {}
         self._refusing_stores: set[Address] = set()
         """Addresses of stores that refused the last call for events."""
+        self._failing_followers: set[Address] = set()
+        """Addresses of stores whose last page could not be read or applied because of an unexpected error."""
         self._page_applied = asyncio.Event()
 
     async def run(self) -> None:
@@ -110,28 +120,44 @@
 
     async def _follow(self, address: Address) -> None:
         while True:
-            has_page = await self.read_once(address)
+            try:
+                has_page = await self.read_once(address)
+                self._failing_followers.discard(address)
+            except Exception as error:
+                has_page = False
+                self._on_unexpected_error(address, error)
             await asyncio.sleep(PAGE_PAUSE_S if has_page else RETRY_S * self._state.rng.uniform(*RETRY_JITTER))
 
+    def _on_unexpected_error(self, address: Address, error: Exception) -> None:
+        """Stop using a store that a fault of this node keeps it from following; logged once until it can be."""
+        self._state.kv_store_contents[address].reachable = False
+        if address not in self._failing_followers:
+            self._failing_followers.add(address)
+            reason = f"{type(error).__name__}: {error}"
+            emit(Event.INTERNAL_ERROR, error=reason, where="follower of a KV store", key=str(address))
+
     async def read_once(self, address: Address) -> bool:
         """Fetch and apply one page of a store's events; returns False if neither a peer nor the store sent one."""
         contents = self._state.kv_store_contents[address]
-        page = None
+        received = None
         candidates = self._order.candidates(boot_time_s())
         if candidates:
-            page = await self._ask_peer(*candidates[0], address, contents)
-        if page is None:
-            page = await self._ask_store(address, contents)
-        if page is None:
+            received = await self._ask_peer(*candidates[0], address, contents)
+        if received is None:
+            received = await self._ask_store(address, contents)
+        if received is None:
             return False
-        contents.apply_page(page)
+        contents.apply_page(received.page)
+        if received.page.whole:
+            self._listed_at_s[address] = boot_time_s()
+        _set_reachable(contents, address, received.is_reachable, received.reason)
         self._page_applied.set()
         self._page_applied = asyncio.Event()
         return True
 
     async def _ask_peer(
         self, peer: str, relay: str, address: Address, contents: KvStoreContents
-    ) -> CachePage | None:
+    ) -> _Received | None:
         needs_listing = contents.has_gaps and self._may_list(address)
         position = CachePosition() if needs_listing else contents.position
         request = CacheRequest(str(address), position, EVENT_WAIT_S)
@@ -142,12 +168,9 @@
         except PeerUnavailableError:
             # Not logged: the followers of the tables use the same peer; they log its loss and choose another.
             return None
-        if reply.page is not None:
-            self._record_listing(address, reply.page)
-            _set_reachable(contents, address, reply.reachable, reason=f"reported by {peer}")
-        return reply.page
+        return None if reply.page is None else _Received(reply.page, reply.reachable, f"reported by {peer}")
 
-    async def _ask_store(self, address: Address, contents: KvStoreContents) -> CachePage | None:
+    async def _ask_store(self, address: Address, contents: KvStoreContents) -> _Received | None:
         try:
             if contents.has_gaps and self._may_list(address):
                 page = await self._source.listing(address)
@@ -163,13 +186,7 @@
                 emit(Event.CACHE_EVENTS_REFUSED, address=str(address), reason=error.detail)
             return None
         self._refusing_stores.discard(address)
-        self._record_listing(address, page)
-        _set_reachable(contents, address, reachable=True)
-        return page
-
-    def _record_listing(self, address: Address, page: CachePage) -> None:
-        if page.whole:
-            self._listed_at_s[address] = boot_time_s()
+        return _Received(page)
 
     def _may_list(self, address: Address) -> bool:
         return boot_time_s() - self._listed_at_s.get(address, float("-inf")) >= MIN_LISTING_INTERVAL_S
--- a/src/wallwell/platform/cache_events.py
+++ b/src/wallwell/platform/cache_events.py
@@ -16,7 +16,7 @@
 from wallwell.errors import CacheEventsRefusedError, CacheStoreSilentError
 from wallwell.http_connection import ConnectFailedError, ConnectionPool
 from wallwell.platform import names
-from wallwell.routing.selection.kv_store import CacheEntry, CachePage, CachePosition
+from wallwell.routing.selection.kv_store import CacheEntry, CachePage, CachePosition, EventNumber, PartTokens
 
 ANSWER_MARGIN_S = 0.6
 """Seconds added to the requested wait before a long poll times out: covers connecting and a round trip to another
@@ -26,9 +26,9 @@
 
 Body = TypeVar("Body", bound=msgspec.Struct)
 
-EventFields = tuple[int, str, str, str, int, str]
+EventFields = tuple[EventNumber, str, str, str, PartTokens, str]
 """Event number, sign, cache scope, prompt part, tokens now cached, model."""
-ListedFields = tuple[str, str, int, str]
+ListedFields = tuple[str, str, PartTokens, str]
 """Cache scope, prompt part, cached tokens, model."""
 
 
@@ -37,7 +37,7 @@
 
     epoch: int
     """Changes with each start of the store."""
-    next_token: int
+    next_token: EventNumber
     """Position to send in the next call, not a number of tokens."""
     lost: bool
     """Whether the store no longer has all events after the requested position."""
@@ -49,7 +49,7 @@
 
     epoch: int
     """Changes with each start of the store."""
-    next_token: int
+    next_token: EventNumber
     """Position from which events continue this listing, not a number of tokens."""
     held: tuple[ListedFields, ...] = ()
 
@@ -91,5 +91,5 @@
             raise CacheEventsRefusedError(f"{address}: status {status}")
         try:
             return msgspec.json.decode(data, type=body_type)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise CacheEventsRefusedError(f"{address}: {error}") from error
--- a/src/wallwell/routing/selection/kv_store.py
+++ b/src/wallwell/routing/selection/kv_store.py
@@ -11,6 +11,7 @@
 
 from collections import deque
 from collections.abc import Sequence
+from typing import Annotated
 
 import msgspec
 
@@ -26,20 +27,29 @@
 """Tokens in a block of KV cache; a store may hold a part without its last, incomplete block."""
 
 
+MAX_PART_TOKENS = 1 << 32
+"""Largest number of tokens of one part that is believed: above any engine's memory, and exact in arithmetic with
+fractions."""
+PartTokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_PART_TOKENS)]
+"""Tokens held of a part, as decoded from what a store or a peer sent."""
+EventNumber = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+"""Position in a store's events, as decoded from what a store or a peer sent: a signed 64-bit number."""
+
+
 class CachePosition(msgspec.Struct, frozen=True, array_like=True):
     """Position in a store's event sequence. ``epoch`` changes when the store restarts empty."""
 
     epoch: int = -1
-    number: int = 0
+    number: EventNumber = 0
 
 
 class CacheEntry(msgspec.Struct, frozen=True, array_like=True):
     """Tokens that the store holds of a part in a cache scope, 0 if evicted. ``number`` is the event's number."""
 
-    number: int
+    number: EventNumber
     scope: str
     part: str
-    tokens: int
+    tokens: PartTokens
 
 
 class CachePage(msgspec.Struct, frozen=True):
