A member whose row names an odd address serves no peers, instead of being tried by each exchange

The address for peers of a member's row was text, split and converted by each connection and datagram: a host name was looked up, an odd one could raise what the asking loop does not expect, and such a member became a relay, a delegate or a keeper of streams.

The wire form is unchanged. Existing tests use addresses in place of names.

--- a/src/wallwell/cluster/peer_link.py
+++ b/src/wallwell/cluster/peer_link.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from wallwell.address import Address
 from wallwell.clock import boot_time_s, time_limit
 from wallwell.errors import PeerUnavailableError
 from wallwell.events import Event, emit
@@ -71,7 +72,7 @@
 class PeerLink:
     """One connection to a peer, opened on the first request."""
 
-    def __init__(self, address: str, failure_log: PeerFailureLog | None = None) -> None:
+    def __init__(self, address: Address, failure_log: PeerFailureLog | None = None) -> None:
         self.address = address
         self._failure_log = failure_log or PeerFailureLog()
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
@@ -83,19 +84,18 @@
             reply = msgspec.json.decode(line, type=reply_type)
         except (OSError, TimeoutError, EOFError, ValueError, msgspec.MsgspecError) as error:
             self.close()
-            self._failure_log.on_failure(self.address, type(request).__name__, error)
+            self._failure_log.on_failure(str(self.address), type(request).__name__, error)
             raise PeerUnavailableError(f"{self.address}: {type(error).__name__}") from error
         except BaseException:
             self.close()
             raise
-        self._failure_log.on_answer(self.address)
+        self._failure_log.on_answer(str(self.address))
         return reply
 
     async def _round_trip(self, line: bytes, timeout_s: float) -> bytes:
         if self._streams is None:
-            host, _, port = self.address.rpartition(":")
             async with time_limit(CONNECT_TIMEOUT_S):
-                self._streams = await asyncio.open_connection(host, int(port), limit=MAX_LINE_BYTES)
+                self._streams = await _connect(self.address)
             enable_keepalive(self._streams[1].transport, UNACKNOWLEDGED_TIMEOUT_S)
         reader, writer = self._streams
         writer.write(line)
@@ -109,6 +109,10 @@
             self._streams = None
 
 
+async def _connect(address: Address) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    return await asyncio.open_connection(address.host, address.port, limit=MAX_LINE_BYTES)
+
+
 class PeerLinks:
     """Links to peers by name; :meth:`keep` closes the links that are no longer needed."""
 
@@ -120,7 +124,7 @@
     def __len__(self) -> int:
         return len(self._links)
 
-    def to(self, name: str, address: str) -> PeerLink:
+    def to(self, name: str, address: Address) -> PeerLink:
         """Return the link to a peer; replace it if the peer's address has changed."""
         link = self._links.get(name)
         if link is None or link.address != address:
--- a/src/wallwell/cluster/region_load_reporter.py
+++ b/src/wallwell/cluster/region_load_reporter.py
@@ -14,6 +14,7 @@
 import asyncio
 from collections.abc import Callable
 
+from wallwell.address import Address
 from wallwell.clock import boot_time_s
 from wallwell.cluster.load_messages import (
     RegionLoad,
@@ -124,11 +125,11 @@
                 return
             self._delegate_index[region] = self._delegate_index.get(region, 0) + 1
 
-    async def _ask(self, name: str, address: str, message: RegionLoad) -> RegionSum | None:
+    async def _ask(self, name: str, address: Address, message: RegionLoad) -> RegionSum | None:
         """Return a delegate's sum of its region, None if it is no relay. Raises :class:`PeerUnavailableError`."""
         reply = await self._links.to(name, address).ask(message, RegionReply, REGION_REPLY_TIMEOUT_S)
         self._traffic.count_exchange("loads", len(message.packed) + len(reply.packed))
-        return self._unpack_reply(reply, name, address) if reply.packed else None
+        return self._unpack_reply(reply, name, str(address)) if reply.packed else None
 
     def _unpack_reply(self, reply: RegionReply, name: str, address: str) -> RegionSum:
         """Return the sum of a reply. If undecodable, logs that once and raises :class:`PeerUnavailableError`."""
--- a/src/wallwell/cluster/relay.py
+++ b/src/wallwell/cluster/relay.py
@@ -15,6 +15,7 @@
 
 from msgspec import UNSET
 
+from wallwell.address import Address
 from wallwell.clock import boot_time_s, ends_within
 from wallwell.cluster.peer_link import PeerLinks
 from wallwell.cluster.row_messages import (
@@ -113,7 +114,7 @@
             return page
         return None
 
-    async def _ask(self, name: str, address: str, hold_s: float, after: StorePosition | None) -> FeedPage:
+    async def _ask(self, name: str, address: Address, hold_s: float, after: StorePosition | None) -> FeedPage:
         """Return a page from one peer. Raises :class:`PeerUnavailableError` or :class:`HistoryLostError`."""
         request = RowsRequest(self.table, hold_s)
         if after is not None:
@@ -130,7 +131,7 @@
             raise PeerUnavailableError(f"{address}: its rows are from before the last restore of the store")
         if after is not None and era != after.era:
             raise HistoryLostError("the peer reports that the store was restored from a copy")
-        return FeedPage(unpack_rows(reply, address), reply.version, reply.store_s, relayed=True, era=era)
+        return FeedPage(unpack_rows(reply, str(address)), reply.version, reply.store_s, relayed=True, era=era)
 
     def _apply_page(self, page: FeedPage, whole: bool) -> FeedPage:
         self._era.observe(page.era, boot_time_s())
--- a/src/wallwell/cluster/stream_directory.py
+++ b/src/wallwell/cluster/stream_directory.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from wallwell.address import Address
 from wallwell.clock import boot_time_s, ends_within
 from wallwell.cluster.stream_messages import (
     StreamBegun,
@@ -82,7 +83,7 @@
         self.replies: list[tuple[str, StreamReply]] = []
         self.is_settled = asyncio.Event()
 
-    def on_reply(self, address: str, reply: StreamReply) -> None:
+    def on_reply(self, address: Address, reply: StreamReply) -> None:
         name = self.waiting_for.pop(address, None)
         if name is None:
             return  # Not asked, or a second reply.
@@ -192,8 +193,8 @@
     async def ask_node(self, findings: StreamFindings, name: str, stream: str, service: str) -> None:
         """Add to the findings what one more node knows."""
         member = self._members().get(name)
-        if member is not None and member.relay:
-            await self._add_replies(findings, stream, service, [Holder(name, member.relay)])
+        if member is not None and member.address is not None:
+            await self._add_replies(findings, stream, service, [Holder(name, member.address)])
 
     async def _add_replies(self, findings: StreamFindings, stream: str, service: str, asked: list[Holder]) -> None:
         findings.asked += len(asked)
@@ -231,12 +232,12 @@
 
     # --- datagrams -------------------------------------------------------------------------------------
 
-    def on_datagram(self, data: bytes, address: str) -> None:
-        """Handle a datagram from ``IP:port``."""
+    def on_datagram(self, data: bytes, address: Address) -> None:
+        """Handle a datagram from an address."""
         try:
             message = decode_stream_message(data)
         except (msgspec.MsgspecError, UnicodeError) as error:
-            self.on_failure(address, error)
+            self.on_failure(str(address), error)
             return
         match message:
             case StreamBegun():
@@ -248,7 +249,7 @@
                 if query is not None:
                     query.on_reply(address, message)
 
-    def _answer(self, query: StreamQuery, address: str) -> None:
+    def _answer(self, query: StreamQuery, address: Address) -> None:
         known = self.find_here(query.stream)
         if known is None:
             versions = sorted(self._versions(query.service))[:MAX_VERSIONS_SENT]
@@ -257,14 +258,13 @@
             reply = StreamReply(query.number, known.software, known.age_s)
         self._send(reply, address)
 
-    def _send(self, message: StreamMessage, address: str) -> None:
+    def _send(self, message: StreamMessage, address: Address) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        host, _, port = address.rpartition(":")
         try:
-            self._transport.sendto(msgspec.json.encode(message) + b"\n", (host, int(port)))
+            self._transport.sendto(msgspec.json.encode(message) + b"\n", (address.host, address.port))
         except (OSError, ValueError) as error:
-            self.on_failure(address, error)
+            self.on_failure(str(address), error)
 
     def on_failure(self, address: str, error: Exception) -> None:
         """Count a datagram that could not be sent or decoded, which counts as lost; logged at an interval."""
@@ -291,7 +291,7 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Pass on a datagram."""
-        self._directory.on_datagram(data, f"{addr[0]}:{addr[1]}")
+        self._directory.on_datagram(data, Address(addr[0], addr[1]))
 
     def error_received(self, exc: Exception) -> None:
         """Record that the system reports a datagram as undeliverable; it does not say which."""
--- a/src/wallwell/cluster/stream_origins.py
+++ b/src/wallwell/cluster/stream_origins.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from wallwell.address import Address
 from wallwell.cluster.upstream import NodeRecord
 from wallwell.deployment.topology import Topology
 from wallwell.routing.rendezvous import owners
@@ -84,10 +85,10 @@
 
 
 class Holder(NamedTuple):
-    """A node that keeps streams, and the ``IP:port`` to which datagrams for it are sent."""
+    """A node that keeps streams, and where datagrams for it are sent."""
 
     name: str
-    address: str
+    address: Address
 
 
 def holders_to_tell(stream: str, members: Mapping[str, NodeRecord], topology: Topology, node: str) -> list[Holder]:
@@ -109,7 +110,7 @@
 
 
 def _keepers(members: Mapping[str, NodeRecord]) -> list[str]:
-    return [name for name, member in members.items() if member.keeps_streams is True and member.relay]
+    return [name for name, member in members.items() if member.keeps_streams is True and member.address]
 
 
 def _holders(
@@ -117,4 +118,5 @@
 ) -> list[Holder]:
     """Return the first nodes for a stream by rendezvous hashing, other than ``node``."""
     ordered = [name for name in owners(names, int(stream, 16), count + 1) if name != node]
-    return [Holder(name, members[name].relay) for name in ordered[:count]]
+    addresses = ((name, members[name].address) for name in ordered[:count])
+    return [Holder(name, address) for name, address in addresses if address is not None]
--- a/src/wallwell/cluster/upstream.py
+++ b/src/wallwell/cluster/upstream.py
@@ -15,12 +15,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import NamedTuple
 
 import msgspec
 
+from wallwell.address import Address, InvalidAddressError, parse_address
 from wallwell.cluster.peer_health import PeersHealth
 from wallwell.deployment.topology import SINGLE_REGION, Topology
 from wallwell.routing.rendezvous import rendezvous_key, rendezvous_score
@@ -39,7 +41,7 @@
 _ZONE_ORDER_KEY = rendezvous_key("zones")
 
 
-class NodeRecord(msgspec.Struct, frozen=True):
+class NodeRecord(msgspec.Struct, frozen=True, dict=True):
     """A node's registration row. ``relay`` is its ``IP:port`` for peers, empty if it serves no peers."""
 
     zone: str
@@ -50,12 +52,32 @@
     keeps_streams: bool | msgspec.UnsetType = msgspec.UNSET
     """Whether the node answers datagrams about streams at the port of ``relay``; omitted as above."""
 
+    @property
+    def address(self) -> Address | None:
+        """Where the node serves peers; None if it serves none, or if ``relay`` is no address."""
+        return self._parsed_relay[0]
+
+    @property
+    def relay_error(self) -> str:
+        """Why ``relay`` is no address, so that the node serves no peers; empty if it is one or is empty."""
+        return self._parsed_relay[1]
+
+    @cached_property
+    def _parsed_relay(self) -> tuple[Address | None, str]:
+        """The address and the error; parsed once, as each exchange asks for the addresses of all nodes."""
+        if not self.relay:
+            return None, ""
+        try:
+            return parse_address(self.relay), ""
+        except InvalidAddressError as error:
+            return None, str(error)
+
 
 class Peer(NamedTuple):
-    """Name of another node, and the ``IP:port`` where it serves peers."""
+    """Name of another node, and where it serves peers."""
 
     name: str
-    address: str
+    address: Address
 
 
 @dataclass
@@ -72,7 +94,7 @@
         """Return the peers to follow, best first; empty if this node follows the store itself."""
         in_zone = self.followed_peers_in_zone(now_s)
         own_record = self.members.get(self.node)
-        if in_zone or own_record is None or not own_record.relay:
+        if in_zone or own_record is None or own_record.address is None:
             return in_zone
         return self._relays_of_earlier_zones(now_s)
 
@@ -99,7 +121,7 @@
         return self._zones_of(self.topology.own_region)
 
     def _zones_of(self, region: str) -> list[str]:
-        zones = {member.zone for member in self.members.values() if member.relay}
+        zones = {member.zone for member in self.members.values() if member.address is not None}
         return sorted((zone for zone in zones if self.topology.region_of(zone) == region), key=_zone_rank)
 
     def is_in_other_zone(self, name: str) -> bool:
@@ -118,7 +140,7 @@
         if len(working) < n_relays:
             return []
         working.sort(key=lambda name: rendezvous_score(name, rendezvous_key(self.node)))
-        return [self._peer(name) for name in working]
+        return self._peers(working)
 
     def other_relays(self, now_s: float) -> list[Peer]:
         """Return the other relays of this node's region."""
@@ -129,11 +151,11 @@
         """Return the relays of a zone: its first working members; this node always counts as working."""
         ordered, n_relays = self._ordered_members(zone, self._reachable_members(zone))
         working = [name for name in ordered if name == self.node or self.health.is_working(name, now_s)][:n_relays]
-        return [self._peer(name) for name in working]
+        return self._peers(working)
 
     def other_regions(self) -> list[str]:
         """Return the other regions that have reachable members, sorted by name."""
-        zones = {member.zone for member in self.members.values() if member.relay}
+        zones = {member.zone for member in self.members.values() if member.address is not None}
         return sorted({self.topology.region_of(zone) for zone in zones} - {self.topology.own_region})
 
     def delegates_of(self, region: str) -> list[Peer]:
@@ -148,7 +170,7 @@
                 (index // n_relays, name) for index, name in enumerate(ordered[: n_relays * DELEGATES_PER_RELAY])
             ]
         ranked.sort(key=lambda entry: entry[0])
-        return [self._peer(name) for _, name in ranked]
+        return self._peers(name for _, name in ranked)
 
     def delegate_rank(self, now_s: float) -> int | None:
         """Return this node's rank, from 0, among the working delegates of its region; None if it is no delegate."""
@@ -156,12 +178,14 @@
         working = [name for name in names if name == self.node or self.health.is_working(name, now_s)]
         return working.index(self.node) if self.node in working else None
 
-    def _peer(self, name: str) -> Peer:
-        return Peer(name, self.members[name].relay)
+    def _peers(self, names: Iterable[str]) -> list[Peer]:
+        """Return the members of these names that serve peers."""
+        addresses = ((name, self.members[name].address) for name in names)
+        return [Peer(name, address) for name, address in addresses if address is not None]
 
     def _reachable_members(self, zone: str) -> list[str]:
         """Return the members of a zone that serve peers."""
-        return [name for name, member in self.members.items() if member.zone == zone and member.relay]
+        return [name for name, member in self.members.items() if member.zone == zone and member.address is not None]
 
     def _ordered_members(self, zone: str, names: list[str]) -> tuple[list[str], int]:
         """Return the members of a zone in order, and how many of them, from the first, are relays."""
--- a/src/wallwell/node/kv_store_watch.py
+++ b/src/wallwell/node/kv_store_watch.py
@@ -156,7 +156,7 @@
         return True
 
     async def _ask_peer(
-        self, peer: str, relay: str, address: Address, contents: KvStoreContents
+        self, peer: str, relay: Address, address: Address, contents: KvStoreContents
     ) -> _Received | None:
         needs_listing = contents.has_gaps and self._may_list(address)
         position = CachePosition() if needs_listing else contents.position
--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -174,8 +174,8 @@
     def _attempt_peers(self) -> Iterator[PeerNode]:
         """Yield the other nodes that make attempts for peers."""
         for name, member in self._order.members.items():
-            if name != self.state.node and member.makes_attempts is True and member.relay:
-                yield PeerNode(name, member.zone, member.relay)
+            if name != self.state.node and member.makes_attempts is True and member.address is not None:
+                yield PeerNode(name, member.zone, member.address)
 
     def _build_drivers(self, adapter: NodeAdapter) -> None:
         """Build the drivers of weights rolls and rollouts, each of which runs on at most one node at a time."""
--- a/src/wallwell/peer_attempts/client.py
+++ b/src/wallwell/peer_attempts/client.py
@@ -156,12 +156,13 @@
         return None
 
     async def _connect(self, peer: PeerNode, dispatch: Dispatch) -> _PeerConnection | None:
-        host, _, port = peer.address.rpartition(":")
         dispatch.progress.connecting = True
         try:
             async with time_limit(CONNECT_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(host, int(port), limit=MAX_REPLY_LINE_BYTES)
-        except (OSError, TimeoutError, ValueError):
+                reader, writer = await asyncio.open_connection(
+                    peer.address.host, peer.address.port, limit=MAX_REPLY_LINE_BYTES
+                )
+        except (OSError, TimeoutError):
             # Not logged here: the exchange of loads logs peers that do not answer.
             self._choice.on_silent(peer.name, boot_time_s())
             return None
--- a/src/wallwell/rollout/reporter.py
+++ b/src/wallwell/rollout/reporter.py
@@ -70,7 +70,7 @@
         self._fleet.add_report(CountsReport(self._node, self._node_incarnation, counts))
         holder = self._holder()
         member = self._members().get(holder)
-        if holder == self._node or member is None or not member.relay:
+        if holder == self._node or member is None or member.address is None:
             return
         self._links.keep({holder})
         unacknowledged = (
@@ -78,7 +78,7 @@
         )
         report = CountsReport(self._node, self._node_incarnation, unacknowledged)
         try:
-            reply = await self._links.to(holder, member.relay).ask(report, CountsAcknowledged, ANSWER_TIMEOUT_S)
+            reply = await self._links.to(holder, member.address).ask(report, CountsAcknowledged, ANSWER_TIMEOUT_S)
         except PeerUnavailableError:
             return  # Not logged: the next report contains these counts too, and may go to another holder.
         self._acknowledged.on_acknowledged((holder, reply.life), unacknowledged)
--- a/src/wallwell/routing/selection/peer_choice.py
+++ b/src/wallwell/routing/selection/peer_choice.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from wallwell.address import Address
 from wallwell.deployment.topology import Distance, Topology
 
 MAX_PEERS_ASKED = 3
@@ -27,11 +28,11 @@
 
 
 class PeerNode(NamedTuple):
-    """A node that makes attempts for others, and where: its name, zone, and ``IP:port`` for peers."""
+    """A node that makes attempts for others, and where: its name and zone, and where it serves peers."""
 
     name: str
     zone: str
-    address: str
+    address: Address
 
 
 class PeerChoice:
--- a/src/wallwell/soak/fleet.py
+++ b/src/wallwell/soak/fleet.py
@@ -15,6 +15,7 @@
 
 import aiohttp
 
+from wallwell.address import parse_address
 from wallwell.background import BackgroundTasks
 from wallwell.cluster.peer_link import PeerLink, PeerMessage
 from wallwell.errors import SoakError
@@ -83,7 +84,7 @@
     async def start(self) -> None:
         """Start everything and wait until every router is ready. Raises :class:`SoakError`."""
         await self._start_store()
-        self._proxy = PeerLink((await self.supervisor.start_own("proxy", "proxy")).control)
+        self._proxy = PeerLink(parse_address((await self.supervisor.start_own("proxy", "proxy")).control))
         await self._open_links()
         await asyncio.gather(*(self.start_worker(name) for name in self.schedule.shape.worker_names()))
         await self.put_configuration(1, FIRST_KEYS)
@@ -109,7 +110,7 @@
         announced = await self.supervisor.start_own("store", "store", settings)
         self._store_addresses = dict(zip(nodes, announced.addresses, strict=True))
         self._store_control = announced.control
-        self._store = PeerLink(announced.control)
+        self._store = PeerLink(parse_address(announced.control))
         self._store_lock = asyncio.Lock()
         self._proxy_lock = asyncio.Lock()
 
--- a/src/wallwell/soak/worker_process.py
+++ b/src/wallwell/soak/worker_process.py
@@ -16,6 +16,7 @@
 
 from aiohttp import web
 
+from wallwell.address import parse_address
 from wallwell.cluster.peer_link import PeerLink
 from wallwell.emulator.platform_worker import ACCEPTED, PlatformWorkerEmulator, UnframedResponse
 from wallwell.errors import PeerUnavailableError
@@ -71,7 +72,7 @@
         self._highest_fence = 0
         self._started_s = time.monotonic()
         self._born_unix_ms = int(time.time() * 1000)
-        self._store = PeerLink(settings.store_control)
+        self._store = PeerLink(parse_address(settings.store_control))
         self._store_lock = asyncio.Lock()
         self._generator = random.Random(f"{settings.seed}/second answers/{settings.incarnation}")
         self._repeater = AnswerRepeater(self._generator, self._record_repeated)
--- a/tests/unit/cluster/relay_network.py
+++ b/tests/unit/cluster/relay_network.py
@@ -199,7 +199,7 @@
         self.regions = regions or {}
         self.store = Store()
         self.store._now_s = lambda: boot_time_s() + STORE_OFFSET_S
-        self.members = {f"n{index}": NodeRecord(zone, f"n{index}:1") for index, zone in enumerate(zones)}
+        self.members = {f"n{index}": NodeRecord(zone, f"10.0.0.{index}:1") for index, zone in enumerate(zones)}
         self.cut = set()
         self.nodes = {name: Node(self, name) for name in self.members}
 
--- a/tests/unit/cluster/test_peer_link.py
+++ b/tests/unit/cluster/test_peer_link.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from wallwell.address import parse_address
 from wallwell.cluster import peer_link
 from wallwell.cluster.peer_link import REFUSAL_LOG_INTERVAL_S, PeerLinks, PeerMessage, PeerServer
 from wallwell.errors import PeerUnavailableError
@@ -39,7 +40,7 @@
 async def ask(links, address, times=3):
     for _ in range(times):
         try:
-            await links.to("n1", address).ask(Question(1), Answer, 1.0)
+            await links.to("n1", parse_address(address)).ask(Question(1), Answer, 1.0)
         except PeerUnavailableError:
             links.keep(set())
 
--- a/tests/unit/cluster/test_region_load_reporter.py
+++ b/tests/unit/cluster/test_region_load_reporter.py
@@ -104,7 +104,7 @@
 class Network:
     def __init__(self, per_zone=2):
         names = [(f"{zone}-n{index}", zone) for zone in REGION_OF_ZONE for index in range(per_zone)]
-        self.members = {name: NodeRecord(zone, f"{name}:1") for name, zone in names}
+        self.members = {name: NodeRecord(zone, "10.0.0.1:1") for name, zone in names}
         self.is_cut = False
         self.cut_off_nodes = set()
         """Nodes that reach no node of the other region, but all nodes of their own."""
@@ -326,9 +326,9 @@
         await asyncio.sleep(3.0)
         relay = network.relays_of("b")[0]
         other = next(node for node in network.live_nodes("b") if node.zone == relay.zone and node is not relay)
-        network.members[other.name] = NodeRecord(other.zone, f"{other.name}:1", link_mbps=500.0)
+        network.members[other.name] = NodeRecord(other.zone, "10.0.0.1:1", link_mbps=500.0)
         await asyncio.sleep(5.0)
-        network.members[other.name] = NodeRecord(other.zone, f"{other.name}:1")
+        network.members[other.name] = NodeRecord(other.zone, "10.0.0.1:1")
         await asyncio.sleep(2.0)
         return network.all_nodes_know(12)
 
--- a/tests/unit/cluster/test_stream_directory.py
+++ b/tests/unit/cluster/test_stream_directory.py
@@ -12,6 +12,7 @@
 import pytest
 
 from tests.virtual_time import run_virtual
+from wallwell.address import Address
 from wallwell.clock import boot_time_s
 from wallwell.cluster import stream_directory
 from wallwell.cluster.stream_directory import MAX_QUERIES, QUERY_ROUNDS_S, TELL_INTERVAL_S, StreamDirectory
@@ -45,7 +46,7 @@
         return False
 
     def sendto(self, data, target):
-        self._network.send(self._address, f"{target[0]}:{target[1]}", data)
+        self._network.send(self._address, Address(*target), data)
 
     def close(self):
         pass
@@ -79,12 +80,12 @@
             lambda service: self.versions,
             life=f"{name}/{next(self._starts)}",
         )
-        directory._transport = FakeTransport(self, member.relay)
-        self._by_address[member.relay] = directory
+        directory._transport = FakeTransport(self, member.address)
+        self._by_address[member.address] = directory
         return directory
 
     def kill(self, name):
-        del self._by_address[self.members[name].relay]
+        del self._by_address[self.members[name].address]
 
     def restart(self, name):
         self.directories[name] = self.start(name)
@@ -216,7 +217,7 @@
             network.kill(name)
             findings = await find_elsewhere(network, number, {name})
             assert findings.software == version_of(number)
-            network._by_address[network.members[name].relay] = network.directories[name]
+            network._by_address[network.members[name].address] = network.directories[name]
 
     run_virtual(scenario())
 
@@ -279,9 +280,9 @@
     async def scenario():
         directory = Network(2).directories["n1"]
         for _ in range(5):
-            directory.on_datagram(data, "10.0.0.0:7")
+            directory.on_datagram(data, Address("10.0.0.0", 7))
         await asyncio.sleep(stream_directory.REFUSAL_LOG_INTERVAL_S)
-        directory.on_datagram(data, "10.0.0.0:7")
+        directory.on_datagram(data, Address("10.0.0.0", 7))
         return len(directory._origins)
 
     assert run_virtual(scenario()) == 0
@@ -320,7 +321,7 @@
         finding = asyncio.create_task(network.directories["n1"].find(digest_of(1), "svc"))
         await asyncio.sleep(0)
         forged = b'{"type":"StreamReply","number":0,"software":"v9"}'
-        network.directories["n1"].on_datagram(forged, "10.8.8.8:7")
+        network.directories["n1"].on_datagram(forged, Address("10.8.8.8", 7))
         return (await finding).software
 
     assert run_virtual(scenario()) is None
--- a/tests/unit/compatibility/test_two_builds.py
+++ b/tests/unit/compatibility/test_two_builds.py
@@ -113,7 +113,9 @@
         store.era = 0
         store.write("k", b"1")
         peer = OlderPeer(store)
-        order = UpstreamOrder("n2", "z", {"n1": NodeRecord("z", "n1:1", 100.0), "n2": NodeRecord("z", "n2:1", 1.0)})
+        order = UpstreamOrder(
+            "n2", "z", {"n1": NodeRecord("z", "10.0.0.1:1", 100.0), "n2": NodeRecord("z", "10.0.0.2:1", 1.0)}
+        )
         assert [name for name, _ in order.candidates(0.0)] == ["n1"]
         clock = StoreClock()
         rows = RelayedRows("rows", store, order, clock, 0.1)
--- a/tests/unit/routing/selection/test_peer_choice.py
+++ b/tests/unit/routing/selection/test_peer_choice.py
@@ -5,6 +5,7 @@
 import random
 from collections import Counter
 
+from wallwell.address import Address
 from wallwell.deployment.topology import Topology
 from wallwell.routing.selection.peer_choice import (
     MAX_PEERS_ASKED,
@@ -22,7 +23,7 @@
 
 
 def peers(*zones):
-    return [PeerNode(f"n{index}", zone, f"10.0.0.{index}:1") for index, zone in enumerate(zones)]
+    return [PeerNode(f"n{index}", zone, Address(f"10.0.0.{index}", 1)) for index, zone in enumerate(zones)]
 
 
 def names(chosen):
--- a/tests/unit/serving/test_zone_outage.py
+++ b/tests/unit/serving/test_zone_outage.py
@@ -8,6 +8,7 @@
 
 from tests.unit.serving.fakes import FakeClient, FakeReply, Script, make_request, make_route, make_state
 from tests.virtual_time import run_virtual
+from wallwell.address import Address
 from wallwell.clock import boot_time_s
 from wallwell.cluster.upstream import NodeRecord, UpstreamOrder
 from wallwell.deployment.backends import BackendRecord
@@ -118,11 +119,11 @@
 
 def test_peers_in_a_returned_zone_are_polled_at_once():
     """The pause between polls doubles up to 16 s, and the loads of a zone are unknown until its nodes report."""
-    order = UpstreamOrder("n1", "z1", {"n1": NodeRecord("z1", "n1:1"), "n2": NodeRecord("z2", "n2:1")})
+    order = UpstreamOrder("n1", "z1", {"n1": NodeRecord("z1", "10.0.0.1:1"), "n2": NodeRecord("z2", "10.0.0.2:1")})
     for now_s in (0.0, 3.0, 8.0):
         order.on_failure("n2", now_s)
     assert order.other_relays(9.0) == []
     order.on_zone_returned("z1")
     assert order.other_relays(9.0) == []
     order.on_zone_returned("z2")
-    assert order.other_relays(9.0) == [("n2", "n2:1")]
+    assert order.other_relays(9.0) == [("n2", Address("10.0.0.2", 1))]
--- a/tests/unit/test_socket_options.py
+++ b/tests/unit/test_socket_options.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from wallwell.address import parse_address
 from wallwell.cluster.peer_link import PeerLink
 from wallwell.errors import PeerUnavailableError
 from wallwell.http_connection import ConnectionPool
@@ -26,10 +27,10 @@
 
 
 async def peer_link(address):
-    link = PeerLink(address)
+    link = PeerLink(parse_address(address))
     with pytest.raises(PeerUnavailableError):
         await link.ask(None, type(None), 0.05)
-    link = PeerLink(address)
+    link = PeerLink(parse_address(address))
     asking = asyncio.ensure_future(link.ask(None, type(None), 5.0))
     while link._streams is None:
         await asyncio.sleep(0.001)
