One node's hostile message is refused, and an unexpected error with one peer stops no exchange with others

Whole numbers of 400 digits in a load (requests, answers, nodes, ages, amounts) raised OverflowError in the handler, or in the loop that reports loads, which then paused for a second; the number stayed in the sums that a relay reports. A message nested deeply raised RecursionError, which neither the server nor the link expects. Rows whose time is far in the future kept a copy fresh for ever. A peer could have a request held for any time, and a few kilobytes of packed rows could fill the memory.

Numbers in messages have ranges where they are decoded (number_ranges), and senders limit their sums to the same ranges, so that one large number does not make a relay's reports undecodable. Depth counts as undecodable; unpacking has a bound; rows from the future of the store's clock count as no answer. The wire forms are unchanged.

The messages and replies are drawn from the types of their fields, for every type that a whole node handles.

--- a/src/wallwell/cluster/fleet_load.py
+++ b/src/wallwell/cluster/fleet_load.py
@@ -13,6 +13,7 @@
 from wallwell.cluster.demand import FleetDemand
 from wallwell.cluster.load_reports import Load
 from wallwell.cluster.stated_limits import StatedLimits
+from wallwell.number_ranges import MAX_AMOUNT, limit_amounts, limit_counts
 from wallwell.routing.admission.fleet_limits import FleetLimits
 from wallwell.routing.health.backend_registry import BackendRegistry
 from wallwell.routing.retry.first_token import DelayCounts, FirstTokenDelays
@@ -38,13 +39,13 @@
     def own_load(self, now_s: float) -> Load:
         """Return the load that this node reports of itself."""
         return Load(
-            requests=self.backends.own_loads(),
+            requests=limit_counts(self.backends.own_loads()),
             generations=self.demand.own_generations.count(now_s),
             delays=self.first_token_delays.own_counts(now_s),
-            asked=self.limits.own_demand(now_s),
+            asked=limit_amounts(self.limits.own_demand(now_s)),
             nodes=1,
             stated_limits=self.stated_limits.own_reports(now_s),
-            configuration=self.own_configuration_version or msgspec.UNSET,
+            configuration=min(MAX_AMOUNT, self.own_configuration_version) or msgspec.UNSET,
         )
 
     def update_from_peers(self, others: Load, node_count: int, now_s: float) -> None:
--- a/src/wallwell/cluster/load_aggregator.py
+++ b/src/wallwell/cluster/load_aggregator.py
@@ -11,6 +11,7 @@
 from wallwell.cluster.fleet_load import FleetLoad
 from wallwell.cluster.load_messages import MemberLoad, OthersLoad, RegionSum, RelaySpentTotals, ZoneLoad
 from wallwell.cluster.load_reports import REPORT_LIFETIME_S, Load, LoadReports, sum_loads
+from wallwell.number_ranges import limit_amounts
 
 
 class LoadAggregator:
@@ -39,7 +40,7 @@
         limits.on_member_report(message.spent, now_s)
         others = self._members.recent(now_s, excluding=message.node)
         load = sum_loads((*others, *self._other_relays_and_regions(now_s), self._load.own_load(now_s)))
-        return OthersLoad(load, limits.levels(now_s), self._crashes.crashes_for_members(now_s))
+        return OthersLoad(load, limit_amounts(limits.levels(now_s)), self._crashes.crashes_for_members(now_s))
 
     def on_zone_load(self, message: ZoneLoad, now_s: float) -> None:
         """Handle the sum of another relay of this region."""
@@ -76,15 +77,17 @@
         """Return this relay's report to other relays; ``regions`` are sums of other regions to be forwarded."""
         limits = self._load.limits
         crashes = self._crashes.crashes_for_other_relays(now_s)
-        return ZoneLoad(
-            self._node, self._zone_load(now_s), limits.node_incarnation, limits.spent_totals(), regions, crashes
-        )
+        spent = limit_amounts(limits.spent_totals())
+        return ZoneLoad(self._node, self._zone_load(now_s), limits.node_incarnation, spent, regions, crashes)
 
     def region_sum(self, region: str, now_s: float) -> RegionSum:
         """Return the sum of this relay's own region, whose name is ``region``."""
         limits = self._load.limits
         recent = [totals for totals, at_s in self._totals.values() if _is_recent(at_s, now_s)]
-        relays = (RelaySpentTotals(self._node, limits.node_incarnation, limits.spent_totals()), *recent)
+        relays = (
+            RelaySpentTotals(self._node, limits.node_incarnation, limit_amounts(limits.spent_totals())),
+            *recent,
+        )
         return RegionSum(region, self._region_load(now_s), relays)
 
     def _zone_load(self, now_s: float) -> Load:
--- a/src/wallwell/cluster/load_messages.py
+++ b/src/wallwell/cluster/load_messages.py
@@ -12,8 +12,9 @@
 
 from wallwell.cluster.crash_reports import Crash
 from wallwell.cluster.load_reports import Load
+from wallwell.cluster.message_decoding import unpack_message
 from wallwell.cluster.peer_link import PeerMessage
-from wallwell.errors import PeerUnavailableError
+from wallwell.number_ranges import Amount
 
 COMPRESSION_LEVEL = 6
 """Compression level of zlib: its default, a balance of speed and size."""
@@ -24,7 +25,7 @@
 
     relay: str
     life: int
-    spent: dict[str, int]
+    spent: dict[str, Amount]
 
 
 class RegionSum(msgspec.Struct, frozen=True):
@@ -52,7 +53,7 @@
 
     node: str
     load: Load
-    spent: dict[str, int] = {}
+    spent: dict[str, Amount] = {}
     crashes: tuple[Crash, ...] = ()
 
 
@@ -60,7 +61,7 @@
     """Answer to :class:`MemberLoad`: the load of all other nodes, and the levels of limits that are not full."""
 
     load: Load
-    levels: dict[str, int] = {}
+    levels: dict[str, Amount] = {}
     crashes: tuple[Crash, ...] = ()
 
 
@@ -74,19 +75,19 @@
     node: str
     load: Load
     life: int = 0
-    spent_totals: dict[str, int] = {}
+    spent_totals: dict[str, Amount] = {}
     regions: tuple[RegionSum, ...] = ()
     crashes: tuple[Crash, ...] = ()
 
 
+_region_sum_decoder = msgspec.json.Decoder(RegionSum)
+
+
 def pack_region_sum(region_sum: RegionSum) -> bytes:
     """Return the compressed JSON of a sum, as sent between regions."""
     return zlib.compress(msgspec.json.encode(region_sum), COMPRESSION_LEVEL)
 
 
 def unpack_region_sum(packed: bytes, sender: str) -> RegionSum:
-    """Return the sum that ``sender`` packed. Raises :class:`PeerUnavailableError` if it cannot be decoded."""
-    try:
-        return msgspec.json.decode(zlib.decompress(packed), type=RegionSum)
-    except (zlib.error, msgspec.MsgspecError) as error:
-        raise PeerUnavailableError(f"{sender}: {type(error).__name__}") from error
+    """Return the sum that ``sender`` packed. Raises ``PeerUnavailableError`` if it cannot be decoded."""
+    return unpack_message(_region_sum_decoder, packed, sender)
--- a/src/wallwell/cluster/load_reporter.py
+++ b/src/wallwell/cluster/load_reporter.py
@@ -22,8 +22,10 @@
 from wallwell.cluster.peer_link import PeerLinks
 from wallwell.cluster.region_load_reporter import RegionLoadReporter
 from wallwell.cluster.region_traffic import RegionTraffic
+from wallwell.cluster.unexpected_errors import UnexpectedErrors
 from wallwell.cluster.upstream import Peer, UpstreamOrder
 from wallwell.errors import PeerUnavailableError
+from wallwell.number_ranges import limit_amounts
 
 LOAD_REPORT_INTERVAL_S = 0.05
 """Seconds between two reports of a member. A relay waits this long per other relay, so that traffic between
@@ -60,6 +62,7 @@
             order, self._own_region_sum, self._on_region_report, self._on_region_lost, traffic or RegionTraffic()
         )
         self._links = PeerLinks()
+        self._unexpected_errors = UnexpectedErrors("load report of a peer")
         self._peers_load_received_at_s = float("-inf")
         """When this node last received the load of other nodes."""
 
@@ -107,7 +110,7 @@
         message = MemberLoad(
             self._node,
             self._load.own_load(boot_time_s()),
-            limits.begin_report(),
+            limit_amounts(limits.begin_report()),
             self._crashes.crashes_for_own_relay(),
         )
         was_received = False
@@ -126,11 +129,19 @@
     async def _exchange_with(self, relays: list[Peer]) -> None:
         self._links.keep({relay.name for relay in relays})
         message = self._aggregator.zone_message(boot_time_s(), self.region_reporter.pop_sums_to_forward())
-        await asyncio.gather(*(self._exchange_sums(relay, message) for relay in relays))
+        await asyncio.gather(*(self._exchange_or_log(relay, message) for relay in relays))
         now_s = boot_time_s()
         self.region_reporter.forget_silent_regions(now_s)
         self._update_from_peers(self._aggregator.others_load(now_s))
 
+    async def _exchange_or_log(self, relay: Peer, message: ZoneLoad) -> None:
+        """Exchange sums with one relay; an unexpected error stops neither the others nor the reports to come."""
+        try:
+            await self._exchange_sums(relay, message)
+        except Exception as error:
+            self._order.on_failure(relay.name, boot_time_s())
+            self._unexpected_errors.record(relay.name, error)
+
     async def _exchange_sums(self, relay: Peer, message: ZoneLoad) -> None:
         try:
             reply = await self._links.to(relay.name, relay.address).ask(message, ZoneLoad, LOAD_REPORT_TIMEOUT_S)
--- a/src/wallwell/cluster/load_reports.py
+++ b/src/wallwell/cluster/load_reports.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from wallwell.cluster.stated_limits import ReportedLimit, newest_limits
+from wallwell.number_ranges import MAX_COUNT, Amount, Count, limit_amounts, limit_counts
 from wallwell.routing.retry.first_token import DelayCounts, sum_delay_counts
 
 REPORT_LIFETIME_S = 1.5
@@ -32,13 +33,13 @@
     while the store counts no eras, and older versions neither send nor read it.
     """
 
-    requests: dict[str, int] = {}
-    generations: int = 0
+    requests: dict[str, Count] = {}
+    generations: Count = 0
     delays: DelayCounts = DelayCounts()
-    asked: dict[str, int] = {}
-    nodes: int = 0
+    asked: dict[str, Amount] = {}
+    nodes: Count = 0
     stated_limits: dict[str, ReportedLimit] | msgspec.UnsetType = msgspec.UNSET
-    configuration: int | msgspec.UnsetType = msgspec.UNSET
+    configuration: Amount | msgspec.UnsetType = msgspec.UNSET
 
     def aged_by(self, seconds: float) -> Load:
         """Return the load as it is forwarded ``seconds`` after it was received, with older ``stated_limits``."""
@@ -56,11 +57,11 @@
         requests.update(load.requests)
         asked.update(load.asked)
     return Load(
-        requests=dict(requests),
-        generations=sum(load.generations for load in loads),
+        requests=limit_counts(requests),
+        generations=min(MAX_COUNT, sum(load.generations for load in loads)),
         delays=sum_delay_counts(load.delays for load in loads),
-        asked=dict(asked),
-        nodes=sum(load.nodes for load in loads),
+        asked=limit_amounts(asked),
+        nodes=min(MAX_COUNT, sum(load.nodes for load in loads)),
         stated_limits=newest_limits(
             [load.stated_limits for load in loads if load.stated_limits is not msgspec.UNSET]
         ),
--- a/src/wallwell/cluster/peer_link.py
+++ b/src/wallwell/cluster/peer_link.py
@@ -17,6 +17,8 @@
 
 from wallwell.address import Address
 from wallwell.clock import boot_time_s, time_limit
+from wallwell.cluster.message_decoding import decode_message
+from wallwell.cluster.unexpected_errors import UnexpectedErrors
 from wallwell.errors import PeerUnavailableError
 from wallwell.events import Event, emit
 from wallwell.socket_options import accept_pending, enable_keepalive
@@ -81,8 +83,8 @@
         """Return the peer's reply. Raises :class:`PeerUnavailableError` and closes the connection on failure."""
         try:
             line = await self._round_trip(msgspec.json.encode(request) + b"\n", timeout_s)
-            reply = msgspec.json.decode(line, type=reply_type)
-        except (OSError, TimeoutError, EOFError, ValueError, msgspec.MsgspecError) as error:
+            reply = decode_message(msgspec.json.Decoder(reply_type), line)
+        except (OSError, EOFError, asyncio.LimitOverrunError, ValueError, msgspec.MsgspecError) as error:
             self.close()
             self._failure_log.on_failure(str(self.address), type(request).__name__, error)
             raise PeerUnavailableError(f"{self.address}: {type(error).__name__}") from error
@@ -189,6 +191,7 @@
         self._unlogged_refusals = 0
         """Requests refused since the last log line about refusals."""
         self._refusal_logged_s = float("-inf")
+        self._unexpected_errors = UnexpectedErrors("request of a peer")
         self.address = ""
 
     async def start(self, host: str, port: int) -> None:
@@ -230,21 +233,31 @@
         self, task: asyncio.Task[None], reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         while line := await reader.readline():
-            request = self._decoder.decode(line)
-            stream_handler = self._stream_handlers.get(type(request))
-            if stream_handler is not None:
-                self._begin_stream(task)
-                await stream_handler(request, ReplyStream(reader, writer))
-                break
-            reply = await self._handlers[type(request)](request)
-            writer.write(msgspec.json.encode(reply) + b"\n")
-            await writer.drain()
-            if self._closing is not None:
+            request = decode_message(self._decoder, line)
+            try:
+                may_follow = await self._handle(task, request, ReplyStream(reader, writer))
+            except (OSError, ValueError, KeyError):
+                raise
+            except Exception as error:
+                # A fault of this node: the connection ends, and the peer counts the request as failed.
+                self._unexpected_errors.record(type(request).__name__, error)
+                return
+            if not may_follow or self._closing is not None:
                 break
             self._new.discard(task)
         writer.close()
         await writer.wait_closed()  # Sends what is still buffered.
 
+    async def _handle(self, task: asyncio.Task[None], request: PeerMessage, replies: ReplyStream) -> bool:
+        """Answer one request; return whether another one may follow on its connection."""
+        stream_handler = self._stream_handlers.get(type(request))
+        if stream_handler is not None:
+            self._begin_stream(task)
+            await stream_handler(request, replies)
+            return False
+        await replies.send(await self._handlers[type(request)](request))
+        return True
+
     def _begin_stream(self, task: asyncio.Task[None]) -> None:
         self._connections.discard(task)
         self._new.discard(task)
--- a/src/wallwell/cluster/region_load_reporter.py
+++ b/src/wallwell/cluster/region_load_reporter.py
@@ -26,6 +26,7 @@
 from wallwell.cluster.load_reports import REPORT_LIFETIME_S
 from wallwell.cluster.peer_link import PeerLinks
 from wallwell.cluster.region_traffic import RegionTraffic
+from wallwell.cluster.unexpected_errors import UnexpectedErrors
 from wallwell.cluster.upstream import Peer, UpstreamOrder
 from wallwell.errors import PeerUnavailableError
 from wallwell.events import Event, emit
@@ -63,6 +64,7 @@
         self._on_region_lost = on_region_lost
         self._traffic = traffic
         self._links = PeerLinks()
+        self._unexpected_errors = UnexpectedErrors("load sum of a region")
         self._delegate_index: dict[str, int] = {}
         """For each region, the index of the delegate to ask in that region's order."""
         now_s = boot_time_s()
@@ -91,7 +93,7 @@
             self._links.keep(set())
             return
         message = RegionLoad(pack_region_sum(own))
-        await asyncio.gather(*(self._ask_region(region, message) for region in regions))
+        await asyncio.gather(*(self._ask_region_or_log(region, message) for region in regions))
         # The last nodes of a region may have left during the exchange.
         remaining = [region for region in regions if self._order.delegates_of(region)]
         self._links.keep({self._delegate_to_ask(region).name for region in remaining})
@@ -109,6 +111,14 @@
         delegates = self._order.delegates_of(region)
         return delegates[self._delegate_index.get(region, 0) % len(delegates)]
 
+    async def _ask_region_or_log(self, region: str, message: RegionLoad) -> None:
+        """Exchange with one region; an unexpected error stops neither the others nor the next exchange."""
+        try:
+            await self._ask_region(region, message)
+        except Exception as error:
+            self._delegate_index[region] = self._delegate_index.get(region, 0) + 1
+            self._unexpected_errors.record(region, error)
+
     async def _ask_region(self, region: str, message: RegionLoad) -> None:
         """Ask the delegates of a region in turn until one returns a sum or one does not answer."""
         for _ in self._order.delegates_of(region):
--- a/src/wallwell/cluster/relay.py
+++ b/src/wallwell/cluster/relay.py
@@ -24,6 +24,7 @@
     reply_with_rows,
     unpack_rows,
 )
+from wallwell.cluster.unexpected_errors import UnexpectedErrors
 from wallwell.cluster.upstream import UpstreamOrder
 from wallwell.deployment.freshness import StoreClock
 from wallwell.deployment.store_era import UNKNOWN_ERA, StoreEra, StorePosition, era_received, era_to_send
@@ -40,6 +41,9 @@
 OTHER_ZONE_WAIT_S = 0.25
 """Seconds for which a relay of another zone is asked to hold a request. Short, since its answer is relayed once
 more: confirmations of the store that reach the last zone are then younger than 2 s."""
+MAX_CLOCK_ERROR_S = 1.0
+"""Seconds by which a relayed page may seem to be of the future: far more than two steady clocks drift while a
+page is on its way."""
 MAX_PEERS_ASKED = 2
 """Peers asked, at most, in one call before the store is asked: each one that is gone costs a time-out."""
 
@@ -72,6 +76,7 @@
         self._pause_s = pause_s
         self._last_call_returned_rows = False
         self.links = PeerLinks()
+        self._unexpected_errors = UnexpectedErrors(f"rows of {table} from a peer")
         self._advanced = asyncio.Event()
 
     # --- reading ---------------------------------------------------------------------------------------
@@ -110,6 +115,13 @@
                 self._order.on_failure(name, boot_time_s())
                 emit(Event.RELAY_LOST, peer=name, rows=self.table, reason=str(error))
                 continue
+            except HistoryLostError:
+                raise
+            except Exception as error:
+                # A fault of this node with this peer's answer: the next peer, or the store, is asked.
+                self._order.on_failure(name, boot_time_s())
+                self._unexpected_errors.record(name, error)
+                continue
             self._order.on_success(name)
             return page
         return None
@@ -125,7 +137,11 @@
         if reply.history_lost:
             raise HistoryLostError("the peer no longer has the changes since this version")
         era = era_received(reply.era)
-        self._era.observe(era, boot_time_s())
+        now_s = boot_time_s()
+        if self._clock.confirmed_by_relay_s(now_s, reply.store_s, era) > now_s + MAX_CLOCK_ERROR_S:
+            # Believed, it would keep the copy and the configuration fresh until then, store or no store.
+            raise PeerUnavailableError(f"{address}: its rows are from the future of the store")
+        self._era.observe(era, now_s)
         if self._era.is_after(era):
             # The peer is behind, or its build knows no eras.
             raise PeerUnavailableError(f"{address}: its rows are from before the last restore of the store")
--- a/src/wallwell/cluster/row_messages.py
+++ b/src/wallwell/cluster/row_messages.py
@@ -11,9 +11,10 @@
 import msgspec
 from msgspec import UNSET, UnsetType
 
+from wallwell.cluster.message_decoding import unpack_message
 from wallwell.cluster.peer_link import PeerMessage
 from wallwell.deployment.store_era import era_to_send
-from wallwell.errors import PeerUnavailableError
+from wallwell.number_ranges import Era, HoldTime, Version
 from wallwell.storage.feed import FeedPage, FeedRow
 
 COMPRESS_FROM_BYTES = 2048
@@ -28,9 +29,9 @@
     """
 
     table: str
-    wait_s: float
-    after: int | None = None
-    era: int | UnsetType = UNSET
+    wait_s: HoldTime
+    after: Version | None = None
+    era: Era | UnsetType = UNSET
 
 
 class RelayedRow(msgspec.Struct, frozen=True, array_like=True):
@@ -38,7 +39,7 @@
 
     key: str
     value: str | None
-    version: int
+    version: Version
 
 
 class RowsReply(msgspec.Struct, frozen=True):
@@ -47,16 +48,19 @@
     Large rows are sent as compressed JSON in ``packed`` instead of ``rows``.
     """
 
-    version: int = -1
+    version: Version = -1
     store_s: float = 0.0
     rows: tuple[RelayedRow, ...] = ()
     packed: bytes = b""
     stale: bool = False
     history_lost: bool = False
-    era: int | UnsetType = UNSET
+    era: Era | UnsetType = UNSET
     """Era of the store that the rows are of; omitted as in :class:`RowsRequest`."""
 
 
+_rows_decoder = msgspec.json.Decoder(tuple[RelayedRow, ...])
+
+
 @functools.lru_cache(maxsize=8)
 def _encode_rows(rows: tuple[FeedRow, ...]) -> tuple[tuple[RelayedRow, ...], bytes]:
     """Return rows as sent, either plain or compressed. Cached, since most members ask for the same rows."""
@@ -69,12 +73,7 @@
 
 def unpack_rows(reply: RowsReply, address: str) -> tuple[FeedRow, ...]:
     """Return the rows of a reply. Raises :class:`PeerUnavailableError` if they cannot be decoded."""
-    try:
-        rows = reply.rows
-        if reply.packed:
-            rows = msgspec.json.decode(zlib.decompress(reply.packed), type=tuple[RelayedRow, ...])
-    except (zlib.error, msgspec.MsgspecError) as error:
-        raise PeerUnavailableError(f"{address}: {type(error).__name__}") from error
+    rows = unpack_message(_rows_decoder, reply.packed, address) if reply.packed else reply.rows
     return tuple(FeedRow(row.key, None if row.value is None else row.value.encode(), row.version) for row in rows)
 
 
--- a/src/wallwell/cluster/stated_limits.py
+++ b/src/wallwell/cluster/stated_limits.py
@@ -15,11 +15,13 @@
 
 from collections import deque
 from collections.abc import Mapping
+from typing import Annotated
 
 import msgspec
 
 from wallwell.deployment.backends import is_later_start
 from wallwell.events import Event, emit
+from wallwell.number_ranges import MAX_COUNT, Count
 from wallwell.routing.admission.backend_rate import UNITS_PER_REQUEST, backend_limit_key
 from wallwell.routing.admission.fleet_limits import Admitted, FleetLimits, OverLimit
 from wallwell.routing.health.backend import Backend
@@ -39,16 +41,16 @@
 class ReportedLimit(msgspec.Struct, frozen=True, array_like=True):
     """A back end's statement of its limit as a node has read it."""
 
-    per_s: float | None
+    per_s: Annotated[float, msgspec.Meta(ge=0.0)] | None
     """Requests per second from all nodes together; None if the back end no longer states a limit."""
-    age_ms: int
+    age_ms: Count
     """Milliseconds since the statement was read."""
     started_unix_ms: int | None = None
     """Start time of the back end that stated the limit; see :class:`wallwell.deployment.backends.BackendRecord`."""
 
     def aged_by(self, seconds: float) -> ReportedLimit:
         """Return the statement as it is reported ``seconds`` later, with a higher age."""
-        return msgspec.structs.replace(self, age_ms=self.age_ms + round(seconds * 1000))
+        return msgspec.structs.replace(self, age_ms=min(MAX_COUNT, self.age_ms + round(seconds * 1000)))
 
 
 class StatedLimits:
--- a/src/wallwell/cluster/stream_messages.py
+++ b/src/wallwell/cluster/stream_messages.py
@@ -10,7 +10,9 @@
 import msgspec
 import xxhash
 
+from wallwell.cluster.message_decoding import decode_message
 from wallwell.cluster.peer_link import PeerMessage
+from wallwell.number_ranges import Amount, Duration
 
 Digest = Annotated[str, msgspec.Meta(pattern="^[0-9a-f]{32}$")]
 Version = Annotated[str, msgspec.Meta(max_length=200)]
@@ -42,7 +44,7 @@
 class StreamQuery(PeerMessage, frozen=True):
     """Asks which version began a stream; ``number`` tells the replies to one node's queries apart."""
 
-    number: int
+    number: Amount
     stream: Digest
     service: str
 
@@ -50,10 +52,10 @@
 class StreamReply(PeerMessage, frozen=True, omit_defaults=True):
     """Answers a query. ``versions`` are those of the service that the sender has seen lately."""
 
-    number: int
+    number: Amount
     software: Version | None = None
     """The version that began the stream; None if the sender does not know."""
-    age_s: float = 0.0
+    age_s: Duration = 0.0
     """Time since the sender learned it."""
     versions: tuple[Version, ...] = ()
     life: Annotated[str, msgspec.Meta(max_length=300)] = ""
@@ -66,4 +68,4 @@
 
 def decode_stream_message(data: bytes) -> StreamMessage:
     """Return the message in a datagram. Raises :class:`msgspec.MsgspecError` if it is not valid."""
-    return _decoder.decode(data)
+    return decode_message(_decoder, data)
--- a/src/wallwell/node/kv_store_watch.py
+++ b/src/wallwell/node/kv_store_watch.py
@@ -19,6 +19,7 @@
 from wallwell.errors import CacheEventsRefusedError, CacheStoreSilentError, PeerUnavailableError
 from wallwell.events import Event, emit
 from wallwell.node.state import NodeState
+from wallwell.number_ranges import HoldTime
 from wallwell.routing.selection.kv_store import CachePage, CachePosition, KvStoreContents
 
 EVENT_WAIT_S = 0.8
@@ -59,7 +60,7 @@
 
     address: str
     position: CachePosition
-    wait_s: float
+    wait_s: HoldTime
 
 
 class CacheReply(msgspec.Struct, frozen=True):
--- a/src/wallwell/peer_attempts/messages.py
+++ b/src/wallwell/peer_attempts/messages.py
@@ -10,15 +10,20 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
+from wallwell.cluster.message_decoding import decode_message
 from wallwell.cluster.peer_link import PeerMessage
 from wallwell.errors import PeerUnavailableError
+from wallwell.number_ranges import MAX_DURATION_S, Amount, Duration
 from wallwell.routing.admission.brittle_room import BrittleStatement
 from wallwell.routing.health.backend_notice import BackendNotice
 from wallwell.routing.health.request_limit import NO_LIMIT_PER_S, LimitStatement
 from wallwell.serving.messages import CallerRequest, Generation, Headers
 
+RatePerSecond = Annotated[float, msgspec.Meta(ge=0.0)]
 EncodedHeaders = tuple[tuple[bytes, bytes], ...]
 MAX_REPLY_LINE_BYTES = 256 * 1024
 """Longest line of a reply: a part of a body of up to 64 KB and a half in base64, or the head of an answer. Also
@@ -38,12 +43,12 @@
     headers: EncodedHeaders
     credential: bytes
     body: bytes
-    age_s: float
+    age_s: Duration
     """Time since the asking node read the request."""
-    remaining_s: float
+    remaining_s: Annotated[float, msgspec.Meta(ge=-MAX_DURATION_S, le=MAX_DURATION_S)]
     started_unix_ms: int | None = None
     """Start of the back end that is meant, if its entry states one."""
-    resume_after: int | None = None
+    resume_after: Amount | None = None
     required_software: str | None = None
     """Software version that the back end must run, if the attempt continues a stream."""
     generation: Generation | None = None
@@ -68,11 +73,11 @@
     """What an answer states about its back end (:class:`BackendNotice`)."""
 
     leaving: bool = False
-    backoff_s: float = 0.0
-    limit_per_s: float | msgspec.UnsetType | None = msgspec.UNSET
+    backoff_s: Duration = 0.0
+    limit_per_s: RatePerSecond | msgspec.UnsetType | None = msgspec.UNSET
     """Requests per second from all nodes together; None if the answer states no limit, omitted if unknown."""
 
-    brittle_per_s: float | msgspec.UnsetType | None = msgspec.UNSET
+    brittle_per_s: RatePerSecond | msgspec.UnsetType | None = msgspec.UNSET
     """Refused requests per second that the back end tolerates; None if it is not brittle, omitted if unknown."""
 
     @classmethod
@@ -110,7 +115,7 @@
 
     event: str
     detail: str
-    weights_version: int = 0
+    weights_version: Amount = 0
     notice: PeerNotice = PeerNotice()
 
 
@@ -119,7 +124,7 @@
 
     status: int
     headers: EncodedHeaders
-    weights_version: int = 0
+    weights_version: Amount = 0
     is_event_stream: bool = False
     notice: PeerNotice = PeerNotice()
 
@@ -141,7 +146,7 @@
 def decode_reply(line: bytes, sender: str) -> Reply:
     """Return the message in a line of a peer's reply. Raises :class:`PeerUnavailableError` if it is not valid."""
     try:
-        return _decoder.decode(line)
+        return decode_message(_decoder, line)
     except msgspec.MsgspecError as error:
         raise PeerUnavailableError(f"{sender}: {type(error).__name__}") from error
 
--- a/src/wallwell/rollout/model.py
+++ b/src/wallwell/rollout/model.py
@@ -18,6 +18,7 @@
 from msgspec import UNSET, UnsetType
 
 from wallwell.deployment.store_era import UNKNOWN_ERA, StorePosition, era_received
+from wallwell.number_ranges import Count
 
 
 class Phase(enum.Enum):
@@ -137,11 +138,11 @@
     route: str
     is_target: bool
     backend: str
-    answered: int = 0
-    failed: int = 0
-    broken: int = 0
-    first_delays: dict[int, int] = {}
-    piece_gaps: dict[int, int] = {}
+    answered: Count = 0
+    failed: Count = 0
+    broken: Count = 0
+    first_delays: dict[int, Count] = {}
+    piece_gaps: dict[int, Count] = {}
 
     @property
     def source(self) -> AnswerSource:
@@ -153,8 +154,8 @@
     """Requests sent and answers received in one rollout, by one node or all; ``order`` is the order's version."""
 
     order: int
-    current_requests: int = 0
-    target_requests: int = 0
+    current_requests: Count = 0
+    target_requests: Count = 0
     answers: tuple[AnswerCounts, ...] = ()
 
 
--- a/src/wallwell/routing/retry/first_token.py
+++ b/src/wallwell/routing/retry/first_token.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from wallwell.number_ranges import MAX_COUNT, Count
 from wallwell.routing.sliding_window import SlidingWindow
 
 DELAY_WINDOW_S = 2.0
@@ -29,14 +30,15 @@
 class DelayCounts(msgspec.Struct, frozen=True, array_like=True):
     """Number of answers that began or became late in the window, and how many of them were late."""
 
-    answers: int = 0
-    late: int = 0
+    answers: Count = 0
+    late: Count = 0
 
 
 def sum_delay_counts(delays: Iterable[DelayCounts]) -> DelayCounts:
     """Return the sum of the counts of several nodes."""
     counts = list(delays)
-    return DelayCounts(sum(each.answers for each in counts), sum(each.late for each in counts))
+    answers, late = sum(each.answers for each in counts), sum(each.late for each in counts)
+    return DelayCounts(min(MAX_COUNT, answers), min(MAX_COUNT, late))
 
 
 @dataclass
--- a/src/wallwell/routing/selection/prefix_home.py
+++ b/src/wallwell/routing/selection/prefix_home.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from wallwell.deployment.topology import Topology
+from wallwell.number_ranges import Count
 from wallwell.routing.health.backend import Backend
 from wallwell.routing.rendezvous import rendezvous_key, rendezvous_score
 
@@ -35,7 +36,7 @@
     """A section of a prompt. Parts with equal identities have equal text if all earlier parts are equal."""
 
     identity: str
-    tokens: int
+    tokens: Count
 
 
 def shared_parts(parts: Sequence[PromptPart]) -> Sequence[PromptPart]:
--- a/src/wallwell/serving/messages.py
+++ b/src/wallwell/serving/messages.py
@@ -15,6 +15,7 @@
 from wallwell.address import Address
 from wallwell.deployment.backends import BackendRecord
 from wallwell.errors import RequestError
+from wallwell.number_ranges import Amount
 from wallwell.routing.health.answer_end import ListingStatus
 from wallwell.routing.health.backend import Backend
 from wallwell.routing.health.backend_notice import NO_NOTICE, BackendNotice
@@ -29,7 +30,7 @@
 
     model: str
     parts: tuple[PromptPart, ...]
-    resume_after: int | None = None
+    resume_after: Amount | None = None
     """Number of the last event that the caller has received; None to start from the beginning."""
 
     @property
--- a/tests/hostile_values.py
+++ b/tests/hostile_values.py
@@ -49,9 +49,9 @@
     return _sample(msgspec.inspect.type_info(message_type))
 
 
-def hostile_messages(message_type: Any) -> Iterator[tuple[str, bytes]]:
+def hostile_messages(message_type: Any, sound: Any = None) -> Iterator[tuple[str, bytes]]:
     """Yield a name and the JSON of each message with one hostile value in it, and of some that are no message."""
-    sound = sound_value(message_type)
+    sound = sound_value(message_type) if sound is None else sound
     for path, marked in _marked(sound, ""):
         template = msgspec.json.encode(marked)
         for name, hostile in HOSTILE_JSON.items():
@@ -66,10 +66,10 @@
     )
 
 
-def drawn_bytes(message_type: Any, count: int, seed: int) -> Iterator[tuple[str, bytes]]:
+def drawn_bytes(message_type: Any, count: int, seed: int, value: Any = None) -> Iterator[tuple[str, bytes]]:
     """Yield sound messages of which a few bytes were replaced, removed or repeated at random."""
     rng = random.Random(seed)
-    sound = msgspec.json.encode(sound_value(message_type))
+    sound = msgspec.json.encode(sound_value(message_type) if value is None else value)
     for index in range(count):
         data = bytearray(sound)
         for _ in range(rng.randint(1, 4)):
@@ -92,7 +92,8 @@
             wanted = [each for each in kind.types if not isinstance(each, msgspec.inspect.NoneType)]
             return _sample(wanted[0])
         case msgspec.inspect.DictType():
-            return {"k": _sample(kind.value_type)}
+            key = "1" if isinstance(kind.key_type, msgspec.inspect.IntType) else "k"
+            return {key: _sample(kind.value_type)}
         case msgspec.inspect.VarTupleType() | msgspec.inspect.ListType():
             return [_sample(kind.item_type)]
         case msgspec.inspect.TupleType():
--- a/tests/unit/test_import_layers.py
+++ b/tests/unit/test_import_layers.py
@@ -27,6 +27,7 @@
     "loop_errors",
     "task_wait",
     "log_writer",
+    "number_ranges",
     "outcomes",
     "plain_http",
     "read_gaps",
@@ -38,7 +39,7 @@
 """Packages that no package in ``ALLOWED`` may import: adapters, the second router, emulators and tools."""
 
 ALLOWED: dict[str, set[str]] = {
-    "routing": {"address", "deployment", "errors", "outcomes"},
+    "routing": {"address", "deployment", "errors", "number_ranges", "outcomes"},
     "deployment": {"address"},
     "storage": COMMON | {"deployment"},
     "cluster": COMMON | {"deployment", "routing", "storage"},
