A hostile datagram about streams is lost, also if it is nested deeply or its handling fails

A datagram nested deeply raised RecursionError in the protocol's callback, of which the event loop printed a traceback; an age of 1e308 s in a reply raised OverflowError where the resumed request is logged.

--- a/src/wallwell/cluster/stream_directory.py
+++ b/src/wallwell/cluster/stream_directory.py
@@ -33,6 +33,7 @@
     holders_to_ask,
     holders_to_tell,
 )
+from wallwell.cluster.unexpected_errors import UnexpectedErrors
 from wallwell.cluster.upstream import NodeRecord
 from wallwell.deployment.topology import Topology
 from wallwell.events import Event, emit
@@ -119,6 +120,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._unlogged_failures = 0
         self._failure_logged_s = float("-inf")
+        self._unexpected_errors = UnexpectedErrors("datagram about streams")
 
     async def listen(self, host: str, port: int) -> None:
         """Receive datagrams at an address. Raises OSError if it cannot be used."""
@@ -239,6 +241,13 @@
         except (msgspec.MsgspecError, UnicodeError) as error:
             self.on_failure(str(address), error)
             return
+        try:
+            self._on_message(message, address)
+        except Exception as error:
+            # A fault of this node; the datagram counts as lost.
+            self._unexpected_errors.record(address.host, error)
+
+    def _on_message(self, message: StreamMessage, address: Address) -> None:
         match message:
             case StreamBegun():
                 self._remember(message.stream, message.software, message.kept_s)
