A probe or a load of weights that fails unexpectedly is logged with its back end

Such errors were seen as "Task exception was never retrieved" (1015) without the back end. Nothing was left marked as being probed or loading: the next probe is due by time, and the crash watch and the weights roll end theirs in finally. Each is now a line 1006 with where and the back end, at most one in 10 s for each, and a probe that fails shows nothing. A report nested deeply raised RecursionError, which ended the load that waited for it; it now counts as no report, as do versions beyond 64 bits.

--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -23,6 +23,7 @@
 from wallwell.clock import boot_time_s, ends_within
 from wallwell.cluster.crash_count import count_crash
 from wallwell.cluster.crash_reports import Crash
+from wallwell.cluster.unexpected_errors import UnexpectedErrors
 from wallwell.errors import PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
 from wallwell.node.crash_probe import CrashCheck, CrashProbe
@@ -97,6 +98,7 @@
         self._broken: dict[str, BrokenRuns] = {}
         """By the ``start_id`` of a back end that is being probed."""
         self._probes = BackgroundTasks()
+        self._unexpected_errors = UnexpectedErrors("probe of a crashed back end")
         self._unwritten: dict[str, bool] = {}
         """Keys of rows to write (True) or to delete (False)."""
         self._recent_writes: dict[str, tuple[bool, float]] = {}
@@ -121,7 +123,7 @@
         broken.content_digests.add(content_digest)
         broken.part_digests.update(parts)
         if not is_probed:
-            self._probes.start(self._probe_backend(backend))
+            self._probes.start(self._probe_or_log(backend))
 
     def on_worked(self, parts: Sequence[str], began_s: float) -> None:
         """Delete the crashes that these parts cannot have caused, since an answer begun afterwards went on."""
@@ -133,6 +135,13 @@
         crashes = self._state.quarantine.on_answered(content_digest, boot_time_s())
         self._write({crash_key(content_digest, incarnation): False for incarnation in crashes})
 
+    async def _probe_or_log(self, backend: Backend) -> None:
+        """Probe a back end; a probe that fails unexpectedly shows no crash, and is logged."""
+        try:
+            await self._probe_backend(backend)
+        except Exception as error:
+            self._unexpected_errors.record(backend.start_id, error)
+
     async def _probe_backend(self, backend: Backend) -> None:
         start_id = backend.start_id
         try:
--- a/src/wallwell/placement/weights_roll_driver.py
+++ b/src/wallwell/placement/weights_roll_driver.py
@@ -17,6 +17,7 @@
 from wallwell.clock import boot_time_s, time_limit
 from wallwell.cluster.lease_candidate import LeaseCandidate
 from wallwell.cluster.leases import LeaseKeeper
+from wallwell.cluster.unexpected_errors import UnexpectedErrors
 from wallwell.deployment.backends import BackendRecord
 from wallwell.deployment.freshness import StoreClock
 from wallwell.errors import LeaseLostError, PlatformUnavailableError, TableConflictError
@@ -113,6 +114,7 @@
         self._unpublished_models: set[str] = set()
         """Models whose progress row in the store is out of date."""
         self._tasks = BackgroundTasks()
+        self._unexpected_errors = UnexpectedErrors("load of weights")
 
     def on_era(self, _era: int, is_restored: bool) -> None:
         """Republish this node's progress rows if the store has been restored from an older copy."""
@@ -226,6 +228,8 @@
         succeeded = False
         try:
             succeeded = await self._order_and_wait(task)
+        except Exception as error:
+            self._unexpected_errors.record(task.backend.incarnation, error)
         finally:
             now_s = boot_time_s()
             incarnation = task.backend.incarnation
--- a/src/wallwell/platform/worker_orders.py
+++ b/src/wallwell/platform/worker_orders.py
@@ -15,6 +15,7 @@
 from wallwell.deployment.backends import BackendRecord
 from wallwell.events import Event, emit
 from wallwell.http_connection import ConnectFailedError, ConnectionPool
+from wallwell.number_ranges import Amount
 from wallwell.placement.weights_roll import EngineReport, OrderReply, WeightsOrder
 from wallwell.platform import names
 from wallwell.platform.worker_notices import deliver_notice
@@ -35,7 +36,7 @@
     """A model in a worker's report."""
 
     name: str
-    version: int = 0
+    version: Amount = 0
     """Version of the model's weights."""
 
 
@@ -45,7 +46,7 @@
     models: tuple[ReportedModel, ...] = ()
     busy: bool = False
     """Whether the worker is executing an order; unrelated to its load."""
-    seq: int = 0
+    seq: Amount = 0
     """Number of orders accepted since the worker's start, not a sequence number of the report."""
 
 
@@ -96,7 +97,7 @@
             return None
         try:
             row = msgspec.json.decode(data, type=ReportBody)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             self._log_failure(backend, names.REPORT_PATH, f"report cannot be decoded: {error}")
             return None
         self._failing.pop(backend.incarnation, None)
--- a/src/wallwell/serving/liveness.py
+++ b/src/wallwell/serving/liveness.py
@@ -12,12 +12,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Protocol
 
 from wallwell.background import BackgroundTasks
 from wallwell.clock import boot_time_s
+from wallwell.cluster.unexpected_errors import UnexpectedErrors
 from wallwell.deployment.backends import BackendRecord
 from wallwell.events import Event, emit
 from wallwell.node.state import NodeState
@@ -81,6 +82,7 @@
         self._watched: dict[Backend, set[WatchedAttempt]] = {}
         """Attempts in flight that may be retried elsewhere, by back end."""
         self._probes = BackgroundTasks()
+        self._unexpected_errors = UnexpectedErrors("probe of a back end")
 
     async def run(self) -> None:
         """Probe back ends periodically until cancelled."""
@@ -101,11 +103,21 @@
             elif backend.gone:
                 self._end_suspected_attempts(backend)
             elif self._own_attempts(backend) and backend.silence.begin_probe_if_due(now_s):
-                self._probes.start(self._probe(backend))
+                self._start_probe(self._probe, backend)
         for backend in self._state.zones.begin_probes(self._state.backends.all_backends(), now_s):
-            self._probes.start(self._probe_zone(backend))
+            self._start_probe(self._probe_zone, backend)
         for backend in self._state.reachability.begin_probes(self._state.backends.backends_of_service, now_s):
-            self._probes.start(self._probe_service(backend))
+            self._start_probe(self._probe_service, backend)
+
+    def _start_probe(self, probe: Callable[[Backend], Awaitable[None]], backend: Backend) -> None:
+        self._probes.start(self._run_probe(probe, backend))
+
+    async def _run_probe(self, probe: Callable[[Backend], Awaitable[None]], backend: Backend) -> None:
+        """Probe a back end. A probe that fails unexpectedly (a fault of this node) shows nothing."""
+        try:
+            await probe(backend)
+        except Exception as error:
+            self._unexpected_errors.record(backend.incarnation, error)
 
     async def _probe_zone(self, backend: Backend) -> None:
         """Probe one back end to find out whether its zone is reachable."""
--- a/tests/unit/platform/test_worker_orders.py
+++ b/tests/unit/platform/test_worker_orders.py
@@ -4,19 +4,21 @@
 
 import json
 
+import msgspec
 import pytest
 from aiohttp import HttpVersion11
 from aiohttp.http_parser import RawResponseMessage
 from loguru import logger
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from tests.hostile_values import drawn_bytes, hostile_messages
 from wallwell.backend_connection import ConnectionBrokenError
 from wallwell.deployment.backends import BackendRecord
 from wallwell.events import Event
 from wallwell.http_connection import ConnectFailedError
 from wallwell.placement.weights_roll import OrderReply, WeightsOrder
 from wallwell.platform import worker_orders
-from wallwell.platform.worker_orders import WorkerControl
+from wallwell.platform.worker_orders import ReportBody, WorkerControl
 from wallwell.routing.health.backend_notice import BackendNotice, BackendNotices
 
 REPORT = (200, json.dumps({"models": [{"name": "m", "version": 3}], "busy": True, "seq": 2}).encode())
@@ -137,3 +139,19 @@
     control = WorkerControl(NoticePool(), notices)
     run_async(control.fetch_report(record()) if call == "report" else control.send_order(record(), ORDER))
     assert delivered == [("i-1", BackendNotice(leaving=True, backoff_s=2.0))]
+
+
+def test_a_hostile_report_is_none_and_logged_or_can_be_used(run_async, failures):
+    """A report nested deeply raised RecursionError, which ended the load of weights that waited for it."""
+
+    async def work():
+        for name, data in (*hostile_messages(ReportBody), *drawn_bytes(ReportBody, 200, seed=4)):
+            failures.clear()
+            control = WorkerControl(ScriptedPool((200, data), (202, b"")), BackendNotices())
+            report = await control.fetch_report(record())
+            assert (report is None) == bool(failures), name
+            if report is not None:
+                order = msgspec.structs.replace(ORDER, expected_orders=report.accepted_orders)
+                assert await control.send_order(record(), order) is OrderReply.ACCEPTED, name
+
+    run_async(work())
