--- a/tests/unit/cluster/test_hostile_datagrams.py
+++ b/tests/unit/cluster/test_hostile_datagrams.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from tests.hostile_values import drawn_bytes, hostile_messages
+from tests.hostile_messages import drawn_bytes, hostile_messages
 from wallwell.address import Address
 from wallwell.cluster import stream_directory
 from wallwell.cluster.stream_directory import StreamDirectory
--- a/tests/unit/cluster/test_odd_member_addresses.py
+++ b/tests/unit/cluster/test_odd_member_addresses.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from tests.hostile_values import HOSTILE_JSON
+from tests.hostile_messages import HOSTILE_JSON
 from tests.unit.node.test_odd_kv_stores import ODD_ADDRESSES
 from wallwell.address import Address
 from wallwell.cluster.stream_directory import StreamDirectory
--- a/tests/unit/node/test_hostile_kv_stores.py
+++ b/tests/unit/node/test_hostile_kv_stores.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.hostile_values import drawn_bytes, hostile_messages
+from tests.hostile_messages import drawn_bytes, hostile_messages
 from tests.unit.serving.fakes import make_state
 from tests.virtual_time import run_virtual
 from wallwell.address import Address
--- a/tests/unit/node/test_hostile_peer_messages.py
+++ b/tests/unit/node/test_hostile_peer_messages.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from tests.hostile_values import drawn_bytes, hostile_messages, sound_value
+from tests.hostile_messages import drawn_bytes, hostile_messages, sound_value
 from tests.unit.serving.fakes import FakeClient, Script, make_route
 from tests.virtual_time import run_virtual
 from wallwell.address import Address
--- a/tests/unit/platform/test_worker_orders.py
+++ b/tests/unit/platform/test_worker_orders.py
@@ -11,7 +11,7 @@
 from loguru import logger
 from multidict import CIMultiDict, CIMultiDictProxy
 
-from tests.hostile_values import drawn_bytes, hostile_messages
+from tests.hostile_messages import drawn_bytes, hostile_messages
 from wallwell.backend_connection import ConnectionBrokenError
 from wallwell.deployment.backends import BackendRecord
 from wallwell.events import Event
