--- a/src/wallwell/cluster/region_load_reporter.py
+++ b/src/wallwell/cluster/region_load_reporter.py
@@ -14,6 +14,7 @@
 import asyncio
 from collections.abc import Callable
 
+from wallwell.address import Address
 from wallwell.clock import boot_time_s
 from wallwell.cluster.load_messages import (
     RegionLoad,
@@ -25,6 +26,7 @@
 from wallwell.cluster.load_reports import REPORT_LIFETIME_S
 from wallwell.cluster.peer_link import PeerLinks
 from wallwell.cluster.region_traffic import RegionTraffic
+from wallwell.cluster.unexpected_errors import UnexpectedErrors
 from wallwell.cluster.upstream import Peer, UpstreamOrder
 from wallwell.errors import PeerUnavailableError
 from wallwell.events import Event, emit
@@ -62,6 +64,7 @@
         self._on_region_lost = on_region_lost
         self._traffic = traffic
         self._links = PeerLinks()
+        self._unexpected_errors = UnexpectedErrors("load sum of a region")
         self._delegate_index: dict[str, int] = {}
         """For each region, the index of the delegate to ask in that region's order."""
         now_s = boot_time_s()
@@ -90,7 +93,7 @@
             self._links.keep(set())
             return
         message = RegionLoad(pack_region_sum(own))
-        await asyncio.gather(*(self._ask_region(region, message) for region in regions))
+        await asyncio.gather(*(self._ask_region_or_log(region, message) for region in regions))
         # The last nodes of a region may have left during the exchange.
         remaining = [region for region in regions if self._order.delegates_of(region)]
         self._links.keep({self._delegate_to_ask(region).name for region in remaining})
@@ -108,6 +111,14 @@
         delegates = self._order.delegates_of(region)
         return delegates[self._delegate_index.get(region, 0) % len(delegates)]
 
+    async def _ask_region_or_log(self, region: str, message: RegionLoad) -> None:
+        """Exchange with one region; an unexpected error stops neither the others nor the next exchange."""
+        try:
+            await self._ask_region(region, message)
+        except Exception as error:
+            self._delegate_index[region] = self._delegate_index.get(region, 0) + 1
+            self._unexpected_errors.record(region, error)
+
     async def _ask_region(self, region: str, message: RegionLoad) -> None:
         """Ask the delegates of a region in turn until one returns a sum or one does not answer."""
         for _ in self._order.delegates_of(region):
@@ -124,11 +135,11 @@
                 return
             self._delegate_index[region] = self._delegate_index.get(region, 0) + 1
 
-    async def _ask(self, name: str, address: str, message: RegionLoad) -> RegionSum | None:
+    async def _ask(self, name: str, address: Address, message: RegionLoad) -> RegionSum | None:
         """Return a delegate's sum of its region, None if it is no relay. Raises :class:`PeerUnavailableError`."""
         reply = await self._links.to(name, address).ask(message, RegionReply, REGION_REPLY_TIMEOUT_S)
         self._traffic.count_exchange("loads", len(message.packed) + len(reply.packed))
-        return self._unpack_reply(reply, name, address) if reply.packed else None
+        return self._unpack_reply(reply, name, str(address)) if reply.packed else None
 
     def _unpack_reply(self, reply: RegionReply, name: str, address: str) -> RegionSum:
         """Return the sum of a reply. If undecodable, logs that once and raises :class:`PeerUnavailableError`."""
--- a/src/wallwell/cluster/stream_directory.py
+++ b/src/wallwell/cluster/stream_directory.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from wallwell.address import Address
 from wallwell.clock import boot_time_s, ends_within
 from wallwell.cluster.stream_messages import (
     StreamBegun,
@@ -32,6 +33,7 @@
     holders_to_ask,
     holders_to_tell,
 )
+from wallwell.cluster.unexpected_errors import UnexpectedErrors
 from wallwell.cluster.upstream import NodeRecord
 from wallwell.deployment.topology import Topology
 from wallwell.events import Event, emit
@@ -82,7 +84,7 @@
         self.replies: list[tuple[str, StreamReply]] = []
         self.is_settled = asyncio.Event()
 
-    def on_reply(self, address: str, reply: StreamReply) -> None:
+    def on_reply(self, address: Address, reply: StreamReply) -> None:
         name = self.waiting_for.pop(address, None)
         if name is None:
             return  # Not asked, or a second reply.
@@ -118,6 +120,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._unlogged_failures = 0
         self._failure_logged_s = float("-inf")
+        self._unexpected_errors = UnexpectedErrors("datagram about streams")
 
     async def listen(self, host: str, port: int) -> None:
         """Receive datagrams at an address. Raises OSError if it cannot be used."""
@@ -192,8 +195,8 @@
     async def ask_node(self, findings: StreamFindings, name: str, stream: str, service: str) -> None:
         """Add to the findings what one more node knows."""
         member = self._members().get(name)
-        if member is not None and member.relay:
-            await self._add_replies(findings, stream, service, [Holder(name, member.relay)])
+        if member is not None and member.address is not None:
+            await self._add_replies(findings, stream, service, [Holder(name, member.address)])
 
     async def _add_replies(self, findings: StreamFindings, stream: str, service: str, asked: list[Holder]) -> None:
         findings.asked += len(asked)
@@ -231,13 +234,20 @@
 
     # --- datagrams -------------------------------------------------------------------------------------
 
-    def on_datagram(self, data: bytes, address: str) -> None:
-        """Handle a datagram from ``IP:port``."""
+    def on_datagram(self, data: bytes, address: Address) -> None:
+        """Handle a datagram from an address."""
         try:
             message = decode_stream_message(data)
         except (msgspec.MsgspecError, UnicodeError) as error:
-            self.on_failure(address, error)
+            self.on_failure(str(address), error)
             return
+        try:
+            self._on_message(message, address)
+        except Exception as error:
+            # A fault of this node; the datagram counts as lost.
+            self._unexpected_errors.record(address.host, error)
+
+    def _on_message(self, message: StreamMessage, address: Address) -> None:
         match message:
             case StreamBegun():
                 self._remember(message.stream, message.software, message.kept_s)
@@ -248,7 +258,7 @@
                 if query is not None:
                     query.on_reply(address, message)
 
-    def _answer(self, query: StreamQuery, address: str) -> None:
+    def _answer(self, query: StreamQuery, address: Address) -> None:
         known = self.find_here(query.stream)
         if known is None:
             versions = sorted(self._versions(query.service))[:MAX_VERSIONS_SENT]
@@ -257,14 +267,13 @@
             reply = StreamReply(query.number, known.software, known.age_s)
         self._send(reply, address)
 
-    def _send(self, message: StreamMessage, address: str) -> None:
+    def _send(self, message: StreamMessage, address: Address) -> None:
         if self._transport is None or self._transport.is_closing():
             return
-        host, _, port = address.rpartition(":")
         try:
-            self._transport.sendto(msgspec.json.encode(message) + b"\n", (host, int(port)))
+            self._transport.sendto(msgspec.json.encode(message) + b"\n", (address.host, address.port))
         except (OSError, ValueError) as error:
-            self.on_failure(address, error)
+            self.on_failure(str(address), error)
 
     def on_failure(self, address: str, error: Exception) -> None:
         """Count a datagram that could not be sent or decoded, which counts as lost; logged at an interval."""
@@ -291,7 +300,7 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Pass on a datagram."""
-        self._directory.on_datagram(data, f"{addr[0]}:{addr[1]}")
+        self._directory.on_datagram(data, Address(addr[0], addr[1]))
 
     def error_received(self, exc: Exception) -> None:
         """Record that the system reports a datagram as undeliverable; it does not say which."""
--- a/src/wallwell/platform/store.py
+++ b/src/wallwell/platform/store.py
@@ -21,6 +21,7 @@
 from wallwell.errors import HistoryLostError, PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
 from wallwell.http_connection import ConnectFailedError, ConnectionPool
+from wallwell.number_ranges import MAX_ERA
 from wallwell.platform import names
 from wallwell.platform.store_wire import (
     RowsAnswer,
@@ -105,7 +106,7 @@
         """Record and return the era that an answer states. Logs an invalid value and returns the current era."""
         text = message.headers.get(names.STORE_ERA, str(UNKNOWN_ERA))
         era = parse_header_number(text)
-        if era is None:
+        if era is None or era > MAX_ERA:
             if text != self._unreadable_era:  # Logged once, not for each call.
                 emit(Event.STORE_ERA_UNREADABLE, era=text[:MAX_LOGGED_CHARS])
             self._unreadable_era = text
--- a/src/wallwell/serving/messages.py
+++ b/src/wallwell/serving/messages.py
@@ -12,8 +12,10 @@
 
 import msgspec
 
+from wallwell.address import Address
 from wallwell.deployment.backends import BackendRecord
 from wallwell.errors import RequestError
+from wallwell.number_ranges import Amount
 from wallwell.routing.health.answer_end import ListingStatus
 from wallwell.routing.health.backend import Backend
 from wallwell.routing.health.backend_notice import NO_NOTICE, BackendNotice
@@ -28,7 +30,7 @@
 
     model: str
     parts: tuple[PromptPart, ...]
-    resume_after: int | None = None
+    resume_after: Amount | None = None
     """Number of the last event that the caller has received; None to start from the beginning."""
 
     @property
@@ -73,8 +75,8 @@
     """KV stores to fetch prompt parts from and to save them to; ``scope`` separates caches that must not mix."""
 
     scope: str
-    fetch_from: str = ""
-    save_to: str = ""
+    fetch_from: Address | None = None
+    save_to: Address | None = None
 
 
 @dataclass
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -128,7 +128,7 @@
     with_store(run_async, scenario)
 
 
-@pytest.mark.parametrize("text", ["three", "-4", "+4", "1_0", "\u0664", "9" * 19, "9" * 4000])
+@pytest.mark.parametrize("text", ["three", "-4", "+4", "1_0", "\u0664", str(2**31 + 1), "9" * 19, "9" * 4000])
 def test_invalid_era_is_logged_once_and_the_current_era_is_used(run_async, monkeypatch, text):
     """An era of thousands of digits was believed: every later answer counted as one from before a restore."""
 
