Log a held entry that cannot be decoded when it becomes due

The result of applying a held entry was dropped, so that one which cannot be decoded would have gone without a log line. Also the text of 4010 says what happens now: all rows are read again.

--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -86,7 +86,7 @@
     PAGE_NOT_APPLIED = (
         4010,
         "ERROR",
-        "unexpected error while rows were applied; the rest of their page is not applied",
+        "unexpected error while a page of rows was applied; all rows are read again",
     )
     STORE_ROW_LEFT_OUT = (4011, "WARNING", "row in an answer of the store has no readable key; it is left out")
     ROWS_WENT_BACK = (4009, "WARNING", "rows that were read are older than this node's copy and are ignored")
--- a/src/wallwell/node/backend_rows.py
+++ b/src/wallwell/node/backend_rows.py
@@ -105,15 +105,21 @@
     def drop_lapsed(self, now_s: float) -> None:
         """Remove back ends whose entries were not rewritten in time; apply held entries that are due."""
         if self._held_entries and now_s >= self._entry_hold_ends_s():
-            held_entries, self._held_entries = self._held_entries, {}
-            for incarnation, value in held_entries.items():
-                self._apply_entry(incarnation, value, may_be_stale=False, now_s=now_s)
+            self._apply_held_entries(now_s)
         for backend in self._state.backends.remove_lapsed(now_s):
             try:
                 self._on_removed(backend, now_s)
             except Exception as error:
                 self._errors.on_error(backend.incarnation, error)
 
+    def _apply_held_entries(self, now_s: float) -> None:
+        held_entries, self._held_entries = self._held_entries, {}
+        reasons = [
+            (incarnation, self._apply_entry(incarnation, value, may_be_stale=False, now_s=now_s))
+            for incarnation, value in held_entries.items()
+        ]
+        _log_unreadable([(key, reason) for key, reason in reasons if reason])
+
     def _on_removed(self, backend: Backend, now_s: float) -> None:
         emit(Event.BACKEND_GONE, backend=backend.incarnation)
         self._state.software_history.on_unlisted(backend.record.service, backend.record.software, now_s)
--- a/tests/unit/node/test_row_isolation.py
+++ b/tests/unit/node/test_row_isolation.py
@@ -192,6 +192,14 @@
     logger.remove(sink)
 
 
+@pytest.fixture
+def warned():
+    lines = []
+    sink = logger.add(lambda line: lines.append(line.record["extra"]), level="WARNING")
+    yield lines
+    logger.remove(sink)
+
+
 @pytest.mark.parametrize("is_snapshot", [True, False], ids=["snapshot", "changes"])
 @pytest.mark.parametrize("table_type", TABLES, ids=lambda each: each.name)
 def test_a_row_with_an_unexpected_error_costs_that_row_alone(table_type, is_snapshot, logged):
@@ -255,14 +263,18 @@
     assert (table.listener.keys, table.listener.eras) == (["sound"], [3])
 
 
-def test_a_held_entry_that_raises_does_not_lose_the_others(monkeypatch):
+def test_a_held_entry_that_raises_does_not_lose_the_others(warned):
     """Guards against entries that a restored store listed and that are dropped with one that cannot be applied."""
     table = BackendTable()
-    held = {"a": encoded(BackendRow, addr="10.0.0.8:80"), "b": ODD, "c": encoded(BackendRow, addr="10.0.0.9:80")}
+    held = {"b": ODD, "unreadable": b"{", **dict(BackendTable.sound_rows)}
     table.reader._held_entries = dict(held)
     table.reader.drop_lapsed(table.state.store_era.observed_since_s + RESTORED_ENTRY_HOLD_S)
     assert table.has_applied_sound_rows()
     assert table.state.row_errors["backends"] == 1
+    assert [(each["event"], each.get("backend")) for each in warned] == [
+        (INTERNAL_ERROR, None),
+        (6023, "unreadable"),
+    ]
 
 
 def test_a_removal_that_raises_does_not_keep_others_from_being_removed(monkeypatch):
@@ -359,14 +371,6 @@
 ]
 
 
-@pytest.fixture
-def warned():
-    lines = []
-    sink = logger.add(lambda line: lines.append(line.record["extra"]), level="WARNING")
-    yield lines
-    logger.remove(sink)
-
-
 @pytest.mark.parametrize("is_snapshot", [False, True], ids=["changes", "snapshots"])
 @pytest.mark.parametrize(("table_type", "key", "event"), UNREADABLE_ROWS)
 def test_an_unreadable_row_is_logged_once_a_change(table_type, key, event, is_snapshot, warned):
