--- a/tests/unit/node/test_row_isolation.py
+++ b/tests/unit/node/test_row_isolation.py
@@ -11,6 +11,7 @@
 import msgspec
 import pytest
 from loguru import logger
+from prometheus_client.parser import text_string_to_metric_families
 
 from tests.faulty_table import FaultyTable
 from tests.hostile_values import HOSTILE_KEYS, all_hostile_values, sound_document
@@ -412,3 +413,17 @@
 
     asyncio.run(work())
     assert sorted(each["row"] for each in warned) == ["stream/a", "versions/svc"]
+
+
+@pytest.mark.parametrize("table_type", [BackendTable, OperatorTable, OwnTable], ids=lambda each: each.name)
+def test_hostile_names_stand_in_logs_and_metrics(table_type, warned):
+    """Guards against a name in a row that ends a request for metrics, or a line of the log, with an error."""
+    table = table_type()
+    table.apply(*table_type.hostile_rows)
+    for backend in table.state.backends.all_backends():
+        table.state.retry_budget(backend.record.service)
+        msgspec.json.decode(msgspec.json.encode(msgspec.to_builtins(backend.record)))
+    text = metrics_text(RequestCounters(), {}, table.state, is_ready=True).decode()
+    assert "wallwell_backends" in {family.name for family in text_string_to_metric_families(text)}
+    for line in warned:
+        assert len(msgspec.json.encode(line)) < 3000
