--- a/tests/unit/node/test_row_isolation.py
+++ b/tests/unit/node/test_row_isolation.py
@@ -11,6 +11,7 @@
 import msgspec
 import pytest
 from loguru import logger
+from prometheus_client.parser import text_string_to_metric_families
 
 from tests.faulty_table import FaultyTable
 from tests.hostile_values import HOSTILE_KEYS, all_hostile_values, sound_document
@@ -192,6 +193,14 @@
     logger.remove(sink)
 
 
+@pytest.fixture
+def warned():
+    lines = []
+    sink = logger.add(lambda line: lines.append(line.record["extra"]), level="WARNING")
+    yield lines
+    logger.remove(sink)
+
+
 @pytest.mark.parametrize("is_snapshot", [True, False], ids=["snapshot", "changes"])
 @pytest.mark.parametrize("table_type", TABLES, ids=lambda each: each.name)
 def test_a_row_with_an_unexpected_error_costs_that_row_alone(table_type, is_snapshot, logged):
@@ -255,14 +264,18 @@
     assert (table.listener.keys, table.listener.eras) == (["sound"], [3])
 
 
-def test_a_held_entry_that_raises_does_not_lose_the_others(monkeypatch):
+def test_a_held_entry_that_raises_does_not_lose_the_others(warned):
     """Guards against entries that a restored store listed and that are dropped with one that cannot be applied."""
     table = BackendTable()
-    held = {"a": encoded(BackendRow, addr="10.0.0.8:80"), "b": ODD, "c": encoded(BackendRow, addr="10.0.0.9:80")}
+    held = {"b": ODD, "unreadable": b"{", **dict(BackendTable.sound_rows)}
     table.reader._held_entries = dict(held)
     table.reader.drop_lapsed(table.state.store_era.observed_since_s + RESTORED_ENTRY_HOLD_S)
     assert table.has_applied_sound_rows()
     assert table.state.row_errors["backends"] == 1
+    assert [(each["event"], each.get("backend")) for each in warned] == [
+        (INTERNAL_ERROR, None),
+        (6023, "unreadable"),
+    ]
 
 
 def test_a_removal_that_raises_does_not_keep_others_from_being_removed(monkeypatch):
@@ -359,14 +372,6 @@
 ]
 
 
-@pytest.fixture
-def warned():
-    lines = []
-    sink = logger.add(lambda line: lines.append(line.record["extra"]), level="WARNING")
-    yield lines
-    logger.remove(sink)
-
-
 @pytest.mark.parametrize("is_snapshot", [False, True], ids=["changes", "snapshots"])
 @pytest.mark.parametrize(("table_type", "key", "event"), UNREADABLE_ROWS)
 def test_an_unreadable_row_is_logged_once_a_change(table_type, key, event, is_snapshot, warned):
@@ -408,3 +413,17 @@
 
     asyncio.run(work())
     assert sorted(each["row"] for each in warned) == ["stream/a", "versions/svc"]
+
+
+@pytest.mark.parametrize("table_type", [BackendTable, OperatorTable, OwnTable], ids=lambda each: each.name)
+def test_hostile_names_stand_in_logs_and_metrics(table_type, warned):
+    """Guards against a name in a row that ends a request for metrics, or a line of the log, with an error."""
+    table = table_type()
+    table.apply(*table_type.hostile_rows)
+    for backend in table.state.backends.all_backends():
+        table.state.retry_budget(backend.record.service)
+        msgspec.json.decode(msgspec.json.encode(msgspec.to_builtins(backend.record)))
+    text = metrics_text(RequestCounters(), {}, table.state, is_ready=True).decode()
+    assert "wallwell_backends" in {family.name for family in text_string_to_metric_families(text)}
+    for line in warned:
+        assert len(msgspec.json.encode(line)) < 3000
