--- a/tests/platform/test_cache_events.py
+++ b/tests/platform/test_cache_events.py
@@ -5,7 +5,7 @@
 import pytest
 from aiohttp import web
 
-from wallwell.address import Address
+from wallwell.address import Address, parse_address
 from wallwell.errors import CacheEventsRefusedError, CacheStoreSilentError
 from wallwell.platform.cache_events import CacheEventsClient
 from wallwell.platform.worker_client import make_worker_pool
