Back ends may have any key that the store takes; a long one stands as a digest in rows of crashes

Keys of more than 120 bytes had come to name no back end, so that the key of a crash's row stays below the store's 200 bytes. The store allows 200, so such a back end would have lost all its traffic. Now the identity of a start is a digest where the row's key would be too long.

--- a/src/wallwell/platform/rows.py
+++ b/src/wallwell/platform/rows.py
@@ -47,10 +47,10 @@
 enough to be sent and divided."""
 MAX_COLD_MS = 24 * 3600 * 1000.0
 """Longest time in milliseconds for which a back end may stay slow after its start: a day."""
+MAX_KEY_BYTES = 200
+"""Bytes of a key, the most that the store takes."""
 MAX_NAME_CHARS = 200
 """Characters of a name in a back end's entry. Keys of the store, which contain names, have 200 bytes at most."""
-MAX_INCARNATION_BYTES = 120
-"""Bytes of an incarnation: with a digest and a start time it must fit into the key of a crash's row (200 bytes)."""
 
 Number = Annotated[int, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
 NonNegativeInt = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
@@ -329,5 +329,5 @@
     """
     if not key or not key.isprintable() or key != key.strip():
         raise msgspec.ValidationError("the key cannot stand in a header field")
-    if len(key.encode()) > MAX_INCARNATION_BYTES:
-        raise msgspec.ValidationError(f"the key has more than {MAX_INCARNATION_BYTES} bytes")
+    if len(key.encode()) > MAX_KEY_BYTES:
+        raise msgspec.ValidationError(f"the key has more than {MAX_KEY_BYTES} bytes")
--- a/src/wallwell/routing/health/backend.py
+++ b/src/wallwell/routing/health/backend.py
@@ -11,6 +11,8 @@
 
 from dataclasses import dataclass, field, replace
 
+import xxhash
+
 from wallwell.deployment.backends import BackendRecord
 from wallwell.routing.health import suspension
 from wallwell.routing.health.answer_end import ListingStatus
@@ -18,6 +20,10 @@
 from wallwell.routing.health.request_limit import NO_LIMIT_PER_S, RequestLimit
 from wallwell.routing.health.silence import Silence
 
+MAX_START_ID_BYTES = 120
+"""Bytes of a start's identity: with the digest of a part of prompts, which goes before it, the key of a crash's row
+stays below the 200 bytes that the store allows."""
+
 
 @dataclass(frozen=True)
 class ExpectedWeightsLoad:
@@ -73,9 +79,11 @@
     @property
     def start_id(self) -> str:
         """Identifies this start, since a back end may restart under the same incarnation. Equals the incarnation if
-        the back end does not state when it started."""
+        the back end does not state when it started; a digest if it would be too long for a row's key."""
         started_unix_ms = self.record.started_unix_ms
-        return self.incarnation if started_unix_ms is None else f"{self.incarnation}@{started_unix_ms}"
+        start_id = self.incarnation if started_unix_ms is None else f"{self.incarnation}@{started_unix_ms}"
+        encoded = start_id.encode()
+        return start_id if len(encoded) <= MAX_START_ID_BYTES else xxhash.xxh3_128_hexdigest(encoded)
 
     @property
     def is_limited(self) -> bool:
