A member whose row names no address is told to operators; a test leaves the process's record of its loop alone

The test of readiness fed invented times into the record that all tests of a process share, so that five tests of test_read_gaps failed when they ran behind it.

--- a/src/wallwell/node/member_rows.py
+++ b/src/wallwell/node/member_rows.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from wallwell.address import InvalidAddressError
 from wallwell.clock import boot_time_s
 from wallwell.cluster.upstream import NodeRecord, UpstreamOrder
 from wallwell.errors import PlatformUnavailableError, TableConflictError
@@ -157,11 +158,17 @@
         except msgspec.MsgspecError as error:
             # The member still shares the fleet's budgets; without a zone and an address no node follows it.
             members[name] = NodeRecord(zone="")
-            if self._unreadable.is_news(row.key, str(error)):
-                emit(Event.MEMBER_ROW_UNREADABLE, row=shown_key(row.key), error=shown_reason(error))
+            self._log_unreadable(row.key, error)
+            return
+        if members[name].relay_error:
+            self._log_unreadable(row.key, InvalidAddressError(members[name].relay_error))
         else:
             self._unreadable.forget(row.key)
 
+    def _log_unreadable(self, key: str, error: Exception) -> None:
+        if self._unreadable.is_news(key, str(error)):
+            emit(Event.MEMBER_ROW_UNREADABLE, row=shown_key(key), error=shown_reason(error))
+
     async def register(self, own: NodeRecord) -> None:
         """Write this node's row unless it is current. Peers find this node by its row and share budgets with it."""
         if self._own_version is None or self._order.members.get(self._state.node) == own:
--- a/tests/unit/node/test_member_rows.py
+++ b/tests/unit/node/test_member_rows.py
@@ -117,3 +117,13 @@
     snapshot = FeedPage((FeedRow("crash/c/2", b"n", 2),), 5, 0.0)
     rows.apply(FollowedPage(snapshot, True, 0.0, 0.0, is_restored))
     assert [key for key, value in received if value is None] == gone
+
+
+def test_a_member_at_an_odd_address_is_told_once_and_still_shares_the_budgets(monkeypatch):
+    """Guards against a node that peers silently pass over, since its row names no address."""
+    rows, order, events = make_rows(monkeypatch, FailingTable(failures=0))
+    odd = msgspec.json.encode(NodeRecord("z1", "node..example:9"))
+    for version in (1, 2, 3):
+        rows.apply(page(FeedRow(MEMBER_PREFIX + "n2", odd, version)))
+    assert events == [Event.MEMBER_ROW_UNREADABLE]
+    assert order.members["n2"].address is None
--- a/tests/unit/node/test_readiness.py
+++ b/tests/unit/node/test_readiness.py
@@ -7,6 +7,7 @@
 from wallwell.events import Event
 from wallwell.node import readiness as readiness_module
 from wallwell.node.readiness import NOT_READY_LOG_DELAY_S, Readiness
+from wallwell.read_gaps import LoopProgress
 
 
 class MemberRows:
@@ -27,6 +28,9 @@
     rows = MemberRows()
     readiness = Readiness(state, rows)
 
+    # The one of the process is for real times.
+    monkeypatch.setattr(readiness_module, "loop_progress", LoopProgress())
+
     def tick(now_s):
         monkeypatch.setattr(readiness_module, "boot_time_s", lambda: now_s)
         readiness._on_timer(now_s, now_s)
