--- a/src/wallwell/number_ranges.py
+++ b/src/wallwell/number_ranges.py
@@ -1,4 +1,4 @@
-"""Ranges of the numbers in messages between nodes, checked where a message is decoded. Pure.
+"""Ranges of the numbers in messages between nodes and in their rows, checked where these are decoded. Pure.
 
 JSON has whole numbers of any size, and Python computes with them until one meets a fraction: the division of a
 number of 400 digits raises OverflowError, wherever that happens. Within these ranges no sum or quotient of a
--- a/src/wallwell/platform/store_wire.py
+++ b/src/wallwell/platform/store_wire.py
@@ -15,14 +15,12 @@
 from wallwell.errors import PlatformUnavailableError
 from wallwell.platform import names
 from wallwell.storage.feed import FeedRow
-from wallwell.storage.row_values import decode_value
+from wallwell.storage.row_values import Version, decode_value
 from wallwell.storage.table import Row, Transaction
 
 MAX_STORE_MS = 1e15
 """Largest time in milliseconds on the store's clock: 30,000 years, still exact to a millisecond as a float."""
 
-StoreVersion = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
-"""Number of a transaction of the store."""
 StoreMilliseconds = Annotated[float, msgspec.Meta(ge=-MAX_STORE_MS, le=MAX_STORE_MS)]
 FieldType = TypeVar("FieldType")
 
@@ -33,7 +31,7 @@
     key: str
     value: str = ""
     """Base64 of the row's bytes."""
-    ver: StoreVersion = 0
+    ver: Version = 0
     """Number of the transaction that last wrote the row; the whole store counts transactions together."""
     gone: bool = False
     """Whether the row was deleted; its value is then empty."""
@@ -42,7 +40,7 @@
 class RowsAnswer(msgspec.Struct, frozen=True):
     """Answer of the store to any read, feed or write of rows."""
 
-    ver: StoreVersion
+    ver: Version
     """Number of the store's newest transaction at the time of the answer, not a version of these rows."""
     now_ms: StoreMilliseconds = 0.0
     """The store's monotonic clock in milliseconds, comparable only with other answers of the store."""
@@ -54,7 +52,7 @@
 class _LooseAnswer(msgspec.Struct, frozen=True):
     """An answer whose rows are not decoded yet; fields as in :class:`RowsAnswer`."""
 
-    ver: StoreVersion
+    ver: Version
     now_ms: StoreMilliseconds = 0.0
     rows: tuple[msgspec.Raw, ...] = ()
     more: bool = False
@@ -160,7 +158,7 @@
         return decode_value(data, StoredRow)
     except msgspec.MsgspecError:
         row = decode_value(data, _LooseRow)
-        version = _decode_field(row.ver, StoreVersion, newest_version)
+        version = _decode_field(row.ver, Version, newest_version)
         return StoredRow(row.key, "", version, _decode_field(row.gone, bool, False))
 
 
--- a/src/wallwell/rollout/model.py
+++ b/src/wallwell/rollout/model.py
@@ -19,7 +19,8 @@
 from msgspec import UNSET, UnsetType
 
 from wallwell.deployment.store_era import UNKNOWN_ERA, StorePosition, era_received
-from wallwell.storage.row_values import Count, Seconds, Version
+from wallwell.number_ranges import Count
+from wallwell.storage.row_values import Seconds, Version
 
 
 class Phase(enum.Enum):
--- a/src/wallwell/storage/row_values.py
+++ b/src/wallwell/storage/row_values.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from wallwell.number_ranges import MAX_AMOUNT
+
 VALUE_ERRORS = (ValueError, OverflowError, RecursionError)
 """Errors of Python that a value causes: a number with thousands of digits, one beyond the range of floats, a text
 that cannot be encoded, deep nesting."""
@@ -20,14 +22,10 @@
 
 MAX_SECONDS = 1e12
 """Largest time in a row, in seconds: 30,000 years, still exact to a millisecond as a float."""
-MAX_COUNT = 2**53 - 1
-"""Largest count in a row: a float can be computed from it exactly."""
-MAX_VERSION = 2**63 - 1
-"""Largest version of a row or era: it has 64 bits in messages between nodes."""
 
 Seconds = Annotated[float, msgspec.Meta(ge=-MAX_SECONDS, le=MAX_SECONDS)]
-Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
-Version = Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
+Version = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+"""Version of a row or era, as nodes send them to each other."""
 
 Parameters = ParamSpec("Parameters")
 Result = TypeVar("Result")
