Soak: a broken answer that a node may not ask for again is no cut by a silence

The call was sent at 564.757, the worker went on at 564.795 and began it at 564.796. At 564.946, when the answer was due, it sent the bytes of broken form 10 to this very call and closed the connection. The router logged 3008 and 3002 for it 190 ms after the call came, and ended it with 3009, WW3011: the retry budget is exhausted, 0.3 left. A node gets its share of the extra retries one window of 10 s after its start, so this is what the budget states. The silence had ended before the worker began the call.

Change: left out is a request with one run whose own worker sent it broken bytes and no event, at a node whose process began less than the window of the budget ago. A broken answer of another worker, a second run, an event before it, or a node that has its share, is judged as before; rows of the tables hold each of these but the event, for which a row stood already.

--- a/src/wallwell/soak/timeline.py
+++ b/src/wallwell/soak/timeline.py
@@ -59,6 +59,8 @@
         self.left = {each.request: each for each in self.records if isinstance(each, Left)}
         self.answered_brokenly = {each.request for each in self.records if isinstance(each, SentBroken)}
         """Requests to which a worker sent what is no answer."""
+        self.sent_broken = {(each.request, each.worker) for each in self.records if isinstance(each, SentBroken)}
+        """The same with the worker that did."""
         self.began: dict[str, list[Began]] = {}
         for record in self.records:
             if isinstance(record, Began):
@@ -132,6 +134,15 @@
         )
         return min((*exits, *harms), default=float("inf"))
 
+    def life_begins_s(self, node: str, at_s: float) -> float:
+        """Return when a node's process before the one at a time had ended; for its first one the first record."""
+        exits = (
+            each.at_s
+            for each in self.records
+            if isinstance(each, NodeExited) and each.node == node and each.at_s < at_s
+        )
+        return max(exits, default=self.records[0].at_s)
+
     def restores(self) -> list[FaultBegan]:
         """Return the outages of the store that end with its return from a copy."""
         return [each for each in self.records if isinstance(each, FaultBegan) and each.fault == RESTORE]
--- a/tests/unit/soak/test_invariants.py
+++ b/tests/unit/soak/test_invariants.py
@@ -180,6 +180,24 @@
     ]
 
 
+def answered_brokenly(exited_s=8.0, more=()):
+    """A safe call is sent in a silence of its worker by a node whose process ended and started again some time
+    before; the worker sends what is no answer to it once it goes on, and the call ends with 504."""
+    return [
+        Left(1.0, "of an earlier time"),
+        sent("of an earlier time", at_s=0.9),
+        NodeExited(exited_s, "node-0", -9, "SIGKILL"),
+        sent(kind=RequestKind.SAFE, at_s=11.36, deadline_s=1.7, node="node-0"),
+        FaultBegan(10.2, "silence_worker", "orders-0"),
+        FaultEnded(11.4, "silence_worker", "orders-0"),
+        began(worker="orders-0.1", at_s=11.401),
+        *more,
+        SentBroken(11.551, "r", "orders-0.1", 10),
+        Ended(11.552, "r", "orders-0.1", 500),
+        answered(status=504, worker="", at_s=11.555),
+    ]
+
+
 def backing_off(arrivals_s, more=(), status=503):
     """A worker asks a node at 10 s for a second without requests; some reach it so much later."""
     records = [sent("r0", at_s=9.99, node="node-0"), Arrived(10.0, "r0", "w.1", 503, backoff_s=1.0), *more]
@@ -321,6 +339,9 @@
         *silenced(status=504),
         SentBroken(11.2, "r", "orders-0.1", 4),
     ],
+    "a safe call to which its silent worker sends what is no answer, by a node that has just started": (
+        answered_brokenly()
+    ),
     "a stream outlasts a silence of its worker": silenced_stream(),
     "callers that left what runs at a worker that stands still": [
         *callers_left(ended_after_s=1.9),
@@ -443,6 +464,18 @@
         "silence_cuts_nothing",
         [*silenced_stream(events=(1, 2)), SentBroken(11.2, "r", "engine-0.1", 4)],
     ),
+    "a safe call whose worker sent what is no answer, by a node that has its share of retries": (
+        "silence_cuts_nothing",
+        answered_brokenly(exited_s=1.4),
+    ),
+    "a safe call that another worker than the silent one answered brokenly": (
+        "silence_cuts_nothing",
+        answered_brokenly(more=[began(worker="orders-1.1", at_s=10.3), Ended(10.4, "r", "orders-1.1", 500)]),
+    ),
+    "a safe call that ended so though its worker sent no such thing": (
+        "silence_cuts_nothing",
+        [each for each in answered_brokenly() if not isinstance(each, SentBroken)],
+    ),
     "a stream is cut in a silence of its worker": ("silence_cuts_nothing", silenced_stream(events=(1, 2))),
     "a worker that wants nothing gets much": ("backoff_kept", backing_off([0.6, 0.7, 0.8])),
     "work for callers that left": ("left_is_cancelled", callers_left(ended_after_s=1.9)),
