Soak: odd rows of another writer, and what they may not cost

What was missing: the soak left "{" in one worker's own entry. It had no entry under another key, none with a spoilt address, and none while routers start, so it did not show that such an entry costs others' entries, starts and requests.

Four invariants: a router that starts beside them is ready in the time that a fleet is given to recover, each router serves, a listed sound worker of calls gets calls, and no router answers 500 or logs 1006, 1015, 1017, 4010 or a line that is no event. Runs without the option have no case of them.

--- a/src/wallwell/cli/soak.py
+++ b/src/wallwell/cli/soak.py
@@ -39,6 +39,7 @@
     "--skew": "skews",
     "--second-answers": "second_answers",
     "--broken-answers": "broken_answers",
+    "--odd-entries": "odd_entries",
     "--group-silences": "group_silences",
     "--kept-connections": "kept_connections",
     "--versions": "versions",
@@ -65,6 +66,11 @@
         "--second-answers", action="store_true", help="workers reject now and then, and send answers twice"
     )
     parser.add_argument("--broken-answers", action="store_true", help="workers send what is no answer now and then")
+    parser.add_argument(
+        "--odd-entries",
+        action="store_true",
+        help="another writer leaves odd rows in the store, some again and again",
+    )
     parser.add_argument(
         "--group-silences", action="store_true", help="groups of sound workers fall silent beside changes of routes"
     )
@@ -113,6 +119,7 @@
         skews=options.skew,
         second_answers=options.second_answers,
         broken_answers=options.broken_answers,
+        odd_entries=options.odd_entries,
         group_silences=options.group_silences,
         kept_connections=options.kept_connections,
         rollout=options.rollout,
@@ -183,6 +190,7 @@
     print(f"{replay_command(schedule)}: {len(schedule.requests)} requests, {len(schedule.faults)} faults")
     steps = [(fault.at_s, str(fault)) for fault in schedule.faults]
     steps += [(operation.at_s, str(operation)) for operation in schedule.operations]
+    steps += [(row.at_s, str(row)) for row in schedule.odd_rows]
     for _, step in sorted(steps):
         print(f"  {step}")
 
--- a/src/wallwell/soak/control.py
+++ b/src/wallwell/soak/control.py
@@ -63,6 +63,16 @@
 
     worker: str
     is_spoilt: bool
+    value: str = ""
+    """What it leaves there, as it stands on the wire; empty: a text that cannot be read."""
+
+
+class PutOddRow(PeerMessage, frozen=True):
+    """Another writer writes a row; ``value`` is as it stands on the wire."""
+
+    table: str
+    key: str
+    value: str
 
 
 class ReadRow(PeerMessage, frozen=True):
--- a/src/wallwell/soak/drawing.py
+++ b/src/wallwell/soak/drawing.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from wallwell.errors import SoakError
-from wallwell.soak import drawing_faults, drawing_requests, drawing_silences, drawing_stops
+from wallwell.soak import drawing_faults, drawing_requests, drawing_silences, drawing_stops, odd_entries
 from wallwell.soak.drawing_faults import KILL_ALL_LASTS_S
 from wallwell.soak.schedule import (
     CALM_BEFORE_STOP_S,
@@ -47,9 +47,22 @@
     schedule = Schedule(seed, shape, tuple(faults), tuple(requests), tuple(operations))
     if shape.kept_connections:
         schedule = _add_stops(schedule)
+    if shape.odd_entries:
+        schedule = _add_odd_entries(schedule)
     return _add_group_silences(schedule) if shape.group_silences else schedule
 
 
+def _add_odd_entries(schedule: Schedule) -> Schedule:
+    """Return a schedule with rows of another writer, some over workers' own entries."""
+    seed, shape = schedule.seed, schedule.shape
+    faults = odd_entries.draw_faults(random.Random(f"{seed}/odd faults"), shape)
+    return msgspec.structs.replace(
+        schedule,
+        faults=tuple(sorted([*schedule.faults, *faults], key=lambda fault: fault.at_s)),
+        odd_rows=tuple(odd_entries.draw_rows(random.Random(f"{seed}/odd rows"), shape)),
+    )
+
+
 def _add_stops(schedule: Schedule) -> Schedule:
     """Return a schedule with planned stops in series and callers that keep their connections."""
     seed, shape = schedule.seed, schedule.shape
--- a/src/wallwell/soak/faults.py
+++ b/src/wallwell/soak/faults.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import random
 import signal
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -17,6 +18,7 @@
 from wallwell.soak.control import AimLink, ForgetHistory, HarmLink, RestoreStore, SpoilEntry, SwitchStore
 from wallwell.soak.fleet import REGION_BYTES_PER_S, REGION_DELAY_S, RunProcesses, sound_link, store_host
 from wallwell.soak.history import FaultBegan, FaultEnded
+from wallwell.soak.odd_entries import draw_own_entry
 from wallwell.soak.schedule import ALL_NODES, COPY_AGE_S, STORE, FaultKind, PlannedFault
 from wallwell.soak.supervisor import ChildProcess
 
@@ -160,10 +162,17 @@
 
     async def _spoil_entry(self, fault: PlannedFault) -> None:
         worker = self._fleet.worker_incarnation(fault.target)
-        await self._fleet.control_store(SpoilEntry(worker, is_spoilt=True))
+        await self._fleet.control_store(SpoilEntry(worker, is_spoilt=True, value=self._draw_spoilt(fault)))
         await asyncio.sleep(fault.lasts_s)
         await self._fleet.control_store(SpoilEntry(worker, is_spoilt=False))
 
+    def _draw_spoilt(self, fault: PlannedFault) -> str:
+        """Return what is left in a worker's entry; empty where the run has no odd entries."""
+        schedule = self._fleet.schedule
+        if not schedule.shape.odd_entries:
+            return ""
+        return draw_own_entry(random.Random(f"{schedule.seed}/odd own/{fault.target}/{fault.at_s}"))
+
     async def _replace_worker(self, name: str, away_s: float, keeps_identity: bool = False) -> None:
         """Start a worker that has ended again, as a new incarnation or under its identity; its link refuses
         connections meanwhile."""
--- a/src/wallwell/soak/fleet.py
+++ b/src/wallwell/soak/fleet.py
@@ -11,6 +11,7 @@
 import socket
 import sys
 import time
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import aiohttp
@@ -22,7 +23,15 @@
 from wallwell.soak.caller_process import MODEL
 from wallwell.soak.configuration import BOUNDS, ENGINES, ORDERS, configuration
 from wallwell.soak.control import AimLink, Done, HarmLink, KnowNode, LinkAddress, OpenLink, PutRow, ReadRow, RowText
-from wallwell.soak.history import HISTORY_SUFFIX, HistoryWriter, KeysInForce, NodeExited, StopRequested
+from wallwell.soak.history import (
+    HISTORY_SUFFIX,
+    HistoryWriter,
+    KeysInForce,
+    NodeExited,
+    NodeReady,
+    NodeStarted,
+    StopRequested,
+)
 from wallwell.soak.schedule import BETWEEN_REGIONS, ENGINE_SLOTS, FIRST_KEYS, STORE, Schedule
 from wallwell.soak.store_process import StoreSettings
 from wallwell.soak.supervisor import ChildProcess, Supervisor
@@ -80,13 +89,16 @@
         """Where callers reach the routers."""
         return tuple(self._front[node] for node in self.schedule.shape.node_names())
 
-    async def start(self) -> None:
-        """Start everything and wait until every router is ready. Raises :class:`SoakError`."""
+    async def start(self, before_nodes: Callable[[], Awaitable[None]]) -> None:
+        """Start everything and wait until every router is ready; ``before_nodes`` is done before the first one
+        starts. Raises :class:`SoakError`, and TimeoutError where routers are not ready in time.
+        """
         await self._start_store()
         self._proxy = PeerLink((await self.supervisor.start_own("proxy", "proxy")).control)
         await self._open_links()
         await asyncio.gather(*(self.start_worker(name) for name in self.schedule.shape.worker_names()))
         await self.put_configuration(1, FIRST_KEYS)
+        await before_nodes()
         for node in self.schedule.shape.node_names():
             self._write_node_settings(node)
             await self.start_node(node)
@@ -232,6 +244,19 @@
         child = await self.supervisor.start(node, (sys.executable, str(router)), environment)
         await self.control_proxy(KnowNode(node, child.pid, self.schedule.shape.region_of(node)))
         self._watchers.start(self._watch(child))
+        if self.schedule.shape.odd_entries:
+            self.history.add(NodeStarted(time.monotonic(), node))
+            self._watchers.start(self._watch_start(node, child))
+
+    async def _watch_start(self, node: str, child: ChildProcess) -> None:
+        """Record when a router that has just been started is ready, unless it ends before."""
+        ready = asyncio.create_task(self._until_ready(node))
+        ended = asyncio.create_task(child.wait())
+        await asyncio.wait((ready, ended), return_when=asyncio.FIRST_COMPLETED)
+        if ready.done() and not ready.exception():
+            self.history.add(NodeReady(time.monotonic(), node))
+        ready.cancel()
+        await asyncio.gather(ready, ended, return_exceptions=True)
 
     async def _watch(self, child: ChildProcess) -> None:
         status = await child.wait()
--- a/src/wallwell/soak/history.py
+++ b/src/wallwell/soak/history.py
@@ -250,6 +250,35 @@
     """Whether the process had a handler for that signal as it was sent."""
 
 
+class NodeStarted(Record, frozen=True):
+    """A router process was started; recorded where the store has odd rows."""
+
+    node: str
+
+
+class NodeReady(Record, frozen=True):
+    """A router process said for the first time that it is ready; recorded where the store has odd rows."""
+
+    node: str
+
+
+class OddRowWritten(Record, frozen=True):
+    """The store has a row of another writer."""
+
+    table: str
+    key: str
+    form: str
+
+
+class RouterLogged(Record, frozen=True):
+    """A router logged an event that tells of a fault of its own, or lines that are no events at all."""
+
+    node: str
+    event: int
+    """Number of the event, 0 for other lines."""
+    detail: str
+
+
 AnyRecord = (
     Sent
     | SentWhole
@@ -272,6 +301,10 @@
     | FaultEnded
     | StopRequested
     | NodeExited
+    | NodeStarted
+    | NodeReady
+    | OddRowWritten
+    | RouterLogged
 )
 
 
--- a/src/wallwell/soak/invariants.py
+++ b/src/wallwell/soak/invariants.py
@@ -11,6 +11,7 @@
 from wallwell.soak import (
     invariants_fleet,
     invariants_notices,
+    invariants_odd_entries,
     invariants_parts,
     invariants_requests,
     invariants_rollout,
@@ -61,6 +62,10 @@
     "skewed_node_serves": invariants_parts.skewed_node_serves,
     "recovers": invariants_requests.recovers,
     "nodes_stay": invariants_requests.nodes_stay,
+    "starts_beside_odd_rows": invariants_odd_entries.starts_beside_odd_rows,
+    "nodes_serve_beside_odd_rows": invariants_odd_entries.nodes_serve_beside_odd_rows,
+    "workers_serve_beside_odd_rows": invariants_odd_entries.workers_serve_beside_odd_rows,
+    "no_fault_beside_odd_rows": invariants_odd_entries.no_fault_beside_odd_rows,
     "drained_gets_nothing": invariants_fleet.drained_gets_nothing,
     "left_stays_left": invariants_fleet.left_stays_left,
     "announced_gets_nothing": invariants_notices.announced_gets_nothing,
--- a/src/wallwell/soak/run.py
+++ b/src/wallwell/soak/run.py
@@ -20,6 +20,8 @@
 from wallwell.soak.history import HISTORY_SUFFIX, read_history
 from wallwell.soak.invariants import CheckResult, check_invariants
 from wallwell.soak.kept_caller_process import KeptCallerSettings
+from wallwell.soak.logged_faults import record_faults_logged
+from wallwell.soak.odd_writer import OddWriter
 from wallwell.soak.operator import Operator
 from wallwell.soak.schedule import Schedule
 from wallwell.soak.timeline import History
@@ -56,16 +58,26 @@
     fleet = RunProcesses(schedule, folder, checkout, production)
     with _interruptible():
         try:
-            await fleet.start()
-            await _within_memory(fleet, _play(fleet))
-        except TimeoutError as error:
-            raise SoakError("the routers did not become ready in time") from error
+            writer = OddWriter(fleet)
+            await _start(fleet, writer)
+            await _within_memory(fleet, _play(fleet, writer))
         finally:
             await fleet.close()
+    if schedule.shape.odd_entries:
+        record_faults_logged(folder, schedule.shape.node_names())
     return check_folder(schedule, folder)
 
 
-async def _play(fleet: RunProcesses) -> None:
+async def _start(fleet: RunProcesses, writer: OddWriter) -> None:
+    """Start everything. Where the store has odd rows, an invariant tells whether routers become ready."""
+    try:
+        await fleet.start(writer.begin)
+    except TimeoutError as error:
+        if not fleet.schedule.shape.odd_entries:
+            raise SoakError("the routers did not become ready in time") from error
+
+
+async def _play(fleet: RunProcesses, writer: OddWriter) -> None:
     schedule = fleet.schedule
     start_s = time.monotonic() + LEAD_S
     history = str(fleet.folder / f"callers{HISTORY_SUFFIX}")
@@ -80,7 +92,8 @@
             runner = FaultRunner(fleet)
             async with runner.workers_kept():
                 faults = runner.run(schedule.faults, start_s)
-                await asyncio.gather(faults, Operator(fleet).run(schedule.operations, start_s))
+                operations = Operator(fleet).run(schedule.operations, start_s)
+                await asyncio.gather(faults, operations, writer.run(start_s))
                 statuses = await _until_callers_end(fleet)
     except TimeoutError as error:
         raise SoakError("the callers did not end in time") from error
--- a/src/wallwell/soak/schedule.py
+++ b/src/wallwell/soak/schedule.py
@@ -198,6 +198,27 @@
         return f"{self.at_s:7.2f} s  {self.kind.value:<20} {self.target:<18} for {self.lasts_s:.2f} s"
 
 
+class PlannedOddRow(msgspec.Struct, frozen=True):
+    """A row that another writer leaves in the store."""
+
+    at_s: float
+    """When it is written first; 0: before the routers start."""
+    lasts_s: float
+    """For how long it is written again and again; 0: it is written once."""
+    period_s: float
+    """Seconds between two writings."""
+    table: str
+    key: str
+    form: str
+    """What is odd about it, for people."""
+    value: str
+    """As it stands on the wire."""
+
+    def __str__(self) -> str:
+        again = f", again each {self.period_s:.2f} s for {self.lasts_s:.2f} s" if self.lasts_s else ""
+        return f"{self.at_s:7.2f} s  odd row in {self.table}: {self.form!a}{again}"
+
+
 class OperationKind(enum.Enum):
     """What an operator does in a run."""
 
@@ -239,6 +260,8 @@
     """Whether workers reject requests now and then, and send some of all their answers a second time."""
     broken_answers: bool = False
     """Whether workers send what is no answer in place of some of their answers."""
+    odd_entries: bool = False
+    """Whether another writer leaves odd rows in the store, and spoils workers' own entries in odd ways."""
     rollout: str = ""
     """Name of :data:`ROLLOUTS`, empty for none."""
     notices: bool = False
@@ -327,3 +350,5 @@
     """Requests that an engine runs at once."""
     kept_callers: tuple[KeptCaller, ...] = ()
     """Callers that send one request after the other as long as their connections are open."""
+    odd_rows: tuple[PlannedOddRow, ...] = ()
+    """What another writer leaves in the store."""
--- a/src/wallwell/soak/store_process.py
+++ b/src/wallwell/soak/store_process.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import json
 import random
 from collections import deque
@@ -24,6 +25,7 @@
     Farewell,
     ForgetHistory,
     Heartbeat,
+    PutOddRow,
     PutRow,
     ReadRow,
     RestoreStore,
@@ -34,8 +36,8 @@
 )
 from wallwell.soak.history import HistoryWriter, WorkerState
 
-UNREADABLE_ENTRY = "{"
-"""What another writer leaves in an entry."""
+UNREADABLE_ENTRY = base64.b64encode(b"{").decode()
+"""What another writer leaves in an entry if nothing else is asked for, as it stands on the wire."""
 SILENT_HEARTBEATS = 3
 """Heartbeats without which an entry goes."""
 COPY_PERIOD_S = 0.25
@@ -55,16 +57,27 @@
     heartbeat_s: float
 
 
+class StoreWithOddRows(PlatformStoreEmulator):
+    """A store that keeps whatever another writer leaves there."""
+
+    def put_on_wire(self, table: str, key: str, value: str) -> None:
+        """Write a row whose value goes to readers as it is."""
+        self.put(table, key, "")
+        self.rows[(table, key)] = (value, self.version)
+
+
 class StoreProcess:
     """The emulated store, with messages of the run and of workers."""
 
     def __init__(self, settings: StoreSettings) -> None:
         self._settings = settings
         self._history = HistoryWriter(Path(settings.history))
-        self.store = PlatformStoreEmulator(read_only_tables=frozenset((names.BACKENDS_TABLE, names.OPERATOR_TABLE)))
+        self.store = StoreWithOddRows(read_only_tables=frozenset((names.BACKENDS_TABLE, names.OPERATOR_TABLE)))
         self._entries: dict[str, dict[str, object]] = {}
         self._last_heartbeat_s: dict[str, float] = {}
         self._operators_rows: dict[tuple[str, str], str] = {}
+        self._odd_keys: set[str] = set()
+        """Keys of entries that no heartbeat keeps."""
         self._copies: deque[tuple[float, StoreCopy]] = deque(maxlen=COPIES_KEPT)
         self._unconfirmed: set[str] = set()
         """Workers that have not been heard since the last restore: their entries may be older or missing."""
@@ -74,6 +87,7 @@
                 SwitchStore: self._switch,
                 ForgetHistory: self._forget,
                 PutRow: self._put,
+                PutOddRow: self._put_odd,
                 ReadRow: self._read,
                 RestoreStore: self._restore,
                 SpoilEntry: self._spoil,
@@ -106,6 +120,12 @@
         self.store.put(request.table, request.key, request.text)
         return Done()
 
+    async def _put_odd(self, request: PutOddRow) -> Done:
+        if request.table == names.BACKENDS_TABLE:
+            self._odd_keys.add(request.key)
+        self.store.put_on_wire(request.table, request.key, request.value)
+        return Done()
+
     async def _read(self, request: ReadRow) -> RowText:
         return RowText(self.store.value(request.table, request.key))
 
@@ -124,7 +144,7 @@
         listed = {key for table, key in self.store.rows if table == names.BACKENDS_TABLE}
         self._unconfirmed = listed | set(self._entries)
         now_s = asyncio.get_running_loop().time()
-        for worker in listed:
+        for worker in listed - self._odd_keys:
             self._last_heartbeat_s.setdefault(worker, now_s)
         for table, key in self._operators_rows:
             self._writing_again.start(self._write_again(table, key))
@@ -140,8 +160,10 @@
         """Write an entry that names no worker, or the worker's own again, unless that has gone meanwhile."""
         entry = self._entries.get(request.worker)
         if entry is not None:
-            text = UNREADABLE_ENTRY if request.is_spoilt else json.dumps(entry)
-            self.store.put(names.BACKENDS_TABLE, request.worker, text)
+            if request.is_spoilt:
+                self.store.put_on_wire(names.BACKENDS_TABLE, request.worker, request.value or UNREADABLE_ENTRY)
+            else:
+                self.store.put(names.BACKENDS_TABLE, request.worker, json.dumps(entry))
             self._record(request.worker, "gone" if request.is_spoilt else str(entry["state"]))
         return Done()
 
@@ -177,7 +199,7 @@
     def _remove(self, worker: str) -> None:
         self._unconfirmed.discard(worker)
         self._last_heartbeat_s.pop(worker, None)
-        if self.store.value(names.BACKENDS_TABLE, worker) is not None:
+        if (names.BACKENDS_TABLE, worker) in self.store.rows:
             self.store.put(names.BACKENDS_TABLE, worker, None)
         if worker in self._entries:
             self._record(worker, "gone")
--- a/src/wallwell/soak/timeline.py
+++ b/src/wallwell/soak/timeline.py
@@ -20,7 +20,7 @@
     StopRequested,
     WorkerState,
 )
-from wallwell.soak.schedule import ALL_NODES, BETWEEN_REGIONS, PLANNED_WORK
+from wallwell.soak.schedule import ALL_NODES, BETWEEN_REGIONS, PLANNED_WORK, STORE
 
 CONTACT_S = 2.0
 """Seconds after a fault until the nodes count as connected again."""
@@ -44,6 +44,8 @@
     )
 )
 """Faults that leave nodes, links and the store alone."""
+STARTS = frozenset(("kill_node", "kill_all_nodes", "stop_node", "reload_node"))
+"""Faults of nodes that the node's own end and start tell of."""
 KILLING_FAULTS = frozenset(("crash_worker", "restart_worker"))
 """Faults in which a worker is killed."""
 _PLANNED = frozenset(kind.value for kind in PLANNED_WORK)
@@ -103,6 +105,27 @@
             for began, ended_s in self._disturbed
         )
 
+    def is_start_undisturbed(self, node: str, from_s: float, until_s: float) -> bool:
+        """Whether from its start on no fault struck a node, its links or the store, ends and starts of nodes aside:
+        a node that is ended is known by its exit."""
+        return not any(
+            began.fault not in STARTS
+            and began.at_s <= until_s
+            and ended_s >= from_s
+            and (began.target == STORE or _touches(began, node))
+            for began, ended_s in self._disturbed
+        )
+
+    def quiet_spans(self, after_s: float) -> list[tuple[float, float]]:
+        """Return the spans without a fault on nodes, links or the store, from a time after the last one ended."""
+        spans = []
+        from_s = -float("inf")
+        for began, ended_s in sorted(self._disturbed, key=lambda each: each[0].at_s):
+            if from_s < began.at_s:
+                spans.append((from_s, began.at_s))
+            from_s = max(from_s, ended_s + after_s)
+        return [*spans, (from_s, self.end_s)] if from_s < self.end_s else spans
+
     def is_undisrupted(self, from_s: float, until_s: float) -> bool:
         """Like :meth:`is_fault_free`, where planned work on nodes is no fault."""
         return not any(
--- a/tests/unit/compatibility/test_metrics_and_commands.py
+++ b/tests/unit/compatibility/test_metrics_and_commands.py
@@ -125,6 +125,7 @@
         "--keep type=Path",
         "--kept-connections nargs=0 default=False",
         "--nodes type=int default=3",
+        "--odd-entries nargs=0 default=False",
         "--print-schedule nargs=0 default=False",
         "--rate type=float default=40.0",
         "--regions type=int default=1",
--- a/tests/unit/soak/records.py
+++ b/tests/unit/soak/records.py
@@ -1,6 +1,18 @@
 """Short builders of a recorded history."""
 
-from wallwell.soak.history import Answered, Began, Ended, FaultBegan, FaultEnded, RequestKind, Sent
+from wallwell.soak.history import (
+    Answered,
+    Began,
+    Ended,
+    FaultBegan,
+    FaultEnded,
+    NodeReady,
+    NodeStarted,
+    OddRowWritten,
+    RequestKind,
+    Sent,
+    WorkerState,
+)
 from wallwell.soak.timeline import History
 
 
@@ -38,3 +50,32 @@
         answer,
         Ended(11.42, "r", "engine-0.1", 200 if whole else 0),
     ]
+
+
+def beside_odd_rows(*records, ready_s=2.0):
+    """A router starts beside an odd row, and is ready a second later unless stated otherwise."""
+    ready = [NodeReady(ready_s, "node-0")] if ready_s else []
+    return [OddRowWritten(0.5, "servers", "odd-1", "state"), NodeStarted(1.0, "node-0"), *ready, *records]
+
+
+def asked(statuses, from_s, node="node-0"):
+    """Requests at a router, ten a second, with these statuses; successes are of a worker."""
+    records = []
+    for number, status in enumerate(statuses):
+        at_s = from_s + 0.1 * number
+        is_served = status == 200
+        records.append(sent(f"r{number}", RequestKind.SAFE, at_s, node=node))
+        records += [began(f"r{number}", at_s=at_s + 0.01)] if is_served else []
+        records.append(answered(f"r{number}", status, "w.1" if is_served else "", at_s + 0.05))
+    return records
+
+
+def calls_at(workers, from_s=10.0, listed_s=5.0):
+    """Two workers of calls are listed, and each of the next calls begins at one of these."""
+    records = [WorkerState(listed_s, f"orders-{number}.1", "orders", "v1", "ready") for number in range(2)]
+    for number, worker in enumerate(workers):
+        at_s = from_s + 0.05 * number
+        records.append(sent(f"c{number}", RequestKind.SAFE, at_s, node="node-0"))
+        records.append(began(f"c{number}", worker, at_s + 0.01))
+        records.append(answered(f"c{number}", worker=worker, at_s=at_s + 0.02))
+    return records
--- a/tests/unit/soak/test_invariants.py
+++ b/tests/unit/soak/test_invariants.py
@@ -2,7 +2,16 @@
 
 import pytest
 
-from tests.unit.soak.records import answered, began, history, sent, silenced_stream
+from tests.unit.soak.records import (
+    answered,
+    asked,
+    began,
+    beside_odd_rows,
+    calls_at,
+    history,
+    sent,
+    silenced_stream,
+)
 from wallwell.soak.broken_answers import BROKEN_SEAL
 from wallwell.soak.history import (
     Answered,
@@ -348,6 +357,13 @@
         FaultBegan(2.4, "silence_worker", "w"),
         FaultEnded(3.8, "silence_worker", "w"),
     ],
+    "a router starts beside an odd row": beside_odd_rows(
+        sent(kind=RequestKind.SAFE), answered(status=503, worker="")
+    ),
+    "a router serves beside an odd row": beside_odd_rows(*asked([200] * 10, from_s=1.0 + RECOVERY_S)),
+    "workers of calls serve beside an odd row": beside_odd_rows(
+        *calls_at(["orders-0.1"] * 23 + ["orders-1.1"], from_s=5.0 + CONTACT_S)
+    ),
     "a call that ran where it was rejected before is answered": rejected_twice(status=200),
     "the same beside a fault": [*rejected_twice(status=504), FaultBegan(1.0, "kill_node", "node-1")],
     "one that ends at its deadline in a silence": [sent(at_s=7.3, deadline_s=4.0), *silenced(status=504)[1:]],
@@ -593,6 +609,22 @@
         [*crashing([1.0, 1.5, 2.0, 4.1, 4.2, 5.0, 5.1]), NodeExited(3.1, "127.1.0.1:1", -9, "SIGKILL")],
     ),
     "no recovery": ("recovers", recovery(served=2, of=10)),
+    "a router is not ready beside an odd row": (
+        "starts_beside_odd_rows",
+        beside_odd_rows(NodeExited(60.0, "node-0", 0, "SIGTERM"), ready_s=None),
+    ),
+    "a router refuses most requests beside an odd row": (
+        "nodes_serve_beside_odd_rows",
+        beside_odd_rows(*asked([200] * 2 + [503] * 8, from_s=1.0 + RECOVERY_S)),
+    ),
+    "a worker of calls gets none beside an odd row": (
+        "workers_serve_beside_odd_rows",
+        beside_odd_rows(*calls_at(["orders-0.1"] * 24, from_s=5.0 + CONTACT_S)),
+    ),
+    "a router answers with an internal error beside an odd row": (
+        "no_fault_beside_odd_rows",
+        beside_odd_rows(sent(kind=RequestKind.SAFE), answered(status=500, worker="")),
+    ),
     "a node that ends by itself": ("nodes_stay", [NodeExited(1.0, "n", 0, "")]),
     "a planned stop that fails": ("nodes_stay", [NodeExited(1.0, "n", 1, "SIGTERM")]),
     "a planned stop that a handler should have taken": ("nodes_stay", [NodeExited(1.0, "n", -15, "SIGTERM")]),
