--- a/tests/contract/test_soak.py
+++ b/tests/contract/test_soak.py
@@ -168,6 +168,13 @@
     assert_tested(printed, "broken_answers_reach_nobody")
 
 
+def test_a_short_run_with_odd_entries_breaks_no_invariant(tmp_path):
+    """Guards against an entry whose address is none and that costs other entries, a start or a request. Another
+    writer leaves odd rows of all kinds, some of them again and again while routers start."""
+    printed = play(tmp_path, "--seed", "523", "--seconds", "15", "--odd-entries")
+    assert_tested(printed, "starts_beside_odd_rows", "nodes_serve_beside_odd_rows", "no_fault_beside_odd_rows")
+
+
 def test_a_short_run_with_groups_of_silent_workers_breaks_no_invariant(tmp_path):
     """Guards against streams cut while their sound engine sends nothing for a second: all engines, with few slots,
     fall silent right after a change of the configuration, and again half a second after they have gone on."""
