--- a/src/wallwell/cluster/version_rows.py
+++ b/src/wallwell/cluster/version_rows.py
@@ -14,6 +14,8 @@
 import msgspec
 
 from wallwell.events import Event, emit
+from wallwell.storage.row_isolation import ReportedRows, shown_key, shown_reason
+from wallwell.storage.row_values import Seconds, Version, decode_value
 from wallwell.storage.table import Row
 
 UNREADABLE_VERSION = "?"
@@ -27,7 +29,7 @@
     writer: str
     """Start of the node that added the other one (``StreamRecords.life``: its name, and a token). While it lives,
     not all nodes have ended since, and some node knows the streams that began since."""
-    until_s: float
+    until_s: Seconds
     """When the streams that began before have ended."""
 
     @property
@@ -41,7 +43,7 @@
     while a service has several, without the other fields, and delete it afterwards."""
 
     versions: list[str]
-    whole_in_era: int | None = None
+    whole_in_era: Version | None = None
     """Era of the store in which the row certainly names all of them; None if that is not certain, as in a row that
     nodes wrote which had started lately."""
     sole: SoleVersion | None = None
@@ -93,10 +95,15 @@
     return row.versions[0] if is_whole and len(row.versions) == 1 else None
 
 
-def decode_versions_row(row: Row) -> VersionsRow:
-    """Return the contents of a row; :data:`UNREADABLE_VERSION` if they cannot be decoded."""
+def decode_versions_row(row: Row, reported: ReportedRows | None = None) -> VersionsRow:
+    """Return the contents of a row; :data:`UNREADABLE_VERSION` if they cannot be decoded, which is logged unless it
+    is among the ``reported``."""
+    reported = ReportedRows() if reported is None else reported
     try:
-        return msgspec.json.decode(row.value, type=VersionsRow)
+        versions = decode_value(row.value, VersionsRow)
     except msgspec.MsgspecError as error:
-        emit(Event.OWN_ROW_UNREADABLE, row=row.key, error=str(error))
+        if reported.is_news(row.key, str(error)):
+            emit(Event.OWN_ROW_UNREADABLE, row=shown_key(row.key), error=shown_reason(error))
         return VersionsRow([UNREADABLE_VERSION])
+    reported.forget(row.key)
+    return versions
--- a/src/wallwell/node/backend_rows.py
+++ b/src/wallwell/node/backend_rows.py
@@ -16,6 +16,7 @@
 from wallwell.node.store_outage import STORE_OUTAGE_S
 from wallwell.routing.health.backend import Backend
 from wallwell.storage.feed import FeedRow, FollowedPage
+from wallwell.storage.row_isolation import ReportedRows, RowErrors, shown_key
 
 LAPSE_GRACE_S = 1.7
 """Seconds after the store comes back during which a back end whose entry is missing still gets requests.
@@ -27,7 +28,7 @@
 end that was removed. By then the entry of an ended back end has been removed again, after three missed
 heartbeats."""
 MAX_UNREADABLE_LOGGED = 10
-"""Unreadable entries of one page that are logged; the last log line states how many more there are."""
+"""Entries of one page that have become unreadable and are logged; the last line states how many more there are."""
 MAX_REASON_CHARS = 200
 """Characters of a decoding error that are logged, since its text may quote the entry."""
 
@@ -44,26 +45,31 @@
         self._state = state
         self._decode = sources.decode_backend
         self._pool = pool
+        self._errors = RowErrors("backends", state.row_errors)
+        self._unreadable = ReportedRows()
         self._store_returned_s = float("-inf")
         self._held_entries: dict[str, bytes] = {}
         """Restored entries of back ends that this node had removed, by incarnation; not applied yet."""
 
     def apply(self, followed: FollowedPage) -> None:
-        """Apply a page of rows. If a row cannot be decoded, the back end listed under its key counts as gone."""
+        """Apply a page of rows. If one cannot be decoded or applied, the back end listed under its key counts as
+        gone; all others are applied."""
         now_s = boot_time_s()
         is_outage = now_s - followed.previous_confirmed_at_s > STORE_OUTAGE_S and self._state.backends_known
         if is_outage or followed.is_store_restored:
             self._store_returned_s = now_s
         if followed.is_snapshot:
             self._held_entries.clear()
-            for backend in self._state.backends.missing_from({row.key for row in followed.page.rows}):
+            listed = {row.key for row in followed.page.rows}
+            self._unreadable.keep(listed)
+            for backend in self._state.backends.missing_from(listed):
                 self._on_missing_entry(backend, now_s)
         may_be_stale = followed.is_snapshot and now_s < self._entry_hold_ends_s()
         unreadable: list[tuple[str, str]] = []
         # Of two incarnations at one address, the one whose entry was written last is the live one.
         for row in sorted(followed.page.rows, key=lambda row: row.version):
             reason = self._apply_row(row, may_be_stale, now_s)
-            if reason:
+            if reason and self._unreadable.is_news(row.key, reason):
                 unreadable.append((row.key, reason))
         _log_unreadable(unreadable)
         self.drop_lapsed(now_s)
@@ -73,16 +79,27 @@
     def _apply_row(self, row: FeedRow, may_be_stale: bool, now_s: float) -> str:
         """Apply a row. Returns the decoding error, or an empty string."""
         self._held_entries.pop(row.key, None)
-        if row.value is None:
-            listed = self._state.backends.get(row.key)
-            if listed is not None:
-                self._on_missing_entry(listed, now_s)
-            return ""
+        if row.value is not None:
+            return self._apply_entry(row.key, row.value, may_be_stale, now_s)
+        self._unreadable.forget(row.key)
+        listed = self._state.backends.get(row.key)
+        if listed is not None:
+            self._on_missing_entry(listed, now_s)
+        return ""
+
+    def _apply_entry(self, incarnation: str, value: bytes, may_be_stale: bool, now_s: float) -> str:
+        """Apply an entry. Returns the decoding error, or an empty string."""
         try:
-            self._on_entry(row.key, row.value, may_be_stale)
+            self._on_entry(incarnation, value, may_be_stale)
         except msgspec.MsgspecError as error:
-            self._state.backends.lapse(row.key, now_s)
+            self._state.backends.lapse(incarnation, now_s)
             return str(error)
+        except Exception as error:
+            self._state.backends.lapse(incarnation, now_s)
+            self._errors.on_error(incarnation, error)
+        else:
+            self._errors.on_applied(incarnation)
+            self._unreadable.forget(incarnation)
         return ""
 
     def drop_lapsed(self, now_s: float) -> None:
@@ -90,11 +107,17 @@
         if self._held_entries and now_s >= self._entry_hold_ends_s():
             held_entries, self._held_entries = self._held_entries, {}
             for incarnation, value in held_entries.items():
-                self._on_entry(incarnation, value, may_be_stale=False)
+                self._apply_entry(incarnation, value, may_be_stale=False, now_s=now_s)
         for backend in self._state.backends.remove_lapsed(now_s):
-            emit(Event.BACKEND_GONE, backend=backend.incarnation)
-            self._state.software_history.on_unlisted(backend.record.service, backend.record.software, now_s)
-            self._pool.close_idle(backend.record.address)
+            try:
+                self._on_removed(backend, now_s)
+            except Exception as error:
+                self._errors.on_error(backend.incarnation, error)
+
+    def _on_removed(self, backend: Backend, now_s: float) -> None:
+        emit(Event.BACKEND_GONE, backend=backend.incarnation)
+        self._state.software_history.on_unlisted(backend.record.service, backend.record.software, now_s)
+        self._pool.close_idle(backend.record.address)
 
     def _entry_hold_ends_s(self) -> float:
         return self._state.store_era.observed_since_s + RESTORED_ENTRY_HOLD_S
@@ -122,7 +145,7 @@
                 Event.BACKEND_LISTED,
                 backend=incarnation,
                 service=record.service,
-                address=record.address,
+                address=str(record.address),
                 draining=record.draining,
                 versions=dict(record.versions),
                 software=record.software,
@@ -146,4 +169,9 @@
     logged = entries[:MAX_UNREADABLE_LOGGED]
     for number, (key, reason) in enumerate(logged, start=1):
         further_count = len(entries) - len(logged) if number == len(logged) else 0
-        emit(Event.BACKEND_ENTRY_UNREADABLE, backend=key, reason=reason[:MAX_REASON_CHARS], further=further_count)
+        emit(
+            Event.BACKEND_ENTRY_UNREADABLE,
+            backend=shown_key(key),
+            reason=reason[:MAX_REASON_CHARS],
+            further=further_count,
+        )
