--- a/src/wallwell/cluster/peer_link.py
+++ b/src/wallwell/cluster/peer_link.py
@@ -15,7 +15,10 @@
 
 import msgspec
 
+from wallwell.address import Address
 from wallwell.clock import boot_time_s, time_limit
+from wallwell.cluster.message_decoding import decode_message
+from wallwell.cluster.unexpected_errors import UnexpectedErrors
 from wallwell.errors import PeerUnavailableError
 from wallwell.events import Event, emit
 from wallwell.socket_options import accept_pending, enable_keepalive
@@ -71,7 +74,7 @@
 class PeerLink:
     """One connection to a peer, opened on the first request."""
 
-    def __init__(self, address: str, failure_log: PeerFailureLog | None = None) -> None:
+    def __init__(self, address: Address, failure_log: PeerFailureLog | None = None) -> None:
         self.address = address
         self._failure_log = failure_log or PeerFailureLog()
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
@@ -80,22 +83,21 @@
         """Return the peer's reply. Raises :class:`PeerUnavailableError` and closes the connection on failure."""
         try:
             line = await self._round_trip(msgspec.json.encode(request) + b"\n", timeout_s)
-            reply = msgspec.json.decode(line, type=reply_type)
-        except (OSError, TimeoutError, EOFError, ValueError, msgspec.MsgspecError) as error:
+            reply = decode_message(msgspec.json.Decoder(reply_type), line)
+        except (OSError, EOFError, asyncio.LimitOverrunError, ValueError, msgspec.MsgspecError) as error:
             self.close()
-            self._failure_log.on_failure(self.address, type(request).__name__, error)
+            self._failure_log.on_failure(str(self.address), type(request).__name__, error)
             raise PeerUnavailableError(f"{self.address}: {type(error).__name__}") from error
         except BaseException:
             self.close()
             raise
-        self._failure_log.on_answer(self.address)
+        self._failure_log.on_answer(str(self.address))
         return reply
 
     async def _round_trip(self, line: bytes, timeout_s: float) -> bytes:
         if self._streams is None:
-            host, _, port = self.address.rpartition(":")
             async with time_limit(CONNECT_TIMEOUT_S):
-                self._streams = await asyncio.open_connection(host, int(port), limit=MAX_LINE_BYTES)
+                self._streams = await _connect(self.address)
             enable_keepalive(self._streams[1].transport, UNACKNOWLEDGED_TIMEOUT_S)
         reader, writer = self._streams
         writer.write(line)
@@ -109,6 +111,10 @@
             self._streams = None
 
 
+async def _connect(address: Address) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    return await asyncio.open_connection(address.host, address.port, limit=MAX_LINE_BYTES)
+
+
 class PeerLinks:
     """Links to peers by name; :meth:`keep` closes the links that are no longer needed."""
 
@@ -120,7 +126,7 @@
     def __len__(self) -> int:
         return len(self._links)
 
-    def to(self, name: str, address: str) -> PeerLink:
+    def to(self, name: str, address: Address) -> PeerLink:
         """Return the link to a peer; replace it if the peer's address has changed."""
         link = self._links.get(name)
         if link is None or link.address != address:
@@ -185,6 +191,7 @@
         self._unlogged_refusals = 0
         """Requests refused since the last log line about refusals."""
         self._refusal_logged_s = float("-inf")
+        self._unexpected_errors = UnexpectedErrors("request of a peer")
         self.address = ""
 
     async def start(self, host: str, port: int) -> None:
@@ -226,21 +233,31 @@
         self, task: asyncio.Task[None], reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         while line := await reader.readline():
-            request = self._decoder.decode(line)
-            stream_handler = self._stream_handlers.get(type(request))
-            if stream_handler is not None:
-                self._begin_stream(task)
-                await stream_handler(request, ReplyStream(reader, writer))
-                break
-            reply = await self._handlers[type(request)](request)
-            writer.write(msgspec.json.encode(reply) + b"\n")
-            await writer.drain()
-            if self._closing is not None:
+            request = decode_message(self._decoder, line)
+            try:
+                may_follow = await self._handle(task, request, ReplyStream(reader, writer))
+            except (OSError, ValueError, KeyError):
+                raise
+            except Exception as error:
+                # A fault of this node: the connection ends, and the peer counts the request as failed.
+                self._unexpected_errors.record(type(request).__name__, error)
+                return
+            if not may_follow or self._closing is not None:
                 break
             self._new.discard(task)
         writer.close()
         await writer.wait_closed()  # Sends what is still buffered.
 
+    async def _handle(self, task: asyncio.Task[None], request: PeerMessage, replies: ReplyStream) -> bool:
+        """Answer one request; return whether another one may follow on its connection."""
+        stream_handler = self._stream_handlers.get(type(request))
+        if stream_handler is not None:
+            self._begin_stream(task)
+            await stream_handler(request, replies)
+            return False
+        await replies.send(await self._handlers[type(request)](request))
+        return True
+
     def _begin_stream(self, task: asyncio.Task[None]) -> None:
         self._connections.discard(task)
         self._new.discard(task)
--- a/src/wallwell/node/kv_store_watch.py
+++ b/src/wallwell/node/kv_store_watch.py
@@ -8,16 +8,18 @@
 
 import asyncio
 from collections import defaultdict
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 import msgspec
 
+from wallwell.address import Address, InvalidAddressError, parse_address
 from wallwell.clock import boot_time_s, ends_within
 from wallwell.cluster.peer_link import PeerLinks, PeerMessage
 from wallwell.cluster.upstream import UpstreamOrder
 from wallwell.errors import CacheEventsRefusedError, CacheStoreSilentError, PeerUnavailableError
 from wallwell.events import Event, emit
 from wallwell.node.state import NodeState
+from wallwell.number_ranges import HoldTime
 from wallwell.routing.selection.kv_store import CachePage, CachePosition, KvStoreContents
 
 EVENT_WAIT_S = 0.8
@@ -41,14 +43,14 @@
 class CacheEventSource(Protocol):
     """Reads the events and the full content of a KV store."""
 
-    async def events(self, address: str, position: CachePosition, wait_s: float) -> CachePage:
+    async def events(self, address: Address, position: CachePosition, wait_s: float) -> CachePage:
         """Return the changes after a position, waiting up to ``wait_s``; everything if the position is unknown.
 
         Raises :class:`CacheStoreSilentError` or :class:`CacheEventsRefusedError`.
         """
         ...
 
-    async def listing(self, address: str) -> CachePage:
+    async def listing(self, address: Address) -> CachePage:
         """Return the full content of the store. Raises the same errors as :meth:`events`."""
         ...
 
@@ -58,7 +60,7 @@
 
     address: str
     position: CachePosition
-    wait_s: float
+    wait_s: HoldTime
 
 
 class CacheReply(msgspec.Struct, frozen=True):
@@ -68,6 +70,14 @@
     reachable: bool = True
 
 
+class _Received(NamedTuple):
+    """A page of a store's contents as received, and whether its sender reaches the store."""
+
+    page: CachePage
+    is_reachable: bool = True
+    reason: str = ""
+
+
 class KvStoreWatch:
     """Keeps a copy of the content of each configured store and answers peers from it."""
 
@@ -75,12 +85,14 @@
         self._state = state
         self._source = source
         self._order = order
-        self._peer_links: defaultdict[str, PeerLinks] = defaultdict(PeerLinks)
+        self._peer_links: defaultdict[Address, PeerLinks] = defaultdict(PeerLinks)
         """By store address: a link carries one request at a time, and one task per store uses it."""
-        self._followers: dict[str, asyncio.Task[None]] = {}
-        self._listed_at_s: dict[str, float] = {}
-        self._refusing_stores: set[str] = set()
+        self._followers: dict[Address, asyncio.Task[None]] = {}
+        self._listed_at_s: dict[Address, float] = {}
+        self._refusing_stores: set[Address] = set()
         """Addresses of stores that refused the last call for events."""
+        self._failing_followers: set[Address] = set()
+        """Addresses of stores whose last page could not be read or applied because of an unexpected error."""
         self._page_applied = asyncio.Event()
 
     async def run(self) -> None:
@@ -96,7 +108,8 @@
 
     def _reconcile(self) -> None:
         config = self._state.config
-        configured = {each.kv_store_address for each in config.kv_stores} if config is not None else set()
+        stores = config.kv_stores if config is not None else ()
+        configured = {each.kv_store_address for each in stores if each.kv_store_address is not None}
         for address in self._followers.keys() - configured:
             self._followers.pop(address).cancel()
             self._state.kv_store_contents.pop(address, None)
@@ -106,31 +119,49 @@
                 self._state.kv_store_contents.setdefault(address, KvStoreContents())
                 self._followers[address] = asyncio.create_task(self._follow(address))
 
-    async def _follow(self, address: str) -> None:
+    async def _follow(self, address: Address) -> None:
         while True:
-            has_page = await self.read_once(address)
+            try:
+                has_page = await self.read_once(address)
+                self._failing_followers.discard(address)
+            except Exception as error:
+                has_page = False
+                self._on_unexpected_error(address, error)
             await asyncio.sleep(PAGE_PAUSE_S if has_page else RETRY_S * self._state.rng.uniform(*RETRY_JITTER))
 
-    async def read_once(self, address: str) -> bool:
+    def _on_unexpected_error(self, address: Address, error: Exception) -> None:
+        """Stop using a store that a fault of this node keeps it from following; logged once until it can be."""
+        self._state.kv_store_contents[address].reachable = False
+        if address not in self._failing_followers:
+            self._failing_followers.add(address)
+            reason = f"{type(error).__name__}: {error}"
+            emit(Event.INTERNAL_ERROR, error=reason, where="follower of a KV store", key=str(address))
+
+    async def read_once(self, address: Address) -> bool:
         """Fetch and apply one page of a store's events; returns False if neither a peer nor the store sent one."""
         contents = self._state.kv_store_contents[address]
-        page = None
+        received = None
         candidates = self._order.candidates(boot_time_s())
         if candidates:
-            page = await self._ask_peer(*candidates[0], address, contents)
-        if page is None:
-            page = await self._ask_store(address, contents)
-        if page is None:
+            received = await self._ask_peer(*candidates[0], address, contents)
+        if received is None:
+            received = await self._ask_store(address, contents)
+        if received is None:
             return False
-        contents.apply_page(page)
+        contents.apply_page(received.page)
+        if received.page.whole:
+            self._listed_at_s[address] = boot_time_s()
+        _set_reachable(contents, address, received.is_reachable, received.reason)
         self._page_applied.set()
         self._page_applied = asyncio.Event()
         return True
 
-    async def _ask_peer(self, peer: str, relay: str, address: str, contents: KvStoreContents) -> CachePage | None:
+    async def _ask_peer(
+        self, peer: str, relay: Address, address: Address, contents: KvStoreContents
+    ) -> _Received | None:
         needs_listing = contents.has_gaps and self._may_list(address)
         position = CachePosition() if needs_listing else contents.position
-        request = CacheRequest(address, position, EVENT_WAIT_S)
+        request = CacheRequest(str(address), position, EVENT_WAIT_S)
         links = self._peer_links[address]
         links.keep({peer})
         try:
@@ -138,12 +169,9 @@
         except PeerUnavailableError:
             # Not logged: the followers of the tables use the same peer; they log its loss and choose another.
             return None
-        if reply.page is not None:
-            self._record_listing(address, reply.page)
-            _set_reachable(contents, address, reply.reachable, reason=f"reported by {peer}")
-        return reply.page
+        return None if reply.page is None else _Received(reply.page, reply.reachable, f"reported by {peer}")
 
-    async def _ask_store(self, address: str, contents: KvStoreContents) -> CachePage | None:
+    async def _ask_store(self, address: Address, contents: KvStoreContents) -> _Received | None:
         try:
             if contents.has_gaps and self._may_list(address):
                 page = await self._source.listing(address)
@@ -156,23 +184,20 @@
             # Logged once until the store sends events again, since the call is repeated twice a second.
             if address not in self._refusing_stores:
                 self._refusing_stores.add(address)
-                emit(Event.CACHE_EVENTS_REFUSED, address=address, reason=error.detail)
+                emit(Event.CACHE_EVENTS_REFUSED, address=str(address), reason=error.detail)
             return None
         self._refusing_stores.discard(address)
-        self._record_listing(address, page)
-        _set_reachable(contents, address, reachable=True)
-        return page
-
-    def _record_listing(self, address: str, page: CachePage) -> None:
-        if page.whole:
-            self._listed_at_s[address] = boot_time_s()
+        return _Received(page)
 
-    def _may_list(self, address: str) -> bool:
+    def _may_list(self, address: Address) -> bool:
         return boot_time_s() - self._listed_at_s.get(address, float("-inf")) >= MIN_LISTING_INTERVAL_S
 
     async def answer_peer(self, request: CacheRequest) -> CacheReply:
         """Answer a peer from the copy as soon as there is a change, or after the wait that the peer asked for."""
-        contents = self._state.kv_store_contents.get(request.address)
+        try:
+            contents = self._state.kv_store_contents.get(parse_address(request.address))
+        except InvalidAddressError:
+            contents = None  # Builds that believed any text may ask for it; none of it is known here.
         if contents is None or not contents.has_been_read:
             return CacheReply()
         deadline_s = boot_time_s() + request.wait_s
@@ -186,10 +211,10 @@
             links.keep(set())
 
 
-def _set_reachable(contents: KvStoreContents, address: str, reachable: bool, reason: str = "") -> None:
+def _set_reachable(contents: KvStoreContents, address: Address, reachable: bool, reason: str = "") -> None:
     """Record whether a store answers, as seen here or reported by a peer; each change is logged once."""
     if contents.reachable and not reachable:
-        emit(Event.CACHE_STORE_LOST, address=address, reason=reason)
+        emit(Event.CACHE_STORE_LOST, address=str(address), reason=reason)
     elif reachable and not contents.reachable:
-        emit(Event.CACHE_STORE_REGAINED, address=address)
+        emit(Event.CACHE_STORE_REGAINED, address=str(address))
     contents.reachable = reachable
--- a/src/wallwell/platform/cache_events.py
+++ b/src/wallwell/platform/cache_events.py
@@ -11,12 +11,12 @@
 
 import msgspec
 
-from wallwell.address import parse_address
+from wallwell.address import Address
 from wallwell.backend_connection import ConnectionBrokenError
 from wallwell.errors import CacheEventsRefusedError, CacheStoreSilentError
 from wallwell.http_connection import ConnectFailedError, ConnectionPool
 from wallwell.platform import names
-from wallwell.routing.selection.kv_store import CacheEntry, CachePage, CachePosition
+from wallwell.routing.selection.kv_store import CacheEntry, CachePage, CachePosition, EventNumber, PartTokens
 
 ANSWER_MARGIN_S = 0.6
 """Seconds added to the requested wait before a long poll times out: covers connecting and a round trip to another
@@ -26,9 +26,9 @@
 
 Body = TypeVar("Body", bound=msgspec.Struct)
 
-EventFields = tuple[int, str, str, str, int, str]
+EventFields = tuple[EventNumber, str, str, str, PartTokens, str]
 """Event number, sign, cache scope, prompt part, tokens now cached, model."""
-ListedFields = tuple[str, str, int, str]
+ListedFields = tuple[str, str, PartTokens, str]
 """Cache scope, prompt part, cached tokens, model."""
 
 
@@ -37,7 +37,7 @@
 
     epoch: int
     """Changes with each start of the store."""
-    next_token: int
+    next_token: EventNumber
     """Position to send in the next call, not a number of tokens."""
     lost: bool
     """Whether the store no longer has all events after the requested position."""
@@ -49,7 +49,7 @@
 
     epoch: int
     """Changes with each start of the store."""
-    next_token: int
+    next_token: EventNumber
     """Position from which events continue this listing, not a number of tokens."""
     held: tuple[ListedFields, ...] = ()
 
@@ -60,7 +60,7 @@
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
 
-    async def events(self, address: str, position: CachePosition, wait_s: float) -> CachePage:
+    async def events(self, address: Address, position: CachePosition, wait_s: float) -> CachePage:
         """See :class:`wallwell.node.kv_store_watch.CacheEventSource`."""
         target = f"{names.CACHE_EVENTS_PATH}?since={position.number}"
         wait_line = f"{names.WAIT_MS}: {round(wait_s * 1000)}\r\n"
@@ -73,23 +73,23 @@
         )
         return CachePage(CachePosition(body.epoch, body.next_token), entries)
 
-    async def listing(self, address: str) -> CachePage:
+    async def listing(self, address: Address) -> CachePage:
         """See :class:`wallwell.node.kv_store_watch.CacheEventSource`."""
         body = await self._get(address, names.CACHE_LISTING_PATH, "", ListingBody, LISTING_TIMEOUT_S)
         entries = tuple(CacheEntry(body.next_token, scope, part, tokens) for scope, part, tokens, _ in body.held)
         return CachePage(CachePosition(body.epoch, body.next_token), entries, whole=True)
 
     async def _get(
-        self, address: str, target: str, header_lines: str, body_type: type[Body], timeout_s: float
+        self, address: Address, target: str, header_lines: str, body_type: type[Body], timeout_s: float
     ) -> Body:
         head = f"GET {target} HTTP/1.1\r\nHost: {address}\r\n{header_lines}Content-Length: 0\r\n\r\n"
         try:
-            status, data = await self._pool.fetch(parse_address(address), head.encode(), timeout_s)
+            status, data = await self._pool.fetch(address, head.encode(), timeout_s)
         except (ConnectFailedError, ConnectionBrokenError, TimeoutError) as error:
             raise CacheStoreSilentError(f"{address}: {type(error).__name__}") from error
         if status != HTTPStatus.OK:
             raise CacheEventsRefusedError(f"{address}: status {status}")
         try:
             return msgspec.json.decode(data, type=body_type)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise CacheEventsRefusedError(f"{address}: {error}") from error
--- a/src/wallwell/platform/store.py
+++ b/src/wallwell/platform/store.py
@@ -14,16 +14,17 @@
 from aiohttp.http_parser import RawResponseMessage
 
 from wallwell.address import Address
+from wallwell.answer_head import parse_header_number
 from wallwell.backend_connection import ConnectionBrokenError
 from wallwell.clock import boot_time_s
 from wallwell.deployment.store_era import UNKNOWN_ERA, StoreEra, StorePosition
 from wallwell.errors import HistoryLostError, PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
 from wallwell.http_connection import ConnectFailedError, ConnectionPool
+from wallwell.number_ranges import MAX_ERA
 from wallwell.platform import names
 from wallwell.platform.store_wire import (
     RowsAnswer,
-    StoreVersion,
     TransactBody,
     decode_answer,
     to_feed_row,
@@ -32,7 +33,6 @@
 )
 from wallwell.storage.feed import FeedPage, FeedRow
 from wallwell.storage.row_isolation import ReportedRows
-from wallwell.storage.row_values import decode_value
 from wallwell.storage.table import Row, Scan, Transaction
 
 CALL_TIMEOUT_S = 1.5
@@ -105,9 +105,8 @@
     def _observe_era(self, message: RawResponseMessage) -> int:
         """Record and return the era that an answer states. Logs an invalid value and returns the current era."""
         text = message.headers.get(names.STORE_ERA, str(UNKNOWN_ERA))
-        try:
-            era = decode_value(text, StoreVersion)
-        except msgspec.MsgspecError:
+        era = parse_header_number(text)
+        if era is None or era > MAX_ERA:
             if text != self._unreadable_era:  # Logged once, not for each call.
                 emit(Event.STORE_ERA_UNREADABLE, era=text[:MAX_LOGGED_CHARS])
             self._unreadable_era = text
--- a/src/wallwell/soak/fleet.py
+++ b/src/wallwell/soak/fleet.py
@@ -16,6 +16,7 @@
 
 import aiohttp
 
+from wallwell.address import parse_address
 from wallwell.background import BackgroundTasks
 from wallwell.cluster.peer_link import PeerLink, PeerMessage
 from wallwell.errors import SoakError
@@ -94,7 +95,7 @@
         starts. Raises :class:`SoakError`, and TimeoutError where routers are not ready in time.
         """
         await self._start_store()
-        self._proxy = PeerLink((await self.supervisor.start_own("proxy", "proxy")).control)
+        self._proxy = PeerLink(parse_address((await self.supervisor.start_own("proxy", "proxy")).control))
         await self._open_links()
         await asyncio.gather(*(self.start_worker(name) for name in self.schedule.shape.worker_names()))
         await self.put_configuration(1, FIRST_KEYS)
@@ -121,7 +122,7 @@
         announced = await self.supervisor.start_own("store", "store", settings)
         self._store_addresses = dict(zip(nodes, announced.addresses, strict=True))
         self._store_control = announced.control
-        self._store = PeerLink(announced.control)
+        self._store = PeerLink(parse_address(announced.control))
         self._store_lock = asyncio.Lock()
         self._proxy_lock = asyncio.Lock()
 
