--- a/tests/unit/soak/test_invariants.py
+++ b/tests/unit/soak/test_invariants.py
@@ -2,7 +2,16 @@
 
 import pytest
 
-from tests.unit.soak.records import answered, began, history, sent, silenced_stream
+from tests.unit.soak.records import (
+    answered,
+    asked,
+    began,
+    beside_odd_rows,
+    calls_at,
+    history,
+    sent,
+    silenced_stream,
+)
 from wallwell.soak.broken_answers import BROKEN_SEAL
 from wallwell.soak.history import (
     Answered,
@@ -180,6 +189,24 @@
     ]
 
 
+def answered_brokenly(exited_s=8.0, more=()):
+    """A safe call is sent in a silence of its worker by a node whose process ended and started again some time
+    before; the worker sends what is no answer to it once it goes on, and the call ends with 504."""
+    return [
+        Left(1.0, "of an earlier time"),
+        sent("of an earlier time", at_s=0.9),
+        NodeExited(exited_s, "node-0", -9, "SIGKILL"),
+        sent(kind=RequestKind.SAFE, at_s=11.36, deadline_s=1.7, node="node-0"),
+        FaultBegan(10.2, "silence_worker", "orders-0"),
+        FaultEnded(11.4, "silence_worker", "orders-0"),
+        began(worker="orders-0.1", at_s=11.401),
+        *more,
+        SentBroken(11.551, "r", "orders-0.1", 10),
+        Ended(11.552, "r", "orders-0.1", 500),
+        answered(status=504, worker="", at_s=11.555),
+    ]
+
+
 def backing_off(arrivals_s, more=(), status=503):
     """A worker asks a node at 10 s for a second without requests; some reach it so much later."""
     records = [sent("r0", at_s=9.99, node="node-0"), Arrived(10.0, "r0", "w.1", 503, backoff_s=1.0), *more]
@@ -321,12 +348,22 @@
         *silenced(status=504),
         SentBroken(11.2, "r", "orders-0.1", 4),
     ],
+    "a safe call to which its silent worker sends what is no answer, by a node that has just started": (
+        answered_brokenly()
+    ),
     "a stream outlasts a silence of its worker": silenced_stream(),
     "callers that left what runs at a worker that stands still": [
         *callers_left(ended_after_s=1.9),
         FaultBegan(2.4, "silence_worker", "w"),
         FaultEnded(3.8, "silence_worker", "w"),
     ],
+    "a router starts beside an odd row": beside_odd_rows(
+        sent(kind=RequestKind.SAFE), answered(status=503, worker="")
+    ),
+    "a router serves beside an odd row": beside_odd_rows(*asked([200] * 10, from_s=1.0 + RECOVERY_S)),
+    "workers of calls serve beside an odd row": beside_odd_rows(
+        *calls_at(["orders-0.1"] * 23 + ["orders-1.1"], from_s=5.0 + CONTACT_S)
+    ),
     "a call that ran where it was rejected before is answered": rejected_twice(status=200),
     "the same beside a fault": [*rejected_twice(status=504), FaultBegan(1.0, "kill_node", "node-1")],
     "one that ends at its deadline in a silence": [sent(at_s=7.3, deadline_s=4.0), *silenced(status=504)[1:]],
@@ -443,6 +480,18 @@
         "silence_cuts_nothing",
         [*silenced_stream(events=(1, 2)), SentBroken(11.2, "r", "engine-0.1", 4)],
     ),
+    "a safe call whose worker sent what is no answer, by a node that has its share of retries": (
+        "silence_cuts_nothing",
+        answered_brokenly(exited_s=1.4),
+    ),
+    "a safe call that another worker than the silent one answered brokenly": (
+        "silence_cuts_nothing",
+        answered_brokenly(more=[began(worker="orders-1.1", at_s=10.3), Ended(10.4, "r", "orders-1.1", 500)]),
+    ),
+    "a safe call that ended so though its worker sent no such thing": (
+        "silence_cuts_nothing",
+        [each for each in answered_brokenly() if not isinstance(each, SentBroken)],
+    ),
     "a stream is cut in a silence of its worker": ("silence_cuts_nothing", silenced_stream(events=(1, 2))),
     "a worker that wants nothing gets much": ("backoff_kept", backing_off([0.6, 0.7, 0.8])),
     "work for callers that left": ("left_is_cancelled", callers_left(ended_after_s=1.9)),
@@ -560,6 +609,22 @@
         [*crashing([1.0, 1.5, 2.0, 4.1, 4.2, 5.0, 5.1]), NodeExited(3.1, "127.1.0.1:1", -9, "SIGKILL")],
     ),
     "no recovery": ("recovers", recovery(served=2, of=10)),
+    "a router is not ready beside an odd row": (
+        "starts_beside_odd_rows",
+        beside_odd_rows(NodeExited(60.0, "node-0", 0, "SIGTERM"), ready_s=None),
+    ),
+    "a router refuses most requests beside an odd row": (
+        "nodes_serve_beside_odd_rows",
+        beside_odd_rows(*asked([200] * 2 + [503] * 8, from_s=1.0 + RECOVERY_S)),
+    ),
+    "a worker of calls gets none beside an odd row": (
+        "workers_serve_beside_odd_rows",
+        beside_odd_rows(*calls_at(["orders-0.1"] * 24, from_s=5.0 + CONTACT_S)),
+    ),
+    "a router answers with an internal error beside an odd row": (
+        "no_fault_beside_odd_rows",
+        beside_odd_rows(sent(kind=RequestKind.SAFE), answered(status=500, worker="")),
+    ),
     "a node that ends by itself": ("nodes_stay", [NodeExited(1.0, "n", 0, "")]),
     "a planned stop that fails": ("nodes_stay", [NodeExited(1.0, "n", 1, "SIGTERM")]),
     "a planned stop that a handler should have taken": ("nodes_stay", [NodeExited(1.0, "n", -15, "SIGTERM")]),
