A caller found gone before its answer leaves no traceback in the log

Now the rest of the connection is reset and nothing is raised; 3006 tells of the caller, as before. The test fails before with both event loops.

--- a/src/wallwell/platform/caller_listener.py
+++ b/src/wallwell/platform/caller_listener.py
@@ -136,7 +136,8 @@
             else:
                 await reply.refuse(InternalRequestError())
         if reply.response is None:
-            raise ConnectionResetError("no answer could be sent")
+            reply.abort()
+            return web.Response()  # Not sent: its caller has disconnected, and the connection has been ended.
         return reply.response
 
     async def _serve(self, request: web.BaseRequest, reply: HttpReply, arrived_s: float) -> None:
--- a/tests/platform/test_caller_gone.py
+++ b/tests/platform/test_caller_gone.py
@@ -5,10 +5,11 @@
 import asyncio
 import socket
 
+import aiohttp
 import pytest
 import uvloop
 
-from tests.platform.conftest import config, route
+from tests.platform.conftest import PlatformHarness, config, route
 from tests.unit.serving.fakes import event
 from wallwell.backend_connection import BackendConnection
 from wallwell.clock import boot_time_s
@@ -16,6 +17,7 @@
 from wallwell.platform import caller_listener
 from wallwell.routing.admission.stop_times import plan_stop
 from wallwell.serving import request_reports
+from wallwell.serving.messages import CallerGoneError
 
 GRACE_S = 8.0
 STOPS_WITHIN_S = 0.5
@@ -314,3 +316,22 @@
     assert event is Event.REQUEST_CUT_BY_STOP
     assert (fields["kind"], fields["cut"], fields["arrived_after_stop_ms"] <= 100) == ("call", False, True)
     assert counts == {"refused": 0, "cut_generations": 0, "cut_calls": 1}
+
+
+@pytest.mark.parametrize("loop", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uvloop"])
+def test_caller_found_gone_before_an_answer_leaves_no_text_in_the_log(loop, run_async, caplog, monkeypatch):
+    """A traceback of aiohttp's server stood between the events for each caller that had left before an answer."""
+
+    async def find_gone(request, reply):
+        raise CallerGoneError("scripted")
+
+    async def work():
+        harness = PlatformHarness()
+        await harness.start(SAFE)
+        monkeypatch.setattr(harness.node, "serve", find_gone)
+        with pytest.raises(aiohttp.ClientError):
+            await harness.call()
+        await harness.stop()
+
+    run_async(work(), loop)
+    assert caplog.records == []
