Standalone router: a message between nodes costs itself at most

What operators saw: one message that names a member or a region at an address that is none (a host name, a port beyond 65535, no contact at all), or has a status that is none, hashes that are none or a deeply nested value, ended the task that gossips. Nothing logged that. The node sent no probe any more, its peers took it for dead, and it took none for dead itself.

Cause: addresses in messages were believed and split at the socket; sending to one that is none raises ValueError, UnicodeError, or (asyncio's own loop) closes the socket. Numbers had no bound, and the codec let RecursionError pass.

Now: numbers and statuses are bounded by their types; what names an address that is none is left out of a message, logged once a change (new event 5030), and the rest of the message holds; a socket is only given parsed addresses. As a second net, an unexpected error in a message, a tick or an action is counted and logged (1006, at most once a second) and stops no other.

--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -120,6 +120,7 @@
     STREAMS_NOT_WRITTEN = (5026, "WARNING", "store did not accept versions or streams; retried, logged once")
     STREAM_RECORDS_UNREAD = (5027, "WARNING", "versions and streams in the store could not be read")
     PEER_PORTS_REFUSED = (5023, "INFO", "could not listen on some ports for peers; the next ones were tried")
+    ENTRY_UNREADABLE = (5030, "WARNING", "entry of a list or table cannot be read; it counts as absent")
 
     # 6001 and up: back ends, engines' caches, KV stores and zones.
     ENGINE_INCARNATION = (6001, "INFO", "engine has a new incarnation; its cache entries are dropped")
--- a/src/wallwell/standalone/cluster/codec.py
+++ b/src/wallwell/standalone/cluster/codec.py
@@ -16,6 +16,8 @@
 _MAC_HEX_CHARS = 2 * _MAC_BYTES
 _MAX_KEY_BYTES = hashlib.blake2b.MAX_KEY_SIZE
 """Maximum key length of BLAKE2b; a longer key is truncated."""
+_DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
+"""What msgspec raises for bytes that it cannot decode; the last one for values nested too deeply."""
 T = TypeVar("T")
 
 
@@ -46,12 +48,12 @@
         """Authenticate and decode a datagram. Raises :class:`ClusterMessageError` if either fails."""
         try:
             return self._decoder.decode(self._verified_payload(line))
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except _DECODE_ERRORS as error:
             raise ClusterMessageError(str(error)) from error
 
     def decode_as(self, line: bytes, target: type[T]) -> T:
         """Authenticate a line and decode it as ``target``. Raises :class:`ClusterMessageError` if either fails."""
         try:
             return msgspec.json.decode(self._verified_payload(line), type=target)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except _DECODE_ERRORS as error:
             raise ClusterMessageError(str(error)) from error
--- a/src/wallwell/standalone/cluster/messages.py
+++ b/src/wallwell/standalone/cluster/messages.py
@@ -6,11 +6,16 @@
 from __future__ import annotations
 
 import enum
+from typing import Annotated
 
 import msgspec
 
 MAX_DATAGRAM_BYTES = 1200
 """Maximum payload of a datagram: with headers under 1,280 bytes, which every IPv6 link carries unfragmented."""
+MAX_NUMBER = 2**62
+"""Largest number in a message: fits into 64 bits, and a node may add to it before it sends it on."""
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+"""A count, a version or a time in milliseconds. Python's integers have no bound, but other steps have one."""
 MAX_INTERACTIVE_RANK = 4
 """Least urgent rank (the largest number) that counts as interactive in published waiting times."""
 
@@ -24,6 +29,10 @@
     LEFT = 3
 
 
+StatusNumber = Annotated[int, msgspec.Meta(ge=int(min(MemberStatus)), le=int(max(MemberStatus)))]
+"""A :class:`MemberStatus` as it is sent."""
+
+
 class EngineRecord(msgspec.Struct, frozen=True, array_like=True):
     """A serving engine, published by the node that reads its events; ``weights``: ``(model, loaded version)``."""
 
@@ -42,8 +51,8 @@
     node: str
     address: str
     zone: str
-    incarnation: int
-    version: int
+    incarnation: Number
+    version: Number
     engines: tuple[EngineRecord, ...] = ()
     leaving: tuple[str, ...] = ()
 
@@ -56,21 +65,21 @@
     """
 
     node: str
-    incarnation: int
-    version: int
-    config_head: int
-    record_version: int = 0
-    waiting_ms: tuple[tuple[int, int], ...] = ()
+    incarnation: Number
+    version: Number
+    config_head: Number
+    record_version: Number = 0
+    waiting_ms: tuple[tuple[Number, Number], ...] = ()
 
 
 class DigestEntry(msgspec.Struct, frozen=True, array_like=True):
     """The status and versions of one member that the sender has."""
 
     node: str
-    incarnation: int
-    status: int
-    version: int
-    load_version: int
+    incarnation: Number
+    status: StatusNumber
+    version: Number
+    load_version: Number
 
 
 class Sync(msgspec.Struct, frozen=True, array_like=True, tag="s"):
@@ -79,10 +88,10 @@
     ``roster`` is a hash of the names of live members; nodes with equal hashes do not exchange member lists.
     """
 
-    sequence: int
+    sequence: Number
     region: str
     sender: str
-    config_head: int
+    config_head: Number
     roster: int
     digest: tuple[DigestEntry, ...]
 
@@ -90,9 +99,9 @@
 class SyncReply(msgspec.Struct, frozen=True, array_like=True, tag="r"):
     """Reply to :class:`Sync`, which also acknowledges the probe. A ``sequence`` of 0 acknowledges no probe."""
 
-    sequence: int
+    sequence: Number
     sender: str
-    config_head: int
+    config_head: Number
     entries: tuple[DigestEntry, ...] = ()
     records: tuple[MemberRecord, ...] = ()
     loads: tuple[LoadRecord, ...] = ()
@@ -102,34 +111,34 @@
 class IndirectProbe(msgspec.Struct, frozen=True, array_like=True, tag="i"):
     """Asks another member to probe ``address`` on the sender's behalf."""
 
-    sequence: int
+    sequence: Number
     address: str
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag="p"):
     """Probe without a digest."""
 
-    sequence: int
+    sequence: Number
 
 
 class Ack(msgspec.Struct, frozen=True, array_like=True, tag="a"):
     """Reply to :class:`Ping`; for an :class:`IndirectProbe` it is passed on to the member that asked."""
 
-    sequence: int
+    sequence: Number
 
 
 class ConfigHeadNotice(msgspec.Struct, frozen=True, array_like=True, tag="h"):
     """The sender's configuration advanced to revision ``config_head``."""
 
-    config_head: int
+    config_head: Number
 
 
 class RegionSummary(msgspec.Struct, frozen=True, array_like=True):
     """Summary of one region for other regions; of two with the same region the higher ``stamp_ms`` is newer."""
 
     region: str
-    stamp_ms: int
-    config_head: int
+    stamp_ms: Number
+    config_head: Number
     contacts: tuple[str, ...]
 
 
@@ -143,21 +152,21 @@
 class Lookup(msgspec.Struct, frozen=True, array_like=True, tag="l"):
     """Asks a shard's owner which engines hold the checkpoints packed in ``hashes``."""
 
-    sequence: int
+    sequence: Number
     hashes: str
 
 
 class LookupReply(msgspec.Struct, frozen=True, array_like=True, tag="k"):
     """Engines that hold a prefix of the chain: ``(engine, incarnation, number of leading checkpoints held)``."""
 
-    sequence: int
-    holders: tuple[tuple[str, str, int], ...]
+    sequence: Number
+    holders: tuple[tuple[str, str, Number], ...]
 
 
 class DispatchReport(msgspec.Struct, frozen=True, array_like=True, tag="d"):
     """The sender dispatched the chain of its lookup ``sequence`` to an engine, which will soon hold the chain."""
 
-    sequence: int
+    sequence: Number
     engine: str
     incarnation: str
 
@@ -174,17 +183,17 @@
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag="t"):
     """Asks a peer for ``amount`` tokens of a tenant's rate limit."""
 
-    sequence: int
+    sequence: Number
     tenant: str
-    amount: float
+    amount: Annotated[float, msgspec.Meta(ge=0)]
 
 
 class TokenGrant(msgspec.Struct, frozen=True, array_like=True, tag="g"):
     """Tokens that the sender removed from its bucket for the receiver."""
 
-    sequence: int
+    sequence: Number
     tenant: str
-    amount: float
+    amount: Annotated[float, msgspec.Meta(ge=0)]
 
 
 class CrashNotice(msgspec.Struct, frozen=True, array_like=True, tag="c"):
--- a/src/wallwell/standalone/cluster/regions.py
+++ b/src/wallwell/standalone/cluster/regions.py
@@ -69,6 +69,8 @@
         """Merge summaries; fetch the configuration if another region has a higher revision."""
         actions: list[Action] = []
         for summary in message.summaries:
+            if not summary.contacts:
+                continue  # Nothing could be sent to that region, nor would a newer summary come from it.
             stored = self.summaries.get(summary.region)
             if summary.region != self.region and (stored is None or summary.stamp_ms > stored.stamp_ms):
                 self.summaries[summary.region] = summary
--- a/src/wallwell/standalone/cluster/shards.py
+++ b/src/wallwell/standalone/cluster/shards.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 
+from wallwell.errors import ClusterMessageError
 from wallwell.routing.rendezvous import owner
 from wallwell.standalone.backends.engine_protocol import CacheLine, pack_hashes, unpack_hashes
 from wallwell.standalone.cluster.messages import BlockReport, DispatchReport, Lookup, LookupReply
@@ -45,16 +46,23 @@
         self._recent_lookups: OrderedDict[tuple[str, int], list[int]] = OrderedDict()
 
     def on_block_report(self, report: BlockReport) -> None:
-        """Record the stored and removed checkpoints that an engine's reader reports."""
+        """Record the stored and removed checkpoints that an engine's reader reports.
+
+        Raises :class:`ClusterMessageError` if the hashes cannot be read.
+        """
         holder = EngineIncarnation(report.engine, report.incarnation)
-        if report.stored:
-            self.directory.add(holder, unpack_hashes(report.stored), self._rng)
-        if report.removed:
-            self.directory.remove(holder, unpack_hashes(report.removed))
+        stored, removed = _unpack_received(report.stored), _unpack_received(report.removed)
+        if stored:
+            self.directory.add(holder, stored, self._rng)
+        if removed:
+            self.directory.remove(holder, removed)
 
     def on_lookup(self, message: Lookup, sender: str) -> LookupReply:
-        """Return the holders of leading checkpoints; keep the hashes for the dispatch report that may follow."""
-        hashes = unpack_hashes(message.hashes)
+        """Return the holders of leading checkpoints; keep the hashes for the dispatch report that may follow.
+
+        Raises :class:`ClusterMessageError` if the hashes cannot be read.
+        """
+        hashes = _unpack_received(message.hashes)
         self._recent_lookups[(sender, message.sequence)] = hashes
         if len(self._recent_lookups) > MAX_RECENT_LOOKUPS:
             self._recent_lookups.popitem(last=False)
@@ -69,6 +77,14 @@
             self.directory.add(EngineIncarnation(message.engine, message.incarnation), hashes, self._rng)
 
 
+def _unpack_received(text: str) -> list[int]:
+    """Return the hashes that a peer has packed. Raises :class:`ClusterMessageError`."""
+    try:
+        return unpack_hashes(text)
+    except ValueError as error:
+        raise ClusterMessageError(f"unreadable hashes: {error}") from error
+
+
 def lookup_hashes(chain: Sequence[int]) -> list[int]:
     """Return the hashes of a chain's leading checkpoints, as many as a lookup carries."""
     return [chain[depth] for depth in checkpoint_depths(len(chain))][:MAX_LOOKUP_HASHES]
--- a/src/wallwell/standalone/cluster/transport.py
+++ b/src/wallwell/standalone/cluster/transport.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from wallwell.address import InvalidAddressError, parse_address
 from wallwell.background import BackgroundTasks
 from wallwell.clock import boot_time_s, time_limit
 from wallwell.errors import AddressInUseError, ClusterMessageError, PeerUnavailableError
@@ -20,11 +21,13 @@
 from wallwell.standalone.cluster.codec import LineCodec
 from wallwell.standalone.cluster.messages import Action, FetchConfig, Lookup, Send
 from wallwell.standalone.cluster.node import ClusterNode
+from wallwell.standalone.cluster.peer_addresses import PeerAddresses
 from wallwell.standalone.cluster.shards import blocks_of_checkpoints, lookup_hashes
 from wallwell.standalone.config.store import ConfigDelta
 from wallwell.standalone.routing.directory import EngineIncarnation, HeldPrefix
 from wallwell.standalone.routing.token_bucket import TokenBucket
 from wallwell.standalone.settings import Listener
+from wallwell.standalone.unreadable import UnreadableEntries, shown_key
 
 TICK_INTERVAL_S = 0.1
 """Seconds between two ticks of the cluster node: the resolution of its timers."""
@@ -38,6 +41,8 @@
 """Maximum deltas sent at a time, so that nodes starting together do not take processor time from requests."""
 SEND_BUDGET_BURST_S = 2.0
 """Burst of the send budget, in seconds of its rate."""
+FAULT_LOG_INTERVAL_S = 1.0
+"""Least seconds between two log lines on unexpected errors in messages and ticks, which each of them may meet."""
 
 
 class ConfigDeltaRequest(msgspec.Struct, frozen=True):
@@ -70,6 +75,8 @@
         self.sent_messages = 0
         self.received_messages = 0
         self.dropped_messages = 0
+        self.failed_steps = 0
+        """Messages, ticks and actions that ended with an unexpected error."""
 
 
 class ClusterTransport:
@@ -85,6 +92,9 @@
         self._tasks = BackgroundTasks()
         self._lookup_waiters: dict[int, asyncio.Future[None]] = {}
         self._fetching: set[str] = set()
+        self._peer_addresses = PeerAddresses()
+        self._unusable_targets = UnreadableEntries("addresses of peers")
+        self._fault_logged_s = float("-inf")
         self._config_reply_slots = asyncio.Semaphore(MAX_CONCURRENT_CONFIG_REPLIES)
         self.traffic = TrafficCounter()
         self.address = ""
@@ -100,7 +110,7 @@
             transport, _ = await loop.create_datagram_endpoint(
                 lambda: _DatagramProtocol(self._on_datagram), local_addr=(host, port)
             )
-        except OSError as error:
+        except (OSError, ValueError) as error:  # ValueError: a host name that cannot be encoded.
             raise AddressInUseError(f"{host}:{self._listener.port}: {error}") from error
         self._datagrams = transport
         self.address = f"{host}:{port}"
@@ -122,9 +132,21 @@
 
     async def _tick_forever(self, node: ClusterNode) -> None:
         while True:
-            self.perform(node.tick(boot_time_s(), int(time.time() * 1000)))
+            try:
+                self.perform(node.tick(boot_time_s(), int(time.time() * 1000)))
+            except Exception as error:  # Without ticks this node would lose its peers, and they this node.
+                self._on_fault("cluster tick", "", error)
             await asyncio.sleep(TICK_INTERVAL_S)
 
+    def _on_fault(self, where: str, key: str, error: Exception) -> None:
+        """Count an unexpected error in one step, and log it if none was logged just before."""
+        self.traffic.failed_steps += 1
+        now_s = boot_time_s()
+        if now_s - self._fault_logged_s < FAULT_LOG_INTERVAL_S:
+            return
+        self._fault_logged_s = now_s
+        emit(Event.INTERNAL_ERROR, where=where, key=shown_key(key), reason=repr(error))
+
     # --- datagrams -------------------------------------------------------------------------------------
 
     def _on_datagram(self, data: bytes, sender: str) -> None:
@@ -133,12 +155,15 @@
         self.traffic.received_bytes += len(data)
         self.traffic.received_messages += 1
         try:
-            message = self._codec.decode(data)
+            message = self._peer_addresses.check(self._codec.decode(data))
+            actions = self.node.handle(message, sender, boot_time_s())
         except ClusterMessageError as error:
             emit(Event.CLUSTER_MESSAGE_REFUSED, sender=sender, code=error.code)
-            return
-        self.perform(self.node.handle(message, sender, boot_time_s()))
-        self._wake_lookups()
+        except Exception as error:  # A fault of ours; messages of others must not be lost with this one.
+            self._on_fault("cluster message", sender, error)
+        else:
+            self.perform(actions)
+            self._wake_lookups()
 
     def _wake_lookups(self) -> None:
         assert self.node is not None
@@ -147,24 +172,35 @@
                 waiter.set_result(None)
 
     def perform(self, actions: Sequence[Action]) -> None:
-        """Carry out actions that the node returned."""
+        """Carry out actions that the node returned; one that fails is logged and does not keep others back."""
         for action in actions:
-            if isinstance(action, Send):
-                self._send(action)
-            else:
-                self._start_fetch(action)
+            try:
+                self._perform_one(action)
+            except Exception as error:
+                self._on_fault("cluster action", action.address, error)
+
+    def _perform_one(self, action: Action) -> None:
+        if isinstance(action, Send):
+            self._send(action)
+        else:
+            self._start_fetch(action)
 
     def _send(self, action: Send) -> None:
         if self._datagrams is None or self._datagrams.is_closing() or not action.address:
             return
+        try:
+            target = parse_address(action.address)
+        except InvalidAddressError as error:
+            self.traffic.dropped_messages += 1
+            self._unusable_targets.report(action.address, error)
+            return
         data = self._codec.encode(action.message)
         if not self._budget.try_spend(boot_time_s(), len(data)):
             self.traffic.dropped_messages += 1  # Like a lost datagram: the protocol resends what matters.
             return
-        host, _, port = action.address.rpartition(":")
         self.traffic.sent_bytes += len(data)
         self.traffic.sent_messages += 1
-        self._datagrams.sendto(data, (host, int(port)))
+        self._datagrams.sendto(data, (target.host, target.port))
 
     async def lookup(self, chain: Sequence[int]) -> LookupResult:
         """Look up the holders of a chain at its shard owner; return none if the owner does not reply in time."""
@@ -225,12 +261,15 @@
 
     async def fetch_config(self, address: str, after: int) -> ConfigDelta:
         """Fetch the changes after revision ``after`` from a peer. Raises :class:`PeerUnavailableError`."""
-        host, _, port = address.rpartition(":")
+        try:
+            peer = parse_address(address)
+        except InvalidAddressError as error:
+            raise PeerUnavailableError(str(error)) from error
         request = self._codec.encode(ConfigDeltaRequest(after))
         writer: asyncio.StreamWriter | None = None
         try:
             async with time_limit(CONFIG_FETCH_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(host, int(port), limit=MAX_LINE_BYTES)
+                reader, writer = await asyncio.open_connection(peer.host, peer.port, limit=MAX_LINE_BYTES)
                 writer.write(request)
                 line = await reader.readline()
             delta = self._codec.decode_as(line, ConfigDelta)
--- /dev/null
+++ b/src/wallwell/standalone/unreadable.py
@@ -0,0 +1,58 @@
+"""Tells operators of entries that cannot be read: once a change, not each time that the same entry is met again.
+
+An entry is one of many independent inputs: a row of the table, a machine of the list, a member that gossip names.
+One that cannot be read counts as absent, and the others hold.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Mapping
+
+from wallwell.events import Event, emit
+
+MAX_SHOWN_CHARS = 80
+"""Characters of a key that are logged: keys are another writer's and may be of any length."""
+MAX_REMEMBERED = 1024
+"""Entries of which it is remembered that they were logged; beyond that the oldest may be logged again."""
+
+
+class UnreadableEntries:
+    """The unreadable entries of one source, as far as they have been logged."""
+
+    def __init__(self, source: str) -> None:
+        """``source`` names in log lines where the entries come from."""
+        self._source = source
+        self._logged: OrderedDict[str, str] = OrderedDict()
+        """By key, the error that was logged last."""
+
+    def __len__(self) -> int:
+        return len(self._logged)
+
+    def report(self, key: str, error: Exception) -> None:
+        """Log an entry that cannot be read, unless the same was logged of it before."""
+        shown = shown_key(key)
+        reason = f"{type(error).__name__}: {error}"
+        if self._logged.get(shown) == reason:
+            return
+        self._logged[shown] = reason
+        if len(self._logged) > MAX_REMEMBERED:
+            self._logged.popitem(last=False)
+        emit(Event.ENTRY_UNREADABLE, source=self._source, key=shown, error=reason)
+
+    def forget(self, key: str) -> None:
+        """Note that an entry is readable or gone, so that it is logged if it becomes unreadable again."""
+        self._logged.pop(shown_key(key), None)
+
+    def replace(self, found: Mapping[str, Exception]) -> None:
+        """Report all unreadable entries of a list that was read as a whole, and forget those no longer in it."""
+        shown = {shown_key(key) for key in found}
+        for gone in [key for key in self._logged if key not in shown]:
+            del self._logged[gone]
+        for key, error in found.items():
+            self.report(key, error)
+
+
+def shown_key(key: str) -> str:
+    """Return the beginning of a key with escapes for all but printable ASCII."""
+    return ascii(key[:MAX_SHOWN_CHARS])[1:-1]
