Standalone router: a row of the configuration that cannot be read costs its file alone

What operators saw: one row of the configuration's table that another writer had changed, or a file that had been accepted with an infinite number (stored as null), ended each read of the table. Nodes in service got no change any more; a node that started was never ready and logged an unexpected error each second. Back ends at impossible addresses (port 99999, 999.999.999.999) were in use.

Cause: rows were decoded in one loop whose errors nobody expected; the content of files was decoded with other bounds than those that operators' files are checked with; a pattern let text through that is no address.

A back end at what is no address is left out of its file alone. An unreadable head row is made up for by the highest revision of a file, and the next change mends it. References that are broken already (by a file that cannot be read) no longer keep changes to other files back. Whole numbers in files are bounded.

--- a/src/wallwell/standalone/config/commit.py
+++ b/src/wallwell/standalone/config/commit.py
@@ -27,21 +27,24 @@
 from wallwell.events import Event, emit
 from wallwell.standalone.config.parse import (
     ConfigFile,
-    check_references,
+    change_problems,
     parse_file,
     removal_problems,
     settings_without_effect,
 )
 from wallwell.standalone.config.schema import FileKey
-from wallwell.standalone.config.store import ConfigDelta, ConfigStore, FileRevision
+from wallwell.standalone.config.store import ConfigDelta, ConfigStore, FileRevision, Revision
 from wallwell.standalone.typed import Problem
-from wallwell.storage.table import Condition, Put, Scan, TableService, Transaction
+from wallwell.standalone.unreadable import UnreadableEntries
+from wallwell.storage.table import Condition, Put, Row, Scan, TableService, Transaction
 
 CONFIG_PREFIX = "config/"
 HEAD_KEY = "config/head"
 FILE_PREFIX = "config/file/"
 APPLY_PREFIX = "apply/"
 TEXT_PREFIX = "config-text/"
+_DECODE_ERRORS = (msgspec.DecodeError, UnicodeError, RecursionError)
+"""What msgspec raises for text that it cannot decode; the last one for values nested too deeply."""
 _MAX_TRIES = 6
 """Limit of tries to commit one change; a conflict with another change or a lost response uses up one try."""
 
@@ -49,7 +52,7 @@
 class HeadBody(msgspec.Struct, frozen=True):
     """Contents of the row that holds the latest revision of the configuration."""
 
-    revision: int
+    revision: Revision
 
 
 class ApplyRequest(msgspec.Struct, frozen=True):
@@ -100,6 +103,7 @@
         self._scanned_version = 0
         self._scanned_head = 0
         self._head_version = 0
+        self._unreadable = UnreadableEntries("table of the configuration")
 
     async def refresh(self) -> bool:
         """Apply the rows changed in the table since the last read; returns whether this node's revision rose.
@@ -113,20 +117,40 @@
         return applied
 
     def _read_delta(self, scan: Scan) -> ConfigDelta | None:
-        files = []
-        head = None
+        """Return the changes in the rows of a scan; None if it holds no head row.
+
+        A row that cannot be read costs its own file alone. Each commit writes the head's revision into one file
+        too, so an unreadable head row is made up for by the highest revision of a file.
+        """
+        files: list[FileRevision] = []
+        head_row: Row | None = None
         for row in scan.rows:
             if row.key == HEAD_KEY:
-                head = msgspec.json.decode(row.value, type=HeadBody).revision
-                self._head_version = row.version
+                head_row = row
+                continue
+            try:
+                files.append(_decode_file_row(row))
+            except UnreadableRowError as error:
+                self._unreadable.report(row.key, error)
             else:
-                files.append(msgspec.json.decode(row.value, type=FileRevision))
-        if head is None:
+                self._unreadable.forget(row.key)
+        if head_row is None:
             return None
+        head = self._read_head(head_row, files)
+        self._head_version = head_row.version
         delta = ConfigDelta(self._scanned_head, head, tuple(files))
         self._scanned_head = head
         return delta
 
+    def _read_head(self, row: Row, files: list[FileRevision]) -> int:
+        try:
+            head = msgspec.json.decode(row.value, type=HeadBody).revision
+        except _DECODE_ERRORS as error:
+            self._unreadable.report(row.key, error)
+            return max((each.revision for each in files), default=self._scanned_head)
+        self._unreadable.forget(row.key)
+        return head
+
     async def apply(self, request: ApplyRequest) -> ApplyAnswer:
         """Check and commit one change.
 
@@ -134,7 +158,7 @@
         to remove) or :class:`ConfigUnavailableError` (the table service confirmed none of the tries).
         """
         file = _parse_or_raise(request) if request.body else None
-        key = file.key if file is not None else FileKey.parse(request.key)
+        key = file.key if file is not None else _parse_key_or_raise(request.key)
         change = _Change(request, key, file, request.base_revision)
         for _ in range(_MAX_TRIES):
             try:
@@ -171,7 +195,11 @@
         if row is None:
             return None
         await self.refresh()
-        return ApplyAnswer(str(key), int(row.value), changed=True)
+        try:
+            return ApplyAnswer(str(key), int(row.value), changed=True)
+        except ValueError as error:
+            message = f"{key}: the row of this change cannot be read; apply the file again as another change"
+            raise ConfigUnavailableError(message) from error
 
     def _check(self, key: FileKey, file: ConfigFile | None) -> None:
         if file is None:
@@ -179,8 +207,7 @@
                 raise ConfigNotFoundError(str(key))
             problems = removal_problems(key, self._store.files)
         else:
-            merged = {**self._store.files, key: file}
-            problems = check_references(merged)
+            problems = change_problems(file, self._store.files)
         if problems:
             raise ConfigInvalidError(_format_problems(str(key), problems))
 
@@ -211,6 +238,28 @@
         return ApplyAnswer(str(key), revision, changed=True)
 
 
+class UnreadableRowError(ValueError):
+    """A row of the table holds no revision of the file that its key names."""
+
+
+def _decode_file_row(row: Row) -> FileRevision:
+    """Return the revision in a row. Raises :class:`UnreadableRowError`."""
+    try:
+        entry = msgspec.json.decode(row.value, type=FileRevision)
+    except _DECODE_ERRORS as error:
+        raise UnreadableRowError(str(error)) from error
+    if row.key != FILE_PREFIX + str(entry.key):
+        raise UnreadableRowError(f"the row holds another file: {entry.key}")
+    return entry
+
+
+def _parse_key_or_raise(text: str) -> FileKey:
+    try:
+        return FileKey.parse(text)
+    except ValueError as error:
+        raise ConfigNotFoundError(text) from error
+
+
 def _parse_or_raise(request: ApplyRequest) -> ConfigFile:
     file, problems = parse_file(request.body)
     if file is None:
--- a/src/wallwell/standalone/config/parse.py
+++ b/src/wallwell/standalone/config/parse.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from wallwell.address import InvalidAddressError, parse_address
 from wallwell.errors import DocumentSyntaxError
 from wallwell.standalone.config.schema import (
     SETTINGS_WITHOUT_EFFECT,
@@ -27,6 +28,7 @@
 from wallwell.standalone.typed import (
     DUPLICATE,
     MISSING_KEY,
+    OUT_OF_RANGE,
     REFERENCE,
     SYNTAX,
     UNKNOWN_KEY,
@@ -73,7 +75,20 @@
     spec = convert_all(value.get("spec"), SPEC_TYPES[key.kind], problems, ("spec",))
     if spec is None or problems.problems:
         return None, problems.problems
-    return ConfigFile(key, spec, body, lines), []  # type: ignore[arg-type]
+    file = ConfigFile(key, spec, body, lines)  # type: ignore[arg-type]
+    _check_addresses(file, problems)
+    if problems.problems:
+        return None, problems.problems
+    return file, []
+
+
+def _check_addresses(file: ConfigFile, problems: ProblemList) -> None:
+    """Add each back end whose address a process cannot have, which the schema's pattern alone would allow."""
+    for path, _, address in _backend_entries(file):
+        try:
+            parse_address(address)
+        except InvalidAddressError as error:
+            problems.add(OUT_OF_RANGE, (*path, "address"), str(error))
 
 
 def settings_without_effect(file: ConfigFile) -> list[str]:
@@ -115,9 +130,30 @@
 
 
 def removal_problems(key: FileKey, files: Mapping[FileKey, ConfigFile]) -> list[Problem]:
-    """Return the problems that the other files would have if the file ``key`` were removed."""
+    """Return the problems that the other files would have only if the file ``key`` were removed."""
     remaining = {other: file for other, file in files.items() if other != key}
-    return check_references(remaining)
+    return _without_earlier(check_references(remaining), files, remaining)
+
+
+def change_problems(file: ConfigFile, files: Mapping[FileKey, ConfigFile]) -> list[Problem]:
+    """Return all problems of a new version of a file, and those that the other files would have only with it."""
+    merged = {**files, file.key: file}
+    others = [key for key in merged if key != file.key]
+    problems = check_references(merged, only=[file.key])
+    return problems + _without_earlier(check_references(merged, only=others), files, others)
+
+
+def _without_earlier(
+    problems: list[Problem], files: Mapping[FileKey, ConfigFile], others: Iterable[FileKey]
+) -> list[Problem]:
+    """Return the problems that ``others`` do not have among ``files`` already.
+
+    They have some while a row of the table cannot be read, which must not keep back the changes to other files.
+    """
+    if not problems:
+        return []
+    earlier = set(check_references(files, only=others))
+    return [problem for problem in problems if problem not in earlier]
 
 
 def _backend_entries(file: ConfigFile) -> list[tuple[Path, str, str]]:
--- a/src/wallwell/standalone/config/schema.py
+++ b/src/wallwell/standalone/config/schema.py
@@ -13,7 +13,9 @@
 Address = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 Sha256Hex = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
-PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
+MAX_NUMBER = 2**53
+"""Largest whole number in a file: any number up to it is a float too, and times in milliseconds are far below."""
+PositiveInt = Annotated[int, msgspec.Meta(gt=0, le=MAX_NUMBER)]
 PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
 Weight = Annotated[float, msgspec.Meta(ge=0, le=100)]
 
--- a/src/wallwell/standalone/config/store.py
+++ b/src/wallwell/standalone/config/store.py
@@ -11,13 +11,39 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import cast
+from typing import Annotated, cast
 
 import msgspec
 
+from wallwell.address import InvalidAddressError, parse_address
 from wallwell.standalone.config.compiled import CompiledConfig, compile_config
 from wallwell.standalone.config.parse import ConfigFile
-from wallwell.standalone.config.schema import SPEC_TYPES, FileKey, Kind, Spec
+from wallwell.standalone.config.schema import (
+    MAX_NUMBER,
+    SPEC_TYPES,
+    EnginePoolSpec,
+    EngineSpec,
+    FileKey,
+    Kind,
+    ServiceInstance,
+    ServiceSpec,
+    Spec,
+)
+from wallwell.standalone.unreadable import UnreadableEntries
+
+Revision = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
+
+class UnreadableSpecError(ValueError):
+    """The stored content of a file cannot be decoded as its kind."""
+
+
+def decode_spec(kind: Kind, text: str) -> Spec:
+    """Return the checked content of a file from its stored form. Raises :class:`UnreadableSpecError`."""
+    try:
+        return cast("Spec", msgspec.json.decode(text, type=SPEC_TYPES[kind]))
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        raise UnreadableSpecError(str(error)) from error
 
 
 class FileRevision(msgspec.Struct, frozen=True):
@@ -28,7 +54,7 @@
     """
 
     key: FileKey
-    revision: int
+    revision: Revision
     digest: str
     spec: str
     operator: str = ""
@@ -38,8 +64,8 @@
 class ConfigDelta(msgspec.Struct, frozen=True):
     """The files whose latest revision lies in ``(after, head]``, including removed files."""
 
-    after: int
-    head: int
+    after: Revision
+    head: Revision
     files: tuple[FileRevision, ...]
 
 
@@ -51,6 +77,7 @@
         self._revisions: dict[FileKey, FileRevision] = {}
         self._parsed: dict[FileKey, ConfigFile] = {}
         self.compiled: CompiledConfig = compile_config({}, 0)
+        self._unreadable = UnreadableEntries("configuration")
 
     def delta_after(self, after: int) -> ConfigDelta:
         """Return the delta that brings a node at revision ``after`` to this node's head."""
@@ -74,9 +101,36 @@
     def _store_revision(self, entry: FileRevision) -> None:
         self._revisions[entry.key] = entry
         self._parsed.pop(entry.key, None)
-        if entry.spec:
-            spec = msgspec.json.decode(entry.spec, type=SPEC_TYPES[entry.key.kind])
-            self._parsed[entry.key] = ConfigFile(entry.key, cast("Spec", spec), body="", lines={})
+        if not entry.spec:
+            self._unreadable.forget(str(entry.key))
+            return
+        try:
+            spec = decode_spec(entry.key.kind, entry.spec)
+        except UnreadableSpecError as error:
+            # This file alone is not in force, as if it had been removed; the other files of the delta are.
+            self._unreadable.report(str(entry.key), error)
+            return
+        self._unreadable.forget(str(entry.key))
+        self._parsed[entry.key] = ConfigFile(entry.key, self._with_usable_addresses(entry.key, spec), "", {})
+
+    def _with_usable_addresses(self, key: FileKey, spec: Spec) -> Spec:
+        """Return a spec without the back ends to which nothing can connect."""
+        if isinstance(spec, EnginePoolSpec):
+            engines = tuple(each for each in spec.engines if self._is_usable(key, each))
+            return msgspec.structs.replace(spec, engines=engines)
+        if isinstance(spec, ServiceSpec):
+            instances = tuple(each for each in spec.instances if self._is_usable(key, each))
+            return msgspec.structs.replace(spec, instances=instances)
+        return spec
+
+    def _is_usable(self, key: FileKey, backend: EngineSpec | ServiceInstance) -> bool:
+        try:
+            parse_address(backend.address)
+        except InvalidAddressError as error:
+            self._unreadable.report(f"{key} {backend.name}", error)
+            return False
+        self._unreadable.forget(f"{key} {backend.name}")
+        return True
 
     def revision_of(self, key: FileKey) -> FileRevision | None:
         """Return the latest revision of the file ``key``, also if that is its removal; None if never accepted."""
