Standalone router: whatever is wrong in a file is listed, and costs no process

A seed such as 999.999.999.999:99999, a cluster host to which no peer can send and a table service at what is no URL were accepted; the node then started and was never ready. In operators' files the same values were answered with 500. A file of nine short lines, aliases of aliases, took the memory of the process (MemoryError after 36 s under a limit of 4 GB). Infinity was accepted and stored as null, which no node could read.

Cause: PyYAML raises any error of Python's for values that their tag or form does not allow; only its own were expected. Lines were noted for each place that an alias stands for.

Now the loader turns each such error into its own, notes what an alias repeats once, and numbers must be finite. Addresses are checked by parse_address, and URLs of the platform once nothing else is wrong.

--- a/src/wallwell/cli/config_commands.py
+++ b/src/wallwell/cli/config_commands.py
@@ -77,7 +77,12 @@
     sources: dict[FileKey, Path] = {}
     messages: list[str] = []
     for config_path in _config_paths(path):
-        file, problems = parse_file(config_path.read_text(encoding="utf-8"))
+        try:
+            text = config_path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            messages.append(f"{config_path}: cannot be read: {error}")
+            continue
+        file, problems = parse_file(text)
         messages.extend(f"{config_path}: {problem}" for problem in problems)
         if file is None:
             continue
--- a/src/wallwell/standalone/settings.py
+++ b/src/wallwell/standalone/settings.py
@@ -6,20 +6,24 @@
 
 from __future__ import annotations
 
-import re
 from pathlib import Path
 from typing import Annotated, Any
+from urllib.parse import urlsplit
 
 import msgspec
 
+from wallwell.address import MAX_PORT, InvalidAddressError, parse_address
 from wallwell.errors import DocumentSyntaxError, SettingsError
+from wallwell.standalone.routing.policy import POLICIES
 from wallwell.standalone.typed import OUT_OF_RANGE, ProblemList, convert_all, load_yaml
 
 MIN_KEY_CHARACTERS = 16
 """Shortest cluster key and operators' token: they authenticate nodes and operators."""
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 PositiveSeconds = Annotated[float, msgspec.Meta(gt=0)]
-PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
+MAX_NUMBER = 2**53
+"""Largest whole number in a settings file: any number up to it is a float too."""
+PositiveInt = Annotated[int, msgspec.Meta(gt=0, le=MAX_NUMBER)]
 
 
 class Listener(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -89,7 +93,6 @@
     policy: str = "expected_first_token"
 
 
-_ADDRESS = re.compile(r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
 _LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
@@ -102,6 +105,8 @@
         text = path.read_text(encoding="utf-8")
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise SettingsError(f"{path}: not UTF-8: {error.reason} at byte {error.start}") from error
     return parse_settings(text, str(path), overrides)
 
 
@@ -117,15 +122,21 @@
     settings = convert_all(value, NodeSettings, problems)
     if settings is not None:
         _check_values(settings, problems)
+    if settings is not None and not problems.problems:
+        _check_urls(settings.platform, problems)
     if settings is None or problems.problems:
         raise SettingsError("\n".join(f"{source}: {problem}" for problem in problems.problems))
     return settings
 
 
 def _set_path(value: Any, keys: list[str], override: Any) -> None:
+    """Set a value at a path; where something else than a mapping stands on the way, the check reports that."""
     for key in keys[:-1]:
+        if not isinstance(value, dict):
+            return
         value = value.setdefault(key, {})
-    value[keys[-1]] = override
+    if isinstance(value, dict):
+        value[keys[-1]] = override
 
 
 def _check_values(settings: NodeSettings, problems: ProblemList) -> None:
@@ -134,7 +145,39 @@
     if len(settings.operator_token) < MIN_KEY_CHARACTERS:
         problems.add(OUT_OF_RANGE, ("operator_token",), f"needs at least {MIN_KEY_CHARACTERS} characters")
     for index, seed in enumerate(settings.cluster.seeds):
-        if not _ADDRESS.match(seed):
+        try:
+            parse_address(seed)
+        except InvalidAddressError:
             problems.add(OUT_OF_RANGE, ("cluster", "seeds", index), "must be IP:port")
+    _check_cluster_host(settings.cluster_listener.host, problems)
+    if settings.policy not in POLICIES:
+        problems.add(OUT_OF_RANGE, ("policy",), f"must be one of {', '.join(sorted(POLICIES))}")
     if settings.log.level not in _LOG_LEVELS:
         problems.add(OUT_OF_RANGE, ("log", "level"), f"must be one of {', '.join(_LOG_LEVELS)}")
+
+
+def _check_cluster_host(host: str, problems: ProblemList) -> None:
+    """Require an IP address of this machine alone: the node tells it to its peers, which send datagrams there."""
+    try:
+        parse_address(f"{host}:{MAX_PORT}")
+    except InvalidAddressError:
+        message = "must be the IPv4 address at which other nodes reach this one"
+        problems.add(OUT_OF_RANGE, ("cluster_listener", "host"), message)
+
+
+def _check_urls(platform: PlatformAddresses, problems: ProblemList) -> None:
+    _check_url(platform.table, ("platform", "table"), problems)
+    if platform.machines:
+        _check_url(platform.machines, ("platform", "machines"), problems)
+
+
+def _check_url(text: str, path: tuple[str, str], problems: ProblemList) -> None:
+    """Require a URL of HTTP with a host name that can be looked up."""
+    try:
+        url = urlsplit(text)
+        is_usable = url.scheme in ("http", "https") and bool(url.hostname) and url.port != 0
+        (url.hostname or "").encode("idna")
+    except ValueError:  # The port is no port, or the host name has an empty or too long label.
+        is_usable = False
+    if not is_usable:
+        problems.add(OUT_OF_RANGE, path, "must be a URL such as http://127.0.0.1:9000")
--- a/src/wallwell/standalone/typed.py
+++ b/src/wallwell/standalone/typed.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 from dataclasses import dataclass
 from pathlib import Path as FilePath
@@ -48,36 +49,46 @@
 
     Raises :class:`DocumentSyntaxError`.
     """
-    loader = yaml.CSafeLoader(text)
+    loader: yaml.CSafeLoader | None = None
     try:
+        loader = yaml.CSafeLoader(text)
         node = loader.get_single_node()
         value = loader.construct_document(node) if node is not None else None
-    except yaml.YAMLError as error:
-        raise DocumentSyntaxError(" ".join(str(error).split())) from error
+        lines: dict[Path, int] = {}
+        if node is not None:
+            _collect_lines(node, (), lines, set())
+    except Exception as error:
+        # For a value that its tag or form does not allow (a date without such a day, a number of thousands of
+        # digits) PyYAML raises whatever Python raises: ValueError, LookupError, AttributeError and others; for one
+        # that is nested too deeply, RecursionError.
+        raise DocumentSyntaxError(" ".join(str(error).split()) or type(error).__name__) from error
     finally:
-        loader.dispose()
-    lines: dict[Path, int] = {}
-    if node is not None:
-        _collect_lines(node, (), lines)
+        if loader is not None:
+            loader.dispose()
     return value, lines
 
 
-def _collect_lines(node: yaml.Node, path: Path, lines: dict[Path, int]) -> None:
+def _collect_lines(node: yaml.Node, path: Path, lines: dict[Path, int], visited: set[int]) -> None:
+    """Note the line of each path below ``node``. What an alias repeats is noted at its first place alone: it may
+    contain itself, or by aliases of aliases stand at any number of places."""
     lines[path] = node.start_mark.line + 1
+    if id(node) in visited:
+        return
+    visited.add(id(node))
     if isinstance(node, yaml.MappingNode):
         for key, child in node.value:
-            _collect_lines(child, (*path, key.value), lines)
+            _collect_lines(child, (*path, key.value), lines, visited)
             lines[(*path, key.value)] = key.start_mark.line + 1
     elif isinstance(node, yaml.SequenceNode):
         for index, child in enumerate(node.value):
-            _collect_lines(child, (*path, index), lines)
+            _collect_lines(child, (*path, index), lines, visited)
 
 
 def load_document(path: FilePath, target: type[T], error_type: type[WallwellError]) -> T:
     """Read and check a YAML file. Raises ``error_type`` with every problem, each with path and line."""
     try:
         value, lines = load_yaml(path.read_text(encoding="utf-8"))
-    except (OSError, DocumentSyntaxError) as error:
+    except (OSError, UnicodeDecodeError, DocumentSyntaxError) as error:
         raise error_type(f"{path}: {error}") from error
     problems = ProblemList(lines)
     document = convert_all(value, target, problems)
@@ -119,10 +130,15 @@
     if origin in (tuple, list) and _is_struct(typing.get_args(target)[0]):
         return cast("T | None", _convert_sequence(value, target, problems, path))
     try:
-        return msgspec.convert(value, target)
-    except msgspec.ValidationError as error:
+        converted = msgspec.convert(value, target)
+    except (msgspec.ValidationError, RecursionError) as error:
         problems.add(WRONG_TYPE, path, str(error))
         return None
+    if isinstance(converted, float) and not math.isfinite(converted):
+        # YAML has infinity and NaN; JSON, in which values are stored and passed on, has neither.
+        problems.add(OUT_OF_RANGE, path, "must be a finite number")
+        return None
+    return converted
 
 
 def _is_struct(target: Any) -> bool:
