Standalone router: an engine's odd line or header costs itself, not the engine's reading

What operators and callers saw: one load line with a number beyond a float ended the reading of all engines of a node each second; a cache event with a long or negative hash, a nested line, or a load line before the first status ended the task that reads that engine, silently and for good. A count header that is no number, an event without a choice, or a refusal whose body breaks off was answered with 500. An attempt at what is no address counted as one that may have run, or raised UnicodeError.

Cause: numbers and texts of engines had no bounds; decoders raised RecursionError, OverflowError, KeyError and IndexError, of which the steps above expected none.

Now the protocol's types bound each number and text and have one error, EngineDataError. A line that cannot be read is left out, named once a change (5030), and the connection goes on; a missing cache event shows by the next one's number. A count that is no number counts as a missing one. Lines and lists have a largest size. Whole answers are checked for text as events come; a stream whose events cannot be read is not resumed, which the caller is told by the typed end. An attempt at what is no address was certainly not sent. As a second net an unexpected error in one engine's events, or in the assignment, is logged (1006) and the loop goes on.

A test double of engines got the method by which refusals are read now.

Evidence: 47 hostile values at each place of each line and answer, 51 odd count headers, 17 odd addresses, with real servers where connections matter.

--- a/src/wallwell/standalone/backends/engine_client.py
+++ b/src/wallwell/standalone/backends/engine_client.py
@@ -8,13 +8,14 @@
 
 import asyncio
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Any
 
 import aiohttp
 import msgspec
 
+from wallwell.answer_bounds import MAX_ANSWER_BYTES, AnswerTooLargeError, read_bounded
 from wallwell.checked_connector import CheckedConnector
 from wallwell.clock import time_limit
 from wallwell.events import Event, emit
@@ -33,6 +34,10 @@
 """Seconds to wait for the complete list of an engine's cached blocks."""
 MAX_EVENT_BYTES = 256 * 1024
 """Maximum size of an incomplete stream event; bounds the memory that one broken stream can use."""
+MAX_LINE_BYTES = 4 * 1024 * 1024
+"""Maximum size of an incomplete line of status, load or cache: some 390,000 blocks."""
+MAX_SNAPSHOT_BYTES = 256 * 1024 * 1024
+"""Maximum size of the list of an engine's cached blocks: some 25 million."""
 _READ_BUFFER_BYTES = 64 * 1024
 """Read buffer of a connection to an engine; bounds what is buffered of a stream whose caller reads slowly."""
 
@@ -75,6 +80,8 @@
     cached_tokens: int = 0
     prompt_tokens: int = 0
     incarnation: str = ""
+    unreadable: list[str] = field(default_factory=list)
+    """Headers whose number cannot be read; it counts as 0, as that of a header that is missing."""
 
 
 class EngineClient:
@@ -92,8 +99,8 @@
         """
         response = await self._open(call)
         try:
-            head.cached_tokens = int(response.headers.get(wire.CACHED_TOKENS, "0"))
-            head.prompt_tokens = int(response.headers.get(wire.PROMPT_TOKENS, "0"))
+            head.cached_tokens = _read_count(response, wire.CACHED_TOKENS, head)
+            head.prompt_tokens = _read_count(response, wire.PROMPT_TOKENS, head)
             head.incarnation = response.headers.get(wire.INCARNATION, "")
             async for event in self._ordered_events(response, call):
                 yield event
@@ -113,7 +120,7 @@
         response = await self._receive_head(call, headers)
         _check_request_id(response, call.attempt_id)
         if response.status != HTTPStatus.OK:
-            await self._raise_refusal(response)
+            await self._raise_refusal(response, call)
         return response
 
     async def _receive_head(self, call: GenerationCall, headers: dict[str, str]) -> aiohttp.ClientResponse:
@@ -130,22 +137,27 @@
                     raise AttemptFailed(TransportEvent.CANCELLED_NEVER_STARTED, "no first token in time")
                 raise AttemptFailed(TransportEvent.ANSWER_TIMEOUT, "no first token in time")
             return pending_response.result()
-        except aiohttp.ClientConnectorError as error:
+        except (aiohttp.ClientConnectorError, aiohttp.InvalidURL, UnicodeError) as error:
+            # UnicodeError: a host name that cannot be looked up, or a header that cannot be encoded.
             raise AttemptFailed(TransportEvent.CONNECT_REFUSED, str(error)) from error
         except aiohttp.ConnectionTimeoutError as error:
             raise AttemptFailed(TransportEvent.CONNECT_TIMEOUT) from error
-        except (aiohttp.ClientError, OSError) as error:
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            # ValueError: a header cannot be written. A generation may run more than once, so it counts as sent.
             raise AttemptFailed(TransportEvent.RESET_AFTER_SEND, type(error).__name__) from error
         finally:
             if not pending_response.done():
                 pending_response.cancel()
 
-    async def _raise_refusal(self, response: aiohttp.ClientResponse) -> None:
-        async with response:
-            payload = await response.read()
+    async def _raise_refusal(self, response: aiohttp.ClientResponse, call: GenerationCall) -> None:
         try:
-            reason = msgspec.json.decode(payload, type=wire.Refusal).reason
-        except msgspec.DecodeError:
+            async with response, time_limit(call.stall_timeout_s):
+                payload = await read_bounded(response.content.iter_any(), MAX_ANSWER_BYTES)
+        except (AnswerTooLargeError, aiohttp.ClientError, OSError) as error:
+            raise AttemptFailed(TransportEvent.RESET_AFTER_SEND, type(error).__name__) from error
+        try:
+            reason = wire.decode(payload, wire.Refusal).reason
+        except wire.EngineDataError:
             raise AttemptFailed(
                 TransportEvent.ERROR_ANSWER, f"status {response.status}", response.status, payload
             ) from None
@@ -158,7 +170,7 @@
                 return
             try:
                 event_id = wire.parse_event_id(event)
-            except ValueError as error:
+            except wire.EngineDataError as error:
                 raise AttemptFailed(TransportEvent.FOREIGN_ANSWER, "invalid event id") from error
             if event_id is None or event_id.request_id != call.attempt_id:
                 raise AttemptFailed(TransportEvent.FOREIGN_ANSWER, "event without an id or of another request")
@@ -200,32 +212,41 @@
             ) as response:
                 _check_request_id(response, call_id)
                 payload = await response.read()
-            return msgspec.json.decode(payload, type=wire.CancelAnswer).state
-        except (TimeoutError, aiohttp.ClientError, OSError, msgspec.DecodeError, AttemptFailed) as error:
+            return wire.decode(payload, wire.CancelAnswer).state
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError, AttemptFailed) as error:
             emit(Event.ENGINE_CALL_FAILED, address=self._base, call="cancel", error=type(error).__name__)
             return None
 
-    async def events(self, after: int, incarnation: str, idle_timeout_s: float) -> AsyncIterator[wire.EventLine]:
-        """Yield status, load and cache events until the connection ends; the first line is a status.
+    async def events(self, after: int, incarnation: str, idle_timeout_s: float) -> AsyncIterator[bytes]:
+        """Yield the lines of status, load and cache events until the connection ends; the first is a status.
 
         ``after`` is the sequence number of the last event received from ``incarnation``; an engine of another
-        incarnation ignores it. Raises aiohttp, timeout and decoding errors.
+        incarnation ignores it. Raises aiohttp and timeout errors, and :class:`wire.EngineDataError` for a line
+        that is too long.
         """
-        decoder: msgspec.json.Decoder[wire.EventLine] = msgspec.json.Decoder(wire.EventLine)
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=idle_timeout_s)
         url = f"{self._base}/events?after={after}&incarnation={incarnation}"
         async with self._session.get(url, timeout=timeout) as response:
             buffer = b""
             async for data in response.content.iter_any():
                 *lines, buffer = (buffer + data).split(b"\n")
+                if len(buffer) > MAX_LINE_BYTES:
+                    raise wire.EngineDataError(f"a line of more than {MAX_LINE_BYTES} bytes")
                 for line in lines:
-                    yield decoder.decode(line)
+                    yield line
 
     async def snapshot(self) -> wire.CacheSnapshot:
-        """Return all blocks the engine has cached. Raises aiohttp, timeout and decoding errors."""
+        """Return all blocks the engine has cached.
+
+        Raises aiohttp and timeout errors, and :class:`wire.EngineDataError`.
+        """
         timeout = aiohttp.ClientTimeout(total=SNAPSHOT_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S)
         async with self._session.get(self._base + "/snapshot", timeout=timeout) as response:
-            return msgspec.json.decode(await response.read(), type=wire.CacheSnapshot)
+            try:
+                payload = await read_bounded(response.content.iter_any(), MAX_SNAPSHOT_BYTES)
+            except AnswerTooLargeError as error:
+                raise wire.EngineDataError(str(error)) from error
+        return wire.decode(payload, wire.CacheSnapshot)
 
     async def send_load_order(self, order: wire.EngineLoadOrder, timeout_s: float) -> int:
         """Send an order to load weights; returns the HTTP status, 0 if there was no answer."""
@@ -236,11 +257,20 @@
             ) as response:
                 await response.read()
                 return response.status
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
             emit(Event.ENGINE_CALL_FAILED, address=self._base, call="order", error=type(error).__name__)
             return 0
 
 
+def _read_count(response: aiohttp.ClientResponse, header: str, head: GenerationHead) -> int:
+    """Return the number that a header states; notes in ``head`` if it is none."""
+    try:
+        return wire.parse_count(response.headers.get(header, "0"))
+    except wire.EngineDataError:
+        head.unreadable.append(header)
+        return 0
+
+
 def _check_request_id(response: aiohttp.ClientResponse, request_id: str) -> None:
     """Raise :class:`AttemptFailed` and close the connection if an answer belongs to another request."""
     if response.headers.get(wire.REQUEST_ID) == request_id:
--- a/src/wallwell/standalone/backends/engine_protocol.py
+++ b/src/wallwell/standalone/backends/engine_protocol.py
@@ -12,12 +12,14 @@
 
 import base64
 import enum
+import re
 from array import array
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import Annotated, NamedTuple, TypeVar
 
 import msgspec
 
+T = TypeVar("T")
 REQUEST_ID = "X-Request-Id"
 CACHE_SALT = "X-Cache-Salt"
 EXPECT_INCARNATION = "X-Expect-Incarnation"
@@ -27,6 +29,19 @@
 CACHED_TOKENS = "X-Cached-Tokens"
 PROMPT_TOKENS = "X-Prompt-Tokens"
 DONE_EVENT = b"data: [DONE]"
+MAX_NUMBER = 2**53
+"""Largest number that an engine may state: any number up to it is a float too."""
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+"""A count, a sequence number or a depth."""
+MAX_LABEL_CHARS = 256
+Label = Annotated[str, msgspec.Meta(pattern=r"^[\x20-\x7e]*\Z", max_length=MAX_LABEL_CHARS)]
+"""Text that requests repeat in a header: an incarnation or a weights version."""
+_COUNT = re.compile(r"[0-9]{1,9}")
+_HASH = re.compile(r"[0-9a-fA-F]{1,16}")
+
+
+class EngineDataError(msgspec.DecodeError, ValueError):
+    """An engine's event, list of blocks, answer or header is not of the form that this module defines."""
 
 
 class EngineState(enum.StrEnum):
@@ -57,12 +72,12 @@
     """Identity and readiness of an engine: first line of an event stream, sent again whenever a field changes."""
 
     engine: str
-    incarnation: str
+    incarnation: Label
     state: EngineState
-    weights: dict[str, str]
-    block_bytes: int
-    block_tokens: int
-    cache_blocks: int
+    weights: dict[Label, Label]
+    block_bytes: Number
+    block_tokens: Number
+    cache_blocks: Number
 
 
 class LoadLine(msgspec.Struct, frozen=True, array_like=True, tag="load"):
@@ -71,21 +86,21 @@
     ``waiting_prefill_tokens`` pairs each priority rank with its prompt tokens that are still to be computed.
     """
 
-    sequence: int
-    running: int
-    waiting: int
-    waiting_prefill_tokens: tuple[tuple[int, int], ...]
-    cache_used_blocks: int
+    sequence: Number
+    running: Number
+    waiting: Number
+    waiting_prefill_tokens: tuple[tuple[Number, Number], ...]
+    cache_used_blocks: Number
     age_s: float
 
 
 class CacheLine(msgspec.Struct, frozen=True, array_like=True, tag="cache"):
     """Blocks stored or removed. ``blocks`` holds little-endian 64-bit hashes as base64 (10.7 bytes per block)."""
 
-    sequence: int
+    sequence: Number
     stored: bool
     root: str
-    depth: int
+    depth: Number
     blocks: str
 
 
@@ -96,7 +111,7 @@
     """One block, or several consecutive blocks, of one chain in a cache snapshot."""
 
     root: str
-    depth: int
+    depth: Number
     blocks: str
 
 
@@ -104,7 +119,7 @@
     """All blocks an engine has cached after the cache event numbered ``sequence``."""
 
     incarnation: str
-    sequence: int
+    sequence: Number
     entries: tuple[SnapshotEntry, ...]
 
 
@@ -156,9 +171,12 @@
 
 
 def unpack_hashes(text: str) -> list[int]:
-    """Return the hashes of a text made by :func:`pack_hashes`. Raises ValueError if the text is malformed."""
+    """Return the hashes of a text made by :func:`pack_hashes`. Raises :class:`EngineDataError` for any other."""
     values = array("Q")
-    values.frombytes(base64.b64decode(text, validate=True))
+    try:
+        values.frombytes(base64.b64decode(text, validate=True))
+    except ValueError as error:
+        raise EngineDataError(f"unreadable hashes: {error}") from error
     return values.tolist()
 
 
@@ -167,10 +185,40 @@
     return f"{value:016x}"
 
 
+def parse_hash(text: str) -> int:
+    """Return the hash that :func:`format_hash` wrote. Raises :class:`EngineDataError`."""
+    if not _HASH.fullmatch(text):
+        raise EngineDataError("a hash has up to 16 hexadecimal digits")
+    return int(text, 16)
+
+
+def parse_count(text: str) -> int:
+    """Return the number of tokens that a header states. Raises :class:`EngineDataError`."""
+    if not _COUNT.fullmatch(text):
+        raise EngineDataError("a count has up to 9 digits")
+    return int(text)
+
+
+def decode(payload: bytes, kind: type[T]) -> T:
+    """Return an engine's answer. Raises :class:`EngineDataError`."""
+    return decode_with(msgspec.json.Decoder(kind), payload)
+
+
+def decode_with(decoder: msgspec.json.Decoder[T], payload: bytes) -> T:
+    """Return what an engine sent. Raises :class:`EngineDataError`."""
+    try:
+        return decoder.decode(payload)
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        raise EngineDataError(str(error)) from error
+
+
 def parse_event_id(event: bytes) -> EventId | None:
-    """Return the id of a server-sent event, None if there is no ``id:`` line. Raises ValueError if malformed."""
+    """Return the id of a server-sent event, None if there is no ``id:`` line.
+
+    Raises :class:`EngineDataError` if it is malformed.
+    """
     if not event.startswith(b"id: "):
         return None
     line, _, _ = event[4:].partition(b"\n")
-    request_id, _, index = line.decode("ascii").rpartition("/")
-    return EventId(request_id, int(index))
+    request_id, _, index = line.decode("latin-1").rpartition("/")
+    return EventId(request_id, parse_count(index))
--- a/src/wallwell/standalone/backends/engine_watch.py
+++ b/src/wallwell/standalone/backends/engine_watch.py
@@ -19,12 +19,13 @@
 from wallwell.events import Event, emit
 from wallwell.standalone.backends import engine_protocol as wire
 from wallwell.standalone.backends.engine_client import EngineClient
-from wallwell.standalone.cluster.messages import MAX_INTERACTIVE_RANK, EngineRecord
+from wallwell.standalone.cluster.messages import MAX_INTERACTIVE_RANK, MAX_NUMBER, EngineRecord
 from wallwell.standalone.cluster.node import ClusterNode
 from wallwell.standalone.cluster.shards import EngineReader
 from wallwell.standalone.config.compiled import Engine
 from wallwell.standalone.routing.load import MAX_RANK, LoadReport
 from wallwell.standalone.routing.selector import EngineSelector
+from wallwell.standalone.unreadable import UnreadableEntries
 
 RECONCILE_INTERVAL_S = 0.5
 """Seconds between two checks of which engines this node reads; bounds the delay until a new engine is read."""
@@ -39,6 +40,7 @@
 """Minimum seconds between two snapshots of an engine after lost events, as each lists its whole cache."""
 PEER_REPORT_AGE_S = 1.0
 """Assumed age of a load that another node has read, for the time until gossip delivers it here."""
+_line_decoder: msgspec.json.Decoder[wire.EventLine] = msgspec.json.Decoder(wire.EventLine)
 
 
 class EngineWatch:
@@ -60,6 +62,7 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._snapshot_at_s: dict[str, float] = {}
         self._peer_versions: dict[str, int] = {}
+        self._unreadable = UnreadableEntries("events of engines")
         self.status: dict[str, wire.StatusLine] = {}
         self.received_bytes = 0
 
@@ -67,7 +70,10 @@
         """Start and stop reading tasks as engines are assigned to this node, until cancelled."""
         try:
             while True:
-                self._reconcile()
+                try:
+                    self._reconcile()
+                except Exception as error:  # The engines that are read already must be read on.
+                    emit(Event.INTERNAL_ERROR, where="assignment of engines", key="", reason=repr(error))
                 await asyncio.sleep(RECONCILE_INTERVAL_S)
         finally:
             for task in self._tasks.values():
@@ -105,7 +111,8 @@
     def _waiting_ms(self, engine: str, now_s: float) -> tuple[int, int]:
         load = self._selector.load_of(engine)
         interactive = load.wait_s(now_s, MAX_INTERACTIVE_RANK)
-        return (round(interactive * 1000), round(load.wait_s(now_s) * 1000))
+        in_all = load.wait_s(now_s)
+        return (_published_ms(interactive), _published_ms(in_all))
 
     def _update_from_peers(self, now_s: float) -> None:
         """Apply the waiting times that other nodes have published for the engines they read."""
@@ -133,8 +140,10 @@
         while True:
             try:
                 await self._read_events(engine.name, client)
-            except (TimeoutError, aiohttp.ClientError, OSError, ValueError, msgspec.DecodeError) as error:
+            except (TimeoutError, aiohttp.ClientError, OSError, wire.EngineDataError) as error:
                 emit(Event.ENGINE_UNREACHABLE, engine=engine.name, reason=type(error).__name__)
+            except Exception as error:  # A fault of ours; without this task the engine would never be read again.
+                emit(Event.INTERNAL_ERROR, where="events of an engine", key=engine.name, reason=repr(error))
             self.status.pop(engine.name, None)
             await asyncio.sleep(RECONNECT_DELAY_S * self._rng.uniform(*RECONNECT_JITTER))
 
@@ -142,19 +151,28 @@
         reader = self._node.readers.get(engine)
         after = reader.sequence if reader is not None else 0
         incarnation = reader.incarnation if reader is not None else ""
-        async for line in client.events(after, incarnation, EVENTS_IDLE_TIMEOUT_S):
-            if isinstance(line, wire.StatusLine):
-                self._on_status(engine, line)
+        async for text in client.events(after, incarnation, EVENTS_IDLE_TIMEOUT_S):
+            try:
+                self._on_line(engine, wire.decode_with(_line_decoder, text))
+            except wire.EngineDataError as error:
+                # The line counts as lost: a missing cache event shows by the next one's number.
+                self._unreadable.report(f"{engine}: {error}", error)
             reader = self._node.readers.get(engine)
-            if reader is None:
-                continue
-            if isinstance(line, wire.LoadLine):
-                self._on_load(engine, reader, line)
-            elif isinstance(line, wire.CacheLine):
-                reader.on_event(line)
-            if reader.needs_snapshot:
+            if reader is not None and reader.needs_snapshot:
                 await self._resynchronise(engine, client)
 
+    def _on_line(self, engine: str, line: wire.EventLine) -> None:
+        """Apply one line. Raises :class:`wire.EngineDataError`."""
+        if isinstance(line, wire.StatusLine):
+            self._on_status(engine, line)
+        reader, status = self._node.readers.get(engine), self.status.get(engine)
+        if reader is None or status is None:
+            return  # The first line of a stream is a status; what comes without one says nothing.
+        if isinstance(line, wire.LoadLine):
+            self._on_load(engine, reader, status, line)
+        elif isinstance(line, wire.CacheLine):
+            reader.on_event(line)
+
     def _on_status(self, engine: str, line: wire.StatusLine) -> None:
         reader = self._node.readers.get(engine)
         if reader is None or reader.incarnation != line.incarnation:
@@ -163,7 +181,7 @@
                 emit(Event.ENGINE_INCARNATION, engine=engine, incarnation=line.incarnation)
         self.status[engine] = line
 
-    def _on_load(self, engine: str, reader: EngineReader, line: wire.LoadLine) -> None:
+    def _on_load(self, engine: str, reader: EngineReader, status: wire.StatusLine, line: wire.LoadLine) -> None:
         # All cache events up to the previous load line should have arrived; if not, events were lost.
         reader.needs_snapshot |= reader.sequence < reader.last_load_sequence
         reader.last_load_sequence = line.sequence
@@ -172,9 +190,9 @@
             line.running,
             line.waiting,
             line.waiting_prefill_tokens,
-            self.status[engine].cache_blocks,
+            status.cache_blocks,
             line.cache_used_blocks,
-            now_s - line.age_s,
+            now_s - max(0.0, line.age_s),
         )
         self._selector.load_of(engine).on_report(report)
 
@@ -190,8 +208,13 @@
         if reader is None or reader.incarnation != snapshot.incarnation:
             return
         entries = [
-            (int(entry.root, 16), entry.depth + offset, block)
+            (wire.parse_hash(entry.root), entry.depth + offset, block)
             for entry in snapshot.entries
             for offset, block in enumerate(wire.unpack_hashes(entry.blocks))
         ]
         reader.apply_snapshot(snapshot.sequence, entries)
+
+
+def _published_ms(wait_s: float) -> int:
+    """Return a waiting time as it is published: in milliseconds, as far as a message can state it."""
+    return round(min(wait_s * 1000, MAX_NUMBER))
--- a/src/wallwell/standalone/backends/service_client.py
+++ b/src/wallwell/standalone/backends/service_client.py
@@ -12,6 +12,7 @@
 
 import aiohttp
 
+from wallwell.address import InvalidAddressError, parse_address
 from wallwell.answer_bounds import MAX_ANSWER_BYTES, AnswerTooLargeError, read_bounded
 from wallwell.checked_connector import CheckedConnector
 from wallwell.events import Event, emit
@@ -75,6 +76,7 @@
         timeout = aiohttp.ClientTimeout(total=call.timeout_s, sock_connect=CONNECT_TIMEOUT_S)
         url = f"http://{address}/{call.path}"
         try:
+            parse_address(address)
             async with self._session.request(
                 call.method, url, data=call.body, headers=headers, timeout=timeout, allow_redirects=False
             ) as response:
@@ -83,13 +85,14 @@
                 await self._check_end(address)
         except AnswerTooLargeError as error:
             raise AttemptFailed(TransportEvent.RESET_AFTER_SEND, str(error)) from error
-        except aiohttp.ClientConnectorError as error:
+        except (InvalidAddressError, aiohttp.ClientConnectorError, aiohttp.InvalidURL) as error:
             raise AttemptFailed(TransportEvent.CONNECT_REFUSED, str(error)) from error
         except aiohttp.ConnectionTimeoutError as error:
             raise AttemptFailed(TransportEvent.CONNECT_TIMEOUT) from error
         except TimeoutError as error:
             raise AttemptFailed(TransportEvent.ANSWER_TIMEOUT) from error
-        except (aiohttp.ClientError, OSError) as error:
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            # A ValueError that nobody expects does not prove that nothing was sent.
             raise AttemptFailed(TransportEvent.RESET_AFTER_SEND, type(error).__name__) from error
         return self._check_response(response, body, call)
 
--- a/src/wallwell/standalone/callers/context.py
+++ b/src/wallwell/standalone/callers/context.py
@@ -27,6 +27,7 @@
 from wallwell.standalone.routing.retry import CircuitBreaker, RetryBudget
 from wallwell.standalone.routing.selector import EngineSelector
 from wallwell.standalone.settings import NodeSettings
+from wallwell.standalone.unreadable import UnreadableEntries
 from wallwell.storage.table import TableService
 
 T = TypeVar("T")
@@ -56,6 +57,8 @@
     service_paused_until_s: dict[str, float] = field(default_factory=dict)
     """By service instance, until when it gets no calls because it is leaving; on this node's clock."""
     service_breakers: dict[str, CircuitBreaker] = field(default_factory=dict)
+    unreadable_counts: UnreadableEntries = field(default_factory=lambda: UnreadableEntries("counts of engines"))
+    """Engines whose counts of tokens cannot be read."""
     ready: bool = False
     """Whether the node has a configuration to serve by."""
     draining: bool = False
--- a/src/wallwell/standalone/callers/engine_attempt.py
+++ b/src/wallwell/standalone/callers/engine_attempt.py
@@ -16,9 +16,10 @@
 from wallwell.routing.retry.attempt_outcome import TransportEvent
 from wallwell.standalone.backends.attempt import AttemptFailed
 from wallwell.standalone.backends.engine_client import EngineClient, GenerationCall, GenerationHead
-from wallwell.standalone.backends.engine_protocol import CancelState
+from wallwell.standalone.backends.engine_protocol import CancelState, EngineDataError
 from wallwell.standalone.callers.context import NodeContext
 from wallwell.standalone.callers.generation_run import GenerationRun
+from wallwell.standalone.callers.openai_format import chunk_text
 from wallwell.standalone.config.compiled import Engine
 from wallwell.standalone.routing.policy import Choice
 
@@ -48,6 +49,14 @@
     return max(MIN_DEADLINE_TIMEOUT_S, min(timeout_s, remaining_s))
 
 
+def _check_text(event: bytes) -> None:
+    """Raise :class:`AttemptFailed` if an event holds no text, of which a whole answer is made."""
+    try:
+        chunk_text(event)
+    except EngineDataError as error:
+        raise AttemptFailed(TransportEvent.FOREIGN_ANSWER, str(error)) from error
+
+
 class AttemptObserver(Protocol):
     """Is told what an attempt sees while others may be open beside it."""
 
@@ -113,6 +122,8 @@
         run = self.run
         async with aclosing(client.generate(call, self.head)) as events:
             async for event in events:
+                if not run.body.stream:
+                    _check_text(event)
                 self.observer.on_next(self)
                 if not self.has_token:
                     self._on_first_event()
@@ -167,6 +178,7 @@
         self.has_token = True
         self.run.head = self.head
         selector, head = self.context.selector, self.head
+        self._report_unreadable(head)
         selector.breaker_of(self.engine.name).on_success(now_s)
         computed_tokens = head.prompt_tokens - head.cached_tokens
         load = selector.load_of(self.engine.name)
@@ -175,6 +187,13 @@
         if self.run.first_token_s is None:
             self._measure_first_token(now_s)
 
+    def _report_unreadable(self, head: GenerationHead) -> None:
+        unreadable, engine = self.context.unreadable_counts, self.engine.name
+        if head.unreadable:
+            unreadable.report(engine, EngineDataError(f"no number: {', '.join(head.unreadable)}"))
+        else:
+            unreadable.forget(engine)
+
     def _measure_first_token(self, now_s: float) -> None:
         run, metrics = self.run, self.context.metrics
         run.first_token_s = now_s - run.caller.started_s
--- a/src/wallwell/standalone/callers/generation.py
+++ b/src/wallwell/standalone/callers/generation.py
@@ -19,7 +19,7 @@
 from wallwell.standalone.callers.context import NodeContext
 from wallwell.standalone.callers.engine_selection import select_engine
 from wallwell.standalone.callers.generation_answer import GenerationAnswer, count_generation
-from wallwell.standalone.callers.generation_retry import await_generation_retry, refused
+from wallwell.standalone.callers.generation_retry import await_generation_retry, generation_exhausted, refused
 from wallwell.standalone.callers.generation_run import GenerationRun, admit_generation
 from wallwell.standalone.callers.openai_format import parse_generation
 from wallwell.standalone.config.compiled import Engine
@@ -67,6 +67,8 @@
 
     async def _next_engine(self, run: GenerationRun, excluded: Collection[str] = ()) -> tuple[Engine, Choice]:
         """Return where the next attempt goes, to none of ``excluded``. Raises :class:`RequestError` if nowhere."""
+        if not run.is_resumable:
+            raise generation_exhausted(run)
         refusal = self._context.crashes.refusal(run.content)
         if refusal is not None:
             raise refused(run, refusal)  # Each further attempt or resumption would end one more engine.
--- a/src/wallwell/standalone/callers/generation_run.py
+++ b/src/wallwell/standalone/callers/generation_run.py
@@ -14,7 +14,7 @@
 from wallwell.errors import ForbiddenError, UnknownResourceError
 from wallwell.routing.retry.attempt_outcome import AttemptLog
 from wallwell.standalone.backends.engine_client import GenerationHead
-from wallwell.standalone.backends.engine_protocol import Resume
+from wallwell.standalone.backends.engine_protocol import EngineDataError, Resume
 from wallwell.standalone.callers.caller import MAX_NAME_IN_ERROR, CheckedCaller
 from wallwell.standalone.callers.openai_format import GenerationBody, chunk_text, render_prompt
 from wallwell.standalone.cluster.messages import EngineRecord
@@ -72,8 +72,17 @@
         number = self.sent
         return self.caller.request_id if number == 0 else f"{self.caller.request_id}.{number}"
 
+    @property
+    def is_resumable(self) -> bool:
+        """Whether another engine can be told what was received; events of a stream are passed on unread."""
+        try:
+            self.text_so_far()
+        except EngineDataError:
+            return False
+        return True
+
     def text_so_far(self) -> str:
-        """Return the generated text received."""
+        """Return the generated text received. Raises :class:`EngineDataError` if an event holds none."""
         return "".join(chunk_text(event) for event in self.events)
 
     def engine_body(self) -> bytes:
--- a/src/wallwell/standalone/callers/openai_format.py
+++ b/src/wallwell/standalone/callers/openai_format.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from wallwell.errors import MalformedRequestError
-from wallwell.standalone.backends.engine_protocol import Resume
+from wallwell.standalone.backends.engine_protocol import EngineDataError, Resume, decode_with
 
 DEFAULT_MAX_TOKENS = 64
 """Tokens generated where the caller gives no number."""
@@ -59,7 +59,7 @@
         if chat:
             return msgspec.json.decode(payload, type=ChatBody)
         return msgspec.json.decode(payload, type=CompletionBody)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
         raise MalformedRequestError(str(error)) from error
 
 
@@ -87,12 +87,14 @@
 
 
 def chunk_text(event: bytes) -> str:
-    """Return the generated text in one server-sent event. Raises ValueError."""
+    """Return the generated text in one server-sent event. Raises :class:`EngineDataError`."""
     _, found, data = event.partition(b"data: ")
     if not found:
-        raise ValueError("event has no data line")
-    choice = _chunk_decoder.decode(data.strip()).choices[0]
-    return choice.text or choice.delta.content
+        raise EngineDataError("event has no data line")
+    choices = decode_with(_chunk_decoder, data.strip()).choices
+    if not choices:
+        raise EngineDataError("event has no choice")
+    return choices[0].text or choices[0].delta.content
 
 
 def whole_answer(body: GenerationBody, request_id: str, events: Sequence[bytes], prompt_tokens: int) -> bytes:
--- a/src/wallwell/standalone/cluster/messages.py
+++ b/src/wallwell/standalone/cluster/messages.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from wallwell.standalone.backends.engine_protocol import Label
+
 MAX_DATAGRAM_BYTES = 1200
 """Maximum payload of a datagram: with headers under 1,280 bytes, which every IPv6 link carries unfragmented."""
 MAX_NUMBER = 2**62
@@ -37,8 +39,8 @@
     """A serving engine, published by the node that reads its events; ``weights``: ``(model, loaded version)``."""
 
     name: str
-    incarnation: str
-    weights: tuple[tuple[str, str], ...] = ()
+    incarnation: Label
+    weights: tuple[tuple[Label, Label], ...] = ()
 
 
 class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/src/wallwell/standalone/cluster/shards.py
+++ b/src/wallwell/standalone/cluster/shards.py
@@ -17,7 +17,13 @@
 
 from wallwell.errors import ClusterMessageError
 from wallwell.routing.rendezvous import owner
-from wallwell.standalone.backends.engine_protocol import CacheLine, pack_hashes, unpack_hashes
+from wallwell.standalone.backends.engine_protocol import (
+    CacheLine,
+    EngineDataError,
+    pack_hashes,
+    parse_hash,
+    unpack_hashes,
+)
 from wallwell.standalone.cluster.messages import BlockReport, DispatchReport, Lookup, LookupReply
 from wallwell.standalone.routing.blocks import CHECKPOINT_STRIDE, checkpoint_depths, is_checkpoint
 from wallwell.standalone.routing.directory import EngineIncarnation, PrefixDirectory
@@ -81,8 +87,8 @@
     """Return the hashes that a peer has packed. Raises :class:`ClusterMessageError`."""
     try:
         return unpack_hashes(text)
-    except ValueError as error:
-        raise ClusterMessageError(f"unreadable hashes: {error}") from error
+    except EngineDataError as error:
+        raise ClusterMessageError(str(error)) from error
 
 
 def lookup_hashes(chain: Sequence[int]) -> list[int]:
@@ -136,13 +142,16 @@
         return self._checkpoints.nbytes
 
     def on_event(self, line: CacheLine) -> bool:
-        """Apply one cache event; return False if events before it were lost."""
+        """Apply one cache event; return False if events before it were lost.
+
+        Raises :class:`EngineDataError` if it cannot be read; it then counts as lost.
+        """
         if line.sequence <= self.sequence:
             return True
+        root = parse_hash(line.root)
+        hashes = unpack_hashes(line.blocks)
         contiguous = line.sequence == self.sequence + 1
         self.sequence = line.sequence
-        root = int(line.root, 16)
-        hashes = unpack_hashes(line.blocks)
         if line.stored:
             self._store(root, line.depth, hashes)
         else:
--- a/src/wallwell/standalone/crash_memory.py
+++ b/src/wallwell/standalone/crash_memory.py
@@ -11,6 +11,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
+from wallwell.address import InvalidAddressError, parse_address
 from wallwell.background import BackgroundTasks
 from wallwell.clock import boot_time_s, time_limit
 from wallwell.cluster.crash_count import count_crash
@@ -32,13 +33,13 @@
 
 async def is_refused(address: str) -> bool:
     """Whether a connection to ``IP:port`` is refused: the machine answers, and no process listens there."""
-    host, _, port = address.rpartition(":")
     try:
+        target = parse_address(address)
         async with time_limit(PROBE_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, int(port))
+            _, writer = await asyncio.open_connection(target.host, target.port)
     except ConnectionRefusedError:
         return True
-    except (OSError, TimeoutError):
+    except (InvalidAddressError, OSError, TimeoutError):
         # A silent or unreachable machine proves nothing of the process, so nothing is counted or logged.
         return False
     writer.close()
--- a/tests/unit/standalone/callers/silent_engines.py
+++ b/tests/unit/standalone/callers/silent_engines.py
@@ -88,6 +88,9 @@
     async def read(self):
         return self._body
 
+    async def iter_any(self):
+        yield self._body
+
     def close(self):
         self.engine.running.discard(self._id)
 
