Standalone router: a claim that cannot be read is an open one, not an unexpected error

What callers saw: a call whose claim row another writer had changed was answered with 500, or with a status that HTTP does not have.

Cause: the row's decoder raised errors that nobody expected, and the recorded status had no range.

Now such a row counts as an open claim: whether the call ran is unknown, so it does not run now, and the caller is told just that.

--- a/src/wallwell/standalone/cluster/claims.py
+++ b/src/wallwell/standalone/cluster/claims.py
@@ -11,6 +11,7 @@
 
 import enum
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
@@ -21,6 +22,7 @@
     TableConflictError,
 )
 from wallwell.events import Event, emit
+from wallwell.standalone.unreadable import UnreadableEntries
 from wallwell.storage.table import Condition, Put, Row, TableService, Transaction
 
 CLAIM_PREFIX = "claim/"
@@ -29,6 +31,8 @@
 MAX_RECORDED_BODY_CHARS = 64 * 1024
 """Maximum characters of an answer recorded with a claim, to bound the row. A longer body is recorded as empty, so a
 resend does not receive it."""
+MIN_STATUS, MAX_STATUS = 200, 599
+"""Range of the status of an answer that a claim records."""
 RETRY_AFTER_MS = 1000
 """Retry-After in milliseconds when the table service did not confirm the claim."""
 
@@ -47,10 +51,25 @@
     claim_id: str
     digest: str
     state: ClaimState
-    status: int = 0
+    status: Annotated[int, msgspec.Meta(ge=0, le=MAX_STATUS)] = 0
     body: str = ""
 
 
+class UnreadableClaimError(ValueError):
+    """A row holds no claim."""
+
+
+def _decode_claim(text: str) -> ClaimBody:
+    """Return the claim in a row's value. Raises :class:`UnreadableClaimError`."""
+    try:
+        claim = msgspec.json.decode(text, type=ClaimBody)
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
+        raise UnreadableClaimError(str(error)) from error
+    if claim.state is ClaimState.DONE and claim.status < MIN_STATUS:
+        raise UnreadableClaimError(f"an answer with the status {claim.status}")
+    return claim
+
+
 class ClaimResult(enum.Enum):
     """Outcome of :meth:`ClaimTable.claim`."""
 
@@ -77,6 +96,7 @@
 
     def __init__(self, table: TableService) -> None:
         self._table = table
+        self._unreadable = UnreadableEntries("claims")
 
     async def claim(self, tenant: str, key: str, content_digest: str, claim_id: str) -> Claim:
         """Insert a claim and return it; if the key is already claimed, return its state or its recorded answer.
@@ -99,7 +119,12 @@
     async def _claim_once(self, row_key: str, content_digest: str, claim_id: str) -> Claim:
         row = await self._table.get(row_key)
         if row is not None:
-            body = msgspec.json.decode(row.value, type=ClaimBody)
+            try:
+                body = _decode_claim(row.value)
+            except UnreadableClaimError as error:
+                # Whether the call ran is unknown, so it must not run now.
+                self._unreadable.report(row_key, error)
+                return Claim(ClaimResult.OPEN_ELSEWHERE, row_key, claim_id, content_digest, row.version)
             if body.digest != content_digest:
                 raise KeyReusedError(f"idempotency key was used with another body: {row_key}")
             if body.state is ClaimState.DONE:
@@ -135,7 +160,11 @@
                 row = await self._table.get(claim.row_key)
                 if row is None:
                     return True
-                current = msgspec.json.decode(row.value, type=ClaimBody)
+                try:
+                    current = _decode_claim(row.value)
+                except UnreadableClaimError as error:
+                    self._unreadable.report(claim.row_key, error)
+                    return True  # Overwritten by another writer: it is no longer this router's claim.
                 if current.claim_id != claim.claim_id or current.state is not ClaimState.OPEN:
                     return True  # Settled by an earlier attempt, or claimed by another after a release.
                 await self._write_row(claim.row_key, row, body)
