Standalone router: hostile headers and bodies get typed answers

What callers and operators saw: 500 and an unexpected error in the log for a deadline of zeros with thousands of digits behind them (one with fewer digits was taken, beyond the largest allowed deadline), for header values that are no UTF-8 (credential, priority, content type; operators' token too), and for bodies nested deeply.

Cause: ten digits of the deadline were checked and all were parsed; text from headers was encoded without regard to bytes that are no UTF-8, also in the answer that says what is wrong; RecursionError was no expected error.

Now the deadline's form is checked as a whole, errors repeat such bytes as replaced, a call whose content type cannot be passed on is refused, and an answer's one is replaced. Last answers of a stop repeat allowed request ids only. A listener's host or TLS file that cannot be used is an error with a message, not a traceback.

Evidence: 20 values in six headers of generations and calls, as raw bytes against a running router, 6 paths, 47 hostile values at each place of both bodies, and operators' requests.

--- a/src/wallwell/standalone/callers/caller.py
+++ b/src/wallwell/standalone/callers/caller.py
@@ -48,8 +48,8 @@
 """Priority of a tenant that declares none: its rank is in the middle of 0 to 15."""
 _REQUEST_ID_BYTES = 12
 """Random bytes of an id that the router gives: two of a billion requests share one with a chance under 10**-10."""
-_MAX_DEADLINE_DIGITS = 10
-"""Digits of a deadline that are read, so that a long one is not parsed; more than the largest allowed one has."""
+_DEADLINE = re.compile(r"[0-9]{1,10}")
+"""Digits of a deadline: more than the largest allowed one has, and few enough to be parsed."""
 MAX_NAME_IN_ERROR = 64
 """Characters of an unknown name that an error contains, so that an answer doesn't grow with the request."""
 _REQUEST_ID = re.compile(r"^[A-Za-z0-9._:-]{1,128}$")
@@ -84,6 +84,12 @@
         return self.deadline_s - now_s
 
 
+def given_request_id(request: web.BaseRequest) -> str:
+    """Return the caller's request id, empty if it gave none or one that is not allowed."""
+    given = request.headers.get(REQUEST_ID_HEADER, "")
+    return given if _REQUEST_ID.fullmatch(given) else ""
+
+
 def request_id_or_new(request: web.Request) -> str:
     """Return the caller's request id, or a new one if it gave none. Raises :class:`MalformedRequestError`."""
     given = request.headers.get(REQUEST_ID_HEADER)
@@ -119,7 +125,7 @@
     if scheme.lower() != "bearer" or not token:
         raise UnauthenticatedError("a bearer token is required")
     # Looking up a SHA-256 gives no timing signal about other tokens.
-    digest = hashlib.sha256(token.strip().encode()).hexdigest()
+    digest = hashlib.sha256(token.strip().encode(errors="surrogateescape")).hexdigest()
     tenant = context.config.tenant_by_token.get(digest)
     if tenant is None:
         raise UnauthenticatedError("the credential belongs to no tenant")
@@ -142,7 +148,7 @@
     text = request.headers.get(DEADLINE_HEADER)
     if text is None:
         return default_ms
-    if not text.isascii() or not text.isdigit() or not 0 < int(text[:_MAX_DEADLINE_DIGITS]) <= MAX_DEADLINE_MS:
+    if not _DEADLINE.fullmatch(text) or not 0 < int(text) <= MAX_DEADLINE_MS:
         raise MalformedRequestError(f"{DEADLINE_HEADER} must be a number of milliseconds up to {MAX_DEADLINE_MS}")
     return int(text)
 
@@ -181,18 +187,23 @@
 
 
 def error_body(error: RequestError, request_id: str) -> bytes:
-    """Return the typed JSON of an error."""
+    """Return the typed JSON of an error. Bytes in it that a caller has sent and that are no UTF-8 are replaced."""
     body = CallerErrorBody(
         code=error.code,
         error=type(error).__name__,
-        message=error.detail,
+        message=encodable(error.detail),
         outcome=error.outcome,
         retry_after_ms=error.retry_after_ms,
-        request_id=request_id,
+        request_id=encodable(request_id),
     )
     return msgspec.json.encode(body)
 
 
+def encodable(text: str) -> str:
+    """Return a text in which what is no UTF-8 is replaced."""
+    return text.encode(errors="replace").decode()
+
+
 def error_response(error: RequestError, request_id: str) -> web.Response:
     """Return the typed error answer."""
     headers = {REQUEST_ID_HEADER: request_id, OUTCOME_HEADER: error.outcome.value}
--- a/src/wallwell/standalone/callers/service_calls.py
+++ b/src/wallwell/standalone/callers/service_calls.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 
 from wallwell.clock import boot_time_s
-from wallwell.errors import ForbiddenError, RequestError, UnknownResourceError
+from wallwell.errors import ForbiddenError, MalformedRequestError, RequestError, UnknownResourceError
 from wallwell.outcomes import Outcome
 from wallwell.standalone.backends.service_client import ServiceAnswer, ServiceCall
 from wallwell.standalone.callers.caller import (
@@ -21,6 +21,7 @@
     REQUEST_ID_HEADER,
     CheckedCaller,
     admitted,
+    encodable,
     read_body,
 )
 from wallwell.standalone.callers.claimed_call import send_claimed
@@ -77,7 +78,15 @@
 
 
 def _call(request: web.Request, caller: CheckedCaller, path: str, body: bytes, spec: ServiceSpec) -> ServiceCall:
-    headers = {"Content-Type": request.headers.get("Content-Type", "application/octet-stream")}
+    """Return the call as it is sent. Raises :class:`MalformedRequestError` if that cannot be written."""
+    content_type = request.headers.get("Content-Type", "application/octet-stream")
+    try:
+        content_type.encode()
+        request.query_string.encode()
+        path.encode()
+    except UnicodeEncodeError as error:
+        raise MalformedRequestError("Content-Type, path and query must be UTF-8") from error
+    headers = {"Content-Type": content_type}
     if caller.idempotency_key:
         headers[IDEMPOTENCY_HEADER] = caller.idempotency_key
     query = f"?{request.query_string}" if request.query_string else ""
@@ -89,5 +98,5 @@
 def _response(answer: ServiceAnswer, caller: CheckedCaller) -> web.Response:
     headers = {REQUEST_ID_HEADER: caller.request_id, OUTCOME_HEADER: Outcome.COMPLETED.value}
     if answer.content_type:
-        headers["Content-Type"] = answer.content_type
+        headers["Content-Type"] = encodable(answer.content_type)
     return web.Response(status=answer.status, body=answer.body, headers=headers)
--- a/src/wallwell/standalone/listeners.py
+++ b/src/wallwell/standalone/listeners.py
@@ -12,8 +12,14 @@
 from aiohttp import web
 
 from wallwell.callers_server import CallersServer, encode_final_answer, stop_accepting
-from wallwell.errors import AddressInUseError, ConnectionEndedError, OutcomeUnknownError, RequestError
-from wallwell.standalone.callers.caller import OUTCOME_HEADER, REQUEST_ID_HEADER, error_body
+from wallwell.errors import (
+    AddressInUseError,
+    ConnectionEndedError,
+    OutcomeUnknownError,
+    RequestError,
+    SettingsError,
+)
+from wallwell.standalone.callers.caller import OUTCOME_HEADER, REQUEST_ID_HEADER, error_body, given_request_id
 from wallwell.standalone.settings import Listener, TlsSettings
 
 KEEPALIVE_S = 75.0
@@ -33,7 +39,7 @@
 
     def for_interrupted_request(self, request: web.BaseRequest) -> bytes:
         """See :class:`wallwell.callers_server.FinalAnswers`."""
-        return _error(OutcomeUnknownError("this router is stopping"), request.headers.get(REQUEST_ID_HEADER, ""))
+        return _error(OutcomeUnknownError("this router is stopping"), given_request_id(request))
 
 
 def _error(error: RequestError, request_id: str) -> bytes:
@@ -61,7 +67,7 @@
         site = web.TCPSite(runner, listener.host, listener.port, ssl_context=self._tls_context())
         try:
             await site.start()
-        except OSError as error:
+        except (OSError, ValueError) as error:  # ValueError: a host name that cannot be encoded.
             raise AddressInUseError(f"{listener.host}:{listener.port}: {error}") from error
         port = runner.addresses[0][1]
         return f"{listener.host}:{port}"
@@ -87,7 +93,10 @@
         if self._tls is None:
             return None
         context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-        context.load_cert_chain(self._tls.certificate_file, self._tls.key_file)
+        try:
+            context.load_cert_chain(self._tls.certificate_file, self._tls.key_file)
+        except (OSError, ValueError) as error:
+            raise SettingsError(f"tls: certificate or key cannot be used: {error}") from error
         return context
 
     def has_unsent_bytes(self) -> bool:
--- a/src/wallwell/standalone/operators_app.py
+++ b/src/wallwell/standalone/operators_app.py
@@ -101,7 +101,9 @@
     def _authenticate(self, request: web.Request) -> None:
         scheme, _, token = request.headers.get("Authorization", "").partition(" ")
         expected = self._context.settings.operator_token
-        if scheme.lower() != "bearer" or not hmac.compare_digest(token.encode(), expected.encode()):
+        if scheme.lower() != "bearer" or not hmac.compare_digest(
+            token.encode(errors="surrogateescape"), expected.encode()
+        ):
             raise UnauthenticatedError("the operators' token is required")
 
     async def _health(self, _request: web.Request) -> web.Response:
@@ -110,7 +112,7 @@
     async def _apply(self, request: web.Request) -> web.Response:
         try:
             apply = msgspec.json.decode(await request.read(), type=ApplyRequest)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
             return _operator_answer(
                 _error_body(MalformedRequestError, str(error)), MalformedRequestError.http_status
             )
