Standalone router: unexpected errors are events, and stop no other work

What operators saw: one model whose placement failed kept all models behind it from being placed, as the loop began anew each second. A configuration that could not be applied ended the task by which a node becomes ready. Errors of work whose caller had left, and of attempts beside another one, were dropped without a line; those that nothing awaited were printed as text of asyncio.

Now each of them is logged (1006, or 1015 for what nothing awaits, as the router on the platform does) and the rest goes on.

--- a/src/wallwell/cli/router.py
+++ b/src/wallwell/cli/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import asyncio
 import signal
 from pathlib import Path
 from typing import Any
@@ -11,6 +12,7 @@
 import uvloop
 
 from wallwell.events import configure_logging
+from wallwell.loop_errors import log_loop_errors
 from wallwell.standalone.router_node import RouterNode
 from wallwell.standalone.settings import NodeSettings, load_settings
 
@@ -33,7 +35,8 @@
     settings: NodeSettings
 
     async def start(self) -> None:
-        """Start the node."""
+        """Start the node. What no task of it awaits is logged as an event."""
+        log_loop_errors(asyncio.get_running_loop())
         self.router_node = RouterNode(self.settings)
         await self.router_node.start()
 
--- a/src/wallwell/standalone/callers/attempt_race.py
+++ b/src/wallwell/standalone/callers/attempt_race.py
@@ -15,6 +15,7 @@
 from typing import Any, NamedTuple
 
 from wallwell.errors import RequestError
+from wallwell.events import Event, emit
 from wallwell.routing.retry.attempt_outcome import TransportEvent
 from wallwell.standalone.backends.attempt import AttemptFailed
 from wallwell.standalone.backends.engine_protocol import CancelState
@@ -79,7 +80,9 @@
         finally:
             for task in self._open.values():
                 task.cancel()
-            await asyncio.gather(*self._open.values(), *self._ended, return_exceptions=True)
+            await asyncio.gather(*self._open.values(), return_exceptions=True)
+            for error in await asyncio.gather(*self._ended, return_exceptions=True):
+                _log_if_unexpected(error)
 
     def on_silence(self, attempt: EngineAttempt) -> None:
         """Have another attempt made if this is the newest one: an older one's successor still has time."""
@@ -167,6 +170,12 @@
     return asyncio.get_running_loop().create_future()
 
 
+def _log_if_unexpected(error: BaseException | None) -> None:
+    """Log how an attempt ended that nobody waited for any more, unless it failed or was cancelled."""
+    if isinstance(error, Exception) and not isinstance(error, AttemptFailed):
+        emit(Event.INTERNAL_ERROR, where="attempt beside another one", key="", reason=repr(error))
+
+
 def _failure_of(task: asyncio.Task[None]) -> AttemptFailed | None:
     """Return how an attempt that has ended failed, None if it did not. Raises what is no failure of an attempt."""
     error = task.exception()
--- a/src/wallwell/standalone/callers/context.py
+++ b/src/wallwell/standalone/callers/context.py
@@ -15,6 +15,8 @@
 import aiohttp
 
 from wallwell.background import BackgroundTasks
+from wallwell.errors import WallwellError
+from wallwell.events import Event, emit
 from wallwell.standalone.backends.service_client import ServiceClient
 from wallwell.standalone.cluster.claims import ClaimTable
 from wallwell.standalone.cluster.messages import EngineRecord
@@ -110,6 +112,11 @@
 
 def _retrieve_exception(task: asyncio.Task[Any]) -> None:
     """Retrieve a task's exception: if the caller that awaited it has left, asyncio would log it as never
-    retrieved."""
-    if not task.cancelled():
-        task.exception()
+    retrieved. One that no caller is told of by its type is logged here, since the caller may have left."""
+    error = None if task.cancelled() else task.exception()
+    if error is not None and not isinstance(error, WallwellError):
+        emit(Event.TASK_FAILED, error=repr(error), where=_coroutine_name(task), raised_at="")
+
+
+def _coroutine_name(task: asyncio.Task[Any]) -> str:
+    return str(getattr(task.get_coro(), "__qualname__", task.get_name()))
--- a/src/wallwell/standalone/placement/controller.py
+++ b/src/wallwell/standalone/placement/controller.py
@@ -48,12 +48,19 @@
         try:
             while True:
                 await asyncio.sleep(RECONCILE_INTERVAL_S * self._context.rng.uniform(*RECONCILE_JITTER))
-                for model, spec in self._context.config.models.items():
-                    await self._reconcile(model, spec)
+                for model, spec in list(self._context.config.models.items()):
+                    await self._reconcile_or_log(model, spec)
         finally:
             for lease in self._leases.values():
                 await lease.release()
 
+    async def _reconcile_or_log(self, model: str, spec: ModelSpec) -> None:
+        """Reconcile one model; an unexpected error is logged and keeps no other model back."""
+        try:
+            await self._reconcile(model, spec)
+        except Exception as error:
+            emit(Event.INTERNAL_ERROR, where="placement", key=model, reason=repr(error))
+
     async def _reconcile(self, model: str, spec: ModelSpec) -> None:
         context = self._context
         if owner(context.node.membership.alive(), rendezvous_key(f"placement/{model}")) != context.settings.node:
--- a/src/wallwell/standalone/platform_reads.py
+++ b/src/wallwell/standalone/platform_reads.py
@@ -83,7 +83,11 @@
         except PeerUnavailableError as error:
             emit(Event.CONFIG_FETCH_FAILED, peer=seed, reason=str(error))
             return False
-        transport.apply_config_delta(delta)
+        try:
+            transport.apply_config_delta(delta)
+        except Exception as error:  # The platform and the other seeds may still have a configuration.
+            emit(Event.INTERNAL_ERROR, where="configuration of a peer", key=seed, reason=repr(error))
+            return False
         return delta.head > 0
 
     async def _refresh(self) -> bool:
@@ -93,6 +97,9 @@
         except PlatformUnavailableError as error:
             emit(Event.TABLE_UNAVAILABLE, detail=error.detail)
             return False
+        except Exception as error:  # The peers may still have a configuration.
+            emit(Event.INTERNAL_ERROR, where="configuration of the platform", key="", reason=repr(error))
+            return False
         return True
 
     async def _refresh_later(self) -> bool:
