--- a/src/wallwell/standalone/callers/context.py
+++ b/src/wallwell/standalone/callers/context.py
@@ -15,6 +15,8 @@
 import aiohttp
 
 from wallwell.background import BackgroundTasks
+from wallwell.errors import WallwellError
+from wallwell.events import Event, emit
 from wallwell.standalone.backends.service_client import ServiceClient
 from wallwell.standalone.cluster.claims import ClaimTable
 from wallwell.standalone.cluster.messages import EngineRecord
@@ -27,6 +29,7 @@
 from wallwell.standalone.routing.retry import CircuitBreaker, RetryBudget
 from wallwell.standalone.routing.selector import EngineSelector
 from wallwell.standalone.settings import NodeSettings
+from wallwell.standalone.unreadable import UnreadableEntries
 from wallwell.storage.table import TableService
 
 T = TypeVar("T")
@@ -56,6 +59,8 @@
     service_paused_until_s: dict[str, float] = field(default_factory=dict)
     """By service instance, until when it gets no calls because it is leaving; on this node's clock."""
     service_breakers: dict[str, CircuitBreaker] = field(default_factory=dict)
+    unreadable_counts: UnreadableEntries = field(default_factory=lambda: UnreadableEntries("counts of engines"))
+    """Engines whose counts of tokens cannot be read."""
     ready: bool = False
     """Whether the node has a configuration to serve by."""
     draining: bool = False
@@ -107,6 +112,11 @@
 
 def _retrieve_exception(task: asyncio.Task[Any]) -> None:
     """Retrieve a task's exception: if the caller that awaited it has left, asyncio would log it as never
-    retrieved."""
-    if not task.cancelled():
-        task.exception()
+    retrieved. One that no caller is told of by its type is logged here, since the caller may have left."""
+    error = None if task.cancelled() else task.exception()
+    if error is not None and not isinstance(error, WallwellError):
+        emit(Event.TASK_FAILED, error=repr(error), where=_coroutine_name(task), raised_at="")
+
+
+def _coroutine_name(task: asyncio.Task[Any]) -> str:
+    return str(getattr(task.get_coro(), "__qualname__", task.get_name()))
