Settings that cannot be used are an error that names the field

Operators saw a start end with a traceback and status 1, where other bad files get one line and status 2, if the settings file had a number of thousands of digits, was nested deeply or was not UTF-8; on SIGHUP such a file printed a traceback. With a store's address that is none the process started, was never ready and logged event 1006 for ever. A port range of 10**18 was tried port by port, and endless, negative or empty bounds were taken as they are.

Cause: the file's types were checked, but not what their values mean, and reading raises more than the errors that were expected (ValueError of int, UnicodeDecodeError, RecursionError).

Whatever reading raises is a SettingsError, and every address, port, range and quantity is checked when the file is read, at a start and on SIGHUP. Listening addresses may be what they could be before: any address or name, port 0 included. The store's client takes an Address. A file is read without waiting and up to 256 KB, so a pipe or a device in its place stops nothing.

--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -45,8 +45,9 @@
 
 
 def build_node(settings: PlatformSettings) -> FleetNode:
-    """Return a node that uses the platform's store and workers. It is not started yet."""
-    store = PlatformStore(settings.provider.addr)
+    """Return a node that uses the platform's store and workers. It is not started yet. Raises
+    :class:`SettingsError` if the store's address is none."""
+    store = PlatformStore(settings.store_address())
     topology = settings.topology()
     pool = make_worker_pool()
     notices = BackendNotices()
--- a/src/wallwell/platform/settings.py
+++ b/src/wallwell/platform/settings.py
@@ -1,7 +1,8 @@
 """Reads and validates the settings file of a process on the platform, and converts its values to wallwell's units.
 
 Field names are the platform's. Unknown fields are ignored, since the platform adds fields over time. Only this
-module reads the file; the rest of the program gets :class:`FleetBounds` and :class:`Topology`.
+module reads the file; the rest of the program gets :class:`FleetBounds` and :class:`Topology`. What
+:func:`load_platform_settings` returns can be used without further checks.
 """
 
 from __future__ import annotations
@@ -11,12 +12,28 @@
 
 import msgspec
 
+from wallwell.address import Address
 from wallwell.deployment.topology import Topology
 from wallwell.errors import SettingsError
 from wallwell.node.state import FleetBounds
 from wallwell.platform.names import SETTINGS_VARIABLE
+from wallwell.platform.settings_checks import (
+    check_address,
+    check_listening_address,
+    check_own_ip,
+    check_port_range,
+    check_quantity,
+    is_port,
+)
 from wallwell.rollout.model import RolloutBounds
 
+MAX_FILE_BYTES = 256 * 1024
+"""Size of a settings file at most: some hundred times that of a real one. It is read while callers are served."""
+MIN_WINDOW = 0.001
+"""Smallest value of a bound by which rates are divided or in whose intervals something is repeated, in its unit."""
+_WINDOWS = ("budget_window_s", "lease_ms")
+"""Bounds of that kind."""
+
 
 class ListenAddresses(msgspec.Struct, frozen=True):
     """Addresses (``IP:PORT``) at which the node listens."""
@@ -104,6 +121,10 @@
         """Seconds from the stop signal until the platform kills the process."""
         return self.bounds.grace_s
 
+    def store_address(self) -> Address:
+        """Return the address of the platform's store. Raises :class:`SettingsError` if it is none."""
+        return check_address("provider.addr", self.provider.addr)
+
     def peer_ports(self) -> range:
         """Return the ports on which to listen for peers; empty if the settings name no IP address or no ports."""
         return range(self.port_range[0], self.port_range[-1] + 1) if self.ip and self.port_range else range(0)
@@ -111,7 +132,7 @@
     def metrics_address(self) -> MetricsAddress | None:
         """Return the address for metrics, at the readiness listener's IP; None if ``metrics`` names no port."""
         port, _, path = self.metrics.partition("/")
-        if not port.isdigit():
+        if not (port.isascii() and port.isdecimal()):
             return None
         host = self.listen.ready.rpartition(":")[0]
         return MetricsAddress(f"{host}:{port}", f"/{path}")
@@ -147,9 +168,39 @@
 def load_platform_settings(path: str) -> PlatformSettings:
     """Read and validate the settings file. Raises :class:`SettingsError` if it is unreadable or invalid."""
     try:
-        with open(path, "rb") as file:
-            return msgspec.convert(tomllib.load(file), PlatformSettings)
+        settings = msgspec.convert(tomllib.loads(_read_file(path).decode()), PlatformSettings)
+        check_settings(settings)
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
-    except (tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+    except SettingsError as error:
+        raise SettingsError(f"{path}: {error.detail}") from error
+    except RecursionError as error:
+        raise SettingsError(f"{path}: values are nested too deeply") from error
+    except (ValueError, msgspec.ValidationError) as error:  # Not UTF-8, not TOML, a number of too many digits.
         raise SettingsError(f"{path}: {error}") from error
+    return settings
+
+
+def check_settings(settings: PlatformSettings) -> None:
+    """Check the values of a file whose types are right. Raises :class:`SettingsError`, which names the field."""
+    settings.store_address()
+    check_listening_address("listen.front", settings.listen.front)
+    check_listening_address("listen.ready", settings.listen.ready)
+    metrics_address = settings.metrics_address()
+    if metrics_address is not None and not is_port(settings.metrics.partition("/")[0]):
+        raise SettingsError("metrics: not PORT/PATH")
+    check_own_ip("ip", settings.ip)
+    check_port_range("port_range", settings.port_range)
+    check_quantity("limits.link_mbps", settings.limits.link_mbps)
+    for name, value in msgspec.structs.asdict(settings.bounds).items():
+        check_quantity(f"bounds.{name}", value, MIN_WINDOW if name in _WINDOWS else 0.0)
+
+
+def _read_file(path: str) -> bytes:
+    """Return a file's bytes. Raises OSError, or :class:`SettingsError` if it is too large."""
+    # Without O_NONBLOCK, opening a pipe would wait for a writer, and nothing else would run meanwhile.
+    with open(path, "rb", opener=lambda name, flags: os.open(name, flags | os.O_NONBLOCK)) as file:
+        data = file.read(MAX_FILE_BYTES + 1) or b""
+    if len(data) > MAX_FILE_BYTES:
+        raise SettingsError(f"larger than {MAX_FILE_BYTES} bytes")
+    return data
--- a/src/wallwell/platform/store.py
+++ b/src/wallwell/platform/store.py
@@ -13,6 +13,7 @@
 import msgspec
 from aiohttp.http_parser import RawResponseMessage
 
+from wallwell.address import Address
 from wallwell.answer_head import parse_header_number
 from wallwell.backend_connection import ConnectionBrokenError
 from wallwell.clock import boot_time_s
@@ -64,8 +65,8 @@
 class PlatformStore:
     """Client of the store at one address, with one connection for each concurrent call."""
 
-    def __init__(self, address: str) -> None:
-        self._address = address
+    def __init__(self, address: Address) -> None:
+        self._address = str(address)
         self._pool = ConnectionPool("", CONNECT_TIMEOUT_S, CALL_TIMEOUT_S, max_idle=MAX_IDLE_CONNECTIONS)
         self.era = StoreEra(_log_restore)
         """Newest era of the store; updated by every answer, whatever its status."""
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -10,6 +10,7 @@
 from tests.platform.conftest import config, route
 from tests.platform.fakes import own_table
 from tests.unit.serving.fakes import event
+from wallwell.address import parse_address
 from wallwell.deployment.store_era import StorePosition
 from wallwell.errors import HistoryLostError, PlatformUnavailableError, SettingsError, TableConflictError
 from wallwell.events import Event
@@ -163,7 +164,7 @@
     async def work():
         fake_store = FakeStore()
         await fake_store.start()
-        store = PlatformStore(fake_store.address)
+        store = PlatformStore(parse_address(fake_store.address))
         try:
             return await scenario(fake_store, store)
         finally:
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -10,6 +10,7 @@
 from tests.platform.conftest import config
 from tests.platform.fakes import FakeWorker, own_table
 from tests.platform.test_peers import two_nodes
+from wallwell.address import parse_address
 from wallwell.cluster.leases import LeaseKeeper
 from wallwell.errors import PlatformUnavailableError, TableConflictError
 from wallwell.platform.rollouts import PlatformRolloutStore
@@ -39,7 +40,7 @@
 
 async def rollouts_and_lease(harness):
     """Return a rollout store on the harness's store, and the version of an acquired rollout lease."""
-    store = PlatformStore(harness.store.address)
+    store = PlatformStore(parse_address(harness.store.address))
     lease = await LeaseKeeper(LEASE_NAME, "n9", 5.0, own_table(store)).try_acquire(0.0)
     return PlatformRolloutStore(store), lease.version
 
--- a/tests/wire_subjects.py
+++ b/tests/wire_subjects.py
@@ -24,6 +24,7 @@
 
 import wallwell
 from tests.platform.fakes import own_table
+from wallwell.address import parse_address
 from wallwell.catalogue import errors_page, events_page
 from wallwell.cli.main import build_parser
 from wallwell.cluster.leases import LeaseBody
@@ -521,7 +522,7 @@
 def _recorded(act: Callable[[Any, Any], Awaitable[Any]], answers: dict[str, bytes] | None = None) -> list[str]:
     """Return the calls that a node makes to its store."""
     node = _node()
-    store = PlatformStore("127.0.0.1:3")
+    store = PlatformStore(parse_address("127.0.0.1:3"))
     store._pool = pool = _RecordingPool(answers)  # type: ignore[assignment]
     node._member_rows._table._store._pool = pool
     asyncio.run(act(node, store))  # type: ignore[arg-type]
