A start that fails says why in one line

Operators saw a traceback and status 1 if a port was taken, or after any other unexpected error at a start.

Cause: the entry point expected no OSError, and raised other errors again after it had logged them.

A listener that cannot be bound is WW1002 with its address and status 2, as other settings that cannot be used.

--- a/src/wallwell/loop_errors.py
+++ b/src/wallwell/loop_errors.py
@@ -27,7 +27,7 @@
         Event.TASK_FAILED,
         error=f"{type(error).__name__}: {error}",
         where=_describe_origin(context),
-        raised_at=_last_frame(error),
+        raised_at=last_frame(error),
     )
 
 
@@ -39,7 +39,7 @@
     return str(context.get("message", ""))
 
 
-def _last_frame(error: BaseException) -> str:
+def last_frame(error: BaseException) -> str:
     """Return where an error was raised, as ``FUNCTION:LINE``; empty if it was not raised."""
     frames = traceback.extract_tb(error.__traceback__, limit=-1)
     return f"{frames[0].name}:{frames[0].lineno}" if frames else ""
--- a/src/wallwell/platform/main.py
+++ b/src/wallwell/platform/main.py
@@ -16,9 +16,9 @@
 from wallwell.build_info import build_commit, build_version
 from wallwell.callers_server import stop_accepting
 from wallwell.clock import boot_time_s
-from wallwell.errors import WallwellError
+from wallwell.errors import AddressInUseError, WallwellError
 from wallwell.events import Event, configure_logging, emit
-from wallwell.loop_errors import log_loop_errors
+from wallwell.loop_errors import last_frame, log_loop_errors
 from wallwell.node.adapter import NodeAdapter, NodeSources
 from wallwell.node.node import FleetNode, NodeProfile
 from wallwell.platform import names
@@ -42,6 +42,8 @@
 callers of a failed node reconnect while the loop is short of CPU time; an overflow delays a caller by a second."""
 STARTUP_ERROR_EXIT_CODE = 2
 """Exit status of the process if the node could not start with its settings."""
+UNEXPECTED_ERROR_EXIT_CODE = 1
+"""Exit status of the process after an error that nothing expects."""
 
 
 def build_node(settings: PlatformSettings) -> FleetNode:
@@ -84,11 +86,14 @@
 
 
 async def listen(server: web.Server, address: str) -> web.ServerRunner:
-    """Serve at ``IP:PORT`` and return the runner. Raises OSError if the address cannot be bound."""
+    """Serve at ``HOST:PORT`` and return the runner. Raises :class:`AddressInUseError` if it cannot be bound."""
     runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
     await runner.setup()
     host, _, port = address.rpartition(":")
-    await web.TCPSite(runner, host, int(port), backlog=ACCEPT_BACKLOG, reuse_address=True).start()
+    try:
+        await web.TCPSite(runner, host, int(port), backlog=ACCEPT_BACKLOG, reuse_address=True).start()
+    except OSError as error:
+        raise AddressInUseError(f"{address}: {error.strerror or error}") from error
     return runner
 
 
@@ -145,7 +150,7 @@
 
 
 async def run(path: str) -> None:
-    """Run until a planned stop is complete. Raises :class:`SettingsError`, or OSError if a port cannot be bound."""
+    """Run until a planned stop is complete. Raises :class:`SettingsError` or :class:`AddressInUseError`."""
     log_loop_errors(asyncio.get_running_loop())
     stop_signal = _handle_signals(path)
     settings = load_platform_settings(path)
@@ -188,7 +193,8 @@
 
 
 def main() -> int:
-    """Run the router. A planned stop exits the process with status 0, so this returns only if the start failed."""
+    """Run the router and return the process's exit status. A planned stop exits the process with status 0, so this
+    returns only if the start failed: 2 because of the settings or an address in them, 1 for an unexpected error."""
     configure_logging("INFO", json_lines=True)
     try:
         uvloop.run(_run_and_exit(settings_path()))
@@ -196,6 +202,6 @@
         print(str(error), file=sys.stderr)
         return STARTUP_ERROR_EXIT_CODE
     except Exception as error:
-        emit(Event.PROCESS_FAILED, error=f"{type(error).__name__}: {error}")
-        raise
+        emit(Event.PROCESS_FAILED, error=f"{type(error).__name__}: {error}", raised_at=last_frame(error))
+        return UNEXPECTED_ERROR_EXIT_CODE
     return 0
--- a/tests/platform/test_settings_of_a_process.py
+++ b/tests/platform/test_settings_of_a_process.py
@@ -7,6 +7,7 @@
 import json
 import os
 import signal
+import socket
 
 import pytest
 
@@ -16,6 +17,9 @@
 TIMEOUT_S = 40.0
 """Several times what a start takes on a busy machine."""
 SETTINGS_STATUS = 2
+UNEXPECTED_STATUS = 1
+BROKEN_START = "import sys, wallwell.platform.main as main; main.build_node = None; sys.exit(main.main())"
+"""Starts a router with a fault of its own."""
 
 
 def sound_settings(**more):
@@ -75,6 +79,30 @@
     assert (status, len(lines), lines[0].startswith("WW1001 SettingsError: ")) == (SETTINGS_STATUS, 1, True)
 
 
+@pytest.mark.parametrize("listener", ["front", "ready"])
+def test_a_start_at_a_port_that_is_taken_ends_with_a_line_that_names_it(run_async, tmp_path, listener):
+    """A traceback and status 1 were seen."""
+    path = tmp_path / "settings.toml"
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        port = taken.getsockname()[1]
+        write(path, sound_settings(**{listener: port}))
+        status, lines = run_async(end_of(path))
+    assert (status, [line for line in lines if "Traceback" in line]) == (SETTINGS_STATUS, [])
+    assert lines[-1].startswith(f"WW1002 AddressInUseError: 127.0.0.1:{port}: ")
+
+
+def test_an_unexpected_error_at_a_start_is_one_event(run_async, tmp_path):
+    path = tmp_path / "settings.toml"
+    write(path, sound_settings())
+    status, lines = run_async(end_of(path, BROKEN_START))
+    events = [json.loads(line) for line in lines]
+    assert (status, [each["event"] for each in events]) == (UNEXPECTED_STATUS, [Event.PROCESS_FAILED.number])
+    assert (events[0]["error"], events[0]["raised_at"].split(":")[0]) == (
+        "TypeError: 'NoneType' object is not callable",
+        "run",
+    )
+
+
 class RunningRouter:
     """A router that has started, and the events that it logs."""
 
