A request counts for at most what an engine holds

Callers of a tenant with a limit in tokens got 429 for as long as one request took to be worked off that declared ten million tokens, at 100,000 tokens a second for more than a minute. A prompt that stated as many made its engine look full to all nodes (2,442 load units) while it was in flight.

Cause: what a caller declares was charged as it is, although an engine refuses what does not fit into its KV cache, whose size the configuration states.

Charge and load are those of the largest request that any engine of the configuration takes, if all sizes are known; without them nothing changes.

--- a/src/wallwell/deployment/routes.py
+++ b/src/wallwell/deployment/routes.py
@@ -92,11 +92,16 @@
     default_request_tokens: int = 1
     """Cost in tokens of a request that declares no token count."""
 
-    def request_cost(self, declared_tokens: int | None) -> int:
-        """Return a request's cost in tokens or requests; ``declared_tokens`` is its prompt and maximum output."""
+    def request_cost(self, declared_tokens: int | None, max_run_tokens: int | None = None) -> int:
+        """Return a request's cost in tokens or requests; ``declared_tokens`` is its prompt and maximum output.
+
+        It costs at most ``max_run_tokens``, if that is known: what an engine refuses must not use up the limit.
+        """
         if not self.counts_tokens:
             return 1
-        return self.default_request_tokens if declared_tokens is None else declared_tokens
+        if declared_tokens is None:
+            return self.default_request_tokens
+        return declared_tokens if max_run_tokens is None else min(declared_tokens, max_run_tokens)
 
 
 class TenantAccess(msgspec.Struct, frozen=True):
@@ -126,6 +131,13 @@
     tenants: tuple[TenantAccess, ...] = ()
     bounds: CallerBounds = field(default_factory=CallerBounds)
 
+    @cached_property
+    def max_run_tokens(self) -> int | None:
+        """Most tokens that a request can have on any engine: an engine refuses what does not fit into its KV cache.
+        None if there is no engine, or if the size of one is not known."""
+        sizes = [service.engines.kv_tokens for service in self.services if service.engines is not None]
+        return max(sizes) if sizes and min(sizes) > 0 else None
+
     @cached_property
     def _routes_by_host(self) -> dict[str, list[Route]]:
         by_host: dict[str, list[Route]] = {}
--- a/src/wallwell/serving/attempt.py
+++ b/src/wallwell/serving/attempt.py
@@ -107,7 +107,8 @@
 
     def start_attempt(self, active: ActiveRequest, backend: Backend) -> StartedAttempt:
         """Count an attempt as in flight, so that others see its load before it runs."""
-        load = _load_units(active)
+        config = self._state.config
+        load = _load_units(active, config.max_run_tokens if config is not None else None)
         prefers_peers = prefers_peer_attempts(self._state, active)
         sent_s = self._on_sent(active, backend, load)
         counted = count_attempt_start(self._state, active, backend, sent_s)
@@ -260,6 +261,10 @@
             raise AttemptError(TransportEvent.RESET_AFTER_SEND, str(error)) from error
 
 
-def _load_units(active: ActiveRequest) -> int:
+def _load_units(active: ActiveRequest, max_run_tokens: int | None) -> int:
+    """Return the load of a request; a prompt that is too large for any engine counts like the largest that fits."""
     generation = active.request.generation
-    return request_load(generation.prompt_tokens) if generation is not None else CALL_LOAD
+    if generation is None:
+        return CALL_LOAD
+    tokens = generation.prompt_tokens
+    return request_load(tokens if max_run_tokens is None else min(tokens, max_run_tokens))
