What a caller declares is charged as it is; only a prompt's load is bounded by what an engine holds

Operators count the tokens that a request declares, so a limit has to as well; a caller that declares more than any engine holds uses up its own tenant's limit. The load that nodes tell each other stays bounded, since it would keep other tenants from the engine.

--- a/src/wallwell/deployment/routes.py
+++ b/src/wallwell/deployment/routes.py
@@ -96,16 +96,11 @@
     default_request_tokens: int = 1
     """Cost in tokens of a request that declares no token count."""
 
-    def request_cost(self, declared_tokens: int | None, max_run_tokens: int | None = None) -> int:
-        """Return a request's cost in tokens or requests; ``declared_tokens`` is its prompt and maximum output.
-
-        It costs at most ``max_run_tokens``, if that is known: what an engine refuses must not use up the limit.
-        """
+    def request_cost(self, declared_tokens: int | None) -> int:
+        """Return a request's cost in tokens or requests; ``declared_tokens`` is its prompt and maximum output."""
         if not self.counts_tokens:
             return 1
-        if declared_tokens is None:
-            return self.default_request_tokens
-        return declared_tokens if max_run_tokens is None else min(declared_tokens, max_run_tokens)
+        return self.default_request_tokens if declared_tokens is None else declared_tokens
 
 
 class TenantAccess(msgspec.Struct, frozen=True):
--- a/src/wallwell/serving/admission.py
+++ b/src/wallwell/serving/admission.py
@@ -88,9 +88,7 @@
         """Return the charge to the tenant's limit, None without a limit. Raises :class:`RateLimitedError`."""
         if tenant is None or tenant.limit is None:
             return None
-        config = self._state.config
-        max_tokens = config.max_run_tokens if config is not None else None
-        request_cost = tenant.limit.request_cost(request.declared_tokens, max_tokens)
+        request_cost = tenant.limit.request_cost(request.declared_tokens)
         charge = self._state.load.limits.admit(tenant.name, request_cost, boot_time_s())
         if isinstance(charge, OverLimit):
             detail = f"the limit of {tenant.name} is used up"
