Changes that are too large for one answer of the store are read as a whole, in pages

A node asked the store for all changes since its version. If entries of another writer had changed meanwhile with more than 16 MB together (some 200 of 64 KiB, as after a short cut from the store), the answer was too large to be held. The node logged that the store does not answer, and asked for the same changes and later ones for ever: no back end that came or left was noticed until the process was started again.

Now the follower reads all rows again, which come in pages of 1 MB at most, and goes on from there.

--- a/src/wallwell/http_connection.py
+++ b/src/wallwell/http_connection.py
@@ -47,6 +47,10 @@
         self.refused = refused
 
 
+class FetchedTooMuchError(ConnectionBrokenError):
+    """An answer's body has more than ``MAX_FETCHED_BYTES``."""
+
+
 class PortCheck(NamedTuple):
     """What an attempt to connect to a port has shown."""
 
@@ -101,7 +105,8 @@
         """Send an encoded request without an id and return status and body.
 
         ``on_head`` is called with the answer's head, even if reading the body then fails.
-        Raises :class:`ConnectFailedError`, :class:`ConnectionBrokenError` or TimeoutError.
+        Raises :class:`ConnectFailedError`, :class:`ConnectionBrokenError` (:class:`FetchedTooMuchError` for a body
+        that is too large) or TimeoutError.
         """
         try:
             async with time_limit(timeout_s):
@@ -112,7 +117,7 @@
                         on_head(message)
                     return message.code, await read_bounded(connection.body(), MAX_FETCHED_BYTES)
                 except AnswerTooLargeError as error:
-                    raise ConnectionBrokenError(str(error)) from error
+                    raise FetchedTooMuchError(str(error)) from error
                 finally:
                     self.release(address, connection)
         except TimeoutError:
--- a/src/wallwell/platform/store.py
+++ b/src/wallwell/platform/store.py
@@ -20,7 +20,7 @@
 from wallwell.deployment.store_era import UNKNOWN_ERA, StoreEra, StorePosition
 from wallwell.errors import HistoryLostError, PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
-from wallwell.http_connection import ConnectFailedError, ConnectionPool
+from wallwell.http_connection import ConnectFailedError, ConnectionPool, FetchedTooMuchError
 from wallwell.number_ranges import MAX_ERA
 from wallwell.platform import names
 from wallwell.platform.store_wire import (
@@ -207,7 +207,13 @@
     async def changes(self, after: StorePosition, wait_s: float) -> FeedPage:
         """See :class:`wallwell.storage.feed.RowSource`."""
         query = {"table": self._table, "after": str(after.version), "wait_ms": str(round(wait_s * 1000))}
-        answer, era = await self._store.read_rows(names.ROWS_FEED_PATH, query, wait_s + CALL_TIMEOUT_S)
+        try:
+            answer, era = await self._store.read_rows(names.ROWS_FEED_PATH, query, wait_s + CALL_TIMEOUT_S)
+        except PlatformUnavailableError as error:
+            if not isinstance(error.__cause__, FetchedTooMuchError):
+                raise
+            # Asked again, the store would answer the same changes and later ones; all rows come in pages.
+            raise HistoryLostError(f"the changes after that version are too large: {error}") from error
         _require_same_era(after.era, era)
         return FeedPage(tuple(to_feed_row(row) for row in answer.rows), answer.ver, answer.now_ms / 1000, era=era)
 
