A configuration may say "no limit" by the largest number of 64 bits

The bounds on numbers in rows (2^53 - 1, and 10^12 for times and rates) refused a whole configuration that earlier builds put in force, such as one with max_body_bytes of 2^63 - 1: a starting node was never ready, and the others went on with the keys of the last configuration. The bounds are now those of 64 bits. Rollouts keep their own bound, as their times are written to rows whose readers have one.

--- a/src/wallwell/platform/rows.py
+++ b/src/wallwell/platform/rows.py
@@ -33,14 +33,15 @@
 RUNNING_STATE = "running"
 """State of a rollout that has not ended, whatever its phase."""
 
-MAX_NUMBER = 2**53 - 1
-"""Largest whole number of a row: every JSON library keeps it exact, and a float can be computed from it."""
+MAX_NUMBER = 2**63 - 1
+"""Largest whole number of a row: the largest of 64 bits, by which operators may say that there is no limit."""
 MAX_START_UNIX_MS = 2**64 - 1
 """Latest start of a back end, in Unix milliseconds: its 20 digits still fit into the key of a crash's row."""
-MAX_DURATION_MS = 1e12
-"""Longest time in a configuration, in milliseconds: 30 years, which every timer bears."""
-MAX_DURATION_S = MAX_DURATION_MS / 1000
-MAX_RATE = 1e12
+MAX_DURATION_MS = float(MAX_NUMBER)
+"""Longest time in a configuration, in milliseconds. Timers shorten what is too long for them."""
+MAX_ROLLOUT_S = 1e9
+"""Longest time of a rollout, in seconds: 30 years. A time on the store's clock after it is still exact."""
+MAX_RATE = float(MAX_NUMBER)
 """Largest rate, burst or weight; sums of these are far from the range of floats."""
 MAX_SLOTS = 1_000_000
 """Most requests that one back end works on at once: far above any real one, and the sum over all back ends is small
@@ -179,7 +180,7 @@
     service: NonEmptyName
     target_version: NonEmptyName
     """A software version, not a weights version."""
-    duration_s: Annotated[float, msgspec.Meta(gt=0, le=MAX_DURATION_S)]
+    duration_s: Annotated[float, msgspec.Meta(gt=0, le=MAX_ROLLOUT_S)]
     """Seconds within which the rollout must end."""
 
 
