--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
 import pytest
 from hypothesis import HealthCheck, settings
+from loguru import logger
 
 from wallwell.events import configure_logging
 
@@ -68,3 +70,26 @@
             return runner.run(bounded())
 
     return run
+
+
+@pytest.fixture
+def error_events() -> Iterator[list[dict[str, Any]]]:
+    """Return the fields of all events that are logged as errors meanwhile."""
+    with collected_events("ERROR") as events:
+        yield events
+
+
+@pytest.fixture
+def warning_events() -> Iterator[list[dict[str, Any]]]:
+    """Return the fields of all events that are logged as warnings or errors meanwhile."""
+    with collected_events("WARNING") as events:
+        yield events
+
+
+@contextmanager
+def collected_events(level: str) -> Iterator[list[dict[str, Any]]]:
+    """Collect the fields of all events from a level up."""
+    events: list[dict[str, Any]] = []
+    sink = logger.add(lambda line: events.append(line.record["extra"]), level=level)
+    yield events
+    logger.remove(sink)
--- a/tests/unit/node/test_row_isolation.py
+++ b/tests/unit/node/test_row_isolation.py
@@ -10,7 +10,6 @@
 
 import msgspec
 import pytest
-from loguru import logger
 from prometheus_client.parser import text_string_to_metric_families
 
 from tests.faulty_table import FaultyTable
@@ -185,31 +184,17 @@
 TABLES = [BackendTable, OperatorTable, OwnTableWithFault]
 
 
-@pytest.fixture
-def logged():
-    lines = []
-    sink = logger.add(lambda line: lines.append(line.record["extra"]), level="ERROR")
-    yield lines
-    logger.remove(sink)
-
-
-@pytest.fixture
-def warned():
-    lines = []
-    sink = logger.add(lambda line: lines.append(line.record["extra"]), level="WARNING")
-    yield lines
-    logger.remove(sink)
-
-
 @pytest.mark.parametrize("is_snapshot", [True, False], ids=["snapshot", "changes"])
 @pytest.mark.parametrize("table_type", TABLES, ids=lambda each: each.name)
-def test_a_row_with_an_unexpected_error_costs_that_row_alone(table_type, is_snapshot, logged):
+def test_a_row_with_an_unexpected_error_costs_that_row_alone(table_type, is_snapshot, error_events):
     for rows in itertools.permutations((table_type.odd_row, *table_type.sound_rows)):
         table = table_type()
         table.apply(*rows, is_snapshot=is_snapshot)
         assert table.has_applied_sound_rows(), rows
         assert table.state.row_errors[table.name] >= 1
-    shown = [(each["where"], each["row"], each["error"]) for each in logged if each["event"] == INTERNAL_ERROR]
+    shown = [
+        (each["where"], each["row"], each["error"]) for each in error_events if each["event"] == INTERNAL_ERROR
+    ]
     assert (f"rows of {table_type.name}", table_type.odd_row[0], "ZeroDivisionError: scripted") in shown
 
 
@@ -247,12 +232,12 @@
 
 
 @pytest.mark.parametrize("table_type", TABLES, ids=lambda each: each.name)
-def test_an_error_is_logged_once_and_counted_each_time(table_type, logged):
+def test_an_error_is_logged_once_and_counted_each_time(table_type, error_events):
     """Guards against a line for each heartbeat of an odd entry's writer."""
     table = table_type()
     for _ in range(5):
         table.apply(table_type.odd_row, is_snapshot=False)
-    assert len([each for each in logged if each["row"] == table_type.odd_row[0]]) == 1
+    assert len([each for each in error_events if each["row"] == table_type.odd_row[0]]) == 1
     assert table.state.row_errors[table.name] >= 5
     text = metrics_text(RequestCounters(), {}, table.state, is_ready=True).decode()
     assert f'wallwell_row_errors_total{{table="{table.name}"}} {float(table.state.row_errors[table.name])}' in text
@@ -264,7 +249,7 @@
     assert (table.listener.keys, table.listener.eras) == (["sound"], [3])
 
 
-def test_a_held_entry_that_raises_does_not_lose_the_others(warned):
+def test_a_held_entry_that_raises_does_not_lose_the_others(warning_events):
     """Guards against entries that a restored store listed and that are dropped with one that cannot be applied."""
     table = BackendTable()
     held = {"b": ODD, "unreadable": b"{", **dict(BackendTable.sound_rows)}
@@ -272,7 +257,7 @@
     table.reader.drop_lapsed(table.state.store_era.observed_since_s + RESTORED_ENTRY_HOLD_S)
     assert table.has_applied_sound_rows()
     assert table.state.row_errors["backends"] == 1
-    assert [(each["event"], each.get("backend")) for each in warned] == [
+    assert [(each["event"], each.get("backend")) for each in warning_events] == [
         (INTERNAL_ERROR, None),
         (6023, "unreadable"),
     ]
@@ -374,33 +359,33 @@
 
 @pytest.mark.parametrize("is_snapshot", [False, True], ids=["changes", "snapshots"])
 @pytest.mark.parametrize(("table_type", "key", "event"), UNREADABLE_ROWS)
-def test_an_unreadable_row_is_logged_once_a_change(table_type, key, event, is_snapshot, warned):
+def test_an_unreadable_row_is_logged_once_a_change(table_type, key, event, is_snapshot, warning_events):
     """Guards against a line for each heartbeat of a writer whose row cannot be read."""
     table = table_type()
     for sequence in range(5):
         table.apply((key, UNREADABLE + b"%d" % sequence), is_snapshot=is_snapshot)
-    assert [each["event"] for each in warned] == [event]
+    assert [each["event"] for each in warning_events] == [event]
     table.apply((key, b"null"), is_snapshot=is_snapshot)
-    assert [each["event"] for each in warned] == [event] * 2
-    assert all(len(str(each)) < 1000 for each in warned)
+    assert [each["event"] for each in warning_events] == [event] * 2
+    assert all(len(str(each)) < 1000 for each in warning_events)
 
 
 @pytest.mark.parametrize(("table_type", "key", "event"), UNREADABLE_ROWS)
-def test_an_unreadable_row_that_went_in_between_is_logged_again(table_type, key, event, warned):
+def test_an_unreadable_row_that_went_in_between_is_logged_again(table_type, key, event, warning_events):
     table = table_type()
     for value in (UNREADABLE, None, UNREADABLE):
         table.apply((key, value), is_snapshot=False)
-    assert [each["event"] for each in warned] == [event] * 2
+    assert [each["event"] for each in warning_events] == [event] * 2
 
 
-def test_a_long_key_and_a_long_value_make_a_short_line(warned):
+def test_a_long_key_and_a_long_value_make_a_short_line(warning_events):
     table = BackendTable()
     table.apply(("k\n" * 100, encoded(BackendRow, state="s" * 70_000)))
-    (line,) = warned
+    (line,) = warning_events
     assert "\n" not in line["backend"] and len(str(line)) < 1000
 
 
-def test_rows_of_versions_and_streams_that_cannot_be_read_are_logged_once(warned):
+def test_rows_of_versions_and_streams_that_cannot_be_read_are_logged_once(warning_events):
     """Guards against a line for each reading of the table, which streams that are resumed cause."""
     table = FaultyTable()
     records = StreamRecords("n1", table, dict, lambda: 0.0, lambda: 1, random.Random(1))
@@ -412,11 +397,11 @@
             await records.read()
 
     asyncio.run(work())
-    assert sorted(each["row"] for each in warned) == ["stream/a", "versions/svc"]
+    assert sorted(each["row"] for each in warning_events) == ["stream/a", "versions/svc"]
 
 
 @pytest.mark.parametrize("table_type", [BackendTable, OperatorTable, OwnTable], ids=lambda each: each.name)
-def test_hostile_names_stand_in_logs_and_metrics(table_type, warned):
+def test_hostile_names_stand_in_logs_and_metrics(table_type, warning_events):
     """Guards against a name in a row that ends a request for metrics, or a line of the log, with an error."""
     table = table_type()
     table.apply(*table_type.hostile_rows)
@@ -425,5 +410,5 @@
         msgspec.json.decode(msgspec.json.encode(msgspec.to_builtins(backend.record)))
     text = metrics_text(RequestCounters(), {}, table.state, is_ready=True).decode()
     assert "wallwell_backends" in {family.name for family in text_string_to_metric_families(text)}
-    for line in warned:
+    for line in warning_events:
         assert len(msgspec.json.encode(line)) < 3000
--- a/tests/unit/node/test_unreadable_rows.py
+++ b/tests/unit/node/test_unreadable_rows.py
@@ -8,7 +8,6 @@
 
 import msgspec
 import pytest
-from loguru import logger
 
 from tests.unit.serving.fakes import make_state
 from wallwell.http_connection import ConnectionPool
@@ -47,28 +46,20 @@
         return [each.incarnation for each in self.state.backends.backends_of_service("svc")]
 
 
-@pytest.fixture
-def logged():
-    lines = []
-    sink = logger.add(lambda line: lines.append(line.record["extra"]), level="WARNING")
-    yield lines
-    logger.remove(sink)
-
-
 @pytest.mark.parametrize("is_snapshot", [True, False], ids=["snapshot", "a change"])
 @pytest.mark.parametrize(
     "corrupt",
     [INVALID_BASE64, INVALID_UTF8, INVALID_JSON, MISSING_ADDRESS],
     ids=["invalid base64", "invalid UTF-8", "invalid JSON", "missing address"],
 )
-def test_back_end_with_a_corrupt_entry_is_removed_and_others_stay(corrupt, is_snapshot, logged):
+def test_back_end_with_a_corrupt_entry_is_removed_and_others_stay(corrupt, is_snapshot, warning_events):
     listing = Listing()
     listing.apply_page(True, a=entry(1), b=entry(2))
     known = listing.state.backends.get("b")
     listing.apply_page(is_snapshot, a=entry(1), b=corrupt, c=entry(3))
     assert listing.names() == ["a", "c"]
     assert known.gone
-    assert [(each["event"], each["backend"], each["further"]) for each in logged] == [(6023, "b", 0)]
+    assert [(each["event"], each["backend"], each["further"]) for each in warning_events] == [(6023, "b", 0)]
 
 
 def test_a_back_end_that_lists_itself_again_is_used_again():
@@ -79,12 +70,12 @@
     assert listing.names() == ["a"]
 
 
-def test_a_thousand_corrupt_entries_are_logged_in_a_few_lines(logged):
+def test_a_thousand_corrupt_entries_are_logged_in_a_few_lines(warning_events):
     listing = Listing()
     listing.apply_page(True, good=entry(1), **{f"corrupt-{number}": INVALID_JSON for number in range(1000)})
     assert listing.names() == ["good"]
-    assert len(logged) == MAX_UNREADABLE_LOGGED
-    assert logged[-1]["further"] == 1000 - MAX_UNREADABLE_LOGGED
+    assert len(warning_events) == MAX_UNREADABLE_LOGGED
+    assert warning_events[-1]["further"] == 1000 - MAX_UNREADABLE_LOGGED
 
 
 def test_back_end_of_an_unconfigured_service_serves_no_route():
--- a/tests/unit/standalone/test_unexpected_errors.py
+++ b/tests/unit/standalone/test_unexpected_errors.py
@@ -7,7 +7,6 @@
 from types import SimpleNamespace
 
 import pytest
-from loguru import logger
 
 from wallwell.background import BackgroundTasks
 from wallwell.errors import NoBackendError
@@ -18,20 +17,11 @@
 from wallwell.standalone.platform_reads import PlatformReads
 
 
-@pytest.fixture
-def logged():
-    """Return the events that are logged as errors."""
-    found = []
-    sink = logger.add(lambda message: found.append(message.record["extra"]), level="ERROR")
-    yield found
-    logger.remove(sink)
-
-
 async def fail(*_):
     raise RuntimeError("a fault of the test")
 
 
-def test_a_model_whose_placement_fails_keeps_no_other_model_back(run_async, monkeypatch, logged):
+def test_a_model_whose_placement_fails_keeps_no_other_model_back(run_async, monkeypatch, error_events):
     """The loop began anew each time, so that the models behind the first were never placed."""
 
     async def scenario():
@@ -53,10 +43,10 @@
         task.cancel()
 
     run_async(scenario())
-    assert {(each["event"], each["key"]) for each in logged} == {(Event.INTERNAL_ERROR.number, "bad")}
+    assert {(each["event"], each["key"]) for each in error_events} == {(Event.INTERNAL_ERROR.number, "bad")}
 
 
-def test_a_configuration_that_cannot_be_applied_counts_as_none(run_async, logged):
+def test_a_configuration_that_cannot_be_applied_counts_as_none(run_async, error_events):
     """It ended the task by which a node becomes ready, though another source may have one."""
 
     async def scenario():
@@ -74,11 +64,13 @@
         return await reads._refresh(), await reads._fetch_from("127.0.0.1:9")
 
     assert run_async(scenario()) == (False, False)
-    assert [each["event"] for each in logged] == [Event.INTERNAL_ERROR.number] * 2
+    assert [each["event"] for each in error_events] == [Event.INTERNAL_ERROR.number] * 2
 
 
 @pytest.mark.parametrize(("error", "events"), [(RuntimeError, [Event.TASK_FAILED.number]), (NoBackendError, [])])
-def test_an_error_of_work_whose_caller_has_left_is_logged_unless_it_is_an_answer(run_async, logged, error, events):
+def test_an_error_of_work_whose_caller_has_left_is_logged_unless_it_is_an_answer(
+    run_async, error_events, error, events
+):
     """It was dropped without a line."""
 
     async def scenario():
@@ -89,4 +81,4 @@
         await asyncio.sleep(0.01)
 
     run_async(scenario())
-    assert [each["event"] for each in logged] == events
+    assert [each["event"] for each in error_events] == events
--- a/tests/unit/test_loop_errors.py
+++ b/tests/unit/test_loop_errors.py
@@ -4,7 +4,6 @@
 
 import pytest
 import uvloop
-from loguru import logger
 
 from wallwell.background import BackgroundTasks
 from wallwell.events import Event
@@ -19,17 +18,9 @@
     fail()
 
 
-@pytest.fixture
-def logged():
-    lines = []
-    sink = logger.add(lambda line: lines.append(line.record["extra"]), level="ERROR")
-    yield lines
-    logger.remove(sink)
-
-
 @pytest.mark.parametrize("new_loop", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uvloop"])
 @pytest.mark.parametrize("is_task", [True, False], ids=["task", "callback"])
-def test_error_that_nobody_awaits_is_logged_with_its_origin(is_task, new_loop, run_async, logged):
+def test_error_that_nobody_awaits_is_logged_with_its_origin(is_task, new_loop, run_async, error_events):
     async def scenario():
         loop = asyncio.get_running_loop()
         log_loop_errors(loop)
@@ -40,7 +31,7 @@
         await asyncio.sleep(0.01)
 
     run_async(scenario(), new_loop)
-    assert [line["event"] for line in logged] == [Event.TASK_FAILED.number]
-    assert logged[0]["error"] == "UnicodeError: scripted"
-    assert logged[0]["raised_at"].startswith("fail:")
-    assert ("probe" in logged[0]["where"]) is is_task
+    assert [line["event"] for line in error_events] == [Event.TASK_FAILED.number]
+    assert error_events[0]["error"] == "UnicodeError: scripted"
+    assert error_events[0]["raised_at"].startswith("fail:")
+    assert ("probe" in error_events[0]["where"]) is is_task
