A whole reading ends only with the last page

A page of rows of which none has a readable key ended the reading as if no rows followed. The reading then counted as whole, and back ends behind that page were taken for gone, without a line in the log about them.

--- a/src/wallwell/platform/store.py
+++ b/src/wallwell/platform/store.py
@@ -187,12 +187,16 @@
         """See :class:`wallwell.storage.feed.RowSource`.
 
         The returned version and time are those of the first page, so that the feed repeats every change made while
-        later pages are read, and none is missed.
+        later pages are read, and none is missed. Raises :class:`PlatformUnavailableError` too if the rest of the
+        rows cannot be reached.
         """
         first, era = await self._read_page("")
         rows: list[FeedRow] = [to_feed_row(row) for row in first.rows]
         answer = first
-        while answer.more and answer.rows:
+        while answer.more:
+            if not answer.rows:
+                # Nothing tells where the next page begins, and without the rest back ends would count as gone.
+                raise PlatformUnavailableError("a page has no row with a readable key, and more rows follow")
             answer, later_era = await self._read_page(answer.rows[-1].key + NEXT_KEY_SUFFIX)
             _require_same_era(era, later_era)
             rows.extend(to_feed_row(row) for row in answer.rows)
--- a/tests/unit/platform/test_odd_store_answers.py
+++ b/tests/unit/platform/test_odd_store_answers.py
@@ -12,9 +12,10 @@
 from loguru import logger
 
 from tests.hostile_values import HOSTILE_BYTES, hostile_documents, sound_document
+from wallwell.address import parse_address
 from wallwell.errors import PlatformUnavailableError
 from wallwell.platform.rollouts import PlatformRolloutStore
-from wallwell.platform.store import PlatformStore, RowsInEra, StoreAnswer, StoreTable
+from wallwell.platform.store import PlatformStore, RowsInEra, StoreAnswer, StoreTable, TableRows
 from wallwell.platform.store_wire import (
     RowsAnswer,
     StoredRow,
@@ -131,6 +132,27 @@
     assert (stored.record, stored.record_version, stored.status, stored.status_version) == (None, 4, "", 4)
 
 
+class PagedStore(PlatformStore):
+    """A client whose calls get one page after the other of a whole reading."""
+
+    def __init__(self, *pages):
+        super().__init__(parse_address("10.0.0.1:80"))
+        self._pages = list(pages)
+
+    async def call(self, method, path, body, timeout_s):
+        page = msgspec.json.decode(self._pages.pop(0))
+        return StoreAnswer(200, msgspec.json.encode({**page, "more": bool(self._pages)}), 0)
+
+
+def test_a_page_without_any_readable_key_ends_no_whole_reading():
+    """Guards against a reading that counts as whole without the rows behind such a page: their back ends were
+    taken for gone."""
+    last = msgspec.json.encode({**SOUND, "key": "z"})
+    store = PagedStore(answer_with(sound_row()), answer_with(b'{"key":7}'), answer_with(last))
+    with pytest.raises(PlatformUnavailableError):
+        asyncio.run(TableRows(store, "t").read_all())
+
+
 def test_left_out_rows_are_logged_once_for_each_reason():
     lines = []
     sink = logger.add(lambda line: lines.append(line.record["extra"]), level="WARNING")
