A fault in the handler of a peer's request is no refusal of that request

A ValueError or KeyError that a handler raised by a fault of this node was logged as 5015, as if the peer had sent what cannot be decoded, and stood in no count of unexpected errors. Handlers now refuse by an error of their own, so that any other one is logged as 1006 with the type of the request; the connection ends as before.

--- a/src/wallwell/cluster/peer_link.py
+++ b/src/wallwell/cluster/peer_link.py
@@ -71,6 +71,10 @@
         emit(event, peer=address, request=request, reason=f"{type(error).__name__}: {error}")
 
 
+class RequestRefusedError(ValueError):
+    """A handler refuses a peer's request because of what it holds."""
+
+
 class PeerLink:
     """One connection to a peer, opened on the first request."""
 
@@ -208,7 +212,7 @@
             await self._serve_requests(task, reader, writer)
         except OSError:
             pass  # The peer is gone or unreachable; it logs the failure of its request itself.
-        except (ValueError, KeyError, msgspec.MsgspecError) as error:
+        except (ValueError, msgspec.MsgspecError) as error:
             self._on_refusal(writer.get_extra_info("peername"), error)
         except asyncio.CancelledError:
             pass  # Closed below. Not raised again, since asyncio would log a cancelled connection task as an error.
@@ -236,7 +240,7 @@
             request = decode_message(self._decoder, line)
             try:
                 may_follow = await self._handle(task, request, ReplyStream(reader, writer))
-            except (OSError, ValueError, KeyError):
+            except (OSError, RequestRefusedError):
                 raise
             except Exception as error:
                 # A fault of this node: the connection ends, and the peer counts the request as failed.
--- a/src/wallwell/cluster/region_load_reporter.py
+++ b/src/wallwell/cluster/region_load_reporter.py
@@ -24,7 +24,7 @@
     unpack_region_sum,
 )
 from wallwell.cluster.load_reports import REPORT_LIFETIME_S
-from wallwell.cluster.peer_link import PeerLinks
+from wallwell.cluster.peer_link import PeerLinks, RequestRefusedError
 from wallwell.cluster.region_traffic import RegionTraffic
 from wallwell.cluster.unexpected_errors import UnexpectedErrors
 from wallwell.cluster.upstream import Peer, UpstreamOrder
@@ -182,14 +182,17 @@
     # --- requests of peers --------------------------------------------------------------------------------
 
     async def on_region_load(self, message: RegionLoad) -> RegionReply:
-        """Handle another region's sum and return this region's. Raises ValueError if the sum cannot be decoded."""
+        """Handle another region's sum and return this region's.
+
+        Raises :class:`RequestRefusedError` if the sum cannot be decoded.
+        """
         own = self._own_sum()
         if own is None:
             return RegionReply()
         try:
             self._receive(unpack_region_sum(message.packed, "the asking node"))
         except PeerUnavailableError as error:
-            raise ValueError(str(error)) from error
+            raise RequestRefusedError(str(error)) from error
         reply = RegionReply(pack_region_sum(own))
         self._traffic.count_exchange("loads", len(message.packed) + len(reply.packed))
         return reply
--- a/src/wallwell/cluster/relay.py
+++ b/src/wallwell/cluster/relay.py
@@ -17,7 +17,7 @@
 
 from wallwell.address import Address
 from wallwell.clock import boot_time_s, ends_within
-from wallwell.cluster.peer_link import PeerLinks
+from wallwell.cluster.peer_link import PeerLinks, RequestRefusedError
 from wallwell.cluster.row_messages import (
     RowsReply,
     RowsRequest,
@@ -214,9 +214,13 @@
 
 
 def rows_handler(tables: Mapping[str, RelayedRows]) -> Callable[[RowsRequest], Awaitable[RowsReply]]:
-    """Return the handler of peers' requests for rows; the handler raises KeyError for an unknown table."""
+    """Return the handler of peers' requests for rows; the handler raises :class:`RequestRefusedError` for an
+    unknown table."""
 
     async def answer(request: RowsRequest) -> RowsReply:
-        return await tables[request.table].answer(request)
+        rows = tables.get(request.table)
+        if rows is None:
+            raise RequestRefusedError("no rows of a table of this name are relayed")
+        return await rows.answer(request)
 
     return answer
--- a/tests/unit/cluster/test_peer_link.py
+++ b/tests/unit/cluster/test_peer_link.py
@@ -7,7 +7,7 @@
 
 from wallwell.address import parse_address
 from wallwell.cluster import peer_link
-from wallwell.cluster.peer_link import REFUSAL_LOG_INTERVAL_S, PeerLinks, PeerMessage, PeerServer
+from wallwell.cluster.peer_link import REFUSAL_LOG_INTERVAL_S, PeerLink, PeerLinks, PeerMessage, PeerServer
 from wallwell.errors import PeerUnavailableError
 from wallwell.events import Event
 
@@ -98,3 +98,24 @@
         (Event.PEER_REQUEST_REFUSED, 1),
         (Event.PEER_REQUEST_REFUSED, 3),
     ]
+
+
+@pytest.mark.parametrize("error", [ValueError("scripted"), KeyError("scripted"), ZeroDivisionError("scripted")])
+def test_a_handlers_own_fault_is_no_refusal(error, run_async, logged, monkeypatch):
+    """Guards against faults of this node that stood in the log as requests of a peer which cannot be decoded."""
+    faults = []
+    monkeypatch.setattr(peer_link.UnexpectedErrors, "record", lambda _, key, error: faults.append((key, error)))
+
+    async def fail(_request):
+        raise error
+
+    async def work():
+        server = PeerServer({Question: fail})
+        await server.start("127.0.0.1", 0)
+        with pytest.raises(PeerUnavailableError):
+            await PeerLink(parse_address(server.address)).ask(Question(1), Answer, 1.0)
+        server.close()
+
+    run_async(work())
+    assert faults == [("Question", error)]
+    assert Event.PEER_REQUEST_REFUSED not in [event for event, _ in logged]
