A connection that comes as its request is cancelled is closed, and its error is no unexpected one

If the wait for a connection was cancelled in the turn of the event loop in which the connection failed, its error was never looked at, and asyncio printed it; if it came up in that turn, it stayed open until it was collected.

--- a/src/wallwell/http_connection.py
+++ b/src/wallwell/http_connection.py
@@ -225,25 +225,26 @@
         on_discarded = partial(self.discarded_answers.add, str(address))
         factory = partial(BackendConnection, loop, self._id_header, on_discarded)
         connecting = asyncio.ensure_future(loop.create_connection(factory, address.host, address.port))
+        is_taken = False
         try:
             if not await is_done_within(connecting, timeout_s):
                 raise ConnectFailedError(True, f"no connection in {timeout_s} s")
             _, connection = await connecting
+            is_taken = True
         except TimeoutError as error:
             raise ConnectFailedError(True, "connect timed out in the operating system") from error
         except OSError as error:
             refused = isinstance(error, ConnectionRefusedError)
             raise ConnectFailedError(False, type(error).__name__, refused) from error
         finally:
-            await _cancel_connecting(connecting)
+            if not is_taken:
+                await _end_connecting(connecting)
         enable_keepalive(connection.transport, self._user_timeout_s)
         return connection
 
 
-async def _cancel_connecting(connecting: asyncio.Future[tuple[asyncio.Transport, BackendConnection]]) -> None:
-    """Cancel a connection attempt that is no longer awaited; does nothing if it has already succeeded or failed."""
-    if connecting.done():
-        return
+async def _end_connecting(connecting: asyncio.Future[tuple[asyncio.Transport, BackendConnection]]) -> None:
+    """End an attempt to connect that nobody awaits any more: its connection is closed, its error is dropped."""
     connecting.cancel()
     (result,) = await asyncio.gather(connecting, return_exceptions=True)
     if not isinstance(result, BaseException):
--- a/tests/unit/test_http_connection.py
+++ b/tests/unit/test_http_connection.py
@@ -7,11 +7,13 @@
 
 import asyncio
 import contextlib
+import gc
 import os
 import socket
 import struct
 import threading
 import time
+from types import SimpleNamespace
 
 import pytest
 import uvloop
@@ -440,3 +442,33 @@
         return await pool.check_port(parse_address("127.0.0.1:1"), 0.01)
 
     assert run_async(work()) == expected
+
+
+@pytest.mark.parametrize("is_refused", [True, False], ids=["refused", "established"])
+def test_a_connection_that_comes_as_its_request_is_cancelled_leaves_nothing_behind(is_refused, run_async):
+    """The error of such a connection was logged as one that nobody expects, and an established one stayed open."""
+    failed, aborted, tasks = [], [], []
+
+    async def connect(*_):
+        tasks.append(asyncio.current_task())
+        await asyncio.sleep(0)
+        if is_refused:
+            raise ConnectionRefusedError
+        return SimpleNamespace(abort=lambda: aborted.append(1)), None
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _loop, context: failed.append(context["message"]))
+        loop.create_connection = connect
+        acquiring = asyncio.create_task(ConnectionPool("", 1.0, 1.0).acquire(parse_address("127.0.0.1:1"), "r1"))
+        while not tasks or not tasks[0].done():
+            await asyncio.sleep(0)
+        acquiring.cancel()
+        await asyncio.gather(acquiring, return_exceptions=True)
+        tasks.clear()
+        del acquiring
+        gc.collect()
+
+    run_async(scenario())
+    assert failed == []
+    assert len(aborted) == (0 if is_refused else 1)
