--- a/src/wallwell/soak/invariants_odd_entries.py
+++ b/src/wallwell/soak/invariants_odd_entries.py
@@ -12,6 +12,7 @@
 from wallwell.soak.history import (
     Arrived,
     Began,
+    KeysInForce,
     NodeExited,
     NodeReady,
     NodeStarted,
@@ -21,7 +22,7 @@
 )
 from wallwell.soak.invariants_fleet import READY_STATE
 from wallwell.soak.invariants_requests import LEAST_REQUESTS, LEAST_SERVED_SHARE
-from wallwell.soak.schedule import RECOVERY_S
+from wallwell.soak.schedule import LIMITED_KEY, RECOVERY_S
 from wallwell.soak.timeline import CONTACT_S, History, worker_name
 
 INTERNAL_ERROR_STATUS = 500
@@ -48,6 +49,12 @@
             yield Violation(bound_s, start.node, f"not ready {RECOVERY_S:g} s after its start; ready {after}")
 
 
+def _is_owed(history: History, key: str) -> bool:
+    """Whether a key is in every configuration, and its tenant does not ask beyond its limit."""
+    in_force = [each.keys for each in history.records if isinstance(each, KeysInForce)]
+    return key != LIMITED_KEY and all(key in keys for keys in in_force)
+
+
 def _next_s(history: History, kind: type[NodeReady | NodeExited], start: NodeStarted) -> float:
     """Return when the next record of a kind comes for a node that started, infinity if none does."""
     later = (
@@ -59,9 +66,13 @@
 
 
 def nodes_serve_beside_odd_rows(history: History) -> Cases:
-    """Each router serves requests once it has had the time that a fleet has to recover."""
+    """Each router serves requests once it has had the time that a fleet has to recover.
+
+    Judged are requests with keys that no configuration takes away, and of tenants that keep to their limits.
+    """
     if not _has_odd_rows(history):
         return
+    owed = {sent.key for sent in history.sent.values() if _is_owed(history, sent.key)}
     for start in history.records:
         if not isinstance(start, NodeStarted):
             continue
@@ -70,6 +81,7 @@
             answer
             for sent in history.sent.values()
             if sent.node == start.node
+            and sent.key in owed
             and start.at_s + RECOVERY_S <= sent.at_s < until_s
             and (answer := history.undisturbed_answer(sent)) is not None
         ]
--- a/tests/unit/soak/test_invariants.py
+++ b/tests/unit/soak/test_invariants.py
@@ -320,6 +320,14 @@
 
 
 SOUND = {
+    "a router that refuses what a tenant asks beyond its limit, beside an odd row": beside_odd_rows(
+        *asked([200] * 2 + [429] * 8, from_s=1.0 + RECOVERY_S, key=LIMITED_KEY)
+    ),
+    "a router that refuses a key which has been taken away, beside an odd row": beside_odd_rows(
+        KeysInForce(0.1, 1, ("key-a", "key-c")),
+        KeysInForce(0.6, 2, ("key-a",)),
+        *asked([401] * 10, from_s=1.0 + RECOVERY_S, key="key-c"),
+    ),
     "an answer that is none, and a failure of the router": [
         sent(),
         began(),
