--- a/src/wallwell/loop_errors.py
+++ b/src/wallwell/loop_errors.py
@@ -35,7 +35,8 @@
     """Return the coroutine of the task that failed, or else the loop's own message."""
     task = context.get("task") or context.get("future")
     if isinstance(task, asyncio.Task):
-        return str(getattr(task.get_coro(), "__qualname__", task.get_name()))
+        # Coroutines of compiled modules may have no name.
+        return getattr(task.get_coro(), "__qualname__", None) or task.get_name()
     return str(context.get("message", ""))
 
 
