--- a/src/wallwell/storage/feed.py
+++ b/src/wallwell/storage/feed.py
@@ -21,6 +21,7 @@
 from wallwell.deployment.store_era import UNKNOWN_ERA, StorePosition
 from wallwell.errors import HistoryLostError, PlatformUnavailableError
 from wallwell.events import Event, emit
+from wallwell.storage.row_isolation import shown_key
 
 MIN_RETRY_DELAY_S = 0.08
 """Minimum retry delay in seconds; the upper bound of the delay doubles with each consecutive failure."""
@@ -28,11 +29,8 @@
 """Maximum retry delay in seconds, and so how late a follower notices that the store is back."""
 MAX_DOUBLINGS = 5
 """Maximum exponent, which keeps the power small in long outages; three doublings exceed ``MAX_RETRY_DELAY_S``."""
-
 MAX_KEYS_LOGGED = 10
 """Keys of a page that are named in the log if the page could not be applied."""
-MAX_KEY_CHARS = 100
-"""Characters of each of these keys."""
 FIRST_REREAD_DELAY_S = 1.0
 """Seconds before rows are read again after two readings that could not be applied; doubles with each further."""
 MAX_REREAD_DELAY_S = 8.0
@@ -179,7 +177,7 @@
             rows=self.name,
             version=page.version,
             is_snapshot=followed.is_snapshot,
-            keys=[row.key[:MAX_KEY_CHARS] for row in page.rows[:MAX_KEYS_LOGGED]],
+            keys=[shown_key(row.key) for row in page.rows[:MAX_KEYS_LOGGED]],
             count=len(page.rows),
             error=f"{type(error).__name__}: {error}",
         )
