An entry that cannot be read does not say that its back end leaves

Nodes took the back end out, as they should, and also believed that it left as planned, so that the end of an answer without a length counted as its end (3016 "the process left as planned"). Now such a back end gets nothing, and nothing is concluded of its process. Failed before: the unit test for an odd entry, and the crash beside one; a removed entry still says what it says.

--- a/src/wallwell/node/backend_rows.py
+++ b/src/wallwell/node/backend_rows.py
@@ -92,16 +92,22 @@
         try:
             self._on_entry(incarnation, value, may_be_stale)
         except msgspec.MsgspecError as error:
-            self._state.backends.lapse(incarnation, now_s)
+            self._on_unreadable_entry(incarnation, now_s)
             return str(error)
         except Exception as error:
-            self._state.backends.lapse(incarnation, now_s)
+            self._on_unreadable_entry(incarnation, now_s)
             self._errors.on_error(incarnation, error)
         else:
             self._errors.on_applied(incarnation)
             self._unreadable.forget(incarnation)
         return ""
 
+    def _on_unreadable_entry(self, incarnation: str, now_s: float) -> None:
+        backend = self._state.backends.get(incarnation)
+        if backend is not None:
+            backend.is_entry_unreadable = True
+        self._state.backends.lapse(incarnation, now_s)
+
     def drop_lapsed(self, now_s: float) -> None:
         """Remove back ends whose entries were not rewritten in time; apply held entries that are due."""
         if self._held_entries and now_s >= self._entry_hold_ends_s():
@@ -136,6 +142,7 @@
         previous = self._state.backends.get(incarnation)
         previous_record = None if previous is None else previous.record
         backend = self._state.backends.upsert(record)
+        backend.is_entry_unreadable = False
         if backend.record.is_later_start_than(record):
             return  # The entry is of an earlier start of the same back end and arrived late.
         if previous is not None and backend is not previous:
--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -119,7 +119,7 @@
 
     def on_broken_run(self, content_digest: str, backend: Backend, parts: Sequence[str] = ()) -> None:
         """Probe a back end whose connection to an attempt ended before the answer was complete."""
-        if backend.has_announced_leave or (backend.is_leaving(boot_time_s()) and not backend.superseded):
+        if backend.has_announced_leave or (backend.may_have_left(boot_time_s()) and not backend.superseded):
             return  # A planned stop ends connections too.
         is_probed = backend.start_id in self._broken
         broken = self._broken.setdefault(backend.start_id, BrokenRuns(self._store_time_s()))
--- a/src/wallwell/routing/health/backend.py
+++ b/src/wallwell/routing/health/backend.py
@@ -69,6 +69,8 @@
     of this incarnation."""
     lapses_at_s: float | None = None
     """When the back end counts as gone unless it is listed again; None while it is listed."""
+    is_entry_unreadable: bool = False
+    """Whether it counts as gone only since its entry cannot be read, which says nothing of its process."""
     silence: Silence = field(default_factory=Silence)
 
     @property
@@ -119,9 +121,14 @@
         has_lapsed = self.lapses_at_s is not None and now_s >= self.lapses_at_s
         return self.gone or self.superseded or has_lapsed
 
+    def may_have_left(self, now_s: float) -> bool:
+        """Whether the listing or its own answers say that the back end leaves or has left."""
+        return self.has_announced_leave or (self._has_ended(now_s) and not self.is_entry_unreadable)
+
     def listing_status(self, now_s: float) -> ListingStatus:
         """Return what the listing and its own answers say of the back end now."""
-        return ListingStatus(self.is_leaving(now_s), self.superseded, self.lapses_at_s)
+        unlisted_since_s = None if self.is_entry_unreadable else self.lapses_at_s
+        return ListingStatus(self.may_have_left(now_s), self.superseded, unlisted_since_s)
 
     @property
     def is_replaced(self) -> bool:
--- a/tests/unit/node/test_crash_watch.py
+++ b/tests/unit/node/test_crash_watch.py
@@ -123,6 +123,12 @@
     node.state.backends.lapse("i-0", 0.0)
 
 
+def spoil_entry(node):
+    """Another writer has made the entry unreadable, so that the back end counts as gone."""
+    node.backend().is_entry_unreadable = True
+    lapse_entry(node)
+
+
 def no_change(node):
     pass
 
@@ -144,6 +150,7 @@
         ([ANSWERS], no_change, replace_after_leaving_notice, False),
         ([REFUSED, ANSWERS], no_change, supersede, True),
         ([REFUSED], lapse_entry, no_change, False),
+        ([REFUSED], spoil_entry, no_change, True),
         ([REFUSED], receive_data, no_change, True),
     ],
     ids=[
@@ -161,6 +168,7 @@
         "replaced after announcing that it leaves",
         "successor listed before the second probe",
         "planned stop",
+        "its entry cannot be read",
         "data received before",
     ],
 )
--- a/tests/unit/node/test_unreadable_rows.py
+++ b/tests/unit/node/test_unreadable_rows.py
@@ -10,11 +10,12 @@
 import pytest
 
 from tests.unit.serving.fakes import make_state
+from wallwell.clock import boot_time_s
 from wallwell.http_connection import ConnectionPool
-from wallwell.node.backend_rows import MAX_UNREADABLE_LOGGED, BackendRows
+from wallwell.node.backend_rows import LAPSE_GRACE_S, MAX_UNREADABLE_LOGGED, BackendRows
 from wallwell.platform.rows import decode_backend
 from wallwell.platform.store_wire import StoredRow, encode_value, to_feed_row
-from wallwell.storage.feed import FeedPage, FollowedPage
+from wallwell.storage.feed import FeedPage, FeedRow, FollowedPage
 
 INVALID_BASE64, INVALID_UTF8, INVALID_JSON = "%", "/w==", encode_value("{")
 MISSING_ADDRESS = encode_value('{"service":"svc"}')
@@ -82,3 +83,29 @@
     listing = Listing()
     listing.apply_page(True, a=entry(1), b=entry(2, service="unknown"))
     assert listing.names() == ["a"]
+
+
+@pytest.mark.parametrize(("value", "may_have_left"), [(INVALID_JSON, False), (None, True)], ids=["odd", "removed"])
+def test_an_unreadable_entry_does_not_say_that_its_back_end_leaves(value, may_have_left):
+    """Guards against a stream of a killed engine that is called whole, and a crash that is not counted."""
+    listing = Listing()
+    listing.apply_page(True, a=entry(1))
+    backend = listing.state.backends.get("a")
+    if value is None:
+        removed = FeedPage((FeedRow("a", None, 9),), 9, 0.0)
+        listing.rows.apply(FollowedPage(removed, False, boot_time_s(), boot_time_s()))
+    else:
+        listing.apply_page(a=value)
+    lapsed_s = boot_time_s() + LAPSE_GRACE_S
+    listing.rows.drop_lapsed(lapsed_s)
+    status = backend.listing_status(lapsed_s)
+    assert listing.names() == []
+    assert (status.is_leaving, status.unlisted_since_s is not None) == (may_have_left, may_have_left)
+
+
+def test_an_entry_that_is_sound_again_says_what_it_says():
+    listing = Listing()
+    listing.apply_page(True, a=entry(1))
+    listing.apply_page(a=INVALID_JSON)
+    listing.apply_page(a=entry(1, state="draining"))
+    assert listing.state.backends.get("a").listing_status(boot_time_s()).is_leaving
