What the change wrote twice: the check of served shares, the quoting of a value, a bound on reasons; one address less is split by hand

The soak judged in two places whether enough requests are served after a start: one function does now, and a breach of nodes_serve_beside_odd_rows bears the time from which it judges in place of the first answer's. settings_checks.py quoted values as address.py does; two modules had a bound of their own on a logged reason beside that of row_isolation.py; a node split the address of its own server by hand.

--- a/src/wallwell/address.py
+++ b/src/wallwell/address.py
@@ -43,14 +43,14 @@
     try:
         ip = ipaddress.IPv4Address(host)
     except ValueError as error:
-        raise InvalidAddressError(f"not IP:PORT: {_shown(text)}") from error
+        raise InvalidAddressError(f"not IP:PORT: {shown_text(text)}") from error
     if not _PORT.fullmatch(port) or int(port) > MAX_PORT:
-        raise InvalidAddressError(f"no port from 1 to {MAX_PORT}: {_shown(text)}")
+        raise InvalidAddressError(f"no port from 1 to {MAX_PORT}: {shown_text(text)}")
     if ip.is_unspecified or ip.is_multicast or ip.is_reserved:
-        raise InvalidAddressError(f"not the IP address of one host: {_shown(text)}")
+        raise InvalidAddressError(f"not the IP address of one host: {shown_text(text)}")
     return Address(str(ip), int(port))
 
 
-def _shown(text: str) -> str:
+def shown_text(text: str) -> str:
     """Return the beginning of a text with escapes for all but printable ASCII."""
     return ascii(text[:MAX_SHOWN_CHARS])
--- a/src/wallwell/node/backend_rows.py
+++ b/src/wallwell/node/backend_rows.py
@@ -16,7 +16,7 @@
 from wallwell.node.store_outage import STORE_OUTAGE_S
 from wallwell.routing.health.backend import Backend
 from wallwell.storage.feed import FeedRow, FollowedPage
-from wallwell.storage.row_isolation import ReportedRows, RowErrors, shown_key
+from wallwell.storage.row_isolation import MAX_ERROR_CHARS, ReportedRows, RowErrors, shown_key
 
 LAPSE_GRACE_S = 1.7
 """Seconds after the store comes back during which a back end whose entry is missing still gets requests.
@@ -29,8 +29,6 @@
 heartbeats."""
 MAX_UNREADABLE_LOGGED = 10
 """Entries of one page that have become unreadable and are logged; the last line states how many more there are."""
-MAX_REASON_CHARS = 200
-"""Characters of a decoding error that are logged, since its text may quote the entry."""
 
 
 class BackendRows:
@@ -185,6 +183,6 @@
         emit(
             Event.BACKEND_ENTRY_UNREADABLE,
             backend=shown_key(key),
-            reason=reason[:MAX_REASON_CHARS],
+            reason=reason[:MAX_ERROR_CHARS],
             further=further_count,
         )
--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -15,6 +15,7 @@
 import msgspec
 from msgspec import UNSET
 
+from wallwell.address import parse_address
 from wallwell.clock import boot_time_s
 from wallwell.cluster.crash_reports import CrashReports
 from wallwell.cluster.load_messages import MemberLoad, RegionLoad, ZoneLoad
@@ -257,11 +258,11 @@
 
     async def _listen_for_datagrams(self) -> None:
         """Receive datagrams at the port at which peers are served; without them this node keeps no streams."""
-        host, _, port = self._peer_server.address.rpartition(":")
+        address = parse_address(self._peer_server.address)
         try:
-            await self._stream_directory.listen(host, int(port))
+            await self._stream_directory.listen(address.host, address.port)
         except OSError as error:
-            emit(Event.PEER_PORTS_REFUSED, host=host, ports=1, reason=str(error))
+            emit(Event.PEER_PORTS_REFUSED, host=address.host, ports=1, reason=str(error))
 
     def start(self) -> None:
         """Start following the store and start all background loops."""
--- a/src/wallwell/platform/settings_checks.py
+++ b/src/wallwell/platform/settings_checks.py
@@ -10,13 +10,11 @@
 import re
 from collections.abc import Sequence
 
-from wallwell.address import MAX_PORT, Address, InvalidAddressError, parse_address
+from wallwell.address import MAX_PORT, Address, InvalidAddressError, parse_address, shown_text
 from wallwell.errors import SettingsError
 
 MAX_QUANTITY = 1e9
 """Largest number in the settings: thirty years if it is one of seconds. Arithmetic and timers take any below it."""
-MAX_SHOWN_CHARS = 60
-"""Characters of a value that an error quotes."""
 MAX_HOST_CHARS = 253
 """Characters of a host name at most, as the domain name system defines it."""
 _PORT = re.compile(r"[0-9]{1,5}")
@@ -35,7 +33,7 @@
     """Check ``HOST:PORT`` at which this process listens: any address or name of the machine, and 0 for any port."""
     host, separator, port = text.rpartition(":")
     if not separator or not is_port(port) or not (host == "" or _is_ip_address(host) or _is_host_name(host)):
-        raise SettingsError(f"{field}: not HOST:PORT with a port from 0 to {MAX_PORT}: {_shown(text)}")
+        raise SettingsError(f"{field}: not HOST:PORT with a port from 0 to {MAX_PORT}: {shown_text(text)}")
 
 
 def check_own_ip(field: str, text: str) -> None:
@@ -44,7 +42,7 @@
         try:
             parse_address(f"{text}:{MAX_PORT}")
         except InvalidAddressError as error:
-            raise SettingsError(f"{field}: not the IPv4 address of this machine: {_shown(text)}") from error
+            raise SettingsError(f"{field}: not the IPv4 address of this machine: {shown_text(text)}") from error
 
 
 def check_port_range(field: str, ports: Sequence[int]) -> None:
@@ -76,8 +74,3 @@
 
 def _is_host_name(host: str) -> bool:
     return len(host) <= MAX_HOST_CHARS and bool(_HOST_NAME.fullmatch(host))
-
-
-def _shown(text: str) -> str:
-    """Return the beginning of a text with escapes for all but printable ASCII."""
-    return ascii(text[:MAX_SHOWN_CHARS])
--- a/src/wallwell/platform/store.py
+++ b/src/wallwell/platform/store.py
@@ -32,7 +32,7 @@
     transaction_body,
 )
 from wallwell.storage.feed import FeedPage, FeedRow
-from wallwell.storage.row_isolation import ReportedRows
+from wallwell.storage.row_isolation import MAX_ERROR_CHARS, ReportedRows
 from wallwell.storage.table import Row, Scan, Transaction
 
 CALL_TIMEOUT_S = 1.5
@@ -43,8 +43,6 @@
 """Rows requested per page: the maximum that the store's protocol allows."""
 MAX_IDLE_CONNECTIONS = 6
 """Maximum number of idle connections: enough for three concurrent feeds and as many other calls."""
-MAX_REASON_CHARS = 200
-"""Maximum number of characters that are logged of a decoding error."""
 MAX_LOGGED_CHARS = 40
 """Maximum number of characters that are logged of an invalid header value."""
 NEXT_KEY_SUFFIX = "\x00"
@@ -143,7 +141,7 @@
     def _on_left_out(self, reason: str) -> None:
         """Log that a row without a readable key was left out of an answer, once for each reason."""
         if self._left_out_rows.is_news(reason, reason):
-            emit(Event.STORE_ROW_LEFT_OUT, reason=reason[:MAX_REASON_CHARS])
+            emit(Event.STORE_ROW_LEFT_OUT, reason=reason[:MAX_ERROR_CHARS])
 
     async def get_row(self, table: str, key: str) -> Row | None:
         """Return a row of a table, None if it does not exist. Raises :class:`PlatformUnavailableError`."""
--- a/src/wallwell/soak/invariants_odd_entries.py
+++ b/src/wallwell/soak/invariants_odd_entries.py
@@ -21,7 +21,7 @@
     WorkerState,
 )
 from wallwell.soak.invariants_fleet import READY_STATE
-from wallwell.soak.invariants_requests import LEAST_REQUESTS, LEAST_SERVED_SHARE
+from wallwell.soak.invariants_requests import check_served
 from wallwell.soak.schedule import LIMITED_KEY, RECOVERY_S
 from wallwell.soak.timeline import CONTACT_S, History, worker_name
 
@@ -85,14 +85,7 @@
             and start.at_s + RECOVERY_S <= sent.at_s < until_s
             and (answer := history.undisturbed_answer(sent)) is not None
         ]
-        if len(answers) < LEAST_REQUESTS:
-            continue
-        served = sum(200 <= answer.status < 300 and answer.whole for answer in answers)
-        if served >= LEAST_SERVED_SHARE * len(answers):
-            yield HELD
-        else:
-            detail = f"served {served} of {len(answers)} later than {RECOVERY_S:g} s after its start"
-            yield Violation(answers[0].at_s, start.node, detail)
+        yield from check_served(answers, start.at_s + RECOVERY_S, start.node)
 
 
 def workers_serve_beside_odd_rows(history: History) -> Cases:
--- a/src/wallwell/soak/invariants_requests.py
+++ b/src/wallwell/soak/invariants_requests.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import signal
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
 from wallwell.soak.broken_answers import BROKEN_SEAL
 from wallwell.soak.cases import HELD, Cases, Violation
@@ -206,14 +206,19 @@
     for from_s, until_s in _spans_after_recovery(history):
         asked = [sent for sent in history.sent.values() if from_s <= sent.at_s < until_s]
         answers = [history.answers[sent.request] for sent in asked if sent.request in history.answers]
-        if len(answers) < LEAST_REQUESTS:
-            continue
-        served = sum(200 <= answer.status < 300 and answer.whole for answer in answers)
-        if served >= LEAST_SERVED_SHARE * len(answers):
-            yield HELD
-        else:
-            detail = f"{served} of {len(answers)} served later than {RECOVERY_S:g} s after the start"
-            yield Violation(from_s, "fleet", detail)
+        yield from check_served(answers, from_s, "fleet")
+
+
+def check_served(answers: Sequence[Answered], at_s: float, subject: str) -> Cases:
+    """Enough of the answers to requests that came ``RECOVERY_S`` after a start or later are whole successes."""
+    if len(answers) < LEAST_REQUESTS:
+        return
+    served = sum(200 <= answer.status < 300 and answer.whole for answer in answers)
+    if served >= LEAST_SERVED_SHARE * len(answers):
+        yield HELD
+    else:
+        detail = f"{served} of {len(answers)} served later than {RECOVERY_S:g} s after the start"
+        yield Violation(at_s, subject, detail)
 
 
 def _spans_after_recovery(history: History) -> Iterator[tuple[float, float]]:
