--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -151,10 +151,10 @@
     host = "127.0.0.1"
     port = 0
 
-    async def start(self, host: str) -> None:
+    async def start(self, host: str, port: int = 0) -> None:
         self.host = host
         self._writers: set[asyncio.StreamWriter] = set()
-        self._server = await asyncio.start_server(self._serve, host, 0, limit=1 << 24)
+        self._server = await asyncio.start_server(self._serve, host, port, limit=1 << 24)
         self.port = self._server.sockets[0].getsockname()[1]
 
     @property
