--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,19 +1,17 @@
-"""Workers in trouble send a few answers without end; what the router has read of them it never gives back."""
+"""A tenant becomes isolated by a new configuration; other tenants go on using what it left in the engines."""
 
 from __future__ import annotations
 
 import asyncio
-import random
 import sys
-import time
-from collections import Counter
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "common-2"))
 
 from rig import (  # noqa: E402
-    CALLS,
+    ENGINES,
+    MODEL,
     TROUBLE,
     CannotRunError,
     Record,
@@ -21,109 +19,119 @@
     Router,
     Store,
     Worker,
-    calls_service,
     configuration,
-    encode_answer,
+    engine_service,
     main,
     route,
     send,
 )
 
-MEMORY_MB = 300
-"""``memory_mb`` of the router's settings."""
-REQUESTS_PER_S = 12.0
-"""What one of the seven machines of the site ``hamta-klick`` gets of its 86 requests a second."""
-SPOILT_SHARE = 0.45
-"""Share of the answers that are spoilt while a worker is in trouble."""
-BYTES_PER_S = 700_000
-"""How fast such an answer goes on, until the caller closes."""
-TROUBLE_S = 85.0
-DEADLINE_MS = 6000
 
+class Engine(Worker):
+    """An engine that keeps the parts of prompts as the pages say: found only under the text that stored them, and
+    only if all parts before them are kept."""
 
-class Clerk(Worker):
-    """A worker of the plain service; in trouble, some of its answers have a body without end."""
-
-    is_in_trouble = False
+    def __init__(self, store: Store, record: Record, identity: str) -> None:
+        super().__init__(store, record, identity, ENGINES)
+        self.kept: dict[tuple[str, tuple[str, ...]], str] = {}
+        """Tenant whose request made a part, by salt and the parts up to it."""
+        self.uses: list[tuple[str, str, str]] = []
+        """Request, its tenant, and the other tenant whose part it used."""
 
     async def run(self, request: Request, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
-        identity = request.get("X-Request-Id")
-        await asyncio.sleep(0.06)
-        if not self.is_in_trouble or random.random() >= SPOILT_SHARE:
-            writer.write(encode_answer(200, self.head(request), b"x" * 800))
-            await writer.drain()
-            return True
-        head = "".join(f"{name}: {value}\r\n" for name, value in self.head(request).items())
-        writer.write(f"HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n".encode())
-        piece = b"x" * (BYTES_PER_S // 20)
-        begun_s, sent = time.monotonic(), 0
-        try:
-            while True:
-                writer.write(f"{len(piece):x}\r\n".encode() + piece + b"\r\n")
-                await writer.drain()
-                sent += len(piece)
-                await asyncio.sleep(0.05)
-        except ConnectionError:
-            taken_s = time.monotonic() - begun_s
-            self.record(
-                f"{self.identity}: {identity} without end, closed by the router after {sent} B, {taken_s:.1f} s"
-            )
-        return False
+        identity, tenant, salt = (request.get(name) for name in ("X-Request-Id", "X-Tenant", "X-Cache-Salt"))
+        parts = tuple(part.partition(":")[0] for part in request.get("X-Prefix-Hash").split(","))
+        found, reads = [], False
+        for end in range(1, len(parts) + 1):
+            key = (salt, parts[:end])
+            reads = reads or key not in self.kept
+            if reads:
+                self.kept[key] = tenant
+            else:
+                found.append(f"{parts[end - 1]} made by {self.kept[key]}")
+                if self.kept[key] != tenant:
+                    self.uses.append((identity, tenant, self.kept[key]))
+        self.record(
+            f"{self.identity}: runs {identity} of tenant {tenant}, salt {salt!r}; uses {found or 'nothing'}"
+        )
+        await asyncio.sleep(0.02)
+        writer.write(
+            "".join(
+                [
+                    "HTTP/1.1 200 OK\r\n",
+                    *(f"{k}: {v}\r\n" for k, v in self.head(request, Content_Type="text/event-stream").items()),
+                    "Transfer-Encoding: chunked\r\n\r\n",
+                ]
+            ).encode()
+        )
+        for number in (1, 2):
+            event = f"id: {number}\ndata: {identity}\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+
+def tenants(is_isolated: bool) -> list[dict[str, object]]:
+    clinic: dict[str, object] = {"name": "clinic", "api_keys": ["key-of-the-clinic"], "priority": 1}
+    return [
+        {**clinic, "isolated": True} if is_isolated else clinic,
+        {"name": "kiosk", "api_keys": ["key-of-the-kiosk"], "priority": 1},
+    ]
 
 
 async def case(record: Record, folder: Path, routers: list[Router]) -> bool:
     store = Store(record)
-    await store.start("127.4.3.1")
-    workers = [Clerk(store, record, f"i-worker-{number}", CALLS, slots=6) for number in (1, 2, 3)]
-    for number, worker in enumerate(workers, start=1):
-        await worker.start(f"127.4.2.{number}")
-        worker.write_entry()
-    routes = [route("slots", "/slots/", "safe", CALLS, attempts=2, timeout_ms=DEADLINE_MS)]
-    tenants = [{"name": "shop", "api_keys": ["key-of-the-shop"], "priority": 1}]
-    store.put("op", "config", configuration(3, tenants, routes, [calls_service()]))
-    router = Router("front-1", "127.4.1.1", store.address, folder, record)
-    routers.append(router)
-    await router.start()
-    await router.until_ready()
-    await asyncio.sleep(2.0)
-    record(f"front-1 holds {router.resident_mb():.0f} MB before the requests; memory_mb = {MEMORY_MB}")
-
-    ends: Counter[str] = Counter()
-
-    async def ask(number: int) -> None:
-        headers = {"X-Credential": "key-of-the-shop"}
-        answer = await send(router.front, "GET", "/slots/1", f"{number:016x}", headers, deadline_ms=DEADLINE_MS)
-        ends[f"{answer.status or 'no status'}, {answer.end}"] += 1
-
-    for worker in workers:
-        worker.is_in_trouble = TROUBLE
-    begun_s, shown_mb, peak_mb, number, killed = time.monotonic(), 0.0, 0.0, 0, False
-    most_open = 0
-    asking: set[asyncio.Task[None]] = set()
-    while time.monotonic() - begun_s < TROUBLE_S and not killed:
-        while number < (time.monotonic() - begun_s) * REQUESTS_PER_S:
-            number += 1
-            task = asyncio.create_task(ask(number))
-            asking.add(task)
-            task.add_done_callback(asking.discard)
-        most_open = max(most_open, len(asking))
-        peak_mb = max(peak_mb, router.resident_mb())
-        if peak_mb >= shown_mb + 20:
-            shown_mb = peak_mb
-            record(f"front-1 holds {peak_mb:.0f} MB, {len(asking)} requests are open, {number} were sent")
-        if peak_mb > MEMORY_MB:
-            # What the platform does: a process past memory_mb is killed.
-            killed = True
-            record(f"platform: front-1 holds {peak_mb:.0f} MB and is killed, {len(asking)} requests are open")
-            router.send_signal(9)
-        await asyncio.sleep(0.02)
-    await asyncio.gather(*asking)
-    if number < REQUESTS_PER_S:
-        raise CannotRunError("no requests were sent")
-    record(
-        f"requests by how they ended: {dict(ends)}; at most {most_open} were open at once; peak {peak_mb:.0f} MB"
-    )
-    return killed
+    await store.start("127.2.3.1")
+    engines = [Engine(store, record, f"i-engine-{number}") for number in (1, 2)]
+    for number, engine in enumerate(engines, start=1):
+        await engine.start(f"127.2.2.{number}")
+        engine.write_entry()
+    routes = [route("check", "/check/", "stream", ENGINES)]
+    services = [engine_service()]
+    store.put("op", f"version/{MODEL}", {"model": MODEL, "version": 1})
+    store.put("op", "config", configuration(3, tenants(False), routes, services))
+    for number in (1, 2):
+        routers.append(Router(f"front-{number}", f"127.2.1.{number}", store.address, folder, record))
+        await routers[-1].start()
+    for router in routers:
+        await router.until_ready()
+    await asyncio.sleep(3.0)
+
+    sent = 0
+
+    async def ask(tenant: str, own_part: str) -> None:
+        nonlocal sent
+        sent += 1
+        identity = f"{sent:016x}"
+        headers = {
+            "X-Model": MODEL,
+            "X-Token-Usage": "1460,80",
+            "X-Prefix-Hash": f"5c1e07a2:800,91bd3f06:410,{own_part}:250",
+            "X-Credential": f"key-of-the-{tenant}",
+        }
+        record(f"client of {tenant} sends {identity}")
+        answer = await send(routers[sent % 2].front, "POST", "/check/1", identity, headers, b"prompt")
+        record(f"client of {tenant} gets {answer}")
+        if answer.status != 200:
+            raise CannotRunError("a request was not served")
+
+    for number in range(8):
+        await ask("clinic", f"c{number:07x}")
+    if TROUBLE:
+        store.put("op", "config", configuration(7, tenants(True), routes, services))
+    else:
+        store.put("op", "config", configuration(7, tenants(False), routes, services))
+    await asyncio.sleep(4.0)  # Twice config_apply_ms.
+    for engine in engines:
+        engine.uses.clear()
+    for number in range(8):
+        await ask("kiosk", f"d{number:07x}")
+    foreign = [use for engine in engines for use in engine.uses if "clinic" in use[1:]]
+    for identity, tenant, maker in foreign:
+        record(f"{identity} of {tenant} used KV cache that a request of {maker} made")
+    record(f"{len(foreign)} uses by others of parts that the clinic made; the clinic is isolated: {TROUBLE}")
+    return TROUBLE and bool(foreign)
 
 
 main(case, FOLDER)
