--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -620,6 +620,9 @@
     routers: list[Router] = []
 
     async def run() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(seconds):
                 return await case(record, scratch, routers)
@@ -628,7 +631,7 @@
 
     try:
         broken = asyncio.run(run())
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
         record(f"the case could not run: {type(error).__name__}: {error}")
         for log in sorted(scratch.glob("*.log")):
             record(f"{log.name} ends: {log.read_text(errors='replace')[-1500:]}")
