Logs name the cache scope of an attempt and the configuration that it follows

Lines 3001, 3002 and 3011 did not say under which scope an engine looked for and left parts of a prompt. With a tenant that a configuration has isolated, the logs could not tell three causes apart: the scope of the others stays as it was, a node still has the older configuration, or the tenant's own requests keep their scope. They now have cache_scope and config (the version that the scope follows); 3011 at the peer that made the attempt, as the scope is the peer's.

Cost: about 45 bytes a line of a generation.

--- a/src/wallwell/peer_attempts/server.py
+++ b/src/wallwell/peer_attempts/server.py
@@ -47,6 +47,7 @@
     Dispatch,
 )
 from wallwell.serving.quarantine_check import quarantine_refusal
+from wallwell.serving.request_reports import cache_fields
 
 
 class PeerReply:
@@ -123,7 +124,7 @@
         request = message.caller_request(boot_time_s())
         admitted = self._admit(message, request)
         if isinstance(admitted, AttemptDeclined):
-            self._count(message, "declined", admitted.reason)
+            self._count(message, None, "declined", admitted.reason)
             await replies.send(admitted)
             return
         active = self._active_request(message, request, admitted, PeerReply(replies))
@@ -134,7 +135,7 @@
             if attempt.done():
                 attempt.result()  # Raises what is no result of an attempt, so that it is logged.
             else:
-                self._count(message, "cancelled")
+                self._count(message, active, "cancelled")
         finally:
             attempt.cancel()
             disconnected.cancel()
@@ -190,12 +191,12 @@
         try:
             async with time_limit(message.remaining_s):
                 status = await self._send_and_reply(message, active)
-            self._count(message, "answered", str(status))
+            self._count(message, active, "answered", str(status))
         except AttemptError as failure:
-            self._count(message, failure.event.value, failure.detail)
+            self._count(message, active, failure.event.value, failure.detail)
             await replies.send(_failed(failure))
         except TimeoutError:
-            self._count(message, "deadline")
+            self._count(message, active, "deadline")
             await replies.send(AttemptFailed(TransportEvent.ANSWER_TIMEOUT.value, "the deadline passed"))
 
     async def _send_and_reply(self, message: AttemptRequest, active: ActiveRequest) -> int:
@@ -257,7 +258,7 @@
     def _dispatch(self, message: AttemptRequest, active: ActiveRequest, backend: Backend) -> Dispatch:
         generation = active.request.generation
         version = 0 if generation is None else backend.believed_version(generation.model)
-        cache = None if generation is None else self._cache_planner.plan(active, backend, boot_time_s())
+        active.cache = None if generation is None else self._cache_planner.plan(active, backend, boot_time_s())
         return Dispatch(
             backend=backend.record,
             request=active.request,
@@ -266,7 +267,7 @@
             rank=active.rank,
             expected_version=version,
             resume_after=message.resume_after,
-            cache=cache,
+            cache=active.cache,
             listing_status=lambda: backend.listing_status(boot_time_s()),
             may_send=lambda: self._may_send(active, backend),
         )
@@ -275,7 +276,10 @@
         now_s = boot_time_s()
         return not backend.backoff.is_in_force(now_s) and quarantine_refusal(self._state, active, now_s) is None
 
-    def _count(self, message: AttemptRequest, result: str, detail: str = "") -> None:
+    def _count(
+        self, message: AttemptRequest, active: ActiveRequest | None, result: str, detail: str = ""
+    ) -> None:
+        """Count and log how an attempt ended; ``active`` is None if it was declined."""
         self._counters.attempts_for_peers[result] += 1
         emit(
             Event.ATTEMPT_FOR_PEER,
@@ -283,6 +287,7 @@
             backend=message.incarnation,
             result=result,
             detail=detail,
+            **({} if active is None else cache_fields(active)),
         )
 
 
--- a/src/wallwell/serving/active_request.py
+++ b/src/wallwell/serving/active_request.py
@@ -23,7 +23,7 @@
 from wallwell.routing.selection.prefix_home import placement_key
 from wallwell.serving.event_stream import StreamPosition
 from wallwell.serving.liveness import WatchedAttempt
-from wallwell.serving.messages import CallerReply, CallerRequest, SendProgress
+from wallwell.serving.messages import CachePlan, CallerReply, CallerRequest, SendProgress
 
 
 @dataclass
@@ -148,6 +148,8 @@
     timing: AnswerTiming = field(default_factory=AnswerTiming)
     progress: SendProgress = field(default_factory=SendProgress)
     """Progress of the current attempt."""
+    cache: CachePlan | None = None
+    """Cache plan of the current attempt; None for a call, and before the first attempt."""
     stream_software: str | None = None
     """Software version whose back ends sent the events that the caller has; None if it has none, or not known."""
     stream_known_by: str = ""
@@ -182,6 +184,7 @@
             stream_position=position,
             timing=replace(self.timing),
             progress=SendProgress(),
+            cache=None,
             watch=None,
             reply_claim=ReplyClaim(is_contested=True, taken=asyncio.get_running_loop().create_future()),
             hedge=None,
@@ -207,6 +210,7 @@
         self.successor = None
         view = successor.active
         self.stream_position, self.timing, self.progress = view.stream_position, view.timing, view.progress
+        self.cache = view.cache
         self.stream_software, self.prefers_target = view.stream_software, view.prefers_target
         return successor
 
--- a/src/wallwell/serving/attempt.py
+++ b/src/wallwell/serving/attempt.py
@@ -185,6 +185,7 @@
             resume_after = generation.resume_after
             if active.stream_position.last_event_number is not None:
                 resume_after = active.stream_position.last_event_number
+        active.cache = cache
         return Dispatch(
             backend=backend.record,
             request=request,
--- a/src/wallwell/serving/cache_planning.py
+++ b/src/wallwell/serving/cache_planning.py
@@ -30,7 +30,8 @@
         """Return the plan of an attempt that fetches and saves nothing."""
         generation = active.request.generation
         assert generation is not None
-        return CachePlan(_cache_scope(active, generation.model, backend.believed_version(generation.model)))
+        version = backend.believed_version(generation.model)
+        return self._without_transfers(_cache_scope(active, generation.model, version))
 
     def plan(self, active: ActiveRequest, backend: Backend, now_s: float) -> CachePlan:
         """Return the cache plan of an attempt at an engine. A planned save is recorded as in progress."""
@@ -44,13 +45,21 @@
         # Without a known weights version, no cache entry is certain to come from the same weights.
         home = home_store_address(stores, active.placement_key, zone) if version else None
         if home is None or is_store_unreachable(stores, home):
-            return CachePlan(scope)
+            return self._without_transfers(scope)
         fetch_from = None
         if is_worth_fetching(parts, state.first_token_delays, now_s):
             fetch_from = best_source_address(stores, home, scope, parts, zone)
         is_save_allowed = may_save(backend.has_pending_weights_load(now_s), state.freshness.confirmed_at_s, now_s)
         is_saved = is_save_allowed and begin_store_save_if_needed(stores, home, scope, parts, now_s)
-        return CachePlan(scope, fetch_from, home if is_saved else None)
+        return CachePlan(scope, fetch_from, home if is_saved else None, self._configuration)
+
+    def _without_transfers(self, scope: str) -> CachePlan:
+        return CachePlan(scope, configuration=self._configuration)
+
+    @property
+    def _configuration(self) -> int:
+        """Version of the configuration in force."""
+        return self._state.config.version if self._state.config is not None else 0
 
 
 def _cache_scope(active: ActiveRequest, model: str, version: int) -> str:
--- a/src/wallwell/serving/messages.py
+++ b/src/wallwell/serving/messages.py
@@ -77,6 +77,8 @@
     scope: str
     fetch_from: Address | None = None
     save_to: Address | None = None
+    configuration: int = 0
+    """Version of the configuration that the scope follows."""
 
 
 @dataclass
--- a/src/wallwell/serving/request_reports.py
+++ b/src/wallwell/serving/request_reports.py
@@ -16,6 +16,8 @@
 
 NEVER_CONFIRMED_AGE_MS = -1
 """Logged as the age of the store's data until the store has confirmed it for the first time."""
+MAX_LOGGED_SCOPE_CHARS = 200
+"""Characters of a cache scope in the log; a caller may name a model of any length."""
 
 
 class HedgeResult(enum.Enum):
@@ -119,6 +121,7 @@
             content=active.content_digest,
             **_connection_fields(active),
             **_prompt_fields(active),
+            **cache_fields(active),
             **_path_field(active),
         )
 
@@ -186,6 +189,7 @@
             first_ms=round((first_event_s - request.arrived_s) * 1000),
             max_gap_ms=round(timing.max_gap_s * 1000),
             total_ms=round((now_s - request.arrived_s) * 1000),
+            **cache_fields(active),
             **_path_field(active),
         )
 
@@ -197,6 +201,14 @@
         return round((boot_time_s() - confirmed_s) * 1000)
 
 
+def cache_fields(active: ActiveRequest) -> dict[str, str | int]:
+    """Return the log fields that name the cache scope of the current attempt and the version of the configuration
+    that it follows; empty if this node did not send the attempt to an engine."""
+    if active.cache is None or active.progress.via_peer:
+        return {}
+    return {"cache_scope": active.cache.scope[:MAX_LOGGED_SCOPE_CHARS], "config": active.cache.configuration}
+
+
 def _kind_of(request: CallerRequest) -> str:
     """Return the kind of a request, as it is counted and logged."""
     return "generation" if request.generation is not None else "call"
--- a/tests/unit/serving/test_attempt_reports.py
+++ b/tests/unit/serving/test_attempt_reports.py
@@ -85,3 +85,19 @@
     (ended,) = [fields for logged, fields in lines if logged is Event.REQUEST_REFUSED]
     assert (ended["cut"], ended["events"]) == (False, 0)
     assert not counters.cut_answers
+
+
+def test_answered_and_failed_generations_are_logged_with_their_cache_scope(monkeypatch):
+    """Guards against logs that cannot tell under which scope an attempt found and left parts of its prompt."""
+    lines = []
+    monkeypatch.setattr(request_reports, "emit", lambda event, **fields: lines.append((event, fields)))
+
+    async def scenario():
+        route = make_route(RouteKind.STREAM, attempts=2, resumable=True)
+        scripts = (BROKEN_AT_ONCE, Script(chunks=(event(1),), stream=True))
+        pipeline = RequestPipeline(make_state(route, versions={"m": 3}), FakeClient(*scripts))
+        await pipeline.serve(make_request(generation=Generation("m", PARTS)), FakeReply())
+
+    run_virtual(scenario())
+    logged = {each: (fields["cache_scope"], fields["config"]) for each, fields in lines}
+    assert logged == {Event.REQUEST_RETRIED: ("m:3", 1), Event.REQUEST_ENDED: ("m:3", 1)}
