Others no longer use what a tenant left in KV caches before it was isolated (WALL)

Cause: engines find parts by scope and know no tenants. The scope of tenants that are not isolated was MODEL:VERSION under every configuration, so it went on naming what the tenant had left while it was one of them. Evidence: 3001 of the other tenant's requests with config 7 and the scope of config 3.

Why this works: the scope of all that are not isolated now depends on the set of isolated tenants (a digest of their names). Whoever reads such a scope finds only parts of tenants outside that same set, so of none that is isolated now, in any order of changes: set, taken back, set again, moved, several at once, a tenant that goes and comes, nodes that read at different times. It follows from the configuration in force alone; nothing is kept or agreed on. A change that isolates and releases nobody leaves the scope as it was, and so does an upgrade where nobody is isolated (MODEL:VERSION).

No store call, no memory but a set of names.

Tenants move from deployment/routes.py to a module of their own.

--- a/src/wallwell/deployment/routes.py
+++ b/src/wallwell/deployment/routes.py
@@ -13,6 +13,8 @@
 import msgspec
 
 from wallwell.address import Address
+from wallwell.deployment.cache_groups import CacheGroups
+from wallwell.deployment.tenants import TenantAccess, TenantLimit
 
 
 class RouteKind(enum.Enum):
@@ -81,38 +83,6 @@
     """Why a KV store cannot be used; empty for other services. It takes no requests either."""
 
 
-class FleetRate(msgspec.Struct, frozen=True):
-    """Rate limit of all nodes together: ``rate_per_s`` on average, and up to ``burst`` unused units at once."""
-
-    rate_per_s: float
-    burst: float
-
-
-class TenantLimit(FleetRate, frozen=True):
-    """Rate limit of one tenant on all nodes together."""
-
-    counts_tokens: bool = False
-    """Whether the limit counts tokens rather than requests."""
-    default_request_tokens: int = 1
-    """Cost in tokens of a request that declares no token count."""
-
-    def request_cost(self, declared_tokens: int | None) -> int:
-        """Return a request's cost in tokens or requests; ``declared_tokens`` is its prompt and maximum output."""
-        if not self.counts_tokens:
-            return 1
-        return self.default_request_tokens if declared_tokens is None else declared_tokens
-
-
-class TenantAccess(msgspec.Struct, frozen=True):
-    """A tenant's credentials, rank and limit, and whether its cache is ``isolated`` from all other tenants."""
-
-    name: str
-    credentials: tuple[str, ...]
-    rank: int | None = None
-    isolated: bool = False
-    limit: TenantLimit | None = None
-
-
 class CallerBounds(msgspec.Struct, frozen=True):
     """Maximum size of a request body, and how long a caller's connection may be idle."""
 
@@ -155,6 +125,11 @@
         """Limits by tenant name, of the tenants that have a limit."""
         return {tenant.name: tenant.limit for tenant in self.tenants if tenant.limit is not None}
 
+    @cached_property
+    def cache_groups(self) -> CacheGroups:
+        """Which tenants may use each other's KV cache."""
+        return CacheGroups(self.tenants)
+
     @cached_property
     def kv_stores(self) -> tuple[Service, ...]:
         """The services that are KV stores and can be used."""
--- a/src/wallwell/peer_attempts/server.py
+++ b/src/wallwell/peer_attempts/server.py
@@ -276,9 +276,7 @@
         now_s = boot_time_s()
         return not backend.backoff.is_in_force(now_s) and quarantine_refusal(self._state, active, now_s) is None
 
-    def _count(
-        self, message: AttemptRequest, active: ActiveRequest | None, result: str, detail: str = ""
-    ) -> None:
+    def _count(self, message: AttemptRequest, active: ActiveRequest | None, result: str, detail: str = "") -> None:
         """Count and log how an attempt ended; ``active`` is None if it was declined."""
         self._counters.attempts_for_peers[result] += 1
         emit(
--- a/src/wallwell/platform/rows.py
+++ b/src/wallwell/platform/rows.py
@@ -20,10 +20,9 @@
     Route,
     RouteKind,
     Service,
-    TenantAccess,
-    TenantLimit,
     WeightedService,
 )
+from wallwell.deployment.tenants import TenantAccess, TenantLimit
 from wallwell.platform import names
 from wallwell.rollout.model import RolloutOrder, RolloutRecord
 from wallwell.storage.row_values import decode_value, raises_only_msgspec_errors
--- a/src/wallwell/routing/admission/access.py
+++ b/src/wallwell/routing/admission/access.py
@@ -14,7 +14,8 @@
 from typing import NamedTuple
 
 from wallwell.deployment.freshness import ConfigurationFreshness
-from wallwell.deployment.routes import DeploymentConfig, Route, TenantAccess
+from wallwell.deployment.routes import DeploymentConfig, Route
+from wallwell.deployment.tenants import TenantAccess
 
 
 class Denial(enum.Enum):
--- a/src/wallwell/routing/admission/backend_rate.py
+++ b/src/wallwell/routing/admission/backend_rate.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from wallwell.deployment.routes import FleetRate
+from wallwell.deployment.tenants import FleetRate
 
 UNITS_PER_REQUEST = 1000
 """Thousandths that one request costs."""
--- a/src/wallwell/routing/admission/fleet_bucket.py
+++ b/src/wallwell/routing/admission/fleet_bucket.py
@@ -10,7 +10,7 @@
 import math
 from dataclasses import dataclass, field
 
-from wallwell.deployment.routes import FleetRate
+from wallwell.deployment.tenants import FleetRate
 from wallwell.routing.sliding_window import SlidingWindow
 
 DEMAND_WINDOW_S = 1.0
--- a/src/wallwell/routing/admission/fleet_limits.py
+++ b/src/wallwell/routing/admission/fleet_limits.py
@@ -25,7 +25,7 @@
 
 import msgspec
 
-from wallwell.deployment.routes import TenantLimit
+from wallwell.deployment.tenants import TenantLimit
 from wallwell.routing.admission.backend_rate import UNITS_PER_REQUEST, backend_limit_key, backend_rate, max_debt
 from wallwell.routing.admission.fleet_bucket import DEMAND_WINDOW_S, FleetBucket
 from wallwell.routing.admission.fleet_share import spendable_fraction
--- a/src/wallwell/serving/active_request.py
+++ b/src/wallwell/serving/active_request.py
@@ -13,7 +13,8 @@
 from typing import Any, Protocol
 
 from wallwell.clock import boot_time_s
-from wallwell.deployment.routes import Route, TenantAccess
+from wallwell.deployment.routes import Route
+from wallwell.deployment.tenants import TenantAccess
 from wallwell.routing.admission.fleet_limits import Admitted
 from wallwell.routing.admission.part_quarantine import MAX_PARTS_OF_REQUEST, part_digest
 from wallwell.routing.admission.request_content import content_digest
--- a/src/wallwell/serving/admission.py
+++ b/src/wallwell/serving/admission.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from wallwell.clock import boot_time_s
-from wallwell.deployment.routes import TenantAccess
+from wallwell.deployment.tenants import TenantAccess
 from wallwell.errors import (
     BodyTooLargeError,
     ConnectionEndedError,
--- a/src/wallwell/serving/cache_planning.py
+++ b/src/wallwell/serving/cache_planning.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+import msgspec
+
+from wallwell.deployment.cache_groups import cache_scope
 from wallwell.node.state import NodeState
 from wallwell.routing.health.backend import Backend
 from wallwell.routing.selection.kv_store_choice import (
@@ -21,7 +24,11 @@
 
 
 class CachePlanner:
-    """Plans the KV cache transfers of single attempts."""
+    """Plans the cache scope and the KV cache transfers of single attempts.
+
+    What an attempt may share follows from the configuration in force as it begins, not from that under which its
+    request was admitted.
+    """
 
     def __init__(self, state: NodeState) -> None:
         self._state = state
@@ -31,7 +38,7 @@
         generation = active.request.generation
         assert generation is not None
         version = backend.believed_version(generation.model)
-        return self._without_transfers(_cache_scope(active, generation.model, version))
+        return self._plan(active, generation.model, version)
 
     def plan(self, active: ActiveRequest, backend: Backend, now_s: float) -> CachePlan:
         """Return the cache plan of an attempt at an engine. A planned save is recorded as in progress."""
@@ -40,31 +47,22 @@
         assert generation is not None
         parts, zone = generation.parts, backend.record.zone
         version = backend.believed_version(generation.model)
-        scope = _cache_scope(active, generation.model, version)
+        plan = self._plan(active, generation.model, version)
         stores = state.kv_stores
         # Without a known weights version, no cache entry is certain to come from the same weights.
         home = home_store_address(stores, active.placement_key, zone) if version else None
         if home is None or is_store_unreachable(stores, home):
-            return self._without_transfers(scope)
+            return plan
         fetch_from = None
         if is_worth_fetching(parts, state.first_token_delays, now_s):
-            fetch_from = best_source_address(stores, home, scope, parts, zone)
+            fetch_from = best_source_address(stores, home, plan.scope, parts, zone)
         is_save_allowed = may_save(backend.has_pending_weights_load(now_s), state.freshness.confirmed_at_s, now_s)
-        is_saved = is_save_allowed and begin_store_save_if_needed(stores, home, scope, parts, now_s)
-        return CachePlan(scope, fetch_from, home if is_saved else None, self._configuration)
-
-    def _without_transfers(self, scope: str) -> CachePlan:
-        return CachePlan(scope, configuration=self._configuration)
-
-    @property
-    def _configuration(self) -> int:
-        """Version of the configuration in force."""
-        return self._state.config.version if self._state.config is not None else 0
-
+        is_saved = is_save_allowed and begin_store_save_if_needed(stores, home, plan.scope, parts, now_s)
+        return msgspec.structs.replace(plan, fetch_from=fetch_from, save_to=home if is_saved else None)
 
-def _cache_scope(active: ActiveRequest, model: str, version: int) -> str:
-    """Return the cache scope: model, weights version and, for a tenant that shares no cache, the tenant's name."""
-    scope = f"{model}:{version}"
-    if active.tenant is not None and active.tenant.isolated:
-        scope += f":{active.tenant.name}"
-    return scope
+    def _plan(self, active: ActiveRequest, model: str, version: int) -> CachePlan:
+        """Return the plan of an attempt without transfers, under the configuration in force."""
+        config = self._state.config
+        assert config is not None, "a request is admitted under a configuration"
+        group = config.cache_groups.group_of(active.tenant)
+        return CachePlan(cache_scope(model, version, group), configuration=config.version)
