An attempt that waits for its connection is not sent once others may share its cache

What callers saw: a request that was planned while its tenant shared its cache, and whose connection to the engine took a moment, was sent under the shared scope after the configuration had isolated the tenant.

Cause: the scope is chosen before the connection is made (0 to 0.25 s and more while an engine is slow to accept); the last check before sending asked for back-offs and quarantine only.

Why this works: the plan names the group that its scope follows, and the check right before sending compares it with the group under the configuration in force, at the node and at a peer that makes the attempt. If it differs, nothing is sent and the attempt counts as withdrawn, which costs no retry; the next one is planned anew. A change that isolates and releases nobody withdraws nothing.

Price: one comparison for each attempt of a generation.

--- a/src/wallwell/peer_attempts/server.py
+++ b/src/wallwell/peer_attempts/server.py
@@ -274,6 +274,8 @@
 
     def _may_send(self, active: ActiveRequest, backend: Backend) -> bool:
         now_s = boot_time_s()
+        if not self._cache_planner.is_current(active, active.cache):
+            return False
         return not backend.backoff.is_in_force(now_s) and quarantine_refusal(self._state, active, now_s) is None
 
     def _count(self, message: AttemptRequest, active: ActiveRequest | None, result: str, detail: str = "") -> None:
--- a/src/wallwell/serving/attempt.py
+++ b/src/wallwell/serving/attempt.py
@@ -28,7 +28,14 @@
 from wallwell.serving.counted_answer import TrafficCountedAnswer
 from wallwell.serving.hedging import Hedger
 from wallwell.serving.liveness import LivenessMonitor, WatchedAttempt
-from wallwell.serving.messages import AttemptError, BackendAnswer, BackendClient, Dispatch, SendProgress
+from wallwell.serving.messages import (
+    AttemptError,
+    BackendAnswer,
+    BackendClient,
+    CachePlan,
+    Dispatch,
+    SendProgress,
+)
 from wallwell.serving.peer_preference import prefers_peer_attempts
 from wallwell.serving.quarantine_check import quarantine_refusal
 from wallwell.serving.request_reports import RequestReporter
@@ -199,14 +206,16 @@
             progress=active.progress,
             prefers_peers=prefers_peers,
             listing_status=lambda: backend.listing_status(boot_time_s()),
-            may_send=lambda: self._may_send(active, backend),
+            may_send=lambda: self._may_send(active, backend, cache),
         )
 
-    def _may_send(self, active: ActiveRequest, backend: Backend) -> bool:
-        """Whether a back end still accepts requests, may still continue the stream if it has begun, and the request
-        has not been quarantined meanwhile."""
+    def _may_send(self, active: ActiveRequest, backend: Backend, cache: CachePlan | None) -> bool:
+        """Whether a back end still accepts requests, may still continue the stream if it has begun, and neither the
+        request has been quarantined meanwhile nor have those changed with whom it may share cache."""
         if active.stream_software not in (None, listed_software(self._state, backend)):
             return False
+        if not self._cache_planner.is_current(active, cache):
+            return False
         now_s = boot_time_s()
         return not backend.backoff.is_in_force(now_s) and quarantine_refusal(self._state, active, now_s) is None
 
--- a/src/wallwell/serving/cache_planning.py
+++ b/src/wallwell/serving/cache_planning.py
@@ -65,4 +65,9 @@
         config = self._state.config
         assert config is not None, "a request is admitted under a configuration"
         group = config.cache_groups.group_of(active.tenant)
-        return CachePlan(cache_scope(model, version, group), configuration=config.version)
+        return CachePlan(cache_scope(model, version, group), group=group, configuration=config.version)
+
+    def is_current(self, active: ActiveRequest, plan: CachePlan | None) -> bool:
+        """Whether the configuration in force lets an attempt share what it did when it was planned."""
+        config = self._state.config
+        return plan is None or (config is not None and config.cache_groups.group_of(active.tenant) == plan.group)
--- a/src/wallwell/serving/messages.py
+++ b/src/wallwell/serving/messages.py
@@ -77,8 +77,10 @@
     scope: str
     fetch_from: Address | None = None
     save_to: Address | None = None
+    group: str = ""
+    """Cache group that the scope names (:mod:`wallwell.deployment.cache_groups`)."""
     configuration: int = 0
-    """Version of the configuration that the scope follows."""
+    """Version of the configuration that the group follows."""
 
 
 @dataclass
--- a/tests/unit/serving/test_attempts_after_a_change.py
+++ b/tests/unit/serving/test_attempts_after_a_change.py
@@ -16,6 +16,7 @@
 from wallwell.deployment.cache_groups import CacheGroups
 from wallwell.deployment.tenants import TenantAccess
 from wallwell.routing.retry.attempt_outcome import TransportEvent
+from wallwell.serving.messages import AttemptError
 from wallwell.serving.pipeline import RequestPipeline
 
 CHANGE_S = 0.05
@@ -64,14 +65,14 @@
 }
 
 
-def scopes_of_attempts(first, before, after, prepare=None):
-    """Return the scopes of all attempts of one request of ``t``, in whose course the configuration changes."""
+def scopes_of_attempts(first, before, after, prepare=None, client_type=FakeClient):
+    """Return the scopes of all attempts sent of one request of ``t``, in whose course the configuration changes."""
 
     async def scenario():
         state = make_state(RESUMABLE, versions={"m": 1}, tenants=before, backends=4, retry_extra=50.0)
         if prepare is not None:
             prepare(state)
-        client = FakeClient(first, REST)
+        client = client_type(first, REST)
         request = make_request("key-t", generation=make_generation())
         serving = asyncio.create_task(RequestPipeline(state, client).serve(request, FakeReply()))
         await asyncio.sleep(CHANGE_S)
@@ -89,6 +90,22 @@
     assert scopes_of_attempts(first, before, after) == [scope_before, scope_after]
 
 
+class ConnectingClient(FakeClient):
+    """Needs some time to connect, and then asks whether the back end may still get the request."""
+
+    async def send(self, dispatch):
+        await asyncio.sleep(2 * CHANGE_S)
+        if not dispatch.may_send():
+            raise AttemptError(TransportEvent.WITHDRAWN)
+        return await super().send(dispatch)
+
+
+@pytest.mark.parametrize(("before", "after", "_", "scope_after"), CHANGES.values(), ids=CHANGES)
+def test_attempt_that_still_connects_is_sent_under_the_configuration_of_then(before, after, _, scope_after):
+    """Guards against a request that leaves for an engine under a scope chosen before its connection was made."""
+    assert scopes_of_attempts(REST, before, after, client_type=ConnectingClient) == [scope_after]
+
+
 @pytest.mark.parametrize(("before", "after", "_", "scope_after"), CHANGES.values(), ids=CHANGES)
 def test_first_attempt_after_a_hold_begins_under_the_configuration_of_then(before, after, _, scope_after):
     """Guards against a request that waited for a back-off to end, and begins under the scope of its admission."""
