A peer does not make an attempt by an older configuration than the node that begins it

What callers saw: a node that reaches no back end has its attempts made by peers. After it had read that a tenant is isolated, a peer that had not read it yet still sent such an attempt under the shared scope.

Cause: a peer decides scope, tenant and rank by its own configuration, and the message did not say which one the asking node had.

Why this works: the message names the asking node's version and the cache group by it. A peer with an older version and another group declines, as nothing is sent then; the next peer is asked, and if none has the version the request is refused as not run. A peer with a newer version decides by that. Builds that do not state a version are served as before; an older peer ignores the new fields and behaves as it did.

Price: 30 to 60 bytes in the message of an attempt by a peer.

--- a/src/wallwell/peer_attempts/client.py
+++ b/src/wallwell/peer_attempts/client.py
@@ -194,6 +194,8 @@
         resume_after=dispatch.resume_after,
         required_software=dispatch.required_software,
         generation=request.generation,
+        configuration=dispatch.cache.configuration if dispatch.cache is not None else 0,
+        cache_group=dispatch.cache.group if dispatch.cache is not None else "",
     )
 
 
--- a/src/wallwell/peer_attempts/messages.py
+++ b/src/wallwell/peer_attempts/messages.py
@@ -52,6 +52,10 @@
     required_software: str | None = None
     """Software version that the back end must run, if the attempt continues a stream."""
     generation: Generation | None = None
+    configuration: Amount = 0
+    """Version of the asking node's configuration, for a generation; 0 from builds that do not state it."""
+    cache_group: str = ""
+    """Cache group of the request by that configuration (:mod:`wallwell.deployment.cache_groups`)."""
 
     def caller_request(self, now_s: float) -> CallerRequest:
         """Return the caller's request as this node would have read it, with times on this node's clock."""
--- a/src/wallwell/peer_attempts/server.py
+++ b/src/wallwell/peer_attempts/server.py
@@ -6,7 +6,8 @@
 back end, and whether the request crashes back ends.
 
 Owns the attempts in flight. Of a peer's message only what a caller could have sent is believed: tenant, priority,
-expected weights and cache scope are this node's own.
+expected weights and cache scope are this node's own. An attempt is declined while the asking node has a newer
+configuration by which others may share the request's cache.
 """
 
 from __future__ import annotations
@@ -158,8 +159,17 @@
             return AttemptDeclined("the route does not lead to this service")
         if self._state.reachability.is_unreachable(service):
             return AttemptDeclined("the node cannot connect to the service either", is_unreachable=True)
+        if self._is_group_outdated(message, access):
+            return AttemptDeclined("the node has an older configuration, by which others share the cache")
         return access
 
+    def _is_group_outdated(self, message: AttemptRequest, access: Granted) -> bool:
+        """Whether the asking node has a newer configuration that lets others share the request's cache."""
+        config = self._state.config
+        if config is None or message.configuration <= config.version:
+            return False
+        return config.cache_groups.group_of(access.tenant) != message.cache_group
+
     def _decide_access(self, request: CallerRequest) -> Granted | Denial:
         state = self._state
         access_request = AccessRequest(request.host, request.path, request.credential, len(request.body))
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -56,11 +56,11 @@
 class PlatformHarness:
     """A store, workers, one node with its listener, and a caller."""
 
-    def __init__(self, workers=2, bounds=None, software=()):
+    def __init__(self, workers=2, bounds=None, software=(), worker_type=FakeWorker):
         """``software`` are the workers' software versions, as many as there are workers, if they have any."""
         self.store = FakeStore()
         versions = software or [""] * workers
-        self.workers = [FakeWorker(f"i-{index}", software=each) for index, each in enumerate(versions)]
+        self.workers = [worker_type(f"i-{index}", software=each) for index, each in enumerate(versions)]
         self.bounds = bounds or OperatorBounds(strict_revoke=True)
 
     async def start(self, configuration=None):
--- a/tests/platform/test_peer_attempts.py
+++ b/tests/platform/test_peer_attempts.py
@@ -55,7 +55,7 @@
         await self.peer.stop()
 
 
-def on_cut_node(on_platform, scenario, routes=ROUTES, workers=2):
+def on_cut_node(on_platform, scenario, routes=ROUTES, workers=2, configuration=None):
     async def work(harness):
         fleet = await CutNode(harness).start()
         try:
@@ -63,7 +63,7 @@
         finally:
             await fleet.stop()
 
-    return on_platform(work, config(routes=routes), workers=workers)
+    return on_platform(work, configuration or config(routes=routes), workers=workers)
 
 
 def requests_at(harness):
