A node logs and counts configurations that change who shares cache

An operator could not see why the cache hit rate falls for a while after a tenant was isolated or released. Event 2005 names the version, the tenants (ten of each at most) and the shared group before and after, so that cache_scope of 3001 can be found in it; wallwell_cache_group_changes_total and wallwell_isolated_tenants count.

--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -46,6 +46,11 @@
     CONFIG_ACCEPTED = (2002, "INFO", "operators' change accepted")
     CONFIG_REFUSED = (2003, "WARNING", "operators' change refused")
     CONFIG_WITHOUT_EFFECT = (2004, "WARNING", "accepted file has settings without effect")
+    CACHE_GROUPS_CHANGED = (
+        2005,
+        "INFO",
+        "configuration isolates or releases tenants; cache that the others share is made anew",
+    )
     CONFIG_FETCH_FAILED = (2010, "INFO", "configuration not fetched from a peer; it is requested elsewhere")
     CONFIG_WRITE_RETRIED = (2011, "INFO", "table service did not confirm a configuration change; retrying")
     CONFIG_BEHIND = (2012, "WARNING", "peers have a newer configuration than the store; credentials unconfirmed")
--- a/src/wallwell/node/metrics.py
+++ b/src/wallwell/node/metrics.py
@@ -104,6 +104,13 @@
         )
         version = state.config.version if state.config is not None else 0
         yield GaugeMetricFamily("wallwell_config_version", "Configuration in force.", value=version)
+        isolated = len(state.config.cache_groups.isolated) if state.config is not None else 0
+        yield GaugeMetricFamily("wallwell_isolated_tenants", "Tenants that share no cache.", value=isolated)
+        yield CounterMetricFamily(
+            "wallwell_cache_group_changes",
+            "Configurations that isolated or released tenants, after which shared cache is made anew.",
+            value=state.cache_group_changes,
+        )
         yield GaugeMetricFamily("wallwell_ready", "Whether the node is ready.", value=float(self._is_ready))
         build = GaugeMetricFamily("wallwell_build_info", "1 for the build it runs.", labels=["version", "commit"])
         build.add_metric([build_version(), build_commit()], 1)
--- a/src/wallwell/node/operator_rows.py
+++ b/src/wallwell/node/operator_rows.py
@@ -6,9 +6,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 import msgspec
 
 from wallwell.clock import boot_time_s
+from wallwell.deployment.routes import DeploymentConfig
 from wallwell.deployment.store_era import UNKNOWN_ERA
 from wallwell.events import Event, emit
 from wallwell.node.adapter import NodeSources
@@ -26,6 +29,16 @@
 the last confirmation after an outage of some seconds, so that callers are not affected."""
 
 
+MAX_SHOWN_NAMES = 10
+"""Names of tenants in one log line; a configuration may isolate thousands at once."""
+
+
+def shown_names(names: Collection[str]) -> str:
+    """Return names for the log: the first ones in order, and how many there are besides."""
+    shown = ",".join(shown_key(name) for name in sorted(names)[:MAX_SHOWN_NAMES])
+    return shown if len(names) <= MAX_SHOWN_NAMES else f"{shown} and {len(names) - MAX_SHOWN_NAMES} more"
+
+
 class OperatorRows:
     """Applies the operators' configuration, weights versions and rollout orders."""
 
@@ -105,10 +118,12 @@
 
     def _on_row(self, key: str, value: bytes, previous_confirmed_at_s: float) -> None:
         if key == self._sources.config_key:
-            config = self._sources.decode_config(value)
+            config, previous = self._sources.decode_config(value), self._state.config
             self._is_config_unreadable = False
             if self._state.apply_config(config):
                 emit(Event.CONFIG_ADVANCED, version=config.version, routes=len(config.routes))
+                if previous is not None:
+                    self._report_cache_groups(config, previous)
                 for store in config.unusable_kv_stores:
                     emit(
                         Event.CONFIG_WITHOUT_EFFECT,
@@ -122,6 +137,22 @@
             if self._state.weights.add_version(model, version, named_at_s, estimated):
                 emit(Event.WEIGHTS_NAMED, model=model, version=version, estimated=estimated)
 
+    def _report_cache_groups(self, config: DeploymentConfig, previous: DeploymentConfig) -> None:
+        """Log and count a change of the isolated tenants, after which shared parts are prefilled once more."""
+        groups, before = config.cache_groups, previous.cache_groups
+        if groups.shared == before.shared:
+            return
+        self._state.cache_group_changes += 1
+        emit(
+            Event.CACHE_GROUPS_CHANGED,
+            version=config.version,
+            isolated=len(groups.isolated),
+            added=shown_names(groups.isolated - before.isolated),
+            released=shown_names(before.isolated - groups.isolated),
+            group=groups.shared,
+            group_before=before.shared,
+        )
+
     def _on_rollout_order(self, row: FeedRow, value: bytes, followed: FollowedPage) -> None:
         order = self._sources.decode_rollout(row.key, value, row.version)
         order = msgspec.structs.replace(order, era=followed.page.era)
--- a/src/wallwell/node/state.py
+++ b/src/wallwell/node/state.py
@@ -6,8 +6,9 @@
 ==========================================  ================================  ====================================
 part                                        written by                        read by
 ==========================================  ================================  ====================================
-config, weights, rollouts, members,         ``node`` (rows of the store)      ``serving``, ``placement``,
-quarantine, backends_known, freshness,                                        ``rollout``, metrics
+config, cache_group_changes, weights,       ``node`` (rows of the store)      ``serving``, ``placement``,
+rollouts, members, quarantine,                                                ``rollout``, metrics
+backends_known, freshness,
 software_history
 store_era                                   ``platform`` (answers of the      ``node``, metrics
                                             store)
@@ -111,6 +112,8 @@
     # --- from the store --------------------------------------------------------------------------------
     config: DeploymentConfig | None = None
     """The configuration in force; None until one has been read."""
+    cache_group_changes: int = 0
+    """How often a configuration has changed who shares cache, so that shared parts had to be prefilled anew."""
     load: FleetLoad = field(default_factory=FleetLoad)
     """Back ends with their load from this node and from other nodes; tenants' limits."""
     stop: StopTimes | None = None
