The soak isolates and releases tenants, and knows who made each part of a prompt

The soak knew no isolation: others used an isolated tenant's parts in every run whose configuration would have isolated one, unseen.

Now every run but kept ones has a KV store, engines that keep parts of prompts by scope and maker, and configurations that isolate tenants, release them and go back to earlier sets, in series and beside all other faults (drawn apart: the requests and faults of a seed are as before). isolated_share_nothing: no request uses a part of another tenant's request if the configuration in force at the node that began the attempt isolates one of the two. A run prints the uses between tenants and those with an isolated one.

--- a/src/wallwell/cli/soak.py
+++ b/src/wallwell/cli/soak.py
@@ -114,7 +114,8 @@
         identities=True,
         silences=True,
         restores=True,
-        unframed=True,  # Kept runs keep their recorded shape; all other runs have these six features.
+        unframed=True,
+        isolation=True,  # Kept runs keep their recorded shape; all other runs have these seven features.
         bad_parts=options.bad_parts,
         skews=options.skew,
         second_answers=options.second_answers,
@@ -161,7 +162,7 @@
 def replay_command(schedule: Schedule) -> str:
     """Return the command that replays a schedule. Some shapes of kept runs can only be replayed from their file."""
     shape = schedule.shape
-    if not (shape.notices and shape.limits and shape.identities and shape.restores):
+    if not (shape.notices and shape.limits and shape.identities and shape.restores and shape.isolation):
         return f"wallwell soak --regressions FILE, with seed {schedule.seed} and {shape} in the file"
     size = (
         f"--seconds {shape.seconds:g} --nodes {shape.nodes} --engines {shape.engines} --instances {shape.instances}"
@@ -204,5 +205,8 @@
         print(f"  around planned stops: {stops}")
     untested = [name for name, count in result.found.cases.items() if not count]
     print(f"  not tested by this run: {', '.join(untested) or 'none'}")
+    uses = result.found.cases["isolated_share_nothing"]
+    across = sum(breach.invariant == "isolated_share_nothing" for breach in result.found.breaches)
+    print(f"  uses of parts between tenants: {uses}, with an isolated one: {across}")
     for breach in result.found.breaches[:MAX_PRINTED_BREACHES]:
         print(f"  {breach}")
--- a/src/wallwell/soak/configuration.py
+++ b/src/wallwell/soak/configuration.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from wallwell.soak.caller_process import MODEL, PATHS, ROUTE_HOST
 from wallwell.soak.history import RequestKind
@@ -22,6 +22,7 @@
 
 ENGINES = "engines"
 ORDERS = "orders"
+KV_STORE = "kept-parts"
 BOUNDS: Mapping[str, object] = {
     "strict_revoke": True,
     "revoke_ms": REVOKE_S * 1000,
@@ -44,9 +45,11 @@
     engine_slots: int = ENGINE_SLOTS,
     more_routes: int = 0,
     route_timeout_s: float = ROUTE_TIMEOUT_S,
+    isolated: Collection[str] = (),
+    kv_store: str = "",
 ) -> dict[str, object]:
     """Return the operator's configuration: a route for each kind of request and more that nobody uses, a tenant
-    for each key."""
+    for each key, isolated if its key is in ``isolated``, and a KV store if it has an address."""
     unused = [
         {**_route(RequestKind.SAFE, route_timeout_s), "name": f"added-{number}", "path_prefix": f"/added/{number}/"}
         for number in range(more_routes)
@@ -58,14 +61,21 @@
         "services": [
             {"name": ENGINES, "max_conns": 400, "engine": engine},
             {"name": ORDERS, "max_conns": 400},
+            *([{"name": KV_STORE, "kv_store_addr": kv_store, "zone": "z0"}] if kv_store else []),
         ],
-        "tenants": [_tenant(key) for key in keys],
+        "tenants": [_tenant(key, key in isolated) for key in keys],
     }
 
 
-def _tenant(key: str) -> dict[str, object]:
+def tenant_name(key: str) -> str:
+    """Return the name of the tenant that has a key."""
+    return f"tenant-{key}"
+
+
+def _tenant(key: str, is_isolated: bool) -> dict[str, object]:
     limit = {"rate_per_s": LIMIT_RATE_PER_S, "burst": LIMIT_BURST} if key == LIMITED_KEY else {}
-    return {"name": f"tenant-{key}", "api_keys": [key], **limit}
+    isolated = {"isolated": True} if is_isolated else {}
+    return {"name": tenant_name(key), "api_keys": [key], **limit, **isolated}
 
 
 def _route(kind: RequestKind, timeout_s: float) -> dict[str, object]:
--- a/src/wallwell/soak/drawing.py
+++ b/src/wallwell/soak/drawing.py
@@ -12,7 +12,14 @@
 import msgspec
 
 from wallwell.errors import SoakError
-from wallwell.soak import drawing_faults, drawing_requests, drawing_silences, drawing_stops, odd_entries
+from wallwell.soak import (
+    drawing_faults,
+    drawing_isolation,
+    drawing_requests,
+    drawing_silences,
+    drawing_stops,
+    odd_entries,
+)
 from wallwell.soak.drawing_faults import KILL_ALL_LASTS_S
 from wallwell.soak.schedule import (
     CALM_BEFORE_STOP_S,
@@ -45,6 +52,9 @@
     faults = _draw_faults(seed, shape, operations)
     requests = _draw_requests(seed, shape)
     schedule = Schedule(seed, shape, tuple(faults), tuple(requests), tuple(operations))
+    if shape.isolation:
+        changes = drawing_isolation.draw_changes(random.Random(f"{seed}/isolation"), shape)
+        schedule = msgspec.structs.replace(schedule, operations=(*schedule.operations, *changes))
     if shape.kept_connections:
         schedule = _add_stops(schedule)
     if shape.odd_entries:
--- a/src/wallwell/soak/fleet.py
+++ b/src/wallwell/soak/fleet.py
@@ -22,7 +22,7 @@
 from wallwell.errors import SoakError
 from wallwell.platform import names
 from wallwell.soak.caller_process import MODEL
-from wallwell.soak.configuration import BOUNDS, ENGINES, ORDERS, configuration
+from wallwell.soak.configuration import BOUNDS, ENGINES, KV_STORE, ORDERS, configuration, tenant_name
 from wallwell.soak.control import AimLink, Done, HarmLink, KnowNode, LinkAddress, OpenLink, PutRow, ReadRow, RowText
 from wallwell.soak.history import (
     HISTORY_SUFFIX,
@@ -33,6 +33,7 @@
     NodeStarted,
     StopRequested,
 )
+from wallwell.soak.kv_store_process import KvStoreSettings
 from wallwell.soak.schedule import BETWEEN_REGIONS, ENGINE_SLOTS, FIRST_KEYS, STORE, Schedule
 from wallwell.soak.store_process import StoreSettings
 from wallwell.soak.supervisor import ChildProcess, Supervisor
@@ -81,6 +82,8 @@
         """Names of workers that a rollout has replaced; none is started under them any more."""
         self._incarnations: dict[str, int] = {}
         self._links: dict[str, str] = {}
+        self._kv_store = ""
+        """Address of the KV store, empty if there is none."""
         self._front: dict[str, str] = {}
         self._ready: dict[str, str] = {}
         self._watchers = BackgroundTasks()
@@ -95,6 +98,9 @@
         starts. Raises :class:`SoakError`, and TimeoutError where routers are not ready in time.
         """
         await self._start_store()
+        if self.schedule.shape.isolation:
+            settings = KvStoreSettings("127.1.4.1", MODEL)
+            (self._kv_store,) = (await self.supervisor.start_own("kv_store", KV_STORE, settings)).addresses
         self._proxy = PeerLink(parse_address((await self.supervisor.start_own("proxy", "proxy")).control))
         await self._open_links()
         await asyncio.gather(*(self.start_worker(name) for name in self.schedule.shape.worker_names()))
@@ -141,13 +147,16 @@
         await self.control_store(PutRow(table, key, text))
         return time.monotonic()
 
-    async def put_configuration(self, version: int, keys: tuple[str, ...], more_routes: int = 0) -> None:
-        """Put a configuration in force and record it."""
-        timeout_s = self.schedule.shape.route_timeout_s
-        row = json.dumps(configuration(version, keys, self.schedule.engine_slots, more_routes, timeout_s))
-        self.history.add(
-            KeysInForce(await self.put_row(names.OPERATOR_TABLE, names.CONFIG_KEY, row), version, keys)
-        )
+    async def put_configuration(
+        self, version: int, keys: tuple[str, ...], more_routes: int = 0, isolated: tuple[str, ...] = ()
+    ) -> None:
+        """Put a configuration in force and record it. ``isolated`` are keys of isolated tenants, perhaps not all of
+        them in force."""
+        timeout_s, slots = self.schedule.shape.route_timeout_s, self.schedule.engine_slots
+        values = configuration(version, keys, slots, more_routes, timeout_s, isolated, self._kv_store)
+        at_s = await self.put_row(names.OPERATOR_TABLE, names.CONFIG_KEY, json.dumps(values))
+        names_isolated = tuple(tenant_name(key) for key in keys if key in isolated)
+        self.history.add(KeysInForce(at_s, version, keys, names_isolated))
 
     async def read_row(self, table: str, key: str) -> str | None:
         """Read a row as the operator."""
@@ -201,6 +210,7 @@
             bad_parts=tuple({each.bad_part for each in self.schedule.requests if each.bad_part}),
             unframed=self.schedule.shape.unframed,
             second_answers=self.schedule.shape.second_answers,
+            keeps_parts=self.schedule.shape.isolation and service == ENGINES,
             broken_answers=self.schedule.shape.broken_answers,
         )
         announced = await self.supervisor.start_own("worker", incarnation, settings)
--- a/src/wallwell/soak/history.py
+++ b/src/wallwell/soak/history.py
@@ -193,6 +193,38 @@
 
     version: int
     keys: tuple[str, ...]
+    isolated: tuple[str, ...] = ()
+    """Names of the tenants that it isolates."""
+
+
+class PartsUsed(Record, frozen=True):
+    """An engine began a request on parts of its prompt that requests of other tenants had made."""
+
+    request: str
+    worker: str
+    tenant: str
+    scope: str
+    makers: tuple[str, ...]
+    """These other tenants."""
+
+
+class AttemptLogged(Record, frozen=True):
+    """A router logged the end of an attempt of a generation."""
+
+    node: str
+    request: str
+    worker: str
+    version: int
+    """Version of the configuration by which the attempt shared cache; 0 from builds that do not state it."""
+    for_peer: bool = False
+    """Whether the router made it for another one."""
+
+
+class ConfigurationRead(Record, frozen=True):
+    """A router logged that a configuration is in force there."""
+
+    node: str
+    version: int
 
 
 class WeightsNamed(Record, frozen=True):
@@ -294,6 +326,9 @@
     | OrderTaken
     | WorkerState
     | KeysInForce
+    | PartsUsed
+    | AttemptLogged
+    | ConfigurationRead
     | WeightsNamed
     | RolloutOrdered
     | RolloutState
--- a/src/wallwell/soak/invariants.py
+++ b/src/wallwell/soak/invariants.py
@@ -10,6 +10,7 @@
 
 from wallwell.soak import (
     invariants_fleet,
+    invariants_isolation,
     invariants_notices,
     invariants_odd_entries,
     invariants_parts,
@@ -80,6 +81,7 @@
     "configuration_in_time": invariants_fleet.configuration_in_time,
     "configuration_never_back": invariants_fleet.configuration_never_back,
     "tenant_limit": invariants_fleet.tenant_limit,
+    "isolated_share_nothing": invariants_isolation.isolated_share_nothing,
     "fences_never_lower": invariants_fleet.fences_never_lower,
     "weights_in_time": invariants_fleet.weights_in_time,
     "exposure": invariants_rollout.exposure,
--- a/src/wallwell/soak/operator.py
+++ b/src/wallwell/soak/operator.py
@@ -36,11 +36,14 @@
         self._version = 1
         self._keys = FIRST_KEYS
         self._more_routes = 0
+        self._isolated: tuple[str, ...] = ()
+        """Keys of the isolated tenants."""
         self._actions = {
             OperationKind.CHANGE_KEYS: self._change_keys,
             OperationKind.NAME_WEIGHTS: self._name_weights,
             OperationKind.ROLL_OUT: self._roll_out,
             OperationKind.ADD_ROUTE: self._add_route,
+            OperationKind.ISOLATE: self._isolate,
         }
 
     async def run(self, operations: tuple[PlannedOperation, ...], start_s: float) -> None:
@@ -50,23 +53,27 @@
     async def _run_one(self, operation: PlannedOperation, start_s: float) -> None:
         await asyncio.sleep(start_s + operation.at_s - time.monotonic())
         try:
-            await self._actions[operation.kind]()
+            await self._actions[operation.kind](operation)
         except PeerUnavailableError as error:
             raise SoakError(f"{operation}: {error}") from error
 
-    async def _change_keys(self) -> None:
+    async def _change_keys(self, _operation: PlannedOperation) -> None:
         self._keys = LATER_KEYS
         await self._put_configuration()
 
-    async def _add_route(self) -> None:
+    async def _add_route(self, _operation: PlannedOperation) -> None:
         self._more_routes += 1
         await self._put_configuration()
 
+    async def _isolate(self, operation: PlannedOperation) -> None:
+        self._isolated = operation.keys
+        await self._put_configuration()
+
     async def _put_configuration(self) -> None:
         self._version += 1
-        await self._fleet.put_configuration(self._version, self._keys, self._more_routes)
+        await self._fleet.put_configuration(self._version, self._keys, self._more_routes, self._isolated)
 
-    async def _name_weights(self) -> None:
+    async def _name_weights(self, _operation: PlannedOperation) -> None:
         row = json.dumps({"model": MODEL, "version": LATER_VERSION})
         at_s = await self._fleet.put_row(names.OPERATOR_TABLE, names.VERSION_KEY_PREFIX + MODEL, row)
         self._fleet.weights = LATER_VERSION
@@ -74,7 +81,7 @@
 
     # --- rollouts --------------------------------------------------------------------------------------
 
-    async def _roll_out(self) -> None:
+    async def _roll_out(self, _operation: PlannedOperation) -> None:
         shape = self._fleet.schedule.shape
         duration_s, badness = shape.rollout_duration_s(), ROLLOUTS[shape.rollout]
         order = {"service": ROLLOUT_SERVICE, "target_version": TARGET_VERSION, "duration_s": duration_s}
--- a/src/wallwell/soak/process.py
+++ b/src/wallwell/soak/process.py
@@ -31,6 +31,10 @@
         from wallwell.soak.worker_settings import WorkerSettings
 
         await SoakWorker(msgspec.json.decode(settings, type=WorkerSettings)).run()
+    elif kind == "kv_store":
+        from wallwell.soak.kv_store_process import KvStoreSettings, serve_kv_store
+
+        await serve_kv_store(msgspec.json.decode(settings, type=KvStoreSettings))
     elif kind == "callers":
         from wallwell.soak.caller_process import CallerProcess, CallerSettings
 
--- a/src/wallwell/soak/run.py
+++ b/src/wallwell/soak/run.py
@@ -20,6 +20,7 @@
 from wallwell.soak.history import HISTORY_SUFFIX, read_history
 from wallwell.soak.invariants import CheckResult, check_invariants
 from wallwell.soak.kept_caller_process import KeptCallerSettings
+from wallwell.soak.logged_attempts import record_attempts_logged
 from wallwell.soak.logged_faults import record_faults_logged
 from wallwell.soak.odd_writer import OddWriter
 from wallwell.soak.operator import Operator
@@ -63,6 +64,8 @@
             await _within_memory(fleet, _play(fleet, writer))
         finally:
             await fleet.close()
+    if schedule.shape.isolation:
+        record_attempts_logged(folder, schedule.shape.node_names())
     if schedule.shape.odd_entries:
         record_faults_logged(folder, schedule.shape.node_names())
     return check_folder(schedule, folder)
--- a/src/wallwell/soak/schedule.py
+++ b/src/wallwell/soak/schedule.py
@@ -226,6 +226,7 @@
     NAME_WEIGHTS = "name_weights"  # version 2 of the engines' model
     ROLL_OUT = "roll_out"  # TARGET_VERSION of ROLLOUT_SERVICE
     ADD_ROUTE = "add_route"  # a configuration with one more route, and all that there was
+    ISOLATE = "isolate"  # a configuration that isolates the tenants of some keys, and no others
 
 
 class PlannedOperation(msgspec.Struct, frozen=True):
@@ -233,9 +234,11 @@
 
     at_s: float
     kind: OperationKind
+    keys: tuple[str, ...] = ()
+    """Keys of the tenants that are isolated from then on; of :attr:`OperationKind.ISOLATE` alone."""
 
     def __str__(self) -> str:
-        return f"{self.at_s:7.2f} s  {self.kind.value}"
+        return f"{self.at_s:7.2f} s  {self.kind.value} {' '.join(self.keys)}".rstrip()
 
 
 class Shape(msgspec.Struct, frozen=True):
@@ -262,6 +265,8 @@
     """Whether workers send what is no answer in place of some of their answers."""
     odd_entries: bool = False
     """Whether another writer leaves odd rows in the store, and spoils workers' own entries in odd ways."""
+    isolation: bool = False
+    """Whether configurations isolate tenants and release them, and a KV store keeps parts of prompts."""
     rollout: str = ""
     """Name of :data:`ROLLOUTS`, empty for none."""
     notices: bool = False
--- a/src/wallwell/soak/worker_process.py
+++ b/src/wallwell/soak/worker_process.py
@@ -18,6 +18,7 @@
 
 from wallwell.address import parse_address
 from wallwell.cluster.peer_link import PeerLink
+from wallwell.emulator.kv_store import EngineCache
 from wallwell.emulator.platform_worker import ACCEPTED, PlatformWorkerEmulator, UnframedResponse
 from wallwell.errors import PeerUnavailableError
 from wallwell.platform import names
@@ -32,6 +33,7 @@
     LeavingStated,
     LimitStated,
     OrderTaken,
+    PartsUsed,
     SentAgain,
     SentBroken,
 )
@@ -68,6 +70,7 @@
         self._settings = settings
         self._history = HistoryWriter(Path(settings.history))
         self._running = 0
+        self._parts = EngineCache()
         self._is_shedding = False
         self._highest_fence = 0
         self._started_s = time.monotonic()
@@ -159,6 +162,8 @@
         generator = random.Random(f"{self._settings.seed}/{self.incarnation}/{identity}")
         fails = is_struck and generator.random() < badness.failure_share
         self._history.add(self._began(request, identity, factor))
+        if self._settings.keeps_parts and _is_stream(request):
+            await self._use_parts(request, identity)
         if body == CRASHING_BODY:
             asyncio.get_running_loop().call_later(CRASH_AFTER_S, os._exit, CRASH_STATUS)
         status = 0
@@ -209,6 +214,15 @@
             would_end_s=now_s + takes_s,
         )
 
+    async def _use_parts(self, request: web.BaseRequest, identity: str) -> None:
+        """Find, fetch, read and save the parts of a prompt; record whose parts it used."""
+        ran = await self._parts.run(request.headers)
+        tenant = request.headers.get(names.TENANT, "")
+        makers = ran.makers_beside(tenant)
+        if makers:
+            scope = request.headers.get(names.CACHE_SALT, "")
+            self._history.add(PartsUsed(time.monotonic(), identity, self.incarnation, tenant, scope, makers))
+
     def _work_s(self, request: web.BaseRequest) -> float:
         """Return how long a call takes, or a stream until its first event."""
         pace_s = None if _is_stream(request) else pace_of(request.path)
--- a/src/wallwell/soak/worker_settings.py
+++ b/src/wallwell/soak/worker_settings.py
@@ -39,5 +39,7 @@
     """Whether some of its answers have neither a length nor chunks."""
     second_answers: bool = False
     """Whether it rejects some requests though it has room, and sends some of its answers a second time."""
+    keeps_parts: bool = False
+    """Whether it is an engine that keeps parts of prompts, and records whose parts a request uses."""
     broken_answers: bool = False
     """Whether it sends what is no answer in place of some of its answers."""
--- a/tests/contract/test_soak.py
+++ b/tests/contract/test_soak.py
@@ -175,6 +175,15 @@
     assert_tested(printed, "starts_beside_odd_rows", "nodes_serve_beside_odd_rows", "no_fault_beside_odd_rows")
 
 
+def test_a_short_run_that_isolates_and_releases_tenants_breaks_no_invariant(tmp_path):
+    """Guards against parts of prompts that pass between tenants of which a configuration isolates one, over kills,
+    crashes of engines that then find parts in the KV store alone, and a store that is away or comes back older."""
+    size = "--seconds", "15", "--engines", "3", "--rate", "60"
+    printed = play(tmp_path, "--seed", "712", *size)
+    assert_tested(printed, "isolated_share_nothing")
+    assert re.search(r"uses of parts between tenants: [1-9]\d*, with an isolated one: 0\n", printed)
+
+
 def test_a_short_run_with_groups_of_silent_workers_breaks_no_invariant(tmp_path):
     """Guards against streams cut while their sound engine sends nothing for a second: all engines, with few slots,
     fall silent right after a change of the configuration, and again half a second after they have gone on."""
--- a/tests/unit/cli/test_soak.py
+++ b/tests/unit/cli/test_soak.py
@@ -13,7 +13,15 @@
 @pytest.mark.parametrize(
     "shape",
     [
-        Shape(notices=True, limits=True, identities=True, silences=True, restores=True, unframed=True),
+        Shape(
+            notices=True,
+            limits=True,
+            identities=True,
+            silences=True,
+            restores=True,
+            unframed=True,
+            isolation=True,
+        ),
         Shape(
             30.5,
             5,
@@ -28,6 +36,7 @@
             silences=True,
             restores=True,
             unframed=True,
+            isolation=True,
             bad_parts=2,
             skews=True,
             second_answers=True,
--- a/tests/unit/soak/test_drawing_silences.py
+++ b/tests/unit/soak/test_drawing_silences.py
@@ -19,7 +19,15 @@
     Shape,
 )
 
-MORE = {"notices": True, "limits": True, "identities": True, "silences": True, "restores": True, "unframed": True}
+MORE = {
+    "notices": True,
+    "limits": True,
+    "identities": True,
+    "silences": True,
+    "restores": True,
+    "unframed": True,
+    "isolation": True,
+}
 SEEDS = range(30)
 
 
--- a/tests/unit/soak/test_drawing_stops.py
+++ b/tests/unit/soak/test_drawing_stops.py
@@ -24,7 +24,15 @@
 )
 from wallwell.soak.timeline import FAULTS_OF_WORKERS
 
-MORE = {"notices": True, "limits": True, "identities": True, "silences": True, "restores": True, "unframed": True}
+MORE = {
+    "notices": True,
+    "limits": True,
+    "identities": True,
+    "silences": True,
+    "restores": True,
+    "unframed": True,
+    "isolation": True,
+}
 SEEDS = range(30)
 CALLER = KeptCaller("1-kept-0-0", 0, 0.1, 18.0, GoesOn.AT_ONCE)
 
--- a/tests/unit/soak/test_invariants.py
+++ b/tests/unit/soak/test_invariants.py
@@ -16,6 +16,8 @@
 from wallwell.soak.history import (
     Answered,
     Arrived,
+    AttemptLogged,
+    ConfigurationRead,
     Ended,
     FaultBegan,
     FaultEnded,
@@ -25,6 +27,7 @@
     LimitStated,
     NodeExited,
     OrderTaken,
+    PartsUsed,
     RequestKind,
     RolloutOrdered,
     RolloutState,
@@ -50,6 +53,23 @@
 SAFE = sent(kind=RequestKind.SAFE)
 
 
+def shared_parts(used_s, user="tenant-key-b", maker="tenant-key-a", logged=None, released_s=10.0, read_s=()):
+    """A tenant is isolated from 5 s to 10 s; a request of one tenant uses parts that another one's request made."""
+    log = [] if logged is None else [AttemptLogged(used_s + 0.1, "node-0", "r", "engine-0.1", logged)]
+    log += [ConfigurationRead(at_s, "node-0", version) for version, at_s in enumerate(read_s, 1)]
+    return [
+        KeysInForce(0.5, 1, ("key-a", "key-b", "key-c")),
+        KeysInForce(5.0, 2, ("key-a", "key-b", "key-c"), ("tenant-key-a",)),
+        KeysInForce(released_s, 3, ("key-a", "key-b", "key-c")),
+        *log,
+        sent(kind=RequestKind.RESUMABLE, at_s=used_s - 0.1, events=3, key="key-b", deadline_s=1.0, node="node-0"),
+        began(worker="engine-0.1", at_s=used_s - 0.05),
+        PartsUsed(used_s, "r", "engine-0.1", user, "m:1", (maker,)),
+        answered(worker="engine-0.1", at_s=used_s + 0.1, events=(1, 2, 3)),
+        Ended(used_s + 0.1, "r", "engine-0.1", 200),
+    ]
+
+
 def recovery(served, of):
     """All nodes killed and started; later than the bound, ``served`` of ``of`` requests are served."""
     records = [FaultBegan(5.0, "kill_all_nodes", "all"), FaultEnded(6.0, "kill_all_nodes", "all")]
@@ -320,6 +340,17 @@
 
 
 SOUND = {
+    "an engine that uses parts of a tenant that is isolated later": shared_parts(used_s=4.0),
+    "parts used by a node that read the configuration late, but in time": shared_parts(used_s=6.5),
+    "parts used by a node that cannot reach the store and has an older configuration": [
+        FaultBegan(4.5, "link_reset", "node-0>store"),
+        *shared_parts(used_s=8.5),
+    ],
+    "parts of a tenant that has been released": shared_parts(used_s=12.0),
+    "an attempt under the configuration before, as its node logs": shared_parts(used_s=6.5, logged=1),
+    "a request that was sent before its node logged the configuration": shared_parts(6.5, read_s=(0.6, 6.45)),
+    "a node that has not logged the configuration yet": shared_parts(6.5, read_s=(0.6, 6.7)),
+    "parts of tenants that are not isolated beside one that is": shared_parts(used_s=9.0, maker="tenant-key-c"),
     "a router that refuses what a tenant asks beyond its limit, beside an odd row": beside_odd_rows(
         *asked([200] * 2 + [429] * 8, from_s=1.0 + RECOVERY_S, key=LIMITED_KEY)
     ),
@@ -467,6 +498,26 @@
     ],
 }
 BROKEN = {
+    "parts of a tenant that has been isolated": ("isolated_share_nothing", shared_parts(used_s=8.0)),
+    "an isolated tenant that uses parts of another one": (
+        "isolated_share_nothing",
+        shared_parts(used_s=8.0, user="tenant-key-a", maker="tenant-key-b"),
+    ),
+    "parts of an isolated tenant, by the configuration that the node logs": (
+        "isolated_share_nothing",
+        shared_parts(used_s=5.5, logged=2),
+    ),
+    "parts of an isolated tenant, though the node had logged that configuration before": (
+        "isolated_share_nothing",
+        shared_parts(used_s=5.5, read_s=(0.6, 5.1)),
+    ),
+    "parts used at a node that cannot have an older configuration any more": (
+        "isolated_share_nothing",
+        [
+            FaultBegan(4.0, "link_reset", "node-0>store"),
+            *shared_parts(used_s=5.0 + REVOKE_S + 1.5, released_s=30.0),
+        ],
+    ),
     "a worker that left is reached": ("drained_gets_nothing", leaving(DRAIN_BOUND_S + 0.1)),
     "a worker whose entry went is reached": ("drained_gets_nothing", leaving(DRAIN_BOUND_S + 0.1, "gone")),
     "a worker that stated its leave is reached late": (
--- a/tests/unit/soak/test_stand_ins.py
+++ b/tests/unit/soak/test_stand_ins.py
@@ -18,6 +18,7 @@
     Began,
     Ended,
     OrderTaken,
+    PartsUsed,
     SentAgain,
     SentBroken,
     WorkerState,
@@ -283,3 +284,16 @@
     with pytest.raises(MalformedAnswerError):
         HeadCheck().feed(received)
     assert [(each.request, each.form) for each in records if isinstance(each, SentBroken)] == [("r", form)]
+
+
+def test_engine_records_whose_parts_a_request_used(run_async, tmp_path):
+    async def scenario(_stand_in, call):
+        for identity, tenant in (("r1", "t"), ("r2", "t"), ("r3", "u")):
+            headers = {names.TENANT: tenant, names.CACHE_SALT: "m:1", names.PROMPT_PARTS: "a:8,b:4"}
+            async with call(identity=identity, **headers, **{names.TOKEN_USAGE: "12,1"}) as response:
+                assert response.status == 200
+                await response.read()
+
+    _, records = with_worker(run_async, tmp_path, scenario, keeps_parts=True)
+    (used,) = [each for each in records if isinstance(each, PartsUsed)]
+    assert (used.request, used.worker, used.tenant, used.scope, used.makers) == ("r3", "w.1", "u", "m:1", ("t",))
