Failed attempts keep neither their request nor what was read of its answer (Fault)

Cause: an error's traceback refers to frames, these to the request and to what was read. The record of the started attempt referred to the error, and so did tasks that had ended with it and the reply that it refused: cycles, which only a full garbage collection frees. Six answers without end left 27.5 MB, six requests of 2 MB that were reset 23.1 MB.

Why this works: the attempt is counted as its error passes and keeps none; where an attempt's error has been handled, it and those that led to it forget their frames; a body that is read whole empties its buffer however its reading ends.

The import test names the new module, which any package may import.

--- a/src/wallwell/answer_bounds.py
+++ b/src/wallwell/answer_bounds.py
@@ -31,11 +31,14 @@
 async def read_bounded(chunks: AsyncIterator[bytes], max_bytes: int) -> bytes:
     """Return a whole body. Raises :class:`AnswerTooLargeError` if it has more than ``max_bytes``."""
     body = bytearray()
-    async for chunk in chunks:
-        body += chunk
-        if len(body) > max_bytes:
-            raise AnswerTooLargeError(f"the body has more than {max_bytes} bytes")
-    return bytes(body)
+    try:
+        async for chunk in chunks:
+            body += chunk
+            if len(body) > max_bytes:
+                raise AnswerTooLargeError(f"the body has more than {max_bytes} bytes")
+        return bytes(body)
+    finally:
+        body.clear()  # An error refers to this frame for as long as anybody keeps it.
 
 
 class RoundTripBounds:
--- a/src/wallwell/peer_attempts/server.py
+++ b/src/wallwell/peer_attempts/server.py
@@ -18,6 +18,7 @@
 
 from wallwell.clock import boot_time_s, time_limit
 from wallwell.cluster.peer_link import ReplyStream
+from wallwell.error_frames import release_frames
 from wallwell.errors import RequestError
 from wallwell.events import Event, emit
 from wallwell.node.state import NodeState
@@ -203,9 +204,11 @@
                 status = await self._send_and_reply(message, active)
             self._count(message, active, "answered", str(status))
         except AttemptError as failure:
+            release_frames(failure)
             self._count(message, active, failure.event.value, failure.detail)
             await replies.send(_failed(failure))
-        except TimeoutError:
+        except TimeoutError as timeout:
+            release_frames(timeout)
             self._count(message, active, "deadline")
             await replies.send(AttemptFailed(TransportEvent.ANSWER_TIMEOUT.value, "the deadline passed"))
 
--- a/src/wallwell/serving/attempt.py
+++ b/src/wallwell/serving/attempt.py
@@ -64,17 +64,16 @@
     counted: CountedAttempt | None
     """Its count in a rollout; None if none is counted."""
     answer: BackendAnswer | None = None
-    failure: BaseException | None = None
     is_settled: bool = False
 
-    def settle(self) -> None:
-        """Count the attempt as no longer in flight, once, and close its answer."""
+    def settle(self, failure: BaseException | None = None) -> None:
+        """Count the attempt as no longer in flight, once, and close its answer; ``failure`` ended it, if any."""
         if self.is_settled:
             return
         self.is_settled = True
         if self.counted is not None and not self.active.is_withdrawn:
             status = self.answer.head.status if self.answer is not None else 0
-            count_attempt_end(self.counted, self.active, status, self.failure, boot_time_s())
+            count_attempt_end(self.counted, self.active, status, failure, boot_time_s())
         self.backend.in_flight -= 1
         self.backend.load -= self.load
         if self.answer is not None:
@@ -129,9 +128,9 @@
                 started.answer = await self._send(active, backend, started.prefers_peers)
                 return await self._forward_answer(active, backend, started.answer)
         except BaseException as error:
-            started.failure = error
             if isinstance(error, AttemptError):
                 self._hedger.hand_over(active, backend)
+            started.settle(error)
             raise
         finally:
             started.settle()
--- a/src/wallwell/serving/hedging.py
+++ b/src/wallwell/serving/hedging.py
@@ -20,6 +20,7 @@
 from typing import Any, Protocol, TypeVar
 
 from wallwell.clock import boot_time_s, ends_within
+from wallwell.error_frames import release_frames
 from wallwell.node.state import NodeState
 from wallwell.routing.health.backend import Backend
 from wallwell.routing.retry.attempt_outcome import TransportEvent
@@ -244,9 +245,11 @@
         try:
             await hedge.finish()
         except AttemptError as failure:
+            release_frames(failure)
             self._failures.record(hedge.active, hedge.backend, failure, is_hedge=True)
             active.history.record_failed_hedge(failure.event)
-        except TimeoutError:
+        except TimeoutError as timeout:
+            release_frames(timeout)
             active.history.record_withdrawn_hedge(has_arrived=True)  # At the request's deadline, which ends both.
 
 
--- a/src/wallwell/serving/pipeline.py
+++ b/src/wallwell/serving/pipeline.py
@@ -22,6 +22,7 @@
 from wallwell.clock import boot_time_s
 from wallwell.cluster.stream_directory import StreamDirectory
 from wallwell.cluster.stream_records import StreamRecords
+from wallwell.error_frames import release_frames
 from wallwell.errors import RequestError
 from wallwell.node.state import NodeState
 from wallwell.outcomes import Outcome
@@ -97,6 +98,7 @@
             active = self._admission.admit(request, reply)
             await self._run_admitted(active)
         except RequestError as error:
+            release_frames(error)
             self._reporter.on_refused(request, error, active)
             if reply.started:
                 reply.abort()
@@ -153,8 +155,10 @@
                 server_error = AttemptError(TransportEvent.ERROR_ANSWER, "server error, retried")
                 self._reporter.on_attempt_failed(active, backend, server_error)
             except AttemptError as failure:
+                release_frames(failure)
                 self._after_failure(active, backend, failure, is_hedge=successor is not None)
-            except TimeoutError:
+            except TimeoutError as timeout:
+                release_frames(timeout)
                 raise self._deadline_error(active) from None
 
     def _on_answered(self, active: ActiveRequest, backend: Backend) -> None:
--- a/tests/unit/test_import_layers.py
+++ b/tests/unit/test_import_layers.py
@@ -12,6 +12,7 @@
 ROOT = SOURCES / "wallwell"
 
 COMMON = {
+    "error_frames",
     "address",
     "answer_bounds",
     "answer_head",
