--- a/src/wallwell/platform/unframed_end.py
+++ b/src/wallwell/platform/unframed_end.py
@@ -39,7 +39,7 @@
 """Seconds that a sentinel must have lived to be opened again: a worker with too many connections resets it soon."""
 UNLISTED_WAIT_S = 1.0
 """Seconds after an answer's end in which the entry of a worker that left as planned is removed. That of one that
-was killed remains for longer, for two heartbeats at least."""
+was killed while it sent heartbeats remains for longer, for two of them at least."""
 UNLISTED_POLL_S = 0.02
 """Interval in seconds at which the listing is read in that time."""
 
@@ -136,6 +136,7 @@
             outlived_answer=outlived,
             is_read_late=unread_since_s is not None,
             is_leaving=status.is_leaving,
+            has_announced_leave=status.has_announced_leave,
             is_replaced=status.is_replaced,
             is_unlisted_at_end=unlisted_s is not None and abs(unlisted_s - earliest_close_s) <= UNLISTED_WAIT_S,
         )
@@ -152,6 +153,7 @@
             sentinel=evidence.sentinel.value,
             port_refuses=evidence.port_refuses,
             leaving=evidence.is_leaving,
+            announced=evidence.has_announced_leave,
             unread_ms=round(unread_s * 1000),
         )
 
--- a/src/wallwell/routing/health/answer_end.py
+++ b/src/wallwell/routing/health/answer_end.py
@@ -9,7 +9,8 @@
   refuses a connection shows nothing.
 
 A process that leaves as planned may end right after its last answer. It then outlives the answer by a moment, or
-its entry is removed at once. The entry of one that was killed remains for some heartbeats.
+has announced its leave and its entry is removed at once. The entry of one that was killed remains for some
+heartbeats, unless these had stopped before: an entry that goes unannounced says nothing of how its process ended.
 
 What cannot be shown counts as broken off: an answer that was cut and looks whole misleads its caller, while one
 that is reported as cut can be asked for again.
@@ -27,6 +28,8 @@
 
     is_leaving: bool = False
     """Whether it has announced that it leaves, or is no longer listed."""
+    has_announced_leave: bool = False
+    """Whether it has announced it, in its entry or in an answer."""
     is_replaced: bool = False
     """Whether a later start of it, or another back end at its address, has been listed."""
     unlisted_since_s: float | None = None
@@ -77,6 +80,8 @@
     is_read_late: bool = False
     """Whether the close may have waited to be read for longer than another process needs to start."""
     is_leaving: bool = False
+    """Whether it has announced that it leaves, or is no longer listed."""
+    has_announced_leave: bool = False
     is_replaced: bool = False
     is_unlisted_at_end: bool = False
     """Whether its entry was removed at the time of the close."""
@@ -95,11 +100,14 @@
 
 def may_still_be_unlisted(evidence: EndEvidence) -> bool:
     """Whether the removal of the entry, which may follow shortly, would change the verdict."""
-    return evidence.is_leaving and judge_end(evidence) is EndVerdict.PROCESS_ENDED
+    may_leave = evidence.is_leaving and evidence.has_announced_leave
+    return may_leave and judge_end(evidence) is EndVerdict.PROCESS_ENDED
 
 
 def _has_left_as_planned(evidence: EndEvidence) -> bool:
     """Whether a process that has ended finished its answer before; only one that leaves may be believed to."""
     if not evidence.is_leaving:
         return False
-    return evidence.is_unlisted_at_end or (evidence.outlived_answer and not evidence.is_read_late)
+    if evidence.has_announced_leave and evidence.is_unlisted_at_end:
+        return True
+    return evidence.outlived_answer and not evidence.is_read_late
--- a/src/wallwell/routing/health/backend.py
+++ b/src/wallwell/routing/health/backend.py
@@ -128,7 +128,12 @@
     def listing_status(self, now_s: float) -> ListingStatus:
         """Return what the listing and its own answers say of the back end now."""
         unlisted_since_s = None if self.is_entry_unreadable else self.lapses_at_s
-        return ListingStatus(self.may_have_left(now_s), self.superseded, unlisted_since_s)
+        return ListingStatus(
+            is_leaving=self.may_have_left(now_s),
+            has_announced_leave=self.has_announced_leave,
+            is_replaced=self.superseded,
+            unlisted_since_s=unlisted_since_s,
+        )
 
     @property
     def is_replaced(self) -> bool:
--- a/tests/platform/test_unframed_answers.py
+++ b/tests/platform/test_unframed_answers.py
@@ -16,6 +16,7 @@
 from tests.platform.conftest import config, route
 from tests.platform.process_worker import ProcessWorker
 from tests.unit.serving.fakes import event
+from wallwell.clock import boot_time_s
 from wallwell.emulator.platform_worker import UnframedResponse
 
 STREAM = {"kind": "stream", "attempts": 1}
@@ -208,6 +209,28 @@
     assert is_broken_off(answer, kind, event(1) + event(2))
 
 
+@pytest.mark.parametrize("kind", [STREAM, UNSAFE], ids=["stream", "unsafe"])
+def test_unframed_answer_cut_right_after_the_entry_went_unannounced_is_not_whole(on_platform, kind):
+    """Guards against parts of streams that are whole for their callers, as the worker's entry had lapsed a moment
+    before it was killed: it had lost its way to the store, and its heartbeats had stopped."""
+
+    async def scenario(harness):
+        (worker,) = harness.workers
+        cut = unframed(worker, event(1) + event(2), lambda request: worker.crash())
+
+        async def lapse(request):
+            backend = harness.node.state.backends.get(worker.incarnation)
+            harness.store.put("servers", worker.incarnation, None)
+            await harness.until(lambda: backend.is_leaving(boot_time_s()))
+            return await cut(request)
+
+        worker.respond = lapse
+        return await read_answer(harness, **(PROMPT if kind is STREAM else {}))
+
+    answer = on_platform(scenario, config(routes=[route(**kind)]), workers=1)
+    assert is_broken_off(answer, kind, event(1) + event(2))
+
+
 @pytest.mark.parametrize("leaving", LEAVING)
 @pytest.mark.parametrize("kind", [STREAM, UNSAFE], ids=["stream", "unsafe"])
 def test_unframed_answer_of_a_worker_that_ends_as_planned_is_whole(on_platform, kind, leaving):
--- a/tests/unit/routing/health/test_answer_end.py
+++ b/tests/unit/routing/health/test_answer_end.py
@@ -21,6 +21,7 @@
 LIVES, LEFT = EndVerdict.PROCESS_LIVES, EndVerdict.LEFT_AS_PLANNED
 DEAD, REPLACED, UNKNOWN = EndVerdict.PROCESS_ENDED, EndVerdict.PROCESS_REPLACED, EndVerdict.NOT_SHOWN
 
+ANNOUNCED = {"is_leaving": True, "has_announced_leave": True}
 TABLE = [
     # sentinel, port refuses, other evidence, verdict
     (NONE, False, {}, UNKNOWN),
@@ -32,10 +33,14 @@
     (NONE, True, {"outlived_answer": True}, DEAD),
     (NONE, True, {"is_unlisted_at_end": True}, DEAD),
     (NONE, True, {"is_leaving": True}, DEAD),
+    (NONE, True, ANNOUNCED, DEAD),
+    (NONE, True, {"is_leaving": True, "is_unlisted_at_end": True}, DEAD),  # Its heartbeats had stopped before.
+    (ENDED, True, {"is_leaving": True, "is_unlisted_at_end": True}, DEAD),
+    (ENDED, True, {"is_leaving": True, "is_unlisted_at_end": True, "outlived_answer": True}, LEFT),
     (NONE, True, {"is_leaving": True, "outlived_answer": True}, LEFT),
     (NONE, True, {"is_leaving": True, "outlived_answer": True, "is_read_late": True}, DEAD),
-    (NONE, True, {"is_leaving": True, "is_unlisted_at_end": True}, LEFT),
-    (NONE, True, {"is_leaving": True, "is_unlisted_at_end": True, "is_read_late": True}, LEFT),
+    (NONE, True, {**ANNOUNCED, "is_unlisted_at_end": True}, LEFT),
+    (NONE, True, {**ANNOUNCED, "is_unlisted_at_end": True, "is_read_late": True}, LEFT),
     (OPEN, False, {}, LIVES),
     (OPEN, False, {"is_read_late": True}, LIVES),
     (OPEN, False, {"is_read_late": True, "is_leaving": True}, LIVES),
@@ -46,7 +51,7 @@
     (ENDED, False, {"outlived_answer": True}, DEAD),
     (ENDED, False, {"is_leaving": True, "outlived_answer": True}, LEFT),
     (ENDED, True, {"is_leaving": True}, DEAD),
-    (ENDED, True, {"is_leaving": True, "is_unlisted_at_end": True}, LEFT),
+    (ENDED, True, {**ANNOUNCED, "is_unlisted_at_end": True}, LEFT),
     (ENDED, False, {"is_leaving": True, "is_unlisted_at_end": True, "is_replaced": True}, REPLACED),
 ]
 
@@ -57,7 +62,7 @@
 
 
 def all_evidence():
-    for sentinel, *flags in itertools.product(SentinelState, *[(False, True)] * 7):
+    for sentinel, *flags in itertools.product(SentinelState, *[(False, True)] * 8):
         yield EndEvidence(sentinel, *flags)
 
 
@@ -68,6 +73,14 @@
             assert not judge_end(evidence).is_whole
 
 
+def test_an_entry_that_goes_unannounced_says_nothing_of_the_end():
+    """Guards against cut answers of a process whose heartbeats had stopped before it was killed."""
+    for evidence in all_evidence():
+        if not evidence.has_announced_leave:
+            listed = EndEvidence(**{**evidence.__dict__, "is_unlisted_at_end": False})
+            assert judge_end(evidence) is judge_end(listed)
+
+
 def test_a_process_is_believed_to_live_only_if_something_shows_it():
     for evidence in all_evidence():
         if evidence.sentinel is NONE and not evidence.port_accepted:
