--- a/src/wallwell/emulator/platform_worker.py
+++ b/src/wallwell/emulator/platform_worker.py
@@ -61,12 +61,12 @@
         self.orders: list[dict[str, Any]] = []
         self.address = ""
 
-    async def start(self, host: str = "127.0.0.1") -> None:
-        """Listen on a port that the operating system chooses."""
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        """Listen on a port, by default one that the operating system chooses."""
         server = web.Server(self._handle, handler_cancellation=True, auto_decompress=False, access_log=None)
         self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self._runner.setup()
-        await web.TCPSite(self._runner, host, 0).start()
+        await web.TCPSite(self._runner, host, port).start()
         self.address = f"{host}:{self._runner.addresses[0][1]}"
 
     async def stop(self) -> None:
--- a/src/wallwell/node/backend_rows.py
+++ b/src/wallwell/node/backend_rows.py
@@ -73,6 +73,7 @@
         self.drop_lapsed(now_s)
         self._state.backends_known = True
         self._state.software_history.on_confirmed(followed.confirmed_at_s, now_s)
+        self._state.backends.on_listing_confirmed(followed.confirmed_at_s)
 
     def _apply_row(self, row: FeedRow, may_be_stale: bool, now_s: float) -> str:
         """Apply a row. Returns the decoding error, or an empty string."""
--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -158,6 +158,7 @@
             parts = ",".join(sorted(broken.part_digests))
             emit(Event.BACKEND_CRASHED, backend=backend.incarnation, runs=len(broken.content_digests), parts=parts)
             now_s = boot_time_s()
+            self._state.backends.on_crashed(start_id, now_s)
             since_s = broken.since_s
             counted = [subject for subject in broken.subjects() if self._count(subject, start_id, now_s, since_s)]
             self._write({crash_key(subject, start_id): True for subject in counted})
@@ -186,7 +187,9 @@
         if row.value is None:
             self._unreadable.forget(row.key)
             self._forget(subject, start_id)
-        elif self._state.quarantine.is_cleared(subject, now_s):
+            return
+        self._state.backends.on_crashed(start_id, now_s)
+        if self._state.quarantine.is_cleared(subject, now_s):
             self._write({row.key: False})
         else:
             self._count(subject, start_id, now_s, self._happened_s(row, subject))
@@ -204,7 +207,10 @@
 
     def on_peer_report(self, crash: Crash) -> None:
         """Count a crash that the store has not accepted yet; the peer that detected it writes it."""
-        self._count(*crash, boot_time_s(), self._store_time_s())
+        subject, start_id = crash
+        now_s = boot_time_s()
+        self._state.backends.on_crashed(start_id, now_s)
+        self._count(subject, start_id, now_s, self._store_time_s())
 
     def unwritten_crashes(self) -> Sequence[Crash]:
         """Return the crashes that the store has not accepted, newest first; none while it accepts writes."""
--- a/src/wallwell/peer_attempts/server.py
+++ b/src/wallwell/peer_attempts/server.py
@@ -50,6 +50,7 @@
 )
 from wallwell.serving.quarantine_check import quarantine_refusal
 from wallwell.serving.request_reports import cache_fields
+from wallwell.serving.version_choice import known_software
 
 
 class PeerReply:
@@ -183,8 +184,10 @@
             raise AttemptError(TransportEvent.WITHDRAWN, "the back end is leaving or not listed")
         if message.started_unix_ms is not None and backend.record.started_unix_ms != message.started_unix_ms:
             raise AttemptError(TransportEvent.WITHDRAWN, "another start of the back end is listed")
-        if message.required_software not in (None, backend.record.software):
-            raise AttemptError(TransportEvent.WITHDRAWN, "the back end runs other software than began the stream")
+        if message.required_software not in (None, known_software(self._state, backend)):
+            raise AttemptError(
+                TransportEvent.WITHDRAWN, "the back end may run other software than began the stream"
+            )
         if not backend.backoff.allows_request(now_s):
             raise AttemptError(TransportEvent.WITHDRAWN, "the back end asked for no requests")
         if now_s < backend.suspended_until_s and self._is_any_open(backend.record.service, now_s):
--- a/src/wallwell/routing/health/backend.py
+++ b/src/wallwell/routing/health/backend.py
@@ -72,6 +72,9 @@
     is_entry_unreadable: bool = False
     """Whether it counts as gone only since its entry cannot be read, which says nothing of its process."""
     silence: Silence = field(default_factory=Silence)
+    crashed_at_s: float | None = None
+    """When it was found that this start has crashed; None if it was not. What runs at its address since then, and
+    of which software version, is not known until its next start is listed."""
 
     @property
     def incarnation(self) -> str:
--- a/src/wallwell/routing/health/backend_registry.py
+++ b/src/wallwell/routing/health/backend_registry.py
@@ -24,6 +24,9 @@
 MAX_LEAVING_REMEMBERED = 1000
 """Leaving back ends remembered, listed or not. A lapsed entry may return some seconds later, and far fewer leave in
 that time."""
+NEXT_START_LISTED_S = 6.0
+"""Seconds after a crash within which the next start of a back end is listed, or its entry has gone: three
+heartbeats, and those until the entry of a start that began last is written."""
 MAX_GONE_REMEMBERED = 1000
 """Removed back ends remembered. A store restored from a copy some seconds old may list back ends that were removed
 since the copy; far fewer are removed in that time."""
@@ -40,6 +43,8 @@
         removed: one that lapsed while the store was unavailable may be listed again without the announcement."""
         self._gone: dict[tuple[str, int | None], None] = {}
         """Starts of back ends that were removed and not listed again, oldest first."""
+        self._crashed: dict[str, Backend] = {}
+        """Listed back ends by incarnation whose start has crashed, until the next one is listed."""
         self._by_incarnation: dict[str, Backend] = {}
         self._by_service: dict[str, list[Backend]] = {}
         self._by_address: dict[Address, list[Backend]] = {}
@@ -128,6 +133,25 @@
         self._by_service[service] = list(self._by_service[service])
         return True
 
+    def on_crashed(self, start_id: str, now_s: float) -> None:
+        """Record that a start of a back end has crashed, unless a later one is listed or none."""
+        # A start's identity is the incarnation, followed by its time if it states one.
+        backend = self.get(start_id) or self.get(start_id.rpartition("@")[0])
+        if backend is not None and backend.start_id == start_id and backend.crashed_at_s is None:
+            backend.crashed_at_s = now_s
+            self._crashed[backend.incarnation] = backend
+
+    def on_listing_confirmed(self, confirmed_at_s: float) -> None:
+        """Believe the entries of crashed back ends again for which no later start was listed in time: the process
+        of an entry that stays goes on sending heartbeats. ``confirmed_at_s`` is when the store confirmed the
+        listing."""
+        for incarnation, backend in list(self._crashed.items()):
+            crashed_at_s = backend.crashed_at_s
+            is_replaced = self.get(incarnation) is not backend
+            if is_replaced or crashed_at_s is None or confirmed_at_s >= crashed_at_s + NEXT_START_LISTED_S:
+                backend.crashed_at_s = None
+                del self._crashed[incarnation]
+
     def _supersede_at(self, address: Address) -> None:
         """Mark the back ends listed at an address as superseded, because a new incarnation is listed there. The
         entry of a crashed back end remains for some heartbeats, and its successor refuses requests for it."""
--- a/src/wallwell/serving/active_request.py
+++ b/src/wallwell/serving/active_request.py
@@ -155,6 +155,9 @@
     """Cache plan of the current attempt; None for a call, and before the first attempt."""
     stream_software: str | None = None
     """Software version whose back ends sent the events that the caller has; None if it has none, or not known."""
+    is_stream_software_unknown: bool = False
+    """Whether the caller has events of a back end that may run another version than is listed; then no back end may
+    go on with the stream."""
     stream_known_by: str = ""
     """Node that knew the version of a stream which the caller resumes; empty if it was not in question."""
     stream_known_age_s: float = 0.0
@@ -213,7 +216,7 @@
         self.successor = None
         view = successor.active
         self.stream_position, self.timing, self.progress = view.stream_position, view.timing, view.progress
-        self.cache = view.cache
+        self.cache, self.is_stream_software_unknown = view.cache, view.is_stream_software_unknown
         self.stream_software, self.prefers_target = view.stream_software, view.prefers_target
         return successor
 
--- a/src/wallwell/serving/attempt.py
+++ b/src/wallwell/serving/attempt.py
@@ -43,7 +43,7 @@
 from wallwell.serving.stream_forwarding import StreamForwarder
 from wallwell.serving.stream_origin import StreamOriginBinder
 from wallwell.serving.untried_backends import has_untried_backend
-from wallwell.serving.version_choice import count_attempt_end, count_attempt_start, listed_software
+from wallwell.serving.version_choice import count_attempt_end, count_attempt_start, known_software
 from wallwell.task_wait import cancel_and_wait
 
 CALL_LOAD = 1
@@ -211,7 +211,7 @@
     def _may_send(self, active: ActiveRequest, backend: Backend, cache: CachePlan | None) -> bool:
         """Whether a back end still accepts requests, may still continue the stream if it has begun, and neither the
         request has been quarantined meanwhile nor have those changed with whom it may share cache."""
-        if active.stream_software not in (None, listed_software(self._state, backend)):
+        if active.stream_software not in (None, known_software(self._state, backend)):
             return False
         if not self._cache_planner.is_current(active, cache):
             return False
--- a/src/wallwell/serving/stream_forwarding.py
+++ b/src/wallwell/serving/stream_forwarding.py
@@ -24,7 +24,7 @@
 from wallwell.serving.messages import AttemptError, BackendAnswer
 from wallwell.serving.request_reports import RequestReporter
 from wallwell.serving.stream_origin import StreamOriginBinder
-from wallwell.serving.version_choice import listed_software
+from wallwell.serving.version_choice import known_software
 from wallwell.task_wait import cancel_and_wait
 
 
@@ -83,16 +83,18 @@
 
     async def _on_first_events(self, active: ActiveRequest, backend: Backend) -> None:
         """Record where the stream begins or goes on; called before the first events of an attempt are forwarded."""
-        software = listed_software(self._state, backend)
+        software = known_software(self._state, backend)
         if active.stream_software not in (None, software):
-            detail = f"the back end was started again with software {software}"
-            raise AttemptError(TransportEvent.FOREIGN_ANSWER, detail)
+            now_at = (
+                f"with software {software}" if software is not None else "after a crash, and is not listed since"
+            )
+            raise AttemptError(TransportEvent.FOREIGN_ANSWER, f"the back end was started again {now_at}")
         await self._hedger.settle(active, backend)
         resumed_by_router = active.reply.started
         if resumed_by_router or active.request.resumes_stream:
             self._reporter.on_stream_resumed(active, backend, by_caller=not resumed_by_router)
-        active.stream_software = software
-        if not resumed_by_router:
+        active.stream_software, active.is_stream_software_unknown = software, software is None
+        if not resumed_by_router and software is not None:
             await self._origins.on_begun(active, software)
 
     async def _write_events(
--- a/src/wallwell/serving/version_choice.py
+++ b/src/wallwell/serving/version_choice.py
@@ -33,12 +33,25 @@
     state: NodeState, active: ActiveRequest, now_s: float, excluded: Collection[Backend] = ()
 ) -> Candidates:
     """Return the candidates for the next attempt. Back ends in ``excluded`` are listed but not usable."""
+    if active.is_stream_software_unknown:
+        return Candidates([], [])
+    found = _candidates(state, active, now_s, excluded)
+    if not active.route.resumable:
+        return found
+    # A stream that begins at a crashed back end could not go on elsewhere.
+    sure = [each for each in found.usable if each.crashed_at_s is None]
+    return Candidates(found.listed, sure or found.usable)
+
+
+def _candidates(state: NodeState, active: ActiveRequest, now_s: float, excluded: Collection[Backend]) -> Candidates:
+    """As :func:`candidates_for`, for a request whose stream may go on somewhere if it has begun."""
     listed = state.backends.backends_of_service(active.service)
     generation = active.request.generation
     requirement = None if generation is None else _weights_requirement(state, generation.model)
     rollout = state.rollouts.active.get(active.service)
     if active.stream_software is not None:
         same_version = _backends_to_continue_at(listed, rollout, active.stream_software, now_s)
+        same_version = [each for each in same_version if each.crashed_at_s is None]
         return Candidates(same_version, usable_backends(same_version, requirement, now_s, excluded))
     if rollout is None:
         return Candidates(listed, usable_backends(listed, requirement, now_s, excluded))
@@ -57,10 +70,11 @@
     return [each for each in listed if each.record.software == software]
 
 
-def listed_software(state: NodeState, backend: Backend) -> str:
-    """Return the software version in the newest entry under a back end's identity, perhaps of a later start."""
+def known_software(state: NodeState, backend: Backend) -> str | None:
+    """Return the software version that answers under a back end's identity, by the newest entry, perhaps of a later
+    start; None if that start is known to have crashed, since the next one may run another version."""
     newest = state.backends.get(backend.incarnation) or backend
-    return newest.record.software
+    return newest.record.software if newest.crashed_at_s is None else None
 
 
 def generation_start_deadline_s(state: NodeState, backend: Backend, model: str) -> float:
--- a/tests/platform/test_streams_of_two_versions.py
+++ b/tests/platform/test_streams_of_two_versions.py
@@ -217,3 +217,39 @@
 @pytest.mark.parametrize("where", ["same node", "other nodes", "node killed", "node restarted"])
 def test_a_broken_stream_goes_on_only_at_its_software_version_over_requests(on_platform, where):
     assert_streams_keep_their_version(run_streams(on_platform, lambda fleet: _streams_over_requests(fleet, where)))
+
+
+def test_stream_does_not_go_on_at_a_back_end_that_started_again_before_its_entry_is_written(on_platform):
+    """Guards against events of two versions while engines are replaced under their identities: each serves, at
+    another version, before the store has its new entry."""
+
+    async def scenario(harness):
+        fleet = VersionedFleet(harness)
+        first, second = harness.workers[:2]
+        for worker in harness.workers:
+            harness.store.put("servers", worker.incarnation, {**worker.entry(), "born": 1000})
+        state = harness.node.state
+        await harness.until(lambda: state.backends.get(second.incarnation).record.started_unix_ms == 1000)
+        # The first one crashes, as the node finds out by a broken attempt, and serves again as v2.
+        address = first.address
+        first.crash()
+        harness.node._pipeline.feedback._crash_observer.on_broken_run("c", state.backends.get(first.incarnation))
+        await harness.until(lambda: state.backends.get(first.incarnation).crashed_at_s is not None)
+        host, _, port = address.rpartition(":")
+        again = type(first)(first.incarnation, software="v2")
+        again.respond = fleet._respond(again)
+        await again.start(host, int(port))
+        # Streams that began at the other one of v1 break off with it.
+        second.respond = fleet._respond(second)
+        streams = await fleet.begin_streams("/one/", harness.port)
+        second.crash()
+        fleet._break.set()
+        ended = await asyncio.gather(*streams)
+        await again.stop()
+        return [{software for _, software in events} for _, events in ended], again.requests
+
+    versions, at_next_start = on_platform(
+        scenario, config(routes=ROUTES), workers=4, software=("v1", "v1", "v2", "v2")
+    )
+    assert all(len(each) <= 1 for each in versions), versions
+    assert not [request for request in at_next_start if "Last-Event-Id" in request.headers]
--- a/tests/unit/serving/test_stream_versions.py
+++ b/tests/unit/serving/test_stream_versions.py
@@ -133,3 +133,56 @@
     assert reply.ended == "finished"
     assert len(versions) == 2
     assert versions[0] == versions[1]
+
+
+def crash(state, *incarnations):
+    """Record that the listed starts of these back ends have crashed; the next ones are not listed yet."""
+    for incarnation in incarnations:
+        state.backends.on_crashed(incarnation, boot_time_s())
+
+
+def test_a_broken_stream_does_not_go_on_at_a_back_end_that_has_crashed_since_it_was_listed():
+    """Guards against events of two versions: the next start under an identity may run another one, and serves
+    before its entry is written."""
+    for _ in range(3):
+        reply, versions = serve(
+            [BROKEN, REST], ["v1", "v1", "v2"], on_send=lambda state, _, sent: sent or crash(state, "i-0", "i-1")
+        )
+        assert (reply.ended, len(versions)) == ("aborted", 1)
+
+
+def test_a_broken_stream_goes_on_at_a_back_end_of_its_version_that_has_not_crashed():
+    def crash_all_but_one(state, dispatch, sent):
+        others = [f"i-{number}" for number in range(4) if f"i-{number}" != dispatch.backend.incarnation]
+        if not sent:
+            crash(state, *others[:2])
+
+    reply, versions = serve([BROKEN, REST], ["v1"] * 4, on_send=crash_all_but_one)
+    assert (reply.ended, versions) == ("finished", ["v1", "v1"])
+
+
+def test_a_stream_begins_where_its_version_is_known_if_it_can():
+    """Guards against streams that nobody may continue, since their version is not known."""
+    for crashed in ("i-0", "i-1", "i-2"):
+        others = [each for each in ("i-0", "i-1", "i-2") if each != crashed]
+        _, versions = serve([REST], ["v1", "v2", "v3"], lambda state, others=others: crash(state, *others))
+        assert versions == [f"v{int(crashed[-1]) + 1}"]
+
+
+def test_a_stream_that_begins_at_a_crashed_back_end_goes_on_nowhere():
+    """Guards against a stream bound to the version that was listed before the crash."""
+    reply, versions = serve([BROKEN, REST], ["v1", "v1"], lambda state: crash(state, "i-0", "i-1"))
+    assert (reply.ended, len(versions)) == ("aborted", 1)
+
+
+def test_first_events_of_a_continued_stream_are_not_passed_on_after_a_crash_of_their_back_end():
+    """Guards against a crash that is learned of while the answer that continues a stream begins."""
+    late_rest = Script(chunks=(event(2),), stream=True, head_delay_s=0.1)
+
+    def crash_at_the_second(state, dispatch, sent):
+        if sent:
+            crash(state, dispatch.backend.incarnation)
+
+    reply, versions = serve([BROKEN, late_rest], ["v1", "v1", "v2"], on_send=crash_at_the_second)
+    assert (reply.ended, reply.body) == ("aborted", event(1))
+    assert versions == ["v1", "v1"]
