--- a/src/wallwell/deployment/cache_groups.py
+++ b/src/wallwell/deployment/cache_groups.py
@@ -27,7 +27,7 @@
 EMPTY_NAME = "%"
 """Group of an isolated tenant without a name; no other name is encoded like this."""
 PLAIN_FIRST_CHARACTERS = frozenset(ascii_letters + "_")
-"""Characters that may begin an encoded name; it thus never looks like a weights version."""
+"""Characters that may begin an encoded name; it is thus never taken for a weights version."""
 
 
 class CacheGroups:
--- a/src/wallwell/emulator/part_cache.py
+++ b/src/wallwell/emulator/part_cache.py
@@ -1,7 +1,7 @@
 """Prompt parts as an engine or a KV store keeps them, each with the tenant whose request made it. Pure.
 
 A part is found only under the scope that stored it, and only if all parts before it are kept too. Real engines know
-scopes and no tenants; here the makers are kept so that a test can tell who used whose parts.
+scopes and no tenants; here the makers are kept so that a test can check who used whose parts.
 """
 
 from __future__ import annotations
--- a/src/wallwell/node/operator_rows.py
+++ b/src/wallwell/node/operator_rows.py
@@ -33,12 +33,6 @@
 """Names of tenants in one log line; a configuration may isolate thousands at once."""
 
 
-def shown_names(names: Collection[str]) -> str:
-    """Return names for the log: the first ones in order, and how many there are besides."""
-    shown = ",".join(shown_key(name) for name in sorted(names)[:MAX_SHOWN_NAMES])
-    return shown if len(names) <= MAX_SHOWN_NAMES else f"{shown} and {len(names) - MAX_SHOWN_NAMES} more"
-
-
 class OperatorRows:
     """Applies the operators' configuration, weights versions and rollout orders."""
 
@@ -147,8 +141,8 @@
             Event.CACHE_GROUPS_CHANGED,
             version=config.version,
             isolated=len(groups.isolated),
-            added=shown_names(groups.isolated - before.isolated),
-            released=shown_names(before.isolated - groups.isolated),
+            added=_shown_names(groups.isolated - before.isolated),
+            released=_shown_names(before.isolated - groups.isolated),
             group=groups.shared,
             group_before=before.shared,
         )
@@ -177,3 +171,9 @@
             return self._state.estimated_naming_s(now_s), True
         # The version may have been named at any time during an outage of the store.
         return (previous_confirmed_at_s if now_s - previous_confirmed_at_s > STORE_OUTAGE_S else now_s), False
+
+
+def _shown_names(names: Collection[str]) -> str:
+    """Return names for the log: the first ones in order, and how many there are besides."""
+    shown = ",".join(shown_key(name) for name in sorted(names)[:MAX_SHOWN_NAMES])
+    return shown if len(names) <= MAX_SHOWN_NAMES else f"{shown} and {len(names) - MAX_SHOWN_NAMES} more"
--- a/src/wallwell/routing/health/backend_registry.py
+++ b/src/wallwell/routing/health/backend_registry.py
@@ -146,9 +146,9 @@
         of an entry that stays goes on sending heartbeats. ``confirmed_at_s`` is when the store confirmed the
         listing."""
         for incarnation, backend in list(self._crashed.items()):
-            crashed_at_s = backend.crashed_at_s
-            is_replaced = self.get(incarnation) is not backend
-            if is_replaced or crashed_at_s is None or confirmed_at_s >= crashed_at_s + NEXT_START_LISTED_S:
+            if self.get(incarnation) is not backend:
+                del self._crashed[incarnation]
+            elif backend.crashed_at_s is None or confirmed_at_s >= backend.crashed_at_s + NEXT_START_LISTED_S:
                 backend.crashed_at_s = None
                 del self._crashed[incarnation]
 
--- a/src/wallwell/soak/logged_attempts.py
+++ b/src/wallwell/soak/logged_attempts.py
@@ -15,7 +15,7 @@
 CONFIGURATION_EVENT = Event.CONFIG_ADVANCED.value[0]
 PEER_EVENT = Event.ATTEMPT_FOR_PEER.value[0]
 ATTEMPT_EVENTS = frozenset((Event.REQUEST_ENDED.value[0], Event.REQUEST_RETRIED.value[0], PEER_EVENT))
-"""Numbers of events that tell of an attempt; one that its caller ended has none."""
+"""Numbers of events that report an attempt; one that its caller ended has none."""
 
 
 class _Line(msgspec.Struct, frozen=True):
--- a/tests/unit/routing/health/test_crashed_starts.py
+++ b/tests/unit/routing/health/test_crashed_starts.py
@@ -64,3 +64,12 @@
     backends.on_crashed(first.start_id, 10.0)
     backends.on_listing_confirmed(9.0)
     assert first.crashed_at_s == 10.0
+
+
+def test_crash_of_a_start_stays_known_once_the_next_one_is_listed():
+    """Guards against events of an attempt at the start before that are passed on as those of a known version."""
+    backends, first = registry()
+    backends.on_crashed(first.start_id, 10.0)
+    second = backends.upsert(dataclasses.replace(FIRST, started_unix_ms=2000, software="v2"))
+    backends.on_listing_confirmed(100.0)
+    assert (first.crashed_at_s, second.crashed_at_s) == (10.0, None)
