Soak: a fault is recorded as it begins, not while it waits for its process

Its records: a silence planned for 4.22 s waited for the worker's lock, which another fault held until 10.37 s; a restart that waited too then killed the worker, and the request with it. The silence itself lasted from 13.28 to 14.78 s.

Cause: the begin of a fault was recorded before the lock of its process was taken. Now the locks are taken first, for all faults that end or hold a process, and the begin is recorded after them.

Tests: a limit and a silence of one worker at once; it failed before. The test of a reload in the middle of a stop goes through the runner, as the lock does.

--- a/src/wallwell/soak/faults.py
+++ b/src/wallwell/soak/faults.py
@@ -60,6 +60,22 @@
 """Fields of :class:`HarmLink` while a fault lasts."""
 
 
+HOLDING_FAULTS = frozenset(
+    (
+        FaultKind.KILL_NODE,
+        FaultKind.PAUSE_NODE,
+        FaultKind.STOP_NODE,
+        FaultKind.CRASH_WORKER,
+        FaultKind.DRAIN_WORKER,
+        FaultKind.SHED_WORKER,
+        FaultKind.LIMIT_WORKER,
+        FaultKind.RESTART_WORKER,
+        FaultKind.SILENCE_WORKER,
+    )
+)
+"""Faults that end or hold the one process that they name. A reload is none: the node may be stopping."""
+
+
 class FaultRunner:
     """Begins and ends faults and records both. Raises :class:`SoakError` where that fails."""
 
@@ -67,7 +83,8 @@
         self._fleet = fleet
         shape = fleet.schedule.shape
         self._locks = {name: asyncio.Lock() for name in (*shape.node_names(), *shape.worker_names())}
-        """Held while a process is ended and started again: a leave or a planned stop may outlast its fault."""
+        """Held while a process is ended and started again: a leave or a planned stop may outlast its fault. A fault
+        that waits for one begins, and is recorded, once it has it."""
         self._actions: dict[FaultKind, Action] = {
             FaultKind.KILL_NODE: self._kill_node,
             FaultKind.KILL_ALL_NODES: self._kill_all_nodes,
@@ -94,13 +111,22 @@
 
     async def _run_one(self, fault: PlannedFault, start_s: float) -> None:
         await asyncio.sleep(start_s + fault.at_s - time.monotonic())
-        self._fleet.history.add(FaultBegan(time.monotonic(), fault.kind.value, fault.target))
-        try:
-            await self._actions[fault.kind](fault)
-        except PeerUnavailableError as error:
-            raise SoakError(f"{fault}: {error}") from error
+        async with contextlib.AsyncExitStack() as locks:
+            for name in self._struck_processes(fault):
+                await locks.enter_async_context(self._locks[name])
+            self._fleet.history.add(FaultBegan(time.monotonic(), fault.kind.value, fault.target))
+            try:
+                await self._actions[fault.kind](fault)
+            except PeerUnavailableError as error:
+                raise SoakError(f"{fault}: {error}") from error
         self._fleet.history.add(FaultEnded(time.monotonic(), fault.kind.value, fault.target))
 
+    def _struck_processes(self, fault: PlannedFault) -> tuple[str, ...]:
+        """Return the processes that a fault ends or holds, which no other fault may end or hold meanwhile."""
+        if fault.kind is FaultKind.KILL_ALL_NODES:
+            return self._fleet.schedule.shape.node_names()
+        return (fault.target,) if fault.kind in HOLDING_FAULTS else ()
+
     async def _between_signals(
         self,
         fault: PlannedFault,
@@ -109,41 +135,34 @@
         end: signal.Signals,
     ) -> None:
         """Carry out a fault that one signal to a process begins and another one ends."""
-        async with self._locks[fault.target]:
-            process = process_of(fault.target)
-            process.send(begin)
-            await asyncio.sleep(fault.lasts_s)
-            process.send(end)
+        process = process_of(fault.target)
+        process.send(begin)
+        await asyncio.sleep(fault.lasts_s)
+        process.send(end)
 
     # --- routers ---------------------------------------------------------------------------------------
 
     async def _kill_node(self, fault: PlannedFault) -> None:
-        async with self._locks[fault.target]:
-            await self._fleet.node(fault.target).end(signal.SIGKILL)
-            await asyncio.sleep(fault.lasts_s)
-            await self._fleet.start_node(fault.target)
+        await self._fleet.node(fault.target).end(signal.SIGKILL)
+        await asyncio.sleep(fault.lasts_s)
+        await self._fleet.start_node(fault.target)
 
     async def _kill_all_nodes(self, fault: PlannedFault) -> None:
         nodes = self._fleet.schedule.shape.node_names()
-        async with contextlib.AsyncExitStack() as locks:
-            for node in nodes:
-                await locks.enter_async_context(self._locks[node])
-            await asyncio.gather(*(self._fleet.node(node).end(signal.SIGKILL) for node in nodes))
-            await asyncio.sleep(fault.lasts_s)
-            for node in nodes:
-                await self._fleet.start_node(node)
+        await asyncio.gather(*(self._fleet.node(node).end(signal.SIGKILL) for node in nodes))
+        await asyncio.sleep(fault.lasts_s)
+        for node in nodes:
+            await self._fleet.start_node(node)
 
     async def _pause_node(self, fault: PlannedFault) -> None:
         await self._between_signals(fault, self._fleet.node, signal.SIGSTOP, signal.SIGCONT)
 
     async def _stop_node(self, fault: PlannedFault) -> None:
-        async with self._locks[fault.target]:
-            await self._fleet.stop_node(fault.target)
-            await self._fleet.start_node(fault.target)
+        await self._fleet.stop_node(fault.target)
+        await self._fleet.start_node(fault.target)
 
     async def _reload_node(self, fault: PlannedFault) -> None:
-        """The node may be stopping, so its lock is not taken; a process that has just been started is left alone,
-        as the signal would end it."""
+        """A process that has just been started is left alone, as the signal would end it."""
         node = self._fleet.node(fault.target)
         if node.has_handler(signal.SIGHUP):
             node.send(signal.SIGHUP)
@@ -151,14 +170,12 @@
     # --- workers ---------------------------------------------------------------------------------------
 
     async def _crash_worker(self, fault: PlannedFault) -> None:
-        async with self._locks[fault.target]:
-            await self._fleet.worker(fault.target).end(signal.SIGKILL)
-            await self._replace_worker(fault.target, fault.lasts_s)
+        await self._fleet.worker(fault.target).end(signal.SIGKILL)
+        await self._replace_worker(fault.target, fault.lasts_s)
 
     async def _restart_worker(self, fault: PlannedFault) -> None:
-        async with self._locks[fault.target]:
-            await self._fleet.worker(fault.target).end(signal.SIGKILL)
-            await self._replace_worker(fault.target, fault.lasts_s, keeps_identity=True)
+        await self._fleet.worker(fault.target).end(signal.SIGKILL)
+        await self._replace_worker(fault.target, fault.lasts_s, keeps_identity=True)
 
     async def _spoil_entry(self, fault: PlannedFault) -> None:
         worker = self._fleet.worker_incarnation(fault.target)
@@ -207,11 +224,10 @@
             await asyncio.sleep(NEXT_CHECK_S)
 
     async def _drain_worker(self, fault: PlannedFault) -> None:
-        async with self._locks[fault.target]:
-            worker = self._fleet.worker(fault.target)
-            worker.send(signal.SIGUSR1)
-            await worker.wait()
-            await self._replace_worker(fault.target, 0.0)
+        worker = self._fleet.worker(fault.target)
+        worker.send(signal.SIGUSR1)
+        await worker.wait()
+        await self._replace_worker(fault.target, 0.0)
 
     async def _shed_worker(self, fault: PlannedFault) -> None:
         await self._between_signals(fault, self._fleet.worker, signal.SIGUSR2, signal.SIGUSR2)
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -19,7 +19,7 @@
 from wallwell import discarded_answers
 from wallwell.clock import boot_time_s
 from wallwell.peer_attempts.messages import AnswerStarted, PeerNotice, encode_headers
-from wallwell.peer_attempts.server import PeerReply
+from wallwell.peer_attempts.reply import PeerReply
 from wallwell.routing.health.reachability import FAILURES_TO_DECIDE
 
 ROUTES = [
--- a/tests/unit/soak/test_faults.py
+++ b/tests/unit/soak/test_faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import time
 import types
 
 import pytest
@@ -11,6 +12,7 @@
 from wallwell.soak.answers import CRASH_STATUS
 from wallwell.soak.faults import LINK_HARMS, STORE_SWITCHES, FaultRunner, link_of
 from wallwell.soak.fleet import REGION_DELAY_S, sound_link
+from wallwell.soak.history import FaultBegan, FaultEnded
 from wallwell.soak.schedule import LINK_FAULTS, REGION_FAULTS, STORE_FAULTS, FaultKind, PlannedFault, Shape
 
 
@@ -119,11 +121,22 @@
     assert [(each.worker, each.is_spoilt) for each in fleet.sent] == [("engine-0.2", True), ("engine-0.2", False)]
 
 
+class Recorder:
+    """Keeps what is recorded."""
+
+    def __init__(self):
+        self.records = []
+
+    def add(self, record):
+        self.records.append(record)
+
+
 class FleetWithANode:
     """A node's process that is stopping for a second; it has a handler for SIGHUP or not."""
 
     def __init__(self, has_handler):
         self.schedule = types.SimpleNamespace(shape=Shape(nodes=1, engines=1, instances=0))
+        self.history = Recorder()
         self.done = []
         self._has_handler = has_handler
 
@@ -145,12 +158,11 @@
 
 
 def reload_while_it_stops(fleet):
+    stop = PlannedFault(0.0, 0.0, FaultKind.STOP_NODE, "node-0")
+    reload = PlannedFault(0.5, 0.0, FaultKind.RELOAD_NODE, "node-0")
+
     async def work():
-        runner = FaultRunner(fleet)
-        stopping = asyncio.create_task(runner._stop_node(PlannedFault(0.0, 0.0, FaultKind.STOP_NODE, "node-0")))
-        await asyncio.sleep(0.5)
-        await runner._reload_node(PlannedFault(0.5, 0.0, FaultKind.RELOAD_NODE, "node-0"))
-        await stopping
+        await FaultRunner(fleet).run((stop, reload), time.monotonic())
 
     run_virtual(work())
     return fleet.done
@@ -162,3 +174,39 @@
 
 def test_a_node_without_a_handler_yet_is_not_ended_by_that_signal():
     assert reload_while_it_stops(FleetWithANode(has_handler=False)) == ["stop", "start"]
+
+
+class FleetWithAWorker:
+    """One worker's process."""
+
+    def __init__(self):
+        self.schedule = types.SimpleNamespace(shape=Shape(nodes=1, engines=1, instances=0))
+        self.history = Recorder()
+
+    def worker(self, name):
+        return self
+
+    def send(self, number):
+        pass
+
+
+def test_a_fault_that_waits_for_another_one_of_its_process_is_recorded_as_it_begins():
+    """Guards against a silence that is recorded while its worker is still held by another fault, so that what ends
+    meanwhile counts as ended in a silence."""
+    fleet = FleetWithAWorker()
+    limit = PlannedFault(0.0, 1.0, FaultKind.LIMIT_WORKER, "engine-0")
+    silence = PlannedFault(0.5, 1.0, FaultKind.SILENCE_WORKER, "engine-0")
+
+    async def work():
+        start_s = time.monotonic()
+        await FaultRunner(fleet).run((limit, silence), start_s)
+        return start_s
+
+    start_s = run_virtual(work())
+    recorded = [(type(each), each.fault, round(each.at_s - start_s, 2)) for each in fleet.history.records]
+    assert recorded == [
+        (FaultBegan, "limit_worker", 0.0),
+        (FaultEnded, "limit_worker", 1.0),
+        (FaultBegan, "silence_worker", 1.0),
+        (FaultEnded, "silence_worker", 2.0),
+    ]
