The test of shed connections draws by a seed

Cause: each is closed with a chance of 0.9 by the node's generator, which has no seed, so that all 40 are in 1.5 of 100 runs (0.9 to the power of 40).

--- a/tests/platform/test_skewed_connections.py
+++ b/tests/platform/test_skewed_connections.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 import aiohttp
 import pytest
@@ -15,6 +16,8 @@
 from tests.platform.test_peers import two_nodes
 
 REQUESTS = 40
+SEED = 1
+"""Of the draws by which connections are closed: without one, all of them are closed in 1.5 of 100 runs."""
 LOOPS = pytest.mark.parametrize("loop", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uvloop"])
 """Nodes run on uvloop, whose transports are none of asyncio's classes."""
 
@@ -50,6 +53,7 @@
         shedding = harness.node.readiness.shedding
         shedding.observe = lambda delay_s: None
         shedding.fraction = fraction
+        shedding.rng = random.Random(SEED)
         caller = Caller(harness, (harness.port, callers_port.port))
         statuses = await asyncio.gather(*(caller.call(number) for number in range(REQUESTS)))
         text = harness.node.metrics_text().decode()
@@ -65,6 +69,8 @@
 
     statuses, closed_unread, served, is_counted = on_platform(scenario, loop=loop)
     assert statuses == [200] * REQUESTS and served == REQUESTS and is_counted
+    generator = random.Random(SEED)
+    assert closed_unread == sum(generator.random() < fraction for _ in range(REQUESTS))
     assert closed_unread == 0 if not fraction else REQUESTS / 2 < closed_unread < REQUESTS
 
 
