--- a/src/wallwell/soak/logged_attempts.py
+++ b/src/wallwell/soak/logged_attempts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Iterable, Iterator
 from datetime import datetime
 from pathlib import Path
@@ -10,7 +9,8 @@
 import msgspec
 
 from wallwell.events import Event
-from wallwell.soak.history import HISTORY_SUFFIX, AttemptLogged, ConfigurationRead, HistoryWriter
+from wallwell.soak.history import AttemptLogged, ConfigurationRead
+from wallwell.soak.log_records import write_records
 
 CONFIGURATION_EVENT = Event.CONFIG_ADVANCED.value[0]
 PEER_EVENT = Event.ATTEMPT_FOR_PEER.value[0]
@@ -31,12 +31,7 @@
 
 def record_attempts_logged(folder: Path, nodes: Iterable[str]) -> None:
     """Write a history of configurations and attempts in the logs of a run that has just ended."""
-    history = HistoryWriter(folder / f"attempts{HISTORY_SUFFIX}")
-    steady_from_unix_s = time.monotonic() - time.time()
-    for node in nodes:
-        for record in records_in((folder / f"{node}.log").read_bytes(), node, steady_from_unix_s):
-            history.add(record)
-    history.close()
+    write_records(folder, "attempts", nodes, records_in)
 
 
 def records_in(log: bytes, node: str, steady_from_unix_s: float) -> Iterator[AttemptLogged | ConfigurationRead]:
--- a/src/wallwell/soak/logged_faults.py
+++ b/src/wallwell/soak/logged_faults.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Iterable, Iterator
 from datetime import datetime
 from pathlib import Path
@@ -10,7 +9,8 @@
 import msgspec
 
 from wallwell.events import Event
-from wallwell.soak.history import HISTORY_SUFFIX, HistoryWriter, RouterLogged
+from wallwell.soak.history import RouterLogged
+from wallwell.soak.log_records import write_records
 
 FAULT_EVENTS = frozenset(
     event.value[0]
@@ -25,12 +25,7 @@
 
 def record_faults_logged(folder: Path, nodes: Iterable[str]) -> None:
     """Write a history of the faults in the logs of a run that has just ended."""
-    history = HistoryWriter(folder / f"logs{HISTORY_SUFFIX}")
-    steady_from_unix_s = time.monotonic() - time.time()
-    for node in nodes:
-        for record in faults_in((folder / f"{node}.log").read_bytes(), node, steady_from_unix_s):
-            history.add(record)
-    history.close()
+    write_records(folder, "logs", nodes, faults_in)
 
 
 def faults_in(log: bytes, node: str, steady_from_unix_s: float) -> Iterator[RouterLogged]:
--- a/tests/unit/cli/test_soak.py
+++ b/tests/unit/cli/test_soak.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from tests.unit.soak.records import USUAL_FEATURES
 from wallwell.cli import soak
 from wallwell.soak.drawing import draw_schedule
 from wallwell.soak.schedule import Shape
@@ -13,15 +14,7 @@
 @pytest.mark.parametrize(
     "shape",
     [
-        Shape(
-            notices=True,
-            limits=True,
-            identities=True,
-            silences=True,
-            restores=True,
-            unframed=True,
-            isolation=True,
-        ),
+        Shape(**USUAL_FEATURES),
         Shape(
             30.5,
             5,
@@ -30,13 +23,7 @@
             regions=2,
             requests_per_s=80.0,
             rollout="slow",
-            notices=True,
-            limits=True,
-            identities=True,
-            silences=True,
-            restores=True,
-            unframed=True,
-            isolation=True,
+            **USUAL_FEATURES,
             bad_parts=2,
             skews=True,
             second_answers=True,
--- a/tests/unit/soak/records.py
+++ b/tests/unit/soak/records.py
@@ -2,19 +2,34 @@
 
 from wallwell.soak.history import (
     Answered,
+    AttemptLogged,
     Began,
+    ConfigurationRead,
     Ended,
     FaultBegan,
     FaultEnded,
+    KeysInForce,
     NodeReady,
     NodeStarted,
     OddRowWritten,
+    PartsUsed,
     RequestKind,
     Sent,
     WorkerState,
 )
 from wallwell.soak.timeline import History
 
+USUAL_FEATURES = {
+    "notices": True,
+    "limits": True,
+    "identities": True,
+    "silences": True,
+    "restores": True,
+    "unframed": True,
+    "isolation": True,
+}
+"""Fields of a shape that every run of the command has; kept runs may lack them."""
+
 
 def sent(request="r", kind=RequestKind.UNSAFE, at_s=1.0, events=0, **more):
     values = {"route": "/book/", "key": "key-a", "node": "127.1.0.1:1", **more}
@@ -79,3 +94,20 @@
         records.append(began(f"c{number}", worker, at_s + 0.01))
         records.append(answered(f"c{number}", worker=worker, at_s=at_s + 0.02))
     return records
+
+
+def shared_parts(used_s, user="tenant-key-b", maker="tenant-key-a", logged=None, released_s=10.0, read_s=()):
+    """A tenant is isolated from 5 s to 10 s; a request of one tenant uses parts that another one's request made."""
+    log = [] if logged is None else [AttemptLogged(used_s + 0.1, "node-0", "r", "engine-0.1", logged)]
+    log += [ConfigurationRead(at_s, "node-0", version) for version, at_s in enumerate(read_s, 1)]
+    return [
+        KeysInForce(0.5, 1, ("key-a", "key-b", "key-c")),
+        KeysInForce(5.0, 2, ("key-a", "key-b", "key-c"), ("tenant-key-a",)),
+        KeysInForce(released_s, 3, ("key-a", "key-b", "key-c")),
+        *log,
+        sent(kind=RequestKind.RESUMABLE, at_s=used_s - 0.1, events=3, key="key-b", deadline_s=1.0, node="node-0"),
+        began(worker="engine-0.1", at_s=used_s - 0.05),
+        PartsUsed(used_s, "r", "engine-0.1", user, "m:1", (maker,)),
+        answered(worker="engine-0.1", at_s=used_s + 0.1, events=(1, 2, 3)),
+        Ended(used_s + 0.1, "r", "engine-0.1", 200),
+    ]
--- a/tests/unit/soak/test_drawing_silences.py
+++ b/tests/unit/soak/test_drawing_silences.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from tests.unit.soak.records import USUAL_FEATURES
 from wallwell.cli.soak import replay_command
 from wallwell.soak.drawing import draw_schedule
 from wallwell.soak.drawing_silences import CHANGED_BEFORE_S, LASTS_S
@@ -19,22 +20,13 @@
     Shape,
 )
 
-MORE = {
-    "notices": True,
-    "limits": True,
-    "identities": True,
-    "silences": True,
-    "restores": True,
-    "unframed": True,
-    "isolation": True,
-}
 SEEDS = range(30)
 
 
 def drawn(seed, **more):
     """Return schedules without and with silences of groups, and the silences that the second has besides."""
-    without = draw_schedule(seed, Shape(**MORE, **more))
-    schedule = draw_schedule(seed, Shape(**MORE, **more, group_silences=True))
+    without = draw_schedule(seed, Shape(**USUAL_FEATURES, **more))
+    schedule = draw_schedule(seed, Shape(**USUAL_FEATURES, **more, group_silences=True))
     return without, schedule, [fault for fault in schedule.faults if fault not in without.faults]
 
 
--- a/tests/unit/soak/test_drawing_stops.py
+++ b/tests/unit/soak/test_drawing_stops.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.unit.soak.records import USUAL_FEATURES
 from wallwell.cli.soak import replay_command
 from wallwell.soak.drawing import draw_schedule
 from wallwell.soak.drawing_stops import AFTER_LAST_STOP_S, CALLERS_PER_NODE
@@ -24,22 +25,13 @@
 )
 from wallwell.soak.timeline import FAULTS_OF_WORKERS
 
-MORE = {
-    "notices": True,
-    "limits": True,
-    "identities": True,
-    "silences": True,
-    "restores": True,
-    "unframed": True,
-    "isolation": True,
-}
 SEEDS = range(30)
 CALLER = KeptCaller("1-kept-0-0", 0, 0.1, 18.0, GoesOn.AT_ONCE)
 
 
 def drawn(seed, **more):
     """Return schedules without and with kept connections."""
-    shapes = (Shape(**MORE, **more, kept_connections=kept) for kept in (False, True))
+    shapes = (Shape(**USUAL_FEATURES, **more, kept_connections=kept) for kept in (False, True))
     return tuple(draw_schedule(seed, shape) for shape in shapes)
 
 
--- a/tests/unit/soak/test_invariants.py
+++ b/tests/unit/soak/test_invariants.py
@@ -10,14 +10,13 @@
     calls_at,
     history,
     sent,
+    shared_parts,
     silenced_stream,
 )
 from wallwell.soak.broken_answers import BROKEN_SEAL
 from wallwell.soak.history import (
     Answered,
     Arrived,
-    AttemptLogged,
-    ConfigurationRead,
     Ended,
     FaultBegan,
     FaultEnded,
@@ -27,7 +26,6 @@
     LimitStated,
     NodeExited,
     OrderTaken,
-    PartsUsed,
     RequestKind,
     RolloutOrdered,
     RolloutState,
@@ -53,23 +51,6 @@
 SAFE = sent(kind=RequestKind.SAFE)
 
 
-def shared_parts(used_s, user="tenant-key-b", maker="tenant-key-a", logged=None, released_s=10.0, read_s=()):
-    """A tenant is isolated from 5 s to 10 s; a request of one tenant uses parts that another one's request made."""
-    log = [] if logged is None else [AttemptLogged(used_s + 0.1, "node-0", "r", "engine-0.1", logged)]
-    log += [ConfigurationRead(at_s, "node-0", version) for version, at_s in enumerate(read_s, 1)]
-    return [
-        KeysInForce(0.5, 1, ("key-a", "key-b", "key-c")),
-        KeysInForce(5.0, 2, ("key-a", "key-b", "key-c"), ("tenant-key-a",)),
-        KeysInForce(released_s, 3, ("key-a", "key-b", "key-c")),
-        *log,
-        sent(kind=RequestKind.RESUMABLE, at_s=used_s - 0.1, events=3, key="key-b", deadline_s=1.0, node="node-0"),
-        began(worker="engine-0.1", at_s=used_s - 0.05),
-        PartsUsed(used_s, "r", "engine-0.1", user, "m:1", (maker,)),
-        answered(worker="engine-0.1", at_s=used_s + 0.1, events=(1, 2, 3)),
-        Ended(used_s + 0.1, "r", "engine-0.1", 200),
-    ]
-
-
 def recovery(served, of):
     """All nodes killed and started; later than the bound, ``served`` of ``of`` requests are served."""
     records = [FaultBegan(5.0, "kill_all_nodes", "all"), FaultEnded(6.0, "kill_all_nodes", "all")]
