--- a/tools/soak_two_builds.py
+++ b/tools/soak_two_builds.py
@@ -81,6 +81,7 @@
         identities=True,
         silences=True,
         restores=not options.without_restores,
+        isolation=True,
     )
     is_broken = False
     for seed in map(int, options.seeds.split(",")):
