Read the clock once as an idle connection of a caller is checked

What callers saw: a request on a connection that had been kept for its idle time found the connection closed, without any answer (0 bytes, then the end), in place of the 408 that says that it has not run.

Cause: the check of the idle timer compared the time with the timeout, and let aiohttp's own version set the timer again if it was too early. That one reads the clock once more, and closes the connection at once if the timeout has passed in between. The timer is set as a connection is made and stays after the first answer, so it comes early by about the time that the first request took: on a connection used once, it always meets this check.

Why it works: the clock is read once, and nothing but the answered end closes an idle connection.

--- a/src/wallwell/callers_server.py
+++ b/src/wallwell/callers_server.py
@@ -144,10 +144,12 @@
 
     def _process_keepalive(self) -> None:
         """Close a connection that has been idle too long. aiohttp's own version loses requests still in transit."""
+        self._keepalive_handle = None  # aiohttp sets the timer again after the next answer.
         if self._loop.time() < self._next_keepalive_close_time:
-            super()._process_keepalive()  # Too early: schedules another call.
+            # A request was answered since the timer was set. aiohttp's own version would read the clock again, and
+            # close the connection at once if the timeout has passed by then.
+            self._keepalive_handle = self._loop.call_at(self._next_keepalive_close_time, self._process_keepalive)
             return
-        self._keepalive_handle = None  # aiohttp sets the timer again after the next answer.
         if self.is_idle(allow_partial_head=True):
             self.end_gracefully()
         elif self._awaits_request():
--- a/tests/platform/test_ends_of_connections.py
+++ b/tests/platform/test_ends_of_connections.py
@@ -312,6 +312,33 @@
     assert on_platform(scenario, CALLS) == (HTTPStatus.REQUEST_TIMEOUT, "not_run", False)
 
 
+def test_idle_timeout_that_passes_while_it_is_checked_closes_no_connection_without_an_answer(
+    on_platform, monkeypatch
+):
+    """Guards against a request on a kept connection that gets the close as its answer, without a status."""
+    monkeypatch.setattr(caller_listener, "KEEPALIVE_S", 0.2)
+
+    async def scenario(harness):
+        reader, writer = await keep_connection(harness, "first")
+        (connection,) = harness.server.connections
+        check_idle_as_the_timeout_passes(connection, monkeypatch)
+        writer.write(request("second"))
+        status, _ = await answer(reader)
+        writer.close()
+        return status, "second" in ran(harness)
+
+    assert on_platform(scenario, CALLS) == (HTTPStatus.OK, True)
+
+
+def check_idle_as_the_timeout_passes(connection, monkeypatch):
+    """Run the timer's callback with a clock that passes the timeout after its first reading."""
+    loop, timeout_s = asyncio.get_running_loop(), connection._next_keepalive_close_time
+    readings = iter([timeout_s - 0.001])
+    with monkeypatch.context() as patch:
+        patch.setattr(loop, "time", lambda: next(readings, timeout_s + 0.001))
+        connection._process_keepalive()
+
+
 def test_connection_used_before_its_idle_timeout_stays_open(on_platform, monkeypatch):
     """The idle timeout starts again with each answer."""
     monkeypatch.setattr(caller_listener, "KEEPALIVE_S", 1.0)
