Ask other nodes whether a back end refuses them too, while this node reaches none

Cause: refusals count as a crash only while the node reaches another back end, since a partition refuses connections too. Where one request has ended all back ends, none is left to compare with. The listing, which would tell, was no help: each start was ended again before its entry was written.

Ruled out: that a refusal by itself shows a crash (the users' words on partitioned machines: their connections 'live on while new ones are refused'); waiting for the listing, since the next start is ended before.

Why it works: nodes elsewhere have other links. One that connects shows that the back end lives; if some are refused and none connects, it has ended for everybody. Peers of other zones are asked first, as a zone may be cut off whole.

Cost: nothing while any back end is reached.

Tests: constructors take the probe; the doubles of messages and rows know the new ones; none is eased.

--- a/src/wallwell/cluster/upstream.py
+++ b/src/wallwell/cluster/upstream.py
@@ -53,6 +53,8 @@
     """Whether the node makes attempts for peers; omitted if it does not, as in rows of earlier versions."""
     keeps_streams: bool | msgspec.UnsetType = msgspec.UNSET
     """Whether the node answers datagrams about streams at the port of ``relay``; omitted as above."""
+    checks_backends: bool | msgspec.UnsetType = msgspec.UNSET
+    """Whether the node tells peers if it can connect to a back end; omitted as above."""
 
     @property
     def address(self) -> Address | None:
--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -164,6 +164,11 @@
     SERVICE_REACHABLE = (6025, "INFO", "this node can connect to a back end of a service again")
     SERVICE_BRITTLE = (6026, "WARNING", "back ends of a service fail if they refuse more requests per second")
     SERVICE_NOT_BRITTLE = (6027, "INFO", "back ends of a service are no longer brittle")
+    REFUSALS_INCONCLUSIVE = (
+        6028,
+        "INFO",
+        "back end refuses connections, which may be due to this node's links; no crash is counted yet",
+    )
 
     # 7001 and up: weights on engines, and rollouts of software.
     ORDER_SENT = (7001, "INFO", "fenced order sent to an engine")
--- a/src/wallwell/node/crash_probe.py
+++ b/src/wallwell/node/crash_probe.py
@@ -2,8 +2,9 @@
 
 A broken attempt alone does not prove a crash: connections are also reset by the network, by a back end with too
 many connections, and at the end of a planned stop. A back end counts as crashed when two probes in a row are
-refused and nothing was received from it in between, or when another incarnation has taken its address. Refusals do
-not count while this node reaches no other back end either: then its own links have failed.
+refused and nothing was received from it in between, or when another incarnation has taken its address. While this
+node reaches no other back end either, its own links may have failed: refusals then count only if other nodes are
+refused too.
 
 Owns no state. Relies on the registry to mark replaced incarnations (``Backend.superseded``) and on attempts to
 record when data is received (``Backend.silence``).
@@ -12,11 +13,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
+from enum import StrEnum
 from typing import Protocol
 
 from wallwell.clock import boot_time_s
 from wallwell.deployment.backends import BackendRecord
+from wallwell.events import Event, emit
 from wallwell.routing.health.backend import Backend
 
 FIRST_PROBE_DELAY_S = 0.02
@@ -38,6 +41,17 @@
 that restarts within 0.3 s is listed within about a second."""
 
 
+class CrashEvidence(StrEnum):
+    """What shows that a back end has crashed."""
+
+    REFUSALS = "refusals"
+    """Its address refuses this node's connections, and another back end's does not."""
+    PEERS = "peers"
+    """Its address refuses the connections of other nodes too."""
+    SUCCESSOR = "successor"
+    """Another incarnation, or a later start of the same one, is listed."""
+
+
 class CrashCheck(Protocol):
     """Checks whether a back end's process has ended."""
 
@@ -50,32 +64,53 @@
         ...
 
 
+async def _no_peer_is_refused(_backend: Backend) -> bool:
+    return False
+
+
 class CrashProbe:
     """Probes back ends through a :class:`CrashCheck`."""
 
-    def __init__(self, check: CrashCheck, all_backends: Callable[[], Iterable[Backend]]) -> None:
-        """``all_backends`` returns the listed back ends of all services."""
+    def __init__(
+        self,
+        check: CrashCheck,
+        all_backends: Callable[[], Iterable[Backend]],
+        refuses_peers: Callable[[Backend], Awaitable[bool]] = _no_peer_is_refused,
+    ) -> None:
+        """``all_backends`` returns the listed back ends of all services, ``refuses_peers`` whether a back end
+        refuses the connections of other nodes."""
         self._check = check
         self._all_backends = all_backends
+        self._refuses_peers = refuses_peers
 
-    async def has_crashed(self, backend: Backend) -> bool:
-        """Probe a back end after a broken attempt, at most :data:`MAX_PROBES` times; returns whether it crashed."""
+    async def find_crash(self, backend: Backend) -> CrashEvidence | None:
+        """Probe a back end after a broken attempt, at most :data:`MAX_PROBES` times; returns what shows that it has
+        crashed, None if nothing does."""
         refused_at_s = first_refused_at_s = None
         listening_probes = 0
         for probe in range(MAX_PROBES):
             await asyncio.sleep(PROBE_INTERVAL_S if probe else FIRST_PROBE_DELAY_S)
             if backend.superseded:
-                return True
+                return CrashEvidence.SUCCESSOR
             if await self._check.refuses_connections(backend.record):
                 if refused_at_s is not None and backend.silence.last_received_s <= refused_at_s:
-                    return await self._reaches_another(backend, first_refused_at_s or refused_at_s)
+                    return await self._judge_refusals(backend, first_refused_at_s or refused_at_s)
                 refused_at_s, listening_probes = boot_time_s(), 0
                 first_refused_at_s = first_refused_at_s or refused_at_s
             else:
                 refused_at_s, listening_probes = None, listening_probes + 1
             if listening_probes >= ALIVE_AFTER_PROBES:
-                return False
-        return False
+                return None
+        return None
+
+    async def _judge_refusals(self, backend: Backend, since_s: float) -> CrashEvidence | None:
+        """Return what the refusals of a back end since ``since_s`` show."""
+        if await self._reaches_another(backend, since_s):
+            return CrashEvidence.REFUSALS
+        if await self._refuses_peers(backend):
+            return CrashEvidence.PEERS
+        emit(Event.REFUSALS_INCONCLUSIVE, backend=backend.incarnation)
+        return None
 
     async def _reaches_another(self, suspect: Backend, since_s: float) -> bool:
         """Whether this node has received something from another back end since ``since_s``, or can connect to one
--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -26,7 +26,7 @@
 from wallwell.cluster.unexpected_errors import UnexpectedErrors
 from wallwell.errors import PlatformUnavailableError, TableConflictError
 from wallwell.events import Event, emit
-from wallwell.node.crash_probe import CrashCheck, CrashProbe
+from wallwell.node.crash_probe import CrashEvidence, CrashProbe
 from wallwell.node.crash_rows import (
     CRASH_PREFIX,
     PartCrashRow,
@@ -85,7 +85,7 @@
     def __init__(
         self,
         state: NodeState,
-        check: CrashCheck,
+        probe: CrashProbe,
         table: TableService,
         member_names: Callable[[], Iterable[str]],
         store_time_s: Callable[[], float] = boot_time_s,
@@ -94,7 +94,7 @@
         the time on the store's clock, by which nodes compare when back ends crashed."""
         self._store_time_s = store_time_s
         self._state = state
-        self._probe = CrashProbe(check, state.backends.all_backends)
+        self._probe = probe
         self._table = table
         self._member_names = member_names
         self._broken: dict[str, BrokenRuns] = {}
@@ -148,15 +148,20 @@
     async def _probe_backend(self, backend: Backend) -> None:
         start_id = backend.start_id
         try:
-            has_crashed = await self._probe.has_crashed(backend)
+            evidence = await self._probe.find_crash(backend)
         finally:
             # Attempts that break from now on start a new series of probes.
             broken = self._broken.pop(start_id)
-        if not has_crashed:
-            has_crashed = await self._probe.wait_for_successor(backend)
-        if has_crashed:
-            parts = ",".join(sorted(broken.part_digests))
-            emit(Event.BACKEND_CRASHED, backend=backend.incarnation, runs=len(broken.content_digests), parts=parts)
+        if evidence is None and await self._probe.wait_for_successor(backend):
+            evidence = CrashEvidence.SUCCESSOR
+        if evidence is not None:
+            emit(
+                Event.BACKEND_CRASHED,
+                backend=backend.incarnation,
+                shown_by=evidence,
+                runs=len(broken.content_digests),
+                parts=",".join(sorted(broken.part_digests)),
+            )
             now_s = boot_time_s()
             self._state.backends.on_crashed(start_id, now_s)
             since_s = broken.since_s
--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -33,12 +33,14 @@
 from wallwell.node.adapter import NodeAdapter, NodeSources
 from wallwell.node.backend_notices import apply_notice
 from wallwell.node.backend_rows import BackendRows
+from wallwell.node.crash_probe import CrashProbe
 from wallwell.node.crash_watch import CrashWatch
 from wallwell.node.followers import BACKENDS_TIMING, OPERATORS_TIMING, OWN_TIMING, TableFollowers
 from wallwell.node.housekeeping import Housekeeping
 from wallwell.node.kv_store_watch import CacheRequest, KvStoreWatch
 from wallwell.node.member_rows import MemberRows
 from wallwell.node.operator_rows import OperatorRows
+from wallwell.node.peer_checks import ConnectionCheckRequest, PeerChecks
 from wallwell.node.planned_stop import PlannedStop
 from wallwell.node.readiness import Readiness
 from wallwell.node.state import FleetBounds, NodeState
@@ -123,9 +125,10 @@
 
     def _build_pipeline(self, adapter: NodeAdapter) -> None:
         self._liveness = LivenessMonitor(self.state, adapter.backend_check)
+        self._peer_checks = PeerChecks(self.state, adapter.backend_check, self._checking_peers)
         self._crash_watch = CrashWatch(
             self.state,
-            adapter.backend_check,
+            CrashProbe(adapter.backend_check, self.state.backends.all_backends, self._peer_checks.refuses_peers),
             adapter.sources.own_table,
             lambda: self._order.members,
             lambda: self._clock.to_store_s(boot_time_s()),
@@ -179,6 +182,12 @@
             if name != self.state.node and member.makes_attempts is True and member.address is not None:
                 yield PeerNode(name, member.zone, member.address)
 
+    def _checking_peers(self) -> Iterator[PeerNode]:
+        """Yield the other nodes that tell peers whether they can connect to a back end."""
+        for name, member in self._order.members.items():
+            if name != self.state.node and member.checks_backends is True and member.address is not None:
+                yield PeerNode(name, member.zone, member.address)
+
     def _build_drivers(self, adapter: NodeAdapter) -> None:
         """Build the drivers of weights rolls and rollouts, each of which runs on at most one node at a time."""
         sources = adapter.sources
@@ -225,6 +234,7 @@
                 RegionLoad: self._load_reporter.region_reporter.on_region_load,
                 CacheRequest: self._kv_store_watch.answer_peer,
                 CountsReport: self._counts_reporter.on_counts_report,
+                ConnectionCheckRequest: self._peer_checks.answer_peer,
             },
             {AttemptRequest: self._make_attempt_for_peer},
         )
@@ -237,6 +247,7 @@
             self._profile.link_mbps,
             makes_attempts=True if relay else UNSET,
             keeps_streams=True if self._stream_directory.is_listening else UNSET,
+            checks_backends=True if relay else UNSET,
         )
 
     # --- start -----------------------------------------------------------------------------------------
--- a/src/wallwell/routing/selection/peer_choice.py
+++ b/src/wallwell/routing/selection/peer_choice.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -17,7 +18,7 @@
 from wallwell.deployment.topology import Distance, Topology
 
 MAX_PEERS_ASKED = 3
-"""Peers that are asked for one attempt at most; each takes a round trip."""
+"""Peers that are asked for one attempt, or about one back end, at most; each takes a round trip."""
 UNREACHABLE_MEMORY_S = 1.0
 """Seconds for which a peer that cannot connect to a service either is not asked for it again. Longer would miss a
 peer whose links are back, shorter costs a round trip more often."""
@@ -35,6 +36,22 @@
     address: Address
 
 
+def choose_witnesses(peers: Iterable[PeerNode], own_zone: str, rng: random.Random) -> list[PeerNode]:
+    """Return the peers, :data:`MAX_PEERS_ASKED` at most, that are asked whether a back end refuses them too.
+
+    Of as many zones as possible, and of this node's own last, since a fault may cut off a whole zone.
+    """
+    candidates = list(peers)
+    rng.shuffle(candidates)
+    chosen_of_zone: Counter[str] = Counter()
+    ranked: list[tuple[bool, int, PeerNode]] = []
+    for peer in candidates:
+        ranked.append((peer.zone == own_zone, chosen_of_zone[peer.zone], peer))
+        chosen_of_zone[peer.zone] += 1
+    ranked.sort(key=lambda each: each[:2])
+    return [peer for _, _, peer in ranked[:MAX_PEERS_ASKED]]
+
+
 class PeerChoice:
     """One node's choice among its peers."""
 
--- a/tests/platform/test_peers.py
+++ b/tests/platform/test_peers.py
@@ -98,7 +98,7 @@
         member = json.loads(harness.store.value("wallwell", "member/n2"))
         address = again._peer_server.address
         await again.stop()
-        stated = {"makes_attempts": True, "keeps_streams": True}
+        stated = {"makes_attempts": True, "keeps_streams": True, "checks_backends": True}
         return member == {"zone": "z1", "relay": address, "link_mbps": 0.0, **stated}
 
     assert on_platform(scenario)
--- a/tests/unit/compatibility/test_documents_of_services.py
+++ b/tests/unit/compatibility/test_documents_of_services.py
@@ -127,6 +127,7 @@
     "claim row",
     "configuration head row",
     "configuration revision row",
+    "connection check reply",
     "counts reply",
     "lease row",
     "member row",
--- a/tests/unit/compatibility/test_messages_between_nodes.py
+++ b/tests/unit/compatibility/test_messages_between_nodes.py
@@ -61,7 +61,10 @@
                 '"current_requests":0,"target_requests":0,"answers":[["r",false,"",0,0,0,{},{}]]}}}'
             ),
         ),
+        ('{"type":"ConnectionCheckRequest","incarnation":"w1"}',),
+        ('{"type":"ConnectionCheckRequest","incarnation":"w1","started_unix_ms":1800000000000}',),
     ],
+    "connection check reply": [('{"result":"accepted"}',), ('{"result":"refused"}',), ('{"result":"unknown"}',)],
     "rows reply": [
         (
             (
@@ -168,6 +171,7 @@
 def test_requests_between_nodes_have_these_names():
     assert wire_subjects.peer_request_types() == [
         "CacheRequest",
+        "ConnectionCheckRequest",
         "CountsReport",
         "MemberLoad",
         "RegionLoad",
--- a/tests/unit/compatibility/test_store_rows.py
+++ b/tests/unit/compatibility/test_store_rows.py
@@ -35,6 +35,12 @@
     ],
     "member row": [
         ('{"zone":"z1","relay":"127.0.0.1:9","link_mbps":30.0}',),
+        (
+            (
+                '{"zone":"z1","relay":"127.0.0.1:9","link_mbps":30.0,"makes_attempts":true,'
+                '"keeps_streams":true,"checks_backends":true}'
+            ),
+        ),
         ('{"zone":"z1"}', '{"zone":"z1","relay":"","link_mbps":0.0}'),
     ],
     "versions row": [
--- a/tests/unit/node/test_crash_watch.py
+++ b/tests/unit/node/test_crash_watch.py
@@ -13,7 +13,13 @@
 from tests.virtual_time import run_virtual
 from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import RouteKind
-from wallwell.node.crash_probe import FIRST_PROBE_DELAY_S, MAX_PROBES, PROBE_INTERVAL_S, SUCCESSOR_WAIT_S
+from wallwell.node.crash_probe import (
+    FIRST_PROBE_DELAY_S,
+    MAX_PROBES,
+    PROBE_INTERVAL_S,
+    SUCCESSOR_WAIT_S,
+    CrashProbe,
+)
 from wallwell.node.crash_rows import CRASH_PREFIX
 from wallwell.node.crash_watch import (
     MAX_UNWRITTEN_ROWS,
@@ -36,10 +42,11 @@
 class FakeCheck:
     """Answers probes from a list; the last answer repeats."""
 
-    def __init__(self, *answers, reaches_others=True):
+    def __init__(self, *answers, reaches_others=True, peers_refused=False):
         self.answers = list(answers)
         self.probes = 0
         self.reaches_others = reaches_others
+        self.peers_refused = peers_refused
 
     async def accepts_connections(self, backend):
         return self.reaches_others
@@ -48,6 +55,9 @@
         self.probes += 1
         return self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
 
+    async def refuses_peers(self, backend):
+        return self.peers_refused
+
 
 class WatchedNode:
     """A node's crash watch on a table; rows of the table's feed are passed to it by hand."""
@@ -57,7 +67,8 @@
         self.table = table or FaultyTable()
         self.check = check or FakeCheck(REFUSED)
         self.store_s = STORE_S
-        self.watch = CrashWatch(self.state, self.check, self.table, lambda: members, lambda: self.store_s)
+        probe = CrashProbe(self.check, self.state.backends.all_backends, self.check.refuses_peers)
+        self.watch = CrashWatch(self.state, probe, self.table, lambda: members, lambda: self.store_s)
         self.running = asyncio.create_task(self.watch.run())
 
     @property
@@ -201,6 +212,20 @@
     assert run_virtual(work(reaches_others=False)) == 0
 
 
+def test_back_ends_that_refuse_all_nodes_have_crashed():
+    """Guards against a request that crashes all back ends of the only service again and again, as none is reached
+    that could be compared, and each start is ended again before it is listed."""
+
+    async def work():
+        node = WatchedNode(FakeCheck(REFUSED, reaches_others=False, peers_refused=True))
+        for number in range(2):
+            node.watch.on_broken_run("c", node.backend(number))
+        await asyncio.sleep(PROBED_S)
+        return node.rows
+
+    assert run_virtual(work()) == {"c/i-0", "c/i-1"}
+
+
 def test_a_crash_behind_a_partition_is_counted_once_the_successor_is_listed():
     async def work():
         node = WatchedNode(FakeCheck(REFUSED, reaches_others=False))
--- a/tests/unit/node/test_failing_probes.py
+++ b/tests/unit/node/test_failing_probes.py
@@ -11,6 +11,7 @@
 from wallwell.cluster import unexpected_errors
 from wallwell.deployment.freshness import StoreClock
 from wallwell.events import Event
+from wallwell.node.crash_probe import CrashProbe
 from wallwell.node.crash_watch import CrashWatch
 from wallwell.placement.weights_roll import LoadTask
 from wallwell.placement.weights_roll_driver import WeightsRollDriver
@@ -89,7 +90,7 @@
 
     async def scenario():
         state, check = make_state(backends=1), FailingCheck(error)
-        watch = CrashWatch(state, check, FaultyTable(), lambda: ("n1",))
+        watch = CrashWatch(state, CrashProbe(check, state.backends.all_backends), FaultyTable(), lambda: ("n1",))
         backend = state.backends.get("i-0")
         watch.on_broken_run("digest", backend)
         await asyncio.sleep(2.0)
--- a/tests/unit/node/test_hostile_peer_messages.py
+++ b/tests/unit/node/test_hostile_peer_messages.py
@@ -34,6 +34,7 @@
 from wallwell.errors import HistoryLostError, PeerUnavailableError
 from wallwell.events import Event
 from wallwell.node.kv_store_watch import CacheReply, CacheRequest
+from wallwell.node.peer_checks import ConnectionCheckRequest
 from wallwell.peer_attempts.messages import AttemptRequest
 from wallwell.platform.main import build_node
 from wallwell.platform.settings import PlatformSettings
@@ -61,6 +62,7 @@
     RegionLoad: {"packed": base64.b64encode(pack_region_sum(RegionSum("r2", Load()))).decode()},
     RowsReply: {"version": 3, "store_s": 1.0, "packed": "", "era": 0},
     CacheRequest: {"address": "10.9.0.1:80", "wait_s": 0},
+    ConnectionCheckRequest: {"incarnation": KEY, "started_unix_ms": None},
     AttemptRequest: {
         "incarnation": KEY,
         "host": "h.example",
@@ -101,6 +103,13 @@
         return ("10.0.0.9", 7)
 
 
+class AcceptingCheck:
+    """Connects to each back end at once."""
+
+    async def accepts_connections(self, backend):
+        return True
+
+
 def make_node():
     """Return a whole node that takes requests, with one back end, one tenant and copies of the store's rows."""
     node = build_node(msgspec.convert(SETTINGS, PlatformSettings))
@@ -118,6 +127,7 @@
         rows.replica.apply_page(page, is_snapshot=True)
     node._order.members = {"n1": NodeRecord("z1", "10.0.0.3:7")}
     node._peer_attempts._is_ready = lambda: True
+    node._peer_checks._check = AcceptingCheck()
     node._peer_attempts._client = FakeClient(Script(chunks=(b"id: 1\ndata: x\n\n",), stream=True))
     state.kv_store_contents[ADDRESS] = KvStoreContents()
     state.kv_store_contents[ADDRESS].apply_page(CachePage(CachePosition(1, 1), whole=True))
@@ -186,7 +196,16 @@
     RegionLoad: RegionLoad(pack_region_sum(RegionSum("r2", SOUND_LOAD))),
 }
 """Messages of a sound peer, which are answered whatever other peers have sent."""
-HANDLED = (RowsRequest, MemberLoad, ZoneLoad, RegionLoad, CacheRequest, CountsReport, AttemptRequest)
+HANDLED = (
+    RowsRequest,
+    MemberLoad,
+    ZoneLoad,
+    RegionLoad,
+    CacheRequest,
+    CountsReport,
+    ConnectionCheckRequest,
+    AttemptRequest,
+)
 
 
 @pytest.fixture
--- a/tests/unit/node/test_restarted_back_end.py
+++ b/tests/unit/node/test_restarted_back_end.py
@@ -24,6 +24,7 @@
 from tests.virtual_time import run_virtual
 from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import RouteKind
+from wallwell.node.crash_probe import CrashProbe
 from wallwell.node.crash_rows import CRASH_PREFIX
 from wallwell.node.crash_watch import CrashWatch
 from wallwell.routing.admission.quarantine import CRASHES_TO_QUARANTINE
@@ -60,7 +61,9 @@
 def test_each_crash_of_the_same_back_end_counts():
     async def work():
         state = make_state()
-        watch = CrashWatch(state, RefusingCheck(), FaultyTable(), lambda: ("n1",))
+        watch = CrashWatch(
+            state, CrashProbe(RefusingCheck(), state.backends.all_backends), FaultyTable(), lambda: ("n1",)
+        )
         running = asyncio.create_task(watch.run())
         for started_unix_ms in range(1, CRASHES_TO_QUARANTINE + 1):
             watch.on_broken_run("c", restart(state, "i-0", started_unix_ms))
@@ -84,7 +87,9 @@
 
     async def work():
         state = make_state()
-        watch = CrashWatch(state, ListeningCheck(), FaultyTable(), lambda: ("n1",))
+        watch = CrashWatch(
+            state, CrashProbe(ListeningCheck(), state.backends.all_backends), FaultyTable(), lambda: ("n1",)
+        )
         first = restart(state, "i-0", 1)
         watch.on_broken_run("c", first)
         await asyncio.sleep(0.1)
@@ -98,7 +103,9 @@
 def test_back_end_that_announced_leaving_and_restarts_has_not_crashed():
     async def work():
         state = make_state()
-        watch = CrashWatch(state, RefusingCheck(), FaultyTable(), lambda: ("n1",))
+        watch = CrashWatch(
+            state, CrashProbe(RefusingCheck(), state.backends.all_backends), FaultyTable(), lambda: ("n1",)
+        )
         first = restart(state, "i-0", 1)
         state.backends.on_leaving(first, boot_time_s())
         restart(state, "i-0", 2)
--- a/tests/unit/node/test_row_isolation.py
+++ b/tests/unit/node/test_row_isolation.py
@@ -22,6 +22,7 @@
 from wallwell.deployment.freshness import StoreClock
 from wallwell.http_connection import ConnectionPool
 from wallwell.node.backend_rows import RESTORED_ENTRY_HOLD_S, BackendRows
+from wallwell.node.crash_probe import CrashProbe
 from wallwell.node.crash_rows import PartCrashRow
 from wallwell.node.crash_watch import CrashWatch
 from wallwell.node.member_rows import MemberRows
@@ -166,7 +167,7 @@
         listeners = [
             WeightsRollDriver(state, table, None, clock),
             RolloutDriver(state, table, None, None, FleetCounts(), clock),
-            CrashWatch(state, None, table, lambda: state.members),
+            CrashWatch(state, CrashProbe(None, state.backends.all_backends), table, lambda: state.members),
             self.listener,
         ]
         self.order = UpstreamOrder(state.node, state.zone)
--- a/tests/unit/routing/selection/test_peer_choice.py
+++ b/tests/unit/routing/selection/test_peer_choice.py
@@ -13,6 +13,7 @@
     UNREACHABLE_MEMORY_S,
     PeerChoice,
     PeerNode,
+    choose_witnesses,
 )
 
 TOPOLOGY = Topology("z1", {"z1": "east", "z2": "east", "z3": "east", "z4": "west"})
@@ -57,3 +58,21 @@
     tested.on_silent("n0", 5.0)
     assert not tested.choose(listed, "svc", "z2", 5.0)
     assert names(tested.choose(listed, "svc", "z2", 5.0 + SILENT_MEMORY_S)) == ["n0"]
+
+
+def test_witnesses_are_of_as_many_zones_as_possible_and_of_the_own_zone_last():
+    """A fault may cut off a whole zone, whose nodes would all be refused."""
+
+    def zones(*listed):
+        return [peer.zone for peer in choose_witnesses(peers(*listed), "z1", random.Random(3))]
+
+    assert set(zones("z1", "z2", "z2", "z2", "z3", "z4")) == {"z2", "z3", "z4"}
+    assert sorted(zones("z1", "z1", "z2", "z2", "z3")) == ["z2", "z2", "z3"]
+    assert zones("z1", "z1", "z2") == ["z2", "z1", "z1"]
+    assert zones() == []
+
+
+def test_witnesses_of_one_zone_are_drawn():
+    listed = peers(*["z2"] * 10)
+    first = Counter(choose_witnesses(listed, "z1", random.Random(seed))[0].name for seed in range(400))
+    assert len(first) == 10
--- a/tests/wire_subjects.py
+++ b/tests/wire_subjects.py
@@ -48,6 +48,7 @@
 from wallwell.log_writer import JsonSink, LogWriter
 from wallwell.node.kv_store_watch import CacheReply
 from wallwell.node.metrics import NodeCollector
+from wallwell.node.peer_checks import ConnectionCheckReply
 from wallwell.outcomes import Outcome
 from wallwell.placement.weights_roll import EngineReport, LoadTask, WeightsOrder
 from wallwell.placement.weights_roll_driver import LoadProgress
@@ -129,6 +130,7 @@
     "region reply": RegionReply,
     "region sum": RegionSum,
     "cache reply": CacheReply,
+    "connection check reply": ConnectionCheckReply,
     "counts reply": CountsAcknowledged,
     "engine event line": engine_protocol.EventLine,
     "engine cache snapshot": engine_protocol.CacheSnapshot,
