Count crashes of starts that are not listed one by one

A request that crashes the only two back ends reached them six times in place of four, and without end while the store is down, since no later start is listed then.

Cause: a crash counts once for each start of a back end, and a start was known by its entry alone. A process that came up at the address of a crashed start and was ended before its entry was written had no name, so its crash counted as the one before.

Why it works: the port was refused twice before a start counts as crashed, so what is sent there later and runs can only be run by another process. Its number is that of the crashes known as it was sent; a node that does not know one yet counts one crash less, never one more. A start that is listed by the time its run breaks is not counted under a number, since it may live.

Cost: a list of times for each crashed start; rows have two bytes more.

--- a/src/wallwell/node/crash_probe.py
+++ b/src/wallwell/node/crash_probe.py
@@ -83,15 +83,16 @@
         self._all_backends = all_backends
         self._refuses_peers = refuses_peers
 
-    async def find_crash(self, backend: Backend) -> CrashEvidence | None:
-        """Probe a back end after a broken attempt, at most :data:`MAX_PROBES` times; returns what shows that it has
-        crashed, None if nothing does."""
+    async def find_crash(self, backend: Backend, is_unlisted: bool = False) -> CrashEvidence | None:
+        """Probe a back end after a broken attempt, at most :data:`MAX_PROBES` times; return what shows that it has
+        crashed, None if nothing does. ``is_unlisted``: the attempt reached an unlisted start at its address."""
         refused_at_s = first_refused_at_s = None
         listening_probes = 0
         for probe in range(MAX_PROBES):
             await asyncio.sleep(PROBE_INTERVAL_S if probe else FIRST_PROBE_DELAY_S)
             if backend.superseded:
-                return CrashEvidence.SUCCESSOR
+                # The later start that is listed by now may be the one that the attempt reached.
+                return None if is_unlisted else CrashEvidence.SUCCESSOR
             if await self._check.refuses_connections(backend.record):
                 if refused_at_s is not None and backend.silence.last_received_s <= refused_at_s:
                     return await self._judge_refusals(backend, first_refused_at_s or refused_at_s)
--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -64,8 +64,11 @@
 
 @dataclass
 class BrokenRuns:
-    """What a back end was running when it may have crashed."""
+    """What a start of a back end was running when it may have crashed."""
 
+    backend: Backend
+    sent_s: float
+    """When the first of these runs was sent."""
     since_s: float
     """When the first run broke, on the store's clock."""
     content_digests: set[str] = field(default_factory=set)
@@ -117,16 +120,19 @@
 
     # --- attempts --------------------------------------------------------------------------------------
 
-    def on_broken_run(self, content_digest: str, backend: Backend, parts: Sequence[str] = ()) -> None:
+    def on_broken_run(
+        self, content_digest: str, backend: Backend, parts: Sequence[str] = (), sent_s: float = float("-inf")
+    ) -> None:
         """Probe a back end whose connection to an attempt ended before the answer was complete."""
         if backend.has_announced_leave or (backend.may_have_left(boot_time_s()) and not backend.superseded):
             return  # A planned stop ends connections too.
-        is_probed = backend.start_id in self._broken
-        broken = self._broken.setdefault(backend.start_id, BrokenRuns(self._store_time_s()))
+        start_id = backend.start_id_at(sent_s)
+        is_probed = start_id in self._broken
+        broken = self._broken.setdefault(start_id, BrokenRuns(backend, sent_s, self._store_time_s()))
         broken.content_digests.add(content_digest)
         broken.part_digests.update(parts)
         if not is_probed:
-            self._probes.start(self._probe_or_log(backend))
+            self._probes.start(self._probe_or_log(start_id))
 
     def on_worked(self, parts: Sequence[str], began_s: float) -> None:
         """Delete the crashes that these parts cannot have caused, since an answer begun afterwards went on."""
@@ -138,21 +144,22 @@
         crashes = self._state.quarantine.on_answered(content_digest, boot_time_s())
         self._write({crash_key(content_digest, incarnation): False for incarnation in crashes})
 
-    async def _probe_or_log(self, backend: Backend) -> None:
+    async def _probe_or_log(self, start_id: str) -> None:
         """Probe a back end; a probe that fails unexpectedly shows no crash, and is logged."""
         try:
-            await self._probe_backend(backend)
+            await self._probe_backend(start_id)
         except Exception as error:
-            self._unexpected_errors.record(backend.start_id, error)
+            self._unexpected_errors.record(start_id, error)
 
-    async def _probe_backend(self, backend: Backend) -> None:
-        start_id = backend.start_id
+    async def _probe_backend(self, start_id: str) -> None:
+        broken = self._broken[start_id]
+        backend, is_unlisted = broken.backend, broken.backend.runs_unlisted_start(broken.sent_s)
         try:
-            evidence = await self._probe.find_crash(backend)
+            evidence = await self._probe.find_crash(backend, is_unlisted)
         finally:
             # Attempts that break from now on start a new series of probes.
-            broken = self._broken.pop(start_id)
-        if evidence is None and await self._probe.wait_for_successor(backend):
+            del self._broken[start_id]
+        if evidence is None and not is_unlisted and await self._probe.wait_for_successor(backend):
             evidence = CrashEvidence.SUCCESSOR
         if evidence is not None:
             emit(
--- a/src/wallwell/peer_attempts/server.py
+++ b/src/wallwell/peer_attempts/server.py
@@ -164,7 +164,8 @@
     async def _send_and_reply(self, message: AttemptRequest, active: ActiveRequest) -> int:
         """Send the request, pass on the answer, return its status. Raises :class:`AttemptError` or TimeoutError."""
         backend = self._usable_backend(message, active, boot_time_s())
-        self._on_sent(backend, boot_time_s())
+        active.timing.attempt_sent_s = boot_time_s()
+        self._on_sent(backend, active.timing.attempt_sent_s)
         try:
             async with self._watch(backend, active) if active.route.repeatable else nullcontext():
                 return await self._pass_on(self._dispatch(message, active, backend), active, backend)
--- a/src/wallwell/routing/health/backend.py
+++ b/src/wallwell/routing/health/backend.py
@@ -24,6 +24,11 @@
 """Bytes of a start's identity: with the digest of a part of prompts, which goes before it, the key of a crash's row
 stays below the 200 bytes that the store allows."""
 
+UNLISTED_SEPARATOR = "+"
+"""Stands in the identity of a start that is not listed between the identity of the listed one and a number."""
+MAX_UNLISTED_STARTS = 1000
+"""Largest number of an unlisted start that is believed; a start takes seconds, and an entry outlives few."""
+
 
 @dataclass(frozen=True)
 class ExpectedWeightsLoad:
@@ -72,9 +77,9 @@
     is_entry_unreadable: bool = False
     """Whether it counts as gone only since its entry cannot be read, which says nothing of its process."""
     silence: Silence = field(default_factory=Silence)
-    crashed_at_s: float | None = None
-    """When it was found that this start has crashed; None if it was not. What runs at its address since then, and
-    of which software version, is not known until its next start is listed."""
+    crash_times_s: list[float] = field(default_factory=list)
+    """When it was found, one after the other, that this start and the unlisted ones after it have crashed. What
+    runs at its address since then, and of which software version, is not known until its next start is listed."""
 
     @property
     def incarnation(self) -> str:
@@ -90,6 +95,26 @@
         encoded = start_id.encode()
         return start_id if len(encoded) <= MAX_START_ID_BYTES else xxhash.xxh3_128_hexdigest(encoded)
 
+    @property
+    def crashed_at_s(self) -> float | None:
+        """When it was last found that this start, or an unlisted one after it, has crashed; None if none has."""
+        return self.crash_times_s[-1] if self.crash_times_s else None
+
+    def runs_unlisted_start(self, sent_s: float) -> bool:
+        """Whether what was sent at ``sent_s`` reached a start that is not listed, since this one had crashed."""
+        return bool(self.crash_times_s) and self.crash_times_s[0] <= sent_s
+
+    def start_id_at(self, sent_s: float) -> str:
+        """Identify the start that got what was sent at ``sent_s``: this one, or by its number one that began at its
+        address after it had crashed and is not listed."""
+        crashes_before = sum(at_s <= sent_s for at_s in self.crash_times_s)
+        return f"{self.start_id}{UNLISTED_SEPARATOR}{crashes_before}" if crashes_before else self.start_id
+
+    def on_crashed(self, number: int, now_s: float) -> None:
+        """Record that the start with this number has crashed: 0 is the listed one, others are those after it."""
+        while len(self.crash_times_s) <= number:
+            self.crash_times_s.append(now_s)
+
     @property
     def is_limited(self) -> bool:
         """Whether the back end currently states a limit of requests from all nodes together."""
--- a/src/wallwell/routing/health/backend_registry.py
+++ b/src/wallwell/routing/health/backend_registry.py
@@ -14,7 +14,7 @@
 
 from wallwell.address import Address
 from wallwell.deployment.backends import BackendRecord
-from wallwell.routing.health.backend import Backend
+from wallwell.routing.health.backend import MAX_UNLISTED_STARTS, UNLISTED_SEPARATOR, Backend
 
 Key = TypeVar("Key", str, Address)
 """Key of an index of back ends: a service or an address."""
@@ -135,11 +135,26 @@
 
     def on_crashed(self, start_id: str, now_s: float) -> None:
         """Record that a start of a back end has crashed, unless a later one is listed or none."""
+        backend, number = self._listed_start(start_id)
+        if backend is None:
+            return
+        backend.on_crashed(number, now_s)
+        self._crashed[backend.incarnation] = backend
+
+    def _listed_start(self, start_id: str) -> tuple[Backend | None, int]:
+        """Return the listed start with an identity and 0, or the one before it and its number if it is unlisted."""
+        backend = self._with_start_id(start_id)
+        if backend is not None:
+            return backend, 0
+        listed_id, _, number = start_id.rpartition(UNLISTED_SEPARATOR)
+        if not (number.isascii() and number.isdecimal() and len(number) < len(str(MAX_UNLISTED_STARTS))):
+            return None, 0
+        return self._with_start_id(listed_id), int(number)
+
+    def _with_start_id(self, start_id: str) -> Backend | None:
         # A start's identity is the incarnation, followed by its time if it states one.
         backend = self.get(start_id) or self.get(start_id.rpartition("@")[0])
-        if backend is not None and backend.start_id == start_id and backend.crashed_at_s is None:
-            backend.crashed_at_s = now_s
-            self._crashed[backend.incarnation] = backend
+        return backend if backend is not None and backend.start_id == start_id else None
 
     def on_listing_confirmed(self, confirmed_at_s: float) -> None:
         """Believe the entries of crashed back ends again for which no later start was listed in time: the process
@@ -149,7 +164,7 @@
             if self.get(incarnation) is not backend:
                 del self._crashed[incarnation]
             elif backend.crashed_at_s is None or confirmed_at_s >= backend.crashed_at_s + NEXT_START_LISTED_S:
-                backend.crashed_at_s = None
+                backend.crash_times_s.clear()
                 del self._crashed[incarnation]
 
     def _supersede_at(self, address: Address) -> None:
--- a/src/wallwell/serving/attempt_feedback.py
+++ b/src/wallwell/serving/attempt_feedback.py
@@ -90,7 +90,8 @@
             return  # A peer that made the attempt records itself what it shows of the back end.
         if event is TransportEvent.RESET_AFTER_SEND and self._crash_observer is not None:
             parts = () if active.timing.writing_s(now_s) >= BEGINNING_S else active.part_digests
-            self._crash_observer.on_broken_run(active.content_digest, backend, parts)
+            sent_s = active.timing.attempt_sent_s
+            self._crash_observer.on_broken_run(active.content_digest, backend, parts, sent_s)
         if event is not TransportEvent.ANSWER_TIMEOUT:
             self._count_failure(backend, event, now_s)
         elif not active.timing.is_silence_recorded:
--- a/src/wallwell/serving/messages.py
+++ b/src/wallwell/serving/messages.py
@@ -189,10 +189,13 @@
 class CrashObserver(Protocol):
     """Receives the results of attempts that show whether a request crashes back ends."""
 
-    def on_broken_run(self, content_digest: str, backend: Backend, parts: Sequence[str] = ()) -> None:
+    def on_broken_run(
+        self, content_digest: str, backend: Backend, parts: Sequence[str] = (), sent_s: float = float("-inf")
+    ) -> None:
         """Called when a connection ends before the answer to the request with this content digest is complete.
 
-        ``parts`` are digests of the parts of its prompt that may be the cause of a crash.
+        ``parts`` are digests of the parts of its prompt that may be the cause of a crash. ``sent_s`` is when the
+        request was sent; by default before any crash of the back end.
         """
         ...
 
--- a/tests/unit/node/test_crash_watch.py
+++ b/tests/unit/node/test_crash_watch.py
@@ -226,6 +226,55 @@
     assert run_virtual(work()) == {"c/i-0", "c/i-1"}
 
 
+def break_run(node, number=0):
+    """Have a run break that was sent just now."""
+    node.watch.on_broken_run("c", node.backend(number), sent_s=boot_time_s())
+
+
+def test_each_crash_counts_though_no_later_start_is_listed():
+    """Guards against a request that crashes the same few back ends without end, each start before it is listed."""
+
+    async def work():
+        node = WatchedNode()
+        for _ in range(CRASHES_TO_QUARANTINE):
+            break_run(node)
+            await asyncio.sleep(PROBED_S)
+        return node.rows, node.state.quarantine.remaining_s("c", boot_time_s()) > 0
+
+    assert run_virtual(work()) == ({"c/i-0", "c/i-0+1", "c/i-0+2"}, True)
+
+
+def test_runs_that_one_crash_breaks_count_once():
+    """Some of them were sent before an earlier crash was known."""
+
+    async def work():
+        node = WatchedNode()
+        break_run(node)
+        break_run(node)
+        await asyncio.sleep(PROBED_S)
+        node.watch.on_broken_run("c", node.backend(), sent_s=boot_time_s() - PROBED_S)
+        await asyncio.sleep(PROBED_S)
+        return node.rows
+
+    assert run_virtual(work()) == {"c/i-0"}
+
+
+@pytest.mark.parametrize("supersedes", [supersede, supersede_later], ids=["at once", "later"])
+def test_a_start_that_is_listed_after_its_run_broke_has_not_crashed(supersedes):
+    """The start that is listed by then may be the one that had the run."""
+
+    async def work():
+        node = WatchedNode(FakeCheck(REFUSED, REFUSED, ANSWERS))
+        break_run(node)
+        await asyncio.sleep(PROBED_S)
+        break_run(node)
+        supersedes(node)
+        await asyncio.sleep(MAX_PROBES * PROBED_S + SUCCESSOR_WAIT_S)
+        return node.rows
+
+    assert run_virtual(work()) == {"c/i-0"}
+
+
 def test_a_crash_behind_a_partition_is_counted_once_the_successor_is_listed():
     async def work():
         node = WatchedNode(FakeCheck(REFUSED, reaches_others=False))
--- a/tests/unit/routing/health/test_crashed_starts.py
+++ b/tests/unit/routing/health/test_crashed_starts.py
@@ -73,3 +73,43 @@
     second = backends.upsert(dataclasses.replace(FIRST, started_unix_ms=2000, software="v2"))
     backends.on_listing_confirmed(100.0)
     assert (first.crashed_at_s, second.crashed_at_s) == (10.0, None)
+
+
+def test_each_unlisted_start_has_an_identity_of_its_own():
+    """Guards against crashes of starts that are ended again before they are listed, all counted as one."""
+    backends, first = registry()
+    backends.on_crashed(first.start_id, 10.0)
+    assert [first.start_id_at(at_s) for at_s in (9.0, 11.0)] == ["i-1@1000", "i-1@1000+1"]
+    backends.on_crashed("i-1@1000+1", 15.0)
+    assert [first.start_id_at(at_s) for at_s in (9.0, 11.0, 16.0)] == ["i-1@1000", "i-1@1000+1", "i-1@1000+2"]
+    assert [first.runs_unlisted_start(at_s) for at_s in (9.0, 11.0)] == [False, True]
+
+
+def test_nodes_that_learn_of_crashes_in_any_order_give_the_next_start_the_same_identity():
+    for order in (("i-1@1000", "i-1@1000+1"), ("i-1@1000+1", "i-1@1000"), ("i-1@1000+1",)):
+        backends, first = registry()
+        for start_id in order:
+            backends.on_crashed(start_id, 10.0)
+        assert first.start_id_at(11.0) == "i-1@1000+2"
+
+
+def test_entry_that_is_believed_again_names_its_start_as_before():
+    backends, first = registry()
+    backends.on_crashed(first.start_id, 10.0)
+    backends.on_listing_confirmed(10.0 + NEXT_START_LISTED_S)
+    assert first.start_id_at(100.0) == first.start_id
+
+
+def test_crash_of_an_unlisted_start_puts_off_the_time_at_which_the_entry_is_believed():
+    backends, first = registry()
+    backends.on_crashed(first.start_id, 10.0)
+    backends.on_crashed("i-1@1000+1", 13.0)
+    backends.on_listing_confirmed(10.0 + NEXT_START_LISTED_S)
+    assert first.crashed_at_s == 13.0
+
+
+@pytest.mark.parametrize("number", ["", "x", "-1", "1.0", "1000", "9" * 400, "\u0661", "1+1"])
+def test_number_of_an_unlisted_start_that_cannot_be_right_changes_nothing(number):
+    backends, first = registry()
+    backends.on_crashed(f"i-1@1000+{number}", 10.0)
+    assert first.crashed_at_s is None
