Move a stream's position only with the events that are passed on

Cause: the position of a stream moved as its events were read. Between that and the caller's connection stand checks that may end the attempt: here the back end was found to have crashed meanwhile, so that its first event was not passed on, and the next attempt asked for the events behind it.

Ruled out: a gap that the engine left (it ran whole when asked again); the client's own resumption (it named the event before).

Why it works: reading returns the events and the position behind them, and that is recorded in the same step in which they are written to the caller's connection, without a wait in between. It also holds for the other waits there: the end of a second attempt, and telling other nodes of a stream.

Cost: none; one small tuple for each read.

--- a/src/wallwell/serving/event_stream.py
+++ b/src/wallwell/serving/event_stream.py
@@ -8,6 +8,7 @@
 
 import re
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from wallwell.answer_head import parse_header_number
 from wallwell.errors import StreamOrderError
@@ -39,6 +40,14 @@
     return None
 
 
+class EventBatch(NamedTuple):
+    """Complete events to forward together, and the position behind them."""
+
+    events: list[bytes]
+    last_event_number: int | None
+    unnumbered_bytes: int
+
+
 @dataclass
 class StreamPosition:
     """Position in a streamed answer, over all attempts of the request."""
@@ -50,16 +59,16 @@
     """Bytes of events without a number since the last one with a number."""
     _partial_event: bytes = field(default=b"")
 
-    def discard_partial_event(self) -> None:
+    def begin_attempt(self) -> None:
         """Discard the partial event of the previous attempt; called when a new attempt's stream starts."""
         self._partial_event = b""
 
-    def feed(self, data: bytes) -> list[bytes]:
+    def feed(self, data: bytes) -> EventBatch:
         """Add bytes of the current attempt and return the events to forward.
 
-        Raises :class:`StreamOrderError` if event numbers do not increase, or if an event, or what comes without a
-        number, exceeds ``MAX_EVENT_BYTES``.
-        No event of ``data`` is forwarded then and the position is unchanged, so the next attempt sends them again.
+        The position changes with :meth:`on_forwarded` alone: if the attempt ends before its events are sent, the
+        next one resumes before them. Raises :class:`StreamOrderError` if event numbers do not increase, or if an
+        event, or what comes without a number, exceeds ``MAX_EVENT_BYTES``.
         """
         events, self._partial_event = split_events(self._partial_event + data)
         if len(self._partial_event) > MAX_EVENT_BYTES:
@@ -75,10 +84,13 @@
                 if last_event_number is not None and number <= last_event_number:
                     raise StreamOrderError(f"event {number} after {last_event_number}")
                 last_event_number = number
-        self.last_event_number = last_event_number
-        self._unnumbered_bytes = unnumbered_bytes
-        self.events_forwarded += len(events)
-        return events
+        return EventBatch(events, last_event_number, unnumbered_bytes)
+
+    def on_forwarded(self, batch: EventBatch) -> None:
+        """Record that the events that :meth:`feed` returned last are being sent to the caller."""
+        self.last_event_number = batch.last_event_number
+        self._unnumbered_bytes = batch.unnumbered_bytes
+        self.events_forwarded += len(batch.events)
 
     @property
     def has_partial_event(self) -> bool:
--- a/src/wallwell/serving/stream_forwarding.py
+++ b/src/wallwell/serving/stream_forwarding.py
@@ -50,7 +50,7 @@
     async def forward(self, active: ActiveRequest, backend: Backend, answer: BackendAnswer) -> None:
         """Forward events until the stream ends. Raises :class:`AttemptError` if the stream stalls or breaks off."""
         position = active.stream_position
-        position.discard_partial_event()
+        position.begin_attempt()
         async with aclosing(answer.chunks()) as chunks:  # type: ignore[type-var]
             while True:
                 data = await self._next_data(active, backend, chunks)
@@ -101,10 +101,10 @@
         self, active: ActiveRequest, backend: Backend, answer: BackendAnswer, data: bytes
     ) -> None:
         try:
-            events = active.stream_position.feed(data)
+            batch = active.stream_position.feed(data)
         except StreamOrderError as error:
             raise AttemptError(TransportEvent.FOREIGN_ANSWER, error.detail) from error
-        if not events:
+        if not batch.events:
             return
         if active.timing.attempt_first_event_s is None:
             await self._on_first_events(active, backend)
@@ -113,7 +113,8 @@
         if not active.reply.started:
             await active.reply.start(answer.head)
         active.timing.on_events_forwarded(boot_time_s())
-        await active.reply.write(b"".join(events))
+        active.stream_position.on_forwarded(batch)
+        await active.reply.write(b"".join(batch.events))
 
 
 async def _read(chunks: AsyncIterator[bytes]) -> bytes | None:
--- a/tests/unit/serving/test_stream_versions.py
+++ b/tests/unit/serving/test_stream_versions.py
@@ -25,9 +25,9 @@
 STALLED = Script(chunks=(event(1), 3.0, event(2)), stream=True)
 
 
-def make_state(software):
+def make_state(software, route=ROUTE):
     """Return a node's state with one back end for each of the software versions."""
-    state = make_plain_state(ROUTE, backends=len(software), versions={"m": 1})
+    state = make_plain_state(route, backends=len(software), versions={"m": 1})
     for index, version in enumerate(software):
         record = state.backends.get(f"i-{index}").record
         state.backends.upsert(dataclasses.replace(record, software=version))
@@ -39,11 +39,11 @@
     state.rollouts.on_record(record, StorePosition(0, 4), boot_time_s())
 
 
-def serve(scripts, software, prepare=None, on_send=None):
+def serve(scripts, software, prepare=None, on_send=None, route=ROUTE):
     """Serve one stream; return the reply and the software versions of the back ends that it was sent to."""
 
     async def scenario():
-        state = make_state(software)
+        state = make_state(software, route)
         if prepare is not None:
             prepare(state)
         client, reply = FakeClient(*scripts), FakeReply()
@@ -186,3 +186,20 @@
     reply, versions = serve([BROKEN, late_rest], ["v1", "v1", "v2"], on_send=crash_at_the_second)
     assert (reply.ended, reply.body) == ("aborted", event(1))
     assert versions == ["v1", "v1"]
+
+
+def test_a_stream_goes_on_after_the_last_event_that_was_passed_on():
+    """Guards against a stream that lacks an event: one came from a back end that was found to have crashed, was not
+    passed on, and the next attempt resumed behind it."""
+    late_rest = Script(chunks=(event(2),), stream=True, head_delay_s=0.1)
+    resumed_after = []
+
+    def crash_the_second(state, dispatch, sent):
+        resumed_after.append(dispatch.resume_after)
+        if sent == 1:
+            crash(state, dispatch.backend.incarnation)
+
+    route = make_route(RouteKind.STREAM, resumable=True, attempts=3, timeout_s=8.0)
+    reply, _ = serve([BROKEN, late_rest, REST], ["v1"] * 3, on_send=crash_the_second, route=route)
+    assert resumed_after == [None, 1, 1]
+    assert (reply.ended, reply.body) == ("finished", event(1) + event(2))
