Let other nodes tell whether a back end that refuses this node has crashed

Cause: a node that is refused counted a crash as soon as it reached any other back end, those of other services first. A node cut off from the engines alone still reaches the calls service, and took every engine with one of its runs for crashed; the row tells all nodes, which believe the engine's entry no longer for 6 s.

Why it works: nodes elsewhere have other links to the same back end; one that connects shows that it lives. Only where none can tell (a fleet of one node, or nodes of an earlier build) is the comparison with other back ends still used.

Cost: after two refusals, 0.3 s apart, of a back end whose runs broke: up to six messages of 92 bytes and one connection of each of these nodes. Nothing otherwise.

--- a/src/wallwell/events.py
+++ b/src/wallwell/events.py
@@ -167,7 +167,7 @@
     REFUSALS_INCONCLUSIVE = (
         6028,
         "INFO",
-        "back end refuses connections, which may be due to this node's links; no crash is counted yet",
+        "back end refuses connections, which shows no crash: other nodes may reach it, or none can tell",
     )
 
     # 7001 and up: weights on engines, and rollouts of software.
--- a/src/wallwell/node/crash_probe.py
+++ b/src/wallwell/node/crash_probe.py
@@ -2,9 +2,9 @@
 
 A broken attempt alone does not prove a crash: connections are also reset by the network, by a back end with too
 many connections, and at the end of a planned stop. A back end counts as crashed when two probes in a row are
-refused and nothing was received from it in between, or when another incarnation has taken its address. While this
-node reaches no other back end either, its own links may have failed: refusals then count only if other nodes are
-refused too.
+refused, nothing was received from it in between, and other nodes are refused too, or when another incarnation has
+taken its address. This node's own links may have failed, to all back ends or to some. If no other node can tell,
+refusals count if this node reaches any other back end.
 
 Owns no state. Relies on the registry to mark replaced incarnations (``Backend.superseded``) and on attempts to
 record when data is received (``Backend.silence``).
@@ -44,17 +44,30 @@
 class CrashEvidence(StrEnum):
     """What shows that a back end has crashed."""
 
-    REFUSALS = "refusals"
-    """Its address refuses this node's connections, and another back end's does not."""
     PEERS = "peers"
-    """Its address refuses the connections of other nodes too."""
+    """Its address refuses this node's connections and those of others."""
+    REFUSALS = "refusals"
+    """Its address refuses this node's connections, another back end's does not, and no other node could tell."""
     SUCCESSOR = "successor"
     """Another incarnation, or a later start of the same one, is listed."""
 
 
+class ConnectionResult(StrEnum):
+    """What became of a new connection to a back end."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+    """Not made, or timed out."""
+
+
 class CrashCheck(Protocol):
     """Checks whether a back end's process has ended."""
 
+    async def connect(self, backend: BackendRecord) -> ConnectionResult:
+        """Open a new connection."""
+        ...
+
     async def refuses_connections(self, backend: BackendRecord) -> bool:
         """Connect, unless a connection is idle; returns True only if the machine refuses the connection."""
         ...
@@ -64,8 +77,8 @@
         ...
 
 
-async def _no_peer_is_refused(_backend: Backend) -> bool:
-    return False
+async def _no_peer_can_tell(_backend: Backend) -> None:
+    return None
 
 
 class CrashProbe:
@@ -75,10 +88,10 @@
         self,
         check: CrashCheck,
         all_backends: Callable[[], Iterable[Backend]],
-        refuses_peers: Callable[[Backend], Awaitable[bool]] = _no_peer_is_refused,
+        refuses_peers: Callable[[Backend], Awaitable[bool | None]] = _no_peer_can_tell,
     ) -> None:
         """``all_backends`` returns the listed back ends of all services, ``refuses_peers`` whether a back end
-        refuses the connections of other nodes."""
+        refuses the connections of other nodes; None if none can tell."""
         self._check = check
         self._all_backends = all_backends
         self._refuses_peers = refuses_peers
@@ -106,10 +119,11 @@
 
     async def _judge_refusals(self, backend: Backend, since_s: float) -> CrashEvidence | None:
         """Return what the refusals of a back end since ``since_s`` show."""
-        if await self._reaches_another(backend, since_s):
-            return CrashEvidence.REFUSALS
-        if await self._refuses_peers(backend):
+        refuses_peers = await self._refuses_peers(backend)
+        if refuses_peers:
             return CrashEvidence.PEERS
+        if refuses_peers is None and await self._reaches_another(backend, since_s):
+            return CrashEvidence.REFUSALS
         emit(Event.REFUSALS_INCONCLUSIVE, backend=backend.incarnation)
         return None
 
--- a/src/wallwell/node/peer_checks.py
+++ b/src/wallwell/node/peer_checks.py
@@ -1,7 +1,7 @@
 """Asks other nodes whether a back end refuses their connections too, and answers them.
 
-A node whose connections are all refused cannot tell whether the back ends have ended or its own links have failed;
-nodes elsewhere can. Nothing is sent while this node reaches any back end.
+A node whose connections are refused cannot tell whether the back end has ended or its own links to it have failed;
+nodes elsewhere can. They are asked only about back ends that have refused this node twice after an attempt broke.
 
 Owns no state. Relies on the members' rows for which nodes answer, and on
 :mod:`wallwell.routing.selection.peer_choice` for which of them are asked.
@@ -11,28 +11,18 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from enum import StrEnum
 
 import msgspec
 
 from wallwell.cluster.peer_link import PeerFailureLog, PeerLink, PeerMessage
 from wallwell.errors import PeerUnavailableError
-from wallwell.node.crash_probe import CrashCheck
+from wallwell.node.crash_probe import ConnectionResult, CrashCheck
 from wallwell.node.state import NodeState
 from wallwell.routing.health.backend import Backend
 from wallwell.routing.selection.peer_choice import PeerNode, choose_witnesses
 
-ANSWER_TIMEOUT_S = 0.8
-"""Seconds within which a peer must answer: it makes two connections, which take up to 0.25 s each."""
-
-
-class ConnectionResult(StrEnum):
-    """What became of a node's connection to a back end."""
-
-    ACCEPTED = "accepted"
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
-    """Not made, timed out, or unclear."""
+ANSWER_TIMEOUT_S = 0.5
+"""Seconds within which a peer must answer: it makes one connection, which takes up to 0.25 s."""
 
 
 class ConnectionCheckRequest(PeerMessage, frozen=True, omit_defaults=True):
@@ -59,13 +49,15 @@
         self._peers = peers
         self._failure_log = PeerFailureLog()
 
-    async def refuses_peers(self, backend: Backend) -> bool:
-        """Whether a back end refuses the connections of all peers that can tell; False if none can."""
+    async def refuses_peers(self, backend: Backend) -> bool | None:
+        """Whether a back end refuses the connections of all peers that can tell; None if none can."""
         record = backend.record
         request = ConnectionCheckRequest(record.incarnation, record.started_unix_ms)
         peers = choose_witnesses(self._peers(), self._state.topology.zone, self._state.rng)
         results = await asyncio.gather(*(self._ask(peer, request) for peer in peers))
-        return ConnectionResult.REFUSED in results and ConnectionResult.ACCEPTED not in results
+        if ConnectionResult.ACCEPTED in results:
+            return False
+        return True if ConnectionResult.REFUSED in results else None
 
     async def _ask(self, peer: PeerNode, request: ConnectionCheckRequest) -> ConnectionResult:
         link = PeerLink(peer.address, self._failure_log)
@@ -78,14 +70,7 @@
 
     async def answer_peer(self, request: ConnectionCheckRequest) -> ConnectionCheckReply:
         """Connect to a back end for a peer."""
-        return ConnectionCheckReply(await self._connect(request))
-
-    async def _connect(self, request: ConnectionCheckRequest) -> ConnectionResult:
         backend = self._state.backends.get(request.incarnation)
         if backend is None or backend.record.started_unix_ms != request.started_unix_ms:
-            return ConnectionResult.UNKNOWN
-        if await self._check.accepts_connections(backend.record):
-            return ConnectionResult.ACCEPTED
-        if await self._check.refuses_connections(backend.record):
-            return ConnectionResult.REFUSED
-        return ConnectionResult.UNKNOWN
+            return ConnectionCheckReply(ConnectionResult.UNKNOWN)
+        return ConnectionCheckReply(await self._check.connect(backend.record))
--- a/src/wallwell/platform/worker_probes.py
+++ b/src/wallwell/platform/worker_probes.py
@@ -8,6 +8,7 @@
 from wallwell.deployment.backends import BackendRecord
 from wallwell.deployment.topology import SINGLE_REGION, Distance, Topology
 from wallwell.http_connection import ConnectFailedError, ConnectionPool
+from wallwell.node.crash_probe import ConnectionResult
 
 SAME_REGION_TIMEOUT_S = 0.12
 """Seconds within which a machine must answer a SYN packet; more than the longest round trip within a region."""
@@ -38,6 +39,13 @@
         failure = await self._open_connection(backend)
         return failure is not None and failure.refused
 
+    async def connect(self, backend: BackendRecord) -> ConnectionResult:
+        """See :class:`wallwell.node.crash_probe.CrashCheck`."""
+        failure = await self._open_connection(backend)
+        if failure is None:
+            return ConnectionResult.ACCEPTED
+        return ConnectionResult.REFUSED if failure.refused else ConnectionResult.UNKNOWN
+
     async def _open_connection(self, backend: BackendRecord) -> ConnectFailedError | None:
         """Open a connection for the next request; return the error if that fails, else None."""
         is_far = self._topology.distance_to(backend.zone) is Distance.OTHER_REGION
--- a/src/wallwell/routing/selection/peer_choice.py
+++ b/src/wallwell/routing/selection/peer_choice.py
@@ -18,7 +18,9 @@
 from wallwell.deployment.topology import Distance, Topology
 
 MAX_PEERS_ASKED = 3
-"""Peers that are asked for one attempt, or about one back end, at most; each takes a round trip."""
+"""Peers that are asked for one attempt at most; each takes a round trip."""
+MAX_WITNESSES = 6
+"""Peers that are asked together about one back end at most: half of all nodes may have lost their links to it."""
 UNREACHABLE_MEMORY_S = 1.0
 """Seconds for which a peer that cannot connect to a service either is not asked for it again. Longer would miss a
 peer whose links are back, shorter costs a round trip more often."""
@@ -37,7 +39,7 @@
 
 
 def choose_witnesses(peers: Iterable[PeerNode], own_zone: str, rng: random.Random) -> list[PeerNode]:
-    """Return the peers, :data:`MAX_PEERS_ASKED` at most, that are asked whether a back end refuses them too.
+    """Return the peers, :data:`MAX_WITNESSES` at most, that are asked whether a back end refuses them too.
 
     Of as many zones as possible, and of this node's own last, since a fault may cut off a whole zone.
     """
@@ -49,7 +51,7 @@
         ranked.append((peer.zone == own_zone, chosen_of_zone[peer.zone], peer))
         chosen_of_zone[peer.zone] += 1
     ranked.sort(key=lambda each: each[:2])
-    return [peer for _, _, peer in ranked[:MAX_PEERS_ASKED]]
+    return [peer for _, _, peer in ranked[:MAX_WITNESSES]]
 
 
 class PeerChoice:
