Soak: the link of a worker that a request has crashed refuses connections at once

Nodes took the worker for alive, as probes were accepted.

The new test fails before: the link is aimed away after 3.0 s, in place of 0.

--- a/src/wallwell/soak/faults.py
+++ b/src/wallwell/soak/faults.py
@@ -218,6 +218,9 @@
         while True:
             worker = self._fleet.worker(name)
             status = await worker.wait()
+            if status == CRASH_STATUS and self._fleet.worker(name) is worker:
+                # Not under the lock, which a fault on this worker may hold for seconds.
+                await self._fleet.control_proxy(AimLink(name, ""))
             async with self._locks[name]:
                 if status == CRASH_STATUS and self._fleet.worker(name) is worker:
                     await self._replace_worker(name, AWAY_S)
--- a/tests/unit/soak/test_faults.py
+++ b/tests/unit/soak/test_faults.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.virtual_time import run_virtual
+from wallwell.clock import boot_time_s
 from wallwell.errors import PeerUnavailableError, SoakError
 from wallwell.soak.answers import CRASH_STATUS
 from wallwell.soak.faults import LINK_HARMS, STORE_SWITCHES, FaultRunner, link_of
@@ -51,6 +52,7 @@
     def __init__(self, status, can_start=True):
         self.schedule = types.SimpleNamespace(shape=Shape(nodes=1, engines=1, instances=0))
         self.started = 0
+        self.aimed_at_s = []
         self._status = status
         self._can_start = can_start
         self._worker = self
@@ -62,7 +64,7 @@
         return self._status
 
     async def control_proxy(self, message):
-        pass
+        self.aimed_at_s.append(boot_time_s())
 
     async def start_worker(self, name, keeps_identity=False):
         if not self._can_start:
@@ -91,6 +93,22 @@
     assert keep(FleetOfOne(status)) == started
 
 
+def test_link_of_a_crashed_worker_refuses_at_once_beside_a_fault_on_the_worker():
+    """Guards against a link that accepts connections for a process that has ended, so that no node sees a crash."""
+
+    async def work():
+        fleet = FleetOfOne(CRASH_STATUS)
+        runner = FaultRunner(fleet)
+        began_s = boot_time_s()
+        async with runner.workers_kept():
+            async with runner._locks["engine-0"]:
+                await asyncio.sleep(3.0)
+            await asyncio.sleep(5.0)
+        return [at_s - began_s for at_s in fleet.aimed_at_s[:2]], fleet.started
+
+    assert run_virtual(work()) == ([0.0, 3.0], 1)
+
+
 def test_a_worker_that_cannot_be_started_again_ends_the_run_with_an_error():
     with pytest.raises(SoakError, match="scripted"):
         keep(FleetOfOne(CRASH_STATUS, can_start=False))
