Count a crash of a back end that has just announced its leave

Cause: an end after an announcement was taken for the planned one, however soon it came. A back end that leaves serves on for drain_ms and longer after the store has taken its word ('The worker then serves on for drain_ms and a little longer').

The new rows of test_what_counts_as_a_crash fail before.

Why it works: within half of the shortest drain_ms after this node learned of the leave (the time for which it still sends there if all others leave), an end cannot be planned.

Cost: none; a leaving back end whose word reached this node more than a second late may be taken for crashed once.

--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -39,6 +39,7 @@
 from wallwell.routing.admission.part_trials import NodeTurn, QuarantinedPart
 from wallwell.routing.health.backend import Backend
 from wallwell.routing.rendezvous import owner, owners, rendezvous_key
+from wallwell.routing.selection.candidates import LEAVING_GRACE_S
 from wallwell.storage.feed import FeedRow
 from wallwell.storage.row_isolation import ReportedRows, shown_key, shown_reason
 from wallwell.storage.row_values import decode_value
@@ -124,8 +125,8 @@
         self, content_digest: str, backend: Backend, parts: Sequence[str] = (), sent_s: float = float("-inf")
     ) -> None:
         """Probe a back end whose connection to an attempt ended before the answer was complete."""
-        if backend.has_announced_leave or (backend.may_have_left(boot_time_s()) and not backend.superseded):
-            return  # A planned stop ends connections too.
+        if _may_have_ended_as_planned(backend, boot_time_s()):
+            return
         start_id = backend.start_id_at(sent_s)
         is_probed = start_id in self._broken
         broken = self._broken.setdefault(start_id, BrokenRuns(backend, sent_s, self._store_time_s()))
@@ -332,6 +333,14 @@
         return NodeTurn(order.index(self._state.node), len(order))
 
 
+def _may_have_ended_as_planned(backend: Backend, now_s: float) -> bool:
+    """Whether a planned stop may have ended the connections of a back end. One that announces that it leaves serves
+    on for longer than the grace."""
+    if backend.has_announced_leave:
+        return not backend.is_within_leaving_grace(LEAVING_GRACE_S, now_s)
+    return backend.may_have_left(now_s) and not backend.superseded
+
+
 def _log_quarantined_part(quarantined: QuarantinedPart) -> None:
     emit(Event.PART_QUARANTINED, part=quarantined.part, crashed=",".join(sorted(quarantined.crashed)))
 
--- a/tests/unit/node/test_crash_watch.py
+++ b/tests/unit/node/test_crash_watch.py
@@ -29,6 +29,7 @@
 from wallwell.outcomes import Outcome
 from wallwell.routing.admission.quarantine import CRASHES_TO_QUARANTINE, QUARANTINE_S, SUSPECT_S
 from wallwell.routing.retry.attempt_outcome import TransportEvent as T
+from wallwell.routing.selection.candidates import LEAVING_GRACE_S
 from wallwell.serving.pipeline import RequestPipeline
 from wallwell.storage.feed import FeedRow
 
@@ -130,6 +131,14 @@
     supersede_later(node)
 
 
+def announce_leave(node, seconds_ago=0.0):
+    node.state.backends.on_leaving(node.backend(), boot_time_s() - seconds_ago)
+
+
+def announce_leave_long_ago(node):
+    announce_leave(node, LEAVING_GRACE_S)
+
+
 def lapse_entry(node):
     node.state.backends.lapse("i-0", 0.0)
 
@@ -163,6 +172,9 @@
         ([REFUSED], lapse_entry, no_change, False),
         ([REFUSED], spoil_entry, no_change, True),
         ([REFUSED], receive_data, no_change, True),
+        ([REFUSED], announce_leave, no_change, True),
+        ([REFUSED], announce_leave_long_ago, no_change, False),
+        ([ANSWERS], announce_leave, supersede_later, False),
     ],
     ids=[
         "refused",
@@ -181,6 +193,9 @@
         "planned stop",
         "its entry cannot be read",
         "data received before",
+        "ended too soon after announcing that it leaves",
+        "ended some time after announcing that it leaves",
+        "accepts connections, announced that it leaves and is replaced",
     ],
 )
 def test_what_counts_as_a_crash(answers, before, meanwhile, is_crash):
