Soak: crashes that were lost with all nodes and the store do not count

Cause: the check. Trace of a play: the part crashes engines at 4.60, 8.99 to 9.78 s. The store goes away at 6.86 s and again at 10.85 s, each time to come back from a copy made 3 s before, so that both copies lack all these crashes; all nodes are killed at 13.00 s, 4 ms before the store returns. No node has a disk, so nobody can know of the five crashes, and the new nodes count the next five.

--- a/src/wallwell/soak/invariants_parts.py
+++ b/src/wallwell/soak/invariants_parts.py
@@ -8,6 +8,7 @@
 from wallwell.soak.cases import HELD, Cases, Violation
 from wallwell.soak.history import Answered, Began, RequestKind, Sent
 from wallwell.soak.invariants_requests import ended_before_it_saw
+from wallwell.soak.lost_crashes import is_forgotten
 from wallwell.soak.timeline import CONTACT_S, History
 
 LEAST_CRASHES = 3
@@ -29,7 +30,8 @@
 def bad_part_reaches_few(history: History) -> Cases:
     """Requests with a part under which five workers have crashed soon reach no more of them, at whatever node.
 
-    A crash counts among the five if the node that had sent the request lived to see it.
+    A crash counts among the five if the node that had sent the request lived to see it, unless it was lost with all
+    nodes and the store.
     """
     for part, runs in _runs_by_part(history).items():
         crashes = _crashes(history, runs)
@@ -95,10 +97,10 @@
 
 
 def _crashes(history: History, runs: Iterable[Began]) -> list[Began]:
-    """Return the first run at each worker of which a node that lived on saw the crash."""
+    """Return the first run at each worker of which a node saw the crash, if anybody can know it still."""
     by_worker: dict[str, Began] = {}
     for run in runs:
-        if not ended_before_it_saw(history, run):
+        if not ended_before_it_saw(history, run) and not is_forgotten(history, run):
             by_worker.setdefault(run.worker, run)
     return list(by_worker.values())
 
--- a/src/wallwell/soak/invariants_requests.py
+++ b/src/wallwell/soak/invariants_requests.py
@@ -21,6 +21,7 @@
     SentAgain,
     SentBroken,
 )
+from wallwell.soak.lost_crashes import is_forgotten
 from wallwell.soak.schedule import RECOVERY_S, FaultKind
 from wallwell.soak.timeline import CONTACT_S, History
 
@@ -166,7 +167,8 @@
 def crashes_few(history: History) -> Cases:
     """A request that has crashed three workers soon gets no more of them, whatever its ids and nodes.
 
-    A crash counts among the three if the node that had sent the request lived to see it.
+    A crash counts among the three if the node that had sent the request lived to see it, unless it was lost with
+    all nodes and the store.
     """
     by_content: dict[str, list[Began]] = {}
     for began in history.begins:
@@ -174,7 +176,7 @@
         if sent is not None and sent.content:
             by_content.setdefault(sent.content, []).append(began)
     for content, runs in by_content.items():
-        seen = [run for run in runs if not ended_before_it_saw(history, run)]
+        seen = [run for run in runs if not ended_before_it_saw(history, run) and not is_forgotten(history, run)]
         if len(seen) < CRASHES_TO_QUARANTINE:
             continue
         known_s = seen[CRASHES_TO_QUARANTINE - 1].at_s
--- a/src/wallwell/soak/timeline.py
+++ b/src/wallwell/soak/timeline.py
@@ -168,7 +168,15 @@
 
     def restores(self) -> list[FaultBegan]:
         """Return the outages of the store that end with its return from a copy."""
-        return [each for each in self.records if isinstance(each, FaultBegan) and each.fault == RESTORE]
+        return [began for began, _ in self.restores_with_ends()]
+
+    def restores_with_ends(self) -> list[tuple[FaultBegan, float]]:
+        """Return these outages, each with the time of the store's return."""
+        return [
+            (each, _end_s(self.records[index:], each))
+            for index, each in enumerate(self.records)
+            if isinstance(each, FaultBegan) and each.fault == RESTORE
+        ]
 
     def faults_of_workers(self) -> list[tuple[FaultBegan, float]]:
         """Return each fault that strikes one worker, with its end."""
