--- a/tests/unit/node/test_crash_watch_parts.py
+++ b/tests/unit/node/test_crash_watch_parts.py
@@ -5,9 +5,10 @@
 import msgspec
 import pytest
 
-from tests.unit.node.test_crash_watch import CUT_STREAM, PROBED_S, RESET, STORE_S, WatchedNode
+from tests.unit.node.test_crash_watch import CUT_STREAM
+from tests.unit.node.watched_node import PROBED_S, STORE_S, WatchedNode
 from tests.unit.serving.fakes import FakeClient, FakeReply, Script, event, make_request, make_route
-from tests.unit.serving.single_request import OK
+from tests.unit.serving.single_request import OK, RESET
 from tests.virtual_time import run_virtual
 from wallwell.clock import boot_time_s
 from wallwell.deployment.routes import RouteKind
--- a/tests/unit/node/test_crashed_starts.py
+++ b/tests/unit/node/test_crashed_starts.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.unit.node.test_crash_watch import PROBED_S, REFUSED, FakeCheck, WatchedNode
+from tests.unit.node.watched_node import PROBED_S, REFUSED, FakeCheck, WatchedNode
 from tests.virtual_time import run_virtual
 
 
