--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -13,7 +13,7 @@
 from functools import partial
 
 import msgspec
-from msgspec import UNSET
+from msgspec import UNSET, UnsetType
 
 from wallwell.address import parse_address
 from wallwell.clock import boot_time_s
@@ -125,7 +125,9 @@
 
     def _build_pipeline(self, adapter: NodeAdapter) -> None:
         self._liveness = LivenessMonitor(self.state, adapter.backend_check)
-        self._peer_checks = PeerChecks(self.state, adapter.backend_check, self._checking_peers)
+        self._peer_checks = PeerChecks(
+            self.state, adapter.backend_check, lambda: self._peers_that(lambda member: member.checks_backends)
+        )
         self._crash_watch = CrashWatch(
             self.state,
             CrashProbe(adapter.backend_check, self.state.backends.all_backends, self._peer_checks.refuses_peers),
@@ -134,7 +136,9 @@
             lambda: self._clock.to_store_s(boot_time_s()),
         )
         choice = PeerChoice(self.state.topology, self.state.rng)
-        peer_client = PeerAttemptClient(choice, self._attempt_peers, adapter.notices)
+        peer_client = PeerAttemptClient(
+            choice, lambda: self._peers_that(lambda member: member.makes_attempts), adapter.notices
+        )
         self._stream_records = StreamRecords(
             self.state.node,
             adapter.sources.streams_table,
@@ -176,16 +180,10 @@
             return view.versions
         return view.versions | self._stream_records.recorded_versions(service)
 
-    def _attempt_peers(self) -> Iterator[PeerNode]:
-        """Yield the other nodes that make attempts for peers."""
-        for name, member in self._order.members.items():
-            if name != self.state.node and member.makes_attempts is True and member.address is not None:
-                yield PeerNode(name, member.zone, member.address)
-
-    def _checking_peers(self) -> Iterator[PeerNode]:
-        """Yield the other nodes that tell peers whether they can connect to a back end."""
+    def _peers_that(self, can: Callable[[NodeRecord], bool | UnsetType]) -> Iterator[PeerNode]:
+        """Yield the other nodes whose rows state that they ``can`` do something for peers."""
         for name, member in self._order.members.items():
-            if name != self.state.node and member.checks_backends is True and member.address is not None:
+            if name != self.state.node and can(member) is True and member.address is not None:
                 yield PeerNode(name, member.zone, member.address)
 
     def _build_drivers(self, adapter: NodeAdapter) -> None:
--- a/src/wallwell/routing/health/backend.py
+++ b/src/wallwell/routing/health/backend.py
@@ -27,7 +27,7 @@
 UNLISTED_SEPARATOR = "+"
 """Stands in the identity of a start that is not listed between the identity of the listed one and a number."""
 MAX_UNLISTED_STARTS = 1000
-"""Largest number of an unlisted start that is believed; a start takes seconds, and an entry outlives few."""
+"""Numbers of unlisted starts that are believed are below this: a start takes seconds, and an entry outlives few."""
 
 
 @dataclass(frozen=True)
