Soak: attempts for peers in which nothing was sent say nothing of who shares cache

Cause: the check. Trace: node-2 has been frozen and cut from the store and still has configuration 1, by which nobody is isolated; its line of the attempt says so, within the revocation bound. Before, it had asked two peers, which declined ('the credential belongs to no tenant', nothing sent). Their lines 3011 were read as attempts of theirs, and their configuration 3 as the one in force.

As strict as before for every attempt that was made: the lines of the node that made it count, and a peer's if it sent anything.

--- a/src/wallwell/soak/logged_attempts.py
+++ b/src/wallwell/soak/logged_attempts.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from wallwell.events import Event
+from wallwell.routing.retry.attempt_outcome import TransportEvent
 from wallwell.soak.history import AttemptLogged, ConfigurationRead
 from wallwell.soak.log_records import write_records
 
@@ -16,6 +17,8 @@
 PEER_EVENT = Event.ATTEMPT_FOR_PEER.value[0]
 ATTEMPT_EVENTS = frozenset((Event.REQUEST_ENDED.value[0], Event.REQUEST_RETRIED.value[0], PEER_EVENT))
 """Numbers of events that report an attempt; one that its caller ended has none."""
+NOT_SENT = frozenset(("declined", TransportEvent.WITHDRAWN.value))
+"""Results of attempts for peers in which nothing was sent."""
 
 
 class _Line(msgspec.Struct, frozen=True):
@@ -25,6 +28,8 @@
     """Version that came in force."""
     request_id: str = ""
     backend: str = ""
+    result: str = ""
+    """Result of an attempt for a peer."""
     config: int = 0
     """Version of an attempt; 0 in lines of calls and of attempts by peers, and in those of builds without it."""
 
@@ -46,4 +51,6 @@
             yield ConfigurationRead(at_s, node, fields.version)
         elif fields.event in ATTEMPT_EVENTS and (fields.config or fields.event == PEER_EVENT):
             is_for_peer = fields.event == PEER_EVENT
+            if is_for_peer and fields.result in NOT_SENT:
+                continue
             yield AttemptLogged(at_s, node, fields.request_id, fields.backend, fields.config, is_for_peer)
