Nodes report crashes to each other with their ages

What callers would have seen: while the store takes no writes, a part that crashes workers is sent on by a node that learned of its crashes in one message, as it started or after a while without its peers.

Cause: a part is quarantined by crashes in three separate moments. Rows say when each happened, reports between nodes did not, so that all crashes of a message counted as one moment.

Evidence: three reports at one moment gave no quarantine; with their ages they give one, and the ages arrive at every node of six in three zones.

Why it works: ages need no common clock, and each node adds what it waited itself.

Cost: six bytes a crash, only of parts, only while the store takes no writes.

--- a/src/wallwell/cluster/load_aggregator.py
+++ b/src/wallwell/cluster/load_aggregator.py
@@ -33,19 +33,20 @@
     def on_member_load(self, message: MemberLoad, now_s: float) -> OthersLoad:
         """Handle a member's report and return the load of all other nodes."""
         self._members.record(message.node, message.load, now_s)
-        self._crashes.on_member_report(message.crashes, now_s)
+        self._crashes.on_member_report(message.crashes, now_s, message.crash_ages_s)
         # Done first: a limit new to this node must exist before the member's spending of it can be counted.
         self._load.stated_limits.on_peer_report(message.load.stated_limits, now_s)
         limits = self._load.limits
         limits.on_member_report(message.spent, now_s)
         others = self._members.recent(now_s, excluding=message.node)
         load = sum_loads((*others, *self._other_relays_and_regions(now_s), self._load.own_load(now_s)))
-        return OthersLoad(load, limit_amounts(limits.levels(now_s)), self._crashes.crashes_for_members(now_s))
+        crashes = self._crashes.crashes_for_members(now_s)
+        return OthersLoad(load, limit_amounts(limits.levels(now_s)), crashes, self._crashes.ages_s(crashes))
 
     def on_zone_load(self, message: ZoneLoad, now_s: float) -> None:
         """Handle the sum of another relay of this region."""
         self._relays.record(message.node, message.load, now_s)
-        self._crashes.on_relay_report(message.crashes, now_s)
+        self._crashes.on_relay_report(message.crashes, now_s, message.crash_ages_s)
         self._load.stated_limits.on_peer_report(message.load.stated_limits, now_s)
         self._load.limits.on_relay_report(message.node, message.life, message.spent_totals, now_s)
         if message.node not in self._totals:
@@ -78,7 +79,15 @@
         limits = self._load.limits
         crashes = self._crashes.crashes_for_other_relays(now_s)
         spent = limit_amounts(limits.spent_totals())
-        return ZoneLoad(self._node, self._zone_load(now_s), limits.node_incarnation, spent, regions, crashes)
+        return ZoneLoad(
+            self._node,
+            self._zone_load(now_s),
+            limits.node_incarnation,
+            spent,
+            regions,
+            crashes,
+            self._crashes.ages_s(crashes),
+        )
 
     def region_sum(self, region: str, now_s: float) -> RegionSum:
         """Return the sum of this relay's own region, whose name is ``region``."""
--- a/src/wallwell/cluster/load_messages.py
+++ b/src/wallwell/cluster/load_messages.py
@@ -14,7 +14,7 @@
 from wallwell.cluster.load_reports import Load
 from wallwell.cluster.message_decoding import unpack_message
 from wallwell.cluster.peer_link import PeerMessage
-from wallwell.number_ranges import Amount
+from wallwell.number_ranges import Amount, Duration
 
 COMPRESSION_LEVEL = 6
 """Compression level of zlib: its default, a balance of speed and size."""
@@ -55,6 +55,8 @@
     load: Load
     spent: dict[str, Amount] = {}
     crashes: tuple[Crash, ...] = ()
+    crash_ages_s: tuple[Duration, ...] = ()
+    """Seconds since each of the crashes happened; omitted if that does not matter, as by earlier versions."""
 
 
 class OthersLoad(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -63,6 +65,8 @@
     load: Load
     levels: dict[str, Amount] = {}
     crashes: tuple[Crash, ...] = ()
+    crash_ages_s: tuple[Duration, ...] = ()
+    """Seconds since each of the crashes happened; omitted if that does not matter, as by earlier versions."""
 
 
 class ZoneLoad(PeerMessage, frozen=True, omit_defaults=True):
@@ -78,6 +82,8 @@
     spent_totals: dict[str, Amount] = {}
     regions: tuple[RegionSum, ...] = ()
     crashes: tuple[Crash, ...] = ()
+    crash_ages_s: tuple[Duration, ...] = ()
+    """Seconds since each of the crashes happened; omitted if that does not matter, as by earlier versions."""
 
 
 _region_sum_decoder = msgspec.json.Decoder(RegionSum)
--- a/src/wallwell/cluster/load_reporter.py
+++ b/src/wallwell/cluster/load_reporter.py
@@ -54,7 +54,7 @@
         crashes: CrashReports | None = None,
     ) -> None:
         self._node = node
-        self._crashes = crashes or CrashReports(tuple, lambda crash: None)
+        self._crashes = crashes or CrashReports(tuple, lambda crash, age_s: None)
         self._load = load
         self._order = order
         self._aggregator = LoadAggregator(node, load, self._crashes)
@@ -102,16 +102,18 @@
         now_s = boot_time_s()
         self._update_from_peers(reply.load)
         self._load.limits.on_levels_report(reply.levels, now_s)
-        self._crashes.on_relay_report(reply.crashes, now_s)
+        self._crashes.on_relay_report(reply.crashes, now_s, reply.crash_ages_s)
 
     async def _send_report(self, relay: Peer) -> OthersLoad | None:
         """Report to the relay; return its reply, or None without one: the spending is then reported again."""
         limits = self._load.limits
+        crashes = self._crashes.crashes_for_own_relay()
         message = MemberLoad(
             self._node,
             self._load.own_load(boot_time_s()),
             limit_amounts(limits.begin_report()),
-            self._crashes.crashes_for_own_relay(),
+            crashes,
+            self._crashes.ages_s(crashes),
         )
         was_received = False
         try:
--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -218,12 +218,20 @@
                 emit(Event.OWN_ROW_UNREADABLE, row=shown_key(row.key), error=shown_reason(error))
             return self._store_time_s()  # The crash itself is known from the key.
 
-    def on_peer_report(self, crash: Crash) -> None:
-        """Count a crash that the store has not accepted yet; the peer that detected it writes it."""
+    def on_peer_report(self, crash: Crash, age_s: float = 0.0) -> None:
+        """Count a crash that happened ``age_s`` seconds ago and that the store has not accepted yet; the peer that
+        detected it writes it."""
         subject, start_id = crash
         now_s = boot_time_s()
         self._state.backends.on_crashed(start_id, now_s)
-        self._count(subject, start_id, now_s, self._store_time_s())
+        self._count(subject, start_id, now_s, self._store_time_s() - age_s)
+
+    def age_s(self, crash: Crash) -> float:
+        """Return the seconds since a crash under a part happened; 0 if it is not of a part, or not counted."""
+        subject, start_id = crash
+        part = part_of(subject)
+        happened_s = None if part is None else self._state.part_quarantine.happened_s(part, start_id)
+        return 0.0 if happened_s is None else max(0.0, self._store_time_s() - happened_s)
 
     def unwritten_crashes(self) -> Sequence[Crash]:
         """Return the crashes that the store has not accepted, newest first; none while it accepts writes."""
--- a/src/wallwell/node/node.py
+++ b/src/wallwell/node/node.py
@@ -219,7 +219,8 @@
 
     def _build_peers(self, sources: NodeSources) -> None:
         """Build the server for peers and the reporters that exchange load and crashes with them."""
-        crash_reports = CrashReports(self._crash_watch.unwritten_crashes, self._crash_watch.on_peer_report)
+        crash_watch = self._crash_watch
+        crash_reports = CrashReports(crash_watch.unwritten_crashes, crash_watch.on_peer_report, crash_watch.age_s)
         self._load_reporter = LoadReporter(
             self.state.node, self.state.load, self._order, self.state.region_traffic, crash_reports
         )
--- a/tests/unit/cluster/limit_network.py
+++ b/tests/unit/cluster/limit_network.py
@@ -87,7 +87,7 @@
         node.load = FleetLoad(limits=FleetLimits(random.Random(self.rng.random())))
         node.load.backends.upsert(BackendRecord(BACKEND, "svc", "10.0.0.1:1", "z0", 64, started_unix_ms=5))
         node.load.forget_peers(len(self.nodes))
-        node.aggregator = LoadAggregator(node.name, node.load, CrashReports(tuple, lambda crash: None))
+        node.aggregator = LoadAggregator(node.name, node.load, CrashReports(tuple, lambda crash, age_s: None))
         node.is_down = False
         node.statement_forwarded_s = float("inf")
 
--- a/tests/unit/cluster/test_load_reporter.py
+++ b/tests/unit/cluster/test_load_reporter.py
@@ -30,11 +30,19 @@
         for engine in ENGINES:
             self.backends.upsert(BackendRecord(engine, "s", f"{engine}:1", zone, 16))
         self.unwritten_crashes = []
+        self.crash_ages_s = {}
         self.received = set()
-        reports = CrashReports(lambda: self.unwritten_crashes, self.received.add)
+        reports = CrashReports(lambda: self.unwritten_crashes, self._on_received, self._age_s)
         self.reporter = LoadReporter(name, self.load, self.order, crashes=reports)
         self.server = PeerServer({MemberLoad: self.reporter.on_member_load, ZoneLoad: self.reporter.on_zone_load})
 
+    def _on_received(self, crash, age_s):
+        self.received.add(crash)
+        self.crash_ages_s[crash] = age_s
+
+    def _age_s(self, crash):
+        return self.crash_ages_s.get(crash, 0.0)
+
     def put_load(self, engine, load):
         self.backends.get(engine).load = load
 
@@ -239,7 +247,7 @@
 
 def test_a_received_crash_is_relayed_for_a_limited_time():
     received = []
-    reports = CrashReports(tuple, received.append)
+    reports = CrashReports(tuple, lambda crash, age_s: received.append(crash))
     reports.on_member_report([("c", "e0")], 10.0)
     reports.on_relay_report([("d", "e1")], 10.0)
     assert reports.crashes_for_other_relays(10.0) == (("c", "e0"),)
@@ -253,7 +261,7 @@
 
 
 def test_a_crash_does_not_circulate_between_relays_forever():
-    relays = [CrashReports(tuple, lambda crash: None) for _ in range(2)]
+    relays = [CrashReports(tuple, lambda crash, age_s: None) for _ in range(2)]
     relays[0].on_member_report([("c", "e0")], 0.0)
     for step in range(100):
         now_s = 0.1 * step
@@ -264,7 +272,38 @@
 
 def test_crashes_in_a_message_are_bounded_and_unwritten_ones_come_first():
     own = [(f"c{number}", "e0") for number in range(MAX_CRASHES_PER_MESSAGE - 1)]
-    reports = CrashReports(lambda: own, lambda crash: None)
+    reports = CrashReports(lambda: own, lambda crash, age_s: None)
     reports.on_member_report([("m1", "e0"), ("m2", "e0")], 0.0)
     assert reports.crashes_for_members(0.0) == (*own, ("m1", "e0"))
     assert reports.crashes_for_own_relay() == tuple(own)
+
+
+AGES_S = {("p", "e0"): 2.5, ("p", "e1"): 1.25}
+
+
+def test_every_node_receives_how_long_ago_a_crash_happened(with_nodes):
+    """Nodes that learn of old crashes in one message must still tell their moments apart."""
+
+    async def scenario(nodes):
+        nodes[-1].unwritten_crashes = list(AGES_S)
+        nodes[-1].crash_ages_s = dict(AGES_S)
+        await exchange(nodes)
+        return [node.crash_ages_s for node in nodes]
+
+    assert all(ages_s == AGES_S for ages_s in with_nodes("aaabbc", scenario))
+
+
+@pytest.mark.parametrize(
+    ("ages_s", "received"), [((), [0.0, 0.0]), ((1.5,), [1.5, 0.0]), ((1.5, 2.5, 3.5), [1.5, 2.5])]
+)
+def test_crashes_without_an_age_are_new(ages_s, received):
+    taken = []
+    reports = CrashReports(tuple, lambda crash, age_s: taken.append(age_s))
+    reports.on_member_report(list(AGES_S), 10.0, ages_s)
+    assert taken == received
+
+
+def test_ages_that_do_not_matter_are_not_sent():
+    reports = CrashReports(tuple, lambda crash, age_s: None, lambda crash: AGES_S.get(crash, 0.0))
+    assert reports.ages_s([("c", "e0"), ("c", "e1")]) == ()
+    assert reports.ages_s([("c", "e0"), ("p", "e1")]) == (0.0, 1.25)
--- a/tests/unit/compatibility/test_messages_between_nodes.py
+++ b/tests/unit/compatibility/test_messages_between_nodes.py
@@ -20,6 +20,12 @@
                 '"delays":[4,1],"asked":{"acme":5},"nodes":1},"spent":{"acme":5},"crashes":[["c1","w1"]]}'
             ),
         ),
+        (
+            (
+                '{"type":"MemberLoad","node":"n1","load":{"requests":{},"generations":0,"delays":[0,0],"asked":{},'
+                '"nodes":1},"crashes":[["c1","w1"],["part-d1","w1"]],"crash_ages_s":[0.0,1.25]}'
+            ),
+        ),
         (
             '{"type":"MemberLoad","node":"n1","load":{}}',
             (
--- a/tests/unit/node/test_crash_watch_parts.py
+++ b/tests/unit/node/test_crash_watch_parts.py
@@ -73,6 +73,33 @@
     assert run_virtual(work()) == 1
 
 
+def test_a_peers_reports_that_come_together_keep_their_moments():
+    """Guards against a part that is sent on by a node which learned of its crashes in one message: as it started,
+    or after a while without its peers."""
+
+    async def work():
+        first, second = WatchedNode(), WatchedNode()
+        for number in range(CRASHES_TO_QUARANTINE):
+            first.store_s = STORE_S + number
+            first.watch.on_peer_report((f"{PART_PREFIX}a", f"gone-{number}"))
+        crashes = [(f"{PART_PREFIX}a", f"gone-{number}") for number in range(CRASHES_TO_QUARANTINE)]
+        ages_s = [first.watch.age_s(crash) for crash in crashes]
+        for crash, age_s in zip(crashes, ages_s, strict=True):
+            second.watch.on_peer_report(crash, age_s)
+        return ages_s, len(second.state.part_quarantine.quarantined())
+
+    assert run_virtual(work()) == ([2.0, 1.0, 0.0], 1)
+
+
+def test_age_of_a_crash_that_is_not_of_a_part_or_not_counted_does_not_matter():
+    async def work():
+        node = WatchedNode()
+        node.watch.on_peer_report(("c", "gone"))
+        return [node.watch.age_s(crash) for crash in (("c", "gone"), (f"{PART_PREFIX}a", "gone"))]
+
+    assert run_virtual(work()) == [0.0, 0.0]
+
+
 def test_rows_of_a_part_are_deleted_once_an_answer_on_it_was_begun():
     """Other nodes count a crash until its row is deleted, and may never see this part work."""
 
