Exchange loads and crashes also while no copy of the store is recent

What callers would have seen: while the store is away for longer than some two seconds, each node of a zone takes the others for idle (their load counts as 0), and a request or part that crashes workers is refused only by the nodes that saw its crashes.

Cause: a relay whose copy of the store is stale was paused in the one record that also decides with whom loads and crashes are exchanged. While the store is away no copy is recent, so each member took itself for the zone's relay, found no other, and summed nobody's load.

The new test of two nodes, loads 3 and 5, fails before within the 8 s without the store.

Why it works: who answers and whose copy is recent are kept apart; rows are followed by both, loads exchanged by the first.

Tests: the hostile replies know the error of a stale copy, which was one of an unavailable peer before.

--- a/src/wallwell/cluster/relay.py
+++ b/src/wallwell/cluster/relay.py
@@ -48,6 +48,10 @@
 """Peers asked, at most, in one call before the store is asked: each one that is gone costs a time-out."""
 
 
+class StaleCopyError(Exception):
+    """A peer's copy of the store is too old to be followed."""
+
+
 class RelayedRows:
     """A :class:`RowSource` of one table that reads from a peer that follows the store, or from the store itself."""
 
@@ -111,9 +115,8 @@
             try:
                 hold_s = min(wait_s, OTHER_ZONE_WAIT_S) if self._order.is_in_other_zone(name) else wait_s
                 page = await self._ask(name, address, hold_s, after)
-            except PeerUnavailableError as error:
-                self._order.on_failure(name, boot_time_s())
-                emit(Event.RELAY_LOST, peer=name, rows=self.table, reason=str(error))
+            except (PeerUnavailableError, StaleCopyError) as error:
+                self._pass_over(name, error)
                 continue
             except HistoryLostError:
                 raise
@@ -122,18 +125,27 @@
                 self._order.on_failure(name, boot_time_s())
                 self._unexpected_errors.record(name, error)
                 continue
-            self._order.on_success(name)
+            self._order.on_rows(name)
             return page
         return None
 
+    def _pass_over(self, name: str, error: Exception) -> None:
+        """Follow another peer for a while."""
+        if isinstance(error, StaleCopyError):
+            self._order.on_stale_copy(name, boot_time_s())
+        else:
+            self._order.on_failure(name, boot_time_s())
+        emit(Event.RELAY_LOST, peer=name, rows=self.table, reason=str(error))
+
     async def _ask(self, name: str, address: Address, hold_s: float, after: StorePosition | None) -> FeedPage:
-        """Return a page from one peer. Raises :class:`PeerUnavailableError` or :class:`HistoryLostError`."""
+        """Return a page from one peer. Raises :class:`PeerUnavailableError`, :class:`HistoryLostError`, or
+        :class:`StaleCopyError` if the peer has not read the store for too long."""
         request = RowsRequest(self.table, hold_s)
         if after is not None:
             request = RowsRequest(self.table, hold_s, after.version, era_to_send(after.era))
         reply = await self.links.to(name, address).ask(request, RowsReply, hold_s + ANSWER_MARGIN_S)
         if reply.stale:
-            raise PeerUnavailableError(f"{address}: its copy of the store is stale")
+            raise StaleCopyError(f"{address}: its copy of the store is stale")
         if reply.history_lost:
             raise HistoryLostError("the peer no longer has the changes since this version")
         era = era_received(reply.era)
--- a/src/wallwell/cluster/upstream.py
+++ b/src/wallwell/cluster/upstream.py
@@ -15,7 +15,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from functools import cached_property
 from typing import Annotated, NamedTuple
@@ -93,10 +93,14 @@
     members: Mapping[str, NodeRecord] = field(default_factory=dict)
     topology: Topology = SINGLE_REGION
     health: PeersHealth = field(default_factory=PeersHealth)
+    """Which peers answer."""
+    copies: PeersHealth = field(default_factory=PeersHealth)
+    """Which peers' copies of the store are recent. While the store is away, none is, and peers still exchange
+    loads."""
 
     def candidates(self, now_s: float) -> list[Peer]:
         """Return the peers to follow, best first; empty if this node follows the store itself."""
-        in_zone = self.followed_peers_in_zone(now_s)
+        in_zone = self._preceding_relays(now_s, self._serves_rows)
         own_record = self.members.get(self.node)
         if in_zone or own_record is None or own_record.address is None:
             return in_zone
@@ -114,7 +118,7 @@
         has_other_regions = self.topology.has_other_regions
         if len(earlier) < (STORE_FOLLOWING_ZONES_PER_REGION if has_other_regions else STORE_FOLLOWING_ZONES):
             return []
-        relays = [peer for zone in earlier for peer in self._relays_of(zone, now_s)]
+        relays = [peer for zone in earlier for peer in self._relays_of(zone, now_s, self._serves_rows)]
         relays.sort(key=lambda peer: rendezvous_score(peer.name, rendezvous_key(self.zone)))
         if has_other_regions:
             relays.sort(key=lambda peer: _zone_rank(self.members[peer.name].zone))
@@ -134,13 +138,20 @@
         return member is not None and member.zone != self.zone
 
     def followed_peers_in_zone(self, now_s: float) -> list[Peer]:
-        """Return the relays of this node's zone that it follows; empty if it is a relay or not reachable itself."""
+        """Return the relays of this node's zone that it reports to; empty if it is a relay itself, or if peers
+        cannot reach it."""
+        return self._preceding_relays(now_s, self.health.is_working)
+
+    def _serves_rows(self, name: str, now_s: float) -> bool:
+        return self.health.is_working(name, now_s) and self.copies.is_working(name, now_s)
+
+    def _preceding_relays(self, now_s: float, is_working: Callable[[str, float], bool]) -> list[Peer]:
         same_zone = self._reachable_members(self.zone)
         if self.node not in same_zone:
             return []
         ordered, n_relays = self._ordered_members(self.zone, same_zone)
         preceding = ordered[: ordered.index(self.node)]
-        working = [name for name in preceding if self.health.is_working(name, now_s)][:n_relays]
+        working = [name for name in preceding if is_working(name, now_s)][:n_relays]
         if len(working) < n_relays:
             return []
         working.sort(key=lambda name: rendezvous_score(name, rendezvous_key(self.node)))
@@ -148,13 +159,14 @@
 
     def other_relays(self, now_s: float) -> list[Peer]:
         """Return the other relays of this node's region."""
-        relays = [relay for zone in self._own_zones() for relay in self._relays_of(zone, now_s)]
+        is_working = self.health.is_working
+        relays = [relay for zone in self._own_zones() for relay in self._relays_of(zone, now_s, is_working)]
         return [peer for peer in relays if peer.name != self.node]
 
-    def _relays_of(self, zone: str, now_s: float) -> list[Peer]:
+    def _relays_of(self, zone: str, now_s: float, is_working: Callable[[str, float], bool]) -> list[Peer]:
         """Return the relays of a zone: its first working members; this node always counts as working."""
         ordered, n_relays = self._ordered_members(zone, self._reachable_members(zone))
-        working = [name for name in ordered if name == self.node or self.health.is_working(name, now_s)][:n_relays]
+        working = [name for name in ordered if name == self.node or is_working(name, now_s)][:n_relays]
         return self._peers(working)
 
     def other_regions(self) -> list[str]:
@@ -200,19 +212,28 @@
         return ordered, -(-len(names) // MEMBERS_PER_RELAY)
 
     def on_failure(self, name: str, now_s: float) -> None:
-        """Pause a peer that did not answer or whose copy of the store is stale."""
+        """Pause a peer that did not answer."""
         self.health.on_failure(name, now_s)
 
+    def on_stale_copy(self, name: str, now_s: float) -> None:
+        """Do not follow a peer for a while, since its copy of the store is stale."""
+        self.copies.on_failure(name, now_s)
+
     def on_zone_returned(self, zone: str) -> None:
         """End the pauses of the nodes of a zone that answers again, so that they are asked at once."""
         for name, member in self.members.items():
             if member.zone == zone:
-                self.health.on_success(name)
+                self.on_rows(name)
 
     def on_success(self, name: str) -> None:
         """Reset the failures of a peer that answered."""
         self.health.on_success(name)
 
+    def on_rows(self, name: str) -> None:
+        """Reset the failures of a peer that answered with rows of a recent copy."""
+        self.health.on_success(name)
+        self.copies.on_success(name)
+
 
 def _zone_rank(zone: str) -> tuple[int, str]:
     return rendezvous_score(zone, _ZONE_ORDER_KEY), zone
--- a/tests/platform/test_peers.py
+++ b/tests/platform/test_peers.py
@@ -9,9 +9,12 @@
 import pytest
 
 from tests.platform.conftest import config, route
+from wallwell.clock import boot_time_s
 from wallwell.platform.main import build_node
 from wallwell.platform.settings import ListenAddresses, PlatformSettings, StoreAddress
 
+STORE_AWAY_S = 8.0
+"""Seconds without the store: several times the age from which copies of it are too old to be followed."""
 LOOPBACK = "127.0.0.1"
 
 
@@ -86,6 +89,25 @@
     on_platform(scenario)
 
 
+def test_nodes_know_each_others_loads_all_the_while_the_store_is_away(on_platform):
+    """Guards against nodes that hear nothing of each other, neither loads nor crashes, while no relay's copy of the
+    store is recent."""
+
+    async def scenario(harness):
+        relay, follower = await two_nodes(harness)
+        loads = [node.state.backends.get("i-0") for node in (relay, follower)]
+        loads[0].load, loads[1].load = 3, 5
+        await harness.until(lambda: [each.peers_load for each in loads] == [5, 3])
+        harness.store.refuse_status = 503
+        end_s = boot_time_s() + STORE_AWAY_S
+        while boot_time_s() < end_s:
+            assert [each.peers_load for each in loads] == [5, 3]
+            await asyncio.sleep(0.05)
+        await follower.stop()
+
+    on_platform(scenario)
+
+
 def test_restarted_node_registers_its_new_address(on_platform):
     async def scenario(harness):
         first = await second_node(harness)
--- a/tests/unit/cluster/test_upstream.py
+++ b/tests/unit/cluster/test_upstream.py
@@ -75,6 +75,30 @@
     assert root in [name for name, _ in order.candidates(now_s + 2.0)]
 
 
+def test_a_peer_with_a_stale_copy_is_not_followed_and_still_exchanges_loads():
+    """Guards against nodes that hear nothing of each other while the store is away, as no copy is recent then."""
+    members = fleet(3)
+    root = next(name for name, order in orders(members).items() if not order.candidates(0.0))
+    follower = next(name for name in members if name != root)
+    order = UpstreamOrder(follower, "z0", members)
+    order.on_stale_copy(root, 0.0)
+    order.on_success(root)  # An exchange of loads says nothing of its copy.
+    assert root not in [name for name, _ in order.candidates(0.1)]
+    assert [name for name, _ in order.followed_peers_in_zone(0.1)] == [root]
+    order.on_rows(root)
+    assert root in [name for name, _ in order.candidates(0.1)]
+
+
+def test_relays_with_stale_copies_still_exchange_loads_between_zones():
+    members = fleet(12, zones=4)
+    relay = next(name for name, order in orders(members).items() if not order.followed_peers_in_zone(0.0))
+    order = UpstreamOrder(relay, members[relay].zone, members)
+    others = order.other_relays(0.0)
+    for name, _ in others:
+        order.on_stale_copy(name, 0.0)
+    assert order.other_relays(0.1) == others
+
+
 def test_a_node_that_peers_cannot_reach_or_that_is_not_registered_follows_the_store():
     members = {**fleet(3), "silent": NodeRecord("z0", "")}
     assert UpstreamOrder("silent", "z0", members).candidates(0.0) == []
