--- a/src/wallwell/cluster/upstream.py
+++ b/src/wallwell/cluster/upstream.py
@@ -54,7 +54,7 @@
     keeps_streams: bool | msgspec.UnsetType = msgspec.UNSET
     """Whether the node answers datagrams about streams at the port of ``relay``; omitted as above."""
     checks_backends: bool | msgspec.UnsetType = msgspec.UNSET
-    """Whether the node tells peers if it can connect to a back end; omitted as above."""
+    """Whether the node answers peers if it can connect to a back end; omitted as above."""
 
     @property
     def address(self) -> Address | None:
--- a/src/wallwell/node/crash_probe.py
+++ b/src/wallwell/node/crash_probe.py
@@ -3,7 +3,7 @@
 A broken attempt alone does not prove a crash: connections are also reset by the network, by a back end with too
 many connections, and at the end of a planned stop. A back end counts as crashed when two probes in a row are
 refused, nothing was received from it in between, and other nodes are refused too, or when another incarnation has
-taken its address. This node's own links may have failed, to all back ends or to some. If no other node can tell,
+taken its address. This node's own links may have failed, to all back ends or to some. If no other node knows,
 refusals count if this node reaches any other back end.
 
 Owns no state. Relies on the registry to mark replaced incarnations (``Backend.superseded``) and on attempts to
@@ -47,7 +47,7 @@
     PEERS = "peers"
     """Its address refuses this node's connections and those of others."""
     REFUSALS = "refusals"
-    """Its address refuses this node's connections, another back end's does not, and no other node could tell."""
+    """Its address refuses this node's connections, another back end's does not, and no other node knows."""
     SUCCESSOR = "successor"
     """Another incarnation, or a later start of the same one, is listed."""
 
@@ -77,7 +77,7 @@
         ...
 
 
-async def _no_peer_can_tell(_backend: Backend) -> None:
+async def _no_peer_knows(_backend: Backend) -> None:
     return None
 
 
@@ -88,24 +88,23 @@
         self,
         check: CrashCheck,
         all_backends: Callable[[], Iterable[Backend]],
-        refuses_peers: Callable[[Backend], Awaitable[bool | None]] = _no_peer_can_tell,
+        refuses_peers: Callable[[Backend], Awaitable[bool | None]] = _no_peer_knows,
     ) -> None:
         """``all_backends`` returns the listed back ends of all services, ``refuses_peers`` whether a back end
-        refuses the connections of other nodes; None if none can tell."""
+        refuses the connections of other nodes; None if none knows."""
         self._check = check
         self._all_backends = all_backends
         self._refuses_peers = refuses_peers
 
-    async def find_crash(self, backend: Backend, is_unlisted: bool = False) -> CrashEvidence | None:
+    async def find_crash(self, backend: Backend) -> CrashEvidence | None:
         """Probe a back end after a broken attempt, at most :data:`MAX_PROBES` times; return what shows that it has
-        crashed, None if nothing does. ``is_unlisted``: the attempt reached an unlisted start at its address."""
+        crashed, None if nothing does."""
         refused_at_s = first_refused_at_s = None
         listening_probes = 0
         for probe in range(MAX_PROBES):
             await asyncio.sleep(PROBE_INTERVAL_S if probe else FIRST_PROBE_DELAY_S)
             if backend.superseded:
-                # The later start that is listed by now may be the one that the attempt reached.
-                return None if is_unlisted else CrashEvidence.SUCCESSOR
+                return CrashEvidence.SUCCESSOR
             if await self._check.refuses_connections(backend.record):
                 if refused_at_s is not None and backend.silence.last_received_s <= refused_at_s:
                     return await self._judge_refusals(backend, first_refused_at_s or refused_at_s)
--- a/src/wallwell/node/crash_watch.py
+++ b/src/wallwell/node/crash_watch.py
@@ -154,14 +154,17 @@
 
     async def _probe_backend(self, start_id: str) -> None:
         broken = self._broken[start_id]
-        backend, is_unlisted = broken.backend, broken.backend.runs_unlisted_start(broken.sent_s)
+        backend = broken.backend
+        is_unlisted = backend.runs_unlisted_start(broken.sent_s)
         try:
-            evidence = await self._probe.find_crash(backend, is_unlisted)
+            evidence = await self._probe.find_crash(backend)
         finally:
             # Attempts that break from now on start a new series of probes.
             del self._broken[start_id]
-        if evidence is None and not is_unlisted and await self._probe.wait_for_successor(backend):
+        if evidence is None and await self._probe.wait_for_successor(backend):
             evidence = CrashEvidence.SUCCESSOR
+        if is_unlisted and evidence is CrashEvidence.SUCCESSOR:
+            return  # The later start that is listed by now may be the one that had these runs.
         if evidence is not None:
             emit(
                 Event.BACKEND_CRASHED,
--- a/src/wallwell/node/peer_checks.py
+++ b/src/wallwell/node/peer_checks.py
@@ -1,7 +1,7 @@
 """Asks other nodes whether a back end refuses their connections too, and answers them.
 
-A node whose connections are refused cannot tell whether the back end has ended or its own links to it have failed;
-nodes elsewhere can. They are asked only about back ends that have refused this node twice after an attempt broke.
+A node whose connections are refused cannot distinguish a back end that has ended from a failure of its own links to
+it; nodes elsewhere can. They are asked only about back ends that refused this node twice after an attempt broke.
 
 Owns no state. Relies on the members' rows for which nodes answer, and on
 :mod:`wallwell.routing.selection.peer_choice` for which of them are asked.
@@ -50,7 +50,7 @@
         self._failure_log = PeerFailureLog()
 
     async def refuses_peers(self, backend: Backend) -> bool | None:
-        """Whether a back end refuses the connections of all peers that can tell; None if none can."""
+        """Whether a back end refuses the connections of all peers that know; None if none does."""
         record = backend.record
         request = ConnectionCheckRequest(record.incarnation, record.started_unix_ms)
         peers = choose_witnesses(self._peers(), self._state.topology.zone, self._state.rng)
